--- a/crates/load/src/bin/tidepier-load.rs
+++ b/crates/load/src/bin/tidepier-load.rs
@@ -3,7 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tidepier_load::commands::{chat, fleet, latency, run};
+use tidepier_load::commands::{call, chat, chats, fleet, latency, run};
 
 /// Plays callers against a fleet and checks every answer.
 #[derive(Parser)]
@@ -17,6 +17,10 @@
 enum Command {
     /// Writes the files of a fleet.
     Fleet(fleet::Command),
+    /// Calls a plain service once.
+    Call(call::Command),
+    /// Writes example chats.
+    Chats(chats::Command),
     /// Holds one chat.
     Chat(chat::Command),
     /// Runs many callers.
@@ -28,6 +32,8 @@
 fn main() -> ExitCode {
     let done = match Arguments::parse().command {
         Command::Fleet(command) => command.execute(),
+        Command::Call(command) => command.execute(),
+        Command::Chats(command) => command.execute(),
         Command::Chat(command) => command.execute(),
         Command::Run(command) => command.execute(),
         Command::Latency(command) => command.execute(),
--- a/crates/load/src/chats.rs
+++ b/crates/load/src/chats.rs
@@ -155,7 +155,11 @@
 /// A document of about `tokens` tokens.
 pub fn document(rng: &mut impl Rng, number: usize, tokens: u64) -> String {
     let size = (tokens * TOKEN_BYTES) as usize;
-    let sentences = if number % 2 == 0 { CLAUSES } else { ENTRIES };
+    let sentences = if number.is_multiple_of(2) {
+        CLAUSES
+    } else {
+        ENTRIES
+    };
     let mut text = format!("Document {number}.\n");
     let mut clause = 0;
     while text.len() < size {
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -199,7 +199,7 @@
         None => None,
         Some(wish) => match once::enter(node, incoming, &target, wish, bytes).await? {
             once::Entry::Permit(permit) => Some(permit),
-            once::Entry::Answered(reply) => return Ok(reply),
+            once::Entry::Answered(reply) => return Ok(*reply),
         },
     };
     let account = &incoming.account.name;
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -98,7 +98,7 @@
     /// It may be sent, once.
     Permit(Permit),
     /// An earlier arrival's answer.
-    Answered(Reply),
+    Answered(Box<Reply>),
 }
 
 /// The right to send a request once. Dropped before it is sent, it is given up.
@@ -202,7 +202,7 @@
         }
         let waiting = fate(node, &holder);
         match incoming.deadline.bound(Kind::Duplicate, waiting).await? {
-            Fate::Done(kept) => return Ok(Entry::Answered(replay(kept))),
+            Fate::Done(kept) => return Ok(Entry::Answered(Box::new(replay(kept)))),
             Fate::Abandoned => over = Some(holder.request),
             Fate::Runs | Fate::Unknown => {
                 metrics::counter!("tidepier_duplicates_unanswered_total").increment(1);
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -53,7 +53,7 @@
     let target = format!("service/{name}/{rest}");
     let permit = match once::enter(node, incoming, &target, &marked, &body).await? {
         once::Entry::Permit(permit) => permit,
-        once::Entry::Answered(reply) => return Ok(reply),
+        once::Entry::Answered(reply) => return Ok(*reply),
     };
     single(node, incoming, service, &call.once(), permit).await
 }
--- /dev/null
+++ b/crates/steward/src/work.rs
@@ -0,0 +1,223 @@
+//! The steward's rounds.
+
+use std::sync::atomic::{AtomicBool, Ordering};
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use tidepier_config::document::{Document, Engine, Record};
+use tidepier_config::Settings;
+use tidepier_errors::{Fault, Kind};
+use tidepier_http::client::Pool;
+use tidepier_platform::store::Client;
+use tidepier_platform::weights;
+
+use crate::duty::{Duty, Hold, LEASE_SECONDS};
+use crate::orders::{self, Need, Order, FLIGHT};
+
+/// Time between looks whether the duty is free. With 350 boxes these are 35
+/// reads a second of the store's two thousand.
+const LOOK: Duration = Duration::from_secs(10);
+/// Time between rounds of a holder; a third of the lease or less.
+const ROUND: Duration = Duration::from_secs(1);
+/// Time between reads of the document by a holder.
+const READ: Duration = Duration::from_secs(3);
+
+/// Longest time until a stop is noticed.
+const STOP_CHECK: Duration = Duration::from_millis(100);
+
+/// A running steward.
+pub struct Steward {
+    settings: Settings,
+    pool: Pool,
+    store: Client,
+    duty: Duty,
+    stopping: AtomicBool,
+}
+
+struct Wanted<'d> {
+    engine: &'d Engine,
+    order: Order,
+    need: Need,
+}
+
+impl Steward {
+    /// A steward of the hall of `settings`.
+    pub fn new(settings: Settings) -> Self {
+        let pool = Pool::new();
+        let platform = &settings.platform;
+        let limit = settings.tuning.store_ms.duration();
+        let store = Client::new(pool.clone(), platform.store.0, limit);
+        let name = settings.name.clone();
+        let duty = Duty::new(store.clone(), &settings.fleet, &settings.hall, name);
+        Self {
+            settings,
+            pool,
+            store,
+            duty,
+            stopping: AtomicBool::new(false),
+        }
+    }
+
+    /// Asks [`Steward::run`] to end: it finishes its round and gives the duty
+    /// back, so that another box can take it at once.
+    pub fn stop(&self) {
+        self.stopping.store(true, Ordering::SeqCst);
+    }
+
+    fn stops(&self) -> bool {
+        self.stopping.load(Ordering::SeqCst)
+    }
+
+    /// Waits, for less if the steward stops.
+    async fn pause(&self, wait: Duration) {
+        let end = Instant::now() + wait;
+        while !self.stops() && Instant::now() < end {
+            let left = end.saturating_duration_since(Instant::now());
+            Timer::after(left.min(STOP_CHECK)).await;
+        }
+    }
+
+    /// Works until stopped: takes the duty when it is free, and acts on it.
+    pub async fn run(&self) {
+        // Boxes that start together must not look together.
+        let spread = rand::random_range(0.0..1.0);
+        let mut wait = Duration::from_millis(500).mul_f64(spread);
+        while !self.stops() {
+            self.pause(wait).await;
+            wait = LOOK.mul_f64(0.5 + rand::random_range(0.0..1.0));
+            match self.duty.take().await {
+                Ok(Some(hold)) => {
+                    log::info!(
+                        "duty taken hall={} fencing={}",
+                        self.settings.hall,
+                        hold.fencing
+                    );
+                    self.hold(hold).await;
+                    log::info!("duty lost hall={}", self.settings.hall);
+                }
+                Ok(None) => {}
+                Err(fault) => {
+                    metrics::counter!("tidepier_duty_failures_total").increment(1);
+                    log::debug!("{fault}");
+                }
+            }
+        }
+    }
+
+    /// Acts until the duty is lost.
+    async fn hold(&self, mut hold: Hold) {
+        let mut document: Option<Document> = None;
+        let mut read_at: Option<Instant> = None;
+        while hold.valid() {
+            if self.stops() {
+                if self.duty.give_back(&hold).await.is_err() {
+                    log::info!("duty not given back; its lease lapses");
+                }
+                return;
+            }
+            if read_at.is_none_or(|at| at.elapsed() > READ) {
+                if let Ok(found) = self.document().await {
+                    document = found;
+                    read_at = Some(Instant::now());
+                }
+            }
+            if let Some(document) = &document {
+                self.round(document, &hold).await;
+            }
+            self.pause(ROUND).await;
+            match self.duty.keep(&mut hold).await {
+                Err(fault) if fault.kind == Kind::Conflict => return,
+                // The lease still runs; its own end is checked.
+                Ok(()) | Err(_) => {}
+            }
+        }
+    }
+
+    async fn document(&self) -> Result<Option<Document>, Fault> {
+        let key = format!("tidepier/{}/document", self.settings.fleet);
+        let Some(entry) = self.store.get(&key).await? else {
+            return Ok(None);
+        };
+        let record: Record = serde_json::from_slice(&entry.value)
+            .map_err(|error| Fault::new(Kind::Internal, error.to_string()))?;
+        Ok(Some(record.document))
+    }
+
+    /// Compares all engines of the hall with the document and orders what they
+    /// lack, those that lack most first.
+    async fn round(&self, document: &Document, hold: &Hold) {
+        let mut wanted = Vec::new();
+        for engine in document
+            .engines
+            .iter()
+            .filter(|e| e.hall == self.settings.hall)
+        {
+            if let Some(order) = self.wanted(document, engine, hold).await {
+                wanted.push(order);
+            }
+        }
+        wanted.sort_by_key(|wanted| std::cmp::Reverse(wanted.need));
+        for wanted in wanted {
+            if self.order(wanted, hold).await.is_err() {
+                return;
+            }
+        }
+    }
+
+    async fn wanted<'d>(
+        &self,
+        document: &'d Document,
+        engine: &'d Engine,
+        hold: &Hold,
+    ) -> Option<Wanted<'d>> {
+        let model = document
+            .models
+            .iter()
+            .find(|model| model.name == engine.model)?;
+        // An order of the holder before may still be on its way, and this
+        // engine would take it after ours.
+        let settled = Duration::from_secs(LEASE_SECONDS) + FLIGHT;
+        if !engine.checks_fencing && hold.taken.elapsed() < settled {
+            return None;
+        }
+        let loaded = orders::read(&self.pool, engine.address.0).await.ok()?;
+        let need = loaded.need(model);
+        if need == Need::Nothing {
+            return None;
+        }
+        let order = Order {
+            fencing: hold.fencing,
+            model: model.name.to_string(),
+            version: model.version.clone(),
+            adapters: model.adapters.clone(),
+            permit: String::new(),
+        };
+        Some(Wanted {
+            engine,
+            order,
+            need,
+        })
+    }
+
+    /// Sends one order with a permit of the weight store.
+    ///
+    /// # Errors
+    ///
+    /// The rest of the round has to wait: no permit, or the duty is lost.
+    async fn order(&self, mut wanted: Wanted<'_>, hold: &Hold) -> Result<(), Fault> {
+        let object = format!("{}/{}", wanted.order.model, wanted.order.version);
+        let weights = self.settings.platform.weights.0;
+        wanted.order.permit = weights::permit(&self.pool, weights, &object).await?.permit;
+        if !hold.valid() {
+            metrics::counter!("tidepier_orders_withheld_total").increment(1);
+            return Err(Fault::new(Kind::Conflict, "the duty has ended"));
+        }
+        let name = &wanted.engine.name;
+        match orders::send(&self.pool, wanted.engine, &wanted.order).await {
+            Ok(()) => log::info!("ordered engine={name} object={object}"),
+            Err(fault) => log::info!("order failed engine={name} error={fault}"),
+        }
+        metrics::counter!("tidepier_orders_total").increment(1);
+        Ok(())
+    }
+}
--- /dev/null
+++ b/src/exit.rs
@@ -0,0 +1,17 @@
+//! From an error to an exit code.
+
+use std::process::ExitCode;
+
+use tidepier_config::Faults;
+use tidepier_errors::{Fault, Kind};
+
+/// The exit code of a command that failed: that of the fault inside the error.
+pub fn code(error: &eyre::Report) -> ExitCode {
+    if error.downcast_ref::<Faults>().is_some() {
+        return ExitCode::from(Kind::Invalid.answer().exit);
+    }
+    match error.downcast_ref::<Fault>() {
+        Some(fault) => ExitCode::from(fault.kind.answer().exit),
+        None => ExitCode::FAILURE,
+    }
+}
