A connection no longer holds the memory of every stage at once

Cause: the future of one caller's connection was 216 KB, as the futures of all stages (decode, handler, store call, refusal) were laid inside each other, and an engine's body went through three buffers of 8 KiB. Found by printing the size of the futures.

Ruled out: leaks (memory fell back with the streams); the ring of spans (4096 short texts).

--- a/crates/claims/src/pages.rs
+++ b/crates/claims/src/pages.rs
@@ -1,7 +1,7 @@
 //! All pages, each with a task that records whatever claims wait for it.
 
 use std::collections::HashMap;
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use smol::channel::{self, Receiver, Sender};
@@ -32,7 +32,7 @@
     store: Client,
     fleet: ids::Account,
     kept: Duration,
-    executor: Arc<Executor<'static>>,
+    executor: Weak<Executor<'static>>,
     open: Arc<Mutex<HashMap<u32, Sender<Waiting>>>>,
 }
 
@@ -42,13 +42,13 @@
         store: Client,
         fleet: ids::Account,
         kept: Duration,
-        executor: Arc<Executor<'static>>,
+        executor: &Arc<Executor<'static>>,
     ) -> Self {
         Self {
             store,
             fleet,
             kept,
-            executor,
+            executor: Arc::downgrade(executor),
             open: Arc::default(),
         }
     }
@@ -84,7 +84,9 @@
             let key = format!("tidepier/{}/claims/{number}", self.fleet);
             let page = Page::new(self.store.clone(), key, self.kept);
             let (sender, receiver) = channel::bounded(WAITING);
-            self.executor.spawn(record(page, receiver)).detach();
+            if let Some(executor) = self.executor.upgrade() {
+                executor.spawn(record(page, receiver)).detach();
+            }
             sender
         });
         opened.clone()
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,7 +12,7 @@
 use std::time::{Duration, Instant};
 
 use async_h1::client::{decode, Encoder};
-use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader};
+use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
@@ -186,7 +186,7 @@
         call: &Call,
     ) -> Result<Answer, Failure> {
         let request = call.request(address)?;
-        let head = exchange(socket.clone(), request).await;
+        let head = Box::pin(exchange(socket.clone(), request)).await;
         let mut response = head.map_err(Failure::Unknown)?;
         let length = declared(&response);
         let stays = !closes(&response);
@@ -316,6 +316,27 @@
     }
 }
 
+impl AsyncBufRead for Counted {
+    fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
+        let this = self.get_mut();
+        let empty = match Pin::new(&mut this.body).poll_fill_buf(cx) {
+            Poll::Pending => return Poll::Pending,
+            Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
+            Poll::Ready(Ok(filled)) => filled.is_empty(),
+        };
+        if empty {
+            return Poll::Ready(this.ended().map(|()| &[][..]));
+        }
+        // Asked again, as the borrow above must end before `ended` can run.
+        Pin::new(&mut this.body).poll_fill_buf(cx)
+    }
+
+    fn consume(mut self: Pin<&mut Self>, amount: usize) {
+        self.read += amount as u64;
+        Pin::new(&mut self.body).consume(amount);
+    }
+}
+
 /// The head of an answer and its unread body.
 pub struct Answer {
     response: Response,
@@ -352,9 +373,9 @@
             .map(|values| values.last().as_str())
     }
 
-    /// The body, buffered.
+    /// The body.
     pub fn reader(self) -> impl AsyncBufRead + Send + Unpin {
-        BufReader::new(self.body)
+        self.body
     }
 
     /// Reads the rest of the answer.
--- a/crates/http/src/events.rs
+++ b/crates/http/src/events.rs
@@ -10,7 +10,9 @@
 use piper::Writer;
 
 /// Bytes that a stream may hold for a slow reader before its source waits.
-const PIPE_BYTES: usize = 16 << 10;
+const PIPE_BYTES: usize = 4 << 10;
+/// The encoder reads more than this at once, and so past this buffer.
+const UNUSED_BYTES: usize = 64;
 
 /// One event.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,7 +68,10 @@
 pub fn response() -> (Response, Sender) {
     let (reader, pipe) = piper::pipe(PIPE_BYTES);
     let mut response = Response::new(200);
-    response.set_body(Body::from_reader(BufReader::new(reader), None));
+    response.set_body(Body::from_reader(
+        BufReader::with_capacity(UNUSED_BYTES, reader),
+        None,
+    ));
     response.insert_header("content-type", "text/event-stream");
     response.insert_header("cache-control", "no-store");
     let line = Vec::with_capacity(256);
--- a/crates/http/src/server.rs
+++ b/crates/http/src/server.rs
@@ -27,7 +27,7 @@
 /// Time between looks for a caller's leaving while its bytes wait unread.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 /// Size of the copy buffer of one connection, in bytes.
-const COPY_BYTES: usize = 8 << 10;
+const COPY_BYTES: usize = 4 << 10;
 
 /// Limits of one connection.
 #[derive(Debug, Clone)]
@@ -159,23 +159,28 @@
         return Step::End(End::Closed);
     }
     stream.allow(HEAD_BYTES);
-    let decoded = within(limits.header, decode(stream.clone())).await;
+    // Boxed, here and below, so that a connection does not hold the memory of
+    // every stage at once.
+    let decoded = within(limits.header, Box::pin(decode(stream.clone()))).await;
     let (request, mut rest) = match decoded {
         Some(Ok(Some(pair))) => pair,
         Some(Ok(None)) => return Step::End(End::Closed),
-        Some(Err(error)) => return refuse(stream, limits, head_fault(stream, &error)).await,
+        Some(Err(error)) => {
+            return Box::pin(refuse(stream, limits, head_fault(stream, &error))).await
+        }
         None => {
             let slow = Fault::new(Kind::TooSlow, "the head did not arrive in time");
-            return refuse(stream, limits, slow).await;
+            return Box::pin(refuse(stream, limits, slow)).await;
         }
     };
     stream.allow(UNBOUNDED);
     if let Err(fault) = check_length(&request, limits.body) {
-        return refuse(stream, limits, fault).await;
+        return Box::pin(refuse(stream, limits, fault)).await;
     }
     let method = request.method();
     let asked_close = wants_close(&request);
-    let answered = async { Some(handler.handle(request).await) }
+    let handling = Box::pin(handler.handle(request));
+    let answered = async { Some(handling.await) }
         .or(async {
             caller_left(stream.socket()).await;
             None
@@ -188,11 +193,11 @@
     if close {
         reply.response.insert_header(CONNECTION, "close");
     }
-    let written = write(stream, limits, method, reply).await;
+    let written = Box::pin(write(stream, limits, method, reply)).await;
     if let Err(end) = written {
         return Step::End(end);
     }
-    if close || !skip(&mut rest).await {
+    if close || !Box::pin(skip(&mut rest)).await {
         return Step::End(End::Finished);
     }
     Step::Next
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -146,21 +146,25 @@
     let parts: Vec<&str> = path.trim_matches('/').splitn(3, '/').collect();
     match (request.method(), parts.as_slice()) {
         (Method::Post, ["v1", "chat", "completions"]) => {
-            chat::handle(node, Api::Completions, &incoming, &bytes).await
+            Box::pin(chat::handle(node, Api::Completions, &incoming, &bytes)).await
         }
         (Method::Post, ["v1", "responses"]) => {
-            chat::handle(node, Api::Responses, &incoming, &bytes).await
+            Box::pin(chat::handle(node, Api::Responses, &incoming, &bytes)).await
         }
         (Method::Get, ["v1", "responses", response]) => {
-            resume::handle(node, &incoming, response).await
+            Box::pin(resume::handle(node, &incoming, response)).await
         }
         (Method::Get, ["v1", "models"]) => Ok(models(&incoming)),
         (_, ["v1", "chat", "completions"] | ["v1", "responses"] | ["v1", "models"]) => {
             let detail = format!("{} is not taken here", request.method());
             Err(Fault::new(Kind::Method, detail))
         }
-        (_, ["services", name]) => service::handle(node, &incoming, name, "", bytes).await,
-        (_, ["services", name, rest]) => service::handle(node, &incoming, name, rest, bytes).await,
+        (_, ["services", name]) => {
+            Box::pin(service::handle(node, &incoming, name, "", bytes)).await
+        }
+        (_, ["services", name, rest]) => {
+            Box::pin(service::handle(node, &incoming, name, rest, bytes)).await
+        }
         _ => Err(Fault::new(Kind::NotFound, format!("no path {path:?}"))),
     }
 }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -126,7 +126,8 @@
     }
 
     async fn dial(&self, node: &Arc<Node>, address: SocketAddr) -> Option<(ids::Box, Line)> {
-        let opened = Link::dial(address, &node.hello(), &node.settings.link_keys).await;
+        let hello = node.hello();
+        let opened = Box::pin(Link::dial(address, &hello, &node.settings.link_keys)).await;
         match opened {
             Ok(link) => {
                 let peer = link.peer.name.clone();
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -2,7 +2,7 @@
 
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Instant;
 
 use event_listener::Event;
@@ -33,7 +33,9 @@
 pub struct Node {
     /// Its settings.
     pub settings: Settings,
-    pub(crate) executor: Arc<Executor<'static>>,
+    /// Weak, as the executor's tasks hold the node: whoever owns the executor
+    /// ends all tasks by dropping it.
+    executor: Weak<Executor<'static>>,
     pub(crate) table: Mutex<Table>,
     /// Signals that the table changed.
     pub(crate) table_changed: Event,
@@ -58,7 +60,7 @@
     /// # Errors
     ///
     /// An address cannot be bound.
-    pub fn start(settings: Settings, executor: Arc<Executor<'static>>) -> io::Result<Arc<Self>> {
+    pub fn start(settings: Settings, executor: &Arc<Executor<'static>>) -> io::Result<Arc<Self>> {
         let node = Arc::new(Self::new(settings, executor));
         callers::start(&node)?;
         peers::start(&node)?;
@@ -71,14 +73,14 @@
         Ok(node)
     }
 
-    fn new(settings: Settings, executor: Arc<Executor<'static>>) -> Self {
+    fn new(settings: Settings, executor: &Arc<Executor<'static>>) -> Self {
         let client = Pool::new();
         let platform = &settings.platform;
         let limit = settings.tuning.store_ms.duration();
         let store = Client::new(client.clone(), platform.store.0, limit);
         let kept = settings.tuning.claim_ms.duration();
         let fleet = settings.fleet.clone();
-        let claims = Pages::new(store.clone(), fleet, kept, executor.clone());
+        let claims = Pages::new(store.clone(), fleet, kept, executor);
         let me = Rumor {
             name: settings.name.clone(),
             hall: settings.hall.clone(),
@@ -89,7 +91,7 @@
             state: State::Alive,
         };
         Self {
-            executor,
+            executor: Arc::downgrade(executor),
             table: Mutex::new(Table::new(me, Instant::now())),
             table_changed: Event::new(),
             current: Current::default(),
@@ -161,9 +163,11 @@
         }
     }
 
-    /// Starts a task of this node.
+    /// Starts a task of this node; does nothing while the node ends.
     pub(crate) fn spawn(&self, work: impl std::future::Future<Output = ()> + Send + 'static) {
-        self.executor.spawn(work).detach();
+        if let Some(executor) = self.executor.upgrade() {
+            executor.spawn(work).detach();
+        }
     }
 
     /// Counts a request as open until the guard is dropped.
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -96,7 +96,7 @@
     /// A fault whose kind tells whether an engine may have run the request.
     pub(crate) async fn open(node: Arc<Node>, mut job: Job) -> Result<Self, Fault> {
         loop {
-            let place = place::find(&node, &job.need).await?;
+            let place = Box::pin(place::find(&node, &job.need)).await?;
             let (mut place, tried) = attempt(&node, &job, place, "").await;
             match tried {
                 Ok((address, body, reader)) => {
