Measures of reuse, skew, limits, control and claims; baselines without a keeper

Cause: no decision could be measured. The load tool now runs phases (steady, churn, surge, outage) against real processes and the stand-ins report what the engines saw; baselines decide in the router by its own view.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -89,6 +89,9 @@
     pub body: Option<Arc<[u8]>>,
     /// Whether it may be sent twice.
     pub repeat: Repeat,
+    /// What control traffic it is, if it is any: its bytes and those of its
+    /// answer are counted under this purpose.
+    pub purpose: Option<&'static str>,
 }
 
 impl Call {
@@ -100,6 +103,7 @@
             headers: Vec::new(),
             body: None,
             repeat: Repeat::Allowed,
+            purpose: None,
         }
     }
 
@@ -111,6 +115,7 @@
             headers: Vec::new(),
             body: Some(body.into()),
             repeat: Repeat::Allowed,
+            purpose: None,
         }
     }
 
@@ -128,6 +133,13 @@
         self
     }
 
+    /// Counts it as control traffic.
+    #[must_use]
+    pub fn counted(mut self, purpose: &'static str) -> Self {
+        self.purpose = Some(purpose);
+        self
+    }
+
     fn request(&self, address: SocketAddr) -> Result<Request, Failure> {
         let url = Url::parse(&format!("http://{address}{}", self.path));
         let url = url.map_err(|error| Failure::Unsent(io::Error::other(error)))?;
@@ -203,7 +215,10 @@
     ) -> Result<Answer, Failure> {
         let request = call.request(address)?;
         let head = Box::pin(exchange(socket.clone(), request)).await;
-        let mut response = head.map_err(Failure::Unknown)?;
+        let (mut response, sent) = head.map_err(Failure::Unknown)?;
+        if let Some(purpose) = call.purpose {
+            count(purpose, sent + head_bytes(&response));
+        }
         let length = declared(&response);
         let stays = !closes(&response);
         let body = response.take_body();
@@ -218,6 +233,7 @@
                 body,
                 length,
                 read: 0,
+                purpose: call.purpose,
                 home,
             },
         })
@@ -254,8 +270,27 @@
     }
 }
 
-async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<Response> {
+fn count(purpose: &'static str, bytes: u64) {
+    metrics::counter!("tidepier_control_bytes_total", "purpose" => purpose).increment(bytes);
+}
+
+/// Bytes of a response's head, which the library does not tell.
+fn head_bytes(response: &Response) -> u64 {
+    const STATUS_LINE: usize = 17;
+    const SEPARATORS: usize = 4;
+    let lines = response.iter().map(|(name, values)| {
+        let value = |value: &http_types::headers::HeaderValue| {
+            name.as_str().len() + value.as_str().len() + SEPARATORS
+        };
+        values.iter().map(value).sum::<usize>()
+    });
+    (STATUS_LINE + lines.sum::<usize>()) as u64
+}
+
+/// Sends a request; returns the head of its answer and the bytes sent.
+async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<(Response, u64)> {
     let mut encoder = Encoder::new(request);
+    let mut sent = 0;
     let mut buffer = vec![0; 16 << 10];
     loop {
         // Head and body go out in one write where they fit.
@@ -271,8 +306,10 @@
             break;
         }
         socket.write_all(&buffer[..filled]).await?;
+        sent += filled as u64;
     }
-    decode(socket).await.map_err(io::Error::other)
+    let response = decode(socket).await.map_err(io::Error::other)?;
+    Ok((response, sent))
 }
 
 fn declared(response: &Response) -> Option<u64> {
@@ -297,11 +334,15 @@
     body: Body,
     length: Option<u64>,
     read: u64,
+    purpose: Option<&'static str>,
     home: Option<Home>,
 }
 
 impl Counted {
     fn ended(&mut self) -> io::Result<()> {
+        if let Some(purpose) = self.purpose.take() {
+            count(purpose, self.read);
+        }
         if self.length.is_some_and(|length| length != self.read) {
             self.home = None;
             let cut = io::Error::new(io::ErrorKind::UnexpectedEof, "the body was cut short");
--- a/crates/load/src/bin/tidepier-load.rs
+++ b/crates/load/src/bin/tidepier-load.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tidepier_load::commands::{call, chat, chats, fleet, latency, run};
+use tidepier_load::commands::{
+    call, chat, chats, claims, control, fleet, latency, report, run,
+};
 
 /// Plays callers against a fleet and checks every answer.
 #[derive(Parser)]
@@ -27,6 +29,12 @@
     Run(run::Command),
     /// Measures what one router adds.
     Latency(latency::Command),
+    /// Measures what claims cost.
+    Claims(claims::Command),
+    /// Measures what control costs.
+    Control(control::Command),
+    /// Puts the files of a measure together.
+    Report(report::Command),
 }
 
 fn main() -> ExitCode {
@@ -37,6 +45,9 @@
         Command::Chat(command) => command.execute(),
         Command::Run(command) => command.execute(),
         Command::Latency(command) => command.execute(),
+        Command::Claims(command) => command.execute(),
+        Command::Control(command) => command.execute(),
+        Command::Report(command) => command.execute(),
     };
     match done {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -55,6 +55,8 @@
     pub cached: u64,
     /// Those of them that the best engine had cached.
     pub best: u64,
+    /// The engine that ended the answer.
+    pub engine: String,
     /// What went wrong, in words.
     pub trouble: Option<String>,
 }
@@ -105,6 +107,8 @@
     #[serde(default)]
     usage: Option<Usage>,
     #[serde(default)]
+    system_fingerprint: Option<String>,
+    #[serde(default)]
     error: Option<serde_json::Value>,
 }
 
@@ -288,6 +292,9 @@
             outcome.cached = usage.prompt_tokens_details.cached_tokens;
             outcome.best = usage.prompt_tokens_details.best_cached_tokens;
         }
+        if let Some(engine) = chunk.system_fingerprint {
+            outcome.engine = engine;
+        }
         let Some(choice) = chunk.choices.into_iter().next() else {
             continue;
         };
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -3,6 +3,9 @@
 pub mod call;
 pub mod chat;
 pub mod chats;
+pub mod claims;
+pub mod control;
 pub mod fleet;
 pub mod latency;
+pub mod report;
 pub mod run;
--- a/crates/load/src/commands/latency.rs
+++ b/crates/load/src/commands/latency.rs
@@ -11,9 +11,9 @@
 use tidepier_http::client::Pool;
 use tidepier_standin::oracle::Message;
 
-use super::run::{quantiles, HIGHEST_US};
 use crate::caller::{self, Chat};
 use crate::process;
+use crate::tally::{quantiles, HIGHEST_US};
 
 /// Callers of the throughput part.
 const CALLERS: usize = 64;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -8,4 +8,7 @@
 pub mod chats;
 pub mod commands;
 pub mod fleet;
+pub mod outside;
 pub mod process;
+pub mod tally;
+pub mod workload;
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,9 +14,11 @@
 //! * Within one priority, a waiting account with fewer open grants for its
 //!   share goes first.
 
+mod baseline;
 mod order;
 mod pool;
 mod queue;
 
+pub use baseline::{choose, Candidate};
 pub use order::{by_rendezvous, rank};
 pub use pool::{Ask, Ended, Engine, Grant, Pool, Ticket, Verdict};
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -3,10 +3,9 @@
 use std::collections::{BTreeMap, HashMap};
 use std::time::{Duration, Instant};
 
-use rand::seq::IteratorRandom;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
-use tidepier_config::document::{Load, Policy, Priority};
+use tidepier_config::document::{Load, Priority};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
 
@@ -145,7 +144,6 @@
 #[derive(Debug)]
 pub struct Pool {
     load: Load,
-    policy: Policy,
     engines: BTreeMap<ids::Engine, Engine>,
     held: HashMap<ids::Slot, Held>,
     queue: Queue<Waiter>,
@@ -158,10 +156,9 @@
 
 impl Pool {
     /// A pool without engines that grants from `ready` on.
-    pub fn new(load: Load, policy: Policy, ready: Instant) -> Self {
+    pub fn new(load: Load, ready: Instant) -> Self {
         Self {
             load,
-            policy,
             engines: BTreeMap::new(),
             held: HashMap::new(),
             queue: Queue::new(),
@@ -171,11 +168,10 @@
         }
     }
 
-    /// Takes the configuration: limits, policy and the engines with whether
-    /// each is active. Grants on engines that are gone stay until released.
-    pub fn configure(&mut self, load: Load, policy: Policy, engines: &[(ids::Engine, bool)]) {
+    /// Takes the configuration: limits, and the engines with whether each is
+    /// active. Grants on engines that are gone stay until released.
+    pub fn configure(&mut self, load: Load, engines: &[(ids::Engine, bool)]) {
         self.load = load;
-        self.policy = policy;
         for engine in self.engines.values_mut() {
             engine.active = false;
         }
@@ -430,19 +426,7 @@
             .iter()
             .filter(|(name, engine)| engine.usable(now) && !ask.avoid.contains(name))
             .collect();
-        let slots = self.load.slots;
-        let free = || usable.iter().filter(|(_, engine)| engine.load() < slots);
-        let chosen = match self.policy {
-            Policy::Random => free().choose(&mut rand::rng()),
-            Policy::LeastLoaded => free().min_by_key(|(_, engine)| engine.load()),
-            Policy::Hash => {
-                let order = by_rendezvous(ask.prefix.0, usable.iter().map(|(name, _)| *name));
-                let first = order.first().copied();
-                free().find(|(name, _)| Some(*name) == first)
-            }
-            Policy::Tidepier => return self.bounded(ask, &usable),
-        };
-        chosen.map(|(name, _)| (*name).clone())
+        self.bounded(ask, &usable)
     }
 
     /// The preferred engine, else the first in rendezvous order, that is under
--- a/crates/platform/src/boxes.rs
+++ b/crates/platform/src/boxes.rs
@@ -56,7 +56,7 @@
     limit: Duration,
 ) -> Result<List, Fault> {
     metrics::counter!("tidepier_store_calls_total", "call" => "boxes").increment(1);
-    let call = Call::get(format!("/boxes?reader={reader}"));
+    let call = Call::get(format!("/boxes?reader={reader}")).counted("list");
     let answer = pool.whole(address, &call, LIST_BYTES, limit).await;
     let answer = answer.map_err(|error| Fault::new(Kind::Store, format!("box list: {error}")))?;
     if answer.status != 200 {
--- a/crates/platform/src/store.rs
+++ b/crates/platform/src/store.rs
@@ -265,7 +265,9 @@
                 "start_revision": (revision.0 + 1).to_string(),
             }
         });
-        let call = Call::post("/v3/watch", create.to_string().into_bytes()).once();
+        let call = Call::post("/v3/watch", create.to_string().into_bytes())
+            .once()
+            .counted("store");
         let answer = self.pool.send(self.address, &call).await.map_err(fault)?;
         Ok(Watch::new(answer))
     }
@@ -277,7 +279,7 @@
         body: &Value,
     ) -> Result<T, Failure> {
         count(name);
-        let call = Call::post(path, body.to_string().into_bytes());
+        let call = Call::post(path, body.to_string().into_bytes()).counted("store");
         let answer = self
             .pool
             .whole(self.address, &call, ANSWER_BYTES, self.limit)
--- a/crates/router/src/held.rs
+++ b/crates/router/src/held.rs
@@ -19,7 +19,11 @@
 
 /// All places that this box holds, by its own numbers.
 #[derive(Default)]
-pub(crate) struct Held(Mutex<HashMap<u64, Holding>>);
+pub(crate) struct Held {
+    places: Mutex<HashMap<u64, Holding>>,
+    /// Open requests by engine that a baseline has placed.
+    free: Mutex<HashMap<ids::Engine, u32>>,
+}
 
 impl Held {
     pub(crate) fn insert(&self, number: u64, holding: Holding) {
@@ -58,7 +62,28 @@
         theirs.map(|holding| holding.slot).collect()
     }
 
+    /// Counts a request that a baseline has placed.
+    pub(crate) fn begun(&self, engine: &ids::Engine) {
+        *self.free().entry(engine.clone()).or_default() += 1;
+    }
+
+    /// Counts its end.
+    pub(crate) fn ended(&self, engine: &ids::Engine) {
+        if let Some(open) = self.free().get_mut(engine) {
+            *open = open.saturating_sub(1);
+        }
+    }
+
+    /// Open requests on an engine that a baseline has placed.
+    pub(crate) fn open(&self, engine: &ids::Engine) -> u32 {
+        self.free().get(engine).copied().unwrap_or(0)
+    }
+
+    fn free(&self) -> MutexGuard<'_, HashMap<ids::Engine, u32>> {
+        self.free.lock().unwrap_or_else(|e| e.into_inner())
+    }
+
     fn lock(&self) -> MutexGuard<'_, HashMap<u64, Holding>> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
+        self.places.lock().unwrap_or_else(|e| e.into_inner())
     }
 }
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -163,12 +163,11 @@
         let takeover = node.settings.tuning.takeover_ms.duration();
         let wait = if alone { Duration::ZERO } else { takeover };
         let load = document.load.clone();
-        let policy = document.returning.policy;
         let pool = state.pools.entry(model).or_insert_with(|| {
             metrics::counter!("tidepier_keeper_takeovers_total").increment(1);
-            Pool::new(load.clone(), policy, Instant::now() + wait)
+            Pool::new(load.clone(), Instant::now() + wait)
         });
-        pool.configure(load, policy, &engines);
+        pool.configure(load, &engines);
     }
 }
 
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -5,10 +5,10 @@
 
 use futures_lite::FutureExt;
 use smol::Timer;
-use tidepier_config::document::State;
+use tidepier_config::document::{Document, Engine, Policy, State};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
-use tidepier_placement::{by_rendezvous, Ended, Grant, Verdict};
+use tidepier_placement::{by_rendezvous, choose, Candidate, Ended, Grant, Verdict};
 use tidepier_wire::frame::{self, Adoption, Ask};
 use tidepier_wire::Frame;
 
@@ -39,7 +39,9 @@
 /// A held place; given back when dropped.
 pub(crate) struct Place {
     node: Arc<Node>,
-    number: u64,
+    /// This box's number for it; `None` for one taken by a baseline, which no
+    /// keeper knows of.
+    number: Option<u64>,
     /// The engine.
     pub(crate) engine: ids::Engine,
     ended: Ended,
@@ -54,7 +56,11 @@
 
 impl Drop for Place {
     fn drop(&mut self) {
-        let Some(holding) = self.node.held.remove(self.number) else {
+        let Some(number) = self.number else {
+            self.node.held.ended(&self.engine);
+            return;
+        };
+        let Some(holding) = self.node.held.remove(number) else {
             return;
         };
         release(&self.node, &holding, self.ended);
@@ -97,7 +103,11 @@
 /// The refusal of the first hall that can be reached and is full; nothing has
 /// been sent to any engine.
 pub(crate) async fn find(node: &Arc<Node>, need: &Need) -> Result<Place, Fault> {
-    let halls = halls(node, need)?;
+    let document = node.document()?;
+    if document.returning.policy != Policy::Tidepier {
+        return by_baseline(node, &document, need);
+    }
+    let halls = halls(&document, need);
     let mut first: Option<Fault> = None;
     for hall in halls {
         match in_hall(node, need, &hall).await {
@@ -121,9 +131,8 @@
 
 /// Halls with active engines of the model: first that of the preferred engine,
 /// then in rendezvous order of the chat.
-fn halls(node: &Node, need: &Need) -> Result<Vec<ids::Hall>, Fault> {
-    let document = node.document()?;
-    let active = |engine: &&tidepier_config::document::Engine| {
+fn halls(document: &Document, need: &Need) -> Vec<ids::Hall> {
+    let active = |engine: &&Engine| {
         engine.model == need.model && engine.state == State::Active
     };
     let mut halls: Vec<_> = document
@@ -142,7 +151,30 @@
             halls.insert(0, home);
         }
     }
-    Ok(halls)
+    halls
+}
+
+/// Takes a place by a baseline: this router decides by itself.
+fn by_baseline(node: &Arc<Node>, document: &Document, need: &Need) -> Result<Place, Fault> {
+    let among: Vec<_> = document
+        .engines
+        .iter()
+        .filter(|engine| engine.model == need.model && engine.state == State::Active)
+        .filter(|engine| !need.avoid.contains(&engine.name))
+        .map(|engine| Candidate {
+            engine: engine.name.clone(),
+            open: node.held.open(&engine.name),
+        })
+        .collect();
+    let chosen = choose(document.returning.policy, need.prefix, &among);
+    let engine = chosen.ok_or_else(|| no_engine("no engine left to try"))?;
+    node.held.begun(&engine);
+    Ok(Place {
+        node: node.clone(),
+        number: None,
+        engine,
+        ended: Ended::Served,
+    })
 }
 
 /// Asks the keeper of a hall's pool until it decides.
@@ -260,7 +292,7 @@
     node.ring.note(node.name(), need.request, Hop::Keeper, note);
     Ok(Place {
         node: node.clone(),
-        number,
+        number: Some(number),
         engine: grant.engine,
         ended: Ended::Served,
     })
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -47,7 +47,7 @@
         return;
     };
     metrics::counter!("tidepier_probes_total").increment(1);
-    let call = Call::get("/load");
+    let call = Call::get("/load").counted("probe");
     let answer = node
         .client
         .whole(address, &call, REPORT_BYTES, REPORT_TIME)
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -39,6 +39,7 @@
         headers: Vec::new(),
         body: (!body.is_empty()).then(|| body.as_slice().into()),
         repeat: Repeat::Allowed,
+        purpose: None,
     };
     call = call.header("x-request-id", incoming.id.to_string());
     for name in ["content-type", "accept", "traceparent"] {
--- a/crates/standin/src/admin.rs
+++ b/crates/standin/src/admin.rs
@@ -140,7 +140,13 @@
                     .load(std::sync::atomic::Ordering::SeqCst)
             })
             .sum();
+        let models: Vec<Value> = fleet
+            .models
+            .iter()
+            .map(|(model, group)| json!({ "model": model, "seen": group.take() }))
+            .collect();
         json!({
+            "models": models,
             "groups": groups,
             "services": services,
             "store": fleet.store().counts(),
--- a/crates/standin/src/engine/batch.rs
+++ b/crates/standin/src/engine/batch.rs
@@ -69,6 +69,8 @@
     pub prompt: u64,
     /// Tokens of the prompt that were cached.
     pub cached: u64,
+    /// Tokens of the prompt that the best engine of the model had cached.
+    pub best: u64,
     /// Offset reached.
     pub made: AtomicU64,
     /// Set when the sequence was cancelled or the engine died.
@@ -115,6 +117,19 @@
     pub cached_tokens: u64,
 }
 
+/// The caches of all engines of a model: what the best of them holds is the
+/// upper bound on reuse.
+#[derive(Debug, Default)]
+pub struct Caches(Mutex<Vec<Arc<Mutex<Cache>>>>);
+
+impl Caches {
+    /// Tokens of a prompt that the best engine has cached.
+    fn best(&self, names: &[u64]) -> u64 {
+        let caches = lock(&self.0);
+        caches.iter().map(|cache| lock(cache).hit(names)).max().unwrap_or(0)
+    }
+}
+
 /// The engine.
 pub struct Engine {
     /// Its name.
@@ -126,7 +141,8 @@
     /// Orders taken.
     pub orders: Mutex<Orders>,
     work: Mutex<Work>,
-    cache: Mutex<Cache>,
+    cache: Arc<Mutex<Cache>>,
+    caches: Arc<Caches>,
     report: Mutex<(Option<Instant>, Report)>,
     wake: Event,
     group: Arc<Group>,
@@ -152,19 +168,31 @@
 }
 
 impl Engine {
-    /// An idle engine that belongs to `group`.
-    pub fn new(name: ids::Engine, spec: Spec, checks: bool, group: Arc<Group>) -> Arc<Self> {
+    /// An idle engine that belongs to `group`, and whose cache is one of
+    /// `caches`.
+    pub fn new(
+        name: ids::Engine,
+        spec: Spec,
+        checks: bool,
+        group: Arc<Group>,
+        caches: Arc<Caches>,
+    ) -> Arc<Self> {
         let lag = Duration::from_millis(spec.event_lag_ms);
+        let cache = Arc::new(Mutex::new(Cache::new(spec.cache_tokens, lag)));
+        lock(&caches.0).push(cache.clone());
+        let gauge = Arc::new(Gauge::default());
+        group.join(&gauge);
         let orders = Orders::new(checks);
         Arc::new(Self {
             name,
             switches: Switches::default(),
             orders: Mutex::new(orders),
             work: Mutex::default(),
-            cache: Mutex::new(Cache::new(spec.cache_tokens, lag)),
+            cache,
+            caches,
             report: Mutex::default(),
             wake: Event::new(),
-            gauge: group.join(),
+            gauge,
             group,
             started: AtomicU64::new(0),
             spec,
@@ -175,6 +203,7 @@
     pub fn start(&self, start: Start) -> Option<Arc<Sequence>> {
         let names = Cache::names(&start.prompt);
         let cached = lock(&self.cache).hit(&names);
+        let best = self.caches.best(&names).max(cached);
         let prompt = oracle::tokens(&start.prompt);
         let sequence = Arc::new(Sequence {
             id: start.id,
@@ -183,6 +212,7 @@
             total: start.total,
             prompt,
             cached: cached.min(prompt),
+            best: best.min(prompt),
             made: AtomicU64::new(start.first),
             broken: AtomicBool::new(false),
             readers: AtomicU64::new(0),
@@ -203,6 +233,11 @@
         Some(sequence)
     }
 
+    /// The running count, for groups.
+    pub fn gauge(&self) -> &Arc<Gauge> {
+        &self.gauge
+    }
+
     /// A request that runs or ended a short while ago.
     pub fn find(&self, id: ids::Request) -> Option<Arc<Sequence>> {
         lock(&self.work)
--- a/crates/standin/src/engine/door.rs
+++ b/crates/standin/src/engine/door.rs
@@ -213,7 +213,7 @@
         listener.await;
     }
     let end = frame_id(sequence.id, sequence.total);
-    sender.send(&end, &last_chunk(&sequence)).await?;
+    sender.send(&end, &last_chunk(&engine.name, &sequence)).await?;
     sender.send("", "[DONE]").await
 }
 
@@ -229,15 +229,19 @@
     )
 }
 
-fn last_chunk(sequence: &Sequence) -> String {
+fn last_chunk(engine: &ids::Engine, sequence: &Sequence) -> String {
     json!({
         "id": sequence.id.to_string(),
         "object": "chat.completion.chunk",
+        "system_fingerprint": engine,
         "choices": [{ "index": 0, "delta": {}, "finish_reason": "stop" }],
         "usage": {
             "prompt_tokens": sequence.prompt,
             "completion_tokens": sequence.total - sequence.first,
-            "prompt_tokens_details": { "cached_tokens": sequence.cached },
+            "prompt_tokens_details": {
+                "cached_tokens": sequence.cached,
+                "best_cached_tokens": sequence.best,
+            },
         },
     })
     .to_string()
--- a/crates/standin/src/engine/mod.rs
+++ b/crates/standin/src/engine/mod.rs
@@ -7,7 +7,7 @@
 mod door;
 mod orders;
 
-pub use batch::{Engine, Sequence, Spec};
+pub use batch::{Caches, Engine, Sequence, Spec};
 pub use cache::{Cache, Change, BLOCK_TOKENS};
 pub use door::Door;
 pub use orders::{Loaded, Order, Orders};
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -10,7 +10,7 @@
 use tidepier_platform::boxes::List;
 
 use crate::boxes::{self, Boxes};
-use crate::engine::{self, Engine};
+use crate::engine::{self, Caches, Engine};
 use crate::faults::Switches;
 use crate::group::Group;
 use crate::part::Part;
@@ -81,6 +81,8 @@
     pub services: BTreeMap<ids::Service, Arc<Service>>,
     /// Groups by model and hall.
     pub groups: BTreeMap<(ids::Model, ids::Hall), Arc<Group>>,
+    /// All engines of a model.
+    pub models: BTreeMap<ids::Model, Arc<Group>>,
     _sampling: Vec<Task<()>>,
 }
 
@@ -107,24 +109,26 @@
             servers: BTreeMap::new(),
             services: BTreeMap::new(),
             groups: BTreeMap::new(),
+            models: BTreeMap::new(),
             _sampling: Vec::new(),
         };
         fleet.store.start()?;
         fleet.boxes.start()?;
         fleet.weights.start()?;
+        let mut caches: BTreeMap<ids::Model, Arc<Caches>> = BTreeMap::new();
         for engine in &document.engines {
+            let caches = caches.entry(engine.model.clone()).or_default().clone();
+            let whole = fleet.models.entry(engine.model.clone());
+            let whole = whole.or_insert_with(|| Group::new(document.load.clone())).clone();
             let key = (engine.model.clone(), engine.hall.clone());
             let group = fleet.groups.entry(key);
             let group = group
                 .or_insert_with(|| Group::new(document.load.clone()))
                 .clone();
             let name = engine.name.clone();
-            let made = Engine::new(
-                name.clone(),
-                settings.engine.clone(),
-                engine.checks_fencing,
-                group,
-            );
+            let spec = settings.engine.clone();
+            let made = Engine::new(name.clone(), spec, engine.checks_fencing, group, caches);
+            whole.join(made.gauge());
             let part = EnginePart {
                 part: Part::new(engine.address.0, Arc::new(engine::Door(made))),
                 loop_task: Mutex::new(None),
@@ -136,6 +140,7 @@
         let sampling = fleet
             .groups
             .values()
+            .chain(fleet.models.values())
             .map(|group| smol::spawn(group.clone().sample()));
         fleet._sampling = sampling.collect();
         Ok(fleet)
--- a/crates/standin/src/group.rs
+++ b/crates/standin/src/group.rs
@@ -70,11 +70,9 @@
         })
     }
 
-    /// Adds an engine.
-    pub fn join(&self) -> Arc<Gauge> {
-        let gauge = Arc::new(Gauge::default());
+    /// Adds an engine by its gauge. An engine may be in several groups.
+    pub fn join(&self, gauge: &Arc<Gauge>) {
         lock(&self.gauges).push(gauge.clone());
-        gauge
     }
 
     /// Counts an admission at `gauge` and checks the bound.
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -9,7 +9,9 @@
 use tidepier_config::document::{Load, Policy, Priority};
 use tidepier_errors::Kind;
 use tidepier_ids as ids;
-use tidepier_placement::{by_rendezvous, Ask, Ended, Grant, Pool, Ticket, Verdict};
+use tidepier_placement::{
+    by_rendezvous, choose, Ask, Candidate, Ended, Grant, Pool, Ticket, Verdict,
+};
 
 use crate::streams::config;
 
@@ -51,8 +53,8 @@
 
 fn pool_of(load: Load, count: usize) -> (Pool, Instant) {
     let now = Instant::now();
-    let mut pool = Pool::new(load.clone(), Policy::Tidepier, now);
-    pool.configure(load, Policy::Tidepier, &engines(count));
+    let mut pool = Pool::new(load.clone(), now);
+    pool.configure(load, &engines(count));
     (pool, now)
 }
 
@@ -124,7 +126,7 @@
             .iter()
             .map(|(index, active)| (engine(*index), *active))
             .collect();
-        self.pool.configure(load(), Policy::Tidepier, &engines);
+        self.pool.configure(load(), &engines);
     }
 
     /// Checks a grant against the bound, counted here and not by the pool.
@@ -369,8 +371,8 @@
 fn nothing_is_granted_before_a_takeover_has_ended() {
     let now = Instant::now();
     let ready = now + Duration::from_secs(1);
-    let mut pool = Pool::new(load(), Policy::Tidepier, ready);
-    pool.configure(load(), Policy::Tidepier, &engines(2));
+    let mut pool = Pool::new(load(), ready);
+    pool.configure(load(), &engines(2));
     assert_eq!(pool.ask(ask(1, "a", 1), now), Verdict::Waits);
     assert!(pool.tick(now).is_empty());
     assert_eq!(pool.tick(ready).len(), 1);
@@ -389,3 +391,23 @@
         assert_eq!(grant.engine, engine(1));
     }
 }
+
+#[test]
+fn baselines_choose_as_their_names_say() {
+    let among: Vec<_> = (0..4)
+        .map(|index| Candidate {
+            engine: engine(index),
+            open: [3, 1, 2, 1][index],
+        })
+        .collect();
+    let prefix = ids::Prefix(9);
+    for _ in 0..50 {
+        let least = choose(Policy::LeastLoaded, prefix, &among).unwrap();
+        assert!(least == engine(1) || least == engine(3));
+        let hashed = choose(Policy::Hash, prefix, &among);
+        assert_eq!(hashed, choose(Policy::Hash, prefix, &among));
+        assert!(choose(Policy::Random, prefix, &among).is_some());
+    }
+    assert_eq!(choose(Policy::Hash, prefix, &[]), None);
+    assert_eq!(choose(Policy::Tidepier, prefix, &among), None);
+}
