Placement: returning chats keep their engine, and late reports are not load

Cause, found by counting moves at low load (45 of 282 requests moved though no engine was near its bound): an engine's report lags by up to two probes, so a report of requests that had just ended was taken for another keeper's load, and the engine looked full. Also: a chat displaced by the bound went back to the first engine of its order on its next turn and lost its cache; and halls were not evened out against each other.

Change: a report counts only beyond the most that was open since the report before last; a pool remembers displaced chats (16,384 at most); new chats go below 1.1 times the mean so that returning ones find room up to 1.25; grants carry the pool's pressure, by which routers leave a hall well above the mean.

Ruled out: the floor (raised from 2 to 4 first: moves stayed); hall spill (no hall was above twice an idle engine).

--- a/crates/config/src/document.rs
+++ b/crates/config/src/document.rs
@@ -169,7 +169,11 @@
     /// No engine is given more than this multiple of the mean. Default 1.25.
     #[schemars(range(min = 1.0, max = 10.0))]
     pub multiple: f64,
-    /// Requests that an engine may always be given, whatever the mean. Default 2.
+    /// New chats go to engines below this multiple of the mean, so that there
+    /// is room left for chats that return to theirs. Default 1.1.
+    #[schemars(range(min = 1.0, max = 10.0))]
+    pub aim: f64,
+    /// Requests that an engine may always be given, whatever the mean. Default 4.
     #[schemars(range(min = 1, max = 1000))]
     pub floor: u32,
     /// Requests that an engine runs at once. Default 32.
@@ -186,7 +190,8 @@
     fn default() -> Self {
         Self {
             multiple: 1.25,
-            floor: 2,
+            aim: 1.1,
+            floor: 4,
             slots: 32,
             queue: 256,
             wait_ms: Millis(20_000),
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -194,6 +194,9 @@
     deadline_ms: Millis = Millis(120_000),
     /// Time an abandoned stream is kept for its caller to come back. Default 3000.
     linger_ms: Millis = Millis(3000),
+    /// Time in which a stopping box still serves what arrives: longer than the
+    /// balancer takes to notice. Default 3000.
+    grace_ms: Millis = Millis(3000),
     /// Time a planned stop waits for open streams. Default 60000.
     stop_ms: Millis = Millis(60_000),
     /// Time that claims of not-repeatable requests are kept. Default one day.
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -10,5 +10,5 @@
 
 pub use name::{Account, Box, Engine, Hall, Invalid, Model, Service};
 pub use number::{
-    Digest, Generation, Incarnation, InvalidNumber, Offset, Prefix, Request, Slot, Tokens,
+    Chat, Digest, Generation, Incarnation, InvalidNumber, Offset, Prefix, Request, Slot, Tokens,
 };
--- a/crates/ids/src/number.rs
+++ b/crates/ids/src/number.rs
@@ -5,7 +5,7 @@
 
 use rand::Rng;
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
-use xxhash_rust::xxh3::xxh3_64;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 /// Why a number was refused.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -67,8 +67,9 @@
     Tokens(u64)
 );
 number!(
-    /// One granted place on an engine, unique within its keeper's life.
-    Slot(u64)
+    /// One granted place on an engine, unique within its keeper's life. Short,
+    /// as it crosses the network twice for each request.
+    Slot(u32)
 );
 
 macro_rules! hex_number {
@@ -132,6 +133,11 @@
     /// The hash of the stable start of a chat, 16 hexadecimal digits.
     Prefix(u64, 16)
 );
+hex_number!(
+    /// The hash that one chat keeps through all its turns, 8 hexadecimal
+    /// digits. Two chats that share it only share a hint.
+    Chat(u32, 8)
+);
 hex_number!(
     /// The hash of a document or table, to tell whether two copies agree.
     Digest(u64, 16)
@@ -173,3 +179,13 @@
         Self(xxh3_64(bytes))
     }
 }
+
+impl Chat {
+    /// The hash of the parts that identify a chat.
+    pub fn of<'p>(parts: impl IntoIterator<Item = &'p [u8]>) -> Self {
+        let hash = parts
+            .into_iter()
+            .fold(0, |hash, part| xxh3_64_with_seed(part, hash));
+        Self(hash as u32)
+    }
+}
--- a/crates/load/src/bin/tidepier-load.rs
+++ b/crates/load/src/bin/tidepier-load.rs
@@ -3,9 +3,7 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tidepier_load::commands::{
-    call, chat, chats, claims, control, fleet, latency, report, run,
-};
+use tidepier_load::commands::{call, chat, chats, claims, control, fleet, latency, report, run};
 
 /// Plays callers against a fleet and checks every answer.
 #[derive(Parser)]
--- a/crates/load/src/commands/claims.rs
+++ b/crates/load/src/commands/claims.rs
@@ -101,7 +101,9 @@
                     let done = post(&pool, router, &id, claimed).await;
                     let mut part = part.lock().unwrap_or_else(|e| e.into_inner());
                     match done {
-                        true => part.times.saturating_record(began.elapsed().as_micros() as u64),
+                        true => part
+                            .times
+                            .saturating_record(began.elapsed().as_micros() as u64),
                         false => part.failed += 1,
                     }
                 }
@@ -131,8 +133,8 @@
         false => "/services/billing/notes",
     };
     let body = serde_json::json!({ "id": id }).to_string().into_bytes();
-    let mut call = Call::post(path, body)
-        .header("authorization", format!("Bearer {}", key_of("drivers")));
+    let mut call =
+        Call::post(path, body).header("authorization", format!("Bearer {}", key_of("drivers")));
     if claimed {
         call = call.header("idempotency-key", id);
     }
--- a/crates/load/src/commands/control.rs
+++ b/crates/load/src/commands/control.rs
@@ -88,7 +88,9 @@
 
     fn memories(&self) -> Vec<f64> {
         let found = self.pids.iter().filter_map(|pid| process::memory(*pid));
-        found.map(|bytes| bytes as f64 / f64::from(1 << 20)).collect()
+        found
+            .map(|bytes| bytes as f64 / f64::from(1 << 20))
+            .collect()
     }
 
     async fn read(&self) -> eyre::Result<Reading> {
--- a/crates/load/src/commands/report.rs
+++ b/crates/load/src/commands/report.rs
@@ -67,13 +67,17 @@
 
     fn read<T: DeserializeOwned>(&self, name: &str) -> eyre::Result<T> {
         let path = self.dir.join(format!("{name}.json"));
-        let text = fs::read_to_string(&path).wrap_err_with(|| format!("reading {}", path.display()))?;
+        let text =
+            fs::read_to_string(&path).wrap_err_with(|| format!("reading {}", path.display()))?;
         serde_json::from_str(&text).wrap_err_with(|| format!("reading {}", path.display()))
     }
 
     /// The runs of a policy, one for each seed.
     fn runs(&self, policy: &str) -> eyre::Result<Vec<Phases>> {
-        SEEDS.iter().map(|seed| self.read(&format!("{policy}-{seed}"))).collect()
+        SEEDS
+            .iter()
+            .map(|seed| self.read(&format!("{policy}-{seed}")))
+            .collect()
     }
 
     fn reuse(&self) -> eyre::Result<Value> {
@@ -86,15 +90,23 @@
             let runs = self.runs(policy)?;
             let then = || runs.iter().filter_map(|run| run.then.as_ref());
             let reuse = |summary: &Summary| summary.reuse;
-            steady.insert(policy.into(), rounded(mean(runs.iter().map(|r| r.steady.reuse))));
+            steady.insert(
+                policy.into(),
+                rounded(mean(runs.iter().map(|r| r.steady.reuse))),
+            );
             churn.insert(policy.into(), rounded(mean(then().map(reuse))));
-            first.insert(policy.into(), rounded(mean(runs.iter().map(|r| r.steady.first_ms.p95))));
+            first.insert(
+                policy.into(),
+                rounded(mean(runs.iter().map(|r| r.steady.first_ms.p95))),
+            );
             lost += runs.iter().map(|r| r.steady.lost).sum::<u64>();
             lost += then().map(|summary| summary.lost).sum::<u64>();
             if policy == POLICIES[0] {
                 best = mean(runs.iter().map(|run| run.steady.reuse_best));
                 best_churn = mean(then().map(|summary| summary.reuse_best));
-                moves = then().map(|s| s.moves as f64 / s.moves_needed.max(1) as f64).collect();
+                moves = then()
+                    .map(|s| s.moves as f64 / s.moves_needed.max(1) as f64)
+                    .collect();
             }
         }
         Ok(json!({
@@ -116,11 +128,20 @@
         for policy in POLICIES {
             let runs = self.runs(policy)?;
             let skews = || runs.iter().map(|run| &run.steady.skew);
-            p99.insert(policy.into(), rounded(mean(skews().map(|skew| skew.model_p99))));
-            halls.insert(policy.into(), rounded(mean(skews().map(|skew| skew.hall_p99))));
+            p99.insert(
+                policy.into(),
+                rounded(mean(skews().map(|skew| skew.model_p99))),
+            );
+            halls.insert(
+                policy.into(),
+                rounded(mean(skews().map(|skew| skew.hall_p99))),
+            );
             let most = skews().map(|skew| skew.model_worst).fold(0.0, f64::max);
             worst.insert(policy.into(), rounded(most));
-            reuse.insert(policy.into(), rounded(mean(runs.iter().map(|r| r.steady.reuse))));
+            reuse.insert(
+                policy.into(),
+                rounded(mean(runs.iter().map(|r| r.steady.reuse))),
+            );
             if policy == POLICIES[0] {
                 broken = skews().map(|skew| skew.bound_broken).sum::<u64>();
                 admissions = skews().map(|skew| skew.admissions).sum::<u64>();
@@ -176,10 +197,15 @@
     fn control(&self) -> eyre::Result<Value> {
         let boxes = [3, 6, 9, 18, 36];
         let idle = |count: u32| self.read::<Cost>(&format!("idle-{count}"));
-        let costs: Vec<Cost> = boxes.iter().map(|count| idle(*count)).collect::<Result<_, _>>()?;
+        let costs: Vec<Cost> = boxes
+            .iter()
+            .map(|count| idle(*count))
+            .collect::<Result<_, _>>()?;
         let by = |value: fn(&Cost) -> f64| -> Map<String, Value> {
             let pairs = boxes.iter().zip(&costs);
-            pairs.map(|(count, cost)| (count.to_string(), rounded(value(cost)))).collect()
+            pairs
+                .map(|(count, cost)| (count.to_string(), rounded(value(cost))))
+                .collect()
         };
         let axis: Vec<f64> = boxes.iter().map(|count| f64::from(*count)).collect();
         let at = |value: fn(&Cost) -> f64| -> f64 {
@@ -193,8 +219,11 @@
         let grants = |cost: &Cost| cost.bytes_s.get("grant").copied().unwrap_or(0.0);
         let few: Cost = self.read("accounts-50")?;
         let many: Cost = self.read("accounts-200")?;
-        let purposes: BTreeMap<_, _> =
-            costs[2].bytes_s.iter().map(|(name, value)| (name, rounded(*value))).collect();
+        let purposes: BTreeMap<_, _> = costs[2]
+            .bytes_s
+            .iter()
+            .map(|(name, value)| (name, rounded(*value)))
+            .collect();
         let engines: Map<String, Value> = ["12", "80", "160"]
             .iter()
             .map(|count| {
@@ -240,7 +269,10 @@
 fn line_at(points: &[(f64, f64)], x: f64) -> f64 {
     let middle_x = mean(points.iter().map(|point| point.0));
     let middle_y = mean(points.iter().map(|point| point.1));
-    let rise: f64 = points.iter().map(|(px, py)| (px - middle_x) * (py - middle_y)).sum();
+    let rise: f64 = points
+        .iter()
+        .map(|(px, py)| (px - middle_x) * (py - middle_y))
+        .sum();
     let run: f64 = points.iter().map(|(px, _)| (px - middle_x).powi(2)).sum();
     middle_y + rise / run.max(f64::MIN_POSITIVE) * (x - middle_x)
 }
--- a/crates/load/src/commands/run.rs
+++ b/crates/load/src/commands/run.rs
@@ -97,7 +97,11 @@
 
     async fn run(&self) -> eyre::Result<Phases> {
         let outside = Outside::new(self.outside);
-        let keys: Vec<_> = self.accounts.iter().map(|account| key_of(account)).collect();
+        let keys: Vec<_> = self
+            .accounts
+            .iter()
+            .map(|account| key_of(account))
+            .collect();
         let count = 1 + u64::from(self.then.is_some());
         let seconds = self.warm + count * self.seconds;
         let end = Instant::now() + Duration::from_secs(seconds);
@@ -204,11 +208,7 @@
 
 /// The summary of a phase with what the engines saw, and the engines' count of
 /// requests at its end.
-async fn phase(
-    load: &Workload,
-    outside: &Outside,
-    before: u64,
-) -> eyre::Result<(Summary, u64)> {
+async fn phase(load: &Workload, outside: &Outside, before: u64) -> eyre::Result<(Summary, u64)> {
     let mut summary = load.take()?;
     let report = outside.report().await?;
     summary.skew = Skew::of(&report);
--- a/crates/load/src/outside.rs
+++ b/crates/load/src/outside.rs
@@ -60,7 +60,10 @@
     /// The stand-ins do not answer.
     pub async fn report(&self) -> eyre::Result<Report> {
         let call = Call::get("/measured");
-        let answer = self.pool.whole(self.admin, &call, ANSWER_BYTES, CALL_TIME).await?;
+        let answer = self
+            .pool
+            .whole(self.admin, &call, ANSWER_BYTES, CALL_TIME)
+            .await?;
         Ok(serde_json::from_slice(&answer.bytes)?)
     }
 
@@ -86,7 +89,10 @@
     }
 
     async fn send(&self, call: &Call) -> eyre::Result<()> {
-        let answer = self.pool.whole(self.admin, call, ANSWER_BYTES, CALL_TIME).await?;
+        let answer = self
+            .pool
+            .whole(self.admin, call, ANSWER_BYTES, CALL_TIME)
+            .await?;
         match answer.status {
             200 => Ok(()),
             status => Err(eyre!("{}: status {status}", call.path)),
@@ -108,7 +114,9 @@
     let pool = Pool::new();
     let mut sums = std::collections::BTreeMap::new();
     for admin in admins {
-        let answer = pool.whole(*admin, &Call::get("/metrics"), ANSWER_BYTES, CALL_TIME).await?;
+        let answer = pool
+            .whole(*admin, &Call::get("/metrics"), ANSWER_BYTES, CALL_TIME)
+            .await?;
         let text = String::from_utf8_lossy(&answer.bytes);
         for line in text.lines().filter(|line| line.starts_with(name)) {
             let Some((series, value)) = line.rsplit_once(' ') else {
@@ -119,7 +127,9 @@
                 continue;
             }
             let marker = format!("{label}=\"");
-            let value_of = rest.split_once(&marker).and_then(|(_, after)| after.split_once('"'));
+            let value_of = rest
+                .split_once(&marker)
+                .and_then(|(_, after)| after.split_once('"'));
             let key = value_of.map_or("", |(value, _)| value).to_string();
             *sums.entry(key).or_insert(0.0) += value.parse::<f64>().unwrap_or(0.0);
         }
--- a/crates/load/src/tally.rs
+++ b/crates/load/src/tally.rs
@@ -169,7 +169,9 @@
     /// The skew in a report.
     pub fn of(report: &Report) -> Self {
         let windows = |seen: &[Seen]| -> Vec<f64> {
-            seen.iter().flat_map(|one| one.seen.windows.iter().copied()).collect()
+            seen.iter()
+                .flat_map(|one| one.seen.windows.iter().copied())
+                .collect()
         };
         let (model, halls) = (windows(&report.models), windows(&report.groups));
         let groups = report.groups.iter().map(|group| &group.seen);
--- a/crates/load/src/workload.rs
+++ b/crates/load/src/workload.rs
@@ -138,7 +138,10 @@
         let outcome = caller::ask(&shared.pool, routers, router, &returning.chat).await;
         let meeting = meet(&shared, &engine, &outcome, began);
         lock(&shared.tally).count(&outcome, meeting);
-        let wait = outcome.refused.as_ref().and_then(|refused| refused.retry_after);
+        let wait = outcome
+            .refused
+            .as_ref()
+            .and_then(|refused| refused.retry_after);
         keep(&shared, returning, engine, outcome);
         if let Some(seconds) = wait {
             Timer::after(Duration::from_secs(seconds.min(RETRY_MOST))).await;
--- a/crates/placement/src/baseline.rs
+++ b/crates/placement/src/baseline.rs
@@ -21,7 +21,9 @@
 pub fn choose(policy: Policy, prefix: ids::Prefix, among: &[Candidate]) -> Option<ids::Engine> {
     match policy {
         Policy::Tidepier => None,
-        Policy::Random => among.choose(&mut rand::rng()).map(|found| found.engine.clone()),
+        Policy::Random => among
+            .choose(&mut rand::rng())
+            .map(|found| found.engine.clone()),
         Policy::LeastLoaded => least(among),
         Policy::Hash => {
             let names = among.iter().map(|candidate| candidate.engine.clone());
@@ -33,6 +35,10 @@
 /// One of those with the fewest; the first would get all of a quiet fleet.
 fn least(among: &[Candidate]) -> Option<ids::Engine> {
     let fewest = among.iter().map(|candidate| candidate.open).min()?;
-    let all: Vec<_> = among.iter().filter(|candidate| candidate.open == fewest).collect();
-    all.choose(&mut rand::rng()).map(|found| found.engine.clone())
+    let all: Vec<_> = among
+        .iter()
+        .filter(|candidate| candidate.open == fewest)
+        .collect();
+    all.choose(&mut rand::rng())
+        .map(|found| found.engine.clone())
 }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -1,8 +1,10 @@
 //! The engines of one model in one hall, as their keeper sees them.
 
 use std::collections::{BTreeMap, HashMap};
+use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
+use lru::LruCache;
 use rand::Rng;
 use serde::{Deserialize, Serialize};
 use tidepier_config::document::{Load, Priority};
@@ -23,6 +25,8 @@
 const HOLD_WEIGHT: f64 = 0.05;
 /// Holding time assumed before any request has ended, in seconds.
 const HOLD_START: f64 = 1.0;
+/// Displaced chats remembered by one pool, about 100 bytes each.
+const DISPLACED: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
 /// Retry-After is spread over this many times its value, so that callers who
 /// were refused together do not return together.
 const SPREAD: f64 = 1.0;
@@ -38,8 +42,12 @@
     pub share: u32,
     /// The account's priority.
     pub priority: Priority,
-    /// The hash of the chat's stable start.
+    /// The hash of the chat's stable start, which other chats may share.
     pub prefix: ids::Prefix,
+    /// The hash that this chat alone keeps through all its turns.
+    pub chat: ids::Chat,
+    /// Whether the chat has had a turn before.
+    pub returning: bool,
     /// The engine that served the chat last, if known.
     pub prefer: Option<ids::Engine>,
     /// Engines that have just failed this request.
@@ -98,6 +106,8 @@
     pub open: u32,
     /// Requests that it reports beyond this keeper's grants.
     pub foreign: u32,
+    /// Most open grants since the last report, and between the two before.
+    peaks: [u32; 2],
     /// Until when it gets nothing after a failure.
     pub ejected: Option<Instant>,
     failures: u32,
@@ -110,6 +120,7 @@
             active,
             open: 0,
             foreign: 0,
+            peaks: [0; 2],
             ejected: None,
             failures: 0,
             failed: None,
@@ -120,6 +131,19 @@
         self.open + self.foreign
     }
 
+    fn hold(&mut self) {
+        self.open += 1;
+        self.peaks[0] = self.peaks[0].max(self.open);
+    }
+
+    /// A report tells of a moment that may lie before the last one. What the
+    /// engine runs beyond all that was open since then is not this keeper's.
+    fn report(&mut self, running: u32) {
+        let most = self.peaks[0].max(self.peaks[1]);
+        self.foreign = running.saturating_sub(most);
+        self.peaks = [self.open, self.peaks[0]];
+    }
+
     fn usable(&self, now: Instant) -> bool {
         self.active && self.ejected.is_none_or(|until| until <= now)
     }
@@ -147,7 +171,10 @@
     engines: BTreeMap<ids::Engine, Engine>,
     held: HashMap<ids::Slot, Held>,
     queue: Queue<Waiter>,
-    next: u64,
+    /// Chats that were placed elsewhere than on the first engine of their
+    /// order, and where. All others need no memory: the order finds them.
+    displaced: LruCache<ids::Chat, ids::Engine>,
+    next: u32,
     hold: f64,
     /// Before this instant nothing is granted: boxes may still hold grants of
     /// an earlier keeper that this one has not heard of.
@@ -162,7 +189,8 @@
             engines: BTreeMap::new(),
             held: HashMap::new(),
             queue: Queue::new(),
-            next: ready_seed(),
+            displaced: LruCache::new(DISPLACED),
+            next: first_slot(),
             hold: HOLD_START,
             ready,
         }
@@ -257,6 +285,11 @@
         Duration::from_secs_f64(seconds.clamp(0.5, 60.0) * factor)
     }
 
+    /// Whether this pool has granted a slot that is not given back yet.
+    pub fn holds(&self, slot: ids::Slot) -> bool {
+        self.held.contains_key(&slot)
+    }
+
     /// Gives a place back. Returns the verdicts on requests that waited.
     pub fn release(
         &mut self,
@@ -369,7 +402,7 @@
     /// means nothing.
     pub fn report(&mut self, engine: &ids::Engine, running: u32) {
         if let Some(engine) = self.engines.get_mut(engine) {
-            engine.foreign = running.saturating_sub(engine.open);
+            engine.report(running);
         }
     }
 
@@ -392,15 +425,33 @@
     }
 
     fn place(&mut self, ask: &Ask, now: Instant) -> Option<Grant> {
-        let engine = self.choose(ask, now)?;
+        let known = ask
+            .prefer
+            .clone()
+            .or_else(|| self.displaced.get(&ask.chat).cloned());
+        let (engine, first) = self.choose(ask, known.as_ref(), now)?;
+        if first {
+            self.displaced.pop(&ask.chat);
+        } else {
+            self.displaced.put(ask.chat, engine.clone());
+        }
         Some(self.hold_slot(ask, &engine, now))
     }
 
+    /// Requests that run or wait, for each active engine.
+    pub fn pressure(&self) -> f64 {
+        let active = self.engines.values().filter(|engine| engine.active);
+        let (load, count) = active.fold((0, 0_u32), |(load, count), engine| {
+            (load + engine.load(), count + 1)
+        });
+        (f64::from(load) + self.queue.len() as f64) / f64::from(count.max(1))
+    }
+
     fn hold_slot(&mut self, ask: &Ask, engine: &ids::Engine, now: Instant) -> Grant {
         let slot = ids::Slot(self.next);
-        self.next += 1;
+        self.next = self.next.wrapping_add(1);
         if let Some(entry) = self.engines.get_mut(engine) {
-            entry.open += 1;
+            entry.hold();
         }
         let lane = Lane {
             priority: ask.priority,
@@ -420,35 +471,41 @@
         }
     }
 
-    fn choose(&self, ask: &Ask, now: Instant) -> Option<ids::Engine> {
+    /// The engine for a request, and whether it is the first of its order:
+    /// the one that is known to have served the chat, else the first in
+    /// rendezvous order, that is under the bound.
+    fn choose(
+        &self,
+        ask: &Ask,
+        known: Option<&ids::Engine>,
+        now: Instant,
+    ) -> Option<(ids::Engine, bool)> {
         let usable: Vec<_> = self
             .engines
             .iter()
             .filter(|(name, engine)| engine.usable(now) && !ask.avoid.contains(name))
             .collect();
-        self.bounded(ask, &usable)
-    }
-
-    /// The preferred engine, else the first in rendezvous order, that is under
-    /// the bound.
-    fn bounded(&self, ask: &Ask, usable: &[(&ids::Engine, &Engine)]) -> Option<ids::Engine> {
-        let bound = self.bound(usable);
-        let fits = |name: &ids::Engine| {
-            let found = usable.iter().find(|(other, _)| *other == name);
-            found.is_some_and(|(_, engine)| engine.load() < bound)
-        };
-        if let Some(prefer) = ask.prefer.as_ref().filter(|name| fits(name)) {
-            return Some(prefer.clone());
-        }
+        let load = |name: &ids::Engine| self.engines.get(name).map_or(u32::MAX, Engine::load);
         let order = by_rendezvous(ask.prefix.0, usable.iter().map(|(name, _)| *name));
-        order.into_iter().find(|name| fits(name)).cloned()
+        let first = *order.first()?;
+        let most = self.bound(self.load.multiple, &usable);
+        let known = known.filter(|known| order.contains(known) && load(known) < most);
+        if let Some(known) = known {
+            return Some((known.clone(), known == first));
+        }
+        if ask.returning && load(first) < most {
+            return Some((first.clone(), true));
+        }
+        let aim = self.bound(self.load.aim.min(self.load.multiple), &usable);
+        let chosen = order.into_iter().find(|name| load(name) < aim)?;
+        Some((chosen.clone(), chosen == first))
     }
 
     /// Open grants that one engine may have once one more request is placed.
-    fn bound(&self, usable: &[(&ids::Engine, &Engine)]) -> u32 {
+    fn bound(&self, multiple: f64, usable: &[(&ids::Engine, &Engine)]) -> u32 {
         let total: u32 = usable.iter().map(|(_, engine)| engine.load()).sum();
         let mean = f64::from(total + 1) / usable.len().max(1) as f64;
-        let bound = (self.load.multiple * mean).ceil() as u32;
+        let bound = (multiple * mean).ceil() as u32;
         bound.max(self.load.floor).min(self.load.slots)
     }
 }
@@ -468,6 +525,6 @@
 }
 
 /// Slots of different keepers must not be mistaken for each other.
-fn ready_seed() -> u64 {
-    u64::from(rand::rng().random::<u32>()) << 20
+fn first_slot() -> u32 {
+    rand::rng().random()
 }
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -1,5 +1,6 @@
 //! Chat completions and responses.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -115,6 +116,29 @@
         ids::Prefix::of(&start)
     }
 
+    /// The hash of the first messages as a whole, which this chat alone has
+    /// and keeps through all its turns.
+    fn identity(&self, account: &ids::Account) -> ids::Chat {
+        let texts =
+            self.messages
+                .iter()
+                .take(PREFIX_MESSAGES)
+                .map(|message| match &message.content {
+                    Value::String(text) => Cow::from(text),
+                    other => Cow::from(other.to_string()),
+                });
+        let texts: Vec<_> = texts.collect();
+        let account = std::iter::once(account.as_str().as_bytes());
+        ids::Chat::of(account.chain(texts.iter().map(|text| text.as_bytes())))
+    }
+
+    /// Whether the chat has had a turn before.
+    fn returns(&self) -> bool {
+        self.messages
+            .iter()
+            .any(|message| message.role == "assistant")
+    }
+
     /// The body for an engine, which always streams; `text` is an answer so
     /// far that the engine is to continue.
     pub(crate) fn for_engine(&self, text: &str) -> Result<Vec<u8>, Fault> {
@@ -217,6 +241,8 @@
         account: account.clone(),
         model: model.clone(),
         prefix,
+        chat: chat.identity(account),
+        returning: chat.returns(),
         prefer: prefer.map(|ticket| ticket.engine),
         avoid: Vec::new(),
         deadline: incoming.deadline,
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -15,7 +15,7 @@
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
 use tidepier_placement::{by_rendezvous, Ask, Ended, Pool, Ticket, Verdict};
-use tidepier_wire::frame::{self, Adoption, Holding};
+use tidepier_wire::frame::{self, Adoption, Holding, Pressure};
 use tidepier_wire::Frame;
 
 use crate::links::Answer;
@@ -215,6 +215,8 @@
         share: account.as_ref().map_or(1, |account| account.share),
         priority: account.map_or_else(Default::default, |account| account.priority),
         prefix: ask.prefix,
+        chat: ask.chat,
+        returning: ask.returning,
         prefer: ask.prefer.clone(),
         avoid: ask.avoid.clone(),
         patience: Duration::from_millis(ask.patience_ms),
@@ -232,9 +234,13 @@
 }
 
 /// A place is given back.
-pub(crate) fn released(node: &Arc<Node>, model: &ids::Model, slot: ids::Slot, ended: Ended) {
+pub(crate) fn released(node: &Arc<Node>, slot: ids::Slot, ended: Ended) {
     let now = Instant::now();
-    let out = node.keeper.on(model, |pool| pool.release(slot, ended, now));
+    let out = {
+        let mut state = node.keeper.lock();
+        let pool = state.pools.values_mut().find(|pool| pool.holds(slot));
+        pool.map(|pool| pool.release(slot, ended, now))
+    };
     deliver(node, out.unwrap_or_default());
 }
 
@@ -254,6 +260,8 @@
             model: holding.model.clone(),
             account: holding.account.clone(),
             prefix: ids::Prefix::default(),
+            chat: ids::Chat::default(),
+            returning: false,
             prefer: None,
             avoid: Vec::new(),
             patience_ms: 0,
@@ -321,13 +329,26 @@
     };
     let answered = node.links.answer(number, Answer::Place(result));
     if let Err(Answer::Place(Ok(grant))) = answered {
-        crate::place::unwanted(node, node.name(), &grant, Ended::Served);
+        crate::place::unwanted(node, node.name(), &grant);
     }
 }
 
+/// The pressure on the pool of an engine.
+pub(crate) fn pressure(node: &Node, engine: &ids::Engine) -> Pressure {
+    let document = node.current.document();
+    let found = document
+        .as_ref()
+        .and_then(|document| document.engine(engine));
+    let pressure = found.and_then(|engine| node.keeper.on(&engine.model, |pool| pool.pressure()));
+    Pressure::new(pressure.unwrap_or(0.0))
+}
+
 fn deliver_there(node: &Arc<Node>, ticket: &Ticket, verdict: Verdict) {
     let frame = match verdict {
-        Verdict::Granted(grant) => Frame::Grant(ticket.number, grant.engine, grant.slot),
+        Verdict::Granted(grant) => {
+            let pressure = pressure(node, &grant.engine);
+            Frame::Grant(ticket.number, grant.engine, grant.slot, pressure)
+        }
         Verdict::Refused(fault) => {
             let after = fault.retry_after.unwrap_or_default().as_millis() as u64;
             Frame::Refuse(ticket.number, fault.kind, fault.detail, after)
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -26,6 +26,7 @@
 mod once;
 mod peers;
 mod place;
+mod pressure;
 mod probe;
 mod resume;
 mod seal;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -25,6 +25,7 @@
 use crate::keeper::Keeper;
 use crate::links::Links;
 use crate::once::Answers;
+use crate::pressure::Pressures;
 use crate::seal::Sealer;
 use crate::stop::Stop;
 use crate::trace::Ring;
@@ -46,6 +47,7 @@
     pub(crate) store: Client,
     pub(crate) keeper: Keeper,
     pub(crate) held: Held,
+    pub(crate) pressures: Pressures,
     pub(crate) links: Links,
     pub(crate) claims: Pages,
     pub(crate) answers: Answers,
@@ -115,6 +117,7 @@
             store,
             keeper: Keeper::default(),
             held: Held::default(),
+            pressures: Pressures::default(),
             links: Links::default(),
             claims,
             answers: Answers::default(),
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -10,7 +10,7 @@
 use tidepier_errors::Fault;
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, Sight, State};
-use tidepier_placement::{Ended, Grant, Ticket};
+use tidepier_placement::{Grant, Ticket};
 use tidepier_wire::frame::{Beat, Claimed, Hello};
 use tidepier_wire::{Frame, Link};
 
@@ -160,12 +160,15 @@
             }
         }
         Frame::Ask(ask) => keeper::asked(node, peer, ask),
-        Frame::Grant(number, engine, slot) => granted(node, peer, number, Grant { engine, slot }),
+        Frame::Grant(number, engine, slot, pressure) => {
+            node.pressures.note(node, &engine, pressure);
+            granted(node, peer, number, Grant { engine, slot });
+        }
         Frame::Refuse(number, kind, detail, after_ms) => {
             let fault = Fault::new(kind, detail).after(Duration::from_millis(after_ms));
             let _ = node.links.answer(number, Answer::Place(Err(fault)));
         }
-        Frame::Release(model, slot, ended) => keeper::released(node, &model, slot, ended),
+        Frame::Release(slot, ended) => keeper::released(node, slot, ended),
         Frame::Withdraw(model, number) => {
             let ticket = Ticket {
                 from: peer.clone(),
@@ -199,7 +202,7 @@
 fn granted(node: &Arc<Node>, peer: &ids::Box, number: u64, grant: Grant) {
     let answered = node.links.answer(number, Answer::Place(Ok(grant)));
     if let Err(Answer::Place(Ok(grant))) = answered {
-        place::unwanted(node, peer, &grant, Ended::Served);
+        place::unwanted(node, peer, &grant);
     }
 }
 
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -31,6 +31,8 @@
     pub(crate) account: ids::Account,
     pub(crate) model: ids::Model,
     pub(crate) prefix: ids::Prefix,
+    pub(crate) chat: ids::Chat,
+    pub(crate) returning: bool,
     pub(crate) prefer: Option<ids::Engine>,
     pub(crate) avoid: Vec<ids::Engine>,
     pub(crate) deadline: Deadline,
@@ -63,37 +65,21 @@
         let Some(holding) = self.node.held.remove(number) else {
             return;
         };
-        release(&self.node, &holding, self.ended);
+        release(&self.node, &holding.keeper, holding.slot, self.ended);
     }
 }
 
-fn release(node: &Arc<Node>, holding: &Holding, ended: Ended) {
-    if holding.keeper == *node.name() {
-        keeper::released(node, &holding.model, holding.slot, ended);
+fn release(node: &Arc<Node>, keeper: &ids::Box, slot: ids::Slot, ended: Ended) {
+    if keeper == node.name() {
+        keeper::released(node, slot, ended);
     } else {
-        let frame = Frame::Release(holding.model.clone(), holding.slot, ended);
-        node.links.send(&holding.keeper, frame);
+        node.links.send(keeper, Frame::Release(slot, ended));
     }
 }
 
 /// Gives back a place that came after its request had ended.
-pub(crate) fn unwanted(node: &Arc<Node>, keeper: &ids::Box, grant: &Grant, ended: Ended) {
-    let document = node.current.document();
-    let engine = document
-        .as_ref()
-        .and_then(|document| document.engine(&grant.engine));
-    let Some(engine) = engine else {
-        return;
-    };
-    let holding = Holding {
-        model: engine.model.clone(),
-        hall: engine.hall.clone(),
-        account: node.settings.fleet.clone(),
-        engine: grant.engine.clone(),
-        slot: grant.slot,
-        keeper: keeper.clone(),
-    };
-    release(node, &holding, ended);
+pub(crate) fn unwanted(node: &Arc<Node>, keeper: &ids::Box, grant: &Grant) {
+    release(node, keeper, grant.slot, Ended::Served);
 }
 
 /// Finds a place for a request, hall by hall in the chat's rendezvous order.
@@ -107,7 +93,15 @@
     if document.returning.policy != Policy::Tidepier {
         return by_baseline(node, &document, need);
     }
-    let halls = halls(&document, need);
+    let load = &document.load;
+    let multiple = if need.returning {
+        load.multiple
+    } else {
+        load.aim
+    };
+    let halls = node
+        .pressures
+        .spread(&need.model, halls(&document, need), multiple);
     let mut first: Option<Fault> = None;
     for hall in halls {
         match in_hall(node, need, &hall).await {
@@ -132,9 +126,7 @@
 /// Halls with active engines of the model: first that of the preferred engine,
 /// then in rendezvous order of the chat.
 fn halls(document: &Document, need: &Need) -> Vec<ids::Hall> {
-    let active = |engine: &&Engine| {
-        engine.model == need.model && engine.state == State::Active
-    };
+    let active = |engine: &&Engine| engine.model == need.model && engine.state == State::Active;
     let mut halls: Vec<_> = document
         .engines
         .iter()
@@ -240,6 +232,8 @@
         model: need.model.clone(),
         account: need.account.clone(),
         prefix: need.prefix,
+        chat: need.chat,
+        returning: need.returning,
         prefer: need.prefer.clone(),
         avoid: need.avoid.clone(),
         patience_ms: need.deadline.left().as_millis() as u64,
@@ -256,6 +250,8 @@
         match keeper::decide(node, &need.model, complete) {
             Verdict::Granted(grant) => {
                 node.links.forget(number);
+                let pressure = keeper::pressure(node, &grant.engine);
+                node.pressures.note(node, &grant.engine, pressure);
                 grant
             }
             Verdict::Refused(fault) => {
@@ -367,12 +363,6 @@
             continue;
         }
         // The place ended while the new keeper adopted it.
-        if keeper == node.name() {
-            keeper::released(node, &adoption.model, adoption.slot, Ended::Served);
-        } else {
-            let model = adoption.model.clone();
-            node.links
-                .send(keeper, Frame::Release(model, adoption.slot, Ended::Served));
-        }
+        release(node, keeper, adoption.slot, Ended::Served);
     }
 }
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -36,6 +36,8 @@
         account: ticket.account,
         model: ticket.model,
         prefix: ids::Prefix::default(),
+        chat: ids::Chat::default(),
+        returning: true,
         prefer: None,
         avoid: Vec::new(),
         deadline: incoming.deadline,
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -14,8 +14,6 @@
 
 use crate::node::Node;
 
-/// Time in which new requests are still served: longer than the balancer's lag.
-pub(crate) const GRACE: Duration = Duration::from_secs(3);
 /// Time between looks at what is still open.
 const CHECK: Duration = Duration::from_millis(50);
 
@@ -74,7 +72,8 @@
         self.links.beat_now.notify(usize::MAX);
         log::info!("stopping open={}", self.open_requests());
         let limit = self.settings.tuning.stop_ms.duration();
-        while begun.elapsed() < GRACE {
+        let grace = self.settings.tuning.grace_ms.duration();
+        while begun.elapsed() < grace {
             Timer::after(CHECK).await;
         }
         self.stop.advance(Phase::Closed);
--- a/crates/standin/src/engine/door.rs
+++ b/crates/standin/src/engine/door.rs
@@ -213,7 +213,9 @@
         listener.await;
     }
     let end = frame_id(sequence.id, sequence.total);
-    sender.send(&end, &last_chunk(&engine.name, &sequence)).await?;
+    sender
+        .send(&end, &last_chunk(&engine.name, &sequence))
+        .await?;
     sender.send("", "[DONE]").await
 }
 
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -101,6 +101,12 @@
     /// The hash of the chat's stable start.
     #[serde(rename = "k")]
     pub prefix: ids::Prefix,
+    /// The hash that this chat alone keeps.
+    #[serde(rename = "c")]
+    pub chat: ids::Chat,
+    /// Whether the chat has had a turn before.
+    #[serde(rename = "r")]
+    pub returning: bool,
     /// The engine that served the chat last.
     #[serde(rename = "e", default, skip_serializing_if = "Option::is_none")]
     pub prefer: Option<ids::Engine>,
@@ -112,6 +118,24 @@
     pub patience_ms: u64,
 }
 
+/// Requests that run or wait in a pool for each engine, in sixteenths, so that
+/// it takes one to three bytes.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Pressure(u16);
+
+impl Pressure {
+    /// From requests for each engine.
+    pub fn new(requests: f64) -> Self {
+        Self((requests * 16.0).clamp(0.0, f64::from(u16::MAX)) as u16)
+    }
+
+    /// As requests for each engine.
+    pub fn requests(self) -> f64 {
+        f64::from(self.0) / 16.0
+    }
+}
+
 /// A place that the sender still holds, told to a new keeper.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Holding {
@@ -208,15 +232,16 @@
     /// Asks for a place.
     #[serde(rename = "a")]
     Ask(Ask),
-    /// The sender's request has a place.
+    /// The sender's request has a place; last, the pool's requests for each
+    /// engine.
     #[serde(rename = "g")]
-    Grant(u64, ids::Engine, ids::Slot),
+    Grant(u64, ids::Engine, ids::Slot, Pressure),
     /// The sender's request is refused.
     #[serde(rename = "n")]
     Refuse(u64, Kind, String, u64),
     /// Gives a place back.
     #[serde(rename = "e")]
-    Release(ids::Model, ids::Slot, Ended),
+    Release(ids::Slot, Ended),
     /// Withdraws a request.
     #[serde(rename = "w")]
     Withdraw(ids::Model, u64),
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -31,6 +31,8 @@
         share: 1,
         priority: Priority::Normal,
         prefix: ids::Prefix(prefix),
+        chat: ids::Chat(prefix as u32),
+        returning: false,
         prefer: None,
         avoid: Vec::new(),
         patience: Duration::from_secs(60),
@@ -286,6 +288,57 @@
     }
 }
 
+#[test]
+fn a_displaced_chat_returns_to_where_it_was_served() {
+    let (mut pool, now) = pool_of(load(), ENGINES);
+    // Chats that share a document: only the first fits on its first engine.
+    let chat = |number: u64, returning: bool| Ask {
+        chat: ids::Chat(number as u32),
+        returning,
+        ..ask(number, "a", 42)
+    };
+    let mut places = Vec::new();
+    for number in 0..6 {
+        let Verdict::Granted(grant) = pool.ask(chat(number, false), now) else {
+            panic!("room for six");
+        };
+        places.push(grant);
+    }
+    for grant in &places {
+        pool.release(grant.slot, Ended::Served, now);
+    }
+    for (number, before) in places.iter().enumerate() {
+        let Verdict::Granted(grant) = pool.ask(chat(number as u64, true), now) else {
+            panic!("room for one");
+        };
+        assert_eq!(grant.engine, before.engine);
+        pool.release(grant.slot, Ended::Served, now);
+    }
+}
+
+#[test]
+fn a_late_report_is_not_taken_for_foreign_load() {
+    let (mut pool, now) = pool_of(load(), 2);
+    let mut held = Vec::new();
+    for number in 0..6 {
+        if let Verdict::Granted(grant) = pool.ask(ask(number, "a", 42), now) {
+            held.push(grant);
+        }
+    }
+    let name = held[0].engine.clone();
+    let open = pool.engines()[&name].open;
+    for grant in held {
+        pool.release(grant.slot, Ended::Served, now);
+    }
+    pool.report(&name, open);
+    assert_eq!(pool.engines()[&name].foreign, 0, "it ran these a moment ago");
+    pool.report(&name, open + 3);
+    assert_eq!(pool.engines()[&name].foreign, 3, "three more than ever were open");
+    pool.report(&name, 2);
+    pool.report(&name, 2);
+    assert_eq!(pool.engines()[&name].foreign, 2, "still running long after the last grant");
+}
+
 #[test]
 fn an_engine_that_goes_moves_only_its_own_chats() {
     let names = || (0..10).map(engine);
