--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -97,12 +97,12 @@
     }
 
     /// The hash of the stable start: the first messages, up to `most` bytes.
-    /// Later turns leave it as it is.
-    fn prefix(&self, account: &ids::Account, most: usize) -> ids::Prefix {
+    /// Later turns leave it as it is. Accounts that read the same document
+    /// share it, so that the document is cached once.
+    fn prefix(&self, most: usize) -> ids::Prefix {
         let mut start = Vec::with_capacity(most.min(8192));
-        start.extend_from_slice(account.as_str().as_bytes());
         for message in self.messages.iter().take(PREFIX_MESSAGES) {
-            let room = (account.as_str().len() + most).saturating_sub(start.len());
+            let room = most.saturating_sub(start.len());
             match &message.content {
                 Value::String(text) => {
                     start.extend_from_slice(&text.as_bytes()[..text.len().min(room)])
@@ -227,7 +227,7 @@
         },
     };
     let account = &incoming.account.name;
-    let prefix = chat.prefix(account, incoming.document.returning.prefix_bytes);
+    let prefix = chat.prefix(incoming.document.returning.prefix_bytes);
     let streamed = chat.stream;
     let linger = match streamed {
         true => node.settings.tuning.linger_ms.duration(),
