--- a/crates/router/src/chat.rs
+++ b/crates/router/src/chat.rs
@@ -16,6 +16,7 @@
 use crate::answer::{self, Completion, End};
 use crate::deadline::Deadline;
 use crate::node::Node;
+use crate::old;
 use crate::once::{self, Permit};
 use crate::place::Need;
 use crate::seal::Ticket;
@@ -217,6 +218,10 @@
 ) -> Result<Reply, Fault> {
     let chat = Chat::parse(api, bytes)?;
     let model = allowed_model(incoming, &chat.model)?;
+    let prefix = chat.prefix(incoming.document.returning.prefix_bytes);
+    if let Some(old) = old::share(incoming, &model, prefix) {
+        return old::pass(node, incoming, old, bytes).await;
+    }
     let target = format!("model/{model}");
     let once = once::wanted(incoming.request, false)?;
     let permit = match &once {
@@ -227,7 +232,6 @@
         },
     };
     let account = &incoming.account.name;
-    let prefix = chat.prefix(incoming.document.returning.prefix_bytes);
     let streamed = chat.stream;
     let linger = match streamed {
         true => node.settings.tuning.linger_ms.duration(),
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -23,6 +23,7 @@
 mod keeper;
 mod links;
 mod node;
+mod old;
 mod once;
 mod peers;
 mod place;
--- /dev/null
+++ b/crates/router/src/old.rs
@@ -0,0 +1,102 @@
+//! Old back ends: a declared share of chats is passed through to them.
+
+use std::sync::Arc;
+
+use tidepier_config::document::Old;
+use tidepier_errors::{Fault, Kind};
+use tidepier_http::client::{Answer, Call, Failure};
+use tidepier_http::events::{self, Reader};
+use tidepier_http::server::Reply;
+use tidepier_ids as ids;
+
+use crate::chat::Incoming;
+use crate::node::Node;
+use crate::trace::Hop;
+
+/// Largest answer that is not streamed, in bytes.
+const ANSWER_BYTES: u64 = 8 << 20;
+/// The data of a stream's last event.
+const DONE: &str = "[DONE]";
+
+/// The entry that sends this chat to an old back end, if one does. The first
+/// entry for its model and account decides.
+pub(crate) fn share<'d>(
+    incoming: &Incoming<'d>,
+    model: &ids::Model,
+    prefix: ids::Prefix,
+) -> Option<&'d Old> {
+    let fits = |old: &&Old| {
+        let account = old.account.as_ref().is_none_or(|name| *name == incoming.account.name);
+        old.model == *model && account
+    };
+    let old = incoming.document.old.iter().find(fits)?;
+    (prefix.0 % 100 < u64::from(old.percent)).then_some(old)
+}
+
+/// Passes a chat through.
+///
+/// # Errors
+///
+/// [`Kind::NoEngine`] when nothing was sent, else [`Kind::Lost`].
+pub(crate) async fn pass(
+    node: &Arc<Node>,
+    incoming: &Incoming<'_>,
+    old: &Old,
+    bytes: &[u8],
+) -> Result<Reply, Fault> {
+    metrics::counter!("tidepier_old_requests_total").increment(1);
+    let address = old.address.0;
+    let note = format!("{}% of {} stay on {address}", old.percent, old.model);
+    node.ring.note(node.name(), incoming.id, Hop::Engine, note);
+    let call = Call::post("/v1/chat/completions", bytes)
+        .header("x-request-id", incoming.id.to_string())
+        .once();
+    let sending = async {
+        let sent = node.client.send(address, &call).await;
+        sent.map_err(|failure| lost(&failure))
+    };
+    let answer = incoming.deadline.bound(Kind::Deadline, sending).await?;
+    let mime = answer.header("content-type").unwrap_or("application/json").to_string();
+    if answer.status() == 200 && mime.starts_with("text/event-stream") {
+        return Ok(stream(node, answer));
+    }
+    let whole = answer.whole(ANSWER_BYTES);
+    let reading = async { whole.await.map_err(|failure| lost(&failure)) };
+    let whole = incoming.deadline.bound(Kind::Deadline, reading).await?;
+    let mut reply = Reply::text(whole.status, String::new());
+    reply.response.set_body(whole.bytes);
+    reply.response.insert_header("content-type", mime);
+    Ok(reply)
+}
+
+fn lost(failure: &Failure) -> Fault {
+    let detail = format!("the old back end: {failure}");
+    match failure {
+        Failure::Unsent(_) => Fault::new(Kind::NoEngine, detail),
+        Failure::Unknown(_) => Fault::new(Kind::Lost, detail),
+    }
+}
+
+/// Passes events through; a stream without its end mark ends with an error.
+fn stream(node: &Arc<Node>, answer: Answer) -> Reply {
+    let (response, mut sender) = events::response();
+    let opened = node.opened();
+    let pump = async move {
+        let _opened = opened;
+        let mut reader = Reader::new(answer.reader());
+        while let Ok(Some(frame)) = reader.next().await {
+            let last = frame.data == DONE;
+            if sender.send(&frame.id, &frame.data).await.is_err() || last {
+                return;
+            }
+        }
+        let fault = Fault::new(Kind::Broken, "the old back end broke off");
+        let body = serde_json::to_string(&fault.body()).unwrap_or_default();
+        // The caller may have left; there is nobody else to tell.
+        let _ = sender.send("", &body).await;
+    };
+    Reply {
+        response,
+        pump: Some(Box::pin(pump)),
+    }
+}
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -85,10 +85,10 @@
 
 impl Fleet {
     /// Starts the stand-ins and all routers; nothing is applied yet.
-    pub fn bare(plan: Plan) -> Self {
+    fn bare(plan: Plan, tuning: &Tuning) -> Self {
         for _ in 0..FLEETS {
             let number = NEXT.fetch_add(1, Ordering::SeqCst) % FLEETS;
-            let made = make(plan, FIRST_PORT + number * PORTS);
+            let made = make(plan, tuning, FIRST_PORT + number * PORTS);
             // Another process may use these ports; then the next ones serve.
             if let Ok(outside) = Outside::start(&made.outside) {
                 return Self::over(made, outside);
@@ -112,7 +112,12 @@
 
     /// A fleet with its document in force on every box, ready to serve.
     pub fn start(plan: Plan) -> Self {
-        let fleet = Self::bare(plan);
+        Self::start_with(plan, tuning())
+    }
+
+    /// Like [`Fleet::start`], with timers of the caller's.
+    pub fn start_with(plan: Plan, tuning: Tuning) -> Self {
+        let fleet = Self::bare(plan, &tuning);
         fleet.apply(0).expect("the first document is applied");
         fleet.wait("in force and known to each other", || {
             let boxes = fleet.routers.len();
@@ -294,7 +299,7 @@
     Fault::new(body.error.kind, body.error.message)
 }
 
-fn make(plan: Plan, port: u16) -> Made {
+fn make(plan: Plan, tuning: &Tuning, port: u16) -> Made {
     let size = Size {
         user: User::Safi,
         boxes: plan.boxes,
@@ -308,7 +313,7 @@
     let mut made = Made::new(&size);
     made.outside.engine.step_us = plan.step_us;
     for settings in &mut made.boxes {
-        settings.tuning = tuning();
+        settings.tuning = tuning.clone();
     }
     made
 }
--- /dev/null
+++ b/tests/all/orders.rs
@@ -0,0 +1,99 @@
+//! Orders to engines: they converge to the document, and a holder that slept
+//! past its lease orders nothing.
+
+use std::time::Duration;
+
+use tidepier_standin::faults::Faults;
+use tidepier_steward::{Duty, Steward};
+
+use crate::harness::router::Worker;
+use crate::harness::{Fleet, Plan};
+
+fn fleet() -> Fleet {
+    Fleet::start(Plan {
+        boxes: 2,
+        engines: 4,
+        ..Plan::default()
+    })
+}
+
+fn steward(fleet: &Fleet, index: usize) -> Worker {
+    let settings = fleet.made.boxes[index].clone();
+    Worker::start(move |_| {
+        let steward = Steward::new(settings);
+        Box::pin(async move { steward.run().await })
+    })
+}
+
+/// Whether every engine has loaded a version.
+fn loaded(fleet: &Fleet, version: &str) -> bool {
+    let engines = fleet.made.document.engines.len();
+    (0..engines).all(|index| {
+        let engine = fleet.engine(index).engine();
+        let orders = engine.orders.lock().unwrap();
+        orders.loaded.version == version
+    })
+}
+
+fn stale(fleet: &Fleet) -> u64 {
+    let engines = fleet.made.document.engines.len();
+    let of = |index: usize| fleet.engine(index).engine().orders.lock().unwrap().loaded.stale;
+    (0..engines).map(of).sum()
+}
+
+#[test]
+fn engines_converge_to_the_document_through_faults() {
+    let fleet = fleet();
+    let _steward = steward(&fleet, 0);
+    let old = fleet.made.document.models[0].version.clone();
+    fleet.wait("the first version", || loaded(&fleet, &old));
+    // An engine refuses for a while, and the store goes.
+    fleet.engine(1).engine().switches.set(Faults {
+        refuse: 3,
+        ..Faults::default()
+    });
+    fleet.apply_with(0, None, |document| document.models[0].version = "next".into()).unwrap();
+    fleet.wait("the next version", || loaded(&fleet, "next"));
+    assert_eq!(stale(&fleet), 0);
+}
+
+#[test]
+fn a_holder_that_slept_past_its_lease_orders_nothing() {
+    let fleet = fleet();
+    let first = steward(&fleet, 0);
+    let old = fleet.made.document.models[0].version.clone();
+    fleet.wait("the first version", || loaded(&fleet, &old));
+    first.freeze();
+    fleet.apply_with(0, None, |document| document.models[0].version = "next".into()).unwrap();
+    let _second = steward(&fleet, 1);
+    fleet.wait("the next version", || loaded(&fleet, "next"));
+    first.thaw();
+    std::thread::sleep(Duration::from_secs(2));
+    assert_eq!(stale(&fleet), 0, "no engine took an order with an old number");
+    assert!(loaded(&fleet, "next"));
+}
+
+#[test]
+fn a_duty_has_one_holder_and_growing_numbers() {
+    let fleet = fleet();
+    let settings = &fleet.made.boxes[0];
+    let pool = tidepier_http::client::Pool::new();
+    let store = tidepier_platform::store::Client::new(
+        pool,
+        settings.platform.store.0,
+        Duration::from_millis(500),
+    );
+    let duty = |index: usize| {
+        let name = fleet.made.boxes[index].name.clone();
+        Duty::new(store.clone(), &settings.fleet, &settings.hall, name)
+    };
+    let (one, other) = (duty(0), duty(1));
+    let first = smol::block_on(one.take()).unwrap().expect("the duty is free");
+    assert!(first.valid());
+    assert!(smol::block_on(other.take()).unwrap().is_none(), "it is held");
+    smol::block_on(one.give_back(&first)).unwrap();
+    // The grant of the lease passes, and the reply to the write is lost.
+    fleet.outside.store().switches.set(Faults::default());
+    let second = smol::block_on(other.take()).unwrap().expect("it is free at once");
+    assert!(second.fencing > first.fencing);
+}
--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -1,6 +1,8 @@
 //! Whole answers, and only one's own: stateful fuzzing of chats under faults
 //! of engines and routers, against the oracle that knows every token.
 
+use std::collections::BTreeMap;
+
 use proptest::prelude::*;
 use proptest::test_runner::{Config, RngSeed};
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
@@ -41,6 +43,23 @@
     Loss { router: usize, tokens: u64 },
 }
 
+impl Step {
+    fn name(&self) -> &'static str {
+        match self {
+            Step::Burst { .. } => "burst",
+            Step::Death { .. } => "engine_killed",
+            Step::Loss { .. } => "router_killed",
+            Step::Trouble { fault, .. } => match fault {
+                Fault::Cut => "cut",
+                Fault::Cross => "cross",
+                Fault::Repeat => "repeat",
+                Fault::Gap => "gap",
+                Fault::Refuse => "refuse",
+            },
+        }
+    }
+}
+
 /// The reference: chats have numbers, and the oracle knows their answers.
 #[derive(Debug, Clone)]
 pub struct Expected {
@@ -88,6 +107,8 @@
     asked: u64,
     /// Chats that ended with an explicit error.
     errors: u64,
+    /// What was done, by name; `scripts/fuzz` adds them up.
+    done: BTreeMap<&'static str, u64>,
 }
 
 impl System {
@@ -140,10 +161,12 @@
             fleet: Fleet::start(plan),
             asked: 0,
             errors: 0,
+            done: BTreeMap::new(),
         }
     }
 
     fn apply(mut system: System, _: &Expected, step: Step) -> System {
+        *system.done.entry(step.name()).or_default() += 1;
         match step {
             Step::Burst { tokens } => system.burst(tokens, |_| {}),
             Step::Trouble {
