Control traffic no longer grows with the fleet; small processes stay small

Cause, from the control measure: probes (1,891 of 2,791 bytes/s a box at 9 boxes), the box list read whole by every box every 2 s, links to every box of the list (each box greeted all it did not know), rumors told 24 times in any fleet, and claim writes that followed each other without a pause. Resident memory: 28 MB of 40 were the metaschemas of the schema check.

Change: probes every 5 s, ten times as often for 10 s after a takeover; two boxes of a hall read the list, more seldom in larger fleets; four unknown boxes are greeted at a time and rumors bring the rest; silent links close after 60 s; rumors are told three times for each doubling; two writes of a claim page are 50 ms apart; settings are checked by their types, and by the schema only to report faults.

Found by a test: the first version of the lean check took a time span of 0.

--- a/crates/claims/src/pages.rs
+++ b/crates/claims/src/pages.rs
@@ -2,10 +2,10 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, Weak};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use smol::channel::{self, Receiver, Sender};
-use smol::Executor;
+use smol::{Executor, Timer};
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
 
@@ -13,8 +13,8 @@
 use crate::page::{now_seconds, Page, Verdict, Wish};
 
 /// Pages of a fleet. Each is written once for all claims that come in during
-/// the write before, so that the writes a second are at most the pages over a
-/// write's time.
+/// the pause after the write before, so that the writes a second are at most
+/// the pages over the pause.
 pub const PAGES: u32 = 16;
 /// Claims that may wait for one page.
 const WAITING: usize = 1024;
@@ -32,22 +32,26 @@
     store: Client,
     fleet: ids::Account,
     kept: Duration,
+    pause: Duration,
     executor: Weak<Executor<'static>>,
     open: Arc<Mutex<HashMap<u32, Sender<Waiting>>>>,
 }
 
 impl Pages {
-    /// The pages of `fleet` in `store`. Page tasks run on `executor`.
+    /// The pages of `fleet` in `store`. Claims are kept for `kept`; two writes
+    /// of a page are `pause` apart. Page tasks run on `executor`.
     pub fn new(
         store: Client,
         fleet: ids::Account,
         kept: Duration,
+        pause: Duration,
         executor: &Arc<Executor<'static>>,
     ) -> Self {
         Self {
             store,
             fleet,
             kept,
+            pause,
             executor: Arc::downgrade(executor),
             open: Arc::default(),
         }
@@ -85,7 +89,7 @@
             let page = Page::new(self.store.clone(), key, self.kept);
             let (sender, receiver) = channel::bounded(WAITING);
             if let Some(executor) = self.executor.upgrade() {
-                executor.spawn(record(page, receiver)).detach();
+                executor.spawn(record(page, receiver, self.pause)).detach();
             }
             sender
         });
@@ -93,8 +97,12 @@
     }
 }
 
-async fn record(mut page: Page, inbox: Receiver<Waiting>) {
+async fn record(mut page: Page, inbox: Receiver<Waiting>, pause: Duration) {
+    let mut next = Instant::now();
     while let Ok(first) = inbox.recv().await {
+        // A page that was quiet is written at once.
+        Timer::at(next).await;
+        next = Instant::now() + pause;
         let mut batch = vec![first];
         while batch.len() < BATCH {
             match inbox.try_recv() {
--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -107,6 +107,27 @@
     })
 }
 
+/// Like [`parse`], for a type whose `Deserialize` and [`References`] hold every
+/// rule of its schema. The schema is only compiled to report faults: that takes
+/// 28 MB, which a process that stays small must not keep.
+///
+/// # Errors
+///
+/// As [`parse`].
+pub fn parse_lean<T>(text: &str) -> Result<T, Faults>
+where
+    T: DeserializeOwned + JsonSchema + References,
+{
+    let mut report = Report::default();
+    if let Ok(value) = serde_json::from_str::<Value>(text) {
+        T::references(&value, &mut report);
+    }
+    match serde_json::from_str(text) {
+        Ok(found) if report.0.is_empty() => Ok(found),
+        _ => parse(text),
+    }
+}
+
 /// The JSON schema of `T`.
 pub fn schema<T: JsonSchema>() -> Value {
     schemars::schema_for!(T).to_value()
--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -81,13 +81,25 @@
     }
 }
 
-/// A time span in milliseconds.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize, JsonSchema,
-)]
+/// Longest time span in milliseconds: a day.
+const MILLIS_MOST: u64 = 86_400_000;
+
+/// A time span of 1 ms to a day, in milliseconds.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, JsonSchema)]
 #[serde(transparent)]
 pub struct Millis(#[schemars(range(min = 1, max = 86_400_000))] pub u64);
 
+impl<'de> Deserialize<'de> for Millis {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        match u64::deserialize(deserializer)? {
+            millis @ 1..=MILLIS_MOST => Ok(Self(millis)),
+            other => Err(serde::de::Error::custom(format!(
+                "found {other}; allowed: 1 to {MILLIS_MOST}"
+            ))),
+        }
+    }
+}
+
 impl Millis {
     /// As a [`Duration`].
     pub fn duration(self) -> Duration {
@@ -120,11 +132,10 @@
     pub admin: Address,
     /// The platform's services.
     pub platform: Platform,
-    /// Keys of the links between boxes: the first is used, all are accepted.
-    #[schemars(length(min = 1))]
+    /// Keys of the links between boxes, one or more: the first is used, all are
+    /// accepted.
     pub link_keys: Vec<Secret>,
-    /// Keys that seal response ids: the first seals, all open.
-    #[schemars(length(min = 1))]
+    /// Keys that seal response ids, one or more: the first seals, all open.
     pub seal_keys: Vec<Secret>,
     /// Hashes of the bearer keys that operators may use.
     #[serde(default)]
@@ -172,10 +183,13 @@
     remove_ms: Millis = Millis(2500),
     /// Neighbours that a box sends heartbeats to. Default 3.
     neighbours: usize = 3,
-    /// Time between reads of the platform's box list. Default 2000.
+    /// Time between reads of the platform's box list by a box that knows no
+    /// other; later two boxes of a hall read it, more seldom in larger fleets.
+    /// Default 2000.
     boxes_ms: Millis = Millis(2000),
-    /// Time between reads of an engine's load report by its keeper. Default 500.
-    probe_ms: Millis = Millis(500),
+    /// Time between reads of an engine's load report by its keeper. A keeper
+    /// that has just begun reads ten times as often. Default 5000.
+    probe_ms: Millis = Millis(5000),
     /// Time after which an unanswered call to the store is given up. Default 2000.
     store_ms: Millis = Millis(2000),
     /// Time a new keeper waits for reports of open slots. Default 1000.
@@ -199,6 +213,9 @@
     grace_ms: Millis = Millis(3000),
     /// Time a planned stop waits for open streams. Default 60000.
     stop_ms: Millis = Millis(60_000),
+    /// Shortest time between two writes of one page of claims: it bounds the
+    /// store's writes at 16 pages over this time. Default 50.
+    claim_pause_ms: Millis = Millis(50),
     /// Time that claims of not-repeatable requests are kept. Default one day.
     claim_ms: Millis = Millis(86_400_000),
     /// Spans and decisions kept for `tidepier explain`. Default 4096.
@@ -213,6 +230,12 @@
         for field in ["store", "boxes", "weights"] {
             check_address(value, &format!("/platform/{field}"), report);
         }
+        for field in ["link_keys", "seal_keys"] {
+            let keys = value.get(field).and_then(Value::as_array);
+            if keys.is_some_and(Vec::is_empty) {
+                report.add(format!("/{field}"), "[]", "at least 1 key");
+            }
+        }
         check_distinct(value, report);
         check_timers(value, report);
     }
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -25,6 +25,8 @@
 const HOLD_WEIGHT: f64 = 0.05;
 /// Holding time assumed before any request has ended, in seconds.
 const HOLD_START: f64 = 1.0;
+/// Time after which nothing that an earlier keeper granted is likely to run.
+const YOUNG: Duration = Duration::from_secs(10);
 /// Displaced chats remembered by one pool, about 100 bytes each.
 const DISPLACED: NonZeroUsize = NonZeroUsize::new(16_384).unwrap();
 /// Retry-After is spread over this many times its value, so that callers who
@@ -212,6 +214,11 @@
             .retain(|name, engine| engine.open > 0 || listed(name));
     }
 
+    /// Whether an earlier keeper's grants may still be open.
+    pub fn is_young(&self, now: Instant) -> bool {
+        now < self.ready + YOUNG
+    }
+
     /// The engines by name.
     pub fn engines(&self) -> &BTreeMap<ids::Engine, Engine> {
         &self.engines
--- a/crates/router/src/beats.rs
+++ b/crates/router/src/beats.rs
@@ -4,9 +4,11 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
+use rand::seq::SliceRandom;
 use smol::Timer;
 use tidepier_ids as ids;
-use tidepier_membership::neighbours;
+use tidepier_membership::{neighbours, State};
+use tidepier_placement::by_rendezvous;
 use tidepier_platform::boxes;
 use tidepier_wire::frame::Beat;
 use tidepier_wire::{Frame, Link};
@@ -17,9 +19,16 @@
 
 /// Rumors sent with one heartbeat.
 const RUMORS: usize = 8;
-/// Heartbeats that carry one rumor: about three times the logarithm of the
-/// largest fleet, so that a rumor reaches every box.
-const TELLINGS: u32 = 24;
+/// Heartbeats that carry one rumor, for each doubling of the fleet, so that a
+/// rumor reaches every box.
+const TELLINGS: u32 = 3;
+/// Boxes of a hall that go on reading the platform's list.
+const READERS: usize = 2;
+/// Known boxes for which a reader waits one `boxes_ms` longer: the list grows
+/// with the fleet, what a box spends on it does not.
+const LIST_STEP: usize = 4;
+/// Unknown boxes greeted for one list; rumors bring the others.
+const GREETED: usize = 4;
 /// Neighbours asked to reach a silent one.
 const HELPERS: usize = 2;
 /// Time that helpers have.
@@ -36,10 +45,11 @@
 pub(crate) fn beat(node: &Node) -> Beat {
     let generation = node.generation();
     let mut table = node.table();
+    let doublings = table.present().count().ilog2() + 1;
     Beat {
         generation,
         table: table.digest(),
-        rumors: table.spread(RUMORS, TELLINGS),
+        rumors: table.spread(RUMORS, TELLINGS * doublings),
     }
 }
 
@@ -159,28 +169,55 @@
     let address = node.settings.platform.boxes.0;
     let limit = tuning.store_ms.duration();
     loop {
-        match boxes::read(&node.client, address, node.name(), limit).await {
-            Ok(list) => greet(&node, list).await,
-            Err(fault) => {
-                metrics::counter!("tidepier_list_failures_total").increment(1);
-                log::debug!("{fault}");
+        if reads_list(&node) {
+            match boxes::read(&node.client, address, node.name(), limit).await {
+                Ok(list) => greet(&node, list),
+                Err(fault) => {
+                    metrics::counter!("tidepier_list_failures_total").increment(1);
+                    log::debug!("{fault}");
+                }
             }
         }
-        Timer::after(tuning.boxes_ms.duration()).await;
+        let known = node.table().present().count();
+        let steps = 1 + (known / LIST_STEP) as u32;
+        Timer::after(tuning.boxes_ms.duration() * steps).await;
     }
 }
 
-async fn greet(node: &Arc<Node>, list: boxes::List) {
-    for entry in list.boxes {
-        let unknown = node
-            .table()
-            .get(&entry.name)
-            .is_none_or(|member| member.rumor.state == tidepier_membership::State::Dead);
-        if unknown && entry.name != *node.name() {
-            let node = node.clone();
-            node.clone().spawn(async move {
-                node.links.greet(&node, &entry.name, entry.peers).await;
-            });
-        }
+/// A box that knows no other reads the list, and two of each hall, so that
+/// groups of boxes that do not know each other find together.
+fn reads_list(node: &Node) -> bool {
+    let table = node.table();
+    if table.present().count() <= 1 {
+        return true;
+    }
+    let names = table
+        .candidates(node.hall())
+        .map(|member| member.name.clone());
+    let key = ids::Digest::of(b"list readers").0;
+    let order = by_rendezvous(key, names);
+    order.iter().take(READERS).any(|name| name == node.name())
+}
+
+fn greet(node: &Arc<Node>, list: boxes::List) {
+    let mut unknown: Vec<_> = {
+        let table = node.table();
+        let known = |entry: &boxes::Entry| {
+            table
+                .get(&entry.name)
+                .is_some_and(|member| member.rumor.state != State::Dead)
+        };
+        list.boxes
+            .into_iter()
+            .filter(|entry| !known(entry))
+            .collect()
+    };
+    // Not always the same ones: some may be gone for good.
+    unknown.shuffle(&mut rand::rng());
+    for entry in unknown.into_iter().take(GREETED) {
+        let node = node.clone();
+        node.clone().spawn(async move {
+            node.links.greet(&node, &entry.name, entry.peers).await;
+        });
     }
 }
--- a/crates/router/src/bin/tidepier-router.rs
+++ b/crates/router/src/bin/tidepier-router.rs
@@ -52,7 +52,7 @@
         let text =
             std::fs::read_to_string(&self.settings).wrap_err_with(|| format!("reading {path}"))?;
         let mut settings: Settings =
-            check::parse(&text).wrap_err_with(|| format!("checking {path}"))?;
+            check::parse_lean(&text).wrap_err_with(|| format!("checking {path}"))?;
         if let Some(name) = &self.name {
             settings.name = name.clone();
         }
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -33,6 +33,14 @@
     ticked: Option<Instant>,
 }
 
+/// An engine of a pool that this box keeps.
+pub(crate) struct Watched {
+    pub(crate) model: ids::Model,
+    pub(crate) engine: ids::Engine,
+    /// Whether the pool was taken over a short while ago.
+    pub(crate) young: bool,
+}
+
 /// The pools of one box.
 #[derive(Default)]
 pub(crate) struct Keeper(Mutex<Kept>);
@@ -67,12 +75,17 @@
     }
 
     /// Engines of the pools kept here.
-    pub(crate) fn engines(&self) -> Vec<(ids::Model, ids::Engine)> {
+    pub(crate) fn engines(&self) -> Vec<Watched> {
         let state = self.lock();
+        let now = Instant::now();
         let pools = state.pools.iter();
         let engines = pools.flat_map(|(model, pool)| {
             let active = pool.engines().iter().filter(|(_, engine)| engine.active);
-            active.map(|(name, _)| (model.clone(), name.clone()))
+            active.map(move |(name, _)| Watched {
+                model: model.clone(),
+                engine: name.clone(),
+                young: pool.is_young(now),
+            })
         });
         engines.collect()
     }
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -11,6 +11,7 @@
 use smol::channel::{self, Receiver, Sender};
 use smol::lock::Mutex as AsyncMutex;
 use tidepier_errors::Fault;
+use tidepier_http::server::within;
 use tidepier_ids as ids;
 use tidepier_placement::Grant;
 use tidepier_wire::frame::{Claimed, Fate};
@@ -21,6 +22,9 @@
 
 /// Frames that may wait for one link; a link that falls behind is closed.
 const QUEUE: usize = 4096;
+/// Silence after which a link is closed. Neighbours' heartbeats keep theirs
+/// open; others are dialled again when needed.
+const IDLE: Duration = Duration::from_secs(60);
 /// Time after a failed dial in which no other is made.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -306,17 +310,29 @@
         }
     };
     let receiving = async {
-        while let Ok(frame) = receiver.recv().await {
+        while let Some(Ok(frame)) = within(IDLE, receiver.recv()).await {
             node.links.heard(&peer);
             peers::take(&node, &peer, frame, &line);
         }
     };
-    sending.or(receiving).await;
+    let idle = async {
+        receiving.await;
+        node.links
+            .silence(&peer)
+            .is_some_and(|silence| silence >= IDLE)
+    };
+    let sent = async {
+        sending.await;
+        false
+    };
+    let idle = sent.or(idle).await;
     line.queue.close();
     metrics::gauge!("tidepier_links").decrement(1.0);
     node.links.ended(&peer, line.number);
     node.links.abandon(&peer);
-    peers::parted(&node, &peer);
+    if !idle {
+        peers::parted(&node, &peer);
+    }
 }
 
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -97,7 +97,8 @@
         let store = Client::new(client.clone(), platform.store.0, limit);
         let kept = settings.tuning.claim_ms.duration();
         let fleet = settings.fleet.clone();
-        let claims = Pages::new(store.clone(), fleet, kept, executor);
+        let pause = settings.tuning.claim_pause_ms.duration();
+        let claims = Pages::new(store.clone(), fleet, kept, pause, executor);
         let me = Rumor {
             name: settings.name.clone(),
             hall: settings.hall.clone(),
--- a/crates/router/src/old.rs
+++ b/crates/router/src/old.rs
@@ -26,7 +26,10 @@
     prefix: ids::Prefix,
 ) -> Option<&'d Old> {
     let fits = |old: &&Old| {
-        let account = old.account.as_ref().is_none_or(|name| *name == incoming.account.name);
+        let account = old
+            .account
+            .as_ref()
+            .is_none_or(|name| *name == incoming.account.name);
         old.model == *model && account
     };
     let old = incoming.document.old.iter().find(fits)?;
@@ -56,7 +59,10 @@
         sent.map_err(|failure| lost(&failure))
     };
     let answer = incoming.deadline.bound(Kind::Deadline, sending).await?;
-    let mime = answer.header("content-type").unwrap_or("application/json").to_string();
+    let mime = answer
+        .header("content-type")
+        .unwrap_or("application/json")
+        .to_string();
     if answer.status() == 200 && mime.starts_with("text/event-stream") {
         return Ok(stream(node, answer));
     }
@@ -84,9 +90,17 @@
     let pump = async move {
         let _opened = opened;
         let mut reader = Reader::new(answer.reader());
+        // An old back end numbers nothing; callers expect offsets.
+        let mut offset = 0_u64;
         while let Ok(Some(frame)) = reader.next().await {
             let last = frame.data == DONE;
-            if sender.send(&frame.id, &frame.data).await.is_err() || last {
+            let id = if last {
+                String::new()
+            } else {
+                offset.to_string()
+            };
+            offset += 1;
+            if sender.send(&id, &frame.data).await.is_err() || last {
                 return;
             }
         }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -26,15 +26,26 @@
     node.spawn(run(node.clone()));
 }
 
+/// Young pools are looked at this many times as often: another keeper may
+/// still be granting, and only the engines' reports tell.
+const YOUNG_TIMES: u32 = 10;
+
 async fn run(node: Arc<Node>) {
+    let pause = node.settings.tuning.probe_ms.duration() / YOUNG_TIMES;
+    let mut round = 0;
     loop {
-        for (model, engine) in node.keeper.engines() {
+        let all = round % YOUNG_TIMES == 0;
+        for watched in node.keeper.engines() {
+            if !all && !watched.young {
+                continue;
+            }
             let probing = node.clone();
             node.spawn(async move {
-                probe(&probing, &model, &engine).await;
+                probe(&probing, &watched.model, &watched.engine).await;
             });
         }
-        Timer::after(node.settings.tuning.probe_ms.duration()).await;
+        round = (round + 1) % YOUNG_TIMES;
+        Timer::after(pause).await;
     }
 }
 
--- a/crates/steward/src/bin/tidepier-steward.rs
+++ b/crates/steward/src/bin/tidepier-steward.rs
@@ -52,7 +52,7 @@
     let path = arguments.settings.display();
     let text =
         std::fs::read_to_string(&arguments.settings).wrap_err_with(|| format!("reading {path}"))?;
-    check::parse(&text).wrap_err_with(|| format!("checking {path}"))
+    check::parse_lean(&text).wrap_err_with(|| format!("checking {path}"))
 }
 
 fn run(settings: Settings, level: LevelFilter) -> eyre::Result<()> {
--- a/tests/all/claims.rs
+++ b/tests/all/claims.rs
@@ -41,7 +41,8 @@
     fn pages(&self, kept: Duration) -> Pages {
         let limit = Duration::from_millis(300);
         let client = Client::new(Pool::new(), self.store.address(), limit);
-        Pages::new(client, "safi".parse().unwrap(), kept, &self.executor)
+        let pause = Duration::from_millis(1);
+        Pages::new(client, "safi".parse().unwrap(), kept, pause, &self.executor)
     }
 
     fn run<T>(&self, work: impl std::future::Future<Output = T>) -> T {
--- a/tests/all/harness/router.rs
+++ b/tests/all/harness/router.rs
@@ -91,7 +91,10 @@
         self.kill.take();
         if let Some(thread) = self.thread.take() {
             let ended = thread.join();
-            assert!(ended.is_ok() || std::thread::panicking(), "the process panicked");
+            assert!(
+                ended.is_ok() || std::thread::panicking(),
+                "the process panicked"
+            );
         }
     }
 }
@@ -132,7 +135,9 @@
         };
         let worker = Worker::start(move |executor| {
             let started = Node::start_over(Arc::new(from), settings, executor);
-            ready.send(started.expect("the router's ports are free")).unwrap();
+            ready
+                .send(started.expect("the router's ports are free"))
+                .unwrap();
             Box::pin(futures_lite::future::pending())
         });
         self.running = Some(Running {
--- a/tests/all/migration.rs
+++ b/tests/all/migration.rs
@@ -33,12 +33,18 @@
     let mut went = Vec::new();
     for percent in [100, 40, 0, 40] {
         generation += 1;
-        fleet.apply_with(0, None, |document| share(document, percent)).unwrap();
-        fleet.wait("in force", || fleet.generations() == [generation, generation]);
+        fleet
+            .apply_with(0, None, |document| share(document, percent))
+            .unwrap();
+        fleet.wait("in force", || {
+            fleet.generations() == [generation, generation]
+        });
         let before = started();
         // The same chats each time: a share is one of chats, not of requests.
         let outcomes = fleet.chats(0..100, 3);
-        assert!(outcomes.iter().all(|outcome| outcome.wrong == 0 && outcome.whole));
+        assert!(outcomes
+            .iter()
+            .all(|outcome| outcome.wrong == 0 && outcome.whole));
         went.push(started() - before);
     }
     assert_eq!(went[0], 100);
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -37,7 +37,16 @@
 
 fn stale(fleet: &Fleet) -> u64 {
     let engines = fleet.made.document.engines.len();
-    let of = |index: usize| fleet.engine(index).engine().orders.lock().unwrap().loaded.stale;
+    let of = |index: usize| {
+        fleet
+            .engine(index)
+            .engine()
+            .orders
+            .lock()
+            .unwrap()
+            .loaded
+            .stale
+    };
     (0..engines).map(of).sum()
 }
 
@@ -52,7 +61,11 @@
         refuse: 3,
         ..Faults::default()
     });
-    fleet.apply_with(0, None, |document| document.models[0].version = "next".into()).unwrap();
+    fleet
+        .apply_with(0, None, |document| {
+            document.models[0].version = "next".into()
+        })
+        .unwrap();
     fleet.wait("the next version", || loaded(&fleet, "next"));
     assert_eq!(stale(&fleet), 0);
 }
@@ -64,12 +77,20 @@
     let old = fleet.made.document.models[0].version.clone();
     fleet.wait("the first version", || loaded(&fleet, &old));
     first.freeze();
-    fleet.apply_with(0, None, |document| document.models[0].version = "next".into()).unwrap();
+    fleet
+        .apply_with(0, None, |document| {
+            document.models[0].version = "next".into()
+        })
+        .unwrap();
     let _second = steward(&fleet, 1);
     fleet.wait("the next version", || loaded(&fleet, "next"));
     first.thaw();
     std::thread::sleep(Duration::from_secs(2));
-    assert_eq!(stale(&fleet), 0, "no engine took an order with an old number");
+    assert_eq!(
+        stale(&fleet),
+        0,
+        "no engine took an order with an old number"
+    );
     assert!(loaded(&fleet, "next"));
 }
 
@@ -88,12 +109,19 @@
         Duty::new(store.clone(), &settings.fleet, &settings.hall, name)
     };
     let (one, other) = (duty(0), duty(1));
-    let first = smol::block_on(one.take()).unwrap().expect("the duty is free");
+    let first = smol::block_on(one.take())
+        .unwrap()
+        .expect("the duty is free");
     assert!(first.valid());
-    assert!(smol::block_on(other.take()).unwrap().is_none(), "it is held");
+    assert!(
+        smol::block_on(other.take()).unwrap().is_none(),
+        "it is held"
+    );
     smol::block_on(one.give_back(&first)).unwrap();
     // The grant of the lease passes, and the reply to the write is lost.
     fleet.outside.store().switches.set(Faults::default());
-    let second = smol::block_on(other.take()).unwrap().expect("it is free at once");
+    let second = smol::block_on(other.take())
+        .unwrap()
+        .expect("it is free at once");
     assert!(second.fencing > first.fencing);
 }
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -331,12 +331,24 @@
         pool.release(grant.slot, Ended::Served, now);
     }
     pool.report(&name, open);
-    assert_eq!(pool.engines()[&name].foreign, 0, "it ran these a moment ago");
+    assert_eq!(
+        pool.engines()[&name].foreign,
+        0,
+        "it ran these a moment ago"
+    );
     pool.report(&name, open + 3);
-    assert_eq!(pool.engines()[&name].foreign, 3, "three more than ever were open");
+    assert_eq!(
+        pool.engines()[&name].foreign,
+        3,
+        "three more than ever were open"
+    );
     pool.report(&name, 2);
     pool.report(&name, 2);
-    assert_eq!(pool.engines()[&name].foreign, 2, "still running long after the last grant");
+    assert_eq!(
+        pool.engines()[&name].foreign,
+        2,
+        "still running long after the last grant"
+    );
 }
 
 #[test]
--- a/tests/all/recovery.rs
+++ b/tests/all/recovery.rs
@@ -45,7 +45,9 @@
         let seen: Arc<Mutex<Vec<Seen>>> = Arc::default();
         let drafts: Arc<Mutex<Vec<(String, bool)>>> = Arc::default();
         let addresses = fleet.addresses();
-        let chats: Vec<_> = (0..2000).map(|number| fleet.make_chat(number, TOKENS)).collect();
+        let chats: Vec<_> = (0..2000)
+            .map(|number| fleet.make_chat(number, TOKENS))
+            .collect();
         let (stopped, noted, posted) = (stop.clone(), seen.clone(), drafts.clone());
         let task = smol::spawn(async move {
             let mut tasks = Vec::new();
@@ -63,7 +65,8 @@
                     if number % 4 == 0 {
                         let id = format!("draft-{number}");
                         let router = addresses[number % addresses.len()];
-                        let sent = crate::harness::draft(pool, router, id.clone(), id.clone()).await;
+                        let sent =
+                            crate::harness::draft(pool, router, id.clone(), id.clone()).await;
                         let not_run = sent.is_ok_and(|answer| {
                             answer.status >= 400
                                 && crate::harness::fault_of(&answer).kind.answer().ran == Ran::No
@@ -95,14 +98,25 @@
             let quick = seen.outcome.first.is_some_and(|first| first < FULL);
             seen.outcome.whole && quick
         };
-        let late = seen.iter().filter(|seen| seen.began >= struck && !full(seen));
-        let last = late.map(|seen| seen.began - struck).max().unwrap_or_default();
+        let late = seen
+            .iter()
+            .filter(|seen| seen.began >= struck && !full(seen));
+        let last = late
+            .map(|seen| seen.began - struck)
+            .max()
+            .unwrap_or_default();
         let final_answer = |s: &&Seen| s.outcome.whole || s.outcome.refused.is_some();
         let lost = seen.iter().filter(|seen| !final_answer(seen)).count();
-        let refused = seen.iter().filter(|seen| seen.outcome.refused.is_some()).count();
+        let refused = seen
+            .iter()
+            .filter(|seen| seen.outcome.refused.is_some())
+            .count();
         let wrong: u64 = seen.iter().map(|seen| seen.outcome.wrong).sum();
         let doubled = drafts.iter().filter(|(id, _)| fleet.runs(id) > 1).count();
-        let false_not_run = drafts.iter().filter(|(id, not)| *not && fleet.runs(id) > 0).count();
+        let false_not_run = drafts
+            .iter()
+            .filter(|(id, not)| *not && fleet.runs(id) > 0)
+            .count();
         json!({
             "fault": name,
             "requests": seen.len(),
@@ -166,7 +180,13 @@
         fleet.network.join(&hall, PLATFORM);
     });
     run("hall cut from hall", 2, &mut |fleet| {
-        let halls: Vec<_> = fleet.made.document.halls.iter().map(|h| h.to_string()).collect();
+        let halls: Vec<_> = fleet
+            .made
+            .document
+            .halls
+            .iter()
+            .map(|h| h.to_string())
+            .collect();
         fleet.network.cut(&halls[0], &halls[1]);
         pause(Duration::from_secs(8));
         fleet.network.join(&halls[0], &halls[1]);
@@ -180,8 +200,12 @@
     let mut worst = Duration::ZERO;
     for generation in 2..12 {
         let began = Instant::now();
-        fleet.apply(generation as usize % fleet.routers.len()).unwrap();
-        fleet.wait("in force", || fleet.generations().iter().all(|found| *found == generation));
+        fleet
+            .apply(generation as usize % fleet.routers.len())
+            .unwrap();
+        fleet.wait("in force", || {
+            fleet.generations().iter().all(|found| *found == generation)
+        });
         worst = worst.max(began.elapsed());
     }
     worst.as_secs_f64()
@@ -219,7 +243,9 @@
     first.freeze();
     let struck = Instant::now();
     fleet
-        .apply_with(1, None, |document| document.models[0].version = "2026-12".into())
+        .apply_with(1, None, |document| {
+            document.models[0].version = "2026-12".into()
+        })
         .unwrap();
     let second = steward(1);
     let new = || {
@@ -234,7 +260,16 @@
     first.thaw();
     std::thread::sleep(Duration::from_secs(4));
     let stale: u64 = (0..fleet.made.document.engines.len())
-        .map(|index| fleet.engine(index).engine().orders.lock().unwrap().loaded.stale)
+        .map(|index| {
+            fleet
+                .engine(index)
+                .engine()
+                .orders
+                .lock()
+                .unwrap()
+                .loaded
+                .stale
+        })
         .sum();
     drop((first, second));
     json!({
--- a/tests/all/settings.rs
+++ b/tests/all/settings.rs
@@ -85,6 +85,31 @@
     assert!(!text.contains(&secret), "{text}");
 }
 
+/// The lean check takes and refuses what the full one does.
+#[test]
+fn the_lean_check_agrees_with_the_full_one() {
+    let changes: [(&str, Value); 9] = [
+        ("/box", json!("Box One")),
+        ("/callers", json!("127.0.0.1:0")),
+        ("/link_keys", json!([])),
+        ("/link_keys", json!(["abc"])),
+        ("/tuning/heartbeat_ms", json!(0)),
+        ("/tuning/heartbeat_ms", json!(99_999_999)),
+        ("/tuning/suspect_ms", json!(10)),
+        ("/tuning/neighbours", json!(-1)),
+        ("/operator_keys", json!("none")),
+    ];
+    let whole = serde_json::to_value(&made().boxes[0]).unwrap();
+    assert!(check::parse_lean::<Settings>(&whole.to_string()).is_ok());
+    for (field, found) in changes {
+        let mut value = whole.clone();
+        *value.pointer_mut(field).unwrap() = found;
+        let full = check::parse::<Settings>(&value.to_string()).unwrap_err();
+        let lean = check::parse_lean::<Settings>(&value.to_string()).unwrap_err();
+        assert_eq!(full, lean, "{field}");
+    }
+}
+
 proptest! {
     #![proptest_config(config(256))]
 
