--- a/crates/config/src/check.rs
+++ b/crates/config/src/check.rs
@@ -5,6 +5,9 @@
 //! on the typed value, so that they are reported together with type faults.
 
 use std::fmt;
+use std::fs;
+use std::io;
+use std::path::{Path, PathBuf};
 
 use jsonschema::error::{TypeKind, ValidationErrorKind};
 use schemars::JsonSchema;
@@ -128,6 +131,40 @@
     }
 }
 
+/// Why a file could not be used.
+#[derive(Debug)]
+pub enum FileError {
+    /// It cannot be read.
+    Unreadable(PathBuf, io::Error),
+    /// It has faults.
+    Faulty(PathBuf, Faults),
+}
+
+impl fmt::Display for FileError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            FileError::Unreadable(path, error) => write!(f, "reading {}: {error}", path.display()),
+            FileError::Faulty(path, faults) => write!(f, "checking {}:\n{faults}", path.display()),
+        }
+    }
+}
+
+impl std::error::Error for FileError {}
+
+/// Reads a file by [`parse_lean`].
+///
+/// # Errors
+///
+/// The file cannot be read or has faults.
+pub fn read<T>(path: &Path) -> Result<T, FileError>
+where
+    T: DeserializeOwned + JsonSchema + References,
+{
+    let text = fs::read_to_string(path);
+    let text = text.map_err(|error| FileError::Unreadable(path.into(), error))?;
+    parse_lean(&text).map_err(|faults| FileError::Faulty(path.into(), faults))
+}
+
 /// The JSON schema of `T`.
 pub fn schema<T: JsonSchema>() -> Value {
     schemars::schema_for!(T).to_value()
--- a/crates/placement/src/lib.rs
+++ b/crates/placement/src/lib.rs
@@ -14,11 +14,15 @@
 //! * Within one priority, a waiting account with fewer open grants for its
 //!   share goes first.
 
+mod ask;
 mod baseline;
+mod engine;
 mod order;
 mod pool;
 mod queue;
 
+pub use ask::{Ask, Ended, Grant, Ticket, Verdict};
 pub use baseline::{choose, Candidate};
+pub use engine::Engine;
 pub use order::{by_rendezvous, rank};
-pub use pool::{Ask, Ended, Engine, Grant, Pool, Ticket, Verdict};
+pub use pool::Pool;
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -6,21 +6,15 @@
 
 use lru::LruCache;
 use rand::Rng;
-use serde::{Deserialize, Serialize};
-use tidepier_config::document::{Load, Priority};
+use tidepier_config::document::Load;
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
 
+use crate::ask::{Ask, Ended, Grant, Ticket, Verdict};
+use crate::engine::Engine;
 use crate::order::by_rendezvous;
 use crate::queue::{Lane, Queue};
 
-/// Time that an engine gets nothing after its first failure; doubled with
-/// each failure that follows soon, so that a flapping engine is damped.
-const EJECT_FIRST: Duration = Duration::from_secs(1);
-/// Longest time that a failed engine gets nothing.
-const EJECT_MOST: Duration = Duration::from_secs(60);
-/// Time without a failure after which an engine's failures are forgotten.
-const FORGIVE: Duration = Duration::from_secs(120);
 /// Weight of the newest request in the running mean of holding times.
 const HOLD_WEIGHT: f64 = 0.05;
 /// Holding time assumed before any request has ended, in seconds.
@@ -35,124 +29,6 @@
 /// were refused together do not return together.
 const SPREAD: f64 = 1.0;
 
-/// A request for a place on an engine.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// The box that asks, and its own number for the request.
-    pub ticket: Ticket,
-    /// The account that pays.
-    pub account: ids::Account,
-    /// The account's weight.
-    pub share: u32,
-    /// The account's priority.
-    pub priority: Priority,
-    /// The hash of the chat's stable start, which other chats may share.
-    pub prefix: ids::Prefix,
-    /// The hash that this chat alone keeps through all its turns.
-    pub chat: ids::Chat,
-    /// Whether the chat has had a turn before.
-    pub returning: bool,
-    /// The engine that served the chat last, if known.
-    pub prefer: Option<ids::Engine>,
-    /// Engines that have just failed this request.
-    pub avoid: Vec<ids::Engine>,
-    /// Time that the request can still wait.
-    pub patience: Duration,
-}
-
-/// Names a request towards a keeper: a box and its own number.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Ticket {
-    /// The box that asks.
-    pub from: ids::Box,
-    /// Its number for the request.
-    pub number: u64,
-}
-
-/// A place on an engine.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Grant {
-    /// The engine.
-    pub engine: ids::Engine,
-    /// Names the place when it is given back.
-    pub slot: ids::Slot,
-}
-
-/// The answer to an [`Ask`].
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Verdict {
-    /// A place.
-    Granted(Grant),
-    /// The request waits; a verdict follows from [`Pool::release`] or
-    /// [`Pool::tick`].
-    Waits,
-    /// Final refusal.
-    Refused(Fault),
-}
-
-/// How a granted request ended.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Ended {
-    /// The engine served it, or the caller gave up.
-    #[serde(rename = "o")]
-    Served,
-    /// The engine could not be reached or broke off.
-    #[serde(rename = "f")]
-    Failed,
-}
-
-/// An engine of the pool.
-#[derive(Debug, Clone)]
-pub struct Engine {
-    /// Whether it takes new work by configuration.
-    pub active: bool,
-    /// Open grants.
-    pub open: u32,
-    /// Requests that it reports beyond this keeper's grants.
-    pub foreign: u32,
-    /// Most open grants since the last report, and between the two before.
-    peaks: [u32; 2],
-    /// Until when it gets nothing after a failure.
-    pub ejected: Option<Instant>,
-    failures: u32,
-    failed: Option<Instant>,
-}
-
-impl Engine {
-    fn new(active: bool) -> Self {
-        Self {
-            active,
-            open: 0,
-            foreign: 0,
-            peaks: [0; 2],
-            ejected: None,
-            failures: 0,
-            failed: None,
-        }
-    }
-
-    fn load(&self) -> u32 {
-        self.open + self.foreign
-    }
-
-    fn hold(&mut self) {
-        self.open += 1;
-        self.peaks[0] = self.peaks[0].max(self.open);
-    }
-
-    /// A report tells of a moment that may lie before the last one. What the
-    /// engine runs beyond all that was open since then is not this keeper's.
-    fn report(&mut self, running: u32) {
-        let most = self.peaks[0].max(self.peaks[1]);
-        self.foreign = running.saturating_sub(most);
-        self.peaks = [self.open, self.peaks[0]];
-    }
-
-    fn usable(&self, now: Instant) -> bool {
-        self.active && self.ejected.is_none_or(|until| until <= now)
-    }
-}
-
 #[derive(Debug)]
 struct Held {
     engine: ids::Engine,
@@ -317,7 +193,7 @@
         if let Some(engine) = self.engines.get_mut(&held.engine) {
             engine.open -= 1;
             if ended == Ended::Failed {
-                eject(engine, now);
+                engine.eject(now);
             }
         }
         if ended == Ended::Served {
@@ -433,18 +309,14 @@
     /// Notes that an engine does not answer.
     pub fn fail(&mut self, engine: &ids::Engine, now: Instant) {
         if let Some(engine) = self.engines.get_mut(engine) {
-            eject(engine, now);
+            engine.eject(now);
         }
     }
 
     /// Notes that an ejected engine answers again; it is tried from now on.
     pub fn recover(&mut self, engine: &ids::Engine, now: Instant) {
-        let Some(engine) = self.engines.get_mut(engine) else {
-            return;
-        };
-        let due = engine.ejected.is_some_and(|until| until <= now);
-        if due {
-            engine.ejected = None;
+        if let Some(engine) = self.engines.get_mut(engine) {
+            engine.recover(now);
         }
     }
 
@@ -534,20 +406,6 @@
     }
 }
 
-fn eject(engine: &mut Engine, now: Instant) {
-    let soon = engine
-        .failed
-        .is_some_and(|at| now.saturating_duration_since(at) < FORGIVE);
-    // Failures reported together are one failure.
-    if engine.ejected.is_some_and(|until| until > now) {
-        return;
-    }
-    engine.failures = if soon { engine.failures + 1 } else { 0 };
-    let factor = 2u32.saturating_pow(engine.failures.min(8));
-    engine.failed = Some(now);
-    engine.ejected = Some(now + (EJECT_FIRST * factor).min(EJECT_MOST));
-}
-
 /// Slots of different keepers must not be mistaken for each other.
 fn first_slot() -> u32 {
     rand::rng().random()
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -182,13 +182,6 @@
 
 fn status(node: &Node) -> Status {
     let about = node.current.about();
-    let pools = node.keeper.summary().into_iter();
-    let pools = pools.map(|(model, engines, open, waiting)| PoolStatus {
-        model,
-        engines,
-        open,
-        waiting,
-    });
     let phase = match node.phase() {
         Phase::Serving => "serving",
         Phase::Stopping => "stopping",
@@ -213,7 +206,7 @@
         author: about.map(|about| about.author),
         open: node.open_requests(),
         links: node.links.count(),
-        pools: pools.collect(),
+        pools: node.keeper.summary(),
         boxes: boxes.collect(),
     }
 }
--- a/crates/router/src/bin/tidepier-router.rs
+++ b/crates/router/src/bin/tidepier-router.rs
@@ -47,12 +47,8 @@
 }
 
 impl Arguments {
-    fn settings(&self) -> eyre::Result<Settings> {
-        let path = self.settings.display();
-        let text =
-            std::fs::read_to_string(&self.settings).wrap_err_with(|| format!("reading {path}"))?;
-        let mut settings: Settings =
-            check::parse_lean(&text).wrap_err_with(|| format!("checking {path}"))?;
+    fn settings(&self) -> Result<Settings, check::FileError> {
+        let mut settings: Settings = check::read(&self.settings)?;
         if let Some(name) = &self.name {
             settings.name = name.clone();
         }
@@ -71,7 +67,7 @@
     let settings = match arguments.settings() {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("{error:#}");
+            eprintln!("{error}");
             return ExitCode::from(Kind::Invalid.answer().exit);
         }
     };
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -18,6 +18,7 @@
 use tidepier_wire::frame::{self, Adoption, Holding, Pressure};
 use tidepier_wire::Frame;
 
+use crate::admin::PoolStatus;
 use crate::links::Answer;
 use crate::node::Node;
 
@@ -55,22 +56,20 @@
         self.lock().pools.get_mut(model).map(work)
     }
 
-    /// Models kept here, with engines, open grants and waiting requests.
-    pub(crate) fn summary(&self) -> Vec<(ids::Model, usize, usize, usize)> {
+    /// The pools kept here, by model.
+    pub(crate) fn summary(&self) -> Vec<PoolStatus> {
         let state = self.lock();
         let mut rows: Vec<_> = state
             .pools
             .iter()
-            .map(|(model, pool)| {
-                (
-                    model.clone(),
-                    pool.engines().len(),
-                    pool.open(),
-                    pool.waiting(),
-                )
+            .map(|(model, pool)| PoolStatus {
+                model: model.clone(),
+                engines: pool.engines().len(),
+                open: pool.open(),
+                waiting: pool.waiting(),
             })
             .collect();
-        rows.sort();
+        rows.sort_by(|a, b| a.model.cmp(&b.model));
         rows
     }
 
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -96,18 +96,17 @@
     /// A fault whose kind tells whether an engine may have run the request.
     pub(crate) async fn open(node: Arc<Node>, mut job: Job) -> Result<Self, Fault> {
         loop {
-            let place = Box::pin(place::find(&node, &job.need)).await?;
-            let (mut place, tried) = attempt(&node, &job, place, "").await;
-            match tried {
-                Ok((address, body, reader)) => {
+            let mut place = Box::pin(place::find(&node, &job.need)).await?;
+            match send(&node, &job, &place.engine, "").await {
+                Ok(opened) => {
                     return Ok(Self {
                         engine: place.engine.clone(),
                         node,
                         job,
                         place: Some(place),
-                        address,
-                        body: Some(body),
-                        reader,
+                        address: opened.address,
+                        body: Some(opened.body),
+                        reader: opened.reader,
                         offset: 0,
                         text: String::new(),
                         partial: false,
@@ -297,15 +296,14 @@
                 break;
             }
             let place = place::find(&self.node, &self.job.need).await;
-            let place = place.map_err(|fault| broken(fault, self.offset))?;
-            let (mut place, tried) = attempt(&self.node, &self.job, place, &self.text).await;
+            let mut place = place.map_err(|fault| broken(fault, self.offset))?;
             self.engine = place.engine.clone();
-            match tried {
-                Ok((address, body, reader)) => {
+            match send(&self.node, &self.job, &place.engine, &self.text).await {
+                Ok(opened) => {
                     self.place = Some(place);
-                    self.address = address;
-                    self.body = Some(body);
-                    self.reader = reader;
+                    self.address = opened.address;
+                    self.body = Some(opened.body);
+                    self.reader = opened.reader;
                     self.note(format!("continued on {} at {}", self.engine, self.offset));
                     return Ok(());
                 }
@@ -350,19 +348,15 @@
     found.ok_or_else(|| Fault::new(Kind::Gone, format!("engine {engine} is gone")))
 }
 
-type Opened = (SocketAddr, Reader<Body>, u64);
-
-/// Sends the request to one engine, continuing `text` where there is some.
-async fn attempt(
-    node: &Arc<Node>,
-    job: &Job,
-    place: Place,
-    text: &str,
-) -> (Place, Result<Opened, Fault>) {
-    let tried = send(node, job, &place.engine, text).await;
-    (place, tried)
+/// An engine's answer that has begun.
+struct Opened {
+    address: SocketAddr,
+    body: Reader<Body>,
+    /// The engine's number for this reader.
+    reader: u64,
 }
 
+/// Sends the request to one engine, continuing `text` where there is some.
 async fn send(
     node: &Arc<Node>,
     job: &Job,
@@ -392,7 +386,11 @@
     }
     let reader = reader_number(answer.header("x-reader"));
     let body: Body = Box::new(answer.reader());
-    Ok((address, Reader::new(body), reader))
+    Ok(Opened {
+        address,
+        body: Reader::new(body),
+        reader,
+    })
 }
 
 fn lost(engine: &ids::Engine, failure: &Failure) -> Fault {
--- a/crates/steward/src/bin/tidepier-steward.rs
+++ b/crates/steward/src/bin/tidepier-steward.rs
@@ -4,7 +4,6 @@
 use std::process::ExitCode;
 
 use clap::Parser;
-use eyre::WrapErr;
 use futures_lite::{FutureExt, StreamExt};
 use simplelog::{ConfigBuilder, LevelFilter, WriteLogger};
 use tidepier_config::{check, Settings};
@@ -28,10 +27,10 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let settings = match read(&arguments) {
+    let settings = match check::read(&arguments.settings) {
         Ok(settings) => settings,
         Err(error) => {
-            eprintln!("{error:#}");
+            eprintln!("{error}");
             return ExitCode::from(Kind::Invalid.answer().exit);
         }
     };
@@ -48,13 +47,6 @@
     }
 }
 
-fn read(arguments: &Arguments) -> eyre::Result<Settings> {
-    let path = arguments.settings.display();
-    let text =
-        std::fs::read_to_string(&arguments.settings).wrap_err_with(|| format!("reading {path}"))?;
-    check::parse_lean(&text).wrap_err_with(|| format!("checking {path}"))
-}
-
 fn run(settings: Settings, level: LevelFilter) -> eyre::Result<()> {
     use async_signal::{Signal, Signals};
     let format = ConfigBuilder::new().set_time_format_rfc3339().build();
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -19,9 +19,10 @@
 use tidepier_router::{Applied, Apply, Status};
 use tidepier_standin::oracle::Message;
 use tidepier_standin::Fleet as Outside;
+use tidepier_steward::Steward;
 
 use network::Network;
-use router::Router;
+use router::{Router, Worker};
 
 /// Ports of one fleet.
 const PORTS: u16 = 700;
@@ -91,6 +92,9 @@
             let number = NEXT.fetch_add(1, Ordering::SeqCst) % FLEETS;
             let made = make(plan, tuning, FIRST_PORT + number * PORTS);
             // Another process may use these ports; then the next ones serve.
+            if !ports_are_free(&made) {
+                continue;
+            }
             if let Ok(outside) = Outside::start(&made.outside) {
                 return Self::over(made, outside);
             }
@@ -256,6 +260,31 @@
         &self.outside.engines[name]
     }
 
+    /// Whether every engine has loaded a version.
+    pub fn loaded(&self, version: &str) -> bool {
+        self.outside.engines.values().all(|part| {
+            let orders = part.engine().orders.lock().unwrap();
+            orders.loaded.version == version
+        })
+    }
+
+    /// Orders with an old fencing number that engines took.
+    pub fn stale_orders(&self) -> u64 {
+        let engines = self.outside.engines.values();
+        engines
+            .map(|part| part.engine().orders.lock().unwrap().loaded.stale)
+            .sum()
+    }
+
+    /// Starts a steward of a box.
+    pub fn steward(&self, index: usize) -> Worker {
+        let settings = self.made.boxes[index].clone();
+        Worker::start(move |_| {
+            let steward = Steward::new(settings);
+            Box::pin(async move { steward.run().await })
+        })
+    }
+
     /// Generations in force, by router; 0 for one that is not up.
     pub fn generations(&self) -> Vec<u64> {
         let generation = |router: &Router| router.status().map_or(0, |s| s.generation.0);
@@ -263,6 +292,13 @@
     }
 }
 
+/// Whether all ports of the boxes can be bound.
+fn ports_are_free(made: &Made) -> bool {
+    let addresses = made.boxes.iter().flat_map(|b| [b.callers, b.peers, b.admin]);
+    let mut addresses = addresses.map(|address| address.0);
+    addresses.all(|address| std::net::TcpListener::bind(address).is_ok())
+}
+
 /// Posts a draft.
 pub async fn draft(
     pool: Pool,
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -4,9 +4,8 @@
 use std::time::Duration;
 
 use tidepier_standin::faults::Faults;
-use tidepier_steward::{Duty, Steward};
+use tidepier_steward::Duty;
 
-use crate::harness::router::Worker;
 use crate::harness::{Fleet, Plan};
 
 fn fleet() -> Fleet {
@@ -17,45 +16,12 @@
     })
 }
 
-fn steward(fleet: &Fleet, index: usize) -> Worker {
-    let settings = fleet.made.boxes[index].clone();
-    Worker::start(move |_| {
-        let steward = Steward::new(settings);
-        Box::pin(async move { steward.run().await })
-    })
-}
-
-/// Whether every engine has loaded a version.
-fn loaded(fleet: &Fleet, version: &str) -> bool {
-    let engines = fleet.made.document.engines.len();
-    (0..engines).all(|index| {
-        let engine = fleet.engine(index).engine();
-        let orders = engine.orders.lock().unwrap();
-        orders.loaded.version == version
-    })
-}
-
-fn stale(fleet: &Fleet) -> u64 {
-    let engines = fleet.made.document.engines.len();
-    let of = |index: usize| {
-        fleet
-            .engine(index)
-            .engine()
-            .orders
-            .lock()
-            .unwrap()
-            .loaded
-            .stale
-    };
-    (0..engines).map(of).sum()
-}
-
 #[test]
 fn engines_converge_to_the_document_through_faults() {
     let fleet = fleet();
-    let _steward = steward(&fleet, 0);
+    let _steward = fleet.steward(0);
     let old = fleet.made.document.models[0].version.clone();
-    fleet.wait("the first version", || loaded(&fleet, &old));
+    fleet.wait("the first version", || fleet.loaded(&old));
     // An engine refuses for a while, and the store goes.
     fleet.engine(1).engine().switches.set(Faults {
         refuse: 3,
@@ -66,32 +32,32 @@
             document.models[0].version = "next".into()
         })
         .unwrap();
-    fleet.wait("the next version", || loaded(&fleet, "next"));
-    assert_eq!(stale(&fleet), 0);
+    fleet.wait("the next version", || fleet.loaded("next"));
+    assert_eq!(fleet.stale_orders(), 0);
 }
 
 #[test]
 fn a_holder_that_slept_past_its_lease_orders_nothing() {
     let fleet = fleet();
-    let first = steward(&fleet, 0);
+    let first = fleet.steward(0);
     let old = fleet.made.document.models[0].version.clone();
-    fleet.wait("the first version", || loaded(&fleet, &old));
+    fleet.wait("the first version", || fleet.loaded(&old));
     first.freeze();
     fleet
         .apply_with(0, None, |document| {
             document.models[0].version = "next".into()
         })
         .unwrap();
-    let _second = steward(&fleet, 1);
-    fleet.wait("the next version", || loaded(&fleet, "next"));
+    let _second = fleet.steward(1);
+    fleet.wait("the next version", || fleet.loaded("next"));
     first.thaw();
     std::thread::sleep(Duration::from_secs(2));
     assert_eq!(
-        stale(&fleet),
+        fleet.stale_orders(),
         0,
         "no engine took an order with an old number"
     );
-    assert!(loaded(&fleet, "next"));
+    assert!(fleet.loaded("next"));
 }
 
 #[test]
@@ -118,8 +84,6 @@
         "it is held"
     );
     smol::block_on(one.give_back(&first)).unwrap();
-    // The grant of the lease passes, and the reply to the write is lost.
-    fleet.outside.store().switches.set(Faults::default());
     let second = smol::block_on(other.take())
         .unwrap()
         .expect("it is free at once");
--- a/tests/all/recovery.rs
+++ b/tests/all/recovery.rs
@@ -11,10 +11,8 @@
 use tidepier_errors::Ran;
 use tidepier_http::client::Pool;
 use tidepier_load::caller::{self, Outcome};
-use tidepier_steward::Steward;
 
 use crate::harness::network::PLATFORM;
-use crate::harness::router::Worker;
 use crate::harness::{Fleet, Plan};
 
 /// Requests a second during a fault.
@@ -224,60 +222,30 @@
 /// A steward sleeps past its lease while another takes the duty.
 fn steward_frozen() -> Value {
     let fleet = fleet(1);
-    let steward = |index: usize| {
-        let settings = fleet.made.boxes[index].clone();
-        Worker::start(move |_| {
-            let steward = Steward::new(settings);
-            Box::pin(async move { steward.run().await })
-        })
-    };
-    let first = steward(0);
-    let loaded = || {
-        let engines = fleet.made.document.engines.len();
-        (0..engines).all(|index| {
-            let orders = fleet.engine(index).engine().orders.lock().unwrap();
-            orders.loaded.version == fleet.made.document.models[0].version
-        })
-    };
-    fleet.wait("the first steward's orders", loaded);
+    let first = fleet.steward(0);
+    let version = fleet.made.document.models[0].version.clone();
+    fleet.wait("the first steward's orders", || fleet.loaded(&version));
     first.freeze();
     let struck = Instant::now();
     fleet
         .apply_with(1, None, |document| {
-            document.models[0].version = "2026-12".into()
+            document.models[0].version = "next".into()
         })
         .unwrap();
-    let second = steward(1);
-    let new = || {
-        let engines = fleet.made.document.engines.len();
-        (0..engines).all(|index| {
-            let orders = fleet.engine(index).engine().orders.lock().unwrap();
-            orders.loaded.version == "2026-12"
-        })
-    };
-    fleet.wait("the second steward's orders", new);
+    let second = fleet.steward(1);
+    fleet.wait("the second steward's orders", || fleet.loaded("next"));
     let seconds = struck.elapsed().as_secs_f64();
     first.thaw();
     std::thread::sleep(Duration::from_secs(4));
-    let stale: u64 = (0..fleet.made.document.engines.len())
-        .map(|index| {
-            fleet
-                .engine(index)
-                .engine()
-                .orders
-                .lock()
-                .unwrap()
-                .loaded
-                .stale
-        })
-        .sum();
+    let stale = fleet.stale_orders();
+    let right = fleet.loaded("next");
     drop((first, second));
     json!({
         "fault": "steward frozen past its lease",
         "lost": 0,
         "doubled": stale,
         "wrong_not_run": 0,
-        "still_right": new(),
+        "still_right": right,
         "seconds_to_full_service": (seconds * 10.0).round() / 10.0,
     })
 }
