The steward's rounds cost a hall the same at any size; claims are found by key

Cause, from working out docs/CAPACITY.md: a steward read every engine of its hall each second (150 engines at the target: 30 KB/s of 3), and a page's claims of segments were searched one by one (158,000 at the target).

Change: rounds that found everything right are 100 ms apart for each engine of the hall, a quarter of that while something is lacking or an engine does not answer, at once after a change; segments' claims are indexed by key.

Not measured yet: the new rounds' bytes.

--- a/crates/claims/src/page.rs
+++ b/crates/claims/src/page.rs
@@ -1,14 +1,14 @@
 //! One page: a head that is compared and swapped, and segments that never
 //! change.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, HashMap, HashSet};
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
 use serde::{Deserialize, Serialize};
 use tidepier_ids as ids;
 use tidepier_platform::store::{Client, Outcome, Revision, Write};
 
-use crate::entry::{Claimant, Entry};
+use crate::entry::{Claimant, Entry, Key};
 
 /// Claims in a head before they are moved to a segment. A head of this size is
 /// about 32 KiB, so that a write stays small beside the store's megabyte.
@@ -62,7 +62,10 @@
     revision: Revision,
     head: Head,
     known: bool,
-    segments: BTreeMap<u64, Vec<Entry>>,
+    /// The keys of each segment.
+    segments: BTreeMap<u64, Vec<Key>>,
+    /// The claims of all segments, by key.
+    old: HashMap<Key, Entry>,
 }
 
 impl Page {
@@ -76,6 +79,7 @@
             head: Head::default(),
             known: false,
             segments: BTreeMap::new(),
+            old: HashMap::new(),
         }
     }
 
@@ -122,10 +126,30 @@
             .iter()
             .rev()
             .find(|entry| entry.key == *key);
-        in_head.or_else(|| {
-            let mut old = self.segments.values().rev().flatten();
-            old.find(|entry| entry.key == *key)
-        })
+        in_head.or_else(|| self.old.get(key))
+    }
+
+    fn learn(&mut self, number: u64, entries: Vec<Entry>) {
+        let keys = entries.iter().map(|entry| entry.key.clone()).collect();
+        self.segments.insert(number, keys);
+        // A claim that was replaced stands in two segments; the later one counts.
+        self.old
+            .extend(entries.into_iter().map(|entry| (entry.key.clone(), entry)));
+    }
+
+    /// Forgets all segments but those that `stays` holds for.
+    fn forget(&mut self, stays: impl Fn(u64) -> bool) {
+        let gone: Vec<u64> = self
+            .segments
+            .keys()
+            .copied()
+            .filter(|n| !stays(*n))
+            .collect();
+        for number in gone {
+            for key in self.segments.remove(&number).unwrap_or_default() {
+                self.old.remove(&key);
+            }
+        }
     }
 
     fn verdicts(&self, wishes: &[Wish]) -> Vec<Verdict> {
@@ -172,9 +196,9 @@
         if let Outcome::Written(revision) = outcome {
             self.revision = revision;
             self.head = head;
-            self.segments.retain(|number, _| !dropped.contains(number));
+            self.forget(|number| !dropped.contains(&number));
             if let Some((number, entries)) = rolled {
-                self.segments.insert(number, entries);
+                self.learn(number, entries);
             }
         }
         outcome
@@ -211,10 +235,10 @@
                 .await
                 .map_err(|fault| fault.to_string())?;
             let found = found.ok_or_else(|| format!("segment {key} is missing"))?;
-            self.segments.insert(segment.number, decode(&found.value)?);
+            self.learn(segment.number, decode(&found.value)?);
         }
-        let listed = |number: &u64| head.segments.iter().any(|s| s.number == *number);
-        self.segments.retain(|number, _| listed(number));
+        let listed: HashSet<u64> = head.segments.iter().map(|segment| segment.number).collect();
+        self.forget(|number| listed.contains(&number));
         self.head = head;
         self.revision = revision;
         self.known = true;
--- a/crates/load/src/bin/tidepier-load.rs
+++ b/crates/load/src/bin/tidepier-load.rs
@@ -3,7 +3,9 @@
 use std::process::ExitCode;
 
 use clap::{Parser, Subcommand};
-use tidepier_load::commands::{call, chat, chats, claims, control, fleet, latency, report, run};
+use tidepier_load::commands::{
+    call, chat, chats, claims, control, decide, fleet, latency, report, run,
+};
 
 /// Plays callers against a fleet and checks every answer.
 #[derive(Parser)]
@@ -31,6 +33,8 @@
     Claims(claims::Command),
     /// Measures what control costs.
     Control(control::Command),
+    /// Measures a keeper's decisions.
+    Decide(decide::Command),
     /// Puts the files of a measure together.
     Report(report::Command),
 }
@@ -45,6 +49,7 @@
         Command::Latency(command) => command.execute(),
         Command::Claims(command) => command.execute(),
         Command::Control(command) => command.execute(),
+        Command::Decide(command) => command.execute(),
         Command::Report(command) => command.execute(),
     };
     match done {
--- a/crates/load/src/commands.rs
+++ b/crates/load/src/commands.rs
@@ -5,6 +5,7 @@
 pub mod chats;
 pub mod claims;
 pub mod control;
+pub mod decide;
 pub mod fleet;
 pub mod latency;
 pub mod report;
--- a/crates/load/src/commands/latency.rs
+++ b/crates/load/src/commands/latency.rs
@@ -17,6 +17,9 @@
 
 /// Callers of the throughput part.
 const CALLERS: usize = 64;
+/// Tokens of a short answer, and of a long one.
+const SHORT_TOKENS: u64 = 4;
+const LONG_TOKENS: u64 = 104;
 /// Streams held open for the memory part.
 const STREAMS: usize = 1000;
 /// Tokens of a held stream: it lasts for some seconds.
@@ -57,6 +60,8 @@
     router_ttft_ms_p50: f64,
     requests_s: f64,
     requests_per_core_s: f64,
+    tokens_per_core_s: f64,
+    rss_idle_mb: f64,
     rss_mb: f64,
     streams: usize,
 }
@@ -76,8 +81,12 @@
     async fn measure(&self) -> eyre::Result<Line> {
         let pool = Pool::new();
         let (direct, routed) = self.latency(&pool).await?;
-        let (requests_s, per_core) = self.throughput(&pool).await?;
+        let idle = self.rss()?;
+        let (requests_s, per_core) = self.throughput(&pool, SHORT_TOKENS).await?;
+        let (_, long) = self.throughput(&pool, LONG_TOKENS).await?;
         let rss = self.memory(&pool).await?;
+        // A request's own cost taken off, the rest is that of its tokens.
+        let tokens = (LONG_TOKENS - SHORT_TOKENS) as f64 / (1.0 / long - 1.0 / per_core);
         let (direct, routed) = (quantiles(&direct), quantiles(&routed));
         Ok(Line {
             measure: "latency",
@@ -87,6 +96,8 @@
             router_ttft_ms_p50: routed.p50,
             requests_s,
             requests_per_core_s: per_core,
+            tokens_per_core_s: tokens,
+            rss_idle_mb: idle as f64 / f64::from(1 << 20),
             rss_mb: rss as f64 / f64::from(1 << 20),
             streams: STREAMS,
         })
@@ -120,7 +131,7 @@
         Ok((direct, routed))
     }
 
-    async fn throughput(&self, pool: &Pool) -> eyre::Result<(f64, f64)> {
+    async fn throughput(&self, pool: &Pool, tokens: u64) -> eyre::Result<(f64, f64)> {
         let before = self.cpu()?;
         let begun = Instant::now();
         let end = begun + Duration::from_secs(self.seconds);
@@ -128,7 +139,7 @@
         let callers = (0..CALLERS).map(|index| {
             let pool = pool.clone();
             let router = self.router;
-            let chat = self.chat(4, index as u64);
+            let chat = self.chat(tokens, index as u64);
             smol::spawn(async move {
                 let mut done = 0_u64;
                 while Instant::now() < end {
@@ -157,13 +168,15 @@
         });
         let streams: Vec<_> = streams.collect();
         smol::Timer::after(Duration::from_secs(3)).await;
-        let Some(rss) = process::memory(self.pid) else {
-            bail!("process {} is gone", self.pid);
-        };
+        let rss = self.rss()?;
         drop(streams);
         Ok(rss)
     }
 
+    fn rss(&self) -> eyre::Result<u64> {
+        process::memory(self.pid).ok_or_else(|| eyre::eyre!("process {} is gone", self.pid))
+    }
+
     fn cpu(&self) -> eyre::Result<Duration> {
         process::cpu(self.pid).ok_or_else(|| eyre::eyre!("process {} is gone", self.pid))
     }
--- a/crates/load/src/commands/report.rs
+++ b/crates/load/src/commands/report.rs
@@ -10,6 +10,7 @@
 
 use super::claims::Line as Claims;
 use super::control::Cost;
+use super::decide::Line as Decisions;
 use super::run::Phases;
 use crate::tally::Summary;
 
@@ -21,8 +22,8 @@
 const TARGET_BOXES: f64 = 350.0;
 /// Requests a second of a box at the target.
 const TARGET_REQUESTS: f64 = 20.0;
-/// Changes of the configuration a second at the target.
-const TARGET_CHANGES: f64 = 1000.0 / 86_400.0;
+/// Engines at the target.
+const TARGET_ENGINES: f64 = 900.0;
 
 /// Which measure.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, clap::ValueEnum)]
@@ -207,11 +208,6 @@
                 .map(|(count, cost)| (count.to_string(), rounded(value(cost))))
                 .collect()
         };
-        let axis: Vec<f64> = boxes.iter().map(|count| f64::from(*count)).collect();
-        let at = |value: fn(&Cost) -> f64| -> f64 {
-            let points: Vec<_> = axis.iter().copied().zip(costs.iter().map(value)).collect();
-            line_at(&points, TARGET_BOXES)
-        };
         let slow: Cost = self.read("rate-60")?;
         let fast: Cost = self.read("rate-180")?;
         // 6 boxes at 60 and 180 requests a second are 10 and 30 for a box.
@@ -232,6 +228,18 @@
             })
             .collect::<eyre::Result<_>>()?;
         let claims: Claims = self.read("claims")?;
+        let decide: Decisions = self.read("decide")?;
+        let largest = &costs[costs.len() - 1];
+        // Probes grow with the engines for each box; 6 boxes were measured.
+        let points = [12.0, 80.0, 160.0].map(|count| {
+            let cost = self.read::<Cost>(&format!("engines-{count}"));
+            let probes = cost.map(|cost| cost.bytes_s.get("probe").copied().unwrap_or(0.0));
+            (count / 6.0, probes.unwrap_or(0.0))
+        });
+        let per_engine = slope(&points);
+        let probes = per_engine * TARGET_ENGINES / TARGET_BOXES;
+        let heartbeats = largest.bytes_s.get("heartbeat").copied().unwrap_or(0.0);
+        let asked = TARGET_REQUESTS * per_request(grants);
         Ok(json!({
             "measure": "control",
             "bytes_s": by(|cost| cost.bytes_s_total),
@@ -244,11 +252,15 @@
             "accounts_rss_mb": { "50": rounded(few.rss_mb), "200": rounded(many.rss_mb) },
             "grant_bytes_per_request": rounded(per_request(grants)),
             "cpu_share_per_request_s": per_request(|cost| cost.cpu_share),
+            "probe_bytes_s_per_engine": rounded(per_engine),
+            "decide": decide,
             "at_target": {
-                "bytes_s": rounded(at(|c| c.bytes_s_total) + TARGET_REQUESTS * per_request(grants)),
-                "cpu_share_idle": rounded(at(|cost| cost.cpu_share)),
-                "rss_mb": rounded(at(|cost| cost.rss_mb)),
-                "changes_s": rounded(TARGET_CHANGES),
+                "bytes_s": rounded(heartbeats + probes + asked),
+                "of_it_heartbeats": rounded(heartbeats),
+                "of_it_probes": rounded(probes),
+                "of_it_grants": rounded(asked),
+                "cpu_share_idle": rounded(largest.cpu_share),
+                "rss_mb_idle": rounded(largest.rss_mb),
             },
             "claims": claims,
         }))
@@ -264,15 +276,14 @@
     sum / f64::from(count.max(1))
 }
 
-/// The value at `x` of the straight line with the least squares through
-/// `points`.
-fn line_at(points: &[(f64, f64)], x: f64) -> f64 {
+/// The slope of the straight line with the least squares through `points`.
+fn slope(points: &[(f64, f64)]) -> f64 {
     let middle_x = mean(points.iter().map(|point| point.0));
     let middle_y = mean(points.iter().map(|point| point.1));
     let rise: f64 = points
         .iter()
-        .map(|(px, py)| (px - middle_x) * (py - middle_y))
+        .map(|(x, y)| (x - middle_x) * (y - middle_y))
         .sum();
-    let run: f64 = points.iter().map(|(px, _)| (px - middle_x).powi(2)).sum();
-    middle_y + rise / run.max(f64::MIN_POSITIVE) * (x - middle_x)
+    let run: f64 = points.iter().map(|(x, _)| (x - middle_x).powi(2)).sum();
+    rise / run.max(f64::MIN_POSITIVE)
 }
--- a/crates/router/src/beats.rs
+++ b/crates/router/src/beats.rs
@@ -66,7 +66,7 @@
             metrics::counter!("tidepier_own_freezes_total").increment(1);
             log::warn!("this box was frozen");
         }
-        round(&node, &tuning.neighbours).await;
+        round(&node, tuning.neighbours);
         let expired = node
             .table()
             .expire(tuning.remove_ms.duration(), Instant::now());
@@ -81,8 +81,8 @@
     }
 }
 
-async fn round(node: &Arc<Node>, count: &usize) {
-    let names = neighbours(&node.table(), *count);
+fn round(node: &Arc<Node>, count: usize) {
+    let names = neighbours(&node.table(), count);
     for name in &names {
         let sending = node.clone();
         let peer = name.clone();
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -11,7 +11,7 @@
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, Sight, State};
 use tidepier_placement::{Grant, Ticket};
-use tidepier_wire::frame::{Beat, Claimed, Hello};
+use tidepier_wire::frame::{Beat, Hello};
 use tidepier_wire::{Frame, Link};
 
 use crate::document::Update;
@@ -118,16 +118,12 @@
     node.table_changed.notify(usize::MAX);
 }
 
-fn beat(node: &Node) -> Beat {
-    beats::beat(node)
-}
-
 /// Takes one frame of `peer`; answers go to `line`.
 pub(crate) fn take(node: &Arc<Node>, peer: &ids::Box, frame: Frame, line: &Line) {
     match frame {
         Frame::Beat(theirs) => {
             let differs = heard_beat(node, peer, theirs);
-            line.send(Frame::Echo(beat(node)));
+            line.send(Frame::Echo(beats::beat(node)));
             if differs {
                 line.send(Frame::Table(node.table().rumors()));
             }
@@ -185,7 +181,9 @@
         Frame::FateOf(number, claim) => once::fate_asked(node, number, claim, line),
         Frame::Fate(number, fate) => drop(node.links.answer(number, Answer::Fate(fate))),
         Frame::Claim(number, wish) => once::claim_asked(node, number, &wish, peer, line.clone()),
-        Frame::Claimed(number, claimed) => answer_claim(node, number, claimed),
+        Frame::Claimed(number, claimed) => {
+            drop(node.links.answer(number, Answer::Claimed(claimed)));
+        }
         Frame::Bye(rumor) => hear(node, vec![rumor]),
         // Only the opening of a link has these.
         Frame::Hello(_) | Frame::Proof(_) => {
@@ -194,10 +192,6 @@
     }
 }
 
-fn answer_claim(node: &Node, number: u64, claimed: Claimed) {
-    let _ = node.links.answer(number, Answer::Claimed(claimed));
-}
-
 /// Hands over a place; one that nobody waits for any more goes back at once.
 fn granted(node: &Arc<Node>, peer: &ids::Box, number: u64, grant: Grant) {
     let answered = node.links.answer(number, Answer::Place(Ok(grant)));
--- a/crates/steward/src/work.rs
+++ b/crates/steward/src/work.rs
@@ -17,8 +17,10 @@
 /// Time between looks whether the duty is free. With 350 boxes these are 35
 /// reads a second of the store's two thousand.
 const LOOK: Duration = Duration::from_secs(10);
-/// Time between rounds of a holder; a third of the lease or less.
-const ROUND: Duration = Duration::from_secs(1);
+/// Time between renewals by a holder; a third of the lease or less.
+const RENEW: Duration = Duration::from_secs(1);
+/// Time between rounds that found nothing lacking, for each engine of the hall.
+const ROUND_EACH: Duration = Duration::from_millis(100);
 /// Time between reads of the document by a holder.
 const READ: Duration = Duration::from_secs(3);
 
@@ -40,6 +42,16 @@
     need: Need,
 }
 
+/// What a look at an engine found.
+enum Look<'d> {
+    /// It has what the document declares.
+    Right,
+    /// It lacks something.
+    Lacks(Wanted<'d>),
+    /// It does not answer, or may not be ordered yet.
+    Unknown,
+}
+
 impl Steward {
     /// A steward of the hall of `settings`.
     pub fn new(settings: Settings) -> Self {
@@ -108,6 +120,7 @@
     async fn hold(&self, mut hold: Hold) {
         let mut document: Option<Document> = None;
         let mut read_at: Option<Instant> = None;
+        let mut next_round = Instant::now();
         while hold.valid() {
             if self.stops() {
                 if self.duty.give_back(&hold).await.is_err() {
@@ -117,14 +130,20 @@
             }
             if read_at.is_none_or(|at| at.elapsed() > READ) {
                 if let Ok(found) = self.document().await {
+                    if found != document {
+                        next_round = Instant::now();
+                    }
                     document = found;
                     read_at = Some(Instant::now());
                 }
             }
             if let Some(document) = &document {
-                self.round(document, &hold).await;
+                if next_round <= Instant::now() {
+                    let complete = self.round(document, &hold).await;
+                    next_round = Instant::now() + self.between_rounds(document, complete);
+                }
             }
-            self.pause(ROUND).await;
+            self.pause(RENEW).await;
             match self.duty.keep(&mut hold).await {
                 Err(fault) if fault.kind == Kind::Conflict => return,
                 // The lease still runs; its own end is checked.
@@ -133,6 +152,19 @@
         }
     }
 
+    /// Rounds are more seldom in a large hall, so that their cost is not larger;
+    /// sooner after one that left something to do.
+    fn between_rounds(&self, document: &Document, complete: bool) -> Duration {
+        let mine = |engine: &&Engine| engine.hall == self.settings.hall;
+        let engines = document.engines.iter().filter(mine).count();
+        let pause = ROUND_EACH * engines as u32;
+        if complete {
+            pause
+        } else {
+            pause / 4
+        }
+    }
+
     async fn document(&self) -> Result<Option<Document>, Fault> {
         let key = format!("tidepier/{}/document", self.settings.fleet);
         let Some(entry) = self.store.get(&key).await? else {
@@ -144,46 +176,48 @@
     }
 
     /// Compares all engines of the hall with the document and orders what they
-    /// lack, those that lack most first.
-    async fn round(&self, document: &Document, hold: &Hold) {
+    /// lack, those that lack most first. Returns whether nothing was lacking.
+    async fn round(&self, document: &Document, hold: &Hold) -> bool {
         let mut wanted = Vec::new();
-        for engine in document
-            .engines
-            .iter()
-            .filter(|e| e.hall == self.settings.hall)
-        {
-            if let Some(order) = self.wanted(document, engine, hold).await {
-                wanted.push(order);
+        let mut unknown = false;
+        let mine = |engine: &&Engine| engine.hall == self.settings.hall;
+        for engine in document.engines.iter().filter(mine) {
+            match self.look(document, engine, hold).await {
+                Look::Right => {}
+                Look::Lacks(order) => wanted.push(order),
+                Look::Unknown => unknown = true,
             }
         }
         wanted.sort_by_key(|wanted| std::cmp::Reverse(wanted.need));
+        let complete = wanted.is_empty() && !unknown;
         for wanted in wanted {
             if self.order(wanted, hold).await.is_err() {
-                return;
+                break;
             }
         }
+        complete
     }
 
-    async fn wanted<'d>(
-        &self,
-        document: &'d Document,
-        engine: &'d Engine,
-        hold: &Hold,
-    ) -> Option<Wanted<'d>> {
-        let model = document
+    async fn look<'d>(&self, document: &'d Document, engine: &'d Engine, hold: &Hold) -> Look<'d> {
+        let Some(model) = document
             .models
             .iter()
-            .find(|model| model.name == engine.model)?;
+            .find(|model| model.name == engine.model)
+        else {
+            return Look::Right;
+        };
         // An order of the holder before may still be on its way, and this
         // engine would take it after ours.
         let settled = Duration::from_secs(LEASE_SECONDS) + FLIGHT;
         if !engine.checks_fencing && hold.taken.elapsed() < settled {
-            return None;
+            return Look::Unknown;
         }
-        let loaded = orders::read(&self.pool, engine.address.0).await.ok()?;
+        let Ok(loaded) = orders::read(&self.pool, engine.address.0).await else {
+            return Look::Unknown;
+        };
         let need = loaded.need(model);
         if need == Need::Nothing {
-            return None;
+            return Look::Right;
         }
         let order = Order {
             fencing: hold.fencing,
@@ -192,7 +226,7 @@
             adapters: model.adapters.clone(),
             permit: String::new(),
         };
-        Some(Wanted {
+        Look::Lacks(Wanted {
             engine,
             order,
             need,
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -294,7 +294,10 @@
 
 /// Whether all ports of the boxes can be bound.
 fn ports_are_free(made: &Made) -> bool {
-    let addresses = made.boxes.iter().flat_map(|b| [b.callers, b.peers, b.admin]);
+    let addresses = made
+        .boxes
+        .iter()
+        .flat_map(|b| [b.callers, b.peers, b.admin]);
     let mut addresses = addresses.map(|address| address.0);
     addresses.all(|address| std::net::TcpListener::bind(address).is_ok())
 }
