A quiet account finds room beside a loud one; engines that are down come back soon

Change: one place in eight of each engine is kept free for accounts below their share while any such account has asked within 10 s, and such a request passes those that wait; an engine that is out is tried by its keeper's probe and not by requests, and its time only doubles when it had come back; while no engine of a pool answers, requests wait 2 s at most.

Ruled out: the queue's order (quiet requests were first in it already).

--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -21,7 +21,8 @@
     pub foreign: u32,
     /// Most open grants since the last report, and between the two before.
     peaks: [u32; 2],
-    /// Until when it gets nothing after a failure.
+    /// Set while it gets nothing after a failure: until it answers its keeper,
+    /// but not before this instant.
     pub ejected: Option<Instant>,
     failures: u32,
     failed: Option<Instant>,
@@ -60,19 +61,18 @@
     }
 
     /// Whether it may be granted anything.
-    pub(crate) fn usable(&self, now: Instant) -> bool {
-        self.active && self.ejected.is_none_or(|until| until <= now)
+    pub(crate) fn usable(&self) -> bool {
+        self.active && self.ejected.is_none()
     }
 
-    /// Takes it out after a failure, for longer each time.
+    /// Takes it out after a failure, for longer each time that it had come
+    /// back. Failures while it is out tell nothing new.
     pub(crate) fn eject(&mut self, now: Instant) {
-        // Failures reported together are one failure.
-        if self.ejected.is_some_and(|until| until > now) {
+        if self.ejected.is_some() {
             return;
         }
-        let soon = self
-            .failed
-            .is_some_and(|at| now.saturating_duration_since(at) < FORGIVE);
+        let since = self.failed.map(|at| now.saturating_duration_since(at));
+        let soon = since.is_some_and(|since| since < FORGIVE);
         self.failures = if soon { self.failures + 1 } else { 0 };
         let factor = 2u32.saturating_pow(self.failures.min(8));
         self.failed = Some(now);
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -19,6 +19,11 @@
 const HOLD_WEIGHT: f64 = 0.05;
 /// Holding time assumed before any request has ended, in seconds.
 const HOLD_START: f64 = 1.0;
+/// One place of so many is kept free for lanes below their share, while there
+/// are any.
+const KEPT_FREE: u32 = 8;
+/// Longest wait while no engine of the pool answers.
+const ALL_OUT: Duration = Duration::from_secs(2);
 /// Time after which whoever waited looks for the new keeper.
 const MOVED: Duration = Duration::from_millis(50);
 /// Time after which nothing that an earlier keeper granted is likely to run.
@@ -118,7 +123,11 @@
             let fault = Fault::new(Kind::NoEngine, "no active engine in this hall");
             return Verdict::Refused(fault.after(self.spread(1.0)));
         }
-        if now >= self.ready && self.queue.len() == 0 {
+        let lane = lane_of(&ask);
+        // A lane below its share need not wait behind those that are above.
+        let first = self.queue.len() == 0
+            || (self.queue.waiting(&lane) == 0 && self.below_share(&lane, ask.share));
+        if now >= self.ready && first {
             if let Some(grant) = self.place(&ask, now) {
                 return Verdict::Granted(grant);
             }
@@ -128,10 +137,7 @@
 
     /// Queues a request, or refuses it at once when it cannot be served in time.
     fn wait(&mut self, ask: Ask, now: Instant) -> Verdict {
-        let lane = Lane {
-            priority: ask.priority,
-            account: ask.account.clone(),
-        };
+        let lane = lane_of(&ask);
         let ahead = self.queue.waiting(&lane);
         let seconds = self.estimate(&lane, ask.share, ahead);
         if ahead >= self.load.queue as usize {
@@ -139,7 +145,13 @@
             let fault = Fault::new(Kind::Quota, detail).after(self.spread(seconds));
             return Verdict::Refused(fault);
         }
-        let patience = ask.patience.min(self.load.wait_ms.duration());
+        let usable = self.engines.values().any(Engine::usable);
+        let most = if usable {
+            self.load.wait_ms.duration()
+        } else {
+            ALL_OUT
+        };
+        let patience = ask.patience.min(most);
         if seconds > patience.as_secs_f64() {
             let detail = format!("about {seconds:.1} s of waiting, more than the request has");
             let fault = Fault::new(Kind::Busy, detail).after(self.spread(seconds));
@@ -152,7 +164,7 @@
             lane: lane.clone(),
             until,
         };
-        self.queue.push(&lane, share, waiter);
+        self.queue.push(&lane, share, now, waiter);
         Verdict::Waits
     }
 
@@ -205,10 +217,15 @@
 
     /// Serves waiting requests and gives up on those whose time has passed.
     pub fn tick(&mut self, now: Instant) -> Vec<(Ticket, Verdict)> {
+        self.queue.expire(now);
         let late = self.queue.remove(|waiter| waiter.until <= now);
         let mut out = self.serve(now);
+        let usable = self.engines.values().any(Engine::usable);
         for waiter in late {
-            let fault = Fault::new(Kind::Busy, "no engine became free in time");
+            let fault = match usable {
+                true => Fault::new(Kind::Busy, "no engine became free in time"),
+                false => Fault::new(Kind::NoEngine, "no engine of the pool answers"),
+            };
             let fault = fault.after(self.spread(self.hold));
             out.push((waiter.ask.ticket, Verdict::Refused(fault)));
         }
@@ -220,16 +237,17 @@
         if now < self.ready {
             return out;
         }
-        while self.queue.len() > 0 && self.has_room(now) {
+        while self.queue.len() > 0 && self.has_room() {
             let Some(waiter) = self.queue.pop() else {
                 break;
             };
             match self.place(&waiter.ask, now) {
                 Some(grant) => out.push((waiter.ask.ticket, Verdict::Granted(grant))),
                 None => {
-                    // Only the engines it avoids have room.
-                    self.queue
-                        .push(&waiter.lane.clone(), waiter.ask.share, waiter);
+                    // What is left is for others: lanes below their share, or
+                    // requests that avoid other engines.
+                    let (lane, share) = (waiter.lane.clone(), waiter.ask.share);
+                    self.queue.push_front(&lane, share, now, waiter);
                     break;
                 }
             }
@@ -237,11 +255,31 @@
         out
     }
 
-    fn has_room(&self, now: Instant) -> bool {
+    fn has_room(&self) -> bool {
         let slots = self.load.slots;
-        self.engines
+        let mut engines = self.engines.values();
+        engines.any(|engine| engine.usable() && engine.load() < slots)
+    }
+
+    /// Whether a lane holds less of the pool than its share of it.
+    fn below_share(&self, lane: &Lane, share: u32) -> bool {
+        let usable = self
+            .engines
             .values()
-            .any(|engine| engine.usable(now) && engine.load() < slots)
+            .filter(|engine| engine.usable())
+            .count();
+        let slots = usable as f64 * f64::from(self.load.slots);
+        f64::from(self.queue.opened(lane)) < slots * self.queue.portion(lane, share)
+    }
+
+    /// Places of an engine that a lane may take: those kept free for lanes
+    /// below their share are not for the others.
+    fn slots_for(&self, ask: &Ask) -> u32 {
+        let slots = self.load.slots;
+        match self.below_share(&lane_of(ask), ask.share) {
+            true => slots,
+            false => slots - slots / KEPT_FREE,
+        }
     }
 
     /// Withdraws a request that waits. A request granted meanwhile is released.
@@ -325,7 +363,7 @@
             .prefer
             .clone()
             .or_else(|| self.displaced.get(&ask.chat).cloned());
-        let (engine, first) = self.choose(ask, known.as_ref(), now)?;
+        let (engine, first) = self.choose(ask, known.as_ref())?;
         if first {
             self.displaced.pop(&ask.chat);
         } else {
@@ -349,11 +387,8 @@
         if let Some(entry) = self.engines.get_mut(engine) {
             entry.hold();
         }
-        let lane = Lane {
-            priority: ask.priority,
-            account: ask.account.clone(),
-        };
-        self.queue.open(&lane, ask.share);
+        let lane = lane_of(ask);
+        self.queue.open(&lane, ask.share, now);
         let held = Held {
             engine: engine.clone(),
             ticket: ask.ticket.clone(),
@@ -370,21 +405,17 @@
     /// The engine for a request, and whether it is the first of its order:
     /// the one that is known to have served the chat, else the first in
     /// rendezvous order, that is under the bound.
-    fn choose(
-        &self,
-        ask: &Ask,
-        known: Option<&ids::Engine>,
-        now: Instant,
-    ) -> Option<(ids::Engine, bool)> {
+    fn choose(&self, ask: &Ask, known: Option<&ids::Engine>) -> Option<(ids::Engine, bool)> {
         let usable: Vec<_> = self
             .engines
             .iter()
-            .filter(|(name, engine)| engine.usable(now) && !ask.avoid.contains(name))
+            .filter(|(name, engine)| engine.usable() && !ask.avoid.contains(name))
             .collect();
         let load = |name: &ids::Engine| self.engines.get(name).map_or(u32::MAX, Engine::load);
         let order = by_rendezvous(ask.prefix.0, usable.iter().map(|(name, _)| *name));
         let first = *order.first()?;
-        let most = self.bound(self.load.multiple, &usable);
+        let slots = self.slots_for(ask);
+        let most = self.bound(self.load.multiple, &usable).min(slots);
         let known = known.filter(|known| order.contains(known) && load(known) < most);
         if let Some(known) = known {
             return Some((known.clone(), known == first));
@@ -392,7 +423,8 @@
         if ask.returning && load(first) < most {
             return Some((first.clone(), true));
         }
-        let aim = self.bound(self.load.aim.min(self.load.multiple), &usable);
+        let aim = self.load.aim.min(self.load.multiple);
+        let aim = self.bound(aim, &usable).min(slots);
         let chosen = order.into_iter().find(|name| load(name) < aim)?;
         Some((chosen.clone(), chosen == first))
     }
@@ -406,6 +438,13 @@
     }
 }
 
+fn lane_of(ask: &Ask) -> Lane {
+    Lane {
+        priority: ask.priority,
+        account: ask.account.clone(),
+    }
+}
+
 /// Slots of different keepers must not be mistaken for each other.
 fn first_slot() -> u32 {
     rand::rng().random()
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -1,6 +1,7 @@
 //! Requests that wait before a pool, served by weighted fair share.
 
 use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
 
 use tidepier_config::document::Priority;
 use tidepier_ids as ids;
@@ -8,6 +9,9 @@
 /// How much sooner a priority is served than the one below it.
 const PRIORITY_STEP: f64 = 4.0;
 
+/// Time that a lane is remembered after it last asked.
+const REMEMBERED: Duration = Duration::from_secs(10);
+
 /// Accounts of one priority share a queue each.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub(crate) struct Lane {
@@ -20,6 +24,8 @@
     waiting: VecDeque<T>,
     open: u32,
     share: u32,
+    /// When it last asked for anything.
+    last: Instant,
 }
 
 /// The queues of a pool.
@@ -57,14 +63,25 @@
         mine / (mine + rest)
     }
 
-    pub(crate) fn push(&mut self, lane: &Lane, share: u32, item: T) {
-        self.line(lane, share).waiting.push_back(item);
+    /// Grants of `lane` that are open.
+    pub(crate) fn opened(&self, lane: &Lane) -> u32 {
+        self.lines.get(lane).map_or(0, |line| line.open)
+    }
+
+    pub(crate) fn push(&mut self, lane: &Lane, share: u32, now: Instant, item: T) {
+        self.line(lane, share, now).waiting.push_back(item);
+        self.waiting += 1;
+    }
+
+    /// Puts back what was just taken.
+    pub(crate) fn push_front(&mut self, lane: &Lane, share: u32, now: Instant, item: T) {
+        self.line(lane, share, now).waiting.push_front(item);
         self.waiting += 1;
     }
 
     /// Counts a grant of `lane` as open.
-    pub(crate) fn open(&mut self, lane: &Lane, share: u32) {
-        self.line(lane, share).open += 1;
+    pub(crate) fn open(&mut self, lane: &Lane, share: u32, now: Instant) {
+        self.line(lane, share, now).open += 1;
     }
 
     /// Counts a grant of `lane` as ended.
@@ -73,9 +90,15 @@
             return;
         };
         line.open = line.open.saturating_sub(1);
-        if line.open == 0 && line.waiting.is_empty() {
-            self.lines.remove(lane);
-        }
+    }
+
+    /// Forgets lanes that have asked for nothing for a while. Until then they
+    /// count when shares are worked out, so that a quiet account finds room.
+    pub(crate) fn expire(&mut self, now: Instant) {
+        self.lines.retain(|_, line| {
+            let used = line.open > 0 || !line.waiting.is_empty();
+            used || now.saturating_duration_since(line.last) < REMEMBERED
+        });
     }
 
     /// Takes the next request: of the lane with the fewest open grants for its
@@ -104,18 +127,18 @@
             out.extend(gone);
         }
         self.waiting -= out.len();
-        self.lines
-            .retain(|_, line| line.open > 0 || !line.waiting.is_empty());
         out
     }
 
-    fn line(&mut self, lane: &Lane, share: u32) -> &mut Line<T> {
+    fn line(&mut self, lane: &Lane, share: u32, now: Instant) -> &mut Line<T> {
         let line = self.lines.entry(lane.clone()).or_insert_with(|| Line {
             waiting: VecDeque::new(),
             open: 0,
             share,
+            last: now,
         });
         line.share = share;
+        line.last = now;
         line
     }
 }
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -38,8 +38,9 @@
 pub(crate) struct Watched {
     pub(crate) model: ids::Model,
     pub(crate) engine: ids::Engine,
-    /// Whether the pool was taken over a short while ago.
-    pub(crate) young: bool,
+    /// Whether it is looked at often: its pool was taken over a short while ago,
+    /// or it is out and may come back.
+    pub(crate) often: bool,
 }
 
 /// The pools of one box.
@@ -80,10 +81,10 @@
         let pools = state.pools.iter();
         let engines = pools.flat_map(|(model, pool)| {
             let active = pool.engines().iter().filter(|(_, engine)| engine.active);
-            active.map(move |(name, _)| Watched {
+            active.map(move |(name, engine)| Watched {
                 model: model.clone(),
                 engine: name.clone(),
-                young: pool.is_young(now),
+                often: pool.is_young(now) || engine.ejected.is_some(),
             })
         });
         engines.collect()
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -26,17 +26,18 @@
     node.spawn(run(node.clone()));
 }
 
-/// Young pools are looked at this many times as often: another keeper may
-/// still be granting, and only the engines' reports tell.
-const YOUNG_TIMES: u32 = 10;
+/// Some engines are looked at this many times as often: those of a young pool,
+/// as another keeper may still be granting and only the engines' reports tell,
+/// and those that are out.
+const OFTEN: u32 = 10;
 
 async fn run(node: Arc<Node>) {
-    let pause = node.settings.tuning.probe_ms.duration() / YOUNG_TIMES;
+    let pause = node.settings.tuning.probe_ms.duration() / OFTEN;
     let mut round = 0;
     loop {
-        let all = round % YOUNG_TIMES == 0;
+        let all = round % OFTEN == 0;
         for watched in node.keeper.engines() {
-            if !all && !watched.young {
+            if !all && !watched.often {
                 continue;
             }
             let probing = node.clone();
@@ -44,7 +45,7 @@
                 probe(&probing, &watched.model, &watched.engine).await;
             });
         }
-        round = (round + 1) % YOUNG_TIMES;
+        round = (round + 1) % OFTEN;
         Timer::after(pause).await;
     }
 }
