A cut hall delays no chat for long; errors inside a stream count as answers

The load tool counted an explicit error inside a stream as lost.

Change: a link to a keeper in another hall is waited for 250 ms, then the chat is served elsewhere; the load tool takes the error of a stream as the final answer that it is.

--- a/crates/load/src/caller.rs
+++ b/crates/load/src/caller.rs
@@ -6,7 +6,7 @@
 
 use serde::Deserialize;
 use smol::Timer;
-use tidepier_errors::{Body as Refusal, Ran};
+use tidepier_errors::{Body as Refusal, Detail, Ran};
 use tidepier_http::client::{Answer, Call, Failure, Pool};
 use tidepier_http::events::Reader;
 use tidepier_http::server::within;
@@ -18,6 +18,8 @@
 const RETURN_PAUSE: Duration = Duration::from_millis(100);
 /// Time without any event after which a caller gives its router up.
 const SILENCE: Duration = Duration::from_secs(40);
+/// Status of an answer whose stream then ended with an error.
+const STREAMED: u16 = 200;
 /// Largest refusal in bytes.
 const REFUSAL_BYTES: u64 = 64 << 10;
 
@@ -109,13 +111,14 @@
     #[serde(default)]
     system_fingerprint: Option<String>,
     #[serde(default)]
-    error: Option<serde_json::Value>,
+    error: Option<Detail>,
 }
 
 enum Read {
     Whole,
     Broken(String),
-    Failed(String),
+    /// An explicit error inside the stream: a final answer.
+    Failed(Detail),
 }
 
 /// Sends `chat` to `routers[first]`, coming back through the others.
@@ -152,8 +155,13 @@
                     outcome.whole = outcome.wrong == 0;
                     return outcome;
                 }
-                Read::Failed(why) => {
-                    outcome.trouble = Some(why);
+                Read::Failed(error) => {
+                    outcome.refused = Some(Refused {
+                        status: STREAMED,
+                        kind: error.kind.to_string(),
+                        ran: error.ran,
+                        retry_after: error.retry_after,
+                    });
                     return outcome;
                 }
                 Read::Broken(why) => outcome.trouble = Some(why),
@@ -285,7 +293,7 @@
             return Read::Broken("a chunk that cannot be read".into());
         };
         if let Some(error) = chunk.error {
-            return Read::Failed(error.to_string());
+            return Read::Failed(error);
         }
         if let Some(usage) = chunk.usage {
             outcome.prompt = usage.prompt_tokens;
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -7,6 +7,7 @@
 use smol::Timer;
 use tidepier_config::document::{Document, Engine, Policy, State};
 use tidepier_errors::{Fault, Kind};
+use tidepier_http::server::within;
 use tidepier_ids as ids;
 use tidepier_placement::{by_rendezvous, choose, Candidate, Ended, Grant, Verdict};
 use tidepier_wire::frame::{self, Adoption, Ask};
@@ -21,6 +22,9 @@
 
 /// Pause before a keeper that could not answer is looked for again.
 const AGAIN: Duration = Duration::from_millis(50);
+/// Time to open a link to a keeper in another hall. A hall that is cut off
+/// answers nothing, and each of its chats is then served elsewhere after this.
+const AWAY_OPEN: Duration = Duration::from_millis(250);
 /// Time between looks whether held places have a new keeper.
 const REHOME: Duration = Duration::from_millis(500);
 
@@ -261,7 +265,12 @@
             Verdict::Waits => waited(&answer, need).await?,
         }
     } else {
-        let Some(line) = node.links.open(node, keeper).await else {
+        let opening = node.links.open(node, keeper);
+        let line = match hall == node.hall() {
+            true => opening.await,
+            false => within(AWAY_OPEN, opening).await.flatten(),
+        };
+        let Some(line) = line else {
             node.links.forget(number);
             return Err(Fault::new(
                 Kind::Peer,
