--- a/tests/all/streams.rs
+++ b/tests/all/streams.rs
@@ -215,6 +215,9 @@
             "answers={} whole={whole} explicit_errors={}",
             system.asked, system.errors
         );
+        for (name, count) in &system.done {
+            println!("fuzz-step {name} {count}");
+        }
         // An answer whose router and engine are both lost ends with an error.
         assert!(
             whole * 100 >= system.asked * 99,
