--- a/crates/claims/src/page.rs
+++ b/crates/claims/src/page.rs
@@ -6,7 +6,7 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_ids as ids;
-use tidepier_platform::store::{Client, Outcome, Revision, Write};
+use tidepier_store::etcd::{Client, Outcome, Revision, Write};
 
 use crate::entry::{Claimant, Entry, Key};
 
--- a/crates/claims/src/pages.rs
+++ b/crates/claims/src/pages.rs
@@ -7,7 +7,7 @@
 use smol::channel::{self, Receiver, Sender};
 use smol::{Executor, Timer};
 use tidepier_ids as ids;
-use tidepier_platform::store::Client;
+use tidepier_store::etcd::Client;
 
 use crate::entry::{Claimant, Entry, Key};
 use crate::page::{now_seconds, Page, Verdict, Wish};
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! The neutral model that requests are decided on.
+//!
+//! An interface that callers, backend servers or the platform speak is decoded
+//! once, at the edge of a process, into the types of this crate. Code that
+//! places, limits, retries or refuses requests works on these types alone and
+//! knows no header, field or key of any interface.
+//!
+//! * [`catalog`]: what the operator declared: routes, services, accounts.
+//! * [`server`]: one backend server as it announces itself.
+//! * [`request`]: one request of a client.
+//! * [`answer`]: what a backend server said about one request.
+
+pub mod answer;
+pub mod catalog;
+pub mod request;
+pub mod server;
--- /dev/null
+++ b/crates/h1/src/body.rs
@@ -0,0 +1,242 @@
+//! Bodies, read by their own length.
+
+use std::io;
+
+use httparse::Status;
+
+use crate::conn::Conn;
+use crate::head::{Head, Malformed};
+
+/// Longest line of a chunk's size, with its extensions, and of a trailer, in
+/// bytes.
+const LINE_BYTES: usize = 4 << 10;
+
+/// How the end of a body is told.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Framing {
+    /// There is none.
+    Empty,
+    /// After so many bytes.
+    Length(u64),
+    /// By the last chunk.
+    Chunked,
+    /// By the end of the connection.
+    UntilClose,
+}
+
+impl Framing {
+    /// The framing of a request's body.
+    ///
+    /// # Errors
+    ///
+    /// Its end is told in two ways, or in one that is unknown.
+    pub fn of_request(head: &Head) -> Result<Self, Malformed> {
+        Ok(told(head)?.unwrap_or(Framing::Empty))
+    }
+
+    /// The framing of an answer's body.
+    ///
+    /// # Errors
+    ///
+    /// Its end is told in two ways, or in one that is unknown.
+    pub fn of_answer(head: &Head, method: &str) -> Result<Self, Malformed> {
+        let bodiless = matches!(head.status(), 100..=199 | 204 | 304);
+        if bodiless || method == "HEAD" {
+            return Ok(Framing::Empty);
+        }
+        Ok(told(head)?.unwrap_or(Framing::UntilClose))
+    }
+}
+
+fn told(head: &Head) -> Result<Option<Framing>, Malformed> {
+    let mut chunked = false;
+    let mut length = None;
+    for field in head.fields() {
+        if field.is("transfer-encoding") {
+            if chunked || !field.text().eq_ignore_ascii_case("chunked") {
+                return Err(Malformed::Framing("a transfer encoding other than chunked"));
+            }
+            chunked = true;
+        } else if field.is("content-length") {
+            let digits = !field.value.is_empty() && field.value.iter().all(u8::is_ascii_digit);
+            let told = field.text().parse::<u64>().ok().filter(|_| digits);
+            let told = told.ok_or(Malformed::Framing("Content-Length is no number"))?;
+            if length.is_some_and(|earlier| earlier != told) {
+                return Err(Malformed::Framing("two Content-Length fields that differ"));
+            }
+            length = Some(told);
+        }
+    }
+    match (chunked, length) {
+        (true, Some(_)) => Err(Malformed::Framing("both chunked and Content-Length")),
+        (true, None) => Ok(Some(Framing::Chunked)),
+        (false, length) => Ok(length.map(Framing::Length)),
+    }
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Step {
+    /// Body bytes, then the end.
+    Sized(u64),
+    /// The line that tells a chunk's size.
+    ChunkSize,
+    /// Bytes of a chunk.
+    ChunkData(u64),
+    /// The line end after a chunk's bytes.
+    ChunkEnd,
+    /// Lines after the last chunk.
+    Trailer,
+    /// Everything up to the end of the connection.
+    UntilClose,
+    /// The body is whole.
+    Done,
+}
+
+/// A body that is being read.
+#[derive(Debug)]
+pub struct Body {
+    step: Step,
+}
+
+impl Body {
+    /// A body of this framing, about to be read.
+    pub fn new(framing: Framing) -> Self {
+        let step = match framing {
+            Framing::Empty | Framing::Length(0) => Step::Done,
+            Framing::Length(length) => Step::Sized(length),
+            Framing::Chunked => Step::ChunkSize,
+            Framing::UntilClose => Step::UntilClose,
+        };
+        Self { step }
+    }
+
+    /// Whether the whole body has been read.
+    pub fn is_done(&self) -> bool {
+        self.step == Step::Done
+    }
+
+    /// Waits for more of the body and appends it to `out`; `false` once the
+    /// body is whole. Cancelling it loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// The body broke off or its chunks are malformed.
+    pub async fn read(&mut self, conn: &mut Conn, out: &mut Vec<u8>) -> io::Result<bool> {
+        loop {
+            if self.step == Step::Done {
+                return Ok(false);
+            }
+            if self.take(conn, out)? {
+                return Ok(true);
+            }
+            if self.step == Step::Done {
+                return Ok(false);
+            }
+            if conn.fill().await? == 0 {
+                if self.step == Step::UntilClose {
+                    self.step = Step::Done;
+                    return Ok(false);
+                }
+                return Err(io::ErrorKind::UnexpectedEof.into());
+            }
+        }
+    }
+
+    /// Takes what is pending; whether body bytes were among it.
+    fn take(&mut self, conn: &mut Conn, out: &mut Vec<u8>) -> io::Result<bool> {
+        let before = out.len();
+        loop {
+            match self.step {
+                Step::Done => break,
+                Step::UntilClose => {
+                    let all = conn.pending().len();
+                    out.extend_from_slice(conn.pending());
+                    conn.skip(all);
+                    break;
+                }
+                Step::Sized(left) => {
+                    let left = move_bytes(conn, out, left);
+                    self.step = if left == 0 {
+                        Step::Done
+                    } else {
+                        Step::Sized(left)
+                    };
+                    if left > 0 {
+                        break;
+                    }
+                }
+                Step::ChunkData(left) => {
+                    let left = move_bytes(conn, out, left);
+                    self.step = if left == 0 {
+                        Step::ChunkEnd
+                    } else {
+                        Step::ChunkData(left)
+                    };
+                    if left > 0 {
+                        break;
+                    }
+                }
+                Step::ChunkEnd => match take_line(conn)? {
+                    Some(0) => self.step = Step::ChunkSize,
+                    Some(_) => return Err(malformed("bytes after a chunk")),
+                    None => break,
+                },
+                Step::ChunkSize => match chunk_size(conn)? {
+                    Some(0) => self.step = Step::Trailer,
+                    Some(size) => self.step = Step::ChunkData(size),
+                    None => break,
+                },
+                Step::Trailer => match take_line(conn)? {
+                    Some(0) => self.step = Step::Done,
+                    Some(_) => {}
+                    None => break,
+                },
+            }
+        }
+        Ok(out.len() > before)
+    }
+}
+
+/// Moves up to `left` pending bytes to `out`; returns how many remain due.
+fn move_bytes(conn: &mut Conn, out: &mut Vec<u8>, left: u64) -> u64 {
+    let available = conn.pending().len();
+    let moved = usize::try_from(left).map_or(available, |left| left.min(available));
+    out.extend_from_slice(&conn.pending()[..moved]);
+    conn.skip(moved);
+    left - moved as u64
+}
+
+fn chunk_size(conn: &mut Conn) -> io::Result<Option<u64>> {
+    match httparse::parse_chunk_size(conn.pending()) {
+        Ok(Status::Complete((used, size))) => {
+            conn.skip(used);
+            Ok(Some(size))
+        }
+        Ok(Status::Partial) if conn.pending().len() > LINE_BYTES => {
+            Err(malformed("a chunk's size does not end"))
+        }
+        Ok(Status::Partial) => Ok(None),
+        Err(_) => Err(malformed("a chunk's size is no number")),
+    }
+}
+
+/// Takes a line; returns its length without the line end.
+fn take_line(conn: &mut Conn) -> io::Result<Option<usize>> {
+    let pending = conn.pending();
+    let Some(end) = pending.iter().position(|byte| *byte == b'\n') else {
+        if pending.len() > LINE_BYTES {
+            return Err(malformed("a line between chunks does not end"));
+        }
+        return Ok(None);
+    };
+    let text = pending[..end]
+        .strip_suffix(b"\r")
+        .unwrap_or(&pending[..end]);
+    let length = text.len();
+    conn.skip(end + 1);
+    Ok(Some(length))
+}
+
+fn malformed(why: &'static str) -> io::Error {
+    io::Error::new(io::ErrorKind::InvalidData, why)
+}
--- /dev/null
+++ b/crates/h1/src/conn.rs
@@ -0,0 +1,262 @@
+//! TCP connections whose end is seen and whose buffers are lent.
+
+use std::cell::RefCell;
+use std::io::{self, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use smol::{Async, Timer};
+use socket2::{SockRef, TcpKeepalive};
+
+use crate::head::{Head, Malformed};
+
+/// Bytes read at once. One buffer of this size serves all connections of a
+/// thread; what is read is copied into a buffer of its own length.
+const READ_BYTES: usize = 16 << 10;
+
+/// Rest after which a connection's peer is probed; with the interval, a peer
+/// that has gone dark is noticed within a few seconds.
+const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
+/// Time between two probes.
+const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(1);
+
+thread_local! {
+    static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_BYTES].into());
+}
+
+/// A connection and the bytes that were read from it but not yet taken.
+pub struct Conn {
+    stream: Arc<Async<TcpStream>>,
+    pending: Vec<u8>,
+}
+
+/// The writing half of a connection.
+#[derive(Clone)]
+pub struct Writer(Arc<Async<TcpStream>>);
+
+/// A listening socket.
+pub struct Listener(Async<TcpListener>);
+
+impl Listener {
+    /// Listens at `address`.
+    ///
+    /// # Errors
+    ///
+    /// The address cannot be bound.
+    pub fn bind(address: SocketAddr) -> io::Result<Self> {
+        Async::<TcpListener>::bind(address).map(Self)
+    }
+
+    /// The bound address.
+    ///
+    /// # Errors
+    ///
+    /// The socket has no address.
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.0.get_ref().local_addr()
+    }
+
+    /// The next connection. Data that the peer leaves unacknowledged for
+    /// `unacked` ends it.
+    ///
+    /// # Errors
+    ///
+    /// No connection could be accepted, such as for want of descriptors.
+    pub async fn accept(&self, unacked: Duration) -> io::Result<Conn> {
+        let (stream, _) = self.0.accept().await?;
+        Conn::over(stream, unacked)
+    }
+}
+
+impl Conn {
+    /// Opens a connection within `limit`.
+    ///
+    /// # Errors
+    ///
+    /// The peer refused, or did not answer in time.
+    pub async fn open(address: SocketAddr, limit: Duration, unacked: Duration) -> io::Result<Self> {
+        let late = async {
+            Timer::after(limit).await;
+            Err(io::ErrorKind::TimedOut.into())
+        };
+        let stream = Async::<TcpStream>::connect(address).or(late).await?;
+        Self::over(stream, unacked)
+    }
+
+    /// A connection over an open socket.
+    ///
+    /// # Errors
+    ///
+    /// The socket's options cannot be set: it is already closed.
+    pub fn over(stream: Async<TcpStream>, unacked: Duration) -> io::Result<Self> {
+        let socket = SockRef::from(stream.get_ref());
+        // Events of a stream are small writes that must not wait for another.
+        socket.set_tcp_nodelay(true)?;
+        // A peer that has lost power or is cut off never answers; without this
+        // the connection would hang for minutes.
+        socket.set_tcp_user_timeout(Some(unacked))?;
+        // A connection on which nothing is due is asked whether it still is.
+        let probes = TcpKeepalive::new()
+            .with_time(KEEPALIVE_IDLE)
+            .with_interval(KEEPALIVE_INTERVAL);
+        socket.set_tcp_keepalive(&probes)?;
+        Ok(Self {
+            stream: Arc::new(stream),
+            pending: Vec::new(),
+        })
+    }
+
+    /// The writing half.
+    pub fn writer(&self) -> Writer {
+        Writer(self.stream.clone())
+    }
+
+    /// Bytes that were read but not yet taken.
+    pub fn pending(&self) -> &[u8] {
+        &self.pending
+    }
+
+    /// Takes the first `count` pending bytes.
+    pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
+        if count == self.pending.len() {
+            return std::mem::take(&mut self.pending);
+        }
+        let rest = self.pending.split_off(count);
+        std::mem::replace(&mut self.pending, rest)
+    }
+
+    /// Drops the first `count` pending bytes.
+    pub(crate) fn skip(&mut self, count: usize) {
+        if count == self.pending.len() {
+            self.pending = Vec::new();
+        } else {
+            self.pending.drain(..count);
+        }
+    }
+
+    /// Waits for more bytes; returns how many came, 0 at the end.
+    ///
+    /// Cancelling it loses nothing.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub async fn fill(&mut self) -> io::Result<usize> {
+        loop {
+            if let Some(read) = self.try_fill()? {
+                return Ok(read);
+            }
+            self.stream.readable().await?;
+        }
+    }
+
+    /// Reads what has arrived, without waiting; `None` when nothing has.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub fn try_fill(&mut self) -> io::Result<Option<usize>> {
+        SCRATCH.with_borrow_mut(|scratch| loop {
+            match self.stream.get_ref().read(scratch) {
+                Ok(read) => {
+                    self.pending.extend_from_slice(&scratch[..read]);
+                    return Ok(Some(read));
+                }
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        })
+    }
+
+    /// Waits for more bytes and drops them; returns how many came, 0 at the end.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub async fn scrap(&mut self) -> io::Result<usize> {
+        self.pending = Vec::new();
+        let read = self.fill().await?;
+        self.pending = Vec::new();
+        Ok(read)
+    }
+
+    /// Whether a resting connection is still good: open, with nothing sent that
+    /// nobody asked for.
+    pub fn rests(&mut self) -> bool {
+        self.pending.is_empty() && matches!(self.try_fill(), Ok(None))
+    }
+
+    /// Reads a head of at most `most` bytes; `None` when the peer closed the
+    /// connection before the head's first byte.
+    ///
+    /// # Errors
+    ///
+    /// The head is malformed, too large, or broke off.
+    pub async fn head(&mut self, most: usize) -> Result<Option<Head>, Malformed> {
+        let mut tried = 0;
+        loop {
+            if self.pending.len() > tried {
+                tried = self.pending.len();
+                if let Some(length) = Head::length(&self.pending, most)? {
+                    return Head::parse(self.take(length)).map(Some);
+                }
+            }
+            match self.fill().await {
+                Ok(0) if self.pending.is_empty() => return Ok(None),
+                Ok(0) => return Err(Malformed::BrokenOff),
+                Ok(_) => {}
+                Err(error) => return Err(Malformed::Lost(error)),
+            }
+        }
+    }
+}
+
+impl Writer {
+    /// Writes all bytes.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub async fn write_all(&self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let written = self.write(bytes).await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            bytes = &bytes[written..];
+        }
+        Ok(())
+    }
+
+    /// Writes some bytes; returns how many.
+    async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        loop {
+            match self.0.get_ref().write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.0.writable().await?;
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                other => return other,
+            }
+        }
+    }
+
+    /// Ends the writing half: the peer reads an end once it has read the rest.
+    pub fn finish(&self) {
+        // An error says that the connection is gone already.
+        let _ = self.0.get_ref().shutdown(Shutdown::Write);
+    }
+
+    /// Makes the closing of the connection a reset, so that the peer can take
+    /// what it has for nothing but a broken answer.
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn reset_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.0.get_ref()).set_linger(Some(Duration::ZERO))
+    }
+}
--- /dev/null
+++ b/crates/h1/src/head.rs
@@ -0,0 +1,261 @@
+//! Heads of requests and answers, kept as the bytes that were sent.
+
+use std::fmt;
+use std::io;
+use std::ops::Range;
+
+use httparse::{Status, EMPTY_HEADER};
+
+/// Most fields in one head.
+const FIELDS_MAX: usize = 64;
+
+/// Fields that concern one connection only.
+const HOP_BY_HOP: [&str; 8] = [
+    "connection",
+    "keep-alive",
+    "proxy-connection",
+    "proxy-authenticate",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// Why a head could not be read.
+#[derive(Debug)]
+pub enum Malformed {
+    /// Not HTTP/1.1.
+    Syntax(httparse::Error),
+    /// Over the limit.
+    TooLarge,
+    /// The connection ended inside the head.
+    BrokenOff,
+    /// The connection failed.
+    Lost(io::Error),
+    /// The body's end is told in two ways, or in one that is unknown.
+    Framing(&'static str),
+}
+
+impl fmt::Display for Malformed {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Malformed::Syntax(error) => write!(f, "not HTTP/1.1: {error}"),
+            Malformed::TooLarge => f.write_str("the head is too large"),
+            Malformed::BrokenOff => f.write_str("the connection ended inside a head"),
+            Malformed::Lost(error) => write!(f, "the connection failed: {error}"),
+            Malformed::Framing(why) => f.write_str(why),
+        }
+    }
+}
+
+impl std::error::Error for Malformed {}
+
+/// The first line of a head.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Start {
+    /// A request.
+    Request {
+        /// The method.
+        method: Box<str>,
+        /// Path and query.
+        target: Box<str>,
+    },
+    /// An answer.
+    Answer {
+        /// The status code.
+        status: u16,
+    },
+}
+
+/// One field of a head.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Field<'a> {
+    /// Its name, in the sender's case.
+    pub name: &'a str,
+    /// Its value.
+    pub value: &'a [u8],
+}
+
+impl<'a> Field<'a> {
+    /// Whether the field has this name, in any case.
+    pub fn is(&self, name: &str) -> bool {
+        self.name.eq_ignore_ascii_case(name)
+    }
+
+    /// The value as text; empty if it is not UTF-8, which no field that is
+    /// read here may be.
+    pub fn text(&self) -> &'a str {
+        std::str::from_utf8(self.value).unwrap_or("").trim()
+    }
+}
+
+/// The head of a request or an answer.
+#[derive(Debug, Clone)]
+pub struct Head {
+    start: Start,
+    /// Minor version of HTTP/1.
+    minor: u8,
+    bytes: Vec<u8>,
+    fields: Vec<(Range<u32>, Range<u32>)>,
+}
+
+impl Head {
+    /// The length of the head at the start of `bytes`, once it is whole.
+    pub(crate) fn length(bytes: &[u8], most: usize) -> Result<Option<usize>, Malformed> {
+        let end = end_of_head(bytes);
+        if end.unwrap_or(bytes.len()) > most {
+            return Err(Malformed::TooLarge);
+        }
+        Ok(end)
+    }
+
+    /// Parses a whole head.
+    pub(crate) fn parse(bytes: Vec<u8>) -> Result<Self, Malformed> {
+        if bytes.starts_with(b"HTTP/") {
+            Self::parse_answer(bytes)
+        } else {
+            Self::parse_request(bytes)
+        }
+    }
+
+    fn parse_request(bytes: Vec<u8>) -> Result<Self, Malformed> {
+        let mut headers = [EMPTY_HEADER; FIELDS_MAX];
+        let mut request = httparse::Request::new(&mut headers);
+        let status = request.parse(&bytes).map_err(Malformed::Syntax)?;
+        let (Status::Complete(_), Some(method), Some(target)) =
+            (status, request.method, request.path)
+        else {
+            return Err(Malformed::BrokenOff);
+        };
+        let start = Start::Request {
+            method: method.into(),
+            target: target.into(),
+        };
+        let minor = request.version.unwrap_or(1);
+        let fields = ranges(&bytes, request.headers);
+        Ok(Self {
+            start,
+            minor,
+            bytes,
+            fields,
+        })
+    }
+
+    fn parse_answer(bytes: Vec<u8>) -> Result<Self, Malformed> {
+        let mut headers = [EMPTY_HEADER; FIELDS_MAX];
+        let mut answer = httparse::Response::new(&mut headers);
+        let status = answer.parse(&bytes).map_err(Malformed::Syntax)?;
+        let (Status::Complete(_), Some(code)) = (status, answer.code) else {
+            return Err(Malformed::BrokenOff);
+        };
+        let minor = answer.version.unwrap_or(1);
+        let fields = ranges(&bytes, answer.headers);
+        Ok(Self {
+            start: Start::Answer { status: code },
+            minor,
+            bytes,
+            fields,
+        })
+    }
+
+    /// The first line.
+    pub fn start(&self) -> &Start {
+        &self.start
+    }
+
+    /// The method of a request; empty for an answer.
+    pub fn method(&self) -> &str {
+        match &self.start {
+            Start::Request { method, .. } => method,
+            Start::Answer { .. } => "",
+        }
+    }
+
+    /// Path and query of a request; empty for an answer.
+    pub fn target(&self) -> &str {
+        match &self.start {
+            Start::Request { target, .. } => target,
+            Start::Answer { .. } => "",
+        }
+    }
+
+    /// The status of an answer; 0 for a request.
+    pub fn status(&self) -> u16 {
+        match self.start {
+            Start::Request { .. } => 0,
+            Start::Answer { status } => status,
+        }
+    }
+
+    /// All fields in order.
+    pub fn fields(&self) -> impl Iterator<Item = Field<'_>> {
+        self.fields.iter().map(|(name, value)| Field {
+            name: std::str::from_utf8(&self.bytes[range(name)]).unwrap_or(""),
+            value: &self.bytes[range(value)],
+        })
+    }
+
+    /// The first field of a name.
+    pub fn field(&self, name: &str) -> Option<Field<'_>> {
+        self.fields().find(|field| field.is(name))
+    }
+
+    /// The text of the first field of a name.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        self.field(name).map(|field| field.text())
+    }
+
+    /// The fields that go on to the next hop: all but those that concern this
+    /// connection and those that tell the body's length.
+    pub fn end_to_end(&self) -> impl Iterator<Item = Field<'_>> {
+        self.fields().filter(|field| {
+            !HOP_BY_HOP.iter().any(|name| field.is(name))
+                && !field.is("content-length")
+                && !self.connection_names(field.name)
+        })
+    }
+
+    fn connection_names(&self, name: &str) -> bool {
+        let connection = self.fields().filter(|field| field.is("connection"));
+        connection
+            .flat_map(|field| field.text().split(','))
+            .any(|token| token.trim().eq_ignore_ascii_case(name))
+    }
+
+    /// Whether the sender ends the connection after this message.
+    pub fn closes(&self) -> bool {
+        self.connection_names("close") || (self.minor == 0 && !self.connection_names("keep-alive"))
+    }
+}
+
+fn range(range: &Range<u32>) -> Range<usize> {
+    range.start as usize..range.end as usize
+}
+
+fn ranges(bytes: &[u8], headers: &[httparse::Header<'_>]) -> Vec<(Range<u32>, Range<u32>)> {
+    let base = bytes.as_ptr() as usize;
+    let place = |part: &[u8]| {
+        let start = (part.as_ptr() as usize).saturating_sub(base) as u32;
+        start..start + part.len() as u32
+    };
+    let both = headers
+        .iter()
+        .map(|header| (place(header.name.as_bytes()), place(header.value)));
+    both.collect()
+}
+
+/// The index after the empty line that ends a head. Leading empty lines, which
+/// a client may send between requests, are part of the head.
+fn end_of_head(bytes: &[u8]) -> Option<usize> {
+    let text_at = bytes.iter().position(|byte| !b"\r\n".contains(byte))?;
+    let mut line_empty = false;
+    for (at, byte) in bytes.iter().enumerate().skip(text_at) {
+        match byte {
+            b'\n' if line_empty => return Some(at + 1),
+            b'\n' => line_empty = true,
+            b'\r' => {}
+            _ => line_empty = false,
+        }
+    }
+    None
+}
--- /dev/null
+++ b/crates/h1/src/lib.rs
@@ -0,0 +1,22 @@
+//! HTTP/1.1 for forwarding.
+//!
+//! A forwarder has needs that a library for handlers does not meet: heads go
+//! on with their fields as they were sent, a body ends by its own length and
+//! by nothing else, bytes past an answer must be seen, and the end of a
+//! connection must be noticed while something else is under way. Heads are
+//! parsed by `httparse`; framing, limits and connections are here.
+//!
+//! Invariants:
+//!
+//! * A body that ends before its length, or whose chunks break off, is an
+//!   error and never a shorter body.
+//! * A head with two ways to tell its body's end is refused.
+//! * A connection holds buffers only while bytes wait in it.
+
+mod body;
+mod conn;
+mod head;
+
+pub use body::{Body, Framing};
+pub use conn::{Conn, Listener, Writer};
+pub use head::{Field, Head, Malformed, Start};
--- a/crates/ids/src/name.rs
+++ b/crates/ids/src/name.rs
@@ -132,3 +132,7 @@
     /// A plain service.
     Service
 );
+name!(
+    /// One life of a backend server; a restarted server has another.
+    Server
+);
--- a/crates/load/src/fleet.rs
+++ b/crates/load/src/fleet.rs
@@ -11,9 +11,9 @@
 use tidepier_config::key::{Hash, Secret};
 use tidepier_config::settings::{Address, Platform, Settings, Tuning};
 use tidepier_ids as ids;
-use tidepier_platform::boxes::{Entry, State as BoxState};
 use tidepier_standin::engine::Spec;
 use tidepier_standin::Settings as Outside;
+use tidepier_store::boxes::{Entry, State as BoxState};
 
 /// The operators' key of made fleets.
 pub const OPERATOR_KEY: &str = "operator-example-key";
--- /dev/null
+++ b/crates/relay-standin/src/front.rs
@@ -0,0 +1,80 @@
+//! What the listening stand-ins share: a port whose connections end with it,
+//! and the writing of answers.
+
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use smol::Task;
+use tidepier_h1::{Body, Conn, Framing, Head, Listener};
+
+/// Time after which unacknowledged data ends a connection; on loopback nothing
+/// comes near it.
+pub(crate) const UNACKED: Duration = Duration::from_secs(30);
+/// Largest head that a stand-in reads, in bytes; four times what sites allow.
+pub(crate) const HEAD_BYTES: usize = 64 << 10;
+
+/// Any free port of loopback.
+pub(crate) fn anywhere() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+/// Serves connections at `address` until the returned task is dropped, which
+/// ends them all.
+pub(crate) fn listen<S, F>(address: SocketAddr, serve: S) -> io::Result<(SocketAddr, Task<()>)>
+where
+    S: Fn(Conn) -> F + Send + 'static,
+    F: Future<Output = ()> + Send + 'static,
+{
+    let listener = Listener::bind(address)?;
+    let bound = listener.address()?;
+    let task = smol::spawn(async move {
+        let mut open: Vec<Task<()>> = Vec::new();
+        loop {
+            open.retain(|task| !task.is_finished());
+            match listener.accept(UNACKED).await {
+                Ok(conn) => open.push(smol::spawn(serve(conn))),
+                Err(error) => log::warn!("no connection accepted at {bound}: {error}"),
+            }
+        }
+    });
+    Ok((bound, task))
+}
+
+/// Reads the body that follows a request's head.
+pub(crate) async fn body(conn: &mut Conn, head: &Head) -> io::Result<Vec<u8>> {
+    let framing = Framing::of_request(head).map_err(io::Error::other)?;
+    let mut body = Body::new(framing);
+    let mut out = Vec::new();
+    while body.read(conn, &mut out).await? {}
+    Ok(out)
+}
+
+/// The head of an answer, up to and without its empty line.
+pub(crate) fn head(status: u16, fields: &[(&str, &str)]) -> String {
+    let mut text = format!("HTTP/1.1 {status} {}\r\n", reason(status));
+    for (name, value) in fields {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text
+}
+
+/// A whole answer with a length.
+pub(crate) fn answer(status: u16, fields: &[(&str, &str)], body: &[u8]) -> Vec<u8> {
+    let head = head(status, fields);
+    let mut bytes = format!("{head}Content-Length: {}\r\n\r\n", body.len()).into_bytes();
+    bytes.extend_from_slice(body);
+    bytes
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Answer",
+    }
+}
--- /dev/null
+++ b/crates/relay-standin/src/store/faults.rs
@@ -0,0 +1,79 @@
+//! What can be wrong with a store.
+
+use std::time::{Duration, Instant};
+
+use super::data::{refusal, Reply};
+
+/// How a store that is down behaves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Down {
+    /// Calls are swallowed.
+    Silent,
+    /// Calls get 503.
+    Busy,
+    /// Connections are reset.
+    Reset,
+}
+
+/// What is wrong with a store.
+#[derive(Debug, Clone)]
+pub struct Faults {
+    /// It is down.
+    pub down: Option<Down>,
+    /// Calls get 429.
+    pub refuse: bool,
+    /// Answers take this much longer.
+    pub slow: Duration,
+    /// So many of the next writing calls are done and not answered.
+    pub lost: u32,
+    /// So many of the next writing calls get no answer and are done after the
+    /// delay, if their conditions still hold.
+    pub late: (u32, Duration),
+    /// Watches learn of nothing before this moment.
+    pub deaf_until: Option<Instant>,
+    /// Most items on one page.
+    pub page: usize,
+    /// Shortest lease.
+    pub lease_min: Duration,
+    /// Largest value, in bytes.
+    pub value_bytes: usize,
+}
+
+impl Default for Faults {
+    /// None, and the limits of a real platform.
+    fn default() -> Self {
+        Self {
+            down: None,
+            refuse: false,
+            slow: Duration::ZERO,
+            lost: 0,
+            late: (0, Duration::ZERO),
+            deaf_until: None,
+            page: 500,
+            lease_min: Duration::from_millis(200),
+            value_bytes: 1 << 20,
+        }
+    }
+}
+
+/// What becomes of a call.
+pub(crate) enum Fate {
+    Answer(Reply),
+    /// The connection says nothing further.
+    Silence,
+    Reset,
+}
+
+impl Faults {
+    /// What the store's state makes of any call.
+    pub(crate) fn fate(&self) -> Option<Fate> {
+        match self.down {
+            Some(Down::Silent) => Some(Fate::Silence),
+            Some(Down::Busy) => Some(Fate::Answer(refusal(503, "down"))),
+            Some(Down::Reset) => Some(Fate::Reset),
+            None => self
+                .refuse
+                .then(|| Fate::Answer(refusal(429, "too many calls"))),
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay-standin/src/store/mod.rs
@@ -0,0 +1,337 @@
+//! The platform's key-value store.
+//!
+//! Items live in memory. A watch tells the changes *after* the revision it
+//! names; a page begins *at* the key it names.
+
+mod data;
+mod faults;
+
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use event_listener::Event;
+use futures_lite::{future, FutureExt};
+use serde_json::{json, Value};
+use smol::{Task, Timer};
+use tidepier_h1::{Conn, Head};
+
+use crate::front;
+use crate::names;
+use data::{refusal, Data, Reply};
+use faults::Fate;
+pub use faults::{Down, Faults};
+
+/// How often leases are looked at; well under the shortest one.
+const EXPIRY_STEP: Duration = Duration::from_millis(20);
+/// Longest wait of a watch, as the platform allows.
+const WATCH_MAX: Duration = Duration::from_secs(30);
+/// Pause after which a waiting watch looks whether its store is out of order.
+const WATCH_STEP: Duration = Duration::from_millis(25);
+
+#[derive(Debug, Default)]
+struct Inner {
+    data: Mutex<Data>,
+    faults: Mutex<Faults>,
+    calls: Mutex<BTreeMap<String, u64>>,
+    changed: Event,
+    cut: Event,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct Store {
+    address: SocketAddr,
+    inner: Arc<Inner>,
+    _tasks: [Task<()>; 2],
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
+
+impl Store {
+    /// Starts an empty store.
+    ///
+    /// # Errors
+    ///
+    /// No port could be bound.
+    pub fn start() -> io::Result<Self> {
+        let inner = Arc::new(Inner::default());
+        let (serving, expiring) = (inner.clone(), inner.clone());
+        let serve = move |conn| serving.clone().serve(conn);
+        let (address, listening) = front::listen(front::anywhere(), serve)?;
+        let expiry = smol::spawn(async move {
+            loop {
+                Timer::after(EXPIRY_STEP).await;
+                expiring.change(|data| data.expire(Instant::now()));
+            }
+        });
+        Ok(Self {
+            address,
+            inner,
+            _tasks: [listening, expiry],
+        })
+    }
+
+    /// Where it listens.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Changes what is wrong with the store.
+    pub fn faults(&self, change: impl FnOnce(&mut Faults)) {
+        change(&mut lock(&self.inner.faults));
+    }
+
+    /// The operator writes a key; returns the revision.
+    pub fn put(&self, key: &str, value: &Value) -> u64 {
+        let value = value.to_string().into_bytes();
+        self.inner.change(|data| {
+            data.revision += 1;
+            data.put(key, value, 0);
+            data.revision
+        })
+    }
+
+    /// The operator writes the configuration; returns the revision.
+    pub fn put_config(&self, config: &Value) -> u64 {
+        self.put(names::CONFIG, config)
+    }
+
+    /// A server announces itself; returns the revision.
+    pub fn put_server(&self, id: &str, entry: &Value) -> u64 {
+        self.put(&format!("{}{id}", names::SERVERS), entry)
+    }
+
+    /// The operator removes a key; returns the revision.
+    pub fn remove(&self, key: &str) -> u64 {
+        self.inner.change(|data| {
+            data.revision += 1;
+            data.remove(key);
+            data.revision
+        })
+    }
+
+    /// The value of a key.
+    pub fn value(&self, key: &str) -> Option<Vec<u8>> {
+        lock(&self.inner.data).value(key)
+    }
+
+    /// The keys that begin with `prefix`.
+    pub fn keys(&self, prefix: &str) -> Vec<String> {
+        lock(&self.inner.data).keys(prefix)
+    }
+
+    /// The revision.
+    pub fn revision(&self) -> u64 {
+        lock(&self.inner.data).revision
+    }
+
+    /// Forgets all history.
+    pub fn compact(&self) {
+        self.inner.change(Data::compact);
+    }
+
+    /// Cuts the watches that wait.
+    pub fn cut_watches(&self) {
+        self.inner.cut.notify(usize::MAX);
+    }
+
+    /// Lets watches learn of nothing for a while.
+    pub fn deaf(&self, time: Duration) {
+        self.faults(|faults| faults.deaf_until = Some(Instant::now() + time));
+    }
+
+    /// Calls of this name so far, such as `kv-txn`, refused ones included.
+    pub fn calls(&self, name: &str) -> u64 {
+        lock(&self.inner.calls).get(name).copied().unwrap_or(0)
+    }
+
+    /// All calls so far, by name.
+    pub fn all_calls(&self) -> BTreeMap<String, u64> {
+        lock(&self.inner.calls).clone()
+    }
+}
+
+impl Inner {
+    fn change<T>(&self, change: impl FnOnce(&mut Data) -> T) -> T {
+        let result = change(&mut lock(&self.data));
+        self.changed.notify(usize::MAX);
+        result
+    }
+
+    async fn serve(self: Arc<Self>, mut conn: Conn) {
+        while let Ok(Some(head)) = conn.head(front::HEAD_BYTES).await {
+            let Ok(body) = front::body(&mut conn, &head).await else {
+                return;
+            };
+            let reply = match self.fate(&head, &body).await {
+                Fate::Answer(reply) => reply,
+                Fate::Silence => return silence(&mut conn).await,
+                Fate::Reset => {
+                    if let Err(error) = conn.writer().reset_on_close() {
+                        log::debug!("already closed: {error}");
+                    }
+                    return;
+                }
+            };
+            let fields = [("Content-Type", "application/json")];
+            let bytes = front::answer(reply.0, &fields, reply.1.to_string().as_bytes());
+            if conn.writer().write_all(&bytes).await.is_err() || head.closes() {
+                return;
+            }
+        }
+    }
+
+    async fn fate(self: &Arc<Self>, head: &Head, body: &[u8]) -> Fate {
+        let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
+        let path = path.strip_prefix(names::CALLS).unwrap_or("");
+        let (name, id) = path.split_once('/').unwrap_or((path, ""));
+        *lock(&self.calls).entry(name.into()).or_default() += 1;
+        let faults = lock(&self.faults).clone();
+        if let Some(fate) = faults.fate() {
+            return fate;
+        }
+        Timer::after(faults.slow).await;
+        let body = match body {
+            [] => Value::Null,
+            body => match serde_json::from_slice(body) {
+                Ok(body) => body,
+                Err(_) => return Fate::Answer(refusal(400, "no JSON")),
+            },
+        };
+        let ask = |wanted: &str| query_value(query, wanted);
+        let (key, prefix) = (ask(names::KEY), ask(names::PREFIX));
+        match (head.method(), name) {
+            ("GET", "kv-key") => Fate::Answer(lock(&self.data).item(&key)),
+            ("GET", "kv-range") => {
+                let from = ask(names::FROM);
+                Fate::Answer(lock(&self.data).page(&prefix, &from, faults.page))
+            }
+            ("GET", "kv-watch") => {
+                let (Ok(after), Ok(wait)) = (ask(names::FROM).parse(), ask(names::WAIT).parse())
+                else {
+                    return Fate::Answer(refusal(400, "a watch without its numbers"));
+                };
+                let wait = Duration::from_millis(wait).min(WATCH_MAX);
+                self.watch(&prefix, after, wait).await
+            }
+            ("POST", "kv-txn" | "kv-lease" | "kv-keep") | ("DELETE", "kv-lease-end") => {
+                self.write(name.to_owned(), id.parse().unwrap_or(0), body)
+            }
+            _ => Fate::Answer(refusal(404, "no such call")),
+        }
+    }
+
+    /// A writing call, or what a fault makes of it.
+    fn write(self: &Arc<Self>, name: String, id: u64, body: Value) -> Fate {
+        let (lost, late) = {
+            let mut faults = lock(&self.faults);
+            let lost = faults.lost > 0;
+            let late = !lost && faults.late.0 > 0;
+            faults.lost -= u32::from(lost);
+            faults.late.0 -= u32::from(late);
+            (lost, late.then_some(faults.late.1))
+        };
+        if let Some(delay) = late {
+            let inner = self.clone();
+            let done = async move {
+                Timer::after(delay).await;
+                inner.apply(&name, id, &body);
+            };
+            smol::spawn(done).detach();
+            return Fate::Silence;
+        }
+        let reply = self.apply(&name, id, &body);
+        if lost {
+            return Fate::Silence;
+        }
+        Fate::Answer(reply)
+    }
+
+    fn apply(&self, name: &str, id: u64, body: &Value) -> Reply {
+        let (least, most) = {
+            let faults = lock(&self.faults);
+            (faults.lease_min, faults.value_bytes)
+        };
+        self.change(|data| {
+            data.expire(Instant::now());
+            match name {
+                "kv-txn" => data.txn(body, most),
+                "kv-lease" => data.grant(body, least),
+                "kv-keep" => data.keep(id),
+                _ if data.end_lease(id) => (200, json!({})),
+                _ => refusal(404, "no such lease"),
+            }
+        })
+    }
+
+    async fn watch(&self, prefix: &str, after: u64, wait: Duration) -> Fate {
+        let until = Instant::now() + wait;
+        let cut = self.cut.listen();
+        let waiting = async {
+            loop {
+                let changed = self.changed.listen();
+                let faults = lock(&self.faults).clone();
+                if let Some(fate) = faults.fate() {
+                    return fate;
+                }
+                let now = Instant::now();
+                if faults.deaf_until.is_none_or(|until| until <= now) {
+                    let data = lock(&self.data);
+                    let over = || (now >= until).then(|| data.events(Vec::new()));
+                    if let Some(reply) = data.changes(prefix, after).or_else(over) {
+                        return Fate::Answer(reply);
+                    }
+                } else if now >= until {
+                    let nothing = json!({ "events": [], names::NOW: after });
+                    return Fate::Answer((200, nothing));
+                }
+                let step = async {
+                    Timer::after(WATCH_STEP).await;
+                };
+                changed.or(step).await;
+            }
+        };
+        let cut = async {
+            cut.await;
+            Fate::Reset
+        };
+        waiting.or(cut).await
+    }
+}
+
+/// Reads on and says nothing, until the peer ends the connection.
+async fn silence(conn: &mut Conn) {
+    while conn.fill().await.is_ok_and(|read| read > 0) {
+        future::yield_now().await;
+    }
+}
+
+/// The decoded value of a query's name; empty without one.
+fn query_value(query: &str, wanted: &str) -> String {
+    let mut pairs = query.split('&').filter_map(|pair| pair.split_once('='));
+    let found = pairs.find(|(name, _)| *name == wanted);
+    let mut bytes = Vec::new();
+    let mut rest = found.map_or("", |(_, value)| value).as_bytes();
+    while let [first, after @ ..] = rest {
+        let code = after.get(..2).and_then(|hex| std::str::from_utf8(hex).ok());
+        let code = code.and_then(|hex| u8::from_str_radix(hex, 16).ok());
+        match (first, code) {
+            (b'%', Some(code)) => {
+                bytes.push(code);
+                rest = &after[2..];
+            }
+            _ => {
+                bytes.push(*first);
+                rest = after;
+            }
+        }
+    }
+    String::from_utf8_lossy(&bytes).into_owned()
+}
--- /dev/null
+++ b/crates/relay/src/attempt.rs
@@ -0,0 +1,259 @@
+//! One sending of a request to one server.
+//!
+//! Invariants:
+//!
+//! * [`Ran::No`] is said only where no byte of the request left this box, or
+//!   where the server itself states that it did not run.
+//! * An answer is returned only if it names the attempt that was sent, and a
+//!   success only if the server signed it.
+
+use std::fmt;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_lite::{future, FutureExt};
+use smol::Timer;
+use tidepier_core::answer::Answer;
+use tidepier_h1::{Body, Conn, Framing, Head, Malformed};
+use tidepier_platform::answer;
+
+use crate::fleet::{Backend, Running};
+
+/// Longest time to open a connection to a server: over ten round trips
+/// between halls, and under the time after which a lost opening is repeated.
+const CONNECT_TIME: Duration = Duration::from_millis(350);
+/// Data that a server leaves unacknowledged for so long ends its connection.
+const UNACKED_TIME: Duration = Duration::from_secs(3);
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 16 << 10;
+/// Largest answer to another request that is skipped, in bytes.
+const SURPLUS_BYTES: usize = 256 << 10;
+/// Answers to other requests that are skipped on one connection.
+const SURPLUS_MAX: usize = 2;
+
+/// Whether a request that failed has run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ran {
+    /// It has not and never will.
+    No,
+    /// It may have, or may yet.
+    Unknown,
+}
+
+/// Why there is no answer.
+#[derive(Debug)]
+pub enum Cause {
+    /// No connection.
+    Connect(io::Error),
+    /// The connection broke off before an answer's head.
+    Lost(Malformed),
+    /// No answer in time.
+    Late,
+    /// The answer names no attempt, or others only.
+    Foreign,
+    /// A success that the server did not sign.
+    Unsigned,
+    /// The answer's body broke off.
+    Broken(io::Error),
+    /// A stream, or the whole server, went silent.
+    Stalled,
+    /// The server refused it, with this status, and did not run it.
+    Refused(u16),
+    /// The server answered with an error of its own.
+    Error(u16),
+}
+
+impl Cause {
+    /// A short name for logs and metrics.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Cause::Connect(_) => "connect",
+            Cause::Lost(_) => "lost",
+            Cause::Late => "late",
+            Cause::Foreign => "foreign",
+            Cause::Unsigned => "unsigned",
+            Cause::Broken(_) => "broken",
+            Cause::Stalled => "stalled",
+            Cause::Refused(_) => "refused",
+            Cause::Error(_) => "error",
+        }
+    }
+}
+
+impl fmt::Display for Cause {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Cause::Connect(error) => write!(f, "no connection: {error}"),
+            Cause::Lost(error) => write!(f, "no answer: {error}"),
+            Cause::Late => f.write_str("no answer in time"),
+            Cause::Foreign => f.write_str("the answer is not to this attempt"),
+            Cause::Unsigned => f.write_str("a success without a signature"),
+            Cause::Broken(error) => write!(f, "the answer broke off: {error}"),
+            Cause::Stalled => f.write_str("the server went silent"),
+            Cause::Refused(status) => write!(f, "the server refused it with {status}"),
+            Cause::Error(status) => write!(f, "the server answered {status}"),
+        }
+    }
+}
+
+/// A sending without an answer.
+#[derive(Debug)]
+pub struct Failure {
+    /// Whether the request has run.
+    pub ran: Ran,
+    /// Why.
+    pub cause: Cause,
+}
+
+/// A request as it goes to one server.
+pub struct Sending<'a> {
+    /// Head and body.
+    pub bytes: &'a [u8],
+    /// Its method.
+    pub method: &'a str,
+    /// The attempt that the answer has to name.
+    pub attempt: &'a str,
+    /// When it is given up.
+    pub deadline: Instant,
+    /// Longest rest of a kept connection that may carry it.
+    pub rest: Duration,
+    /// Prompt tokens that the server has to read.
+    pub prefill: u64,
+}
+
+/// The head of an answer, and what its body comes from.
+pub struct Reply {
+    /// The head as sent.
+    pub head: Head,
+    /// What it says.
+    pub answer: Answer,
+    /// How its body ends.
+    pub framing: Framing,
+    /// The body, unread.
+    pub body: Body,
+    /// The connection that it arrives on.
+    pub conn: Conn,
+    /// Whether the connection can carry another request after the body.
+    pub reusable: bool,
+    /// Keeps the request counted at its server.
+    pub running: Running,
+}
+
+/// Sends a request; waits for the head of its answer.
+///
+/// # Errors
+///
+/// There is no answer that can be passed on.
+pub async fn send(backend: &Rc<Backend>, sending: &Sending<'_>) -> Result<Reply, Failure> {
+    let running = backend.run(sending.prefill);
+    backend.health.sent(Instant::now());
+    let mut conn = connection(backend, sending).await?;
+    let late = async {
+        Timer::at(sending.deadline).await;
+        Err(unknown(Cause::Late))
+    };
+    let (head, answer, whole) = exchange(&mut conn, sending).or(late).await?;
+    let framing = Framing::of_answer(&head, sending.method);
+    let framing = framing.map_err(|error| unknown(Cause::Lost(error)))?;
+    let reusable = whole && !answer.close && framing != Framing::UntilClose;
+    backend.hear();
+    if let Some(load) = answer.load {
+        backend.told(load, Instant::now());
+    }
+    Ok(Reply {
+        body: Body::new(framing),
+        head,
+        answer,
+        framing,
+        conn,
+        reusable,
+        running,
+    })
+}
+
+fn unknown(cause: Cause) -> Failure {
+    let ran = Ran::Unknown;
+    Failure { ran, cause }
+}
+
+async fn connection(backend: &Rc<Backend>, sending: &Sending<'_>) -> Result<Conn, Failure> {
+    if let Some(conn) = backend.connection(sending.rest) {
+        return Ok(conn);
+    }
+    metrics::counter!("tidepier_server_connections_total").increment(1);
+    let left = sending.deadline.saturating_duration_since(Instant::now());
+    let limit = CONNECT_TIME.min(left);
+    let opened = Conn::open(backend.server.address, limit, UNACKED_TIME).await;
+    opened.map_err(|error| Failure {
+        ran: Ran::No,
+        cause: Cause::Connect(error),
+    })
+}
+
+/// Writes the request and reads the head of its answer. An answer may come
+/// before the request is written; whether it was written whole is returned.
+async fn exchange(conn: &mut Conn, sending: &Sending<'_>) -> Result<(Head, Answer, bool), Failure> {
+    let writer = conn.writer();
+    let written = std::cell::Cell::new(false);
+    let write = async {
+        // A failed write ends the connection; the reader tells how.
+        written.set(writer.write_all(sending.bytes).await.is_ok());
+        future::pending().await
+    };
+    let (head, answer) = read(conn, sending).or(write).await?;
+    Ok((head, answer, written.get()))
+}
+
+async fn read(conn: &mut Conn, sending: &Sending<'_>) -> Result<(Head, Answer), Failure> {
+    let mut surplus = 0;
+    loop {
+        let head = conn
+            .head(HEAD_BYTES)
+            .await
+            .map_err(|e| unknown(Cause::Lost(e)))?;
+        let head = head.ok_or_else(|| unknown(Cause::Lost(Malformed::BrokenOff)))?;
+        if matches!(head.status(), 100..=199) {
+            continue;
+        }
+        let answer = answer::decode(&head);
+        match answer.attempt.as_deref() {
+            Some(attempt) if attempt == sending.attempt => return own(head, answer),
+            None if answer.not_run => return Ok((head, answer)),
+            Some(_) if surplus < SURPLUS_MAX => {
+                surplus += 1;
+                metrics::counter!("tidepier_surplus_answers_total").increment(1);
+                skip(conn, &head, sending.method).await?;
+            }
+            _ => return Err(unknown(Cause::Foreign)),
+        }
+    }
+}
+
+fn own(head: Head, answer: Answer) -> Result<(Head, Answer), Failure> {
+    if matches!(answer.status, 200..=299) && !answer.signed {
+        return Err(unknown(Cause::Unsigned));
+    }
+    Ok((head, answer))
+}
+
+/// Reads past the body of an answer that nobody waits for.
+async fn skip(conn: &mut Conn, head: &Head, method: &str) -> Result<(), Failure> {
+    let framing = Framing::of_answer(head, method);
+    let framing = framing.map_err(|error| unknown(Cause::Lost(error)))?;
+    if framing == Framing::UntilClose {
+        return Err(unknown(Cause::Foreign));
+    }
+    let mut body = Body::new(framing);
+    let mut scrap = Vec::new();
+    while body
+        .read(conn, &mut scrap)
+        .await
+        .map_err(|error| unknown(Cause::Broken(error)))?
+    {
+        if scrap.len() > SURPLUS_BYTES {
+            return Err(unknown(Cause::Foreign));
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/callers.rs
@@ -0,0 +1,226 @@
+//! Clients' connections: one task each, from the first byte to the end.
+
+use std::future;
+use std::io;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use smol::{LocalExecutor, Timer};
+use tidepier_core::catalog::Limits;
+use tidepier_h1::{Body, Conn, Framing, Head, Listener, Malformed, Writer};
+
+use crate::exchange::{self, Arrival, End};
+use crate::refusal;
+use crate::relay::Relay;
+use crate::stop::Phase;
+
+/// Data that a client leaves unacknowledged for so long ends its connection.
+const UNACKED_TIME: Duration = Duration::from_secs(8);
+/// Bytes that a client may send ahead of its answer before its leaving is no
+/// longer watched for.
+const AHEAD_BYTES: usize = 64 << 10;
+/// Pause after a connection could not be accepted, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time in which a refused client's unread bytes are taken, so that closing
+/// does not reset the connection and destroy the refusal on its way.
+const LINGER_TIME: Duration = Duration::from_millis(300);
+
+/// Accepts clients' connections until the stop no longer takes any.
+pub async fn accept(relay: Rc<Relay>, listener: Listener, executor: Rc<LocalExecutor<'static>>) {
+    let closing = async {
+        relay.stop.reached(Phase::Closing).await;
+        None
+    };
+    let mut closing = std::pin::pin!(closing);
+    loop {
+        let accepted = async { Some(listener.accept(UNACKED_TIME).await) };
+        match accepted.or(closing.as_mut()).await {
+            None => return,
+            Some(Ok(conn)) => {
+                let relay = relay.clone();
+                executor
+                    .spawn(async move { serve(&relay, conn).await })
+                    .detach();
+            }
+            Some(Err(error)) => {
+                log::warn!(target: "process", "event=accept_failed why=\"{error}\"");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve(relay: &Relay, mut conn: Conn) {
+    let _open = relay.stop.connection();
+    let writer = conn.writer();
+    while request(relay, &mut conn, &writer).await == End::Keep {}
+}
+
+/// Serves one request of a connection.
+async fn request(relay: &Relay, conn: &mut Conn, writer: &Writer) -> End {
+    let limits = limits(relay);
+    if !first_byte(relay, conn, &limits).await {
+        return End::Close;
+    }
+    let _request = relay.stop.request();
+    let head = match within(limits.head_time, conn.head(limits.head_bytes)).await {
+        Some(Ok(Some(head))) => head,
+        Some(Ok(None) | Err(Malformed::BrokenOff | Malformed::Lost(_))) => return End::Close,
+        Some(Err(Malformed::TooLarge)) => {
+            return turn_away(conn, writer, refusal::Kind::HeadTooLarge).await
+        }
+        Some(Err(error)) => {
+            log::info!(target: "request", "event=malformed why=\"{error}\"");
+            return turn_away(conn, writer, refusal::Kind::Malformed).await;
+        }
+        None => return turn_away(conn, writer, refusal::Kind::Slow).await,
+    };
+    let at = Instant::now();
+    let (body, has_body) = match body(conn, writer, &head, &limits).await {
+        Ok(read) => read,
+        Err(BodyError::Gone) => return End::Close,
+        Err(BodyError::Refused(kind)) => return turn_away(conn, writer, kind).await,
+    };
+    let arrival = Arrival {
+        close: head.closes(),
+        head: &head,
+        body: &body,
+        has_body,
+        at,
+    };
+    let answered = async { Some(exchange::run(relay, &arrival, writer).await) };
+    let left = async {
+        left(conn).await;
+        None
+    };
+    let end = answered.or(left).await.unwrap_or_else(|| {
+        metrics::counter!("tidepier_clients_left_total").increment(1);
+        log::info!(
+            target: "request",
+            "event=client_left target={} ms={}",
+            head.target(),
+            at.elapsed().as_millis()
+        );
+        End::Close
+    });
+    if end == End::Close {
+        writer.finish();
+        linger(conn).await;
+    }
+    end
+}
+
+fn limits(relay: &Relay) -> Limits {
+    let catalog = relay.view.catalog();
+    catalog.map(|catalog| catalog.limits).unwrap_or_default()
+}
+
+/// Waits for the first byte of a request; `false` when none comes.
+async fn first_byte(relay: &Relay, conn: &mut Conn, limits: &Limits) -> bool {
+    if !conn.pending().is_empty() {
+        return true;
+    }
+    let closing = async {
+        relay.stop.reached(Phase::Closing).await;
+        None
+    };
+    let read = async { Some(conn.fill().await) };
+    let came = within(limits.idle_time, read.or(closing)).await;
+    matches!(came, Some(Some(Ok(1..))))
+}
+
+enum BodyError {
+    /// The client is gone or broke off.
+    Gone,
+    /// It is turned away.
+    Refused(refusal::Kind),
+}
+
+/// Reads a request's body; also tells whether the head told of one.
+async fn body(
+    conn: &mut Conn,
+    writer: &Writer,
+    head: &Head,
+    limits: &Limits,
+) -> Result<(Vec<u8>, bool), BodyError> {
+    let framing = Framing::of_request(head).map_err(|error| {
+        log::info!(target: "request", "event=malformed why=\"{error}\"");
+        BodyError::Refused(refusal::Kind::Malformed)
+    })?;
+    let too_large = || BodyError::Refused(refusal::Kind::BodyTooLarge);
+    let capacity = match framing {
+        Framing::Length(length) if length > limits.body_bytes as u64 => return Err(too_large()),
+        Framing::Length(length) => length as usize,
+        _ => 0,
+    };
+    let awaited = head
+        .text("expect")
+        .is_some_and(|text| text.eq_ignore_ascii_case("100-continue"));
+    if awaited && framing != Framing::Empty {
+        let go_on = writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
+        go_on.map_err(|_| BodyError::Gone)?;
+    }
+    let mut bytes = Vec::with_capacity(capacity);
+    let mut body = Body::new(framing);
+    loop {
+        match within(limits.idle_time, body.read(conn, &mut bytes)).await {
+            Some(Ok(true)) if bytes.len() > limits.body_bytes => return Err(too_large()),
+            Some(Ok(true)) => {}
+            Some(Ok(false)) => return Ok((bytes, framing != Framing::Empty)),
+            Some(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
+                return Err(BodyError::Refused(refusal::Kind::Malformed))
+            }
+            Some(Err(_)) => return Err(BodyError::Gone),
+            None => return Err(BodyError::Refused(refusal::Kind::Slow)),
+        }
+    }
+}
+
+/// Refuses a request that was not read whole and ends the connection.
+async fn turn_away(conn: &mut Conn, writer: &Writer, kind: refusal::Kind) -> End {
+    metrics::counter!("tidepier_refusals_total", "why" => kind.name()).increment(1);
+    log::info!(target: "request", "event=turned_away why={kind} status={}", kind.status());
+    let mut out = Vec::new();
+    tidepier_platform::refusal::encode(
+        kind.status(),
+        "",
+        kind.retry_after(),
+        kind.name(),
+        true,
+        &mut out,
+    );
+    if writer.write_all(&out).await.is_ok() {
+        writer.finish();
+        linger(conn).await;
+    }
+    End::Close
+}
+
+/// Takes what the client still sends until it closes, for a short time.
+async fn linger(conn: &mut Conn) {
+    let drain = async { while let Ok(1..) = conn.scrap().await {} };
+    within(LINGER_TIME, drain).await;
+}
+
+/// Ends when the client has closed its connection.
+async fn left(conn: &mut Conn) {
+    loop {
+        if conn.pending().len() > AHEAD_BYTES {
+            return future::pending().await;
+        }
+        match conn.fill().await {
+            Ok(0) | Err(_) => return,
+            Ok(_) => {}
+        }
+    }
+}
+
+/// The result of `work`, or `None` when `limit` has passed.
+async fn within<T>(limit: Duration, work: impl future::Future<Output = T>) -> Option<T> {
+    let late = async {
+        Timer::after(limit).await;
+        None
+    };
+    async { Some(work.await) }.or(late).await
+}
--- /dev/null
+++ b/crates/relay/src/lib.rs
@@ -0,0 +1,177 @@
+//! The router of an entry box towards clients that speak the dialect of the
+//! users' platform.
+//!
+//! Clients' requests come in over HTTP/1.1 with opaque bodies; headers tell
+//! what is asked. Each request is admitted by the operator's catalog
+//! ([`exchange`]), placed on a backend server ([`choose`]), sent there
+//! ([`attempt`]) and its answer passed on ([`stream`]). What the box believes
+//! of catalog and servers comes from the platform's store ([`follow`]).
+//!
+//! A process has one thread; its tasks share [`relay::Relay`] and never block.
+//! Names and formats of the wire are those of the `tidepier-platform` crate;
+//! nothing here knows them.
+
+pub mod attempt;
+pub mod budget;
+pub mod callers;
+pub mod choose;
+pub mod events;
+pub mod exchange;
+pub mod fleet;
+pub mod follow;
+pub mod health;
+pub mod log;
+pub mod metrics;
+pub mod notice;
+pub mod ready;
+pub mod refusal;
+pub mod relay;
+pub mod settings;
+pub mod signal;
+pub mod stop;
+mod stream;
+pub mod view;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures_lite::FutureExt;
+use smol::{LocalExecutor, Timer};
+use tidepier_h1::Listener;
+use tidepier_platform::store::Client;
+
+use crate::budget::Budget;
+use crate::follow::Follower;
+use crate::relay::{Bounds, Relay};
+use crate::settings::Settings;
+use crate::signal::{Change, Changes};
+use crate::stop::Phase;
+
+/// Time from the request to stop until new connections are no longer taken:
+/// the balancer asks every second and believes the second refusal.
+const NOTICE_TIME: Duration = Duration::from_millis(3_200);
+/// Time before the process is killed at which it ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the bound on taken-away keys that is kept as a margin for the way
+/// of a request and a late timer.
+const REVOKE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be bound.
+pub async fn run(settings: Settings, mut changes: Changes) -> eyre::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let relay = Rc::new(Relay::new(
+        settings.hall.clone(),
+        bounds(&settings),
+        Budget::new(terms(&settings)),
+    ));
+    start(&relay, &settings, &executor)?;
+    executor
+        .run(until_stopped(&relay, &settings, &mut changes))
+        .await;
+    Ok(())
+}
+
+fn start(
+    relay: &Rc<Relay>,
+    settings: &Settings,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> eyre::Result<()> {
+    let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
+    executor
+        .spawn(callers::accept(relay.clone(), callers, executor.clone()))
+        .detach();
+    if let Some(address) = settings.readiness {
+        let listener = Listener::bind(address).wrap_err("binding the readiness address")?;
+        let relay = relay.clone();
+        executor
+            .spawn(async move { ready::serve(listener, || relay.is_ready()).await })
+            .detach();
+    }
+    if let Some(address) = settings.metrics {
+        let listener = Listener::bind(address).wrap_err("binding the metrics address")?;
+        let registry = metrics::install()?;
+        executor.spawn(metrics::serve(listener, registry)).detach();
+    }
+    let follower = Follower::new(relay.clone(), Client::new(settings.store.address));
+    executor.spawn(follower.clone().catalog()).detach();
+    executor.spawn(follower.clone().prove()).detach();
+    executor.spawn(follower.clone().servers()).detach();
+    executor.spawn(follower.lapses()).detach();
+    Ok(())
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    let bounds = &settings.bounds;
+    let revoke = bounds.revoke_within.duration();
+    Bounds {
+        fresh: bounds.apply_within.duration(),
+        trusted: bounds
+            .revoke_when_blind
+            .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
+    }
+}
+
+fn terms(settings: &Settings) -> budget::Terms {
+    let bounds = &settings.bounds;
+    budget::Terms {
+        ratio: bounds.retry_share,
+        extra: f64::from(bounds.retry_extra),
+        window: bounds.retry_window.duration(),
+    }
+}
+
+async fn until_stopped(relay: &Relay, settings: &Settings, changes: &mut Changes) {
+    loop {
+        match changes.next().await {
+            Change::Stop => break,
+            Change::Reload => reload(relay, changes),
+        }
+    }
+    ::log::info!(
+        target: "process",
+        "event=stopping connections={} requests={}",
+        relay.stop.connections(),
+        relay.stop.requests()
+    );
+    relay.stop.advance(Phase::Leaving);
+    let limit = settings
+        .bounds
+        .stop_within
+        .duration()
+        .saturating_sub(STOP_MARGIN);
+    let over = async {
+        Timer::after(limit).await;
+        ::log::warn!(
+            target: "process",
+            "event=stop_time_over requests={}",
+            relay.stop.requests()
+        );
+    };
+    let finished = async {
+        Timer::after(NOTICE_TIME).await;
+        relay.stop.advance(Phase::Closing);
+        while relay.stop.requests() > 0 {
+            relay.stop.changed.wait().await;
+        }
+    };
+    finished.or(over).await;
+}
+
+/// Reads the settings again and takes over what can change while running.
+fn reload(relay: &Relay, changes: &Changes) {
+    match settings::read(changes.file()) {
+        Ok(settings) => {
+            relay.set_bounds(bounds(&settings));
+            relay.budget.set_terms(terms(&settings));
+            ::log::info!(target: "process", "event=reloaded file={}", changes.file().display());
+        }
+        Err(error) => {
+            ::log::error!(target: "process", "event=reload_failed why=\"{error}\"");
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/notice.rs
@@ -0,0 +1,44 @@
+//! Telling waiting tasks of one thread that something changed.
+
+use std::cell::RefCell;
+use std::future::poll_fn;
+use std::rc::Rc;
+use std::task::{Poll, Waker};
+
+#[derive(Default)]
+struct State {
+    told: u64,
+    waiting: Vec<Waker>,
+}
+
+/// Something that tasks wait for; every task that waits is woken.
+#[derive(Default, Clone)]
+pub struct Notice(Rc<RefCell<State>>);
+
+impl Notice {
+    /// Wakes every task that waits now.
+    pub fn tell(&self) {
+        let mut state = self.0.borrow_mut();
+        state.told += 1;
+        for waker in state.waiting.drain(..) {
+            waker.wake();
+        }
+    }
+
+    /// Waits until the next [`Notice::tell`] after this call.
+    pub async fn wait(&self) {
+        let seen = self.0.borrow().told;
+        poll_fn(|context| {
+            let mut state = self.0.borrow_mut();
+            if state.told != seen {
+                return Poll::Ready(());
+            }
+            let waker = context.waker();
+            if !state.waiting.iter().any(|known| known.will_wake(waker)) {
+                state.waiting.push(waker.clone());
+            }
+            Poll::Pending
+        })
+        .await;
+    }
+}
--- /dev/null
+++ b/crates/relay/src/refusal.rs
@@ -0,0 +1,95 @@
+//! Answers of this box's own, from a closed list.
+//!
+//! Invariant: a kind whose status promises that the request has not run and
+//! never will (503, 408) is used only where that is certain.
+
+use std::fmt;
+use std::time::Duration;
+
+/// When to come back where nothing better is known: long enough for another
+/// box or server to be tried, short against every objective.
+const SOON: Duration = Duration::from_millis(150);
+/// When to come back while this box does not know the configuration.
+const UNREADY: Duration = Duration::from_millis(500);
+
+/// Why this box answers by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// The head or the body's framing is malformed.
+    Malformed,
+    /// The head is over the limit.
+    HeadTooLarge,
+    /// The body is over the limit.
+    BodyTooLarge,
+    /// The head or the body did not arrive in time.
+    Slow,
+    /// No route takes the path.
+    NoRoute,
+    /// The API key is missing or unknown.
+    NoAccount,
+    /// No configuration is known yet.
+    NotReady,
+    /// The configuration known here may be too old to decide by.
+    Stale,
+    /// No server of the service is known or open.
+    NoServer,
+    /// The servers that may be asked are full.
+    Full,
+    /// Its time ran out before a server ran it.
+    TimeOver,
+    /// Its time ran out while a server may have been running it.
+    Late,
+    /// A server may have run it, and its answer is lost.
+    Lost,
+}
+
+impl Kind {
+    /// The HTTP status.
+    pub fn status(self) -> u16 {
+        match self {
+            Kind::Malformed => 400,
+            Kind::NoAccount => 401,
+            Kind::NoRoute => 404,
+            Kind::Slow => 408,
+            Kind::BodyTooLarge => 413,
+            Kind::HeadTooLarge => 431,
+            Kind::Lost => 502,
+            Kind::NotReady | Kind::Stale | Kind::NoServer | Kind::Full | Kind::TimeOver => 503,
+            Kind::Late => 504,
+        }
+    }
+
+    /// When the client may come back.
+    pub fn retry_after(self) -> Option<Duration> {
+        match self {
+            Kind::NotReady | Kind::Stale => Some(UNREADY),
+            Kind::NoServer | Kind::Full | Kind::TimeOver => Some(SOON),
+            _ => None,
+        }
+    }
+
+    /// A short name for answers, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Kind::Malformed => "malformed",
+            Kind::HeadTooLarge => "head_too_large",
+            Kind::BodyTooLarge => "body_too_large",
+            Kind::Slow => "slow",
+            Kind::NoRoute => "no_route",
+            Kind::NoAccount => "no_account",
+            Kind::NotReady => "not_ready",
+            Kind::Stale => "stale",
+            Kind::NoServer => "no_server",
+            Kind::Full => "full",
+            Kind::TimeOver => "time_over",
+            Kind::Late => "late",
+            Kind::Lost => "lost",
+        }
+    }
+}
+
+impl fmt::Display for Kind {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.name())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/relay.rs
@@ -0,0 +1,88 @@
+//! What the tasks of one router share. Each part stands alone; no part knows
+//! this module.
+
+use std::cell::Cell;
+use std::time::Duration;
+
+use tidepier_ids as ids;
+
+use crate::budget::Budget;
+use crate::choose::Memory;
+use crate::fleet::Fleet;
+use crate::stop::{Phase, Stop};
+use crate::view::View;
+
+/// Boxes that are assumed while none has been counted.
+const BOXES_ASSUMED: usize = 12;
+
+/// Bounds that a request is decided by.
+#[derive(Debug, Clone, Copy)]
+pub struct Bounds {
+    /// Age of the proof of the catalog under which a missing route or an
+    /// unknown key is a fact: the time in which a change has to be in force.
+    pub fresh: Duration,
+    /// Age of the proof under which a key is trusted; `None`: always.
+    pub trusted: Option<Duration>,
+}
+
+/// One router.
+pub struct Relay {
+    /// The hall of this box.
+    pub hall: ids::Hall,
+    bounds: Cell<Bounds>,
+    /// The catalog in force.
+    pub view: View,
+    /// The backend servers.
+    pub fleet: Fleet,
+    /// Where prompts were sent.
+    pub memory: Memory,
+    /// Retries that may be spent.
+    pub budget: Budget,
+    /// The planned stop.
+    pub stop: Stop,
+    boxes: Cell<usize>,
+}
+
+impl Relay {
+    /// A router that knows nothing yet.
+    pub fn new(hall: ids::Hall, bounds: Bounds, budget: Budget) -> Self {
+        Self {
+            hall,
+            bounds: Cell::new(bounds),
+            view: View::default(),
+            fleet: Fleet::default(),
+            memory: Memory::default(),
+            budget,
+            stop: Stop::default(),
+            boxes: Cell::new(BOXES_ASSUMED),
+        }
+    }
+
+    /// Bounds that a request is decided by.
+    pub fn bounds(&self) -> Bounds {
+        self.bounds.get()
+    }
+
+    /// Changes the bounds.
+    pub fn set_bounds(&self, bounds: Bounds) {
+        self.bounds.set(bounds);
+    }
+
+    /// Whether the box can serve new connections.
+    pub fn is_ready(&self) -> bool {
+        let knows = self.view.catalog().is_some() && !self.fleet.is_empty();
+        let trusted = self.bounds().trusted;
+        let trusted = trusted.is_none_or(|most| self.view.is_fresh(most));
+        knows && trusted && self.stop.phase() == Phase::Serving
+    }
+
+    /// Boxes that share the fleet's allowances.
+    pub fn boxes(&self) -> usize {
+        self.boxes.get()
+    }
+
+    /// Records how many boxes there are.
+    pub fn set_boxes(&self, boxes: usize) {
+        self.boxes.set(boxes.max(1));
+    }
+}
--- /dev/null
+++ b/crates/relay/src/stop.rs
@@ -0,0 +1,111 @@
+//! A planned stop: unready at once, new connections until the balancer knows,
+//! every request finished, then the end.
+
+use std::cell::Cell;
+use std::time::{Duration, Instant};
+
+use crate::notice::Notice;
+
+/// How far a stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Phase {
+    /// Not stopping.
+    Serving,
+    /// Told to stop: not ready, but taking what still comes.
+    Leaving,
+    /// The balancer has had time to notice: no new connections or requests.
+    Closing,
+}
+
+/// The stop of this process.
+pub struct Stop {
+    phase: Cell<Phase>,
+    since: Cell<Option<Instant>>,
+    open: Cell<u32>,
+    requests: Cell<u32>,
+    /// Told when the phase changed or a request ended.
+    pub changed: Notice,
+}
+
+impl Default for Stop {
+    fn default() -> Self {
+        Self {
+            phase: Cell::new(Phase::Serving),
+            since: Cell::new(None),
+            open: Cell::new(0),
+            requests: Cell::new(0),
+            changed: Notice::default(),
+        }
+    }
+}
+
+/// Counts something as open until it is dropped.
+pub struct Open<'a> {
+    stop: &'a Stop,
+    count: &'a Cell<u32>,
+}
+
+impl Drop for Open<'_> {
+    fn drop(&mut self) {
+        self.count.set(self.count.get().saturating_sub(1));
+        if self.stop.phase.get() != Phase::Serving {
+            self.stop.changed.tell();
+        }
+    }
+}
+
+impl Stop {
+    /// The phase.
+    pub fn phase(&self) -> Phase {
+        self.phase.get()
+    }
+
+    /// Time since the stop began.
+    pub fn since(&self) -> Option<Duration> {
+        self.since.get().map(|at| at.elapsed())
+    }
+
+    /// Moves on; a stop never goes back.
+    pub fn advance(&self, phase: Phase) {
+        if phase <= self.phase.get() {
+            return;
+        }
+        if self.since.get().is_none() {
+            self.since.set(Some(Instant::now()));
+        }
+        self.phase.set(phase);
+        self.changed.tell();
+    }
+
+    /// Counts a client connection.
+    pub fn connection(&self) -> Open<'_> {
+        self.count(&self.open)
+    }
+
+    /// Counts a request.
+    pub fn request(&self) -> Open<'_> {
+        self.count(&self.requests)
+    }
+
+    /// Open client connections.
+    pub fn connections(&self) -> u32 {
+        self.open.get()
+    }
+
+    /// Requests under way.
+    pub fn requests(&self) -> u32 {
+        self.requests.get()
+    }
+
+    fn count<'a>(&'a self, count: &'a Cell<u32>) -> Open<'a> {
+        count.set(count.get() + 1);
+        Open { stop: self, count }
+    }
+
+    /// Waits until the phase is reached.
+    pub async fn reached(&self, phase: Phase) {
+        while self.phase.get() < phase {
+            self.changed.wait().await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/view.rs
@@ -0,0 +1,72 @@
+//! The operator's catalog as this box knows it, and how old that knowledge is.
+//!
+//! Invariants:
+//!
+//! * The version never falls within one life of the process, whatever order
+//!   answers of the store arrive in.
+//! * [`View::age`] is the time since a moment at which the catalog in force
+//!   here was provably the newest one. It is taken from the steady clock,
+//!   before the store was asked.
+
+use std::cell::{Cell, RefCell};
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use tidepier_core::catalog::{Catalog, Version};
+
+use crate::notice::Notice;
+
+/// The catalog in force on this box.
+#[derive(Default)]
+pub struct View {
+    catalog: RefCell<Option<Arc<Catalog>>>,
+    proven: Cell<Option<Instant>>,
+    /// Told when a catalog was adopted.
+    pub changed: Notice,
+}
+
+impl View {
+    /// The catalog in force, if one is known.
+    pub fn catalog(&self) -> Option<Arc<Catalog>> {
+        self.catalog.borrow().clone()
+    }
+
+    /// The version in force; 0 while none is known.
+    pub fn version(&self) -> Version {
+        let catalog = self.catalog.borrow();
+        catalog
+            .as_ref()
+            .map(|catalog| catalog.version)
+            .unwrap_or_default()
+    }
+
+    /// Puts a catalog in force if it is newer than the one in force; returns
+    /// whether it was.
+    pub fn adopt(&self, catalog: Catalog) -> bool {
+        let known = self.catalog.borrow().is_some();
+        if known && catalog.version <= self.version() {
+            return false;
+        }
+        *self.catalog.borrow_mut() = Some(Arc::new(catalog));
+        self.changed.tell();
+        true
+    }
+
+    /// Records that the catalog in force was the newest one at `asked`.
+    pub fn prove(&self, asked: Instant) {
+        if self.proven.get().is_none_or(|earlier| earlier < asked) {
+            self.proven.set(Some(asked));
+        }
+    }
+
+    /// How long ago the catalog in force was provably the newest one; `None`
+    /// when it never was.
+    pub fn age(&self) -> Option<Duration> {
+        self.proven.get().map(|at| at.elapsed())
+    }
+
+    /// Whether the catalog in force was the newest one less than `most` ago.
+    pub fn is_fresh(&self, most: Duration) -> bool {
+        self.age().is_some_and(|age| age < most)
+    }
+}
--- a/crates/router/src/apply.rs
+++ b/crates/router/src/apply.rs
@@ -10,7 +10,7 @@
 use tidepier_config::document::{Document, Record};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
-use tidepier_platform::store::{Outcome, Revision, Write};
+use tidepier_store::etcd::{Outcome, Revision, Write};
 
 use crate::follow::document_key;
 use crate::node::Node;
--- a/crates/router/src/beats.rs
+++ b/crates/router/src/beats.rs
@@ -9,7 +9,7 @@
 use tidepier_ids as ids;
 use tidepier_membership::{neighbours, State};
 use tidepier_placement::by_rendezvous;
-use tidepier_platform::boxes;
+use tidepier_store::boxes;
 use tidepier_wire::frame::Beat;
 use tidepier_wire::{Frame, Link};
 
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -9,7 +9,7 @@
 use tidepier_errors::Fault;
 use tidepier_ids as ids;
 use tidepier_placement::by_rendezvous;
-use tidepier_platform::store::Revision;
+use tidepier_store::etcd::Revision;
 use tidepier_wire::Frame;
 
 use crate::node::Node;
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -15,7 +15,7 @@
 use tidepier_http::dial::{self, Dial};
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, State, Table};
-use tidepier_platform::store::Client;
+use tidepier_store::etcd::Client;
 use tidepier_wire::frame::{Hello, VERSION};
 use tidepier_wire::link;
 
--- a/crates/standin/src/boxes.rs
+++ b/crates/standin/src/boxes.rs
@@ -8,7 +8,7 @@
 use http_types::Request;
 use tidepier_http::http_types;
 use tidepier_http::server::{Handler, Reply};
-use tidepier_platform::boxes::List;
+use tidepier_store::boxes::List;
 
 use crate::faults::{Strike, Switches};
 
--- a/crates/standin/src/fleet.rs
+++ b/crates/standin/src/fleet.rs
@@ -7,7 +7,7 @@
 
 use smol::Task;
 use tidepier_ids as ids;
-use tidepier_platform::boxes::List;
+use tidepier_store::boxes::List;
 
 use crate::boxes::{self, Boxes};
 use crate::engine::{self, Caches, Engine};
--- a/crates/standin/src/settings.rs
+++ b/crates/standin/src/settings.rs
@@ -4,7 +4,7 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_config::Document;
-use tidepier_platform::boxes::Entry;
+use tidepier_store::boxes::Entry;
 
 use crate::engine::Spec;
 
--- a/crates/steward/src/duty.rs
+++ b/crates/steward/src/duty.rs
@@ -5,7 +5,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
-use tidepier_platform::store::{Client, Lease, Outcome, Revision, Write};
+use tidepier_store::etcd::{Client, Lease, Outcome, Revision, Write};
 
 /// Seconds of a lease.
 pub(crate) const LEASE_SECONDS: u64 = 6;
--- a/crates/steward/src/work.rs
+++ b/crates/steward/src/work.rs
@@ -8,8 +8,8 @@
 use tidepier_config::Settings;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::client::Pool;
-use tidepier_platform::store::Client;
-use tidepier_platform::weights;
+use tidepier_store::etcd::Client;
+use tidepier_store::weights;
 
 use crate::duty::{Duty, Hold, LEASE_SECONDS};
 use crate::orders::{self, Need, Order, FLIGHT};
--- a/crates/platform/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -1,6 +1,6 @@
 //! Clients of the platform that tidepier runs on.
 //!
-//! * [`store`]: the key-value service with compare-and-swap, leases and
+//! * [`etcd`]: the key-value service with compare-and-swap, leases and
 //!   watches, met by the JSON gateway of the etcd v3 API.
 //! * [`boxes`]: the lagging list of live and leaving boxes.
 //! * [`weights`]: the rate-limited weight store.
@@ -8,5 +8,5 @@
 //! Every call is counted by name in `tidepier_store_calls_total`.
 
 pub mod boxes;
-pub mod store;
+pub mod etcd;
 pub mod weights;
--- a/tests/all/claims.rs
+++ b/tests/all/claims.rs
@@ -11,10 +11,10 @@
 use tidepier_claims::{Claimant, Key, Pages, Verdict, PAGES};
 use tidepier_http::client::Pool;
 use tidepier_ids as ids;
-use tidepier_platform::store::Client;
 use tidepier_standin::faults::Faults;
 use tidepier_standin::part::Part;
 use tidepier_standin::store::{Door, Store};
+use tidepier_store::etcd::Client;
 
 use crate::streams::config;
 
--- a/tests/all/orders.rs
+++ b/tests/all/orders.rs
@@ -65,7 +65,7 @@
     let fleet = fleet();
     let settings = &fleet.made.boxes[0];
     let pool = tidepier_http::client::Pool::new();
-    let store = tidepier_platform::store::Client::new(
+    let store = tidepier_store::etcd::Client::new(
         pool,
         settings.platform.store.0,
         Duration::from_millis(500),
