Engines copy a prompt's memory from the engine that keeps it; both weighed by price

Change: a server chosen without the prompt copies it from the engine that this box, or the subject's order, names as its keeper; the cost of a server counts reading again and copying by their prices.

--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -128,12 +128,15 @@
 }
 
 /// What is known of the model engines of a service.
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Engine {
     /// Requests that an engine works on at once.
     pub slots: u32,
     /// Memory for prompts and answers, in tokens.
     pub memory_tokens: u64,
+    /// Time in ms to copy one token's memory from another engine; `None` where
+    /// engines cannot.
+    pub copy_ms_per_token: Option<f64>,
 }
 
 /// Limits on what a client may send.
--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -1,5 +1,6 @@
 //! One request of a client, without its body.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use tidepier_ids as ids;
@@ -70,6 +71,8 @@
     pub priority: Option<u8>,
     /// Continue a stream after this event.
     pub resume_after: Option<u64>,
+    /// Copy what this server keeps of the prompt instead of reading it.
+    pub copy_from: Option<SocketAddr>,
     /// Bytes of the body that follows, if the request has a body.
     pub body: Option<usize>,
 }
--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -1,8 +1,12 @@
 //! Names on the wire, as the far side spells them.
 //!
-//! The stand-ins play the other side of the wire. They spell its names on
-//! their own instead of importing those of the code under test, so that a
-//! misspelling there fails a test.
+//! The stand-ins play the other side of the wire. Keys and paths that
+//! `tidepier-platform` makes public are taken from there; the other names it
+//! keeps to itself, and they are spelled here a second time, so that a
+//! misspelling on either side fails a test.
+
+pub use tidepier_platform::call::REPORT;
+pub use tidepier_platform::key::{CONFIG, OPERATOR, SERVERS};
 
 /// Client's id of an attempt; carried back by answers.
 pub const ATTEMPT: &str = "Attempt-Id";
@@ -27,15 +31,6 @@
 /// Seconds after which to try again.
 pub const RETRY_AFTER: &str = "Retry-After";
 
-/// Path of a server's report.
-pub const REPORT: &str = "/-/report";
-
-/// Key of the configuration.
-pub const CONFIG: &str = "op/config";
-/// Beginning of the keys of servers.
-pub const SERVERS: &str = "servers/";
-/// Beginning of the operator's keys.
-pub const OPERATOR: &str = "op/";
 /// Beginning of the paths of all of the store's calls.
 pub const CALLS: &str = "/-/";
 
--- a/crates/relay-standin/src/store/data.rs
+++ b/crates/relay-standin/src/store/data.rs
@@ -6,13 +6,12 @@
 use base64::engine::general_purpose::STANDARD;
 use base64::Engine as _;
 use serde_json::{json, Value};
+use tidepier_platform::store::ENTRIES_MAX;
 
 use crate::names;
 
 /// Longest key, in bytes, as the platform allows.
 const KEY_BYTES: usize = 200;
-/// Most rows of a transaction, as the platform allows.
-const TXN_ROWS: usize = 32;
 /// Longest lease, as the platform allows.
 const LEASE_MAX: Duration = Duration::from_secs(600);
 
@@ -201,7 +200,7 @@
             rows(names::WRITE),
             rows(names::REMOVE),
         );
-        if expected.len() + write.len() + remove.len() > TXN_ROWS {
+        if expected.len() + write.len() + remove.len() > ENTRIES_MAX {
             return refusal(400, "too many rows");
         }
         let mut puts = Vec::new();
--- a/crates/relay-standin/src/store/faults.rs
+++ b/crates/relay-standin/src/store/faults.rs
@@ -65,15 +65,19 @@
 }
 
 impl Faults {
-    /// What the store's state makes of any call.
-    pub(crate) fn fate(&self) -> Option<Fate> {
-        match self.down {
-            Some(Down::Silent) => Some(Fate::Silence),
-            Some(Down::Busy) => Some(Fate::Answer(refusal(503, "down"))),
-            Some(Down::Reset) => Some(Fate::Reset),
-            None => self
-                .refuse
-                .then(|| Fate::Answer(refusal(429, "too many calls"))),
+    /// What becomes of a call that waits while the store goes down.
+    pub(crate) fn waiting_fate(&self) -> Option<Fate> {
+        match self.down? {
+            Down::Silent => Some(Fate::Silence),
+            Down::Busy => Some(Fate::Answer(refusal(503, "down"))),
+            Down::Reset => Some(Fate::Reset),
         }
     }
+
+    /// What becomes of a call that arrives.
+    pub(crate) fn fate(&self) -> Option<Fate> {
+        let refused = || refusal(429, "too many calls");
+        let fate = self.waiting_fate();
+        fate.or_else(|| self.refuse.then(|| Fate::Answer(refused())))
+    }
 }
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -17,6 +17,7 @@
 use serde_json::{json, Value};
 use smol::{Task, Timer};
 use tidepier_h1::{Conn, Head};
+use tidepier_platform::store::WAIT_MAX;
 
 use crate::front;
 use crate::names;
@@ -26,8 +27,6 @@
 
 /// How often leases are looked at; well under the shortest one.
 const EXPIRY_STEP: Duration = Duration::from_millis(20);
-/// Longest wait of a watch, as the platform allows.
-const WATCH_MAX: Duration = Duration::from_secs(30);
 /// Pause after which a waiting watch looks whether its store is out of order.
 const WATCH_STEP: Duration = Duration::from_millis(25);
 
@@ -218,7 +217,7 @@
                 else {
                     return Fate::Answer(refusal(400, "a watch without its numbers"));
                 };
-                let wait = Duration::from_millis(wait).min(WATCH_MAX);
+                let wait = Duration::from_millis(wait).min(WAIT_MAX);
                 self.watch(&prefix, after, wait).await
             }
             ("POST", "kv-txn" | "kv-lease" | "kv-keep") | ("DELETE", "kv-lease-end") => {
@@ -278,7 +277,7 @@
             loop {
                 let changed = self.changed.listen();
                 let faults = lock(&self.faults).clone();
-                if let Some(fate) = faults.fate() {
+                if let Some(fate) = faults.waiting_fate() {
                     return fate;
                 }
                 let now = Instant::now();
--- a/crates/relay-standin/tests/standin.rs
+++ b/crates/relay-standin/tests/standin/server.rs
@@ -1,199 +1,27 @@
-//! The stand-ins do what tests of the relay count on.
+//! Servers and clients.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
-use serde_json::{json, Value};
 use smol::Timer;
-use tidepier_core::catalog::Kind;
-use tidepier_core::server::State;
 use tidepier_relay_standin::client::{Answer, Call, Client, End, Payload};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{event, Events, Fault, Outcome, Settings};
-use tidepier_relay_standin::site::{Route, HOST};
-use tidepier_relay_standin::store::Down;
-use tidepier_relay_standin::{Server, Site, Store};
+use tidepier_relay_standin::site::HOST;
+use tidepier_relay_standin::Server;
+
+use crate::ms;
 
 /// A wait after which nothing more is expected.
 const QUIET: Duration = Duration::from_millis(150);
 
-fn ms(count: u64) -> Duration {
-    Duration::from_millis(count)
-}
-
 fn post(attempt: &str) -> Call {
     Call::new("POST", HOST, "/a/b?c=1", attempt).body(b"question")
 }
 
-async fn ask(store: &Store, method: &str, target: &str, body: Option<Value>) -> (u16, Value) {
-    let mut call = Call::new(method, "store", target, "").leaving(ms(700));
-    if let Some(body) = body {
-        call = call.body(body.to_string().as_bytes());
-    }
-    let answer = Client::once(store.address(), &call).await.unwrap();
-    let fields = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
-    (answer.status, fields)
-}
-
-async fn put(store: &Store, key: &str, expected: u64, lease: u64) -> (u16, Value) {
-    let body = json!({
-        "expected_revision": [{ "key_file": key, "revision": expected }],
-        "write": [{ "key_file": key, "value": "bm9kZS0x", "lease_id": lease }],
-        "remove": [],
-    });
-    ask(store, "POST", "/-/kv-txn", Some(body)).await
-}
-
 async fn sent(server: &Server, call: Call) -> Answer {
     Client::once(server.address(), &call).await.unwrap()
 }
 
-#[test]
-fn the_store_keeps_conditions_and_revisions() {
-    smol::block_on(async {
-        let store = Store::start().unwrap();
-        assert_eq!(
-            put(&store, "my/a", 0, 0).await,
-            (200, json!({ "revision": 1 }))
-        );
-        let (status, refused) = put(&store, "my/a", 0, 0).await;
-        assert_eq!(
-            (status, &refused["entries"][0]["revision"]),
-            (412, &json!(1))
-        );
-        assert_eq!(put(&store, "my/a", 1, 99).await.0, 404);
-        assert_eq!(put(&store, "op/config", 0, 0).await.0, 403);
-        assert_eq!(put(&store, "servers/x", 0, 0).await.0, 403);
-        let (status, item) = ask(&store, "GET", "/-/kv-key?key_file=my%2Fa", None).await;
-        assert_eq!(status, 200);
-        assert_eq!(
-            (&item["value"], &item["timestamp"]),
-            (&json!("bm9kZS0x"), &json!(1))
-        );
-        assert_eq!(
-            ask(&store, "GET", "/-/kv-key?key_file=my/b", None).await.0,
-            404
-        );
-        assert_eq!(store.calls("kv-txn"), 5);
-    });
-}
-
-#[test]
-fn pages_go_on_at_a_key() {
-    smol::block_on(async {
-        let store = Store::start().unwrap();
-        store.faults(|faults| faults.page = 2);
-        for id in ["a", "b", "c"] {
-            store.put_server(id, &json!({}));
-        }
-        let first = ask(&store, "GET", "/-/kv-range?path_prefix=servers/", None)
-            .await
-            .1;
-        assert_eq!(
-            (
-                first["entries"].as_array().unwrap().len(),
-                &first["has_more"]
-            ),
-            (2, &json!(true))
-        );
-        let next = "/-/kv-range?path_prefix=servers/&start_revision=servers/c";
-        let rest = ask(&store, "GET", next, None).await.1;
-        assert_eq!(rest["entries"][0]["key_file"], "servers/c");
-        assert_eq!(
-            (rest["entries"].as_array().unwrap().len(), &rest["has_more"]),
-            (1, &json!(false))
-        );
-    });
-}
-
-#[test]
-fn watches_wake_expire_and_lose_their_history() {
-    smol::block_on(async {
-        let store = Store::start().unwrap();
-        let watch =
-            |from: u64| format!("/-/kv-watch?path_prefix=op/&start_revision={from}&wait_ms=300");
-        let target = watch(0);
-        let waiting = ask(&store, "GET", &target, None);
-        let write = async {
-            Timer::after(ms(50)).await;
-            store.put_config(&json!({ "version": 1 }));
-        };
-        let ((status, told), ()) = futures_lite::future::zip(waiting, write).await;
-        assert_eq!(
-            (status, &told["events"][0]["key_file"]),
-            (200, &json!("op/config"))
-        );
-        assert_eq!(told["timestamp"], 1);
-        let start = Instant::now();
-        let nothing = ask(&store, "GET", &watch(1), None).await.1;
-        assert_eq!(nothing, json!({ "events": [], "timestamp": 1 }));
-        assert!(start.elapsed() >= ms(290));
-        store.remove(names::CONFIG);
-        assert_eq!(
-            ask(&store, "GET", &watch(1), None).await.1["events"][0]["deleted"],
-            true
-        );
-        store.compact();
-        assert_eq!(ask(&store, "GET", &watch(1), None).await.0, 410);
-        store.deaf(ms(10_000));
-        store.put_config(&json!({ "version": 4 }));
-        assert_eq!(
-            ask(&store, "GET", &watch(2), None).await.1["events"],
-            json!([])
-        );
-    });
-}
-
-#[test]
-fn a_lease_ends_with_its_keys() {
-    smol::block_on(async {
-        let store = Store::start().unwrap();
-        let grant = json!({ "ttl_ms": 200 });
-        let lease = ask(&store, "POST", "/-/kv-lease", Some(grant)).await.1;
-        let id = lease["lease_id"].as_u64().unwrap();
-        assert_eq!(put(&store, "my/n", 0, id).await.0, 200);
-        Timer::after(ms(120)).await;
-        assert_eq!(
-            ask(&store, "POST", &format!("/-/kv-keep/{id}"), None)
-                .await
-                .0,
-            200
-        );
-        Timer::after(ms(120)).await;
-        assert_eq!(store.keys("my/"), ["my/n"]);
-        Timer::after(ms(200)).await;
-        assert!(store.keys("my/").is_empty());
-        assert_eq!(
-            ask(&store, "POST", &format!("/-/kv-keep/{id}"), None)
-                .await
-                .0,
-            404
-        );
-    });
-}
-
-#[test]
-fn store_faults_are_kept_apart() {
-    smol::block_on(async {
-        let store = Store::start().unwrap();
-        store.faults(|faults| faults.lost = 1);
-        assert_eq!(put(&store, "my/lost", 0, 0).await.0, 0);
-        assert_eq!(store.keys("my/"), ["my/lost"]);
-        store.faults(|faults| faults.late = (1, ms(900)));
-        assert_eq!(put(&store, "my/late", 0, 0).await.0, 0);
-        assert_eq!(store.keys("my/"), ["my/lost"]);
-        Timer::after(ms(400)).await;
-        assert_eq!(store.keys("my/"), ["my/late", "my/lost"]);
-        let downs = [(Down::Busy, 503), (Down::Reset, 0), (Down::Silent, 0)];
-        for (down, status) in downs {
-            store.faults(|faults| faults.down = Some(down));
-            assert_eq!(put(&store, "my/down", 0, 0).await.0, status);
-        }
-        store.faults(|faults| (faults.down, faults.refuse) = (None, true));
-        assert_eq!(put(&store, "my/down", 0, 0).await.0, 429);
-        assert_eq!(store.keys("my/"), ["my/late", "my/lost"]);
-    });
-}
-
 #[test]
 fn a_server_answers_and_remembers() {
     smol::block_on(async {
@@ -420,42 +248,98 @@
 }
 
 #[test]
-fn a_site_tells_its_configuration_and_servers() {
+fn limits_of_a_server_hold() {
     smol::block_on(async {
-        let site = Site::start().unwrap();
-        let kind = Kind::Stream { resumable: true };
-        let first = site.declare(&[
-            Route::new("/a/", kind, "s1"),
-            Route::new("/b/", Kind::Once, "s1"),
-        ]);
-        let server = site
-            .server(Settings {
-                service: "s1".into(),
-                ..Settings::default()
-            })
-            .unwrap();
-        let config = || -> Value {
-            serde_json::from_slice(&site.store.value(names::CONFIG).unwrap()).unwrap()
+        let settings = Settings {
+            connections: 1,
+            work: ms(20),
+            ..Settings::default()
         };
-        assert_eq!(config()["services"].as_array().unwrap().len(), 1);
-        assert_eq!(config()["routes"][0]["stream_resume"], true);
-        assert!(site.account("acme", &["k1"], 1) > first);
-        site.drop_route("/b/");
-        assert_eq!(config()["routes"].as_array().unwrap().len(), 1);
-        assert_eq!(config()["tenants"][0]["api_keys"][0], "k1");
-        site.announce(&server, State::Draining);
-        let entry: Value =
-            serde_json::from_slice(&site.store.value("servers/i-1").unwrap()).unwrap();
-        assert_eq!(
-            (&entry["state"], &entry["service"]),
-            (&json!("draining"), &json!("s1"))
-        );
-        site.withdraw(&server);
-        assert!(site.store.keys(names::SERVERS).is_empty());
-        let settings = site.settings("box-1", "hall-1", [server.address(); 3]);
-        assert_eq!(
-            settings["platform"]["address"],
-            site.store.address().to_string()
-        );
+        let server = Server::start(settings).unwrap();
+        let mut first = Client::open(server.address()).await.unwrap();
+        assert_eq!(first.call(&post("a")).await.status, 200);
+        // The reset may come before the client has its connection or after.
+        match Client::once(server.address(), &post("b")).await {
+            Ok(answer) => assert_eq!((answer.status, answer.end), (0, End::Reset)),
+            Err(error) => assert_ne!(error.kind(), std::io::ErrorKind::TimedOut),
+        }
+        assert_eq!((server.connections().0, server.runs().len()), (2, 1));
+        server.slow(10.0);
+        let slow = first.call(&post("c")).await;
+        assert!(slow.elapsed >= ms(200));
+        server.unwell(true);
+        let health = Call::new("GET", HOST, "/healthz", "h");
+        assert_eq!(first.call(&health).await.status, 503);
+        let report = first
+            .call(&Call::new("GET", HOST, names::REPORT, "h"))
+            .await;
+        let report = tidepier_platform::call::report(&report.body).unwrap();
+        assert_eq!((report.running, report.waiting), (0, 0));
+    });
+}
+
+#[test]
+fn a_server_that_drops_nothing_finishes_for_nobody() {
+    smol::block_on(async {
+        let settings = Settings {
+            drops: false,
+            work: ms(100),
+            ..Settings::default()
+        };
+        let server = Server::start(settings).unwrap();
+        sent(&server, post("gone").leaving(ms(30))).await;
+        Timer::after(ms(200)).await;
+        let run = &server.runs()[0];
+        assert_eq!(run.outcome, Outcome::Finished);
+        assert!(run.closed.is_some());
+    });
+}
+
+#[test]
+fn a_stream_stops_when_its_reader_leaves_or_its_server_goes_dark() {
+    smol::block_on(async {
+        let events = Some(Events {
+            count: 100,
+            pause: ms(20),
+        });
+        let server = Server::start(Settings {
+            events,
+            ..Settings::default()
+        })
+        .unwrap();
+        let left = sent(&server, post("a").leaving(ms(100))).await;
+        assert!(!left.events.is_empty() && !left.complete);
+        Timer::after(QUIET).await;
+        assert_eq!(server.runs()[0].outcome, Outcome::Left);
+        let address = server.address();
+        let reader = async {
+            Client::once(address, &post("b").leaving(ms(300)))
+                .await
+                .unwrap()
+        };
+        let darkness = async {
+            Timer::after(ms(100)).await;
+            server.dark(true);
+        };
+        let (dark, ()) = futures_lite::future::zip(reader, darkness).await;
+        assert!(!dark.events.is_empty() && dark.end == End::Left);
+        assert!(dark.events.iter().all(|event| event.after < ms(200)));
+    });
+}
+
+#[test]
+fn an_early_answer_leaves_the_body_to_be_read() {
+    smol::block_on(async {
+        let server = Server::start(Settings::default()).unwrap();
+        server.fault(Fault::Early, 1);
+        let mut client = Client::open(server.address()).await.unwrap();
+        let head = "POST /a/b HTTP/1.1\r\nHost: h\r\nAttempt-Id: e\r\nContent-Length: 4\r\n\r\n";
+        client.send(head.as_bytes()).await.unwrap();
+        assert_eq!(client.answer("POST", ms(500)).await.status, 200);
+        assert_eq!(server.runs()[0].body, None);
+        client.send(b"rest").await.unwrap();
+        client.half_close();
+        Timer::after(QUIET).await;
+        assert_eq!(server.runs()[0].body.as_deref(), Some(&b"rest"[..]));
     });
 }
--- /dev/null
+++ b/crates/relay-standin/tests/standin/store.rs
@@ -0,0 +1,254 @@
+//! The store.
+
+use std::time::Instant;
+
+use serde_json::{json, Value};
+use smol::Timer;
+use tidepier_platform::store as platform;
+use tidepier_relay_standin::client::{Call, Client};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::store::Down;
+use tidepier_relay_standin::Store;
+
+use crate::ms;
+
+async fn ask(store: &Store, method: &str, target: &str, body: Option<Value>) -> (u16, Value) {
+    let mut call = Call::new(method, "store", target, "").leaving(ms(700));
+    if let Some(body) = body {
+        call = call.body(body.to_string().as_bytes());
+    }
+    let answer = Client::once(store.address(), &call).await.unwrap();
+    let fields = serde_json::from_slice(&answer.body).unwrap_or(Value::Null);
+    (answer.status, fields)
+}
+
+async fn put(store: &Store, key: &str, expected: u64, lease: u64) -> (u16, Value) {
+    let body = json!({
+        "expected_revision": [{ "key_file": key, "revision": expected }],
+        "write": [{ "key_file": key, "value": "bm9kZS0x", "lease_id": lease }],
+        "remove": [],
+    });
+    ask(store, "POST", "/-/kv-txn", Some(body)).await
+}
+
+#[test]
+fn the_store_keeps_conditions_and_revisions() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        assert_eq!(
+            put(&store, "my/a", 0, 0).await,
+            (200, json!({ "revision": 1 }))
+        );
+        let (status, refused) = put(&store, "my/a", 0, 0).await;
+        assert_eq!(
+            (status, &refused["entries"][0]["revision"]),
+            (412, &json!(1))
+        );
+        assert_eq!(put(&store, "my/a", 1, 99).await.0, 404);
+        assert_eq!(put(&store, "op/config", 0, 0).await.0, 403);
+        assert_eq!(put(&store, "servers/x", 0, 0).await.0, 403);
+        let (status, item) = ask(&store, "GET", "/-/kv-key?key_file=my%2Fa", None).await;
+        assert_eq!(status, 200);
+        assert_eq!(
+            (&item["value"], &item["timestamp"]),
+            (&json!("bm9kZS0x"), &json!(1))
+        );
+        assert_eq!(
+            ask(&store, "GET", "/-/kv-key?key_file=my/b", None).await.0,
+            404
+        );
+        assert_eq!(store.calls("kv-txn"), 5);
+    });
+}
+
+#[test]
+fn pages_go_on_at_a_key() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        store.faults(|faults| faults.page = 2);
+        for id in ["a", "b", "c"] {
+            store.put_server(id, &json!({}));
+        }
+        let first = ask(&store, "GET", "/-/kv-range?path_prefix=servers/", None)
+            .await
+            .1;
+        assert_eq!(
+            (
+                first["entries"].as_array().unwrap().len(),
+                &first["has_more"]
+            ),
+            (2, &json!(true))
+        );
+        let next = "/-/kv-range?path_prefix=servers/&start_revision=servers/c";
+        let rest = ask(&store, "GET", next, None).await.1;
+        assert_eq!(rest["entries"][0]["key_file"], "servers/c");
+        assert_eq!(
+            (rest["entries"].as_array().unwrap().len(), &rest["has_more"]),
+            (1, &json!(false))
+        );
+    });
+}
+
+#[test]
+fn watches_wake_expire_and_lose_their_history() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let watch =
+            |from: u64| format!("/-/kv-watch?path_prefix=op/&start_revision={from}&wait_ms=300");
+        let target = watch(0);
+        let waiting = ask(&store, "GET", &target, None);
+        let write = async {
+            Timer::after(ms(50)).await;
+            store.put_config(&json!({ "version": 1 }));
+        };
+        let ((status, told), ()) = futures_lite::future::zip(waiting, write).await;
+        assert_eq!(
+            (status, &told["events"][0]["key_file"]),
+            (200, &json!("op/config"))
+        );
+        assert_eq!(told["timestamp"], 1);
+        let start = Instant::now();
+        let nothing = ask(&store, "GET", &watch(1), None).await.1;
+        assert_eq!(nothing, json!({ "events": [], "timestamp": 1 }));
+        assert!(start.elapsed() >= ms(290));
+        store.remove(names::CONFIG);
+        assert_eq!(
+            ask(&store, "GET", &watch(1), None).await.1["events"][0]["deleted"],
+            true
+        );
+        store.compact();
+        assert_eq!(ask(&store, "GET", &watch(1), None).await.0, 410);
+        store.deaf(ms(10_000));
+        store.put_config(&json!({ "version": 4 }));
+        assert_eq!(
+            ask(&store, "GET", &watch(2), None).await.1["events"],
+            json!([])
+        );
+    });
+}
+
+#[test]
+fn a_lease_ends_with_its_keys() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let grant = json!({ "ttl_ms": 200 });
+        let lease = ask(&store, "POST", "/-/kv-lease", Some(grant)).await.1;
+        let id = lease["lease_id"].as_u64().unwrap();
+        assert_eq!(put(&store, "my/n", 0, id).await.0, 200);
+        Timer::after(ms(120)).await;
+        assert_eq!(
+            ask(&store, "POST", &format!("/-/kv-keep/{id}"), None)
+                .await
+                .0,
+            200
+        );
+        Timer::after(ms(120)).await;
+        assert_eq!(store.keys("my/"), ["my/n"]);
+        Timer::after(ms(200)).await;
+        assert!(store.keys("my/").is_empty());
+        assert_eq!(
+            ask(&store, "POST", &format!("/-/kv-keep/{id}"), None)
+                .await
+                .0,
+            404
+        );
+    });
+}
+
+#[test]
+fn store_faults_are_kept_apart() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        store.faults(|faults| faults.lost = 1);
+        assert_eq!(put(&store, "my/lost", 0, 0).await.0, 0);
+        assert_eq!(store.keys("my/"), ["my/lost"]);
+        store.faults(|faults| faults.late = (1, ms(900)));
+        assert_eq!(put(&store, "my/late", 0, 0).await.0, 0);
+        assert_eq!(store.keys("my/"), ["my/lost"]);
+        Timer::after(ms(400)).await;
+        assert_eq!(store.keys("my/"), ["my/late", "my/lost"]);
+        let downs = [(Down::Busy, 503), (Down::Reset, 0), (Down::Silent, 0)];
+        for (down, status) in downs {
+            store.faults(|faults| faults.down = Some(down));
+            assert_eq!(put(&store, "my/down", 0, 0).await.0, status);
+        }
+        store.faults(|faults| (faults.down, faults.refuse) = (None, true));
+        assert_eq!(put(&store, "my/down", 0, 0).await.0, 429);
+        assert_eq!(store.keys("my/"), ["my/late", "my/lost"]);
+    });
+}
+
+#[test]
+fn the_platform_client_is_understood() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        store.faults(|faults| faults.page = 2);
+        let client = platform::Client::new(store.address());
+        let limit = ms(700);
+        let lease = client.lease(ms(1_000), limit).await.unwrap();
+        let absent = platform::Revision(0);
+        for key in ["my/a", "my/b", "my/c"] {
+            let lease = Some(lease.id);
+            let write = platform::Write {
+                key,
+                value: b"v",
+                lease,
+            };
+            let swap = client.swap(&[(key, absent)], &[write], &[], limit).await;
+            assert!(matches!(swap.unwrap(), platform::Swap::Done(_)));
+        }
+        let write = platform::Write {
+            key: "my/a",
+            value: b"w",
+            lease: None,
+        };
+        let expected = [("my/a", absent), ("my/x", absent)];
+        let again = client.swap(&expected, &[write], &[], limit).await;
+        let platform::Swap::Conflict(items) = again.unwrap() else {
+            panic!("no conflict");
+        };
+        assert_eq!((items.len(), &*items[0].value), (1, &b"v"[..]));
+        let listed = client.list("my/", false, limit).await.unwrap();
+        assert_eq!((listed.value.len(), listed.revision.0), (3, 3));
+        assert_eq!(client.calls().list, 2);
+        assert_eq!(store.calls("kv-range"), 2);
+        assert!(client.get("my/x", limit).await.unwrap().value.is_none());
+        let kept = client.keep(lease.id, limit).await.unwrap();
+        assert_eq!(kept, platform::Kept::For(ms(1_000)));
+        client.end(lease.id, limit).await.unwrap();
+        let seen = client.watch("my/", listed.revision, limit).await.unwrap();
+        assert_eq!((seen.value.len(), seen.revision.0), (3, 4));
+        assert!(matches!(seen.value[0], platform::Event::Delete { .. }));
+        assert_eq!(
+            client.keep(lease.id, limit).await.unwrap(),
+            platform::Kept::Gone
+        );
+        store.faults(|faults| faults.refuse = true);
+        let refused = client.get("my/a", limit).await;
+        assert!(matches!(refused, Err(platform::Failure::TooMany)));
+    });
+}
+
+#[test]
+fn waiting_watches_are_cut_and_outlast_a_rate_limit() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let watch = "/-/kv-watch?path_prefix=op/&start_revision=0&wait_ms=500";
+        let cut = async {
+            Timer::after(ms(100)).await;
+            store.cut_watches();
+        };
+        let start = Instant::now();
+        let ((status, _), ()) =
+            futures_lite::future::zip(ask(&store, "GET", watch, None), cut).await;
+        assert_eq!(status, 0);
+        assert!(start.elapsed() < ms(400));
+        let limit = async {
+            Timer::after(ms(100)).await;
+            store.faults(|faults| faults.refuse = true);
+        };
+        let ((status, _), ()) =
+            futures_lite::future::zip(ask(&store, "GET", watch, None), limit).await;
+        assert_eq!(status, 200);
+    });
+}
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,7 @@
 //! servers, corrected by what this box itself has sent where.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -16,14 +17,18 @@
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::fleet::Backend;
+use crate::fleet::{Backend, Fleet};
 
 /// Tokens that a model engine reads in a ms, when nothing better is known:
 /// measured engines read 38 to 43.
 const READ_TOKENS_PER_MS: f64 = 40.0;
-/// What reading a token again costs beside the time of its own request: all
-/// that runs beside it is held up.
-const READ_WEIGHT: f64 = 1.4;
+/// What reading a token of a shared part again costs beside the time of its
+/// own request, in ms: all that runs beside it is held up, and the users price
+/// it. Worked out from the prices of the users' sites: 1,000 tokens cost a
+/// fifth of a mean request, which is worth a wait of some 400 ms.
+const READ_AGAIN_MS: f64 = 0.07;
+/// The same for copying a token's memory from another engine: 28 in 100 of it.
+const COPY_MS: f64 = 0.02;
 /// Cost of each request that runs at an engine, in ms: steps grow slower.
 const RUNNING_MS: f64 = 1.0;
 /// Cost of each request past an engine's slots, in ms.
@@ -52,6 +57,8 @@
 /// How likely the server at a rank of a subject's order keeps the subject when
 /// this box has not sent it there itself.
 const KEPT_BY_RANK: [f64; 2] = [0.85, 0.4];
+/// Tokens under which copying a prompt's memory is not worth its set-up.
+const COPY_TOKENS_MIN: f64 = 200.0;
 /// Subjects remembered.
 const SUBJECTS: usize = 4_096;
 /// Time that a server is trusted to keep a part after this box used it there.
@@ -61,7 +68,13 @@
 
 /// Where this box has sent the parts of prompts.
 pub struct Memory {
-    parts: RefCell<LruCache<u64, Vec<(u64, Instant)>>>,
+    parts: RefCell<LruCache<u64, Vec<Place>>>,
+}
+
+/// A server that a part was sent to.
+struct Place {
+    server: ids::Server,
+    at: Instant,
 }
 
 impl Default for Memory {
@@ -76,25 +89,32 @@
 impl Memory {
     /// Records that the shared parts of a prompt were sent to a server.
     pub fn sent(&self, prompt: &Prompt, server: &ids::Server, now: Instant) {
-        let server = server_hash(server);
         let mut parts = self.parts.borrow_mut();
         for part in shared(prompt) {
             let places = parts.get_or_insert_mut(part.id, Vec::new);
-            places.retain(|(other, at)| *other != server && now.duration_since(*at) < KEPT_TIME);
+            places.retain(|place| place.server != *server && place.is_kept(now));
             if places.len() >= PLACES {
                 places.remove(0);
             }
-            places.push((server, now));
+            places.push(Place {
+                server: server.clone(),
+                at: now,
+            });
         }
     }
 
-    fn keeps(&self, part: u64, server: u64, now: Instant) -> bool {
+    /// Servers that keep a part, the one used last first.
+    fn places(&self, part: &Part, now: Instant) -> Vec<ids::Server> {
         let parts = self.parts.borrow();
-        let places = parts.peek(&part);
-        places
-            .into_iter()
-            .flatten()
-            .any(|(other, at)| *other == server && now.duration_since(*at) < KEPT_TIME)
+        let places = parts.peek(&part.id).into_iter().flatten();
+        let kept = places.filter(|place| place.is_kept(now));
+        kept.map(|place| place.server.clone()).rev().collect()
+    }
+}
+
+impl Place {
+    fn is_kept(&self, now: Instant) -> bool {
+        now.duration_since(self.at) < KEPT_TIME
     }
 }
 
@@ -103,14 +123,12 @@
     &prompt.parts[..shared]
 }
 
-fn server_hash(server: &ids::Server) -> u64 {
-    xxh3_64_with_seed(server.as_str().as_bytes(), 0)
-}
-
 /// What is to be placed.
 pub struct Ask<'a> {
     /// The prompt, at a model engine.
     pub prompt: Option<&'a Prompt>,
+    /// Time in ms to copy a token's memory between engines, where they can.
+    pub copy_ms: Option<f64>,
     /// Servers that this request was sent to already.
     pub tried: &'a [ids::Server],
     /// The hall of this box.
@@ -129,18 +147,26 @@
     pub load: f64,
     /// Tokens of the prompt that it is estimated to read.
     pub read: f64,
+    /// The engine from which it is to copy what it does not keep.
+    pub copy_from: Option<SocketAddr>,
 }
 
-/// The cheapest of `servers`; `None` when there is none that may be asked.
+/// The cheapest of a service's servers; `None` when there is none that may be
+/// asked.
 pub fn choose(
-    servers: &[Rc<Backend>],
+    fleet: &Fleet,
+    service: &ids::Service,
     ask: &Ask<'_>,
     memory: &Memory,
     now: Instant,
 ) -> Option<Choice> {
+    let servers = fleet.serving(service);
     let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
-        Some(prompt) => choose_engine(servers, ask, prompt, memory, now),
+        Some(prompt) => {
+            let places = Places::new(fleet, &servers, prompt, memory, now);
+            choose_engine(&servers, ask, prompt, &places, now)
+        }
         None => servers
             .iter()
             .filter(open)
@@ -159,6 +185,7 @@
         cost,
         load,
         read: 0.0,
+        copy_from: None,
     }
 }
 
@@ -177,26 +204,87 @@
     cost
 }
 
+/// Where a prompt's parts are kept, as far as this box can tell.
+struct Places {
+    /// Servers that this box sent each shared part to, the last one first.
+    by_part: Vec<Vec<ids::Server>>,
+    /// Indexes of the servers that come first for the subject, best first.
+    ranks: Vec<usize>,
+    /// Engines from which the subject may be copied, best first.
+    sources: Vec<(ids::Server, SocketAddr)>,
+}
+
+impl Places {
+    fn new(
+        fleet: &Fleet,
+        servers: &[Rc<Backend>],
+        prompt: &Prompt,
+        memory: &Memory,
+        now: Instant,
+    ) -> Self {
+        let shared = shared(prompt);
+        let by_part: Vec<_> = shared.iter().map(|part| memory.places(part, now)).collect();
+        let ranks = ranks(servers, prompt);
+        let known = by_part.last().into_iter().flatten();
+        let known = known.filter_map(|id| fleet.get(id));
+        let ranked = ranks.iter().map(|at| servers[*at].clone());
+        let sources = known
+            .chain(ranked)
+            .filter(|backend| backend.health.allows(now))
+            .map(|backend| (backend.server.id.clone(), backend.server.address))
+            .collect();
+        Self {
+            by_part,
+            ranks,
+            sources,
+        }
+    }
+
+    /// Tokens of a prompt's shared parts that a server is expected to lack.
+    fn lacking(&self, at: usize, server: &ids::Server, prompt: &Prompt) -> f64 {
+        let rank = self.ranks.iter().position(|first| *first == at);
+        let prior = rank.map_or(0.0, |rank| KEPT_BY_RANK[rank]);
+        let mut kept_so_far = 1.0;
+        let mut lacking = 0.0;
+        for (part, places) in shared(prompt).iter().zip(&self.by_part) {
+            kept_so_far *= if places.contains(server) { 1.0 } else { prior };
+            lacking += (1.0 - kept_so_far) * f64::from(part.tokens);
+        }
+        lacking
+    }
+
+    /// The engine that a server copies from.
+    fn source(&self, server: &ids::Server) -> Option<SocketAddr> {
+        let other = self.sources.iter().find(|(id, _)| id != server);
+        other.map(|(_, address)| *address)
+    }
+}
+
 fn choose_engine(
     servers: &[Rc<Backend>],
     ask: &Ask<'_>,
     prompt: &Prompt,
-    memory: &Memory,
+    places: &Places,
     now: Instant,
 ) -> Option<Choice> {
-    let loads: Vec<f64> = servers.iter().map(|backend| load(backend)).collect();
+    let loads: Vec<f64> = servers.iter().map(load).collect();
     let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
     let bound = BOUND_FACTOR * mean + BOUND_EXTRA;
-    let ranks = ranks(servers, prompt, ask.hall);
     let candidates = servers.iter().zip(loads).enumerate();
     candidates
         .filter(|(_, (backend, _))| backend.own() < ask.connections)
         .map(|(at, (backend, load))| {
-            let rank = ranks.iter().position(|first| *first == at);
-            let read = unread(backend, prompt, rank, memory, now);
+            let id = &backend.server.id;
+            let lacking = places.lacking(at, id, prompt);
+            let own = f64::from(prompt.parts.last().map_or(prompt.input, |part| part.tokens));
+            let source = places.source(id).filter(|_| lacking > COPY_TOKENS_MIN);
+            let copied = ask.copy_ms.zip(source);
+            let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
+            let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
             let queued = backend.prefill() as f64;
             let slots = f64::from(backend.server.slots);
-            let cost = (READ_WEIGHT * read + queued) / READ_TOKENS_PER_MS
+            let cost = lacking * per_lacking
+                + (own + queued) / READ_TOKENS_PER_MS
                 + RUNNING_MS * load
                 + WAITING_MS * (load - slots).max(0.0)
                 + EXCESS_MS * (load - bound).max(0.0)
@@ -206,7 +294,8 @@
                 backend: backend.clone(),
                 cost,
                 load,
-                read,
+                read: own + if copied.is_some() { 0.0 } else { lacking },
+                copy_from: copied.map(|(_, address)| address),
             }
         })
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
@@ -218,7 +307,7 @@
 }
 
 /// Indexes of the servers that come first for a prompt's subject, best first.
-fn ranks(servers: &[Rc<Backend>], prompt: &Prompt, _hall: &ids::Hall) -> Vec<usize> {
+fn ranks(servers: &[Rc<Backend>], prompt: &Prompt) -> Vec<usize> {
     let Some(subject) = prompt.subject().or(prompt.parts.first()) else {
         return Vec::new();
     };
@@ -234,30 +323,3 @@
     scored.truncate(KEPT_BY_RANK.len());
     scored.into_iter().map(|(_, at)| at).collect()
 }
-
-/// Tokens of a prompt that a server is expected to read.
-fn unread(
-    backend: &Rc<Backend>,
-    prompt: &Prompt,
-    rank: Option<usize>,
-    memory: &Memory,
-    now: Instant,
-) -> f64 {
-    let server = server_hash(&backend.server.id);
-    let prior = rank.and_then(|rank| KEPT_BY_RANK.get(rank).copied());
-    let mut kept_before = 1.0;
-    let mut unread = 0.0;
-    let shared = shared(prompt);
-    for (at, part) in prompt.parts.iter().enumerate() {
-        let kept = if at >= shared.len() {
-            0.0
-        } else if memory.keeps(part.id, server, now) {
-            1.0
-        } else {
-            prior.unwrap_or(0.0)
-        };
-        kept_before *= kept;
-        unread += (1.0 - kept_before) * f64::from(part.tokens);
-    }
-    unread
-}
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -136,8 +136,9 @@
         other => denied(other),
     })?;
     let service = share(&route);
-    let connections = catalog.services.get(&service);
-    let connections = connections.map_or(u32::MAX, |service| service.connections);
+    let declared = catalog.services.get(&service);
+    let connections = declared.map_or(u32::MAX, |service| service.connections);
+    let engine = declared.and_then(|service| service.engine);
     let patience = request.patience.unwrap_or(route.timeout);
     relay.budget.request(&service, arrival.at);
     Ok(Exchange {
@@ -147,6 +148,7 @@
         connections: (connections / relay.boxes() as u32).max(2),
         deadline: arrival.at + patience.min(route.timeout),
         patience_end: arrival.at + patience,
+        copy_ms: engine.and_then(|engine| engine.copy_ms_per_token),
         request,
         account,
         service,
@@ -210,6 +212,8 @@
     service: ids::Service,
     /// Most connections of this box to one server.
     connections: u32,
+    /// Time in ms to copy a token's memory between engines, where they can.
+    copy_ms: Option<f64>,
     /// When the client has its final answer at the latest.
     pub(crate) deadline: Instant,
     /// When the client gives up.
@@ -250,7 +254,7 @@
         let choice = self.choose()?;
         let backend = choice.backend.clone();
         self.note_placed(&choice);
-        let bytes = self.encode(&backend, resume_after);
+        let bytes = self.encode(&choice, resume_after);
         let rest = if self.route.kind.repeatable() {
             REST_REPEATABLE
         } else {
@@ -284,18 +288,22 @@
     }
 
     fn choose(&self) -> Result<Choice, refusal::Kind> {
-        let servers = self.relay.fleet.serving(&self.service);
+        let relay = self.relay;
         let ask = Ask {
             prompt: self.request.prompt.as_ref(),
+            copy_ms: self.copy_ms,
             tried: &self.tried,
             hall: &self.relay.hall,
             connections: self.connections,
         };
-        let choice = choose::choose(&servers, &ask, &self.relay.memory, Instant::now());
-        choice.ok_or(if servers.is_empty() {
-            refusal::Kind::NoServer
-        } else {
-            refusal::Kind::Full
+        let now = Instant::now();
+        let choice = choose::choose(&relay.fleet, &self.service, &ask, &relay.memory, now);
+        choice.ok_or_else(|| {
+            if relay.fleet.serving(&self.service).is_empty() {
+                refusal::Kind::NoServer
+            } else {
+                refusal::Kind::Full
+            }
         })
     }
 
@@ -303,7 +311,7 @@
         log::info!(
             target: "request",
             "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             read={:.0} version={} age_ms={}",
+             read={:.0} copy={} version={} age_ms={}",
             self.request.attempt,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
@@ -312,19 +320,21 @@
             choice.cost,
             choice.load,
             choice.read,
+            choice.copy_from.is_some(),
             self.relay.view.version(),
             self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
         );
     }
 
-    fn encode(&self, backend: &Backend, resume_after: Option<u64>) -> Vec<u8> {
+    fn encode(&self, choice: &Choice, resume_after: Option<u64>) -> Vec<u8> {
         let mut bytes = Vec::with_capacity(1_024 + self.arrival.body.len());
         let forward = Forward {
-            server: &backend.server.id,
+            server: &choice.backend.server.id,
             left: Some(self.patience_end.min(self.deadline) - Instant::now()),
             account: self.account.as_ref().map(|account| &account.name),
             priority: self.request.prompt.as_ref().map(|_| self.rank()),
             resume_after,
+            copy_from: choice.copy_from,
             body: self.arrival.has_body.then_some(self.arrival.body.len()),
         };
         wire_request::encode(self.arrival.head, &forward, &mut bytes);
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -281,6 +281,11 @@
         true
     }
 
+    /// A server that is known, also one that is leaving.
+    pub fn get(&self, id: &ids::Server) -> Option<Rc<Backend>> {
+        self.servers.borrow().get(id).cloned()
+    }
+
     /// The servers of a service that take new requests.
     pub fn serving(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
         let services = self.services.borrow();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -49,8 +49,9 @@
 use crate::stop::Phase;
 
 /// Time from the request to stop until new connections are no longer taken:
-/// the balancer asks every second and believes the second refusal.
-const NOTICE_TIME: Duration = Duration::from_millis(3_200);
+/// the balancer asks every second and believes the second refusal. Under 3 s,
+/// from which on a request that is taken has to be finished.
+const NOTICE_TIME: Duration = Duration::from_millis(2_950);
 /// Time before the process is killed at which it ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
 /// Part of the bound on taken-away keys that is kept as a margin for the way
