--- a/crates/relay-standin/src/client.rs
+++ b/crates/relay-standin/src/client.rs
@@ -229,23 +229,22 @@
         let writer = self.conn.writer();
         let send = async {
             for piece in &pieces {
-                // The answer tells how the connection stands.
-                if writer.write_all(piece).await.is_err() {
-                    return;
-                }
+                writer.write_all(piece).await?;
                 Timer::after(call.pause).await;
             }
+            Ok(())
         };
-        let (_, answer) = future::zip(
-            async {
-                let left = async {
-                    Timer::after(call.leave).await;
-                };
-                send.or(left).await;
-            },
-            self.answer(&call.method, call.leave),
-        )
-        .await;
+        let left = async {
+            Timer::after(call.leave).await;
+            Ok(())
+        };
+        let answer = self.answer(&call.method, call.leave);
+        let (sent, mut answer) = future::zip(send.or(left), answer).await;
+        // A reset that a write has been told of is a plain end to reads.
+        let reset = sent.is_err_and(|error: io::Error| end_of(&error) == End::Reset);
+        if reset && answer.end == End::Closed {
+            answer.end = End::Reset;
+        }
         answer
     }
 
@@ -350,6 +349,8 @@
     match error.kind() {
         io::ErrorKind::UnexpectedEof => End::Closed,
         io::ErrorKind::InvalidData => End::Malformed,
+        // The peer closed before it was written to; it said no more than that.
+        io::ErrorKind::BrokenPipe => End::Closed,
         _ => End::Reset,
     }
 }
--- a/crates/relay/src/bin/tidepier-relay.rs
+++ b/crates/relay/src/bin/tidepier-relay.rs
@@ -5,7 +5,6 @@
 
 use clap::Parser;
 use log::LevelFilter;
-use smol::LocalExecutor;
 use tidepier_relay::settings::{self, Settings};
 use tidepier_relay::signal::Changes;
 
@@ -63,8 +62,7 @@
     let settings = settings::read(&arguments.settings)?;
     let queue = tidepier_relay::log::init(arguments.log)?;
     tell_start(&settings);
-    let executor = LocalExecutor::new();
-    let outcome = smol::block_on(executor.run(tidepier_relay::run(settings, changes)));
+    let outcome = smol::block_on(tidepier_relay::run(settings, changes));
     match &outcome {
         Ok(()) => log::info!(target: "process", "event=stopped reason=asked"),
         Err(error) => {
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -42,9 +42,9 @@
 const GATHER_TIME: Duration = Duration::from_millis(400);
 /// How long after the store is back an entry that lapsed may stay missing.
 const LAPSE_TIME: Duration = Duration::from_millis(2_200);
-/// Time after a failed call in which the store is not relied on: entries that
-/// lapsed meanwhile are told of somewhat later.
-const DOUBT_TIME: Duration = Duration::from_secs(3);
+
+/// Time between two looks whether the store can be relied on again.
+const LAPSE_LOOK: Duration = Duration::from_millis(100);
 
 /// The follower of the store.
 pub struct Follower {
@@ -52,10 +52,10 @@
     store: Client,
     /// Revision of the catalog's entry in force here.
     revision: Cell<Option<Revision>>,
-    /// When a call last failed.
-    failed: Cell<Option<Instant>>,
     /// Whether the last proof failed.
     away: Cell<bool>,
+    /// Until when an entry's absence may be the store's fault.
+    doubt: Cell<Option<Instant>>,
     /// Told when the store is back after it was away.
     back: Notice,
 }
@@ -67,8 +67,8 @@
             relay,
             store,
             revision: Cell::new(None),
-            failed: Cell::new(None),
             away: Cell::new(false),
+            doubt: Cell::new(None),
             back: Notice::default(),
         })
     }
@@ -207,6 +207,7 @@
 
     fn returned(&self) {
         if self.away.replace(false) {
+            self.doubt.set(Some(Instant::now() + LAPSE_TIME));
             log::info!(target: "belief", "event=store_back");
             self.back.tell();
         }
@@ -220,9 +221,6 @@
     }
 
     fn failure(&self, what: &str, failure: &Failure) {
-        if !matches!(failure, Failure::Compacted) {
-            self.failed.set(Some(Instant::now()));
-        }
         metrics::counter!("tidepier_store_failures_total", "call" => failure.name()).increment(1);
         log::info!(
             target: "belief",
@@ -231,8 +229,10 @@
         );
     }
 
+    /// Whether an entry that is absent is gone.
     fn reliable(&self) -> bool {
-        !self.away.get() && self.failed.get().is_none_or(|at| at.elapsed() > DOUBT_TIME)
+        let doubted = self.doubt.get().is_some_and(|until| Instant::now() < until);
+        !self.away.get() && !doubted
     }
 
     /// Follows the servers; does not end.
@@ -336,9 +336,9 @@
     pub async fn lapses(self: Rc<Self>) {
         loop {
             self.back.wait().await;
-            Timer::after(LAPSE_TIME).await;
-            if self.away.get() {
-                continue;
+            // The store may go and come back again meanwhile.
+            while !self.reliable() {
+                Timer::after(LAPSE_LOOK).await;
             }
             for id in self.relay.fleet.missing() {
                 if self.relay.fleet.remove(&id) {
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -122,7 +122,7 @@
         if state.lines >= LINES_WAITING || state.bytes.len() + line.len() > BYTES_WAITING {
             state.dropped += 1;
             drop(state);
-            metrics::counter!("tidepier_log_lines_dropped").increment(1);
+            metrics::counter!("tidepier_log_lines_dropped_total").increment(1);
             return;
         }
         state.bytes.extend_from_slice(line);
@@ -142,7 +142,7 @@
             if outcome.is_err() {
                 // The log itself is broken: there is no place to say so.
                 state.dropped += lines as u64;
-                metrics::counter!("tidepier_log_lines_dropped").increment(lines as u64);
+                metrics::counter!("tidepier_log_lines_dropped_total").increment(lines as u64);
             }
             self.0.written.notify_all();
         }
@@ -301,7 +301,7 @@
             return true;
         }
         self.held.set(self.held.get() + 1);
-        metrics::counter!("tidepier_log_lines_held", "event" => self.event).increment(1);
+        metrics::counter!("tidepier_log_lines_held_total", "event" => self.event).increment(1);
         false
     }
 
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -107,7 +107,7 @@
                 buckets.render(&mut text, key);
             }
         }
-        let refused = "tidepier_metrics_refused";
+        let refused = "tidepier_metrics_refused_total";
         series.begin(&mut text, refused, "counter");
         line(&mut text, refused, "", [].iter(), None, series.refused);
         text
--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -252,7 +252,7 @@
         r#"taken_bucket{le="+Inf"} 3"#,
         "taken_sum 100.301",
         "taken_count 3",
-        "tidepier_metrics_refused 0",
+        "tidepier_metrics_refused_total 0",
     ] {
         assert!(text.lines().any(|found| found == line), "{line} in\n{text}");
     }
@@ -264,5 +264,5 @@
     let text = registry.render();
     let open = text.lines().filter(|line| line.starts_with("open{"));
     assert_eq!(open.count(), 510);
-    assert!(text.contains("tidepier_metrics_refused 90"));
+    assert!(text.contains("tidepier_metrics_refused_total 90"));
 }
