Failures are compared with the other servers'; long answers stay in the hall

A server now costs only what it fails above the mean of its service. Long streams over halls broke when a hall was cut: the cost of another hall grows with the expected answer. Boxes turned away by the store refused with 0.5 s to wait, so clients came back late: 20 ms now, and their connections close, as another box serves. A server's own error on a resumable stream before its first event is retried within the budget.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -30,21 +30,27 @@
 /// The same for copying a token's memory from another engine: 28 in 100 of it.
 const COPY_MS: f64 = 0.02;
 /// Cost of each request that runs at an engine, in ms: steps grow slower.
-const RUNNING_MS: f64 = 1.0;
+const RUNNING_MS: f64 = 0.5;
 /// Cost of each request past an engine's slots, in ms.
 const WAITING_MS: f64 = 40.0;
 /// Cost of each request past the bound on the load of one server, in ms.
 const EXCESS_MS: f64 = 60.0;
 /// The bound: this many times the mean, plus [`BOUND_EXTRA`]. Below the
 /// operator's own bound, as loads told are late.
-const BOUND_FACTOR: f64 = 1.4;
+const BOUND_FACTOR: f64 = 1.6;
 /// Requests over the mean that are always borne.
 const BOUND_EXTRA: f64 = 2.0;
 /// Cost of a server in another hall, in ms: the way there, and the price of
 /// bytes between halls.
 const OTHER_HALL_MS: f64 = 12.0;
-/// Cost of a server at which every request failed, in ms.
+/// The same for each token of an expected answer: a stream between halls is
+/// paid for by the byte, and breaks when one of them is cut off.
+const OTHER_HALL_TOKEN_MS: f64 = 0.1;
+/// Cost of a server at which every request failed, in ms, if the others are
+/// well.
 const FAILING_MS: f64 = 2_000.0;
+/// Share of failures above the others' mean that tells nothing.
+const FAILING_SLACK: f64 = 0.15;
 /// Cost of a server that is left out for its failures, in ms: taken only when
 /// there is no other.
 const LEFT_OUT_MS: f64 = 1e6;
@@ -56,7 +62,7 @@
 const PLAIN_MS: f64 = 60.0;
 /// How likely the server at a rank of a subject's order keeps the subject when
 /// this box has not sent it there itself.
-const KEPT_BY_RANK: [f64; 2] = [0.85, 0.4];
+const KEPT_BY_RANK: [f64; 2] = [0.93, 0.3];
 /// Tokens under which copying a prompt's memory is not worth its set-up.
 const COPY_TOKENS_MIN: f64 = 200.0;
 /// Subjects remembered.
@@ -161,25 +167,26 @@
     now: Instant,
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
+    let failing = mean_failing(&servers);
     let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
         Some(prompt) => {
             let places = Places::new(fleet, &servers, prompt, memory, now);
-            choose_engine(&servers, ask, prompt, &places, now)
+            choose_engine(&servers, ask, prompt, &places, failing, now)
         }
         None => servers
             .iter()
             .filter(open)
-            .map(|backend| plain(backend, ask, now))
+            .map(|backend| plain(backend, ask, failing, now))
             .min_by(|a, b| a.cost.total_cmp(&b.cost)),
     }
 }
 
-fn plain(backend: &Rc<Backend>, ask: &Ask<'_>, now: Instant) -> Choice {
+fn plain(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> Choice {
     let load = f64::from(backend.own());
     let time = backend.health.time_ms().unwrap_or(PLAIN_MS);
     let jitter = fastrand::f64() * 0.2 * PLAIN_MS;
-    let cost = time * (load + 1.0) + jitter + common(backend, ask, now);
+    let cost = time * (load + 1.0) + jitter + common(backend, ask, failing, now);
     Choice {
         backend: backend.clone(),
         cost,
@@ -189,11 +196,22 @@
     }
 }
 
+/// Mean share of recent failures at the servers of a service: trouble that all
+/// have is no reason to prefer one.
+fn mean_failing(servers: &[Rc<Backend>]) -> f64 {
+    let rates = servers.iter().map(|backend| backend.health.failure_rate());
+    rates.sum::<f64>() / servers.len().max(1) as f64
+}
+
 /// Costs that hold for every kind of server.
-fn common(backend: &Rc<Backend>, ask: &Ask<'_>, now: Instant) -> f64 {
-    let mut cost = FAILING_MS * backend.health.failure_rate();
+fn common(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> f64 {
+    let excess = backend.health.failure_rate() - failing - FAILING_SLACK;
+    let mut cost = FAILING_MS * excess.max(0.0);
     if backend.server.hall != *ask.hall {
-        cost += OTHER_HALL_MS;
+        let tokens = ask
+            .prompt
+            .map_or(0, |prompt| prompt.hint.unwrap_or(prompt.output));
+        cost += OTHER_HALL_MS + OTHER_HALL_TOKEN_MS * f64::from(tokens);
     }
     if !backend.health.allows(now) {
         cost += LEFT_OUT_MS;
@@ -265,6 +283,7 @@
     ask: &Ask<'_>,
     prompt: &Prompt,
     places: &Places,
+    failing: f64,
     now: Instant,
 ) -> Option<Choice> {
     let loads: Vec<f64> = servers.iter().map(load).collect();
@@ -289,7 +308,7 @@
                 + WAITING_MS * (load - slots).max(0.0)
                 + EXCESS_MS * (load - bound).max(0.0)
                 + fastrand::f64()
-                + common(backend, ask, now);
+                + common(backend, ask, failing, now);
             Choice {
                 backend: backend.clone(),
                 cost,
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -6,7 +6,7 @@
 
 use futures_lite::FutureExt;
 use smol::Timer;
-use tidepier_core::catalog::{Account, Catalog, Kind as RouteKind, Route};
+use tidepier_core::catalog::{Account, Catalog, Route};
 use tidepier_core::request::{Forward, Request};
 use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
@@ -18,7 +18,6 @@
 use crate::health::Outcome;
 use crate::refusal;
 use crate::relay::Relay;
-use crate::stop::Phase;
 use crate::stream;
 
 /// Time left under which a request is not sent again.
@@ -96,7 +95,7 @@
         view.age().map_or(-1, |age| age.as_millis() as i64),
     );
     metrics::counter!("tidepier_refusals_total", "why" => kind.name()).increment(1);
-    let close = arrival.close || relay.stop.phase() != Phase::Serving;
+    let close = arrival.close || relay.sheds();
     let mut out = Vec::new();
     wire_refusal::encode(
         kind.status(),
@@ -364,7 +363,7 @@
         }
         self.may_have_run = true;
         let own_error = reply.answer.status >= 500;
-        if own_error && self.route.kind == RouteKind::Repeatable && self.retry_is_paid() {
+        if own_error && self.route.kind.repeatable() && self.retry_is_paid() {
             let status = reply.answer.status;
             stream::keep_after(backend, reply, self.deadline).await;
             return Err(Failure {
@@ -482,7 +481,7 @@
 
     /// Whether the client's connection is closed after this answer.
     pub(crate) fn closes(&self) -> bool {
-        self.arrival.close || self.relay.stop.phase() != Phase::Serving
+        self.arrival.close || self.relay.sheds()
     }
 
     /// Encodes an answer's head for the client.
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -9,8 +9,9 @@
 /// When to come back where nothing better is known: long enough for another
 /// box or server to be tried, short against every objective.
 const SOON: Duration = Duration::from_millis(150);
-/// When to come back while this box does not know the configuration.
-const UNREADY: Duration = Duration::from_millis(500);
+/// When to come back while this box does not know the configuration: at once,
+/// since a further try reaches another box.
+const UNREADY: Duration = Duration::from_millis(20);
 
 /// Why this box answers by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -76,6 +76,12 @@
         knows && trusted && self.stop.phase() == Phase::Serving
     }
 
+    /// Whether clients' connections are closed after the next answer: their
+    /// next requests are better served by another box.
+    pub fn sheds(&self) -> bool {
+        !self.is_ready()
+    }
+
     /// Boxes that share the fleet's allowances.
     pub fn boxes(&self) -> usize {
         self.boxes.get()
