Boxes of a hall ask the one that reads the store

Change: boxes register in the store under a long lease; the first of a hall that answers reads the store, the others ask it every 400 ms for its proof (age told, dated from before the question), catalog and changes of servers. A box with nobody before it, or with an old proof, reads by itself.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -119,7 +119,7 @@
     }
 
     /// Takes the first `count` pending bytes.
-    pub(crate) fn take(&mut self, count: usize) -> Vec<u8> {
+    pub fn take(&mut self, count: usize) -> Vec<u8> {
         if count == self.pending.len() {
             return std::mem::take(&mut self.pending);
         }
--- /dev/null
+++ b/crates/relay/src/follow/catalog.rs
@@ -0,0 +1,144 @@
+//! The catalog: its entry in the store, and the proof that it is the newest.
+
+use std::rc::Rc;
+use std::time::Instant;
+
+use futures_lite::FutureExt;
+use smol::Timer;
+use tidepier_platform::store::{Event, Failure, Item, Revision, Swap};
+use tidepier_platform::{catalog, key};
+
+use super::pause::Pause;
+use super::{Follower, CALL_TIME, PROOF_PART, WATCH_TIME};
+
+impl Follower {
+    /// Follows the catalog while this box reads the store; does not end.
+    pub async fn catalog(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            self.reading().await;
+            match self.read_catalog().await {
+                Ok(from) => {
+                    pause.reset();
+                    self.watch_catalog(from).await;
+                }
+                Err(failure) => self.failure("catalog", &failure),
+            }
+            pause.rest().await;
+        }
+    }
+
+    async fn read_catalog(&self) -> Result<Revision, Failure> {
+        let asked = Instant::now();
+        let read = self.store.get(key::CONFIG, CALL_TIME).await?;
+        match read.value {
+            Some(item) => self.take_item(&item, Some(asked)),
+            // That there is none yet is known as surely as a catalog would be.
+            None if self.revision.get() == Revision(0) => self.relay.view.prove(asked),
+            None => log::warn!(target: "belief", "event=no_catalog revision={}", read.revision),
+        }
+        Ok(read.revision)
+    }
+
+    /// Watches the catalog until the watch breaks or another box reads.
+    async fn watch_catalog(&self, mut from: Revision) {
+        loop {
+            let watch = self.store.watch(key::CONFIG, from, WATCH_TIME);
+            match watch.or(self.restart()).or(self.relieved()).await {
+                Ok(read) => {
+                    for event in &read.value {
+                        if let Event::Put(item) = event {
+                            self.take_item(item, None);
+                        }
+                    }
+                    from = read.revision;
+                }
+                Err(failure) => return self.failure("catalog_watch", &failure),
+            }
+        }
+    }
+
+    /// Puts an entry of the catalog in force if it is newer. `asked` is when
+    /// the question was sent to which the entry is the newest answer.
+    fn take_item(&self, item: &Item, asked: Option<Instant>) {
+        self.take_document(item.revision, &item.value);
+        if let Some(asked) = asked {
+            if self.revision.get() == item.revision {
+                self.relay.view.prove(asked);
+            }
+        }
+    }
+
+    pub(super) fn take_document(&self, revision: Revision, bytes: &[u8]) {
+        if revision <= self.revision.get() {
+            return;
+        }
+        let catalog = match catalog::decode(bytes) {
+            Ok(catalog) => catalog,
+            Err(error) => {
+                log::error!(
+                    target: "belief",
+                    "event=catalog_invalid revision={revision} why=\"{error}\""
+                );
+                return;
+            }
+        };
+        let version = catalog.version;
+        let before = self.relay.view.version();
+        let adopted = self.relay.view.adopt(catalog);
+        self.revision.set(revision);
+        *self.document.borrow_mut() = bytes.to_vec();
+        log::info!(
+            target: "belief",
+            "event=catalog version={version} before={before} adopted={adopted} \
+             revision={revision} bytes={}",
+            bytes.len(),
+        );
+    }
+
+    /// Asks at a steady pace whether the catalog in force is the newest, while
+    /// this box reads the store; does not end.
+    pub async fn prove(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            self.reading().await;
+            match self.proof().await {
+                Ok(()) => {
+                    pause.reset();
+                    self.returned();
+                    Timer::after(self.bound(PROOF_PART)).await;
+                }
+                Err(failure) => {
+                    self.failure("proof", &failure);
+                    self.went();
+                    pause.rest().await;
+                }
+            }
+        }
+    }
+
+    async fn proof(&self) -> Result<(), Failure> {
+        let asked = Instant::now();
+        let revision = self.revision.get();
+        if revision == Revision(0) {
+            return self.read_catalog().await.map(|_| ());
+        }
+        // A change of nothing, under the condition that the entry is what is
+        // known here: small, and answered by the store's newest state.
+        let expected = [(key::CONFIG, revision)];
+        match self.store.swap(&expected, &[], &[], CALL_TIME).await? {
+            Swap::Done(_) => {
+                if self.revision.get() == revision {
+                    self.relay.view.prove(asked);
+                }
+            }
+            Swap::Conflict(items) => {
+                for item in items.iter().filter(|item| item.key == key::CONFIG) {
+                    self.take_item(item, Some(asked));
+                }
+            }
+            Swap::NoLease => {}
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/relay/src/follow/servers.rs
@@ -0,0 +1,131 @@
+//! The servers: their entries in the store.
+
+use std::collections::HashSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use smol::Timer;
+use tidepier_ids as ids;
+use tidepier_platform::store::{Event, Item, Revision};
+use tidepier_platform::{key, server};
+
+use super::pause::Pause;
+use super::{Follower, CALL_TIME, WATCH_TIME};
+
+/// Time in which further changes of servers are gathered before the watch goes
+/// on: each return of a watch is a call that is paid for.
+const GATHER_TIME: Duration = Duration::from_millis(400);
+/// How long after the store is back an entry that lapsed may stay missing.
+pub(super) const LAPSE_TIME: Duration = Duration::from_millis(2_200);
+/// Time between two looks whether the store can be relied on again.
+const LAPSE_LOOK: Duration = Duration::from_millis(100);
+
+impl Follower {
+    /// Follows the servers while this box reads the store; does not end.
+    pub async fn servers(self: Rc<Self>) {
+        let mut pause = Pause::default();
+        loop {
+            self.reading().await;
+            match self.store.list(key::SERVERS, false, CALL_TIME).await {
+                Ok(read) => {
+                    pause.reset();
+                    self.take_servers(&read.value);
+                    self.servers_known.set(true);
+                    self.watch_servers(read.revision).await;
+                }
+                Err(failure) => self.failure("servers", &failure),
+            }
+            self.servers_known.set(false);
+            pause.rest().await;
+        }
+    }
+
+    async fn watch_servers(&self, mut from: Revision) {
+        loop {
+            let watch = self.store.watch(key::SERVERS, from, WATCH_TIME);
+            match watch.or(self.restart()).or(self.relieved()).await {
+                Ok(read) => {
+                    for event in &read.value {
+                        self.take_server_event(event);
+                    }
+                    from = read.revision;
+                    if !read.value.is_empty() {
+                        Timer::after(GATHER_TIME).await;
+                    }
+                }
+                Err(failure) => return self.failure("servers_watch", &failure),
+            }
+        }
+    }
+
+    fn take_servers(&self, items: &[Item]) {
+        let present: HashSet<ids::Server> = items
+            .iter()
+            .filter_map(|item| self.take_server(item))
+            .collect();
+        for id in self.relay.fleet.ids() {
+            if !present.contains(&id) {
+                self.entry_gone(&id);
+            }
+        }
+    }
+
+    fn take_server_event(&self, event: &Event) {
+        match event {
+            Event::Put(item) => {
+                self.take_server(item);
+            }
+            Event::Delete { key, .. } => {
+                if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
+                    self.entry_gone(&id);
+                }
+            }
+        }
+    }
+
+    fn take_server(&self, item: &Item) -> Option<ids::Server> {
+        let id = key::server_id(&item.key)?;
+        match server::decode(id, &item.value) {
+            Ok(server) => {
+                let id = server.id.clone();
+                self.announced(server, Some(item.revision));
+                Some(id)
+            }
+            Err(error) => {
+                log::error!(target: "belief", "event=server_invalid id={id} why=\"{error}\"");
+                None
+            }
+        }
+    }
+
+    fn entry_gone(&self, id: &ids::Server) {
+        if self.is_reliable() {
+            self.drop_server(id, "Gone");
+        } else {
+            self.relay.fleet.miss(id);
+            log::info!(target: "belief", "event=server change=Missing id={id}");
+        }
+    }
+
+    /// Whether an entry that is absent is gone.
+    fn is_reliable(&self) -> bool {
+        let doubted = self.doubt.get().is_some_and(|until| Instant::now() < until);
+        !self.away.get() && !doubted
+    }
+
+    /// Drops servers whose entries stay missing after the store is back; does
+    /// not end.
+    pub async fn lapses(self: Rc<Self>) {
+        loop {
+            self.back.wait().await;
+            // The store may go and come back again meanwhile.
+            while !self.is_reliable() {
+                Timer::after(LAPSE_LOOK).await;
+            }
+            for id in self.relay.fleet.missing() {
+                self.drop_server(&id, "Lapsed");
+            }
+        }
+    }
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -23,7 +23,9 @@
 pub mod log;
 pub mod metrics;
 pub mod notice;
+pub mod peer;
 pub mod ready;
+pub mod record;
 pub mod refusal;
 pub mod relay;
 pub mod settings;
@@ -32,6 +34,7 @@
 mod stream;
 pub mod view;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,6 +46,8 @@
 
 use crate::budget::Budget;
 use crate::follow::Follower;
+use crate::peer::registry::{Member, Registry};
+use crate::peer::{ask, hub};
 use crate::relay::{Bounds, Relay};
 use crate::settings::Settings;
 use crate::signal::{Change, Changes};
@@ -98,11 +103,45 @@
         let registry = metrics::install()?;
         executor.spawn(metrics::serve(listener, registry)).detach();
     }
-    let follower = Follower::new(relay.clone(), Client::new(settings.store.address));
+    let store = Rc::new(Client::new(settings.store.address));
+    let follower = Follower::new(relay.clone(), store.clone());
     executor.spawn(follower.clone().catalog()).detach();
     executor.spawn(follower.clone().prove()).detach();
     executor.spawn(follower.clone().servers()).detach();
-    executor.spawn(follower.lapses()).detach();
+    executor.spawn(follower.clone().lapses()).detach();
+    start_peers(relay, follower, store, settings, executor)
+}
+
+/// Joins the other boxes; a box without an address for them reads the store
+/// itself.
+fn start_peers(
+    relay: &Rc<Relay>,
+    follower: Rc<Follower>,
+    store: Rc<Client>,
+    settings: &Settings,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> eyre::Result<()> {
+    let Some(ports) = settings.peer_ports else {
+        follower.read_self("alone", true);
+        return Ok(());
+    };
+    let address = SocketAddr::new(settings.callers.ip(), ports.first);
+    let listener = Listener::bind(address).wrap_err("binding the boxes' address")?;
+    let me = Member {
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        address,
+        link_mbps: settings.limits.link_mbps as u32,
+    };
+    let registry = Registry::new(me, store);
+    executor
+        .spawn(registry.clone().keep(relay.clone()))
+        .detach();
+    executor.spawn(follower.clone().look_at_age()).detach();
+    executor
+        .spawn(hub::serve(listener, follower.clone(), executor.clone()))
+        .detach();
+    executor.spawn(ask::run(follower, registry)).detach();
     Ok(())
 }
 
--- /dev/null
+++ b/crates/relay/src/peer/ask.rs
@@ -0,0 +1,131 @@
+//! Asking the box of this hall that reads the store.
+//!
+//! Each question is answered at once; the time between questions bounds how
+//! late a change is known here. A box that does not answer, or that cannot
+//! vouch for what it knows, is passed over for a while.
+
+use std::collections::HashMap;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use futures_lite::FutureExt;
+use smol::Timer;
+use tidepier_h1::Conn;
+use tidepier_ids as ids;
+
+use crate::follow::Follower;
+use crate::peer::link::{self, Error};
+use crate::peer::message::{Ask, Position, Told, VERSION};
+use crate::peer::registry::{Member, Registry};
+
+/// Time between two questions.
+const ASK_TIME: Duration = Duration::from_millis(400);
+/// Longest time to connect and to get an answer: many round trips within a
+/// hall, and short enough for two boxes to be tried within the bounds.
+const ANSWER_TIME: Duration = Duration::from_millis(350);
+/// Longest time to get an answer that may hold a whole configuration.
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Data unacknowledged for so long ends a connection.
+const UNACKED_TIME: Duration = Duration::from_secs(2);
+/// Time that a box is passed over after it failed.
+const PASS_OVER_TIME: Duration = Duration::from_secs(3);
+/// The same for a box that answers but cannot vouch for what it knows, as
+/// when it has just begun to read.
+const UNSURE_TIME: Duration = Duration::from_millis(400);
+
+/// Asks whoever comes first in this hall; does not end.
+pub async fn run(follower: Rc<Follower>, registry: Rc<Registry>) {
+    let mut passed_over: HashMap<ids::Box, Instant> = HashMap::new();
+    loop {
+        if !registry.is_listed() {
+            registry.changed.wait().await;
+            continue;
+        }
+        let now = Instant::now();
+        passed_over.retain(|_, until| now < *until);
+        let before = registry.before_me();
+        let first = before
+            .iter()
+            .find(|member| !passed_over.contains_key(&member.name));
+        let Some(first) = first else {
+            follower.read_self("nobody_before", true);
+            let changed = async { registry.changed.wait().await };
+            changed.or(pause(ASK_TIME)).await;
+            continue;
+        };
+        let Err(error) = follow(&follower, first).await;
+        log::info!(
+            target: "peer",
+            "event=reader_lost box={} why=\"{error}\"",
+            first.name
+        );
+        let time = match error {
+            Error::Malformed(_) => UNSURE_TIME,
+            Error::Io(_) | Error::Closed => PASS_OVER_TIME,
+        };
+        passed_over.insert(first.name.clone(), Instant::now() + time);
+    }
+}
+
+async fn pause(time: Duration) {
+    Timer::after(time).await;
+}
+
+/// Asks one box until it fails.
+async fn follow(follower: &Follower, member: &Member) -> Result<std::convert::Infallible, Error> {
+    let conn = Conn::open(member.address, ANSWER_TIME, UNACKED_TIME).await;
+    let mut conn = conn.map_err(Error::Io)?;
+    let mut position = Position::default();
+    let mut number = 0;
+    let mut limit = FIRST_ANSWER_TIME;
+    loop {
+        number += 1;
+        let ask = Ask {
+            version: VERSION,
+            number,
+            document: follower.revision().0,
+            position,
+        };
+        let asked = Instant::now();
+        let told = exchange(&mut conn, &ask, limit).await?;
+        let before = std::mem::replace(&mut position, told.position);
+        if number == 1 {
+            log::info!(
+                target: "peer",
+                "event=reader box={} revision={} age_ms={:?}",
+                member.name,
+                told.revision,
+                told.age_ms
+            );
+        }
+        let whole = before.life != position.life;
+        limit = if whole {
+            FIRST_ANSWER_TIME
+        } else {
+            ANSWER_TIME
+        };
+        follower.take_told(told, asked)?;
+        follower.read_self("reader", false);
+        Timer::after(ASK_TIME).await;
+    }
+}
+
+async fn exchange(conn: &mut Conn, ask: &Ask, limit: Duration) -> Result<Told, Error> {
+    let asked = async {
+        link::send(conn, ask).await?;
+        loop {
+            let told: Told = link::receive(conn).await?;
+            if told.version != VERSION {
+                return Err(Error::Malformed(format!("version {}", told.version)));
+            }
+            if told.number == ask.number {
+                return Ok(told);
+            }
+        }
+    };
+    let late = async {
+        Timer::after(limit).await;
+        Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
+    };
+    asked.or(late).await
+}
--- /dev/null
+++ b/crates/relay/src/peer/hub.rs
@@ -0,0 +1,70 @@
+//! Answering the boxes that ask this one.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use smol::{LocalExecutor, Timer};
+use tidepier_h1::{Conn, Listener};
+
+use crate::follow::Follower;
+use crate::peer::link::{self, Error};
+use crate::peer::message::{Ask, Told, VERSION};
+
+/// An answer that a box does not take for so long ends the connection.
+const UNACKED_TIME: Duration = Duration::from_secs(2);
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Serves boxes that ask; does not end.
+pub async fn serve(
+    listener: Listener,
+    follower: Rc<Follower>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
+    loop {
+        match listener.accept(UNACKED_TIME).await {
+            Ok(conn) => {
+                let follower = follower.clone();
+                let talk = async move {
+                    if let Err(error) = converse(conn, &follower).await {
+                        log::debug!(target: "peer", "event=asker_lost why=\"{error}\"");
+                    }
+                };
+                executor.spawn(talk).detach();
+            }
+            Err(error) => {
+                log::warn!(target: "peer", "event=accept_failed why=\"{error}\"");
+                Timer::after(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(mut conn: Conn, follower: &Follower) -> Result<(), Error> {
+    loop {
+        let ask: Ask = link::receive(&mut conn).await?;
+        if ask.version != VERSION {
+            return Err(Error::Malformed(format!("version {}", ask.version)));
+        }
+        link::send(&conn, &told(follower, &ask)).await?;
+    }
+}
+
+fn told(follower: &Follower, ask: &Ask) -> Told {
+    let (revision, document) = follower.document_after(ask.document);
+    let (servers, position) = follower.record().since(ask.position);
+    Told {
+        version: VERSION,
+        number: ask.number,
+        age_ms: follower.vouched(Instant::now()).map(as_ms),
+        revision,
+        document,
+        servers,
+        position,
+    }
+}
+
+/// Rounded up, so that a proof never looks younger.
+fn as_ms(age: Duration) -> u64 {
+    age.as_millis() as u64 + 1
+}
--- /dev/null
+++ b/crates/relay/src/peer/link.rs
@@ -0,0 +1,83 @@
+//! Connections between boxes: frames of CBOR, each after its length.
+//!
+//! WebSocket, which the product's own links use, was weighed: its handshake
+//! and masks buy nothing between two boxes of one hall, and its buffers would
+//! be a good part of this process's memory.
+
+use std::fmt;
+use std::io;
+
+use serde::de::DeserializeOwned;
+use serde::Serialize;
+use tidepier_h1::Conn;
+
+/// Bytes of a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// Largest frame in bytes: the store's largest value, with room for servers.
+const FRAME_BYTES: usize = 3 << 20;
+
+/// Why a frame was not received or sent.
+#[derive(Debug)]
+pub enum Error {
+    /// The connection failed.
+    Io(io::Error),
+    /// The other side closed the connection.
+    Closed,
+    /// The frame is too large or is no message.
+    Malformed(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Error::Io(error) => write!(f, "{error}"),
+            Error::Closed => f.write_str("closed"),
+            Error::Malformed(why) => write!(f, "malformed frame: {why}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// Sends a message.
+///
+/// # Errors
+///
+/// The connection failed.
+pub async fn send(conn: &Conn, message: &impl Serialize) -> Result<(), Error> {
+    let mut bytes = vec![0; LENGTH_BYTES];
+    ciborium::into_writer(message, &mut bytes)
+        .map_err(|error| Error::Malformed(error.to_string()))?;
+    let length = bytes.len() - LENGTH_BYTES;
+    let length = u32::try_from(length).map_err(|_| Error::Malformed("too large".into()))?;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_be_bytes());
+    metrics::counter!("tidepier_peer_bytes_total").increment(bytes.len() as u64);
+    conn.writer().write_all(&bytes).await.map_err(Error::Io)
+}
+
+/// Receives a message.
+///
+/// # Errors
+///
+/// The connection failed or was closed, or the frame is no message.
+pub async fn receive<T: DeserializeOwned>(conn: &mut Conn) -> Result<T, Error> {
+    fill(conn, LENGTH_BYTES).await?;
+    let mut length = [0; LENGTH_BYTES];
+    length.copy_from_slice(&conn.take(LENGTH_BYTES));
+    let length = u32::from_be_bytes(length) as usize;
+    if length > FRAME_BYTES {
+        return Err(Error::Malformed(format!("{length} bytes")));
+    }
+    fill(conn, length).await?;
+    let bytes = conn.take(length);
+    ciborium::from_reader(bytes.as_slice()).map_err(|error| Error::Malformed(error.to_string()))
+}
+
+async fn fill(conn: &mut Conn, wanted: usize) -> Result<(), Error> {
+    while conn.pending().len() < wanted {
+        if conn.fill().await.map_err(Error::Io)? == 0 {
+            return Err(Error::Closed);
+        }
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/relay/src/peer/message.rs
@@ -0,0 +1,121 @@
+//! Messages between boxes.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tidepier_core::server::{Server, State};
+use tidepier_ids as ids;
+
+/// The version of these messages. A box does not talk to one that has another.
+pub const VERSION: u16 = 1;
+
+/// A question of a box to the one that reads the store.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Ask {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// Comes back in the answer.
+    pub number: u64,
+    /// Revision of the configuration's entry that the sender knows; 0: none.
+    pub document: u64,
+    /// Where the sender stands in the other's record of servers.
+    pub position: Position,
+}
+
+/// A place in a box's record of changes of servers.
+#[derive(Debug, Clone, Copy, Default, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Position {
+    /// One life of the record.
+    pub life: u64,
+    /// Changes so far.
+    pub changes: u64,
+}
+
+/// The answer.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Told {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// The question's number.
+    pub number: u64,
+    /// How long ago all that is told was provably the newest; `None`: the
+    /// sender cannot vouch for it.
+    pub age_ms: Option<u64>,
+    /// Revision of the configuration's entry that the sender knows; 0: none.
+    pub revision: u64,
+    /// The entry, where the other knows an older one.
+    #[serde(with = "serde_bytes")]
+    pub document: Option<Vec<u8>>,
+    /// Servers that have changed.
+    pub servers: Servers,
+    /// The place after these changes.
+    pub position: Position,
+}
+
+/// Servers, as far as the other does not know them.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub enum Servers {
+    /// What has changed since the other's place, in order.
+    Changes(Vec<Change>),
+    /// All there are.
+    All(Vec<Row>),
+}
+
+/// One change.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub enum Change {
+    /// A server came or changed.
+    Is(Row),
+    /// A server is gone.
+    Gone(ids::Server),
+}
+
+/// One server.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Row {
+    id: ids::Server,
+    service: ids::Service,
+    address: SocketAddr,
+    hall: ids::Hall,
+    slots: u32,
+    draining: bool,
+}
+
+impl Row {
+    /// The server.
+    pub fn id(&self) -> &ids::Server {
+        &self.id
+    }
+}
+
+impl From<&Server> for Row {
+    fn from(server: &Server) -> Self {
+        Self {
+            id: server.id.clone(),
+            service: server.service.clone(),
+            address: server.address,
+            hall: server.hall.clone(),
+            slots: server.slots,
+            draining: server.state == State::Draining,
+        }
+    }
+}
+
+impl From<Row> for Server {
+    fn from(row: Row) -> Self {
+        Self {
+            id: row.id,
+            service: row.service,
+            address: row.address,
+            hall: row.hall,
+            slots: row.slots,
+            state: if row.draining {
+                State::Draining
+            } else {
+                State::Ready
+            },
+            cold: Duration::ZERO,
+        }
+    }
+}
--- /dev/null
+++ b/crates/relay/src/peer/mod.rs
@@ -0,0 +1,18 @@
+//! What boxes of one hall tell each other, so that few of them read the store.
+//!
+//! Every box is registered in the store ([`registry`]). In each hall the boxes
+//! have an order that all agree on while they know the same boxes; the first
+//! that answers reads the store, and the others ask it ([`ask`], [`hub`]) a few
+//! times a second. A box that finds nobody before it in the order reads the
+//! store itself, and so does one whose proof grows old: a dead, frozen or cut
+//! off reader costs a moment and no agreement.
+//!
+//! Invariant: a proof passed on never looks younger than it is. It is dated
+//! from when the question was sent, less the age told in the answer, on the
+//! clock of the box that asks.
+
+pub mod ask;
+pub mod hub;
+pub mod link;
+pub mod message;
+pub mod registry;
--- /dev/null
+++ b/crates/relay/src/record.rs
@@ -0,0 +1,81 @@
+//! A record of how the servers changed, for boxes that ask again and again.
+
+use std::cell::{Cell, RefCell};
+use std::collections::VecDeque;
+
+use tidepier_core::server::Server;
+use tidepier_ids as ids;
+
+use crate::peer::message::{Change, Position, Row, Servers};
+
+/// Changes kept; a box that is further behind gets all servers.
+const CHANGES_MAX: usize = 64;
+
+/// The record of one process.
+pub struct Record {
+    life: u64,
+    count: Cell<u64>,
+    changes: RefCell<VecDeque<Change>>,
+    servers: RefCell<Vec<Row>>,
+}
+
+impl Default for Record {
+    fn default() -> Self {
+        Self {
+            // 0 is the place of a box that knows nothing.
+            life: fastrand::u64(1..),
+            count: Cell::new(0),
+            changes: RefCell::default(),
+            servers: RefCell::default(),
+        }
+    }
+}
+
+impl Record {
+    /// Records that a server came or changed.
+    pub fn is(&self, server: &Server) {
+        let row = Row::from(server);
+        let mut servers = self.servers.borrow_mut();
+        match servers.iter_mut().find(|known| known.id() == row.id()) {
+            Some(known) if *known == row => return,
+            Some(known) => *known = row.clone(),
+            None => servers.push(row.clone()),
+        }
+        self.push(Change::Is(row));
+    }
+
+    /// Records that a server is gone.
+    pub fn gone(&self, id: &ids::Server) {
+        self.servers.borrow_mut().retain(|row| row.id() != id);
+        self.push(Change::Gone(id.clone()));
+    }
+
+    fn push(&self, change: Change) {
+        let mut changes = self.changes.borrow_mut();
+        if changes.len() == CHANGES_MAX {
+            changes.pop_front();
+        }
+        changes.push_back(change);
+        self.count.set(self.count.get() + 1);
+    }
+
+    /// What a box at `place` does not know, and the place after it.
+    pub fn since(&self, place: Position) -> (Servers, Position) {
+        let now = Position {
+            life: self.life,
+            changes: self.count.get(),
+        };
+        let changes = self.changes.borrow();
+        let missed = now.changes.checked_sub(place.changes);
+        let kept =
+            missed.filter(|missed| place.life == self.life && *missed <= changes.len() as u64);
+        let servers = match kept {
+            Some(missed) => {
+                let skip = changes.len() - missed as usize;
+                Servers::Changes(changes.iter().skip(skip).cloned().collect())
+            }
+            None => Servers::All(self.servers.borrow().clone()),
+        };
+        (servers, now)
+    }
+}
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -62,7 +62,14 @@
     /// How long ago the catalog in force was provably the newest one; `None`
     /// when it never was.
     pub fn age(&self) -> Option<Duration> {
-        self.proven.get().map(|at| at.elapsed())
+        self.age_at(Instant::now())
+    }
+
+    /// The same at `now`.
+    pub fn age_at(&self, now: Instant) -> Option<Duration> {
+        self.proven
+            .get()
+            .map(|at| now.saturating_duration_since(at))
     }
 
     /// Whether the catalog in force was the newest one less than `most` ago.
