No word older than a server's end brings the server back

Change: what boxes tell of a server bears the store's revision; an entry older than the news of its end is ignored. A box that cannot vouch is passed over for 3 s once this box runs (it was asked 2.5 times a second).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -28,7 +28,7 @@
 use crate::fleet::Change;
 use crate::notice::Notice;
 use crate::peer::link::Error;
-use crate::peer::message::{self, Servers, Told};
+use crate::peer::message::{self, Row, Servers, Told};
 use crate::record::Record;
 use crate::relay::Relay;
 
@@ -185,28 +185,32 @@
             Servers::Changes(changes) => {
                 for change in changes {
                     match change {
-                        message::Change::Is(row) => self.announced(row.into(), None),
-                        message::Change::Gone(id) => self.drop_server(&id, "Gone"),
+                        message::Change::Is(row) => self.announced(row),
+                        message::Change::Gone(id, seen) => self.drop_server(&id, seen, "Gone"),
                     }
                 }
             }
-            Servers::All(rows) => {
-                let known = self.relay.fleet.ids();
-                let present: Vec<Server> = rows.into_iter().map(Server::from).collect();
-                for id in known {
-                    if !present.iter().any(|server| server.id == id) {
-                        self.drop_server(&id, "Gone");
+            Servers::All(rows, seen) => {
+                for id in self.relay.fleet.ids() {
+                    if !rows.iter().any(|row| *row.id() == id) {
+                        self.drop_server(&id, seen, "Gone");
                     }
                 }
-                for server in present {
-                    self.announced(server, None);
+                for row in rows {
+                    self.announced(row);
                 }
             }
         }
     }
 
-    fn announced(&self, server: Server, revision: Option<Revision>) {
-        self.record.is(&server);
+    fn announced(&self, row: Row) {
+        // Another box may know an older state of the store.
+        if self.record.is_outdated(&row) {
+            return;
+        }
+        let revision = row.revision();
+        self.record.is(row.clone());
+        let server = Server::from(row);
         let id = server.id.clone();
         let (service, address, hall) =
             (server.service.clone(), server.address, server.hall.clone());
@@ -215,16 +219,16 @@
             log::info!(
                 target: "belief",
                 "event=server change={change:?} id={id} service={service} address={address} \
-                 hall={hall} revision={}",
-                revision.map_or(0, |revision| revision.0),
+                 hall={hall} revision={revision}"
             );
         }
     }
 
-    fn drop_server(&self, id: &ids::Server, why: &str) {
+    /// Drops a server that is gone as of a revision.
+    fn drop_server(&self, id: &ids::Server, seen: u64, why: &str) {
         if self.relay.fleet.remove(id) {
-            self.record.gone(id);
-            log::info!(target: "belief", "event=server change={why} id={id}");
+            self.record.gone(id, seen);
+            log::info!(target: "belief", "event=server change={why} id={id} revision={seen}");
         }
     }
 
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -12,6 +12,7 @@
 
 use super::pause::Pause;
 use super::{Follower, CALL_TIME, WATCH_TIME};
+use crate::peer::message::Row;
 
 /// Time in which further changes of servers are gathered before the watch goes
 /// on: each return of a watch is a call that is paid for.
@@ -30,7 +31,7 @@
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
                     pause.reset();
-                    self.take_servers(&read.value);
+                    self.take_servers(&read.value, read.revision);
                     self.servers_known.set(true);
                     self.watch_servers(read.revision).await;
                 }
@@ -49,6 +50,7 @@
                     for event in &read.value {
                         self.take_server_event(event);
                     }
+                    self.record.see(read.revision.0);
                     from = read.revision;
                     if !read.value.is_empty() {
                         Timer::after(GATHER_TIME).await;
@@ -59,14 +61,15 @@
         }
     }
 
-    fn take_servers(&self, items: &[Item]) {
+    fn take_servers(&self, items: &[Item], revision: Revision) {
+        self.record.see(revision.0);
         let present: HashSet<ids::Server> = items
             .iter()
             .filter_map(|item| self.take_server(item))
             .collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
-                self.entry_gone(&id);
+                self.entry_gone(&id, revision);
             }
         }
     }
@@ -76,9 +79,9 @@
             Event::Put(item) => {
                 self.take_server(item);
             }
-            Event::Delete { key, .. } => {
+            Event::Delete { key, revision } => {
                 if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
-                    self.entry_gone(&id);
+                    self.entry_gone(&id, *revision);
                 }
             }
         }
@@ -89,7 +92,7 @@
         match server::decode(id, &item.value) {
             Ok(server) => {
                 let id = server.id.clone();
-                self.announced(server, Some(item.revision));
+                self.announced(Row::new(&server, item.revision.0));
                 Some(id)
             }
             Err(error) => {
@@ -99,9 +102,9 @@
         }
     }
 
-    fn entry_gone(&self, id: &ids::Server) {
+    fn entry_gone(&self, id: &ids::Server, revision: Revision) {
         if self.is_reliable() {
-            self.drop_server(id, "Gone");
+            self.drop_server(id, revision.0, "Gone");
         } else {
             self.relay.fleet.miss(id);
             log::info!(target: "belief", "event=server change=Missing id={id}");
@@ -124,7 +127,7 @@
                 Timer::after(LAPSE_LOOK).await;
             }
             for id in self.relay.fleet.missing() {
-                self.drop_server(&id, "Lapsed");
+                self.drop_server(&id, self.record.seen(), "Lapsed");
             }
         }
     }
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -29,13 +29,16 @@
 const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
 const PASS_OVER_TIME: Duration = Duration::from_secs(3);
-/// The same for a box that answers but cannot vouch for what it knows, as
-/// when it has just begun to read.
+/// The same for a box that answers but cannot vouch for what it knows, while
+/// this box has just started: the others may have, too, and need a moment.
 const UNSURE_TIME: Duration = Duration::from_millis(400);
+/// How long a box counts as just started.
+const START_TIME: Duration = Duration::from_secs(5);
 
 /// Asks whoever comes first in this hall; does not end.
 pub async fn run(follower: Rc<Follower>, registry: Rc<Registry>) {
     let mut passed_over: HashMap<ids::Box, Instant> = HashMap::new();
+    let started = Instant::now();
     loop {
         if !registry.is_listed() {
             registry.changed.wait().await;
@@ -60,8 +63,8 @@
             first.name
         );
         let time = match error {
-            Error::Malformed(_) => UNSURE_TIME,
-            Error::Io(_) | Error::Closed => PASS_OVER_TIME,
+            Error::Malformed(_) if started.elapsed() < START_TIME => UNSURE_TIME,
+            _ => PASS_OVER_TIME,
         };
         passed_over.insert(first.name.clone(), Instant::now() + time);
     }
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -58,8 +58,8 @@
 pub enum Servers {
     /// What has changed since the other's place, in order.
     Changes(Vec<Change>),
-    /// All there are.
-    All(Vec<Row>),
+    /// All there are, as of a revision of the store.
+    All(Vec<Row>, u64),
 }
 
 /// One change.
@@ -67,8 +67,8 @@
 pub enum Change {
     /// A server came or changed.
     Is(Row),
-    /// A server is gone.
-    Gone(ids::Server),
+    /// A server is gone, as of a revision of the store.
+    Gone(ids::Server, u64),
 }
 
 /// One server.
@@ -80,17 +80,13 @@
     hall: ids::Hall,
     slots: u32,
     draining: bool,
+    /// Revision of the server's entry in the store.
+    revision: u64,
 }
 
 impl Row {
-    /// The server.
-    pub fn id(&self) -> &ids::Server {
-        &self.id
-    }
-}
-
-impl From<&Server> for Row {
-    fn from(server: &Server) -> Self {
+    /// A server as its entry says.
+    pub fn new(server: &Server, revision: u64) -> Self {
         Self {
             id: server.id.clone(),
             service: server.service.clone(),
@@ -98,8 +94,19 @@
             hall: server.hall.clone(),
             slots: server.slots,
             draining: server.state == State::Draining,
+            revision,
         }
     }
+
+    /// Revision of the server's entry in the store.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The server.
+    pub fn id(&self) -> &ids::Server {
+        &self.id
+    }
 }
 
 impl From<Row> for Server {
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -2,8 +2,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::VecDeque;
+use std::num::NonZeroUsize;
 
-use tidepier_core::server::Server;
+use lru::LruCache;
 use tidepier_ids as ids;
 
 use crate::peer::message::{Change, Position, Row, Servers};
@@ -11,12 +12,20 @@
 /// Changes kept; a box that is further behind gets all servers.
 const CHANGES_MAX: usize = 64;
 
+/// Servers that are gone and remembered, so that an older word does not bring
+/// them back.
+const GONE_MAX: NonZeroUsize = NonZeroUsize::new(512).unwrap();
+
 /// The record of one process.
 pub struct Record {
     life: u64,
     count: Cell<u64>,
     changes: RefCell<VecDeque<Change>>,
     servers: RefCell<Vec<Row>>,
+    /// The newest revision of the store that anything here is from.
+    seen: Cell<u64>,
+    /// Servers that are gone, each as of a revision.
+    gone: RefCell<LruCache<ids::Server, u64>>,
 }
 
 impl Default for Record {
@@ -27,14 +36,33 @@
             count: Cell::new(0),
             changes: RefCell::default(),
             servers: RefCell::default(),
+            seen: Cell::new(0),
+            gone: RefCell::new(LruCache::new(GONE_MAX)),
         }
     }
 }
 
 impl Record {
+    /// The newest revision of the store that anything here is from.
+    pub fn seen(&self) -> u64 {
+        self.seen.get()
+    }
+
+    /// Records that all is known up to a revision of the store.
+    pub fn see(&self, revision: u64) {
+        self.seen.set(self.seen.get().max(revision));
+    }
+
+    /// Whether an entry is older than the news that its server is gone.
+    pub fn is_outdated(&self, row: &Row) -> bool {
+        let gone = self.gone.borrow();
+        gone.peek(row.id())
+            .is_some_and(|gone| row.revision() <= *gone)
+    }
+
     /// Records that a server came or changed.
-    pub fn is(&self, server: &Server) {
-        let row = Row::from(server);
+    pub fn is(&self, row: Row) {
+        self.see(row.revision());
         let mut servers = self.servers.borrow_mut();
         match servers.iter_mut().find(|known| known.id() == row.id()) {
             Some(known) if *known == row => return,
@@ -44,10 +72,12 @@
         self.push(Change::Is(row));
     }
 
-    /// Records that a server is gone.
-    pub fn gone(&self, id: &ids::Server) {
+    /// Records that a server is gone as of a revision.
+    pub fn gone(&self, id: &ids::Server, revision: u64) {
+        self.see(revision);
+        self.gone.borrow_mut().put(id.clone(), revision);
         self.servers.borrow_mut().retain(|row| row.id() != id);
-        self.push(Change::Gone(id.clone()));
+        self.push(Change::Gone(id.clone(), revision));
     }
 
     fn push(&self, change: Change) {
@@ -74,7 +104,7 @@
                 let skip = changes.len() - missed as usize;
                 Servers::Changes(changes.iter().skip(skip).cloned().collect())
             }
-            None => Servers::All(self.servers.borrow().clone()),
+            None => Servers::All(self.servers.borrow().clone(), self.seen.get()),
         };
         (servers, now)
     }
