The platform's folder holds names and formats only; HTTP mechanics are in h1

Its test target request did not build either: Forward had got copy_from and the test's initializer had not.

Moved to crates/h1: calls over a kept connection (call::Caller: opens within a limit, reads head and body within limits, keeps or drops the connection, tells not sent, no answer and malformed apart), writing of head lines and of the body's length (write), targets and query escapes (target), bearer's token and Keep-Alive of a head. Moved to crates/relay/tests/platform: the adapter's tests. Display arms of typed errors became thiserror's messages; the crate was in the lock already. Removed: Item::created and store::Calls, which only tests used. Calls and connections count in tidepier_store_calls_total{call} and tidepier_store_connections_total. catalog::Invalid's route variants are tuples.

Changes of tests: counts are read from the metrics by the relay's registry instead of Calls, with the same figures; one more count after the list of two pages. Assertions on created went with the field. The count of two pages in relay-standin's store test went with Calls; the line after it asserts the same two by the store's own count. Forwarding with copy_from is asserted now.

--- /dev/null
+++ b/crates/h1/src/call.rs
@@ -0,0 +1,218 @@
+//! Calls: one request and its answer over a connection that is kept.
+//!
+//! Invariants:
+//!
+//! * One call, one request: nothing is repeated here.
+//! * A connection on which a call failed, ran out of time or was cancelled is
+//!   dropped, so that no late answer is taken for the answer of another call.
+//! * A failure tells whether the request may have arrived: see [`Failure`].
+
+use std::cell::{Cell, RefCell};
+use std::io;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use smol::Timer;
+
+use crate::body::{Body, Framing};
+use crate::conn::Conn;
+use crate::head::{Head, Malformed};
+use crate::write;
+
+/// Bytes of a told body length that are set aside before they arrive: more
+/// than an answer usually has, little against what a process may hold.
+const RESERVE_BYTES: u64 = 2 << 20;
+
+/// What a caller waits for and takes at most.
+#[derive(Debug, Clone, Copy)]
+pub struct Limits {
+    /// Longest time for a connection to open.
+    pub open: Duration,
+    /// Longest time that sent bytes may stay without acknowledgement.
+    pub unacked: Duration,
+    /// Largest head of an answer, in bytes.
+    pub head_bytes: usize,
+    /// Largest body of an answer, in bytes.
+    pub body_bytes: usize,
+}
+
+/// A request to be made.
+#[derive(Debug, Clone, Copy)]
+pub struct Request<'a> {
+    /// The method.
+    pub method: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Type and bytes of its body, if it has one.
+    pub body: Option<(&'a str, &'a [u8])>,
+}
+
+impl Request<'_> {
+    fn bytes(&self, host: SocketAddr) -> Vec<u8> {
+        let mut bytes = Vec::new();
+        write::request(&mut bytes, self.method, self.target);
+        write::display(&mut bytes, "Host", host);
+        if let Some((kind, body)) = self.body {
+            write::field(&mut bytes, "Content-Type", kind.as_bytes());
+            write::display(&mut bytes, "Content-Length", body.len());
+        }
+        bytes.extend_from_slice(b"\r\n");
+        bytes.extend_from_slice(self.body.map_or(b"", |(_, body)| body));
+        bytes
+    }
+}
+
+/// A whole answer.
+#[derive(Debug)]
+pub struct Reply {
+    /// Its head.
+    pub head: Head,
+    /// Its body.
+    pub body: Vec<u8>,
+}
+
+/// How far a call has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Step {
+    /// A connection is being opened.
+    Open,
+    /// The request is being sent.
+    Send,
+}
+
+/// Why a call failed.
+#[derive(Debug, thiserror::Error)]
+pub enum Failure {
+    /// The peer was not reached; it has seen nothing of the request.
+    #[error("not sent: {0}")]
+    NotSent(io::Error),
+    /// No whole answer came in time; the request may have arrived, or may yet.
+    #[error("no answer: {0}")]
+    NoAnswer(io::Error),
+    /// The answer cannot be read; the request may have arrived.
+    #[error("unreadable answer: {0}")]
+    Malformed(String),
+}
+
+/// Calls one peer, one call at a time on its kept connection; further ones at
+/// the same time open their own.
+pub struct Caller {
+    address: SocketAddr,
+    limits: Limits,
+    kept: RefCell<Option<Conn>>,
+}
+
+impl Caller {
+    /// A caller of the peer at `address`; connects when first called.
+    pub fn new(address: SocketAddr, limits: Limits) -> Self {
+        let kept = RefCell::default();
+        Self {
+            address,
+            limits,
+            kept,
+        }
+    }
+
+    /// Makes a call within `limit`, on the kept connection if it is good.
+    /// `told` hears of each step before it is taken.
+    ///
+    /// # Errors
+    ///
+    /// See [`Failure`].
+    pub async fn call(
+        &self,
+        request: &Request<'_>,
+        limit: Duration,
+        told: impl Fn(Step),
+    ) -> Result<Reply, Failure> {
+        let sent = Cell::new(false);
+        let told = |step| {
+            sent.set(step == Step::Send);
+            told(step);
+        };
+        let late = async {
+            Timer::after(limit).await;
+            let error = io::ErrorKind::TimedOut.into();
+            match sent.get() {
+                true => Err(Failure::NoAnswer(error)),
+                false => Err(Failure::NotSent(error)),
+            }
+        };
+        let (reply, kept) = self.attempt(request, limit, &told).or(late).await?;
+        if kept.is_some() {
+            self.kept.replace(kept);
+        }
+        Ok(reply)
+    }
+
+    async fn attempt(
+        &self,
+        request: &Request<'_>,
+        limit: Duration,
+        told: &impl Fn(Step),
+    ) -> Result<(Reply, Option<Conn>), Failure> {
+        let kept = self.kept.take();
+        let mut conn = match kept.and_then(|mut conn| conn.rests().then_some(conn)) {
+            Some(conn) => conn,
+            None => {
+                told(Step::Open);
+                let limit = self.limits.open.min(limit);
+                let conn = Conn::open(self.address, limit, self.limits.unacked).await;
+                conn.map_err(Failure::NotSent)?
+            }
+        };
+        // From here on even a part of the request may count as sent: the rest
+        // may be on its way when an error is seen.
+        told(Step::Send);
+        let written = conn.writer().write_all(&request.bytes(self.address)).await;
+        written.map_err(Failure::NoAnswer)?;
+        let head = self.head(&mut conn).await?;
+        let framing = Framing::of_answer(&head, request.method)
+            .map_err(|error| Failure::Malformed(error.to_string()))?;
+        let body = self.body(&mut conn, framing).await?;
+        let keeps = !head.closes() && framing != Framing::UntilClose;
+        Ok((Reply { head, body }, keeps.then_some(conn)))
+    }
+
+    /// The head of the answer itself, past any that only say it is coming.
+    async fn head(&self, conn: &mut Conn) -> Result<Head, Failure> {
+        loop {
+            let head = match conn.head(self.limits.head_bytes).await {
+                Ok(Some(head)) => head,
+                Ok(None) | Err(Malformed::BrokenOff) => {
+                    return Err(Failure::NoAnswer(io::ErrorKind::UnexpectedEof.into()))
+                }
+                Err(Malformed::Lost(error)) => return Err(Failure::NoAnswer(error)),
+                Err(error) => return Err(Failure::Malformed(error.to_string())),
+            };
+            match head.status() {
+                100..=199 => {}
+                0 => return Err(Failure::Malformed("not an answer".to_owned())),
+                _ => return Ok(head),
+            }
+        }
+    }
+
+    async fn body(&self, conn: &mut Conn, framing: Framing) -> Result<Vec<u8>, Failure> {
+        let mut bytes = Vec::new();
+        if let Framing::Length(length) = framing {
+            bytes.reserve_exact(length.min(RESERVE_BYTES) as usize);
+        }
+        let mut body = Body::new(framing);
+        loop {
+            if bytes.len() > self.limits.body_bytes {
+                let why = format!("the body is over {} bytes", self.limits.body_bytes);
+                return Err(Failure::Malformed(why));
+            }
+            match body.read(conn, &mut bytes).await {
+                Ok(true) => {}
+                Ok(false) => return Ok(bytes),
+                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
+                    return Err(Failure::Malformed(error.to_string()))
+                }
+                Err(error) => return Err(Failure::NoAnswer(error)),
+            }
+        }
+    }
+}
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,8 +1,8 @@
 //! Heads of requests and answers, kept as the bytes that were sent.
 
-use std::fmt;
 use std::io;
 use std::ops::Range;
+use std::time::Duration;
 
 use httparse::{Status, EMPTY_HEADER};
 
@@ -22,34 +22,25 @@
 ];
 
 /// Why a head could not be read.
-#[derive(Debug)]
+#[derive(Debug, thiserror::Error)]
 pub enum Malformed {
     /// Not HTTP/1.1.
+    #[error("not HTTP/1.1: {0}")]
     Syntax(httparse::Error),
     /// Over the limit.
+    #[error("the head is too large")]
     TooLarge,
     /// The connection ended inside the head.
+    #[error("the connection ended inside a head")]
     BrokenOff,
     /// The connection failed.
+    #[error("the connection failed: {0}")]
     Lost(io::Error),
     /// The body's end is told in two ways, or in one that is unknown.
+    #[error("{0}")]
     Framing(&'static str),
 }
 
-impl fmt::Display for Malformed {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Malformed::Syntax(error) => write!(f, "not HTTP/1.1: {error}"),
-            Malformed::TooLarge => f.write_str("the head is too large"),
-            Malformed::BrokenOff => f.write_str("the connection ended inside a head"),
-            Malformed::Lost(error) => write!(f, "the connection failed: {error}"),
-            Malformed::Framing(why) => f.write_str(why),
-        }
-    }
-}
-
-impl std::error::Error for Malformed {}
-
 /// The first line of a head.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Start {
@@ -211,20 +202,40 @@
         self.fields().filter(|field| {
             !HOP_BY_HOP.iter().any(|name| field.is(name))
                 && !field.is("content-length")
-                && !self.connection_names(field.name)
+                && !self.lists(field.name)
         })
     }
 
-    fn connection_names(&self, name: &str) -> bool {
+    /// Whether the sender says that a field of this name, or the option of this
+    /// name, concerns this connection only.
+    pub fn lists(&self, name: &str) -> bool {
         let connection = self.fields().filter(|field| field.is("connection"));
         connection
             .flat_map(|field| field.text().split(','))
             .any(|token| token.trim().eq_ignore_ascii_case(name))
     }
 
+    /// The token of a bearer's authorization.
+    pub fn bearer(&self) -> Option<&str> {
+        let (scheme, token) = self.text("authorization")?.split_once(' ')?;
+        let token = token.trim();
+        (scheme.eq_ignore_ascii_case("bearer") && !token.is_empty()).then_some(token)
+    }
+
+    /// How long the sender keeps a resting connection, in both ways of writing
+    /// it: bare seconds, or a list with `timeout=`.
+    pub fn keep_alive(&self) -> Option<Duration> {
+        let seconds = self.text("keep-alive")?.split(',').find_map(|item| {
+            let (name, value) = item.split_once('=').unwrap_or(("timeout", item));
+            let named = name.trim().eq_ignore_ascii_case("timeout");
+            named.then(|| value.trim().parse().ok()).flatten()
+        });
+        seconds.map(Duration::from_secs)
+    }
+
     /// Whether the sender ends the connection after this message.
     pub fn closes(&self) -> bool {
-        self.connection_names("close") || (self.minor == 0 && !self.connection_names("keep-alive"))
+        self.lists("close") || (self.minor == 0 && !self.lists("keep-alive"))
     }
 }
 
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -14,9 +14,13 @@
 //! * A connection holds buffers only while bytes wait in it.
 
 mod body;
+pub mod call;
 mod conn;
 mod head;
+pub mod target;
+pub mod write;
 
 pub use body::{Body, Framing};
+pub use call::Caller;
 pub use conn::{Conn, Listener, Writer};
 pub use head::{Field, Head, Malformed, Start};
--- a/crates/relay-standin/tests/standin/store.rs
+++ b/crates/relay-standin/tests/standin/store.rs
@@ -210,7 +210,6 @@
         assert_eq!((items.len(), &*items[0].value), (1, &b"v"[..]));
         let listed = client.list("my/", false, limit).await.unwrap();
         assert_eq!((listed.value.len(), listed.revision.0), (3, 3));
-        assert_eq!(client.calls().list, 2);
         assert_eq!(store.calls("kv-range"), 2);
         assert!(client.get("my/x", limit).await.unwrap().value.is_none());
         let kept = client.keep(lease.id, limit).await.unwrap();
--- a/platform/tests/answer.rs
+++ b/crates/relay/tests/platform/answer.rs
@@ -1,10 +1,8 @@
 //! Answers of servers, what clients get of them, and refusals.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{head, written};
+use crate::common::{head, written};
 use tidepier_core::answer::Load;
 use tidepier_platform::answer::{self, Length};
 use tidepier_platform::{call, refusal};
--- a/platform/tests/request.rs
+++ b/crates/relay/tests/platform/request.rs
@@ -1,10 +1,8 @@
 //! Requests of clients, and what servers get of them.
 
-mod common;
-
 use std::time::Duration;
 
-use common::{head, written};
+use crate::common::{head, written};
 use tidepier_core::request::{Forward, Part, Request};
 use tidepier_ids as ids;
 use tidepier_platform::request::{self, Invalid};
@@ -35,6 +33,7 @@
         account: None,
         priority: None,
         resume_after: None,
+        copy_from: None,
         body: None,
     }
 }
@@ -162,6 +161,7 @@
         account: Some(&account),
         priority: Some(2),
         resume_after: Some(21),
+        copy_from: Some("10.0.0.9:81".parse().expect("an address")),
         body: Some(5),
         ..forward(&server)
     };
@@ -180,6 +180,7 @@
 Tenant: acme
 Request-Priority: 2
 Last-Event-Id: 21
+Kv-Fetch: 10.0.0.9:81
 Content-Length: 5
 
 "
@@ -251,3 +252,40 @@
     assert_eq!(parts(again.prompt), parts(first.prompt));
     assert_eq!(again.key, None);
 }
+
+#[test]
+fn a_client_cannot_take_a_field_out_that_the_adapter_needs() {
+    let sent = |connection: &str| {
+        format!("GET / HTTP/1.1\nHost: a\nAttempt-Id: 1\nConnection: {connection}\nX-Hop: 1")
+    };
+    for (connection, hidden) in [
+        ("close, Attempt-Id", "Attempt-Id"),
+        ("close\nConnection: aTTempt-iD", "Attempt-Id"),
+        ("Host", "Host"),
+        ("X-Hop,content-length", "Content-Length"),
+        ("Prompt-Prefix", "Prompt-Prefix"),
+        ("Token-Usage", "Token-Usage"),
+        ("Length-Hint", "Length-Hint"),
+        ("Last-Event-Id", "Last-Event-Id"),
+        ("Model", "Model"),
+        ("Deadline-Ms", "Deadline-Ms"),
+        ("Authorization", "Authorization"),
+        ("Tenant", "Tenant"),
+        ("Target-Instance", "Target-Instance"),
+    ] {
+        let found = refused(&sent(connection));
+        assert_eq!(found, Invalid::HiddenField(hidden), "{connection}");
+    }
+    assert_eq!(
+        refused(&sent("Attempt-Id")).to_string(),
+        "Connection lists Attempt-Id"
+    );
+    // What concerns the connection may be listed, known or not.
+    for connection in [
+        "close",
+        "Keep-Alive, X-Hop",
+        "TE, Upgrade, Transfer-Encoding",
+    ] {
+        decoded(&sent(connection));
+    }
+}
--- a/platform/tests/store.rs
+++ b/crates/relay/tests/platform/store.rs
@@ -1,5 +1,6 @@
 //! The client of the platform's store, against a scripted store.
 
+use std::future::Future;
 use std::io::{BufRead, BufReader, Read, Write as _};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::sync::mpsc::{channel, Receiver, Sender};
@@ -8,6 +9,7 @@
 use tidepier_platform::store::{
     Client, Event, Failure, Item, Kept, LeaseId, Revision, Swap, Write,
 };
+use tidepier_relay::metrics::Registry;
 
 /// Ample for a call over loopback.
 const LIMIT: Duration = Duration::from_secs(5);
@@ -107,12 +109,40 @@
     seen.recv_timeout(LIMIT).expect("a request")
 }
 
+/// Runs a test's calls and hands it the figures that they are counted in.
+fn counted<F: Future>(test: impl FnOnce(Figures) -> F) -> F::Output {
+    let registry = Registry::default();
+    let figures = Figures(registry.clone());
+    metrics::with_local_recorder(&registry, || smol::block_on(test(figures)))
+}
+
+struct Figures(Registry);
+
+impl Figures {
+    /// Calls of a kind that were sent.
+    fn calls(&self, name: &str) -> u64 {
+        self.value(&format!("tidepier_store_calls_total{{call=\"{name}\"}}"))
+    }
+
+    /// Connections that were opened.
+    fn connections(&self) -> u64 {
+        self.value("tidepier_store_connections_total")
+    }
+
+    /// The figure of a series; 0 for one that nothing was counted in.
+    fn value(&self, series: &str) -> u64 {
+        let text = self.0.render();
+        let mut lines = text.lines().filter_map(|line| line.split_once(' '));
+        let found = lines.find(|(name, _)| *name == series);
+        found.map_or(0, |(_, value)| value.parse().expect("a number"))
+    }
+}
+
 fn item(key: &str, value: &str, revision: u64) -> Item {
     Item {
         key: key.to_owned(),
         value: value.into(),
         revision: Revision(revision),
-        created: Revision(1),
         lease: None,
     }
 }
@@ -127,7 +157,7 @@
         Act::Answer(404, r#"{"timestamp":10}"#),
         Act::Answer(404, ""),
     ]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let read = client.get("a b/c", LIMIT).await.expect("read");
         let mut expected = item("a b/c", "hi", 4);
@@ -137,7 +167,7 @@
         assert_eq!((read.value, read.revision), (None, Revision(10)));
         let read = client.get("z", LIMIT).await.expect("read");
         assert_eq!((read.value, read.revision), (None, Revision(0)));
-        assert_eq!((client.calls().get, client.calls().connections), (3, 1));
+        assert_eq!((figures.calls("get"), figures.connections()), (3, 1));
     });
     assert_eq!(next(&seen), "0: GET /-/kv-key?key_file=a%20b/c");
     assert_eq!(next(&seen), "0: GET /-/kv-key?key_file=x%26y%3D%25");
@@ -165,7 +195,7 @@
             {"key_file":"p/a","value":"","revision":3}],"has_more":false,"timestamp":9}"#,
         ),
     ]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let read = client.list("p/", false, LIMIT).await.expect("read");
         let items = [
@@ -174,6 +204,7 @@
             item("p/c", "3", 6),
         ];
         assert_eq!((&read.value[..], read.revision), (&items[..], Revision(5)));
+        assert_eq!(figures.calls("list"), 2);
         let stale = client.list("p/", true, LIMIT).await.expect("read");
         assert!(stale.value.is_empty());
         let endless = client.list("p/", false, LIMIT).await;
@@ -183,7 +214,7 @@
             matches!(unsorted, Err(Failure::Malformed(_))),
             "{unsorted:?}"
         );
-        assert_eq!((client.calls().list, client.calls().stale), (4, 1));
+        assert_eq!((figures.calls("list"), figures.calls("stale")), (4, 1));
     });
     assert_eq!(next(&seen), "0: GET /-/kv-range?path_prefix=p/");
     assert_eq!(
@@ -206,7 +237,7 @@
             Act::Answer(410, ""),
         ],
     ]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         client.get("a", LIMIT).await.expect("read");
         let read = client.watch("p/", Revision(11), LIMIT).await.expect("read");
@@ -218,7 +249,7 @@
         assert_eq!(read.revision, Revision(14));
         let late = client.watch("p/", read.revision, LIMIT * 100).await;
         assert!(matches!(late, Err(Failure::Compacted)), "{late:?}");
-        assert_eq!((client.calls().watch, client.calls().connections), (2, 2));
+        assert_eq!((figures.calls("watch"), figures.connections()), (2, 2));
     });
     next(&seen);
     assert_eq!(
@@ -243,7 +274,7 @@
         Act::Answer(404, "{}"),
         Act::Answer(403, ""),
     ]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let write = [Write {
             key: "k",
@@ -258,7 +289,7 @@
         assert_eq!(swap().await.expect("an answer"), Swap::NoLease);
         let refused = swap().await;
         assert!(matches!(refused, Err(Failure::Refused(403))), "{refused:?}");
-        assert_eq!((client.calls().swap, client.calls().connections), (4, 1));
+        assert_eq!((figures.calls("swap"), figures.connections()), (4, 1));
     });
     assert_eq!(
         next(&seen),
@@ -277,7 +308,7 @@
         Act::Answer(200, "{}"),
         Act::Answer(404, ""),
     ]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let ttl = Duration::from_secs(4);
         let lease = client
@@ -291,8 +322,14 @@
         assert_eq!(gone, Kept::Gone);
         client.end(lease.id, LIMIT).await.expect("ended");
         client.end(lease.id, LIMIT).await.expect("ended before");
-        let calls = client.calls();
-        assert_eq!((calls.lease, calls.keep, calls.end), (1, 2, 2));
+        assert_eq!(
+            (
+                figures.calls("lease"),
+                figures.calls("keep"),
+                figures.calls("end")
+            ),
+            (1, 2, 2)
+        );
     });
     assert_eq!(next(&seen), "0: POST /-/kv-lease {\"ttl_ms\":3000}");
     assert_eq!(next(&seen), "0: POST /-/kv-keep/77");
@@ -309,7 +346,7 @@
         Act::Answer(200, "not json"),
         Act::Answer(200, r#"{"key_file":"k","value":"*","revision":1}"#),
     ]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let mut names = Vec::new();
         for _ in 0..5 {
@@ -324,19 +361,19 @@
             "malformed",
         ];
         assert_eq!(names, expected);
-        assert_eq!((client.calls().get, client.calls().connections), (5, 1));
+        assert_eq!((figures.calls("get"), figures.connections()), (5, 1));
     });
 }
 
 #[test]
 fn a_lost_answer_may_have_been_done_and_ends_the_connection() {
     let (address, seen) = scripted(vec![vec![Act::Close], vec![Act::Answer(404, "")]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let lost = client.get("k", LIMIT).await;
         assert!(matches!(lost, Err(Failure::NoAnswer(_))), "{lost:?}");
         client.get("l", LIMIT).await.expect("a new connection");
-        assert_eq!(client.calls().connections, 2);
+        assert_eq!(figures.connections(), 2);
     });
     assert_eq!(next(&seen), "0: GET /-/kv-key?key_file=k");
     assert_eq!(next(&seen), "1: GET /-/kv-key?key_file=l");
@@ -350,7 +387,7 @@
         vec![Act::Late(told, late)],
         vec![Act::Answer(404, r#"{"timestamp":2}"#)],
     ]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let begin = Instant::now();
         let failure = client.get("k", SHORT).await;
@@ -359,7 +396,7 @@
         tell.send(()).expect("the store waits");
         let read = client.get("l", LIMIT).await.expect("read");
         assert_eq!((read.value, read.revision), (None, Revision(2)));
-        assert_eq!(client.calls().connections, 2);
+        assert_eq!(figures.connections(), 2);
     });
 }
 
@@ -417,11 +454,11 @@
 #[test]
 fn a_connection_that_the_store_ends_is_replaced_before_the_next_call() {
     let (address, _seen) = scripted(vec![vec![Act::Last(404, "")], vec![Act::Answer(404, "")]]);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         client.get("k", LIMIT).await.expect("read");
         client.get("k", LIMIT).await.expect("read");
-        assert_eq!((client.calls().get, client.calls().connections), (2, 2));
+        assert_eq!((figures.calls("get"), figures.connections()), (2, 2));
     });
 }
 
@@ -430,10 +467,10 @@
     let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
     let address = listener.local_addr().expect("bound");
     drop(listener);
-    smol::block_on(async {
+    counted(|figures| async move {
         let client = Client::new(address);
         let failure = client.lease(LIMIT, LIMIT).await;
         assert!(matches!(failure, Err(Failure::NotSent(_))), "{failure:?}");
-        assert_eq!((client.calls().lease, client.calls().connections), (0, 1));
+        assert_eq!((figures.calls("lease"), figures.connections()), (0, 1));
     });
 }
