--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,7 @@
 //! servers, corrected by what this box itself has sent where.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::net::SocketAddr;
 use std::num::NonZeroUsize;
 use std::rc::Rc;
@@ -64,7 +65,10 @@
 /// this box has not sent it there itself.
 const KEPT_BY_RANK: [f64; 2] = [0.93, 0.3];
 /// Tokens under which copying a prompt's memory is not worth its set-up.
-const COPY_TOKENS_MIN: f64 = 200.0;
+const COPY_TOKENS_MIN: u32 = 200;
+/// Shared tokens under which a subject is kept in each hall, not once for all:
+/// reading that few again costs less than streams between halls.
+const LOCAL_TOKENS: u32 = 1_500;
 /// Subjects remembered.
 const SUBJECTS: usize = 4_096;
 /// Time that a server is trusted to keep a part after this box used it there.
@@ -153,6 +157,8 @@
     pub load: f64,
     /// Tokens of the prompt that it is estimated to read.
     pub read: f64,
+    /// Its place in the order of the prompt's subject, if it is among the first.
+    pub rank: Option<usize>,
     /// The engine from which it is to copy what it does not keep.
     pub copy_from: Option<SocketAddr>,
 }
@@ -171,7 +177,7 @@
     let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
         Some(prompt) => {
-            let places = Places::new(fleet, &servers, prompt, memory, now);
+            let places = Places::new(fleet, &servers, prompt, ask.hall, memory, now);
             choose_engine(&servers, ask, prompt, &places, failing, now)
         }
         None => servers
@@ -192,6 +198,7 @@
         cost,
         load,
         read: 0.0,
+        rank: None,
         copy_from: None,
     }
 }
@@ -237,31 +244,37 @@
         fleet: &Fleet,
         servers: &[Rc<Backend>],
         prompt: &Prompt,
+        hall: &ids::Hall,
         memory: &Memory,
         now: Instant,
     ) -> Self {
         let shared = shared(prompt);
         let by_part: Vec<_> = shared.iter().map(|part| memory.places(part, now)).collect();
-        let ranks = ranks(servers, prompt);
-        let known = by_part.last().into_iter().flatten();
-        let known = known.filter_map(|id| fleet.get(id));
-        let ranked = ranks.iter().map(|at| servers[*at].clone());
-        let sources = known
-            .chain(ranked)
-            .filter(|backend| backend.health.allows(now))
-            .map(|backend| (backend.server.id.clone(), backend.server.address))
-            .collect();
+        let order = Order::new(servers, prompt, hall);
+        let mut sources = Vec::new();
+        let mut add = |id: &ids::Server| {
+            let backend = fleet.get(id).filter(|backend| backend.health.allows(now));
+            sources.extend(backend.map(|backend| (id.clone(), backend.server.address)));
+        };
+        let id = |at: &usize| &servers[*at].server.id;
+        // Where the subject was sent, where it is kept if it was sent
+        // anywhere, and where at least its earlier parts were sent.
+        by_part.last().into_iter().flatten().for_each(&mut add);
+        order.first.first().map(id).into_iter().for_each(&mut add);
+        if order.local {
+            order.by_hall.iter().map(id).for_each(&mut add);
+        }
+        by_part.iter().rev().skip(1).flatten().for_each(&mut add);
         Self {
             by_part,
-            ranks,
+            ranks: order.first,
             sources,
         }
     }
 
     /// Tokens of a prompt's shared parts that a server is expected to lack.
     fn lacking(&self, at: usize, server: &ids::Server, prompt: &Prompt) -> f64 {
-        let rank = self.ranks.iter().position(|first| *first == at);
-        let prior = rank.map_or(0.0, |rank| KEPT_BY_RANK[rank]);
+        let prior = self.rank(at).map_or(0.0, |rank| KEPT_BY_RANK[rank]);
         let mut kept_so_far = 1.0;
         let mut lacking = 0.0;
         for (part, places) in shared(prompt).iter().zip(&self.by_part) {
@@ -271,8 +284,18 @@
         lacking
     }
 
-    /// The engine that a server copies from.
-    fn source(&self, server: &ids::Server) -> Option<SocketAddr> {
+    fn rank(&self, at: usize) -> Option<usize> {
+        self.ranks.iter().position(|first| *first == at)
+    }
+
+    /// The engine that a server copies from what it does not keep; `None` when
+    /// this box knows that it keeps all, or that is too little to be copied.
+    fn source(&self, server: &ids::Server, prompt: &Prompt) -> Option<SocketAddr> {
+        let tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
+        let knows = |places: &Vec<ids::Server>| places.contains(server);
+        if tokens < COPY_TOKENS_MIN || self.by_part.iter().all(knows) {
+            return None;
+        }
         let other = self.sources.iter().find(|(id, _)| id != server);
         other.map(|(_, address)| *address)
     }
@@ -296,8 +319,7 @@
             let id = &backend.server.id;
             let lacking = places.lacking(at, id, prompt);
             let own = f64::from(prompt.parts.last().map_or(prompt.input, |part| part.tokens));
-            let source = places.source(id).filter(|_| lacking > COPY_TOKENS_MIN);
-            let copied = ask.copy_ms.zip(source);
+            let copied = ask.copy_ms.zip(places.source(id, prompt));
             let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
             let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
             let queued = backend.prefill() as f64;
@@ -313,6 +335,7 @@
                 backend: backend.clone(),
                 cost,
                 load,
+                rank: places.rank(at),
                 read: own + if copied.is_some() { 0.0 } else { lacking },
                 copy_from: copied.map(|(_, address)| address),
             }
@@ -325,20 +348,53 @@
     f64::from(told.unwrap_or_else(|| backend.own()))
 }
 
-/// Indexes of the servers that come first for a prompt's subject, best first.
-fn ranks(servers: &[Rc<Backend>], prompt: &Prompt) -> Vec<usize> {
+/// The order of servers in which a prompt's subject is looked for.
+struct Order {
+    /// Indexes of the servers that come first, best first. A small subject has
+    /// an order of its own in each hall.
+    first: Vec<usize>,
+    /// The first server of each hall, best first: wherever the subject was
+    /// sent, one of these keeps it.
+    by_hall: Vec<usize>,
+    /// Whether the subject is kept in each hall.
+    local: bool,
+}
+
+impl Order {
+    fn new(servers: &[Rc<Backend>], prompt: &Prompt, hall: &ids::Hall) -> Self {
+        let sorted = sorted(servers, prompt);
+        let tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
+        let in_hall = |at: &usize| servers[*at].server.hall == *hall;
+        let local = tokens < LOCAL_TOKENS && sorted.iter().any(in_hall);
+        let first = sorted.iter().copied().filter(|at| !local || in_hall(at));
+        let mut by_hall: Vec<usize> = Vec::new();
+        for at in &sorted {
+            let hall = &servers[*at].server.hall;
+            if !by_hall
+                .iter()
+                .any(|known| servers[*known].server.hall == *hall)
+            {
+                by_hall.push(*at);
+            }
+        }
+        Self {
+            first: first.take(KEPT_BY_RANK.len()).collect(),
+            by_hall,
+            local,
+        }
+    }
+}
+
+/// Indexes of the servers by rendezvous hash of a prompt's subject.
+fn sorted(servers: &[Rc<Backend>], prompt: &Prompt) -> Vec<usize> {
     let Some(subject) = prompt.subject().or(prompt.parts.first()) else {
         return Vec::new();
     };
-    let mut scored: Vec<(u64, usize)> = servers
-        .iter()
-        .enumerate()
-        .map(|(at, backend)| {
-            let id = backend.server.id.as_str().as_bytes();
-            (xxh3_64_with_seed(id, subject.id), at)
-        })
-        .collect();
-    scored.sort_unstable_by(|a, b| b.cmp(a));
-    scored.truncate(KEPT_BY_RANK.len());
-    scored.into_iter().map(|(_, at)| at).collect()
+    let score = |at: &usize| {
+        let id = servers[*at].server.id.as_str().as_bytes();
+        Reverse(xxh3_64_with_seed(id, subject.id))
+    };
+    let mut sorted: Vec<usize> = (0..servers.len()).collect();
+    sorted.sort_by_cached_key(score);
+    sorted
 }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -306,11 +306,19 @@
         })
     }
 
+    /// Id of the last part of the prompt that is shared; 0 without one.
+    fn subject(&self) -> u64 {
+        let prompt = self.request.prompt.as_ref();
+        prompt
+            .and_then(|prompt| prompt.subject())
+            .map_or(0, |part| part.id)
+    }
+
     fn note_placed(&self, choice: &Choice) {
         log::info!(
             target: "request",
             "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             read={:.0} copy={} version={} age_ms={}",
+             read={:.0} copy={} subject={:x} rank={} version={} age_ms={}",
             self.request.attempt,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
@@ -320,6 +328,8 @@
             choice.load,
             choice.read,
             choice.copy_from.is_some(),
+            self.subject(),
+            choice.rank.map_or(-1, |rank| rank as i64),
             self.relay.view.version(),
             self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
         );
