--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -6,19 +6,15 @@
 //! subject's prompts are kept: by rendezvous hash of the subject over the
 //! servers, corrected by what this box itself has sent where.
 
-use std::cell::RefCell;
-use std::cmp::Reverse;
 use std::net::SocketAddr;
-use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use lru::LruCache;
-use tidepier_core::request::{Part, Prompt};
+use tidepier_core::request::Prompt;
 use tidepier_ids as ids;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fleet::{Backend, Fleet};
+use crate::places::{Memory, Places};
 
 /// Tokens that a model engine reads in a ms, when nothing better is known:
 /// measured engines read 38 to 43.
@@ -61,77 +57,6 @@
 const LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time to an answer of a plain service's server before one is known, in ms.
 const PLAIN_MS: f64 = 60.0;
-/// How likely the server at a rank of a subject's order keeps the subject when
-/// this box has not sent it there itself.
-const KEPT_BY_RANK: [f64; 2] = [0.93, 0.3];
-/// Tokens under which copying a prompt's memory is not worth its set-up.
-const COPY_TOKENS_MIN: u32 = 200;
-/// Shared tokens under which a subject is kept in each hall, not once for all:
-/// reading that few again costs less than streams between halls.
-const LOCAL_TOKENS: u32 = 1_500;
-/// Subjects remembered.
-const SUBJECTS: usize = 4_096;
-/// Time that a server is trusted to keep a part after this box used it there.
-const KEPT_TIME: Duration = Duration::from_secs(60);
-/// Servers remembered for one part.
-const PLACES: usize = 6;
-
-/// Where this box has sent the parts of prompts.
-pub struct Memory {
-    parts: RefCell<LruCache<u64, Vec<Place>>>,
-}
-
-/// A server that a part was sent to.
-struct Place {
-    server: ids::Server,
-    at: Instant,
-}
-
-impl Default for Memory {
-    fn default() -> Self {
-        const CAPACITY: NonZeroUsize = NonZeroUsize::new(SUBJECTS).unwrap();
-        Self {
-            parts: RefCell::new(LruCache::new(CAPACITY)),
-        }
-    }
-}
-
-impl Memory {
-    /// Records that the shared parts of a prompt were sent to a server.
-    pub fn sent(&self, prompt: &Prompt, server: &ids::Server, now: Instant) {
-        let mut parts = self.parts.borrow_mut();
-        for part in shared(prompt) {
-            let places = parts.get_or_insert_mut(part.id, Vec::new);
-            places.retain(|place| place.server != *server && place.is_kept(now));
-            if places.len() >= PLACES {
-                places.remove(0);
-            }
-            places.push(Place {
-                server: server.clone(),
-                at: now,
-            });
-        }
-    }
-
-    /// Servers that keep a part, the one used last first.
-    fn places(&self, part: &Part, now: Instant) -> Vec<ids::Server> {
-        let parts = self.parts.borrow();
-        let places = parts.peek(&part.id).into_iter().flatten();
-        let kept = places.filter(|place| place.is_kept(now));
-        kept.map(|place| place.server.clone()).rev().collect()
-    }
-}
-
-impl Place {
-    fn is_kept(&self, now: Instant) -> bool {
-        now.duration_since(self.at) < KEPT_TIME
-    }
-}
-
-fn shared(prompt: &Prompt) -> &[Part] {
-    let shared = prompt.parts.len().saturating_sub(1);
-    &prompt.parts[..shared]
-}
 
 /// What is to be placed.
 pub struct Ask<'a> {
@@ -177,7 +102,7 @@
     let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
         Some(prompt) => {
-            let places = Places::new(fleet, &servers, prompt, ask.hall, memory, now);
+            let places = Places::new(fleet, service, prompt, ask.hall, memory, now);
             choose_engine(&servers, ask, prompt, &places, failing, now)
         }
         None => servers
@@ -229,97 +154,25 @@
     cost
 }
 
-/// Where a prompt's parts are kept, as far as this box can tell.
-struct Places {
-    /// Servers that this box sent each shared part to, the last one first.
-    by_part: Vec<Vec<ids::Server>>,
-    /// Indexes of the servers that come first for the subject, best first.
-    ranks: Vec<usize>,
-    /// Engines from which the subject may be copied, best first.
-    sources: Vec<(ids::Server, SocketAddr)>,
-}
-
-impl Places {
-    fn new(
-        fleet: &Fleet,
-        servers: &[Rc<Backend>],
-        prompt: &Prompt,
-        hall: &ids::Hall,
-        memory: &Memory,
-        now: Instant,
-    ) -> Self {
-        let shared = shared(prompt);
-        let by_part: Vec<_> = shared.iter().map(|part| memory.places(part, now)).collect();
-        let order = Order::new(servers, prompt, hall);
-        let mut sources = Vec::new();
-        let mut add = |id: &ids::Server| {
-            let backend = fleet.get(id).filter(|backend| backend.health.allows(now));
-            sources.extend(backend.map(|backend| (id.clone(), backend.server.address)));
-        };
-        let id = |at: &usize| &servers[*at].server.id;
-        // Where the subject was sent, where it is kept if it was sent
-        // anywhere, and where at least its earlier parts were sent.
-        by_part.last().into_iter().flatten().for_each(&mut add);
-        order.first.first().map(id).into_iter().for_each(&mut add);
-        if order.local {
-            order.by_hall.iter().map(id).for_each(&mut add);
-        }
-        by_part.iter().rev().skip(1).flatten().for_each(&mut add);
-        Self {
-            by_part,
-            ranks: order.first,
-            sources,
-        }
-    }
-
-    /// Tokens of a prompt's shared parts that a server is expected to lack.
-    fn lacking(&self, at: usize, server: &ids::Server, prompt: &Prompt) -> f64 {
-        let prior = self.rank(at).map_or(0.0, |rank| KEPT_BY_RANK[rank]);
-        let mut kept_so_far = 1.0;
-        let mut lacking = 0.0;
-        for (part, places) in shared(prompt).iter().zip(&self.by_part) {
-            kept_so_far *= if places.contains(server) { 1.0 } else { prior };
-            lacking += (1.0 - kept_so_far) * f64::from(part.tokens);
-        }
-        lacking
-    }
-
-    fn rank(&self, at: usize) -> Option<usize> {
-        self.ranks.iter().position(|first| *first == at)
-    }
-
-    /// The engine that a server copies from what it does not keep; `None` when
-    /// this box knows that it keeps all, or that is too little to be copied.
-    fn source(&self, server: &ids::Server, prompt: &Prompt) -> Option<SocketAddr> {
-        let tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
-        let knows = |places: &Vec<ids::Server>| places.contains(server);
-        if tokens < COPY_TOKENS_MIN || self.by_part.iter().all(knows) {
-            return None;
-        }
-        let other = self.sources.iter().find(|(id, _)| id != server);
-        other.map(|(_, address)| *address)
-    }
-}
-
 fn choose_engine(
     servers: &[Rc<Backend>],
     ask: &Ask<'_>,
     prompt: &Prompt,
-    places: &Places,
+    places: &Places<'_>,
     failing: f64,
     now: Instant,
 ) -> Option<Choice> {
     let loads: Vec<f64> = servers.iter().map(load).collect();
     let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
     let bound = BOUND_FACTOR * mean + BOUND_EXTRA;
-    let candidates = servers.iter().zip(loads).enumerate();
+    let candidates = servers.iter().zip(loads);
     candidates
-        .filter(|(_, (backend, _))| backend.own() < ask.connections)
-        .map(|(at, (backend, load))| {
+        .filter(|(backend, _)| backend.own() < ask.connections)
+        .map(|(backend, load)| {
             let id = &backend.server.id;
-            let lacking = places.lacking(at, id, prompt);
+            let lacking = places.lacking(id);
             let own = f64::from(prompt.parts.last().map_or(prompt.input, |part| part.tokens));
-            let copied = ask.copy_ms.zip(places.source(id, prompt));
+            let copied = ask.copy_ms.zip(places.source(id));
             let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
             let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
             let queued = backend.prefill() as f64;
@@ -335,7 +188,7 @@
                 backend: backend.clone(),
                 cost,
                 load,
-                rank: places.rank(at),
+                rank: places.rank(id),
                 read: own + if copied.is_some() { 0.0 } else { lacking },
                 copy_from: copied.map(|(_, address)| address),
             }
@@ -347,54 +200,3 @@
     let told = backend.load(LOAD_AGE);
     f64::from(told.unwrap_or_else(|| backend.own()))
 }
-
-/// The order of servers in which a prompt's subject is looked for.
-struct Order {
-    /// Indexes of the servers that come first, best first. A small subject has
-    /// an order of its own in each hall.
-    first: Vec<usize>,
-    /// The first server of each hall, best first: wherever the subject was
-    /// sent, one of these keeps it.
-    by_hall: Vec<usize>,
-    /// Whether the subject is kept in each hall.
-    local: bool,
-}
-
-impl Order {
-    fn new(servers: &[Rc<Backend>], prompt: &Prompt, hall: &ids::Hall) -> Self {
-        let sorted = sorted(servers, prompt);
-        let tokens: u32 = shared(prompt).iter().map(|part| part.tokens).sum();
-        let in_hall = |at: &usize| servers[*at].server.hall == *hall;
-        let local = tokens < LOCAL_TOKENS && sorted.iter().any(in_hall);
-        let first = sorted.iter().copied().filter(|at| !local || in_hall(at));
-        let mut by_hall: Vec<usize> = Vec::new();
-        for at in &sorted {
-            let hall = &servers[*at].server.hall;
-            if !by_hall
-                .iter()
-                .any(|known| servers[*known].server.hall == *hall)
-            {
-                by_hall.push(*at);
-            }
-        }
-        Self {
-            first: first.take(KEPT_BY_RANK.len()).collect(),
-            by_hall,
-            local,
-        }
-    }
-}
-
-/// Indexes of the servers by rendezvous hash of a prompt's subject.
-fn sorted(servers: &[Rc<Backend>], prompt: &Prompt) -> Vec<usize> {
-    let Some(subject) = prompt.subject().or(prompt.parts.first()) else {
-        return Vec::new();
-    };
-    let score = |at: &usize| {
-        let id = servers[*at].server.id.as_str().as_bytes();
-        Reverse(xxh3_64_with_seed(id, subject.id))
-    };
-    let mut sorted: Vec<usize> = (0..servers.len()).collect();
-    sorted.sort_by_cached_key(score);
-    sorted
-}
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -28,6 +28,10 @@
 /// a request to it.
 const IDLE_MARGIN: Duration = Duration::from_millis(700);
 
+/// Time from this process's start in which servers that it hears of count as
+/// having been there before.
+const START_TIME: Duration = Duration::from_secs(8);
+
 /// A connection that rests.
 struct Idle {
     conn: Conn,
@@ -51,6 +55,8 @@
     /// What this box has seen of its health.
     pub health: Health,
     state: Cell<State>,
+    /// When this box heard of it; `None` when it was there before.
+    joined: Option<Instant>,
     /// Its entry is gone while the store cannot be relied on.
     missing: Cell<bool>,
     own: Cell<u32>,
@@ -85,8 +91,9 @@
 }
 
 impl Backend {
-    fn new(server: Server) -> Self {
+    fn new(server: Server, joined: Option<Instant>) -> Self {
         Self {
+            joined,
             state: Cell::new(server.state),
             server,
             health: Health::default(),
@@ -99,6 +106,12 @@
         }
     }
 
+    /// Whether it joined less than `most` ago.
+    pub fn is_new(&self, most: Duration, now: Instant) -> bool {
+        let joined = self.joined;
+        joined.is_some_and(|joined| now.duration_since(joined) < most)
+    }
+
     /// Whether it takes new requests.
     pub fn serves(&self) -> bool {
         self.state.get() == State::Ready
@@ -206,14 +219,25 @@
 }
 
 /// All servers.
-#[derive(Default)]
 pub struct Fleet {
+    started: Instant,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
     /// Told when a server came or left.
     pub changed: Notice,
 }
 
+impl Default for Fleet {
+    fn default() -> Self {
+        Self {
+            started: Instant::now(),
+            servers: RefCell::default(),
+            services: RefCell::default(),
+            changed: Notice::default(),
+        }
+    }
+}
+
 impl Fleet {
     /// Records an announcement.
     pub fn announce(&self, server: Server) -> Change {
@@ -230,7 +254,8 @@
             State::Draining => Change::Leaving,
         };
         let service = server.service.clone();
-        let backend = Rc::new(Backend::new(server));
+        let joined = (self.started.elapsed() > START_TIME).then(Instant::now);
+        let backend = Rc::new(Backend::new(server, joined));
         let id = backend.server.id.clone();
         self.servers.borrow_mut().insert(id, backend);
         self.regroup(&service);
@@ -286,6 +311,14 @@
         self.servers.borrow().get(id).cloned()
     }
 
+    /// The servers of a service, also those that are leaving.
+    pub fn known(&self, service: &ids::Service) -> Vec<Rc<Backend>> {
+        let servers = self.servers.borrow();
+        let known = servers.values();
+        let known = known.filter(|backend| backend.server.service == *service);
+        known.cloned().collect()
+    }
+
     /// The servers of a service that take new requests.
     pub fn serving(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
         let services = self.services.borrow();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod metrics;
 pub mod notice;
 pub mod peer;
+pub mod places;
 pub mod ready;
 pub mod record;
 pub mod refusal;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,8 +7,8 @@
 use tidepier_ids as ids;
 
 use crate::budget::Budget;
-use crate::choose::Memory;
 use crate::fleet::Fleet;
+use crate::places::Memory;
 use crate::stop::{Phase, Stop};
 use crate::view::View;
 
