A router can be started inside another process

`Router::start` binds the addresses of its settings and serves on the starter's executor, `Router::stop` is the planned stop; `run` uses both. Port 0 is allowed and the bound addresses are told, so that tests can run side by side. What the process did before it does still: the order of its tasks, signals and the stop are unchanged.

--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod stream;
 pub mod view;
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -65,45 +66,101 @@
 /// An address cannot be bound.
 pub async fn run(settings: Settings, mut changes: Changes) -> eyre::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
-    let relay = Rc::new(Relay::new(
-        settings.hall.clone(),
-        bounds(&settings),
-        Budget::new(terms(&settings)),
-    ));
-    start(&relay, &settings, &executor)?;
-    executor
-        .run(until_stopped(&relay, &settings, &mut changes))
-        .await;
+    let router = Router::start(&settings, &executor)?;
+    let told = async {
+        loop {
+            match changes.next().await {
+                Change::Stop => break,
+                Change::Reload => reload(&router.relay, &changes),
+            }
+        }
+        router.stop().await;
+    };
+    executor.run(told).await;
     Ok(())
 }
 
-fn start(
-    relay: &Rc<Relay>,
-    settings: &Settings,
-    executor: &Rc<LocalExecutor<'static>>,
-) -> eyre::Result<()> {
-    let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
-    executor
-        .spawn(callers::accept(relay.clone(), callers, executor.clone()))
-        .detach();
-    if let Some(address) = settings.readiness {
-        let listener = Listener::bind(address).wrap_err("binding the readiness address")?;
-        let relay = relay.clone();
+/// A router that runs on an executor of its starter's. Its tasks live as long
+/// as the executor.
+pub struct Router {
+    relay: Rc<Relay>,
+    callers: SocketAddr,
+    readiness: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+    stop_within: Duration,
+}
+
+impl Router {
+    /// Binds the addresses of the settings and serves there while `executor`
+    /// is run.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound, or the process has metrics already.
+    pub fn start(settings: &Settings, executor: &Rc<LocalExecutor<'static>>) -> eyre::Result<Self> {
+        let relay = Rc::new(Relay::new(
+            settings.hall.clone(),
+            bounds(settings),
+            Budget::new(terms(settings)),
+        ));
+        let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
+        let mut router = Self {
+            relay: relay.clone(),
+            callers: callers.address()?,
+            readiness: None,
+            metrics: None,
+            stop_within: settings.bounds.stop_within.duration(),
+        };
         executor
-            .spawn(async move { ready::serve(listener, || relay.is_ready()).await })
+            .spawn(callers::accept(relay.clone(), callers, executor.clone()))
             .detach();
+        if let Some(address) = settings.readiness {
+            let listener = Listener::bind(address).wrap_err("binding the readiness address")?;
+            router.readiness = Some(listener.address()?);
+            let relay = relay.clone();
+            executor
+                .spawn(async move { ready::serve(listener, || relay.is_ready()).await })
+                .detach();
+        }
+        if let Some(address) = settings.metrics {
+            let listener = Listener::bind(address).wrap_err("binding the metrics address")?;
+            router.metrics = Some(listener.address()?);
+            let registry = metrics::install()?;
+            executor.spawn(metrics::serve(listener, registry)).detach();
+        }
+        let follower = Follower::new(relay, Client::new(settings.store.address));
+        executor.spawn(follower.clone().catalog()).detach();
+        executor.spawn(follower.clone().prove()).detach();
+        executor.spawn(follower.clone().servers()).detach();
+        executor.spawn(follower.lapses()).detach();
+        Ok(router)
     }
-    if let Some(address) = settings.metrics {
-        let listener = Listener::bind(address).wrap_err("binding the metrics address")?;
-        let registry = metrics::install()?;
-        executor.spawn(metrics::serve(listener, registry)).detach();
+
+    /// Where clients connect; with the port that the system picked if the
+    /// settings told none.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where the platform asks whether it is ready.
+    pub fn readiness(&self) -> Option<SocketAddr> {
+        self.readiness
+    }
+
+    /// Where it tells its metrics.
+    pub fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
+    /// What its tasks share.
+    pub fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
+    /// Begins the planned stop; ends when it is over.
+    pub async fn stop(&self) {
+        stop(&self.relay, self.stop_within).await;
     }
-    let follower = Follower::new(relay.clone(), Client::new(settings.store.address));
-    executor.spawn(follower.clone().catalog()).detach();
-    executor.spawn(follower.clone().prove()).detach();
-    executor.spawn(follower.clone().servers()).detach();
-    executor.spawn(follower.lapses()).detach();
-    Ok(())
 }
 
 fn bounds(settings: &Settings) -> Bounds {
@@ -126,13 +183,7 @@
     }
 }
 
-async fn until_stopped(relay: &Relay, settings: &Settings, changes: &mut Changes) {
-    loop {
-        match changes.next().await {
-            Change::Stop => break,
-            Change::Reload => reload(relay, changes),
-        }
-    }
+async fn stop(relay: &Relay, within: Duration) {
     ::log::info!(
         target: "process",
         "event=stopping connections={} requests={}",
@@ -140,11 +191,7 @@
         relay.stop.requests()
     );
     relay.stop.advance(Phase::Leaving);
-    let limit = settings
-        .bounds
-        .stop_within
-        .duration()
-        .saturating_sub(STOP_MARGIN);
+    let limit = within.saturating_sub(STOP_MARGIN);
     let over = async {
         Timer::after(limit).await;
         ::log::warn!(
