The router is tested against stand-ins of its surroundings

One binary, a store, servers, a router and a thread per test; assertions on what reached a socket. Bodies and signatures, spoiled and foreign answers, runs per attempt, promises, resumed streams, times and budgets, routes and keys under a failing store, servers that leave or lapse, limits, the planned stop, changed settings.

--- /dev/null
+++ b/crates/relay/tests/relay/answers.rs
@@ -0,0 +1,342 @@
+//! Answers reach clients as their servers made them, or not at all.
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_relay_standin::client::{Answer, Call, Payload};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{Fault, Run, Server, Settings};
+use tidepier_relay_standin::site::HOST;
+use tidepier_relay_standin::Client;
+
+use crate::house::{self, ms, post, run, site, streaming, usual, whole, Executor, House, Result};
+use crate::raw::{self, Raw};
+
+#[test]
+fn bodies_and_signatures_are_unchanged() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let answer_bytes = 300_000;
+        let server = site.server(Settings {
+            answer_bytes,
+            ..usual(1)
+        })?;
+        let house = House::open(executor, site).await?;
+        let long: Vec<u8> = (0..=255u8).cycle().take(200_000).collect();
+        let chunks = || long.chunks(7_001).map(Into::into).collect();
+        let mut client = Client::open(house.front()).await?;
+        for (target, payload) in [
+            ("/r/sized?a=1%202", Payload::Sized(long.clone())),
+            ("/r/chunked", Payload::Chunked(chunks())),
+            ("/o/chunked", Payload::Chunked(chunks())),
+            ("/o/none", Payload::Empty),
+            ("/r/zero", Payload::Sized(Vec::new())),
+        ] {
+            let mut call = post(target, target);
+            call.payload = payload.clone();
+            let answer = client.call(&call).await;
+            whole(&answer, &[&server], target)?;
+            let runs = server.runs();
+            let run = runs.last().expect("a run");
+            ensure!(run.target == target && run.method == "POST", "{run:?}");
+            let sent = match payload {
+                Payload::Empty => Vec::new(),
+                Payload::Sized(bytes) => bytes,
+                Payload::Chunked(chunks) => chunks.concat(),
+            };
+            ensure!(run.body == Some(sent), "{target}: a wrong body");
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn head_is_answered_without_a_body() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let mut client = Client::open(house.front()).await?;
+        let length = server.settings().answer_bytes.to_string();
+        for attempt in ["first", "second"] {
+            let call = Call::new("HEAD", HOST, "/r/x", attempt);
+            let answer = client.call(&call).await;
+            whole(&answer, &[&server], attempt)?;
+            ensure!(
+                answer.field("Content-Length") == Some(&length),
+                "{answer:?}"
+            );
+        }
+        whole(
+            &client.call(&post("/o/x", "after")).await,
+            &[&server],
+            "after",
+        )
+    })
+}
+
+#[test]
+fn head_of_a_stream_is_answered_without_a_body() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 3, ms(5)))?;
+        let house = House::open(executor, site).await?;
+        for target in ["/s/x", "/u/x"] {
+            let mut client = Client::open(house.front()).await?;
+            let call = Call::new("HEAD", HOST, target, target);
+            let answer = client.call(&call).await;
+            ensure!(answer.status == 200 && answer.complete, "{answer:?}");
+            let after = format!("{target}-after");
+            let answer = client.call(&post(target, &after)).await;
+            whole(&answer, &[&server], &after)?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn answers_that_end_with_their_connection_are_whole() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let mut client = Client::open(house.front()).await?;
+        for fault in [Fault::Unframed, Fault::Close] {
+            server.fault(fault, u32::MAX);
+            for target in ["/r/x", "/o/x"] {
+                let attempt = format!("{fault:?}{target}");
+                let answer = client.call(&post(target, &attempt)).await;
+                whole(&answer, &[&server], &attempt)?;
+            }
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn streams_that_end_with_their_connection_are_whole() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 5, ms(10)))?;
+        let house = House::open(executor, site).await?;
+        for fault in [Fault::Unframed, Fault::Close] {
+            server.fault(fault, u32::MAX);
+            for target in ["/s/x", "/u/x"] {
+                let attempt = format!("{fault:?}{target}");
+                let answer = house.post(target, &attempt).await?;
+                // A client of streams takes the connection's end as theirs.
+                whole(&answer, &[&server], &attempt)?;
+            }
+        }
+        Ok(())
+    })
+}
+
+/// An answer is the right one, or no success.
+fn right_or_none(answer: &Answer, servers: &[&Server], attempt: &str) -> Result {
+    if (200..300).contains(&answer.status) {
+        return whole(answer, servers, attempt);
+    }
+    ensure!(answer.status == 502, "{attempt}: {answer:?}");
+    ensure!(answer.complete, "{attempt}: a refusal cut off");
+    Ok(())
+}
+
+/// Sends requests while the near server spoils its answers; what reached it.
+/// An answer is `lost` by the fault, or still there.
+async fn spoiled(executor: Executor, fault: Fault, lost: bool) -> Result<Vec<Run>> {
+    let site = site()?;
+    let near = site.server(usual(1))?;
+    let far = site.server(usual(2))?;
+    let house = House::open(executor, site).await?;
+    let mut client = Client::open(house.front()).await?;
+    let servers = [&near, &far];
+    for round in 0..4 {
+        for target in ["/r/x", "/o/x"] {
+            near.fault(fault, 1);
+            let attempt = format!("{round}{target}");
+            let answer = client.call(&post(target, &attempt)).await;
+            right_or_none(&answer, &servers, &attempt)?;
+            let ran = house::ran(&servers, &attempt);
+            match target {
+                "/r/x" => ensure!(answer.status == 200, "{answer:?}"),
+                _ => ensure!(ran <= 1, "{attempt} ran {ran} times"),
+            }
+            if target == "/o/x" && near.ran(&attempt) == 1 {
+                let status = if lost { 502 } else { 200 };
+                ensure!(answer.status == status, "{attempt}: {answer:?}");
+            }
+            near.heal();
+            if answer.field("Connection") == Some("close") {
+                client = Client::open(house.front()).await?;
+            }
+            let attempt = format!("{attempt}-after");
+            let answer = client.call(&post(target, &attempt)).await;
+            whole(&answer, &servers, &attempt)?;
+        }
+    }
+    Ok(near.runs())
+}
+
+/// Whether a request followed a spoiled answer on its connection.
+fn followed(runs: &[Run]) -> bool {
+    runs.iter().any(|run| {
+        let after = format!("{}-after", run.attempt);
+        let mut runs = runs.iter();
+        runs.any(|next| next.attempt == after && next.connection == run.connection)
+    })
+}
+
+#[test]
+fn garbage_is_no_answer() -> Result {
+    run(async |executor| spoiled(executor, Fault::Garbage, true).await.map(drop))
+}
+
+#[test]
+fn an_answer_broken_off_is_no_answer() -> Result {
+    run(async |executor| spoiled(executor, Fault::BreakOff, true).await.map(drop))
+}
+
+#[test]
+fn a_second_answer_belongs_to_nobody() -> Result {
+    run(async |executor| spoiled(executor, Fault::Extra, false).await.map(drop))
+}
+
+#[test]
+fn a_late_second_answer_belongs_to_nobody() -> Result {
+    run(async |executor| {
+        let runs = spoiled(executor, Fault::LateExtra, false).await?;
+        ensure!(followed(&runs), "the case did not arise");
+        Ok(())
+    })
+}
+
+#[test]
+fn an_unframed_answer_in_between_harms_no_other() -> Result {
+    run(async |executor| spoiled(executor, Fault::Unframed, false).await.map(drop))
+}
+
+#[test]
+fn an_answer_may_come_before_a_long_body_is_read() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let mut client = Client::open(house.front()).await?;
+        for (number, target) in ["/r/x", "/o/x", "/r/y", "/o/y"].into_iter().enumerate() {
+            server.fault(Fault::Early, 1);
+            let attempt = format!("early-{number}");
+            let body = vec![b'x'; 3 << 20];
+            let answer = client.call(&post(target, &attempt).body(&body)).await;
+            whole(&answer, &[&server], &attempt)?;
+            let attempt = format!("after-{number}");
+            let answer = client.call(&post(target, &attempt)).await;
+            whole(&answer, &[&server], &attempt)?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_foreign_answer_is_not_passed_on() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", |_| {
+            Some(raw::answer("another", true))
+        })?;
+        let house = House::open(executor, site).await?;
+        for (number, target) in ["/r/x", "/o/x", "/s/x", "/u/x"].into_iter().enumerate() {
+            let call = post(target, &number.to_string()).with(names::DEADLINE, "600");
+            let answer = house.call(&call).await?;
+            ensure!(matches!(answer.status, 502 | 504), "{answer:?}");
+            ensure!(answer.field(names::SEAL).is_none(), "{answer:?}");
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_foreign_answer_is_skipped_before_the_right_one() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", |asked| {
+            let foreign = raw::answer("another", true);
+            Some(foreign + &raw::answer(&asked.attempt, true))
+        })?;
+        let house = House::open(executor, site).await?;
+        for target in ["/r/x", "/o/x"] {
+            let answer = house.post(target, target).await?;
+            ensure!(answer.status == 200, "{answer:?}");
+            ensure!(answer.field(names::ATTEMPT) == Some(target), "{answer:?}");
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_success_without_a_signature_is_not_passed_on() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", |asked| {
+            Some(raw::answer(&asked.attempt, false))
+        })?;
+        let house = House::open(executor, site).await?;
+        for target in ["/r/x", "/o/x", "/s/x", "/u/x"] {
+            let answer = house.post(target, target).await?;
+            ensure!(answer.status == 502, "{answer:?}");
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_kept_connection_that_the_server_closed_costs_no_request() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        server.close_idle(Some(ms(60)));
+        for number in 0..6 {
+            let target = ["/r/x", "/o/x"][number % 2];
+            let attempt = format!("{number}");
+            let answer = house.post(target, &attempt).await?;
+            whole(&answer, &[&server], &attempt)?;
+            ensure!(server.ran(&attempt) == 1, "{attempt} ran twice");
+            Timer::after(ms(120)).await;
+        }
+        Ok(())
+    })
+}
+
+/// A server that closes a rested connection just when a request comes.
+fn closes_when_asked_again(asked: &raw::Asked) -> Option<String> {
+    (asked.number == 0).then(|| raw::answer(&asked.attempt, true))
+}
+
+#[test]
+fn a_repeatable_request_survives_a_connection_closing_under_it() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", closes_when_asked_again)?;
+        let house = House::open(executor, site).await?;
+        for number in 0..4 {
+            let answer = house.post("/r/x", &number.to_string()).await?;
+            ensure!(answer.status == 200, "{answer:?}");
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_once_only_request_takes_no_connection_that_rested_long() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", closes_when_asked_again)?;
+        let house = House::open(executor, site).await?;
+        for number in 0..2 {
+            let answer = house.post("/o/x", &number.to_string()).await?;
+            ensure!(answer.status == 200, "{answer:?}");
+            Timer::after(ms(1_700)).await;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -0,0 +1,399 @@
+//! What the router takes over from the store, and what it keeps when the store
+//! fails.
+
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use serde_json::{json, Value};
+use smol::Timer;
+use tidepier_core::catalog::Kind;
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::Server;
+use tidepier_relay_standin::site::{Route, Site};
+use tidepier_relay_standin::store::Down;
+
+use crate::house::{
+    ms, post, promised, run, site, until, usual, whole, Executor, House, Result, SERVICE,
+};
+
+/// Promised time for a change of the catalog.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+/// How long after the store's return a missing server is kept.
+const LAPSE_TIME: Duration = Duration::from_millis(2_200);
+/// Longest time between two questions to a store that is down.
+const PAUSE_MAX: Duration = Duration::from_millis(900);
+
+fn config(site: &Site) -> Result<Value> {
+    let bytes = site.store.value(names::CONFIG);
+    Ok(serde_json::from_slice(
+        &bytes.ok_or_else(|| eyre!("no configuration"))?,
+    )?)
+}
+
+/// Waits until a route is served, for no longer than the promise.
+async fn applied(house: &House, target: &str, since: Instant) -> Result {
+    until("applied", async || {
+        Ok(house.post(target, "probe").await?.status == 200)
+    })
+    .await?;
+    ensure!(since.elapsed() < APPLY_TIME, "{:?}", since.elapsed());
+    Ok(())
+}
+
+#[test]
+fn it_is_unready_without_a_configuration() -> Result {
+    run(async |executor| {
+        let site = Site::start()?;
+        let server = site.server(usual(1))?;
+        let house = House::unready(executor, site, |_| {})?;
+        for number in 0..5 {
+            ensure!(!house.is_ready().await, "ready without a configuration");
+            let attempt = format!("{number}");
+            promised(&house.post("/r/x", &attempt).await?)?;
+            Timer::after(ms(60)).await;
+        }
+        ensure!(server.runs().is_empty(), "a refused request was sent");
+        house
+            .site
+            .declare(&[Route::new("/r/", Kind::Repeatable, SERVICE)]);
+        until("ready", async || Ok(house.is_ready().await)).await?;
+        whole(&house.post("/r/x", "after").await?, &[&server], "after")
+    })
+}
+
+#[test]
+fn the_version_never_falls() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let older = config(&house.site)?;
+        let version = house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        applied(&house, "/new/x", Instant::now()).await?;
+        let mut older = older;
+        older["routes"] = json!([]);
+        for _ in 0..3 {
+            house.site.store.put_config(&older);
+            house.site.store.cut_watches();
+            for number in 0..10 {
+                let attempt = format!("{number}");
+                let answer = house.post("/new/x", &attempt).await?;
+                whole(&answer, &[&server], &attempt)?;
+                let shown = house.router.relay().view.version();
+                ensure!(shown.0 == version, "{shown} after {version}");
+                Timer::after(ms(30)).await;
+            }
+        }
+        let since = Instant::now();
+        house
+            .site
+            .declare(&[Route::new("/newer/", Kind::Repeatable, SERVICE)]);
+        applied(&house, "/newer/x", since).await
+    })
+}
+
+#[test]
+fn an_invalid_configuration_changes_nothing() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house
+            .site
+            .store
+            .put(names::CONFIG, &json!({ "version": 900, "routes": 7 }));
+        Timer::after(ms(300)).await;
+        whole(&house.post("/r/x", "after").await?, &[&server], "after")?;
+        let since = Instant::now();
+        house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        applied(&house, "/new/x", since).await
+    })
+}
+
+#[test]
+fn a_change_is_in_force_in_time_though_watches_are_cut() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        for number in 0..3 {
+            house.site.store.cut_watches();
+            let since = Instant::now();
+            let prefix = format!("/new{number}/");
+            house
+                .site
+                .declare(&[Route::new(&prefix, Kind::Repeatable, SERVICE)]);
+            applied(&house, &format!("{prefix}x"), since).await?;
+            let since = Instant::now();
+            house.site.drop_route(&prefix);
+            until("dropped", async || {
+                Ok(house.post(&format!("{prefix}x"), "gone").await?.status == 404)
+            })
+            .await?;
+            ensure!(since.elapsed() < APPLY_TIME, "{:?}", since.elapsed());
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_change_is_in_force_in_time_though_watches_learn_nothing() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house.site.store.deaf(Duration::from_secs(20));
+        let since = Instant::now();
+        house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        applied(&house, "/new/x", since).await
+    })
+}
+
+#[test]
+fn a_change_is_in_force_though_answers_are_lost() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house.site.store.faults(|faults| faults.lost = 3);
+        let since = Instant::now();
+        house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        applied(&house, "/new/x", since).await?;
+        let lost = async || {
+            let mut left = 0;
+            house.site.store.faults(|faults| left = faults.lost);
+            Ok(left == 0)
+        };
+        until("lost all", lost).await?;
+        // The store is asked again on other connections and believed anew.
+        until("fresh", async || {
+            Ok(house.router.relay().view.is_fresh(ms(1_900)))
+        })
+        .await?;
+        whole(&house.post("/r/x", "after").await?, &[&server], "after")
+    })
+}
+
+#[test]
+fn calls_refused_for_their_number_harm_no_request() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house.site.store.faults(|faults| faults.refuse = true);
+        house.site.store.cut_watches();
+        let before: u64 = house.site.store.all_calls().values().sum();
+        let start = Instant::now();
+        while start.elapsed() < ms(2_000) {
+            let attempt = format!("{:?}", start.elapsed());
+            whole(&house.post("/r/x", &attempt).await?, &[&server], &attempt)?;
+            Timer::after(ms(30)).await;
+        }
+        let calls = house.site.store.all_calls().values().sum::<u64>() - before;
+        ensure!(calls <= 30, "{calls} calls to a store that refuses them");
+        house.site.store.faults(|faults| faults.refuse = false);
+        // Its absence while the store was away counts, but once it is back a
+        // change is in force again.
+        let far = house.site.server(usual(2))?;
+        house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        until("back", async || {
+            let known = house.router.relay().fleet.ids().len() == 2;
+            Ok(known && house.post("/new/x", "probe").await?.status == 200)
+        })
+        .await?;
+        whole(
+            &house.post("/r/x", "after").await?,
+            &[&server, &far],
+            "after",
+        )
+    })
+}
+
+#[test]
+fn a_server_that_leaves_in_a_forgotten_history_is_dropped() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let gone = site.server(usual(1))?;
+        let stays = site.server(usual(2))?;
+        let house = House::open(executor, site).await?;
+        house.site.store.deaf(ms(300));
+        house.site.withdraw(&gone);
+        let comes = house.site.server(usual(3))?;
+        house.site.store.compact();
+        let since = Instant::now();
+        until("dropped", async || {
+            let ids = house.router.relay().fleet.ids();
+            let has = |server: &Server| ids.iter().any(|id| id.as_str() == server.settings().id);
+            Ok(!has(&gone) && has(&comes))
+        })
+        .await?;
+        ensure!(since.elapsed() < ms(2_000), "{:?}", since.elapsed());
+        let before = gone.runs().len();
+        for number in 0..10 {
+            let attempt = format!("{number}");
+            let answer = house.post("/r/x", &attempt).await?;
+            whole(&answer, &[&stays, &comes], &attempt)?;
+        }
+        ensure!(gone.runs().len() == before, "asked after it left");
+        Ok(())
+    })
+}
+
+#[test]
+fn the_catalog_of_a_forgotten_history_is_read_again() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house.site.store.deaf(ms(200));
+        let since = Instant::now();
+        house
+            .site
+            .declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        house.site.store.compact();
+        applied(&house, "/new/x", since).await
+    })
+}
+
+/// A router whose store goes down, is known to be down, and comes back while
+/// `lost` has lost its entry; returns when the store came back.
+async fn outage(executor: Executor, site: Site, lost: &[&Server]) -> Result<(House, Instant)> {
+    let house = House::open(executor, site).await?;
+    house
+        .site
+        .store
+        .faults(|faults| faults.down = Some(Down::Reset));
+    // Some questions have been asked in vain after this time.
+    let asked = house.site.store.calls("kv-txn");
+    until("noticed", async || {
+        Ok(house.site.store.calls("kv-txn") >= asked + 2)
+    })
+    .await?;
+    for server in lost {
+        house.site.withdraw(server);
+    }
+    Timer::after(ms(100)).await;
+    house.site.store.faults(|faults| faults.down = None);
+    Ok((house, Instant::now()))
+}
+
+#[test]
+fn a_server_whose_entry_lapsed_with_the_store_is_kept_for_a_while() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let lost = site.server(usual(1))?;
+        let (house, back) = outage(executor, site, &[&lost]).await?;
+        let mut number = 0;
+        while back.elapsed() < LAPSE_TIME - ms(200) {
+            number += 1;
+            let attempt = format!("{number}");
+            whole(&house.post("/r/x", &attempt).await?, &[&lost], &attempt)?;
+            Timer::after(ms(50)).await;
+        }
+        until("dropped", async || {
+            Ok(house.post("/r/x", "probe").await?.status == 503)
+        })
+        .await?;
+        let most = LAPSE_TIME + PAUSE_MAX + ms(800);
+        ensure!(back.elapsed() < most, "{:?}", back.elapsed());
+        promised(&house.post("/r/x", "after").await?)
+    })
+}
+
+#[test]
+fn a_server_whose_entry_comes_back_after_the_store_is_kept() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let lost = site.server(usual(1))?;
+        let (house, back) = outage(executor, site, &[&lost]).await?;
+        Timer::after(ms(1_000)).await;
+        house
+            .site
+            .announce(&lost, tidepier_core::server::State::Ready);
+        while back.elapsed() < LAPSE_TIME + PAUSE_MAX + ms(500) {
+            let attempt = format!("{:?}", back.elapsed());
+            whole(&house.post("/r/x", &attempt).await?, &[&lost], &attempt)?;
+            Timer::after(ms(100)).await;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_that_leaves_after_the_return_is_dropped_at_once() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let gone = site.server(usual(1))?;
+        let stays = site.server(usual(2))?;
+        let (house, back) = outage(executor, site, &[]).await?;
+        until("believed", async || {
+            Ok(house.router.relay().view.is_fresh(ms(1_000)))
+        })
+        .await?;
+        // The time of doubt has passed, and the next one has not begun.
+        Timer::at(back + PAUSE_MAX + ms(2_500)).await;
+        house.site.withdraw(&gone);
+        let left = Instant::now();
+        until("dropped", async || {
+            let ids = house.router.relay().fleet.ids();
+            Ok(!ids.iter().any(|id| id.as_str() == gone.settings().id))
+        })
+        .await?;
+        ensure!(left.elapsed() < ms(1_200), "{:?}", left.elapsed());
+        let before = gone.runs().len();
+        whole(&house.post("/r/x", "after").await?, &[&stays], "after")?;
+        ensure!(gone.runs().len() == before, "asked after it left");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_that_leaves_within_the_doubt_is_dropped_at_its_end() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let gone = site.server(usual(1))?;
+        let stays = site.server(usual(2))?;
+        let (house, back) = outage(executor, site, &[]).await?;
+        Timer::at(back + ms(1_500)).await;
+        house.site.withdraw(&gone);
+        until("dropped", async || {
+            let ids = house.router.relay().fleet.ids();
+            Ok(!ids.iter().any(|id| id.as_str() == gone.settings().id))
+        })
+        .await?;
+        let most = LAPSE_TIME + PAUSE_MAX + ms(800);
+        ensure!(back.elapsed() < most, "{:?}", back.elapsed());
+        whole(&house.post("/r/x", "after").await?, &[&stays], "after")
+    })
+}
+
+#[test]
+fn requests_are_served_while_the_store_is_silent() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        house
+            .site
+            .store
+            .faults(|faults| faults.down = Some(Down::Silent));
+        let start = Instant::now();
+        while start.elapsed() < ms(2_500) {
+            let attempt = format!("{:?}", start.elapsed());
+            let answer = house.call(&post("/o/x", &attempt)).await?;
+            whole(&answer, &[&server], &attempt)?;
+            Timer::after(ms(50)).await;
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/keys.rs
@@ -0,0 +1,212 @@
+//! Routes and keys: what is missing is a fact only while the catalog is fresh,
+//! and a key that was taken away opens nothing after the bound.
+
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_core::catalog::Kind;
+use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::site::{Route, Site};
+use tidepier_relay_standin::store::Down;
+
+use crate::house::{self, ms, post, promised, run, usual, whole, Executor, House, Result, SERVICE};
+
+/// The bound on keys in these tests. Longer than the time between two proofs
+/// of the router, or no key would be served steadily.
+const REVOKE_TIME: Duration = Duration::from_millis(2_600);
+/// The bound on changes.
+const APPLY_TIME: Duration = Duration::from_millis(2_000);
+
+/// A site with a keyed route beside the usual ones, and two accounts.
+fn keyed() -> Result<Site> {
+    let site = house::site()?;
+    let keyed = Route {
+        public: false,
+        ..Route::new("/k/", Kind::Repeatable, SERVICE)
+    };
+    site.declare(&[keyed]);
+    site.account("tenant-1", &["stays"], 0);
+    site.account("tenant-2", &["goes"], 1);
+    Ok(site)
+}
+
+async fn open(executor: Executor, site: Site, blind: bool) -> Result<House> {
+    House::with(executor, site, |settings| {
+        settings["bounds"]["revoke_within"] = (REVOKE_TIME.as_millis() as u64).into();
+        settings["bounds"]["apply_within"] = (APPLY_TIME.as_millis() as u64).into();
+        settings["bounds"]["revoke_when_blind"] = blind.into();
+    })
+    .await
+}
+
+fn with_key(key: &str, attempt: &str) -> Call {
+    post("/k/x", attempt).key(key)
+}
+
+#[test]
+fn unknown_routes_and_keys_are_told() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let house = open(executor, site, true).await?;
+        let other_host = post("/r/x", "host").with("Host", "other.example");
+        for (call, status) in [
+            (post("/nowhere/x", "path"), 404),
+            (other_host, 404),
+            (post("/r", "slash"), 404),
+            (with_key("unknown", "unknown"), 401),
+            (post("/k/x", "none"), 401),
+            (with_key("Stays", "case"), 401),
+        ] {
+            let answer = house.call(&call).await?;
+            ensure!(answer.status == status, "{call:?}: {answer:?}");
+        }
+        ensure!(server.runs().is_empty(), "a refused request was sent");
+        let answer = house.call(&with_key("stays", "known")).await?;
+        whole(&answer, &[&server], "known")
+    })
+}
+
+#[test]
+fn nothing_is_called_missing_by_an_old_catalog() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let house = open(executor, site, false).await?;
+        house
+            .site
+            .store
+            .faults(|faults| faults.down = Some(Down::Reset));
+        Timer::after(APPLY_TIME + ms(100)).await;
+        for call in [post("/nowhere/x", "path"), with_key("unknown", "key")] {
+            promised(&house.call(&call).await?)?;
+        }
+        // What is known goes on.
+        whole(&house.post("/r/x", "known").await?, &[&server], "known")?;
+        let answer = house.call(&with_key("stays", "key-known")).await?;
+        whole(&answer, &[&server], "key-known")?;
+        house.site.store.faults(|faults| faults.down = None);
+        house::until("told again", async || {
+            Ok(house.post("/nowhere/x", "again").await?.status == 404)
+        })
+        .await
+    })
+}
+
+/// Takes a key away and `harms` the store at once; the key has to be refused
+/// within the bound, and the other one served again in the end.
+async fn revoked(executor: Executor, harm: impl FnOnce(&Site), seen: bool) -> Result {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let house = open(executor, site, true).await?;
+    harm(&house.site);
+    let gone = Instant::now();
+    house.site.account("tenant-2", &["new"], 1);
+    let mut number = 0;
+    while gone.elapsed() < REVOKE_TIME + ms(500) {
+        number += 1;
+        let attempt = format!("goes-{number}");
+        let asked = Instant::now();
+        let answer = house.call(&with_key("goes", &attempt)).await?;
+        if asked > gone + REVOKE_TIME {
+            ensure!(matches!(answer.status, 401 | 503), "{answer:?}");
+            ensure!(server.ran(&attempt) == 0, "{attempt} ran");
+            if !seen {
+                promised(&answer)?;
+            }
+        }
+        // Public routes need no key and go on.
+        let attempt = format!("public-{number}");
+        whole(&house.post("/r/x", &attempt).await?, &[&server], &attempt)?;
+        Timer::after(ms(40)).await;
+    }
+    if !seen {
+        ensure!(!house.is_ready().await, "ready without trusted keys");
+    }
+    house.site.store.faults(|faults| faults.down = None);
+    house.site.store.faults(|faults| faults.refuse = false);
+    house::until("back", async || {
+        let answer = house.call(&with_key("new", "back")).await?;
+        Ok(answer.status == 200)
+    })
+    .await?;
+    let answer = house.call(&with_key("goes", "after")).await?;
+    ensure!(answer.status == 401, "{answer:?}");
+    house::until("ready", async || Ok(house.is_ready().await)).await
+}
+
+#[test]
+fn keys_are_refused_in_time_while_the_store_is_down() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| site.store.faults(|faults| faults.down = Some(Down::Busy));
+        revoked(executor, harm, false).await
+    })
+}
+
+#[test]
+fn keys_are_refused_in_time_while_the_store_is_silent() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| site.store.faults(|faults| faults.down = Some(Down::Silent));
+        revoked(executor, harm, false).await
+    })
+}
+
+#[test]
+fn keys_are_refused_in_time_while_the_store_is_cut_off() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| site.store.faults(|faults| faults.down = Some(Down::Reset));
+        revoked(executor, harm, false).await
+    })
+}
+
+#[test]
+fn keys_are_refused_in_time_while_the_store_refuses_calls() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| {
+            site.store.faults(|faults| faults.refuse = true);
+            site.store.cut_watches();
+        };
+        revoked(executor, harm, false).await
+    })
+}
+
+#[test]
+fn keys_are_refused_in_time_while_watches_learn_nothing() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| site.store.deaf(Duration::from_secs(20));
+        revoked(executor, harm, true).await
+    })
+}
+
+#[test]
+fn keys_are_refused_in_time_while_answers_are_lost() -> Result {
+    run(async |executor| {
+        let harm = |site: &Site| {
+            site.store.deaf(Duration::from_secs(20));
+            site.store.faults(|faults| faults.lost = 1);
+        };
+        revoked(executor, harm, true).await
+    })
+}
+
+#[test]
+fn a_key_that_was_taken_away_is_refused_in_time() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let _server = site.server(usual(1))?;
+        let house = open(executor, site, true).await?;
+        let answer = house.call(&with_key("goes", "before")).await?;
+        ensure!(answer.status == 200, "{answer:?}");
+        let gone = Instant::now();
+        house.site.account("tenant-2", &[], 1);
+        house::until("refused", async || {
+            let answer = house.call(&with_key("goes", "after")).await?;
+            ensure!(answer.status == 200 || answer.status == 401, "{answer:?}");
+            Ok(answer.status == 401)
+        })
+        .await?;
+        ensure!(gone.elapsed() < APPLY_TIME, "{:?}", gone.elapsed());
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/limits.rs
@@ -0,0 +1,134 @@
+//! What a client may send, and how long it may take.
+
+use std::time::Duration;
+
+use eyre::ensure;
+use serde_json::json;
+use smol::Timer;
+use tidepier_relay_standin::client::{Answer, Payload};
+use tidepier_relay_standin::server::Server;
+use tidepier_relay_standin::Client;
+
+use crate::house::{self, ms, post, run, usual, whole, Executor, House, Result};
+
+const HEAD_BYTES: usize = 2_000;
+const BODY_BYTES: usize = 20_000;
+const HEAD_TIME: Duration = Duration::from_millis(400);
+const IDLE_TIME: Duration = Duration::from_millis(900);
+
+async fn open(executor: Executor) -> Result<(House, Server)> {
+    let site = house::site()?;
+    site.configure(|config| {
+        config["limits"] = json!({
+            "max_header_bytes": HEAD_BYTES, "max_body_bytes": BODY_BYTES,
+            "header_timeout_ms": HEAD_TIME.as_millis() as u64,
+            "idle_timeout_ms": IDLE_TIME.as_millis() as u64,
+        });
+    });
+    let server = site.server(usual(1))?;
+    Ok((House::open(executor, site).await?, server))
+}
+
+fn refused(answer: &Answer, status: u16, server: &Server) -> Result {
+    ensure!(answer.status == status && answer.complete, "{answer:?}");
+    ensure!(answer.field("Connection") == Some("close"), "{answer:?}");
+    ensure!(server.runs().is_empty(), "it was sent on");
+    Ok(())
+}
+
+#[test]
+fn a_head_over_the_limit_is_refused() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        for bytes in [HEAD_BYTES, 60 << 10] {
+            let call = post("/r/x", "large").with("X-Large", &"x".repeat(bytes));
+            refused(&house.call(&call).await?, 431, &server)?;
+        }
+        let call = post("/r/x", "fits").with("X-Large", &"x".repeat(HEAD_BYTES - 400));
+        whole(&house.call(&call).await?, &[&server], "fits")
+    })
+}
+
+#[test]
+fn a_body_over_the_limit_is_refused() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let body = vec![b'x'; BODY_BYTES + 1];
+        let call = post("/r/x", "sized").body(&body);
+        refused(&house.call(&call).await?, 413, &server)?;
+        let mut call = post("/o/x", "chunked");
+        call.payload = Payload::Chunked(body.chunks(1_000).map(Into::into).collect());
+        refused(&house.call(&call).await?, 413, &server)?;
+        let call = post("/r/x", "fits").body(&body[1..]);
+        whole(&house.call(&call).await?, &[&server], "fits")
+    })
+}
+
+#[test]
+fn a_head_that_takes_too_long_is_refused() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let mut client = Client::open(house.front()).await?;
+        client.send(b"POST /r/x HTTP/1.1\r\nHost: si").await?;
+        let answer = client.answer("POST", Duration::from_secs(4)).await;
+        refused(&answer, 408, &server)?;
+        ensure!(answer.elapsed >= HEAD_TIME - ms(50), "{answer:?}");
+        ensure!(answer.elapsed < HEAD_TIME + ms(1_000), "{answer:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_body_that_stops_is_refused_without_a_run() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let mut client = Client::open(house.front()).await?;
+        let head = "POST /o/x HTTP/1.1\r\nHost: site.example\r\nAttempt-Id: a\r\n\
+                    Content-Length: 100\r\n\r\nhalf";
+        client.send(head.as_bytes()).await?;
+        let answer = client.answer("POST", Duration::from_secs(5)).await;
+        refused(&answer, 408, &server)
+    })
+}
+
+#[test]
+fn a_connection_that_rests_too_long_is_closed() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let mut client = Client::open(house.front()).await?;
+        for attempt in ["first", "second"] {
+            let answer = client.call(&post("/r/x", attempt)).await;
+            whole(&answer, &[&server], attempt)?;
+            // The promise: four fifths of the limit are fine.
+            Timer::after(IDLE_TIME.mul_f64(0.8)).await;
+        }
+        Timer::after(IDLE_TIME.mul_f64(0.2) + ms(600)).await;
+        ensure!(!client.rests(), "still open");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_malformed_request_is_refused() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let fields = "Host: site.example\r\nAttempt-Id: a\r\n";
+        for head in [
+            format!("POST /r/x HTTP/1.1\r\n{fields}Content-Length: x\r\n\r\n"),
+            format!("POST /r/x HTTP/1.1\r\n{fields}Content-Length: 3\r\nContent-Length: 4\r\n\r\nabcd"),
+            format!(
+                "POST /r/x HTTP/1.1\r\n{fields}Content-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n"
+            ),
+            format!("POST /r/x HTTP/1.1\r\n{fields}Transfer-Encoding: chunked\r\n\r\nzz\r\n"),
+            "POST /r/x HTTP/1.1\r\nHost: site.example\r\n\r\n".into(),
+            "\x16\x03\x01 nothing at all\r\n\r\n".into(),
+        ] {
+            let mut client = Client::open(house.front()).await?;
+            client.send(head.as_bytes()).await?;
+            let answer = client.answer("POST", Duration::from_secs(4)).await;
+            ensure!(answer.status == 400, "{head:?}: {answer:?}");
+            ensure!(server.runs().is_empty(), "{head:?} was sent on");
+        }
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/raw.rs
@@ -0,0 +1,89 @@
+//! A server that answers with whatever bytes a test makes.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde_json::json;
+use smol::Task;
+use tidepier_h1::{Body, Conn, Framing, Head, Listener};
+use tidepier_relay_standin::site::Site;
+
+use crate::house::{Executor, Result, SERVICE};
+
+/// Time after which unacknowledged data ends a connection; never on loopback.
+const UNACKED: Duration = Duration::from_secs(30);
+/// Largest head of a request, in bytes.
+const HEAD_BYTES: usize = 64 << 10;
+
+/// A request to be answered.
+pub(crate) struct Asked {
+    /// The id of its attempt.
+    pub(crate) attempt: String,
+    /// Its number on its connection, from 0.
+    pub(crate) number: usize,
+}
+
+/// The server; it ends when dropped.
+pub(crate) struct Raw {
+    _task: Task<()>,
+}
+
+impl Raw {
+    /// Starts a server as `id` and announces it. `answer` makes the bytes of an
+    /// answer, or `None` to close the connection.
+    pub(crate) fn start(
+        executor: &Executor,
+        site: &Site,
+        id: &str,
+        answer: impl Fn(&Asked) -> Option<String> + 'static,
+    ) -> Result<Self> {
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        let entry = json!({
+            "service": SERVICE, "address": listener.address()?.to_string(), "zone": "hall-1",
+            "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+        });
+        site.store.put_server(id, &entry);
+        let answer = Rc::new(answer);
+        let tasks = executor.clone();
+        let task = executor.spawn(async move {
+            while let Ok(conn) = listener.accept(UNACKED).await {
+                let answer = answer.clone();
+                let talk = async move { talk(conn, &*answer).await };
+                tasks.spawn(talk).detach();
+            }
+        });
+        Ok(Self { _task: task })
+    }
+}
+
+async fn talk(mut conn: Conn, answer: &impl Fn(&Asked) -> Option<String>) {
+    for number in 0.. {
+        let Ok(Some(head)) = conn.head(HEAD_BYTES).await else {
+            return;
+        };
+        if read(&mut conn, &head).await.is_err() {
+            return;
+        }
+        let attempt = head.text("Attempt-Id").unwrap_or_default().to_owned();
+        let Some(text) = answer(&Asked { attempt, number }) else {
+            return;
+        };
+        if conn.writer().write_all(text.as_bytes()).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn read(conn: &mut Conn, head: &Head) -> Result {
+    let mut body = Body::new(Framing::of_request(head)?);
+    let mut scrap = Vec::new();
+    while body.read(conn, &mut scrap).await? {}
+    Ok(())
+}
+
+/// A whole answer to an attempt, signed or not.
+pub(crate) fn answer(attempt: &str, signed: bool) -> String {
+    let seal = if signed { "Response-Seal: raw\r\n" } else { "" };
+    format!("HTTP/1.1 200 OK\r\nAttempt-Id: {attempt}\r\n{seal}Content-Length: 2\r\n\r\nok")
+}
--- /dev/null
+++ b/crates/relay/tests/relay/stop.rs
@@ -0,0 +1,295 @@
+//! The planned stop, changed settings and the process's own pages.
+
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::path::PathBuf;
+use std::process::{Child, Command};
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use futures_lite::future;
+use smol::Timer;
+use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{Fault, Settings};
+use tidepier_relay_standin::site::HOST;
+use tidepier_relay_standin::Client;
+
+use crate::house::{
+    self, arrived, ms, post, run, site, streaming, until, usual, whole, House, Result,
+};
+
+/// How long a stopping router takes new connections: the balancer needs three
+/// seconds at most, of which a margin is left for the way.
+const TAKES_TIME: Duration = Duration::from_millis(2_900);
+
+#[test]
+fn a_planned_stop_loses_nothing() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let slow = site.server(Settings {
+            work: ms(3_600),
+            ..usual(1)
+        })?;
+        let house = House::with(executor, site, |settings| {
+            settings["bounds"]["stop_within"] = 8_000.into();
+        })
+        .await?;
+        let mut kept = Client::open(house.front()).await?;
+        let call = post("/o/x", "running");
+        let start = Instant::now();
+        let running = async {
+            let answer = kept.call(&call).await;
+            whole(&answer, &[&slow], "running")?;
+            ensure!(answer.field("Connection") == Some("close"), "{answer:?}");
+            Ok(())
+        };
+        let stop = async {
+            Timer::after(ms(150)).await;
+            let told = Instant::now();
+            house.router.stop().await;
+            Ok(told.elapsed())
+        };
+        let new = async {
+            Timer::after(ms(250)).await;
+            ensure!(!house.is_ready().await, "ready while it stops");
+            // The other server answers at once; it came after the slow one.
+            let quick = house.site.server(usual(2))?;
+            house.site.withdraw(&slow);
+            until("known", async || {
+                let ids = house.router.relay().fleet.ids();
+                Ok(ids.iter().any(|id| id.as_str() == "i-2") && ids.len() == 1)
+            })
+            .await?;
+            let mut number = 0;
+            while start.elapsed() < ms(150) + TAKES_TIME - ms(60) {
+                number += 1;
+                let attempt = format!("new-{number}");
+                let answer = house.post("/o/x", &attempt).await?;
+                whole(&answer, &[&quick], &attempt)?;
+                ensure!(answer.field("Connection") == Some("close"), "{answer:?}");
+                ensure!(!house.is_ready().await, "ready while it stops");
+                Timer::after(ms(20)).await;
+            }
+            ensure!(number > 3, "the case did not arise");
+            Ok(())
+        };
+        let both = future::try_zip(running, new);
+        let (stopped, _) = future::try_zip(stop, both).await?;
+        ensure!(stopped > TAKES_TIME, "gone after {stopped:?}");
+        ensure!(stopped < ms(6_000), "gone after {stopped:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_stop_finishes_streams() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 40, ms(90)))?;
+        let house = House::open(executor, site).await?;
+        let stop = async {
+            Timer::after(ms(200)).await;
+            house.router.stop().await;
+            Ok(())
+        };
+        let call = post("/u/x", "stream");
+        let (answer, ()) = future::try_zip(house.call(&call), stop).await?;
+        whole(&answer, &[&server], "stream")
+    })
+}
+
+#[test]
+fn a_stop_ends_before_its_limit() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let limit = ms(3_800);
+        let house = House::with(executor, site, |settings| {
+            settings["bounds"]["stop_within"] = (limit.as_millis() as u64).into();
+        })
+        .await?;
+        server.fault(Fault::Hang, u32::MAX);
+        let call = post("/o/x", "hangs").with(names::DEADLINE, "9000");
+        let hangs = async {
+            house.call(&call).await?;
+            Err::<Duration, _>(eyre!("answered"))
+        };
+        let stop = async {
+            Timer::after(ms(150)).await;
+            let told = Instant::now();
+            house.router.stop().await;
+            Ok(told.elapsed())
+        };
+        let stopped = future::or(stop, hangs).await?;
+        ensure!(stopped < limit, "{stopped:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn the_metrics_are_told() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::with(executor, site, |settings| {
+            settings["metrics"] = "127.0.0.1:0".into();
+        })
+        .await?;
+        whole(&house.post("/r/x", "one").await?, &[&server], "one")?;
+        house.post("/nowhere/x", "two").await?;
+        let address = house.router.metrics().ok_or_else(|| eyre!("no page"))?;
+        let page = Client::once(address, &Call::new("GET", HOST, "/metrics", "m")).await?;
+        ensure!(page.status == 200 && page.complete, "{page:?}");
+        let text = String::from_utf8(page.body)?;
+        for name in ["tidepier_answers_total", "tidepier_refusals_total"] {
+            ensure!(text.contains(name), "{name} is missing: {text}");
+        }
+        let none = Client::once(address, &Call::new("GET", HOST, "/other", "m")).await?;
+        ensure!(none.status == 404, "{none:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn readiness_is_told() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let address = house.router.readiness().ok_or_else(|| eyre!("no page"))?;
+        let mut client = Client::open(address).await?;
+        for (method, path, status) in [
+            ("GET", "/-/readyz", 200),
+            ("GET", "/-/other", 404),
+            ("POST", "/-/readyz", 405),
+            ("GET", "/-/readyz", 200),
+        ] {
+            let answer = client.call(&Call::new(method, HOST, path, "r")).await;
+            ensure!(answer.status == status, "{method} {path}: {answer:?}");
+        }
+        Ok(())
+    })
+}
+
+/// A router process of its own, with its settings file.
+struct Process {
+    child: Child,
+    file: PathBuf,
+    front: SocketAddr,
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = fs::remove_file(&self.file);
+    }
+}
+
+/// A port that was free just now.
+fn free_port() -> Result<SocketAddr> {
+    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
+}
+
+impl Process {
+    fn start(name: &str, mut settings: serde_json::Value) -> Result<Self> {
+        let front = free_port()?;
+        settings["callers"] = front.to_string().into();
+        settings["readiness"] = free_port()?.to_string().into();
+        let file = format!("relay-{name}-{}.json", std::process::id());
+        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
+        fs::write(&file, settings.to_string())?;
+        let child = Command::new(env!("CARGO_BIN_EXE_tidepier-relay"))
+            .args(["--log", "warn", "--settings"])
+            .arg(&file)
+            .spawn()?;
+        Ok(Self { child, file, front })
+    }
+
+    fn signal(&self, name: &str) -> Result {
+        let id = self.child.id().to_string();
+        let sent = Command::new("kill").args([name, &id]).status()?;
+        ensure!(sent.success(), "no signal sent");
+        Ok(())
+    }
+
+    async fn call(&self, attempt: &str) -> Result<u16> {
+        let answer = Client::once(self.front, &post("/r/x", attempt)).await;
+        Ok(answer.map_or(0, |answer| answer.status))
+    }
+}
+
+/// Changes the settings file of a process from no retries to many; `tell` says
+/// so, or not.
+async fn reloaded(name: &str, tell: impl FnOnce(&Process) -> Result) -> Result {
+    let site = site()?;
+    let near = site.server(usual(1))?;
+    let far = site.server(usual(2))?;
+    let mut settings = house::settings(&site);
+    settings["bounds"]["retry_share"] = 0.into();
+    settings["bounds"]["retry_extra"] = 0.into();
+    let process = Process::start(name, settings.clone())?;
+    until("serving", async || Ok(process.call("first").await? == 200)).await?;
+    near.fault(Fault::Failure, u32::MAX);
+    far.fault(Fault::Failure, u32::MAX);
+    let mut number = 0;
+    let mut sendings = async || {
+        number += 1;
+        let attempt = format!("second-{number}");
+        let status = process.call(&attempt).await?;
+        ensure!(status == 500, "{attempt}: {status}");
+        Ok(arrived(&[&near, &far], &attempt))
+    };
+    for _ in 0..5 {
+        ensure!(sendings().await? == 1, "retried without an allowance");
+    }
+    settings["bounds"]["retry_extra"] = 2_400.into();
+    settings["callers"] = process.front.to_string().into();
+    // In one step, so that no half of it is ever read.
+    let fresh = process.file.with_extension("new");
+    fs::write(&fresh, settings.to_string())?;
+    fs::rename(&fresh, &process.file)?;
+    tell(&process)?;
+    until("retried", async || Ok(sendings().await? == 2)).await?;
+    // Spoiled settings change nothing.
+    fs::write(&process.file, "{")?;
+    process.signal("-HUP")?;
+    Timer::after(ms(200)).await;
+    ensure!(sendings().await? == 2, "the settings were dropped");
+    Ok(())
+}
+
+#[test]
+fn changed_settings_are_taken_over_on_a_signal() -> Result {
+    run(async |_| reloaded("signal", |process| process.signal("-HUP")).await)
+}
+
+#[test]
+fn changed_settings_are_taken_over_without_a_signal() -> Result {
+    run(async |_| reloaded("look", |_| Ok(())).await)
+}
+
+#[test]
+fn a_process_told_to_stop_ends_well() -> Result {
+    run(async |_| {
+        let site = site()?;
+        let _server = site.server(usual(1))?;
+        let mut process = Process::start("stop", house::settings(&site))?;
+        until("serving", async || Ok(process.call("first").await? == 200)).await?;
+        let told = Instant::now();
+        process.signal("-TERM")?;
+        Timer::after(ms(2_000)).await;
+        ensure!(process.call("late").await? == 200, "gone too early");
+        let mut status = None;
+        until("ended", async || {
+            status = process.child.try_wait()?;
+            Ok(status.is_some())
+        })
+        .await?;
+        ensure!(status.is_some_and(|status| status.success()), "{status:?}");
+        ensure!(told.elapsed() < ms(6_000), "{:?}", told.elapsed());
+        Ok(())
+    })
+}
