No refusal promises that a request has not run once it may have

A repeatable request whose answer was lost is sent elsewhere; if no server was left to send it to, or all were full, the client got the 503 of a request that never ran. It gets 502 now, like every other lost answer.

Failing run before: sendings::no_promise_is_given_once_a_request_may_have_run, status 503 (no_server) after one run.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -229,7 +229,8 @@
 impl Exchange<'_> {
     async fn serve(&mut self) -> Result<End, refusal::Kind> {
         loop {
-            let (backend, result) = self.send(self.request.resume_after).await?;
+            let sent = self.send(self.request.resume_after).await;
+            let (backend, result) = sent.map_err(|kind| self.unpromised(kind))?;
             let failure = match result {
                 Ok(reply) => match self.judge(&backend, reply).await {
                     Ok(reply) => match stream::pass(self, backend.clone(), reply).await {
@@ -455,6 +456,16 @@
         }
     }
 
+    /// What a refusal of this box becomes once a server may have run the
+    /// request: the kinds that promise the opposite may not be told.
+    fn unpromised(&self, kind: refusal::Kind) -> refusal::Kind {
+        if self.may_have_run {
+            refusal::Kind::Lost
+        } else {
+            kind
+        }
+    }
+
     /// Records that an answer was passed on whole.
     pub(crate) fn answered(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
         let outcome = if status >= 500 {
