A server's own error is kept when no time is left to repeat the request

Its answer was thrown away and a repeat taken out of the budget before the time left was looked at, so that the 504 of a server at the deadline became a 502 of the box.

Failing run before: sendings::a_request_is_held_no_longer_than_its_route_allows, 502 after 399 ms of 400.

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -364,7 +364,8 @@
         }
         self.may_have_run = true;
         let own_error = reply.answer.status >= 500;
-        if own_error && self.route.kind.repeatable() && self.retry_is_paid() {
+        let repeatable = self.route.kind.repeatable() && self.time_for_retry();
+        if own_error && repeatable && self.retry_is_paid() {
             let status = reply.answer.status;
             stream::keep_after(backend, reply, self.deadline).await;
             return Err(Failure {
@@ -409,8 +410,7 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        if left < RETRY_TIME_MIN {
+        if !self.time_for_retry() {
             return Err(self.given_up(failure));
         }
         match &failure.cause {
@@ -433,6 +433,10 @@
         }
     }
 
+    fn time_for_retry(&self) -> bool {
+        self.deadline.saturating_duration_since(Instant::now()) >= RETRY_TIME_MIN
+    }
+
     /// Takes a retry out of the budget, if the route allows another server.
     fn retry_is_paid(&self) -> bool {
         let relay = self.relay;
