An answer to HEAD tells the server's length and has no chunks

On a plain route the length told was 0; on a stream's route a last chunk followed the head, which the client reads as the beginning of the next answer.

Failing runs before: answers::head_is_answered_without_a_body, answers::head_of_a_stream_is_answered_without_a_body (the next answer on the connection is malformed).

--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -44,7 +44,8 @@
     backend: Rc<Backend>,
     reply: Reply,
 ) -> Result<End, Failure> {
-    if exchange.route.kind.is_stream() && reply.answer.status == 200 {
+    let bodiless = exchange.arrival.head.method() == "HEAD";
+    if exchange.route.kind.is_stream() && reply.answer.status == 200 && !bodiless {
         pass_stream(exchange, backend, reply).await
     } else {
         pass_whole(exchange, backend, reply).await
@@ -82,10 +83,12 @@
     backend.hear();
     let status = reply.answer.status;
     let close = exchange.closes();
-    let mut out = exchange.head(&reply, Length::Known(body.len() as u64), close);
-    if exchange.arrival.head.method() != "HEAD" {
-        out.extend_from_slice(&body);
-    }
+    let length = match exchange.arrival.head.method() {
+        "HEAD" => told_length(&reply),
+        _ => Length::Known(body.len() as u64),
+    };
+    let mut out = exchange.head(&reply, length, close);
+    out.extend_from_slice(&body);
     if reply.reusable {
         backend.keep(reply.conn, reply.answer.keep_alive);
     }
@@ -98,6 +101,14 @@
     })
 }
 
+/// The length that an answer to `HEAD` tells of the body it leaves out; in
+/// chunks where the server told none.
+fn told_length(reply: &Reply) -> Length {
+    let told = reply.head.text("content-length");
+    let told = told.and_then(|text| text.trim().parse().ok());
+    told.map_or(Length::Chunked, Length::Known)
+}
+
 async fn read_whole(
     reply: &mut Reply,
     body: &mut Vec<u8>,
