--- a/crates/relay/tests/relay/beliefs.rs
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -7,6 +7,7 @@
 use serde_json::{json, Value};
 use smol::Timer;
 use tidepier_core::catalog::Kind;
+use tidepier_core::server::State;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::Server;
 use tidepier_relay_standin::site::{Route, Site};
@@ -316,11 +317,12 @@
         let site = site()?;
         let lost = site.server(usual(1))?;
         let (house, back) = outage(executor, site, &[&lost]).await?;
-        Timer::after(ms(1_000)).await;
-        house
-            .site
-            .announce(&lost, tidepier_core::server::State::Ready);
+        let mut absent = true;
         while back.elapsed() < LAPSE_TIME + PAUSE_MAX + ms(500) {
+            if absent && back.elapsed() > ms(1_000) {
+                house.site.announce(&lost, State::Ready);
+                absent = false;
+            }
             let attempt = format!("{:?}", back.elapsed());
             whole(&house.post("/r/x", &attempt).await?, &[&lost], &attempt)?;
             Timer::after(ms(100)).await;
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -77,6 +77,8 @@
         let both = future::try_zip(running, new);
         let (stopped, _) = future::try_zip(stop, both).await?;
         ensure!(stopped > TAKES_TIME, "gone after {stopped:?}");
+        // The slow request began before the stop.
+        ensure!(stopped > ms(3_300), "gone after {stopped:?}");
         ensure!(stopped < ms(6_000), "gone after {stopped:?}");
         Ok(())
     })
@@ -91,6 +93,7 @@
         let stop = async {
             Timer::after(ms(200)).await;
             house.router.stop().await;
+            ensure!(server.running() == 0, "gone before the stream's end");
             Ok(())
         };
         let call = post("/u/x", "stream");
