--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -229,7 +229,8 @@
 impl Exchange<'_> {
     async fn serve(&mut self) -> Result<End, refusal::Kind> {
         loop {
-            let (backend, result) = self.send(self.request.resume_after).await?;
+            let sent = self.send(self.request.resume_after).await;
+            let (backend, result) = sent.map_err(|kind| self.unpromised(kind))?;
             let failure = match result {
                 Ok(reply) => match self.judge(&backend, reply).await {
                     Ok(reply) => match stream::pass(self, backend.clone(), reply).await {
@@ -373,7 +374,8 @@
         }
         self.may_have_run = true;
         let own_error = reply.answer.status >= 500;
-        if own_error && self.route.kind.repeatable() && self.retry_is_paid() {
+        let repeatable = self.route.kind.repeatable() && self.time_for_retry();
+        if own_error && repeatable && self.retry_is_paid() {
             let status = reply.answer.status;
             stream::keep_after(backend, reply, self.deadline).await;
             return Err(Failure {
@@ -418,8 +420,7 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        if left < RETRY_TIME_MIN {
+        if !self.time_for_retry() {
             return Err(self.given_up(failure));
         }
         match &failure.cause {
@@ -442,6 +443,10 @@
         }
     }
 
+    fn time_for_retry(&self) -> bool {
+        self.deadline.saturating_duration_since(Instant::now()) >= RETRY_TIME_MIN
+    }
+
     /// Takes a retry out of the budget, if the route allows another server.
     fn retry_is_paid(&self) -> bool {
         let relay = self.relay;
@@ -465,6 +470,16 @@
         }
     }
 
+    /// What a refusal of this box becomes once a server may have run the
+    /// request: the kinds that promise the opposite may not be told.
+    fn unpromised(&self, kind: refusal::Kind) -> refusal::Kind {
+        if self.may_have_run {
+            refusal::Kind::Lost
+        } else {
+            kind
+        }
+    }
+
     /// Records that an answer was passed on whole.
     pub(crate) fn answered(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
         let outcome = if status >= 500 {
--- /dev/null
+++ b/crates/relay/src/router.rs
@@ -0,0 +1,233 @@
+//! Starting a router, stopping it, and taking over changed settings.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::WrapErr;
+use futures_lite::FutureExt;
+use smol::{LocalExecutor, Timer};
+use tidepier_h1::Listener;
+use tidepier_platform::store::Client;
+
+use crate::budget::{self, Budget};
+use crate::callers;
+use crate::follow::Follower;
+use crate::metrics;
+use crate::peer::registry::{Member, Registry};
+use crate::peer::{ask, hub};
+use crate::ready;
+use crate::relay::{Bounds, Relay};
+use crate::settings::{self, Settings};
+use crate::signal::{Change, Changes};
+use crate::stop::Phase;
+
+/// Time from the request to stop until new connections are no longer taken:
+/// the balancer asks every second and believes the second refusal. Under 3 s,
+/// from which on a request that is taken has to be finished.
+const NOTICE_TIME: Duration = Duration::from_millis(2_950);
+/// Time before the process is killed at which it ends by itself.
+const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Part of the bound on taken-away keys that is kept as a margin for the way
+/// of a request and a late timer.
+const REVOKE_MARGIN: Duration = Duration::from_millis(300);
+
+/// Runs a router until it is told to stop.
+///
+/// # Errors
+///
+/// An address cannot be bound.
+pub async fn run(settings: Settings, mut changes: Changes) -> eyre::Result<()> {
+    let executor = Rc::new(LocalExecutor::new());
+    let router = Router::start(&settings, &executor)?;
+    let told = async {
+        loop {
+            match changes.next().await {
+                Change::Stop => break,
+                Change::Reload => reload(&router.relay, &changes),
+            }
+        }
+        router.stop().await;
+    };
+    executor.run(told).await;
+    Ok(())
+}
+
+/// A router that runs on an executor of its starter's. Its tasks live as long
+/// as the executor.
+pub struct Router {
+    relay: Rc<Relay>,
+    callers: SocketAddr,
+    readiness: Option<SocketAddr>,
+    metrics: Option<SocketAddr>,
+    stop_within: Duration,
+}
+
+impl Router {
+    /// Binds the addresses of the settings and serves there while `executor`
+    /// is run.
+    ///
+    /// # Errors
+    ///
+    /// An address cannot be bound, or the process has metrics already.
+    pub fn start(settings: &Settings, executor: &Rc<LocalExecutor<'static>>) -> eyre::Result<Self> {
+        let relay = Rc::new(Relay::new(
+            settings.hall.clone(),
+            bounds(settings),
+            Budget::new(terms(settings)),
+        ));
+        let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
+        let mut router = Self {
+            relay: relay.clone(),
+            callers: callers.address()?,
+            readiness: None,
+            metrics: None,
+            stop_within: settings.bounds.stop_within.duration(),
+        };
+        executor
+            .spawn(callers::accept(relay.clone(), callers, executor.clone()))
+            .detach();
+        if let Some(address) = settings.readiness {
+            let listener = Listener::bind(address).wrap_err("binding the readiness address")?;
+            router.readiness = Some(listener.address()?);
+            let relay = relay.clone();
+            executor
+                .spawn(async move { ready::serve(listener, || relay.is_ready()).await })
+                .detach();
+        }
+        if let Some(address) = settings.metrics {
+            let listener = Listener::bind(address).wrap_err("binding the metrics address")?;
+            router.metrics = Some(listener.address()?);
+            let registry = metrics::install()?;
+            executor.spawn(metrics::serve(listener, registry)).detach();
+        }
+        let store = Rc::new(Client::new(settings.store.address));
+        let follower = Follower::new(relay.clone(), store.clone());
+        executor.spawn(follower.clone().catalog()).detach();
+        executor.spawn(follower.clone().prove()).detach();
+        executor.spawn(follower.clone().servers()).detach();
+        executor.spawn(follower.clone().lapses()).detach();
+        start_peers(&relay, follower, store, settings, executor)?;
+        Ok(router)
+    }
+
+    /// Where clients connect; with the port that the system picked if the
+    /// settings told none.
+    pub fn callers(&self) -> SocketAddr {
+        self.callers
+    }
+
+    /// Where the platform asks whether it is ready.
+    pub fn readiness(&self) -> Option<SocketAddr> {
+        self.readiness
+    }
+
+    /// Where it tells its metrics.
+    pub fn metrics(&self) -> Option<SocketAddr> {
+        self.metrics
+    }
+
+    /// What its tasks share.
+    pub fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
+    /// Begins the planned stop; ends when it is over.
+    pub async fn stop(&self) {
+        stop(&self.relay, self.stop_within).await;
+    }
+}
+
+/// Joins the other boxes; a box without an address for them reads the store
+/// itself.
+fn start_peers(
+    relay: &Rc<Relay>,
+    follower: Rc<Follower>,
+    store: Rc<Client>,
+    settings: &Settings,
+    executor: &Rc<LocalExecutor<'static>>,
+) -> eyre::Result<()> {
+    let Some(ports) = settings.peer_ports else {
+        follower.read_self("alone", true);
+        return Ok(());
+    };
+    let address = SocketAddr::new(settings.callers.ip(), ports.first);
+    let listener = Listener::bind(address).wrap_err("binding the boxes' address")?;
+    let me = Member {
+        name: settings.name.clone(),
+        hall: settings.hall.clone(),
+        address,
+        link_mbps: settings.limits.link_mbps as u32,
+    };
+    let registry = Registry::new(me, store);
+    executor
+        .spawn(registry.clone().keep(relay.clone()))
+        .detach();
+    executor.spawn(follower.clone().look_at_age()).detach();
+    executor
+        .spawn(hub::serve(listener, follower.clone(), executor.clone()))
+        .detach();
+    executor.spawn(ask::run(follower, registry)).detach();
+    Ok(())
+}
+
+fn bounds(settings: &Settings) -> Bounds {
+    let bounds = &settings.bounds;
+    let revoke = bounds.revoke_within.duration();
+    Bounds {
+        fresh: bounds.apply_within.duration(),
+        trusted: bounds
+            .revoke_when_blind
+            .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
+    }
+}
+
+fn terms(settings: &Settings) -> budget::Terms {
+    let bounds = &settings.bounds;
+    budget::Terms {
+        ratio: bounds.retry_share,
+        extra: f64::from(bounds.retry_extra),
+        window: bounds.retry_window.duration(),
+    }
+}
+
+async fn stop(relay: &Relay, within: Duration) {
+    log::info!(
+        target: "process",
+        "event=stopping connections={} requests={}",
+        relay.stop.connections(),
+        relay.stop.requests()
+    );
+    relay.stop.advance(Phase::Leaving);
+    let limit = within.saturating_sub(STOP_MARGIN);
+    let over = async {
+        Timer::after(limit).await;
+        log::warn!(
+            target: "process",
+            "event=stop_time_over requests={}",
+            relay.stop.requests()
+        );
+    };
+    let finished = async {
+        Timer::after(NOTICE_TIME).await;
+        relay.stop.advance(Phase::Closing);
+        while relay.stop.requests() > 0 {
+            relay.stop.changed.wait().await;
+        }
+    };
+    finished.or(over).await;
+}
+
+/// Reads the settings again and takes over what can change while running.
+fn reload(relay: &Relay, changes: &Changes) {
+    match settings::read(changes.file()) {
+        Ok(settings) => {
+            relay.set_bounds(bounds(&settings));
+            relay.budget.set_terms(terms(&settings));
+            log::info!(target: "process", "event=reloaded file={}", changes.file().display());
+        }
+        Err(error) => {
+            log::error!(target: "process", "event=reload_failed why=\"{error}\"");
+        }
+    }
+}
