A whole configuration goes to other boxes as it is, held once

Change: the entry follows the answer as plain bytes from one shared buffer and is taken piece by piece; it has a time limit of its own.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -55,7 +55,7 @@
     /// Revision of the catalog's entry in force here.
     revision: Cell<Revision>,
     /// That entry, for boxes that ask.
-    document: RefCell<Vec<u8>>,
+    document: RefCell<Rc<[u8]>>,
     record: Record,
     /// Whether this box reads the store itself.
     reads: Cell<bool>,
@@ -78,7 +78,7 @@
             relay,
             store,
             revision: Cell::new(Revision(0)),
-            document: RefCell::default(),
+            document: RefCell::new(Rc::new([])),
             record: Record::default(),
             reads: Cell::new(false),
             role: Notice::default(),
@@ -145,7 +145,7 @@
     }
 
     /// The revision in force here, and the entry if it is newer than `known`.
-    pub fn document_after(&self, known: u64) -> (u64, Option<Vec<u8>>) {
+    pub fn document_after(&self, known: u64) -> (u64, Option<Rc<[u8]>>) {
         let revision = self.revision.get().0;
         let newer = revision > known;
         (revision, newer.then(|| self.document.borrow().clone()))
@@ -160,16 +160,21 @@
     }
 
     /// Takes over what another box told in answer to a question that was sent
-    /// at `asked`.
+    /// at `asked`, with the configuration's entry that followed.
     ///
     /// # Errors
     ///
     /// The other box cannot vouch for what it knows.
-    pub fn take_told(&self, told: Told, asked: Instant) -> Result<(), Error> {
+    pub fn take_told(
+        &self,
+        told: Told,
+        document: Option<Vec<u8>>,
+        asked: Instant,
+    ) -> Result<(), Error> {
         let age = told.age_ms.map(Duration::from_millis);
         let age = age.ok_or_else(|| Error::Malformed("cannot vouch".into()))?;
-        if let Some(document) = told.document {
-            self.take_document(Revision(told.revision), &document);
+        if let Some(document) = document {
+            self.take_document(Revision(told.revision), document);
         }
         self.take_rows(told.servers);
         if self.revision.get() == Revision(told.revision) {
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -32,7 +32,7 @@
         let asked = Instant::now();
         let read = self.store.get(key::CONFIG, CALL_TIME).await?;
         match read.value {
-            Some(item) => self.take_item(&item, Some(asked)),
+            Some(item) => self.take_item(item, Some(asked)),
             // That there is none yet is known as surely as a catalog would be.
             None if self.revision.get() == Revision(0) => self.relay.view.prove(asked),
             None => log::warn!(target: "belief", "event=no_catalog revision={}", read.revision),
@@ -46,7 +46,7 @@
             let watch = self.store.watch(key::CONFIG, from, WATCH_TIME);
             match watch.or(self.restart()).or(self.relieved()).await {
                 Ok(read) => {
-                    for event in &read.value {
+                    for event in read.value {
                         if let Event::Put(item) = event {
                             self.take_item(item, None);
                         }
@@ -60,20 +60,21 @@
 
     /// Puts an entry of the catalog in force if it is newer. `asked` is when
     /// the question was sent to which the entry is the newest answer.
-    fn take_item(&self, item: &Item, asked: Option<Instant>) {
-        self.take_document(item.revision, &item.value);
+    fn take_item(&self, item: Item, asked: Option<Instant>) {
+        let revision = item.revision;
+        self.take_document(revision, item.value);
         if let Some(asked) = asked {
-            if self.revision.get() == item.revision {
+            if self.revision.get() == revision {
                 self.relay.view.prove(asked);
             }
         }
     }
 
-    pub(super) fn take_document(&self, revision: Revision, bytes: &[u8]) {
+    pub(super) fn take_document(&self, revision: Revision, bytes: Vec<u8>) {
         if revision <= self.revision.get() {
             return;
         }
-        let catalog = match catalog::decode(bytes) {
+        let catalog = match catalog::decode(&bytes) {
             Ok(catalog) => catalog,
             Err(error) => {
                 log::error!(
@@ -87,12 +88,13 @@
         let before = self.relay.view.version();
         let adopted = self.relay.view.adopt(catalog);
         self.revision.set(revision);
-        *self.document.borrow_mut() = bytes.to_vec();
+        let length = bytes.len();
+        *self.document.borrow_mut() = bytes.into();
         log::info!(
             target: "belief",
             "event=catalog version={version} before={before} adopted={adopted} \
              revision={revision} bytes={}",
-            bytes.len(),
+            length,
         );
     }
 
@@ -133,7 +135,7 @@
                 }
             }
             Swap::Conflict(items) => {
-                for item in items.iter().filter(|item| item.key == key::CONFIG) {
+                for item in items.into_iter().filter(|item| item.key == key::CONFIG) {
                     self.take_item(item, Some(asked));
                 }
             }
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -23,8 +23,9 @@
 /// Longest time to connect and to get an answer: many round trips within a
 /// hall, and short enough for two boxes to be tried within the bounds.
 const ANSWER_TIME: Duration = Duration::from_millis(350);
-/// Longest time to get an answer that may hold a whole configuration.
-const FIRST_ANSWER_TIME: Duration = Duration::from_millis(1_200);
+/// Longest time for a whole configuration to follow an answer: one of 250 KB
+/// takes 0.2 s over the weakest link, and a reader sends it to its whole hall.
+const DOCUMENT_TIME: Duration = Duration::from_millis(1_500);
 /// Data unacknowledged for so long ends a connection.
 const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
@@ -80,7 +81,6 @@
     let mut conn = conn.map_err(Error::Io)?;
     let mut position = Position::default();
     let mut number = 0;
-    let mut limit = FIRST_ANSWER_TIME;
     loop {
         number += 1;
         let ask = Ask {
@@ -90,8 +90,8 @@
             position,
         };
         let asked = Instant::now();
-        let told = exchange(&mut conn, &ask, limit).await?;
-        let before = std::mem::replace(&mut position, told.position);
+        let (told, document) = exchange(&mut conn, &ask).await?;
+        position = told.position;
         if number == 1 {
             log::info!(
                 target: "peer",
@@ -101,34 +101,37 @@
                 told.age_ms
             );
         }
-        let whole = before.life != position.life;
-        limit = if whole {
-            FIRST_ANSWER_TIME
-        } else {
-            ANSWER_TIME
-        };
-        follower.take_told(told, asked)?;
+        follower.take_told(told, document, asked)?;
         follower.read_self("reader", false);
         Timer::after(ASK_TIME).await;
     }
 }
 
-async fn exchange(conn: &mut Conn, ask: &Ask, limit: Duration) -> Result<Told, Error> {
-    let asked = async {
-        link::send(conn, ask).await?;
-        loop {
-            let told: Told = link::receive(conn).await?;
-            if told.version != VERSION {
-                return Err(Error::Malformed(format!("version {}", told.version)));
-            }
-            if told.number == ask.number {
-                return Ok(told);
-            }
+/// Asks; returns the answer and the configuration's entry that follows it.
+async fn exchange(conn: &mut Conn, ask: &Ask) -> Result<(Told, Option<Vec<u8>>), Error> {
+    link::send(conn, ask).await?;
+    let told: Told = within(ANSWER_TIME, link::receive(conn)).await?;
+    if told.version != VERSION || told.number != ask.number {
+        let why = format!("version {}, number {}", told.version, told.number);
+        return Err(Error::Malformed(why));
+    }
+    let document = match told.document_bytes {
+        Some(count) => {
+            let bytes = link::receive_bytes(conn, count as usize);
+            Some(within(DOCUMENT_TIME, bytes).await?)
         }
+        None => None,
     };
+    Ok((told, document))
+}
+
+async fn within<T>(
+    limit: Duration,
+    work: impl std::future::Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
     let late = async {
         Timer::after(limit).await;
         Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
     };
-    asked.or(late).await
+    work.or(late).await
 }
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -46,22 +46,28 @@
         if ask.version != VERSION {
             return Err(Error::Malformed(format!("version {}", ask.version)));
         }
-        link::send(&conn, &told(follower, &ask)).await?;
+        let (told, document) = told(follower, &ask);
+        link::send(&conn, &told).await?;
+        if let Some(document) = document {
+            link::send_bytes(&conn, &document).await?;
+        }
     }
 }
 
-fn told(follower: &Follower, ask: &Ask) -> Told {
+/// The answer, and the configuration's entry that follows it.
+fn told(follower: &Follower, ask: &Ask) -> (Told, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
     let (servers, position) = follower.record().since(ask.position);
-    Told {
+    let told = Told {
         version: VERSION,
         number: ask.number,
         age_ms: follower.vouched(Instant::now()).map(as_ms),
         revision,
-        document,
+        document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         servers,
         position,
-    }
+    };
+    (told, document)
 }
 
 /// Rounded up, so that a proof never looks younger.
--- a/crates/relay/src/peer/link.rs
+++ b/crates/relay/src/peer/link.rs
@@ -73,6 +73,35 @@
     ciborium::from_reader(bytes.as_slice()).map_err(|error| Error::Malformed(error.to_string()))
 }
 
+/// Sends bytes as they are, after a message that tells how many.
+///
+/// # Errors
+///
+/// The connection failed.
+pub async fn send_bytes(conn: &Conn, bytes: &[u8]) -> Result<(), Error> {
+    metrics::counter!("tidepier_peer_bytes_total").increment(bytes.len() as u64);
+    conn.writer().write_all(bytes).await.map_err(Error::Io)
+}
+
+/// Receives so many bytes as they are.
+///
+/// # Errors
+///
+/// The connection failed or was closed, or these are more than a frame holds.
+pub async fn receive_bytes(conn: &mut Conn, count: usize) -> Result<Vec<u8>, Error> {
+    if count > FRAME_BYTES {
+        return Err(Error::Malformed(format!("{count} bytes")));
+    }
+    // Taken piece by piece, so that they are not held twice.
+    let mut bytes = Vec::with_capacity(count);
+    while bytes.len() < count {
+        fill(conn, 1).await?;
+        let piece = conn.pending().len().min(count - bytes.len());
+        bytes.extend_from_slice(&conn.take(piece));
+    }
+    Ok(bytes)
+}
+
 async fn fill(conn: &mut Conn, wanted: usize) -> Result<(), Error> {
     while conn.pending().len() < wanted {
         if conn.fill().await.map_err(Error::Io)? == 0 {
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -44,9 +44,9 @@
     pub age_ms: Option<u64>,
     /// Revision of the configuration's entry that the sender knows; 0: none.
     pub revision: u64,
-    /// The entry, where the other knows an older one.
-    #[serde(with = "serde_bytes")]
-    pub document: Option<Vec<u8>>,
+    /// Bytes of that entry, which follow this message as they are, where the
+    /// other knows an older one.
+    pub document_bytes: Option<u32>,
     /// Servers that have changed.
     pub servers: Servers,
     /// The place after these changes.
