A hall that seems cut off is avoided as a whole

Change: a server found silent makes its hall suspect until another of its servers is heard; requests to other halls go on connections that rested under 0.4 s; opening one takes 150 ms at most.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,8 +21,9 @@
 use crate::fleet::{Backend, Running};
 
 /// Longest time to open a connection to a server: over ten round trips
-/// between halls, and under the time after which a lost opening is repeated.
-const CONNECT_TIME: Duration = Duration::from_millis(350);
+/// between halls, and far under the time after which a lost opening is
+/// repeated. Nothing was sent then, so another server is tried at once.
+const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Data that a server leaves unacknowledged for so long ends its connection.
 const UNACKED_TIME: Duration = Duration::from_secs(3);
 /// Largest head of an answer, in bytes.
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -48,6 +48,9 @@
 const FAILING_MS: f64 = 2_000.0;
 /// Share of failures above the others' mean that tells nothing.
 const FAILING_SLACK: f64 = 0.15;
+/// Cost of a server in a hall that seems to be cut off, in ms: over that of
+/// reading the longest prompts elsewhere.
+const SILENT_HALL_MS: f64 = 3_000.0;
 /// Cost of a server that is left out for its failures, in ms: taken only when
 /// there is no other.
 const LEFT_OUT_MS: f64 = 1e6;
@@ -145,6 +148,9 @@
             .map_or(0, |prompt| prompt.hint.unwrap_or(prompt.output));
         cost += OTHER_HALL_MS + OTHER_HALL_TOKEN_MS * f64::from(tokens);
     }
+    if backend.hall.is_silent(now) {
+        cost += SILENT_HALL_MS;
+    }
     if !backend.health.allows(now) {
         cost += LEFT_OUT_MS;
     }
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -1,5 +1,6 @@
 //! The way of one request: admitted, placed, sent, answered.
 
+use std::io;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,6 +28,9 @@
 /// Longest rest of a kept connection for a request that may run only once: a
 /// server that closes a resting connection would make its fate unknown.
 const REST_ONCE: Duration = Duration::from_millis(1_500);
+/// The same to a server in another hall: a cut is found by opening a
+/// connection, before anything is sent that could be lost.
+const REST_OTHER_HALL: Duration = Duration::from_millis(400);
 /// Longest rest of a kept connection for a request that may be repeated.
 const REST_REPEATABLE: Duration = Duration::from_secs(10);
 /// Silence of a server, on all connections, after which a request that may be
@@ -255,11 +259,7 @@
         let backend = choice.backend.clone();
         self.note_placed(&choice);
         let bytes = self.encode(&choice, resume_after);
-        let rest = if self.route.kind.repeatable() {
-            REST_REPEATABLE
-        } else {
-            REST_ONCE
-        };
+        let rest = self.rest(&backend);
         let sending = Sending {
             bytes: &bytes,
             method: self.arrival.head.method(),
@@ -287,6 +287,17 @@
         Ok((backend, result))
     }
 
+    /// Longest rest of a kept connection that may carry the request.
+    fn rest(&self, backend: &Backend) -> Duration {
+        if backend.server.hall != self.relay.hall {
+            REST_OTHER_HALL
+        } else if self.route.kind.repeatable() {
+            REST_REPEATABLE
+        } else {
+            REST_ONCE
+        }
+    }
+
     fn choose(&self) -> Result<Choice, refusal::Kind> {
         let relay = self.relay;
         let ask = Ask {
@@ -386,19 +397,32 @@
         Ok(reply)
     }
 
+    /// What a failure says of the server; `None`: nothing.
+    fn outcome(&self, failure: &Failure) -> Option<Outcome> {
+        match &failure.cause {
+            Cause::Connect(error) if error.kind() != io::ErrorKind::TimedOut => {
+                Some(Outcome::Absent)
+            }
+            Cause::Connect(_) | Cause::Stalled => Some(Outcome::Silent),
+            Cause::Refused(421) => Some(Outcome::Absent),
+            Cause::Refused(_) => Some(Outcome::Good),
+            // The time may have been too short for any server.
+            Cause::Late => {
+                let waited = self.arrival.at.elapsed();
+                (waited > patience(self.route.objective)).then_some(Outcome::Silent)
+            }
+            _ => Some(Outcome::Bad),
+        }
+    }
+
     /// Records a failure.
     pub(crate) fn failed(&mut self, backend: &Rc<Backend>, failure: &Failure) {
         if failure.ran == Ran::Unknown {
             self.may_have_run = true;
         }
-        let outcome = match &failure.cause {
-            Cause::Connect(_) | Cause::Stalled => Outcome::Silent,
-            Cause::Late => Outcome::Silent,
-            Cause::Refused(421) => Outcome::Silent,
-            Cause::Refused(_) => Outcome::Good,
-            _ => Outcome::Bad,
-        };
-        backend.health.record(outcome, Instant::now());
+        if let Some(outcome) = self.outcome(failure) {
+            backend.record(outcome, Instant::now());
+        }
         log::info!(
             target: "request",
             "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2}",
@@ -487,7 +511,7 @@
         } else {
             Outcome::Good
         };
-        backend.health.record(outcome, Instant::now());
+        backend.record(outcome, Instant::now());
         backend.health.took(first);
         log::info!(
             target: "request",
@@ -543,6 +567,11 @@
     }
 }
 
+/// Time in which every healthy server answers.
+fn patience(objective: Duration) -> Duration {
+    Duration::from_secs(1).max(2 * objective)
+}
+
 /// Counts a server as silent when the wait for its answer is abandoned after
 /// a time in which every healthy server answers, as when the client leaves.
 struct Waiting<'a> {
@@ -557,7 +586,7 @@
         Self {
             backend,
             since: Instant::now(),
-            patience: Duration::from_secs(1).max(2 * objective),
+            patience: patience(objective),
             over: false,
         }
     }
@@ -570,7 +599,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.over && self.since.elapsed() > self.patience {
-            self.backend.health.record(Outcome::Silent, Instant::now());
+            self.backend.record(Outcome::Silent, Instant::now());
         }
     }
 }
--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -16,7 +16,7 @@
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
-use crate::health::Health;
+use crate::health::{Hall, Health, Outcome};
 use crate::notice::Notice;
 
 /// Resting connections that are kept for one server.
@@ -54,6 +54,8 @@
     pub server: Server,
     /// What this box has seen of its health.
     pub health: Health,
+    /// What it has seen of all servers of its hall.
+    pub hall: Rc<Hall>,
     state: Cell<State>,
     /// When this box heard of it; `None` when it was there before.
     joined: Option<Instant>,
@@ -91,9 +93,10 @@
 }
 
 impl Backend {
-    fn new(server: Server, joined: Option<Instant>) -> Self {
+    fn new(server: Server, hall: Rc<Hall>, joined: Option<Instant>) -> Self {
         Self {
             joined,
+            hall,
             state: Cell::new(server.state),
             server,
             health: Health::default(),
@@ -139,7 +142,17 @@
 
     /// Records that something came from it.
     pub fn hear(&self) {
-        self.heard.set(Some(Instant::now()));
+        let now = Instant::now();
+        self.heard.set(Some(now));
+        self.hall.hear(now);
+    }
+
+    /// Records how a request there ended.
+    pub fn record(&self, outcome: Outcome, now: Instant) {
+        if outcome == Outcome::Silent {
+            self.hall.miss(now);
+        }
+        self.health.record(outcome, now);
     }
 
     /// When something last came from it.
@@ -221,6 +234,7 @@
 /// All servers.
 pub struct Fleet {
     started: Instant,
+    halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
     /// Told when a server came or left.
@@ -231,6 +245,7 @@
     fn default() -> Self {
         Self {
             started: Instant::now(),
+            halls: RefCell::default(),
             servers: RefCell::default(),
             services: RefCell::default(),
             changed: Notice::default(),
@@ -254,8 +269,14 @@
             State::Draining => Change::Leaving,
         };
         let service = server.service.clone();
+        let hall = self
+            .halls
+            .borrow_mut()
+            .entry(server.hall.clone())
+            .or_default()
+            .clone();
         let joined = (self.started.elapsed() > START_TIME).then(Instant::now);
-        let backend = Rc::new(Backend::new(server, joined));
+        let backend = Rc::new(Backend::new(server, hall, joined));
         let id = backend.server.id.clone();
         self.servers.borrow_mut().insert(id, backend);
         self.regroup(&service);
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -21,6 +21,45 @@
 /// Weight of the newest time in the mean time to an answer.
 const TIME_WEIGHT: f64 = 0.2;
 
+/// Time that a hall is avoided after one of its servers was silent, unless
+/// another of them is heard.
+const HALL_TIME: Duration = Duration::from_millis(2_500);
+/// What is heard so shortly before a silence is found does not refute it: the
+/// silence began before it was found.
+const HALL_SLACK: Duration = Duration::from_millis(150);
+
+/// What this box has seen of the servers of one hall together. When a hall is
+/// cut off, each of its servers would otherwise be found silent by itself.
+#[derive(Debug, Default)]
+pub struct Hall {
+    silent: Cell<Option<Instant>>,
+    heard: Cell<Option<Instant>>,
+}
+
+impl Hall {
+    /// Records that something came from one of its servers.
+    pub fn hear(&self, now: Instant) {
+        self.heard.set(Some(now));
+    }
+
+    /// Records that one of its servers was found silent.
+    pub fn miss(&self, now: Instant) {
+        self.silent.set(Some(now));
+    }
+
+    /// Whether the hall seems to be cut off.
+    pub fn is_silent(&self, now: Instant) -> bool {
+        let Some(silent) = self.silent.get() else {
+            return false;
+        };
+        let refuted = self
+            .heard
+            .get()
+            .is_some_and(|heard| heard + HALL_SLACK > silent);
+        !refuted && now.duration_since(silent) < HALL_TIME
+    }
+}
+
 /// How one request at a server ended, as far as its health goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -28,7 +67,10 @@
     Good,
     /// An error, a broken or spoiled answer.
     Bad,
-    /// No connection, or silence.
+    /// Nobody is there: the connection was refused, or another server has the
+    /// address.
+    Absent,
+    /// Silence, on one connection or while opening it.
     Silent,
 }
 
@@ -59,7 +101,10 @@
             self.out_until.set(None);
             return;
         }
-        let weight = if outcome == Outcome::Silent { 2 } else { 1 };
+        let weight = match outcome {
+            Outcome::Absent | Outcome::Silent => 2,
+            Outcome::Good | Outcome::Bad => 1,
+        };
         self.in_row.set(self.in_row.get() + weight);
         if self.in_row.get() >= FAILURES_MAX {
             let rest = REST_MIN * 2u32.pow(self.rests.get().min(4));
