--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -35,7 +35,7 @@
 const REST_REPEATABLE: Duration = Duration::from_secs(10);
 /// Silence of a server, on all connections, after which a request that may be
 /// repeated is sent elsewhere.
-const SILENCE: Duration = Duration::from_millis(700);
+const SILENCE: Duration = Duration::from_millis(500);
 /// Ranks at a model engine.
 const RANK_LAST: u8 = 9;
 /// Ranks of routes within one rank of accounts.
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -171,7 +171,7 @@
 
     fn can_give(&self, id: &ids::Server, to: &ids::Server) -> Option<SocketAddr> {
         let found = self.order.iter().find(|backend| backend.server.id == *id)?;
-        let gives = id != to && found.health.allows(self.now);
+        let gives = id != to && found.health.allows(self.now) && !found.hall.is_silent(self.now);
         gives.then_some(found.server.address)
     }
 
