--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -7,7 +7,7 @@
 //!   dropped with it.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -32,13 +32,6 @@
 /// having been there before.
 const START_TIME: Duration = Duration::from_secs(8);
 
-/// Servers that have left and are remembered, so that what they kept goes to
-/// the servers that replace them.
-const DEPARTED_MAX: usize = 256;
-/// How long they are remembered: over the time in which a new server takes its
-/// whole share.
-const DEPARTED_TIME: Duration = Duration::from_secs(600);
-
 /// A connection that rests.
 struct Idle {
     conn: Conn,
@@ -66,8 +59,6 @@
     state: Cell<State>,
     /// When this box heard of it; `None` when it was there before.
     joined: Option<Instant>,
-    /// When it left, once it has.
-    gone: Cell<Option<Instant>>,
     /// Its entry is gone while the store cannot be relied on.
     missing: Cell<bool>,
     own: Cell<u32>,
@@ -109,7 +100,6 @@
             state: Cell::new(server.state),
             server,
             health: Health::default(),
-            gone: Cell::new(None),
             missing: Cell::new(false),
             own: Cell::new(0),
             told: Cell::new(None),
@@ -125,15 +115,6 @@
         joined.is_some_and(|joined| now.duration_since(joined) < most)
     }
 
-    /// Whether it has left.
-    pub fn has_left(&self) -> bool {
-        self.gone.get().is_some()
-    }
-
-    fn left_within(&self, most: Duration) -> bool {
-        self.gone.get().is_some_and(|at| at.elapsed() < most)
-    }
-
     /// Whether it takes new requests.
     pub fn serves(&self) -> bool {
         self.state.get() == State::Ready
@@ -255,7 +236,6 @@
     started: Instant,
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
-    departed: RefCell<VecDeque<Rc<Backend>>>,
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
     /// Told when a server came or left.
     pub changed: Notice,
@@ -267,7 +247,6 @@
             started: Instant::now(),
             halls: RefCell::default(),
             servers: RefCell::default(),
-            departed: RefCell::default(),
             services: RefCell::default(),
             changed: Notice::default(),
         }
@@ -344,13 +323,7 @@
             return false;
         };
         backend.leave();
-        backend.gone.set(Some(Instant::now()));
         self.regroup(&backend.server.service);
-        let mut departed = self.departed.borrow_mut();
-        if departed.len() == DEPARTED_MAX {
-            departed.pop_front();
-        }
-        departed.push_back(backend);
         true
     }
 
@@ -359,15 +332,10 @@
         self.servers.borrow().get(id).cloned()
     }
 
-    /// The servers of a service, also those that are leaving and those that
-    /// have left not long ago.
+    /// The servers of a service, also those that are leaving.
     pub fn known(&self, service: &ids::Service) -> Vec<Rc<Backend>> {
         let servers = self.servers.borrow();
-        let departed = self.departed.borrow();
-        let recent = departed
-            .iter()
-            .filter(|backend| backend.left_within(DEPARTED_TIME));
-        let known = servers.values().chain(recent);
+        let known = servers.values();
         let known = known.filter(|backend| backend.server.service == *service);
         known.cloned().collect()
     }
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -33,11 +33,9 @@
 const KEPT_TIME: Duration = Duration::from_secs(60);
 /// Servers remembered for one part.
 const PLACES: usize = 6;
-/// Time in which a new server takes its share of what others keep. Copying all
-/// at once would cost more than the new server's help is worth.
-const SETTLE_TIME: Duration = Duration::from_secs(600);
-/// Keeps the turn of a subject at a new server apart from the subject's order.
-const TURN_SEED: u64 = 0x5e77_1e00;
+/// Time after a server joined in which what it now comes first for may still be
+/// kept by the one that came first before.
+const NEW_TIME: Duration = Duration::from_secs(60);
 
 /// Where this box has sent the parts of prompts.
 pub struct Memory {
@@ -125,14 +123,12 @@
         let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
         let in_hall = |backend: &Rc<Backend>| backend.server.hall == *hall && backend.serves();
         let local = tokens < LOCAL_TOKENS && order.iter().any(in_hall);
-        let seats: Vec<&Rc<Backend>> = order
-            .iter()
-            .filter(|backend| !local || backend.server.hall == *hall)
-            .collect();
-        let first = first(&seats, |backend| is_settled(backend, prompt, now));
+        let serving = order.iter().filter(|backend| backend.serves());
+        let first = serving.filter(|backend| !local || in_hall(backend));
+        let first = first.take(KEPT_BY_RANK.len());
         Self {
             by_part: parts.iter().map(|part| memory.places(part, now)).collect(),
-            first,
+            first: first.map(|backend| backend.server.id.clone()).collect(),
             local: local.then(|| hall.clone()),
             order,
             prompt,
@@ -175,28 +171,24 @@
 
     fn can_give(&self, id: &ids::Server, to: &ids::Server) -> Option<SocketAddr> {
         let found = self.order.iter().find(|backend| backend.server.id == *id)?;
-        let gives = id != to
-            && !found.has_left()
-            && found.health.allows(self.now)
-            && !found.hall.is_silent(self.now);
+        let gives = id != to && found.health.allows(self.now) && !found.hall.is_silent(self.now);
         gives.then_some(found.server.address)
     }
 
-    /// The server that came first before `server` did: one that is leaving, or
-    /// the next one after a new server.
+    /// The server that came first before `server` did: one that is leaving and
+    /// comes before it, or the next one when it is new.
     fn before(&self, server: &ids::Server) -> Option<&ids::Server> {
         let in_order = |backend: &&Rc<Backend>| {
             let local = self.local.as_ref();
-            local.is_none_or(|hall| backend.server.hall == *hall) && !backend.has_left()
+            local.is_none_or(|hall| backend.server.hall == *hall)
         };
         let mut order = self.order.iter().filter(in_order);
-        let settled = |backend: &&Rc<Backend>| is_settled(backend, self.prompt, self.now);
-        let top = order.find(settled)?;
+        let top = order.next()?;
         if top.server.id != *server {
             return (!top.serves()).then_some(&top.server.id);
         }
-        let next = order.find(settled)?;
-        top.is_new(SETTLE_TIME, self.now).then_some(&next.server.id)
+        let next = order.next()?;
+        top.is_new(NEW_TIME, self.now).then_some(&next.server.id)
     }
 
     /// For a subject that is kept in each hall: the server that keeps it in the
@@ -209,42 +201,6 @@
     }
 }
 
-/// The servers that a subject is sent to, best first. It stays where it is
-/// while its server stays; what a leaving server kept goes to a server that has
-/// not settled yet, which is most often the one that replaces it.
-fn first(seats: &[&Rc<Backend>], is_settled: impl Fn(&Rc<Backend>) -> bool) -> Vec<ids::Server> {
-    let serving = || seats.iter().filter(|backend| backend.serves());
-    let top = seats
-        .iter()
-        .find(|backend| !backend.serves() || is_settled(backend));
-    let owner = match top {
-        Some(top) if top.serves() => Some(*top),
-        Some(left) => {
-            let new = || serving().filter(|backend| !is_settled(backend));
-            let in_its_hall = new().find(|new| new.server.hall == left.server.hall);
-            in_its_hall.or(new().next()).or(serving().next()).copied()
-        }
-        None => serving().next().copied(),
-    };
-    let Some(owner) = owner else {
-        return Vec::new();
-    };
-    let others = || serving().filter(|backend| backend.server.id != owner.server.id);
-    let second = others().find(|backend| is_settled(backend));
-    let second = second.or(others().next());
-    let first = std::iter::once(&owner).chain(second);
-    first.map(|backend| backend.server.id.clone()).collect()
-}
-
-/// Whether a server takes its share of what others keep: a new one takes it
-/// little by little, subject by subject, so that the copies are spread.
-fn is_settled(backend: &Rc<Backend>, prompt: &Prompt, now: Instant) -> bool {
-    let subject = prompt.subject().map_or(0, |part| part.id);
-    let id = backend.server.id.as_str().as_bytes();
-    let turn = xxh3_64_with_seed(id, subject ^ TURN_SEED) as f64 / u64::MAX as f64;
-    !backend.is_new(SETTLE_TIME.mul_f64(turn), now)
-}
-
 /// Servers by rendezvous hash of a prompt's subject.
 fn ordered(mut servers: Vec<Rc<Backend>>, prompt: &Prompt) -> Vec<Rc<Backend>> {
     let subject = prompt.subject().or(prompt.parts.first());
