A store that is away is called by few; the others ask the first boxes of their hall

Change: only the proof calls a store that is away, more seldom the further behind a box is in its hall; the others ask the first two boxes every 400 ms meanwhile. A cut watch is no sign of that.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,6 +20,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
 use smol::Timer;
 use tidepier_core::server::Server;
 use tidepier_ids as ids;
@@ -63,8 +64,10 @@
     role: Notice,
     /// Whether the servers are followed without a gap.
     servers_known: Cell<bool>,
-    /// Whether the last proof failed.
+    /// Whether the store was found to be away.
     away: Cell<bool>,
+    /// Boxes of this hall that come before this one.
+    behind: Cell<u32>,
     /// Until when an entry's absence may be the store's fault.
     doubt: Cell<Option<Instant>>,
     /// Told when the store is back after it was away.
@@ -84,6 +87,7 @@
             role: Notice::default(),
             servers_known: Cell::new(false),
             away: Cell::new(false),
+            behind: Cell::new(0),
             doubt: Cell::new(None),
             back: Notice::default(),
         })
@@ -130,6 +134,29 @@
         }
     }
 
+    /// Records how many boxes of this hall come before this one: the further
+    /// behind, the more seldom it calls a store that is away.
+    pub fn set_behind(&self, behind: usize) {
+        self.behind.set(u32::try_from(behind).unwrap_or(u32::MAX));
+    }
+
+    /// Whether the store was found to be away.
+    pub fn is_away(&self) -> bool {
+        self.away.get()
+    }
+
+    /// Waits until this box reads the store and the store is not away: then
+    /// the proof alone calls it.
+    async fn ready_to_read(&self) {
+        loop {
+            self.reading().await;
+            if !self.away.get() {
+                return;
+            }
+            self.back.wait().or(self.role.wait()).await;
+        }
+    }
+
     fn bound(&self, part: f64) -> Duration {
         self.relay.bounds().fresh.mul_f64(part)
     }
@@ -237,6 +264,19 @@
         }
     }
 
+    /// Records that a read failed. A watch that is cut says nothing of the
+    /// store, and too many calls or an unreadable answer are no absence.
+    fn read_failed(&self, what: &str, failure: &Failure) {
+        self.failure(what, failure);
+        let absent = matches!(
+            failure,
+            Failure::NotSent(_) | Failure::NoAnswer(_) | Failure::Unavailable
+        );
+        if absent && self.reads.get() {
+            self.went();
+        }
+    }
+
     fn went(&self) {
         if !self.away.replace(true) {
             log::warn!(target: "belief", "event=store_lost");
@@ -262,7 +302,7 @@
         if !self.reads.get() {
             return;
         }
-        metrics::counter!("tidepier_store_failures_total", "call" => failure.name()).increment(1);
+        metrics::counter!("tidepier_store_failures_total", "call" => what.to_owned(), "why" => failure.name()).increment(1);
         log::info!(
             target: "belief",
             "event=store_call_failed call={what} why={} detail=\"{failure}\"",
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -16,13 +16,13 @@
     pub async fn catalog(self: Rc<Self>) {
         let mut pause = Pause::default();
         loop {
-            self.reading().await;
+            self.ready_to_read().await;
             match self.read_catalog().await {
                 Ok(from) => {
                     pause.reset();
                     self.watch_catalog(from).await;
                 }
-                Err(failure) => self.failure("catalog", &failure),
+                Err(failure) => self.read_failed("catalog", &failure),
             }
             pause.rest().await;
         }
@@ -113,7 +113,7 @@
                 Err(failure) => {
                     self.failure("proof", &failure);
                     self.went();
-                    pause.rest().await;
+                    pause.rest_behind(self.behind.get()).await;
                 }
             }
         }
--- a/crates/relay/src/follow/pause.rs
+++ b/crates/relay/src/follow/pause.rs
@@ -9,6 +9,10 @@
 /// Longest pause after a call that failed.
 const PAUSE_MAX: Duration = Duration::from_millis(900);
 
+/// Boxes before this one that lengthen its pauses: a box whose hall cannot
+/// tell it anything still finds out by itself within a few seconds.
+const BEHIND_MAX: u32 = 3;
+
 /// The pause after a failed call: grows, with jitter, so that boxes that fail
 /// together do not come back together.
 #[derive(Default)]
@@ -22,8 +26,14 @@
     }
 
     pub(super) async fn rest(&mut self) {
+        self.rest_behind(0).await;
+    }
+
+    /// Rests longer the more boxes come before this one: they call, and tell.
+    pub(super) async fn rest_behind(&mut self, behind: u32) {
         let pause = (PAUSE_MIN * 2u32.pow(self.failures.min(4))).min(PAUSE_MAX);
         self.failures += 1;
-        Timer::after(pause.mul_f64(0.5 + fastrand::f64() * 0.5)).await;
+        let times = 1 + behind.min(BEHIND_MAX);
+        Timer::after((pause * times).mul_f64(0.5 + fastrand::f64() * 0.5)).await;
     }
 }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -27,7 +27,7 @@
     pub async fn servers(self: Rc<Self>) {
         let mut pause = Pause::default();
         loop {
-            self.reading().await;
+            self.ready_to_read().await;
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
                     pause.reset();
@@ -35,7 +35,7 @@
                     self.servers_known.set(true);
                     self.watch_servers(read.revision).await;
                 }
-                Err(failure) => self.failure("servers", &failure),
+                Err(failure) => self.read_failed("servers", &failure),
             }
             self.servers_known.set(false);
             pause.rest().await;
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -33,6 +33,8 @@
 /// The same for a box that answers but cannot vouch for what it knows, while
 /// this box has just started: the others may have, too, and need a moment.
 const UNSURE_TIME: Duration = Duration::from_millis(400);
+/// Boxes that are asked while the store is away.
+const ASKED_WHILE_AWAY: usize = 2;
 /// How long a box counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -48,8 +50,14 @@
         let now = Instant::now();
         passed_over.retain(|_, until| now < *until);
         let before = registry.before_me();
+        follower.set_behind(before.len());
+        // While the store is away nobody can vouch; the first boxes are asked
+        // often, as one of them finds first that it is back.
+        let away = follower.is_away();
+        let some = if away { ASKED_WHILE_AWAY } else { before.len() };
         let first = before
             .iter()
+            .take(some)
             .find(|member| !passed_over.contains_key(&member.name));
         let Some(first) = first else {
             follower.read_self("nobody_before", true);
@@ -64,6 +72,7 @@
             first.name
         );
         let time = match error {
+            _ if away => UNSURE_TIME,
             Error::Malformed(_) if started.elapsed() < START_TIME => UNSURE_TIME,
             _ => PASS_OVER_TIME,
         };
