Log lines tell the hall, the server's usual time, and who left

A client that left had a line without its id; whether a broken stream could have gone on was not told; of a late answer, neither the hall of its server nor the time that the box had known of it. Change, fields only: placed has hall and time_ms, client_left has id, broken has resumable.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -9,6 +9,7 @@
 use smol::{LocalExecutor, Timer};
 use tidepier_core::catalog::Limits;
 use tidepier_h1::{Body, Conn, Framing, Head, Listener, Malformed, Writer};
+use tidepier_platform::request as wire_request;
 
 use crate::exchange::{self, Arrival, End};
 use crate::refusal;
@@ -96,9 +97,11 @@
     };
     let end = answered.or(left).await.unwrap_or_else(|| {
         metrics::counter!("tidepier_clients_left_total").increment(1);
+        let request = wire_request::decode(&head);
         log::info!(
             target: "request",
-            "event=client_left target={} ms={}",
+            "event=client_left id={} target={} ms={}",
+            request.as_ref().map_or("-", |request| &*request.attempt),
             head.target(),
             at.elapsed().as_millis()
         );
--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -319,7 +319,7 @@
         log::info!(
             target: "request",
             "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             read={:.0} copy={} subject={:x} rank={} version={} age_ms={}",
+             read={:.0} copy={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
             self.request.attempt,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
@@ -331,6 +331,8 @@
             choice.copy_from.is_some(),
             self.subject(),
             choice.rank.map_or(-1, |rank| rank as i64),
+            choice.backend.server.hall,
+            choice.backend.health.time_ms().unwrap_or(-1.0),
             self.relay.view.version(),
             self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
         );
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -200,7 +200,7 @@
         let Some((next_backend, next_reply)) = next else {
             log::info!(
                 target: "request",
-                "event=broken id={} server={} last_event={:?} ms={}",
+                "event=broken id={} server={} resumable={resumable} last_event={:?} ms={}",
                 exchange.request.attempt,
                 backend.server.id,
                 events.last(),
