Servers without a load told count as the mean; slow engines cost what they are late

Engines' times were not used at all: of two engines 5 times slow one got requests to the end. Change: a server without a told load counts as the mean of those that can be reached; an engine whose answers begin later than twice the usual time costs the excess, for 4 s after its last answer.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -37,6 +37,13 @@
 const BOUND_FACTOR: f64 = 1.6;
 /// Requests over the mean that are always borne.
 const BOUND_EXTRA: f64 = 2.0;
+/// An engine counts as slow when its answers begin later than this many times
+/// the usual time, plus [`SLOW_EXTRA_MS`]: one long prompt is no slowness.
+const SLOW_FACTOR: f64 = 2.0;
+/// See [`SLOW_FACTOR`].
+const SLOW_EXTRA_MS: f64 = 150.0;
+/// Most that slowness costs, in ms.
+const SLOW_MOST_MS: f64 = 1_500.0;
 /// Cost of a server in another hall, in ms: the way there, and the price of
 /// bytes between halls.
 const OTHER_HALL_MS: f64 = 12.0;
@@ -168,8 +175,8 @@
     failing: f64,
     now: Instant,
 ) -> Option<Choice> {
-    let loads: Vec<f64> = servers.iter().map(load).collect();
-    let mean = loads.iter().sum::<f64>() / loads.len().max(1) as f64;
+    let (loads, mean) = loads(servers, now);
+    let usual_ms = usual_time(servers, now);
     let bound = BOUND_FACTOR * mean + BOUND_EXTRA;
     let candidates = servers.iter().zip(loads);
     candidates
@@ -188,6 +195,7 @@
                 + RUNNING_MS * load
                 + WAITING_MS * (load - slots).max(0.0)
                 + EXCESS_MS * (load - bound).max(0.0)
+                + slowness(backend, usual_ms, now)
                 + fastrand::f64()
                 + common(backend, ask, failing, now);
             Choice {
@@ -202,7 +210,41 @@
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-fn load(backend: &Rc<Backend>) -> f64 {
-    let told = backend.load(LOAD_AGE);
-    f64::from(told.unwrap_or_else(|| backend.own()))
+/// The load of each server, and the mean of those that can be reached. Where
+/// none was told lately, the mean stands for it.
+fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
+    let told: Vec<Option<f64>> = servers
+        .iter()
+        .map(|backend| backend.load(LOAD_AGE).map(f64::from))
+        .collect();
+    let reached = servers
+        .iter()
+        .zip(&told)
+        .filter(|(backend, _)| !backend.hall.is_silent(now) && backend.health.allows(now));
+    let known: Vec<f64> = reached.filter_map(|(_, told)| *told).collect();
+    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
+    let or_mean = |(backend, told): (&Rc<Backend>, Option<f64>)| {
+        told.unwrap_or_else(|| mean.max(f64::from(backend.own())))
+    };
+    (servers.iter().zip(told).map(or_mean).collect(), mean)
+}
+
+/// The median time to an answer's beginning, in ms, of servers that answered
+/// lately.
+fn usual_time(servers: &[Rc<Backend>], now: Instant) -> Option<f64> {
+    let times = servers
+        .iter()
+        .filter_map(|backend| backend.health.recent_ms(now));
+    let mut times: Vec<f64> = times.collect();
+    times.sort_by(f64::total_cmp);
+    times.get(times.len() / 2).copied()
+}
+
+/// What a server's answers have lately taken beyond what is usual, in ms.
+fn slowness(backend: &Rc<Backend>, usual_ms: Option<f64>, now: Instant) -> f64 {
+    let times = backend.health.recent_ms(now).zip(usual_ms);
+    let excess = times.map_or(0.0, |(own, usual)| {
+        own - SLOW_FACTOR * usual - SLOW_EXTRA_MS
+    });
+    excess.clamp(0.0, SLOW_MOST_MS)
 }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -18,6 +18,8 @@
 const PROBE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest result in the failure rate.
 const RATE_WEIGHT: f64 = 0.15;
+/// Age of the newest time after which times tell nothing any more.
+const TIMED_WITHIN: Duration = Duration::from_secs(4);
 /// Weight of the newest time in the mean time to an answer.
 const TIME_WEIGHT: f64 = 0.2;
 
@@ -85,6 +87,8 @@
     failure_rate: Cell<f64>,
     /// Mean time to an answer in ms.
     time_ms: Cell<Option<f64>>,
+    /// When an answer last began.
+    timed: Cell<Option<Instant>>,
 }
 
 impl Health {
@@ -118,6 +122,7 @@
         let sample = time.as_secs_f64() * 1e3;
         let mean = self.time_ms.get().unwrap_or(sample);
         self.time_ms.set(Some(mean + TIME_WEIGHT * (sample - mean)));
+        self.timed.set(Some(Instant::now()));
     }
 
     /// Mean time to an answer in ms, once one is known.
@@ -125,6 +130,14 @@
         self.time_ms.get()
     }
 
+    /// The same, if an answer began lately: a server that is avoided for being
+    /// slow is tried again after a while.
+    pub fn recent_ms(&self, now: Instant) -> Option<f64> {
+        let timed = self.timed.get()?;
+        let recent = now.duration_since(timed) < TIMED_WITHIN;
+        self.time_ms.get().filter(|_| recent)
+    }
+
     /// Share of recent requests that failed.
     pub fn failure_rate(&self) -> f64 {
         self.failure_rate.get()
