An older word about a server does not replace newer knowledge

A box that hears from another took over an entry that was older than the one it knew, so that its record said of a leaving server that it is ready and told that to boxes that started later; and it dropped a server that came after the list it was told. An entry, a list and an end now count only against entries that are not newer.

Failing before: told::a_leaving_server_does_not_come_back_by_an_older_word, told::an_entry_older_than_the_known_one_is_outdated and told::an_older_word_does_not_drop_a_newer_server.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -186,14 +186,14 @@
                 for change in changes {
                     match change {
                         message::Change::Is(row) => self.announced(row),
-                        message::Change::Gone(id, seen) => self.drop_server(&id, seen, "Gone"),
+                        message::Change::Gone(id, seen) => self.told_gone(&id, seen),
                     }
                 }
             }
             Servers::All(rows, seen) => {
                 for id in self.relay.fleet.ids() {
                     if !rows.iter().any(|row| *row.id() == id) {
-                        self.drop_server(&id, seen, "Gone");
+                        self.told_gone(&id, seen);
                     }
                 }
                 for row in rows {
@@ -224,6 +224,14 @@
         }
     }
 
+    /// Drops a server that another box says is gone, unless that box knows an
+    /// older state of the store.
+    fn told_gone(&self, id: &ids::Server, seen: u64) {
+        if !self.record.is_newer(id, seen) {
+            self.drop_server(id, seen, "Gone");
+        }
+    }
+
     /// Drops a server that is gone as of a revision.
     fn drop_server(&self, id: &ids::Server, seen: u64, why: &str) {
         if self.relay.fleet.remove(id) {
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -53,8 +53,20 @@
         self.seen.set(self.seen.get().max(revision));
     }
 
-    /// Whether an entry is older than the news that its server is gone.
+    /// Whether the known entry of a server is newer than a revision, so that
+    /// what was told as of it says nothing about the server.
+    pub fn is_newer(&self, id: &ids::Server, revision: u64) -> bool {
+        let servers = self.servers.borrow();
+        let known = servers.iter().find(|row| row.id() == id);
+        known.is_some_and(|known| known.revision() > revision)
+    }
+
+    /// Whether an entry is older than the one that is known, or than the news
+    /// that its server is gone.
     pub fn is_outdated(&self, row: &Row) -> bool {
+        if self.is_newer(row.id(), row.revision()) {
+            return true;
+        }
         let gone = self.gone.borrow();
         gone.peek(row.id())
             .is_some_and(|gone| row.revision() <= *gone)
