Clients of a service that is down are called back after a start, not at once

With all servers crashed, every request was refused with 0.15 s to come back, and its one further try was refused as well. Where the servers tried refuse connections, the time told is now 1 s. The new test fails before (come back after 0.15).

--- a/crates/relay/src/exchange.rs
+++ b/crates/relay/src/exchange.rs
@@ -491,6 +491,7 @@
             (Cause::Late, true) => refusal::Kind::Late,
             (_, true) => refusal::Kind::Lost,
             (Cause::Late, false) => refusal::Kind::TimeOver,
+            (Cause::Connect(error), false) if is_refused(error) => refusal::Kind::Down,
             (Cause::Connect(_), false) => refusal::Kind::NoServer,
             (_, false) => refusal::Kind::Full,
         }
@@ -543,6 +544,11 @@
     }
 }
 
+/// Whether a machine answered that no process takes connections there.
+fn is_refused(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::ConnectionRefused
+}
+
 fn class(status: u16) -> &'static str {
     match status {
         200..=299 => "2xx",
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -9,6 +9,10 @@
 /// When to come back where nothing better is known: long enough for another
 /// box or server to be tried, short against every objective.
 const SOON: Duration = Duration::from_millis(150);
+/// When to come back while servers that were tried have no process that would
+/// take a connection: a start takes a second or more, and no other box is any
+/// better off. Under a third of every deadline, above which clients ignore it.
+const DOWN: Duration = Duration::from_millis(1_000);
 /// When to come back while this box does not know the configuration: at once,
 /// since a further try reaches another box.
 const UNREADY: Duration = Duration::from_millis(20);
@@ -34,6 +38,8 @@
     Stale,
     /// No server of the service is known or open.
     NoServer,
+    /// The servers tried refused connections: they are down.
+    Down,
     /// The servers that may be asked are full.
     Full,
     /// Its time ran out before a server ran it.
@@ -55,7 +61,12 @@
             Kind::BodyTooLarge => 413,
             Kind::HeadTooLarge => 431,
             Kind::Lost => 502,
-            Kind::NotReady | Kind::Stale | Kind::NoServer | Kind::Full | Kind::TimeOver => 503,
+            Kind::NotReady
+            | Kind::Stale
+            | Kind::NoServer
+            | Kind::Down
+            | Kind::Full
+            | Kind::TimeOver => 503,
             Kind::Late => 504,
         }
     }
@@ -64,6 +75,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Kind::NotReady | Kind::Stale => Some(UNREADY),
+            Kind::Down => Some(DOWN),
             Kind::NoServer | Kind::Full | Kind::TimeOver => Some(SOON),
             _ => None,
         }
@@ -81,6 +93,7 @@
             Kind::NotReady => "not_ready",
             Kind::Stale => "stale",
             Kind::NoServer => "no_server",
+            Kind::Down => "down",
             Kind::Full => "full",
             Kind::TimeOver => "time_over",
             Kind::Late => "late",
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -120,6 +120,31 @@
     })
 }
 
+#[test]
+fn clients_of_a_service_that_is_down_are_called_back_after_a_start() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let far = site.server(usual(2))?;
+        let house = House::open(executor, site).await?;
+        for server in [&near, &far] {
+            server.crash();
+            until("down", async || {
+                Ok(Client::open(server.address()).await.is_err())
+            })
+            .await?;
+        }
+        for target in ["/r/x", "/o/x"] {
+            let answer = house.post(target, target).await?;
+            promised(&answer)?;
+            let wait = answer.field(names::RETRY_AFTER).unwrap_or_default();
+            let wait: f64 = wait.parse()?;
+            ensure!((0.8..=1.3).contains(&wait), "come back after {wait}");
+        }
+        Ok(())
+    })
+}
+
 #[test]
 fn without_a_server_a_request_is_promised_not_to_run() -> Result {
     run(async |executor| {
