Watches that a box ends itself are no failures; lines about requests are limited

Cause: found while writing docs/OPERATIONS.md: watches ended by the box were logged and counted as failed store calls (malformed), a reader that lost the store showed as a malformed frame, the label call held the reason, and the rate limit of log lines was used by its test alone. Watches are asked anew after 15 s.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -35,8 +35,9 @@
 
 /// Longest time for one call: a slow store answers within a few hundred ms.
 const CALL_TIME: Duration = Duration::from_millis(1_200);
-/// Time that a watch waits for a change: the store's longest.
-const WATCH_TIME: Duration = Duration::from_secs(30);
+/// Time that a watch waits for a change: well under the store's longest, so
+/// that one that hangs unnoticed is soon asked anew.
+const WATCH_TIME: Duration = Duration::from_secs(15);
 /// Time between two proofs, as a part of the time in which a change has to be
 /// in force everywhere.
 const PROOF_PART: f64 = 0.4;
@@ -114,12 +115,17 @@
         }
     }
 
-    /// Ends a watch when another box reads the store.
-    async fn relieved<T>(&self) -> Result<T, Failure> {
-        while self.reads.get() {
-            self.role.wait().await;
-        }
-        Err(Failure::Malformed("another box reads".into()))
+    /// Ends when a watch is of no more use: another box reads the store, or the
+    /// store is back after it was away, so that the watch may hang on a
+    /// connection that nothing comes through any more.
+    async fn interrupted<T>(&self) -> Option<T> {
+        let relieved = async {
+            while self.reads.get() {
+                self.role.wait().await;
+            }
+        };
+        relieved.or(self.back.wait()).await;
+        None
     }
 
     /// Reads the store itself when the proof grows old, whatever the reason;
@@ -199,7 +205,7 @@
         asked: Instant,
     ) -> Result<(), Error> {
         let age = told.age_ms.map(Duration::from_millis);
-        let age = age.ok_or_else(|| Error::Malformed("cannot vouch".into()))?;
+        let age = age.ok_or(Error::Unsure)?;
         if let Some(document) = document {
             self.take_document(Revision(told.revision), document);
         }
@@ -299,13 +305,6 @@
         }
     }
 
-    /// Ends a watch when the store is back after it was away: the watch may
-    /// hang on a connection that nothing comes through any more.
-    async fn restart<T>(&self) -> Result<T, Failure> {
-        self.back.wait().await;
-        Err(Failure::Malformed("the store was away".into()))
-    }
-
     fn failure(&self, what: &str, failure: &Failure) {
         if !self.reads.get() {
             return;
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -44,8 +44,10 @@
     async fn watch_catalog(&self, mut from: Revision) {
         loop {
             let watch = self.store.watch(key::CONFIG, from, WATCH_TIME);
-            match watch.or(self.restart()).or(self.relieved()).await {
-                Ok(read) => {
+            let read = async { Some(watch.await) };
+            match read.or(self.interrupted()).await {
+                None => return,
+                Some(Ok(read)) => {
                     for event in read.value {
                         if let Event::Put(item) = event {
                             self.take_item(item, None);
@@ -53,7 +55,7 @@
                     }
                     from = read.revision;
                 }
-                Err(failure) => return self.failure("catalog_watch", &failure),
+                Some(Err(failure)) => return self.failure("catalog_watch", &failure),
             }
         }
     }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -45,8 +45,10 @@
     async fn watch_servers(&self, mut from: Revision) {
         loop {
             let watch = self.store.watch(key::SERVERS, from, WATCH_TIME);
-            match watch.or(self.restart()).or(self.relieved()).await {
-                Ok(read) => {
+            let read = async { Some(watch.await) };
+            match read.or(self.interrupted()).await {
+                None => return,
+                Some(Ok(read)) => {
                     for event in &read.value {
                         self.take_server_event(event);
                     }
@@ -56,7 +58,7 @@
                         Timer::after(GATHER_TIME).await;
                     }
                 }
-                Err(failure) => return self.failure("servers_watch", &failure),
+                Some(Err(failure)) => return self.failure("servers_watch", &failure),
             }
         }
     }
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -19,7 +19,7 @@
 use std::time::{Duration, Instant};
 
 pub use ::log::{debug, error, info, trace, warn};
-use ::log::{LevelFilter, SetLoggerError};
+use ::log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
 use simplelog::{Config, ConfigBuilder, LevelPadding, WriteLogger};
 
 /// Most lines that wait to be written: ten seconds of request lines at
@@ -28,6 +28,8 @@
 /// Most bytes of lines that wait to be written; what a stalled reader may cost
 /// in memory.
 const BYTES_WAITING: usize = 256 << 10;
+/// Target of the lines that tell what became of one request.
+const REQUEST_TARGET: &str = "request";
 /// Longest line, in bytes; the rest of a longer one is cut off.
 const LINE_BYTES: usize = 4 << 10;
 /// Room that a buffer keeps after use, in bytes: the lines of a usual batch.
@@ -251,10 +253,49 @@
 /// The writing thread cannot be started, or there is a logger already.
 pub fn init(level: LevelFilter) -> Result<Queue, Error> {
     let queue = Queue::start(io::stdout()).map_err(Error::Thread)?;
-    WriteLogger::init(level, format(), queue.lines()).map_err(Error::Twice)?;
+    let limited = Limited {
+        logger: logger(level, &queue),
+        limit: Mutex::new(Limit::new("request", LINES_PER_SECOND)),
+    };
+    ::log::set_boxed_logger(Box::new(limited)).map_err(Error::Twice)?;
+    ::log::set_max_level(level);
     Ok(queue)
 }
 
+/// Holds lines about requests back past a rate; all others go through.
+struct Limited {
+    logger: Box<WriteLogger<Lines>>,
+    limit: Mutex<Limit>,
+}
+
+impl Limited {
+    fn passes(&self, record: &Record<'_>) -> bool {
+        if record.target() != REQUEST_TARGET {
+            return true;
+        }
+        // A limit is whole between any two of its statements.
+        let limit = self.limit.lock();
+        let limit = limit.unwrap_or_else(|poison| poison.into_inner());
+        limit.passes(Instant::now())
+    }
+}
+
+impl Log for Limited {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        self.logger.enabled(metadata)
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) && self.passes(record) {
+            self.logger.log(record);
+        }
+    }
+
+    fn flush(&self) {
+        self.logger.flush();
+    }
+}
+
 fn format() -> Config {
     ConfigBuilder::new()
         .set_time_format_rfc3339()
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -73,7 +73,7 @@
         );
         let time = match error {
             _ if away => UNSURE_TIME,
-            Error::Malformed(_) if started.elapsed() < START_TIME => UNSURE_TIME,
+            Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
             _ => PASS_OVER_TIME,
         };
         passed_over.insert(first.name.clone(), Instant::now() + time);
--- a/crates/relay/src/peer/link.rs
+++ b/crates/relay/src/peer/link.rs
@@ -25,6 +25,8 @@
     Closed,
     /// The frame is too large or is no message.
     Malformed(String),
+    /// The other box answers, but cannot vouch for what it knows.
+    Unsure,
 }
 
 impl fmt::Display for Error {
@@ -33,6 +35,7 @@
             Error::Io(error) => write!(f, "{error}"),
             Error::Closed => f.write_str("closed"),
             Error::Malformed(why) => write!(f, "malformed frame: {why}"),
+            Error::Unsure => f.write_str("it cannot vouch for what it knows"),
         }
     }
 }
