The proof falls back to a read while answers to writes are lost

Test first: keys_are_served_while_all_answers_to_writes_are_ lost failed after 2.5 s with 503, passes now.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -67,6 +67,8 @@
     servers_known: Cell<bool>,
     /// Whether the store was found to be away.
     away: Cell<bool>,
+    /// When an answer to a write was last lost.
+    unanswered: Cell<Option<Instant>>,
     /// Boxes of this hall that come before this one.
     behind: Cell<u32>,
     /// Until when an entry's absence may be the store's fault.
@@ -88,6 +90,7 @@
             role: Notice::default(),
             servers_known: Cell::new(false),
             away: Cell::new(false),
+            unanswered: Cell::new(None),
             behind: Cell::new(0),
             doubt: Cell::new(None),
             back: Notice::default(),
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -1,7 +1,7 @@
 //! The catalog: its entry in the store, and the proof that it is the newest.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
 use smol::Timer;
@@ -11,6 +11,12 @@
 use super::pause::Pause;
 use super::{Follower, CALL_TIME, PROOF_PART, WATCH_TIME};
 
+/// Longest time for a change of nothing: a slow store answers within a quarter
+/// of a second, and a read still has to fit into the bound on keys.
+const SWAP_TIME: Duration = Duration::from_millis(600);
+/// How long writes are avoided after an answer to one was lost.
+const UNANSWERED_TIME: Duration = Duration::from_secs(5);
+
 impl Follower {
     /// Follows the catalog while this box reads the store; does not end.
     pub async fn catalog(self: Rc<Self>) {
@@ -121,16 +127,27 @@
         }
     }
 
+    /// Whether an answer to a write was lost lately. A whole read proves the
+    /// same; it is larger, but not lost with the answers to writes.
+    fn writes_unanswered(&self) -> bool {
+        let unanswered = self.unanswered.get();
+        unanswered.is_some_and(|at| at.elapsed() < UNANSWERED_TIME)
+    }
+
     async fn proof(&self) -> Result<(), Failure> {
         let asked = Instant::now();
         let revision = self.revision.get();
-        if revision == Revision(0) {
+        if revision == Revision(0) || self.writes_unanswered() {
             return self.read_catalog().await.map(|_| ());
         }
         // A change of nothing, under the condition that the entry is what is
         // known here: small, and answered by the store's newest state.
         let expected = [(key::CONFIG, revision)];
-        match self.store.swap(&expected, &[], &[], CALL_TIME).await? {
+        let swap = self.store.swap(&expected, &[], &[], SWAP_TIME).await;
+        if matches!(swap, Err(Failure::NoAnswer(_))) {
+            self.unanswered.set(Some(Instant::now()));
+        }
+        match swap? {
             Swap::Done(_) => {
                 if self.revision.get() == revision {
                     self.relay.view.prove(asked);
--- a/crates/relay/tests/relay/keys.rs
+++ b/crates/relay/tests/relay/keys.rs
@@ -210,3 +210,23 @@
         Ok(())
     })
 }
+
+#[test]
+fn keys_are_served_while_all_answers_to_writes_are_lost() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let house = open(executor, site, true).await?;
+        house.site.store.faults(|faults| faults.lost = u32::MAX);
+        let start = Instant::now();
+        let mut number = 0;
+        while start.elapsed() < 2 * REVOKE_TIME {
+            number += 1;
+            let attempt = format!("stays-{number}");
+            let answer = house.call(&with_key("stays", &attempt)).await?;
+            whole(&answer, &[&server], &attempt)?;
+            Timer::after(ms(50)).await;
+        }
+        Ok(())
+    })
+}
