--- a/crates/relay/src/fleet.rs
+++ b/crates/relay/src/fleet.rs
@@ -32,9 +32,6 @@
 /// having been there before.
 const START_TIME: Duration = Duration::from_secs(8);
 
-/// Time after a server's entry went in which it may still give what it keeps.
-const GIVES_TIME: Duration = Duration::from_millis(2_500);
-
 /// A connection that rests.
 struct Idle {
     conn: Conn,
@@ -239,7 +236,6 @@
     started: Instant,
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
-    departed: RefCell<Vec<(Rc<Backend>, Instant)>>,
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
     /// Told when a server came or left.
     pub changed: Notice,
@@ -251,7 +247,6 @@
             started: Instant::now(),
             halls: RefCell::default(),
             servers: RefCell::default(),
-            departed: RefCell::default(),
             services: RefCell::default(),
             changed: Notice::default(),
         }
@@ -329,9 +324,6 @@
         };
         backend.leave();
         self.regroup(&backend.server.service);
-        let mut departed = self.departed.borrow_mut();
-        departed.retain(|(_, at)| at.elapsed() < GIVES_TIME);
-        departed.push((backend, Instant::now()));
         true
     }
 
@@ -340,13 +332,10 @@
         self.servers.borrow().get(id).cloned()
     }
 
-    /// The servers of a service, also those that are leaving and those whose
-    /// entries went a moment ago: these may still give what they keep.
+    /// The servers of a service, also those that are leaving.
     pub fn known(&self, service: &ids::Service) -> Vec<Rc<Backend>> {
         let servers = self.servers.borrow();
-        let departed = self.departed.borrow();
-        let giving = departed.iter().filter(|(_, at)| at.elapsed() < GIVES_TIME);
-        let known = servers.values().chain(giving.map(|(backend, _)| backend));
+        let known = servers.values();
         let known = known.filter(|backend| backend.server.service == *service);
         known.cloned().collect()
     }
