--- /dev/null
+++ b/crates/relay/src/settings/check.rs
@@ -0,0 +1,103 @@
+//! Whether the values of settings are within range.
+
+use std::fmt;
+use std::time::Duration;
+
+use super::{Millis, Ports, Settings};
+
+/// A value out of range.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct OutOfRange {
+    /// The field, with the sections that hold it.
+    pub field: &'static str,
+    /// The value.
+    pub found: String,
+    /// What is allowed.
+    pub allowed: &'static str,
+}
+
+impl fmt::Display for OutOfRange {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self { found, allowed, .. } = self;
+        write!(f, "found {found}; allowed: {allowed}")
+    }
+}
+
+impl std::error::Error for OutOfRange {}
+
+impl Settings {
+    /// Checks what the types do not.
+    ///
+    /// # Errors
+    ///
+    /// The first value out of range.
+    pub fn check(&self) -> Result<(), OutOfRange> {
+        let bounds = &self.bounds;
+        let limits = &self.limits;
+        span("server_beat", self.server_beat)?;
+        span("bounds.stop_within", bounds.stop_within)?;
+        span("bounds.apply_within", bounds.apply_within)?;
+        span("bounds.revoke_within", bounds.revoke_within)?;
+        span("bounds.retry_window", bounds.retry_window)?;
+        span("bounds.event_within", bounds.event_within)?;
+        span("bounds.contact", bounds.contact)?;
+        positive("bounds.crowd_factor", bounds.crowd_factor)?;
+        positive("limits.cpu_share", limits.cpu_share)?;
+        positive("limits.link_mbps", limits.link_mbps)?;
+        positive("limits.memory_mb", f64::from(limits.memory_mb))?;
+        positive("limits.descriptors", f64::from(limits.descriptors))?;
+        positive("store.writes_per_s", self.store.writes_per_s)?;
+        positive("store.reads_per_s", self.store.reads_per_s)?;
+        share("bounds.retry_share", bounds.retry_share)?;
+        match self.peer_ports {
+            Some(ports) => ports.check(),
+            None => Ok(()),
+        }
+    }
+}
+
+impl Ports {
+    fn check(self) -> Result<(), OutOfRange> {
+        if 0 < self.first && self.first <= self.last {
+            return Ok(());
+        }
+        Err(OutOfRange {
+            field: "peer_ports",
+            found: format!("{} to {}", self.first, self.last),
+            allowed: "a first port from 1 and a last port not before it",
+        })
+    }
+}
+
+fn span(field: &'static str, found: Millis) -> Result<(), OutOfRange> {
+    if found.duration() > Duration::ZERO {
+        return Ok(());
+    }
+    Err(OutOfRange {
+        field,
+        found: found.to_string(),
+        allowed: "more than 0ms",
+    })
+}
+
+fn positive(field: &'static str, found: f64) -> Result<(), OutOfRange> {
+    if found > 0.0 {
+        return Ok(());
+    }
+    Err(OutOfRange {
+        field,
+        found: found.to_string(),
+        allowed: "more than 0",
+    })
+}
+
+fn share(field: &'static str, found: f64) -> Result<(), OutOfRange> {
+    if (0.0..=1.0).contains(&found) {
+        return Ok(());
+    }
+    Err(OutOfRange {
+        field,
+        found: found.to_string(),
+        allowed: "0 to 1",
+    })
+}
