--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -13,12 +13,12 @@
 use std::time::{Duration, Instant};
 
 use futures_lite::{future, FutureExt};
-use smol::Timer;
 use tidepier_core::answer::Answer;
 use tidepier_h1::{Body, Conn, Framing, Head, Malformed};
 use tidepier_platform::answer;
 
 use crate::fleet::{Backend, Running};
+use crate::timeout;
 
 /// Longest time to open a connection to a server: over ten round trips
 /// between halls, and far under the time after which a lost opening is
@@ -150,11 +150,8 @@
     let running = backend.run(sending.prefill);
     backend.health.sent(Instant::now());
     let mut conn = connection(backend, sending).await?;
-    let late = async {
-        Timer::at(sending.deadline).await;
-        Err(unknown(Cause::Late))
-    };
-    let (head, answer, whole) = exchange(&mut conn, sending).or(late).await?;
+    let exchanged = timeout::until(sending.deadline, exchange(&mut conn, sending)).await;
+    let (head, answer, whole) = exchanged.unwrap_or_else(|| Err(unknown(Cause::Late)))?;
     let framing = Framing::of_answer(&head, sending.method);
     let framing = framing.map_err(|error| unknown(Cause::Lost(error)))?;
     let reusable = whole && !answer.close && framing != Framing::UntilClose;
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -15,6 +15,7 @@
 use crate::refusal;
 use crate::relay::Relay;
 use crate::stop::Phase;
+use crate::timeout;
 
 /// Data that a client leaves unacknowledged for so long ends its connection.
 const UNACKED_TIME: Duration = Duration::from_secs(8);
@@ -65,7 +66,7 @@
         return End::Close;
     }
     let _request = relay.stop.request();
-    let head = match within(limits.head_time, conn.head(limits.head_bytes)).await {
+    let head = match timeout::within(limits.head_time, conn.head(limits.head_bytes)).await {
         Some(Ok(Some(head))) => head,
         Some(Ok(None) | Err(Malformed::BrokenOff | Malformed::Lost(_))) => return End::Close,
         Some(Err(Malformed::TooLarge)) => {
@@ -129,7 +130,7 @@
         None
     };
     let read = async { Some(conn.fill().await) };
-    let came = within(limits.idle_time, read.or(closing)).await;
+    let came = timeout::within(limits.idle_time, read.or(closing)).await;
     matches!(came, Some(Some(Ok(1..))))
 }
 
@@ -167,7 +168,7 @@
     let mut bytes = Vec::with_capacity(capacity);
     let mut body = Body::new(framing);
     loop {
-        match within(limits.idle_time, body.read(conn, &mut bytes)).await {
+        match timeout::within(limits.idle_time, body.read(conn, &mut bytes)).await {
             Some(Ok(true)) if bytes.len() > limits.body_bytes => return Err(too_large()),
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Ok((bytes, framing != Framing::Empty)),
@@ -203,7 +204,7 @@
 /// Takes what the client still sends until it closes, for a short time.
 async fn linger(conn: &mut Conn) {
     let drain = async { while let Ok(1..) = conn.scrap().await {} };
-    within(LINGER_TIME, drain).await;
+    timeout::within(LINGER_TIME, drain).await;
 }
 
 /// Ends when the client has closed its connection.
@@ -218,12 +219,3 @@
         }
     }
 }
-
-/// The result of `work`, or `None` when `limit` has passed.
-async fn within<T>(limit: Duration, work: impl future::Future<Output = T>) -> Option<T> {
-    let late = async {
-        Timer::after(limit).await;
-        None
-    };
-    async { Some(work.await) }.or(late).await
-}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod signal;
 pub mod stop;
 mod stream;
+mod timeout;
 pub mod view;
 
 pub use router::{run, Router};
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -17,6 +17,7 @@
 use crate::peer::link::{self, Error};
 use crate::peer::message::{Ask, Position, Told, VERSION};
 use crate::peer::registry::{Member, Registry};
+use crate::timeout;
 
 /// Time between two questions.
 const ASK_TIME: Duration = Duration::from_millis(400);
@@ -134,13 +135,11 @@
     Ok((told, document))
 }
 
+/// The result of `work`; an error when `limit` has passed.
 async fn within<T>(
     limit: Duration,
     work: impl std::future::Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
-    let late = async {
-        Timer::after(limit).await;
-        Err(Error::Io(std::io::ErrorKind::TimedOut.into()))
-    };
-    work.or(late).await
+    let late = || Err(Error::Io(std::io::ErrorKind::TimedOut.into()));
+    timeout::within(limit, work).await.unwrap_or_else(late)
 }
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -8,11 +8,12 @@
 use std::io;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use smol::{LocalExecutor, Timer};
 use tidepier_h1::{Conn, Framing, Head, Listener, Malformed};
 use tidepier_platform::call;
 
+use crate::timeout;
+
 /// A connection that rests this long is closed. Many times the second between
 /// two calls of the platform.
 const IDLE: Duration = Duration::from_secs(15);
@@ -105,11 +106,8 @@
 
 /// One call and its answer; whether another may follow.
 async fn exchange(conn: &mut Conn, page: &impl Fn(&str) -> Page) -> Result<bool, Malformed> {
-    let idle = async {
-        Timer::after(IDLE).await;
-        Ok(None)
-    };
-    let Some(head) = conn.head(HEAD_BYTES).or(idle).await? else {
+    let head = timeout::within(IDLE, conn.head(HEAD_BYTES)).await;
+    let Some(head) = head.unwrap_or(Ok(None))? else {
         return Ok(false);
     };
     let bodiless = Framing::of_request(&head)? == Framing::Empty;
@@ -134,9 +132,7 @@
 
 /// Writes an answer to a peer that takes it in time.
 async fn write(conn: &Conn, bytes: &[u8]) -> io::Result<()> {
-    let late = async {
-        Timer::after(IDLE).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    conn.writer().write_all(bytes).or(late).await
+    let writer = conn.writer();
+    let written = timeout::within(IDLE, writer.write_all(bytes)).await;
+    written.unwrap_or_else(|| Err(io::ErrorKind::TimedOut.into()))
 }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -14,8 +14,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_lite::FutureExt;
-use smol::Timer;
 use tidepier_core::catalog::Kind;
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
@@ -24,6 +22,7 @@
 use crate::events::Events;
 use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
+use crate::timeout;
 
 /// Largest body that is read whole before it is passed on, in bytes.
 const WHOLE_BYTES: usize = 8 << 20;
@@ -63,11 +62,8 @@
         }
         Ok::<(), io::Error>(())
     };
-    let late = async {
-        Timer::at(limit).await;
-        Err(io::ErrorKind::TimedOut.into())
-    };
-    if read.or(late).await.is_ok() && reply.reusable {
+    let read = timeout::until(limit, read).await;
+    if matches!(read, Some(Ok(()))) && reply.reusable {
         backend.keep(reply.conn, reply.answer.keep_alive);
     }
 }
@@ -132,14 +128,13 @@
         }
         Ok(())
     };
-    let late = async {
-        Timer::at(deadline).await;
+    let late = || {
         Err(Failure {
             ran: Ran::Unknown,
             cause: Cause::Late,
         })
     };
-    read.or(late).await
+    timeout::until(deadline, read).await.unwrap_or_else(late)
 }
 
 /// What a stream's answer looks like to the client.
@@ -360,8 +355,7 @@
             cause: Cause::Broken(error),
         })
     };
-    let late = async {
-        Timer::at(until).await;
+    let late = || {
         let cause = if until < exchange.deadline {
             Cause::Stalled
         } else {
@@ -372,5 +366,5 @@
             cause,
         })
     };
-    read.or(late).await
+    timeout::until(until, read).await.unwrap_or_else(late)
 }
