Long functions are split; notices and a time that nobody read are gone

callers::request, exchange::admit, stream::pass_stream and h1's Body::take each held several steps. View.changed, Fleet.changed and Stop::since were written and read by nothing, tests included.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -145,58 +145,50 @@
     /// Takes what is pending; whether body bytes were among it.
     fn take(&mut self, conn: &mut Conn, out: &mut Vec<u8>) -> io::Result<bool> {
         let before = out.len();
-        loop {
-            match self.step {
-                Step::Done => break,
-                Step::UntilClose => {
-                    let all = conn.pending().len();
-                    out.extend_from_slice(conn.pending());
-                    conn.skip(all);
-                    break;
-                }
-                Step::Sized(left) => {
-                    let left = move_bytes(conn, out, left);
-                    self.step = if left == 0 {
-                        Step::Done
-                    } else {
-                        Step::Sized(left)
-                    };
-                    if left > 0 {
-                        break;
-                    }
-                }
-                Step::ChunkData(left) => {
-                    let left = move_bytes(conn, out, left);
-                    self.step = if left == 0 {
-                        Step::ChunkEnd
-                    } else {
-                        Step::ChunkData(left)
-                    };
-                    if left > 0 {
-                        break;
-                    }
-                }
-                Step::ChunkEnd => match take_line(conn)? {
-                    Some(0) => self.step = Step::ChunkSize,
-                    Some(_) => return Err(malformed("bytes after a chunk")),
-                    None => break,
-                },
-                Step::ChunkSize => match chunk_size(conn)? {
-                    Some(0) => self.step = Step::Trailer,
-                    Some(size) => self.step = Step::ChunkData(size),
-                    None => break,
-                },
-                Step::Trailer => match take_line(conn)? {
-                    Some(0) => self.step = Step::Done,
-                    Some(_) => {}
-                    None => break,
-                },
-            }
+        while let Some(next) = self.step.advance(conn, out)? {
+            self.step = next;
         }
         Ok(out.len() > before)
     }
 }
 
+impl Step {
+    /// Takes what this step wants of what is pending; the step that follows,
+    /// or `None` when this one wants more or nothing follows.
+    fn advance(&mut self, conn: &mut Conn, out: &mut Vec<u8>) -> io::Result<Option<Self>> {
+        Ok(match self {
+            Step::Done => None,
+            Step::UntilClose => {
+                let all = conn.pending().len();
+                out.extend_from_slice(conn.pending());
+                conn.skip(all);
+                None
+            }
+            Step::Sized(left) => {
+                *left = move_bytes(conn, out, *left);
+                (*left == 0).then_some(Step::Done)
+            }
+            Step::ChunkData(left) => {
+                *left = move_bytes(conn, out, *left);
+                (*left == 0).then_some(Step::ChunkEnd)
+            }
+            Step::ChunkEnd => match take_line(conn)? {
+                Some(0) => Some(Step::ChunkSize),
+                Some(_) => return Err(malformed("bytes after a chunk")),
+                None => None,
+            },
+            Step::ChunkSize => chunk_size(conn)?.map(|size| match size {
+                0 => Step::Trailer,
+                size => Step::ChunkData(size),
+            }),
+            Step::Trailer => take_line(conn)?.map(|length| match length {
+                0 => Step::Done,
+                _ => Step::Trailer,
+            }),
+        })
+    }
+}
+
 /// Moves up to `left` pending bytes to `out`; returns how many remain due.
 fn move_bytes(conn: &mut Conn, out: &mut Vec<u8>, left: u64) -> u64 {
     let available = conn.pending().len();
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -66,23 +66,14 @@
         return End::Close;
     }
     let _request = relay.stop.request();
-    let head = match timeout::within(limits.head_time, conn.head(limits.head_bytes)).await {
-        Some(Ok(Some(head))) => head,
-        Some(Ok(None) | Err(Malformed::BrokenOff | Malformed::Lost(_))) => return End::Close,
-        Some(Err(Malformed::TooLarge)) => {
-            return turn_away(conn, writer, refusal::Kind::HeadTooLarge).await
-        }
-        Some(Err(error)) => {
-            log::info!(target: "request", "event=malformed why=\"{error}\"");
-            return turn_away(conn, writer, refusal::Kind::Malformed).await;
-        }
-        None => return turn_away(conn, writer, refusal::Kind::Slow).await,
+    let head = match head(conn, &limits).await {
+        Ok(head) => head,
+        Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
     let (body, has_body) = match body(conn, writer, &head, &limits).await {
         Ok(read) => read,
-        Err(BodyError::Gone) => return End::Close,
-        Err(BodyError::Refused(kind)) => return turn_away(conn, writer, kind).await,
+        Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let arrival = Arrival {
         close: head.closes(),
@@ -91,28 +82,33 @@
         has_body,
         at,
     };
-    let answered = async { Some(exchange::run(relay, &arrival, writer).await) };
+    let end = answer(relay, conn, &arrival, writer).await;
+    if end == End::Close {
+        writer.finish();
+        linger(conn).await;
+    }
+    end
+}
+
+/// Answers a request unless its client leaves before.
+async fn answer(relay: &Relay, conn: &mut Conn, arrival: &Arrival<'_>, writer: &Writer) -> End {
+    let answered = async { Some(exchange::run(relay, arrival, writer).await) };
     let left = async {
         left(conn).await;
         None
     };
-    let end = answered.or(left).await.unwrap_or_else(|| {
+    answered.or(left).await.unwrap_or_else(|| {
         metrics::counter!("tidepier_clients_left_total").increment(1);
-        let request = wire_request::decode(&head);
+        let request = wire_request::decode(arrival.head);
         log::info!(
             target: "request",
             "event=client_left id={} target={} ms={}",
             request.as_ref().map_or("-", |request| &*request.attempt),
-            head.target(),
-            at.elapsed().as_millis()
+            arrival.head.target(),
+            arrival.at.elapsed().as_millis()
         );
         End::Close
-    });
-    if end == End::Close {
-        writer.finish();
-        linger(conn).await;
-    }
-    end
+    })
 }
 
 fn limits(relay: &Relay) -> Limits {
@@ -134,25 +130,40 @@
     matches!(came, Some(Some(Ok(1..))))
 }
 
-enum BodyError {
+/// Why a request was not read whole.
+enum Unread {
     /// The client is gone or broke off.
     Gone,
-    /// It is turned away.
+    /// It is refused.
     Refused(refusal::Kind),
 }
 
+/// Reads a request's head.
+async fn head(conn: &mut Conn, limits: &Limits) -> Result<Head, Unread> {
+    match timeout::within(limits.head_time, conn.head(limits.head_bytes)).await {
+        Some(Ok(Some(head))) => Ok(head),
+        Some(Ok(None) | Err(Malformed::BrokenOff | Malformed::Lost(_))) => Err(Unread::Gone),
+        Some(Err(Malformed::TooLarge)) => Err(Unread::Refused(refusal::Kind::HeadTooLarge)),
+        Some(Err(error)) => {
+            log::info!(target: "request", "event=malformed why=\"{error}\"");
+            Err(Unread::Refused(refusal::Kind::Malformed))
+        }
+        None => Err(Unread::Refused(refusal::Kind::Slow)),
+    }
+}
+
 /// Reads a request's body; also tells whether the head told of one.
 async fn body(
     conn: &mut Conn,
     writer: &Writer,
     head: &Head,
     limits: &Limits,
-) -> Result<(Vec<u8>, bool), BodyError> {
+) -> Result<(Vec<u8>, bool), Unread> {
     let framing = Framing::of_request(head).map_err(|error| {
         log::info!(target: "request", "event=malformed why=\"{error}\"");
-        BodyError::Refused(refusal::Kind::Malformed)
+        Unread::Refused(refusal::Kind::Malformed)
     })?;
-    let too_large = || BodyError::Refused(refusal::Kind::BodyTooLarge);
+    let too_large = || Unread::Refused(refusal::Kind::BodyTooLarge);
     let capacity = match framing {
         Framing::Length(length) if length > limits.body_bytes as u64 => return Err(too_large()),
         Framing::Length(length) => length as usize,
@@ -163,7 +174,7 @@
         .is_some_and(|text| text.eq_ignore_ascii_case("100-continue"));
     if awaited && framing != Framing::Empty {
         let go_on = writer.write_all(b"HTTP/1.1 100 Continue\r\n\r\n").await;
-        go_on.map_err(|_| BodyError::Gone)?;
+        go_on.map_err(|_| Unread::Gone)?;
     }
     let mut bytes = Vec::with_capacity(capacity);
     let mut body = Body::new(framing);
@@ -173,16 +184,24 @@
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Ok((bytes, framing != Framing::Empty)),
             Some(Err(error)) if error.kind() == io::ErrorKind::InvalidData => {
-                return Err(BodyError::Refused(refusal::Kind::Malformed))
+                return Err(Unread::Refused(refusal::Kind::Malformed))
             }
-            Some(Err(_)) => return Err(BodyError::Gone),
-            None => return Err(BodyError::Refused(refusal::Kind::Slow)),
+            Some(Err(_)) => return Err(Unread::Gone),
+            None => return Err(Unread::Refused(refusal::Kind::Slow)),
         }
     }
 }
 
+/// Ends the connection of a request that was not read whole.
+async fn end_unread(conn: &mut Conn, writer: &Writer, unread: Unread) -> End {
+    match unread {
+        Unread::Gone => End::Close,
+        Unread::Refused(kind) => refuse_unread(conn, writer, kind).await,
+    }
+}
+
 /// Refuses a request that was not read whole and ends the connection.
-async fn turn_away(conn: &mut Conn, writer: &Writer, kind: refusal::Kind) -> End {
+async fn refuse_unread(conn: &mut Conn, writer: &Writer, kind: refusal::Kind) -> End {
     metrics::counter!("tidepier_refusals_total", "why" => kind.name()).increment(1);
     log::info!(target: "request", "event=turned_away why={kind} status={}", kind.status());
     let mut out = Vec::new();
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -36,15 +36,7 @@
     let denied = |kind| (kind, request.attempt.clone());
     let catalog = relay.view.catalog();
     let catalog = catalog.ok_or_else(|| denied(refusal::Kind::NotReady))?;
-    let fresh = relay.view.is_fresh(relay.bounds().fresh);
-    // What is missing in an old catalog may have been added since.
-    let fact = |kind| denied(if fresh { kind } else { refusal::Kind::Stale });
-    let route = catalog.route(&request.host, &request.path).cloned();
-    let route = route.ok_or_else(|| fact(refusal::Kind::NoRoute))?;
-    let account = account(relay, &catalog, &route, &request).map_err(|kind| match kind {
-        refusal::Kind::NoAccount => fact(kind),
-        other => denied(other),
-    })?;
+    let (route, account) = look_up(relay, &catalog, &request).map_err(denied)?;
     let service = share(&route);
     let declared = catalog.services.get(&service);
     let connections = declared.map_or(u32::MAX, |service| service.connections);
@@ -70,6 +62,24 @@
     })
 }
 
+/// The route of a request and the account of its key.
+fn look_up(
+    relay: &Relay,
+    catalog: &Catalog,
+    request: &Request,
+) -> Result<(Arc<Route>, Option<Arc<Account>>), refusal::Kind> {
+    let fresh = relay.view.is_fresh(relay.bounds().fresh);
+    // What is missing in an old catalog may have been added since.
+    let fact = |kind| if fresh { kind } else { refusal::Kind::Stale };
+    let route = catalog.route(&request.host, &request.path).cloned();
+    let route = route.ok_or_else(|| fact(refusal::Kind::NoRoute))?;
+    let account = account(relay, catalog, &route, request).map_err(|kind| match kind {
+        refusal::Kind::NoAccount => fact(kind),
+        other => other,
+    })?;
+    Ok((route, account))
+}
+
 /// The account of a request's key, on a route that asks for one.
 fn account(
     relay: &Relay,
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -18,7 +18,6 @@
 use tidepier_ids as ids;
 
 use crate::health::Hall;
-use crate::notice::Notice;
 
 pub use backend::{Backend, Running};
 
@@ -43,8 +42,6 @@
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
-    /// Told when a server came or left.
-    pub changed: Notice,
 }
 
 impl Default for Fleet {
@@ -54,7 +51,6 @@
             halls: RefCell::default(),
             servers: RefCell::default(),
             services: RefCell::default(),
-            changed: Notice::default(),
         }
     }
 }
@@ -170,6 +166,5 @@
         self.services
             .borrow_mut()
             .insert(service.clone(), group.into());
-        self.changed.tell();
     }
 }
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -2,7 +2,6 @@
 //! every request finished, then the end.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
 
 use crate::notice::Notice;
 
@@ -20,7 +19,6 @@
 /// The stop of this process.
 pub struct Stop {
     phase: Cell<Phase>,
-    since: Cell<Option<Instant>>,
     open: Cell<u32>,
     requests: Cell<u32>,
     /// Told when the phase changed or a request ended.
@@ -31,7 +29,6 @@
     fn default() -> Self {
         Self {
             phase: Cell::new(Phase::Serving),
-            since: Cell::new(None),
             open: Cell::new(0),
             requests: Cell::new(0),
             changed: Notice::default(),
@@ -60,19 +57,11 @@
         self.phase.get()
     }
 
-    /// Time since the stop began.
-    pub fn since(&self) -> Option<Duration> {
-        self.since.get().map(|at| at.elapsed())
-    }
-
     /// Moves on; a stop never goes back.
     pub fn advance(&self, phase: Phase) {
         if phase <= self.phase.get() {
             return;
         }
-        if self.since.get().is_none() {
-            self.since.set(Some(Instant::now()));
-        }
         self.phase.set(phase);
         self.changed.tell();
     }
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -147,23 +147,32 @@
     first: Cell<Option<Duration>>,
 }
 
+impl Client {
+    fn new(exchange: &Exchange<'_>, reply: &Reply) -> Self {
+        let chunked = reply.framing != Framing::UntilClose;
+        Self {
+            chunked,
+            close: exchange.closes() || !chunked,
+            first: Cell::new(None),
+        }
+    }
+
+    fn length(&self) -> Length {
+        if self.chunked {
+            Length::Chunked
+        } else {
+            Length::UntilClose
+        }
+    }
+}
+
 async fn pass_stream(
     exchange: &mut Exchange<'_>,
     mut backend: Rc<Backend>,
     mut reply: Reply,
 ) -> Result<End, Failure> {
-    let chunked = reply.framing != Framing::UntilClose;
-    let client = Client {
-        chunked,
-        close: exchange.closes() || !chunked,
-        first: Cell::new(None),
-    };
-    let length = if chunked {
-        Length::Chunked
-    } else {
-        Length::UntilClose
-    };
-    let mut out = exchange.head(&reply, length, client.close);
+    let client = Client::new(exchange, &reply);
+    let mut out = exchange.head(&reply, client.length(), client.close);
     let mut events = Events::default();
     let resumable = exchange.route.kind == Kind::Stream { resumable: true };
     loop {
@@ -192,25 +201,27 @@
         } else {
             None
         };
-        let Some((next_backend, next_reply)) = next else {
-            log::info!(
-                target: "request",
-                "event=broken id={} server={} resumable={resumable} last_event={:?} ms={}",
-                exchange.request.attempt,
-                backend.server.id,
-                events.last(),
-                exchange.arrival.at.elapsed().as_millis(),
-            );
-            metrics::counter!("tidepier_streams_broken_total").increment(1);
+        let Some(next) = next else {
+            note_broken(exchange, &backend, resumable, events.last());
             return Ok(abort(exchange, &client));
         };
         metrics::counter!("tidepier_streams_resumed_total").increment(1);
         events.rest();
-        backend = next_backend;
-        reply = next_reply;
+        (backend, reply) = next;
     }
 }
 
+fn note_broken(exchange: &Exchange<'_>, backend: &Backend, resumable: bool, last: Option<u64>) {
+    log::info!(
+        target: "request",
+        "event=broken id={} server={} resumable={resumable} last_event={last:?} ms={}",
+        exchange.request.attempt,
+        backend.server.id,
+        exchange.arrival.at.elapsed().as_millis(),
+    );
+    metrics::counter!("tidepier_streams_broken_total").increment(1);
+}
+
 /// Ends an answer that cannot be completed so that it does not look complete.
 fn abort(exchange: &Exchange<'_>, client: &Client) -> End {
     // A chunked answer without its last chunk is incomplete in itself.
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -14,15 +14,11 @@
 
 use tidepier_core::catalog::{Catalog, Version};
 
-use crate::notice::Notice;
-
 /// The catalog in force on this box.
 #[derive(Default)]
 pub struct View {
     catalog: RefCell<Option<Arc<Catalog>>>,
     proven: Cell<Option<Instant>>,
-    /// Told when a catalog was adopted.
-    pub changed: Notice,
 }
 
 impl View {
@@ -48,7 +44,6 @@
             return false;
         }
         *self.catalog.borrow_mut() = Some(Arc::new(catalog));
-        self.changed.tell();
         true
     }
 
