Names and comments in the field's usual terms

Follower's fields say what they hold (store_unreachable, boxes_before, doubted_until, store_returned, role_changed, reads_store); vouched is proven_age, take_told take_answer, a message between boxes an Answer, a Notice notifies. Comments say refuse, report, confirm, unreachable where they said turn away, tell, vouch, away. Tests follow the renames, their assertions stay.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -195,7 +195,7 @@
     let writer = conn.writer();
     let written = std::cell::Cell::new(false);
     let write = async {
-        // A failed write ends the connection; the reader tells how.
+        // A failed write ends the connection; the reader reports why.
         written.set(writer.write_all(sending.bytes).await.is_ok());
         future::pending().await
     };
--- a/crates/relay/src/bin/tidepier-relay.rs
+++ b/crates/relay/src/bin/tidepier-relay.rs
@@ -61,7 +61,7 @@
     let changes = Changes::watch(&arguments.settings)?;
     let settings = settings::read(&arguments.settings)?;
     let queue = tidepier_relay::log::init(arguments.log)?;
-    tell_start(&settings);
+    log_start(&settings);
     let outcome = smol::block_on(tidepier_relay::run(settings, changes));
     match &outcome {
         Ok(()) => log::info!(target: "process", "event=stopped reason=asked"),
@@ -74,7 +74,7 @@
     outcome
 }
 
-fn tell_start(settings: &Settings) {
+fn log_start(settings: &Settings) {
     log::info!(
         target: "process",
         "event=started version={} box={} hall={} callers={} first_start={}",
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -152,7 +152,7 @@
     }
 }
 
-/// Reads a request's body; also tells whether the head told of one.
+/// Reads a request's body; also returns whether the head announced one.
 async fn body(
     conn: &mut Conn,
     writer: &Writer,
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -33,7 +33,7 @@
 /// Cost of each request past the bound on the load of one server, in ms.
 const EXCESS_MS: f64 = 60.0;
 /// The bound: this many times the mean, plus [`BOUND_EXTRA`]. Below the
-/// operator's own bound, as loads told are late.
+/// operator's own bound, as reported loads are late.
 const BOUND_FACTOR: f64 = 1.6;
 /// Requests over the mean that are always borne.
 const BOUND_EXTRA: f64 = 2.0;
@@ -53,7 +53,7 @@
 /// Cost of a server at which every request failed, in ms, if the others are
 /// well.
 const FAILING_MS: f64 = 2_000.0;
-/// Share of failures above the others' mean that tells nothing.
+/// Share of failures above the others' mean that is no evidence.
 const FAILING_SLACK: f64 = 0.15;
 /// Cost of a server in a hall that seems to be cut off, in ms: over that of
 /// reading the longest prompts elsewhere.
@@ -63,7 +63,7 @@
 const LEFT_OUT_MS: f64 = 1e6;
 /// Cost of a server that has been tried for this request already.
 const TRIED_MS: f64 = 1e7;
-/// Age after which a load told is no longer used.
+/// Age after which a reported load is no longer used.
 const LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time to an answer of a plain service's server before one is known, in ms.
 const PLAIN_MS: f64 = 60.0;
@@ -211,22 +211,22 @@
 }
 
 /// The load of each server, and the mean of those that can be reached. Where
-/// none was told lately, the mean stands for it.
+/// none was reported lately, the mean stands for it.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
-    let told: Vec<Option<f64>> = servers
+    let reported: Vec<Option<f64>> = servers
         .iter()
         .map(|backend| backend.load(LOAD_AGE).map(f64::from))
         .collect();
     let reached = servers
         .iter()
-        .zip(&told)
+        .zip(&reported)
         .filter(|(backend, _)| !backend.hall.is_silent(now) && backend.health.allows(now));
-    let known: Vec<f64> = reached.filter_map(|(_, told)| *told).collect();
+    let known: Vec<f64> = reached.filter_map(|(_, reported)| *reported).collect();
     let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-    let or_mean = |(backend, told): (&Rc<Backend>, Option<f64>)| {
-        told.unwrap_or_else(|| mean.max(f64::from(backend.own())))
+    let or_mean = |(backend, reported): (&Rc<Backend>, Option<f64>)| {
+        reported.unwrap_or_else(|| mean.max(f64::from(backend.own())))
     };
-    (servers.iter().zip(told).map(or_mean).collect(), mean)
+    (servers.iter().zip(reported).map(or_mean).collect(), mean)
 }
 
 /// The median time to an answer's beginning, in ms, of servers that answered
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -1,7 +1,7 @@
 //! Admission of a request by the catalog in force.
 //!
-//! Invariant: a client is told that a route or an account does not exist only
-//! while the catalog is fresh enough for that to be a fact.
+//! Invariant: a client is answered that a route or an account does not exist
+//! only while the catalog is fresh enough for that to be a fact.
 
 use std::sync::Arc;
 
@@ -90,7 +90,7 @@
     if route.public || catalog.accounts.is_none() {
         return Ok(None);
     }
-    // A key may have been taken away since the catalog was the newest one.
+    // A key may have been revoked since the catalog was the newest one.
     let trusted = relay
         .bounds()
         .trusted
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -2,7 +2,7 @@
 //!
 //! * [`admit`]: admission by the catalog in force.
 //! * [`send`]: the choice of a server, and the sending.
-//! * [`retry`]: whether it is sent again, and what its client is told if not.
+//! * [`retry`]: whether it is sent again, and the refusal if not.
 //! * [`report`]: log lines, metrics and the health of servers.
 //!
 //! Invariant: each request gets exactly one final answer, a server's or a
@@ -42,7 +42,7 @@
     pub head: &'a Head,
     /// The whole body.
     pub body: &'a [u8],
-    /// Whether the head told of a body.
+    /// Whether the head announced a body.
     pub has_body: bool,
     /// When the head arrived.
     pub at: Instant,
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -1,4 +1,4 @@
-//! Whether a request is sent again, and what its client is told if not.
+//! Whether a request is sent again, and how it is refused if not.
 //!
 //! Invariant: a request that may have run is sent again only where its route
 //! lets it run more than once, and is never refused with a kind that promises
@@ -106,7 +106,7 @@
     }
 
     /// What a refusal of this box becomes once a server may have run the
-    /// request: the kinds that promise the opposite may not be told.
+    /// request: the kinds that promise the opposite may not be used.
     pub(super) fn unpromised(&self, kind: refusal::Kind) -> refusal::Kind {
         if self.may_have_run {
             refusal::Kind::Lost
--- a/crates/relay/src/fleet/idle.rs
+++ b/crates/relay/src/fleet/idle.rs
@@ -8,7 +8,7 @@
 /// Resting connections that are kept for one server.
 const IDLE_MAX: usize = 24;
 /// Rest after which a connection is not used again where the server does not
-/// tell how long it keeps one.
+/// say how long it keeps one.
 const IDLE_TIME: Duration = Duration::from_secs(4);
 /// Taken off the time that a server says it keeps a connection, for the way of
 /// a request to it.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 
 pub use backend::{Backend, Running};
 
-/// Time from this process's start in which servers that it hears of count as
+/// Time from this process's start in which servers that it learns of count as
 /// having been there before.
 const START_TIME: Duration = Duration::from_secs(8);
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -1,4 +1,4 @@
-//! What this box believes of catalog and servers, and where it learns it: from
+//! What this box knows of catalog and servers, and where it learns it: from
 //! the platform's store, or from the box of its hall that reads the store.
 //!
 //! While this box reads the store, three tasks run: one watches the catalog,
@@ -29,7 +29,7 @@
 use crate::fleet::Change;
 use crate::notice::Notice;
 use crate::peer::link::Error;
-use crate::peer::message::{self, Row, Servers, Told};
+use crate::peer::message::{self, Answer, Row, Servers};
 use crate::record::Record;
 use crate::relay::Relay;
 
@@ -41,16 +41,16 @@
 /// Time between two proofs, as a part of the time in which a change has to be
 /// in force everywhere.
 const PROOF_PART: f64 = 0.4;
-/// Age of a proof, as a part of the same time, from which another box's word
-/// is not taken.
-const WORD_PART: f64 = 0.6;
+/// Age of a proof, as a part of the same time, from which a box's answers
+/// to others no longer count as current.
+const PASS_ON_PART: f64 = 0.6;
 /// Age of a proof, as a part of the same time, from which this box reads the
 /// store itself.
 const OLD_PART: f64 = 0.75;
-/// Time between two looks at the age of the proof.
+/// Time between two checks of the age of the proof.
 const AGE_LOOK: Duration = Duration::from_millis(150);
 
-/// What this box believes, and where from.
+/// What this box knows, and where from.
 pub struct Follower {
     relay: Rc<Relay>,
     store: Rc<Client>,
@@ -60,19 +60,19 @@
     document: RefCell<Rc<[u8]>>,
     record: Record,
     /// Whether this box reads the store itself.
-    reads: Cell<bool>,
-    /// Told when that changed.
-    role: Notice,
+    reads_store: Cell<bool>,
+    /// Notified when that changed.
+    role_changed: Notice,
     /// Whether the servers are followed without a gap.
     servers_known: Cell<bool>,
-    /// Whether the store was found to be away.
-    away: Cell<bool>,
+    /// Whether the store was found to be unreachable.
+    store_unreachable: Cell<bool>,
     /// Boxes of this hall that come before this one.
-    behind: Cell<u32>,
+    boxes_before: Cell<u32>,
     /// Until when an entry's absence may be the store's fault.
-    doubt: Cell<Option<Instant>>,
-    /// Told when the store is back after it was away.
-    back: Notice,
+    doubted_until: Cell<Option<Instant>>,
+    /// Notified when the store is reachable again.
+    store_returned: Notice,
 }
 
 impl Follower {
@@ -84,19 +84,19 @@
             revision: Cell::new(Revision(0)),
             document: RefCell::new(Rc::new([])),
             record: Record::default(),
-            reads: Cell::new(false),
-            role: Notice::default(),
+            reads_store: Cell::new(false),
+            role_changed: Notice::default(),
             servers_known: Cell::new(false),
-            away: Cell::new(false),
-            behind: Cell::new(0),
-            doubt: Cell::new(None),
-            back: Notice::default(),
+            store_unreachable: Cell::new(false),
+            boxes_before: Cell::new(0),
+            doubted_until: Cell::new(None),
+            store_returned: Notice::default(),
         })
     }
 
     /// Sets whether this box reads the store itself.
     pub fn read_self(&self, why: &str, reads: bool) {
-        if self.reads.replace(reads) == reads {
+        if self.reads_store.replace(reads) == reads {
             return;
         }
         log::info!(
@@ -106,25 +106,25 @@
         );
         metrics::gauge!("tidepier_reads_store").set(if reads { 1.0 } else { 0.0 });
         self.servers_known.set(false);
-        self.role.tell();
+        self.role_changed.notify();
     }
 
     async fn reading(&self) {
-        while !self.reads.get() {
-            self.role.wait().await;
+        while !self.reads_store.get() {
+            self.role_changed.wait().await;
         }
     }
 
     /// Ends when a watch is of no more use: another box reads the store, or the
-    /// store is back after it was away, so that the watch may hang on a
+    /// store is reachable again, so that the watch may hang on a
     /// connection that nothing comes through any more.
     async fn interrupted<T>(&self) -> Option<T> {
         let relieved = async {
-            while self.reads.get() {
-                self.role.wait().await;
+            while self.reads_store.get() {
+                self.role_changed.wait().await;
             }
         };
-        relieved.or(self.back.wait()).await;
+        relieved.or(self.store_returned.wait()).await;
         None
     }
 
@@ -134,32 +134,36 @@
         loop {
             Timer::after(AGE_LOOK).await;
             let known = self.relay.view.age();
-            if !self.reads.get() && known.is_some_and(|age| age > self.bound(OLD_PART)) {
+            if !self.reads_store.get() && known.is_some_and(|age| age > self.bound(OLD_PART)) {
                 self.read_self("old_proof", true);
             }
         }
     }
 
     /// Records how many boxes of this hall come before this one: the further
-    /// behind, the more seldom it calls a store that is away.
-    pub fn set_behind(&self, behind: usize) {
-        self.behind.set(u32::try_from(behind).unwrap_or(u32::MAX));
+    /// behind, the more seldom it calls an unreachable store.
+    pub fn set_boxes_before(&self, behind: usize) {
+        self.boxes_before
+            .set(u32::try_from(behind).unwrap_or(u32::MAX));
     }
 
-    /// Whether the store was found to be away.
-    pub fn is_away(&self) -> bool {
-        self.away.get()
+    /// Whether the store was found to be unreachable.
+    pub fn store_is_unreachable(&self) -> bool {
+        self.store_unreachable.get()
     }
 
-    /// Waits until this box reads the store and the store is not away: then
+    /// Waits until this box reads the store and the store is reachable: then
     /// the proof alone calls it.
     async fn ready_to_read(&self) {
         loop {
             self.reading().await;
-            if !self.away.get() {
+            if !self.store_unreachable.get() {
                 return;
             }
-            self.back.wait().or(self.role.wait()).await;
+            self.store_returned
+                .wait()
+                .or(self.role_changed.wait())
+                .await;
         }
     }
 
@@ -185,32 +189,32 @@
     }
 
     /// How long ago all that this box knows was provably the newest; `None`
-    /// when it cannot vouch for that.
-    pub fn vouched(&self, now: Instant) -> Option<Duration> {
-        let whole = !self.reads.get() || self.servers_known.get();
+    /// when it cannot confirm that.
+    pub fn proven_age(&self, now: Instant) -> Option<Duration> {
+        let whole = !self.reads_store.get() || self.servers_known.get();
         let age = self.relay.view.age_at(now)?;
-        (whole && age < self.bound(WORD_PART)).then_some(age)
+        (whole && age < self.bound(PASS_ON_PART)).then_some(age)
     }
 
-    /// Takes over what another box told in answer to a question that was sent
+    /// Takes over what another box answered to a question that was sent
     /// at `asked`, with the configuration's entry that followed.
     ///
     /// # Errors
     ///
-    /// The other box cannot vouch for what it knows.
-    pub fn take_told(
+    /// The other box cannot confirm that what it knows is current.
+    pub fn take_answer(
         &self,
-        told: Told,
+        answer: Answer,
         document: Option<Vec<u8>>,
         asked: Instant,
     ) -> Result<(), Error> {
-        let age = told.age_ms.map(Duration::from_millis);
+        let age = answer.age_ms.map(Duration::from_millis);
         let age = age.ok_or(Error::Unsure)?;
         if let Some(document) = document {
-            self.take_document(Revision(told.revision), document);
+            self.take_document(Revision(answer.revision), document);
         }
-        self.take_rows(told.servers);
-        if self.revision.get() == Revision(told.revision) {
+        self.take_rows(answer.servers);
+        if self.revision.get() == Revision(answer.revision) {
             if let Some(proven) = asked.checked_sub(age) {
                 self.relay.view.prove(proven);
             }
@@ -224,14 +228,14 @@
                 for change in changes {
                     match change {
                         message::Change::Is(row) => self.announced(row),
-                        message::Change::Gone(id, seen) => self.told_gone(&id, seen),
+                        message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
                     }
                 }
             }
             Servers::All(rows, seen) => {
                 for id in self.relay.fleet.ids() {
                     if !rows.iter().any(|row| *row.id() == id) {
-                        self.told_gone(&id, seen);
+                        self.reported_gone(&id, seen);
                     }
                 }
                 for row in rows {
@@ -264,7 +268,7 @@
 
     /// Drops a server that another box says is gone, unless that box knows an
     /// older state of the store.
-    fn told_gone(&self, id: &ids::Server, seen: u64) {
+    fn reported_gone(&self, id: &ids::Server, seen: u64) {
         if !self.record.is_newer(id, seen) {
             self.drop_server(id, seen, "Gone");
         }
@@ -286,27 +290,28 @@
             failure,
             Failure::NotSent(_) | Failure::NoAnswer(_) | Failure::Unavailable
         );
-        if absent && self.reads.get() {
-            self.went();
+        if absent && self.reads_store.get() {
+            self.mark_unreachable();
         }
     }
 
-    fn went(&self) {
-        if !self.away.replace(true) {
+    fn mark_unreachable(&self) {
+        if !self.store_unreachable.replace(true) {
             log::warn!(target: "belief", "event=store_lost");
         }
     }
 
-    fn returned(&self) {
-        if self.away.replace(false) {
-            self.doubt.set(Some(Instant::now() + servers::LAPSE_TIME));
+    fn mark_reachable(&self) {
+        if self.store_unreachable.replace(false) {
+            self.doubted_until
+                .set(Some(Instant::now() + servers::LAPSE_TIME));
             log::info!(target: "belief", "event=store_back");
-            self.back.tell();
+            self.store_returned.notify();
         }
     }
 
     fn failure(&self, what: &str, failure: &Failure) {
-        if !self.reads.get() {
+        if !self.reads_store.get() {
             return;
         }
         metrics::counter!("tidepier_store_failures_total", "call" => what.to_owned(), "why" => failure.name()).increment(1);
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -109,13 +109,13 @@
             match self.proof().await {
                 Ok(()) => {
                     pause.reset();
-                    self.returned();
+                    self.mark_reachable();
                     Timer::after(self.bound(PROOF_PART)).await;
                 }
                 Err(failure) => {
                     self.failure("proof", &failure);
-                    self.went();
-                    pause.rest_behind(self.behind.get()).await;
+                    self.mark_unreachable();
+                    pause.rest_behind(self.boxes_before.get()).await;
                 }
             }
         }
--- a/crates/relay/src/follow/pause.rs
+++ b/crates/relay/src/follow/pause.rs
@@ -10,7 +10,7 @@
 const PAUSE_MAX: Duration = Duration::from_millis(900);
 
 /// Boxes before this one that lengthen its pauses: a box whose hall cannot
-/// tell it anything still finds out by itself within a few seconds.
+/// inform it still finds out by itself within a few seconds.
 const BEHIND_MAX: u32 = 3;
 
 /// The pause after a failed call: grows, with jitter, so that boxes that fail
@@ -29,7 +29,8 @@
         self.rest_behind(0).await;
     }
 
-    /// Rests longer the more boxes come before this one: they call, and tell.
+    /// Rests longer the more boxes come before this one: they call the store
+    /// and inform it.
     pub(super) async fn rest_behind(&mut self, behind: u32) {
         let pause = (PAUSE_MIN * 2u32.pow(self.failures.min(4))).min(PAUSE_MAX);
         self.failures += 1;
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -19,7 +19,7 @@
 const GATHER_TIME: Duration = Duration::from_millis(400);
 /// How long after the store is back an entry that lapsed may stay missing.
 pub(super) const LAPSE_TIME: Duration = Duration::from_millis(2_200);
-/// Time between two looks whether the store can be relied on again.
+/// Time between two checks whether the store can be relied on again.
 const LAPSE_LOOK: Duration = Duration::from_millis(100);
 
 impl Follower {
@@ -115,15 +115,18 @@
 
     /// Whether an entry that is absent is gone.
     fn is_reliable(&self) -> bool {
-        let doubted = self.doubt.get().is_some_and(|until| Instant::now() < until);
-        !self.away.get() && !doubted
+        let doubted = self
+            .doubted_until
+            .get()
+            .is_some_and(|until| Instant::now() < until);
+        !self.store_unreachable.get() && !doubted
     }
 
     /// Drops servers whose entries stay missing after the store is back; does
     /// not end.
     pub async fn lapses(self: Rc<Self>) {
         loop {
-            self.back.wait().await;
+            self.store_returned.wait().await;
             // The store may go and come back again meanwhile.
             while !self.is_reliable() {
                 Timer::after(LAPSE_LOOK).await;
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -14,11 +14,11 @@
 /// Longest time that a server is left out.
 const REST_MAX: Duration = Duration::from_secs(6);
 /// Time after which a request to a server that was left out counts as having
-/// told nothing, such as when its client left.
+/// brought no result, such as when its client left.
 const PROBE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest result in the failure rate.
 const RATE_WEIGHT: f64 = 0.15;
-/// Age of the newest time after which times tell nothing any more.
+/// Age of the newest time after which times no longer count.
 const TIMED_WITHIN: Duration = Duration::from_secs(4);
 /// Weight of the newest time in the mean time to an answer.
 const TIME_WEIGHT: f64 = 0.2;
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -28,7 +28,7 @@
 /// Most bytes of lines that wait to be written; what a stalled reader may cost
 /// in memory.
 const BYTES_WAITING: usize = 256 << 10;
-/// Target of the lines that tell what became of one request.
+/// Target of the lines on what became of one request.
 const REQUEST_TARGET: &str = "request";
 /// Longest line, in bytes; the rest of a longer one is cut off.
 const LINE_BYTES: usize = 4 << 10;
@@ -63,8 +63,8 @@
     lines: usize,
     /// Lines that were not taken or could not be written.
     dropped: u64,
-    /// Those of them that the log told of.
-    told: u64,
+    /// Those of them that the log has reported.
+    reported: u64,
     /// Bytes that were taken from the queue are being written.
     writing: bool,
     /// Someone waits for the end of the writing.
@@ -163,7 +163,7 @@
         let (mut state, _) = rest.unwrap_or_else(|poison| poison.into_inner());
         std::mem::swap(&mut state.bytes, batch);
         state.writing = true;
-        tell_dropped(&mut state, batch);
+        report_dropped(&mut state, batch);
         std::mem::take(&mut state.lines)
     }
 
@@ -175,12 +175,12 @@
 }
 
 /// Appends a line on those that were dropped, under the time of the last line.
-fn tell_dropped(state: &mut State, batch: &mut Vec<u8>) {
-    if state.dropped == state.told {
+fn report_dropped(state: &mut State, batch: &mut Vec<u8>) {
+    if state.dropped == state.reported {
         return;
     }
-    let count = state.dropped - state.told;
-    state.told = state.dropped;
+    let count = state.dropped - state.reported;
+    state.reported = state.dropped;
     let before = batch.strip_suffix(b"\n").unwrap_or(batch);
     let start = before.iter().rposition(|byte| *byte == b'\n');
     let start = start.map_or(0, |end| end + 1);
@@ -335,7 +335,7 @@
         if begun.is_none_or(|begun| now.duration_since(begun) >= Duration::from_secs(1)) {
             self.second.set(Some(now));
             self.passed.set(0);
-            self.tell_held();
+            self.report_held();
         }
         if self.passed.get() < self.per_second {
             self.passed.set(self.passed.get() + 1);
@@ -346,12 +346,12 @@
         false
     }
 
-    /// Lines that were held back and not told of yet.
+    /// Lines that were held back and not reported yet.
     pub fn held(&self) -> u64 {
         self.held.get()
     }
 
-    fn tell_held(&self) {
+    fn report_held(&self) {
         let held = self.held.take();
         if held > 0 {
             info!(target: "log", "event=lines_held of={} count={held}", self.event);
--- a/crates/relay/src/metrics.rs
+++ b/crates/relay/src/metrics.rs
@@ -1,4 +1,4 @@
-//! The figures of the process, told in the text format of Prometheus.
+//! The figures of the process, served in the text format of Prometheus.
 //!
 //! The usual exporter keeps each sample of a histogram until it is asked for
 //! its figures. Nobody may ask for hours here, and memory is dear, so that the
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,4 +1,4 @@
-//! Telling waiting tasks of one thread that something changed.
+//! Notifying waiting tasks of one thread that something changed.
 
 use std::cell::RefCell;
 use std::future::poll_fn;
@@ -7,7 +7,7 @@
 
 #[derive(Default)]
 struct State {
-    told: u64,
+    count: u64,
     waiting: Vec<Waker>,
 }
 
@@ -17,20 +17,20 @@
 
 impl Notice {
     /// Wakes every task that waits now.
-    pub fn tell(&self) {
+    pub fn notify(&self) {
         let mut state = self.0.borrow_mut();
-        state.told += 1;
+        state.count += 1;
         for waker in state.waiting.drain(..) {
             waker.wake();
         }
     }
 
-    /// Waits until the next [`Notice::tell`] after this call.
+    /// Waits until the next [`Notice::notify`] after this call.
     pub async fn wait(&self) {
-        let seen = self.0.borrow().told;
+        let seen = self.0.borrow().count;
         poll_fn(|context| {
             let mut state = self.0.borrow_mut();
-            if state.told != seen {
+            if state.count != seen {
                 return Poll::Ready(());
             }
             let waker = context.waker();
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -2,7 +2,7 @@
 //!
 //! Each question is answered at once; the time between questions bounds how
 //! late a change is known here. A box that does not answer, or that cannot
-//! vouch for what it knows, is passed over for a while.
+//! confirm that what it knows is current, is passed over for a while.
 
 use std::collections::HashMap;
 use std::rc::Rc;
@@ -15,7 +15,7 @@
 
 use crate::follow::Follower;
 use crate::peer::link::{self, Error};
-use crate::peer::message::{Ask, Position, Told, VERSION};
+use crate::peer::message::{Answer, Ask, Position, VERSION};
 use crate::peer::registry::{Member, Registry};
 use crate::timeout;
 
@@ -31,11 +31,12 @@
 const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
 const PASS_OVER_TIME: Duration = Duration::from_secs(3);
-/// The same for a box that answers but cannot vouch for what it knows, while
-/// this box has just started: the others may have, too, and need a moment.
+/// The same for a box that answers but cannot confirm that what it knows is
+/// current, while this box has just started: the others may have, too, and need
+/// a moment.
 const UNSURE_TIME: Duration = Duration::from_millis(400);
-/// Boxes that are asked while the store is away.
-const ASKED_WHILE_AWAY: usize = 2;
+/// Boxes that are asked while the store is unreachable.
+const ASKED_WHILE_UNREACHABLE: usize = 2;
 /// How long a box counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -51,14 +52,19 @@
         let now = Instant::now();
         passed_over.retain(|_, until| now < *until);
         let before = registry.before_me();
-        follower.set_behind(before.len());
-        // While the store is away nobody can vouch; the first boxes are asked
-        // often, as one of them finds first that it is back.
-        let away = follower.is_away();
-        let some = if away { ASKED_WHILE_AWAY } else { before.len() };
+        follower.set_boxes_before(before.len());
+        // While the store is unreachable nobody knows what is current; the
+        // first boxes are asked often, as one of them finds first that it is
+        // back.
+        let unreachable = follower.store_is_unreachable();
+        let asked = if unreachable {
+            ASKED_WHILE_UNREACHABLE
+        } else {
+            before.len()
+        };
         let first = before
             .iter()
-            .take(some)
+            .take(asked)
             .find(|member| !passed_over.contains_key(&member.name));
         let Some(first) = first else {
             follower.read_self("nobody_before", true);
@@ -73,7 +79,7 @@
             first.name
         );
         let time = match error {
-            _ if away => UNSURE_TIME,
+            _ if unreachable => UNSURE_TIME,
             Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
             _ => PASS_OVER_TIME,
         };
@@ -100,39 +106,39 @@
             position,
         };
         let asked = Instant::now();
-        let (told, document) = exchange(&mut conn, &ask).await?;
-        position = told.position;
+        let (answer, document) = exchange(&mut conn, &ask).await?;
+        position = answer.position;
         if number == 1 {
             log::info!(
                 target: "peer",
                 "event=reader box={} revision={} age_ms={:?}",
                 member.name,
-                told.revision,
-                told.age_ms
+                answer.revision,
+                answer.age_ms
             );
         }
-        follower.take_told(told, document, asked)?;
+        follower.take_answer(answer, document, asked)?;
         follower.read_self("reader", false);
         Timer::after(ASK_TIME).await;
     }
 }
 
 /// Asks; returns the answer and the configuration's entry that follows it.
-async fn exchange(conn: &mut Conn, ask: &Ask) -> Result<(Told, Option<Vec<u8>>), Error> {
+async fn exchange(conn: &mut Conn, ask: &Ask) -> Result<(Answer, Option<Vec<u8>>), Error> {
     link::send(conn, ask).await?;
-    let told: Told = within(ANSWER_TIME, link::receive(conn)).await?;
-    if told.version != VERSION || told.number != ask.number {
-        let why = format!("version {}, number {}", told.version, told.number);
+    let answer: Answer = within(ANSWER_TIME, link::receive(conn)).await?;
+    if answer.version != VERSION || answer.number != ask.number {
+        let why = format!("version {}, number {}", answer.version, answer.number);
         return Err(Error::Malformed(why));
     }
-    let document = match told.document_bytes {
+    let document = match answer.document_bytes {
         Some(count) => {
             let bytes = link::receive_bytes(conn, count as usize);
             Some(within(DOCUMENT_TIME, bytes).await?)
         }
         None => None,
     };
-    Ok((told, document))
+    Ok((answer, document))
 }
 
 /// The result of `work`; an error when `limit` has passed.
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -8,7 +8,7 @@
 
 use crate::follow::Follower;
 use crate::peer::link::{self, Error};
-use crate::peer::message::{Ask, Told, VERSION};
+use crate::peer::message::{Answer, Ask, VERSION};
 
 /// An answer that a box does not take for so long ends the connection.
 const UNACKED_TIME: Duration = Duration::from_secs(2);
@@ -46,8 +46,8 @@
         if ask.version != VERSION {
             return Err(Error::Malformed(format!("version {}", ask.version)));
         }
-        let (told, document) = told(follower, &ask);
-        link::send(&conn, &told).await?;
+        let (answer, document) = answer(follower, &ask);
+        link::send(&conn, &answer).await?;
         if let Some(document) = document {
             link::send_bytes(&conn, &document).await?;
         }
@@ -55,19 +55,19 @@
 }
 
 /// The answer, and the configuration's entry that follows it.
-fn told(follower: &Follower, ask: &Ask) -> (Told, Option<Rc<[u8]>>) {
+fn answer(follower: &Follower, ask: &Ask) -> (Answer, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
     let (servers, position) = follower.record().since(ask.position);
-    let told = Told {
+    let answer = Answer {
         version: VERSION,
         number: ask.number,
-        age_ms: follower.vouched(Instant::now()).map(as_ms),
+        age_ms: follower.proven_age(Instant::now()).map(as_ms),
         revision,
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         servers,
         position,
     };
-    (told, document)
+    (answer, document)
 }
 
 /// Rounded up, so that a proof never looks younger.
--- a/crates/relay/src/peer/link.rs
+++ b/crates/relay/src/peer/link.rs
@@ -25,7 +25,7 @@
     Closed,
     /// The frame is too large or is no message.
     Malformed(String),
-    /// The other box answers, but cannot vouch for what it knows.
+    /// The other box answers, but cannot confirm that what it knows is current.
     Unsure,
 }
 
@@ -76,7 +76,7 @@
     ciborium::from_reader(bytes.as_slice()).map_err(|error| Error::Malformed(error.to_string()))
 }
 
-/// Sends bytes as they are, after a message that tells how many.
+/// Sends bytes as they are, after a message that states how many.
 ///
 /// # Errors
 ///
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -34,13 +34,13 @@
 
 /// The answer.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub struct Told {
+pub struct Answer {
     /// [`VERSION`] of the sender.
     pub version: u16,
     /// The question's number.
     pub number: u64,
-    /// How long ago all that is told was provably the newest; `None`: the
-    /// sender cannot vouch for it.
+    /// How long ago all in the answer was provably the newest; `None`: the
+    /// sender cannot confirm that.
     pub age_ms: Option<u64>,
     /// Revision of the configuration's entry that the sender knows; 0: none.
     pub revision: u64,
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -1,4 +1,4 @@
-//! What boxes of one hall tell each other, so that few of them read the store.
+//! What boxes of one hall exchange, so that few of them read the store.
 //!
 //! Every box is registered in the store ([`registry`]). In each hall the boxes
 //! have an order that all agree on while they know the same boxes; the first
@@ -8,7 +8,7 @@
 //! off reader costs a moment and no agreement.
 //!
 //! Invariant: a proof passed on never looks younger than it is. It is dated
-//! from when the question was sent, less the age told in the answer, on the
+//! from when the question was sent, less the age given in the answer, on the
 //! clock of the box that asks.
 
 pub mod ask;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -59,7 +59,7 @@
     store: Rc<Client>,
     members: RefCell<Vec<Member>>,
     listed: Cell<bool>,
-    /// Told when the list changed.
+    /// Notified when the list changed.
     pub changed: Notice,
 }
 
@@ -200,7 +200,7 @@
         if first || *self.members.borrow() != members {
             log::info!(target: "belief", "event=boxes count={}", members.len());
             *self.members.borrow_mut() = members;
-            self.changed.tell();
+            self.changed.notify();
         }
     }
 }
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -1,4 +1,4 @@
-//! Whether the process takes new connections, told to the platform.
+//! Reporting to the platform whether the process takes new connections.
 //!
 //! The answer is the process's own judgement at that moment: it is asked for
 //! anew for every call and never kept. The endpoint serves a few connections
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -12,8 +12,8 @@
 /// Changes kept; a box that is further behind gets all servers.
 const CHANGES_MAX: usize = 64;
 
-/// Servers that are gone and remembered, so that an older word does not bring
-/// them back.
+/// Servers that are gone and remembered, so that older information does not
+/// bring them back.
 const GONE_MAX: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 
 /// The record of one process.
@@ -54,7 +54,7 @@
     }
 
     /// Whether the known entry of a server is newer than a revision, so that
-    /// what was told as of it says nothing about the server.
+    /// information as of it says nothing about the server.
     pub fn is_newer(&self, id: &ids::Server, revision: u64) -> bool {
         let servers = self.servers.borrow();
         let known = servers.iter().find(|row| row.id() == id);
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -23,16 +23,16 @@
 use crate::stop::Phase;
 
 /// Time from the request to stop until new connections are no longer taken:
-/// the balancer asks every second and believes the second refusal. Under 3 s,
+/// the balancer asks every second and acts on the second refusal. Under 3 s,
 /// from which on a request that is taken has to be finished.
 const NOTICE_TIME: Duration = Duration::from_millis(2_950);
 /// Time before the process is killed at which it ends by itself.
 const STOP_MARGIN: Duration = Duration::from_millis(400);
-/// Part of the bound on taken-away keys that is kept as a margin for the way
+/// Part of the bound on revoked keys that is kept as a margin for the way
 /// of a request and a late timer.
 const REVOKE_MARGIN: Duration = Duration::from_millis(300);
 
-/// Runs a router until it is told to stop.
+/// Runs a router until it is asked to stop.
 ///
 /// # Errors
 ///
@@ -112,7 +112,7 @@
     }
 
     /// Where clients connect; with the port that the system picked if the
-    /// settings told none.
+    /// settings give none.
     pub fn callers(&self) -> SocketAddr {
         self.callers
     }
@@ -122,7 +122,7 @@
         self.readiness
     }
 
-    /// Where it tells its metrics.
+    /// Where it serves its metrics.
     pub fn metrics(&self) -> Option<SocketAddr> {
         self.metrics
     }
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -49,7 +49,7 @@
     pub stop_within: Millis,
     /// A configuration is in force everywhere after this.
     pub apply_within: Millis,
-    /// A key that was taken away opens nothing after this.
+    /// A revoked key opens nothing after this.
     pub revoke_within: Millis,
     /// Whether [`Bounds::revoke_within`] also holds for a box that does not
     /// reach the store.
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -78,7 +78,7 @@
     /// Where other boxes find this one by [`Settings::seeds`].
     #[serde(default)]
     pub control: Option<SocketAddr>,
-    /// Where the process tells its metrics.
+    /// Where the process serves its metrics.
     #[serde(default)]
     pub metrics: Option<SocketAddr>,
     /// Ports that boxes may use among themselves.
@@ -160,7 +160,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default, Deserialize)]
 #[serde(default)]
 pub struct Losses {
-    /// Boxes; `None` when it is not told.
+    /// Boxes; `None` when it is not given.
     pub boxes: Option<u32>,
     /// Halls.
     pub halls: u32,
--- a/crates/relay/src/settings/read.rs
+++ b/crates/relay/src/settings/read.rs
@@ -30,7 +30,7 @@
     Range {
         /// The file.
         file: PathBuf,
-        /// The line of the field; 0 when it cannot be told.
+        /// The line of the field; 0 when it is not found.
         line: usize,
         /// The field and its value.
         source: OutOfRange,
@@ -57,7 +57,7 @@
     }
 }
 
-// `Display` tells the cause already, so that no `source` repeats it.
+// `Display` includes the cause already, so that no `source` repeats it.
 impl std::error::Error for Error {}
 
 /// Reads and checks a settings file.
--- a/crates/relay/src/signal.rs
+++ b/crates/relay/src/signal.rs
@@ -2,7 +2,7 @@
 //! and changed settings.
 //!
 //! The settings may change with or without a signal, so the file's age and
-//! size are looked at as well. A change is told once; one that is missed
+//! size are checked as well. A change is reported once; one that is missed
 //! because the file was written twice within a tick of its clock is found by
 //! its size or not at all, and the signal covers that case.
 
@@ -16,7 +16,7 @@
 use futures_lite::{FutureExt, StreamExt};
 use smol::Timer;
 
-/// Time between two looks at the settings file. Changes without a signal are
+/// Time between two checks of the settings file. Changes without a signal are
 /// rare; one `stat` in two seconds costs nothing.
 const LOOK: Duration = Duration::from_secs(2);
 
@@ -38,7 +38,7 @@
     seen: Option<Mark>,
 }
 
-/// What tells one state of a file from another.
+/// What distinguishes one state of a file from another.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Mark {
     modified: Option<SystemTime>,
@@ -102,7 +102,7 @@
         }
     }
 
-    /// Whether the file differs from when it was last looked at.
+    /// Whether the file differs from when it was last checked.
     fn has_changed(&mut self) -> bool {
         let Some(mark) = Mark::of(&self.file) else {
             return false;
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -10,7 +10,7 @@
 pub enum Phase {
     /// Not stopping.
     Serving,
-    /// Told to stop: not ready, but taking what still comes.
+    /// Asked to stop: not ready, but taking what still comes.
     Leaving,
     /// The balancer has had time to notice: no new connections or requests.
     Closing,
@@ -21,7 +21,7 @@
     phase: Cell<Phase>,
     open: Cell<u32>,
     requests: Cell<u32>,
-    /// Told when the phase changed or a request ended.
+    /// Notified when the phase changed or a request ended.
     pub changed: Notice,
 }
 
@@ -46,7 +46,7 @@
     fn drop(&mut self) {
         self.count.set(self.count.get().saturating_sub(1));
         if self.stop.phase.get() != Phase::Serving {
-            self.stop.changed.tell();
+            self.stop.changed.notify();
         }
     }
 }
@@ -63,7 +63,7 @@
             return;
         }
         self.phase.set(phase);
-        self.changed.tell();
+        self.changed.notify();
     }
 
     /// Counts a client connection.
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream.rs
@@ -80,7 +80,7 @@
     let status = reply.answer.status;
     let close = exchange.closes();
     let length = match exchange.arrival.head.method() {
-        "HEAD" => told_length(&reply),
+        "HEAD" => declared_length(&reply),
         _ => Length::Known(body.len() as u64),
     };
     let mut out = exchange.head(&reply, length, close);
@@ -97,12 +97,12 @@
     })
 }
 
-/// The length that an answer to `HEAD` tells of the body it leaves out; in
-/// chunks where the server told none.
-fn told_length(reply: &Reply) -> Length {
-    let told = reply.head.text("content-length");
-    let told = told.and_then(|text| text.trim().parse().ok());
-    told.map_or(Length::Chunked, Length::Known)
+/// The length that an answer to `HEAD` gives of the body it leaves out; in
+/// chunks where the server gave none.
+fn declared_length(reply: &Reply) -> Length {
+    let length = reply.head.text("content-length");
+    let length = length.and_then(|text| text.trim().parse().ok());
+    length.map_or(Length::Chunked, Length::Known)
 }
 
 async fn read_whole(
--- a/crates/relay/src/timeout.rs
+++ b/crates/relay/src/timeout.rs
@@ -1,6 +1,6 @@
 //! Limits on the time that a future may take.
 //!
-//! Invariant: the work is polled before the clock is looked at, so that a
+//! Invariant: the work is polled before the timer, so that a
 //! result that is there in time is never lost.
 
 use std::future::Future;
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -143,7 +143,7 @@
 
     fn set(&self, mode: Mode) {
         self.state.mode.set(mode);
-        self.state.changed.tell();
+        self.state.changed.notify();
     }
 }
 
@@ -268,7 +268,7 @@
     /// Runs none of its tasks until it is thawed.
     pub(crate) fn freeze(&self, frozen: bool) {
         self.frozen.set(frozen);
-        self.changed.tell();
+        self.changed.notify();
     }
 
     pub(crate) async fn call(&self, call: &Call) -> Result<Answer> {
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -14,7 +14,7 @@
 use tidepier_h1::{Conn, Listener};
 use tidepier_platform::store::{self, Swap, Write};
 use tidepier_relay::peer::link;
-use tidepier_relay::peer::message::{Ask, Position, Row, Servers, Told, VERSION};
+use tidepier_relay::peer::message::{Answer, Ask, Position, Row, Servers, VERSION};
 use tidepier_relay::peer::registry::{Member, Registry};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server as stand_in;
@@ -456,7 +456,7 @@
 /// What a false reader sends as its answer.
 enum Say {
     /// An answer, and the configuration's entry that follows it.
-    Told(Box<Told>, Option<Vec<u8>>),
+    Answer(Box<Answer>, Option<Vec<u8>>),
     Bytes(Vec<u8>),
     Nothing,
 }
@@ -489,7 +489,7 @@
     loop {
         let ask: Ask = link::receive(&mut conn).await?;
         match answer(&ask) {
-            Say::Told(mut told, document) => {
+            Say::Answer(mut told, document) => {
                 told.document_bytes = document.as_ref().map(|bytes| bytes.len() as u32);
                 link::send(&conn, &*told).await?;
                 link::send_bytes(&conn, &document.unwrap_or_default()).await?;
@@ -502,8 +502,8 @@
 
 /// An answer that vouches for a configuration of this revision and no servers'
 /// changes.
-fn told(ask: &Ask, revision: u64) -> Told {
-    Told {
+fn told(ask: &Ask, revision: u64) -> Answer {
+    Answer {
         version: VERSION,
         number: ask.number,
         age_ms: Some(0),
@@ -535,7 +535,7 @@
         let other = |ask: &Ask| {
             let version = VERSION + 1;
             let told = told(ask, 1_000);
-            Say::Told(Box::new(Told { version, ..told }), Some(b"{}".to_vec()))
+            Say::Answer(Box::new(Answer { version, ..told }), Some(b"{}".to_vec()))
         };
         serve_beside(executor, other).await
     })
@@ -564,7 +564,7 @@
         let unsure = |ask: &Ask| {
             let age_ms = None;
             let told = told(ask, 1_000);
-            Say::Told(Box::new(Told { age_ms, ..told }), None)
+            Say::Answer(Box::new(Answer { age_ms, ..told }), None)
         };
         serve_beside(executor, unsure).await
     })
@@ -593,7 +593,7 @@
             let (revision, text) = if said.get() { &older } else { &newer };
             let servers = Servers::All(vec![row.clone()], *revision);
             let told = told(ask, *revision);
-            Say::Told(Box::new(Told { servers, ..told }), Some(text.clone()))
+            Say::Answer(Box::new(Answer { servers, ..told }), Some(text.clone()))
         };
         let _impostor = impostor(&executor, &site, old)?;
         let machines = begun(&executor, &site, 2).await?;
@@ -671,7 +671,7 @@
         }
         let mut right = open().await?;
         link::send(&right, &ask).await?;
-        let told: Told = link::receive(&mut right).await?;
+        let told: Answer = link::receive(&mut right).await?;
         ensure!((told.version, told.number) == (VERSION, 5), "{told:?}");
         let Some(count) = told.document_bytes else {
             bail!("no document: {told:?}");
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -11,7 +11,7 @@
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
 use tidepier_relay::follow::Follower;
-use tidepier_relay::peer::message::{Change, Position, Row, Servers, Told, VERSION};
+use tidepier_relay::peer::message::{Answer, Change, Position, Row, Servers, VERSION};
 use tidepier_relay::record::Record;
 use tidepier_relay::relay::{Bounds, Relay};
 
@@ -74,18 +74,18 @@
 }
 
 /// Takes over an answer and the configuration's entry that followed it.
-fn take(follower: &Follower, told: Told, entry: Option<Vec<u8>>, asked: Instant) -> Result {
+fn take(follower: &Follower, told: Answer, entry: Option<Vec<u8>>, asked: Instant) -> Result {
     let document_bytes = entry.as_ref().map(|bytes| bytes.len() as u32);
-    let told = Told {
+    let told = Answer {
         document_bytes,
         ..told
     };
-    Ok(follower.take_told(told, entry, asked)?)
+    Ok(follower.take_answer(told, entry, asked)?)
 }
 
 /// An answer of a box that vouches for it.
-fn told(age_ms: u64, revision: u64, servers: Servers) -> Told {
-    Told {
+fn told(age_ms: u64, revision: u64, servers: Servers) -> Answer {
+    Answer {
         version: VERSION,
         number: 1,
         age_ms: Some(age_ms),
@@ -228,8 +228,8 @@
     let age = relay.view.age_at(asked + ms(100));
     ensure!(age == Some(ms(110)), "{age:?}");
     // It is passed on no younger, and not at all when it is too old.
-    ensure!(follower.vouched(asked + ms(100)) == age, "passed on");
-    ensure!(follower.vouched(asked + APPLY_TIME).is_none(), "too old");
+    ensure!(follower.proven_age(asked + ms(100)) == age, "passed on");
+    ensure!(follower.proven_age(asked + APPLY_TIME).is_none(), "too old");
     Ok(())
 }
 
@@ -237,7 +237,7 @@
 fn one_that_cannot_vouch_is_not_believed() -> Result {
     let (relay, follower) = follower()?;
     let all = Servers::All(vec![row("i-1", 3)?], 3);
-    let answer = Told {
+    let answer = Answer {
         age_ms: None,
         ..told(0, 4, all)
     };
