--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -14,7 +14,7 @@
     /// Whether the server states that the request did not run there and never
     /// will.
     pub not_run: bool,
-    /// How busy the server is, where it tells.
+    /// How busy the server is, where it reports that.
     pub load: Option<Load>,
     /// When the server asks not to be tried before.
     pub retry_after: Option<Duration>,
--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -102,7 +102,7 @@
     pub attempts: u32,
     /// Whether requests need no API key.
     pub public: bool,
-    /// Whether requests tell the parts of their prompts, so that those that
+    /// Whether requests give the parts of their prompts, so that those that
     /// share parts are better served by the same server.
     pub affinity: bool,
 }
--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -11,7 +11,7 @@
 /// bytes.
 const LINE_BYTES: usize = 4 << 10;
 
-/// How the end of a body is told.
+/// How the end of a body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Framing {
     /// There is none.
@@ -29,7 +29,7 @@
     ///
     /// # Errors
     ///
-    /// Its end is told in two ways, or in one that is unknown.
+    /// Its end is given in two ways, or in one that is unknown.
     pub fn of_request(head: &Head) -> Result<Self, Malformed> {
         Ok(told(head)?.unwrap_or(Framing::Empty))
     }
@@ -38,7 +38,7 @@
     ///
     /// # Errors
     ///
-    /// Its end is told in two ways, or in one that is unknown.
+    /// Its end is given in two ways, or in one that is unknown.
     pub fn of_answer(head: &Head, method: &str) -> Result<Self, Malformed> {
         let bodiless = matches!(head.status(), 100..=199 | 204 | 304);
         if bodiless || method == "HEAD" {
@@ -78,7 +78,7 @@
 enum Step {
     /// Body bytes, then the end.
     Sized(u64),
-    /// The line that tells a chunk's size.
+    /// The line that gives a chunk's size.
     ChunkSize,
     /// Bytes of a chunk.
     ChunkData(u64),
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -5,7 +5,7 @@
 //! * One call, one request: nothing is repeated here.
 //! * A connection on which a call failed, ran out of time or was cancelled is
 //!   dropped, so that no late answer is taken for the answer of another call.
-//! * A failure tells whether the request may have arrived: see [`Failure`].
+//! * A failure states whether the request may have arrived: see [`Failure`].
 
 use std::cell::{Cell, RefCell};
 use std::io;
@@ -20,8 +20,8 @@
 use crate::head::{Head, Malformed};
 use crate::write;
 
-/// Bytes of a told body length that are set aside before they arrive: more
-/// than an answer usually has, little against what a process may hold.
+/// Bytes of an announced body length that are set aside before they arrive:
+/// more than an answer usually has, little against what a process may hold.
 const RESERVE_BYTES: u64 = 2 << 20;
 
 /// What a caller waits for and takes at most.
@@ -115,7 +115,7 @@
     }
 
     /// Makes a call within `limit`, on the kept connection if it is good.
-    /// `told` hears of each step before it is taken.
+    /// `note` is called with each step before it is taken.
     ///
     /// # Errors
     ///
@@ -124,12 +124,12 @@
         &self,
         request: &Request<'_>,
         limit: Duration,
-        told: impl Fn(Step),
+        note: impl Fn(Step),
     ) -> Result<Reply, Failure> {
         let sent = Cell::new(false);
-        let told = |step| {
+        let note = |step| {
             sent.set(step == Step::Send);
-            told(step);
+            note(step);
         };
         let late = async {
             Timer::after(limit).await;
@@ -139,7 +139,7 @@
                 false => Err(Failure::NotSent(error)),
             }
         };
-        let (reply, kept) = self.attempt(request, limit, &told).or(late).await?;
+        let (reply, kept) = self.attempt(request, limit, &note).or(late).await?;
         if kept.is_some() {
             self.kept.replace(kept);
         }
@@ -150,13 +150,13 @@
         &self,
         request: &Request<'_>,
         limit: Duration,
-        told: &impl Fn(Step),
+        note: &impl Fn(Step),
     ) -> Result<(Reply, Option<Conn>), Failure> {
         let kept = self.kept.take();
         let mut conn = match kept.and_then(|mut conn| conn.rests().then_some(conn)) {
             Some(conn) => conn,
             None => {
-                told(Step::Open);
+                note(Step::Open);
                 let limit = self.limits.open.min(limit);
                 let conn = Conn::open(self.address, limit, self.limits.unacked).await;
                 conn.map_err(Failure::NotSent)?
@@ -164,7 +164,7 @@
         };
         // From here on even a part of the request may count as sent: the rest
         // may be on its way when an error is seen.
-        told(Step::Send);
+        note(Step::Send);
         let written = conn.writer().write_all(&request.bytes(self.address)).await;
         written.map_err(Failure::NoAnswer)?;
         let head = self.head(&mut conn).await?;
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -36,7 +36,7 @@
     /// The connection failed.
     #[error("the connection failed: {0}")]
     Lost(io::Error),
-    /// The body's end is told in two ways, or in one that is unknown.
+    /// The body's end is given in two ways, or in one that is unknown.
     #[error("{0}")]
     Framing(&'static str),
 }
@@ -197,7 +197,7 @@
     }
 
     /// The fields that go on to the next hop: all but those that concern this
-    /// connection and those that tell the body's length.
+    /// connection and those that give the body's length.
     pub fn end_to_end(&self) -> impl Iterator<Item = Field<'_>> {
         self.fields().filter(|field| {
             !HOP_BY_HOP.iter().any(|name| field.is(name))
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -10,7 +10,7 @@
 //!
 //! * A body that ends before its length, or whose chunks break off, is an
 //!   error and never a shorter body.
-//! * A head with two ways to tell its body's end is refused.
+//! * A head that gives its body's end in two ways is refused.
 //! * A connection holds buffers only while bytes wait in it.
 
 mod body;
--- a/crates/h1/src/write.rs
+++ b/crates/h1/src/write.rs
@@ -3,7 +3,7 @@
 use std::fmt;
 use std::io::Write;
 
-/// How the reader of an answer is told where the body ends.
+/// How the reader of an answer learns where the body ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Length {
     /// After so many bytes.
@@ -46,7 +46,7 @@
     }
 }
 
-/// Writes the fields that tell the end of an answer's body. Answers that have
+/// Writes the fields that give the end of an answer's body. Answers that have
 /// no body by their status get none that speaks of one.
 pub fn length(out: &mut Vec<u8>, status: u16, length: Length) {
     let bodiless = matches!(status, 100..=199 | 204 | 304);
--- a/crates/relay-standin/src/client.rs
+++ b/crates/relay-standin/src/client.rs
@@ -1,4 +1,4 @@
-//! A client that sends what a test tells it, well-behaved or not.
+//! A client that sends what a test asks for, well-behaved or not.
 
 use std::io;
 use std::net::SocketAddr;
@@ -240,7 +240,7 @@
         };
         let answer = self.answer(&call.method, call.leave);
         let (sent, mut answer) = future::zip(send.or(left), answer).await;
-        // A reset that a write has been told of is a plain end to reads.
+        // A reset that a write has met is a plain end to reads.
         let reset = sent.is_err_and(|error: io::Error| end_of(&error) == End::Reset);
         if reset && answer.end == End::Closed {
             answer.end = End::Reset;
--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -54,7 +54,7 @@
 pub const REMOVE: &str = "remove";
 /// Field of items.
 pub const ENTRIES: &str = "entries";
-/// Field that tells of further pages.
+/// Field that announces further pages.
 pub const MORE: &str = "has_more";
 /// Field of a lease's id.
 pub const LEASE: &str = "lease_id";
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -1,7 +1,7 @@
 //! A backend server.
 //!
-//! Every request that reaches it is kept as a [`Run`], also one that it turns
-//! away. An answer's bytes follow from the request alone ([`Run::text`]), so
+//! Every request that reaches it is kept as a [`Run`], also one that it
+//! refuses. An answer's bytes follow from the request alone ([`Run::text`]), so
 //! that a stream continued elsewhere can be compared with one that was not.
 
 mod answer;
@@ -45,7 +45,7 @@
     pub answer_bytes: usize,
     /// Present when it answers with events.
     pub events: Option<Events>,
-    /// Whether it tells its load with its answers.
+    /// Whether it reports its load with its answers.
     pub tells_load: bool,
     /// Whether it drops a request whose connection closes.
     pub drops: bool,
@@ -118,7 +118,7 @@
 pub enum Outcome {
     /// It waits for a slot.
     Waiting,
-    /// It was turned away with this status, or with a reset (0).
+    /// It was refused with this status, or with a reset (0).
     Refused(u16),
     /// It is worked on.
     Running,
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -17,7 +17,7 @@
 use crate::front;
 use crate::names;
 
-/// Urgency of a request that tells none.
+/// Urgency of a request that gives none.
 const PRIORITY_USUAL: u8 = 5;
 /// Wait that a busy server asks for, in seconds.
 const RETRY_AFTER_S: &str = "0.2";
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -1,6 +1,6 @@
 //! The platform's key-value store.
 //!
-//! Items live in memory. A watch tells the changes *after* the revision it
+//! Items live in memory. A watch returns the changes *after* the revision it
 //! names; a page begins *at* the key it names.
 
 mod data;
