--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -5,8 +5,9 @@
 //! * [`retry`]: whether it is sent again, and the refusal if not.
 //! * [`report`]: log lines, metrics and the health of servers.
 //!
-//! Invariant: each request gets exactly one final answer, a server's or a
-//! refusal of this box, unless its client leaves before.
+//! Invariant: a client gets one final answer to a request, a server's or a
+//! refusal of this box. Only where events were passed on already may it end
+//! incomplete.
 
 mod admit;
 mod report;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -40,7 +40,7 @@
 pub async fn run(settings: Settings, mut changes: Changes) -> eyre::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let router = Router::start(&settings, &executor)?;
-    let told = async {
+    let until_stopped = async {
         loop {
             match changes.next().await {
                 Change::Stop => break,
@@ -49,7 +49,7 @@
         }
         router.stop().await;
     };
-    executor.run(told).await;
+    executor.run(until_stopped).await;
     Ok(())
 }
 
--- a/crates/relay/src/stream.rs
+++ b/crates/relay/src/stream/series.rs
@@ -1,15 +1,9 @@
-//! Passing an answer on to the client.
+//! A series of events that is passed on as they arrive.
 //!
-//! An answer that is not a stream is read whole first, so that one that breaks
-//! off can still be replaced. A stream is passed on by whole events as they
-//! arrive; where the route allows it, one that breaks goes on at another
-//! server after the last event passed on.
-//!
-//! Invariant: what the client gets ends as complete only if what the server
-//! sent did.
+//! Invariant: of an answer that breaks off, only whole events are passed on, so
+//! that another server can go on after the last of them.
 
 use std::cell::Cell;
-use std::io;
 use std::io::Write;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,124 +12,17 @@
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
 
+use super::keep_after;
 use crate::attempt::{Cause, Failure, Ran, Reply};
 use crate::events::Events;
 use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
 use crate::timeout;
 
-/// Largest body that is read whole before it is passed on, in bytes.
-const WHOLE_BYTES: usize = 8 << 20;
 /// Pauses promised by a route after which a resumable stream counts as stuck.
 const STALL_PAUSES: u32 = 4;
 /// Longest silence of a resumable stream where its route promises nothing.
 const STALL_TIME: Duration = Duration::from_millis(1_500);
-/// Time to read the body of an answer that is not passed on.
-const SCRAP_TIME: Duration = Duration::from_millis(50);
-
-/// Passes an answer on.
-///
-/// # Errors
-///
-/// It broke off before anything was passed on.
-pub(crate) async fn pass(
-    exchange: &mut Exchange<'_>,
-    backend: Rc<Backend>,
-    reply: Reply,
-) -> Result<End, Failure> {
-    let bodiless = exchange.arrival.head.method() == "HEAD";
-    if exchange.route.kind.is_stream() && reply.answer.status == 200 && !bodiless {
-        pass_stream(exchange, backend, reply).await
-    } else {
-        pass_whole(exchange, backend, reply).await
-    }
-}
-
-/// Reads what is left of an answer that is not passed on, so that its
-/// connection can be kept.
-pub(crate) async fn keep_after(backend: &Rc<Backend>, mut reply: Reply, deadline: Instant) {
-    let limit = deadline.min(Instant::now() + SCRAP_TIME);
-    let mut scrap = Vec::new();
-    let read = async {
-        while reply.body.read(&mut reply.conn, &mut scrap).await? {
-            scrap.clear();
-        }
-        Ok::<(), io::Error>(())
-    };
-    let read = timeout::until(limit, read).await;
-    if matches!(read, Some(Ok(()))) && reply.reusable {
-        backend.keep(reply.conn, reply.answer.keep_alive);
-    }
-}
-
-async fn pass_whole(
-    exchange: &mut Exchange<'_>,
-    backend: Rc<Backend>,
-    mut reply: Reply,
-) -> Result<End, Failure> {
-    let first = exchange.arrival.at.elapsed();
-    let mut body = Vec::new();
-    read_whole(&mut reply, &mut body, exchange.deadline).await?;
-    backend.hear();
-    let status = reply.answer.status;
-    let close = exchange.closes();
-    let length = match exchange.arrival.head.method() {
-        "HEAD" => declared_length(&reply),
-        _ => Length::Known(body.len() as u64),
-    };
-    let mut out = exchange.head(&reply, length, close);
-    out.extend_from_slice(&body);
-    if reply.reusable {
-        backend.keep(reply.conn, reply.answer.keep_alive);
-    }
-    drop(reply.running);
-    let written = exchange.writer.write_all(&out).await;
-    exchange.answered(&backend, status, first);
-    Ok(match written {
-        Ok(()) if !close => End::Keep,
-        _ => End::Close,
-    })
-}
-
-/// The length that an answer to `HEAD` gives of the body it leaves out; in
-/// chunks where the server gave none.
-fn declared_length(reply: &Reply) -> Length {
-    let length = reply.head.text("content-length");
-    let length = length.and_then(|text| text.trim().parse().ok());
-    length.map_or(Length::Chunked, Length::Known)
-}
-
-async fn read_whole(
-    reply: &mut Reply,
-    body: &mut Vec<u8>,
-    deadline: Instant,
-) -> Result<(), Failure> {
-    let broken = |error| Failure {
-        ran: Ran::Unknown,
-        cause: Cause::Broken(error),
-    };
-    let read = async {
-        while reply
-            .body
-            .read(&mut reply.conn, body)
-            .await
-            .map_err(broken)?
-        {
-            if body.len() > WHOLE_BYTES {
-                let error = io::Error::other("the answer is too large");
-                return Err(broken(error));
-            }
-        }
-        Ok(())
-    };
-    let late = || {
-        Err(Failure {
-            ran: Ran::Unknown,
-            cause: Cause::Late,
-        })
-    };
-    timeout::until(deadline, read).await.unwrap_or_else(late)
-}
 
 /// What a stream's answer looks like to the client.
 struct Client {
@@ -166,7 +53,12 @@
     }
 }
 
-async fn pass_stream(
+/// Passes events on as they arrive.
+///
+/// # Errors
+///
+/// The series broke off before anything was passed on.
+pub(super) async fn pass(
     exchange: &mut Exchange<'_>,
     mut backend: Rc<Backend>,
     mut reply: Reply,
@@ -176,16 +68,15 @@
     let mut events = Events::default();
     let resumable = exchange.route.kind == Kind::Stream { resumable: true };
     loop {
-        let failure = match copy(
+        let copied = copy(
             exchange,
             &client,
             &backend,
             &mut reply,
             &mut events,
             &mut out,
-        )
-        .await
-        {
+        );
+        let failure = match copied.await {
             Ok(Copied::Whole) => return Ok(finish(exchange, &client, backend, reply).await),
             Ok(Copied::Gone) => return Ok(End::Close),
             Err(failure) => failure,
