--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -2,7 +2,6 @@
 //! every request finished, then the end.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
 
 use crate::notice::Notice;
 
@@ -11,7 +10,7 @@
 pub enum Phase {
     /// Not stopping.
     Serving,
-    /// Told to stop: not ready, but taking what still comes.
+    /// Asked to stop: not ready, but taking what still comes.
     Leaving,
     /// The balancer has had time to notice: no new connections or requests.
     Closing,
@@ -20,10 +19,9 @@
 /// The stop of this process.
 pub struct Stop {
     phase: Cell<Phase>,
-    since: Cell<Option<Instant>>,
     open: Cell<u32>,
     requests: Cell<u32>,
-    /// Told when the phase changed or a request ended.
+    /// Notified when the phase changed or a request ended.
     pub changed: Notice,
 }
 
@@ -31,7 +29,6 @@
     fn default() -> Self {
         Self {
             phase: Cell::new(Phase::Serving),
-            since: Cell::new(None),
             open: Cell::new(0),
             requests: Cell::new(0),
             changed: Notice::default(),
@@ -49,7 +46,7 @@
     fn drop(&mut self) {
         self.count.set(self.count.get().saturating_sub(1));
         if self.stop.phase.get() != Phase::Serving {
-            self.stop.changed.tell();
+            self.stop.changed.notify();
         }
     }
 }
@@ -60,21 +57,13 @@
         self.phase.get()
     }
 
-    /// Time since the stop began.
-    pub fn since(&self) -> Option<Duration> {
-        self.since.get().map(|at| at.elapsed())
-    }
-
     /// Moves on; a stop never goes back.
     pub fn advance(&self, phase: Phase) {
         if phase <= self.phase.get() {
             return;
         }
-        if self.since.get().is_none() {
-            self.since.set(Some(Instant::now()));
-        }
         self.phase.set(phase);
-        self.changed.tell();
+        self.changed.notify();
     }
 
     /// Counts a client connection.
