Boxes of a hall tell each other what they have under way

Change: questions between boxes carry what each has under way, answers the sum of the others; a server's load is the larger of what it reported and what the hall counts, the others' twice as other halls are not counted.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -31,7 +31,7 @@
 /// Cost of each request past an engine's slots, in ms.
 const WAITING_MS: f64 = 40.0;
 /// Cost of each request past the bound on the load of one server, in ms.
-const EXCESS_MS: f64 = 60.0;
+const EXCESS_MS: f64 = 100.0;
 /// The bound: this many times the mean, plus [`BOUND_EXTRA`]. Below the
 /// operator's own bound, as reported loads are late.
 const BOUND_FACTOR: f64 = 1.6;
@@ -63,6 +63,11 @@
 const LEFT_OUT_MS: f64 = 1e6;
 /// Cost of a server that has been tried for this request already.
 const TRIED_MS: f64 = 1e7;
+/// Weight of a request that another box of this hall has under way: those of
+/// other halls are not counted, and are about as many in each.
+const OTHERS_WEIGHT: f64 = 2.0;
+/// Age after which such counts are no longer used.
+const COUNT_AGE: Duration = Duration::from_millis(1_500);
 /// Age after which a reported load is no longer used.
 const LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time to an answer of a plain service's server before one is known, in ms.
@@ -213,6 +218,7 @@
 /// The load of each server, and the mean of those that can be reached. Where
 /// none was reported lately, the mean stands for it.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
+    let counted = |backend: &Rc<Backend>| backend.counted(OTHERS_WEIGHT, COUNT_AGE, now);
     let reported: Vec<Option<f64>> = servers
         .iter()
         .map(|backend| backend.load(LOAD_AGE).map(f64::from))
@@ -221,10 +227,15 @@
         .iter()
         .zip(&reported)
         .filter(|(backend, _)| !backend.hall.is_silent(now) && backend.health.allows(now));
+    // Counts leave other halls out: the mean is that of what servers report.
     let known: Vec<f64> = reached.filter_map(|(_, reported)| *reported).collect();
     let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
     let or_mean = |(backend, reported): (&Rc<Backend>, Option<f64>)| {
-        reported.unwrap_or_else(|| mean.max(f64::from(backend.own())))
+        let known = reported
+            .into_iter()
+            .chain(counted(backend))
+            .reduce(f64::max);
+        known.unwrap_or_else(|| mean.max(f64::from(backend.own())))
     };
     (servers.iter().zip(reported).map(or_mean).collect(), mean)
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -9,6 +9,7 @@
 use tidepier_core::answer::Load;
 use tidepier_core::server::{Server, State};
 use tidepier_h1::Conn;
+use xxhash_rust::xxh3::xxh3_64;
 
 use super::idle::Idle;
 use crate::health::{Hall, Health, Outcome};
@@ -27,6 +28,8 @@
 pub struct Backend {
     /// As it announced itself.
     pub server: Server,
+    /// Stands for its id between boxes.
+    pub key: u64,
     /// What this box has seen of its health.
     pub health: Health,
     /// What it has seen of all servers of its hall.
@@ -38,6 +41,8 @@
     pub(super) missing: Cell<bool>,
     /// Requests of this box that are under way there.
     own: Cell<u32>,
+    /// Requests of other boxes of this hall, and when they were counted.
+    others: Cell<Option<(u32, Instant)>>,
     /// The last load that the server reported.
     report: Cell<Option<Report>>,
     /// When something last came from it.
@@ -75,11 +80,13 @@
         Self {
             joined,
             hall,
+            key: xxh3_64(server.id.as_str().as_bytes()),
             state: Cell::new(server.state),
             server,
             health: Health::default(),
             missing: Cell::new(false),
             own: Cell::new(0),
+            others: Cell::new(None),
             report: Cell::new(None),
             heard: Cell::new(None),
             prefill: Cell::new(0),
@@ -147,6 +154,19 @@
         }));
     }
 
+    /// Records what other boxes of this hall have under way there.
+    pub(super) fn set_others(&self, requests: u32, now: Instant) {
+        self.others.set(Some((requests, now)));
+    }
+
+    /// Requests of this box and the others of its hall, as counted less than
+    /// `most` ago; those of the others weigh `weight` each.
+    pub fn counted(&self, weight: f64, most: Duration, now: Instant) -> Option<f64> {
+        let (others, at) = self.others.get()?;
+        let counted = f64::from(self.own.get()) + weight * f64::from(others);
+        (now.duration_since(at) < most).then_some(counted)
+    }
+
     /// The last load reported that is younger than `most`, corrected by what
     /// this box has sent and finished since: requests running and waiting.
     pub fn load(&self, most: Duration) -> Option<u32> {
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use serde::{Deserialize, Serialize};
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 
@@ -25,6 +26,15 @@
 /// having been there before.
 const START_TIME: Duration = Duration::from_secs(8);
 
+/// Requests under way at one server.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
+pub struct Count {
+    /// The server, by [`Backend::key`].
+    pub server: u64,
+    /// How many.
+    pub requests: u32,
+}
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -142,6 +152,27 @@
         known.cloned().collect()
     }
 
+    /// Requests of this box under way, by server.
+    pub fn running(&self) -> Vec<Count> {
+        let servers = self.servers.borrow();
+        let busy = servers.values().filter(|backend| backend.own() > 0);
+        let counts = busy.map(|backend| Count {
+            server: backend.key,
+            requests: backend.own(),
+        });
+        counts.collect()
+    }
+
+    /// Records what other boxes have under way at all servers.
+    pub fn set_others(&self, counts: &[Count], now: Instant) {
+        let counts = counts.iter().map(|count| (count.server, count.requests));
+        let counts: HashMap<u64, u32> = counts.collect();
+        for backend in self.servers.borrow().values() {
+            let requests = counts.get(&backend.key).copied().unwrap_or(0);
+            backend.set_others(requests, now);
+        }
+    }
+
     /// The servers of a service that take new requests.
     pub fn serving(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
         let services = self.services.borrow();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -26,8 +26,9 @@
 use tidepier_ids as ids;
 use tidepier_platform::store::{Client, Failure, Revision};
 
-use crate::fleet::Change;
+use crate::fleet::{Change, Count};
 use crate::notice::Notice;
+use crate::peer::crowd::Crowd;
 use crate::peer::link::Error;
 use crate::peer::message::{self, Answer, Row, Servers};
 use crate::record::Record;
@@ -59,6 +60,8 @@
     /// That entry, for boxes that ask.
     document: RefCell<Rc<[u8]>>,
     record: Record,
+    /// What the boxes that ask this one have under way.
+    crowd: Crowd,
     /// Whether this box reads the store itself.
     reads_store: Cell<bool>,
     /// Notified when that changed.
@@ -86,6 +89,7 @@
             revision: Cell::new(Revision(0)),
             document: RefCell::new(Rc::new([])),
             record: Record::default(),
+            crowd: Crowd::default(),
             reads_store: Cell::new(false),
             role_changed: Notice::default(),
             servers_known: Cell::new(false),
@@ -179,6 +183,24 @@
         self.revision.get()
     }
 
+    /// What the boxes that ask this one have under way.
+    pub fn crowd(&self) -> &Crowd {
+        &self.crowd
+    }
+
+    /// What this box has under way, by server.
+    pub fn own_running(&self) -> Vec<Count> {
+        self.relay.fleet.running()
+    }
+
+    /// What all boxes of the hall but `member` have under way, as far as it is
+    /// reported here. Also puts to use here what the others report.
+    pub fn running_beside(&self, member: u64, now: Instant) -> Vec<Count> {
+        let fleet = &self.relay.fleet;
+        fleet.set_others(&self.crowd.others(None, &[], now), now);
+        self.crowd.others(Some(member), &fleet.running(), now)
+    }
+
     /// How the servers changed.
     pub fn record(&self) -> &Record {
         &self.record
@@ -217,6 +239,7 @@
             self.take_document(Revision(answer.revision), document);
         }
         self.take_rows(answer.servers);
+        self.relay.fleet.set_others(&answer.running, Instant::now());
         if self.revision.get() == Revision(answer.revision) {
             if let Some(proven) = asked.checked_sub(age) {
                 self.relay.view.prove(proven);
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -104,6 +104,7 @@
             number,
             document: follower.revision().0,
             position,
+            running: follower.own_running(),
         };
         let asked = Instant::now();
         let (answer, document) = exchange(&mut conn, &ask).await?;
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -7,6 +7,7 @@
 use tidepier_h1::{Conn, Listener};
 
 use crate::follow::Follower;
+use crate::peer::crowd::Crowd;
 use crate::peer::link::{self, Error};
 use crate::peer::message::{Answer, Ask, VERSION};
 
@@ -41,12 +42,19 @@
 }
 
 async fn converse(mut conn: Conn, follower: &Follower) -> Result<(), Error> {
+    let crowd = follower.crowd();
+    let member = Member {
+        crowd,
+        number: crowd.join(),
+    };
     loop {
-        let ask: Ask = link::receive(&mut conn).await?;
+        let mut ask: Ask = link::receive(&mut conn).await?;
         if ask.version != VERSION {
             return Err(Error::Malformed(format!("version {}", ask.version)));
         }
-        let (answer, document) = answer(follower, &ask);
+        let running = std::mem::take(&mut ask.running);
+        crowd.report(member.number, running, Instant::now());
+        let (answer, document) = answer(follower, &ask, member.number);
         link::send(&conn, &answer).await?;
         if let Some(document) = document {
             link::send_bytes(&conn, &document).await?;
@@ -54,18 +62,32 @@
     }
 }
 
+/// A box that asks; its report is forgotten when it no longer does.
+struct Member<'a> {
+    crowd: &'a Crowd,
+    number: u64,
+}
+
+impl Drop for Member<'_> {
+    fn drop(&mut self) {
+        self.crowd.leave(self.number);
+    }
+}
+
 /// The answer, and the configuration's entry that follows it.
-fn answer(follower: &Follower, ask: &Ask) -> (Answer, Option<Rc<[u8]>>) {
+fn answer(follower: &Follower, ask: &Ask, member: u64) -> (Answer, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
     let (servers, position) = follower.record().since(ask.position);
+    let now = Instant::now();
     let answer = Answer {
         version: VERSION,
         number: ask.number,
-        age_ms: follower.proven_age(Instant::now()).map(as_ms),
+        age_ms: follower.proven_age(now).map(as_ms),
         revision,
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         servers,
         position,
+        running: follower.running_beside(member, now),
     };
     (answer, document)
 }
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -7,6 +7,8 @@
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 
+use crate::fleet;
+
 /// The version of these messages. A box does not talk to one that has another.
 pub const VERSION: u16 = 1;
 
@@ -21,6 +23,8 @@
     pub document: u64,
     /// Where the sender stands in the other's record of servers.
     pub position: Position,
+    /// What the sender has under way, at servers where that is anything.
+    pub running: Vec<fleet::Count>,
 }
 
 /// A place in a box's record of changes of servers.
@@ -51,6 +55,8 @@
     pub servers: Servers,
     /// The place after these changes.
     pub position: Position,
+    /// What all other boxes of the hall have under way.
+    pub running: Vec<fleet::Count>,
 }
 
 /// Servers, as far as the other does not know them.
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -12,6 +12,7 @@
 //! clock of the box that asks.
 
 pub mod ask;
+pub mod crowd;
 pub mod hub;
 pub mod link;
 pub mod message;
