What boxes of a hall pass on and take over has its own module

follow/boxes.rs holds Follower's side of the exchange between boxes; items moved as they were. Doc links to private modules are plain names.

--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -1,9 +1,9 @@
 //! One request, from its arrival to its answer.
 //!
-//! * [`admit`]: admission by the catalog in force.
-//! * [`send`]: the choice of a server, and the sending.
-//! * [`retry`]: whether it is sent again, and the refusal if not.
-//! * [`report`]: log lines, metrics and the health of servers.
+//! * `admit`: admission by the catalog in force.
+//! * `send`: the choice of a server, and the sending.
+//! * `retry`: whether it is sent again, and the refusal if not.
+//! * `report`: log lines, metrics and the health of servers.
 //!
 //! Invariant: a client gets one final answer to a request, a server's or a
 //! refusal of this box. Only where events were passed on already may it end
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -12,6 +12,7 @@
 //! * A server is dropped when its entry goes while the store can be relied on;
 //!   else a while after the store is back, if the entry is still missing.
 
+mod boxes;
 mod catalog;
 mod pause;
 mod servers;
@@ -28,8 +29,7 @@
 
 use crate::fleet::Change;
 use crate::notice::Notice;
-use crate::peer::link::Error;
-use crate::peer::message::{self, Answer, Row, Servers};
+use crate::peer::message::Row;
 use crate::record::Record;
 use crate::relay::Relay;
 
@@ -41,9 +41,6 @@
 /// Time between two proofs, as a part of the time in which a change has to be
 /// in force everywhere.
 const PROOF_PART: f64 = 0.4;
-/// Age of a proof, as a part of the same time, from which a box's answers
-/// to others no longer count as current.
-const PASS_ON_PART: f64 = 0.6;
 /// Age of a proof, as a part of the same time, from which this box reads the
 /// store itself.
 const OLD_PART: f64 = 0.75;
@@ -181,70 +178,6 @@
         &self.record
     }
 
-    /// The revision in force here, and the entry if it is newer than `known`.
-    pub fn document_after(&self, known: u64) -> (u64, Option<Rc<[u8]>>) {
-        let revision = self.revision.get().0;
-        let newer = revision > known;
-        (revision, newer.then(|| self.document.borrow().clone()))
-    }
-
-    /// How long ago all that this box knows was provably the newest; `None`
-    /// when it cannot confirm that.
-    pub fn proven_age(&self, now: Instant) -> Option<Duration> {
-        let whole = !self.reads_store.get() || self.servers_known.get();
-        let age = self.relay.view.age_at(now)?;
-        (whole && age < self.bound(PASS_ON_PART)).then_some(age)
-    }
-
-    /// Takes over what another box answered to a question that was sent
-    /// at `asked`, with the configuration's entry that followed.
-    ///
-    /// # Errors
-    ///
-    /// The other box cannot confirm that what it knows is current.
-    pub fn take_answer(
-        &self,
-        answer: Answer,
-        document: Option<Vec<u8>>,
-        asked: Instant,
-    ) -> Result<(), Error> {
-        let age = answer.age_ms.map(Duration::from_millis);
-        let age = age.ok_or(Error::Unsure)?;
-        if let Some(document) = document {
-            self.take_document(Revision(answer.revision), document);
-        }
-        self.take_rows(answer.servers);
-        if self.revision.get() == Revision(answer.revision) {
-            if let Some(proven) = asked.checked_sub(age) {
-                self.relay.view.prove(proven);
-            }
-        }
-        Ok(())
-    }
-
-    fn take_rows(&self, servers: Servers) {
-        match servers {
-            Servers::Changes(changes) => {
-                for change in changes {
-                    match change {
-                        message::Change::Is(row) => self.announced(row),
-                        message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
-                    }
-                }
-            }
-            Servers::All(rows, seen) => {
-                for id in self.relay.fleet.ids() {
-                    if !rows.iter().any(|row| *row.id() == id) {
-                        self.reported_gone(&id, seen);
-                    }
-                }
-                for row in rows {
-                    self.announced(row);
-                }
-            }
-        }
-    }
-
     fn announced(&self, row: Row) {
         // Another box may know an older state of the store.
         if self.record.is_outdated(&row) {
@@ -266,14 +199,6 @@
         }
     }
 
-    /// Drops a server that another box says is gone, unless that box knows an
-    /// older state of the store.
-    fn reported_gone(&self, id: &ids::Server, seen: u64) {
-        if !self.record.is_newer(id, seen) {
-            self.drop_server(id, seen, "Gone");
-        }
-    }
-
     /// Drops a server that is gone as of a revision.
     fn drop_server(&self, id: &ids::Server, seen: u64, why: &str) {
         if self.relay.fleet.remove(id) {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! Clients' requests come in over HTTP/1.1 with opaque bodies; headers say
 //! what is asked. Each request is admitted by the operator's catalog
 //! ([`exchange`]), placed on a backend server ([`choose`]), sent there
-//! ([`attempt`]) and its answer passed on ([`stream`]). What the box knows
+//! ([`attempt`]) and its answer passed on (`stream`). What the box knows
 //! of catalog and servers comes from the platform's store ([`follow`]).
 //!
 //! A process has one thread; its tasks share [`relay::Relay`] and never block.
