Boxes agree on who stands in for a server that they avoid

Of 44,829 placements 4,100 went past the first two servers of their subject's order, mostly while its first server was down: each box then took the cheapest server by load, so that each read the subject anew. And a server that joined beside another new one was told to copy from that one, which kept nothing.

Now the order leaves out servers that this box avoids or has tried, so that all boxes that avoid the same ones take the same next one; the third rank counts too (0.93, 0.5, 0.25); copies for servers that joined lately come from the first in the order that was there before. The log line names the server copied from.

Ruled out: sources by address in the log (addresses are reused; the first analysis blamed live sources wrongly).

Tests: three new ones in places; they need the new parameter and were not run against the old code.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -6,7 +6,6 @@
 //! subject's prompts are kept: by rendezvous hash of the subject over the
 //! servers, corrected by what this box itself has sent where.
 
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -100,7 +99,7 @@
     /// Its place in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
     /// The engine from which it is to copy what it does not keep.
-    pub copy_from: Option<SocketAddr>,
+    pub copy_from: Option<Rc<Backend>>,
 }
 
 /// The cheapest of a service's servers; `None` when there is none that may be
@@ -117,7 +116,7 @@
     let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
         Some(prompt) => {
-            let places = Places::new(fleet, service, prompt, ask.hall, memory, now);
+            let places = Places::new(fleet, service, prompt, ask.hall, memory, ask.tried, now);
             choose_engine(&servers, ask, prompt, &places, failing, now)
         }
         None => servers
@@ -209,7 +208,7 @@
                 load,
                 rank: places.rank(id),
                 read: own + if copied.is_some() { 0.0 } else { lacking },
-                copy_from: copied.map(|(_, address)| address),
+                copy_from: copied.map(|(_, source)| source.clone()),
             }
         })
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
@@ -226,7 +225,7 @@
     let reached = servers
         .iter()
         .zip(&reported)
-        .filter(|(backend, _)| !backend.hall.is_silent(now) && backend.health.allows(now));
+        .filter(|(backend, _)| backend.is_usable(now));
     // Counts leave other halls out: the mean is that of what servers report.
     let known: Vec<f64> = reached.filter_map(|(_, reported)| *reported).collect();
     let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -16,7 +16,7 @@
         log::info!(
             target: "request",
             "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             read={:.0} copy={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
+             read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
             self.request.attempt,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
@@ -25,7 +25,7 @@
             choice.cost,
             choice.load,
             choice.read,
-            choice.copy_from.is_some(),
+            choice.copy_from.as_ref().map_or("-", |source| source.server.id.as_str()),
             self.subject(),
             choice.rank.map_or(-1, |rank| rank as i64),
             choice.backend.server.hall,
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -108,7 +108,10 @@
             account: self.account.as_ref().map(|account| &account.name),
             priority: self.request.prompt.as_ref().map(|_| self.rank()),
             resume_after,
-            copy_from: choice.copy_from,
+            copy_from: choice
+                .copy_from
+                .as_ref()
+                .map(|source| source.server.address),
             body: self.arrival.has_body.then_some(self.arrival.body.len()),
         };
         wire_request::encode(self.arrival.head, &forward, &mut bytes);
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -105,6 +105,12 @@
         self.state.get() == State::Ready
     }
 
+    /// Whether this box has no reason to leave it out: neither its own failures
+    /// nor a silence of its hall.
+    pub fn is_usable(&self, now: Instant) -> bool {
+        self.health.allows(now) && !self.hall.is_silent(now)
+    }
+
     /// Requests of this box that are under way there.
     pub fn own(&self) -> u32 {
         self.own.get()
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -7,7 +7,6 @@
 
 use std::cell::RefCell;
 use std::cmp::Reverse;
-use std::net::SocketAddr;
 use std::num::NonZeroUsize;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -20,8 +19,10 @@
 use crate::fleet::{Backend, Fleet};
 
 /// How likely the server at a rank of a subject's order keeps the subject when
-/// this box has not sent it there itself.
-const KEPT_BY_RANK: [f64; 2] = [0.93, 0.3];
+/// this box has not sent it there itself. The later ranks take what the first
+/// has no room for; without a figure of theirs each box would spread that over
+/// servers of its own choice, and each of them would read the subject anew.
+const KEPT_BY_RANK: [f64; 3] = [0.93, 0.5, 0.25];
 /// Tokens under which copying a prompt's memory is not worth its set-up.
 const COPY_TOKENS_MIN: u32 = 200;
 /// Shared tokens under which a subject is kept in each hall, not once for all:
@@ -33,6 +34,9 @@
 const KEPT_TIME: Duration = Duration::from_secs(60);
 /// Servers remembered for one part.
 const PLACES: usize = 6;
+/// Time in which a server that joined is asked for most of the subjects that it
+/// comes first for: each is asked for about every 4 s.
+const FILL_TIME: Duration = Duration::from_secs(5);
 /// Time after a server joined in which what it now comes first for may still be
 /// kept by the one that came first before.
 const NEW_TIME: Duration = Duration::from_secs(60);
@@ -97,25 +101,31 @@
 /// Where one prompt's parts are kept, as far as this box can tell.
 pub struct Places<'a> {
     prompt: &'a Prompt,
+    /// Tokens of its shared parts.
+    tokens: u32,
     /// Servers that this box sent each shared part to, the last one first.
     by_part: Vec<Vec<ids::Server>>,
     /// All servers in the subject's order, also those that are leaving.
     order: Vec<Rc<Backend>>,
     /// The hall within which the subject has its order, if it is kept in each.
     local: Option<ids::Hall>,
-    /// The servers that come first for the subject and take requests.
+    /// The servers that come first for the subject, of those that take requests
+    /// and that this box does not avoid: all boxes that avoid the same ones
+    /// agree on who stands in for them.
     first: Vec<ids::Server>,
     now: Instant,
 }
 
 impl<'a> Places<'a> {
-    /// Where the parts of a prompt at a service are kept.
+    /// Where the parts of a prompt at a service are kept; `tried` names the
+    /// servers that the request was sent to in vain.
     pub fn new(
         fleet: &Fleet,
         service: &ids::Service,
         prompt: &'a Prompt,
         hall: &ids::Hall,
         memory: &Memory,
+        tried: &[ids::Server],
         now: Instant,
     ) -> Self {
         let parts = shared(prompt);
@@ -123,7 +133,10 @@
         let tokens: u32 = parts.iter().map(|part| part.tokens).sum();
         let in_hall = |backend: &Rc<Backend>| backend.server.hall == *hall && backend.serves();
         let local = tokens < LOCAL_TOKENS && order.iter().any(in_hall);
-        let serving = order.iter().filter(|backend| backend.serves());
+        let usable = |backend: &&Rc<Backend>| {
+            backend.serves() && backend.is_usable(now) && !tried.contains(&backend.server.id)
+        };
+        let serving = order.iter().filter(usable);
         let first = serving.filter(|backend| !local || in_hall(backend));
         let first = first.take(KEPT_BY_RANK.len());
         Self {
@@ -132,6 +145,7 @@
             local: local.then(|| hall.clone()),
             order,
             prompt,
+            tokens,
             now,
         }
     }
@@ -155,40 +169,44 @@
 
     /// The engine that a server copies from what it does not keep; `None` when
     /// this box knows that it keeps all, or that is too little to be copied.
-    pub fn source(&self, server: &ids::Server) -> Option<SocketAddr> {
-        let tokens: u32 = shared(self.prompt).iter().map(|part| part.tokens).sum();
+    pub fn source(&self, server: &ids::Server) -> Option<&Rc<Backend>> {
         let knows = |places: &Vec<ids::Server>| places.contains(server);
-        if tokens < COPY_TOKENS_MIN || self.by_part.iter().all(knows) {
+        if self.tokens < COPY_TOKENS_MIN || self.by_part.iter().all(knows) {
             return None;
         }
         let subject = self.by_part.last().into_iter().flatten();
         let earlier = self.by_part.iter().rev().skip(1).flatten();
-        let likely = self.before(server).into_iter().chain(self.first.first());
+        let settled = self.first.first().filter(|first| !self.is_fresh(first));
+        let likely = settled.into_iter().chain(self.before(server));
         let elsewhere = self.first_elsewhere();
         let mut sources = subject.chain(likely).chain(elsewhere).chain(earlier);
         sources.find_map(|id| self.can_give(id, server))
     }
 
-    fn can_give(&self, id: &ids::Server, to: &ids::Server) -> Option<SocketAddr> {
+    /// Whether a server joined so lately that it hardly keeps the subject yet.
+    fn is_fresh(&self, id: &ids::Server) -> bool {
+        let found = self.order.iter().find(|backend| backend.server.id == *id);
+        found.is_some_and(|backend| backend.is_new(FILL_TIME, self.now))
+    }
+
+    fn can_give(&self, id: &ids::Server, to: &ids::Server) -> Option<&Rc<Backend>> {
         let found = self.order.iter().find(|backend| backend.server.id == *id)?;
-        let gives = id != to && found.health.allows(self.now) && !found.hall.is_silent(self.now);
-        gives.then_some(found.server.address)
+        let gives = id != to && found.is_usable(self.now);
+        gives.then_some(found)
     }
 
-    /// The server that came first before `server` did: one that is leaving and
-    /// comes before it, or the next one when it is new.
+    /// The server that most likely kept the subject before `server` came to be
+    /// asked for it: the first in the subject's order that did not join lately,
+    /// also one that is leaving.
     fn before(&self, server: &ids::Server) -> Option<&ids::Server> {
+        let local = self.local.as_ref();
         let in_order = |backend: &&Rc<Backend>| {
-            let local = self.local.as_ref();
             local.is_none_or(|hall| backend.server.hall == *hall)
+                && backend.is_usable(self.now)
+                && !backend.is_new(NEW_TIME, self.now)
         };
-        let mut order = self.order.iter().filter(in_order);
-        let top = order.next()?;
-        if top.server.id != *server {
-            return (!top.serves()).then_some(&top.server.id);
-        }
-        let next = order.next()?;
-        top.is_new(NEW_TIME, self.now).then_some(&next.server.id)
+        let settled = self.order.iter().find(in_order)?;
+        (settled.server.id != *server).then_some(&settled.server.id)
     }
 
     /// For a subject that is kept in each hall: the server that keeps it in the
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -79,6 +79,11 @@
     }
 
     fn places<'a>(&self, prompt: &'a Prompt) -> Places<'a> {
+        self.places_after(prompt, &[])
+    }
+
+    /// The same after the prompt was sent to some servers in vain.
+    fn places_after<'a>(&self, prompt: &'a Prompt, tried: &[ids::Server]) -> Places<'a> {
         let now = Instant::now();
         Places::new(
             &self.fleet,
@@ -86,10 +91,18 @@
             prompt,
             &self.hall,
             &self.memory,
+            tried,
             now,
         )
     }
 
+    /// The address from which a server is to copy a prompt.
+    fn source(&self, prompt: &Prompt, server: &ids::Server) -> Option<SocketAddr> {
+        let places = self.places(prompt);
+        let source = places.source(server);
+        source.map(|source| source.server.address)
+    }
+
     /// The server that comes first for a prompt.
     fn first(&self, prompt: &Prompt) -> Result<ids::Server> {
         self.ranked(prompt, 0)
@@ -277,14 +290,14 @@
         let heir = desk.ranked(&prompt, 1)?;
         let from = desk.backend(&first)?.server.address;
         // The first one reads by itself what nobody else is likely to have.
-        ensure!(desk.places(&prompt).source(&first).is_none(), "{first}");
-        ensure!(desk.places(&prompt).source(&heir) == Some(from), "{heir}");
+        ensure!(desk.source(&prompt, &first).is_none(), "{first}");
+        ensure!(desk.source(&prompt, &heir) == Some(from), "{heir}");
         desk.drain(&first)?;
         ensure!(desk.first(&prompt)? == heir, "{heir} is no heir");
-        ensure!(desk.places(&prompt).source(&heir) == Some(from), "{heir}");
+        ensure!(desk.source(&prompt, &heir) == Some(from), "{heir}");
         desk.fleet.remove(&first);
         ensure!(
-            desk.places(&prompt).source(&heir) != Some(from),
+            desk.source(&prompt, &heir) != Some(from),
             "a copy from the gone"
         );
         desk.fleet
@@ -310,10 +323,7 @@
             if desk.first(&prompt)? == joiner {
                 taken += 1;
                 let from = desk.backend(before)?.server.address;
-                ensure!(
-                    desk.places(&prompt).source(&joiner) == Some(from),
-                    "{before}"
-                );
+                ensure!(desk.source(&prompt, &joiner) == Some(from), "{before}");
             }
         }
         ensure!(taken > 0, "the new server took nothing over");
@@ -338,21 +348,18 @@
     desk.memory.sent(&prompt, outsider, now);
     ensure!(lacks(outsider) == 0.0, "{}", lacks(outsider));
     ensure!(
-        desk.places(&prompt).source(outsider).is_none(),
+        desk.source(&prompt, outsider).is_none(),
         "copies what it has"
     );
     let from = desk.backend(outsider)?.server.address;
     ensure!(
-        desk.places(&prompt).source(&first) == Some(from),
+        desk.source(&prompt, &first) == Some(from),
         "not from where it is"
     );
     // Too little to be worth a copy.
     let short = self::prompt(8, 150);
     desk.memory.sent(&short, outsider, now);
-    ensure!(
-        desk.places(&short).source(&first).is_none(),
-        "copies too little"
-    );
+    ensure!(desk.source(&short, &first).is_none(), "copies too little");
     Ok(())
 }
 
@@ -624,3 +631,72 @@
         Ok(())
     })
 }
+
+#[test]
+fn boxes_agree_on_who_stands_in_for_a_server_that_fails() -> Result {
+    let desks = [Desk::new("hall-1", 0..12)?, Desk::new("hall-2", 0..12)?];
+    let prompt = prompt(3, LARGE);
+    let failing = desks[0].first(&prompt)?;
+    let next = desks[0].ranked(&prompt, 1)?;
+    for desk in &desks {
+        let backend = desk.backend(&failing)?;
+        for _ in 0..3 {
+            backend.record(Outcome::Absent, Instant::now());
+        }
+        ensure!(desk.first(&prompt)? == next, "{failing} is still first");
+        let lacking = desk.places(&prompt).lacking(&failing);
+        ensure!(
+            lacking == f64::from(LARGE),
+            "it counts as keeping the prompt"
+        );
+        // Nothing can be copied from a server that does not answer.
+        let from = backend.server.address;
+        ensure!(desk.source(&prompt, &next) != Some(from), "a copy from it");
+    }
+    Ok(())
+}
+
+#[test]
+fn a_request_that_failed_goes_on_to_the_next_in_order() -> Result {
+    let desk = Desk::new("hall-1", 0..12)?;
+    let prompt = prompt(5, LARGE);
+    let tried = [desk.first(&prompt)?, desk.ranked(&prompt, 1)?];
+    let third = desk.ranked(&prompt, 2)?;
+    let places = desk.places_after(&prompt, &tried);
+    ensure!(places.rank(&third) == Some(0), "{:?}", places.rank(&third));
+    ensure!(places.rank(&tried[0]).is_none(), "tried again");
+    Ok(())
+}
+
+#[test]
+fn servers_that_join_together_copy_from_one_that_was_there() -> Result {
+    run(async |_| {
+        let desk = Desk::new("hall-1", 0..8)?;
+        Timer::after(SETTLED).await;
+        let settled: Result<BTreeMap<u64, ids::Server>> = (0..SUBJECTS)
+            .map(|subject| Ok((subject, desk.first(&prompt(subject, LARGE))?)))
+            .collect();
+        let settled = settled?;
+        for number in 20..28 {
+            desk.fleet.announce(server(number, State::Ready)?);
+        }
+        let mut both_new = 0;
+        for (subject, before) in &settled {
+            let prompt = prompt(*subject, LARGE);
+            let first = desk.first(&prompt)?;
+            let second = desk.ranked(&prompt, 1)?;
+            if first != *before && second != *before {
+                both_new += 1;
+                let from = desk.backend(before)?.server.address;
+                ensure!(desk.source(&prompt, &first) == Some(from), "{first}");
+                // Whoever stands in for the new one copies from there too.
+                ensure!(desk.source(&prompt, &second) == Some(from), "{second}");
+            }
+        }
+        ensure!(
+            both_new > 0,
+            "no subject has two new servers before its old one"
+        );
+        Ok(())
+    })
+}
