A resume answered with an error counts against its server

Cause: whatever answered a resume without a stream became a refusal, and refusals count as good health, so that a server that fails every resume kept getting them. An error of the server's own is now the same failure as at a first sending. Whether a repeat is paid for already is told by the exchange and no longer by the kind of failure, as this one is not paid for.

Ruled out: 4xx and streams that end with their connection stay refusals; they say nothing of the server's health.

Test: streams, a_resume_answered_with_an_error_counts_against_its_server; it failed before with "Error: i-2: Some(0.0)", the failure rate of the server.

--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -57,6 +57,7 @@
         tried: Vec::new(),
         sent: 0,
         connects: 0,
+        paid: false,
         may_have_run: false,
     })
 }
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -122,6 +122,8 @@
     sent: u32,
     /// Connections that failed.
     connects: u32,
+    /// Whether the next sending is taken out of the budget already.
+    paid: bool,
     /// Whether a server may have run it.
     may_have_run: bool,
 }
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -38,6 +38,7 @@
         let own_error = reply.answer.status >= 500;
         let repeatable = self.route.kind.repeatable() && self.time_for_retry();
         if own_error && repeatable && self.retry_is_paid() {
+            self.paid = true;
             let status = reply.answer.status;
             stream::keep_after(backend, reply, self.deadline).await;
             return Err(Failure {
@@ -54,6 +55,7 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
+        let paid = std::mem::take(&mut self.paid);
         if !self.time_for_retry() {
             return Err(self.given_up(failure));
         }
@@ -64,8 +66,7 @@
                 self.sent -= 1;
                 Ok(())
             }
-            // Already paid for.
-            Cause::Error(_) => Ok(()),
+            _ if paid => Ok(()),
             _ if failure.ran == Ran::No || self.route.kind.repeatable() => {
                 if self.retry_is_paid() {
                     Ok(())
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -165,13 +165,9 @@
                 return Some((backend, reply));
             }
             Ok(reply) => {
-                let not_run = reply.answer.not_run;
-                let status = reply.answer.status;
+                let failure = refused(&reply);
                 keep_after(&backend, reply, exchange.deadline).await;
-                Failure {
-                    ran: if not_run { Ran::No } else { Ran::Unknown },
-                    cause: Cause::Refused(status),
-                }
+                failure
             }
             Err(failure) => failure,
         };
@@ -179,6 +175,21 @@
     }
 }
 
+/// What an answer that is no stream to go on with says: an error of the
+/// server's own is a failure of that server, as at a first sending.
+fn refused(reply: &Reply) -> Failure {
+    let status = reply.answer.status;
+    let not_run = reply.answer.not_run;
+    Failure {
+        ran: if not_run { Ran::No } else { Ran::Unknown },
+        cause: if status >= 500 && !not_run {
+            Cause::Error(status)
+        } else {
+            Cause::Refused(status)
+        },
+    }
+}
+
 enum Copied {
     /// The answer is whole.
     Whole,
--- a/crates/relay/tests/relay/streams.rs
+++ b/crates/relay/tests/relay/streams.rs
@@ -185,3 +185,25 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_resume_answered_with_an_error_counts_against_its_server() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(streaming(1, 8, ms(10)))?;
+        let far = site.server(streaming(2, 8, ms(10)))?;
+        let house = House::open(executor, site).await?;
+        near.fault(Fault::CutEvent, 1);
+        far.fault(Fault::Failure, 1);
+        let answer = house.post("/s/x", "cut").await?;
+        ensure!(!answer.complete, "{answer:?}");
+        ensure!(far.ran("cut") == 1, "the other server was not asked");
+        for server in [&near, &far] {
+            let id = server.settings().id.parse()?;
+            let backend = house.router.relay().fleet.get(&id);
+            let failing = backend.map(|backend| backend.health.failure_rate());
+            ensure!(failing > Some(0.0), "{id}: {failing:?}");
+        }
+        Ok(())
+    })
+}
