A retry that was decided on is not given up while the error's body is read

Cause: a server's own 5xx was dropped for a retry if 30 ms were left, its body was then read for up to 50 ms so that the connection can be kept, and the time was looked at again: the client got 502 in place of the server's answer. The time for the body is now asked for beforehand, and a paid retry is made.

Left: the client still gets 502 if the retry itself comes to nothing.

Test: sendings, an_error_that_leaves_no_time_for_a_retry_is_passed_on, with a stand-in that answers in two parts; it failed before with "Error: [502, 502, 502, 502, 502]".

--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -36,7 +36,8 @@
         }
         self.may_have_run = true;
         let own_error = reply.answer.status >= 500;
-        let repeatable = self.route.kind.repeatable() && self.time_for_retry();
+        // Its body is read before the retry, so that its connection is kept.
+        let repeatable = self.route.kind.repeatable() && self.time_for_retry(stream::SCRAP_TIME);
         if own_error && repeatable && self.retry_is_paid() {
             self.paid = true;
             let status = reply.answer.status;
@@ -55,8 +56,11 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
-        let paid = std::mem::take(&mut self.paid);
-        if !self.time_for_retry() {
+        // The server's own answer was dropped for this sending.
+        if std::mem::take(&mut self.paid) {
+            return Ok(());
+        }
+        if !self.time_for_retry(Duration::ZERO) {
             return Err(self.given_up(failure));
         }
         match &failure.cause {
@@ -66,7 +70,6 @@
                 self.sent -= 1;
                 Ok(())
             }
-            _ if paid => Ok(()),
             _ if failure.ran == Ran::No || self.route.kind.repeatable() => {
                 if self.retry_is_paid() {
                     Ok(())
@@ -78,8 +81,10 @@
         }
     }
 
-    fn time_for_retry(&self) -> bool {
-        self.deadline.saturating_duration_since(Instant::now()) >= RETRY_TIME_MIN
+    /// Whether enough time is left after `first` to send the request again.
+    fn time_for_retry(&self, first: Duration) -> bool {
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        left >= RETRY_TIME_MIN + first
     }
 
     /// Takes a retry out of the budget, if the route allows another server.
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -21,7 +21,7 @@
 use crate::timeout;
 
 /// Time to read the body of an answer that is not passed on.
-const SCRAP_TIME: Duration = Duration::from_millis(50);
+pub(crate) const SCRAP_TIME: Duration = Duration::from_millis(50);
 
 /// Passes an answer on.
 ///
--- a/crates/relay/tests/relay/raw.rs
+++ b/crates/relay/tests/relay/raw.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use serde_json::json;
-use smol::Task;
+use smol::{Task, Timer};
 use tidepier_h1::{Body, Conn, Framing, Head, Listener};
 use tidepier_relay_standin::site::Site;
 
@@ -39,11 +39,7 @@
         answer: impl Fn(&Asked) -> Option<String> + 'static,
     ) -> Result<Self> {
         let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
-        let entry = json!({
-            "service": SERVICE, "address": listener.address()?.to_string(), "zone": "hall-1",
-            "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
-        });
-        site.store.put_server(id, &entry);
+        announce(site, id, &listener)?;
         let answer = Rc::new(answer);
         let tasks = executor.clone();
         let task = executor.spawn(async move {
@@ -82,6 +78,65 @@
     Ok(())
 }
 
+/// A server that gives its answer in two parts.
+pub(crate) struct Late {
+    /// Time from the request to the first part.
+    pub(crate) first: Duration,
+    /// Time from the first part to the second.
+    pub(crate) second: Duration,
+}
+
+impl Late {
+    /// Starts the server as `id` and announces it. `answer` makes the two
+    /// parts; a connection carries one request.
+    pub(crate) fn start(
+        self,
+        executor: &Executor,
+        site: &Site,
+        id: &str,
+        answer: impl Fn(&str) -> [String; 2] + 'static,
+    ) -> Result<Raw> {
+        let listener = Listener::bind(SocketAddr::from(([127, 0, 0, 1], 0)))?;
+        announce(site, id, &listener)?;
+        let shared = Rc::new((self, answer));
+        let tasks = executor.clone();
+        let task = executor.spawn(async move {
+            while let Ok(mut conn) = listener.accept(UNACKED).await {
+                let shared = shared.clone();
+                let talk = async move {
+                    let (times, answer) = &*shared;
+                    // A client that leaves ends the answer; that is no fault.
+                    let _ = times.talk(&mut conn, answer).await;
+                };
+                tasks.spawn(talk).detach();
+            }
+        });
+        Ok(Raw { _task: task })
+    }
+
+    async fn talk(&self, conn: &mut Conn, answer: &impl Fn(&str) -> [String; 2]) -> Result {
+        let Some(head) = conn.head(HEAD_BYTES).await? else {
+            return Ok(());
+        };
+        read(conn, &head).await?;
+        let [first, second] = answer(head.text("Attempt-Id").unwrap_or_default());
+        Timer::after(self.first).await;
+        conn.writer().write_all(first.as_bytes()).await?;
+        Timer::after(self.second).await;
+        conn.writer().write_all(second.as_bytes()).await?;
+        Ok(())
+    }
+}
+
+fn announce(site: &Site, id: &str, listener: &Listener) -> Result {
+    let entry = json!({
+        "service": SERVICE, "address": listener.address()?.to_string(), "zone": "hall-1",
+        "version": "v1", "slots": 16, "state": "ready", "cold_remaining_ms": 0, "sequence": 1,
+    });
+    site.store.put_server(id, &entry);
+    Ok(())
+}
+
 /// A whole answer to an attempt, signed or not.
 pub(crate) fn answer(attempt: &str, signed: bool) -> String {
     let seal = if signed { "Response-Seal: raw\r\n" } else { "" };
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -17,6 +17,7 @@
     arrived, ms, post, promised, ran, run, site, streaming, until, usual, whole, House, Result,
     SERVICE,
 };
+use crate::raw;
 
 /// Promised time from a client's leaving to the end at its server.
 const LEAVE_TIME: Duration = Duration::from_millis(100);
@@ -537,3 +538,31 @@
         Ok(())
     })
 }
+
+#[test]
+fn an_error_that_leaves_no_time_for_a_retry_is_passed_on() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        // Of the client's 400 ms, 60 are left at the answer's head and 25 at
+        // its end. A busy machine may be later than that, so there are more
+        // tries than one.
+        let late = raw::Late {
+            first: ms(340),
+            second: ms(35),
+        };
+        let failed = |attempt: &str| {
+            let head = "HTTP/1.1 500 Failed\r\nResponse-Seal: raw\r\nContent-Length: 2\r\n";
+            [format!("{head}Attempt-Id: {attempt}\r\n\r\n"), "no".into()]
+        };
+        let _server = late.start(&executor, &site, "i-1", failed)?;
+        let house = House::open(executor, site).await?;
+        let mut statuses = Vec::new();
+        for number in 0..TRIES {
+            let call = post("/r/x", &number.to_string()).with(names::DEADLINE, "400");
+            statuses.push(house.call(&call).await?.status);
+        }
+        ensure!(statuses.contains(&500), "{statuses:?}");
+        ensure!(!statuses.contains(&502), "{statuses:?}");
+        Ok(())
+    })
+}
