A prompt counts as sent only once there is a connection

Cause: the box remembered the server as one that keeps the prompt before it knew whether a connection comes up, so that later requests were placed or copied from where nothing had arrived. It is remembered now when there is a connection and before the request is written; requests that come meanwhile see it at once where a kept connection carries the first, as before.

Test: sendings, a_prompt_counts_as_sent_only_over_a_connection; it failed before with "Error: counts as sent over no connection".

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -121,6 +121,8 @@
     pub rest: Duration,
     /// Prompt tokens that the server has to read.
     pub prefill: u64,
+    /// Called when there is a connection, before anything is sent.
+    pub connected: &'a dyn Fn(),
 }
 
 /// The head of an answer, and what its body comes from.
@@ -150,6 +152,7 @@
     let running = backend.run(sending.prefill);
     backend.health.sent(Instant::now());
     let mut conn = connection(backend, sending).await?;
+    (sending.connected)();
     let exchanged = timeout::until(sending.deadline, exchange(&mut conn, sending)).await;
     let (head, answer, whole) = exchanged.unwrap_or_else(|| Err(unknown(Cause::Late)))?;
     let framing = Framing::of_answer(&head, sending.method);
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -42,7 +42,9 @@
         self.note_placed(&choice);
         let bytes = self.encode(&choice, resume_after);
         let rest = self.rest(&backend);
+        let connected = || self.note_sent(&backend);
         let sending = Sending {
+            connected: &connected,
             bytes: &bytes,
             method: self.arrival.head.method(),
             attempt: &self.request.attempt,
@@ -50,15 +52,9 @@
             rest,
             prefill: choice.read as u64,
         };
-        self.sent += 1;
-        self.tried.push(backend.server.id.clone());
-        if let Some(prompt) = &self.request.prompt {
-            self.relay
-                .memory
-                .sent(prompt, &backend.server.id, Instant::now());
-        }
         let waiting = Waiting::new(&backend, self.route.objective);
-        let result = if self.route.kind.repeatable() && self.sent < self.route.attempts {
+        let others_left = self.sent + 1 < self.route.attempts;
+        let result = if self.route.kind.repeatable() && others_left {
             attempt::send(&backend, &sending)
                 .or(silence(&backend))
                 .await
@@ -66,9 +62,20 @@
             attempt::send(&backend, &sending).await
         };
         waiting.over();
+        self.sent += 1;
+        self.tried.push(backend.server.id.clone());
         Ok((backend, result))
     }
 
+    /// Remembers that a server gets the prompt: from now on it is likely to
+    /// keep it, but not if no connection to it came up.
+    fn note_sent(&self, backend: &Backend) {
+        if let Some(prompt) = &self.request.prompt {
+            let memory = &self.relay.memory;
+            memory.sent(prompt, &backend.server.id, Instant::now());
+        }
+    }
+
     /// Longest rest of a kept connection that may carry the request.
     fn rest(&self, backend: &Backend) -> Duration {
         if backend.server.hall != self.relay.hall {
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -6,7 +6,9 @@
 use futures_lite::future;
 use smol::Timer;
 use tidepier_core::catalog::Kind;
+use tidepier_core::request::{Part, Prompt};
 use tidepier_core::server::State;
+use tidepier_relay::places::Places;
 use tidepier_relay_standin::client::{Call, End};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Outcome, Run, Server, Settings};
@@ -566,3 +568,48 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_prompt_counts_as_sent_only_over_a_connection() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let parts = [(0x5c1e, 800), (0x91bd, 100)];
+        let listed: Vec<String> = parts
+            .iter()
+            .map(|(id, count)| format!("{id:x}:{count}"))
+            .collect();
+        let prompt = Prompt {
+            input: 900,
+            output: 10,
+            hint: None,
+            parts: parts.map(|(id, tokens)| Part { id, tokens }).to_vec(),
+        };
+        let id = server.settings().id.parse()?;
+        let lacking = || -> Result<f64> {
+            let relay = house.router.relay();
+            let (fleet, memory) = (&relay.fleet, &relay.memory);
+            let service = SERVICE.parse()?;
+            let now = Instant::now();
+            let places = Places::new(fleet, &service, &prompt, &relay.hall, memory, now);
+            Ok(places.lacking(&id))
+        };
+        let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
+        server.crash();
+        until("down", async || {
+            Ok(Client::open(server.address()).await.is_err())
+        })
+        .await?;
+        promised(&house.call(&call("down")).await?)?;
+        ensure!(lacking()? > 0.0, "counts as sent over no connection");
+        let again = Server::start_at(server.address(), server.settings().clone())?;
+        until("back", async || {
+            Ok(house.call(&call("back")).await?.status == 200)
+        })
+        .await?;
+        ensure!(again.runs().len() == 1, "{:?}", again.runs());
+        ensure!(lacking()? == 0.0, "does not count as sent");
+        Ok(())
+    })
+}
