A server id that is another service's now leaves the list of the first

Cause: the list of a service was made anew only for the service of the new entry; that of the old one kept the replaced server and sent requests to it. The replaced server is dropped first, as one that is gone.

Test: beliefs, a_server_that_is_another_services_now_gets_nothing_of_the_first; it failed before with "Error: still served by Answer { status: 200, ...".

--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -75,6 +75,9 @@
             {
                 return self.restate(&backend, server.state);
             }
+            // Another server has the id now: this one is gone, from the list
+            // of its service too.
+            self.remove(&server.id);
         }
         let change = match server.state {
             State::Ready => Change::Joined,
--- a/crates/relay/tests/relay/beliefs.rs
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -9,7 +9,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
 use tidepier_relay_standin::names;
-use tidepier_relay_standin::server::Server;
+use tidepier_relay_standin::server::{Server, Settings};
 use tidepier_relay_standin::site::{Route, Site};
 use tidepier_relay_standin::store::Down;
 
@@ -399,3 +399,33 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_server_that_is_another_services_now_gets_nothing_of_the_first() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let before = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        whole(&house.post("/r/x", "before").await?, &[&before], "before")?;
+        let after = Server::start(Settings {
+            service: "service-2".into(),
+            ..usual(1)
+        })?;
+        house.site.announce(&after, State::Ready);
+        let start = Instant::now();
+        let mut number = 0;
+        until("refused", async || {
+            number += 1;
+            let answer = house.post("/r/x", &format!("after-{number}")).await?;
+            ensure!(start.elapsed() < APPLY_TIME, "still served by {answer:?}");
+            Ok(answer.status == 503)
+        })
+        .await?;
+        promised(&house.post("/o/x", "last").await?)?;
+        ensure!(after.runs().is_empty(), "{:?}", after.runs());
+        let service = SERVICE.parse()?;
+        let serving = house.router.relay().fleet.serving(&service);
+        ensure!(serving.is_empty(), "still in the list of its first service");
+        Ok(())
+    })
+}
