The boxes' port is bounded in connections, bytes and time

Cause: any number of connections was taken, each could hold a frame of 3 MB in memory, and half a message was waited for without limit. Now 256 connections at most, questions of 256 KB, 2 s from a question's first byte to its last, 15 s of rest and 4 s for an answer; what each figure comes from is with the constant. The limit on waiting for a message is shared with the asking side.

--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -17,7 +17,6 @@
 use crate::peer::link::{self, Error};
 use crate::peer::message::{Answer, Ask, Position, VERSION};
 use crate::peer::registry::{Member, Registry};
-use crate::timeout;
 
 /// Time between two questions.
 const ASK_TIME: Duration = Duration::from_millis(400);
@@ -127,7 +126,7 @@
 /// Asks; returns the answer and the configuration's entry that follows it.
 async fn exchange(conn: &mut Conn, ask: &Ask) -> Result<(Answer, Option<Vec<u8>>), Error> {
     link::send(conn, ask).await?;
-    let answer: Answer = within(ANSWER_TIME, link::receive(conn)).await?;
+    let answer: Answer = link::within(ANSWER_TIME, link::receive(conn)).await?;
     if answer.version != VERSION || answer.number != ask.number {
         let why = format!("version {}, number {}", answer.version, answer.number);
         return Err(Error::Malformed(why));
@@ -135,18 +134,9 @@
     let document = match answer.document_bytes {
         Some(count) => {
             let bytes = link::receive_bytes(conn, count as usize);
-            Some(within(DOCUMENT_TIME, bytes).await?)
+            Some(link::within(DOCUMENT_TIME, bytes).await?)
         }
         None => None,
     };
     Ok((answer, document))
 }
-
-/// The result of `work`; an error when `limit` has passed.
-async fn within<T>(
-    limit: Duration,
-    work: impl std::future::Future<Output = Result<T, Error>>,
-) -> Result<T, Error> {
-    let late = || Err(Error::Io(std::io::ErrorKind::TimedOut.into()));
-    timeout::within(limit, work).await.unwrap_or_else(late)
-}
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -1,4 +1,7 @@
 //! Answering the boxes that ask this one.
+//!
+//! Invariant: what others do at this port costs no more than so many
+//! connections, each with so many bytes, and none is waited for without limit.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +16,22 @@
 
 /// An answer that a box does not take for so long ends the connection.
 const UNACKED_TIME: Duration = Duration::from_secs(2);
+/// Most connections at once: those of all boxes of the largest hall that we
+/// know of (60, of 350 boxes in 6 halls), of as many again that did not notice
+/// that their connection broke, and of boxes elsewhere that start.
+pub const CONNECTIONS: usize = 256;
+/// Longest time from a message's first byte to its last: a question is a few
+/// KB, and its asker gives up after a third of a second.
+pub const MESSAGE_TIME: Duration = Duration::from_secs(2);
+/// Largest question in bytes: counts for ten times the servers of the largest
+/// site that we know of (900), at some 30 bytes each.
+pub const ASK_BYTES: usize = 256 << 10;
+/// Rest after which a box that asks nothing more counts as gone: they ask
+/// every 0.4 s, and one that froze for so long starts anew anyway.
+const REST_TIME: Duration = Duration::from_secs(15);
+/// Longest time to send an answer and a configuration: twice as long as the box
+/// that asked waits for it.
+const ANSWER_TIME: Duration = Duration::from_secs(4);
 /// Pause after a connection could not be accepted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
 
@@ -22,14 +41,21 @@
     follower: Rc<Follower>,
     executor: Rc<LocalExecutor<'static>>,
 ) {
+    let open = Rc::new(());
     loop {
         match listener.accept(UNACKED_TIME).await {
+            // The list itself holds one count.
+            Ok(_) if Rc::strong_count(&open) > CONNECTIONS => {
+                log::warn!(target: "peer", "event=asker_refused why=crowded most={CONNECTIONS}");
+            }
             Ok(conn) => {
                 let follower = follower.clone();
+                let counted = open.clone();
                 let talk = async move {
                     if let Err(error) = converse(conn, &follower).await {
                         log::debug!(target: "peer", "event=asker_lost why=\"{error}\"");
                     }
+                    drop(counted);
                 };
                 executor.spawn(talk).detach();
             }
@@ -48,20 +74,31 @@
         number: crowd.join(),
     };
     loop {
-        let mut ask: Ask = link::receive(&mut conn).await?;
+        let mut ask = receive(&mut conn).await?;
         if ask.version != VERSION {
             return Err(Error::Malformed(format!("version {}", ask.version)));
         }
         let running = std::mem::take(&mut ask.running);
         crowd.report(member.number, running, Instant::now());
         let (answer, document) = answer(follower, &ask, member.number);
-        link::send(&conn, &answer).await?;
-        if let Some(document) = document {
-            link::send_bytes(&conn, &document).await?;
-        }
+        let send = async {
+            link::send(&conn, &answer).await?;
+            match document {
+                Some(document) => link::send_bytes(&conn, &document).await,
+                None => Ok(()),
+            }
+        };
+        link::within(ANSWER_TIME, send).await?;
     }
 }
 
+/// The next question. One that has not begun may take as long as a box rests;
+/// one that has begun has to come whole.
+async fn receive(conn: &mut Conn) -> Result<Ask, Error> {
+    link::within(REST_TIME, link::begun(conn)).await?;
+    link::within(MESSAGE_TIME, link::receive_most(conn, ASK_BYTES)).await
+}
+
 /// A box that asks; its report is forgotten when it no longer does.
 struct Member<'a> {
     crowd: &'a Crowd,
--- a/crates/relay/src/peer/link.rs
+++ b/crates/relay/src/peer/link.rs
@@ -5,12 +5,16 @@
 //! be a good part of this process's memory.
 
 use std::fmt;
+use std::future::Future;
 use std::io;
+use std::time::Duration;
 
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 use tidepier_h1::Conn;
 
+use crate::timeout;
+
 /// Bytes of a frame's length.
 const LENGTH_BYTES: usize = 4;
 /// Largest frame in bytes: the store's largest value, with room for servers.
@@ -64,11 +68,29 @@
 ///
 /// The connection failed or was closed, or the frame is no message.
 pub async fn receive<T: DeserializeOwned>(conn: &mut Conn) -> Result<T, Error> {
+    receive_most(conn, FRAME_BYTES).await
+}
+
+/// Waits for the first byte of a message.
+///
+/// # Errors
+///
+/// The connection failed or was closed.
+pub async fn begun(conn: &mut Conn) -> Result<(), Error> {
+    fill(conn, 1).await
+}
+
+/// Receives a message of at most so many bytes.
+///
+/// # Errors
+///
+/// The connection failed or was closed, or the frame is no message or larger.
+pub async fn receive_most<T: DeserializeOwned>(conn: &mut Conn, most: usize) -> Result<T, Error> {
     fill(conn, LENGTH_BYTES).await?;
     let mut length = [0; LENGTH_BYTES];
     length.copy_from_slice(&conn.take(LENGTH_BYTES));
     let length = u32::from_be_bytes(length) as usize;
-    if length > FRAME_BYTES {
+    if length > most {
         return Err(Error::Malformed(format!("{length} bytes")));
     }
     fill(conn, length).await?;
@@ -86,6 +108,19 @@
     conn.writer().write_all(bytes).await.map_err(Error::Io)
 }
 
+/// The result of `work`.
+///
+/// # Errors
+///
+/// Those of `work`, or `limit` has passed.
+pub(super) async fn within<T>(
+    limit: Duration,
+    work: impl Future<Output = Result<T, Error>>,
+) -> Result<T, Error> {
+    let late = || Err(Error::Io(io::ErrorKind::TimedOut.into()));
+    timeout::within(limit, work).await.unwrap_or_else(late)
+}
+
 /// Receives so many bytes as they are.
 ///
 /// # Errors
