A body is read no longer than its request has time

Cause: only the rest between two bytes was limited, so that a client could hold a connection and its buffer for idle time times length. The end is now that of the request: the smaller of its client's patience and its route's time, from the head on; 60 s where neither is known. After that end no server would have been given the request anyway, so that nobody who could be served is cut. The head is read for it only where the body did not come along.

Tests: limits, a_body_is_read_no_longer_than_its_client_waits and a_body_is_read_no_longer_than_its_route_allows (no answer before: "Error: Answer { status: 0, ... end: Left"), and a_slow_body_within_its_clients_time_is_served, which passed before too.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -22,6 +22,9 @@
 /// Bytes that a client may send ahead of its answer before its leaving is no
 /// longer watched for.
 const AHEAD_BYTES: usize = 64 << 10;
+/// Longest time for a body whose client and route set no time: such a request
+/// is refused whenever it is whole, so that nothing is lost by the limit.
+const BODY_TIME: Duration = Duration::from_secs(60);
 /// Pause after a connection could not be accepted, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which a refused client's unread bytes are taken, so that closing
@@ -71,7 +74,8 @@
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
-    let (body, has_body) = match body(conn, writer, &head, &limits).await {
+    let until = || exchange::deadline(relay, &head, at).unwrap_or(at + BODY_TIME);
+    let (body, has_body) = match body(conn, writer, &head, &limits, until).await {
         Ok(read) => read,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
@@ -153,11 +157,14 @@
 }
 
 /// Reads a request's body; also returns whether the head announced one.
+/// `until` is when its client has no more use for an answer; it is asked for
+/// only if the body did not come with the head.
 async fn body(
     conn: &mut Conn,
     writer: &Writer,
     head: &Head,
     limits: &Limits,
+    until: impl Fn() -> Instant,
 ) -> Result<(Vec<u8>, bool), Unread> {
     let framing = Framing::of_request(head).map_err(|error| {
         log::info!(target: "request", "event=malformed why=\"{error}\"");
@@ -178,8 +185,14 @@
     }
     let mut bytes = Vec::with_capacity(capacity);
     let mut body = Body::new(framing);
+    let mut end = None;
     loop {
-        match timeout::within(limits.idle_time, body.read(conn, &mut bytes)).await {
+        let mut limit = limits.idle_time;
+        if conn.pending().is_empty() && !body.is_done() {
+            let end = *end.get_or_insert_with(&until);
+            limit = limit.min(end.saturating_duration_since(Instant::now()));
+        }
+        match timeout::within(limit, body.read(conn, &mut bytes)).await {
             Some(Ok(true)) if bytes.len() > limits.body_bytes => return Err(too_large()),
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Ok((bytes, framing != Framing::Empty)),
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -4,10 +4,11 @@
 //! only while the catalog is fresh enough for that to be a fact.
 
 use std::sync::Arc;
+use std::time::Instant;
 
 use tidepier_core::catalog::{Account, Catalog, Route};
 use tidepier_core::request::Request;
-use tidepier_h1::Writer;
+use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
@@ -42,13 +43,14 @@
     let connections = declared.map_or(u32::MAX, |service| service.connections);
     let engine = declared.and_then(|service| service.engine);
     let patience = request.patience.unwrap_or(route.timeout);
+    let deadline = arrival.at + patience.min(route.timeout);
     relay.budget.request(&service, arrival.at);
     Ok(Exchange {
         relay,
         arrival,
         writer,
         connections: (connections / relay.boxes() as u32).max(2),
-        deadline: arrival.at + patience.min(route.timeout),
+        deadline,
         copy_ms: engine.and_then(|engine| engine.copy_ms_per_token),
         request,
         account,
@@ -62,6 +64,19 @@
     })
 }
 
+/// When a request whose head arrived at `at` has its final answer at the
+/// latest, by its client's patience and its route's time; `None` where neither
+/// is known.
+pub fn deadline(relay: &Relay, head: &Head, at: Instant) -> Option<Instant> {
+    let request = wire_request::decode(head).ok()?;
+    let catalog = relay.view.catalog();
+    let route = catalog.as_ref();
+    let route = route.and_then(|catalog| catalog.route(&request.host, &request.path));
+    let route = route.map(|route| route.timeout);
+    let limits = request.patience.into_iter().chain(route);
+    at.checked_add(limits.min()?)
+}
+
 /// The route of a request and the account of its key.
 fn look_up(
     relay: &Relay,
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -23,6 +23,8 @@
 use tidepier_ids as ids;
 use tidepier_platform::{answer, refusal as wire_refusal};
 
+pub use admit::deadline;
+
 use crate::attempt::Reply;
 use crate::refusal;
 use crate::relay::Relay;
--- a/crates/relay/tests/relay/limits.rs
+++ b/crates/relay/tests/relay/limits.rs
@@ -1,15 +1,17 @@
 //! What a client may send, and how long it may take.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::ensure;
 use serde_json::json;
 use smol::Timer;
+use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::{Answer, Payload};
 use tidepier_relay_standin::server::Server;
+use tidepier_relay_standin::site::Route;
 use tidepier_relay_standin::Client;
 
-use crate::house::{self, ms, post, run, usual, whole, Executor, House, Result};
+use crate::house::{self, ms, post, run, until, usual, whole, Executor, House, Result, SERVICE};
 
 const HEAD_BYTES: usize = 2_000;
 const BODY_BYTES: usize = 20_000;
@@ -149,3 +151,70 @@
         Ok(())
     })
 }
+
+/// Sends a head, then a byte of the body at a time until an answer comes or
+/// `count` are sent.
+async fn dribble(house: &House, head: &str, count: usize, pause: Duration) -> Result<Answer> {
+    let mut client = Client::open(house.front()).await?;
+    client.send(head.as_bytes()).await?;
+    for _ in 0..count {
+        Timer::after(pause).await;
+        if !client.rests() || client.send(b"x").await.is_err() {
+            break;
+        }
+    }
+    Ok(client.answer("POST", ms(500)).await)
+}
+
+#[test]
+fn a_body_is_read_no_longer_than_its_client_waits() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let fields = "Host: site.example\r\nAttempt-Id: a\r\nContent-Length: 200";
+        let head = format!("POST /r/x HTTP/1.1\r\n{fields}\r\nDeadline-Ms: 900\r\n\r\n");
+        let start = Instant::now();
+        refused(&dribble(&house, &head, 50, ms(100)).await?, 408, &server)?;
+        let taken = start.elapsed();
+        ensure!(taken >= ms(850) && taken < ms(2_500), "{taken:?}");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_body_is_read_no_longer_than_its_route_allows() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let short = Route {
+            timeout: ms(900),
+            ..Route::new("/t/", Kind::Repeatable, SERVICE)
+        };
+        house.site.declare(&[short]);
+        until("declared", async || {
+            Ok(house.post("/t/x", "probe").await?.status == 200)
+        })
+        .await?;
+        let runs = server.runs().len();
+        let fields = "Host: site.example\r\nAttempt-Id: a\r\nContent-Length: 200";
+        for deadline in ["", "Deadline-Ms: 9000\r\n"] {
+            let head = format!("POST /t/x HTTP/1.1\r\n{fields}\r\n{deadline}\r\n");
+            let start = Instant::now();
+            let answer = dribble(&house, &head, 50, ms(100)).await?;
+            ensure!(answer.status == 408, "{answer:?}");
+            let taken = start.elapsed();
+            ensure!(taken >= ms(850) && taken < ms(2_500), "{taken:?}");
+        }
+        ensure!(server.runs().len() == runs, "it was sent on");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_slow_body_within_its_clients_time_is_served() -> Result {
+    run(async |executor| {
+        let (house, server) = open(executor).await?;
+        let mut call = post("/r/x", "slow");
+        call.payload = Payload::Chunked(vec![b"piece".to_vec(); 8]);
+        call.pause = ms(200);
+        whole(&house.call(&call).await?, &[&server], "slow")
+    })
+}
