A changed time to stop is taken over by a reload

Cause: the router kept the time of its start; a stop after a reload ended by the old limit. What a reload takes over is now in one place, stop_within with it.

Test: stop, a_changed_time_to_stop_is_taken_over; it failed before with "Error: 7.625433887s", the time to the end of a process told 4 s.

--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -1,5 +1,6 @@
 //! Starting a router, stopping it, and taking over changed settings.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -44,7 +45,7 @@
         loop {
             match changes.next().await {
                 Change::Stop => break,
-                Change::Reload => reload(&router.relay, &changes),
+                Change::Reload => reload(&router, &changes),
             }
         }
         router.stop().await;
@@ -60,7 +61,8 @@
     callers: SocketAddr,
     readiness: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
-    stop_within: Duration,
+    /// Time from the request to stop until the process is killed.
+    stop_within: Cell<Duration>,
 }
 
 impl Router {
@@ -82,7 +84,7 @@
             callers: callers.address()?,
             readiness: None,
             metrics: None,
-            stop_within: settings.bounds.stop_within.duration(),
+            stop_within: Cell::new(settings.bounds.stop_within.duration()),
         };
         executor
             .spawn(callers::accept(relay.clone(), callers, executor.clone()))
@@ -132,9 +134,16 @@
         &self.relay
     }
 
+    /// Takes over what can change while running.
+    fn take_over(&self, settings: &Settings) {
+        self.relay.set_bounds(bounds(settings));
+        self.relay.budget.set_terms(terms(settings));
+        self.stop_within.set(settings.bounds.stop_within.duration());
+    }
+
     /// Begins the planned stop; ends when it is over.
     pub async fn stop(&self) {
-        stop(&self.relay, self.stop_within).await;
+        stop(&self.relay, self.stop_within.get()).await;
     }
 }
 
@@ -219,11 +228,10 @@
 }
 
 /// Reads the settings again and takes over what can change while running.
-fn reload(relay: &Relay, changes: &Changes) {
+fn reload(router: &Router, changes: &Changes) {
     match settings::read(changes.file()) {
         Ok(settings) => {
-            relay.set_bounds(bounds(&settings));
-            relay.budget.set_terms(terms(&settings));
+            router.take_over(&settings);
             log::info!(target: "process", "event=reloaded file={}", changes.file().display());
         }
         Err(error) => {
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -9,14 +9,15 @@
 use eyre::{ensure, eyre};
 use futures_lite::future;
 use smol::Timer;
+use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::Call;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Settings};
-use tidepier_relay_standin::site::HOST;
+use tidepier_relay_standin::site::{Route, HOST};
 use tidepier_relay_standin::Client;
 
 use crate::house::{
-    self, arrived, ms, post, run, site, streaming, until, usual, whole, House, Result,
+    self, arrived, ms, post, run, site, streaming, until, usual, whole, House, Result, SERVICE,
 };
 
 /// How long a stopping router takes new connections: the balancer needs three
@@ -296,3 +297,43 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_changed_time_to_stop_is_taken_over() -> Result {
+    run(async |_| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let mut settings = house::settings(&site);
+        settings["bounds"]["stop_within"] = 8_000.into();
+        let long = Route {
+            timeout: ms(20_000),
+            ..Route::new("/l/", Kind::Once, SERVICE)
+        };
+        site.declare(&[long]);
+        let mut process = Process::start("time", settings.clone())?;
+        until("serving", async || Ok(process.call("first").await? == 200)).await?;
+        settings["bounds"]["stop_within"] = 4_000.into();
+        settings["callers"] = process.front.to_string().into();
+        let fresh = process.file.with_extension("new");
+        fs::write(&fresh, settings.to_string())?;
+        fs::rename(&fresh, &process.file)?;
+        process.signal("-HUP")?;
+        Timer::after(ms(1_000)).await;
+        server.fault(Fault::Hang, u32::MAX);
+        let call = post("/l/x", "hangs").with(names::DEADLINE, "20000");
+        let front = process.front;
+        let hangs = async {
+            Client::once(front, &call).await?;
+            std::future::pending::<Result>().await
+        };
+        let stopped = async {
+            until("arrived", async || Ok(arrived(&[&server], "hangs") == 1)).await?;
+            let told = Instant::now();
+            process.signal("-TERM")?;
+            until("ended", async || Ok(process.child.try_wait()?.is_some())).await?;
+            ensure!(told.elapsed() < ms(5_500), "{:?}", told.elapsed());
+            Ok(())
+        };
+        future::or(stopped, hangs).await
+    })
+}
