A box that starts without the store asks boxes of other halls

Cause: a killed box that starts again while the store is down, alone in its hall, has no configuration and refuses until its clients are sent elsewhere.

A box asks only while it has not confirmed what it knows: after the first call to the store failed, or 1 s after its start. The answer carries how old the other's proof is, however old that is; the proof is dated here from before the question less that age, so keys are served no longer than there. The box then tries the store itself and vouches to nobody until the store or a box of its hall has confirmed what it knows. An older entry never replaces a newer one.

Weighed: the counts of what runs are not exchanged with other halls; asking on after the start, which in an outage would be all boxes asking three.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -65,6 +65,8 @@
     role_changed: Notice,
     /// Whether the servers are followed without a gap.
     servers_known: Cell<bool>,
+    /// Whether what this box knows was confirmed once.
+    informed: Cell<bool>,
     /// Whether the store was found to be unreachable.
     store_unreachable: Cell<bool>,
     /// When an answer to a write was last lost.
@@ -90,6 +92,7 @@
             reads_store: Cell::new(false),
             role_changed: Notice::default(),
             servers_known: Cell::new(false),
+            informed: Cell::new(false),
             store_unreachable: Cell::new(false),
             unanswered: Cell::new(None),
             boxes_before: Cell::new(0),
@@ -234,6 +237,7 @@
     }
 
     fn mark_reachable(&self) {
+        self.informed.set(true);
         if self.store_unreachable.replace(false) {
             self.doubted_until
                 .set(Some(Instant::now() + servers::LAPSE_TIME));
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -37,6 +37,17 @@
         (whole && age < self.bound(PASS_ON_PART)).then_some(age)
     }
 
+    /// How long ago the configuration in force here was provably the newest.
+    pub fn known_age(&self, now: Instant) -> Option<Duration> {
+        self.relay.view.age_at(now)
+    }
+
+    /// Whether this box has confirmed what it knows, at the store or at a box
+    /// of its hall that vouches for it.
+    pub fn is_informed(&self) -> bool {
+        self.informed.get()
+    }
+
     /// What the boxes that ask this one have under way.
     pub fn crowd(&self) -> &Crowd {
         &self.crowd
@@ -69,6 +80,7 @@
     ) -> Result<(), Error> {
         let age = answer.age_ms.map(Duration::from_millis);
         let age = age.ok_or(Error::Unsure)?;
+        self.informed.set(true);
         if let Some(document) = document {
             self.take_document(Revision(answer.revision), document);
         }
@@ -82,6 +94,38 @@
         Ok(())
     }
 
+    /// Takes over what any box answered to a question that was sent at `asked`
+    /// while this box has just started and does not reach the store. The other
+    /// need not vouch that it is current: how old it is comes with it, and
+    /// this box vouches to nobody for it.
+    ///
+    /// # Errors
+    ///
+    /// The other box knows nothing either, or sent no valid configuration.
+    pub fn take_seed(
+        &self,
+        answer: Answer,
+        document: Option<Vec<u8>>,
+        asked: Instant,
+    ) -> Result<(), Error> {
+        if let Some(document) = document {
+            self.take_document(Revision(answer.revision), document);
+        }
+        let known = self.revision.get();
+        if known == Revision(0) || known != Revision(answer.revision) {
+            return Err(Error::Unsure);
+        }
+        self.take_rows(answer.servers);
+        // An entry that is absent when the store is back may have lapsed.
+        self.mark_unreachable();
+        self.read_self("seeded", true);
+        let age = answer.known_ms.map(Duration::from_millis);
+        if let Some(proven) = age.and_then(|age| asked.checked_sub(age)) {
+            self.relay.view.prove(proven);
+        }
+        Ok(())
+    }
+
     fn take_rows(&self, servers: Servers) {
         match servers {
             Servers::Changes(changes) => {
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -22,12 +22,12 @@
 const ASK_TIME: Duration = Duration::from_millis(400);
 /// Longest time to connect and to get an answer: many round trips within a
 /// hall, and short enough for two boxes to be tried within the bounds.
-const ANSWER_TIME: Duration = Duration::from_millis(350);
+pub(super) const ANSWER_TIME: Duration = Duration::from_millis(350);
 /// Longest time for a whole configuration to follow an answer: one of 250 KB
 /// takes 0.2 s over the weakest link, and a reader sends it to its whole hall.
 const DOCUMENT_TIME: Duration = Duration::from_millis(1_500);
 /// Data unacknowledged for so long ends a connection.
-const UNACKED_TIME: Duration = Duration::from_secs(2);
+pub(super) const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
 const PASS_OVER_TIME: Duration = Duration::from_secs(3);
 /// The same for a box that answers but cannot confirm that what it knows is
@@ -124,7 +124,10 @@
 }
 
 /// Asks; returns the answer and the configuration's entry that follows it.
-async fn exchange(conn: &mut Conn, ask: &Ask) -> Result<(Answer, Option<Vec<u8>>), Error> {
+pub(super) async fn exchange(
+    conn: &mut Conn,
+    ask: &Ask,
+) -> Result<(Answer, Option<Vec<u8>>), Error> {
     link::send(conn, ask).await?;
     let answer: Answer = link::within(ANSWER_TIME, link::receive(conn)).await?;
     if answer.version != VERSION || answer.number != ask.number {
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -120,6 +120,7 @@
         version: VERSION,
         number: ask.number,
         age_ms: follower.proven_age(now).map(as_ms),
+        known_ms: follower.known_age(now).map(as_ms),
         revision,
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         servers,
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -46,6 +46,10 @@
     /// How long ago all in the answer was provably the newest; `None`: the
     /// sender cannot confirm that.
     pub age_ms: Option<u64>,
+    /// How long ago the configuration in the answer was provably the newest,
+    /// however long that is; for a box that starts and knows nothing at all.
+    #[serde(default)]
+    pub known_ms: Option<u64>,
     /// Revision of the configuration's entry that the sender knows; 0: none.
     pub revision: u64,
     /// Bytes of that entry, which follow this message as they are, where the
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -7,6 +7,9 @@
 //! store itself, and so does one whose proof grows old: a dead, frozen or cut
 //! off reader costs a moment and no agreement.
 //!
+//! A box that starts while it does not reach the store asks any others that
+//! its settings name ([`seed`]).
+//!
 //! Invariant: a proof passed on never looks younger than it is. It is dated
 //! from when the question was sent, less the age given in the answer, on the
 //! clock of the box that asks.
@@ -17,3 +20,4 @@
 pub mod link;
 pub mod message;
 pub mod registry;
+pub mod seed;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -59,6 +59,8 @@
     store: Rc<Client>,
     members: RefCell<Vec<Member>>,
     listed: Cell<bool>,
+    /// Whether a call failed before the boxes were listed.
+    failed: Cell<bool>,
     /// Notified when the list changed.
     pub changed: Notice,
 }
@@ -71,6 +73,7 @@
             me,
             store,
             listed: Cell::new(false),
+            failed: Cell::new(false),
             changed: Notice::default(),
         })
     }
@@ -80,6 +83,11 @@
         self.listed.get()
     }
 
+    /// Whether the store failed before the boxes were listed.
+    pub fn has_failed(&self) -> bool {
+        self.failed.get()
+    }
+
     /// Boxes of this hall that come before this one, the first one first.
     pub fn before_me(&self) -> Vec<Member> {
         let members = self.members.borrow();
@@ -126,7 +134,7 @@
             match self.list(relay, true).await {
                 Ok(Some(lease)) => return lease,
                 Ok(None) => {}
-                Err(failure) => note(&failure, "list"),
+                Err(failure) => self.start_failed(&failure, "list"),
             }
             match self.register().await {
                 Ok(lease) => {
@@ -136,12 +144,17 @@
                     }
                     return lease;
                 }
-                Err(failure) => note(&failure, "register"),
+                Err(failure) => self.start_failed(&failure, "register"),
             }
             Timer::after(PAUSE.mul_f64(0.5 + fastrand::f64())).await;
         }
     }
 
+    fn start_failed(&self, failure: &Failure, call: &str) {
+        self.failed.set(true);
+        note(failure, call);
+    }
+
     fn key(&self) -> String {
         format!("{PREFIX}{}", self.me.name)
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,7 +16,7 @@
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{ask, hub};
+use crate::peer::{ask, hub, seed};
 use crate::ready;
 use crate::relay::{Bounds, Relay};
 use crate::settings::{self, Settings};
@@ -176,10 +176,22 @@
     executor
         .spawn(hub::serve(listener, follower.clone(), executor.clone()))
         .detach();
+    let seeds = seeds(settings, ports.first);
+    executor
+        .spawn(seed::run(follower.clone(), registry.clone(), seeds))
+        .detach();
     executor.spawn(ask::run(follower, registry)).detach();
     Ok(())
 }
 
+/// Where the boxes that the settings name are asked: each listens there on the
+/// port that this one listens on.
+fn seeds(settings: &Settings, port: u16) -> Vec<SocketAddr> {
+    let ips = settings.seeds.iter().map(SocketAddr::ip);
+    let others = ips.filter(|ip| *ip != settings.callers.ip());
+    others.map(|ip| SocketAddr::new(ip, port)).collect()
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     let bounds = &settings.bounds;
     let revoke = bounds.revoke_within.duration();
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -2,7 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::path::PathBuf;
 use std::process::{Child, Command};
 use std::rc::Rc;
@@ -43,6 +43,8 @@
 const PEER_PORT: u16 = 20_701;
 /// Where a box that is a process listens for clients.
 const FRONT_PORT: u16 = 20_702;
+/// The port that settings name for other boxes; nobody listens there.
+const SEED_PORT: u16 = 20_703;
 /// Where boxes are registered in the store.
 pub(crate) const BOXES: &str = "tidepier/boxes/";
 
@@ -236,11 +238,26 @@
         name: &str,
         hall: &str,
         link: u32,
+    ) -> Result<Self> {
+        Self::seeded(executor, site, name, hall, link, &[]).await
+    }
+
+    /// The same with boxes named in its settings, at ports that nobody listens
+    /// at.
+    pub(crate) async fn seeded(
+        executor: &Executor,
+        site: &Site,
+        name: &str,
+        hall: &str,
+        link: u32,
+        seeds: &[IpAddr],
     ) -> Result<Self> {
         let peer = address();
         let store = Way::open(executor, site.store.address()).await?;
         let mut told = settings(site, name, hall, link, peer);
         told["store"]["address"] = store.address().to_string().into();
+        let seeds = seeds.iter().map(|ip| SocketAddr::new(*ip, SEED_PORT));
+        told["seeds"] = seeds.map(|seed| seed.to_string()).collect();
         let settings: Settings = serde_json::from_value(told)?;
         settings.check()?;
         let own = Rc::new(LocalExecutor::new());
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -14,6 +14,7 @@
 mod peers;
 mod places;
 mod raw;
+mod seeds;
 mod sendings;
 mod stop;
 mod streams;
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -508,6 +508,7 @@
         version: VERSION,
         number: ask.number,
         age_ms: Some(0),
+        known_ms: Some(0),
         revision,
         document_bytes: None,
         servers: Servers::Changes(Vec::new()),
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -89,6 +89,7 @@
         version: VERSION,
         number: 1,
         age_ms: Some(age_ms),
+        known_ms: Some(age_ms),
         revision,
         document_bytes: None,
         servers,
@@ -240,6 +241,7 @@
     let all = Servers::All(vec![row("i-1", 3)?], 3);
     let answer = Answer {
         age_ms: None,
+        known_ms: None,
         ..told(0, 4, all)
     };
     ensure!(
