--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_lite::future::yield_now;
 use futures_lite::FutureExt;
 use smol::{LocalExecutor, Timer};
 use tidepier_core::catalog::Limits;
@@ -22,6 +23,9 @@
 /// Bytes that a client may send ahead of its answer before its leaving is no
 /// longer watched for.
 const AHEAD_BYTES: usize = 64 << 10;
+/// Longest time for a body whose client and route set no time: such a request
+/// is refused whenever it is whole, so that nothing is lost by the limit.
+const BODY_TIME: Duration = Duration::from_secs(60);
 /// Pause after a connection could not be accepted, as when descriptors run out.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time in which a refused client's unread bytes are taken, so that closing
@@ -36,7 +40,10 @@
     };
     let mut closing = std::pin::pin!(closing);
     loop {
-        let accepted = async { Some(listener.accept(UNACKED_TIME).await) };
+        let accepted = async {
+            room(&relay).await;
+            Some(listener.accept(UNACKED_TIME).await)
+        };
         match accepted.or(closing.as_mut()).await {
             None => return,
             Some(Ok(conn)) => {
@@ -44,6 +51,8 @@
                 executor
                     .spawn(async move { serve(&relay, conn).await })
                     .detach();
+                // Lets the client be counted before the next one is taken.
+                yield_now().await;
             }
             Some(Err(error)) => {
                 log::warn!(target: "process", "event=accept_failed why=\"{error}\"");
@@ -53,6 +62,20 @@
     }
 }
 
+/// Waits until another client may be taken. Those beyond the bound stay in the
+/// system's queue, from which the platform or they themselves go elsewhere, and
+/// answers close connections meanwhile.
+async fn room(relay: &Relay) {
+    if !relay.is_full() {
+        return;
+    }
+    log::warn!(target: "process", "event=clients_full most={}", relay.clients_max());
+    while relay.is_full() {
+        Timer::after(ACCEPT_PAUSE).await;
+    }
+    log::info!(target: "process", "event=clients_taken open={}", relay.stop.connections());
+}
+
 async fn serve(relay: &Relay, mut conn: Conn) {
     let _open = relay.stop.connection();
     let writer = conn.writer();
@@ -71,7 +94,8 @@
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
-    let (body, has_body) = match body(conn, writer, &head, &limits).await {
+    let until = || exchange::deadline(relay, &head, at).unwrap_or(at + BODY_TIME);
+    let (body, has_body) = match body(conn, writer, &head, &limits, until).await {
         Ok(read) => read,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
@@ -153,11 +177,14 @@
 }
 
 /// Reads a request's body; also returns whether the head announced one.
+/// `until` is when its client has no more use for an answer; it is asked for
+/// only if the body did not come with the head.
 async fn body(
     conn: &mut Conn,
     writer: &Writer,
     head: &Head,
     limits: &Limits,
+    until: impl Fn() -> Instant,
 ) -> Result<(Vec<u8>, bool), Unread> {
     let framing = Framing::of_request(head).map_err(|error| {
         log::info!(target: "request", "event=malformed why=\"{error}\"");
@@ -178,8 +205,14 @@
     }
     let mut bytes = Vec::with_capacity(capacity);
     let mut body = Body::new(framing);
+    let mut end = None;
     loop {
-        match timeout::within(limits.idle_time, body.read(conn, &mut bytes)).await {
+        let mut limit = limits.idle_time;
+        if conn.pending().is_empty() && !body.is_done() {
+            let end = *end.get_or_insert_with(&until);
+            limit = limit.min(end.saturating_duration_since(Instant::now()));
+        }
+        match timeout::within(limit, body.read(conn, &mut bytes)).await {
             Some(Ok(true)) if bytes.len() > limits.body_bytes => return Err(too_large()),
             Some(Ok(true)) => {}
             Some(Ok(false)) => return Ok((bytes, framing != Framing::Empty)),
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -23,6 +23,8 @@
 use tidepier_ids as ids;
 use tidepier_platform::{answer, refusal as wire_refusal};
 
+pub use admit::deadline;
+
 use crate::attempt::Reply;
 use crate::refusal;
 use crate::relay::Relay;
@@ -122,6 +124,8 @@
     sent: u32,
     /// Connections that failed.
     connects: u32,
+    /// Whether the next sending is taken out of the budget already.
+    paid: bool,
     /// Whether a server may have run it.
     may_have_run: bool,
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -1,5 +1,6 @@
 //! Starting a router, stopping it, and taking over changed settings.
 
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -15,7 +16,7 @@
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{ask, hub};
+use crate::peer::{ask, hub, seed};
 use crate::ready;
 use crate::relay::{Bounds, Relay};
 use crate::settings::{self, Settings};
@@ -44,7 +45,7 @@
         loop {
             match changes.next().await {
                 Change::Stop => break,
-                Change::Reload => reload(&router.relay, &changes),
+                Change::Reload => reload(&router, &changes),
             }
         }
         router.stop().await;
@@ -60,7 +61,8 @@
     callers: SocketAddr,
     readiness: Option<SocketAddr>,
     metrics: Option<SocketAddr>,
-    stop_within: Duration,
+    /// Time from the request to stop until the process is killed.
+    stop_within: Cell<Duration>,
 }
 
 impl Router {
@@ -76,13 +78,14 @@
             bounds(settings),
             Budget::new(terms(settings)),
         ));
+        relay.set_descriptors(settings.limits.descriptors);
         let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
         let mut router = Self {
             relay: relay.clone(),
             callers: callers.address()?,
             readiness: None,
             metrics: None,
-            stop_within: settings.bounds.stop_within.duration(),
+            stop_within: Cell::new(settings.bounds.stop_within.duration()),
         };
         executor
             .spawn(callers::accept(relay.clone(), callers, executor.clone()))
@@ -132,9 +135,17 @@
         &self.relay
     }
 
+    /// Takes over what can change while running.
+    fn take_over(&self, settings: &Settings) {
+        self.relay.set_bounds(bounds(settings));
+        self.relay.set_descriptors(settings.limits.descriptors);
+        self.relay.budget.set_terms(terms(settings));
+        self.stop_within.set(settings.bounds.stop_within.duration());
+    }
+
     /// Begins the planned stop; ends when it is over.
     pub async fn stop(&self) {
-        stop(&self.relay, self.stop_within).await;
+        stop(&self.relay, self.stop_within.get()).await;
     }
 }
 
@@ -167,10 +178,22 @@
     executor
         .spawn(hub::serve(listener, follower.clone(), executor.clone()))
         .detach();
+    let seeds = seeds(settings, ports.first);
+    executor
+        .spawn(seed::run(follower.clone(), registry.clone(), seeds))
+        .detach();
     executor.spawn(ask::run(follower, registry)).detach();
     Ok(())
 }
 
+/// Where the boxes that the settings name are asked: each listens there on the
+/// port that this one listens on.
+fn seeds(settings: &Settings, port: u16) -> Vec<SocketAddr> {
+    let ips = settings.seeds.iter().map(SocketAddr::ip);
+    let others = ips.filter(|ip| *ip != settings.callers.ip());
+    others.map(|ip| SocketAddr::new(ip, port)).collect()
+}
+
 fn bounds(settings: &Settings) -> Bounds {
     let bounds = &settings.bounds;
     let revoke = bounds.revoke_within.duration();
@@ -219,11 +242,10 @@
 }
 
 /// Reads the settings again and takes over what can change while running.
-fn reload(relay: &Relay, changes: &Changes) {
+fn reload(router: &Router, changes: &Changes) {
     match settings::read(changes.file()) {
         Ok(settings) => {
-            relay.set_bounds(bounds(&settings));
-            relay.budget.set_terms(terms(&settings));
+            router.take_over(&settings);
             log::info!(target: "process", "event=reloaded file={}", changes.file().display());
         }
         Err(error) => {
