The processes share how settings are read, checked and failed on

They are crates/process now. Exit codes stay as they were (relay 1, the others 70 for a run that failed); the relay still watches its file from before it reads it.

--- a/crates/relay/src/bin/tidepier-relay.rs
+++ b/crates/relay/src/bin/tidepier-relay.rs
@@ -1,6 +1,7 @@
 //! The router process of an entry box.
 
-use std::path::PathBuf;
+use std::io;
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 
 use clap::Parser;
@@ -8,9 +9,6 @@
 use tidepier_relay::settings::{self, Settings};
 use tidepier_relay::signal::Changes;
 
-/// Exit code for settings that cannot be used.
-const EXIT_SETTINGS: u8 = 2;
-
 /// Routes clients' requests to the servers of the fleet.
 #[derive(Parser)]
 #[command(version)]
@@ -18,49 +16,28 @@
     /// JSON settings file.
     #[arg(long, env = "TIDEPIER_BOOT")]
     settings: PathBuf,
-    /// Checks the settings and exits.
-    #[arg(long)]
-    check: bool,
-    /// What is logged.
-    #[arg(long, env = "TIDEPIER_LOG", default_value = "info")]
-    log: LevelFilter,
+    #[command(flatten)]
+    common: tidepier_process::Arguments,
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    if arguments.check {
-        return check(&arguments);
-    }
-    match run(&arguments) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            match error.downcast_ref::<settings::Error>() {
-                Some(_) => ExitCode::from(EXIT_SETTINGS),
-                None => ExitCode::FAILURE,
-            }
-        }
-    }
+    arguments.common.main(
+        || read(&arguments.settings),
+        |(settings, changes), level| run(settings, changes?, level).map(|()| ExitCode::SUCCESS),
+        ExitCode::FAILURE,
+    )
 }
 
-fn check(arguments: &Arguments) -> ExitCode {
-    match settings::read(&arguments.settings) {
-        Ok(_) => {
-            println!("settings are valid");
-            ExitCode::SUCCESS
-        }
-        Err(error) => {
-            eprintln!("{error}");
-            ExitCode::from(EXIT_SETTINGS)
-        }
-    }
+/// Watches the settings from before they are read, so that no later change is
+/// missed.
+fn read(file: &Path) -> Result<(Settings, io::Result<Changes>), settings::Error> {
+    let changes = Changes::watch(file);
+    Ok((settings::read(file)?, changes))
 }
 
-fn run(arguments: &Arguments) -> eyre::Result<()> {
-    // Before the settings are read, so that no later change is missed.
-    let changes = Changes::watch(&arguments.settings)?;
-    let settings = settings::read(&arguments.settings)?;
-    let queue = tidepier_relay::log::init(arguments.log)?;
+fn run(settings: Settings, changes: Changes, level: LevelFilter) -> eyre::Result<()> {
+    let queue = tidepier_relay::log::init(level)?;
     log_start(&settings);
     let outcome = smol::block_on(tidepier_relay::run(settings, changes));
     match &outcome {
--- a/crates/router/src/bin/tidepier-router.rs
+++ b/crates/router/src/bin/tidepier-router.rs
@@ -38,12 +38,8 @@
     /// Overrides where operators connect.
     #[arg(long, env = "TIDEPIER_ADMIN")]
     admin: Option<Address>,
-    /// Checks the settings and exits.
-    #[arg(long)]
-    check: bool,
-    /// What is logged.
-    #[arg(long, env = "TIDEPIER_LOG", default_value = "info")]
-    log: LevelFilter,
+    #[command(flatten)]
+    common: tidepier_process::Arguments,
 }
 
 impl Arguments {
@@ -64,25 +60,16 @@
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let settings = match arguments.settings() {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(Kind::Invalid.answer().exit);
-        }
-    };
-    if arguments.check {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings, arguments.log) {
-        Ok(0) => ExitCode::SUCCESS,
-        Ok(_) => ExitCode::from(Kind::Deadline.answer().exit),
-        Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::from(Kind::Internal.answer().exit)
-        }
-    }
+    arguments.common.main(
+        || arguments.settings(),
+        |settings, level| {
+            Ok(match run(settings, level)? {
+                0 => ExitCode::SUCCESS,
+                _ => ExitCode::from(Kind::Deadline.answer().exit),
+            })
+        },
+        ExitCode::from(Kind::Internal.answer().exit),
+    )
 }
 
 /// Runs until a signal; returns how many requests were cut off by the stop.
--- a/crates/steward/src/bin/tidepier-steward.rs
+++ b/crates/steward/src/bin/tidepier-steward.rs
@@ -17,34 +17,17 @@
     /// JSON settings file; the same as the router's.
     #[arg(long, env = "TIDEPIER_SETTINGS")]
     settings: PathBuf,
-    /// Checks the settings and exits.
-    #[arg(long)]
-    check: bool,
-    /// What is logged.
-    #[arg(long, env = "TIDEPIER_LOG", default_value = "info")]
-    log: LevelFilter,
+    #[command(flatten)]
+    common: tidepier_process::Arguments,
 }
 
 fn main() -> ExitCode {
     let arguments = Arguments::parse();
-    let settings = match check::read(&arguments.settings) {
-        Ok(settings) => settings,
-        Err(error) => {
-            eprintln!("{error}");
-            return ExitCode::from(Kind::Invalid.answer().exit);
-        }
-    };
-    if arguments.check {
-        println!("settings are valid");
-        return ExitCode::SUCCESS;
-    }
-    match run(settings, arguments.log) {
-        Ok(()) => ExitCode::SUCCESS,
-        Err(error) => {
-            eprintln!("{error:#}");
-            ExitCode::from(Kind::Internal.answer().exit)
-        }
-    }
+    arguments.common.main(
+        || check::read(&arguments.settings),
+        |settings, level| run(settings, level).map(|()| ExitCode::SUCCESS),
+        ExitCode::from(Kind::Internal.answer().exit),
+    )
 }
 
 fn run(settings: Settings, level: LevelFilter) -> eyre::Result<()> {
