One method of a body reads its rest up to a bound

Four places had a loop of their own around Body::read: skipped answers, answers read whole, answers whose connection is kept, and calls. Body::rest serves all, and holds nothing of what nobody wants. The bounds and what follows when they are passed are unchanged; what is skipped is no longer gathered before it is dropped.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -92,6 +92,26 @@
     Done,
 }
 
+/// Why a body was not read to its end.
+#[derive(Debug, thiserror::Error)]
+pub enum Unread {
+    /// It broke off or its chunks are malformed.
+    #[error(transparent)]
+    Broken(io::Error),
+    /// It is over so many bytes.
+    #[error("the body is over {0} bytes")]
+    TooLong(usize),
+}
+
+impl From<Unread> for io::Error {
+    fn from(unread: Unread) -> Self {
+        match unread {
+            Unread::Broken(error) => error,
+            Unread::TooLong(_) => io::Error::other(unread.to_string()),
+        }
+    }
+}
+
 /// A body that is being read.
 #[derive(Debug)]
 pub struct Body {
@@ -142,6 +162,34 @@
         }
     }
 
+    /// Reads what is left of the body, which may be `most` bytes, and appends it
+    /// to `out`; drops it where there is no `out`.
+    ///
+    /// # Errors
+    ///
+    /// See [`Unread`].
+    pub async fn rest(
+        &mut self,
+        conn: &mut Conn,
+        mut out: Option<&mut Vec<u8>>,
+        most: usize,
+    ) -> Result<(), Unread> {
+        let mut scrap = Vec::new();
+        let mut length = 0;
+        loop {
+            scrap.clear();
+            let to = out.as_deref_mut().unwrap_or(&mut scrap);
+            let before = to.len();
+            if !self.read(conn, to).await.map_err(Unread::Broken)? {
+                return Ok(());
+            }
+            length += to.len() - before;
+            if length > most {
+                return Err(Unread::TooLong(most));
+            }
+        }
+    }
+
     /// Takes what is pending; whether body bytes were among it.
     fn take(&mut self, conn: &mut Conn, out: &mut Vec<u8>) -> io::Result<bool> {
         let before = out.len();
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -15,7 +15,7 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 
-use crate::body::{Body, Framing};
+use crate::body::{Body, Framing, Unread};
 use crate::conn::Conn;
 use crate::head::{Head, Malformed};
 use crate::write;
@@ -200,19 +200,13 @@
             bytes.reserve_exact(length.min(RESERVE_BYTES) as usize);
         }
         let mut body = Body::new(framing);
-        loop {
-            if bytes.len() > self.limits.body_bytes {
-                let why = format!("the body is over {} bytes", self.limits.body_bytes);
-                return Err(Failure::Malformed(why));
-            }
-            match body.read(conn, &mut bytes).await {
-                Ok(true) => {}
-                Ok(false) => return Ok(bytes),
-                Err(error) if error.kind() == io::ErrorKind::InvalidData => {
-                    return Err(Failure::Malformed(error.to_string()))
-                }
-                Err(error) => return Err(Failure::NoAnswer(error)),
+        let read = body.rest(conn, Some(&mut bytes), self.limits.body_bytes);
+        match read.await {
+            Ok(()) => Ok(bytes),
+            Err(Unread::Broken(error)) if error.kind() != io::ErrorKind::InvalidData => {
+                Err(Failure::NoAnswer(error))
             }
+            Err(error) => Err(Failure::Malformed(error.to_string())),
         }
     }
 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -20,7 +20,7 @@
 pub mod target;
 pub mod write;
 
-pub use body::{Body, Framing};
+pub use body::{Body, Framing, Unread};
 pub use call::Caller;
 pub use conn::{Conn, Listener, Writer};
 pub use head::{Field, Head, Malformed, Start};
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -14,7 +14,7 @@
 
 use futures_lite::{future, FutureExt};
 use tidepier_core::answer::Answer;
-use tidepier_h1::{Body, Conn, Framing, Head, Malformed};
+use tidepier_h1::{Body, Conn, Framing, Head, Malformed, Unread};
 use tidepier_platform::answer;
 
 use crate::fleet::{Backend, Running};
@@ -242,16 +242,9 @@
     if framing == Framing::UntilClose {
         return Err(unknown(Cause::Foreign));
     }
-    let mut body = Body::new(framing);
-    let mut scrap = Vec::new();
-    while body
-        .read(conn, &mut scrap)
-        .await
-        .map_err(|error| unknown(Cause::Broken(error)))?
-    {
-        if scrap.len() > SURPLUS_BYTES {
-            return Err(unknown(Cause::Foreign));
-        }
-    }
-    Ok(())
+    let rest = Body::new(framing).rest(conn, None, SURPLUS_BYTES).await;
+    rest.map_err(|error| match error {
+        Unread::Broken(error) => unknown(Cause::Broken(error)),
+        Unread::TooLong(_) => unknown(Cause::Foreign),
+    })
 }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -11,7 +11,6 @@
 mod series;
 mod whole;
 
-use std::io;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -45,13 +44,8 @@
 /// connection can be kept.
 pub(crate) async fn keep_after(backend: &Rc<Backend>, mut reply: Reply, deadline: Instant) {
     let limit = deadline.min(Instant::now() + SCRAP_TIME);
-    let mut scrap = Vec::new();
-    let read = async {
-        while reply.body.read(&mut reply.conn, &mut scrap).await? {
-            scrap.clear();
-        }
-        Ok::<(), io::Error>(())
-    };
+    // Bounded by its time, and nothing of it is held.
+    let read = reply.body.rest(&mut reply.conn, None, usize::MAX);
     let read = timeout::until(limit, read).await;
     if matches!(read, Some(Ok(()))) && reply.reusable {
         backend.keep(reply.conn, reply.answer.keep_alive);
--- a/crates/relay/src/stream/whole.rs
+++ b/crates/relay/src/stream/whole.rs
@@ -1,6 +1,5 @@
 //! An answer that is read whole before it is passed on.
 
-use std::io;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -61,23 +60,12 @@
     body: &mut Vec<u8>,
     deadline: Instant,
 ) -> Result<(), Failure> {
-    let broken = |error| Failure {
-        ran: Ran::Unknown,
-        cause: Cause::Broken(error),
-    };
     let read = async {
-        while reply
-            .body
-            .read(&mut reply.conn, body)
-            .await
-            .map_err(broken)?
-        {
-            if body.len() > WHOLE_BYTES {
-                let error = io::Error::other("the answer is too large");
-                return Err(broken(error));
-            }
-        }
-        Ok(())
+        let rest = reply.body.rest(&mut reply.conn, Some(body), WHOLE_BYTES);
+        rest.await.map_err(|error| Failure {
+            ran: Ran::Unknown,
+            cause: Cause::Broken(error.into()),
+        })
     };
     let late = || {
         Err(Failure {
