--- a/crates/relay/tests/relay/beliefs.rs
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -14,7 +14,8 @@
 use tidepier_relay_standin::store::Down;
 
 use crate::house::{
-    ms, post, promised, run, site, until, usual, whole, Executor, House, Result, SERVICE,
+    ms, pair, post, promised, run, single, site, until, usual, whole, Executor, House, Result,
+    SERVICE,
 };
 
 /// Promised time for a change of the catalog.
@@ -65,9 +66,7 @@
 #[test]
 fn the_version_never_falls() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (server, house) = single(executor).await?;
         let older = config(&house.site)?;
         let version = house
             .site
@@ -98,9 +97,7 @@
 #[test]
 fn an_invalid_configuration_changes_nothing() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (server, house) = single(executor).await?;
         house
             .site
             .store
@@ -118,9 +115,7 @@
 #[test]
 fn a_change_is_in_force_in_time_though_watches_are_cut() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let _server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (_server, house) = single(executor).await?;
         for number in 0..3 {
             house.site.store.cut_watches();
             let since = Instant::now();
@@ -144,9 +139,7 @@
 #[test]
 fn a_change_is_in_force_in_time_though_watches_learn_nothing() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let _server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (_server, house) = single(executor).await?;
         house.site.store.deaf(Duration::from_secs(20));
         let since = Instant::now();
         house
@@ -159,9 +152,7 @@
 #[test]
 fn a_change_is_in_force_though_answers_are_lost() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (server, house) = single(executor).await?;
         house.site.store.faults(|faults| faults.lost = u32::MAX);
         let since = Instant::now();
         house
@@ -186,9 +177,7 @@
 #[test]
 fn calls_refused_for_their_number_harm_no_request() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (server, house) = single(executor).await?;
         house.site.store.faults(|faults| faults.refuse = true);
         house.site.store.cut_watches();
         let before: u64 = house.site.store.all_calls().values().sum();
@@ -223,19 +212,14 @@
 #[test]
 fn a_server_that_leaves_in_a_forgotten_history_is_dropped() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let gone = site.server(usual(1))?;
-        let stays = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (gone, stays, house) = pair(executor).await?;
         house.site.store.deaf(ms(300));
         house.site.withdraw(&gone);
         let comes = house.site.server(usual(3))?;
         house.site.store.compact();
         let since = Instant::now();
         until("dropped", async || {
-            let ids = house.router.relay().fleet.ids();
-            let has = |server: &Server| ids.iter().any(|id| id.as_str() == server.settings().id);
-            Ok(!has(&gone) && has(&comes))
+            Ok(!house.knows(&gone) && house.knows(&comes))
         })
         .await?;
         ensure!(since.elapsed() < ms(2_000), "{:?}", since.elapsed());
@@ -253,9 +237,7 @@
 #[test]
 fn the_catalog_of_a_forgotten_history_is_read_again() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let _server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (_server, house) = single(executor).await?;
         house.site.store.deaf(ms(200));
         let since = Instant::now();
         house
@@ -346,11 +328,7 @@
         Timer::at(back + PAUSE_MAX + ms(2_500)).await;
         house.site.withdraw(&gone);
         let left = Instant::now();
-        until("dropped", async || {
-            let ids = house.router.relay().fleet.ids();
-            Ok(!ids.iter().any(|id| id.as_str() == gone.settings().id))
-        })
-        .await?;
+        until("dropped", async || Ok(!house.knows(&gone))).await?;
         ensure!(left.elapsed() < ms(1_200), "{:?}", left.elapsed());
         let before = gone.runs().len();
         whole(&house.post("/r/x", "after").await?, &[&stays], "after")?;
@@ -368,11 +346,7 @@
         let (house, back) = outage(executor, site, &[]).await?;
         Timer::at(back + ms(1_500)).await;
         house.site.withdraw(&gone);
-        until("dropped", async || {
-            let ids = house.router.relay().fleet.ids();
-            Ok(!ids.iter().any(|id| id.as_str() == gone.settings().id))
-        })
-        .await?;
+        until("dropped", async || Ok(!house.knows(&gone))).await?;
         let most = LAPSE_TIME + PAUSE_MAX + ms(800);
         ensure!(back.elapsed() < most, "{:?}", back.elapsed());
         whole(&house.post("/r/x", "after").await?, &[&stays], "after")
@@ -382,9 +356,7 @@
 #[test]
 fn requests_are_served_while_the_store_is_silent() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (server, house) = single(executor).await?;
         house
             .site
             .store
--- /dev/null
+++ b/crates/relay/tests/relay/desk.rs
@@ -0,0 +1,157 @@
+//! What one box knows of a fleet that exists in its memory alone, and what it
+//! decides from that.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eyre::eyre;
+use tidepier_core::request::{Part, Prompt};
+use tidepier_core::server::{Server, State};
+use tidepier_ids as ids;
+use tidepier_relay::choose::{self, Ask, Choice};
+use tidepier_relay::fleet::{Backend, Fleet, Running};
+use tidepier_relay::places::{Memory, Places};
+
+use crate::house::{Result, SERVICE};
+
+/// Tokens of a subject that is kept once for all halls.
+pub(crate) const LARGE: u32 = 3_000;
+
+/// Tokens of a subject that is kept in each hall.
+pub(crate) const SMALL: u32 = 900;
+
+/// Connections that a box may open to one server.
+pub(crate) const CONNECTIONS: u32 = 1_000;
+
+pub(crate) fn id<T: std::str::FromStr>(text: &str) -> Result<T> {
+    text.parse().map_err(|_| eyre!("no id: {text}"))
+}
+
+pub(crate) fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 1_000 + number))
+}
+
+/// Server `number`; two halls by turns.
+pub(crate) fn server(number: u16, state: State) -> Result<Server> {
+    Ok(Server {
+        id: id(&format!("i-{number}"))?,
+        service: id(SERVICE)?,
+        address: address(number),
+        hall: id(&format!("hall-{}", number % 2 + 1))?,
+        slots: 16,
+        state,
+        cold: Duration::ZERO,
+    })
+}
+
+/// One box with what it knows.
+pub(crate) struct Desk {
+    pub(crate) fleet: Fleet,
+    pub(crate) memory: Memory,
+    pub(crate) hall: ids::Hall,
+    pub(crate) service: ids::Service,
+}
+
+impl Desk {
+    /// A box in a hall that heard of these servers in this order.
+    pub(crate) fn new(hall: &str, numbers: impl IntoIterator<Item = u16>) -> Result<Self> {
+        let desk = Self {
+            fleet: Fleet::default(),
+            memory: Memory::default(),
+            hall: id(hall)?,
+            service: id(SERVICE)?,
+        };
+        for number in numbers {
+            desk.fleet.announce(server(number, State::Ready)?);
+        }
+        Ok(desk)
+    }
+
+    pub(crate) fn places<'a>(&self, prompt: &'a Prompt) -> Places<'a> {
+        let now = Instant::now();
+        Places::new(
+            &self.fleet,
+            &self.service,
+            prompt,
+            &self.hall,
+            &self.memory,
+            now,
+        )
+    }
+
+    /// The server that comes first for a prompt.
+    pub(crate) fn first(&self, prompt: &Prompt) -> Result<ids::Server> {
+        self.ranked(prompt, 0)
+    }
+
+    pub(crate) fn ranked(&self, prompt: &Prompt, rank: usize) -> Result<ids::Server> {
+        let places = self.places(prompt);
+        let mut ids = self.fleet.ids().into_iter();
+        let found = ids.find(|id| places.rank(id) == Some(rank));
+        found.ok_or_else(|| eyre!("no server of rank {rank}"))
+    }
+
+    pub(crate) fn backend(&self, id: &ids::Server) -> Result<Rc<Backend>> {
+        self.fleet.get(id).ok_or_else(|| eyre!("no server {id}"))
+    }
+
+    pub(crate) fn drain(&self, id: &ids::Server) -> Result {
+        let backend = self.backend(id)?;
+        let state = State::Draining;
+        self.fleet.announce(Server {
+            state,
+            ..backend.server.clone()
+        });
+        Ok(())
+    }
+
+    pub(crate) fn choose(&self, prompt: Option<&Prompt>, tried: &[ids::Server]) -> Result<Choice> {
+        let ask = Ask {
+            prompt,
+            copy_ms: Some(0.004),
+            tried,
+            hall: &self.hall,
+            connections: CONNECTIONS,
+        };
+        let chosen = choose::choose(
+            &self.fleet,
+            &self.service,
+            &ask,
+            &self.memory,
+            Instant::now(),
+        );
+        chosen.ok_or_else(|| eyre!("no server chosen"))
+    }
+
+    /// Chooses a server and remembers that it got the prompt.
+    pub(crate) fn send(&self, prompt: &Prompt) -> Result<Rc<Backend>> {
+        let chosen = self.choose(Some(prompt), &[])?.backend;
+        self.memory.sent(prompt, &chosen.server.id, Instant::now());
+        Ok(chosen)
+    }
+
+    /// Lets a server have so many requests of this box.
+    pub(crate) fn load(&self, id: &ids::Server, count: usize) -> Result<Vec<Running>> {
+        let backend = self.backend(id)?;
+        Ok((0..count).map(|_| backend.run(0)).collect())
+    }
+}
+
+/// A prompt about a subject, with a question of its own.
+pub(crate) fn prompt(subject: u64, tokens: u32) -> Prompt {
+    let own = Part {
+        id: 1_000_000 + subject,
+        tokens: 80,
+    };
+    let shared = Part {
+        id: subject,
+        tokens,
+    };
+    Prompt {
+        input: tokens + own.tokens,
+        output: 100,
+        hint: None,
+        parts: vec![shared, own],
+    }
+}
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -1,10 +1,7 @@
 //! Several boxes at one store, and what a test may do to each of them.
 
 use std::cell::{Cell, RefCell};
-use std::fs;
 use std::net::{Ipv4Addr, SocketAddr};
-use std::path::PathBuf;
-use std::process::{Child, Command};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::time::{Duration, Instant};
@@ -17,6 +14,7 @@
 use smol::{LocalExecutor, Task, Timer};
 use tidepier_core::catalog::Kind;
 use tidepier_relay::notice::Notice;
+use tidepier_relay::peer::registry::Member;
 use tidepier_relay::settings::Settings;
 use tidepier_relay::Router;
 use tidepier_relay_standin::client::{Answer, Call};
@@ -25,6 +23,7 @@
 use tidepier_relay_standin::Client;
 
 use crate::house::{self, ms, post, until, Executor, Result, SERVICE};
+use crate::process;
 
 /// The bound on keys in these tests: as short as lets a box notice a lost
 /// reader and take over, on a machine that has other work.
@@ -189,6 +188,19 @@
     Ok(site)
 }
 
+/// Registers a box at an address of a test's choice, before all others.
+pub(crate) fn register(site: &Site, name: &str, hall: &str, address: SocketAddr) -> Result<Member> {
+    let member = Member {
+        name: name.parse()?,
+        hall: hall.parse()?,
+        address,
+        link_mbps: 9_000,
+    };
+    let entry = serde_json::to_value(&member)?;
+    site.store.put(&format!("{BOXES}{name}"), &entry);
+    Ok(member)
+}
+
 /// The settings of a box that talks to others.
 pub(crate) fn settings(site: &Site, name: &str, hall: &str, link: u32, peer: SocketAddr) -> Value {
     let mut told = house::settings(site);
@@ -287,8 +299,7 @@
 
     /// Whether it knows a server, be it one that leaves.
     pub(crate) fn knows(&self, server: &Server) -> bool {
-        let ids = self.router.relay().fleet.ids();
-        ids.iter().any(|id| id.as_str() == server.settings().id)
+        house::knows(&self.router, server)
     }
 
     /// Whether it sends requests to a server.
@@ -366,47 +377,23 @@
 }
 
 /// A box that is a process of its own.
-pub(crate) struct Process {
-    child: Child,
-    file: PathBuf,
-    front: SocketAddr,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have been ended before.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.file);
-    }
-}
+pub(crate) struct Process(process::Process);
 
 impl Process {
     pub(crate) fn start(mut settings: Value, peer: SocketAddr) -> Result<Self> {
-        let front = SocketAddr::new(peer.ip(), FRONT_PORT);
-        settings["callers"] = front.to_string().into();
+        settings["callers"] = SocketAddr::new(peer.ip(), FRONT_PORT).to_string().into();
         settings["readiness"] = Value::Null;
-        let file = format!("relay-{}.json", peer.ip());
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
-        fs::write(&file, settings.to_string())?;
-        let child = Command::new(env!("CARGO_BIN_EXE_tidepier-relay"))
-            .args(["--log", "error", "--settings"])
-            .arg(&file)
-            .spawn()?;
-        Ok(Self { child, file, front })
+        let name = peer.ip().to_string();
+        Ok(Self(process::Process::start(&name, "error", &settings)?))
     }
 
     /// Ends it at once, without a chance to do anything about that.
     pub(crate) fn kill(&mut self) -> Result {
-        self.child.kill()?;
-        let status = self.child.wait()?;
-        ensure!(!status.success(), "it ended by itself");
-        Ok(())
+        self.0.kill()
     }
 
     pub(crate) async fn serves(&self) -> bool {
         let call = with_key("stays", "process").leaving(ms(900));
-        let answer = Client::once(self.front, &call).await;
-        answer.is_ok_and(|answer| answer.status == 200)
+        self.0.call(&call).await == 200
     }
 }
--- a/crates/relay/tests/relay/house.rs
+++ b/crates/relay/tests/relay/house.rs
@@ -131,6 +131,11 @@
         self.router.callers()
     }
 
+    /// Whether it knows a server, be it one that leaves.
+    pub(crate) fn knows(&self, server: &Server) -> bool {
+        knows(&self.router, server)
+    }
+
     /// What its readiness address says.
     pub(crate) async fn is_ready(&self) -> bool {
         let Some(address) = self.router.readiness() else {
@@ -152,6 +157,30 @@
     }
 }
 
+/// A usual server and a router that is ready.
+pub(crate) async fn single(executor: Executor) -> Result<(Server, House)> {
+    let site = site()?;
+    let server = site.server(usual(1))?;
+    let house = House::open(executor, site).await?;
+    Ok((server, house))
+}
+
+/// A usual server in the hall of a router, another elsewhere, and the router,
+/// which is ready.
+pub(crate) async fn pair(executor: Executor) -> Result<(Server, Server, House)> {
+    let site = site()?;
+    let near = site.server(usual(1))?;
+    let far = site.server(usual(2))?;
+    let house = House::open(executor, site).await?;
+    Ok((near, far, house))
+}
+
+/// Whether a router knows a server, be it one that leaves.
+pub(crate) fn knows(router: &Router, server: &Server) -> bool {
+    let ids = router.relay().fleet.ids();
+    ids.iter().any(|id| id.as_str() == server.settings().id)
+}
+
 /// A usual call.
 pub(crate) fn post(target: &str, attempt: &str) -> Call {
     Call::new("POST", HOST, target, attempt).body(b"question")
--- /dev/null
+++ b/crates/relay/tests/relay/impostors.rs
@@ -0,0 +1,272 @@
+//! Readers of a hall that answer wrongly or not at all, and strangers on the port
+//! of boxes: no box believes them, and none is held up.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eyre::{bail, ensure, eyre};
+use futures_lite::FutureExt;
+use smol::{Task, Timer};
+use tidepier_core::catalog::Kind;
+use tidepier_core::server::{Server, State};
+use tidepier_h1::{Conn, Listener};
+use tidepier_relay::peer::link;
+use tidepier_relay::peer::message::{Answer, Ask, Position, Row, Servers, VERSION};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server as stand_in;
+use tidepier_relay_standin::site::{Route, Site};
+
+use crate::hall::{address, begun, keyed, readers, register, served, settled, started, PROOF_TIME};
+use crate::house::{ms, run, usual, Executor, Result, SERVICE};
+
+/// Time without data after which a connection of a test ends; never.
+const UNACKED: Duration = Duration::from_secs(30);
+
+/// What a false reader sends as its answer.
+enum Say {
+    /// An answer, and the configuration's entry that follows it.
+    Answer(Box<Answer>, Option<Vec<u8>>),
+    Bytes(Vec<u8>),
+    Nothing,
+}
+
+/// A false reader of `hall-1`; it ends when dropped.
+fn impostor(
+    executor: &Executor,
+    site: &Site,
+    answer: impl Fn(&Ask) -> Say + 'static,
+) -> Result<Task<()>> {
+    let peer = address();
+    let listener = Listener::bind(peer)?;
+    register(site, "box-8", "hall-1", peer)?;
+    let answer = Rc::new(answer);
+    let tasks = executor.clone();
+    Ok(executor.spawn(async move {
+        while let Ok(conn) = listener.accept(UNACKED).await {
+            let answer = answer.clone();
+            let talk = async move {
+                if let Err(error) = lie(conn, &*answer).await {
+                    log::debug!("an asker left: {error}");
+                }
+            };
+            tasks.spawn(talk).detach();
+        }
+    }))
+}
+
+async fn lie(mut conn: Conn, answer: &impl Fn(&Ask) -> Say) -> Result {
+    loop {
+        let ask: Ask = link::receive(&mut conn).await?;
+        match answer(&ask) {
+            Say::Answer(mut told, document) => {
+                told.document_bytes = document.as_ref().map(|bytes| bytes.len() as u32);
+                link::send(&conn, &*told).await?;
+                link::send_bytes(&conn, &document.unwrap_or_default()).await?;
+            }
+            Say::Bytes(bytes) => conn.writer().write_all(&bytes).await?,
+            Say::Nothing => {}
+        }
+    }
+}
+
+/// An answer that vouches for a configuration of this revision and no servers'
+/// changes.
+fn told(ask: &Ask, revision: u64) -> Answer {
+    Answer {
+        version: VERSION,
+        number: ask.number,
+        age_ms: Some(0),
+        revision,
+        document_bytes: None,
+        servers: Servers::Changes(Vec::new()),
+        position: Position {
+            life: 7,
+            changes: 0,
+        },
+        running: Vec::new(),
+    }
+}
+
+/// Boxes beside a false reader serve all the same.
+async fn serve_beside(executor: Executor, answer: impl Fn(&Ask) -> Say + 'static) -> Result {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let _impostor = impostor(&executor, &site, answer)?;
+    let machines = begun(&executor, &site, 2).await?;
+    served(&machines, &[&server], ms(1_500)).await?;
+    let found = readers(&machines, PROOF_TIME).await;
+    ensure!(found.contains(&0), "read by {found:?}");
+    Ok(())
+}
+
+#[test]
+fn a_reader_of_another_version_is_not_believed() -> Result {
+    run(async |executor| {
+        let other = |ask: &Ask| {
+            let version = VERSION + 1;
+            let told = told(ask, 1_000);
+            Say::Answer(Box::new(Answer { version, ..told }), Some(b"{}".to_vec()))
+        };
+        serve_beside(executor, other).await
+    })
+}
+
+#[test]
+fn a_reader_that_sends_garbage_is_not_believed() -> Result {
+    run(async |executor| {
+        let garbage = |ask: &Ask| match ask.number % 3 {
+            0 => Say::Bytes(vec![0xff; 64]),
+            1 => Say::Bytes(vec![0, 0, 0, 4, 1, 2, 3, 4]),
+            _ => Say::Bytes(vec![0, 0, 0, 9, 0xa1]),
+        };
+        serve_beside(executor, garbage).await
+    })
+}
+
+#[test]
+fn a_silent_reader_is_not_waited_for() -> Result {
+    run(async |executor| serve_beside(executor, |_| Say::Nothing).await)
+}
+
+#[test]
+fn a_reader_that_cannot_vouch_is_not_believed() -> Result {
+    run(async |executor| {
+        let unsure = |ask: &Ask| {
+            let age_ms = None;
+            let told = told(ask, 1_000);
+            Say::Answer(Box::new(Answer { age_ms, ..told }), None)
+        };
+        serve_beside(executor, unsure).await
+    })
+}
+
+#[test]
+fn an_older_configuration_is_not_taken_over() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let entry = || -> Result<(u64, Vec<u8>)> {
+            let text = site.store.value(names::CONFIG);
+            Ok((
+                site.store.revision(),
+                text.ok_or_else(|| eyre!("no configuration"))?,
+            ))
+        };
+        let row = Row::new(&announced(&server)?, site.store.revision());
+        let older = entry()?;
+        let version = site.declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
+        let newer = entry()?;
+        // It vouches for the newest entry at first, later for the one before.
+        let stale = Rc::new(Cell::new(false));
+        let said = stale.clone();
+        let old = move |ask: &Ask| {
+            let (revision, text) = if said.get() { &older } else { &newer };
+            let servers = Servers::All(vec![row.clone()], *revision);
+            let told = told(ask, *revision);
+            Say::Answer(Box::new(Answer { servers, ..told }), Some(text.clone()))
+        };
+        let _impostor = impostor(&executor, &site, old)?;
+        let machines = begun(&executor, &site, 2).await?;
+        settled(&machines, &[]).await?;
+        stale.set(true);
+        let start = Instant::now();
+        while start.elapsed() < ms(3_000) {
+            for machine in &machines {
+                let now = machine.router.relay().view.version().0;
+                ensure!(now == version, "{now} after {version}");
+            }
+            served(&machines, &[&server], ms(1)).await?;
+        }
+        Ok(())
+    })
+}
+
+/// A server as its entry says.
+fn announced(server: &stand_in::Server) -> Result<Server> {
+    let settings = server.settings();
+    Ok(Server {
+        id: settings.id.parse()?,
+        service: settings.service.parse()?,
+        address: server.address(),
+        hall: settings.hall.parse()?,
+        slots: u32::try_from(settings.slots)?,
+        state: State::Ready,
+        cold: Duration::ZERO,
+    })
+}
+
+#[test]
+fn garbage_on_the_port_of_boxes_does_no_harm() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
+        let peer = machines[0].peer;
+        let open = || Conn::open(peer, ms(500), UNACKED);
+        let before = machines[1].store.asked();
+        let huge = u32::MAX.to_be_bytes().to_vec();
+        for bytes in [
+            huge,
+            vec![0; 4],
+            b"GET / HTTP/1.1\r\n\r\n".to_vec(),
+            vec![0, 0, 0, 3, 9, 9, 9],
+        ] {
+            let mut conn = open().await?;
+            conn.writer().write_all(&bytes).await?;
+            closed(&mut conn).await?;
+        }
+        let ask = Ask {
+            version: VERSION,
+            number: 5,
+            document: 0,
+            position: Position::default(),
+            running: Vec::new(),
+        };
+        let mut other = open().await?;
+        let version = VERSION + 1;
+        link::send(
+            &other,
+            &Ask {
+                version,
+                ..ask.clone()
+            },
+        )
+        .await?;
+        closed(&mut other).await?;
+        // Half a message, and many who say nothing.
+        let half = open().await?;
+        half.writer().write_all(&[0, 0, 1]).await?;
+        let mut silent = Vec::new();
+        for _ in 0..50 {
+            silent.push(open().await?);
+        }
+        let mut right = open().await?;
+        link::send(&right, &ask).await?;
+        let told: Answer = link::receive(&mut right).await?;
+        ensure!((told.version, told.number) == (VERSION, 5), "{told:?}");
+        let Some(count) = told.document_bytes else {
+            bail!("no document: {told:?}");
+        };
+        ensure!(told.age_ms.is_some() && count > 0, "{told:?}");
+        let document = link::receive_bytes(&mut right, count as usize).await?;
+        ensure!(document.len() == count as usize, "a cut document");
+        served(&machines, &[&server], ms(800)).await?;
+        ensure!(machines[1].store.asked() == before, "the reader was left");
+        Ok(())
+    })
+}
+
+/// Waits until the other side closes without a word.
+async fn closed(conn: &mut Conn) -> Result {
+    let late = async {
+        Timer::after(ms(1_000)).await;
+        Err(std::io::ErrorKind::TimedOut.into())
+    };
+    match conn.fill().or(late).await {
+        Ok(0) => Ok(()),
+        Ok(count) => Err(eyre!("{count} bytes in answer")),
+        Err(error) if error.kind() == std::io::ErrorKind::ConnectionReset => Ok(()),
+        Err(error) => Err(error.into()),
+    }
+}
--- a/crates/relay/tests/relay/keys.rs
+++ b/crates/relay/tests/relay/keys.rs
@@ -5,12 +5,11 @@
 
 use eyre::ensure;
 use smol::Timer;
-use tidepier_core::catalog::Kind;
-use tidepier_relay_standin::client::Call;
-use tidepier_relay_standin::site::{Route, Site};
+use tidepier_relay_standin::site::Site;
 use tidepier_relay_standin::store::Down;
 
-use crate::house::{self, ms, post, promised, run, usual, whole, Executor, House, Result, SERVICE};
+use crate::hall::{keyed, with_key};
+use crate::house::{self, ms, post, promised, run, usual, whole, Executor, House, Result};
 
 /// The bound on keys in these tests. Longer than the time between two proofs
 /// of the router, or no key would be served steadily.
@@ -18,19 +17,6 @@
 /// The bound on changes.
 const APPLY_TIME: Duration = Duration::from_millis(2_000);
 
-/// A site with a keyed route beside the usual ones, and two accounts.
-fn keyed() -> Result<Site> {
-    let site = house::site()?;
-    let keyed = Route {
-        public: false,
-        ..Route::new("/k/", Kind::Repeatable, SERVICE)
-    };
-    site.declare(&[keyed]);
-    site.account("tenant-1", &["stays"], 0);
-    site.account("tenant-2", &["goes"], 1);
-    Ok(site)
-}
-
 async fn open(executor: Executor, site: Site, blind: bool) -> Result<House> {
     House::with(executor, site, |settings| {
         settings["bounds"]["revoke_within"] = (REVOKE_TIME.as_millis() as u64).into();
@@ -40,10 +26,6 @@
     .await
 }
 
-fn with_key(key: &str, attempt: &str) -> Call {
-    post("/k/x", attempt).key(key)
-}
-
 #[test]
 fn unknown_routes_and_keys_are_told() -> Result {
     run(async |executor| {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,14 +6,19 @@
 
 mod answers;
 mod beliefs;
+mod choose;
 mod crowd;
+mod desk;
 mod hall;
 mod house;
+mod impostors;
 mod keys;
 mod limits;
 mod peers;
 mod places;
+mod process;
 mod raw;
+mod registry;
 mod sendings;
 mod stop;
 mod streams;
--- /dev/null
+++ b/crates/relay/tests/relay/registry.rs
@@ -0,0 +1,132 @@
+//! How boxes find each other: their entries in the store, and the order that
+//! follows from them.
+
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_core::store::{Store, Swap, Write};
+use tidepier_platform::store;
+use tidepier_relay::peer::registry::{Member, Registry};
+
+use crate::hall::{self, address, keyed, served, started, Process, BOXES};
+use crate::house::{ms, run, until, usual, Result};
+use crate::told::relay;
+
+/// The latest time at which a box looks whether it is registered: it lists the
+/// boxes every 15 s.
+const LOOK_TIME: Duration = Duration::from_millis(17_000);
+
+#[test]
+fn a_box_finds_its_registration() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let peer = address();
+        let told = hall::settings(&site, "box-1", "hall-1", 1_000, peer);
+        // As an earlier life of it left it.
+        let member = Member {
+            name: "box-1".parse()?,
+            hall: "hall-1".parse()?,
+            address: peer,
+            link_mbps: 1_000,
+        };
+        let client = store::Client::new(site.store.address());
+        let lease = client.lease(Duration::from_secs(600), ms(500)).await?.id;
+        let (key, value) = (format!("{BOXES}box-1"), serde_json::to_vec(&member)?);
+        let write = Write {
+            key: &key,
+            value: &value,
+            lease: Some(lease),
+        };
+        let swap = client.swap(&[], &[write], &[], ms(500)).await?;
+        ensure!(matches!(swap, Swap::Done(_)), "{swap:?}");
+        let revision = site.store.revision();
+        let process = Process::start(told, peer)?;
+        until("serving", async || Ok(process.serves().await)).await?;
+        // Boxes that register do so within this time.
+        Timer::after(ms(1_500)).await;
+        ensure!(site.store.calls("kv-lease") == 1, "registered again");
+        ensure!(site.store.revision() == revision, "written to");
+        ensure!(process.serves().await, "does not serve");
+        ensure!(!server.runs().is_empty(), "nothing arrived");
+        drop(executor);
+        Ok(())
+    })
+}
+
+#[test]
+fn a_box_that_lost_its_registration_registers_again() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
+        let keys = || site.store.keys(BOXES);
+        let key = format!("{BOXES}box-1");
+        ensure!(keys().contains(&key), "{:?}", keys());
+        site.store.remove(&key);
+        let since = Instant::now();
+        while !keys().contains(&key) {
+            ensure!(since.elapsed() < LOOK_TIME, "not registered again");
+            served(&machines, &[&server], ms(300)).await?;
+        }
+        ensure!(keys().len() == 2, "{:?}", keys());
+        Ok(())
+    })
+}
+
+#[test]
+fn boxes_agree_on_their_order() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let mut members = Vec::new();
+        for (name, hall, link_mbps) in [
+            ("box-0", "hall-1", 100),
+            ("box-1", "hall-1", 300),
+            ("box-2", "hall-1", 300),
+            ("box-3", "hall-1", 300),
+            ("box-4", "hall-1", 200),
+            ("box-5", "hall-2", 900),
+        ] {
+            let member = Member {
+                name: name.parse()?,
+                hall: hall.parse()?,
+                address: address(),
+                link_mbps,
+            };
+            site.store
+                .put(&format!("{BOXES}{name}"), &serde_json::to_value(&member)?);
+            members.push(member);
+        }
+        site.store
+            .put(&format!("{BOXES}broken"), &serde_json::json!(7));
+        let mut orders = Vec::new();
+        for me in &members {
+            let client = store::Client::new(site.store.address());
+            let registry = Registry::new(me.clone(), client.into());
+            ensure!(!registry.is_listed(), "listed before it asked");
+            ensure!(registry.before_me().is_empty(), "knows others");
+            let boxes = relay()?;
+            let _task = executor.spawn(registry.clone().keep(boxes.clone()));
+            until("listed", async || Ok(registry.is_listed())).await?;
+            ensure!(boxes.boxes() >= members.len(), "{} boxes", boxes.boxes());
+            orders.push((me.clone(), registry.before_me()));
+        }
+        orders.sort_by_key(|(_, before)| before.len());
+        let hall = |name: &str| -> Result<Vec<(Member, Vec<Member>)>> {
+            let name = name.parse()?;
+            let own = orders.iter().filter(|(me, _)| me.hall == name);
+            Ok(own.cloned().collect())
+        };
+        let first = hall("hall-1")?;
+        for (place, (me, before)) in first.iter().enumerate() {
+            let expected: Vec<Member> = first[..place].iter().map(|(me, _)| me.clone()).collect();
+            ensure!(*before == expected, "{}: {before:?}", me.name);
+        }
+        let links: Vec<u32> = first.iter().map(|(me, _)| me.link_mbps).collect();
+        ensure!(links == [300, 300, 300, 200, 100], "{links:?}");
+        let second = hall("hall-2")?;
+        ensure!(second[0].1.is_empty(), "{second:?}");
+        Ok(())
+    })
+}
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -14,8 +14,8 @@
 use tidepier_relay_standin::Client;
 
 use crate::house::{
-    arrived, ms, post, promised, ran, run, site, streaming, until, usual, whole, House, Result,
-    SERVICE,
+    arrived, ms, pair, post, promised, ran, run, single, site, streaming, until, usual, whole,
+    House, Result, SERVICE,
 };
 
 /// Promised time from a client's leaving to the end at its server.
@@ -26,10 +26,7 @@
 #[test]
 fn a_once_only_request_whose_answer_is_lost_runs_once() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::LostAnswer, Fault::Reset, Fault::Garbage] {
             for target in ["/o/x", "/u/x"] {
                 near.fault(fault, u32::MAX);
@@ -48,10 +45,7 @@
 #[test]
 fn a_once_only_request_that_failed_keeps_its_answer() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         near.fault(Fault::Failure, u32::MAX);
         far.fault(Fault::Failure, u32::MAX);
         let answer = house.post("/o/x", "failed").await?;
@@ -65,10 +59,7 @@
 #[test]
 fn a_repeatable_request_whose_answer_is_lost_runs_elsewhere() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::LostAnswer, Fault::Reset, Fault::Failure] {
             near.fault(fault, 1);
             let attempt = format!("{fault:?}");
@@ -83,10 +74,7 @@
 #[test]
 fn a_refused_request_goes_to_another_server() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             for target in ["/r/x", "/o/x"] {
                 near.fault(fault, 1);
@@ -103,10 +91,7 @@
 #[test]
 fn a_request_that_all_servers_refuse_is_promised_not_to_run() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             near.fault(fault, u32::MAX);
             far.fault(fault, u32::MAX);
@@ -123,10 +108,7 @@
 #[test]
 fn clients_of_a_service_that_is_down_are_called_back_after_a_start() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for server in [&near, &far] {
             server.crash();
             until("down", async || {
@@ -148,9 +130,7 @@
 #[test]
 fn without_a_server_a_request_is_promised_not_to_run() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let gone = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (gone, house) = single(executor).await?;
         gone.crash();
         until("down", async || {
             Ok(Client::open(gone.address()).await.is_err())
@@ -171,10 +151,7 @@
 #[test]
 fn a_refusal_after_a_lost_answer_is_no_promise() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             near.fault(Fault::LostAnswer, 1);
             far.fault(fault, u32::MAX);
@@ -213,10 +190,7 @@
 #[test]
 fn a_server_that_is_another_now_is_left_alone() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         // Another server has taken over the address of the near one.
         let address = near.address();
         drop(near);
@@ -284,10 +258,7 @@
 #[test]
 fn the_time_left_is_passed_on_and_shrinks() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         near.fault(Fault::Hang, 1);
         let call = post("/r/x", "slow").with(names::DEADLINE, "3000");
         let answer = house.call(&call).await?;
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -2,12 +2,11 @@
 
 use std::fs;
 use std::net::{Ipv4Addr, SocketAddr, TcpListener};
-use std::path::PathBuf;
-use std::process::{Child, Command};
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
 use futures_lite::future;
+use serde_json::Value;
 use smol::Timer;
 use tidepier_relay_standin::client::Call;
 use tidepier_relay_standin::names;
@@ -16,8 +15,9 @@
 use tidepier_relay_standin::Client;
 
 use crate::house::{
-    self, arrived, ms, post, run, site, streaming, until, usual, whole, House, Result,
+    self, arrived, ms, post, run, single, site, streaming, until, usual, whole, House, Result,
 };
+use crate::process::Process;
 
 /// How long a stopping router takes new connections: the balancer needs three
 /// seconds at most, of which a margin is left for the way.
@@ -157,9 +157,7 @@
 #[test]
 fn readiness_is_told() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let _server = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (_server, house) = single(executor).await?;
         let address = house.router.readiness().ok_or_else(|| eyre!("no page"))?;
         let mut client = Client::open(address).await?;
         for (method, path, status) in [
@@ -175,53 +173,21 @@
     })
 }
 
-/// A router process of its own, with its settings file.
-struct Process {
-    child: Child,
-    file: PathBuf,
-    front: SocketAddr,
-}
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = fs::remove_file(&self.file);
-    }
-}
-
 /// A port that was free just now.
 fn free_port() -> Result<SocketAddr> {
     Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
 }
 
-impl Process {
-    fn start(name: &str, mut settings: serde_json::Value) -> Result<Self> {
-        let front = free_port()?;
-        settings["callers"] = front.to_string().into();
-        settings["readiness"] = free_port()?.to_string().into();
-        let file = format!("relay-{name}-{}.json", std::process::id());
-        let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
-        fs::write(&file, settings.to_string())?;
-        let child = Command::new(env!("CARGO_BIN_EXE_tidepier-relay"))
-            .args(["--log", "warn", "--settings"])
-            .arg(&file)
-            .spawn()?;
-        Ok(Self { child, file, front })
-    }
-
-    fn signal(&self, name: &str) -> Result {
-        let id = self.child.id().to_string();
-        let sent = Command::new("kill").args([name, &id]).status()?;
-        ensure!(sent.success(), "no signal sent");
-        Ok(())
-    }
+/// A router process at free ports.
+fn process(name: &str, mut settings: Value) -> Result<Process> {
+    settings["callers"] = free_port()?.to_string().into();
+    settings["readiness"] = free_port()?.to_string().into();
+    let name = format!("{name}-{}", std::process::id());
+    Process::start(&name, "warn", &settings)
+}
 
-    async fn call(&self, attempt: &str) -> Result<u16> {
-        let answer = Client::once(self.front, &post("/r/x", attempt)).await;
-        Ok(answer.map_or(0, |answer| answer.status))
-    }
+async fn status(process: &Process, attempt: &str) -> u16 {
+    process.call(&post("/r/x", attempt)).await
 }
 
 /// Changes the settings file of a process from no retries to many; `tell` says
@@ -233,15 +199,18 @@
     let mut settings = house::settings(&site);
     settings["bounds"]["retry_share"] = 0.into();
     settings["bounds"]["retry_extra"] = 0.into();
-    let process = Process::start(name, settings.clone())?;
-    until("serving", async || Ok(process.call("first").await? == 200)).await?;
+    let process = process(name, settings.clone())?;
+    until("serving", async || {
+        Ok(status(&process, "first").await == 200)
+    })
+    .await?;
     near.fault(Fault::Failure, u32::MAX);
     far.fault(Fault::Failure, u32::MAX);
     let mut number = 0;
     let mut sendings = async || {
         number += 1;
         let attempt = format!("second-{number}");
-        let status = process.call(&attempt).await?;
+        let status = status(&process, &attempt).await;
         ensure!(status == 500, "{attempt}: {status}");
         Ok(arrived(&[&near, &far], &attempt))
     };
@@ -279,15 +248,18 @@
     run(async |_| {
         let site = site()?;
         let _server = site.server(usual(1))?;
-        let mut process = Process::start("stop", house::settings(&site))?;
-        until("serving", async || Ok(process.call("first").await? == 200)).await?;
+        let mut process = process("stop", house::settings(&site))?;
+        until("serving", async || {
+            Ok(status(&process, "first").await == 200)
+        })
+        .await?;
         let told = Instant::now();
         process.signal("-TERM")?;
         Timer::after(ms(2_000)).await;
-        ensure!(process.call("late").await? == 200, "gone too early");
+        ensure!(status(&process, "late").await == 200, "gone too early");
         let mut status = None;
         until("ended", async || {
-            status = process.child.try_wait()?;
+            status = process.ended()?;
             Ok(status.is_some())
         })
         .await?;
