--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -6,14 +6,20 @@
 
 mod answers;
 mod beliefs;
+mod choose;
 mod crowd;
+mod desk;
 mod hall;
 mod house;
+mod impostors;
 mod keys;
 mod limits;
 mod peers;
 mod places;
+mod port;
+mod process;
 mod raw;
+mod registry;
 mod seeds;
 mod sendings;
 mod stop;
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -16,8 +16,8 @@
 use tidepier_relay_standin::Client;
 
 use crate::house::{
-    arrived, ms, post, promised, ran, run, site, streaming, until, usual, whole, House, Result,
-    SERVICE,
+    arrived, ms, pair, post, promised, ran, run, single, site, streaming, until, usual, whole,
+    House, Result, SERVICE,
 };
 use crate::raw;
 
@@ -29,10 +29,7 @@
 #[test]
 fn a_once_only_request_whose_answer_is_lost_runs_once() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::LostAnswer, Fault::Reset, Fault::Garbage] {
             for target in ["/o/x", "/u/x"] {
                 near.fault(fault, u32::MAX);
@@ -51,10 +48,7 @@
 #[test]
 fn a_once_only_request_that_failed_keeps_its_answer() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         near.fault(Fault::Failure, u32::MAX);
         far.fault(Fault::Failure, u32::MAX);
         let answer = house.post("/o/x", "failed").await?;
@@ -68,10 +62,7 @@
 #[test]
 fn a_repeatable_request_whose_answer_is_lost_runs_elsewhere() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::LostAnswer, Fault::Reset, Fault::Failure] {
             near.fault(fault, 1);
             let attempt = format!("{fault:?}");
@@ -86,10 +77,7 @@
 #[test]
 fn a_refused_request_goes_to_another_server() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             for target in ["/r/x", "/o/x"] {
                 near.fault(fault, 1);
@@ -106,10 +94,7 @@
 #[test]
 fn a_request_that_all_servers_refuse_is_promised_not_to_run() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             near.fault(fault, u32::MAX);
             far.fault(fault, u32::MAX);
@@ -126,10 +111,7 @@
 #[test]
 fn clients_of_a_service_that_is_down_are_called_back_after_a_start() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for server in [&near, &far] {
             server.crash();
             until("down", async || {
@@ -151,9 +133,7 @@
 #[test]
 fn without_a_server_a_request_is_promised_not_to_run() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let gone = site.server(usual(1))?;
-        let house = House::open(executor, site).await?;
+        let (gone, house) = single(executor).await?;
         gone.crash();
         until("down", async || {
             Ok(Client::open(gone.address()).await.is_err())
@@ -174,10 +154,7 @@
 #[test]
 fn a_refusal_after_a_lost_answer_is_no_promise() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         for fault in [Fault::Shed, Fault::Busy] {
             near.fault(Fault::LostAnswer, 1);
             far.fault(fault, u32::MAX);
@@ -216,10 +193,7 @@
 #[test]
 fn a_server_that_is_another_now_is_left_alone() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         // Another server has taken over the address of the near one.
         let address = near.address();
         drop(near);
@@ -287,10 +261,7 @@
 #[test]
 fn the_time_left_is_passed_on_and_shrinks() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let near = site.server(usual(1))?;
-        let far = site.server(usual(2))?;
-        let house = House::open(executor, site).await?;
+        let (near, far, house) = pair(executor).await?;
         near.fault(Fault::Hang, 1);
         let call = post("/r/x", "slow").with(names::DEADLINE, "3000");
         let answer = house.call(&call).await?;
@@ -592,7 +563,7 @@
             let (fleet, memory) = (&relay.fleet, &relay.memory);
             let service = SERVICE.parse()?;
             let now = Instant::now();
-            let places = Places::new(fleet, &service, &prompt, &relay.hall, memory, now);
+            let places = Places::new(fleet, &service, &prompt, &relay.hall, memory, &[], now);
             Ok(places.lacking(&id))
         };
         let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
