Reading a prompt and the wait at an earlier server are no slowness

Now the time starts with the sending to that server and leaves out the time in which it may read what this box has not sent there. Two tests (sendings); they were not run against the old code.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -96,6 +96,9 @@
     pub load: f64,
     /// Tokens of the prompt that it is estimated to read.
     pub read: f64,
+    /// Time in which it may read the prompt, if it keeps no part that this box
+    /// has not sent there: so much of its answer's delay is no slowness.
+    pub reading: Duration,
     /// Its place in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
     /// The engine from which it is to copy what it does not keep.
@@ -137,6 +140,7 @@
         cost,
         load,
         read: 0.0,
+        reading: Duration::ZERO,
         rank: None,
         copy_from: None,
     }
@@ -207,6 +211,7 @@
                 cost,
                 load,
                 rank: places.rank(id),
+                reading: reading_time(own + f64::from(places.unproven(id))),
                 read: own + if copied.is_some() { 0.0 } else { lacking },
                 copy_from: copied.map(|(_, source)| source.clone()),
             }
@@ -214,6 +219,11 @@
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// Time in which an engine reads so many tokens.
+fn reading_time(tokens: f64) -> Duration {
+    Duration::from_secs_f64(tokens / READ_TOKENS_PER_MS / 1e3)
+}
+
 /// The load of each server, and the mean of those that can be reached. Where
 /// none was reported lately, the mean stands for it.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -4,7 +4,7 @@
 //! only while the catalog is fresh enough for that to be a fact.
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tidepier_core::catalog::{Account, Catalog, Route};
 use tidepier_core::request::Request;
@@ -12,7 +12,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
-use super::{Arrival, Exchange};
+use super::{Arrival, Exchange, Start};
 use crate::refusal;
 use crate::relay::Relay;
 
@@ -57,6 +57,10 @@
         service,
         route,
         tried: Vec::new(),
+        sending: Start {
+            at: arrival.at,
+            reading: Duration::ZERO,
+        },
         sent: 0,
         connects: 0,
         paid: false,
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -15,7 +15,7 @@
 mod send;
 
 use std::sync::Arc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tidepier_core::catalog::{Account, Route};
 use tidepier_core::request::Request;
@@ -104,6 +104,14 @@
     }
 }
 
+/// The start of one sending.
+#[derive(Debug, Clone, Copy)]
+struct Start {
+    at: Instant,
+    /// Time in which the server may read the prompt.
+    reading: Duration,
+}
+
 /// A request that was admitted.
 pub(crate) struct Exchange<'a> {
     pub(crate) relay: &'a Relay,
@@ -120,6 +128,8 @@
     /// When the client has its final answer at the latest.
     pub(crate) deadline: Instant,
     tried: Vec<ids::Server>,
+    /// The last sending.
+    sending: Start,
     /// Servers that it was sent to.
     sent: u32,
     /// Connections that failed.
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -84,7 +84,17 @@
         }
     }
 
-    /// Records that an answer was passed on whole.
+    /// Time that the last server took to begin an answer that began `first`
+    /// after the request's arrival, beyond that of reading the prompt; `None` if
+    /// it began at another server.
+    fn beginning(&self, first: Duration) -> Option<Duration> {
+        let begun = self.arrival.at + first;
+        let took = begun.checked_duration_since(self.sending.at)?;
+        Some(took.saturating_sub(self.sending.reading))
+    }
+
+    /// Records that an answer was passed on whole. `first`: time from the
+    /// request's arrival to the answer's beginning.
     pub(crate) fn answered(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
         let outcome = if status >= 500 {
             Outcome::Bad
@@ -92,7 +102,9 @@
             Outcome::Good
         };
         backend.record(outcome, Instant::now());
-        backend.health.took(first);
+        if let Some(took) = self.beginning(first) {
+            backend.health.took(took);
+        }
         log::info!(
             target: "request",
             "event=answered id={} server={} status={status} first_ms={} ms={} tries={}",
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -8,7 +8,7 @@
 use tidepier_core::request::Forward;
 use tidepier_platform::request as wire_request;
 
-use super::{report, Exchange};
+use super::{report, Exchange, Start};
 use crate::attempt::{self, Cause, Failure, Ran, Reply, Sending};
 use crate::choose::{self, Ask, Choice};
 use crate::fleet::Backend;
@@ -39,6 +39,10 @@
     ) -> Result<(Rc<Backend>, Result<Reply, Failure>), refusal::Kind> {
         let choice = self.choose()?;
         let backend = choice.backend.clone();
+        self.sending = Start {
+            at: Instant::now(),
+            reading: choice.reading,
+        };
         self.note_placed(&choice);
         let bytes = self.encode(&choice, resume_after);
         let rest = self.rest(&backend);
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Records the time to an answer.
+    /// Records the time to an answer, without that of reading a prompt.
     pub fn took(&self, time: Duration) {
         let sample = time.as_secs_f64() * 1e3;
         let mean = self.time_ms.get().unwrap_or(sample);
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -167,6 +167,14 @@
         lacking
     }
 
+    /// Tokens of the prompt's shared parts that a server may have to read, by
+    /// all that this box has seen: those it has not sent there itself.
+    pub fn unproven(&self, server: &ids::Server) -> u32 {
+        let parts = shared(self.prompt).iter().zip(&self.by_part);
+        let unproven = parts.filter(|(_, places)| !places.contains(server));
+        unproven.map(|(part, _)| part.tokens).sum()
+    }
+
     /// The engine that a server copies from what it does not keep; `None` when
     /// this box knows that it keeps all, or that is too little to be copied.
     pub fn source(&self, server: &ids::Server) -> Option<&Rc<Backend>> {
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -584,3 +584,49 @@
         Ok(())
     })
 }
+
+/// What a router knows of a server's time to an answer, in ms.
+fn time_ms(house: &House, server: &Server) -> Result<f64> {
+    let id = server.settings().id.parse()?;
+    let backend = house.router.relay().fleet.get(&id);
+    let time = backend.and_then(|backend| backend.health.time_ms());
+    time.ok_or_else(|| eyre!("{id} has no time"))
+}
+
+#[test]
+fn a_server_is_not_slow_for_the_silence_of_the_one_before() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        near.fault(Fault::Hang, 1);
+        let answer = house.post("/r/x", "a").await?;
+        whole(&answer, &[&near, &far], "a")?;
+        ensure!(arrived(&[&near], "a") == 1, "it began elsewhere");
+        ensure!(arrived(&[&far], "a") == 1, "it did not go on");
+        // The silence alone takes half a second.
+        let time = time_ms(&house, &far)?;
+        ensure!(time < 400.0, "{time} ms");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_is_not_slow_for_reading_a_long_prompt() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        // 20,000 tokens take 0.5 s at the usual speed.
+        let work = ms(450);
+        let server = site.server(Settings { work, ..usual(1) })?;
+        let house = House::open(executor, site).await?;
+        let call = |attempt: &str| post("/r/x", attempt);
+        let long = call("long").with(names::PROMPT, "5c1e:19000,91bd:1000");
+        ensure!(house.call(&long).await?.status == 200, "not served");
+        let time = time_ms(&house, &server)?;
+        ensure!(time < 200.0, "{time} ms for what was read");
+        // What it keeps by now explains no delay.
+        let again = call("again").with(names::PROMPT, "5c1e:19000,91be:10");
+        ensure!(house.call(&again).await?.status == 200, "not served");
+        let later = time_ms(&house, &server)?;
+        ensure!(later > time + 30.0, "{later} ms after {time} ms");
+        Ok(())
+    })
+}
