--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -209,7 +209,7 @@
     let bounds = &settings.bounds;
     budget::Terms {
         ratio: bounds.retry_share,
-        extra: f64::from(bounds.retry_extra),
+        extra: bounds.retry_extra,
         window: bounds.retry_window.duration(),
     }
 }
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -19,7 +19,7 @@
 /// Default of [`Bounds::retry_window`].
 const RETRY_WINDOW: Millis = Millis::new(10_000);
 /// Default of [`Bounds::retry_extra`], in requests: the safe side.
-const RETRY_EXTRA: u32 = 0;
+const RETRY_EXTRA: f64 = 0.0;
 
 /// Promised times and shares.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
@@ -39,7 +39,7 @@
     /// The window over which repeats are counted.
     pub retry_window: Millis,
     /// Repeats that a service may get per window beyond its share.
-    pub retry_extra: u32,
+    pub retry_extra: f64,
 }
 
 impl Default for Bounds {
--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -48,11 +48,18 @@
     assert_eq!(settings.limits.descriptors, 4_100);
     assert_eq!(settings.limits.link_mbps, 1_000.0);
     assert!(settings.first_start);
-    assert_eq!(settings.bounds.retry_extra, 58);
+    assert_eq!(settings.bounds.retry_extra, 58.0);
     let stop = settings.bounds.stop_within;
     assert_eq!(stop.duration(), Duration::from_secs(8));
 }
 
+#[test]
+fn a_share_of_a_request_is_an_allowance() {
+    let text = SAMPLE.replacen("\"retry_extra\": 58", "\"retry_extra\": 39.07", 1);
+    let settings = read("fraction", &text).expect("settings");
+    assert_eq!(settings.bounds.retry_extra, 39.07);
+}
+
 #[test]
 fn what_is_left_out_has_a_default() {
     let text = r#"{"name": "b", "hall": "h", "callers": "127.0.0.1:1",
@@ -62,7 +69,7 @@
     assert_eq!(settings.limits, settings::Limits::default());
     assert!(settings.readiness.is_none() && settings.seeds.is_empty());
     assert!(settings.bounds.revoke_when_blind);
-    assert_eq!(settings.bounds.retry_extra, 0);
+    assert_eq!(settings.bounds.retry_extra, 0.0);
 }
 
 #[test]
