--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -151,6 +151,8 @@
     pub closed: Option<Instant>,
     /// What has become of it.
     pub outcome: Outcome,
+    /// When it no longer counted towards the server's load.
+    pub ended: Option<Instant>,
     /// The signature under its answer.
     pub seal: String,
     /// Tokens of the prompt that were not kept here.
@@ -172,6 +174,11 @@
         !matches!(self.outcome, Outcome::Waiting | Outcome::Refused(_))
     }
 
+    /// Whether it waited or was worked on at a moment after its arrival.
+    pub fn held_at(&self, at: Instant) -> bool {
+        self.arrived < at && self.ended.is_none_or(|ended| ended > at)
+    }
+
     /// The body of a whole answer of `length` bytes to it.
     pub fn text(&self, length: usize) -> Vec<u8> {
         let line = format!("{} {} {}\n", self.method, self.target, self.attempt);
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -197,6 +197,7 @@
             connection: self.number,
             closed: None,
             outcome: Outcome::Waiting,
+            ended: None,
             seal: format!("{:016x}.{at}", xxh3_64(signed.as_bytes())),
             prefilled: 0,
             made: Vec::new(),
@@ -217,7 +218,10 @@
 
     /// Records what became of a request and frees its slot.
     pub(super) fn end(&mut self, at: usize, outcome: Outcome) {
-        self.run(at, |run| run.outcome = outcome);
+        self.run(at, |run| {
+            run.outcome = outcome;
+            run.ended = (outcome != Outcome::Running).then(Instant::now);
+        });
         self.ticket = None;
     }
 
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -409,6 +409,11 @@
         self.0.kill()
     }
 
+    /// Where clients connect.
+    pub(crate) fn front(&self) -> SocketAddr {
+        self.0.front
+    }
+
     pub(crate) async fn serves(&self) -> bool {
         let call = with_key("stays", "process").leaving(ms(900));
         self.0.call(&call).await == 200
--- /dev/null
+++ b/crates/relay/tests/relay/load.rs
@@ -0,0 +1,199 @@
+//! How several boxes that decide alone spread requests over model engines, in
+//! calm.
+//!
+//! What counts is what each engine held when a request reached it, against the
+//! mean of all engines at that moment.
+
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use serde_json::json;
+use smol::{Task, Timer};
+use tidepier_relay_standin::client::{Answer, Call};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{Run, Server, Settings};
+use tidepier_relay_standin::site::Site;
+use tidepier_relay_standin::Client;
+
+use crate::hall::{self, Machine};
+use crate::house::{ms, post, run, streaming, whole, Executor, Result};
+
+/// Engines.
+const ENGINES: u32 = 8;
+/// Events of an engine's answer.
+const EVENTS: u64 = 10;
+/// Pause between two of them: an answer takes 0.3 s, almost all of it after its
+/// prompt was read.
+const PAUSE: Duration = Duration::from_millis(30);
+/// Time to read a token: that of measured engines, 40 tokens a ms.
+const READ: Duration = Duration::from_micros(25);
+/// Time between two requests: 27 are under way at once.
+const GAP: Duration = Duration::from_millis(11);
+/// Time for which requests are sent: the rule's window.
+const CALM: Duration = Duration::from_secs(5);
+/// Of so many requests, [`HOT`] ask about the same subject.
+const ROUND: usize = 10;
+/// See [`ROUND`].
+const HOT: usize = 3;
+/// What the prompts of most requests begin with: an engine without it reads 0.2
+/// s.
+const HOT_PARTS: &str = "a1:2500,a2:5500";
+/// Tokens of the part of a prompt that is its request's own.
+const OWN_TOKENS: u32 = 100;
+/// The users' bound on an engine's load: this many times the mean.
+const BOUND_FACTOR: f64 = 2.0;
+/// The users' bound on an engine's load: so many above that.
+const BOUND_EXTRA: f64 = 3.0;
+/// Requests above the bound that break the rule, if they are also more than
+/// one in [`BROKEN_SHARE`].
+const BROKEN_COUNT: usize = 20;
+/// See [`BROKEN_COUNT`]: 3 in 100.
+const BROKEN_SHARE: f64 = 0.03;
+/// A site whose engines can copy prompts from each other, as measured ones do:
+/// 0.007 ms a token.
+fn engines_site() -> Result<Site> {
+    let site = hall::keyed()?;
+    site.configure(|config| {
+        config["services"][0]["engine"] = json!({
+            "slots": 64, "kv_capacity": 363_000, "kv_bytes": 327_680,
+            "link_mbps": 370_000, "moves": true,
+        });
+    });
+    Ok(site)
+}
+
+fn engine(number: u32) -> Settings {
+    Settings {
+        hall: format!("hall-{}", number % 2 + 1),
+        slots: 64,
+        queue: 64,
+        prefill: READ,
+        ..streaming(number, EVENTS, PAUSE)
+    }
+}
+
+fn call(number: usize) -> Call {
+    let own = format!("c{number:x}:{OWN_TOKENS}");
+    let prompt = if number % ROUND < HOT {
+        format!("{HOT_PARTS},{own}")
+    } else {
+        format!("b{number:x}:600,{own}")
+    };
+    post("/u/x", &format!("{number}")).with(names::PROMPT, &prompt)
+}
+
+/// A request that reached an engine.
+struct Arrival {
+    run: Run,
+    /// What the engine held then.
+    held: usize,
+    /// The mean of all engines then.
+    mean: f64,
+}
+
+impl Arrival {
+    fn exceeds(&self) -> bool {
+        self.held as f64 > BOUND_FACTOR * self.mean + BOUND_EXTRA
+    }
+}
+
+fn arrivals(engines: &[Server]) -> Vec<Arrival> {
+    let runs: Vec<Vec<Run>> = engines.iter().map(Server::runs).collect();
+    let held = |runs: &[Run], at: Instant| runs.iter().filter(|run| run.held_at(at)).count();
+    let mut arrivals = Vec::new();
+    for own in &runs {
+        for run in own {
+            let all: usize = runs.iter().map(|runs| held(runs, run.arrived)).sum();
+            arrivals.push(Arrival {
+                run: run.clone(),
+                held: held(own, run.arrived),
+                mean: all as f64 / engines.len() as f64,
+            });
+        }
+    }
+    arrivals
+}
+
+/// Sends requests through all boxes by turns, at a steady pace.
+async fn sent(executor: &Executor, machines: &[Machine]) -> Result<Vec<Answer>> {
+    let mut calls: Vec<Task<std::io::Result<Answer>>> = Vec::new();
+    let start = Instant::now();
+    let mut at = start;
+    while at < start + CALM {
+        let number = calls.len();
+        let front = machines[number % machines.len()].router.callers();
+        let call = call(number);
+        calls.push(executor.spawn(async move { Client::once(front, &call).await }));
+        at += GAP;
+        Timer::at(at).await;
+    }
+    let mut answers = Vec::new();
+    for call in calls {
+        answers.push(call.await?);
+    }
+    Ok(answers)
+}
+
+#[test]
+fn no_engine_gets_far_more_than_the_others() -> Result {
+    run(async |executor| {
+        let site = engines_site()?;
+        let engines: std::io::Result<Vec<Server>> =
+            (1..=ENGINES).map(|n| site.server(engine(n))).collect();
+        let engines = engines?;
+        let mut machines = Vec::new();
+        for (name, hall) in [
+            ("box-0", "hall-1"),
+            ("box-1", "hall-1"),
+            ("box-2", "hall-2"),
+        ] {
+            machines.push(Machine::start(&executor, &site, name, hall, 1_000).await?);
+        }
+        hall::ready(&machines).await?;
+        let start = Instant::now();
+        let answers = sent(&executor, &machines).await?;
+        let known: Vec<&Server> = engines.iter().collect();
+        for (number, answer) in answers.iter().enumerate() {
+            whole(answer, &known, &format!("{number}"))?;
+        }
+        let arrivals = arrivals(&engines);
+        let exceeding: Vec<&Arrival> = arrivals.iter().filter(|it| it.exceeds()).collect();
+        let told: Vec<String> = exceeding
+            .iter()
+            .map(|it| {
+                let at = it.run.arrived.duration_since(start);
+                format!("{} of {:.1} at {at:.1?}", it.held, it.mean)
+            })
+            .collect();
+        let most = BROKEN_SHARE * arrivals.len() as f64;
+        let broken = exceeding.len() >= BROKEN_COUNT && exceeding.len() as f64 > most;
+        ensure!(!broken, "{} of {}: {told:?}", told.len(), arrivals.len());
+        Ok(())
+    })
+}
+
+#[test]
+fn what_an_engine_holds_is_counted_from_its_runs() -> Result {
+    run(async |executor| {
+        let site = engines_site()?;
+        let engines = [site.server(engine(1))?, site.server(engine(2))?];
+        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 1_000).await?;
+        hall::ready(std::slice::from_ref(&machine)).await?;
+        for (number, engine) in engines.iter().enumerate() {
+            // Two requests at once and one after them, past the router.
+            let front = engine.address();
+            let call = post("/u/x", &format!("{number}"));
+            let both = futures_lite::future::zip(Client::once(front, &call), async {
+                Timer::after(ms(100)).await;
+                Client::once(front, &call).await
+            })
+            .await;
+            both.0?;
+            both.1?;
+            Client::once(front, &call).await?;
+        }
+        let held: Vec<usize> = arrivals(&engines).iter().map(|it| it.held).collect();
+        ensure!(held == [0, 1, 0, 0, 1, 0], "{held:?}");
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/recover.rs
@@ -0,0 +1,130 @@
+//! All boxes end at the same moment, without a word, and start again.
+
+use std::net::SocketAddr;
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_relay_standin::site::Site;
+use tidepier_relay_standin::store::Down;
+use tidepier_relay_standin::Client;
+
+use crate::hall::{self, address, keyed, served, with_key, Machine, Process};
+use crate::house::{ms, promised, run, until, usual, Executor, Result};
+
+/// The bound: so long after the boxes are back, requests are served again.
+const RECOVER_TIME: Duration = Duration::from_secs(12);
+/// How long the store stays away after the boxes are back.
+const AWAY_TIME: Duration = Duration::from_millis(1_500);
+/// Boxes, in two halls.
+const BOXES: [(&str, &str, u32); 4] = [
+    ("box-0", "hall-1", 1_000),
+    ("box-1", "hall-1", 900),
+    ("box-2", "hall-2", 800),
+    ("box-3", "hall-2", 700),
+];
+
+fn started(site: &Site, peers: &[SocketAddr]) -> Result<Vec<Process>> {
+    let boxes = BOXES.iter().zip(peers);
+    boxes
+        .map(|((name, hall, link), peer)| {
+            Process::start(hall::settings(site, name, hall, *link, *peer), *peer)
+        })
+        .collect()
+}
+
+/// Waits until every box serves a request with a key.
+async fn all_serve(boxes: &[Process]) -> Result {
+    for process in boxes {
+        until("served", async || Ok(process.serves().await)).await?;
+    }
+    Ok(())
+}
+
+/// Ends all at once; afterwards nothing of them is left.
+fn kill_all(mut boxes: Vec<Process>) -> Result {
+    boxes.iter_mut().try_for_each(Process::kill)
+}
+
+fn peers() -> Vec<SocketAddr> {
+    BOXES.iter().map(|_| address()).collect()
+}
+
+#[test]
+fn all_boxes_serve_again_after_all_were_killed() -> Result {
+    run(async |_| {
+        let site = keyed()?;
+        let _server = site.server(usual(1))?;
+        let peers = peers();
+        let mut boxes = started(&site, &peers)?;
+        all_serve(&boxes).await?;
+        for _ in 0..2 {
+            kill_all(boxes)?;
+            boxes = started(&site, &peers)?;
+            let back = Instant::now();
+            all_serve(&boxes).await?;
+            ensure!(back.elapsed() < RECOVER_TIME, "{:?}", back.elapsed());
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn all_boxes_serve_again_after_they_were_killed_while_the_store_was_away() -> Result {
+    run(async |_| {
+        let site = keyed()?;
+        let _server = site.server(usual(1))?;
+        let peers = peers();
+        let mut boxes = started(&site, &peers)?;
+        all_serve(&boxes).await?;
+        site.store.faults(|faults| faults.down = Some(Down::Silent));
+        kill_all(boxes)?;
+        boxes = started(&site, &peers)?;
+        let back = Instant::now();
+        refused_by(&boxes).await?;
+        Timer::at(back + AWAY_TIME).await;
+        site.store.faults(|faults| faults.down = None);
+        all_serve(&boxes).await?;
+        ensure!(back.elapsed() < RECOVER_TIME, "{:?}", back.elapsed());
+        Ok(())
+    })
+}
+
+/// Checks that boxes that know nothing promise that a request has not run.
+async fn refused_by(boxes: &[Process]) -> Result {
+    for process in boxes {
+        let call = with_key("stays", "early").leaving(ms(900));
+        until("listening", async || {
+            Ok(Client::once(process.front(), &call).await.is_ok())
+        })
+        .await?;
+        promised(&Client::once(process.front(), &call).await?)?;
+    }
+    Ok(())
+}
+
+async fn machines(executor: &Executor, site: &Site) -> Result<Vec<Machine>> {
+    let mut machines = Vec::new();
+    for (name, hall, link) in BOXES {
+        machines.push(Machine::start(executor, site, name, hall, link).await?);
+    }
+    Ok(machines)
+}
+
+#[test]
+fn boxes_at_other_addresses_serve_after_all_went() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let first = machines(&executor, &site).await?;
+        hall::ready(&first).await?;
+        served(&first, &[&server], ms(100)).await?;
+        // Their entries in the store outlive them, and lead nowhere.
+        drop(first);
+        let next = machines(&executor, &site).await?;
+        let back = Instant::now();
+        hall::ready(&next).await?;
+        ensure!(back.elapsed() < RECOVER_TIME, "{:?}", back.elapsed());
+        served(&next, &[&server], ms(300)).await
+    })
+}
--- /dev/null
+++ b/crates/relay/tests/relay/slow.rs
@@ -0,0 +1,142 @@
+//! What a slow server may not cost: held requests, and work for clients that
+//! left.
+
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_core::catalog::Kind;
+use tidepier_relay_standin::client::End;
+use tidepier_relay_standin::server::{Outcome, Server, Settings};
+use tidepier_relay_standin::site::Route;
+use tidepier_relay_standin::Client;
+
+use crate::house::{ms, post, run, site, streaming, until, usual, House, Result, SERVICE};
+
+/// Time of the routes of these tests.
+const ROUTE_TIME: Duration = Duration::from_millis(500);
+/// Time from the sending within which the client has its final answer: half a
+/// second past the route's.
+const MOST: Duration = Duration::from_millis(1_000);
+/// Tries of a measurement that a busy machine may hold up.
+const TRIES: usize = 4;
+/// Time within which the work for a client that left has to end.
+const LEAVE_TIME: Duration = Duration::from_millis(500);
+/// How much slower than usual.
+const SLOW: f64 = 50.0;
+/// Requests at once: as many as the box may have at one server.
+const CROWD: usize = 8;
+
+fn short(prefix: &str, kind: Kind) -> Route {
+    Route {
+        timeout: ROUTE_TIME,
+        ..Route::new(prefix, kind, SERVICE)
+    }
+}
+
+fn slow_server(number: u32) -> Settings {
+    Settings {
+        work: ms(60),
+        slots: 4,
+        ..usual(number)
+    }
+}
+
+/// Sends requests at once on a route; all of them are over in time.
+async fn held(house: &House, target: &str) -> Result {
+    let calls: Vec<_> = (0..CROWD)
+        .map(|number| {
+            let call = post(target, &format!("{target}{number}"));
+            let front = house.front();
+            smol::spawn(async move { Client::once(front, &call).await })
+        })
+        .collect();
+    for call in calls {
+        let answer = call.await?;
+        ensure!(
+            answer.end == End::Open || answer.status == 200,
+            "{answer:?}"
+        );
+        ensure!(answer.elapsed < MOST, "{target}: {:?}", answer.elapsed);
+    }
+    Ok(())
+}
+
+#[test]
+fn requests_at_slow_servers_are_over_in_the_time_of_their_route() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        site.declare(&[
+            short("/shortr/", Kind::Repeatable),
+            short("/shorto/", Kind::Once),
+        ]);
+        let servers = [site.server(slow_server(1))?, site.server(slow_server(2))?];
+        let house = House::open(executor, site).await?;
+        for server in &servers {
+            server.slow(SLOW);
+        }
+        for target in ["/shortr/x", "/shorto/x"] {
+            held(&house, target).await?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn streams_of_a_slow_server_are_over_in_the_time_of_their_route() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let resumable = Kind::Stream { resumable: true };
+        let single = Kind::Stream { resumable: false };
+        site.declare(&[short("/shorts/", resumable), short("/shortu/", single)]);
+        let server = site.server(streaming(1, 400, ms(40)))?;
+        let house = House::open(executor, site).await?;
+        for target in ["/shorts/x", "/shortu/x"] {
+            let mut times = Vec::new();
+            // A busy machine may hold up some of them.
+            while times.len() < TRIES && times.iter().all(|time| *time >= MOST) {
+                let attempt = format!("{target}{}", times.len());
+                let answer = house.post(target, &attempt).await?;
+                ensure!(!answer.complete, "a stream that takes 16 s is whole");
+                times.push(answer.elapsed);
+            }
+            ensure!(times.iter().any(|time| *time < MOST), "{target}: {times:?}");
+        }
+        until("ended", async || Ok(server.running() == 0)).await
+    })
+}
+
+fn working(server: &Server) -> usize {
+    let runs = server.runs();
+    let under_way = runs
+        .iter()
+        .filter(|run| matches!(run.outcome, Outcome::Running | Outcome::Waiting));
+    under_way.count()
+}
+
+#[test]
+fn a_slow_server_stops_working_for_clients_that_left() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(slow_server(1))?;
+        let house = House::open(executor, site).await?;
+        server.slow(SLOW);
+        let mut clients = Vec::new();
+        for number in 0..CROWD {
+            let mut client = Client::open(house.front()).await?;
+            let call = post("/r/x", &format!("{number}")).leaving(ms(1));
+            let answer = client.call(&call).await;
+            ensure!(answer.end == End::Left, "{answer:?}");
+            clients.push(client);
+        }
+        // Four are worked on and four wait.
+        until("sent", async || Ok(working(&server) == CROWD)).await?;
+        drop(clients);
+        let left = Instant::now();
+        until("ended", async || Ok(working(&server) == 0)).await?;
+        ensure!(left.elapsed() < LEAVE_TIME, "{:?}", left.elapsed());
+        Timer::after(LEAVE_TIME).await;
+        ensure!(server.runs().len() == CROWD, "sent again for nobody");
+        Ok(())
+    })
+}
