The doubt after an outage ends before the store's word counts again

The doubt ran 2.2 s from when this box noticed the return. A call swallowed just before it and the pause after it (up to 0.9 s, in boxes further behind 3.6 s) came on top: 3.84 s after the return in the new test, contact being 3 s. A box that followed another since an outage still held the store for unreachable, and doubted for 2.2 s when it became the reader long after: 2.96 s for a server that went in calm, against 2 s. Both tests failed first (and changed slots, and a server that joins another service, which stayed in both).

Now the end of the trouble is reckoned from the last call that failed, its earliest: the doubt lasts to 2.2 s after the return was noticed, but not past contact less 0.5 s after that call (follow/doubt). Another box's answer that vouches ends what this box thought of the store. An entry's changed slots are taken over. Existing tests: told.rs names the new bound when it builds Bounds; nothing else is changed.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -193,7 +193,7 @@
             let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
             let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
             let queued = backend.prefill() as f64;
-            let slots = f64::from(backend.server.slots);
+            let slots = f64::from(backend.slots());
             let cost = lacking * per_lacking
                 + (own + queued) / READ_TOKENS_PER_MS
                 + RUNNING_MS * load
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -26,8 +26,10 @@
 
 /// One backend server.
 pub struct Backend {
-    /// As it announced itself.
+    /// As it announced itself first.
     pub server: Server,
+    /// Requests that it works on at once, as it said last.
+    pub(super) slots: Cell<u32>,
     /// Stands for its id between boxes.
     pub key: u64,
     /// What this box has seen of its health.
@@ -82,6 +84,7 @@
             hall,
             key: xxh3_64(server.id.as_str().as_bytes()),
             state: Cell::new(server.state),
+            slots: Cell::new(server.slots),
             server,
             health: Health::default(),
             missing: Cell::new(false),
@@ -100,6 +103,11 @@
         joined.is_some_and(|joined| now.duration_since(joined) < most)
     }
 
+    /// Requests that it works on at once.
+    pub fn slots(&self) -> u32 {
+        self.slots.get()
+    }
+
     /// Whether it takes new requests.
     pub fn serves(&self) -> bool {
         self.state.get() == State::Ready
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -73,6 +73,7 @@
             backend.missing.set(false);
             if backend.server.address == server.address && backend.server.service == server.service
             {
+                backend.slots.set(server.slots);
                 return self.restate(&backend, server.state);
             }
             // Another server has the id now: this one is gone, from the list
@@ -131,15 +132,12 @@
         self.servers.borrow().keys().cloned().collect()
     }
 
-    /// Drops a server; whether it was known.
-    pub fn remove(&self, id: &ids::Server) -> bool {
-        let removed = self.servers.borrow_mut().remove(id);
-        let Some(backend) = removed else {
-            return false;
-        };
+    /// Drops a server and returns it, if it was known.
+    pub fn remove(&self, id: &ids::Server) -> Option<Rc<Backend>> {
+        let backend = self.servers.borrow_mut().remove(id)?;
         backend.leave();
         self.regroup(&backend.server.service);
-        true
+        Some(backend)
     }
 
     /// A server that is known, also one that is leaving.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -10,11 +10,13 @@
 //!
 //! * A proof bears a time before its question was sent.
 //! * A server is dropped when its entry goes while the store can be relied on;
-//!   else a while after the store is back, if the entry is still missing.
+//!   else a while after the store is back, if the entry is still missing
+//!   ([`doubt`]).
 
 mod boxes;
 mod catalog;
 mod changes;
+pub mod doubt;
 mod pause;
 mod servers;
 
@@ -29,6 +31,8 @@
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
 
+use self::doubt::Doubt;
+pub use self::pause::SCOUTS;
 use crate::fleet::Change;
 use crate::notice::Notice;
 use crate::peer::crowd::Crowd;
@@ -66,14 +70,12 @@
     servers_known: Cell<bool>,
     /// Whether what this box knows was confirmed once.
     informed: Cell<bool>,
-    /// Whether the store was found to be unreachable.
-    store_unreachable: Cell<bool>,
+    /// Whether the store can be relied on.
+    doubt: Doubt,
     /// When an answer to a write was last lost.
     unanswered: Cell<Option<Instant>>,
     /// Boxes of this hall that come before this one.
     boxes_before: Cell<u32>,
-    /// Until when an entry's absence may be the store's fault.
-    doubted_until: Cell<Option<Instant>>,
     /// Notified when the store is reachable again.
     store_returned: Notice,
 }
@@ -92,10 +94,9 @@
             role_changed: Notice::default(),
             servers_known: Cell::new(false),
             informed: Cell::new(false),
-            store_unreachable: Cell::new(false),
+            doubt: Doubt::default(),
             unanswered: Cell::new(None),
             boxes_before: Cell::new(0),
-            doubted_until: Cell::new(None),
             store_returned: Notice::default(),
         })
     }
@@ -142,7 +143,7 @@
 
     /// Whether the store was found to be unreachable.
     pub fn store_is_unreachable(&self) -> bool {
-        self.store_unreachable.get()
+        self.doubt.is_unreachable()
     }
 
     /// Waits until this box reads the store and the store is reachable: then
@@ -150,7 +151,7 @@
     async fn ready_to_read(&self) {
         loop {
             self.reading().await;
-            if !self.store_unreachable.get() {
+            if !self.doubt.is_unreachable() {
                 return;
             }
             self.store_returned
@@ -197,36 +198,43 @@
 
     /// Drops a server that is gone as of a revision.
     fn drop_server(&self, id: &ids::Server, seen: u64, why: &str) {
-        if self.relay.fleet.remove(id) {
-            self.record.gone(id, seen);
-            log::info!(target: "belief", "event=server change={why} id={id} revision={seen}");
-        }
+        let Some(backend) = self.relay.fleet.remove(id) else {
+            return;
+        };
+        self.record.gone(id, seen);
+        let server = &backend.server;
+        log::info!(
+            target: "belief",
+            "event=server change={why} id={id} service={} hall={} revision={seen}",
+            server.service,
+            server.hall
+        );
     }
 
-    /// Records that a read failed. A watch that is cut says nothing of the
-    /// store, and too many calls or an unreadable answer are no absence.
-    fn read_failed(&self, what: &str, failure: &Failure) {
+    /// Records that a read failed that was sent at `asked`. A watch that is cut
+    /// says nothing of the store, and too many calls or an unreadable answer are
+    /// no absence.
+    fn read_failed(&self, what: &str, failure: &Failure, asked: Instant) {
         self.failure(what, failure);
         let absent = matches!(
             failure,
             Failure::NotSent(_) | Failure::NoAnswer(_) | Failure::Unavailable
         );
         if absent && self.reads_store.get() {
-            self.mark_unreachable();
+            self.mark_unreachable(asked);
         }
     }
 
-    fn mark_unreachable(&self) {
-        if !self.store_unreachable.replace(true) {
+    fn mark_unreachable(&self, asked: Instant) {
+        if self.doubt.lost(asked) {
             log::warn!(target: "belief", "event=store_lost");
         }
     }
 
     fn mark_reachable(&self) {
         self.informed.set(true);
-        if self.store_unreachable.replace(false) {
-            self.doubted_until
-                .set(Some(Instant::now() + servers::LAPSE_TIME));
+        let contact = self.relay.bounds().contact;
+        if self.doubt.back(Instant::now(), contact) {
             log::info!(target: "belief", "event=store_back");
             self.store_returned.notify();
         }
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -80,7 +80,9 @@
     ) -> Result<(), Error> {
         let age = answer.age_ms.map(Duration::from_millis);
         let age = age.ok_or(Error::Unsure)?;
-        self.informed.set(true);
+        // The other box reads the store now: what this one thought of it is
+        // over. It may become a reader again long after.
+        self.mark_reachable();
         if let Some(document) = document {
             self.take_document(Revision(answer.revision), document);
         }
@@ -117,7 +119,7 @@
         }
         self.take_rows(answer.servers);
         // An entry that is absent when the store is back may have lapsed.
-        self.mark_unreachable();
+        self.mark_unreachable(asked);
         self.read_self("seeded", true);
         let age = answer.known_ms.map(Duration::from_millis);
         if let Some(proven) = age.and_then(|age| asked.checked_sub(age)) {
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -13,6 +13,10 @@
 /// Longest time for a change of nothing: a slow store answers within a quarter
 /// of a second, and a read still has to fit into the bound on keys.
 const SWAP_TIME: Duration = Duration::from_millis(600);
+/// After a failure, one read in so many has the time of a slow answer. The
+/// others are given up sooner: a call that went to a store that is away gets no
+/// answer, and the store may be back right after it.
+const LONG_EVERY: u32 = 3;
 /// How long writes are avoided after an answer to one was lost.
 const UNANSWERED_TIME: Duration = Duration::from_secs(5);
 
@@ -22,20 +26,21 @@
         let mut pause = Pause::default();
         loop {
             self.ready_to_read().await;
-            match self.read_catalog().await {
+            let asked = Instant::now();
+            match self.read_catalog(CALL_TIME).await {
                 Ok(from) => {
                     pause.reset();
                     self.watch_catalog(from).await;
                 }
-                Err(failure) => self.read_failed("catalog", &failure),
+                Err(failure) => self.read_failed("catalog", &failure, asked),
             }
             pause.rest().await;
         }
     }
 
-    async fn read_catalog(&self) -> Result<Revision, Failure> {
+    async fn read_catalog(&self, limit: Duration) -> Result<Revision, Failure> {
         let asked = Instant::now();
-        let read = self.store.get(key::CONFIG, CALL_TIME).await?;
+        let read = self.store.get(key::CONFIG, limit).await?;
         match read.value {
             Some(item) => self.take_item(item, Some(asked)),
             // That there is none yet is known as surely as a catalog would be.
@@ -104,7 +109,8 @@
         let mut pause = Pause::default();
         loop {
             self.reading().await;
-            match self.proof().await {
+            let asked = Instant::now();
+            match self.proof(pause.failures()).await {
                 Ok(()) => {
                     pause.reset();
                     self.mark_reachable();
@@ -112,8 +118,8 @@
                 }
                 Err(failure) => {
                     self.failure("proof", &failure);
-                    self.mark_unreachable();
-                    pause.rest_behind(self.boxes_before.get()).await;
+                    self.mark_unreachable(asked);
+                    pause.rest_behind(self.boxes_before.get(), asked).await;
                 }
             }
         }
@@ -126,11 +132,16 @@
         unanswered.is_some_and(|at| at.elapsed() < UNANSWERED_TIME)
     }
 
-    async fn proof(&self) -> Result<(), Failure> {
+    /// Asks for a proof after so many that failed.
+    async fn proof(&self, failures: u32) -> Result<(), Failure> {
         let asked = Instant::now();
         let revision = self.revision.get();
         if revision == Revision(0) || self.writes_unanswered() {
-            return self.read_catalog().await.map(|_| ());
+            let limit = match failures % LONG_EVERY {
+                0 => CALL_TIME,
+                _ => SWAP_TIME,
+            };
+            return self.read_catalog(limit).await.map(|_| ());
         }
         // A change of nothing, under the condition that the entry is what is
         // known here: small, and answered by the store's newest state.
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -16,8 +16,6 @@
 /// Time in which further changes of servers are gathered before the watch goes
 /// on: each return of a watch is a call that is paid for.
 const GATHER_TIME: Duration = Duration::from_millis(400);
-/// How long after the store is back an entry that lapsed may stay missing.
-pub(super) const LAPSE_TIME: Duration = Duration::from_millis(2_200);
 /// Time between two checks whether the store can be relied on again.
 const LAPSE_LOOK: Duration = Duration::from_millis(100);
 
@@ -27,6 +25,7 @@
         let mut pause = Pause::default();
         loop {
             self.ready_to_read().await;
+            let asked = Instant::now();
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
                     pause.reset();
@@ -34,7 +33,7 @@
                     self.servers_known.set(true);
                     self.watch_servers(read.revision).await;
                 }
-                Err(failure) => self.read_failed("servers", &failure),
+                Err(failure) => self.read_failed("servers", &failure, asked),
             }
             self.servers_known.set(false);
             pause.rest().await;
@@ -107,11 +106,7 @@
 
     /// Whether an entry that is absent is gone.
     fn is_reliable(&self) -> bool {
-        let doubted = self
-            .doubted_until
-            .get()
-            .is_some_and(|until| Instant::now() < until);
-        !self.store_unreachable.get() && !doubted
+        self.doubt.is_over(Instant::now())
     }
 
     /// Drops servers whose entries stay missing after the store is back; does
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -13,7 +13,7 @@
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
-use crate::follow::Follower;
+use crate::follow::{Follower, SCOUTS};
 use crate::peer::link::{self, Error};
 use crate::peer::message::{Answer, Ask, Position, VERSION};
 use crate::peer::registry::{Member, Registry};
@@ -34,8 +34,6 @@
 /// current, while this box has just started: the others may have, too, and need
 /// a moment.
 const UNSURE_TIME: Duration = Duration::from_millis(400);
-/// Boxes that are asked while the store is unreachable.
-const ASKED_WHILE_UNREACHABLE: usize = 2;
 /// How long a box counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -57,7 +55,7 @@
         // back.
         let unreachable = follower.store_is_unreachable();
         let asked = if unreachable {
-            ASKED_WHILE_UNREACHABLE
+            SCOUTS as usize
         } else {
             before.len()
         };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -32,6 +32,9 @@
     pub fresh: Duration,
     /// Age of the proof under which a key is trusted; `None`: always.
     pub trusted: Option<Duration>,
+    /// Time after the end of the store's trouble from which its word counts
+    /// again: an entry that is absent then is gone.
+    pub contact: Duration,
 }
 
 /// One router.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -202,6 +202,7 @@
         trusted: bounds
             .revoke_when_blind
             .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
+        contact: bounds.contact.duration(),
     }
 }
 
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -13,6 +13,8 @@
 const REVOKE_WITHIN: Millis = Millis::new(5_000);
 /// Default of [`Bounds::revoke_when_blind`]: the safe side.
 const REVOKE_WHEN_BLIND: bool = true;
+/// Default of [`Bounds::contact`].
+const CONTACT: Millis = Millis::new(3_000);
 /// Default of [`Bounds::retry_share`]. Half of the platform's usual figure:
 /// without one, the safe side is to send less.
 const RETRY_SHARE: f64 = 0.1;
@@ -34,6 +36,8 @@
     /// Whether [`Bounds::revoke_within`] also holds for a box that does not
     /// reach the store.
     pub revoke_when_blind: bool,
+    /// Time after the end of the store's trouble from which its word counts.
+    pub contact: Millis,
     /// Repeats that a service may get per request of a window.
     pub retry_share: f64,
     /// The window over which repeats are counted.
@@ -49,6 +53,7 @@
             apply_within: APPLY_WITHIN,
             revoke_within: REVOKE_WITHIN,
             revoke_when_blind: REVOKE_WHEN_BLIND,
+            contact: CONTACT,
             retry_share: RETRY_SHARE,
             retry_window: RETRY_WINDOW,
             retry_extra: RETRY_EXTRA,
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -37,6 +37,7 @@
         span("bounds.stop_within", bounds.stop_within)?;
         span("bounds.apply_within", bounds.apply_within)?;
         span("bounds.revoke_within", bounds.revoke_within)?;
+        span("bounds.contact", bounds.contact)?;
         span("bounds.retry_window", bounds.retry_window)?;
         positive("limits.link_mbps", limits.link_mbps)?;
         positive("limits.descriptors", f64::from(limits.descriptors))?;
--- /dev/null
+++ b/crates/relay/tests/relay/entries.rs
@@ -0,0 +1,226 @@
+//! Servers' entries in the store: what a change of one does, and for how long
+//! its absence says nothing after trouble of the store.
+
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use smol::Timer;
+use tidepier_core::server::State;
+use tidepier_relay::follow::doubt::Doubt;
+use tidepier_relay_standin::server::Server;
+use tidepier_relay_standin::site::Site;
+use tidepier_relay_standin::store::Down;
+use tidepier_relay_standin::Client;
+
+use crate::hall::{ready, settled, started, Machine};
+use crate::house::{ms, post, run, site, streaming, until, usual, whole, House, Result};
+
+/// Time from the end of the store's trouble from which its word counts; the
+/// default of the settings.
+const CONTACT_TIME: Duration = Duration::from_millis(3_000);
+/// Time in which servers that live are back in the store.
+const RETURN_TIME: Duration = Duration::from_millis(2_000);
+/// How late a test may notice what happened.
+const NOTICE_TIME: Duration = Duration::from_millis(150);
+
+/// All calls to the store so far.
+fn calls(site: &Site) -> u64 {
+    site.store.all_calls().values().sum()
+}
+
+fn silence(site: &Site) {
+    site.store.faults(|faults| faults.down = Some(Down::Silent));
+}
+
+/// Ends a silence right after a call was swallowed: the latest moment for the
+/// caller to notice.
+async fn return_unnoticed(site: &Site) -> Result<Instant> {
+    let before = calls(site);
+    let start = Instant::now();
+    while calls(site) == before {
+        ensure!(start.elapsed() < ms(5_000), "nobody calls the store");
+        Timer::after(ms(1)).await;
+    }
+    site.store.faults(|faults| faults.down = None);
+    Ok(Instant::now())
+}
+
+async fn dropped(machine: &Machine, server: &Server) -> Result {
+    until("dropped", async || Ok(!machine.knows(server))).await
+}
+
+#[test]
+fn the_doubt_is_over_before_the_stores_word_counts_again() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let lost = site.server(usual(1))?;
+        let _stays = site.server(usual(2))?;
+        let machines = started(&executor, &site, 2).await?;
+        for _ in 0..2 {
+            silence(&site);
+            // Pauses between calls grow.
+            Timer::after(ms(2_500)).await;
+            site.withdraw(&lost);
+            let back = return_unnoticed(&site).await?;
+            for machine in &machines {
+                dropped(machine, &lost).await?;
+            }
+            let most = CONTACT_TIME + NOTICE_TIME;
+            ensure!(back.elapsed() < most, "{:?}", back.elapsed());
+            site.announce(&lost, State::Ready);
+            for machine in &machines {
+                until("back", async || machine.serves_by(&lost)).await?;
+            }
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_box_that_followed_another_after_an_outage_believes_the_store_at_once() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let gone = site.server(usual(1))?;
+        let _stays = site.server(usual(2))?;
+        let mut machines = started(&executor, &site, 2).await?;
+        silence(&site);
+        let second = &machines[1];
+        until("noticed", async || Ok(second.store.asked() > 0)).await?;
+        Timer::after(ms(2_500)).await;
+        site.store.faults(|faults| faults.down = None);
+        settled(&machines, &[0]).await?;
+        Timer::after(CONTACT_TIME).await;
+        // Calm since long; the reader goes, and the other one takes its place.
+        drop(machines.remove(0));
+        let withdrawn = Instant::now();
+        site.withdraw(&gone);
+        dropped(&machines[0], &gone).await?;
+        ensure!(withdrawn.elapsed() < ms(2_000), "{:?}", withdrawn.elapsed());
+        ready(&machines).await
+    })
+}
+
+#[test]
+fn a_doubt_lasts_while_entries_come_back() {
+    let contact = CONTACT_TIME;
+    let start = Instant::now();
+    let at = |count| start + ms(count);
+    let doubt = Doubt::default();
+    assert!(doubt.is_over(at(0)));
+    assert!(doubt.lost(at(0)));
+    assert!(!doubt.lost(at(1_000)));
+    assert!(!doubt.is_over(at(60_000)));
+    // The store is back between 1.0 s and 1.3 s.
+    assert!(doubt.back(at(1_300), contact));
+    assert!(!doubt.back(at(1_400), contact));
+    assert!(!doubt.is_over(at(1_300) + RETURN_TIME));
+    assert!(doubt.is_over(at(1_000) + contact - ms(499)));
+}
+
+#[test]
+fn a_return_that_is_noticed_late_is_not_doubted_for_longer() {
+    let start = Instant::now();
+    let at = |count| start + ms(count);
+    let doubt = Doubt::default();
+    doubt.lost(at(0));
+    // One failure is known before the other and comes after it.
+    doubt.lost(at(500));
+    doubt.lost(at(200));
+    doubt.back(at(2_300), CONTACT_TIME);
+    assert!(!doubt.is_over(at(2_900)));
+    assert!(doubt.is_over(at(3_001)));
+    // A box that asked others for a long time after its last failure.
+    doubt.lost(at(4_000));
+    doubt.back(at(60_000), CONTACT_TIME);
+    assert!(doubt.is_over(at(60_000)));
+}
+
+#[test]
+fn changed_slots_are_taken_over() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
+        let id = server.settings().id.parse()?;
+        let key = format!("{}{id}", tidepier_relay_standin::names::SERVERS);
+        let entry = site.store.value(&key).ok_or_else(|| eyre!("no entry"))?;
+        let mut entry: serde_json::Value = serde_json::from_slice(&entry)?;
+        entry["slots"] = 48.into();
+        site.store.put(&key, &entry);
+        for machine in &machines {
+            let fleet = &machine.router.relay().fleet;
+            until("taken over", async || {
+                Ok(fleet.get(&id).is_some_and(|known| known.slots() == 48))
+            })
+            .await?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_that_joins_another_service_leaves_the_old_one() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let mut other = usual(1);
+        other.service = "service-2".into();
+        let other = house.site.server(other)?;
+        let fleet = &house.router.relay().fleet;
+        let old = server.settings().service.parse()?;
+        let new = other.settings().service.parse()?;
+        until("moved", async || Ok(fleet.serving(&new).len() == 1)).await?;
+        ensure!(fleet.serving(&old).is_empty(), "in both services");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_stream_goes_on_at_a_server_whose_entry_goes() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let gone = site.server(streaming(1, 20, ms(100)))?;
+        let house = House::open(executor.clone(), site).await?;
+        let front = house.front();
+        let call = post("/u/x", "long");
+        let stream = executor.spawn(async move { Client::once(front, &call).await });
+        until("begun", async || Ok(gone.running() == 1)).await?;
+        let stays = house.site.server(streaming(2, 20, ms(1)))?;
+        // It never says that it leaves.
+        house.site.withdraw(&gone);
+        let fleet = &house.router.relay().fleet;
+        let id = gone.settings().id.parse()?;
+        until("dropped", async || Ok(fleet.get(&id).is_none())).await?;
+        let answer = house.post("/u/x", "other").await?;
+        whole(&answer, &[&stays], "other")?;
+        whole(&stream.await?, &[&gone], "long")
+    })
+}
+
+#[test]
+fn a_server_that_says_nothing_new_is_no_change() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let fleet = &house.router.relay().fleet;
+        let id = server.settings().id.parse()?;
+        let before = fleet.get(&id).ok_or_else(|| eyre!("unknown"))?;
+        for _ in 0..3 {
+            // Only its sequence differs.
+            house.site.announce(&server, State::Ready);
+            Timer::after(ms(100)).await;
+        }
+        // Without any sign of life for longer than three heartbeats.
+        let start = Instant::now();
+        while start.elapsed() < ms(4_000) {
+            Timer::after(ms(200)).await;
+            let attempt = format!("{:?}", start.elapsed());
+            whole(&house.post("/r/x", &attempt).await?, &[&server], &attempt)?;
+        }
+        let after = fleet.get(&id).ok_or_else(|| eyre!("dropped"))?;
+        ensure!(std::rc::Rc::ptr_eq(&before, &after), "forgotten in between");
+        Ok(())
+    })
+}
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -31,6 +31,7 @@
     let bounds = Bounds {
         fresh: APPLY_TIME,
         trusted: Some(REVOKE_TIME),
+        contact: Duration::from_millis(3_000),
     };
     Ok(Rc::new(Relay::new(
         "hall-1".parse()?,
