--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -11,6 +11,8 @@
 //! * Every line that is not written is counted, and the count is logged once
 //!   there is room.
 //! * What waits is bounded in lines and bytes, and so is the length of a line.
+//! * Lines are written whole, so that a reader of several processes gets none
+//!   that ends within another's.
 
 use std::cell::Cell;
 use std::io::{self, Write};
@@ -32,6 +34,9 @@
 const REQUEST_TARGET: &str = "request";
 /// Longest line, in bytes; the rest of a longer one is cut off.
 const LINE_BYTES: usize = 4 << 10;
+/// Most bytes of one write: up to this size a pipe takes all or nothing
+/// (`PIPE_BUF` of Linux), so that lines of processes that share one stay whole.
+const WRITE_BYTES: usize = 4 << 10;
 /// Room that a buffer keeps after use, in bytes: the lines of a usual batch.
 const BUFFER_KEPT: usize = 16 << 10;
 /// Time after a first line in which others are gathered into one write. Saves
@@ -138,7 +143,7 @@
         let mut batch = Vec::new();
         loop {
             let lines = self.take(&mut batch);
-            let outcome = out.write_all(&batch).and_then(|()| out.flush());
+            let outcome = write_whole(&mut out, &batch);
             let mut state = self.state();
             state.writing = false;
             if outcome.is_err() {
@@ -174,6 +179,19 @@
     }
 }
 
+/// Writes whole lines at a time, as many as fit into one write.
+fn write_whole(out: &mut impl Write, mut lines: &[u8]) -> io::Result<()> {
+    while !lines.is_empty() {
+        let most = lines.len().min(WRITE_BYTES);
+        let end = lines[..most].iter().rposition(|byte| *byte == b'\n');
+        let (now, rest) = lines.split_at(end.map_or(most, |end| end + 1));
+        out.write_all(now)?;
+        out.flush()?;
+        lines = rest;
+    }
+    Ok(())
+}
+
 /// Appends a line on those that were dropped, under the time of the last line.
 fn report_dropped(state: &mut State, batch: &mut Vec<u8>) {
     if state.dropped == state.reported {
--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -162,6 +162,46 @@
     text.lines().map(String::from).collect()
 }
 
+/// Keeps each write apart.
+#[derive(Clone, Default)]
+struct Writes(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Write for Writes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("writes").push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_come_together_are_written_whole() {
+    const LINES: usize = 300;
+    const WRITE_BYTES: usize = 4 << 10;
+    let writes = Writes::default();
+    let queue = Queue::start(writes.clone()).expect("thread");
+    let logger = logger(LevelFilter::Info, &queue);
+    for number in 0..LINES {
+        let padding = "x".repeat(number);
+        log_line(
+            &*logger,
+            format_args!("event=server number={number} {padding}"),
+        );
+    }
+    assert!(queue.flush(), "not written");
+    let writes = writes.0.lock().expect("writes");
+    for bytes in writes.iter() {
+        assert!(bytes.len() <= WRITE_BYTES, "{} bytes at once", bytes.len());
+        assert!(bytes.ends_with(b"\n"), "a line is cut");
+    }
+    let written = writes.concat();
+    let lines = written.iter().filter(|byte| **byte == b'\n').count();
+    assert_eq!(lines, LINES);
+}
+
 #[test]
 fn a_stalled_reader_costs_lines_and_no_time() {
     const LINES: usize = 20_000;
--- /dev/null
+++ b/crates/relay/tests/relay/logged.rs
@@ -0,0 +1,63 @@
+//! What the log says of servers, for those who look for a cause.
+
+use std::sync::{Mutex, OnceLock};
+
+use eyre::{ensure, eyre};
+use log::{Level, LevelFilter, Log, Metadata, Record};
+
+use crate::house::{run, site, until, usual, House, Result, SERVICE};
+
+/// Lines of all tests that run in this process.
+#[derive(Default)]
+struct Lines(Mutex<Vec<String>>);
+
+impl Log for Lines {
+    fn enabled(&self, metadata: &Metadata<'_>) -> bool {
+        metadata.target() == "belief" && metadata.level() <= Level::Info
+    }
+
+    fn log(&self, record: &Record<'_>) {
+        if self.enabled(record.metadata()) {
+            let mut lines = self.0.lock().expect("lines");
+            lines.push(record.args().to_string());
+        }
+    }
+
+    fn flush(&self) {}
+}
+
+/// The lines so far; gathers them from the first call on.
+fn lines() -> &'static Lines {
+    static LINES: OnceLock<Lines> = OnceLock::new();
+    static SET: OnceLock<()> = OnceLock::new();
+    let lines = LINES.get_or_init(Lines::default);
+    SET.get_or_init(|| {
+        log::set_logger(lines).expect("no other logger");
+        log::set_max_level(LevelFilter::Info);
+    });
+    lines
+}
+
+#[test]
+fn a_server_that_is_gone_is_logged_with_its_hall() -> Result {
+    run(async |executor| {
+        let lines = lines();
+        let site = site()?;
+        let _stays = site.server(usual(1))?;
+        let mut settings = usual(2);
+        settings.id = "i-logged".into();
+        let gone = site.server(settings)?;
+        let house = House::open(executor, site).await?;
+        house.site.withdraw(&gone);
+        let told = || {
+            let lines = lines.0.lock().expect("lines");
+            let of_it = |line: &&String| line.contains("change=Gone id=i-logged ");
+            lines.iter().find(of_it).cloned()
+        };
+        until("logged", async || Ok(told().is_some())).await?;
+        let line = told().ok_or_else(|| eyre!("no line"))?;
+        let expected = format!("service={SERVICE} hall=hall-2 revision=");
+        ensure!(line.contains(&expected), "{line}");
+        Ok(())
+    })
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -16,6 +16,7 @@
 mod keys;
 mod limits;
 mod load;
+mod logged;
 mod peers;
 mod places;
 mod port;
