The programs' shared arguments are no group of clap's

Both structs are called Arguments, so that clap's check of debug builds ended tidepier-relay at its start ('Arguments' is already in use); the router and the steward share the same struct.

--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -13,7 +13,9 @@
 
 // Not a doc comment: it would take the place of each program's own.
 // Arguments of every process.
+// No group: its name would be that of the program's own arguments.
 #[derive(Debug, Clone, Copy, clap::Args)]
+#[group(skip)]
 #[expect(missing_docs, reason = "a comment would show as the program's own")]
 pub struct Arguments {
     /// Checks the settings and exits.
