--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -202,6 +202,7 @@
         trusted: bounds
             .revoke_when_blind
             .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
+        contact: bounds.contact.duration(),
     }
 }
 
@@ -209,7 +210,7 @@
     let bounds = &settings.bounds;
     budget::Terms {
         ratio: bounds.retry_share,
-        extra: f64::from(bounds.retry_extra),
+        extra: bounds.retry_extra,
         window: bounds.retry_window.duration(),
     }
 }
--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -48,11 +48,18 @@
     assert_eq!(settings.limits.descriptors, 4_100);
     assert_eq!(settings.limits.link_mbps, 1_000.0);
     assert!(settings.first_start);
-    assert_eq!(settings.bounds.retry_extra, 58);
+    assert_eq!(settings.bounds.retry_extra, 58.0);
     let stop = settings.bounds.stop_within;
     assert_eq!(stop.duration(), Duration::from_secs(8));
 }
 
+#[test]
+fn a_share_of_a_request_is_an_allowance() {
+    let text = SAMPLE.replacen("\"retry_extra\": 58", "\"retry_extra\": 39.07", 1);
+    let settings = read("fraction", &text).expect("settings");
+    assert_eq!(settings.bounds.retry_extra, 39.07);
+}
+
 #[test]
 fn what_is_left_out_has_a_default() {
     let text = r#"{"name": "b", "hall": "h", "callers": "127.0.0.1:1",
@@ -62,7 +69,7 @@
     assert_eq!(settings.limits, settings::Limits::default());
     assert!(settings.readiness.is_none() && settings.seeds.is_empty());
     assert!(settings.bounds.revoke_when_blind);
-    assert_eq!(settings.bounds.retry_extra, 0);
+    assert_eq!(settings.bounds.retry_extra, 0.0);
 }
 
 #[test]
@@ -162,6 +169,46 @@
     text.lines().map(String::from).collect()
 }
 
+/// Keeps each write apart.
+#[derive(Clone, Default)]
+struct Writes(Arc<Mutex<Vec<Vec<u8>>>>);
+
+impl Write for Writes {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.lock().expect("writes").push(bytes.to_vec());
+        Ok(bytes.len())
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        Ok(())
+    }
+}
+
+#[test]
+fn lines_that_come_together_are_written_whole() {
+    const LINES: usize = 300;
+    const WRITE_BYTES: usize = 4 << 10;
+    let writes = Writes::default();
+    let queue = Queue::start(writes.clone()).expect("thread");
+    let logger = logger(LevelFilter::Info, &queue);
+    for number in 0..LINES {
+        let padding = "x".repeat(number);
+        log_line(
+            &*logger,
+            format_args!("event=server number={number} {padding}"),
+        );
+    }
+    assert!(queue.flush(), "not written");
+    let writes = writes.0.lock().expect("writes");
+    for bytes in writes.iter() {
+        assert!(bytes.len() <= WRITE_BYTES, "{} bytes at once", bytes.len());
+        assert!(bytes.ends_with(b"\n"), "a line is cut");
+    }
+    let written = writes.concat();
+    let lines = written.iter().filter(|byte| **byte == b'\n').count();
+    assert_eq!(lines, LINES);
+}
+
 #[test]
 fn a_stalled_reader_costs_lines_and_no_time() {
     const LINES: usize = 20_000;
