The processes' shared options no longer take the name of their own arguments

clap makes an argument group of each derived struct, by its name. Both were called Arguments, and debug builds refuse that at the start, so every test with a process of its own failed (5 of the relay's: stop, registry, peers). Release builds do not check.

--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -12,10 +12,11 @@
 pub const EXIT_SETTINGS: u8 = 2;
 
 // Not a doc comment: it would take the place of each program's own.
-// Arguments of every process.
+// Options of every process. clap takes the name for a group of its own, so it
+// differs from that of the struct it is a part of.
 #[derive(Debug, Clone, Copy, clap::Args)]
 #[expect(missing_docs, reason = "a comment would show as the program's own")]
-pub struct Arguments {
+pub struct Options {
     /// Checks the settings and exits.
     #[arg(long)]
     pub check: bool,
@@ -24,7 +25,7 @@
     pub log: LevelFilter,
 }
 
-impl Arguments {
+impl Options {
     /// Reads the settings, and runs with them unless they were to be checked
     /// only. `failed` is the exit code of a run that failed.
     pub fn main<S, E: Display>(
--- a/crates/relay/src/bin/tidepier-relay.rs
+++ b/crates/relay/src/bin/tidepier-relay.rs
@@ -17,7 +17,7 @@
     #[arg(long, env = "TIDEPIER_BOOT")]
     settings: PathBuf,
     #[command(flatten)]
-    common: tidepier_process::Arguments,
+    common: tidepier_process::Options,
 }
 
 fn main() -> ExitCode {
--- a/crates/router/src/bin/tidepier-router.rs
+++ b/crates/router/src/bin/tidepier-router.rs
@@ -39,7 +39,7 @@
     #[arg(long, env = "TIDEPIER_ADMIN")]
     admin: Option<Address>,
     #[command(flatten)]
-    common: tidepier_process::Arguments,
+    common: tidepier_process::Options,
 }
 
 impl Arguments {
--- a/crates/steward/src/bin/tidepier-steward.rs
+++ b/crates/steward/src/bin/tidepier-steward.rs
@@ -18,7 +18,7 @@
     #[arg(long, env = "TIDEPIER_SETTINGS")]
     settings: PathBuf,
     #[command(flatten)]
-    common: tidepier_process::Arguments,
+    common: tidepier_process::Options,
 }
 
 fn main() -> ExitCode {
