The stores' contract compares without a copy

clippy of the pinned toolchain refuses the cloned slice in the new test; the assertion is the same, and clippy passes with warnings as errors.

--- a/tests/all/stores.rs
+++ b/tests/all/stores.rs
@@ -67,7 +67,7 @@
     assert_eq!((item.revision, item.lease), (first, None));
     // It is there by now.
     match store.swap(&absent, &writes, &[], LIMIT).await {
-        Ok(Swap::Conflict(Current::Items(now))) => assert_eq!(now, [item.clone()]),
+        Ok(Swap::Conflict(Current::Items(now))) => assert_eq!(now, std::slice::from_ref(&item)),
         Ok(Swap::Conflict(Current::Untold)) => {}
         other => panic!("{other:?}"),
     }
