--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -26,6 +26,7 @@
 mod registry;
 mod seeds;
 mod sendings;
+mod sizes;
 mod slow;
 mod stop;
 mod streams;
