router: starting the tasks is apart from what they share

`node` was the knot: it held what all tasks share and started all of them.

Now `start` starts the tasks and nobody needs it; `phase` holds how far a stop is, `status` what a box tells operators; `pressure` takes the engine instead of the node; a keeper gives a place that nobody waits for back to itself instead of through `place`, which called it again.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -6,84 +6,24 @@
 
 use http_types::{Method, Request};
 use metrics_exporter_prometheus::PrometheusHandle;
-use serde::{Deserialize, Serialize};
 use smol::net::TcpListener;
 use smol::Timer;
 use tidepier_config::key::Hash;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::server::{serve, Handler, Reply};
 use tidepier_http::{body, http_types};
-use tidepier_ids as ids;
 
 use crate::apply;
 use crate::callers::{bearer, limits, ready};
 use crate::node::Node;
-use crate::stop::Phase;
+use crate::phase::Phase;
+use crate::status::{BoxStatus, Status};
 
 /// Largest body of an operator's call: a document of a megabyte.
 const BODY_BYTES: u64 = 2 << 20;
 /// Time for a body to arrive.
 const BODY_TIME: Duration = Duration::from_secs(10);
 
-/// A box as another box sees it.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct BoxStatus {
-    /// The box.
-    #[serde(rename = "box")]
-    pub name: ids::Box,
-    /// Its hall.
-    pub hall: ids::Hall,
-    /// Its incarnation.
-    pub incarnation: ids::Incarnation,
-    /// `alive`, `suspect`, `leaving` or `dead`.
-    pub state: String,
-    /// Where it takes operators.
-    pub admin: std::net::SocketAddr,
-}
-
-/// A pool that a box keeps.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct PoolStatus {
-    /// The model.
-    pub model: ids::Model,
-    /// Engines.
-    pub engines: usize,
-    /// Open grants.
-    pub open: usize,
-    /// Waiting requests.
-    pub waiting: usize,
-}
-
-/// What a box says of itself.
-#[derive(Debug, Clone, Serialize, Deserialize)]
-pub struct Status {
-    /// The box.
-    #[serde(rename = "box")]
-    pub name: ids::Box,
-    /// Its hall.
-    pub hall: ids::Hall,
-    /// Its incarnation.
-    pub incarnation: ids::Incarnation,
-    /// `serving`, `stopping` or `closed`.
-    pub phase: String,
-    /// The generation in force; 0 is none.
-    pub generation: ids::Generation,
-    /// Seconds since it is in force here.
-    pub generation_age_s: Option<u64>,
-    /// Who applied it.
-    pub author: Option<String>,
-    /// When it was accepted, milliseconds since the Unix epoch.
-    pub accepted_ms: Option<u64>,
-    /// Open requests.
-    pub open: usize,
-    /// Open links.
-    pub links: usize,
-    /// Pools that it keeps.
-    pub pools: Vec<PoolStatus>,
-    /// The boxes that it knows.
-    pub boxes: Vec<BoxStatus>,
-}
-
 static METRICS: OnceLock<PrometheusHandle> = OnceLock::new();
 
 /// Sets where `/metrics` is rendered from; the first call wins.
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -19,7 +19,7 @@
 use crate::chat::{self, Api, Incoming};
 use crate::deadline::Deadline;
 use crate::node::Node;
-use crate::stop::Phase;
+use crate::phase::Phase;
 use crate::trace::Hop;
 use crate::{resume, service};
 
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -18,9 +18,9 @@
 use tidepier_wire::frame::{self, Adoption, Holding, Pressure};
 use tidepier_wire::Frame;
 
-use crate::admin::PoolStatus;
 use crate::links::Answer;
 use crate::node::Node;
+use crate::status::PoolStatus;
 
 /// Time between looks at waiting requests.
 const TICK: Duration = Duration::from_millis(20);
@@ -360,7 +360,8 @@
     };
     let answered = node.links.answer(number, Answer::Place(result));
     if let Err(Answer::Place(Ok(grant))) = answered {
-        crate::place::unwanted(node, node.name(), &grant);
+        // The request has ended meanwhile: its place goes back at once.
+        released(node, grant.slot, Ended::Served);
     }
 }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -1,6 +1,5 @@
 //! One running router and what its tasks share.
 
-use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Instant;
@@ -12,11 +11,11 @@
 use tidepier_config::Settings;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::client::Pool;
-use tidepier_http::dial::{self, Dial};
+use tidepier_http::dial::Dial;
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, State, Table};
 use tidepier_store::etcd::Client;
-use tidepier_wire::frame::{Hello, VERSION};
+use tidepier_wire::frame::{Hello, Pressure, VERSION};
 use tidepier_wire::link;
 
 use crate::budget::Budget;
@@ -25,11 +24,10 @@
 use crate::keeper::Keeper;
 use crate::links::Links;
 use crate::once::Answers;
+use crate::phase::{Phase, Stop};
 use crate::pressure::Pressures;
 use crate::seal::Sealer;
-use crate::stop::Stop;
 use crate::trace::Ring;
-use crate::{admin, beats, callers, follow, keeper, peers, place, probe};
 
 /// A running router.
 pub struct Node {
@@ -59,38 +57,12 @@
 }
 
 impl Node {
-    /// Binds the addresses of `settings` and starts all tasks on `executor`.
-    ///
-    /// # Errors
-    ///
-    /// An address cannot be bound.
-    pub fn start(settings: Settings, executor: &Arc<Executor<'static>>) -> io::Result<Arc<Self>> {
-        Self::start_over(dial::direct(), settings, executor)
-    }
-
-    /// Like [`Node::start`], over a network of the caller's.
-    ///
-    /// # Errors
-    ///
-    /// An address cannot be bound.
-    pub fn start_over(
+    /// What the tasks of one router share, before any of them runs.
+    pub(crate) fn new(
         network: Arc<dyn Dial>,
         settings: Settings,
         executor: &Arc<Executor<'static>>,
-    ) -> io::Result<Arc<Self>> {
-        let node = Arc::new(Self::new(network, settings, executor));
-        callers::start(&node)?;
-        peers::start(&node)?;
-        admin::start(&node)?;
-        beats::start(&node);
-        follow::start(&node);
-        keeper::start(&node);
-        place::start(&node);
-        probe::start(&node);
-        Ok(node)
-    }
-
-    fn new(network: Arc<dyn Dial>, settings: Settings, executor: &Arc<Executor<'static>>) -> Self {
+    ) -> Self {
         let client = Pool::over(network.clone());
         let platform = &settings.platform;
         let limit = settings.tuning.store_ms.duration();
@@ -152,7 +124,7 @@
     }
 
     /// How far this router is with stopping.
-    pub fn phase(&self) -> crate::Phase {
+    pub fn phase(&self) -> Phase {
         self.stop.phase()
     }
 
@@ -183,6 +155,18 @@
         }
     }
 
+    /// Notes the pressure that the keeper of an engine's pool told; an engine
+    /// that no document names any more has no pool.
+    pub(crate) fn pressed(&self, engine: &ids::Engine, pressure: Pressure) {
+        let document = self.current.document();
+        let found = document
+            .as_ref()
+            .and_then(|document| document.engine(engine));
+        if let Some(engine) = found {
+            self.pressures.note(engine, pressure);
+        }
+    }
+
     /// Starts a task of this node; does nothing while the node ends.
     pub(crate) fn spawn(&self, work: impl std::future::Future<Output = ()> + Send + 'static) {
         if let Some(executor) = self.executor.upgrade() {
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -157,7 +157,7 @@
         }
         Frame::Ask(ask) => keeper::asked(node, peer, ask),
         Frame::Grant(number, engine, slot, pressure) => {
-            node.pressures.note(node, &engine, pressure);
+            node.pressed(&engine, pressure);
             granted(node, peer, number, Grant { engine, slot });
         }
         Frame::Refuse(number, kind, detail, after_ms) => {
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -255,7 +255,7 @@
             Verdict::Granted(grant) => {
                 node.links.forget(number);
                 let pressure = keeper::pressure(node, &grant.engine);
-                node.pressures.note(node, &grant.engine, pressure);
+                node.pressed(&grant.engine, pressure);
                 grant
             }
             Verdict::Refused(fault) => {
--- a/crates/router/src/pressure.rs
+++ b/crates/router/src/pressure.rs
@@ -8,11 +8,10 @@
 use std::sync::{Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
+use tidepier_config::document::Engine;
 use tidepier_ids as ids;
 use tidepier_wire::frame::Pressure;
 
-use crate::node::Node;
-
 /// Age at which what a keeper told no longer counts.
 const FRESH: Duration = Duration::from_secs(2);
 /// Requests for each engine below which a hall is never left: there is
@@ -27,14 +26,7 @@
 
 impl Pressures {
     /// Notes what the keeper of an engine's pool told.
-    pub(crate) fn note(&self, node: &Node, engine: &ids::Engine, pressure: Pressure) {
-        let document = node.current.document();
-        let Some(engine) = document
-            .as_ref()
-            .and_then(|document| document.engine(engine))
-        else {
-            return;
-        };
+    pub(crate) fn note(&self, engine: &Engine, pressure: Pressure) {
         let pool = (engine.model.clone(), engine.hall.clone());
         self.lock()
             .insert(pool, (pressure.requests(), Instant::now()));
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -4,63 +4,18 @@
 //! peers, but goes on serving what still arrives, since the balancer lags. It
 //! stops listening after a grace, finishes its streams, and ends.
 
-use std::sync::atomic::{AtomicU8, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use event_listener::Event;
 use smol::Timer;
 use tidepier_wire::Frame;
 
 use crate::node::Node;
+use crate::phase::Phase;
 
 /// Time between looks at what is still open.
 const CHECK: Duration = Duration::from_millis(50);
 
-/// How far a router is with stopping.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Phase {
-    /// It serves.
-    Serving,
-    /// It finishes what it has.
-    Stopping,
-    /// It no longer listens for callers.
-    Closed,
-}
-
-/// The stop of one router.
-#[derive(Default)]
-pub(crate) struct Stop {
-    phase: AtomicU8,
-    pub(crate) changed: Event,
-}
-
-impl Stop {
-    pub(crate) fn phase(&self) -> Phase {
-        match self.phase.load(Ordering::SeqCst) {
-            0 => Phase::Serving,
-            1 => Phase::Stopping,
-            _ => Phase::Closed,
-        }
-    }
-
-    fn advance(&self, phase: Phase) {
-        self.phase.store(phase as u8, Ordering::SeqCst);
-        self.changed.notify(usize::MAX);
-    }
-
-    /// Resolves when the router no longer listens for callers.
-    pub(crate) async fn closed(&self) {
-        loop {
-            let listener = self.changed.listen();
-            if self.phase() == Phase::Closed {
-                return;
-            }
-            listener.await;
-        }
-    }
-}
-
 impl Node {
     /// Stops as planned. Resolves when all requests have ended or the time
     /// limit of the settings has passed; returns how many were still open.
