router: the pools and the fates of claims are state without tasks

What a keeper's and a claim's tasks share is in `pools` and `fates`, which know neither the node nor each other; `node` no longer needs `keeper` and `once`. Locks are held as before, for one piece of work on the pools; verdicts are sent after them.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -146,7 +146,7 @@
         author: about.map(|about| about.author),
         open: node.open_requests(),
         links: node.links.count(),
-        pools: node.keeper.summary(),
+        pools: node.pools.summary(),
         boxes: boxes.collect(),
     }
 }
--- /dev/null
+++ b/crates/router/src/fates.rs
@@ -0,0 +1,38 @@
+//! What became of the claims that this box has made, as far as it is kept.
+
+use std::num::NonZeroUsize;
+use std::sync::{Mutex, MutexGuard};
+
+use lru::LruCache;
+use tidepier_ids as ids;
+use tidepier_wire::frame::Fate;
+
+/// Fates kept by one box.
+const FATES: usize = 4096;
+
+/// The fates of the claims that this box has made, by their random ids, so
+/// that a fate can never be taken for that of another claim of the same key.
+pub(crate) struct Fates(Mutex<LruCache<ids::Request, Fate>>);
+
+impl Default for Fates {
+    fn default() -> Self {
+        let size = NonZeroUsize::new(FATES).unwrap_or(NonZeroUsize::MIN);
+        Self(Mutex::new(LruCache::new(size)))
+    }
+}
+
+impl Fates {
+    /// Notes what became of a claim.
+    pub(crate) fn set(&self, claim: ids::Request, fate: Fate) {
+        self.lock().put(claim, fate);
+    }
+
+    /// What became of a claim.
+    pub(crate) fn get(&self, claim: ids::Request) -> Fate {
+        self.lock().get(&claim).cloned().unwrap_or(Fate::Unknown)
+    }
+
+    fn lock(&self) -> MutexGuard<'_, LruCache<ids::Request, Fate>> {
+        self.0.lock().unwrap_or_else(|e| e.into_inner())
+    }
+}
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -5,8 +5,7 @@
 //! boxes. A box that is asked for a pool that it does not keep, by its own
 //! view, refuses; so a grant needs that asker and keeper agree on the keeper.
 
-use std::collections::HashMap;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::Arc;
 use std::time::{Duration, Instant};
 
 use futures_lite::FutureExt;
@@ -14,13 +13,13 @@
 use tidepier_config::document::{Document, State};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
-use tidepier_placement::{by_rendezvous, Ask, Ended, Pool, Ticket, Verdict};
+use tidepier_placement::{by_rendezvous, Ask, Ended, Ticket, Verdict};
 use tidepier_wire::frame::{self, Adoption, Holding, Pressure};
 use tidepier_wire::Frame;
 
 use crate::links::Answer;
 use crate::node::Node;
-use crate::status::PoolStatus;
+use crate::pools::Verdicts;
 
 /// Time between looks at waiting requests.
 const TICK: Duration = Duration::from_millis(20);
@@ -28,80 +27,6 @@
 /// their places are given away.
 const ORPHANS: Duration = Duration::from_secs(3);
 
-#[derive(Default)]
-struct Kept {
-    pools: HashMap<ids::Model, Pool>,
-    ticked: Option<Instant>,
-}
-
-/// An engine of a pool that this box keeps.
-pub(crate) struct Watched {
-    pub(crate) model: ids::Model,
-    pub(crate) engine: ids::Engine,
-    /// Whether it is looked at often: its pool was taken over a short while ago,
-    /// or it is out and may come back.
-    pub(crate) often: bool,
-}
-
-/// The pools of one box.
-#[derive(Default)]
-pub(crate) struct Keeper(Mutex<Kept>);
-
-impl Keeper {
-    fn lock(&self) -> MutexGuard<'_, Kept> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
-    }
-
-    /// Runs `work` on the pool of `model`, if this box keeps it.
-    fn on<T>(&self, model: &ids::Model, work: impl FnOnce(&mut Pool) -> T) -> Option<T> {
-        self.lock().pools.get_mut(model).map(work)
-    }
-
-    /// The pools kept here, by model.
-    pub(crate) fn summary(&self) -> Vec<PoolStatus> {
-        let state = self.lock();
-        let mut rows: Vec<_> = state
-            .pools
-            .iter()
-            .map(|(model, pool)| PoolStatus {
-                model: model.clone(),
-                engines: pool.engines().len(),
-                open: pool.open(),
-                waiting: pool.waiting(),
-            })
-            .collect();
-        rows.sort_by(|a, b| a.model.cmp(&b.model));
-        rows
-    }
-
-    /// Engines of the pools kept here.
-    pub(crate) fn engines(&self) -> Vec<Watched> {
-        let state = self.lock();
-        let now = Instant::now();
-        let pools = state.pools.iter();
-        let engines = pools.flat_map(|(model, pool)| {
-            let active = pool.engines().iter().filter(|(_, engine)| engine.active);
-            active.map(move |(name, engine)| Watched {
-                model: model.clone(),
-                engine: name.clone(),
-                often: pool.is_young(now) || engine.ejected.is_some(),
-            })
-        });
-        engines.collect()
-    }
-
-    pub(crate) fn report(&self, model: &ids::Model, engine: &ids::Engine, running: Option<u32>) {
-        let now = Instant::now();
-        self.on(model, |pool| match running {
-            Some(running) => {
-                pool.report(engine, running);
-                pool.recover(engine, now);
-            }
-            None => pool.fail(engine, now),
-        });
-    }
-}
-
 /// The keeper of a pool, by this box's view.
 pub(crate) fn keeper_of(node: &Node, model: &ids::Model, hall: &ids::Hall) -> Option<ids::Box> {
     let table = node.table();
@@ -120,11 +45,7 @@
         Timer::after(TICK).await;
         thaw(&node);
         let now = Instant::now();
-        let mut out = Vec::new();
-        for pool in node.keeper.lock().pools.values_mut() {
-            out.extend(pool.tick(now));
-        }
-        deliver(&node, out);
+        deliver(&node, node.pools.each(|pool| pool.tick(now)));
     }
 }
 
@@ -133,7 +54,7 @@
 fn thaw(node: &Arc<Node>) {
     let limit = node.settings.tuning.suspect_ms.duration();
     let now = Instant::now();
-    let slept = node.keeper.lock().ticked.replace(now);
+    let slept = node.pools.looked(now);
     if slept.is_some_and(|last| now.saturating_duration_since(last) > limit) {
         dissolve(node, |_| true);
         metrics::counter!("tidepier_keeper_resets_total").increment(1);
@@ -142,15 +63,7 @@
 
 /// Ends the pools that `ends` holds for, and tells whoever waits before them.
 fn dissolve(node: &Arc<Node>, ends: impl Fn(&ids::Model) -> bool) {
-    let ended: Vec<Pool> = {
-        let mut state = node.keeper.lock();
-        state
-            .pools
-            .extract_if(|model, _| ends(model))
-            .map(|(_, pool)| pool)
-            .collect()
-    };
-    for pool in ended {
+    for pool in node.pools.take(ends) {
         deliver(node, pool.dissolve());
     }
 }
@@ -185,16 +98,10 @@
         .collect();
     dissolve(node, |model| kept.iter().all(|(_, other)| other != model));
     let alone = node.table().candidates(node.hall()).count() <= 1;
-    let mut state = node.keeper.lock();
+    let takeover = node.settings.tuning.takeover_ms.duration();
+    let wait = if alone { Duration::ZERO } else { takeover };
     for (engines, model) in kept {
-        let takeover = node.settings.tuning.takeover_ms.duration();
-        let wait = if alone { Duration::ZERO } else { takeover };
-        let load = document.load.clone();
-        let pool = state.pools.entry(model).or_insert_with(|| {
-            metrics::counter!("tidepier_keeper_takeovers_total").increment(1);
-            Pool::new(load.clone(), Instant::now() + wait)
-        });
-        pool.configure(load, &engines);
+        node.pools.configure(model, &document.load, &engines, wait);
     }
 }
 
@@ -215,7 +122,7 @@
 pub(crate) fn decide(node: &Arc<Node>, model: &ids::Model, ask: Ask) -> Verdict {
     thaw(node);
     let now = Instant::now();
-    let decided = node.keeper.on(model, |pool| pool.ask(ask, now));
+    let decided = node.pools.on(model, |pool| pool.ask(ask, now));
     decided.unwrap_or_else(|| {
         // The asker looks again: the boxes' views of the keeper differ.
         let fault = Fault::new(Kind::Peer, "this box does not keep the pool");
@@ -263,18 +170,13 @@
 /// A place is given back.
 pub(crate) fn released(node: &Arc<Node>, slot: ids::Slot, ended: Ended) {
     let now = Instant::now();
-    let out = {
-        let mut state = node.keeper.lock();
-        let pool = state.pools.values_mut().find(|pool| pool.holds(slot));
-        pool.map(|pool| pool.release(slot, ended, now))
-    };
-    deliver(node, out.unwrap_or_default());
+    deliver(node, node.pools.release(slot, ended, now));
 }
 
 /// A request is withdrawn.
 pub(crate) fn withdrawn(node: &Arc<Node>, model: &ids::Model, ticket: &Ticket) {
     let now = Instant::now();
-    let out = node.keeper.on(model, |pool| pool.withdraw(ticket, now));
+    let out = node.pools.on(model, |pool| pool.withdraw(ticket, now));
     deliver(node, out.unwrap_or_default());
 }
 
@@ -294,7 +196,7 @@
             patience_ms: 0,
         };
         let ask = complete(node, peer, &ask);
-        let slot = node.keeper.on(&holding.model, |pool| {
+        let slot = node.pools.on(&holding.model, |pool| {
             pool.adopt(&ask, &holding.engine, now)
         });
         slot.map(|slot| Adoption {
@@ -309,22 +211,18 @@
 /// A box has dialled anew and names the slots that it still holds.
 pub(crate) fn still(node: &Arc<Node>, peer: &ids::Box, slots: &[ids::Slot]) {
     let now = Instant::now();
-    let mut out = Vec::new();
-    for pool in node.keeper.lock().pools.values_mut() {
-        out.extend(pool.retain(peer, slots, now));
-    }
-    deliver(node, out);
+    deliver(node, node.pools.each(|pool| pool.retain(peer, slots, now)));
 }
 
 /// A box is dead: its places are free once its orphaned requests have ended.
 /// Only what it has now: it may have come back under its name by then.
 pub(crate) fn bereave(node: &Arc<Node>, dead: &ids::Box) {
-    let mut out = Vec::new();
     let mut orphans = Vec::new();
-    for pool in node.keeper.lock().pools.values_mut() {
-        out.extend(pool.forsake(dead));
+    let out = node.pools.each(|pool| {
+        let out = pool.forsake(dead);
         orphans.extend(pool.slots(dead));
-    }
+        out
+    });
     deliver(node, out);
     let node = node.clone();
     node.clone().spawn(async move {
@@ -342,7 +240,7 @@
 }
 
 /// Sends verdicts to those who wait.
-pub(crate) fn deliver(node: &Arc<Node>, verdicts: Vec<(Ticket, Verdict)>) {
+pub(crate) fn deliver(node: &Arc<Node>, verdicts: Verdicts) {
     for (ticket, verdict) in verdicts {
         if ticket.from == *node.name() {
             deliver_here(node, ticket.number, verdict);
@@ -371,7 +269,7 @@
     let found = document
         .as_ref()
         .and_then(|document| document.engine(engine));
-    let pressure = found.and_then(|engine| node.keeper.on(&engine.model, |pool| pool.pressure()));
+    let pressure = found.and_then(|engine| node.pools.on(&engine.model, |pool| pool.pressure()));
     Pressure::new(pressure.unwrap_or(0.0))
 }
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -20,11 +20,11 @@
 
 use crate::budget::Budget;
 use crate::document::Current;
+use crate::fates::Fates;
 use crate::held::Held;
-use crate::keeper::Keeper;
 use crate::links::Links;
-use crate::once::Answers;
 use crate::phase::{Phase, Stop};
+use crate::pools::Pools;
 use crate::pressure::Pressures;
 use crate::seal::Sealer;
 use crate::trace::Ring;
@@ -43,12 +43,12 @@
     pub(crate) current: Current,
     pub(crate) client: Pool,
     pub(crate) store: Client,
-    pub(crate) keeper: Keeper,
+    pub(crate) pools: Pools,
     pub(crate) held: Held,
     pub(crate) pressures: Pressures,
     pub(crate) links: Links,
     pub(crate) claims: Pages,
-    pub(crate) answers: Answers,
+    pub(crate) fates: Fates,
     pub(crate) sealer: Sealer,
     pub(crate) ring: Ring,
     pub(crate) retries: Budget,
@@ -88,12 +88,12 @@
             current: Current::default(),
             client,
             store,
-            keeper: Keeper::default(),
+            pools: Pools::default(),
             held: Held::default(),
             pressures: Pressures::default(),
             links: Links::default(),
             claims,
-            answers: Answers::default(),
+            fates: Fates::default(),
             sealer: Sealer::new(&settings.seal_keys),
             ring: Ring::new(settings.tuning.ring),
             retries: Budget::default(),
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -1,11 +1,9 @@
 //! Requests that may run at most once: claimed before they are sent, sent
 //! once, answered again from the first answer where it is still to be had.
 
-use std::num::NonZeroUsize;
-use std::sync::{Arc, Mutex, MutexGuard};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use lru::LruCache;
 use smol::Timer;
 use tidepier_claims::{Claimant, Key, Verdict, PAGES};
 use tidepier_errors::{Fault, Kind, Ran};
@@ -21,8 +19,6 @@
 use crate::node::Node;
 use crate::trace::Hop;
 
-/// Answers kept by one box.
-const ANSWERS: usize = 4096;
 /// Largest kept answer in bytes.
 const ANSWER_BYTES: usize = 64 << 10;
 /// Longest idempotency key in bytes.
@@ -34,31 +30,6 @@
 /// Time between looks at a request that still runs.
 const LOOK_AGAIN: Duration = Duration::from_millis(100);
 
-/// The fates of the claims that this box has made, by their random ids, so
-/// that a fate can never be taken for that of another claim of the same key.
-pub(crate) struct Answers(Mutex<LruCache<ids::Request, Fate>>);
-
-impl Default for Answers {
-    fn default() -> Self {
-        let size = NonZeroUsize::new(ANSWERS).unwrap_or(NonZeroUsize::MIN);
-        Self(Mutex::new(LruCache::new(size)))
-    }
-}
-
-impl Answers {
-    fn set(&self, claim: ids::Request, fate: Fate) {
-        self.lock().put(claim, fate);
-    }
-
-    fn get(&self, claim: ids::Request) -> Fate {
-        self.lock().get(&claim).cloned().unwrap_or(Fate::Unknown)
-    }
-
-    fn lock(&self) -> MutexGuard<'_, LruCache<ids::Request, Fate>> {
-        self.0.lock().unwrap_or_else(|e| e.into_inner())
-    }
-}
-
 /// What a caller wants to run at most once.
 pub(crate) struct Marked {
     /// The idempotency key; without one, only this arrival is sent once.
@@ -113,7 +84,7 @@
     /// another arrival may ask for it as soon as the claim is in the store.
     fn new(node: &Arc<Node>) -> Self {
         let claim = ids::Request::random();
-        node.answers.set(claim, Fate::Runs);
+        node.fates.set(claim, Fate::Runs);
         Self {
             node: node.clone(),
             claim,
@@ -155,7 +126,7 @@
 impl Drop for Permit {
     fn drop(&mut self) {
         let fate = self.state.lock().unwrap_or_else(|e| e.into_inner()).clone();
-        self.node.answers.set(self.claim, fate);
+        self.node.fates.set(self.claim, fate);
     }
 }
 
@@ -313,7 +284,7 @@
 async fn fate(node: &Arc<Node>, holder: &Holder) -> Result<Fate, Fault> {
     loop {
         let fate = match holder.name == *node.name() {
-            true => node.answers.get(holder.request),
+            true => node.fates.get(holder.request),
             false => fate_there(node, holder).await,
         };
         if fate != Fate::Runs {
@@ -344,5 +315,5 @@
 
 /// A peer asks for the fate of a claim that this box has made.
 pub(crate) fn fate_asked(node: &Arc<Node>, number: u64, claim: ids::Request, line: &Line) {
-    line.send(Frame::Fate(number, node.answers.get(claim)));
+    line.send(Frame::Fate(number, node.fates.get(claim)));
 }
--- a/crates/router/src/probe.rs
+++ b/crates/router/src/probe.rs
@@ -36,7 +36,7 @@
     let mut round = 0;
     loop {
         let all = round % OFTEN == 0;
-        for watched in node.keeper.engines() {
+        for watched in node.pools.engines() {
             if !all && !watched.often {
                 continue;
             }
@@ -71,5 +71,5 @@
     if running.is_none() {
         metrics::counter!("tidepier_probe_failures_total").increment(1);
     }
-    node.keeper.report(model, engine, running);
+    node.pools.report(model, engine, running);
 }
