router: links are state; dialling, and what frames mean, is above them

`links` needed the node to dial, and the dispatch of frames to run a link; each receiver of a frame needs links to answer. Now `links` is state, `dial` opens and runs links, `members` follows who is there, and `peers` hands frames out. One call goes upwards: a running link gives its frames to `Node::take`, a plain function that `start` fills in. A queue in its place was ruled out: a refused dial would then be noted after the dial, and requests be placed on the old view.

--- a/crates/router/src/beats.rs
+++ b/crates/router/src/beats.rs
@@ -15,7 +15,7 @@
 
 use crate::links::Line;
 use crate::node::Node;
-use crate::{keeper, peers};
+use crate::{dial, keeper, members};
 
 /// Rumors sent with one heartbeat.
 const RUMORS: usize = 8;
@@ -71,7 +71,7 @@
             .table()
             .expire(tuning.remove_ms.duration(), Instant::now());
         for sight in expired {
-            peers::see(&node, Some(sight));
+            members::see(&node, Some(sight));
         }
         let early = node.links.beat_now.listen();
         let waiting = async {
@@ -87,7 +87,7 @@
         let sending = node.clone();
         let peer = name.clone();
         node.spawn(async move {
-            if let Some(line) = sending.links.open(&sending, &peer).await {
+            if let Some(line) = dial::open(&sending, &peer).await {
                 line.send(Frame::Beat(beat(&sending)));
             }
         });
@@ -115,7 +115,7 @@
         Timer::after(HELP_TIME).await;
         if silent(&node, &name, limit) {
             let sight = node.table().suspect(&name, Instant::now());
-            peers::see(&node, sight);
+            members::see(&node, sight);
         }
     });
 }
@@ -217,7 +217,7 @@
     for entry in unknown.into_iter().take(GREETED) {
         let node = node.clone();
         node.clone().spawn(async move {
-            node.links.greet(&node, &entry.name, entry.peers).await;
+            dial::greet(&node, &entry.name, entry.peers).await;
         });
     }
 }
--- /dev/null
+++ b/crates/router/src/dial.rs
@@ -0,0 +1,147 @@
+//! Opening links to other boxes, and moving frames over open ones.
+//!
+//! What a frame means is not known here: each is handed to the node's
+//! [`take`](crate::node::Node::take).
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use smol::channel::Receiver;
+use tidepier_http::server::within;
+use tidepier_ids as ids;
+use tidepier_wire::{link, Frame, Link};
+
+use crate::links::Line;
+use crate::members;
+use crate::node::Node;
+
+/// Silence after which a link is closed. Neighbours' heartbeats keep theirs
+/// open; others are dialled again when needed.
+const IDLE: Duration = Duration::from_secs(60);
+
+/// The link to `peer`, dialled if need be. `None` when it cannot be reached.
+pub(crate) async fn open(node: &Arc<Node>, peer: &ids::Box) -> Option<Line> {
+    let slot = node.links.slot(peer);
+    let mut slot = slot.lock().await;
+    if let Some(line) = slot.line() {
+        return Some(line);
+    }
+    if slot.pauses() {
+        return None;
+    }
+    let address = node.table().get(peer)?.rumor.peers;
+    match dial(node, address).await {
+        Some((_, line)) => {
+            slot.dialled(line.clone());
+            Some(line)
+        }
+        None => {
+            slot.failed();
+            None
+        }
+    }
+}
+
+/// Dials an address of which only the platform's list tells.
+pub(crate) async fn greet(node: &Arc<Node>, peer: &ids::Box, address: SocketAddr) {
+    let slot = node.links.slot(peer);
+    let mut slot = slot.lock().await;
+    if slot.line().is_some() {
+        return;
+    }
+    if let Some((found, line)) = dial(node, address).await {
+        // A box may have been replaced by another at the same address.
+        if found == *peer {
+            slot.dialled(line);
+        }
+    }
+}
+
+async fn dial(node: &Arc<Node>, address: SocketAddr) -> Option<(ids::Box, Line)> {
+    let hello = node.hello();
+    let opened = Box::pin(Link::dial(
+        &*node.network,
+        address,
+        &hello,
+        &node.settings.link_keys,
+    ))
+    .await;
+    match opened {
+        Ok(link) => {
+            let peer = link.peer.name.clone();
+            members::met(node, &link.peer);
+            let line = begin(node, link);
+            line.send(Frame::Still(node.held.slots(&peer)));
+            Some((peer, line))
+        }
+        Err(link::Error::Refused) => {
+            members::gone(node, address);
+            None
+        }
+        Err(error) => {
+            log::debug!("dial failed address={address} error={error}");
+            None
+        }
+    }
+}
+
+/// Runs a link that a peer dialled.
+pub(crate) fn accepted(node: &Arc<Node>, link: Link) {
+    members::met(node, &link.peer);
+    let peer = link.peer.name.clone();
+    let line = begin(node, link);
+    node.links.accept(peer, line);
+}
+
+fn begin(node: &Arc<Node>, link: Link) -> Line {
+    let (line, frames) = node.links.line(&link.peer.name);
+    let running = run(node.clone(), link, frames, line.clone());
+    node.spawn(running);
+    line
+}
+
+/// Moves frames both ways until the link ends.
+async fn run(node: Arc<Node>, link: Link, frames: Receiver<Frame>, line: Line) {
+    let peer = link.peer.name.clone();
+    let mut sender = link.sender;
+    let mut receiver = link.receiver;
+    let sending = async {
+        while let Ok(frame) = frames.recv().await {
+            if sender.send(&frame).await.is_err() {
+                return;
+            }
+        }
+    };
+    let receiving = async {
+        while let Some(Ok(frame)) = within(IDLE, receiver.recv()).await {
+            node.links.heard(&peer);
+            (node.take)(&node, &peer, frame, &line);
+        }
+    };
+    let idle = async {
+        receiving.await;
+        node.links
+            .silence(&peer)
+            .is_some_and(|silence| silence >= IDLE)
+    };
+    let sent = async {
+        sending.await;
+        false
+    };
+    let idle = sent.or(idle).await;
+    node.links.close(&peer, &line);
+    if !idle {
+        parted(&node, &peer);
+    }
+}
+
+/// A link has ended. Its box may be gone; a dial tells.
+fn parted(node: &Arc<Node>, peer: &ids::Box) {
+    let node = node.clone();
+    let peer = peer.clone();
+    node.clone().spawn(async move {
+        open(&node, &peer).await;
+    });
+}
--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -13,6 +13,7 @@
 use tidepier_store::fault;
 use tidepier_wire::Frame;
 
+use crate::dial;
 use crate::node::Node;
 
 /// Boxes of a hall that watch the store.
@@ -123,7 +124,7 @@
     let node = node.clone();
     let peer = peer.clone();
     node.clone().spawn(async move {
-        if let Some(link) = node.links.open(&node, &peer).await {
+        if let Some(link) = dial::open(&node, &peer).await {
             link.send(Frame::Fetch(node.generation()));
         }
         // An answer comes as a frame of its own; after a while, ask elsewhere.
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -1,30 +1,25 @@
 //! The links of this box: those it dialled, and those that others dialled.
+//!
+//! Their state alone: who can be sent to, who was heard when, which answers are
+//! waited for. Dialling and moving frames is in `dial`, which knows this module
+//! and is not known here.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
 use event_listener::Event;
-use futures_lite::FutureExt;
 use smol::channel::{self, Receiver, Sender};
 use smol::lock::Mutex as AsyncMutex;
 use tidepier_errors::Fault;
-use tidepier_http::server::within;
 use tidepier_ids as ids;
 use tidepier_placement::Grant;
 use tidepier_wire::frame::{Claimed, Fate};
-use tidepier_wire::{link, Frame, Link};
-
-use crate::node::Node;
-use crate::peers;
+use tidepier_wire::Frame;
 
 /// Frames that may wait for one link; a link that falls behind is closed.
 const QUEUE: usize = 4096;
-/// Silence after which a link is closed. Neighbours' heartbeats keep theirs
-/// open; others are dialled again when needed.
-const IDLE: Duration = Duration::from_secs(60);
 /// Time after a failed dial in which no other is made.
 const DIAL_PAUSE: Duration = Duration::from_millis(200);
 
@@ -56,14 +51,43 @@
         }
         sent
     }
+
+    /// Whether the link still takes frames.
+    pub(crate) fn is_open(&self) -> bool {
+        !self.queue.is_closed()
+    }
 }
 
+/// The link that this box dials to one peer.
 #[derive(Default)]
-struct Dialled {
+pub(crate) struct Dialled {
     line: Option<Line>,
     failed: Option<Instant>,
 }
 
+impl Dialled {
+    /// The link, if it is open.
+    pub(crate) fn line(&mut self) -> Option<Line> {
+        self.line = self.line.take().filter(Line::is_open);
+        self.line.clone()
+    }
+
+    /// Whether the last dial has failed so recently that no other is made.
+    pub(crate) fn pauses(&self) -> bool {
+        self.failed.is_some_and(|at| at.elapsed() < DIAL_PAUSE)
+    }
+
+    /// Takes in a link that was dialled.
+    pub(crate) fn dialled(&mut self, line: Line) {
+        self.line = Some(line);
+    }
+
+    /// Notes that a dial has failed.
+    pub(crate) fn failed(&mut self) {
+        self.failed = Some(Instant::now());
+    }
+}
+
 /// All links of a box.
 #[derive(Default)]
 pub(crate) struct Links {
@@ -84,104 +108,42 @@
         self.number.fetch_add(1, Ordering::Relaxed)
     }
 
-    /// The link to `peer`, dialled if need be. `None` when it cannot be reached.
-    pub(crate) async fn open(&self, node: &Arc<Node>, peer: &ids::Box) -> Option<Line> {
-        let slot = lock(&self.dialled).entry(peer.clone()).or_default().clone();
-        let mut slot = slot.lock().await;
-        if let Some(line) = &slot.line {
-            if !line.queue.is_closed() {
-                return Some(line.clone());
-            }
-            slot.line = None;
-        }
-        if slot.failed.is_some_and(|at| at.elapsed() < DIAL_PAUSE) {
-            return None;
-        }
-        let address = node.table().get(peer)?.rumor.peers;
-        match self.dial(node, address).await {
-            Some((_, line)) => {
-                slot.line = Some(line.clone());
-                Some(line)
-            }
-            None => {
-                slot.failed = Some(Instant::now());
-                None
-            }
-        }
+    /// The place of the link that this box dials to `peer`. Whoever locks it is
+    /// the only one to dial.
+    pub(crate) fn slot(&self, peer: &ids::Box) -> Arc<AsyncMutex<Dialled>> {
+        lock(&self.dialled).entry(peer.clone()).or_default().clone()
     }
 
-    /// Dials an address of which only the platform's list tells.
-    pub(crate) async fn greet(&self, node: &Arc<Node>, peer: &ids::Box, address: SocketAddr) {
-        let slot = lock(&self.dialled).entry(peer.clone()).or_default().clone();
-        let mut slot = slot.lock().await;
-        if slot
-            .line
-            .as_ref()
-            .is_some_and(|line| !line.queue.is_closed())
-        {
-            return;
-        }
-        if let Some((found, line)) = self.dial(node, address).await {
-            // A box may have been replaced by another at the same address.
-            if found == *peer {
-                slot.line = Some(line);
-            }
-        }
-    }
-
-    async fn dial(&self, node: &Arc<Node>, address: SocketAddr) -> Option<(ids::Box, Line)> {
-        let hello = node.hello();
-        let opened = Box::pin(Link::dial(
-            &*node.network,
-            address,
-            &hello,
-            &node.settings.link_keys,
-        ))
-        .await;
-        match opened {
-            Ok(link) => {
-                let peer = link.peer.name.clone();
-                peers::met(node, &link.peer);
-                let line = self.run(node, link);
-                line.send(Frame::Still(node.held.slots(&peer)));
-                Some((peer, line))
-            }
-            Err(link::Error::Refused) => {
-                peers::gone(node, address);
-                None
-            }
-            Err(error) => {
-                log::debug!("dial failed address={address} error={error}");
-                None
-            }
-        }
-    }
-
-    /// Runs an accepted link.
-    pub(crate) fn accepted(&self, node: &Arc<Node>, link: Link) {
-        let peer = link.peer.name.clone();
-        let line = self.run(node, link);
-        lock(&self.accepted).insert(peer, line);
-    }
-
-    fn run(&self, node: &Arc<Node>, link: Link) -> Line {
+    /// Opens the sending side of a link with `peer`; the frames to be sent come
+    /// out of the receiver.
+    pub(crate) fn line(&self, peer: &ids::Box) -> (Line, Receiver<Frame>) {
         let (queue, frames) = channel::bounded(QUEUE);
         let line = Line {
             queue,
             number: self.number(),
         };
-        let peer = link.peer.name.clone();
-        self.heard(&peer);
+        self.heard(peer);
         metrics::gauge!("tidepier_links").increment(1.0);
-        let running = run(node.clone(), link, frames, line.clone());
-        node.spawn(running);
-        line
+        (line, frames)
+    }
+
+    /// Notes a link that `peer` dialled.
+    pub(crate) fn accept(&self, peer: ids::Box, line: Line) {
+        lock(&self.accepted).insert(peer, line);
+    }
+
+    /// Closes a link that has ended, and all waits for its peer.
+    pub(crate) fn close(&self, peer: &ids::Box, line: &Line) {
+        line.queue.close();
+        metrics::gauge!("tidepier_links").decrement(1.0);
+        self.ended(peer, line.number);
+        self.abandon(peer);
     }
 
     /// Sends to a peer on whatever link is open.
     pub(crate) fn send(&self, peer: &ids::Box, frame: Frame) -> bool {
         let line = lock(&self.accepted).get(peer).cloned();
-        if let Some(line) = line.filter(|line| !line.queue.is_closed()) {
+        if let Some(line) = line.filter(|line| line.is_open()) {
             return line.send(frame);
         }
         match self.dialled_line(peer) {
@@ -193,7 +155,7 @@
     fn dialled_line(&self, peer: &ids::Box) -> Option<Line> {
         let slot = lock(&self.dialled).get(peer).cloned()?;
         let slot = slot.try_lock()?;
-        slot.line.clone().filter(|line| !line.queue.is_closed())
+        slot.line.clone().filter(|line| line.is_open())
     }
 
     /// Sends to every peer with an open link.
@@ -242,11 +204,7 @@
             .filter(|peer| self.dialled_line(peer).is_some())
             .count();
         let accepted = lock(&self.accepted);
-        dialled
-            + accepted
-                .values()
-                .filter(|line| !line.queue.is_closed())
-                .count()
+        dialled + accepted.values().filter(|line| line.is_open()).count()
     }
 
     /// Waits for an answer to request `number` from `peer`.
@@ -277,14 +235,16 @@
     }
 
     /// Ends all waits for `peer`.
-    pub(crate) fn abandon(&self, peer: &ids::Box) {
+    fn abandon(&self, peer: &ids::Box) {
         lock(&self.pending).retain(|_, pending| pending.peer != *peer);
     }
 
+    /// Whether nothing is being fetched yet; if so, notes that it is.
     pub(crate) fn begin_fetch(&self) -> bool {
         !self.fetching.swap(true, Ordering::SeqCst)
     }
 
+    /// Notes that nothing is being fetched any more.
     pub(crate) fn end_fetch(&self) {
         self.fetching.store(false, Ordering::SeqCst);
     }
@@ -297,44 +257,6 @@
     }
 }
 
-/// Moves frames both ways until the link ends.
-async fn run(node: Arc<Node>, link: Link, frames: Receiver<Frame>, line: Line) {
-    let peer = link.peer.name.clone();
-    let mut sender = link.sender;
-    let mut receiver = link.receiver;
-    let sending = async {
-        while let Ok(frame) = frames.recv().await {
-            if sender.send(&frame).await.is_err() {
-                return;
-            }
-        }
-    };
-    let receiving = async {
-        while let Some(Ok(frame)) = within(IDLE, receiver.recv()).await {
-            node.links.heard(&peer);
-            peers::take(&node, &peer, frame, &line);
-        }
-    };
-    let idle = async {
-        receiving.await;
-        node.links
-            .silence(&peer)
-            .is_some_and(|silence| silence >= IDLE)
-    };
-    let sent = async {
-        sending.await;
-        false
-    };
-    let idle = sent.or(idle).await;
-    line.queue.close();
-    metrics::gauge!("tidepier_links").decrement(1.0);
-    node.links.ended(&peer, line.number);
-    node.links.abandon(&peer);
-    if !idle {
-        peers::parted(&node, &peer);
-    }
-}
-
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(|e| e.into_inner())
 }
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -16,19 +16,22 @@
 use tidepier_membership::{Rumor, State, Table};
 use tidepier_store::etcd::Client;
 use tidepier_wire::frame::{Hello, Pressure, VERSION};
-use tidepier_wire::link;
+use tidepier_wire::{link, Frame};
 
 use crate::budget::Budget;
 use crate::document::Current;
 use crate::fates::Fates;
 use crate::held::Held;
-use crate::links::Links;
+use crate::links::{Line, Links};
 use crate::phase::{Phase, Stop};
 use crate::pools::Pools;
 use crate::pressure::Pressures;
 use crate::seal::Sealer;
 use crate::trace::Ring;
 
+/// Takes one frame of a peer; answers go to its line.
+pub(crate) type Take = fn(&Arc<Node>, &ids::Box, Frame, &Line);
+
 /// A running router.
 pub struct Node {
     /// Its settings.
@@ -47,6 +50,9 @@
     pub(crate) held: Held,
     pub(crate) pressures: Pressures,
     pub(crate) links: Links,
+    /// Who takes the frames of other boxes. A plain function, given at the
+    /// start, so that links need not know what frames are about.
+    pub(crate) take: Take,
     pub(crate) claims: Pages,
     pub(crate) fates: Fates,
     pub(crate) sealer: Sealer,
@@ -62,6 +68,7 @@
         network: Arc<dyn Dial>,
         settings: Settings,
         executor: &Arc<Executor<'static>>,
+        take: Take,
     ) -> Self {
         let client = Pool::over(network.clone());
         let platform = &settings.platform;
@@ -92,6 +99,7 @@
             held: Held::default(),
             pressures: Pressures::default(),
             links: Links::default(),
+            take,
             claims,
             fates: Fates::default(),
             sealer: Sealer::new(&settings.seal_keys),
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -15,6 +15,7 @@
 use tidepier_wire::Frame;
 
 use crate::chat::Incoming;
+use crate::dial;
 use crate::links::{Answer, Line};
 use crate::node::Node;
 use crate::trace::Hop;
@@ -231,7 +232,7 @@
         return None;
     }
     let asking = async {
-        let line = node.links.open(node, &keeper).await?;
+        let line = dial::open(node, &keeper).await?;
         let number = node.links.number();
         let answer = node.links.expect(&keeper, number);
         line.send(Frame::Claim(number, wish.clone()));
@@ -296,7 +297,7 @@
 
 async fn fate_there(node: &Arc<Node>, holder: &Holder) -> Fate {
     let asking = async {
-        let line = node.links.open(node, &holder.name).await?;
+        let line = dial::open(node, &holder.name).await?;
         let number = node.links.number();
         let answer = node.links.expect(&holder.name, number);
         line.send(Frame::FateOf(number, holder.request));
--- a/crates/router/src/peers.rs
+++ b/crates/router/src/peers.rs
@@ -1,23 +1,22 @@
-//! Other boxes: taking their links and their frames.
+//! Other boxes: taking their links, and giving each of their frames to whoever
+//! it is for.
 
 use std::io;
-use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::net::TcpListener;
 use smol::Timer;
 use tidepier_errors::Fault;
 use tidepier_ids as ids;
-use tidepier_membership::{Rumor, Sight, State};
 use tidepier_placement::{Grant, Ticket};
-use tidepier_wire::frame::{Beat, Hello};
+use tidepier_wire::frame::Beat;
 use tidepier_wire::{Frame, Link};
 
 use crate::document::Update;
 use crate::links::{Answer, Line};
 use crate::node::Node;
-use crate::{beats, follow, keeper, once, place};
+use crate::{beats, dial, follow, keeper, members, once, place};
 
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -39,85 +38,13 @@
         node.spawn(async move {
             let opened = Link::accept(socket, &taking.hello(), &taking.settings.link_keys).await;
             match opened {
-                Ok(link) => {
-                    met(&taking, &link.peer);
-                    taking.links.accepted(&taking, link);
-                }
+                Ok(link) => dial::accepted(&taking, link),
                 Err(error) => log::debug!("link refused error={error}"),
             }
         });
     }
 }
 
-/// Takes note of a box that has proved who it is.
-pub(crate) fn met(node: &Arc<Node>, peer: &Hello) {
-    let rumor = Rumor {
-        name: peer.name.clone(),
-        hall: peer.hall.clone(),
-        peers: peer.peers,
-        admin: peer.admin,
-        incarnation: peer.incarnation,
-        sequence: 0,
-        state: State::Alive,
-    };
-    hear(node, vec![rumor]);
-}
-
-/// Nothing listens at `address`: the box that was there is gone.
-pub(crate) fn gone(node: &Arc<Node>, address: SocketAddr) {
-    let buried = {
-        let mut table = node.table();
-        let there = table.present().find(|member| member.rumor.peers == address);
-        let there = there.map(|member| member.name.clone());
-        there.and_then(|name| table.bury(&name, Instant::now()))
-    };
-    see(node, buried);
-}
-
-/// A link has ended. Its box may be gone; a dial tells.
-pub(crate) fn parted(node: &Arc<Node>, peer: &ids::Box) {
-    let node = node.clone();
-    let peer = peer.clone();
-    node.clone().spawn(async move {
-        node.links.open(&node, &peer).await;
-    });
-}
-
-/// Takes rumors and acts on what is new.
-pub(crate) fn hear(node: &Arc<Node>, rumors: Vec<Rumor>) {
-    for rumor in rumors {
-        let sight = node.table().hear(rumor, Instant::now());
-        see(node, sight);
-    }
-}
-
-/// Acts on a change of the table.
-pub(crate) fn see(node: &Arc<Node>, sight: Option<Sight>) {
-    let Some(sight) = sight else {
-        return;
-    };
-    let what = match &sight {
-        Sight::Joined(_) => "joined",
-        Sight::Changed(_, state) => state.name(),
-        Sight::Died(_) => "dead",
-        Sight::Reborn => "reborn",
-    };
-    metrics::counter!("tidepier_membership_changes_total", "change" => what).increment(1);
-    match &sight {
-        Sight::Joined(name) => log::info!("box joined box={name}"),
-        Sight::Changed(name, state) => log::info!("box changed box={name} state={}", state.name()),
-        Sight::Died(name) => {
-            log::info!("box died box={name}");
-            keeper::bereave(node, name);
-        }
-        Sight::Reborn => {
-            log::warn!("declared dead by others; new incarnation");
-            keeper::forget(node);
-        }
-    }
-    node.table_changed.notify(usize::MAX);
-}
-
 /// Takes one frame of `peer`; answers go to `line`.
 pub(crate) fn take(node: &Arc<Node>, peer: &ids::Box, frame: Frame, line: &Line) {
     match frame {
@@ -132,7 +59,7 @@
             heard_beat(node, peer, theirs);
         }
         Frame::Table(rumors) => {
-            hear(node, rumors);
+            members::hear(node, rumors);
             // The sender lacks what this box knows beyond it.
             if beats::exchange_due(node, peer) {
                 line.send(Frame::Table(node.table().rumors()));
@@ -184,7 +111,7 @@
         Frame::Claimed(number, claimed) => {
             drop(node.links.answer(number, Answer::Claimed(claimed)));
         }
-        Frame::Bye(rumor) => hear(node, vec![rumor]),
+        Frame::Bye(rumor) => members::hear(node, vec![rumor]),
         // Only the opening of a link has these.
         Frame::Hello(_) | Frame::Proof(_) => {
             metrics::counter!("tidepier_link_refused_total", "why" => "out of place").increment(1);
@@ -202,7 +129,7 @@
 
 /// Takes what a heartbeat tells; returns whether the tables differ.
 fn heard_beat(node: &Arc<Node>, peer: &ids::Box, theirs: Beat) -> bool {
-    hear(node, theirs.rumors);
+    members::hear(node, theirs.rumors);
     follow::heard(node, peer, theirs.generation);
     beats::differs(node, peer, theirs.table)
 }
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -15,10 +15,10 @@
 
 use crate::deadline::Deadline;
 use crate::held::Holding;
-use crate::keeper;
 use crate::links::Answer;
 use crate::node::Node;
 use crate::trace::Hop;
+use crate::{dial, keeper};
 
 /// Pause before a keeper that could not answer is looked for again.
 const AGAIN: Duration = Duration::from_millis(50);
@@ -265,7 +265,7 @@
             Verdict::Waits => waited(&answer, need).await?,
         }
     } else {
-        let opening = node.links.open(node, keeper);
+        let opening = dial::open(node, keeper);
         let line = match hall == node.hall() {
             true => opening.await,
             false => within(AWAY_OPEN, opening).await.flatten(),
@@ -334,7 +334,7 @@
             if keeper == *node.name() {
                 let slots = keeper::adopted(&node, &keeper, &holdings);
                 adopted(&node, &keeper, &slots);
-            } else if let Some(line) = node.links.open(&node, &keeper).await {
+            } else if let Some(line) = dial::open(&node, &keeper).await {
                 line.send(Frame::Holds(holdings));
             }
         }
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -32,7 +32,7 @@
         settings: Settings,
         executor: &Arc<Executor<'static>>,
     ) -> io::Result<Arc<Self>> {
-        let node = Arc::new(Self::new(network, settings, executor));
+        let node = Arc::new(Self::new(network, settings, executor, peers::take));
         callers::start(&node)?;
         peers::start(&node)?;
         admin::start(&node)?;
