router: its modules form no circle, and a test keeps it so

A caller's admitted request (`incoming`) and the bodies of both APIs (`dialect::request`, `dialect::answer`) are apart from the handler of chats, which streams, claims and old back ends needed for these types alone.

`tests/all/modules.rs` reads `crates/router/src`, follows every path from `crate`, `super` and `self`, and fails at a set of more than 1 module that all need each other, between files or between folders taken as one; a second test shows that it finds circles.

--- a/crates/router/src/callers.rs
+++ b/crates/router/src/callers.rs
@@ -16,8 +16,10 @@
 use tidepier_http::{body, http_types};
 use tidepier_ids as ids;
 
-use crate::chat::{self, Api, Incoming};
+use crate::chat;
 use crate::deadline::Deadline;
+use crate::dialect::request::Api;
+use crate::incoming::Incoming;
 use crate::node::Node;
 use crate::phase::Phase;
 use crate::trace::Hop;
--- a/crates/router/src/answer.rs
+++ b/crates/router/src/dialect/answer.rs
@@ -6,6 +6,8 @@
 use serde_json::Value;
 use tidepier_ids as ids;
 
+use crate::dialect::request::Api;
+
 #[derive(Deserialize)]
 struct Delta<'c> {
     #[serde(borrow, default)]
@@ -70,7 +72,7 @@
 
 /// A whole chat completion.
 #[derive(Serialize)]
-pub(crate) struct Completion<'a> {
+struct Completion<'a> {
     id: &'a str,
     object: &'static str,
     model: &'a ids::Model,
@@ -79,7 +81,7 @@
 }
 
 impl<'a> Completion<'a> {
-    pub(crate) fn new(id: &'a str, model: &'a ids::Model, text: &'a str, end: &'a End) -> Self {
+    fn new(id: &'a str, model: &'a ids::Model, text: &'a str, end: &'a End) -> Self {
         let message = Message {
             role: "assistant",
             content: text,
@@ -99,7 +101,7 @@
 }
 
 /// A whole response of the responses API.
-pub(crate) fn response(id: &str, model: &ids::Model, text: &str, end: &End) -> Value {
+fn response(id: &str, model: &ids::Model, text: &str, end: &End) -> Value {
     serde_json::json!({
         "id": id,
         "object": "response",
@@ -113,3 +115,42 @@
         "usage": end.usage,
     })
 }
+
+/// The body of a whole answer.
+pub(crate) fn whole(api: Api, model: &ids::Model, id: &str, text: &str, end: &End) -> Vec<u8> {
+    let body = match api {
+        Api::Completions => serde_json::to_vec(&Completion::new(id, model, text, end)),
+        Api::Responses => serde_json::to_vec(&response(id, model, text, end)),
+    };
+    body.unwrap_or_default()
+}
+
+/// The event of the responses API for one chunk.
+pub(crate) fn delta(data: &str, sequence: u64) -> String {
+    let chunk = Chunk::parse(data);
+    let text = chunk.as_ref().map_or("", |chunk| chunk.text());
+    serde_json::json!({
+        "type": "response.output_text.delta",
+        "sequence_number": sequence,
+        "delta": text,
+    })
+    .to_string()
+}
+
+/// The last event of the responses API.
+pub(crate) fn completed(response: &str, end: &End) -> String {
+    serde_json::json!({
+        "type": "response.completed",
+        "response": { "id": response, "status": "completed", "usage": end.usage },
+    })
+    .to_string()
+}
+
+/// The first event of the responses API.
+pub(crate) fn created(response: &str) -> String {
+    serde_json::json!({
+        "type": "response.created",
+        "response": { "id": response, "status": "in_progress" },
+    })
+    .to_string()
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,7 +10,6 @@
 //! said.
 
 mod admin;
-mod answer;
 mod apply;
 mod beats;
 mod budget;
@@ -18,10 +17,12 @@
 mod chat;
 mod deadline;
 mod dial;
+mod dialect;
 mod document;
 mod fates;
 mod follow;
 mod held;
+mod incoming;
 mod keeper;
 mod links;
 mod members;
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -14,8 +14,8 @@
 use tidepier_wire::frame::{Claimed, Fate, Holder, Kept, Wish};
 use tidepier_wire::Frame;
 
-use crate::chat::Incoming;
 use crate::dial;
+use crate::incoming::Incoming;
 use crate::links::{Answer, Line};
 use crate::node::Node;
 use crate::trace::Hop;
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/resume.rs
@@ -6,7 +6,9 @@
 use tidepier_http::server::Reply;
 use tidepier_ids as ids;
 
-use crate::chat::{self, Api, Incoming};
+use crate::chat;
+use crate::dialect::request::Api;
+use crate::incoming::Incoming;
 use crate::node::Node;
 use crate::place::Need;
 use crate::stream::{Job, Source};
--- a/crates/router/src/service.rs
+++ b/crates/router/src/service.rs
@@ -8,7 +8,7 @@
 use tidepier_http::http_types::Method;
 use tidepier_http::server::Reply;
 
-use crate::chat::Incoming;
+use crate::incoming::Incoming;
 use crate::node::Node;
 use crate::once::{self, Permit};
 use crate::trace::Hop;
--- a/crates/router/src/stream.rs
+++ b/crates/router/src/stream.rs
@@ -15,8 +15,8 @@
 use tidepier_http::server::within;
 use tidepier_ids as ids;
 
-use crate::answer::{Chunk, End};
-use crate::chat::Chat;
+use crate::dialect::answer::{Chunk, End};
+use crate::dialect::request::Chat;
 use crate::node::Node;
 use crate::place::{self, Need, Place};
 use crate::trace::Hop;
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -10,6 +10,7 @@
 mod harness;
 mod membership;
 mod migration;
+mod modules;
 mod orders;
 mod placement;
 mod recovery;
