router: the request's way knows no dialect

The OpenAI-compatible interface, towards callers and towards engines, is read and written in `dialect` alone. `place`, `job`, `engine`, `stream` and `once` work on `tidepier_core::work::Work` (new: model, parts of the prompt with their sizes, expected output, account, priority, deadline, repeatable or resumable, pauses allowed) and `tidepier_core::answer::Event` (new); refusals are faults as before. `engine::Dialect` makes the calls to an engine and reads its frames. The relay's use of tidepier_core is unchanged. Frames are matched in the order of before: id, request, offset, then the chunk.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -2,6 +2,8 @@
 
 use std::time::Duration;
 
+use tidepier_ids as ids;
+
 /// The head of a server's answer.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
@@ -34,3 +36,18 @@
     /// Requests that it works on at once.
     pub slots: u32,
 }
+
+/// One event of an answer that comes as a series of them.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Event {
+    /// The request that it answers.
+    pub request: ids::Request,
+    /// Its place in the series, from 0.
+    pub offset: ids::Offset,
+    /// The text that it adds to the answer.
+    pub text: String,
+    /// What came, as the interface passes it on.
+    pub data: String,
+    /// Whether the answer is whole with it.
+    pub last: bool,
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -8,6 +8,7 @@
 //! * [`catalog`]: what the operator declared: routes, services, accounts.
 //! * [`server`]: one backend server as it announces itself.
 //! * [`request`]: one request of a client.
+//! * [`work`]: one admitted request, as it is placed, queued and resumed.
 //! * [`answer`]: what a backend server said about one request.
 //! * [`store`]: a key-value store of the platform.
 
@@ -16,3 +17,4 @@
 pub mod request;
 pub mod server;
 pub mod store;
+pub mod work;
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -14,7 +14,8 @@
 use tidepier_http::{body, http_types};
 
 use crate::apply;
-use crate::callers::{bearer, limits, ready};
+use crate::dialect::headers::bearer;
+use crate::door::{limits, ready};
 use crate::node::Node;
 use crate::phase::Phase;
 use crate::status::{BoxStatus, Status};
--- a/crates/router/src/deadline.rs
+++ b/crates/router/src/deadline.rs
@@ -4,34 +4,26 @@
 use std::time::{Duration, Instant};
 
 use tidepier_errors::{Fault, Kind};
-use tidepier_http::http_types::Request;
 use tidepier_http::server::within;
 
-/// The header with which a caller sets a deadline, in milliseconds from now.
-pub(crate) const HEADER: &str = "tidepier-deadline-ms";
-
 /// When the answer to a request must be whole.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Deadline(Instant);
 
 impl Deadline {
-    /// The deadline that a request names, or the default.
-    ///
-    /// # Errors
-    ///
-    /// [`Kind::BadRequest`] when the header is no positive number.
-    pub(crate) fn of(request: &Request, default: Duration) -> Result<Self, Fault> {
-        let Some(values) = request.header(HEADER) else {
-            return Ok(Self(Instant::now() + default));
-        };
-        let text = values.last().as_str();
-        match text.parse::<u64>() {
-            Ok(millis @ 1..=86_400_000) => Ok(Self(Instant::now() + Duration::from_millis(millis))),
-            _ => {
-                let detail = format!("{HEADER}: found {text:?}; allowed: 1 to 86400000");
-                Err(Fault::new(Kind::BadRequest, detail))
-            }
-        }
+    /// The deadline `time` from now.
+    pub(crate) fn after(time: Duration) -> Self {
+        Self(Instant::now() + time)
+    }
+
+    /// The deadline at `instant`.
+    pub(crate) fn at(instant: Instant) -> Self {
+        Self(instant)
+    }
+
+    /// The instant at which it passes.
+    pub(crate) fn instant(&self) -> Instant {
+        self.0
     }
 
     /// Time left.
--- a/crates/router/src/dialect/answer.rs
+++ b/crates/router/src/dialect/answer.rs
@@ -4,7 +4,10 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use tidepier_core::answer::Event;
+use tidepier_http::server::Reply;
 use tidepier_ids as ids;
+use tidepier_wire::frame::Kept;
 
 use crate::dialect::request::Api;
 
@@ -57,6 +60,19 @@
     pub(crate) usage: Option<Value>,
 }
 
+impl End {
+    /// The end that the last event of an answer tells.
+    pub(crate) fn of(event: &Event) -> Self {
+        // It was parsed before: an event is the last by its reason.
+        let chunk = Chunk::parse(&event.data).ok();
+        let reason = chunk.as_ref().and_then(Chunk::finish).unwrap_or_default();
+        Self {
+            reason: reason.to_string(),
+            usage: chunk.and_then(|chunk| chunk.usage),
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Message<'a> {
     role: &'static str,
@@ -125,10 +141,8 @@
     body.unwrap_or_default()
 }
 
-/// The event of the responses API for one chunk.
-pub(crate) fn delta(data: &str, sequence: u64) -> String {
-    let chunk = Chunk::parse(data);
-    let text = chunk.as_ref().map_or("", |chunk| chunk.text());
+/// The event of the responses API for the text of one event.
+pub(crate) fn delta(text: &str, sequence: u64) -> String {
     serde_json::json!({
         "type": "response.output_text.delta",
         "sequence_number": sequence,
@@ -154,3 +168,14 @@
     })
     .to_string()
 }
+
+/// The answer to an earlier arrival of the same request.
+pub(crate) fn replay(kept: Kept) -> Reply {
+    let mut reply = Reply::text(kept.status, String::new());
+    reply.response.set_body(kept.body);
+    reply
+        .response
+        .insert_header("content-type", kept.mime.as_str());
+    reply.response.insert_header("tidepier-replayed", "yes");
+    reply
+}
--- a/crates/router/src/callers.rs
+++ b/crates/router/src/dialect/callers.rs
@@ -12,35 +12,22 @@
 use tidepier_config::document::{Account, Document};
 use tidepier_config::key::Hash;
 use tidepier_errors::{Fault, Kind};
-use tidepier_http::server::{serve, End, Handler, Limits, Reply};
+use tidepier_http::server::{serve, End, Handler, Reply};
 use tidepier_http::{body, http_types};
 use tidepier_ids as ids;
 
-use crate::chat;
 use crate::deadline::Deadline;
+use crate::dialect::incoming::Incoming;
 use crate::dialect::request::Api;
-use crate::incoming::Incoming;
+use crate::dialect::{chat, headers, resume, service};
+use crate::door::{limits, ready};
 use crate::node::Node;
 use crate::phase::Phase;
 use crate::trace::Hop;
-use crate::{resume, service};
 
-/// The header that carries the request id of every answer.
-const REQUEST_HEADER: &str = "tidepier-request";
 /// Pause after a failed accept.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// The limits that a process's settings put on a connection.
-pub(crate) fn limits(node: &Node) -> Limits {
-    let tuning = &node.settings.tuning;
-    Limits {
-        header: tuning.header_ms.duration(),
-        idle: tuning.idle_ms.duration(),
-        stall: tuning.stall_ms.duration(),
-        body: tuning.body_bytes,
-    }
-}
-
 pub(crate) fn start(node: &Arc<Node>) -> io::Result<()> {
     let address = node.settings.callers.0;
     let listener = smol::block_on(TcpListener::bind(address))?;
@@ -115,7 +102,9 @@
         };
         metrics::histogram!("tidepier_head_seconds").record(begun.elapsed().as_secs_f64());
         metrics::counter!("tidepier_requests_total").increment(1);
-        reply.response.insert_header(REQUEST_HEADER, id.to_string());
+        reply
+            .response
+            .insert_header(headers::REQUEST, id.to_string());
         reply
     }
 
@@ -134,7 +123,8 @@
     let document = node.document()?;
     let account = authenticate(&document, request)?;
     let tuning = &node.settings.tuning;
-    let deadline = Deadline::of(request, tuning.deadline_ms.duration())?;
+    let patience = headers::patience(request, tuning.deadline_ms.duration())?;
+    let deadline = Deadline::after(patience);
     let bytes = body::read(request, tuning.body_bytes, tuning.header_ms.duration()).await?;
     let incoming = Incoming {
         id,
@@ -171,20 +161,6 @@
     }
 }
 
-/// Whether the balancer should send requests here.
-///
-/// # Errors
-///
-/// [`Kind::NotReady`] without a configuration, [`Kind::Draining`] while
-/// stopping.
-pub(crate) fn ready(node: &Node) -> Result<Reply, Fault> {
-    if node.phase() != Phase::Serving {
-        return Err(Fault::new(Kind::Draining, "the box is stopping"));
-    }
-    node.document()?;
-    Ok(Reply::text(200, "ready\n".into()))
-}
-
 fn authenticate(document: &Document, request: &Request) -> Result<Account, Fault> {
     let missing = || {
         Fault::new(
@@ -192,17 +168,11 @@
             "no or an unknown key; send Authorization: Bearer",
         )
     };
-    let bearer = bearer(request).ok_or_else(missing)?;
+    let bearer = headers::bearer(request).ok_or_else(missing)?;
     let account = document.account_by_key(&Hash::of(bearer));
     account.cloned().ok_or_else(missing)
 }
 
-/// The bearer key of a request.
-pub(crate) fn bearer(request: &Request) -> Option<&str> {
-    let header = request.header("authorization")?.last().as_str();
-    header.strip_prefix("Bearer ").map(str::trim)
-}
-
 fn models(incoming: &Incoming<'_>) -> Reply {
     let models = incoming.account.models.iter();
     let data: Vec<_> = models
--- a/crates/router/src/chat.rs
+++ b/crates/router/src/dialect/chat.rs
@@ -1,27 +1,30 @@
 //! Chat completions and responses.
 
+use std::borrow::Cow;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tidepier_core::answer::Event;
+use tidepier_core::catalog;
+use tidepier_core::work::Work;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::events;
 use tidepier_http::server::Reply;
 use tidepier_ids as ids;
 
-use crate::dialect::answer;
+use crate::dialect::answer::{self, End};
+use crate::dialect::engine::{Engine, PAUSES};
+use crate::dialect::headers;
+use crate::dialect::incoming::Incoming;
+use crate::dialect::old;
 use crate::dialect::request::{Api, Chat};
-use crate::incoming::Incoming;
+use crate::job::Job;
 use crate::node::Node;
-use crate::old;
 use crate::once::{self, Permit};
-use crate::place::Need;
 use crate::seal::Ticket;
-use crate::stream::{Job, Piece, Source};
+use crate::stream::Source;
 use crate::trace::Hop;
 
-/// The header that carries the response id of a streamed answer.
-const RESPONSE_HEADER: &str = "tidepier-response";
-
 /// Answers a chat.
 ///
 /// # Errors
@@ -40,13 +43,16 @@
         return old::pass(node, incoming, old, bytes).await;
     }
     let target = format!("model/{model}");
-    let once = once::wanted(incoming.request, false)?;
+    let once = headers::once(incoming.request, false)?;
     let permit = match &once {
         None => None,
-        Some(wish) => match once::enter(node, incoming, &target, wish, bytes).await? {
-            once::Entry::Permit(permit) => Some(permit),
-            once::Entry::Answered(reply) => return Ok(*reply),
-        },
+        Some(wish) => {
+            let arrival = incoming.arrival(&target, bytes);
+            match once::enter(node, &arrival, wish).await? {
+                once::Entry::Permit(permit) => Some(permit),
+                once::Entry::Answered(kept) => return Ok(answer::replay(kept)),
+            }
+        }
     };
     let account = &incoming.account.name;
     let streamed = chat.stream;
@@ -57,22 +63,25 @@
     let previous = chat.previous_response_id.as_deref();
     let prefer = previous.and_then(|id| node.sealer.open(id));
     let prefer = prefer.filter(|ticket| ticket.account == *account && ticket.model == model);
-    let need = Need {
-        request: incoming.id,
+    let work = Work {
+        id: incoming.id,
         account: account.clone(),
+        priority: incoming.account.priority as u8,
         model: model.clone(),
-        prefix,
-        chat: chat.identity(account),
+        prompt: chat.prompt(prefix, account),
         returning: chat.returns(),
         prefer: prefer.map(|ticket| ticket.engine),
         avoid: Vec::new(),
-        deadline: incoming.deadline,
+        // Engines always stream; another goes on from the text so far.
+        kind: catalog::Kind::Stream {
+            resumable: once.is_none(),
+        },
+        deadline: incoming.deadline.instant(),
+        pauses: PAUSES,
     };
     let job = Job {
-        need,
-        priority: incoming.account.priority,
-        chat: Some(chat),
-        repeat: once.is_none(),
+        work,
+        dialect: Box::new(Engine { chat: Some(chat) }),
         linger,
         moved: false,
     };
@@ -134,8 +143,8 @@
 ) -> Result<Reply, Fault> {
     let end = loop {
         match source.next().await {
-            Ok(Piece::Token { .. }) => {}
-            Ok(Piece::Last { end, .. }) => break end,
+            Ok(event) if event.last => break End::of(&event),
+            Ok(_) => {}
             Err(fault) => {
                 if let Some(permit) = permit {
                     permit.refused(&fault);
@@ -153,7 +162,7 @@
     reply
         .response
         .insert_header("content-type", "application/json");
-    reply.response.insert_header(RESPONSE_HEADER, response);
+    reply.response.insert_header(headers::RESPONSE, response);
     Ok(reply)
 }
 
@@ -168,7 +177,7 @@
     skip: u64,
 ) -> Reply {
     let (mut head, sender) = events::response();
-    head.insert_header(RESPONSE_HEADER, response.as_str());
+    head.insert_header(headers::RESPONSE, response.as_str());
     let opened = node.opened();
     let node = node.clone();
     let pump = async move {
@@ -204,27 +213,14 @@
     }
     loop {
         match source.next().await {
-            Ok(Piece::Token { offset, data }) => {
-                let data = match api {
-                    Api::Completions => data,
-                    Api::Responses => answer::delta(&data, sequence),
-                };
+            Ok(event) => {
+                let id = event.offset.to_string();
+                let data = data(api, &response, sequence, &event);
                 sequence += 1;
-                sender
-                    .send(&offset.to_string(), &data)
-                    .await
-                    .map_err(left)?;
-            }
-            Ok(Piece::Last { offset, data, end }) => {
-                let data = match api {
-                    Api::Completions => data,
-                    Api::Responses => answer::completed(&response, &end),
-                };
-                sender
-                    .send(&offset.to_string(), &data)
-                    .await
-                    .map_err(left)?;
-                return sender.send("", "[DONE]").await.map_err(left);
+                sender.send(&id, &data).await.map_err(left)?;
+                if event.last {
+                    return sender.send("", "[DONE]").await.map_err(left);
+                }
             }
             Err(fault) => {
                 // Said aloud: a stream that just ends could pass for whole.
@@ -235,3 +231,12 @@
         }
     }
 }
+
+/// An event as callers of `api` get it.
+fn data<'e>(api: Api, response: &str, sequence: u64, event: &'e Event) -> Cow<'e, str> {
+    match (api, event.last) {
+        (Api::Completions, _) => Cow::from(&event.data),
+        (Api::Responses, false) => answer::delta(&event.text, sequence).into(),
+        (Api::Responses, true) => answer::completed(response, &End::of(event)).into(),
+    }
+}
--- a/crates/router/src/incoming.rs
+++ b/crates/router/src/dialect/incoming.rs
@@ -5,6 +5,7 @@
 use tidepier_ids as ids;
 
 use crate::deadline::Deadline;
+use crate::once::Arrival;
 
 /// A caller's request with all that was found out about it.
 pub(crate) struct Incoming<'a> {
@@ -14,3 +15,16 @@
     pub(crate) deadline: Deadline,
     pub(crate) request: &'a Request,
 }
+
+impl Incoming<'_> {
+    /// This request as one that may run at most once.
+    pub(crate) fn arrival<'a>(&'a self, target: &'a str, body: &'a [u8]) -> Arrival<'a> {
+        Arrival {
+            id: self.id,
+            account: &self.account.name,
+            deadline: self.deadline,
+            target,
+            body,
+        }
+    }
+}
--- a/crates/router/src/old.rs
+++ b/crates/router/src/dialect/old.rs
@@ -9,7 +9,7 @@
 use tidepier_http::server::Reply;
 use tidepier_ids as ids;
 
-use crate::incoming::Incoming;
+use crate::dialect::incoming::Incoming;
 use crate::node::Node;
 use crate::trace::Hop;
 
--- a/crates/router/src/dialect/request.rs
+++ b/crates/router/src/dialect/request.rs
@@ -4,11 +4,16 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::{Map, Value};
+use tidepier_core::request::{Part, Prompt};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
 
 /// Messages that identify a chat's stable start.
 const PREFIX_MESSAGES: usize = 2;
+/// Bytes of English text for each token, as common tokenizers have it.
+const BYTES_PER_TOKEN: u32 = 4;
+/// Fields that bound the tokens of the answer.
+const OUTPUT_FIELDS: [&str; 2] = ["max_completion_tokens", "max_tokens"];
 
 /// Which of the two APIs a caller uses.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -102,7 +107,7 @@
 
     /// The hash of the first messages as a whole, which this chat alone has
     /// and keeps through all its turns.
-    pub(crate) fn identity(&self, account: &ids::Account) -> ids::Chat {
+    fn identity(&self, account: &ids::Account) -> ids::Chat {
         let texts =
             self.messages
                 .iter()
@@ -116,6 +121,30 @@
         ids::Chat::of(account.chain(texts.iter().map(|text| text.as_bytes())))
     }
 
+    /// The parts of the prompt: the start that others share, and the chat's own.
+    /// Sizes are estimates by length; nothing is decided by them yet.
+    pub(crate) fn prompt(&self, prefix: ids::Prefix, account: &ids::Account) -> Prompt {
+        let tokens = |message: &Message| message.bytes() / BYTES_PER_TOKEN;
+        let start = self.messages.iter().take(PREFIX_MESSAGES).map(tokens).sum();
+        let rest = self.messages.iter().skip(PREFIX_MESSAGES).map(tokens).sum();
+        let output = OUTPUT_FIELDS.iter().find_map(|name| self.rest.get(*name));
+        let output = output.and_then(Value::as_u64).unwrap_or(0);
+        let shared = Part {
+            id: prefix.0,
+            tokens: start,
+        };
+        let own = Part {
+            id: self.identity(account).0.into(),
+            tokens: rest,
+        };
+        Prompt {
+            input: start.saturating_add(rest),
+            output: u32::try_from(output).unwrap_or(u32::MAX),
+            hint: None,
+            parts: vec![shared, own],
+        }
+    }
+
     /// Whether the chat has had a turn before.
     pub(crate) fn returns(&self) -> bool {
         self.messages
@@ -143,6 +172,14 @@
     }
 }
 
+impl Message {
+    /// Length of its text; of other contents nothing is known.
+    fn bytes(&self) -> u32 {
+        let bytes = self.content.as_str().map_or(0, str::len);
+        u32::try_from(bytes).unwrap_or(u32::MAX)
+    }
+}
+
 impl ResponsesBody {
     fn chat(self) -> Result<Chat, serde_json::Error> {
         let mut messages = Vec::new();
--- a/crates/router/src/resume.rs
+++ b/crates/router/src/dialect/resume.rs
@@ -2,16 +2,19 @@
 
 use std::sync::Arc;
 
+use tidepier_core::catalog;
+use tidepier_core::request::Prompt;
+use tidepier_core::work::Work;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::server::Reply;
-use tidepier_ids as ids;
 
-use crate::chat;
+use crate::dialect::engine::{Engine, PAUSES};
+use crate::dialect::incoming::Incoming;
 use crate::dialect::request::Api;
-use crate::incoming::Incoming;
+use crate::dialect::{chat, headers};
+use crate::job::Job;
 use crate::node::Node;
-use crate::place::Need;
-use crate::stream::{Job, Source};
+use crate::stream::Source;
 use crate::trace::Hop;
 
 /// Continues the stream of a response id after the offset that the caller has.
@@ -30,25 +33,26 @@
     if ticket.account != incoming.account.name {
         return Err(unknown());
     }
-    let from = next_offset(incoming)?;
+    let from = headers::next_offset(incoming.request)?;
     let note = format!("resumes {} on {} at {from}", ticket.request, ticket.engine);
     node.ring.note(node.name(), incoming.id, Hop::Caller, note);
-    let need = Need {
-        request: ticket.request,
+    let work = Work {
+        id: ticket.request,
         account: ticket.account,
+        priority: incoming.account.priority as u8,
         model: ticket.model,
-        prefix: ids::Prefix::default(),
-        chat: ids::Chat::default(),
+        prompt: Prompt::default(),
         returning: true,
         prefer: None,
         avoid: Vec::new(),
-        deadline: incoming.deadline,
+        // The request is not known here, so that no other engine can go on.
+        kind: catalog::Kind::Stream { resumable: false },
+        deadline: incoming.deadline.instant(),
+        pauses: PAUSES,
     };
     let job = Job {
-        need,
-        priority: incoming.account.priority,
-        chat: None,
-        repeat: false,
+        work,
+        dialect: Box::new(Engine { chat: None }),
         linger: node.settings.tuning.linger_ms.duration(),
         moved: false,
     };
@@ -64,26 +68,3 @@
         from,
     ))
 }
-
-/// The offset after the last one that the caller has.
-fn next_offset(incoming: &Incoming<'_>) -> Result<u64, Fault> {
-    let request = incoming.request;
-    let query = request
-        .url()
-        .query_pairs()
-        .find(|(name, _)| name == "starting_after");
-    let query = query.map(|(_, value)| value.into_owned());
-    let header = request
-        .header("last-event-id")
-        .map(|values| values.last().as_str().to_string());
-    let Some(text) = query.or(header) else {
-        return Ok(0);
-    };
-    match text.parse::<u64>() {
-        Ok(last) => Ok(last.saturating_add(1)),
-        Err(_) => {
-            let detail = format!("starting_after: found {text:?}; allowed: a number");
-            Err(Fault::new(Kind::BadRequest, detail))
-        }
-    }
-}
--- a/crates/router/src/service.rs
+++ b/crates/router/src/dialect/service.rs
@@ -8,7 +8,8 @@
 use tidepier_http::http_types::Method;
 use tidepier_http::server::Reply;
 
-use crate::incoming::Incoming;
+use crate::dialect::incoming::Incoming;
+use crate::dialect::{answer, headers};
 use crate::node::Node;
 use crate::once::{self, Permit};
 use crate::trace::Hop;
@@ -32,7 +33,7 @@
     let request = incoming.request;
     let posts = request.method() != Method::Get;
     let declared = posts && service.not_repeatable.iter().any(|path| path == rest);
-    let marked = once::wanted(request, declared)?;
+    let marked = headers::once(request, declared)?;
     let mut call = Call {
         method: request.method(),
         path: path(request, rest),
@@ -52,9 +53,10 @@
         return Ok(reply(answer));
     };
     let target = format!("service/{name}/{rest}");
-    let permit = match once::enter(node, incoming, &target, &marked, &body).await? {
+    let arrival = incoming.arrival(&target, &body);
+    let permit = match once::enter(node, &arrival, &marked).await? {
         once::Entry::Permit(permit) => permit,
-        once::Entry::Answered(reply) => return Ok(*reply),
+        once::Entry::Answered(kept) => return Ok(answer::replay(kept)),
     };
     single(node, incoming, service, &call.once(), permit).await
 }
--- a/crates/router/src/once.rs
+++ b/crates/router/src/once.rs
@@ -7,23 +7,20 @@
 use smol::Timer;
 use tidepier_claims::{Claimant, Key, Verdict, PAGES};
 use tidepier_errors::{Fault, Kind, Ran};
-use tidepier_http::http_types::Request;
-use tidepier_http::server::{within, Reply};
+use tidepier_http::server::within;
 use tidepier_ids as ids;
 use tidepier_placement::by_rendezvous;
 use tidepier_wire::frame::{Claimed, Fate, Holder, Kept, Wish};
 use tidepier_wire::Frame;
 
+use crate::deadline::Deadline;
 use crate::dial;
-use crate::incoming::Incoming;
 use crate::links::{Answer, Line};
 use crate::node::Node;
 use crate::trace::Hop;
 
 /// Largest kept answer in bytes.
 const ANSWER_BYTES: usize = 64 << 10;
-/// Longest idempotency key in bytes.
-const KEY_BYTES: usize = 255;
 /// Time that the page's keeper has to answer before this box writes itself.
 const KEEPER_TIME: Duration = Duration::from_secs(1);
 /// Time that a peer has to tell the fate of a request.
@@ -34,35 +31,17 @@
 /// What a caller wants to run at most once.
 pub(crate) struct Marked {
     /// The idempotency key; without one, only this arrival is sent once.
-    idempotency: Option<String>,
+    pub(crate) idempotency: Option<String>,
 }
 
-/// Whether a request is marked as not repeatable, by its headers or because
-/// `declared` says that its target is.
-///
-/// # Errors
-///
-/// [`Kind::BadRequest`] for a header that cannot be read.
-pub(crate) fn wanted(request: &Request, declared: bool) -> Result<Option<Marked>, Fault> {
-    let header = |name: &str| request.header(name).map(|values| values.last().as_str());
-    let idempotency = header("idempotency-key").map(str::to_string);
-    if idempotency
-        .as_ref()
-        .is_some_and(|key| key.is_empty() || key.len() > KEY_BYTES)
-    {
-        let detail = format!("idempotency-key: allowed are 1 to {KEY_BYTES} bytes");
-        return Err(Fault::new(Kind::BadRequest, detail));
-    }
-    let marked = match header("tidepier-repeatable") {
-        None | Some("yes") => false,
-        Some("no") => true,
-        Some(other) => {
-            let detail = format!("tidepier-repeatable: found {other:?}; allowed: yes, no");
-            return Err(Fault::new(Kind::BadRequest, detail));
-        }
-    };
-    let wanted = marked || declared || idempotency.is_some();
-    Ok(wanted.then_some(Marked { idempotency }))
+/// One arrival of a marked request.
+pub(crate) struct Arrival<'a> {
+    pub(crate) id: ids::Request,
+    pub(crate) account: &'a ids::Account,
+    pub(crate) deadline: Deadline,
+    /// What is asked for; the same key may be used for each target.
+    pub(crate) target: &'a str,
+    pub(crate) body: &'a [u8],
 }
 
 /// How a marked request goes on.
@@ -70,7 +49,7 @@
     /// It may be sent, once.
     Permit(Permit),
     /// An earlier arrival's answer.
-    Answered(Box<Reply>),
+    Answered(Kept),
 }
 
 /// The right to send a request once. Dropped before it is sent, it is given up.
@@ -140,26 +119,24 @@
 /// key belongs to another body.
 pub(crate) async fn enter(
     node: &Arc<Node>,
-    incoming: &Incoming<'_>,
-    target: &str,
+    arrival: &Arrival<'_>,
     marked: &Marked,
-    body: &[u8],
 ) -> Result<Entry, Fault> {
     let Some(idempotency) = &marked.idempotency else {
         return Ok(Entry::Permit(Permit::new(node)));
     };
-    let key = Key::new(&incoming.account.name, target, idempotency);
-    let digest = ids::Digest::of(body);
+    let key = Key::new(arrival.account, arrival.target, idempotency);
+    let digest = ids::Digest::of(arrival.body);
     let mut over = None;
     loop {
         // Dropped on every way out but one, which gives the claim up.
         let permit = Permit::new(node);
         let claim = claim(node, &key, permit.claim, digest, over);
-        let claimed = incoming.deadline.bound(Kind::NoClaim, claim).await?;
+        let claimed = arrival.deadline.bound(Kind::NoClaim, claim).await?;
         let holder = match claimed {
             Claimed::Yes => {
                 let note = format!("claimed {key}");
-                node.ring.note(node.name(), incoming.id, Hop::Store, note);
+                node.ring.note(node.name(), arrival.id, Hop::Store, note);
                 return Ok(Entry::Permit(permit));
             }
             Claimed::Failed(why) => {
@@ -173,8 +150,8 @@
             return Err(Fault::new(Kind::KeyReused, detail));
         }
         let waiting = fate(node, &holder);
-        match incoming.deadline.bound(Kind::Duplicate, waiting).await? {
-            Fate::Done(kept) => return Ok(Entry::Answered(Box::new(replay(kept)))),
+        match arrival.deadline.bound(Kind::Duplicate, waiting).await? {
+            Fate::Done(kept) => return Ok(Entry::Answered(kept)),
             Fate::Abandoned => over = Some(holder.request),
             Fate::Runs | Fate::Unknown => {
                 metrics::counter!("tidepier_duplicates_unanswered_total").increment(1);
@@ -188,16 +165,6 @@
     }
 }
 
-fn replay(kept: Kept) -> Reply {
-    let mut reply = Reply::text(kept.status, String::new());
-    reply.response.set_body(kept.body);
-    reply
-        .response
-        .insert_header("content-type", kept.mime.as_str());
-    reply.response.insert_header("tidepier-replayed", "yes");
-    reply
-}
-
 /// Records a claim through the page's keeper, or else directly.
 async fn claim(
     node: &Arc<Node>,
--- a/crates/router/src/place.rs
+++ b/crates/router/src/place.rs
@@ -6,6 +6,7 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use tidepier_config::document::{Document, Engine, Policy, State};
+use tidepier_core::work::Work;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::server::within;
 use tidepier_ids as ids;
@@ -28,20 +29,6 @@
 /// Time between looks whether held places have a new keeper.
 const REHOME: Duration = Duration::from_millis(500);
 
-/// What is needed to place a request.
-#[derive(Debug, Clone)]
-pub(crate) struct Need {
-    pub(crate) request: ids::Request,
-    pub(crate) account: ids::Account,
-    pub(crate) model: ids::Model,
-    pub(crate) prefix: ids::Prefix,
-    pub(crate) chat: ids::Chat,
-    pub(crate) returning: bool,
-    pub(crate) prefer: Option<ids::Engine>,
-    pub(crate) avoid: Vec<ids::Engine>,
-    pub(crate) deadline: Deadline,
-}
-
 /// A held place; given back when dropped.
 pub(crate) struct Place {
     node: Arc<Node>,
@@ -92,45 +79,57 @@
 ///
 /// The refusal of the first hall that can be reached and is full; nothing has
 /// been sent to any engine.
-pub(crate) async fn find(node: &Arc<Node>, need: &Need) -> Result<Place, Fault> {
+pub(crate) async fn find(node: &Arc<Node>, work: &Work) -> Result<Place, Fault> {
     let document = node.document()?;
     if document.returning.policy != Policy::Tidepier {
-        return by_baseline(node, &document, need);
+        return by_baseline(node, &document, work);
     }
     let load = &document.load;
-    let multiple = if need.returning {
+    let multiple = if work.returning {
         load.multiple
     } else {
         load.aim
     };
     let halls = node
         .pressures
-        .spread(&need.model, halls(&document, need), multiple);
+        .spread(&work.model, halls(&document, work), multiple);
     let mut first: Option<Fault> = None;
     for hall in halls {
-        match in_hall(node, need, &hall).await {
+        match in_hall(node, work, &hall).await {
             Ok(place) => return Ok(place),
             Err(fault) => {
                 let note = format!("hall {hall}: {fault}");
-                node.ring.note(node.name(), need.request, Hop::Keeper, note);
+                node.ring.note(node.name(), work.id, Hop::Keeper, note);
                 first.get_or_insert(fault);
             }
         }
-        if need.deadline.passed() {
+        if Deadline::at(work.deadline).passed() {
             break;
         }
     }
     Err(first.unwrap_or_else(|| no_engine("no hall with an active engine for the model")))
 }
 
+/// The hash of the shared start of the prompt, which chooses its engines.
+fn prefix(work: &Work) -> ids::Prefix {
+    let part = work.prompt.subject();
+    part.map_or_else(ids::Prefix::default, |part| ids::Prefix(part.id))
+}
+
+/// The hash of the session; its part's id holds no more than that.
+fn chat(work: &Work) -> ids::Chat {
+    let part = work.prompt.parts.last();
+    part.map_or_else(ids::Chat::default, |part| ids::Chat(part.id as u32))
+}
+
 fn no_engine(detail: &str) -> Fault {
     Fault::new(Kind::NoEngine, detail).after(Duration::from_secs(2))
 }
 
 /// Halls with active engines of the model: first that of the preferred engine,
 /// then in rendezvous order of the chat.
-fn halls(document: &Document, need: &Need) -> Vec<ids::Hall> {
-    let active = |engine: &&Engine| engine.model == need.model && engine.state == State::Active;
+fn halls(document: &Document, work: &Work) -> Vec<ids::Hall> {
+    let active = |engine: &&Engine| engine.model == work.model && engine.state == State::Active;
     let mut halls: Vec<_> = document
         .engines
         .iter()
@@ -139,8 +138,8 @@
         .collect();
     halls.sort();
     halls.dedup();
-    let mut halls = by_rendezvous(need.prefix.0, halls);
-    let prefer = need.prefer.as_ref().and_then(|name| document.engine(name));
+    let mut halls = by_rendezvous(prefix(work).0, halls);
+    let prefer = work.prefer.as_ref().and_then(|name| document.engine(name));
     if let Some(prefer) = prefer {
         if let Some(index) = halls.iter().position(|hall| *hall == prefer.hall) {
             let home = halls.remove(index);
@@ -151,18 +150,18 @@
 }
 
 /// Takes a place by a baseline: this router decides by itself.
-fn by_baseline(node: &Arc<Node>, document: &Document, need: &Need) -> Result<Place, Fault> {
+fn by_baseline(node: &Arc<Node>, document: &Document, work: &Work) -> Result<Place, Fault> {
     let among: Vec<_> = document
         .engines
         .iter()
-        .filter(|engine| engine.model == need.model && engine.state == State::Active)
-        .filter(|engine| !need.avoid.contains(&engine.name))
+        .filter(|engine| engine.model == work.model && engine.state == State::Active)
+        .filter(|engine| !work.avoid.contains(&engine.name))
         .map(|engine| Candidate {
             engine: engine.name.clone(),
             open: node.held.open(&engine.name),
         })
         .collect();
-    let chosen = choose(document.returning.policy, need.prefix, &among);
+    let chosen = choose(document.returning.policy, prefix(work), &among);
     let engine = chosen.ok_or_else(|| no_engine("no engine left to try"))?;
     node.held.begun(&engine);
     Ok(Place {
@@ -174,19 +173,19 @@
 }
 
 /// Asks the keeper of a hall's pool until it decides.
-async fn in_hall(node: &Arc<Node>, need: &Need, hall: &ids::Hall) -> Result<Place, Fault> {
+async fn in_hall(node: &Arc<Node>, work: &Work, hall: &ids::Hall) -> Result<Place, Fault> {
     let away = hall != node.hall();
     loop {
-        let Some(keeper) = keeper::keeper_of(node, &need.model, hall) else {
+        let Some(keeper) = keeper::keeper_of(node, &work.model, hall) else {
             return Err(no_engine("no live box in the hall"));
         };
-        match ask(node, need, hall, &keeper).await {
+        match ask(node, work, hall, &keeper).await {
             Ok(place) => return Ok(place),
             Err(fault) if fault.kind != Kind::Peer => return Err(fault),
             // Another hall that does not answer may be cut off for long;
             // the chat is better served elsewhere.
             Err(fault) if away && fault.retry_after.is_none() => return Err(fault_away(fault)),
-            Err(_) if need.deadline.left() <= AGAIN => {
+            Err(_) if Deadline::at(work.deadline).left() <= AGAIN => {
                 return Err(no_engine("the pool's keeper did not answer in time"));
             }
             Err(_) => drop(Timer::after(AGAIN).await),
@@ -226,32 +225,32 @@
 
 async fn ask(
     node: &Arc<Node>,
-    need: &Need,
+    work: &Work,
     hall: &ids::Hall,
     keeper: &ids::Box,
 ) -> Result<Place, Fault> {
     let number = node.links.number();
     let ask = Ask {
         number,
-        model: need.model.clone(),
-        account: need.account.clone(),
-        prefix: need.prefix,
-        chat: need.chat,
-        returning: need.returning,
-        prefer: need.prefer.clone(),
-        avoid: need.avoid.clone(),
-        patience_ms: need.deadline.left().as_millis() as u64,
+        model: work.model.clone(),
+        account: work.account.clone(),
+        prefix: prefix(work),
+        chat: chat(work),
+        returning: work.returning,
+        prefer: work.prefer.clone(),
+        avoid: work.avoid.clone(),
+        patience_ms: Deadline::at(work.deadline).left().as_millis() as u64,
     };
     let answer = node.links.expect(keeper, number);
     let wait = Wait {
         node,
-        model: &need.model,
+        model: &work.model,
         keeper,
         number,
     };
     let grant = if keeper == node.name() {
         let complete = keeper::complete(node, keeper, &ask);
-        match keeper::decide(node, &need.model, complete) {
+        match keeper::decide(node, &work.model, complete) {
             Verdict::Granted(grant) => {
                 node.links.forget(number);
                 let pressure = keeper::pressure(node, &grant.engine);
@@ -262,7 +261,7 @@
                 node.links.forget(number);
                 return Err(fault);
             }
-            Verdict::Waits => waited(&answer, need).await?,
+            Verdict::Waits => waited(&answer, work).await?,
         }
     } else {
         let opening = dial::open(node, keeper);
@@ -278,13 +277,13 @@
             ));
         };
         line.send(Frame::Ask(ask));
-        waited(&answer, need).await?
+        waited(&answer, work).await?
     };
     drop(wait);
     let holding = Holding {
-        model: need.model.clone(),
+        model: work.model.clone(),
         hall: hall.clone(),
-        account: need.account.clone(),
+        account: work.account.clone(),
         engine: grant.engine.clone(),
         slot: grant.slot,
         keeper: keeper.clone(),
@@ -292,9 +291,9 @@
     node.held.insert(number, holding);
     let note = format!(
         "keeper {keeper} of {}/{hall} granted {}",
-        need.model, grant.engine
+        work.model, grant.engine
     );
-    node.ring.note(node.name(), need.request, Hop::Keeper, note);
+    node.ring.note(node.name(), work.id, Hop::Keeper, note);
     Ok(Place {
         node: node.clone(),
         number: Some(number),
@@ -303,10 +302,10 @@
     })
 }
 
-async fn waited(answer: &smol::channel::Receiver<Answer>, need: &Need) -> Result<Grant, Fault> {
+async fn waited(answer: &smol::channel::Receiver<Answer>, work: &Work) -> Result<Grant, Fault> {
     let answered = async { answer.recv().await.ok() };
     let late = async {
-        Timer::after(need.deadline.left()).await;
+        Timer::after(Deadline::at(work.deadline).left()).await;
         Some(Answer::Place(Err(Fault::new(
             Kind::Busy,
             "no place before the deadline",
--- a/crates/router/src/start.rs
+++ b/crates/router/src/start.rs
@@ -9,8 +9,9 @@
 use tidepier_config::Settings;
 use tidepier_http::dial::{self, Dial};
 
+use crate::dialect::callers;
 use crate::node::Node;
-use crate::{admin, beats, callers, follow, keeper, peers, place, probe};
+use crate::{admin, beats, follow, keeper, peers, place, probe};
 
 impl Node {
     /// Binds the addresses of `settings` and starts all tasks on `executor`.
