--- /dev/null
+++ b/crates/router/src/dialect/chat.rs
@@ -0,0 +1,242 @@
+//! Chat completions and responses.
+
+use std::borrow::Cow;
+use std::sync::Arc;
+use std::time::Duration;
+
+use tidepier_core::answer::Event;
+use tidepier_core::catalog;
+use tidepier_core::work::Work;
+use tidepier_errors::{Fault, Kind};
+use tidepier_http::events;
+use tidepier_http::server::Reply;
+use tidepier_ids as ids;
+
+use crate::dialect::answer::{self, End};
+use crate::dialect::engine::{Engine, PAUSES};
+use crate::dialect::headers;
+use crate::dialect::incoming::Incoming;
+use crate::dialect::old;
+use crate::dialect::request::{Api, Chat};
+use crate::job::Job;
+use crate::node::Node;
+use crate::once::{self, Permit};
+use crate::seal::Ticket;
+use crate::stream::Source;
+use crate::trace::Hop;
+
+/// Answers a chat.
+///
+/// # Errors
+///
+/// The fault to answer with.
+pub(crate) async fn handle(
+    node: &Arc<Node>,
+    api: Api,
+    incoming: &Incoming<'_>,
+    bytes: &[u8],
+) -> Result<Reply, Fault> {
+    let chat = Chat::parse(api, bytes)?;
+    let model = allowed_model(incoming, &chat.model)?;
+    let prefix = chat.prefix(incoming.document.returning.prefix_bytes);
+    if let Some(old) = old::share(incoming, &model, prefix) {
+        return old::pass(node, incoming, old, bytes).await;
+    }
+    let target = format!("model/{model}");
+    let once = headers::once(incoming.request, false)?;
+    let permit = match &once {
+        None => None,
+        Some(wish) => {
+            let arrival = incoming.arrival(&target, bytes);
+            match once::enter(node, &arrival, wish).await? {
+                once::Entry::Permit(permit) => Some(permit),
+                once::Entry::Answered(kept) => return Ok(answer::replay(kept)),
+            }
+        }
+    };
+    let account = &incoming.account.name;
+    let streamed = chat.stream;
+    let linger = match streamed {
+        true => node.settings.tuning.linger_ms.duration(),
+        false => Duration::ZERO,
+    };
+    let previous = chat.previous_response_id.as_deref();
+    let prefer = previous.and_then(|id| node.sealer.open(id));
+    let prefer = prefer.filter(|ticket| ticket.account == *account && ticket.model == model);
+    let work = Work {
+        id: incoming.id,
+        account: account.clone(),
+        priority: incoming.account.priority as u8,
+        model: model.clone(),
+        prompt: chat.prompt(prefix, account),
+        returning: chat.returns(),
+        prefer: prefer.map(|ticket| ticket.engine),
+        avoid: Vec::new(),
+        // Engines always stream; another goes on from the text so far.
+        kind: catalog::Kind::Stream {
+            resumable: once.is_none(),
+        },
+        deadline: incoming.deadline.instant(),
+        pauses: PAUSES,
+    };
+    let job = Job {
+        work,
+        dialect: Box::new(Engine { chat: Some(chat) }),
+        linger,
+        moved: false,
+    };
+    if let Some(permit) = &permit {
+        permit.sending();
+    }
+    let source = Source::open(node.clone(), job).await;
+    let source = match source {
+        Ok(source) => source,
+        Err(fault) => {
+            if let Some(permit) = permit {
+                permit.refused(&fault);
+            }
+            return Err(fault);
+        }
+    };
+    let response = response_id(node, incoming, &model, &source);
+    match streamed {
+        true => Ok(stream(node, api, incoming.id, response, source, permit, 0)),
+        false => whole(api, &model, &response, source, permit).await,
+    }
+}
+
+fn allowed_model(incoming: &Incoming<'_>, name: &str) -> Result<ids::Model, Fault> {
+    let document = incoming.document;
+    let model = document
+        .models
+        .iter()
+        .find(|model| model.name.as_str() == name);
+    let model = model.ok_or_else(|| Fault::new(Kind::NotFound, format!("no model {name:?}")))?;
+    if !incoming.account.models.contains(&model.name) {
+        let detail = format!("the account may not use model {name:?}");
+        return Err(Fault::new(Kind::Forbidden, detail));
+    }
+    Ok(model.name.clone())
+}
+
+fn response_id(
+    node: &Node,
+    incoming: &Incoming<'_>,
+    model: &ids::Model,
+    source: &Source,
+) -> String {
+    node.sealer.seal(&Ticket {
+        account: incoming.account.name.clone(),
+        engine: source.engine().clone(),
+        request: incoming.id,
+        model: model.clone(),
+    })
+}
+
+/// Collects the whole answer.
+async fn whole(
+    api: Api,
+    model: &ids::Model,
+    response: &str,
+    mut source: Source,
+    permit: Option<Permit>,
+) -> Result<Reply, Fault> {
+    let end = loop {
+        match source.next().await {
+            Ok(event) if event.last => break End::of(&event),
+            Ok(_) => {}
+            Err(fault) => {
+                if let Some(permit) = permit {
+                    permit.refused(&fault);
+                }
+                return Err(fault);
+            }
+        }
+    };
+    let body = answer::whole(api, model, response, source.text(), &end);
+    if let Some(permit) = permit {
+        permit.done(200, "application/json", &body);
+    }
+    let mut reply = Reply::text(200, String::new());
+    reply.response.set_body(body);
+    reply
+        .response
+        .insert_header("content-type", "application/json");
+    reply.response.insert_header(headers::RESPONSE, response);
+    Ok(reply)
+}
+
+/// Passes the answer on as it comes.
+pub(crate) fn stream(
+    node: &Arc<Node>,
+    api: Api,
+    id: ids::Request,
+    response: String,
+    source: Source,
+    permit: Option<Permit>,
+    skip: u64,
+) -> Reply {
+    let (mut head, sender) = events::response();
+    head.insert_header(headers::RESPONSE, response.as_str());
+    let opened = node.opened();
+    let node = node.clone();
+    let pump = async move {
+        let _opened = opened;
+        let outcome = pump(api, response, source, sender, skip).await;
+        let note = match &outcome {
+            Ok(()) => "answered whole".to_string(),
+            Err(fault) => format!("ended with {fault}"),
+        };
+        node.ring.note(node.name(), id, Hop::Caller, note);
+        if let Some(permit) = permit {
+            // A streamed answer is not kept.
+            permit.streamed();
+        }
+    };
+    Reply {
+        response: head,
+        pump: Some(Box::pin(pump)),
+    }
+}
+
+async fn pump(
+    api: Api,
+    response: String,
+    mut source: Source,
+    mut sender: events::Sender,
+    mut sequence: u64,
+) -> Result<(), Fault> {
+    let left = |_| Fault::new(Kind::Lost, "the caller left");
+    if api == Api::Responses {
+        let created = answer::created(&response);
+        sender.send("", &created).await.map_err(left)?;
+    }
+    loop {
+        match source.next().await {
+            Ok(event) => {
+                let id = event.offset.to_string();
+                let data = data(api, &response, sequence, &event);
+                sequence += 1;
+                sender.send(&id, &data).await.map_err(left)?;
+                if event.last {
+                    return sender.send("", "[DONE]").await.map_err(left);
+                }
+            }
+            Err(fault) => {
+                // Said aloud: a stream that just ends could pass for whole.
+                let body = serde_json::to_string(&fault.body()).unwrap_or_default();
+                sender.send("", &body).await.map_err(left)?;
+                return Err(fault);
+            }
+        }
+    }
+}
+
+/// An event as callers of `api` get it.
+fn data<'e>(api: Api, response: &str, sequence: u64, event: &'e Event) -> Cow<'e, str> {
+    match (api, event.last) {
+        (Api::Completions, _) => Cow::from(&event.data),
+        (Api::Responses, false) => answer::delta(&event.text, sequence).into(),
+        (Api::Responses, true) => answer::completed(response, &End::of(event)).into(),
+    }
+}
--- /dev/null
+++ b/crates/router/src/dialect/incoming.rs
@@ -0,0 +1,30 @@
+//! A caller's request that was let in, with all that was found out about it.
+
+use tidepier_config::document::{Account, Document};
+use tidepier_http::http_types::Request;
+use tidepier_ids as ids;
+
+use crate::deadline::Deadline;
+use crate::once::Arrival;
+
+/// A caller's request with all that was found out about it.
+pub(crate) struct Incoming<'a> {
+    pub(crate) id: ids::Request,
+    pub(crate) account: &'a Account,
+    pub(crate) document: &'a Document,
+    pub(crate) deadline: Deadline,
+    pub(crate) request: &'a Request,
+}
+
+impl Incoming<'_> {
+    /// This request as one that may run at most once.
+    pub(crate) fn arrival<'a>(&'a self, target: &'a str, body: &'a [u8]) -> Arrival<'a> {
+        Arrival {
+            id: self.id,
+            account: &self.account.name,
+            deadline: self.deadline,
+            target,
+            body,
+        }
+    }
+}
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -1,6 +1,5 @@
 //! One running router and what its tasks share.
 
-use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
 use std::time::Instant;
@@ -12,24 +11,26 @@
 use tidepier_config::Settings;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::client::Pool;
-use tidepier_http::dial::{self, Dial};
+use tidepier_http::dial::Dial;
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, State, Table};
 use tidepier_store::etcd::Client;
-use tidepier_wire::frame::{Hello, VERSION};
-use tidepier_wire::link;
+use tidepier_wire::frame::{Hello, Pressure, VERSION};
+use tidepier_wire::{link, Frame};
 
 use crate::budget::Budget;
 use crate::document::Current;
+use crate::fates::Fates;
 use crate::held::Held;
-use crate::keeper::Keeper;
-use crate::links::Links;
-use crate::once::Answers;
+use crate::links::{Line, Links};
+use crate::phase::{Phase, Stop};
+use crate::pools::Pools;
 use crate::pressure::Pressures;
 use crate::seal::Sealer;
-use crate::stop::Stop;
 use crate::trace::Ring;
-use crate::{admin, beats, callers, follow, keeper, peers, place, probe};
+
+/// Takes one frame of a peer; answers go to its line.
+pub(crate) type Take = fn(&Arc<Node>, &ids::Box, Frame, &Line);
 
 /// A running router.
 pub struct Node {
@@ -45,12 +46,15 @@
     pub(crate) current: Current,
     pub(crate) client: Pool,
     pub(crate) store: Client,
-    pub(crate) keeper: Keeper,
+    pub(crate) pools: Pools,
     pub(crate) held: Held,
     pub(crate) pressures: Pressures,
     pub(crate) links: Links,
+    /// Who takes the frames of other boxes. A plain function, given at the
+    /// start, so that links need not know what frames are about.
+    pub(crate) take: Take,
     pub(crate) claims: Pages,
-    pub(crate) answers: Answers,
+    pub(crate) fates: Fates,
     pub(crate) sealer: Sealer,
     pub(crate) ring: Ring,
     pub(crate) retries: Budget,
@@ -59,38 +63,13 @@
 }
 
 impl Node {
-    /// Binds the addresses of `settings` and starts all tasks on `executor`.
-    ///
-    /// # Errors
-    ///
-    /// An address cannot be bound.
-    pub fn start(settings: Settings, executor: &Arc<Executor<'static>>) -> io::Result<Arc<Self>> {
-        Self::start_over(dial::direct(), settings, executor)
-    }
-
-    /// Like [`Node::start`], over a network of the caller's.
-    ///
-    /// # Errors
-    ///
-    /// An address cannot be bound.
-    pub fn start_over(
+    /// What the tasks of one router share, before any of them runs.
+    pub(crate) fn new(
         network: Arc<dyn Dial>,
         settings: Settings,
         executor: &Arc<Executor<'static>>,
-    ) -> io::Result<Arc<Self>> {
-        let node = Arc::new(Self::new(network, settings, executor));
-        callers::start(&node)?;
-        peers::start(&node)?;
-        admin::start(&node)?;
-        beats::start(&node);
-        follow::start(&node);
-        keeper::start(&node);
-        place::start(&node);
-        probe::start(&node);
-        Ok(node)
-    }
-
-    fn new(network: Arc<dyn Dial>, settings: Settings, executor: &Arc<Executor<'static>>) -> Self {
+        take: Take,
+    ) -> Self {
         let client = Pool::over(network.clone());
         let platform = &settings.platform;
         let limit = settings.tuning.store_ms.duration();
@@ -116,12 +95,13 @@
             current: Current::default(),
             client,
             store,
-            keeper: Keeper::default(),
+            pools: Pools::default(),
             held: Held::default(),
             pressures: Pressures::default(),
             links: Links::default(),
+            take,
             claims,
-            answers: Answers::default(),
+            fates: Fates::default(),
             sealer: Sealer::new(&settings.seal_keys),
             ring: Ring::new(settings.tuning.ring),
             retries: Budget::default(),
@@ -152,7 +132,7 @@
     }
 
     /// How far this router is with stopping.
-    pub fn phase(&self) -> crate::Phase {
+    pub fn phase(&self) -> Phase {
         self.stop.phase()
     }
 
@@ -183,6 +163,18 @@
         }
     }
 
+    /// Notes the pressure that the keeper of an engine's pool told; an engine
+    /// that no document names any more has no pool.
+    pub(crate) fn pressed(&self, engine: &ids::Engine, pressure: Pressure) {
+        let document = self.current.document();
+        let found = document
+            .as_ref()
+            .and_then(|document| document.engine(engine));
+        if let Some(engine) = found {
+            self.pressures.note(engine, pressure);
+        }
+    }
+
     /// Starts a task of this node; does nothing while the node ends.
     pub(crate) fn spawn(&self, work: impl std::future::Future<Output = ()> + Send + 'static) {
         if let Some(executor) = self.executor.upgrade() {
