--- a/crates/router/src/answer.rs
+++ b/crates/router/src/dialect/answer.rs
@@ -4,7 +4,12 @@
 
 use serde::{Deserialize, Serialize};
 use serde_json::Value;
+use tidepier_core::answer::Event;
+use tidepier_http::server::Reply;
 use tidepier_ids as ids;
+use tidepier_wire::frame::Kept;
+
+use crate::dialect::request::Api;
 
 #[derive(Deserialize)]
 struct Delta<'c> {
@@ -55,6 +60,19 @@
     pub(crate) usage: Option<Value>,
 }
 
+impl End {
+    /// The end that the last event of an answer tells.
+    pub(crate) fn of(event: &Event) -> Self {
+        // It was parsed before: an event is the last by its reason.
+        let chunk = Chunk::parse(&event.data).ok();
+        let reason = chunk.as_ref().and_then(Chunk::finish).unwrap_or_default();
+        Self {
+            reason: reason.to_string(),
+            usage: chunk.and_then(|chunk| chunk.usage),
+        }
+    }
+}
+
 #[derive(Serialize)]
 struct Message<'a> {
     role: &'static str,
@@ -70,7 +88,7 @@
 
 /// A whole chat completion.
 #[derive(Serialize)]
-pub(crate) struct Completion<'a> {
+struct Completion<'a> {
     id: &'a str,
     object: &'static str,
     model: &'a ids::Model,
@@ -79,7 +97,7 @@
 }
 
 impl<'a> Completion<'a> {
-    pub(crate) fn new(id: &'a str, model: &'a ids::Model, text: &'a str, end: &'a End) -> Self {
+    fn new(id: &'a str, model: &'a ids::Model, text: &'a str, end: &'a End) -> Self {
         let message = Message {
             role: "assistant",
             content: text,
@@ -99,7 +117,7 @@
 }
 
 /// A whole response of the responses API.
-pub(crate) fn response(id: &str, model: &ids::Model, text: &str, end: &End) -> Value {
+fn response(id: &str, model: &ids::Model, text: &str, end: &End) -> Value {
     serde_json::json!({
         "id": id,
         "object": "response",
@@ -113,3 +131,51 @@
         "usage": end.usage,
     })
 }
+
+/// The body of a whole answer.
+pub(crate) fn whole(api: Api, model: &ids::Model, id: &str, text: &str, end: &End) -> Vec<u8> {
+    let body = match api {
+        Api::Completions => serde_json::to_vec(&Completion::new(id, model, text, end)),
+        Api::Responses => serde_json::to_vec(&response(id, model, text, end)),
+    };
+    body.unwrap_or_default()
+}
+
+/// The event of the responses API for the text of one event.
+pub(crate) fn delta(text: &str, sequence: u64) -> String {
+    serde_json::json!({
+        "type": "response.output_text.delta",
+        "sequence_number": sequence,
+        "delta": text,
+    })
+    .to_string()
+}
+
+/// The last event of the responses API.
+pub(crate) fn completed(response: &str, end: &End) -> String {
+    serde_json::json!({
+        "type": "response.completed",
+        "response": { "id": response, "status": "completed", "usage": end.usage },
+    })
+    .to_string()
+}
+
+/// The first event of the responses API.
+pub(crate) fn created(response: &str) -> String {
+    serde_json::json!({
+        "type": "response.created",
+        "response": { "id": response, "status": "in_progress" },
+    })
+    .to_string()
+}
+
+/// The answer to an earlier arrival of the same request.
+pub(crate) fn replay(kept: Kept) -> Reply {
+    let mut reply = Reply::text(kept.status, String::new());
+    reply.response.set_body(kept.body);
+    reply
+        .response
+        .insert_header("content-type", kept.mime.as_str());
+    reply.response.insert_header("tidepier-replayed", "yes");
+    reply
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -10,34 +10,40 @@
 //! said.
 
 mod admin;
-mod answer;
 mod apply;
 mod beats;
 mod budget;
-mod callers;
-mod chat;
 mod deadline;
+mod dial;
+mod dialect;
 mod document;
+mod door;
+mod engine;
+mod fates;
 mod follow;
 mod held;
+mod job;
 mod keeper;
 mod links;
+mod members;
 mod node;
-mod old;
 mod once;
 mod peers;
+mod phase;
 mod place;
+mod pools;
 mod pressure;
 mod probe;
-mod resume;
 mod seal;
-mod service;
+mod start;
+mod status;
 mod stop;
 mod stream;
 mod trace;
 
-pub use admin::{set_metrics, BoxStatus, PoolStatus, Status};
+pub use admin::set_metrics;
 pub use apply::{Applied, Apply};
 pub use node::Node;
-pub use stop::Phase;
+pub use phase::Phase;
+pub use status::{BoxStatus, PoolStatus, Status};
 pub use trace::Span;
