--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -9,7 +9,7 @@
 pub use tidepier_platform::names::{
     ATTEMPT, DEADLINE, INSTANCE, LAST_EVENT, LOAD, NOT_RUN, PARTS as PROMPT, PRIORITY,
     REPORT_PATH as REPORT, RETRY_AFTER, SEAL, STORE_FROM as FROM, STORE_KEY as KEY,
-    STORE_PREFIX as PREFIX, STORE_WAIT as WAIT, TARGET,
+    STORE_PREFIX as PREFIX, STORE_WAIT as WAIT, TARGET, TENANT as ACCOUNT,
 };
 
 /// Beginning of the paths of all of the store's calls.
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -293,6 +293,13 @@
         *listening = None;
     }
 
+    /// Whether it has crashed.
+    pub fn is_crashed(&self) -> bool {
+        let listening = self.listening.lock();
+        let listening = listening.unwrap_or_else(|poisoned| poisoned.into_inner());
+        listening.is_none()
+    }
+
     /// Lets the next `count` requests go wrong; `u32::MAX` is all of them.
     pub fn fault(&self, fault: Fault, count: u32) {
         self.shared.lock().fault = Some((fault, count));
--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -139,6 +139,18 @@
         })
     }
 
+    /// Sends the routes of a prefix to a service, which is declared if it is
+    /// new.
+    pub fn direct(&self, prefix: &str, service: &str) -> u64 {
+        self.configure(|config| {
+            declare_service(&mut config["services"], service);
+            let routes = config["routes"].as_array_mut().into_iter().flatten();
+            for route in routes.filter(|route| route["path_prefix"] == prefix) {
+                route["service"] = json!(service);
+            }
+        })
+    }
+
     /// Drops the routes of a prefix.
     pub fn drop_route(&self, prefix: &str) -> u64 {
         self.configure(|config| {
@@ -175,10 +187,16 @@
 
     /// Writes a server's entry; returns the revision.
     pub fn announce(&self, server: &Server, state: State) -> u64 {
+        self.announce_at(server, server.address(), state)
+    }
+
+    /// Writes a server's entry with another address, such as that of a proxy;
+    /// returns the revision.
+    pub fn announce_at(&self, server: &Server, address: SocketAddr, state: State) -> u64 {
         let settings = server.settings();
         let entry = json!({
             "service": settings.service,
-            "address": server.address().to_string(),
+            "address": address.to_string(),
             "zone": settings.hall,
             "version": "v1",
             "slots": settings.slots,
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -5,6 +5,7 @@
 
 mod data;
 mod faults;
+mod view;
 
 use std::collections::BTreeMap;
 use std::io;
@@ -24,6 +25,7 @@
 use data::{refusal, Data, Reply};
 use faults::Fate;
 pub use faults::{Down, Faults};
+pub use view::View;
 
 /// How often leases are looked at; well under the shortest one.
 const EXPIRY_STEP: Duration = Duration::from_millis(20);
@@ -62,7 +64,7 @@
     pub fn start() -> io::Result<Self> {
         let inner = Arc::new(Inner::default());
         let (serving, expiring) = (inner.clone(), inner.clone());
-        let serve = move |conn| serving.clone().serve(conn);
+        let serve = move |conn| serving.clone().serve(conn, Arc::default());
         let (address, listening) = front::listen(front::anywhere(), serve)?;
         let expiry = smol::spawn(async move {
             loop {
@@ -82,6 +84,19 @@
         self.address
     }
 
+    /// Opens another address of the store, which shows values with some texts
+    /// in place of others: how one box sees the addresses of the others.
+    ///
+    /// # Errors
+    ///
+    /// No port could be bound.
+    pub fn view(&self, texts: Vec<(String, String)>) -> io::Result<View> {
+        let (inner, texts) = (self.inner.clone(), Arc::new(texts));
+        let serve = move |conn| inner.clone().serve(conn, texts.clone());
+        let (address, task) = front::listen(front::anywhere(), serve)?;
+        Ok(View::new(address, task))
+    }
+
     /// Changes what is wrong with the store.
     pub fn faults(&self, change: impl FnOnce(&mut Faults)) {
         change(&mut lock(&self.inner.faults));
@@ -164,13 +179,15 @@
         result
     }
 
-    async fn serve(self: Arc<Self>, mut conn: Conn) {
+    /// Serves a connection; `shown` are texts that values are shown with in
+    /// place of others.
+    async fn serve(self: Arc<Self>, mut conn: Conn, shown: Arc<view::Texts>) {
         while let Ok(Some(head)) = conn.head(front::HEAD_BYTES).await {
             let Ok(body) = front::body(&mut conn, &head).await else {
                 return;
             };
             let reply = match self.fate(&head, &body).await {
-                Fate::Answer(reply) => reply,
+                Fate::Answer(reply) => view::show(reply, &shown),
                 Fate::Silence => return silence(&mut conn).await,
                 Fate::Reset => {
                     if let Err(error) = conn.writer().reset_on_close() {
--- /dev/null
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -0,0 +1,179 @@
+//! Runs seeds of the fault soak; the last line is JSON.
+
+use std::collections::BTreeMap;
+use std::path::PathBuf;
+use std::process::ExitCode;
+use std::str::FromStr;
+use std::time::{Duration, Instant};
+
+use async_signal::{Signal, Signals};
+use clap::Parser;
+use eyre::{eyre, WrapErr};
+use futures_lite::{FutureExt, StreamExt};
+use serde_json::json;
+use tidepier_soak::rule::Verdict;
+use tidepier_soak::run::{self, Outcome, Place};
+
+/// Violations that are printed of one seed; all are in its folder.
+const PRINTED: usize = 5;
+
+/// Runs the relay as processes of their own among stand-ins, harms them by what
+/// a seed decides, and checks what clients and servers see.
+#[derive(Parser)]
+#[command(version)]
+struct Arguments {
+    /// One seed.
+    #[arg(long, conflicts_with_all = ["seeds", "minutes"])]
+    seed: Option<u64>,
+    /// Seeds from A to B, both included.
+    #[arg(long, value_name = "A..B", conflicts_with = "minutes")]
+    seeds: Option<Range>,
+    /// Fresh seeds for so many minutes.
+    #[arg(long)]
+    minutes: Option<f64>,
+    /// The relay's program; beside this one by default.
+    #[arg(long)]
+    relay: Option<PathBuf>,
+    /// Folder for the logs of seeds that fail.
+    #[arg(long, default_value = "target/soak")]
+    folder: PathBuf,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Range {
+    first: u64,
+    last: u64,
+}
+
+impl FromStr for Range {
+    type Err = eyre::Report;
+
+    fn from_str(text: &str) -> eyre::Result<Self> {
+        let (first, last) = text.split_once("..").ok_or_else(|| eyre!("A..B wanted"))?;
+        let last = last.strip_prefix('=').unwrap_or(last);
+        Ok(Self {
+            first: first.parse()?,
+            last: last.parse()?,
+        })
+    }
+}
+
+/// What is run: seeds, and until when.
+struct Plan {
+    seeds: Box<dyn Iterator<Item = u64>>,
+    until: Option<Instant>,
+}
+
+impl Plan {
+    fn new(arguments: &Arguments) -> Self {
+        if let Some(minutes) = arguments.minutes {
+            let time = Duration::from_secs_f64(minutes.max(0.0) * 60.0);
+            return Self {
+                seeds: Box::new(std::iter::repeat_with(rand::random::<u64>)),
+                until: Some(Instant::now() + time),
+            };
+        }
+        let range = arguments.seeds.unwrap_or_else(|| {
+            let seed = arguments.seed.unwrap_or_else(rand::random);
+            Range {
+                first: seed,
+                last: seed,
+            }
+        });
+        Self {
+            seeds: Box::new(range.first..=range.last),
+            until: None,
+        }
+    }
+}
+
+fn main() -> eyre::Result<ExitCode> {
+    let arguments = Arguments::parse();
+    let relay = match &arguments.relay {
+        Some(relay) => relay.clone(),
+        None => std::env::current_exe()?.with_file_name("tidepier-relay"),
+    };
+    let relay = relay
+        .canonicalize()
+        .wrap_err_with(|| format!("the relay's program, {}", relay.display()))?;
+    let folder = arguments.folder.clone();
+    let place = Place { relay, folder };
+    let plan = Plan::new(&arguments);
+    let mut outcomes = Vec::new();
+    for seed in plan.seeds {
+        // Begun in time, a seed is played to its end.
+        if plan.until.is_some_and(|until| Instant::now() >= until) {
+            break;
+        }
+        println!("seed {seed}");
+        let outcome = smol::block_on(run::seed(seed, &place).or(interrupted()))?;
+        print(&outcome, &place);
+        outcomes.push(outcome);
+    }
+    println!("{}", summary(&outcomes));
+    let failed = |outcome: &Outcome| !outcome.verdict.violations.is_empty();
+    Ok(match outcomes.iter().any(failed) {
+        true => ExitCode::FAILURE,
+        false => ExitCode::SUCCESS,
+    })
+}
+
+/// Waits until the soak is asked to end; its processes then end with it.
+async fn interrupted() -> eyre::Result<Outcome> {
+    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
+    signals.next().await;
+    Err(eyre!("interrupted"))
+}
+
+fn print(outcome: &Outcome, place: &Place) {
+    let Outcome {
+        seed,
+        requests,
+        served,
+        times,
+        verdict,
+        took,
+        ..
+    } = outcome;
+    let faults: u64 = outcome.faults.values().sum();
+    let left_out = left_out([verdict].into_iter());
+    println!(
+        "seed {seed}: {} violations, {faults} faults, {served} of {requests} served, \
+         median {} ms, 99 of 100 within {} ms, left out {left_out:?}, {:.1} s",
+        verdict.violations.len(),
+        times.value_at_quantile(0.5),
+        times.value_at_quantile(0.99),
+        took.as_secs_f64(),
+    );
+    for violation in verdict.violations.iter().take(PRINTED) {
+        println!("  {violation}");
+    }
+    if !verdict.violations.is_empty() {
+        let folder = place.folder.join(format!("seed-{seed}"));
+        println!("  logs in {}", folder.display());
+    }
+}
+
+/// Checks that were left out, by rule.
+fn left_out<'a>(verdicts: impl Iterator<Item = &'a Verdict>) -> BTreeMap<String, usize> {
+    let mut counts = BTreeMap::new();
+    for (rule, ids) in verdicts.flat_map(|verdict| &verdict.left_out) {
+        *counts.entry(rule.to_string()).or_insert(0) += ids.len();
+    }
+    counts
+}
+
+fn summary(outcomes: &[Outcome]) -> serde_json::Value {
+    let mut faults: BTreeMap<&str, u64> = BTreeMap::new();
+    for (name, count) in outcomes.iter().flat_map(|outcome| &outcome.faults) {
+        *faults.entry(name).or_insert(0) += count;
+    }
+    let verdicts = || outcomes.iter().map(|outcome| &outcome.verdict);
+    json!({
+        "soak_seeds": outcomes.len(),
+        "faults": faults,
+        "requests": outcomes.iter().map(|outcome| outcome.requests).sum::<u64>(),
+        "violations": run::count(verdicts()),
+        "left_out": left_out(verdicts()),
+    })
+}
--- /dev/null
+++ b/crates/soak/src/fleet/mod.rs
@@ -0,0 +1,307 @@
+//! The processes and stand-ins of a run, and the ways between them.
+//!
+//! Each box has an address of its own in 127.0.0.0/8. It sees the store through
+//! a view of its own, in which every other box stands with the address of the
+//! way from here to there.
+
+mod machine;
+mod servers;
+mod strike;
+
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use eyre::ensure;
+use rand::seq::IndexedRandom;
+use rand_chacha::ChaCha8Rng;
+use serde_json::json;
+use smol::Timer;
+use tidepier_core::catalog::Kind;
+use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::site::{Route, Site, HOST};
+use tidepier_relay_standin::store::View;
+use tidepier_relay_standin::Client;
+
+use crate::ledger::{Fact, Ledger, Traffic};
+use crate::process::Level;
+use crate::schedule::Schedule;
+use crate::way::Way;
+use crate::{load, lock};
+use machine::Machine;
+use servers::Backend;
+
+/// The service of plain requests.
+pub const PLAIN: &str = "plain";
+/// The service of streams.
+pub const STREAM: &str = "stream";
+/// The beginning of the names of services that tell the version.
+pub const MARK: &str = "mark-";
+/// Most servers for one request, on each route.
+pub const ATTEMPTS: u32 = 2;
+/// Longest time of a request, on each route.
+pub const TIMEOUT: Duration = Duration::from_secs(4);
+
+/// Ports of a box; none that the system gives out.
+const PEER_PORT: u16 = 20_711;
+const CALLERS_PORT: u16 = 20_712;
+const READY_PORT: u16 = 20_713;
+/// Servers of the two services at the start.
+const SERVERS: usize = 3;
+/// Keys that are valid at any time.
+const KEYS: usize = 3;
+/// Longest time until all boxes are ready at the start.
+const START_TIME: Duration = Duration::from_secs(20);
+/// Pause between two looks at what is waited for.
+const LOOK: Duration = Duration::from_millis(50);
+/// Longest time of a question whether a box is ready.
+const READY_TIME: Duration = Duration::from_millis(900);
+/// Link of the first box, and how much weaker each further one's is, so that
+/// it is known which box reads the store.
+const LINK_MBPS: usize = 5_000;
+const LINK_STEP: usize = 1_000;
+
+/// A running fleet.
+pub struct Fleet {
+    /// What is done and seen.
+    pub ledger: Ledger,
+    site: Site,
+    machines: Vec<Machine>,
+    views: Mutex<Vec<View>>,
+    peers: Vec<Vec<Way>>,
+    backends: Mutex<Vec<Arc<Backend>>>,
+    keys: Mutex<Vec<String>>,
+    marks: AtomicU32,
+    named: AtomicU32,
+}
+
+/// A fleet whose processes end when this is dropped.
+pub struct Running(Arc<Fleet>);
+
+impl std::ops::Deref for Running {
+    type Target = Arc<Fleet>;
+
+    fn deref(&self) -> &Arc<Fleet> {
+        &self.0
+    }
+}
+
+impl Drop for Running {
+    fn drop(&mut self) {
+        self.0.finish();
+    }
+}
+
+/// Addresses of a box that no other box of this machine has.
+fn box_ip() -> Ipv4Addr {
+    static TAKEN: AtomicU32 = AtomicU32::new(1);
+    let [_, _, high, low] = TAKEN.fetch_add(1, Ordering::Relaxed).to_be_bytes();
+    let [.., process_high, process_low] = std::process::id().to_be_bytes();
+    // 127.20 to 127.219, as tests of the relay do on other ports.
+    Ipv4Addr::new(127, process_low % 200 + 20, process_high ^ high, low)
+}
+
+impl Fleet {
+    /// Starts everything and waits until all boxes are ready.
+    ///
+    /// # Errors
+    ///
+    /// A port or program cannot be used, or a box does not become ready.
+    pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
+        let site = Site::start()?;
+        declare(&site);
+        let peers: Vec<SocketAddr> = (0..schedule.boxes)
+            .map(|_| SocketAddr::from((box_ip(), PEER_PORT)))
+            .collect();
+        let mut fleet = Self {
+            ledger: Ledger::default(),
+            site,
+            machines: Vec::new(),
+            views: Mutex::default(),
+            peers: Vec::new(),
+            backends: Mutex::default(),
+            keys: Mutex::new(Vec::new()),
+            marks: AtomicU32::new(0),
+            named: AtomicU32::new(0),
+        };
+        for _ in 0..SERVERS {
+            fleet.add_server(PLAIN)?;
+            fleet.add_server(STREAM)?;
+        }
+        fleet.change_keys(0);
+        fleet.mark()?;
+        for (place, peer) in peers.iter().enumerate() {
+            let settings = json!({
+                "name": format!("box-{place}"),
+                "hall": hall(place, schedule.halls),
+                "callers": SocketAddr::new(peer.ip(), CALLERS_PORT).to_string(),
+                "readiness": SocketAddr::new(peer.ip(), READY_PORT).to_string(),
+                "peer_ports": [PEER_PORT, PEER_PORT],
+                "server_beat": "1200ms",
+                "limits": { "link_mbps": LINK_MBPS - place * LINK_STEP, "memory_mb": 260 },
+                "bounds": crate::rule::bound::settings(),
+            });
+            let machine = fleet.machine(place, *peer, &peers, settings, relay, folder)?;
+            fleet.machines.push(machine);
+        }
+        let fleet = Arc::new(fleet);
+        let running = Running(fleet.clone());
+        for place in 0..fleet.boxes() {
+            fleet.begin_life(place)?;
+        }
+        fleet.all_ready().await?;
+        Ok(running)
+    }
+
+    /// The ways of a box to all others, its view of the store, and itself.
+    fn machine(
+        &mut self,
+        place: usize,
+        peer: SocketAddr,
+        peers: &[SocketAddr],
+        mut settings: serde_json::Value,
+        relay: &Path,
+        folder: &Path,
+    ) -> eyre::Result<Machine> {
+        let ways = peers.iter().map(|peer| Way::open(*peer));
+        let ways = ways.collect::<std::io::Result<Vec<Way>>>()?;
+        let others = peers.iter().zip(&ways).filter(|(other, _)| **other != peer);
+        let quoted = |address: SocketAddr| format!("\"{address}\"");
+        let texts = others.map(|(peer, way)| (quoted(*peer), quoted(way.address())));
+        let view = self.site.store.view(texts.collect())?;
+        let store = Way::open(view.address())?;
+        lock(&self.views).push(view);
+        self.peers.push(ways);
+        settings["store"] = json!({ "address": store.address().to_string() });
+        let files: [PathBuf; 3] = [
+            relay.into(),
+            folder.join(format!("box-{place}.json")),
+            folder.join(format!("box-{place}.log")),
+        ];
+        let front = Way::open(SocketAddr::new(peer.ip(), CALLERS_PORT))?;
+        let ready = SocketAddr::new(peer.ip(), READY_PORT);
+        Ok(Machine::new(files, settings, store, front, ready))
+    }
+
+    /// Ends all processes for good. Tasks that hold the fleet may outlive this.
+    pub fn finish(&self) {
+        self.machines.iter().for_each(Machine::finish);
+    }
+
+    /// Number of boxes.
+    pub fn boxes(&self) -> usize {
+        self.machines.len()
+    }
+
+    /// Where clients of a box connect.
+    pub fn front(&self, place: usize) -> SocketAddr {
+        self.machines[place].front.address()
+    }
+
+    /// One of the keys that there are or were; those of today more often.
+    pub fn some_key(&self, rng: &mut ChaCha8Rng) -> String {
+        let keys = lock(&self.keys);
+        let today = &keys[keys.len() - KEYS..];
+        let some = [&today[..], &today[..], &keys[..]].concat();
+        some.choose(rng).cloned().unwrap_or_default()
+    }
+
+    /// Time that a box was ready to run and had no processor, if it runs.
+    pub fn waited(&self, place: usize) -> Option<Duration> {
+        self.machines[place].waited()
+    }
+
+    /// What the process of a box holds, if it runs.
+    pub fn level(&self, place: usize) -> Option<Level> {
+        self.machines[place].level()
+    }
+
+    /// Whether a box says that it is ready.
+    pub async fn is_ready(&self, place: usize) -> bool {
+        let call = Call::new("GET", HOST, "/-/readyz", "ready").leaving(READY_TIME);
+        let answer = Client::once(self.machines[place].ready, &call).await;
+        answer.is_ok_and(|answer| answer.status == 200)
+    }
+
+    async fn all_ready(&self) -> eyre::Result<()> {
+        let start = Instant::now();
+        for place in 0..self.boxes() {
+            while !self.is_ready(place).await {
+                ensure!(start.elapsed() < START_TIME, "box {place} never ready");
+                Timer::after(LOOK).await;
+            }
+        }
+        Ok(())
+    }
+
+    /// Starts the process of a box.
+    pub(crate) fn begin_life(&self, place: usize) -> eyre::Result<()> {
+        self.machines[place].start()?;
+        self.ledger.fact(Fact::Born(place));
+        Ok(())
+    }
+
+    /// Notes processes that ended without being told to, and starts them anew.
+    pub fn attend(&self) -> eyre::Result<()> {
+        for (place, machine) in self.machines.iter().enumerate() {
+            if let Some(status) = machine.died()? {
+                self.ledger.fact(Fact::Died(place, status.to_string()));
+                self.begin_life(place)?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Takes away so many of the oldest valid keys and adds as many.
+    fn change_keys(&self, count: usize) {
+        let mut keys = lock(&self.keys);
+        let first = keys.len().saturating_sub(KEYS);
+        let gone = keys[first..].iter().take(count).cloned();
+        let gone: Vec<String> = gone.collect();
+        while keys.len() < first + KEYS + count {
+            let key = format!("key-{}", keys.len());
+            keys.push(key);
+        }
+        let today: Vec<&str> = keys[first + count..].iter().map(String::as_str).collect();
+        self.ledger.fact(Fact::Configuring);
+        self.site.account(load::ACCOUNT, &today, 0);
+        for key in gone {
+            self.ledger.fact(Fact::KeyGone(key));
+        }
+    }
+
+    /// Sends the mark route to a new service.
+    fn mark(&self) -> eyre::Result<()> {
+        let number = self.marks.fetch_add(1, Ordering::Relaxed);
+        let service = format!("{MARK}{number}");
+        self.add_server(&service)?;
+        self.ledger.fact(Fact::Configuring);
+        self.site.direct(Traffic::Mark.prefix(), &service);
+        self.ledger.fact(Fact::Marked(number));
+        Ok(())
+    }
+}
+
+fn hall(place: usize, halls: usize) -> String {
+    format!("hall-{}", place % halls)
+}
+
+fn declare(site: &Site) {
+    let route = |traffic: Traffic| {
+        let (kind, service) = match traffic {
+            Traffic::Once => (Kind::Once, PLAIN),
+            Traffic::Resumable => (Kind::Stream { resumable: true }, STREAM),
+            Traffic::Single => (Kind::Stream { resumable: false }, STREAM),
+            Traffic::Repeatable | Traffic::Keyed | Traffic::Mark => (Kind::Repeatable, PLAIN),
+        };
+        Route {
+            public: traffic != Traffic::Keyed,
+            attempts: ATTEMPTS,
+            timeout: TIMEOUT,
+            ..Route::new(traffic.prefix(), kind, service)
+        }
+    };
+    site.declare(&Traffic::ALL.map(route));
+}
--- /dev/null
+++ b/crates/soak/src/fleet/strike.rs
@@ -0,0 +1,231 @@
+//! Carries out the steps of a schedule. Each is noted before it begins and
+//! after it has ended.
+
+use std::io;
+use std::sync::Arc;
+use std::time::Duration;
+
+use rustix::process::Signal;
+use smol::Timer;
+use tidepier_core::server::State;
+use tidepier_relay_standin::server;
+use tidepier_relay_standin::store::Down;
+
+use super::servers::Backend;
+use super::Fleet;
+use crate::ledger::{Fact, Place};
+use crate::schedule::{Blow, Config, Fault, Link, Server, Step, Store};
+use crate::way::{Harm, Way};
+
+/// Time between two looks whether a process has ended.
+const LOOK: Duration = Duration::from_millis(10);
+/// Time from a first word that a server leaves until its entry goes.
+const LEAVE_TIME: Duration = Duration::from_millis(2_500);
+/// Configurations of a storm, and the time between two.
+const STORM: usize = 4;
+const STORM_PAUSE: Duration = Duration::from_millis(120);
+/// Writing calls whose answers are lost.
+const LOST_CALLS: u32 = 3;
+/// How many times its usual time a slow server works.
+const SLOWNESS: f64 = 5.0;
+/// Size of the longest hold-up of work that a reload may bring, for the record
+/// of the disturbance: the bound on changed settings.
+const RELOAD_TIME: Duration = Duration::from_secs(2);
+
+impl Fleet {
+    /// Carries out one step; returns when its fault has ended.
+    ///
+    /// # Errors
+    ///
+    /// A process could not be signalled or started, or a port not be opened.
+    pub async fn strike(self: Arc<Self>, step: Step) -> eyre::Result<()> {
+        let name = step.fault.name();
+        let (places, planned) = self.touched(&step.fault);
+        self.ledger.struck(&name);
+        let begin = |place: &Place| self.ledger.begin(*place, &name, planned);
+        let notes: Vec<usize> = places.iter().map(begin).collect();
+        match step.fault {
+            Fault::Link(link, harm) => self.harm(link, harm, step.lasts).await,
+            Fault::Process(place, blow) => self.blow(place, blow, step.lasts).await?,
+            Fault::Store(store) => self.upset(store, step.lasts).await,
+            Fault::Server(at, fault) => self.hurt(at, fault, step.lasts).await?,
+            Fault::Config(config) => self.configure(config).await?,
+        }
+        notes.into_iter().for_each(|note| self.ledger.end(note));
+        Ok(())
+    }
+
+    /// Whom a fault touches, and whether it is planned work.
+    fn touched(&self, fault: &Fault) -> (Vec<Place>, bool) {
+        match *fault {
+            Fault::Link(Link::Client(place) | Link::Store(place), _) => {
+                (vec![Place::Box(place)], false)
+            }
+            Fault::Link(Link::Peer(from, to), _) => (vec![Place::Box(from), Place::Box(to)], false),
+            Fault::Link(Link::Server(_), _) => (vec![Place::Server], false),
+            Fault::Process(place, blow) => {
+                let planned = matches!(blow, Blow::Terminate | Blow::Reload);
+                (vec![Place::Box(place)], planned)
+            }
+            Fault::Store(_) => (vec![Place::Store], false),
+            Fault::Server(_, Server::Join | Server::Leave) | Fault::Config(_) => {
+                (vec![Place::Fleet], true)
+            }
+            Fault::Server(..) => (vec![Place::Server], false),
+        }
+    }
+
+    async fn harm(&self, link: Link, harm: Harm, lasts: Duration) {
+        let server: Arc<Backend>;
+        let way: &Way = match link {
+            Link::Client(place) => &self.machines[place].front,
+            Link::Store(place) => &self.machines[place].store,
+            Link::Peer(from, to) => &self.peers[from][to],
+            Link::Server(at) => {
+                server = self.serving(at);
+                &server.way
+            }
+        };
+        way.harm(harm);
+        Timer::after(lasts).await;
+        way.mend(harm);
+    }
+
+    async fn blow(&self, place: usize, blow: Blow, lasts: Duration) -> eyre::Result<()> {
+        let machine = &self.machines[place];
+        match blow {
+            Blow::Freeze => {
+                machine.signal(Signal::STOP)?;
+                Timer::after(lasts).await;
+                machine.signal(Signal::CONT)?;
+            }
+            Blow::Reload => {
+                let extra = 20 + lasts.as_millis() as u64 % 5;
+                machine.change(|settings| settings["bounds"]["retry_extra"] = extra.into())?;
+                machine.signal(Signal::HUP)?;
+                Timer::after(RELOAD_TIME).await;
+            }
+            Blow::Terminate | Blow::Kill => {
+                let signal = match blow {
+                    Blow::Terminate => Signal::TERM,
+                    _ => Signal::KILL,
+                };
+                // A second signal while the process ends is sent as well; who
+                // came first starts it again.
+                let first = machine.claim();
+                machine.signal(signal)?;
+                if !first {
+                    return Ok(());
+                }
+                self.ended(place).await?;
+                Timer::after(lasts).await;
+                self.begin_life(place)?;
+                machine.release();
+            }
+        }
+        Ok(())
+    }
+
+    /// Waits until a process has ended; kills it once its time is over.
+    async fn ended(&self, place: usize) -> eyre::Result<()> {
+        let machine = &self.machines[place];
+        let until = std::time::Instant::now() + crate::rule::bound::STOP;
+        let mut killed = false;
+        while !machine.is_gone()? {
+            if !killed && std::time::Instant::now() > until {
+                killed = true;
+                self.ledger
+                    .fact(Fact::Died(place, "only by SIGKILL".into()));
+                machine.signal(Signal::KILL)?;
+            }
+            Timer::after(LOOK).await;
+        }
+        Ok(())
+    }
+
+    async fn upset(&self, store: Store, lasts: Duration) {
+        let faulty = &self.site.store;
+        match store {
+            Store::Slow(slow) => faulty.faults(|faults| faults.slow = slow),
+            Store::Silent => faulty.faults(|faults| faults.down = Some(Down::Silent)),
+            Store::Busy => faulty.faults(|faults| faults.down = Some(Down::Busy)),
+            Store::Reset => faulty.faults(|faults| faults.down = Some(Down::Reset)),
+            Store::Refusing => faulty.faults(|faults| faults.refuse = true),
+            Store::Losing => faulty.faults(|faults| faults.lost = LOST_CALLS),
+            Store::Forgetful => faulty.compact(),
+            Store::Deaf => faulty.deaf(lasts),
+        }
+        Timer::after(lasts).await;
+        // Of two faults of one kind that overlap, the first to end ends both;
+        // the ledger has the longer one.
+        faulty.faults(|faults| match store {
+            Store::Slow(_) => faults.slow = Duration::ZERO,
+            Store::Silent | Store::Busy | Store::Reset => faults.down = None,
+            Store::Refusing => faults.refuse = false,
+            Store::Losing => faults.lost = 0,
+            Store::Forgetful | Store::Deaf => {}
+        });
+    }
+
+    async fn hurt(&self, at: usize, fault: Server, lasts: Duration) -> io::Result<()> {
+        let backend = self.serving(at);
+        let server = &backend.server;
+        let service = server.settings().service.clone();
+        match fault {
+            Server::Join => return self.add_server(&service),
+            Server::Leave => {
+                self.add_server(&service)?;
+                self.announce(&backend, State::Draining);
+                let id = server.settings().id.clone();
+                self.ledger.fact(Fact::Leaving(id));
+                Timer::after(LEAVE_TIME).await;
+                self.site.withdraw(server);
+                return Ok(());
+            }
+            Server::Crash => {
+                server.crash();
+                Timer::after(lasts).await;
+                self.site.withdraw(server);
+                return self.add_server(&service);
+            }
+            Server::Dark => server.dark(true),
+            Server::Slow => server.slow(SLOWNESS),
+            Server::Shed => server.fault(server::Fault::Shed, u32::MAX),
+            Server::Failure => server.fault(server::Fault::Failure, u32::MAX),
+            Server::LostAnswer => server.fault(server::Fault::LostAnswer, u32::MAX),
+            Server::Garbage => server.fault(server::Fault::Garbage, u32::MAX),
+            Server::Extra => server.fault(server::Fault::Extra, u32::MAX),
+            Server::LateExtra => server.fault(server::Fault::LateExtra, u32::MAX),
+            Server::BreakOff => server.fault(server::Fault::CutEvent, u32::MAX),
+            Server::Reset => server.fault(server::Fault::Reset, u32::MAX),
+        }
+        Timer::after(lasts).await;
+        server.heal();
+        Ok(())
+    }
+
+    async fn configure(&self, config: Config) -> eyre::Result<()> {
+        match config {
+            Config::Revoke => self.change_keys(1),
+            Config::Mark => self.mark()?,
+            Config::Storm => {
+                for _ in 0..STORM {
+                    self.mark()?;
+                    Timer::after(STORM_PAUSE).await;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// A server that neither leaves nor is gone, by its number.
+    fn serving(&self, at: usize) -> Arc<Backend> {
+        let backends = self.backends();
+        let serving = backends.iter().filter(|backend| {
+            let id = &backend.server.settings().id;
+            !backend.server.is_crashed() && !self.ledger.is_leaving(id)
+        });
+        let serving: Vec<_> = serving.cloned().collect();
+        serving[at % serving.len()].clone()
+    }
+}
--- /dev/null
+++ b/crates/soak/src/lib.rs
@@ -0,0 +1,33 @@
+//! A randomized soak of the relay: real processes on loopback, faults from
+//! outside them, and rules that are judged by what clients and servers see.
+//!
+//! A seed decides the whole [`schedule`]; [`fleet`] starts the processes and
+//! stand-ins and carries the schedule out; [`load`] plays the clients; all of
+//! them write to the [`ledger`]; the [`rule`]s read it and nothing else.
+//! [`run`] puts one seed together.
+//!
+//! Invariants:
+//!
+//! * Whoever does something does not judge it: no rule knows the schedule, and
+//!   no generator reads a verdict.
+//! * Only processes that the soak started are signalled.
+//! * A check that is left out because the machine was busy is counted.
+
+pub mod fleet;
+pub mod ledger;
+pub mod load;
+pub mod process;
+pub mod pulse;
+pub mod rule;
+pub mod run;
+pub mod schedule;
+pub mod way;
+
+use std::sync::{Mutex, MutexGuard};
+
+/// Locks a mutex; what a panicking holder left is as good as any.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex
+        .lock()
+        .unwrap_or_else(|poisoned| poisoned.into_inner())
+}
--- /dev/null
+++ b/crates/soak/src/schedule.rs
@@ -0,0 +1,283 @@
+//! What a seed decides: the shape of the fleet, and each fault with its time.
+//!
+//! A schedule is a function of its seed alone. It names boxes and servers by
+//! numbers, which are taken modulo how many there are at that moment.
+
+use std::time::Duration;
+
+use rand::seq::IndexedRandom;
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+use crate::way::{Direction, Harm};
+
+/// Fewest and most boxes.
+const BOXES: std::ops::RangeInclusive<usize> = 2..=4;
+/// Fewest and most faults.
+const STEPS: std::ops::RangeInclusive<usize> = 6..=14;
+/// The time within which faults begin, in ms.
+const SPAN_MS: std::ops::Range<u64> = 0..10_000;
+/// How long a fault lasts, in ms: short of and beyond the times after which
+/// boxes doubt each other.
+const LASTS_MS: std::ops::Range<u64> = 100..4_500;
+/// Delays of a slow way or store, in ms.
+const DELAY_MS: std::ops::Range<u64> = 5..600;
+
+/// Two sides that talk to each other.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Link {
+    /// Clients and a box.
+    Client(usize),
+    /// All boxes and a server.
+    Server(usize),
+    /// A box and the store.
+    Store(usize),
+    /// A box that asks and one that is asked.
+    Peer(usize, usize),
+}
+
+/// What is done to a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Blow {
+    /// SIGSTOP, later SIGCONT.
+    Freeze,
+    /// SIGTERM; started again once it has ended.
+    Terminate,
+    /// SIGKILL; started again later.
+    Kill,
+    /// Another settings file, and SIGHUP.
+    Reload,
+}
+
+/// What is wrong with the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Store {
+    /// Answers take longer.
+    Slow(Duration),
+    /// Calls are swallowed.
+    Silent,
+    /// Calls get 503.
+    Busy,
+    /// Connections are reset.
+    Reset,
+    /// Calls get 429.
+    Refusing,
+    /// The next writing calls are done and not answered.
+    Losing,
+    /// The history is forgotten.
+    Forgetful,
+    /// Watches learn of nothing.
+    Deaf,
+}
+
+/// What a server does wrong.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Server {
+    /// Refuses requests.
+    Shed,
+    /// Runs them and answers 500.
+    Failure,
+    /// Runs them and resets the connection.
+    LostAnswer,
+    /// Runs them and answers with bytes that are no answer.
+    Garbage,
+    /// Sends each answer twice.
+    Extra,
+    /// Sends each answer again before the next one.
+    LateExtra,
+    /// Breaks off half way through the answer.
+    BreakOff,
+    /// Resets the connection without running the request.
+    Reset,
+    /// Says nothing.
+    Dark,
+    /// Works five times as long.
+    Slow,
+    /// Ends without a word; another one comes.
+    Crash,
+    /// Says that it leaves, leaves and serves on; another one comes.
+    Leave,
+    /// Another one comes.
+    Join,
+}
+
+/// A change by the operator.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Config {
+    /// A route goes to a service of its own, which tells the version.
+    Mark,
+    /// Several of these in quick succession.
+    Storm,
+    /// A key is taken away, and another one added.
+    Revoke,
+}
+
+/// One fault or planned change.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Fault {
+    /// A way is harmed.
+    Link(Link, Harm),
+    /// A process gets a signal.
+    Process(usize, Blow),
+    /// The store is out of order.
+    Store(Store),
+    /// A server is out of order.
+    Server(usize, Server),
+    /// The configuration changes.
+    Config(Config),
+}
+
+impl Fault {
+    /// Its name in reports.
+    pub fn name(&self) -> String {
+        match self {
+            Fault::Link(link, harm) => format!("{}_{}", link.name(), harm.name()),
+            Fault::Process(_, blow) => format!("process_{blow:?}").to_lowercase(),
+            Fault::Store(Store::Slow(_)) => "store_slow".into(),
+            Fault::Store(store) => format!("store_{store:?}").to_lowercase(),
+            Fault::Server(_, server) => format!("server_{server:?}").to_lowercase(),
+            Fault::Config(config) => format!("config_{config:?}").to_lowercase(),
+        }
+    }
+}
+
+impl Link {
+    fn name(self) -> &'static str {
+        match self {
+            Link::Client(_) => "client",
+            Link::Server(_) => "server",
+            Link::Store(_) => "store",
+            Link::Peer(..) => "peer",
+        }
+    }
+}
+
+/// A fault with its time, counted from the beginning of the faults.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Step {
+    /// When it begins.
+    pub at: Duration,
+    /// How long it lasts.
+    pub lasts: Duration,
+    /// What it is.
+    pub fault: Fault,
+}
+
+/// All that a seed decides.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Schedule {
+    /// The seed.
+    pub seed: u64,
+    /// Number of boxes.
+    pub boxes: usize,
+    /// Number of halls that they are spread over.
+    pub halls: usize,
+    /// The faults, in the order of their times.
+    pub steps: Vec<Step>,
+}
+
+impl Schedule {
+    /// The schedule of a seed.
+    pub fn new(seed: u64) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let boxes = rng.random_range(BOXES);
+        let halls = rng.random_range(1..=2);
+        let count = rng.random_range(STEPS);
+        let mut steps: Vec<Step> = (0..count).map(|_| step(&mut rng, boxes)).collect();
+        steps.sort_by_key(|step| step.at);
+        Self {
+            seed,
+            boxes,
+            halls,
+            steps,
+        }
+    }
+}
+
+fn ms(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
+    Duration::from_millis(rng.random_range(range))
+}
+
+fn step(rng: &mut ChaCha8Rng, boxes: usize) -> Step {
+    let at = ms(rng, SPAN_MS);
+    let lasts = ms(rng, LASTS_MS);
+    let fault = match rng.random_range(0..20) {
+        0..5 => Fault::Link(link(rng, boxes), harm(rng)),
+        5..10 => Fault::Process(rng.random_range(0..boxes), blow(rng)),
+        10..13 => Fault::Store(store(rng)),
+        13..17 => Fault::Server(rng.random_range(0..64), server(rng)),
+        _ => Fault::Config(config(rng)),
+    };
+    Step { at, lasts, fault }
+}
+
+fn link(rng: &mut ChaCha8Rng, boxes: usize) -> Link {
+    let first = rng.random_range(0..boxes);
+    let other = (first + rng.random_range(1..boxes)) % boxes;
+    match rng.random_range(0..4) {
+        0 => Link::Client(first),
+        1 => Link::Server(rng.random_range(0..64)),
+        2 => Link::Store(first),
+        _ => Link::Peer(first, other),
+    }
+}
+
+fn harm(rng: &mut ChaCha8Rng) -> Harm {
+    match rng.random_range(0..5) {
+        0 => Harm::Delay(ms(rng, DELAY_MS)),
+        1 => Harm::Reset,
+        2 => Harm::Cut(Direction::There),
+        3 => Harm::Cut(Direction::Back),
+        _ => Harm::Silence,
+    }
+}
+
+fn blow(rng: &mut ChaCha8Rng) -> Blow {
+    pick(
+        rng,
+        &[Blow::Freeze, Blow::Terminate, Blow::Kill, Blow::Reload],
+    )
+}
+
+fn store(rng: &mut ChaCha8Rng) -> Store {
+    let slow = Store::Slow(ms(rng, DELAY_MS));
+    let all = [
+        slow,
+        Store::Silent,
+        Store::Busy,
+        Store::Reset,
+        Store::Refusing,
+        Store::Losing,
+        Store::Forgetful,
+        Store::Deaf,
+    ];
+    pick(rng, &all)
+}
+
+fn server(rng: &mut ChaCha8Rng) -> Server {
+    let all = [
+        Server::Shed,
+        Server::Failure,
+        Server::LostAnswer,
+        Server::Garbage,
+        Server::Extra,
+        Server::LateExtra,
+        Server::BreakOff,
+        Server::Reset,
+        Server::Dark,
+        Server::Slow,
+        Server::Crash,
+        Server::Leave,
+        Server::Leave,
+        Server::Join,
+    ];
+    pick(rng, &all)
+}
+
+fn config(rng: &mut ChaCha8Rng) -> Config {
+    pick(rng, &[Config::Mark, Config::Storm, Config::Revoke])
+}
+
+fn pick<T: Copy>(rng: &mut ChaCha8Rng, all: &[T]) -> T {
+    *all.choose(rng).unwrap_or(&all[0])
+}
