--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -204,7 +204,7 @@
     pub fn some_key(&self, rng: &mut ChaCha8Rng) -> String {
         let keys = lock(&self.keys);
         let today = &keys[keys.len() - KEYS..];
-        let some = [&today[..], &today[..], &keys[..]].concat();
+        let some = [today, today, &keys].concat();
         some.choose(rng).cloned().unwrap_or_default()
     }
 
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -162,7 +162,7 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Default, Clone)]
 struct Inner {
     attempts: Vec<Attempt>,
     disturbances: Vec<Disturbance>,
@@ -250,11 +250,16 @@
         ended.map(Attempt::served).collect()
     }
 
-    /// All of it, with the servers' records.
-    pub fn evidence(&self, begun: Instant, seen: Vec<Seen>) -> Evidence {
-        let inner = lock(&self.inner);
+    /// All of it, with the servers' records. These are read after the rest, so
+    /// that no answer is without its run; what reached a server after the rest
+    /// was read is left for later.
+    pub fn evidence(&self, begun: Instant, seen: impl FnOnce() -> Vec<Seen>) -> Evidence {
+        let (inner, read) = {
+            let inner = lock(&self.inner);
+            (inner.clone(), Instant::now())
+        };
         let mut runs: HashMap<String, Vec<Seen>> = HashMap::new();
-        for seen in seen {
+        for seen in seen().into_iter().filter(|seen| seen.run.arrived < read) {
             runs.entry(seen.run.attempt.clone()).or_default().push(seen);
         }
         for seen in runs.values_mut() {
@@ -262,10 +267,10 @@
         }
         Evidence {
             begun,
-            attempts: inner.attempts.clone(),
-            disturbances: inner.disturbances.clone(),
-            facts: inner.facts.clone(),
-            loads: inner.loads.clone(),
+            attempts: inner.attempts,
+            disturbances: inner.disturbances,
+            facts: inner.facts,
+            loads: inner.loads,
             runs,
         }
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -86,10 +86,10 @@
     let judged = judge_often(fleet.clone(), begun);
     let played = async {
         play(&fleet, &schedule).await?;
-        Ok(Verdict::new(&fleet.ledger.evidence(begun, fleet.seen())))
+        Ok(Verdict::new(&fleet.ledger.evidence(begun, || fleet.seen())))
     };
     let verdict = played.or(judged).await?;
-    let evidence = fleet.ledger.evidence(begun, fleet.seen());
+    let evidence = fleet.ledger.evidence(begun, || fleet.seen());
     let mut outcome = outcome(seed, &evidence, verdict, begun.elapsed());
     outcome.faults = fleet.ledger.faults();
     drop(fleet);
@@ -113,7 +113,7 @@
     loop {
         Timer::after(JUDGE).await;
         fleet.attend()?;
-        let evidence = fleet.ledger.evidence(begun, fleet.seen());
+        let evidence = fleet.ledger.evidence(begun, || fleet.seen());
         let verdict = smol::unblock(move || Verdict::new(&evidence)).await;
         if !verdict.violations.is_empty() {
             return Ok(verdict);
