What a soak seed decides, its proxies and its rules have tests of their own

Mended on the way: a process that ended by itself just before the soak ended it was not counted (trial 'ended', seed 1); bytes that come where no request waits are read and judged.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -1,7 +1,7 @@
 //! Runs seeds of the fault soak; the last line is JSON.
 
-use std::collections::BTreeMap;
-use std::path::PathBuf;
+use std::collections::{BTreeMap, BTreeSet};
+use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
 use std::time::{Duration, Instant};
@@ -23,11 +23,14 @@
 #[command(version)]
 struct Arguments {
     /// One seed.
-    #[arg(long, conflicts_with_all = ["seeds", "minutes"])]
+    #[arg(long, conflicts_with_all = ["seeds", "kept", "minutes"])]
     seed: Option<u64>,
     /// Seeds from A to B, both included.
-    #[arg(long, value_name = "A..B", conflicts_with = "minutes")]
+    #[arg(long, value_name = "A..B", conflicts_with_all = ["kept", "minutes"])]
     seeds: Option<Range>,
+    /// All seeds that ever failed: the names of the files of a folder.
+    #[arg(long, value_name = "FOLDER", conflicts_with = "minutes")]
+    kept: Option<PathBuf>,
     /// Fresh seeds for so many minutes.
     #[arg(long)]
     minutes: Option<f64>,
@@ -65,13 +68,19 @@
 }
 
 impl Plan {
-    fn new(arguments: &Arguments) -> Self {
+    fn new(arguments: &Arguments) -> eyre::Result<Self> {
         if let Some(minutes) = arguments.minutes {
             let time = Duration::from_secs_f64(minutes.max(0.0) * 60.0);
-            return Self {
+            return Ok(Self {
                 seeds: Box::new(std::iter::repeat_with(rand::random::<u64>)),
                 until: Some(Instant::now() + time),
-            };
+            });
+        }
+        if let Some(folder) = &arguments.kept {
+            return Ok(Self {
+                seeds: Box::new(kept(folder)?.into_iter()),
+                until: None,
+            });
         }
         let range = arguments.seeds.unwrap_or_else(|| {
             let seed = arguments.seed.unwrap_or_else(rand::random);
@@ -80,11 +89,24 @@
                 last: seed,
             }
         });
-        Self {
+        Ok(Self {
             seeds: Box::new(range.first..=range.last),
             until: None,
-        }
+        })
+    }
+}
+
+/// The seeds that the files of a folder are named by.
+fn kept(folder: &Path) -> eyre::Result<BTreeSet<u64>> {
+    let mut seeds = BTreeSet::new();
+    for entry in std::fs::read_dir(folder)? {
+        let file = entry?.path();
+        let seed = file
+            .file_stem()
+            .and_then(|stem| stem.to_str()?.parse().ok());
+        seeds.insert(seed.ok_or_else(|| eyre!("{} is named by no seed", file.display()))?);
     }
+    Ok(seeds)
 }
 
 fn main() -> eyre::Result<ExitCode> {
@@ -98,7 +120,7 @@
         .wrap_err_with(|| format!("the relay's program, {}", relay.display()))?;
     let folder = arguments.folder.clone();
     let place = Place { relay, folder };
-    let plan = Plan::new(&arguments);
+    let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
     for seed in plan.seeds {
         // Begun in time, a seed is played to its end.
@@ -129,12 +151,12 @@
     let Outcome {
         seed,
         requests,
-        served,
         times,
         verdict,
         took,
         ..
     } = outcome;
+    let served = times.len();
     let faults: u64 = outcome.faults.values().sum();
     let left_out = left_out([verdict].into_iter());
     println!(
--- a/crates/soak/src/fleet/strike.rs
+++ b/crates/soak/src/fleet/strike.rs
@@ -8,8 +8,6 @@
 use rustix::process::Signal;
 use smol::Timer;
 use tidepier_core::server::State;
-use tidepier_relay_standin::server;
-use tidepier_relay_standin::store::Down;
 
 use super::servers::Backend;
 use super::Fleet;
@@ -110,6 +108,8 @@
                     Blow::Terminate => Signal::TERM,
                     _ => Signal::KILL,
                 };
+                // What ended by itself just before is not taken for this.
+                self.attend()?;
                 // A second signal while the process ends is sent as well; who
                 // came first starts it again.
                 let first = machine.claim();
@@ -147,9 +147,7 @@
         let faulty = &self.site.store;
         match store {
             Store::Slow(slow) => faulty.faults(|faults| faults.slow = slow),
-            Store::Silent => faulty.faults(|faults| faults.down = Some(Down::Silent)),
-            Store::Busy => faulty.faults(|faults| faults.down = Some(Down::Busy)),
-            Store::Reset => faulty.faults(|faults| faults.down = Some(Down::Reset)),
+            Store::Down(down) => faulty.faults(|faults| faults.down = Some(down)),
             Store::Refusing => faulty.faults(|faults| faults.refuse = true),
             Store::Losing => faulty.faults(|faults| faults.lost = LOST_CALLS),
             Store::Forgetful => faulty.compact(),
@@ -160,7 +158,7 @@
         // the ledger has the longer one.
         faulty.faults(|faults| match store {
             Store::Slow(_) => faults.slow = Duration::ZERO,
-            Store::Silent | Store::Busy | Store::Reset => faults.down = None,
+            Store::Down(_) => faults.down = None,
             Store::Refusing => faults.refuse = false,
             Store::Losing => faults.lost = 0,
             Store::Forgetful | Store::Deaf => {}
@@ -190,14 +188,7 @@
             }
             Server::Dark => server.dark(true),
             Server::Slow => server.slow(SLOWNESS),
-            Server::Shed => server.fault(server::Fault::Shed, u32::MAX),
-            Server::Failure => server.fault(server::Fault::Failure, u32::MAX),
-            Server::LostAnswer => server.fault(server::Fault::LostAnswer, u32::MAX),
-            Server::Garbage => server.fault(server::Fault::Garbage, u32::MAX),
-            Server::Extra => server.fault(server::Fault::Extra, u32::MAX),
-            Server::LateExtra => server.fault(server::Fault::LateExtra, u32::MAX),
-            Server::BreakOff => server.fault(server::Fault::CutEvent, u32::MAX),
-            Server::Reset => server.fault(server::Fault::Reset, u32::MAX),
+            Server::Faulty(fault) => server.fault(fault, u32::MAX),
         }
         Timer::after(lasts).await;
         server.heal();
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -130,6 +130,8 @@
     Died(usize, String),
     /// A box was held up by a lack of processor time, for so long.
     HeldUp(Option<usize>, Duration),
+    /// A box sent an answer with this status where no request waited.
+    Surplus(usize, u16),
     /// After the faults, this box had not served again in time.
     StillDown(usize),
     /// After the faults, a process held more than it may.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -16,7 +16,7 @@
 use tidepier_relay_standin::Client;
 
 use crate::fleet::Fleet;
-use crate::ledger::{Attempt, Traffic};
+use crate::ledger::{Attempt, Fact, Traffic};
 
 /// Clients at each box.
 const CLIENTS: usize = 6;
@@ -26,6 +26,8 @@
 const THINK_MS: std::ops::Range<u64> = 30..140;
 /// Pause after a connection that did not come up.
 const PAUSE: Duration = Duration::from_millis(150);
+/// Time to read what came on a connection where no request waits.
+const SURPLUS_TIME: Duration = Duration::from_millis(100);
 /// When a client gives up: beyond the deadline that it names, so that a late
 /// answer is seen.
 const LEAVE: Duration = Duration::from_millis(4_600);
@@ -161,6 +163,12 @@
             if client.rests() {
                 return Some(client);
             }
+            // It was closed, or something came that nobody waits for.
+            let surplus = client.answer("POST", SURPLUS_TIME).await;
+            if surplus.status != 0 {
+                let fact = Fact::Surplus(self.place, surplus.status);
+                self.fleet.ledger.fact(fact);
+            }
         }
         Client::open(self.fleet.front(self.place)).await.ok()
     }
--- a/crates/soak/src/rule/processes.rs
+++ b/crates/soak/src/rule/boxes.rs
@@ -1,4 +1,4 @@
-//! What was measured of processes from outside.
+//! What was noted of boxes apart from single requests.
 
 use super::{Rule, Verdict};
 use crate::ledger::{Evidence, Fact};
@@ -7,6 +7,10 @@
     for (at, fact) in &evidence.facts {
         let (rule, text) = match fact {
             Fact::Died(place, how) => (Rule::Ended, format!("box {place} ended: {how}")),
+            Fact::Surplus(place, status) if (200..300).contains(status) => {
+                let text = format!("box {place}: {status} where no request waited");
+                (Rule::Answers, text)
+            }
             Fact::StillDown(place) => (Rule::Recovery, format!("box {place} does not serve")),
             Fact::Grown(place, what) => (Rule::Growth, format!("box {place}: {what}")),
             _ => continue,
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -6,9 +6,9 @@
 mod answers;
 mod beliefs;
 pub mod bound;
+mod boxes;
 mod load;
 mod planned;
-mod processes;
 mod runs;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -118,7 +118,7 @@
         planned::judge(evidence, &mut verdict);
         beliefs::judge(evidence, &mut verdict);
         load::judge(evidence, &mut verdict);
-        processes::judge(evidence, &mut verdict);
+        boxes::judge(evidence, &mut verdict);
         verdict
     }
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -42,6 +42,9 @@
 /// to servers and boxes that came later.
 const DESCRIPTORS: u64 = 48;
 
+/// Longest time that a histogram holds, in ms: beyond a client's patience.
+const TIME_MAX_MS: u64 = 10_000;
+
 /// What came of a run.
 #[derive(Debug)]
 pub struct Outcome {
@@ -51,8 +54,6 @@
     pub faults: BTreeMap<String, u64>,
     /// Requests that were sent.
     pub requests: u64,
-    /// Requests that were served.
-    pub served: u64,
     /// Times of served requests, in ms.
     pub times: Histogram<u64>,
     /// What the rules found.
@@ -90,8 +91,14 @@
     };
     let verdict = played.or(judged).await?;
     let evidence = fleet.ledger.evidence(begun, || fleet.seen());
-    let mut outcome = outcome(seed, &evidence, verdict, begun.elapsed());
-    outcome.faults = fleet.ledger.faults();
+    let outcome = Outcome {
+        seed,
+        faults: fleet.ledger.faults(),
+        requests: evidence.attempts.len() as u64,
+        times: times(&evidence)?,
+        verdict,
+        took: begun.elapsed(),
+    };
     drop(fleet);
     if outcome.verdict.violations.is_empty() {
         clear(&folder)?;
@@ -191,26 +198,14 @@
     }
 }
 
-fn outcome(seed: u64, evidence: &Evidence, verdict: Verdict, took: Duration) -> Outcome {
-    let mut times = Histogram::new_with_max(60_000, 2).unwrap_or_else(|_| {
-        // These arguments are valid.
-        Histogram::new(2).expect("two digits")
-    });
+/// Times of the served requests, in ms.
+fn times(evidence: &Evidence) -> eyre::Result<Histogram<u64>> {
+    let mut times = Histogram::new_with_max(TIME_MAX_MS, 2)?;
     let served = evidence.attempts.iter().filter(|attempt| attempt.served());
-    let mut count = 0;
     for answer in served.filter_map(|attempt| attempt.answer.as_ref()) {
-        count += 1;
         times.saturating_record(answer.elapsed.as_millis() as u64);
     }
-    Outcome {
-        seed,
-        faults: BTreeMap::new(),
-        requests: evidence.attempts.len() as u64,
-        served: count,
-        times,
-        verdict,
-        took,
-    }
+    Ok(times)
 }
 
 /// Leaves what a reader of a failure needs beside the boxes' logs.
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -8,6 +8,8 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tidepier_relay_standin::server;
+use tidepier_relay_standin::store::Down;
 
 use crate::way::{Direction, Harm};
 
@@ -54,12 +56,8 @@
 pub enum Store {
     /// Answers take longer.
     Slow(Duration),
-    /// Calls are swallowed.
-    Silent,
-    /// Calls get 503.
-    Busy,
-    /// Connections are reset.
-    Reset,
+    /// It does not answer properly at all.
+    Down(Down),
     /// Calls get 429.
     Refusing,
     /// The next writing calls are done and not answered.
@@ -73,25 +71,11 @@
 /// What a server does wrong.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Server {
-    /// Refuses requests.
-    Shed,
-    /// Runs them and answers 500.
-    Failure,
-    /// Runs them and resets the connection.
-    LostAnswer,
-    /// Runs them and answers with bytes that are no answer.
-    Garbage,
-    /// Sends each answer twice.
-    Extra,
-    /// Sends each answer again before the next one.
-    LateExtra,
-    /// Breaks off half way through the answer.
-    BreakOff,
-    /// Resets the connection without running the request.
-    Reset,
+    /// All of its requests go wrong.
+    Faulty(server::Fault),
     /// Says nothing.
     Dark,
-    /// Works five times as long.
+    /// Works several times as long.
     Slow,
     /// Ends without a word; another one comes.
     Crash,
@@ -131,10 +115,12 @@
     /// Its name in reports.
     pub fn name(&self) -> String {
         match self {
-            Fault::Link(link, harm) => format!("{}_{}", link.name(), harm.name()),
+            Fault::Link(link, harm) => format!("{}_way_{}", link.name(), harm.name()),
             Fault::Process(_, blow) => format!("process_{blow:?}").to_lowercase(),
             Fault::Store(Store::Slow(_)) => "store_slow".into(),
+            Fault::Store(Store::Down(down)) => format!("store_{down:?}").to_lowercase(),
             Fault::Store(store) => format!("store_{store:?}").to_lowercase(),
+            Fault::Server(_, Server::Faulty(fault)) => format!("server_{fault:?}").to_lowercase(),
             Fault::Server(_, server) => format!("server_{server:?}").to_lowercase(),
             Fault::Config(config) => format!("config_{config:?}").to_lowercase(),
         }
@@ -241,37 +227,45 @@
 
 fn store(rng: &mut ChaCha8Rng) -> Store {
     let slow = Store::Slow(ms(rng, DELAY_MS));
-    let all = [
-        slow,
-        Store::Silent,
-        Store::Busy,
-        Store::Reset,
+    let down = pick(rng, &[Down::Silent, Down::Busy, Down::Reset]);
+    let others = [
         Store::Refusing,
         Store::Losing,
         Store::Forgetful,
         Store::Deaf,
     ];
-    pick(rng, &all)
+    match rng.random_range(0..8) {
+        0 => slow,
+        1..4 => Store::Down(down),
+        _ => pick(rng, &others),
+    }
 }
 
 fn server(rng: &mut ChaCha8Rng) -> Server {
-    let all = [
-        Server::Shed,
-        Server::Failure,
-        Server::LostAnswer,
-        Server::Garbage,
-        Server::Extra,
-        Server::LateExtra,
-        Server::BreakOff,
-        Server::Reset,
+    let faults = [
+        server::Fault::Shed,
+        server::Fault::Failure,
+        server::Fault::LostAnswer,
+        server::Fault::Garbage,
+        server::Fault::Extra,
+        server::Fault::LateExtra,
+        server::Fault::CutEvent,
+        server::Fault::Unframed,
+        server::Fault::Reset,
+    ];
+    let faulty = Server::Faulty(pick(rng, &faults));
+    let others = [
         Server::Dark,
         Server::Slow,
         Server::Crash,
         Server::Leave,
-        Server::Leave,
         Server::Join,
     ];
-    pick(rng, &all)
+    match rng.random_range(0..16) {
+        0..8 => faulty,
+        8..11 => Server::Leave,
+        _ => pick(rng, &others),
+    }
 }
 
 fn config(rng: &mut ChaCha8Rng) -> Config {
--- /dev/null
+++ b/crates/soak/tests/soak/rules.rs
@@ -0,0 +1,233 @@
+//! What rules find in evidence made by hand, and what they leave.
+
+use std::time::{Duration, Instant};
+
+use tidepier_relay_standin::client::{Answer, End};
+use tidepier_relay_standin::server::{self, Outcome, Run};
+use tidepier_soak::ledger::{Attempt, Evidence, Fact, Ledger, Place, Seen, Traffic};
+use tidepier_soak::load;
+use tidepier_soak::rule::{bound, Rule, Verdict};
+
+/// Evidence that is being made; times are counted from its beginning.
+struct Case {
+    begun: Instant,
+    ledger: Ledger,
+    seen: Vec<Seen>,
+}
+
+impl Case {
+    fn new() -> Self {
+        // Far enough back that all of it lies in the past.
+        let begun = Instant::now() - Duration::from_secs(60);
+        let case = Self {
+            begun,
+            ledger: Ledger::default(),
+            seen: Vec::new(),
+        };
+        case.fact(0.0, Fact::Born(0));
+        case
+    }
+
+    fn at(&self, second: f64) -> Instant {
+        self.begun + Duration::from_secs_f64(second)
+    }
+
+    fn fact(&self, second: f64, fact: Fact) {
+        self.ledger.fact_at(self.at(second), fact);
+    }
+
+    /// A request of box 0 that got an answer of this status and body.
+    fn sent(&self, id: &str, traffic: Traffic, second: f64, status: u16, body: &[u8]) {
+        let fields = [("Attempt-Id", id), ("Response-Seal", id)];
+        let fields = fields.map(|(name, value)| (name.to_string(), value.to_string()));
+        let number = self.ledger.sent(Attempt {
+            id: id.into(),
+            traffic,
+            place: 0,
+            key: (traffic == Traffic::Keyed).then(|| "key-0".into()),
+            sent: self.at(second),
+            ended: None,
+            answer: None,
+        });
+        let answer = Answer {
+            status,
+            fields: fields[..if status == 503 { 1 } else { 2 }].to_vec(),
+            body: body.to_vec(),
+            complete: true,
+            end: End::Open,
+            elapsed: Duration::from_millis(20),
+            events: Vec::new(),
+        };
+        self.ledger.ended(number, Some(answer));
+    }
+
+    /// A run of a request at a server of a service.
+    fn ran(&mut self, id: &str, traffic: Traffic, second: f64, service: &str) {
+        let server = server::Settings {
+            service: service.into(),
+            answer_bytes: 8,
+            ..server::Settings::default()
+        };
+        let mut fields = Vec::new();
+        if traffic == Traffic::Keyed {
+            fields.push(("Tenant".to_string(), load::ACCOUNT.to_string()));
+        }
+        let run = Run {
+            attempt: id.into(),
+            method: "POST".into(),
+            target: load::target(traffic, id),
+            fields,
+            arrived: self.at(second),
+            body: Some(load::BODY.to_vec()),
+            connection: 0,
+            closed: None,
+            outcome: Outcome::Finished,
+            seal: id.into(),
+            prefilled: 0,
+            made: Vec::new(),
+        };
+        self.seen.push(Seen { server, run });
+    }
+
+    fn evidence(&self) -> Evidence {
+        self.ledger.evidence(self.begun, || self.seen.clone())
+    }
+
+    /// The rules that are broken.
+    fn broken(&self) -> Vec<Rule> {
+        let verdict = Verdict::new(&self.evidence());
+        let rules = verdict.violations.iter().map(|found| found.rule);
+        rules.collect()
+    }
+
+    /// The whole body of the answer to a request that ran.
+    fn body(&self, id: &str) -> Vec<u8> {
+        let seen = self.seen.iter().find(|seen| seen.run.attempt == id);
+        seen.expect("ran").run.text(8)
+    }
+}
+
+/// A request that ran once and was answered with a body.
+fn answered(body: impl FnOnce(Vec<u8>) -> Vec<u8>) -> Case {
+    let mut case = Case::new();
+    case.ran("a", Traffic::Once, 1.01, "plain");
+    let body = body(case.body("a"));
+    case.sent("a", Traffic::Once, 1.0, 200, &body);
+    case
+}
+
+#[test]
+fn a_whole_answer_is_right() {
+    assert_eq!(answered(|body| body).broken(), []);
+}
+
+#[test]
+fn another_body_is_wrong() {
+    let case = answered(|mut body| {
+        body[3] ^= 1;
+        body
+    });
+    assert_eq!(case.broken(), [Rule::Answers]);
+    let half = answered(|body| body[..4].to_vec());
+    assert_eq!(half.broken(), [Rule::Answers]);
+}
+
+#[test]
+fn what_may_run_once_and_ran_twice_is_found() {
+    let mut case = answered(|body| body);
+    case.ran("a", Traffic::Once, 1.2, "plain");
+    assert_eq!(case.broken(), [Rule::Once]);
+}
+
+#[test]
+fn a_false_promise_is_found() {
+    let mut case = Case::new();
+    case.sent("a", Traffic::Repeatable, 1.0, 503, b"");
+    assert_eq!(case.broken(), []);
+    case.ran("a", Traffic::Repeatable, 1.01, "plain");
+    assert_eq!(case.broken(), [Rule::Promises]);
+}
+
+#[test]
+fn what_no_client_sent_is_found() {
+    let mut case = Case::new();
+    case.ran("a", Traffic::Repeatable, 1.0, "plain");
+    assert_eq!(case.broken(), [Rule::Unasked]);
+}
+
+#[test]
+fn a_key_may_run_until_its_bound_and_not_after() {
+    for (late, expected) in [(-0.1, vec![]), (0.1, vec![Rule::Keys])] {
+        let mut case = Case::new();
+        case.fact(1.0, Fact::KeyGone("key-0".into()));
+        let sent = 1.0 + bound::REVOKE.as_secs_f64() + late;
+        case.ran("a", Traffic::Keyed, sent + 0.01, "plain");
+        let body = case.body("a");
+        case.sent("a", Traffic::Keyed, sent, 200, &body);
+        assert_eq!(case.broken(), expected);
+    }
+}
+
+/// Requests that ran by version 1 and then by version 0, in one life or two.
+fn stepped_back(second_life: bool) -> Case {
+    let mut case = Case::new();
+    if second_life {
+        case.fact(1.5, Fact::Born(0));
+    }
+    for (id, second, service) in [("a", 1.0, "mark-1"), ("b", 2.0, "mark-0")] {
+        case.ran(id, Traffic::Mark, second + 0.01, service);
+        let body = case.body(id);
+        case.sent(id, Traffic::Mark, second, 200, &body);
+    }
+    case
+}
+
+#[test]
+fn a_step_back_is_found_within_one_life() {
+    assert_eq!(stepped_back(false).broken(), [Rule::StepBack]);
+    assert_eq!(stepped_back(true).broken(), []);
+}
+
+/// A request that ran by version 0 long after version 1 was acknowledged.
+fn behind(disturb: impl FnOnce(&Case)) -> Case {
+    let mut case = Case::new();
+    case.fact(1.0, Fact::Marked(1));
+    case.ran("a", Traffic::Mark, 9.01, "mark-0");
+    let body = case.body("a");
+    case.sent("a", Traffic::Mark, 9.0, 200, &body);
+    disturb(&case);
+    case
+}
+
+#[test]
+fn a_version_is_in_force_in_time_where_nothing_disturbs() {
+    assert_eq!(behind(|_| {}).broken(), [Rule::Apply]);
+    let held = behind(|case| {
+        let time = Duration::from_millis(200);
+        case.fact(8.0, Fact::HeldUp(Some(0), time));
+    });
+    assert_eq!(held.broken(), []);
+    let verdict = Verdict::new(&held.evidence());
+    assert_eq!(verdict.left_out[&Rule::Apply].len(), 1);
+    let other = behind(|case| {
+        let time = Duration::from_millis(200);
+        case.fact(8.0, Fact::HeldUp(Some(1), time));
+    });
+    assert_eq!(other.broken(), [Rule::Apply]);
+}
+
+#[test]
+fn facts_of_boxes_are_violations() {
+    let case = Case::new();
+    case.fact(1.0, Fact::Died(0, "signal: 6".into()));
+    case.fact(2.0, Fact::StillDown(0));
+    case.fact(3.0, Fact::Grown(0, "memory".into()));
+    case.fact(4.0, Fact::Surplus(0, 200));
+    // A refusal may come at the end of an idle connection.
+    case.fact(5.0, Fact::Surplus(0, 408));
+    let expected = [Rule::Ended, Rule::Recovery, Rule::Growth, Rule::Answers];
+    assert_eq!(case.broken(), expected);
+    let note = case.ledger.begin(Place::Store, "store_slow", false);
+    case.ledger.end(note);
+    assert_eq!(case.broken().len(), 4);
+}
--- /dev/null
+++ b/crates/soak/tests/soak/schedules.rs
@@ -0,0 +1,43 @@
+//! What a seed decides.
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use tidepier_soak::schedule::Schedule;
+
+#[test]
+fn a_seed_decides_the_whole_schedule() {
+    for seed in [0, 7, u64::MAX] {
+        assert_eq!(Schedule::new(seed), Schedule::new(seed));
+    }
+    assert_ne!(Schedule::new(1).steps, Schedule::new(2).steps);
+}
+
+#[test]
+fn steps_come_in_order_and_end_in_time() {
+    for seed in 0..200 {
+        let schedule = Schedule::new(seed);
+        assert!(schedule.steps.is_sorted_by_key(|step| step.at));
+        for step in &schedule.steps {
+            assert!(step.at < Duration::from_secs(10), "{step:?}");
+            assert!(step.lasts < Duration::from_secs(5), "{step:?}");
+        }
+    }
+}
+
+#[test]
+fn all_kinds_of_faults_come_and_overlap() {
+    let steps: Vec<_> = (0..400)
+        .flat_map(|seed| Schedule::new(seed).steps)
+        .collect();
+    let names: BTreeSet<String> = steps.iter().map(|step| step.fault.name()).collect();
+    // 4 links by 4 harms, 4 signals, 8 of the store, 9 + 5 of servers, 3 changes.
+    assert_eq!(names.len(), 16 + 4 + 8 + 14 + 3, "{names:?}");
+    let overlaps = |seed| {
+        let steps = Schedule::new(seed).steps;
+        steps
+            .windows(2)
+            .any(|pair| pair[0].at + pair[0].lasts > pair[1].at)
+    };
+    assert!((0..50).filter(|seed| overlaps(*seed)).count() > 40);
+}
