--- a/crates/soak/src/fleet/strike.rs
+++ b/crates/soak/src/fleet/strike.rs
@@ -47,6 +47,13 @@
             Fault::Process(place, blow) => self.blow(place, blow, step.lasts).await?,
             Fault::Store(store) => self.upset(store, step.lasts).await,
             Fault::Server(at, fault) => self.hurt(at, fault, step.lasts).await?,
+            Fault::Servers(fault) => {
+                let all = self.backends();
+                all.iter()
+                    .for_each(|backend| backend.server.fault(fault, u32::MAX));
+                Timer::after(step.lasts).await;
+                all.iter().for_each(|backend| backend.server.heal());
+            }
             Fault::Config(config) => self.configure(config).await?,
         }
         notes.into_iter().for_each(|note| self.ledger.end(note));
@@ -69,7 +76,7 @@
             Fault::Server(_, Server::Join | Server::Leave) | Fault::Config(_) => {
                 (vec![Place::Fleet], true)
             }
-            Fault::Server(..) => (vec![Place::Server], false),
+            Fault::Server(..) | Fault::Servers(_) => (vec![Place::Server], false),
         }
     }
 
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -107,6 +107,8 @@
     Store(Store),
     /// A server is out of order.
     Server(usize, Server),
+    /// All requests go wrong at all servers.
+    Servers(server::Fault),
     /// The configuration changes.
     Config(Config),
 }
@@ -121,6 +123,7 @@
             Fault::Store(Store::Down(down)) => format!("store_{down:?}").to_lowercase(),
             Fault::Store(store) => format!("store_{store:?}").to_lowercase(),
             Fault::Server(_, Server::Faulty(fault)) => format!("server_{fault:?}").to_lowercase(),
+            Fault::Servers(fault) => format!("servers_{fault:?}").to_lowercase(),
             Fault::Server(_, server) => format!("server_{server:?}").to_lowercase(),
             Fault::Config(config) => format!("config_{config:?}").to_lowercase(),
         }
@@ -191,7 +194,8 @@
         0..5 => Fault::Link(link(rng, boxes), harm(rng)),
         5..10 => Fault::Process(rng.random_range(0..boxes), blow(rng)),
         10..13 => Fault::Store(store(rng)),
-        13..17 => Fault::Server(rng.random_range(0..64), server(rng)),
+        13..16 => Fault::Server(rng.random_range(0..64), server(rng)),
+        16 => Fault::Servers(faulty(rng)),
         _ => Fault::Config(config(rng)),
     };
     Step { at, lasts, fault }
@@ -241,7 +245,7 @@
     }
 }
 
-fn server(rng: &mut ChaCha8Rng) -> Server {
+fn faulty(rng: &mut ChaCha8Rng) -> server::Fault {
     let faults = [
         server::Fault::Shed,
         server::Fault::Failure,
@@ -253,7 +257,10 @@
         server::Fault::Unframed,
         server::Fault::Reset,
     ];
-    let faulty = Server::Faulty(pick(rng, &faults));
+    pick(rng, &faults)
+}
+
+fn server(rng: &mut ChaCha8Rng) -> Server {
     let others = [
         Server::Dark,
         Server::Slow,
@@ -262,7 +269,7 @@
         Server::Join,
     ];
     match rng.random_range(0..16) {
-        0..8 => faulty,
+        0..8 => Server::Faulty(faulty(rng)),
         8..11 => Server::Leave,
         _ => pick(rng, &others),
     }
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -31,8 +31,9 @@
         .flat_map(|seed| Schedule::new(seed).steps)
         .collect();
     let names: BTreeSet<String> = steps.iter().map(|step| step.fault.name()).collect();
-    // 4 links by 4 harms, 4 signals, 8 of the store, 9 + 5 of servers, 3 changes.
-    assert_eq!(names.len(), 16 + 4 + 8 + 14 + 3, "{names:?}");
+    // 4 links by 4 harms, 4 signals, 8 of the store, 9 + 5 of a server, 9 of all
+    // servers, 3 changes.
+    assert_eq!(names.len(), 16 + 4 + 8 + 14 + 9 + 3, "{names:?}");
     let overlaps = |seed| {
         let steps = Schedule::new(seed).steps;
         steps
