--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -5,10 +5,11 @@
 //! way from here to there.
 
 mod machine;
+mod plan;
 mod servers;
 mod strike;
 
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -19,9 +20,8 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::json;
 use smol::Timer;
-use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::Call;
-use tidepier_relay_standin::site::{Route, Site, HOST};
+use tidepier_relay_standin::site::{Site, HOST};
 use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::Client;
 
@@ -33,17 +33,14 @@
 use machine::Machine;
 use servers::Backend;
 
+pub use plan::{ATTEMPTS, TIMEOUT};
+
 /// The service of plain requests.
 pub const PLAIN: &str = "plain";
 /// The service of streams.
 pub const STREAM: &str = "stream";
 /// The beginning of the names of services that tell the version.
 pub const MARK: &str = "mark-";
-/// Most servers for one request, on each route.
-pub const ATTEMPTS: u32 = 2;
-/// Longest time of a request, on each route.
-pub const TIMEOUT: Duration = Duration::from_secs(4);
-
 /// Ports of a box; none that the system gives out.
 const PEER_PORT: u16 = 20_711;
 const CALLERS_PORT: u16 = 20_712;
@@ -94,15 +91,6 @@
     }
 }
 
-/// Addresses of a box that no other box of this machine has.
-fn box_ip() -> Ipv4Addr {
-    static TAKEN: AtomicU32 = AtomicU32::new(1);
-    let [_, _, high, low] = TAKEN.fetch_add(1, Ordering::Relaxed).to_be_bytes();
-    let [.., process_high, process_low] = std::process::id().to_be_bytes();
-    // 127.20 to 127.219, as tests of the relay do on other ports.
-    Ipv4Addr::new(127, process_low % 200 + 20, process_high ^ high, low)
-}
-
 impl Fleet {
     /// Starts everything and waits until all boxes are ready.
     ///
@@ -111,9 +99,9 @@
     /// A port or program cannot be used, or a box does not become ready.
     pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
         let site = Site::start()?;
-        declare(&site);
+        plan::declare(&site);
         let peers: Vec<SocketAddr> = (0..schedule.boxes)
-            .map(|_| SocketAddr::from((box_ip(), PEER_PORT)))
+            .map(|_| SocketAddr::from((plan::box_ip(), PEER_PORT)))
             .collect();
         let mut fleet = Self {
             ledger: Ledger::default(),
@@ -135,7 +123,7 @@
         for (place, peer) in peers.iter().enumerate() {
             let settings = json!({
                 "name": format!("box-{place}"),
-                "hall": hall(place, schedule.halls),
+                "hall": plan::hall(place, schedule.halls),
                 "callers": SocketAddr::new(peer.ip(), CALLERS_PORT).to_string(),
                 "readiness": SocketAddr::new(peer.ip(), READY_PORT).to_string(),
                 "peer_ports": [PEER_PORT, PEER_PORT],
@@ -283,25 +271,3 @@
         Ok(())
     }
 }
-
-fn hall(place: usize, halls: usize) -> String {
-    format!("hall-{}", place % halls)
-}
-
-fn declare(site: &Site) {
-    let route = |traffic: Traffic| {
-        let (kind, service) = match traffic {
-            Traffic::Once => (Kind::Once, PLAIN),
-            Traffic::Resumable => (Kind::Stream { resumable: true }, STREAM),
-            Traffic::Single => (Kind::Stream { resumable: false }, STREAM),
-            Traffic::Repeatable | Traffic::Keyed | Traffic::Mark => (Kind::Repeatable, PLAIN),
-        };
-        Route {
-            public: traffic != Traffic::Keyed,
-            attempts: ATTEMPTS,
-            timeout: TIMEOUT,
-            ..Route::new(traffic.prefix(), kind, service)
-        }
-    };
-    site.declare(&Traffic::ALL.map(route));
-}
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -11,7 +11,8 @@
 use tidepier_relay_standin::Server;
 
 use super::{Fleet, STREAM};
-use crate::ledger::{Loads, Seen};
+use crate::evidence::Seen;
+use crate::ledger::Loads;
 use crate::lock;
 use crate::way::Way;
 
@@ -44,7 +45,7 @@
         let server = Server::start(Settings {
             id: format!("i-{number}"),
             service: service.into(),
-            hall: super::hall(number as usize, 2),
+            hall: super::plan::hall(number as usize, 2),
             slots: SLOTS,
             queue: QUEUE,
             work: WORK,
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,15 +1,14 @@
 //! What was done and seen in a run, in the order of its happening.
 //!
-//! Nothing here is a judgement. Rules read an [`Evidence`], a copy of the
-//! ledger and of the servers' records at one moment.
+//! Nothing here is a judgement. Rules read an [`Evidence`], a copy of it.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
 use std::sync::Mutex;
 use std::time::{Duration, Instant};
 
 use tidepier_relay_standin::client::Answer;
-use tidepier_relay_standin::server::{self, Run};
 
+use crate::evidence::{self, Evidence, Seen};
 use crate::lock;
 
 /// A kind of request.
@@ -138,15 +137,6 @@
     Grown(usize, String),
 }
 
-/// What reached a server.
-#[derive(Debug, Clone)]
-pub struct Seen {
-    /// The server.
-    pub server: server::Settings,
-    /// Its record.
-    pub run: Run,
-}
-
 /// Requests at the servers of a service at one moment.
 #[derive(Debug, Clone)]
 pub struct Loads {
@@ -260,72 +250,14 @@
             let inner = lock(&self.inner);
             (inner.clone(), Instant::now())
         };
-        let mut runs: HashMap<String, Vec<Seen>> = HashMap::new();
-        for seen in seen().into_iter().filter(|seen| seen.run.arrived < read) {
-            runs.entry(seen.run.attempt.clone()).or_default().push(seen);
-        }
-        for seen in runs.values_mut() {
-            seen.sort_by_key(|seen| seen.run.arrived);
-        }
+        let seen = seen().into_iter().filter(|seen| seen.run.arrived < read);
         Evidence {
             begun,
             attempts: inner.attempts,
             disturbances: inner.disturbances,
             facts: inner.facts,
             loads: inner.loads,
-            runs,
+            runs: evidence::by_attempt(seen),
         }
     }
 }
-
-/// What rules judge by.
-#[derive(Debug)]
-pub struct Evidence {
-    /// When the run began.
-    pub begun: Instant,
-    /// All requests, in the order of their sending.
-    pub attempts: Vec<Attempt>,
-    /// All disturbances, in the order of their beginning.
-    pub disturbances: Vec<Disturbance>,
-    /// All facts.
-    pub facts: Vec<(Instant, Fact)>,
-    /// The servers' loads over time.
-    pub loads: Vec<Loads>,
-    /// What reached servers, by the id of the attempt, in the order of arrival.
-    pub runs: HashMap<String, Vec<Seen>>,
-}
-
-impl Evidence {
-    /// What reached servers for an attempt.
-    pub fn seen(&self, attempt: &Attempt) -> &[Seen] {
-        self.runs.get(&attempt.id).map_or(&[], Vec::as_slice)
-    }
-
-    /// How often an attempt ran.
-    pub fn ran(&self, attempt: &Attempt) -> usize {
-        let seen = self.seen(attempt).iter();
-        seen.filter(|seen| seen.run.ran()).count()
-    }
-
-    /// Whether some disturbance that is `meant` lay within a time.
-    pub fn disturbed(
-        &self,
-        from: Instant,
-        to: Instant,
-        meant: impl Fn(&Disturbance) -> bool,
-    ) -> bool {
-        let within =
-            |found: &&Disturbance| found.from <= to && found.to.is_none_or(|end| end >= from);
-        self.disturbances.iter().filter(within).any(meant)
-    }
-
-    /// Whether a box, or the soak itself, lacked processor time within a time.
-    pub fn held_up(&self, place: usize, from: Instant, to: Instant) -> bool {
-        self.facts.iter().any(|(at, fact)| match fact {
-            Fact::HeldUp(held, time) => {
-                held.is_none_or(|held| held == place) && *at >= from && *at - *time <= to
-            }
-            _ => false,
-        })
-    }
-}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -3,7 +3,8 @@
 //!
 //! A seed decides the whole [`schedule`]; [`fleet`] starts the processes and
 //! stand-ins and carries the schedule out; [`load`] plays the clients; all of
-//! them write to the [`ledger`]; the [`rule`]s read it and nothing else.
+//! them write to the [`ledger`]; the [`rule`]s read a copy of it, the
+//! [`evidence`], and nothing else.
 //! [`run`] puts one seed together.
 //!
 //! Invariants:
@@ -13,6 +14,7 @@
 //! * Only processes that the soak started are signalled.
 //! * A check that is left out because the machine was busy is counted.
 
+pub mod evidence;
 pub mod fleet;
 pub mod ledger;
 pub mod load;
--- a/crates/soak/src/rule/answers.rs
+++ b/crates/soak/src/rule/answers.rs
@@ -4,7 +4,8 @@
 use tidepier_relay_standin::{names, server};
 
 use super::{bound, told, Rule, Verdict};
-use crate::ledger::{Attempt, Evidence, Fact, Seen, Traffic};
+use crate::evidence::{Evidence, Seen};
+use crate::ledger::{Attempt, Fact, Traffic};
 
 /// Statuses of a server's own failures.
 const FAILURES: [u16; 2] = [500, 504];
--- a/crates/soak/src/rule/beliefs.rs
+++ b/crates/soak/src/rule/beliefs.rs
@@ -3,8 +3,9 @@
 use std::time::Instant;
 
 use super::{before, bound, told, Rule, Verdict};
+use crate::evidence::{Evidence, Seen};
 use crate::fleet::MARK;
-use crate::ledger::{Attempt, Evidence, Fact, Place, Seen, Traffic};
+use crate::ledger::{Attempt, Fact, Place, Traffic};
 
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
     keys(evidence, verdict);
--- a/crates/soak/src/rule/boxes.rs
+++ b/crates/soak/src/rule/boxes.rs
@@ -1,7 +1,8 @@
 //! What was noted of boxes apart from single requests.
 
 use super::{Rule, Verdict};
-use crate::ledger::{Evidence, Fact};
+use crate::evidence::Evidence;
+use crate::ledger::Fact;
 
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
     for (at, fact) in &evidence.facts {
--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -3,8 +3,9 @@
 use std::time::{Duration, Instant};
 
 use super::{before, bound, Rule, Verdict};
+use crate::evidence::{Evidence, Seen};
 use crate::fleet::{PLAIN, STREAM};
-use crate::ledger::{Evidence, Fact, Loads, Seen, Traffic};
+use crate::ledger::{Fact, Loads, Traffic};
 
 /// Time without any disturbance after which it is calm.
 const CALM: Duration = Duration::from_secs(1);
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -15,7 +15,8 @@
 use std::fmt;
 use std::time::{Duration, Instant};
 
-use crate::ledger::{Attempt, Evidence};
+use crate::evidence::Evidence;
+use crate::ledger::Attempt;
 
 /// A rule.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
--- a/crates/soak/src/rule/planned.rs
+++ b/crates/soak/src/rule/planned.rs
@@ -6,8 +6,9 @@
 use tidepier_relay_standin::client::End;
 
 use super::{before, bound, told, Rule, Verdict};
+use crate::evidence::Evidence;
 use crate::fleet::TIMEOUT;
-use crate::ledger::{Attempt, Evidence, Fact, Place};
+use crate::ledger::{Attempt, Fact, Place};
 
 /// Time after the work that still counts as it.
 const AFTER: Duration = Duration::from_secs(1);
--- a/crates/soak/src/rule/runs.rs
+++ b/crates/soak/src/rule/runs.rs
@@ -5,8 +5,9 @@
 use tidepier_relay_standin::names;
 
 use super::{told, Rule, Verdict};
+use crate::evidence::{Evidence, Seen};
 use crate::fleet::ATTEMPTS;
-use crate::ledger::{Attempt, Evidence, Seen, Traffic};
+use crate::ledger::{Attempt, Traffic};
 use crate::load;
 
 /// Statuses that say that a request has not run and never will.
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,8 +13,9 @@
 use hdrhistogram::Histogram;
 use smol::{Task, Timer};
 
+use crate::evidence::Evidence;
 use crate::fleet::Fleet;
-use crate::ledger::{Evidence, Fact};
+use crate::ledger::Fact;
 use crate::load::Load;
 use crate::process::Level;
 use crate::rule::{bound, Rule, Verdict};
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -4,7 +4,8 @@
 
 use tidepier_relay_standin::client::{Answer, End};
 use tidepier_relay_standin::server::{self, Outcome, Run};
-use tidepier_soak::ledger::{Attempt, Evidence, Fact, Ledger, Place, Seen, Traffic};
+use tidepier_soak::evidence::{Evidence, Seen};
+use tidepier_soak::ledger::{Attempt, Fact, Ledger, Place, Traffic};
 use tidepier_soak::load;
 use tidepier_soak::rule::{bound, Rule, Verdict};
 
