--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 use tidepier_relay_standin::client::Call;
 use tidepier_relay_standin::site::{Site, HOST};
 use tidepier_relay_standin::store::View;
-use tidepier_relay_standin::Client;
+use tidepier_relay_standin::{names, Client};
 
 use crate::ledger::{Fact, Ledger, Traffic};
 use crate::process::Level;
@@ -208,7 +208,7 @@
 
     /// Whether a box says that it is ready.
     pub async fn is_ready(&self, place: usize) -> bool {
-        let call = Call::new("GET", HOST, "/-/readyz", "ready").leaving(READY_TIME);
+        let call = Call::new("GET", HOST, names::READY, "ready").leaving(READY_TIME);
         let answer = Client::once(self.machines[place].ready, &call).await;
         answer.is_ok_and(|answer| answer.status == 200)
     }
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -3,6 +3,7 @@
 use std::time::{Duration, Instant};
 
 use tidepier_relay_standin::client::{Answer, End};
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, Outcome, Run};
 use tidepier_soak::evidence::{Evidence, Seen};
 use tidepier_soak::ledger::{Attempt, Fact, Ledger, Place, Traffic};
@@ -39,7 +40,7 @@
 
     /// A request of box 0 that got an answer of this status and body.
     fn sent(&self, id: &str, traffic: Traffic, second: f64, status: u16, body: &[u8]) {
-        let fields = [("Attempt-Id", id), ("Response-Seal", id)];
+        let fields = [(names::ATTEMPT, id), (names::SEAL, id)];
         let fields = fields.map(|(name, value)| (name.to_string(), value.to_string()));
         let number = self.ledger.sent(Attempt {
             id: id.into(),
@@ -71,7 +72,7 @@
         };
         let mut fields = Vec::new();
         if traffic == Traffic::Keyed {
-            fields.push(("Tenant".to_string(), load::ACCOUNT.to_string()));
+            fields.push((names::ACCOUNT.to_string(), load::ACCOUNT.to_string()));
         }
         let run = Run {
             attempt: id.into(),
