--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -53,6 +53,26 @@
     assert_eq!(stop.duration(), Duration::from_secs(8));
 }
 
+/// Runs the program itself on a settings file of this text, to check it.
+fn check(name: &str, text: &str) -> process::Output {
+    let file = env::temp_dir().join(format!("tidepier-relay-{}-{name}", process::id()));
+    fs::write(&file, text).expect("file");
+    let program = process::Command::new(env!("CARGO_BIN_EXE_tidepier-relay"))
+        .args(["--check", "--settings"])
+        .arg(&file)
+        .output();
+    fs::remove_file(&file).expect("file");
+    program.expect("program")
+}
+
+#[test]
+fn the_program_starts_and_checks_its_settings() {
+    let good = check("good", SAMPLE);
+    assert_eq!(good.status.code(), Some(0), "{good:?}");
+    let bad = check("bad", "{}");
+    assert_eq!(bad.status.code(), Some(2), "{bad:?}");
+}
+
 #[test]
 fn a_share_of_a_request_is_an_allowance() {
     let text = SAMPLE.replacen("\"retry_extra\": 58", "\"retry_extra\": 39.07", 1);
