--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -9,7 +9,7 @@
 use async_signal::{Signal, Signals};
 use clap::Parser;
 use eyre::{eyre, WrapErr};
-use futures_lite::{FutureExt, StreamExt};
+use futures_lite::{future, FutureExt, StreamExt};
 use serde_json::json;
 use tidepier_soak::rule::Verdict;
 use tidepier_soak::run::{self, Outcome, Place};
@@ -122,29 +122,43 @@
     let place = Place { relay, folder };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
+    let mut not_run = 0;
     for seed in plan.seeds {
         // Begun in time, a seed is played to its end.
         if plan.until.is_some_and(|until| Instant::now() >= until) {
             break;
         }
         println!("seed {seed}");
-        let outcome = smol::block_on(run::seed(seed, &place).or(interrupted()))?;
-        print(&outcome, &place);
-        outcomes.push(outcome);
+        let played = async { Some(run::seed(seed, &place).await) };
+        match smol::block_on(played.or(interrupted())) {
+            Some(Ok(outcome)) => {
+                print(&outcome, &place);
+                outcomes.push(outcome);
+            }
+            Some(Err(error)) => {
+                not_run += 1;
+                println!("seed {seed} could not be run: {error:#}");
+            }
+            None => break,
+        }
     }
-    println!("{}", summary(&outcomes));
+    println!("{}", summary(&outcomes, not_run));
     let failed = |outcome: &Outcome| !outcome.verdict.violations.is_empty();
-    Ok(match outcomes.iter().any(failed) {
+    Ok(match not_run > 0 || outcomes.iter().any(failed) {
         true => ExitCode::FAILURE,
         false => ExitCode::SUCCESS,
     })
 }
 
 /// Waits until the soak is asked to end; its processes then end with it.
-async fn interrupted() -> eyre::Result<Outcome> {
-    let mut signals = Signals::new([Signal::Int, Signal::Term])?;
-    signals.next().await;
-    Err(eyre!("interrupted"))
+async fn interrupted<T>() -> Option<T> {
+    match Signals::new([Signal::Int, Signal::Term]) {
+        Ok(mut signals) => signals.next().await.and(None),
+        Err(error) => {
+            eprintln!("signals cannot be taken: {error}");
+            future::pending().await
+        }
+    }
 }
 
 fn print(outcome: &Outcome, place: &Place) {
@@ -185,7 +199,7 @@
     counts
 }
 
-fn summary(outcomes: &[Outcome]) -> serde_json::Value {
+fn summary(outcomes: &[Outcome], not_run: u64) -> serde_json::Value {
     let mut faults: BTreeMap<&str, u64> = BTreeMap::new();
     for (name, count) in outcomes.iter().flat_map(|outcome| &outcome.faults) {
         *faults.entry(name).or_insert(0) += count;
@@ -197,5 +211,6 @@
         "requests": outcomes.iter().map(|outcome| outcome.requests).sum::<u64>(),
         "violations": run::count(verdicts()),
         "left_out": left_out(verdicts()),
+        "not_run": not_run,
     })
 }
