--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -83,6 +83,7 @@
             body: Some(load::BODY.to_vec()),
             connection: 0,
             closed: None,
+            ended: None,
             outcome: Outcome::Finished,
             seal: id.into(),
             prefilled: 0,
