Requests past the operator's bound on a server's load cost four times as much

Cause: above 1.6 times the mean plus 2 each request cost 100 ms, so that seven above the bound were borne before the prompt of a subject of 7,900 tokens was read anew elsewhere (reading costs 750 ms); the factor 2 was also written into the code, while the operator's settings name it.

Now the operator's factor is read (bounds.crowd_factor, from cap_factor), and past the factor itself a request costs 400 ms more.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -29,12 +29,17 @@
 const RUNNING_MS: f64 = 0.5;
 /// Cost of each request past an engine's slots, in ms.
 const WAITING_MS: f64 = 40.0;
-/// Cost of each request past the bound on the load of one server, in ms.
+/// Cost of each request past [`BOUND_PART`] of the bound on the load of one
+/// server, in ms: what a copied prompt costs is borne for two of them.
 const EXCESS_MS: f64 = 100.0;
-/// The bound: this many times the mean, plus [`BOUND_EXTRA`]. Below the
-/// operator's own bound, as reported loads are late.
-const BOUND_FACTOR: f64 = 1.6;
-/// Requests over the mean that are always borne.
+/// The same past the bound itself: two of them outweigh reading the prompts of
+/// a subject anew at another server.
+const BROKEN_MS: f64 = 400.0;
+/// Part of the operator's factor at which a server counts as crowded: reported
+/// loads are late.
+const BOUND_PART: f64 = 0.8;
+/// Requests over the factor times the mean that are always borne: the users'
+/// bound has three.
 const BOUND_EXTRA: f64 = 2.0;
 /// An engine counts as slow when its answers begin later than this many times
 /// the usual time, plus [`SLOW_EXTRA_MS`]: one long prompt is no slowness.
@@ -84,6 +89,8 @@
     pub hall: &'a ids::Hall,
     /// Most connections of this box to one server.
     pub connections: u32,
+    /// The operator's bound on one server's load, in multiples of the mean.
+    pub crowd_factor: f64,
 }
 
 /// The server chosen, and why.
@@ -185,7 +192,7 @@
 ) -> Option<Choice> {
     let (loads, mean) = loads(servers, now);
     let usual_ms = usual_time(servers, now);
-    let bound = BOUND_FACTOR * mean + BOUND_EXTRA;
+    let crowd = Crowd::new(ask.crowd_factor, mean);
     let candidates = servers.iter().zip(loads);
     candidates
         .filter(|(backend, _)| backend.own() < ask.connections)
@@ -202,7 +209,7 @@
                 + (own + queued) / READ_TOKENS_PER_MS
                 + RUNNING_MS * load
                 + WAITING_MS * (load - slots).max(0.0)
-                + EXCESS_MS * (load - bound).max(0.0)
+                + crowd.cost(load)
                 + slowness(backend, usual_ms, now)
                 + fastrand::f64()
                 + common(backend, ask, failing, now);
@@ -219,6 +226,29 @@
         .min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
+/// What a crowded server costs.
+struct Crowd {
+    /// Load from which a server counts as crowded.
+    soft: f64,
+    /// Load from which it is at the operator's bound.
+    hard: f64,
+}
+
+impl Crowd {
+    /// `factor`: the operator's bound in multiples of the mean load.
+    fn new(factor: f64, mean: f64) -> Self {
+        Self {
+            soft: BOUND_PART * factor * mean + BOUND_EXTRA,
+            hard: factor * mean + BOUND_EXTRA,
+        }
+    }
+
+    /// The cost at a load, in ms.
+    fn cost(&self, load: f64) -> f64 {
+        EXCESS_MS * (load - self.soft).max(0.0) + BROKEN_MS * (load - self.hard).max(0.0)
+    }
+}
+
 /// Time in which an engine reads so many tokens.
 fn reading_time(tokens: f64) -> Duration {
     Duration::from_secs_f64(tokens / READ_TOKENS_PER_MS / 1e3)
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -99,6 +99,7 @@
             tried: &self.tried,
             hall: &self.relay.hall,
             connections: self.connections,
+            crowd_factor: relay.bounds().crowd_factor,
         };
         let now = Instant::now();
         let choice = choose::choose(&relay.fleet, &self.service, &ask, &relay.memory, now);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -36,6 +36,8 @@
     /// Time after the end of the store's trouble from which its word counts
     /// again: an entry that is absent then is gone.
     pub contact: Duration,
+    /// Most load of one server, in multiples of the mean of its service.
+    pub crowd_factor: f64,
 }
 
 /// One router.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -203,6 +203,7 @@
             .revoke_when_blind
             .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
         contact: bounds.contact.duration(),
+        crowd_factor: bounds.crowd_factor,
     }
 }
 
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -15,6 +15,8 @@
 const REVOKE_WHEN_BLIND: bool = true;
 /// Default of [`Bounds::contact`].
 const CONTACT: Millis = Millis::new(3_000);
+/// Default of [`Bounds::crowd_factor`], in multiples of the mean.
+const CROWD_FACTOR: f64 = 2.0;
 /// Default of [`Bounds::retry_share`]. Half of the platform's usual figure:
 /// without one, the safe side is to send less.
 const RETRY_SHARE: f64 = 0.1;
@@ -38,6 +40,8 @@
     pub revoke_when_blind: bool,
     /// Time after the end of the store's trouble from which its word counts.
     pub contact: Millis,
+    /// Most load of one server, in multiples of the mean of its service.
+    pub crowd_factor: f64,
     /// Repeats that a service may get per request of a window.
     pub retry_share: f64,
     /// The window over which repeats are counted.
@@ -54,6 +58,7 @@
             revoke_within: REVOKE_WITHIN,
             revoke_when_blind: REVOKE_WHEN_BLIND,
             contact: CONTACT,
+            crowd_factor: CROWD_FACTOR,
             retry_share: RETRY_SHARE,
             retry_window: RETRY_WINDOW,
             retry_extra: RETRY_EXTRA,
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -41,6 +41,7 @@
         span("bounds.retry_window", bounds.retry_window)?;
         positive("limits.link_mbps", limits.link_mbps)?;
         positive("limits.descriptors", f64::from(limits.descriptors))?;
+        positive("bounds.crowd_factor", bounds.crowd_factor)?;
         share("bounds.retry_share", bounds.retry_share)?;
         match self.peer_ports {
             Some(ports) => ports.check(),
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -257,6 +257,7 @@
         tried: &[],
         hall: &desk.hall,
         connections,
+        crowd_factor: 2.0,
     };
     let pick = |connections| {
         let now = Instant::now();
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -126,6 +126,7 @@
             tried,
             hall: &self.hall,
             connections: CONNECTIONS,
+            crowd_factor: 2.0,
         };
         let chosen = choose::choose(
             &self.fleet,
--- a/crates/relay/tests/relay/load.rs
+++ b/crates/relay/tests/relay/load.rs
@@ -35,6 +35,8 @@
 const ROUND: usize = 10;
 /// See [`ROUND`].
 const HOT: usize = 3;
+/// See [`ROUND`].
+const VERY_HOT: usize = 4;
 /// What the prompts of most requests begin with: an engine without it reads 0.2
 /// s.
 const HOT_PARTS: &str = "a1:2500,a2:5500";
@@ -72,9 +74,10 @@
     }
 }
 
-fn call(number: usize) -> Call {
+/// The call of this number, where so many in a round are about one subject.
+fn call(number: usize, hot: usize) -> Call {
     let own = format!("c{number:x}:{OWN_TOKENS}");
-    let prompt = if number % ROUND < HOT {
+    let prompt = if number % ROUND < hot {
         format!("{HOT_PARTS},{own}")
     } else {
         format!("b{number:x}:600,{own}")
@@ -115,14 +118,14 @@
 }
 
 /// Sends requests through all boxes by turns, at a steady pace.
-async fn sent(executor: &Executor, machines: &[Machine]) -> Result<Vec<Answer>> {
+async fn sent(executor: &Executor, machines: &[Machine], hot: usize) -> Result<Vec<Answer>> {
     let mut calls: Vec<Task<std::io::Result<Answer>>> = Vec::new();
     let start = Instant::now();
     let mut at = start;
     while at < start + CALM {
         let number = calls.len();
         let front = machines[number % machines.len()].router.callers();
-        let call = call(number);
+        let call = call(number, hot);
         calls.push(executor.spawn(async move { Client::once(front, &call).await }));
         at += GAP;
         Timer::at(at).await;
@@ -134,10 +137,10 @@
     Ok(answers)
 }
 
-#[test]
-fn no_engine_gets_far_more_than_the_others() -> Result {
+/// Sends requests to the engines of a site, and checks the bound.
+fn spread(site: impl FnOnce() -> Result<Site>, hot: usize) -> Result {
     run(async |executor| {
-        let site = engines_site()?;
+        let site = site()?;
         let engines: std::io::Result<Vec<Server>> =
             (1..=ENGINES).map(|n| site.server(engine(n))).collect();
         let engines = engines?;
@@ -151,7 +154,7 @@
         }
         hall::ready(&machines).await?;
         let start = Instant::now();
-        let answers = sent(&executor, &machines).await?;
+        let answers = sent(&executor, &machines, hot).await?;
         let known: Vec<&Server> = engines.iter().collect();
         for (number, answer) in answers.iter().enumerate() {
             whole(answer, &known, &format!("{number}"))?;
@@ -172,6 +175,21 @@
     })
 }
 
+#[test]
+fn no_engine_gets_far_more_than_the_others() -> Result {
+    spread(engines_site, HOT)
+}
+
+#[test]
+fn a_very_hot_subject_is_spread_though_engines_copy_it() -> Result {
+    spread(engines_site, VERY_HOT)
+}
+
+#[test]
+fn a_very_hot_subject_is_spread_though_each_engine_reads_it() -> Result {
+    spread(hall::keyed, VERY_HOT)
+}
+
 #[test]
 fn what_an_engine_holds_is_counted_from_its_runs() -> Result {
     run(async |executor| {
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -32,6 +32,7 @@
         fresh: APPLY_TIME,
         trusted: Some(REVOKE_TIME),
         contact: Duration::from_millis(3_000),
+        crowd_factor: 2.0,
     };
     Ok(Rc::new(Relay::new(
         "hall-1".parse()?,
