The soak's faults are a module of their own, and its functions say what they fault

Draws, their order and the report names are as they were, so that a seed means the same. cargo test -p tidepier-soak: all pass.

--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -51,7 +51,7 @@
 const KEYS: usize = 3;
 /// Longest time until all boxes are ready at the start.
 const START_TIME: Duration = Duration::from_secs(20);
-/// Pause between two looks at what is waited for.
+/// Pause between two checks whether a box is ready.
 const LOOK: Duration = Duration::from_millis(50);
 /// Longest time of a question whether a box is ready.
 const READY_TIME: Duration = Duration::from_millis(900);
@@ -231,7 +231,7 @@
         Ok(())
     }
 
-    /// Notes processes that ended without being told to, and starts them anew.
+    /// Records processes that ended without a signal, and starts them again.
     pub fn attend(&self) -> eyre::Result<()> {
         for (place, machine) in self.machines.iter().enumerate() {
             if let Some(status) = machine.died()? {
--- a/crates/soak/src/fleet/strike.rs
+++ b/crates/soak/src/fleet/strike.rs
@@ -8,16 +8,18 @@
 use rustix::process::Signal;
 use smol::Timer;
 use tidepier_core::server::State;
+use tidepier_relay_standin::server;
 
 use super::servers::Backend;
 use super::Fleet;
+use crate::fault::{self, Config, Fault, Link, Server, Store};
 use crate::ledger::{Fact, Place};
-use crate::schedule::{Blow, Config, Fault, Link, Server, Step, Store};
+use crate::schedule::Step;
 use crate::way::{Harm, Way};
 
-/// Time between two looks whether a process has ended.
+/// Time between two checks whether a process has ended.
 const LOOK: Duration = Duration::from_millis(10);
-/// Time from a first word that a server leaves until its entry goes.
+/// Time from the announcement that a server leaves to its entry's removal.
 const LEAVE_TIME: Duration = Duration::from_millis(2_500);
 /// Configurations of a storm, and the time between two.
 const STORM: usize = 4;
@@ -43,17 +45,11 @@
         let begin = |place: &Place| self.ledger.begin(*place, &name, planned);
         let notes: Vec<usize> = places.iter().map(begin).collect();
         match step.fault {
-            Fault::Link(link, harm) => self.harm(link, harm, step.lasts).await,
-            Fault::Process(place, blow) => self.blow(place, blow, step.lasts).await?,
-            Fault::Store(store) => self.upset(store, step.lasts).await,
-            Fault::Server(at, fault) => self.hurt(at, fault, step.lasts).await?,
-            Fault::Servers(fault) => {
-                let all = self.backends();
-                all.iter()
-                    .for_each(|backend| backend.server.fault(fault, u32::MAX));
-                Timer::after(step.lasts).await;
-                all.iter().for_each(|backend| backend.server.heal());
-            }
+            Fault::Link(link, harm) => self.harm_way(link, harm, step.lasts).await,
+            Fault::Process(place, signal) => self.signal(place, signal, step.lasts).await?,
+            Fault::Store(store) => self.fault_store(store, step.lasts).await,
+            Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
+            Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
         }
         notes.into_iter().for_each(|note| self.ledger.end(note));
@@ -68,8 +64,8 @@
             }
             Fault::Link(Link::Peer(from, to), _) => (vec![Place::Box(from), Place::Box(to)], false),
             Fault::Link(Link::Server(_), _) => (vec![Place::Server], false),
-            Fault::Process(place, blow) => {
-                let planned = matches!(blow, Blow::Terminate | Blow::Reload);
+            Fault::Process(place, signal) => {
+                let planned = matches!(signal, fault::Signal::Terminate | fault::Signal::Reload);
                 (vec![Place::Box(place)], planned)
             }
             Fault::Store(_) => (vec![Place::Store], false),
@@ -80,7 +76,7 @@
         }
     }
 
-    async fn harm(&self, link: Link, harm: Harm, lasts: Duration) {
+    async fn harm_way(&self, link: Link, harm: Harm, lasts: Duration) {
         let server: Arc<Backend>;
         let way: &Way = match link {
             Link::Client(place) => &self.machines[place].front,
@@ -96,43 +92,56 @@
         way.mend(harm);
     }
 
-    async fn blow(&self, place: usize, blow: Blow, lasts: Duration) -> eyre::Result<()> {
+    async fn signal(
+        &self,
+        place: usize,
+        signal: fault::Signal,
+        lasts: Duration,
+    ) -> eyre::Result<()> {
         let machine = &self.machines[place];
-        match blow {
-            Blow::Freeze => {
+        match signal {
+            fault::Signal::Freeze => {
                 machine.signal(Signal::STOP)?;
                 Timer::after(lasts).await;
                 machine.signal(Signal::CONT)?;
             }
-            Blow::Reload => {
+            fault::Signal::Reload => {
                 let extra = 20 + lasts.as_millis() as u64 % 5;
                 machine.change(|settings| settings["bounds"]["retry_extra"] = extra.into())?;
                 machine.signal(Signal::HUP)?;
                 Timer::after(RELOAD_TIME).await;
             }
-            Blow::Terminate | Blow::Kill => {
-                let signal = match blow {
-                    Blow::Terminate => Signal::TERM,
+            fault::Signal::Terminate | fault::Signal::Kill => {
+                let ending = match signal {
+                    fault::Signal::Terminate => Signal::TERM,
                     _ => Signal::KILL,
                 };
-                // What ended by itself just before is not taken for this.
-                self.attend()?;
-                // A second signal while the process ends is sent as well; who
-                // came first starts it again.
-                let first = machine.claim();
-                machine.signal(signal)?;
-                if !first {
-                    return Ok(());
-                }
-                self.ended(place).await?;
-                Timer::after(lasts).await;
-                self.begin_life(place)?;
-                machine.release();
+                self.restart(place, ending, lasts).await?;
             }
         }
         Ok(())
     }
 
+    /// Ends a process by a signal, and starts it again after a pause.
+    async fn restart(&self, place: usize, ending: Signal, pause: Duration) -> eyre::Result<()> {
+        let machine = &self.machines[place];
+        // A process that ended by itself just before counts as a death, not as
+        // an effect of this signal.
+        self.attend()?;
+        // A second signal while the process ends is sent as well; the first
+        // one's task starts the process again.
+        let first = machine.claim();
+        machine.signal(ending)?;
+        if !first {
+            return Ok(());
+        }
+        self.ended(place).await?;
+        Timer::after(pause).await;
+        self.begin_life(place)?;
+        machine.release();
+        Ok(())
+    }
+
     /// Waits until a process has ended; kills it once its time is over.
     async fn ended(&self, place: usize) -> eyre::Result<()> {
         let machine = &self.machines[place];
@@ -150,7 +159,7 @@
         Ok(())
     }
 
-    async fn upset(&self, store: Store, lasts: Duration) {
+    async fn fault_store(&self, store: Store, lasts: Duration) {
         let faulty = &self.site.store;
         match store {
             Store::Slow(slow) => faulty.faults(|faults| faults.slow = slow),
@@ -172,7 +181,7 @@
         });
     }
 
-    async fn hurt(&self, at: usize, fault: Server, lasts: Duration) -> io::Result<()> {
+    async fn fault_server(&self, at: usize, fault: Server, lasts: Duration) -> io::Result<()> {
         let backend = self.serving(at);
         let server = &backend.server;
         let service = server.settings().service.clone();
@@ -202,6 +211,18 @@
         Ok(())
     }
 
+    /// Makes all requests go wrong at all servers that there are now.
+    async fn fault_servers(&self, fault: server::Fault, lasts: Duration) {
+        let all = self.backends();
+        for backend in &all {
+            backend.server.fault(fault, u32::MAX);
+        }
+        Timer::after(lasts).await;
+        for backend in &all {
+            backend.server.heal();
+        }
+    }
+
     async fn configure(&self, config: Config) -> eyre::Result<()> {
         match config {
             Config::Revoke => self.change_keys(1),
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -1,7 +1,7 @@
 //! A randomized soak of the relay: real processes on loopback, faults from
 //! outside them, and rules that are judged by what clients and servers see.
 //!
-//! A seed decides the whole [`schedule`]; [`fleet`] starts the processes and
+//! A seed decides the whole [`schedule`] of [`fault`]s; [`fleet`] starts the processes and
 //! stand-ins and carries the schedule out; [`load`] plays the clients; all of
 //! them write to the [`ledger`]; the [`rule`]s read a copy of it, the
 //! [`evidence`], and nothing else.
@@ -15,6 +15,7 @@
 //! * A check that is left out because the machine was busy is counted.
 
 pub mod evidence;
+pub mod fault;
 pub mod fleet;
 pub mod ledger;
 pub mod load;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -1,149 +1,37 @@
 //! What a seed decides: the shape of the fleet, and each fault with its time.
 //!
 //! A schedule is a function of its seed alone. It names boxes and servers by
-//! numbers, which are taken modulo how many there are at that moment.
+//! numbers: see [`crate::fault`].
 
+use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
 
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
-use tidepier_relay_standin::server;
+use tidepier_relay_standin::server as standin;
 use tidepier_relay_standin::store::Down;
 
+use crate::fault::{Config, Fault, Link, Server, Signal, Store};
 use crate::way::{Direction, Harm};
 
 /// Fewest and most boxes.
-const BOXES: std::ops::RangeInclusive<usize> = 2..=4;
+const BOXES: RangeInclusive<usize> = 2..=4;
 /// Fewest and most faults.
-const STEPS: std::ops::RangeInclusive<usize> = 6..=14;
+const STEPS: RangeInclusive<usize> = 6..=14;
+/// Numbers of servers; more than there are, so that all may be hit.
+const SERVER_NUMBERS: Range<usize> = 0..64;
 /// The time within which faults begin, in ms.
-const SPAN_MS: std::ops::Range<u64> = 0..10_000;
+const SPAN_MS: Range<u64> = 0..10_000;
 /// How long a fault lasts, in ms: short of and beyond the times after which
 /// boxes doubt each other.
-const LASTS_MS: std::ops::Range<u64> = 100..4_500;
+const LASTS_MS: Range<u64> = 100..4_500;
 /// How long a box is blind for a change, in ms: beyond the bound on keys.
-const BLIND_MS: std::ops::Range<u64> = 5_000..7_500;
-/// Time from then to the change.
+const BLIND_MS: Range<u64> = 5_000..7_500;
+/// Time from the beginning of the blindness to the change.
 const BLIND_BEFORE: Duration = Duration::from_millis(300);
 /// Delays of a slow way or store, in ms.
-const DELAY_MS: std::ops::Range<u64> = 5..600;
-
-/// Two sides that talk to each other.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Link {
-    /// Clients and a box.
-    Client(usize),
-    /// All boxes and a server.
-    Server(usize),
-    /// A box and the store.
-    Store(usize),
-    /// A box that asks and one that is asked.
-    Peer(usize, usize),
-}
-
-/// What is done to a process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Blow {
-    /// SIGSTOP, later SIGCONT.
-    Freeze,
-    /// SIGTERM; started again once it has ended.
-    Terminate,
-    /// SIGKILL; started again later.
-    Kill,
-    /// Another settings file, and SIGHUP.
-    Reload,
-}
-
-/// What is wrong with the store.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Store {
-    /// Answers take longer.
-    Slow(Duration),
-    /// It does not answer properly at all.
-    Down(Down),
-    /// Calls get 429.
-    Refusing,
-    /// The next writing calls are done and not answered.
-    Losing,
-    /// The history is forgotten.
-    Forgetful,
-    /// Watches learn of nothing.
-    Deaf,
-}
-
-/// What a server does wrong.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Server {
-    /// All of its requests go wrong.
-    Faulty(server::Fault),
-    /// Says nothing.
-    Dark,
-    /// Works several times as long.
-    Slow,
-    /// Ends without a word; another one comes.
-    Crash,
-    /// Says that it leaves, leaves and serves on; another one comes.
-    Leave,
-    /// Another one comes.
-    Join,
-}
-
-/// A change by the operator.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Config {
-    /// A route goes to a service of its own, which tells the version.
-    Mark,
-    /// Several of these in quick succession.
-    Storm,
-    /// A key is taken away, and another one added.
-    Revoke,
-}
-
-/// One fault or planned change.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Fault {
-    /// A way is harmed.
-    Link(Link, Harm),
-    /// A process gets a signal.
-    Process(usize, Blow),
-    /// The store is out of order.
-    Store(Store),
-    /// A server is out of order.
-    Server(usize, Server),
-    /// All requests go wrong at all servers.
-    Servers(server::Fault),
-    /// The configuration changes.
-    Config(Config),
-}
-
-impl Fault {
-    /// Its name in reports.
-    pub fn name(&self) -> String {
-        match self {
-            Fault::Link(link, harm) => format!("{}_way_{}", link.name(), harm.name()),
-            Fault::Process(_, blow) => format!("process_{blow:?}").to_lowercase(),
-            Fault::Store(Store::Slow(_)) => "store_slow".into(),
-            Fault::Store(Store::Down(down)) => format!("store_{down:?}").to_lowercase(),
-            Fault::Store(store) => format!("store_{store:?}").to_lowercase(),
-            Fault::Server(_, Server::Faulty(fault)) => format!("server_{fault:?}").to_lowercase(),
-            Fault::Servers(fault) => format!("servers_{fault:?}").to_lowercase(),
-            Fault::Server(_, server) => format!("server_{server:?}").to_lowercase(),
-            Fault::Config(config) => format!("config_{config:?}").to_lowercase(),
-        }
-    }
-}
-
-impl Link {
-    fn name(self) -> &'static str {
-        match self {
-            Link::Client(_) => "client",
-            Link::Server(_) => "server",
-            Link::Store(_) => "store",
-            Link::Peer(..) => "peer",
-        }
-    }
-}
+const DELAY_MS: Range<u64> = 5..600;
 
 /// A fault with its time, counted from the beginning of the faults.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -191,7 +79,7 @@
     }
 }
 
-fn ms(rng: &mut ChaCha8Rng, range: std::ops::Range<u64>) -> Duration {
+fn ms(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
 
@@ -200,9 +88,9 @@
     let lasts = ms(rng, LASTS_MS);
     let fault = match rng.random_range(0..20) {
         0..5 => Fault::Link(link(rng, boxes), harm(rng)),
-        5..10 => Fault::Process(rng.random_range(0..boxes), blow(rng)),
+        5..10 => Fault::Process(rng.random_range(0..boxes), signal(rng)),
         10..13 => Fault::Store(store(rng)),
-        13..16 => Fault::Server(rng.random_range(0..64), server(rng)),
+        13..16 => Fault::Server(rng.random_range(SERVER_NUMBERS), server(rng)),
         16 => Fault::Servers(faulty(rng)),
         _ => Fault::Config(config(rng)),
     };
@@ -230,7 +118,7 @@
     let other = (first + rng.random_range(1..boxes)) % boxes;
     match rng.random_range(0..4) {
         0 => Link::Client(first),
-        1 => Link::Server(rng.random_range(0..64)),
+        1 => Link::Server(rng.random_range(SERVER_NUMBERS)),
         2 => Link::Store(first),
         _ => Link::Peer(first, other),
     }
@@ -246,10 +134,15 @@
     }
 }
 
-fn blow(rng: &mut ChaCha8Rng) -> Blow {
+fn signal(rng: &mut ChaCha8Rng) -> Signal {
     pick(
         rng,
-        &[Blow::Freeze, Blow::Terminate, Blow::Kill, Blow::Reload],
+        &[
+            Signal::Freeze,
+            Signal::Terminate,
+            Signal::Kill,
+            Signal::Reload,
+        ],
     )
 }
 
@@ -269,17 +162,17 @@
     }
 }
 
-fn faulty(rng: &mut ChaCha8Rng) -> server::Fault {
+fn faulty(rng: &mut ChaCha8Rng) -> standin::Fault {
     let faults = [
-        server::Fault::Shed,
-        server::Fault::Failure,
-        server::Fault::LostAnswer,
-        server::Fault::Garbage,
-        server::Fault::Extra,
-        server::Fault::LateExtra,
-        server::Fault::CutEvent,
-        server::Fault::Unframed,
-        server::Fault::Reset,
+        standin::Fault::Shed,
+        standin::Fault::Failure,
+        standin::Fault::LostAnswer,
+        standin::Fault::Garbage,
+        standin::Fault::Extra,
+        standin::Fault::LateExtra,
+        standin::Fault::CutEvent,
+        standin::Fault::Unframed,
+        standin::Fault::Reset,
     ];
     pick(rng, &faults)
 }
