A prompt's costs and its subject's order are modules of their own

choose_engine built a Choice in one closure of 25 lines; choose/engine.rs now has what one prompt finds at all engines (Engines), its cost and the choice. places/order.rs has the order of servers. Places::source looked the servers of each candidate up again, so that a request cost candidates times servers; the engines to copy from are the same for all candidates but for the candidate itself, and are now listed once per prompt. Fleet::known still copies the service's servers: the order needs a list of its own to sort.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -6,6 +6,8 @@
 //! subject's prompts are kept: by rendezvous hash of the subject over the
 //! servers, corrected by what this box itself has sent where.
 
+mod engine;
+
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -14,40 +16,8 @@
 
 use crate::fleet::{Backend, Fleet};
 use crate::places::{Memory, Places};
+use engine::Engines;
 
-/// Tokens that a model engine reads in a ms, when nothing better is known:
-/// measured engines read 38 to 43.
-const READ_TOKENS_PER_MS: f64 = 40.0;
-/// What reading a token of a shared part again costs beside the time of its
-/// own request, in ms: all that runs beside it is held up, and the users price
-/// it. Worked out from the prices of the users' sites: 1,000 tokens cost a
-/// fifth of a mean request, which is worth a wait of some 400 ms.
-const READ_AGAIN_MS: f64 = 0.07;
-/// The same for copying a token's memory from another engine: 28 in 100 of it.
-const COPY_MS: f64 = 0.02;
-/// Cost of each request that runs at an engine, in ms: steps grow slower.
-const RUNNING_MS: f64 = 0.5;
-/// Cost of each request past an engine's slots, in ms.
-const WAITING_MS: f64 = 40.0;
-/// Cost of each request past [`BOUND_PART`] of the bound on the load of one
-/// server, in ms: what a copied prompt costs is borne for two of them.
-const EXCESS_MS: f64 = 100.0;
-/// The same past the bound itself: two of them outweigh reading the prompts of
-/// a subject anew at another server.
-const BROKEN_MS: f64 = 400.0;
-/// Part of the operator's factor at which a server counts as crowded: reported
-/// loads are late.
-const BOUND_PART: f64 = 0.8;
-/// Requests over the factor times the mean that are always borne: the users'
-/// bound has three.
-const BOUND_EXTRA: f64 = 2.0;
-/// An engine counts as slow when its answers begin later than this many times
-/// the usual time, plus [`SLOW_EXTRA_MS`]: one long prompt is no slowness.
-const SLOW_FACTOR: f64 = 2.0;
-/// See [`SLOW_FACTOR`].
-const SLOW_EXTRA_MS: f64 = 150.0;
-/// Most that slowness costs, in ms.
-const SLOW_MOST_MS: f64 = 1_500.0;
 /// Cost of a server in another hall, in ms: the way there, and the price of
 /// bytes between halls.
 const OTHER_HALL_MS: f64 = 12.0;
@@ -67,13 +37,6 @@
 const LEFT_OUT_MS: f64 = 1e6;
 /// Cost of a server that has been tried for this request already.
 const TRIED_MS: f64 = 1e7;
-/// Weight of a request that another box of this hall has under way: those of
-/// other halls are not counted, and are about as many in each.
-const OTHERS_WEIGHT: f64 = 2.0;
-/// Age after which such counts are no longer used.
-const COUNT_AGE: Duration = Duration::from_millis(1_500);
-/// Age after which a reported load is no longer used.
-const LOAD_AGE: Duration = Duration::from_secs(3);
 /// Time to an answer of a plain service's server before one is known, in ms.
 const PLAIN_MS: f64 = 60.0;
 
@@ -123,20 +86,27 @@
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
     let failing = mean_failing(&servers);
-    let open = |backend: &&Rc<Backend>| backend.own() < ask.connections;
     match ask.prompt {
         Some(prompt) => {
             let places = Places::new(fleet, service, prompt, ask.hall, memory, ask.tried, now);
-            choose_engine(&servers, ask, prompt, &places, failing, now)
+            Engines::new(&servers, ask, prompt, &places, failing, now).cheapest()
+        }
+        None => {
+            let open = servers.iter().filter(|backend| is_open(backend, ask));
+            cheapest(open.map(|backend| plain(backend, ask, failing, now)))
         }
-        None => servers
-            .iter()
-            .filter(open)
-            .map(|backend| plain(backend, ask, failing, now))
-            .min_by(|a, b| a.cost.total_cmp(&b.cost)),
     }
 }
 
+fn cheapest(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
+    choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
+/// Whether this box may open one more connection to a server.
+fn is_open(backend: &Backend, ask: &Ask<'_>) -> bool {
+    backend.own() < ask.connections
+}
+
 fn plain(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> Choice {
     let load = f64::from(backend.own());
     let time = backend.health.time_ms().unwrap_or(PLAIN_MS);
@@ -181,120 +151,3 @@
     }
     cost
 }
-
-fn choose_engine(
-    servers: &[Rc<Backend>],
-    ask: &Ask<'_>,
-    prompt: &Prompt,
-    places: &Places<'_>,
-    failing: f64,
-    now: Instant,
-) -> Option<Choice> {
-    let (loads, mean) = loads(servers, now);
-    let usual_ms = usual_time(servers, now);
-    let crowd = Crowd::new(ask.crowd_factor, mean);
-    let candidates = servers.iter().zip(loads);
-    candidates
-        .filter(|(backend, _)| backend.own() < ask.connections)
-        .map(|(backend, load)| {
-            let id = &backend.server.id;
-            let lacking = places.lacking(id);
-            let own = f64::from(prompt.parts.last().map_or(prompt.input, |part| part.tokens));
-            let copied = ask.copy_ms.zip(places.source(id));
-            let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
-            let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
-            let queued = backend.prefill() as f64;
-            let slots = f64::from(backend.slots());
-            let cost = lacking * per_lacking
-                + (own + queued) / READ_TOKENS_PER_MS
-                + RUNNING_MS * load
-                + WAITING_MS * (load - slots).max(0.0)
-                + crowd.cost(load)
-                + slowness(backend, usual_ms, now)
-                + fastrand::f64()
-                + common(backend, ask, failing, now);
-            Choice {
-                backend: backend.clone(),
-                cost,
-                load,
-                rank: places.rank(id),
-                reading: reading_time(own + f64::from(places.unproven(id))),
-                read: own + if copied.is_some() { 0.0 } else { lacking },
-                copy_from: copied.map(|(_, source)| source.clone()),
-            }
-        })
-        .min_by(|a, b| a.cost.total_cmp(&b.cost))
-}
-
-/// What a crowded server costs.
-struct Crowd {
-    /// Load from which a server counts as crowded.
-    soft: f64,
-    /// Load from which it is at the operator's bound.
-    hard: f64,
-}
-
-impl Crowd {
-    /// `factor`: the operator's bound in multiples of the mean load.
-    fn new(factor: f64, mean: f64) -> Self {
-        Self {
-            soft: BOUND_PART * factor * mean + BOUND_EXTRA,
-            hard: factor * mean + BOUND_EXTRA,
-        }
-    }
-
-    /// The cost at a load, in ms.
-    fn cost(&self, load: f64) -> f64 {
-        EXCESS_MS * (load - self.soft).max(0.0) + BROKEN_MS * (load - self.hard).max(0.0)
-    }
-}
-
-/// Time in which an engine reads so many tokens.
-fn reading_time(tokens: f64) -> Duration {
-    Duration::from_secs_f64(tokens / READ_TOKENS_PER_MS / 1e3)
-}
-
-/// The load of each server, and the mean of those that can be reached. Where
-/// none was reported lately, the mean stands for it.
-fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
-    let counted = |backend: &Rc<Backend>| backend.counted(OTHERS_WEIGHT, COUNT_AGE, now);
-    let reported: Vec<Option<f64>> = servers
-        .iter()
-        .map(|backend| backend.load(LOAD_AGE).map(f64::from))
-        .collect();
-    let reached = servers
-        .iter()
-        .zip(&reported)
-        .filter(|(backend, _)| backend.is_usable(now));
-    // Counts leave other halls out: the mean is that of what servers report.
-    let known: Vec<f64> = reached.filter_map(|(_, reported)| *reported).collect();
-    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-    let or_mean = |(backend, reported): (&Rc<Backend>, Option<f64>)| {
-        let known = reported
-            .into_iter()
-            .chain(counted(backend))
-            .reduce(f64::max);
-        known.unwrap_or_else(|| mean.max(f64::from(backend.own())))
-    };
-    (servers.iter().zip(reported).map(or_mean).collect(), mean)
-}
-
-/// The median time to an answer's beginning, in ms, of servers that answered
-/// lately.
-fn usual_time(servers: &[Rc<Backend>], now: Instant) -> Option<f64> {
-    let times = servers
-        .iter()
-        .filter_map(|backend| backend.health.recent_ms(now));
-    let mut times: Vec<f64> = times.collect();
-    times.sort_by(f64::total_cmp);
-    times.get(times.len() / 2).copied()
-}
-
-/// What a server's answers have lately taken beyond what is usual, in ms.
-fn slowness(backend: &Rc<Backend>, usual_ms: Option<f64>, now: Instant) -> f64 {
-    let times = backend.health.recent_ms(now).zip(usual_ms);
-    let excess = times.map_or(0.0, |(own, usual)| {
-        own - SLOW_FACTOR * usual - SLOW_EXTRA_MS
-    });
-    excess.clamp(0.0, SLOW_MOST_MS)
-}
