--- a/crates/relay/tests/relay/house.rs
+++ b/crates/relay/tests/relay/house.rs
@@ -181,6 +181,14 @@
     ids.iter().any(|id| id.as_str() == server.settings().id)
 }
 
+/// Waits until nothing takes connections at the address of a crashed server.
+pub(crate) async fn down(server: &Server) -> Result {
+    until("down", async || {
+        Ok(Client::open(server.address()).await.is_err())
+    })
+    .await
+}
+
 /// A usual call.
 pub(crate) fn post(target: &str, attempt: &str) -> Call {
     Call::new("POST", HOST, target, attempt).body(b"question")
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -24,6 +24,7 @@
 mod raw;
 mod recover;
 mod registry;
+mod requests;
 mod seeds;
 mod sendings;
 mod sizes;
--- /dev/null
+++ b/crates/relay/tests/relay/requests.rs
@@ -0,0 +1,282 @@
+//! What a server gets with a request, how long the request is held, and
+//! when it counts as sent.
+
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use futures_lite::future;
+use smol::Timer;
+use tidepier_core::catalog::Kind;
+use tidepier_core::request::{Part, Prompt};
+use tidepier_core::server::State;
+use tidepier_relay::places::Places;
+use tidepier_relay_standin::client::{Call, End};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{Fault, Run, Server, Settings};
+use tidepier_relay_standin::site::{Route, HOST};
+use tidepier_relay_standin::Client;
+
+use crate::house::{
+    down, ms, pair, post, promised, run, site, streaming, until, usual, whole, House, Result,
+    SERVICE,
+};
+
+/// Promised time from a client's leaving to the end at its server.
+const LEAVE_TIME: Duration = Duration::from_millis(100);
+/// Most tries for it.
+const TRIES: usize = 5;
+
+#[test]
+fn a_client_that_leaves_ends_its_request_at_once() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(Settings {
+            work: Duration::from_secs(20),
+            ..usual(1)
+        })?;
+        let house = House::open(executor, site).await?;
+        let mut number = 0;
+        for target in ["/r/x", "/o/x", "/u/x"] {
+            let mut times = Vec::new();
+            // A busy machine may hold up some of them.
+            while times.len() < TRIES && times.iter().all(|time| *time >= LEAVE_TIME) {
+                let mut client = Client::open(house.front()).await?;
+                let call = post(target, target).leaving(ms(200));
+                let answer = client.call(&call).await;
+                ensure!(answer.end == End::Left, "{answer:?}");
+                let run = async || server.runs().into_iter().nth(number);
+                until("sent", async || Ok(run().await.is_some())).await?;
+                let left = Instant::now();
+                drop(client);
+                let closed = async || run().await.and_then(|run| run.closed);
+                until("closed", async || Ok(closed().await.is_some())).await?;
+                let closed = closed().await.expect("closed");
+                times.push(closed.saturating_duration_since(left));
+                number += 1;
+            }
+            let in_time = times.iter().any(|time| *time < LEAVE_TIME);
+            ensure!(in_time, "{target}: {times:?}");
+        }
+        Timer::after(ms(100)).await;
+        let sent = server.runs().len();
+        ensure!(sent == number, "sent again for nobody");
+        Ok(())
+    })
+}
+
+#[test]
+fn the_time_left_is_passed_on_and_shrinks() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        near.fault(Fault::Hang, 1);
+        let call = post("/r/x", "slow").with(names::DEADLINE, "3000");
+        let answer = house.call(&call).await?;
+        whole(&answer, &[&near, &far], "slow")?;
+        let left = |runs: &[Run]| -> Result<u64> {
+            let told = runs[0].field(names::DEADLINE);
+            Ok(told.ok_or_else(|| eyre!("no time told"))?.parse()?)
+        };
+        let (first, second) = (left(&near.runs())?, left(&far.runs())?);
+        ensure!(first <= 3_000 && first > 1_000, "{first} ms");
+        // It took the first server's silence to be sent again.
+        ensure!(second + 500 <= first, "{second} ms after {first} ms");
+        let apart = far.runs()[0].arrived - near.runs()[0].arrived;
+        let apart = apart.as_millis() as u64;
+        // What is told is what is left, but for the way to the server, which a
+        // busy machine makes longer.
+        ensure!(
+            second + apart <= first + 500,
+            "{second} ms, {apart} ms later"
+        );
+        Ok(())
+    })
+}
+
+#[test]
+fn a_request_is_held_no_longer_than_its_route_allows() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let timeout = ms(400);
+        let once = Route {
+            timeout,
+            ..Route::new("/short/", Kind::Once, SERVICE)
+        };
+        let repeatable = Route {
+            timeout,
+            ..Route::new("/shortr/", Kind::Repeatable, SERVICE)
+        };
+        site.declare(&[once, repeatable]);
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        server.fault(Fault::Hang, u32::MAX);
+        for target in ["/short/x", "/shortr/x"] {
+            let answer = house.post(target, target).await?;
+            ensure!(answer.status == 504, "{answer:?}");
+            ensure!(answer.elapsed >= ms(300), "{:?}", answer.elapsed);
+            ensure!(answer.elapsed < ms(1_400), "{:?}", answer.elapsed);
+        }
+        let told = server.runs()[0].field(names::DEADLINE).map(str::to_owned);
+        let told: u64 = told.ok_or_else(|| eyre!("no time told"))?.parse()?;
+        ensure!(told <= 400, "{told} ms");
+        // A client in a hurry is answered in its own time.
+        let call = post("/o/x", "hurry").with(names::DEADLINE, "300");
+        let answer = house.call(&call).await?;
+        ensure!(answer.status == 504, "{answer:?}");
+        ensure!(answer.elapsed < ms(1_300), "{:?}", answer.elapsed);
+        Ok(())
+    })
+}
+
+#[test]
+fn a_leaving_server_gets_nothing_new() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let far = site.server(Settings {
+            work: ms(60),
+            ..usual(2)
+        })?;
+        let house = House::open(executor, site).await?;
+        // The near server is known to be quick, and wanted by all that follow.
+        for number in 0..5 {
+            house.post("/o/x", &format!("before-{number}")).await?;
+        }
+        let wanted = near.runs().len();
+        ensure!(wanted >= 3, "the case did not arise");
+        near.slow(200.0);
+        let leaves = async {
+            until("running", async || Ok(near.running() == 1)).await?;
+            near.slow(1.0);
+            house.site.announce(&near, State::Draining);
+            let told = Instant::now();
+            let mut number = 0;
+            while told.elapsed() < ms(1_600) {
+                number += 1;
+                let attempt = format!("new-{number}");
+                let answer = house.post("/o/x", &attempt).await?;
+                whole(&answer, &[&near, &far], &attempt)?;
+            }
+            Ok(told)
+        };
+        let call = post("/o/x", "old");
+        let (old, told) = future::try_zip(house.call(&call), leaves).await?;
+        whole(&old, &[&near], "old")?;
+        let late = |run: &&Run| run.arrived > told + ms(900);
+        let runs = near.runs();
+        let late = runs.iter().filter(late).count();
+        ensure!(late == 0, "{late} requests for a server that leaves");
+        Ok(())
+    })
+}
+
+#[test]
+fn servers_are_told_who_asks_and_for_whom_it_is() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let keyed = Route {
+            public: false,
+            ..Route::new("/k/", Kind::Repeatable, SERVICE)
+        };
+        site.declare(&[keyed]);
+        site.account("tenant-1", &["secret-1"], 0);
+        let near = site.server(usual(1))?;
+        let far = site.server(usual(2))?;
+        let house = House::open(executor, site).await?;
+        let mut client = Client::open(house.front()).await?;
+        for number in 0..12 {
+            let attempt = format!("{number}");
+            let target = ["/k/x", "/r/x", "/o/x"][number % 3];
+            near.fault(Fault::Shed, (number % 2) as u32);
+            let call = post(target, &attempt)
+                .key("secret-1")
+                .with("Tenant", "someone")
+                .with(names::TARGET, "i-9")
+                .with(names::PRIORITY, "0")
+                .with("X-Kept", "kept")
+                .with("X-Dropped", "dropped")
+                .with("Connection", "X-Dropped");
+            let answer = client.call(&call).await;
+            whole(&answer, &[&near, &far], &attempt)?;
+        }
+        for server in [&near, &far] {
+            for run in server.runs() {
+                let id = &*server.settings().id;
+                ensure!(run.field(names::TARGET) == Some(id), "{:?}", run.fields);
+                ensure!(run.field("Authorization").is_none(), "{:?}", run.fields);
+                ensure!(run.field("X-Kept") == Some("kept"), "{:?}", run.fields);
+                ensure!(run.field("X-Dropped").is_none(), "{:?}", run.fields);
+                let tenants: Vec<_> = run
+                    .fields
+                    .iter()
+                    .filter(|(name, _)| name.eq_ignore_ascii_case("tenant"))
+                    .map(|(_, value)| &**value)
+                    .collect();
+                let own: &[&str] = match run.target.starts_with("/k/") {
+                    true => &["tenant-1"],
+                    false => &[],
+                };
+                ensure!(tenants == own, "{:?}", run.fields);
+            }
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_request_of_a_kept_connection_waits_for_the_one_before() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 3, ms(20)))?;
+        let house = House::open(executor, site).await?;
+        let mut client = Client::open(house.front()).await?;
+        let calls: Vec<Call> = (0..5)
+            .map(|number| Call::new("POST", HOST, "/s/x", &number.to_string()).body(b"question"))
+            .collect();
+        for (number, answer) in client.pipeline(&calls).await.iter().enumerate() {
+            whole(answer, &[&server], &number.to_string())?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_prompt_counts_as_sent_only_over_a_connection() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let house = House::open(executor, site).await?;
+        let parts = [(0x5c1e, 800), (0x91bd, 100)];
+        let listed: Vec<String> = parts
+            .iter()
+            .map(|(id, count)| format!("{id:x}:{count}"))
+            .collect();
+        let prompt = Prompt {
+            input: 900,
+            output: 10,
+            hint: None,
+            parts: parts.map(|(id, tokens)| Part { id, tokens }).to_vec(),
+        };
+        let id = server.settings().id.parse()?;
+        let lacking = || -> Result<f64> {
+            let relay = house.router.relay();
+            let (fleet, memory) = (&relay.fleet, &relay.memory);
+            let service = SERVICE.parse()?;
+            let now = Instant::now();
+            let places = Places::new(fleet, &service, &prompt, &relay.hall, memory, &[], now);
+            Ok(places.lacking(&id))
+        };
+        let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
+        server.crash();
+        down(&server).await?;
+        promised(&house.call(&call("down")).await?)?;
+        ensure!(lacking()? > 0.0, "counts as sent over no connection");
+        let again = Server::start_at(server.address(), server.settings().clone())?;
+        until("back", async || {
+            Ok(house.call(&call("back")).await?.status == 200)
+        })
+        .await?;
+        ensure!(again.runs().len() == 1, "{:?}", again.runs());
+        ensure!(lacking()? == 0.0, "does not count as sent");
+        Ok(())
+    })
+}
--- a/crates/relay/tests/relay/slow.rs
+++ b/crates/relay/tests/relay/slow.rs
@@ -1,17 +1,21 @@
-//! What a slow server may not cost: held requests, and work for clients that
-//! left.
+//! What a slow server may not cost: held requests, work for clients that left,
+//! and its reputation where the delay was not its own.
 
 use std::time::{Duration, Instant};
 
-use eyre::ensure;
+use eyre::{ensure, eyre};
 use smol::Timer;
 use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::End;
-use tidepier_relay_standin::server::{Outcome, Server, Settings};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{Fault, Outcome, Server, Settings};
 use tidepier_relay_standin::site::Route;
 use tidepier_relay_standin::Client;
 
-use crate::house::{ms, post, run, site, streaming, until, usual, House, Result, SERVICE};
+use crate::house::{
+    arrived, ms, pair, post, run, site, streaming, until, usual, whole, House, Result, SERVICE,
+};
+use crate::raw;
 
 /// Time of the routes of these tests.
 const ROUTE_TIME: Duration = Duration::from_millis(500);
@@ -20,6 +24,8 @@
 const MOST: Duration = Duration::from_millis(1_000);
 /// Tries of a measurement that a busy machine may hold up.
 const TRIES: usize = 4;
+/// Tries of an error that leaves no time for a retry.
+const ERROR_TRIES: usize = 5;
 /// Time within which the work for a client that left has to end.
 const LEAVE_TIME: Duration = Duration::from_millis(500);
 /// How much slower than usual.
@@ -140,3 +146,77 @@
         Ok(())
     })
 }
+
+/// What a router knows of a server's time to an answer, in ms.
+fn time_ms(house: &House, server: &Server) -> Result<f64> {
+    let id = server.settings().id.parse()?;
+    let backend = house.router.relay().fleet.get(&id);
+    let time = backend.and_then(|backend| backend.health.time_ms());
+    time.ok_or_else(|| eyre!("{id} has no time"))
+}
+
+#[test]
+fn a_server_is_not_slow_for_the_silence_of_the_one_before() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        near.fault(Fault::Hang, 1);
+        let answer = house.post("/r/x", "a").await?;
+        whole(&answer, &[&near, &far], "a")?;
+        ensure!(arrived(&[&near], "a") == 1, "it began elsewhere");
+        ensure!(arrived(&[&far], "a") == 1, "it did not go on");
+        // The silence alone takes half a second.
+        let time = time_ms(&house, &far)?;
+        ensure!(time < 400.0, "{time} ms");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_server_is_not_slow_for_reading_a_long_prompt() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        // 20,000 tokens take 0.5 s at the usual speed.
+        let work = ms(450);
+        let server = site.server(Settings { work, ..usual(1) })?;
+        let house = House::open(executor, site).await?;
+        let call = |attempt: &str| post("/r/x", attempt);
+        let long = call("long").with(names::PROMPT, "5c1e:19000,91bd:1000");
+        ensure!(house.call(&long).await?.status == 200, "not served");
+        let time = time_ms(&house, &server)?;
+        ensure!(time < 200.0, "{time} ms for what was read");
+        // What it keeps by now explains no delay.
+        let again = call("again").with(names::PROMPT, "5c1e:19000,91be:10");
+        ensure!(house.call(&again).await?.status == 200, "not served");
+        let later = time_ms(&house, &server)?;
+        ensure!(later > time + 30.0, "{later} ms after {time} ms");
+        Ok(())
+    })
+}
+
+#[test]
+fn an_error_that_leaves_no_time_for_a_retry_is_passed_on() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        // Of the client's 400 ms, 60 are left at the answer's head and 25 at
+        // its end. A busy machine may be later than that, so there are more
+        // tries than one.
+        let late = raw::Late {
+            first: ms(340),
+            second: ms(35),
+        };
+        let failed = |attempt: &str| {
+            let head = "HTTP/1.1 500 Failed\r\nResponse-Seal: raw\r\nContent-Length: 2\r\n";
+            [format!("{head}Attempt-Id: {attempt}\r\n\r\n"), "no".into()]
+        };
+        let _server = late.start(&executor, &site, "i-1", failed)?;
+        let house = House::open(executor, site).await?;
+        let mut statuses = Vec::new();
+        for number in 0..ERROR_TRIES {
+            let call = post("/r/x", &number.to_string()).with(names::DEADLINE, "400");
+            statuses.push(house.call(&call).await?.status);
+        }
+        ensure!(statuses.contains(&500), "{statuses:?}");
+        ensure!(!statuses.contains(&502), "{statuses:?}");
+        Ok(())
+    })
+}
