The soak's functions are named by what they do, and its long ones are split

strike is steps::carry_out, struck count_fault, begin_life start_box, attend restart_ended, the two functions called one send_one and judge_runs; growth and keep have their inner parts in grown and timeline. Facts, reports and the time line keep their names and forms.

--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -7,7 +7,7 @@
 mod machine;
 mod plan;
 mod servers;
-mod strike;
+mod steps;
 
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
@@ -137,7 +137,7 @@
         let fleet = Arc::new(fleet);
         let running = Running(fleet.clone());
         for place in 0..fleet.boxes() {
-            fleet.begin_life(place)?;
+            fleet.start_box(place)?;
         }
         fleet.all_ready().await?;
         Ok(running)
@@ -225,18 +225,18 @@
     }
 
     /// Starts the process of a box.
-    pub(crate) fn begin_life(&self, place: usize) -> eyre::Result<()> {
+    pub(crate) fn start_box(&self, place: usize) -> eyre::Result<()> {
         self.machines[place].start()?;
         self.ledger.fact(Fact::Born(place));
         Ok(())
     }
 
     /// Records processes that ended without a signal, and starts them again.
-    pub fn attend(&self) -> eyre::Result<()> {
+    pub fn restart_ended(&self) -> eyre::Result<()> {
         for (place, machine) in self.machines.iter().enumerate() {
             if let Some(status) = machine.died()? {
                 self.ledger.fact(Fact::Died(place, status.to_string()));
-                self.begin_life(place)?;
+                self.start_box(place)?;
             }
         }
         Ok(())
--- a/crates/soak/src/fleet/strike.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -38,10 +38,10 @@
     /// # Errors
     ///
     /// A process could not be signalled or started, or a port not be opened.
-    pub async fn strike(self: Arc<Self>, step: Step) -> eyre::Result<()> {
+    pub async fn carry_out(self: Arc<Self>, step: Step) -> eyre::Result<()> {
         let name = step.fault.name();
         let (places, planned) = self.touched(&step.fault);
-        self.ledger.struck(&name);
+        self.ledger.count_fault(&name);
         let begin = |place: &Place| self.ledger.begin(*place, &name, planned);
         let notes: Vec<usize> = places.iter().map(begin).collect();
         match step.fault {
@@ -127,7 +127,7 @@
         let machine = &self.machines[place];
         // A process that ended by itself just before counts as a death, not as
         // an effect of this signal.
-        self.attend()?;
+        self.restart_ended()?;
         // A second signal while the process ends is sent as well; the first
         // one's task starts the process again.
         let first = machine.claim();
@@ -137,7 +137,7 @@
         }
         self.ended(place).await?;
         Timer::after(pause).await;
-        self.begin_life(place)?;
+        self.start_box(place)?;
         machine.release();
         Ok(())
     }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -160,18 +160,18 @@
     disturbances: Vec<Disturbance>,
     facts: Vec<(Instant, Fact)>,
     loads: Vec<Loads>,
-    struck: BTreeMap<String, u64>,
+    faults: BTreeMap<String, u64>,
 }
 
 impl Ledger {
-    /// Counts a fault that is about to be brought about.
-    pub fn struck(&self, name: &str) {
-        *lock(&self.inner).struck.entry(name.into()).or_insert(0) += 1;
+    /// Counts a fault that is about to begin.
+    pub fn count_fault(&self, name: &str) {
+        *lock(&self.inner).faults.entry(name.into()).or_insert(0) += 1;
     }
 
     /// Faults so far, by name.
     pub fn faults(&self) -> BTreeMap<String, u64> {
-        lock(&self.inner).struck.clone()
+        lock(&self.inner).faults.clone()
     }
 
     /// Notes a request that is about to be sent; returns its number.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -117,11 +117,11 @@
         while !self.over.load(Ordering::Relaxed) {
             let think = Duration::from_millis(self.rng.random_range(THINK_MS));
             Timer::after(think).await;
-            self.one().await;
+            self.send_one().await;
         }
     }
 
-    async fn one(&mut self) {
+    async fn send_one(&mut self) {
         let traffic = *Traffic::ALL
             .choose(&mut self.rng)
             .unwrap_or(&Traffic::Repeatable);
--- a/crates/soak/src/rule/runs.rs
+++ b/crates/soak/src/rule/runs.rs
@@ -36,7 +36,7 @@
         }
     }
     for attempt in &evidence.attempts {
-        one(evidence, verdict, attempt);
+        judge_runs(evidence, verdict, attempt);
     }
     let mut spread = evidence.attempts.iter().filter(|attempt| {
         let seen = evidence.seen(attempt).iter();
@@ -47,7 +47,8 @@
     }
 }
 
-fn one(evidence: &Evidence, verdict: &mut Verdict, attempt: &Attempt) {
+/// Whether a request ran as often as its kind and its answer allow.
+fn judge_runs(evidence: &Evidence, verdict: &mut Verdict, attempt: &Attempt) {
     let ran = evidence.ran(attempt);
     if attempt.traffic.runs_once() && ran > 1 {
         let text = format!("ran {ran} times: {}", told(attempt));
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -28,7 +28,7 @@
 const CLOSING: Duration = Duration::from_millis(6_500);
 /// Time between two judgements.
 const JUDGE: Duration = Duration::from_secs(1);
-/// Time between two looks at what is waited for.
+/// Time between two checks of a condition that is waited for.
 const LOOK: Duration = Duration::from_millis(100);
 /// Successes in a row after which a box serves again: more than one of each
 /// kind of request.
@@ -120,7 +120,7 @@
 async fn judge_often(fleet: Arc<Fleet>, begun: Instant) -> eyre::Result<Verdict> {
     loop {
         Timer::after(JUDGE).await;
-        fleet.attend()?;
+        fleet.restart_ended()?;
         let evidence = fleet.ledger.evidence(begun, || fleet.seen());
         let verdict = smol::unblock(move || Verdict::new(&evidence)).await;
         if !verdict.violations.is_empty() {
@@ -139,7 +139,7 @@
     let mut steps: Vec<Task<eyre::Result<()>>> = Vec::new();
     for step in &schedule.steps {
         Timer::at(start + step.at).await;
-        steps.push(smol::spawn(fleet.clone().strike(*step)));
+        steps.push(smol::spawn(fleet.clone().carry_out(*step)));
     }
     for step in steps {
         step.await?;
@@ -175,17 +175,12 @@
 async fn growth(fleet: &Fleet, before: &[Option<Level>]) {
     let start = Instant::now();
     loop {
-        let grown: Vec<(usize, String)> = before
-            .iter()
-            .enumerate()
-            .filter_map(|(place, before)| {
-                let (before, now) = ((*before)?, fleet.level(place)?);
-                let within = now.memory_kb <= before.memory_kb + MEMORY_KB
-                    && now.descriptors <= before.descriptors + DESCRIPTORS
-                    && now.threads <= before.threads;
-                (!within).then(|| (place, format!("{before:?} grew to {now:?}")))
-            })
-            .collect();
+        let places = before.iter().enumerate();
+        let grown = places.filter_map(|(place, before)| {
+            let what = grown((*before)?, fleet.level(place)?)?;
+            Some((place, what))
+        });
+        let grown: Vec<(usize, String)> = grown.collect();
         if grown.is_empty() {
             return;
         }
@@ -199,6 +194,14 @@
     }
 }
 
+/// How a process has grown beyond what it may hold; `None`: it has not.
+fn grown(before: Level, now: Level) -> Option<String> {
+    let within = now.memory_kb <= before.memory_kb + MEMORY_KB
+        && now.descriptors <= before.descriptors + DESCRIPTORS
+        && now.threads <= before.threads;
+    (!within).then(|| format!("{before:?} grew to {now:?}"))
+}
+
 /// Times of the served requests, in ms.
 fn times(evidence: &Evidence) -> eyre::Result<Histogram<u64>> {
     let mut times = Histogram::new_with_max(TIME_MAX_MS, 2)?;
@@ -212,6 +215,18 @@
 /// Leaves what a reader of a failure needs beside the boxes' logs.
 fn keep(folder: &Path, evidence: &Evidence, verdict: &Verdict) -> io::Result<()> {
     let since = |at: Instant| at.saturating_duration_since(evidence.begun).as_secs_f64();
+    let mut lines = timeline(evidence);
+    lines.sort_by_key(|(at, _)| *at);
+    let told = lines
+        .into_iter()
+        .map(|(at, line)| format!("{:9.3} {line}\n", since(at)));
+    fs::write(folder.join("timeline.txt"), told.collect::<String>())?;
+    let findings = verdict.violations.iter().map(|found| format!("{found}\n"));
+    fs::write(folder.join("violations.txt"), findings.collect::<String>())
+}
+
+/// What was done and seen, with its moments, in no order.
+fn timeline(evidence: &Evidence) -> Vec<(Instant, String)> {
     let mut lines: Vec<(Instant, String)> = Vec::new();
     for found in &evidence.disturbances {
         let place = found.place;
@@ -232,13 +247,7 @@
             lines.push((run.arrived, text));
         }
     }
-    lines.sort_by_key(|(at, _)| *at);
-    let told = lines
-        .into_iter()
-        .map(|(at, line)| format!("{:9.3} {line}\n", since(at)));
-    fs::write(folder.join("timeline.txt"), told.collect::<String>())?;
-    let findings = verdict.violations.iter().map(|found| format!("{found}\n"));
-    fs::write(folder.join("violations.txt"), findings.collect::<String>())
+    lines
 }
 
 /// The number of violations by rule; all rules are named.
