Nested matches of exchange, follow and peer are functions

Exchange::pass judges and passes an answer on in place of three nested matches; prove_from and take_all in follow/boxes.rs, Registry::renew and pass_over_time have what was written twice or nested.

--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -14,6 +14,7 @@
 mod retry;
 mod send;
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -25,7 +26,8 @@
 
 pub use admit::deadline;
 
-use crate::attempt::Reply;
+use crate::attempt::{Failure, Reply};
+use crate::fleet::Backend;
 use crate::refusal;
 use crate::relay::Relay;
 use crate::stream;
@@ -145,21 +147,26 @@
         loop {
             let sent = self.send(self.request.resume_after).await;
             let (backend, result) = sent.map_err(|kind| self.unpromised(kind))?;
-            let failure = match result {
-                Ok(reply) => match self.judge(&backend, reply).await {
-                    Ok(reply) => match stream::pass(self, backend.clone(), reply).await {
-                        Ok(end) => return Ok(end),
-                        Err(failure) => failure,
-                    },
-                    Err(failure) => failure,
-                },
-                Err(failure) => failure,
-            };
-            self.failed(&backend, &failure);
-            self.may_retry(&failure)?;
+            match self.pass(&backend, result).await {
+                Ok(end) => return Ok(end),
+                Err(failure) => {
+                    self.failed(&backend, &failure);
+                    self.may_retry(&failure)?;
+                }
+            }
         }
     }
 
+    /// Passes a server's answer on, unless the request is to go elsewhere.
+    async fn pass(
+        &mut self,
+        backend: &Rc<Backend>,
+        result: Result<Reply, Failure>,
+    ) -> Result<End, Failure> {
+        let reply = self.judge(backend, result?).await?;
+        stream::pass(self, backend.clone(), reply).await
+    }
+
     /// Whether the client's connection is closed after this answer.
     pub(crate) fn closes(&self) -> bool {
         self.arrival.close || self.relay.sheds()
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -90,9 +90,7 @@
         self.take_rows(answer.servers);
         self.relay.fleet.set_others(&answer.running, Instant::now());
         if self.revision.get() == Revision(answer.revision) {
-            if let Some(proven) = asked.checked_sub(age) {
-                self.relay.view.prove(proven);
-            }
+            self.prove_from(asked, age);
         }
         Ok(())
     }
@@ -122,35 +120,40 @@
         // An entry that is absent when the store is back may have lapsed.
         self.mark_unreachable(asked);
         self.read_self("seeded", true);
-        let age = answer.known_ms.map(Duration::from_millis);
-        if let Some(proven) = age.and_then(|age| asked.checked_sub(age)) {
-            self.relay.view.prove(proven);
+        if let Some(age) = answer.known_ms {
+            self.prove_from(asked, Duration::from_millis(age));
         }
         Ok(())
     }
 
+    /// Records that the configuration was the newest at `age` before `asked`.
+    fn prove_from(&self, asked: Instant, age: Duration) {
+        if let Some(proven) = asked.checked_sub(age) {
+            self.relay.view.prove(proven);
+        }
+    }
+
     fn take_rows(&self, servers: Servers) {
         match servers {
-            Servers::Changes(changes) => {
-                for change in changes {
-                    match change {
-                        message::Change::Is(row) => self.announced(row),
-                        message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
-                    }
-                }
-            }
-            Servers::All(rows, seen) => {
-                let present: HashSet<&ids::Server> = rows.iter().map(message::Row::id).collect();
-                for id in self.relay.fleet.ids() {
-                    if !present.contains(&id) {
-                        self.reported_gone(&id, seen);
-                    }
-                }
-                for row in rows {
-                    self.announced(row);
-                }
+            Servers::Changes(changes) => changes.into_iter().for_each(|change| match change {
+                message::Change::Is(row) => self.announced(row),
+                message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
+            }),
+            Servers::All(rows, seen) => self.take_all(rows, seen),
+        }
+    }
+
+    /// Takes over all servers that another box knows, as of the state `seen`.
+    fn take_all(&self, rows: Vec<message::Row>, seen: u64) {
+        let present: HashSet<&ids::Server> = rows.iter().map(message::Row::id).collect();
+        for id in self.relay.fleet.ids() {
+            if !present.contains(&id) {
+                self.reported_gone(&id, seen);
             }
         }
+        for row in rows {
+            self.announced(row);
+        }
     }
 
     /// Drops a server that another box says is gone, unless that box knows an
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -63,15 +63,12 @@
         // first boxes are asked often, as one of them finds first that it is
         // back.
         let unreachable = follower.store_is_unreachable();
-        let asked = if unreachable {
-            SCOUTS as usize
-        } else {
-            before.len()
+        let most = match unreachable {
+            true => SCOUTS as usize,
+            false => before.len(),
         };
-        let first = before
-            .iter()
-            .take(asked)
-            .find(|member| !passed_over.contains_key(&member.name));
+        let mut asked = before.iter().take(most);
+        let first = asked.find(|member| !passed_over.contains_key(&member.name));
         let Some(first) = first else {
             follower.read_self("nobody_before", true);
             let changed = async { registry.changed.wait().await };
@@ -84,15 +81,21 @@
             "event=reader_lost box={} why=\"{error}\"",
             first.name
         );
-        let time = match error {
-            _ if unreachable => UNSURE_TIME,
-            Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
-            _ => PASS_OVER_TIME,
-        };
+        let time = pass_over_time(&error, unreachable, started);
         passed_over.insert(first.name.clone(), Instant::now() + time);
     }
 }
 
+/// How long a box is passed over that failed with `error`, at a box that
+/// started at `started`.
+fn pass_over_time(error: &Error, unreachable: bool, started: Instant) -> Duration {
+    match error {
+        _ if unreachable => UNSURE_TIME,
+        Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
+        _ => PASS_OVER_TIME,
+    }
+}
+
 async fn pause(time: Duration) {
     Timer::after(time).await;
 }
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -121,15 +121,19 @@
             }
             if since_renewal >= RENEW_TIME {
                 since_renewal = Duration::ZERO;
-                match self.store.keep(lease, CALL_TIME).await {
-                    Ok(Kept::For(_)) => {}
-                    Ok(Kept::Gone) => log::warn!(target: "belief", "event=lease_over"),
-                    Err(failure) => note(&failure, "keep"),
-                }
+                self.renew(lease).await;
             }
         }
     }
 
+    async fn renew(&self, lease: LeaseId) {
+        match self.store.keep(lease, CALL_TIME).await {
+            Ok(Kept::For(_)) => {}
+            Ok(Kept::Gone) => log::warn!(target: "belief", "event=lease_over"),
+            Err(failure) => note(&failure, "keep"),
+        }
+    }
+
     async fn start(&self, relay: &Relay) -> LeaseId {
         loop {
             match self.list(relay, true).await {
