--- a/crates/relay/tests/relay/port.rs
+++ b/crates/relay/tests/relay/port.rs
@@ -10,9 +10,11 @@
 use tidepier_relay::peer::hub;
 use tidepier_relay::peer::link;
 use tidepier_relay::peer::message::{Answer, Ask, Position, VERSION};
+use tidepier_relay_standin::site::Site;
+use tidepier_relay_standin::Server;
 
-use crate::hall::{begun, keyed};
-use crate::house::{ms, run, until, usual, Result};
+use crate::hall::{begun, keyed, Machine};
+use crate::house::{ms, run, until, usual, Executor, Result};
 use crate::impostors::closed;
 
 /// Time after which bytes that nobody acknowledged end a connection.
@@ -29,12 +31,18 @@
     }
 }
 
+/// A site with a server, and one box.
+async fn alone(executor: &Executor) -> Result<(Site, Server, Vec<Machine>)> {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let machines = begun(executor, &site, 1).await?;
+    Ok((site, server, machines))
+}
+
 #[test]
 fn half_a_message_on_the_port_of_boxes_is_not_waited_for() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let _server = site.server(usual(1))?;
-        let machines = begun(&executor, &site, 1).await?;
+        let (_site, _server, machines) = alone(&executor).await?;
         let open = || Conn::open(machines[0].peer, ms(500), UNACKED);
         let mut asker = open().await?;
         let start = Instant::now();
@@ -63,9 +71,7 @@
 #[test]
 fn the_port_of_boxes_takes_so_many_connections() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let _server = site.server(usual(1))?;
-        let machines = begun(&executor, &site, 1).await?;
+        let (_site, _server, machines) = alone(&executor).await?;
         let open = || Conn::open(machines[0].peer, ms(500), UNACKED);
         let mut first = open().await?;
         link::send(&first, &question(1)).await?;
@@ -93,9 +99,7 @@
 #[test]
 fn a_question_on_the_port_of_boxes_is_no_larger_than_any() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let _server = site.server(usual(1))?;
-        let machines = begun(&executor, &site, 1).await?;
+        let (_site, _server, machines) = alone(&executor).await?;
         let mut conn = Conn::open(machines[0].peer, ms(500), UNACKED).await?;
         let length = u32::try_from(hub::ASK_BYTES + 1)?;
         conn.writer().write_all(&length.to_be_bytes()).await?;
--- a/crates/relay/tests/relay/recover.rs
+++ b/crates/relay/tests/relay/recover.rs
@@ -7,7 +7,7 @@
 use smol::Timer;
 use tidepier_relay_standin::site::Site;
 use tidepier_relay_standin::store::Down;
-use tidepier_relay_standin::Client;
+use tidepier_relay_standin::{Client, Server};
 
 use crate::hall::{self, address, keyed, served, with_key, Machine, Process};
 use crate::house::{ms, promised, run, until, usual, Executor, Result};
@@ -46,18 +46,20 @@
     boxes.iter_mut().try_for_each(Process::kill)
 }
 
-fn peers() -> Vec<SocketAddr> {
-    BOXES.iter().map(|_| address()).collect()
+/// A site with a server, and its boxes, which all serve.
+async fn serving() -> Result<(Site, Server, Vec<SocketAddr>, Vec<Process>)> {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let peers: Vec<SocketAddr> = BOXES.iter().map(|_| address()).collect();
+    let boxes = started(&site, &peers)?;
+    all_serve(&boxes).await?;
+    Ok((site, server, peers, boxes))
 }
 
 #[test]
 fn all_boxes_serve_again_after_all_were_killed() -> Result {
     run(async |_| {
-        let site = keyed()?;
-        let _server = site.server(usual(1))?;
-        let peers = peers();
-        let mut boxes = started(&site, &peers)?;
-        all_serve(&boxes).await?;
+        let (site, _server, peers, mut boxes) = serving().await?;
         for _ in 0..2 {
             kill_all(boxes)?;
             boxes = started(&site, &peers)?;
@@ -72,11 +74,7 @@
 #[test]
 fn all_boxes_serve_again_after_they_were_killed_while_the_store_was_away() -> Result {
     run(async |_| {
-        let site = keyed()?;
-        let _server = site.server(usual(1))?;
-        let peers = peers();
-        let mut boxes = started(&site, &peers)?;
-        all_serve(&boxes).await?;
+        let (site, _server, peers, mut boxes) = serving().await?;
         site.store.faults(|faults| faults.down = Some(Down::Silent));
         kill_all(boxes)?;
         boxes = started(&site, &peers)?;
--- a/crates/relay/tests/relay/seeds.rs
+++ b/crates/relay/tests/relay/seeds.rs
@@ -9,6 +9,7 @@
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::site::{Route, Site};
 use tidepier_relay_standin::store::Down;
+use tidepier_relay_standin::Server;
 
 use crate::hall::{keyed, ready, with_key, Machine, REVOKE_TIME};
 use crate::house::{ms, post, promised, run, until, usual, whole, Executor, Result, SERVICE};
@@ -27,6 +28,16 @@
     Ok(machine)
 }
 
+/// A site with a server, whose store is down, and a box of `hall-1` that was
+/// informed before.
+async fn cut_off(executor: &Executor) -> Result<(Site, Server, Machine)> {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let other = informed(executor, &site).await?;
+    down(&site, Some(Down::Reset));
+    Ok((site, server, other))
+}
+
 /// A box that starts alone in `hall-2`.
 async fn alone(executor: &Executor, site: &Site, seeds: &[IpAddr]) -> Result<Machine> {
     Machine::seeded(executor, site, "box-2", "hall-2", 1_000, seeds).await
@@ -64,10 +75,7 @@
 #[test]
 fn a_box_that_was_told_by_another_hall_trusts_no_key_for_longer() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let server = site.server(usual(1))?;
-        let other = informed(&executor, &site).await?;
-        down(&site, Some(Down::Reset));
+        let (site, server, other) = cut_off(&executor).await?;
         let lost = Instant::now();
         site.account("tenant-2", &["new"], 1);
         let machine = alone(&executor, &site, &[other.peer.ip()]).await?;
@@ -96,10 +104,7 @@
 #[test]
 fn a_box_that_was_told_by_another_hall_follows_the_store_once_it_is_back() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let server = site.server(usual(1))?;
-        let other = informed(&executor, &site).await?;
-        down(&site, Some(Down::Reset));
+        let (site, server, other) = cut_off(&executor).await?;
         let machine = alone(&executor, &site, &[other.peer.ip()]).await?;
         until("told", async || Ok(machine.proven().is_some())).await?;
         let told = machine.router.relay().view.version();
