--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -113,8 +113,9 @@
                 Ok(Some(found)) => lease = found,
                 Ok(None) => {
                     // The lease ran out, as when the store was down.
-                    if let Ok(fresh) = self.register().await {
-                        lease = fresh;
+                    match self.register().await {
+                        Ok(fresh) => lease = fresh,
+                        Err(failure) => note(&failure, "register"),
                     }
                 }
                 Err(failure) => note(&failure, "list"),
