--- a/crates/process/src/lib.rs
+++ b/crates/process/src/lib.rs
@@ -15,8 +15,6 @@
 // Options of every process. clap takes the name for a group of its own, so it
 // differs from that of the struct it is a part of.
 #[derive(Debug, Clone, Copy, clap::Args)]
-// No group: its name would be that of each program's own arguments.
-#[group(skip)]
 #[expect(missing_docs, reason = "a comment would show as the program's own")]
 pub struct Options {
     /// Checks the settings and exits.
--- a/crates/relay/src/bin/tidepier-relay.rs
+++ b/crates/relay/src/bin/tidepier-relay.rs
@@ -12,8 +12,6 @@
 /// Routes clients' requests to the servers of the fleet.
 #[derive(Parser)]
 #[command(version)]
-// The common ones are a group of the same name, and names have to differ.
-#[group(skip)]
 struct Arguments {
     /// JSON settings file.
     #[arg(long, env = "TIDEPIER_BOOT")]
