--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -40,12 +40,20 @@
 }
 
 impl Prompt {
+    /// The parts that are shared with other requests.
+    pub fn shared(&self) -> &[Part] {
+        let shared = self.parts.len().saturating_sub(1);
+        &self.parts[..shared]
+    }
+
+    /// Tokens of the parts that are shared with other requests.
+    pub fn shared_tokens(&self) -> u32 {
+        self.shared().iter().map(|part| part.tokens).sum()
+    }
+
     /// The last part that is shared with other requests.
     pub fn subject(&self) -> Option<&Part> {
-        self.parts
-            .len()
-            .checked_sub(2)
-            .and_then(|at| self.parts.get(at))
+        self.shared().last()
     }
 }
 
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -15,7 +15,8 @@
 use tidepier_ids as ids;
 
 use crate::fleet::{Backend, Fleet};
-use crate::places::{Memory, Places};
+use crate::places::Places;
+use crate::traffic::index::Index;
 use engine::Engines;
 
 /// Cost of a server in another hall, in ms: the way there, and the price of
@@ -81,14 +82,14 @@
     fleet: &Fleet,
     service: &ids::Service,
     ask: &Ask<'_>,
-    memory: &Memory,
+    index: &Index,
     now: Instant,
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
     let failing = mean_failing(&servers);
     match ask.prompt {
         Some(prompt) => {
-            let places = Places::new(fleet, service, prompt, ask.hall, memory, ask.tried, now);
+            let places = Places::new(fleet, service, prompt, ask.hall, index, ask.tried, now);
             Engines::new(&servers, ask, prompt, &places, failing, now).cheapest()
         }
         None => {
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -46,13 +46,11 @@
 const SLOW_EXTRA_MS: f64 = 150.0;
 /// Most that slowness costs, in ms.
 const SLOW_MOST_MS: f64 = 1_500.0;
-/// Weight of a request that another box of this hall has under way: those of
-/// other halls are not counted, and are about as many in each.
-const OTHERS_WEIGHT: f64 = 2.0;
-/// Age after which such counts are no longer used.
+/// Age after which counts of other boxes' requests are no longer used.
 const COUNT_AGE: Duration = Duration::from_millis(1_500);
 /// Age after which a reported load is no longer used.
 const LOAD_AGE: Duration = Duration::from_secs(3);
+
 /// The engines of a service as one prompt finds them.
 pub(super) struct Engines<'a> {
     servers: &'a [Rc<Backend>],
@@ -102,17 +100,17 @@
     }
 
     fn choice(&self, backend: &Rc<Backend>, load: f64) -> Choice {
-        let id = &backend.server.id;
-        let lacking = self.places.lacking(id);
-        let copied = self.ask.copy_ms.zip(self.places.source(id));
+        let key = backend.key;
+        let lacking = self.places.lacking(key);
+        let copied = self.ask.copy_ms.zip(self.places.source(key));
         let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
         let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
-        let unproven = f64::from(self.places.unproven(id));
+        let unproven = f64::from(self.places.unproven(key));
         Choice {
             backend: backend.clone(),
             cost: self.cost(lacking * per_lacking, backend, load),
             load,
-            rank: self.places.rank(id),
+            rank: self.places.rank(key),
             reading: reading_time(self.own + unproven),
             read: self.own + if copied.is_some() { 0.0 } else { lacking },
             copy_from: copied.map(|(_, source)| source.clone()),
@@ -167,7 +165,7 @@
 /// The load of each server, and the mean of those that can be reached. Where
 /// none was reported lately, the mean stands for it.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
-    let counted = |backend: &Rc<Backend>| backend.counted(OTHERS_WEIGHT, COUNT_AGE, now);
+    let counted = |backend: &Rc<Backend>| backend.counted(COUNT_AGE, now).map(f64::from);
     let reported: Vec<Option<f64>> = servers
         .iter()
         .map(|backend| backend.load(LOAD_AGE).map(f64::from))
@@ -176,7 +174,6 @@
         .iter()
         .zip(&reported)
         .filter(|(backend, _)| backend.is_usable(now));
-    // Counts leave other halls out: the mean is that of what servers report.
     let known: Vec<f64> = reached.filter_map(|(_, reported)| *reported).collect();
     let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
     let or_mean = |(backend, reported): (&Rc<Backend>, Option<f64>)| {
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -16,7 +16,7 @@
         log::info!(
             target: "request",
             "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
+             shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
             self.request.attempt,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
@@ -24,6 +24,7 @@
             self.sent + 1,
             choice.cost,
             choice.load,
+            self.request.prompt.as_ref().map_or(0, |prompt| prompt.shared_tokens()),
             choice.read,
             choice.copy_from.as_ref().map_or("-", |source| source.server.id.as_str()),
             self.subject(),
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -75,8 +75,8 @@
     /// keep it, but not if no connection to it came up.
     fn note_sent(&self, backend: &Backend) {
         if let Some(prompt) = &self.request.prompt {
-            let memory = &self.relay.memory;
-            memory.sent(prompt, &backend.server.id, Instant::now());
+            let traffic = &self.relay.traffic;
+            traffic.sent(prompt, backend.key, Instant::now());
         }
     }
 
@@ -102,7 +102,7 @@
             crowd_factor: relay.bounds().crowd_factor,
         };
         let now = Instant::now();
-        let choice = choose::choose(&relay.fleet, &self.service, &ask, &relay.memory, now);
+        let choice = choose::choose(&relay.fleet, &self.service, &ask, &relay.traffic.index, now);
         choice.ok_or_else(|| {
             if relay.fleet.serving(&self.service).is_empty() {
                 refusal::Kind::NoServer
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -9,9 +9,9 @@
 use tidepier_core::answer::Load;
 use tidepier_core::server::{Server, State};
 use tidepier_h1::Conn;
-use xxhash_rust::xxh3::xxh3_64;
 
 use super::idle::Idle;
+use super::Key;
 use crate::health::{Hall, Health, Outcome};
 
 /// A load that the server reported, with what corrects it for later requests
@@ -24,6 +24,28 @@
     own: u32,
 }
 
+/// Requests that other boxes have under way at a server.
+#[derive(Debug, Clone, Copy)]
+struct Others {
+    requests: u32,
+    /// How many boxes were counted.
+    boxes: u32,
+    at: Instant,
+    /// Requests that this box had under way then.
+    own: u32,
+}
+
+impl Others {
+    /// The requests of all boxes while this one has `own`. What has come here
+    /// since the others were counted has come to each of them as well, if their
+    /// callers ask about the same: all but one request, which may be chance.
+    fn all(&self, own: u32) -> u32 {
+        let come = own.saturating_sub(self.own).saturating_sub(1);
+        let unseen = come.saturating_mul(self.boxes);
+        own.saturating_add(self.requests).saturating_add(unseen)
+    }
+}
+
 /// One backend server.
 pub struct Backend {
     /// As it announced itself first.
@@ -31,7 +53,7 @@
     /// Requests that it works on at once, as it said last.
     pub(super) slots: Cell<u32>,
     /// Stands for its id between boxes.
-    pub key: u64,
+    pub key: Key,
     /// What this box has seen of its health.
     pub health: Health,
     /// What it has seen of all servers of its hall.
@@ -43,8 +65,8 @@
     pub(super) missing: Cell<bool>,
     /// Requests of this box that are under way there.
     own: Cell<u32>,
-    /// Requests of other boxes of this hall, and when they were counted.
-    others: Cell<Option<(u32, Instant)>>,
+    /// Requests of other boxes, as they told last.
+    others: Cell<Option<Others>>,
     /// The last load that the server reported.
     report: Cell<Option<Report>>,
     /// When something last came from it.
@@ -82,7 +104,7 @@
         Self {
             joined,
             hall,
-            key: xxh3_64(server.id.as_str().as_bytes()),
+            key: Key::new(&server.id),
             state: Cell::new(server.state),
             slots: Cell::new(server.slots),
             server,
@@ -168,17 +190,22 @@
         }));
     }
 
-    /// Records what other boxes of this hall have under way there.
-    pub(super) fn set_others(&self, requests: u32, now: Instant) {
-        self.others.set(Some((requests, now)));
+    /// Records what so many other boxes have under way there.
+    pub(super) fn set_others(&self, requests: u32, boxes: u32, at: Instant) {
+        self.others.set(Some(Others {
+            requests,
+            boxes,
+            at,
+            own: self.own.get(),
+        }));
     }
 
-    /// Requests of this box and the others of its hall, as counted less than
-    /// `most` ago; those of the others weigh `weight` each.
-    pub fn counted(&self, weight: f64, most: Duration, now: Instant) -> Option<f64> {
-        let (others, at) = self.others.get()?;
-        let counted = f64::from(self.own.get()) + weight * f64::from(others);
-        (now.duration_since(at) < most).then_some(counted)
+    /// Requests of this box and of others that were counted less than `most`
+    /// ago.
+    pub fn counted(&self, most: Duration, now: Instant) -> Option<u32> {
+        let others = self.others.get()?;
+        let recent = now.duration_since(others.at) < most;
+        recent.then(|| others.all(self.own.get()))
     }
 
     /// The last load reported that is younger than `most`, corrected by what
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::health::Hall;
 
@@ -26,15 +27,41 @@
 /// having been there before.
 const START_TIME: Duration = Duration::from_secs(8);
 
+/// Stands for a server's id in what boxes tell each other: half of its hash.
+/// Two of 900 servers have the same one in one fleet of 10,000, which then
+/// counts them together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Key(u32);
+
+impl Key {
+    /// The key of a server.
+    pub fn new(id: &ids::Server) -> Self {
+        Self(xxh3_64(id.as_str().as_bytes()) as u32)
+    }
+}
+
 /// Requests under way at one server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
+#[serde(from = "(Key, u32)", into = "(Key, u32)")]
 pub struct Count {
-    /// The server, by [`Backend::key`].
-    pub server: u64,
+    /// The server.
+    pub server: Key,
     /// How many.
     pub requests: u32,
 }
 
+impl From<(Key, u32)> for Count {
+    fn from((server, requests): (Key, u32)) -> Self {
+        Self { server, requests }
+    }
+}
+
+impl From<Count> for (Key, u32) {
+    fn from(count: Count) -> Self {
+        (count.server, count.requests)
+    }
+}
+
 /// What an announcement changed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
@@ -156,23 +183,17 @@
     }
 
     /// Requests of this box under way, by server.
-    pub fn running(&self) -> Vec<Count> {
+    pub fn running(&self) -> HashMap<Key, u32> {
         let servers = self.servers.borrow();
         let busy = servers.values().filter(|backend| backend.own() > 0);
-        let counts = busy.map(|backend| Count {
-            server: backend.key,
-            requests: backend.own(),
-        });
-        counts.collect()
+        busy.map(|backend| (backend.key, backend.own())).collect()
     }
 
-    /// Records what other boxes have under way at all servers.
-    pub fn set_others(&self, counts: &[Count], now: Instant) {
-        let counts = counts.iter().map(|count| (count.server, count.requests));
-        let counts: HashMap<u64, u32> = counts.collect();
+    /// Records what so many other boxes have under way at all servers.
+    pub fn set_others(&self, requests: &HashMap<Key, u32>, boxes: u32, now: Instant) {
         for backend in self.servers.borrow().values() {
-            let requests = counts.get(&backend.key).copied().unwrap_or(0);
-            backend.set_others(requests, now);
+            let requests = requests.get(&backend.key).copied().unwrap_or(0);
+            backend.set_others(requests, boxes, now);
         }
     }
 
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -35,7 +35,6 @@
 pub use self::pause::SCOUTS;
 use crate::fleet::Change;
 use crate::notice::Notice;
-use crate::peer::crowd::Crowd;
 use crate::peer::message::Row;
 use crate::record::Record;
 use crate::relay::Relay;
@@ -60,8 +59,6 @@
     /// That entry, for boxes that ask.
     document: RefCell<Rc<[u8]>>,
     record: Record,
-    /// What the boxes that ask this one have under way.
-    crowd: Crowd,
     /// Whether this box reads the store itself.
     reads_store: Cell<bool>,
     /// Notified when that changed.
@@ -89,7 +86,6 @@
             revision: Cell::new(Revision(0)),
             document: RefCell::new(Rc::new([])),
             record: Record::default(),
-            crowd: Crowd::default(),
             reads_store: Cell::new(false),
             role_changed: Notice::default(),
             servers_known: Cell::new(false),
@@ -101,6 +97,11 @@
         })
     }
 
+    /// What the tasks of the router share.
+    pub fn relay(&self) -> &Relay {
+        &self.relay
+    }
+
     /// Sets whether this box reads the store itself.
     pub fn read_self(&self, why: &str, reads: bool) {
         if self.reads_store.replace(reads) == reads {
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -13,8 +13,6 @@
 use tidepier_ids as ids;
 
 use super::Follower;
-use crate::fleet::Count;
-use crate::peer::crowd::Crowd;
 use crate::peer::link::Error;
 use crate::peer::message::{self, Answer, Servers};
 
@@ -49,24 +47,6 @@
         self.informed.get()
     }
 
-    /// What the boxes that ask this one have under way.
-    pub fn crowd(&self) -> &Crowd {
-        &self.crowd
-    }
-
-    /// What this box has under way, by server.
-    pub fn own_running(&self) -> Vec<Count> {
-        self.relay.fleet.running()
-    }
-
-    /// What all boxes of the hall but `member` have under way, as far as it is
-    /// reported here. Also puts to use here what the others report.
-    pub fn running_beside(&self, member: u64, now: Instant) -> Vec<Count> {
-        let fleet = &self.relay.fleet;
-        fleet.set_others(&self.crowd.others(None, &[], now), now);
-        self.crowd.others(Some(member), &fleet.running(), now)
-    }
-
     /// Takes over what another box answered to a question that was sent at
     /// `asked`, with the configuration's entry that followed.
     ///
@@ -88,7 +68,6 @@
             self.take_document(Revision(answer.revision), document);
         }
         self.take_rows(answer.servers);
-        self.relay.fleet.set_others(&answer.running, Instant::now());
         if self.revision.get() == Revision(answer.revision) {
             self.prove_from(asked, age);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod stop;
 mod stream;
 mod timeout;
+pub mod traffic;
 pub mod view;
 
 pub use router::{run, Router};
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -15,7 +15,7 @@
 
 use crate::follow::{Follower, SCOUTS};
 use crate::peer::link::{self, Error};
-use crate::peer::message::{Answer, Ask, Position, VERSION};
+use crate::peer::message::{Answer, Ask, Position, Question, VERSION};
 use crate::peer::registry::{Member, Registry};
 
 /// Time between two questions.
@@ -23,7 +23,7 @@
 /// Longest time to connect: some hundred round trips within a hall. A box that
 /// has just started waits so long for one before it that has not; until then it
 /// knows nothing to serve by.
-const CONNECT_TIME: Duration = Duration::from_millis(120);
+pub(super) const CONNECT_TIME: Duration = Duration::from_millis(120);
 /// Longest time until an answer begins: short enough for two boxes to be tried
 /// within the bounds.
 pub(super) const ANSWER_TIME: Duration = Duration::from_millis(350);
@@ -38,11 +38,11 @@
 /// Data unacknowledged for so long ends a connection.
 pub(super) const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
-const PASS_OVER_TIME: Duration = Duration::from_secs(3);
+pub(super) const PASS_OVER_TIME: Duration = Duration::from_secs(3);
 /// The same for a box that answers but cannot confirm that what it knows is
 /// current, while this box has just started: the others may have, too, and need
 /// a moment.
-const UNSURE_TIME: Duration = Duration::from_millis(400);
+pub(super) const UNSURE_TIME: Duration = Duration::from_millis(400);
 /// How long a box counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
 
@@ -113,7 +113,6 @@
             number,
             document: follower.revision().0,
             position,
-            running: follower.own_running(),
         };
         let asked = Instant::now();
         let (answer, document) = exchange(&mut conn, &ask).await?;
@@ -138,7 +137,7 @@
     conn: &mut Conn,
     ask: &Ask,
 ) -> Result<(Answer, Option<Vec<u8>>), Error> {
-    link::send(conn, ask).await?;
+    link::send(conn, &Question::Follow(ask.clone())).await?;
     link::within(ANSWER_TIME, link::begin(conn)).await?;
     let answer: Answer = link::within(WHOLE_TIME, link::receive(conn)).await?;
     if answer.version != VERSION || answer.number != ask.number {
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -10,17 +10,19 @@
 use tidepier_h1::{Conn, Listener};
 
 use crate::follow::Follower;
-use crate::peer::crowd::Crowd;
 use crate::peer::link::{self, Error};
-use crate::peer::message::{Answer, Ask, VERSION};
+use crate::peer::message::{Answer, Ask, Question, VERSION};
+use crate::peer::{recall, traffic};
+use crate::traffic::log::Peer;
+use crate::traffic::Traffic;
 
 /// An answer that a box does not take for so long ends the connection.
 const UNACKED_TIME: Duration = Duration::from_secs(2);
-/// Most connections at once: those of all boxes of the largest hall that is
-/// tried (some 330, of 1,000 boxes in 3 halls; 60 of the 350 in 6 halls that
-/// designs are made for), and half as many that did not notice that their
-/// connection broke, or that start elsewhere.
-pub const CONNECTIONS: usize = 512;
+/// Most connections at once: two of each box of the largest hall that is tried
+/// (some 330, of 1,000 boxes in 3 halls; 60 of the 350 in 6 halls that designs
+/// are made for), and some that did not notice that their connection broke, or
+/// that start elsewhere.
+pub const CONNECTIONS: usize = 768;
 /// Longest time from a message's first byte to its last: a question is a few
 /// KB, and its asker gives up after a third of a second.
 pub const MESSAGE_TIME: Duration = Duration::from_secs(2);
@@ -69,51 +71,71 @@
 }
 
 async fn converse(mut conn: Conn, follower: &Follower) -> Result<(), Error> {
-    let crowd = follower.crowd();
+    let relay = follower.relay();
     let member = Member {
-        crowd,
-        number: crowd.join(),
+        traffic: &relay.traffic,
+        number: relay.traffic.join(),
     };
+    let mut end = traffic::End::default();
     loop {
-        let mut ask = receive(&mut conn).await?;
-        if ask.version != VERSION {
-            return Err(Error::Malformed(format!("version {}", ask.version)));
-        }
-        let running = std::mem::take(&mut ask.running);
-        crowd.report(member.number, running, Instant::now());
-        let (answer, document) = answer(follower, &ask, member.number);
-        let send = async {
-            link::send(&conn, &answer).await?;
-            match document {
-                Some(document) => link::send_bytes(&conn, &document).await,
-                None => Ok(()),
+        match receive(&mut conn).await? {
+            Question::Follow(ask) => {
+                check(ask.version)?;
+                let (answer, document) = answer(follower, &ask);
+                let send = async {
+                    link::send(&conn, &answer).await?;
+                    match document {
+                        Some(document) => link::send_bytes(&conn, &document).await,
+                        None => Ok(()),
+                    }
+                };
+                link::within(ANSWER_TIME, send).await?;
+            }
+            Question::Traffic(ask) => {
+                check(ask.version)?;
+                let answer = end.answer(relay, member.number, ask);
+                link::within(ANSWER_TIME, link::send(&conn, &answer)).await?;
+            }
+            Question::Recall(ask) => {
+                check(ask.version)?;
+                let answer = recall::Answer {
+                    version: VERSION,
+                    kept: relay.traffic.index.kept(Instant::now()),
+                };
+                link::within(ANSWER_TIME, link::send(&conn, &answer)).await?;
             }
-        };
-        link::within(ANSWER_TIME, send).await?;
+        }
+    }
+}
+
+fn check(version: u16) -> Result<(), Error> {
+    if version != VERSION {
+        return Err(Error::Malformed(format!("version {version}")));
     }
+    Ok(())
 }
 
 /// The next question. One that has not begun may take as long as a box rests;
 /// one that has begun has to come whole.
-async fn receive(conn: &mut Conn) -> Result<Ask, Error> {
+async fn receive(conn: &mut Conn) -> Result<Question, Error> {
     link::within(REST_TIME, link::begun(conn)).await?;
     link::within(MESSAGE_TIME, link::receive_most(conn, ASK_BYTES)).await
 }
 
 /// A box that asks; its report is forgotten when it no longer does.
 struct Member<'a> {
-    crowd: &'a Crowd,
+    traffic: &'a Traffic,
     number: u64,
 }
 
 impl Drop for Member<'_> {
     fn drop(&mut self) {
-        self.crowd.leave(self.number);
+        self.traffic.leave(&Peer::Member(self.number));
     }
 }
 
 /// The answer, and the configuration's entry that follows it.
-fn answer(follower: &Follower, ask: &Ask, member: u64) -> (Answer, Option<Rc<[u8]>>) {
+fn answer(follower: &Follower, ask: &Ask) -> (Answer, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
     let (servers, position) = follower.record().since(ask.position);
     let now = Instant::now();
@@ -126,7 +148,6 @@
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         servers,
         position,
-        running: follower.running_beside(member, now),
     };
     (answer, document)
 }
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -7,10 +7,21 @@
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 
-use crate::fleet;
+use super::{recall, traffic};
 
 /// The version of these messages. A box does not talk to one that has another.
-pub const VERSION: u16 = 1;
+pub const VERSION: u16 = 2;
+
+/// What a box asks another.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub enum Question {
+    /// What has changed in the store; answered by [`Answer`].
+    Follow(Ask),
+    /// Which requests are under way; answered by [`traffic::Answer`].
+    Traffic(traffic::Ask),
+    /// Which engines keep which parts; answered by [`recall::Answer`].
+    Recall(recall::Ask),
+}
 
 /// A question of a box to the one that reads the store.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
@@ -23,8 +34,6 @@
     pub document: u64,
     /// Where the sender stands in the other's record of servers.
     pub position: Position,
-    /// What the sender has under way, at servers where that is anything.
-    pub running: Vec<fleet::Count>,
 }
 
 /// A place in a box's record of changes of servers.
@@ -59,8 +68,6 @@
     pub servers: Servers,
     /// The place after these changes.
     pub position: Position,
-    /// What all other boxes of the hall have under way.
-    pub running: Vec<fleet::Count>,
 }
 
 /// Servers, as far as the other does not know them.
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -7,6 +7,9 @@
 //! store itself, and so does one whose proof grows old: a dead, frozen or cut
 //! off reader costs a moment and no agreement.
 //!
+//! Beside that, and without the store, they tell each other of the requests
+//! that they place ([`traffic`]).
+//!
 //! A box that starts while it does not reach the store asks any others that
 //! its settings name ([`seed`]).
 //!
@@ -15,9 +18,10 @@
 //! clock of the box that asks.
 
 pub mod ask;
-pub mod crowd;
 pub mod hub;
 pub mod link;
 pub mod message;
+pub mod recall;
 pub mod registry;
 pub mod seed;
+pub mod traffic;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -91,15 +92,36 @@
 
     /// Boxes of this hall that come before this one, the first one first.
     pub fn before_me(&self) -> Vec<Member> {
-        let members = self.members.borrow();
-        let same_hall = members.iter().filter(|member| member.hall == self.me.hall);
         let mine = order(&self.me);
-        let mut before: Vec<Member> = same_hall
-            .filter(|member| order(member) < mine)
+        let mut members = self.members_of(&self.me.hall);
+        members.retain(|member| order(member) < mine);
+        members
+    }
+
+    /// All other boxes.
+    pub fn others(&self) -> Vec<Member> {
+        let members = self.members.borrow();
+        let others = members.iter().filter(|member| member.name != self.me.name);
+        others.cloned().collect()
+    }
+
+    /// The halls of other boxes, without this box's own.
+    pub fn other_halls(&self) -> BTreeSet<ids::Hall> {
+        let members = self.members.borrow();
+        let halls = members.iter().map(|member| &member.hall);
+        halls
+            .filter(|hall| **hall != self.me.hall)
             .cloned()
-            .collect();
-        before.sort_by_key(order);
-        before
+            .collect()
+    }
+
+    /// Boxes of a hall in their order.
+    pub fn members_of(&self, hall: &ids::Hall) -> Vec<Member> {
+        let members = self.members.borrow();
+        let same_hall = members.iter().filter(|member| member.hall == *hall);
+        let mut same_hall: Vec<Member> = same_hall.cloned().collect();
+        same_hall.sort_by_key(order);
+        same_hall
     }
 
     /// Registers this box and keeps the list; does not end.
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -69,8 +69,6 @@
         number: 1,
         document: follower.revision().0,
         position: Position::default(),
-        // Counts are exchanged within a hall alone.
-        running: Vec::new(),
     };
     let asked = Instant::now();
     let (answer, document) = ask::exchange(&mut conn, &ask).await?;
--- /dev/null
+++ b/crates/relay/src/peer/traffic.rs
@@ -0,0 +1,263 @@
+//! Telling other boxes of the requests under way here, and hearing of theirs.
+//!
+//! In each hall the boxes ask the first one in their order, the hub; the hub
+//! asks those of the other halls. This does not need the store and goes on
+//! while it is down. A box that does not answer is passed over for a while.
+
+use std::collections::HashMap;
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use serde::{Deserialize, Serialize};
+use smol::{LocalExecutor, Timer};
+use tidepier_h1::Conn;
+use tidepier_ids as ids;
+
+use super::ask::{ANSWER_TIME, CONNECT_TIME, PASS_OVER_TIME, UNACKED_TIME, UNSURE_TIME};
+use super::link::{self, Error};
+use super::message::{Question, VERSION};
+use super::registry::{Member, Registry};
+use crate::fleet::Count;
+use crate::relay::Relay;
+use crate::traffic::log::{Peer, Position, Row};
+use crate::traffic::tally::{Sum, Told};
+
+/// Time between two questions: what is told is so old at most on each of three
+/// hops, from a box over two hubs to another.
+const ASK_TIME: Duration = Duration::from_millis(400);
+/// Time between two looks whether boxes have come that are to be asked.
+const LOOK_TIME: Duration = Duration::from_secs(1);
+
+/// Who asks.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Asker {
+    /// A box of the same hall: it tells of its own requests and hears of all.
+    Box,
+    /// The hub of another hall: it hears of this hall's requests.
+    Hub,
+}
+
+/// What a box tells, and asks for.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Ask {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// Comes back in the answer.
+    pub number: u64,
+    /// Who asks.
+    pub asker: Asker,
+    /// Where the sender stands in the other's log of placements.
+    pub place: Position,
+    /// What the sender tells.
+    pub report: Report,
+}
+
+/// What one side tells the other.
+#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
+pub struct Report {
+    /// Boxes whose requests are counted.
+    pub boxes: u32,
+    /// Counts that differ from what was told before on this connection.
+    pub counts: Vec<Count>,
+    /// Placements that are new.
+    pub rows: Vec<Row>,
+}
+
+/// The answer.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct Answer {
+    /// [`VERSION`] of the sender.
+    pub version: u16,
+    /// The question's number.
+    pub number: u64,
+    /// Whether the sender is the hub of its hall: only a hub knows the whole
+    /// hall's requests.
+    pub is_hub: bool,
+    /// The asker's place in the log after these rows.
+    pub place: Position,
+    /// What the sender tells.
+    pub report: Report,
+}
+
+/// One end of a connection: what was told over it, each way.
+#[derive(Default)]
+pub struct End {
+    told: Told,
+    heard: Sum,
+}
+
+impl End {
+    fn report(&mut self, sum: &Sum, rows: Vec<Row>) -> Report {
+        Report {
+            boxes: sum.boxes,
+            counts: self.told.changes(sum),
+            rows,
+        }
+    }
+
+    fn hear(&mut self, relay: &Relay, from: Peer, report: &Report) {
+        self.heard.apply(report.boxes, &report.counts);
+        relay.hear(from, self.heard.clone(), &report.rows);
+    }
+
+    /// Answers a question of the box with the number `member` here.
+    pub fn answer(&mut self, relay: &Relay, member: u64, ask: Ask) -> Answer {
+        let member = Peer::Member(member);
+        let now = Instant::now();
+        let (sum, (rows, place)) = match ask.asker {
+            Asker::Box => {
+                self.hear(relay, member.clone(), &ask.report);
+                let sum = relay.under_way_beside(&member, now);
+                (sum, relay.traffic.rows_for(&member, ask.place))
+            }
+            Asker::Hub => {
+                let sum = relay.under_way_from_here(now);
+                (sum, relay.traffic.rows_from_here(ask.place))
+            }
+        };
+        Answer {
+            version: VERSION,
+            number: ask.number,
+            is_hub: relay.traffic.is_hub(),
+            place,
+            report: self.report(&sum, rows),
+        }
+    }
+}
+
+/// Asks the hub of this hall, and those of the others while this box is the
+/// hub; does not end.
+pub async fn run(
+    relay: Rc<Relay>,
+    registry: Rc<Registry>,
+    executor: Rc<LocalExecutor<'static>>,
+) -> Infallible {
+    let mut halls: HashMap<ids::Hall, smol::Task<Infallible>> = HashMap::new();
+    let mut hub = Candidates::default();
+    loop {
+        for hall in registry.other_halls() {
+            let far = ask_hall(relay.clone(), registry.clone(), hall.clone());
+            halls.entry(hall).or_insert_with(|| executor.spawn(far));
+        }
+        let before = registry.before_me();
+        match hub.first(&before) {
+            Some(member) => {
+                relay.traffic.set_hub(false);
+                if let Err(error) = ask(&relay, member, Asker::Box, Peer::Hub).await {
+                    hub.pass_over(member, &error);
+                }
+            }
+            None => {
+                relay.traffic.set_hub(true);
+                Timer::after(ASK_TIME).await;
+            }
+        }
+    }
+}
+
+/// Asks the hub of another hall while this box is the hub of its own.
+async fn ask_hall(relay: Rc<Relay>, registry: Rc<Registry>, hall: ids::Hall) -> Infallible {
+    let mut hub = Candidates::default();
+    loop {
+        let members = registry.members_of(&hall);
+        match hub.first(&members) {
+            Some(member) if relay.traffic.is_hub() => {
+                let peer = Peer::Hall(hall.clone());
+                if let Err(error) = ask(&relay, member, Asker::Hub, peer).await {
+                    hub.pass_over(member, &error);
+                }
+            }
+            _ => {
+                Timer::after(LOOK_TIME).await;
+            }
+        }
+    }
+}
+
+/// Boxes that may be asked, in their order.
+#[derive(Default)]
+struct Candidates {
+    passed_over: HashMap<ids::Box, Instant>,
+}
+
+impl Candidates {
+    fn first<'a>(&mut self, members: &'a [Member]) -> Option<&'a Member> {
+        let now = Instant::now();
+        self.passed_over.retain(|_, until| now < *until);
+        let passed_over = &self.passed_over;
+        members
+            .iter()
+            .find(|member| !passed_over.contains_key(&member.name))
+    }
+
+    fn pass_over(&mut self, member: &Member, error: &Error) {
+        log::info!(
+            target: "peer",
+            "event=hub_lost box={} hall={} why=\"{error}\"",
+            member.name,
+            member.hall
+        );
+        let time = match error {
+            Error::Unsure => UNSURE_TIME,
+            _ => PASS_OVER_TIME,
+        };
+        let until = Instant::now() + time;
+        self.passed_over.insert(member.name.clone(), until);
+    }
+}
+
+/// Asks one box until this box is no longer the one to ask it.
+async fn ask(relay: &Relay, member: &Member, asker: Asker, peer: Peer) -> Result<(), Error> {
+    let conn = Conn::open(member.address, CONNECT_TIME, UNACKED_TIME).await;
+    let mut conn = conn.map_err(Error::Io)?;
+    let asked = ask_on(relay, &mut conn, asker, &peer).await;
+    relay.traffic.leave(&peer);
+    asked
+}
+
+async fn ask_on(relay: &Relay, conn: &mut Conn, asker: Asker, peer: &Peer) -> Result<(), Error> {
+    let mut end = End::default();
+    let mut place = Position::default();
+    // What this box placed before is told by others already, or lost.
+    let mut told = relay.traffic.end();
+    for number in 1.. {
+        let report = match asker {
+            Asker::Box => {
+                let sum = relay.under_way_from_here(Instant::now());
+                let (rows, end_of_rows) = relay.traffic.rows_from_here(told);
+                told = end_of_rows;
+                end.report(&sum, rows)
+            }
+            Asker::Hub => Report::default(),
+        };
+        let ask = Ask {
+            version: VERSION,
+            number,
+            asker,
+            place,
+            report,
+        };
+        let answer = exchange(conn, ask).await?;
+        place = answer.place;
+        end.hear(relay, peer.clone(), &answer.report);
+        match asker {
+            Asker::Hub if !answer.is_hub => return Err(Error::Unsure),
+            Asker::Hub if !relay.traffic.is_hub() => break,
+            _ => {}
+        }
+        Timer::after(ASK_TIME).await;
+    }
+    Ok(())
+}
+
+async fn exchange(conn: &mut Conn, ask: Ask) -> Result<Answer, Error> {
+    let number = ask.number;
+    link::send(conn, &Question::Traffic(ask)).await?;
+    let answer: Answer = link::within(ANSWER_TIME, link::receive(conn)).await?;
+    if answer.version != VERSION || answer.number != number {
+        let why = format!("version {}, number {}", answer.version, answer.number);
+        return Err(Error::Malformed(why));
+    }
+    Ok(answer)
+}
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -11,7 +11,7 @@
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-use crate::fleet::Backend;
+use crate::fleet::{Backend, Key};
 
 /// Shared tokens under which a subject is kept in each hall, not once for all:
 /// reading that few again costs less than streams between halls.
@@ -59,20 +59,16 @@
     }
 
     /// Engines to copy the subject's parts from, the best one first: those that
-    /// this box sent the subject to, those that likely keep it by the order, and
+    /// it was sent to, those that likely keep it by the order, and
     /// those that this box sent only earlier parts to. `by_part` has the servers
     /// of each part; `first` is the one that comes first now.
-    pub(super) fn sources(
-        &self,
-        by_part: &[Vec<ids::Server>],
-        first: Option<&ids::Server>,
-    ) -> Vec<Rc<Backend>> {
-        let of_part = |places: &'_ Vec<ids::Server>| -> Vec<&Rc<Backend>> {
-            places.iter().filter_map(|id| self.find(id)).collect()
+    pub(super) fn sources(&self, by_part: &[Vec<Key>], first: Option<&Key>) -> Vec<Rc<Backend>> {
+        let of_part = |holders: &'_ Vec<Key>| -> Vec<&Rc<Backend>> {
+            holders.iter().filter_map(|key| self.find(*key)).collect()
         };
         let subject = by_part.last().into_iter().flat_map(of_part);
         // A server that joined lately hardly keeps the subject yet.
-        let settled = first.and_then(|id| self.find(id));
+        let settled = first.and_then(|key| self.find(*key));
         let settled = settled.filter(|backend| !backend.is_new(FILL_TIME, self.now));
         let likely = [settled, self.before(), self.first_elsewhere()];
         let earlier = by_part.iter().rev().skip(1).flat_map(of_part);
@@ -91,9 +87,15 @@
         servers.filter(move |backend| hall.is_none_or(|hall| backend.server.hall == *hall))
     }
 
-    fn find(&self, id: &ids::Server) -> Option<&Rc<Backend>> {
+    /// Whether any of these servers is known here and not avoided.
+    pub(super) fn has_any(&self, servers: &[Key]) -> bool {
+        let known = servers.iter().filter_map(|key| self.find(*key));
+        known.into_iter().any(|backend| backend.is_usable(self.now))
+    }
+
+    fn find(&self, key: Key) -> Option<&Rc<Backend>> {
         let mut servers = self.servers.iter();
-        servers.find(|backend| backend.server.id == *id)
+        servers.find(|backend| backend.key == key)
     }
 
     /// The server that most likely kept the subject before those that joined
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -2,22 +2,24 @@
 //! this module.
 
 use std::cell::Cell;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use tidepier_ids as ids;
 
 use crate::budget::Budget;
 use crate::fleet::Fleet;
-use crate::places::Memory;
 use crate::stop::{Phase, Stop};
+use crate::traffic::log::{Peer, Row};
+use crate::traffic::tally::Sum;
+use crate::traffic::Traffic;
 use crate::view::View;
 
 /// Boxes that are assumed while none has been counted.
 const BOXES_ASSUMED: usize = 12;
 
 /// Descriptors kept for all but clients and servers: 200 that the platform keeps
-/// for files, 512 for other boxes, and those of readiness, metrics and store.
-const DESCRIPTORS_KEPT: u32 = 800;
+/// for files, 768 for other boxes, and those of readiness, metrics and store.
+const DESCRIPTORS_KEPT: u32 = 1_050;
 /// Descriptors for each client: its own, one at the server of its request, and
 /// one for a connection that rests at another server after its last request.
 const DESCRIPTORS_EACH: u32 = 3;
@@ -49,8 +51,9 @@
     pub view: View,
     /// The backend servers.
     pub fleet: Fleet,
-    /// Where prompts were sent.
-    pub memory: Memory,
+    /// What is known of the requests that other boxes place, and where prompts
+    /// were sent.
+    pub traffic: Traffic,
     /// Retries that may be spent.
     pub budget: Budget,
     /// The planned stop.
@@ -67,7 +70,7 @@
             bounds: Cell::new(bounds),
             view: View::default(),
             fleet: Fleet::default(),
-            memory: Memory::default(),
+            traffic: Traffic::default(),
             budget,
             stop: Stop::default(),
             boxes: Cell::new(BOXES_ASSUMED),
@@ -126,4 +129,32 @@
     pub fn set_boxes(&self, boxes: usize) {
         self.boxes.set(boxes.max(1));
     }
+
+    /// Takes over what another box told of its requests and of those that it
+    /// knows of.
+    pub fn hear(&self, from: Peer, sum: Sum, rows: &[Row]) {
+        let now = Instant::now();
+        self.traffic.take(from, sum, rows, now);
+        let others = self.traffic.others(None, now);
+        self.fleet.set_others(&others.requests, others.boxes, now);
+    }
+
+    /// Requests under way at this box and those that ask it.
+    pub fn under_way_from_here(&self, now: Instant) -> Sum {
+        self.with_own(self.traffic.members(now))
+    }
+
+    /// Requests under way at all boxes that this one knows of, without those
+    /// of `but`.
+    pub fn under_way_beside(&self, but: &Peer, now: Instant) -> Sum {
+        self.with_own(self.traffic.others(Some(but), now))
+    }
+
+    fn with_own(&self, mut sum: Sum) -> Sum {
+        sum.add(&Sum {
+            boxes: 1,
+            requests: self.fleet.running(),
+        });
+        sum
+    }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,7 +16,7 @@
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{ask, hub, seed};
+use crate::peer::{ask, hub, recall, seed, traffic};
 use crate::ready;
 use crate::relay::{Bounds, Relay};
 use crate::settings::{self, Settings};
@@ -182,6 +182,16 @@
     executor
         .spawn(seed::run(follower.clone(), registry.clone(), seeds))
         .detach();
+    executor
+        .spawn(traffic::run(
+            relay.clone(),
+            registry.clone(),
+            executor.clone(),
+        ))
+        .detach();
+    executor
+        .spawn(recall::run(relay.clone(), registry.clone()))
+        .detach();
     executor.spawn(ask::run(follower, registry)).detach();
     Ok(())
 }
--- /dev/null
+++ b/crates/relay/src/traffic/index.rs
@@ -0,0 +1,176 @@
+//! Which engines keep which parts of prompts, as far as this box knows.
+//!
+//! It knows what it sent itself, and what other boxes say that they sent. An
+//! engine that got a part keeps it until its memory gives way; nobody tells
+//! that, so an entry is believed for [`KEPT_TIME`] after its last use.
+//!
+//! Invariant: a part counts as kept only if all before it in the prompt do.
+
+use std::cell::RefCell;
+use std::num::NonZeroUsize;
+use std::time::{Duration, Instant};
+
+use lru::LruCache;
+use serde::{Deserialize, Serialize};
+use tidepier_core::request::{Part, Prompt};
+
+use crate::fleet::Key;
+
+/// Parts remembered, the ones used last: at 20 requests a second here and 80
+/// that are told, those of over a minute.
+const PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+/// Time that an engine is trusted to keep a part after its last known use.
+/// Measured engines have room for what they read in four minutes.
+const KEPT_TIME: Duration = Duration::from_secs(60);
+/// Age from which a use is told again, so that others do not forget it.
+const TELL_TIME: Duration = Duration::from_secs(20);
+/// Entries that a box which has just started is sent: 4,096 of some 20 bytes.
+const RECALLED: usize = 4_096;
+/// Engines remembered for one part.
+const HOLDERS: usize = 6;
+
+/// An engine that a part was sent to.
+struct Holder {
+    server: Key,
+    /// When the part was last used there, as far as is known.
+    used: Instant,
+    /// When this was last told to others, or by them.
+    told: Instant,
+}
+
+impl Holder {
+    fn is_kept(&self, now: Instant) -> bool {
+        now.duration_since(self.used) < KEPT_TIME
+    }
+}
+
+/// One entry, for a box that knows nothing.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "(u64, Key, u16)", into = "(u64, Key, u16)")]
+pub struct Kept {
+    part: u64,
+    server: Key,
+    /// Time since its last known use, in s.
+    age_s: u16,
+}
+
+impl From<(u64, Key, u16)> for Kept {
+    fn from((part, server, age_s): (u64, Key, u16)) -> Self {
+        Self {
+            part,
+            server,
+            age_s,
+        }
+    }
+}
+
+impl From<Kept> for (u64, Key, u16) {
+    fn from(kept: Kept) -> Self {
+        (kept.part, kept.server, kept.age_s)
+    }
+}
+
+/// The engines that keep each part.
+pub struct Index {
+    parts: RefCell<LruCache<u64, Vec<Holder>>>,
+}
+
+impl Default for Index {
+    fn default() -> Self {
+        Self {
+            parts: RefCell::new(LruCache::new(PARTS)),
+        }
+    }
+}
+
+impl Index {
+    /// Records that the shared parts of a prompt were sent to a server. Returns
+    /// whether others should be told of the last of them.
+    pub fn sent(&self, prompt: &Prompt, server: Key, now: Instant) -> bool {
+        let shared = prompt.shared();
+        let uses = shared.iter().map(|part| self.record(part.id, server, now));
+        uses.last().unwrap_or(false)
+    }
+
+    /// Records that another box says that it sent a part, and so all parts
+    /// before it, to a server. Returns whether that is news.
+    pub fn told(&self, part: u64, server: Key, now: Instant) -> bool {
+        self.record(part, server, now)
+    }
+
+    /// The entries used last, for a box that has just started.
+    pub fn kept(&self, now: Instant) -> Vec<Kept> {
+        let parts = self.parts.borrow();
+        let holders = parts
+            .iter()
+            .flat_map(|(part, holders)| holders.iter().map(move |holder| (*part, holder)));
+        let kept = holders.filter(|(_, holder)| holder.is_kept(now));
+        let rows = kept.map(|(part, holder)| Kept {
+            part,
+            server: holder.server,
+            age_s: now.duration_since(holder.used).as_secs() as u16,
+        });
+        rows.take(RECALLED).collect()
+    }
+
+    /// Takes over what another box knows; what is known here goes before that.
+    pub fn recall(&self, kept: &[Kept], now: Instant) {
+        let mut parts = self.parts.borrow_mut();
+        // The last one of the rows was used longest ago.
+        for row in kept.iter().rev() {
+            let age = Duration::from_secs(u64::from(row.age_s));
+            let Some(used) = now.checked_sub(age) else {
+                continue;
+            };
+            let holders = parts.get_or_insert_mut(row.part, Vec::new);
+            let known = holders.iter().any(|holder| holder.server == row.server);
+            if known || holders.len() == HOLDERS {
+                continue;
+            }
+            let after = holders.partition_point(|holder| holder.used <= used);
+            let holder = Holder {
+                server: row.server,
+                used,
+                told: used,
+            };
+            holders.insert(after, holder);
+        }
+    }
+
+    /// Records a use; returns whether it was not told lately.
+    fn record(&self, part: u64, server: Key, now: Instant) -> bool {
+        let mut parts = self.parts.borrow_mut();
+        let holders = parts.get_or_insert_mut(part, Vec::new);
+        holders.retain(|holder| holder.is_kept(now));
+        let known = holders.iter().position(|holder| holder.server == server);
+        let told = known.map(|at| holders.remove(at).told);
+        let fresh = told.filter(|told| now.duration_since(*told) < TELL_TIME);
+        if holders.len() == HOLDERS {
+            holders.remove(0);
+        }
+        holders.push(Holder {
+            server,
+            used: now,
+            told: fresh.unwrap_or(now),
+        });
+        fresh.is_none()
+    }
+
+    /// The servers that keep a part, the one used last first.
+    pub fn holders(&self, part: &Part, now: Instant) -> Vec<Key> {
+        let parts = self.parts.borrow();
+        let holders = parts.peek(&part.id).into_iter().flatten();
+        let kept = holders.filter(|holder| holder.is_kept(now));
+        kept.map(|holder| holder.server).rev().collect()
+    }
+
+    /// Parts that are remembered.
+    pub fn len(&self) -> usize {
+        self.parts.borrow().len()
+    }
+
+    /// Whether no part is remembered.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/relay/src/traffic/mod.rs
@@ -0,0 +1,112 @@
+//! What boxes tell each other of the requests that they place: where parts of
+//! prompts were sent, and how many requests each has under way at each server.
+//!
+//! In each hall one box, the hub, is asked by the others several times a second
+//! and asks the hubs of the other halls. What is told this way is up to a
+//! second old, may be lost, and is bounded in bytes; it makes decisions better
+//! and nothing depends on it.
+//!
+//! * [`index`]: which engines keep which parts.
+//! * [`log`]: placements to be told.
+//! * [`tally`]: counts of requests under way.
+
+pub mod index;
+pub mod log;
+pub mod tally;
+
+use std::cell::Cell;
+use std::time::Instant;
+
+use tidepier_core::request::Prompt;
+
+use crate::fleet::Key;
+use index::Index;
+use log::{Log, Peer, Position, Row};
+use tally::{Sum, Tally};
+
+/// Most rows in one message: 1.5 KB, and so 3 KB a second where each box asks
+/// each 0.4 s and all rows are used, which is twice what was measured.
+pub const ROWS_MAX: usize = 64;
+
+/// What this box knows of the fleet's requests beyond its own.
+#[derive(Default)]
+pub struct Traffic {
+    /// Which engines keep which parts.
+    pub index: Index,
+    log: Log,
+    tally: Tally,
+    joined: Cell<u64>,
+    is_hub: Cell<bool>,
+}
+
+impl Traffic {
+    /// Records that this box sent a prompt to a server.
+    pub fn sent(&self, prompt: &Prompt, server: Key, now: Instant) {
+        if !self.index.sent(prompt, server, now) {
+            return;
+        }
+        if let Some(subject) = prompt.subject() {
+            let part = subject.id;
+            self.log.push(Row { part, server }, None);
+        }
+    }
+
+    /// Takes over what a peer told.
+    pub fn take(&self, from: Peer, sum: Sum, rows: &[Row], now: Instant) {
+        self.tally.report(from.clone(), sum, now);
+        for row in rows {
+            if self.index.told(row.part, row.server, now) {
+                self.log.push(*row, Some(from.clone()));
+            }
+        }
+    }
+
+    /// Forgets the counts of a peer that no longer reports.
+    pub fn leave(&self, from: &Peer) {
+        self.tally.leave(from);
+    }
+
+    /// Requests under way at other boxes, without those of `but`.
+    pub fn others(&self, but: Option<&Peer>, now: Instant) -> Sum {
+        self.tally.others(but, now)
+    }
+
+    /// Requests under way at boxes that ask this one.
+    pub fn members(&self, now: Instant) -> Sum {
+        self.tally.members(now)
+    }
+
+    /// A number for a box that begins to ask.
+    pub fn join(&self) -> u64 {
+        self.joined.set(self.joined.get() + 1);
+        self.joined.get()
+    }
+
+    /// Whether this box is the hub of its hall.
+    pub fn is_hub(&self) -> bool {
+        self.is_hub.get()
+    }
+
+    /// Records whether this box is the hub of its hall.
+    pub fn set_hub(&self, is_hub: bool) {
+        self.is_hub.set(is_hub);
+    }
+
+    /// The place in the log after all rows.
+    pub fn end(&self) -> Position {
+        self.log.end()
+    }
+
+    /// New rows for a box that asks this one: all that it did not tell itself.
+    pub fn rows_for(&self, member: &Peer, place: Position) -> (Vec<Row>, Position) {
+        let wanted = |from: Option<&Peer>| from != Some(member);
+        self.log.since(place, ROWS_MAX, wanted)
+    }
+
+    /// New rows of this box and those that ask it, for its own hub or those of
+    /// other halls.
+    pub fn rows_from_here(&self, place: Position) -> (Vec<Row>, Position) {
+        let wanted = |from: Option<&Peer>| from.is_none_or(Peer::is_member);
+        self.log.since(place, ROWS_MAX, wanted)
+    }
+}
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -8,7 +8,6 @@
 use tidepier_core::answer::Load;
 use tidepier_ids as ids;
 use tidepier_relay::choose::{self, Ask};
-use tidepier_relay::fleet::Count;
 use tidepier_relay::health::Outcome;
 
 use crate::desk::{prompt, Desk, LARGE, SMALL};
@@ -87,20 +86,38 @@
     let prompt = prompt(3, SMALL);
     let first = desk.first(&prompt)?;
     let server = desk.backend(&first)?.key;
-    let crowded = Count {
-        server,
-        requests: 6,
-    };
-    desk.fleet.set_others(&[crowded], Instant::now());
+    desk.fleet
+        .set_others(&HashMap::from([(server, 6)]), 2, Instant::now());
     let choice = desk.choose(Some(&prompt), &[])?;
     ensure!(choice.backend.server.id != first, "chosen over the count");
     // What the others have under way is over.
-    desk.fleet.set_others(&[], Instant::now());
+    desk.fleet.set_others(&HashMap::new(), 2, Instant::now());
     let choice = desk.choose(Some(&prompt), &[])?;
     ensure!(choice.backend.server.id == first, "an old count moved it");
     Ok(())
 }
 
+#[test]
+fn what_came_here_since_the_others_told_has_come_to_them_too() -> Result {
+    let desk = Desk::new("hall-1", 0..4)?;
+    let first = desk.first(&prompt(3, SMALL))?;
+    let backend = desk.backend(&first)?;
+    let counted = || backend.counted(ms(1_500), Instant::now());
+    let _before = desk.load(&first, 2)?;
+    let told = HashMap::from([(backend.key, 3)]);
+    desk.fleet.set_others(&told, 4, Instant::now());
+    ensure!(counted() == Some(5), "{:?}", counted());
+    // One may be chance.
+    let _one = desk.load(&first, 1)?;
+    ensure!(counted() == Some(6), "{:?}", counted());
+    let more = desk.load(&first, 2)?;
+    ensure!(counted() == Some(3 + 5 + 4 * 2), "{:?}", counted());
+    // What ended here says nothing of the others.
+    drop(more);
+    ensure!(counted() == Some(6), "{:?}", counted());
+    Ok(())
+}
+
 #[test]
 fn a_server_that_told_no_load_counts_as_the_mean() -> Result {
     let desk = Desk::new("hall-1", 0..4)?;
@@ -262,7 +279,7 @@
     let pick = |connections| {
         let now = Instant::now();
         let ask = ask(connections);
-        choose::choose(&desk.fleet, &desk.service, &ask, &desk.memory, now)
+        choose::choose(&desk.fleet, &desk.service, &ask, &desk.index, now)
     };
     let first = desk.first(&prompt)?;
     let _running = desk.load(&first, 2)?;
--- a/crates/relay/tests/relay/crowd.rs
+++ b/crates/relay/tests/relay/crowd.rs
@@ -1,53 +1,89 @@
-//! What the boxes of a hall have under way, added up for each of them.
+//! What boxes have under way, added up for each of the others.
 
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
-use tidepier_relay::fleet::Count;
-use tidepier_relay::peer::crowd::Crowd;
+use tidepier_relay::fleet::{Count, Key};
+use tidepier_relay::traffic::log::Peer;
+use tidepier_relay::traffic::tally::{Sum, Tally, Told};
 
+use crate::desk::id;
 use crate::house::Result;
 
-fn count(server: u64, requests: u32) -> Count {
-    Count { server, requests }
+fn key(number: u32) -> Result<Key> {
+    Ok(Key::new(&id(&format!("i-{number}"))?))
 }
 
-fn sorted(mut counts: Vec<Count>) -> Vec<Count> {
-    counts.sort_by_key(|count| count.server);
-    counts
+/// The requests of so many boxes: server and count by turns.
+fn sum(boxes: u32, counts: &[(u32, u32)]) -> Result<Sum> {
+    let counts = counts.iter().map(|(server, n)| Ok((key(*server)?, *n)));
+    let requests = counts.collect::<Result<_>>()?;
+    Ok(Sum { boxes, requests })
 }
 
 #[test]
 fn each_box_is_told_the_sum_of_the_others() -> Result {
-    let crowd = Crowd::default();
+    let tally = Tally::default();
     let now = Instant::now();
-    let (first, second) = (crowd.join(), crowd.join());
-    ensure!(first != second, "one number for two boxes");
-    crowd.report(first, vec![count(1, 2), count(2, 1)], now);
-    crowd.report(second, vec![count(2, 4)], now);
-    let own = [count(1, 5), count(3, 7)];
-    let told = sorted(crowd.others(Some(first), &own, now));
-    ensure!(told == [count(1, 5), count(2, 4), count(3, 7)], "{told:?}");
-    let told = sorted(crowd.others(Some(second), &own, now));
-    ensure!(told == [count(1, 7), count(2, 1), count(3, 7)], "{told:?}");
-    let told = sorted(crowd.others(None, &[], now));
-    ensure!(told == [count(1, 2), count(2, 5)], "{told:?}");
+    let (first, second) = (Peer::Member(1), Peer::Member(2));
+    tally.report(first.clone(), sum(1, &[(1, 2), (2, 1)])?, now);
+    tally.report(second.clone(), sum(1, &[(2, 4)])?, now);
+    tally.report(Peer::Hall(id("hall-2")?), sum(3, &[(1, 5), (3, 7)])?, now);
+    let told = tally.others(Some(&first), now);
+    ensure!(told == sum(4, &[(1, 5), (2, 4), (3, 7)])?, "{told:?}");
+    let told = tally.others(Some(&second), now);
+    ensure!(told == sum(4, &[(1, 7), (2, 1), (3, 7)])?, "{told:?}");
+    let told = tally.others(None, now);
+    ensure!(told == sum(5, &[(1, 7), (2, 5), (3, 7)])?, "{told:?}");
+    // What goes to other halls is this hall's alone.
+    let told = tally.members(now);
+    ensure!(told == sum(2, &[(1, 2), (2, 5)])?, "{told:?}");
     Ok(())
 }
 
 #[test]
 fn a_report_is_replaced_grows_old_and_is_forgotten() -> Result {
-    let crowd = Crowd::default();
+    let tally = Tally::default();
     let now = Instant::now();
-    let member = crowd.join();
-    crowd.report(member, vec![count(1, 2)], now);
-    crowd.report(member, vec![count(2, 3)], now);
-    let told = crowd.others(None, &[], now);
-    ensure!(told == [count(2, 3)], "{told:?}");
-    let told = crowd.others(None, &[], now + Duration::from_secs(2));
-    ensure!(told.is_empty(), "an old report counts: {told:?}");
-    crowd.leave(member);
-    let told = crowd.others(None, &[], now);
-    ensure!(told.is_empty(), "a box that left counts: {told:?}");
+    let member = Peer::Member(1);
+    tally.report(member.clone(), sum(1, &[(1, 2)])?, now);
+    tally.report(member.clone(), sum(1, &[(2, 3)])?, now);
+    let told = tally.others(None, now);
+    ensure!(told == sum(1, &[(2, 3)])?, "{told:?}");
+    let later = now + Duration::from_secs(2);
+    let told = tally.others(None, later);
+    ensure!(told == Sum::default(), "an old report counts: {told:?}");
+    tally.report(member.clone(), sum(1, &[(2, 3)])?, later);
+    tally.leave(&member);
+    let told = tally.others(None, later);
+    ensure!(told == Sum::default(), "a box that left counts: {told:?}");
+    Ok(())
+}
+
+/// Both ends of a connection agree after each message, but for differences that
+/// are of no consequence.
+#[test]
+fn only_changes_are_told() -> Result {
+    let (mut told, mut heard) = (Told::default(), Sum::default());
+    let mut tell = |now: &Sum| -> Vec<Count> {
+        let changes = told.changes(now);
+        heard.apply(now.boxes, &changes);
+        for (server, requests) in &now.requests {
+            let known = heard.requests.get(server).copied().unwrap_or(0);
+            assert!(known.abs_diff(*requests) <= requests / 10, "{known}");
+        }
+        let gone = heard
+            .requests
+            .keys()
+            .all(|key| now.requests.contains_key(key));
+        assert!(gone, "what is over still counts");
+        changes
+    };
+    ensure!(tell(&sum(1, &[(1, 2), (2, 100)])?).len() == 2, "first");
+    ensure!(tell(&sum(1, &[(1, 2), (2, 100)])?).is_empty(), "no change");
+    ensure!(tell(&sum(1, &[(1, 3), (2, 103)])?).len() == 1, "one more");
+    ensure!(tell(&sum(1, &[(2, 103)])?).len() == 1, "over");
+    ensure!(tell(&sum(1, &[(2, 120)])?).len() == 1, "much more");
+    ensure!(tell(&sum(2, &[])?).len() == 1, "all over");
     Ok(())
 }
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -10,8 +10,9 @@
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 use tidepier_relay::choose::{self, Ask, Choice};
-use tidepier_relay::fleet::{Backend, Fleet, Running};
-use tidepier_relay::places::{Memory, Places};
+use tidepier_relay::fleet::{Backend, Fleet, Key, Running};
+use tidepier_relay::places::Places;
+use tidepier_relay::traffic::index::Index;
 
 use crate::house::{Result, SERVICE};
 
@@ -48,7 +49,7 @@
 /// One box with what it knows.
 pub(crate) struct Desk {
     pub(crate) fleet: Fleet,
-    pub(crate) memory: Memory,
+    pub(crate) index: Index,
     pub(crate) hall: ids::Hall,
     pub(crate) service: ids::Service,
 }
@@ -58,7 +59,7 @@
     pub(crate) fn new(hall: &str, numbers: impl IntoIterator<Item = u16>) -> Result<Self> {
         let desk = Self {
             fleet: Fleet::default(),
-            memory: Memory::default(),
+            index: Index::default(),
             hall: id(hall)?,
             service: id(SERVICE)?,
         };
@@ -80,7 +81,7 @@
             &self.service,
             prompt,
             &self.hall,
-            &self.memory,
+            &self.index,
             tried,
             now,
         )
@@ -89,7 +90,7 @@
     /// The address from which a server is to copy a prompt.
     pub(crate) fn source(&self, prompt: &Prompt, server: &ids::Server) -> Option<SocketAddr> {
         let places = self.places(prompt);
-        let source = places.source(server);
+        let source = places.source(Key::new(server));
         source.map(|source| source.server.address)
     }
 
@@ -101,7 +102,7 @@
     pub(crate) fn ranked(&self, prompt: &Prompt, rank: usize) -> Result<ids::Server> {
         let places = self.places(prompt);
         let mut ids = self.fleet.ids().into_iter();
-        let found = ids.find(|id| places.rank(id) == Some(rank));
+        let found = ids.find(|id| places.rank(Key::new(id)) == Some(rank));
         found.ok_or_else(|| eyre!("no server of rank {rank}"))
     }
 
@@ -132,7 +133,7 @@
             &self.fleet,
             &self.service,
             &ask,
-            &self.memory,
+            &self.index,
             Instant::now(),
         );
         chosen.ok_or_else(|| eyre!("no server chosen"))
@@ -141,7 +142,7 @@
     /// Chooses a server and remembers that it got the prompt.
     pub(crate) fn send(&self, prompt: &Prompt) -> Result<Rc<Backend>> {
         let chosen = self.choose(Some(prompt), &[])?.backend;
-        self.memory.sent(prompt, &chosen.server.id, Instant::now());
+        self.index.sent(prompt, chosen.key, Instant::now());
         Ok(chosen)
     }
 
--- a/crates/relay/tests/relay/impostors.rs
+++ b/crates/relay/tests/relay/impostors.rs
@@ -12,7 +12,7 @@
 use tidepier_core::server::{Server, State};
 use tidepier_h1::{Conn, Listener};
 use tidepier_relay::peer::link;
-use tidepier_relay::peer::message::{Answer, Ask, Position, Row, Servers, VERSION};
+use tidepier_relay::peer::message::{Answer, Ask, Position, Question, Row, Servers, VERSION};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server as stand_in;
 use tidepier_relay_standin::site::{Route, Site};
@@ -61,7 +61,10 @@
 
 async fn lie(mut conn: Conn, answer: &impl Fn(&Ask) -> Say) -> Result {
     loop {
-        let ask: Ask = link::receive(&mut conn).await?;
+        let question: Question = link::receive(&mut conn).await?;
+        let Question::Follow(ask) = question else {
+            continue;
+        };
         match answer(&ask) {
             Say::Answer(mut told, document) => {
                 told.document_bytes = document.as_ref().map(|bytes| bytes.len() as u32);
@@ -94,7 +97,6 @@
             life: 7,
             changes: 0,
         },
-        running: Vec::new(),
     }
 }
 
@@ -231,16 +233,15 @@
             number: 5,
             document: 0,
             position: Position::default(),
-            running: Vec::new(),
         };
         let mut other = open().await?;
         let version = VERSION + 1;
         link::send(
             &other,
-            &Ask {
+            &Question::Follow(Ask {
                 version,
                 ..ask.clone()
-            },
+            }),
         )
         .await?;
         closed(&mut other).await?;
@@ -252,7 +253,7 @@
             silent.push(open().await?);
         }
         let mut right = open().await?;
-        link::send(&right, &ask).await?;
+        link::send(&right, &Question::Follow(ask)).await?;
         let told: Answer = link::receive(&mut right).await?;
         ensure!((told.version, told.number) == (VERSION, 5), "{told:?}");
         let Some(count) = told.document_bytes else {
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -8,6 +8,7 @@
 use tidepier_core::request::Prompt;
 use tidepier_core::server::State;
 use tidepier_ids as ids;
+use tidepier_relay::fleet::Key;
 use tidepier_relay::health::Outcome;
 
 use crate::desk::{id, prompt, server, Desk, LARGE, SMALL};
@@ -181,12 +182,12 @@
     let ids = desk.fleet.ids();
     let outsider = ids
         .iter()
-        .find(|id| desk.places(&prompt).rank(id).is_none());
+        .find(|id| desk.places(&prompt).rank(Key::new(id)).is_none());
     let outsider = outsider.ok_or_else(|| eyre!("all have a rank"))?;
-    let lacks = |id: &ids::Server| desk.places(&prompt).lacking(id);
+    let lacks = |id: &ids::Server| desk.places(&prompt).lacking(Key::new(id));
     ensure!(lacks(outsider) == f64::from(LARGE), "{}", lacks(outsider));
     ensure!(lacks(&first) < f64::from(LARGE), "{}", lacks(&first));
-    desk.memory.sent(&prompt, outsider, now);
+    desk.index.sent(&prompt, Key::new(outsider), now);
     ensure!(lacks(outsider) == 0.0, "{}", lacks(outsider));
     ensure!(
         desk.source(&prompt, outsider).is_none(),
@@ -199,7 +200,7 @@
     );
     // Too little to be worth a copy.
     let short = self::prompt(8, 150);
-    desk.memory.sent(&short, outsider, now);
+    desk.index.sent(&short, Key::new(outsider), now);
     ensure!(desk.source(&short, &first).is_none(), "copies too little");
     Ok(())
 }
@@ -216,7 +217,7 @@
             backend.record(Outcome::Absent, Instant::now());
         }
         ensure!(desk.first(&prompt)? == next, "{failing} is still first");
-        let lacking = desk.places(&prompt).lacking(&failing);
+        let lacking = desk.places(&prompt).lacking(Key::new(&failing));
         ensure!(
             lacking == f64::from(LARGE),
             "it counts as keeping the prompt"
@@ -235,8 +236,9 @@
     let tried = [desk.first(&prompt)?, desk.ranked(&prompt, 1)?];
     let third = desk.ranked(&prompt, 2)?;
     let places = desk.places_after(&prompt, &tried);
-    ensure!(places.rank(&third) == Some(0), "{:?}", places.rank(&third));
-    ensure!(places.rank(&tried[0]).is_none(), "tried again");
+    let rank = |id: &ids::Server| places.rank(Key::new(id));
+    ensure!(rank(&third) == Some(0), "{:?}", rank(&third));
+    ensure!(rank(&tried[0]).is_none(), "tried again");
     Ok(())
 }
 
--- a/crates/relay/tests/relay/port.rs
+++ b/crates/relay/tests/relay/port.rs
@@ -9,7 +9,7 @@
 use tidepier_h1::Conn;
 use tidepier_relay::peer::hub;
 use tidepier_relay::peer::link;
-use tidepier_relay::peer::message::{Answer, Ask, Position, VERSION};
+use tidepier_relay::peer::message::{Answer, Ask, Position, Question, VERSION};
 use tidepier_relay_standin::site::Site;
 use tidepier_relay_standin::Server;
 
@@ -21,14 +21,13 @@
 const UNACKED: Duration = Duration::from_secs(30);
 
 /// A question of a box that knows every configuration.
-fn question(number: u64) -> Ask {
-    Ask {
+fn question(number: u64) -> Question {
+    Question::Follow(Ask {
         version: VERSION,
         number,
         document: u64::MAX,
         position: Position::default(),
-        running: Vec::new(),
-    }
+    })
 }
 
 /// A site with a server, and one box.
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -9,6 +9,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_core::server::State;
+use tidepier_relay::fleet::Key;
 use tidepier_relay::places::Places;
 use tidepier_relay_standin::client::{Call, End};
 use tidepier_relay_standin::names;
@@ -259,11 +260,11 @@
         let id = server.settings().id.parse()?;
         let lacking = || -> Result<f64> {
             let relay = house.router.relay();
-            let (fleet, memory) = (&relay.fleet, &relay.memory);
+            let (fleet, index) = (&relay.fleet, &relay.traffic.index);
             let service = SERVICE.parse()?;
             let now = Instant::now();
-            let places = Places::new(fleet, &service, &prompt, &relay.hall, memory, &[], now);
-            Ok(places.lacking(&id))
+            let places = Places::new(fleet, &service, &prompt, &relay.hall, index, &[], now);
+            Ok(places.lacking(Key::new(&id)))
         };
         let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
         server.crash();
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -99,7 +99,6 @@
             life: 3,
             changes: 0,
         },
-        running: Vec::new(),
     }
 }
 
