Boxes that all started anew learn from the engines what they keep

Boxes ask the first box of each hall and two neighbours, several rounds; where none knows all, the first box of each hall lists its own hall's engines once. What is listed goes into the index, largest parts first, within each server's share of it. A first start of the fleet skips it. Entries of the index take 12 bytes in place of 40.

Also: what a box placed before it found its hub was never told; found by the new tests (`shared::all_boxes_learn_where_a_prompt_was_sent` failed once recall had made the boxes agree faster). The place up to which the hub was told is now kept over connections. A box no longer takes itself for the hub before it has listed the others.

--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -8,7 +8,7 @@
 mod desk;
 mod work;
 
-use std::collections::HashSet;
+use std::collections::HashMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard};
@@ -199,7 +199,9 @@
     idle_close: Option<Duration>,
     unwell: bool,
     runs: Vec<Run>,
-    kept: HashSet<u64>,
+    kept: HashMap<u64, u32>,
+    /// A list of kept parts that takes the place of the true one.
+    told_kept: Option<Vec<u8>>,
     opened: usize,
     open: usize,
     probes: u64,
@@ -253,7 +255,8 @@
             idle_close: None,
             unwell: false,
             runs: Vec::new(),
-            kept: HashSet::new(),
+            kept: HashMap::new(),
+            told_kept: None,
             opened: 0,
             open: 0,
             probes: 0,
@@ -337,8 +340,13 @@
         self.shared.lock().unwell = unwell;
     }
 
-    /// Everything that reached it, in order, apart from health checks and
-    /// reports.
+    /// Answers with these bytes when asked which parts it keeps.
+    pub fn tell_kept(&self, body: &[u8]) {
+        self.shared.lock().told_kept = Some(body.to_vec());
+    }
+
+    /// Everything that reached it, in order, apart from health checks, reports
+    /// and lists.
     pub fn runs(&self) -> Vec<Run> {
         self.shared.lock().runs.clone()
     }
@@ -361,7 +369,7 @@
         (state.opened, state.open)
     }
 
-    /// Health checks and reports so far.
+    /// Health checks, reports and lists so far.
     pub fn probes(&self) -> u64 {
         self.shared.lock().probes
     }
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -139,6 +139,8 @@
             Some(self.health())
         } else if path == names::REPORT {
             Some(self.report())
+        } else if path == names::KEPT {
+            Some(self.kept())
         } else {
             None
         };
@@ -180,6 +182,17 @@
         front::answer(200, &fields, report.to_string().as_bytes())
     }
 
+    /// The parts of prompts that it keeps, each as a row.
+    fn kept(&self) -> Vec<u8> {
+        let state = self.shared.lock();
+        let row = |(id, tokens): (&u64, &u32)| json!(["", format!("{id:x}"), tokens, "m"]);
+        let held: Vec<_> = state.kept.iter().map(row).collect();
+        let list = json!({ "epoch": 1, "next_token": held.len(), "held": held });
+        let list = list.to_string().into_bytes();
+        let body = state.told_kept.as_ref().unwrap_or(&list);
+        front::answer(200, &[("Content-Type", "application/json")], body)
+    }
+
     /// Takes a request in: its record, and its fault if one is due.
     fn arrive(&self, head: &Head) -> (usize, Option<Fault>) {
         let owned = |field: tidepier_h1::Field<'_>| (field.name.into(), field.text().into());
@@ -315,13 +328,14 @@
         let parts = head.text(names::PROMPT).map_or(Vec::new(), parts);
         let kept = parts
             .iter()
-            .take_while(|part| state.kept.contains(&part.id));
+            .take_while(|part| state.kept.contains_key(&part.id));
         let kept = kept.count();
         let prefilled = parts[kept..]
             .iter()
             .map(|part| u64::from(part.tokens))
             .sum();
-        state.kept.extend(parts.iter().map(|part| part.id));
+        let read = parts.iter().map(|part| (part.id, part.tokens));
+        state.kept.extend(read);
         state.runs[at].prefilled = prefilled;
         let prefill = self.shared.settings.prefill.as_secs_f64() * prefilled as f64;
         let work = self.shared.settings.work.as_secs_f64() + prefill;
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -208,7 +208,12 @@
         })
     }
 
-    /// Whether any server is known.
+    /// Servers that are known.
+    pub fn len(&self) -> usize {
+        self.servers.borrow().len()
+    }
+
+    /// Whether no server is known.
     pub fn is_empty(&self) -> bool {
         self.servers.borrow().is_empty()
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -26,6 +26,7 @@
 pub mod peer;
 pub mod places;
 pub mod ready;
+pub mod recall;
 pub mod record;
 pub mod refusal;
 pub mod relay;
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -23,10 +23,10 @@
 /// Longest time to connect: some hundred round trips within a hall. A box that
 /// has just started waits so long for one before it that has not; until then it
 /// knows nothing to serve by.
-pub(super) const CONNECT_TIME: Duration = Duration::from_millis(120);
+pub(crate) const CONNECT_TIME: Duration = Duration::from_millis(120);
 /// Longest time until an answer begins: short enough for two boxes to be tried
 /// within the bounds.
-pub(super) const ANSWER_TIME: Duration = Duration::from_millis(350);
+pub(crate) const ANSWER_TIME: Duration = Duration::from_millis(350);
 /// Longest time for an answer that has begun to be whole. One with all of 3,000
 /// servers is 0.4 MB: 0.3 s over the weakest link, and 1.2 s for a reader of
 /// 200 Mbit/s that 75 boxes of its hall ask at once. Beginning anew would only
@@ -36,7 +36,7 @@
 /// takes 0.2 s over the weakest link, and a reader sends it to its whole hall.
 const DOCUMENT_TIME: Duration = Duration::from_millis(1_500);
 /// Data unacknowledged for so long ends a connection.
-pub(super) const UNACKED_TIME: Duration = Duration::from_secs(2);
+pub(crate) const UNACKED_TIME: Duration = Duration::from_secs(2);
 /// Time that a box is passed over after it failed.
 pub(super) const PASS_OVER_TIME: Duration = Duration::from_secs(3);
 /// The same for a box that answers but cannot confirm that what it knows is
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -12,7 +12,8 @@
 use crate::follow::Follower;
 use crate::peer::link::{self, Error};
 use crate::peer::message::{Answer, Ask, Question, VERSION};
-use crate::peer::{recall, traffic};
+use crate::peer::traffic;
+use crate::recall::boxes;
 use crate::traffic::log::Peer;
 use crate::traffic::Traffic;
 
@@ -98,10 +99,7 @@
             }
             Question::Recall(ask) => {
                 check(ask.version)?;
-                let answer = recall::Answer {
-                    version: VERSION,
-                    kept: relay.traffic.index.kept(Instant::now()),
-                };
+                let answer = boxes::answer(relay);
                 link::within(ANSWER_TIME, link::send(&conn, &answer)).await?;
             }
         }
--- a/crates/relay/src/peer/link.rs
+++ b/crates/relay/src/peer/link.rs
@@ -122,7 +122,7 @@
 /// # Errors
 ///
 /// Those of `work`, or `limit` has passed.
-pub(super) async fn within<T>(
+pub(crate) async fn within<T>(
     limit: Duration,
     work: impl Future<Output = Result<T, Error>>,
 ) -> Result<T, Error> {
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -7,7 +7,8 @@
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 
-use super::{recall, traffic};
+use super::traffic;
+use crate::recall::boxes;
 
 /// The version of these messages. A box does not talk to one that has another.
 pub const VERSION: u16 = 2;
@@ -19,8 +20,8 @@
     Follow(Ask),
     /// Which requests are under way; answered by [`traffic::Answer`].
     Traffic(traffic::Ask),
-    /// Which engines keep which parts; answered by [`recall::Answer`].
-    Recall(recall::Ask),
+    /// Which engines keep which parts; answered by [`boxes::Answer`].
+    Recall(boxes::Ask),
 }
 
 /// A question of a box to the one that reads the store.
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -21,7 +21,6 @@
 pub mod hub;
 pub mod link;
 pub mod message;
-pub mod recall;
 pub mod registry;
 pub mod seed;
 pub mod traffic;
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use smol::{LocalExecutor, Timer};
 use tidepier_h1::Conn;
@@ -135,6 +136,9 @@
 ) -> Infallible {
     let mut halls: HashMap<ids::Hall, smol::Task<Infallible>> = HashMap::new();
     let mut hub = Candidates::default();
+    while !registry.is_listed() {
+        registry.changed.wait().await;
+    }
     loop {
         for hall in registry.other_halls() {
             let far = ask_hall(relay.clone(), registry.clone(), hall.clone());
@@ -150,7 +154,10 @@
             }
             None => {
                 relay.traffic.set_hub(true);
-                Timer::after(ASK_TIME).await;
+                let pause = async {
+                    Timer::after(ASK_TIME).await;
+                };
+                pause.or(registry.changed.wait()).await;
             }
         }
     }
@@ -219,17 +226,14 @@
 async fn ask_on(relay: &Relay, conn: &mut Conn, asker: Asker, peer: &Peer) -> Result<(), Error> {
     let mut end = End::default();
     let mut place = Position::default();
-    // What this box placed before is told by others already, or lost.
-    let mut told = relay.traffic.end();
     for number in 1.. {
-        let report = match asker {
+        let (report, told) = match asker {
             Asker::Box => {
                 let sum = relay.under_way_from_here(Instant::now());
-                let (rows, end_of_rows) = relay.traffic.rows_from_here(told);
-                told = end_of_rows;
-                end.report(&sum, rows)
+                let (rows, told) = relay.traffic.rows_for_hub();
+                (end.report(&sum, rows), Some(told))
             }
-            Asker::Hub => Report::default(),
+            Asker::Hub => (Report::default(), None),
         };
         let ask = Ask {
             version: VERSION,
@@ -239,6 +243,9 @@
             report,
         };
         let answer = exchange(conn, ask).await?;
+        if let Some(told) = told {
+            relay.traffic.set_told(told);
+        }
         place = answer.place;
         end.hear(relay, peer.clone(), &answer.report);
         match asker {
--- /dev/null
+++ b/crates/relay/src/recall/engines.rs
@@ -0,0 +1,99 @@
+//! Asking the engines of this hall what they keep.
+//!
+//! A list costs an engine some of its time, so that this is done once, by one
+//! box, and only where no box can tell.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use smol::LocalExecutor;
+use tidepier_core::request::Part;
+use tidepier_h1::call::{Caller, Failure, Limits, Request};
+use tidepier_platform::call;
+
+use crate::fleet::Backend;
+use crate::relay::Relay;
+use crate::traffic::{index, Progress};
+
+/// Engines asked at once: so many lists fit into a box's memory and link.
+const AT_ONCE: usize = 8;
+/// What is waited for and taken of one engine: a list has some 60 bytes a part,
+/// and the largest engines keep some thousand parts.
+const LIMITS: Limits = Limits {
+    open: Duration::from_millis(150),
+    unacked: Duration::from_secs(1),
+    head_bytes: 8 << 10,
+    body_bytes: 512 << 10,
+};
+/// Longest time for a list. What comes later is of little use: by then most
+/// subjects have been placed anew.
+const LIST_TIME: Duration = Duration::from_millis(500);
+
+/// Asks all engines of this hall, and records what they keep. Does nothing
+/// while engines or their services are not known.
+pub(super) async fn list(relay: &Relay, executor: &LocalExecutor<'static>) {
+    let Some(engines) = engines(relay) else {
+        return;
+    };
+    let share = index::PARTS.get() / relay.fleet.len().max(1);
+    for some in engines.chunks(AT_ONCE) {
+        let lists: Vec<_> = some
+            .iter()
+            .map(|engine| (engine, executor.spawn(ask(engine.clone()))))
+            .collect();
+        for (engine, list) in lists {
+            match list.await {
+                Ok(parts) => record(relay, engine, parts, share),
+                Err(error) => log::info!(
+                    target: "belief",
+                    "event=list_failed server={} why=\"{error}\"",
+                    engine.server.id
+                ),
+            }
+        }
+    }
+    relay.traffic.set_progress(Progress::Listed);
+}
+
+/// The engines of this hall, once catalog and servers are known.
+fn engines(relay: &Relay) -> Option<Vec<Rc<Backend>>> {
+    let catalog = relay.view.catalog()?;
+    if relay.fleet.is_empty() {
+        return None;
+    }
+    let with_engines = catalog.services.iter();
+    let with_engines = with_engines.filter(|(_, service)| service.engine.is_some());
+    let serving = with_engines.flat_map(|(name, _)| relay.fleet.serving(name).to_vec());
+    Some(serving.filter(|it| it.server.hall == relay.hall).collect())
+}
+
+/// Records the largest parts, which cost most to read again: the index has room
+/// for so many of each server, and most others are of one request alone.
+fn record(relay: &Relay, engine: &Backend, mut parts: Vec<Part>, share: usize) {
+    parts.sort_by_key(|part| std::cmp::Reverse(part.tokens));
+    parts.truncate(share);
+    log::info!(
+        target: "belief",
+        "event=listed server={} parts={}",
+        engine.server.id,
+        parts.len()
+    );
+    let now = Instant::now();
+    for part in parts {
+        relay.traffic.index.told(part.id, engine.key, now);
+    }
+}
+
+async fn ask(engine: Rc<Backend>) -> Result<Vec<Part>, Failure> {
+    let caller = Caller::new(engine.server.address, LIMITS);
+    let request = Request {
+        method: "GET",
+        target: call::KEPT,
+        body: None,
+    };
+    let reply = caller.call(&request, LIST_TIME, |_| {}).await?;
+    match reply.head.status() {
+        200 => call::kept(&reply.body).map_err(|error| Failure::Malformed(error.to_string())),
+        status => Err(Failure::Malformed(format!("status {status}"))),
+    }
+}
--- /dev/null
+++ b/crates/relay/src/recall/mod.rs
@@ -0,0 +1,58 @@
+//! Learning after a start which engines keep which parts of prompts.
+//!
+//! A box that was restarted knows nothing of where prompts are kept, and would
+//! have them read anew. Other boxes know, and tell it ([`boxes`]). Where all
+//! boxes were restarted together, the hub of each hall asks the engines of its
+//! hall ([`engines`]), once, and the others ask the hubs.
+
+pub mod boxes;
+mod engines;
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use smol::{LocalExecutor, Timer};
+
+use crate::peer::registry::Registry;
+use crate::relay::Relay;
+use crate::traffic::Progress;
+
+/// Pauses between rounds of questions. Boxes that start together are up within
+/// 0.3 s of each other, and their hubs have asked the engines 0.1 s later.
+const PAUSES: [Duration; 5] = [
+    Duration::from_millis(100),
+    Duration::from_millis(150),
+    Duration::from_millis(250),
+    Duration::from_millis(500),
+    Duration::from_millis(1_000),
+];
+
+/// Round from which a box that is not the first of its hall lists the engines
+/// there if it has become the hub: the first one may be dead.
+const LATE_ROUND: usize = 2;
+
+/// Learns what is kept; ends when that is known or nobody can tell.
+pub async fn run(relay: Rc<Relay>, registry: Rc<Registry>, executor: Rc<LocalExecutor<'static>>) {
+    while !registry.is_listed() {
+        registry.changed.wait().await;
+    }
+    let first = registry.before_me().is_empty();
+    for (round, pause) in PAUSES.into_iter().enumerate() {
+        if boxes::ask(&relay, &registry, &executor).await {
+            break;
+        }
+        // Another box lists the engines only if the first one does not.
+        let lists = first || (round >= LATE_ROUND && relay.traffic.is_hub());
+        if lists && relay.traffic.progress() == Progress::Started {
+            engines::list(&relay, &executor).await;
+        }
+        Timer::after(pause).await;
+    }
+    relay.traffic.set_progress(Progress::Done);
+    log::info!(
+        target: "belief",
+        "event=recalled parts={} ms={}",
+        relay.traffic.index.len(),
+        relay.started.elapsed().as_millis()
+    );
+}
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -44,6 +44,8 @@
 
 /// One router.
 pub struct Relay {
+    /// When it started.
+    pub started: Instant,
     /// The hall of this box.
     pub hall: ids::Hall,
     bounds: Cell<Bounds>,
@@ -66,6 +68,7 @@
     /// A router that knows nothing yet.
     pub fn new(hall: ids::Hall, bounds: Bounds, budget: Budget) -> Self {
         Self {
+            started: Instant::now(),
             hall,
             bounds: Cell::new(bounds),
             view: View::default(),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,12 +16,14 @@
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{ask, hub, recall, seed, traffic};
+use crate::peer::{ask, hub, seed, traffic};
 use crate::ready;
+use crate::recall;
 use crate::relay::{Bounds, Relay};
 use crate::settings::{self, Settings};
 use crate::signal::{Change, Changes};
 use crate::stop::Phase;
+use crate::traffic::Progress;
 
 /// Time from the request to stop until new connections are no longer taken:
 /// the balancer asks every second and acts on the second refusal. Under 3 s,
@@ -170,6 +172,10 @@
         address,
         link_mbps: settings.limits.link_mbps as u32,
     };
+    if settings.first_start {
+        // No engine keeps anything yet.
+        relay.traffic.set_progress(Progress::Done);
+    }
     let registry = Registry::new(me, store);
     executor
         .spawn(registry.clone().keep(relay.clone()))
@@ -190,7 +196,11 @@
         ))
         .detach();
     executor
-        .spawn(recall::run(relay.clone(), registry.clone()))
+        .spawn(recall::run(
+            relay.clone(),
+            registry.clone(),
+            executor.clone(),
+        ))
         .detach();
     executor.spawn(ask::run(follower, registry)).detach();
     Ok(())
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -18,7 +18,7 @@
 
 /// Parts remembered, the ones used last: at 20 requests a second here and 80
 /// that are told, those of over a minute.
-const PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
+pub const PARTS: NonZeroUsize = NonZeroUsize::new(8_192).unwrap();
 /// Time that an engine is trusted to keep a part after its last known use.
 /// Measured engines have room for what they read in four minutes.
 const KEPT_TIME: Duration = Duration::from_secs(60);
@@ -29,18 +29,30 @@
 /// Engines remembered for one part.
 const HOLDERS: usize = 6;
 
+/// A moment, in tenths of a second since [`KEPT_TIME`] before an index was made,
+/// so that what was used before fits in. An entry takes 12 bytes so, where it
+/// would take 40.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+struct Moment(u32);
+
+impl Moment {
+    fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(100) * self.0.saturating_sub(earlier.0)
+    }
+}
+
 /// An engine that a part was sent to.
 struct Holder {
     server: Key,
     /// When the part was last used there, as far as is known.
-    used: Instant,
+    used: Moment,
     /// When this was last told to others, or by them.
-    told: Instant,
+    told: Moment,
 }
 
 impl Holder {
-    fn is_kept(&self, now: Instant) -> bool {
-        now.duration_since(self.used) < KEPT_TIME
+    fn is_kept(&self, now: Moment) -> bool {
+        now.since(self.used) < KEPT_TIME
     }
 }
 
@@ -72,12 +84,14 @@
 
 /// The engines that keep each part.
 pub struct Index {
+    made: Instant,
     parts: RefCell<LruCache<u64, Vec<Holder>>>,
 }
 
 impl Default for Index {
     fn default() -> Self {
         Self {
+            made: Instant::now(),
             parts: RefCell::new(LruCache::new(PARTS)),
         }
     }
@@ -100,6 +114,7 @@
 
     /// The entries used last, for a box that has just started.
     pub fn kept(&self, now: Instant) -> Vec<Kept> {
+        let now = self.moment(now);
         let parts = self.parts.borrow();
         let holders = parts
             .iter()
@@ -108,20 +123,18 @@
         let rows = kept.map(|(part, holder)| Kept {
             part,
             server: holder.server,
-            age_s: now.duration_since(holder.used).as_secs() as u16,
+            age_s: now.since(holder.used).as_secs() as u16,
         });
         rows.take(RECALLED).collect()
     }
 
     /// Takes over what another box knows; what is known here goes before that.
     pub fn recall(&self, kept: &[Kept], now: Instant) {
+        let now = self.moment(now);
         let mut parts = self.parts.borrow_mut();
         // The last one of the rows was used longest ago.
         for row in kept.iter().rev() {
-            let age = Duration::from_secs(u64::from(row.age_s));
-            let Some(used) = now.checked_sub(age) else {
-                continue;
-            };
+            let used = Moment(now.0.saturating_sub(10 * u32::from(row.age_s)));
             let holders = parts.get_or_insert_mut(row.part, Vec::new);
             let known = holders.iter().any(|holder| holder.server == row.server);
             if known || holders.len() == HOLDERS {
@@ -137,14 +150,20 @@
         }
     }
 
+    fn moment(&self, at: Instant) -> Moment {
+        let since = at.saturating_duration_since(self.made) + KEPT_TIME;
+        Moment((since.as_millis() / 100) as u32)
+    }
+
     /// Records a use; returns whether it was not told lately.
     fn record(&self, part: u64, server: Key, now: Instant) -> bool {
+        let now = self.moment(now);
         let mut parts = self.parts.borrow_mut();
         let holders = parts.get_or_insert_mut(part, Vec::new);
         holders.retain(|holder| holder.is_kept(now));
         let known = holders.iter().position(|holder| holder.server == server);
         let told = known.map(|at| holders.remove(at).told);
-        let fresh = told.filter(|told| now.duration_since(*told) < TELL_TIME);
+        let fresh = told.filter(|told| now.since(*told) < TELL_TIME);
         if holders.len() == HOLDERS {
             holders.remove(0);
         }
@@ -158,6 +177,7 @@
 
     /// The servers that keep a part, the one used last first.
     pub fn holders(&self, part: &Part, now: Instant) -> Vec<Key> {
+        let now = self.moment(now);
         let parts = self.parts.borrow();
         let holders = parts.peek(&part.id).into_iter().flatten();
         let kept = holders.filter(|holder| holder.is_kept(now));
--- a/crates/relay/src/traffic/log.rs
+++ b/crates/relay/src/traffic/log.rs
@@ -93,7 +93,7 @@
     }
 
     /// The place after all rows.
-    pub fn end(&self) -> Position {
+    fn end(&self) -> Position {
         Position {
             life: self.life,
             rows: self.count.get(),
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -17,6 +17,7 @@
 use std::cell::Cell;
 use std::time::Instant;
 
+use serde::{Deserialize, Serialize};
 use tidepier_core::request::Prompt;
 
 use crate::fleet::Key;
@@ -28,15 +29,30 @@
 /// each 0.4 s and all rows are used, which is twice what was measured.
 pub const ROWS_MAX: usize = 64;
 
+/// How much a box has learned since its start of what engines keep.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub enum Progress {
+    /// What it has placed itself, and what others told of theirs.
+    #[default]
+    Started,
+    /// What the engines of its hall keep, too.
+    Listed,
+    /// All there is to know.
+    Done,
+}
+
 /// What this box knows of the fleet's requests beyond its own.
 #[derive(Default)]
 pub struct Traffic {
     /// Which engines keep which parts.
     pub index: Index,
     log: Log,
+    /// Place in the log up to which the hub of this hall was told.
+    told: Cell<Position>,
     tally: Tally,
     joined: Cell<u64>,
     is_hub: Cell<bool>,
+    progress: Cell<Progress>,
 }
 
 impl Traffic {
@@ -92,9 +108,14 @@
         self.is_hub.set(is_hub);
     }
 
-    /// The place in the log after all rows.
-    pub fn end(&self) -> Position {
-        self.log.end()
+    /// How much of what engines keep was learned after the start.
+    pub fn progress(&self) -> Progress {
+        self.progress.get()
+    }
+
+    /// Records how much of what engines keep was learned after the start.
+    pub fn set_progress(&self, progress: Progress) {
+        self.progress.set(progress);
     }
 
     /// New rows for a box that asks this one: all that it did not tell itself.
@@ -103,8 +124,18 @@
         self.log.since(place, ROWS_MAX, wanted)
     }
 
-    /// New rows of this box and those that ask it, for its own hub or those of
-    /// other halls.
+    /// Rows of this box and those that ask it that no hub of this hall has got
+    /// yet, and the place after them.
+    pub fn rows_for_hub(&self) -> (Vec<Row>, Position) {
+        self.rows_from_here(self.told.get())
+    }
+
+    /// Records that the hub has got all rows before a place.
+    pub fn set_told(&self, place: Position) {
+        self.told.set(place);
+    }
+
+    /// New rows of this box and those that ask it, for another hall.
     pub fn rows_from_here(&self, place: Position) -> (Vec<Row>, Position) {
         let wanted = |from: Option<&Peer>| from.is_none_or(Peer::is_member);
         self.log.since(place, ROWS_MAX, wanted)
--- a/crates/relay/tests/platform/answer.rs
+++ b/crates/relay/tests/platform/answer.rs
@@ -180,3 +180,22 @@
     let asked = written(|out| call::get(call::REPORT, "10.0.0.1:80", out));
     assert_eq!(asked, "GET /-/report HTTP/1.1\nHost: 10.0.0.1:80\n\n");
 }
+
+#[test]
+fn lists_of_kept_parts_are_read() {
+    let list = br#"{"epoch":3,"next_token":9,"held":[["","5c1e07a2",800,"m"],["","no id",1,"m"],
+        ["","91bd3f06",410,"m"]],"more":1}"#;
+    let parts = call::kept(list).expect("valid");
+    let parts: Vec<_> = parts.iter().map(|part| (part.id, part.tokens)).collect();
+    assert_eq!(parts, [(0x5c1e_07a2, 800), (0x91bd_3f06, 410)]);
+    for invalid in [
+        &b"{}"[..],
+        b"[]",
+        br#"{"held":[["","5c1e07a2"]]}"#,
+        br#"{"held":[["","5c1e07a2",-1,"m"]]}"#,
+        br#"{"held":"#,
+    ] {
+        assert!(call::kept(invalid).is_err(), "{invalid:?}");
+    }
+    assert_eq!(call::KEPT, "/-/kv-list");
+}
--- a/crates/relay/tests/relay/load.rs
+++ b/crates/relay/tests/relay/load.rs
@@ -53,7 +53,7 @@
 const BROKEN_SHARE: f64 = 0.03;
 /// A site whose engines can copy prompts from each other, as measured ones do:
 /// 0.007 ms a token.
-fn engines_site() -> Result<Site> {
+pub(crate) fn engines_site() -> Result<Site> {
     let site = hall::keyed()?;
     site.configure(|config| {
         config["services"][0]["engine"] = json!({
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -23,6 +23,7 @@
 mod port;
 mod process;
 mod raw;
+mod recalled;
 mod recover;
 mod registry;
 mod requests;
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -9,7 +9,8 @@
 use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::peer::link;
 use tidepier_relay::peer::message::{Question, VERSION};
-use tidepier_relay::peer::{recall, traffic};
+use tidepier_relay::peer::traffic;
+use tidepier_relay::recall::boxes;
 use tidepier_relay::traffic::log::{Position, Row};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Server, Settings};
@@ -35,7 +36,7 @@
 }
 
 /// Sends a box a request about a subject.
-async fn ask_about(machine: &Machine, number: u64) -> Result {
+pub(crate) async fn ask_about(machine: &Machine, number: u64) -> Result {
     let prompt = format!("{:x}:{SHARED},c{number:x}:80", subject(number).id);
     let call = post("/u/x", &format!("{}-{number}", machine.name));
     let answer = machine.call(&call.with(names::PROMPT, &prompt)).await?;
@@ -44,7 +45,7 @@
 }
 
 /// Servers that a box believes to keep a subject.
-fn holders(machine: &Machine, number: u64) -> Vec<Key> {
+pub(crate) fn holders(machine: &Machine, number: u64) -> Vec<Key> {
     let index = &machine.router.relay().traffic.index;
     index.holders(&subject(number), Instant::now())
 }
@@ -59,7 +60,7 @@
 }
 
 /// Two boxes in the first hall and one in the second, all ready.
-async fn halls(executor: &Executor, site: &Site) -> Result<Vec<Machine>> {
+pub(crate) async fn halls(executor: &Executor, site: &Site) -> Result<Vec<Machine>> {
     let mut machines = Vec::new();
     for (name, hall, link) in [
         ("box-0", "hall-1", 5_000),
@@ -72,7 +73,7 @@
     Ok(machines)
 }
 
-fn engines(site: &Site) -> Result<Vec<Server>> {
+pub(crate) fn engines(site: &Site) -> Result<Vec<Server>> {
     let engine = |number: u32| Settings {
         hall: format!("hall-{}", number % 2 + 1),
         ..streaming(number, 3, ms(10))
@@ -82,7 +83,7 @@
 }
 
 /// Waits until all boxes believe the same server to keep a subject.
-async fn agreed(machines: &[Machine], number: u64) -> Result {
+pub(crate) async fn agreed(machines: &[Machine], number: u64) -> Result {
     let start = Instant::now();
     loop {
         let known: Vec<Vec<Key>> = machines.iter().map(|it| holders(it, number)).collect();
@@ -243,7 +244,7 @@
         link::send(&other, &Question::Traffic(ask(VERSION + 1))).await?;
         closed(&mut other).await?;
         let mut other = open().await?;
-        let wrong = recall::Ask {
+        let wrong = boxes::Ask {
             version: VERSION + 1,
         };
         link::send(&other, &Question::Recall(wrong)).await?;
