--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -50,7 +50,7 @@
             self.may_have_run = true;
         }
         if let Some(outcome) = self.outcome(failure) {
-            backend.record(outcome, Instant::now());
+            self.record(backend, outcome);
         }
         log::info!(
             target: "request",
@@ -67,6 +67,11 @@
             .increment(1);
     }
 
+    fn record(&self, backend: &Backend, outcome: Outcome) {
+        let others_failing = self.relay.fleet.failing_beside(backend);
+        backend.record(outcome, others_failing, Instant::now());
+    }
+
     /// What a failure says of the server; `None`: nothing.
     fn outcome(&self, failure: &Failure) -> Option<Outcome> {
         match &failure.cause {
@@ -102,7 +107,7 @@
         } else {
             Outcome::Good
         };
-        backend.record(outcome, Instant::now());
+        self.record(backend, outcome);
         if let Some(took) = self.beginning(first) {
             backend.health.took(took);
         }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -186,7 +186,8 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.over && self.since.elapsed() > self.patience {
-            self.backend.record(Outcome::Silent, Instant::now());
+            // Silence counts by itself, however the others fare.
+            self.backend.record(Outcome::Silent, 0.0, Instant::now());
         }
     }
 }
