--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -50,7 +50,7 @@
             self.may_have_run = true;
         }
         if let Some(outcome) = self.outcome(failure) {
-            self.record(backend, outcome);
+            backend.record(outcome, Instant::now());
         }
         log::info!(
             target: "request",
@@ -67,11 +67,6 @@
             .increment(1);
     }
 
-    fn record(&self, backend: &Backend, outcome: Outcome) {
-        let others_failing = self.relay.fleet.failing_beside(backend);
-        backend.record(outcome, others_failing, Instant::now());
-    }
-
     /// What a failure says of the server; `None`: nothing.
     fn outcome(&self, failure: &Failure) -> Option<Outcome> {
         match &failure.cause {
@@ -107,7 +102,7 @@
         } else {
             Outcome::Good
         };
-        self.record(backend, outcome);
+        backend.record(outcome, Instant::now());
         if let Some(took) = self.beginning(first) {
             backend.health.took(took);
         }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -186,8 +186,7 @@
 impl Drop for Waiting<'_> {
     fn drop(&mut self) {
         if !self.over && self.since.elapsed() > self.patience {
-            // Silence counts by itself, however the others fare.
-            self.backend.record(Outcome::Silent, 0.0, Instant::now());
+            self.backend.record(Outcome::Silent, Instant::now());
         }
     }
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -168,18 +168,12 @@
         self.hall.hear(now);
     }
 
-    /// Whether others may copy from it: it answers, be it with errors, and its
-    /// hall is not silent.
-    pub fn is_reachable(&self, now: Instant) -> bool {
-        self.health.answers(now) && !self.hall.is_silent(now)
-    }
-
-    /// Records how a request there ended; see [`Health::record`].
-    pub fn record(&self, outcome: Outcome, others_failing: f64, now: Instant) {
+    /// Records how a request there ended.
+    pub fn record(&self, outcome: Outcome, now: Instant) {
         if outcome == Outcome::Silent {
             self.hall.miss(now);
         }
-        self.health.record(outcome, others_failing, now);
+        self.health.record(outcome, now);
     }
 
     /// When something last came from it.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -208,15 +208,6 @@
         })
     }
 
-    /// Mean share of recent requests that failed at the other servers of a
-    /// server's service.
-    pub fn failing_beside(&self, backend: &Backend) -> f64 {
-        let servers = self.serving(&backend.server.service);
-        let others = servers.iter().filter(|other| other.key != backend.key);
-        let rates: Vec<f64> = others.map(|other| other.health.failure_rate()).collect();
-        rates.iter().sum::<f64>() / rates.len().max(1) as f64
-    }
-
     /// Servers that are known.
     pub fn len(&self) -> usize {
         self.servers.borrow().len()
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -7,14 +7,8 @@
 use std::cell::Cell;
 use std::time::{Duration, Instant};
 
-/// Failures in a row after which a server is left out, if the others are well.
+/// Failures in a row after which a server is left out.
 const FAILURES_MAX: u32 = 3;
-/// Most errors in a row that a server may answer, however the others fare.
-const ERRORS_MAX: u32 = 12;
-/// Errors in a row count for nothing if chance alone would bring them this often
-/// at the other servers' rate: where all fail, leaving one out helps nobody and
-/// costs what it keeps.
-const CHANCE: f64 = 0.01;
 /// First time that a server is left out; doubled each further time.
 const REST_MIN: Duration = Duration::from_millis(800);
 /// Longest time that a server is left out.
@@ -88,8 +82,6 @@
     in_row: Cell<u32>,
     rests: Cell<u32>,
     out_until: Cell<Option<Instant>>,
-    /// Whether it answered, with errors, when it was left out.
-    erring: Cell<bool>,
     /// When a request was last sent to it after it was left out.
     probed: Cell<Option<Instant>>,
     failure_rate: Cell<f64>,
@@ -100,9 +92,8 @@
 }
 
 impl Health {
-    /// Records how a request ended; `others_failing` is the share of recent
-    /// requests that failed at the other servers of the service.
-    pub fn record(&self, outcome: Outcome, others_failing: f64, now: Instant) {
+    /// Records how a request ended.
+    pub fn record(&self, outcome: Outcome, now: Instant) {
         self.probed.set(None);
         let failed = outcome != Outcome::Good;
         let rate = self.failure_rate.get();
@@ -114,13 +105,12 @@
             self.out_until.set(None);
             return;
         }
-        let (weight, most) = match outcome {
-            Outcome::Absent | Outcome::Silent => (2, FAILURES_MAX),
-            Outcome::Good | Outcome::Bad => (1, errors_most(others_failing)),
+        let weight = match outcome {
+            Outcome::Absent | Outcome::Silent => 2,
+            Outcome::Good | Outcome::Bad => 1,
         };
         self.in_row.set(self.in_row.get() + weight);
-        if self.in_row.get() >= most {
-            self.erring.set(outcome == Outcome::Bad);
+        if self.in_row.get() >= FAILURES_MAX {
             let rest = REST_MIN * 2u32.pow(self.rests.get().min(4));
             self.out_until.set(Some(now + rest.min(REST_MAX)));
             self.rests.set(self.rests.get() + 1);
@@ -165,11 +155,6 @@
         }
     }
 
-    /// Whether it answers, be it with errors: others may still copy from it.
-    pub fn answers(&self, now: Instant) -> bool {
-        self.erring.get() || self.allows(now)
-    }
-
     /// Records that a request was sent.
     pub fn sent(&self, now: Instant) {
         if self.out_until.get().is_some() {
@@ -177,10 +162,3 @@
         }
     }
 }
-
-/// Errors in a row after which a server is left out while this share of requests
-/// fails at the others.
-fn errors_most(others_failing: f64) -> u32 {
-    let by_chance = CHANCE.ln() / others_failing.clamp(0.0, 0.9).ln();
-    (by_chance.ceil() as u32).clamp(FAILURES_MAX, ERRORS_MAX)
-}
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -75,7 +75,7 @@
         subject
             .chain(likely.into_iter().flatten())
             .chain(earlier)
-            .filter(|backend| backend.is_reachable(self.now))
+            .filter(|backend| backend.is_usable(self.now))
             .cloned()
             .collect()
     }
@@ -87,12 +87,10 @@
         servers.filter(move |backend| hall.is_none_or(|hall| backend.server.hall == *hall))
     }
 
-    /// Whether any of these servers is known here and answers.
+    /// Whether any of these servers is known here and not avoided.
     pub(super) fn has_any(&self, servers: &[Key]) -> bool {
         let known = servers.iter().filter_map(|key| self.find(*key));
-        known
-            .into_iter()
-            .any(|backend| backend.is_reachable(self.now))
+        known.into_iter().any(|backend| backend.is_usable(self.now))
     }
 
     fn find(&self, key: Key) -> Option<&Rc<Backend>> {
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -175,7 +175,7 @@
         // Never three in a row, which would leave it out.
         for _ in 0..12 {
             for outcome in [Outcome::Bad, Outcome::Bad, Outcome::Good] {
-                health.record(outcome, 0.0, Instant::now());
+                health.record(outcome, Instant::now());
             }
         }
         Ok(())
@@ -215,7 +215,7 @@
         for _ in 0..3 {
             desk.backend(id)?
                 .health
-                .record(Outcome::Bad, 0.0, Instant::now());
+                .record(Outcome::Bad, Instant::now());
         }
         Ok(())
     };
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -214,7 +214,7 @@
     for desk in &desks {
         let backend = desk.backend(&failing)?;
         for _ in 0..3 {
-            backend.record(Outcome::Absent, 0.0, Instant::now());
+            backend.record(Outcome::Absent, Instant::now());
         }
         ensure!(desk.first(&prompt)? == next, "{failing} is still first");
         let lacking = desk.places(&prompt).lacking(Key::new(&failing));
