Engines copy only from those that are known to keep a part; guesses are gone

Removed, with the age of servers, FILL_TIME, NEW_TIME and START_TIME. What has no known source is now weighed as read anew.

--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -59,8 +59,6 @@
     /// What it has seen of all servers of its hall.
     pub hall: Rc<Hall>,
     pub(super) state: Cell<State>,
-    /// When this box heard of it; `None` when it was there before.
-    joined: Option<Instant>,
     /// Its entry is gone while the store cannot be relied on.
     pub(super) missing: Cell<bool>,
     /// Requests of this box that are under way there.
@@ -100,9 +98,8 @@
 }
 
 impl Backend {
-    pub(super) fn new(server: Server, hall: Rc<Hall>, joined: Option<Instant>) -> Self {
+    pub(super) fn new(server: Server, hall: Rc<Hall>) -> Self {
         Self {
-            joined,
             hall,
             key: Key::new(&server.id),
             state: Cell::new(server.state),
@@ -119,12 +116,6 @@
         }
     }
 
-    /// Whether it joined less than `most` ago.
-    pub fn is_new(&self, most: Duration, now: Instant) -> bool {
-        let joined = self.joined;
-        joined.is_some_and(|joined| now.duration_since(joined) < most)
-    }
-
     /// Requests that it works on at once.
     pub fn slots(&self) -> u32 {
         self.slots.get()
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -12,7 +12,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
 use tidepier_core::server::{Server, State};
@@ -23,10 +23,6 @@
 
 pub use backend::{Backend, Running};
 
-/// Time from this process's start in which servers that it learns of count as
-/// having been there before.
-const START_TIME: Duration = Duration::from_secs(8);
-
 /// Stands for a server's id in what boxes tell each other: half of its hash.
 /// Two of 900 servers have the same one in one fleet of 10,000, which then
 /// counts them together.
@@ -74,8 +70,8 @@
 }
 
 /// All servers.
+#[derive(Default)]
 pub struct Fleet {
-    started: Instant,
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     /// The servers that take new requests, of services that were asked for
@@ -83,17 +79,6 @@
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
 }
 
-impl Default for Fleet {
-    fn default() -> Self {
-        Self {
-            started: Instant::now(),
-            halls: RefCell::default(),
-            servers: RefCell::default(),
-            services: RefCell::default(),
-        }
-    }
-}
-
 impl Fleet {
     /// Records an announcement.
     pub fn announce(&self, server: Server) -> Change {
@@ -120,8 +105,7 @@
             .entry(server.hall.clone())
             .or_default()
             .clone();
-        let joined = (self.started.elapsed() > START_TIME).then(Instant::now);
-        let backend = Rc::new(Backend::new(server, hall, joined));
+        let backend = Rc::new(Backend::new(server, hall));
         let id = backend.server.id.clone();
         self.servers.borrow_mut().insert(id, backend);
         self.regroup(&service);
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -72,7 +72,7 @@
         };
         let sources = match tokens < COPY_TOKENS_MIN {
             true => Vec::new(),
-            false => order.sources(&by_part, first.first()),
+            false => order.sources(&by_part),
         };
         Self {
             prompt,
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -5,7 +5,7 @@
 
 use std::cmp::Reverse;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Instant;
 
 use tidepier_core::request::Prompt;
 use tidepier_ids as ids;
@@ -16,13 +16,6 @@
 /// Shared tokens under which a subject is kept in each hall, not once for all:
 /// reading that few again costs less than streams between halls.
 const LOCAL_TOKENS: u32 = 1_500;
-/// Time in which a server that joined is asked for most of the subjects that it
-/// comes first for: each is asked for about every 4 s.
-const FILL_TIME: Duration = Duration::from_secs(5);
-/// Time after a server joined in which what it now comes first for may still be
-/// kept by the one that came first before.
-const NEW_TIME: Duration = Duration::from_secs(60);
-
 /// All servers in a subject's order, also those that are leaving.
 pub(super) struct Order {
     servers: Vec<Rc<Backend>>,
@@ -59,25 +52,13 @@
     }
 
     /// Engines to copy the subject's parts from, the best one first: those that
-    /// it was sent to, those that likely keep it by the order, and
-    /// those that this box sent only earlier parts to. `by_part` has the servers
-    /// of each part; `first` is the one that comes first now.
-    pub(super) fn sources(&self, by_part: &[Vec<Key>], first: Option<&Key>) -> Vec<Rc<Backend>> {
-        let of_part = |holders: &'_ Vec<Key>| -> Vec<&Rc<Backend>> {
-            holders.iter().filter_map(|key| self.find(*key)).collect()
-        };
-        let subject = by_part.last().into_iter().flat_map(of_part);
-        // A server that joined lately hardly keeps the subject yet.
-        let settled = first.and_then(|key| self.find(*key));
-        let settled = settled.filter(|backend| !backend.is_new(FILL_TIME, self.now));
-        let likely = [settled, self.before(), self.first_elsewhere()];
-        let earlier = by_part.iter().rev().skip(1).flat_map(of_part);
-        subject
-            .chain(likely.into_iter().flatten())
-            .chain(earlier)
-            .filter(|backend| backend.is_usable(self.now))
-            .cloned()
-            .collect()
+    /// it was sent to, and those that only earlier parts were sent to. `by_part`
+    /// has the servers of each part.
+    pub(super) fn sources(&self, by_part: &[Vec<Key>]) -> Vec<Rc<Backend>> {
+        let holders = by_part.iter().rev().flatten();
+        let known = holders.filter_map(|key| self.find(*key));
+        let usable = known.filter(|backend| backend.is_usable(self.now));
+        usable.cloned().collect()
     }
 
     /// The servers of this box's hall if the subject is kept in each, or all.
@@ -97,22 +78,6 @@
         let mut servers = self.servers.iter();
         servers.find(|backend| backend.key == key)
     }
-
-    /// The server that most likely kept the subject before those that joined
-    /// lately came to be asked for it: the first in the order that is not one of
-    /// them, also one that is leaving.
-    fn before(&self) -> Option<&Rc<Backend>> {
-        self.near()
-            .find(|backend| backend.is_usable(self.now) && !backend.is_new(NEW_TIME, self.now))
-    }
-
-    /// For a subject that is kept in each hall: the server that keeps it in the
-    /// hall, other than this one, whose server comes first of all.
-    fn first_elsewhere(&self) -> Option<&Rc<Backend>> {
-        let hall = self.local.as_ref()?;
-        let mut servers = self.servers.iter();
-        servers.find(|backend| backend.server.hall != *hall)
-    }
 }
 
 /// Servers by rendezvous hash of a prompt's subject.
