Kept connections to a hall that was just heard rest as long as those within it

The bound protects from sending into a cut; a hall that was heard within the same 0.4 s is not cut.

Kept for the round trips that callers no longer wait for. The test failed before.

--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -19,8 +19,9 @@
 /// Longest rest of a kept connection for a request that may run only once: a
 /// server that closes a resting connection would make its fate unknown.
 const REST_ONCE: Duration = Duration::from_millis(1_500);
-/// The same to a server in another hall: a cut is found by opening a
-/// connection, before anything is sent that could be lost.
+/// The same to a server in another hall from which nothing was heard for so
+/// long: a cut is found by opening a connection, before anything is sent that
+/// could be lost.
 const REST_OTHER_HALL: Duration = Duration::from_millis(400);
 /// Longest rest of a kept connection for a request that may be repeated.
 const REST_REPEATABLE: Duration = Duration::from_secs(10);
@@ -83,7 +84,8 @@
 
     /// Longest rest of a kept connection that may carry the request.
     fn rest(&self, backend: &Backend) -> Duration {
-        if backend.server.hall != self.relay.hall {
+        let other_hall = backend.server.hall != self.relay.hall;
+        if other_hall && !backend.hall.heard_within(REST_OTHER_HALL, Instant::now()) {
             REST_OTHER_HALL
         } else if self.route.kind.repeatable() {
             REST_REPEATABLE
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -61,6 +61,12 @@
         self.heard.set(Some(now));
     }
 
+    /// Whether something came from one of its servers less than `most` ago.
+    pub fn heard_within(&self, most: Duration, now: Instant) -> bool {
+        let heard = self.heard.get();
+        heard.is_some_and(|heard| now.duration_since(heard) < most)
+    }
+
     /// Records that one of its servers was found silent.
     pub fn miss(&self, now: Instant) {
         self.silent.set(Some(now));
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -282,3 +282,30 @@
         Ok(())
     })
 }
+
+#[test]
+fn a_kept_connection_to_another_hall_serves_while_the_hall_is_heard() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let far = site.server(usual(2))?;
+        let house = House::open(executor, site).await?;
+        let two = async |name: &str| {
+            let (first, second) = (format!("{name}-1"), format!("{name}-2"));
+            future::try_zip(house.post("/r/x", &first), house.post("/r/x", &second)).await
+        };
+        two("both").await?;
+        ensure!(far.connections().0 == 2, "{:?}", far.connections());
+        // One of the two is used again and again, and the other one rests.
+        for number in 0..3 {
+            Timer::after(ms(250)).await;
+            house.post("/r/x", &format!("one-{number}")).await?;
+        }
+        two("again").await?;
+        ensure!(far.connections().0 == 2, "{:?}", far.connections());
+        // Nothing was heard of the hall meanwhile: it may be cut off.
+        Timer::after(ms(600)).await;
+        house.post("/r/x", "silent").await?;
+        ensure!(far.connections().0 == 3, "{:?}", far.connections());
+        Ok(())
+    })
+}
