--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,44 +1,22 @@
-//! Notifying waiting tasks of one thread that something changed.
+//! Notifying waiting tasks that something changed.
 
-use std::cell::RefCell;
-use std::future::poll_fn;
 use std::rc::Rc;
-use std::task::{Poll, Waker};
 
-#[derive(Default)]
-struct State {
-    count: u64,
-    waiting: Vec<Waker>,
-}
+use event_listener::Event;
 
-/// Something that tasks wait for; every task that waits is woken.
+/// Something that tasks wait for; every task that waits is woken. One that no
+/// longer waits leaves nothing behind.
 #[derive(Default, Clone)]
-pub struct Notice(Rc<RefCell<State>>);
+pub struct Notice(Rc<Event>);
 
 impl Notice {
     /// Wakes every task that waits now.
     pub fn notify(&self) {
-        let mut state = self.0.borrow_mut();
-        state.count += 1;
-        for waker in state.waiting.drain(..) {
-            waker.wake();
-        }
+        self.0.notify(usize::MAX);
     }
 
     /// Waits until the next [`Notice::notify`] after this call.
     pub async fn wait(&self) {
-        let seen = self.0.borrow().count;
-        poll_fn(|context| {
-            let mut state = self.0.borrow_mut();
-            if state.count != seen {
-                return Poll::Ready(());
-            }
-            let waker = context.waker();
-            if !state.waiting.iter().any(|known| known.will_wake(waker)) {
-                state.waiting.push(waker.clone());
-            }
-            Poll::Pending
-        })
-        .await;
+        self.0.listen().await;
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod seeds;
 mod sendings;
 mod shared;
+mod silence;
 mod sizes;
 mod slow;
 mod stop;
