--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -146,23 +146,19 @@
     }
 }
 
-/// Ends when a server has been silent on all connections since now, or its
-/// whole hall is found silent.
+/// Ends when a server has been silent on all connections since now.
 async fn silence(backend: &Rc<Backend>) -> Result<Reply, Failure> {
-    server_silence(backend).or(backend.hall.lost.wait()).await;
-    Err(Failure {
-        ran: Ran::Unknown,
-        cause: Cause::Stalled,
-    })
-}
-
-async fn server_silence(backend: &Backend) {
     let mut since = Instant::now();
     loop {
         Timer::at(since + SILENCE).await;
         match backend.heard() {
             Some(heard) if heard > since => since = heard,
-            _ => return,
+            _ => {
+                return Err(Failure {
+                    ran: Ran::Unknown,
+                    cause: Cause::Stalled,
+                })
+            }
         }
     }
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -12,8 +12,7 @@
 
 use super::idle::Idle;
 use super::Key;
-use crate::hall::Hall;
-use crate::health::{Health, Outcome};
+use crate::health::{Hall, Health, Outcome};
 
 /// A load that the server reported, with what corrects it for later requests
 /// of this box.
@@ -72,8 +71,6 @@
     heard: Cell<Option<Instant>>,
     /// Prompt tokens sent by this box whose answers have not begun.
     prefill: Cell<u64>,
-    /// Streams of this box that have begun.
-    streams: Cell<u32>,
     idle: Idle,
 }
 
@@ -81,7 +78,6 @@
 pub struct Running {
     backend: Rc<Backend>,
     prefill: Cell<u64>,
-    streams: Cell<bool>,
 }
 
 impl Running {
@@ -91,26 +87,11 @@
         let prefill = &self.backend.prefill;
         prefill.set(prefill.get().saturating_sub(tokens));
     }
-
-    /// Events of its answer come from now on.
-    pub fn streams(&self) {
-        self.begun();
-        if !self.streams.replace(true) {
-            let before = self.backend.streams.get();
-            self.backend.streams.set(before + 1);
-            self.backend.hall.begin(before);
-        }
-    }
 }
 
 impl Drop for Running {
     fn drop(&mut self) {
         self.begun();
-        if self.streams.get() {
-            let left = self.backend.streams.get().saturating_sub(1);
-            self.backend.streams.set(left);
-            self.backend.hall.end(left);
-        }
         let own = &self.backend.own;
         own.set(own.get().saturating_sub(1));
     }
@@ -131,7 +112,6 @@
             report: Cell::new(None),
             heard: Cell::new(None),
             prefill: Cell::new(0),
-            streams: Cell::new(0),
             idle: Idle::default(),
         }
     }
@@ -164,7 +144,6 @@
         Running {
             backend: self.clone(),
             prefill: Cell::new(prefill),
-            streams: Cell::new(false),
         }
     }
 
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -19,7 +19,7 @@
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::hall::Hall;
+use crate::health::Hall;
 
 pub use backend::{Backend, Running};
 
@@ -166,15 +166,6 @@
         known.cloned().collect()
     }
 
-    /// The halls that servers are known in.
-    pub fn halls(&self) -> Vec<(ids::Hall, Rc<Hall>)> {
-        let halls = self.halls.borrow();
-        let halls = halls.iter();
-        halls
-            .map(|(name, hall)| (name.clone(), hall.clone()))
-            .collect()
-    }
-
     /// Requests of this box under way, by server.
     pub fn running(&self) -> HashMap<Key, u32> {
         let servers = self.servers.borrow();
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -19,7 +19,6 @@
 pub mod exchange;
 pub mod fleet;
 pub mod follow;
-pub mod hall;
 pub mod health;
 pub mod log;
 pub mod metrics;
--- a/crates/relay/src/notice.rs
+++ b/crates/relay/src/notice.rs
@@ -1,22 +1,44 @@
-//! Notifying waiting tasks that something changed.
+//! Notifying waiting tasks of one thread that something changed.
 
+use std::cell::RefCell;
+use std::future::poll_fn;
 use std::rc::Rc;
+use std::task::{Poll, Waker};
 
-use event_listener::Event;
+#[derive(Default)]
+struct State {
+    count: u64,
+    waiting: Vec<Waker>,
+}
 
-/// Something that tasks wait for; every task that waits is woken. One that no
-/// longer waits leaves nothing behind.
+/// Something that tasks wait for; every task that waits is woken.
 #[derive(Default, Clone)]
-pub struct Notice(Rc<Event>);
+pub struct Notice(Rc<RefCell<State>>);
 
 impl Notice {
     /// Wakes every task that waits now.
     pub fn notify(&self) {
-        self.0.notify(usize::MAX);
+        let mut state = self.0.borrow_mut();
+        state.count += 1;
+        for waker in state.waiting.drain(..) {
+            waker.wake();
+        }
     }
 
     /// Waits until the next [`Notice::notify`] after this call.
     pub async fn wait(&self) {
-        self.0.listen().await;
+        let seen = self.0.borrow().count;
+        poll_fn(|context| {
+            let mut state = self.0.borrow_mut();
+            if state.count != seen {
+                return Poll::Ready(());
+            }
+            let waker = context.waker();
+            if !state.waiting.iter().any(|known| known.will_wake(waker)) {
+                state.waiting.push(waker.clone());
+            }
+            Poll::Pending
+        })
+        .await;
     }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -14,7 +14,6 @@
 use crate::budget::{self, Budget};
 use crate::callers;
 use crate::follow::Follower;
-use crate::hall;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
 use crate::peer::{ask, hub, seed, traffic};
@@ -107,7 +106,6 @@
             let registry = metrics::install()?;
             executor.spawn(metrics::serve(listener, registry)).detach();
         }
-        executor.spawn(hall::watch(relay.clone())).detach();
         let store = Rc::new(Client::new(settings.store.address));
         let follower = Follower::new(relay.clone(), store.clone());
         executor.spawn(follower.clone().catalog()).detach();
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -8,7 +8,6 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use futures_lite::{future, FutureExt};
 use tidepier_core::catalog::Kind;
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
@@ -209,9 +208,9 @@
     out: &mut Vec<u8>,
 ) -> Result<Copied, Failure> {
     loop {
-        let more = read_some(exchange, client, backend, reply, events).await?;
+        let more = read_some(exchange, client, reply, events).await?;
         backend.hear();
-        reply.running.streams();
+        reply.running.begun();
         let whole = if more { events.take() } else { events.rest() };
         if !whole.is_empty() {
             push(out, &whole, client.chunked);
@@ -249,7 +248,6 @@
 async fn read_some(
     exchange: &Exchange<'_>,
     client: &Client,
-    backend: &Backend,
     reply: &mut Reply,
     events: &mut Events,
 ) -> Result<bool, Failure> {
@@ -281,18 +279,5 @@
             cause,
         })
     };
-    let lost = async {
-        // What cannot be resumed is not given up before its time.
-        if !stalls {
-            future::pending::<()>().await;
-        }
-        backend.hall.lost.wait().await;
-        Err(Failure {
-            ran: Ran::Unknown,
-            cause: Cause::Stalled,
-        })
-    };
-    timeout::until(until, read.or(lost))
-        .await
-        .unwrap_or_else(late)
+    timeout::until(until, read).await.unwrap_or_else(late)
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -30,7 +30,6 @@
 mod seeds;
 mod sendings;
 mod shared;
-mod silence;
 mod sizes;
 mod slow;
 mod stop;
