A third fewer calls to the system for each event that is passed on

Cause, from strace of a release build under 50 requests a second (33 streams of 42 events): 77,100 calls in 5 s, 10 an event. A timer was set for each event, which wakes the reactor; each read was tried again before waiting, in vain; and the signal pipe was read whenever any task ran, as its future was what the executor was run for.

The same load makes 51,400 calls.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -30,6 +30,9 @@
 pub struct Conn {
     stream: Arc<Async<TcpStream>>,
     pending: Vec<u8>,
+    /// Whether the last read took all that had arrived: the next one waits first
+    /// and is spared a call that finds nothing.
+    drained: bool,
 }
 
 /// The writing half of a connection.
@@ -105,6 +108,7 @@
         Ok(Self {
             stream: Arc::new(stream),
             pending: Vec::new(),
+            drained: false,
         })
     }
 
@@ -145,10 +149,12 @@
     /// The connection was reset or timed out.
     pub async fn fill(&mut self) -> io::Result<usize> {
         loop {
+            if self.drained {
+                self.stream.readable().await?;
+            }
             if let Some(read) = self.try_fill()? {
                 return Ok(read);
             }
-            self.stream.readable().await?;
         }
     }
 
@@ -162,9 +168,14 @@
             match self.stream.get_ref().read(scratch) {
                 Ok(read) => {
                     self.pending.extend_from_slice(&scratch[..read]);
+                    // An end is found again by the next read, not by waiting.
+                    self.drained = read > 0 && read < scratch.len();
                     return Ok(Some(read));
                 }
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.drained = true;
+                    return Ok(None);
+                }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -43,7 +43,9 @@
 pub async fn run(settings: Settings, mut changes: Changes) -> eyre::Result<()> {
     let executor = Rc::new(LocalExecutor::new());
     let router = Router::start(&settings, &executor)?;
-    let until_stopped = async {
+    // A task of its own: what is run here itself is polled whenever any task is
+    // woken, and asking for signals is a call to the system.
+    let until_stopped = executor.spawn(async move {
         loop {
             match changes.next().await {
                 Change::Stop => break,
@@ -51,7 +53,7 @@
             }
         }
         router.stop().await;
-    };
+    });
     executor.run(until_stopped).await;
     Ok(())
 }
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -17,7 +17,7 @@
 use crate::events::Events;
 use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
-use crate::timeout;
+use crate::timeout::Limit;
 
 /// Pauses promised by a route after which a resumable stream counts as stuck.
 const STALL_PAUSES: u32 = 4;
@@ -66,6 +66,7 @@
     let client = Client::new(exchange, &reply);
     let mut out = exchange.head(&reply, client.length(), client.close);
     let mut events = Events::default();
+    let mut limit = Limit::new(exchange.deadline);
     let resumable = exchange.route.kind == Kind::Stream { resumable: true };
     loop {
         let copied = copy(
@@ -74,6 +75,7 @@
             &backend,
             &mut reply,
             &mut events,
+            &mut limit,
             &mut out,
         );
         let failure = match copied.await {
@@ -205,10 +207,11 @@
     backend: &Rc<Backend>,
     reply: &mut Reply,
     events: &mut Events,
+    limit: &mut Limit,
     out: &mut Vec<u8>,
 ) -> Result<Copied, Failure> {
     loop {
-        let more = read_some(exchange, client, reply, events).await?;
+        let more = read_some(exchange, client, reply, events, limit).await?;
         backend.hear();
         reply.running.begun();
         let whole = if more { events.take() } else { events.rest() };
@@ -250,6 +253,7 @@
     client: &Client,
     reply: &mut Reply,
     events: &mut Events,
+    limit: &mut Limit,
 ) -> Result<bool, Failure> {
     let stalls = exchange.route.kind == Kind::Stream { resumable: true };
     let stall = match exchange.route.pause {
@@ -279,5 +283,5 @@
             cause,
         })
     };
-    timeout::until(until, read).await.unwrap_or_else(late)
+    limit.until(until, read).await.unwrap_or_else(late)
 }
--- a/crates/relay/src/timeout.rs
+++ b/crates/relay/src/timeout.rs
@@ -18,6 +18,58 @@
     async { Some(work.await) }.or(late).await
 }
 
+/// A limit that is moved on while work makes progress, as with each event of a
+/// stream. Setting a timer wakes the reactor, which costs as much as passing an
+/// event on; this one is set again only when it fires.
+pub(crate) struct Limit {
+    timer: Timer,
+    /// When the timer fires.
+    set: Instant,
+}
+
+impl Limit {
+    /// A limit that is next due at `deadline`.
+    pub(crate) fn new(deadline: Instant) -> Self {
+        Self {
+            timer: Timer::at(deadline),
+            set: deadline,
+        }
+    }
+
+    /// The result of `work`, or `None` when it is `deadline`.
+    pub(crate) async fn until<T>(
+        &mut self,
+        deadline: Instant,
+        work: impl Future<Output = T>,
+    ) -> Option<T> {
+        async { Some(work.await) }
+            .or(async {
+                self.pass(deadline).await;
+                None
+            })
+            .await
+    }
+
+    /// Ends at `deadline`.
+    async fn pass(&mut self, deadline: Instant) {
+        if self.set > deadline {
+            self.set_at(deadline);
+        }
+        loop {
+            (&mut self.timer).await;
+            if Instant::now() >= deadline {
+                return;
+            }
+            self.set_at(deadline);
+        }
+    }
+
+    fn set_at(&mut self, at: Instant) {
+        self.timer.set_at(at);
+        self.set = at;
+    }
+}
+
 /// The result of `work`, or `None` when it is `deadline`.
 pub(crate) async fn until<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let late = async {
