Engines copy from the one that should have kept a subject; only known parts count

A box of 295 sees a 295th of the requests and hears of a seventh of the placements, so it knows no holder of the subject itself, while the order that all boxes work out names it: 9.5 million tokens went to servers that had joined since (the holder was the next in order), 6 million to the second in order beside a crowded or failing first. And the estimate took a whole prompt as copied where its source kept the first part only, which made strangers look cheap: 4.2 holders a subject.

This costs no byte at any size.

Tests: what a source is not known to keep is read; a new server copies from the one before it though nobody told (both failed before). One assertion said that nobody copies what no engine is known to keep; it is replaced by one that names who copies from whom.

--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -96,24 +96,33 @@
     pub(super) fn cheapest(&self) -> Option<Choice> {
         let engines = self.servers.iter().zip(&self.loads);
         let open = engines.filter(|(backend, _)| is_open(backend, self.ask));
-        cheapest(open.map(|(backend, load)| self.choice(backend, *load)))
+        let mut choice = cheapest(open.map(|(backend, load)| self.choice(backend, *load)))?;
+        if self.ask.copy_ms.is_some() {
+            choice.copy_from = self.places.source(choice.backend.key).cloned();
+        }
+        Some(choice)
     }
 
     fn choice(&self, backend: &Rc<Backend>, load: f64) -> Choice {
         let key = backend.key;
-        let lacking = self.places.lacking(key);
-        let copied = self.ask.copy_ms.zip(self.places.source(key));
+        let lack = self.places.lacking(key);
         let read_again = 1.0 / READ_TOKENS_PER_MS + READ_AGAIN_MS;
-        let per_lacking = copied.map_or(read_again, |(ms, _)| ms + COPY_MS);
+        let (shared, read) = match self.ask.copy_ms {
+            Some(ms) => (
+                lack.copied * (ms + COPY_MS) + lack.read * read_again,
+                lack.read,
+            ),
+            None => (lack.tokens() * read_again, lack.tokens()),
+        };
         let unproven = f64::from(self.places.unproven(key));
         Choice {
             backend: backend.clone(),
-            cost: self.cost(lacking * per_lacking, backend, load),
+            cost: self.cost(shared, backend, load),
             load,
             rank: self.places.rank(key),
             reading: reading_time(self.own + unproven),
-            read: self.own + if copied.is_some() { 0.0 } else { lacking },
-            copy_from: copied.map(|(_, source)| source.clone()),
+            read: self.own + read,
+            copy_from: None,
         }
     }
 
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -50,6 +50,9 @@
 pub struct Backend {
     /// As it announced itself first.
     pub server: Server,
+    /// When this box learned of it: soon after it joined, unless the box has
+    /// started later.
+    pub known_since: Instant,
     /// Requests that it works on at once, as it said last.
     pub(super) slots: Cell<u32>,
     /// Stands for its id between boxes.
@@ -98,9 +101,10 @@
 }
 
 impl Backend {
-    pub(super) fn new(server: Server, hall: Rc<Hall>) -> Self {
+    pub(super) fn new(server: Server, hall: Rc<Hall>, now: Instant) -> Self {
         Self {
             hall,
+            known_since: now,
             key: Key::new(&server.id),
             state: Cell::new(server.state),
             slots: Cell::new(server.slots),
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -80,8 +80,9 @@
 }
 
 impl Fleet {
-    /// Records an announcement.
-    pub fn announce(&self, server: Server) -> Change {
+    /// Records an announcement that this box learned of at `now`; servers that
+    /// it learns of together have the same moment.
+    pub fn announce(&self, server: Server, now: Instant) -> Change {
         let known = self.servers.borrow().get(&server.id).cloned();
         if let Some(backend) = known {
             backend.missing.set(false);
@@ -105,7 +106,7 @@
             .entry(server.hall.clone())
             .or_default()
             .clone();
-        let backend = Rc::new(Backend::new(server, hall));
+        let backend = Rc::new(Backend::new(server, hall, now));
         let id = backend.server.id.clone();
         self.servers.borrow_mut().insert(id, backend);
         self.regroup(&service);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -176,7 +176,8 @@
         &self.record
     }
 
-    fn announced(&self, row: Row) {
+    /// Takes over a server's entry that this box learned of at `now`.
+    fn announced(&self, row: Row, now: Instant) {
         // Another box may know an older state of the store.
         if self.record.is_outdated(&row) {
             return;
@@ -187,7 +188,7 @@
         let id = server.id.clone();
         let (service, address, hall) =
             (server.service.clone(), server.address, server.hall.clone());
-        let change = self.relay.fleet.announce(server);
+        let change = self.relay.fleet.announce(server, now);
         if change != Change::None {
             log::info!(
                 target: "belief",
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -113,17 +113,18 @@
     }
 
     fn take_rows(&self, servers: Servers) {
+        let now = Instant::now();
         match servers {
             Servers::Changes(changes) => changes.into_iter().for_each(|change| match change {
-                message::Change::Is(row) => self.announced(row),
+                message::Change::Is(row) => self.announced(row, now),
                 message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
             }),
-            Servers::All(rows, seen) => self.take_all(rows, seen),
+            Servers::All(rows, seen) => self.take_all(rows, seen, now),
         }
     }
 
     /// Takes over all servers that another box knows, as of the state `seen`.
-    fn take_all(&self, rows: Vec<message::Row>, seen: u64) {
+    fn take_all(&self, rows: Vec<message::Row>, seen: u64, now: Instant) {
         let present: HashSet<&ids::Server> = rows.iter().map(message::Row::id).collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
@@ -131,7 +132,7 @@
             }
         }
         for row in rows {
-            self.announced(row);
+            self.announced(row, now);
         }
     }
 
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -44,8 +44,9 @@
         let scope = Scope::Prefix(key::SERVERS);
         let mut changes = self.changes(scope, from, "servers_watch");
         while let Some(read) = changes.next().await {
+            let now = Instant::now();
             for event in &read.value {
-                self.take_server_event(event);
+                self.take_server_event(event, now);
             }
             self.record.see(read.revision.0);
             if !read.value.is_empty() {
@@ -56,10 +57,9 @@
 
     fn take_servers(&self, items: &[Item], revision: Revision) {
         self.record.see(revision.0);
-        let present: HashSet<ids::Server> = items
-            .iter()
-            .filter_map(|item| self.take_server(item))
-            .collect();
+        let now = Instant::now();
+        let taken = items.iter().map(|item| self.take_server(item, now));
+        let present: HashSet<ids::Server> = taken.flatten().collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
                 self.entry_gone(&id, revision);
@@ -67,10 +67,10 @@
         }
     }
 
-    fn take_server_event(&self, event: &Event) {
+    fn take_server_event(&self, event: &Event, now: Instant) {
         match event {
             Event::Put(item) => {
-                self.take_server(item);
+                self.take_server(item, now);
             }
             Event::Delete { key, revision } => {
                 if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
@@ -80,12 +80,12 @@
         }
     }
 
-    fn take_server(&self, item: &Item) -> Option<ids::Server> {
+    fn take_server(&self, item: &Item, now: Instant) -> Option<ids::Server> {
         let id = key::server_id(&item.key)?;
         match server::decode(id, &item.value) {
             Ok(server) => {
                 let id = server.id.clone();
-                self.announced(Row::new(&server, item.revision.0));
+                self.announced(Row::new(&server, item.revision.0), now);
                 Some(id)
             }
             Err(error) => {
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -10,7 +10,7 @@
 use std::rc::Rc;
 use std::time::Instant;
 
-use tidepier_core::request::Prompt;
+use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
 
 use crate::fleet::{Backend, Fleet, Key};
@@ -28,19 +28,43 @@
 /// Tokens under which copying a prompt's memory is not worth its set-up.
 const COPY_TOKENS_MIN: u32 = 200;
 
+/// An engine that is known to keep a prompt's first parts.
+struct Source {
+    engine: Rc<Backend>,
+    /// So many of them.
+    parts: usize,
+}
+
+/// Tokens of a prompt's shared parts that a server is expected to lack.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Lack {
+    /// Those that another engine is known to keep, so that they are copied.
+    pub copied: f64,
+    /// Those that the server reads.
+    pub read: f64,
+}
+
+impl Lack {
+    /// All of them.
+    pub fn tokens(self) -> f64 {
+        self.copied + self.read
+    }
+}
+
 /// Where one prompt's parts are kept, as far as this box can tell.
 pub struct Places<'a> {
     prompt: &'a Prompt,
     /// Servers known to keep each shared part, the one used last first.
     by_part: Vec<Vec<Key>>,
+    order: Order,
     /// The servers that come first for the subject, of those that take requests
     /// and that this box does not avoid: all boxes that avoid the same ones
     /// agree on who stands in for them.
     first: Vec<Key>,
     /// How likely each of those keeps the subject if nobody has told.
     likely: [f64; 3],
-    /// The engines that others may copy the parts from, the best one first.
-    sources: Vec<Rc<Backend>>,
+    /// The engines that others may copy from, those with the most parts first.
+    sources: Vec<Source>,
 }
 
 impl<'a> Places<'a> {
@@ -54,9 +78,7 @@
         tried: &[ids::Server],
         now: Instant,
     ) -> Self {
-        let parts = prompt.shared();
-        let tokens = prompt.shared_tokens();
-        let holders = parts.iter().map(|part| index.holders(part, now));
+        let holders = prompt.shared().iter().map(|part| index.holders(part, now));
         let by_part: Vec<Vec<Key>> = holders.collect();
         let order = Order::new(fleet.known(service), prompt, now);
         let first: Vec<Key> = order
@@ -69,13 +91,11 @@
             Some(holders) if order.has_any(holders) => KEPT_UNTOLD,
             _ => KEPT_BY_RANK,
         };
-        let sources = match tokens < COPY_TOKENS_MIN {
-            true => Vec::new(),
-            false => order.sources(&by_part),
-        };
+        let sources = sources(&by_part, &order);
         Self {
             prompt,
             by_part,
+            order,
             first,
             likely,
             sources,
@@ -96,24 +116,68 @@
     }
 
     /// Tokens of the prompt's shared parts that a server is expected to lack.
-    pub fn lacking(&self, server: Key) -> f64 {
+    pub fn lacking(&self, server: Key) -> Lack {
         let likely = self.rank(server).map_or(0.0, |rank| self.likely[rank]);
-        (1.0 - likely) * f64::from(self.unproven(server))
+        let proven = self.proven(server);
+        let kept = self.known_source(server, proven);
+        let kept = kept.map_or(proven, |source| source.parts);
+        let shared = self.prompt.shared();
+        let expected = |parts: &[Part]| (1.0 - likely) * f64::from(tokens(parts));
+        Lack {
+            copied: expected(&shared[proven..kept]),
+            read: expected(&shared[kept..]),
+        }
     }
 
     /// Tokens of the prompt's shared parts that a server may have to read, by
     /// all that is known.
     pub fn unproven(&self, server: Key) -> u32 {
-        let unproven = self.prompt.shared().iter().skip(self.proven(server));
-        unproven.map(|part| part.tokens).sum()
+        tokens(&self.prompt.shared()[self.proven(server)..])
+    }
+
+    /// The engine with the most parts beyond the first `proven` ones, if they
+    /// are worth a copy.
+    fn known_source(&self, server: Key, proven: usize) -> Option<&Source> {
+        let mut others = self.sources.iter();
+        let source = others.find(|source| source.engine.key != server)?;
+        let more = self.prompt.shared().get(proven..source.parts)?;
+        (tokens(more) >= COPY_TOKENS_MIN).then_some(source)
     }
 
     /// The engine that a server copies from what it does not keep; `None` when
     /// it is known to keep all, or that is too little to be copied.
+    ///
+    /// Where no engine is known to keep all parts, that is the one that should
+    /// have kept the subject so far: a box of a large fleet hears of few
+    /// placements, and what an engine does not keep is not copied from it.
     pub fn source(&self, server: Key) -> Option<&Rc<Backend>> {
-        if self.proven(server) == self.by_part.len() {
-            return None;
+        let shared = self.prompt.shared();
+        let proven = self.proven(server);
+        let known = self.known_source(server, proven);
+        let known = known.map(|source| (&source.engine, source.parts));
+        match known {
+            Some((engine, parts)) if parts == shared.len() => Some(engine),
+            _ if tokens(&shared[proven..]) < COPY_TOKENS_MIN => None,
+            _ => {
+                let before = self.order.keeper_before(server);
+                before.or(known.map(|(engine, _)| engine))
+            }
         }
-        self.sources.iter().find(|source| source.key != server)
     }
 }
+
+/// Engines that others may copy from, those with the most parts first.
+fn sources(by_part: &[Vec<Key>], order: &Order) -> Vec<Source> {
+    let numbered = by_part.iter().enumerate().rev();
+    let holders = numbered.flat_map(|(part, holders)| holders.iter().map(move |key| (part, key)));
+    let usable = holders.filter_map(|(part, key)| {
+        let engine = order.usable(*key)?.clone();
+        let parts = part + 1;
+        Some(Source { engine, parts })
+    });
+    usable.collect()
+}
+
+fn tokens(parts: &[Part]) -> u32 {
+    parts.iter().map(|part| part.tokens).sum()
+}
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -5,13 +5,20 @@
 
 use std::cmp::Reverse;
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tidepier_core::request::Prompt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fleet::{Backend, Key};
 
+/// Time after which a server that joined has got what it comes first for: most
+/// subjects are asked for again within a minute, or forgotten.
+const NEW_TIME: Duration = Duration::from_secs(60);
+/// Servers that this box learned of within so long joined together: one of them
+/// has nothing yet that the others could copy. Changes come every 0.8 s at most.
+const TOGETHER_TIME: Duration = Duration::from_millis(1_000);
+
 /// All servers in a subject's order, also those that are leaving.
 pub(super) struct Order {
     servers: Vec<Rc<Backend>>,
@@ -33,25 +40,31 @@
         servers.filter(|backend| backend.serves() && backend.is_usable(self.now))
     }
 
-    /// Engines to copy the subject's parts from, the best one first: those that
-    /// it was sent to, and those that only earlier parts were sent to. `by_part`
-    /// has the servers of each part.
-    pub(super) fn sources(&self, by_part: &[Vec<Key>]) -> Vec<Rc<Backend>> {
-        let holders = by_part.iter().rev().flatten();
-        let known = holders.filter_map(|key| self.find(*key));
-        let usable = known.filter(|backend| backend.is_usable(self.now));
-        usable.cloned().collect()
+    /// The engine that should have kept the subject until a server gets it: the
+    /// first one before that in the order, which may be leaving or crowded, or,
+    /// if the server has joined lately, the first one that was there before.
+    /// `None` for one that comes first and always did, as far as is known here.
+    pub(super) fn keeper_before(&self, server: Key) -> Option<&Rc<Backend>> {
+        let at = self.servers.iter().position(|it| it.key == server)?;
+        let joined = self.servers[at].known_since;
+        let is_new = self.now.duration_since(joined) < NEW_TIME;
+        let older = |it: &Backend| is_new && it.known_since + TOGETHER_TIME <= joined;
+        let others = self.servers.iter().enumerate();
+        let mut before = others.filter(|(place, it)| *place < at || older(it));
+        let keeper = before.find(|(_, it)| it.is_usable(self.now));
+        keeper.map(|(_, engine)| engine)
     }
 
     /// Whether any of these servers is known here and not avoided.
     pub(super) fn has_any(&self, servers: &[Key]) -> bool {
-        let known = servers.iter().filter_map(|key| self.find(*key));
-        known.into_iter().any(|backend| backend.is_usable(self.now))
+        servers.iter().any(|key| self.usable(*key).is_some())
     }
 
-    fn find(&self, key: Key) -> Option<&Rc<Backend>> {
+    /// A server that is known here and not avoided.
+    pub(super) fn usable(&self, key: Key) -> Option<&Rc<Backend>> {
         let mut servers = self.servers.iter();
-        servers.find(|backend| backend.key == key)
+        let known = servers.find(|backend| backend.key == key)?;
+        known.is_usable(self.now).then_some(known)
     }
 }
 
