What a box learns of servers at once is one line; a server that is another is asked once

Changes that come together are one line by kind of change, with the ids of 64 at most (event=servers); a single one has its line as before.

--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -4,6 +4,8 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use tidepier_platform::answer;
+
 use super::Exchange;
 use crate::attempt::{Cause, Failure, Ran};
 use crate::choose::Choice;
@@ -52,6 +54,9 @@
         if let Some(outcome) = self.outcome(failure) {
             backend.record(outcome, Instant::now());
         }
+        if let Cause::Refused(answer::MISDIRECTED) = failure.cause {
+            self.relay.fleet.supplant(&backend.server.id);
+        }
         log::info!(
             target: "request",
             "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2}",
@@ -74,7 +79,7 @@
                 Some(Outcome::Absent)
             }
             Cause::Connect(_) | Cause::Stalled => Some(Outcome::Silent),
-            Cause::Refused(421) => Some(Outcome::Absent),
+            Cause::Refused(answer::MISDIRECTED) => Some(Outcome::Absent),
             Cause::Refused(_) => Some(Outcome::Good),
             // The time may have been too short for any server.
             Cause::Late => {
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -146,6 +146,16 @@
         self.servers.borrow().keys().cloned().collect()
     }
 
+    /// Records that another server answers at a server's address: this life of
+    /// it is over, whatever its entry says, and each further request there
+    /// would be lost time and a retry.
+    pub fn supplant(&self, id: &ids::Server) {
+        if let Some(backend) = self.get(id) {
+            backend.leave();
+            self.regroup(&backend.server.service);
+        }
+    }
+
     /// Drops a server and returns it, if it was known.
     pub fn remove(&self, id: &ids::Server) -> Option<Rc<Backend>> {
         let backend = self.servers.borrow_mut().remove(id)?;
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -17,6 +17,7 @@
 mod catalog;
 mod changes;
 pub mod doubt;
+mod news;
 mod pause;
 mod servers;
 
@@ -32,8 +33,9 @@
 use tidepier_platform::store::Client;
 
 use self::doubt::Doubt;
+use self::news::News;
 pub use self::pause::SCOUTS;
-use crate::fleet::Change;
+use crate::fleet;
 use crate::notice::Notice;
 use crate::peer::message::Row;
 use crate::record::Record;
@@ -176,8 +178,8 @@
         &self.record
     }
 
-    /// Takes over a server's entry that this box learned of at `now`.
-    fn announced(&self, row: Row, now: Instant) {
+    /// Takes over a server's entry.
+    fn announced(&self, row: Row, news: &mut News) {
         // Another box may know an older state of the store.
         if self.record.is_outdated(&row) {
             return;
@@ -185,32 +187,21 @@
         let revision = row.revision();
         self.record.is(row.clone());
         let server = Server::from(row);
-        let id = server.id.clone();
-        let (service, address, hall) =
-            (server.service.clone(), server.address, server.hall.clone());
-        let change = self.relay.fleet.announce(server, now);
-        if change != Change::None {
-            log::info!(
-                target: "belief",
-                "event=server change={change:?} id={id} service={service} address={address} \
-                 hall={hall} revision={revision}"
-            );
-        }
+        let change = match self.relay.fleet.announce(server.clone(), news.at) {
+            fleet::Change::Joined => news::Change::Joined,
+            fleet::Change::Leaving => news::Change::Leaving,
+            fleet::Change::None => return,
+        };
+        news.add(change, &server, revision);
     }
 
     /// Drops a server that is gone as of a revision.
-    fn drop_server(&self, id: &ids::Server, seen: u64, why: &str) {
+    fn drop_server(&self, id: &ids::Server, seen: u64, change: news::Change, news: &mut News) {
         let Some(backend) = self.relay.fleet.remove(id) else {
             return;
         };
         self.record.gone(id, seen);
-        let server = &backend.server;
-        log::info!(
-            target: "belief",
-            "event=server change={why} id={id} service={} hall={} revision={seen}",
-            server.service,
-            server.hall
-        );
+        news.add(change, &backend.server, seen);
     }
 
     /// Records that a read failed that was sent at `asked`. A watch that is cut
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -12,6 +12,7 @@
 use tidepier_core::store::Revision;
 use tidepier_ids as ids;
 
+use super::news::{self, News};
 use super::Follower;
 use crate::peer::link::Error;
 use crate::peer::message::{self, Answer, Servers};
@@ -113,34 +114,35 @@
     }
 
     fn take_rows(&self, servers: Servers) {
-        let now = Instant::now();
+        let mut news = News::new();
         match servers {
             Servers::Changes(changes) => changes.into_iter().for_each(|change| match change {
-                message::Change::Is(row) => self.announced(row, now),
-                message::Change::Gone(id, seen) => self.reported_gone(&id, seen),
+                message::Change::Is(row) => self.announced(row, &mut news),
+                message::Change::Gone(id, seen) => self.reported_gone(&id, seen, &mut news),
             }),
-            Servers::All(rows, seen) => self.take_all(rows, seen, now),
+            Servers::All(rows, seen) => self.take_all(rows, seen, &mut news),
         }
+        news.tell();
     }
 
     /// Takes over all servers that another box knows, as of the state `seen`.
-    fn take_all(&self, rows: Vec<message::Row>, seen: u64, now: Instant) {
+    fn take_all(&self, rows: Vec<message::Row>, seen: u64, news: &mut News) {
         let present: HashSet<&ids::Server> = rows.iter().map(message::Row::id).collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
-                self.reported_gone(&id, seen);
+                self.reported_gone(&id, seen, news);
             }
         }
         for row in rows {
-            self.announced(row, now);
+            self.announced(row, news);
         }
     }
 
     /// Drops a server that another box says is gone, unless that box knows an
     /// older state of the store.
-    fn reported_gone(&self, id: &ids::Server, seen: u64) {
+    fn reported_gone(&self, id: &ids::Server, seen: u64, news: &mut News) {
         if !self.record.is_newer(id, seen) {
-            self.drop_server(id, seen, "Gone");
+            self.drop_server(id, seen, news::Change::Gone, news);
         }
     }
 }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -9,6 +9,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::{key, server};
 
+use super::news::{self, News};
 use super::pause::Pause;
 use super::{Follower, CALL_TIME};
 use crate::peer::message::Row;
@@ -44,10 +45,11 @@
         let scope = Scope::Prefix(key::SERVERS);
         let mut changes = self.changes(scope, from, "servers_watch");
         while let Some(read) = changes.next().await {
-            let now = Instant::now();
+            let mut news = News::new();
             for event in &read.value {
-                self.take_server_event(event, now);
+                self.take_server_event(event, &mut news);
             }
+            news.tell();
             self.record.see(read.revision.0);
             if !read.value.is_empty() {
                 Timer::after(GATHER_TIME).await;
@@ -57,35 +59,36 @@
 
     fn take_servers(&self, items: &[Item], revision: Revision) {
         self.record.see(revision.0);
-        let now = Instant::now();
-        let taken = items.iter().map(|item| self.take_server(item, now));
+        let mut news = News::new();
+        let taken = items.iter().map(|item| self.take_server(item, &mut news));
         let present: HashSet<ids::Server> = taken.flatten().collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
-                self.entry_gone(&id, revision);
+                self.entry_gone(&id, revision, &mut news);
             }
         }
+        news.tell();
     }
 
-    fn take_server_event(&self, event: &Event, now: Instant) {
+    fn take_server_event(&self, event: &Event, news: &mut News) {
         match event {
             Event::Put(item) => {
-                self.take_server(item, now);
+                self.take_server(item, news);
             }
             Event::Delete { key, revision } => {
                 if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
-                    self.entry_gone(&id, *revision);
+                    self.entry_gone(&id, *revision, news);
                 }
             }
         }
     }
 
-    fn take_server(&self, item: &Item, now: Instant) -> Option<ids::Server> {
+    fn take_server(&self, item: &Item, news: &mut News) -> Option<ids::Server> {
         let id = key::server_id(&item.key)?;
         match server::decode(id, &item.value) {
             Ok(server) => {
                 let id = server.id.clone();
-                self.announced(Row::new(&server, item.revision.0), now);
+                self.announced(Row::new(&server, item.revision.0), news);
                 Some(id)
             }
             Err(error) => {
@@ -95,12 +98,12 @@
         }
     }
 
-    fn entry_gone(&self, id: &ids::Server, revision: Revision) {
+    fn entry_gone(&self, id: &ids::Server, revision: Revision, news: &mut News) {
         if self.is_reliable() {
-            self.drop_server(id, revision.0, "Gone");
+            self.drop_server(id, revision.0, news::Change::Gone, news);
         } else {
             self.relay.fleet.mark_missing(id);
-            log::info!(target: "belief", "event=server change=Missing id={id}");
+            news.add_id(news::Change::Missing, id);
         }
     }
 
@@ -118,9 +121,12 @@
             while !self.is_reliable() {
                 Timer::after(LAPSE_LOOK).await;
             }
+            let mut news = News::new();
             for id in self.relay.fleet.missing() {
-                self.drop_server(&id, self.record.seen(), "Lapsed");
+                let seen = self.record.seen();
+                self.drop_server(&id, seen, news::Change::Lapsed, &mut news);
             }
+            news.tell();
         }
     }
 }
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -216,6 +216,43 @@
     })
 }
 
+#[test]
+fn a_server_that_is_another_now_is_asked_once() -> Result {
+    run(async |executor| {
+        let (near, _far, house) = pair(executor).await?;
+        // It has answered fast, so that it is preferred from now on.
+        until("answered", async || {
+            house.post("/r/x", "before").await?;
+            Ok(!near.runs().is_empty())
+        })
+        .await?;
+        let address = near.address();
+        drop(near);
+        let mut other = None;
+        until("free", async || {
+            other = Server::start_at(address, usual(3)).ok();
+            Ok(other.is_some())
+        })
+        .await?;
+        let other = other.expect("a server");
+        // What it says of itself holds for good, also after a time out.
+        for round in 0..3 {
+            for number in 0..20 {
+                let answer = house.post("/r/x", &format!("{round}-{number}")).await?;
+                ensure!(answer.status == 200, "{answer:?}");
+            }
+            Timer::after(ms(900)).await;
+        }
+        let runs = other.runs();
+        let refused = runs
+            .iter()
+            .filter(|run| run.outcome == Outcome::Refused(421));
+        let refused = refused.count();
+        ensure!(refused == 1, "asked {refused} times");
+        Ok(())
+    })
+}
+
 #[test]
 fn a_request_goes_to_no_more_servers_than_its_route_allows() -> Result {
     run(async |executor| {
