--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -166,6 +166,11 @@
         self.failure_rate.get()
     }
 
+    /// Whether the last request there did not fail.
+    pub fn is_sound(&self) -> bool {
+        self.in_row.get() == 0
+    }
+
     /// Whether it may get a request now.
     pub fn allows(&self, now: Instant) -> bool {
         match self.out_until.get() {
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -171,7 +171,7 @@
     let numbered = by_part.iter().enumerate().rev();
     let holders = numbered.flat_map(|(part, holders)| holders.iter().map(move |key| (part, key)));
     let usable = holders.filter_map(|(part, key)| {
-        let engine = order.usable(*key)?.clone();
+        let engine = order.lender(*key)?.clone();
         let parts = part + 1;
         Some(Source { engine, parts })
     });
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -51,20 +51,30 @@
         let older = |it: &Backend| is_new && it.known_since + TOGETHER_TIME <= joined;
         let others = self.servers.iter().enumerate();
         let mut before = others.filter(|(place, it)| *place < at || older(it));
-        let keeper = before.find(|(_, it)| it.is_usable(self.now));
+        let keeper = before.find(|(_, it)| self.lends(it));
         keeper.map(|(_, engine)| engine)
     }
 
     /// Whether any of these servers is known here and not avoided.
     pub(super) fn has_any(&self, servers: &[Key]) -> bool {
-        servers.iter().any(|key| self.usable(*key).is_some())
+        let mut known = servers.iter().filter_map(|key| self.find(*key));
+        known.any(|backend| backend.is_usable(self.now))
     }
 
-    /// A server that is known here and not avoided.
-    pub(super) fn usable(&self, key: Key) -> Option<&Rc<Backend>> {
+    /// A server that others may copy from, if it is known here.
+    pub(super) fn lender(&self, key: Key) -> Option<&Rc<Backend>> {
+        self.find(key).filter(|backend| self.lends(backend))
+    }
+
+    /// Whether others may copy from a server: a copy from one that is down makes
+    /// its request late.
+    fn lends(&self, backend: &Backend) -> bool {
+        backend.is_usable(self.now) && backend.health.is_sound()
+    }
+
+    fn find(&self, key: Key) -> Option<&Rc<Backend>> {
         let mut servers = self.servers.iter();
-        let known = servers.find(|backend| backend.key == key)?;
-        known.is_usable(self.now).then_some(known)
+        servers.find(|backend| backend.key == key)
     }
 }
 
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -283,6 +283,27 @@
     Ok(())
 }
 
+#[test]
+fn nothing_is_copied_from_a_server_whose_last_request_failed() -> Result {
+    let desk = Desk::new("hall-1", 0..12)?;
+    for told in [false, true] {
+        let prompt = prompt(4 + u64::from(told), LARGE);
+        let first = desk.backend(&desk.first(&prompt)?)?;
+        let heir = desk.ranked(&prompt, 1)?;
+        if told {
+            desk.index.sent(&prompt, first.key, Instant::now());
+        }
+        let from = Some(first.server.address);
+        ensure!(desk.source(&prompt, &heir) == from, "{told}");
+        first.record(Outcome::Absent, Instant::now());
+        ensure!(first.is_usable(Instant::now()), "left out at once");
+        ensure!(desk.source(&prompt, &heir) != from, "{told}");
+        first.record(Outcome::Good, Instant::now());
+        ensure!(desk.source(&prompt, &heir) == from, "{told}");
+    }
+    Ok(())
+}
+
 #[test]
 fn a_request_that_failed_goes_on_to_the_next_in_order() -> Result {
     let desk = Desk::new("hall-1", 0..12)?;
