--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -65,6 +65,9 @@
     likely: [f64; 3],
     /// The engines that others may copy from, those with the most parts first.
     sources: Vec<Source>,
+    /// How likely a subject without a known keeper was asked for before, so that
+    /// the engine that should keep it does.
+    expected: f64,
 }
 
 impl<'a> Places<'a> {
@@ -99,6 +102,7 @@
             first,
             likely,
             sources,
+            expected: 1.0 - index.known_share(),
         }
     }
 
@@ -135,34 +139,35 @@
         tokens(&self.prompt.shared()[self.proven(server)..])
     }
 
-    /// The engine with the most parts beyond the first `proven` ones, if they
-    /// are worth a copy.
+    /// The engine that is known to keep the most parts, if those are more than
+    /// the first `proven` ones and what follows these is worth a copy.
     fn known_source(&self, server: Key, proven: usize) -> Option<&Source> {
+        if tokens(&self.prompt.shared()[proven..]) < COPY_TOKENS_MIN {
+            return None;
+        }
         let mut others = self.sources.iter();
-        let source = others.find(|source| source.engine.key != server)?;
-        let more = self.prompt.shared().get(proven..source.parts)?;
-        (tokens(more) >= COPY_TOKENS_MIN).then_some(source)
+        let source = others.find(|source| source.engine.key != server);
+        source.filter(|source| source.parts > proven)
     }
 
     /// The engine that a server copies from what it does not keep; `None` when
     /// it is known to keep all, or that is too little to be copied.
     ///
-    /// Where no engine is known to keep all parts, that is the one that should
-    /// have kept the subject so far: a box of a large fleet hears of few
-    /// placements, and what an engine does not keep is not copied from it.
+    /// Where no engine is known to keep all parts, that may be the one that
+    /// should have kept the subject so far: a box of a large fleet hears of few
+    /// placements. What an engine turns out not to keep is not copied from it.
     pub fn source(&self, server: Key) -> Option<&Rc<Backend>> {
         let shared = self.prompt.shared();
         let proven = self.proven(server);
+        let lacking = tokens(&shared[proven..]);
         let known = self.known_source(server, proven);
-        let known = known.map(|source| (&source.engine, source.parts));
-        match known {
-            Some((engine, parts)) if parts == shared.len() => Some(engine),
-            _ if tokens(&shared[proven..]) < COPY_TOKENS_MIN => None,
-            _ => {
-                let before = self.order.keeper_before(server);
-                before.or(known.map(|(engine, _)| engine))
-            }
+        let copied = known.map_or(0, |source| tokens(&shared[proven..source.parts]));
+        let known = known.map(|source| &source.engine);
+        let by_order = self.expected * f64::from(lacking);
+        if by_order <= f64::from(copied.max(COPY_TOKENS_MIN)) {
+            return known;
         }
+        self.order.keeper_before(server).or(known)
     }
 }
 
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -211,6 +211,12 @@
     // All of it is rather copied from the engine that should keep the subject.
     let from = desk.backend(&desk.first(&unknown)?)?.server.address;
     ensure!(desk.source(&unknown, stranger) == Some(from), "{from}");
+    // But not where the keepers of most subjects are known: this one is new.
+    for _ in 0..500 {
+        desk.index.sent(&known, Key::new(&keeper), Instant::now());
+    }
+    let from = desk.backend(&keeper)?.server.address;
+    ensure!(desk.source(&unknown, stranger) == Some(from), "{from}");
     Ok(())
 }
 
