What a box is not told decides how old an unknown subject is

From the share that is told and the share of its own prompts with a known keeper a box works out how likely an unknown subject was asked for before; where all is told that is nothing, whatever share is known.

--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -21,7 +21,7 @@
 use super::registry::{Member, Registry};
 use crate::fleet::Count;
 use crate::relay::Relay;
-use crate::traffic::log::{Peer, Position, Row};
+use crate::traffic::log::{News, Peer, Position, Row};
 use crate::traffic::tally::{Sum, Told};
 
 /// Time between two questions: what is told is so old at most on each of three
@@ -63,6 +63,8 @@
     pub counts: Vec<Count>,
     /// Placements that are new.
     pub rows: Vec<Row>,
+    /// Further ones for which there was no room.
+    pub untold: u32,
 }
 
 /// The answer.
@@ -89,24 +91,25 @@
 }
 
 impl End {
-    fn report(&mut self, sum: &Sum, rows: Vec<Row>) -> Report {
+    fn report(&mut self, sum: &Sum, news: News) -> Report {
         Report {
             boxes: sum.boxes,
             counts: self.told.changes(sum),
-            rows,
+            rows: news.rows,
+            untold: news.untold,
         }
     }
 
     fn hear(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.heard.apply(report.boxes, &report.counts);
-        relay.hear(from, self.heard.clone(), &report.rows);
+        relay.hear(from, self.heard.clone(), &report.rows, report.untold);
     }
 
     /// Answers a question of the box with the number `member` here.
     pub fn answer(&mut self, relay: &Relay, member: u64, ask: Ask) -> Answer {
         let member = Peer::Member(member);
         let now = Instant::now();
-        let (sum, (rows, place)) = match ask.asker {
+        let (sum, news) = match ask.asker {
             Asker::Box => {
                 self.hear(relay, member.clone(), &ask.report);
                 let sum = relay.under_way_beside(&member, now);
@@ -121,8 +124,8 @@
             version: VERSION,
             number: ask.number,
             is_hub: relay.traffic.is_hub(),
-            place,
-            report: self.report(&sum, rows),
+            place: news.place,
+            report: self.report(&sum, news),
         }
     }
 }
@@ -230,8 +233,9 @@
         let (report, told) = match asker {
             Asker::Box => {
                 let sum = relay.under_way_from_here(Instant::now());
-                let (rows, told) = relay.traffic.rows_for_hub();
-                (end.report(&sum, rows), Some(told))
+                let news = relay.traffic.rows_for_hub();
+                let told = news.place;
+                (end.report(&sum, news), Some(told))
             }
             Asker::Hub => (Report::default(), None),
         };
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -102,7 +102,7 @@
             first,
             likely,
             sources,
-            expected: 1.0 - index.known_share(),
+            expected: index.coverage.asked_before(),
         }
     }
 
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -135,9 +135,9 @@
 
     /// Takes over what another box told of its requests and of those that it
     /// knows of.
-    pub fn hear(&self, from: Peer, sum: Sum, rows: &[Row]) {
+    pub fn hear(&self, from: Peer, sum: Sum, rows: &[Row], untold: u32) {
         let now = Instant::now();
-        self.traffic.take(from, sum, rows, now);
+        self.traffic.take(from, sum, rows, untold, now);
         let others = self.traffic.others(None, now);
         self.fleet.set_others(&others.requests, others.boxes, now);
     }
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -6,7 +6,7 @@
 //!
 //! Invariant: a part counts as kept only if all before it in the prompt do.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::num::NonZeroUsize;
 use std::time::{Duration, Instant};
 
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_core::request::{Part, Prompt};
 
+use super::coverage::Coverage;
 use crate::fleet::Key;
 
 /// Parts remembered, the ones used last: at 20 requests a second here and 80
@@ -28,9 +29,6 @@
 const RECALLED: usize = 4_096;
 /// Engines remembered for one part.
 const HOLDERS: usize = 6;
-/// Weight of the newest prompt in the share of those whose keeper was known:
-/// it follows a change within some fifty prompts, ten seconds of a box.
-const KNOWN_WEIGHT: f64 = 0.02;
 
 /// A moment, in tenths of a second since [`KEPT_TIME`] before an index was made,
 /// so that what was used before fits in. An entry takes 12 bytes so, where it
@@ -89,8 +87,8 @@
 pub struct Index {
     made: Instant,
     parts: RefCell<LruCache<u64, Vec<Holder>>>,
-    /// Share of the last prompts sent here of whose subject a keeper was known.
-    known: Cell<f64>,
+    /// How much this box hears of what is kept.
+    pub coverage: Coverage,
 }
 
 impl Default for Index {
@@ -98,7 +96,7 @@
         Self {
             made: Instant::now(),
             parts: RefCell::new(LruCache::new(PARTS)),
-            known: Cell::new(0.0),
+            coverage: Coverage::default(),
         }
     }
 }
@@ -108,23 +106,13 @@
     /// whether others should be told of the last of them.
     pub fn sent(&self, prompt: &Prompt, server: Key, now: Instant) -> bool {
         if let Some(subject) = prompt.subject() {
-            let was_known = !self.holders(subject, now).is_empty();
-            let sample = if was_known { 1.0 } else { 0.0 };
-            let known = self.known.get();
-            self.known.set(known + KNOWN_WEIGHT * (sample - known));
+            self.coverage.placed(!self.holders(subject, now).is_empty());
         }
         let shared = prompt.shared();
         let uses = shared.iter().map(|part| self.record(part.id, server, now));
         uses.last().unwrap_or(false)
     }
 
-    /// Share of the last prompts sent here of whose subject a keeper was known.
-    /// It is near 1 where boxes hear of most placements, so that a subject
-    /// without a keeper is new; and low where boxes are many.
-    pub fn known_share(&self) -> f64 {
-        self.known.get()
-    }
-
     /// Records that another box says that it sent a part, and so all parts
     /// before it, to a server. Returns whether that is news.
     pub fn told(&self, part: u64, server: Key, now: Instant) -> bool {
--- a/crates/relay/src/traffic/log.rs
+++ b/crates/relay/src/traffic/log.rs
@@ -46,6 +46,17 @@
     rows: u64,
 }
 
+/// What is new to a reader of a log.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct News {
+    /// The newest rows.
+    pub rows: Vec<Row>,
+    /// Rows that were left out for want of room.
+    pub untold: u32,
+    /// The reader's place after all of them.
+    pub place: Position,
+}
+
 /// Who told of a row.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub enum Peer {
@@ -101,13 +112,13 @@
     }
 
     /// The newest rows after `place` from those that are `wanted`, at most
-    /// `most`, and the place after them. Rows that are left out are counted.
+    /// `most`. Rows that are left out are counted.
     pub fn since(
         &self,
         place: Position,
         most: usize,
         wanted: impl Fn(Option<&Peer>) -> bool,
-    ) -> (Vec<Row>, Position) {
+    ) -> News {
         let rows = self.rows.borrow();
         let after = match place.life == self.life {
             true => self.count.get().saturating_sub(place.rows),
@@ -124,6 +135,10 @@
         }
         newest.truncate(most);
         newest.reverse();
-        (newest, self.end())
+        News {
+            rows: newest,
+            untold: u32::try_from(left_out).unwrap_or(u32::MAX),
+            place: self.end(),
+        }
     }
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -6,10 +6,12 @@
 //! second old, may be lost, and is bounded in bytes; it makes decisions better
 //! and nothing depends on it.
 //!
-//! * [`index`]: which engines keep which parts.
+//! * [`index`]: which engines keep which parts; [`coverage`]: how much of that
+//!   a box hears.
 //! * [`log`]: placements to be told.
 //! * [`tally`]: counts of requests under way.
 
+pub mod coverage;
 pub mod index;
 pub mod log;
 pub mod tally;
@@ -22,7 +24,7 @@
 
 use crate::fleet::Key;
 use index::Index;
-use log::{Log, Peer, Position, Row};
+use log::{Log, News, Peer, Position, Row};
 use tally::{Sum, Tally};
 
 /// Most rows in one message: 1.5 KB, and so 3 KB a second where each box asks
@@ -68,8 +70,9 @@
     }
 
     /// Takes over what a peer told.
-    pub fn take(&self, from: Peer, sum: Sum, rows: &[Row], now: Instant) {
+    pub fn take(&self, from: Peer, sum: Sum, rows: &[Row], untold: u32, now: Instant) {
         self.tally.report(from.clone(), sum, now);
+        self.index.coverage.heard(rows.len(), untold);
         for row in rows {
             if self.index.told(row.part, row.server, now) {
                 self.log.push(*row, Some(from.clone()));
@@ -119,14 +122,14 @@
     }
 
     /// New rows for a box that asks this one: all that it did not tell itself.
-    pub fn rows_for(&self, member: &Peer, place: Position) -> (Vec<Row>, Position) {
+    pub fn rows_for(&self, member: &Peer, place: Position) -> News {
         let wanted = |from: Option<&Peer>| from != Some(member);
         self.log.since(place, ROWS_MAX, wanted)
     }
 
     /// Rows of this box and those that ask it that no hub of this hall has got
-    /// yet, and the place after them.
-    pub fn rows_for_hub(&self) -> (Vec<Row>, Position) {
+    /// yet.
+    pub fn rows_for_hub(&self) -> News {
         self.rows_from_here(self.told.get())
     }
 
@@ -136,7 +139,7 @@
     }
 
     /// New rows of this box and those that ask it, for another hall.
-    pub fn rows_from_here(&self, place: Position) -> (Vec<Row>, Position) {
+    pub fn rows_from_here(&self, place: Position) -> News {
         let wanted = |from: Option<&Peer>| from.is_none_or(Peer::is_member);
         self.log.since(place, ROWS_MAX, wanted)
     }
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -57,7 +57,8 @@
 }
 
 impl Desk {
-    /// A box in a hall that heard of these servers in this order.
+    /// A box in a hall that heard of these servers in this order, and of next to
+    /// none of the placements of others.
     pub(crate) fn new(hall: &str, numbers: impl IntoIterator<Item = u16>) -> Result<Self> {
         let desk = Self {
             fleet: Fleet::default(),
@@ -66,6 +67,7 @@
             service: id(SERVICE)?,
             start: Instant::now(),
         };
+        desk.index.coverage.heard(1, 999);
         for number in numbers {
             desk.fleet
                 .announce(server(number, State::Ready)?, desk.start);
--- a/crates/relay/tests/relay/index.rs
+++ b/crates/relay/tests/relay/index.rs
@@ -6,8 +6,9 @@
 use eyre::ensure;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_relay::fleet::Key;
+use tidepier_relay::traffic::coverage::Coverage;
 use tidepier_relay::traffic::index::Index;
-use tidepier_relay::traffic::log::{Log, Peer, Position, Row};
+use tidepier_relay::traffic::log::{Log, News, Peer, Position, Row};
 
 use crate::desk::{id, prompt, LARGE};
 use crate::house::Result;
@@ -118,30 +119,62 @@
     let server = key(1)?;
     let row = |part| Row { part, server };
     let all = |_: Option<&Peer>| true;
-    let (rows, place) = log.since(Position::default(), 10, all);
+    let News { rows, place, .. } = log.since(Position::default(), 10, all);
     ensure!(rows.is_empty(), "{rows:?}");
     log.push(row(1), None);
     log.push(row(2), Some(Peer::Member(4)));
-    let (rows, next) = log.since(place, 10, all);
-    ensure!(rows == [row(1), row(2)], "{rows:?}");
-    let (rows, _) = log.since(next, 10, all);
+    let news = log.since(place, 10, all);
+    ensure!(news.rows == [row(1), row(2)], "{news:?}");
+    ensure!(news.untold == 0, "{news:?}");
+    let next = news.place;
+    let rows = log.since(next, 10, all).rows;
     ensure!(rows.is_empty(), "told twice: {rows:?}");
     // A member does not get its own rows back.
     let not_its_own = |from: Option<&Peer>| from != Some(&Peer::Member(4));
-    let (rows, _) = log.since(place, 10, not_its_own);
+    let rows = log.since(place, 10, not_its_own).rows;
     ensure!(rows == [row(1)], "{rows:?}");
     // The newest ones, where there are too many.
     for part in 3..3 + 2 * ROWS {
         log.push(row(part), None);
     }
-    let (rows, end) = log.since(next, 2, all);
+    let news = log.since(next, 2, all);
     let last = 2 + 2 * ROWS;
-    ensure!(rows == [row(last - 1), row(last)], "{rows:?}");
-    ensure!(log.since(end, 2, all).0.is_empty(), "told twice");
+    ensure!(news.rows == [row(last - 1), row(last)], "{news:?}");
+    ensure!(u64::from(news.untold) == 2 * ROWS - 2, "{news:?}");
+    let end = news.place;
+    ensure!(log.since(end, 2, all).rows.is_empty(), "told twice");
     // A place in a log of another life counts as none.
     let other = Log::default();
     other.push(row(1), None);
-    let (rows, _) = other.since(end, 10, all);
+    let rows = other.since(end, 10, all).rows;
     ensure!(rows == [row(1)], "{rows:?}");
     Ok(())
 }
+
+#[test]
+fn what_is_not_told_makes_unknown_subjects_old() -> Result {
+    let share = |known: u32, told: usize, untold: u32| {
+        let coverage = Coverage::default();
+        for number in 0..1_000 {
+            coverage.placed(number * 37 % 100 < known);
+            coverage.heard(told, untold);
+        }
+        coverage.asked_before()
+    };
+    // All is told: what is not known is new, be that much or little.
+    for known in [5, 50, 95] {
+        ensure!(share(known, 10, 0) == 0.0, "{}", share(known, 10, 0));
+    }
+    // Two in five placements are told: nearly all subjects were asked for.
+    let busy = share(37, 64, 96);
+    ensure!((0.8..0.95).contains(&busy), "{busy}");
+    // As many, but next to no subject is known: most of them are new.
+    let sparse = share(4, 64, 96);
+    ensure!(sparse < 0.15, "{sparse}");
+    // Before anything was heard, nothing is expected.
+    ensure!(
+        Coverage::default().asked_before() == 0.0,
+        "expects something"
+    );
+    Ok(())
+}
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -126,7 +126,10 @@
         let copies = desk.source(&prompt, &first).is_some();
         ensure!(copies == (joined > desk.start), "{first}");
         ensure!(desk.source(&prompt, &heir) == Some(from), "{heir}");
-        desk.index.sent(&prompt, Key::new(&first), Instant::now());
+        // Subjects are asked for again and again.
+        for _ in 0..2 {
+            desk.index.sent(&prompt, Key::new(&first), Instant::now());
+        }
         ensure!(desk.source(&prompt, &first).is_none(), "{first}");
         ensure!(desk.source(&prompt, &heir) == Some(from), "{heir}");
         desk.drain(&first)?;
@@ -200,7 +203,9 @@
     };
     let (known, unknown) = (with_common(1), with_common(2));
     let keeper = desk.first(&known)?;
-    desk.index.sent(&known, Key::new(&keeper), Instant::now());
+    for _ in 0..2 {
+        desk.index.sent(&known, Key::new(&keeper), Instant::now());
+    }
     let ids = desk.fleet.ids();
     let places = desk.places(&unknown);
     let stranger = ids.iter().find(|id| places.rank(Key::new(id)).is_none());
@@ -211,12 +216,11 @@
     // All of it is rather copied from the engine that should keep the subject.
     let from = desk.backend(&desk.first(&unknown)?)?.server.address;
     ensure!(desk.source(&unknown, stranger) == Some(from), "{from}");
-    // But not where the keepers of most subjects are known: this one is new.
-    for _ in 0..500 {
-        desk.index.sent(&known, Key::new(&keeper), Instant::now());
-    }
+    // But not where all placements are told: this subject is new.
+    desk.index.coverage.heard(100_000, 0);
+    let source = desk.source(&unknown, stranger);
     let from = desk.backend(&keeper)?.server.address;
-    ensure!(desk.source(&unknown, stranger) == Some(from), "{from}");
+    ensure!(source == Some(from), "{source:?}");
     Ok(())
 }
 
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -238,6 +238,7 @@
                     requests: u32::MAX,
                 }],
                 rows: (0..10_000).map(|part| Row { part, server }).collect(),
+                untold: u32::MAX,
             },
         };
         let mut other = open().await?;
