The demo takes only living processes for a fleet that is up

A process's file now also has its start time. A fleet is up while one of its processes runs with that start time; finish() ends no process that has merely got the id since (the old one would have sent it a signal).

--- a/scripts/lib.sh
+++ b/scripts/lib.sh
@@ -11,30 +11,59 @@
     (cd "$root" && cargo build --release --workspace --locked --quiet)
 }
 
-# start DIR NAME COMMAND...: runs a command in the background, with its log and
-# its process id in DIR.
+# start DIR NAME COMMAND...: runs a command in the background, with its log in
+# DIR, and its process id and start time in NAME.pid there.
 start() {
     local dir=$1 name=$2
     shift 2
     "$@" >>"$dir/$name.log" 2>&1 &
-    echo $! >"$dir/$name.pid"
+    echo "$! $(started_at $!)" >"$dir/$name.pid"
     # A process that is killed on purpose is not worth a line of the shell.
     disown
 }
 
+# started_at PID: the start time of a process in the system's ticks since boot;
+# nothing if there is no such process. The name before it may hold spaces.
+started_at() {
+    sed 's/.*) //' "/proc/$1/stat" 2>/dev/null | cut -d ' ' -f 20
+}
+
+# pid_of DIR NAME: the id of a process, whether it still runs or not.
 pid_of() {
-    cat "$1/$2.pid"
+    local pid started
+    read -r pid started <"$1/$2.pid"
+    echo "$pid"
+}
+
+# runs DIR NAME: whether a process that was started still runs. Its file stays
+# behind when the shell that started it is killed, and another process may have
+# its id by then: that one has another start time.
+runs() {
+    local pid started
+    [ -f "$1/$2.pid" ] && read -r pid started <"$1/$2.pid" || return 1
+    [ -n "$started" ] && [ "$(started_at "$pid")" = "$started" ]
+}
+
+# any_runs DIR: whether any process that was started with DIR still runs.
+any_runs() {
+    local file
+    for file in "$1"/*.pid; do
+        if runs "$1" "$(basename "$file" .pid)"; then return 0; fi
+    done
+    return 1
 }
 
 # finish DIR NAME [SIGNAL]: ends one process of DIR and waits for it.
 finish() {
     local dir=$1 name=$2 signal=${3:-TERM} pid
     [ -f "$dir/$name.pid" ] || return 0
-    pid=$(pid_of "$dir" "$name")
+    if runs "$dir" "$name"; then
+        pid=$(pid_of "$dir" "$name")
+        kill "-$signal" "$pid" 2>/dev/null || true
+        # Not always a child of this shell.
+        while runs "$dir" "$name"; do sleep 0.05; done
+    fi
     rm -f "$dir/$name.pid"
-    kill "-$signal" "$pid" 2>/dev/null || return 0
-    # Not always a child of this shell.
-    while kill -0 "$pid" 2>/dev/null; do sleep 0.05; done
 }
 
 finish_all() {
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -15,6 +15,7 @@
 mod placement;
 mod recovery;
 mod scenarios;
+mod scripts;
 mod settings;
 mod stores;
 mod streams;
