A server's own error is kept for the client until another server answers

Now the error is set aside whole (16 KiB at most, 50 ms, its connection is kept as before) and delivered as it was, status and signature unchanged, when no further server is or may be asked or the time is over. Ruled out: holding it for streams that have begun; nothing is set aside there.

sendings::an_error_is_kept_until_another_server_answers: 502 before, 500 with the first server's signature after, for lost answers, resets, garbage and refusals of the second.

--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -65,6 +65,7 @@
         connects: 0,
         paid: false,
         may_have_run: false,
+        aside: None,
     })
 }
 
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -65,10 +65,7 @@
     };
     match exchange.serve().await {
         Ok(end) => end,
-        Err(kind) => {
-            let attempt = exchange.request.attempt.clone();
-            refuse(relay, arrival, writer, kind, &attempt).await
-        }
+        Err(kind) => exchange.give_up(kind).await,
     }
 }
 
@@ -140,6 +137,8 @@
     paid: bool,
     /// Whether a server may have run it.
     may_have_run: bool,
+    /// A server's own error: the client's answer if no other server has one.
+    aside: Option<stream::Whole>,
 }
 
 impl Exchange<'_> {
@@ -157,6 +156,18 @@
         }
     }
 
+    /// Ends a request that no server answers any more: with the error that a
+    /// server made of it, if there is one, else with an answer of this box.
+    async fn give_up(&mut self, kind: refusal::Kind) -> End {
+        if let Some(whole) = self.aside.take() {
+            let end = whole.deliver(self).await;
+            self.note_answered(whole.backend(), whole.status(), whole.first());
+            return end;
+        }
+        let attempt = &self.request.attempt;
+        refuse(self.relay, self.arrival, self.writer, kind, attempt).await
+    }
+
     /// Passes a server's answer on, unless the request is to go elsewhere.
     async fn pass(
         &mut self,
@@ -173,9 +184,9 @@
     }
 
     /// Encodes an answer's head for the client.
-    pub(crate) fn head(&self, reply: &Reply, length: answer::Length, close: bool) -> Vec<u8> {
+    pub(crate) fn head(&self, head: &Head, length: answer::Length, close: bool) -> Vec<u8> {
         let mut out = Vec::new();
-        answer::encode(&reply.head, length, close, &mut out);
+        answer::encode(head, length, close, &mut out);
         out
     }
 }
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -111,6 +111,11 @@
         if let Some(took) = self.beginning(first) {
             backend.health.took(took);
         }
+        self.note_answered(backend, status, first);
+    }
+
+    /// Logs and counts an answer that was passed on whole.
+    pub(super) fn note_answered(&self, backend: &Backend, status: u16, first: Duration) {
         log::info!(
             target: "request",
             "event=answered id={} server={} status={status} first_ms={} ms={} tries={}",
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -36,12 +36,14 @@
         }
         self.may_have_run = true;
         let own_error = reply.answer.status >= 500;
-        // Its body is read before the retry, so that its connection is kept.
+        // Its body is read before the retry, so that its connection is kept and
+        // the client can have it.
         let repeatable = self.route.kind.repeatable() && self.time_for_retry(stream::SCRAP_TIME);
         if own_error && repeatable && self.retry_is_paid() {
             self.paid = true;
             let status = reply.answer.status;
-            stream::keep_after(backend, reply, self.deadline).await;
+            let aside = stream::set_aside(self, backend, reply).await;
+            self.aside = aside.or(self.aside.take());
             return Err(Failure {
                 ran: Ran::Unknown,
                 cause: Cause::Error(status),
@@ -56,7 +58,7 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
-        // The server's own answer was dropped for this sending.
+        // The server's own answer was set aside for this sending.
         if std::mem::take(&mut self.paid) {
             return Ok(());
         }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -19,6 +19,8 @@
 use crate::fleet::Backend;
 use crate::timeout;
 
+pub(crate) use whole::{set_aside, Whole};
+
 /// Time to read the body of an answer that is not passed on.
 pub(crate) const SCRAP_TIME: Duration = Duration::from_millis(50);
 
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -64,7 +64,7 @@
     mut reply: Reply,
 ) -> Result<End, Failure> {
     let client = Client::new(exchange, &reply);
-    let mut out = exchange.head(&reply, client.length(), client.close);
+    let mut out = exchange.head(&reply.head, client.length(), client.close);
     let mut events = Events::default();
     let mut limit = Limit::new(exchange.deadline);
     let resumable = exchange.route.kind == Kind::Stream { resumable: true };
--- a/crates/relay/src/stream/whole.rs
+++ b/crates/relay/src/stream/whole.rs
@@ -1,10 +1,12 @@
 //! An answer that is read whole before it is passed on.
 
 use std::rc::Rc;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
+use tidepier_h1::Head;
 use tidepier_platform::answer::Length;
 
+use super::SCRAP_TIME;
 use crate::attempt::{Cause, Failure, Ran, Reply};
 use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
@@ -12,6 +14,48 @@
 
 /// Largest body that is read whole before it is passed on, in bytes.
 const WHOLE_BYTES: usize = 8 << 20;
+/// Largest body of an error that is set aside, in bytes: an error's text takes a
+/// few hundred, and one is held for each request that is sent again.
+const ASIDE_BYTES: usize = 16 << 10;
+
+/// An answer that was read whole.
+pub(crate) struct Whole {
+    backend: Rc<Backend>,
+    status: u16,
+    head: Head,
+    length: Length,
+    body: Vec<u8>,
+    /// Time from the request's arrival to the answer's beginning.
+    first: Duration,
+}
+
+impl Whole {
+    /// The server that made it.
+    pub(crate) fn backend(&self) -> &Backend {
+        &self.backend
+    }
+
+    /// Its status.
+    pub(crate) fn status(&self) -> u16 {
+        self.status
+    }
+
+    /// Time from the request's arrival to its beginning.
+    pub(crate) fn first(&self) -> Duration {
+        self.first
+    }
+
+    /// Writes it to the client.
+    pub(crate) async fn deliver(&self, exchange: &Exchange<'_>) -> End {
+        let close = exchange.closes();
+        let mut out = exchange.head(&self.head, self.length, close);
+        out.extend_from_slice(&self.body);
+        match exchange.writer.write_all(&out).await {
+            Ok(()) if !close => End::Keep,
+            _ => End::Close,
+        }
+    }
+}
 
 /// Passes an answer on once it is whole.
 ///
@@ -21,29 +65,53 @@
 pub(super) async fn pass(
     exchange: &mut Exchange<'_>,
     backend: Rc<Backend>,
-    mut reply: Reply,
+    reply: Reply,
 ) -> Result<End, Failure> {
+    let whole = read(exchange, backend, reply, WHOLE_BYTES, exchange.deadline).await?;
+    whole.backend.hear();
+    let end = whole.deliver(exchange).await;
+    exchange.answered(&whole.backend, whole.status, whole.first);
+    Ok(end)
+}
+
+/// Reads an error of a server whose request is sent again, for the client if no
+/// other server answers; `None` if it is not whole at once.
+pub(crate) async fn set_aside(
+    exchange: &Exchange<'_>,
+    backend: &Rc<Backend>,
+    reply: Reply,
+) -> Option<Whole> {
+    let limit = exchange.deadline.min(Instant::now() + SCRAP_TIME);
+    let read = read(exchange, backend.clone(), reply, ASIDE_BYTES, limit);
+    read.await.ok()
+}
+
+/// Reads an answer of at most so many bytes until `limit`, and keeps its
+/// connection.
+async fn read(
+    exchange: &Exchange<'_>,
+    backend: Rc<Backend>,
+    mut reply: Reply,
+    most: usize,
+    limit: Instant,
+) -> Result<Whole, Failure> {
     let first = exchange.arrival.at.elapsed();
     let mut body = Vec::new();
-    read_whole(&mut reply, &mut body, exchange.deadline).await?;
-    backend.hear();
-    let status = reply.answer.status;
-    let close = exchange.closes();
+    read_whole(&mut reply, &mut body, most, limit).await?;
     let length = match exchange.arrival.head.method() {
         "HEAD" => declared_length(&reply),
         _ => Length::Known(body.len() as u64),
     };
-    let mut out = exchange.head(&reply, length, close);
-    out.extend_from_slice(&body);
     if reply.reusable {
         backend.keep(reply.conn, reply.answer.keep_alive);
     }
-    drop(reply.running);
-    let written = exchange.writer.write_all(&out).await;
-    exchange.answered(&backend, status, first);
-    Ok(match written {
-        Ok(()) if !close => End::Keep,
-        _ => End::Close,
+    Ok(Whole {
+        backend,
+        status: reply.answer.status,
+        head: reply.head,
+        length,
+        body,
+        first,
     })
 }
 
@@ -58,10 +126,11 @@
 async fn read_whole(
     reply: &mut Reply,
     body: &mut Vec<u8>,
-    deadline: Instant,
+    most: usize,
+    limit: Instant,
 ) -> Result<(), Failure> {
     let read = async {
-        let rest = reply.body.rest(&mut reply.conn, Some(body), WHOLE_BYTES);
+        let rest = reply.body.rest(&mut reply.conn, Some(body), most);
         rest.await.map_err(|error| Failure {
             ran: Ran::Unknown,
             cause: Cause::Broken(error.into()),
@@ -73,5 +142,5 @@
             cause: Cause::Late,
         })
     };
-    timeout::until(deadline, read).await.unwrap_or_else(late)
+    timeout::until(limit, read).await.unwrap_or_else(late)
 }
--- a/crates/relay/tests/relay/sendings.rs
+++ b/crates/relay/tests/relay/sendings.rs
@@ -89,6 +89,30 @@
     })
 }
 
+/// A server made an answer, if only an error: where no other server has one, the
+/// client gets that and no guess of the router's.
+#[test]
+fn an_error_is_kept_until_another_server_answers() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        for fault in [Fault::LostAnswer, Fault::Reset, Fault::Garbage, Fault::Shed] {
+            near.fault(Fault::Failure, 1);
+            far.fault(fault, u32::MAX);
+            let attempt = format!("{fault:?}");
+            let answer = house.post("/r/x", &attempt).await?;
+            ensure!(answer.status == 500 && answer.complete, "{answer:?}");
+            ensure!(answer.field(names::ATTEMPT) == Some(&attempt), "{answer:?}");
+            let runs = near.runs();
+            let run = runs.iter().find(|run| run.attempt == attempt);
+            let run = run.ok_or_else(|| eyre!("{attempt} did not run"))?;
+            ensure!(answer.field(names::SEAL) == Some(&run.seal), "{answer:?}");
+            ensure!(arrived(&[&far], &attempt) == 1, "{attempt}: not sent again");
+            far.heal();
+        }
+        Ok(())
+    })
+}
+
 #[test]
 fn a_refused_request_goes_to_another_server() -> Result {
     run(async |executor| {
