Servers that go are known before the configuration that follows is whole

What reading found on that way, and the test shows: what a reader tells of servers was taken over only after the configuration that follows its answer was whole. One that does not come within 1.5 s ended the connection, and the news with it; the next reader's answer had the same configuration behind it. Ruled out: the reader's knowledge (its answer had the news), the box's doubt of the store.

--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -48,6 +48,21 @@
         self.informed.get()
     }
 
+    /// Takes over the servers of an answer whose configuration is still to come,
+    /// and leaves the rest of it to [`take_answer`](Self::take_answer).
+    ///
+    /// # Errors
+    ///
+    /// The other box cannot confirm that what it knows is current.
+    pub fn hear_servers(&self, answer: &mut Answer) -> Result<(), Error> {
+        if answer.age_ms.is_none() {
+            return Err(Error::Unsure);
+        }
+        let none = Servers::Changes(Vec::new());
+        self.take_rows(std::mem::replace(&mut answer.servers, none));
+        Ok(())
+    }
+
     /// Takes over what another box answered to a question that was sent at
     /// `asked`, with the configuration's entry that followed.
     ///
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -112,7 +112,11 @@
             position,
         };
         let asked = Instant::now();
-        let (answer, document) = exchange(&mut conn, &ask).await?;
+        let mut answer = ask_for(&mut conn, &ask).await?;
+        // The configuration that follows may take a second or more, and with it
+        // a server that leaves would get requests past its time.
+        follower.hear_servers(&mut answer)?;
+        let document = document(&mut conn, &answer).await?;
         position = answer.position;
         if number == 1 {
             log::info!(
@@ -129,11 +133,8 @@
     }
 }
 
-/// Asks; returns the answer and the configuration's entry that follows it.
-pub(super) async fn exchange(
-    conn: &mut Conn,
-    ask: &Ask,
-) -> Result<(Answer, Option<Vec<u8>>), Error> {
+/// Asks, and waits for the answer.
+pub(super) async fn ask_for(conn: &mut Conn, ask: &Ask) -> Result<Answer, Error> {
     link::send(conn, &Question::Follow(ask.clone())).await?;
     link::within(ANSWER_TIME, link::begin(conn)).await?;
     let answer: Answer = link::within(WHOLE_TIME, link::receive(conn)).await?;
@@ -141,12 +142,14 @@
         let why = format!("version {}, number {}", answer.version, answer.number);
         return Err(Error::Malformed(why));
     }
-    let document = match answer.document_bytes {
-        Some(count) => {
-            let bytes = link::receive_bytes(conn, count as usize);
-            Some(link::within(DOCUMENT_TIME, bytes).await?)
-        }
-        None => None,
+    Ok(answer)
+}
+
+/// The configuration's entry that follows an answer, if one does.
+pub(super) async fn document(conn: &mut Conn, answer: &Answer) -> Result<Option<Vec<u8>>, Error> {
+    let Some(count) = answer.document_bytes else {
+        return Ok(None);
     };
-    Ok((answer, document))
+    let bytes = link::receive_bytes(conn, count as usize);
+    link::within(DOCUMENT_TIME, bytes).await.map(Some)
 }
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -69,7 +69,8 @@
         position: Position::default(),
     };
     let asked = Instant::now();
-    let (answer, document) = ask::exchange(&mut conn, &ask).await?;
+    let answer = ask::ask_for(&mut conn, &ask).await?;
+    let document = ask::document(&mut conn, &answer).await?;
     if follower.is_informed() {
         return Ok(());
     }
--- a/crates/relay/tests/relay/impostors.rs
+++ b/crates/relay/tests/relay/impostors.rs
@@ -12,7 +12,9 @@
 use tidepier_core::server::{Server, State};
 use tidepier_h1::{Conn, Listener};
 use tidepier_relay::peer::link;
-use tidepier_relay::peer::message::{Answer, Ask, Position, Question, Row, Servers, VERSION};
+use tidepier_relay::peer::message::{
+    Answer, Ask, Change, Position, Question, Row, Servers, VERSION,
+};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server as stand_in;
 use tidepier_relay_standin::site::{Route, Site};
@@ -20,7 +22,7 @@
 use crate::hall::{
     address, begun, keyed, readers, register, served, settled, started, Machine, PROOF_TIME,
 };
-use crate::house::{ms, run, usual, Executor, Result, SERVICE};
+use crate::house::{self, ms, run, until, usual, Executor, Result, SERVICE};
 
 /// Time without data after which a connection of a test ends; never.
 const UNACKED: Duration = Duration::from_secs(30);
@@ -291,6 +293,46 @@
     Ok(bytes)
 }
 
+/// A large configuration takes long on the way to a whole hall; who leaves
+/// meanwhile is known before it is there.
+#[test]
+fn a_server_that_goes_is_known_before_a_slow_configuration() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let row = Row::new(&announced(&server)?, site.store.revision());
+        let id = row.id().clone();
+        let text = site.store.value(names::CONFIG);
+        let text = text.ok_or_else(|| eyre!("no configuration"))?;
+        let revision = site.store.revision();
+        let going = Rc::new(Cell::new(false));
+        let said = going.clone();
+        let slow = move |ask: &Ask| {
+            if ask.document < revision || !said.get() {
+                let servers = Servers::All(vec![row.clone()], revision);
+                let told = told(ask, revision);
+                let document = (ask.document < revision).then(|| text.clone());
+                return Say::Answer(Box::new(Answer { servers, ..told }), document);
+            }
+            let answer = Answer {
+                servers: Servers::Changes(vec![Change::Gone(id.clone(), revision + 1)]),
+                document_bytes: Some(400_000),
+                ..told(ask, revision + 1)
+            };
+            Say::Bytes(frame(&answer).unwrap_or_default())
+        };
+        let _impostor = impostor(&executor, &site, slow)?;
+        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
+        settled(std::slice::from_ref(&machine), &[]).await?;
+        ensure!(house::knows(&machine.router, &server), "not known");
+        going.set(true);
+        let start = Instant::now();
+        until("gone", async || Ok(!house::knows(&machine.router, &server))).await?;
+        ensure!(start.elapsed() < ms(1_000), "{:?}", start.elapsed());
+        Ok(())
+    })
+}
+
 #[test]
 fn an_answer_that_has_begun_is_waited_for() -> Result {
     run(async |executor| {
