--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -72,9 +72,9 @@
         let (shared, read) = match self.ask.copy_ms {
             Some(ms) => (
                 lack.copied * (ms + weight::COPY_MS) + lack.read * read_again,
-                lack.unread,
+                lack.read,
             ),
-            None => (lack.tokens() * read_again, lack.unread + lack.copied),
+            None => (lack.tokens() * read_again, lack.tokens()),
         };
         Choice {
             backend: backend.clone(),
@@ -89,7 +89,7 @@
 
     /// The whole cost, given that of the prompt's shared parts, in ms.
     fn cost(&self, shared: f64, backend: &Rc<Backend>, load: f64) -> f64 {
-        let queued = backend.unread(weight::COUNT_AGE, self.now) as f64;
+        let queued = backend.prefill() as f64;
         let slots = f64::from(backend.slots());
         // Of equal costs, chance decides.
         let jitter = fastrand::f64();
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -11,7 +11,7 @@
 use tidepier_h1::Conn;
 
 use super::idle::Idle;
-use super::{Key, Work};
+use super::Key;
 use crate::health::{Hall, Health, Outcome};
 
 /// A load that the server reported, with what corrects it for later requests
@@ -24,10 +24,10 @@
     own: u32,
 }
 
-/// What other boxes have under way at a server.
+/// Requests that other boxes have under way at a server.
 #[derive(Debug, Clone, Copy)]
 struct Others {
-    work: Work,
+    requests: u32,
     /// How many boxes were counted.
     boxes: u32,
     at: Instant,
@@ -42,8 +42,7 @@
     fn all(&self, own: u32) -> u32 {
         let come = own.saturating_sub(self.own).saturating_sub(1);
         let unseen = come.saturating_mul(self.boxes);
-        own.saturating_add(self.work.requests)
-            .saturating_add(unseen)
+        own.saturating_add(self.requests).saturating_add(unseen)
     }
 }
 
@@ -67,7 +66,7 @@
     pub(super) missing: Cell<bool>,
     /// Requests of this box that are under way there.
     own: Cell<u32>,
-    /// What other boxes have under way, as they told last.
+    /// Requests of other boxes, as they told last.
     others: Cell<Option<Others>>,
     /// The last load that the server reported.
     report: Cell<Option<Report>>,
@@ -187,31 +186,15 @@
     }
 
     /// Records what so many other boxes have under way there.
-    pub(super) fn set_others(&self, work: Work, boxes: u32, at: Instant) {
+    pub(super) fn set_others(&self, requests: u32, boxes: u32, at: Instant) {
         self.others.set(Some(Others {
-            work,
+            requests,
             boxes,
             at,
             own: self.own.get(),
         }));
     }
 
-    /// What this box has under way there.
-    pub(super) fn work(&self) -> Work {
-        Work {
-            requests: self.own.get(),
-            unread: u32::try_from(self.prefill.get()).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Prompt tokens that it is expected to read yet: for this box, and for others
-    /// that told less than `most` ago.
-    pub fn unread(&self, most: Duration, now: Instant) -> u64 {
-        let others = self.others.get();
-        let recent = others.filter(|others| now.duration_since(others.at) < most);
-        self.prefill.get() + recent.map_or(0, |others| u64::from(others.work.unread))
-    }
-
     /// Requests of this box and of others that were counted less than `most`
     /// ago.
     pub fn counted(&self, most: Duration, now: Instant) -> Option<u32> {
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -36,53 +36,25 @@
     }
 }
 
-/// What some boxes have under way at one server.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
-pub struct Work {
-    /// Requests.
-    pub requests: u32,
-    /// Prompt tokens that it is expected to read yet before their answers begin.
-    pub unread: u32,
-}
-
-impl Work {
-    /// The work of both.
-    pub fn plus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests.saturating_add(other.requests),
-            unread: self.unread.saturating_add(other.unread),
-        }
-    }
-
-    /// What is left without the other's part.
-    pub fn minus(self, other: Self) -> Self {
-        Self {
-            requests: self.requests.saturating_sub(other.requests),
-            unread: self.unread.saturating_sub(other.unread),
-        }
-    }
-}
-
-/// The work at one server.
+/// Requests under way at one server.
 #[derive(Debug, Clone, Copy, Serialize, Deserialize, PartialEq, Eq)]
-#[serde(from = "(Key, u32, u32)", into = "(Key, u32, u32)")]
+#[serde(from = "(Key, u32)", into = "(Key, u32)")]
 pub struct Count {
     /// The server.
     pub server: Key,
-    /// What is under way there.
-    pub work: Work,
+    /// How many.
+    pub requests: u32,
 }
 
-impl From<(Key, u32, u32)> for Count {
-    fn from((server, requests, unread): (Key, u32, u32)) -> Self {
-        let work = Work { requests, unread };
-        Self { server, work }
+impl From<(Key, u32)> for Count {
+    fn from((server, requests): (Key, u32)) -> Self {
+        Self { server, requests }
     }
 }
 
-impl From<Count> for (Key, u32, u32) {
+impl From<Count> for (Key, u32) {
     fn from(count: Count) -> Self {
-        (count.server, count.work.requests, count.work.unread)
+        (count.server, count.requests)
     }
 }
 
@@ -205,18 +177,18 @@
         known.cloned().collect()
     }
 
-    /// What this box has under way, by server.
-    pub fn running(&self) -> HashMap<Key, Work> {
+    /// Requests of this box under way, by server.
+    pub fn running(&self) -> HashMap<Key, u32> {
         let servers = self.servers.borrow();
         let busy = servers.values().filter(|backend| backend.own() > 0);
-        busy.map(|backend| (backend.key, backend.work())).collect()
+        busy.map(|backend| (backend.key, backend.own())).collect()
     }
 
     /// Records what so many other boxes have under way at all servers.
-    pub fn set_others(&self, work: &HashMap<Key, Work>, boxes: u32, now: Instant) {
+    pub fn set_others(&self, requests: &HashMap<Key, u32>, boxes: u32, now: Instant) {
         for backend in self.servers.borrow().values() {
-            let work = work.get(&backend.key).copied().unwrap_or_default();
-            backend.set_others(work, boxes, now);
+            let requests = requests.get(&backend.key).copied().unwrap_or(0);
+            backend.set_others(requests, boxes, now);
         }
     }
 
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -11,7 +11,7 @@
 use crate::recall::boxes;
 
 /// The version of these messages. A box does not talk to one that has another.
-pub const VERSION: u16 = 4;
+pub const VERSION: u16 = 3;
 
 /// What a box asks another.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -42,10 +42,6 @@
     pub copied: f64,
     /// Those that the server reads.
     pub read: f64,
-    /// Those that it is likely to read: unlike [`read`](Self::read), which weighs
-    /// that boxes should agree, this follows from whether the subject was asked
-    /// for before.
-    pub unread: f64,
     /// Those that it may have to read, by all that is known.
     pub unproven: u32,
 }
@@ -134,14 +130,9 @@
         let shared = self.prompt.shared();
         let (copied, read) = (tokens(&shared[proven..kept]), tokens(&shared[kept..]));
         let expected = |tokens| (1.0 - likely) * f64::from(tokens);
-        let asked = match self.by_part.last() {
-            Some(holders) if !holders.is_empty() => 1.0,
-            _ => self.expected,
-        };
         Lack {
             copied: expected(copied),
             read: expected(read),
-            unread: (1.0 - likely * asked) * f64::from(read),
             unproven: copied + read,
         }
     }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -139,7 +139,7 @@
         let now = Instant::now();
         self.traffic.take(from, sum, rows, untold, now);
         let others = self.traffic.others(None, now);
-        self.fleet.set_others(&others.work, others.boxes, now);
+        self.fleet.set_others(&others.requests, others.boxes, now);
     }
 
     /// Requests under way at this box and those that ask it.
@@ -156,7 +156,7 @@
     fn with_own(&self, mut sum: Sum) -> Sum {
         sum.add(&Sum {
             boxes: 1,
-            work: self.fleet.running(),
+            requests: self.fleet.running(),
         });
         sum
     }
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -1,5 +1,4 @@
-//! What other boxes have under way at each server: requests, and prompts that it
-//! has yet to read.
+//! How many requests other boxes have under way at each server.
 //!
 //! A box sees a small part of the requests and hears of a server's load only
 //! with that server's answers, so that boxes that start together send too much
@@ -13,7 +12,7 @@
 use std::collections::HashMap;
 use std::time::{Duration, Instant};
 
-use crate::fleet::{Count, Key, Work};
+use crate::fleet::{Count, Key};
 
 use super::log::Peer;
 
@@ -23,40 +22,36 @@
 /// A count is told again when it has changed by more than this part of what
 /// was told: at 100 requests a server that is 6, which is of no consequence.
 const TOLD_PART: u32 = 16;
-/// The same for tokens to be read, which change more.
-const TOLD_UNREAD_PART: u32 = 4;
-/// Fewer tokens than that are no change: they are read in 50 ms.
-const UNREAD_MIN: u32 = 2_000;
 
-/// What is under way by server, of some boxes together.
+/// Requests under way by server, of some boxes together.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Sum {
     /// How many boxes have been added up.
     pub boxes: u32,
-    /// By server; servers without any may be missing.
-    pub work: HashMap<Key, Work>,
+    /// Requests by server; servers without any may be missing.
+    pub requests: HashMap<Key, u32>,
 }
 
 impl Sum {
     /// Adds the counts of other boxes.
     pub fn add(&mut self, other: &Sum) {
         self.boxes = self.boxes.saturating_add(other.boxes);
-        for (server, work) in &other.work {
-            let sum = self.work.entry(*server).or_default();
-            *sum = sum.plus(*work);
+        for (server, requests) in &other.requests {
+            let sum = self.requests.entry(*server).or_default();
+            *sum = sum.saturating_add(*requests);
         }
     }
 
     /// Takes away what was added before.
     fn subtract(&mut self, other: &Sum) {
         self.boxes = self.boxes.saturating_sub(other.boxes);
-        for (server, work) in &other.work {
-            let Some(left) = self.work.get_mut(server) else {
+        for (server, requests) in &other.requests {
+            let Some(left) = self.requests.get_mut(server) else {
                 continue;
             };
-            *left = left.minus(*work);
-            if *left == Work::default() {
-                self.work.remove(server);
+            *left = left.saturating_sub(*requests);
+            if *left == 0 {
+                self.requests.remove(server);
             }
         }
     }
@@ -65,31 +60,30 @@
     pub fn apply(&mut self, boxes: u32, changes: &[Count]) {
         self.boxes = boxes;
         for change in changes {
-            if change.work == Work::default() {
-                self.work.remove(&change.server);
-            } else {
-                self.work.insert(change.server, change.work);
-            }
+            match change.requests {
+                0 => self.requests.remove(&change.server),
+                requests => self.requests.insert(change.server, requests),
+            };
         }
     }
 }
 
 /// What was told over one connection, so that only changes need be sent.
 #[derive(Debug, Default)]
-pub struct Told(HashMap<Key, Work>);
+pub struct Told(HashMap<Key, u32>);
 
 impl Told {
     /// What is to be sent so that the other side knows `sum` well enough: at most
-    /// `most` counts, those of the servers with the most work, now or by what was
-    /// told. The others follow with later messages.
+    /// `most` counts, those of the servers with the most requests, now or by what
+    /// was told. The others follow with later messages.
     pub fn changes(&mut self, sum: &Sum, most: usize) -> Vec<Count> {
-        let gone = self.0.keys().filter(|key| !sum.work.contains_key(key));
-        let gone = gone.map(|server| (*server, Work::default()));
-        let now = sum.work.iter().map(|(server, work)| (*server, *work));
-        let differ = now.chain(gone).filter_map(|(server, work)| {
-            let told = self.0.get(&server).copied().unwrap_or_default();
-            let weight = weight(told).max(weight(work));
-            differs(told, work).then_some((weight, Count { server, work }))
+        let gone = self.0.keys().filter(|key| !sum.requests.contains_key(key));
+        let gone = gone.map(|server| (*server, 0));
+        let now = sum.requests.iter().map(|(server, n)| (*server, *n));
+        let differ = now.chain(gone).filter_map(|(server, requests)| {
+            let told = self.0.get(&server).copied().unwrap_or(0);
+            let differs = requests.abs_diff(told) > told / TOLD_PART;
+            differs.then_some((told.max(requests), Count { server, requests }))
         });
         let mut differ: Vec<(u32, Count)> = differ.collect();
         if differ.len() > most {
@@ -97,32 +91,16 @@
             differ.truncate(most);
         }
         let changes: Vec<Count> = differ.into_iter().map(|(_, count)| count).collect();
-        for Count { server, work } in &changes {
-            if *work == Work::default() {
-                self.0.remove(server);
-            } else {
-                self.0.insert(*server, *work);
-            }
+        for Count { server, requests } in &changes {
+            match requests {
+                0 => self.0.remove(server),
+                _ => self.0.insert(*server, *requests),
+            };
         }
         changes
     }
 }
 
-/// Whether work differs enough from what was told of it to be told again.
-fn differs(told: Work, now: Work) -> bool {
-    let requests = now.requests.abs_diff(told.requests);
-    let unread = now.unread.abs_diff(told.unread);
-    let is_over = now == Work::default() && told != now;
-    is_over
-        || requests > told.requests / TOLD_PART
-        || unread > (told.unread / TOLD_UNREAD_PART).max(UNREAD_MIN)
-}
-
-/// How much it matters that others know of work, in requests.
-fn weight(work: Work) -> u32 {
-    work.requests.saturating_add(work.unread / UNREAD_MIN)
-}
-
 struct Report {
     at: Instant,
     sum: Sum,
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -8,7 +8,6 @@
 use tidepier_core::answer::Load;
 use tidepier_ids as ids;
 use tidepier_relay::choose::{self, Ask};
-use tidepier_relay::fleet::Work;
 use tidepier_relay::health::Outcome;
 
 use crate::desk::{prompt, Desk, LARGE, SMALL};
@@ -17,14 +16,6 @@
 /// Servers that may read one subject while nobody has much to do.
 const KEEPERS_MAX: usize = 2;
 
-/// So many requests with nothing to be read.
-fn requests(requests: u32) -> Work {
-    Work {
-        requests,
-        unread: 0,
-    }
-}
-
 #[test]
 fn few_servers_read_one_subject_without_load() -> Result {
     for tokens in [LARGE, SMALL] {
@@ -96,7 +87,7 @@
     let first = desk.first(&prompt)?;
     let server = desk.backend(&first)?.key;
     desk.fleet
-        .set_others(&HashMap::from([(server, requests(6))]), 2, Instant::now());
+        .set_others(&HashMap::from([(server, 6)]), 2, Instant::now());
     let choice = desk.choose(Some(&prompt), &[])?;
     ensure!(choice.backend.server.id != first, "chosen over the count");
     // What the others have under way is over.
@@ -106,56 +97,6 @@
     Ok(())
 }
 
-/// Few requests may be much to read: a short prompt is not to wait for the long
-/// ones of other boxes.
-#[test]
-fn a_server_that_reads_for_other_boxes_is_passed_over() -> Result {
-    let desk = Desk::new("hall-1", 0..4)?;
-    let prompt = prompt(3, SMALL);
-    let first = desk.first(&prompt)?;
-    let server = desk.backend(&first)?.key;
-    let reads = |unread| {
-        let work = Work {
-            requests: 1,
-            unread,
-        };
-        let told = HashMap::from([(server, work)]);
-        desk.fleet.set_others(&told, 2, Instant::now());
-        desk.choose(Some(&prompt), &[])
-    };
-    let choice = reads(20_000)?;
-    ensure!(
-        choice.backend.server.id != first,
-        "waits for 0.5 s of reading"
-    );
-    // What is read soon is no reason to read the subject anew elsewhere.
-    let choice = reads(1_000)?;
-    ensure!(choice.backend.server.id == first, "moved for 25 ms");
-    Ok(())
-}
-
-/// A subject that nobody has asked for is read, wherever boxes agree that it is to
-/// be kept; where it was likely asked for before it is not.
-#[test]
-fn what_nobody_asked_for_is_to_be_read() -> Result {
-    let desk = Desk::new("hall-1", 0..4)?;
-    // All is told, and no keeper of any subject is known.
-    for _ in 0..200 {
-        desk.index.coverage.heard(10, 0);
-        desk.index.coverage.placed(false);
-    }
-    let choice = desk.choose(Some(&prompt(3, LARGE)), &[])?;
-    ensure!(choice.read >= f64::from(LARGE), "{}", choice.read);
-    // Little is told, and the keepers of half of the prompts are known.
-    for number in 0..200 {
-        desk.index.coverage.heard(1, 1);
-        desk.index.coverage.placed(number % 2 == 0);
-    }
-    let choice = desk.choose(Some(&prompt(4, LARGE)), &[])?;
-    ensure!(choice.read < f64::from(LARGE) / 2.0, "{}", choice.read);
-    Ok(())
-}
-
 #[test]
 fn what_came_here_since_the_others_told_has_come_to_them_too() -> Result {
     let desk = Desk::new("hall-1", 0..4)?;
@@ -163,7 +104,7 @@
     let backend = desk.backend(&first)?;
     let counted = || backend.counted(ms(1_500), Instant::now());
     let _before = desk.load(&first, 2)?;
-    let told = HashMap::from([(backend.key, requests(3))]);
+    let told = HashMap::from([(backend.key, 3)]);
     desk.fleet.set_others(&told, 4, Instant::now());
     ensure!(counted() == Some(5), "{:?}", counted());
     // One may be chance.
--- a/crates/relay/tests/relay/crowd.rs
+++ b/crates/relay/tests/relay/crowd.rs
@@ -3,7 +3,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
-use tidepier_relay::fleet::{Count, Key, Work};
+use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::traffic::log::Peer;
 use tidepier_relay::traffic::tally::{Sum, Tally, Told};
 
@@ -14,21 +14,11 @@
     Ok(Key::new(&id(&format!("i-{number}"))?))
 }
 
-/// So many requests with nothing to be read.
-fn requests(requests: u32) -> Work {
-    Work {
-        requests,
-        unread: 0,
-    }
-}
-
 /// The requests of so many boxes: server and count by turns.
 fn sum(boxes: u32, counts: &[(u32, u32)]) -> Result<Sum> {
-    let counts = counts
-        .iter()
-        .map(|(server, n)| Ok((key(*server)?, requests(*n))));
-    let work = counts.collect::<Result<_>>()?;
-    Ok(Sum { boxes, work })
+    let counts = counts.iter().map(|(server, n)| Ok((key(*server)?, *n)));
+    let requests = counts.collect::<Result<_>>()?;
+    Ok(Sum { boxes, requests })
 }
 
 #[test]
@@ -78,12 +68,14 @@
     let mut tell = |now: &Sum| -> Vec<Count> {
         let changes = told.changes(now, usize::MAX);
         heard.apply(now.boxes, &changes);
-        for (server, work) in &now.work {
-            let known = heard.work.get(server).copied().unwrap_or_default();
-            let apart = known.requests.abs_diff(work.requests);
-            assert!(apart <= work.requests / 10, "{known:?}");
+        for (server, requests) in &now.requests {
+            let known = heard.requests.get(server).copied().unwrap_or(0);
+            assert!(known.abs_diff(*requests) <= requests / 10, "{known}");
         }
-        let gone = heard.work.keys().all(|key| now.work.contains_key(key));
+        let gone = heard
+            .requests
+            .keys()
+            .all(|key| now.requests.contains_key(key));
         assert!(gone, "what is over still counts");
         changes
     };
@@ -113,26 +105,17 @@
     crowded[500].1 = 20;
     let (count, known) = tell(&sum(3, &crowded)?);
     ensure!(count == MOST, "{count} counts");
-    ensure!(known.work.get(&key(17)?) == Some(&requests(30)), "not told");
-    ensure!(
-        known.work.get(&key(500)?) == Some(&requests(20)),
-        "not told"
-    );
+    ensure!(known.requests.get(&key(17)?) == Some(&30), "not told");
+    ensure!(known.requests.get(&key(500)?) == Some(&20), "not told");
     let (count, known) = tell(&sum(3, &calm)?);
     ensure!(count == MOST, "{count} counts");
-    ensure!(
-        known.work.get(&key(17)?) == Some(&requests(3)),
-        "still crowded"
-    );
-    ensure!(
-        known.work.get(&key(500)?) == Some(&requests(3)),
-        "still crowded"
-    );
+    ensure!(known.requests.get(&key(17)?) == Some(&3), "still crowded");
+    ensure!(known.requests.get(&key(500)?) == Some(&3), "still crowded");
     // In the end all are told.
     let mut last = known;
     for _ in 0..1_000 / MOST {
         last = tell(&sum(3, &calm)?).1;
     }
-    ensure!(last == sum(3, &calm)?, "{} told", last.work.len());
+    ensure!(last == sum(3, &calm)?, "{} told", last.requests.len());
     Ok(())
 }
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -6,7 +6,7 @@
 use smol::Timer;
 use tidepier_core::request::Part;
 use tidepier_h1::Conn;
-use tidepier_relay::fleet::{Count, Key, Work};
+use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::peer::link;
 use tidepier_relay::peer::message::{Question, VERSION};
 use tidepier_relay::peer::traffic;
@@ -237,10 +237,7 @@
                 boxes: u32::MAX,
                 counts: vec![Count {
                     server,
-                    work: Work {
-                        requests: u32::MAX,
-                        unread: u32::MAX,
-                    },
+                    requests: u32::MAX,
                 }],
                 rows: (0..10_000).map(|part| Row { part, server }).collect(),
                 untold: u32::MAX,
