--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -3,6 +3,7 @@
 // `pub` marks what other modules of this binary use.
 #![allow(unreachable_pub)]
 
+mod bound;
 mod claims;
 mod cli;
 mod documents;
