Read again: an error that cannot be kept is logged, one time limit for scraps

Found by reading the whole change since: - a server's error that could not be set aside (over 16 KiB, broken off, not whole in 50 ms) was dropped without a word; it has a line now, `not_set_aside`, with the request's id and why; - the limit for bodies that are not passed on was worked out in two places; - whether an answer vouches was a comparison in one place and a `?` in its twin.

Seen and left: an error over 16 KiB ends its server's connection, where it was read on for 50 ms before; keep_after still drops why it could not keep a connection.

--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -55,9 +55,7 @@
     ///
     /// The other box cannot confirm that what it knows is current.
     pub fn hear_servers(&self, answer: &mut Answer) -> Result<(), Error> {
-        if answer.age_ms.is_none() {
-            return Err(Error::Unsure);
-        }
+        answer.age_ms.ok_or(Error::Unsure)?;
         let none = Servers::Changes(Vec::new());
         self.take_rows(std::mem::replace(&mut answer.servers, none));
         Ok(())
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -42,10 +42,15 @@
     }
 }
 
+/// Until when the body of such an answer is read.
+fn scrap_limit(deadline: Instant) -> Instant {
+    deadline.min(Instant::now() + SCRAP_TIME)
+}
+
 /// Reads what is left of an answer that is not passed on, so that its
 /// connection can be kept.
 pub(crate) async fn keep_after(backend: &Rc<Backend>, mut reply: Reply, deadline: Instant) {
-    let limit = deadline.min(Instant::now() + SCRAP_TIME);
+    let limit = scrap_limit(deadline);
     // Bounded by its time, and nothing of it is held.
     let read = reply.body.rest(&mut reply.conn, None, usize::MAX);
     let read = timeout::until(limit, read).await;
--- a/crates/relay/src/stream/whole.rs
+++ b/crates/relay/src/stream/whole.rs
@@ -6,7 +6,7 @@
 use tidepier_h1::Head;
 use tidepier_platform::answer::Length;
 
-use super::SCRAP_TIME;
+use super::scrap_limit;
 use crate::attempt::{Cause, Failure, Ran, Reply};
 use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
@@ -81,9 +81,20 @@
     backend: &Rc<Backend>,
     reply: Reply,
 ) -> Option<Whole> {
-    let limit = exchange.deadline.min(Instant::now() + SCRAP_TIME);
-    let read = read(exchange, backend.clone(), reply, ASIDE_BYTES, limit);
-    read.await.ok()
+    let limit = scrap_limit(exchange.deadline);
+    match read(exchange, backend.clone(), reply, ASIDE_BYTES, limit).await {
+        Ok(whole) => Some(whole),
+        Err(failure) => {
+            log::info!(
+                target: "request",
+                "event=not_set_aside id={} server={} why={}",
+                exchange.request.attempt,
+                backend.server.id,
+                failure.cause.name(),
+            );
+            None
+        }
+    }
 }
 
 /// Reads an answer of at most so many bytes until `limit`, and keeps its
