--- a/crates/core/src/catalog.rs
+++ b/crates/core/src/catalog.rs
@@ -105,8 +105,13 @@
     /// Whether requests give the parts of their prompts, so that those that
     /// share parts are better served by the same server.
     pub affinity: bool,
+    /// The regions whose servers may run its requests; `None`: all.
+    pub homes: Option<Homes>,
 }
 
+/// Regions that requests may not leave.
+pub type Homes = Arc<[ids::Region]>;
+
 /// A service's share of a route.
 #[derive(Debug, Clone)]
 pub struct Share {
@@ -123,10 +128,21 @@
     pub health_path: Box<str>,
     /// Connections that one of its servers takes from all callers together.
     pub connections: u32,
+    /// Present when its servers are cold after a start.
+    pub cold: Option<Cold>,
     /// Present when its servers are model engines.
     pub engine: Option<Engine>,
 }
 
+/// What a server of a service bears while it is cold.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Cold {
+    /// Time from its start, or from a later moment, in which it is.
+    pub time: Duration,
+    /// Requests a second from all boxes together; it fails under many more.
+    pub per_s: f64,
+}
+
 /// What is known of the model engines of a service.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Engine {
@@ -171,4 +187,6 @@
     pub name: ids::Account,
     /// Rank; 0 is the most urgent. Goes before the rank of a route.
     pub priority: u8,
+    /// The regions whose servers may run its requests; `None`: all.
+    pub homes: Option<Homes>,
 }
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -1,5 +1,6 @@
 //! Backend servers as they announce themselves.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -14,11 +15,25 @@
     Draining,
 }
 
-/// One life of a backend server: a restart has another id.
+/// When a server's process started, in ms of its own clock since 1970. Two lives
+/// of a server differ in it; which of them is the later one is not told by it,
+/// since clocks may be set back.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Birth(pub u64);
+
+impl fmt::Display for Birth {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
+/// One life of a backend server: its id and its birth.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Server {
     /// Its id.
     pub id: ids::Server,
+    /// When it started, where it tells that.
+    pub born: Option<Birth>,
     /// The service whose requests it runs.
     pub service: ids::Service,
     /// Where it listens. May be given to a server of another service later.
@@ -29,6 +44,7 @@
     pub slots: u32,
     /// Whether it takes new requests.
     pub state: State,
-    /// How much longer it is slow from its start, as of its announcement.
+    /// How much longer it is cold, as of its announcement: slow, and overturned
+    /// by more requests than its service's [`Cold`](crate::catalog::Cold).
     pub cold: Duration,
 }
--- a/crates/ids/src/lib.rs
+++ b/crates/ids/src/lib.rs
@@ -8,7 +8,7 @@
 mod name;
 mod number;
 
-pub use name::{Account, Box, Engine, Hall, Invalid, Model, Server, Service};
+pub use name::{Account, Box, Engine, Hall, Invalid, Model, Region, Server, Service};
 pub use number::{
     Chat, Digest, Generation, Incarnation, InvalidNumber, Offset, Prefix, Request, Slot, Tokens,
 };
--- a/crates/ids/src/name.rs
+++ b/crates/ids/src/name.rs
@@ -128,11 +128,15 @@
     /// A language model.
     Model
 );
+name!(
+    /// A region: data halls near each other.
+    Region
+);
 name!(
     /// A plain service.
     Service
 );
 name!(
-    /// One life of a backend server; a restarted server has another.
+    /// A backend server. It may start again under the same name.
     Server
 );
--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -5,7 +5,7 @@
 //! out, so that a misspelling fails those. JSON fields, which that crate spells
 //! at the types that they are decoded into, are spelled here a second time.
 
-pub use tidepier_platform::key::{CONFIG, OPERATOR, SERVERS};
+pub use tidepier_platform::key::{CONFIG, EMPTIED, OPERATOR, SERVERS};
 pub use tidepier_platform::names::{
     ATTEMPT, DEADLINE, INSTANCE, KEPT_PATH as KEPT, LAST_EVENT, LOAD, NOT_RUN, PARTS as PROMPT,
     PRIORITY, READY_PATH as READY, REPORT_PATH as REPORT, RETRY_AFTER, SEAL, STORE_FROM as FROM,
--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -193,8 +193,20 @@
     /// Writes a server's entry with another address, such as that of a proxy;
     /// returns the revision.
     pub fn announce_at(&self, server: &Server, address: SocketAddr, state: State) -> u64 {
+        self.announce_with(server, address, state, |_| {})
+    }
+
+    /// Writes a server's entry with changes, such as a later life would make;
+    /// returns the revision.
+    pub fn announce_with(
+        &self,
+        server: &Server,
+        address: SocketAddr,
+        state: State,
+        change: impl FnOnce(&mut Value),
+    ) -> u64 {
         let settings = server.settings();
-        let entry = json!({
+        let mut entry = json!({
             "service": settings.service,
             "address": address.to_string(),
             "zone": settings.hall,
@@ -207,6 +219,7 @@
             "cold_remaining_ms": 0,
             "sequence": self.store.revision(),
         });
+        change(&mut entry);
         self.store.put_server(&settings.id, &entry)
     }
 
@@ -216,6 +229,18 @@
         self.store.remove(&key)
     }
 
+    /// The operator asks to send nothing to a hall's servers; returns the revision.
+    pub fn empty_hall(&self, hall: &str) -> u64 {
+        let key = format!("{}{hall}", crate::names::EMPTIED);
+        self.store.put(&key, &json!({}))
+    }
+
+    /// The operator takes a hall back; returns the revision.
+    pub fn take_back(&self, hall: &str) -> u64 {
+        let key = format!("{}{hall}", crate::names::EMPTIED);
+        self.store.remove(&key)
+    }
+
     /// The fields of a box's settings, as the platform names them. The three
     /// addresses are for clients, for readiness and for other boxes.
     pub fn settings(&self, name: &str, hall: &str, listen: [SocketAddr; 3]) -> Value {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -7,6 +7,7 @@
 //! servers, corrected by what this box itself has sent where.
 
 mod engine;
+pub mod filter;
 mod weight;
 
 use std::rc::Rc;
@@ -19,6 +20,7 @@
 use crate::places::Places;
 use crate::traffic::index::Index;
 use engine::Engines;
+use filter::Filter;
 
 /// Time to another hall and back in ms, before one was measured: a little over a
 /// millisecond each way, as between the halls of one city.
@@ -40,6 +42,9 @@
 const LEFT_OUT_MS: f64 = 1e6;
 /// Cost of a server that has been tried for this request already.
 const TRIED_MS: f64 = 1e7;
+/// Cost of a server that is cold, in ms: it is slow, and what is sent there is
+/// taken off what it bears.
+const COLD_MS: f64 = 50.0;
 /// Time to an answer of a plain service's server before one is known, in ms.
 const PLAIN_MS: f64 = 60.0;
 
@@ -51,6 +56,8 @@
     pub copy_ms: Option<f64>,
     /// Servers that this request was sent to already.
     pub tried: &'a [ids::Server],
+    /// The servers that it may not go to.
+    pub filter: Filter<'a>,
     /// The hall of this box.
     pub hall: &'a ids::Hall,
     /// Whether an answer that breaks off midway is lost.
@@ -76,6 +83,8 @@
     pub reading: Duration,
     /// Its place in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
+    /// Whether the server is cold, so that what is sent there is counted.
+    pub cold: bool,
     /// The engine from which it is to copy what it does not keep.
     pub copy_from: Option<Rc<Backend>>,
 }
@@ -93,11 +102,14 @@
     let failing = mean_failing(&servers);
     match ask.prompt {
         Some(prompt) => {
-            let places = Places::new(fleet, service, prompt, index, ask.tried, now);
+            let candidate = |backend: &Backend| {
+                !ask.tried.contains(&backend.server.id) && ask.filter.admits(backend, now)
+            };
+            let places = Places::new(fleet, service, prompt, index, &candidate, now);
             Engines::new(&servers, ask, prompt, &places, failing, now).cheapest()
         }
         None => {
-            let open = servers.iter().filter(|backend| is_open(backend, ask));
+            let open = servers.iter().filter(|backend| is_open(backend, ask, now));
             cheapest(open.map(|backend| plain(backend, ask, failing, now)))
         }
     }
@@ -107,9 +119,10 @@
     choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
 
-/// Whether this box may open one more connection to a server.
-fn is_open(backend: &Backend, ask: &Ask<'_>) -> bool {
-    backend.own() < ask.connections
+/// Whether a server may get the request, and this box may open one more
+/// connection to it.
+fn is_open(backend: &Backend, ask: &Ask<'_>, now: Instant) -> bool {
+    backend.own() < ask.connections && ask.filter.admits(backend, now)
 }
 
 fn plain(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> Choice {
@@ -125,6 +138,7 @@
         read: 0.0,
         reading: Duration::ZERO,
         rank: None,
+        cold: ask.filter.is_cold(backend, now),
         copy_from: None,
     }
 }
@@ -143,6 +157,9 @@
     if backend.server.hall != *ask.hall {
         cost += backend.hall.way_ms().unwrap_or(OTHER_HALL_MS) + breaking(ask);
     }
+    if ask.filter.is_cold(backend, now) {
+        cost += COLD_MS;
+    }
     if backend.hall.is_silent(now) {
         cost += SILENT_HALL_MS;
     }
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -57,10 +57,13 @@
     /// The cheapest of the engines that may be asked.
     pub(super) fn cheapest(&self) -> Option<Choice> {
         let engines = self.servers.iter().zip(&self.loads);
-        let open = engines.filter(|(backend, _)| is_open(backend, self.ask));
+        let open = engines.filter(|(backend, _)| is_open(backend, self.ask, self.now));
         let mut choice = cheapest(open.map(|(backend, load)| self.choice(backend, *load)))?;
         if self.ask.copy_ms.is_some() {
-            choice.copy_from = self.places.source(choice.backend.key).cloned();
+            let source = self.places.source(choice.backend.key);
+            // What a request may not leave its regions for is not kept elsewhere.
+            let source = source.filter(|it| self.ask.filter.is_home(&it.server.hall));
+            choice.copy_from = source.cloned();
         }
         Some(choice)
     }
@@ -83,6 +86,7 @@
             rank: self.places.rank(key),
             reading: reading_time(self.own + f64::from(lack.unproven)),
             read: self.own + read,
+            cold: self.ask.filter.is_cold(backend, self.now),
             copy_from: None,
         }
     }
--- /dev/null
+++ b/crates/relay/src/choose/filter.rs
@@ -0,0 +1,78 @@
+//! The servers that a request may not go to, whatever they would cost it.
+
+use std::collections::BTreeMap;
+use std::time::Instant;
+
+use tidepier_core::catalog::Homes;
+use tidepier_ids as ids;
+
+use crate::cold::{Limit, Roster};
+use crate::fleet::Backend;
+
+/// The region of each hall.
+pub type Regions = BTreeMap<ids::Hall, ids::Region>;
+
+/// Which servers of a service take a request of this box, as far as their being
+/// cold goes.
+#[derive(Clone, Copy)]
+pub struct Gate<'a> {
+    /// The bound on each.
+    pub limit: Limit,
+    /// The boxes that share it.
+    pub roster: &'a Roster,
+}
+
+impl Gate<'_> {
+    /// Whether a server is warm, or this box may send it one more request.
+    pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
+        if !self.is_cold(backend, now) {
+            return true;
+        }
+        let server = &backend.server;
+        let share = self.roster.share(&server.id, &server.hall, self.limit, now);
+        share.is_some_and(|share| backend.pace.allows(share, now))
+    }
+
+    /// Whether a server is cold, by what it told or by what happened to it.
+    pub fn is_cold(&self, backend: &Backend, now: Instant) -> bool {
+        backend.is_cold(self.limit.time, now)
+    }
+}
+
+/// What a request's route and account allow, and what servers bear.
+#[derive(Clone, Copy, Default)]
+pub struct Filter<'a> {
+    /// Regions that the request may not leave: its route's and its account's.
+    pub homes: [Option<&'a Homes>; 2],
+    /// The region of each hall; a hall that is missing is in none.
+    pub regions: Option<&'a Regions>,
+    /// Present where the service's servers may be cold.
+    pub gate: Option<Gate<'a>>,
+}
+
+impl Filter<'_> {
+    /// Whether a server may get the request at `now`.
+    pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
+        self.is_home(&backend.server.hall) && self.is_borne(backend, now)
+    }
+
+    /// Whether a hall is in all regions that bind the request.
+    pub fn is_home(&self, hall: &ids::Hall) -> bool {
+        let mut homes = self.homes.iter().flatten().peekable();
+        if homes.peek().is_none() {
+            return true;
+        }
+        let region = self.regions.and_then(|regions| regions.get(hall));
+        region.is_some_and(|region| homes.all(|homes| homes.contains(region)))
+    }
+
+    /// Whether a server is warm or bears one more request of this box.
+    pub fn is_borne(&self, backend: &Backend, now: Instant) -> bool {
+        self.gate.is_none_or(|gate| gate.admits(backend, now))
+    }
+
+    /// Whether a server is cold.
+    pub fn is_cold(&self, backend: &Backend, now: Instant) -> bool {
+        self.gate.is_some_and(|gate| gate.is_cold(backend, now))
+    }
+}
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -18,7 +18,7 @@
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
-use tidepier_core::catalog::{Account, Route};
+use tidepier_core::catalog::{Account, Cold, Route};
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
@@ -122,6 +122,8 @@
     service: ids::Service,
     /// Most connections of this box to one server.
     connections: u32,
+    /// What a server bears while it is cold.
+    cold: Option<Cold>,
     /// Time in ms to copy a token's memory between engines, where they can.
     copy_ms: Option<f64>,
     /// When the client has its final answer at the latest.
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -11,7 +11,9 @@
 
 use super::{report, Exchange, Start};
 use crate::attempt::{self, Cause, Failure, Ran, Reply, Sending};
+use crate::choose::filter::{Filter, Gate, Regions};
 use crate::choose::{self, Ask, Choice};
+use crate::cold::Limit;
 use crate::fleet::Backend;
 use crate::health::Outcome;
 use crate::refusal;
@@ -41,14 +43,21 @@
     ) -> Result<(Rc<Backend>, Result<Reply, Failure>), refusal::Kind> {
         let choice = self.choose()?;
         let backend = choice.backend.clone();
+        let chosen = Instant::now();
+        if choice.cold {
+            backend.pace.sent(chosen);
+        }
         self.sending = Start {
-            at: Instant::now(),
+            at: chosen,
             reading: choice.reading,
         };
         self.note_placed(&choice);
         let bytes = self.encode(&choice, resume_after);
         let rest = self.rest(&backend);
-        let connected = || self.note_sent(&backend);
+        let connected = || {
+            backend.pace.delayed(chosen, Instant::now());
+            self.note_sent(&backend);
+        };
         let sending = Sending {
             connected: &connected,
             bytes: &bytes,
@@ -96,10 +105,13 @@
 
     fn choose(&self) -> Result<Choice, refusal::Kind> {
         let relay = self.relay;
+        let regions = relay.regions();
+        let filter = self.filter(&regions);
         let ask = Ask {
             prompt: self.request.prompt.as_ref(),
             copy_ms: self.copy_ms,
             tried: &self.tried,
+            filter,
             hall: &self.relay.hall,
             breaks: self.route.kind != Kind::Stream { resumable: true },
             connections: self.connections,
@@ -107,13 +119,45 @@
         };
         let now = Instant::now();
         let choice = choose::choose(&relay.fleet, &self.service, &ask, &relay.traffic.index, now);
-        choice.ok_or_else(|| {
-            if relay.fleet.serving(&self.service).is_empty() {
-                refusal::Kind::NoServer
-            } else {
-                refusal::Kind::Full
-            }
-        })
+        choice.ok_or_else(|| self.nowhere(&filter, now))
+    }
+
+    /// The servers that the request may not go to.
+    fn filter<'a>(&'a self, regions: &'a Regions) -> Filter<'a> {
+        let relay = self.relay;
+        let bounds = relay.bounds();
+        let account = self.account.as_ref();
+        let gate = self.cold.map(|cold| Gate {
+            limit: Limit::new(cold, bounds.cold_overage, bounds.cold_tolerance),
+            roster: &relay.roster,
+        });
+        Filter {
+            homes: [
+                self.route.homes.as_ref(),
+                account.and_then(|account| account.homes.as_ref()),
+            ],
+            regions: Some(regions),
+            gate,
+        }
+    }
+
+    /// Why there is no server that the request may go to.
+    fn nowhere(&self, filter: &Filter<'_>, now: Instant) -> refusal::Kind {
+        let fleet = &self.relay.fleet;
+        let servers = fleet.serving(&self.service);
+        let mut home = servers.iter().filter(|it| filter.is_home(&it.server.hall));
+        let mut home = home.by_ref().peekable();
+        if servers.is_empty() && fleet.is_emptied(&self.service) {
+            refusal::Kind::Emptied
+        } else if servers.is_empty() {
+            refusal::Kind::NoServer
+        } else if home.peek().is_none() {
+            refusal::Kind::NoRegion
+        } else if home.all(|it| !filter.is_borne(it, now)) {
+            refusal::Kind::Cold
+        } else {
+            refusal::Kind::Full
+        }
     }
 
     fn encode(&self, choice: &Choice, resume_after: Option<u64>) -> Vec<u8> {
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -10,9 +10,14 @@
 use tidepier_core::server::{Server, State};
 use tidepier_h1::Conn;
 
+use super::hall::Hall;
 use super::idle::Idle;
 use super::Key;
-use crate::health::{Hall, Health, Outcome};
+use crate::cold::Pace;
+use crate::health::{Health, Outcome};
+
+/// Longest time for which a server is believed to be cold.
+const COLD_MAX: Duration = Duration::from_secs(600);
 
 /// A load that the server reported, with what corrects it for later requests
 /// of this box.
@@ -70,6 +75,12 @@
     others: Cell<Option<Others>>,
     /// The last load that the server reported.
     report: Cell<Option<Report>>,
+    /// Until when it is cold, as it told.
+    cold: Cell<Option<Instant>>,
+    /// When nobody was last there: what comes back at its address is cold.
+    absent: Cell<Option<Instant>>,
+    /// What this box sent there while it was cold.
+    pub pace: Pace,
     /// When something last came from it.
     heard: Cell<Option<Instant>>,
     /// Prompt tokens sent by this box whose answers have not begun.
@@ -105,9 +116,12 @@
         Self {
             hall,
             known_since: now,
-            key: Key::new(&server.id),
+            key: Key::of_life(&server),
             state: Cell::new(server.state),
             slots: Cell::new(server.slots),
+            cold: Cell::new(until(server.cold, now)),
+            absent: Cell::new(None),
+            pace: Pace::default(),
             server,
             health: Health::default(),
             missing: Cell::new(false),
@@ -125,9 +139,29 @@
         self.slots.get()
     }
 
-    /// Whether it takes new requests.
+    /// Whether it takes new requests: it is not leaving, and the operator has not
+    /// asked to empty its hall.
     pub fn serves(&self) -> bool {
-        self.state.get() == State::Ready
+        self.state.get() == State::Ready && !self.hall.is_emptied()
+    }
+
+    /// Whether it is cold, by what it told or by what happened to it; its service
+    /// says that it is for `time` after a start.
+    pub fn is_cold(&self, time: Duration, now: Instant) -> bool {
+        let told = self.cold.get().is_some_and(|until| now < until);
+        let was_absent = self.absent.get().is_some_and(|at| now < at + time);
+        told || was_absent || self.hall.returned_within(time, now)
+    }
+
+    /// How much longer it is cold, as it told.
+    pub fn cold_left(&self, now: Instant) -> Duration {
+        let until = self.cold.get();
+        until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
+    }
+
+    /// Records how much longer it is cold as of `now`.
+    pub(super) fn set_cold(&self, left: Duration, now: Instant) {
+        self.cold.set(until(left, now));
     }
 
     /// Whether this box has no reason to leave it out: neither its own failures
@@ -165,8 +199,10 @@
 
     /// Records how a request there ended.
     pub fn record(&self, outcome: Outcome, now: Instant) {
-        if outcome == Outcome::Silent {
-            self.hall.miss(now);
+        match outcome {
+            Outcome::Silent => self.hall.miss(now),
+            Outcome::Absent => self.absent.set(Some(now)),
+            Outcome::Good | Outcome::Bad => {}
         }
         self.health.record(outcome, now);
     }
@@ -234,4 +270,14 @@
         self.state.set(State::Draining);
         self.idle.clear();
     }
+
+    /// Closes the connections that rest.
+    pub(super) fn close_resting(&self) {
+        self.idle.clear();
+    }
+}
+
+/// When something ends that lasts so much longer; `None` for what has ended.
+fn until(left: Duration, now: Instant) -> Option<Instant> {
+    (!left.is_zero()).then(|| now + left.min(COLD_MAX))
 }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -3,37 +3,46 @@
 //! Invariants:
 //!
 //! * A server that is leaving or gone is never returned by [`Fleet::serving`].
-//! * A server's id stands for one life of it: all that is known of one life is
-//!   dropped with it.
+//! * One life of a server is its id and its birth: all that is known of one life
+//!   is dropped with it.
 
 mod backend;
+mod hall;
 mod idle;
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::rc::Rc;
 use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
-use tidepier_core::server::{Server, State};
+use tidepier_core::server::{Birth, Server, State};
 use tidepier_ids as ids;
-use xxhash_rust::xxh3::xxh3_64;
-
-use crate::health::Hall;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 pub use backend::{Backend, Running};
+pub use hall::Hall;
 
-/// Stands for a server's id in what boxes tell each other: half of its hash.
+/// Stands for one life of a server in what boxes tell each other: half of its hash.
 /// Two of 900 servers have the same one in one fleet of 10,000, which then
 /// counts them together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Key(u32);
 
 impl Key {
-    /// The key of a server.
+    /// The key of a server that does not tell its birth.
     pub fn new(id: &ids::Server) -> Self {
         Self(xxh3_64(id.as_str().as_bytes()) as u32)
     }
+
+    /// The key of one life of a server.
+    pub fn of_life(server: &Server) -> Self {
+        let id = server.id.as_str().as_bytes();
+        match server.born {
+            None => Self::new(&server.id),
+            Some(Birth(born)) => Self(xxh3_64_with_seed(id, born) as u32),
+        }
+    }
 }
 
 /// Requests under way at one server.
@@ -63,6 +72,8 @@
 pub enum Change {
     /// A server came.
     Joined,
+    /// A server started again under its id.
+    Restarted,
     /// A server says that it leaves.
     Leaving,
     /// Nothing that matters here.
@@ -83,29 +94,27 @@
     /// Records an announcement that this box learned of at `now`; servers that
     /// it learns of together have the same moment.
     pub fn announce(&self, server: Server, now: Instant) -> Change {
+        let mut restarted = false;
         let known = self.servers.borrow().get(&server.id).cloned();
         if let Some(backend) = known {
             backend.missing.set(false);
-            if backend.server.address == server.address && backend.server.service == server.service
-            {
+            if is_same(&backend.server, &server) {
                 backend.slots.set(server.slots);
+                backend.set_cold(server.cold, now);
                 return self.restate(&backend, server.state);
             }
-            // Another server has the id now: this one is gone, from the list
-            // of its service too.
+            // Another life has the id now: this one is gone, from the list of
+            // its service too.
             self.remove(&server.id);
+            restarted = true;
         }
         let change = match server.state {
+            State::Ready if restarted => Change::Restarted,
             State::Ready => Change::Joined,
             State::Draining => Change::Leaving,
         };
         let service = server.service.clone();
-        let hall = self
-            .halls
-            .borrow_mut()
-            .entry(server.hall.clone())
-            .or_default()
-            .clone();
+        let hall = self.hall(&server.hall);
         let backend = Rc::new(Backend::new(server, hall, now));
         let id = backend.server.id.clone();
         self.servers.borrow_mut().insert(id, backend);
@@ -126,6 +135,55 @@
         }
     }
 
+    fn hall(&self, name: &ids::Hall) -> Rc<Hall> {
+        let mut halls = self.halls.borrow_mut();
+        halls.entry(name.clone()).or_default().clone()
+    }
+
+    /// The halls that servers are in, or were.
+    pub fn halls(&self) -> Vec<ids::Hall> {
+        self.halls.borrow().keys().cloned().collect()
+    }
+
+    /// Sets which halls the operator asked to empty, as learned at `now`: from
+    /// now on their servers get nothing new, and connections to them that rest
+    /// are closed. Returns those for which that changed, and to what.
+    pub fn set_emptied(
+        &self,
+        emptied: &BTreeSet<ids::Hall>,
+        now: Instant,
+    ) -> Vec<(ids::Hall, bool)> {
+        for name in emptied {
+            self.hall(name);
+        }
+        let halls = self.halls.borrow();
+        let changed = halls.iter().filter_map(|(name, hall)| {
+            let empty = emptied.contains(name);
+            hall.set_emptied(empty, now).then(|| (name.clone(), empty))
+        });
+        let changed: Vec<(ids::Hall, bool)> = changed.collect();
+        for (name, _) in changed.iter().filter(|(_, empty)| *empty) {
+            self.of_hall(name, |backend| backend.close_resting());
+        }
+        if !changed.is_empty() {
+            self.services.borrow_mut().clear();
+        }
+        changed
+    }
+
+    /// Requests of this box under way in a hall.
+    pub fn running_in(&self, hall: &ids::Hall) -> u32 {
+        let mut sum = 0;
+        self.of_hall(hall, |backend| sum += backend.own());
+        sum
+    }
+
+    fn of_hall(&self, hall: &ids::Hall, each: impl FnMut(&Rc<Backend>)) {
+        let servers = self.servers.borrow();
+        let there = servers.values();
+        there.filter(|it| it.server.hall == *hall).for_each(each);
+    }
+
     /// Records that a server's entry is missing while that may be the store's
     /// fault.
     pub fn mark_missing(&self, id: &ids::Server) {
@@ -169,6 +227,17 @@
         self.servers.borrow().get(id).cloned()
     }
 
+    /// Whether a service has servers that would take requests if the operator had
+    /// not asked to empty their halls.
+    pub fn is_emptied(&self, service: &ids::Service) -> bool {
+        let servers = self.servers.borrow();
+        let mut known = servers.values();
+        known.any(|it| {
+            let ready = it.state.get() == State::Ready;
+            it.server.service == *service && ready && it.hall.is_emptied()
+        })
+    }
+
     /// The servers of a service, also those that are leaving.
     pub fn known(&self, service: &ids::Service) -> Vec<Rc<Backend>> {
         let servers = self.servers.borrow();
@@ -229,3 +298,11 @@
         group.into()
     }
 }
+
+/// Whether two announcements under one id are of one life. One that does not
+/// tell its birth says nothing against it: boxes of an older form pass on none.
+fn is_same(a: &Server, b: &Server) -> bool {
+    let births = a.born.zip(b.born);
+    let same_birth = births.is_none_or(|(a, b)| a == b);
+    a.address == b.address && a.service == b.service && same_birth
+}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -17,6 +17,7 @@
 mod catalog;
 mod changes;
 pub mod doubt;
+mod halls;
 mod news;
 mod pause;
 mod servers;
@@ -35,6 +36,7 @@
 use self::doubt::Doubt;
 use self::news::News;
 pub use self::pause::SCOUTS;
+use crate::emptied::Emptied;
 use crate::fleet;
 use crate::notice::Notice;
 use crate::peer::message::Row;
@@ -60,6 +62,10 @@
     revision: Cell<Revision>,
     /// That entry, for boxes that ask.
     document: RefCell<Rc<[u8]>>,
+    /// The halls that the operator asked to empty.
+    emptied: Emptied,
+    /// Notified when those changed.
+    emptied_changed: Notice,
     record: Record,
     /// Whether this box reads the store itself.
     reads_store: Cell<bool>,
@@ -87,6 +93,8 @@
             store,
             revision: Cell::new(Revision(0)),
             document: RefCell::new(Rc::new([])),
+            emptied: Emptied::default(),
+            emptied_changed: Notice::default(),
             record: Record::default(),
             reads_store: Cell::new(false),
             role_changed: Notice::default(),
@@ -165,7 +173,7 @@
     }
 
     fn bound(&self, part: f64) -> Duration {
-        self.relay.bounds().fresh.mul_f64(part)
+        self.relay.bounds().confirm.mul_f64(part)
     }
 
     /// Revision of the catalog's entry in force here; 0: none.
@@ -185,11 +193,12 @@
             return;
         }
         let revision = row.revision();
-        self.record.is(row.clone());
+        self.record.is(row.clone().with_cold(Duration::ZERO));
         let server = Server::from(row);
         let id = server.id.clone();
         let change = match self.relay.fleet.announce(server, news.at) {
             fleet::Change::Joined => news::Change::Joined,
+            fleet::Change::Restarted => news::Change::Restarted,
             fleet::Change::Leaving => news::Change::Leaving,
             fleet::Change::None => return,
         };
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -14,8 +14,9 @@
 
 use super::news::{self, News};
 use super::Follower;
+use crate::emptied;
 use crate::peer::link::Error;
-use crate::peer::message::{self, Answer, Servers};
+use crate::peer::message::{self, Answer, Position, Row, Servers};
 
 /// Age of a proof, as a part of the time in which a change has to be in force
 /// everywhere, from which a box's answers to others no longer count as current.
@@ -29,6 +30,33 @@
         (revision, newer.then(|| self.document.borrow().clone()))
     }
 
+    /// The servers that a box at `place` does not know, and the place after it.
+    pub fn servers_after(&self, place: Position) -> (Servers, Position) {
+        let (servers, place) = self.record.since(place);
+        let now = Instant::now();
+        let fresh = |row: Row| {
+            let backend = self.relay.fleet.get(row.id());
+            let left = backend.map_or(Duration::ZERO, |it| it.cold_left(now));
+            row.with_cold(left)
+        };
+        let servers = match servers {
+            Servers::All(rows, seen) => Servers::All(rows.into_iter().map(fresh).collect(), seen),
+            Servers::Changes(changes) => {
+                let fresh = |change| match change {
+                    message::Change::Is(row) => message::Change::Is(fresh(row)),
+                    gone @ message::Change::Gone(..) => gone,
+                };
+                Servers::Changes(changes.into_iter().map(fresh).collect())
+            }
+        };
+        (servers, place)
+    }
+
+    /// The halls that the operator asked to empty, as far as this box knows.
+    pub fn emptied(&self) -> emptied::List {
+        self.emptied.list()
+    }
+
     /// How long ago all that this box knows was provably the newest; `None`
     /// when it cannot confirm that.
     pub fn proven_age(&self, now: Instant) -> Option<Duration> {
@@ -48,14 +76,16 @@
         self.informed.get()
     }
 
-    /// Takes over the servers of an answer whose configuration is still to come,
-    /// and leaves the rest of it to [`take_answer`](Self::take_answer).
+    /// Takes over the servers and the emptied halls of an answer whose
+    /// configuration is still to come, and leaves the rest of it to [`take_answer`](Self::take_answer).
     ///
     /// # Errors
     ///
     /// The other box cannot confirm that what it knows is current.
     pub fn hear_servers(&self, answer: &mut Answer) -> Result<(), Error> {
         answer.age_ms.ok_or(Error::Unsure)?;
+        let emptied = answer.emptied.as_ref().ok_or(Error::Unsure)?;
+        self.take_emptied(emptied);
         let none = Servers::Changes(Vec::new());
         self.take_rows(std::mem::replace(&mut answer.servers, none));
         Ok(())
@@ -75,14 +105,16 @@
     ) -> Result<(), Error> {
         let age = answer.age_ms.map(Duration::from_millis);
         let age = age.ok_or(Error::Unsure)?;
+        let emptied = answer.emptied.ok_or(Error::Unsure)?;
         // The other box reads the store now: what this one thought of it is
         // over. It may become a reader again long after.
         self.mark_reachable();
         if let Some(document) = document {
             self.take_document(Revision(answer.revision), document);
         }
+        let halls_known = self.take_emptied(&emptied);
         self.take_rows(answer.servers);
-        if self.revision.get() == Revision(answer.revision) {
+        if halls_known && self.revision.get() == Revision(answer.revision) {
             self.prove_from(asked, age);
         }
         Ok(())
@@ -109,11 +141,13 @@
         if known == Revision(0) || known != Revision(answer.revision) {
             return Err(Error::Unsure);
         }
+        let emptied = answer.emptied.unwrap_or_default();
+        let halls_known = self.take_emptied(&emptied);
         self.take_rows(answer.servers);
         // An entry that is absent when the store is back may have lapsed.
         self.mark_unreachable(asked);
         self.read_self("seeded", true);
-        if let Some(age) = answer.known_ms {
+        if let Some(age) = answer.known_ms.filter(|_| halls_known) {
             self.prove_from(asked, Duration::from_millis(age));
         }
         Ok(())
@@ -139,8 +173,8 @@
     }
 
     /// Takes over all servers that another box knows, as of the state `seen`.
-    fn take_all(&self, rows: Vec<message::Row>, seen: u64, news: &mut News) {
-        let present: HashSet<&ids::Server> = rows.iter().map(message::Row::id).collect();
+    fn take_all(&self, rows: Vec<Row>, seen: u64, news: &mut News) {
+        let present: HashSet<&ids::Server> = rows.iter().map(Row::id).collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
                 self.reported_gone(&id, seen, news);
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -1,10 +1,12 @@
-//! The catalog: its entry in the store, and the proof that it is the newest.
+//! What the operator wrote: the catalog and the halls to be emptied, and the
+//! proof that what is known of both is the newest.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 use tidepier_core::store::{Current, Event, Failure, Item, Revision, Scope, Store, Swap};
+use tidepier_platform::store::ENTRIES_MAX;
 use tidepier_platform::{catalog, key};
 
 use super::pause::Pause;
@@ -27,7 +29,7 @@
         loop {
             self.ready_to_read().await;
             let asked = Instant::now();
-            match self.read_catalog(CALL_TIME).await {
+            match self.read_operator(CALL_TIME).await {
                 Ok(from) => {
                     pause.reset();
                     self.watch_catalog(from).await;
@@ -38,11 +40,14 @@
         }
     }
 
-    async fn read_catalog(&self, limit: Duration) -> Result<Revision, Failure> {
+    /// Reads all that the operator wrote, which is one call.
+    async fn read_operator(&self, limit: Duration) -> Result<Revision, Failure> {
         let asked = Instant::now();
-        let read = self.store.get(key::CONFIG, limit).await?;
-        match read.value {
-            Some(item) => self.take_item(item, Some(asked)),
+        let read = self.store.list(key::OPERATOR, false, limit).await?;
+        let halls_known = self.take_emptied(&self.emptied_list(&read.value, read.revision));
+        let mut items = read.value.into_iter();
+        match items.find(|item| item.key == key::CONFIG) {
+            Some(item) => self.take_item(item, halls_known.then_some(asked)),
             // That there is none yet is known as surely as a catalog would be.
             None if self.revision.get() == Revision(0) => self.relay.view.prove(asked),
             None => log::warn!(target: "belief", "event=no_catalog revision={}", read.revision),
@@ -52,20 +57,25 @@
 
     /// Watches the catalog until the watch breaks or another box reads.
     async fn watch_catalog(&self, from: Revision) {
-        let scope = Scope::Key(key::CONFIG);
+        let scope = Scope::Prefix(key::OPERATOR);
         let mut changes = self.changes(scope, from, "catalog_watch");
         while let Some(read) = changes.next().await {
             for event in read.value {
+                self.take_emptied_event(&event);
                 if let Event::Put(item) = event {
                     self.take_item(item, None);
                 }
             }
+            self.apply_emptied();
         }
     }
 
     /// Puts an entry of the catalog in force if it is newer. `asked` is when
     /// the question was sent to which the entry is the newest answer.
     fn take_item(&self, item: Item, asked: Option<Instant>) {
+        if item.key != key::CONFIG {
+            return;
+        }
         let revision = item.revision;
         self.take_document(revision, item.value);
         if let Some(asked) = asked {
@@ -141,11 +151,16 @@
                 0 => CALL_TIME,
                 _ => SWAP_TIME,
             };
-            return self.read_catalog(limit).await.map(|_| ());
+            return self.read_operator(limit).await.map(|_| ());
         }
-        // A change of nothing, under the condition that the entry is what is
+        // A change of nothing, under the condition that the entries are what is
         // known here: small, and answered by the store's newest state.
-        let expected = [(key::CONFIG, revision)];
+        let halls = self.emptied_conditions();
+        let mut expected = vec![(key::CONFIG, revision)];
+        expected.extend(halls.iter().map(|(key, revision)| (&**key, *revision)));
+        if expected.len() > ENTRIES_MAX {
+            return self.read_operator(CALL_TIME).await.map(|_| ());
+        }
         let swap = self.store.swap(&expected, &[], &[], SWAP_TIME).await;
         if matches!(swap, Err(Failure::NoAnswer(_))) {
             self.unanswered.set(Some(Instant::now()));
@@ -157,7 +172,10 @@
                 }
             }
             Swap::Conflict(Current::Items(items)) => {
-                for item in items.into_iter().filter(|item| item.key == key::CONFIG) {
+                if !self.emptied_is(&items) {
+                    return self.read_operator(CALL_TIME).await.map(|_| ());
+                }
+                for item in items {
                     self.take_item(item, Some(asked));
                 }
             }
--- /dev/null
+++ b/crates/relay/src/follow/halls.rs
@@ -0,0 +1,137 @@
+//! The halls that the operator asked to empty: their entries in the store.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+use tidepier_core::store::{Event, Item, Revision};
+use tidepier_ids as ids;
+use tidepier_platform::key;
+
+use super::Follower;
+use crate::emptied::{List, Row};
+
+/// Time between two looks at what still runs in halls that are to be empty.
+const LOOK_TIME: Duration = Duration::from_millis(500);
+
+impl Follower {
+    /// The halls to be emptied among all entries of the operator as of a revision.
+    pub(super) fn emptied_list(&self, items: &[Item], revision: Revision) -> List {
+        List {
+            rows: items.iter().filter_map(row).collect(),
+            seen: revision.0,
+        }
+    }
+
+    /// Takes over which halls are to be empty; whether that is what is known here
+    /// now.
+    pub(super) fn take_emptied(&self, list: &List) -> bool {
+        let same = self.emptied.merge(list);
+        self.apply_emptied();
+        same
+    }
+
+    /// Takes over a change of the operator's entries, to be followed by
+    /// [`apply_emptied`](Self::apply_emptied).
+    pub(super) fn take_emptied_event(&self, event: &Event) {
+        match event {
+            Event::Put(item) => {
+                if let Some(Row { hall, revision }) = row(item) {
+                    self.emptied.empty(hall, revision);
+                }
+            }
+            Event::Delete { key, revision } => {
+                if let Some(hall) = hall(key) {
+                    self.emptied.take_back(hall, revision.0);
+                }
+            }
+        }
+    }
+
+    /// Puts in force which halls are to be empty.
+    pub(super) fn apply_emptied(&self) {
+        let halls = self.emptied.halls();
+        let changed = self.relay.fleet.set_emptied(&halls, Instant::now());
+        if changed.is_empty() {
+            return;
+        }
+        for (hall, emptied) in changed {
+            log::info!(
+                target: "belief",
+                "event=hall hall={hall} emptied={emptied} seen={} running={} age_ms={}",
+                self.emptied.list().seen,
+                self.relay.fleet.running_in(&hall),
+                self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
+            );
+            let value = if emptied { 1.0 } else { 0.0 };
+            metrics::gauge!("tidepier_hall_emptied", "hall" => hall.to_string()).set(value);
+        }
+        self.emptied_changed.notify();
+    }
+
+    /// The entries that a proof has to name: each hall's, be it absent.
+    pub(super) fn emptied_conditions(&self) -> Vec<(String, Revision)> {
+        let rows = self.emptied.list().rows;
+        let known = rows.iter().map(|row| row.hall.clone());
+        let halls: BTreeSet<ids::Hall> = self.relay.halls().into_iter().chain(known).collect();
+        let revision = |hall: &ids::Hall| {
+            let row = rows.iter().find(|row| row.hall == *hall);
+            Revision(row.map_or(0, |row| row.revision))
+        };
+        let conditions = halls
+            .iter()
+            .map(|hall| (key::emptied(hall), revision(hall)));
+        conditions.collect()
+    }
+
+    /// Whether the entries that a proof named are as they are known here.
+    pub(super) fn emptied_is(&self, items: &[Item]) -> bool {
+        let told: Vec<Row> = items.iter().filter_map(row).collect();
+        let known = self.emptied.list().rows;
+        told.len() == known.len() && told.iter().all(|row| known.contains(row))
+    }
+
+    /// Tells by metrics and log what still runs in halls that are to be empty;
+    /// does not end.
+    pub async fn emptying(self: Rc<Self>) {
+        loop {
+            self.emptied_changed.wait().await;
+            let mut busy = self.emptied.halls();
+            while !busy.is_empty() {
+                let asked = self.emptied.halls();
+                busy.retain(|hall| self.still_runs(hall, asked.contains(hall)));
+                Timer::after(LOOK_TIME).await;
+            }
+        }
+    }
+
+    /// Whether requests of this box still run in a hall that is to be empty.
+    fn still_runs(&self, hall: &ids::Hall, asked: bool) -> bool {
+        let running = self.relay.fleet.running_in(hall);
+        let gauge = metrics::gauge!("tidepier_hall_requests", "hall" => hall.to_string());
+        gauge.set(f64::from(running));
+        if asked && running == 0 {
+            log::info!(target: "belief", "event=hall_empty hall={hall}");
+        }
+        asked && running > 0
+    }
+}
+
+/// The hall that an entry asks to empty; what it holds says nothing more.
+fn row(item: &Item) -> Option<Row> {
+    let hall = hall(&item.key)?;
+    let revision = item.revision.0;
+    Some(Row { hall, revision })
+}
+
+fn hall(key: &str) -> Option<ids::Hall> {
+    let name = key::emptied_hall(key)?;
+    match name.parse() {
+        Ok(hall) => Some(hall),
+        Err(error) => {
+            log::error!(target: "belief", "event=hall_invalid key={key:?} why=\"{error}\"");
+            None
+        }
+    }
+}
--- a/crates/relay/src/follow/news.rs
+++ b/crates/relay/src/follow/news.rs
@@ -18,6 +18,8 @@
 pub(super) enum Change {
     /// It came.
     Joined,
+    /// It started again under its id.
+    Restarted,
     /// It says that it leaves.
     Leaving,
     /// Its entry is gone.
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -71,15 +71,17 @@
     }
 
     fn take_server_event(&self, event: &Event, news: &mut News) {
-        match event {
-            Event::Put(item) => {
-                self.take_server(item, news);
-            }
-            Event::Delete { key, revision } => {
-                if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
-                    self.entry_gone(&id, *revision, news);
-                }
-            }
+        let (key, revision) = (event.key(), event.revision());
+        let taken = match event {
+            Event::Put(item) => self.take_server(item, news),
+            Event::Delete { .. } => None,
+        };
+        if taken.is_some() {
+            return;
+        }
+        // An entry that cannot be read names no server, as an absent one.
+        if let Some(id) = key::server_id(key).and_then(|id| id.parse().ok()) {
+            self.entry_gone(&id, revision, news);
         }
     }
 
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -23,68 +23,6 @@
 /// Weight of the newest time in the mean time to an answer.
 const TIME_WEIGHT: f64 = 0.2;
 
-/// Weight of the newest time in the mean time to a hall.
-const WAY_WEIGHT: f64 = 0.05;
-/// Time that a hall is avoided after one of its servers was silent, unless
-/// another of them is heard.
-const HALL_TIME: Duration = Duration::from_millis(2_500);
-/// What is heard so shortly before a silence is found does not refute it: the
-/// silence began before it was found.
-const HALL_SLACK: Duration = Duration::from_millis(150);
-
-/// What this box has seen of the servers of one hall together. When a hall is
-/// cut off, each of its servers would otherwise be found silent by itself.
-#[derive(Debug, Default)]
-pub struct Hall {
-    /// Mean time in ms to open a connection to one of its servers.
-    way_ms: Cell<Option<f64>>,
-    silent: Cell<Option<Instant>>,
-    heard: Cell<Option<Instant>>,
-}
-
-impl Hall {
-    /// Records how long it took to open a connection to one of its servers:
-    /// about the time there and back.
-    pub fn opened(&self, took: Duration) {
-        let sample = took.as_secs_f64() * 1e3;
-        let mean = self.way_ms.get().unwrap_or(sample);
-        self.way_ms.set(Some(mean + WAY_WEIGHT * (sample - mean)));
-    }
-
-    /// Mean time there and back in ms, once a connection was opened.
-    pub fn way_ms(&self) -> Option<f64> {
-        self.way_ms.get()
-    }
-
-    /// Records that something came from one of its servers.
-    pub fn hear(&self, now: Instant) {
-        self.heard.set(Some(now));
-    }
-
-    /// Whether something came from one of its servers less than `most` ago.
-    pub fn heard_within(&self, most: Duration, now: Instant) -> bool {
-        let heard = self.heard.get();
-        heard.is_some_and(|heard| now.duration_since(heard) < most)
-    }
-
-    /// Records that one of its servers was found silent.
-    pub fn miss(&self, now: Instant) {
-        self.silent.set(Some(now));
-    }
-
-    /// Whether the hall seems to be cut off.
-    pub fn is_silent(&self, now: Instant) -> bool {
-        let Some(silent) = self.silent.get() else {
-            return false;
-        };
-        let refuted = self
-            .heard
-            .get()
-            .is_some_and(|heard| heard + HALL_SLACK > silent);
-        !refuted && now.duration_since(silent) < HALL_TIME
-    }
-}
-
 /// How one request at a server ended, as far as its health goes.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -15,6 +15,8 @@
 pub mod budget;
 pub mod callers;
 pub mod choose;
+pub mod cold;
+pub mod emptied;
 pub mod events;
 pub mod exchange;
 pub mod fleet;
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -135,7 +135,7 @@
 /// The answer, and the configuration's entry that follows it.
 fn answer(follower: &Follower, ask: &Ask) -> (Answer, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
-    let (servers, position) = follower.record().since(ask.position);
+    let (servers, position) = follower.servers_after(ask.position);
     let now = Instant::now();
     let answer = Answer {
         version: VERSION,
@@ -144,6 +144,7 @@
         known_ms: follower.known_age(now).map(as_ms),
         revision,
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
+        emptied: Some(follower.emptied()),
         servers,
         position,
     };
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -4,10 +4,11 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
-use tidepier_core::server::{Server, State};
+use tidepier_core::server::{Birth, Server, State};
 use tidepier_ids as ids;
 
 use super::traffic;
+use crate::emptied;
 use crate::recall::boxes;
 
 /// The version of these messages. A box does not talk to one that has another.
@@ -65,6 +66,10 @@
     /// Bytes of that entry, which follow this message as they are, where the
     /// other knows an older one.
     pub document_bytes: Option<u32>,
+    /// The halls that are to be empty. `None`: a sender of an older form, which
+    /// does not know them.
+    #[serde(default)]
+    pub emptied: Option<emptied::List>,
     /// Servers that have changed.
     pub servers: Servers,
     /// The place after these changes.
@@ -100,6 +105,17 @@
     draining: bool,
     /// Revision of the server's entry in the store.
     revision: u64,
+    /// When it started, where it tells that; in ms since 1970.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    born: Option<u64>,
+    /// How much longer it is cold, in ms, as of the message.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    cold_ms: u32,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // As serde calls it.
+fn is_zero(ms: &u32) -> bool {
+    *ms == 0
 }
 
 impl Row {
@@ -113,9 +129,17 @@
             slots: server.slots,
             draining: server.state == State::Draining,
             revision,
+            born: server.born.map(|born| born.0),
+            cold_ms: as_ms(server.cold),
         }
     }
 
+    /// The same as of a moment at which the server is cold for so much longer.
+    pub fn with_cold(self, left: Duration) -> Self {
+        let cold_ms = as_ms(left);
+        Self { cold_ms, ..self }
+    }
+
     /// Revision of the server's entry in the store.
     pub fn revision(&self) -> u64 {
         self.revision
@@ -140,7 +164,14 @@
             } else {
                 State::Ready
             },
-            cold: Duration::ZERO,
+            born: row.born.map(Birth),
+            cold: Duration::from_millis(row.cold_ms.into()),
         }
     }
 }
+
+/// Rounded up, so that a server never looks warmer than it is.
+fn as_ms(time: Duration) -> u32 {
+    let ms = time.as_nanos().div_ceil(1_000_000);
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -10,7 +10,7 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use serde::{Deserialize, Serialize};
 use smol::Timer;
@@ -160,12 +160,16 @@
     async fn start(&self, relay: &Relay) -> LeaseId {
         loop {
             match self.list(relay, true).await {
-                Ok(Some(lease)) => return lease,
+                Ok(Some(lease)) => {
+                    relay.roster.known(Instant::now());
+                    return lease;
+                }
                 Ok(None) => {}
                 Err(failure) => self.start_failed(&failure, "list"),
             }
             match self.register().await {
                 Ok(lease) => {
+                    relay.roster.unknown(Instant::now());
                     Timer::after(FIRST_LIST_TIME).await;
                     if let Err(failure) = self.list(relay, false).await {
                         note(&failure, "list");
@@ -237,6 +241,8 @@
     fn take(&self, relay: &Relay, mut members: Vec<Member>) {
         members.sort_by(|a, b| a.name.cmp(&b.name));
         relay.set_boxes(members.len());
+        let boxes = members.iter().map(|member| (&member.name, &member.hall));
+        relay.roster.list(&self.me.name, boxes, Instant::now());
         let first = !self.listed.replace(true);
         if first || *self.members.borrow() != members {
             log::info!(target: "belief", "event=boxes count={}", members.len());
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -73,14 +73,14 @@
 }
 
 impl<'a> Places<'a> {
-    /// Where the parts of a prompt at a service are kept; `tried` names the
-    /// servers that the request was sent to in vain.
+    /// Where the parts of a prompt at a service are kept; `candidate` says whether
+    /// the request may go to a server, or go there again.
     pub fn new(
         fleet: &Fleet,
         service: &ids::Service,
         prompt: &'a Prompt,
         index: &Index,
-        tried: &[ids::Server],
+        candidate: &dyn Fn(&Backend) -> bool,
         now: Instant,
     ) -> Self {
         let holders = prompt.shared().iter().map(|part| index.holders(part, now));
@@ -88,7 +88,7 @@
         let order = Order::new(fleet.known(service), prompt, now);
         let first: Vec<Key> = order
             .serving()
-            .filter(|backend| !tried.contains(&backend.server.id))
+            .filter(|backend| candidate(backend))
             .take(KEPT_BY_RANK.len())
             .map(|backend| backend.key)
             .collect();
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -9,9 +9,9 @@
 /// When to come back where nothing better is known: long enough for another
 /// box or server to be tried, short against every objective.
 const SOON: Duration = Duration::from_millis(150);
-/// When to come back while servers that were tried have no process that would
-/// take a connection: a start takes a second or more, and no other box is any
-/// better off. Under a third of every deadline, above which clients ignore it.
+/// When to come back while no box is any better off: servers that were tried have
+/// no process that would take a connection, and a start takes a second or more;
+/// or the operator allows none, and takes seconds to change that. Under a third of every deadline, above which clients ignore it.
 const DOWN: Duration = Duration::from_millis(1_000);
 /// When to come back while this box does not know the configuration: at once,
 /// since a further try reaches another box.
@@ -38,6 +38,12 @@
     Stale,
     /// No server of the service is known or open.
     NoServer,
+    /// The operator asked to empty the halls of all servers of the service.
+    Emptied,
+    /// No server is in a region that the request may not leave.
+    NoRegion,
+    /// The servers that may be asked are cold and bear no more of this box.
+    Cold,
     /// The servers tried refused connections: they are down.
     Down,
     /// The servers that may be asked are full.
@@ -64,6 +70,9 @@
             Kind::NotReady
             | Kind::Stale
             | Kind::NoServer
+            | Kind::Emptied
+            | Kind::NoRegion
+            | Kind::Cold
             | Kind::Down
             | Kind::Full
             | Kind::TimeOver => 503,
@@ -75,8 +84,8 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             Kind::NotReady | Kind::Stale => Some(UNREADY),
-            Kind::Down => Some(DOWN),
-            Kind::NoServer | Kind::Full | Kind::TimeOver => Some(SOON),
+            Kind::Down | Kind::Emptied | Kind::NoRegion => Some(DOWN),
+            Kind::NoServer | Kind::Cold | Kind::Full | Kind::TimeOver => Some(SOON),
             _ => None,
         }
     }
@@ -93,6 +102,9 @@
             Kind::NotReady => "not_ready",
             Kind::Stale => "stale",
             Kind::NoServer => "no_server",
+            Kind::Emptied => "emptied",
+            Kind::NoRegion => "no_region",
+            Kind::Cold => "cold",
             Kind::Down => "down",
             Kind::Full => "full",
             Kind::TimeOver => "time_over",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -1,12 +1,16 @@
 //! What the tasks of one router share. Each part stands alone; no part knows
 //! this module.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use tidepier_ids as ids;
 
 use crate::budget::Budget;
+use crate::choose::filter::Regions;
+use crate::cold::Roster;
 use crate::fleet::Fleet;
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Row};
@@ -33,11 +37,19 @@
     /// Age of the proof of the catalog under which a missing route or an
     /// unknown key is a fact: the time in which a change has to be in force.
     pub fresh: Duration,
+    /// Time in which all that the operator writes has to be in force: proofs are
+    /// asked for at a part of it.
+    pub confirm: Duration,
     /// Age of the proof under which a key is trusted; `None`: always.
     pub trusted: Option<Duration>,
     /// Time after the end of the store's trouble from which its word counts
     /// again: an entry that is absent then is gone.
     pub contact: Duration,
+    /// Requests a second that a cold server may get, in multiples of what its
+    /// service says it bears, ...
+    pub cold_overage: f64,
+    /// ... and beyond that.
+    pub cold_tolerance: f64,
     /// Most load of one server, in multiples of the mean of its service.
     pub crowd_factor: f64,
 }
@@ -60,6 +72,9 @@
     pub budget: Budget,
     /// The planned stop.
     pub stop: Stop,
+    /// The boxes that share what cold servers bear.
+    pub roster: Roster,
+    regions: RefCell<Rc<Regions>>,
     boxes: Cell<usize>,
     clients_max: Cell<u32>,
 }
@@ -76,6 +91,8 @@
             traffic: Traffic::default(),
             budget,
             stop: Stop::default(),
+            roster: Roster::default(),
+            regions: RefCell::default(),
             boxes: Cell::new(BOXES_ASSUMED),
             clients_max: Cell::new(u32::MAX),
         }
@@ -91,6 +108,23 @@
         self.bounds.set(bounds);
     }
 
+    /// The region of each hall.
+    pub fn regions(&self) -> Rc<Regions> {
+        self.regions.borrow().clone()
+    }
+
+    /// Changes the region of each hall.
+    pub fn set_regions(&self, regions: Regions) {
+        *self.regions.borrow_mut() = Rc::new(regions);
+    }
+
+    /// The halls that the settings name, and those that servers are in.
+    pub fn halls(&self) -> BTreeSet<ids::Hall> {
+        let regions = self.regions.borrow();
+        let named = regions.keys().cloned().chain([self.hall.clone()]);
+        named.chain(self.fleet.halls()).collect()
+    }
+
     /// Whether the box can serve new connections.
     pub fn is_ready(&self) -> bool {
         let knows = self.view.catalog().is_some() && !self.fleet.is_empty();
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -3,7 +3,7 @@
 use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use eyre::WrapErr;
 use futures_lite::FutureExt;
@@ -83,6 +83,7 @@
             Budget::new(terms(settings)),
         ));
         relay.set_descriptors(settings.limits.descriptors);
+        relay.set_regions(settings.regions.clone());
         let callers = Listener::bind(settings.callers).wrap_err("binding the callers' address")?;
         let mut router = Self {
             relay: relay.clone(),
@@ -114,6 +115,7 @@
         executor.spawn(follower.clone().prove()).detach();
         executor.spawn(follower.clone().servers()).detach();
         executor.spawn(follower.clone().lapses()).detach();
+        executor.spawn(follower.clone().emptying()).detach();
         start_peers(&relay, follower, store, settings, executor)?;
         Ok(router)
     }
@@ -142,6 +144,7 @@
     /// Takes over what can change while running.
     fn take_over(&self, settings: &Settings) {
         self.relay.set_bounds(bounds(settings));
+        self.relay.set_regions(settings.regions.clone());
         self.relay.set_descriptors(settings.limits.descriptors);
         self.relay.budget.set_terms(terms(settings));
         self.stop_within.set(settings.bounds.stop_within.duration());
@@ -164,6 +167,8 @@
 ) -> eyre::Result<()> {
     let Some(ports) = settings.peer_ports else {
         follower.read_self("alone", true);
+        let now = Instant::now();
+        relay.roster.alone(&settings.name, &settings.hall, now);
         return Ok(());
     };
     let address = SocketAddr::new(settings.callers.ip(), ports.first);
@@ -175,6 +180,8 @@
         link_mbps: settings.limits.link_mbps as u32,
     };
     if settings.first_start {
+        // All boxes start now, and list each other at once.
+        relay.roster.known(Instant::now());
         // No engine keeps anything yet.
         relay.traffic.set_progress(Progress::Done);
     }
@@ -221,10 +228,13 @@
     let revoke = bounds.revoke_within.duration();
     Bounds {
         fresh: bounds.apply_within.duration(),
+        confirm: bounds.apply_within.min(bounds.empty_within).duration(),
         trusted: bounds
             .revoke_when_blind
             .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
         contact: bounds.contact.duration(),
+        cold_overage: bounds.cold_overage,
+        cold_tolerance: bounds.cold_tolerance,
         crowd_factor: bounds.crowd_factor,
     }
 }
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -13,6 +13,12 @@
 const REVOKE_WITHIN: Millis = Millis::new(5_000);
 /// Default of [`Bounds::revoke_when_blind`]: the safe side.
 const REVOKE_WHEN_BLIND: bool = true;
+/// Default of [`Bounds::empty_within`].
+const EMPTY_WITHIN: Millis = Millis::new(5_000);
+/// Default of [`Bounds::cold_overage`]: what a cold server is said to bear.
+const COLD_OVERAGE: f64 = 1.0;
+/// Default of [`Bounds::cold_tolerance`], in requests a second: the safe side.
+const COLD_TOLERANCE: f64 = 0.0;
 /// Default of [`Bounds::contact`].
 const CONTACT: Millis = Millis::new(3_000);
 /// Default of [`Bounds::crowd_factor`], in multiples of the mean.
@@ -38,6 +44,14 @@
     /// Whether [`Bounds::revoke_within`] also holds for a box that does not
     /// reach the store.
     pub revoke_when_blind: bool,
+    /// The servers of a hall get nothing more so long after the operator asked
+    /// to empty it.
+    pub empty_within: Millis,
+    /// Requests a second that a cold server may get, in multiples of what its
+    /// service says it bears, ...
+    pub cold_overage: f64,
+    /// ... and beyond that.
+    pub cold_tolerance: f64,
     /// Time after the end of the store's trouble from which its word counts.
     pub contact: Millis,
     /// Most load of one server, in multiples of the mean of its service.
@@ -57,6 +71,9 @@
             apply_within: APPLY_WITHIN,
             revoke_within: REVOKE_WITHIN,
             revoke_when_blind: REVOKE_WHEN_BLIND,
+            empty_within: EMPTY_WITHIN,
+            cold_overage: COLD_OVERAGE,
+            cold_tolerance: COLD_TOLERANCE,
             contact: CONTACT,
             crowd_factor: CROWD_FACTOR,
             retry_share: RETRY_SHARE,
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -37,12 +37,15 @@
         span("bounds.stop_within", bounds.stop_within)?;
         span("bounds.apply_within", bounds.apply_within)?;
         span("bounds.revoke_within", bounds.revoke_within)?;
+        span("bounds.empty_within", bounds.empty_within)?;
         span("bounds.contact", bounds.contact)?;
         span("bounds.retry_window", bounds.retry_window)?;
         positive("limits.link_mbps", limits.link_mbps)?;
         positive("limits.descriptors", f64::from(limits.descriptors))?;
         positive("bounds.crowd_factor", bounds.crowd_factor)?;
         share("bounds.retry_share", bounds.retry_share)?;
+        positive("bounds.cold_overage", bounds.cold_overage)?;
+        not_negative("bounds.cold_tolerance", bounds.cold_tolerance)?;
         match self.peer_ports {
             Some(ports) => ports.check(),
             None => Ok(()),
@@ -85,6 +88,17 @@
     })
 }
 
+fn not_negative(field: &'static str, found: f64) -> Result<(), OutOfRange> {
+    if found >= 0.0 {
+        return Ok(());
+    }
+    Err(OutOfRange {
+        field,
+        found: found.to_string(),
+        allowed: "0 or more",
+    })
+}
+
 fn share(field: &'static str, found: f64) -> Result<(), OutOfRange> {
     if (0.0..=1.0).contains(&found) {
         return Ok(());
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -12,6 +12,7 @@
 mod read;
 mod span;
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
 use serde::Deserialize;
@@ -50,6 +51,10 @@
     pub name: ids::Box,
     /// Its data hall.
     pub hall: ids::Hall,
+    /// The region of each data hall; needed where requests may not leave some
+    /// regions. A hall that is missing here is in none.
+    #[serde(default)]
+    pub regions: BTreeMap<ids::Hall, ids::Region>,
     /// Where clients connect.
     pub callers: SocketAddr,
     /// Where the platform asks whether the process is ready.
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -7,6 +7,7 @@
 use smol::Timer;
 use tidepier_core::answer::Load;
 use tidepier_ids as ids;
+use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Ask};
 use tidepier_relay::health::Outcome;
 
@@ -272,6 +273,7 @@
         prompt: Some(&prompt),
         copy_ms: None,
         tried: &[],
+        filter: Filter::default(),
         hall: &desk.hall,
         breaks: false,
         connections,
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -9,6 +9,7 @@
 use tidepier_core::request::{Part, Prompt};
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
+use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Ask, Choice};
 use tidepier_relay::fleet::{Backend, Fleet, Key, Running};
 use tidepier_relay::places::Places;
@@ -42,6 +43,7 @@
         hall: id(&format!("hall-{}", number % 2 + 1))?,
         slots: 16,
         state,
+        born: None,
         cold: Duration::ZERO,
     })
 }
@@ -89,7 +91,15 @@
     /// The same after the prompt was sent to some servers in vain.
     pub(crate) fn places_after<'a>(&self, prompt: &'a Prompt, tried: &[ids::Server]) -> Places<'a> {
         let now = Instant::now();
-        Places::new(&self.fleet, &self.service, prompt, &self.index, tried, now)
+        let candidate = |backend: &Backend| !tried.contains(&backend.server.id);
+        Places::new(
+            &self.fleet,
+            &self.service,
+            prompt,
+            &self.index,
+            &candidate,
+            now,
+        )
     }
 
     /// The address from which a server is to copy a prompt.
@@ -131,6 +141,7 @@
             prompt,
             copy_ms: Some(0.004),
             tried,
+            filter: Filter::default(),
             hall: &self.hall,
             breaks: false,
             connections: CONNECTIONS,
--- /dev/null
+++ b/crates/relay/tests/relay/emptied.rs
@@ -0,0 +1,393 @@
+//! Halls that the operator asks to empty.
+//!
+//! Load that these answer: a third of all servers gets nothing more from one
+//! moment on, and is given back later.
+
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use proptest::prelude::*;
+use smol::Timer;
+use tidepier_relay::emptied::{Emptied, List, Row};
+use tidepier_relay_standin::server::{Fault, Server};
+use tidepier_relay_standin::store::Down;
+use tidepier_relay_standin::{names, Client};
+
+use crate::desk::id;
+use crate::hall::{ready, started, Machine};
+use crate::house::{
+    arrived, ms, pair, post, promised, run, site, streaming, until, usual, whole, House, Result,
+};
+
+/// Promised time for the operator's word: that of changes of the catalog, which
+/// is the shorter one in these tests.
+const WORD_TIME: Duration = Duration::from_millis(2_000);
+/// Pause in which requests that were under way when a word came into force have
+/// reached their server.
+const UNDER_WAY: Duration = Duration::from_millis(200);
+
+/// Requests that reached a server after a moment.
+fn after(server: &Server, since: Instant) -> usize {
+    let runs = server.runs();
+    runs.iter().filter(|run| run.arrived > since).count()
+}
+
+/// Waits until boxes send nothing more to a server, for no longer than promised.
+async fn emptied(machines: &[Machine], server: &Server, since: Instant) -> Result {
+    for machine in machines {
+        until("emptied", async || Ok(!machine.serves_by(server)?)).await?;
+        ensure!(since.elapsed() < WORD_TIME, "{:?}", since.elapsed());
+    }
+    Ok(())
+}
+
+async fn given_back(machines: &[Machine], server: &Server, since: Instant) -> Result {
+    for machine in machines {
+        until("given back", async || machine.serves_by(server)).await?;
+        ensure!(since.elapsed() < WORD_TIME, "{:?}", since.elapsed());
+    }
+    Ok(())
+}
+
+#[test]
+fn a_hall_that_is_emptied_gets_nothing_new_from_any_box() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 3).await?;
+        for _ in 0..2 {
+            let since = Instant::now();
+            site.empty_hall("hall-1");
+            emptied(&machines, &near, since).await?;
+            Timer::after(UNDER_WAY).await;
+            let quiet = Instant::now();
+            for (number, machine) in machines.iter().cycle().take(60).enumerate() {
+                let attempt = format!("{number}");
+                let path = ["/r/x", "/o/x", "/s/x"][number % 3];
+                let answer = machine.call(&post(path, &attempt)).await?;
+                whole(&answer, &[&far], &attempt)?;
+            }
+            ensure!(after(&near, quiet) == 0, "sent to an emptied hall");
+            let since = Instant::now();
+            site.take_back("hall-1");
+            given_back(&machines, &near, since).await?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn several_halls_are_emptied_and_given_back_in_any_order() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let servers = [site.server(usual(1))?, site.server(usual(2))?];
+        let stays = site.server(usual(3))?;
+        let machines = started(&executor, &site, 2).await?;
+        let since = Instant::now();
+        site.empty_hall("hall-2");
+        site.empty_hall("hall-1");
+        site.empty_hall("a-hall-that-nobody-knows");
+        for server in &servers {
+            emptied(&machines, server, since).await?;
+        }
+        whole(
+            &machines[1].call(&post("/r/x", "only")).await?,
+            &[&stays],
+            "only",
+        )?;
+        let since = Instant::now();
+        site.take_back("hall-2");
+        site.take_back("a-hall-that-nobody-knows");
+        given_back(&machines, &servers[1], since).await?;
+        for machine in &machines {
+            ensure!(
+                !machine.serves_by(&servers[0])?,
+                "hall-1 was given back too"
+            );
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_word_is_in_force_though_watches_learn_nothing() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 2).await?;
+        for _ in 0..2 {
+            site.store.deaf(ms(3_000));
+            site.store.cut_watches();
+            Timer::after(ms(50)).await;
+            let since = Instant::now();
+            site.empty_hall("hall-1");
+            emptied(&machines, &near, since).await?;
+            let since = Instant::now();
+            site.take_back("hall-1");
+            site.store.compact();
+            given_back(&machines, &near, since).await?;
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn a_word_that_came_while_the_store_was_away_is_in_force_after_it() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 2).await?;
+        site.store.faults(|faults| faults.down = Some(Down::Silent));
+        Timer::after(ms(1_500)).await;
+        site.empty_hall("hall-1");
+        let since = Instant::now();
+        site.store.faults(|faults| faults.down = None);
+        emptied(&machines, &near, since).await?;
+        site.store.faults(|faults| faults.down = Some(Down::Reset));
+        Timer::after(ms(1_500)).await;
+        for machine in &machines {
+            ensure!(!machine.serves_by(&near)?, "forgotten in an outage");
+        }
+        site.take_back("hall-1");
+        let since = Instant::now();
+        site.store.faults(|faults| faults.down = None);
+        given_back(&machines, &near, since).await
+    })
+}
+
+#[test]
+fn a_box_that_starts_knows_what_is_emptied_before_it_is_ready() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(usual(1))?;
+        let far = site.server(usual(2))?;
+        site.empty_hall("hall-1");
+        let mut machines = started(&executor, &site, 2).await?;
+        for machine in &machines {
+            ensure!(!machine.serves_by(&near)?, "known too late");
+        }
+        // One more, which hears of it from another.
+        let late = Machine::start(&executor, &site, "box-9", "hall-1", 100).await?;
+        machines.push(late);
+        ready(&machines).await?;
+        ensure!(!machines[2].serves_by(&near)?, "known too late");
+        whole(
+            &machines[2].call(&post("/r/x", "late")).await?,
+            &[&far],
+            "late",
+        )?;
+        ensure!(near.runs().is_empty(), "sent to an emptied hall");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_retry_does_not_go_to_an_emptied_hall() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        let relay = house.router.relay();
+        house.site.empty_hall("hall-2");
+        let service = id(crate::house::SERVICE)?;
+        until("emptied", async || {
+            Ok(relay.fleet.serving(&service).len() == 1)
+        })
+        .await?;
+        near.fault(Fault::Shed, u32::MAX);
+        for number in 0..5 {
+            let attempt = format!("{number}");
+            promised(&house.post("/r/x", &attempt).await?)?;
+            ensure!(
+                arrived(&[&far], &attempt) == 0,
+                "retried in an emptied hall"
+            );
+        }
+        Ok(())
+    })
+}
+
+#[test]
+fn what_runs_in_an_emptied_hall_ends_whole() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 20, ms(60)))?;
+        let house = House::open(executor.clone(), site).await?;
+        let front = house.front();
+        let call = post("/u/x", "long");
+        let stream = executor.spawn(async move { Client::once(front, &call).await });
+        until("begun", async || Ok(server.running() == 1)).await?;
+        house.site.empty_hall("hall-1");
+        let fleet = &house.router.relay().fleet;
+        let hall = id("hall-1")?;
+        let service = id(crate::house::SERVICE)?;
+        until("emptied", async || Ok(fleet.serving(&service).is_empty())).await?;
+        ensure!(fleet.running_in(&hall) == 1, "it is not counted");
+        whole(&stream.await?, &[&server], "long")?;
+        ensure!(fleet.running_in(&hall) == 0, "it is still counted");
+        Ok(())
+    })
+}
+
+#[test]
+fn without_a_server_outside_emptied_halls_requests_are_refused_at_once() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        house.site.empty_hall("hall-1");
+        house.site.empty_hall("hall-2");
+        let fleet = &house.router.relay().fleet;
+        let service = id(crate::house::SERVICE)?;
+        until("emptied", async || Ok(fleet.serving(&service).is_empty())).await?;
+        for path in ["/r/x", "/o/x", "/s/x"] {
+            let since = Instant::now();
+            let answer = house.post(path, path).await?;
+            promised(&answer)?;
+            ensure!(since.elapsed() < ms(100), "after {:?}", since.elapsed());
+            ensure!(answer.body == br#"{"error":"emptied"}"#, "{answer:?}");
+            ensure!(arrived(&[&near, &far], path) == 0, "sent");
+        }
+        ensure!(house.is_ready().await, "not ready for other services");
+        house.site.take_back("hall-2");
+        until(
+            "given back",
+            async || Ok(fleet.serving(&service).len() == 1),
+        )
+        .await?;
+        whole(&house.post("/r/x", "again").await?, &[&far], "again")
+    })
+}
+
+#[test]
+fn an_entry_that_names_no_hall_harms_none() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        for key in ["", "No Hall", "a/b"] {
+            house
+                .site
+                .store
+                .put(&format!("{}{key}", names::EMPTIED), &true.into());
+        }
+        house.site.store.put("op/other", &7.into());
+        house.site.empty_hall("hall-1");
+        let fleet = &house.router.relay().fleet;
+        let service = id(crate::house::SERVICE)?;
+        until("emptied", async || Ok(fleet.serving(&service).len() == 1)).await?;
+        whole(&house.post("/r/x", "one").await?, &[&far], "one")?;
+        ensure!(near.runs().is_empty(), "sent to an emptied hall");
+        Ok(())
+    })
+}
+
+#[test]
+fn a_proof_costs_one_call_though_a_hall_is_emptied() -> Result {
+    run(async |executor| {
+        let (_near, _far, house) = pair(executor).await?;
+        house.site.empty_hall("hall-1");
+        let fleet = &house.router.relay().fleet;
+        let service = id(crate::house::SERVICE)?;
+        until("emptied", async || Ok(fleet.serving(&service).len() == 1)).await?;
+        Timer::after(ms(900)).await;
+        let lists = house.site.store.calls("kv-range");
+        let proofs = house.site.store.calls("kv-txn");
+        Timer::after(ms(2_500)).await;
+        ensure!(house.site.store.calls("kv-range") == lists, "read again");
+        let asked = house.site.store.calls("kv-txn") - proofs;
+        ensure!((2..=4).contains(&asked), "{asked} proofs in 2.5 s");
+        let age = house.router.relay().view.age();
+        let age = age.ok_or_else(|| eyre!("no proof"))?;
+        ensure!(age < ms(1_200), "proven {age:?} ago");
+        Ok(())
+    })
+}
+
+/// One change that the operator makes.
+#[derive(Debug, Clone)]
+struct Change {
+    hall: usize,
+    empty: bool,
+}
+
+fn changes() -> impl Strategy<Value = Vec<Change>> {
+    let change = (0..4_usize, any::<bool>()).prop_map(|(hall, empty)| Change { hall, empty });
+    prop::collection::vec(change, 1..24)
+}
+
+/// The state of the store after so many of the changes; each has a revision of
+/// its own, from 1 on.
+fn state(changes: &[Change], until: usize) -> List {
+    let mut rows: Vec<Row> = Vec::new();
+    for (at, change) in changes[..until].iter().enumerate() {
+        let hall = format!("hall-{}", change.hall).parse().expect("a name");
+        rows.retain(|row| row.hall != hall);
+        if change.empty {
+            let revision = at as u64 + 1;
+            rows.push(Row { hall, revision });
+        }
+    }
+    let seen = until as u64;
+    List { rows, seen }
+}
+
+fn sorted(mut list: List) -> Vec<(String, u64)> {
+    list.rows.sort_by(|a, b| a.hall.cmp(&b.hall));
+    list.rows
+        .iter()
+        .map(|row| (row.hall.to_string(), row.revision))
+        .collect()
+}
+
+proptest! {
+    /// Whatever states and single changes arrive in whatever order: once the
+    /// newest state arrived, it holds, and nothing older brings another back.
+    #[test]
+    fn the_newest_word_holds_in_any_order(
+        changes in changes(),
+        order in prop::collection::vec((any::<prop::sample::Index>(), any::<bool>()), 0..24),
+        newest_at in any::<prop::sample::Index>(),
+    ) {
+        let known = Emptied::default();
+        let newest = state(&changes, changes.len());
+        let newest_at = newest_at.index(order.len() + 1);
+        for (step, (index, whole)) in order.iter().enumerate() {
+            if step == newest_at {
+                known.merge(&newest);
+            }
+            let at = index.index(changes.len());
+            if *whole {
+                let told = state(&changes, at + 1);
+                let same = known.merge(&told);
+                prop_assert_eq!(same, sorted(known.list()) == sorted(told));
+            } else {
+                let hall = format!("hall-{}", changes[at].hall).parse().expect("a name");
+                match changes[at].empty {
+                    true => known.empty(hall, at as u64 + 1),
+                    false => known.take_back(hall, at as u64 + 1),
+                }
+            }
+        }
+        known.merge(&newest);
+        prop_assert_eq!(sorted(known.list()), sorted(newest));
+    }
+}
+
+/// A box that reads an older state than another does not bring it back.
+#[test]
+fn an_older_state_of_another_box_is_no_proof() {
+    let row = |revision| Row {
+        hall: "hall-1".parse().expect("a name"),
+        revision,
+    };
+    let list = |rows: &[Row], seen| List {
+        rows: rows.to_vec(),
+        seen,
+    };
+    let known = Emptied::default();
+    assert!(known.merge(&list(&[row(5)], 5)));
+    assert!(known.merge(&list(&[], 9)));
+    assert!(!known.merge(&list(&[row(5)], 7)), "an old word was taken");
+    assert!(known.halls().is_empty());
+    assert!(known.merge(&list(&[row(11)], 11)));
+    assert!(!known.merge(&list(&[], 10)), "an old state was taken");
+    assert_eq!(known.halls().len(), 1);
+}
--- a/crates/relay/tests/relay/impostors.rs
+++ b/crates/relay/tests/relay/impostors.rs
@@ -11,6 +11,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::{Server, State};
 use tidepier_h1::{Conn, Listener};
+use tidepier_relay::emptied::List;
 use tidepier_relay::peer::link;
 use tidepier_relay::peer::message::{
     Answer, Ask, Change, Position, Question, Row, Servers, VERSION,
@@ -94,6 +95,7 @@
         known_ms: Some(0),
         revision,
         document_bytes: None,
+        emptied: Some(List::default()),
         servers: Servers::Changes(Vec::new()),
         position: Position {
             life: 7,
@@ -206,6 +208,7 @@
         hall: settings.hall.parse()?,
         slots: u32::try_from(settings.slots)?,
         state: State::Ready,
+        born: None,
         cold: Duration::ZERO,
     })
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -7,8 +7,10 @@
 mod answers;
 mod beliefs;
 mod choose;
+mod cold;
 mod crowd;
 mod desk;
+mod emptied;
 mod entries;
 mod hall;
 mod house;
@@ -30,6 +32,7 @@
 mod seeds;
 mod sendings;
 mod shared;
+mod sim;
 mod sizes;
 mod slow;
 mod stop;
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -263,7 +263,7 @@
             let (fleet, index) = (&relay.fleet, &relay.traffic.index);
             let service = SERVICE.parse()?;
             let now = Instant::now();
-            let places = Places::new(fleet, &service, &prompt, index, &[], now);
+            let places = Places::new(fleet, &service, &prompt, index, &|_| true, now);
             Ok(places.lacking(Key::new(&id)).tokens())
         };
         let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
--- /dev/null
+++ b/crates/relay/tests/relay/sim.rs
@@ -0,0 +1,323 @@
+//! Many boxes before many servers, all in memory and in steps of time.
+//!
+//! Each box has its own fleet, index and list of boxes, and decides with the code
+//! that a router decides with. A request that is placed runs at its server for a
+//! fixed time; then the server tells the box its load, as with an answer. Chance
+//! comes from a seed. What a server got in a second is counted over all boxes.
+
+use std::cell::RefCell;
+use std::collections::{BinaryHeap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use tidepier_core::answer::Load;
+use tidepier_core::catalog::Cold;
+use tidepier_core::request::{Part, Prompt};
+use tidepier_core::server::{Server, State};
+use tidepier_ids as ids;
+use tidepier_relay::choose::filter::{Filter, Gate};
+use tidepier_relay::choose::{self, Ask};
+use tidepier_relay::cold::{Limit, Roster};
+use tidepier_relay::fleet::{Fleet, Running};
+use tidepier_relay::traffic::index::Index;
+
+use crate::desk::{address, id};
+use crate::house::{Result, SERVICE};
+
+/// Slots of a server.
+const SLOTS: u32 = 64;
+/// Time that a request runs.
+const RUN_TIME: Duration = Duration::from_millis(400);
+/// Subjects beside the hot one.
+const SUBJECTS: u64 = 600;
+/// Tokens of a subject.
+const TOKENS: u32 = 2_000;
+/// The subject that a part of all requests is about.
+const HOT: u64 = 7_777;
+
+/// What is played.
+#[derive(Debug, Clone)]
+pub(crate) struct Plan {
+    /// Boxes of each hall.
+    pub(crate) boxes: Vec<u16>,
+    /// Servers of each hall.
+    pub(crate) servers: Vec<u16>,
+    /// Requests a second.
+    pub(crate) rate: f64,
+    /// Part of them that is about one subject.
+    pub(crate) hot: f64,
+    /// How long.
+    pub(crate) time: Duration,
+    /// What cold servers bear, and for how long they are cold.
+    pub(crate) cold: Cold,
+    /// The fleet's bound: so many times that, and so many more.
+    pub(crate) bound: (f64, f64),
+}
+
+/// One box.
+pub(crate) struct Desk {
+    pub(crate) name: ids::Box,
+    pub(crate) hall: ids::Hall,
+    pub(crate) fleet: Fleet,
+    pub(crate) roster: Roster,
+    index: Index,
+}
+
+/// What came of it.
+#[derive(Debug, Default)]
+pub(crate) struct Outcome {
+    /// Requests.
+    pub(crate) asked: usize,
+    /// Those that no server took.
+    pub(crate) refused: usize,
+    /// When each server got a request.
+    pub(crate) arrivals: HashMap<ids::Server, Vec<Instant>>,
+}
+
+impl Outcome {
+    /// Most requests that one of some servers got within a second.
+    pub(crate) fn busiest(&self, of: impl Fn(&ids::Server) -> bool) -> usize {
+        let chosen = self.arrivals.iter().filter(|(server, _)| of(server));
+        let busiest = chosen.map(|(_, at)| within_a_second(at)).max();
+        busiest.unwrap_or(0)
+    }
+
+    /// Part of the requests that no server took.
+    pub(crate) fn refused_part(&self) -> f64 {
+        self.refused as f64 / self.asked.max(1) as f64
+    }
+}
+
+fn within_a_second(at: &[Instant]) -> usize {
+    let until = |first: &Instant| *first + Duration::from_secs(1);
+    let counts = at.iter().enumerate().map(|(place, first)| {
+        let end = until(first);
+        at[place..].iter().take_while(|later| **later < end).count()
+    });
+    counts.max().unwrap_or(0)
+}
+
+/// A request that runs: its end, and what counts it. The order is that of ends,
+/// the first one greatest.
+struct Run {
+    end: Instant,
+    number: usize,
+    desk: usize,
+    server: ids::Server,
+    running: Running,
+}
+
+impl PartialEq for Run {
+    fn eq(&self, other: &Self) -> bool {
+        self.number == other.number
+    }
+}
+
+impl Eq for Run {}
+
+impl PartialOrd for Run {
+    fn partial_cmp(&self, other: &Self) -> Option<std::cmp::Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Run {
+    fn cmp(&self, other: &Self) -> std::cmp::Ordering {
+        (other.end, other.number).cmp(&(self.end, self.number))
+    }
+}
+
+/// Boxes and servers.
+pub(crate) struct Sim {
+    pub(crate) plan: Plan,
+    pub(crate) start: Instant,
+    pub(crate) desks: Vec<Desk>,
+    service: ids::Service,
+    chance: RefCell<fastrand::Rng>,
+}
+
+impl Sim {
+    /// All boxes know all servers, which are warm, and each other.
+    pub(crate) fn new(plan: Plan, seed: u64) -> Result<Rc<Self>> {
+        let start = Instant::now();
+        let mut desks = Vec::new();
+        for (hall, count) in plan.boxes.iter().enumerate() {
+            for number in 0..*count {
+                desks.push(Desk {
+                    name: id(&format!("box-{hall}-{number}"))?,
+                    hall: id(&format!("hall-{hall}"))?,
+                    fleet: Fleet::default(),
+                    roster: Roster::default(),
+                    index: Index::default(),
+                });
+            }
+        }
+        let sim = Self {
+            plan,
+            start,
+            desks,
+            service: id(SERVICE)?,
+            chance: RefCell::new(fastrand::Rng::with_seed(seed)),
+        };
+        for desk in &sim.desks {
+            let boxes = sim.desks.iter().map(|other| (&other.name, &other.hall));
+            desk.roster.list(&desk.name, boxes, start);
+            desk.roster.known(start);
+            for server in sim.servers()? {
+                desk.fleet.announce(server, start);
+            }
+        }
+        Ok(Rc::new(sim))
+    }
+
+    /// The servers, warm.
+    pub(crate) fn servers(&self) -> Result<Vec<Server>> {
+        let mut servers = Vec::new();
+        for (hall, count) in self.plan.servers.iter().enumerate() {
+            for number in 0..*count {
+                servers.push(Server {
+                    id: id(&format!("i-{hall}-{number}"))?,
+                    born: None,
+                    service: self.service.clone(),
+                    address: address(number),
+                    hall: id(&format!("hall-{hall}"))?,
+                    slots: SLOTS,
+                    state: State::Ready,
+                    cold: Duration::ZERO,
+                });
+            }
+        }
+        Ok(servers)
+    }
+
+    /// Has some servers be cold for so much longer, as all boxes are told at once.
+    pub(crate) fn chill(&self, of: impl Fn(&Server) -> bool, cold: Duration) -> Result {
+        for server in self.servers()?.into_iter().filter(of) {
+            for desk in &self.desks {
+                let server = Server {
+                    cold,
+                    ..server.clone()
+                };
+                desk.fleet.announce(server, self.start);
+            }
+        }
+        Ok(())
+    }
+
+    /// The server that comes first for the hot subject.
+    pub(crate) fn hot_server(&self) -> Result<ids::Server> {
+        let desk = &self.desks[0];
+        let choice = self.choose(desk, &prompt(HOT), self.start);
+        let choice = choice.ok_or_else(|| eyre::eyre!("no server at all"))?;
+        Ok(choice.backend.server.id.clone())
+    }
+
+    fn choose(&self, desk: &Desk, prompt: &Prompt, now: Instant) -> Option<choose::Choice> {
+        let (overage, tolerance) = self.plan.bound;
+        let gate = Gate {
+            limit: Limit::new(self.plan.cold, overage, tolerance),
+            roster: &desk.roster,
+        };
+        let ask = Ask {
+            prompt: Some(prompt),
+            copy_ms: Some(0.007),
+            tried: &[],
+            filter: Filter {
+                gate: Some(gate),
+                ..Filter::default()
+            },
+            hall: &desk.hall,
+            breaks: false,
+            connections: 1_000,
+            crowd_factor: 2.0,
+        };
+        choose::choose(&desk.fleet, &self.service, &ask, &desk.index, now)
+    }
+
+    /// Plays it.
+    pub(crate) fn play(&self) -> Outcome {
+        let mut outcome = Outcome::default();
+        let mut runs: BinaryHeap<Run> = BinaryHeap::new();
+        let mut held: HashMap<ids::Server, u32> = HashMap::new();
+        let count = (self.plan.rate * self.plan.time.as_secs_f64()) as usize;
+        for number in 0..count {
+            let now = self.start + self.plan.time.mul_f64(number as f64 / count as f64);
+            while runs.peek().is_some_and(|run| run.end <= now) {
+                let Some(run) = runs.pop() else { break };
+                self.end(run, &mut held);
+            }
+            let (desk, prompt) = self.request();
+            outcome.asked += 1;
+            let Some(choice) = self.choose(&self.desks[desk], &prompt, now) else {
+                outcome.refused += 1;
+                continue;
+            };
+            if choice.cold {
+                choice.backend.pace.sent(now);
+            }
+            self.desks[desk]
+                .index
+                .sent(&prompt, choice.backend.key, now);
+            let server = choice.backend.server.id.clone();
+            outcome
+                .arrivals
+                .entry(server.clone())
+                .or_default()
+                .push(now);
+            *held.entry(server.clone()).or_default() += 1;
+            runs.push(Run {
+                end: now + RUN_TIME,
+                number,
+                desk,
+                server,
+                running: choice.backend.run(choice.read as u64),
+            });
+        }
+        outcome
+    }
+
+    /// A request at some box.
+    fn request(&self) -> (usize, Prompt) {
+        let mut chance = self.chance.borrow_mut();
+        let desk = chance.usize(0..self.desks.len());
+        let subject = match chance.f64() < self.plan.hot {
+            true => HOT,
+            false => chance.u64(0..SUBJECTS),
+        };
+        (desk, prompt(subject))
+    }
+
+    /// Ends a request: the box hears the server's load with the answer.
+    fn end(&self, run: Run, held: &mut HashMap<ids::Server, u32>) {
+        let left = held.entry(run.server.clone()).or_default();
+        *left = left.saturating_sub(1);
+        let running = *left;
+        if let Some(backend) = self.desks[run.desk].fleet.get(&run.server) {
+            let load = Load {
+                running,
+                waiting: 0,
+                slots: SLOTS,
+            };
+            backend.record_load(load, run.end);
+        }
+        drop(run.running);
+    }
+}
+
+/// A prompt about a subject.
+fn prompt(subject: u64) -> Prompt {
+    let own = Part {
+        id: subject + 1_000_000,
+        tokens: 100,
+    };
+    let shared = Part {
+        id: subject,
+        tokens: TOKENS,
+    };
+    Prompt {
+        input: TOKENS + own.tokens,
+        output: 50,
+        hint: None,
+        parts: vec![shared, own],
+    }
+}
--- a/crates/relay/tests/relay/sizes.rs
+++ b/crates/relay/tests/relay/sizes.rs
@@ -34,6 +34,7 @@
         hall: id("hall-1")?,
         slots: 16,
         state: State::Ready,
+        born: None,
         cold: Duration::ZERO,
     })
 }
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -10,6 +10,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
+use tidepier_relay::emptied::List;
 use tidepier_relay::follow::Follower;
 use tidepier_relay::peer::message::{Answer, Change, Position, Row, Servers, VERSION};
 use tidepier_relay::record::Record;
@@ -30,6 +31,9 @@
     };
     let bounds = Bounds {
         fresh: APPLY_TIME,
+        confirm: APPLY_TIME,
+        cold_overage: 1.0,
+        cold_tolerance: 0.0,
         trusted: Some(REVOKE_TIME),
         contact: Duration::from_millis(3_000),
         crowd_factor: 2.0,
@@ -57,6 +61,7 @@
         hall: "hall-1".parse()?,
         slots: 8,
         state,
+        born: None,
         cold: Duration::ZERO,
     };
     Ok(Row::new(&server, revision))
@@ -94,6 +99,7 @@
         known_ms: Some(age_ms),
         revision,
         document_bytes: None,
+        emptied: Some(List::default()),
         servers,
         position: Position {
             life: 3,
