--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -104,7 +104,11 @@
 
     /// The operator writes a key; returns the revision.
     pub fn put(&self, key: &str, value: &Value) -> u64 {
-        let value = value.to_string().into_bytes();
+        self.put_bytes(key, value.to_string().into_bytes())
+    }
+
+    /// Someone writes bytes that may be no JSON; returns the revision.
+    pub fn put_bytes(&self, key: &str, value: Vec<u8>) -> u64 {
         self.inner.change(|data| {
             data.revision += 1;
             data.put(key, value, 0);
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -7,7 +7,7 @@
 use std::time::{Duration, Instant};
 
 use tidepier_core::answer::Load;
-use tidepier_core::server::{Server, State};
+use tidepier_core::server::{Birth, Server, State};
 use tidepier_h1::Conn;
 
 use super::hall::Hall;
@@ -58,6 +58,8 @@
     /// When this box learned of it: soon after it joined, unless the box has
     /// started later.
     pub known_since: Instant,
+    /// When it started, once that was told.
+    born: Cell<Option<Birth>>,
     /// Requests that it works on at once, as it said last.
     pub(super) slots: Cell<u32>,
     /// Stands for its id between boxes.
@@ -119,6 +121,7 @@
             key: Key::of_life(&server),
             state: Cell::new(server.state),
             slots: Cell::new(server.slots),
+            born: Cell::new(server.born),
             cold: Cell::new(until(server.cold, now)),
             absent: Cell::new(None),
             pace: Pace::default(),
@@ -134,6 +137,24 @@
         }
     }
 
+    /// When it started, once that was told.
+    pub fn born(&self) -> Option<Birth> {
+        self.born.get()
+    }
+
+    /// Whether an announcement under its id is of this life. One without a birth
+    /// says nothing against it: boxes of an older form pass on none.
+    pub(super) fn is_life_of(&self, told: &Server) -> bool {
+        let births = self.born.get().zip(told.born);
+        let same_birth = births.is_none_or(|(known, told)| known == told);
+        self.server.address == told.address && self.server.service == told.service && same_birth
+    }
+
+    /// Records the birth of this life, if it is told.
+    pub(super) fn learn_birth(&self, told: Option<Birth>) {
+        self.born.set(self.born.get().or(told));
+    }
+
     /// Requests that it works on at once.
     pub fn slots(&self) -> u32 {
         self.slots.get()
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -98,7 +98,8 @@
         let known = self.servers.borrow().get(&server.id).cloned();
         if let Some(backend) = known {
             backend.missing.set(false);
-            if is_same(&backend.server, &server) {
+            if backend.is_life_of(&server) {
+                backend.learn_birth(server.born);
                 backend.slots.set(server.slots);
                 backend.set_cold(server.cold, now);
                 return self.restate(&backend, server.state);
@@ -298,11 +299,3 @@
         group.into()
     }
 }
-
-/// Whether two announcements under one id are of one life. One that does not
-/// tell its birth says nothing against it: boxes of an older form pass on none.
-fn is_same(a: &Server, b: &Server) -> bool {
-    let births = a.born.zip(b.born);
-    let same_birth = births.is_none_or(|(a, b)| a == b);
-    a.address == b.address && a.service == b.service && same_birth
-}
--- a/crates/relay/tests/platform/catalog.rs
+++ b/crates/relay/tests/platform/catalog.rs
@@ -2,8 +2,9 @@
 
 use std::time::Duration;
 
+use proptest::prelude::*;
 use tidepier_core::catalog::Kind;
-use tidepier_core::server::State;
+use tidepier_core::server::{Birth, State};
 use tidepier_platform::catalog::{self, Invalid};
 use tidepier_platform::{key, server};
 
@@ -176,3 +177,88 @@
     assert_eq!(key::server_id(key::CONFIG), None);
     assert!(key::CONFIG.starts_with(key::OPERATOR));
 }
+
+#[test]
+fn what_cold_servers_bear_and_homes_are_read() {
+    let text = r#"{"version":1,"routes":[
+{"name":"r-a","host":"a","path_prefix":"/","type":"idempotent","service":"s","allowed_regions":["north","far"]},
+{"name":"r-b","host":"b","path_prefix":"/","type":"idempotent","service":"s","allowed_regions":[]}],
+"services":[{"name":"s","cold_start_s":3.5,"cold_per_s":9.6},{"name":"t","cold_start_s":3.0,"cold_per_s":0.0},
+{"name":"u","cold_start_s":0.0,"cold_per_s":9.6},{"name":"v","cold_start_s":-1,"cold_per_s":2}],
+"tenants":[{"name":"acme","api_keys":["k1"],"allowed_regions":["north"]},{"name":"other","api_keys":["k2"]}]}"#;
+    let catalog = catalog::decode(text.as_bytes()).expect("valid");
+    let homes = |host| {
+        let route = catalog.route(host, "/x").expect("a route");
+        route
+            .homes
+            .as_ref()
+            .map(|homes| homes.iter().map(ToString::to_string).collect::<Vec<_>>())
+    };
+    assert_eq!(homes("a"), Some(vec!["north".into(), "far".into()]));
+    assert_eq!(homes("b"), None);
+    let account = catalog.account("k1").expect("an account");
+    assert!(account.homes.as_ref().is_some_and(|homes| homes.len() == 1));
+    assert!(catalog
+        .account("k2")
+        .is_some_and(|account| account.homes.is_none()));
+    let cold = |name: &str| catalog.services[&name.parse().expect("a name")].cold;
+    let known = cold("s").expect("cold after a start");
+    assert_eq!(
+        (known.time, known.per_s),
+        (Duration::from_millis(3_500), 9.6)
+    );
+    assert!([cold("t"), cold("u"), cold("v")]
+        .iter()
+        .all(Option::is_none));
+}
+
+#[test]
+fn a_birth_is_a_whole_number() {
+    let born = |told: &str| {
+        let entry = ENTRY.replace("\"sequence\":4", &format!("\"sequence\":4,\"born\":{told}"));
+        server::decode("i-1", entry.as_bytes()).map(|server| server.born)
+    };
+    assert_eq!(
+        born("1760000000123").expect("valid"),
+        Some(Birth(1_760_000_000_123))
+    );
+    assert_eq!(born("null").expect("valid"), None);
+    for strange in ["1.5", "-1", "\"7\"", "[7]", "true"] {
+        assert!(born(strange).is_err(), "{strange}");
+    }
+}
+
+#[test]
+fn keys_tell_the_emptied_hall() {
+    let hall = "hall-1".parse().expect("a name");
+    assert_eq!(key::emptied(&hall), "op/evacuate/hall-1");
+    assert_eq!(key::emptied_hall("op/evacuate/hall-1"), Some("hall-1"));
+    assert_eq!(key::emptied_hall("op/evacuate/"), None);
+    assert_eq!(key::emptied_hall(key::CONFIG), None);
+    assert!(key::EMPTIED.starts_with(key::OPERATOR));
+}
+
+proptest! {
+    /// Whatever lies under a server's key, reading it ends, and says either that it
+    /// names no server or which one.
+    #[test]
+    fn any_bytes_are_read_or_refused(bytes in prop::collection::vec(any::<u8>(), 0..200)) {
+        let _ = server::decode("i-1", &bytes);
+        let _ = catalog::decode(&bytes);
+    }
+
+    /// The same for an entry in which some bytes are others.
+    #[test]
+    fn any_change_of_an_entry_is_read_or_refused(
+        changes in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 1..6),
+    ) {
+        let mut bytes = ENTRY.as_bytes().to_vec();
+        for (at, byte) in &changes {
+            let at = at.index(bytes.len());
+            bytes[at] = *byte;
+        }
+        if let Ok(server) = server::decode("i-1", &bytes) {
+            prop_assert_eq!(server.id.as_str(), "i-1");
+        }
+    }
+}
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -137,11 +137,25 @@
     }
 
     pub(crate) fn choose(&self, prompt: Option<&Prompt>, tried: &[ids::Server]) -> Result<Choice> {
+        self.choose_by(prompt, tried, Filter::default())
+    }
+
+    /// Chooses one of the servers that a filter admits.
+    pub(crate) fn choose_within(&self, prompt: &Prompt, filter: Filter<'_>) -> Result<Choice> {
+        self.choose_by(Some(prompt), &[], filter)
+    }
+
+    fn choose_by(
+        &self,
+        prompt: Option<&Prompt>,
+        tried: &[ids::Server],
+        filter: Filter<'_>,
+    ) -> Result<Choice> {
         let ask = Ask {
             prompt,
             copy_ms: Some(0.004),
             tried,
-            filter: Filter::default(),
+            filter,
             hall: &self.hall,
             breaks: false,
             connections: CONNECTIONS,
--- /dev/null
+++ b/crates/relay/tests/relay/lives.rs
@@ -0,0 +1,262 @@
+//! Servers that start again under their id.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use eyre::{ensure, eyre};
+use tidepier_core::server::{Birth, Server, State};
+use tidepier_relay::emptied::List;
+use tidepier_relay::fleet::{Change, Fleet};
+use tidepier_relay::health::Outcome;
+use tidepier_relay::peer::message::{Answer, Position, Row, Servers, VERSION};
+use tidepier_relay_standin::server::Fault;
+
+use crate::desk::{prompt, server, Desk, LARGE};
+use crate::hall::started;
+use crate::house::{ms, pair, post, ran, run, site, until, usual, whole, Result, SERVICE};
+use crate::told::follower;
+
+fn born(number: u16, birth: Option<u64>) -> Result<Server> {
+    Ok(Server {
+        born: birth.map(Birth),
+        ..server(number, State::Ready)?
+    })
+}
+
+/// What was kept, how it answered and what it was told of its cold belongs to the
+/// old life.
+#[test]
+fn a_new_life_knows_nothing_of_the_old_one() -> Result {
+    let desk = Desk::new("hall-1", [])?;
+    let now = Instant::now();
+    for number in 1..4 {
+        desk.fleet.announce(born(number, Some(10))?, now);
+    }
+    let prompt = prompt(1, LARGE);
+    let old = desk.send(&prompt)?;
+    let id = old.server.id.clone();
+    ensure!(
+        desk.places(&prompt).lacking(old.key).tokens() == 0.0,
+        "not kept"
+    );
+    old.record(Outcome::Silent, now);
+    let running = old.run(100);
+    let again = Server {
+        born: Some(Birth(9)),
+        cold: Duration::from_secs(3),
+        ..old.server.clone()
+    };
+    // Clocks may be set back: a smaller birth is a new life as well.
+    ensure!(
+        desk.fleet.announce(again.clone(), now) == Change::Restarted,
+        "no new life"
+    );
+    let new = desk.backend(&id)?;
+    ensure!(!Rc::ptr_eq(&old, &new), "the same life");
+    ensure!(
+        new.own() == 0 && new.health.is_sound(),
+        "counted for the new life"
+    );
+    ensure!(!old.serves() && new.serves(), "the old one serves");
+    ensure!(new.cold_left(now) == Duration::from_secs(3), "warm");
+    let lacks = desk.places(&prompt).lacking(new.key);
+    ensure!(lacks.unproven == LARGE, "still thought to keep {lacks:?}");
+    drop(running);
+    ensure!(
+        desk.fleet.announce(again, now) == Change::None,
+        "one more life"
+    );
+    Ok(())
+}
+
+#[test]
+fn an_entry_without_a_birth_is_of_the_known_life() -> Result {
+    let fleet = Fleet::default();
+    let now = Instant::now();
+    for (first, second) in [(None, None), (None, Some(5)), (Some(5), None)] {
+        let number = 1 + first.unwrap_or(0) as u16 + second.unwrap_or(0) as u16 * 2;
+        fleet.announce(born(number, first)?, now);
+        let id = server(number, State::Ready)?.id;
+        let before = fleet.get(&id).ok_or_else(|| eyre!("unknown"))?;
+        fleet.announce(born(number, second)?, now);
+        let after = fleet.get(&id).ok_or_else(|| eyre!("gone"))?;
+        ensure!(Rc::ptr_eq(&before, &after), "{first:?} then {second:?}");
+        ensure!(after.born() == first.or(second).map(Birth), "not learned");
+        let later = born(number, Some(6))?;
+        if first.or(second).is_some() {
+            ensure!(
+                fleet.announce(later, now) == Change::Restarted,
+                "no new life"
+            );
+        }
+    }
+    Ok(())
+}
+
+fn row(birth: Option<u64>, revision: u64, state: State) -> Result<Row> {
+    let server = Server {
+        id: "i-1".parse()?,
+        born: birth.map(Birth),
+        service: SERVICE.parse()?,
+        address: SocketAddr::from(([127, 0, 0, 1], 4_000)),
+        hall: "hall-1".parse()?,
+        slots: 8,
+        state,
+        cold: Duration::ZERO,
+    };
+    Ok(Row::new(&server, revision))
+}
+
+/// An answer of another box that knows these servers as of a revision.
+fn told(rows: Vec<Row>, seen: u64) -> Answer {
+    Answer {
+        version: VERSION,
+        number: 1,
+        age_ms: Some(0),
+        known_ms: Some(0),
+        revision: 0,
+        document_bytes: None,
+        emptied: Some(List::default()),
+        servers: Servers::All(rows, seen),
+        position: Position::default(),
+    }
+}
+
+/// A slower box tells of the old life, that it leaves, or that it is gone.
+#[test]
+fn a_late_word_of_the_old_life_says_nothing_of_the_new_one() -> Result {
+    let (relay, follower) = follower()?;
+    let id = "i-1".parse()?;
+    let life = || -> Result<_> {
+        let known = relay.fleet.get(&id).ok_or_else(|| eyre!("unknown"))?;
+        Ok((known.born(), known.serves()))
+    };
+    let hear = |answer| follower.take_answer(answer, None, Instant::now());
+    hear(told(vec![row(Some(7), 10, State::Ready)?], 10))?;
+    hear(told(vec![row(Some(9), 20, State::Ready)?], 20))?;
+    ensure!(life()? == (Some(Birth(9)), true), "not taken over");
+    hear(told(vec![row(Some(7), 10, State::Ready)?], 12))?;
+    hear(told(vec![row(Some(7), 15, State::Draining)?], 15))?;
+    hear(told(vec![], 18))?;
+    ensure!(life()? == (Some(Birth(9)), true), "the old life is back");
+    Ok(())
+}
+
+/// A box of the older form says nothing of births, cold servers and halls.
+#[test]
+fn messages_of_the_older_form_are_understood() -> Result {
+    #[derive(serde::Serialize)]
+    struct Older {
+        id: &'static str,
+        service: &'static str,
+        address: SocketAddr,
+        hall: &'static str,
+        slots: u32,
+        draining: bool,
+        revision: u64,
+    }
+    let older = Older {
+        id: "i-1",
+        service: SERVICE,
+        address: SocketAddr::from(([127, 0, 0, 1], 4_000)),
+        hall: "hall-1",
+        slots: 8,
+        draining: false,
+        revision: 10,
+    };
+    let mut bytes = Vec::new();
+    ciborium::into_writer(&older, &mut bytes)?;
+    let read: Row = ciborium::from_reader(&*bytes)?;
+    ensure!(read == row(None, 10, State::Ready)?, "{read:?}");
+    let mut newer = Vec::new();
+    ciborium::into_writer(&read, &mut newer)?;
+    ensure!(
+        newer == bytes,
+        "what has no birth and is not cold costs bytes"
+    );
+    // Which halls are to be empty it does not know, so that it proves nothing.
+    let (relay, follower) = follower()?;
+    let answer = Answer {
+        emptied: None,
+        ..told(vec![], 1)
+    };
+    let taken = follower.take_answer(answer, None, Instant::now());
+    ensure!(taken.is_err() && relay.view.age().is_none(), "believed");
+    Ok(())
+}
+
+#[test]
+fn boxes_tell_each_other_of_lives_and_of_the_cold() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
+        let id = server.settings().id.parse()?;
+        site.announce_with(&server, server.address(), State::Ready, |entry| {
+            entry["born"] = 1_760_000_000_000_u64.into();
+            entry["cold_remaining_ms"] = 60_000.into();
+        });
+        for machine in &machines {
+            let fleet = &machine.router.relay().fleet;
+            until("told", async || {
+                let known = fleet.get(&id);
+                Ok(known.is_some_and(|it| it.cold_left(Instant::now()) > ms(55_000)))
+            })
+            .await?;
+        }
+        site.announce_with(&server, server.address(), State::Ready, |entry| {
+            entry["born"] = 1_760_000_000_777_u64.into();
+        });
+        for machine in &machines {
+            let fleet = &machine.router.relay().fleet;
+            until("restarted", async || {
+                let known = fleet.get(&id).ok_or_else(|| eyre!("gone"))?;
+                let warm = known.cold_left(Instant::now()).is_zero();
+                Ok(known.born() == Some(Birth(1_760_000_000_777)) && warm)
+            })
+            .await?;
+            whole(
+                &machine.call(&post("/r/x", &machine.name)).await?,
+                &[&server],
+                &machine.name,
+            )?;
+        }
+        Ok(())
+    })
+}
+
+/// A request that may run once, under way at a server of which a new life becomes
+/// known, is not sent again.
+#[test]
+fn a_new_life_does_not_repeat_what_runs_once() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor.clone()).await?;
+        let entry = |birth: u64| {
+            house
+                .site
+                .announce_with(&near, near.address(), State::Ready, |entry| {
+                    entry["born"] = birth.into();
+                })
+        };
+        entry(1);
+        let id = near.settings().id.parse()?;
+        let fleet = &house.router.relay().fleet;
+        near.fault(Fault::Hang, u32::MAX);
+        let front = house.front();
+        let call = post("/o/x", "once").leaving(ms(1_500));
+        let sent =
+            executor.spawn(async move { tidepier_relay_standin::Client::once(front, &call).await });
+        until("sent", async || Ok(near.running() == 1)).await?;
+        entry(2);
+        until("restarted", async || {
+            Ok(fleet.get(&id).is_some_and(|it| it.born() == Some(Birth(2))))
+        })
+        .await?;
+        near.crash();
+        let answer = sent.await?;
+        ensure!(answer.status != 200, "{answer:?}");
+        ensure!(ran(&[&near, &far], "once") == 1, "run again");
+        Ok(())
+    })
+}
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -46,7 +46,7 @@
 }
 
 /// A box that hears from nobody but the test.
-fn follower() -> Result<(Rc<Relay>, Rc<Follower>)> {
+pub(crate) fn follower() -> Result<(Rc<Relay>, Rc<Follower>)> {
     let relay = relay()?;
     let nowhere = SocketAddr::from(([127, 0, 0, 1], 1));
     let store = Rc::new(Client::new(nowhere));
