--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -49,6 +49,10 @@
     assert_eq!(settings.limits.link_mbps, 1_000.0);
     assert!(settings.first_start);
     assert_eq!(settings.bounds.retry_extra, 58.0);
+    let bounds = &settings.bounds;
+    assert_eq!((bounds.cold_overage, bounds.cold_tolerance), (1.5, 5.0));
+    assert_eq!(bounds.empty_within.duration(), Duration::from_secs(5));
+    assert_eq!(settings.regions.len(), 2);
     let stop = settings.bounds.stop_within;
     assert_eq!(stop.duration(), Duration::from_secs(8));
 }
@@ -104,6 +108,15 @@
         number.starts_with("11: at descriptors: invalid type"),
         "{number}"
     );
+    let tolerance = complaint(
+        "tolerance",
+        "\"cold_tolerance\": 5",
+        "\"cold_tolerance\": -1",
+    );
+    assert!(
+        tolerance.ends_with("at bounds.cold_tolerance: found -1; allowed: 0 or more"),
+        "{tolerance}"
+    );
     let range = complaint("range", "0.2,", "1.5,");
     assert_eq!(
         range,
