The soak empties halls of servers beside its faults, and a rule watches it from outside

`--emptied-halls` adds three emptied halls to a seed's schedule by a choice of its own, so that kept seeds stay as they are. The rule finds a request that is 2.5 s late in evidence made by hand.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -34,6 +34,9 @@
     /// Fresh seeds for so many minutes.
     #[arg(long)]
     minutes: Option<f64>,
+    /// Empties halls of servers beside what the seeds decide.
+    #[arg(long)]
+    emptied_halls: bool,
     /// The relay's program; beside this one by default.
     #[arg(long)]
     relay: Option<PathBuf>,
@@ -119,7 +122,11 @@
         .canonicalize()
         .wrap_err_with(|| format!("the relay's program, {}", relay.display()))?;
     let folder = arguments.folder.clone();
-    let place = Place { relay, folder };
+    let place = Place {
+        relay,
+        folder,
+        emptied_halls: arguments.emptied_halls,
+    };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
     let mut not_run = 0;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -80,6 +80,8 @@
     Storm,
     /// A key is taken away, and another one added.
     Revoke,
+    /// A hall of servers is to be empty, and is taken back later.
+    EmptyHall(usize),
 }
 
 /// One fault or planned change.
@@ -111,6 +113,7 @@
             Fault::Server(_, Server::Faulty(fault)) => named("server", fault),
             Fault::Servers(fault) => named("servers", fault),
             Fault::Server(_, server) => named("server", server),
+            Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
             Fault::Config(config) => named("config", config),
         }
     }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -33,7 +33,7 @@
 use machine::Machine;
 use servers::Backend;
 
-pub use plan::{ATTEMPTS, TIMEOUT};
+pub use plan::{ATTEMPTS, SERVER_HALLS, TIMEOUT};
 
 /// The service of plain requests.
 pub const PLAIN: &str = "plain";
--- a/crates/soak/src/fleet/plan.rs
+++ b/crates/soak/src/fleet/plan.rs
@@ -10,6 +10,8 @@
 use super::{PLAIN, STREAM};
 use crate::ledger::Traffic;
 
+/// Halls that servers are spread over.
+pub const SERVER_HALLS: usize = 2;
 /// Most servers for one request, on each route.
 pub const ATTEMPTS: u32 = 2;
 /// Longest time of a request, on each route.
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -45,7 +45,7 @@
         let server = Server::start(Settings {
             id: format!("i-{number}"),
             service: service.into(),
-            hall: super::plan::hall(number as usize, 2),
+            hall: super::plan::hall(number as usize, super::SERVER_HALLS),
             slots: SLOTS,
             queue: QUEUE,
             work: WORK,
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -50,6 +50,7 @@
             Fault::Store(store) => self.fault_store(store, step.lasts).await,
             Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
             Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
+            Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
         }
         notes.into_iter().for_each(|note| self.ledger.end(note));
@@ -223,9 +224,22 @@
         }
     }
 
+    /// Has a hall of servers emptied for longer than that may take, and takes it
+    /// back.
+    async fn empty_hall(&self, hall: usize, lasts: Duration) {
+        let hall = super::plan::hall(hall, super::SERVER_HALLS);
+        self.site.empty_hall(&hall);
+        self.ledger.fact(Fact::Emptied(hall.clone()));
+        Timer::after(crate::rule::bound::EMPTY + lasts).await;
+        self.ledger.fact(Fact::TakenBack(hall.clone()));
+        self.site.take_back(&hall);
+    }
+
     async fn configure(&self, config: Config) -> eyre::Result<()> {
         match config {
             Config::Revoke => self.change_keys(1),
+            // It has a time of its own: see `empty_hall`.
+            Config::EmptyHall(_) => {}
             Config::Mark => self.mark()?,
             Config::Storm => {
                 for _ in 0..STORM {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -113,7 +113,7 @@
 }
 
 /// Something that was acknowledged or happened at a moment.
-#[derive(Debug, Clone)]
+#[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fact {
     /// No configuration holds this key any more.
     KeyGone(String),
@@ -123,6 +123,10 @@
     Configuring,
     /// The server of this id leaves or is gone.
     Leaving(String),
+    /// Nothing more is to be sent to the servers of this hall.
+    Emptied(String),
+    /// The servers of this hall may be used again.
+    TakenBack(String),
     /// A process of this box was started.
     Born(usize),
     /// A process ended without being told to.
--- a/crates/soak/src/rule/beliefs.rs
+++ b/crates/soak/src/rule/beliefs.rs
@@ -11,6 +11,7 @@
     keys(evidence, verdict);
     versions(evidence, verdict);
     leaving(evidence, verdict);
+    emptied(evidence, verdict);
 }
 
 /// This holds for every box at every time; a box that is not sure has to
@@ -117,25 +118,49 @@
             for seen in evidence.seen(attempt) {
                 let arrived = seen.run.arrived;
                 if seen.server.id == *id && arrived > *left + bound::LEAVE {
-                    late(evidence, verdict, attempt, [*left, arrived]);
+                    late(evidence, verdict, Rule::Leaving, attempt, [*left, arrived]);
                 }
             }
         }
     }
 }
 
-fn late(evidence: &Evidence, verdict: &mut Verdict, attempt: &Attempt, span: [Instant; 2]) {
-    let [left, arrived] = span;
+fn emptied(evidence: &Evidence, verdict: &mut Verdict) {
+    for (asked, fact) in &evidence.facts {
+        let Fact::Emptied(hall) = fact else { continue };
+        let mut later = evidence.facts.iter().filter(|(at, _)| at > asked);
+        let back = later.find(|(_, fact)| *fact == Fact::TakenBack(hall.clone()));
+        for attempt in &evidence.attempts {
+            for seen in evidence.seen(attempt) {
+                let arrived = seen.run.arrived;
+                let over = back.is_some_and(|(back, _)| arrived >= *back);
+                if seen.server.hall == *hall && arrived > *asked + bound::EMPTY && !over {
+                    late(evidence, verdict, Rule::Emptied, attempt, [*asked, arrived]);
+                }
+            }
+        }
+    }
+}
+
+fn late(
+    evidence: &Evidence,
+    verdict: &mut Verdict,
+    rule: Rule,
+    attempt: &Attempt,
+    span: [Instant; 2],
+) {
+    let [told_at, arrived] = span;
     let recent = before(arrived, bound::CONTACT);
     let cut = evidence.disturbed(recent, arrived, |found| found.place == Place::Server);
     if cut || !is_in_touch(evidence, attempt, arrived) {
         return;
     }
-    if verdict.leaves_out(evidence, Rule::Leaving, attempt, span) {
+    if verdict.leaves_out(evidence, rule, attempt, span) {
         return;
     }
-    let text = format!("{:?} after the word: {}", arrived - left, told(attempt));
-    verdict.broken(evidence, Rule::Leaving, arrived, text);
+    let after = arrived - told_at;
+    let text = format!("{after:?} after the word: {}", told(attempt));
+    verdict.broken(evidence, rule, arrived, text);
 }
 
 /// Whether the box of a request, and the store, had been undisturbed for long
--- a/crates/soak/src/rule/bound.rs
+++ b/crates/soak/src/rule/bound.rs
@@ -11,6 +11,9 @@
 pub const STOP: Duration = Duration::from_secs(8);
 /// A configuration is in force everywhere after this.
 pub const APPLY: Duration = Duration::from_secs(2);
+/// An emptied hall gets nothing after this. Under the usual time, so that a run of
+/// some ten seconds sees it pass.
+pub const EMPTY: Duration = Duration::from_secs(2);
 /// A key that was taken away opens nothing after this. A second under the usual
 /// time, so that a run of some ten seconds sees it pass.
 pub const REVOKE: Duration = Duration::from_secs(4);
@@ -42,6 +45,7 @@
         "leave_within": ms(LEAVE),
         "stop_within": ms(STOP),
         "apply_within": ms(APPLY),
+        "empty_within": ms(EMPTY),
         "revoke_within": ms(REVOKE),
         "contact": ms(CONTACT),
         "loss_slack": ms(LOSS_SLACK),
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -43,6 +43,8 @@
     Apply,
     /// A server that leaves gets nothing new after its bound.
     Leaving,
+    /// A hall that is to be empty gets nothing new after its bound.
+    Emptied,
     /// In calm, no server is loaded far above the others.
     Crowd,
     /// Repeats stay within their share.
@@ -57,7 +59,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 16] = [
+    pub const ALL: [Rule; 17] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -69,6 +71,7 @@
         Rule::StepBack,
         Rule::Apply,
         Rule::Leaving,
+        Rule::Emptied,
         Rule::Crowd,
         Rule::Retries,
         Rule::Recovery,
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -70,6 +70,8 @@
     pub relay: PathBuf,
     /// Folder for settings and logs; removed after a run without findings.
     pub folder: PathBuf,
+    /// Whether halls of servers are emptied beside what the seed decides.
+    pub emptied_halls: bool,
 }
 
 /// Runs one seed.
@@ -79,6 +81,10 @@
 /// The fleet could not be started or handled; this says nothing of its rules.
 pub async fn seed(seed: u64, place: &Place) -> eyre::Result<Outcome> {
     let schedule = Schedule::new(seed);
+    let schedule = match place.emptied_halls {
+        true => schedule.with_emptied_halls(),
+        false => schedule,
+    };
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -13,6 +13,7 @@
 use tidepier_relay_standin::store::Down;
 
 use crate::fault::{Config, Fault, Link, Server, Signal, Store};
+use crate::fleet::SERVER_HALLS;
 use crate::way::{Direction, Harm};
 
 /// Fewest and most boxes.
@@ -30,6 +31,10 @@
 const BLIND_MS: Range<u64> = 5_000..7_500;
 /// Time from the beginning of the blindness to the change.
 const BLIND_BEFORE: Duration = Duration::from_millis(300);
+/// How often halls are emptied in a run where they are.
+const EMPTIED: usize = 3;
+/// Makes the choice of emptied halls another one than that of the other faults.
+const EMPTIED_SEED: u64 = 0x656d_7074_6965_6421;
 /// Delays of a slow way or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -77,6 +82,20 @@
             steps,
         }
     }
+
+    /// The same, and halls of servers are emptied beside it: what a seed decided
+    /// before stays as it is.
+    pub fn with_emptied_halls(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ EMPTIED_SEED);
+        let mut steps = self.steps;
+        steps.extend((0..EMPTIED).map(|_| Step {
+            at: ms(&mut rng, SPAN_MS),
+            lasts: ms(&mut rng, LASTS_MS),
+            fault: Fault::Config(Config::EmptyHall(rng.random_range(0..SERVER_HALLS))),
+        }));
+        steps.sort_by_key(|step| step.at);
+        Self { steps, ..self }
+    }
 }
 
 fn ms(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -234,3 +234,25 @@
     case.ledger.end(note);
     assert_eq!(case.broken().len(), 4);
 }
+
+/// A hall is to be empty from 5 s to 12 s; requests reach a server there.
+fn with_emptied_hall(requests: &[(&str, f64)]) -> Case {
+    let mut case = Case::new();
+    let hall = server::Settings::default().hall;
+    case.fact(5.0, Fact::Emptied(hall.clone()));
+    case.fact(12.0, Fact::TakenBack(hall));
+    for (id, second) in requests {
+        case.ran(id, Traffic::Repeatable, *second, "plain");
+        let body = case.body(id);
+        case.sent(id, Traffic::Repeatable, *second, 200, &body);
+    }
+    case
+}
+
+#[test]
+fn an_emptied_hall_that_gets_requests_is_found() {
+    let in_time = [("before", 4.9), ("within", 6.9), ("after", 12.1)];
+    assert_eq!(with_emptied_hall(&in_time).broken(), []);
+    let late = with_emptied_hall(&[("late", 7.5)]);
+    assert_eq!(late.broken(), [Rule::Emptied]);
+}
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tidepier_soak::schedule::Schedule;
+use tidepier_soak::schedule::{Schedule, Step};
 
 #[test]
 fn a_seed_decides_the_whole_schedule() {
@@ -42,3 +42,15 @@
     };
     assert!((0..50).filter(|seed| overlaps(*seed)).count() > 40);
 }
+
+#[test]
+fn emptied_halls_leave_the_other_faults_as_they_are() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_emptied_halls();
+        let is_emptied = |step: &&Step| step.fault.name() == "config_emptyhall";
+        let others = more.steps.iter().filter(|step| !is_emptied(step));
+        assert!(others.eq(plain.steps.iter()), "seed {seed}");
+        assert!(more.steps.iter().any(|step| is_emptied(&step)));
+    }
+}
