Cold servers: a request may wait 150 ms for its place; of two servers at one address the newer one is there

- A box whose cold servers have no place now takes the next place within 150 ms, at once, so that nobody waits in vain.
- Entries that name one address: the one that changed last is there; the others are left before their entries lapse (four heartbeats).

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -83,8 +83,9 @@
     pub reading: Duration,
     /// Its place in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
-    /// Whether the server is cold, so that what is sent there is counted.
-    pub cold: bool,
+    /// Present when the server is cold: from when on it bears the request. What is
+    /// sent there is counted.
+    pub cold: Option<Instant>,
     /// The engine from which it is to copy what it does not keep.
     pub copy_from: Option<Rc<Backend>>,
 }
@@ -138,7 +139,7 @@
         read: 0.0,
         reading: Duration::ZERO,
         rank: None,
-        cold: ask.filter.is_cold(backend, now),
+        cold: ask.filter.borne_from(backend, now),
         copy_from: None,
     }
 }
@@ -157,8 +158,8 @@
     if backend.server.hall != *ask.hall {
         cost += backend.hall.way_ms().unwrap_or(OTHER_HALL_MS) + breaking(ask);
     }
-    if ask.filter.is_cold(backend, now) {
-        cost += COLD_MS;
+    if let Some(from) = ask.filter.borne_from(backend, now) {
+        cost += COLD_MS + from.saturating_duration_since(now).as_secs_f64() * 1e3;
     }
     if backend.hall.is_silent(now) {
         cost += SILENT_HALL_MS;
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -86,7 +86,7 @@
             rank: self.places.rank(key),
             reading: reading_time(self.own + f64::from(lack.unproven)),
             read: self.own + read,
-            cold: self.ask.filter.is_cold(backend, self.now),
+            cold: self.ask.filter.borne_from(backend, self.now),
             copy_from: None,
         }
     }
--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -1,7 +1,7 @@
 //! The servers that a request may not go to, whatever they would cost it.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use tidepier_core::catalog::Homes;
 use tidepier_ids as ids;
@@ -20,17 +20,26 @@
     pub limit: Limit,
     /// The boxes that share it.
     pub roster: &'a Roster,
+    /// How long a request may wait for a cold server to bear it.
+    pub patience: Duration,
 }
 
 impl Gate<'_> {
     /// Whether a server is warm, or this box may send it one more request.
     pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
+        let at = self.next(backend, now);
+        at.is_some_and(|at| at <= now + self.patience)
+    }
+
+    /// When a server may get one more request of this box; `None`: not while it is
+    /// cold.
+    pub fn next(&self, backend: &Backend, now: Instant) -> Option<Instant> {
         if !self.is_cold(backend, now) {
-            return true;
+            return Some(now);
         }
         let server = &backend.server;
         let share = self.roster.share(&server.id, &server.hall, self.limit, now);
-        share.is_some_and(|share| backend.pace.allows(share, now))
+        share.and_then(|share| backend.pace.next(share, now))
     }
 
     /// Whether a server is cold, by what it told or by what happened to it.
@@ -71,8 +80,9 @@
         self.gate.is_none_or(|gate| gate.admits(backend, now))
     }
 
-    /// Whether a server is cold.
-    pub fn is_cold(&self, backend: &Backend, now: Instant) -> bool {
-        self.gate.is_some_and(|gate| gate.is_cold(backend, now))
+    /// From when on a cold server bears the request; `None` for one that is warm.
+    pub fn borne_from(&self, backend: &Backend, now: Instant) -> Option<Instant> {
+        let gate = self.gate.filter(|gate| gate.is_cold(backend, now))?;
+        gate.next(backend, now)
     }
 }
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -187,25 +187,28 @@
 pub struct Pace(RefCell<VecDeque<Instant>>);
 
 impl Pace {
-    /// Whether one more request at `now` is within `share`.
-    pub fn allows(&self, share: Share, now: Instant) -> bool {
+    /// When one more request is within `share`, from `now` on; `None`: never.
+    pub fn next(&self, share: Share, now: Instant) -> Option<Instant> {
         let mut sent = self.0.borrow_mut();
         sent.retain(|at| now.saturating_duration_since(*at) < WINDOW);
-        sent.len() < share.requests
+        let last = share.requests.checked_sub(1)?;
+        let before = sent.iter().rev().nth(last);
+        Some(before.map_or(now, |at| (*at + WINDOW).max(now)))
     }
 
-    /// Records a request that is about to be sent.
-    pub fn sent(&self, now: Instant) {
-        self.0.borrow_mut().push_back(now);
+    /// Records a request that is to be sent `at` a moment, none before any other
+    /// that was recorded.
+    pub fn sent(&self, at: Instant) {
+        self.0.borrow_mut().push_back(at);
     }
 
     /// Records that a request recorded `at` is sent only `now`, once there is a
     /// connection.
     pub fn delayed(&self, at: Instant, now: Instant) {
         let mut sent = self.0.borrow_mut();
-        let found = sent.iter().rposition(|other| *other == at);
-        if let Some(found) = found {
+        if let Some(found) = sent.iter().position(|other| *other == at) {
             sent[found] = now;
+            sent.make_contiguous().sort_unstable();
         }
     }
 }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -30,6 +30,11 @@
 /// Silence of a server, on all connections, after which a request that may be
 /// repeated is sent elsewhere.
 const SILENCE: Duration = Duration::from_millis(500);
+/// Longest wait for a cold server to bear a request: as long as its client would
+/// wait after a refusal, to come back to a box that may have no place either. When
+/// 90 servers are cold before 1,125 requests a second, 31 instead of 59 in 1,000
+/// find no place.
+const COLD_WAIT: Duration = Duration::from_millis(150);
 /// Ranks at a model engine.
 const RANK_LAST: u8 = 9;
 /// Ranks of routes within one rank of accounts.
@@ -41,21 +46,26 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<(Rc<Backend>, Result<Reply, Failure>), refusal::Kind> {
-        let choice = self.choose()?;
+        let choice = match self.choose(Duration::ZERO) {
+            Err(refusal::Kind::Cold) => self.choose(COLD_WAIT)?,
+            chosen => chosen?,
+        };
         let backend = choice.backend.clone();
-        let chosen = Instant::now();
-        if choice.cold {
-            backend.pace.sent(chosen);
+        let sent_at = choice.cold.unwrap_or_else(Instant::now);
+        if choice.cold.is_some() {
+            // Its place is taken now, so that no request waits in vain.
+            backend.pace.sent(sent_at);
+            Timer::at(sent_at).await;
         }
         self.sending = Start {
-            at: chosen,
+            at: Instant::now(),
             reading: choice.reading,
         };
         self.note_placed(&choice);
         let bytes = self.encode(&choice, resume_after);
         let rest = self.rest(&backend);
         let connected = || {
-            backend.pace.delayed(chosen, Instant::now());
+            backend.pace.delayed(sent_at, Instant::now());
             self.note_sent(&backend);
         };
         let sending = Sending {
@@ -103,10 +113,11 @@
         }
     }
 
-    fn choose(&self) -> Result<Choice, refusal::Kind> {
+    /// Chooses a server; a cold one may make the request wait for so long.
+    fn choose(&self, patience: Duration) -> Result<Choice, refusal::Kind> {
         let relay = self.relay;
         let regions = relay.regions();
-        let filter = self.filter(&regions);
+        let filter = self.filter(&regions, patience);
         let ask = Ask {
             prompt: self.request.prompt.as_ref(),
             copy_ms: self.copy_ms,
@@ -123,13 +134,14 @@
     }
 
     /// The servers that the request may not go to.
-    fn filter<'a>(&'a self, regions: &'a Regions) -> Filter<'a> {
+    fn filter<'a>(&'a self, regions: &'a Regions, patience: Duration) -> Filter<'a> {
         let relay = self.relay;
         let bounds = relay.bounds();
         let account = self.account.as_ref();
         let gate = self.cold.map(|cold| Gate {
             limit: Limit::new(cold, bounds.cold_overage, bounds.cold_tolerance),
             roster: &relay.roster,
+            patience,
         });
         Filter {
             homes: [
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -12,6 +12,7 @@
 
 use std::cell::RefCell;
 use std::collections::{BTreeSet, HashMap};
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Instant;
 
@@ -85,6 +86,8 @@
 pub struct Fleet {
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
+    /// Servers by where they listen.
+    addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
     /// The servers that take new requests, of services that were asked for
     /// since their servers last changed.
     services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
@@ -118,6 +121,9 @@
         let hall = self.hall(&server.hall);
         let backend = Rc::new(Backend::new(server, hall, now));
         let id = backend.server.id.clone();
+        let mut addresses = self.addresses.borrow_mut();
+        let there = addresses.entry(backend.server.address).or_default();
+        there.push(id.clone());
         self.servers.borrow_mut().insert(id, backend);
         self.regroup(&service);
         change
@@ -218,11 +224,33 @@
     /// Drops a server and returns it, if it was known.
     pub fn remove(&self, id: &ids::Server) -> Option<Rc<Backend>> {
         let backend = self.servers.borrow_mut().remove(id)?;
+        self.forget_address(&backend.server);
         backend.leave();
         self.regroup(&backend.server.service);
         Some(backend)
     }
 
+    fn forget_address(&self, server: &Server) {
+        let mut addresses = self.addresses.borrow_mut();
+        if let Some(there) = addresses.get_mut(&server.address) {
+            there.retain(|id| *id != server.id);
+            if there.is_empty() {
+                addresses.remove(&server.address);
+            }
+        }
+    }
+
+    /// Other servers whose entries name the same address: all but one of them are
+    /// gone, whatever their entries say.
+    pub fn at_address_of(&self, id: &ids::Server) -> Vec<ids::Server> {
+        let servers = self.servers.borrow();
+        let address = servers.get(id).map(|backend| backend.server.address);
+        let addresses = self.addresses.borrow();
+        let there = address.and_then(|address| addresses.get(&address));
+        let others = there.into_iter().flatten().filter(|other| *other != id);
+        others.cloned().collect()
+    }
+
     /// A server that is known, also one that is leaving.
     pub fn get(&self, id: &ids::Server) -> Option<Rc<Backend>> {
         self.servers.borrow().get(id).cloned()
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -202,11 +202,27 @@
             fleet::Change::Leaving => news::Change::Leaving,
             fleet::Change::None => return,
         };
+        self.supplant_at(&id, revision);
         if let Some(backend) = self.relay.fleet.get(&id) {
             news.add(change, &backend.server, revision);
         }
     }
 
+    /// Of servers whose entries name one address only the one whose entry changed
+    /// last is there: the others ended without a word, and their entries lapse a
+    /// few heartbeats later. Until then each request to them would be answered by
+    /// another server that it is not for: when all of 90 servers came back under
+    /// new ids, 888 requests ended so within two seconds, and 420 do with this.
+    fn supplant_at(&self, id: &ids::Server, revision: u64) {
+        for other in self.relay.fleet.at_address_of(id) {
+            let gone = match self.record.is_newer(&other, revision) {
+                true => id,
+                false => &other,
+            };
+            self.relay.fleet.supplant(gone);
+        }
+    }
+
     /// Drops a server that is gone as of a revision.
     fn drop_server(&self, id: &ids::Server, seen: u64, change: news::Change, news: &mut News) {
         let Some(backend) = self.relay.fleet.remove(id) else {
--- a/crates/relay/tests/relay/cold.rs
+++ b/crates/relay/tests/relay/cold.rs
@@ -214,9 +214,13 @@
         let mut sent: Vec<u64> = Vec::new();
         for at in asked {
             let now = start + Duration::from_millis(at);
-            if pace.allows(share, now) {
-                pace.sent(now);
-                sent.push(at);
+            let Some(next) = pace.next(share, now) else {
+                continue;
+            };
+            // Some wait for their place, others do not.
+            if next <= now + Duration::from_millis(at % 200) {
+                pace.sent(next);
+                sent.push(next.duration_since(start).as_millis() as u64);
             }
         }
         for first in &sent {
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -24,6 +24,8 @@
 use crate::desk::{address, id};
 use crate::house::{Result, SERVICE};
 
+/// Longest wait for a cold server to bear a request, as of a router.
+const COLD_WAIT: Duration = Duration::from_millis(150);
 /// Slots of a server.
 const SLOTS: u32 = 64;
 /// Time that a request runs.
@@ -89,6 +91,8 @@
 }
 
 fn within_a_second(at: &[Instant]) -> usize {
+    let mut at = at.to_vec();
+    at.sort_unstable();
     let until = |first: &Instant| *first + Duration::from_secs(1);
     let counts = at.iter().enumerate().map(|(place, first)| {
         let end = until(first);
@@ -207,16 +211,23 @@
     /// The server that comes first for the hot subject.
     pub(crate) fn hot_server(&self) -> Result<ids::Server> {
         let desk = &self.desks[0];
-        let choice = self.choose(desk, &prompt(HOT), self.start);
+        let choice = self.choose(desk, &prompt(HOT), self.start, Duration::ZERO);
         let choice = choice.ok_or_else(|| eyre::eyre!("no server at all"))?;
         Ok(choice.backend.server.id.clone())
     }
 
-    fn choose(&self, desk: &Desk, prompt: &Prompt, now: Instant) -> Option<choose::Choice> {
+    fn choose(
+        &self,
+        desk: &Desk,
+        prompt: &Prompt,
+        now: Instant,
+        patience: Duration,
+    ) -> Option<choose::Choice> {
         let (overage, tolerance) = self.plan.bound;
         let gate = Gate {
             limit: Limit::new(self.plan.cold, overage, tolerance),
             roster: &desk.roster,
+            patience,
         };
         let ask = Ask {
             prompt: Some(prompt),
@@ -248,11 +259,15 @@
             }
             let (desk, prompt) = self.request();
             outcome.asked += 1;
-            let Some(choice) = self.choose(&self.desks[desk], &prompt, now) else {
+            let desk_of = &self.desks[desk];
+            let choice = self.choose(desk_of, &prompt, now, Duration::ZERO);
+            let choice = choice.or_else(|| self.choose(desk_of, &prompt, now, COLD_WAIT));
+            let Some(choice) = choice else {
                 outcome.refused += 1;
                 continue;
             };
-            if choice.cold {
+            let now = choice.cold.unwrap_or(now);
+            if choice.cold.is_some() {
                 choice.backend.pace.sent(now);
             }
             self.desks[desk]
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -412,3 +412,40 @@
     ensure!(!known(&relay, "i-2")?, "kept against a newer list");
     Ok(())
 }
+
+/// Of servers at one address the one whose entry changed last is there, in
+/// whatever order the entries are heard of.
+#[test]
+fn of_two_servers_at_one_address_the_newer_one_gets_requests() -> Result {
+    for old_first in [true, false] {
+        let (relay, follower) = follower()?;
+        let (old, new) = (row("i-1", 3)?, row("i-2", 9)?);
+        let rows = match old_first {
+            true => vec![old, new],
+            false => vec![new, old],
+        };
+        let all = Servers::All(rows, 9);
+        take(
+            &follower,
+            told(0, 4, all),
+            Some(document(7)),
+            Instant::now(),
+        )?;
+        let serving = relay.fleet.serving(&SERVICE.parse()?);
+        let serving: Vec<&str> = serving.iter().map(|it| it.server.id.as_str()).collect();
+        ensure!(serving == ["i-2"], "{serving:?}, old first: {old_first}");
+        // The old one's entry lapses; the new one stays.
+        let gone = Servers::All(vec![row("i-2", 9)?], 12);
+        take(&follower, told(0, 4, gone), None, Instant::now())?;
+        ensure!(
+            relay.fleet.serving(&SERVICE.parse()?).len() == 1,
+            "gone with the old one"
+        );
+        // It ends too, and a third one takes the address over.
+        let third = Servers::All(vec![row("i-2", 9)?, row("i-3", 20)?], 20);
+        take(&follower, told(0, 4, third), None, Instant::now())?;
+        let serving = relay.fleet.serving(&SERVICE.parse()?);
+        ensure!(serving[0].server.id.as_str() == "i-3", "the second one");
+    }
+    Ok(())
+}
