--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -19,6 +19,10 @@
 /// Longest time for which a server is believed to be cold.
 const COLD_MAX: Duration = Duration::from_secs(600);
 
+/// Less than that, and an entry that says for how much longer a server is cold says
+/// what was known: entries are written each second or so, and take as long here.
+const COLD_SLACK: Duration = Duration::from_millis(800);
+
 /// A load that the server reported, with what corrects it for later requests
 /// of this box.
 #[derive(Debug, Clone, Copy)]
@@ -185,9 +189,17 @@
         until.map_or(Duration::ZERO, |until| until.saturating_duration_since(now))
     }
 
-    /// Records how much longer it is cold as of `now`.
-    pub(super) fn set_cold(&self, left: Duration, now: Instant) {
+    /// Records how much longer it is cold as of `now`; returns whether that ends
+    /// later than was known.
+    pub(super) fn set_cold(&self, left: Duration, now: Instant) -> bool {
+        let known = self.cold_left(now);
         self.cold.set(until(left, now));
+        left > known + COLD_SLACK
+    }
+
+    /// Whether its entry is gone while the store cannot be relied on.
+    pub fn is_missing(&self) -> bool {
+        self.missing.get()
     }
 
     /// Whether this box has no reason to leave it out: neither its own failures
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -77,6 +77,8 @@
     Restarted,
     /// A server says that it leaves.
     Leaving,
+    /// A server is cold for longer than was known.
+    Colder,
     /// Nothing that matters here.
     None,
 }
@@ -104,8 +106,11 @@
             if backend.is_life_of(&server) {
                 backend.learn_birth(server.born);
                 backend.slots.set(server.slots);
-                backend.set_cold(server.cold, now);
-                return self.restate(&backend, server.state);
+                let colder = backend.set_cold(server.cold, now);
+                return match self.restate(&backend, server.state) {
+                    Change::None if colder => Change::Colder,
+                    change => change,
+                };
             }
             // Another life has the id now: this one is gone, from the list of
             // its service too.
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -193,14 +193,24 @@
             return;
         }
         let revision = row.revision();
-        self.record.is(row.clone().with_cold(Duration::ZERO));
-        let server = Server::from(row);
+        let fleet = &self.relay.fleet;
+        let was_missing = fleet.get(row.id()).is_some_and(|it| it.is_missing());
+        let server = Server::from(row.clone());
         let id = server.id.clone();
-        let change = match self.relay.fleet.announce(server, news.at) {
+        let change = fleet.announce(server, news.at);
+        let is_news = was_missing || change != fleet::Change::None;
+        let row = row.with_cold(Duration::ZERO);
+        // A server writes its entry anew each second or so while it is cold. With 300
+        // boxes before 3,000 servers that all had just started, each question got a
+        // whole list of them.
+        if is_news || !self.record.refresh(&row) {
+            self.record.is(row);
+        }
+        let change = match change {
             fleet::Change::Joined => news::Change::Joined,
             fleet::Change::Restarted => news::Change::Restarted,
             fleet::Change::Leaving => news::Change::Leaving,
-            fleet::Change::None => return,
+            fleet::Change::Colder | fleet::Change::None => return,
         };
         self.supplant_at(&id, revision);
         if let Some(backend) = self.relay.fleet.get(&id) {
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -32,23 +32,22 @@
 
     /// The servers that a box at `place` does not know, and the place after it.
     pub fn servers_after(&self, place: Position) -> (Servers, Position) {
-        let (servers, place) = self.record.since(place);
+        let (mut servers, place) = self.record.since(place);
         let now = Instant::now();
-        let fresh = |row: Row| {
+        let fresh = |row: &mut Row| {
             let backend = self.relay.fleet.get(row.id());
-            let left = backend.map_or(Duration::ZERO, |it| it.cold_left(now));
-            row.with_cold(left)
+            row.set_cold(backend.map_or(Duration::ZERO, |it| it.cold_left(now)));
         };
-        let servers = match servers {
-            Servers::All(rows, seen) => Servers::All(rows.into_iter().map(fresh).collect(), seen),
+        match &mut servers {
+            Servers::All(rows, _) => rows.iter_mut().for_each(fresh),
             Servers::Changes(changes) => {
-                let fresh = |change| match change {
-                    message::Change::Is(row) => message::Change::Is(fresh(row)),
-                    gone @ message::Change::Gone(..) => gone,
-                };
-                Servers::Changes(changes.into_iter().map(fresh).collect())
+                let rows = changes.iter_mut().filter_map(|change| match change {
+                    message::Change::Is(row) => Some(row),
+                    message::Change::Gone(..) => None,
+                });
+                rows.for_each(fresh);
             }
-        };
+        }
         (servers, place)
     }
 
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/peer/message.rs
@@ -134,10 +134,20 @@
         }
     }
 
+    /// The same as an entry of another revision.
+    pub fn at(self, revision: u64) -> Self {
+        Self { revision, ..self }
+    }
+
     /// The same as of a moment at which the server is cold for so much longer.
-    pub fn with_cold(self, left: Duration) -> Self {
-        let cold_ms = as_ms(left);
-        Self { cold_ms, ..self }
+    pub fn with_cold(mut self, left: Duration) -> Self {
+        self.set_cold(left);
+        self
+    }
+
+    /// Makes it so.
+    pub fn set_cold(&mut self, left: Duration) {
+        self.cold_ms = as_ms(left);
     }
 
     /// Revision of the server's entry in the store.
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -85,6 +85,22 @@
         self.push(Change::Is(row));
     }
 
+    /// Takes over an entry that says the same of its server as the known one, but
+    /// for its revision and for how long the server is cold: nothing that others
+    /// have to be told of. Returns whether it does.
+    pub fn refresh(&self, row: &Row) -> bool {
+        let mut servers = self.servers.borrow_mut();
+        let Some(known) = servers.get_mut(row.id()) else {
+            return false;
+        };
+        let repeats = known.clone().at(row.revision()) == *row;
+        if repeats {
+            *known = row.clone();
+            self.see(row.revision());
+        }
+        repeats
+    }
+
     /// Records that a server is gone as of a revision.
     pub fn gone(&self, id: &ids::Server, revision: u64) {
         self.see(revision);
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -446,3 +446,56 @@
     }
     Ok(())
 }
+
+/// Load that this answers: thousands of servers that start together write their
+/// entries anew each second while they are cold.
+#[test]
+fn a_server_that_gets_warmer_is_no_news_and_one_that_turns_cold_is() -> Result {
+    let (relay, follower) = follower()?;
+    let entry = |revision, cold| Ok(row("i-1", revision)?.with_cold(ms(cold))) as Result<Row>;
+    let hear = |rows: Vec<Row>| {
+        let changes = rows.into_iter().map(Change::Is).collect();
+        let answer = told(0, 4, Servers::Changes(changes));
+        take(&follower, answer, Some(document(7)), Instant::now())
+    };
+    let (_, start) = follower.servers_after(Position::default());
+    hear(vec![entry(5, 3_000)?])?;
+    let (told_first, joined) = follower.servers_after(start);
+    let Servers::Changes(changes) = &told_first else {
+        return Err(eyre!("{told_first:?}"));
+    };
+    ensure!(changes.len() == 1, "{changes:?}");
+    for (revision, cold) in [(6, 1_800), (7, 600), (8, 0)] {
+        hear(vec![entry(revision, cold)?])?;
+    }
+    ensure!(
+        follower.servers_after(joined) == (nothing(), joined),
+        "told again"
+    );
+    ensure!(follower.record().seen() == 8, "not seen");
+    ensure!(
+        follower.record().is_outdated(&entry(7, 0)?),
+        "the older one counts"
+    );
+    // It turns cold again; others are told for how much longer.
+    hear(vec![entry(9, 2_000)?])?;
+    let (again, place) = follower.servers_after(joined);
+    let Servers::Changes(changes) = &again else {
+        return Err(eyre!("{again:?}"));
+    };
+    ensure!(changes.len() == 1, "{changes:?}");
+    let Change::Is(told_cold) = &changes[0] else {
+        return Err(eyre!("{changes:?}"));
+    };
+    let cold = Server::from(told_cold.clone()).cold;
+    ensure!(cold > ms(1_500) && cold <= ms(2_000), "cold for {cold:?}");
+    // Its entry was missing for a while: others may have dropped it meanwhile.
+    relay.fleet.mark_missing(&"i-1".parse()?);
+    hear(vec![entry(10, 0)?])?;
+    let (back, _) = follower.servers_after(place);
+    ensure!(
+        matches!(&back, Servers::Changes(all) if all.len() == 1),
+        "{back:?}"
+    );
+    Ok(())
+}
