--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -27,6 +27,7 @@
 mod process;
 mod raw;
 mod recalled;
+mod record;
 mod recover;
 mod regions;
 mod registry;
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -7,22 +7,17 @@
 use eyre::{ensure, eyre};
 use serde_json::json;
 use tidepier_core::server::{Server, State};
-use tidepier_ids as ids;
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
 use tidepier_relay::emptied::List;
 use tidepier_relay::follow::Follower;
 use tidepier_relay::health::Outcome;
 use tidepier_relay::peer::message::{Answer, Change, Position, Row, Servers, VERSION};
-use tidepier_relay::record::Record;
 use tidepier_relay::relay::{Bounds, Relay};
 
 use crate::hall::{APPLY_TIME, REVOKE_TIME};
 use crate::house::{ms, Result, SERVICE};
 
-/// Changes that a record keeps.
-const CHANGES_KEPT: u64 = 64;
-
 /// What a box without any task knows.
 pub(crate) fn relay() -> Result<Rc<Relay>> {
     let terms = Terms {
@@ -54,7 +49,7 @@
     Ok((relay.clone(), Follower::new(relay, store)))
 }
 
-fn row_of(id: &str, revision: u64, state: State) -> Result<Row> {
+pub(crate) fn row_of(id: &str, revision: u64, state: State) -> Result<Row> {
     let server = Server {
         id: id.parse()?,
         service: SERVICE.parse()?,
@@ -68,7 +63,7 @@
     Ok(Row::new(&server, revision))
 }
 
-fn row(id: &str, revision: u64) -> Result<Row> {
+pub(crate) fn row(id: &str, revision: u64) -> Result<Row> {
     row_of(id, revision, State::Ready)
 }
 
@@ -109,7 +104,7 @@
     }
 }
 
-fn nothing() -> Servers {
+pub(crate) fn nothing() -> Servers {
     Servers::Changes(Vec::new())
 }
 
@@ -117,110 +112,6 @@
     Ok(relay.fleet.get(&id.parse()?).is_some())
 }
 
-#[test]
-fn a_record_tells_what_changed_since_a_place() -> Result {
-    let record = Record::default();
-    let (all, start) = record.since(Position::default());
-    ensure!(all == Servers::All(Vec::new(), 0), "{all:?}");
-    ensure!(
-        record.since(start) == (nothing(), start),
-        "changed by itself"
-    );
-    record.is(row("i-1", 5)?);
-    record.is(row("i-2", 6)?);
-    let (_, middle) = record.since(start);
-    // The same again is no change.
-    record.is(row("i-2", 6)?);
-    ensure!(
-        record.since(middle) == (nothing(), middle),
-        "a change of nothing"
-    );
-    record.gone(&"i-1".parse()?, 7);
-    record.is(row_of("i-2", 8, State::Draining)?);
-    let (since, end) = record.since(middle);
-    let gone = Change::Gone("i-1".parse()?, 7);
-    let drains = Change::Is(row_of("i-2", 8, State::Draining)?);
-    let expected = Servers::Changes(vec![gone, drains]);
-    ensure!(since == expected, "{since:?}");
-    ensure!(end.changes == start.changes + 4, "{end:?}");
-    ensure!(record.seen() == 8, "seen {}", record.seen());
-    let (since, _) = record.since(start);
-    ensure!(
-        matches!(&since, Servers::Changes(all) if all.len() == 4),
-        "{since:?}"
-    );
-    Ok(())
-}
-
-#[test]
-fn a_box_too_far_behind_is_told_all() -> Result {
-    let record = Record::default();
-    let (_, start) = record.since(Position::default());
-    for revision in 1..=CHANGES_KEPT {
-        record.is(row("i-1", revision)?);
-    }
-    let (since, _) = record.since(start);
-    ensure!(
-        matches!(&since, Servers::Changes(all) if all.len() as u64 == CHANGES_KEPT),
-        "{since:?}"
-    );
-    record.is(row("i-1", CHANGES_KEPT + 1)?);
-    let all = Servers::All(vec![row("i-1", CHANGES_KEPT + 1)?], CHANGES_KEPT + 1);
-    let (since, end) = record.since(start);
-    ensure!(since == all, "{since:?}");
-    // Places of another life, and ones that were never reached.
-    let other = Position {
-        life: end.life ^ 1,
-        ..end
-    };
-    let ahead = Position {
-        changes: end.changes + 1,
-        ..end
-    };
-    for place in [other, ahead, Position::default()] {
-        ensure!(record.since(place) == (all.clone(), end), "{place:?}");
-    }
-    Ok(())
-}
-
-#[test]
-fn each_record_has_a_life_of_its_own() -> Result {
-    let lives: Vec<u64> = (0..20)
-        .map(|_| Record::default().since(Position::default()).1.life)
-        .collect();
-    ensure!(!lives.contains(&0), "the place of one that knows nothing");
-    ensure!(lives.windows(2).all(|pair| pair[0] != pair[1]), "{lives:?}");
-    Ok(())
-}
-
-#[test]
-fn an_entry_older_than_its_end_is_outdated() -> Result {
-    let record = Record::default();
-    record.is(row("i-1", 5)?);
-    let id: ids::Server = "i-1".parse()?;
-    record.gone(&id, 9);
-    for (revision, outdated) in [(5, true), (8, true), (9, true), (10, false)] {
-        let found = record.is_outdated(&row("i-1", revision)?);
-        ensure!(found == outdated, "{revision}: {found}");
-    }
-    ensure!(!record.is_outdated(&row("i-2", 1)?), "another server");
-    // Remembered while many others go.
-    for number in 0..500 {
-        record.gone(&format!("x-{number}").parse()?, 20);
-    }
-    ensure!(record.is_outdated(&row("i-1", 9)?), "forgotten");
-    Ok(())
-}
-
-#[test]
-fn an_entry_older_than_the_known_one_is_outdated() -> Result {
-    let record = Record::default();
-    record.is(row_of("i-1", 9, State::Draining)?);
-    ensure!(record.is_outdated(&row("i-1", 5)?), "taken for newer");
-    ensure!(!record.is_outdated(&row("i-1", 10)?), "a newer one");
-    Ok(())
-}
-
 #[test]
 fn a_proof_is_as_old_as_question_and_age_together() -> Result {
     let (relay, follower) = follower()?;
