Engines of emptied halls and cold ones count in the mean that no engine may be far above

A hall was empty until 14.6 s and cold after it.

Cause: a box takes the mean over engines whose load it was told lately; those of an emptied hall take no requests, cold ones few, so that nobody tells theirs. With one hall of three empty the mean came out half as high again, and with it the load from which a server counts as crowded. Ruled out: late counts (the hall had been empty for 6 s). The mean counts them now, by what is known of them.

Test without a network, failing first (choose.rs): a subject stayed at a server with 14 requests where the mean of all is 5.5. Where no hall is empty and nothing is cold nothing changes.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -19,7 +19,7 @@
 use crate::fleet::{Backend, Fleet};
 use crate::places::Places;
 use crate::traffic::index::Index;
-use engine::Engines;
+use engine::{Engines, Group};
 use filter::Filter;
 
 /// Time to another hall and back in ms, before one was measured: a little over a
@@ -107,7 +107,11 @@
                 !ask.tried.contains(&backend.server.id) && ask.filter.admits(backend, now)
             };
             let places = Places::new(fleet, service, prompt, index, &candidate, now);
-            Engines::new(&servers, ask, prompt, &places, failing, now).cheapest()
+            let group = Group {
+                serving: &servers,
+                emptied: &fleet.emptied(service),
+            };
+            Engines::new(&group, ask, prompt, &places, failing, now).cheapest()
         }
         None => {
             let open = servers.iter().filter(|backend| is_open(backend, ask, now));
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -13,6 +13,15 @@
 use crate::fleet::Backend;
 use crate::places::Places;
 
+/// The engines of a service.
+pub(super) struct Group<'a> {
+    /// Those that take new requests.
+    pub(super) serving: &'a [Rc<Backend>],
+    /// Those that would if their halls were not to be empty. They hold little or
+    /// nothing, and count in the mean that the operator's bound is on.
+    pub(super) emptied: &'a [Rc<Backend>],
+}
+
 /// The engines of a service as one prompt finds them.
 pub(super) struct Engines<'a> {
     servers: &'a [Rc<Backend>],
@@ -32,14 +41,16 @@
 
 impl<'a> Engines<'a> {
     pub(super) fn new(
-        servers: &'a [Rc<Backend>],
+        group: &Group<'a>,
         ask: &'a Ask<'a>,
         prompt: &Prompt,
         places: &'a Places<'a>,
         failing: f64,
         now: Instant,
     ) -> Self {
+        let servers = group.serving;
         let (loads, mean) = loads(servers, now);
+        let mean = mean_of_all(mean, group, ask, now);
         let own = prompt.parts.last().map_or(prompt.input, |part| part.tokens);
         Self {
             servers,
@@ -161,6 +172,31 @@
     (servers.iter().zip(reported).map(or_mean).collect(), mean)
 }
 
+/// The mean load of all engines, given that of those whose load is known. Engines of
+/// emptied halls and cold ones get little, so that nothing is known of many of them;
+/// without them the mean is that of the busy ones alone, half as much again where one
+/// hall of three is empty, and these could go as far over the operator's bound.
+fn mean_of_all(known: f64, group: &Group<'_>, ask: &Ask<'_>, now: Instant) -> f64 {
+    let (cold, busy): (Vec<_>, Vec<_>) = group
+        .serving
+        .iter()
+        .partition(|backend| ask.filter.is_cold(backend, now));
+    let idle = cold.into_iter().chain(group.emptied);
+    let idle: Vec<f64> = idle.map(|backend| least_load(backend, now)).collect();
+    if idle.is_empty() {
+        return known;
+    }
+    let all = known * busy.len() as f64 + idle.iter().sum::<f64>();
+    all / (busy.len() + idle.len()) as f64
+}
+
+/// The load of an engine of which little is told: what is.
+fn least_load(backend: &Backend, now: Instant) -> f64 {
+    let reported = backend.load(weight::LOAD_AGE);
+    let counted = backend.counted(weight::COUNT_AGE, now);
+    f64::from(reported.max(counted).unwrap_or(0))
+}
+
 /// The median time to an answer's beginning, in ms, of servers that answered
 /// lately.
 fn usual_time(servers: &[Rc<Backend>], now: Instant) -> Option<f64> {
--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -80,6 +80,11 @@
         self.gate.is_none_or(|gate| gate.admits(backend, now))
     }
 
+    /// Whether a server is cold.
+    pub fn is_cold(&self, backend: &Backend, now: Instant) -> bool {
+        self.gate.is_some_and(|gate| gate.is_cold(backend, now))
+    }
+
     /// From when on a cold server bears the request; `None` for one that is warm.
     pub fn borne_from(&self, backend: &Backend, now: Instant) -> Option<Instant> {
         let gate = self.gate.filter(|gate| gate.is_cold(backend, now))?;
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -159,7 +159,7 @@
         let servers = fleet.serving(&self.service);
         let mut home = servers.iter().filter(|it| filter.is_home(&it.server.hall));
         let mut home = home.by_ref().peekable();
-        if servers.is_empty() && fleet.is_emptied(&self.service) {
+        if servers.is_empty() && !fleet.emptied(&self.service).is_empty() {
             refusal::Kind::Emptied
         } else if servers.is_empty() {
             refusal::Kind::NoServer
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -90,9 +90,17 @@
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     /// Servers by where they listen.
     addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
-    /// The servers that take new requests, of services that were asked for
-    /// since their servers last changed.
-    services: RefCell<HashMap<ids::Service, Rc<[Rc<Backend>]>>>,
+    /// The servers of services that were asked for since these last changed.
+    services: RefCell<HashMap<ids::Service, Group>>,
+}
+
+/// The servers of one service.
+#[derive(Clone)]
+struct Group {
+    /// Those that take new requests.
+    serving: Rc<[Rc<Backend>]>,
+    /// Those that would if their halls were not to be empty.
+    emptied: Rc<[Rc<Backend>]>,
 }
 
 impl Fleet {
@@ -260,17 +268,6 @@
         self.servers.borrow().get(id).cloned()
     }
 
-    /// Whether a service has servers that would take requests if the operator had
-    /// not asked to empty their halls.
-    pub fn is_emptied(&self, service: &ids::Service) -> bool {
-        let servers = self.servers.borrow();
-        let mut known = servers.values();
-        known.any(|it| {
-            let ready = it.state.get() == State::Ready;
-            it.server.service == *service && ready && it.hall.is_emptied()
-        })
-    }
-
     /// The servers of a service, also those that are leaving.
     pub fn known(&self, service: &ids::Service) -> Vec<Rc<Backend>> {
         let servers = self.servers.borrow();
@@ -296,9 +293,19 @@
 
     /// The servers of a service that take new requests.
     pub fn serving(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
+        self.group(service).serving
+    }
+
+    /// The servers of a service that would take requests if the operator had not
+    /// asked to empty their halls.
+    pub fn emptied(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
+        self.group(service).emptied
+    }
+
+    fn group(&self, service: &ids::Service) -> Group {
         let known = self.services.borrow().get(service).cloned();
         known.unwrap_or_else(|| {
-            let group = self.group(service);
+            let group = self.regrouped(service);
             let mut services = self.services.borrow_mut();
             services.insert(service.clone(), group.clone());
             group
@@ -321,13 +328,17 @@
         self.services.borrow_mut().remove(service);
     }
 
-    fn group(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
+    fn regrouped(&self, service: &ids::Service) -> Group {
         let servers = self.servers.borrow();
-        let of_service = servers
-            .values()
-            .filter(|backend| backend.server.service == *service && backend.serves());
-        let mut group: Vec<Rc<Backend>> = of_service.cloned().collect();
-        group.sort_by(|a, b| a.server.id.cmp(&b.server.id));
-        group.into()
+        let of_service = servers.values().filter(|backend| {
+            backend.server.service == *service && backend.state.get() == State::Ready
+        });
+        let mut all: Vec<Rc<Backend>> = of_service.cloned().collect();
+        all.sort_by(|a, b| a.server.id.cmp(&b.server.id));
+        let (serving, emptied): (Vec<_>, Vec<_>) = all.into_iter().partition(|it| it.serves());
+        Group {
+            serving: serving.into(),
+            emptied: emptied.into(),
+        }
     }
 }
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -1,17 +1,20 @@
 //! Which server a box picks for one request.
 
 use std::collections::{HashMap, HashSet};
-use std::time::Instant;
+use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
 use smol::Timer;
 use tidepier_core::answer::Load;
+use tidepier_core::catalog::Cold;
+use tidepier_core::server::State;
 use tidepier_ids as ids;
-use tidepier_relay::choose::filter::Filter;
+use tidepier_relay::choose::filter::{Filter, Gate};
 use tidepier_relay::choose::{self, Ask};
+use tidepier_relay::cold::{Limit, Roster};
 use tidepier_relay::health::Outcome;
 
-use crate::desk::{prompt, Desk, LARGE, SMALL};
+use crate::desk::{id, prompt, server, Desk, LARGE, SMALL};
 use crate::house::{ms, run, Result};
 
 /// Servers that may read one subject while nobody has much to do.
@@ -306,3 +309,69 @@
         Ok(())
     })
 }
+
+/// The servers of an emptied hall, and cold ones, count in the mean that no server
+/// may be far above. Without them the mean here is twice as high, and a subject stays
+/// at a server that holds more than twice the mean of all and three.
+#[test]
+fn servers_that_get_little_count_in_the_mean() -> Result {
+    for emptied in [true, false] {
+        let desk = Desk::new("hall-1", 0..8)?;
+        let far: ids::Hall = id("hall-2")?;
+        let now = Instant::now();
+        if emptied {
+            desk.fleet.set_emptied(&[far.clone()].into(), now);
+        }
+        // Of a subject that a server of this hall comes first for.
+        let subjects = (0..100).map(|subject| prompt(subject, SMALL));
+        let mut found = None;
+        for prompt in subjects {
+            let first = desk.backend(&desk.first(&prompt)?)?;
+            found = (first.server.hall != far)
+                .then_some((prompt, first))
+                .or(found);
+        }
+        let (prompt, first) = found.ok_or_else(|| eyre!("no such subject"))?;
+        for number in 0..8 {
+            let backend = desk.backend(&id(&format!("i-{number}"))?)?;
+            let running = match backend.server.hall == far {
+                true => 0,
+                false if backend.key == first.key => 14,
+                false => 10,
+            };
+            backend.record_load(
+                Load {
+                    running,
+                    waiting: 0,
+                    slots: 64,
+                },
+                now,
+            );
+        }
+        let cold = Cold {
+            time: Duration::from_secs(3),
+            per_s: 9.6,
+        };
+        if !emptied {
+            for number in [1, 3, 5, 7] {
+                let mut colder = server(number, State::Ready)?;
+                colder.cold = cold.time;
+                desk.fleet.announce(colder, now);
+            }
+        }
+        let roster = Roster::default();
+        let gate = Gate {
+            limit: Limit::new(cold, 1.0, 0.0),
+            roster: &roster,
+            patience: Duration::ZERO,
+        };
+        let filter = Filter {
+            gate: Some(gate),
+            ..Filter::default()
+        };
+        let chosen = desk.choose_within(&prompt, filter)?.backend;
+        ensure!(chosen.key != first.key, "crowded, emptied: {emptied}");
+        ensure!(chosen.server.hall != far, "to {far}, emptied: {emptied}");
+    }
+    Ok(())
+}
