--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -67,9 +67,7 @@
             return;
         }
         let weight = match outcome {
-            // Nobody is there for other requests either.
-            Outcome::Absent => FAILURES_MAX,
-            Outcome::Silent => 2,
+            Outcome::Absent | Outcome::Silent => 2,
             Outcome::Good | Outcome::Bad => 1,
         };
         self.in_row.set(self.in_row.get() + weight);
