--- a/crates/relay/tests/relay/emptied.rs
+++ b/crates/relay/tests/relay/emptied.rs
@@ -19,10 +19,10 @@
     arrived, ms, pair, post, promised, run, site, streaming, until, usual, whole, House, Result,
 };
 
-/// Promised time for the operator's word: that of changes of the catalog, which
+/// Promised time to empty a hall: that of changes of the catalog, which
 /// is the shorter one in these tests.
-const WORD_TIME: Duration = Duration::from_millis(2_000);
-/// Pause in which requests that were under way when a word came into force have
+const EMPTY_TIME: Duration = Duration::from_millis(2_000);
+/// Pause in which requests that were under way when a hall was emptied have
 /// reached their server.
 const UNDER_WAY: Duration = Duration::from_millis(200);
 
@@ -36,7 +36,7 @@
 async fn emptied(machines: &[Machine], server: &Server, since: Instant) -> Result {
     for machine in machines {
         until("emptied", async || Ok(!machine.serves_by(server)?)).await?;
-        ensure!(since.elapsed() < WORD_TIME, "{:?}", since.elapsed());
+        ensure!(since.elapsed() < EMPTY_TIME, "{:?}", since.elapsed());
     }
     Ok(())
 }
@@ -44,7 +44,7 @@
 async fn given_back(machines: &[Machine], server: &Server, since: Instant) -> Result {
     for machine in machines {
         until("given back", async || machine.serves_by(server)).await?;
-        ensure!(since.elapsed() < WORD_TIME, "{:?}", since.elapsed());
+        ensure!(since.elapsed() < EMPTY_TIME, "{:?}", since.elapsed());
     }
     Ok(())
 }
@@ -111,7 +111,7 @@
 }
 
 #[test]
-fn a_word_is_in_force_though_watches_learn_nothing() -> Result {
+fn a_hall_is_emptied_in_time_though_watches_learn_nothing() -> Result {
     run(async |executor| {
         let site = site()?;
         let near = site.server(usual(1))?;
@@ -134,7 +134,7 @@
 }
 
 #[test]
-fn a_word_that_came_while_the_store_was_away_is_in_force_after_it() -> Result {
+fn a_hall_that_was_emptied_while_the_store_was_away_is_so_after_it() -> Result {
     run(async |executor| {
         let site = site()?;
         let near = site.server(usual(1))?;
@@ -341,7 +341,7 @@
     /// Whatever states and single changes arrive in whatever order: once the
     /// newest state arrived, it holds, and nothing older brings another back.
     #[test]
-    fn the_newest_word_holds_in_any_order(
+    fn the_newest_state_holds_in_any_order(
         changes in changes(),
         order in prop::collection::vec((any::<prop::sample::Index>(), any::<bool>()), 0..24),
         newest_at in any::<prop::sample::Index>(),
@@ -385,7 +385,7 @@
     let known = Emptied::default();
     assert!(known.merge(&list(&[row(5)], 5)));
     assert!(known.merge(&list(&[], 9)));
-    assert!(!known.merge(&list(&[row(5)], 7)), "an old word was taken");
+    assert!(!known.merge(&list(&[row(5)], 7)), "an old entry was taken");
     assert!(known.halls().is_empty());
     assert!(known.merge(&list(&[row(11)], 11)));
     assert!(!known.merge(&list(&[], 10)), "an old state was taken");
