--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -41,7 +41,7 @@
 /// port that the system gives out.
 const PEER_PORT: u16 = 20_701;
 /// Where a box that is a process listens for clients.
-const FRONT_PORT: u16 = 20_702;
+pub(crate) const FRONT_PORT: u16 = 20_702;
 /// The port that settings name for other boxes; nobody listens there.
 const SEED_PORT: u16 = 20_703;
 /// Where boxes are registered in the store.
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -1,7 +1,7 @@
 //! The planned stop, changed settings and the process's own pages.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
+use std::net::SocketAddr;
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, eyre};
@@ -15,6 +15,7 @@
 use tidepier_relay_standin::site::{Route, HOST};
 use tidepier_relay_standin::Client;
 
+use crate::hall;
 use crate::house::{
     self, arrived, ms, post, run, single, site, streaming, until, usual, whole, House, Result,
     SERVICE,
@@ -24,6 +25,8 @@
 /// How long a stopping router takes new connections: the balancer needs three
 /// seconds at most, of which a margin is left for the way.
 const TAKES_TIME: Duration = Duration::from_millis(2_900);
+/// Where a box that is a process says whether it is ready.
+const READY_PORT: u16 = 20_704;
 
 #[test]
 fn a_planned_stop_loses_nothing() -> Result {
@@ -175,19 +178,27 @@
     })
 }
 
-/// A port that was free just now.
-fn free_port() -> Result<SocketAddr> {
-    Ok(TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?.local_addr()?)
-}
-
-/// A router process at free ports.
+/// A router process at an address that no other test has. A port that was free a
+/// moment ago is no such address: another test may bind it before the process does,
+/// which then ends at once.
 fn process(name: &str, mut settings: Value) -> Result<Process> {
-    settings["callers"] = free_port()?.to_string().into();
-    settings["readiness"] = free_port()?.to_string().into();
+    let ip = hall::address().ip();
+    settings["callers"] = SocketAddr::new(ip, hall::FRONT_PORT).to_string().into();
+    settings["readiness"] = SocketAddr::new(ip, READY_PORT).to_string().into();
     let name = format!("{name}-{}", std::process::id());
     Process::start(&name, "warn", &settings)
 }
 
+/// Waits until a process serves.
+async fn serving(process: &mut Process) -> Result {
+    until("serving", async || {
+        let ended = process.ended()?;
+        ensure!(ended.is_none(), "it ended by itself: {ended:?}");
+        Ok(status(process, "first").await == 200)
+    })
+    .await
+}
+
 async fn status(process: &Process, attempt: &str) -> u16 {
     process.call(&post("/r/x", attempt)).await
 }
@@ -201,11 +212,8 @@
     let mut settings = house::settings(&site);
     settings["bounds"]["retry_share"] = 0.into();
     settings["bounds"]["retry_extra"] = 0.into();
-    let process = process(name, settings.clone())?;
-    until("serving", async || {
-        Ok(status(&process, "first").await == 200)
-    })
-    .await?;
+    let mut process = process(name, settings.clone())?;
+    serving(&mut process).await?;
     near.fault(Fault::Failure, u32::MAX);
     far.fault(Fault::Failure, u32::MAX);
     let mut number = 0;
@@ -251,10 +259,7 @@
         let site = site()?;
         let _server = site.server(usual(1))?;
         let mut process = process("stop", house::settings(&site))?;
-        until("serving", async || {
-            Ok(status(&process, "first").await == 200)
-        })
-        .await?;
+        serving(&mut process).await?;
         let told = Instant::now();
         process.signal("-TERM")?;
         Timer::after(ms(2_000)).await;
@@ -284,10 +289,7 @@
         };
         site.declare(&[long]);
         let mut process = process("time", settings.clone())?;
-        until("serving", async || {
-            Ok(status(&process, "first").await == 200)
-        })
-        .await?;
+        serving(&mut process).await?;
         settings["bounds"]["stop_within"] = 4_000.into();
         settings["callers"] = process.front.to_string().into();
         let fresh = process.file.with_extension("new");
