Sight: a request is known by its content, and the end of its server is told

placed has content=, a hash of method, host, target, account and body; a failed sending that may be its server's end (connection ended or silent) has the server looked at: refused, it is told as server_ended with the contents that ran there. No decision depends on either.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -23,7 +23,7 @@
 /// Longest time to open a connection to a server: over ten round trips
 /// between halls, and far under the time after which a lost opening is
 /// repeated. Nothing was sent then, so another server is tried at once.
-const CONNECT_TIME: Duration = Duration::from_millis(150);
+pub(crate) const CONNECT_TIME: Duration = Duration::from_millis(150);
 /// Data that a server leaves unacknowledged for so long ends its connection.
 const UNACKED_TIME: Duration = Duration::from_secs(3);
 /// Largest head of an answer, in bytes.
@@ -66,6 +66,16 @@
 }
 
 impl Cause {
+    /// Whether the server may have ended while it ran the request: the connection
+    /// broke off or went silent.
+    pub fn may_be_end(&self) -> bool {
+        match self {
+            Cause::Lost(Malformed::BrokenOff | Malformed::Lost(_)) | Cause::Stalled => true,
+            Cause::Broken(error) => error.kind() != io::ErrorKind::InvalidData,
+            _ => false,
+        }
+    }
+
     /// A short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
@@ -182,20 +192,27 @@
     if let Some(conn) = backend.connection(sending.rest) {
         return Ok(conn);
     }
-    metrics::counter!("tidepier_server_connections_total").increment(1);
     let left = sending.deadline.saturating_duration_since(Instant::now());
-    let limit = CONNECT_TIME.min(left);
-    let start = Instant::now();
-    let opened = Conn::open(backend.server.address, limit, UNACKED_TIME).await;
-    if opened.is_ok() {
-        backend.hall.opened(start.elapsed());
-    }
+    let opened = open(backend, CONNECT_TIME.min(left)).await;
     opened.map_err(|error| Failure {
         ran: Ran::No,
         cause: Cause::Connect(error),
     })
 }
 
+/// Opens a connection to a server.
+///
+/// # Errors
+///
+/// The server refused, or did not answer within `limit`.
+pub(crate) async fn open(backend: &Backend, limit: Duration) -> io::Result<Conn> {
+    metrics::counter!("tidepier_server_connections_total").increment(1);
+    let start = Instant::now();
+    let conn = Conn::open(backend.server.address, limit, UNACKED_TIME).await?;
+    backend.hall.opened(start.elapsed());
+    Ok(conn)
+}
+
 /// Writes the request and reads the head of its answer. An answer may come
 /// before the request is written; whether it was written whole is returned.
 async fn exchange(conn: &mut Conn, sending: &Sending<'_>) -> Result<(Head, Answer, bool), Failure> {
--- /dev/null
+++ b/crates/relay/src/content.rs
@@ -0,0 +1,59 @@
+//! What a request asks, whichever attempt of its client asks it.
+//!
+//! Each attempt has an id of its own, so that the id does not say whether a request
+//! was here before. Its content does: who asks, where, and with which body.
+
+use std::fmt;
+use std::str::FromStr;
+
+use serde::{Deserialize, Serialize};
+use xxhash_rust::xxh3::Xxh3;
+
+/// Stands for the content of a request in logs and between boxes. Of 7,000 requests a
+/// second, two different ones have the same one in a day with a likelihood of 1 in
+/// 100.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Content(u64);
+
+/// What makes up the content of a request.
+#[derive(Debug, Clone, Copy)]
+pub struct Parts<'a> {
+    /// Method.
+    pub method: &'a str,
+    /// Host name, without a port, in lower case.
+    pub host: &'a str,
+    /// Path and query.
+    pub target: &'a str,
+    /// Who asks: the account, or the key where there are no accounts.
+    pub caller: &'a str,
+    /// The whole body.
+    pub body: &'a [u8],
+}
+
+impl Content {
+    /// The content of a request.
+    pub fn new(parts: &Parts<'_>) -> Self {
+        let mut hash = Xxh3::new();
+        for text in [parts.method, parts.host, parts.target, parts.caller] {
+            // The length keeps two texts apart from their concatenation.
+            hash.update(&(text.len() as u64).to_le_bytes());
+            hash.update(text.as_bytes());
+        }
+        hash.update(parts.body);
+        Self(hash.digest())
+    }
+}
+
+impl fmt::Display for Content {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:016x}", self.0)
+    }
+}
+
+impl FromStr for Content {
+    type Err = std::num::ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, Self::Err> {
+        u64::from_str_radix(text, 16).map(Self)
+    }
+}
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -13,6 +13,7 @@
 use tidepier_platform::request as wire_request;
 
 use super::{Arrival, Exchange, Start};
+use crate::content::{Content, Parts};
 use crate::refusal;
 use crate::relay::Relay;
 
@@ -45,6 +46,7 @@
     let patience = request.patience.unwrap_or(route.timeout);
     let deadline = arrival.at + patience.min(route.timeout);
     relay.budget.request(&service, arrival.at);
+    let content = content(arrival, &request, account.as_deref());
     Ok(Exchange {
         relay,
         arrival,
@@ -54,6 +56,7 @@
         cold: declared.and_then(|service| service.cold),
         copy_ms: engine.and_then(|engine| engine.copy_ms_per_token),
         request,
+        content,
         account,
         service,
         route,
@@ -70,6 +73,20 @@
     })
 }
 
+/// What the request asks, whichever attempt it is. Who asks is the account, on a
+/// route without accounts the key, if there is one.
+fn content(arrival: &Arrival<'_>, request: &Request, account: Option<&Account>) -> Content {
+    let account = account.map(|account| account.name.as_str());
+    let caller = account.or(request.key.as_deref());
+    Content::new(&Parts {
+        method: arrival.head.method(),
+        host: &request.host,
+        target: arrival.head.target(),
+        caller: caller.unwrap_or_default(),
+        body: arrival.body,
+    })
+}
+
 /// When a request whose head arrived at `at` has its final answer at the
 /// latest, by its client's patience and its route's time; `None` where neither
 /// is known.
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -27,6 +27,7 @@
 pub use admit::deadline;
 
 use crate::attempt::{Failure, Reply};
+use crate::content::Content;
 use crate::fleet::Backend;
 use crate::refusal;
 use crate::relay::Relay;
@@ -117,6 +118,8 @@
     pub(crate) arrival: &'a Arrival<'a>,
     pub(crate) writer: &'a Writer,
     pub(crate) request: Request,
+    /// What it asks, whichever attempt it is.
+    content: Content,
     pub(crate) route: Arc<Route>,
     account: Option<Arc<Account>>,
     service: ids::Service,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -17,9 +17,10 @@
     pub(super) fn note_placed(&self, choice: &Choice) {
         log::info!(
             target: "request",
-            "event=placed id={} route={} account={} server={} try={} cost={:.0} load={:.0} \
+            "event=placed id={} content={} route={} account={} server={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} version={} age_ms={}",
             self.request.attempt,
+            self.content,
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
             choice.backend.server.id,
@@ -54,6 +55,9 @@
         if let Some(outcome) = self.outcome(failure) {
             backend.record(outcome, Instant::now());
         }
+        if failure.cause.may_be_end() {
+            self.relay.suspects.add(backend, self.content);
+        }
         if let Cause::Refused(answer::MISDIRECTED) = failure.cause {
             self.relay.fleet.supplant(&backend.server.id);
         }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -16,6 +16,8 @@
 pub mod callers;
 pub mod choose;
 pub mod cold;
+pub mod content;
+pub mod crash;
 pub mod emptied;
 pub mod events;
 pub mod exchange;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -13,6 +13,7 @@
 
 use crate::budget::{self, Budget};
 use crate::callers;
+use crate::crash;
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
@@ -116,6 +117,8 @@
         executor.spawn(follower.clone().servers()).detach();
         executor.spawn(follower.clone().lapses()).detach();
         executor.spawn(follower.clone().emptying()).detach();
+        let inquiry = crash::run(relay.clone(), executor.clone());
+        executor.spawn(inquiry).detach();
         start_peers(&relay, follower, store, settings, executor)?;
         Ok(router)
     }
