--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -202,6 +202,10 @@
     kept: HashMap<u64, u32>,
     /// A list of kept parts that takes the place of the true one.
     told_kept: Option<Vec<u8>>,
+    /// Bodies of requests that end the server.
+    ends_on: Vec<Vec<u8>>,
+    /// When it crashed.
+    crashed: Option<Instant>,
     opened: usize,
     open: usize,
     probes: u64,
@@ -213,6 +217,8 @@
     desk: Arc<Desk>,
     state: Mutex<State>,
     lit: Event,
+    /// Takes connections until it is dropped.
+    listening: Mutex<Option<Task<()>>>,
 }
 
 impl Shared {
@@ -221,6 +227,23 @@
             .lock()
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
+
+    /// Whether a request with this body ends the server.
+    fn ends_on(&self, body: &[u8]) -> bool {
+        self.lock().ends_on.iter().any(|ends| ends == body)
+    }
+
+    fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
+        let listening = self.listening.lock();
+        listening.unwrap_or_else(|poisoned| poisoned.into_inner())
+    }
+
+    fn crash(&self) {
+        let listening = self.listening().take();
+        if listening.is_some() {
+            self.lock().crashed = Some(Instant::now());
+        }
+    }
 }
 
 /// A running backend server.
@@ -228,7 +251,12 @@
 pub struct Server {
     address: SocketAddr,
     shared: Arc<Shared>,
-    listening: Mutex<Option<Task<()>>>,
+}
+
+impl Drop for Server {
+    fn drop(&mut self) {
+        self.shared.listening().take();
+    }
 }
 
 impl Server {
@@ -257,6 +285,8 @@
             runs: Vec::new(),
             kept: HashMap::new(),
             told_kept: None,
+            ends_on: Vec::new(),
+            crashed: None,
             opened: 0,
             open: 0,
             probes: 0,
@@ -266,15 +296,13 @@
             desk: Arc::new(desk),
             state: Mutex::new(state),
             lit: Event::new(),
+            listening: Mutex::default(),
         });
         let serving = shared.clone();
         let serve = move |conn| work::serve(serving.clone(), conn);
         let (address, listening) = front::listen(address, serve)?;
-        Ok(Self {
-            address,
-            shared,
-            listening: Mutex::new(Some(listening)),
-        })
+        *shared.listening() = Some(listening);
+        Ok(Self { address, shared })
     }
 
     /// Where it listens.
@@ -289,18 +317,22 @@
 
     /// Crashes: its port and connections close.
     pub fn crash(&self) {
-        let mut listening = self
-            .listening
-            .lock()
-            .unwrap_or_else(|poisoned| poisoned.into_inner());
-        *listening = None;
+        self.shared.crash();
+    }
+
+    /// Crashes when it has worked on a request with this body, before its answer.
+    pub fn end_on(&self, body: &[u8]) {
+        self.shared.lock().ends_on.push(body.to_vec());
+    }
+
+    /// When it crashed.
+    pub fn crashed(&self) -> Option<Instant> {
+        self.shared.lock().crashed
     }
 
     /// Whether it has crashed.
     pub fn is_crashed(&self) -> bool {
-        let listening = self.listening.lock();
-        let listening = listening.unwrap_or_else(|poisoned| poisoned.into_inner());
-        listening.is_none()
+        self.shared.listening().is_none()
     }
 
     /// Lets the next `count` requests go wrong; `u32::MAX` is all of them.
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -244,6 +244,7 @@
             return self.early(at, head).await;
         }
         let body = front::body(&mut self.conn, head).await?;
+        let ends = self.shared.ends_on(&body);
         self.run(at, |run| run.body = Some(body));
         let id = self.shared.settings.id.clone();
         if head.text(names::ATTEMPT).is_none() {
@@ -294,6 +295,11 @@
                 Ok(Next::Close)
             }
             Some(false) => self.failed(at, 504).await,
+            Some(true) if ends => {
+                self.shared.crash();
+                // The crash ends this connection too.
+                std::future::pending().await
+            }
             Some(true) => self.done(at, head, fault, deadline).await,
         }
     }
