A request under which three servers ended is refused, at all boxes

Cause: a request was known by its attempt alone. Its class: what one box saw of a request is forgotten with the attempt, though the request comes again elsewhere.

A box that saw a sending break off asks the server's machine; refused, the end is recorded under the contents that ran there, and told with the traffic between boxes (0.4 s a hop, three hops). Three ends of servers refuse a content for 300 s, each further one for twice as long up to an hour; a whole answer or the operator (settings: pardoned) voids what is held against it. Refused at once, before a first try, a repeat, a resumed stream and after a wait, with the time that is left; 502 as before where it may have run.

Weighed: two ends (refuses a bystander that is sent again and meets a second crash); blame shared among the contents of a server (several such requests at the same servers hide behind each other); a box that asks another before each sending (a round trip for all).

--- a/crates/relay/src/crash/inquiry.rs
+++ b/crates/relay/src/crash/inquiry.rs
@@ -15,6 +15,7 @@
 use tidepier_h1::Conn;
 
 use super::suspects::Suspect;
+use super::Crashes;
 use crate::attempt;
 use crate::content::Content;
 use crate::fleet::Backend;
@@ -36,23 +37,23 @@
 /// Looks at the servers at which requests broke off; does not end.
 pub(crate) async fn run(relay: Rc<Relay>, executor: Rc<LocalExecutor<'static>>) {
     loop {
-        for backend in relay.suspects.fresh() {
+        for backend in relay.crashes.suspects.fresh() {
             let relay = relay.clone();
             let look = async move {
                 let ended = has_ended(&backend).await;
-                let suspect = relay.suspects.take(backend.key);
+                let suspect = relay.crashes.suspects.take(backend.key);
                 if let Some(suspect) = suspect.filter(|_| ended) {
-                    conclude(&suspect);
+                    conclude(&relay.crashes, &suspect);
                 }
             };
             executor.spawn(look).detach();
         }
-        relay.suspects.changed.wait().await;
+        relay.crashes.suspects.changed.wait().await;
     }
 }
 
-/// Tells of a server that ended.
-fn conclude(suspect: &Suspect) {
+/// Records a server's end, under each content that broke off there.
+fn conclude(crashes: &Crashes, suspect: &Suspect) {
     let distinct: HashSet<Content> = suspect.contents.iter().copied().collect();
     let named = distinct.iter().take(NAMED).map(Content::to_string);
     log::info!(
@@ -63,6 +64,9 @@
         named.collect::<Vec<_>>().join(","),
     );
     metrics::counter!("tidepier_servers_ended_total").increment(1);
+    for content in distinct {
+        crashes.ended(content, suspect.backend.key, suspect.since);
+    }
 }
 
 /// Whether no process listens at a server's address.
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -1,9 +1,95 @@
-//! Servers that end under the requests that they run.
+//! Servers that end under the requests that they run, and requests that are refused
+//! for it.
+//!
+//! A request may end each server that begins to run it, and its client sends it
+//! again, as a new attempt, to any box. Without a memory of its content each attempt
+//! costs a server, and each server the requests of the other callers there: in one
+//! minute, 25 servers and about 5 requests of others each.
 //!
 //! * [`suspects`]: requests whose sending broke off, by server.
 //! * `inquiry`: finds out whether such a server ended.
+//! * [`table`]: which contents servers ended under; boxes tell each other.
 
 mod inquiry;
 pub mod suspects;
+pub mod table;
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use smol::Timer;
+
+use crate::content::Content;
+use crate::fleet::Key;
+use crate::relay::Relay;
+use suspects::Suspects;
+use table::{Change, Row, Table};
+
+pub(crate) use inquiry::run as inquire;
+
+/// Time between two looks at what is no longer needed.
+const LOOK_TIME: Duration = Duration::from_secs(5);
+
+/// What one box knows of servers that ended under requests.
+#[derive(Default)]
+pub struct Crashes {
+    /// Requests that broke off at servers that may have ended.
+    pub suspects: Suspects,
+    /// What this box and others saw.
+    pub table: Table,
+}
+
+impl Crashes {
+    /// Records that a server ended under a content at `at`.
+    fn ended(&self, content: Content, server: Key, at: Instant) {
+        tell(self.table.ended(content, server, at));
+    }
+
+    /// Records a whole success: such a request ends no server.
+    pub(crate) fn answered(&self, content: Content) {
+        tell(self.table.answered(content, Instant::now()));
+    }
+
+    /// Lets a content pass, by the operator's word.
+    pub(crate) fn pardon(&self, content: Content) {
+        log::info!(target: "request", "event=content_pardoned content={content}");
+        tell(self.table.clear(content, Instant::now()));
+    }
+
+    /// Takes over what another box told.
+    pub(crate) fn take(&self, rows: &[Row], now: Instant) {
+        self.table
+            .take(rows, now)
+            .into_iter()
+            .map(Some)
+            .for_each(tell);
+    }
+}
+
+fn tell(change: Option<Change>) {
+    match change {
+        Some(Change::Refused(content, ends, left)) => log::warn!(
+            target: "request",
+            "event=content_refused content={content} ends={ends} for_s={}",
+            left.as_secs()
+        ),
+        Some(Change::Cleared(content)) => {
+            log::info!(target: "request", "event=content_passes content={content}");
+        }
+        None => {}
+    }
+}
 
-pub(crate) use inquiry::run;
+/// Forgets what is no longer needed, and tells by metrics what is refused; does not
+/// end.
+pub(crate) async fn tidy(relay: Rc<Relay>) -> Infallible {
+    loop {
+        Timer::after(LOOK_TIME).await;
+        let now = Instant::now();
+        let table = &relay.crashes.table;
+        table.forget(now);
+        metrics::gauge!("tidepier_contents_refused").set(table.count_refused(now) as f64);
+        metrics::gauge!("tidepier_contents_suspected").set(table.len() as f64);
+    }
+}
--- a/crates/relay/src/crash/suspects.rs
+++ b/crates/relay/src/crash/suspects.rs
@@ -4,6 +4,7 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
+use std::time::Instant;
 
 use crate::content::Content;
 use crate::fleet::{Backend, Key};
@@ -15,6 +16,8 @@
     pub backend: Rc<Backend>,
     /// What was asked there; the same content once for each of its requests.
     pub contents: Vec<Content>,
+    /// When the first one broke off.
+    pub since: Instant,
 }
 
 /// The servers that are to be looked at.
@@ -37,6 +40,7 @@
             Suspect {
                 backend: backend.clone(),
                 contents: Vec::new(),
+                since: Instant::now(),
             }
         });
         suspect.contents.push(content);
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -56,7 +56,7 @@
             backend.record(outcome, Instant::now());
         }
         if failure.cause.may_be_end() {
-            self.relay.suspects.add(backend, self.content);
+            self.relay.crashes.suspects.add(backend, self.content);
         }
         if let Cause::Refused(answer::MISDIRECTED) = failure.cause {
             self.relay.fleet.supplant(&backend.server.id);
@@ -112,6 +112,9 @@
             Outcome::Good
         };
         backend.record(outcome, Instant::now());
+        if matches!(status, 200..=299) {
+            self.relay.crashes.answered(self.content);
+        }
         if let Some(took) = self.beginning(first) {
             backend.health.took(took);
         }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -46,6 +46,7 @@
         &mut self,
         resume_after: Option<u64>,
     ) -> Result<(Rc<Backend>, Result<Reply, Failure>), refusal::Kind> {
+        self.may_pass()?;
         let choice = match self.choose(Duration::ZERO) {
             Err(refusal::Kind::Cold) => self.choose(COLD_WAIT)?,
             chosen => chosen?,
@@ -56,6 +57,8 @@
             // Its place is taken now, so that no request waits in vain.
             backend.pace.sent(sent_at);
             Timer::at(sent_at).await;
+            // What was learned meanwhile counts for it as well.
+            self.may_pass()?;
         }
         self.sending = Start {
             at: Instant::now(),
@@ -92,6 +95,18 @@
         Ok((backend, result))
     }
 
+    /// Whether the request may go to a server: each sending of one that ends its
+    /// servers costs a server and what other callers have there, also a repeat, a
+    /// resumed stream, and one that waited.
+    fn may_pass(&self) -> Result<(), refusal::Kind> {
+        let refused = self
+            .relay
+            .crashes
+            .table
+            .refused(self.content, Instant::now());
+        refused.map_or(Ok(()), |left| Err(refusal::Kind::Crashing(left)))
+    }
+
     /// Remembers that a server gets the prompt: from now on it is likely to
     /// keep it, but not if no connection to it came up.
     fn note_sent(&self, backend: &Backend) {
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -19,6 +19,7 @@
 use super::link::{self, Error};
 use super::message::{Question, VERSION};
 use super::registry::{Member, Registry};
+use crate::crash::table;
 use crate::fleet::Count;
 use crate::relay::Relay;
 use crate::traffic::log::{News, Peer, Position, Row};
@@ -36,6 +37,13 @@
 /// among them, and the busiest 170 instead of 184.
 const COUNTS_MAX: usize = 48;
 
+/// Most contents in an answer to a box: 1 KB, and so 2.6 KB a second while hundreds
+/// of servers end at once; none in calm (worked out, of 33 bytes with two ends).
+const CRASHES_MAX: usize = 32;
+/// The same to a hub: 22 bytes each with one end. A third of 900 servers that end at
+/// once, with 8 requests each, are 2,400 contents; a hub has them within 4 s.
+const HUB_CRASHES_MAX: usize = 256;
+
 /// Who asks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Asker {
@@ -71,6 +79,9 @@
     pub rows: Vec<Row>,
     /// Further ones for which there was no room.
     pub untold: u32,
+    /// Contents that servers ended under, as far as that is new.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub crashes: Vec<table::Row>,
 }
 
 /// The answer.
@@ -94,6 +105,8 @@
 pub struct End {
     told: Told,
     heard: Sum,
+    /// Place in the table of crashes up to which the other side was told.
+    crashes_told: u64,
 }
 
 impl End {
@@ -103,11 +116,21 @@
             counts: self.told.changes(sum, most),
             rows: news.rows,
             untold: news.untold,
+            crashes: Vec::new(),
         }
     }
 
+    /// What the other side was not told yet of contents that servers ended under.
+    fn crashes(&mut self, relay: &Relay, told: table::Told, most: usize) -> Vec<table::Row> {
+        let table = &relay.crashes.table;
+        let (rows, place) = table.since(self.crashes_told, most, told, Instant::now());
+        self.crashes_told = place;
+        rows
+    }
+
     fn hear(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.heard.apply(report.boxes, &report.counts);
+        relay.crashes.take(&report.crashes, Instant::now());
         relay.hear(from, self.heard.clone(), &report.rows, report.untold);
     }
 
@@ -127,12 +150,21 @@
                 (sum, usize::MAX, relay.traffic.rows_from_here(ask.place))
             }
         };
+        // One end alone concerns nobody but a hub, which puts together what its boxes
+        // and other hubs saw.
+        let crashes = match ask.asker {
+            Asker::Box => self.crashes(relay, table::Told::Repeated, CRASHES_MAX),
+            Asker::Hub => self.crashes(relay, table::Told::All, HUB_CRASHES_MAX),
+        };
         Answer {
             version: VERSION,
             number: ask.number,
             is_hub: relay.traffic.is_hub(),
             place: news.place,
-            report: self.report(&sum, most, news),
+            report: Report {
+                crashes,
+                ..self.report(&sum, most, news)
+            },
         }
     }
 }
@@ -241,7 +273,11 @@
                 let sum = relay.under_way_from_here(Instant::now());
                 let news = relay.traffic.rows_for_hub();
                 let told = news.place;
-                (end.report(&sum, usize::MAX, news), Some(told))
+                let report = Report {
+                    crashes: end.crashes(relay, table::Told::All, HUB_CRASHES_MAX),
+                    ..end.report(&sum, usize::MAX, news)
+                };
+                (report, Some(told))
             }
             Asker::Hub => (Report::default(), None),
         };
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -44,6 +44,8 @@
     NoRegion,
     /// The servers that may be asked are cold and bear no more of this box.
     Cold,
+    /// Servers ended under requests of its content; it is refused for so much longer.
+    Crashing(Duration),
     /// The servers tried refused connections: they are down.
     Down,
     /// The servers that may be asked are full.
@@ -73,6 +75,7 @@
             | Kind::Emptied
             | Kind::NoRegion
             | Kind::Cold
+            | Kind::Crashing(_)
             | Kind::Down
             | Kind::Full
             | Kind::TimeOver => 503,
@@ -83,6 +86,8 @@
     /// When the client may come back.
     pub fn retry_after(self) -> Option<Duration> {
         match self {
+            // The truth: sooner, no box has another answer.
+            Kind::Crashing(left) => Some(left),
             Kind::NotReady | Kind::Stale => Some(UNREADY),
             Kind::Down | Kind::Emptied | Kind::NoRegion => Some(DOWN),
             Kind::NoServer | Kind::Cold | Kind::Full | Kind::TimeOver => Some(SOON),
@@ -105,6 +110,7 @@
             Kind::Emptied => "emptied",
             Kind::NoRegion => "no_region",
             Kind::Cold => "cold",
+            Kind::Crashing(_) => "crashing",
             Kind::Down => "down",
             Kind::Full => "full",
             Kind::TimeOver => "time_over",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -11,7 +11,7 @@
 use crate::budget::Budget;
 use crate::choose::filter::Regions;
 use crate::cold::Roster;
-use crate::crash::suspects::Suspects;
+use crate::crash::Crashes;
 use crate::fleet::Fleet;
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Row};
@@ -69,8 +69,8 @@
     /// What is known of the requests that other boxes place, and where prompts
     /// were sent.
     pub traffic: Traffic,
-    /// Requests that broke off at servers that may have ended.
-    pub suspects: Suspects,
+    /// Servers that ended under requests, and what is refused for it.
+    pub crashes: Crashes,
     /// Retries that may be spent.
     pub budget: Budget,
     /// The planned stop.
@@ -92,7 +92,7 @@
             view: View::default(),
             fleet: Fleet::default(),
             traffic: Traffic::default(),
-            suspects: Suspects::default(),
+            crashes: Crashes::default(),
             budget,
             stop: Stop::default(),
             roster: Roster::default(),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -1,6 +1,7 @@
 //! Starting a router, stopping it, and taking over changed settings.
 
-use std::cell::Cell;
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -13,6 +14,7 @@
 
 use crate::budget::{self, Budget};
 use crate::callers;
+use crate::content::Content;
 use crate::crash;
 use crate::follow::Follower;
 use crate::metrics;
@@ -68,6 +70,8 @@
     metrics: Option<SocketAddr>,
     /// Time from the request to stop until the process is killed.
     stop_within: Cell<Duration>,
+    /// Contents that the settings let pass.
+    pardoned: RefCell<BTreeSet<Content>>,
 }
 
 impl Router {
@@ -92,6 +96,7 @@
             readiness: None,
             metrics: None,
             stop_within: Cell::new(settings.bounds.stop_within.duration()),
+            pardoned: RefCell::new(settings.pardoned.clone()),
         };
         executor
             .spawn(callers::accept(relay.clone(), callers, executor.clone()))
@@ -117,8 +122,9 @@
         executor.spawn(follower.clone().servers()).detach();
         executor.spawn(follower.clone().lapses()).detach();
         executor.spawn(follower.clone().emptying()).detach();
-        let inquiry = crash::run(relay.clone(), executor.clone());
+        let inquiry = crash::inquire(relay.clone(), executor.clone());
         executor.spawn(inquiry).detach();
+        executor.spawn(crash::tidy(relay.clone())).detach();
         start_peers(&relay, follower, store, settings, executor)?;
         Ok(router)
     }
@@ -151,6 +157,10 @@
         self.relay.set_descriptors(settings.limits.descriptors);
         self.relay.budget.set_terms(terms(settings));
         self.stop_within.set(settings.bounds.stop_within.duration());
+        let before = self.pardoned.replace(settings.pardoned.clone());
+        for content in settings.pardoned.difference(&before) {
+            self.relay.crashes.pardon(*content);
+        }
     }
 
     /// Begins the planned stop; ends when it is over.
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -12,12 +12,15 @@
 mod read;
 mod span;
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 
-use serde::Deserialize;
+use serde::de::Error as _;
+use serde::{Deserialize, Deserializer};
 use tidepier_ids as ids;
 
+use crate::content::Content;
+
 pub use bounds::Bounds;
 pub use check::OutOfRange;
 pub use read::{read, Error};
@@ -81,6 +84,20 @@
     /// Promised times and shares.
     #[serde(default)]
     pub bounds: Bounds,
+    /// Contents of requests that may pass again though servers ended under them, as
+    /// the log names them; none by default. What is added here is taken over by a
+    /// reload of any one box, which tells the others; at a start it says nothing.
+    #[serde(default, deserialize_with = "contents")]
+    pub pardoned: BTreeSet<Content>,
+}
+
+fn contents<'de, D: Deserializer<'de>>(from: D) -> Result<BTreeSet<Content>, D::Error> {
+    let texts = Vec::<String>::deserialize(from)?;
+    let contents = texts.iter().map(|text| {
+        let wrong = |error| format!("{text:?} is no content of a request: {error}");
+        text.parse().map_err(wrong).map_err(D::Error::custom)
+    });
+    contents.collect()
 }
 
 /// What the process may use.
