--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -340,13 +340,14 @@
         self.shared.lock().fault = Some((fault, count));
     }
 
-    /// Ends faults, darkness, slowness, early closing and bad health.
+    /// Ends faults, darkness, slowness, early closing, bad health and what requests end.
     pub fn heal(&self) {
         let mut state = self.shared.lock();
         state.fault = None;
         state.slow = 1.0;
         state.idle_close = None;
         state.unwell = false;
+        state.ends_on.clear();
         drop(state);
         self.dark(false);
     }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -151,7 +151,7 @@
     }
 
     /// Takes over what can change while running.
-    fn take_over(&self, settings: &Settings) {
+    pub fn take_over(&self, settings: &Settings) {
         self.relay.set_bounds(bounds(settings));
         self.relay.set_regions(settings.regions.clone());
         self.relay.set_descriptors(settings.limits.descriptors);
--- a/crates/relay/tests/relay/crashing.rs
+++ b/crates/relay/tests/relay/crashing.rs
@@ -12,12 +12,16 @@
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_core::server::State;
+use tidepier_relay::content::{Content, Parts};
+use tidepier_relay::crash::table::REFUSED_MIN;
 use tidepier_relay_standin::client::{Answer, Call};
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, Server};
 use tidepier_relay_standin::site::{Site, HOST};
 
-use crate::hall::{keyed, Machine};
-use crate::house::{self, ms, run, until, Result};
+use crate::hall::{self, keyed, Machine};
+use crate::house::{self, ms, promised, run, until, Executor, Result};
 use crate::shared;
 
 /// Servers that end under a request from which it counts as their end's cause.
@@ -30,6 +34,8 @@
 const BACK_TIME: Duration = Duration::from_millis(700);
 /// Body of the request that ends its servers.
 const GUILTY: &[u8] = b"ends its server";
+/// Servers at the start.
+const SERVERS: u32 = 8;
 
 /// Servers of which another one comes for each that ends.
 pub(crate) struct Servers {
@@ -87,6 +93,18 @@
         }
     }
 
+    /// Ends so many servers that live, for no request's sake.
+    pub(crate) fn end_some(&self, count: usize) {
+        let all = self.all.borrow();
+        let living = all.iter().filter(|server| !server.is_crashed());
+        living.take(count).for_each(Server::crash);
+    }
+
+    /// From now on no request ends a server.
+    pub(crate) fn mend(&self) {
+        self.all.borrow().iter().for_each(Server::heal);
+    }
+
     /// When requests with a body reached a server, in order.
     pub(crate) fn sendings(&self, body: &[u8]) -> Vec<Instant> {
         let all = self.all.borrow();
@@ -148,8 +166,27 @@
     Ok(answers)
 }
 
-/// Three boxes in two halls, before servers of which another comes for each that
-/// ends, while `test` runs.
+/// A site with eight servers that end on some bodies, and three boxes in two halls
+/// that know them.
+pub(crate) async fn fleet(
+    executor: &Executor,
+    ends_on: &[&[u8]],
+) -> Result<(Site, Servers, Vec<Machine>)> {
+    let site = keyed()?;
+    let servers = Servers::start(&site, SERVERS, ends_on)?;
+    let machines = shared::halls(executor, &site).await?;
+    until("known", async || {
+        let known = |it: &Machine| it.router.relay().fleet.len() == SERVERS as usize;
+        Ok(machines.iter().all(known))
+    })
+    .await?;
+    // Boxes that tell each other of a placement have found their hubs.
+    shared::ask_about(&machines[1], 100).await?;
+    shared::agreed(&machines, 100).await?;
+    Ok((site, servers, machines))
+}
+
+/// Runs `test` while another server comes for each that ends.
 pub(crate) async fn beside<T>(
     servers: &Servers,
     site: &Site,
@@ -165,13 +202,7 @@
 #[test]
 fn a_request_that_ends_its_servers_is_sent_no_more() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let servers = Servers::start(&site, 8, &[GUILTY])?;
-        let machines = shared::halls(&executor, &site).await?;
-        until("known", async || {
-            Ok(machines.iter().all(|it| it.router.relay().fleet.len() == 8))
-        })
-        .await?;
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
         let insisted = insist(&machines, "/o/x", GUILTY, ms(8_000));
         let answers = beside(&servers, &site, insisted).await?;
         let (ends, late) = (servers.ends(GUILTY).len(), servers.late(GUILTY));
@@ -184,3 +215,295 @@
         Ok(())
     })
 }
+
+/// Checks that a request ended servers, and was sent no more than is borne since all
+/// boxes know of it.
+fn ended_few(servers: &Servers, body: &[u8]) -> Result {
+    let (ends, late) = (servers.ends(body).len(), servers.late(body));
+    let text = String::from_utf8_lossy(body);
+    ensure!(ends >= ENDS, "{text}: the case did not arise: {ends} ended");
+    ensure!(late <= BORNE, "{text}: {late} late sendings, {ends} ended");
+    Ok(())
+}
+
+/// The same on a route of another kind.
+fn on_route(target: &'static str) -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let insisted = insist(&machines, target, GUILTY, ms(7_000));
+        beside(&servers, &site, insisted).await?;
+        ended_few(&servers, GUILTY)
+    })
+}
+
+#[test]
+fn a_repeatable_request_that_ends_its_servers_is_sent_no_more() -> Result {
+    on_route("/r/x")
+}
+
+#[test]
+fn a_stream_that_ends_its_servers_is_sent_no_more() -> Result {
+    on_route("/u/x")
+}
+
+#[test]
+fn a_resumable_stream_that_ends_its_servers_is_sent_no_more() -> Result {
+    on_route("/s/x")
+}
+
+#[test]
+fn several_requests_that_end_their_servers_are_sent_no_more() -> Result {
+    const OTHERS: [&[u8]; 3] = [GUILTY, b"ends it too", b"and so does this"];
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &OTHERS).await?;
+        let [first, second, third] = OTHERS;
+        let insisted = futures_lite::future::try_zip(
+            insist(&machines, "/o/x", first, ms(8_000)),
+            futures_lite::future::try_zip(
+                insist(&machines[1..], "/o/x", second, ms(8_000)),
+                insist(&machines, "/u/x", third, ms(8_000)),
+            ),
+        );
+        beside(&servers, &site, insisted).await?;
+        OTHERS.iter().try_for_each(|body| ended_few(&servers, body))
+    })
+}
+
+/// What its client gets: a refusal at once that promises what is so, and no time to
+/// come back at which nothing is different. Others with the same path are served.
+#[test]
+fn a_refused_request_is_told_the_truth_at_once() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let test = async {
+            insist(&machines, "/o/x", GUILTY, ms(1_500)).await?;
+            Timer::after(CONTACT).await;
+            for machine in &machines {
+                let before = servers.sendings(GUILTY).len();
+                let start = Instant::now();
+                let attempt = format!("refused-{}", machine.name);
+                let answer = machine.call(&asking("/o/x", &attempt, GUILTY)).await?;
+                promised(&answer)?;
+                ensure!(start.elapsed() < ms(250), "after {:?}", start.elapsed());
+                let wait = answer.field(names::RETRY_AFTER).unwrap_or("0");
+                let left = Duration::from_secs_f64(wait.parse()?);
+                ensure!(
+                    left > REFUSED_MIN / 2 && left <= 8 * REFUSED_MIN,
+                    "{left:?}"
+                );
+                ensure!(servers.sendings(GUILTY).len() == before, "it was sent");
+                let other = format!("other-{}", machine.name);
+                let answer = machine.call(&asking("/o/x", &other, b"harmless")).await?;
+                ensure!(answer.status == 200, "{answer:?}");
+            }
+            Ok(())
+        };
+        beside(&servers, &site, test).await
+    })
+}
+
+/// A box that has just started, and one that stood still while the others learned.
+#[test]
+fn boxes_that_were_away_learn_what_is_refused() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let test = async {
+            machines[1].freeze(true);
+            insist(&machines[..1], "/o/x", GUILTY, ms(2_500)).await?;
+            machines[1].freeze(false);
+            let late = Machine::start(&executor, &site, "box-9", "hall-2", 3_000).await?;
+            hall::ready(std::slice::from_ref(&late)).await?;
+            Timer::after(CONTACT).await;
+            let before = servers.sendings(GUILTY).len();
+            for machine in machines.iter().chain([&late]) {
+                let attempt = format!("late-{}", machine.name);
+                let answer = machine.call(&asking("/o/x", &attempt, GUILTY)).await?;
+                ensure!(answer.status == 503, "{}: {answer:?}", machine.name);
+            }
+            let sent = servers.sendings(GUILTY).len() - before;
+            ensure!(sent == 0, "sent {sent} times");
+            ended_few(&servers, GUILTY)
+        };
+        beside(&servers, &site, test).await
+    })
+}
+
+/// The box that the others of its hall ask stands still from the first end on.
+#[test]
+fn boxes_learn_what_is_refused_without_their_hub() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let test = async {
+            insist(&machines[1..2], "/o/x", GUILTY, ms(100)).await?;
+            machines[0].freeze(true);
+            insist(&machines[1..], "/o/x", GUILTY, ms(8_000)).await
+        };
+        beside(&servers, &site, test).await?;
+        ended_few(&servers, GUILTY)
+    })
+}
+
+/// Ten requests run at a server that ends, one of which is the reason. The others go
+/// on being served, on all boxes.
+#[test]
+fn requests_that_ran_beside_it_are_served() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let beside_it: Vec<String> = (0..10)
+            .map(|number| format!("bystander {number}"))
+            .collect();
+        let test = async {
+            let guilty = insist(&machines, "/o/x", GUILTY, ms(5_000));
+            let others = async {
+                let start = Instant::now();
+                let mut refused = 0;
+                for round in 0.. {
+                    if start.elapsed() > ms(5_000) {
+                        break;
+                    }
+                    for (number, body) in beside_it.iter().enumerate() {
+                        let machine = &machines[(round + number) % machines.len()];
+                        let attempt = format!("by-{round}-{number}");
+                        let call = asking("/r/x", &attempt, body.as_bytes());
+                        let answer = machine.call(&call).await?;
+                        // One that runs at two servers that end is told so.
+                        refused += usize::from(answer.status == 503);
+                    }
+                }
+                Ok(refused)
+            };
+            futures_lite::future::try_zip(guilty, others).await
+        };
+        let (_, refused) = beside(&servers, &site, test).await?;
+        ensure!(servers.ends(GUILTY).len() >= ENDS, "the case did not arise");
+        ensure!(refused == 0, "{refused} refused");
+        let held = machines.iter().map(|it| {
+            it.router
+                .relay()
+                .crashes
+                .table
+                .count_refused(Instant::now())
+        });
+        let held: Vec<usize> = held.collect();
+        ensure!(held.iter().all(|count| *count <= 1), "{held:?} refused");
+        Ok(())
+    })
+}
+
+/// Whether a refusal is for longer than any but that of a content.
+fn is_long(answer: &Answer) -> bool {
+    let wait = answer.field(names::RETRY_AFTER);
+    let wait = wait.and_then(|wait| wait.parse::<f64>().ok());
+    wait.is_some_and(|wait| wait > 30.0)
+}
+
+/// Servers that end for reasons of their own, a third of them at once and one after
+/// the other, take nothing from the same requests that come again and again.
+#[test]
+fn requests_are_served_though_servers_end_by_themselves() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[]).await?;
+        let test = async {
+            let ending = async {
+                for number in 0..12 {
+                    Timer::after(ms(400)).await;
+                    servers.end_some(if number % 4 == 0 { 3 } else { 1 });
+                }
+                Ok(())
+            };
+            let asked = async {
+                let mut refused = Vec::new();
+                for round in 0..60 {
+                    for (number, machine) in machines.iter().enumerate() {
+                        let attempt = format!("innocent-{round}-{number}");
+                        let body = format!("the same again {}", round % 5);
+                        let call = asking("/r/x", &attempt, body.as_bytes());
+                        let answer = machine.call(&call).await?;
+                        if is_long(&answer) {
+                            refused.push(attempt);
+                        }
+                    }
+                    Timer::after(ms(40)).await;
+                }
+                Ok(refused)
+            };
+            futures_lite::future::try_zip(ending, asked).await
+        };
+        let ((), refused) = beside(&servers, &site, test).await?;
+        ensure!(refused.is_empty(), "refused: {refused:?}");
+        Ok(())
+    })
+}
+
+/// A cut closes connections, and closes new ones at once. Nobody ended.
+#[test]
+fn a_cut_is_no_end() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = Server::start(server::Settings {
+            work: ms(150),
+            ..house::usual(1)
+        })?;
+        let way = hall::Way::open(&executor, server.address()).await?;
+        site.announce_at(&server, way.address(), State::Ready);
+        let house = house::House::open(executor, site).await?;
+        for number in 0..5 {
+            let attempt = format!("cut-{number}");
+            let call = asking("/o/x", &attempt, b"harmless");
+            let cut = async {
+                until("running", async || Ok(server.running() == 1)).await?;
+                way.cut();
+                Timer::after(ms(600)).await;
+                way.mend();
+                Ok(())
+            };
+            let (answer, ()) = futures_lite::future::try_zip(house.call(&call), cut).await?;
+            ensure!(answer.status == 502, "{answer:?}");
+            // The box leaves the server out for a while after failures in a row.
+            let mut number = 0;
+            until("served again", async || {
+                number += 1;
+                let call = asking("/o/y", &format!("{attempt}-{number}"), b"another");
+                Ok(house.call(&call).await?.status == 200)
+            })
+            .await?;
+        }
+        let known = house.router.relay().crashes.table.len();
+        ensure!(known == 0, "{known} contents are suspected");
+        Ok(())
+    })
+}
+
+/// The operator lets a content pass again, at one box; all others learn of it.
+#[test]
+fn the_operator_takes_a_refusal_back() -> Result {
+    run(async |executor| {
+        let (site, servers, machines) = fleet(&executor, &[GUILTY]).await?;
+        let test = async {
+            insist(&machines, "/o/x", GUILTY, ms(2_000)).await?;
+            Timer::after(ms(1_500)).await;
+            // It is mended meanwhile.
+            servers.mend();
+            let content = Content::new(&Parts {
+                method: "POST",
+                host: HOST,
+                target: "/o/x",
+                caller: "",
+                body: GUILTY,
+            });
+            for machine in &machines {
+                let answer = machine.call(&asking("/o/x", "before", GUILTY)).await?;
+                ensure!(answer.status == 503, "{}: {answer:?}", machine.name);
+            }
+            machines[2].pardon(content)?;
+            Timer::after(ms(2_500)).await;
+            for machine in &machines {
+                let attempt = format!("after-{}", machine.name);
+                let answer = machine.call(&asking("/o/x", &attempt, GUILTY)).await?;
+                ensure!(answer.status == 200, "{}: {answer:?}", machine.name);
+            }
+            Ok(())
+        };
+        beside(&servers, &site, test).await
+    })
+}
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -13,6 +13,7 @@
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task, Timer};
 use tidepier_core::catalog::Kind;
+use tidepier_relay::content::Content;
 use tidepier_relay::notice::Notice;
 use tidepier_relay::peer::registry::Member;
 use tidepier_relay::settings::Settings;
@@ -226,6 +227,7 @@
 /// A box that runs on an executor of its own.
 pub(crate) struct Machine {
     pub(crate) name: String,
+    settings: Value,
     pub(crate) router: Router,
     /// Its way to the store.
     pub(crate) store: Way,
@@ -270,7 +272,7 @@
         told["store"]["address"] = store.address().to_string().into();
         let seeds = seeds.iter().map(|ip| SocketAddr::new(*ip, SEED_PORT));
         told["seeds"] = seeds.map(|seed| seed.to_string()).collect();
-        let settings: Settings = serde_json::from_value(told)?;
+        let settings: Settings = serde_json::from_value(told.clone())?;
         settings.check()?;
         let own = Rc::new(LocalExecutor::new());
         let router = Router::start(&settings, &own)?;
@@ -285,6 +287,7 @@
         });
         Ok(Self {
             name: name.into(),
+            settings: told,
             router,
             store,
             peer,
@@ -300,6 +303,14 @@
         self.changed.notify();
     }
 
+    /// Lets a content pass, as a reload of its settings would.
+    pub(crate) fn pardon(&self, content: Content) -> Result {
+        let mut told = self.settings.clone();
+        told["pardoned"] = vec![content.to_string()].into();
+        self.router.take_over(&serde_json::from_value(told)?);
+        Ok(())
+    }
+
     pub(crate) async fn call(&self, call: &Call) -> Result<Answer> {
         Ok(Client::once(self.router.callers(), call).await?)
     }
