--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -43,4 +43,5 @@
 mod stop;
 mod strangers;
 mod streams;
+mod suspended;
 mod told;
--- /dev/null
+++ b/crates/relay/tests/relay/suspended.rs
@@ -0,0 +1,87 @@
+//! A machine that is suspended for seconds and goes on.
+//!
+//! Seen in no run; the platform's pages say that machines are. Its steady clock does not
+//! count that time, so that a proof that was young before looks as young afterwards:
+//! a key that was taken away meanwhile opened the box for as long as the proof lasts.
+
+use std::time::Duration;
+
+use eyre::ensure;
+use smol::Timer;
+use tidepier_clock::suspend;
+use tidepier_relay_standin::server::Fault;
+
+use crate::hall::{self, keyed, with_key, Machine, REVOKE_TIME};
+use crate::house::{ms, run, until, usual, Result};
+
+/// Longer than anything is believed that others may change.
+const SUSPENDED: Duration = Duration::from_secs(8);
+
+/// Suspends a box while something happens elsewhere.
+async fn suspended(machine: &Machine, meanwhile: impl AsyncFnOnce() -> Result) -> Result {
+    machine.freeze(true);
+    Timer::after(ms(20)).await;
+    meanwhile().await?;
+    suspend(SUSPENDED);
+    Ok(())
+}
+
+#[test]
+fn a_key_that_was_taken_away_meanwhile_opens_nothing() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
+        hall::ready(std::slice::from_ref(&machine)).await?;
+        suspended(&machine, async || {
+            // Nothing that is said meanwhile comes through afterwards either.
+            machine.store.silence();
+            site.account("tenant-2", &["another"], 1);
+            Ok(())
+        })
+        .await?;
+        machine.freeze(false);
+        for attempt in 0..10 {
+            let attempt = format!("goes-{attempt}");
+            let answer = machine.call(&with_key("goes", &attempt)).await?;
+            ensure!(answer.status == 503, "{attempt}: {answer:?}");
+            ensure!(server.ran(&attempt) == 0, "{attempt} ran");
+        }
+        ensure!(!machine.is_ready(), "ready by an old proof");
+        ensure!(SUSPENDED > REVOKE_TIME, "the case did not arise");
+        machine.store.mend();
+        until("ready again", async || Ok(machine.is_ready())).await?;
+        let answer = machine.call(&with_key("stays", "stays")).await?;
+        ensure!(answer.status == 200, "{answer:?}");
+        Ok(())
+    })
+}
+
+/// Its time was over while the machine stood still: the client gets its answer as soon
+/// as the machine goes on, and not after the time that was left.
+#[test]
+fn a_request_whose_time_was_over_meanwhile_is_answered_at_once() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
+        hall::ready(std::slice::from_ref(&machine)).await?;
+        server.fault(Fault::Hang, u32::MAX);
+        let call = with_key("stays", "held");
+        let held = async {
+            let start = std::time::Instant::now();
+            let answer = machine.call(&call).await?;
+            Result::Ok((answer, start.elapsed()))
+        };
+        let stop = async {
+            until("running", async || Ok(server.running() == 1)).await?;
+            suspended(&machine, async || Ok(())).await?;
+            machine.freeze(false);
+            Result::Ok(())
+        };
+        let ((answer, took), ()) = futures_lite::future::try_zip(held, stop).await?;
+        ensure!(answer.status == 504, "{answer:?}");
+        ensure!(took < ms(2_000), "after {took:?}");
+        Ok(())
+    })
+}
