Ages and deadlines of the relay count the time of a suspension

Cause: the standard library's Instant is read from a clock that stands still while the machine is suspended, so that every age, proof, lease, budget window, cold share, silence and deadline looked younger than it was.

--- a/crates/clock/src/lib.rs
+++ b/crates/clock/src/lib.rs
@@ -6,11 +6,11 @@
 //! silence. [`Instant`] is read from the clock that goes on (`CLOCK_BOOTTIME`), and has
 //! the methods of its namesake. Every age and deadline is measured by it.
 //!
-//! Timers of the system stand still as well. [`sleep_until`] and [`sleep`] look at
-//! the clock in between, so that they end at most [`LOOK`] after the machine goes on.
+//! Timers of the system stand still as well. While [`watch`] runs, [`sleep_until`],
+//! [`sleep`] and [`Alarm`] end at most [`LOOK`] after the machine goes on.
 
 mod instant;
 mod sleep;
 
 pub use instant::{suspend, Instant};
-pub use sleep::{sleep, sleep_until, Alarm, LOOK};
+pub use sleep::{sleep, sleep_until, watch, Alarm, LOOK};
--- a/crates/clock/src/sleep.rs
+++ b/crates/clock/src/sleep.rs
@@ -1,18 +1,42 @@
 //! Waiting for a moment.
 
+use std::convert::Infallible;
 use std::future::Future;
 use std::pin::Pin;
 use std::task::{Context, Poll};
 use std::time::Duration;
 
+use event_listener::{Event, EventListener};
 use smol::Timer;
 
 use crate::Instant;
 
-/// Longest time between two looks at the clock while something waits: how late a wait
-/// may end after the machine was suspended. One look in so long is far less work than
-/// what is waited for.
-pub const LOOK: Duration = Duration::from_millis(500);
+/// Time between two looks whether the machine was suspended: how late a wait may end
+/// after that. Four looks a second cost nothing beside one request.
+pub const LOOK: Duration = Duration::from_millis(250);
+/// Difference between the two clocks' advances that is no suspension: they are read
+/// one after the other.
+const SLACK: Duration = Duration::from_millis(20);
+
+thread_local! {
+    /// Notified when the machine goes on after it was suspended.
+    static RESUMED: Event = const { Event::new() };
+}
+
+/// Ends waits of this thread in time that were begun before the machine was suspended;
+/// does not end. Without it they end late by that time.
+pub async fn watch() -> Infallible {
+    let (mut counting, mut steady) = (Instant::now(), std::time::Instant::now());
+    loop {
+        Timer::after(LOOK).await;
+        let advanced = counting.elapsed();
+        counting = Instant::now();
+        if advanced > steady.elapsed() + SLACK {
+            RESUMED.with(|resumed| resumed.notify(usize::MAX));
+        }
+        steady = std::time::Instant::now();
+    }
+}
 
 /// Waits until a moment.
 pub async fn sleep_until(at: Instant) {
@@ -29,6 +53,7 @@
 pub struct Alarm {
     at: Instant,
     timer: Timer,
+    resumed: EventListener,
 }
 
 impl Alarm {
@@ -36,7 +61,8 @@
     pub fn new(at: Instant) -> Self {
         Self {
             at,
-            timer: Timer::after(until_look(at)),
+            timer: Timer::after(until(at)),
+            resumed: RESUMED.with(Event::listen),
         }
     }
 
@@ -48,12 +74,12 @@
     /// Sets it to another moment.
     pub fn set_at(&mut self, at: Instant) {
         self.at = at;
-        self.timer.set_after(until_look(at));
+        self.timer.set_after(until(at));
     }
 }
 
-fn until_look(at: Instant) -> Duration {
-    at.saturating_duration_since(Instant::now()).min(LOOK)
+fn until(at: Instant) -> Duration {
+    at.saturating_duration_since(Instant::now())
 }
 
 impl Future for Alarm {
@@ -61,13 +87,18 @@
 
     fn poll(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<()> {
         loop {
-            if Pin::new(&mut self.timer).poll(context).is_pending() {
+            let rung = Pin::new(&mut self.timer).poll(context).is_ready();
+            let resumed = Pin::new(&mut self.resumed).poll(context).is_ready();
+            if !rung && !resumed {
                 return Poll::Pending;
             }
             if Instant::now() >= self.at {
                 return Poll::Ready(());
             }
-            let left = until_look(self.at);
+            if resumed {
+                self.resumed = RESUMED.with(Event::listen);
+            }
+            let left = until(self.at);
             self.timer.set_after(left);
         }
     }
--- a/crates/clock/tests/clock/main.rs
+++ b/crates/clock/tests/clock/main.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use tidepier_clock::{sleep, sleep_until, suspend, Alarm, Instant, LOOK};
+use tidepier_clock::{sleep, sleep_until, suspend, watch, Alarm, Instant, LOOK};
 
 /// Far more than any test takes.
 const LONG: Duration = Duration::from_secs(3_600);
@@ -46,11 +46,16 @@
 fn a_wait_ends_soon_after_a_suspension_that_was_longer() {
     smol::block_on(async {
         let steady = std::time::Instant::now();
-        let waited = smol::future::zip(sleep(LONG), async {
+        let watched = async {
+            watch().await;
+        };
+        let suspended = async {
             smol::Timer::after(Duration::from_millis(20)).await;
             suspend(LONG);
-        });
-        waited.await;
+            std::future::pending().await
+        };
+        let other = smol::future::or(watched, suspended);
+        smol::future::or(sleep(LONG), other).await;
         assert!(steady.elapsed() < LOOK + Duration::from_secs(5));
     });
 }
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -10,9 +10,10 @@
 use std::fmt;
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::{future, FutureExt};
+use tidepier_clock::Instant;
 use tidepier_core::answer::Answer;
 use tidepier_h1::{Body, Conn, Framing, Head, Malformed, Unread};
 use tidepier_platform::answer;
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -10,8 +10,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
 /// Parts that a window is counted in. A part more than the window is kept, so
--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -3,11 +3,12 @@
 use std::future;
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::future::yield_now;
 use futures_lite::FutureExt;
 use smol::{LocalExecutor, Timer};
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Limits;
 use tidepier_h1::{Body, Conn, Framing, Head, Listener, Malformed, Writer};
 use tidepier_platform::request as wire_request;
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -11,8 +11,9 @@
 mod weight;
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -5,8 +5,9 @@
 //! operator's bound, and of answers that begin late.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
 use super::{cheapest, common, is_open, weight, Ask, Choice};
--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -1,8 +1,9 @@
 //! The servers that a request may not go to, whatever they would cost it.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Homes;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -23,8 +23,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Cold;
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -16,9 +16,10 @@
 
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 
 use crate::content::Content;
 use crate::fleet::Key;
--- a/crates/relay/src/crash/suspects.rs
+++ b/crates/relay/src/crash/suspects.rs
@@ -4,7 +4,8 @@
 use std::cell::RefCell;
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::Instant;
+
+use tidepier_clock::Instant;
 
 use crate::content::Content;
 use crate::fleet::{Backend, Key};
--- a/crates/relay/src/crash/table.rs
+++ b/crates/relay/src/crash/table.rs
@@ -14,9 +14,10 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 
 use crate::content::Content;
 use crate::fleet::Key;
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -4,8 +4,9 @@
 //! only while the catalog is fresh enough for that to be a fact.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::{Account, Catalog, Route};
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -16,8 +16,9 @@
 
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::{Account, Cold, Route};
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -2,8 +2,9 @@
 
 use std::io;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_platform::answer;
 
 use super::Exchange;
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -1,10 +1,10 @@
 //! Choosing a server for a request and sending the request there.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
-use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_core::request::Forward;
 use tidepier_platform::request as wire_request;
@@ -56,7 +56,7 @@
         if choice.cold.is_some() {
             // Its place is taken now, so that no request waits in vain.
             backend.pace.sent(sent_at);
-            Timer::at(sent_at).await;
+            tidepier_clock::sleep_until(sent_at).await;
             // What was learned meanwhile counts for it as well.
             self.may_pass()?;
         }
@@ -221,7 +221,7 @@
 async fn silence(backend: &Rc<Backend>) -> Result<Reply, Failure> {
     let mut since = Instant::now();
     loop {
-        Timer::at(since + SILENCE).await;
+        tidepier_clock::sleep_until(since + SILENCE).await;
         match backend.heard() {
             Some(heard) if heard > since => since = heard,
             _ => {
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -4,8 +4,9 @@
 
 use std::cell::Cell;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_h1::Conn;
--- a/crates/relay/src/fleet/hall.rs
+++ b/crates/relay/src/fleet/hall.rs
@@ -1,7 +1,9 @@
 //! What this box knows of one data hall.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 /// Weight of the newest time in the mean time to a hall.
 const WAY_WEIGHT: f64 = 0.05;
--- a/crates/relay/src/fleet/idle.rs
+++ b/crates/relay/src/fleet/idle.rs
@@ -1,8 +1,9 @@
 //! Connections to one server that rest between requests.
 
 use std::cell::RefCell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_h1::Conn;
 
 /// Resting connections that are kept for one server.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -14,9 +14,9 @@
 use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -24,10 +24,11 @@
 
 use std::cell::{Cell, RefCell};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::server::Server;
 use tidepier_core::store::{Failure, Revision};
 use tidepier_ids as ids;
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -7,8 +7,9 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::store::Revision;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -2,9 +2,10 @@
 //! proof that what is known of both is the newest.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::store::{Current, Event, Failure, Item, Revision, Scope, Store, Swap};
 use tidepier_platform::store::ENTRIES_MAX;
 use tidepier_platform::{catalog, key};
--- a/crates/relay/src/follow/doubt.rs
+++ b/crates/relay/src/follow/doubt.rs
@@ -11,7 +11,9 @@
 //! the store's word counts again.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 /// How long after the store is back an entry that lapsed may stay missing: the
 /// platform's two seconds, and a margin for the way here.
--- a/crates/relay/src/follow/news.rs
+++ b/crates/relay/src/follow/news.rs
@@ -5,8 +5,8 @@
 //! boxes before 250 servers.
 
 use std::collections::BTreeMap;
-use std::time::Instant;
 
+use tidepier_clock::Instant;
 use tidepier_core::server::Server;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/follow/pause.rs
+++ b/crates/relay/src/follow/pause.rs
@@ -1,8 +1,9 @@
 //! Pauses after failed calls.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 
 /// First pause after a call that failed; doubled up to [`PAUSE_MAX`].
 const PAUSE_MIN: Duration = Duration::from_millis(120);
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -2,9 +2,10 @@
 
 use std::collections::HashSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::store::{Event, Item, Revision, Scope, Store};
 use tidepier_ids as ids;
 use tidepier_platform::{key, server};
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -5,7 +5,9 @@
 //! while, then tried with one request.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 /// Failures in a row after which a server is left out.
 const FAILURES_MAX: u32 = 3;
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -20,11 +20,11 @@
 
 use std::io;
 use std::sync::Mutex;
-use std::time::Instant;
 
 pub use ::log::{debug, error, info, trace, warn};
 use ::log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
 use simplelog::{Config, ConfigBuilder, LevelPadding, WriteLogger};
+use tidepier_clock::Instant;
 
 pub use self::limit::Limit;
 pub use self::line::Lines;
--- a/crates/relay/src/log/limit.rs
+++ b/crates/relay/src/log/limit.rs
@@ -5,9 +5,10 @@
 //! with the first line of a later second.
 
 use std::cell::Cell;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use log::info;
+use tidepier_clock::Instant;
 
 /// Lets so many lines of one event through in each second.
 #[derive(Debug)]
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -6,10 +6,11 @@
 
 use std::collections::HashMap;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -4,9 +4,10 @@
 //! connections, each with so many bytes, and none is waited for without limit.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::{LocalExecutor, Timer};
+use tidepier_clock::Instant;
 use tidepier_h1::{Conn, Listener};
 
 use crate::follow::Follower;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -10,10 +10,11 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::store::{Failure, Kept, LeaseId, Store, Swap, Write};
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -10,9 +10,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 
 use crate::follow::Follower;
 use crate::peer::ask::{self, ANSWER_TIME};
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -7,11 +7,12 @@
 use std::collections::HashMap;
 use std::convert::Infallible;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
 use smol::{LocalExecutor, Timer};
+use tidepier_clock::Instant;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -8,8 +8,8 @@
 mod order;
 
 use std::rc::Rc;
-use std::time::Instant;
 
+use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
 
--- a/crates/relay/src/places/order.rs
+++ b/crates/relay/src/places/order.rs
@@ -5,8 +5,9 @@
 
 use std::cmp::Reverse;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
--- a/crates/relay/src/recall/boxes.rs
+++ b/crates/relay/src/recall/boxes.rs
@@ -1,9 +1,10 @@
 //! Asking other boxes which engines keep which parts.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
 use smol::{LocalExecutor, Task};
+use tidepier_clock::Instant;
 
 use crate::peer::ask::{ANSWER_TIME, CONNECT_TIME};
 use crate::peer::link::{self, Error};
--- a/crates/relay/src/recall/engines.rs
+++ b/crates/relay/src/recall/engines.rs
@@ -4,9 +4,10 @@
 //! box, and only where no box can tell.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::LocalExecutor;
+use tidepier_clock::Instant;
 use tidepier_core::request::Part;
 use tidepier_h1::call::{Caller, Failure, Limits, Request};
 use tidepier_platform::call;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -4,8 +4,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
 use crate::budget::Budget;
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -4,11 +4,12 @@
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::WrapErr;
 use futures_lite::FutureExt;
 use smol::{LocalExecutor, Timer};
+use tidepier_clock::Instant;
 use tidepier_h1::Listener;
 use tidepier_platform::store::Client;
 
@@ -125,6 +126,7 @@
         let inquiry = crash::inquire(relay.clone(), executor.clone());
         executor.spawn(inquiry).detach();
         executor.spawn(crash::tidy(relay.clone())).detach();
+        executor.spawn(tidepier_clock::watch()).detach();
         start_peers(&relay, follower, store, settings, executor)?;
         Ok(router)
     }
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/stream/mod.rs
@@ -12,7 +12,9 @@
 mod whole;
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 use crate::attempt::{Failure, Reply};
 use crate::exchange::{End, Exchange};
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -6,8 +6,9 @@
 use std::cell::Cell;
 use std::io::Write;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
--- a/crates/relay/src/stream/whole.rs
+++ b/crates/relay/src/stream/whole.rs
@@ -1,8 +1,9 @@
 //! An answer that is read whole before it is passed on.
 
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_h1::Head;
 use tidepier_platform::answer::Length;
 
--- a/crates/relay/src/timeout.rs
+++ b/crates/relay/src/timeout.rs
@@ -4,15 +4,15 @@
 //! result that is there in time is never lost.
 
 use std::future::Future;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
-use smol::Timer;
+use tidepier_clock::{Alarm, Instant};
 
 /// The result of `work`, or `None` when `limit` has passed.
 pub(crate) async fn within<T>(limit: Duration, work: impl Future<Output = T>) -> Option<T> {
     let late = async {
-        Timer::after(limit).await;
+        tidepier_clock::sleep(limit).await;
         None
     };
     async { Some(work.await) }.or(late).await
@@ -21,19 +21,12 @@
 /// A limit that is moved on while work makes progress, as with each event of a
 /// stream. Setting a timer wakes the reactor, which costs as much as passing an
 /// event on; this one is set again only when it fires.
-pub(crate) struct Limit {
-    timer: Timer,
-    /// When the timer fires.
-    set: Instant,
-}
+pub(crate) struct Limit(Alarm);
 
 impl Limit {
     /// A limit that is next due at `deadline`.
     pub(crate) fn new(deadline: Instant) -> Self {
-        Self {
-            timer: Timer::at(deadline),
-            set: deadline,
-        }
+        Self(Alarm::new(deadline))
     }
 
     /// The result of `work`, or `None` when it is `deadline`.
@@ -52,28 +45,23 @@
 
     /// Ends at `deadline`.
     async fn pass(&mut self, deadline: Instant) {
-        if self.set > deadline {
-            self.set_at(deadline);
+        if self.0.at() > deadline {
+            self.0.set_at(deadline);
         }
         loop {
-            (&mut self.timer).await;
+            (&mut self.0).await;
             if Instant::now() >= deadline {
                 return;
             }
-            self.set_at(deadline);
+            self.0.set_at(deadline);
         }
     }
-
-    fn set_at(&mut self, at: Instant) {
-        self.timer.set_at(at);
-        self.set = at;
-    }
 }
 
 /// The result of `work`, or `None` when it is `deadline`.
 pub(crate) async fn until<T>(deadline: Instant, work: impl Future<Output = T>) -> Option<T> {
     let late = async {
-        Timer::at(deadline).await;
+        tidepier_clock::sleep_until(deadline).await;
         None
     };
     async { Some(work.await) }.or(late).await
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -8,10 +8,11 @@
 
 use std::cell::RefCell;
 use std::num::NonZeroUsize;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lru::LruCache;
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 
 use super::coverage::Coverage;
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -17,9 +17,9 @@
 pub mod tally;
 
 use std::cell::Cell;
-use std::time::Instant;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
 use crate::fleet::Key;
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -10,7 +10,9 @@
 use std::cell::RefCell;
 use std::cmp::Reverse;
 use std::collections::HashMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 use crate::fleet::{Count, Key};
 
--- a/crates/relay/src/view.rs
+++ b/crates/relay/src/view.rs
@@ -10,8 +10,9 @@
 
 use std::cell::{Cell, RefCell};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::catalog::{Catalog, Version};
 
 /// The catalog in force on this box.
--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -4,11 +4,12 @@
 use std::path::PathBuf;
 use std::sync::mpsc::{channel, Receiver, Sender};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use std::{env, fs, process};
 
 use log::{LevelFilter, Log};
 use metrics::{Key, Level, Metadata, Recorder};
+use tidepier_clock::Instant;
 use tidepier_relay::log::{logger, Limit, Queue};
 use tidepier_relay::metrics::Registry;
 use tidepier_relay::settings::{self, Millis, Ports, Settings};
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -1,10 +1,11 @@
 //! Which server a box picks for one request.
 
 use std::collections::{HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::catalog::Cold;
 use tidepier_core::server::State;
--- a/crates/relay/tests/relay/cold.rs
+++ b/crates/relay/tests/relay/cold.rs
@@ -5,10 +5,11 @@
 //! are those of a fleet of 78 boxes before 90 servers that bear 9.6 requests a
 //! second each while they are cold.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::ensure;
 use proptest::prelude::*;
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Cold;
 use tidepier_ids as ids;
 use tidepier_relay::cold::{Limit, Pace, Roster};
--- a/crates/relay/tests/relay/crashing.rs
+++ b/crates/relay/tests/relay/crashing.rs
@@ -8,10 +8,11 @@
 //! boxes: one request was at each server that ended, with one sending an attempt.
 
 use std::cell::{Cell, RefCell};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::server::State;
 use tidepier_relay::content::{Content, Parts};
 use tidepier_relay::crash::table::REFUSED_MIN;
@@ -106,17 +107,17 @@
     }
 
     /// When requests with a body reached a server, in order.
-    pub(crate) fn sendings(&self, body: &[u8]) -> Vec<Instant> {
+    pub(crate) fn sendings(&self, body: &[u8]) -> Vec<std::time::Instant> {
         let all = self.all.borrow();
         let runs = all.iter().flat_map(Server::runs);
         let these = runs.filter(|run| run.body.as_deref() == Some(body));
-        let mut sent: Vec<Instant> = these.map(|run| run.arrived).collect();
+        let mut sent: Vec<std::time::Instant> = these.map(|run| run.arrived).collect();
         sent.sort();
         sent
     }
 
     /// When servers ended that ran a request with a body, in order.
-    pub(crate) fn ends(&self, body: &[u8]) -> Vec<Instant> {
+    pub(crate) fn ends(&self, body: &[u8]) -> Vec<std::time::Instant> {
         let all = self.all.borrow();
         let under = |server: &&Server| {
             let runs = server.runs();
@@ -124,7 +125,7 @@
             under.any(|run| run.body.as_deref() == Some(body))
         };
         let ended = all.iter().filter(under).filter_map(Server::crashed);
-        let mut ended: Vec<Instant> = ended.collect();
+        let mut ended: Vec<std::time::Instant> = ended.collect();
         ended.sort();
         ended
     }
--- a/crates/relay/tests/relay/crowd.rs
+++ b/crates/relay/tests/relay/crowd.rs
@@ -1,8 +1,9 @@
 //! What boxes have under way, added up for each of the others.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::ensure;
+use tidepier_clock::Instant;
 use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::traffic::log::Peer;
 use tidepier_relay::traffic::tally::{Sum, Tally, Told};
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -3,9 +3,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::eyre;
+use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
--- a/crates/relay/tests/relay/entries.rs
+++ b/crates/relay/tests/relay/entries.rs
@@ -1,10 +1,11 @@
 //! Servers' entries in the store: what a change of one does, and for how long
 //! its absence says nothing after trouble of the store.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::server::State;
 use tidepier_relay::follow::doubt::Doubt;
 use tidepier_relay_standin::server::Server;
--- a/crates/relay/tests/relay/hall.rs
+++ b/crates/relay/tests/relay/hall.rs
@@ -4,7 +4,7 @@
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::rc::Rc;
 use std::sync::atomic::{AtomicU32, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::ensure;
 use futures_lite::future;
@@ -12,6 +12,7 @@
 use serde_json::Value;
 use smol::net::{TcpListener, TcpStream};
 use smol::{LocalExecutor, Task, Timer};
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_relay::content::Content;
 use tidepier_relay::notice::Notice;
--- a/crates/relay/tests/relay/index.rs
+++ b/crates/relay/tests/relay/index.rs
@@ -1,9 +1,10 @@
 //! What a box remembers of where parts of prompts are kept, and which of it the
 //! others are told.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::ensure;
+use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_relay::fleet::Key;
 use tidepier_relay::traffic::coverage::Coverage;
--- a/crates/relay/tests/relay/lives.rs
+++ b/crates/relay/tests/relay/lives.rs
@@ -2,9 +2,10 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
+use tidepier_clock::Instant;
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_relay::emptied::List;
 use tidepier_relay::fleet::{Change, Fleet};
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -1,11 +1,12 @@
 //! How the boxes of a hall share what they know of the store: one reads it, the
 //! others ask that one, and no fault of the one costs a promise.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use futures_lite::FutureExt;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
 use tidepier_relay_standin::site::{Route, Site};
@@ -324,7 +325,7 @@
         let start = Instant::now();
         let machines = started(&executor, &site, 3).await?;
         // From now on a box that cannot vouch is passed over for 3 s.
-        Timer::at(start + START_TIME).await;
+        tidepier_clock::sleep_until(start + START_TIME).await;
         let (back, others) = (&machines[0], &machines[1..]);
         back.store.cut();
         let cut = Instant::now();
@@ -339,7 +340,7 @@
         ensure!(left.elapsed() < LEAVE_TIME, "{:?}", left.elapsed());
         let before = gone.runs().len();
         // The others come back to it while it still holds the entry as missing.
-        Timer::at(cut + ms(2_900)).await;
+        tidepier_clock::sleep_until(cut + ms(2_900)).await;
         back.store.mend();
         ensure!(back.knows(&gone), "the one cut off dropped a server");
         let (mut asked, mut heard) = (Vec::new(), 0);
--- a/crates/relay/tests/relay/places.rs
+++ b/crates/relay/tests/relay/places.rs
@@ -1,9 +1,10 @@
 //! Where the parts of prompts are placed: what boxes agree on without talking.
 
 use std::collections::{BTreeMap, HashMap, HashSet};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
+use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
 use tidepier_relay::fleet::Key;
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -1,9 +1,8 @@
 //! Requests that may not leave some regions.
 
-use std::time::Instant;
-
 use eyre::ensure;
 use serde_json::{json, Value};
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Homes;
 use tidepier_relay::choose::filter::{Filter, Regions};
 use tidepier_relay_standin::client::Answer;
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -262,7 +262,7 @@
             let relay = house.router.relay();
             let (fleet, index) = (&relay.fleet, &relay.traffic.index);
             let service = SERVICE.parse()?;
-            let now = Instant::now();
+            let now = tidepier_clock::Instant::now();
             let places = Places::new(fleet, &service, &prompt, index, &|_| true, now);
             Ok(places.lacking(Key::new(&id)).tokens())
         };
--- a/crates/relay/tests/relay/seeds.rs
+++ b/crates/relay/tests/relay/seeds.rs
@@ -1,10 +1,10 @@
 //! A box that starts while the store is down asks boxes of other halls.
 
 use std::net::{IpAddr, Ipv4Addr};
-use std::time::Instant;
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::site::{Route, Site};
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -1,9 +1,10 @@
 //! What boxes tell each other of the requests that they place, over all halls.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::request::Part;
 use tidepier_h1::Conn;
 use tidepier_relay::fleet::{Count, Key};
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -8,8 +8,9 @@
 use std::cell::RefCell;
 use std::collections::{BinaryHeap, HashMap, HashSet};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::catalog::Cold;
 use tidepier_core::request::{Part, Prompt};
--- a/crates/relay/tests/relay/sizes.rs
+++ b/crates/relay/tests/relay/sizes.rs
@@ -2,9 +2,10 @@
 //! when it starts, and its one thread serves nothing meanwhile.
 
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
+use tidepier_clock::Instant;
 use tidepier_core::server::{Server, State};
 use tidepier_relay::fleet::Fleet;
 use tidepier_relay::peer::message::Row;
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -2,10 +2,11 @@
 
 use std::net::SocketAddr;
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use serde_json::json;
+use tidepier_clock::Instant;
 use tidepier_core::server::{Server, State};
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
