--- a/crates/claims/src/pages.rs
+++ b/crates/claims/src/pages.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 use std::sync::{Arc, Mutex, Weak};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::channel::{self, Receiver, Sender};
-use smol::{Executor, Timer};
+use smol::Executor;
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 use tidepier_store::etcd::Client;
 
@@ -104,7 +105,7 @@
     let mut next = Instant::now();
     while let Ok(first) = inbox.recv().await {
         // A page that was quiet is written at once.
-        Timer::at(next).await;
+        tidepier_clock::sleep_until(next).await;
         next = Instant::now() + pause;
         let mut batch = vec![first];
         while batch.len() < BATCH {
--- a/crates/clock/src/instant.rs
+++ b/crates/clock/src/instant.rs
@@ -1,7 +1,7 @@
 //! The moment, and its clock.
 
 use std::cell::Cell;
-use std::ops::{Add, Sub};
+use std::ops::{Add, AddAssign, Sub};
 use std::time::Duration;
 
 use rustix::time::{clock_gettime, ClockId};
@@ -69,6 +69,12 @@
     }
 }
 
+impl AddAssign<Duration> for Instant {
+    fn add_assign(&mut self, time: Duration) {
+        *self = *self + time;
+    }
+}
+
 impl Sub<Duration> for Instant {
     type Output = Self;
 
--- a/crates/clock/src/sleep.rs
+++ b/crates/clock/src/sleep.rs
@@ -18,12 +18,10 @@
 /// one after the other.
 const SLACK: Duration = Duration::from_millis(20);
 
-thread_local! {
-    /// Notified when the machine goes on after it was suspended.
-    static RESUMED: Event = const { Event::new() };
-}
+/// Notified when the machine goes on after it was suspended.
+static RESUMED: Event = Event::new();
 
-/// Ends waits of this thread in time that were begun before the machine was suspended;
+/// Ends waits of this process in time that were begun before the machine was suspended;
 /// does not end. Without it they end late by that time.
 pub async fn watch() -> Infallible {
     let (mut counting, mut steady) = (Instant::now(), std::time::Instant::now());
@@ -32,7 +30,7 @@
         let advanced = counting.elapsed();
         counting = Instant::now();
         if advanced > steady.elapsed() + SLACK {
-            RESUMED.with(|resumed| resumed.notify(usize::MAX));
+            RESUMED.notify(usize::MAX);
         }
         steady = std::time::Instant::now();
     }
@@ -62,7 +60,7 @@
         Self {
             at,
             timer: Timer::after(until(at)),
-            resumed: RESUMED.with(Event::listen),
+            resumed: RESUMED.listen(),
         }
     }
 
@@ -96,7 +94,7 @@
                 return Poll::Ready(());
             }
             if resumed {
-                self.resumed = RESUMED.with(Event::listen);
+                self.resumed = RESUMED.listen();
             }
             let left = until(self.at);
             self.timer.set_after(left);
--- a/crates/core/src/work.rs
+++ b/crates/core/src/work.rs
@@ -1,8 +1,9 @@
 //! One admitted request, in the terms that it is placed, queued, repeated and
 //! resumed by.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
 use crate::catalog::Kind;
--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -9,13 +9,14 @@
 use std::pin::Pin;
 use std::sync::{Arc, Mutex};
 use std::task::{Context, Poll};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use async_h1::client::{decode, Encoder};
 use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
+use tidepier_clock::Instant;
 
 use crate::dial::{self, Dial};
 use crate::server::within;
--- a/crates/load/src/commands/decide.rs
+++ b/crates/load/src/commands/decide.rs
@@ -1,9 +1,10 @@
 //! `tidepier-load decide`: what the keeper's decision costs, called directly.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_config::document::{Load, Priority};
 use tidepier_ids as ids;
 use tidepier_placement::{Ask, Ended, Pool, Ticket, Verdict};
--- a/crates/membership/src/table.rs
+++ b/crates/membership/src/table.rs
@@ -2,9 +2,10 @@
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
 /// Time that a dead box stays in the table, so that an old rumor cannot bring
--- a/crates/placement/src/engine.rs
+++ b/crates/placement/src/engine.rs
@@ -1,6 +1,8 @@
 //! An engine as its pool's keeper counts it.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
 
 /// Time that an engine gets nothing after its first failure; doubled with
 /// each failure that follows soon, so that a flapping engine is damped.
--- a/crates/placement/src/pool.rs
+++ b/crates/placement/src/pool.rs
@@ -2,10 +2,11 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::num::NonZeroUsize;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lru::LruCache;
 use rand::Rng;
+use tidepier_clock::Instant;
 use tidepier_config::document::Load;
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
--- a/crates/placement/src/queue.rs
+++ b/crates/placement/src/queue.rs
@@ -1,8 +1,9 @@
 //! Requests that wait before a pool, served by weighted fair share.
 
 use std::collections::{BTreeMap, VecDeque};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_config::document::Priority;
 use tidepier_ids as ids;
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -8,6 +8,7 @@
 mod beliefs;
 mod choose;
 mod cold;
+mod crashes;
 mod crashing;
 mod crowd;
 mod desk;
--- a/crates/router/src/beats.rs
+++ b/crates/router/src/beats.rs
@@ -1,11 +1,12 @@
 //! Heartbeats to neighbours, suspicion, and the platform's list.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use rand::seq::SliceRandom;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 use tidepier_membership::{neighbours, State};
 use tidepier_placement::by_rendezvous;
--- a/crates/router/src/bin/tidepier-router.rs
+++ b/crates/router/src/bin/tidepier-router.rs
@@ -80,6 +80,7 @@
     set_metrics(recorder.handle());
     metrics::set_global_recorder(recorder)?;
     let executor = Arc::new(Executor::new());
+    executor.spawn(tidepier_clock::watch()).detach();
     let node = Node::start(settings, &executor).wrap_err("starting")?;
     log::info!("serving box={} hall={}", node.name(), node.hall());
     smol::block_on(executor.run(until_stopped(node)))
--- a/crates/router/src/deadline.rs
+++ b/crates/router/src/deadline.rs
@@ -1,8 +1,9 @@
 //! The deadline of a request.
 
 use std::future::Future;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::server::within;
 
--- a/crates/router/src/dialect/callers.rs
+++ b/crates/router/src/dialect/callers.rs
@@ -3,12 +3,13 @@
 use std::io;
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use http_types::{Method, Request};
 use smol::net::{TcpListener, TcpStream};
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_config::document::{Account, Document};
 use tidepier_config::key::Hash;
 use tidepier_errors::{Fault, Kind};
--- a/crates/router/src/document.rs
+++ b/crates/router/src/document.rs
@@ -3,10 +3,10 @@
 
 use std::collections::VecDeque;
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::Instant;
 
 use event_listener::{Event, EventListener};
 use serde_json::Value;
+use tidepier_clock::Instant;
 use tidepier_config::document::{Document, Record};
 use tidepier_ids as ids;
 
--- a/crates/router/src/keeper.rs
+++ b/crates/router/src/keeper.rs
@@ -6,10 +6,11 @@
 //! view, refuses; so a grant needs that asker and keeper agree on the keeper.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_config::document::{Document, State};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
--- a/crates/router/src/links.rs
+++ b/crates/router/src/links.rs
@@ -7,11 +7,12 @@
 use std::collections::HashMap;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use event_listener::Event;
 use smol::channel::{self, Receiver, Sender};
 use smol::lock::Mutex as AsyncMutex;
+use tidepier_clock::Instant;
 use tidepier_errors::Fault;
 use tidepier_ids as ids;
 use tidepier_placement::Grant;
--- a/crates/router/src/members.rs
+++ b/crates/router/src/members.rs
@@ -2,8 +2,8 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Instant;
 
+use tidepier_clock::Instant;
 use tidepier_membership::{Rumor, Sight, State};
 use tidepier_wire::frame::Hello;
 
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -2,11 +2,11 @@
 
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, Weak};
-use std::time::Instant;
 
 use event_listener::Event;
 use smol::Executor;
 use tidepier_claims::Pages;
+use tidepier_clock::Instant;
 use tidepier_config::document::Document;
 use tidepier_config::Settings;
 use tidepier_errors::{Fault, Kind};
--- a/crates/router/src/pools.rs
+++ b/crates/router/src/pools.rs
@@ -5,8 +5,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_config::document::Load;
 use tidepier_ids as ids;
 use tidepier_placement::{Ended, Pool, Ticket, Verdict};
--- a/crates/router/src/pressure.rs
+++ b/crates/router/src/pressure.rs
@@ -6,8 +6,9 @@
 
 use std::collections::HashMap;
 use std::sync::{Mutex, MutexGuard};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_config::document::Engine;
 use tidepier_ids as ids;
 use tidepier_wire::frame::Pressure;
--- a/crates/router/src/stop.rs
+++ b/crates/router/src/stop.rs
@@ -5,9 +5,10 @@
 //! stops listening after a grace, finishes its streams, and ends.
 
 use std::sync::Arc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_wire::Frame;
 
 use crate::node::Node;
--- a/crates/steward/src/bin/tidepier-steward.rs
+++ b/crates/steward/src/bin/tidepier-steward.rs
@@ -42,6 +42,7 @@
         // A second signal ends the process at once; the lease then lapses.
         signals.next().await;
     };
+    smol::spawn(tidepier_clock::watch()).detach();
     smol::block_on(steward.run().or(stopped));
     Ok(())
 }
--- a/crates/steward/src/duty.rs
+++ b/crates/steward/src/duty.rs
@@ -1,8 +1,9 @@
 //! The duty of a hall: a lease in the store with a fencing number.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
 use tidepier_core::store::{Item, Kept, LeaseId, Revision, Store, Swap, Write};
 use tidepier_errors::{Fault, Kind};
 use tidepier_ids as ids;
--- a/crates/steward/src/work.rs
+++ b/crates/steward/src/work.rs
@@ -1,9 +1,10 @@
 //! The steward's rounds.
 
 use std::sync::atomic::{AtomicBool, Ordering};
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_config::document::{Document, Engine, Record};
 use tidepier_config::Settings;
 use tidepier_core::store::Store;
--- a/tests/all/bound.rs
+++ b/tests/all/bound.rs
@@ -2,10 +2,11 @@
 //! count of what it granted.
 
 use std::collections::BTreeMap;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use proptest::prelude::*;
 use proptest_state_machine::{prop_state_machine, ReferenceStateMachine, StateMachineTest};
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 use tidepier_placement::{Ended, Grant, Pool, Ticket, Verdict};
 
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -6,6 +6,7 @@
 mod bound;
 mod claims;
 mod cli;
+mod clocks;
 mod documents;
 mod edges;
 mod harness;
--- a/tests/all/membership.rs
+++ b/tests/all/membership.rs
@@ -2,9 +2,10 @@
 //! rumors make equal tables, and nothing old wins over anything new.
 
 use std::collections::BTreeSet;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use proptest::prelude::*;
+use tidepier_clock::Instant;
 use tidepier_ids as ids;
 use tidepier_membership::{neighbours, Rumor, Sight, State, Table};
 
--- a/tests/all/placement.rs
+++ b/tests/all/placement.rs
@@ -1,7 +1,8 @@
 //! The promises of placement, one by one.
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use tidepier_clock::Instant;
 use tidepier_config::document::{Load, Policy, Priority};
 use tidepier_errors::Kind;
 use tidepier_ids as ids;
