Soak: requests that end their servers, suspended machines; stops and proofs by the right clock

What a seed decided before stays as it is.

The limit, the time between two proofs, and that of the list and the lease are waits by the clock that counts suspensions now.

--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_core::store::{Current, Event, Failure, Item, Revision, Scope, Store, Swap};
 use tidepier_platform::store::ENTRIES_MAX;
@@ -125,7 +124,7 @@
                 Ok(()) => {
                     pause.reset();
                     self.mark_reachable();
-                    Timer::after(self.bound(PROOF_PART)).await;
+                    tidepier_clock::sleep(self.bound(PROOF_PART)).await;
                 }
                 Err(failure) => {
                     self.failure("proof", &failure);
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -128,10 +128,9 @@
     /// Registers this box and keeps the list; does not end.
     pub async fn keep(self: Rc<Self>, relay: Rc<Relay>) {
         let mut lease = self.start(&relay).await;
-        let mut since_renewal = Duration::ZERO;
+        let mut renewed = Instant::now();
         loop {
-            Timer::after(LIST_TIME).await;
-            since_renewal += LIST_TIME;
+            tidepier_clock::sleep(LIST_TIME).await;
             match self.list(&relay, true).await {
                 Ok(Some(found)) => lease = found,
                 Ok(None) => {
@@ -143,8 +142,8 @@
                 }
                 Err(failure) => note(&failure, "list"),
             }
-            if since_renewal >= RENEW_TIME {
-                since_renewal = Duration::ZERO;
+            if renewed.elapsed() >= RENEW_TIME {
+                renewed = Instant::now();
                 self.renew(lease).await;
             }
         }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -8,7 +8,7 @@
 
 use eyre::WrapErr;
 use futures_lite::FutureExt;
-use smol::{LocalExecutor, Timer};
+use smol::LocalExecutor;
 use tidepier_clock::Instant;
 use tidepier_h1::Listener;
 use tidepier_platform::store::Client;
@@ -273,7 +273,8 @@
     relay.stop.advance(Phase::Leaving);
     let limit = within.saturating_sub(STOP_MARGIN);
     let over = async {
-        Timer::after(limit).await;
+        // The platform's patience goes on while the machine is suspended.
+        tidepier_clock::sleep(limit).await;
         log::warn!(
             target: "process",
             "event=stop_time_over requests={}",
@@ -281,7 +282,7 @@
         );
     };
     let finished = async {
-        Timer::after(NOTICE_TIME).await;
+        tidepier_clock::sleep(NOTICE_TIME).await;
         relay.stop.advance(Phase::Closing);
         while relay.stop.requests() > 0 {
             relay.stop.changed.wait().await;
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -37,6 +37,15 @@
     /// Empties halls of servers beside what the seeds decide.
     #[arg(long)]
     emptied_halls: bool,
+    /// Requests end the servers that run them beside what the seeds decide.
+    #[arg(long)]
+    crashing_requests: bool,
+    /// Machines are suspended beside what the seeds decide.
+    #[arg(long, requires = "steady")]
+    suspensions: bool,
+    /// The library of `steady/steady.c`, which makes a steady clock stand still.
+    #[arg(long)]
+    steady: Option<PathBuf>,
     /// The relay's program; beside this one by default.
     #[arg(long)]
     relay: Option<PathBuf>,
@@ -126,6 +135,8 @@
         relay,
         folder,
         emptied_halls: arguments.emptied_halls,
+        crashing_requests: arguments.crashing_requests,
+        steady: arguments.steady.clone().filter(|_| arguments.suspensions),
     };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -14,6 +14,8 @@
     pub server: server::Settings,
     /// Its record.
     pub run: Run,
+    /// When the server crashed.
+    pub crashed: Option<Instant>,
 }
 
 /// Records by the id of their attempt, each in the order of arrival.
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -29,6 +29,8 @@
 pub enum Signal {
     /// SIGSTOP, later SIGCONT.
     Freeze,
+    /// The same, of which its steady clock knows nothing.
+    Suspend,
     /// SIGTERM; started again once it has ended.
     Terminate,
     /// SIGKILL; started again later.
@@ -97,6 +99,8 @@
     Server(usize, Server),
     /// All requests go wrong at all servers.
     Servers(server::Fault),
+    /// A request ends the servers that run it, and is sent again and again.
+    Crashing(usize),
     /// The configuration changes.
     Config(Config),
 }
@@ -113,6 +117,7 @@
             Fault::Server(_, Server::Faulty(fault)) => named("server", fault),
             Fault::Servers(fault) => named("servers", fault),
             Fault::Server(_, server) => named("server", server),
+            Fault::Crashing(_) => "requests_crashing".into(),
             Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
             Fault::Config(config) => named("config", config),
         }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -4,11 +4,13 @@
 //! a view of its own, in which every other box stands with the address of the
 //! way from here to there.
 
+mod guilty;
 mod machine;
 mod plan;
 mod servers;
 mod steps;
 
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -70,6 +72,10 @@
     peers: Vec<Vec<Way>>,
     backends: Mutex<Vec<Arc<Backend>>>,
     keys: Mutex<Vec<String>>,
+    /// Bodies of requests that end their servers.
+    guilty: Mutex<Vec<Vec<u8>>>,
+    /// Servers that ended so and whose place another one has.
+    replaced: Mutex<HashSet<String>>,
     marks: AtomicU32,
     named: AtomicU32,
 }
@@ -97,7 +103,12 @@
     /// # Errors
     ///
     /// A port or program cannot be used, or a box does not become ready.
-    pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
+    pub async fn start(
+        schedule: &Schedule,
+        relay: &Path,
+        steady: Option<&Path>,
+        folder: &Path,
+    ) -> eyre::Result<Running> {
         let site = Site::start()?;
         plan::declare(&site);
         let peers: Vec<SocketAddr> = (0..schedule.boxes)
@@ -111,6 +122,8 @@
             peers: Vec::new(),
             backends: Mutex::default(),
             keys: Mutex::new(Vec::new()),
+            guilty: Mutex::default(),
+            replaced: Mutex::default(),
             marks: AtomicU32::new(0),
             named: AtomicU32::new(0),
         };
@@ -132,6 +145,12 @@
                 "bounds": crate::rule::bound::settings(),
             });
             let machine = fleet.machine(place, *peer, &peers, settings, relay, folder)?;
+            let machine = match steady {
+                Some(library) => {
+                    machine.suspendable(library, folder.join(format!("box-{place}.still")))?
+                }
+                None => machine,
+            };
             fleet.machines.push(machine);
         }
         let fleet = Arc::new(fleet);
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -53,6 +53,9 @@
             events: (service == STREAM).then_some(EVENTS),
             ..Settings::default()
         })?;
+        for body in lock(&self.guilty).iter() {
+            server.end_on(body);
+        }
         let way = Way::open(server.address())?;
         let backend = Backend { server, way };
         self.announce(&backend, State::Ready);
@@ -75,9 +78,11 @@
         for backend in self.backends() {
             let server = backend.server.settings();
             let runs = backend.server.runs().into_iter();
+            let crashed = backend.server.crashed();
             seen.extend(runs.map(|run| Seen {
                 server: server.clone(),
                 run,
+                crashed,
             }));
         }
         seen
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -50,6 +50,7 @@
             Fault::Store(store) => self.fault_store(store, step.lasts).await,
             Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
             Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
+            Fault::Crashing(number) => self.insist(number, step.lasts).await?,
             Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
         }
@@ -73,7 +74,9 @@
             Fault::Server(_, Server::Join | Server::Leave) | Fault::Config(_) => {
                 (vec![Place::Fleet], true)
             }
-            Fault::Server(..) | Fault::Servers(_) => (vec![Place::Server], false),
+            Fault::Server(..) | Fault::Servers(_) | Fault::Crashing(_) => {
+                (vec![Place::Server], false)
+            }
         }
     }
 
@@ -104,7 +107,14 @@
             fault::Signal::Freeze => {
                 machine.signal(Signal::STOP)?;
                 Timer::after(lasts).await;
-                machine.signal(Signal::CONT)?;
+                if !machine.is_suspended() {
+                    machine.signal(Signal::CONT)?;
+                }
+            }
+            fault::Signal::Suspend => {
+                machine.suspend()?;
+                Timer::after(lasts).await;
+                machine.resume()?;
             }
             fault::Signal::Reload => {
                 let extra = 20 + lasts.as_millis() as u64 % 5;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,7 +9,7 @@
 use tidepier_relay_standin::client::Answer;
 
 use crate::evidence::{self, Evidence, Seen};
-use crate::lock;
+use crate::{load, lock};
 
 /// A kind of request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -64,6 +64,8 @@
     pub id: String,
     /// Its kind.
     pub traffic: Traffic,
+    /// What it asks, where other attempts ask the same; else each asks its own.
+    pub asks: Option<String>,
     /// The box it went to.
     pub place: usize,
     /// Its key.
@@ -77,6 +79,18 @@
 }
 
 impl Attempt {
+    /// Its path.
+    pub fn target(&self) -> String {
+        load::target(self.traffic, self.asks.as_ref().unwrap_or(&self.id))
+    }
+
+    /// Its body.
+    pub fn body(&self) -> &[u8] {
+        self.asks
+            .as_ref()
+            .map_or(load::BODY, |asks| asks.as_bytes())
+    }
+
     /// Whether it was answered whole with a success.
     pub fn served(&self) -> bool {
         let answer = self.answer.as_ref();
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -143,6 +143,7 @@
         let attempt = Attempt {
             id,
             traffic,
+            asks: None,
             place: self.place,
             key,
             sent: Instant::now(),
--- a/crates/soak/src/rule/beliefs.rs
+++ b/crates/soak/src/rule/beliefs.rs
@@ -165,7 +165,7 @@
 
 /// Whether the box of a request, and the store, had been undisturbed for long
 /// enough, up to when it reached a server.
-fn is_in_touch(evidence: &Evidence, attempt: &Attempt, arrived: Instant) -> bool {
+pub(super) fn is_in_touch(evidence: &Evidence, attempt: &Attempt, arrived: Instant) -> bool {
     let from = before(attempt.sent, bound::CONTACT);
     !evidence.disturbed(from, arrived, |found| {
         matches!(found.place, Place::Store) || found.place == Place::Box(attempt.place)
--- a/crates/soak/src/rule/bound.rs
+++ b/crates/soak/src/rule/bound.rs
@@ -19,6 +19,10 @@
 pub const REVOKE: Duration = Duration::from_secs(4);
 /// A box is in touch after so long without a disturbance.
 pub const CONTACT: Duration = Duration::from_secs(3);
+/// Servers that end under a request before all boxes have to know of it.
+pub const ENDS: usize = 3;
+/// Sendings of it that are borne later, by all boxes together.
+pub const LATE_SENDINGS: usize = 3;
 /// A request that was read this long ago may not be lost by planned work.
 pub const LOSS_SLACK: Duration = Duration::from_millis(200);
 /// After a version showed, no older one may show later than this.
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -7,6 +7,7 @@
 mod beliefs;
 pub mod bound;
 mod boxes;
+mod crashing;
 mod load;
 mod planned;
 mod runs;
@@ -45,6 +46,8 @@
     Leaving,
     /// A hall that is to be empty gets nothing new after its bound.
     Emptied,
+    /// A request that ended three servers reaches no more than a few.
+    Crashing,
     /// In calm, no server is loaded far above the others.
     Crowd,
     /// Repeats stay within their share.
@@ -59,7 +62,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 17] = [
+    pub const ALL: [Rule; 18] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -72,6 +75,7 @@
         Rule::Apply,
         Rule::Leaving,
         Rule::Emptied,
+        Rule::Crashing,
         Rule::Crowd,
         Rule::Retries,
         Rule::Recovery,
@@ -122,6 +126,7 @@
         planned::judge(evidence, &mut verdict);
         beliefs::judge(evidence, &mut verdict);
         load::judge(evidence, &mut verdict);
+        crashing::judge(evidence, &mut verdict);
         boxes::judge(evidence, &mut verdict);
         verdict
     }
--- a/crates/soak/src/rule/runs.rs
+++ b/crates/soak/src/rule/runs.rs
@@ -64,10 +64,14 @@
 /// What a server got that the client did not send.
 fn changed(seen: &Seen, attempt: &Attempt) -> Option<&'static str> {
     let run = &seen.run;
-    if run.target != load::target(attempt.traffic, &attempt.id) {
+    if run.target != attempt.target() {
         return Some("another path");
     }
-    if run.body.as_deref().is_some_and(|body| body != load::BODY) {
+    if run
+        .body
+        .as_deref()
+        .is_some_and(|body| body != attempt.body())
+    {
         return Some("another body");
     }
     if run.field("Authorization").is_some() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -72,6 +72,11 @@
     pub folder: PathBuf,
     /// Whether halls of servers are emptied beside what the seed decides.
     pub emptied_halls: bool,
+    /// Whether requests end their servers beside it.
+    pub crashing_requests: bool,
+    /// The library that makes a steady clock stand still, if machines are suspended
+    /// beside it.
+    pub steady: Option<PathBuf>,
 }
 
 /// Runs one seed.
@@ -85,12 +90,20 @@
         true => schedule.with_emptied_halls(),
         false => schedule,
     };
+    let schedule = match place.crashing_requests {
+        true => schedule.with_crashing_requests(),
+        false => schedule,
+    };
+    let schedule = match place.steady {
+        Some(_) => schedule.with_suspensions(),
+        None => schedule,
+    };
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
     fs::write(folder.join("schedule.txt"), format!("{schedule:#?}\n"))?;
     let begun = Instant::now();
-    let fleet = Fleet::start(&schedule, &place.relay, &folder).await?;
+    let fleet = Fleet::start(&schedule, &place.relay, place.steady.as_deref(), &folder).await?;
     let judged = judge_often(fleet.clone(), begun);
     let played = async {
         play(&fleet, &schedule).await?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -35,6 +35,18 @@
 const EMPTIED: usize = 3;
 /// Makes the choice of emptied halls another one than that of the other faults.
 const EMPTIED_SEED: u64 = 0x656d_7074_6965_6421;
+/// Requests that end their servers in a run where there are some.
+const CRASHING: usize = 2;
+/// Makes their choice another one than that of the other faults.
+const CRASHING_SEED: u64 = 0x6372_6173_6869_6e67;
+/// How long they are sent, in ms: beyond the time after which all boxes know.
+const INSIST_MS: Range<u64> = 6_500..9_000;
+/// How often machines are suspended in a run where they are.
+const SUSPENDED: usize = 3;
+/// Makes that choice another one.
+const SUSPENDED_SEED: u64 = 0x7375_7370_656e_6465;
+/// How long a machine is suspended, in ms: beyond the bound on keys.
+const SUSPENDED_MS: Range<u64> = 500..7_000;
 /// Delays of a slow way or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -98,6 +110,42 @@
     }
 }
 
+impl Schedule {
+    /// The same, and requests end their servers beside it.
+    pub fn with_crashing_requests(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ CRASHING_SEED);
+        let first: usize = rng.random_range(0..4);
+        let steps = (0..CRASHING).map(|number| Step {
+            at: ms(&mut rng, SPAN_MS),
+            lasts: ms(&mut rng, INSIST_MS),
+            fault: Fault::Crashing(first + number),
+        });
+        let steps: Vec<Step> = steps.collect();
+        self.with(steps)
+    }
+
+    /// The same, and machines are suspended beside it.
+    pub fn with_suspensions(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ SUSPENDED_SEED);
+        let boxes = self.boxes;
+        let steps = (0..SUSPENDED).map(|_| Step {
+            at: ms(&mut rng, SPAN_MS),
+            lasts: ms(&mut rng, SUSPENDED_MS),
+            fault: Fault::Process(rng.random_range(0..boxes), Signal::Suspend),
+        });
+        let steps: Vec<Step> = steps.collect();
+        self.with(steps)
+    }
+
+    /// The same with more steps: what the seed decided before stays as it is.
+    fn with(self, more: Vec<Step>) -> Self {
+        let mut steps = self.steps;
+        steps.extend(more);
+        steps.sort_by_key(|step| step.at);
+        Self { steps, ..self }
+    }
+}
+
 fn ms(rng: &mut ChaCha8Rng, range: Range<u64>) -> Duration {
     Duration::from_millis(rng.random_range(range))
 }
--- a/crates/soak/src/way.rs
+++ b/crates/soak/src/way.rs
@@ -76,7 +76,7 @@
 pub struct Way {
     address: SocketAddr,
     state: Arc<State>,
-    _task: Task<()>,
+    task: Mutex<Option<Task<()>>>,
 }
 
 impl Way {
@@ -113,7 +113,7 @@
         Ok(Self {
             address,
             state,
-            _task: task,
+            task: Mutex::new(Some(task)),
         })
     }
 
@@ -122,6 +122,11 @@
         self.address
     }
 
+    /// Ends it with its connections: nobody listens there any more.
+    pub fn close(&self) {
+        lock(&self.task).take();
+    }
+
     /// Begins a harm.
     pub fn harm(&self, harm: Harm) {
         lock(&self.state.harms).push(harm);
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -45,6 +45,7 @@
         let number = self.ledger.sent(Attempt {
             id: id.into(),
             traffic,
+            asks: None,
             place: 0,
             key: (traffic == Traffic::Keyed).then(|| "key-0".into()),
             sent: self.at(second),
@@ -89,7 +90,11 @@
             prefilled: 0,
             made: Vec::new(),
         };
-        self.seen.push(Seen { server, run });
+        self.seen.push(Seen {
+            server,
+            run,
+            crashed: None,
+        });
     }
 
     fn evidence(&self) -> Evidence {
