--- a/crates/relay/tests/relay/suspended.rs
+++ b/crates/relay/tests/relay/suspended.rs
@@ -9,6 +9,7 @@
 use eyre::ensure;
 use smol::Timer;
 use tidepier_clock::suspend;
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::Fault;
 
 use crate::hall::{self, keyed, with_key, Machine, REVOKE_TIME};
@@ -85,3 +86,35 @@
         Ok(())
     })
 }
+
+/// The platform ends a process so long after it asked it to stop, and goes on counting
+/// while the machine stands still.
+#[test]
+fn the_limit_of_a_stop_goes_on_meanwhile() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
+        hall::ready(std::slice::from_ref(&machine)).await?;
+        server.fault(Fault::Hang, u32::MAX);
+        let call = with_key("stays", "hangs").with(names::DEADLINE, "30000");
+        let hangs = async {
+            machine.call(&call).await?;
+            std::future::pending::<Result>().await
+        };
+        let stopped = async {
+            until("running", async || Ok(server.running() == 1)).await?;
+            let start = std::time::Instant::now();
+            let stop = machine.router.stop();
+            let suspends = async {
+                Timer::after(ms(100)).await;
+                suspend(SUSPENDED);
+                std::future::pending().await
+            };
+            futures_lite::future::or(stop, suspends).await;
+            ensure!(start.elapsed() < ms(2_000), "after {:?}", start.elapsed());
+            Ok(())
+        };
+        futures_lite::future::or(stopped, hangs).await
+    })
+}
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -41,11 +41,8 @@
     #[arg(long)]
     crashing_requests: bool,
     /// Machines are suspended beside what the seeds decide.
-    #[arg(long, requires = "steady")]
-    suspensions: bool,
-    /// The library of `steady/steady.c`, which makes a steady clock stand still.
     #[arg(long)]
-    steady: Option<PathBuf>,
+    suspensions: bool,
     /// The relay's program; beside this one by default.
     #[arg(long)]
     relay: Option<PathBuf>,
@@ -136,7 +133,7 @@
         folder,
         emptied_halls: arguments.emptied_halls,
         crashing_requests: arguments.crashing_requests,
-        steady: arguments.steady.clone().filter(|_| arguments.suspensions),
+        suspensions: arguments.suspensions,
     };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -29,7 +29,7 @@
 pub enum Signal {
     /// SIGSTOP, later SIGCONT.
     Freeze,
-    /// The same, of which its steady clock knows nothing.
+    /// The same for longer than anything is believed, and beside other such signals.
     Suspend,
     /// SIGTERM; started again once it has ended.
     Terminate,
--- a/crates/soak/src/fleet/machine.rs
+++ b/crates/soak/src/fleet/machine.rs
@@ -1,20 +1,18 @@
 //! A box: its process, which may end and be started again, and its ways.
 
-use std::fs::File;
 use std::net::SocketAddr;
-use std::os::unix::fs::FileExt;
-use std::path::{Path, PathBuf};
+use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::Mutex;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 use std::{fs, io};
 
 use rustix::process::Signal;
 use serde_json::Value;
 
 use crate::lock;
-use crate::process::{Level, Process, Steady};
+use crate::process::{Level, Process};
 use crate::way::Way;
 
 pub(super) struct Machine {
@@ -22,10 +20,8 @@
     file: PathBuf,
     log: PathBuf,
     settings: Mutex<Value>,
-    /// What makes its steady clock stand still, where machines are suspended.
-    steady: Option<Steady>,
-    /// How often it is suspended at once, and since when.
-    suspended: Mutex<Option<(u32, Instant)>>,
+    /// How often it is suspended at once.
+    suspended: Mutex<u32>,
     process: Mutex<Option<Process>>,
     /// Its process is to end, or is being started again.
     busy: AtomicBool,
@@ -52,7 +48,6 @@
             file,
             log,
             settings: Mutex::new(settings),
-            steady: None,
             suspended: Mutex::default(),
             process: Mutex::default(),
             busy: AtomicBool::new(false),
@@ -63,57 +58,28 @@
         }
     }
 
-    /// The same on a machine that may be suspended: `library` is preloaded into the
-    /// process, and `file` tells it for how long the machine stood still.
-    pub(super) fn suspendable(mut self, library: &Path, file: PathBuf) -> io::Result<Self> {
-        fs::write(&file, 0i64.to_ne_bytes())?;
-        self.steady = Some(Steady {
-            library: library.into(),
-            file,
-        });
-        Ok(self)
-    }
-
     /// Whether the machine is suspended.
     pub(super) fn is_suspended(&self) -> bool {
-        lock(&self.suspended).is_some()
+        *lock(&self.suspended) > 0
     }
 
     /// Suspends the machine; once more where it is.
     pub(super) fn suspend(&self) -> io::Result<()> {
         let mut suspended = lock(&self.suspended);
-        let (times, since) = suspended.unwrap_or((0, Instant::now()));
-        *suspended = Some((times + 1, since));
+        *suspended += 1;
         self.signal(Signal::STOP)
     }
 
     /// Ends a suspension, and lets the machine go on after the last one.
     pub(super) fn resume(&self) -> io::Result<()> {
         let mut suspended = lock(&self.suspended);
-        let Some((times, since)) = *suspended else {
-            return Ok(());
-        };
-        *suspended = (times > 1).then_some((times - 1, since));
-        if suspended.is_some() {
+        *suspended = suspended.saturating_sub(1);
+        if *suspended > 0 {
             return Ok(());
         }
-        self.stood_still(since.elapsed())?;
         self.signal(Signal::CONT)
     }
 
-    /// Records that the machine stood still for so long.
-    fn stood_still(&self, time: Duration) -> io::Result<()> {
-        let Some(Steady { file, .. }) = &self.steady else {
-            return Ok(());
-        };
-        let before = fs::read(file)?.try_into().map(i64::from_ne_bytes);
-        let before = before.map_err(|_| io::Error::other("no count of nanoseconds"))?;
-        let now = before + i64::try_from(time.as_nanos()).unwrap_or(i64::MAX);
-        // In place: the process has the file mapped.
-        let file = File::options().write(true).open(file)?;
-        file.write_all_at(&now.to_ne_bytes(), 0)
-    }
-
     /// Starts its process.
     pub(super) fn start(&self) -> io::Result<()> {
         let mut slot = lock(&self.process);
@@ -121,8 +87,7 @@
             return Ok(());
         }
         self.write()?;
-        let steady = self.steady.as_ref();
-        let process = Process::start(&self.program, &self.file, &self.log, steady)?;
+        let process = Process::start(&self.program, &self.file, &self.log)?;
         *slot = Some(process);
         Ok(())
     }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -103,12 +103,7 @@
     /// # Errors
     ///
     /// A port or program cannot be used, or a box does not become ready.
-    pub async fn start(
-        schedule: &Schedule,
-        relay: &Path,
-        steady: Option<&Path>,
-        folder: &Path,
-    ) -> eyre::Result<Running> {
+    pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
         let site = Site::start()?;
         plan::declare(&site);
         let peers: Vec<SocketAddr> = (0..schedule.boxes)
@@ -145,12 +140,6 @@
                 "bounds": crate::rule::bound::settings(),
             });
             let machine = fleet.machine(place, *peer, &peers, settings, relay, folder)?;
-            let machine = match steady {
-                Some(library) => {
-                    machine.suspendable(library, folder.join(format!("box-{place}.still")))?
-                }
-                None => machine,
-            };
             fleet.machines.push(machine);
         }
         let fleet = Arc::new(fleet);
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -5,7 +5,7 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::path::{Path, PathBuf};
+use std::path::Path;
 use std::process::{Child, Command, Stdio};
 use std::time::{Duration, Instant};
 
@@ -31,34 +31,15 @@
     pub threads: u64,
 }
 
-/// What makes a process's steady clock stand still with its machine.
-#[derive(Debug, Clone)]
-pub struct Steady {
-    /// The library, built of `steady/steady.c`.
-    pub library: PathBuf,
-    /// Tells the library for how long the machine stood still, in nanoseconds.
-    pub file: PathBuf,
-}
-
 impl Process {
     /// Starts a relay on a settings file; its log is appended to `log`.
     ///
     /// # Errors
     ///
     /// The program or the log cannot be opened.
-    pub fn start(
-        program: &Path,
-        settings: &Path,
-        log: &Path,
-        steady: Option<&Steady>,
-    ) -> io::Result<Self> {
+    pub fn start(program: &Path, settings: &Path, log: &Path) -> io::Result<Self> {
         let out = File::options().create(true).append(true).open(log)?;
-        let mut command = Command::new(program);
-        if let Some(Steady { library, file }) = steady {
-            command.env("LD_PRELOAD", library);
-            command.env("TIDEPIER_STOOD_STILL", file);
-        }
-        let child = command
+        let child = Command::new(program)
             .args(["--log", "info", "--settings"])
             .arg(settings)
             .stdin(Stdio::null())
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -74,9 +74,8 @@
     pub emptied_halls: bool,
     /// Whether requests end their servers beside it.
     pub crashing_requests: bool,
-    /// The library that makes a steady clock stand still, if machines are suspended
-    /// beside it.
-    pub steady: Option<PathBuf>,
+    /// Whether machines are suspended beside it.
+    pub suspensions: bool,
 }
 
 /// Runs one seed.
@@ -94,16 +93,16 @@
         true => schedule.with_crashing_requests(),
         false => schedule,
     };
-    let schedule = match place.steady {
-        Some(_) => schedule.with_suspensions(),
-        None => schedule,
+    let schedule = match place.suspensions {
+        true => schedule.with_suspensions(),
+        false => schedule,
     };
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
     fs::write(folder.join("schedule.txt"), format!("{schedule:#?}\n"))?;
     let begun = Instant::now();
-    let fleet = Fleet::start(&schedule, &place.relay, place.steady.as_deref(), &folder).await?;
+    let fleet = Fleet::start(&schedule, &place.relay, &folder).await?;
     let judged = judge_often(fleet.clone(), begun);
     let played = async {
         play(&fleet, &schedule).await?;
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -40,12 +40,25 @@
 
     /// A request of box 0 that got an answer of this status and body.
     fn sent(&self, id: &str, traffic: Traffic, second: f64, status: u16, body: &[u8]) {
+        self.asked(id, None, traffic, second, status, body);
+    }
+
+    /// The same of a request that asks what others ask too, if it does.
+    fn asked(
+        &self,
+        id: &str,
+        asks: Option<&str>,
+        traffic: Traffic,
+        second: f64,
+        status: u16,
+        body: &[u8],
+    ) {
         let fields = [(names::ATTEMPT, id), (names::SEAL, id)];
         let fields = fields.map(|(name, value)| (name.to_string(), value.to_string()));
         let number = self.ledger.sent(Attempt {
             id: id.into(),
             traffic,
-            asks: None,
+            asks: asks.map(Into::into),
             place: 0,
             key: (traffic == Traffic::Keyed).then(|| "key-0".into()),
             sent: self.at(second),
@@ -54,7 +67,7 @@
         });
         let answer = Answer {
             status,
-            fields: fields[..if status == 503 { 1 } else { 2 }].to_vec(),
+            fields: fields[..if status >= 502 { 1 } else { 2 }].to_vec(),
             body: body.to_vec(),
             complete: true,
             end: End::Open,
@@ -261,3 +274,44 @@
     let late = with_emptied_hall(&[("late", 7.5)]);
     assert_eq!(late.broken(), [Rule::Emptied]);
 }
+
+/// One content ends servers at 5, 6 and 7 s, and reaches more of them later.
+fn with_ended_servers(later: &[f64]) -> Case {
+    let mut case = Case::new();
+    let ends = [5.0, 6.0, 7.0].map(|second| (second, true));
+    let later = later.iter().map(|second| (*second, false));
+    for (number, (second, ends)) in ends.into_iter().chain(later).enumerate() {
+        let id = format!("guilty-{number}");
+        case.ran(&id, Traffic::Repeatable, second, "plain");
+        case.asked(&id, Some("guilty"), Traffic::Repeatable, second, 502, b"");
+        let crashed = case.at(second + 0.1);
+        if let Some(seen) = case.seen.last_mut() {
+            seen.run.target = load::target(Traffic::Repeatable, "guilty");
+            seen.run.body = Some(b"guilty".to_vec());
+            seen.run.outcome = Outcome::Running;
+            seen.crashed = ends.then_some(crashed);
+        }
+    }
+    case
+}
+
+#[test]
+fn a_request_that_goes_on_ending_servers_is_found() {
+    // Boxes know of the third end at 10.1 s, and three sendings more are borne.
+    let borne = [8.0, 8.5, 9.0, 9.5, 10.0, 10.2, 11.0, 12.0];
+    assert_eq!(with_ended_servers(&borne).broken(), []);
+    let late = with_ended_servers(&[10.2, 11.0, 12.0, 13.0]);
+    assert_eq!(late.broken(), [Rule::Crashing]);
+}
+
+#[test]
+fn a_box_that_was_away_may_not_have_heard_of_such_a_request() {
+    let case = with_ended_servers(&[]);
+    // Its clients' requests arrive while this goes on.
+    case.ledger.begin(Place::Box(0), "process_freeze", false);
+    let now = case.begun.elapsed().as_secs_f64();
+    let mut late = with_ended_servers(&[now + 0.1, now + 0.2, now + 0.3, now + 0.4]);
+    assert_eq!(late.broken(), [Rule::Crashing]);
+    late.ledger = case.ledger;
+    assert!(!late.broken().contains(&Rule::Crashing));
+}
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -54,3 +54,20 @@
         assert!(more.steps.iter().any(|step| is_emptied(&step)));
     }
 }
+
+#[test]
+fn crashing_requests_and_suspensions_leave_the_other_faults_as_they_are() {
+    let added = ["requests_crashing", "process_suspend"];
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_crashing_requests().with_suspensions();
+        let is_added = |step: &&Step| added.contains(&step.fault.name().as_str());
+        let others = more.steps.iter().filter(|step| !is_added(step));
+        assert!(others.eq(plain.steps.iter()), "seed {seed}");
+        assert!(more.steps.is_sorted_by_key(|step| step.at));
+        for name in added {
+            let count = more.steps.iter().filter(|step| step.fault.name() == name);
+            assert!(count.count() > 1, "seed {seed}: {name}");
+        }
+    }
+}
