--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -3,8 +3,8 @@
 //!
 //! A request may end each server that begins to run it, and its client sends it
 //! again, as a new attempt, to any box. Without a memory of its content each attempt
-//! costs a server, and each server the requests of the other callers there: in one
-//! minute, 25 servers and about 5 requests of others each.
+//! costs a server, and each server the requests of the other callers there: in the
+//! incident that showed it 25 servers, and about 5 requests of others each.
 //!
 //! * [`suspects`]: requests whose sending broke off, by server.
 //! * `inquiry`: finds out whether such a server ended.
