--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -81,6 +81,19 @@
     ticket: Option<Ticket>,
 }
 
+impl Drop for Line {
+    /// A crash resets the connections: an answer that ends with its connection would
+    /// look whole otherwise.
+    fn drop(&mut self) {
+        if self.shared.lock().crashed.is_none() {
+            return;
+        }
+        if let Err(error) = self.conn.writer().reset_on_close() {
+            log::debug!("already closed: {error}");
+        }
+    }
+}
+
 impl Line {
     async fn serve(&mut self) -> io::Result<Next> {
         loop {
--- a/crates/relay-standin/tests/standin/server.rs
+++ b/crates/relay-standin/tests/standin/server.rs
@@ -394,3 +394,30 @@
         }
     });
 }
+
+/// An answer without a length ends with its connection; that of a server that crashes
+/// within it must not look whole.
+#[test]
+fn a_crash_resets_an_answer_that_ends_with_its_connection() {
+    smol::block_on(async {
+        let server = Server::start(Settings {
+            events: Some(Events {
+                count: 40,
+                pause: ms(20),
+            }),
+            ..Settings::default()
+        })
+        .unwrap();
+        server.fault(Fault::Unframed, u32::MAX);
+        let crash = async {
+            while server.running() == 0 {
+                Timer::after(ms(5)).await;
+            }
+            Timer::after(ms(100)).await;
+            server.crash();
+        };
+        let (answer, ()) = smol::future::zip(sent(&server, post("cut")), crash).await;
+        assert_eq!((answer.status, answer.complete), (200, false));
+        assert_eq!(answer.end, End::Reset);
+    });
+}
