--- a/crates/relay/tests/relay/answers.rs
+++ b/crates/relay/tests/relay/answers.rs
@@ -1,6 +1,7 @@
 //! Answers reach clients as their servers made them, or not at all.
 
 use eyre::{bail, ensure};
+use futures_lite::future;
 use smol::Timer;
 use tidepier_relay_standin::client::{Answer, Call, Payload};
 use tidepier_relay_standin::names;
@@ -8,7 +9,9 @@
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::Client;
 
-use crate::house::{self, ms, post, run, site, streaming, usual, whole, Executor, House, Result};
+use crate::house::{
+    self, ms, post, run, site, streaming, until, usual, whole, Executor, House, Result,
+};
 use crate::raw::{self, Raw};
 
 #[test]
@@ -131,6 +134,34 @@
     })
 }
 
+/// Seen in the soak: streams without a length, whose servers crashed, ended at their
+/// clients as whole ones do. The router knew better and asked for a reset, but ended its
+/// own side of the connection first, which to such a client is the answer's end. Proved
+/// by its log (`broken`) beside what the client got.
+#[test]
+fn a_stream_without_a_length_whose_server_crashes_does_not_look_whole() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let server = site.server(streaming(1, 40, ms(20)))?;
+        let house = House::open(executor, site).await?;
+        server.fault(Fault::Unframed, u32::MAX);
+        let crash = async {
+            until("running", async || Ok(server.running() == 1)).await?;
+            Timer::after(ms(150)).await;
+            server.crash();
+            Result::Ok(())
+        };
+        let call = post("/u/x", "cut");
+        let (answer, ()) = future::try_zip(house.call(&call), crash).await?;
+        ensure!(
+            answer.status == 200 && !answer.body.is_empty(),
+            "{answer:?}"
+        );
+        ensure!(!answer.complete, "it looks whole: {answer:?}");
+        Ok(())
+    })
+}
+
 /// An answer is the right one, or no success.
 fn right_or_none(answer: &Answer, servers: &[&Server], attempt: &str) -> Result {
     if (200..300).contains(&answer.status) {
--- a/crates/soak/src/fleet/guilty.rs
+++ b/crates/soak/src/fleet/guilty.rs
@@ -13,6 +13,7 @@
 use super::Fleet;
 use crate::ledger::{Attempt, Traffic};
 use crate::lock;
+use crate::way::Harm;
 
 /// Pause between two sendings.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -83,7 +84,11 @@
                 if !self.ended_guilty(&backend) {
                     continue;
                 }
-                // Nobody listens there any more.
+                // Nobody listens there any more, and what was open is reset.
+                if !backend.way.is(Harm::Reset) {
+                    backend.way.harm(Harm::Reset);
+                    continue;
+                }
                 backend.way.close();
                 let over = backend.server.crashed();
                 let over = over.is_some_and(|at| at.elapsed() > BACK_TIME);
--- a/crates/soak/src/way.rs
+++ b/crates/soak/src/way.rs
@@ -127,6 +127,11 @@
         lock(&self.task).take();
     }
 
+    /// Whether it is harmed so.
+    pub fn is(&self, wanted: Harm) -> bool {
+        self.state.is(|harm| harm == wanted)
+    }
+
     /// Begins a harm.
     pub fn harm(&self, harm: Harm) {
         lock(&self.state.harms).push(harm);
