A broken answer without a length is reset, not ended

Cause: abort asked for a reset at the close of the connection, and the client's task then ended its side (FIN) and lingered as after any answer that closes: for a client of an answer without a length that is its end. Now End::Reset: the connection is dropped as it is. Chunked answers, which are incomplete without their last chunk, are ended as before. Looked for elsewhere: plain answers are read whole before they go out; other ends of a connection follow whole answers.

--- a/crates/relay/src/callers.rs
+++ b/crates/relay/src/callers.rs
@@ -108,9 +108,18 @@
         at,
     };
     let end = answer(relay, conn, &arrival, writer).await;
-    if end == End::Close {
-        writer.finish();
-        linger(conn).await;
+    match end {
+        End::Keep => {}
+        End::Close => {
+            writer.finish();
+            linger(conn).await;
+        }
+        // Ending this side first would tell the client that the answer is whole.
+        End::Reset => {
+            if let Err(error) = writer.reset_on_close() {
+                log::info!(target: "request", "event=already_closed why=\"{error}\"");
+            }
+        }
     }
     end
 }
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -41,6 +41,8 @@
     Keep,
     /// It is to be closed.
     Close,
+    /// It is to be reset, as its end would make a broken answer look whole.
+    Reset,
 }
 
 /// A request as it arrived.
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/stream/series.rs
@@ -45,6 +45,16 @@
         }
     }
 
+    /// What becomes of the connection of an answer that cannot be completed. A chunked
+    /// one without its last chunk is incomplete in itself.
+    fn broken(&self) -> End {
+        if self.chunked {
+            End::Close
+        } else {
+            End::Reset
+        }
+    }
+
     fn length(&self) -> Length {
         if self.chunked {
             Length::Chunked
@@ -97,7 +107,7 @@
         };
         let Some(next) = next else {
             note_broken(exchange, &backend, resumable, events.last());
-            return Ok(abort(exchange, &client));
+            return Ok(client.broken());
         };
         metrics::counter!("tidepier_streams_resumed_total").increment(1);
         events.rest();
@@ -116,17 +126,6 @@
     metrics::counter!("tidepier_streams_broken_total").increment(1);
 }
 
-/// Ends an answer that cannot be completed so that it does not look complete.
-fn abort(exchange: &Exchange<'_>, client: &Client) -> End {
-    // A chunked answer without its last chunk is incomplete in itself.
-    if !client.chunked {
-        if let Err(error) = exchange.writer.reset_on_close() {
-            log::info!(target: "request", "event=already_closed why=\"{error}\"");
-        }
-    }
-    End::Close
-}
-
 async fn finish(
     exchange: &Exchange<'_>,
     client: &Client,
