--- a/crates/relay/tests/relay/crashing.rs
+++ b/crates/relay/tests/relay/crashing.rs
@@ -5,7 +5,8 @@
 //! each time as a new attempt, and each box placed it on the next server. Cause: a
 //! box knew a request by its attempt alone, so that nothing said that it had been
 //! here, or at another box, and what its servers came to. Proved by the logs of the
-//! boxes: one request was at each server that ended, with one sending an attempt.
+//! boxes, where a request of one account about one subject was at each server that
+//! ended, with one sending an attempt; and by the first test here.
 
 use std::cell::{Cell, RefCell};
 use std::time::Duration;
