Read once more: one piece where two stood; no behaviour changed

Left: the near/far starts of emptied.rs and the plans of cold.rs, which look alike and are the cases themselves.

Tests keep their assertions.

--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -174,6 +174,12 @@
         !matches!(self.outcome, Outcome::Waiting | Outcome::Refused(_))
     }
 
+    /// Whether the server began work on it and did not end that: it still does, or it
+    /// crashed meanwhile.
+    pub fn is_open(&self) -> bool {
+        self.ran() && self.ended.is_none()
+    }
+
     /// Whether it waited or was worked on at a moment after its arrival.
     pub fn held_at(&self, at: Instant) -> bool {
         self.arrived < at && self.ended.is_none_or(|ended| ended > at)
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -60,25 +60,22 @@
 
     /// Takes over what another box told.
     pub(crate) fn take(&self, rows: &[Row], now: Instant) {
-        self.table
-            .take(rows, now)
-            .into_iter()
-            .map(Some)
-            .for_each(tell);
+        tell(self.table.take(rows, now));
     }
 }
 
-fn tell(change: Option<Change>) {
-    match change {
-        Some(Change::Refused(content, ends, left)) => log::warn!(
-            target: "request",
-            "event=content_refused content={content} ends={ends} for_s={}",
-            left.as_secs()
-        ),
-        Some(Change::Cleared(content)) => {
-            log::info!(target: "request", "event=content_passes content={content}");
+fn tell(changes: impl IntoIterator<Item = Change>) {
+    for change in changes {
+        match change {
+            Change::Refused(content, ends, left) => log::warn!(
+                target: "request",
+                "event=content_refused content={content} ends={ends} for_s={}",
+                left.as_secs()
+            ),
+            Change::Cleared(content) => {
+                log::info!(target: "request", "event=content_passes content={content}");
+            }
         }
-        None => {}
     }
 }
 
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -111,13 +111,13 @@
 }
 
 impl End {
-    fn report(&mut self, sum: &Sum, most: usize, news: News) -> Report {
+    fn report(&mut self, sum: &Sum, most: usize, news: News, crashes: Vec<table::Row>) -> Report {
         Report {
             boxes: sum.boxes,
             counts: self.told.changes(sum, most),
             rows: news.rows,
             untold: news.untold,
-            crashes: Vec::new(),
+            crashes,
         }
     }
 
@@ -162,10 +162,7 @@
             number: ask.number,
             is_hub: relay.traffic.is_hub(),
             place: news.place,
-            report: Report {
-                crashes,
-                ..self.report(&sum, most, news)
-            },
+            report: self.report(&sum, most, news, crashes),
         }
     }
 }
@@ -274,11 +271,8 @@
                 let sum = relay.under_way_from_here(Instant::now());
                 let news = relay.traffic.rows_for_hub();
                 let told = news.place;
-                let report = Report {
-                    crashes: end.crashes(relay, table::Told::All, HUB_CRASHES_MAX),
-                    ..end.report(&sum, usize::MAX, news)
-                };
-                (report, Some(told))
+                let crashes = end.crashes(relay, table::Told::All, HUB_CRASHES_MAX);
+                (end.report(&sum, usize::MAX, news, crashes), Some(told))
             }
             Asker::Hub => (Report::default(), None),
         };
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod crowd;
 mod desk;
 mod emptied;
+mod ending;
 mod entries;
 mod hall;
 mod house;
--- a/crates/relay/tests/relay/suspended.rs
+++ b/crates/relay/tests/relay/suspended.rs
@@ -10,14 +10,24 @@
 use smol::Timer;
 use tidepier_clock::suspend;
 use tidepier_relay_standin::names;
-use tidepier_relay_standin::server::Fault;
+use tidepier_relay_standin::server::{Fault, Server};
+use tidepier_relay_standin::site::Site;
 
 use crate::hall::{self, keyed, with_key, Machine, REVOKE_TIME};
-use crate::house::{ms, run, until, usual, Result};
+use crate::house::{ms, run, until, usual, Executor, Result};
 
 /// Longer than anything is believed that others may change.
 const SUSPENDED: Duration = Duration::from_secs(8);
 
+/// A site with a server, and one box, which is ready.
+async fn alone(executor: &Executor) -> Result<(Site, Server, Machine)> {
+    let site = keyed()?;
+    let server = site.server(usual(1))?;
+    let machine = Machine::start(executor, &site, "box-0", "hall-1", 5_000).await?;
+    hall::ready(std::slice::from_ref(&machine)).await?;
+    Ok((site, server, machine))
+}
+
 /// Suspends a box while something happens elsewhere.
 async fn suspended(machine: &Machine, meanwhile: impl AsyncFnOnce() -> Result) -> Result {
     machine.freeze(true);
@@ -30,10 +40,7 @@
 #[test]
 fn a_key_that_was_taken_away_meanwhile_opens_nothing() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let server = site.server(usual(1))?;
-        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
-        hall::ready(std::slice::from_ref(&machine)).await?;
+        let (site, server, machine) = alone(&executor).await?;
         suspended(&machine, async || {
             // Nothing that is said meanwhile comes through afterwards either.
             machine.store.silence();
@@ -63,10 +70,7 @@
 #[test]
 fn a_request_whose_time_was_over_meanwhile_is_answered_at_once() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let server = site.server(usual(1))?;
-        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
-        hall::ready(std::slice::from_ref(&machine)).await?;
+        let (_site, server, machine) = alone(&executor).await?;
         server.fault(Fault::Hang, u32::MAX);
         let call = with_key("stays", "held");
         let held = async {
@@ -92,10 +96,7 @@
 #[test]
 fn the_limit_of_a_stop_goes_on_meanwhile() -> Result {
     run(async |executor| {
-        let site = keyed()?;
-        let server = site.server(usual(1))?;
-        let machine = Machine::start(&executor, &site, "box-0", "hall-1", 5_000).await?;
-        hall::ready(std::slice::from_ref(&machine)).await?;
+        let (_site, server, machine) = alone(&executor).await?;
         server.fault(Fault::Hang, u32::MAX);
         let call = with_key("stays", "hangs").with(names::DEADLINE, "30000");
         let hangs = async {
--- a/crates/soak/src/fleet/guilty.rs
+++ b/crates/soak/src/fleet/guilty.rs
@@ -12,13 +12,11 @@
 use super::servers::Backend;
 use super::Fleet;
 use crate::ledger::{Attempt, Traffic};
-use crate::lock;
 use crate::way::Harm;
+use crate::{load, lock};
 
 /// Pause between two sendings.
 const PAUSE: Duration = Duration::from_millis(250);
-/// When a client gives up.
-const LEAVE: Duration = Duration::from_millis(4_600);
 /// Time between two looks for servers that ended.
 const LOOK: Duration = Duration::from_millis(20);
 /// Time after which another server takes the place of one that ended.
@@ -66,7 +64,7 @@
                 answer: None,
             };
             let call = Call::new("POST", HOST, &attempt.target(), &attempt.id);
-            let call = call.body(attempt.body()).leaving(LEAVE);
+            let call = call.body(attempt.body()).leaving(load::LEAVE);
             let front = self.front(attempt.place);
             let noted = self.ledger.sent(attempt);
             let answer = Client::once(front, &call).await;
@@ -108,7 +106,7 @@
         }
         let guilty = lock(&self.guilty).clone();
         let runs = backend.server.runs();
-        let mut under = runs.iter().filter(|run| run.ran() && run.ended.is_none());
+        let mut under = runs.iter().filter(|run| run.is_open());
         under.any(|run| run.body.as_ref().is_some_and(|body| guilty.contains(body)))
     }
 }
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -30,7 +30,7 @@
 const SURPLUS_TIME: Duration = Duration::from_millis(100);
 /// When a client gives up: beyond the deadline that it names, so that a late
 /// answer is seen.
-const LEAVE: Duration = Duration::from_millis(4_600);
+pub const LEAVE: Duration = Duration::from_millis(4_600);
 /// Of how many requests one goes over a new connection.
 const FRESH: f64 = 0.1;
 /// Body of requests.
--- a/crates/soak/src/rule/crashing.rs
+++ b/crates/soak/src/rule/crashing.rs
@@ -46,6 +46,5 @@
 
 /// When the server ended while it ran this.
 fn end(seen: &Seen) -> Option<Instant> {
-    let runs = seen.run.ran() && seen.run.ended.is_none();
-    seen.crashed.filter(|_| runs)
+    seen.crashed.filter(|_| seen.run.is_open())
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,19 +84,16 @@
 ///
 /// The fleet could not be started or handled; this says nothing of its rules.
 pub async fn seed(seed: u64, place: &Place) -> eyre::Result<Outcome> {
-    let schedule = Schedule::new(seed);
-    let schedule = match place.emptied_halls {
-        true => schedule.with_emptied_halls(),
-        false => schedule,
-    };
-    let schedule = match place.crashing_requests {
-        true => schedule.with_crashing_requests(),
-        false => schedule,
-    };
-    let schedule = match place.suspensions {
-        true => schedule.with_suspensions(),
-        false => schedule,
-    };
+    let mut schedule = Schedule::new(seed);
+    if place.emptied_halls {
+        schedule = schedule.with_emptied_halls();
+    }
+    if place.crashing_requests {
+        schedule = schedule.with_crashing_requests();
+    }
+    if place.suspensions {
+        schedule = schedule.with_suspensions();
+    }
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -99,14 +99,12 @@
     /// before stays as it is.
     pub fn with_emptied_halls(self) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ EMPTIED_SEED);
-        let mut steps = self.steps;
-        steps.extend((0..EMPTIED).map(|_| Step {
+        let steps = (0..EMPTIED).map(|_| Step {
             at: ms(&mut rng, SPAN_MS),
             lasts: ms(&mut rng, LASTS_MS),
             fault: Fault::Config(Config::EmptyHall(rng.random_range(0..SERVER_HALLS))),
-        }));
-        steps.sort_by_key(|step| step.at);
-        Self { steps, ..self }
+        });
+        self.with(steps)
     }
 }
 
@@ -120,7 +118,6 @@
             lasts: ms(&mut rng, INSIST_MS),
             fault: Fault::Crashing(first + number),
         });
-        let steps: Vec<Step> = steps.collect();
         self.with(steps)
     }
 
@@ -133,12 +130,11 @@
             lasts: ms(&mut rng, SUSPENDED_MS),
             fault: Fault::Process(rng.random_range(0..boxes), Signal::Suspend),
         });
-        let steps: Vec<Step> = steps.collect();
         self.with(steps)
     }
 
     /// The same with more steps: what the seed decided before stays as it is.
-    fn with(self, more: Vec<Step>) -> Self {
+    fn with(self, more: impl Iterator<Item = Step>) -> Self {
         let mut steps = self.steps;
         steps.extend(more);
         steps.sort_by_key(|step| step.at);
