Sight: what an answer says of its server is decoded and logged

Decoded into fields of their own; no decision reads them yet. That a server leaves is passed on to clients as before; the test of what clients get holds it.

--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -4,6 +4,9 @@
 
 use tidepier_ids as ids;
 
+/// Status by which a server turns a request away.
+const TURNED_AWAY: u16 = 503;
+
 /// The head of a server's answer.
 #[derive(Debug, Clone, Default)]
 pub struct Answer {
@@ -16,6 +19,10 @@
     /// Whether the server states that the request did not run there and never
     /// will.
     pub not_run: bool,
+    /// Whether the server says that it leaves: it takes nothing new.
+    pub leaving: bool,
+    /// The server that answers, where it names itself.
+    pub server: Option<Box<str>>,
     /// How busy the server is, where it reports that.
     pub load: Option<Load>,
     /// When the server asks not to be tried before.
@@ -26,6 +33,15 @@
     pub close: bool,
 }
 
+impl Answer {
+    /// For how long the server wants nothing from who asked it. Only a 503 says that
+    /// of the server; what a 429 or an error of its own asks for is the request's.
+    pub fn rest(&self) -> Option<Duration> {
+        let asked = self.retry_after.filter(|time| !time.is_zero());
+        asked.filter(|_| self.status == TURNED_AWAY)
+    }
+}
+
 /// How busy a server says it is.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Load {
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
+use tidepier_core::answer::Answer;
 use tidepier_platform::answer;
 
 use super::Exchange;
@@ -40,6 +41,23 @@
         );
     }
 
+    /// Logs what a server says of itself with an answer.
+    pub(super) fn note_said(&self, backend: &Backend, answer: &Answer) {
+        if !answer.leaving && answer.rest().is_none() {
+            return;
+        }
+        log::info!(
+            target: "request",
+            "event=said id={} server={} named={} status={} leaving={} rest_ms={}",
+            self.request.attempt,
+            backend.server.id,
+            answer.server.as_deref().unwrap_or("-"),
+            answer.status,
+            answer.leaving,
+            answer.rest().map_or(0, |time| time.as_millis()),
+        );
+    }
+
     /// Id of the last part of the prompt that is shared; 0 without one.
     fn subject(&self) -> u64 {
         let prompt = self.request.prompt.as_ref();
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -90,6 +90,9 @@
             attempt::send(&backend, &sending).await
         };
         waiting.over();
+        if let Ok(reply) = &result {
+            self.note_said(&backend, &reply.answer);
+        }
         self.sent += 1;
         self.tried.push(backend.server.id.clone());
         Ok((backend, result))
--- a/crates/relay/tests/platform/answer.rs
+++ b/crates/relay/tests/platform/answer.rs
@@ -13,6 +13,7 @@
 Content-Type: text/event-stream
 Weight-Versions: 3
 Server-Load: 3, 0,8
+Server-Leaving: 1
 Instance-Id: i-1
 Not-Executed: 1
 Keep-Alive: 7
@@ -27,6 +28,8 @@
     assert_eq!(answer.attempt.as_deref(), Some("1"));
     assert!(answer.signed);
     assert!(answer.not_run);
+    assert!(answer.leaving);
+    assert_eq!(answer.server.as_deref(), Some("i-1"));
     let load = Load {
         running: 3,
         waiting: 0,
@@ -77,6 +80,58 @@
     assert_eq!(retry_after("Sun, 06 Nov 1994 08:49:37 GMT"), None);
 }
 
+#[test]
+fn a_server_says_that_it_leaves_in_one_way() {
+    let leaving = |field: &str| answer::decode(&head(&format!("HTTP/1.1 200 OK\n{field}"))).leaving;
+    assert!(leaving("Server-Leaving: 1"));
+    assert!(leaving("server-leaving:  1 "));
+    for field in [
+        "Server-Leaving: 0",
+        "Server-Leaving:",
+        "Server-Leaving: yes",
+        "Leaving: 1",
+    ] {
+        assert!(!leaving(field), "{field}");
+    }
+}
+
+#[test]
+fn rest_is_asked_for_by_a_503_alone() {
+    let rest = |text: &str| answer::decode(&head(&format!("HTTP/1.1 {text}"))).rest();
+    assert_eq!(
+        rest("503 Full\nRetry-After: 2.5"),
+        Some(Duration::from_millis(2_500))
+    );
+    assert_eq!(
+        rest("503 Full\nRetry-After: 86400"),
+        Some(Duration::from_secs(86_400))
+    );
+    assert_eq!(
+        rest("503 Full\nRetry-After: 31536000"),
+        Some(Duration::from_secs(31_536_000))
+    );
+    for asked in [
+        "",
+        "0",
+        "-3",
+        "NaN",
+        "inf",
+        "soon",
+        "1e300",
+        "Sun, 06 Nov 1994 08:49:37 GMT",
+    ] {
+        assert_eq!(
+            rest(&format!("503 Full\nRetry-After: {asked}")),
+            None,
+            "{asked}"
+        );
+    }
+    assert_eq!(rest("503 Full"), None);
+    for status in ["429 Busy", "500 Oops", "200 OK", "421 Elsewhere"] {
+        assert_eq!(rest(&format!("{status}\nRetry-After: 3")), None, "{status}");
+    }
+}
+
 #[test]
 fn malformed_loads_are_absent() {
     for load in ["3,0", "3,0,8,1", "a,b,c", ""] {
@@ -85,11 +140,13 @@
     }
 }
 
+/// That a server leaves is passed on: the platform's pages say so.
 const PASSED_ON: &str = "HTTP/1.1 200 OK
 Attempt-Id: 1
 Response-Seal: abc
 Content-Type: text/event-stream
 Weight-Versions: 3
+Server-Leaving: 1
 ";
 
 #[test]
