Red: a server whose answers say that it leaves goes on getting requests

The stand-in's servers can say it in all answers, health checks and lists included, and ask for rest. With the store away, a server of two that says it in each answer got 95 requests later than 2 s after its first word; none is allowed.

--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -21,8 +21,11 @@
         self.end(at, Outcome::Refused(status));
         let attempt = self.run(at, |run| run.attempt.clone());
         let load = self.load();
+        let rest = self.shared.lock().rest.clone().filter(|_| status == 503);
         let mut fields = vec![(names::ATTEMPT, &*attempt), (names::LOAD, &*load)];
         fields.extend_from_slice(with);
+        fields.extend(self.leaving());
+        fields.extend(rest.as_deref().map(|rest| (names::RETRY_AFTER, rest)));
         if !self.shared.settings.tells_load {
             fields.remove(1);
         }
@@ -39,6 +42,7 @@
             fields.push((names::LOAD, &load));
         }
         fields.extend_from_slice(with);
+        fields.extend(self.leaving());
         front::head(status, &fields)
     }
 
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -204,6 +204,10 @@
     slow: f64,
     idle_close: Option<Duration>,
     unwell: bool,
+    /// Whether its answers say that it leaves.
+    leaving: bool,
+    /// What it asks for, in seconds, when it turns a request away.
+    rest: Option<String>,
     runs: Vec<Run>,
     kept: HashMap<u64, u32>,
     /// A list of kept parts that takes the place of the true one.
@@ -288,6 +292,8 @@
             slow: 1.0,
             idle_close: None,
             unwell: false,
+            leaving: false,
+            rest: None,
             runs: Vec::new(),
             kept: HashMap::new(),
             told_kept: None,
@@ -346,13 +352,26 @@
         self.shared.lock().fault = Some((fault, count));
     }
 
-    /// Ends faults, darkness, slowness, early closing, bad health and what requests end.
+    /// Says in all answers that it leaves, or no longer.
+    pub fn leave(&self, leaving: bool) {
+        self.shared.lock().leaving = leaving;
+    }
+
+    /// Asks for rest with each 503, as a text of seconds, or no longer.
+    pub fn ask_rest(&self, seconds: Option<&str>) {
+        self.shared.lock().rest = seconds.map(str::to_owned);
+    }
+
+    /// Ends faults, darkness, slowness, early closing, bad health, what its answers
+    /// say of it and what requests end.
     pub fn heal(&self) {
         let mut state = self.shared.lock();
         state.fault = None;
         state.slow = 1.0;
         state.idle_close = None;
         state.unwell = false;
+        state.leaving = false;
+        state.rest = None;
         state.ends_on.clear();
         drop(state);
         self.dark(false);
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -171,16 +171,24 @@
         format!("{},{},{}", load.running, load.waiting, load.slots)
     }
 
+    /// The field by which each answer of a server that leaves says so.
+    pub(super) fn leaving(&self) -> Option<(&'static str, &'static str)> {
+        let leaving = self.shared.lock().leaving;
+        leaving.then_some((names::LEAVING, "1"))
+    }
+
     fn health(&self) -> Vec<u8> {
         let load = self.load();
-        let id = (names::INSTANCE, &*self.shared.settings.id);
+        let leaving = self.leaving();
+        let mut fields = vec![(names::INSTANCE, &*self.shared.settings.id)];
+        fields.extend(leaving);
         let busy = self.shared.desk.is_full();
-        if busy || self.shared.lock().unwell {
-            let not_run = (names::NOT_RUN, "1");
-            let fields: &[_] = if busy { &[id, not_run] } else { &[id] };
-            return front::answer(503, fields, b"");
+        if busy || self.shared.lock().unwell || leaving.is_some() {
+            fields.extend(busy.then_some((names::NOT_RUN, "1")));
+            return front::answer(503, &fields, b"");
         }
-        front::answer(200, &[id, (names::LOAD, &load)], b"")
+        fields.push((names::LOAD, &load));
+        front::answer(200, &fields, b"")
     }
 
     fn report(&self) -> Vec<u8> {
@@ -191,8 +199,7 @@
             "models": [{ "name": "m", "version": 1, "adapters": [] }],
             "queued": load.waiting, "active": load.running, "kv_used": 0, "kv_total": 90_000,
         });
-        let fields = [("Content-Type", "application/json")];
-        front::answer(200, &fields, report.to_string().as_bytes())
+        self.listed(report.to_string().as_bytes())
     }
 
     /// The parts of prompts that it keeps, each as a row.
@@ -202,8 +209,16 @@
         let held: Vec<_> = state.kept.iter().map(row).collect();
         let list = json!({ "epoch": 1, "next_token": held.len(), "held": held });
         let list = list.to_string().into_bytes();
-        let body = state.told_kept.as_ref().unwrap_or(&list);
-        front::answer(200, &[("Content-Type", "application/json")], body)
+        let body = state.told_kept.clone().unwrap_or(list);
+        drop(state);
+        self.listed(&body)
+    }
+
+    /// An answer in JSON to what is no request of a client.
+    fn listed(&self, body: &[u8]) -> Vec<u8> {
+        let mut fields = vec![("Content-Type", "application/json")];
+        fields.extend(self.leaving());
+        front::answer(200, &fields, body)
     }
 
     /// Takes a request in: its record, and its fault if one is due.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -20,6 +20,7 @@
 mod impostors;
 mod index;
 mod keys;
+mod leaving;
 mod limits;
 mod lives;
 mod load;
