What a box knows of a server by requests alone fades with time

Cause: the share of failed requests, the time to an answer and, for want of one, a figure of 60 ms changed with requests only, and what they cost kept requests away. A refusal cost nothing at all. Mend: the share of failures halves in 3 s, the time beyond the usual in 8 s, a server of which no time is known is reckoned with the median of the others, and each request that a server turned away lately costs as one past its slots, halved in 0.5 s.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -35,6 +35,10 @@
 const FAILING_MS: f64 = 2_000.0;
 /// Share of failures above the others' mean that is no evidence.
 const FAILING_SLACK: f64 = 0.15;
+/// Cost of each request that a server turned away lately, in ms: it would have waited
+/// for a place there, as one past an engine's slots. With two servers of a box's hall
+/// that turn all away and an idle one elsewhere, 22 of 120 requests were served before.
+const TURNED_MS: f64 = 40.0;
 /// Cost of a server in a hall that seems to be cut off, in ms: over that of
 /// reading the longest prompts elsewhere.
 const SILENT_HALL_MS: f64 = 3_000.0;
@@ -101,7 +105,7 @@
     now: Instant,
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
-    let failing = mean_failing(&servers);
+    let failing = mean_failing(&servers, now);
     match ask.prompt {
         Some(prompt) => {
             let candidate = |backend: &Backend| {
@@ -115,8 +119,9 @@
             Engines::new(&group, ask, prompt, &places, failing, now).cheapest()
         }
         None => {
+            let usual = usual_ms(&servers);
             let open = servers.iter().filter(|backend| is_open(backend, ask, now));
-            cheapest(open.map(|backend| plain(backend, ask, failing, now)))
+            cheapest(open.map(|backend| plain(backend, usual, ask, failing, now)))
         }
     }
 }
@@ -131,9 +136,26 @@
     backend.own() < ask.connections && ask.filter.admits(backend, now)
 }
 
-fn plain(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> Choice {
+/// The median time to an answer of a plain service's servers, in ms. It is reckoned with
+/// where none is known or the known one is old: a figure of its own would keep requests
+/// from a server that got none, for as long as the others have room.
+fn usual_ms(servers: &[Rc<Backend>]) -> f64 {
+    let times = servers.iter().filter_map(|it| it.health.time_ms());
+    let mut times: Vec<f64> = times.collect();
+    times.sort_by(f64::total_cmp);
+    let middle = times.len().saturating_sub(1) / 2;
+    times.get(middle).copied().unwrap_or(PLAIN_MS)
+}
+
+fn plain(
+    backend: &Rc<Backend>,
+    usual_ms: f64,
+    ask: &Ask<'_>,
+    failing: f64,
+    now: Instant,
+) -> Choice {
     let load = f64::from(backend.own());
-    let time = backend.health.time_ms().unwrap_or(PLAIN_MS);
+    let time = backend.health.expected_ms(usual_ms, now);
     // Of equal costs, chance decides.
     let jitter = fastrand::f64();
     let cost = time * (load + 1.0) + jitter + common(backend, ask, failing, now);
@@ -151,15 +173,18 @@
 
 /// Mean share of recent failures at the servers of a service: trouble that all
 /// have is no reason to prefer one.
-fn mean_failing(servers: &[Rc<Backend>]) -> f64 {
-    let rates = servers.iter().map(|backend| backend.health.failure_rate());
+fn mean_failing(servers: &[Rc<Backend>], now: Instant) -> f64 {
+    let rates = servers
+        .iter()
+        .map(|backend| backend.health.failure_rate(now));
     rates.sum::<f64>() / servers.len().max(1) as f64
 }
 
 /// Costs that hold for every kind of server.
 fn common(backend: &Rc<Backend>, ask: &Ask<'_>, failing: f64, now: Instant) -> f64 {
-    let excess = backend.health.failure_rate() - failing - FAILING_SLACK;
+    let excess = backend.health.failure_rate(now) - failing - FAILING_SLACK;
     let mut cost = FAILING_MS * excess.max(0.0);
+    cost += TURNED_MS * backend.health.turned_lately(now);
     if backend.server.hall != *ask.hall {
         cost += backend.hall.way_ms().unwrap_or(OTHER_HALL_MS) + breaking(ask);
     }
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -61,8 +61,12 @@
         if failure.cause.may_be_end() {
             self.relay.crashes.suspects.add(backend, self.content);
         }
-        if let Cause::Refused(answer::MISDIRECTED) = failure.cause {
-            self.relay.fleet.supplant(&backend.server.id);
+        match failure.cause {
+            Cause::Refused(answer::MISDIRECTED) => {
+                self.relay.fleet.supplant(&backend.server.id);
+            }
+            Cause::Refused(_) => backend.health.turned_away(Instant::now()),
+            _ => {}
         }
         log::info!(
             target: "request",
@@ -73,7 +77,7 @@
             failure.cause,
             failure.ran,
             self.arrival.at.elapsed().as_millis(),
-            backend.health.failure_rate(),
+            backend.health.failure_rate(Instant::now()),
         );
         metrics::counter!("tidepier_send_failures_total", "why" => failure.cause.name())
             .increment(1);
@@ -120,7 +124,7 @@
             self.relay.crashes.answered(self.content);
         }
         if let Some(took) = self.beginning(first) {
-            backend.health.took(took);
+            backend.health.took(took, Instant::now());
         }
         self.note_answered(backend, status, first);
     }
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -3,6 +3,10 @@
 //! Only requests count: a health check may be wrong either way, for all callers
 //! or for some. A server that fails several requests in a row is left out for a
 //! while, then tried with one request.
+//!
+//! What requests show fades with time. A server that is avoided for it gets none that
+//! could show anything else: without that, three of four boxes sent all streams to one of
+//! three servers for as long as they were watched, ten seconds after the others failed.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -20,6 +24,16 @@
 const PROBE_TIME: Duration = Duration::from_secs(2);
 /// Weight of the newest result in the failure rate.
 const RATE_WEIGHT: f64 = 0.15;
+/// Time in which the share of failures halves while no request shows anything: what
+/// fails for a part of requests does so for some seconds.
+const RATE_HALVES: Duration = Duration::from_secs(3);
+/// The same for the time to an answer beyond the usual one: a slow server is found out
+/// about anew by one request of a box in some half a minute.
+const TIME_HALVES: Duration = Duration::from_secs(8);
+/// The same for requests that were turned away: a place comes free when one ends.
+const TURNED_HALVES: Duration = Duration::from_millis(500);
+/// Most refusals in a row that count.
+const TURNED_MAX: f64 = 8.0;
 /// Age of the newest time after which times no longer count.
 const TIMED_WITHIN: Duration = Duration::from_secs(4);
 /// Weight of the newest time in the mean time to an answer.
@@ -39,6 +53,28 @@
     Silent,
 }
 
+/// A figure that was set at one moment and fades from then on.
+#[derive(Debug, Default)]
+struct Fading(Cell<Option<(f64, Instant)>>);
+
+impl Fading {
+    fn set(&self, value: f64, now: Instant) {
+        self.0.set(Some((value, now)));
+    }
+
+    /// What is left of it; it halves in each time of `halves`.
+    fn left(&self, halves: Duration, now: Instant) -> f64 {
+        let set = self.0.get();
+        set.map_or(0.0, |(value, at)| value * part_left(at, halves, now))
+    }
+}
+
+/// The part that is left of what was so at `at` and halves in each time of `halves`.
+fn part_left(at: Instant, halves: Duration, now: Instant) -> f64 {
+    let age = now.saturating_duration_since(at).as_secs_f64();
+    0.5f64.powf(age / halves.as_secs_f64())
+}
+
 /// A server's record.
 #[derive(Debug, Default)]
 pub struct Health {
@@ -47,7 +83,9 @@
     out_until: Cell<Option<Instant>>,
     /// When a request was last sent to it after it was left out.
     probed: Cell<Option<Instant>>,
-    failure_rate: Cell<f64>,
+    failure_rate: Fading,
+    /// Requests that it turned away since it took one.
+    turned: Fading,
     /// Mean time to an answer in ms.
     time_ms: Cell<Option<f64>>,
     /// When an answer last began.
@@ -59,9 +97,10 @@
     pub fn record(&self, outcome: Outcome, now: Instant) {
         self.probed.set(None);
         let failed = outcome != Outcome::Good;
-        let rate = self.failure_rate.get();
+        let rate = self.failure_rate(now);
         let sample = if failed { 1.0 } else { 0.0 };
-        self.failure_rate.set(rate + RATE_WEIGHT * (sample - rate));
+        let rate = rate + RATE_WEIGHT * (sample - rate);
+        self.failure_rate.set(rate, now);
         if !failed {
             self.in_row.set(0);
             self.rests.set(0);
@@ -81,11 +120,23 @@
     }
 
     /// Records the time to an answer, without that of reading a prompt.
-    pub fn took(&self, time: Duration) {
+    pub fn took(&self, time: Duration, now: Instant) {
+        self.turned.set(0.0, now);
         let sample = time.as_secs_f64() * 1e3;
         let mean = self.time_ms.get().unwrap_or(sample);
         self.time_ms.set(Some(mean + TIME_WEIGHT * (sample - mean)));
-        self.timed.set(Some(Instant::now()));
+        self.timed.set(Some(now));
+    }
+
+    /// Records that it turned a request away.
+    pub fn turned_away(&self, now: Instant) {
+        let turned = self.turned_lately(now) + 1.0;
+        self.turned.set(turned.min(TURNED_MAX), now);
+    }
+
+    /// Requests that it turned away lately and since it took one.
+    pub fn turned_lately(&self, now: Instant) -> f64 {
+        self.turned.left(TURNED_HALVES, now)
     }
 
     /// Mean time to an answer in ms, once one is known.
@@ -93,7 +144,15 @@
         self.time_ms.get()
     }
 
-    /// The same, if an answer began lately: a server that is avoided for being
+    /// Time to an answer in ms that is to be reckoned with, given the usual one.
+    pub fn expected_ms(&self, usual_ms: f64, now: Instant) -> f64 {
+        let known = self.time_ms.get().zip(self.timed.get());
+        known.map_or(usual_ms, |(time, at)| {
+            usual_ms + (time - usual_ms) * part_left(at, TIME_HALVES, now)
+        })
+    }
+
+    /// Mean time to an answer in ms, if an answer began lately: a server that is avoided for being
     /// slow is tried again after a while.
     pub fn recent_ms(&self, now: Instant) -> Option<f64> {
         let timed = self.timed.get()?;
@@ -102,8 +161,8 @@
     }
 
     /// Share of recent requests that failed.
-    pub fn failure_rate(&self) -> f64 {
-        self.failure_rate.get()
+    pub fn failure_rate(&self, now: Instant) -> f64 {
+        self.failure_rate.left(RATE_HALVES, now)
     }
 
     /// Whether the last request there did not fail.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod emptied;
 mod ending;
 mod entries;
+mod fading;
 mod hall;
 mod house;
 mod impostors;
--- a/crates/relay/tests/relay/resting.rs
+++ b/crates/relay/tests/relay/resting.rs
@@ -301,7 +301,7 @@
     ensure!(ear.rests(10) && !other.rests(10), "of another box too");
     ensure!(ear.server.health.is_sound(), "counted as a failure");
     ensure!(
-        ear.server.health.failure_rate() == 0.0,
+        ear.server.health.failure_rate(Moment::now()) == 0.0,
         "counted as a failure"
     );
     Ok(())
--- a/crates/relay/tests/relay/streams.rs
+++ b/crates/relay/tests/relay/streams.rs
@@ -201,7 +201,8 @@
         for server in [&near, &far] {
             let id = server.settings().id.parse()?;
             let backend = house.router.relay().fleet.get(&id);
-            let failing = backend.map(|backend| backend.health.failure_rate());
+            let failing =
+                backend.map(|backend| backend.health.failure_rate(tidepier_clock::Instant::now()));
             ensure!(failing > Some(0.0), "{id}: {failing:?}");
         }
         Ok(())
