Soak: servers that say in answers that they leave, and that ask for rest

Two servers a run leave by their answers alone, the first while the store is away; four turn all away and ask for rest, again and again. Rules 'told' and 'rested', judged by what servers saw, in touch or not.

--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -22,6 +22,7 @@
         let attempt = self.run(at, |run| run.attempt.clone());
         let load = self.load();
         let rest = self.shared.lock().rest.clone().filter(|_| status == 503);
+        self.note_said(at, rest.as_deref());
         let mut fields = vec![(names::ATTEMPT, &*attempt), (names::LOAD, &*load)];
         fields.extend_from_slice(with);
         fields.extend(self.leaving());
@@ -33,8 +34,19 @@
         Ok(Next::Keep)
     }
 
+    /// Records what an answer that is begun says of the server.
+    fn note_said(&self, at: usize, rest: Option<&str>) {
+        let leaving = self.leaving().is_some();
+        let now = Instant::now();
+        self.run(at, |run| {
+            run.said_leaving = leaving.then_some(now);
+            run.said_rest = rest.map(|rest| (rest.to_owned(), now));
+        });
+    }
+
     /// The head of a signed answer, without its framing.
     fn signed(&self, at: usize, status: u16, with: &[(&str, &str)]) -> String {
+        self.note_said(at, None);
         let (attempt, seal) = self.run(at, |run| (run.attempt.clone(), run.seal.clone()));
         let load = self.load();
         let mut fields = vec![(names::ATTEMPT, &*attempt), (names::SEAL, &*seal)];
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -159,6 +159,10 @@
     pub prefilled: u64,
     /// When each of its events was made.
     pub made: Vec<Instant>,
+    /// When its answer was begun that said that the server leaves.
+    pub said_leaving: Option<Instant>,
+    /// The rest that it was turned away with, in seconds, and when.
+    pub said_rest: Option<(String, Instant)>,
 }
 
 impl Run {
@@ -362,15 +366,14 @@
         self.shared.lock().rest = seconds.map(str::to_owned);
     }
 
-    /// Ends faults, darkness, slowness, early closing, bad health, what its answers
-    /// say of it and what requests end.
+    /// Ends faults, darkness, slowness, early closing, bad health, the rest it asks for
+    /// and what requests end. A server that leaves goes on saying so.
     pub fn heal(&self) {
         let mut state = self.shared.lock();
         state.fault = None;
         state.slow = 1.0;
         state.idle_close = None;
         state.unwell = false;
-        state.leaving = false;
         state.rest = None;
         state.ends_on.clear();
         drop(state);
--- a/crates/relay-standin/src/server/work.rs
+++ b/crates/relay-standin/src/server/work.rs
@@ -242,6 +242,8 @@
             seal: format!("{:016x}.{at}", xxh3_64(signed.as_bytes())),
             prefilled: 0,
             made: Vec::new(),
+            said_leaving: None,
+            said_rest: None,
         });
         let fault = match &mut state.fault {
             Some((fault, count)) if *count > 0 => {
--- a/crates/relay/tests/relay/recalled.rs
+++ b/crates/relay/tests/relay/recalled.rs
@@ -118,3 +118,25 @@
         Ok(())
     })
 }
+
+/// A server says that it leaves in the list of what it keeps, too.
+#[test]
+fn an_engine_that_says_it_leaves_in_its_list_gets_nothing() -> Result {
+    run(async |executor| {
+        let site = engines_site()?;
+        let engines = engines(&site)?;
+        for engine in &engines {
+            engine.leave(true);
+        }
+        let machines = halls(&executor, &site).await?;
+        all_learned(&machines).await?;
+        let heard = machines.iter().map(|it| {
+            let now = tidepier_clock::Instant::now();
+            it.router.relay().fleet.withheld(now).0
+        });
+        let heard: usize = heard.sum();
+        // The hub of each hall asks the engines of its own.
+        ensure!(heard == engines.len(), "{heard} of {}", engines.len());
+        Ok(())
+    })
+}
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -43,6 +43,10 @@
     /// Machines are suspended beside what the seeds decide.
     #[arg(long)]
     suspensions: bool,
+    /// Servers say in answers that they leave, or ask for rest, beside what the seeds
+    /// decide.
+    #[arg(long)]
+    words: bool,
     /// The relay's program; beside this one by default.
     #[arg(long)]
     relay: Option<PathBuf>,
@@ -134,6 +138,7 @@
         emptied_halls: arguments.emptied_halls,
         crashing_requests: arguments.crashing_requests,
         suspensions: arguments.suspensions,
+        words: arguments.words,
     };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -71,6 +71,10 @@
     Leave,
     /// Another one comes.
     Join,
+    /// Says by its answers alone that it leaves, leaves and serves on; another one comes.
+    Say,
+    /// Turns all requests away and asks for so much rest.
+    Rest(Duration),
 }
 
 /// A change by the operator.
@@ -116,6 +120,7 @@
             Fault::Store(store) => named("store", store),
             Fault::Server(_, Server::Faulty(fault)) => named("server", fault),
             Fault::Servers(fault) => named("servers", fault),
+            Fault::Server(_, Server::Rest(_)) => "server_rest".into(),
             Fault::Server(_, server) => named("server", server),
             Fault::Crashing(_) => "requests_crashing".into(),
             Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -74,7 +74,7 @@
                 (vec![Place::Box(place)], planned)
             }
             Fault::Store(_) => (vec![Place::Store], false),
-            Fault::Server(_, Server::Join | Server::Leave) | Fault::Config(_) => {
+            Fault::Server(_, Server::Join | Server::Leave | Server::Say) | Fault::Config(_) => {
                 (vec![Place::Fleet], true)
             }
             Fault::Server(..) | Fault::Servers(_) | Fault::Crashing(_) => {
@@ -215,6 +215,19 @@
                 self.site.withdraw(server);
                 return Ok(());
             }
+            Server::Say => {
+                self.add_server(&service)?;
+                server.leave(true);
+                let id = server.settings().id.clone();
+                self.ledger.fact(Fact::Saying(id));
+                Timer::after(LEAVE_TIME + lasts).await;
+                self.site.withdraw(server);
+                return Ok(());
+            }
+            Server::Rest(rest) => {
+                server.ask_rest(Some(&format!("{:.3}", rest.as_secs_f64())));
+                server.fault(server::Fault::Shed, u32::MAX);
+            }
             Server::Crash => {
                 server.crash();
                 Timer::after(lasts).await;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -137,6 +137,8 @@
     Configuring,
     /// The server of this id leaves or is gone.
     Leaving(String),
+    /// The server of this id says that it leaves, by its answers alone.
+    Saying(String),
     /// Nothing more is to be sent to the servers of this hall.
     Emptied(String),
     /// The servers of this hall may be used again.
@@ -201,8 +203,13 @@
 
     /// Notes the end of a request.
     pub fn ended(&self, number: usize, answer: Option<Answer>) {
+        self.ended_at(Instant::now(), number, answer);
+    }
+
+    /// Notes the end of a request at a moment.
+    pub fn ended_at(&self, at: Instant, number: usize, answer: Option<Answer>) {
         let attempt = &mut lock(&self.inner).attempts[number];
-        attempt.ended = Some(Instant::now());
+        attempt.ended = Some(at);
         attempt.answer = answer;
     }
 
@@ -238,7 +245,8 @@
     pub fn is_leaving(&self, id: &str) -> bool {
         let inner = lock(&self.inner);
         let mut facts = inner.facts.iter();
-        facts.any(|(_, fact)| matches!(fact, Fact::Leaving(left) if left == id))
+        facts
+            .any(|(_, fact)| matches!(fact, Fact::Leaving(left) | Fact::Saying(left) if left == id))
     }
 
     /// Notes the load of a service.
--- a/crates/soak/src/rule/bound.rs
+++ b/crates/soak/src/rule/bound.rs
@@ -7,6 +7,10 @@
 
 /// A server that leaves gets no request later than this.
 pub const LEAVE: Duration = Duration::from_secs(2);
+/// A server that asked for rest gets no more than [`RESTED`] requests later than this.
+pub const REST_HEARD: Duration = Duration::from_millis(500);
+/// Requests that it may get in the rest of that time.
+pub const RESTED: usize = 2;
 /// Time from SIGTERM until a process is killed.
 pub const STOP: Duration = Duration::from_secs(8);
 /// A configuration is in force everywhere after this.
--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -56,7 +56,10 @@
 fn is_calm(evidence: &Evidence, from: Instant, to: Instant) -> bool {
     let quiet = before(from, CALM);
     let changed = evidence.facts.iter().any(|(at, fact)| {
-        let meant = matches!(fact, Fact::Leaving(_) | Fact::Configuring | Fact::Born(_));
+        let meant = matches!(
+            fact,
+            Fact::Leaving(_) | Fact::Saying(_) | Fact::Configuring | Fact::Born(_)
+        );
         meant && *at >= quiet && *at <= to
     });
     let held = evidence
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod planned;
 mod runs;
+mod words;
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
@@ -44,6 +45,10 @@
     Apply,
     /// A server that leaves gets nothing new after its bound.
     Leaving,
+    /// A server that says in an answer that it leaves gets nothing more from that box.
+    Told,
+    /// A server that asked a box for rest has it.
+    Rested,
     /// A hall that is to be empty gets nothing new after its bound.
     Emptied,
     /// A request that ended three servers reaches no more than a few.
@@ -62,7 +67,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 18] = [
+    pub const ALL: [Rule; 20] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -74,6 +79,8 @@
         Rule::StepBack,
         Rule::Apply,
         Rule::Leaving,
+        Rule::Told,
+        Rule::Rested,
         Rule::Emptied,
         Rule::Crashing,
         Rule::Crowd,
@@ -127,6 +134,7 @@
         beliefs::judge(evidence, &mut verdict);
         load::judge(evidence, &mut verdict);
         crashing::judge(evidence, &mut verdict);
+        words::judge(evidence, &mut verdict);
         boxes::judge(evidence, &mut verdict);
         verdict
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -76,6 +76,8 @@
     pub crashing_requests: bool,
     /// Whether machines are suspended beside it.
     pub suspensions: bool,
+    /// Whether servers say in answers that they leave, or ask for rest, beside it.
+    pub words: bool,
 }
 
 /// Runs one seed.
@@ -94,6 +96,9 @@
     if place.suspensions {
         schedule = schedule.with_suspensions();
     }
+    if place.words {
+        schedule = schedule.with_words();
+    }
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -47,6 +47,16 @@
 const SUSPENDED_SEED: u64 = 0x7375_7370_656e_6465;
 /// How long a machine is suspended, in ms: beyond the bound on keys.
 const SUSPENDED_MS: Range<u64> = 500..7_000;
+/// Servers that leave by their answers alone in a run where some do, and those that ask
+/// for rest.
+const SAYING: usize = 2;
+const RESTING: usize = 4;
+/// Makes that choice another one.
+const WORDS_SEED: u64 = 0x7761_6e74_7265_7374;
+/// How long servers turn requests away that ask for rest, in ms: up to several rests.
+const TURNING_MS: Range<u64> = 300..5_000;
+/// The rest that they ask for, in ms.
+const REST_MS: Range<u64> = 700..4_000;
 /// Delays of a slow way or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -133,6 +143,32 @@
         self.with(steps)
     }
 
+    /// The same, and servers say in answers that they leave or ask for rest, some of the
+    /// former while the store is away.
+    pub fn with_words(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ WORDS_SEED);
+        let mut steps: Vec<Step> = Vec::new();
+        for number in 0..SAYING + RESTING {
+            let says = number < SAYING;
+            let fault = match says {
+                true => Server::Say,
+                false => Server::Rest(ms(&mut rng, REST_MS)),
+            };
+            steps.push(Step {
+                at: ms(&mut rng, SPAN_MS),
+                lasts: ms(&mut rng, if says { LASTS_MS } else { TURNING_MS }),
+                fault: Fault::Server(rng.random_range(SERVER_NUMBERS), fault),
+            });
+        }
+        let down = pick(&mut rng, &[Down::Silent, Down::Busy, Down::Reset]);
+        steps.push(Step {
+            at: steps[0].at.saturating_sub(BLIND_BEFORE),
+            lasts: ms(&mut rng, BLIND_MS),
+            fault: Fault::Store(Store::Down(down)),
+        });
+        self.with(steps.into_iter())
+    }
+
     /// The same with more steps: what the seed decided before stays as it is.
     fn with(self, more: impl Iterator<Item = Step>) -> Self {
         let mut steps = self.steps;
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -74,7 +74,8 @@
             elapsed: Duration::from_millis(20),
             events: Vec::new(),
         };
-        self.ledger.ended(number, Some(answer));
+        let ended = self.at(second + 0.05);
+        self.ledger.ended_at(ended, number, Some(answer));
     }
 
     /// A run of a request at a server of a service.
@@ -102,6 +103,8 @@
             seal: id.into(),
             prefilled: 0,
             made: Vec::new(),
+            said_leaving: None,
+            said_rest: None,
         };
         self.seen.push(Seen {
             server,
@@ -319,3 +322,56 @@
     }
     assert_eq!(case.broken(), []);
 }
+
+/// A server says at 5 s that it leaves, and gets requests at some times.
+fn with_a_server_that_says_it_leaves(times: &[f64]) -> Case {
+    let mut case = Case::new();
+    for (number, second) in [5.0].iter().chain(times).enumerate() {
+        let id = format!("word-{number}");
+        case.ran(&id, Traffic::Repeatable, *second, "plain");
+        let body = case.body(&id);
+        case.sent(&id, Traffic::Repeatable, *second, 200, &body);
+        let said = case.at(*second);
+        if let Some(seen) = case.seen.last_mut() {
+            seen.run.said_leaving = Some(said);
+        }
+    }
+    case
+}
+
+#[test]
+fn a_server_that_said_it_leaves_and_gets_requests_is_found() {
+    let in_time = with_a_server_that_says_it_leaves(&[5.5, 7.0]);
+    assert_eq!(in_time.broken(), []);
+    let late = with_a_server_that_says_it_leaves(&[5.5, 7.1]);
+    assert_eq!(late.broken(), [Rule::Told]);
+    // A box that was started since then has not heard it.
+    late.fact(6.0, Fact::Born(0));
+    assert_eq!(late.broken(), []);
+}
+
+/// A server turns a request away at 5 s and asks for 3 s of rest, and gets more.
+fn with_a_server_that_rests(times: &[f64]) -> Case {
+    let mut case = Case::new();
+    for (number, second) in [5.0].iter().chain(times).enumerate() {
+        let id = format!("rest-{number}");
+        case.ran(&id, Traffic::Repeatable, *second, "plain");
+        case.sent(&id, Traffic::Repeatable, *second, 503, b"");
+        let said = case.at(*second);
+        if let Some(seen) = case.seen.last_mut() {
+            seen.run.outcome = Outcome::Refused(503);
+            seen.run.said_rest = (number == 0).then(|| ("3.000".into(), said));
+        }
+    }
+    case
+}
+
+#[test]
+fn a_server_that_asked_for_rest_and_has_none_is_found() {
+    let borne = [5.1, 5.2, 5.3, 5.4, 5.6, 7.0, 8.1, 8.2, 8.3];
+    assert_eq!(with_a_server_that_rests(&borne).broken(), []);
+    let late = with_a_server_that_rests(&[5.6, 6.0, 7.0]);
+    assert_eq!(late.broken(), [Rule::Rested]);
+    late.fact(5.5, Fact::Born(0));
+    assert_eq!(late.broken(), []);
+}
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -71,3 +71,22 @@
         }
     }
 }
+
+#[test]
+fn words_leave_the_other_faults_as_they_are() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_words();
+        let named = |name: &str| {
+            let named = more.steps.iter().filter(|step| step.fault.name() == name);
+            named.count()
+        };
+        assert_eq!((named("server_say"), named("server_rest")), (2, 4));
+        // The seventh is a store that is away while a server says that it leaves.
+        assert_eq!(more.steps.len(), plain.steps.len() + 7, "seed {seed}");
+        assert!(more.steps.is_sorted_by_key(|step| step.at));
+        let mut left = more.steps.iter();
+        let kept = plain.steps.iter().all(|step| left.any(|it| it == step));
+        assert!(kept, "seed {seed}");
+    }
+}
