--- a/crates/relay/src/crash/inquiry.rs
+++ b/crates/relay/src/crash/inquiry.rs
@@ -19,7 +19,6 @@
 use crate::attempt;
 use crate::content::Content;
 use crate::fleet::Backend;
-use crate::relay::Relay;
 
 /// Pauses before the looks at a server: a refusal comes with the first one, within a
 /// round trip, in nearly all cases.
@@ -35,20 +34,20 @@
 const NAMED: usize = 16;
 
 /// Looks at the servers at which requests broke off; does not end.
-pub(crate) async fn run(relay: Rc<Relay>, executor: Rc<LocalExecutor<'static>>) {
+pub(crate) async fn run(crashes: Rc<Crashes>, executor: Rc<LocalExecutor<'static>>) {
     loop {
-        for backend in relay.crashes.suspects.fresh() {
-            let relay = relay.clone();
+        for backend in crashes.suspects.fresh() {
+            let crashes = crashes.clone();
             let look = async move {
                 let ended = has_ended(&backend).await;
-                let suspect = relay.crashes.suspects.take(backend.key);
+                let suspect = crashes.suspects.take(backend.key);
                 if let Some(suspect) = suspect.filter(|_| ended) {
-                    conclude(&relay.crashes, &suspect);
+                    conclude(&crashes, &suspect);
                 }
             };
             executor.spawn(look).detach();
         }
-        relay.crashes.suspects.changed.wait().await;
+        crashes.suspects.changed.wait().await;
     }
 }
 
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -23,7 +23,6 @@
 
 use crate::content::Content;
 use crate::fleet::Key;
-use crate::relay::Relay;
 use suspects::Suspects;
 use table::{Change, Row, Table};
 
@@ -81,11 +80,11 @@
 
 /// Forgets what is no longer needed, and tells by metrics what is refused; does not
 /// end.
-pub(crate) async fn tidy(relay: Rc<Relay>) -> Infallible {
+pub(crate) async fn tidy(crashes: Rc<Crashes>) -> Infallible {
     loop {
         Timer::after(LOOK_TIME).await;
         let now = Instant::now();
-        let table = &relay.crashes.table;
+        let table = &crashes.table;
         table.forget(now);
         metrics::gauge!("tidepier_contents_refused").set(table.count_refused(now) as f64);
         metrics::gauge!("tidepier_contents_suspected").set(table.len() as f64);
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -13,7 +13,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
-use super::{Arrival, Exchange, Start};
+use super::job::{Arrival, Exchange, Start};
 use crate::content::{Content, Parts};
 use crate::refusal;
 use crate::relay::Relay;
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -7,7 +7,7 @@
 use tidepier_clock::Instant;
 use tidepier_platform::answer;
 
-use super::Exchange;
+use super::job::Exchange;
 use crate::attempt::{Cause, Failure, Ran};
 use crate::choose::Choice;
 use crate::fleet::Backend;
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -11,11 +11,11 @@
 use tidepier_clock::Instant;
 use tidepier_platform::answer;
 
-use super::Exchange;
+use super::job::Exchange;
+use super::stream::{self, scrap};
 use crate::attempt::{Cause, Failure, Ran, Reply};
 use crate::fleet::Backend;
 use crate::refusal;
-use crate::stream;
 
 /// Time left under which a request is not sent again.
 const RETRY_TIME_MIN: Duration = Duration::from_millis(30);
@@ -37,7 +37,7 @@
     ) -> Result<Reply, Failure> {
         if reply.answer.not_run {
             let status = reply.answer.status;
-            stream::keep_after(backend, reply, self.deadline).await;
+            scrap::keep_after(backend, reply, self.deadline).await;
             return Err(Failure {
                 ran: Ran::No,
                 cause: Cause::Refused(status),
@@ -47,7 +47,7 @@
         let own_error = reply.answer.status >= 500;
         // Its body is read before the retry, so that its connection is kept and
         // the client can have it.
-        let repeatable = self.route.kind.repeatable() && self.time_for_retry(stream::SCRAP_TIME);
+        let repeatable = self.route.kind.repeatable() && self.time_for_retry(scrap::TIME);
         if own_error && repeatable && self.retry_is_paid() {
             self.paid = true;
             let status = reply.answer.status;
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -9,12 +9,13 @@
 use tidepier_core::request::Forward;
 use tidepier_platform::request as wire_request;
 
-use super::{report, Exchange, Start};
+use super::job::{Exchange, Start};
+use super::report;
 use crate::attempt::{self, Cause, Failure, Ran, Reply, Sending};
 use crate::choose::filter::{Filter, Gate, Regions};
 use crate::choose::{self, Ask, Choice};
 use crate::cold::Limit;
-use crate::fleet::{rest, Backend, Permit};
+use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
 use crate::refusal;
 
@@ -193,7 +194,7 @@
             refusal::Kind::NoServer
         } else if home.is_empty() {
             refusal::Kind::NoRegion
-        } else if let Some(rest) = rest::first_over(home.iter().map(|it| &***it), now) {
+        } else if let Some(rest) = fleet::first_over(home.iter().map(|it| &***it), now) {
             refusal::Kind::Resting(rest.come_back(self.route.priority, now))
         } else if home
             .iter()
--- a/crates/relay/src/stream/mod.rs
+++ b/crates/relay/src/exchange/stream/mod.rs
@@ -8,30 +8,25 @@
 //! Invariant: what the client gets ends as complete only if what the server
 //! sent did.
 
+pub(super) mod scrap;
 mod series;
 mod whole;
 
 use std::rc::Rc;
-use std::time::Duration;
-
-use tidepier_clock::Instant;
 
+use super::end::End;
+use super::job::Exchange;
 use crate::attempt::{Failure, Reply};
-use crate::exchange::{End, Exchange};
 use crate::fleet::Backend;
-use crate::timeout;
-
-pub(crate) use whole::{set_aside, Whole};
 
-/// Time to read the body of an answer that is not passed on.
-pub(crate) const SCRAP_TIME: Duration = Duration::from_millis(50);
+pub(super) use whole::set_aside;
 
 /// Passes an answer on.
 ///
 /// # Errors
 ///
 /// It broke off before anything was passed on.
-pub(crate) async fn pass(
+pub(super) async fn pass(
     exchange: &mut Exchange<'_>,
     backend: Rc<Backend>,
     reply: Reply,
@@ -43,20 +38,3 @@
         whole::pass(exchange, backend, reply).await
     }
 }
-
-/// Until when the body of such an answer is read.
-fn scrap_limit(deadline: Instant) -> Instant {
-    deadline.min(Instant::now() + SCRAP_TIME)
-}
-
-/// Reads what is left of an answer that is not passed on, so that its
-/// connection can be kept.
-pub(crate) async fn keep_after(backend: &Rc<Backend>, mut reply: Reply, deadline: Instant) {
-    let limit = scrap_limit(deadline);
-    // Bounded by its time, and nothing of it is held.
-    let read = reply.body.rest(&mut reply.conn, None, usize::MAX);
-    let read = timeout::until(limit, read).await;
-    if matches!(read, Some(Ok(()))) && reply.reusable {
-        backend.keep(reply.conn, reply.answer.keep_alive);
-    }
-}
--- a/crates/relay/src/stream/series.rs
+++ b/crates/relay/src/exchange/stream/series.rs
@@ -13,10 +13,11 @@
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
 
-use super::keep_after;
+use super::scrap;
 use crate::attempt::{Cause, Failure, Ran, Reply};
 use crate::events::Events;
-use crate::exchange::{End, Exchange};
+use crate::exchange::end::End;
+use crate::exchange::job::Exchange;
 use crate::fleet::Backend;
 use crate::timeout::Limit;
 
@@ -168,7 +169,7 @@
             }
             Ok(reply) => {
                 let failure = refused(&reply);
-                keep_after(&backend, reply, exchange.deadline).await;
+                scrap::keep_after(&backend, reply, exchange.deadline).await;
                 failure
             }
             Err(failure) => failure,
--- a/crates/relay/src/stream/whole.rs
+++ b/crates/relay/src/exchange/stream/whole.rs
@@ -1,15 +1,15 @@
 //! An answer that is read whole before it is passed on.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use tidepier_clock::Instant;
-use tidepier_h1::Head;
 use tidepier_platform::answer::Length;
 
-use super::scrap_limit;
+use super::scrap;
 use crate::attempt::{Cause, Failure, Ran, Reply};
-use crate::exchange::{End, Exchange};
+use crate::exchange::answer::Whole;
+use crate::exchange::end::End;
+use crate::exchange::job::Exchange;
 use crate::fleet::Backend;
 use crate::timeout;
 
@@ -19,45 +19,6 @@
 /// few hundred, and one is held for each request that is sent again.
 const ASIDE_BYTES: usize = 16 << 10;
 
-/// An answer that was read whole.
-pub(crate) struct Whole {
-    backend: Rc<Backend>,
-    status: u16,
-    head: Head,
-    length: Length,
-    body: Vec<u8>,
-    /// Time from the request's arrival to the answer's beginning.
-    first: Duration,
-}
-
-impl Whole {
-    /// The server that made it.
-    pub(crate) fn backend(&self) -> &Backend {
-        &self.backend
-    }
-
-    /// Its status.
-    pub(crate) fn status(&self) -> u16 {
-        self.status
-    }
-
-    /// Time from the request's arrival to its beginning.
-    pub(crate) fn first(&self) -> Duration {
-        self.first
-    }
-
-    /// Writes it to the client.
-    pub(crate) async fn deliver(&self, exchange: &Exchange<'_>) -> End {
-        let close = exchange.closes();
-        let mut out = exchange.head(&self.head, self.length, close);
-        out.extend_from_slice(&self.body);
-        match exchange.writer.write_all(&out).await {
-            Ok(()) if !close => End::Keep,
-            _ => End::Close,
-        }
-    }
-}
-
 /// Passes an answer on once it is whole.
 ///
 /// # Errors
@@ -70,19 +31,19 @@
 ) -> Result<End, Failure> {
     let whole = read(exchange, backend, reply, WHOLE_BYTES, exchange.deadline).await?;
     whole.backend.hear();
-    let end = whole.deliver(exchange).await;
+    let end = whole.deliver(exchange.writer, exchange.closes()).await;
     exchange.answered(&whole.backend, whole.status, whole.first);
     Ok(end)
 }
 
 /// Reads an error of a server whose request is sent again, for the client if no
 /// other server answers; `None` if it is not whole at once.
-pub(crate) async fn set_aside(
+pub(in crate::exchange) async fn set_aside(
     exchange: &Exchange<'_>,
     backend: &Rc<Backend>,
     reply: Reply,
 ) -> Option<Whole> {
-    let limit = scrap_limit(exchange.deadline);
+    let limit = scrap::limit(exchange.deadline);
     match read(exchange, backend.clone(), reply, ASIDE_BYTES, limit).await {
         Ok(whole) => Some(whole),
         Err(failure) => {
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -10,6 +10,8 @@
 mod backend;
 mod hall;
 mod idle;
+mod parted;
+mod permit;
 pub mod rest;
 pub(crate) mod watch;
 pub mod word;
@@ -30,8 +32,10 @@
 
 pub use backend::{Backend, Running};
 pub use hall::Hall;
-pub use word::Permit;
-use word::{Source, Withheld, Words};
+use parted::Parted;
+pub use permit::Permit;
+use rest::Rest;
+use word::{Source, Withheld};
 
 /// Stands for one life of a server in what boxes tell each other: half of its hash.
 /// Two of 900 servers have the same one in one fleet of 10,000, which then
@@ -109,7 +113,7 @@
     /// Servers by where they listen.
     addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
     /// What servers said whose entries are gone.
-    words: Words,
+    parted: Parted,
     /// The servers of services that were asked for since these last changed.
     services: RefCell<HashMap<ids::Service, Group>>,
 }
@@ -147,7 +151,7 @@
             self.remove(&server.id);
             restarted = true;
         }
-        let word = self.words.of(&server);
+        let word = self.parted.word_of(&server);
         if server.state == State::Draining {
             word.leave(Source::Entry, now);
         }
@@ -341,7 +345,7 @@
         let backend = self.servers.borrow_mut().remove(id)?;
         self.forget_address(&backend.server);
         backend.end();
-        self.words.part(&backend);
+        self.parted.keep(&backend);
         self.regroup(&backend.server.service);
         Some(backend)
     }
@@ -462,3 +466,13 @@
         }
     }
 }
+
+/// The rest that is over first, if all of these servers rest.
+pub fn first_over<'a>(
+    servers: impl IntoIterator<Item = &'a Backend>,
+    now: Instant,
+) -> Option<Rest> {
+    let rests = servers.into_iter().map(|it| it.rest(now));
+    let rests: Option<Vec<Rest>> = rests.collect();
+    rests?.into_iter().min_by_key(|rest| rest.until)
+}
--- a/crates/relay/src/fleet/rest.rs
+++ b/crates/relay/src/fleet/rest.rs
@@ -8,8 +8,8 @@
 //! Where all servers of a service rest, callers are refused at once, with the time that
 //! is left. They would all come back in the moment in which the first rest is over, so
 //! that they are told times that are apart. 30 engines that all asked for 2 s got, in the
-//! 100 ms with most, 220 instead of 1,361 requests of 6 boxes, 289 instead of 1,748 of 30
-//! and 997 instead of 3,427 of 300 (usually 65, 84 and 300), and callers were refused 0.27
+//! 100 ms with most, 219 instead of 1,361 requests of 6 boxes, 281 instead of 1,748 of 30
+//! and 1,003 instead of 3,427 of 300 (usually 65, 84 and 300), and callers were refused 0.27
 //! to 0.45 instead of 0.40 to 0.62 times each; they waited 125 ms longer in the mean. A box
 //! that held them up to the end would send them all in that moment. Boxes that come back
 //! one after the other, or with few requests at once, add nothing to that, or cost more
@@ -19,8 +19,6 @@
 
 use tidepier_clock::Instant;
 
-use super::Backend;
-
 /// Longest rest that is kept as asked, a year: more is a mistake, and the operator's
 /// word ends it as any other.
 const LONGEST: Duration = Duration::from_secs(366 * 24 * 3_600);
@@ -65,13 +63,3 @@
         self.until.saturating_duration_since(now) + spread.mul_f64(part / f64::from(RANKS))
     }
 }
-
-/// The rest that is over first, if all of these servers rest.
-pub fn first_over<'a>(
-    servers: impl IntoIterator<Item = &'a Backend>,
-    now: Instant,
-) -> Option<Rest> {
-    let rests = servers.into_iter().map(|it| it.rest(now));
-    let rests: Option<Vec<Rest>> = rests.collect();
-    rests?.into_iter().min_by_key(|rest| rest.until)
-}
--- a/crates/relay/src/fleet/word.rs
+++ b/crates/relay/src/fleet/word.rs
@@ -12,25 +12,15 @@
 //! * That a server leaves is not taken back in the same life.
 //! * The rest that it asked for ends with its time, its life or the operator's word.
 //! * A word outlives the server's entry: one that goes and comes back in the same life
-//!   finds it again.
+//!   finds it again ([`parted`](super::parted)).
 
-use std::cell::{Cell, RefCell};
+use std::cell::Cell;
 use std::fmt;
-use std::num::NonZeroUsize;
-use std::rc::Rc;
 use std::time::Duration;
 
-use lru::LruCache;
 use tidepier_clock::Instant;
-use tidepier_core::server::Server;
-use tidepier_ids as ids;
 
 use super::rest::Rest;
-use super::Backend;
-
-/// Servers without an entry whose words are kept, those of the newest: over half of
-/// the 900 of the largest fleet that is planned for, at 200 bytes each.
-const PARTED_MAX: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 
 /// Rests that end within so long are one: each of several requests under way brings its
 /// own.
@@ -112,50 +102,11 @@
     }
 
     /// Whether it says nothing that a later entry of the same life would have to find.
-    fn is_silent(&self) -> bool {
+    pub(super) fn is_silent(&self) -> bool {
         self.leaving.get().is_none() && self.rest.get().is_none()
     }
 }
 
-/// A server without an entry, and what it has said.
-struct Parted {
-    backend: Rc<Backend>,
-    word: Rc<Word>,
-}
-
-/// The words of servers that have no entry at present.
-pub(super) struct Words(RefCell<LruCache<ids::Server, Parted>>);
-
-impl Default for Words {
-    fn default() -> Self {
-        Self(RefCell::new(LruCache::new(PARTED_MAX)))
-    }
-}
-
-impl Words {
-    /// Keeps what a server said whose entry goes.
-    pub(super) fn part(&self, backend: &Rc<Backend>) {
-        if backend.word.is_silent() {
-            return;
-        }
-        let parted = Parted {
-            backend: backend.clone(),
-            word: backend.word.clone(),
-        };
-        let id = backend.server.id.clone();
-        self.0.borrow_mut().put(id, parted);
-    }
-
-    /// What a server has said that announces itself: nothing, unless it is a life that
-    /// had an entry before.
-    pub(super) fn of(&self, server: &Server) -> Rc<Word> {
-        let mut parted = self.0.borrow_mut();
-        let known = parted.pop(&server.id);
-        let known = known.filter(|it| it.backend.is_life_of(server));
-        known.map_or_else(Rc::default, |it| it.word)
-    }
-}
-
 /// Why nothing may be sent to a server.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Withheld {
@@ -169,18 +120,6 @@
     Resting,
 }
 
-impl Withheld {
-    /// A short name for logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Withheld::Gone => "gone",
-            Withheld::Leaving => "leaving",
-            Withheld::Emptied => "emptied",
-            Withheld::Resting => "resting",
-        }
-    }
-}
-
 impl fmt::Display for Withheld {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
@@ -191,28 +130,3 @@
         })
     }
 }
-
-/// That a server takes something new. There is none without having asked, and what
-/// sends takes one.
-pub struct Permit(Rc<Backend>);
-
-impl Permit {
-    pub(super) fn new(backend: &Rc<Backend>, now: Instant) -> Result<Self, Withheld> {
-        backend.takes(now)?;
-        Ok(Self(backend.clone()))
-    }
-
-    /// The server.
-    pub fn backend(&self) -> &Rc<Backend> {
-        &self.0
-    }
-
-    /// Asks again: what is about to be sent may have waited.
-    ///
-    /// # Errors
-    ///
-    /// The server takes nothing new any more.
-    pub fn renewed(&self, now: Instant) -> Result<(), Withheld> {
-        self.0.takes(now)
-    }
-}
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -39,8 +39,8 @@
 pub use self::pause::SCOUTS;
 use crate::emptied::Emptied;
 use crate::fleet;
+use crate::message::follow::Row;
 use crate::notice::Notice;
-use crate::peer::message::Row;
 use crate::record::Record;
 use crate::relay::Relay;
 
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -16,8 +16,8 @@
 use super::news::{self, News};
 use super::Follower;
 use crate::emptied;
-use crate::peer::link::Error;
-use crate::peer::message::{self, Answer, Position, Row, Servers};
+use crate::message::follow::{self, Answer, Position, Row, Servers};
+use crate::message::link::Error;
 
 /// Age of a proof, as a part of the time in which a change has to be in force
 /// everywhere, from which a box's answers to others no longer count as current.
@@ -43,8 +43,8 @@
             Servers::All(rows, _) => rows.iter_mut().for_each(fresh),
             Servers::Changes(changes) => {
                 let rows = changes.iter_mut().filter_map(|change| match change {
-                    message::Change::Is(row) => Some(row),
-                    message::Change::Gone(..) => None,
+                    follow::Change::Is(row) => Some(row),
+                    follow::Change::Gone(..) => None,
                 });
                 rows.for_each(fresh);
             }
@@ -165,8 +165,8 @@
         let mut news = News::new();
         match servers {
             Servers::Changes(changes) => changes.into_iter().for_each(|change| match change {
-                message::Change::Is(row) => self.announced(row, &mut news),
-                message::Change::Gone(id, seen) => self.reported_gone(&id, seen, &mut news),
+                follow::Change::Is(row) => self.announced(row, &mut news),
+                follow::Change::Gone(id, seen) => self.reported_gone(&id, seen, &mut news),
             }),
             Servers::All(rows, seen) => self.take_all(rows, seen, &mut news),
         }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -13,7 +13,7 @@
 use super::news::{self, News};
 use super::pause::Pause;
 use super::{Follower, CALL_TIME};
-use crate::peer::message::Row;
+use crate::message::follow::Row;
 
 /// Time in which further changes of servers are gathered before the watch goes
 /// on: each return of a watch is a call that is paid for.
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -4,7 +4,7 @@
 //! Clients' requests come in over HTTP/1.1 with opaque bodies; headers say
 //! what is asked. Each request is admitted by the operator's catalog
 //! ([`exchange`]), placed on a backend server ([`choose`]), sent there
-//! ([`attempt`]) and its answer passed on (`stream`). What the box knows
+//! ([`attempt`]) and its answer passed on (`exchange/stream`). What the box knows
 //! of catalog and servers comes from the platform's store ([`follow`]).
 //!
 //! A process has one thread; its tasks share [`relay::Relay`] and never block.
@@ -25,6 +25,7 @@
 pub mod follow;
 pub mod health;
 pub mod log;
+pub mod message;
 pub mod metrics;
 pub mod notice;
 pub mod peer;
@@ -38,7 +39,6 @@
 pub mod settings;
 pub mod signal;
 pub mod stop;
-mod stream;
 mod timeout;
 pub mod traffic;
 pub mod view;
--- a/crates/relay/src/peer/message.rs
+++ b/crates/relay/src/message/follow.rs
@@ -1,4 +1,4 @@
-//! Messages between boxes.
+//! What a box asks the one of its hall that reads the store.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -7,28 +7,12 @@
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_ids as ids;
 
-use super::traffic;
 use crate::emptied;
-use crate::recall::boxes;
-
-/// The version of these messages. A box does not talk to one that has another.
-pub const VERSION: u16 = 3;
-
-/// What a box asks another.
-#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub enum Question {
-    /// What has changed in the store; answered by [`Answer`].
-    Follow(Ask),
-    /// Which requests are under way; answered by [`traffic::Answer`].
-    Traffic(traffic::Ask),
-    /// Which engines keep which parts; answered by [`boxes::Answer`].
-    Recall(boxes::Ask),
-}
 
 /// A question of a box to the one that reads the store.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Ask {
-    /// [`VERSION`] of the sender.
+    /// [`VERSION`](super::VERSION) of the sender.
     pub version: u16,
     /// Comes back in the answer.
     pub number: u64,
@@ -50,7 +34,7 @@
 /// The answer.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Answer {
-    /// [`VERSION`] of the sender.
+    /// [`VERSION`](super::VERSION) of the sender.
     pub version: u16,
     /// The question's number.
     pub number: u64,
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -15,8 +15,9 @@
 use tidepier_ids as ids;
 
 use crate::follow::{Follower, SCOUTS};
-use crate::peer::link::{self, Error};
-use crate::peer::message::{Answer, Ask, Position, Question, VERSION};
+use crate::message::follow::{Answer, Ask, Position};
+use crate::message::link::{self, Error};
+use crate::message::{Question, VERSION};
 use crate::peer::registry::{Member, Registry};
 
 /// Time between two questions.
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -11,10 +11,10 @@
 use tidepier_h1::{Conn, Listener};
 
 use crate::follow::Follower;
-use crate::peer::link::{self, Error};
-use crate::peer::message::{Answer, Ask, Question, VERSION};
+use crate::message::follow::{Answer, Ask};
+use crate::message::link::{self, Error};
+use crate::message::{recall, Question, VERSION};
 use crate::peer::traffic;
-use crate::recall::boxes;
 use crate::traffic::log::Peer;
 use crate::traffic::Traffic;
 
@@ -100,7 +100,7 @@
             }
             Question::Recall(ask) => {
                 check(ask.version)?;
-                let answer = boxes::answer(relay);
+                let answer = recalled(&relay.traffic);
                 link::within(ANSWER_TIME, link::send(&conn, &answer)).await?;
             }
         }
@@ -133,6 +133,15 @@
     }
 }
 
+/// What is known here of what engines keep.
+fn recalled(traffic: &Traffic) -> recall::Answer {
+    recall::Answer {
+        version: VERSION,
+        progress: traffic.progress(),
+        kept: traffic.index.kept(Instant::now()),
+    }
+}
+
 /// The answer, and the configuration's entry that follows it.
 fn answer(follower: &Follower, ask: &Ask) -> (Answer, Option<Rc<[u8]>>) {
     let (revision, document) = follower.document_after(ask.document);
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -19,8 +19,6 @@
 
 pub mod ask;
 pub mod hub;
-pub mod link;
-pub mod message;
 pub mod registry;
 pub mod seed;
 pub mod traffic;
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -16,9 +16,10 @@
 use tidepier_clock::Instant;
 
 use crate::follow::Follower;
+use crate::message::follow::{Ask, Position};
+use crate::message::link::{self, Error};
+use crate::message::VERSION;
 use crate::peer::ask::{self, ANSWER_TIME};
-use crate::peer::link::{self, Error};
-use crate::peer::message::{Ask, Position, VERSION};
 use crate::peer::registry::Registry;
 
 /// Time between two checks whether others are to be asked.
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -10,20 +10,19 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use serde::{Deserialize, Serialize};
 use smol::{LocalExecutor, Timer};
 use tidepier_clock::Instant;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
 use super::ask::{ANSWER_TIME, CONNECT_TIME, PASS_OVER_TIME, UNSURE_TIME};
-use super::link::{self, Error};
-use super::message::{Question, VERSION};
 use super::registry::{Member, Registry};
 use crate::crash::table;
-use crate::fleet::Count;
+use crate::message::link::{self, Error};
+use crate::message::traffic::{Answer, Ask, Asker, Report};
+use crate::message::{Question, VERSION};
 use crate::relay::Relay;
-use crate::traffic::log::{News, Peer, Position, Row};
+use crate::traffic::log::{News, Peer, Position};
 use crate::traffic::tally::{Sum, Told};
 
 /// Time between two questions: what is told is so old at most on each of three
@@ -45,62 +44,6 @@
 /// once, with 8 requests each, are 2,400 contents; a hub has them within 4 s.
 const HUB_CRASHES_MAX: usize = 256;
 
-/// Who asks.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Asker {
-    /// A box of the same hall: it tells of its own requests and hears of all.
-    Box,
-    /// The hub of another hall: it hears of this hall's requests.
-    Hub,
-}
-
-/// What a box tells, and asks for.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// [`VERSION`] of the sender.
-    pub version: u16,
-    /// Comes back in the answer.
-    pub number: u64,
-    /// Who asks.
-    pub asker: Asker,
-    /// Where the sender stands in the other's log of placements.
-    pub place: Position,
-    /// What the sender tells.
-    pub report: Report,
-}
-
-/// What one side tells the other.
-#[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
-pub struct Report {
-    /// Boxes whose requests are counted.
-    pub boxes: u32,
-    /// Counts that differ from what was told before on this connection.
-    pub counts: Vec<Count>,
-    /// Placements that are new.
-    pub rows: Vec<Row>,
-    /// Further ones for which there was no room.
-    pub untold: u32,
-    /// Contents that servers ended under, as far as that is new.
-    #[serde(default, skip_serializing_if = "Vec::is_empty")]
-    pub crashes: Vec<table::Row>,
-}
-
-/// The answer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Answer {
-    /// [`VERSION`] of the sender.
-    pub version: u16,
-    /// The question's number.
-    pub number: u64,
-    /// Whether the sender is the hub of its hall: only a hub knows the whole
-    /// hall's requests.
-    pub is_hub: bool,
-    /// The asker's place in the log after these rows.
-    pub place: Position,
-    /// What the sender tells.
-    pub report: Report,
-}
-
 /// One end of a connection: what was told over it, each way.
 #[derive(Default)]
 pub struct End {
--- a/crates/relay/src/recall/boxes.rs
+++ b/crates/relay/src/recall/boxes.rs
@@ -2,16 +2,15 @@
 
 use std::time::Duration;
 
-use serde::{Deserialize, Serialize};
 use smol::{LocalExecutor, Task};
 use tidepier_clock::Instant;
 
+use crate::message::link::{self, Error};
+use crate::message::recall::{Answer, Ask};
+use crate::message::{Question, VERSION};
 use crate::peer::ask::{ANSWER_TIME, CONNECT_TIME};
-use crate::peer::link::{self, Error};
-use crate::peer::message::{Question, VERSION};
 use crate::peer::registry::{Member, Registry};
 use crate::relay::Relay;
-use crate::traffic::index::Kept;
 use crate::traffic::Progress;
 
 /// Boxes of this hall that are asked beside its first one.
@@ -20,33 +19,6 @@
 /// weakest link, and a hub answers its whole hall.
 const WHOLE_TIME: Duration = Duration::from_millis(600);
 
-/// What a box asks.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Ask {
-    /// [`VERSION`] of the sender.
-    pub version: u16,
-}
-
-/// The answer.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct Answer {
-    /// [`VERSION`] of the sender.
-    pub version: u16,
-    /// How much the sender knows.
-    pub progress: Progress,
-    /// What is known to be kept.
-    pub kept: Vec<Kept>,
-}
-
-/// Answers a question.
-pub fn answer(relay: &Relay) -> Answer {
-    Answer {
-        version: VERSION,
-        progress: relay.traffic.progress(),
-        kept: relay.traffic.index.kept(Instant::now()),
-    }
-}
-
 /// Asks some boxes at once and takes over what they know; returns whether this
 /// box now knows all that there is to know.
 pub(super) async fn ask(
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -7,7 +7,7 @@
 use lru::LruCache;
 use tidepier_ids as ids;
 
-use crate::peer::message::{Change, Position, Row, Servers};
+use crate::message::follow::{Change, Position, Row, Servers};
 
 /// Changes kept; a box that is further behind gets all servers.
 const CHANGES_MAX: usize = 64;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -66,12 +66,12 @@
     /// The catalog in force.
     pub view: View,
     /// The backend servers.
-    pub fleet: Fleet,
+    pub fleet: Rc<Fleet>,
     /// What is known of the requests that other boxes place, and where prompts
     /// were sent.
     pub traffic: Traffic,
     /// Servers that ended under requests, and what is refused for it.
-    pub crashes: Crashes,
+    pub crashes: Rc<Crashes>,
     /// Retries that may be spent.
     pub budget: Budget,
     /// The planned stop.
@@ -91,9 +91,9 @@
             hall,
             bounds: Cell::new(bounds),
             view: View::default(),
-            fleet: Fleet::default(),
+            fleet: Rc::default(),
             traffic: Traffic::default(),
-            crashes: Crashes::default(),
+            crashes: Rc::default(),
             budget,
             stop: Stop::default(),
             roster: Roster::default(),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -128,10 +128,10 @@
         executor.spawn(follower.clone().servers()).detach();
         executor.spawn(follower.clone().lapses()).detach();
         executor.spawn(follower.clone().emptying()).detach();
-        let inquiry = crash::inquire(relay.clone(), executor.clone());
+        let inquiry = crash::inquire(relay.crashes.clone(), executor.clone());
         executor.spawn(inquiry).detach();
-        executor.spawn(crash::tidy(relay.clone())).detach();
-        executor.spawn(watch::run(relay.clone())).detach();
+        executor.spawn(crash::tidy(relay.crashes.clone())).detach();
+        executor.spawn(watch::run(relay.fleet.clone())).detach();
         executor.spawn(tidepier_clock::watch()).detach();
         start_peers(&relay, follower, store, settings, executor)?;
         Ok(router)
--- a/crates/relay/tests/relay/lives.rs
+++ b/crates/relay/tests/relay/lives.rs
@@ -10,7 +10,8 @@
 use tidepier_relay::emptied::List;
 use tidepier_relay::fleet::{Change, Fleet};
 use tidepier_relay::health::Outcome;
-use tidepier_relay::peer::message::{Answer, Position, Row, Servers, VERSION};
+use tidepier_relay::message::follow::{Answer, Position, Row, Servers};
+use tidepier_relay::message::VERSION;
 use tidepier_relay_standin::server::Fault;
 
 use crate::desk::{prompt, server, Desk, LARGE};
--- a/crates/relay/tests/relay/port.rs
+++ b/crates/relay/tests/relay/port.rs
@@ -7,9 +7,9 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use tidepier_h1::Conn;
+use tidepier_relay::message::follow::{Answer, Ask, Position};
+use tidepier_relay::message::{link, Question, VERSION};
 use tidepier_relay::peer::hub;
-use tidepier_relay::peer::link;
-use tidepier_relay::peer::message::{Answer, Ask, Position, Question, VERSION};
 use tidepier_relay_standin::site::Site;
 use tidepier_relay_standin::Server;
 
--- a/crates/relay/tests/relay/record.rs
+++ b/crates/relay/tests/relay/record.rs
@@ -3,7 +3,7 @@
 use eyre::ensure;
 use tidepier_core::server::State;
 use tidepier_ids as ids;
-use tidepier_relay::peer::message::{Change, Position, Servers};
+use tidepier_relay::message::follow::{Change, Position, Servers};
 use tidepier_relay::record::Record;
 
 use crate::house::Result;
--- a/crates/relay/tests/relay/sizes.rs
+++ b/crates/relay/tests/relay/sizes.rs
@@ -8,7 +8,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::server::{Server, State};
 use tidepier_relay::fleet::Fleet;
-use tidepier_relay::peer::message::Row;
+use tidepier_relay::message::follow::Row;
 use tidepier_relay::record::Record;
 
 use crate::house::{Result, SERVICE};
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -13,7 +13,8 @@
 use tidepier_relay::emptied::List;
 use tidepier_relay::follow::Follower;
 use tidepier_relay::health::Outcome;
-use tidepier_relay::peer::message::{Answer, Change, Position, Row, Servers, VERSION};
+use tidepier_relay::message::follow::{Answer, Change, Position, Row, Servers};
+use tidepier_relay::message::VERSION;
 use tidepier_relay::relay::{Bounds, Relay};
 
 use crate::hall::{APPLY_TIME, REVOKE_TIME};
--- a/crates/soak/src/evidence.rs
+++ b/crates/soak/src/evidence.rs
@@ -5,7 +5,7 @@
 
 use tidepier_relay_standin::server::{self, Run};
 
-use crate::ledger::{Attempt, Disturbance, Fact, Loads};
+use crate::ledger::{Attempt, Disturbance, Fact, Ledger, Loads};
 
 /// What reached a server.
 #[derive(Debug, Clone)]
@@ -19,7 +19,7 @@
 }
 
 /// Records by the id of their attempt, each in the order of arrival.
-pub(crate) fn by_attempt(all: impl Iterator<Item = Seen>) -> HashMap<String, Vec<Seen>> {
+fn by_attempt(all: impl Iterator<Item = Seen>) -> HashMap<String, Vec<Seen>> {
     let mut runs: HashMap<String, Vec<Seen>> = HashMap::new();
     for seen in all {
         runs.entry(seen.run.attempt.clone()).or_default().push(seen);
@@ -48,6 +48,22 @@
 }
 
 impl Evidence {
+    /// All that is known of a run that began at a moment. The servers' records are
+    /// read after the rest, so that no answer is without its run; what reached a
+    /// server after the rest was read is left for later.
+    pub fn gather(ledger: &Ledger, begun: Instant, seen: impl FnOnce() -> Vec<Seen>) -> Self {
+        let copy = ledger.copy();
+        let seen = seen().into_iter();
+        Self {
+            begun,
+            attempts: copy.attempts,
+            disturbances: copy.disturbances,
+            facts: copy.facts,
+            loads: copy.loads,
+            runs: by_attempt(seen.filter(|seen| seen.run.arrived < copy.read)),
+        }
+    }
+
     /// What reached servers for an attempt.
     pub fn seen(&self, attempt: &Attempt) -> &[Seen] {
         self.runs.get(&attempt.id).map_or(&[], Vec::as_slice)
--- a/crates/soak/src/fleet/guilty.rs
+++ b/crates/soak/src/fleet/guilty.rs
@@ -12,8 +12,9 @@
 use super::servers::Backend;
 use super::Fleet;
 use crate::ledger::{Attempt, Traffic};
+use crate::plan;
+use crate::sync::lock;
 use crate::way::Harm;
-use crate::{load, lock};
 
 /// Pause between two sendings.
 const PAUSE: Duration = Duration::from_millis(250);
@@ -64,7 +65,7 @@
                 answer: None,
             };
             let call = Call::new("POST", HOST, &attempt.target(), &attempt.id);
-            let call = call.body(attempt.body()).leaving(load::LEAVE);
+            let call = call.body(attempt.body()).leaving(plan::LEAVE);
             let front = self.front(attempt.place);
             let noted = self.ledger.sent(attempt);
             let answer = Client::once(front, &call).await;
--- a/crates/soak/src/fleet/machine.rs
+++ b/crates/soak/src/fleet/machine.rs
@@ -11,8 +11,8 @@
 use rustix::process::Signal;
 use serde_json::Value;
 
-use crate::lock;
 use crate::process::{Level, Process};
+use crate::sync::lock;
 use crate::way::Way;
 
 pub(super) struct Machine {
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -6,7 +6,6 @@
 
 mod guilty;
 mod machine;
-mod plan;
 mod servers;
 mod steps;
 
@@ -27,22 +26,16 @@
 use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::{names, Client};
 
+use crate::bound;
 use crate::ledger::{Fact, Ledger, Traffic};
+use crate::plan::{self, MARK, PLAIN, STREAM};
 use crate::process::Level;
 use crate::schedule::Schedule;
+use crate::sync::lock;
 use crate::way::Way;
-use crate::{load, lock};
 use machine::Machine;
 use servers::Backend;
 
-pub use plan::{ATTEMPTS, SERVER_HALLS, TIMEOUT};
-
-/// The service of plain requests.
-pub const PLAIN: &str = "plain";
-/// The service of streams.
-pub const STREAM: &str = "stream";
-/// The beginning of the names of services that tell the version.
-pub const MARK: &str = "mark-";
 /// Ports of a box; none that the system gives out.
 const PEER_PORT: u16 = 20_711;
 const CALLERS_PORT: u16 = 20_712;
@@ -137,7 +130,7 @@
                 "peer_ports": [PEER_PORT, PEER_PORT],
                 "server_beat": "1200ms",
                 "limits": { "link_mbps": LINK_MBPS - place * LINK_STEP, "memory_mb": 260 },
-                "bounds": crate::rule::bound::settings(),
+                "bounds": bound::settings(),
             });
             let machine = fleet.machine(place, *peer, &peers, settings, relay, folder)?;
             fleet.machines.push(machine);
@@ -262,7 +255,7 @@
         }
         let today: Vec<&str> = keys[first + count..].iter().map(String::as_str).collect();
         self.ledger.fact(Fact::Configuring);
-        self.site.account(load::ACCOUNT, &today, 0);
+        self.site.account(plan::ACCOUNT, &today, 0);
         for key in gone {
             self.ledger.fact(Fact::KeyGone(key));
         }
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -10,10 +10,11 @@
 use tidepier_relay_standin::server::{Events, Settings};
 use tidepier_relay_standin::Server;
 
-use super::{Fleet, STREAM};
+use super::Fleet;
 use crate::evidence::Seen;
 use crate::ledger::Loads;
-use crate::lock;
+use crate::plan::{self, STREAM};
+use crate::sync::lock;
 use crate::way::Way;
 
 /// Requests that a server works on at once.
@@ -45,7 +46,7 @@
         let server = Server::start(Settings {
             id: format!("i-{number}"),
             service: service.into(),
-            hall: super::plan::hall(number as usize, super::SERVER_HALLS),
+            hall: plan::hall(number as usize, plan::SERVER_HALLS),
             slots: SLOTS,
             queue: QUEUE,
             work: WORK,
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -16,6 +16,7 @@
 use crate::ledger::{Fact, Place};
 use crate::schedule::Step;
 use crate::way::{Harm, Way};
+use crate::{bound, plan};
 
 /// Time between two checks whether a process has ended.
 const LOOK: Duration = Duration::from_millis(10);
@@ -156,7 +157,7 @@
     /// Waits until a process has ended; kills it once its time is over.
     async fn ended(&self, place: usize) -> eyre::Result<()> {
         let machine = &self.machines[place];
-        let until = std::time::Instant::now() + crate::rule::bound::STOP;
+        let until = std::time::Instant::now() + bound::STOP;
         let mut killed = false;
         let mut ran = Duration::ZERO;
         while !machine.is_gone()? {
@@ -258,10 +259,10 @@
     /// Has a hall of servers emptied for longer than that may take, and takes it
     /// back.
     async fn empty_hall(&self, hall: usize, lasts: Duration) {
-        let hall = super::plan::hall(hall, super::SERVER_HALLS);
+        let hall = plan::hall(hall, plan::SERVER_HALLS);
         self.site.empty_hall(&hall);
         self.ledger.fact(Fact::Emptied(hall.clone()));
-        Timer::after(crate::rule::bound::EMPTY + lasts).await;
+        Timer::after(bound::EMPTY + lasts).await;
         self.ledger.fact(Fact::TakenBack(hall.clone()));
         self.site.take_back(&hall);
     }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What was done and seen in a run, in the order of its happening.
 //!
-//! Nothing here is a judgement. Rules read an [`Evidence`], a copy of it.
+//! Nothing here is a judgement. Rules read an `Evidence`, which is made of a copy of it.
 
 use std::collections::BTreeMap;
 use std::sync::Mutex;
@@ -8,8 +8,10 @@
 
 use tidepier_relay_standin::client::Answer;
 
-use crate::evidence::{self, Evidence, Seen};
-use crate::{load, lock};
+use crate::sync::lock;
+
+/// Body of requests that ask what no other asks.
+pub const BODY: &[u8] = b"question";
 
 /// A kind of request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -51,6 +53,11 @@
         }
     }
 
+    /// The path of a request that asks something.
+    pub fn target(self, asks: &str) -> String {
+        format!("{}{asks}", self.prefix())
+    }
+
     /// Whether it may run at most once.
     pub fn runs_once(self) -> bool {
         matches!(self, Traffic::Once | Traffic::Single)
@@ -81,14 +88,12 @@
 impl Attempt {
     /// Its path.
     pub fn target(&self) -> String {
-        load::target(self.traffic, self.asks.as_ref().unwrap_or(&self.id))
+        self.traffic.target(self.asks.as_ref().unwrap_or(&self.id))
     }
 
     /// Its body.
     pub fn body(&self) -> &[u8] {
-        self.asks
-            .as_ref()
-            .map_or(load::BODY, |asks| asks.as_bytes())
+        self.asks.as_ref().map_or(BODY, |asks| asks.as_bytes())
     }
 
     /// Whether it was answered whole with a success.
@@ -174,7 +179,7 @@
     inner: Mutex<Inner>,
 }
 
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default)]
 struct Inner {
     attempts: Vec<Attempt>,
     disturbances: Vec<Disturbance>,
@@ -268,22 +273,30 @@
         ended.map(Attempt::served).collect()
     }
 
-    /// All of it, with the servers' records. These are read after the rest, so
-    /// that no answer is without its run; what reached a server after the rest
-    /// was read is left for later.
-    pub fn evidence(&self, begun: Instant, seen: impl FnOnce() -> Vec<Seen>) -> Evidence {
-        let (inner, read) = {
-            let inner = lock(&self.inner);
-            (inner.clone(), Instant::now())
-        };
-        let seen = seen().into_iter().filter(|seen| seen.run.arrived < read);
-        Evidence {
-            begun,
-            attempts: inner.attempts,
-            disturbances: inner.disturbances,
-            facts: inner.facts,
-            loads: inner.loads,
-            runs: evidence::by_attempt(seen),
+    /// A copy of all of it.
+    pub fn copy(&self) -> Copy {
+        let inner = lock(&self.inner);
+        Copy {
+            attempts: inner.attempts.clone(),
+            disturbances: inner.disturbances.clone(),
+            facts: inner.facts.clone(),
+            loads: inner.loads.clone(),
+            read: Instant::now(),
         }
     }
 }
+
+/// What a ledger held at one moment.
+#[derive(Debug)]
+pub struct Copy {
+    /// All requests, in the order of their sending.
+    pub attempts: Vec<Attempt>,
+    /// All disturbances, in the order of their beginning.
+    pub disturbances: Vec<Disturbance>,
+    /// All facts.
+    pub facts: Vec<(Instant, Fact)>,
+    /// The servers' loads over time.
+    pub loads: Vec<Loads>,
+    /// The moment.
+    pub read: Instant,
+}
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,23 +14,17 @@
 //! * Only processes that the soak started are signalled.
 //! * A check that is left out because the machine was busy is counted.
 
+pub mod bound;
 pub mod evidence;
 pub mod fault;
 pub mod fleet;
 pub mod ledger;
 pub mod load;
+pub mod plan;
 pub mod process;
 pub mod pulse;
 pub mod rule;
 pub mod run;
 pub mod schedule;
+mod sync;
 pub mod way;
-
-use std::sync::{Mutex, MutexGuard};
-
-/// Locks a mutex; what a panicking holder left is as good as any.
-pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex
-        .lock()
-        .unwrap_or_else(|poisoned| poisoned.into_inner())
-}
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -16,7 +16,8 @@
 use tidepier_relay_standin::Client;
 
 use crate::fleet::Fleet;
-use crate::ledger::{Attempt, Fact, Traffic};
+use crate::ledger::{self, Attempt, Fact, Traffic};
+use crate::plan;
 
 /// Clients at each box.
 const CLIENTS: usize = 6;
@@ -28,21 +29,8 @@
 const PAUSE: Duration = Duration::from_millis(150);
 /// Time to read what came on a connection where no request waits.
 const SURPLUS_TIME: Duration = Duration::from_millis(100);
-/// When a client gives up: beyond the deadline that it names, so that a late
-/// answer is seen.
-pub const LEAVE: Duration = Duration::from_millis(4_600);
 /// Of how many requests one goes over a new connection.
 const FRESH: f64 = 0.1;
-/// Body of requests.
-pub const BODY: &[u8] = b"question";
-/// The account of all keys.
-pub const ACCOUNT: &str = "account-1";
-
-/// The path of a request.
-pub fn target(traffic: Traffic, id: &str) -> String {
-    format!("{}{id}", traffic.prefix())
-}
-
 /// Running clients.
 pub struct Load {
     over: Arc<AtomicBool>,
@@ -128,8 +116,8 @@
         let key = (traffic == Traffic::Keyed).then(|| self.fleet.some_key(&mut self.rng));
         let number = self.numbers.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.place);
-        let mut call = Call::new("POST", HOST, &target(traffic, &id), &id);
-        call = call.body(BODY).leaving(LEAVE);
+        let mut call = Call::new("POST", HOST, &traffic.target(&id), &id);
+        call = call.body(ledger::BODY).leaving(plan::LEAVE);
         if let Some(key) = &key {
             call = call.key(key);
         }
--- a/crates/soak/src/rule/answers.rs
+++ b/crates/soak/src/rule/answers.rs
@@ -3,7 +3,8 @@
 use tidepier_relay_standin::client::{Answer, End};
 use tidepier_relay_standin::{names, server};
 
-use super::{bound, told, Rule, Verdict};
+use super::{told, Rule, Verdict};
+use crate::bound;
 use crate::evidence::{Evidence, Seen};
 use crate::ledger::{Attempt, Fact, Traffic};
 
--- a/crates/soak/src/rule/beliefs.rs
+++ b/crates/soak/src/rule/beliefs.rs
@@ -2,10 +2,11 @@
 
 use std::time::Instant;
 
-use super::{before, bound, told, Rule, Verdict};
+use super::{before, told, Rule, Verdict};
+use crate::bound;
 use crate::evidence::{Evidence, Seen};
-use crate::fleet::MARK;
 use crate::ledger::{Attempt, Fact, Place, Traffic};
+use crate::plan::MARK;
 
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
     keys(evidence, verdict);
--- a/crates/soak/src/rule/crashing.rs
+++ b/crates/soak/src/rule/crashing.rs
@@ -4,7 +4,8 @@
 use std::time::Instant;
 
 use super::beliefs::is_in_touch;
-use super::{bound, Rule, Verdict};
+use super::{Rule, Verdict};
+use crate::bound;
 use crate::evidence::{Evidence, Seen};
 use crate::ledger::Attempt;
 
--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -2,10 +2,11 @@
 
 use std::time::{Duration, Instant};
 
-use super::{before, bound, Rule, Verdict};
+use super::{before, Rule, Verdict};
+use crate::bound;
 use crate::evidence::{Evidence, Seen};
-use crate::fleet::{PLAIN, STREAM};
 use crate::ledger::{Fact, Loads, Traffic};
+use crate::plan::{PLAIN, STREAM};
 
 /// Time without any disturbance after which it is calm.
 const CALM: Duration = Duration::from_secs(1);
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -5,7 +5,6 @@
 
 mod answers;
 mod beliefs;
-pub mod bound;
 mod boxes;
 mod crashing;
 mod load;
--- a/crates/soak/src/rule/planned.rs
+++ b/crates/soak/src/rule/planned.rs
@@ -5,10 +5,11 @@
 
 use tidepier_relay_standin::client::End;
 
-use super::{before, bound, told, Rule, Verdict};
+use super::{before, told, Rule, Verdict};
+use crate::bound;
 use crate::evidence::Evidence;
-use crate::fleet::TIMEOUT;
 use crate::ledger::{Attempt, Fact, Place};
+use crate::plan::TIMEOUT;
 
 /// Time after the work that still counts as it.
 const AFTER: Duration = Duration::from_secs(1);
--- a/crates/soak/src/rule/runs.rs
+++ b/crates/soak/src/rule/runs.rs
@@ -6,9 +6,9 @@
 
 use super::{told, Rule, Verdict};
 use crate::evidence::{Evidence, Seen};
-use crate::fleet::ATTEMPTS;
+
 use crate::ledger::{Attempt, Traffic};
-use crate::load;
+use crate::plan::{self, ATTEMPTS};
 
 /// Statuses that say that a request has not run and never will.
 const PROMISES: [u16; 4] = [408, 421, 429, 503];
@@ -77,6 +77,6 @@
     if run.field("Authorization").is_some() {
         return Some("the key itself");
     }
-    let account = (attempt.traffic == Traffic::Keyed).then_some(load::ACCOUNT);
+    let account = (attempt.traffic == Traffic::Keyed).then_some(plan::ACCOUNT);
     (run.field(names::ACCOUNT) != account).then_some("another account")
 }
--- a/crates/soak/src/rule/words.rs
+++ b/crates/soak/src/rule/words.rs
@@ -6,7 +6,8 @@
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
-use super::{bound, told, Rule, Verdict};
+use super::{told, Rule, Verdict};
+use crate::bound;
 use crate::evidence::{Evidence, Seen};
 use crate::ledger::{Attempt, Fact, Place};
 
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -18,9 +18,9 @@
 use crate::ledger::Fact;
 use crate::load::Load;
 use crate::process::Level;
-use crate::rule::{bound, Rule, Verdict};
+use crate::rule::{Rule, Verdict};
 use crate::schedule::Schedule;
-use crate::{pulse, rule};
+use crate::{bound, pulse, rule};
 
 /// Calm before the first fault.
 const WARM_UP: Duration = Duration::from_secs(2);
@@ -108,10 +108,14 @@
     let judged = judge_often(fleet.clone(), begun);
     let played = async {
         play(&fleet, &schedule).await?;
-        Ok(Verdict::new(&fleet.ledger.evidence(begun, || fleet.seen())))
+        Ok(Verdict::new(&Evidence::gather(
+            &fleet.ledger,
+            begun,
+            || fleet.seen(),
+        )))
     };
     let verdict = played.or(judged).await?;
-    let evidence = fleet.ledger.evidence(begun, || fleet.seen());
+    let evidence = Evidence::gather(&fleet.ledger, begun, || fleet.seen());
     let outcome = Outcome {
         seed,
         faults: fleet.ledger.faults(),
@@ -141,7 +145,7 @@
     loop {
         Timer::after(JUDGE).await;
         fleet.restart_ended()?;
-        let evidence = fleet.ledger.evidence(begun, || fleet.seen());
+        let evidence = Evidence::gather(&fleet.ledger, begun, || fleet.seen());
         let verdict = smol::unblock(move || Verdict::new(&evidence)).await;
         if !verdict.violations.is_empty() {
             return Ok(verdict);
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -13,7 +13,7 @@
 use tidepier_relay_standin::store::Down;
 
 use crate::fault::{Config, Fault, Link, Server, Signal, Store};
-use crate::fleet::SERVER_HALLS;
+use crate::plan::SERVER_HALLS;
 use crate::way::{Direction, Harm};
 
 /// Fewest and most boxes.
--- a/crates/soak/src/way.rs
+++ b/crates/soak/src/way.rs
@@ -14,7 +14,7 @@
 use smol::{Task, Timer};
 use socket2::SockRef;
 
-use crate::lock;
+use crate::sync::lock;
 
 /// Bytes that are passed on at once.
 const PIECE: usize = 64 << 10;
