A list or watch that answers is the store's return

Lists count as answers now, and where the store was lost in silence (not refused), a list or watch that answers is its return. Test: red before (never gone in 8 s).

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -78,8 +78,10 @@
     informed: Cell<bool>,
     /// Whether the store can be relied on.
     doubt: Doubt,
-    /// When a watch was last answered.
-    watched: Cell<Option<Instant>>,
+    /// When a list or a watch was last answered.
+    answered: Cell<Option<Instant>>,
+    /// Whether the store was lost as calls got no answer, and not as it refused them.
+    lost_in_silence: Cell<bool>,
     /// When an answer to a write was last lost.
     unanswered: Cell<Option<Instant>>,
     /// Boxes of this hall that come before this one.
@@ -104,7 +106,8 @@
             servers_known: Cell::new(false),
             informed: Cell::new(false),
             doubt: Doubt::default(),
-            watched: Cell::new(None),
+            answered: Cell::new(None),
+            lost_in_silence: Cell::new(false),
             unanswered: Cell::new(None),
             boxes_before: Cell::new(0),
             store_returned: Notice::default(),
@@ -261,15 +264,25 @@
         }
     }
 
-    /// Records that a call failed that was sent at `asked`. A store that answered a
-    /// watch meanwhile is there: the call was held up on its way, as by a large
+    /// Records that a list or a watch was answered. Where the store was lost as calls
+    /// got no answer, it is back.
+    fn answered(&self) {
+        self.answered.set(Some(Instant::now()));
+        if self.doubt.is_unreachable() && self.lost_in_silence.get() {
+            self.mark_reachable();
+        }
+    }
+
+    /// Records that a call failed that was sent at `asked`. A store that answered a list
+    /// or a watch meanwhile is there: the call was held up on its way, as by a large
     /// configuration that changes each second, and what the watches tell holds. Taken
     /// for lost, the store was not believed which entries had gone, and servers got
     /// requests for 3.6 s after; the time left for the fleet is 3 s.
     fn call_failed(&self, failure: &Failure, asked: Instant) {
         let silent = matches!(failure, Failure::NotSent(_) | Failure::NoAnswer(_));
-        let watched = self.watched.get().is_some_and(|at| at > asked);
-        if !(silent && watched) {
+        self.lost_in_silence.set(silent);
+        let answered = self.answered.get().is_some_and(|at| at > asked);
+        if !(silent && answered) {
             self.mark_unreachable(asked);
         }
     }
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -44,6 +44,7 @@
     async fn read_operator(&self, limit: Duration) -> Result<Revision, Failure> {
         let asked = Instant::now();
         let read = self.store.list(key::OPERATOR, false, limit).await?;
+        self.answered();
         let halls_known = self.take_emptied(&self.emptied_list(&read.value, read.revision));
         let mut items = read.value.into_iter();
         match items.find(|item| item.key == key::CONFIG) {
--- a/crates/relay/src/follow/changes.rs
+++ b/crates/relay/src/follow/changes.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use tidepier_clock::Instant;
 use tidepier_core::store::{Event, Read, Revision, Scope, Store, Watch as _};
 use tidepier_platform::store;
 
@@ -32,7 +31,7 @@
         };
         match read.or(interrupted).await? {
             Ok(read) => {
-                self.follower.watched.set(Some(Instant::now()));
+                self.follower.answered();
                 Some(read)
             }
             Err(failure) => {
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -31,6 +31,7 @@
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
                     pause.reset();
+                    self.answered();
                     self.take_servers(&read.value, read.revision);
                     self.servers_known.set(true);
                     self.watch_servers(read.revision).await;
--- a/crates/relay/tests/relay/beliefs.rs
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -430,3 +430,29 @@
         Ok(())
     })
 }
+
+/// The same where calls got no answer before a watch had one: the watch that answers
+/// then is the store's return.
+#[test]
+fn a_watch_that_answers_is_the_stores_return() -> Result {
+    run(async |executor| {
+        let (near, far, house) = pair(executor).await?;
+        house.post("/r/x", "before").await?;
+        house.site.store.faults(|faults| faults.mute = true);
+        Timer::after(ms(4_000)).await;
+        for _ in 0..15 {
+            house.site.announce(&far, State::Ready);
+            Timer::after(ms(200)).await;
+        }
+        house.site.withdraw(&near);
+        let gone = Instant::now();
+        until("gone", async || {
+            house.site.announce(&far, State::Ready);
+            Timer::after(ms(100)).await;
+            Ok(!house.knows(&near))
+        })
+        .await?;
+        ensure!(gone.elapsed() < ms(2_000), "after {:?}", gone.elapsed());
+        Ok(())
+    })
+}
