--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -34,11 +34,15 @@
         Ok(Next::Keep)
     }
 
-    /// Records what an answer that is begun says of the server.
+    /// Records what an answer that is begun says of the server; a second answer after
+    /// a stream is of no request.
     fn note_said(&self, at: usize, rest: Option<&str>) {
         let leaving = self.leaving().is_some();
         let now = Instant::now();
         self.run(at, |run| {
+            if !run.made.is_empty() {
+                return;
+            }
             run.said_leaving = leaving.then_some(now);
             run.said_rest = rest.map(|rest| (rest.to_owned(), now));
         });
@@ -200,7 +204,9 @@
             return Ok(Next::Close);
         }
         self.write(b"0\r\n\r\n").await?;
-        self.surplus(fault, self.whole(at, &[])).await?;
+        if matches!(fault, Some(Fault::Extra | Fault::LateExtra)) {
+            self.surplus(fault, self.whole(at, &[])).await?;
+        }
         Ok(if closes { Next::Close } else { Next::Keep })
     }
 
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -47,6 +47,10 @@
     /// decide.
     #[arg(long)]
     words: bool,
+    /// So many boxes in place of what the seeds decide; the faults touch up to the
+    /// first four. Each two have a way between them, so that 60 open 3,540 ports.
+    #[arg(long, value_parser = clap::value_parser!(u16).range(4..=80))]
+    boxes: Option<u16>,
     /// The relay's program; beside this one by default.
     #[arg(long)]
     relay: Option<PathBuf>,
@@ -139,6 +143,7 @@
         crashing_requests: arguments.crashing_requests,
         suspensions: arguments.suspensions,
         words: arguments.words,
+        boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
     let mut outcomes = Vec::new();
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -55,6 +55,14 @@
 const LINK_MBPS: usize = 5_000;
 const LINK_STEP: usize = 1_000;
 
+/// The weakest link of any box.
+const LINK_MIN: usize = 100;
+
+/// The link of a box.
+fn link_mbps(place: usize) -> usize {
+    LINK_MBPS.saturating_sub(place * LINK_STEP).max(LINK_MIN)
+}
+
 /// A running fleet.
 pub struct Fleet {
     /// What is done and seen.
@@ -129,7 +137,7 @@
                 "readiness": SocketAddr::new(peer.ip(), READY_PORT).to_string(),
                 "peer_ports": [PEER_PORT, PEER_PORT],
                 "server_beat": "1200ms",
-                "limits": { "link_mbps": LINK_MBPS - place * LINK_STEP, "memory_mb": 260 },
+                "limits": { "link_mbps": link_mbps(place), "memory_mb": 260 },
                 "bounds": bound::settings(),
             });
             let machine = fleet.machine(place, *peer, &peers, settings, relay, folder)?;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -19,8 +19,10 @@
 use crate::ledger::{self, Attempt, Fact, Traffic};
 use crate::plan;
 
-/// Clients at each box.
+/// Clients at each box, ...
 const CLIENTS: usize = 6;
+/// ... and of all boxes together at the most, but for one at each.
+const CLIENTS_MAX: usize = 48;
 /// Connections that rest at each box.
 const RESTING: usize = 3;
 /// Pause between two requests of a client, in ms.
@@ -44,9 +46,10 @@
         let over = Arc::new(AtomicBool::new(false));
         let numbers = Arc::new(AtomicU64::new(0));
         let (mut clients, mut resting) = (Vec::new(), Vec::new());
+        let each = (CLIENTS_MAX / fleet.boxes()).clamp(1, CLIENTS);
         for place in 0..fleet.boxes() {
-            for client in 0..CLIENTS {
-                let stream = (place * CLIENTS + client) as u64;
+            for client in 0..each {
+                let stream = (place * each + client) as u64;
                 let mut rng = ChaCha8Rng::seed_from_u64(seed);
                 rng.set_stream(stream + 1);
                 let one = Sender {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -78,6 +78,8 @@
     pub suspensions: bool,
     /// Whether servers say in answers that they leave, or ask for rest, beside it.
     pub words: bool,
+    /// How many boxes there are in place of what the seed decides.
+    pub boxes: Option<usize>,
 }
 
 /// Runs one seed.
@@ -99,6 +101,9 @@
     if place.words {
         schedule = schedule.with_words();
     }
+    if let Some(boxes) = place.boxes {
+        schedule = schedule.with_boxes(boxes);
+    }
     let folder = place.folder.join(format!("seed-{seed}"));
     clear(&folder)?;
     fs::create_dir_all(&folder)?;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -169,6 +169,11 @@
         self.with(steps.into_iter())
     }
 
+    /// The same with so many boxes, of which its faults touch the first ones.
+    pub fn with_boxes(self, boxes: usize) -> Self {
+        Self { boxes, ..self }
+    }
+
     /// The same with more steps: what the seed decided before stays as it is.
     fn with(self, more: impl Iterator<Item = Step>) -> Self {
         let mut steps = self.steps;
