Read once more: one loop of two tests, the first rest over takes servers as they are held

Twins and dead code of this change: beliefs.rs waited for an entry to go in two places (goes_in_time now); first_over took apart what callers had (an Rc each); the text of word::Source was written nowhere; a comment over the line's length.

--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -174,7 +174,8 @@
 }
 
 /// The mean load of all engines, given that of those whose load is known. Engines of
-/// emptied halls, cold ones and those that rest get little, so that nothing is known of many of them;
+/// emptied halls, cold ones and those that rest get little, so that nothing is known of
+/// many of them;
 /// without them the mean is that of the busy ones alone, half as much again where one
 /// hall of three is empty, and these could go as far over the operator's bound.
 fn mean_of_all(known: f64, group: &Group<'_>, ask: &Ask<'_>, now: Instant) -> f64 {
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -194,7 +194,7 @@
             refusal::Kind::NoServer
         } else if home.is_empty() {
             refusal::Kind::NoRegion
-        } else if let Some(rest) = fleet::first_over(home.iter().map(|it| &***it), now) {
+        } else if let Some(rest) = fleet::first_over(home.iter().copied(), now) {
             refusal::Kind::Resting(rest.come_back(self.route.priority, now))
         } else if home
             .iter()
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -469,7 +469,7 @@
 
 /// The rest that is over first, if all of these servers rest.
 pub fn first_over<'a>(
-    servers: impl IntoIterator<Item = &'a Backend>,
+    servers: impl IntoIterator<Item = &'a Rc<Backend>>,
     now: Instant,
 ) -> Option<Rest> {
     let rests = servers.into_iter().map(|it| it.rest(now));
--- a/crates/relay/src/fleet/word.rs
+++ b/crates/relay/src/fleet/word.rs
@@ -35,15 +35,6 @@
     Answer,
 }
 
-impl fmt::Display for Source {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Source::Entry => "entry",
-            Source::Answer => "answer",
-        })
-    }
-}
-
 /// That a server leaves.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Leaving {
--- a/crates/relay/tests/relay/beliefs.rs
+++ b/crates/relay/tests/relay/beliefs.rs
@@ -402,6 +402,20 @@
     })
 }
 
+/// Checks that a server whose entry goes is dropped in time, beside changes of another.
+async fn goes_in_time(house: &House, goes: &Server, changes: &Server) -> Result {
+    house.site.withdraw(goes);
+    let gone = Instant::now();
+    until("gone", async || {
+        house.site.announce(changes, State::Ready);
+        Timer::after(ms(100)).await;
+        Ok(!house.knows(goes))
+    })
+    .await?;
+    ensure!(gone.elapsed() < ms(2_000), "after {:?}", gone.elapsed());
+    Ok(())
+}
+
 /// Seen: boxes sent to servers for 3.6 s after their entries were gone. Their questions
 /// whether the configuration is the newest got no answer in time beside the configuration
 /// itself, 437 KB each second, so that the store counted as lost; their watches went on
@@ -418,16 +432,7 @@
             house.site.announce(&far, State::Ready);
             Timer::after(ms(200)).await;
         }
-        house.site.withdraw(&near);
-        let gone = Instant::now();
-        until("gone", async || {
-            house.site.announce(&far, State::Ready);
-            Timer::after(ms(100)).await;
-            Ok(!house.knows(&near))
-        })
-        .await?;
-        ensure!(gone.elapsed() < ms(2_000), "after {:?}", gone.elapsed());
-        Ok(())
+        goes_in_time(&house, &near, &far).await
     })
 }
 
@@ -444,15 +449,6 @@
             house.site.announce(&far, State::Ready);
             Timer::after(ms(200)).await;
         }
-        house.site.withdraw(&near);
-        let gone = Instant::now();
-        until("gone", async || {
-            house.site.announce(&far, State::Ready);
-            Timer::after(ms(100)).await;
-            Ok(!house.knows(&near))
-        })
-        .await?;
-        ensure!(gone.elapsed() < ms(2_000), "after {:?}", gone.elapsed());
-        Ok(())
+        goes_in_time(&house, &near, &far).await
     })
 }
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -359,7 +359,7 @@
             let Some(choice) = self.there(desk_of, &prompt, now, &mut outcome) else {
                 outcome.refused += 1;
                 let servers = desk_of.fleet.serving(&self.service);
-                let rest = fleet::first_over(servers.iter().map(|it| &**it), now);
+                let rest = fleet::first_over(servers.iter(), now);
                 let wait = rest.map_or(SOON, |rest| rest.come_back(fresh as u8 % 3, now));
                 let again = now + wait;
                 if self.plan.patience > again - since {
