What a server says is logged by who records it, from lists too

Cause: attempt logged and counted what Fleet::told found new; the question for what engines keep called told alone, so that a server that says in its list that it leaves left no line, against docs/OPERATIONS.md (said, tidepier_words_total). Ruled out: a call of the log at the second sender, which the third would forget. Fleet::told records and tells, Fleet::hear records at a given moment (tests). What is decided is the same. cargo test -p tidepier-relay: 296, 51 and 11 passed, clippy clean.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,7 +19,7 @@
 use tidepier_platform::answer;
 
 use crate::fleet::word::Withheld;
-use crate::fleet::{Backend, Fleet, Permit, Running, Said};
+use crate::fleet::{Backend, Fleet, Permit, Running};
 use crate::timeout;
 
 /// Longest time to open a connection to a server: over ten round trips
@@ -188,7 +188,7 @@
     before
         .iter()
         .chain([&answer])
-        .for_each(|it| note_said(backend, sending, it));
+        .for_each(|it| sending.fleet.told(backend, it, sending.attempt));
     if let Some(load) = answer.load {
         backend.record_load(load, Instant::now());
     }
@@ -203,27 +203,6 @@
     })
 }
 
-/// Records what the server says of itself, and logs what is new.
-fn note_said(asked: &Rc<Backend>, sending: &Sending<'_>, answer: &Answer) {
-    let said = sending.fleet.told(asked, answer, Instant::now());
-    if said == Said::default() {
-        return;
-    }
-    log::info!(
-        target: "request",
-        "event=said id={} server={} named={} status={} leaving={} rest_ms={}",
-        sending.attempt,
-        asked.server.id,
-        answer.server.as_deref().unwrap_or("-"),
-        answer.status,
-        said.leaving,
-        said.rest.map_or(0, |time| time.as_millis()),
-    );
-    for (says, is_new) in [("leaving", said.leaving), ("rest", said.rest.is_some())] {
-        metrics::counter!("tidepier_words_total", "says" => says).increment(u64::from(is_new));
-    }
-}
-
 fn not_sent(why: Withheld) -> Failure {
     Failure {
         ran: Ran::No,
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -201,13 +201,33 @@
         Permit::new(backend, now)
     }
 
-    /// Records what the head of an answer says of the server that gave it, while
-    /// `asked` was asked; returns what is new of it.
+    /// Records what the head of an answer to `attempt` says of the server that gave it,
+    /// while `asked` was asked; logs and counts what is new.
+    pub fn told(&self, asked: &Rc<Backend>, answer: &Answer, attempt: &str) {
+        let said = self.hear(asked, answer, Instant::now());
+        if said == Said::default() {
+            return;
+        }
+        log::info!(
+            target: "request",
+            "event=said id={attempt} server={} named={} status={} leaving={} rest_ms={}",
+            asked.server.id,
+            answer.server.as_deref().unwrap_or("-"),
+            answer.status,
+            said.leaving,
+            said.rest.map_or(0, |time| time.as_millis()),
+        );
+        for (says, is_new) in [("leaving", said.leaving), ("rest", said.rest.is_some())] {
+            metrics::counter!("tidepier_words_total", "says" => says).increment(u64::from(is_new));
+        }
+    }
+
+    /// Records what the head of an answer says at `now`; returns what is new of it.
     ///
     /// An answer is a server's only word while the store is away: a box that went by
     /// entries alone sent for nine seconds to a server that said in each answer that it
     /// leaves, and its callers lose what it does not live to end.
-    pub fn told(&self, asked: &Rc<Backend>, answer: &Answer, now: Instant) -> Said {
+    pub fn hear(&self, asked: &Rc<Backend>, answer: &Answer, now: Instant) -> Said {
         let Some(speaker) = self.speaker(asked, answer) else {
             return Said::default();
         };
--- a/crates/relay/src/recall/engines.rs
+++ b/crates/relay/src/recall/engines.rs
@@ -49,7 +49,7 @@
             match list.await {
                 Ok(reply) => {
                     let said = answer::decode(&reply.head);
-                    relay.fleet.told(engine, &said, Instant::now());
+                    relay.fleet.told(engine, &said, "-");
                     take(relay, engine, &reply, share);
                 }
                 Err(error) => log::info!(
--- a/crates/relay/tests/relay/leaving.rs
+++ b/crates/relay/tests/relay/leaving.rs
@@ -269,7 +269,7 @@
         let asked = desk.backend(&asked)?;
         let said = desk
             .fleet
-            .told(&asked, &answer, tidepier_clock::Instant::now());
+            .hear(&asked, &answer, tidepier_clock::Instant::now());
         Ok(said.leaving)
     };
     ensure!(!told(421, None)?, "nobody is named");
--- a/crates/relay/tests/relay/resting.rs
+++ b/crates/relay/tests/relay/resting.rs
@@ -234,7 +234,7 @@
         };
         self.desk
             .fleet
-            .told(&self.server, &answer, self.start + ms(at))
+            .hear(&self.server, &answer, self.start + ms(at))
     }
 
     fn rests(&self, at: u64) -> bool {
@@ -260,7 +260,7 @@
     };
     ear.desk
         .fleet
-        .told(&ear.server, &success, ear.start + ms(300));
+        .hear(&ear.server, &success, ear.start + ms(300));
     ensure!(ear.rests(5_199), "the end of an older request took it back");
     ensure!(!ear.rests(5_200), "longer than asked for");
     Ok(())
@@ -319,7 +319,7 @@
         retry_after: Some(ms(60)),
         ..Answer::default()
     };
-    desk.fleet.told(&keeper, &turned, Moment::now());
+    desk.fleet.hear(&keeper, &turned, Moment::now());
     let meanwhile = desk.choose(Some(&prompt), &[])?;
     ensure!(meanwhile.backend.key != keeper.key, "sent while it rests");
     std::thread::sleep(ms(90));
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -285,7 +285,7 @@
             retry_after: Some(*rest),
             ..Answer::default()
         };
-        desk.fleet.told(&choice.backend, &answer, now);
+        desk.fleet.hear(&choice.backend, &answer, now);
         true
     }
 
