A server that takes connections is left after two seconds of silence

Cause: engines with long prompts before them say nothing for as long as they read.

Mend: after the half second a connection is opened there; where it comes up the server is waited for up to two seconds. It rests for the next request.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -227,6 +227,20 @@
     })
 }
 
+/// Whether a server takes a connection, which then rests for the next request.
+pub(crate) async fn is_there(backend: &Backend) -> bool {
+    match open(backend, CONNECT_TIME).await {
+        Ok(conn) => {
+            backend.keep(conn, None);
+            true
+        }
+        Err(error) => {
+            log::info!(target: "request", "event=not_there server={} why=\"{error}\"", backend.server.id);
+            false
+        }
+    }
+}
+
 /// Opens a connection to a server.
 ///
 /// # Errors
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -29,8 +29,13 @@
 /// Longest rest of a kept connection for a request that may be repeated.
 const REST_REPEATABLE: Duration = Duration::from_secs(10);
 /// Silence of a server, on all connections, after which a request that may be
-/// repeated is sent elsewhere.
+/// repeated is sent elsewhere, unless the server takes a connection.
 const SILENCE: Duration = Duration::from_millis(500);
+/// The same for a server that takes one: an engine that reads some long prompts says
+/// nothing for as long. What is taken from it has to be read anew elsewhere, and an
+/// engine that is thought to be silent keeps requests away, which crowd the others: of
+/// 1,649 requests to 60 engines 300 ended so.
+const SILENCE_THERE: Duration = Duration::from_millis(2_000);
 /// Longest wait for a cold server to bear a request: as long as its client would
 /// wait after a refusal, to come back to a box that may have no place either. When
 /// 90 servers are cold before 1,125 requests a second, 31 instead of 59 in 1,000
@@ -241,15 +246,17 @@
     let mut since = Instant::now();
     loop {
         tidepier_clock::sleep_until(since + SILENCE).await;
-        match backend.heard() {
-            Some(heard) if heard > since => since = heard,
-            _ => {
-                return Err(Failure {
-                    ran: Ran::Unknown,
-                    cause: Cause::Stalled,
-                })
-            }
+        let is_silent = || backend.heard().is_none_or(|heard| heard <= since);
+        if is_silent() && attempt::is_there(backend).await {
+            tidepier_clock::sleep_until(since + SILENCE_THERE).await;
+        }
+        if is_silent() {
+            return Err(Failure {
+                ran: Ran::Unknown,
+                cause: Cause::Stalled,
+            });
         }
+        since = backend.heard().unwrap_or(since);
     }
 }
 
--- a/crates/relay/tests/relay/slow.rs
+++ b/crates/relay/tests/relay/slow.rs
@@ -220,3 +220,30 @@
         Ok(())
     })
 }
+
+/// Pattern: prompts are long and engines few, so that an engine reads for a second before
+/// its next answer begins. While it was left after half a second, what it had read was
+/// read anew elsewhere, which kept all engines reading, and 300 of 1,649 requests were
+/// taken from them so.
+#[test]
+fn a_request_stays_with_an_engine_that_reads_long_prompts() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let reads = |number| Settings {
+            prefill: Duration::from_micros(25),
+            ..streaming(number, 4, ms(10))
+        };
+        let engines = [site.server(reads(1))?, site.server(reads(2))?];
+        let both = [&engines[0], &engines[1]];
+        let house = House::open(executor, site).await?;
+        let call = post("/s/x", "long").with(names::PROMPT, "a1:36000,b1:100");
+        let answer = house.call(&call).await?;
+        whole(&answer, &both, "long")?;
+        ensure!(
+            arrived(&both, "long") == 1,
+            "{} sendings",
+            arrived(&both, "long")
+        );
+        Ok(())
+    })
+}
