An engine is chosen among the prompt's own and two by chance

Cause: what a box knows of the others is up to a second old, and all boxes that left a crowded engine compared all engines and found the same one cheapest. It grows with the number of boxes that know the same.

Mend: compared are the first three of the subject's order, those that keep parts of it, and two others by chance; all only where none of these is any good.

--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -10,7 +10,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
-use super::{cheapest, common, is_open, weight, Ask, Choice};
+use super::{cheapest, common, is_open, weight, Ask, Choice, LEFT_OUT_MS};
 use crate::fleet::Backend;
 use crate::places::Places;
 
@@ -37,9 +37,33 @@
     usual_ms: Option<f64>,
     /// Mean share of failures at these servers.
     failing: f64,
+    /// Places of some engines by chance.
+    sample: Vec<usize>,
     now: Instant,
 }
 
+/// Engines that are compared by chance.
+const SAMPLE: usize = 2;
+
+/// Places of some engines that may be used.
+fn sample(servers: &[Rc<Backend>], ask: &Ask<'_>, now: Instant) -> Vec<usize> {
+    let mut places = Vec::new();
+    for _ in 0..4 * SAMPLE {
+        let place = fastrand::usize(0..servers.len().max(1));
+        let Some(backend) = servers.get(place) else {
+            break;
+        };
+        let usable = backend.is_usable(now) && is_open(backend, ask, now);
+        if usable && !places.contains(&place) {
+            places.push(place);
+        }
+        if places.len() == SAMPLE {
+            break;
+        }
+    }
+    places
+}
+
 impl<'a> Engines<'a> {
     pub(super) fn new(
         group: &Group<'a>,
@@ -61,6 +85,7 @@
             loads,
             crowd: Crowd::new(ask.crowd_factor, mean),
             usual_ms: usual_time(servers, now),
+            sample: sample(servers, ask, now),
             failing,
             now,
         }
@@ -68,9 +93,12 @@
 
     /// The cheapest of the engines that may be asked.
     pub(super) fn cheapest(&self) -> Option<Choice> {
-        let engines = self.servers.iter().zip(&self.loads);
-        let open = engines.filter(|(backend, _)| is_open(backend, self.ask, self.now));
-        let mut choice = cheapest(open.map(|(backend, load)| self.choice(backend, *load)))?;
+        let good = |choice: &Choice| choice.cost < LEFT_OUT_MS;
+        let looked_at = self.cheapest_of(|place| self.is_looked_at(place));
+        let mut choice = match looked_at.filter(good) {
+            Some(choice) => choice,
+            None => self.cheapest_of(|_| true)?,
+        };
         if self.ask.copy_ms.is_some() {
             let source = self.places.source(choice.backend.key);
             // What a request may not leave its regions for is not kept elsewhere.
@@ -80,6 +108,22 @@
         Some(choice)
     }
 
+    fn cheapest_of(&self, of: impl Fn(usize) -> bool) -> Option<Choice> {
+        let engines = self.servers.iter().zip(&self.loads).enumerate();
+        let engines = engines.filter(|(place, _)| of(*place));
+        let open = engines.filter(|(_, (backend, _))| is_open(backend, self.ask, self.now));
+        cheapest(open.map(|(_, (backend, load))| self.choice(backend, *load)))
+    }
+
+    /// Whether an engine is among those that are compared: those that keep parts of the
+    /// prompt or should, and some others by chance. What boxes know of loads is up to a
+    /// second old; if all of them compared all engines, those that leave a crowded one
+    /// would all go to the same, the one that was idle last.
+    fn is_looked_at(&self, place: usize) -> bool {
+        let key = self.servers[place].key;
+        self.sample.contains(&place) || self.places.rank(key).is_some() || self.places.keeps(key)
+    }
+
     fn choice(&self, backend: &Rc<Backend>, load: f64) -> Choice {
         let key = backend.key;
         let lack = self.places.lacking(key);
--- a/crates/relay/src/places.rs
+++ b/crates/relay/src/places.rs
@@ -121,6 +121,11 @@
         last.map_or(0, |last| last + 1)
     }
 
+    /// Whether a server is known to keep any of the prompt's shared parts.
+    pub fn keeps(&self, server: Key) -> bool {
+        self.by_part.iter().any(|holders| holders.contains(&server))
+    }
+
     /// Tokens of the prompt's shared parts that a server is expected to lack.
     pub fn lacking(&self, server: Key) -> Lack {
         let likely = self.rank(server).map_or(0.0, |rank| self.likely[rank]);
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -45,6 +45,7 @@
 mod sim;
 mod sizes;
 mod slow;
+mod spread;
 mod stop;
 mod strangers;
 mod streams;
