Services are moved to another release by trial

Callers: an operator's order to move a service was read by nobody, and a bad release that was started beside the old one got 1,770 of 6,053 requests.

What it does: the order is read with the operator's other entries. A hub writes how far it has come, under the condition that order and stage are the newest it knows, and tells the operator. Each box gives the new release its share of its own requests by a count, on so few of its servers that they have nearly as much to do as they will have; retries and resumed streams stay with the old ones. What answers showed is told with the counts of requests and added up at the hubs; the new release is compared with the old servers on the same routes in the same time. Bad: rolled back at once. Good: seven tenths of the operator's share for two fifths of the time, three times that share for a tenth, then all; completed once nothing runs at the others. A box whose knowledge is older than half the bound keeps to the old release.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! knows no header, field or key of any interface.
 //!
 //! * [`catalog`]: what the operator declared: routes, services, accounts.
+//! * [`rollout`]: the operator's order to move a service to another release.
 //! * [`server`]: one backend server as it announces itself.
 //! * [`request`]: one request of a client.
 //! * [`work`]: one admitted request, as it is placed, queued and resumed.
@@ -15,6 +16,7 @@
 pub mod answer;
 pub mod catalog;
 pub mod request;
+pub mod rollout;
 pub mod server;
 pub mod store;
 pub mod work;
--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -9,6 +9,7 @@
 
 use crate::cold::{Limit, Roster};
 use crate::fleet::Backend;
+use crate::rollout::Aim;
 
 /// The region of each hall.
 pub type Regions = BTreeMap<ids::Hall, ids::Region>;
@@ -58,12 +59,22 @@
     pub regions: Option<&'a Regions>,
     /// Present where the service's servers may be cold.
     pub gate: Option<Gate<'a>>,
+    /// Present where the service is moved to another release.
+    pub aim: Option<&'a Aim>,
 }
 
 impl Filter<'_> {
     /// Whether a server may get the request at `now`.
     pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
-        self.is_home(&backend.server.hall) && !backend.rests(now) && self.is_borne(backend, now)
+        self.is_aimed_at(backend)
+            && self.is_home(&backend.server.hall)
+            && !backend.rests(now)
+            && self.is_borne(backend, now)
+    }
+
+    /// Whether a server runs a release that the request may go to.
+    pub fn is_aimed_at(&self, backend: &Backend) -> bool {
+        self.aim.is_none_or(|aim| aim.admits(&backend.server))
     }
 
     /// Whether a hall is in all regions that bind the request.
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -11,7 +11,8 @@
 use crate::attempt::{Cause, Failure, Ran};
 use crate::choose::Choice;
 use crate::fleet::Backend;
-use crate::health::Outcome;
+use crate::health;
+use crate::rollout::evidence::{Answer, Outcome};
 
 impl Exchange<'_> {
     /// Logs which server was chosen and why.
@@ -58,6 +59,9 @@
         if let Some(outcome) = self.outcome(failure) {
             backend.record(outcome, Instant::now());
         }
+        if let Some(outcome) = trial(&failure.cause) {
+            self.note_trial(backend, outcome);
+        }
         if failure.cause.may_be_end() {
             self.relay.crashes.suspects.add(backend, self.content);
         }
@@ -84,21 +88,21 @@
     }
 
     /// What a failure says of the server; `None`: nothing.
-    fn outcome(&self, failure: &Failure) -> Option<Outcome> {
+    fn outcome(&self, failure: &Failure) -> Option<health::Outcome> {
         match &failure.cause {
             Cause::Connect(error) if error.kind() != io::ErrorKind::TimedOut => {
-                Some(Outcome::Absent)
+                Some(health::Outcome::Absent)
             }
-            Cause::Connect(_) | Cause::Stalled => Some(Outcome::Silent),
+            Cause::Connect(_) | Cause::Stalled => Some(health::Outcome::Silent),
             Cause::Withheld(_) => None,
-            Cause::Refused(answer::MISDIRECTED) => Some(Outcome::Absent),
-            Cause::Refused(_) => Some(Outcome::Good),
+            Cause::Refused(answer::MISDIRECTED) => Some(health::Outcome::Absent),
+            Cause::Refused(_) => Some(health::Outcome::Good),
             // The time may have been too short for any server.
             Cause::Late => {
                 let waited = self.arrival.at.elapsed();
-                (waited > patience(self.route.objective)).then_some(Outcome::Silent)
+                (waited > patience(self.route.objective)).then_some(health::Outcome::Silent)
             }
-            _ => Some(Outcome::Bad),
+            _ => Some(health::Outcome::Bad),
         }
     }
 
@@ -115,9 +119,9 @@
     /// request's arrival to the answer's beginning.
     pub(crate) fn answered(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
         let outcome = if status >= 500 {
-            Outcome::Bad
+            health::Outcome::Bad
         } else {
-            Outcome::Good
+            health::Outcome::Good
         };
         backend.record(outcome, Instant::now());
         if matches!(status, 200..=299) {
@@ -125,10 +129,45 @@
         }
         if let Some(took) = self.beginning(first) {
             backend.health.took(took, Instant::now());
+            self.note_trial(backend, self.trial_of(backend, status, took));
         }
         self.note_answered(backend, status, first);
     }
 
+    /// How an answer ended whose beginning took so long.
+    fn trial_of(&self, backend: &Backend, status: u16, first: Duration) -> Outcome {
+        let now = Instant::now();
+        match status {
+            500.. => Outcome::Failed,
+            _ => Outcome::Answered {
+                first,
+                whole: now
+                    .saturating_duration_since(self.sending.at)
+                    .saturating_sub(self.sending.reading),
+                cold: self
+                    .cold
+                    .is_some_and(|cold| backend.is_cold(cold.time, now)),
+            },
+        }
+    }
+
+    /// Counts an answer for or against the release of its server.
+    fn note_trial(&self, backend: &Backend, outcome: Outcome) {
+        let rollouts = &self.relay.rollouts;
+        let order = rollouts.of(&self.service).map(|known| {
+            let target = Some(&known.order.target);
+            (known.revision, backend.server.release.as_ref() == target)
+        });
+        let answer = Answer {
+            order,
+            service: &self.service,
+            route: &self.route.name,
+            server: backend.key,
+            outcome,
+        };
+        rollouts.evidence.note(&answer, Instant::now());
+    }
+
     /// Logs and counts an answer that was passed on whole.
     pub(super) fn note_answered(&self, backend: &Backend, status: u16, first: Duration) {
         log::info!(
@@ -147,6 +186,17 @@
     }
 }
 
+/// What a failure says of the release of its server; `None`: nothing.
+fn trial(cause: &Cause) -> Option<Outcome> {
+    match cause {
+        Cause::Error(_) | Cause::Unsigned | Cause::Broken(_) | Cause::Lost(_) => {
+            Some(Outcome::Failed)
+        }
+        Cause::Late | Cause::Stalled => Some(Outcome::Late),
+        Cause::Withheld(_) | Cause::Connect(_) | Cause::Foreign | Cause::Refused(_) => None,
+    }
+}
+
 fn class(status: u16) -> &'static str {
     match status {
         200..=299 => "2xx",
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -7,6 +7,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
 use tidepier_core::request::Forward;
+use tidepier_core::server::Release;
 use tidepier_platform::request as wire_request;
 
 use super::job::{Exchange, Start};
@@ -18,6 +19,7 @@
 use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
 use crate::refusal;
+use crate::rollout::Aim;
 
 /// Longest rest of a kept connection for a request that may run only once: a
 /// server that closes a resting connection would make its fate unknown.
@@ -41,6 +43,9 @@
 /// 90 servers are cold before 1,125 requests a second, 31 instead of 59 in 1,000
 /// find no place.
 const COLD_WAIT: Duration = Duration::from_millis(150);
+/// Age of what is known of an order to move a service, as a part of the time in which
+/// a bad release has to be rolled back, up to which a box sends to it.
+const TRUST_PART: f64 = 0.5;
 /// Ranks at a model engine.
 const RANK_LAST: u8 = 9;
 /// Ranks of routes within one rank of accounts.
@@ -91,10 +96,16 @@
 
     /// Chooses a server that takes the request now, after a wait if it is cold.
     async fn place(&self) -> Result<(Choice, Permit), refusal::Kind> {
+        let mut aim = self.aim();
         loop {
             self.may_pass()?;
-            let choice = match self.choose(Duration::ZERO) {
-                Err(refusal::Kind::Cold) => self.choose(COLD_WAIT)?,
+            let choice = match self.choose(&aim, Duration::ZERO) {
+                // The other servers have room for what the new ones do not take.
+                Err(_) if aim.is_trial() => {
+                    aim = aim.others();
+                    continue;
+                }
+                Err(refusal::Kind::Cold) => self.choose(&aim, COLD_WAIT)?,
                 chosen => chosen?,
             };
             if let Some(at) = choice.cold {
@@ -112,6 +123,29 @@
         }
     }
 
+    /// The releases that the request may go to now.
+    fn aim(&self) -> Aim {
+        let relay = self.relay;
+        let again = self.sent > 0 || self.request.resume_after.is_some();
+        let trust = relay.bounds().rollback.mul_f64(TRUST_PART);
+        let serving = relay.fleet.serving(&self.service);
+        let servers = |release: &Release| {
+            let run = serving.iter().map(|it| it.server.release.as_ref());
+            run.filter(|run| *run == Some(release)).count()
+        };
+        let now = Instant::now();
+        let aim = relay
+            .rollouts
+            .aim(&self.service, again, trust, servers, now);
+        // With no other server a refusal would be worse than a release on trial.
+        let is_any = serving.iter().any(|it| aim.admits(&it.server));
+        if is_any || serving.is_empty() {
+            aim
+        } else {
+            Aim::Any
+        }
+    }
+
     /// Whether the request may go to a server: each sending of one that ends its
     /// servers costs a server and what other callers have there, also a repeat, a
     /// resumed stream, and one that waited.
@@ -146,10 +180,10 @@
     }
 
     /// Chooses a server; a cold one may make the request wait for so long.
-    fn choose(&self, patience: Duration) -> Result<Choice, refusal::Kind> {
+    fn choose(&self, aim: &Aim, patience: Duration) -> Result<Choice, refusal::Kind> {
         let relay = self.relay;
         let regions = relay.regions();
-        let filter = self.filter(&regions, patience);
+        let filter = self.filter(&regions, aim, patience);
         let ask = Ask {
             prompt: self.request.prompt.as_ref(),
             copy_ms: self.copy_ms,
@@ -166,7 +200,7 @@
     }
 
     /// The servers that the request may not go to.
-    fn filter<'a>(&'a self, regions: &'a Regions, patience: Duration) -> Filter<'a> {
+    fn filter<'a>(&'a self, regions: &'a Regions, aim: &'a Aim, patience: Duration) -> Filter<'a> {
         let relay = self.relay;
         let bounds = relay.bounds();
         let account = self.account.as_ref();
@@ -182,6 +216,7 @@
             ],
             regions: Some(regions),
             gate,
+            aim: (*aim != Aim::Any).then_some(aim),
         }
     }
 
@@ -189,7 +224,8 @@
     fn nowhere(&self, filter: &Filter<'_>, now: Instant) -> refusal::Kind {
         let fleet = &self.relay.fleet;
         let servers = fleet.serving(&self.service);
-        let home = servers.iter().filter(|it| filter.is_home(&it.server.hall));
+        let aimed = servers.iter().filter(|it| filter.is_aimed_at(it));
+        let home = aimed.filter(|it| filter.is_home(&it.server.hall));
         let home: Vec<&Rc<Backend>> = home.collect();
         if servers.is_empty() && !fleet.emptied(&self.service).is_empty() {
             refusal::Kind::Emptied
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -49,6 +49,11 @@
         Self(xxh3_64(id.as_str().as_bytes()) as u32)
     }
 
+    /// Its bytes, to hash it.
+    pub fn bytes(self) -> [u8; 4] {
+        self.0.to_le_bytes()
+    }
+
     /// The key of one life of a server.
     pub fn of_life(server: &Server) -> Self {
         let id = server.id.as_str().as_bytes();
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -20,6 +20,7 @@
 mod halls;
 mod news;
 mod pause;
+mod rollouts;
 mod servers;
 
 use std::cell::{Cell, RefCell};
@@ -37,6 +38,7 @@
 use self::doubt::Doubt;
 use self::news::News;
 pub use self::pause::SCOUTS;
+pub(crate) use self::rollouts::stage_key;
 use crate::emptied::Emptied;
 use crate::fleet;
 use crate::message::follow::Row;
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -87,6 +87,9 @@
         answer.age_ms.ok_or(Error::Unsure)?;
         let emptied = answer.emptied.as_ref().ok_or(Error::Unsure)?;
         self.take_emptied(emptied);
+        if let Some(list) = &answer.rollouts {
+            self.relay.rollouts.merge(list, Instant::now());
+        }
         let none = Servers::Changes(Vec::new());
         self.take_rows(std::mem::replace(&mut answer.servers, none));
         Ok(())
@@ -114,6 +117,7 @@
             self.take_document(Revision(answer.revision), document);
         }
         let halls_known = self.take_emptied(&emptied);
+        self.take_rollouts(answer.rollouts.as_ref(), asked);
         self.take_rows(answer.servers);
         if halls_known && self.revision.get() == Revision(answer.revision) {
             self.prove_from(asked, age);
@@ -144,6 +148,7 @@
         }
         let emptied = answer.emptied.unwrap_or_default();
         let halls_known = self.take_emptied(&emptied);
+        self.take_rollouts(answer.rollouts.as_ref(), asked);
         self.take_rows(answer.servers);
         // An entry that is absent when the store is back may have lapsed.
         self.mark_unreachable(asked);
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -46,6 +46,7 @@
         let read = self.store.list(key::OPERATOR, false, limit).await?;
         self.answered();
         let halls_known = self.take_emptied(&self.emptied_list(&read.value, read.revision));
+        self.take_orders(&read.value, read.revision);
         let mut items = read.value.into_iter();
         match items.find(|item| item.key == key::CONFIG) {
             Some(item) => self.take_item(item, halls_known.then_some(asked)),
@@ -156,9 +157,10 @@
         }
         // A change of nothing, under the condition that the entries are what is
         // known here: small, and answered by the store's newest state.
-        let halls = self.emptied_conditions();
+        let mut others = self.emptied_conditions();
+        others.extend(self.rollout_conditions());
         let mut expected = vec![(key::CONFIG, revision)];
-        expected.extend(halls.iter().map(|(key, revision)| (&**key, *revision)));
+        expected.extend(others.iter().map(|(key, revision)| (&**key, *revision)));
         if expected.len() > ENTRIES_MAX {
             return self.read_operator(CALL_TIME).await.map(|_| ());
         }
@@ -170,12 +172,15 @@
             Swap::Done(_) => {
                 if self.revision.get() == revision {
                     self.relay.view.prove(asked);
+                    self.relay.rollouts.prove(asked);
                 }
             }
             Swap::Conflict(Current::Items(items)) => {
-                if !self.emptied_is(&items) {
+                if !self.emptied_is(&items) || !self.orders_are(&items) {
                     return self.read_operator(CALL_TIME).await.map(|_| ());
                 }
+                self.take_stages(&items);
+                self.relay.rollouts.prove(asked);
                 for item in items {
                     self.take_item(item, Some(asked));
                 }
--- a/crates/relay/src/message/follow.rs
+++ b/crates/relay/src/message/follow.rs
@@ -8,6 +8,7 @@
 use tidepier_ids as ids;
 
 use crate::emptied;
+use crate::rollout;
 
 /// A question of a box to the one that reads the store.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
@@ -54,6 +55,10 @@
     /// does not know them.
     #[serde(default)]
     pub emptied: Option<emptied::List>,
+    /// The operator's orders to move services. `None`: a sender of an older form, which
+    /// does not know them.
+    #[serde(default)]
+    pub rollouts: Option<rollout::List>,
     /// Servers that have changed.
     pub servers: Servers,
     /// The place after these changes.
@@ -81,12 +86,15 @@
 /// One server.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Row {
-    id: ids::Server,
-    service: ids::Service,
-    address: SocketAddr,
-    hall: ids::Hall,
-    slots: u32,
-    draining: bool,
+    pub(super) id: ids::Server,
+    pub(super) service: ids::Service,
+    pub(super) address: SocketAddr,
+    pub(super) hall: ids::Hall,
+    pub(super) slots: u32,
+    /// The release that it runs, where it tells that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) release: Option<String>,
+    pub(super) draining: bool,
     /// Revision of the server's entry in the store.
     revision: u64,
     /// When it started, where it tells that; in ms since 1970.
@@ -111,6 +119,7 @@
             address: server.address,
             hall: server.hall.clone(),
             slots: server.slots,
+            release: server.release.as_ref().map(ToString::to_string),
             draining: server.state == State::Draining,
             revision,
             born: server.born.map(|born| born.0),
@@ -153,6 +162,7 @@
             address: row.address,
             hall: row.hall,
             slots: row.slots,
+            release: row.release.and_then(|text| text.parse().ok()),
             state: if row.draining {
                 State::Draining
             } else {
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -5,6 +5,7 @@
 
 use crate::crash::table;
 use crate::fleet::Count;
+use crate::rollout::{self, evidence};
 use crate::traffic::log::{Position, Row};
 
 /// Who asks.
@@ -45,6 +46,12 @@
     /// Contents that servers ended under, as far as that is new.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<table::Row>,
+    /// What answers showed of releases that services are moved to.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub trials: Vec<evidence::Row>,
+    /// The orders to move services, while there are any.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub rollouts: Option<rollout::List>,
 }
 
 /// The answer.
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -155,6 +155,7 @@
         revision,
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         emptied: Some(follower.emptied()),
+        rollouts: Some(follower.relay().rollouts.list(now)),
         servers,
         position,
     };
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -61,6 +61,7 @@
             rows: news.rows,
             untold: news.untold,
             crashes,
+            ..Report::default()
         }
     }
 
@@ -75,6 +76,7 @@
     fn hear(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.heard.apply(report.boxes, &report.counts);
         relay.crashes.take(&report.crashes, Instant::now());
+        relay.hear_rollouts(&from, report);
         relay.hear(from, self.heard.clone(), &report.rows, report.untold);
     }
 
@@ -105,7 +107,15 @@
             number: ask.number,
             is_hub: relay.traffic.is_hub(),
             place: news.place,
-            report: self.report(&sum, most, news, crashes),
+            report: Report {
+                // Only hubs put together what boxes saw.
+                trials: match ask.asker {
+                    Asker::Box => Vec::new(),
+                    Asker::Hub => relay.rollouts.evidence.from_here(now),
+                },
+                rollouts: relay.told_rollouts(now),
+                ..self.report(&sum, most, news, crashes)
+            },
         }
     }
 }
@@ -215,7 +225,11 @@
                 let news = relay.traffic.rows_for_hub();
                 let told = news.place;
                 let crashes = end.crashes(relay, table::Told::All, HUB_CRASHES_MAX);
-                (end.report(&sum, usize::MAX, news, crashes), Some(told))
+                let report = Report {
+                    trials: relay.rollouts.evidence.from_here(Instant::now()),
+                    ..end.report(&sum, usize::MAX, news, crashes)
+                };
+                (report, Some(told))
             }
             Asker::Hub => (Report::default(), None),
         };
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -7,6 +7,7 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
+use tidepier_core::server::Release;
 use tidepier_ids as ids;
 
 use crate::budget::Budget;
@@ -14,6 +15,8 @@
 use crate::cold::Roster;
 use crate::crash::Crashes;
 use crate::fleet::Fleet;
+use crate::message::traffic::Report;
+use crate::rollout::{self, Rollouts};
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Row};
 use crate::traffic::tally::Sum;
@@ -54,6 +57,10 @@
     pub cold_tolerance: f64,
     /// Most load of one server, in multiples of the mean of its service.
     pub crowd_factor: f64,
+    /// Part of a service's requests that a bad release may get.
+    pub exposure: f64,
+    /// Time from when a release is known to be bad until nothing goes there.
+    pub rollback: Duration,
 }
 
 /// One router.
@@ -70,6 +77,8 @@
     /// What is known of the requests that other boxes place, and where prompts
     /// were sent.
     pub traffic: Traffic,
+    /// Services that are moved to other releases.
+    pub rollouts: Rollouts,
     /// Servers that ended under requests, and what is refused for it.
     pub crashes: Rc<Crashes>,
     /// Retries that may be spent.
@@ -93,6 +102,7 @@
             view: View::default(),
             fleet: Rc::default(),
             traffic: Traffic::default(),
+            rollouts: Rollouts::default(),
             crashes: Rc::default(),
             budget,
             stop: Stop::default(),
@@ -181,6 +191,40 @@
         self.fleet.set_others(&others.requests, others.boxes, now);
     }
 
+    /// Takes over what another box told of services that are moved to other releases.
+    pub fn hear_rollouts(&self, from: &Peer, report: &Report) {
+        let now = Instant::now();
+        let trials = report.trials.clone();
+        self.rollouts.evidence.report(from.clone(), trials, now);
+        // How old that is, the reader of the store tells; this is to be quick.
+        if let Some(list) = &report.rollouts {
+            self.rollouts.merge(list, now);
+        }
+    }
+
+    /// The orders to move services, if there are any.
+    pub fn told_rollouts(&self, now: Instant) -> Option<rollout::List> {
+        let list = self.rollouts.list(now);
+        (!list.is_empty()).then_some(list)
+    }
+
+    /// Requests of all boxes, as far as this one hears, at servers of a service that
+    /// run another release.
+    pub fn under_way_at_others(
+        &self,
+        service: &ids::Service,
+        target: &Release,
+        now: Instant,
+    ) -> u32 {
+        let sum = self.with_own(self.traffic.others(None, now));
+        let servers = self.fleet.known(service);
+        let others = servers
+            .iter()
+            .filter(|it| it.server.release.as_ref() != Some(target));
+        let running = others.filter_map(|it| sum.requests.get(&it.key));
+        running.sum()
+    }
+
     /// Requests under way at this box and those that ask it.
     pub fn under_way_from_here(&self, now: Instant) -> Sum {
         self.with_own(self.traffic.members(now))
--- /dev/null
+++ b/crates/relay/src/rollout/evidence.rs
@@ -0,0 +1,299 @@
+//! What answers of two releases showed while an order holds, over all boxes.
+//!
+//! A box of a large fleet sees a few answers of a new release a second, so boxes tell
+//! each other what they counted. Older answers fade, as a release may turn bad later.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
+use tidepier_ids as ids;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::Key;
+use crate::traffic::log::Peer;
+
+/// Time in which what was seen counts half.
+const HALF_TIME: Duration = Duration::from_secs(5);
+/// Age after which the report of another box no longer counts.
+const REPORT_AGE: Duration = Duration::from_millis(1_500);
+/// An answer is slow that takes so many times the usual time of its route, ...
+const SLOW_FACTOR: f64 = 3.5;
+/// ... and so much more than that.
+const SLOW_EXTRA: Duration = Duration::from_millis(150);
+/// Answers of a route from which its usual time is known.
+const USUAL_COUNT: f64 = 4.0;
+/// The weight of the newest answer in a route's usual time.
+const USUAL_PART: f64 = 0.05;
+/// Routes whose usual times are remembered; with more, the box forgets all and learns
+/// anew.
+const ROUTES_MAX: usize = 1_024;
+
+/// How a request ended at a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub enum Outcome {
+    /// With an answer.
+    Answered {
+        /// Time to its beginning, without that of reading the prompt.
+        first: Duration,
+        /// Time to its end, without that of reading the prompt.
+        whole: Duration,
+        /// Whether the server was cold: its times say nothing.
+        cold: bool,
+    },
+    /// With a failure of the server's.
+    Failed,
+    /// With no answer in time.
+    Late,
+}
+
+/// What was counted of one release on one route.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Serialize, Deserialize)]
+#[serde(from = "(f32, f32, f32, u32, u32)", into = "(f32, f32, f32, u32, u32)")]
+pub struct Count {
+    /// Answers.
+    pub answers: f32,
+    /// Failures among them.
+    pub failed: f32,
+    /// Slow ones among them.
+    pub slow: f32,
+    /// The servers that gave them, each by one of 32 bits.
+    pub tried: u32,
+    /// Those that gave failures or slow ones.
+    pub bad: u32,
+}
+
+impl From<(f32, f32, f32, u32, u32)> for Count {
+    fn from((answers, failed, slow, tried, bad): (f32, f32, f32, u32, u32)) -> Self {
+        Self {
+            answers,
+            failed,
+            slow,
+            tried,
+            bad,
+        }
+    }
+}
+
+impl From<Count> for (f32, f32, f32, u32, u32) {
+    fn from(count: Count) -> Self {
+        let Count {
+            answers,
+            failed,
+            slow,
+            tried,
+            bad,
+        } = count;
+        (answers, failed, slow, tried, bad)
+    }
+}
+
+impl Count {
+    /// Adds what was counted elsewhere.
+    pub fn add(&mut self, other: &Count) {
+        self.answers += other.answers;
+        self.failed += other.failed;
+        self.slow += other.slow;
+        self.tried |= other.tried;
+        self.bad |= other.bad;
+    }
+
+    fn faded(&self, part: f32) -> Self {
+        Self {
+            answers: self.answers * part,
+            failed: self.failed * part,
+            slow: self.slow * part,
+            ..*self
+        }
+    }
+}
+
+/// Whose answers they are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub struct Subject {
+    /// Revision of the order.
+    pub order: u64,
+    /// Stands for the route.
+    pub route: u32,
+    /// Whether they are of the new release.
+    pub target: bool,
+}
+
+/// What one side tells another.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Row {
+    /// Whose answers.
+    pub subject: Subject,
+    /// What was counted.
+    pub count: Count,
+}
+
+/// The usual times of a route, as means of logarithms of ms: one long answer is no
+/// slowness.
+#[derive(Debug, Default, Clone, Copy)]
+struct Usual {
+    first: f64,
+    whole: f64,
+    count: f64,
+}
+
+impl Usual {
+    fn add(&mut self, first: Duration, whole: Duration) {
+        self.count += 1.0;
+        let part = (1.0 / self.count).max(USUAL_PART);
+        self.first += part * (log_ms(first) - self.first);
+        self.whole += part * (log_ms(whole) - self.whole);
+    }
+
+    fn is_slow(&self, first: Duration, whole: Duration) -> bool {
+        let exceeds = |time: Duration, usual: f64| {
+            let usual = Duration::from_secs_f64(usual.exp() / 1e3);
+            time > usual.mul_f64(SLOW_FACTOR) + SLOW_EXTRA
+        };
+        self.count >= USUAL_COUNT && (exceeds(first, self.first) || exceeds(whole, self.whole))
+    }
+}
+
+fn log_ms(time: Duration) -> f64 {
+    (time.as_secs_f64() * 1e3).max(1.0).ln()
+}
+
+/// What this box saw, and what others told.
+#[derive(Default)]
+pub struct Evidence {
+    own: RefCell<BTreeMap<Subject, (Count, Instant)>>,
+    usual: RefCell<HashMap<(ids::Service, u32), Usual>>,
+    reports: RefCell<HashMap<Peer, (Vec<Row>, Instant)>>,
+}
+
+/// One answer and where it came from.
+pub struct Answer<'a> {
+    /// Revision of the order that holds for the service, if one does, and whether the
+    /// server runs the new release.
+    pub order: Option<(u64, bool)>,
+    /// The service.
+    pub service: &'a ids::Service,
+    /// The route.
+    pub route: &'a str,
+    /// The server.
+    pub server: Key,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+impl Evidence {
+    /// Counts an answer.
+    pub fn note(&self, answer: &Answer<'_>, now: Instant) {
+        let route = xxh3_64(answer.route.as_bytes()) as u32;
+        let (failed, slow) = match answer.outcome {
+            Outcome::Failed => (1.0, 0.0),
+            Outcome::Late => (0.0, 1.0),
+            Outcome::Answered { cold: true, .. } => (0.0, 0.0),
+            Outcome::Answered { first, whole, .. } => {
+                let is_target = answer.order.is_some_and(|(_, target)| target);
+                let slow = self.time(answer.service, route, is_target, first, whole);
+                (0.0, if slow { 1.0 } else { 0.0 })
+            }
+        };
+        let Some((order, target)) = answer.order else {
+            return;
+        };
+        let bit = 1 << (xxh3_64(&answer.server.bytes()) % 32);
+        let subject = Subject {
+            order,
+            route,
+            target,
+        };
+        let one = Count {
+            answers: 1.0,
+            failed,
+            slow,
+            tried: bit,
+            bad: if failed + slow > 0.0 { bit } else { 0 },
+        };
+        let mut own = self.own.borrow_mut();
+        let (count, at) = own.entry(subject).or_insert((Count::default(), now));
+        *count = count.faded(weight(now.saturating_duration_since(*at)));
+        count.add(&one);
+        *at = now;
+    }
+
+    /// Whether an answer was slow for its route; those of the other releases say what
+    /// is usual.
+    fn time(
+        &self,
+        service: &ids::Service,
+        route: u32,
+        is_target: bool,
+        first: Duration,
+        whole: Duration,
+    ) -> bool {
+        let mut all = self.usual.borrow_mut();
+        if all.len() >= ROUTES_MAX {
+            all.clear();
+        }
+        let usual = all.entry((service.clone(), route)).or_default();
+        let slow = usual.is_slow(first, whole);
+        if !is_target {
+            usual.add(first, whole);
+        }
+        slow
+    }
+
+    /// Takes over what another box told.
+    pub fn report(&self, from: Peer, rows: Vec<Row>, now: Instant) {
+        let mut reports = self.reports.borrow_mut();
+        reports.retain(|_, (_, at)| now.saturating_duration_since(*at) < REPORT_AGE);
+        if rows.is_empty() {
+            reports.remove(&from);
+        } else {
+            reports.insert(from, (rows, now));
+        }
+    }
+
+    /// Forgets orders that are over.
+    pub fn keep_only(&self, orders: &[u64]) {
+        let mut own = self.own.borrow_mut();
+        own.retain(|subject, _| orders.contains(&subject.order));
+    }
+
+    /// What this box and those that ask it saw.
+    pub fn from_here(&self, now: Instant) -> Vec<Row> {
+        self.sum(now, Peer::is_member)
+    }
+
+    /// What all boxes saw that this one hears of.
+    pub fn all(&self, now: Instant) -> Vec<Row> {
+        self.sum(now, |_| true)
+    }
+
+    fn sum(&self, now: Instant, of: impl Fn(&Peer) -> bool) -> Vec<Row> {
+        let mut sum: BTreeMap<Subject, Count> = BTreeMap::new();
+        for (subject, (count, at)) in &*self.own.borrow() {
+            let age = now.saturating_duration_since(*at);
+            sum.entry(*subject)
+                .or_default()
+                .add(&count.faded(weight(age)));
+        }
+        for (peer, (rows, at)) in &*self.reports.borrow() {
+            let age = now.saturating_duration_since(*at);
+            if age >= REPORT_AGE || !of(peer) {
+                continue;
+            }
+            for row in rows {
+                let count = row.count.faded(weight(age));
+                sum.entry(row.subject).or_default().add(&count);
+            }
+        }
+        let rows = sum.into_iter();
+        rows.map(|(subject, count)| Row { subject, count })
+            .collect()
+    }
+}
+
+/// How much something of an age counts.
+fn weight(age: Duration) -> f32 {
+    0.5f32.powf(age.as_secs_f32() / HALF_TIME.as_secs_f32())
+}
--- /dev/null
+++ b/crates/relay/src/rollout/stage.rs
@@ -0,0 +1,35 @@
+//! How far an order has come, as it lies in the store.
+
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tidepier_core::rollout::State;
+
+/// One entry.
+#[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
+pub struct Stage {
+    /// Revision of the order's own entry.
+    pub order: u64,
+    /// How far it has come.
+    #[serde(with = "Told")]
+    pub state: State,
+    /// The part of the requests that the new release gets.
+    pub share: f64,
+    /// Time from the order to this, in ms, by the clock of who wrote it.
+    pub elapsed_ms: u64,
+}
+
+#[derive(Serialize, Deserialize)]
+#[serde(remote = "State", rename_all = "snake_case")]
+enum Told {
+    InProgress,
+    Completed,
+    RolledBack,
+}
+
+impl Stage {
+    /// Time from the order to this.
+    pub fn elapsed(&self) -> Duration {
+        Duration::from_millis(self.elapsed_ms)
+    }
+}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -16,6 +16,7 @@
 
 use crate::budget::{self, Budget};
 use crate::callers;
+use crate::conduct;
 use crate::content::Content;
 use crate::crash;
 use crate::fleet::watch;
@@ -193,6 +194,8 @@
     executor: &Rc<LocalExecutor<'static>>,
 ) -> eyre::Result<()> {
     let Some(ports) = settings.peer_ports else {
+        let alone = conduct::run(follower.clone(), store, None);
+        executor.spawn(alone).detach();
         follower.read_self("alone", true);
         let now = Instant::now();
         relay.roster.alone(&settings.name, &settings.hall, now);
@@ -212,7 +215,9 @@
         // No engine keeps anything yet.
         relay.traffic.set_progress(Progress::Done);
     }
-    let registry = Registry::new(me, store);
+    let registry = Registry::new(me, store.clone());
+    let conducting = conduct::run(follower.clone(), store, Some(registry.clone()));
+    executor.spawn(conducting).detach();
     executor
         .spawn(registry.clone().keep(relay.clone()))
         .detach();
@@ -263,6 +268,8 @@
         cold_overage: bounds.cold_overage,
         cold_tolerance: bounds.cold_tolerance,
         crowd_factor: bounds.crowd_factor,
+        exposure: bounds.exposure_share,
+        rollback: bounds.rollback_within.duration(),
     }
 }
 
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -23,6 +23,10 @@
 const CONTACT: Millis = Millis::new(3_000);
 /// Default of [`Bounds::crowd_factor`], in multiples of the mean.
 const CROWD_FACTOR: f64 = 2.0;
+/// Default of [`Bounds::exposure_share`]. Half of the platform's usual figure.
+const EXPOSURE_SHARE: f64 = 0.05;
+/// Default of [`Bounds::rollback_within`].
+const ROLLBACK_WITHIN: Millis = Millis::new(5_000);
 /// Default of [`Bounds::retry_share`]. Half of the platform's usual figure:
 /// without one, the safe side is to send less.
 const RETRY_SHARE: f64 = 0.1;
@@ -56,6 +60,11 @@
     pub contact: Millis,
     /// Most load of one server, in multiples of the mean of its service.
     pub crowd_factor: f64,
+    /// Part of a service's requests that a release may get while it is not known
+    /// whether it is any good.
+    pub exposure_share: f64,
+    /// A release that is known to be bad gets nothing after this.
+    pub rollback_within: Millis,
     /// Repeats that a service may get per request of a window.
     pub retry_share: f64,
     /// The window over which repeats are counted.
@@ -76,6 +85,8 @@
             cold_tolerance: COLD_TOLERANCE,
             contact: CONTACT,
             crowd_factor: CROWD_FACTOR,
+            exposure_share: EXPOSURE_SHARE,
+            rollback_within: ROLLBACK_WITHIN,
             retry_share: RETRY_SHARE,
             retry_window: RETRY_WINDOW,
             retry_extra: RETRY_EXTRA,
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -44,6 +44,8 @@
         positive("limits.descriptors", f64::from(limits.descriptors))?;
         positive("bounds.crowd_factor", bounds.crowd_factor)?;
         share("bounds.retry_share", bounds.retry_share)?;
+        share("bounds.exposure_share", bounds.exposure_share)?;
+        span("bounds.rollback_within", bounds.rollback_within)?;
         positive("bounds.cold_overage", bounds.cold_overage)?;
         not_negative("bounds.cold_tolerance", bounds.cold_tolerance)?;
         match self.peer_ports {
--- a/crates/relay/tests/relay/desk.rs
+++ b/crates/relay/tests/relay/desk.rs
@@ -43,6 +43,7 @@
         address: address(number),
         hall: id(&format!("hall-{}", number % 2 + 1))?,
         slots: 16,
+        release: None,
         state,
         born: None,
         cold: Duration::ZERO,
--- a/crates/relay/tests/relay/impostors.rs
+++ b/crates/relay/tests/relay/impostors.rs
@@ -95,6 +95,7 @@
         revision,
         document_bytes: None,
         emptied: Some(List::default()),
+        rollouts: None,
         servers: Servers::Changes(Vec::new()),
         position: Position {
             life: 7,
@@ -206,6 +207,7 @@
         address: server.address(),
         hall: settings.hall.parse()?,
         slots: u32::try_from(settings.slots)?,
+        release: None,
         state: State::Ready,
         born: None,
         cold: Duration::ZERO,
--- a/crates/relay/tests/relay/lives.rs
+++ b/crates/relay/tests/relay/lives.rs
@@ -104,6 +104,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 4_000)),
         hall: "hall-1".parse()?,
         slots: 8,
+        release: None,
         state,
         cold: Duration::ZERO,
     };
@@ -120,6 +121,7 @@
         revision: 0,
         document_bytes: None,
         emptied: Some(List::default()),
+        rollouts: None,
         servers: Servers::All(rows, seen),
         position: Position::default(),
     }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -39,6 +39,7 @@
 mod registry;
 mod requests;
 mod resting;
+mod rollouts;
 mod seeds;
 mod sendings;
 mod shared;
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -162,6 +162,7 @@
         homes: [Some(&south), None],
         regions: Some(&regions),
         gate: None,
+        aim: None,
     };
     let mut copied = 0;
     for subject in 0..200 {
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -240,6 +240,8 @@
                 rows: (0..10_000).map(|part| Row { part, server }).collect(),
                 untold: u32::MAX,
                 crashes: Vec::new(),
+                trials: Vec::new(),
+                rollouts: None,
             },
         };
         let mut other = open().await?;
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -230,6 +230,7 @@
                     address: address(number),
                     hall: id(&format!("hall-{hall}"))?,
                     slots: SLOTS,
+                    release: None,
                     state: State::Ready,
                     cold: Duration::ZERO,
                 });
--- a/crates/relay/tests/relay/sizes.rs
+++ b/crates/relay/tests/relay/sizes.rs
@@ -34,6 +34,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
         hall: id("hall-1")?,
         slots: 16,
+        release: None,
         state: State::Ready,
         born: None,
         cold: Duration::ZERO,
--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -88,6 +88,7 @@
         address: address(number as u16),
         hall: id("hall-1")?,
         slots: 64,
+        release: None,
         state: State::Ready,
         cold: Duration::ZERO,
     })
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -35,6 +35,8 @@
         trusted: Some(REVOKE_TIME),
         contact: Duration::from_millis(3_000),
         crowd_factor: 2.0,
+        exposure: 0.1,
+        rollback: Duration::from_secs(5),
     };
     Ok(Rc::new(Relay::new(
         "hall-1".parse()?,
@@ -58,6 +60,7 @@
         address: SocketAddr::from(([127, 0, 0, 1], 4_000)),
         hall: "hall-1".parse()?,
         slots: 8,
+        release: None,
         state,
         born: None,
         cold: Duration::ZERO,
@@ -98,6 +101,7 @@
         revision,
         document_bytes: None,
         emptied: Some(List::default()),
+        rollouts: None,
         servers,
         position: Position {
             life: 3,
