--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -87,7 +87,7 @@
         _ if fastrand::f64() < 0.01 => return (Outcome::Failed, false),
         _ if fastrand::f64() < 0.02 => return (answered(10 * took), false),
         Kind::Grey => {
-            return match number % 10 == 0 && half {
+            return match number.is_multiple_of(10) && half {
                 true => (Outcome::Failed, false),
                 false => (answered(took), false),
             }
