No circle of modules in what the roll-outs and the parts of lists brought

The test of modules found three circles: follow with boxes and rollouts, message::follow with part, peer::registry with tree. The list that is under way, the row of a server and the key of a stage have modules of their own now; the tree goes by links and places alone and knows no member. Nothing that runs is changed.

--- a/crates/relay/src/conduct.rs
+++ b/crates/relay/src/conduct.rs
@@ -18,11 +18,11 @@
 use tidepier_platform::store::Client;
 use tidepier_platform::{key, rollout as wire};
 
-use crate::follow::{stage_key, Follower};
+use crate::follow::Follower;
 use crate::peer::registry::Registry;
 use crate::rollout::judge::{self, Fault};
 use crate::rollout::plan::{self, Look, Step};
-use crate::rollout::stage::Stage;
+use crate::rollout::stage::{self, Stage};
 use crate::rollout::Known;
 
 /// Time between two looks at orders that are under way.
@@ -186,7 +186,7 @@
     stage: Stage,
 ) -> Result<(), Failure> {
     let service = &known.order.service;
-    let (order, own) = (key::rollout(service), stage_key(service));
+    let (order, own) = (key::rollout(service), stage::key(service));
     let status = key::rollout_state(service);
     let expected = [
         (&*order, Revision(known.revision)),
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -13,6 +13,7 @@
 use tidepier_core::store::Revision;
 use tidepier_ids as ids;
 
+use super::listing::Listing;
 use super::news::{self, News};
 use super::Follower;
 use crate::emptied;
@@ -25,16 +26,6 @@
 /// everywhere, from which a box's answers to others no longer count as current.
 const PASS_ON_PART: f64 = 0.6;
 
-/// What a box has got so far of a list of all servers.
-#[derive(Debug, Default)]
-pub struct Listing {
-    /// Revision up to which the other box knew all as the list began.
-    seen: u64,
-    present: HashSet<ids::Server>,
-    /// The last server of the last piece.
-    pub after: Option<ids::Server>,
-}
-
 impl Follower {
     /// The revision in force here, and the entry if it is newer than `known`.
     pub fn document_after(&self, known: u64) -> (u64, Option<Rc<[u8]>>) {
--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -9,17 +9,9 @@
 use tidepier_platform::{key, rollout as wire};
 
 use super::Follower;
-use crate::rollout::stage::Stage;
+use crate::rollout::stage::{self, Stage};
 use crate::rollout::List;
 
-/// Beginning of the keys under which boxes keep how far orders have come.
-const STAGES: &str = "tidepier/rollouts/";
-
-/// The key of how far the order for a service has come.
-pub(crate) fn stage_key(service: &ids::Service) -> String {
-    format!("{STAGES}{service}")
-}
-
 impl Follower {
     /// Takes over the orders among all entries of the operator as of a revision.
     pub(super) fn take_orders(&self, items: &[Item], revision: Revision) {
@@ -68,7 +60,7 @@
             let service = &known.order.service;
             [
                 (key::rollout(service), Revision(known.revision)),
-                (stage_key(service), Revision(known.stage_revision)),
+                (stage::key(service), Revision(known.stage_revision)),
             ]
         });
         conditions.collect()
@@ -86,8 +78,7 @@
     /// Takes over how far orders have come, of entries of any kind.
     pub(crate) fn take_stages(&self, items: &[Item]) {
         for item in items {
-            let service = item.key.strip_prefix(STAGES);
-            let Some(service) = service.and_then(|name| name.parse().ok()) else {
+            let Some(service) = stage::service(&item.key) else {
                 continue;
             };
             match serde_json::from_slice::<Stage>(&item.value) {
--- a/crates/relay/src/message/mod.rs
+++ b/crates/relay/src/message/mod.rs
@@ -7,6 +7,7 @@
 pub mod link;
 pub mod part;
 pub mod recall;
+mod row;
 pub mod traffic;
 
 use serde::{Deserialize, Serialize};
--- a/crates/relay/src/message/part.rs
+++ b/crates/relay/src/message/part.rs
@@ -11,7 +11,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_ids as ids;
 
-use super::follow::{as_ms, Row};
+use super::row::{as_ms, Row};
 
 /// Servers, as far as the other does not know them, or the next piece of all.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
--- /dev/null
+++ b/crates/relay/src/message/row.rs
@@ -0,0 +1,105 @@
+//! One server, as boxes tell it each other.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tidepier_core::server::{Birth, Server, State};
+use tidepier_ids as ids;
+
+/// One server.
+#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
+pub struct Row {
+    pub(super) id: ids::Server,
+    pub(super) service: ids::Service,
+    pub(super) address: SocketAddr,
+    pub(super) hall: ids::Hall,
+    pub(super) slots: u32,
+    /// The release that it runs, where it tells that.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) release: Option<String>,
+    pub(super) draining: bool,
+    /// Revision of the server's entry in the store.
+    pub(super) revision: u64,
+    /// When it started, where it tells that; in ms since 1970.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub(super) born: Option<u64>,
+    /// How much longer it is cold, in ms, as of the message.
+    #[serde(default, skip_serializing_if = "is_zero")]
+    pub(super) cold_ms: u32,
+}
+
+#[allow(clippy::trivially_copy_pass_by_ref)] // As serde calls it.
+fn is_zero(ms: &u32) -> bool {
+    *ms == 0
+}
+
+impl Row {
+    /// A server as its entry says.
+    pub fn new(server: &Server, revision: u64) -> Self {
+        Self {
+            id: server.id.clone(),
+            service: server.service.clone(),
+            address: server.address,
+            hall: server.hall.clone(),
+            slots: server.slots,
+            release: server.release.as_ref().map(ToString::to_string),
+            draining: server.state == State::Draining,
+            revision,
+            born: server.born.map(|born| born.0),
+            cold_ms: as_ms(server.cold),
+        }
+    }
+
+    /// The same as an entry of another revision.
+    pub fn at(self, revision: u64) -> Self {
+        Self { revision, ..self }
+    }
+
+    /// The same as of a moment at which the server is cold for so much longer.
+    pub fn with_cold(mut self, left: Duration) -> Self {
+        self.set_cold(left);
+        self
+    }
+
+    /// Makes it so.
+    pub fn set_cold(&mut self, left: Duration) {
+        self.cold_ms = as_ms(left);
+    }
+
+    /// Revision of the server's entry in the store.
+    pub fn revision(&self) -> u64 {
+        self.revision
+    }
+
+    /// The server.
+    pub fn id(&self) -> &ids::Server {
+        &self.id
+    }
+}
+
+impl From<Row> for Server {
+    fn from(row: Row) -> Self {
+        Self {
+            id: row.id,
+            service: row.service,
+            address: row.address,
+            hall: row.hall,
+            slots: row.slots,
+            release: row.release.and_then(|text| text.parse().ok()),
+            state: if row.draining {
+                State::Draining
+            } else {
+                State::Ready
+            },
+            born: row.born.map(Birth),
+            cold: Duration::from_millis(row.cold_ms.into()),
+        }
+    }
+}
+
+/// Rounded up, so that a server never looks warmer than it is.
+pub(super) fn as_ms(time: Duration) -> u32 {
+    let ms = time.as_nanos().div_ceil(1_000_000);
+    u32::try_from(ms).unwrap_or(u32::MAX)
+}
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -117,8 +117,13 @@
     /// The boxes of this hall that this one asks, the first one that answers.
     pub fn asked(&self) -> Vec<Member> {
         let order = self.members_of(&self.me.hall);
+        let links: Vec<u32> = order.iter().map(|member| member.link_mbps).collect();
         let me = order.iter().position(|it| it.name == self.me.name);
-        me.map_or_else(Vec::new, |me| tree::asked(&order, me))
+        let places = me.map_or_else(Vec::new, |me| tree::asked(&links, me));
+        places
+            .into_iter()
+            .map(|place| order[place].clone())
+            .collect()
     }
 
     /// What stands for the list that is known here.
--- a/crates/relay/src/peer/tree.rs
+++ b/crates/relay/src/peer/tree.rs
@@ -12,8 +12,6 @@
 //! Invariant: a box asks only boxes that come before it in the order of its hall, so
 //! that nobody hears its own word.
 
-use super::registry::Member;
-
 /// Bandwidth that each asker of a box takes of its link, in Mbit/s: a list of 10,000
 /// servers is 0.4 MB, 0.3 s at this.
 const MBPS_EACH: u32 = 10;
@@ -25,9 +23,9 @@
 /// first one do not answer: one of them reads the store then.
 const NEXT_READERS: usize = 2;
 
-/// The boxes that a box asks, the first one that answers; `order` is that of its hall
-/// and `me` its own place there.
-pub fn asked(order: &[Member], me: usize) -> Vec<Member> {
+/// The places of the boxes that a box asks, the first one that answers. `links` are
+/// those of the boxes of its hall in their order, in Mbit/s, and `me` is its own place.
+pub fn asked(links: &[u32], me: usize) -> Vec<usize> {
     let mut places = Vec::new();
     let mut add = |place: usize| {
         if place < me && !places.contains(&place) {
@@ -35,7 +33,7 @@
         }
     };
     let mut at = me;
-    while let Some(parent) = parent(order, at) {
+    while let Some(parent) = parent(links, at) {
         add(parent);
         at = parent;
     }
@@ -47,17 +45,14 @@
         at /= 2;
     }
     places
-        .into_iter()
-        .map(|place| order[place].clone())
-        .collect()
 }
 
 /// The place of the box that the one at a place asks first; `None` for the first one.
 /// Boxes take askers in their order, each as many as its link bears.
-pub fn parent(order: &[Member], place: usize) -> Option<usize> {
+pub fn parent(links: &[u32], place: usize) -> Option<usize> {
     let mut taken = 1;
-    for (parent, member) in order.iter().enumerate().take(place) {
-        taken += askers(member);
+    for (parent, link) in links.iter().enumerate().take(place) {
+        taken += askers(*link);
         if place < taken {
             return Some(parent);
         }
@@ -65,8 +60,8 @@
     None
 }
 
-/// How many boxes ask a box.
-fn askers(member: &Member) -> usize {
-    let most = member.link_mbps / MBPS_EACH;
+/// How many boxes ask a box with such a link.
+fn askers(link_mbps: u32) -> usize {
+    let most = link_mbps / MBPS_EACH;
     most.clamp(ASKERS_MIN, ASKERS_MAX) as usize
 }
--- a/crates/relay/src/rollout/stage.rs
+++ b/crates/relay/src/rollout/stage.rs
@@ -4,6 +4,20 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_core::rollout::State;
+use tidepier_ids as ids;
+
+/// Beginning of the keys under which boxes keep how far orders have come.
+const KEYS: &str = "tidepier/rollouts/";
+
+/// The key of how far the order for a service has come.
+pub fn key(service: &ids::Service) -> String {
+    format!("{KEYS}{service}")
+}
+
+/// The service whose order a key is of.
+pub fn service(key: &str) -> Option<ids::Service> {
+    key.strip_prefix(KEYS)?.parse().ok()
+}
 
 /// One entry.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
--- a/crates/relay/tests/relay/trees.rs
+++ b/crates/relay/tests/relay/trees.rs
@@ -7,12 +7,10 @@
 //! that ask it, and halls are played at one, two and four times the size.
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 
 use eyre::{ensure, eyre};
 use tidepier_core::server::{Server, State};
 use tidepier_relay::message::follow::Row;
-use tidepier_relay::peer::registry::Member;
 use tidepier_relay::peer::tree;
 use tidepier_relay::record::{Place, Record};
 
@@ -27,21 +25,11 @@
 const WEAK: u32 = 20;
 const BYTES_PER_MBIT: f64 = 125_000.0;
 
-/// The boxes of a hall, the strongest first.
-fn hall(boxes: usize) -> Result<Vec<Member>> {
-    let members = (0..boxes).map(|number| {
-        Ok(Member {
-            name: id(&format!("box-{number}"))?,
-            hall: id("hall-1")?,
-            address: SocketAddr::from(([127, 0, 0, 1], 7_000)),
-            link_mbps: if number < boxes.div_ceil(20) {
-                STRONG
-            } else {
-                WEAK
-            },
-        })
-    });
-    members.collect()
+/// The links of a hall's boxes, the strongest first.
+fn hall(boxes: usize) -> Vec<u32> {
+    let strong = boxes.div_ceil(20);
+    let link = |number| if number < strong { STRONG } else { WEAK };
+    (0..boxes).map(link).collect()
 }
 
 /// The parts of a list of so many servers, as they are sent.
@@ -80,13 +68,13 @@
 
 /// Seconds until the last box of a hall has a list of so many bytes once the first box
 /// has it, and the most bytes that one box sends.
-fn spread(order: &[Member], bytes: f64) -> Result<(f64, f64)> {
+fn spread(order: &[u32], bytes: f64) -> Result<(f64, f64)> {
     let parent = |place| tree::parent(order, place).ok_or_else(|| eyre!("{place} asks nobody"));
     let mut askers: HashMap<usize, usize> = HashMap::new();
     for place in 1..order.len() {
         *askers.entry(parent(place)?).or_default() += 1;
     }
-    let rate = |place: usize| f64::from(order[place].link_mbps) * BYTES_PER_MBIT;
+    let rate = |place: usize| f64::from(order[place]) * BYTES_PER_MBIT;
     let mut known = vec![0.0; order.len()];
     for place in 1..order.len() {
         let from = parent(place)?;
@@ -99,7 +87,7 @@
 }
 
 /// Boxes on the longest way to the first one.
-fn depth(order: &[Member]) -> usize {
+fn depth(order: &[u32]) -> usize {
     let way =
         |place| std::iter::successors(tree::parent(order, place), |it| tree::parent(order, *it));
     (0..order.len())
@@ -114,7 +102,7 @@
     let mut before: Option<(f64, f64)> = None;
     for times in [1, 2, 4] {
         let bytes: usize = parts(times * SERVERS)?.iter().sum();
-        let order = hall(times * BOXES)?;
+        let order = hall(times * BOXES);
         let (last, busiest) = spread(&order, bytes as f64)?;
         // The first box reads the list within a second; the promise is three.
         ensure!(last <= 1.5 * times as f64, "{times}: {last:.2} s");
@@ -150,13 +138,12 @@
 #[test]
 fn a_lost_box_holds_up_nobody() -> Result {
     for boxes in [7, 30, BOXES] {
-        let order = hall(boxes)?;
+        let order = hall(boxes);
         for lost in 0..boxes {
             let mut askers = vec![0; boxes];
             for me in (1..boxes).filter(|me| *me != lost) {
                 let asked = tree::asked(&order, me);
-                let place = |member: &Member| order.iter().position(|it| it == member);
-                let mut alive = asked.iter().filter_map(place).filter(|it| *it != lost);
+                let mut alive = asked.into_iter().filter(|it| *it != lost);
                 let Some(first) = alive.next() else {
                     // Those right behind the first box read the store in its place.
                     ensure!(me == 1, "{me} of {boxes} asks nobody without {lost}");
@@ -166,7 +153,7 @@
                 askers[first] += 1;
             }
             for (place, count) in askers.into_iter().enumerate() {
-                let most = (order[place].link_mbps / 10).max(2) as usize + 20;
+                let most = (order[place] / 10).max(2) as usize + 20;
                 ensure!(
                     count <= most,
                     "{count} ask {place} of {boxes} without {lost}"
