--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -35,8 +35,8 @@
 const SILENCE: Duration = Duration::from_millis(500);
 /// The same for a server that takes one: an engine that reads some long prompts says
 /// nothing for as long. What is taken from it has to be read anew elsewhere, and an
-/// engine that is thought to be silent keeps requests away, which crowd the others: of
-/// 1,649 requests to 60 engines 300 ended so.
+/// engine that is thought to be silent keeps requests away, which crowd the others.
+/// Half of the shortest usual patience of clients is left for another server.
 const SILENCE_THERE: Duration = Duration::from_millis(2_000);
 /// Longest wait for a cold server to bear a request: as long as its client would
 /// wait after a refusal, to come back to a box that may have no place either. When
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -49,9 +49,9 @@
 pub(super) const UNSURE_TIME: Duration = Duration::from_millis(400);
 /// How long a box counts as just started.
 const START_TIME: Duration = Duration::from_secs(5);
-/// How long a box that knows nothing yet stays with one that knows nothing either. A
-/// list of 20,000 servers takes a reader 1.2 s. Without it nearly all boxes of a fleet
-/// that starts read the store themselves: of 985 boxes 880 knew no server after 24 s.
+/// How long a box that knows nothing yet stays with one that knows nothing either: a
+/// reader needs about as long for a list of 20,000 servers. Without it nearly all boxes
+/// of a fleet that starts read the store themselves, which it has no bandwidth for.
 const START_PATIENCE: Duration = Duration::from_millis(1_200);
 /// The same for the boxes that are to read the store where the first one does not.
 const READER_PATIENCE: Duration = Duration::from_millis(400);
@@ -92,6 +92,7 @@
             .retain(|name, _| before.iter().any(|it| it.name == *name));
         let mut asked = candidates.iter();
         let first = asked.find(|member| !memory.passed_over.contains_key(&member.name));
+        // Those further behind leave the store to the first boxes for a while.
         let waits = candidates.len() > SCOUTS as usize
             && !follower.is_informed()
             && started.elapsed() < START_TIME;
