--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -218,9 +218,10 @@
 }
 
 /// The mean load of all engines, given that of those whose load is known. Engines of
-/// emptied halls, cold ones, those that rest and those of a release that is on trial get
-/// little, so that nothing is known of many of them; without them the mean is that of the busy ones alone, half as much again where one
-/// hall of three is empty, and these could go as far over the operator's bound.
+/// emptied halls, cold ones, those that rest and those of a release that is on trial
+/// get little, so that nothing is known of many of them; without them the mean is that
+/// of the busy ones alone, half as much again where one hall of three is empty, and
+/// these could go as far over the operator's bound.
 fn mean_of_all(known: f64, group: &Group<'_>, ask: &Ask<'_>, now: Instant) -> f64 {
     let (cold, busy): (Vec<_>, Vec<_>) = group.serving.iter().partition(|backend| {
         let aside = backend.rests(now) || !ask.filter.is_aimed_at(backend);
