--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -22,6 +22,17 @@
 use std::io;
 use std::time::Duration;
 
+/// One history of a store: a store that goes back to an older copy of itself begins the
+/// next one, in which it gives out revisions again.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Era(pub u64);
+
+impl fmt::Display for Era {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
+}
+
 /// One state of a store; every change makes the next.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Revision(pub u64);
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -89,7 +89,11 @@
     }
 
     pub(super) fn take_document(&self, revision: Revision, bytes: Vec<u8>) {
-        if revision <= self.revision.get() {
+        let known = self.revision.get();
+        if revision <= known {
+            if revision < known {
+                self.note_left_out(revision, &bytes);
+            }
             return;
         }
         let catalog = match catalog::decode(&bytes) {
@@ -117,6 +121,20 @@
         );
     }
 
+    /// Logs a document that is left out as its revision is lower than the known one's.
+    fn note_left_out(&self, revision: Revision, bytes: &[u8]) {
+        let told = match catalog::decode(bytes) {
+            Ok(catalog) => catalog.version.to_string(),
+            Err(error) => format!("invalid why=\"{error}\""),
+        };
+        log::warn!(
+            target: "belief",
+            "event=catalog_left_out version={told} in_force={} revision={revision} known={}",
+            self.relay.view.version(),
+            self.revision.get()
+        );
+    }
+
     /// Asks at a steady pace whether the catalog in force is the newest, while
     /// this box reads the store; does not end.
     pub async fn prove(self: Rc<Self>) {
