Stand-in: its store goes back to a copy, and tells its era

An answer may be held, so that one of the former era leaves after the return. Four tests of the stand-in itself.

--- a/crates/relay-standin/src/store/data.rs
+++ b/crates/relay-standin/src/store/data.rs
@@ -10,13 +10,21 @@
 
 use crate::names;
 
+/// The first era of a store.
+const FIRST_ERA: u64 = 1;
 /// Longest key, in bytes, as the platform allows.
 const KEY_BYTES: usize = 200;
 /// Longest lease, as the platform allows.
 const LEASE_MAX: Duration = Duration::from_secs(600);
 
-/// An answer of the store: its status and its fields.
-pub(crate) type Reply = (u16, Value);
+/// An answer of the store.
+#[derive(Debug, Clone)]
+pub(crate) struct Reply {
+    pub(crate) status: u16,
+    pub(crate) fields: Value,
+    /// The era of what it tells; `None`: it tells nothing of what the store holds.
+    pub(crate) era: Option<u64>,
+}
 
 #[derive(Debug, Clone)]
 pub(crate) struct Item {
@@ -26,13 +34,13 @@
     lease: u64,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Lease {
     ttl: Duration,
     until: Instant,
 }
 
-#[derive(Debug)]
+#[derive(Debug, Clone)]
 struct Change {
     key: String,
     revision: u64,
@@ -40,8 +48,10 @@
     item: Option<Item>,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone)]
 pub(crate) struct Data {
+    /// Which history of the store this is; rises with each return to a copy.
+    pub(crate) era: u64,
     pub(crate) revision: u64,
     /// Changes up to this revision are forgotten.
     compacted: u64,
@@ -63,7 +73,30 @@
     }
 }
 
+impl Default for Data {
+    fn default() -> Self {
+        Self {
+            era: FIRST_ERA,
+            revision: 0,
+            compacted: 0,
+            items: BTreeMap::new(),
+            leases: BTreeMap::new(),
+            last_lease: 0,
+            history: VecDeque::new(),
+        }
+    }
+}
+
 impl Data {
+    pub(crate) fn reply(&self, status: u16, fields: Value) -> Reply {
+        let era = Some(self.era);
+        Reply {
+            status,
+            fields,
+            era,
+        }
+    }
+
     pub(crate) fn value(&self, key: &str) -> Option<Vec<u8>> {
         self.items.get(key).map(|item| item.value.clone())
     }
@@ -73,6 +106,15 @@
         keys.cloned().collect()
     }
 
+    /// Becomes what `copy` was, in the next era.
+    pub(crate) fn go_back(&mut self, copy: &Self) {
+        let era = self.era + 1;
+        *self = Self {
+            era,
+            ..copy.clone()
+        };
+    }
+
     pub(crate) fn compact(&mut self) {
         self.compacted = self.revision;
         self.history.clear();
@@ -113,14 +155,15 @@
         let until = Instant::now() + ttl;
         self.leases.insert(self.last_lease, Lease { ttl, until });
         let fields = json!({ names::LEASE: self.last_lease, names::TTL: ttl.as_millis() as u64 });
-        (200, fields)
+        self.reply(200, fields)
     }
 
     pub(crate) fn keep(&mut self, id: u64) -> Reply {
         match self.leases.get_mut(&id) {
             Some(lease) => {
                 lease.until = Instant::now() + lease.ttl;
-                (200, json!({ names::TTL: lease.ttl.as_millis() as u64 }))
+                let ttl_ms = lease.ttl.as_millis() as u64;
+                self.reply(200, json!({ names::TTL: ttl_ms }))
             }
             None => refusal(404, "no such lease"),
         }
@@ -131,9 +174,9 @@
             Some(item) => {
                 let mut shown = item.shown(key);
                 shown[names::NOW] = self.revision.into();
-                (200, shown)
+                self.reply(200, shown)
             }
-            None => (404, json!({ names::NOW: self.revision })),
+            None => self.reply(404, json!({ names::NOW: self.revision })),
         }
     }
 
@@ -147,14 +190,14 @@
         let more = found.next().is_some();
         let fields =
             json!({ names::ENTRIES: entries, names::MORE: more, names::NOW: self.revision });
-        (200, fields)
+        self.reply(200, fields)
     }
 
     /// Changes under `prefix` after the revision `after`; `None` if there are
     /// none yet.
     pub(crate) fn changes(&self, prefix: &str, after: u64) -> Option<Reply> {
-        if after < self.compacted {
-            return Some(refusal(410, "this history is gone"));
+        if after < self.compacted || after > self.revision {
+            return Some(self.reply(410, json!({ "error": "this history is gone" })));
         }
         let new = self.history.iter().filter(|change| change.revision > after);
         let new = new.filter(|change| change.key.starts_with(prefix));
@@ -163,7 +206,11 @@
     }
 
     pub(crate) fn events(&self, events: Vec<Value>) -> Reply {
-        (200, json!({ "events": events, names::NOW: self.revision }))
+        self.events_as_of(events, self.revision)
+    }
+
+    pub(crate) fn events_as_of(&self, events: Vec<Value>, revision: u64) -> Reply {
+        self.reply(200, json!({ "events": events, names::NOW: revision }))
     }
 
     pub(crate) fn put(&mut self, key: &str, value: Vec<u8>, lease: u64) {
@@ -219,7 +266,7 @@
             return refused;
         }
         if !expected.iter().all(|row| self.holds(row)) {
-            return (412, json!({ names::ENTRIES: self.current(expected) }));
+            return self.reply(412, json!({ names::ENTRIES: self.current(expected) }));
         }
         let leases = puts.iter().map(|put| put.2).filter(|lease| *lease != 0);
         if leases.into_iter().any(|id| !self.leases.contains_key(&id)) {
@@ -234,7 +281,7 @@
         for key in removed {
             self.remove(key);
         }
-        (200, json!({ names::REVISION: self.revision }))
+        self.reply(200, json!({ names::REVISION: self.revision }))
     }
 
     fn holds(&self, row: &Value) -> bool {
@@ -272,5 +319,11 @@
 }
 
 pub(crate) fn refusal(status: u16, why: &str) -> Reply {
-    (status, json!({ "error": why }))
+    let fields = json!({ "error": why });
+    let era = None;
+    Reply {
+        status,
+        fields,
+        era,
+    }
 }
--- a/crates/relay-standin/src/store/faults.rs
+++ b/crates/relay-standin/src/store/faults.rs
@@ -26,6 +26,8 @@
     pub mute: bool,
     /// Answers take this much longer.
     pub slow: Duration,
+    /// Answers that are made leave this much later, with what they said by then.
+    pub held: Duration,
     /// So many of the next writing calls are done and not answered.
     pub lost: u32,
     /// So many of the next writing calls get no answer and are done after the
@@ -49,6 +51,7 @@
             refuse: false,
             mute: false,
             slow: Duration::ZERO,
+            held: Duration::ZERO,
             lost: 0,
             late: (0, Duration::ZERO),
             deaf_until: None,
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -41,6 +41,10 @@
     cut: Event,
 }
 
+/// All that a store held at one moment.
+#[derive(Debug, Clone)]
+pub struct Copy(Data);
+
 /// A running store.
 #[derive(Debug)]
 pub struct Store {
@@ -155,6 +159,23 @@
         self.inner.change(Data::compact);
     }
 
+    /// A copy of all that it holds now.
+    pub fn copy(&self) -> Copy {
+        Copy(lock(&self.inner.data).clone())
+    }
+
+    /// Goes back to a copy: what was written since is gone, leases too, and its revisions
+    /// are given out again. Waiting watches for changes after a revision that the copy
+    /// does not have get 410.
+    pub fn go_back(&self, copy: &Copy) {
+        self.inner.change(|data| data.go_back(&copy.0));
+    }
+
+    /// Its era.
+    pub fn era(&self) -> u64 {
+        lock(&self.inner.data).era
+    }
+
     /// Cuts the watches that wait.
     pub fn cut_watches(&self) {
         self.inner.cut.notify(usize::MAX);
@@ -200,8 +221,12 @@
                     return;
                 }
             };
-            let fields = [("Content-Type", "application/json")];
-            let bytes = front::answer(reply.0, &fields, reply.1.to_string().as_bytes());
+            let era = reply.era.unwrap_or_else(|| lock(&self.data).era).to_string();
+            let fields = [("Content-Type", "application/json"), (names::ERA, &era)];
+            let body = reply.fields.to_string();
+            let bytes = front::answer(reply.status, &fields, body.as_bytes());
+            let held = lock(&self.faults).held;
+            Timer::after(held).await;
             if conn.writer().write_all(&bytes).await.is_err() || head.closes() {
                 return;
             }
@@ -288,7 +313,7 @@
                 "kv-txn" => data.txn(body, most),
                 "kv-lease" => data.grant(body, least),
                 "kv-keep" => data.keep(id),
-                _ if data.end_lease(id) => (200, json!({})),
+                _ if data.end_lease(id) => data.reply(200, json!({})),
                 _ => refusal(404, "no such lease"),
             }
         })
@@ -312,8 +337,8 @@
                         return Fate::Answer(reply);
                     }
                 } else if now >= until {
-                    let nothing = json!({ "events": [], names::NOW: after });
-                    return Fate::Answer((200, nothing));
+                    let nothing = lock(&self.data).events_as_of(Vec::new(), after);
+                    return Fate::Answer(nothing);
                 }
                 let step = async {
                     Timer::after(WATCH_STEP).await;
--- a/crates/relay-standin/src/store/view.rs
+++ b/crates/relay-standin/src/store/view.rs
@@ -39,7 +39,7 @@
 /// A reply with the values of its items changed.
 pub(super) fn show(mut reply: Reply, texts: &Texts) -> Reply {
     if !texts.is_empty() {
-        show_within(&mut reply.1, texts);
+        show_within(&mut reply.fields, texts);
     }
     reply
 }
--- a/crates/relay-standin/tests/standin/store.rs
+++ b/crates/relay-standin/tests/standin/store.rs
@@ -253,3 +253,87 @@
         assert_eq!(status, 200);
     });
 }
+
+#[test]
+fn a_store_that_goes_back_forgets_and_says_so() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let lease = async |ttl_ms: u64| {
+            let body = json!({ "ttl_ms": ttl_ms });
+            let granted = ask(&store, "POST", "/-/kv-lease", Some(body)).await.1;
+            granted["lease_id"].as_u64().unwrap()
+        };
+        let kept = lease(60_000).await;
+        assert_eq!(put(&store, "my/a", 0, kept).await.0, 200);
+        let copy = store.copy();
+        let lost = lease(60_000).await;
+        assert_eq!(put(&store, "my/b", 0, lost).await.0, 200);
+        assert_eq!(put(&store, "my/a", 1, 0).await.0, 200);
+        assert_eq!((store.revision(), store.era()), (3, 1));
+        store.go_back(&copy);
+        assert_eq!((store.revision(), store.era()), (1, 2));
+        assert_eq!(store.value("my/b"), None);
+        let keep = async |id| ask(&store, "POST", &format!("/-/kv-keep/{id}"), None).await.0;
+        assert_eq!((keep(kept).await, keep(lost).await), (200, 404));
+        // The revision is given out again, for something else.
+        let (status, done) = put(&store, "my/c", 0, 0).await;
+        assert_eq!((status, done), (200, json!({ "revision": 2 })));
+    });
+}
+
+#[test]
+fn every_answer_tells_the_era() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let copy = store.copy();
+        let era = async |target: &str| {
+            let call = Call::new("GET", "store", target, "").leaving(ms(700));
+            let answer = Client::once(store.address(), &call).await.unwrap();
+            (answer.status, answer.field(names::ERA).map(str::to_owned))
+        };
+        let first = Some("1".to_owned());
+        assert_eq!(era("/-/kv-key?key_file=a").await, (404, first.clone()));
+        assert_eq!(era("/-/kv-range?path_prefix=a").await, (200, first.clone()));
+        let old = "/-/kv-watch?path_prefix=a&start_revision=7&wait_ms=9";
+        assert_eq!(era(old).await, (410, first));
+        store.go_back(&copy);
+        store.faults(|faults| faults.down = Some(Down::Busy));
+        assert_eq!(era("/-/kv-key?key_file=a").await, (503, Some("2".into())));
+    });
+}
+
+#[test]
+fn a_held_answer_tells_the_era_in_which_it_was_made() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let copy = store.copy();
+        store.put("a", &json!(1));
+        store.faults(|faults| faults.held = ms(200));
+        let call = Call::new("GET", "store", "/-/kv-key?key_file=a", "").leaving(ms(700));
+        let held = Client::once(store.address(), &call);
+        let back = async {
+            Timer::after(ms(50)).await;
+            store.go_back(&copy);
+        };
+        let (answer, ()) = futures_lite::future::zip(held, back).await;
+        let answer = answer.unwrap();
+        assert_eq!((answer.status, answer.field(names::ERA)), (200, Some("1")));
+    });
+}
+
+#[test]
+fn a_waiting_watch_ends_when_its_revision_is_gone() {
+    smol::block_on(async {
+        let store = Store::start().unwrap();
+        let copy = store.copy();
+        store.put("a", &json!(1));
+        let target = "/-/kv-watch?path_prefix=a&start_revision=1&wait_ms=5000";
+        let waiting = ask(&store, "GET", target, None);
+        let back = async {
+            Timer::after(ms(50)).await;
+            store.go_back(&copy);
+        };
+        let (answer, ()) = futures_lite::future::zip(waiting, back).await;
+        assert_eq!(answer.0, 410);
+    });
+}
