--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -6,6 +6,7 @@
 //! knows no header, field or key of any interface.
 //!
 //! * [`catalog`]: what the operator declared: routes, services, accounts.
+//! * [`era`]: the eras of a store, and its revisions.
 //! * [`rollout`]: the operator's order to move a service to another release.
 //! * [`server`]: one backend server as it announces itself.
 //! * [`request`]: one request of a client.
@@ -15,6 +16,7 @@
 
 pub mod answer;
 pub mod catalog;
+pub mod era;
 pub mod request;
 pub mod rollout;
 pub mod server;
--- a/crates/core/src/store.rs
+++ b/crates/core/src/store.rs
@@ -12,36 +12,19 @@
 //!   [`Swap`] and [`Kept`].
 //! * Nothing is repeated after an answer, a refusal or the end of the time. A
 //!   client that may send a call twice before that says so at its type.
+//! * What is read together is of one era of the store, and a watch goes on in its era
+//!   alone.
 //! * Waiting for changes holds up no other call.
 //!
 //! Futures of a client are only `Send` where the client's are, and the trait
 //! cannot ask for that without taking it from those of one thread. So tasks
 //! that are spawned over several threads hold a client by its own type.
 
-use std::fmt;
 use std::io;
 use std::time::Duration;
 
-/// One history of a store: a store that goes back to an older copy of itself begins the
-/// next one, in which it gives out revisions again.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Era(pub u64);
-
-impl fmt::Display for Era {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
-
-/// One state of a store; every change makes the next.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
-pub struct Revision(pub u64);
-
-impl fmt::Display for Revision {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        self.0.fmt(f)
-    }
-}
+use crate::era::Former;
+pub use crate::era::{Era, Revision};
 
 /// A lease: items that are bound to it go when it ends.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
@@ -52,7 +35,7 @@
 pub struct Read<T> {
     /// What was read.
     pub value: T,
-    /// The state; 0 where the store's answer does not state it.
+    /// The state; the default where the store's answer does not state it.
     pub revision: Revision,
 }
 
@@ -129,6 +112,9 @@
     /// Nothing was done: an item was not as expected. Of a client that may send
     /// a call twice, the change that came first may be its own.
     Conflict(Current),
+    /// The store went back to an older copy since the conditions were learned. They held
+    /// by chance, if they did, and whatever was done was done under other conditions.
+    OtherEra,
     /// Nothing was done: a lease is over.
     NoLease,
 }
@@ -172,6 +158,12 @@
     /// The changes that were asked for are no longer known.
     #[error("the store no longer knows these changes")]
     Compacted,
+    /// The store went back to an older copy: what was asked for is of another era.
+    #[error("the store went back to an older copy meanwhile")]
+    Restored,
+    /// The answer is of a former era: it is over, and what it tells of no use.
+    #[error(transparent)]
+    Former(#[from] Former),
     /// Refused with another status; not done.
     #[error("the store refuses with status {0}")]
     Refused(u16),
@@ -194,6 +186,8 @@
             Failure::TooMany => "too_many",
             Failure::Unavailable => "unavailable",
             Failure::Compacted => "compacted",
+            Failure::Restored => "restored",
+            Failure::Former(_) => "former_era",
             Failure::Refused(_) => "refused",
             Failure::NotSent(_) => "not_sent",
             Failure::NoAnswer(_) => "no_answer",
@@ -237,7 +231,7 @@
     /// A watch for changes after `after`; calls nothing yet.
     fn watch(&self, scope: Scope<'_>, after: Revision) -> Self::Watch;
 
-    /// Writes and removes items if all of `expected` have these revisions; 0
+    /// Writes and removes items if all of `expected` have these revisions; the default
     /// stands for an absent item. Does everything or nothing.
     ///
     /// # Errors
--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -16,6 +16,8 @@
 /// Beginning of the paths of all of the store's calls.
 pub const CALLS: &str = "/-/";
 
+/// Where boxes keep the era of the store in which they found the operator's entries whole.
+pub const MARK: &str = "tidepier/era";
 /// Field of the store's revision.
 pub const NOW: &str = "timestamp";
 /// Field of an item's last change.
--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -10,6 +10,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
 
+use crate::names;
 use crate::server::{Server, Settings};
 use crate::store::Store;
 
@@ -92,7 +93,7 @@
 }
 
 impl Site {
-    /// Starts a store that has no configuration yet.
+    /// Starts a store that has no configuration yet, and in which boxes were before.
     ///
     /// # Errors
     ///
@@ -105,8 +106,10 @@
                 "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
             },
         });
+        let store = Store::start()?;
+        store.put(names::MARK, &json!({ "era": store.era() }));
         Ok(Self {
-            store: Store::start()?,
+            store,
             config: Mutex::new(config),
         })
     }
@@ -225,19 +228,19 @@
 
     /// Removes a server's entry; the server goes on.
     pub fn withdraw(&self, server: &Server) -> u64 {
-        let key = format!("{}{}", crate::names::SERVERS, server.settings().id);
+        let key = format!("{}{}", names::SERVERS, server.settings().id);
         self.store.remove(&key)
     }
 
     /// The operator asks to send nothing to a hall's servers; returns the revision.
     pub fn empty_hall(&self, hall: &str) -> u64 {
-        let key = format!("{}{hall}", crate::names::EMPTIED);
+        let key = format!("{}{hall}", names::EMPTIED);
         self.store.put(&key, &json!({}))
     }
 
     /// The operator takes a hall back; returns the revision.
     pub fn take_back(&self, hall: &str) -> u64 {
-        let key = format!("{}{hall}", crate::names::EMPTIED);
+        let key = format!("{}{hall}", names::EMPTIED);
         self.store.remove(&key)
     }
 
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -221,7 +221,10 @@
                     return;
                 }
             };
-            let era = reply.era.unwrap_or_else(|| lock(&self.data).era).to_string();
+            let era = reply
+                .era
+                .unwrap_or_else(|| lock(&self.data).era)
+                .to_string();
             let fields = [("Content-Type", "application/json"), (names::ERA, &era)];
             let body = reply.fields.to_string();
             let bytes = front::answer(reply.status, &fields, body.as_bytes());
--- a/crates/relay-standin/tests/standin/store.rs
+++ b/crates/relay-standin/tests/standin/store.rs
@@ -187,7 +187,7 @@
         let client = platform::Client::new(store.address());
         let limit = ms(700);
         let lease = client.lease(ms(1_000), limit).await.unwrap();
-        let absent = core::Revision(0);
+        let absent = core::Revision::of(0);
         for key in ["my/a", "my/b", "my/c"] {
             let lease = Some(lease.id);
             let write = core::Write {
@@ -210,7 +210,7 @@
         };
         assert_eq!((items.len(), &*items[0].value), (1, &b"v"[..]));
         let listed = client.list("my/", false, limit).await.unwrap();
-        assert_eq!((listed.value.len(), listed.revision.0), (3, 3));
+        assert_eq!((listed.value.len(), listed.revision.number()), (3, 3));
         assert_eq!(store.calls("kv-range"), 2);
         assert!(client.get("my/x", limit).await.unwrap().value.is_none());
         let kept = client.keep(lease.id, limit).await.unwrap();
@@ -218,7 +218,7 @@
         client.end(lease.id, limit).await.unwrap();
         let mut watch = client.watch(Scope::Prefix("my/"), listed.revision);
         let seen = watch.next(limit).await.unwrap();
-        assert_eq!((seen.value.len(), seen.revision.0), (3, 4));
+        assert_eq!((seen.value.len(), seen.revision.number()), (3, 4));
         assert!(matches!(seen.value[0], core::Event::Delete { .. }));
         assert_eq!(
             client.keep(lease.id, limit).await.unwrap(),
@@ -273,7 +273,11 @@
         store.go_back(&copy);
         assert_eq!((store.revision(), store.era()), (1, 2));
         assert_eq!(store.value("my/b"), None);
-        let keep = async |id| ask(&store, "POST", &format!("/-/kv-keep/{id}"), None).await.0;
+        let keep = async |id| {
+            ask(&store, "POST", &format!("/-/kv-keep/{id}"), None)
+                .await
+                .0
+        };
         assert_eq!((keep(kept).await, keep(lost).await), (200, 404));
         // The revision is given out again, for something else.
         let (status, done) = put(&store, "my/c", 0, 0).await;
--- a/crates/relay/src/conduct.rs
+++ b/crates/relay/src/conduct.rs
@@ -54,9 +54,9 @@
     let rollouts = &follower.relay().rollouts;
     loop {
         let known = rollouts.all();
-        let orders: Vec<u64> = known.iter().map(|known| known.revision).collect();
+        let orders: Vec<Revision> = known.iter().map(|known| known.revision).collect();
         rollouts.evidence.keep_only(&orders);
-        let open = |known: &Known| known.state() == State::InProgress;
+        let open = |known: &Known| known.state() == State::InProgress || known.is_unwritten();
         if !known.iter().any(open) {
             memories.clear();
             rollouts.changed.wait().await;
@@ -96,7 +96,10 @@
 ) {
     let now = Instant::now();
     let look = look(follower, known, memory, now);
-    let step = plan::step(&look);
+    let step = match known.stage {
+        Some(_) if known.is_unwritten() => Step::Again,
+        _ => plan::step(&look),
+    };
     if step == Step::Stay {
         memory.due = None;
         return;
@@ -111,18 +114,8 @@
     if now.saturating_duration_since(since) < NEXT_TIME * place {
         return;
     }
-    let (state, share) = match step {
-        Step::Stay => return,
-        Step::Share(share) => (State::InProgress, share),
-        Step::Complete => (State::Completed, 1.0),
-        Step::RollBack => (State::RolledBack, 0.0),
-    };
-    let elapsed_ms = u64::try_from(look.elapsed.as_millis()).unwrap_or(u64::MAX);
-    let stage = Stage {
-        order: known.revision,
-        state,
-        share,
-        elapsed_ms,
+    let Some(stage) = next(step, known, &look) else {
+        return;
     };
     note(known, &stage, &look);
     if let Err(failure) = write(follower, store, known, stage).await {
@@ -135,6 +128,23 @@
     }
 }
 
+/// The stage that a step leads to.
+fn next(step: Step, known: &Known, look: &Look) -> Option<Stage> {
+    let (state, share) = match step {
+        Step::Stay => return None,
+        Step::Again => return known.stage,
+        Step::Share(share) => (State::InProgress, share),
+        Step::Complete => (State::Completed, 1.0),
+        Step::RollBack => (State::RolledBack, 0.0),
+    };
+    Some(Stage {
+        order: known.revision.number(),
+        state,
+        share,
+        elapsed_ms: u64::try_from(look.elapsed.as_millis()).unwrap_or(u64::MAX),
+    })
+}
+
 /// What is known of an order now.
 fn look(follower: &Follower, known: &Known, memory: &mut Memory, now: Instant) -> Look {
     let relay = follower.relay();
@@ -188,10 +198,7 @@
     let service = &known.order.service;
     let (order, own) = (key::rollout(service), stage::key(service));
     let status = key::rollout_state(service);
-    let expected = [
-        (&*order, Revision(known.revision)),
-        (&*own, Revision(known.stage_revision)),
-    ];
+    let expected = [(&*order, known.revision), (&*own, known.stage_revision)];
     let value = serde_json::to_vec(&stage);
     let value = value.map_err(|error| Failure::Malformed(error.to_string()))?;
     let told = wire::encode_state(stage.state, &known.order.target);
@@ -204,9 +211,13 @@
     match swap {
         Swap::Done(revision) => {
             let rollouts = &follower.relay().rollouts;
-            rollouts.stage(service, stage, revision.0, Instant::now());
+            rollouts.stage(service, stage, revision, Instant::now());
         }
         Swap::Conflict(Current::Items(items)) => follower.take_stages(&items),
+        Swap::OtherEra => log::warn!(
+            target: "belief",
+            "event=rollout_step_void service={service} why=\"the store went back to a copy\""
+        ),
         Swap::Conflict(Current::Untold) | Swap::NoLease => {}
     }
     Ok(())
--- a/crates/relay/src/emptied.rs
+++ b/crates/relay/src/emptied.rs
@@ -3,15 +3,23 @@
 //!
 //! Boxes learn of them from the store and from each other, in any order.
 //!
-//! Invariant: what is older never replaces what is newer, whoever tells it; so
-//! a hall that was taken back is not emptied again by a late message.
+//! Invariants:
+//!
+//! * What is older never replaces what is newer, whoever tells it; so a hall that was
+//!   taken back is not emptied again by a late message.
+//! * While what was known in a former era stands, neither the absence of an entry nor one
+//!   that the store's copy may have had takes it back.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
 
 use serde::{Deserialize, Serialize};
+use tidepier_core::era::{Era, Revision};
 use tidepier_ids as ids;
 
+use crate::stamp;
+use crate::standing::Hold;
+
 /// Halls remembered that were taken back: more than any operator has.
 const BACK_MAX: usize = 64;
 
@@ -21,62 +29,130 @@
     /// The hall.
     pub hall: ids::Hall,
     /// Revision of the operator's entry.
-    pub revision: u64,
+    #[serde(flatten, with = "stamp")]
+    pub revision: Revision,
 }
 
 /// All halls that are to be empty as of a revision.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(from = "Told", into = "Told")]
 pub struct List {
     /// The halls.
     pub rows: Vec<Row>,
     /// The revision of the store up to which nothing else was asked.
-    pub seen: u64,
+    pub seen: Revision,
+}
+
+impl List {
+    /// The same of a box that knows no eras, as one of this era.
+    pub fn in_era(mut self, era: Era) -> Self {
+        let of_era = |revision: Revision| Revision::new(era, revision.number());
+        self.seen = of_era(self.seen);
+        for row in &mut self.rows {
+            row.revision = of_era(row.revision);
+        }
+        self
+    }
+}
+
+/// A list as messages carry it.
+#[derive(Serialize, Deserialize)]
+struct Told {
+    rows: Vec<Row>,
+    seen: u64,
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    era: u64,
+}
+
+impl From<Told> for List {
+    fn from(Told { rows, seen, era }: Told) -> Self {
+        let seen = Revision::new(Era(era), seen);
+        Self { rows, seen }
+    }
+}
+
+impl From<List> for Told {
+    fn from(List { rows, seen }: List) -> Self {
+        Self {
+            rows,
+            seen: seen.number(),
+            era: seen.era().0,
+        }
+    }
 }
 
 /// What was last asked of one hall.
 #[derive(Debug, Clone, Copy)]
 struct Asked {
     empty: bool,
-    revision: u64,
+    revision: Revision,
 }
 
 /// What one box knows.
 #[derive(Debug, Default)]
 pub struct Emptied {
     asked: RefCell<BTreeMap<ids::Hall, Asked>>,
-    seen: Cell<u64>,
+    seen: Cell<Revision>,
+    /// The entries that the store has, which may be older than what was asked last.
+    stored: RefCell<BTreeMap<ids::Hall, Revision>>,
 }
 
 impl Emptied {
-    /// Records that a hall is to be empty.
-    pub fn empty(&self, hall: ids::Hall, revision: u64) {
-        self.set(hall, true, revision);
+    /// Records that a hall is to be empty, unless what is known stands against it.
+    pub fn empty(&self, hall: ids::Hall, revision: Revision, hold: Option<Hold>) {
+        self.stored.borrow_mut().insert(hall.clone(), revision);
+        self.set(hall, true, revision, hold);
     }
 
     /// Records that a hall was taken back.
-    pub fn take_back(&self, hall: ids::Hall, revision: u64) {
-        self.set(hall, false, revision);
+    pub fn take_back(&self, hall: ids::Hall, revision: Revision) {
+        self.stored.borrow_mut().remove(&hall);
+        self.set(hall, false, revision, None);
+    }
+
+    /// Records what another box knows to have been asked in a former era, where nothing is
+    /// known of the hall.
+    pub fn recall(&self, row: &Row) {
+        let mut asked = self.asked.borrow_mut();
+        let (empty, revision) = (true, row.revision);
+        let recalled = Asked { empty, revision };
+        asked.entry(row.hall.clone()).or_insert(recalled);
     }
 
-    /// Takes over the whole state as of a revision. Returns whether what is known
-    /// here is the same now, so that a proof of the one proves the other.
-    pub fn merge(&self, list: &List) -> bool {
-        for hall in self.halls() {
-            if !list.rows.iter().any(|row| row.hall == hall) {
-                self.take_back(hall, list.seen);
+    /// Takes over the whole state as of a revision, unless what is known stands against
+    /// it. Returns whether a proof of the one proves the other: what is known here is the
+    /// same now, but for what stands.
+    pub fn merge(&self, list: &List, hold: Option<Hold>) -> bool {
+        let listed: BTreeMap<ids::Hall, Revision> = list
+            .rows
+            .iter()
+            .map(|row| (row.hall.clone(), row.revision))
+            .collect();
+        let is_former = |revision| hold.is_some_and(|hold| hold.is_former(revision));
+        for row in self.rows() {
+            if !listed.contains_key(&row.hall) && !is_former(row.revision) {
+                self.take_back(row.hall, list.seen);
             }
         }
-        for row in &list.rows {
-            self.empty(row.hall.clone(), row.revision);
+        for (hall, revision) in &listed {
+            self.set(hall.clone(), true, *revision, hold);
         }
         self.seen.set(self.seen.get().max(list.seen));
-        let rows: BTreeSet<_> = list
-            .rows
-            .iter()
-            .map(|row| (&row.hall, row.revision))
-            .collect();
-        let known = self.rows();
-        rows == known.iter().map(|row| (&row.hall, row.revision)).collect()
+        let asked = self.asked.borrow();
+        let agrees = |(hall, last): (&ids::Hall, &Asked)| match listed.get(hall) {
+            None => !last.empty || is_former(last.revision),
+            Some(revision) if last.empty && last.revision == *revision => true,
+            Some(revision) => hold.is_some_and(|hold| hold.keeps(last.revision, *revision)),
+        };
+        let same = asked.iter().all(agrees);
+        drop(asked);
+        *self.stored.borrow_mut() = listed;
+        same
+    }
+
+    /// The entries that the store has.
+    pub fn stored(&self) -> BTreeMap<ids::Hall, Revision> {
+        self.stored.borrow().clone()
     }
 
     /// The whole state.
@@ -102,12 +178,14 @@
         rows.collect()
     }
 
-    fn set(&self, hall: ids::Hall, empty: bool, revision: u64) {
+    fn set(&self, hall: ids::Hall, empty: bool, revision: Revision, hold: Option<Hold>) {
         self.seen.set(self.seen.get().max(revision));
         let mut asked = self.asked.borrow_mut();
-        let known = asked.get(&hall).map(|last| last.revision);
-        if known.is_some_and(|known| known >= revision) {
-            return;
+        if let Some(known) = asked.get(&hall) {
+            let stands = hold.is_some_and(|hold| hold.keeps(known.revision, revision));
+            if known.revision >= revision || stands && known.empty != empty {
+                return;
+            }
         }
         asked.insert(hall, Asked { empty, revision });
         let back = asked.iter().filter(|(_, last)| !last.empty);
--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -38,6 +38,7 @@
     })?;
     let denied = |kind| (kind, request.attempt.clone());
     let catalog = relay.view.catalog();
+    let catalog = catalog.filter(|_| relay.standing.may_begin());
     let catalog = catalog.ok_or_else(|| denied(refusal::Kind::NotReady))?;
     let (route, account) = look_up(relay, &catalog, &request).map_err(denied)?;
     let service = share(&route);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -9,6 +9,8 @@
 //! Invariants:
 //!
 //! * A proof bears a time before its question was sent.
+//! * After the store went back to an older copy, what was known stands until the
+//!   operator's entries are whole and servers have had their time ([`eras`]).
 //! * A server is dropped when its entry goes while the store can be relied on;
 //!   else a while after the store is back, if the entry is still missing
 //!   ([`doubt`]).
@@ -17,6 +19,7 @@
 mod catalog;
 mod changes;
 pub mod doubt;
+mod eras;
 mod halls;
 mod listing;
 mod news;
@@ -25,6 +28,7 @@
 mod servers;
 
 use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -37,6 +41,7 @@
 use tidepier_platform::store::Client;
 
 use self::doubt::Doubt;
+use self::eras::Mark;
 pub use self::listing::Listing;
 use self::news::News;
 pub use self::pause::SCOUTS;
@@ -46,6 +51,7 @@
 use crate::notice::Notice;
 use crate::record::Record;
 use crate::relay::Relay;
+use crate::standing::{Entry, Origin};
 
 /// Longest time for one call: a slow store answers within a few hundred ms.
 const CALL_TIME: Duration = Duration::from_millis(1_200);
@@ -62,15 +68,25 @@
 pub struct Follower {
     relay: Rc<Relay>,
     store: Rc<Client>,
-    /// Revision of the catalog's entry in force here.
-    revision: Cell<Revision>,
-    /// That entry, for boxes that ask.
+    /// Notified when the store went back to an older copy.
+    era_changed: Notice,
+    /// Notified when other boxes were asked what they remember.
+    asked_others: Notice,
+    /// Where boxes keep the era in which they are.
+    mark: Cell<Mark>,
+    /// The configuration as the store has it.
+    entry: Cell<Option<Entry>>,
+    /// The one in force, for boxes that ask.
     document: RefCell<Rc<[u8]>>,
     /// The halls that the operator asked to empty.
     emptied: Emptied,
     /// Notified when those changed.
     emptied_changed: Notice,
     record: Record,
+    /// Servers whose entries may be older than what they said before the store went back.
+    withheld: RefCell<BTreeMap<ids::Server, Row>>,
+    /// Latest moment at which all that the store held was known here.
+    followed: Cell<Option<Instant>>,
     /// Whether this box reads the store itself.
     reads_store: Cell<bool>,
     /// Notified when that changed.
@@ -103,11 +119,16 @@
         Rc::new(Self {
             relay,
             store,
-            revision: Cell::new(Revision(0)),
+            era_changed: Notice::default(),
+            asked_others: Notice::default(),
+            mark: Cell::default(),
+            entry: Cell::new(None),
             document: RefCell::new(Rc::new([])),
             emptied: Emptied::default(),
             emptied_changed: Notice::default(),
             record: Record::default(),
+            withheld: RefCell::default(),
+            followed: Cell::new(None),
             reads_store: Cell::new(false),
             role_changed: Notice::default(),
             servers_known: Cell::new(false),
@@ -149,18 +170,29 @@
         }
     }
 
-    /// Reads the store itself when the proof grows old, whatever the reason;
+    /// Reads the store itself when what is known grows old, whatever the reason;
     /// does not end.
     pub async fn look_at_age(self: Rc<Self>) {
         loop {
             Timer::after(AGE_LOOK).await;
-            let known = self.relay.view.age();
+            let known = self.known_since();
             if !self.reads_store.get() && known.is_some_and(|age| age > self.bound(OLD_PART)) {
                 self.read_self("old_proof", true);
             }
         }
     }
 
+    /// How long ago what is known here was the newest; while nothing can be proven, how
+    /// long ago it was all that the store held.
+    fn known_since(&self) -> Option<Duration> {
+        let now = Instant::now();
+        if self.relay.standing.is_settled() {
+            self.relay.view.age_at(now)
+        } else {
+            self.followed_age(now)
+        }
+    }
+
     /// Records how many boxes of this hall come before this one: the further
     /// behind, the more seldom it calls an unreachable store.
     pub fn set_boxes_before(&self, behind: usize) {
@@ -213,7 +245,7 @@
     /// Whether this box may wait until the one that it asks can vouch again: what it
     /// knows is recent, so that it need not read the store itself.
     pub fn may_wait(&self) -> bool {
-        let age = self.relay.view.age();
+        let age = self.known_since();
         !self.reads_store.get() && age.is_some_and(|age| age < self.bound(OLD_PART))
     }
 
@@ -221,9 +253,25 @@
         self.relay.bounds().confirm.mul_f64(part)
     }
 
-    /// Revision of the catalog's entry in force here; 0: none.
+    /// Revision of the configuration's entry in the store, if there is one.
     pub fn revision(&self) -> Revision {
-        self.revision.get()
+        self.entry
+            .get()
+            .map_or_else(Revision::default, |entry| entry.revision)
+    }
+
+    /// How long ago all that the store held was known here.
+    fn followed_age(&self, now: Instant) -> Option<Duration> {
+        let followed = self.followed.get();
+        followed.map(|at| now.saturating_duration_since(at))
+    }
+
+    /// Records that all that the store held at a moment is known here.
+    fn follow_since(&self, moment: Instant) {
+        if self.followed.get().is_none_or(|earlier| earlier < moment) {
+            self.followed.set(Some(moment));
+            self.touch();
+        }
     }
 
     /// How the servers changed.
@@ -237,6 +285,13 @@
         if self.record.is_outdated(&row) {
             return;
         }
+        let hold = self.hold_servers();
+        if hold.is_some_and(|hold| self.record.stands_against(&row, hold)) {
+            news.add_id(news::Change::Withheld, row.id());
+            self.withheld.borrow_mut().insert(row.id().clone(), row);
+            return;
+        }
+        self.withheld.borrow_mut().remove(row.id());
         let revision = row.revision();
         let fleet = &self.relay.fleet;
         let was_missing = fleet.get(row.id()).is_some_and(|it| it.is_missing());
@@ -270,7 +325,10 @@
     /// for: when all of 90 servers came back under new ids, 888 requests ended so
     /// within two seconds, and 483 do with this. An entry alone supplants nobody:
     /// it may be another writer's.
-    fn supplant_at(&self, id: &ids::Server, revision: u64) {
+    fn supplant_at(&self, id: &ids::Server, revision: Revision) {
+        if self.hold_servers().is_some() && self.relay.standing.origin(revision) == Origin::Copy {
+            return;
+        }
         let fleet = &self.relay.fleet;
         for other in fleet.at_address_of(id) {
             let was_absent = fleet.get(&other).is_some_and(|it| it.was_absent());
@@ -281,7 +339,7 @@
     }
 
     /// Drops a server that is gone as of a revision.
-    fn drop_server(&self, id: &ids::Server, seen: u64, change: news::Change, news: &mut News) {
+    fn drop_server(&self, id: &ids::Server, seen: Revision, change: news::Change, news: &mut News) {
         let Some(backend) = self.relay.fleet.remove(id) else {
             return;
         };
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -3,35 +3,58 @@
 //! Invariants:
 //!
 //! * What cannot be confirmed to be current is not passed on as current.
-//! * Information as of an older revision never replaces newer.
+//! * Information as of an older revision never replaces newer, and of a former era none
+//!   is taken but for what was in force in it.
 
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::time::Duration;
 
 use tidepier_clock::Instant;
-use tidepier_core::store::Revision;
+use tidepier_core::catalog::Version;
+use tidepier_core::era::{Era, Revision};
 use tidepier_ids as ids;
 
 use super::listing::Listing;
 use super::news::{self, News};
 use super::Follower;
 use crate::emptied;
-use crate::message::follow::{self, Answer, Position, Row, Servers};
+use crate::message::follow::{self, Answer, Ask, Position, Row, Servers, Standing};
 use crate::message::link::Error;
 use crate::message::part::Part;
 use crate::record::Place;
+use crate::standing::{Entry, Ground};
 
 /// Age of a proof, as a part of the time in which a change has to be in force
 /// everywhere, from which a box's answers to others no longer count as current.
 const PASS_ON_PART: f64 = 0.6;
 
 impl Follower {
-    /// The revision in force here, and the entry if it is newer than `known`.
-    pub fn document_after(&self, known: u64) -> (u64, Option<Rc<[u8]>>) {
-        let revision = self.revision.get().0;
-        let newer = revision > known;
-        (revision, newer.then(|| self.document.borrow().clone()))
+    /// The configuration in force here, for a box that asks and has an older one.
+    pub fn document_for(&self, ask: &Ask) -> Option<Rc<[u8]>> {
+        let in_force = self.in_force()?;
+        let asked = ask.more.as_ref().and_then(|more| more.in_force);
+        let newer = match asked {
+            Some(version) => in_force > Version(version),
+            None => self.revision().number() > ask.document,
+        };
+        newer.then(|| self.document.borrow().clone())
+    }
+
+    /// How far the store is known that this box's word is from.
+    pub fn told_standing(&self, now: Instant) -> Standing {
+        let whole = !self.reads_store.get() || self.servers_known.get();
+        let age = self.followed_age(now);
+        let age = age.filter(|age| whole && *age < self.bound(PASS_ON_PART));
+        let stored = self.entry.get().map(|entry| entry.version);
+        Standing {
+            era: self.relay.standing.era().unwrap_or_default().0,
+            first: self.relay.standing.first(),
+            settled: self.relay.standing.is_settled(),
+            in_force: self.relay.view.version().0,
+            stored: stored.unwrap_or_default().0,
+            followed_ms: age.map(as_ms),
+        }
     }
 
     /// The servers that a box at `place` does not know, and the place after it.
@@ -100,56 +123,126 @@
     ///
     /// # Errors
     ///
-    /// The other box cannot confirm that what it knows is current.
+    /// The other box cannot confirm that what it knows is current, or follows a former
+    /// era of the store.
     pub fn hear_servers(
         &self,
         answer: &mut Answer,
         listing: &mut Option<Listing>,
     ) -> Result<(), Error> {
-        answer.age_ms.ok_or(Error::Unsure)?;
+        followed(answer).ok_or(Error::Unsure)?;
+        let era = self.hear_era(answer)?;
+        if answer.standing.is_none() {
+            *answer = answer.clone().in_era(era);
+        }
         let emptied = answer.emptied.as_ref().ok_or(Error::Unsure)?;
         self.take_emptied(emptied);
         if let Servers::Part(part) = &answer.servers {
             self.take_part(part, listing);
         }
         if let Some(list) = &answer.rollouts {
-            self.relay.rollouts.merge(list, Instant::now());
+            let rollouts = &self.relay.rollouts;
+            rollouts.merge(list, self.hold(), Instant::now());
         }
         let none = Servers::Changes(Vec::new());
-        self.take_rows(std::mem::replace(&mut answer.servers, none));
+        self.take_rows(std::mem::replace(&mut answer.servers, none), era);
         Ok(())
     }
 
+    /// The era that an answer is of; one that tells none is of the only one that this box
+    /// has known.
+    ///
+    /// # Errors
+    ///
+    /// That is a former one.
+    fn hear_era(&self, answer: &Answer) -> Result<Era, Error> {
+        let known = self.relay.standing.era();
+        let Some(told) = answer.standing else {
+            let changed = self.relay.standing.has_changed();
+            return if changed {
+                Err(Error::Former)
+            } else {
+                Ok(known.unwrap_or_default())
+            };
+        };
+        if known.is_some_and(|known| Era(told.era) < known) {
+            return Err(Error::Former);
+        }
+        // One that has not heard of any state tells none.
+        if told.first > 0 {
+            self.hear_state(told.first());
+        }
+        Ok(Era(told.era))
+    }
+
     /// Takes over what another box answered to a question that was sent at
     /// `asked`, with the configuration's entry that followed.
     ///
     /// # Errors
     ///
-    /// The other box cannot confirm that what it knows is current.
+    /// The other box cannot confirm that what it knows is current, or follows a former
+    /// era of the store.
     pub fn take_answer(
         &self,
         answer: Answer,
         document: Option<Vec<u8>>,
         asked: Instant,
     ) -> Result<(), Error> {
-        let age = answer.age_ms.map(Duration::from_millis);
-        let age = age.ok_or(Error::Unsure)?;
-        let emptied = answer.emptied.ok_or(Error::Unsure)?;
+        let age = followed(&answer).ok_or(Error::Unsure)?;
+        let era = self.hear_era(&answer)?;
+        let answer = match answer.standing {
+            Some(_) => answer,
+            None => answer.in_era(era),
+        };
+        let emptied = answer.emptied.as_ref().ok_or(Error::Unsure)?;
         // The other box reads the store now: what this one thought of it is
         // over. It may become a reader again long after.
         self.mark_reachable();
-        if let Some(document) = document {
-            self.take_document(Revision(answer.revision), document);
-        }
-        let halls_known = self.take_emptied(&emptied);
+        let known = self.take_told(&answer, document, era);
+        let halls_known = self.take_emptied(emptied);
         self.take_rollouts(answer.rollouts.as_ref(), asked);
-        self.take_rows(answer.servers);
-        if halls_known && self.revision.get() == Revision(answer.revision) {
-            self.prove_from(asked, age);
+        self.take_rows(answer.servers, era);
+        if halls_known && known {
+            self.follow_since(asked.checked_sub(age).unwrap_or(asked));
+        }
+        if answer.standing.is_some_and(|standing| standing.settled) {
+            self.settle(Ground::Told);
+        }
+        let proven = match answer.standing {
+            Some(_) => answer.known_ms.map(Duration::from_millis),
+            None => Some(age),
+        };
+        if let Some(proven) = proven.filter(|_| halls_known && known) {
+            self.prove_from(asked, proven);
         }
         Ok(())
     }
 
+    /// Takes over the configuration that another box told, and what it knows of the
+    /// store's entry. Returns whether what is in force here is not older than what is in
+    /// force there.
+    fn take_told(&self, answer: &Answer, document: Option<Vec<u8>>, era: Era) -> bool {
+        let revision = Revision::new(era, answer.revision);
+        let read = document.map(|bytes| self.take_document(bytes, revision));
+        let Some(told) = answer.standing else {
+            // One of an older form tells the store's entry alone.
+            let version = match read {
+                Some(version) => version.filter(|_| revision > self.revision()),
+                None => None,
+            };
+            if let Some(version) = version {
+                self.set_entry(Entry { version, revision });
+            }
+            return !revision.is_none() && self.revision() == revision
+                || revision.is_none() && self.entry.get().is_none();
+        };
+        if revision > self.revision() {
+            let version = Version(told.stored);
+            self.set_entry(Entry { version, revision });
+        }
+        self.relay.view.version() >= told.in_force()
+    }
+
     /// Takes over what any box answered to a question that was sent at `asked`
     /// while this box has just started and does not reach the store. The other
     /// need not vouch that it is current: how old it is comes with it, and
@@ -157,24 +250,27 @@
     ///
     /// # Errors
     ///
-    /// The other box knows nothing either, or sent no valid configuration.
+    /// The other box knows nothing either, sent no valid configuration, or follows a
+    /// former era of the store.
     pub fn take_seed(
         &self,
         answer: Answer,
         document: Option<Vec<u8>>,
         asked: Instant,
     ) -> Result<(), Error> {
-        if let Some(document) = document {
-            self.take_document(Revision(answer.revision), document);
-        }
-        let known = self.revision.get();
-        if known == Revision(0) || known != Revision(answer.revision) {
+        let era = self.hear_era(&answer)?;
+        let answer = match answer.standing {
+            Some(_) => answer,
+            None => answer.in_era(era),
+        };
+        let known = self.take_told(&answer, document, era);
+        if !known || self.in_force().is_none() {
             return Err(Error::Unsure);
         }
         let emptied = answer.emptied.unwrap_or_default();
         let halls_known = self.take_emptied(&emptied);
         self.take_rollouts(answer.rollouts.as_ref(), asked);
-        self.take_rows(answer.servers);
+        self.take_rows(answer.servers, era);
         // An entry that is absent when the store is back may have lapsed.
         self.mark_unreachable(asked);
         self.read_self("seeded", true);
@@ -184,6 +280,36 @@
         Ok(())
     }
 
+    /// Takes over what any box knows of what the operator wrote, while this one cannot
+    /// tell whether the store has all of it: a higher version, halls to be emptied,
+    /// orders, and whether the operator's entries are whole in this era.
+    pub fn take_memory(&self, answer: &Answer, document: Option<Vec<u8>>, asked: Instant) {
+        let Some(told) = answer.standing else {
+            return;
+        };
+        let revision = Revision::new(Era(told.era), answer.revision);
+        if let Some(document) = document {
+            self.take_document(document, revision);
+        }
+        if let Some(list) = &answer.emptied {
+            for row in &list.rows {
+                self.emptied.recall(row);
+            }
+            self.apply_emptied();
+        }
+        if let Some(list) = &answer.rollouts {
+            self.relay.rollouts.recall(list, Instant::now());
+        }
+        let same_era = Some(Era(told.era)) == self.relay.standing.era();
+        let knows = self.relay.view.version() >= told.in_force();
+        let proven = answer.known_ms.map(Duration::from_millis);
+        let recent = proven.filter(|age| *age < self.bound(PASS_ON_PART));
+        if let Some(age) = recent.filter(|_| told.settled && same_era && knows) {
+            self.settle(Ground::Told);
+            self.prove_from(asked, age);
+        }
+    }
+
     /// Records that the configuration was the newest at `age` before `asked`.
     fn prove_from(&self, asked: Instant, age: Duration) {
         if let Some(proven) = asked.checked_sub(age) {
@@ -194,7 +320,7 @@
     /// Takes over the configuration of an answer that is not the last one of a list.
     pub fn hear_document(&self, answer: &Answer, document: Option<Vec<u8>>) {
         if let Some(document) = document {
-            self.take_document(Revision(answer.revision), document);
+            self.take_document(document, Revision::of(answer.revision));
         }
     }
 
@@ -202,13 +328,13 @@
         let mut news = News::new();
         let Some(piece) = &part.piece else {
             self.take_changes(part, &mut news);
-            self.record.confirm(part.whole);
+            self.record.confirm(part.whole());
             news.tell();
             return;
         };
         if piece.first {
             *listing = Some(Listing {
-                seen: part.whole,
+                seen: part.whole(),
                 ..Listing::default()
             });
         }
@@ -232,14 +358,15 @@
     }
 
     fn take_changes(&self, part: &Part, news: &mut News) {
-        for (id, seen) in &part.gone {
-            self.reported_gone(id, *seen, news);
+        for (id, seen) in part.gone() {
+            self.reported_gone(id, seen, news);
         }
         part.rows().for_each(|row| self.announced(row, news));
     }
 
-    fn take_rows(&self, servers: Servers) {
+    fn take_rows(&self, servers: Servers, era: Era) {
         let mut news = News::new();
+        let of_era = |seen: Revision| Revision::new(era, seen.number());
         match servers {
             Servers::Part(part) => {
                 // Whoever takes a list in pieces does so by `take_part`.
@@ -247,15 +374,15 @@
             }
             Servers::Changes(changes) => changes.into_iter().for_each(|change| match change {
                 follow::Change::Is(row) => self.announced(row, &mut news),
-                follow::Change::Gone(id, seen) => self.reported_gone(&id, seen, &mut news),
+                follow::Change::Gone(id, seen) => self.reported_gone(&id, of_era(seen), &mut news),
             }),
-            Servers::All(rows, seen) => self.take_all(rows, seen, &mut news),
+            Servers::All(rows, seen) => self.take_all(rows, of_era(seen), &mut news),
         }
         news.tell();
     }
 
     /// Takes over all servers that another box knows, as of the state `seen`.
-    fn take_all(&self, rows: Vec<Row>, seen: u64, news: &mut News) {
+    fn take_all(&self, rows: Vec<Row>, seen: Revision, news: &mut News) {
         let present: HashSet<&ids::Server> = rows.iter().map(Row::id).collect();
         for id in self.relay.fleet.ids() {
             if !present.contains(&id) {
@@ -269,9 +396,24 @@
 
     /// Drops a server that another box says is gone, unless that box knows an
     /// older state of the store.
-    fn reported_gone(&self, id: &ids::Server, seen: u64, news: &mut News) {
+    fn reported_gone(&self, id: &ids::Server, seen: Revision, news: &mut News) {
         if !self.record.is_newer(id, seen) {
             self.drop_server(id, seen, news::Change::Gone, news);
         }
     }
 }
+
+/// How long ago the sender of an answer knew all that the store held; `None`: it cannot
+/// tell.
+fn followed(answer: &Answer) -> Option<Duration> {
+    let age = match &answer.standing {
+        Some(standing) => standing.followed_ms,
+        None => answer.age_ms,
+    };
+    age.map(Duration::from_millis)
+}
+
+/// Rounded up, so that what is known never looks younger.
+fn as_ms(age: Duration) -> u64 {
+    age.as_millis() as u64 + 1
+}
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -4,13 +4,17 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use tidepier_clock::Instant;
-use tidepier_core::store::{Current, Event, Failure, Item, Revision, Scope, Store, Swap};
+use tidepier_core::catalog::Version;
+use tidepier_core::store::{Current, Era, Event, Failure, Revision, Scope, Store, Swap, Write};
 use tidepier_platform::store::ENTRIES_MAX;
 use tidepier_platform::{catalog, key};
 
+use super::eras::{self, Mark};
 use super::pause::Pause;
 use super::{Follower, CALL_TIME, PROOF_PART};
+use crate::standing::Entry;
 
 /// Longest time for a change of nothing: a slow store answers within a quarter
 /// of a second, and a read still has to fit into the bound on keys.
@@ -22,6 +26,16 @@
 /// How long writes are avoided after an answer to one was lost.
 const UNANSWERED_TIME: Duration = Duration::from_secs(5);
 
+/// A proof that was asked for.
+struct Asking {
+    /// When.
+    asked: Instant,
+    /// The revision at which the store was known to have the configuration.
+    revision: Revision,
+    /// The era that the mark was to name from then on.
+    marked: Option<Era>,
+}
+
 impl Follower {
     /// Follows the catalog while this box reads the store; does not end.
     pub async fn catalog(self: Rc<Self>) {
@@ -40,23 +54,37 @@
         }
     }
 
-    /// Reads all that the operator wrote, which is one call.
+    /// Reads all that the operator wrote, which is one call; where it is not known
+    /// whether that is whole, after a look whether another box found it so.
     async fn read_operator(&self, limit: Duration) -> Result<Revision, Failure> {
+        if self.relay.standing.is_open() {
+            self.read_mark(limit).await;
+        }
         let asked = Instant::now();
         let read = self.store.list(key::OPERATOR, false, limit).await?;
+        self.hear_state(read.revision);
         self.answered();
         let halls_known = self.take_emptied(&self.emptied_list(&read.value, read.revision));
         self.take_orders(&read.value, read.revision);
         let mut items = read.value.into_iter();
-        match items.find(|item| item.key == key::CONFIG) {
-            Some(item) => self.take_item(item, halls_known.then_some(asked)),
-            // That there is none yet is known as surely as a catalog would be.
-            None if self.revision.get() == Revision(0) => self.prove_at(asked),
-            None => log::warn!(target: "belief", "event=no_catalog revision={}", read.revision),
+        let taken = match items.find(|item| item.key == key::CONFIG) {
+            Some(item) => self.take_entry(item.revision, item.value),
+            None => self.no_entry(read.revision),
+        };
+        if halls_known && taken {
+            self.confirm(asked);
         }
         Ok(read.revision)
     }
 
+    /// Records that the store has no configuration; returns whether that is so.
+    fn no_entry(&self, state: Revision) -> bool {
+        if self.entry.take().is_some() || self.in_force().is_some() {
+            log::warn!(target: "belief", "event=no_catalog revision={state}");
+        }
+        true
+    }
+
     /// Watches the catalog until the watch breaks or another box reads.
     async fn watch_catalog(&self, from: Revision) {
         let scope = Scope::Prefix(key::OPERATOR);
@@ -65,36 +93,39 @@
             for event in read.value {
                 self.take_emptied_event(&event);
                 self.take_order_event(&event);
-                if let Event::Put(item) = event {
-                    self.take_item(item, None);
+                match event {
+                    Event::Put(item) if item.key == key::CONFIG => {
+                        self.take_entry(item.revision, item.value);
+                    }
+                    Event::Put(_) | Event::Delete { .. } => {}
                 }
             }
             self.apply_emptied();
         }
     }
 
-    /// Puts an entry of the catalog in force if it is newer. `asked` is when
-    /// the question was sent to which the entry is the newest answer.
-    fn take_item(&self, item: Item, asked: Option<Instant>) {
-        if item.key != key::CONFIG {
-            return;
-        }
-        let revision = item.revision;
-        self.take_document(revision, item.value);
-        if let Some(asked) = asked {
-            if self.revision.get() == revision {
-                self.prove_at(asked);
-            }
+    /// Takes over the configuration's entry as the store has it, and puts it in force if
+    /// its version is higher. Returns whether this entry is what the store is known to
+    /// have: not if it cannot be read or is older than the known one.
+    fn take_entry(&self, revision: Revision, bytes: Vec<u8>) -> bool {
+        let known = self.revision();
+        if revision <= known {
+            return revision == known;
         }
+        let Some(version) = self.take_document(bytes, revision) else {
+            return false;
+        };
+        self.set_entry(Entry { version, revision });
+        self.touch();
+        true
     }
 
-    pub(super) fn take_document(&self, revision: Revision, bytes: Vec<u8>) {
-        let known = self.revision.get();
-        if revision <= known {
-            if revision < known {
-                self.note_left_out(revision, &bytes);
-            }
-            return;
+    /// Puts a configuration in force if its version is higher, whatever it is from.
+    /// Returns its version, if it can be read.
+    pub(super) fn take_document(&self, bytes: Vec<u8>, revision: Revision) -> Option<Version> {
+        let before = self.relay.view.version();
+        if before != Version::default() && *bytes == **self.document.borrow() {
+            return Some(before);
         }
         let catalog = match catalog::decode(&bytes) {
             Ok(catalog) => catalog,
@@ -103,36 +134,21 @@
                     target: "belief",
                     "event=catalog_invalid revision={revision} why=\"{error}\""
                 );
-                return;
+                return None;
             }
         };
         let version = catalog.version;
-        let before = self.relay.view.version();
-        let adopted = self.relay.view.adopt(catalog);
-        self.revision.set(revision);
         let length = bytes.len();
-        *self.document.borrow_mut() = bytes.into();
-        self.touch();
+        let adopted = self.relay.view.adopt(catalog);
+        if adopted {
+            *self.document.borrow_mut() = bytes.into();
+        }
         log::info!(
             target: "belief",
             "event=catalog version={version} before={before} adopted={adopted} \
-             revision={revision} bytes={}",
-            length,
-        );
-    }
-
-    /// Logs a document that is left out as its revision is lower than the known one's.
-    fn note_left_out(&self, revision: Revision, bytes: &[u8]) {
-        let told = match catalog::decode(bytes) {
-            Ok(catalog) => catalog.version.to_string(),
-            Err(error) => format!("invalid why=\"{error}\""),
-        };
-        log::warn!(
-            target: "belief",
-            "event=catalog_left_out version={told} in_force={} revision={revision} known={}",
-            self.relay.view.version(),
-            self.revision.get()
+             revision={revision} bytes={length}",
         );
+        Some(version)
     }
 
     /// Asks at a steady pace whether the catalog in force is the newest, while
@@ -146,7 +162,8 @@
                 Ok(()) => {
                     pause.reset();
                     self.mark_reachable();
-                    tidepier_clock::sleep(self.bound(PROOF_PART)).await;
+                    let pause = tidepier_clock::sleep(self.bound(PROOF_PART));
+                    pause.or(self.asked_others.wait()).await;
                 }
                 Err(failure) => {
                     self.failure("proof", &failure);
@@ -167,42 +184,84 @@
     /// Asks for a proof after so many that failed.
     async fn proof(&self, failures: u32) -> Result<(), Failure> {
         let asked = Instant::now();
-        let revision = self.revision.get();
-        if revision == Revision(0) || self.writes_unanswered() {
+        let revision = self.revision();
+        let same_era = Some(revision.era()) == self.relay.standing.era();
+        if revision.is_none() || !same_era || self.writes_unanswered() {
             let limit = match failures % LONG_EVERY {
                 0 => CALL_TIME,
                 _ => SWAP_TIME,
             };
             return self.read_operator(limit).await.map(|_| ());
         }
+        if self.relay.standing.is_open() {
+            self.read_mark(SWAP_TIME).await;
+        }
         // A change of nothing, under the condition that the entries are what is
         // known here: small, and answered by the store's newest state.
         let mut others = self.emptied_conditions();
         others.extend(self.rollout_conditions());
+        let marked = self.unmarked_era();
+        if marked.is_some() {
+            others.push((eras::MARK.to_owned(), self.mark.get().revision));
+        }
         let mut expected = vec![(key::CONFIG, revision)];
         expected.extend(others.iter().map(|(key, revision)| (&**key, *revision)));
         if expected.len() > ENTRIES_MAX {
             return self.read_operator(CALL_TIME).await.map(|_| ());
         }
-        let swap = self.store.swap(&expected, &[], &[], SWAP_TIME).await;
+        let value = marked.map(Mark::value);
+        let marks = value.iter().map(|value| Write {
+            key: eras::MARK,
+            value,
+            lease: None,
+        });
+        let marks: Vec<Write<'_>> = marks.collect();
+        let swap = self.store.swap(&expected, &marks, &[], SWAP_TIME).await;
         if matches!(swap, Err(Failure::NoAnswer(_))) {
             self.unanswered.set(Some(Instant::now()));
         }
-        match swap? {
-            Swap::Done(_) => {
-                if self.revision.get() == revision {
-                    self.prove_at(asked);
+        let asking = Asking {
+            asked,
+            revision,
+            marked,
+        };
+        self.take_proof(swap?, &asking).await
+    }
+
+    /// Takes over the answer to a proof.
+    async fn take_proof(&self, swap: Swap, asking: &Asking) -> Result<(), Failure> {
+        let asked = asking.asked;
+        match swap {
+            Swap::Done(state) => {
+                if let Some(era) = asking.marked {
+                    self.mark.set(Mark::written(era, state));
+                }
+                if self.revision() == asking.revision {
+                    self.confirm(asked);
                     self.relay.rollouts.prove(asked);
                 }
             }
+            // What holds by chance in another era proves nothing, nor does what is told
+            // without the state that it is of begin one.
+            Swap::OtherEra => return self.read_operator(CALL_TIME).await.map(|_| ()),
             Swap::Conflict(Current::Items(items)) => {
-                if !self.emptied_is(&items) || !self.orders_are(&items) {
+                let era = self.relay.standing.era();
+                let is_other = items.iter().any(|it| Some(it.revision.era()) != era);
+                if is_other || !self.emptied_is(&items) || !self.orders_are(&items) {
                     return self.read_operator(CALL_TIME).await.map(|_| ());
                 }
-                self.take_stages(&items);
+                if let Some(mark) = items.iter().find(|item| item.key == eras::MARK) {
+                    self.take_mark(Some(mark));
+                }
+                self.take_named_stages(&items);
                 self.relay.rollouts.prove(asked);
-                for item in items {
-                    self.take_item(item, Some(asked));
+                let entry = items.into_iter().find(|item| item.key == key::CONFIG);
+                let taken = match entry {
+                    Some(item) => self.take_entry(item.revision, item.value),
+                    None => self.no_entry(asking.revision),
+                };
+                if taken {
+                    self.confirm(asked);
                 }
             }
             Swap::Conflict(Current::Untold) | Swap::NoLease => {}
--- a/crates/relay/src/follow/doubt.rs
+++ b/crates/relay/src/follow/doubt.rs
@@ -60,6 +60,15 @@
         was_unreachable
     }
 
+    /// Records that the store was found at `now` to have gone back to an older copy, and
+    /// was last heard of before that at `answered`; its word counts again as after trouble.
+    pub fn restored(&self, answered: Instant, now: Instant, contact: Duration) {
+        let earliest = self.failed.get().map_or(answered, |at| at.max(answered));
+        let counts = contact.saturating_sub(PASS_ON_TIME);
+        self.until
+            .set(Some((earliest + counts).min(now + LAPSE_TIME)));
+    }
+
     /// Whether an entry that is absent at `now` is gone.
     pub fn is_over(&self, now: Instant) -> bool {
         let doubted = self.until.get().is_some_and(|until| now < until);
--- /dev/null
+++ b/crates/relay/src/follow/eras.rs
@@ -0,0 +1,239 @@
+//! What changes when the store comes back from an older copy of itself, and when its
+//! word is whole again.
+//!
+//! Invariant: while the operator's entries may not be whole, nothing is proven.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use serde::{Deserialize, Serialize};
+use smol::Timer;
+use tidepier_clock::Instant;
+use tidepier_core::catalog::Version;
+use tidepier_core::era::{Era, Revision};
+use tidepier_core::store::{Item, Store};
+
+use super::news::News;
+use super::Follower;
+use crate::standing::{Entry, Ground, Hold};
+
+/// Where boxes keep the era in which they found the operator's entries whole, for those
+/// that start in it.
+pub(super) const MARK: &str = "tidepier/era";
+
+/// The entry.
+#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
+struct Kept {
+    era: u64,
+}
+
+/// The entry as the store has it.
+#[derive(Debug, Clone, Copy, Default)]
+pub(super) struct Mark {
+    /// Its revision.
+    pub(super) revision: Revision,
+    /// The era that it names.
+    era: Option<Era>,
+}
+
+impl Mark {
+    /// What is written for an era.
+    pub(super) fn value(era: Era) -> Vec<u8> {
+        let kept = Kept { era: era.0 };
+        serde_json::to_vec(&kept).expect("a number is JSON")
+    }
+
+    /// What was written for an era, in a change that made this state.
+    pub(super) fn written(era: Era, revision: Revision) -> Self {
+        Self {
+            revision,
+            era: Some(era),
+        }
+    }
+
+    /// Whether it names an era.
+    pub(super) fn names(&self, era: Era) -> bool {
+        self.era == Some(era)
+    }
+}
+
+impl Follower {
+    /// The version in force here, if there is one.
+    pub(super) fn in_force(&self) -> Option<Version> {
+        let view = &self.relay.view;
+        view.catalog().map(|catalog| catalog.version)
+    }
+
+    /// What the operator had asked stands for a while where the store went back.
+    pub(super) fn hold(&self) -> Option<Hold> {
+        let within = self.relay.bounds().rewrite;
+        self.relay.standing.hold(within, Instant::now())
+    }
+
+    /// The same of what servers had said: one that is silent loses its entry within this.
+    pub(super) fn hold_servers(&self) -> Option<Hold> {
+        let within = self.relay.bounds().silence;
+        self.relay.standing.hold(within, Instant::now())
+    }
+
+    /// Records a state of the store that was heard of, from itself or from another box.
+    /// One of a later era ends what was followed of the former one.
+    pub(super) fn hear_state(&self, state: Revision) {
+        let (former, now) = (self.relay.standing.era(), Instant::now());
+        if !self.relay.standing.hear(state, self.in_force(), now) {
+            return;
+        }
+        let era = state.era();
+        metrics::gauge!("tidepier_store_era").set(era.0 as f64);
+        log::info!(
+            target: "belief",
+            "event=store_era era={era} before={} first={state} in_force={} age_ms={} settled={}",
+            former.map_or_else(|| "-".to_owned(), |former| former.to_string()),
+            self.relay.view.version(),
+            self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
+            self.relay.standing.is_settled(),
+        );
+        self.note_settled();
+        if former.is_none() {
+            self.era_changed.notify();
+            return;
+        }
+        self.mark.set(Mark::default());
+        self.relay.rollouts.restored();
+        self.withheld.borrow_mut().clear();
+        let answered = self.answered.get().unwrap_or(now);
+        let contact = self.relay.bounds().contact;
+        self.doubt.restored(answered, now, contact);
+        // Watches of the former era end, and what goes missing is waited for.
+        self.store_returned.notify();
+        self.era_changed.notify();
+        self.touch();
+    }
+
+    /// Records that all that the store held at `asked` is known here, and proves what is
+    /// in force if the operator's entries are whole.
+    pub(super) fn confirm(&self, asked: Instant) {
+        self.follow_since(asked);
+        let within = self.relay.bounds().rewrite;
+        let (stored, in_force) = (self.entry.get(), self.in_force());
+        let ground = self.relay.standing.weigh(stored, in_force, within, asked);
+        if let Some(ground) = ground {
+            self.settle(ground);
+        }
+        if self.relay.standing.is_settled() {
+            self.prove_at(asked);
+        }
+    }
+
+    /// Records that the operator's entries are whole in this era.
+    pub(super) fn settle(&self, ground: Ground) {
+        if !self.relay.standing.settle(ground) {
+            return;
+        }
+        let era = self.relay.standing.era().unwrap_or_default();
+        log::info!(
+            target: "belief",
+            "event=store_era_settled era={era} why={ground} version={}",
+            self.relay.view.version()
+        );
+        self.note_settled();
+    }
+
+    fn note_settled(&self) {
+        let value = if self.relay.standing.is_settled() {
+            1.0
+        } else {
+            0.0
+        };
+        metrics::gauge!("tidepier_store_settled").set(value);
+    }
+
+    /// Waits until this box reads a store whose operator's entries may not be whole.
+    pub async fn opened(&self) {
+        loop {
+            let heard = self.relay.standing.era().is_some();
+            if heard && self.relay.standing.is_open() && self.reads_store.get() {
+                return;
+            }
+            self.era_changed.wait().or(self.role_changed.wait()).await;
+        }
+    }
+
+    /// Waits until the store goes back to an older copy.
+    pub async fn restored(&self) {
+        loop {
+            self.era_changed.wait().await;
+            if self.relay.standing.has_changed() {
+                return;
+            }
+        }
+    }
+
+    /// Records that other boxes were asked what they remember.
+    pub fn recalled(&self) {
+        self.relay.standing.ask();
+        self.asked_others.notify();
+    }
+
+    /// Looks whether another box found the operator's entries whole in this era.
+    pub(super) async fn read_mark(&self, limit: Duration) {
+        match self.store.get(MARK, limit).await {
+            Ok(read) => {
+                self.hear_state(read.revision);
+                self.take_mark(read.value.as_ref());
+            }
+            Err(failure) => self.failure("mark", &failure),
+        }
+    }
+
+    /// Takes over the mark, or that there is none.
+    pub(super) fn take_mark(&self, item: Option<&Item>) {
+        let Some(item) = item else {
+            self.mark.set(Mark::default());
+            return;
+        };
+        let era = match serde_json::from_slice::<Kept>(&item.value) {
+            Ok(kept) => Some(Era(kept.era)),
+            Err(error) => {
+                log::error!(target: "belief", "event=mark_invalid why=\"{error}\"");
+                None
+            }
+        };
+        let revision = item.revision;
+        let mark = Mark { revision, era };
+        self.mark.set(mark);
+        if mark.names(revision.era()) && self.relay.standing.era() == Some(revision.era()) {
+            self.settle(Ground::Told);
+        }
+    }
+
+    /// The era that the mark should name and does not.
+    pub(super) fn unmarked_era(&self) -> Option<Era> {
+        let era = self.relay.standing.era().filter(|era| *era != Era(0))?;
+        let is_due = self.relay.standing.is_settled() && !self.mark.get().names(era);
+        is_due.then_some(era)
+    }
+
+    /// Records the configuration's entry as the store has it.
+    pub(super) fn set_entry(&self, entry: Entry) {
+        self.entry.set(Some(entry));
+    }
+
+    /// Has servers that the store went back on stand as it says, once those that live
+    /// have had the time to say otherwise; does not end.
+    pub async fn believe_copies(self: Rc<Self>) {
+        loop {
+            self.era_changed.wait().await;
+            while self.hold_servers().is_some() {
+                let limit = self.relay.bounds().silence;
+                Timer::after(limit / 8).await;
+            }
+            let rows = std::mem::take(&mut *self.withheld.borrow_mut());
+            let mut news = News::new();
+            rows.into_values()
+                .for_each(|row| self.announced(row, &mut news));
+            news.tell();
+        }
+    }
+}
--- a/crates/relay/src/follow/halls.rs
+++ b/crates/relay/src/follow/halls.rs
@@ -1,6 +1,6 @@
 //! The halls that the operator asked to empty: their entries in the store.
 
-use std::collections::BTreeSet;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -21,14 +21,14 @@
     pub(super) fn emptied_list(&self, items: &[Item], revision: Revision) -> List {
         List {
             rows: items.iter().filter_map(row).collect(),
-            seen: revision.0,
+            seen: revision,
         }
     }
 
     /// Takes over which halls are to be empty; whether that is what is known here
     /// now.
     pub(super) fn take_emptied(&self, list: &List) -> bool {
-        let same = self.emptied.merge(list);
+        let same = self.emptied.merge(list, self.hold());
         self.apply_emptied();
         same
     }
@@ -39,12 +39,12 @@
         match event {
             Event::Put(item) => {
                 if let Some(Row { hall, revision }) = row(item) {
-                    self.emptied.empty(hall, revision);
+                    self.emptied.empty(hall, revision, self.hold());
                 }
             }
             Event::Delete { key, revision } => {
                 if let Some(hall) = hall(key) {
-                    self.emptied.take_back(hall, revision.0);
+                    self.emptied.take_back(hall, *revision);
                 }
             }
         }
@@ -74,24 +74,22 @@
 
     /// The entries that a proof has to name: each hall's, be it absent.
     pub(super) fn emptied_conditions(&self) -> Vec<(String, Revision)> {
-        let rows = self.emptied.list().rows;
-        let known = rows.iter().map(|row| row.hall.clone());
-        let halls: BTreeSet<ids::Hall> = self.relay.halls().into_iter().chain(known).collect();
-        let revision = |hall: &ids::Hall| {
-            let row = rows.iter().find(|row| row.hall == *hall);
-            Revision(row.map_or(0, |row| row.revision))
-        };
+        let stored = self.emptied.stored();
+        let named = self.relay.halls().into_iter();
+        let halls: BTreeSet<ids::Hall> = named.chain(stored.keys().cloned()).collect();
+        let revision = |hall: &ids::Hall| stored.get(hall).copied().unwrap_or_default();
         let conditions = halls
             .iter()
             .map(|hall| (key::emptied(hall), revision(hall)));
         conditions.collect()
     }
 
-    /// Whether the entries that a proof named are as they are known here.
+    /// Whether the entries that a proof named are as the store was known to have them.
     pub(super) fn emptied_is(&self, items: &[Item]) -> bool {
-        let told: Vec<Row> = items.iter().filter_map(row).collect();
-        let known = self.emptied.list().rows;
-        told.len() == known.len() && told.iter().all(|row| known.contains(row))
+        let told = items.iter().filter_map(row);
+        let told: BTreeMap<ids::Hall, Revision> =
+            told.map(|row| (row.hall, row.revision)).collect();
+        told == self.emptied.stored()
     }
 
     /// Tells by metrics and log what still runs in halls that are to be empty;
@@ -123,7 +121,7 @@
 /// The hall that an entry asks to empty; what it holds says nothing more.
 fn row(item: &Item) -> Option<Row> {
     let hall = hall(&item.key)?;
-    let revision = item.revision.0;
+    let revision = item.revision;
     Some(Row { hall, revision })
 }
 
--- a/crates/relay/src/follow/news.rs
+++ b/crates/relay/src/follow/news.rs
@@ -7,6 +7,7 @@
 use std::collections::BTreeMap;
 
 use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
 use tidepier_core::server::Server;
 use tidepier_ids as ids;
 
@@ -22,6 +23,8 @@
     Restarted,
     /// It says that it leaves.
     Leaving,
+    /// The store went back to an entry of it that does not stand against what is known.
+    Withheld,
     /// Its entry is gone.
     Gone,
     /// Its entry is gone while the store cannot be relied on.
@@ -57,7 +60,7 @@
     }
 
     /// Adds a server as an entry of the store's `revision` tells it.
-    pub(super) fn add(&mut self, change: Change, server: &Server, revision: u64) {
+    pub(super) fn add(&mut self, change: Change, server: &Server, revision: Revision) {
         let group = self.push(change, &server.id);
         if group.count == 1 {
             group.detail = format!(
--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -20,7 +20,7 @@
             let service = &known.order.service;
             let key = key::rollout(service);
             if !items.iter().any(|item| item.key == key) {
-                rollouts.take_back(service, revision.0);
+                rollouts.missing(service, revision, self.hold());
             }
         }
         items.iter().for_each(|item| self.take_order(item));
@@ -32,7 +32,7 @@
             Event::Put(item) => self.take_order(item),
             Event::Delete { key, revision } => {
                 if let Some(service) = service(key) {
-                    self.relay.rollouts.take_back(&service, revision.0);
+                    self.relay.rollouts.take_back(&service, *revision);
                 }
             }
         }
@@ -42,9 +42,12 @@
         let Some(service) = service(&item.key) else {
             return;
         };
-        let now = Instant::now();
+        let (hold, now) = (self.hold(), Instant::now());
         match wire::decode(&service, &item.value) {
-            Ok(order) => self.relay.rollouts.order(order, item.revision.0, now),
+            Ok(order) => {
+                let rollouts = &self.relay.rollouts;
+                rollouts.order(order, item.revision, hold, now);
+            }
             Err(error) => log::error!(
                 target: "belief",
                 "event=rollout_invalid service={service} revision={} why=\"{error}\"",
@@ -58,23 +61,41 @@
         let known = self.relay.rollouts.all();
         let conditions = known.iter().flat_map(|known| {
             let service = &known.order.service;
+            let order = if known.stored {
+                known.revision
+            } else {
+                Revision::default()
+            };
             [
-                (key::rollout(service), Revision(known.revision)),
-                (stage::key(service), Revision(known.stage_revision)),
+                (key::rollout(service), order),
+                (stage::key(service), known.stage_revision),
             ]
         });
         conditions.collect()
     }
 
-    /// Whether the orders that a proof named are as they are known here.
+    /// Whether the orders that a proof named are as the store was known to have them.
     pub(super) fn orders_are(&self, items: &[Item]) -> bool {
         self.relay.rollouts.all().iter().all(|known| {
             let key = key::rollout(&known.order.service);
             let item = items.iter().find(|item| item.key == key);
-            item.is_some_and(|item| item.revision == Revision(known.revision))
+            let stored = known.stored.then_some(known.revision);
+            item.map(|item| item.revision) == stored
         })
     }
 
+    /// Takes over how far orders have come by the entries that a proof named, absent ones
+    /// included.
+    pub(super) fn take_named_stages(&self, items: &[Item]) {
+        for known in self.relay.rollouts.all() {
+            let key = stage::key(&known.order.service);
+            if !items.iter().any(|item| item.key == key) {
+                self.relay.rollouts.unstaged(&known.order.service);
+            }
+        }
+        self.take_stages(items);
+    }
+
     /// Takes over how far orders have come, of entries of any kind.
     pub(crate) fn take_stages(&self, items: &[Item]) {
         for item in items {
@@ -85,7 +106,7 @@
                 Ok(stage) => {
                     let now = Instant::now();
                     let rollouts = &self.relay.rollouts;
-                    rollouts.stage(&service, stage, item.revision.0, now);
+                    rollouts.stage(&service, stage, item.revision, now);
                 }
                 Err(error) => log::error!(
                     target: "belief",
@@ -101,7 +122,7 @@
         let Some(list) = list else {
             return;
         };
-        let same = self.relay.rollouts.merge(list, Instant::now());
+        let same = self.relay.rollouts.merge(list, self.hold(), Instant::now());
         let age = list.age_ms.filter(|_| same).map(Duration::from_millis);
         if let Some(proven) = age.and_then(|age| asked.checked_sub(age)) {
             self.relay.rollouts.prove(proven);
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -40,8 +40,8 @@
         let mut pause = Pause::default();
         loop {
             self.ready_to_read().await;
-            let known = Revision(self.record.whole());
-            if known != Revision(0) && self.watch_servers(known, Resumes::Yes).await {
+            let known = self.record.whole();
+            if !known.is_none() && self.watch_servers(known, Resumes::Yes).await {
                 self.servers_known.set(false);
                 pause.reset();
                 pause.rest().await;
@@ -52,6 +52,7 @@
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
                     pause.reset();
+                    self.hear_state(read.revision);
                     self.answered();
                     self.take_servers(&read.value, read.revision);
                     self.servers_known.set(true);
@@ -96,7 +97,7 @@
             self.take_server_event(event, &mut news);
         }
         news.tell();
-        self.record.confirm(read.revision.0);
+        self.record.confirm(read.revision);
     }
 
     fn take_servers(&self, items: &[Item], revision: Revision) {
@@ -108,7 +109,7 @@
                 self.entry_gone(&id, revision, &mut news);
             }
         }
-        self.record.confirm(revision.0);
+        self.record.confirm(revision);
         news.tell();
     }
 
@@ -132,7 +133,7 @@
         match server::decode(id, &item.value) {
             Ok(server) => {
                 let id = server.id.clone();
-                self.announced(Row::new(&server, item.revision.0), news);
+                self.announced(Row::new(&server, item.revision), news);
                 Some(id)
             }
             Err(error) => {
@@ -143,8 +144,9 @@
     }
 
     fn entry_gone(&self, id: &ids::Server, revision: Revision, news: &mut News) {
+        self.withheld.borrow_mut().remove(id);
         if self.is_reliable() {
-            self.drop_server(id, revision.0, news::Change::Gone, news);
+            self.drop_server(id, revision, news::Change::Gone, news);
         } else {
             self.relay.fleet.mark_missing(id);
             news.add_id(news::Change::Missing, id);
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -40,6 +40,8 @@
 mod router;
 pub mod settings;
 pub mod signal;
+mod stamp;
+pub mod standing;
 pub mod stop;
 mod timeout;
 pub mod traffic;
--- a/crates/relay/src/message/link.rs
+++ b/crates/relay/src/message/link.rs
@@ -34,6 +34,8 @@
     Malformed(String),
     /// The other box answers, but cannot confirm that what it knows is current.
     Unsure,
+    /// The other box follows a former era of the store.
+    Former,
 }
 
 impl fmt::Display for Error {
@@ -43,6 +45,7 @@
             Error::Closed => f.write_str("closed"),
             Error::Malformed(why) => write!(f, "malformed frame: {why}"),
             Error::Unsure => f.write_str("it cannot vouch for what it knows"),
+            Error::Former => f.write_str("it follows a former era of the store"),
         }
     }
 }
--- a/crates/relay/src/message/part.rs
+++ b/crates/relay/src/message/part.rs
@@ -9,22 +9,39 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_core::era::{Era, Revision};
 use tidepier_ids as ids;
 
 use super::row::{as_ms, Row};
+use crate::stamp;
 
 /// Servers, as far as the other does not know them, or the next piece of all.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct Part {
     groups: Vec<Group>,
-    /// Servers that do not fit into a group: at addresses of another kind.
+    /// Servers that do not fit into a group: at addresses of another kind, or with
+    /// entries of a former era.
     others: Vec<Row>,
-    /// Servers that are gone, each as of a revision of the store.
-    pub gone: Vec<(ids::Server, u64)>,
+    /// Servers that are gone, each as of a revision of the part's era.
+    gone: Vec<(ids::Server, u64)>,
+    /// Servers that are gone as of a revision of a former era.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    gone_before: Vec<Gone>,
     /// Present in a list of all.
     pub piece: Option<Piece>,
     /// Revision of the store up to which the sender knows all; 0: it does not.
-    pub whole: u64,
+    whole: u64,
+    /// The era of that revision and of the numbers of the other fields.
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    era: u64,
+}
+
+/// A server that is gone as of a revision.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+struct Gone {
+    id: ids::Server,
+    #[serde(flatten, with = "stamp")]
+    revision: Revision,
 }
 
 /// A piece of a list of all servers, which are sorted by their ids.
@@ -50,14 +67,21 @@
 struct Short(ids::Server, u32, u16, u64, Option<u64>, u32, bool);
 
 impl Part {
-    /// A part with these servers.
-    pub fn new(rows: impl IntoIterator<Item = Row>) -> Self {
-        let mut part = Self::default();
+    /// A part of one whose sender knows all up to a revision, with these servers.
+    pub fn new(whole: Revision, rows: impl IntoIterator<Item = Row>) -> Self {
+        let mut part = Self {
+            whole: whole.number(),
+            era: whole.era().0,
+            ..Self::default()
+        };
         let mut places = HashMap::new();
         for row in rows {
-            let IpAddr::V4(ip) = row.address.ip() else {
-                part.others.push(row);
-                continue;
+            let ip = match row.address.ip() {
+                IpAddr::V4(ip) if row.revision().era() == whole.era() => ip,
+                _ => {
+                    part.others.push(row);
+                    continue;
+                }
             };
             let common = (row.service, row.hall, row.slots, row.release);
             let at = *places.entry(common).or_insert_with_key(|common| {
@@ -85,8 +109,37 @@
     }
 
     /// The same with servers that are gone, each as of a revision of the store.
-    pub fn with_gone(mut self, gone: impl IntoIterator<Item = (ids::Server, u64)>) -> Self {
-        self.gone = gone.into_iter().collect();
+    pub fn with_gone(mut self, gone: impl IntoIterator<Item = (ids::Server, Revision)>) -> Self {
+        for (id, revision) in gone {
+            if revision.era() == Era(self.era) {
+                self.gone.push((id, revision.number()));
+            } else {
+                self.gone_before.push(Gone { id, revision });
+            }
+        }
+        self
+    }
+
+    /// Revision of the store up to which the sender knows all, if it does.
+    pub fn whole(&self) -> Revision {
+        Revision::new(Era(self.era), self.whole)
+    }
+
+    /// Servers that are gone, each as of a revision of the store.
+    pub fn gone(&self) -> impl Iterator<Item = (&ids::Server, Revision)> {
+        let era = Era(self.era);
+        let gone = self.gone.iter();
+        let gone = gone.map(move |(id, number)| (id, Revision::new(era, *number)));
+        let before = self.gone_before.iter();
+        gone.chain(before.map(|gone| (&gone.id, gone.revision)))
+    }
+
+    /// The same of a sender that knows no eras, as one of this era.
+    pub(super) fn in_era(mut self, era: Era) -> Self {
+        self.era = era.0;
+        for row in &mut self.others {
+            row.era = era.0;
+        }
         self
     }
 
@@ -106,17 +159,18 @@
 
     /// Its servers.
     pub fn rows(&self) -> impl Iterator<Item = Row> + '_ {
-        let grouped = self.groups.iter().flat_map(|group| {
+        let era = Era(self.era);
+        let grouped = self.groups.iter().flat_map(move |group| {
             let rows = group.rows.iter();
-            rows.map(|short| group.row(short))
+            rows.map(move |short| group.row(short, era))
         });
         grouped.chain(self.others.iter().cloned())
     }
 }
 
 impl Group {
-    fn row(&self, short: &Short) -> Row {
-        let Short(id, ip, port, revision, born, cold_ms, draining) = short;
+    fn row(&self, short: &Short, era: Era) -> Row {
+        let Short(id, ip, port, number, born, cold_ms, draining) = short;
         Row {
             id: id.clone(),
             service: self.service.clone(),
@@ -125,7 +179,8 @@
             slots: self.slots,
             release: self.release.clone(),
             draining: *draining,
-            revision: *revision,
+            revision: *number,
+            era: era.0,
             born: *born,
             cold_ms: *cold_ms,
         }
--- a/crates/relay/src/message/row.rs
+++ b/crates/relay/src/message/row.rs
@@ -4,9 +4,12 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_ids as ids;
 
+use crate::stamp;
+
 /// One server.
 #[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
 pub struct Row {
@@ -21,6 +24,9 @@
     pub(super) draining: bool,
     /// Revision of the server's entry in the store.
     pub(super) revision: u64,
+    /// The era of that revision.
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    pub(super) era: u64,
     /// When it started, where it tells that; in ms since 1970.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub(super) born: Option<u64>,
@@ -36,7 +42,7 @@
 
 impl Row {
     /// A server as its entry says.
-    pub fn new(server: &Server, revision: u64) -> Self {
+    pub fn new(server: &Server, revision: Revision) -> Self {
         Self {
             id: server.id.clone(),
             service: server.service.clone(),
@@ -45,15 +51,33 @@
             slots: server.slots,
             release: server.release.as_ref().map(ToString::to_string),
             draining: server.state == State::Draining,
-            revision,
+            revision: revision.number(),
+            era: revision.era().0,
             born: server.born.map(|born| born.0),
             cold_ms: as_ms(server.cold),
         }
     }
 
     /// The same as an entry of another revision.
-    pub fn at(self, revision: u64) -> Self {
-        Self { revision, ..self }
+    pub fn at(self, revision: Revision) -> Self {
+        Self {
+            revision: revision.number(),
+            era: revision.era().0,
+            ..self
+        }
+    }
+
+    /// Whether it says of its server what another entry says, but for how long it is cold
+    /// and that it leaves, which holds whenever it was said.
+    pub fn repeats(&self, known: &Self) -> bool {
+        let same = Self {
+            revision: self.revision,
+            era: self.era,
+            cold_ms: self.cold_ms,
+            draining: self.draining,
+            ..known.clone()
+        };
+        same == *self && (self.draining || !known.draining)
     }
 
     /// The same as of a moment at which the server is cold for so much longer.
@@ -68,8 +92,8 @@
     }
 
     /// Revision of the server's entry in the store.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    pub fn revision(&self) -> Revision {
+        Revision::new(Era(self.era), self.revision)
     }
 
     /// The server.
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -136,6 +136,8 @@
     match error {
         _ if unreachable => UNSURE_TIME,
         Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
+        // It will hear of the new one as this box did.
+        Error::Former => UNSURE_TIME,
         _ => PASS_OVER_TIME,
     }
 }
@@ -220,6 +222,7 @@
 
     async fn ask(&self, conn: &mut Conn, number: u64) -> Result<Answer, Error> {
         let after = self.listing.as_ref().and_then(|list| list.after.clone());
+        let whole = self.follower.record().whole();
         let wait = match self.listing {
             Some(_) => Duration::ZERO,
             None => HOLD_TIME.min(self.patience),
@@ -227,11 +230,14 @@
         let ask = Ask {
             version: VERSION,
             number,
-            document: self.follower.revision().0,
+            document: self.follower.revision().number(),
             position: self.place,
             more: Some(More {
                 after,
-                whole: self.follower.record().whole(),
+                whole: whole.number(),
+                era: whole.era().0,
+                in_force: Some(self.follower.relay().view.version().0),
+                operator_only: false,
                 boxes: self.registry.digest(),
                 wait_ms: wait.as_millis() as u32,
             }),
--- a/crates/relay/src/peer/hub.rs
+++ b/crates/relay/src/peer/hub.rs
@@ -164,7 +164,7 @@
     let limit = Duration::from_millis(more.wait_ms.into()).min(HOLD_MAX);
     let news = async {
         let is_new = || told != Some(follower.touched());
-        while !is_new() || follower.proven_age(Instant::now()).is_none() {
+        while !is_new() || !vouches(follower, ask) {
             follower.news().await;
         }
         // Further changes come with the first one.
@@ -176,6 +176,20 @@
     start.elapsed()
 }
 
+/// Whether this box can vouch for what it knows. One that knows no eras takes that for a
+/// proof that the configuration is the newest.
+fn vouches(follower: &Follower, ask: &Ask) -> bool {
+    let now = Instant::now();
+    let knows_eras = ask
+        .more
+        .as_ref()
+        .is_some_and(|more| more.in_force.is_some());
+    match knows_eras {
+        true => follower.told_standing(now).followed_ms.is_some(),
+        false => follower.proven_age(now).is_some(),
+    }
+}
+
 /// What a box is told that has got nothing which this one can vouch for.
 fn nothing(ask: &Ask) -> (Servers, Position) {
     (Servers::Changes(Vec::new()), ask.position)
@@ -190,21 +204,21 @@
     held: Duration,
 ) -> (Answer, Option<Rc<[u8]>>) {
     let now = Instant::now();
-    let vouches = follower.proven_age(now).is_some();
-    let known = match (&ask.more, vouches) {
+    let vouches = vouches(follower, ask);
+    let operator_only = ask.more.as_ref().is_some_and(|more| more.operator_only);
+    let document = match &ask.more {
         // Nothing of it would be taken.
-        (Some(_), false) => u64::MAX,
-        _ => ask.document,
+        Some(_) if !vouches && !operator_only => None,
+        _ => follower.document_for(ask),
     };
-    let (revision, document) = follower.document_after(known);
     let (servers, position) = match &ask.more {
         None => follower.servers_after(ask.position),
-        Some(_) if !vouches => nothing(ask),
+        Some(_) if !vouches || operator_only => nothing(ask),
         Some(more) => {
             let place = Place {
                 position: ask.position,
                 after: more.after.clone(),
-                whole: more.whole,
+                whole: more.whole(),
             };
             let (part, position) = follower.servers_part(&place);
             (Servers::Part(part), position)
@@ -217,7 +231,8 @@
         number: ask.number,
         age_ms: follower.proven_age(now).map(as_ms),
         known_ms: follower.known_age(now).map(as_ms),
-        revision,
+        revision: follower.revision().number(),
+        standing: Some(follower.told_standing(now)),
         document_bytes: document.as_ref().map(|bytes| bytes.len() as u32),
         emptied: Some(follower.emptied()),
         rollouts: Some(follower.relay().rollouts.list(now)),
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -11,6 +11,9 @@
 //! Beside that, and without the store, they tell each other of the requests
 //! that they place ([`traffic`]).
 //!
+//! A box whose store went back to an older copy asks others what was in force before
+//! ([`memory`]).
+//!
 //! A box that starts while it does not reach the store asks any others that
 //! its settings name ([`seed`]).
 //!
@@ -20,6 +23,7 @@
 
 pub mod ask;
 pub mod hub;
+pub mod memory;
 pub mod registry;
 pub mod seed;
 pub mod traffic;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -39,6 +39,9 @@
 /// Time between two lists, once running. Stale ones serve, which cost the store
 /// a tenth.
 const LIST_TIME: Duration = Duration::from_secs(15);
+/// Time over which the reader of one hall spreads its list after the store came back
+/// from an older copy; in multiples of the halls.
+const SPREAD_TIME: Duration = Duration::from_millis(100);
 /// Longest time for one call.
 const CALL_TIME: Duration = Duration::from_millis(1_200);
 /// Pause after a call that failed.
@@ -72,6 +75,8 @@
     present: Cell<bool>,
     /// Notified when it no longer is.
     missed: Notice,
+    /// Notified when the store may have lost entries.
+    lost: Notice,
     listed: Cell<bool>,
     /// Whether a call failed before the boxes were listed.
     failed: Cell<bool>,
@@ -88,6 +93,7 @@
             heard: Cell::new(None),
             present: Cell::new(true),
             missed: Notice::default(),
+            lost: Notice::default(),
             me,
             store,
             listed: Cell::new(false),
@@ -207,8 +213,22 @@
             }
         }
         loop {
-            let next = tidepier_clock::sleep(LIST_TIME);
-            next.or(self.missed.wait()).await;
+            let next = async {
+                tidepier_clock::sleep(LIST_TIME).await;
+                false
+            };
+            let missed = async {
+                self.missed.wait().await;
+                false
+            };
+            let lost = async {
+                self.lost.wait().await;
+                true
+            };
+            if next.or(missed).or(lost).await {
+                self.spread().await;
+                self.reread(&relay).await;
+            }
             match self.look(&relay).await {
                 Ok(found) => lease = found.unwrap_or(lease),
                 Err(failure) => note(&failure, "list"),
@@ -220,6 +240,29 @@
         }
     }
 
+    /// Has the boxes be read again, as the store may have lost entries.
+    pub fn look_again(&self) {
+        self.lost.notify();
+    }
+
+    /// Waits so that the readers of all halls do not call at once.
+    async fn spread(&self) {
+        let halls = self.other_halls().len() as u32 + 1;
+        Timer::after(SPREAD_TIME.mul_f64(fastrand::f64() * f64::from(halls))).await;
+    }
+
+    /// Reads the boxes if nobody tells them to this one: it tells the others of its hall,
+    /// and those that are missing there register again.
+    async fn reread(&self, relay: &Relay) {
+        if !self.before_me().is_empty() {
+            return;
+        }
+        match self.list(relay, Whose::All, false).await {
+            Ok(lease) => self.present.set(lease.is_some()),
+            Err(failure) => note(&failure, "list"),
+        }
+    }
+
     /// Looks whether the boxes changed and this one is among them, and registers it again
     /// if not: the lease ran out, as when the store was down. Returns the lease of its
     /// entry if that is another one.
@@ -310,7 +353,7 @@
                 log::info!(target: "belief", "event=registered revision={revision}");
                 Ok(lease)
             }
-            Swap::Conflict(_) | Swap::NoLease => {
+            Swap::Conflict(_) | Swap::NoLease | Swap::OtherEra => {
                 Err(Failure::Malformed("the lease ended at once".into()))
             }
         }
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -67,7 +67,7 @@
     let ask = Ask {
         version: VERSION,
         number: 1,
-        document: follower.revision().0,
+        document: follower.revision().number(),
         position: Position::default(),
         more: None,
     };
--- a/crates/relay/src/record.rs
+++ b/crates/relay/src/record.rs
@@ -6,10 +6,12 @@
 use std::ops::Bound;
 
 use lru::LruCache;
+use tidepier_core::era::Revision;
 use tidepier_ids as ids;
 
 use crate::message::follow::{Change, Position, Row, Servers};
 use crate::message::part::{Part, Piece};
+use crate::standing::Hold;
 
 /// Changes kept; a box that is further behind gets more than it lacks.
 const CHANGES_MAX: usize = 64;
@@ -30,13 +32,13 @@
     changes: RefCell<VecDeque<Change>>,
     servers: RefCell<BTreeMap<ids::Server, Row>>,
     /// The newest revision of the store that anything here is from.
-    seen: Cell<u64>,
-    /// Revision of the store up to which all is known; 0: it is not.
-    whole: Cell<u64>,
+    seen: Cell<Revision>,
+    /// Revision of the store up to which all is known, if it is.
+    whole: Cell<Revision>,
     /// Servers that are gone, each as of a revision.
-    gone: RefCell<LruCache<ids::Server, u64>>,
+    gone: RefCell<LruCache<ids::Server, Revision>>,
     /// Revision from which on all that are gone are remembered; `None`: none are.
-    gone_since: Cell<Option<u64>>,
+    gone_since: Cell<Option<Revision>>,
 }
 
 /// What the asker of a part has.
@@ -46,8 +48,8 @@
     pub position: Position,
     /// The last server that it has of a list of all.
     pub after: Option<ids::Server>,
-    /// Revision of the store up to which it knows all.
-    pub whole: u64,
+    /// Revision of the store up to which it knows all, if it does.
+    pub whole: Revision,
 }
 
 impl Default for Record {
@@ -58,8 +60,8 @@
             count: Cell::new(0),
             changes: RefCell::default(),
             servers: RefCell::default(),
-            seen: Cell::new(0),
-            whole: Cell::new(0),
+            seen: Cell::default(),
+            whole: Cell::default(),
             gone: RefCell::new(LruCache::new(GONE_MAX)),
             gone_since: Cell::new(None),
         }
@@ -68,23 +70,25 @@
 
 impl Record {
     /// The newest revision of the store that anything here is from.
-    pub fn seen(&self) -> u64 {
+    pub fn seen(&self) -> Revision {
         self.seen.get()
     }
 
     /// Records that all is known up to a revision of the store.
-    pub fn see(&self, revision: u64) {
+    pub fn see(&self, revision: Revision) {
         self.seen.set(self.seen.get().max(revision));
     }
 
-    /// Revision of the store up to which all servers are known; 0: they are not.
-    pub fn whole(&self) -> u64 {
+    /// Revision of the store up to which all servers are known, if they are.
+    pub fn whole(&self) -> Revision {
         self.whole.get()
     }
 
     /// Records that all servers are known up to a revision of the store.
-    pub fn confirm(&self, revision: u64) {
-        if self.gone_since.get().is_none() {
+    pub fn confirm(&self, revision: Revision) {
+        let since = self.gone_since.get();
+        // What goes in one era is not told as a change of another.
+        if since.is_none_or(|since| since.era() < revision.era()) {
             self.gone_since.set(Some(revision));
         }
         self.whole.set(self.whole.get().max(revision));
@@ -98,7 +102,7 @@
 
     /// Whether the known entry of a server is newer than a revision, so that
     /// information as of it says nothing about the server.
-    pub fn is_newer(&self, id: &ids::Server, revision: u64) -> bool {
+    pub fn is_newer(&self, id: &ids::Server, revision: Revision) -> bool {
         let servers = self.servers.borrow();
         let known = servers.get(id);
         known.is_some_and(|known| known.revision() > revision)
@@ -115,6 +119,18 @@
             .is_some_and(|gone| row.revision() <= *gone)
     }
 
+    /// Whether what is known stands against an entry: its server is gone since, or said
+    /// something else than the entry, which the store may have gone back to.
+    pub fn stands_against(&self, row: &Row, hold: Hold) -> bool {
+        let gone = self.gone.borrow();
+        let gone = gone.peek(row.id()).copied();
+        let servers = self.servers.borrow();
+        let differs = servers.get(row.id()).filter(|known| !row.repeats(known));
+        let differs = differs.map(Row::revision);
+        let mut known = gone.into_iter().chain(differs);
+        known.any(|known| hold.keeps(known, row.revision()))
+    }
+
     /// Records that a server came or changed.
     pub fn is(&self, row: Row) {
         self.see(row.revision());
@@ -145,12 +161,13 @@
     }
 
     /// Records that a server is gone as of a revision.
-    pub fn gone(&self, id: &ids::Server, revision: u64) {
+    pub fn gone(&self, id: &ids::Server, revision: Revision) {
         self.see(revision);
         let forgotten = self.gone.borrow_mut().push(id.clone(), revision);
         if let Some((other, at)) = forgotten.filter(|(other, _)| other != id) {
             log::debug!(target: "belief", "event=gone_forgotten id={other}");
-            let since = self.gone_since.get().map(|since| since.max(at + 1));
+            let after = Revision::new(at.era(), at.number() + 1);
+            let since = self.gone_since.get().map(|since| since.max(after));
             self.gone_since.set(since);
         }
         self.servers.borrow_mut().remove(id);
@@ -184,8 +201,6 @@
         } else {
             (self.piece(None), now)
         };
-        let mut part = part;
-        part.whole = self.whole.get();
         (part, position)
     }
 
@@ -207,14 +222,19 @@
             Change::Is(_) => None,
             Change::Gone(id, revision) => Some((id.clone(), *revision)),
         });
-        Some(Part::new(rows).with_gone(gone))
+        Some(self.told(rows).with_gone(gone))
+    }
+
+    fn told(&self, rows: impl IntoIterator<Item = Row>) -> Part {
+        Part::new(self.whole.get(), rows)
     }
 
     /// What changed since a revision of the store, for a box that knows all up to it;
-    /// `None`: that is not known here.
-    fn changed_since(&self, revision: u64) -> Option<Part> {
+    /// `None`: that is not known here, as a revision of another era.
+    fn changed_since(&self, revision: Revision) -> Option<Part> {
         let since = self.gone_since.get()?;
-        if revision == 0 || revision < since {
+        let same_era = revision.era() == self.whole.get().era();
+        if revision.is_none() || !same_era || revision < since {
             return None;
         }
         let servers = self.servers.borrow();
@@ -223,7 +243,7 @@
         // Entries that lapse are gone as of the revision that was known before.
         let gone = gone.iter().filter(|(_, at)| **at >= revision);
         let gone = gone.map(|(id, at)| (id.clone(), *at));
-        Some(Part::new(rows.cloned()).with_gone(gone))
+        Some(self.told(rows.cloned()).with_gone(gone))
     }
 
     /// The piece of the list of all that follows a server.
@@ -238,7 +258,7 @@
             .collect();
         let more = rest.next().is_some();
         let last = rows.last().map(|row| row.id().clone());
-        Part::new(rows).as_piece(Piece {
+        self.told(rows).as_piece(Piece {
             first: after.is_none(),
             last: last.filter(|_| more),
         })
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -17,6 +17,7 @@
 use crate::fleet::Fleet;
 use crate::message::traffic::Report;
 use crate::rollout::{self, Rollouts};
+use crate::standing::Standing;
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Row};
 use crate::traffic::tally::Sum;
@@ -55,6 +56,11 @@
     pub cold_overage: f64,
     /// ... and beyond that.
     pub cold_tolerance: f64,
+    /// Time in which the operator writes again what the store lost as it went back to an
+    /// older copy.
+    pub rewrite: Duration,
+    /// Time in which a server that is silent loses its entry.
+    pub silence: Duration,
     /// Most load of one server, in multiples of the mean of its service.
     pub crowd_factor: f64,
     /// Part of a service's requests that a bad release may get.
@@ -72,6 +78,8 @@
     bounds: Cell<Bounds>,
     /// The catalog in force.
     pub view: View,
+    /// The era of the store, and how far its word holds.
+    pub standing: Standing,
     /// The backend servers.
     pub fleet: Rc<Fleet>,
     /// What is known of the requests that other boxes place, and where prompts
@@ -100,6 +108,7 @@
             hall,
             bounds: Cell::new(bounds),
             view: View::default(),
+            standing: Standing::default(),
             fleet: Rc::default(),
             traffic: Traffic::default(),
             rollouts: Rollouts::default(),
@@ -145,7 +154,7 @@
         let knows = self.view.catalog().is_some() && !self.fleet.is_empty();
         let trusted = self.bounds().trusted;
         let trusted = trusted.is_none_or(|most| self.view.is_fresh(most));
-        knows && trusted && self.stop.phase() == Phase::Serving
+        knows && trusted && self.standing.may_begin() && self.stop.phase() == Phase::Serving
     }
 
     /// Whether clients' connections are closed after the next answer: their
@@ -198,7 +207,11 @@
         self.rollouts.evidence.report(from.clone(), trials, now);
         // How old that is, the reader of the store tells; this is to be quick.
         if let Some(list) = &report.rollouts {
-            self.rollouts.merge(list, now);
+            // Of another era it is taken with what else that box tells, or not at all.
+            if Some(list.era()) == self.standing.era() {
+                let hold = self.standing.hold(self.bounds().rewrite, now);
+                self.rollouts.merge(list, hold, now);
+            }
         }
     }
 
--- a/crates/relay/src/rollout/evidence.rs
+++ b/crates/relay/src/rollout/evidence.rs
@@ -9,10 +9,12 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_clock::Instant;
+use tidepier_core::era::{Era, Revision};
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::fleet::Key;
+use crate::stamp;
 use crate::traffic::log::Peer;
 
 /// Time in which what was seen counts half.
@@ -112,15 +114,47 @@
 
 /// Whose answers they are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(from = "Told", into = "Told")]
 pub struct Subject {
     /// Revision of the order.
-    pub order: u64,
+    pub order: Revision,
     /// Stands for the route.
     pub route: u32,
     /// Whether they are of the new release.
     pub target: bool,
 }
 
+/// A subject as messages carry it.
+#[derive(Serialize, Deserialize)]
+struct Told {
+    order: u64,
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    era: u64,
+    route: u32,
+    target: bool,
+}
+
+impl From<Told> for Subject {
+    fn from(told: Told) -> Self {
+        Self {
+            order: Revision::new(Era(told.era), told.order),
+            route: told.route,
+            target: told.target,
+        }
+    }
+}
+
+impl From<Subject> for Told {
+    fn from(subject: Subject) -> Self {
+        Self {
+            order: subject.order.number(),
+            era: subject.order.era().0,
+            route: subject.route,
+            target: subject.target,
+        }
+    }
+}
+
 /// What one side tells another.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Row {
@@ -172,7 +206,7 @@
 pub struct Answer<'a> {
     /// Revision of the order that holds for the service, if one does, and whether the
     /// server runs the new release.
-    pub order: Option<(u64, bool)>,
+    pub order: Option<(Revision, bool)>,
     /// The service.
     pub service: &'a ids::Service,
     /// The route.
@@ -253,8 +287,25 @@
         }
     }
 
+    /// Counts what was seen of an order for the same one as it was written again.
+    pub fn rename(&self, from: Revision, to: Revision) {
+        let mut own = self.own.borrow_mut();
+        let renamed = own.extract_if(.., |subject, _| subject.order == from);
+        let renamed: Vec<_> = renamed.collect();
+        let renamed = renamed.into_iter();
+        own.extend(renamed.map(|(subject, seen)| {
+            (
+                Subject {
+                    order: to,
+                    ..subject
+                },
+                seen,
+            )
+        }));
+    }
+
     /// Forgets orders that are over.
-    pub fn keep_only(&self, orders: &[u64]) {
+    pub fn keep_only(&self, orders: &[Revision]) {
         let mut own = self.own.borrow_mut();
         own.retain(|subject, _| orders.contains(&subject.order));
     }
--- a/crates/relay/src/rollout/judge.rs
+++ b/crates/relay/src/rollout/judge.rs
@@ -6,6 +6,8 @@
 
 use std::fmt;
 
+use tidepier_core::era::Revision;
+
 use super::evidence::{Count, Row};
 
 /// How far apart two shares of bad answers are before chance is ruled out, in standard
@@ -65,14 +67,14 @@
 }
 
 /// The answers of the new release that the evidence holds.
-pub fn answers(rows: &[Row], order: u64) -> f64 {
+pub fn answers(rows: &[Row], order: Revision) -> f64 {
     let of = |row: &&Row| row.subject.order == order && row.subject.target;
     let counts = rows.iter().filter(of);
     counts.map(|row| f64::from(row.count.answers)).sum()
 }
 
 /// What condemns the new release of an order, if anything does.
-pub fn judge(rows: &[Row], order: u64) -> Option<Fault> {
+pub fn judge(rows: &[Row], order: Revision) -> Option<Fault> {
     let mut whole = Pair::default();
     let mut routes: Vec<(u32, Pair)> = Vec::new();
     for row in rows.iter().filter(|row| row.subject.order == order) {
--- a/crates/relay/src/rollout/mod.rs
+++ b/crates/relay/src/rollout/mod.rs
@@ -30,12 +30,15 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_clock::Instant;
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::rollout::{Order, State};
 use tidepier_core::server::{Release, Server};
 use tidepier_ids as ids;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::notice::Notice;
+use crate::stamp;
+use crate::standing::Hold;
 use evidence::Evidence;
 use stage::Stage;
 
@@ -51,18 +54,33 @@
     service: ids::Service,
     target: String,
     within_ms: u64,
-    /// Revision of the operator's entry.
+    /// Number of the revision of the operator's entry.
     order: u64,
+    /// The era of that revision.
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    era: u64,
     /// How far it has come, as of a revision; of an earlier order, if of any.
     stage: Option<(Stage, u64)>,
+    /// The era of that revision.
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    stage_era: u64,
+}
+
+impl Row {
+    fn revision(&self) -> Revision {
+        Revision::new(Era(self.era), self.order)
+    }
 }
 
 /// All orders as of a revision of the store.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct List {
     rows: Vec<Row>,
-    /// The revision of the store up to which nothing else was ordered.
+    /// Number of the revision of the store up to which nothing else was ordered.
     seen: u64,
+    /// The era of that revision.
+    #[serde(default, skip_serializing_if = "stamp::is_only")]
+    era: u64,
     /// How long ago all this was provably the newest.
     pub age_ms: Option<u64>,
 }
@@ -72,6 +90,24 @@
     pub fn is_empty(&self) -> bool {
         self.rows.is_empty()
     }
+
+    /// The era of the store that it is of.
+    pub fn era(&self) -> Era {
+        Era(self.era)
+    }
+
+    /// The same of a box that knows no eras, as one of this era.
+    pub fn in_era(mut self, era: Era) -> Self {
+        self.era = era.0;
+        for row in &mut self.rows {
+            (row.era, row.stage_era) = (era.0, era.0);
+        }
+        self
+    }
+
+    fn seen(&self) -> Revision {
+        Revision::new(Era(self.era), self.seen)
+    }
 }
 
 /// An order that is known here.
@@ -80,11 +116,17 @@
     /// The order.
     pub order: Order,
     /// Revision of the operator's entry.
-    pub revision: u64,
+    pub revision: Revision,
+    /// Whether the store has that entry: one that went back may lack it.
+    pub stored: bool,
     /// How far it has come.
     pub stage: Option<Stage>,
-    /// Revision of the entry that told that; 0: none is known.
-    pub stage_revision: u64,
+    /// Revision of the entry that the store has of that, if it has one.
+    pub stage_revision: Revision,
+    /// Whether that entry says how far it has come.
+    pub stage_stored: bool,
+    /// The era in which that was learned.
+    stage_era: Era,
     /// When that was learned, or else the order.
     pub since: Instant,
 }
@@ -110,13 +152,48 @@
         }
     }
 
+    /// The same order has an entry of another era now.
+    fn written_again(&mut self, revision: Revision) {
+        log::info!(
+            target: "belief",
+            "event=rollout_written_again service={} order={revision} before={}",
+            self.order.service,
+            self.revision,
+        );
+        self.revision = revision;
+        self.stored = true;
+        if let Some(stage) = &mut self.stage {
+            stage.order = revision.number();
+        }
+    }
+
+    /// Whether the store went back behind how far it has come, so that it has to be
+    /// written again.
+    pub fn is_unwritten(&self) -> bool {
+        self.stored && self.stage.is_some() && !self.stage_stored
+    }
+
+    /// Whether a stage follows the known one. One of another era may be older.
+    fn advances(&self, stage: &Stage, revision: Revision) -> bool {
+        let Some(known) = &self.stage else {
+            return true;
+        };
+        let in_progress = known.state == State::InProgress;
+        let same_era = revision.era() == self.stage_era;
+        in_progress && (same_era || stage.elapsed_ms > known.elapsed_ms)
+    }
+
     fn row(&self) -> Row {
         Row {
             service: self.order.service.clone(),
             target: self.order.target.to_string(),
             within_ms: u64::try_from(self.order.within.as_millis()).unwrap_or(u64::MAX),
-            order: self.revision,
-            stage: self.stage.map(|stage| (stage, self.stage_revision)),
+            order: self.revision.number(),
+            era: self.revision.era().0,
+            stage: self
+                .stage
+                .map(|stage| (stage, self.stage_revision.number())),
+            stage_era: self.stage_revision.era().0,
         }
     }
 }
@@ -133,7 +210,7 @@
         release: Release,
         /// The part of its servers that is tried.
         part: f64,
-        /// The order: another one tries others first.
+        /// Stands for the order: another one tries others first.
         order: u64,
     },
     /// Those of all other releases.
@@ -177,8 +254,8 @@
 pub struct Rollouts {
     known: RefCell<BTreeMap<ids::Service, Known>>,
     /// Services whose orders were taken back, each as of a revision.
-    back: RefCell<BTreeMap<ids::Service, u64>>,
-    seen: Cell<u64>,
+    back: RefCell<BTreeMap<ids::Service, Revision>>,
+    seen: Cell<Revision>,
     /// When what is known was provably the newest.
     proven: Cell<Option<Instant>>,
     /// What is left over of the share of each service.
@@ -190,19 +267,32 @@
 }
 
 impl Rollouts {
-    /// Records an order of a revision.
-    pub fn order(&self, order: Order, revision: u64, now: Instant) {
+    /// Records an order of a revision, unless what is known stands against it.
+    pub fn order(&self, order: Order, revision: Revision, hold: Option<Hold>, now: Instant) {
         self.see(revision);
+        let stands = |known: Revision| hold.is_some_and(|hold| hold.keeps(known, revision));
         let back = self.back.borrow().get(&order.service).copied();
-        if back.is_some_and(|back| back >= revision) {
+        if back.is_some_and(|back| back >= revision || stands(back)) {
             return;
         }
-        let mut known = self.known.borrow_mut();
-        let before = known.get(&order.service);
-        if before.is_some_and(|before| before.revision >= revision) {
-            return;
+        let mut all = self.known.borrow_mut();
+        if let Some(known) = all.get_mut(&order.service) {
+            if known.revision >= revision {
+                known.stored |= known.revision == revision;
+                return;
+            }
+            let before = known.revision;
+            if before.era() < revision.era() && known.order == order {
+                known.written_again(revision);
+                self.evidence.rename(before, revision);
+                drop(all);
+                self.changed.notify();
+                return;
+            }
+            if stands(before) {
+                return;
+            }
         }
-        let stage_revision = before.map_or(0, |before| before.stage_revision);
         log::info!(
             target: "belief",
             "event=rollout service={} target={} within_ms={} order={revision}",
@@ -210,20 +300,26 @@
             order.target,
             order.within.as_millis(),
         );
+        // The entry of how far an earlier order came is in the way of this one's.
+        let before = all.get(&order.service).map(|known| known.stage_revision);
+        let before = before.filter(|before| before.era() == revision.era());
         let fresh = Known {
             revision,
+            stored: true,
             stage: None,
-            stage_revision,
+            stage_revision: before.unwrap_or_default(),
+            stage_stored: false,
+            stage_era: revision.era(),
             since: now,
             order,
         };
-        known.insert(fresh.order.service.clone(), fresh);
-        drop(known);
+        all.insert(fresh.order.service.clone(), fresh);
+        drop(all);
         self.changed.notify();
     }
 
     /// Records that a service's order was taken back.
-    pub fn take_back(&self, service: &ids::Service, revision: u64) {
+    pub fn take_back(&self, service: &ids::Service, revision: Revision) {
         self.see(revision);
         let mut known = self.known.borrow_mut();
         let before = known.get(service);
@@ -236,21 +332,67 @@
         }
     }
 
-    /// Records how far a service's order has come, as an entry of a revision tells.
-    pub fn stage(&self, service: &ids::Service, stage: Stage, revision: u64, now: Instant) {
+    /// Records that a list of the store as of a revision lacks a service's order, which
+    /// is thereby taken back, unless what is known stands against that.
+    pub fn missing(&self, service: &ids::Service, seen: Revision, hold: Option<Hold>) {
         let mut all = self.known.borrow_mut();
         let Some(known) = all.get_mut(service) else {
             return;
         };
-        if revision <= known.stage_revision {
+        if hold.is_some_and(|hold| hold.is_former(known.revision)) {
+            known.stored = false;
+            return;
+        }
+        drop(all);
+        self.take_back(service, seen);
+    }
+
+    /// Records that the store went back to an older copy: what it has of how far orders
+    /// have come is not known.
+    pub fn restored(&self) {
+        for known in self.known.borrow_mut().values_mut() {
+            known.stage_revision = Revision::default();
+            known.stage_stored = false;
+        }
+    }
+
+    /// Records that the store has no entry of how far a service's order has come.
+    pub fn unstaged(&self, service: &ids::Service) {
+        if let Some(known) = self.known.borrow_mut().get_mut(service) {
+            known.stage_revision = Revision::default();
+            known.stage_stored = false;
+        }
+    }
+
+    /// Records how far a service's order has come, as an entry of a revision tells, or as
+    /// another box knows it that the store lacks.
+    pub fn stage(&self, service: &ids::Service, stage: Stage, revision: Revision, now: Instant) {
+        let mut all = self.known.borrow_mut();
+        let Some(known) = all.get_mut(service) else {
             return;
+        };
+        let is_entry = !revision.is_none();
+        if is_entry {
+            if revision <= known.stage_revision {
+                return;
+            }
+            known.stage_revision = revision;
+            known.stage_stored = false;
         }
-        known.stage_revision = revision;
         // An entry of an earlier order says nothing of this one.
-        if stage.order != known.revision || known.state() != State::InProgress {
+        if stage.order != known.revision.number() {
+            return;
+        }
+        if !known.advances(&stage, revision) {
+            if is_entry && known.stage == Some(stage) {
+                known.stage_stored = true;
+                known.stage_era = revision.era();
+            }
             return;
         }
         known.stage = Some(stage);
+        known.stage_era = revision.era();
+        known.stage_stored = is_entry;
         known.since = now;
         log::info!(
             target: "belief",
@@ -268,23 +410,23 @@
 
     /// Takes over the whole state that another box or the store tells. Returns whether
     /// what is known here is the same now.
-    pub fn merge(&self, list: &List, now: Instant) -> bool {
+    pub fn merge(&self, list: &List, hold: Option<Hold>, now: Instant) -> bool {
         for known in self.all() {
             let service = &known.order.service;
             if !list.rows.iter().any(|row| row.service == *service) {
-                self.take_back(service, list.seen);
+                self.missing(service, list.seen(), hold);
             }
         }
         for row in &list.rows {
-            self.merge_row(row, now);
+            self.merge_row(row, hold, now);
         }
-        self.see(list.seen);
+        self.see(list.seen());
         let same = |known: &Known| list.rows.contains(&known.row());
         let known = self.known.borrow();
         known.len() == list.rows.len() && known.values().all(same)
     }
 
-    fn merge_row(&self, row: &Row, now: Instant) {
+    fn merge_row(&self, row: &Row, hold: Option<Hold>, now: Instant) {
         let target = match row.target.parse() {
             Ok(target) => target,
             Err(error) => {
@@ -297,18 +439,31 @@
             target,
             within: Duration::from_millis(row.within_ms),
         };
-        self.order(order, row.order, now);
-        if let Some((stage, revision)) = row.stage {
+        self.order(order, row.revision(), hold, now);
+        if let Some((stage, number)) = row.stage {
+            let revision = Revision::new(Era(row.stage_era), number);
             self.stage(&row.service, stage, revision, now);
         }
     }
 
+    /// Takes over orders that another box knows of former eras, and how far they came;
+    /// what it does not know is taken back by nobody.
+    pub fn recall(&self, list: &List, now: Instant) {
+        for row in &list.rows {
+            let known = self.of(&row.service);
+            if known.is_none_or(|known| known.revision.era() >= row.revision().era()) {
+                self.merge_row(row, None, now);
+            }
+        }
+    }
+
     /// The whole state, for other boxes.
     pub fn list(&self, now: Instant) -> List {
         let age = self.age(now);
         List {
             rows: self.known.borrow().values().map(Known::row).collect(),
-            seen: self.seen.get(),
+            seen: self.seen.get().number(),
+            era: self.seen.get().era().0,
             // Rounded up, so that it never looks younger.
             age_ms: age.map(|age| age.as_millis() as u64 + 1),
         }
@@ -324,7 +479,7 @@
         self.known.borrow().get(service).cloned()
     }
 
-    fn see(&self, revision: u64) {
+    fn see(&self, revision: Revision) {
         self.seen.set(self.seen.get().max(revision));
     }
 
@@ -358,12 +513,12 @@
         };
         let release = known.order.target.clone();
         if known.state() == State::Completed {
-            return whole(release, known.revision);
+            return whole(release, known.revision.number());
         }
         let recent = self.age(now).is_some_and(|age| age < trust);
         let share = if recent { known.share() } else { 0.0 };
         if share >= 1.0 {
-            return whole(release, known.revision);
+            return whole(release, known.revision.number());
         }
         if again || !self.take_credit(service, share) {
             return Aim::Others(release);
@@ -373,7 +528,7 @@
         Aim::Target {
             release,
             part,
-            order: known.revision,
+            order: known.revision.number(),
         }
     }
 
--- a/crates/relay/src/rollout/plan.rs
+++ b/crates/relay/src/rollout/plan.rs
@@ -58,6 +58,8 @@
 pub enum Step {
     /// Nothing.
     Stay,
+    /// The stage that is known: the store went back behind it.
+    Again,
     /// The release gets this share.
     Share(f64),
     /// It alone serves.
--- a/crates/relay/src/rollout/stage.rs
+++ b/crates/relay/src/rollout/stage.rs
@@ -22,7 +22,8 @@
 /// One entry.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Stage {
-    /// Revision of the order's own entry.
+    /// Number of the revision of the order's own entry. The store goes back with both, so
+    /// that it is of the same order in any era in which the store has both.
     pub order: u64,
     /// How far it has come.
     #[serde(with = "Told")]
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -23,7 +23,7 @@
 use crate::follow::Follower;
 use crate::metrics;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{ask, hub, seed, traffic};
+use crate::peer::{ask, hub, memory, seed, traffic};
 use crate::ready;
 use crate::recall;
 use crate::relay::{Bounds, Relay};
@@ -42,6 +42,10 @@
 /// of a request and a late timer.
 const REVOKE_MARGIN: Duration = Duration::from_millis(300);
 
+/// Heartbeats of a server after which it has no entry any more: the platform's three,
+/// and one for the way here.
+const SILENCE_HEARTBEATS: u32 = 4;
+
 /// Runs a router until it is asked to stop.
 ///
 /// # Errors
@@ -129,6 +133,7 @@
         executor.spawn(follower.clone().servers()).detach();
         executor.spawn(follower.clone().lapses()).detach();
         executor.spawn(follower.clone().emptying()).detach();
+        executor.spawn(follower.clone().believe_copies()).detach();
         let inquiry = crash::inquire(relay.crashes.clone(), executor.clone());
         executor.spawn(inquiry).detach();
         executor.spawn(crash::tidy(relay.crashes.clone())).detach();
@@ -197,6 +202,8 @@
         let alone = conduct::run(follower.clone(), store, None);
         executor.spawn(alone).detach();
         follower.read_self("alone", true);
+        let asking = memory::run(follower, None, Vec::new(), executor.clone());
+        executor.spawn(asking).detach();
         let now = Instant::now();
         relay.roster.alone(&settings.name, &settings.hall, now);
         return Ok(());
@@ -212,6 +219,7 @@
     if settings.first_start {
         // All boxes start now, and list each other at once.
         relay.roster.known(Instant::now());
+        relay.standing.start_first();
         // No engine keeps anything yet.
         relay.traffic.set_progress(Progress::Done);
     }
@@ -231,9 +239,26 @@
         ))
         .detach();
     let seeds = seeds(settings, ports.first);
+    let asking = memory::run(
+        follower.clone(),
+        Some(registry.clone()),
+        seeds.clone(),
+        executor.clone(),
+    );
+    executor.spawn(asking).detach();
     executor
         .spawn(seed::run(follower.clone(), registry.clone(), seeds))
         .detach();
+    let restored = {
+        let (follower, registry) = (follower.clone(), registry.clone());
+        async move {
+            loop {
+                follower.restored().await;
+                registry.look_again();
+            }
+        }
+    };
+    executor.spawn(restored).detach();
     executor
         .spawn(traffic::run(
             relay.clone(),
@@ -270,6 +295,8 @@
             .revoke_when_blind
             .then(|| revoke.saturating_sub(REVOKE_MARGIN)),
         contact: bounds.contact.duration(),
+        rewrite: revoke,
+        silence: bounds.heartbeat.duration() * SILENCE_HEARTBEATS,
         cold_overage: bounds.cold_overage,
         cold_tolerance: bounds.cold_tolerance,
         crowd_factor: bounds.crowd_factor,
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -21,6 +21,8 @@
 const COLD_TOLERANCE: f64 = 0.0;
 /// Default of [`Bounds::contact`].
 const CONTACT: Millis = Millis::new(3_000);
+/// Default of [`Bounds::heartbeat`].
+const HEARTBEAT: Millis = Millis::new(1_200);
 /// Default of [`Bounds::crowd_factor`], in multiples of the mean.
 const CROWD_FACTOR: f64 = 2.0;
 /// Default of [`Bounds::exposure_share`]. Half of the platform's usual figure.
@@ -58,6 +60,8 @@
     pub cold_tolerance: f64,
     /// Time after the end of the store's trouble from which its word counts.
     pub contact: Millis,
+    /// Time between two words of a server to the store.
+    pub heartbeat: Millis,
     /// Most load of one server, in multiples of the mean of its service.
     pub crowd_factor: f64,
     /// Part of a service's requests that a release may get while it is not known
@@ -84,6 +88,7 @@
             cold_overage: COLD_OVERAGE,
             cold_tolerance: COLD_TOLERANCE,
             contact: CONTACT,
+            heartbeat: HEARTBEAT,
             crowd_factor: CROWD_FACTOR,
             exposure_share: EXPOSURE_SHARE,
             rollback_within: ROLLBACK_WITHIN,
--- /dev/null
+++ b/crates/relay/src/standing.rs
@@ -0,0 +1,254 @@
+//! How far the word of the store holds that this box follows.
+//!
+//! After the store came back from an older copy, its entries may be older than what was
+//! in force before, and what is missing may be written again. Until the operator's
+//! entries are whole again, what this box knew holds, and nothing proves that it is the
+//! newest.
+//!
+//! Invariants:
+//!
+//! * An era is never left for an earlier one.
+//! * What is older than the version in force proves nothing.
+//! * An era that a box starts in counts as one that has just begun, until something
+//!   shows that the operator's entries are whole in it.
+
+use std::cell::Cell;
+use std::fmt;
+use std::time::Duration;
+
+use tidepier_clock::Instant;
+use tidepier_core::catalog::Version;
+use tidepier_core::era::{Era, Revision};
+
+/// Where an entry of the store is from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// It was written in this era.
+    Era,
+    /// The copy may have had it.
+    Copy,
+}
+
+/// While it lasts, what was known in former eras stands against what the copy may have
+/// had.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Hold {
+    /// The first state of the era that was heard of.
+    first: Revision,
+}
+
+impl Hold {
+    /// The hold of an era with this first state.
+    pub fn new(first: Revision) -> Self {
+        Self { first }
+    }
+
+    /// Whether `known` stands against an entry of this revision that says otherwise.
+    pub fn keeps(&self, known: Revision, entry: Revision) -> bool {
+        self.is_former(known) && entry <= self.first
+    }
+
+    /// Whether a revision is of a former era.
+    pub fn is_former(&self, known: Revision) -> bool {
+        known.era() < self.first.era()
+    }
+}
+
+/// What shows that the operator's entries are whole in an era.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Ground {
+    /// The store tells no eras.
+    NoEras,
+    /// All boxes start for the first time.
+    FirstStart,
+    /// The operator wrote a configuration that is not older than the one in force.
+    Written,
+    /// The store has the version that was in force before, and no other box that was
+    /// asked knows a newer one.
+    Same,
+    /// Another box says so, by itself or by the mark in the store.
+    Told,
+    /// The time is over in which they would have been written again.
+    Waited,
+}
+
+impl fmt::Display for Ground {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Ground::NoEras => "no_eras",
+            Ground::FirstStart => "first_start",
+            Ground::Written => "written",
+            Ground::Same => "same",
+            Ground::Told => "told",
+            Ground::Waited => "waited",
+        })
+    }
+}
+
+/// The operator's configuration as the store has it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Entry {
+    /// Its version.
+    pub version: Version,
+    /// Its revision.
+    pub revision: Revision,
+}
+
+/// An era as this box knows it.
+#[derive(Debug, Clone, Copy)]
+struct Known {
+    era: Era,
+    /// The lowest number of the store's state that was heard of.
+    first: u64,
+    since: Instant,
+    /// The version in force here before.
+    before: Option<Version>,
+    ground: Option<Ground>,
+}
+
+/// What one box knows of the store's era.
+#[derive(Debug, Default)]
+pub struct Standing {
+    known: Cell<Option<Known>>,
+    /// Whether other boxes were asked since it began.
+    asked: Cell<bool>,
+    first_start: Cell<bool>,
+    /// Whether more than one era was heard of.
+    changed: Cell<bool>,
+}
+
+impl Standing {
+    /// Records that all boxes start for the first time.
+    pub fn start_first(&self) {
+        self.first_start.set(true);
+    }
+
+    /// Whether something has yet to show that the operator's entries are whole.
+    pub fn is_open(&self) -> bool {
+        match self.known.get() {
+            Some(known) => known.ground.is_none(),
+            None => !self.first_start.get(),
+        }
+    }
+
+    /// The era, once one was heard of.
+    pub fn era(&self) -> Option<Era> {
+        self.known.get().map(|known| known.era)
+    }
+
+    /// Whether more than one era was heard of.
+    pub fn has_changed(&self) -> bool {
+        self.changed.get()
+    }
+
+    /// The lowest number of the store's state that was heard of in this era.
+    pub fn first(&self) -> u64 {
+        self.known.get().map_or(0, |known| known.first)
+    }
+
+    /// Records a state of the store that was heard of at `now`, while the version
+    /// `in_force` was in force here. Returns whether it is the first one of a later era.
+    pub fn hear(&self, state: Revision, in_force: Option<Version>, now: Instant) -> bool {
+        let (era, first) = (state.era(), state.number());
+        match self.known.get() {
+            Some(known) if era < known.era => false,
+            Some(known) if era == known.era => {
+                let first = known.first.min(first);
+                self.known.set(Some(Known { first, ..known }));
+                false
+            }
+            earlier => {
+                let ground = match earlier {
+                    _ if era == Era(0) => Some(Ground::NoEras),
+                    None if self.first_start.get() => Some(Ground::FirstStart),
+                    _ => None,
+                };
+                self.asked.set(false);
+                self.changed.set(earlier.is_some());
+                self.known.set(Some(Known {
+                    era,
+                    first,
+                    since: now,
+                    before: in_force,
+                    ground,
+                }));
+                true
+            }
+        }
+    }
+
+    /// Where an entry is from that the store has.
+    pub fn origin(&self, revision: Revision) -> Origin {
+        let written = self.known.get().is_some_and(|known| {
+            let later = revision.era() == known.era && revision.number() > known.first;
+            known.era == Era(0) || later
+        });
+        if written {
+            Origin::Era
+        } else {
+            Origin::Copy
+        }
+    }
+
+    /// What was known in former eras stands while the era is younger than `within`.
+    pub fn hold(&self, within: Duration, now: Instant) -> Option<Hold> {
+        let known = self.known.get()?;
+        let young = now.saturating_duration_since(known.since) < within;
+        young.then(|| Hold::new(Revision::new(known.era, known.first)))
+    }
+
+    /// Whether the operator's entries are known to be whole in this era.
+    pub fn is_settled(&self) -> bool {
+        self.known.get().is_some_and(|known| known.ground.is_some())
+    }
+
+    /// Records that other boxes were asked what they know.
+    pub fn ask(&self) {
+        self.asked.set(true);
+    }
+
+    /// Whether a box may serve by what it knows: not one that has just started and has yet
+    /// to hear whether others know more than the store.
+    pub fn may_begin(&self) -> bool {
+        let known = self.known.get();
+        let starts = known.is_some_and(|it| it.ground.is_none() && it.before.is_none());
+        !starts || self.asked.get()
+    }
+
+    /// Records that the operator's entries are whole in this era; returns whether that
+    /// is new.
+    pub fn settle(&self, ground: Ground) -> bool {
+        let Some(known) = self.known.get().filter(|known| known.ground.is_none()) else {
+            return false;
+        };
+        let ground = Some(ground);
+        self.known.set(Some(Known { ground, ..known }));
+        true
+    }
+
+    /// What shows that the operator's entries are whole while the store has this
+    /// configuration and `in_force` is in force; the operator has had `within` to write
+    /// again what was lost.
+    pub fn weigh(
+        &self,
+        stored: Option<Entry>,
+        in_force: Option<Version>,
+        within: Duration,
+        now: Instant,
+    ) -> Option<Ground> {
+        let known = self.known.get()?;
+        let version = stored.map(|entry| entry.version);
+        let is_behind = version < in_force;
+        let written = stored.is_some_and(|entry| self.origin(entry.revision) == Origin::Era);
+        let over = now.saturating_duration_since(known.since) >= within;
+        if written && !is_behind {
+            Some(Ground::Written)
+        } else if self.asked.get() && known.before == version && version == in_force {
+            Some(Ground::Same)
+        } else if over {
+            Some(Ground::Waited)
+        } else {
+            None
+        }
+    }
+}
--- a/crates/relay/tests/platform/store.rs
+++ b/crates/relay/tests/platform/store.rs
@@ -143,7 +143,7 @@
     Item {
         key: key.to_owned(),
         value: value.into(),
-        revision: Revision(revision),
+        revision: Revision::of(revision),
         lease: None,
     }
 }
@@ -163,11 +163,14 @@
         let read = client.get("a b/c", LIMIT).await.expect("read");
         let mut expected = item("a b/c", "hi", 4);
         expected.lease = Some(LeaseId(7));
-        assert_eq!((read.value, read.revision), (Some(expected), Revision(9)));
+        assert_eq!(
+            (read.value, read.revision),
+            (Some(expected), Revision::of(9))
+        );
         let read = client.get("x&y=%", LIMIT).await.expect("read");
-        assert_eq!((read.value, read.revision), (None, Revision(10)));
+        assert_eq!((read.value, read.revision), (None, Revision::of(10)));
         let read = client.get("z", LIMIT).await.expect("read");
-        assert_eq!((read.value, read.revision), (None, Revision(0)));
+        assert_eq!((read.value, read.revision), (None, Revision::of(0)));
         assert_eq!((figures.calls("get"), figures.connections()), (3, 1));
     });
     assert_eq!(next(&seen), "0: GET /-/kv-key?key_file=a%20b/c");
@@ -204,7 +207,10 @@
             item("p/b", "2", 3),
             item("p/c", "3", 6),
         ];
-        assert_eq!((&read.value[..], read.revision), (&items[..], Revision(5)));
+        assert_eq!(
+            (&read.value[..], read.revision),
+            (&items[..], Revision::of(5))
+        );
         assert_eq!(figures.calls("list"), 2);
         let stale = client.list("p/", true, LIMIT).await.expect("read");
         assert!(stale.value.is_empty());
@@ -241,14 +247,14 @@
     counted(|figures| async move {
         let client = Client::new(address);
         client.get("a", LIMIT).await.expect("read");
-        let mut watch = client.watch(Scope::Prefix("p/"), Revision(11));
+        let mut watch = client.watch(Scope::Prefix("p/"), Revision::of(11));
         let read = watch.next(LIMIT).await.expect("read");
         let gone = Event::Delete {
             key: "p/b".to_owned(),
-            revision: Revision(13),
+            revision: Revision::of(13),
         };
         assert_eq!(read.value, [Event::Put(item("p/a", "1", 12)), gone]);
-        assert_eq!(read.revision, Revision(14));
+        assert_eq!(read.revision, Revision::of(14));
         let late = watch.next(LIMIT * 100).await;
         assert!(matches!(late, Err(Failure::Compacted)), "{late:?}");
         assert_eq!((figures.calls("watch"), figures.connections()), (2, 2));
@@ -283,9 +289,12 @@
             value: b"\xff\x00",
             lease: Some(LeaseId(7)),
         }];
-        let expected = [("k", Revision(3)), ("l", Revision(0))];
+        let expected = [("k", Revision::of(3)), ("l", Revision::of(0))];
         let swap = || client.swap(&expected, &write, &["old"], LIMIT);
-        assert_eq!(swap().await.expect("an answer"), Swap::Done(Revision(20)));
+        assert_eq!(
+            swap().await.expect("an answer"),
+            Swap::Done(Revision::of(20))
+        );
         let conflict = Swap::Conflict(Current::Items(vec![item("k", "1", 19)]));
         assert_eq!(swap().await.expect("an answer"), conflict);
         assert_eq!(swap().await.expect("an answer"), Swap::NoLease);
@@ -397,7 +406,7 @@
         assert!(begin.elapsed() >= SHORT);
         tell.send(()).expect("the store waits");
         let read = client.get("l", LIMIT).await.expect("read");
-        assert_eq!((read.value, read.revision), (None, Revision(2)));
+        assert_eq!((read.value, read.revision), (None, Revision::of(2)));
         assert_eq!(figures.connections(), 2);
     });
 }
@@ -413,7 +422,7 @@
         let cut = client.swap(&[], &[], &["k"], LIMIT).await;
         assert!(matches!(cut, Err(Failure::NoAnswer(_))), "{cut:?}");
         let swap = client.swap(&[], &[], &["k"], LIMIT).await;
-        assert_eq!(swap.expect("an answer"), Swap::Done(Revision(21)));
+        assert_eq!(swap.expect("an answer"), Swap::Done(Revision::of(21)));
     });
 }
 
@@ -426,7 +435,7 @@
     ]);
     smol::block_on(async {
         let client = Client::new(address);
-        let mut watch = client.watch(Scope::Prefix("p/"), Revision(5));
+        let mut watch = client.watch(Scope::Prefix("p/"), Revision::of(5));
         let other = async {
             // Blocking the thread would stop the watch as well.
             let request = smol::unblock(move || next(&seen)).await;
@@ -436,7 +445,7 @@
         };
         let (read, ()) = futures_lite::future::zip(watch.next(LIMIT), other).await;
         let read = read.expect("an answer");
-        assert_eq!((read.value.len(), read.revision), (0, Revision(5)));
+        assert_eq!((read.value.len(), read.revision), (0, Revision::of(5)));
     });
 }
 
--- a/crates/relay/tests/relay/emptied.rs
+++ b/crates/relay/tests/relay/emptied.rs
@@ -8,6 +8,7 @@
 use eyre::{ensure, eyre};
 use proptest::prelude::*;
 use smol::Timer;
+use tidepier_core::era::Revision;
 use tidepier_relay::emptied::{Emptied, List, Row};
 use tidepier_relay_standin::server::{Fault, Server};
 use tidepier_relay_standin::store::Down;
@@ -321,15 +322,15 @@
         let hall = format!("hall-{}", change.hall).parse().expect("a name");
         rows.retain(|row| row.hall != hall);
         if change.empty {
-            let revision = at as u64 + 1;
+            let revision = Revision::of(at as u64 + 1);
             rows.push(Row { hall, revision });
         }
     }
-    let seen = until as u64;
+    let seen = Revision::of(until as u64);
     List { rows, seen }
 }
 
-fn sorted(mut list: List) -> Vec<(String, u64)> {
+fn sorted(mut list: List) -> Vec<(String, Revision)> {
     list.rows.sort_by(|a, b| a.hall.cmp(&b.hall));
     list.rows
         .iter()
@@ -351,22 +352,22 @@
         let newest_at = newest_at.index(order.len() + 1);
         for (step, (index, whole)) in order.iter().enumerate() {
             if step == newest_at {
-                known.merge(&newest);
+                known.merge(&newest, None);
             }
             let at = index.index(changes.len());
             if *whole {
                 let told = state(&changes, at + 1);
-                let same = known.merge(&told);
+                let same = known.merge(&told, None);
                 prop_assert_eq!(same, sorted(known.list()) == sorted(told));
             } else {
                 let hall = format!("hall-{}", changes[at].hall).parse().expect("a name");
                 match changes[at].empty {
-                    true => known.empty(hall, at as u64 + 1),
-                    false => known.take_back(hall, at as u64 + 1),
+                    true => known.empty(hall, Revision::of(at as u64 + 1), None),
+                    false => known.take_back(hall, Revision::of(at as u64 + 1)),
                 }
             }
         }
-        known.merge(&newest);
+        known.merge(&newest, None);
         prop_assert_eq!(sorted(known.list()), sorted(newest));
     }
 }
@@ -374,20 +375,23 @@
 /// A box that reads an older state than another does not bring it back.
 #[test]
 fn an_older_state_of_another_box_is_no_proof() {
-    let row = |revision| Row {
+    let row = |number| Row {
         hall: "hall-1".parse().expect("a name"),
-        revision,
+        revision: Revision::of(number),
     };
-    let list = |rows: &[Row], seen| List {
+    let list = |rows: &[Row], number| List {
         rows: rows.to_vec(),
-        seen,
+        seen: Revision::of(number),
     };
     let known = Emptied::default();
-    assert!(known.merge(&list(&[row(5)], 5)));
-    assert!(known.merge(&list(&[], 9)));
-    assert!(!known.merge(&list(&[row(5)], 7)), "an old entry was taken");
+    assert!(known.merge(&list(&[row(5)], 5), None));
+    assert!(known.merge(&list(&[], 9), None));
+    assert!(
+        !known.merge(&list(&[row(5)], 7), None),
+        "an old entry was taken"
+    );
     assert!(known.halls().is_empty());
-    assert!(known.merge(&list(&[row(11)], 11)));
-    assert!(!known.merge(&list(&[], 10)), "an old state was taken");
+    assert!(known.merge(&list(&[row(11)], 11), None));
+    assert!(!known.merge(&list(&[], 10), None), "an old state was taken");
     assert_eq!(known.halls().len(), 1);
 }
--- a/crates/relay/tests/relay/impostors.rs
+++ b/crates/relay/tests/relay/impostors.rs
@@ -9,6 +9,7 @@
 use futures_lite::FutureExt;
 use smol::{Task, Timer};
 use tidepier_core::catalog::Kind;
+use tidepier_core::era::Revision;
 use tidepier_core::server::{Server, State};
 use tidepier_h1::{Conn, Listener};
 use tidepier_relay::emptied::List;
@@ -93,6 +94,7 @@
         age_ms: Some(0),
         known_ms: Some(0),
         revision,
+        standing: None,
         document_bytes: None,
         emptied: Some(List::default()),
         rollouts: None,
@@ -171,7 +173,7 @@
                 text.ok_or_else(|| eyre!("no configuration"))?,
             ))
         };
-        let row = Row::new(&announced(&server)?, site.store.revision());
+        let row = Row::new(&announced(&server)?, Revision::of(site.store.revision()));
         let older = entry()?;
         let version = site.declare(&[Route::new("/new/", Kind::Repeatable, SERVICE)]);
         let newer = entry()?;
@@ -180,7 +182,7 @@
         let said = stale.clone();
         let old = move |ask: &Ask| {
             let (revision, text) = if said.get() { &older } else { &newer };
-            let servers = Servers::All(vec![row.clone()], *revision);
+            let servers = Servers::All(vec![row.clone()], Revision::of(*revision));
             let told = told(ask, *revision);
             Say::Answer(Box::new(Answer { servers, ..told }), Some(text.clone()))
         };
@@ -307,7 +309,7 @@
     run(async |executor| {
         let site = keyed()?;
         let server = site.server(usual(1))?;
-        let row = Row::new(&announced(&server)?, site.store.revision());
+        let row = Row::new(&announced(&server)?, Revision::of(site.store.revision()));
         let id = row.id().clone();
         let text = site.store.value(names::CONFIG);
         let text = text.ok_or_else(|| eyre!("no configuration"))?;
@@ -316,13 +318,16 @@
         let said = going.clone();
         let slow = move |ask: &Ask| {
             if ask.document < revision || !said.get() {
-                let servers = Servers::All(vec![row.clone()], revision);
+                let servers = Servers::All(vec![row.clone()], Revision::of(revision));
                 let told = told(ask, revision);
                 let document = (ask.document < revision).then(|| text.clone());
                 return Say::Answer(Box::new(Answer { servers, ..told }), document);
             }
             let answer = Answer {
-                servers: Servers::Changes(vec![Change::Gone(id.clone(), revision + 1)]),
+                servers: Servers::Changes(vec![Change::Gone(
+                    id.clone(),
+                    Revision::of(revision + 1),
+                )]),
                 document_bytes: Some(400_000),
                 ..told(ask, revision + 1)
             };
--- a/crates/relay/tests/relay/lives.rs
+++ b/crates/relay/tests/relay/lives.rs
@@ -6,6 +6,7 @@
 
 use eyre::{ensure, eyre};
 use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
 use tidepier_core::server::{Birth, Server, State};
 use tidepier_relay::emptied::List;
 use tidepier_relay::fleet::{Change, Fleet};
@@ -108,7 +109,7 @@
         state,
         cold: Duration::ZERO,
     };
-    Ok(Row::new(&server, revision))
+    Ok(Row::new(&server, Revision::of(revision)))
 }
 
 /// An answer of another box that knows these servers as of a revision.
@@ -119,12 +120,13 @@
         age_ms: Some(0),
         known_ms: Some(0),
         revision: 0,
+        standing: None,
         document_bytes: None,
         emptied: Some(List::default()),
         rollouts: None,
         held_ms: 0,
         boxes: None,
-        servers: Servers::All(rows, seen),
+        servers: Servers::All(rows, Revision::of(seen)),
         position: Position::default(),
     }
 }
--- a/crates/relay/tests/relay/record.rs
+++ b/crates/relay/tests/relay/record.rs
@@ -1,6 +1,7 @@
 //! The record of how servers changed, as other boxes are told of it.
 
 use eyre::ensure;
+use tidepier_core::era::Revision;
 use tidepier_core::server::State;
 use tidepier_ids as ids;
 use tidepier_relay::message::follow::{Change, Position, Servers};
@@ -16,7 +17,7 @@
 fn a_record_tells_what_changed_since_a_place() -> Result {
     let record = Record::default();
     let (all, start) = record.since(Position::default());
-    ensure!(all == Servers::All(Vec::new(), 0), "{all:?}");
+    ensure!(all == Servers::All(Vec::new(), Revision::of(0)), "{all:?}");
     ensure!(
         record.since(start) == (nothing(), start),
         "changed by itself"
@@ -30,15 +31,15 @@
         record.since(middle) == (nothing(), middle),
         "a change of nothing"
     );
-    record.gone(&"i-1".parse()?, 7);
+    record.gone(&"i-1".parse()?, Revision::of(7));
     record.is(row_of("i-2", 8, State::Draining)?);
     let (since, end) = record.since(middle);
-    let gone = Change::Gone("i-1".parse()?, 7);
+    let gone = Change::Gone("i-1".parse()?, Revision::of(7));
     let drains = Change::Is(row_of("i-2", 8, State::Draining)?);
     let expected = Servers::Changes(vec![gone, drains]);
     ensure!(since == expected, "{since:?}");
     ensure!(end.changes == start.changes + 4, "{end:?}");
-    ensure!(record.seen() == 8, "seen {}", record.seen());
+    ensure!(record.seen() == Revision::of(8), "seen {}", record.seen());
     let (since, _) = record.since(start);
     ensure!(
         matches!(&since, Servers::Changes(all) if all.len() == 4),
@@ -60,7 +61,10 @@
         "{since:?}"
     );
     record.is(row("i-1", CHANGES_KEPT + 1)?);
-    let all = Servers::All(vec![row("i-1", CHANGES_KEPT + 1)?], CHANGES_KEPT + 1);
+    let all = Servers::All(
+        vec![row("i-1", CHANGES_KEPT + 1)?],
+        Revision::of(CHANGES_KEPT + 1),
+    );
     let (since, end) = record.since(start);
     ensure!(since == all, "{since:?}");
     // Places of another life, and ones that were never reached.
@@ -93,7 +97,7 @@
     let record = Record::default();
     record.is(row("i-1", 5)?);
     let id: ids::Server = "i-1".parse()?;
-    record.gone(&id, 9);
+    record.gone(&id, Revision::of(9));
     for (revision, outdated) in [(5, true), (8, true), (9, true), (10, false)] {
         let found = record.is_outdated(&row("i-1", revision)?);
         ensure!(found == outdated, "{revision}: {found}");
@@ -101,7 +105,7 @@
     ensure!(!record.is_outdated(&row("i-2", 1)?), "another server");
     // Remembered while many others go.
     for number in 0..500 {
-        record.gone(&format!("x-{number}").parse()?, 20);
+        record.gone(&format!("x-{number}").parse()?, Revision::of(20));
     }
     ensure!(record.is_outdated(&row("i-1", 9)?), "forgotten");
     Ok(())
--- a/crates/relay/tests/relay/rollouts.rs
+++ b/crates/relay/tests/relay/rollouts.rs
@@ -12,6 +12,7 @@
 use serde_json::{json, Value};
 use smol::Timer;
 use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
 use tidepier_core::rollout::{Order, State};
 use tidepier_core::server::{self, Release};
 use tidepier_ids as ids;
@@ -26,6 +27,8 @@
 use crate::desk::{id, server};
 use crate::house::{ms, run, site, until, usual, House, Result, SERVICE};
 
+/// The order.
+const ORDER: Revision = Revision::of(7);
 /// Share of the requests that a bad release may get, ...
 const SHARE: f64 = 0.1;
 /// ... and so many more.
@@ -148,7 +151,7 @@
             outcomes.fiftieth = Some(at);
         }
         let answer = Answer {
-            order: Some((7, target)),
+            order: Some((ORDER, target)),
             service: &service,
             route: ROUTES[route],
             server: key(number + if target { 1_000 } else { 0 })?,
@@ -166,20 +169,20 @@
             staged: at - staged,
             within: WITHIN,
             serves: true,
-            fault: judge::judge(&rows, 7),
-            answers: judge::answers(&rows, 7),
+            fault: judge::judge(&rows, ORDER),
+            answers: judge::answers(&rows, ORDER),
             idle: at - staged,
             bearable: SHARE,
         };
         let (state, share) = match plan::step(&look) {
-            Step::Stay => continue,
+            Step::Stay | Step::Again => continue,
             Step::Share(share) => (State::InProgress, share),
             Step::Complete => (State::Completed, 1.0),
             Step::RollBack => (State::RolledBack, 0.0),
         };
         let elapsed_ms = at.as_millis() as u64;
         stage = Some(Stage {
-            order: 7,
+            order: ORDER.number(),
             state,
             share,
             elapsed_ms,
@@ -272,8 +275,13 @@
         let mut got = 0;
         for _ in 0..boxes {
             let rollouts = Rollouts::default();
-            rollouts.order(order("v2")?, 5, now);
-            rollouts.stage(&id(SERVICE)?, stage(5, State::InProgress, 0.07), 6, now);
+            rollouts.order(order("v2")?, Revision::of(5), None, now);
+            rollouts.stage(
+                &id(SERVICE)?,
+                stage(5, State::InProgress, 0.07),
+                Revision::of(6),
+                now,
+            );
             rollouts.prove(now);
             for _ in 0..each {
                 got += u64::from(aim(&rollouts, false, now)?.is_trial());
@@ -289,13 +297,18 @@
 fn a_box_that_cannot_show_what_it_knows_keeps_to_the_old_release() -> Result {
     let rollouts = Rollouts::default();
     let now = Instant::now();
-    rollouts.order(order("v2")?, 5, now);
+    rollouts.order(order("v2")?, Revision::of(5), None, now);
     let others = Aim::Others("v2".parse()?);
     ensure!(
         aim(&rollouts, false, now)? == others,
         "an order without a stage"
     );
-    rollouts.stage(&id(SERVICE)?, stage(5, State::InProgress, 1.0), 6, now);
+    rollouts.stage(
+        &id(SERVICE)?,
+        stage(5, State::InProgress, 1.0),
+        Revision::of(6),
+        now,
+    );
     ensure!(aim(&rollouts, false, now)? == others, "never proven");
     rollouts.prove(now);
     ensure!(aim(&rollouts, false, now)? != others, "proven");
@@ -304,21 +317,41 @@
         "an old proof"
     );
     rollouts.prove(now + ms(3_000));
-    rollouts.stage(&id(SERVICE)?, stage(5, State::RolledBack, 0.0), 9, now);
+    rollouts.stage(
+        &id(SERVICE)?,
+        stage(5, State::RolledBack, 0.0),
+        Revision::of(9),
+        now,
+    );
     ensure!(
         aim(&rollouts, false, now + ms(3_000))? == others,
         "rolled back"
     );
     // An older word, or one after the end, changes nothing.
-    rollouts.stage(&id(SERVICE)?, stage(5, State::InProgress, 1.0), 8, now);
-    rollouts.stage(&id(SERVICE)?, stage(5, State::Completed, 1.0), 11, now);
+    rollouts.stage(
+        &id(SERVICE)?,
+        stage(5, State::InProgress, 1.0),
+        Revision::of(8),
+        now,
+    );
+    rollouts.stage(
+        &id(SERVICE)?,
+        stage(5, State::Completed, 1.0),
+        Revision::of(11),
+        now,
+    );
     ensure!(
         aim(&rollouts, false, now + ms(3_000))? == others,
         "came back"
     );
     // A request that was sent before is not for a release on trial.
-    rollouts.order(order("v3")?, 20, now);
-    rollouts.stage(&id(SERVICE)?, stage(20, State::InProgress, 0.9), 21, now);
+    rollouts.order(order("v3")?, Revision::of(20), None, now);
+    rollouts.stage(
+        &id(SERVICE)?,
+        stage(20, State::InProgress, 0.9),
+        Revision::of(21),
+        now,
+    );
     let others = Aim::Others("v3".parse()?);
     for _ in 0..20 {
         ensure!(
@@ -326,7 +359,7 @@
             "sent again"
         );
     }
-    rollouts.take_back(&id(SERVICE)?, 30);
+    rollouts.take_back(&id(SERVICE)?, Revision::of(30));
     ensure!(aim(&rollouts, false, now)? == Aim::Any, "taken back");
     Ok(())
 }
@@ -335,24 +368,37 @@
 fn boxes_take_over_the_newer_state_whoever_tells_it() -> Result {
     let (first, second) = (Rollouts::default(), Rollouts::default());
     let now = Instant::now();
-    first.order(order("v2")?, 5, now);
-    first.stage(&id(SERVICE)?, stage(5, State::InProgress, 0.07), 6, now);
-    ensure!(second.merge(&first.list(now), now), "differs");
+    first.order(order("v2")?, Revision::of(5), None, now);
+    first.stage(
+        &id(SERVICE)?,
+        stage(5, State::InProgress, 0.07),
+        Revision::of(6),
+        now,
+    );
+    ensure!(second.merge(&first.list(now), None, now), "differs");
     ensure!(
         second.list(now) == first.list(now),
         "{:?}",
         second.list(now)
     );
     let older = first.list(now);
-    first.stage(&id(SERVICE)?, stage(5, State::RolledBack, 0.0), 9, now);
-    second.merge(&first.list(now), now);
-    ensure!(!second.merge(&older, now), "an older list is the same");
+    first.stage(
+        &id(SERVICE)?,
+        stage(5, State::RolledBack, 0.0),
+        Revision::of(9),
+        now,
+    );
+    second.merge(&first.list(now), None, now);
+    ensure!(
+        !second.merge(&older, None, now),
+        "an older list is the same"
+    );
     let known = second.of(&id(SERVICE)?).ok_or_else(|| eyre!("unknown"))?;
     ensure!(known.state() == State::RolledBack, "{}", known.state());
     // An order that was taken back does not come back by an older list.
-    first.take_back(&id(SERVICE)?, 12);
-    second.merge(&first.list(now), now);
-    second.merge(&older, now);
+    first.take_back(&id(SERVICE)?, Revision::of(12));
+    second.merge(&first.list(now), None, now);
+    second.merge(&older, None, now);
     ensure!(second.of(&id(SERVICE)?).is_none(), "came back");
     Ok(())
 }
--- a/crates/relay/tests/relay/sizes.rs
+++ b/crates/relay/tests/relay/sizes.rs
@@ -6,6 +6,7 @@
 
 use eyre::{ensure, eyre};
 use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
 use tidepier_core::server::{Server, State};
 use tidepier_relay::fleet::Fleet;
 use tidepier_relay::message::follow::Row;
@@ -51,7 +52,7 @@
     for _ in 0..MEASUREMENTS {
         let (fleet, record) = (Fleet::default(), Record::default());
         let begin = Instant::now();
-        for (revision, server) in (1..).zip(&servers) {
+        for (revision, server) in (1..).map(Revision::of).zip(&servers) {
             let row = Row::new(server, revision);
             ensure!(!record.is_outdated(&row), "{revision} is not new");
             record.is(row);
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -7,13 +7,14 @@
 use eyre::{ensure, eyre};
 use serde_json::json;
 use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
 use tidepier_core::server::{Server, State};
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
 use tidepier_relay::emptied::List;
 use tidepier_relay::follow::Follower;
 use tidepier_relay::health::Outcome;
-use tidepier_relay::message::follow::{Answer, Change, Position, Row, Servers};
+use tidepier_relay::message::follow::{Answer, Ask, Change, Position, Row, Servers};
 use tidepier_relay::message::VERSION;
 use tidepier_relay::relay::{Bounds, Relay};
 
@@ -34,6 +35,8 @@
         cold_tolerance: 0.0,
         trusted: Some(REVOKE_TIME),
         contact: Duration::from_millis(3_000),
+        rewrite: REVOKE_TIME,
+        silence: Duration::from_millis(4_800),
         crowd_factor: 2.0,
         exposure: 0.1,
         rollback: Duration::from_secs(5),
@@ -65,7 +68,7 @@
         born: None,
         cold: Duration::ZERO,
     };
-    Ok(Row::new(&server, revision))
+    Ok(Row::new(&server, Revision::of(revision)))
 }
 
 pub(crate) fn row(id: &str, revision: u64) -> Result<Row> {
@@ -99,6 +102,7 @@
         age_ms: Some(age_ms),
         known_ms: Some(age_ms),
         revision,
+        standing: None,
         document_bytes: None,
         emptied: Some(List::default()),
         rollouts: None,
@@ -145,7 +149,7 @@
 #[test]
 fn one_that_cannot_vouch_is_not_believed() -> Result {
     let (relay, follower) = follower()?;
-    let all = Servers::All(vec![row("i-1", 3)?], 3);
+    let all = Servers::All(vec![row("i-1", 3)?], Revision::of(3));
     let answer = Answer {
         age_ms: None,
         known_ms: None,
@@ -176,7 +180,11 @@
     take(&follower, told(0, 9, nothing()), Some(document(6)), asked)?;
     take(&follower, told(0, 9, nothing()), None, asked)?;
     ensure!(relay.view.version().0 == 7, "{}", relay.view.version());
-    ensure!(follower.revision().0 == 10, "{}", follower.revision());
+    ensure!(
+        follower.revision().number() == 10,
+        "{}",
+        follower.revision()
+    );
     ensure!(
         relay.view.age_at(asked + ms(10)) == age,
         "proven by an older entry"
@@ -202,22 +210,34 @@
     Ok(())
 }
 
+/// What a box of an older form is told that knows this revision.
+fn document_after(follower: &Follower, known: u64) -> (u64, Option<Rc<[u8]>>) {
+    let ask = Ask {
+        version: VERSION,
+        number: 1,
+        document: known,
+        position: Position::default(),
+        more: None,
+    };
+    (follower.revision().number(), follower.document_for(&ask))
+}
+
 #[test]
 fn the_entry_goes_to_boxes_that_know_an_older_one() -> Result {
     let (_, follower) = follower()?;
     ensure!(
-        follower.document_after(0) == (0, None),
+        document_after(&follower, 0) == (0, None),
         "an entry of nothing"
     );
     let asked = Instant::now();
     take(&follower, told(0, 10, nothing()), Some(document(7)), asked)?;
     ensure!(
-        follower.document_after(9) == (10, Some(document(7).into())),
+        document_after(&follower, 9) == (10, Some(document(7).into())),
         "not told"
     );
-    ensure!(follower.document_after(10) == (10, None), "told again");
+    ensure!(document_after(&follower, 10) == (10, None), "told again");
     ensure!(
-        follower.document_after(11) == (10, None),
+        document_after(&follower, 11) == (10, None),
         "told what is older"
     );
     Ok(())
@@ -228,11 +248,14 @@
     let (relay, follower) = follower()?;
     let asked = Instant::now();
     let tell = |servers| take(&follower, told(0, 0, servers), None, asked);
-    tell(Servers::All(vec![row("i-1", 3)?, row("i-2", 4)?], 5))?;
+    tell(Servers::All(
+        vec![row("i-1", 3)?, row("i-2", 4)?],
+        Revision::of(5),
+    ))?;
     ensure!(known(&relay, "i-1")? && known(&relay, "i-2")?, "not taken");
     let (_, place) = follower.record().since(Position::default());
     let drains = row_of("i-2", 6, State::Draining)?;
-    let gone = Change::Gone("i-1".parse()?, 7);
+    let gone = Change::Gone("i-1".parse()?, Revision::of(7));
     let changes = vec![Change::Is(drains), gone, Change::Is(row("i-3", 8)?)];
     tell(Servers::Changes(changes.clone()))?;
     let service = SERVICE.parse()?;
@@ -257,10 +280,19 @@
     let (relay, follower) = follower()?;
     let asked = Instant::now();
     let tell = |servers| take(&follower, told(0, 0, servers), None, asked);
-    tell(Servers::All(vec![row("i-1", 3)?, row("i-2", 4)?], 5))?;
-    tell(Servers::Changes(vec![Change::Gone("i-1".parse()?, 8)]))?;
+    tell(Servers::All(
+        vec![row("i-1", 3)?, row("i-2", 4)?],
+        Revision::of(5),
+    ))?;
+    tell(Servers::Changes(vec![Change::Gone(
+        "i-1".parse()?,
+        Revision::of(8),
+    )]))?;
     let again = Change::Is(row("i-1", 3)?);
-    tell(Servers::All(vec![row("i-1", 3)?, row("i-2", 4)?], 12))?;
+    tell(Servers::All(
+        vec![row("i-1", 3)?, row("i-2", 4)?],
+        Revision::of(12),
+    ))?;
     ensure!(!known(&relay, "i-1")?, "brought back by a list");
     tell(Servers::Changes(vec![again]))?;
     ensure!(!known(&relay, "i-1")?, "brought back by a change");
@@ -275,13 +307,13 @@
     let (relay, follower) = follower()?;
     let asked = Instant::now();
     let tell = |servers| take(&follower, told(0, 0, servers), None, asked);
-    tell(Servers::All(vec![row("i-1", 3)?], 5))?;
+    tell(Servers::All(vec![row("i-1", 3)?], Revision::of(5)))?;
     tell(Servers::Changes(vec![Change::Is(row_of(
         "i-1",
         7,
         State::Draining,
     )?)]))?;
-    tell(Servers::All(vec![row("i-1", 3)?], 6))?;
+    tell(Servers::All(vec![row("i-1", 3)?], Revision::of(6)))?;
     let service = SERVICE.parse()?;
     ensure!(relay.fleet.serving(&service).is_empty(), "serves again");
     // Nor does the older word go on to other boxes.
@@ -299,16 +331,22 @@
     let (relay, follower) = follower()?;
     let asked = Instant::now();
     let tell = |servers| take(&follower, told(0, 0, servers), None, asked);
-    tell(Servers::All(vec![row("i-1", 3)?, row("i-2", 9)?], 9))?;
+    tell(Servers::All(
+        vec![row("i-1", 3)?, row("i-2", 9)?],
+        Revision::of(9),
+    ))?;
     // As of the eighth revision there was no such server yet.
-    tell(Servers::All(vec![row("i-1", 3)?], 8))?;
+    tell(Servers::All(vec![row("i-1", 3)?], Revision::of(8)))?;
     ensure!(known(&relay, "i-2")?, "dropped by an older list");
-    tell(Servers::Changes(vec![Change::Gone("i-2".parse()?, 7)]))?;
+    tell(Servers::Changes(vec![Change::Gone(
+        "i-2".parse()?,
+        Revision::of(7),
+    )]))?;
     ensure!(
         known(&relay, "i-2")?,
         "dropped by the end of an older entry"
     );
-    tell(Servers::All(vec![row("i-1", 3)?], 10))?;
+    tell(Servers::All(vec![row("i-1", 3)?], Revision::of(10)))?;
     ensure!(!known(&relay, "i-2")?, "kept against a newer list");
     Ok(())
 }
@@ -320,7 +358,7 @@
 fn a_server_that_was_absent_is_supplanted_by_a_newer_one_at_its_address() -> Result {
     for (was_absent, expected) in [(true, &["i-2"][..]), (false, &["i-1", "i-2"])] {
         let (relay, follower) = follower()?;
-        let all = Servers::All(vec![row("i-1", 3)?], 3);
+        let all = Servers::All(vec![row("i-1", 3)?], Revision::of(3));
         take(
             &follower,
             told(0, 4, all),
@@ -332,13 +370,13 @@
         if was_absent {
             old.record(Outcome::Absent, Instant::now());
         }
-        let both = Servers::All(vec![row("i-1", 3)?, row("i-2", 9)?], 9);
+        let both = Servers::All(vec![row("i-1", 3)?, row("i-2", 9)?], Revision::of(9));
         take(&follower, told(0, 4, both), None, Instant::now())?;
         let serving = relay.fleet.serving(&SERVICE.parse()?);
         let serving: Vec<&str> = serving.iter().map(|it| it.server.id.as_str()).collect();
         ensure!(serving == expected, "{serving:?}, absent: {was_absent}");
         // Its entry lapses; the new one stays.
-        let gone = Servers::All(vec![row("i-2", 9)?], 12);
+        let gone = Servers::All(vec![row("i-2", 9)?], Revision::of(12));
         take(&follower, told(0, 4, gone), None, Instant::now())?;
         let left = relay.fleet.serving(&SERVICE.parse()?).len();
         ensure!(left == 1, "{left} left");
@@ -371,7 +409,7 @@
         follower.servers_after(joined) == (nothing(), joined),
         "told again"
     );
-    ensure!(follower.record().seen() == 8, "not seen");
+    ensure!(follower.record().seen() == Revision::of(8), "not seen");
     ensure!(
         follower.record().is_outdated(&entry(7, 0)?),
         "the older one counts"
--- a/crates/relay/tests/relay/trees.rs
+++ b/crates/relay/tests/relay/trees.rs
@@ -9,6 +9,7 @@
 use std::collections::HashMap;
 
 use eyre::{ensure, eyre};
+use tidepier_core::era::Revision;
 use tidepier_core::server::{Server, State};
 use tidepier_relay::message::follow::Row;
 use tidepier_relay::peer::tree;
@@ -40,9 +41,9 @@
             id: id(&format!("i-{number:010x}"))?,
             ..server((number % 60_000) as u16, State::Ready)?
         };
-        record.is(Row::new(&one, 1_000 + number as u64));
+        record.is(Row::new(&one, Revision::of(1_000 + number as u64)));
     }
-    record.confirm(20_000);
+    record.confirm(Revision::of(20_000));
     let (mut place, mut sizes, mut count) = (Place::default(), Vec::new(), 0);
     loop {
         let (part, position) = record.part(&place);
--- a/crates/steward/src/duty.rs
+++ b/crates/steward/src/duty.rs
@@ -95,10 +95,12 @@
         let swap = self.store.swap(&absent, &[put], &[], self.limit).await;
         let fencing = match swap {
             Ok(Swap::Done(revision)) => Some(revision),
-            Ok(Swap::Conflict(_) | Swap::NoLease) | Err(_) => self.mine(&record).await?,
+            Ok(Swap::Conflict(_) | Swap::NoLease | Swap::OtherEra) | Err(_) => {
+                self.mine(&record).await?
+            }
         };
         Ok(fencing.map(|revision| Hold {
-            fencing: revision.0,
+            fencing: revision.number(),
             taken: Instant::now(),
             lease,
             until: begun + LEASE_TIME - MARGIN,
--- a/crates/store/src/etcd/format.rs
+++ b/crates/store/src/etcd/format.rs
@@ -23,7 +23,7 @@
 
 impl Number {
     pub(super) fn revision(self) -> Revision {
-        Revision(self.0)
+        Revision::of(self.0)
     }
 
     pub(super) fn seconds(self) -> Duration {
@@ -156,12 +156,12 @@
     STANDARD.encode(end)
 }
 
-pub(super) fn unchanged(&(key, Revision(revision)): &(&str, Revision)) -> Value {
+pub(super) fn unchanged(&(key, revision): &(&str, Revision)) -> Value {
     json!({
         "key": encode(key),
         "target": "MOD",
         "result": "EQUAL",
-        "mod_revision": revision.to_string(),
+        "mod_revision": revision.number().to_string(),
     })
 }
 
--- a/crates/store/src/etcd/watch.rs
+++ b/crates/store/src/etcd/watch.rs
@@ -28,7 +28,7 @@
 
 impl Watch {
     pub(super) fn new(client: Client, scope: Scope<'_>, after: Revision) -> Self {
-        let from = (after.0 + 1).to_string();
+        let from = (after.number() + 1).to_string();
         let request = match scope {
             Scope::Key(key) => json!({ "key": encode(key), "start_revision": from }),
             Scope::Prefix(prefix) => json!({
--- a/tests/all/stores.rs
+++ b/tests/all/stores.rs
@@ -57,7 +57,7 @@
 async fn items_change_under_conditions(store: &impl Store) {
     let (a, b) = ("contract/a", "contract/b");
     assert_eq!(get(store, a).await, None);
-    let absent = [(a, Revision(0))];
+    let absent = [(a, Revision::of(0))];
     let writes = [write(a, b"\xff\x00", None)];
     let first = done(store.swap(&absent, &writes, &[], LIMIT).await);
     let read = store.get(a, LIMIT).await.expect("read");
@@ -216,7 +216,7 @@
         r#"{"result":{"header":{"revision":"9"},"created":true}}
         {"result":{"header":{"revision":"9"},"canceled":true,"compact_revision":"7"}}"#,
     );
-    let mut watch = client.watch(Scope::Prefix("k/"), Revision(3));
+    let mut watch = client.watch(Scope::Prefix("k/"), Revision::of(3));
     let gone = smol::block_on(watch.next(LIMIT));
     assert!(matches!(gone, Err(Failure::Compacted)), "{gone:?}");
 }
@@ -228,14 +228,14 @@
         r#"{"result":{"header":{"revision":"9"},"events":[{"type":"DELETE","kv":{"key":"aw==","mod_revision":"8"}}]}}
 "#,
     );
-    let mut watch = client.watch(Scope::Key("k"), Revision(3));
+    let mut watch = client.watch(Scope::Key("k"), Revision::of(3));
     smol::block_on(async {
         let read = watch.next(LIMIT).await.expect("changes");
         let gone = Event::Delete {
             key: "k".to_owned(),
-            revision: Revision(8),
+            revision: Revision::of(8),
         };
-        assert_eq!((read.value, read.revision), (vec![gone], Revision(9)));
+        assert_eq!((read.value, read.revision), (vec![gone], Revision::of(9)));
         let ended = watch.next(LIMIT).await;
         assert!(matches!(ended, Err(Failure::NoAnswer(_))), "{ended:?}");
     });
