After a return: keys, servers, halls, releases, boxes and starts, each with its test

27 tests over loopback play the drill: alone, twice in a row, without an outage, beside a killed reader, a box that was cut off, one whose store is silent, boxes that all start anew, late answers of the former era.

Found by them and mended here: what was asked of a hall or ordered in the former era stood forever where the operator did not write it again; and where the operator wrote before any box had seen the new era, all boxes waited for the end of the time, though the entry's number had been given out for something else in the era before.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -76,6 +76,8 @@
     mark: Cell<Mark>,
     /// The configuration as the store has it.
     entry: Cell<Option<Entry>>,
+    /// The newest state of the store that is known to have it.
+    state: Cell<Revision>,
     /// The one in force, for boxes that ask.
     document: RefCell<Rc<[u8]>>,
     /// The halls that the operator asked to empty.
@@ -123,6 +125,7 @@
             asked_others: Notice::default(),
             mark: Cell::default(),
             entry: Cell::new(None),
+            state: Cell::default(),
             document: RefCell::new(Rc::new([])),
             emptied: Emptied::default(),
             emptied_changed: Notice::default(),
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -53,6 +53,7 @@
             settled: self.relay.standing.is_settled(),
             in_force: self.relay.view.version().0,
             stored: stored.unwrap_or_default().0,
+            state: self.state.get().number(),
             followed_ms: age.map(as_ms),
         }
     }
@@ -240,6 +241,9 @@
             let version = Version(told.stored);
             self.set_entry(Entry { version, revision });
         }
+        if revision == self.revision() {
+            self.see_state(Revision::new(era, told.state));
+        }
         self.relay.view.version() >= told.in_force()
     }
 
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -71,6 +71,9 @@
             Some(item) => self.take_entry(item.revision, item.value),
             None => self.no_entry(read.revision),
         };
+        if taken {
+            self.see_state(read.revision);
+        }
         if halls_known && taken {
             self.confirm(asked);
         }
@@ -237,6 +240,7 @@
                     self.mark.set(Mark::written(era, state));
                 }
                 if self.revision() == asking.revision {
+                    self.see_state(state);
                     self.confirm(asked);
                     self.relay.rollouts.prove(asked);
                 }
--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -16,7 +16,7 @@
 
 use super::news::News;
 use super::Follower;
-use crate::standing::{Entry, Ground, Hold};
+use crate::standing::{Before, Entry, Ground, Hold};
 
 /// Where boxes keep the era in which they found the operator's entries whole, for those
 /// that start in it.
@@ -81,7 +81,12 @@
     /// One of a later era ends what was followed of the former one.
     pub(super) fn hear_state(&self, state: Revision) {
         let (former, now) = (self.relay.standing.era(), Instant::now());
-        if !self.relay.standing.hear(state, self.in_force(), now) {
+        let before = Before {
+            in_force: self.in_force(),
+            entry: self.entry.get(),
+            state: self.state.get(),
+        };
+        if !self.relay.standing.hear(state, before, now) {
             return;
         }
         let era = state.era();
@@ -215,9 +220,34 @@
         is_due.then_some(era)
     }
 
-    /// Records the configuration's entry as the store has it.
+    /// Records the configuration's entry as the store has it in a state.
     pub(super) fn set_entry(&self, entry: Entry) {
         self.entry.set(Some(entry));
+        self.see_state(entry.revision);
+    }
+
+    /// Records a state of the store in which the configuration's entry was the known one.
+    pub(super) fn see_state(&self, state: Revision) {
+        self.state.set(self.state.get().max(state));
+    }
+
+    /// Takes back what the operator had asked in former eras and the store still lacks
+    /// when the time is over to write it again; does not end.
+    pub async fn release_former(self: Rc<Self>) {
+        loop {
+            self.era_changed.wait().await;
+            while self.hold().is_some() {
+                Timer::after(self.relay.bounds().rewrite / 8).await;
+            }
+            self.emptied.release();
+            self.apply_emptied();
+            for known in self.relay.rollouts.all().iter().filter(|it| !it.stored) {
+                let service = &known.order.service;
+                self.relay
+                    .rollouts
+                    .missing(service, self.emptied.list().seen, None);
+            }
+        }
     }
 
     /// Has servers that the store went back on stand as it says, once those that live
--- a/crates/relay/src/message/follow.rs
+++ b/crates/relay/src/message/follow.rs
@@ -137,6 +137,8 @@
     pub in_force: u64,
     /// The version of the entry that the store has; 0: there is none.
     pub stored: u64,
+    /// Number of the newest state of the store that is known to have that entry.
+    pub state: u64,
     /// How long ago the sender knew all that the store held; `None`: it cannot tell.
     pub followed_ms: Option<u64>,
 }
--- a/crates/relay/src/standing.rs
+++ b/crates/relay/src/standing.rs
@@ -94,6 +94,30 @@
     pub revision: Revision,
 }
 
+/// What was known of the operator's configuration as an era began.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Before {
+    /// The version in force here.
+    pub in_force: Option<Version>,
+    /// The store's entry.
+    pub entry: Option<Entry>,
+    /// The newest state of the store that was known to have that entry.
+    pub state: Revision,
+}
+
+impl Before {
+    /// Whether an entry of the next era cannot be from this one, as this one had another
+    /// entry in a state at which that number had been given out.
+    fn rules_out(&self, later: Entry) -> bool {
+        self.entry.is_some_and(|entry| {
+            let same = entry.version == later.version
+                && entry.revision.number() == later.revision.number();
+            let given_out = later.revision.number() <= self.state.number();
+            given_out && !same && later.version >= entry.version
+        })
+    }
+}
+
 /// An era as this box knows it.
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -101,8 +125,9 @@
     /// The lowest number of the store's state that was heard of.
     first: u64,
     since: Instant,
-    /// The version in force here before.
-    before: Option<Version>,
+    before: Before,
+    /// Whether the operator's entries were whole in the era before.
+    was_settled: bool,
     ground: Option<Ground>,
 }
 
@@ -146,9 +171,9 @@
         self.known.get().map_or(0, |known| known.first)
     }
 
-    /// Records a state of the store that was heard of at `now`, while the version
-    /// `in_force` was in force here. Returns whether it is the first one of a later era.
-    pub fn hear(&self, state: Revision, in_force: Option<Version>, now: Instant) -> bool {
+    /// Records a state of the store that was heard of at `now`, and what was known before.
+    /// Returns whether it is the first one of a later era.
+    pub fn hear(&self, state: Revision, before: Before, now: Instant) -> bool {
         let (era, first) = (state.era(), state.number());
         match self.known.get() {
             Some(known) if era < known.era => false,
@@ -169,7 +194,8 @@
                     era,
                     first,
                     since: now,
-                    before: in_force,
+                    before,
+                    was_settled: earlier.is_some_and(|known| known.ground.is_some()),
                     ground,
                 }));
                 true
@@ -211,7 +237,7 @@
     /// to hear whether others know more than the store.
     pub fn may_begin(&self) -> bool {
         let known = self.known.get();
-        let starts = known.is_some_and(|it| it.ground.is_none() && it.before.is_none());
+        let starts = known.is_some_and(|it| it.ground.is_none() && it.before.in_force.is_none());
         !starts || self.asked.get()
     }
 
@@ -239,11 +265,14 @@
         let known = self.known.get()?;
         let version = stored.map(|entry| entry.version);
         let is_behind = version < in_force;
-        let written = stored.is_some_and(|entry| self.origin(entry.revision) == Origin::Era);
+        let written = stored.is_some_and(|entry| {
+            let ruled_out = known.was_settled && known.before.rules_out(entry);
+            ruled_out || self.origin(entry.revision) == Origin::Era
+        });
         let over = now.saturating_duration_since(known.since) >= within;
         if written && !is_behind {
             Some(Ground::Written)
-        } else if self.asked.get() && known.before == version && version == in_force {
+        } else if self.asked.get() && known.before.in_force == version && version == in_force {
             Some(Ground::Same)
         } else if over {
             Some(Ground::Waited)
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -40,6 +40,7 @@
 mod registry;
 mod requests;
 mod resting;
+mod returned;
 mod rollouts;
 mod seeds;
 mod sendings;
