A return costs the store no list of servers for each box

What was seen: in a hall that lost sight of the store for 2 s, each box began to read it; where the store came back from an older copy no watch could go on, so that each of them listed all servers (6 of 6, 9 of 12, 23 of 24 boxes in runs of the test that failed; 25 to 85 listings in all). At 10,000 servers a list is some 4 MB of the store's link.

Cause: a box that resumes its watch and may not lists at once, though those before it will tell it within a second; it passed those over for 3 s that could not vouch in the very moment of the return; catalog and proof each read all that the operator wrote.

Mend: a box with two others before it leaves the list to them until the store can be relied on in what it lacks, which is when its own word counts again; while that is so a box that cannot vouch is asked again after 0.4 s; a read of the operator's entries that several tasks want is made once.

Also: the pure tests of what proves after a return (a driver without a network), of words of a former era between boxes, and one that finds comparisons of the numbers of revisions in the sources.

--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -10,6 +10,7 @@
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -37,6 +38,7 @@
     data: Mutex<Data>,
     faults: Mutex<Faults>,
     calls: Mutex<BTreeMap<String, u64>>,
+    sent: AtomicU64,
     changed: Event,
     cut: Event,
 }
@@ -191,6 +193,11 @@
         lock(&self.inner.calls).get(name).copied().unwrap_or(0)
     }
 
+    /// Bytes of all answers so far.
+    pub fn sent(&self) -> u64 {
+        self.inner.sent.load(Ordering::Relaxed)
+    }
+
     /// All calls so far, by name.
     pub fn all_calls(&self) -> BTreeMap<String, u64> {
         lock(&self.inner.calls).clone()
@@ -230,6 +237,7 @@
             let bytes = front::answer(reply.status, &fields, body.as_bytes());
             let held = lock(&self.faults).held;
             Timer::after(held).await;
+            self.sent.fetch_add(bytes.len() as u64, Ordering::Relaxed);
             if conn.writer().write_all(&bytes).await.is_err() || head.closes() {
                 return;
             }
--- a/crates/relay/src/emptied.rs
+++ b/crates/relay/src/emptied.rs
@@ -150,17 +150,6 @@
         same
     }
 
-    /// Takes back the halls that the store lacks, as what was asked in former eras stands
-    /// no longer.
-    pub fn release(&self) {
-        let stored = self.stored();
-        for row in self.rows() {
-            if !stored.contains_key(&row.hall) {
-                self.take_back(row.hall, self.seen.get());
-            }
-        }
-    }
-
     /// The entries that the store has.
     pub fn stored(&self) -> BTreeMap<ids::Hall, Revision> {
         self.stored.borrow().clone()
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -22,10 +22,12 @@
 mod eras;
 mod halls;
 mod listing;
+mod mark;
 mod news;
 mod pause;
 mod rollouts;
 mod servers;
+mod shared;
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -41,8 +43,8 @@
 use tidepier_platform::store::Client;
 
 use self::doubt::Doubt;
-use self::eras::Mark;
 pub use self::listing::Listing;
+use self::mark::Mark;
 use self::news::News;
 pub use self::pause::SCOUTS;
 use crate::emptied::Emptied;
@@ -76,6 +78,8 @@
     mark: Cell<Mark>,
     /// The configuration as the store has it.
     entry: Cell<Option<Entry>>,
+    /// The read of all that the operator wrote.
+    operator_read: shared::Read,
     /// The newest state of the store that is known to have it.
     state: Cell<Revision>,
     /// The one in force, for boxes that ask.
@@ -125,6 +129,7 @@
             asked_others: Notice::default(),
             mark: Cell::default(),
             entry: Cell::new(None),
+            operator_read: shared::Read::default(),
             state: Cell::default(),
             document: RefCell::new(Rc::new([])),
             emptied: Emptied::default(),
@@ -208,6 +213,11 @@
         self.doubt.is_unreachable()
     }
 
+    /// Whether the store was unreachable until so lately that what it lacks may come back.
+    pub fn store_is_doubted(&self) -> bool {
+        !self.doubt.is_over(Instant::now())
+    }
+
     /// Waits until this box reads the store and the store is reachable: then
     /// the proof alone calls it.
     async fn ready_to_read(&self) {
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -11,7 +11,7 @@
 use tidepier_platform::store::ENTRIES_MAX;
 use tidepier_platform::{catalog, key};
 
-use super::eras::{self, Mark};
+use super::mark::{self, Mark};
 use super::pause::Pause;
 use super::{Follower, CALL_TIME, PROOF_PART};
 use crate::standing::Entry;
@@ -43,7 +43,12 @@
         loop {
             self.ready_to_read().await;
             let asked = Instant::now();
-            match self.read_operator(CALL_TIME).await {
+            // A proof may just have read it.
+            let read = match self.operator_read.recent(CALL_TIME) {
+                Some(from) => Ok(from),
+                None => self.read_operator(CALL_TIME).await,
+            };
+            match read {
                 Ok(from) => {
                     pause.reset();
                     self.watch_catalog(from).await;
@@ -56,7 +61,20 @@
 
     /// Reads all that the operator wrote, which is one call; where it is not known
     /// whether that is whole, after a look whether another box found it so.
-    async fn read_operator(&self, limit: Duration) -> Result<Revision, Failure> {
+    /// One that is asked for while another is under way waits for that one's answer.
+    pub(super) async fn read_operator(&self, limit: Duration) -> Result<Revision, Failure> {
+        while self.operator_read.is_under_way() {
+            if let Some(revision) = self.operator_read.wait().await {
+                return Ok(revision);
+            }
+        }
+        let guard = self.operator_read.begin();
+        let read = self.read_operator_now(limit).await;
+        guard.end(read.as_ref().ok().copied());
+        read
+    }
+
+    async fn read_operator_now(&self, limit: Duration) -> Result<Revision, Failure> {
         if self.relay.standing.is_open() {
             self.read_mark(limit).await;
         }
@@ -205,7 +223,7 @@
         others.extend(self.rollout_conditions());
         let marked = self.unmarked_era();
         if marked.is_some() {
-            others.push((eras::MARK.to_owned(), self.mark.get().revision));
+            others.push((mark::KEY.to_owned(), self.mark.get().revision));
         }
         let mut expected = vec![(key::CONFIG, revision)];
         expected.extend(others.iter().map(|(key, revision)| (&**key, *revision)));
@@ -214,7 +232,7 @@
         }
         let value = marked.map(Mark::value);
         let marks = value.iter().map(|value| Write {
-            key: eras::MARK,
+            key: mark::KEY,
             value,
             lease: None,
         });
@@ -254,7 +272,7 @@
                 if is_other || !self.emptied_is(&items) || !self.orders_are(&items) {
                     return self.read_operator(CALL_TIME).await.map(|_| ());
                 }
-                if let Some(mark) = items.iter().find(|item| item.key == eras::MARK) {
+                if let Some(mark) = items.iter().find(|item| item.key == mark::KEY) {
                     self.take_mark(Some(mark));
                 }
                 self.take_named_stages(&items);
--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -7,57 +7,17 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use serde::{Deserialize, Serialize};
 use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_core::catalog::Version;
 use tidepier_core::era::{Era, Revision};
 use tidepier_core::store::{Item, Store};
 
+use super::mark::{self, Mark};
 use super::news::News;
-use super::Follower;
+use super::{Follower, CALL_TIME};
 use crate::standing::{Before, Entry, Ground, Hold};
 
-/// Where boxes keep the era in which they found the operator's entries whole, for those
-/// that start in it.
-pub(super) const MARK: &str = "tidepier/era";
-
-/// The entry.
-#[derive(Debug, Clone, Copy, Serialize, Deserialize)]
-struct Kept {
-    era: u64,
-}
-
-/// The entry as the store has it.
-#[derive(Debug, Clone, Copy, Default)]
-pub(super) struct Mark {
-    /// Its revision.
-    pub(super) revision: Revision,
-    /// The era that it names.
-    era: Option<Era>,
-}
-
-impl Mark {
-    /// What is written for an era.
-    pub(super) fn value(era: Era) -> Vec<u8> {
-        let kept = Kept { era: era.0 };
-        serde_json::to_vec(&kept).expect("a number is JSON")
-    }
-
-    /// What was written for an era, in a change that made this state.
-    pub(super) fn written(era: Era, revision: Revision) -> Self {
-        Self {
-            revision,
-            era: Some(era),
-        }
-    }
-
-    /// Whether it names an era.
-    pub(super) fn names(&self, era: Era) -> bool {
-        self.era == Some(era)
-    }
-}
-
 impl Follower {
     /// The version in force here, if there is one.
     pub(super) fn in_force(&self) -> Option<Version> {
@@ -183,7 +143,7 @@
 
     /// Looks whether another box found the operator's entries whole in this era.
     pub(super) async fn read_mark(&self, limit: Duration) {
-        match self.store.get(MARK, limit).await {
+        match self.store.get(mark::KEY, limit).await {
             Ok(read) => {
                 self.hear_state(read.revision);
                 self.take_mark(read.value.as_ref());
@@ -194,21 +154,10 @@
 
     /// Takes over the mark, or that there is none.
     pub(super) fn take_mark(&self, item: Option<&Item>) {
-        let Some(item) = item else {
-            self.mark.set(Mark::default());
-            return;
-        };
-        let era = match serde_json::from_slice::<Kept>(&item.value) {
-            Ok(kept) => Some(Era(kept.era)),
-            Err(error) => {
-                log::error!(target: "belief", "event=mark_invalid why=\"{error}\"");
-                None
-            }
-        };
-        let revision = item.revision;
-        let mark = Mark { revision, era };
+        let mark = item.map(Mark::read).unwrap_or_default();
         self.mark.set(mark);
-        if mark.names(revision.era()) && self.relay.standing.era() == Some(revision.era()) {
+        let era = mark.revision.era();
+        if mark.names(era) && self.relay.standing.era() == Some(era) {
             self.settle(Ground::Told);
         }
     }
@@ -231,21 +180,17 @@
         self.state.set(self.state.get().max(state));
     }
 
-    /// Takes back what the operator had asked in former eras and the store still lacks
-    /// when the time is over to write it again; does not end.
-    pub async fn release_former(self: Rc<Self>) {
+    /// Has the operator's entries hold as the store has them, once the time is over to
+    /// write again what it lost; does not end.
+    pub async fn believe_entries(self: Rc<Self>) {
         loop {
             self.era_changed.wait().await;
             while self.hold().is_some() {
                 Timer::after(self.relay.bounds().rewrite / 8).await;
             }
-            self.emptied.release();
-            self.apply_emptied();
-            for known in self.relay.rollouts.all().iter().filter(|it| !it.stored) {
-                let service = &known.order.service;
-                self.relay
-                    .rollouts
-                    .missing(service, self.emptied.list().seen, None);
+            // Boxes that do not read it are told.
+            while self.reads_store.get() && self.read_operator(CALL_TIME).await.is_err() {
+                Timer::after(CALL_TIME).await;
             }
         }
     }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -11,9 +11,10 @@
 use tidepier_platform::{key, server};
 
 use super::news::{self, News};
-use super::pause::Pause;
+use super::pause::{Pause, SCOUTS};
 use super::{Follower, CALL_TIME};
 use crate::message::follow::Row;
+use crate::timeout;
 
 /// Time in which further changes of servers are gathered before the watch goes
 /// on: each return of a watch is a call that is paid for.
@@ -48,6 +49,8 @@
                 continue;
             }
             self.ready_to_read().await;
+            self.leave_to_readers().await;
+            self.ready_to_read().await;
             let asked = Instant::now();
             match self.store.list(key::SERVERS, false, CALL_TIME).await {
                 Ok(read) => {
@@ -65,6 +68,18 @@
         }
     }
 
+    /// Waits for a box that comes before this one to tell the servers, as long as the store
+    /// cannot be relied on in what it lacks. All boxes of a hall begin to read when they
+    /// lose sight of the store, and after a return from an older copy no watch goes on.
+    async fn leave_to_readers(&self) {
+        if self.boxes_before.get() < SCOUTS || self.record.whole().is_none() {
+            return;
+        }
+        while self.reads_store.get() && self.store_is_doubted() {
+            timeout::within(LAPSE_LOOK, self.role_changed.wait()).await;
+        }
+    }
+
     /// Follows changes after a revision up to which all servers are known. One that
     /// resumes has to be answered first, at once: until then nothing shows that the
     /// store still knows these changes. Returns whether the store answered at all.
--- a/crates/relay/src/peer/ask.rs
+++ b/crates/relay/src/peer/ask.rs
@@ -124,17 +124,19 @@
             first.name
         );
         memory.places.insert(first.name.clone(), place);
-        let time = pass_over_time(&error, unreachable, started);
+        let doubted = unreachable || follower.store_is_doubted();
+        let time = pass_over_time(&error, doubted, started);
         let until = Instant::now() + time;
         memory.passed_over.insert(first.name.clone(), until);
     }
 }
 
 /// How long a box is passed over that failed with `error`, at a box that
-/// started at `started`.
-fn pass_over_time(error: &Error, unreachable: bool, started: Instant) -> Duration {
+/// started at `started`; `doubted`: the store is away, or was until lately, so that the
+/// other will soon vouch for what it knows.
+fn pass_over_time(error: &Error, doubted: bool, started: Instant) -> Duration {
     match error {
-        _ if unreachable => UNSURE_TIME,
+        _ if doubted => UNSURE_TIME,
         Error::Unsure if started.elapsed() < START_TIME => UNSURE_TIME,
         // It will hear of the new one as this box did.
         Error::Former => UNSURE_TIME,
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -134,7 +134,7 @@
         executor.spawn(follower.clone().lapses()).detach();
         executor.spawn(follower.clone().emptying()).detach();
         executor.spawn(follower.clone().believe_copies()).detach();
-        executor.spawn(follower.clone().release_former()).detach();
+        executor.spawn(follower.clone().believe_entries()).detach();
         let inquiry = crash::inquire(relay.crashes.clone(), executor.clone());
         executor.spawn(inquiry).detach();
         executor.spawn(crash::tidy(relay.crashes.clone())).detach();
--- a/crates/relay/tests/relay/told.rs
+++ b/crates/relay/tests/relay/told.rs
@@ -7,14 +7,17 @@
 use eyre::{ensure, eyre};
 use serde_json::json;
 use tidepier_clock::Instant;
-use tidepier_core::era::Revision;
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::server::{Server, State};
 use tidepier_platform::store::Client;
 use tidepier_relay::budget::{Budget, Terms};
 use tidepier_relay::emptied::List;
 use tidepier_relay::follow::Follower;
 use tidepier_relay::health::Outcome;
-use tidepier_relay::message::follow::{Answer, Ask, Change, Position, Row, Servers};
+use tidepier_relay::message::follow::{
+    Answer, Ask, Change, More, Position, Row, Servers, Standing,
+};
+use tidepier_relay::message::link::Error;
 use tidepier_relay::message::VERSION;
 use tidepier_relay::relay::{Bounds, Relay};
 
@@ -436,3 +439,108 @@
     );
     Ok(())
 }
+
+/// How far the store is known that an answer is from.
+fn standing(era: u64, first: u64, in_force: u64) -> Standing {
+    Standing {
+        era,
+        first,
+        settled: true,
+        in_force,
+        stored: in_force,
+        state: first,
+        followed_ms: Some(0),
+    }
+}
+
+/// Guards against words of a former era that come after those of a later one, and against
+/// boxes that know no eras once there was more than one.
+#[test]
+fn a_word_of_a_former_era_is_not_taken() -> Result {
+    let (relay, follower) = follower()?;
+    let of_era = |era, first, version, servers| Answer {
+        standing: Some(standing(era, first, version)),
+        ..told(0, first, servers)
+    };
+    let asked = Instant::now();
+    let all = |id: &str, number| -> Result<Servers> {
+        Ok(Servers::All(vec![row(id, number)?], Revision::of(number)))
+    };
+    take(
+        &follower,
+        of_era(1, 40, 7, nothing()),
+        Some(document(7)),
+        asked,
+    )?;
+    // One of the older form is of the only era that was heard of.
+    take(
+        &follower,
+        told(0, 41, all("i-1", 41)?),
+        Some(document(8)),
+        asked,
+    )?;
+    ensure!(known(&relay, "i-1")?, "not understood");
+    ensure!(relay.view.version().0 == 8, "{}", relay.view.version());
+    let two = Revision::new(Era(2), 30);
+    let row = row("i-2", 1)?.at(two);
+    let servers = Servers::All(vec![row], Revision::of(30));
+    take(&follower, of_era(2, 30, 8, servers), None, asked)?;
+    ensure!(known(&relay, "i-2")?, "a lower number of a later era");
+    ensure!(!known(&relay, "i-1")?, "what the later era lacks");
+    let age = relay.view.age_at(asked + ms(10));
+    for late in [
+        of_era(1, 60, 9, all("i-3", 60)?),
+        told(0, 61, all("i-3", 61)?),
+    ] {
+        let mut heard = late.clone();
+        let listened = follower.hear_servers(&mut heard, &mut None);
+        ensure!(matches!(listened, Err(Error::Former)), "{listened:?}");
+        let taken = follower.take_answer(late, Some(document(9)), Instant::now());
+        ensure!(matches!(taken, Err(Error::Former)), "{taken:?}");
+    }
+    ensure!(!known(&relay, "i-3")?, "a server of the former era");
+    ensure!(relay.view.version().0 == 8, "{}", relay.view.version());
+    ensure!(relay.view.age_at(asked + ms(10)) == age, "proven");
+    Ok(())
+}
+
+/// Guards against a box that drops what it knows to be in force as another one, which
+/// started after the return, knows less.
+#[test]
+fn a_box_that_knows_less_takes_nothing_back() -> Result {
+    let (relay, follower) = follower()?;
+    let asked = Instant::now();
+    let answer = Answer {
+        standing: Some(standing(1, 40, 7)),
+        ..told(0, 40, nothing())
+    };
+    take(&follower, answer, Some(document(7)), asked)?;
+    let less = Answer {
+        standing: Some(Standing {
+            settled: false,
+            ..standing(2, 30, 5)
+        }),
+        known_ms: None,
+        ..told(0, 30, nothing())
+    };
+    let age = relay.view.age_at(asked + ms(10));
+    take(&follower, less, None, Instant::now())?;
+    ensure!(relay.view.version().0 == 7, "{}", relay.view.version());
+    ensure!(relay.view.age_at(asked + ms(10)) == age, "proven by less");
+    ensure!(!relay.standing.is_settled(), "settled by less");
+    // It is told what it lacks.
+    let ask = |in_force| Ask {
+        version: VERSION,
+        number: 1,
+        document: 99,
+        position: Position::default(),
+        more: Some(More {
+            in_force: Some(in_force),
+            ..More::default()
+        }),
+    };
+    let told = follower.document_for(&ask(5));
+    ensure!(told == Some(document(7).into()), "not told");
+    ensure!(follower.document_for(&ask(7)).is_none(), "told again");
+    Ok(())
+}
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -16,6 +16,7 @@
 mod orders;
 mod placement;
 mod recovery;
+mod revisions;
 mod scenarios;
 mod scripts;
 mod settings;
