A version that was in force proves itself no sooner after a return than it has to

A change that is lost in the moment in which it is made is known to no box, and the copy has what was in force before: nothing tells that from a store that lost nothing. Until the proof of before runs out nobody is served better by a new one, and the operator may have written again by then. So the ground 'same' waits until the next proof but one would come too late for keys.

--- a/crates/relay/src/standing.rs
+++ b/crates/relay/src/standing.rs
@@ -254,11 +254,14 @@
 
     /// What shows that the operator's entries are whole while the store has this
     /// configuration and `in_force` is in force; the operator has had `within` to write
-    /// again what was lost.
+    /// again what was lost. `due`: the proof of before will not hold much longer. Until
+    /// then nobody is better served by what no box can rule out: a change that was lost
+    /// as it was made.
     pub fn weigh(
         &self,
         stored: Option<Entry>,
         in_force: Option<Version>,
+        due: bool,
         within: Duration,
         now: Instant,
     ) -> Option<Ground> {
@@ -272,7 +275,7 @@
         let over = now.saturating_duration_since(known.since) >= within;
         if written && !is_behind {
             Some(Ground::Written)
-        } else if self.asked.get() && known.before.in_force == version && version == in_force {
+        } else if due && self.is_same(&known, version, in_force) {
             Some(Ground::Same)
         } else if over {
             Some(Ground::Waited)
@@ -280,4 +283,10 @@
             None
         }
     }
+
+    /// Whether the store has the version that was in force here before, and no box that
+    /// was asked knows a newer one.
+    fn is_same(&self, known: &Known, stored: Option<Version>, in_force: Option<Version>) -> bool {
+        self.asked.get() && known.before.in_force == stored && stored == in_force
+    }
 }
--- a/crates/relay/tests/relay/standing.rs
+++ b/crates/relay/tests/relay/standing.rs
@@ -50,7 +50,7 @@
 }
 
 fn weigh(standing: &Standing, stored: Entry, at: Instant) -> Option<Ground> {
-    standing.weigh(Some(stored), Some(Version(60)), WITHIN, at)
+    standing.weigh(Some(stored), Some(Version(60)), true, WITHIN, at)
 }
 
 #[test]
@@ -62,7 +62,7 @@
         let ground = weigh(&standing, stored, now + ms(100));
         ensure!(ground.is_none(), "{stored:?}: {ground:?}");
     }
-    let ground = standing.weigh(None, Some(Version(60)), WITHIN, now);
+    let ground = standing.weigh(None, Some(Version(60)), true, WITHIN, now);
     ensure!(ground.is_none(), "no entry: {ground:?}");
     // Nobody wrote it again.
     let ground = weigh(&standing, entry(45, 2, 39), now + WITHIN);
@@ -98,10 +98,12 @@
     let stored = entry(60, 2, 43);
     ensure!(weigh(&standing, stored, now).is_none(), "nobody was asked");
     standing.ask();
+    let early = standing.weigh(Some(stored), Some(Version(60)), false, WITHIN, now);
+    ensure!(early.is_none(), "before it matters: {early:?}");
     let ground = weigh(&standing, stored, now);
     ensure!(ground == Some(Ground::Same), "{ground:?}");
     // Another box told of a higher one meanwhile.
-    let ground = standing.weigh(Some(stored), Some(Version(61)), WITHIN, now);
+    let ground = standing.weigh(Some(stored), Some(Version(61)), true, WITHIN, now);
     ensure!(ground.is_none(), "{ground:?}");
     // Who was asked in one era was not in the next.
     ensure!(
@@ -158,6 +160,7 @@
     let ground = standing.weigh(
         Some(entry(45, 2, 39)),
         Some(Version(45)),
+        true,
         WITHIN,
         now + ms(900),
     );
@@ -235,7 +238,7 @@
                     let seen = in_force;
                     in_force = in_force.max(stored.map(|it| it.version));
                     (at, state) = (stored, now_at);
-                    let ground = standing.weigh(stored, in_force, WITHIN, now);
+                    let ground = standing.weigh(stored, in_force, true, WITHIN, now);
                     if ground.is_some() && ground != Some(Ground::Waited) {
                         let version = stored.map(|it| it.version);
                         prop_assert!(version >= seen, "{version:?} of {seen:?} by {ground:?}");
