Soak: the store goes back to copies of itself

The operator writes again within 2.8 s, servers within 2 s, entries of servers that left go. The last return follows the one before within 1.5 s; a key is taken away and a box is killed at the moment of the first.

The ground 'same' waits for the store's word to count (contact) in place of the proof's end: a key whose end was lost as it was made opened again where the operator took longer than the proof; the new test of it failed before (200).

--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -130,6 +130,11 @@
         version
     }
 
+    /// Writes the configuration again as it is, such as after the store lost it.
+    pub fn write_again(&self) {
+        self.store.put_config(&self.lock());
+    }
+
     /// Declares routes, and the services that they name, in one version.
     pub fn declare(&self, routes: &[Route]) -> u64 {
         self.configure(|config| {
--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -15,8 +15,8 @@
 
 use super::mark::{self, Mark};
 use super::news::News;
-use super::{Follower, CALL_TIME, PROOF_PART};
-use crate::standing::{Before, Entry, Ground, Hold};
+use super::{Follower, CALL_TIME};
+use crate::standing::{Before, Entry, Ground, Hold, Waits};
 
 impl Follower {
     /// The version in force here, if there is one.
@@ -80,13 +80,14 @@
     /// in force if the operator's entries are whole.
     pub(super) fn confirm(&self, asked: Instant) {
         self.follow_since(asked);
-        let within = self.relay.bounds().rewrite;
+        let bounds = self.relay.bounds();
+        let waits = Waits {
+            stable: bounds.contact,
+            rewrite: bounds.rewrite,
+        };
         let (stored, in_force) = (self.entry.get(), self.in_force());
-        let due = self.proof_is_due();
-        let ground = self
-            .relay
-            .standing
-            .weigh(stored, in_force, due, within, asked);
+        let standing = &self.relay.standing;
+        let ground = standing.weigh(stored, in_force, waits, asked);
         if let Some(ground) = ground {
             self.settle(ground);
         }
@@ -95,14 +96,6 @@
         }
     }
 
-    /// Whether keys will no longer be trusted by the known proof when the next but one
-    /// could be there.
-    fn proof_is_due(&self) -> bool {
-        let ahead = 2 * self.bound(PROOF_PART);
-        let (trusted, age) = (self.relay.bounds().trusted, self.relay.view.age());
-        trusted.is_none_or(|most| age.is_none_or(|age| age + ahead >= most))
-    }
-
     /// Records that the operator's entries are whole in this era.
     pub(super) fn settle(&self, ground: Ground) {
         if !self.relay.standing.settle(ground) {
--- a/crates/relay/src/standing.rs
+++ b/crates/relay/src/standing.rs
@@ -63,8 +63,9 @@
     FirstStart,
     /// The operator wrote a configuration that is not older than the one in force.
     Written,
-    /// The store has the version that was in force before, and no other box that was
-    /// asked knows a newer one.
+    /// The store has the version that was in force before, no other box that was asked
+    /// knows a newer one, and its word counts as after any trouble. A change that was
+    /// lost as it was made is known to no box, and the copy says nothing of it.
     Same,
     /// Another box says so, by itself or by the mark in the store.
     Told,
@@ -118,6 +119,15 @@
     }
 }
 
+/// How long some grounds wait.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Waits {
+    /// Time after trouble of the store from which its word counts again.
+    pub stable: Duration,
+    /// Time in which the operator writes again what was lost.
+    pub rewrite: Duration,
+}
+
 /// An era as this box knows it.
 #[derive(Debug, Clone, Copy)]
 struct Known {
@@ -253,16 +263,12 @@
     }
 
     /// What shows that the operator's entries are whole while the store has this
-    /// configuration and `in_force` is in force; the operator has had `within` to write
-    /// again what was lost. `due`: the proof of before will not hold much longer. Until
-    /// then nobody is better served by what no box can rule out: a change that was lost
-    /// as it was made.
+    /// configuration and `in_force` is in force.
     pub fn weigh(
         &self,
         stored: Option<Entry>,
         in_force: Option<Version>,
-        due: bool,
-        within: Duration,
+        waits: Waits,
         now: Instant,
     ) -> Option<Ground> {
         let known = self.known.get()?;
@@ -272,21 +278,16 @@
             let ruled_out = known.was_settled && known.before.rules_out(entry);
             ruled_out || self.origin(entry.revision) == Origin::Era
         });
-        let over = now.saturating_duration_since(known.since) >= within;
+        let age = now.saturating_duration_since(known.since);
+        let is_same = known.before.in_force == version && version == in_force;
         if written && !is_behind {
             Some(Ground::Written)
-        } else if due && self.is_same(&known, version, in_force) {
+        } else if is_same && self.asked.get() && age >= waits.stable {
             Some(Ground::Same)
-        } else if over {
+        } else if age >= waits.rewrite {
             Some(Ground::Waited)
         } else {
             None
         }
     }
-
-    /// Whether the store has the version that was in force here before, and no box that
-    /// was asked knows a newer one.
-    fn is_same(&self, known: &Known, stored: Option<Version>, in_force: Option<Version>) -> bool {
-        self.asked.get() && known.before.in_force == stored && stored == in_force
-    }
 }
--- a/crates/relay/tests/relay/eras.rs
+++ b/crates/relay/tests/relay/eras.rs
@@ -259,17 +259,69 @@
     })
 }
 
-/// Guards against callers being refused though nothing of the operator's was lost.
+/// Guards against callers being refused though nothing of the operator's was lost: by the
+/// time the proof of before is too old, the store's word counts again.
 #[test]
 fn keys_are_served_on_where_the_copy_has_the_version_in_force() -> Result {
     run(async |executor| {
         let site = keyed()?;
         let server = site.server(usual(1))?;
-        let machines = started(&executor, &site, 3).await?;
+        let house = House::with(executor, site, |told| {
+            told["bounds"]["contact"] = json!(1_500);
+            told["bounds"]["revoke_within"] = json!(4_000);
+        })
+        .await?;
+        let copy = house.site.store.copy();
+        house.site.store.put("another/key", &json!(1));
+        drill(&house.site, &copy).await;
+        let start = Instant::now();
+        while start.elapsed() < ms(5_000) {
+            let attempt = format!("{:?}", start.elapsed());
+            let answer = house.call(&with_key("stays", &attempt)).await?;
+            whole(&answer, &[&server], &attempt)?;
+            Timer::after(ms(20)).await;
+        }
+        Ok(())
+    })
+}
+
+/// Guards against a key that opens after its bound as its change was lost in the moment in
+/// which it was made, so that no box ever heard of it.
+#[test]
+fn a_key_whose_end_was_lost_at_once_opens_nothing_until_it_is_written_again() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
         let copy = site.store.copy();
-        site.store.put("another/key", &json!(1));
-        drill(&site, &copy).await;
-        hall::served(&machines, &[&server], REVOKE_TIME + ms(1_000)).await
+        site.store.faults(|faults| faults.down = Some(Down::Reset));
+        site.store.cut_watches();
+        site.account("tenant-2", &["new"], 1);
+        let taken = Instant::now();
+        let newest = config(&site)?;
+        Timer::after(ms(1_200)).await;
+        site.store.go_back(&copy);
+        site.store.faults(|faults| faults.down = None);
+        let back = Instant::now();
+        // The operator takes nearly as long as the store's word needs to count again.
+        while back.elapsed() < ms(2_700) {
+            for machine in &machines {
+                let attempt = format!("{:?}", taken.elapsed());
+                let asked = Instant::now();
+                let answer = machine.call(&with_key("goes", &attempt)).await?;
+                if asked > taken + REVOKE_TIME {
+                    ensure!(answer.status == 503, "{attempt}: {answer:?}");
+                    ensure!(server.ran(&attempt) == 0, "{attempt} ran");
+                }
+            }
+            Timer::after(ms(20)).await;
+        }
+        site.store.put_config(&newest);
+        ready(&machines).await?;
+        for machine in &machines {
+            refused(machine, &server, "after").await?;
+        }
+        hall::served(&machines, &[&server], ms(300)).await
     })
 }
 
--- a/crates/relay/tests/relay/returned.rs
+++ b/crates/relay/tests/relay/returned.rs
@@ -268,7 +268,7 @@
     run(async |executor| {
         let site = keyed()?;
         let near = site.server(usual(1))?;
-        let _far = site.server(usual(2))?;
+        let far = site.server(usual(2))?;
         site.empty_hall("hall-1");
         let machines = started(&executor, &site, 2).await?;
         let copy = site.store.copy();
@@ -276,7 +276,7 @@
         for machine in &machines {
             until("given back", async || machine.serves_by(&near)).await?;
         }
-        let back = Instant::now();
+        let back = tidepier_clock::Instant::now();
         drill(&site, &copy).await;
         while back.elapsed() < REVOKE_TIME - ms(200) {
             for machine in &machines {
@@ -284,7 +284,13 @@
             }
             Timer::after(ms(20)).await;
         }
-        hall::served(&machines, &[&near, &_far], ms(200)).await
+        site.account("tenant-2", &["new"], 1);
+        until("proven", async || {
+            let proven = |machine: &Machine| machine.proven().is_some_and(|at| at > back);
+            Ok(machines.iter().all(proven))
+        })
+        .await?;
+        hall::served(&machines, &[&near, &far], ms(200)).await
     })
 }
 
--- a/crates/relay/tests/relay/standing.rs
+++ b/crates/relay/tests/relay/standing.rs
@@ -13,12 +13,15 @@
 use tidepier_core::catalog::Version;
 use tidepier_core::era::{Era, Eras, Revision};
 use tidepier_relay::emptied::{Emptied, List, Row};
-use tidepier_relay::standing::{Before, Entry, Ground, Hold, Origin, Standing};
+use tidepier_relay::standing::{Before, Entry, Ground, Hold, Origin, Standing, Waits};
 
 use crate::house::{ms, Result};
 
-/// Time in which the operator writes again.
-const WITHIN: Duration = Duration::from_secs(5);
+/// Times after which the store's word counts and the operator has written again.
+const WAITS: Waits = Waits {
+    stable: Duration::from_secs(3),
+    rewrite: Duration::from_secs(5),
+};
 
 fn revision(era: u64, number: u64) -> Revision {
     Revision::new(Era(era), number)
@@ -50,7 +53,7 @@
 }
 
 fn weigh(standing: &Standing, stored: Entry, at: Instant) -> Option<Ground> {
-    standing.weigh(Some(stored), Some(Version(60)), true, WITHIN, at)
+    standing.weigh(Some(stored), Some(Version(60)), WAITS, at)
 }
 
 #[test]
@@ -62,10 +65,10 @@
         let ground = weigh(&standing, stored, now + ms(100));
         ensure!(ground.is_none(), "{stored:?}: {ground:?}");
     }
-    let ground = standing.weigh(None, Some(Version(60)), true, WITHIN, now);
+    let ground = standing.weigh(None, Some(Version(60)), WAITS, now);
     ensure!(ground.is_none(), "no entry: {ground:?}");
     // Nobody wrote it again.
-    let ground = weigh(&standing, entry(45, 2, 39), now + WITHIN);
+    let ground = weigh(&standing, entry(45, 2, 39), now + WAITS.rewrite);
     ensure!(ground == Some(Ground::Waited), "{ground:?}");
     Ok(())
 }
@@ -98,19 +101,20 @@
     let stored = entry(60, 2, 43);
     ensure!(weigh(&standing, stored, now).is_none(), "nobody was asked");
     standing.ask();
-    let early = standing.weigh(Some(stored), Some(Version(60)), false, WITHIN, now);
-    ensure!(early.is_none(), "before it matters: {early:?}");
-    let ground = weigh(&standing, stored, now);
+    let early = weigh(&standing, stored, now + ms(2_900));
+    ensure!(early.is_none(), "before its word counts: {early:?}");
+    let stable = now + WAITS.stable;
+    let ground = weigh(&standing, stored, stable);
     ensure!(ground == Some(Ground::Same), "{ground:?}");
     // Another box told of a higher one meanwhile.
-    let ground = standing.weigh(Some(stored), Some(Version(61)), true, WITHIN, now);
+    let ground = standing.weigh(Some(stored), Some(Version(61)), WAITS, stable);
     ensure!(ground.is_none(), "{ground:?}");
     // Who was asked in one era was not in the next.
     ensure!(
         standing.hear(revision(3, 44), known(60, 2, 43, 44), now),
         "no other era"
     );
-    let ground = weigh(&standing, entry(60, 3, 43), now);
+    let ground = weigh(&standing, entry(60, 3, 43), stable);
     ensure!(ground.is_none(), "{ground:?}");
     Ok(())
 }
@@ -160,8 +164,7 @@
     let ground = standing.weigh(
         Some(entry(45, 2, 39)),
         Some(Version(45)),
-        true,
-        WITHIN,
+        WAITS,
         now + ms(900),
     );
     ensure!(ground.is_none(), "{ground:?}");
@@ -238,7 +241,7 @@
                     let seen = in_force;
                     in_force = in_force.max(stored.map(|it| it.version));
                     (at, state) = (stored, now_at);
-                    let ground = standing.weigh(stored, in_force, true, WITHIN, now);
+                    let ground = standing.weigh(stored, in_force, WAITS, now);
                     if ground.is_some() && ground != Some(Ground::Waited) {
                         let version = stored.map(|it| it.version);
                         prop_assert!(version >= seen, "{version:?} of {seen:?} by {ground:?}");
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -47,6 +47,9 @@
     /// decide.
     #[arg(long)]
     words: bool,
+    /// The store goes back to copies of itself beside what the seeds decide.
+    #[arg(long)]
+    returns: bool,
     /// So many boxes in place of what the seeds decide; the faults touch up to the
     /// first four. Each two have a way between them, so that 60 open 3,540 ports.
     #[arg(long, value_parser = clap::value_parser!(u16).range(4..=80))]
@@ -143,6 +146,7 @@
         crashing_requests: arguments.crashing_requests,
         suspensions: arguments.suspensions,
         words: arguments.words,
+        returns: arguments.returns,
         boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -54,6 +54,21 @@
     Forgetful,
     /// Watches learn of nothing.
     Deaf,
+    /// It goes back to a copy of itself.
+    Return(Return),
+}
+
+/// How the store goes back to an older copy of itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Return {
+    /// How it is away before that; `None`: not at all.
+    pub away: Option<Down>,
+    /// How old the copy is.
+    pub behind: Duration,
+    /// Time until the operator writes again.
+    pub operator: Duration,
+    /// Longest time until a server does.
+    pub servers: Duration,
 }
 
 /// What a server does wrong.
@@ -117,6 +132,7 @@
             Fault::Process(_, signal) => named("process", signal),
             Fault::Store(Store::Slow(_)) => "store_slow".into(),
             Fault::Store(Store::Down(down)) => named("store", down),
+            Fault::Store(Store::Return(_)) => "store_return".into(),
             Fault::Store(store) => named("store", store),
             Fault::Server(_, Server::Faulty(fault)) => named("server", fault),
             Fault::Servers(fault) => named("servers", fault),
--- a/crates/soak/src/fleet/guilty.rs
+++ b/crates/soak/src/fleet/guilty.rs
@@ -93,7 +93,7 @@
                 let over = over.is_some_and(|at| at.elapsed() > BACK_TIME);
                 let id = backend.server.settings().id.clone();
                 if over && lock(&self.replaced).insert(id) {
-                    self.site.withdraw(&backend.server);
+                    self.withdraw(&backend.server);
                     self.add_server(&backend.server.settings().service)?;
                 }
             }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -6,13 +6,14 @@
 
 mod guilty;
 mod machine;
+mod returns;
 mod servers;
 mod steps;
 
-use std::collections::HashSet;
+use std::collections::{BTreeSet, HashSet};
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::sync::atomic::{AtomicU32, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
@@ -79,6 +80,13 @@
     replaced: Mutex<HashSet<String>>,
     marks: AtomicU32,
     named: AtomicU32,
+    /// Whether the store takes nothing, not even of the operator.
+    away: AtomicBool,
+    copies: Mutex<returns::Copies>,
+    /// Halls that the operator has asked to empty.
+    emptied: Mutex<BTreeSet<String>>,
+    /// Servers whose entries were removed.
+    withdrawn: Mutex<HashSet<String>>,
 }
 
 /// A fleet whose processes end when this is dropped.
@@ -122,6 +130,10 @@
             replaced: Mutex::default(),
             marks: AtomicU32::new(0),
             named: AtomicU32::new(0),
+            away: AtomicBool::new(false),
+            copies: Mutex::default(),
+            emptied: Mutex::default(),
+            withdrawn: Mutex::default(),
         };
         for _ in 0..SERVERS {
             fleet.add_server(PLAIN)?;
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -69,6 +69,12 @@
         self.site.announce_at(&backend.server, address, state);
     }
 
+    /// Removes a server's entry for good.
+    pub(super) fn withdraw(&self, server: &Server) {
+        lock(&self.withdrawn).insert(server.settings().id.clone());
+        self.site.withdraw(server);
+    }
+
     pub(super) fn backends(&self) -> Vec<Arc<Backend>> {
         lock(&self.backends).clone()
     }
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -15,6 +15,7 @@
 use crate::fault::{self, Config, Fault, Link, Server, Store};
 use crate::ledger::{Fact, Place};
 use crate::schedule::Step;
+use crate::sync::lock;
 use crate::way::{Harm, Way};
 use crate::{bound, plan};
 
@@ -51,6 +52,7 @@
         match step.fault {
             Fault::Link(link, harm) => self.harm_way(link, harm, step.lasts).await,
             Fault::Process(place, signal) => self.signal(place, signal, step.lasts).await?,
+            Fault::Store(Store::Return(how)) => self.go_back(how, step.lasts).await,
             Fault::Store(store) => self.fault_store(store, step.lasts).await,
             Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
             Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
@@ -188,6 +190,8 @@
             Store::Losing => faulty.faults(|faults| faults.lost = LOST_CALLS),
             Store::Forgetful => faulty.compact(),
             Store::Deaf => faulty.deaf(lasts),
+            // It has a time of its own: see `go_back`.
+            Store::Return(_) => {}
         }
         Timer::after(lasts).await;
         // Of two faults of one kind that overlap, the first to end ends both;
@@ -197,7 +201,7 @@
             Store::Down(_) => faults.down = None,
             Store::Refusing => faults.refuse = false,
             Store::Losing => faults.lost = 0,
-            Store::Forgetful | Store::Deaf => {}
+            Store::Forgetful | Store::Deaf | Store::Return(_) => {}
         });
     }
 
@@ -213,7 +217,7 @@
                 let id = server.settings().id.clone();
                 self.ledger.fact(Fact::Leaving(id));
                 Timer::after(LEAVE_TIME).await;
-                self.site.withdraw(server);
+                self.withdraw(server);
                 return Ok(());
             }
             Server::Say => {
@@ -222,7 +226,7 @@
                 let id = server.settings().id.clone();
                 self.ledger.fact(Fact::Saying(id));
                 Timer::after(LEAVE_TIME + lasts).await;
-                self.site.withdraw(server);
+                self.withdraw(server);
                 return Ok(());
             }
             Server::Rest(rest) => {
@@ -232,7 +236,7 @@
             Server::Crash => {
                 server.crash();
                 Timer::after(lasts).await;
-                self.site.withdraw(server);
+                self.withdraw(server);
                 return self.add_server(&service);
             }
             Server::Dark => server.dark(true),
@@ -260,14 +264,19 @@
     /// back.
     async fn empty_hall(&self, hall: usize, lasts: Duration) {
         let hall = plan::hall(hall, plan::SERVER_HALLS);
+        self.writable().await;
+        lock(&self.emptied).insert(hall.clone());
         self.site.empty_hall(&hall);
         self.ledger.fact(Fact::Emptied(hall.clone()));
         Timer::after(bound::EMPTY + lasts).await;
+        self.writable().await;
         self.ledger.fact(Fact::TakenBack(hall.clone()));
+        lock(&self.emptied).remove(&hall);
         self.site.take_back(&hall);
     }
 
     async fn configure(&self, config: Config) -> eyre::Result<()> {
+        self.writable().await;
         match config {
             Config::Revoke => self.change_keys(1),
             // It has a time of its own: see `empty_hall`.
@@ -275,6 +284,7 @@
             Config::Mark => self.mark()?,
             Config::Storm => {
                 for _ in 0..STORM {
+                    self.writable().await;
                     self.mark()?;
                     Timer::after(STORM_PAUSE).await;
                 }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -254,6 +254,13 @@
             .any(|(_, fact)| matches!(fact, Fact::Leaving(left) | Fact::Saying(left) if left == id))
     }
 
+    /// Whether a server's entry says that it leaves.
+    pub fn is_announced_leaving(&self, id: &str) -> bool {
+        let inner = lock(&self.inner);
+        let mut facts = inner.facts.iter();
+        facts.any(|(_, fact)| matches!(fact, Fact::Leaving(left) if left == id))
+    }
+
     /// Notes the load of a service.
     pub fn loads(&self, loads: Loads) {
         lock(&self.inner).loads.push(loads);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -80,6 +80,8 @@
     pub suspensions: bool,
     /// Whether servers say in answers that they leave, or ask for rest, beside it.
     pub words: bool,
+    /// Whether the store goes back to copies of itself beside it.
+    pub returns: bool,
     /// How many boxes there are in place of what the seed decides.
     pub boxes: Option<usize>,
 }
@@ -103,6 +105,9 @@
     if place.words {
         schedule = schedule.with_words();
     }
+    if place.returns {
+        schedule = schedule.with_returns();
+    }
     if let Some(boxes) = place.boxes {
         schedule = schedule.with_boxes(boxes);
     }
@@ -163,6 +168,7 @@
 async fn play(fleet: &Arc<Fleet>, schedule: &Schedule) -> eyre::Result<()> {
     let _watch = smol::spawn(pulse::watch(fleet.clone()));
     let _sample = smol::spawn(fleet.clone().sample());
+    let _copies = smol::spawn(fleet.clone().keep_copies());
     let load = Load::start(fleet, schedule.seed);
     Timer::after(WARM_UP).await;
     let levels: Vec<_> = (0..fleet.boxes()).map(|place| fleet.level(place)).collect();
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -12,7 +12,7 @@
 use tidepier_relay_standin::server as standin;
 use tidepier_relay_standin::store::Down;
 
-use crate::fault::{Config, Fault, Link, Server, Signal, Store};
+use crate::fault::{Config, Fault, Link, Return, Server, Signal, Store};
 use crate::plan::SERVER_HALLS;
 use crate::way::{Direction, Harm};
 
@@ -57,6 +57,20 @@
 const TURNING_MS: Range<u64> = 300..5_000;
 /// The rest that they ask for, in ms.
 const REST_MS: Range<u64> = 700..4_000;
+/// How often the store goes back to a copy in a run where it does.
+const RETURNS: usize = 3;
+/// Makes that choice another one.
+const RETURNS_SEED: u64 = 0x7265_7475_726e_6564;
+/// How long the store is away before it does, in ms.
+const AWAY_MS: Range<u64> = 0..2_500;
+/// How old the copy is, in ms.
+const BEHIND_MS: Range<u64> = 300..8_000;
+/// Time until the operator writes again, in ms: before the store's word counts again.
+const OPERATOR_MS: Range<u64> = 0..2_800;
+/// Time until a server does, in ms.
+const SERVERS_MS: Range<u64> = 0..2_000;
+/// Time from one return to another one in quick succession, in ms.
+const AGAIN_MS: Range<u64> = 100..1_500;
 /// Delays of a slow way or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -169,6 +183,46 @@
         self.with(steps.into_iter())
     }
 
+    /// The same, and the store goes back to copies of itself: the last time soon after the
+    /// one before, at the moment of a change, and beside a box that is killed.
+    pub fn with_returns(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ RETURNS_SEED);
+        let boxes = self.boxes;
+        let mut steps: Vec<Step> = Vec::new();
+        for number in 0..RETURNS {
+            let at = match steps.last() {
+                Some(last) if number + 1 == RETURNS => {
+                    last.at + last.lasts + ms(&mut rng, AGAIN_MS)
+                }
+                _ => ms(&mut rng, SPAN_MS),
+            };
+            let away = pick(&mut rng, &[Some(Down::Reset), Some(Down::Silent), None]);
+            steps.push(Step {
+                at,
+                lasts: ms(&mut rng, AWAY_MS),
+                fault: Fault::Store(Store::Return(Return {
+                    away,
+                    behind: ms(&mut rng, BEHIND_MS),
+                    operator: ms(&mut rng, OPERATOR_MS),
+                    servers: ms(&mut rng, SERVERS_MS),
+                })),
+            });
+        }
+        let first = steps[0].at;
+        for fault in [
+            Fault::Config(Config::Revoke),
+            Fault::Process(rng.random_range(0..boxes), Signal::Kill),
+        ] {
+            let lasts = ms(&mut rng, LASTS_MS);
+            steps.push(Step {
+                at: first,
+                lasts,
+                fault,
+            });
+        }
+        self.with(steps.into_iter())
+    }
+
     /// The same with so many boxes, of which its faults touch the first ones.
     pub fn with_boxes(self, boxes: usize) -> Self {
         Self { boxes, ..self }
