--- a/crates/relay/src/exchange/admit.rs
+++ b/crates/relay/src/exchange/admit.rs
@@ -110,7 +110,7 @@
 ) -> Result<(Arc<Route>, Option<Arc<Account>>), refusal::Kind> {
     let fresh = relay.view.is_fresh(relay.bounds().fresh);
     // What is missing in an old catalog may have been added since.
-    let fact = |kind| if fresh { kind } else { refusal::Kind::Stale };
+    let fact = |kind| if fresh { kind } else { stale(relay) };
     let route = catalog.route(&request.host, &request.path).cloned();
     let route = route.ok_or_else(|| fact(refusal::Kind::NoRoute))?;
     let account = account(relay, catalog, &route, request).map_err(|kind| match kind {
@@ -120,6 +120,16 @@
     Ok((route, account))
 }
 
+/// Why the catalog is too old: another box may know better, unless the store itself went
+/// back to an older one.
+fn stale(relay: &Relay) -> refusal::Kind {
+    if relay.standing.era().is_some() && relay.standing.is_open() {
+        refusal::Kind::Behind
+    } else {
+        refusal::Kind::Stale
+    }
+}
+
 /// The account of a request's key, on a route that asks for one.
 fn account(
     relay: &Relay,
@@ -136,7 +146,7 @@
         .trusted
         .is_none_or(|most| relay.view.is_fresh(most));
     if !trusted {
-        return Err(refusal::Kind::Stale);
+        return Err(stale(relay));
     }
     let key = request.key.as_deref().ok_or(refusal::Kind::NoAccount)?;
     let account = catalog.account(key).cloned();
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -11,7 +11,9 @@
 const SOON: Duration = Duration::from_millis(150);
 /// When to come back while no box is any better off: servers that were tried have
 /// no process that would take a connection, or all leave, and a start takes a second
-/// or more; or the operator allows none, and takes seconds to change that. Under a third of every deadline, above which clients ignore it.
+/// or more; or the operator allows none, or has to write again what the store lost, and
+/// takes seconds for that. Under a third of every deadline, above which clients ignore
+/// it.
 const DOWN: Duration = Duration::from_millis(1_000);
 /// When to come back while this box does not know the configuration: at once,
 /// since a further try reaches another box.
@@ -36,6 +38,9 @@
     NotReady,
     /// The configuration known here may be too old to decide by.
     Stale,
+    /// The same, as the store went back to an older copy and the operator has yet to write
+    /// again what it lost.
+    Behind,
     /// No server of the service is known or open.
     NoServer,
     /// All servers of the service say that they leave.
@@ -75,6 +80,7 @@
             Kind::Lost => 502,
             Kind::NotReady
             | Kind::Stale
+            | Kind::Behind
             | Kind::NoServer
             | Kind::Leaving
             | Kind::Resting(_)
@@ -95,7 +101,9 @@
             // The truth: sooner, no box has another answer.
             Kind::Crashing(left) | Kind::Resting(left) => Some(left),
             Kind::NotReady | Kind::Stale => Some(UNREADY),
-            Kind::Down | Kind::Leaving | Kind::Emptied | Kind::NoRegion => Some(DOWN),
+            Kind::Down | Kind::Leaving | Kind::Emptied | Kind::NoRegion | Kind::Behind => {
+                Some(DOWN)
+            }
             Kind::NoServer | Kind::Cold | Kind::Full | Kind::TimeOver => Some(SOON),
             _ => None,
         }
@@ -112,6 +120,7 @@
             Kind::NoAccount => "no_account",
             Kind::NotReady => "not_ready",
             Kind::Stale => "stale",
+            Kind::Behind => "behind",
             Kind::NoServer => "no_server",
             Kind::Leaving => "leaving",
             Kind::Resting(_) => "resting",
--- a/crates/relay/tests/relay/eras.rs
+++ b/crates/relay/tests/relay/eras.rs
@@ -259,6 +259,33 @@
     })
 }
 
+/// Guards against callers being sent to another box at once while none is better off.
+#[test]
+fn callers_come_back_later_while_the_store_is_behind() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let _server = site.server(usual(1))?;
+        let machines = started(&executor, &site, 2).await?;
+        let copy = site.store.copy();
+        site.account("tenant-2", &["new"], 1);
+        Timer::after(ms(900)).await;
+        drill(&site, &copy).await;
+        for machine in &machines {
+            let refused = async || {
+                let answer = machine.call(&with_key("stays", "early")).await?;
+                Ok(answer.status == 503)
+            };
+            until("refused", refused).await?;
+            let answer = machine.call(&with_key("stays", "told")).await?;
+            ensure!(answer.body == br#"{"error":"behind"}"#, "{answer:?}");
+            let wait = answer.field(names::RETRY_AFTER).unwrap_or_default();
+            let wait: f64 = wait.parse()?;
+            ensure!(wait >= 0.5, "{wait} s");
+        }
+        Ok(())
+    })
+}
+
 /// Guards against callers being refused though nothing of the operator's was lost: by the
 /// time the proof of before is too old, the store's word counts again.
 #[test]
