What a former era had asked ends with its time, whatever happens meanwhile

Thawed, it read the operator's entries to let go of what the first era had asked, and the read was that in which it heard of the next era; the notice of that came while nobody waited for it, and nobody looked again.

Mend: what stands against the store is looked at, not the notice: as long as halls or orders differ from the store's entries, and when the time is over, they are read anew. A hall that another box recalls is one of a former era alone. The test with a frozen box failed before ('never given back', three of three).

--- a/crates/relay/src/emptied.rs
+++ b/crates/relay/src/emptied.rs
@@ -110,9 +110,12 @@
         self.set(hall, false, revision, None);
     }
 
-    /// Records what another box knows to have been asked in a former era, where nothing is
-    /// known of the hall.
-    pub fn recall(&self, row: &Row) {
+    /// Records what another box knows to have been asked in an era before `era`, where
+    /// nothing is known of the hall.
+    pub fn recall(&self, row: &Row, era: Era) {
+        if row.revision.era() >= era {
+            return;
+        }
         let mut asked = self.asked.borrow_mut();
         let (empty, revision) = (true, row.revision);
         let recalled = Asked { empty, revision };
@@ -150,6 +153,12 @@
         same
     }
 
+    /// Whether the store's entries say the same.
+    pub fn is_stored(&self) -> bool {
+        let stored = self.stored.borrow();
+        self.halls().iter().eq(stored.keys())
+    }
+
     /// The entries that the store has.
     pub fn stored(&self) -> BTreeMap<ids::Hall, Revision> {
         self.stored.borrow().clone()
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -72,6 +72,8 @@
     store: Rc<Client>,
     /// Notified when the store went back to an older copy.
     era_changed: Notice,
+    /// Notified when something of a former era stands against what the store has.
+    held: Notice,
     /// Notified when other boxes were asked what they remember.
     asked_others: Notice,
     /// Where boxes keep the era in which they are.
@@ -126,6 +128,7 @@
             relay,
             store,
             era_changed: Notice::default(),
+            held: Notice::default(),
             asked_others: Notice::default(),
             mark: Cell::default(),
             entry: Cell::new(None),
@@ -302,6 +305,7 @@
         if hold.is_some_and(|hold| self.record.stands_against(&row, hold)) {
             news.add_id(news::Change::Withheld, row.id());
             self.withheld.borrow_mut().insert(row.id().clone(), row);
+            self.held.notify();
             return;
         }
         self.withheld.borrow_mut().remove(row.id());
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -296,10 +296,12 @@
             self.take_document(document, revision);
         }
         if let Some(list) = &answer.emptied {
+            let era = self.relay.standing.era().unwrap_or_default();
             for row in &list.rows {
-                self.emptied.recall(row);
+                self.emptied.recall(row, era);
             }
             self.apply_emptied();
+            self.held.notify();
         }
         if let Some(list) = &answer.rollouts {
             self.relay.rollouts.recall(list, Instant::now());
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -74,7 +74,7 @@
         read
     }
 
-    async fn read_operator_now(&self, limit: Duration) -> Result<Revision, Failure> {
+    pub(super) async fn read_operator_now(&self, limit: Duration) -> Result<Revision, Failure> {
         if self.relay.standing.is_open() {
             self.read_mark(limit).await;
         }
--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -18,6 +18,9 @@
 use super::{Follower, CALL_TIME};
 use crate::standing::{Before, Entry, Ground, Hold, Waits};
 
+/// Time between two checks whether the time is over for which something stands.
+const BELIEF_LOOK: Duration = Duration::from_millis(250);
+
 impl Follower {
     /// The version in force here, if there is one.
     pub(super) fn in_force(&self) -> Option<Version> {
@@ -189,25 +192,34 @@
     /// write again what it lost; does not end.
     pub async fn believe_entries(self: Rc<Self>) {
         loop {
-            self.era_changed.wait().await;
-            while self.hold().is_some() {
-                Timer::after(self.relay.bounds().rewrite / 8).await;
-            }
-            // Boxes that do not read it are told.
-            while self.reads_store.get() && self.read_operator(CALL_TIME).await.is_err() {
+            if self.is_as_stored() {
+                self.held.wait().await;
+            } else if self.hold().is_some() || !self.reads_store.get() {
+                // Boxes that do not read it are told.
+                Timer::after(BELIEF_LOOK).await;
+            } else if self.read_operator_now(CALL_TIME).await.is_err() {
                 Timer::after(CALL_TIME).await;
             }
         }
     }
 
+    /// Whether what the operator asked of halls and ordered is what the store has.
+    fn is_as_stored(&self) -> bool {
+        let rollouts = self.relay.rollouts.all();
+        self.emptied.is_stored() && rollouts.iter().all(|known| known.stored)
+    }
+
     /// Has servers that the store went back on stand as it says, once those that live
     /// have had the time to say otherwise; does not end.
     pub async fn believe_copies(self: Rc<Self>) {
         loop {
-            self.era_changed.wait().await;
-            while self.hold_servers().is_some() {
-                let limit = self.relay.bounds().silence;
-                Timer::after(limit / 8).await;
+            if self.withheld.borrow().is_empty() {
+                self.held.wait().await;
+                continue;
+            }
+            if self.hold_servers().is_some() {
+                Timer::after(BELIEF_LOOK).await;
+                continue;
             }
             let rows = std::mem::take(&mut *self.withheld.borrow_mut());
             let mut news = News::new();
--- a/crates/relay/src/follow/halls.rs
+++ b/crates/relay/src/follow/halls.rs
@@ -30,6 +30,7 @@
     pub(super) fn take_emptied(&self, list: &List) -> bool {
         let same = self.emptied.merge(list, self.hold());
         self.apply_emptied();
+        self.held.notify();
         same
     }
 
--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -24,6 +24,7 @@
             }
         }
         items.iter().for_each(|item| self.take_order(item));
+        self.held.notify();
     }
 
     /// Takes over a change of the operator's entries.
--- a/crates/relay/tests/relay/returned.rs
+++ b/crates/relay/tests/relay/returned.rs
@@ -15,7 +15,7 @@
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Server};
 use tidepier_relay_standin::site::Site;
-use tidepier_relay_standin::store::Copy;
+use tidepier_relay_standin::store::{Copy, Down};
 
 use crate::eras::drill;
 use crate::hall::{self, keyed, ready, started, Machine, BOXES, REVOKE_TIME};
@@ -262,6 +262,72 @@
     })
 }
 
+/// Guards against a hall that is never used again, as the store goes back once more when
+/// the time of the first return is over.
+#[test]
+fn a_hall_is_used_again_after_a_return_that_follows_another() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 2).await?;
+        let copy = site.store.copy();
+        site.empty_hall("hall-1");
+        for machine in &machines {
+            until("emptied", async || Ok(!machine.serves_by(&near)?)).await?;
+        }
+        drill(&site, &copy).await;
+        Timer::after(REVOKE_TIME - ms(300)).await;
+        site.store.faults(|faults| faults.down = Some(Down::Reset));
+        site.store.cut_watches();
+        Timer::after(ms(900)).await;
+        site.store.go_back(&copy);
+        site.store.faults(|faults| faults.down = None);
+        let back = Instant::now();
+        // One that starts hears of the hall from those beside it.
+        let starts = Machine::start(&executor, &site, "box-9", "hall-1", 9_000).await?;
+        for machine in machines.iter().chain([&starts]) {
+            until("given back", async || machine.serves_by(&near)).await?;
+        }
+        let took = back.elapsed();
+        ensure!(took < REVOKE_TIME + ms(2_500), "{took:?}");
+        Ok(())
+    })
+}
+
+/// Guards against a hall that is never used again, as the box stood still from one return
+/// until after the next, and learns of that one while it takes back the first.
+#[test]
+fn a_hall_is_used_again_by_a_box_that_stood_still_between_two_returns() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 1).await?;
+        let machine = &machines[0];
+        let copy = site.store.copy();
+        site.empty_hall("hall-1");
+        until("emptied", async || Ok(!machine.serves_by(&near)?)).await?;
+        drill(&site, &copy).await;
+        let era = site.store.era();
+        until("noticed", async || {
+            let known = machine.router.relay().standing.era();
+            Ok(known.is_some_and(|known| known.0 == era))
+        })
+        .await?;
+        machine.freeze(true);
+        site.store.cut_watches();
+        site.store.go_back(&copy);
+        Timer::after(REVOKE_TIME + ms(600)).await;
+        machine.freeze(false);
+        let thawed = Instant::now();
+        until("given back", async || machine.serves_by(&near)).await?;
+        let took = thawed.elapsed();
+        ensure!(took < REVOKE_TIME + ms(2_500), "{took:?}");
+        Ok(())
+    })
+}
+
 /// Guards against a hall being emptied by an entry that the operator had taken back.
 #[test]
 fn a_hall_that_was_taken_back_is_not_emptied_by_the_copy() -> Result {
