A hall that was emptied long ago, as a box knows it, is not held empty

Cause: what a former era had asked stood however old it was, while the copy, some seconds old, was newer. The tests with a frozen box and of the pure structure failed before. A box that starts holds what others tell it.

--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -28,7 +28,16 @@
         view.catalog().map(|catalog| catalog.version)
     }
 
-    /// What the operator had asked stands for a while where the store went back.
+    /// What the operator had asked of halls stands for a while where the store went back.
+    /// One that was emptied long ago, as far as this box knows, may be in use again: held
+    /// empty by several boxes, it left the other servers crowded.
+    pub(super) fn hold_halls(&self) -> Option<Hold> {
+        let within = self.relay.bounds().rewrite;
+        let standing = &self.relay.standing;
+        standing.hold_recent(within, Instant::now())
+    }
+
+    /// What the operator had ordered stands for a while where the store went back.
     pub(super) fn hold(&self) -> Option<Hold> {
         let within = self.relay.bounds().rewrite;
         self.relay.standing.hold(within, Instant::now())
@@ -48,6 +57,7 @@
             in_force: self.in_force(),
             entry: self.entry.get(),
             state: self.state.get(),
+            age: self.followed_age(now),
         };
         if !self.relay.standing.hear(state, before, now) {
             return;
--- a/crates/relay/src/follow/halls.rs
+++ b/crates/relay/src/follow/halls.rs
@@ -28,7 +28,7 @@
     /// Takes over which halls are to be empty; whether that is what is known here
     /// now.
     pub(super) fn take_emptied(&self, list: &List) -> bool {
-        let same = self.emptied.merge(list, self.hold());
+        let same = self.emptied.merge(list, self.hold_halls());
         self.apply_emptied();
         self.held.notify();
         same
@@ -40,7 +40,7 @@
         match event {
             Event::Put(item) => {
                 if let Some(Row { hall, revision }) = row(item) {
-                    self.emptied.empty(hall, revision, self.hold());
+                    self.emptied.empty(hall, revision, self.hold_halls());
                 }
             }
             Event::Delete { key, revision } => {
--- a/crates/relay/src/standing.rs
+++ b/crates/relay/src/standing.rs
@@ -104,6 +104,8 @@
     pub entry: Option<Entry>,
     /// The newest state of the store that was known to have that entry.
     pub state: Revision,
+    /// How long ago all that the store held was known here; `None`: it never was.
+    pub age: Option<Duration>,
 }
 
 impl Before {
@@ -226,6 +228,14 @@
         }
     }
 
+    /// The same where what was known was not older than that as the era began: else the
+    /// copy may be newer. A box that starts knows what others tell it since.
+    pub fn hold_recent(&self, within: Duration, now: Instant) -> Option<Hold> {
+        let known = self.known.get()?;
+        let recent = known.before.age.is_none_or(|age| age < within);
+        self.hold(within, now).filter(|_| recent)
+    }
+
     /// What was known in former eras stands while the era is younger than `within`.
     pub fn hold(&self, within: Duration, now: Instant) -> Option<Hold> {
         let known = self.known.get()?;
--- a/crates/relay/tests/relay/returned.rs
+++ b/crates/relay/tests/relay/returned.rs
@@ -238,6 +238,37 @@
     })
 }
 
+/// Guards against a box that starts sending to a hall that those beside it know is to be
+/// empty.
+#[test]
+fn a_box_that_starts_holds_empty_what_others_do() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 2).await?;
+        let copy = site.store.copy();
+        site.empty_hall("hall-1");
+        for machine in &machines {
+            until("emptied", async || Ok(!machine.serves_by(&near)?)).await?;
+        }
+        drill(&site, &copy).await;
+        let back = Instant::now();
+        let starts = Machine::start(&executor, &site, "box-9", "hall-1", 9_000).await?;
+        while back.elapsed() < REVOKE_TIME - ms(200) {
+            let ready = starts.router.relay().standing.may_begin();
+            let known = starts.router.relay().view.catalog().is_some();
+            ensure!(
+                !(ready && known && starts.serves_by(&near)?),
+                "after {:?}",
+                back.elapsed()
+            );
+            Timer::after(ms(5)).await;
+        }
+        Ok(())
+    })
+}
+
 /// Guards against a hall that is never used again, as its entry is gone for good.
 #[test]
 fn a_hall_whose_emptying_is_not_written_again_is_used_after_a_while() -> Result {
@@ -328,6 +359,32 @@
     })
 }
 
+/// Guards against a hall being held empty, as the copy lacks its entry, by a box that stood
+/// still while the operator took it back.
+#[test]
+fn a_hall_that_was_taken_back_unheard_is_used_at_once_after_a_return() -> Result {
+    run(async |executor| {
+        let site = keyed()?;
+        let near = site.server(usual(1))?;
+        let _far = site.server(usual(2))?;
+        let machines = started(&executor, &site, 1).await?;
+        let machine = &machines[0];
+        site.empty_hall("hall-1");
+        until("emptied", async || Ok(!machine.serves_by(&near)?)).await?;
+        machine.freeze(true);
+        site.take_back("hall-1");
+        let copy = site.store.copy();
+        Timer::after(REVOKE_TIME + ms(400)).await;
+        site.store.cut_watches();
+        site.store.go_back(&copy);
+        machine.freeze(false);
+        let thawed = Instant::now();
+        until("used", async || machine.serves_by(&near)).await?;
+        ensure!(thawed.elapsed() < ms(2_000), "{:?}", thawed.elapsed());
+        Ok(())
+    })
+}
+
 /// Guards against a hall being emptied by an entry that the operator had taken back.
 #[test]
 fn a_hall_that_was_taken_back_is_not_emptied_by_the_copy() -> Result {
--- a/crates/relay/tests/relay/standing.rs
+++ b/crates/relay/tests/relay/standing.rs
@@ -39,6 +39,7 @@
         in_force: Some(Version(version)),
         entry: Some(entry(version, era, number)),
         state: revision(era, state),
+        age: Some(ms(800)),
     }
 }
 
@@ -119,6 +120,29 @@
     Ok(())
 }
 
+/// Guards against a box that stood still for longer than the copy is old holding on to
+/// what it knew before that.
+#[test]
+fn what_is_older_than_any_copy_does_not_stand() -> Result {
+    let now = Instant::now();
+    let (before, within) = (known(60, 1, 43, 45), WAITS.rewrite);
+    for (age, stands) in [
+        (Some(ms(4_900)), true),
+        (Some(ms(5_100)), false),
+        (None, true),
+    ] {
+        let standing = Standing::default();
+        standing.hear(revision(1, 10), Before::default(), now);
+        standing.hear(revision(2, 39), Before { age, ..before }, now);
+        let hold = standing.hold_recent(within, now + ms(100));
+        ensure!(hold.is_some() == stands, "{age:?}: {hold:?}");
+        ensure!(standing.hold(within, now + ms(100)).is_some(), "{age:?}");
+        let over = standing.hold_recent(within, now + within);
+        ensure!(over.is_none(), "{age:?}: {over:?}");
+    }
+    Ok(())
+}
+
 #[test]
 fn an_era_begins_once_and_no_earlier_one_comes_back() -> Result {
     let now = Instant::now();
@@ -235,7 +259,12 @@
                 Step::Pass(time) => now += ms(time.into()),
                 Step::Look => {
                     let now_at = revision(era, history.len() as u64 - 1);
-                    let before = Before { in_force, entry: at, state };
+                    let before = Before {
+                        in_force,
+                        entry: at,
+                        state,
+                        age: None,
+                    };
                     standing.hear(now_at, before, now);
                     let stored = (last.0 > 0).then(|| entry(last.0, era, last.1));
                     let seen = in_force;
