Placed requests tell what their box knew of the fleet's load

`placed` gets `service`, `own`, `known`, `mean` and `counts_ms`; `tidepier_placements_total` tells by `bound` how many requests were sent over the operator's bound knowingly, `tidepier_counts_age_seconds` how old the counts were. Operations: from a crowded server to its cause. Nothing that is decided changes.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -81,8 +81,12 @@
     pub backend: Rc<Backend>,
     /// Its estimated cost in ms.
     pub cost: f64,
-    /// Estimated number of requests in flight at the server.
+    /// Estimated number of requests in flight at the server. For a plain service these are
+    /// the requests of this box only.
     pub load: f64,
+    /// What this box knows of the requests that all boxes have at the servers of the
+    /// service.
+    pub fleet_load: FleetLoad,
     /// Prompt tokens that the server is expected to prefill.
     pub prefill_tokens: f64,
     /// Time that the server may need to prefill the prompt if it caches only the parts that
@@ -98,6 +102,40 @@
     pub copy_from: Option<Rc<Backend>>,
 }
 
+/// What a box knows of the requests that all boxes have in flight at the servers of a
+/// service.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct FleetLoad {
+    /// Requests at the chosen server.
+    pub server: f64,
+    /// The mean over the servers of the service.
+    pub mean: f64,
+    /// Age of the other boxes' counts; `None` if there are none.
+    pub counts_age: Option<Duration>,
+}
+
+impl FleetLoad {
+    /// The load of a server of a plain service, by the counts of all boxes.
+    fn of_plain(server: &Backend, servers: &[Rc<Backend>], now: Instant) -> Self {
+        let load = |backend: &Backend| {
+            let counted = backend.total_in_flight(weight::COUNT_AGE_MAX, now);
+            f64::from(counted.unwrap_or_else(|| backend.in_flight()))
+        };
+        let sum: f64 = servers.iter().map(|backend| load(backend)).sum();
+        Self {
+            server: load(server),
+            mean: sum / servers.len().max(1) as f64,
+            counts_age: server.counts_age(now),
+        }
+    }
+
+    /// Whether the server has more requests than the operator's bound allows: `factor`
+    /// times the mean, and some more.
+    pub fn is_over_bound(&self, factor: f64) -> bool {
+        self.server > factor * self.mean + weight::BOUND_EXTRA
+    }
+}
+
 /// Returns the cheapest server of a service, or `None` if no server may get the request.
 pub fn choose(
     fleet: &Fleet,
@@ -125,9 +163,11 @@
             let open = servers
                 .iter()
                 .filter(|backend| is_open(backend, criteria, now));
-            cheapest(
+            let mut choice = cheapest(
                 open.map(|backend| rate_plain(backend, median_ms, criteria, mean_failures, now)),
-            )
+            )?;
+            choice.fleet_load = FleetLoad::of_plain(&choice.backend, &servers, now);
+            Some(choice)
         }
     }
 }
@@ -168,6 +208,7 @@
         backend: backend.clone(),
         cost,
         load,
+        fleet_load: FleetLoad::default(),
         prefill_tokens: 0.0,
         prefill_time: Duration::ZERO,
         rank: None,
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -10,7 +10,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
-use super::{cheapest, common_cost, is_open, weight, Choice, Criteria, EJECTED_MS};
+use super::{cheapest, common_cost, is_open, weight, Choice, Criteria, FleetLoad, EJECTED_MS};
 use crate::fleet::Backend;
 use crate::locations::Locations;
 
@@ -32,6 +32,8 @@
     own_tokens: f64,
     /// Load of each server.
     loads: Vec<f64>,
+    /// Mean load of all engines of the service.
+    mean_load: f64,
     load_bound: LoadBound,
     /// Median time to first token of these servers, in ms, if one is known.
     median_ms: Option<f64>,
@@ -83,6 +85,7 @@
             locations,
             own_tokens: f64::from(own),
             loads,
+            mean_load: mean,
             load_bound: LoadBound::new(criteria.crowd_factor, mean),
             median_ms: median_first_token_ms(servers, now),
             sample: sample(servers, criteria, now),
@@ -141,6 +144,11 @@
             backend: backend.clone(),
             cost: self.cost(shared, backend, load),
             load,
+            fleet_load: FleetLoad {
+                server: load,
+                mean: self.mean_load,
+                counts_age: backend.counts_age(self.now),
+            },
             rank: self.locations.rank(key),
             prefill_time: prefill_time(self.own_tokens + f64::from(missing.unconfirmed)),
             prefill_tokens: self.own_tokens + prefilled,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -18,10 +18,18 @@
 impl Exchange<'_> {
     /// Logs which server was chosen, with the figures behind the choice.
     pub(super) fn log_placement(&self, choice: &Choice) {
+        let load = choice.fleet_load;
+        let is_over = load.is_over_bound(self.relay.bounds().crowd_factor);
+        let against_bound = if is_over { "over" } else { "within" };
+        metrics::counter!("tidepier_placements_total", "bound" => against_bound).increment(1);
+        if let Some(age) = load.counts_age {
+            metrics::histogram!("tidepier_counts_age_seconds").record(age.as_secs_f64());
+        }
         log::info!(
             target: "request",
             "event=placed id={} content={} route={} account={} server={} try={} cost={:.0} load={:.0} \
-             shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={}",
+             shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
+             own={} known={:.0} mean={:.1} counts_ms={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -41,6 +49,11 @@
             self.relay.fleet.backing_off(&self.service, Instant::now()),
             self.relay.view.version(),
             self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
+            self.service,
+            choice.backend.in_flight(),
+            load.server,
+            load.mean,
+            load.counts_age.map_or(-1, |age| age.as_millis() as i64),
         );
     }
 
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -350,6 +350,12 @@
         recent.then(|| others.estimate_total(self.in_flight.get()))
     }
 
+    /// Age of the other boxes' counts; `None` if there are none.
+    pub fn counts_age(&self, now: Instant) -> Option<Duration> {
+        let others = self.others.get()?;
+        Some(now.saturating_duration_since(others.at))
+    }
+
     /// Requests running and waiting at the server by its last reported load, if that is
     /// younger than `max_age`, corrected by what this box has sent and finished since.
     pub fn load(&self, max_age: Duration) -> Option<u32> {
