A hot subject is divided at random between as many engines as its demand needs

Cause: all boxes read the same counts, 0.4 to 1.2 s old, and send the subject to the cheapest of the same few engines; when the counts tell, they leave it together for the next. Any weight keeps that, and so does a little chance.

Mend: the number of engines does not follow from loads, which the choices change, but from demand, which they do not. Each box counts its recent requests by service and subject; hubs sum the counts with those in flight (16 subjects of a box, 64 of a hall; a box is told of those alone that have an engine's mean share). From the share follows how many engines the subject needs so that each stays at 0.65 of the bound on the mean; a request goes to the better of two of these, drawn at random, so that no view, however old, gives one engine more than twice its part. A sudden rise shows in the gaps between a box's own requests. No server is looked at for it, so it holds with counts that are late or missing.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -9,13 +9,14 @@
 
 mod engine;
 pub mod filter;
+mod spread;
 mod weight;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use tidepier_clock::Instant;
-use tidepier_core::request::Prompt;
+use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
 
 use crate::fleet::{Backend, Fleet};
@@ -95,6 +96,9 @@
     pub prefill_time: Duration,
     /// The server's rank in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
+    /// Number of engines between which the requests about the prompt's subject are divided;
+    /// 0 if they are not.
+    pub divided: usize,
     /// Set when the server is cold: the time at which it may get the request. The request
     /// counts towards this box's share.
     pub admission_time: Option<Instant>,
@@ -115,20 +119,21 @@
 }
 
 impl FleetLoad {
-    /// The load of a server of a plain service, by the counts of all boxes.
-    fn of_plain(server: &Backend, servers: &[Rc<Backend>], now: Instant) -> Self {
-        let load = |backend: &Backend| {
-            let counted = backend.total_in_flight(weight::COUNT_AGE_MAX, now);
-            f64::from(counted.unwrap_or_else(|| backend.in_flight()))
-        };
-        let sum: f64 = servers.iter().map(|backend| load(backend)).sum();
+    /// The load of a server of a plain service, given the mean of its servers.
+    fn of_plain(server: &Backend, mean: f64, now: Instant) -> Self {
         Self {
-            server: load(server),
-            mean: sum / servers.len().max(1) as f64,
+            server: counted_load(server, now),
+            mean,
             counts_age: server.counts_age(now),
         }
     }
 
+    /// The mean load of the servers of a plain service.
+    fn mean_of_plain(servers: &[Rc<Backend>], now: Instant) -> f64 {
+        let sum: f64 = servers.iter().map(|it| counted_load(it, now)).sum();
+        sum / servers.len().max(1) as f64
+    }
+
     /// Whether the server has more requests than the operator's bound allows: `factor`
     /// times the mean, and some more.
     pub fn is_over_bound(&self, factor: f64) -> bool {
@@ -136,6 +141,12 @@
     }
 }
 
+/// Requests of all boxes in flight at a server; without recent counts, those of this box.
+fn counted_load(backend: &Backend, now: Instant) -> f64 {
+    let counted = backend.total_in_flight(weight::COUNT_AGE_MAX, now);
+    f64::from(counted.unwrap_or_else(|| backend.in_flight()))
+}
+
 /// Returns the cheapest server of a service, or `None` if no server may get the request.
 pub fn choose(
     fleet: &Fleet,
@@ -145,28 +156,38 @@
     now: Instant,
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
+    let emptied = fleet.emptied(service);
+    let spread = spread::Servers {
+        serving: servers.len(),
+        all: servers.len() + emptied.len(),
+        factor: criteria.crowd_factor,
+    };
     let mean_failures = mean_failure_rate(&servers, now);
     match criteria.prompt {
         Some(prompt) => {
             let candidate = |backend: &Backend| {
                 !criteria.tried.contains(&backend.server.id) && criteria.filter.admits(backend, now)
             };
-            let locations = Locations::new(fleet, service, prompt, index, &candidate, now);
+            let subject = prompt.subject();
+            let share = |part: &Part| index.demand.subject_share(service, part.id, now);
             let group = Group {
                 serving: &servers,
-                emptied: &fleet.emptied(service),
+                emptied: &emptied,
             };
+            let width = spread.width(subject.map_or(0.0, share));
+            let locations = Locations::new(fleet, service, prompt, index, width, &candidate, now);
             Engines::new(&group, criteria, prompt, &locations, mean_failures, now).cheapest()
         }
         None => {
             let median_ms = median_latency_ms(&servers);
+            let mean = FleetLoad::mean_of_plain(&servers, now);
             let open = servers
                 .iter()
                 .filter(|backend| is_open(backend, criteria, now));
             let mut choice = cheapest(
                 open.map(|backend| rate_plain(backend, median_ms, criteria, mean_failures, now)),
             )?;
-            choice.fleet_load = FleetLoad::of_plain(&choice.backend, &servers, now);
+            choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
             Some(choice)
         }
     }
@@ -212,6 +233,7 @@
         prefill_tokens: 0.0,
         prefill_time: Duration::ZERO,
         rank: None,
+        divided: 0,
         admission_time: criteria.filter.admission_time(backend, now),
         copy_from: None,
     }
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -11,7 +11,7 @@
 use tidepier_core::request::Prompt;
 
 use super::{cheapest, common_cost, is_open, weight, Choice, Criteria, FleetLoad, EJECTED_MS};
-use crate::fleet::Backend;
+use crate::fleet::{Backend, Key};
 use crate::locations::Locations;
 
 /// The engines of a service.
@@ -41,6 +41,8 @@
     mean_failures: f64,
     /// Indices of randomly sampled engines.
     sample: Vec<usize>,
+    /// Some of the engines between which the requests about the subject are divided.
+    divided: Option<Vec<Key>>,
     now: Instant,
 }
 
@@ -89,6 +91,9 @@
             load_bound: LoadBound::new(criteria.crowd_factor, mean),
             median_ms: median_first_token_ms(servers, now),
             sample: sample(servers, criteria, now),
+            divided: locations
+                .divided_between()
+                .map(|engines| fastrand::choose_multiple(engines.iter().copied(), SAMPLE_SIZE)),
             mean_failures,
             now,
         }
@@ -124,6 +129,9 @@
     /// over the load bound would all choose the same one, the engine that was idle last.
     fn is_compared(&self, index: usize) -> bool {
         let key = self.servers[index].key;
+        if let Some(divided) = &self.divided {
+            return divided.contains(&key);
+        }
         self.sample.contains(&index)
             || self.locations.rank(key).is_some()
             || self.locations.caches_any(key)
@@ -150,6 +158,7 @@
                 counts_age: backend.counts_age(self.now),
             },
             rank: self.locations.rank(key),
+            divided: self.locations.divided_between().map_or(0, <[Key]>::len),
             prefill_time: prefill_time(self.own_tokens + f64::from(missing.unconfirmed)),
             prefill_tokens: self.own_tokens + prefilled,
             admission_time: self.criteria.filter.admission_time(backend, self.now),
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -29,7 +29,7 @@
             target: "request",
             "event=placed id={} content={} route={} account={} server={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
-             own={} known={:.0} mean={:.1} counts_ms={}",
+             own={} known={:.0} mean={:.1} counts_ms={} divided={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -54,6 +54,7 @@
             load.server,
             load.mean,
             load.counts_age.map_or(-1, |age| age.as_millis() as i64),
+            choice.divided,
         );
     }
 
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -71,7 +71,7 @@
         let max_idle = self.max_idle(&backend);
         let connected = || {
             backend.window.reschedule(sent_at, Instant::now());
-            self.record_sent_prompt(&backend);
+            self.record_sent(&backend);
         };
         let dispatch = Dispatch {
             on_connected: &connected,
@@ -165,9 +165,13 @@
         refused.map_or(Ok(()), |left| Err(refusal::Kind::Crashing(left)))
     }
 
-    /// Records that a server gets the prompt and from now on probably has it in its
-    /// KV cache. Called once a connection is open: without one nothing was sent.
-    fn record_sent_prompt(&self, backend: &Backend) {
+    /// Records that a server gets the request and from now on probably has its prompt in
+    /// its KV cache. Called once a connection is open: without one nothing was sent.
+    fn record_sent(&self, backend: &Backend) {
+        let prompt = self.request.prompt.as_ref();
+        let subject = prompt.and_then(|prompt| prompt.subject());
+        let demand = &self.relay.traffic.index.demand;
+        demand.record(&self.service, subject.map(|part| part.id), Instant::now());
         if let Some(prompt) = &self.request.prompt {
             let traffic = &self.relay.traffic;
             traffic.sent(prompt, backend.key, Instant::now());
--- a/crates/relay/src/locations.rs
+++ b/crates/relay/src/locations.rs
@@ -25,6 +25,9 @@
 /// The same when other servers are known to cache the subject: boxes that avoid a server
 /// over the load bound then agree on the next one before they learn of each other's choice.
 const CACHED_BESIDE_HOLDERS: [f64; 3] = [0.5, 0.5, 0.25];
+/// The same for each of the servers between which a subject is divided: they have so many
+/// requests about it that the first is soon over.
+const CACHED_BY_SPREAD: f64 = 0.9;
 /// Number of tokens below which copying a KV cache is not worth its set-up time.
 const COPY_TOKENS_MIN: u32 = 200;
 
@@ -64,6 +67,9 @@
     /// this box does not avoid. Boxes that avoid the same servers agree on the
     /// replacements.
     first: Vec<Key>,
+    /// Whether the subject's requests are divided between more servers than overflow falls
+    /// to.
+    is_spread: bool,
     /// Probability that each of those caches the subject if no holder is known.
     likelihood: [f64; 3],
     /// The engines that others may copy from, those with the most parts first.
@@ -74,13 +80,15 @@
 }
 
 impl<'a> Locations<'a> {
-    /// Looks up where the parts of a prompt are cached; `candidate` tells whether the
-    /// request may be sent to a server, or sent there again.
+    /// Looks up where the parts of a prompt are cached. `width` is the number of servers
+    /// that share the requests about its subject; `candidate` tells whether the request may
+    /// be sent to a server, or sent there again.
     pub fn new(
         fleet: &Fleet,
         service: &ids::Service,
         prompt: &'a Prompt,
         index: &Index,
+        width: usize,
         candidate: &dyn Fn(&Backend) -> bool,
         now: Instant,
     ) -> Self {
@@ -90,7 +98,7 @@
         let first: Vec<Key> = order
             .serving()
             .filter(|backend| candidate(backend))
-            .take(CACHED_BY_RANK.len())
+            .take(width.max(CACHED_BY_RANK.len()))
             .map(|backend| backend.key)
             .collect();
         let likelihood = match holders_by_part.last() {
@@ -103,12 +111,19 @@
             holders_by_part,
             order,
             first,
+            is_spread: width > CACHED_BY_RANK.len(),
             likelihood,
             sources,
             seen_before: index.coverage.seen_before(),
         }
     }
 
+    /// The servers between which the requests about the subject are divided at random, if
+    /// they are more than overflow falls to.
+    pub fn divided_between(&self) -> Option<&[Key]> {
+        self.is_spread.then_some(&*self.first)
+    }
+
     /// A server's rank among the first of the order.
     pub fn rank(&self, server: Key) -> Option<usize> {
         self.first.iter().position(|first| *first == server)
@@ -131,7 +146,11 @@
 
     /// Tokens of the prompt's shared parts that a server is expected not to cache.
     pub fn missing_tokens(&self, server: Key) -> Missing {
-        let likelihood = self.rank(server).map_or(0.0, |rank| self.likelihood[rank]);
+        let likelihood = match self.rank(server) {
+            None => 0.0,
+            Some(_) if self.is_spread => CACHED_BY_SPREAD,
+            Some(rank) => self.likelihood[rank],
+        };
         let cached_parts = self.cached_parts(server);
         let source_parts = self.largest_source(server, cached_parts);
         let source_parts = source_parts.map_or(cached_parts, |source| source.parts);
--- a/crates/relay/src/message/mod.rs
+++ b/crates/relay/src/message/mod.rs
@@ -23,7 +23,7 @@
     /// Changes in the store; the answer is a [`follow::Answer`].
     Follow(follow::Request),
     /// Requests in flight; the answer is a [`traffic::Answer`].
-    Traffic(traffic::Request),
+    Traffic(Box<traffic::Request>),
     /// Prompt parts that engines have cached; the answer is a [`recall::Answer`].
     Recall(recall::Request),
 }
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -5,6 +5,7 @@
 use crate::crash::table;
 use crate::fleet::Count;
 use crate::rollout::{self, evidence};
+use crate::traffic::demand::Summary;
 use crate::traffic::log::{Placement, Position};
 
 /// The kind of sender of a request.
@@ -48,6 +49,12 @@
     /// New observations of request contents during which servers crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<table::Row>,
+    /// Recent requests of the counted boxes by service and subject.
+    #[serde(default, skip_serializing_if = "Summary::is_empty")]
+    pub demand: Summary,
+    /// Recent requests by service of all boxes of the receiver's hall.
+    #[serde(default, skip_serializing_if = "Summary::is_empty")]
+    pub hall_demand: Summary,
     /// Evidence from answers about the releases that services are being moved to.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<evidence::Row>,
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -111,7 +111,7 @@
             }
             PeerRequest::Traffic(request) => {
                 check_version(request.version)?;
-                let answer = session.answer(relay, connection.number, request);
+                let answer = session.answer(relay, connection.number, *request);
                 link::within(SEND_TIMEOUT, link::send(&conn, &answer)).await?;
             }
             PeerRequest::Recall(request) => {
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -22,6 +22,7 @@
 use crate::message::traffic::{Answer, Report, Request, Requester};
 use crate::message::{PeerRequest, VERSION};
 use crate::relay::Relay;
+use crate::traffic::demand::Summary;
 use crate::traffic::log::{Batch, Peer, Position};
 use crate::traffic::tally::{Baseline, Totals};
 
@@ -37,6 +38,9 @@
 /// of its clients, and the busiest box 170 instead of 184.
 const COUNTS_MAX: usize = 48;
 
+/// Most subjects in one message of which recent requests are reported.
+const SUBJECTS_MAX: usize = 64;
+
 /// Most request contents in an answer to a box: 1 KB, and so 2.6 KB a second while
 /// hundreds of servers crash at once; none in normal operation (calculated, at 33 bytes
 /// for a content with two crashes).
@@ -83,6 +87,11 @@
 
     fn apply_report(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.received.apply(report.boxes, &report.counts);
+        self.received.demand = report.demand.frequent(0.0, SUBJECTS_MAX);
+        if !report.hall_demand.is_empty() {
+            let demand = &relay.traffic.index.demand;
+            demand.set_hall(report.hall_demand.clone(), Instant::now());
+        }
         relay.crashes.merge_rows(&report.crashes, Instant::now());
         relay.merge_rollouts(&from, report);
         relay.merge_traffic(from, self.received.clone(), &report.rows, report.omitted);
@@ -113,6 +122,13 @@
                 )
             }
         };
+        let (demand, hall_demand) = match request.requester {
+            Requester::Box => (
+                relay.relevant_demand(&sum.demand),
+                relay.traffic.index.demand.hall_summary(now),
+            ),
+            Requester::Hub => (sum.demand.frequent(0.0, SUBJECTS_MAX), Summary::default()),
+        };
         // A content with a single crash matters to hubs only: they combine what their
         // boxes and other hubs saw.
         let crashes = match request.requester {
@@ -131,6 +147,8 @@
                     Requester::Hub => relay.rollouts.evidence.of_hall(now),
                 },
                 rollouts: relay.rollouts_to_report(now),
+                demand,
+                hall_demand,
                 ..self.report(&sum, max_counts, placements, crashes)
             },
         }
@@ -164,6 +182,7 @@
             }
             None => {
                 relay.traffic.set_hub(true);
+                relay.update_hall_demand();
                 let pause = async {
                     Timer::after(REPORT_INTERVAL).await;
                 };
@@ -259,6 +278,7 @@
                 let crashes = session.crashes(relay, table::Scope::All, HUB_CRASHES_MAX);
                 let report = Report {
                     trials: relay.rollouts.evidence.of_hall(Instant::now()),
+                    demand: sum.demand.clone(),
                     ..session.report(&sum, usize::MAX, placements, crashes)
                 };
                 (report, Some(reported))
@@ -290,7 +310,7 @@
 
 async fn send_request(conn: &mut Conn, request: Request) -> Result<Answer, Error> {
     let number = request.number;
-    link::send(conn, &PeerRequest::Traffic(request)).await?;
+    link::send(conn, &PeerRequest::Traffic(Box::new(request))).await?;
     let answer: Answer = link::within(ANSWER_TIMEOUT, link::receive(conn)).await?;
     if answer.version != VERSION || answer.number != number {
         let why = format!("version {}, number {}", answer.version, answer.number);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,11 +19,14 @@
 use crate::message::traffic::Report;
 use crate::rollout::{self, Rollouts};
 use crate::stop::{Phase, Stop};
+use crate::traffic::demand::Summary;
 use crate::traffic::log::{Peer, Placement};
 use crate::traffic::tally::Totals;
 use crate::traffic::Traffic;
 use crate::view::View;
 
+/// Most subjects of which a box is told how many requests there are.
+const SUBJECTS_MAX: usize = 16;
 /// Number of boxes assumed until they have been counted.
 const BOXES_DEFAULT: usize = 12;
 
@@ -211,6 +214,24 @@
         let others = self.traffic.others(None, now);
         self.fleet
             .set_peer_in_flight(&others.requests, others.boxes, now);
+        self.traffic.index.demand.set_others(others.demand, now);
+    }
+
+    /// While this box is the hub of its hall: sums the recent requests of the hall's boxes.
+    pub fn update_hall_demand(&self) {
+        let now = Instant::now();
+        let demand = &self.traffic.index.demand;
+        demand.set_others(self.traffic.others(None, now).demand, now);
+        let mut sum = self.traffic.members_demand(now);
+        sum.add(&demand.services(now));
+        demand.set_hall(sum, now);
+    }
+
+    /// The recent requests of some boxes, as far as they matter to a box that places
+    /// requests: subjects with less than the mean share of a server are left out.
+    pub fn relevant_demand(&self, summary: &Summary) -> Summary {
+        let min_share = 1.0 / self.fleet.len().max(1) as f64;
+        summary.frequent(min_share, SUBJECTS_MAX)
     }
 
     /// Merges a peer's report on rollouts.
@@ -244,7 +265,7 @@
         target: &Release,
         now: Instant,
     ) -> u32 {
-        let totals = self.with_own(self.traffic.others(None, now));
+        let totals = self.with_own(self.traffic.others(None, now), now);
         let servers = self.fleet.known(service);
         let others = servers
             .iter()
@@ -255,18 +276,19 @@
 
     /// Requests in flight from this box and the boxes that report to it.
     pub fn in_flight_in_subtree(&self, now: Instant) -> Totals {
-        self.with_own(self.traffic.members(now))
+        self.with_own(self.traffic.members(now), now)
     }
 
     /// Requests in flight from all boxes known to this one, except `except`.
     pub fn in_flight_excluding(&self, except: &Peer, now: Instant) -> Totals {
-        self.with_own(self.traffic.others(Some(except), now))
+        self.with_own(self.traffic.others(Some(except), now), now)
     }
 
-    fn with_own(&self, mut totals: Totals) -> Totals {
+    fn with_own(&self, mut totals: Totals, now: Instant) -> Totals {
         totals.add(&Totals {
             boxes: 1,
             requests: self.fleet.running(),
+            demand: self.traffic.index.demand.summary(now),
         });
         totals
     }
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -16,6 +16,7 @@
 use tidepier_core::request::{Part, Prompt};
 
 use super::coverage::Coverage;
+use super::demand::Demand;
 use crate::fleet::Key;
 
 /// Capacity of the index in parts, the most recently used ones. At 20 requests a second of
@@ -90,6 +91,8 @@
     parts: RefCell<LruCache<u64, Vec<Holder>>>,
     /// How much of the fleet's placements this box learns of.
     pub coverage: Coverage,
+    /// How many requests there are about which subject.
+    pub demand: Demand,
 }
 
 impl Default for Index {
@@ -98,6 +101,7 @@
             created: Instant::now(),
             parts: RefCell::new(LruCache::new(PARTS_MAX)),
             coverage: Coverage::default(),
+            demand: Demand::default(),
         }
     }
 }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -8,10 +8,12 @@
 //!
 //! * [`index`]: which engines cache which parts; [`coverage`]: how much of that a box
 //!   learns of.
+//! * [`demand`]: how many requests there are about which subject, and in which hall.
 //! * [`log`]: placements to be reported.
 //! * [`tally`]: counts of requests in flight.
 
 pub mod coverage;
+pub mod demand;
 pub mod index;
 pub mod log;
 pub mod tally;
@@ -23,6 +25,7 @@
 use tidepier_core::request::Prompt;
 
 use crate::fleet::Key;
+use demand::Summary;
 use index::Index;
 use log::{Batch, Log, Peer, Placement, Position};
 use tally::{Tally, Totals};
@@ -102,6 +105,11 @@
         self.tally.members(now)
     }
 
+    /// Recent requests of the members, by service.
+    pub fn members_demand(&self, now: Instant) -> Summary {
+        self.tally.members_demand(now)
+    }
+
     /// Returns a new number for a box that starts to send requests to this one.
     pub fn next_member_number(&self) -> u64 {
         self.last_member_number
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -16,6 +16,7 @@
 
 use crate::fleet::{Count, Key};
 
+use super::demand::Summary;
 use super::log::Peer;
 
 /// Age after which a report is ignored: several times the interval between reports.
@@ -31,6 +32,8 @@
     pub boxes: u32,
     /// Requests by server; servers without requests may be missing.
     pub requests: HashMap<Key, u32>,
+    /// Their recent requests by service and subject.
+    pub demand: Summary,
 }
 
 impl Totals {
@@ -41,6 +44,7 @@
             let sum = self.requests.entry(*server).or_default();
             *sum = sum.saturating_add(*requests);
         }
+        self.demand.add(&other.demand);
     }
 
     /// Subtracts counts that were added before.
@@ -55,6 +59,7 @@
                 self.requests.remove(server);
             }
         }
+        self.demand.subtract(&other.demand);
     }
 
     /// Applies the changes that another box sent.
@@ -155,6 +160,18 @@
         expired.iter().for_each(|peer| self.leave(peer));
     }
 
+    /// Recent requests of the members, by service.
+    pub fn members_demand(&self, now: Instant) -> Summary {
+        self.drop_expired(now);
+        let mut sum = Summary::default();
+        for (peer, report) in &*self.reports.borrow() {
+            if peer.is_member() {
+                sum.add_services(&report.sum.demand);
+            }
+        }
+        sum
+    }
+
     /// The sum of the reports of the members, which send requests to this box.
     ///
     pub fn members(&self, now: Instant) -> Totals {
--- a/crates/relay/tests/relay/choice_harness.rs
+++ b/crates/relay/tests/relay/choice_harness.rs
@@ -104,6 +104,7 @@
             &self.service,
             prompt,
             &self.index,
+            1,
             &candidate,
             now,
         )
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -272,7 +272,7 @@
             let (fleet, index) = (&relay.fleet, &relay.traffic.index);
             let service = SERVICE.parse()?;
             let now = tidepier_clock::Instant::now();
-            let locations = Locations::new(fleet, &service, &prompt, index, &|_| true, now);
+            let locations = Locations::new(fleet, &service, &prompt, index, 1, &|_| true, now);
             Ok(locations.missing_tokens(Key::new(&id)).tokens())
         };
         let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -9,6 +9,7 @@
 use tidepier_h1::Conn;
 use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::message::{link, recall, traffic, PeerRequest, VERSION};
+use tidepier_relay::traffic::demand::{Service, Subject, Summary};
 use tidepier_relay::traffic::log::{Placement, Position};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Server, Settings};
@@ -18,7 +19,9 @@
 use crate::box_harness::{self, site_with_keys, TestBox};
 use crate::choice_harness::id;
 use crate::faulty_readers::wait_until_closed;
-use crate::harness::{ms, post, run, stream_server_settings, wait_until, Executor, Result};
+use crate::harness::{
+    ms, post, run, stream_server_settings, wait_until, Executor, Result, SERVICE,
+};
 
 /// Time within which all boxes know of one box's placement: three requests at intervals of
 /// 0.4 s, and as much again on a busy machine.
@@ -229,6 +232,13 @@
         let boxes = halls(&executor, &site).await?;
         let open = || Conn::open(boxes[0].peer, ms(500), ms(30_000));
         let server = Key::new(&id("no-such-server")?);
+        let service = Service::new(&id(SERVICE)?);
+        let demand = Summary {
+            services: [(service, u32::MAX)].into(),
+            subjects: (0..1_000)
+                .map(|part| (Subject::new(service, part), u32::MAX))
+                .collect(),
+        };
         let report_request = |version| traffic::Request {
             version,
             number: 1,
@@ -242,13 +252,19 @@
                 }],
                 rows: (0..10_000).map(|part| Placement { part, server }).collect(),
                 omitted: u32::MAX,
+                demand: demand.clone(),
+                hall_demand: demand.clone(),
                 crashes: Vec::new(),
                 trials: Vec::new(),
                 rollouts: None,
             },
         };
         let mut other = open().await?;
-        link::send(&other, &PeerRequest::Traffic(report_request(VERSION + 1))).await?;
+        link::send(
+            &other,
+            &PeerRequest::Traffic(Box::new(report_request(VERSION + 1))),
+        )
+        .await?;
         wait_until_closed(&mut other).await?;
         let mut other = open().await?;
         let wrong = recall::Request {
@@ -260,7 +276,11 @@
         let mut connections = Vec::new();
         for _ in 0..2 {
             let mut connection = open().await?;
-            link::send(&connection, &PeerRequest::Traffic(report_request(VERSION))).await?;
+            link::send(
+                &connection,
+                &PeerRequest::Traffic(Box::new(report_request(VERSION))),
+            )
+            .await?;
             let answer: traffic::Answer = link::receive(&mut connection).await?;
             ensure!(answer.number == 1, "{answer:?}");
             connections.push(connection);
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -16,6 +16,7 @@
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Choice, Criteria};
 use tidepier_relay::fleet::{Fleet, InFlight, Key};
+use tidepier_relay::traffic::demand::Summary;
 use tidepier_relay::traffic::index::Index;
 use tidepier_relay::traffic::tally::{Baseline, Totals};
 
@@ -35,6 +36,8 @@
 const COUNTS: usize = 48;
 /// Maximum number of placements in one message.
 const PLACEMENTS: usize = 64;
+/// Maximum number of subjects in one message.
+const SUBJECTS_REPORTED: usize = 16;
 /// The hot subject.
 const HOT: u64 = 7_777;
 /// Subjects beside the hot one, for each engine.
@@ -54,7 +57,6 @@
     /// Model engines.
     Engines,
     /// Servers of a plain service that work on six requests at once.
-    #[expect(dead_code, reason = "the next tests use it")]
     Plain,
 }
 
@@ -220,6 +222,7 @@
 #[derive(Default)]
 struct Snapshot {
     held: Vec<u32>,
+    demand: Vec<Summary>,
     /// New uses of subjects: the subject, the engine and the box.
     placements: Vec<(u64, Key, usize)>,
 }
@@ -436,20 +439,29 @@
     /// Sends each box what all others reported some time ago.
     fn exchange_reports(&mut self, now: Instant) {
         let reports = self.plan.reports;
+        let demand = self.boxes.iter().map(|it| it.index.demand.summary(now));
         self.past.push_back(Snapshot {
             held: self.held.clone(),
+            demand: demand.collect(),
             placements: std::mem::take(&mut self.placements),
         });
         if self.past.len() <= reports.age {
             return;
         }
         let known = self.past.pop_front().unwrap_or_default();
+        let (all, halls) = sums(&known.demand, self.plan.halls);
+        let all = all.frequent(1.0 / self.servers.len() as f64, SUBJECTS_REPORTED);
         let count = self.boxes.len();
         for (number, sim_box) in self.boxes.iter_mut().enumerate() {
             if reports.deaf > 0 && number.is_multiple_of(reports.deaf) {
                 continue;
             }
             report(sim_box, &known.held, &self.keys, count, now);
+            let mut others = all.clone();
+            others.subtract(&known.demand[number]);
+            let demand = &sim_box.index.demand;
+            demand.set_others(others, now);
+            demand.set_hall(halls[sim_box.hall_number].clone(), now);
             if reports.placements {
                 let newest = known.placements.iter().rev().take(PLACEMENTS);
                 for (subject, key, from) in newest.rev() {
@@ -470,11 +482,14 @@
         let server = self.number_by_key[&choice.backend.key];
         self.judge(server, now);
         let index = &self.boxes[number].index;
-        if self.plan.kind == Kind::Engines {
+        if self.plan.kind != Kind::Plain {
             if index.record_local(&prompt, choice.backend.key, now) {
                 self.placements.push((subject, choice.backend.key, number));
             }
+            index.demand.record(&self.service, Some(subject), now);
             self.count_tokens(server, subject, &choice);
+        } else {
+            index.demand.record(&self.service, None, now);
         }
         self.held[server] += 1;
         self.runs.push(Run {
@@ -502,7 +517,7 @@
     fn choose(&self, number: usize, prompt: &Prompt, now: Instant) -> Option<Choice> {
         let sim_box = &self.boxes[number];
         let criteria = Criteria {
-            prompt: (self.plan.kind == Kind::Engines).then_some(prompt),
+            prompt: (self.plan.kind != Kind::Plain).then_some(prompt),
             copy_ms: Some(0.002),
             tried: &[],
             filter: Filter::default(),
@@ -547,6 +562,17 @@
     }
 }
 
+/// The sum of all boxes' recent requests, and the sum for each hall.
+fn sums(demand: &[Summary], halls: usize) -> (Summary, Vec<Summary>) {
+    let mut all = Summary::default();
+    let mut by_hall = vec![Summary::default(); halls];
+    for (number, summary) in demand.iter().enumerate() {
+        all.add(summary);
+        by_hall[number % halls].add_services(summary);
+    }
+    (all, by_hall)
+}
+
 /// Sends a box the counts of all other boxes as of some time ago.
 fn report(sim_box: &mut SimBox, held: &[u32], keys: &[Key], boxes: usize, now: Instant) {
     let own = sim_box.fleet.running();
@@ -558,6 +584,7 @@
     let sum = Totals {
         boxes: others,
         requests: all.filter(|(_, requests)| *requests > 0).collect(),
+        ..Totals::default()
     };
     let changes = sim_box.sent.changes(&sum, COUNTS);
     sim_box.received.apply(others, &changes);
--- a/crates/relay/tests/relay/traffic_tally.rs
+++ b/crates/relay/tests/relay/traffic_tally.rs
@@ -19,7 +19,11 @@
 fn sum(boxes: u32, counts: &[(u32, u32)]) -> Result<Totals> {
     let counts = counts.iter().map(|(server, n)| Ok((key(*server)?, *n)));
     let requests = counts.collect::<Result<_>>()?;
-    Ok(Totals { boxes, requests })
+    Ok(Totals {
+        boxes,
+        requests,
+        ..Totals::default()
+    })
 }
 
 #[test]
