The mean load of engines comes from the boxes' counts

Cause: the mean that the bound refers to came from the loads that engines report with answers, alone. Without such a report the mean was 0, so that every engine with more than two requests counted as over the bound, and all boxes left theirs for the few that looked idle in the same old counts.

Mend: the mean is that of the counts, which are of all engines at one time; of reported loads only without counts.

--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -212,32 +212,34 @@
     Duration::from_secs_f64(tokens / weight::PREFILL_TOKENS_PER_MS / 1e3)
 }
 
-/// Returns the load of each server, and the mean over the reachable ones. A server without
-/// a recent report is given the mean.
+/// Returns the load of each server, and the mean over the reachable ones. A server of which
+/// nothing is known is given the mean. The mean is that of the boxes' counts, which are
+/// of all servers at one time; without counts, that of the loads that servers reported.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
-    let counted = |backend: &Rc<Backend>| {
-        backend
-            .total_in_flight(weight::COUNT_AGE_MAX, now)
-            .map(f64::from)
+    let known = |of: &dyn Fn(&Backend) -> Option<u32>| -> Vec<Option<f64>> {
+        servers.iter().map(|it| of(it).map(f64::from)).collect()
     };
-    let reported: Vec<Option<f64>> = servers
-        .iter()
-        .map(|backend| backend.load(weight::LOAD_AGE_MAX).map(f64::from))
-        .collect();
-    let reachable = servers
-        .iter()
-        .zip(&reported)
-        .filter(|(backend, _)| backend.is_healthy(now));
-    let known: Vec<f64> = reachable.filter_map(|(_, reported)| *reported).collect();
-    let mean = known.iter().sum::<f64>() / known.len().max(1) as f64;
-    let or_mean = |(backend, reported): (&Rc<Backend>, Option<f64>)| {
-        let known = reported
-            .into_iter()
-            .chain(counted(backend))
-            .reduce(f64::max);
+    let counted = known(&|it| it.total_in_flight(weight::COUNT_AGE_MAX, now));
+    let reported = known(&|it| it.load(weight::LOAD_AGE_MAX));
+    let mean_of = |loads: &[Option<f64>]| {
+        let all = servers.iter().zip(loads);
+        let reachable = all.filter(|(backend, _)| backend.is_healthy(now));
+        mean(reachable.filter_map(|(_, load)| *load))
+    };
+    let mean = mean_of(&counted).or_else(|| mean_of(&reported));
+    let mean = mean.unwrap_or(0.0);
+    let or_mean = |((backend, counted), reported): ((&Rc<Backend>, &Option<f64>), Option<f64>)| {
+        let known = reported.into_iter().chain(*counted).reduce(f64::max);
         known.unwrap_or_else(|| mean.max(f64::from(backend.in_flight())))
     };
-    (servers.iter().zip(reported).map(or_mean).collect(), mean)
+    let all = servers.iter().zip(&counted).zip(reported);
+    (all.map(or_mean).collect(), mean)
+}
+
+/// The mean of some loads; `None` if there are none.
+fn mean(loads: impl Iterator<Item = f64>) -> Option<f64> {
+    let (count, sum) = loads.fold((0, 0.0), |(count, sum), load| (count + 1, sum + load));
+    (count > 0).then(|| sum / f64::from(count))
 }
 
 /// The mean load of all engines, given the mean of the engines with a known load. Engines
--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -15,7 +15,7 @@
 use eyre::{ensure, eyre};
 
 use crate::harness::Result;
-use crate::spread_harness::{play, Hot, Outcome, Plan, Reports, EXCEEDING_MAX};
+use crate::spread_harness::{play, Hot, Kind, Outcome, Plan, Reports, EXCEEDING_MAX};
 
 /// Seeds of the plans that are played in CI.
 const SEEDS: [u64; 2] = [17, 18];
@@ -121,6 +121,23 @@
                 ..fleet()
             },
         ),
+        (
+            "engines that report no load",
+            Plan {
+                kind: Kind::SilentEngines,
+                reports: reports(2, 0, true),
+                ..fleet()
+            },
+        ),
+        (
+            "engines that report no load, no hot subject",
+            Plan {
+                kind: Kind::SilentEngines,
+                reports: reports(2, 0, true),
+                hot: Hot::NONE,
+                ..fleet()
+            },
+        ),
         (
             "boxes that stand still",
             Plan {
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -54,8 +54,10 @@
 /// The kind of servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Kind {
-    /// Model engines.
+    /// Model engines that report their load with each answer.
     Engines,
+    /// Model engines that do not.
+    SilentEngines,
     /// Servers of a plain service that work on six requests at once.
     Plain,
 }
@@ -423,6 +425,7 @@
                 };
                 backend.record_load(load, run.end);
             }
+            Kind::SilentEngines => {}
             Kind::Plain => backend.health.record_latency(run.end - run.sent, run.end),
         }
         drop(run.running);
@@ -506,7 +509,7 @@
     fn run_time(&self, server: usize) -> Duration {
         let held = self.held[server];
         match self.plan.kind {
-            Kind::Engines => RUN_TIME + RUN_MORE * held,
+            Kind::Engines | Kind::SilentEngines => RUN_TIME + RUN_MORE * held,
             Kind::Plain => {
                 let waiting = held.saturating_sub(PLAIN_SLOTS);
                 PLAIN_TIME.mul_f64(0.5 + fastrand::f64()) + PLAIN_TIME * waiting / PLAIN_SLOTS
