--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -88,6 +88,18 @@
     }
 }
 
+/// 78 boxes of three halls before three servers of a plain service, with `rate` requests a
+/// second each. Halls are a `round_trip` apart.
+fn plain(rate: f64, round_trip: u64) -> Plan {
+    Plan {
+        kind: Kind::Plain,
+        halls: 3,
+        rate,
+        round_trip: Duration::from_millis(round_trip),
+        ..Plan::new(78, 3)
+    }
+}
+
 /// What boxes know of each other: late, in part, or a while ago.
 fn plans_by_knowledge() -> Plans {
     vec![
@@ -201,6 +213,65 @@
     ]
 }
 
+/// Each box gets its first request about the subject before any could tell the others.
+fn plans_of_first_requests() -> Plans {
+    vec![
+        (
+            "three in 5 after three seconds",
+            Plan {
+                hot: Hot {
+                    from: Duration::from_secs(3),
+                    ..Hot::share(3, 5)
+                },
+                time: Duration::from_secs(8),
+                settling: Duration::from_secs(3),
+                reports: reports(2, 0, true),
+                ..fleet()
+            },
+        ),
+        (
+            "no reports at all, from the start",
+            Plan {
+                reports: reports(2, 1, false),
+                ..fleet()
+            },
+        ),
+        (
+            "all boxes start again",
+            Plan {
+                restart: Some(Duration::from_secs(3)),
+                time: Duration::from_secs(8),
+                settling: Duration::from_secs(3),
+                ..fleet()
+            },
+        ),
+    ]
+}
+
+/// Callers of one hall that send most or all requests to a plain service.
+fn plans_of_a_plain_service() -> Plans {
+    let one_hall = |rate, round_trip, share| Plan {
+        first_hall: Some(share),
+        ..plain(rate, round_trip)
+    };
+    vec![
+        ("even, near", plain(65.0, 1)),
+        ("even, far", plain(100.0, 40)),
+        ("one hall, near", one_hall(65.0, 1, 1.0)),
+        ("one hall, 40 ms", one_hall(65.0, 40, 1.0)),
+        ("one hall, 80 ms", one_hall(65.0, 80, 1.0)),
+        ("one hall, 80 ms, busy", one_hall(110.0, 80, 1.0)),
+        ("most of one hall", one_hall(100.0, 80, 0.7)),
+        (
+            "one hall, no reports",
+            Plan {
+                reports: reports(2, 1, false),
+                ..one_hall(100.0, 80, 1.0)
+            },
+        ),
+    ]
+}
+
 #[test]
 fn no_engine_is_overloaded_by_boxes_that_all_see_it_idle() -> Result {
     within_bound(Hot::NONE)
@@ -225,6 +296,19 @@
     all_within_bound(&plans_by_demand())
 }
 
+/// Guards against boxes that all send their first request about a subject to the same engine.
+#[test]
+fn first_requests_of_all_boxes_crowd_no_engine() -> Result {
+    all_within_bound(&plans_of_first_requests())
+}
+
+/// Guards against boxes of a hall that all stay with the hall's server, as another hall is
+/// far away.
+#[test]
+fn no_plain_server_is_crowded_by_the_callers_of_its_hall() -> Result {
+    all_within_bound(&plans_of_a_plain_service())
+}
+
 /// Prints all plans with five seeds each, and some of large fleets.
 #[test]
 #[ignore = "takes minutes; the others play a part of it"]
@@ -245,6 +329,8 @@
     ];
     plans.extend(plans_by_knowledge());
     plans.extend(plans_by_demand());
+    plans.extend(plans_of_first_requests());
+    plans.extend(plans_of_a_plain_service());
     println!("| plan | worst share over the bound | seeds over 0.03 | tokens prefilled again, copied a request |");
     println!("| --- | --- | --- | --- |");
     for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &TABLE_SEEDS)?) {
