Callers of one hall are served beyond its plain servers before these are over the bound

Cause: a box compares answer times and its own requests in flight, of which it has none or one. Where another hall is far, all boxes of a hall stay with the hall's servers until these queue for longer than the way takes. That holds for all of them at once, so it is no matter of counts. The way counts twice: in the answer time and by itself.

Mend: boxes know their hall's share of the requests for a service and the fleet's (demand, from the hubs). With even halls nothing changes.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -157,8 +157,10 @@
 ) -> Option<Choice> {
     let servers = fleet.serving(service);
     let emptied = fleet.emptied(service);
+    let near = servers.iter().filter(|it| it.server.hall == *criteria.hall);
     let spread = spread::Servers {
         serving: servers.len(),
+        near: near.count(),
         all: servers.len() + emptied.len(),
         factor: criteria.crowd_factor,
     };
@@ -179,20 +181,45 @@
             Engines::new(&group, criteria, prompt, &locations, mean_failures, now).cheapest()
         }
         None => {
-            let median_ms = median_latency_ms(&servers);
             let mean = FleetLoad::mean_of_plain(&servers, now);
-            let open = servers
-                .iter()
-                .filter(|backend| is_open(backend, criteria, now));
-            let mut choice = cheapest(
-                open.map(|backend| rate_plain(backend, median_ms, criteria, mean_failures, now)),
-            )?;
+            let near_share = match index.demand.hall_share(service, now) {
+                Some(hall_share) => spread.near_share(hall_share, mean),
+                None if index.demand.is_busy(service, now) => spread.near_share(1.0, f64::INFINITY),
+                None => 1.0,
+            };
+            let stays_near = fastrand::f64() < near_share;
+            let mut choice = choose_plain(&servers, stays_near, criteria, mean_failures, now)?;
             choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
             Some(choice)
         }
     }
 }
 
+/// Returns the cheapest server of a plain service. A request that does not stay near goes
+/// to another hall, if there is a server that this box has no reason to avoid.
+fn choose_plain(
+    servers: &[Rc<Backend>],
+    stays_near: bool,
+    criteria: &Criteria<'_>,
+    mean_failures: f64,
+    now: Instant,
+) -> Option<Choice> {
+    let median_ms = median_latency_ms(servers);
+    let open = || {
+        let open = servers.iter().filter(|it| is_open(it, criteria, now));
+        open.map(|it| rate_plain(it, median_ms, criteria, mean_failures, now))
+    };
+    let is_alternative = |choice: &Choice| {
+        let backend = &choice.backend;
+        backend.server.hall != *criteria.hall
+            && !criteria.tried.contains(&backend.server.id)
+            && !criteria.filter.is_cold(backend, now)
+            && is_sound(backend, mean_failures, now)
+    };
+    let far = open().filter(|choice| !stays_near && is_alternative(choice));
+    cheapest(far).or_else(|| cheapest(open()))
+}
+
 fn cheapest(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
     choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
 }
@@ -239,6 +266,14 @@
     }
 }
 
+/// Whether this box has no reason to avoid a server, apart from its distance and load.
+fn is_sound(backend: &Backend, mean_failures: f64, now: Instant) -> bool {
+    let health = &backend.health;
+    backend.is_healthy(now)
+        && health.failure_rate(now) <= mean_failures + FAILING_SLACK
+        && health.recent_rejections(now) < 1.0
+}
+
 /// Mean recent failure rate of the servers of a service. Failures that all servers share
 /// are no reason to prefer one of them.
 fn mean_failure_rate(servers: &[Rc<Backend>], now: Instant) -> f64 {
