Two requests of a box about one subject show a rise only beyond chance

Cause: with six boxes, eight requests of a box are a large part of all, and a usual subject comes twice among them in 4 of 100 cases. A gap counts now only if it is no chance (1 in 100) by the subject's known share, or if that share already is a whole engine's part.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -171,7 +171,11 @@
                 !criteria.tried.contains(&backend.server.id) && criteria.filter.admits(backend, now)
             };
             let subject = prompt.subject();
-            let share = |part: &Part| index.demand.subject_share(service, part.id, now);
+            let share = |part: &Part| {
+                index
+                    .demand
+                    .subject_share(service, part.id, spread.all, now)
+            };
             let group = Group {
                 serving: &servers,
                 emptied: &emptied,
--- a/crates/relay/src/traffic/demand.rs
+++ b/crates/relay/src/traffic/demand.rs
@@ -27,6 +27,8 @@
 /// Most requests of a service between two about the same subject that count as a sign of
 /// its share.
 const GAP_MAX: u64 = 8;
+/// Probability up to which two such requests are no chance.
+const CHANCE_MAX: f64 = 0.01;
 /// Most subjects that this box remembers.
 const SUBJECTS_MAX: NonZeroUsize = NonZeroUsize::new(512).unwrap();
 /// Most subjects that a box reports: at 12 bytes each, less than the counts in the same
@@ -285,30 +287,37 @@
 
     /// The share of a service's recent requests that is about a subject, from 0 to 1. `part`
     /// is the last shared part of its prompts.
-    pub fn subject_share(&self, service: &ids::Service, part: u64, now: Instant) -> f64 {
+    pub fn subject_share(
+        &self,
+        service: &ids::Service,
+        part: u64,
+        servers: usize,
+        now: Instant,
+    ) -> f64 {
         let service = Service::new(service);
         let subject = Subject::new(service, part);
         let requests = self.services.borrow().get(&service).copied();
         let known = self.subjects.borrow().peek(&subject).copied();
         let all = requests.map_or(0.0, |it| it.count.value_at(now));
         let about = known.map_or(0.0, |it| it.count.value_at(now));
-        // Of requests with a share of 1 in n, every n-th one is about the subject. This shows
-        // a sudden rise before others report it.
         let gap = requests
             .zip(known)
             .map(|(requests, known)| requests.total - known.last + 1);
-        let by_gap = gap
-            .filter(|gap| *gap <= GAP_MAX)
-            .map_or(0.0, |gap| 1.0 / gap as f64);
         let others = self.others.borrow();
-        let others = others.as_ref().filter(|it| it.is_recent(now));
-        let (others_all, others_about) = others.map_or((0.0, 0.0), |others| {
-            let summary = &others.summary;
-            let all = requests_in(&summary.services, &service);
-            (all, requests_in(&summary.subjects, &subject))
-        });
+        let Some(others) = others.as_ref().filter(|it| it.is_recent(now)) else {
+            let share = about / all.max(REQUESTS_MIN);
+            return share.max(rise(gap, 0.0)).min(1.0);
+        };
+        let others_all = requests_in(&others.summary.services, &service);
+        let others_about = requests_in(&others.summary.subjects, &subject);
         let share = (about + others_about) / (all + others_all).max(REQUESTS_MIN);
-        share.max(by_gap).min(1.0)
+        // A subject with the requests of a whole server is no usual one.
+        let usual = if share * (servers as f64) < 1.0 {
+            share
+        } else {
+            0.0
+        };
+        share.max(rise(gap, usual)).min(1.0)
     }
 
     /// Whether this box gets so many requests for a service that its choices matter to the
@@ -343,6 +352,16 @@
     counts.filter(|(_, units)| *units > 0).collect()
 }
 
+/// The share that two requests of this box about the same subject show that are `gap` requests
+/// of the service apart: of requests with a share of 1 in n, every n-th one is about the
+/// subject. It shows a sudden rise before other boxes report it. 0 if the gap may be chance,
+/// given the subject's usual share.
+fn rise(gap: Option<u64>, usual: f64) -> f64 {
+    let gap = gap.filter(|gap| *gap <= GAP_MAX).map(|gap| gap as f64);
+    let gap = gap.filter(|gap| gap * usual < CHANCE_MAX);
+    gap.map_or(0.0, |gap| 1.0 / gap)
+}
+
 fn requests_in<K: Eq + Hash>(summary: &HashMap<K, u32>, key: &K) -> f64 {
     summary
         .get(key)
