--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod crash_harness;
 mod crashes;
 mod crashing;
+mod demand;
 mod emptied_halls;
 mod entries;
 mod era_state;
