Test: boxes of all halls learn the demand

With real routers of two halls: twelve requests of one box about one subject; all three boxes, of both halls, know the subject's share and their hall's share of the service.

--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -7,6 +7,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::request::Part;
 use tidepier_h1::Conn;
+use tidepier_ids as ids;
 use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::message::{link, recall, traffic, PeerRequest, VERSION};
 use tidepier_relay::traffic::demand::{Service, Subject, Summary};
@@ -224,6 +225,36 @@
     })
 }
 
+/// Guards against boxes that divide a subject or a hall's requests by their own requests alone.
+#[test]
+fn boxes_of_all_halls_learn_the_demand() -> Result {
+    run(async |executor| {
+        let site = site_with_keys()?;
+        let engines = engines(&site)?;
+        let boxes = halls(&executor, &site).await?;
+        for _ in 0..12 {
+            ask_about(&boxes[1], 1).await?;
+        }
+        let engine: ids::Server = id(&engines[0].settings().id)?;
+        let shares = |test_box: &TestBox| -> Result<(f64, Option<f64>)> {
+            let relay = test_box.router.relay();
+            let backend = relay.fleet.get(&engine);
+            let backend = backend.ok_or_else(|| eyre!("{engine} is not known"))?;
+            let (service, demand) = (&backend.server.service, &relay.traffic.index.demand);
+            let now = Instant::now();
+            let share = demand.subject_share(service, subject(1).id, engines.len(), now);
+            Ok((share, demand.hall_share(service, now)))
+        };
+        wait_until("known to all", async || {
+            let all = boxes.iter().map(shares).collect::<Result<Vec<_>>>()?;
+            let subject_is_hot = all.iter().all(|(subject, _)| *subject > 0.5);
+            let halls: Vec<f64> = all.iter().filter_map(|(_, hall)| *hall).collect();
+            Ok(subject_is_hot && matches!(*halls, [a, b, c] if a > 0.9 && b > 0.9 && c < 0.1))
+        })
+        .await
+    })
+}
+
 #[test]
 fn a_nonsensical_report_does_no_harm() -> Result {
     run(async |executor| {
