Soak: most streams about one subject, before many servers

The soak judged the load of servers, but with four boxes, three servers and no prompts it could not see boxes that crowd one server by the same old counts. `--hot-subject`: sixteen boxes, twelve servers of streams, three in five streams about one subject, beside all faults of the seed (links delayed, silenced, cut; processes killed, frozen, restarted).

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -49,6 +49,9 @@
     /// Also restores the store from older backups.
     #[arg(long)]
     returns: bool,
+    /// Makes most streams be about one subject, with sixteen boxes and more servers.
+    #[arg(long)]
+    hot_subject: bool,
     /// Number of boxes in place of the one that the seeds determine; faults affect up to
     /// the first four. There is a proxy between each two boxes, so that 60 boxes open 3,540
     /// ports.
@@ -149,6 +152,7 @@
         suspensions: arguments.suspensions,
         words: arguments.words,
         returns: arguments.returns,
+        hot_subject: arguments.hot_subject,
         boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -41,6 +41,8 @@
 const PEER_PORT: u16 = 20_711;
 const CLIENT_PORT: u16 = 20_712;
 const READY_PORT: u16 = 20_713;
+/// Number of further servers of streams with a hot subject.
+const HOT_SUBJECT_SERVERS: usize = 9;
 /// Servers of each of the two services at the start.
 const SERVERS_PER_SERVICE: usize = 3;
 /// Number of keys that are valid at any time.
@@ -142,6 +144,11 @@
             fleet.add_server(PLAIN)?;
             fleet.add_server(STREAM)?;
         }
+        if schedule.hot_subject {
+            for _ in 0..HOT_SUBJECT_SERVERS {
+                fleet.add_server(STREAM)?;
+            }
+        }
         fleet.change_keys(0);
         fleet.add_mark()?;
         for (box_index, peer) in peers.iter().enumerate() {
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -13,11 +13,12 @@
 use smol::{Task, Timer};
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::site::HOST;
-use tidepier_relay_standin::Client;
+use tidepier_relay_standin::{names, Client};
 
 use crate::fleet::Fleet;
 use crate::ledger::{self, Fact, Request, Traffic};
 use crate::plan;
+use crate::schedule::Schedule;
 
 /// Bound on the clients of each box.
 const CLIENTS_PER_BOX: usize = 6;
@@ -31,6 +32,12 @@
 const CONNECT_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time-out for reading surplus bytes on a connection without a request in flight.
 const SURPLUS_TIMEOUT: Duration = Duration::from_millis(100);
+/// Share of the streams that are about the hot subject, and the number of other subjects.
+const HOT_SHARE: f64 = 0.6;
+const SUBJECTS: u64 = 60;
+/// Tokens of a subject, and of the part that belongs to one request only.
+const SHARED_TOKENS: u32 = 2_000;
+const OWN_TOKENS: u32 = 80;
 /// Share of the requests that are sent over a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
 
@@ -43,7 +50,7 @@
 
 impl Load {
     /// Starts clients at all boxes.
-    pub fn start(fleet: &Arc<Fleet>, seed: u64) -> Self {
+    pub fn start(fleet: &Arc<Fleet>, schedule: &Schedule) -> Self {
         let stopped = Arc::new(AtomicBool::new(false));
         let next_number = Arc::new(AtomicU64::new(0));
         let (mut clients, mut idle_connections) = (Vec::new(), Vec::new());
@@ -51,7 +58,7 @@
         for box_index in 0..fleet.box_count() {
             for client in 0..per_box {
                 let stream = (box_index * per_box + client) as u64;
-                let mut rng = ChaCha8Rng::seed_from_u64(seed);
+                let mut rng = ChaCha8Rng::seed_from_u64(schedule.seed);
                 rng.set_stream(stream + 1);
                 let client_task = ClientTask {
                     fleet: fleet.clone(),
@@ -59,6 +66,7 @@
                     next_number: next_number.clone(),
                     stopped: stopped.clone(),
                     rng,
+                    hot_subject: schedule.hot_subject,
                     client: None,
                 };
                 clients.push(smol::spawn(client_task.run()));
@@ -101,6 +109,8 @@
     next_number: Arc<AtomicU64>,
     stopped: Arc<AtomicBool>,
     rng: ChaCha8Rng,
+    /// Whether streams have prompts, most of them about one subject.
+    hot_subject: bool,
     client: Option<Client>,
 }
 
@@ -125,6 +135,9 @@
         if let Some(key) = &key {
             call = call.key(key);
         }
+        if self.hot_subject && matches!(traffic, Traffic::Resumable | Traffic::Single) {
+            call = call.with(names::PROMPT, &self.prompt());
+        }
         if self.rng.random_bool(NEW_CONNECTION_SHARE) {
             self.client = None;
         }
@@ -150,6 +163,16 @@
         self.fleet.ledger.record_ended(number, Some(answer));
     }
 
+    /// The parts of a stream's prompt: a subject that others share, and a question.
+    fn prompt(&mut self) -> String {
+        let subject = match self.rng.random_bool(HOT_SHARE) {
+            true => 0,
+            false => self.rng.random_range(1..=SUBJECTS),
+        };
+        let own: u64 = self.rng.random();
+        format!("{subject:x}:{SHARED_TOKENS},{own:x}:{OWN_TOKENS}")
+    }
+
     /// Returns the kept connection if it is still open, otherwise a new one.
     async fn connected(&mut self) -> Option<Client> {
         if let Some(mut client) = self.client.take() {
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,8 @@
     pub words: bool,
     /// Whether the store is restored from backups in addition.
     pub returns: bool,
+    /// Whether most streams are about one subject, before more boxes and servers.
+    pub hot_subject: bool,
     /// Number of boxes in place of the one that the seed determines.
     pub boxes: Option<usize>,
 }
@@ -110,6 +112,9 @@
     if options.returns {
         schedule = schedule.with_returns();
     }
+    if options.hot_subject {
+        schedule = schedule.with_hot_subject();
+    }
     if let Some(boxes) = options.boxes {
         schedule = schedule.with_boxes(boxes);
     }
@@ -171,7 +176,7 @@
     let _monitor = smol::spawn(delay_monitor::watch(fleet.clone()));
     let _samples = smol::spawn(fleet.clone().sample_loads());
     let _backups = smol::spawn(fleet.clone().keep_backups());
-    let load = Load::start(fleet, schedule.seed);
+    let load = Load::start(fleet, schedule);
     Timer::after(WARM_UP).await;
     let levels: Vec<_> = (0..fleet.box_count())
         .map(|box_index| fleet.level(box_index))
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -32,6 +32,8 @@
 const CUT_OFF_MS: Range<u64> = 5_000..7_500;
 /// Time from the start of that outage to the removal.
 const CUT_OFF_LEAD: Duration = Duration::from_millis(300);
+/// Number of boxes with a hot subject: so many that each has few requests about it.
+const HOT_SUBJECT_BOXES: usize = 16;
 /// Number of emptied halls that [`Schedule::with_emptied_halls`] adds.
 const EMPTYINGS: usize = 3;
 /// Mixed into the seed, so that the emptied halls are chosen independently of the other
@@ -99,6 +101,8 @@
     pub boxes: usize,
     /// Number of halls that the boxes are spread over.
     pub halls: usize,
+    /// Whether most streams are about one subject, before many servers.
+    pub hot_subject: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -122,6 +126,7 @@
             seed,
             boxes,
             halls,
+            hot_subject: false,
             steps,
         }
     }
@@ -234,6 +239,14 @@
         Self { boxes, ..self }
     }
 
+    /// Makes most streams be about one subject, and adds boxes and servers.
+    pub fn with_hot_subject(self) -> Self {
+        Self {
+            hot_subject: true,
+            ..self.with_boxes(HOT_SUBJECT_BOXES)
+        }
+    }
+
     /// Adds steps. The faults that the seed determined before stay as they are.
     fn with_steps(self, more: impl Iterator<Item = Step>) -> Self {
         let mut steps = self.steps;
