--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -5,8 +5,8 @@
 use crate::crash::table;
 use crate::fleet::Count;
 use crate::rollout::{self, evidence};
-use crate::traffic::demand::Summary;
 use crate::traffic::log::{Placement, Position};
+use tidepier_admission::demand::Summary;
 
 /// The kind of sender of a request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -22,9 +22,9 @@
 use crate::message::traffic::{Answer, Report, Request, Requester};
 use crate::message::{PeerRequest, VERSION};
 use crate::relay::Relay;
-use crate::traffic::demand::Summary;
 use crate::traffic::log::{Batch, Peer, Position};
 use crate::traffic::tally::{Baseline, Totals};
+use tidepier_admission::demand::Summary;
 
 /// Time between two requests, and so the most that each of three hops adds to the age of
 /// a report: from a box over two hubs to another box.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -19,11 +19,11 @@
 use crate::message::traffic::Report;
 use crate::rollout::{self, Rollouts};
 use crate::stop::{Phase, Stop};
-use crate::traffic::demand::Summary;
 use crate::traffic::log::{Peer, Placement};
 use crate::traffic::tally::Totals;
 use crate::traffic::Traffic;
 use crate::view::View;
+use tidepier_admission::demand::Summary;
 
 /// Most subjects of which a box is told how many requests there are.
 const SUBJECTS_MAX: usize = 16;
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -16,8 +16,8 @@
 use tidepier_core::request::{Part, Prompt};
 
 use super::coverage::Coverage;
-use super::demand::Demand;
 use crate::fleet::Key;
+use tidepier_admission::demand::Demand;
 
 /// Capacity of the index in parts, the most recently used ones. At 20 requests a second of
 /// this box and 80 that are reported, these are the parts of more than a minute.
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -8,12 +8,12 @@
 //!
 //! * [`index`]: which engines cache which parts; [`coverage`]: how much of that a box
 //!   learns of.
-//! * [`demand`]: how many requests there are about which subject, and in which hall.
+//! * [`demand`](tidepier_admission::demand): how many requests there are about which
+//!   subject, and in which hall.
 //! * [`log`]: placements to be reported.
 //! * [`tally`]: counts of requests in flight.
 
 pub mod coverage;
-pub mod demand;
 pub mod index;
 pub mod log;
 pub mod tally;
@@ -21,11 +21,11 @@
 use std::cell::Cell;
 
 use serde::{Deserialize, Serialize};
+use tidepier_admission::demand::Summary;
 use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
 use crate::fleet::Key;
-use demand::Summary;
 use index::Index;
 use log::{Batch, Log, Peer, Placement, Position};
 use tally::{Tally, Totals};
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -16,8 +16,8 @@
 
 use crate::fleet::{Count, Key};
 
-use super::demand::Summary;
 use super::log::Peer;
+use tidepier_admission::demand::Summary;
 
 /// Age after which a report is ignored: several times the interval between reports.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
--- a/crates/relay/tests/relay/demand.rs
+++ b/crates/relay/tests/relay/demand.rs
@@ -3,9 +3,9 @@
 use std::time::Duration;
 
 use eyre::ensure;
+use tidepier_admission::demand::{Demand, Service, Subject, Summary};
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
-use tidepier_relay::traffic::demand::{Demand, Service, Subject, Summary};
 
 use crate::choice_harness::id;
 use crate::harness::{Result, SERVICE};
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -4,13 +4,13 @@
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_admission::demand::{Service, Subject, Summary};
 use tidepier_clock::Instant;
 use tidepier_core::request::Part;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 use tidepier_relay::fleet::{Count, Key};
 use tidepier_relay::message::{link, recall, traffic, PeerRequest, VERSION};
-use tidepier_relay::traffic::demand::{Service, Subject, Summary};
 use tidepier_relay::traffic::log::{Placement, Position};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Server, Settings};
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -8,6 +8,7 @@
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
+use tidepier_admission::demand::Summary;
 use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::request::Prompt;
@@ -16,7 +17,6 @@
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Choice, Criteria};
 use tidepier_relay::fleet::{Fleet, InFlight, Key};
-use tidepier_relay::traffic::demand::Summary;
 use tidepier_relay::traffic::index::Index;
 use tidepier_relay::traffic::tally::{Baseline, Totals};
 
