--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -107,6 +107,10 @@
     role_changed: Notifier,
     /// Whether this box, as the reader, follows the servers without a gap.
     servers_known: Cell<bool>,
+    /// Revision of the newest change of a server that this box itself read in the store.
+    last_read_change: Cell<Revision>,
+    /// Whether the box that this one follows last stated that it is in the grace period.
+    upstream_in_grace_period: Cell<bool>,
     /// Whether the local view has been confirmed at least once.
     confirmed_once: Cell<bool>,
     /// Whether the store is reachable, and whether a missing entry means that it was
@@ -151,6 +155,8 @@
             reads_store: Cell::new(false),
             role_changed: Notifier::default(),
             servers_known: Cell::new(false),
+            last_read_change: Cell::default(),
+            upstream_in_grace_period: Cell::new(false),
             confirmed_once: Cell::new(false),
             availability: Availability::default(),
             answered_at: Cell::new(None),
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -61,6 +61,8 @@
             stored: stored.unwrap_or_default().0,
             state: self.stored_state.get().number(),
             followed_ms: age.map(as_ms),
+            in_grace_period: self.in_grace_period()
+                || !self.reads_store.get() && self.upstream_in_grace_period.get(),
         }
     }
 
@@ -105,6 +107,27 @@
         self.emptied.list()
     }
 
+    /// Whether this box keeps its own watch of the store rather than follow the sender of
+    /// an answer, whose list of servers is older: the sender has not received a change
+    /// that this box read, or is in the grace period after an outage, in which it acts on
+    /// deletions up to 2.2 s late, where 2 s are allowed in all. A box without a watch that
+    /// it can confirm follows the sender nevertheless, so that the boxes of a hall do not
+    /// all turn to the store when their reader is just back.
+    pub fn keeps_own_watch(&self, answer: &Answer) -> bool {
+        let (Some(status), Servers::Part(part)) = (answer.status, &answer.servers) else {
+            return false;
+        };
+        let own = self.advertised_status(Instant::now());
+        let watches = self.reads_store.get() && own.followed_ms.is_some() && !own.in_grace_period;
+        // An answer without a confirmation or of another era is handled as such.
+        let comparable = status.followed_ms.is_some() && status.era == own.era;
+        // A sender that follows a box of an older release states no complete list.
+        let complete = part.complete_revision();
+        let lacks_change = !complete.is_none() && complete < self.last_read_change.get();
+        let is_older = status.in_grace_period || lacks_change;
+        watches && comparable && is_older
+    }
+
     /// Time since the whole local view was confirmed current; `None` when it cannot be
     /// confirmed to others.
     pub fn shareable_age(&self, now: Instant) -> Option<Duration> {
@@ -203,6 +226,8 @@
             None => answer.in_era(era),
         };
         let emptied = answer.emptied.as_ref().ok_or(Error::Unconfirmed)?;
+        let in_grace_period = answer.status.is_some_and(|status| status.in_grace_period);
+        self.upstream_in_grace_period.set(in_grace_period);
         // The other box reads the store, so it is reachable again as far as this box
         // knows. This box may become a reader again much later.
         self.mark_reachable();
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -112,6 +112,7 @@
         let mut batch = Batch::new();
         for event in &read.value {
             self.apply_server_event(event, &mut batch);
+            self.record_read_change(event.revision());
         }
         batch.write();
         self.history.confirm(read.revision);
@@ -128,10 +129,18 @@
                 self.entry_removed(&id, revision, &mut batch);
             }
         }
+        items
+            .iter()
+            .for_each(|item| self.record_read_change(item.revision));
         self.history.confirm(revision);
         batch.write();
     }
 
+    fn record_read_change(&self, revision: Revision) {
+        let newest = self.last_read_change.get().max(revision);
+        self.last_read_change.set(newest);
+    }
+
     fn apply_server_event(&self, event: &Event, batch: &mut Batch) {
         let (key, revision) = (event.key(), event.revision());
         let applied = match event {
--- a/crates/relay/src/message/follow.rs
+++ b/crates/relay/src/message/follow.rs
@@ -144,6 +144,11 @@
     /// How long ago the sender knew everything in the store; `None`: it cannot confirm
     /// that it did.
     pub followed_ms: Option<u64>,
+    /// Whether a server whose entry is missing in the store may still count as present at
+    /// the sender, because the sender, or the box that it follows, is in the grace period
+    /// after an outage of the store. Senders of an older release do not state it.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub in_grace_period: bool,
 }
 
 impl Status {
--- a/crates/relay/src/message/link.rs
+++ b/crates/relay/src/message/link.rs
@@ -36,6 +36,8 @@
     Unconfirmed,
     /// The other box follows an earlier era of the store.
     StaleEra,
+    /// This box watches the store itself and has a newer list of servers.
+    OlderList,
 }
 
 impl fmt::Display for Error {
@@ -46,6 +48,7 @@
             Error::Malformed(why) => write!(f, "malformed frame: {why}"),
             Error::Unconfirmed => f.write_str("it cannot confirm that its data is current"),
             Error::StaleEra => f.write_str("it follows a stale era of the store"),
+            Error::OlderList => f.write_str("its list of servers is older than the own one"),
         }
     }
 }
--- a/crates/relay/src/peer/upstream.rs
+++ b/crates/relay/src/peer/upstream.rs
@@ -43,9 +43,9 @@
 const DOCUMENT_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Time for which a box is skipped after it failed.
 pub(super) const SKIP_TIME: Duration = Duration::from_secs(3);
-/// The same for a box that answers but cannot confirm that its data is current, while
-/// this box has just started: the other boxes may have just started too and need a
-/// moment.
+/// The same for a box that answers but will soon be able to serve this one: it cannot
+/// confirm that its data is current, while this box has just started, so that the other
+/// boxes may have just started too; or its data is older than this box's.
 pub(super) const UNCONFIRMED_SKIP_TIME: Duration = Duration::from_millis(400);
 /// Time for which a box counts as just started.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
@@ -147,8 +147,8 @@
     match error {
         _ if in_grace_period => UNCONFIRMED_SKIP_TIME,
         Error::Unconfirmed if started.elapsed() < STARTUP_TIME => UNCONFIRMED_SKIP_TIME,
-        // The other box will learn of the new era as this box did.
-        Error::StaleEra => UNCONFIRMED_SKIP_TIME,
+        // The other box will learn of the new era, or of the changes, as this box did.
+        Error::StaleEra | Error::OlderList => UNCONFIRMED_SKIP_TIME,
         _ => SKIP_TIME,
     }
 }
@@ -179,6 +179,9 @@
             number += 1;
             let sent_at = Instant::now();
             let mut answer = self.request_update(&mut conn, number).await?;
+            if self.follower.keeps_own_watch(&answer) {
+                return Err(Error::OlderList);
+            }
             let applied = self
                 .follower
                 .apply_partial_answer(&mut answer, &mut self.listing);
--- a/crates/relay/tests/relay/faulty_readers.rs
+++ b/crates/relay/tests/relay/faulty_readers.rs
@@ -9,12 +9,13 @@
 use futures_lite::FutureExt;
 use smol::{Task, Timer};
 use tidepier_core::catalog::Kind;
-use tidepier_core::era::Revision;
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::server::{Server, State};
 use tidepier_h1::{Conn, Listener};
 use tidepier_relay::emptied_halls::List;
-use tidepier_relay::message::follow::{Answer, Change, Position, Request, Row, Servers};
+use tidepier_relay::message::follow::{Answer, Change, Position, Request, Row, Servers, Status};
 use tidepier_relay::message::link;
+use tidepier_relay::message::part::Part;
 use tidepier_relay::message::{PeerRequest, VERSION};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server as stand_in;
@@ -22,7 +23,7 @@
 
 use crate::box_harness::{
     address, boxes_reading_store, ensure_served, register, site_with_keys, start_boxes,
-    start_boxes_with_reader, wait_for_readers, TestBox, FRESHNESS_CHECK_TIME,
+    start_boxes_with_reader, wait_for_readers, wait_until_ready, TestBox, FRESHNESS_CHECK_TIME,
 };
 use crate::harness::{self, ms, run, server_settings, wait_until, Executor, Result, SERVICE};
 
@@ -206,6 +207,62 @@
     })
 }
 
+/// Guards against a box that leaves its own watch for a reader whose list of servers is
+/// older than its own; once the reader has the change, the box follows it.
+#[test]
+fn a_box_with_its_own_watch_does_not_follow_a_reader_with_an_older_list() -> Result {
+    run(async |executor| {
+        let site = site_with_keys()?;
+        let server = site.server(server_settings(1))?;
+        let era = Era(site.store.era());
+        let revision_of = move |number| Revision::new(era, number);
+        let row = Row::new(&advertised(&server)?, revision_of(site.store.revision()));
+        let version = site.declare(&[]);
+        let text = site.store.value(names::CONFIG);
+        let text = text.ok_or_else(|| eyre!("no configuration"))?;
+        let revision = site.store.revision();
+        // The revision up to which the reader knows all servers, if it confirms its data.
+        let complete = Rc::new(Cell::new(None));
+        let known = complete.clone();
+        let outdated = move |request: &Request| {
+            let known = known.get();
+            let part = Part::new(revision_of(known.unwrap_or(1)), [row.clone()]);
+            let status = Status {
+                era: era.0,
+                first: 1,
+                settled: true,
+                in_force: version,
+                stored: version,
+                state: revision,
+                followed_ms: known.map(|_| 0),
+                in_grace_period: false,
+            };
+            let answer = Answer {
+                status: Some(status),
+                servers: Servers::Part(part),
+                ..confirming_answer(request, revision)
+            };
+            let document = (request.document < revision).then(|| text.clone());
+            Behavior::Answer(Box::new(answer), document)
+        };
+        let _reader = start_faulty_reader(&executor, &site, outdated)?;
+        let boxes = [TestBox::start(&executor, &site, "box-0", "hall-1", 5_000).await?];
+        wait_until_ready(&boxes).await?;
+        wait_until("known", async || Ok(boxes[0].knows(&server))).await?;
+        let later = site.server(server_settings(2))?;
+        let change = site.store.revision();
+        wait_until("known", async || Ok(boxes[0].knows(&later))).await?;
+        complete.set(Some(change - 1));
+        // Longer than a box is skipped that failed.
+        for _ in 0..5 {
+            let found = boxes_reading_store(&boxes, FRESHNESS_CHECK_TIME).await;
+            ensure!(found == [0], "the box left its watch");
+        }
+        complete.set(Some(change));
+        wait_for_readers(&boxes, &[]).await
+    })
+}
+
 /// The server as its entry advertises it.
 fn advertised(server: &stand_in::Server) -> Result<Server> {
     let settings = server.settings();
--- a/crates/relay/tests/relay/peer_answers.rs
+++ b/crates/relay/tests/relay/peer_answers.rs
@@ -18,6 +18,7 @@
     Answer, Change, Options, Position, Request, Row, Servers, Status,
 };
 use tidepier_relay::message::link::Error;
+use tidepier_relay::message::part::Part;
 use tidepier_relay::message::VERSION;
 use tidepier_relay::relay::{Bounds, Relay};
 
@@ -500,9 +501,39 @@
         stored: in_force,
         state: first,
         followed_ms: Some(0),
+        in_grace_period: false,
     }
 }
 
+/// Guards against a box that follows a follower of a reader in its grace period: that box
+/// knows of a deletion as late as the reader. A follower that does not state whether it is
+/// in one counts as if it were not, as one of an older release.
+#[test]
+fn a_follower_states_the_grace_period_of_its_reader() -> Result {
+    let (_, follower) = follower()?;
+    let answer = |in_grace_period| Answer {
+        status: Some(Status {
+            in_grace_period,
+            ..status(1, 40, 7)
+        }),
+        ..confirmed_answer(0, 40, Servers::Part(Part::default()))
+    };
+    for in_grace_period in [false, true, false] {
+        let sent = answer(in_grace_period);
+        ensure!(!follower.keeps_own_watch(&sent), "it has no watch");
+        deliver(&follower, sent, Some(document(7)), Instant::now())?;
+        let stated = follower.advertised_status(Instant::now());
+        ensure!(stated.followed_ms.is_some(), "{stated:?}");
+        ensure!(stated.in_grace_period == in_grace_period, "{stated:?}");
+        let mut message = serde_json::to_value(stated)?;
+        let is_stated = message.get("in_grace_period").is_some();
+        ensure!(is_stated == in_grace_period, "{message}");
+        message["in_grace_period"] = in_grace_period.into();
+        ensure!(serde_json::from_value::<Status>(message)? == stated);
+    }
+    Ok(())
+}
+
 /// Guards against answers of a stale era that arrive after those of a later one, and
 /// against answers without an era once there was more than one.
 #[test]
