--- a/crates/clock/src/sleep.rs
+++ b/crates/clock/src/sleep.rs
@@ -90,12 +90,14 @@
             if !rung && !resumed {
                 return Poll::Pending;
             }
-            if Instant::now() >= self.at {
-                return Poll::Ready(());
-            }
+            // A listener that has been notified must not be polled again, also not after
+            // the alarm has ended and is set to another moment.
             if resumed {
                 self.resumed = RESUMED.listen();
             }
+            if Instant::now() >= self.at {
+                return Poll::Ready(());
+            }
             let left = until(self.at);
             self.timer.set_after(left);
         }
--- a/crates/clock/tests/clock/main.rs
+++ b/crates/clock/tests/clock/main.rs
@@ -71,3 +71,28 @@
         assert!(Instant::now() >= sooner);
     });
 }
+
+/// A stream's time-out is set again when it fires while events still arrive. After a
+/// suspension that panicked, which ended the whole process.
+#[test]
+fn an_alarm_that_a_suspension_ended_is_set_again() {
+    smol::block_on(async {
+        let watched = async {
+            watch().await;
+        };
+        let suspended = async {
+            smol::Timer::after(Duration::from_millis(20)).await;
+            suspend(LONG);
+            std::future::pending().await
+        };
+        let waits = async {
+            let mut alarm = Alarm::new(Instant::now() + LONG);
+            (&mut alarm).await;
+            let again = Instant::now() + Duration::from_millis(20);
+            alarm.set_at(again);
+            (&mut alarm).await;
+            assert!(Instant::now() >= again);
+        };
+        smol::future::or(waits, smol::future::or(watched, suspended)).await;
+    });
+}
