--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -61,8 +61,9 @@
         self.0.get_ref().local_addr()
     }
 
-    /// The next connection. Data that the peer leaves unacknowledged for
-    /// `unacked` ends it.
+    /// The next connection. A peer that acknowledges nothing of what was sent, or has
+    /// no room for what is due to it, for `unacked` ends it: reads and writes then fail
+    /// with [`io::ErrorKind::TimedOut`].
     ///
     /// # Errors
     ///
@@ -112,6 +113,18 @@
         })
     }
 
+    /// Makes the connection accept no more bytes while about `bytes` of those written
+    /// have not been sent. Without it the system keeps some megabytes for a peer that
+    /// does not read. Bytes in flight are not limited, so that a peer that reads is
+    /// served at the same rate.
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_tcp_notsent_lowat(bytes)
+    }
+
     /// The writing half.
     pub fn writer(&self) -> Writer {
         Writer(self.stream.clone())
@@ -243,14 +256,32 @@
     }
 
     /// Writes some bytes; returns how many.
-    async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        loop {
+            if let Some(written) = self.try_write(bytes)? {
+                return Ok(written);
+            }
+            self.0.writable().await?;
+        }
+    }
+
+    /// Writes what the connection accepts without waiting; `None` when it accepts
+    /// nothing.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub fn try_write(&self, bytes: &[u8]) -> io::Result<Option<usize>> {
         loop {
             match self.0.get_ref().write(bytes) {
-                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-                    self.0.writable().await?;
-                }
+                Ok(written) => return Ok(Some(written)),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                other => return other,
+                Err(error) => return Err(error),
             }
         }
     }
--- /dev/null
+++ b/crates/relay/src/backlog.rs
@@ -0,0 +1,400 @@
+//! Bytes of answers that wait for their clients, over the whole box.
+//!
+//! An answer that is read completely before it is forwarded reserves memory while it is
+//! read and until its client has taken it; the reservations of all clients together stay
+//! within a limit. Events of streams need no reservation: a stream is read from its server
+//! no faster than its client takes it. They are counted only.
+//!
+//! Invariants:
+//!
+//! * Reservations exceed the limit by at most one answer, and by those of up to
+//!   [`SMALL_BYTES`], which never wait for memory.
+//! * While an answer waits for memory, the client that has taken nothing for longest is
+//!   cut, provided that this is at least [`SHORTAGE_STALL`]. A client that reads in time
+//!   is never cut.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, VecDeque};
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_lite::FutureExt;
+use tidepier_clock::Instant;
+use tidepier_h1::Writer;
+
+use crate::notifier::Notifier;
+use crate::timeout;
+
+/// Largest answer that never waits for memory, in bytes: the operating system takes as
+/// much at once for a client that has read its earlier answers.
+pub const SMALL_BYTES: usize = 64 << 10;
+/// Time without progress after which a client may be cut for another answer. A client
+/// that reads takes something within a few round trips.
+pub const SHORTAGE_STALL: Duration = Duration::from_millis(500);
+/// Interval at which an answer that waits for memory looks for a stalled client.
+const SHORTAGE_CHECK: Duration = Duration::from_millis(50);
+
+/// The bytes that wait for clients.
+pub struct Backlog {
+    limit: Cell<usize>,
+    reserved: Cell<usize>,
+    stream_bytes: Cell<usize>,
+    /// Whether a reservation exceeds the limit; at most one does.
+    exceeded: Cell<bool>,
+    next_id: Cell<u64>,
+    /// Answers that wait for memory, in the order of their arrival.
+    waiting: RefCell<VecDeque<u64>>,
+    /// Whole answers whose clients currently take nothing.
+    blocked: RefCell<BTreeMap<u64, Blocked>>,
+    changed: Notifier,
+}
+
+impl Default for Backlog {
+    /// A backlog without a limit.
+    fn default() -> Self {
+        Self {
+            limit: Cell::new(usize::MAX),
+            reserved: Cell::default(),
+            stream_bytes: Cell::default(),
+            exceeded: Cell::default(),
+            next_id: Cell::default(),
+            waiting: RefCell::default(),
+            blocked: RefCell::default(),
+            changed: Notifier::default(),
+        }
+    }
+}
+
+/// A whole answer whose client currently takes nothing.
+struct Blocked {
+    since: Instant,
+    reservation: Rc<State>,
+}
+
+/// The state of a reservation.
+#[derive(Default)]
+struct State {
+    bytes: Cell<usize>,
+    exceeds: Cell<bool>,
+    waited: Cell<Duration>,
+    evicted: Cell<bool>,
+    evict: Notifier,
+}
+
+/// Memory for one whole answer; freed when dropped.
+pub struct Reservation {
+    backlog: Rc<Backlog>,
+    state: Rc<State>,
+}
+
+/// Why an answer was not written completely.
+#[derive(Debug)]
+pub enum Cut {
+    /// The client closed or reset the connection.
+    Gone,
+    /// The client took nothing for its time-out, or no longer answers at all.
+    TimedOut(Stall),
+    /// The client took nothing while another answer needed the memory.
+    Evicted(Stall),
+}
+
+/// How a client stalled.
+#[derive(Debug, Clone, Copy)]
+pub struct Stall {
+    /// Bytes of the answer that the box still had for the client.
+    pub kept: usize,
+    /// Time for which the connection had accepted nothing.
+    pub time: Duration,
+}
+
+impl Backlog {
+    /// Sets the most bytes of whole answers.
+    pub fn set_limit(&self, bytes: usize) {
+        self.limit.set(bytes);
+        self.changed.notify();
+    }
+
+    /// Bytes that are reserved for whole answers.
+    pub fn reserved(&self) -> usize {
+        self.reserved.get()
+    }
+
+    /// Bytes of events that wait for the clients of streams.
+    pub fn stream_bytes(&self) -> usize {
+        self.stream_bytes.get()
+    }
+
+    /// An empty reservation.
+    pub fn reservation(self: &Rc<Self>) -> Reservation {
+        Reservation {
+            backlog: self.clone(),
+            state: Rc::default(),
+        }
+    }
+
+    /// Writes events of a stream; returns the time that it had to wait for the client.
+    ///
+    /// # Errors
+    ///
+    /// They were not written completely.
+    pub async fn write_events(&self, writer: &Writer, bytes: &[u8]) -> Result<Duration, Cut> {
+        let counted = Counted::new(self);
+        write(writer, &[bytes], |left, _| counted.set(left)).await
+    }
+
+    fn new_id(&self) -> u64 {
+        let id = self.next_id.get();
+        self.next_id.set(id + 1);
+        id
+    }
+
+    fn set_reserved(&self, bytes: usize) {
+        self.reserved.set(bytes);
+        metrics::gauge!("tidepier_client_bytes_kept", "kind" => "whole").set(bytes as f64);
+    }
+
+    /// Evicts clients that have taken nothing for [`SHORTAGE_STALL`], the longest first,
+    /// until there is room for `bytes`.
+    fn evict_stalled(&self, bytes: usize, now: Instant) {
+        let mut blocked = self.blocked.borrow_mut();
+        while self.reserved.get() + bytes > self.limit.get() {
+            let longest = blocked.iter().min_by_key(|(_, it)| it.since);
+            let Some((&id, longest)) = longest else {
+                return;
+            };
+            if now.saturating_duration_since(longest.since) < SHORTAGE_STALL {
+                return;
+            }
+            longest.reservation.evicted.set(true);
+            longest.reservation.evict.notify();
+            self.free(&longest.reservation);
+            blocked.remove(&id);
+        }
+    }
+
+    fn free(&self, reservation: &State) {
+        if reservation.exceeds.take() {
+            self.exceeded.set(false);
+        }
+        self.set_reserved(self.reserved.get() - reservation.bytes.take());
+        self.changed.notify();
+    }
+}
+
+impl Reservation {
+    /// Extends the reservation to `bytes`; waits for memory if it becomes larger than
+    /// [`SMALL_BYTES`].
+    pub async fn extend_to(&self, bytes: usize) {
+        let more = bytes.saturating_sub(self.state.bytes.get());
+        if more > 0 && bytes > SMALL_BYTES && !self.state.exceeds.get() {
+            self.wait_for_room(more).await;
+        }
+        self.state.bytes.set(self.state.bytes.get() + more);
+        self.backlog
+            .set_reserved(self.backlog.reserved.get() + more);
+    }
+
+    async fn wait_for_room(&self, more: usize) {
+        let backlog = &*self.backlog;
+        let turn = Turn::new(self);
+        while !(turn.is_first() && self.take_room(more)) {
+            timeout::within(SHORTAGE_CHECK, backlog.changed.wait()).await;
+        }
+    }
+
+    /// Whether there is room for `more` bytes, or the reservation may exceed the limit.
+    fn take_room(&self, more: usize) -> bool {
+        let backlog = &*self.backlog;
+        backlog.evict_stalled(more, Instant::now());
+        if backlog.reserved.get() + more <= backlog.limit.get() {
+            return true;
+        }
+        // Answers that are read in parts would wait for each other if each held a part
+        // and none could be completed.
+        let may_exceed = self.state.bytes.get() > 0 && !backlog.exceeded.get();
+        if may_exceed {
+            backlog.exceeded.set(true);
+            self.state.exceeds.set(true);
+        }
+        may_exceed
+    }
+
+    /// Time for which it has waited for memory.
+    pub fn waited(&self) -> Duration {
+        self.state.waited.get()
+    }
+
+    /// Reduces the reservation to `bytes`.
+    pub fn shrink_to(&self, bytes: usize) {
+        let less = self.state.bytes.get().saturating_sub(bytes);
+        self.state.bytes.set(self.state.bytes.get() - less);
+        self.backlog
+            .set_reserved(self.backlog.reserved.get() - less);
+        self.backlog.changed.notify();
+    }
+
+    /// Writes the parts of the answer.
+    ///
+    /// # Errors
+    ///
+    /// They were not written completely.
+    pub async fn write(&self, writer: &Writer, parts: &[&[u8]]) -> Result<(), Cut> {
+        let entry = BlockedEntry::new(self);
+        let left_bytes = Cell::new(0);
+        let since = Cell::new(Instant::now());
+        let written = write(writer, parts, |left, at| {
+            left_bytes.set(left);
+            since.set(at);
+            entry.set_since(at);
+        });
+        let evicted = async {
+            while !self.state.evicted.get() {
+                self.state.evict.wait().await;
+            }
+            Err(Cut::Evicted(Stall {
+                kept: left_bytes.get(),
+                time: since.get().elapsed(),
+            }))
+        };
+        written.or(evicted).await.map(|_| ())
+    }
+}
+
+impl Drop for Reservation {
+    fn drop(&mut self) {
+        self.backlog.free(&self.state);
+    }
+}
+
+/// The place of an answer among those that wait for memory, until it is dropped.
+struct Turn<'a> {
+    reservation: &'a Reservation,
+    id: u64,
+    start: Instant,
+}
+
+impl<'a> Turn<'a> {
+    fn new(reservation: &'a Reservation) -> Self {
+        let id = reservation.backlog.new_id();
+        let mut waiting = reservation.backlog.waiting.borrow_mut();
+        waiting.push_back(id);
+        Self {
+            reservation,
+            id,
+            start: Instant::now(),
+        }
+    }
+
+    fn is_first(&self) -> bool {
+        let waiting = self.reservation.backlog.waiting.borrow();
+        waiting.front() == Some(&self.id)
+    }
+}
+
+impl Drop for Turn<'_> {
+    fn drop(&mut self) {
+        let waited = &self.reservation.state.waited;
+        waited.set(waited.get() + self.start.elapsed());
+        let backlog = &self.reservation.backlog;
+        backlog.waiting.borrow_mut().retain(|id| *id != self.id);
+        backlog.changed.notify();
+    }
+}
+
+/// Lists an answer as blocked until it is dropped.
+struct BlockedEntry<'a> {
+    reservation: &'a Reservation,
+    id: u64,
+}
+
+impl<'a> BlockedEntry<'a> {
+    fn new(reservation: &'a Reservation) -> Self {
+        let id = reservation.backlog.new_id();
+        Self { reservation, id }
+    }
+
+    fn set_since(&self, since: Instant) {
+        let blocked = Blocked {
+            since,
+            reservation: self.reservation.state.clone(),
+        };
+        let mut all = self.reservation.backlog.blocked.borrow_mut();
+        all.insert(self.id, blocked);
+    }
+}
+
+impl Drop for BlockedEntry<'_> {
+    fn drop(&mut self) {
+        let mut all = self.reservation.backlog.blocked.borrow_mut();
+        all.remove(&self.id);
+    }
+}
+
+/// Counts the bytes of a stream that wait for its client, until it is dropped.
+struct Counted<'a> {
+    backlog: &'a Backlog,
+    bytes: Cell<usize>,
+}
+
+impl<'a> Counted<'a> {
+    fn new(backlog: &'a Backlog) -> Self {
+        let bytes = Cell::default();
+        Self { backlog, bytes }
+    }
+
+    fn set(&self, bytes: usize) {
+        let before = self.bytes.replace(bytes);
+        if before == bytes {
+            return;
+        }
+        let all = self.backlog.stream_bytes.get() - before + bytes;
+        self.backlog.stream_bytes.set(all);
+        metrics::gauge!("tidepier_client_bytes_kept", "kind" => "stream").set(all as f64);
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.set(0);
+    }
+}
+
+/// Writes all parts; calls `on_blocked` with the number of bytes left and the time since
+/// which nothing was accepted, whenever the connection accepts no more. Returns the time
+/// for which it accepted nothing.
+async fn write(
+    writer: &Writer,
+    parts: &[&[u8]],
+    on_blocked: impl Fn(usize, Instant),
+) -> Result<Duration, Cut> {
+    let mut waited = Duration::ZERO;
+    let mut kept: usize = parts.iter().map(|part| part.len()).sum();
+    for part in parts {
+        let mut left = *part;
+        while !left.is_empty() {
+            let mut stalled = Duration::ZERO;
+            let mut result = writer.try_write(left);
+            if let Ok(None) = result {
+                let since = Instant::now();
+                on_blocked(kept, since);
+                result = writer.write(left).await.map(Some);
+                stalled = since.elapsed();
+            }
+            let written = result.map_err(|error| cut(&error, kept, stalled))?;
+            let written = written.filter(|written| *written > 0).ok_or(Cut::Gone)?;
+            waited += stalled;
+            kept -= written;
+            left = &left[written..];
+        }
+    }
+    Ok(waited)
+}
+
+/// What a failed write says of the client.
+fn cut(error: &io::Error, kept: usize, time: Duration) -> Cut {
+    match error.kind() {
+        io::ErrorKind::TimedOut => Cut::TimedOut(Stall { kept, time }),
+        _ => Cut::Gone,
+    }
+}
--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -1,5 +1,6 @@
 //! Client connections: one task each, from the first byte to the end.
 
+use std::cell::Cell;
 use std::future;
 use std::io;
 use std::rc::Rc;
@@ -11,16 +12,18 @@
 use tidepier_clock::Instant;
 use tidepier_core::catalog::Limits;
 use tidepier_h1::{Body, Conn, Framing, Head, Listener, Malformed, Writer};
-use tidepier_platform::request as wire_request;
 
+use crate::backlog::Stall;
 use crate::exchange::{self, Disposition, IncomingRequest};
 use crate::refusal;
 use crate::relay::Relay;
 use crate::stop::Phase;
 use crate::timeout;
 
-/// Time after which a connection is closed whose client does not acknowledge data.
-const UNACKED_TIME: Duration = Duration::from_secs(8);
+/// Bytes that the operating system keeps for a client that does not read; what it cannot
+/// take stays with the box, where it is counted. More would be kept uncounted, fewer would
+/// wake the box more often for clients that read.
+const UNSENT_BYTES_MAX: u32 = 64 << 10;
 /// Bytes that a client may send before its answer is complete; beyond that, the box no
 /// longer notices that the client has closed its connection.
 const READ_AHEAD_MAX: usize = 64 << 10;
@@ -45,7 +48,13 @@
     loop {
         let accepted = async {
             wait_for_capacity(&relay).await;
-            Some(listener.accept(UNACKED_TIME).await)
+            // The system knows when a client last took something, however little, and
+            // ends its connection after this time.
+            let accepted = listener.accept(relay.bounds().client_timeout).await;
+            Some(accepted.and_then(|conn| {
+                conn.limit_unsent(UNSENT_BYTES_MAX)?;
+                Ok(conn)
+            }))
         };
         match accepted.or(closing.as_mut()).await {
             None => return,
@@ -83,14 +92,47 @@
 async fn serve(relay: &Relay, mut conn: Conn) {
     let _open = relay.stop.connection();
     let writer = conn.writer();
-    while request(relay, &mut conn, &writer).await == Disposition::Keep {}
+    let mut last = None;
+    while request(relay, &mut conn, &writer, &mut last).await == Disposition::Keep {}
+}
+
+/// The previous request of a connection.
+struct Last {
+    head: Head,
+    /// When its answer was written.
+    answered: Instant,
+}
+
+impl Last {
+    /// Logs that the connection timed out although nothing was left to write: the client
+    /// did not take what the system had for it, or is gone.
+    fn log_timed_out(&self) {
+        log::info!(
+            target: "request",
+            "event=client_lost id={} ms={}",
+            exchange::request_id(&self.head),
+            self.answered.elapsed().as_millis(),
+        );
+    }
 }
 
 /// Serves one request of a connection.
-async fn request(relay: &Relay, conn: &mut Conn, writer: &Writer) -> Disposition {
+async fn request(
+    relay: &Relay,
+    conn: &mut Conn,
+    writer: &Writer,
+    last: &mut Option<Last>,
+) -> Disposition {
     let limits = limits(relay);
-    if !first_byte(relay, conn, &limits).await {
-        return Disposition::Close;
+    match first_byte(relay, conn, &limits).await {
+        Ok(true) => {}
+        Ok(false) => return Disposition::Close,
+        Err(error) => {
+            if let Some(last) = last.as_ref().filter(|_| is_time_out(&error)) {
+                last.log_timed_out();
+            }
+            return Disposition::Close;
+        }
     }
     let _request = relay.stop.request();
     let head = match head(conn, &limits).await {
@@ -109,10 +151,14 @@
         body: &body,
         has_body,
         at,
+        answer_begun: Cell::default(),
     };
     let end = answer(relay, conn, &arrival, writer).await;
     match end {
-        Disposition::Keep => {}
+        Disposition::Keep => {
+            let answered = Instant::now();
+            *last = Some(Last { head, answered });
+        }
         Disposition::Close => {
             writer.finish();
             linger(conn).await;
@@ -135,20 +181,23 @@
     writer: &Writer,
 ) -> Disposition {
     let answered = async { Some(exchange::run(relay, arrival, writer).await) };
+    let timed_out = Cell::new(false);
     let client_left = async {
-        client_left(conn).await;
+        timed_out.set(client_left(conn).await == Ended::TimedOut);
         None
     };
-    answered.or(client_left).await.unwrap_or_else(|| {
-        metrics::counter!("tidepier_clients_left_total").increment(1);
-        let request = wire_request::decode(arrival.head);
-        log::info!(
-            target: "request",
-            "event=client_left id={} target={} ms={}",
-            request.as_ref().map_or("-", |request| &*request.attempt),
-            arrival.head.target(),
-            arrival.at.elapsed().as_millis()
-        );
+    let answered = answered.or(client_left).await;
+    answered.unwrap_or_else(|| {
+        if timed_out.get() && arrival.answer_begun.get() {
+            // The system's buffers held all that the box had for the client.
+            let stall = Stall {
+                kept: 0,
+                time: relay.bounds().client_timeout,
+            };
+            exchange::log_client_cut(arrival, "timeout", &stall);
+            return Disposition::Reset;
+        }
+        exchange::log_client_left(arrival);
         Disposition::Close
     })
 }
@@ -159,9 +208,9 @@
 }
 
 /// Waits for the first byte of a request; returns `false` if none comes.
-async fn first_byte(relay: &Relay, conn: &mut Conn, limits: &Limits) -> bool {
+async fn first_byte(relay: &Relay, conn: &mut Conn, limits: &Limits) -> io::Result<bool> {
     if !conn.pending().is_empty() {
-        return true;
+        return Ok(true);
     }
     let closing = async {
         relay.stop.wait_for_phase(Phase::Closing).await;
@@ -169,7 +218,13 @@
     };
     let read = async { Some(conn.fill().await) };
     let came = timeout::within(limits.idle_time, read.or(closing)).await;
-    matches!(came, Some(Some(Ok(1..))))
+    let read = came.flatten().transpose()?;
+    Ok(read.is_some_and(|read| read > 0))
+}
+
+/// Whether the system ended a connection whose peer took or acknowledged nothing.
+fn is_time_out(error: &io::Error) -> bool {
+    error.kind() == io::ErrorKind::TimedOut
 }
 
 /// Why a request was not read completely.
@@ -278,14 +333,24 @@
     timeout::within(LINGER_TIME, drain).await;
 }
 
-/// Returns when the client has closed its connection.
-async fn client_left(conn: &mut Conn) {
+/// How a client's connection ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Ended {
+    /// The client closed or reset it.
+    Closed,
+    /// The client took no bytes for its time-out, or no longer answers at all.
+    TimedOut,
+}
+
+/// Returns when the client's connection has ended.
+async fn client_left(conn: &mut Conn) -> Ended {
     loop {
         if conn.pending().len() > READ_AHEAD_MAX {
             return future::pending().await;
         }
         match conn.fill().await {
-            Ok(0) | Err(_) => return,
+            Err(error) if is_time_out(&error) => return Ended::TimedOut,
+            Ok(0) | Err(_) => return Ended::Closed,
             Ok(_) => {}
         }
     }
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -3,6 +3,7 @@
 //! Invariant: a request is refused because its route or account does not exist
 //! only while the catalog is fresh enough to prove that.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -72,6 +73,7 @@
         retry_charged: false,
         may_have_executed: false,
         fallback: None,
+        client_wait: Cell::default(),
     })
 }
 
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -4,15 +4,17 @@
 //! * `state`: the state of the request while it is handled.
 //! * `send`: chooses a server and sends the request there.
 //! * `stream`: forwards the answer to the client.
+//! * `deliver`: writes an answer that was read completely.
 //! * `retry`: decides whether the request is sent again, and how it is refused if not.
 //! * `report`: log lines, metrics and the health of servers.
 //!
 //! Invariant: a client gets exactly one final answer to a request: either a
 //! server's answer or a refusal by this box. The answer may end incomplete
-//! only after events of a stream have been forwarded.
+//! only after events of a stream have been forwarded, or if the client does not take it.
 
 mod admission;
 mod buffered;
+mod deliver;
 mod disposition;
 mod report;
 mod retry;
@@ -27,6 +29,8 @@
 
 pub use admission::deadline;
 pub use disposition::Disposition;
+pub(crate) use report::{log_client_cut, log_client_left};
+pub(crate) use state::request_id;
 use state::Exchange;
 pub use state::IncomingRequest;
 
@@ -102,9 +106,7 @@
     /// answer that a server gave earlier, if there is one, else with a refusal.
     async fn finish_without_server(&mut self, kind: refusal::Kind) -> Disposition {
         if let Some(answer) = self.fallback.take() {
-            let end = answer.deliver(self.writer, self.closes()).await;
-            self.log_answer(&answer.backend, answer.status, answer.first);
-            return end;
+            return self.deliver(answer).await;
         }
         let attempt = &self.request.attempt;
         refuse(self.relay, self.arrival, self.writer, kind, attempt).await
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -8,8 +8,10 @@
 use tidepier_clock::Instant;
 use tidepier_platform::answer;
 
-use super::state::Exchange;
+use super::disposition::Disposition;
+use super::state::{request_id, Exchange, IncomingRequest};
 use crate::attempt::{Cause, Executed, Failure};
+use crate::backlog::{Cut, Stall};
 use crate::choose::Choice;
 use crate::fleet::Backend;
 use crate::health;
@@ -76,7 +78,9 @@
             backend.record(outcome, Instant::now());
         }
         if let Some(outcome) = failure_evidence(&failure.cause) {
-            self.record_evidence(backend, outcome);
+            if !self.is_late_for_client(&failure.cause) {
+                self.record_evidence(backend, outcome);
+            }
         }
         if failure.cause.may_be_crash() {
             self.relay.crashes.suspects.add(backend, self.content);
@@ -113,6 +117,7 @@
             Cause::Ineligible(_) => None,
             Cause::Refused(answer::MISDIRECTED) => Some(health::Outcome::NotListening),
             Cause::Refused(_) => Some(health::Outcome::Succeeded),
+            cause if self.is_late_for_client(cause) => None,
             // The client's deadline may have been too short for any server.
             Cause::TimedOut => {
                 let waited = self.arrival.at.elapsed();
@@ -123,6 +128,30 @@
         }
     }
 
+    /// Whether the deadline was missed only because the answer waited for its client.
+    fn is_late_for_client(&self, cause: &Cause) -> bool {
+        let waited = self.client_wait.get();
+        matches!(cause, Cause::TimedOut) && Instant::now() < self.deadline + waited
+    }
+
+    /// Logs why an answer was not written completely, and ends it. A reset keeps the
+    /// answer from looking complete.
+    pub(super) fn end_cut(&self, cut: &Cut) -> Disposition {
+        match cut {
+            Cut::Gone => {
+                log_client_left(self.arrival);
+                return Disposition::Close;
+            }
+            Cut::TimedOut(stall) => {
+                // The system may have timed out before the box had to wait.
+                let time = stall.time.max(self.relay.bounds().client_timeout);
+                log_client_cut(self.arrival, "timeout", &Stall { time, ..*stall });
+            }
+            Cut::Evicted(stall) => log_client_cut(self.arrival, "memory", stall),
+        }
+        Disposition::Reset
+    }
+
     /// Time from the latest attempt to the beginning of the answer, less the time
     /// allowed for the prefill. `first` is the time from the request's arrival to that
     /// beginning. `None` if the answer began at an earlier server.
@@ -132,7 +161,7 @@
         Some(took.saturating_sub(self.last_attempt.prefill_time))
     }
 
-    /// Records that an answer was forwarded completely. `first` is the time from
+    /// Records that a server has sent its answer completely. `first` is the time from
     /// the request's arrival to the beginning of the answer.
     pub(crate) fn record_answer(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
         let outcome = if status >= 500 {
@@ -148,7 +177,6 @@
             backend.health.record_latency(took, Instant::now());
             self.record_evidence(backend, self.answer_evidence(backend, status, took));
         }
-        self.log_answer(backend, status, first);
     }
 
     /// The rollout evidence of a complete answer whose beginning took `first`.
@@ -160,7 +188,8 @@
                 first,
                 whole: now
                     .saturating_duration_since(self.last_attempt.at)
-                    .saturating_sub(self.last_attempt.prefill_time),
+                    .saturating_sub(self.last_attempt.prefill_time)
+                    .saturating_sub(self.client_wait.get()),
                 cold: self
                     .cold
                     .is_some_and(|cold| backend.is_cold(cold.time, now)),
@@ -214,6 +243,31 @@
     }
 }
 
+/// Logs and counts a client that was cut as it took nothing.
+pub(crate) fn log_client_cut(arrival: &IncomingRequest<'_>, why: &'static str, stall: &Stall) {
+    log::warn!(
+        target: "request",
+        "event=client_cut id={} why={why} kept={} stalled_ms={} ms={}",
+        request_id(arrival.head),
+        stall.kept,
+        stall.time.as_millis(),
+        arrival.at.elapsed().as_millis(),
+    );
+    metrics::counter!("tidepier_clients_cut_total", "why" => why).increment(1);
+}
+
+/// Logs and counts a client that closed its connection before its answer was complete.
+pub(crate) fn log_client_left(arrival: &IncomingRequest<'_>) {
+    log::info!(
+        target: "request",
+        "event=client_left id={} target={} ms={}",
+        request_id(arrival.head),
+        arrival.head.target(),
+        arrival.at.elapsed().as_millis()
+    );
+    metrics::counter!("tidepier_clients_left_total").increment(1);
+}
+
 fn class(status: u16) -> &'static str {
     match status {
         200..=299 => "2xx",
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -1,5 +1,6 @@
 //! The state of one request while it is handled.
 
+use std::cell::Cell;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -8,7 +9,7 @@
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
-use tidepier_platform::answer;
+use tidepier_platform::{answer, request as wire_request};
 
 use super::buffered::Answer;
 use crate::content::Fingerprint;
@@ -26,6 +27,14 @@
     pub at: Instant,
     /// Whether the connection closes after this request.
     pub close: bool,
+    /// Whether a part of the answer has been written.
+    pub answer_begun: Cell<bool>,
+}
+
+/// The client's id of a request, for the log; `-` if it has none.
+pub(crate) fn request_id(head: &Head) -> String {
+    let request = wire_request::decode(head);
+    request.map_or_else(|_| "-".to_owned(), |request| request.attempt.to_string())
 }
 
 /// The start of one attempt to send the request to a server.
@@ -71,6 +80,9 @@
     pub(super) may_have_executed: bool,
     /// A server's 5xx answer, which the client gets if no other server answers.
     pub(super) fallback: Option<Answer>,
+    /// Time for which its answer has waited for the client, or for memory that slow
+    /// clients take.
+    pub(super) client_wait: Cell<Duration>,
 }
 
 impl Exchange<'_> {
@@ -79,6 +91,11 @@
         self.arrival.close || self.relay.closes_clients()
     }
 
+    /// Adds to the time for which the answer has waited for the client.
+    pub(super) fn add_client_wait(&self, time: Duration) {
+        self.client_wait.set(self.client_wait.get() + time);
+    }
+
     /// Encodes the head of an answer for the client.
     pub(super) fn head(&self, head: &Head, length: answer::Length, close: bool) -> Vec<u8> {
         let mut out = Vec::new();
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -15,6 +15,7 @@
 
 use super::discard;
 use crate::attempt::{Cause, Executed, Failure, Reply};
+use crate::backlog::Cut;
 use crate::events::Buffer;
 use crate::exchange::disposition::Disposition;
 use crate::exchange::state::Exchange;
@@ -95,7 +96,7 @@
         );
         let failure = match copied.await {
             Ok(Copied::Complete) => return Ok(finish(exchange, &client, backend, reply).await),
-            Ok(Copied::ClientGone) => return Ok(Disposition::Close),
+            Ok(Copied::Cut(cut)) => return Ok(exchange.end_cut(&cut)),
             Err(failure) => failure,
         };
         // Nothing was forwarded yet, so the request can still be retried as a whole.
@@ -142,6 +143,7 @@
     drop(reply.running);
     let first = client.first.get().unwrap_or_default();
     exchange.record_answer(&backend, reply.answer.status, first);
+    exchange.log_answer(&backend, reply.answer.status, first);
     if client.close {
         Disposition::Close
     } else {
@@ -203,8 +205,8 @@
 enum Copied {
     /// The answer is complete.
     Complete,
-    /// Writing to the client failed.
-    ClientGone,
+    /// The client is gone or was cut.
+    Cut(Cut),
 }
 
 /// Copies events to the client until the answer ends. `out` holds the bytes to
@@ -237,8 +239,11 @@
             if client.first.get().is_none() {
                 client.first.set(Some(exchange.arrival.at.elapsed()));
             }
-            if exchange.writer.write_all(out).await.is_err() {
-                return Ok(Copied::ClientGone);
+            exchange.arrival.answer_begun.set(true);
+            let written = exchange.relay.backlog.write_events(exchange.writer, out);
+            match written.await {
+                Ok(waited) => exchange.add_client_wait(waited),
+                Err(cut) => return Ok(Copied::Cut(cut)),
             }
             out.clear();
         }
--- a/crates/relay/src/exchange/stream/whole.rs
+++ b/crates/relay/src/exchange/stream/whole.rs
@@ -3,10 +3,12 @@
 use std::rc::Rc;
 
 use tidepier_clock::Instant;
+use tidepier_h1::{Framing, Unread};
 use tidepier_platform::answer::Length;
 
 use super::discard;
 use crate::attempt::{Cause, Executed, Failure, Reply};
+use crate::backlog::{Reservation, SMALL_BYTES};
 use crate::exchange::buffered::Answer;
 use crate::exchange::disposition::Disposition;
 use crate::exchange::state::Exchange;
@@ -15,6 +17,8 @@
 
 /// Largest body that is read completely before it is forwarded, in bytes.
 const BODY_BYTES_MAX: usize = 8 << 20;
+/// Memory that is reserved in advance of a read, in bytes: as much as one read returns.
+const READ_BYTES: usize = 16 << 10;
 /// Largest body of a fallback answer, in bytes: the text of an error takes a few
 /// hundred bytes, and one is held for each request that is being retried.
 const FALLBACK_BYTES_MAX: usize = 16 << 10;
@@ -31,9 +35,9 @@
 ) -> Result<Disposition, Failure> {
     let answer = read(exchange, backend, reply, BODY_BYTES_MAX, exchange.deadline).await?;
     answer.backend.record_received();
-    let end = answer.deliver(exchange.writer, exchange.closes()).await;
+    // The time that the client takes says nothing about the server.
     exchange.record_answer(&answer.backend, answer.status, answer.first);
-    Ok(end)
+    Ok(exchange.deliver(answer).await)
 }
 
 /// Reads a server's 5xx answer before the request is retried, as the fallback for
@@ -71,7 +75,18 @@
 ) -> Result<Answer, Failure> {
     let first = exchange.arrival.at.elapsed();
     let mut body = Vec::new();
-    read_body(&mut reply, &mut body, max_bytes, limit).await?;
+    let memory = exchange.relay.backlog.reservation();
+    let read = read_body(&mut reply, &mut body, &memory, max_bytes);
+    let read = timeout::until(limit, read).await;
+    exchange.add_client_wait(memory.waited());
+    read.unwrap_or(Err(Failure {
+        executed: Executed::Unknown,
+        cause: Cause::TimedOut,
+    }))?;
+    if body.len() > SMALL_BYTES {
+        body.shrink_to_fit();
+    }
+    memory.shrink_to(body.len());
     let length = match exchange.arrival.head.method() {
         "HEAD" => declared_length(&reply),
         _ => Length::Known(body.len() as u64),
@@ -85,6 +100,7 @@
         head: reply.head,
         length,
         body,
+        memory,
         first,
     })
 }
@@ -97,24 +113,38 @@
     length.map_or(Length::Chunked, Length::Known)
 }
 
+/// Reads a body of at most `max_bytes` bytes, and reserves the memory for it before.
 async fn read_body(
     reply: &mut Reply,
     body: &mut Vec<u8>,
+    memory: &Reservation,
     max_bytes: usize,
-    limit: Instant,
 ) -> Result<(), Failure> {
-    let read = async {
-        let rest = reply.body.rest(&mut reply.conn, Some(body), max_bytes);
-        rest.await.map_err(|error| Failure {
-            executed: Executed::Unknown,
-            cause: Cause::Broken(error.into()),
-        })
+    let broken = |error| Failure {
+        executed: Executed::Unknown,
+        cause: Cause::Broken(error),
     };
-    let late = || {
-        Err(Failure {
-            executed: Executed::Unknown,
-            cause: Cause::TimedOut,
-        })
+    let declared = match reply.framing {
+        Framing::Length(bytes) => Some(bytes.min(max_bytes as u64) as usize),
+        _ => None,
     };
-    timeout::until(limit, read).await.unwrap_or_else(late)
+    // A small body needs no reservation in advance.
+    let mut room = SMALL_BYTES;
+    loop {
+        let read = reply.body.read(&mut reply.conn, body).await;
+        if !read.map_err(broken)? {
+            return Ok(());
+        }
+        if body.len() > max_bytes {
+            return Err(broken(Unread::TooLong(max_bytes).into()));
+        }
+        let is_larger = declared.is_none_or(|bytes| bytes > room);
+        if is_larger && body.len() + READ_BYTES > room {
+            room = declared.unwrap_or_else(|| (2 * room).min(max_bytes));
+            memory.extend_to(room).await;
+            body.reserve_exact(room.saturating_sub(body.len()));
+        } else {
+            memory.extend_to(body.len()).await;
+        }
+    }
 }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -11,6 +11,7 @@
 //! crate and unknown to this one.
 
 pub mod attempt;
+pub mod backlog;
 pub mod budget;
 pub mod choose;
 pub mod client_connections;
--- a/crates/relay/src/log.rs
+++ b/crates/relay/src/log.rs
@@ -22,7 +22,7 @@
 use std::sync::Mutex;
 
 pub use ::log::{debug, error, info, trace, warn};
-use ::log::{LevelFilter, Log, Metadata, Record, SetLoggerError};
+use ::log::{Level, LevelFilter, Log, Metadata, Record, SetLoggerError};
 use simplelog::{Config, ConfigBuilder, LevelPadding, WriteLogger};
 use tidepier_clock::Instant;
 
@@ -32,7 +32,7 @@
 
 /// Target of the lines about single requests.
 const REQUEST_TARGET: &str = "request";
-/// Most lines per second with the target `request`. A box at its usual share of a core
+/// Most lines per second with the target `request` that are no warnings. A box at its usual share of a core
 /// handles fewer requests per second unless it is overloaded.
 pub const LINES_PER_SECOND: u32 = 200;
 
@@ -78,7 +78,8 @@
     Ok(queue)
 }
 
-/// Applies a rate limit to lines about requests; all other lines pass.
+/// Applies a rate limit to lines about requests; warnings, of which there is at most one
+/// for a lost answer, and all other lines pass.
 struct RateLimited {
     logger: Box<WriteLogger<Writer>>,
     limit: Mutex<Limit>,
@@ -86,7 +87,7 @@
 
 impl RateLimited {
     fn allows(&self, record: &Record<'_>) -> bool {
-        if record.target() != REQUEST_TARGET {
+        if record.target() != REQUEST_TARGET || record.level() <= Level::Warn {
             return true;
         }
         // A panic while the lock was held leaves the limit consistent.
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
 use tidepier_core::server::Release;
 use tidepier_ids as ids;
 
+use crate::backlog::Backlog;
 use crate::budget::Budget;
 use crate::choose::filter::Regions;
 use crate::cold::Roster;
@@ -73,6 +74,8 @@
     pub exposure: f64,
     /// Time from the detection of a faulty release until it gets no more requests.
     pub rollback: Duration,
+    /// Time after which a client that takes no bytes is cut.
+    pub client_timeout: Duration,
 }
 
 /// The shared state of one router.
@@ -94,6 +97,8 @@
     pub rollouts: Rollouts,
     /// Server crashes under requests, and the contents refused because of them.
     pub crashes: Rc<Crashes>,
+    /// Bytes of answers that wait for their clients.
+    pub backlog: Rc<Backlog>,
     /// The retry budget.
     pub budget: Budget,
     /// The state of the graceful shutdown.
@@ -118,6 +123,7 @@
             traffic: Traffic::default(),
             rollouts: Rollouts::default(),
             crashes: Rc::default(),
+            backlog: Rc::default(),
             budget,
             stop: Stop::default(),
             roster: Roster::default(),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -98,6 +98,7 @@
             Budget::new(budget_limits(settings)),
         ));
         relay.set_descriptors(settings.limits.descriptors);
+        relay.backlog.set_limit(settings.limits.answer_bytes());
         relay.set_regions(settings.regions.clone());
         let callers = Listener::bind(settings.callers).wrap_err("binding the client address")?;
         let mut router = Self {
@@ -184,6 +185,7 @@
         self.relay.set_bounds(bounds(settings));
         self.relay.set_regions(settings.regions.clone());
         self.relay.set_descriptors(settings.limits.descriptors);
+        self.relay.backlog.set_limit(settings.limits.answer_bytes());
         self.relay.budget.set_limits(budget_limits(settings));
         self.stop_within.set(settings.bounds.stop_within.duration());
         let before = self.pardoned.replace(settings.pardoned.clone());
@@ -318,6 +320,7 @@
         crowd_factor: bounds.crowd_factor,
         exposure: bounds.exposure_share,
         rollback: bounds.rollback_within.duration(),
+        client_timeout: bounds.client_timeout.duration(),
     }
 }
 
--- a/crates/relay/src/settings/bounds.rs
+++ b/crates/relay/src/settings/bounds.rs
@@ -37,6 +37,10 @@
 /// Default of [`Bounds::retry_extra`], in requests: the safe choice.
 const RETRY_EXTRA: f64 = 0.0;
 
+/// Default of [`Bounds::client_timeout`]. Servers cut an answer that is not read for some
+/// seconds; a client is cut earlier, so that the server is not taken for the cause.
+const CLIENT_TIMEOUT: Millis = Millis::new(4_000);
+
 /// The time limits and ratios that the platform guarantees.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 #[serde(default)]
@@ -76,6 +80,9 @@
     pub retry_window: Millis,
     /// Retries that a service may get per window in addition to its share.
     pub retry_extra: f64,
+    /// Time after which a client that takes no bytes of its answer is cut. A change
+    /// applies to connections that are opened after it.
+    pub client_timeout: Millis,
 }
 
 impl Default for Bounds {
@@ -96,6 +103,7 @@
             retry_share: RETRY_SHARE,
             retry_window: RETRY_WINDOW,
             retry_extra: RETRY_EXTRA,
+            client_timeout: CLIENT_TIMEOUT,
         }
     }
 }
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -40,7 +40,10 @@
         span("bounds.empty_within", bounds.empty_within)?;
         span("bounds.contact", bounds.contact)?;
         span("bounds.retry_window", bounds.retry_window)?;
+        span("bounds.client_timeout", bounds.client_timeout)?;
         positive("limits.link_mbps", limits.link_mbps)?;
+        positive("limits.memory_mb", limits.memory_mb)?;
+        share("limits.answers_share", limits.answers_share)?;
         positive("limits.descriptors", f64::from(limits.descriptors))?;
         positive("bounds.crowd_factor", bounds.crowd_factor)?;
         share("bounds.retry_share", bounds.retry_share)?;
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -30,6 +30,11 @@
 const DESCRIPTORS_DEFAULT: u32 = 1_024;
 /// Default bandwidth of the box's link, in megabits per second.
 const LINK_MBPS_DEFAULT: f64 = 1_000.0;
+/// Default memory of the box, in megabytes: that of the smallest boxes.
+const MEMORY_MB_DEFAULT: f64 = 112.0;
+/// Default of [`Limits::answers_share`]: 28 MB of the smallest boxes, whose other data
+/// takes up to 50 MB, so that the buffers of the operating system find room as well.
+const ANSWERS_SHARE_DEFAULT: f64 = 0.25;
 
 /// An inclusive range of ports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
@@ -115,6 +120,18 @@
     pub descriptors: u32,
     /// Bandwidth of the box's link, in megabits per second.
     pub link_mbps: f64,
+    /// Memory of the box, in megabytes.
+    pub memory_mb: f64,
+    /// Share of the memory that whole answers may take until their clients have read
+    /// them. One further answer of up to 8 MiB may exceed it.
+    pub answers_share: f64,
+}
+
+impl Limits {
+    /// Most bytes of whole answers that are kept for clients.
+    pub fn answer_bytes(&self) -> usize {
+        (self.memory_mb * 1e6 * self.answers_share) as usize
+    }
 }
 
 impl Default for Limits {
@@ -122,6 +139,8 @@
         Self {
             descriptors: DESCRIPTORS_DEFAULT,
             link_mbps: LINK_MBPS_DEFAULT,
+            memory_mb: MEMORY_MB_DEFAULT,
+            answers_share: ANSWERS_SHARE_DEFAULT,
         }
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -52,6 +52,7 @@
 mod sim;
 mod sizes;
 mod slow;
+mod slow_clients;
 mod spread;
 mod spread_harness;
 mod stop;
--- a/crates/relay/tests/relay/peer_answers.rs
+++ b/crates/relay/tests/relay/peer_answers.rs
@@ -43,6 +43,7 @@
         crowd_factor: 2.0,
         exposure: 0.1,
         rollback: Duration::from_secs(5),
+        client_timeout: Duration::from_secs(4),
     };
     Ok(Rc::new(Relay::new(
         "hall-1".parse()?,
--- a/crates/relay/tests/relay/process.rs
+++ b/crates/relay/tests/relay/process.rs
@@ -3,7 +3,7 @@
 use std::fs;
 use std::net::SocketAddr;
 use std::path::PathBuf;
-use std::process::{Child, Command, ExitStatus};
+use std::process::{Child, Command, ExitStatus, Stdio};
 
 use eyre::{ensure, eyre};
 use serde_json::Value;
@@ -32,6 +32,16 @@
     /// Starts a router with `log` as its log level. `name` is part of the name of its
     /// settings file.
     pub(crate) fn start(name: &str, log: &str, settings: &Value) -> Result<Self> {
+        Self::start_with_output(name, log, settings, Stdio::inherit())
+    }
+
+    /// The same with its log written to `output`.
+    pub(crate) fn start_with_output(
+        name: &str,
+        log: &str,
+        settings: &Value,
+        output: Stdio,
+    ) -> Result<Self> {
         let front = settings["callers"].as_str();
         let front = front.ok_or_else(|| eyre!("no client address in the settings"))?;
         let file = format!("relay-{name}.json");
@@ -40,6 +50,7 @@
         let child = Command::new(env!("CARGO_BIN_EXE_tidepier-relay"))
             .args(["--log", log, "--settings"])
             .arg(&file)
+            .stdout(output)
             .spawn()?;
         Ok(Self {
             child,
@@ -63,6 +74,15 @@
         Ok(())
     }
 
+    /// Its resident memory, in bytes.
+    pub(crate) fn resident_bytes(&self) -> Result<usize> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
+        let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
+        let kib = line.and_then(|line| line.split_whitespace().next());
+        let kib: usize = kib.ok_or_else(|| eyre!("no resident size"))?.parse()?;
+        Ok(kib << 10)
+    }
+
     /// The exit status, once the process has exited.
     pub(crate) fn exit_status(&mut self) -> Result<Option<ExitStatus>> {
         Ok(self.child.try_wait()?)
--- a/scripts/daylog.py
+++ b/scripts/daylog.py
@@ -24,7 +24,7 @@
     """The lines of each attempt of a client."""
     by_id = collections.defaultdict(list)
     for at, box, event, fields in lines:
-        if "id" in fields and event in ("placed", "failed", "answered", "resumed", "broken", "refused", "client_left"):
+        if "id" in fields and event in ("placed", "failed", "answered", "resumed", "broken", "refused", "client_left", "client_cut"):
             by_id[fields["id"]].append((at, box, event, fields))
     by_id.pop("-", None)
     return by_id
