--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
 use tidepier_core::server::Release;
 use tidepier_ids as ids;
 
+use crate::backlog::Backlog;
 use crate::budget::Budget;
 use crate::choose::filter::Regions;
 use crate::choose::rotation::Rotations;
@@ -76,6 +77,8 @@
     pub exposure: f64,
     /// Time from the detection of a faulty release until it gets no more requests.
     pub rollback: Duration,
+    /// Time after which a client that takes no bytes is cut.
+    pub client_timeout: Duration,
 }
 
 /// The shared state of one router.
@@ -103,6 +106,8 @@
     pub timeouts: Timeouts,
     /// Whose turn it is among the servers of plain services under pressure.
     pub rotations: Rotations,
+    /// Bytes of answers that wait for their clients.
+    pub backlog: Rc<Backlog>,
     /// The retry budget.
     pub budget: Budget,
     /// The state of the graceful shutdown.
@@ -130,6 +135,7 @@
             admission: Admission::default(),
             timeouts: Timeouts::default(),
             rotations: Rotations::default(),
+            backlog: Rc::default(),
             budget,
             stop: Stop::default(),
             roster: Roster::default(),
