--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -11,6 +11,7 @@
 //! * [`share`]: which part of each account's requests is admitted.
 //! * [`returns`]: when a refused caller may return, and whether it kept to that.
 //! * [`admission`]: the decision on one request.
+//! * [`rise`]: subjects whose share of the requests has just risen.
 //! * [`balance`]: the choice between servers that differ in speed.
 
 pub mod admission;
@@ -21,6 +22,7 @@
 pub mod meter;
 pub mod report;
 pub mod returns;
+pub mod rise;
 pub mod share;
 mod wait;
 mod window;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -46,6 +46,7 @@
 mod restored_entries;
 mod retries;
 mod returning_readers;
+mod rise;
 mod rollouts;
 mod seeds;
 mod server_history;
