--- a/crates/core/src/answer.rs
+++ b/crates/core/src/answer.rs
@@ -51,6 +51,34 @@
     pub waiting: u32,
     /// Requests that it can work on at once.
     pub slots: u32,
+    /// How long work takes there at the moment, where the server reports that.
+    pub slowdown: Option<Slowdown>,
+}
+
+/// How long work takes at a server at the moment, in hundredths of the usual time: 100 is
+/// usual, 400 means four times as long.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Slowdown(u32);
+
+impl Slowdown {
+    /// The usual time.
+    pub const USUAL: Self = Self(100);
+    /// Largest slowdown that is plausible: at a hundred times the usual time, no answer
+    /// would come before its deadline.
+    pub const MAX: Self = Self(10_000);
+
+    /// A slowdown in hundredths of the usual time; `None` if it is 0 or above
+    /// [`Self::MAX`].
+    pub fn new(hundredths: u32) -> Option<Self> {
+        (1..=Self::MAX.0)
+            .contains(&hundredths)
+            .then_some(Self(hundredths))
+    }
+
+    /// The current time of work in multiples of the usual one.
+    pub fn factor(self) -> f64 {
+        f64::from(self.0) / f64::from(Self::USUAL.0)
+    }
 }
 
 /// One event of an answer that is a stream of events.
--- a/crates/relay-standin/src/server/admission.rs
+++ b/crates/relay-standin/src/server/admission.rs
@@ -52,6 +52,7 @@
             running: state.running as u32,
             waiting: state.waiting.len() as u32,
             slots: self.slots as u32,
+            slowdown: None,
         }
     }
 
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -77,6 +77,7 @@
         running,
         waiting: 0,
         slots: 16,
+        slowdown: None,
     };
     for id in harness.fleet.ids() {
         let running = if id == first { 14 } else { 2 };
@@ -149,6 +150,7 @@
             running: 6,
             waiting: 0,
             slots: 16,
+            slowdown: None,
         };
         harness.backend(id)?.record_load(load, Instant::now());
     }
@@ -365,6 +367,7 @@
                     running,
                     waiting: 0,
                     slots: 64,
+                    slowdown: None,
                 },
                 now,
             );
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -469,6 +469,7 @@
                 running,
                 waiting: 0,
                 slots: SLOTS,
+                slowdown: None,
             };
             backend.record_load(load, run.end);
         }
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -422,6 +422,7 @@
                     running: self.held[run.server],
                     waiting: 0,
                     slots: 64,
+                    slowdown: None,
                 };
                 backend.record_load(load, run.end);
             }
