--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,5 +5,7 @@
 //! kept in memory and can be lost at any time.
 //!
 //! * [`demand`]: recent requests by service, by subject and by hall.
+//! * [`speed`]: the speed of one engine, learned, combined with the slowdown it reports.
 
 pub mod demand;
+pub mod speed;
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -15,6 +15,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tidepier_admission::speed::{Prediction, Work};
 use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
@@ -94,6 +95,9 @@
     /// this box has sent there. This much delay before the answer does not count as
     /// slowness.
     pub prefill_time: Duration,
+    /// What a model engine has to do before the first event, and how fast it is expected to
+    /// be.
+    pub first_event: Option<(Work, Prediction)>,
     /// The server's rank in the order of the prompt's subject, if it is among the first.
     pub rank: Option<usize>,
     /// Number of engines between which the requests about the prompt's subject are divided;
@@ -263,6 +267,7 @@
         fleet_load: FleetLoad::default(),
         prefill_tokens: 0.0,
         prefill_time: Duration::ZERO,
+        first_event: None,
         rank: None,
         divided: 0,
         admission_time: criteria.filter.admission_time(backend, now),
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -7,12 +7,13 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tidepier_admission::speed::{Rate, Service, Work};
 use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
 
 use super::{cheapest, common_cost, is_open, weight, Choice, Criteria, FleetLoad, EJECTED_MS};
 use crate::fleet::{Backend, Key};
-use crate::locations::Locations;
+use crate::locations::{Locations, Missing};
 
 /// The engines of a service.
 pub(super) struct Group<'a> {
@@ -35,6 +36,8 @@
     /// Mean load of all engines of the service.
     mean_load: f64,
     load_bound: LoadBound,
+    /// What speed is usual among these servers.
+    usual_speed: Service,
     /// Median time to first token of these servers, in ms, if one is known.
     median_ms: Option<f64>,
     /// Mean failure rate of these servers.
@@ -89,6 +92,7 @@
             loads,
             mean_load: mean,
             load_bound: LoadBound::new(criteria.crowd_factor, mean),
+            usual_speed: Service::new(servers.iter().map(|it| it.speed()), now),
             median_ms: median_first_token_ms(servers, now),
             sample: sample(servers, criteria, now),
             divided: locations
@@ -112,6 +116,12 @@
             // A request that is restricted to regions has no cached parts outside of them.
             let source = source.filter(|it| self.criteria.filter.is_allowed_hall(&it.server.hall));
             choice.copy_from = source.cloned();
+            // Parts that can be copied are perhaps not prefilled.
+            if let Some((work, _)) = &mut choice.first_event {
+                if choice.copy_from.is_some() {
+                    work.tokens_min = self.own_tokens;
+                }
+            }
         }
         Some(choice)
     }
@@ -140,7 +150,9 @@
     fn choice(&self, backend: &Rc<Backend>, load: f64) -> Choice {
         let key = backend.key;
         let missing = self.locations.missing_tokens(key);
-        let prefill_ms = 1.0 / weight::PREFILL_TOKENS_PER_MS + weight::PREFILL_DELAY_MS;
+        let predicted = backend.speed().predict(&self.usual_speed, self.now);
+        let rate = predicted.rate();
+        let prefill_ms = rate.time_ms(1.0) + weight::PREFILL_DELAY_MS * rate.slowness();
         let (shared, prefilled) = match self.criteria.copy_ms {
             Some(ms) => (
                 missing.copied * (ms + weight::COPY_DELAY_MS) + missing.prefilled * prefill_ms,
@@ -150,7 +162,7 @@
         };
         Choice {
             backend: backend.clone(),
-            cost: self.cost(shared, backend, load),
+            cost: self.cost(shared, backend, load, rate),
             load,
             fleet_load: FleetLoad {
                 server: load,
@@ -161,20 +173,35 @@
             divided: self.locations.divided_between().map_or(0, <[Key]>::len),
             prefill_time: prefill_time(self.own_tokens + f64::from(missing.unconfirmed)),
             prefill_tokens: self.own_tokens + prefilled,
+            first_event: Some((self.work(backend, missing, load), predicted)),
             admission_time: self.criteria.filter.admission_time(backend, self.now),
             copy_from: None,
         }
     }
 
+    /// What an engine has to do before the first event of the answer.
+    fn work(&self, backend: &Backend, missing: Missing, load: f64) -> Work {
+        let unconfirmed = f64::from(missing.unconfirmed);
+        let certain = match missing.tokens() < unconfirmed {
+            true => 0.0,
+            false => missing.prefilled,
+        };
+        Work {
+            tokens_min: self.own_tokens + certain,
+            tokens_max: self.own_tokens + unconfirmed + backend.prefill() as f64,
+            running: load,
+        }
+    }
+
     /// Total cost in ms, given the cost of the shared prompt parts.
-    fn cost(&self, shared: f64, backend: &Rc<Backend>, load: f64) -> f64 {
+    fn cost(&self, shared: f64, backend: &Rc<Backend>, load: f64, rate: Rate) -> f64 {
         let queued = backend.prefill() as f64;
         let slots = f64::from(backend.slots());
         // Breaks ties between equal costs at random.
         let jitter = fastrand::f64();
         shared
-            + (self.own_tokens + queued) / weight::PREFILL_TOKENS_PER_MS
-            + weight::RUNNING_MS * load
+            + rate.time_ms(self.own_tokens + queued)
+            + weight::RUNNING_MS * rate.slowness() * load
             + weight::WAITING_MS * (load - slots).max(0.0)
             + self.load_bound.cost(load)
             + slowness(backend, self.median_ms, self.now)
@@ -207,9 +234,10 @@
     }
 }
 
-/// Time in which an engine prefills this many tokens.
+/// Time in which an engine of usual speed prefills this many tokens. The rest of a slow
+/// engine's time counts as slowness.
 fn prefill_time(tokens: f64) -> Duration {
-    Duration::from_secs_f64(tokens / weight::PREFILL_TOKENS_PER_MS / 1e3)
+    Duration::from_secs_f64(Rate::DEFAULT.time_ms(tokens) / 1e3)
 }
 
 /// Returns the load of each server, and the mean over the reachable ones. A server of which
--- a/crates/relay/src/choose/weight.rs
+++ b/crates/relay/src/choose/weight.rs
@@ -6,10 +6,6 @@
 
 use std::time::Duration;
 
-/// Tokens that a model engine prefills in a ms, if nothing better is known. Measured
-/// engines prefill 38 to 112. The value is that of the slowest ones, since needless prefill
-/// harms those most.
-pub(super) const PREFILL_TOKENS_PER_MS: f64 = 40.0;
 /// Cost of prefilling a token of a shared part again, beside the time of the request
 /// itself, in ms: a busy engine has about three other requests running, and each is delayed
 /// by the 0.025 ms that the token takes.
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -66,6 +66,7 @@
         last_attempt: Start {
             at: arrival.at,
             prefill_time: Duration::ZERO,
+            first_event: None,
         },
         attempts: 0,
         absent_count: 0,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -5,6 +5,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tidepier_admission::speed::Rate;
 use tidepier_clock::Instant;
 use tidepier_platform::answer;
 
@@ -29,7 +30,7 @@
             target: "request",
             "event=placed id={} content={} route={} account={} server={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
-             own={} known={:.0} mean={:.1} counts_ms={} divided={}",
+             own={} known={:.0} mean={:.1} counts_ms={} divided={} rate={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -55,6 +56,7 @@
             load.mean,
             load.counts_age.map_or(-1, |age| age.as_millis() as i64),
             choice.divided,
+            choice.first_event.map_or(Rate::DEFAULT, |(_, predicted)| predicted.rate()),
         );
     }
 
@@ -132,6 +134,27 @@
         Some(took.saturating_sub(self.last_attempt.prefill_time))
     }
 
+    /// Records when the first event of an answer arrived, for the speed of the engine.
+    /// `first` is the time from the request's arrival to it. Cold engines are slow for as
+    /// long as they are cold, which is known already.
+    pub(crate) fn record_first_event(&self, backend: &Backend, status: u16, first: Duration) {
+        let at = self.arrival.at + first;
+        let took = at.checked_duration_since(self.last_attempt.at);
+        let is_cold = self.cold.is_some_and(|cold| backend.is_cold(cold.time, at));
+        let Some(((work, predicted), took)) = self.last_attempt.first_event.zip(took) else {
+            return;
+        };
+        // A server that continues its own stream has prefilled the prompt before.
+        if status != 200 || is_cold || self.request.resume_after.is_some() {
+            return;
+        }
+        let distance = match backend.server.hall == self.relay.hall {
+            true => Duration::ZERO,
+            false => backend.hall.round_trip().unwrap_or_default(),
+        };
+        backend.record_first_event(work, &predicted, took.saturating_sub(distance), at);
+    }
+
     /// Records that an answer was forwarded completely. `first` is the time from
     /// the request's arrival to the beginning of the answer.
     pub(crate) fn record_answer(&self, backend: &Rc<Backend>, status: u16, first: Duration) {
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -65,6 +65,7 @@
         self.last_attempt = Start {
             at: Instant::now(),
             prefill_time: choice.prefill_time,
+            first_event: choice.first_event,
         };
         self.log_placement(&choice);
         let bytes = self.encode(&choice, resume_after);
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use tidepier_admission::speed::{Prediction, Work};
 use tidepier_clock::Instant;
 use tidepier_core::catalog::{Account, Cold, Route};
 use tidepier_core::request::Request;
@@ -35,6 +36,9 @@
     /// Time that the server may need for the prefill of the prompt; this part of the
     /// delay does not count as slowness.
     pub(super) prefill_time: Duration,
+    /// What a model engine has to do before the first event, and how fast it was expected
+    /// to be.
+    pub(super) first_event: Option<(Work, Prediction)>,
 }
 
 /// An admitted request and the state of its handling.
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -235,7 +235,9 @@
         }
         if !complete.is_empty() || !more {
             if client.first.get().is_none() {
-                client.first.set(Some(exchange.arrival.at.elapsed()));
+                let first = exchange.arrival.at.elapsed();
+                client.first.set(Some(first));
+                exchange.record_first_event(backend, reply.answer.status, first);
             }
             if exchange.writer.write_all(out).await.is_err() {
                 return Ok(Copied::ClientGone);
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tidepier_admission::speed::{Prediction, Speed, Summary, Work};
 use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::server::{Server, StartTime};
@@ -92,6 +93,8 @@
     others: Cell<Option<OtherBoxes>>,
     /// The last load that the server reported.
     report: Cell<Option<Report>>,
+    /// The speed of a model engine.
+    speed: Cell<Speed>,
     /// Until when the server is cold, as announced.
     cold: Cell<Option<Instant>>,
     /// When the server was last found not listening. What comes back at its address is
@@ -153,6 +156,7 @@
             in_flight: Cell::new(0),
             others: Cell::new(None),
             report: Cell::new(None),
+            speed: Cell::new(Speed::default()),
             last_received: Cell::new(None),
             prefill: Cell::new(0),
             idle: Idle::default(),
@@ -330,6 +334,37 @@
             at,
             in_flight: self.in_flight.get(),
         }));
+        if let Some(slowdown) = load.slowdown {
+            let mut speed = self.speed.get();
+            speed.report(slowdown, at);
+            self.speed.set(speed);
+        }
+    }
+
+    /// What is known of the speed of a model engine.
+    pub fn speed(&self) -> Speed {
+        self.speed.get()
+    }
+
+    /// Records what other boxes learned of the speed of a model engine.
+    pub fn set_peer_speed(&self, others: Summary, now: Instant) {
+        let mut speed = self.speed.get();
+        speed.set_others(others, now);
+        self.speed.set(speed);
+    }
+
+    /// Records that a model engine sent the first event of an answer at `at`, `time` after
+    /// it got the request. `predicted` is the prediction from then.
+    pub fn record_first_event(
+        &self,
+        work: Work,
+        predicted: &Prediction,
+        time: Duration,
+        at: Instant,
+    ) {
+        let mut speed = self.speed.get();
+        speed.record(work, predicted, time, at);
+        self.speed.set(speed);
     }
 
     /// Records how many requests `boxes` other boxes have in flight at the server.
--- a/crates/relay/src/fleet/hall.rs
+++ b/crates/relay/src/fleet/hall.rs
@@ -45,6 +45,12 @@
         self.round_trip_ms.get()
     }
 
+    /// Mean round-trip time, once a connection has been opened.
+    pub fn round_trip(&self) -> Option<Duration> {
+        let ms = self.round_trip_ms()?;
+        Duration::try_from_secs_f64(ms / 1e3).ok()
+    }
+
     /// Records that data came from one of its servers.
     pub fn record_received(&self, now: Instant) {
         self.last_received.set(Some(now));
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -30,6 +30,7 @@
 use tidepier_platform::answer::MISDIRECTED;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
+use crate::traffic::speeds::Speeds;
 use advertisement::{Ineligible, LeavingSource};
 pub use backend::{Backend, InFlight};
 use backoff::Backoff;
@@ -437,6 +438,20 @@
         }
     }
 
+    /// What this box learned of the speeds of engines.
+    pub fn speeds(&self, now: Instant) -> Speeds {
+        let servers = self.servers.borrow();
+        let speeds = servers.values().map(|it| (it.key, it.speed().summary(now)));
+        speeds.collect()
+    }
+
+    /// Records what other boxes learned of the speeds of engines.
+    pub fn set_peer_speeds(&self, speeds: &Speeds, now: Instant) {
+        for backend in self.servers.borrow().values() {
+            backend.set_peer_speed(speeds.get(backend.key), now);
+        }
+    }
+
     /// The servers of a service that accept new requests. Servers that are backing off
     /// are included.
     pub fn serving(&self, service: &ids::Service) -> Rc<[Rc<Backend>]> {
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -6,6 +6,7 @@
 use crate::fleet::Count;
 use crate::rollout::{self, evidence};
 use crate::traffic::log::{Placement, Position};
+use crate::traffic::speeds;
 use tidepier_admission::demand::Summary;
 
 /// The kind of sender of a request.
@@ -55,6 +56,10 @@
     /// Recent requests by service of all boxes of the receiver's hall.
     #[serde(default, skip_serializing_if = "Summary::is_empty")]
     pub hall_demand: Summary,
+    /// What the counted boxes learned of the speeds of engines, as far as it changed since
+    /// the last report on this connection.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<speeds::Row>,
     /// Evidence from answers about the releases that services are being moved to.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<evidence::Row>,
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -23,6 +23,7 @@
 use crate::message::{PeerRequest, VERSION};
 use crate::relay::Relay;
 use crate::traffic::log::{Batch, Peer, Position};
+use crate::traffic::speeds::Speeds;
 use crate::traffic::tally::{Baseline, Totals};
 use tidepier_admission::demand::Summary;
 
@@ -41,6 +42,10 @@
 /// Most subjects in one message of which recent requests are reported.
 const SUBJECTS_MAX: usize = 64;
 
+/// Most engines in one message of which speeds are reported: 0.6 KB (calculated, at 12
+/// bytes each). They change slowly, so that most messages have few.
+const SPEEDS_MAX: usize = 48;
+
 /// Most request contents in an answer to a box: 1 KB, and so 2.6 KB a second while
 /// hundreds of servers crash at once; none in normal operation (calculated, at 33 bytes
 /// for a content with two crashes).
@@ -55,6 +60,7 @@
 pub struct Session {
     sent: Baseline,
     received: Totals,
+    speeds_sent: Speeds,
     /// Position in the table of crashes up to which the other side has got the entries.
     crashes_sent: u64,
 }
@@ -72,6 +78,7 @@
             counts: self.sent.changes(sum, max_counts),
             rows: placements.rows,
             omitted: placements.omitted,
+            speeds: self.speeds_sent.update(&sum.speeds, SPEEDS_MAX),
             crashes,
             ..Report::default()
         }
@@ -87,6 +94,7 @@
 
     fn apply_report(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.received.apply(report.boxes, &report.counts);
+        self.received.speeds.apply(&report.speeds);
         self.received.demand = report.demand.frequent(0.0, SUBJECTS_MAX);
         if !report.hall_demand.is_empty() {
             let demand = &relay.traffic.index.demand;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -214,6 +214,7 @@
         let others = self.traffic.others(None, now);
         self.fleet
             .set_peer_in_flight(&others.requests, others.boxes, now);
+        self.fleet.set_peer_speeds(&others.speeds, now);
         self.traffic.index.demand.set_others(others.demand, now);
     }
 
@@ -289,6 +290,7 @@
             boxes: 1,
             requests: self.fleet.running(),
             demand: self.traffic.index.demand.summary(now),
+            speeds: self.fleet.speeds(now),
         });
         totals
     }
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -17,6 +17,7 @@
 use crate::fleet::{Count, Key};
 
 use super::log::Peer;
+use super::speeds::Speeds;
 use tidepier_admission::demand::Summary;
 
 /// Age after which a report is ignored: several times the interval between reports.
@@ -34,6 +35,8 @@
     pub requests: HashMap<Key, u32>,
     /// Their recent requests by service and subject.
     pub demand: Summary,
+    /// What they learned of the speeds of engines.
+    pub speeds: Speeds,
 }
 
 impl Totals {
@@ -45,6 +48,7 @@
             *sum = sum.saturating_add(*requests);
         }
         self.demand.add(&other.demand);
+        self.speeds.add(&other.speeds);
     }
 
     /// Subtracts counts that were added before.
@@ -60,6 +64,7 @@
             }
         }
         self.demand.subtract(&other.demand);
+        self.speeds.subtract(&other.speeds);
     }
 
     /// Applies the changes that another box sent.
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -1,6 +1,6 @@
 //! Which server a box chooses for one request.
 
-use std::collections::{HashMap, HashSet};
+use std::collections::{HashMap, HashSet, VecDeque};
 use std::time::Duration;
 
 use eyre::{ensure, eyre};
@@ -21,6 +21,9 @@
 /// Maximum number of servers that may prefill one subject while there is little load.
 const KEEPERS_MAX: usize = 2;
 
+/// Hash of the choices that are made with a fixed seed while no speed is known.
+const FORMER_SEQUENCE: u64 = 3_837_753_169_737_361_352;
+
 #[test]
 fn few_servers_prefill_one_subject_without_load() -> Result {
     for tokens in [LARGE, SMALL] {
@@ -402,3 +405,25 @@
     }
     Ok(())
 }
+
+/// Guards against choices that differ although nothing is known of the speed of any engine:
+/// the sequence is that of the commit before speeds were learned.
+#[test]
+fn choices_are_as_before_while_no_speed_is_known() -> Result {
+    fastrand::seed(17);
+    let harness = ChoiceHarness::new("hall-1", 0..30)?;
+    let mut running = VecDeque::new();
+    let mut sequence: u64 = 0;
+    for _ in 0..600 {
+        let subject = fastrand::u64(0..200);
+        let backend = harness.send(&prompt(subject, if subject < 100 { LARGE } else { SMALL }))?;
+        let number: u64 = backend.server.id.as_str()[2..].parse()?;
+        sequence = sequence.wrapping_mul(31).wrapping_add(number);
+        running.push_back(backend.run(500));
+        if running.len() > 150 {
+            running.pop_front();
+        }
+    }
+    ensure!(sequence == FORMER_SEQUENCE, "{sequence}");
+    Ok(())
+}
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -52,6 +52,7 @@
 mod sim;
 mod sizes;
 mod slow;
+mod speeds;
 mod spread;
 mod spread_harness;
 mod stop;
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -285,6 +285,7 @@
                 omitted: u32::MAX,
                 demand: demand.clone(),
                 hall_demand: demand.clone(),
+                speeds: vec![(server, (u32::MAX, i32::MIN).into()).into()],
                 crashes: Vec::new(),
                 trials: Vec::new(),
                 rollouts: None,
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -6,11 +6,13 @@
 //! that engines had to prefill or to copy.
 
 use std::collections::{BinaryHeap, HashMap, HashSet, VecDeque};
+use std::rc::Rc;
 use std::time::Duration;
 
 use tidepier_admission::demand::Summary;
+use tidepier_admission::speed::{Prediction, Work};
 use tidepier_clock::Instant;
-use tidepier_core::answer::Load;
+use tidepier_core::answer::{Load, Slowdown};
 use tidepier_core::request::Prompt;
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
@@ -18,6 +20,7 @@
 use tidepier_relay::choose::{self, Choice, Criteria};
 use tidepier_relay::fleet::{Fleet, InFlight, Key};
 use tidepier_relay::traffic::index::Index;
+use tidepier_relay::traffic::speeds::Speeds;
 use tidepier_relay::traffic::tally::{Baseline, Totals};
 
 use crate::choice_harness::{address, id, prompt};
@@ -34,6 +37,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of counts in one message.
 const COUNTS: usize = 48;
+/// Maximum number of speeds in one message.
+const SPEEDS: usize = 48;
 /// Maximum number of placements in one message.
 const PLACEMENTS: usize = 64;
 /// Maximum number of subjects in one message.
@@ -44,6 +49,18 @@
 const SUBJECTS: u64 = 10;
 /// Tokens of a subject.
 const TOKENS: u32 = 6_000;
+/// Speed of the slowest engines.
+const SPEED_MIN: f64 = 0.25;
+/// Time for which an engine has one speed, where speeds change.
+const SPEED_PERIOD: Duration = Duration::from_millis(200);
+/// Time to prefill a token at the usual speed, and to copy one.
+const PREFILL_TIME: Duration = Duration::from_micros(25);
+const COPY_TIME: Duration = Duration::from_micros(7);
+/// Time for one step of an engine, and what each request that it holds adds.
+const STEP_TIME: Duration = Duration::from_millis(8);
+const STEP_MORE: Duration = Duration::from_micros(500);
+/// Sizes of the part of a prompt that no other request shares, where speeds differ.
+const OWN_TOKENS: std::ops::Range<u32> = 80..1_500;
 /// The users' bound on an engine's load: this many times the mean, ...
 const BOUND_FACTOR: f64 = 2.0;
 /// ... plus this many requests.
@@ -127,6 +144,8 @@
     /// In each second, every fifth box stands still for this long, and then sends all
     /// requests that came meanwhile.
     pub(crate) pause: Duration,
+    /// Set if engines differ in speed; the time to the first event is then simulated too.
+    pub(crate) engines: Option<Engines>,
 }
 
 impl Plan {
@@ -151,6 +170,66 @@
             },
             restart: None,
             pause: Duration::ZERO,
+            engines: None,
+        }
+    }
+}
+
+/// How fast engines are: their speeds are from 0.25 to 1 times the usual one.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Pace {
+    /// Each engine's speed changes five times a second.
+    Changing,
+    /// Half of the engines have a quarter of the usual speed.
+    HalfSlow,
+    /// The same, and the halves change places every five seconds.
+    Swapping,
+}
+
+/// Engines of different speed, and what boxes learn of it.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Engines {
+    pub(crate) pace: Pace,
+    /// Whether boxes learn from answers.
+    pub(crate) learned: bool,
+    /// Whether engines report their slowdown.
+    pub(crate) reported: bool,
+    /// Whether boxes tell each other what they learned.
+    pub(crate) shared: bool,
+}
+
+impl Engines {
+    /// The speed of an engine at a time since the start.
+    fn speed(self, engine: usize, time: Duration) -> f64 {
+        match self.pace {
+            Pace::HalfSlow if engine.is_multiple_of(2) => SPEED_MIN,
+            Pace::HalfSlow => 1.0,
+            Pace::Swapping => match (engine as u64 + time.as_secs() / 5).is_multiple_of(2) {
+                true => SPEED_MIN,
+                false => 1.0,
+            },
+            Pace::Changing => {
+                let period = time.as_nanos() / SPEED_PERIOD.as_nanos();
+                let chance = fastrand::Rng::with_seed((engine as u64) << 32 | period as u64).f64();
+                SPEED_MIN + (1.0 - SPEED_MIN) * chance
+            }
+        }
+    }
+
+    /// When work ends that starts at a time since the start and takes `work` at the usual
+    /// speed.
+    fn end(self, engine: usize, start: Duration, work: Duration) -> Duration {
+        let (mut time, mut left) = (start, work);
+        loop {
+            let speed = self.speed(engine, time);
+            let periods = time.as_nanos() / SPEED_PERIOD.as_nanos();
+            let next = SPEED_PERIOD * (periods as u32 + 1);
+            let done = (next - time).mul_f64(speed);
+            if left <= done {
+                return time + left.div_f64(speed);
+            }
+            left -= done;
+            time = next;
         }
     }
 }
@@ -170,6 +249,10 @@
     pub(crate) prefilled_again: u64,
     /// Tokens of subjects that an engine copied.
     pub(crate) copied: u64,
+    /// Times to the first event of the judged requests, in ms.
+    pub(crate) first_event_ms: Vec<f64>,
+    /// Speeds of engines in the messages to all boxes.
+    pub(crate) speed_rows: usize,
 }
 
 impl Outcome {
@@ -177,6 +260,15 @@
     pub(crate) fn exceeding_share(&self) -> f64 {
         self.exceeding as f64 / self.judged.max(1) as f64
     }
+
+    /// Mean and 99th percentile of the times to the first event, in ms.
+    pub(crate) fn first_event(&self) -> (f64, f64) {
+        let mut times = self.first_event_ms.clone();
+        times.sort_by(f64::total_cmp);
+        let mean = times.iter().sum::<f64>() / times.len().max(1) as f64;
+        let p99 = times.get(times.len() * 99 / 100).copied();
+        (mean, p99.unwrap_or_default())
+    }
 }
 
 struct SimBox {
@@ -186,6 +278,7 @@
     index: Index,
     /// The counts sent to this box so far, so that only changes are sent.
     sent: Baseline,
+    speeds_sent: Speeds,
     received: Totals,
 }
 
@@ -197,7 +290,18 @@
     server: usize,
     /// Set while the request is at the server.
     at_server: bool,
-    running: InFlight,
+    running: Rc<InFlight>,
+}
+
+/// The first event of an answer that is to come.
+struct FirstEvent {
+    at: Instant,
+    sent: Instant,
+    sim_box: usize,
+    server: usize,
+    work: Work,
+    predicted: Prediction,
+    running: Rc<InFlight>,
 }
 
 impl PartialEq for Run {
@@ -227,6 +331,8 @@
     demand: Vec<Summary>,
     /// New uses of subjects: the subject, the engine and the box.
     placements: Vec<(u64, Key, usize)>,
+    /// What each box learned of each engine's speed.
+    speeds: Vec<Speeds>,
 }
 
 struct Sim {
@@ -239,6 +345,10 @@
     service: ids::Service,
     held: Vec<u32>,
     runs: BinaryHeap<Run>,
+    first_events: Vec<FirstEvent>,
+    /// Until when each engine is busy with the prefill of earlier requests, as a time since
+    /// the start.
+    prefill_ends: Vec<Duration>,
     past: VecDeque<Snapshot>,
     placements: Vec<(u64, Key, usize)>,
     /// Subjects that each engine caches.
@@ -279,6 +389,7 @@
         fleet: Fleet::default(),
         index: Index::default(),
         sent: Baseline::default(),
+        speeds_sent: Speeds::default(),
         received: Totals::default(),
     };
     for server in servers {
@@ -307,6 +418,8 @@
             service: id(SERVICE)?,
             held: vec![0; plan.servers],
             runs: BinaryHeap::new(),
+            first_events: Vec::new(),
+            prefill_ends: vec![Duration::ZERO; plan.servers],
             past: VecDeque::new(),
             placements: Vec::new(),
             cached: HashSet::new(),
@@ -333,10 +446,12 @@
         let mut held_back: Vec<(Instant, usize, u64)> = Vec::new();
         for number in 0..count {
             let now = self.start + time.mul_f64(number as f64 / count as f64);
+            self.pass_first_events(now);
             self.end_runs(now);
             if restart.is_some_and(|at| at <= now) {
                 restart = None;
                 self.runs.clear();
+                self.first_events.clear();
                 self.held.fill(0);
                 self.start_boxes(now)?;
             }
@@ -448,6 +563,7 @@
             held: self.held.clone(),
             demand: demand.collect(),
             placements: std::mem::take(&mut self.placements),
+            speeds: self.speeds(now),
         });
         if self.past.len() <= reports.age {
             return;
@@ -455,12 +571,22 @@
         let known = self.past.pop_front().unwrap_or_default();
         let (all, halls) = sums(&known.demand, self.plan.halls);
         let all = all.frequent(1.0 / self.servers.len() as f64, SUBJECTS_REPORTED);
+        let mut speeds = Speeds::default();
+        known.speeds.iter().for_each(|it| speeds.add(it));
         let count = self.boxes.len();
         for (number, sim_box) in self.boxes.iter_mut().enumerate() {
             if reports.deaf > 0 && number.is_multiple_of(reports.deaf) {
                 continue;
             }
             report(sim_box, &known.held, &self.keys, count, now);
+            if let Some(own) = known.speeds.get(number) {
+                let mut others = speeds.clone();
+                others.subtract(own);
+                let rows = sim_box.speeds_sent.update(&others, SPEEDS);
+                self.outcome.speed_rows += rows.len();
+                sim_box.received.speeds.apply(&rows);
+                sim_box.fleet.set_peer_speeds(&sim_box.received.speeds, now);
+            }
             let mut others = all.clone();
             others.subtract(&known.demand[number]);
             let demand = &sim_box.index.demand;
@@ -477,8 +603,20 @@
         }
     }
 
+    /// What each box learned of each engine's speed, if boxes tell each other.
+    fn speeds(&self, now: Instant) -> Vec<Speeds> {
+        if !self.plan.engines.is_some_and(|engines| engines.shared) {
+            return Vec::new();
+        }
+        let boxes = self.boxes.iter();
+        boxes.map(|sim_box| sim_box.fleet.speeds(now)).collect()
+    }
+
     fn send(&mut self, number: usize, subject: u64, now: Instant) {
-        let prompt = prompt(subject, TOKENS);
+        let mut prompt = prompt(subject, TOKENS);
+        if self.plan.engines.is_some() {
+            vary(&mut prompt);
+        }
         let Some(choice) = self.choose(number, &prompt, now) else {
             self.outcome.refused += 1;
             return;
@@ -486,26 +624,102 @@
         let server = self.number_by_key[&choice.backend.key];
         self.judge(server, now);
         let index = &self.boxes[number].index;
+        let mut missing = Missing::default();
         if self.plan.kind != Kind::Plain {
             if index.record_local(&prompt, choice.backend.key, now) {
                 self.placements.push((subject, choice.backend.key, number));
             }
-            index.demand.record(&self.service, Some(subject), now);
-            self.count_tokens(server, subject, &choice);
+            let subject = prompt.subject().map(|part| part.id);
+            index.demand.record(&self.service, subject, now);
+            if let Some(subject) = subject {
+                missing = self.count_tokens(server, subject, &choice);
+            }
         } else {
             index.demand.record(&self.service, None, now);
         }
         self.held[server] += 1;
+        let running = Rc::new(choice.backend.run(choice.prefill_tokens as u64));
+        let mut end = now + self.run_time(server);
+        if let Some((engines, (work, predicted))) = self.plan.engines.zip(choice.first_event) {
+            let own = prompt.parts.last().map_or(0, |part| part.tokens);
+            let at = self.first_event(engines, server, own, missing, now);
+            end = self.start + engines.end(server, at - self.start, self.run_time(server));
+            if now > self.start + self.plan.settling {
+                let time = (at - now).as_secs_f64();
+                self.outcome.first_event_ms.push(time * 1e3);
+            }
+            self.first_events.push(FirstEvent {
+                at,
+                sent: now,
+                sim_box: number,
+                server,
+                work,
+                predicted,
+                running: running.clone(),
+            });
+        }
         self.runs.push(Run {
-            end: now + self.run_time(server),
+            end,
             sent: now,
             sim_box: number,
             server,
             at_server: true,
-            running: choice.backend.run(choice.prefill_tokens as u64),
+            running,
         });
     }
 
+    /// When an engine sends the first event of an answer: it prefills prompts one after the
+    /// other, and then takes one step for all that it holds.
+    fn first_event(
+        &mut self,
+        engines: Engines,
+        server: usize,
+        own: u32,
+        missing: Missing,
+        now: Instant,
+    ) -> Instant {
+        let start = (now - self.start).max(self.prefill_ends[server]);
+        let copied = start + COPY_TIME * missing.copied;
+        let prefill = PREFILL_TIME * (own + missing.prefilled);
+        let end = engines.end(server, copied, prefill);
+        self.prefill_ends[server] = end;
+        let step = STEP_TIME + STEP_MORE * self.held[server];
+        self.start + engines.end(server, end, step)
+    }
+
+    /// Passes the first events that came by now on to their boxes.
+    fn pass_first_events(&mut self, now: Instant) {
+        let Some(engines) = self.plan.engines else {
+            return;
+        };
+        let mut events = std::mem::take(&mut self.first_events);
+        events.sort_by_key(|event| event.at);
+        for event in events {
+            if event.at > now {
+                self.first_events.push(event);
+                continue;
+            }
+            let fleet = &self.boxes[event.sim_box].fleet;
+            let Some(backend) = fleet.get(&self.servers[event.server].id) else {
+                continue;
+            };
+            event.running.answer_started();
+            let speed = engines.speed(event.server, event.at - self.start);
+            let slowdown = engines.reported.then_some((100.0 / speed).round() as u32);
+            let load = Load {
+                running: self.held[event.server],
+                waiting: 0,
+                slots: 64,
+                slowdown: slowdown.and_then(Slowdown::new),
+            };
+            backend.record_load(load, event.at);
+            if engines.learned {
+                let time = event.at - event.sent;
+                backend.record_first_event(event.work, &event.predicted, time, event.at);
+            }
+        }
+    }
+
     /// How long a request takes at a server that holds it.
     fn run_time(&self, server: usize) -> Duration {
         let held = self.held[server];
@@ -550,22 +764,57 @@
         self.outcome.worst = self.outcome.worst.max(above);
     }
 
-    fn count_tokens(&mut self, engine: usize, subject: u64, choice: &Choice) {
+    /// Counts the tokens of a subject that an engine lacks, and returns them.
+    fn count_tokens(&mut self, engine: usize, subject: u64, choice: &Choice) -> Missing {
         let is_new_here = self.cached.insert((engine, subject));
         let is_new = self.seen.insert(subject);
-        if !is_new_here || is_new {
-            return;
+        let prefilled = Missing {
+            prefilled: TOKENS,
+            copied: 0,
+        };
+        if !is_new_here {
+            return Missing::default();
+        } else if is_new {
+            return prefilled;
         }
         let source = choice.copy_from.as_ref();
         let source = source.map(|backend| self.number_by_key[&backend.key]);
         let is_copied = source.is_some_and(|source| self.cached.contains(&(source, subject)));
         match is_copied {
-            true => self.outcome.copied += u64::from(TOKENS),
-            false => self.outcome.prefilled_again += u64::from(TOKENS),
+            true => {
+                self.outcome.copied += u64::from(TOKENS);
+                Missing {
+                    prefilled: 0,
+                    copied: TOKENS,
+                }
+            }
+            false => {
+                self.outcome.prefilled_again += u64::from(TOKENS);
+                prefilled
+            }
         }
     }
 }
 
+/// Tokens of a subject that an engine lacks.
+#[derive(Default, Clone, Copy)]
+struct Missing {
+    prefilled: u32,
+    copied: u32,
+}
+
+/// Gives a prompt a part of its own of any usual size; every third prompt has no other.
+fn vary(prompt: &mut Prompt) {
+    if let Some(own) = prompt.parts.last_mut() {
+        own.tokens = fastrand::u32(OWN_TOKENS);
+        own.id = fastrand::u64(..);
+    }
+    if fastrand::u8(..3) == 0 {
+        prompt.parts.remove(0);
+    }
+    prompt.input = prompt.parts.iter().map(|part| part.tokens).sum();
+}
+
 /// The sum of all boxes' recent requests, and the sum for each hall.
 fn sums(demand: &[Summary], halls: usize) -> (Summary, Vec<Summary>) {
     let mut all = Summary::default();
