--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -183,6 +183,7 @@
             let group = Group {
                 serving: &servers,
                 emptied: &emptied,
+                usual_speed: fleet.usual_speed(service, now),
             };
             let width = spread.width(subject.map_or(0.0, share));
             let locations = Locations::new(fleet, service, prompt, index, width, &candidate, now);
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -22,6 +22,8 @@
     /// Engines that would take new requests if their halls were not being emptied. They
     /// have little or no load, and count in the mean that the operator's bound refers to.
     pub(super) emptied: &'a [Rc<Backend>],
+    /// What speed is usual among those that take new requests.
+    pub(super) usual_speed: Service,
 }
 
 /// The engines of a service, rated for one prompt.
@@ -92,7 +94,7 @@
             loads,
             mean_load: mean,
             load_bound: LoadBound::new(criteria.crowd_factor, mean),
-            usual_speed: Service::new(servers.iter().map(|it| it.speed()), now),
+            usual_speed: group.usual_speed,
             median_ms: median_first_token_ms(servers, now),
             sample: sample(servers, criteria, now),
             divided: locations
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -23,6 +23,7 @@
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
+use tidepier_admission::speed;
 use tidepier_clock::Instant;
 use tidepier_core::answer::Answer;
 use tidepier_core::server::{Server, StartTime, State};
@@ -38,6 +39,10 @@
 pub use hall::Hall;
 pub use permit::Permit;
 
+/// Time for which the usual speed of a service's engines serves further choices: summing up
+/// 250 engines for each choice took 9 to 29 µs of the 50 µs that a choice may take.
+const USUAL_SPEED_TTL: Duration = Duration::from_millis(100);
+
 /// Identifies one incarnation of a server in messages between boxes: the lower half of a
 /// 64-bit hash. In one of 10,000 fleets of 900 servers two have the same key; their
 /// counts are then added up.
@@ -122,6 +127,8 @@
     departed: Departed,
     /// The servers by service, built when a service is first looked up after a change.
     services: RefCell<HashMap<ids::Service, Group>>,
+    /// What speed is usual among the engines of each service, and as of when.
+    usual_speeds: RefCell<HashMap<ids::Service, (speed::Service, Instant)>>,
 }
 
 /// The servers of one service.
@@ -445,6 +452,20 @@
         speeds.collect()
     }
 
+    /// What speed is usual among the engines of a service that accept new requests.
+    pub fn usual_speed(&self, service: &ids::Service, now: Instant) -> speed::Service {
+        let known = self.usual_speeds.borrow().get(service).copied();
+        let recent = |at| now.saturating_duration_since(at) < USUAL_SPEED_TTL;
+        if let Some((usual, _)) = known.filter(|(_, at)| recent(*at)) {
+            return usual;
+        }
+        let serving = self.serving(service);
+        let usual = speed::Service::new(serving.iter().map(|it| it.speed()), now);
+        let mut known = self.usual_speeds.borrow_mut();
+        known.insert(service.clone(), (usual, now));
+        usual
+    }
+
     /// Records what other boxes learned of the speeds of engines.
     pub fn set_peer_speeds(&self, speeds: &Speeds, now: Instant) {
         for backend in self.servers.borrow().values() {
--- a/crates/relay/tests/relay/speeds.rs
+++ b/crates/relay/tests/relay/speeds.rs
@@ -111,21 +111,24 @@
     Ok(())
 }
 
-/// The shortest mean time of a choice among so many engines; if `known`, all of them have
-/// answered and reported.
+/// The shortest mean time of a choice among so many engines, all of which reported a load;
+/// if `known`, also a slowdown, and their rates were learned.
 fn choice_time(engines: u16, known: bool) -> Result<Duration> {
     let harness = ChoiceHarness::new("hall-1", 0..engines)?;
     let now = Instant::now();
     let ids = harness.fleet.ids();
-    for id in ids.iter().filter(|_| known) {
+    for id in &ids {
         let backend = harness.backend(id)?;
         let load = Load {
             running: 3,
             waiting: 0,
             slots: 64,
-            slowdown: Slowdown::new(fastrand::u32(50..400)),
+            slowdown: Slowdown::new(fastrand::u32(50..400)).filter(|_| known),
         };
         backend.record_load(load, now);
+        if !known {
+            continue;
+        }
         backend.set_peer_speed((20, fastrand::i32(-4_000..0)).into(), now);
         let work = Work {
             tokens_min: 800.0,
