--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod hall;
 mod idle;
 mod permit;
+pub mod speeds;
 pub(crate) mod watch;
 
 use std::cell::RefCell;
@@ -31,13 +32,13 @@
 use tidepier_platform::answer::MISDIRECTED;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use crate::traffic::speeds::Speeds;
 use advertisement::{Ineligible, LeavingSource};
 pub use backend::{Backend, InFlight};
 use backoff::Backoff;
 use departed::Departed;
 pub use hall::Hall;
 pub use permit::Permit;
+use speeds::Speeds;
 
 /// Time for which the usual speed of a service's engines serves further choices: summing up
 /// 250 engines for each choice took 9 to 29 µs of the 50 µs that a choice may take.
--- a/crates/relay/src/traffic/speeds.rs
+++ b/crates/relay/src/fleet/speeds.rs
@@ -8,7 +8,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_admission::speed::Summary;
 
-use crate::fleet::Key;
+use super::Key;
 
 /// Difference from what was sent at which a speed is sent again, as a logarithm: less than
 /// counts as noise in a choice.
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -3,10 +3,10 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::table;
+use crate::fleet::speeds;
 use crate::fleet::Count;
 use crate::rollout::{self, evidence};
 use crate::traffic::log::{Placement, Position};
-use crate::traffic::speeds;
 use tidepier_admission::demand::Summary;
 
 /// The kind of sender of a request.
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -18,12 +18,12 @@
 use super::registry::{Member, Registry};
 use super::upstream::{ANSWER_TIMEOUT, CONNECT_TIMEOUT, SKIP_TIME, UNCONFIRMED_SKIP_TIME};
 use crate::crash::table;
+use crate::fleet::speeds::Speeds;
 use crate::message::link::{self, Error};
 use crate::message::traffic::{Answer, Report, Request, Requester};
 use crate::message::{PeerRequest, VERSION};
 use crate::relay::Relay;
 use crate::traffic::log::{Batch, Peer, Position};
-use crate::traffic::speeds::Speeds;
 use crate::traffic::tally::{Baseline, Totals};
 use tidepier_admission::demand::Summary;
 
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -11,13 +11,11 @@
 //! * [`demand`](tidepier_admission::demand): how many requests there are about which
 //!   subject, and in which hall.
 //! * [`log`]: placements to be reported.
-//! * [`speeds`]: how fast engines are.
 //! * [`tally`]: counts of requests in flight.
 
 pub mod coverage;
 pub mod index;
 pub mod log;
-pub mod speeds;
 pub mod tally;
 
 use std::cell::Cell;
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -14,10 +14,10 @@
 
 use tidepier_clock::Instant;
 
+use crate::fleet::speeds::Speeds;
 use crate::fleet::{Count, Key};
 
 use super::log::Peer;
-use super::speeds::Speeds;
 use tidepier_admission::demand::Summary;
 
 /// Age after which a report is ignored: several times the interval between reports.
--- a/crates/relay/tests/relay/speeds.rs
+++ b/crates/relay/tests/relay/speeds.rs
@@ -6,8 +6,8 @@
 use tidepier_admission::speed::{Prediction, Service, Summary, Work};
 use tidepier_clock::Instant;
 use tidepier_core::answer::{Load, Slowdown};
+use tidepier_relay::fleet::speeds::{Row, Speeds};
 use tidepier_relay::fleet::Key;
-use tidepier_relay::traffic::speeds::{Row, Speeds};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::Settings;
 
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -18,9 +18,9 @@
 use tidepier_ids as ids;
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Choice, Criteria};
+use tidepier_relay::fleet::speeds::Speeds;
 use tidepier_relay::fleet::{Fleet, InFlight, Key};
 use tidepier_relay::traffic::index::Index;
-use tidepier_relay::traffic::speeds::Speeds;
 use tidepier_relay::traffic::tally::{Baseline, Totals};
 
 use crate::choice_harness::{address, id, prompt};
