--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -13,6 +13,7 @@
 //! * [`admission`]: the decision on one request.
 //! * [`rise`]: subjects whose share of the requests has just risen.
 //! * [`balance`]: the choice between servers that differ in speed.
+//! * [`speed`]: the speed of one engine, learned, combined with the slowdown it reports.
 
 pub mod admission;
 mod backlog;
@@ -24,5 +25,6 @@
 pub mod returns;
 pub mod rise;
 pub mod share;
+pub mod speed;
 mod wait;
 mod window;
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::table;
+use crate::fleet::speeds;
 use crate::fleet::Count;
 use crate::rollout::{self, evidence};
 use crate::traffic::log::{Placement, Position};
@@ -65,6 +66,10 @@
     /// Load of the counted boxes on the plain services.
     #[serde(default, skip_serializing_if = "Load::is_empty")]
     pub load: Load,
+    /// What the counted boxes learned of the speeds of engines, as far as it changed since
+    /// the last report on this connection.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub speeds: Vec<speeds::Row>,
     /// Evidence from answers about the releases that services are being moved to.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<evidence::Row>,
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -232,6 +232,7 @@
         let others = self.traffic.others(None, now);
         self.fleet
             .set_peer_in_flight(&others.requests, others.boxes, now);
+        self.fleet.set_peer_speeds(&others.speeds, now);
         self.traffic.index.demand.set_others(others.demand, now);
         self.admission.set_others(others.load, now);
     }
@@ -309,6 +310,7 @@
             requests: self.fleet.running(),
             demand: self.traffic.index.demand.summary(now),
             load: self.admission.report(now),
+            speeds: self.fleet.speeds(now),
         });
         totals
     }
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -14,6 +14,7 @@
 
 use tidepier_clock::Instant;
 
+use crate::fleet::speeds::Speeds;
 use crate::fleet::{Count, Key};
 
 use super::log::Peer;
@@ -37,6 +38,8 @@
     pub demand: Summary,
     /// Their load on the plain services.
     pub load: Load,
+    /// What they learned of the speeds of engines.
+    pub speeds: Speeds,
 }
 
 impl Totals {
@@ -49,6 +52,7 @@
         }
         self.demand.add(&other.demand);
         self.load.add(&other.load);
+        self.speeds.add(&other.speeds);
     }
 
     /// Subtracts counts that were added before.
@@ -65,6 +69,7 @@
         }
         self.demand.subtract(&other.demand);
         self.load.subtract(&other.load);
+        self.speeds.subtract(&other.speeds);
     }
 
     /// Applies the changes that another box sent.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -55,6 +55,7 @@
 mod sizes;
 mod slow;
 mod slow_clients;
+mod speeds;
 mod spread;
 mod spread_harness;
 mod stop;
