--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -383,7 +383,7 @@
         Some(rate) if offered > rate => {
             let kept = returning.0.min(returns::RETURN_PART * rate.0);
             // Repetitions are counted in the demand of the classes and get nothing.
-            let repeated = (counted.0 / distinct.0.max(f64::EPSILON)).max(1.0);
+            let repeated = (counted.0 / distinct.0.max(1.0)).max(1.0);
             let shares = share::allocate(&load.offered, Rate((rate.0 - kept) * repeated));
             let returned = if returning > Rate(0.0) {
                 kept / returning.0
--- a/crates/admission/src/report.rs
+++ b/crates/admission/src/report.rs
@@ -3,7 +3,7 @@
 //! Invariant: the size of a message is bounded, whatever the number of accounts.
 
 use std::cmp::Reverse;
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::fmt;
 use std::time::Duration;
 
@@ -79,7 +79,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Load {
     /// Requests by class, admitted or not, without [`Load::returned`].
-    pub offered: HashMap<Class, Offered>,
+    pub offered: BTreeMap<Class, Offered>,
     /// Estimate of the requests in [`Load::offered`] without repetitions.
     pub distinct: u32,
     /// The same of the requests of callers that return as they were told to.
@@ -100,7 +100,7 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// The load by service; services without requests are missing.
-    pub services: HashMap<Service, Load>,
+    pub services: BTreeMap<Service, Load>,
 }
 
 /// A number of requests in reported units.
@@ -177,8 +177,8 @@
         Rate(rates.sum())
     }
 
-    /// The same with at most `most` classes. The smaller ones of each rank are added up
-    /// under [`Account::OTHERS`].
+    /// The same with the `most` largest classes. The others of each rank are added up under
+    /// [`Account::OTHERS`].
     fn truncated(&self, most: usize) -> Self {
         if self.offered.len() <= most {
             return self.clone();
@@ -186,7 +186,7 @@
         let mut all: Vec<(Class, Offered)> = self.offered.iter().map(|(k, v)| (*k, *v)).collect();
         all.sort_unstable_by_key(|(class, it)| (Reverse(it.recent.max(it.usual)), *class));
         let mut kept = Self {
-            offered: HashMap::new(),
+            offered: BTreeMap::new(),
             ..self.clone()
         };
         for (at, (class, offered)) in all.into_iter().enumerate() {
--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -61,7 +61,7 @@
 }
 
 /// Divides the capacity between the classes.
-pub fn allocate(offered: &HashMap<Class, Offered>, capacity: Rate) -> Shares {
+pub fn allocate(offered: &BTreeMap<Class, Offered>, capacity: Rate) -> Shares {
     let recent = |it: &Offered| crate::report::rate(it.recent).0;
     let total: f64 = offered.values().map(recent).sum();
     if total <= capacity.0 || total <= 0.0 {
--- a/crates/relay/src/exchange/overload.rs
+++ b/crates/relay/src/exchange/overload.rs
@@ -117,7 +117,7 @@
         if basis.fraction < 1.0 {
             log::info!(
                 target: "request",
-                "event={name} id={} service={} account={} rank={} delay_ms={} {basis}",
+                "event=load id={} verdict={name} service={} account={} rank={} delay_ms={} {basis}",
                 self.request.attempt,
                 self.service,
                 self.account.as_ref().map_or("-", |account| account.name.as_str()),
