--- a/crates/admission/tests/admission/main.rs
+++ b/crates/admission/tests/admission/main.rs
@@ -2,3 +2,6 @@
 
 mod driver;
 mod overload;
+mod reports;
+mod returns;
+mod shares;
