--- a/crates/relay/src/choose/rotation.rs
+++ b/crates/relay/src/choose/rotation.rs
@@ -34,11 +34,14 @@
         let servers = fleet.serving(service);
         let usable = |it: &&Rc<Backend>| it.is_healthy(now) && criteria.filter.admits(it, now);
         let usable: Vec<&Rc<Backend>> = servers.iter().filter(usable).collect();
-        let counted = |it: &&Rc<Backend>| it.counted_in_flight(weight::COUNT_AGE_MAX, now);
-        let in_flight: Option<u32> = usable.iter().map(counted).sum();
+        // A faulty box may report counts whose sum exceeds an integer.
+        let counted = |it: &&Rc<Backend>| {
+            let counted = it.counted_in_flight(weight::COUNT_AGE_MAX, now);
+            counted.map(f64::from)
+        };
         Self {
             slots: usable.iter().map(|it| f64::from(it.slots())).sum(),
-            in_flight: in_flight.map(f64::from),
+            in_flight: usable.iter().map(counted).sum(),
         }
     }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -48,6 +48,7 @@
 mod returning_readers;
 mod rise;
 mod rollouts;
+mod rotation;
 mod seeds;
 mod server_history;
 mod shared;
