--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -32,6 +32,7 @@
 mod locations;
 mod logged;
 mod losses;
+mod overload;
 mod peer_answers;
 mod peers;
 mod port;
