--- a/crates/admission/tests/admission/reports.rs
+++ b/crates/admission/tests/admission/reports.rs
@@ -1,6 +1,6 @@
 //! What boxes tell each other of the load on plain services.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use tidepier_admission::demand::Service;
 use tidepier_admission::report::{Account, Class, Load, Offered, Rank, Report, CLASSES_MAX};
@@ -35,7 +35,7 @@
         rejected: count + 6,
     };
     Report {
-        services: HashMap::from([(service(), load)]),
+        services: BTreeMap::from([(service(), load)]),
     }
 }
 
@@ -96,7 +96,7 @@
         rejected: u32::MAX,
     };
     let faulty = Report {
-        services: HashMap::from([(service(), load)]),
+        services: BTreeMap::from([(service(), load)]),
     };
     let mut sum = report(0..20, 7);
     sum.add(&faulty);
--- a/crates/admission/tests/admission/shares.rs
+++ b/crates/admission/tests/admission/shares.rs
@@ -1,6 +1,6 @@
 //! How the capacity is divided between classes.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use tidepier_admission::report::{Account, Class, Offered, Rank, Rate};
 use tidepier_admission::share::{allocate, Shares};
@@ -26,7 +26,7 @@
 }
 
 /// The rate that the shares admit.
-fn admitted(demand: &HashMap<Class, Offered>, shares: &Shares) -> f64 {
+fn admitted(demand: &BTreeMap<Class, Offered>, shares: &Shares) -> f64 {
     let rate = |it: &Offered| f64::from(it.recent) / UNITS_PER_RATE;
     let parts = demand
         .iter()
@@ -39,7 +39,7 @@
 #[test]
 fn urgent_ranks_come_first_and_every_class_keeps_the_least_part() {
     let (urgent, usual, last) = (class(0, "a"), class(1, "a"), class(2, "b"));
-    let demand = HashMap::from([
+    let demand = BTreeMap::from([
         (urgent, offered(60.0, 60.0)),
         (usual, offered(60.0, 60.0)),
         (last, offered(60.0, 60.0)),
@@ -62,7 +62,7 @@
 #[test]
 fn an_account_at_eight_times_its_usual_is_limited_first() {
     let (large, small, new) = (class(1, "large"), class(1, "small"), class(1, "new"));
-    let demand = HashMap::from([
+    let demand = BTreeMap::from([
         (large, offered(160.0, 20.0)),
         (small, offered(20.0, 20.0)),
         (new, offered(10.0, 0.0)),
@@ -80,7 +80,7 @@
 fn shares_use_the_capacity_and_no_more() {
     let mut random = fastrand::Rng::with_seed(5);
     for case in 0..2_000 {
-        let demand: HashMap<Class, Offered> = (0..random.u32(1..40))
+        let demand: BTreeMap<Class, Offered> = (0..random.u32(1..40))
             .map(|number| {
                 let most = 10u32.pow(random.u32(0..6));
                 let it = Offered {
@@ -101,5 +101,5 @@
         let error = (got - wanted).abs();
         assert!(error <= 1e-6 * total, "{case}: {got} of {wanted}");
     }
-    assert_eq!(allocate(&HashMap::new(), Rate(0.0)), Shares::all());
+    assert_eq!(allocate(&BTreeMap::new(), Rate(0.0)), Shares::all());
 }
