--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -255,7 +255,9 @@
             self.meter.offered(service, request.class, now);
         }
         let basis = self.basis(&plan, request, now);
-        if request.is_drawn(basis.fraction) || is_idle(request) {
+        // Without servers there is nothing to share out, and another refusal tells why.
+        let is_served = request.slots > 0.0;
+        if request.is_drawn(basis.fraction) || is_idle(request) || !is_served {
             self.meter.admitted(service, returned, basis.fraction, now);
             return (Verdict::Admitted, basis);
         }
@@ -370,7 +372,7 @@
 /// Whether the servers of a service have so many requests that boxes have to share them out
 /// by what each server bears.
 pub fn is_under_pressure(in_flight: f64, slots: f64) -> bool {
-    in_flight >= PRESSURE_PART * slots
+    slots > 0.0 && in_flight >= PRESSURE_PART * slots
 }
 
 /// Divides a rate between callers that return and the others.
--- a/crates/admission/tests/admission/main.rs
+++ b/crates/admission/tests/admission/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the decisions under load, without a network.
 
+mod decisions;
 mod driver;
 mod overload;
 mod reports;
--- a/crates/relay/src/exchange/overload.rs
+++ b/crates/relay/src/exchange/overload.rs
@@ -37,6 +37,7 @@
         if self.request.prompt.is_none() {
             let now = Instant::now();
             let took = now.saturating_duration_since(self.last_attempt.at);
+            let took = took.saturating_sub(self.client_wait.get());
             let request = self.load_request(now);
             self.relay.admission.answered(&request, took, now);
         }
