--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -1,8 +1,8 @@
 //! The decision whether a request for a plain service is admitted.
 //!
-//! Answers more requests than the servers bear. Without it the servers' queues stay full:
+//! Handles more requests than the servers can sustain. Without it their queues stay full:
 //! requests are rejected after they were sent, and those that get through are late. So
-//! the fleet admits what the servers bear and the box refuses the rest at once. Each box
+//! the fleet admits what the servers can sustain and the box refuses the rest at once. Each box
 //! admits the same fraction of its own requests, from the sums over all boxes. The answers
 //! that it sees itself correct the fraction sooner than the sums do.
 //!
@@ -107,7 +107,7 @@
 pub struct Basis {
     /// The fraction of such requests that is admitted.
     pub fraction: f64,
-    /// What the servers bear, if known.
+    /// What the servers can sustain, if known.
     pub capacity: Option<Rate>,
     /// What is asked for, by all boxes if `age` is set.
     pub offered: Rate,
@@ -119,7 +119,7 @@
     pub wait: Duration,
     /// Age of the other boxes' reports; `None` if there are none that count.
     pub age: Option<Duration>,
-    /// Whether the caller returned as it was told to.
+    /// Whether the caller returned after the delay that it was given.
     pub returned: bool,
 }
 
@@ -148,7 +148,7 @@
     /// Age of the other boxes' reports; `None` if there are none that count.
     age: Option<Duration>,
     shares: Shares,
-    /// Fraction of the callers who return as they were told to.
+    /// Fraction of the callers who return after the delay that they were given.
     returned: f64,
     refused: Rate,
     offered: Rate,
@@ -164,8 +164,8 @@
         returns::delay(left, share, self.refused, capacity, spread)
     }
 
-    /// Whether the caller of a request returned as it was told to. Without refusals nobody
-    /// was told to.
+    /// Whether the caller of a request returned after the delay that it was given. Without
+    /// refusals no caller was given one.
     fn is_returned(&self, request: &Request) -> bool {
         returns::round(request.elapsed) > 0 && self.refused > Rate(0.0)
     }
@@ -335,7 +335,7 @@
             if let Some(plan) = last {
                 return plan.clone();
             }
-            // Of its own requests alone, a box cannot tell what the servers bear.
+            // From its own requests alone, a box cannot know what the servers can sustain.
             let rate = age.and_then(|_| state.rate(&load, request, now));
             let plan = Rc::new(plan(&load, rate, age, now));
             state.plan = Some(plan.clone());
@@ -370,7 +370,7 @@
 }
 
 /// Whether the servers of a service have so many requests that boxes have to share them out
-/// by what each server bears.
+/// by what each server can sustain.
 pub fn is_under_pressure(in_flight: f64, slots: f64) -> bool {
     slots > 0.0 && in_flight >= PRESSURE_PART * slots
 }
--- a/crates/admission/src/balance.rs
+++ b/crates/admission/src/balance.rs
@@ -1,6 +1,6 @@
 //! The choice between servers of a plain service that differ in speed.
 //!
-//! Answers servers of which some are several times slower, and loads that all boxes know
+//! Handles servers of which some are several times slower, and loads that all boxes know
 //! equally late. A choice by such loads sends the requests of all boxes to the same server
 //! until the next report. So the servers take turns, each as often as its speed allows.
 //! Speed is measured by the time to an answer, which also covers the wait: a server with a
@@ -10,7 +10,7 @@
 use std::hash::Hash;
 use std::time::Duration;
 
-/// Shortest time to an answer that is told from a shorter one.
+/// Shortest time to an answer that is distinguished from a shorter one.
 const TIME_MIN: Duration = Duration::from_millis(1);
 
 /// A server that may get the request.
--- a/crates/admission/src/capacity.rs
+++ b/crates/admission/src/capacity.rs
@@ -1,4 +1,4 @@
-//! The rate of requests that the servers of a plain service can bear.
+//! The rate of requests that the servers of a plain service can sustain.
 //!
 //! Nobody reports it. It follows from two bounds that both hold at any load: the servers
 //! answer no faster than their slots allow, and an answer takes no less than the time of
@@ -74,7 +74,7 @@
         Some(Duration::from_secs_f64(estimate.work_s))
     }
 
-    /// Requests a second that servers with `slots` slots bear; `None` until measured.
+    /// Requests a second that servers with `slots` slots can sustain; `None` until measured.
     pub fn rate(&self, slots: f64) -> Option<Rate> {
         let estimate = self.estimate?;
         Some(Rate(slots / estimate.work_s.max(1e-4)))
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -7,7 +7,7 @@
 //! * [`demand`]: recent requests by service, by subject and by hall.
 //! * [`report`]: what boxes tell each other of the load on plain services.
 //! * [`meter`]: counts what a box reports.
-//! * [`capacity`]: the rate of requests that the servers of a service can bear.
+//! * [`capacity`]: the rate of requests that the servers of a service can sustain.
 //! * [`share`]: which part of each account's requests is admitted.
 //! * [`returns`]: when a refused caller may return, and whether it kept to that.
 //! * [`admission`]: the decision on one request.
--- a/crates/admission/src/report.rs
+++ b/crates/admission/src/report.rs
@@ -108,7 +108,7 @@
     pub offered: BTreeMap<Class, Offered>,
     /// Estimate of the requests in [`Load::offered`] without repetitions.
     pub distinct: u32,
-    /// The same of the requests of callers that return as they were told to.
+    /// The same of the requests of callers that return after the delay that they were given.
     pub returned: u32,
     /// Requests that were refused by a box.
     pub refused: u32,
--- a/crates/admission/src/returns.rs
+++ b/crates/admission/src/returns.rs
@@ -1,6 +1,6 @@
 //! When a refused caller may return, and whether it kept to that.
 //!
-//! Answers clients that repeat at once, and callers that all return in one moment. A
+//! Handles clients that repeat at once, and callers that all return in one moment. A
 //! caller returns through any box, with nothing that this fleet could mark. What it does
 //! send is the time that it has left; so how long ago it first asked is known to every box
 //! without a message, also after the box that refused it is gone.
@@ -20,8 +20,8 @@
 /// Part of the time left to a caller up to which it keeps to a delay; callers ignore
 /// longer ones.
 const LEFT_PART: f64 = 1.0 / 3.0;
-/// Part of the capacity that goes to callers who return as they were told to, before any
-/// new ones. In a long crowd more than that return; if all of them came first, every caller
+/// Part of the capacity that goes to callers who return after the delay that they were
+/// given, before any new ones. In a long crowd more than that return; if all of them came first, every caller
 /// would be refused once before it is served, and none would be served on time.
 pub const RETURN_PART: f64 = 0.25;
 /// Most callers that wait to return, in multiples of those that can be served within the
@@ -76,8 +76,8 @@
     }
 }
 
-/// How often a caller that began to ask `elapsed` ago may have returned as it was told to.
-/// A caller that repeats its request sooner has the same number again.
+/// How often a caller that began to ask `elapsed` ago may have returned after the delay
+/// that it was given. A caller that repeats its request sooner has the same number again.
 pub fn round(elapsed: Duration) -> u32 {
     ((elapsed + TOLERANCE).as_millis() / DELAY_MIN.as_millis()) as u32
 }
@@ -85,7 +85,7 @@
 /// The delay after which a refused caller should return that has `left` time left: the
 /// time until those that were refused before it are served. `admitted` is the fraction of
 /// its class that is admitted, `refused` the rate of all refused requests, and `capacity`
-/// what the servers bear. `spread` from 0 to 1 differs between callers, so that they do not
+/// what the servers can sustain. `spread` from 0 to 1 differs between callers, so that they do not
 /// return in one moment.
 pub fn delay(
     left: Duration,
--- a/crates/admission/src/share.rs
+++ b/crates/admission/src/share.rs
@@ -1,6 +1,6 @@
 //! Which part of each account's requests is admitted while there is less room than demand.
 //!
-//! Answers one account that sends many times its usual, and a crowd of all accounts. More
+//! Handles one account that sends many times its usual, and a crowd of all accounts. More
 //! urgent ranks come first. Within a rank each account may exceed its usual demand by the
 //! same factor, so that one that sends eight times its usual takes what the others leave
 //! and not what they need. Every class keeps a part of the mean.
--- a/crates/admission/tests/admission/driver.rs
+++ b/crates/admission/tests/admission/driver.rs
@@ -62,7 +62,7 @@
 pub(crate) struct Plan {
     pub(crate) boxes: usize,
     pub(crate) servers: usize,
-    /// Requests a second, as a multiple of what the servers bear at usual speed.
+    /// Requests a second, as a multiple of what the servers can sustain at usual speed.
     pub(crate) load: f64,
     pub(crate) time: f64,
     /// When the traffic is multiplied, and by how much.
@@ -133,7 +133,7 @@
     pub(crate) by_account: HashMap<usize, Tally>,
     pub(crate) urgent: Tally,
     pub(crate) usual: Tally,
-    /// Clients who returned when they were told to, and those who repeated at once.
+    /// Clients who returned after the delay that they were given, and those who repeated at once.
     pub(crate) returned: Tally,
     pub(crate) repeated: Tally,
     pub(crate) arrivals: usize,
--- a/crates/admission/tests/admission/returns.rs
+++ b/crates/admission/tests/admission/returns.rs
@@ -1,4 +1,4 @@
-//! When refused callers should return, and how those that do are told from others.
+//! When refused callers should return, and how those that do are distinguished from others.
 
 use std::time::Duration;
 
--- a/crates/relay/src/choose/rotation.rs
+++ b/crates/relay/src/choose/rotation.rs
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Whether boxes have to share out the servers by what each bears.
+    /// Whether boxes have to share out the servers by what each can sustain.
     pub fn are_under_pressure(&self) -> bool {
         self.in_flight
             .is_some_and(|it| admission::is_under_pressure(it, self.slots))
--- a/crates/relay/src/exchange/overload.rs
+++ b/crates/relay/src/exchange/overload.rs
@@ -1,4 +1,4 @@
-//! Admission of requests for plain services by what their servers bear.
+//! Admission of requests for plain services by what their servers can sustain.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
@@ -16,7 +16,7 @@
     ///
     /// # Errors
     ///
-    /// The servers cannot bear it; the refusal that the client gets.
+    /// The servers cannot sustain it; the refusal that the client gets.
     pub(super) fn admit_by_load(&mut self) -> Result<(), refusal::Kind> {
         if self.request.prompt.is_some() {
             return Ok(());
@@ -82,9 +82,9 @@
         let servers = Servers::of(&self.relay.fleet, &self.service, &criteria, now);
         let account = self.account.as_ref();
         let account = account.map_or(Account::OTHERS, |it| Account::new(it.name.as_str()));
-        // The time of day, as boxes share no other clock. A step of it has the effect that
+        // The wall clock, as boxes share no other. A step of it has the effect that
         // a repeated request counts as another one.
-        let today = SystemTime::now().duration_since(UNIX_EPOCH);
+        let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
         Request {
             service: demand::Service::new(&self.service),
             class: Class {
@@ -94,7 +94,7 @@
             objective: self.route.objective,
             left: self.deadline.saturating_duration_since(now),
             elapsed: self.elapsed,
-            begun: today.unwrap_or_default().saturating_sub(self.elapsed),
+            begun: since_epoch.unwrap_or_default().saturating_sub(self.elapsed),
             content: self.content.as_u64(),
             slots: servers.slots,
             in_flight: servers.in_flight,
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -61,7 +61,7 @@
     ServersDown,
     /// The servers that could serve the request are full.
     Full,
-    /// More is asked for than the servers of the service bear; the duration is the retry
+    /// More is asked for than the servers of the service can sustain; the duration is the retry
     /// delay.
     Overloaded(Duration),
     /// The request's time ran out before a server executed it.
--- a/crates/relay/tests/relay/overload.rs
+++ b/crates/relay/tests/relay/overload.rs
@@ -17,7 +17,7 @@
     count_runs, ensure_not_executed, ms, post, run, server_settings, Executor, Result, SERVICE,
 };
 
-/// Requests a second that the servers bear: 3 servers, 2 slots each, 300 ms a request.
+/// Requests a second that the servers can sustain: 3 servers, 2 slots each, 300 ms a request.
 const CAPACITY: u32 = 20;
 /// The same in a crowd.
 const CROWD: u32 = 5 * CAPACITY;
@@ -150,7 +150,7 @@
     Ok(())
 }
 
-/// Guards against boxes that send servers more than they bear, and against refusals of
+/// Guards against boxes that send servers more than they can sustain, and against refusals of
 /// requests that were executed.
 #[test]
 fn three_boxes_refuse_what_the_servers_cannot_bear() -> Result {
