--- a/crates/admission/src/returns.rs
+++ b/crates/admission/src/returns.rs
@@ -21,8 +21,9 @@
 /// longer ones.
 const LEFT_PART: f64 = 1.0 / 3.0;
 /// Part of the capacity that goes to callers who return after the delay that they were
-/// given, before any new ones. In a long crowd more than that return; if all of them came first, every caller
-/// would be refused once before it is served, and none would be served on time.
+/// given, before any new ones. In a long crowd more than that return; if all of them came
+/// first, every caller would be refused once before it is served, and none would be served
+/// on time.
 pub const RETURN_PART: f64 = 0.25;
 /// Most callers that wait to return, in multiples of those that can be served within the
 /// shortest delay.
