--- a/crates/relay/src/exchange/overload.rs
+++ b/crates/relay/src/exchange/overload.rs
@@ -11,6 +11,15 @@
 use crate::choose::rotation::Servers;
 use crate::refusal;
 
+/// Step to which the answer to a client rounds a delay up.
+const DELAY_STEP: Duration = Duration::from_millis(1);
+
+/// The refusal with a delay that does not exceed it when rounded: clients ignore one above
+/// a third of the time that they have left.
+fn overloaded(delay: Duration) -> refusal::Kind {
+    refusal::Kind::Overloaded(delay.saturating_sub(DELAY_STEP))
+}
+
 impl Exchange<'_> {
     /// Decides whether the request is sent to a server of a plain service.
     ///
@@ -28,7 +37,7 @@
         self.record_verdict(verdict, &basis);
         match verdict {
             Verdict::Admitted => Ok(()),
-            Verdict::Refused(delay) => Err(refusal::Kind::Overloaded(delay)),
+            Verdict::Refused(delay) => Err(overloaded(delay)),
         }
     }
 
@@ -62,7 +71,7 @@
         }
         let now = Instant::now();
         let delay = self.relay.admission.delay(&self.load_request(now), now);
-        refusal::Kind::Overloaded(delay)
+        overloaded(delay)
     }
 
     /// How long ago the client first asked.
