--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -328,13 +328,13 @@
     }
 
     fn plan(&self, request: &Request, now: Instant) -> Rc<Plan> {
-        let (load, age) = self.load(request.service, now);
         self.with_state(request.service, |state| {
             let last = state.plan.as_ref();
             let last = last.filter(|it| now.saturating_duration_since(it.at) < PLAN_TTL);
             if let Some(plan) = last {
                 return plan.clone();
             }
+            let (load, age) = self.load(request.service, now);
             // From its own requests alone, a box cannot know what the servers can sustain.
             let rate = age.and_then(|_| state.rate(&load, request, now));
             let plan = Rc::new(plan(&load, rate, age, now));
