--- a/crates/admission/src/admission.rs
+++ b/crates/admission/src/admission.rs
@@ -48,7 +48,7 @@
 const IDLE_PART: f64 = 0.5;
 /// Part of the slots from which a service is under pressure.
 const PRESSURE_PART: f64 = 0.75;
-/// Tells the draw of a delay from those of the attempts.
+/// Separates the draw of a delay from those of the attempts.
 const DELAY_SALT: u32 = u32::MAX;
 /// Clients that first asked within the same interval of this length, with the same
 /// content, count as the same one.
@@ -255,7 +255,7 @@
             self.meter.offered(service, request.class, now);
         }
         let basis = self.basis(&plan, request, now);
-        // Without servers there is nothing to share out, and another refusal tells why.
+        // Without servers there is no capacity to divide; the choice of a server refuses it.
         let is_served = request.slots > 0.0;
         if request.is_drawn(basis.fraction) || is_idle(request) || !is_served {
             self.meter.admitted(service, returned, basis.fraction, now);
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -5,7 +5,7 @@
 //! kept in memory and can be lost at any time.
 //!
 //! * [`demand`]: recent requests by service, by subject and by hall.
-//! * [`report`]: what boxes tell each other of the load on plain services.
+//! * [`report`]: what boxes report to each other about the load on plain services.
 //! * [`meter`]: counts what a box reports.
 //! * [`capacity`]: the rate of requests that the servers of a service can sustain.
 //! * [`share`]: which part of each account's requests is admitted.
--- a/crates/admission/src/report.rs
+++ b/crates/admission/src/report.rs
@@ -1,4 +1,4 @@
-//! What boxes tell each other of the load on plain services.
+//! What boxes report to each other about the load on plain services.
 //!
 //! Invariant: the size of a message is bounded, whatever the number of accounts.
 
--- a/crates/admission/src/wait.rs
+++ b/crates/admission/src/wait.rs
@@ -70,7 +70,7 @@
         Duration::from_secs_f64(self.mean.map_or(0.0, |(mean, _)| mean))
     }
 
-    /// How much the mean wait tells of the present, from 0 to 1.
+    /// How far the mean wait still applies, from 0 to 1.
     pub(crate) fn weight(&self, now: Instant) -> f64 {
         self.mean.map_or(0.0, |(_, at)| {
             let age = now.saturating_duration_since(at).as_secs_f64();
