Relay: logs and metrics of the servers that a box reaches

Each box now counts how opening connections to servers ended, logs unreached and reached for each service and hall, and has a gauge of unreached servers; answered and failed say whether the request's connection was pooled or opened. Nothing is decided by it yet.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,6 +19,7 @@
 use tidepier_platform::answer;
 
 use crate::fleet::advertisement::Ineligible;
+use crate::fleet::reach::Opening;
 use crate::fleet::{Backend, Fleet, InFlight, Permit};
 use crate::timeout;
 
@@ -124,6 +125,25 @@
     pub cause: Cause,
 }
 
+/// Where the connection of an attempt comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Origin {
+    /// It was idle in the pool.
+    Pooled,
+    /// It was opened for this attempt.
+    Opened,
+}
+
+impl Origin {
+    /// A short name for logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Origin::Pooled => "pooled",
+            Origin::Opened => "opened",
+        }
+    }
+}
+
 /// A request as it is sent to one server.
 pub struct Dispatch<'a> {
     /// Head and body.
@@ -139,7 +159,7 @@
     /// Prompt tokens that the server has to prefill.
     pub prefill: u64,
     /// Called once there is a connection, before anything is sent.
-    pub on_connected: &'a dyn Fn(),
+    pub on_connected: &'a dyn Fn(Origin),
     /// Records what the server reports of itself.
     pub fleet: &'a Fleet,
 }
@@ -171,11 +191,11 @@
     let backend = permit.backend();
     let running = backend.run(dispatch.prefill);
     backend.health.record_sent(Instant::now());
-    let mut conn = connection(backend, dispatch).await?;
+    let (mut conn, origin) = connection(backend, dispatch).await?;
     // An answer to another request may meanwhile have reported that the server takes
     // nothing new.
     permit.recheck(Instant::now()).map_err(ineligible)?;
-    (dispatch.on_connected)();
+    (dispatch.on_connected)(origin);
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
@@ -217,16 +237,20 @@
     Failure { executed, cause }
 }
 
-async fn connection(backend: &Rc<Backend>, dispatch: &Dispatch<'_>) -> Result<Conn, Failure> {
+async fn connection(
+    backend: &Rc<Backend>,
+    dispatch: &Dispatch<'_>,
+) -> Result<(Conn, Origin), Failure> {
     if let Some(conn) = backend.connection(dispatch.max_idle) {
-        return Ok(conn);
+        return Ok((conn, Origin::Pooled));
     }
     let left = dispatch.deadline.saturating_duration_since(Instant::now());
     let opened = open(backend, CONNECT_TIMEOUT.min(left)).await;
-    opened.map_err(|error| Failure {
+    let failure = |error| Failure {
         executed: Executed::No,
         cause: Cause::Connect(error),
-    })
+    };
+    opened.map(|conn| (conn, Origin::Opened)).map_err(failure)
 }
 
 /// Whether a server accepts a connection. The connection is pooled for the next request.
@@ -251,7 +275,9 @@
 pub(crate) async fn open(backend: &Backend, limit: Duration) -> io::Result<Conn> {
     metrics::counter!("tidepier_server_connections_total").increment(1);
     let start = Instant::now();
-    let conn = Conn::open(backend.server.address, limit, UNACKED_TIMEOUT).await?;
+    let opened = Conn::open(backend.server.address, limit, UNACKED_TIMEOUT).await;
+    backend.record_opening(Opening::of(&opened), Instant::now());
+    let conn = opened?;
     backend.hall.record_connect_time(start.elapsed());
     Ok(conn)
 }
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -70,6 +70,7 @@
             prefill_time: Duration::ZERO,
             first_event: None,
         },
+        origin: Cell::default(),
         attempts: 0,
         absent_count: 0,
         retry_charged: false,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -96,7 +96,7 @@
         }
         log::info!(
             target: "request",
-            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2}",
+            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2} conn={}",
             self.request.attempt,
             backend.server.id,
             failure.cause.name(),
@@ -104,6 +104,7 @@
             failure.executed,
             self.arrival.at.elapsed().as_millis(),
             backend.health.failure_rate(Instant::now()),
+            self.origin_name(),
         );
         metrics::counter!("tidepier_send_failures_total", "why" => failure.cause.name())
             .increment(1);
@@ -242,12 +243,13 @@
     pub(super) fn log_answer(&self, backend: &Backend, status: u16, first: Duration) {
         log::info!(
             target: "request",
-            "event=answered id={} server={} status={status} first_ms={} ms={} tries={}",
+            "event=answered id={} server={} status={status} first_ms={} ms={} tries={} conn={}",
             self.request.attempt,
             backend.server.id,
             first.as_millis(),
             self.arrival.at.elapsed().as_millis(),
             self.attempts,
+            self.origin_name(),
         );
         metrics::counter!("tidepier_answers_total", "status" => class(status)).increment(1);
         metrics::histogram!("tidepier_first_byte_seconds").record(first.as_secs_f64());
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -71,7 +71,9 @@
         self.log_placement(&choice);
         let bytes = self.encode(&choice, resume_after);
         let max_idle = self.max_idle(&backend);
-        let connected = || {
+        self.origin.set(None);
+        let connected = |origin| {
+            self.origin.set(Some(origin));
             backend.window.reschedule(sent_at, Instant::now());
             self.record_sent(&backend);
         };
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -13,6 +13,7 @@
 use tidepier_platform::{answer, request as wire_request};
 
 use super::buffered::Answer;
+use crate::attempt::Origin;
 use crate::content::Fingerprint;
 use crate::relay::Relay;
 
@@ -75,6 +76,8 @@
     pub(super) tried: Vec<ids::Server>,
     /// The start of the latest attempt.
     pub(super) last_attempt: Start,
+    /// The connection of the latest attempt; `None` until there is one.
+    pub(super) origin: Cell<Option<Origin>>,
     /// Number of servers that it was sent to, without those counted as absent.
     pub(super) attempts: u32,
     /// Number of servers that were absent: no connection could be opened, or
@@ -97,6 +100,12 @@
         self.arrival.close || self.relay.closes_clients()
     }
 
+    /// Where the connection of the latest attempt comes from, for the log; `-` if there is
+    /// none.
+    pub(super) fn origin_name(&self) -> &'static str {
+        self.origin.get().map_or("-", Origin::name)
+    }
+
     /// Adds to the time for which the answer has waited for the client.
     pub(super) fn add_client_wait(&self, time: Duration) {
         self.client_wait.set(self.client_wait.get() + time);
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -16,6 +16,7 @@
 use super::backoff::Backoff;
 use super::hall::Hall;
 use super::idle::Idle;
+use super::reach::{Change, Opening, Reach};
 use super::Key;
 use crate::cold::Window;
 use crate::health::{Health, Outcome};
@@ -80,6 +81,8 @@
     pub health: Health,
     /// What this box has observed of all servers of the server's hall.
     pub hall: Rc<Hall>,
+    /// Whether this box reaches the servers of the server's service in its hall.
+    pub reach: Rc<Reach>,
     /// What this incarnation of the server has advertised about itself.
     pub(super) advertisement: Rc<Advertisement>,
     /// Whether this incarnation has ended: its entry is gone, or another server has its
@@ -137,10 +140,12 @@
         server: Server,
         advertisement: Rc<Advertisement>,
         hall: Rc<Hall>,
+        reach: Rc<Reach>,
         now: Instant,
     ) -> Self {
         Self {
             hall,
+            reach,
             known_since: now,
             key: Key::of_incarnation(&server),
             advertisement,
@@ -312,6 +317,31 @@
         self.hall.record_received(now);
     }
 
+    /// Records how opening a connection to the server ended, and logs what it changes for
+    /// the servers of its service in its hall.
+    pub fn record_opening(&self, opening: Opening, now: Instant) {
+        metrics::counter!("tidepier_server_openings_total", "result" => opening.name())
+            .increment(1);
+        if self.ended.get() {
+            return;
+        }
+        let (service, hall) = (&self.server.service, &self.server.hall);
+        match self.reach.record(self.key, opening, now) {
+            Change::Lost => log::warn!(
+                target: "belief",
+                "event=unreached service={service} hall={hall} why={opening} failed={} servers={}",
+                self.reach.failed(),
+                self.reach.size(),
+            ),
+            Change::Restored(time) => log::warn!(
+                target: "belief",
+                "event=reached service={service} hall={hall} ms={}",
+                time.as_millis(),
+            ),
+            Change::None => {}
+        }
+    }
+
     /// Records how a request to the server ended.
     pub fn record(&self, outcome: Outcome, now: Instant) {
         match outcome {
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod hall;
 mod idle;
 mod permit;
+pub mod reach;
 pub mod speeds;
 pub(crate) mod watch;
 
@@ -38,6 +39,7 @@
 use departed::Departed;
 pub use hall::Hall;
 pub use permit::Permit;
+use reach::Reach;
 use speeds::Speeds;
 
 /// Time for which the usual speed of a service's engines serves further choices: summing up
@@ -121,6 +123,8 @@
 #[derive(Default)]
 pub struct Fleet {
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
+    /// Which servers this box reaches, by service and hall.
+    reaches: RefCell<HashMap<(ids::Service, ids::Hall), Rc<Reach>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     /// Servers by listening address.
     addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
@@ -176,7 +180,9 @@
         };
         let service = server.service.clone();
         let hall = self.hall(&server.hall);
-        let backend = Rc::new(Backend::new(server, advertisement, hall, now));
+        let reach = self.reach(&server.service, &server.hall);
+        reach.add();
+        let backend = Rc::new(Backend::new(server, advertisement, hall, reach, now));
         let id = backend.server.id.clone();
         let mut addresses = self.addresses.borrow_mut();
         let there = addresses.entry(backend.server.address).or_default();
@@ -288,6 +294,13 @@
         (leaving.count(), backing_off.count())
     }
 
+    /// Number of servers in groups of which this box reaches none.
+    pub fn count_unreached(&self) -> usize {
+        let reaches = self.reaches.borrow();
+        let unreached = reaches.values().filter(|reach| reach.is_unreached());
+        unreached.map(|reach| reach.size()).sum()
+    }
+
     /// The server that an answer from the address of `asked` is about: the server that
     /// it names, if that one is known at this address. An answer that names no server is
     /// about `asked`, unless its status says that another server has the address. A
@@ -312,6 +325,21 @@
         halls.entry(name.clone()).or_default().clone()
     }
 
+    fn reach(&self, service: &ids::Service, hall: &ids::Hall) -> Rc<Reach> {
+        let mut reaches = self.reaches.borrow_mut();
+        let group = reaches.entry((service.clone(), hall.clone()));
+        group.or_default().clone()
+    }
+
+    /// The reach of every group of servers, by service and hall.
+    pub fn reaches(&self) -> Vec<((ids::Service, ids::Hall), Rc<Reach>)> {
+        let reaches = self.reaches.borrow();
+        let reaches = reaches.iter();
+        reaches
+            .map(|(group, reach)| (group.clone(), reach.clone()))
+            .collect()
+    }
+
     /// The halls of all servers that are or were known, and those that were ever set to
     /// be empty.
     pub fn halls(&self) -> Vec<ids::Hall> {
@@ -391,6 +419,7 @@
         let backend = self.servers.borrow_mut().remove(id)?;
         self.remove_address(&backend.server);
         backend.end();
+        backend.reach.remove(backend.key);
         self.departed.keep(&backend);
         self.invalidate_group(&backend.server.service);
         Some(backend)
--- a/crates/relay/src/fleet/watch.rs
+++ b/crates/relay/src/fleet/watch.rs
@@ -1,4 +1,4 @@
-//! Metrics of servers that are leaving or backing off, and the end of back-offs.
+//! Metrics of servers that are leaving, backing off or unreached, and the end of back-offs.
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -13,8 +13,8 @@
 /// are seconds.
 const CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Sets the gauges of servers that are leaving and backing off, and logs each back-off
-/// that has ended; does not return.
+/// Sets the gauges of servers that are leaving, backing off and unreached, and logs each
+/// back-off that has ended; does not return.
 pub(crate) async fn run(fleet: Rc<Fleet>) -> Infallible {
     loop {
         Timer::after(CHECK_INTERVAL).await;
@@ -25,5 +25,6 @@
         let (leaving, backing_off) = fleet.count_ineligible(now);
         metrics::gauge!("tidepier_servers_leaving").set(leaving as f64);
         metrics::gauge!("tidepier_servers_resting").set(backing_off as f64);
+        metrics::gauge!("tidepier_servers_unreached").set(fleet.count_unreached() as f64);
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -38,6 +38,7 @@
 mod port;
 mod process;
 mod raw;
+mod reach;
 mod recalled;
 mod recover;
 mod regions;
