Relay: an address that connections come from; stand-ins that partition senders

A stand-in server could not tell boxes apart that run on one machine, so that no test could cut one box off from it. A box can now be given the address that its connections come from (settings: source), and a stand-in server drops the packets of some addresses by a filter on its sockets: connections hang, fall silent or are reset, for one box alone. Opening connections to servers moves from attempt to dial. Without the setting nothing changes.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -2,16 +2,16 @@
 
 use std::cell::RefCell;
 use std::io::{self, Read, Write};
-use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
-use std::sync::Arc;
+use std::sync::{Arc, Weak};
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use rustix::io::Errno;
 use rustix::net::{self, SendFlags};
 use smol::{Async, Timer};
-use socket2::{SockRef, TcpKeepalive};
+use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
 use crate::head::{Head, Malformed};
 
@@ -50,6 +50,18 @@
     record: AtomicUsize,
 }
 
+/// A reference to a connection's socket that does not keep it open.
+#[derive(Debug, Clone)]
+pub struct WeakSocket(Weak<Async<TcpStream>>);
+
+impl WeakSocket {
+    /// Calls `work` with the socket; `None` if the connection is closed.
+    pub fn with<T>(&self, work: impl FnOnce(SockRef<'_>) -> T) -> Option<T> {
+        let stream = self.0.upgrade()?;
+        Some(work(SockRef::from(stream.get_ref())))
+    }
+}
+
 /// A listening socket.
 pub struct Listener(Async<TcpListener>);
 
@@ -92,11 +104,32 @@
     ///
     /// The peer refused, or did not answer in time.
     pub async fn open(address: SocketAddr, limit: Duration, unacked: Duration) -> io::Result<Self> {
+        Self::open_from(None, address, limit, unacked).await
+    }
+
+    /// The same from an address of this machine; `None`: the system chooses one.
+    ///
+    /// # Errors
+    ///
+    /// The peer refused, or did not answer in time; or this machine does not have the
+    /// address.
+    pub async fn open_from(
+        source: Option<IpAddr>,
+        address: SocketAddr,
+        limit: Duration,
+        unacked: Duration,
+    ) -> io::Result<Self> {
         let late = async {
             Timer::after(limit).await;
             Err(io::ErrorKind::TimedOut.into())
         };
-        let stream = Async::<TcpStream>::connect(address).or(late).await?;
+        let connected = async {
+            match source {
+                Some(source) => connect_from(source, address).await,
+                None => Async::<TcpStream>::connect(address).await,
+            }
+        };
+        let stream = connected.or(late).await?;
         Self::over(stream, unacked)
     }
 
@@ -144,6 +177,11 @@
         }
     }
 
+    /// A reference to the socket that does not keep the connection open.
+    pub fn weak_socket(&self) -> WeakSocket {
+        WeakSocket(Arc::downgrade(&self.stream))
+    }
+
     /// Bytes that were read but not yet taken.
     pub fn pending(&self) -> &[u8] {
         &self.pending
@@ -252,6 +290,28 @@
     }
 }
 
+/// Connects from an address of this machine.
+async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<Async<TcpStream>> {
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM.nonblocking().cloexec(),
+        Some(Protocol::TCP),
+    )?;
+    socket.bind(&SocketAddr::new(source, 0).into())?;
+    match socket.connect(&address.into()) {
+        Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => {
+            return Err(error);
+        }
+        _ => {}
+    }
+    let stream = Async::new_nonblocking(TcpStream::from(socket))?;
+    stream.writable().await?;
+    match stream.get_ref().take_error()? {
+        Some(error) => Err(error),
+        None => Ok(stream),
+    }
+}
+
 impl Writer {
     /// Writes all bytes.
     ///
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -22,5 +22,5 @@
 
 pub use body::{Body, Framing, Unread};
 pub use call::Caller;
-pub use conn::{Conn, Listener, Writer, RECORD_BYTES};
+pub use conn::{Conn, Listener, WeakSocket, Writer, RECORD_BYTES};
 pub use head::{Field, Head, Malformed, Start};
--- a/crates/relay-standin/src/http.rs
+++ b/crates/relay-standin/src/http.rs
@@ -3,11 +3,14 @@
 
 use std::future::Future;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{SocketAddr, TcpListener};
+use std::sync::Arc;
 use std::time::Duration;
 
-use smol::Task;
-use tidepier_h1::{Body, Conn, Framing, Head, Listener};
+use smol::{Async, Task};
+use tidepier_h1::{Body, Conn, Framing, Head};
+
+use crate::partition::Partitions;
 
 /// Time after which unacknowledged data ends a connection; far more than loopback ever
 /// needs.
@@ -22,19 +25,34 @@
 
 /// Serves connections at `address` until the returned task is dropped, which closes the
 /// port and all connections.
-pub(crate) fn listen<S, F>(address: SocketAddr, serve: S) -> io::Result<(SocketAddr, Task<()>)>
+pub(crate) fn listen<S, F>(
+    address: SocketAddr,
+    partitions: Arc<Partitions>,
+    serve: S,
+) -> io::Result<(SocketAddr, Task<()>)>
 where
     S: Fn(Conn) -> F + Send + 'static,
     F: Future<Output = ()> + Send + 'static,
 {
-    let listener = Listener::bind(address)?;
-    let bound = listener.address()?;
+    let listener = Arc::new(Async::<TcpListener>::bind(address)?);
+    let bound = listener.get_ref().local_addr()?;
+    partitions.listen(listener.clone());
+    let accept = move || {
+        let listener = listener.clone();
+        async move {
+            let (stream, sender) = listener.accept().await?;
+            Ok::<_, io::Error>((Conn::over(stream, UNACKED_TIMEOUT)?, sender.ip()))
+        }
+    };
     let task = smol::spawn(async move {
         let mut open: Vec<Task<()>> = Vec::new();
         loop {
             open.retain(|task| !task.is_finished());
-            match listener.accept(UNACKED_TIMEOUT).await {
-                Ok(conn) => open.push(smol::spawn(serve(conn))),
+            match accept().await {
+                Ok((conn, sender)) => {
+                    partitions.accepted(sender, conn.weak_socket());
+                    open.push(smol::spawn(serve(conn)));
+                }
                 Err(error) => log::warn!("no connection accepted at {bound}: {error}"),
             }
         }
--- a/crates/relay-standin/src/lib.rs
+++ b/crates/relay-standin/src/lib.rs
@@ -42,6 +42,7 @@
 pub mod client;
 mod http;
 pub mod names;
+pub mod partition;
 pub mod server;
 pub mod site;
 pub mod store;
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -10,7 +10,7 @@
 
 use std::collections::HashMap;
 use std::io;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -18,6 +18,7 @@
 use smol::Task;
 
 use crate::http;
+use crate::partition::{Cut, Partitions};
 use admission::Admission;
 
 /// The identity of a server and the time that its work takes.
@@ -231,6 +232,7 @@
     admission: Arc<Admission>,
     state: Mutex<State>,
     dark_ended: Event,
+    partitions: Arc<Partitions>,
     /// Accepts connections until it is dropped.
     listening: Mutex<Option<Task<()>>>,
 }
@@ -254,6 +256,7 @@
 
     fn crash(&self) {
         let listening = self.listening().take();
+        self.partitions.close();
         if listening.is_some() {
             self.lock().crashed = Some(Instant::now());
         }
@@ -270,6 +273,7 @@
 impl Drop for Server {
     fn drop(&mut self) {
         self.shared.listening().take();
+        self.shared.partitions.close();
     }
 }
 
@@ -312,11 +316,12 @@
             admission: Arc::new(admission),
             state: Mutex::new(state),
             dark_ended: Event::new(),
+            partitions: Arc::default(),
             listening: Mutex::default(),
         });
         let serving = shared.clone();
         let serve = move |conn| connection::serve(serving.clone(), conn);
-        let (address, listening) = http::listen(address, serve)?;
+        let (address, listening) = http::listen(address, shared.partitions.clone(), serve)?;
         *shared.listening() = Some(listening);
         Ok(Self { address, shared })
     }
@@ -388,6 +393,24 @@
         self.shared.dark_ended.notify(usize::MAX);
     }
 
+    /// Partitions the server from a sender.
+    ///
+    /// # Errors
+    ///
+    /// The filter of a socket cannot be set.
+    pub fn partition(&self, sender: IpAddr, cut: Cut) -> io::Result<()> {
+        self.shared.partitions.cut(sender, cut)
+    }
+
+    /// Ends the partition from a sender.
+    ///
+    /// # Errors
+    ///
+    /// The filter of a socket cannot be set.
+    pub fn rejoin(&self, sender: IpAddr) -> io::Result<()> {
+        self.shared.partitions.heal(sender)
+    }
+
     /// Multiplies the time that work takes.
     pub fn slow(&self, factor: f64) {
         self.shared.lock().slow = factor;
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -71,7 +71,7 @@
         let inner = Arc::new(Inner::default());
         let (serving, expiring) = (inner.clone(), inner.clone());
         let serve = move |conn| serving.clone().serve(conn, Arc::default());
-        let (address, listening) = http::listen(http::any_port(), serve)?;
+        let (address, listening) = http::listen(http::any_port(), Arc::default(), serve)?;
         let expiry = smol::spawn(async move {
             loop {
                 Timer::after(EXPIRY_INTERVAL).await;
@@ -99,7 +99,7 @@
     pub fn view(&self, replacements: Vec<(String, String)>) -> io::Result<View> {
         let (inner, replacements) = (self.inner.clone(), Arc::new(replacements));
         let serve = move |conn| inner.clone().serve(conn, replacements.clone());
-        let (address, task) = http::listen(http::any_port(), serve)?;
+        let (address, task) = http::listen(http::any_port(), Arc::default(), serve)?;
         Ok(View::new(address, task))
     }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -18,17 +18,11 @@
 use tidepier_h1::{Body, Conn, Framing, Head, Malformed, Unread};
 use tidepier_platform::answer;
 
+use crate::dial::{Dialer, CONNECT_TIMEOUT};
 use crate::fleet::advertisement::Ineligible;
-use crate::fleet::reach::Opening;
 use crate::fleet::{Backend, Fleet, InFlight, Permit};
 use crate::timeout;
 
-/// Time-out for opening a connection to a server: more than ten round trips between halls,
-/// and far less than the time after which a lost SYN is retransmitted. Nothing was sent by
-/// then, so another server can be tried at once.
-pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
-/// A connection is closed when the server leaves data unacknowledged for this long.
-const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
 /// Largest answer to another request that is skipped, in bytes.
@@ -160,6 +154,8 @@
     pub prefill: u64,
     /// Called once there is a connection, before anything is sent.
     pub on_connected: &'a dyn Fn(Origin),
+    /// Opens the connection, if none is pooled.
+    pub dialer: &'a Dialer,
     /// Records what the server reports of itself.
     pub fleet: &'a Fleet,
 }
@@ -245,7 +241,8 @@
         return Ok((conn, Origin::Pooled));
     }
     let left = dispatch.deadline.saturating_duration_since(Instant::now());
-    let opened = open(backend, CONNECT_TIMEOUT.min(left)).await;
+    let opened = dispatch.dialer.open(backend, CONNECT_TIMEOUT.min(left));
+    let opened = opened.await;
     let failure = |error| Failure {
         executed: Executed::No,
         cause: Cause::Connect(error),
@@ -253,35 +250,6 @@
     opened.map(|conn| (conn, Origin::Opened)).map_err(failure)
 }
 
-/// Whether a server accepts a connection. The connection is pooled for the next request.
-pub(crate) async fn accepts_connection(backend: &Backend) -> bool {
-    match open(backend, CONNECT_TIMEOUT).await {
-        Ok(conn) => {
-            backend.keep(conn, None);
-            true
-        }
-        Err(error) => {
-            log::info!(target: "request", "event=not_there server={} why=\"{error}\"", backend.server.id);
-            false
-        }
-    }
-}
-
-/// Opens a connection to a server.
-///
-/// # Errors
-///
-/// The server refused the connection, or did not answer within `limit`.
-pub(crate) async fn open(backend: &Backend, limit: Duration) -> io::Result<Conn> {
-    metrics::counter!("tidepier_server_connections_total").increment(1);
-    let start = Instant::now();
-    let opened = Conn::open(backend.server.address, limit, UNACKED_TIMEOUT).await;
-    backend.record_opening(Opening::of(&opened), Instant::now());
-    let conn = opened?;
-    backend.hall.record_connect_time(start.elapsed());
-    Ok(conn)
-}
-
 /// Writes the request and reads the head of its answer. An answer may arrive before the
 /// request is written; returns whether the request was written completely.
 async fn exchange(conn: &mut Conn, dispatch: &Dispatch<'_>) -> Result<(OwnAnswer, bool), Failure> {
--- a/crates/relay/src/crash/probe.rs
+++ b/crates/relay/src/crash/probe.rs
@@ -17,8 +17,8 @@
 
 use super::suspects::Suspect;
 use super::Crashes;
-use crate::attempt;
 use crate::content::Fingerprint;
+use crate::dial::{Dialer, CONNECT_TIMEOUT};
 use crate::fleet::Backend;
 
 /// Pauses before each attempt to connect. In nearly all cases a refusal comes with the
@@ -35,12 +35,16 @@
 const LOGGED_MAX: usize = 16;
 
 /// Probes the servers at which requests broke off; does not return.
-pub(crate) async fn run(crashes: Rc<Crashes>, executor: Rc<LocalExecutor<'static>>) {
+pub(crate) async fn run(
+    crashes: Rc<Crashes>,
+    dialer: Rc<Dialer>,
+    executor: Rc<LocalExecutor<'static>>,
+) {
     loop {
         for backend in crashes.suspects.take_unprobed() {
-            let crashes = crashes.clone();
+            let (crashes, dialer) = (crashes.clone(), dialer.clone());
             let probe = async move {
-                let crashed = has_crashed(&backend).await;
+                let crashed = has_crashed(&dialer, &backend).await;
                 let suspect = crashes.suspects.take(backend.key);
                 if let Some(suspect) = suspect.filter(|_| crashed) {
                     record_crash(&crashes, &suspect);
@@ -70,10 +74,10 @@
 }
 
 /// Whether no process listens at a server's address.
-async fn has_crashed(backend: &Rc<Backend>) -> bool {
+async fn has_crashed(dialer: &Dialer, backend: &Rc<Backend>) -> bool {
     for pause in PROBE_PAUSES {
         Timer::after(pause).await;
-        match attempt::open(backend, attempt::CONNECT_TIMEOUT).await {
+        match dialer.open(backend, CONNECT_TIMEOUT).await {
             Ok(conn) => {
                 if let Some(conn) = stays_open(conn).await {
                     backend.keep(conn, None);
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -17,6 +17,7 @@
 use crate::choose::rotation::Servers;
 use crate::choose::{self, Choice, Criteria};
 use crate::cold::Limit;
+use crate::dial::Dialer;
 use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
 use crate::refusal;
@@ -85,13 +86,14 @@
             deadline: self.deadline,
             max_idle,
             prefill: choice.prefill_tokens as u64,
+            dialer: &self.relay.dialer,
             fleet: &self.relay.fleet,
         };
         let guard = Guard::new(&backend, self.route.objective);
         let others_left = self.attempts + 1 < self.route.attempts;
         let result = if self.route.kind.repeatable() && others_left {
             attempt::send(&permit, &dispatch)
-                .or(until_silent(&backend))
+                .or(until_silent(&self.relay.dialer, &backend))
                 .await
         } else {
             attempt::send(&permit, &dispatch).await
@@ -334,12 +336,12 @@
 
 /// Completes with a failure once a server has sent nothing on any connection for the
 /// silence time-out.
-async fn until_silent(backend: &Rc<Backend>) -> Result<Reply, Failure> {
+async fn until_silent(dialer: &Dialer, backend: &Rc<Backend>) -> Result<Reply, Failure> {
     let mut since = Instant::now();
     loop {
         tidepier_clock::sleep_until(since + SILENCE_TIMEOUT).await;
         let is_silent = || backend.last_received().is_none_or(|at| at <= since);
-        if is_silent() && attempt::accepts_connection(backend).await {
+        if is_silent() && dialer.accepts_connection(backend).await {
             tidepier_clock::sleep_until(since + REACHABLE_SILENCE_TIMEOUT).await;
         }
         if is_silent() {
--- a/crates/relay/src/message/link.rs
+++ b/crates/relay/src/message/link.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use tidepier_h1::Conn;
 
+use crate::network::Network;
 use crate::timeout;
 
 /// Length of the prefix that states a frame's length, in bytes.
@@ -60,8 +61,12 @@
 /// # Errors
 ///
 /// No connection was established within `limit`.
-pub(crate) async fn open(address: SocketAddr, limit: Duration) -> Result<Conn, Error> {
-    let conn = Conn::open(address, limit, UNACKED_TIMEOUT).await;
+pub(crate) async fn open(
+    network: Network,
+    address: SocketAddr,
+    limit: Duration,
+) -> Result<Conn, Error> {
+    let conn = network.open(address, limit, UNACKED_TIMEOUT).await;
     conn.map_err(Error::Io)
 }
 
--- a/crates/relay/src/peer/recovery.rs
+++ b/crates/relay/src/peer/recovery.rs
@@ -76,7 +76,7 @@
 }
 
 async fn fetch(follower: &Follower, address: SocketAddr) -> Result<(), Error> {
-    let mut conn = link::open(address, CONNECT_TIMEOUT).await?;
+    let mut conn = link::open(follower.relay().network, address, CONNECT_TIMEOUT).await?;
     let request = Request {
         version: VERSION,
         number: 1,
--- a/crates/relay/src/peer/seed.rs
+++ b/crates/relay/src/peer/seed.rs
@@ -65,7 +65,7 @@
 }
 
 async fn fetch(follower: &Follower, seed: SocketAddr) -> Result<(), Error> {
-    let mut conn = link::open(seed, ANSWER_TIMEOUT).await?;
+    let mut conn = link::open(follower.relay().network, seed, ANSWER_TIMEOUT).await?;
     let request = Request {
         version: VERSION,
         number: 1,
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -267,7 +267,7 @@
     requester: Requester,
     peer: Peer,
 ) -> Result<(), Error> {
-    let mut conn = link::open(member.address, CONNECT_TIMEOUT).await?;
+    let mut conn = link::open(relay.network, member.address, CONNECT_TIMEOUT).await?;
     let result = exchange_reports(relay, &mut conn, requester, &peer).await;
     relay.traffic.remove_peer(&peer);
     result
--- a/crates/relay/src/peer/upstream.rs
+++ b/crates/relay/src/peer/upstream.rs
@@ -172,7 +172,12 @@
 
 impl Session<'_> {
     async fn follow(&mut self) -> Result<std::convert::Infallible, Error> {
-        let mut conn = link::open(self.member.address, CONNECT_TIMEOUT).await?;
+        let mut conn = link::open(
+            self.follower.relay().network,
+            self.member.address,
+            CONNECT_TIMEOUT,
+        )
+        .await?;
         let mut number = 0;
         let mut confirmed_at = Instant::now();
         loop {
--- a/crates/relay/src/recall/boxes.rs
+++ b/crates/relay/src/recall/boxes.rs
@@ -8,6 +8,7 @@
 use crate::message::link::{self, Error};
 use crate::message::recall::{Answer, Request};
 use crate::message::{PeerRequest, VERSION};
+use crate::network::Network;
 use crate::peer::registry::{Member, Registry};
 use crate::peer::upstream::{ANSWER_TIMEOUT, CONNECT_TIMEOUT};
 use crate::relay::Relay;
@@ -29,7 +30,12 @@
     let members = members_to_ask(registry);
     let tasks: Vec<(Member, Task<_>)> = members
         .into_iter()
-        .map(|member| (member.clone(), executor.spawn(ask_one(member))))
+        .map(|member| {
+            (
+                member.clone(),
+                executor.spawn(ask_one(relay.network, member)),
+            )
+        })
         .collect();
     let mut answers = Vec::new();
     for (member, task) in tasks {
@@ -75,8 +81,8 @@
     near.into_iter().chain(firsts).collect()
 }
 
-async fn ask_one(member: Member) -> Result<Answer, Error> {
-    let mut conn = link::open(member.address, CONNECT_TIMEOUT).await?;
+async fn ask_one(network: Network, member: Member) -> Result<Answer, Error> {
+    let mut conn = link::open(network, member.address, CONNECT_TIMEOUT).await?;
     link::send(&conn, &PeerRequest::Recall(Request { version: VERSION })).await?;
     link::within(ANSWER_TIMEOUT, link::wait_for_length(&mut conn)).await?;
     let answer: Answer = link::within(RECEIVE_TIMEOUT, link::receive(&mut conn)).await?;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -16,9 +16,11 @@
 use crate::choose::rotation::Rotations;
 use crate::cold::Roster;
 use crate::crash::Crashes;
+use crate::dial::Dialer;
 use crate::era_state::EraState;
 use crate::fleet::Fleet;
 use crate::message::traffic::Report;
+use crate::network::Network;
 use crate::rollout::{self, Rollouts};
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Placement};
@@ -94,6 +96,10 @@
     pub era_state: EraState,
     /// The backend servers.
     pub fleet: Rc<Fleet>,
+    /// The network of this box.
+    pub network: Network,
+    /// Opens connections to servers.
+    pub dialer: Rc<Dialer>,
     /// Load reported by other boxes, and the servers that prompts were sent to.
     pub traffic: Traffic,
     /// The rollouts of services to other releases.
@@ -121,7 +127,7 @@
 
 impl Relay {
     /// The state of a router that has not received anything yet.
-    pub fn new(hall: ids::Hall, bounds: Bounds, budget: Budget) -> Self {
+    pub fn new(hall: ids::Hall, bounds: Bounds, budget: Budget, network: Network) -> Self {
         Self {
             started: Instant::now(),
             hall,
@@ -129,6 +135,8 @@
             view: View::default(),
             era_state: EraState::default(),
             fleet: Rc::default(),
+            network,
+            dialer: Rc::new(Dialer::new(network)),
             traffic: Traffic::default(),
             rollouts: Rollouts::default(),
             crashes: Rc::default(),
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -21,6 +21,7 @@
 use crate::fleet::watch;
 use crate::follow::Follower;
 use crate::metrics;
+use crate::network::Network;
 use crate::peer::registry::{Member, Registry};
 use crate::peer::{recovery, responder, seed, traffic, upstream};
 use crate::ready;
@@ -96,6 +97,9 @@
             settings.hall.clone(),
             bounds(settings),
             Budget::new(budget_limits(settings)),
+            Network {
+                source: settings.source,
+            },
         ));
         relay.set_descriptors(settings.limits.descriptors);
         relay.backlog.set_limit(settings.limits.answer_bytes());
@@ -148,7 +152,11 @@
         executor
             .spawn(follower.clone().expire_held_entries())
             .detach();
-        let inquiry = crash::probe_suspects(relay.crashes.clone(), executor.clone());
+        let inquiry = crash::probe_suspects(
+            relay.crashes.clone(),
+            relay.dialer.clone(),
+            executor.clone(),
+        );
         executor.spawn(inquiry).detach();
         executor
             .spawn(crash::run_expiry(relay.crashes.clone()))
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -13,7 +13,7 @@
 mod span;
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 
 use serde::de::Error as _;
 use serde::{Deserialize, Deserializer};
@@ -65,6 +65,10 @@
     pub regions: BTreeMap<ids::Hall, ids::Region>,
     /// Address that clients connect to.
     pub callers: SocketAddr,
+    /// Address that connections to servers and other boxes come from, for a machine with
+    /// several; the system chooses one if none is given.
+    #[serde(default)]
+    pub source: Option<IpAddr>,
     /// Address of the readiness endpoint, which the platform polls.
     #[serde(default)]
     pub readiness: Option<SocketAddr>,
--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -213,6 +213,7 @@
     let mut values = harness::settings(site);
     values["name"] = name.into();
     values["hall"] = hall.into();
+    values["source"] = peer.ip().to_string().into();
     values["callers"] = SocketAddr::new(peer.ip(), 0).to_string().into();
     values["peer_ports"] = vec![peer.port(); 2].into();
     values["limits"]["link_mbps"] = link.into();
@@ -358,11 +359,20 @@
     executor: &Executor,
     site: &Site,
     count: u32,
+) -> Result<Vec<TestBox>> {
+    start_boxes_in(executor, site, &vec!["hall-1"; count as usize]).await
+}
+
+/// Starts a box in each of these halls and waits until they are ready.
+pub(crate) async fn start_boxes_in(
+    executor: &Executor,
+    site: &Site,
+    halls: &[&str],
 ) -> Result<Vec<TestBox>> {
     let mut test_boxes = Vec::new();
-    for number in 0..count {
+    for (number, hall) in (0..).zip(halls) {
         let (name, link) = (format!("box-{number}"), 5_000 - 1_000 * number);
-        test_boxes.push(TestBox::start(executor, site, &name, "hall-1", link).await?);
+        test_boxes.push(TestBox::start(executor, site, &name, hall, link).await?);
     }
     wait_until_ready(&test_boxes).await?;
     Ok(test_boxes)
--- a/crates/relay/tests/relay/peer_answers.rs
+++ b/crates/relay/tests/relay/peer_answers.rs
@@ -20,6 +20,7 @@
 use tidepier_relay::message::link::Error;
 use tidepier_relay::message::part::Part;
 use tidepier_relay::message::VERSION;
+use tidepier_relay::network::Network;
 use tidepier_relay::relay::{Bounds, Relay};
 
 use crate::box_harness::{APPLY_TIME, REVOKE_TIME};
@@ -50,6 +51,7 @@
         "hall-1".parse()?,
         bounds,
         Budget::new(limits),
+        Network::default(),
     )))
 }
 
