--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -33,6 +33,8 @@
 mod logged;
 mod losses;
 mod overload;
+mod partition_harness;
+mod partitioned;
 mod peer_answers;
 mod peers;
 mod port;
--- /dev/null
+++ b/crates/relay/tests/relay/partitioned.rs
@@ -0,0 +1,39 @@
+//! Boxes that are partitioned from all servers, while clients, the store and the other
+//! boxes reach them.
+
+use tidepier_relay_standin::partition::Cut;
+
+use crate::harness::{run, Result};
+use crate::partition_harness::tries_while_cut;
+
+// Guards against a box that refuses all requests while only its own network to the servers
+// is partitioned; here that of all boxes of a hall.
+#[test]
+fn a_hall_partitioned_from_all_servers_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let halls = ["hall-1", "hall-1", "hall-2"];
+        let (_fleet, tries) =
+            tries_while_cut(&executor, &halls, &[0, 1], Cut::Silent, true).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
+
+// The same where open connections are reset.
+#[test]
+fn a_box_whose_connections_to_all_servers_are_reset_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let halls = ["hall-1", "hall-1", "hall-2"];
+        let (_fleet, tries) = tries_while_cut(&executor, &halls, &[1], Cut::Reset, true).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
+
+// The same where open connections live on; they are idle for too long to be used.
+#[test]
+fn a_box_that_can_open_no_connections_to_servers_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let halls = ["hall-1", "hall-2", "hall-2"];
+        let (_fleet, tries) = tries_while_cut(&executor, &halls, &[2], Cut::New, false).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
