--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -14,6 +14,7 @@
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
 use crate::head::{Head, Malformed};
+use crate::record::Decoder;
 
 /// Bytes read at once. One buffer of this size serves all connections of a
 /// thread; what is read is copied into a buffer of its own length.
@@ -41,6 +42,15 @@
     /// Whether the last read took all that had arrived: the next one waits first
     /// and is spared a call that finds nothing.
     drained: bool,
+    /// Set if another host carries the connection.
+    carried: Option<Carried>,
+}
+
+/// The state of a connection that another host carries.
+struct Carried {
+    /// The address of that host.
+    by: SocketAddr,
+    records: Decoder,
 }
 
 /// The writing half of a connection.
@@ -154,9 +164,48 @@
             stream: Arc::new(stream),
             pending: Vec::new(),
             drained: false,
+            carried: None,
         })
     }
 
+    /// From now on the peer carries the connection for another host, whose bytes it sends
+    /// as [records](crate::record). What is written reaches that host as it is.
+    ///
+    /// # Errors
+    ///
+    /// What was read already is no record.
+    pub fn carry(&mut self, by: SocketAddr) -> io::Result<()> {
+        let mut records = Decoder::default();
+        let read = std::mem::take(&mut self.pending);
+        records.decode(&read, &mut self.pending)?;
+        self.carried = Some(Carried { by, records });
+        Ok(())
+    }
+
+    /// The host that carries the connection; `None` if it reaches its peer directly.
+    pub fn carried_by(&self) -> Option<SocketAddr> {
+        self.carried.as_ref().map(|carried| carried.by)
+    }
+
+    /// The address of the peer.
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn peer(&self) -> io::Result<SocketAddr> {
+        self.stream.get_ref().peer_addr()
+    }
+
+    /// Makes the connection end when the peer leaves data unacknowledged, or has no room
+    /// for it, for `time`.
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn limit_unacked(&self, time: Duration) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_tcp_user_timeout(Some(time))
+    }
+
     /// Makes the connection accept no more bytes while about `bytes` of those written
     /// have not been sent. Without it the system keeps some megabytes for a peer that
     /// does not read. Bytes in flight are not limited, so that a peer that reads is
@@ -214,7 +263,7 @@
     /// The connection was reset or timed out.
     pub async fn fill(&mut self) -> io::Result<usize> {
         loop {
-            if self.drained {
+            if self.drained && !self.has_carried_end() {
                 self.stream.readable().await?;
             }
             if let Some(read) = self.try_fill()? {
@@ -230,12 +279,18 @@
     /// The connection was reset or timed out.
     pub fn try_fill(&mut self) -> io::Result<Option<usize>> {
         SCRATCH.with_borrow_mut(|scratch| loop {
+            if self.has_carried_end() {
+                return Ok(Some(0));
+            }
             match self.stream.get_ref().read(scratch) {
                 Ok(read) => {
-                    self.pending.extend_from_slice(&scratch[..read]);
                     // An end is found again by the next read, not by waiting.
                     self.drained = read > 0 && read < scratch.len();
-                    return Ok(Some(read));
+                    match self.append(&scratch[..read])? {
+                        // Only parts of records that carry nothing.
+                        0 if read > 0 && !self.has_carried_end() => {}
+                        count => return Ok(Some(count)),
+                    }
                 }
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
                     self.drained = true;
@@ -247,6 +302,33 @@
         })
     }
 
+    /// Whether the host that carries the connection has stated its end.
+    fn has_carried_end(&self) -> bool {
+        let carried = self.carried.as_ref();
+        carried.is_some_and(|carried| carried.records.has_ended())
+    }
+
+    /// Appends what was read; returns how many bytes it carries.
+    fn append(&mut self, read: &[u8]) -> io::Result<usize> {
+        let Some(carried) = &mut self.carried else {
+            self.pending.extend_from_slice(read);
+            return Ok(read.len());
+        };
+        if read.is_empty() {
+            // The host that carries the connection is gone, and with it the end.
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        let before = self.pending.len();
+        carried.records.decode(read, &mut self.pending)?;
+        Ok(self.pending.len() - before)
+    }
+
+    /// Whether the host that carries the connection will soon close it.
+    fn is_closing(&self) -> bool {
+        let carried = self.carried.as_ref();
+        carried.is_some_and(|carried| carried.records.is_closing())
+    }
+
     /// Waits for more bytes and drops them; returns how many came, 0 at the end.
     ///
     /// # Errors
@@ -262,7 +344,7 @@
     /// Whether a resting connection is still good: open, with nothing sent that
     /// nobody asked for.
     pub fn rests(&mut self) -> bool {
-        self.pending.is_empty() && matches!(self.try_fill(), Ok(None))
+        self.pending.is_empty() && matches!(self.try_fill(), Ok(None)) && !self.is_closing()
     }
 
     /// Reads a head of at most `most` bytes; `None` when the peer closed the
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod call;
 mod conn;
 mod head;
+pub mod record;
 pub mod target;
 pub mod write;
 
--- a/crates/h1/tests/h1/main.rs
+++ b/crates/h1/tests/h1/main.rs
@@ -4,6 +4,7 @@
 mod call;
 mod conn;
 mod head;
+mod record;
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -9,6 +9,7 @@
 
 use std::fmt;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -18,7 +19,7 @@
 use tidepier_h1::{Body, Conn, Framing, Head, Malformed, Unread};
 use tidepier_platform::answer;
 
-use crate::dial::{Dialer, CONNECT_TIMEOUT};
+use crate::dial::Dialer;
 use crate::fleet::advertisement::Ineligible;
 use crate::fleet::{Backend, Fleet, InFlight, Permit};
 use crate::timeout;
@@ -76,6 +77,21 @@
         }
     }
 
+    /// Whether the network may have failed instead of the server.
+    pub fn may_be_network(&self) -> bool {
+        matches!(self, Cause::TimedOut) || self.may_be_crash()
+    }
+
+    /// Whether the box that carried the connection is gone.
+    pub fn is_carrier_lost(&self) -> bool {
+        match self {
+            Cause::Lost(Malformed::Lost(error)) | Cause::Broken(error) => {
+                error.kind() == io::ErrorKind::UnexpectedEof
+            }
+            _ => false,
+        }
+    }
+
     /// A short name for logs and metrics.
     pub fn name(&self) -> &'static str {
         match self {
@@ -138,6 +154,22 @@
     }
 }
 
+/// The connection of an attempt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Path {
+    /// Where it comes from.
+    pub origin: Origin,
+    /// The box that carries it; `None` if it is direct.
+    pub carrier: Option<SocketAddr>,
+}
+
+impl Path {
+    /// Whether another box opened the connection for this attempt.
+    pub fn is_new_tunnel(&self) -> bool {
+        self.carrier.is_some() && self.origin == Origin::Opened
+    }
+}
+
 /// A request as it is sent to one server.
 pub struct Dispatch<'a> {
     /// Head and body.
@@ -153,7 +185,7 @@
     /// Prompt tokens that the server has to prefill.
     pub prefill: u64,
     /// Called once there is a connection, before anything is sent.
-    pub on_connected: &'a dyn Fn(Origin),
+    pub on_connected: &'a dyn Fn(Path),
     /// Opens the connection, if none is pooled.
     pub dialer: &'a Dialer,
     /// Records what the server reports of itself.
@@ -191,7 +223,8 @@
     // An answer to another request may meanwhile have reported that the server takes
     // nothing new.
     permit.recheck(Instant::now()).map_err(ineligible)?;
-    (dispatch.on_connected)(origin);
+    let carrier = conn.carried_by();
+    (dispatch.on_connected)(Path { origin, carrier });
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
@@ -237,11 +270,11 @@
     backend: &Rc<Backend>,
     dispatch: &Dispatch<'_>,
 ) -> Result<(Conn, Origin), Failure> {
-    if let Some(conn) = backend.connection(dispatch.max_idle) {
+    if let Some(conn) = dispatch.dialer.pooled(backend, dispatch.max_idle) {
         return Ok((conn, Origin::Pooled));
     }
     let left = dispatch.deadline.saturating_duration_since(Instant::now());
-    let opened = dispatch.dialer.open(backend, CONNECT_TIMEOUT.min(left));
+    let opened = dispatch.dialer.connect(backend, left);
     let opened = opened.await;
     let failure = |error| Failure {
         executed: Executed::No,
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -6,11 +6,11 @@
 //! incident that led to this, 25 servers and about 5 requests of others each.
 //!
 //! * [`suspects`]: requests whose connections broke, by server.
-//! * `probe`: finds out whether such a server has crashed.
 //! * [`table`]: the contents that servers crashed under, which boxes report to each
 //!   other.
+//!
+//! Whether a server has crashed is found out by `crash_probe`.
 
-mod probe;
 pub mod suspects;
 pub mod table;
 
@@ -26,8 +26,6 @@
 use suspects::Suspects;
 use table::{Change, Row, Table};
 
-pub(crate) use probe::run as probe_suspects;
-
 /// Interval at which expired records are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
@@ -42,7 +40,7 @@
 
 impl Crashes {
     /// Records that a server crashed at `at` while it executed a request with this content.
-    fn record_crash(&self, content: Fingerprint, server: Key, at: Instant) {
+    pub(crate) fn record_crash(&self, content: Fingerprint, server: Key, at: Instant) {
         log_changes(self.table.record_crash(content, server, at));
     }
 
--- a/crates/relay/src/crash_probe.rs
+++ b/crates/relay/src/crash_probe.rs
@@ -15,9 +15,9 @@
 use smol::{LocalExecutor, Timer};
 use tidepier_h1::Conn;
 
-use super::suspects::Suspect;
-use super::Crashes;
 use crate::content::Fingerprint;
+use crate::crash::suspects::Suspect;
+use crate::crash::Crashes;
 use crate::dial::{Dialer, CONNECT_TIMEOUT};
 use crate::fleet::Backend;
 
--- a/crates/relay/src/dial/mod.rs
+++ b/crates/relay/src/dial/mod.rs
@@ -1,14 +1,40 @@
-//! Opens connections to servers.
+//! Opens connections to servers: directly, or through another box.
+//!
+//! A direct connection has a head start. If it fails, or takes longer, another box is asked
+//! to carry one ([`tunnel`](crate::tunnel)), and the one that is open first is used. Where
+//! that shows that only this box cannot reach the servers ([`Reach`](crate::fleet::reach)),
+//! the other box is asked at once, and direct connections are tried in the background
+//! ([`probe`]) until one succeeds.
+//!
+//! Invariant: nothing is sent before a connection is chosen, so that of several only one
+//! carries the request.
 
+mod probe;
+mod race;
+
+use std::cell::{OnceCell, RefCell};
+use std::future::Future;
 use std::io;
+use std::net::SocketAddr;
+use std::pin::Pin;
+use std::rc::Rc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use tidepier_clock::Instant;
 use tidepier_h1::Conn;
+use tidepier_ids as ids;
 
 use crate::fleet::reach::Opening;
 use crate::fleet::Backend;
+use crate::message::tunnel::Request;
+use crate::message::VERSION;
 use crate::network::Network;
+use crate::timeout;
+use crate::tunnel::gateways::{Gateway, Gateways};
+use crate::tunnel::open::{self, Failure};
+
+pub(crate) use probe::run as probe_unreached;
 
 /// Time-out for opening a connection to a server: more than ten round trips between halls,
 /// and far less than the time after which a lost SYN is retransmitted. Nothing was sent by
@@ -16,20 +42,117 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
 /// A connection is closed when the server leaves data unacknowledged for this long.
 const UNACKED_TIMEOUT: Duration = Duration::from_secs(3);
+/// Head start of a direct connection, besides two round trips.
+const HEAD_START: Duration = Duration::from_millis(30);
+/// Longest head start.
+const HEAD_START_MAX: Duration = Duration::from_millis(75);
+/// Head start of a box that was asked for a tunnel before the next one is asked: its round
+/// trip, and that of its connection to the server.
+const GATEWAY_HEAD_START: Duration = Duration::from_millis(30);
+
+/// Longest time for finding a box that carries a connection.
+const DETOUR_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// The names by which other boxes know this one.
+#[derive(Debug, Clone)]
+struct Identity {
+    name: ids::Box,
+    hall: ids::Hall,
+}
 
 /// Opens the connections of one box to servers.
-#[derive(Debug, Default)]
+#[derive(Default)]
 pub struct Dialer {
     network: Network,
+    /// Set if the box may ask others to carry connections.
+    identity: OnceCell<Identity>,
+    /// The boxes that may be asked.
+    pub gateways: Gateways,
+    /// Servers to which a direct connection was slow, to be probed.
+    suspects: RefCell<Vec<Rc<Backend>>>,
 }
 
 impl Dialer {
     /// A dialer over the network of this box.
     pub fn new(network: Network) -> Self {
-        Self { network }
+        Self {
+            network,
+            ..Self::default()
+        }
+    }
+
+    /// Lets the box ask others to carry connections, under its name and hall.
+    pub fn identify(&self, name: ids::Box, hall: ids::Hall) {
+        // Set once, at the start of the process.
+        let _ = self.identity.set(Identity { name, hall });
     }
 
-    /// Opens a connection to a server.
+    /// Connects to a server within `left`.
+    ///
+    /// # Errors
+    ///
+    /// The server refused the connection, or did not answer in time, and no other box can
+    /// carry one. The error is that of the direct connection, unless none was tried as it is
+    /// known to fail ([`is_untried`]).
+    pub(crate) async fn connect(&self, backend: &Rc<Backend>, left: Duration) -> io::Result<Conn> {
+        let connect = async {
+            if backend.reach.is_hopeless(Instant::now()) {
+                return Err(untried());
+            }
+            if backend.is_detoured() {
+                match self.detour(backend).await {
+                    Some(conn) => Ok(conn),
+                    None => self.open(backend, CONNECT_TIMEOUT).await,
+                }
+            } else {
+                self.connect_directly_first(backend).await
+            }
+        };
+        let late = || Err(io::ErrorKind::TimedOut.into());
+        timeout::within(left, connect).await.unwrap_or_else(late)
+    }
+
+    async fn connect_directly_first(&self, backend: &Rc<Backend>) -> io::Result<Conn> {
+        /// The connection whose attempt ended first.
+        enum First {
+            Direct(io::Result<Conn>),
+            Detour(Option<Conn>),
+        }
+        let mut direct = std::pin::pin!(self.open(backend, CONNECT_TIMEOUT));
+        match timeout::within(head_start(backend), direct.as_mut()).await {
+            Some(Ok(conn)) => return Ok(conn),
+            Some(Err(error)) => return self.detour_after(backend, error).await,
+            None => {}
+        }
+        let mut detour = self.detour(backend);
+        let first_direct = async { First::Direct(direct.as_mut().await) };
+        let first_detour = async { First::Detour(detour.as_mut().await) };
+        match first_direct.or(first_detour).await {
+            First::Direct(Ok(conn)) => Ok(conn),
+            First::Direct(Err(error)) => detour.await.ok_or(error),
+            First::Detour(Some(conn)) => {
+                // Whether the direct connection was only slow shows later.
+                self.suspects.borrow_mut().push(backend.clone());
+                Ok(conn)
+            }
+            First::Detour(None) => direct.await,
+        }
+    }
+
+    /// A tunnel after a direct connection failed with `error`, if the server may be sound.
+    async fn detour_after(&self, backend: &Rc<Backend>, error: io::Error) -> io::Result<Conn> {
+        // A server that refuses a connection is down, unless others seem to as well.
+        let may_be_sound = match Opening::of::<()>(&Err(io::Error::from(error.kind()))) {
+            Opening::Refused => backend.reach.is_unreached(),
+            Opening::TimedOut | Opening::Opened => true,
+        };
+        match may_be_sound {
+            true => self.detour(backend).await.ok_or(error),
+            false => Err(error),
+        }
+    }
+
+    /// Opens a direct connection to a server.
     ///
     /// # Errors
     ///
@@ -45,9 +168,126 @@
         Ok(conn)
     }
 
-    /// Whether a server accepts a connection. The connection is pooled for the next request.
-    pub(crate) async fn accepts_connection(&self, backend: &Backend) -> bool {
-        match self.open(backend, CONNECT_TIMEOUT).await {
+    /// Has another box carry a connection to a server; `None` if none does. Boxed, as the
+    /// futures of all requests would hold it otherwise, which rarely need it.
+    fn detour<'a>(
+        &'a self,
+        backend: &'a Rc<Backend>,
+    ) -> Pin<Box<dyn Future<Output = Option<Conn>> + 'a>> {
+        Box::pin(async {
+            let detour = timeout::within(DETOUR_TIMEOUT, self.detour_unbounded(backend));
+            detour.await.flatten()
+        })
+    }
+
+    async fn detour_unbounded(&self, backend: &Rc<Backend>) -> Option<Conn> {
+        let identity = self.identity.get()?;
+        let now = Instant::now();
+        if backend.reach.is_denied(backend.key, now) {
+            return None;
+        }
+        let hall = &backend.server.hall;
+        let candidates = self.gateways.candidates(&identity.hall, hall, now);
+        let attempts = candidates.into_iter().map(|gateway| {
+            let attempt: race::Attempt<'_, _, _> =
+                Box::pin(self.open_through(identity, gateway, backend));
+            attempt
+        });
+        let opened = race::first_success(attempts.collect(), GATEWAY_HEAD_START).await;
+        let now = Instant::now();
+        match opened {
+            Ok(conn) => {
+                backend.record_detour(now);
+                Some(conn)
+            }
+            Err(failures) => {
+                let is_server_down = failures.iter().any(|failure| match failure {
+                    Failure::Denied(outcome) => !outcome.depends_on_box(),
+                    Failure::Link(_) => false,
+                });
+                match is_server_down {
+                    true => backend.reach.record_denied(backend.key, now),
+                    false => backend.reach.record_no_gateway(now),
+                }
+                None
+            }
+        }
+    }
+
+    /// Has one box carry a connection to a server.
+    async fn open_through(
+        &self,
+        identity: &Identity,
+        gateway: Rc<Gateway>,
+        backend: &Backend,
+    ) -> Result<Conn, Failure> {
+        let slow = Slow::new(&gateway);
+        let start = Instant::now();
+        let request = Request {
+            version: VERSION,
+            sender: identity.name.clone(),
+            hall: identity.hall.clone(),
+            server: backend.server.id.clone(),
+        };
+        let opened = open::open(self.network, gateway.address, request).await;
+        slow.disarm();
+        let now = Instant::now();
+        let outcome = match &opened {
+            Ok((_, carried)) => {
+                gateway.record_opened(*carried, now);
+                metrics::histogram!("tidepier_tunnel_open_seconds")
+                    .record(start.elapsed().as_secs_f64());
+                "opened"
+            }
+            Err(failure) => {
+                match failure {
+                    Failure::Link(_) => gateway.record_lost(now),
+                    Failure::Denied(outcome) => gateway.record_denied(*outcome, now),
+                }
+                log::info!(
+                    target: "peer",
+                    "event=no_tunnel box={} server={} why=\"{failure}\" ms={}",
+                    gateway.name,
+                    backend.server.id,
+                    start.elapsed().as_millis(),
+                );
+                failure.name()
+            }
+        };
+        metrics::counter!("tidepier_tunnels_total", "outcome" => outcome).increment(1);
+        opened.map(|(conn, _)| conn)
+    }
+
+    /// Has the box at an address, which carried a connection before, carry another one.
+    async fn open_again(&self, backend: &Backend, carrier: SocketAddr) -> io::Result<Conn> {
+        let identity = self.identity.get().ok_or_else(untried)?;
+        let gateway = self.gateways.at(carrier).ok_or_else(untried)?;
+        let opened = self.open_through(identity, gateway, backend).await;
+        opened.map_err(|failure| io::Error::other(failure.to_string()))
+    }
+
+    /// Takes an idle connection to a server that may carry another request: one that was
+    /// idle for less than `max_idle`, over the way that new connections take.
+    pub(crate) fn pooled(&self, backend: &Backend, max_idle: Duration) -> Option<Conn> {
+        let is_detoured = backend.is_detoured();
+        backend.connection(max_idle, |conn, since| match conn.carried_by() {
+            None => !is_detoured && backend.reach.is_trusted_since(backend.key, since),
+            Some(gateway) => is_detoured && self.gateways.is_trusted_since(gateway, since),
+        })
+    }
+
+    /// Whether a server accepts a connection: a direct one, or through the box at the
+    /// address `carrier`. The connection is pooled for the next request.
+    pub(crate) async fn accepts_connection(
+        &self,
+        backend: &Backend,
+        carrier: Option<SocketAddr>,
+    ) -> bool {
+        let opened = match carrier {
+            Some(carrier) => self.open_again(backend, carrier).await,
+            None => self.open(backend, CONNECT_TIMEOUT).await,
+        };
+        match opened {
             Ok(conn) => {
                 backend.keep(conn, None);
                 true
@@ -58,4 +298,55 @@
             }
         }
     }
+
+    /// Takes the servers to which a direct connection was slow.
+    fn take_suspects(&self) -> Vec<Rc<Backend>> {
+        self.suspects.take()
+    }
+}
+
+/// The error of a connection that was not tried.
+fn untried() -> io::Error {
+    io::ErrorKind::HostUnreachable.into()
+}
+
+/// Whether no connection was tried, so that the error says nothing new of the server.
+pub(crate) fn is_untried(error: &io::Error) -> bool {
+    // An error of the system has a code.
+    error.kind() == io::ErrorKind::HostUnreachable && error.raw_os_error().is_none()
+}
+
+/// Head start of a direct connection to a server.
+fn head_start(backend: &Backend) -> Duration {
+    let round_trip = backend.hall.round_trip().unwrap_or_default();
+    (HEAD_START + 2 * round_trip).min(HEAD_START_MAX)
+}
+
+/// Records a box as slow if it is not waited for any longer.
+struct Slow<'a> {
+    gateway: &'a Gateway,
+    since: Instant,
+    disarmed: bool,
+}
+
+impl<'a> Slow<'a> {
+    fn new(gateway: &'a Gateway) -> Self {
+        Self {
+            gateway,
+            since: Instant::now(),
+            disarmed: false,
+        }
+    }
+
+    fn disarm(mut self) {
+        self.disarmed = true;
+    }
+}
+
+impl Drop for Slow<'_> {
+    fn drop(&mut self) {
+        if !self.disarmed && self.since.elapsed() >= GATEWAY_HEAD_START {
+            self.gateway.record_slow(Instant::now());
+        }
+    }
 }
--- a/crates/relay/src/exchange/overload.rs
+++ b/crates/relay/src/exchange/overload.rs
@@ -45,7 +45,7 @@
     pub(super) fn record_load_answer(&self) {
         if self.request.prompt.is_none() {
             let now = Instant::now();
-            let took = now.saturating_duration_since(self.last_attempt.at);
+            let took = now.saturating_duration_since(self.attempt_began());
             let took = took.saturating_sub(self.client_wait.get());
             let request = self.load_request(now);
             self.relay.admission.answered(&request, took, now);
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -11,9 +11,10 @@
 
 use super::disposition::Disposition;
 use super::state::{request_id, Exchange, IncomingRequest};
-use crate::attempt::{Cause, Executed, Failure};
+use crate::attempt::{Cause, Executed, Failure, Path};
 use crate::backlog::{Cut, Stall};
 use crate::choose::Choice;
+use crate::dial;
 use crate::fleet::Backend;
 use crate::health;
 use crate::rollout::evidence::{Answer, Outcome};
@@ -76,16 +77,8 @@
         if failure.executed == Executed::Unknown {
             self.may_have_executed = true;
         }
-        if let Some(outcome) = self.health_outcome(failure) {
-            backend.record(outcome, Instant::now());
-        }
-        if let Some(outcome) = failure_evidence(&failure.cause) {
-            if !self.is_late_for_client(&failure.cause) {
-                self.record_evidence(backend, outcome);
-            }
-        }
-        if failure.cause.may_be_crash() {
-            self.relay.crashes.suspects.add(backend, self.content);
+        if !self.failed_on_the_way(backend, &failure.cause) {
+            self.blame_server(backend, failure);
         }
         match failure.cause {
             Cause::Refused(answer::MISDIRECTED) => {
@@ -94,9 +87,10 @@
             Cause::Refused(_) => backend.health.record_rejection(Instant::now()),
             _ => {}
         }
+        let (conn, via) = self.path_names();
         log::info!(
             target: "request",
-            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2} conn={}",
+            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2} conn={} via={}",
             self.request.attempt,
             backend.server.id,
             failure.cause.name(),
@@ -104,15 +98,49 @@
             failure.executed,
             self.arrival.at.elapsed().as_millis(),
             backend.health.failure_rate(Instant::now()),
-            self.origin_name(),
+            conn,
+            via,
         );
         metrics::counter!("tidepier_send_failures_total", "why" => failure.cause.name())
             .increment(1);
     }
 
+    /// Records a failure in what is known of the server.
+    fn blame_server(&self, backend: &Rc<Backend>, failure: &Failure) {
+        if let Some(outcome) = self.health_outcome(failure) {
+            backend.record(outcome, Instant::now());
+        }
+        if let Some(outcome) = failure_evidence(&failure.cause) {
+            if !self.is_late_for_client(&failure.cause) {
+                self.record_evidence(backend, outcome);
+            }
+        }
+        if failure.cause.may_be_crash() {
+            self.relay.crashes.suspects.add(backend, self.content);
+        }
+    }
+
+    /// Whether an attempt may have failed for the way that its connection took: the box that
+    /// carried it is gone, or new connections take another way by now.
+    fn failed_on_the_way(&self, backend: &Backend, cause: &Cause) -> bool {
+        let Some(Path { carrier, .. }) = self.path.get() else {
+            return false;
+        };
+        let gateways = &self.relay.dialer.gateways;
+        if let Some(carrier) = carrier.filter(|_| cause.is_carrier_lost()) {
+            gateways.record_lost(carrier, Instant::now());
+        }
+        let began = self.last_attempt.at;
+        let is_lost = carrier.is_some_and(|carrier| !gateways.is_trusted_since(carrier, began));
+        let takes_other_way = backend.is_detoured() != carrier.is_some();
+        cause.may_be_network() && (is_lost || takes_other_way)
+    }
+
     /// What a failure means for the health of the server; `None` if nothing.
     fn health_outcome(&self, failure: &Failure) -> Option<health::Outcome> {
         match &failure.cause {
+            // None was tried.
+            Cause::Connect(error) if dial::is_untried(error) => None,
             Cause::Connect(error) if error.kind() != io::ErrorKind::TimedOut => {
                 Some(health::Outcome::NotListening)
             }
@@ -160,7 +188,7 @@
     /// beginning. `None` if the answer began at an earlier server.
     fn first_byte_delay(&self, first: Duration) -> Option<Duration> {
         let begun = self.arrival.at + first;
-        let took = begun.checked_duration_since(self.last_attempt.at)?;
+        let took = begun.checked_duration_since(self.attempt_began())?;
         Some(took.saturating_sub(self.last_attempt.prefill_time))
     }
 
@@ -169,7 +197,7 @@
     /// long as they are cold, which is known already.
     pub(crate) fn record_first_event(&self, backend: &Backend, status: u16, first: Duration) {
         let at = self.arrival.at + first;
-        let took = at.checked_duration_since(self.last_attempt.at);
+        let took = at.checked_duration_since(self.attempt_began());
         let is_cold = self.cold.is_some_and(|cold| backend.is_cold(cold.time, at));
         let Some(((work, predicted), took)) = self.last_attempt.first_event.zip(took) else {
             return;
@@ -212,7 +240,7 @@
             _ => Outcome::Answered {
                 first,
                 whole: now
-                    .saturating_duration_since(self.last_attempt.at)
+                    .saturating_duration_since(self.attempt_began())
                     .saturating_sub(self.last_attempt.prefill_time)
                     .saturating_sub(self.client_wait.get()),
                 cold: self
@@ -241,15 +269,17 @@
 
     /// Logs and counts an answer that was forwarded completely.
     pub(super) fn log_answer(&self, backend: &Backend, status: u16, first: Duration) {
+        let (conn, via) = self.path_names();
         log::info!(
             target: "request",
-            "event=answered id={} server={} status={status} first_ms={} ms={} tries={} conn={}",
+            "event=answered id={} server={} status={status} first_ms={} ms={} tries={} conn={} via={}",
             self.request.attempt,
             backend.server.id,
             first.as_millis(),
             self.arrival.at.elapsed().as_millis(),
             self.attempts,
-            self.origin_name(),
+            conn,
+            via,
         );
         metrics::counter!("tidepier_answers_total", "status" => class(status)).increment(1);
         metrics::histogram!("tidepier_first_byte_seconds").record(first.as_secs_f64());
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -1,5 +1,6 @@
 //! Chooses a server for a request and sends the request there.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,12 +13,11 @@
 
 use super::report;
 use super::state::{Exchange, Start};
-use crate::attempt::{self, Cause, Dispatch, Executed, Failure, Reply};
+use crate::attempt::{self, Cause, Dispatch, Executed, Failure, Path, Reply};
 use crate::choose::filter::{Admission, Filter, Regions};
 use crate::choose::rotation::Servers;
 use crate::choose::{self, Choice, Criteria};
 use crate::cold::Limit;
-use crate::dial::Dialer;
 use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
 use crate::refusal;
@@ -72,9 +72,13 @@
         self.log_placement(&choice);
         let bytes = self.encode(&choice, resume_after);
         let max_idle = self.max_idle(&backend);
-        self.origin.set(None);
-        let connected = |origin| {
-            self.origin.set(Some(origin));
+        self.path.set(None);
+        self.tunnel_opened_at.set(None);
+        let connected = |path: Path| {
+            self.path.set(Some(path));
+            if path.is_new_tunnel() {
+                self.tunnel_opened_at.set(Some(Instant::now()));
+            }
             backend.window.reschedule(sent_at, Instant::now());
             self.record_sent(&backend);
         };
@@ -89,11 +93,11 @@
             dialer: &self.relay.dialer,
             fleet: &self.relay.fleet,
         };
-        let guard = Guard::new(&backend, self.route.objective);
+        let guard = Guard::new(&backend, &self.path, self.route.objective);
         let others_left = self.attempts + 1 < self.route.attempts;
         let result = if self.route.kind.repeatable() && others_left {
             attempt::send(&permit, &dispatch)
-                .or(until_silent(&self.relay.dialer, &backend))
+                .or(self.until_silent(&backend))
                 .await
         } else {
             attempt::send(&permit, &dispatch).await
@@ -332,25 +336,32 @@
             .saturating_add(route)
             .min(RANK_MAX)
     }
-}
 
-/// Completes with a failure once a server has sent nothing on any connection for the
-/// silence time-out.
-async fn until_silent(dialer: &Dialer, backend: &Rc<Backend>) -> Result<Reply, Failure> {
-    let mut since = Instant::now();
-    loop {
-        tidepier_clock::sleep_until(since + SILENCE_TIMEOUT).await;
-        let is_silent = || backend.last_received().is_none_or(|at| at <= since);
-        if is_silent() && dialer.accepts_connection(backend).await {
-            tidepier_clock::sleep_until(since + REACHABLE_SILENCE_TIMEOUT).await;
-        }
-        if is_silent() {
-            return Err(Failure {
-                executed: Executed::Unknown,
-                cause: Cause::Stalled,
-            });
+    /// Completes with a failure once a server has sent nothing on any connection for the
+    /// silence time-out.
+    async fn until_silent(&self, backend: &Rc<Backend>) -> Result<Reply, Failure> {
+        let mut since = Instant::now();
+        loop {
+            tidepier_clock::sleep_until(since + SILENCE_TIMEOUT).await;
+            let is_silent = || backend.last_received().is_none_or(|at| at <= since);
+            if is_silent() && self.accepts_connection(backend).await {
+                tidepier_clock::sleep_until(since + REACHABLE_SILENCE_TIMEOUT).await;
+            }
+            if is_silent() {
+                return Err(Failure {
+                    executed: Executed::Unknown,
+                    cause: Cause::Stalled,
+                });
+            }
+            since = backend.last_received().unwrap_or(since);
         }
-        since = backend.last_received().unwrap_or(since);
+    }
+
+    /// Whether the server accepts another connection over the way that the request took.
+    async fn accepts_connection(&self, backend: &Backend) -> bool {
+        let carrier = self.path.get().and_then(|path| path.carrier);
+        let dialer = &self.relay.dialer;
+        dialer.accepts_connection(backend, carrier).await
     }
 }
 
@@ -359,15 +370,17 @@
 /// answers.
 struct Guard<'a> {
     backend: &'a Backend,
+    path: &'a Cell<Option<Path>>,
     since: Instant,
     threshold: Duration,
     disarmed: bool,
 }
 
 impl<'a> Guard<'a> {
-    fn new(backend: &'a Backend, objective: Duration) -> Self {
+    fn new(backend: &'a Backend, path: &'a Cell<Option<Path>>, objective: Duration) -> Self {
         Self {
             backend,
+            path,
             since: Instant::now(),
             threshold: report::silence_threshold(objective),
             disarmed: false,
@@ -381,7 +394,11 @@
 
 impl Drop for Guard<'_> {
     fn drop(&mut self) {
-        if !self.disarmed && self.since.elapsed() > self.threshold {
+        // The way that a connection took may have failed, while new ones take another one.
+        let path = self.path.get();
+        let is_current =
+            path.is_none_or(|path| path.carrier.is_some() == self.backend.is_detoured());
+        if !self.disarmed && is_current && self.since.elapsed() > self.threshold {
             self.backend.record(Outcome::Unresponsive, Instant::now());
         }
     }
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -13,7 +13,7 @@
 use tidepier_platform::{answer, request as wire_request};
 
 use super::buffered::Answer;
-use crate::attempt::Origin;
+use crate::attempt::Path;
 use crate::content::Fingerprint;
 use crate::relay::Relay;
 
@@ -76,8 +76,10 @@
     pub(super) tried: Vec<ids::Server>,
     /// The start of the latest attempt.
     pub(super) last_attempt: Start,
+    /// When another box had opened its connection, if that was done for it.
+    pub(super) tunnel_opened_at: Cell<Option<Instant>>,
     /// The connection of the latest attempt; `None` until there is one.
-    pub(super) origin: Cell<Option<Origin>>,
+    pub(super) path: Cell<Option<Path>>,
     /// Number of servers that it was sent to, without those counted as absent.
     pub(super) attempts: u32,
     /// Number of servers that were absent: no connection could be opened, or
@@ -100,10 +102,26 @@
         self.arrival.close || self.relay.closes_clients()
     }
 
-    /// Where the connection of the latest attempt comes from, for the log; `-` if there is
-    /// none.
-    pub(super) fn origin_name(&self) -> &'static str {
-        self.origin.get().map_or("-", Origin::name)
+    /// Where the connection of the latest attempt comes from and which box carries it, for
+    /// the log; `-` if there is none.
+    pub(super) fn path_names(&self) -> (&'static str, String) {
+        let path = self.path.get();
+        let gateways = &self.relay.dialer.gateways;
+        let carrier = path.and_then(|path| path.carrier);
+        let carrier = carrier.map(|address| match gateways.at(address) {
+            Some(gateway) => gateway.name.to_string(),
+            None => address.to_string(),
+        });
+        (
+            path.map_or("-", |path| path.origin.name()),
+            carrier.unwrap_or_else(|| "-".to_owned()),
+        )
+    }
+
+    /// When the latest attempt began, as far as the server is concerned: finding another box
+    /// that opens a connection takes time that is not the server's.
+    pub(super) fn attempt_began(&self) -> Instant {
+        self.tunnel_opened_at.get().unwrap_or(self.last_attempt.at)
     }
 
     /// Adds to the time for which the answer has waited for the client.
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -342,6 +342,24 @@
         }
     }
 
+    /// Records that another box opened a connection to the server, and logs what it shows.
+    pub fn record_detour(&self, now: Instant) {
+        if self.ended.get() || !self.reach.record_detour(self.key, now) {
+            return;
+        }
+        log::warn!(
+            target: "belief",
+            "event=bypassed service={} hall={}",
+            self.server.service,
+            self.server.hall,
+        );
+    }
+
+    /// Whether connections to the server have to be carried by another box.
+    pub fn is_detoured(&self) -> bool {
+        self.reach.is_detoured(self.key)
+    }
+
     /// Records how a request to the server ended.
     pub fn record(&self, outcome: Outcome, now: Instant) {
         match outcome {
@@ -443,9 +461,13 @@
     }
 
     /// Takes an idle connection that is still usable and has been idle for less than
-    /// `max_idle`.
-    pub fn connection(&self, max_idle: Duration) -> Option<Conn> {
-        self.idle.take(max_idle)
+    /// `max_idle`, and that `is_trusted` accepts, given since when it has been idle.
+    pub fn connection(
+        &self,
+        max_idle: Duration,
+        is_trusted: impl Fn(&Conn, Instant) -> bool,
+    ) -> Option<Conn> {
+        self.idle.take(max_idle, is_trusted)
     }
 
     /// Keeps a connection without a request in flight for reuse, unless the server no
--- a/crates/relay/src/fleet/idle.rs
+++ b/crates/relay/src/fleet/idle.rs
@@ -28,13 +28,18 @@
 
 impl Idle {
     /// Takes a connection that is still usable and has been idle for less than
-    /// `max_idle`; drops those that are not.
-    pub(super) fn take(&self, max_idle: Duration) -> Option<Conn> {
+    /// `max_idle`, and that `is_trusted` accepts, given since when it has been idle; drops
+    /// those that are not.
+    pub(super) fn take(
+        &self,
+        max_idle: Duration,
+        is_trusted: impl Fn(&Conn, Instant) -> bool,
+    ) -> Option<Conn> {
         let now = Instant::now();
         let mut idle = self.0.borrow_mut();
         while let Some(mut last) = idle.pop() {
             let usable = last.until > now && now - last.since < max_idle;
-            if usable && last.conn.rests() {
+            if usable && is_trusted(&last.conn, last.since) && last.conn.rests() {
                 return Some(last.conn);
             }
         }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -301,6 +301,26 @@
         unreached.map(|reach| reach.size()).sum()
     }
 
+    /// Servers of which it should be found out whether they are reached directly again: at
+    /// most `most` of each group, at random.
+    pub(crate) fn to_probe(&self, most: usize, now: Instant) -> Vec<Rc<Backend>> {
+        let mut chosen = Vec::new();
+        let groups = self.reaches().into_iter();
+        for ((service, hall), reach) in groups.filter(|(_, reach)| reach.has_probes()) {
+            let serving = self.serving(&service);
+            let there = serving.iter().filter(|it| it.server.hall == hall);
+            let there = there.filter(|it| it.check_eligible(now).is_ok());
+            let (detoured, others): (Vec<_>, Vec<_>) =
+                there.partition(|it| reach.has_failing_way(it.key));
+            let probed = match detoured.is_empty() && reach.is_silent() {
+                true => fastrand::choose_multiple(others, 1),
+                false => fastrand::choose_multiple(detoured, most),
+            };
+            chosen.extend(probed.into_iter().cloned());
+        }
+        chosen
+    }
+
     /// The server that an answer from the address of `asked` is about: the server that
     /// it names, if that one is known at this address. An answer that names no server is
     /// about `asked`, unless its status says that another server has the address. A
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod cold;
 pub mod content;
 pub mod crash;
+mod crash_probe;
 pub mod dial;
 pub mod emptied_halls;
 pub mod era_state;
@@ -47,6 +48,7 @@
 pub mod stop;
 mod timeout;
 pub mod traffic;
+pub mod tunnel;
 pub mod view;
 
 pub use router::{run, Router};
--- a/crates/relay/src/message/mod.rs
+++ b/crates/relay/src/message/mod.rs
@@ -10,6 +10,7 @@
 pub mod recall;
 mod row;
 pub mod traffic;
+pub mod tunnel;
 
 use serde::{Deserialize, Serialize};
 use tidepier_admission::rise::Sample;
@@ -30,4 +31,7 @@
     /// Samples of the requests that the sender has just sent to servers, for the hub of its
     /// hall; there is no answer.
     Samples(Vec<Sample>),
+    /// A connection to a server; the answer is a [`tunnel::Answer`], after which this
+    /// connection carries it. Boxes of former releases close the connection.
+    Tunnel(tunnel::Request),
 }
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -18,10 +18,14 @@
 //! A box that starts while the store is unreachable asks the seed boxes of its settings
 //! ([`seed`]).
 //!
+//! A box carries connections to servers for boxes that do not reach these themselves
+//! ([`gateway`]).
+//!
 //! Invariant: a confirmation that is sent to another box never looks newer than it is. The
 //! receiving box dates it, on its own clock, to the time at which it sent the request,
 //! less the age given in the answer.
 
+pub mod gateway;
 pub mod recovery;
 pub mod registry;
 pub mod responder;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -8,7 +8,7 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -25,6 +25,7 @@
 use crate::message::boxes;
 use crate::notifier::Notifier;
 use crate::relay::Relay;
+use crate::tunnel::gateways::Gateway;
 
 /// Key prefix of the entries in the store.
 const PREFIX: &str = "tidepier/boxes/";
@@ -42,6 +43,9 @@
 /// Time over which the readers of the halls spread their lists after the store was
 /// restored from an older backup, per hall.
 const SPREAD_PER_HALL: Duration = Duration::from_millis(100);
+/// Shortest time between two questions to the store whether a box is registered: a stranger
+/// cannot make this box call the store more often.
+const VERIFY_INTERVAL: Duration = Duration::from_secs(1);
 /// Time-out of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause after a failed call, before jitter.
@@ -79,6 +83,8 @@
     /// Notified when the store may have lost entries.
     reread_requested: Notifier,
     listed: Cell<bool>,
+    /// When the store was last asked whether a box is registered.
+    verified_at: Cell<Option<Instant>>,
     /// Whether a call failed before the boxes were listed.
     failed: Cell<bool>,
     /// Notified when the list of boxes changes.
@@ -98,6 +104,7 @@
             me,
             store,
             listed: Cell::new(false),
+            verified_at: Cell::new(None),
             failed: Cell::new(false),
             changed: Notifier::default(),
         })
@@ -206,6 +213,29 @@
         same_hall
     }
 
+    /// Whether `name` is a box of `hall` that is registered at the address `ip`. The store
+    /// is asked if the list of boxes does not show it: the box may have just joined.
+    pub(super) async fn verify(&self, name: &ids::Box, hall: &ids::Hall, ip: IpAddr) -> bool {
+        let is_sender = |it: &Member| it.name == *name && it.hall == *hall && it.address.ip() == ip;
+        if self.members.borrow().iter().any(is_sender) {
+            return true;
+        }
+        let last = self.verified_at.get();
+        if last.is_some_and(|at| at.elapsed() < VERIFY_INTERVAL) {
+            return false;
+        }
+        self.verified_at.set(Some(Instant::now()));
+        match self.store.get(&key(hall, name), CALL_TIMEOUT).await {
+            Ok(read) => read.value.is_some_and(|item| {
+                serde_json::from_slice(&item.value).is_ok_and(|member| is_sender(&member))
+            }),
+            Err(failure) => {
+                log_failure(&failure, "get");
+                false
+            }
+        }
+    }
+
     /// Registers this box, renews its lease and refreshes the list of boxes; never
     /// returns.
     pub async fn maintain(self: Rc<Self>, relay: Rc<Relay>) {
@@ -343,7 +373,7 @@
     /// hall, and if each box listed all entries, the cost would grow with the square of
     /// the boxes.
     fn key(&self) -> String {
-        format!("{PREFIX}{}/{}", self.me.hall, self.me.name)
+        key(&self.me.hall, &self.me.name)
     }
 
     async fn register(&self) -> Result<LeaseId, Failure> {
@@ -408,6 +438,16 @@
     fn take(&self, relay: &Relay, mut members: Vec<Member>) {
         members.sort_by(|a, b| a.name.cmp(&b.name));
         relay.set_boxes(members.len());
+        let others = members.iter().filter(|member| member.name != self.me.name);
+        relay.dialer.gateways.set(others.map(|member| {
+            let Member {
+                name,
+                hall,
+                address,
+                ..
+            } = member.clone();
+            Gateway::new(name, hall, address)
+        }));
         let boxes = members.iter().map(|member| (&member.name, &member.hall));
         relay
             .roster
@@ -421,6 +461,10 @@
     }
 }
 
+fn key(hall: &ids::Hall, name: &ids::Box) -> String {
+    format!("{PREFIX}{hall}/{name}")
+}
+
 /// The entries that a list covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ListScope {
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -15,6 +15,7 @@
 use crate::message::follow::{Answer, Position, Request, Servers};
 use crate::message::link::{self, Error};
 use crate::message::{self, recall, PeerRequest, VERSION};
+use crate::peer::gateway;
 use crate::peer::registry::Registry;
 use crate::peer::traffic;
 use crate::server_history::Cursor;
@@ -67,10 +68,10 @@
                 let (follower, registry) = (follower.clone(), registry.clone());
                 let open_connection = open.clone();
                 let serving = async move {
-                    if let Err(error) = serve_connection(conn, &follower, &registry).await {
+                    let served = serve_connection(conn, open_connection, &follower, &registry);
+                    if let Err(error) = served.await {
                         log::debug!(target: "peer", "event=asker_lost why=\"{error}\"");
                     }
-                    drop(open_connection);
                 };
                 executor.spawn(serving).detach();
             }
@@ -82,8 +83,10 @@
     }
 }
 
+/// Serves the requests of one connection, which counts as open while `open` exists.
 async fn serve_connection(
     mut conn: Conn,
+    open: Rc<()>,
     follower: &Follower,
     registry: &Registry,
 ) -> Result<(), Error> {
@@ -131,6 +134,14 @@
                 let answer = session.answer(relay, connection.number, *request);
                 link::within(SEND_TIMEOUT, link::send(&conn, &answer)).await?;
             }
+            PeerRequest::Tunnel(request) => {
+                check_version(request.version)?;
+                // A tunnel counts against the limit on tunnels instead.
+                drop(open);
+                drop(connection);
+                // Boxed, as the futures of all connections would hold it otherwise.
+                return Box::pin(gateway::serve(conn, relay, registry, &request)).await;
+            }
             PeerRequest::Recall(request) => {
                 check_version(request.version)?;
                 let answer = cached_parts(&relay.traffic);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -26,6 +26,7 @@
 use crate::traffic::log::{Peer, Placement};
 use crate::traffic::tally::Totals;
 use crate::traffic::Traffic;
+use crate::tunnel::carried::Carried;
 use crate::view::View;
 use tidepier_admission::admission::Admission;
 use tidepier_admission::demand::Summary;
@@ -116,6 +117,8 @@
     pub backlog: Rc<Backlog>,
     /// The retry budget.
     pub budget: Budget,
+    /// Connections that this box carries for others.
+    pub carried: Carried,
     /// The state of the graceful shutdown.
     pub stop: Stop,
     /// The boxes that share the request rates of cold servers.
@@ -145,6 +148,7 @@
             rotations: Rotations::default(),
             backlog: Rc::default(),
             budget,
+            carried: Carried::default(),
             stop: Stop::default(),
             roster: Roster::default(),
             regions: RefCell::default(),
@@ -199,7 +203,7 @@
 
     /// Whether no more client connections are accepted.
     pub fn is_full(&self) -> bool {
-        self.stop.connections() >= self.clients_max.get()
+        self.stop.connections() + self.carried.open() >= self.clients_max.get()
     }
 
     /// Highest number of simultaneous client connections.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -18,6 +18,8 @@
 use crate::client_connections;
 use crate::content::Fingerprint;
 use crate::crash;
+use crate::crash_probe;
+use crate::dial;
 use crate::fleet::watch;
 use crate::follow::Follower;
 use crate::metrics;
@@ -152,7 +154,7 @@
         executor
             .spawn(follower.clone().expire_held_entries())
             .detach();
-        let inquiry = crash::probe_suspects(
+        let inquiry = crash_probe::run(
             relay.crashes.clone(),
             relay.dialer.clone(),
             executor.clone(),
@@ -161,6 +163,9 @@
         executor
             .spawn(crash::run_expiry(relay.crashes.clone()))
             .detach();
+        let probing =
+            dial::probe_unreached(relay.fleet.clone(), relay.dialer.clone(), executor.clone());
+        executor.spawn(probing).detach();
         executor.spawn(watch::run(relay.fleet.clone())).detach();
         executor.spawn(tidepier_clock::watch()).detach();
         start_peers(&relay, follower, store, settings, executor)?;
@@ -249,6 +254,9 @@
         // No engine has anything in its KV cache yet, so there is no index to rebuild.
         relay.traffic.set_progress(Progress::Done);
     }
+    relay
+        .dialer
+        .identify(settings.name.clone(), settings.hall.clone());
     let registry = Registry::new(me, store.clone());
     let controller = rollout_controller::run(follower.clone(), store, Some(registry.clone()));
     executor.spawn(controller).detach();
--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -75,7 +75,7 @@
 pub(crate) struct Proxy {
     address: SocketAddr,
     state: Rc<State>,
-    _task: Task<()>,
+    listening: RefCell<Option<Task<()>>>,
 }
 
 struct State {
@@ -113,7 +113,7 @@
         Ok(Self {
             address,
             state,
-            _task: task,
+            listening: RefCell::new(Some(task)),
         })
     }
 
@@ -121,6 +121,11 @@
         self.address
     }
 
+    /// Refuses new connections for good; open ones live on.
+    pub(crate) fn refuse(&self) {
+        self.listening.borrow_mut().take();
+    }
+
     /// Closes all its connections, and any new ones.
     pub(crate) fn cut(&self) {
         self.set(Mode::Cut);
@@ -261,6 +266,17 @@
         Self::seeded(executor, site, name, hall, link, &[]).await
     }
 
+    /// The same with a view of the store at another address.
+    pub(crate) async fn with_view(
+        executor: &Executor,
+        site: &Site,
+        name: &str,
+        hall: &str,
+        view: SocketAddr,
+    ) -> Result<Self> {
+        Self::build(executor, site, name, hall, 1_000, &[], view).await
+    }
+
     /// The same with seed boxes in its settings, at ports where nothing listens.
     pub(crate) async fn seeded(
         executor: &Executor,
@@ -269,9 +285,22 @@
         hall: &str,
         link: u32,
         seeds: &[IpAddr],
+    ) -> Result<Self> {
+        let store = site.store.address();
+        Self::build(executor, site, name, hall, link, seeds, store).await
+    }
+
+    async fn build(
+        executor: &Executor,
+        site: &Site,
+        name: &str,
+        hall: &str,
+        link: u32,
+        seeds: &[IpAddr],
+        store: SocketAddr,
     ) -> Result<Self> {
         let peer = address();
-        let store = Proxy::open(executor, site.store.address()).await?;
+        let store = Proxy::open(executor, store).await?;
         let mut values = settings(site, name, hall, link, peer);
         values["store"]["address"] = store.address().to_string().into();
         let seeds = seeds.iter().map(|ip| SocketAddr::new(*ip, SEED_PORT));
@@ -334,6 +363,16 @@
         harness::knows(&self.router, server)
     }
 
+    /// Whether a server takes requests of this box, whatever its service.
+    pub(crate) fn may_send_to(&self, server: &Server) -> Result<bool> {
+        let known = self
+            .router
+            .relay()
+            .fleet
+            .get(&server.settings().id.parse()?);
+        Ok(known.is_some_and(|backend| backend.accepts_requests()))
+    }
+
     /// Whether it sends requests to a server.
     pub(crate) fn sends_to(&self, server: &Server) -> Result<bool> {
         let serving = self.router.relay().fleet.serving(&SERVICE.parse()?);
--- a/crates/relay/tests/relay/partition_harness.rs
+++ b/crates/relay/tests/relay/partition_harness.rs
@@ -6,15 +6,16 @@
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
-use smol::Timer;
+use smol::{Task, Timer};
 use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server::{self, Events};
 use tidepier_relay_standin::site::{Route, Site, HOST};
+use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::{Client, Server};
 
-use crate::box_harness::{start_boxes_in, TestBox};
+use crate::box_harness::{start_boxes_in, Proxy, TestBox};
 use crate::harness::{ms, server_settings, wait_until, Executor, Result};
 
 /// Time after the beginning of a partition in which requests may fail, as the platform
@@ -30,13 +31,15 @@
 /// Mean pause between two requests to one box.
 const REQUEST_INTERVAL: Duration = Duration::from_millis(25);
 /// Requests sent at once where idle connections must not suffice.
-const BURST: u32 = 12;
+pub(crate) const BURST: u32 = 12;
 
 /// Boxes and servers.
 pub(crate) struct Partitioned {
-    _site: Site,
+    pub(crate) site: Site,
     pub(crate) servers: Vec<Server>,
     pub(crate) boxes: Vec<TestBox>,
+    /// The view of the store of a box behind proxies.
+    _view: Option<View>,
     executor: Executor,
 }
 
@@ -92,30 +95,68 @@
     Call::new("POST", HOST, target, attempt).body(b"question")
 }
 
+fn start_servers() -> Result<(Site, Vec<Server>)> {
+    let site = site()?;
+    let mut servers = Vec::new();
+    for number in 1..=3 {
+        for service in [PLAIN, STREAMS] {
+            let hall = format!("hall-{}", number % 2 + 1);
+            servers.push(site.server(settings_of(service, number, &hall))?);
+        }
+    }
+    Ok((site, servers))
+}
+
 impl Partitioned {
     /// Starts six servers and boxes in the given halls, and waits until the boxes know each
     /// other and all servers.
     pub(crate) async fn start(executor: &Executor, halls: &[&str]) -> Result<Self> {
-        let site = site()?;
-        let mut servers = Vec::new();
-        for number in 1..=3 {
-            for service in [PLAIN, STREAMS] {
-                let hall = format!("hall-{}", number % 2 + 1);
-                servers.push(site.server(settings_of(service, number, &hall))?);
-            }
-        }
+        let (site, servers) = start_servers()?;
         let boxes = start_boxes_in(executor, &site, halls).await?;
-        let all_known = |it: &TestBox| {
-            let relay = it.router.relay();
-            relay.boxes() == boxes.len() && servers.iter().all(|server| it.knows(server))
+        let fleet = Self {
+            site,
+            servers,
+            boxes,
+            _view: None,
+            executor: executor.clone(),
         };
-        wait_until("known", async || Ok(boxes.iter().all(all_known))).await?;
-        Ok(Self {
-            _site: site,
+        fleet.wait_until_known().await?;
+        Ok(fleet)
+    }
+
+    /// Starts two boxes in halls of their own. The connections of the first one to servers
+    /// pass through the returned proxies.
+    pub(crate) async fn start_with_proxies(executor: &Executor) -> Result<(Self, Vec<Proxy>)> {
+        let (site, servers) = start_servers()?;
+        let (mut proxies, mut replaced) = (Vec::new(), Vec::new());
+        for server in &servers {
+            let proxy = Proxy::open(executor, server.address()).await?;
+            replaced.push((server.address().to_string(), proxy.address().to_string()));
+            proxies.push(proxy);
+        }
+        let view = site.store.view(replaced)?;
+        let boxes = vec![
+            TestBox::with_view(executor, &site, "box-0", "hall-1", view.address()).await?,
+            TestBox::start(executor, &site, "box-1", "hall-2", 1_000).await?,
+        ];
+        let fleet = Self {
+            site,
             servers,
             boxes,
+            _view: Some(view),
             executor: executor.clone(),
-        })
+        };
+        fleet.wait_until_known().await?;
+        Ok((fleet, proxies))
+    }
+
+    /// Waits until the boxes know each other and all servers.
+    async fn wait_until_known(&self) -> Result {
+        let all_known = |it: &TestBox| {
+            let is_counted = it.router.relay().boxes() == self.boxes.len();
+            it.is_ready() && is_counted && self.servers.iter().all(|server| it.knows(server))
+        };
+        wait_until("known", async || Ok(self.boxes.iter().all(all_known))).await
     }
 
     /// The address that a box connects from.
@@ -133,6 +174,41 @@
         Ok(())
     }
 
+    /// Ends the partition of boxes.
+    pub(crate) fn heal(&self, boxes: &[usize]) -> Result {
+        for number in boxes {
+            for server in &self.servers {
+                server.rejoin(self.source(*number))?;
+            }
+        }
+        Ok(())
+    }
+
+    /// Sends requests to a box that is partitioned until it serves all of them through other
+    /// boxes.
+    pub(crate) async fn adapt(&self, number: usize) -> Result {
+        let (relay, start) = (self.boxes[number].router.relay(), Instant::now());
+        loop {
+            let mut served = 0;
+            for target in TARGETS {
+                let name = format!("adapt-{target}-{:?}", start.elapsed());
+                let answer = self.boxes[number].call(&call(target, &name)).await?;
+                served += usize::from(is_served(&answer));
+            }
+            let known = self.servers.iter();
+            let known = known.filter_map(|it| relay.fleet.get(&it.settings().id.parse().ok()?));
+            if served == TARGETS.len() && known.filter(|it| it.is_detoured()).count() > 1 {
+                return Ok(());
+            }
+            ensure!(start.elapsed() < CONTACT_TIME, "{served} served");
+        }
+    }
+
+    /// All servers, as the checks of answers expect them.
+    pub(crate) fn all_servers(&self) -> Vec<&Server> {
+        self.servers.iter().collect()
+    }
+
     /// Sends requests to all boxes for a while, `at_once` at a time and each on a connection
     /// of its own, and counts which of them were served.
     pub(crate) async fn send(
@@ -141,29 +217,8 @@
         time: Duration,
         at_once: u32,
     ) -> Result<Vec<Tries>> {
-        let clients = self.boxes.iter().enumerate().map(|(number, it)| {
-            let (address, executor) = (it.router.client_address(), self.executor.clone());
-            let name = format!("{name}-{number}");
-            self.executor.spawn(async move {
-                let start = Instant::now();
-                let mut tries = Vec::new();
-                while start.elapsed() < time {
-                    for _ in 0..at_once {
-                        let target = TARGETS[tries.len() % TARGETS.len()];
-                        let call = call(target, &format!("{name}-{}", tries.len()));
-                        let answer = async move { Client::once(address, &call).await };
-                        tries.push(executor.spawn(answer));
-                    }
-                    Timer::after(REQUEST_INTERVAL * at_once).await;
-                }
-                let mut served = 0;
-                let sent = tries.len();
-                for answer in tries {
-                    served += usize::from(answer.await.is_ok_and(|answer| is_served(&answer)));
-                }
-                Tries { sent, served }
-            })
-        });
+        let boxes = 0..self.boxes.len();
+        let clients = boxes.map(|number| self.send_to(number, name, time, at_once));
         let clients: Vec<_> = clients.collect();
         let mut tries = Vec::new();
         for client in clients {
@@ -171,6 +226,37 @@
         }
         Ok(tries)
     }
+
+    /// The same for one box.
+    pub(crate) fn send_to(
+        &self,
+        number: usize,
+        name: &str,
+        time: Duration,
+        at_once: u32,
+    ) -> Task<Tries> {
+        let address = self.boxes[number].router.client_address();
+        let (executor, name) = (self.executor.clone(), format!("{name}-{number}"));
+        self.executor.spawn(async move {
+            let start = Instant::now();
+            let mut tries = Vec::new();
+            while start.elapsed() < time {
+                for _ in 0..at_once {
+                    let target = TARGETS[tries.len() % TARGETS.len()];
+                    let call = call(target, &format!("{name}-{}", tries.len()));
+                    let answer = async move { Client::once(address, &call).await };
+                    tries.push(executor.spawn(answer));
+                }
+                Timer::after(REQUEST_INTERVAL * at_once).await;
+            }
+            let mut served = 0;
+            let sent = tries.len();
+            for answer in tries {
+                served += usize::from(answer.await.is_ok_and(|answer| is_served(&answer)));
+            }
+            Tries { sent, served }
+        })
+    }
 }
 
 fn is_served(answer: &Answer) -> bool {
--- a/crates/relay/tests/relay/partitioned.rs
+++ b/crates/relay/tests/relay/partitioned.rs
@@ -3,8 +3,9 @@
 
 use tidepier_relay_standin::partition::Cut;
 
-use crate::harness::{run, Result};
-use crate::partition_harness::tries_while_cut;
+use crate::box_harness::Proxy;
+use crate::harness::{ms, run, Result};
+use crate::partition_harness::{tries_while_cut, Partitioned, BURST};
 
 // Guards against a box that refuses all requests while only its own network to the servers
 // is partitioned; here that of all boxes of a hall.
@@ -37,3 +38,15 @@
         tries.iter().try_for_each(|tries| tries.ensure_served())
     })
 }
+
+// The same where new connections are refused at once while open ones live on.
+#[test]
+fn a_box_whose_new_connections_are_refused_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let (fleet, proxies) = Partitioned::start_with_proxies(&executor).await?;
+        fleet.send("before", ms(400), 1).await?;
+        proxies.iter().for_each(Proxy::refuse);
+        let tries = fleet.send("after", ms(1_500), BURST).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
