Gateways are left out for the servers that they do not reach

A box that was asked for a connection and did not reach the servers of one service and hall was left out for all servers for a second. Where a single plain server of a hall is down, every box that was asked for it was left out, also for boxes that needed it for other servers. The answer now says whether the server, the way to its service and hall, or the gateway itself is lacking, and a gateway is left out for no more than that. Found by reading; the driver's case of it is new in gateways::a_box_that_cannot_carry_connections_is_left_out_for_a_while.

--- a/crates/relay/src/dial/mod.rs
+++ b/crates/relay/src/dial/mod.rs
@@ -25,9 +25,9 @@
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
-use crate::fleet::reach::Opening;
+use crate::fleet::reach::{Group, Opening};
 use crate::fleet::Backend;
-use crate::message::tunnel::Request;
+use crate::message::tunnel::{Lack, Request};
 use crate::message::VERSION;
 use crate::network::Network;
 use crate::timeout;
@@ -60,6 +60,15 @@
     hall: ids::Hall,
 }
 
+/// Why no other box carries a connection.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum NoDetour {
+    /// Others do not reach the server either, or there are none.
+    ServerDown,
+    /// The boxes that were asked reach none of the servers of this service and hall.
+    AllUnreached,
+}
+
 /// Opens the connections of one box to servers.
 #[derive(Default)]
 pub struct Dialer {
@@ -101,8 +110,8 @@
             }
             if backend.is_detoured() {
                 match self.detour(backend).await {
-                    Some(conn) => Ok(conn),
-                    None => self.open(backend, CONNECT_TIMEOUT).await,
+                    Ok(conn) => Ok(conn),
+                    Err(_) => self.open(backend, CONNECT_TIMEOUT).await,
                 }
             } else {
                 self.connect_directly_first(backend).await
@@ -116,7 +125,7 @@
         /// The connection whose attempt ended first.
         enum First {
             Direct(io::Result<Conn>),
-            Detour(Option<Conn>),
+            Detour(Result<Conn, NoDetour>),
         }
         let mut direct = std::pin::pin!(self.open(backend, CONNECT_TIMEOUT));
         match timeout::within(head_start(backend), direct.as_mut()).await {
@@ -129,13 +138,13 @@
         let first_detour = async { First::Detour(detour.as_mut().await) };
         match first_direct.or(first_detour).await {
             First::Direct(Ok(conn)) => Ok(conn),
-            First::Direct(Err(error)) => detour.await.ok_or(error),
-            First::Detour(Some(conn)) => {
+            First::Direct(Err(error)) => detour.await.map_err(|_| error),
+            First::Detour(Ok(conn)) => {
                 // Whether the direct connection was only slow shows later.
                 self.suspects.borrow_mut().push(backend.clone());
                 Ok(conn)
             }
-            First::Detour(None) => direct.await,
+            First::Detour(Err(_)) => direct.await,
         }
     }
 
@@ -147,7 +156,7 @@
             Opening::TimedOut | Opening::Opened => true,
         };
         match may_be_sound {
-            true => self.detour(backend).await.ok_or(error),
+            true => self.detour(backend).await.map_err(|_| error),
             false => Err(error),
         }
     }
@@ -168,50 +177,53 @@
         Ok(conn)
     }
 
-    /// Has another box carry a connection to a server; `None` if none does. Boxed, as the
-    /// futures of all requests would hold it otherwise, which rarely need it.
-    fn detour<'a>(
+    /// Has another box carry a connection to a server.
+    ///
+    /// # Errors
+    ///
+    /// No box does.
+    // Boxed, as the futures of all requests would hold it otherwise, which rarely need it.
+    pub(crate) fn detour<'a>(
         &'a self,
         backend: &'a Rc<Backend>,
-    ) -> Pin<Box<dyn Future<Output = Option<Conn>> + 'a>> {
+    ) -> Pin<Box<dyn Future<Output = Result<Conn, NoDetour>> + 'a>> {
         Box::pin(async {
             let detour = timeout::within(DETOUR_TIMEOUT, self.detour_unbounded(backend));
-            detour.await.flatten()
+            detour.await.unwrap_or(Err(NoDetour::ServerDown))
         })
     }
 
-    async fn detour_unbounded(&self, backend: &Rc<Backend>) -> Option<Conn> {
-        let identity = self.identity.get()?;
+    async fn detour_unbounded(&self, backend: &Rc<Backend>) -> Result<Conn, NoDetour> {
+        let identity = self.identity.get().ok_or(NoDetour::ServerDown)?;
         let now = Instant::now();
         if backend.reach.is_denied(backend.key, now) {
-            return None;
+            return Err(NoDetour::ServerDown);
         }
-        let hall = &backend.server.hall;
-        let candidates = self.gateways.candidates(&identity.hall, hall, now);
+        let group = backend.group();
+        let candidates = self.gateways.candidates(&identity.hall, &group, now);
         let attempts = candidates.into_iter().map(|gateway| {
             let attempt: race::Attempt<'_, _, _> =
-                Box::pin(self.open_through(identity, gateway, backend));
+                Box::pin(self.open_through(identity, gateway, backend, &group));
             attempt
         });
         let opened = race::first_success(attempts.collect(), GATEWAY_HEAD_START).await;
         let now = Instant::now();
-        match opened {
+        let failures = match opened {
             Ok(conn) => {
                 backend.record_detour(now);
-                Some(conn)
-            }
-            Err(failures) => {
-                let is_server_down = failures.iter().any(|failure| match failure {
-                    Failure::Denied(outcome) => !outcome.depends_on_box(),
-                    Failure::Link(_) => false,
-                });
-                match is_server_down {
-                    true => backend.reach.record_denied(backend.key, now),
-                    false => backend.reach.record_no_gateway(now),
-                }
-                None
+                return Ok(conn);
             }
+            Err(failures) => failures,
+        };
+        if failures.iter().any(|it| it.lack() == Some(Lack::Server)) {
+            backend.reach.record_denied(backend.key, now);
+            return Err(NoDetour::ServerDown);
         }
+        backend.reach.record_no_gateway(now);
+        Err(match failures.iter().any(Failure::is_unreached) {
+            true => NoDetour::AllUnreached,
+            false => NoDetour::ServerDown,
+        })
     }
 
     /// Has one box carry a connection to a server.
@@ -220,6 +232,7 @@
         identity: &Identity,
         gateway: Rc<Gateway>,
         backend: &Backend,
+        group: &Group,
     ) -> Result<Conn, Failure> {
         let slow = Slow::new(&gateway);
         let start = Instant::now();
@@ -240,9 +253,9 @@
                 "opened"
             }
             Err(failure) => {
-                match failure {
-                    Failure::Link(_) => gateway.record_lost(now),
-                    Failure::Denied(outcome) => gateway.record_denied(*outcome, now),
+                match failure.lack() {
+                    None => gateway.record_lost(now),
+                    Some(lack) => gateway.record_denied(group, lack, now),
                 }
                 log::info!(
                     target: "peer",
@@ -262,7 +275,9 @@
     async fn open_again(&self, backend: &Backend, carrier: SocketAddr) -> io::Result<Conn> {
         let identity = self.identity.get().ok_or_else(untried)?;
         let gateway = self.gateways.at(carrier).ok_or_else(untried)?;
-        let opened = self.open_through(identity, gateway, backend).await;
+        let group = backend.group();
+        let opened = self.open_through(identity, gateway, backend, &group);
+        let opened = opened.await;
         opened.map_err(|failure| io::Error::other(failure.to_string()))
     }
 
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -16,7 +16,7 @@
 use super::backoff::Backoff;
 use super::hall::Hall;
 use super::idle::Idle;
-use super::reach::{Change, Opening, Reach};
+use super::reach::{Change, Group, Opening, Reach};
 use super::Key;
 use crate::cold::Window;
 use crate::health::{Health, Outcome};
@@ -355,6 +355,14 @@
         );
     }
 
+    /// The servers of the same service and hall.
+    pub fn group(&self) -> Group {
+        Group {
+            service: self.server.service.clone(),
+            hall: self.server.hall.clone(),
+        }
+    }
+
     /// Whether connections to the server have to be carried by another box.
     pub fn is_detoured(&self) -> bool {
         self.reach.is_detoured(self.key)
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -124,7 +124,7 @@
 pub struct Fleet {
     halls: RefCell<HashMap<ids::Hall, Rc<Hall>>>,
     /// Which servers this box reaches, by service and hall.
-    reaches: RefCell<HashMap<(ids::Service, ids::Hall), Rc<Reach>>>,
+    reaches: RefCell<HashMap<reach::Group, Rc<Reach>>>,
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     /// Servers by listening address.
     addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
@@ -180,7 +180,10 @@
         };
         let service = server.service.clone();
         let hall = self.hall(&server.hall);
-        let reach = self.reach(&server.service, &server.hall);
+        let reach = self.reach(reach::Group {
+            service: server.service.clone(),
+            hall: server.hall.clone(),
+        });
         reach.add();
         let backend = Rc::new(Backend::new(server, advertisement, hall, reach, now));
         let id = backend.server.id.clone();
@@ -306,9 +309,9 @@
     pub(crate) fn to_probe(&self, most: usize, now: Instant) -> Vec<Rc<Backend>> {
         let mut chosen = Vec::new();
         let groups = self.reaches().into_iter();
-        for ((service, hall), reach) in groups.filter(|(_, reach)| reach.has_probes()) {
-            let serving = self.serving(&service);
-            let there = serving.iter().filter(|it| it.server.hall == hall);
+        for (group, reach) in groups.filter(|(_, reach)| reach.has_probes()) {
+            let serving = self.serving(&group.service);
+            let there = serving.iter().filter(|it| it.server.hall == group.hall);
             let there = there.filter(|it| it.check_eligible(now).is_ok());
             let (detoured, others): (Vec<_>, Vec<_>) =
                 there.partition(|it| reach.has_failing_way(it.key));
@@ -345,14 +348,13 @@
         halls.entry(name.clone()).or_default().clone()
     }
 
-    fn reach(&self, service: &ids::Service, hall: &ids::Hall) -> Rc<Reach> {
+    fn reach(&self, group: reach::Group) -> Rc<Reach> {
         let mut reaches = self.reaches.borrow_mut();
-        let group = reaches.entry((service.clone(), hall.clone()));
-        group.or_default().clone()
+        reaches.entry(group).or_default().clone()
     }
 
     /// The reach of every group of servers, by service and hall.
-    pub fn reaches(&self) -> Vec<((ids::Service, ids::Hall), Rc<Reach>)> {
+    pub fn reaches(&self) -> Vec<(reach::Group, Rc<Reach>)> {
         let reaches = self.reaches.borrow();
         let reaches = reaches.iter();
         reaches
--- a/crates/relay/src/fleet/reach.rs
+++ b/crates/relay/src/fleet/reach.rs
@@ -17,6 +17,7 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
+use tidepier_ids as ids;
 
 use super::Key;
 
@@ -69,6 +70,15 @@
     }
 }
 
+/// The servers of one service in one hall.
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub struct Group {
+    /// The service.
+    pub service: ids::Service,
+    /// The hall.
+    pub hall: ids::Hall,
+}
+
 /// What an outcome changed for the group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Change {
--- a/crates/relay/src/message/tunnel.rs
+++ b/crates/relay/src/message/tunnel.rs
@@ -27,7 +27,11 @@
     Refused,
     /// The server did not answer in time.
     TimedOut,
-    /// The answering box reaches none of the servers of this service and hall itself.
+    /// The server refused the connection, as do all servers of this service and hall that
+    /// the answering box tried.
+    AllRefused,
+    /// Nothing answers the answering box from the servers of this service and hall, or
+    /// other boxes reach them where it does not.
     Unreached,
     /// The answering box does not know the server, or sends it nothing new.
     Ineligible,
@@ -37,6 +41,18 @@
     Stranger,
 }
 
+/// What keeps a box from opening a connection to a server for another box.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// The server: the box reaches others of its service and hall.
+    Server,
+    /// The network between the box and the servers of this service and hall, or all of
+    /// these.
+    Reach,
+    /// The box itself.
+    Gateway,
+}
+
 impl Outcome {
     /// A short name for logs and metrics.
     pub fn name(self) -> &'static str {
@@ -44,6 +60,7 @@
             Outcome::Opened => "opened",
             Outcome::Refused => "refused",
             Outcome::TimedOut => "timed_out",
+            Outcome::AllRefused => "all_refused",
             Outcome::Unreached => "unreached",
             Outcome::Ineligible => "ineligible",
             Outcome::Full => "full",
@@ -51,12 +68,13 @@
         }
     }
 
-    /// Whether another box may be able to open the connection: what was lacking is the
-    /// answering box's, not the server's.
-    pub fn depends_on_box(self) -> bool {
+    /// What kept the connection from being opened; `None` if it was.
+    pub fn lack(self) -> Option<Lack> {
         match self {
-            Outcome::Unreached | Outcome::Full | Outcome::Stranger => true,
-            Outcome::Opened | Outcome::Refused | Outcome::TimedOut | Outcome::Ineligible => false,
+            Outcome::Opened => None,
+            Outcome::Refused | Outcome::TimedOut | Outcome::Ineligible => Some(Lack::Server),
+            Outcome::AllRefused | Outcome::Unreached => Some(Lack::Reach),
+            Outcome::Full | Outcome::Stranger => Some(Lack::Gateway),
         }
     }
 }
--- a/crates/relay/src/peer/gateway.rs
+++ b/crates/relay/src/peer/gateway.rs
@@ -132,10 +132,12 @@
         return Err(Outcome::Unreached);
     }
     let opened = relay.dialer.open(&backend, CONNECT_TIMEOUT).await;
+    let is_alone = !backend.reach.is_unreached();
     let server = opened.map_err(|error| match Opening::of::<()>(&Err(error)) {
-        _ if backend.reach.is_unreached() => Outcome::Unreached,
-        Opening::TimedOut => Outcome::TimedOut,
-        Opening::Refused | Opening::Opened => Outcome::Refused,
+        Opening::TimedOut if is_alone => Outcome::TimedOut,
+        Opening::TimedOut => Outcome::Unreached,
+        Opening::Refused | Opening::Opened if is_alone => Outcome::Refused,
+        Opening::Refused | Opening::Opened => Outcome::AllRefused,
     })?;
     let permitted = permit.recheck(Instant::now());
     permitted.map_err(|_| Outcome::Ineligible)?;
--- a/crates/relay/src/tunnel/gateways.rs
+++ b/crates/relay/src/tunnel/gateways.rs
@@ -6,6 +6,7 @@
 //! no way between halls; boxes of other halls follow, as a whole hall may be cut off.
 
 use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,7 +14,8 @@
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
-use crate::message::tunnel::Outcome;
+use crate::fleet::reach::Group;
+use crate::message::tunnel::Lack;
 
 /// Most boxes that are asked for one connection.
 pub(crate) const ASKED_MAX: usize = 3;
@@ -44,6 +46,8 @@
     opened: Cell<Option<Instant>>,
     /// When it last failed to, for a reason of its own, and until when it is left out.
     failed: Cell<Option<(Instant, Instant)>>,
+    /// Groups of servers that it does not reach, and until when it is left out for them.
+    unreached: RefCell<HashMap<Group, Instant>>,
     /// Tunnels that it carried when it last answered.
     carried: Cell<u32>,
 }
@@ -57,6 +61,7 @@
             address,
             opened: Cell::new(None),
             failed: Cell::new(None),
+            unreached: RefCell::default(),
             carried: Cell::new(0),
         }
     }
@@ -68,10 +73,17 @@
         self.carried.set(carried);
     }
 
-    /// Records an answer of the box without a tunnel.
-    pub fn record_denied(&self, outcome: Outcome, now: Instant) {
-        if outcome.depends_on_box() {
-            self.failed.set(Some((now, now + DENIED_TIME)));
+    /// Records what kept the box from opening a tunnel to a server of a group.
+    pub fn record_denied(&self, group: &Group, lack: Lack, now: Instant) {
+        let until = now + DENIED_TIME;
+        match lack {
+            Lack::Server => {}
+            Lack::Gateway => self.failed.set(Some((now, until))),
+            Lack::Reach => {
+                let mut unreached = self.unreached.borrow_mut();
+                unreached.retain(|_, until| now < *until);
+                unreached.insert(group.clone(), until);
+            }
         }
     }
 
@@ -85,9 +97,11 @@
         self.failed.set(Some((now, now + DENIED_TIME)));
     }
 
-    /// Whether the box may be asked.
-    fn may_be_asked(&self, now: Instant) -> bool {
-        self.failed.get().is_none_or(|(_, until)| now >= until)
+    /// Whether the box may be asked for a server of a group.
+    fn may_be_asked(&self, group: &Group, now: Instant) -> bool {
+        let unreached = self.unreached.borrow();
+        let is_left_out = unreached.get(group).is_some_and(|until| now < *until);
+        !is_left_out && self.failed.get().is_none_or(|(_, until)| now >= until)
     }
 
     /// Whether the box has opened a tunnel lately, and none was denied since.
@@ -123,19 +137,21 @@
         *known = boxes;
     }
 
-    /// The boxes to ask for a connection to a server in `server_hall`, the first one first;
+    /// The boxes to ask for a connection to a server of a group, the first one first;
     /// `own_hall` is the hall of this box.
     pub fn candidates(
         &self,
         own_hall: &ids::Hall,
-        server_hall: &ids::Hall,
+        group: &Group,
         now: Instant,
     ) -> Vec<Rc<Gateway>> {
         let known = self.0.borrow();
-        let mut askable: Vec<&Rc<Gateway>> =
-            known.iter().filter(|it| it.may_be_asked(now)).collect();
+        let mut askable: Vec<&Rc<Gateway>> = known
+            .iter()
+            .filter(|it| it.may_be_asked(group, now))
+            .collect();
         fastrand::shuffle(&mut askable);
-        let is_near = |it: &Gateway| it.hall == *own_hall || it.hall == *server_hall;
+        let is_near = |it: &Gateway| it.hall == *own_hall || it.hall == group.hall;
         let proven = askable.iter().filter(|it| it.is_proven(now)).count();
         let explores = proven < PROVEN_MIN && fastrand::f64() < EXPLORED_SHARE;
         let rank = |it: &Gateway| (it.is_proven(now) == explores, !is_near(it));
--- a/crates/relay/src/tunnel/open.rs
+++ b/crates/relay/src/tunnel/open.rs
@@ -7,7 +7,7 @@
 use tidepier_h1::Conn;
 
 use crate::message::link::{self, Error};
-use crate::message::tunnel::{Answer, Outcome, Request};
+use crate::message::tunnel::{Answer, Lack, Outcome, Request};
 use crate::message::{PeerRequest, VERSION};
 use crate::network::Network;
 
@@ -32,6 +32,19 @@
 }
 
 impl Failure {
+    /// What kept the gateway from opening the connection; `None` if it did not say.
+    pub(crate) fn lack(&self) -> Option<Lack> {
+        match self {
+            Failure::Link(_) => None,
+            Failure::Denied(outcome) => outcome.lack(),
+        }
+    }
+
+    /// Whether nothing answers the gateway from the servers of the service and hall.
+    pub(crate) fn is_unreached(&self) -> bool {
+        matches!(self, Failure::Denied(Outcome::Unreached))
+    }
+
     /// A short name for logs and metrics.
     pub(crate) fn name(&self) -> &'static str {
         match self {
--- a/crates/relay/tests/relay/gateways.rs
+++ b/crates/relay/tests/relay/gateways.rs
@@ -8,7 +8,8 @@
 use eyre::ensure;
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
-use tidepier_relay::message::tunnel::Outcome;
+use tidepier_relay::fleet::reach::Group;
+use tidepier_relay::message::tunnel::Lack;
 use tidepier_relay::tunnel::gateways::{Gateway, Gateways};
 
 use crate::choice_harness::id;
@@ -65,16 +66,24 @@
         Ok(gateways)
     }
 
+    /// The servers of a hall.
+    fn group_of(&self, number: usize) -> Group {
+        Group {
+            service: "service-1".parse().expect("a name"),
+            hall: self.halls[number % self.halls.len()].clone(),
+        }
+    }
+
     /// Asks boxes in turn for a connection to a server in a hall; whether one opened it.
-    fn open(&self, gateways: &Gateways, me: usize, hall: &ids::Hall, now: Instant) -> bool {
-        for gateway in gateways.candidates(&self.halls[me], hall, now) {
+    fn open(&self, gateways: &Gateways, me: usize, group: &Group, now: Instant) -> bool {
+        for gateway in gateways.candidates(&self.halls[me], group, now) {
             let number = (0..self.halls.len()).find(|it| address(*it) == gateway.address);
             let number = number.unwrap_or_default();
             let mut carried = self.carried.borrow_mut();
             if number < self.cut {
-                gateway.record_denied(Outcome::Unreached, now);
+                gateway.record_denied(group, Lack::Reach, now);
             } else if carried[number] >= ROOM {
-                gateway.record_denied(Outcome::Full, now);
+                gateway.record_denied(group, Lack::Gateway, now);
             } else {
                 carried[number] += 1;
                 gateway.record_opened(carried[number], now);
@@ -97,8 +106,8 @@
     for round in 0..TUNNELS {
         let now = start + ms(10 * round as u64);
         for (me, gateways) in &boxes {
-            let server_hall = &fleet.halls[(me + round) * 7 % fleet.halls.len()];
-            failed += usize::from(!fleet.open(gateways, *me, server_hall, now));
+            let group = fleet.group_of((me + round) * 7);
+            failed += usize::from(!fleet.open(gateways, *me, &group, now));
         }
     }
     let most = fleet.carried.borrow().iter().copied().max();
@@ -133,13 +142,15 @@
     let fleet = Fleet::new(&[1, 2], 1)?;
     let gateways = fleet.gateways_of(0)?;
     let (own, now) = (&fleet.halls[0], Instant::now());
-    let asked = |at: u64| gateways.candidates(own, &fleet.halls[1], now + ms(at));
+    let (group, other) = (fleet.group_of(1), fleet.group_of(0));
+    let asked = |at: u64| gateways.candidates(own, &group, now + ms(at));
     let first: Vec<Rc<Gateway>> = asked(0);
     ensure!(first.len() == 2);
-    first[0].record_denied(Outcome::Unreached, now);
+    first[0].record_denied(&group, Lack::Reach, now);
     // What lacks is the server's, not the box's.
-    first[1].record_denied(Outcome::Refused, now);
+    first[1].record_denied(&group, Lack::Server, now);
     ensure!(asked(10).iter().all(|it| Rc::ptr_eq(it, &first[1])));
+    ensure!(gateways.candidates(own, &other, now).len() == 2);
     ensure!(asked(1_100).len() == 2);
     first[1].record_lost(now);
     ensure!(asked(1_100).iter().all(|it| Rc::ptr_eq(it, &first[0])));
