A refused connection is a crash only if other boxes are refused too

What callers would see: a box whose connections to servers are reset and then refused, while the others reach them, took each server for crashed and its running requests for the cause. After three servers their contents are refused at all boxes for five minutes.

A refused connection was held to have one reason only. Another box is now asked to open a connection before a crash is recorded.

A crash that all boxes see is still recorded (a_server_that_refuses_all_boxes_has_crashed).

--- a/crates/relay/src/crash_probe.rs
+++ b/crates/relay/src/crash_probe.rs
@@ -1,10 +1,11 @@
 //! Finds out whether a server has crashed at which requests broke off.
 //!
 //! A connection may break for many reasons, but a host answers that no process listens
-//! on a port for one reason only. So the box opens a new connection. If it is refused,
-//! the server has ended. If it is established, the server is alive, and the connection is
-//! kept idle for the next request. If there is no response, nothing is known: the
-//! network in between may be partitioned.
+//! on a port for one reason only. So the box opens a new connection. If it is established,
+//! the server is alive, and the connection is kept idle for the next request. If there is no
+//! response, nothing is known: the network in between may be partitioned. If it is refused,
+//! something else on the way may have refused it, for this box alone; so another box opens
+//! a connection too. Only if it cannot, the server has ended.
 
 use std::collections::HashSet;
 use std::io;
@@ -18,7 +19,7 @@
 use crate::content::Fingerprint;
 use crate::crash::suspects::Suspect;
 use crate::crash::Crashes;
-use crate::dial::{Dialer, CONNECT_TIMEOUT};
+use crate::dial::{Dialer, NoDetour, CONNECT_TIMEOUT};
 use crate::fleet::Backend;
 
 /// Pauses before each attempt to connect. In nearly all cases a refusal comes with the
@@ -84,7 +85,9 @@
                     return false;
                 }
             }
-            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => return true,
+            Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return dialer.detour(backend).await.err() == Some(NoDetour::ServerDown);
+            }
             Err(error) => log::debug!(
                 target: "request",
                 "event=look_failed server={} why=\"{error}\"",
--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -126,6 +126,12 @@
         self.listening.borrow_mut().take();
     }
 
+    /// Refuses new connections for good and closes open ones, as if nothing listened there.
+    pub(crate) fn vanish(&self) {
+        self.refuse();
+        self.state.forwarders.borrow_mut().clear();
+    }
+
     /// Closes all its connections, and any new ones.
     pub(crate) fn cut(&self) {
         self.set(Mode::Cut);
--- a/crates/relay/tests/relay/partitioned.rs
+++ b/crates/relay/tests/relay/partitioned.rs
@@ -1,7 +1,10 @@
 //! Boxes that are partitioned from all servers, while clients, the store and the other
 //! boxes reach them.
 
+use eyre::ensure;
+use smol::Timer;
 use tidepier_relay_standin::partition::Cut;
+use tidepier_relay_standin::Server;
 
 use crate::box_harness::Proxy;
 use crate::harness::{ms, run, Result};
@@ -50,3 +53,37 @@
         tries.iter().try_for_each(|tries| tries.ensure_served())
     })
 }
+
+// Guards against contents that are refused everywhere as three servers seemed to crash under
+// them, while the box that ran them was cut off.
+#[test]
+fn a_partition_that_refuses_connections_is_no_crash_of_servers() -> Result {
+    run(|executor| async move {
+        let (fleet, proxies) = Partitioned::start_with_proxies(&executor).await?;
+        fleet.servers.iter().for_each(|server| server.slow(200.0));
+        let running = fleet.send_to(0, "running", ms(300), 4);
+        Timer::after(ms(400)).await;
+        proxies.iter().for_each(Proxy::vanish);
+        fleet.servers.iter().for_each(Server::heal);
+        running.await;
+        let suspected = fleet.boxes[0].router.relay().crashes.table.len();
+        ensure!(suspected == 0, "{suspected} contents suspected");
+        fleet.send_to(0, "after", ms(500), 1).await.ensure_served()
+    })
+}
+
+// Guards against crashes that are not noticed as other boxes are asked about them.
+#[test]
+fn a_server_that_refuses_all_boxes_has_crashed() -> Result {
+    run(|executor| async move {
+        let fleet = Partitioned::start(&executor, &["hall-1", "hall-2"]).await?;
+        fleet.servers.iter().for_each(|server| server.slow(200.0));
+        let running = fleet.send_to(0, "running", ms(300), 4);
+        Timer::after(ms(400)).await;
+        fleet.servers[2].crash();
+        running.await;
+        let suspected = fleet.boxes[0].router.relay().crashes.table.len();
+        ensure!(suspected > 0, "no crash was noticed");
+        Ok(())
+    })
+}
