Soak: boxes partitioned from all servers

The proxies to servers drop the packets of these boxes by their address; open connections fall silent, are reset or live on. The new rule reach compares what such boxes serve with what the others do.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -49,6 +49,9 @@
     /// Also restores the store from older backups.
     #[arg(long)]
     returns: bool,
+    /// Also partitions some boxes from all servers.
+    #[arg(long)]
+    partitions: bool,
     /// Makes most streams be about one subject, with sixteen boxes and more servers.
     #[arg(long)]
     hot_subject: bool,
@@ -152,6 +155,7 @@
         suspensions: arguments.suspensions,
         words: arguments.words,
         returns: arguments.returns,
+        partitions: arguments.partitions,
         hot_subject: arguments.hot_subject,
         boxes: arguments.boxes.map(usize::from),
     };
--- a/crates/soak/src/bound.rs
+++ b/crates/soak/src/bound.rs
@@ -45,6 +45,13 @@
 pub const CROWD_EXTRA: f64 = 3.0;
 /// Window in which requests to crowded servers are counted.
 pub const CROWD_WINDOW: Duration = Duration::from_secs(5);
+/// Boxes that are partitioned from all servers serve at least this share of what the others
+/// do, ...
+pub const PARTITIONED_SHARE: f64 = 2.0 / 3.0;
+/// ... if more than this many requests fail there, ...
+pub const PARTITIONED_FAILED: usize = 10;
+/// ... and one of this many of all requests there in addition.
+pub const PARTITIONED_FAILED_PART: usize = 50;
 /// Time after the last fault within which each box has to serve requests again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -6,6 +6,7 @@
 use std::fmt::Debug;
 use std::time::Duration;
 
+use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server;
 use tidepier_relay_standin::store::Down;
 
@@ -113,6 +114,8 @@
 pub enum Fault {
     /// A link is impaired.
     Link(Link, Impairment),
+    /// Some boxes, this many from this one on, are partitioned from all servers.
+    Partition(usize, usize, Cut),
     /// The process of a box gets a signal.
     Process(usize, Signal),
     /// The store is faulty.
@@ -132,6 +135,7 @@
     pub fn name(&self) -> String {
         match self {
             Fault::Link(link, harm) => format!("{}_way_{}", link.name(), harm.name()),
+            Fault::Partition(_, _, cut) => named("partition", cut),
             Fault::Process(_, signal) => named("process", signal),
             Fault::Store(Store::Slow(_)) => "store_slow".into(),
             Fault::Store(Store::Down(down)) => named("store", down),
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -11,7 +11,7 @@
 mod steps;
 
 use std::collections::{BTreeSet, HashSet};
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::{Path, PathBuf};
 use std::sync::atomic::{AtomicBool, AtomicU32, Ordering};
 use std::sync::{Arc, Mutex};
@@ -23,6 +23,7 @@
 use serde_json::json;
 use smol::Timer;
 use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::site::{Site, HOST};
 use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::{names, Client};
@@ -77,6 +78,8 @@
     views: Mutex<Vec<View>>,
     peer_proxies: Vec<Vec<Proxy>>,
     backends: Mutex<Vec<Arc<Backend>>>,
+    /// Boxes that are partitioned from all servers, by the address that they connect from.
+    cuts: Mutex<Vec<(IpAddr, Cut)>>,
     keys: Mutex<Vec<String>>,
     /// Bodies of requests that crash servers.
     crashing_contents: Mutex<Vec<Vec<u8>>>,
@@ -130,6 +133,7 @@
             views: Mutex::default(),
             peer_proxies: Vec::new(),
             backends: Mutex::default(),
+            cuts: Mutex::default(),
             keys: Mutex::new(Vec::new()),
             crashing_contents: Mutex::default(),
             replaced_servers: Mutex::default(),
@@ -157,6 +161,7 @@
                 "hall": plan::hall_name(box_index, schedule.halls),
                 "callers": SocketAddr::new(peer.ip(), CLIENT_PORT).to_string(),
                 "readiness": SocketAddr::new(peer.ip(), READY_PORT).to_string(),
+                "source": peer.ip().to_string(),
                 "peer_ports": [PEER_PORT, PEER_PORT],
                 "server_beat": "1200ms",
                 "limits": { "link_mbps": link_mbps(box_index), "memory_mb": 260 },
@@ -204,7 +209,14 @@
         ];
         let front = Proxy::open(SocketAddr::new(peer.ip(), CLIENT_PORT))?;
         let ready = SocketAddr::new(peer.ip(), READY_PORT);
-        Ok(RelayBox::new(files, settings, store, front, ready))
+        Ok(RelayBox::new(
+            files,
+            settings,
+            store,
+            front,
+            peer.ip(),
+            ready,
+        ))
     }
 
     /// Ends all processes for good. Tasks that hold the fleet may go on after this.
--- a/crates/soak/src/fleet/relay_box.rs
+++ b/crates/soak/src/fleet/relay_box.rs
@@ -1,6 +1,6 @@
 //! A box: its process, which may end and be started again, and its proxies.
 
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
 use std::path::PathBuf;
 use std::process::ExitStatus;
 use std::sync::atomic::{AtomicBool, Ordering};
@@ -31,6 +31,8 @@
     pub(super) store_proxy: Proxy,
     /// The proxy from clients to the box.
     pub(super) client_proxy: Proxy,
+    /// The address that the box connects from.
+    pub(super) source: IpAddr,
     /// The address of the readiness check.
     pub(super) readiness_address: SocketAddr,
 }
@@ -41,6 +43,7 @@
         settings: Value,
         store_proxy: Proxy,
         client_proxy: Proxy,
+        source: IpAddr,
         readiness_address: SocketAddr,
     ) -> Self {
         Self {
@@ -54,6 +57,7 @@
             finished: AtomicBool::new(false),
             store_proxy,
             client_proxy,
+            source,
             readiness_address,
         }
     }
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -58,9 +58,13 @@
             server.end_on(body);
         }
         let proxy = Proxy::open(server.address())?;
-        let backend = Backend { server, proxy };
+        let backend = Arc::new(Backend { server, proxy });
+        // Under the lock, so that a partition that begins now affects this server too.
+        let cuts = lock(&self.cuts);
+        backend.proxy.set_cuts(&cuts)?;
+        lock(&self.backends).push(backend.clone());
+        drop(cuts);
         self.announce(&backend, State::Ready);
-        lock(&self.backends).push(Arc::new(backend));
         Ok(())
     }
 
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -2,12 +2,14 @@
 //! after it has ended.
 
 use std::io;
+use std::net::IpAddr;
 use std::sync::Arc;
 use std::time::Duration;
 
 use rustix::process::Signal;
 use smol::Timer;
 use tidepier_core::server::State;
+use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server;
 
 use super::servers::Backend;
@@ -51,6 +53,10 @@
         let disturbances: Vec<usize> = scopes.iter().map(begin).collect();
         match step.fault {
             Fault::Link(link, impairment) => self.impair_link(link, impairment, step.lasts).await,
+            Fault::Partition(first, count, cut) => {
+                let boxes = self.partitioned(first, count);
+                self.partition(&boxes, cut, step.lasts).await?;
+            }
             Fault::Process(box_index, signal) => self.signal(box_index, signal, step.lasts).await?,
             Fault::Store(Store::Return(how)) => self.restore_store(how, step.lasts).await,
             Fault::Store(store) => self.fault_store(store, step.lasts).await,
@@ -74,6 +80,10 @@
             }
             Fault::Link(Link::Peer(from, to), _) => (vec![Scope::Box(from), Scope::Box(to)], false),
             Fault::Link(Link::Server(_), _) => (vec![Scope::Server], false),
+            Fault::Partition(first, count, _) => {
+                let boxes = self.partitioned(first, count);
+                (boxes.into_iter().map(Scope::Servers).collect(), false)
+            }
             Fault::Process(box_index, signal) => {
                 let planned = matches!(signal, fault::Signal::Terminate | fault::Signal::Reload);
                 (vec![Scope::Box(box_index)], planned)
@@ -88,6 +98,38 @@
         }
     }
 
+    /// The boxes of a partition.
+    fn partitioned(&self, first: usize, count: usize) -> Vec<usize> {
+        let boxes = (first..first + count).map(|number| number % self.box_count());
+        boxes.collect()
+    }
+
+    /// Partitions boxes from all servers, also from those that are added meanwhile.
+    async fn partition(&self, boxes: &[usize], cut: Cut, lasts: Duration) -> io::Result<()> {
+        let senders: Vec<IpAddr> = boxes.iter().map(|it| self.boxes[*it].source).collect();
+        self.change_cuts(|cuts| cuts.extend(senders.iter().map(|sender| (*sender, cut))))?;
+        if cut == Cut::Reset {
+            let backends = self.backends();
+            backends.iter().for_each(|it| it.proxy.reset_from(&senders));
+        }
+        Timer::after(lasts).await;
+        self.change_cuts(|cuts| {
+            for sender in &senders {
+                // Another partition of the box may go on.
+                if let Some(at) = cuts.iter().position(|cut_off| *cut_off == (*sender, cut)) {
+                    cuts.swap_remove(at);
+                }
+            }
+        })
+    }
+
+    fn change_cuts(&self, change: impl FnOnce(&mut Vec<(IpAddr, Cut)>)) -> io::Result<()> {
+        let mut cuts = lock(&self.cuts);
+        change(&mut cuts);
+        let mut backends = self.backends().into_iter();
+        backends.try_for_each(|it| it.proxy.set_cuts(&cuts))
+    }
+
     async fn impair_link(&self, link: Link, impairment: Impairment, lasts: Duration) {
         let server: Arc<Backend>;
         let proxy: &Proxy = match link {
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -117,6 +117,8 @@
     Store,
     /// A server or the links to it.
     Server,
+    /// The links between a box and all servers.
+    Servers(usize),
     /// All boxes, through what the operator or a server announces.
     Fleet,
 }
@@ -136,6 +138,13 @@
     pub to: Option<Instant>,
 }
 
+impl Disturbance {
+    /// Whether it affects servers, or the links between a box and them.
+    pub fn is_on_way_of(&self, box_index: usize) -> bool {
+        self.scope == Scope::Server || self.scope == Scope::Servers(box_index)
+    }
+}
+
 /// Something that was acknowledged or happened at one moment.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Fact {
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -3,16 +3,19 @@
 //! Bytes that an impairment blocks are forwarded once it ends, as with TCP; only a reset
 //! loses data. Several impairments may be active at once, and each is cleared separately.
 
+use std::collections::HashMap;
 use std::io;
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use event_listener::Event;
+use event_listener::{Event, EventListener};
 use futures_lite::{future, AsyncReadExt, AsyncWriteExt, FutureExt};
 use smol::net::{Shutdown, TcpListener, TcpStream};
 use smol::{Task, Timer};
 use socket2::SockRef;
+use tidepier_relay_standin::partition::{set_dropped, Cut};
 
 use crate::sync::lock;
 
@@ -67,11 +70,25 @@
 #[derive(Debug)]
 struct State {
     target: SocketAddr,
+    listener: TcpListener,
     impairments: Mutex<Vec<Impairment>>,
+    /// Senders that are partitioned from the proxy.
+    cuts: Mutex<Vec<(IpAddr, Cut)>>,
+    /// Open connections by number, with their senders.
+    open: Mutex<HashMap<u64, Open>>,
+    next_number: AtomicU64,
     reset: Event,
     changed: Event,
 }
 
+/// An open connection.
+#[derive(Debug)]
+struct Open {
+    sender: IpAddr,
+    stream: TcpStream,
+    reset: Arc<Event>,
+}
+
 /// A proxy to one address. Dropping it closes the listener and its connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -93,6 +110,10 @@
         let listener = TcpListener::try_from(listener)?;
         let state = Arc::new(State {
             target,
+            listener: listener.clone(),
+            cuts: Mutex::default(),
+            open: Mutex::default(),
+            next_number: AtomicU64::new(0),
             impairments: Mutex::default(),
             reset: Event::new(),
             changed: Event::new(),
@@ -103,7 +124,9 @@
             loop {
                 open.retain(|task| !task.is_finished());
                 match listener.accept().await {
-                    Ok((near, _)) => open.push(smol::spawn(shared.clone().forward(near))),
+                    Ok((near, sender)) => {
+                        open.push(smol::spawn(shared.clone().forward(near, sender.ip())));
+                    }
                     Err(error) => {
                         eprintln!("a proxy could not accept a connection: {error}");
                         Timer::after(POLL_INTERVAL).await;
@@ -141,6 +164,29 @@
         }
     }
 
+    /// Partitions these senders, and no others, from the proxy.
+    ///
+    /// # Errors
+    ///
+    /// The filter of a socket cannot be set.
+    pub fn set_cuts(&self, cuts: &[(IpAddr, Cut)]) -> io::Result<()> {
+        lock(&self.state.cuts).clone_from(&cuts.to_vec());
+        let all: Vec<IpAddr> = cuts.iter().map(|(sender, _)| *sender).collect();
+        set_dropped(&SockRef::from(&self.state.listener), &all)?;
+        let open = lock(&self.state.open);
+        open.values()
+            .try_for_each(|it| self.state.filter(&it.stream))
+    }
+
+    /// Resets the open connections of these senders.
+    pub fn reset_from(&self, senders: &[IpAddr]) {
+        let open = lock(&self.state.open);
+        let reset = open.values().filter(|it| senders.contains(&it.sender));
+        reset.for_each(|it| {
+            it.reset.notify(usize::MAX);
+        });
+    }
+
     /// Clears an impairment that was activated.
     pub fn clear(&self, impairment: Impairment) {
         let mut impairments = lock(&self.state.impairments);
@@ -168,7 +214,34 @@
         delays.max().unwrap_or_default()
     }
 
-    async fn forward(self: Arc<Self>, near: TcpStream) {
+    /// Makes an open connection drop the packets of the senders whose connections fall
+    /// silent.
+    fn filter(&self, stream: &TcpStream) -> io::Result<()> {
+        let cuts = lock(&self.cuts);
+        let silent = cuts.iter().filter(|(_, cut)| *cut != Cut::New);
+        let silent: Vec<IpAddr> = silent.map(|(sender, _)| *sender).collect();
+        set_dropped(&SockRef::from(stream), &silent)
+    }
+
+    async fn forward(self: Arc<Self>, near: TcpStream, sender: IpAddr) {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        let reset = Arc::new(Event::new());
+        let own_reset = reset.listen();
+        let stream = near.clone();
+        let open = Open {
+            sender,
+            stream,
+            reset,
+        };
+        lock(&self.open).insert(number, open);
+        if let Err(error) = self.filter(&near) {
+            eprintln!("a connection could not be filtered: {error}");
+        }
+        self.forward_open(near, own_reset).await;
+        lock(&self.open).remove(&number);
+    }
+
+    async fn forward_open(&self, near: TcpStream, own_reset: EventListener) {
         let reset = self.reset.listen();
         if self.any(|impairment| impairment == Impairment::Reset) {
             return abort(&near);
@@ -180,7 +253,7 @@
         let back = self.copy_bytes(far.clone(), near.clone(), Direction::Back);
         let both = async { future::try_zip(there, back).await.is_ok() };
         let was_reset = async {
-            reset.await;
+            reset.or(own_reset).await;
             false
         };
         if !both.or(was_reset).await {
--- a/crates/soak/src/rule/advertisements.rs
+++ b/crates/soak/src/rule/advertisements.rs
@@ -70,7 +70,8 @@
                 && arrived < until
                 && !was_stopped(evidence, request.box_index, *at, arrived)
                 && !evidence.disturbed(*at, arrived, |found| {
-                    found.scope == Scope::Server && found.name.contains("way")
+                    let is_link = found.scope != Scope::Server || found.name.contains("way");
+                    is_link && found.is_on_way_of(request.box_index)
                 })
                 && !verdict.leaves_out(evidence, Rule::Rested, request, [*at, arrived])
         });
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -10,6 +10,7 @@
 mod executions;
 mod load;
 mod planned;
+mod reach;
 mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -58,6 +59,8 @@
     Crowd,
     /// Retries stay within their share.
     Retries,
+    /// Boxes that are partitioned from all servers serve their clients.
+    Reach,
     /// After the last fault, each box serves requests again in time.
     Recovery,
     /// After the faults, memory, descriptors and threads return to their level before.
@@ -68,7 +71,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 20] = [
+    pub const ALL: [Rule; 21] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -86,6 +89,7 @@
         Rule::Crashing,
         Rule::Crowd,
         Rule::Retries,
+        Rule::Reach,
         Rule::Recovery,
         Rule::Growth,
         Rule::Ended,
@@ -132,6 +136,7 @@
         answers::judge(evidence, &mut verdict);
         executions::judge(evidence, &mut verdict);
         planned::judge(evidence, &mut verdict);
+        reach::judge(evidence, &mut verdict);
         staleness::judge(evidence, &mut verdict);
         load::judge(evidence, &mut verdict);
         crashing::judge(evidence, &mut verdict);
--- a/crates/soak/src/rule/planned.rs
+++ b/crates/soak/src/rule/planned.rs
@@ -31,8 +31,8 @@
         }
         let from = before(request.sent, bound::GRACE_PERIOD);
         let disturbed = evidence.disturbed(from, ended, |found| {
-            let here = found.scope == Scope::Box(request.box_index) || found.scope == Scope::Server;
-            here && !found.planned
+            let here = found.scope == Scope::Box(request.box_index);
+            (here || found.is_on_way_of(request.box_index)) && !found.planned
         });
         // If no server got the request, only the time shows that the box had read it.
         let timed = deliveries.is_empty();
--- a/crates/soak/src/rule/staleness.rs
+++ b/crates/soak/src/rule/staleness.rs
@@ -5,7 +5,7 @@
 use super::{before, describe, Rule, Verdict};
 use crate::bound;
 use crate::evidence::{Delivery, Evidence};
-use crate::ledger::{Fact, Request, Scope, Traffic};
+use crate::ledger::{Disturbance, Fact, Request, Scope, Traffic};
 use crate::plan::MARK_PREFIX;
 
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
@@ -176,7 +176,8 @@
 ) {
     let [since, arrived] = span;
     let recent = before(arrived, bound::GRACE_PERIOD);
-    let cut = evidence.disturbed(recent, arrived, |found| found.scope == Scope::Server);
+    let on_way = |found: &Disturbance| found.is_on_way_of(request.box_index);
+    let cut = evidence.disturbed(recent, arrived, on_way);
     if cut || !is_connected(evidence, request, arrived) {
         return;
     }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -84,6 +84,8 @@
     pub words: bool,
     /// Whether the store is restored from backups in addition.
     pub returns: bool,
+    /// Whether some boxes are partitioned from all servers in addition.
+    pub partitions: bool,
     /// Whether most streams are about one subject, before more boxes and servers.
     pub hot_subject: bool,
     /// Number of boxes in place of the one that the seed determines.
@@ -112,6 +114,9 @@
     if options.returns {
         schedule = schedule.with_returns();
     }
+    if options.partitions {
+        schedule = schedule.with_partitions();
+    }
     if options.hot_subject {
         schedule = schedule.with_hot_subject();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -9,6 +9,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server as standin;
 use tidepier_relay_standin::store::Down;
 
@@ -78,6 +79,15 @@
 const SERVER_DELAY_MS: Range<u64> = 0..2_000;
 /// Time from the end of the outage of the second-last restore to the last one, in ms.
 const RETURN_GAP_MS: Range<u64> = 100..1_500;
+/// Number of partitions that [`Schedule::with_partitions`] adds beside the other faults.
+const PARTITIONS: usize = 2;
+/// When it adds a further one: after the other faults have ended, so that nothing else
+/// excuses boxes that do not serve.
+const LAST_PARTITION: Duration = Duration::from_millis(18_000);
+/// Mixed into the seed, so that partitions are chosen independently of the other faults.
+const PARTITIONS_SEED: u64 = 0x7061_7274_6974_696f;
+/// Duration of a partition, in ms: longer than the time that boxes have to adapt to it.
+const PARTITION_MS: Range<u64> = 4_500..8_000;
 /// Delays of a slow link or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -234,6 +244,26 @@
         self.with_steps(steps.into_iter())
     }
 
+    /// Adds partitions of some boxes from all servers.
+    pub fn with_partitions(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ PARTITIONS_SEED);
+        let boxes = self.boxes;
+        let steps = (0..=PARTITIONS).map(|number| {
+            let cut = pick(&mut rng, &[Cut::Silent, Cut::Reset, Cut::New]);
+            let (first, count) = (rng.random_range(0..boxes), rng.random_range(1..boxes));
+            let at = match number {
+                PARTITIONS => LAST_PARTITION,
+                _ => ms(&mut rng, START_MS),
+            };
+            Step {
+                at,
+                lasts: ms(&mut rng, PARTITION_MS),
+                fault: Fault::Partition(first, count, cut),
+            }
+        });
+        self.with_steps(steps)
+    }
+
     /// Sets the number of boxes; the faults affect only the first ones.
     pub fn with_boxes(self, boxes: usize) -> Self {
         Self { boxes, ..self }
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -438,3 +438,47 @@
     assert_eq!(broken(&with_a_crowded_server(4.5)), [Rule::Crowd]);
     assert_eq!(broken(&with_a_crowded_server(9.5)), [Rule::Crowd]);
 }
+
+/// Box 1 is partitioned from all servers from 10 s to 20 s and serves the first `served` of 30
+/// requests from 14 s on; box 0 serves 30.
+fn with_a_partitioned_box(served: usize, disturbed: Option<Scope>) -> Evidence {
+    let mut case = TestRun::new();
+    for (number, name) in (0..30).flat_map(|number| [(number, "cut"), (number, "whole")]) {
+        let (id, second) = (format!("{name}-{number}"), 14.0 + 0.1 * number as f64);
+        if name == "cut" && number >= served {
+            case.record_request(&id, Traffic::Repeatable, second, 503, b"");
+            continue;
+        }
+        case.record_execution(&id, Traffic::Repeatable, second, plan::PLAIN);
+        let body = case.body(&id);
+        case.record_request(&id, Traffic::Repeatable, second, 200, &body);
+    }
+    let mut evidence = case.evidence();
+    let cut = |request: &&mut Request| request.id.starts_with("cut");
+    let requests = evidence.requests.iter_mut().filter(cut);
+    requests.for_each(|request| request.box_index = 1);
+    let scopes = [Some(Scope::Servers(1)), disturbed];
+    evidence
+        .disturbances
+        .extend(scopes.into_iter().flatten().map(|scope| Disturbance {
+            scope,
+            name: "partition_silent".into(),
+            planned: false,
+            from: case.at(10.0),
+            to: Some(case.at(20.0)),
+        }));
+    evidence
+}
+
+#[test]
+fn a_partitioned_box_that_serves_less_than_the_others_is_found() {
+    let broken = |evidence: Evidence| -> Vec<Rule> {
+        let found = Verdict::new(&evidence).violations;
+        found.iter().map(|found| found.rule).collect()
+    };
+    assert_eq!(broken(with_a_partitioned_box(30, None)), []);
+    assert_eq!(broken(with_a_partitioned_box(20, None)), []);
+    assert_eq!(broken(with_a_partitioned_box(17, None)), [Rule::Reach]);
+    // Whatever else is disturbed excuses it.
+    assert_eq!(broken(with_a_partitioned_box(17, Some(Scope::Store))), []);
+}
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
+use tidepier_soak::fault::Fault;
 use tidepier_soak::schedule::{Schedule, Step};
 
 #[test]
@@ -90,3 +91,24 @@
         assert!(kept, "seed {seed}");
     }
 }
+
+#[test]
+fn partitions_leave_the_other_faults_as_they_are_and_a_box_out() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_partitions();
+        let others = more.steps.iter().filter(|step| !is_partition(step));
+        assert!(others.eq(plain.steps.iter()), "seed {seed}");
+        let counts = more.steps.iter().filter_map(|step| match step.fault {
+            Fault::Partition(_, count, _) => Some(count),
+            _ => None,
+        });
+        let counts: Vec<usize> = counts.collect();
+        assert_eq!(counts.len(), 3);
+        assert!(counts.iter().all(|count| (1..plain.boxes).contains(count)));
+    }
+}
+
+fn is_partition(step: &Step) -> bool {
+    matches!(step.fault, Fault::Partition(..))
+}
