Servers that nothing reaches are avoided until they are tried again

Connections to servers that time out here, and that no other box opens, are known to fail for half a second and end at once. That says nothing of a single server, so that nothing was recorded, and the next choice fell on another server of the same hall: a request could use up its tries there though servers of other halls were reached. Such servers now cost as much as those of a hall that is partitioned.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -44,9 +44,9 @@
 /// of 120 requests were served where both servers of a box's hall rejected everything and a
 /// server elsewhere was idle.
 const REJECTED_MS: f64 = 40.0;
-/// Cost of a server in a hall that appears to be partitioned from this box, in ms: more
-/// than prefilling the longest prompts elsewhere.
-const UNRESPONSIVE_HALL_MS: f64 = 3_000.0;
+/// Cost of a server that appears to be partitioned from this box, in ms: more than
+/// prefilling the longest prompts elsewhere.
+const UNREACHABLE_MS: f64 = 3_000.0;
 /// Cost of a server that is ejected because of its failures, in ms: it is chosen only when
 /// there is no other.
 const EJECTED_MS: f64 = 1e6;
@@ -315,8 +315,8 @@
     if let Some(from) = criteria.filter.admission_time(backend, now) {
         cost += COLD_MS + from.saturating_duration_since(now).as_secs_f64() * 1e3;
     }
-    if backend.hall.is_unresponsive(now) {
-        cost += UNRESPONSIVE_HALL_MS;
+    if backend.seems_unreachable(now) {
+        cost += UNREACHABLE_MS;
     }
     if !backend.health.allows(now) {
         cost += EJECTED_MS;
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -284,9 +284,15 @@
     }
 
     /// Whether this box has no reason to avoid the server: it is not ejected after
-    /// failures, and its hall is not unresponsive.
+    /// failures, and can be reached.
     pub fn is_healthy(&self, now: Instant) -> bool {
-        self.health.allows(now) && !self.hall.is_unresponsive(now)
+        self.health.allows(now) && !self.seems_unreachable(now)
+    }
+
+    /// Whether the server seems to be partitioned from this box, as others of its hall do,
+    /// and no other box reaches it.
+    pub fn seems_unreachable(&self, now: Instant) -> bool {
+        self.hall.is_unresponsive(now) || self.reach.is_hopeless(now)
     }
 
     /// Requests of this box in flight at the server.
--- a/crates/relay/tests/relay/reach.rs
+++ b/crates/relay/tests/relay/reach.rs
@@ -59,3 +59,22 @@
     ensure!(change == Change::Lost, "{change:?}");
     Ok(())
 }
+
+// Guards against requests that are refused as they are sent to servers that are known not to
+// be reached, while others are.
+#[test]
+fn servers_that_nothing_reaches_are_avoided_for_a_while() -> Result {
+    let (harness, servers) = group(&[1, 3, 2, 4])?;
+    let now = Instant::now();
+    for server in &servers[..2] {
+        server.reach.record(server.key, Opening::TimedOut, now);
+    }
+    servers[0].reach.record_no_gateway(now);
+    for _ in 0..100 {
+        let chosen = harness.choose(None, &[])?.backend;
+        ensure!(chosen.server.hall == servers[2].server.hall);
+    }
+    ensure!(!servers[0].is_healthy(now + ms(400)));
+    ensure!(servers[0].is_healthy(now + ms(600)));
+    Ok(())
+}
