Restricted requests pass through no box outside their regions

A request that its route or account restricts to regions could be carried by a box of any hall. Gateways are now asked only in halls to whose servers the request may go, or in this box's own, and a pooled tunnel of another request is taken only if its gateway is in one. Found by reading; the test asked all boxes before, as there was no such argument.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -23,6 +23,7 @@
 use crate::fleet::advertisement::Ineligible;
 use crate::fleet::{Backend, Fleet, InFlight, Permit};
 use crate::timeout;
+use crate::tunnel::gateways::MayPass;
 
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
@@ -188,6 +189,8 @@
     pub on_connected: &'a dyn Fn(Path),
     /// Opens the connection, if none is pooled.
     pub dialer: &'a Dialer,
+    /// The halls of boxes that may carry the connection.
+    pub may_pass: MayPass<'a>,
     /// Records what the server reports of itself.
     pub fleet: &'a Fleet,
 }
@@ -270,11 +273,14 @@
     backend: &Rc<Backend>,
     dispatch: &Dispatch<'_>,
 ) -> Result<(Conn, Origin), Failure> {
-    if let Some(conn) = dispatch.dialer.pooled(backend, dispatch.max_idle) {
+    if let Some(conn) = dispatch
+        .dialer
+        .pooled(backend, dispatch.may_pass, dispatch.max_idle)
+    {
         return Ok((conn, Origin::Pooled));
     }
     let left = dispatch.deadline.saturating_duration_since(Instant::now());
-    let opened = dispatch.dialer.connect(backend, left);
+    let opened = dispatch.dialer.connect(backend, dispatch.may_pass, left);
     let opened = opened.await;
     let failure = |error| Failure {
         executed: Executed::No,
--- a/crates/relay/src/crash_probe.rs
+++ b/crates/relay/src/crash_probe.rs
@@ -86,7 +86,7 @@
                 }
             }
             Err(error) if error.kind() == io::ErrorKind::ConnectionRefused => {
-                return dialer.detour(backend).await.err() == Some(NoDetour::ServerDown);
+                return dialer.detour(backend, &|_| true).await.err() == Some(NoDetour::ServerDown);
             }
             Err(error) => log::debug!(
                 target: "request",
--- a/crates/relay/src/dial/mod.rs
+++ b/crates/relay/src/dial/mod.rs
@@ -31,7 +31,7 @@
 use crate::message::VERSION;
 use crate::network::Network;
 use crate::timeout;
-use crate::tunnel::gateways::{Gateway, Gateways};
+use crate::tunnel::gateways::{Gateway, Gateways, MayPass};
 use crate::tunnel::open::{self, Failure};
 
 pub(crate) use probe::run as probe_unreached;
@@ -96,32 +96,42 @@
         let _ = self.identity.set(Identity { name, hall });
     }
 
-    /// Connects to a server within `left`.
+    /// Connects to a server within `left`; through other boxes only in halls that `may_pass`
+    /// accepts.
     ///
     /// # Errors
     ///
     /// The server refused the connection, or did not answer in time, and no other box can
     /// carry one. The error is that of the direct connection, unless none was tried as it is
     /// known to fail ([`is_untried`]).
-    pub(crate) async fn connect(&self, backend: &Rc<Backend>, left: Duration) -> io::Result<Conn> {
+    pub(crate) async fn connect(
+        &self,
+        backend: &Rc<Backend>,
+        may_pass: MayPass<'_>,
+        left: Duration,
+    ) -> io::Result<Conn> {
         let connect = async {
             if backend.reach.is_hopeless(Instant::now()) {
                 return Err(untried());
             }
             if backend.is_detoured() {
-                match self.detour(backend).await {
+                match self.detour(backend, may_pass).await {
                     Ok(conn) => Ok(conn),
                     Err(_) => self.open(backend, CONNECT_TIMEOUT).await,
                 }
             } else {
-                self.connect_directly_first(backend).await
+                self.connect_directly_first(backend, may_pass).await
             }
         };
         let late = || Err(io::ErrorKind::TimedOut.into());
         timeout::within(left, connect).await.unwrap_or_else(late)
     }
 
-    async fn connect_directly_first(&self, backend: &Rc<Backend>) -> io::Result<Conn> {
+    async fn connect_directly_first(
+        &self,
+        backend: &Rc<Backend>,
+        may_pass: MayPass<'_>,
+    ) -> io::Result<Conn> {
         /// The connection whose attempt ended first.
         enum First {
             Direct(io::Result<Conn>),
@@ -130,10 +140,10 @@
         let mut direct = std::pin::pin!(self.open(backend, CONNECT_TIMEOUT));
         match timeout::within(head_start(backend), direct.as_mut()).await {
             Some(Ok(conn)) => return Ok(conn),
-            Some(Err(error)) => return self.detour_after(backend, error).await,
+            Some(Err(error)) => return self.detour_after(backend, may_pass, error).await,
             None => {}
         }
-        let mut detour = self.detour(backend);
+        let mut detour = self.detour(backend, may_pass);
         let first_direct = async { First::Direct(direct.as_mut().await) };
         let first_detour = async { First::Detour(detour.as_mut().await) };
         match first_direct.or(first_detour).await {
@@ -149,14 +159,19 @@
     }
 
     /// A tunnel after a direct connection failed with `error`, if the server may be sound.
-    async fn detour_after(&self, backend: &Rc<Backend>, error: io::Error) -> io::Result<Conn> {
+    async fn detour_after(
+        &self,
+        backend: &Rc<Backend>,
+        may_pass: MayPass<'_>,
+        error: io::Error,
+    ) -> io::Result<Conn> {
         // A server that refuses a connection is down, unless others seem to as well.
         let may_be_sound = match Opening::of::<()>(&Err(io::Error::from(error.kind()))) {
             Opening::Refused => backend.reach.is_unreached(),
             Opening::TimedOut | Opening::Opened => true,
         };
         match may_be_sound {
-            true => self.detour(backend).await.map_err(|_| error),
+            true => self.detour(backend, may_pass).await.map_err(|_| error),
             false => Err(error),
         }
     }
@@ -177,7 +192,7 @@
         Ok(conn)
     }
 
-    /// Has another box carry a connection to a server.
+    /// Has another box carry a connection to a server, one in a hall that `may_pass` accepts.
     ///
     /// # Errors
     ///
@@ -186,21 +201,29 @@
     pub(crate) fn detour<'a>(
         &'a self,
         backend: &'a Rc<Backend>,
+        may_pass: MayPass<'a>,
     ) -> Pin<Box<dyn Future<Output = Result<Conn, NoDetour>> + 'a>> {
-        Box::pin(async {
-            let detour = timeout::within(DETOUR_TIMEOUT, self.detour_unbounded(backend));
+        Box::pin(async move {
+            let detour = self.detour_unbounded(backend, may_pass);
+            let detour = timeout::within(DETOUR_TIMEOUT, detour);
             detour.await.unwrap_or(Err(NoDetour::ServerDown))
         })
     }
 
-    async fn detour_unbounded(&self, backend: &Rc<Backend>) -> Result<Conn, NoDetour> {
+    async fn detour_unbounded(
+        &self,
+        backend: &Rc<Backend>,
+        may_pass: MayPass<'_>,
+    ) -> Result<Conn, NoDetour> {
         let identity = self.identity.get().ok_or(NoDetour::ServerDown)?;
         let now = Instant::now();
         if backend.reach.is_denied(backend.key, now) {
             return Err(NoDetour::ServerDown);
         }
         let group = backend.group();
-        let candidates = self.gateways.candidates(&identity.hall, &group, now);
+        let candidates = self
+            .gateways
+            .candidates(&identity.hall, &group, may_pass, now);
         let attempts = candidates.into_iter().map(|gateway| {
             let attempt: race::Attempt<'_, _, _> =
                 Box::pin(self.open_through(identity, gateway, backend, &group));
@@ -283,11 +306,16 @@
 
     /// Takes an idle connection to a server that may carry another request: one that was
     /// idle for less than `max_idle`, over the way that new connections take.
-    pub(crate) fn pooled(&self, backend: &Backend, max_idle: Duration) -> Option<Conn> {
+    pub(crate) fn pooled(
+        &self,
+        backend: &Backend,
+        may_pass: MayPass<'_>,
+        max_idle: Duration,
+    ) -> Option<Conn> {
         let is_detoured = backend.is_detoured();
         backend.connection(max_idle, |conn, since| match conn.carried_by() {
             None => !is_detoured && backend.reach.is_trusted_since(backend.key, since),
-            Some(gateway) => is_detoured && self.gateways.is_trusted_since(gateway, since),
+            Some(gateway) => is_detoured && self.gateways.may_carry(gateway, may_pass, since),
         })
     }
 
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -9,6 +9,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_core::request::Forward;
 use tidepier_core::server::Release;
+use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
 use super::report;
@@ -82,6 +83,8 @@
             backend.window.reschedule(sent_at, Instant::now());
             self.record_sent(&backend);
         };
+        let regions = self.relay.regions();
+        let may_pass = |hall: &ids::Hall| self.may_pass(&regions, hall);
         let dispatch = Dispatch {
             on_connected: &connected,
             bytes: &bytes,
@@ -91,6 +94,7 @@
             max_idle,
             prefill: choice.prefill_tokens as u64,
             dialer: &self.relay.dialer,
+            may_pass: &may_pass,
             fleet: &self.relay.fleet,
         };
         let guard = Guard::new(&backend, &self.path, self.route.objective);
@@ -264,23 +268,37 @@
     ) -> Filter<'a> {
         let relay = self.relay;
         let bounds = relay.bounds();
-        let account = self.account.as_ref();
         let gate = self.cold.map(|cold| Admission {
             limit: Limit::new(cold, bounds.cold_overage, bounds.cold_tolerance),
             roster: &relay.roster,
             max_wait,
         });
+        Filter {
+            gate,
+            release_selector: (*selector != Selector::Any).then_some(selector),
+            ..self.region_filter(regions)
+        }
+    }
+
+    /// The constraints on the regions that the request may enter.
+    fn region_filter<'a>(&'a self, regions: &'a Regions) -> Filter<'a> {
+        let account = self.account.as_ref();
         Filter {
             allowed_regions: [
                 self.route.allowed_regions.as_ref(),
                 account.and_then(|account| account.allowed_regions.as_ref()),
             ],
             regions: Some(regions),
-            gate,
-            release_selector: (*selector != Selector::Any).then_some(selector),
+            ..Filter::default()
         }
     }
 
+    /// Whether the request may pass through a box of a hall: it is in this one already, or
+    /// may go to a server there.
+    fn may_pass(&self, regions: &Regions, hall: &ids::Hall) -> bool {
+        *hall == self.relay.hall || self.region_filter(regions).is_allowed_hall(hall)
+    }
+
     /// The refusal that explains why no server can take the request.
     fn no_choice_refusal(&self, filter: &Filter<'_>, now: Instant) -> refusal::Kind {
         let fleet = &self.relay.fleet;
--- a/crates/relay/src/tunnel/gateways.rs
+++ b/crates/relay/src/tunnel/gateways.rs
@@ -33,6 +33,9 @@
 /// Share of the tunnels for which an unproven box is asked first until there are as many.
 const EXPLORED_SHARE: f64 = 0.25;
 
+/// Whether a request may pass through a box of a hall.
+pub type MayPass<'a> = &'a dyn Fn(&ids::Hall) -> bool;
+
 /// A box that may carry connections.
 #[derive(Debug)]
 pub struct Gateway {
@@ -138,17 +141,18 @@
     }
 
     /// The boxes to ask for a connection to a server of a group, the first one first;
-    /// `own_hall` is the hall of this box.
+    /// `own_hall` is the hall of this box. Only boxes of halls that `may_pass` accepts.
     pub fn candidates(
         &self,
         own_hall: &ids::Hall,
         group: &Group,
+        may_pass: MayPass<'_>,
         now: Instant,
     ) -> Vec<Rc<Gateway>> {
         let known = self.0.borrow();
         let mut askable: Vec<&Rc<Gateway>> = known
             .iter()
-            .filter(|it| it.may_be_asked(group, now))
+            .filter(|it| it.may_be_asked(group, now) && may_pass(&it.hall))
             .collect();
         fastrand::shuffle(&mut askable);
         let is_near = |it: &Gateway| it.hall == *own_hall || it.hall == group.hall;
@@ -175,6 +179,17 @@
         gateway.is_some_and(|it| it.is_trusted_since(since))
     }
 
+    /// The same, and whether the box is in a hall that `may_pass` accepts.
+    pub(crate) fn may_carry(
+        &self,
+        address: SocketAddr,
+        may_pass: MayPass<'_>,
+        since: Instant,
+    ) -> bool {
+        let gateway = self.at(address);
+        gateway.is_some_and(|it| it.is_trusted_since(since) && may_pass(&it.hall))
+    }
+
     /// Records that the box at an address is gone.
     pub fn record_lost(&self, address: SocketAddr, now: Instant) {
         if let Some(gateway) = self.at(address) {
--- a/crates/relay/tests/relay/gateways.rs
+++ b/crates/relay/tests/relay/gateways.rs
@@ -76,7 +76,7 @@
 
     /// Asks boxes in turn for a connection to a server in a hall; whether one opened it.
     fn open(&self, gateways: &Gateways, me: usize, group: &Group, now: Instant) -> bool {
-        for gateway in gateways.candidates(&self.halls[me], group, now) {
+        for gateway in gateways.candidates(&self.halls[me], group, &|_| true, now) {
             let number = (0..self.halls.len()).find(|it| address(*it) == gateway.address);
             let number = number.unwrap_or_default();
             let mut carried = self.carried.borrow_mut();
@@ -143,17 +143,29 @@
     let gateways = fleet.gateways_of(0)?;
     let (own, now) = (&fleet.halls[0], Instant::now());
     let (group, other) = (fleet.group_of(1), fleet.group_of(0));
-    let asked = |at: u64| gateways.candidates(own, &group, now + ms(at));
+    let asked = |at: u64| gateways.candidates(own, &group, &|_| true, now + ms(at));
     let first: Vec<Rc<Gateway>> = asked(0);
     ensure!(first.len() == 2);
     first[0].record_denied(&group, Lack::Reach, now);
     // What lacks is the server's, not the box's.
     first[1].record_denied(&group, Lack::Server, now);
     ensure!(asked(10).iter().all(|it| Rc::ptr_eq(it, &first[1])));
-    ensure!(gateways.candidates(own, &other, now).len() == 2);
+    ensure!(gateways.candidates(own, &other, &|_| true, now).len() == 2);
     ensure!(asked(1_100).len() == 2);
     first[1].record_lost(now);
     ensure!(asked(1_100).iter().all(|it| Rc::ptr_eq(it, &first[0])));
     ensure!(!gateways.is_trusted_since(first[1].address, now));
     Ok(())
 }
+
+// Guards against requests that pass through a region that they may not enter.
+#[test]
+fn boxes_of_halls_that_a_request_may_not_pass_are_not_asked() -> Result {
+    let fleet = Fleet::new(&[1, 2, 2], 1)?;
+    let gateways = fleet.gateways_of(0)?;
+    let (own, allowed, now) = (&fleet.halls[0], &fleet.halls[1], Instant::now());
+    let may_pass = |hall: &ids::Hall| hall == allowed;
+    let asked = gateways.candidates(own, &fleet.group_of(3), &may_pass, now);
+    ensure!(asked.len() == 2 && asked.iter().all(|it| it.hall == *allowed));
+    Ok(())
+}
