A seed gives the same simulated play

Cause: a message has room for so many counts, subjects or speeds. Which of equal ones it takes followed from the order of a hash map, which has a random state of its own.

The choice between equal ones stays random, and now comes from the generator that a test seeds.

--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -9,6 +9,7 @@
 //! its own requests.
 
 use std::cell::RefCell;
+use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::num::NonZeroUsize;
@@ -119,11 +120,15 @@
         summary.truncated(most)
     }
 
-    /// The same with no more than the `most` frequent subjects.
+    /// The same with no more than the `most` frequent subjects, among equally frequent ones
+    /// any, at random.
     fn truncated(mut self, most: usize) -> Self {
         if self.subjects.len() > most {
             let mut subjects: Vec<(Subject, u32)> = self.subjects.into_iter().collect();
-            subjects.select_nth_unstable_by_key(most, |(_, units)| std::cmp::Reverse(*units));
+            let seed = fastrand::u64(..);
+            let tie_break = |key: &Subject| xxh3_64_with_seed(&key.0.to_le_bytes(), seed);
+            subjects
+                .select_nth_unstable_by_key(most, |(key, units)| (Reverse(*units), tie_break(key)));
             subjects.truncate(most);
             self.subjects = subjects.into_iter().collect();
         }
--- a/crates/relay/src/fleet/speeds.rs
+++ b/crates/relay/src/fleet/speeds.rs
@@ -7,6 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_admission::speed::Summary;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Key;
 
@@ -88,7 +89,12 @@
             differs.then_some((difference, Row { server, speed }))
         });
         let mut differ: Vec<(f64, Row)> = differ.collect();
-        differ.sort_by(|(a, _), (b, _)| b.total_cmp(a));
+        let seed = fastrand::u64(..);
+        let tie_break = |row: &Row| xxh3_64_with_seed(&row.server.bytes(), seed);
+        differ.sort_by(|(a, row), (b, other)| {
+            let by_difference = b.total_cmp(a);
+            by_difference.then_with(|| tie_break(row).cmp(&tie_break(other)))
+        });
         differ.truncate(most);
         let rows: Vec<Row> = differ.into_iter().map(|(_, row)| row).collect();
         self.apply(&rows);
--- a/crates/relay/src/traffic/tally.rs
+++ b/crates/relay/src/traffic/tally.rs
@@ -13,6 +13,7 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::fleet::speeds::Speeds;
 use crate::fleet::{Count, Key};
@@ -90,9 +91,9 @@
 
 impl Baseline {
     /// Returns the changes to send so that the receiver knows `sum` closely enough, at most
-    /// `most` counts. The servers with the greatest error go first, and among equal errors
-    /// those with the most requests, now or as sent before. The other changes follow in
-    /// later messages.
+    /// `most` counts. The servers with the greatest error go first, among equal errors those
+    /// with the most requests, now or as sent before, and among these any, at random. The
+    /// other changes follow in later messages.
     pub fn changes(&mut self, sum: &Totals, most: usize) -> Vec<Count> {
         let ended = self.0.keys().filter(|key| !sum.requests.contains_key(key));
         let ended = ended.map(|server| (*server, 0));
@@ -106,7 +107,11 @@
         });
         let mut differ: Vec<((u32, u32), Count)> = differ.collect();
         if differ.len() > most {
-            differ.select_nth_unstable_by_key(most, |(weight, _)| Reverse(*weight));
+            let seed = fastrand::u64(..);
+            let tie_break = |server: Key| xxh3_64_with_seed(&server.bytes(), seed);
+            differ.select_nth_unstable_by_key(most, |(weight, count)| {
+                (Reverse(*weight), tie_break(count.server))
+            });
             differ.truncate(most);
         }
         let changes: Vec<Count> = differ.into_iter().map(|(_, count)| count).collect();
--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -15,7 +15,9 @@
 use eyre::{ensure, eyre};
 
 use crate::harness::Result;
-use crate::spread_harness::{play, Hot, Kind, Outcome, Plan, Reports, EXCEEDING_MAX, NOTICE_TIME};
+use crate::spread_harness::{
+    play, Engines, Hot, Kind, Outcome, Pace, Plan, Reports, EXCEEDING_MAX, NOTICE_TIME,
+};
 
 /// Seeds of the plans that are played in CI.
 const SEEDS: [u64; 2] = [17, 18];
@@ -294,6 +296,19 @@
     )]
 }
 
+/// Engines whose speeds change, and boxes that tell each other what they learn of them.
+fn different_speeds() -> Plan {
+    Plan {
+        engines: Some(Engines {
+            pace: Pace::Changing,
+            learned: true,
+            reported: false,
+            shared: true,
+        }),
+        ..fleet()
+    }
+}
+
 /// Plans in which rises are not announced in time or are not of use, for the table only.
 fn plans_of_late_rises() -> Plans {
     let slow = |age| Reports {
@@ -397,6 +412,23 @@
     all_within_bound(&plans_of_first_requests_without_reports(), &SEEDS)
 }
 
+/// Guards against plays that cannot be traced: a failure with some seed did not occur again
+/// with the same seed.
+#[test]
+fn a_seed_gives_the_same_play_twice() -> Result {
+    let mut plans = plans_by_knowledge();
+    plans.extend(plans_of_first_requests());
+    plans.push(("different speeds", different_speeds()));
+    let mut differ = Vec::new();
+    for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &[17; 3])?) {
+        if outcomes.iter().any(|outcome| *outcome != outcomes[0]) {
+            differ.push(*name);
+        }
+    }
+    ensure!(differ.is_empty(), "{differ:?}");
+    Ok(())
+}
+
 /// Guards against rises that are announced for subjects with their usual share: requests
 /// about them would be divided between engines that do not cache them. With hubs that look
 /// at 150 requests a second, one play in 30 announces one by chance.
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -251,7 +251,7 @@
 }
 
 /// The result of a simulation.
-#[derive(Debug, Default, Clone)]
+#[derive(Debug, Default, Clone, PartialEq)]
 pub(crate) struct Outcome {
     /// Requests that were judged.
     pub(crate) judged: usize,
