Soak: a closed proxy ends its connections

Cause: since boxes can be partitioned, a proxy's state holds its listener and its open connections. Closing the proxy dropped its task alone, so that a server that had crashed went on accepting connections and answered nothing, and requests to it waited for their time-outs.

The new test failed before: the open connection did not end within 10 s.

The task owns the listener again, and an open connection leaves the list with its task.

--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -7,7 +7,7 @@
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{Arc, Mutex};
+use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
 use event_listener::{Event, EventListener};
@@ -70,7 +70,8 @@
 #[derive(Debug)]
 struct State {
     target: SocketAddr,
-    listener: TcpListener,
+    /// Held by the task that accepts connections.
+    listener: Weak<TcpListener>,
     impairments: Mutex<Vec<Impairment>>,
     /// Senders that are partitioned from the proxy.
     cuts: Mutex<Vec<(IpAddr, Cut)>>,
@@ -89,6 +90,18 @@
     reset: Arc<Event>,
 }
 
+/// Removes a connection from the open ones when it is dropped.
+struct Entry {
+    state: Arc<State>,
+    number: u64,
+}
+
+impl Drop for Entry {
+    fn drop(&mut self) {
+        lock(&self.state.open).remove(&self.number);
+    }
+}
+
 /// A proxy to one address. Dropping it closes the listener and its connections.
 #[derive(Debug)]
 pub struct Proxy {
@@ -107,10 +120,10 @@
         let listener = std::net::TcpListener::bind((Ipv4Addr::LOCALHOST, 0))?;
         let address = listener.local_addr()?;
         listener.set_nonblocking(true)?;
-        let listener = TcpListener::try_from(listener)?;
+        let listener = Arc::new(TcpListener::try_from(listener)?);
         let state = Arc::new(State {
             target,
-            listener: listener.clone(),
+            listener: Arc::downgrade(&listener),
             cuts: Mutex::default(),
             open: Mutex::default(),
             next_number: AtomicU64::new(0),
@@ -172,7 +185,9 @@
     pub fn set_cuts(&self, cuts: &[(IpAddr, Cut)]) -> io::Result<()> {
         lock(&self.state.cuts).clone_from(&cuts.to_vec());
         let all: Vec<IpAddr> = cuts.iter().map(|(sender, _)| *sender).collect();
-        set_dropped(&SockRef::from(&self.state.listener), &all)?;
+        if let Some(listener) = self.state.listener.upgrade() {
+            set_dropped(&SockRef::from(&*listener), &all)?;
+        }
         let open = lock(&self.state.open);
         open.values()
             .try_for_each(|it| self.state.filter(&it.stream))
@@ -224,7 +239,6 @@
     }
 
     async fn forward(self: Arc<Self>, near: TcpStream, sender: IpAddr) {
-        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let reset = Arc::new(Event::new());
         let own_reset = reset.listen();
         let stream = near.clone();
@@ -233,12 +247,20 @@
             stream,
             reset,
         };
-        lock(&self.open).insert(number, open);
+        let _entry = self.clone().insert(open);
         if let Err(error) = self.filter(&near) {
             eprintln!("a connection could not be filtered: {error}");
         }
         self.forward_open(near, own_reset).await;
-        lock(&self.open).remove(&number);
+    }
+
+    fn insert(self: Arc<Self>, open: Open) -> Entry {
+        let number = self.next_number.fetch_add(1, Ordering::Relaxed);
+        lock(&self.open).insert(number, open);
+        Entry {
+            state: self,
+            number,
+        }
     }
 
     async fn forward_open(&self, near: TcpStream, own_reset: EventListener) {
--- a/crates/soak/tests/soak/proxies.rs
+++ b/crates/soak/tests/soak/proxies.rs
@@ -148,3 +148,27 @@
         Ok(())
     })
 }
+
+/// Guards against servers that have ended and whose connections stay open, as the proxy
+/// holds them.
+#[test]
+fn a_closed_proxy_ends_open_connections_and_refuses_new_ones() -> io::Result<()> {
+    smol::block_on(async {
+        let echo = Echo::start().await?;
+        let mut stream = echo.connect().await?;
+        stream.write_all(b"ask").await?;
+        assert_eq!(
+            read(&mut stream, ARRIVAL_TIMEOUT).await.expect("answer")?,
+            3
+        );
+        echo.proxy.close();
+        let ended = read(&mut stream, ARRIVAL_TIMEOUT).await.expect("an end");
+        assert!(ended.is_ok_and(|count| count == 0));
+        let until = Instant::now() + ARRIVAL_TIMEOUT;
+        while echo.connect().await.is_ok() {
+            assert!(Instant::now() < until, "still accepts connections");
+            Timer::after(Duration::from_millis(10)).await;
+        }
+        Ok(())
+    })
+}
