A reported load expires by the time of the choice

What was seen: results of simulated plays differed with the speed of the machine; a play of eight simulated seconds takes about one.

Cause: the age of a server's reported load was read from the real clock, all other ages from the time that the choice is made at. In a play no load ever expired, in a process both are the same.

Evidence: the new test failed before, as a load of 4 s ago still counted where 3 s are allowed.

--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -256,7 +256,7 @@
         servers.iter().map(|it| of(it).map(f64::from)).collect()
     };
     let counted = known(&|it| it.total_in_flight(weight::COUNT_AGE_MAX, now));
-    let reported = known(&|it| it.load(weight::LOAD_AGE_MAX));
+    let reported = known(&|it| it.load(weight::LOAD_AGE_MAX, now));
     let mean_of = |loads: &[Option<f64>]| {
         let all = servers.iter().zip(loads);
         let reachable = all.filter(|(backend, _)| backend.is_healthy(now));
@@ -299,7 +299,7 @@
 
 /// The reported load of an engine with few requests; 0 if nothing was reported.
 fn reported_load(backend: &Backend, now: Instant) -> f64 {
-    let reported = backend.load(weight::LOAD_AGE_MAX);
+    let reported = backend.load(weight::LOAD_AGE_MAX, now);
     let counted = backend.total_in_flight(weight::COUNT_AGE_MAX, now);
     f64::from(reported.max(counted).unwrap_or(0))
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -463,9 +463,10 @@
 
     /// Requests running and waiting at the server by its last reported load, if that is
     /// younger than `max_age`, corrected by what this box has sent and finished since.
-    pub fn load(&self, max_age: Duration) -> Option<u32> {
+    pub fn load(&self, max_age: Duration, now: Instant) -> Option<u32> {
         let report = self.report.get();
-        let report = report.filter(|report| report.at.elapsed() < max_age)?;
+        let age = |report: &Report| now.saturating_duration_since(report.at);
+        let report = report.filter(|report| age(report) < max_age)?;
         let sum = report.load.running + report.load.waiting;
         Some(
             (sum + self.in_flight.get())
--- a/crates/relay/tests/relay/choice_harness.rs
+++ b/crates/relay/tests/relay/choice_harness.rs
@@ -145,12 +145,17 @@
     }
 
     pub(crate) fn choose(&self, prompt: Option<&Prompt>, tried: &[ids::Server]) -> Result<Choice> {
-        self.choose_by(prompt, tried, Filter::default())
+        self.choose_by(prompt, tried, Filter::default(), Instant::now())
+    }
+
+    /// Chooses a server at a time that need not be the present one.
+    pub(crate) fn choose_at(&self, prompt: &Prompt, now: Instant) -> Result<Choice> {
+        self.choose_by(Some(prompt), &[], Filter::default(), now)
     }
 
     /// Chooses one of the servers that a filter admits.
     pub(crate) fn choose_within(&self, prompt: &Prompt, filter: Filter<'_>) -> Result<Choice> {
-        self.choose_by(Some(prompt), &[], filter)
+        self.choose_by(Some(prompt), &[], filter, Instant::now())
     }
 
     fn choose_by(
@@ -158,6 +163,7 @@
         prompt: Option<&Prompt>,
         tried: &[ids::Server],
         filter: Filter<'_>,
+        now: Instant,
     ) -> Result<Choice> {
         let ask = Criteria {
             prompt,
@@ -169,13 +175,7 @@
             connections: CONNECTIONS,
             crowd_factor: 2.0,
         };
-        let chosen = choose::choose(
-            &self.fleet,
-            &self.service,
-            &ask,
-            &self.index,
-            Instant::now(),
-        );
+        let chosen = choose::choose(&self.fleet, &self.service, &ask, &self.index, now);
         chosen.ok_or_else(|| eyre!("no server chosen"))
     }
 
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -97,6 +97,30 @@
     Ok(())
 }
 
+/// Guards against simulated plays whose choices depend on how fast the machine plays them.
+#[test]
+fn a_reported_load_expires_by_the_time_of_the_choice() -> Result {
+    let harness = ChoiceHarness::new("hall-1", 0..4)?;
+    let prompt = prompt(3, SMALL);
+    let first = harness.first(&prompt)?;
+    let reported = harness.start + Duration::from_secs(60);
+    for id in harness.fleet.ids() {
+        let load = Load {
+            running: if id == first { 14 } else { 2 },
+            waiting: 0,
+            slots: 16,
+            slowdown: None,
+        };
+        harness.backend(&id)?.record_load(load, reported);
+    }
+    let after = |time| harness.choose_at(&prompt, reported + time);
+    let choice = after(Duration::from_secs(1))?;
+    ensure!(choice.backend.server.id != first, "chosen after 1 s");
+    let choice = after(Duration::from_secs(4))?;
+    ensure!(choice.backend.server.id == first, "avoided after 4 s");
+    Ok(())
+}
+
 #[test]
 fn a_server_with_many_requests_of_other_boxes_is_avoided() -> Result {
     let harness = ChoiceHarness::new("hall-1", 0..4)?;
