Boxes that hear of no other divide their first requests about a subject

Cause: boxes agree on the first engine of a subject without messages, so that it is cached once. Nothing tells a box that the others have their first requests about the same subject at the same time.

A box that is due to have got reports, 1 s after its first request, and has not, goes by an order of its own for subjects without a known holder, up to 5 s after its first request: the first engines of the subject's order, as many as a share of 0.05 would need, rotated by a random number of the box. What that engine lacks is copied from the first of the order. Later first requests no longer come at the same time.

--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -44,6 +44,11 @@
 /// Age after which other boxes' requests are ignored: several times the interval between
 /// reports.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Time after its first request from which a box should have got reports of the others.
+const FIRST_REPORT_TIME: Duration = Duration::from_secs(1);
+/// Time after its first request up to which a box counts as started: by then most boxes
+/// have had their first requests about every subject that has many.
+const STARTUP_TIME: Duration = Duration::from_secs(5);
 /// Samples that the hub of a hall gets a second: at 200, a subject with a fifth of the
 /// requests has four in 0.1 s, and the samples take 20 KB a second of the hub's link
 /// (calculated, with packet headers).
@@ -180,6 +185,8 @@
     count: Count,
     /// Number of all requests so far.
     total: u64,
+    /// When the first of them came.
+    since: Instant,
 }
 
 /// Requests of this box about one subject.
@@ -243,6 +250,7 @@
         let requests = services.entry(service).or_insert(Requests {
             count: new,
             total: 0,
+            since: now,
         });
         requests.count.increment(now);
         requests.total += 1;
@@ -400,6 +408,21 @@
         share.max(rise(gap, usual)).max(risen).min(1.0)
     }
 
+    /// Whether this box began to get requests for a service a short while ago and other
+    /// boxes should have reported theirs by now, but have not. They may have started at the
+    /// same time, with their first requests about each subject still to come.
+    pub fn lacks_reports(&self, service: &ids::Service, now: Instant) -> bool {
+        let others = self.others.borrow();
+        if others.as_ref().is_some_and(|it| it.is_recent(now)) {
+            return false;
+        }
+        let own = self.services.borrow().get(&Service::new(service)).copied();
+        own.is_some_and(|it| {
+            let age = now.saturating_duration_since(it.since);
+            (FIRST_REPORT_TIME..STARTUP_TIME).contains(&age)
+        })
+    }
+
     /// Whether this box gets so many requests for a service that its choices matter to the
     /// servers' loads.
     pub fn is_busy(&self, service: &ids::Service, now: Instant) -> bool {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -22,7 +22,7 @@
 use tidepier_ids as ids;
 
 use crate::fleet::{Backend, Fleet};
-use crate::locations::Locations;
+use crate::locations::{Locations, Widths};
 use crate::traffic::index::Index;
 use engine::{Engines, Group};
 use filter::Filter;
@@ -186,9 +186,15 @@
                 emptied: &emptied,
                 usual_speed: fleet.usual_speed(service, now),
             };
-            let width = spread.width(subject.map_or(0.0, share));
+            let widths = Widths {
+                subject: spread.width(subject.map_or(0.0, share)),
+                first: match index.demand.lacks_reports(service, now) {
+                    true => spread.width(spread::UNKNOWN_SHARE),
+                    false => 1,
+                },
+            };
             let mut locations =
-                Locations::new(fleet, service, prompt, index, width, &candidate, now);
+                Locations::new(fleet, service, prompt, index, widths, &candidate, now);
             let has_risen = |part: &Part| index.demand.has_just_risen(service, part.id, now);
             if subject.is_some_and(has_risen) {
                 locations.set_rising();
--- a/crates/relay/src/choose/spread.rs
+++ b/crates/relay/src/choose/spread.rs
@@ -12,6 +12,9 @@
 /// multiple of the mean.
 const ALLOWED_EXTRA: f64 = 0.5;
 
+/// Share of the requests that a subject may have of which nothing can be known.
+pub(super) const UNKNOWN_SHARE: f64 = 0.05;
+
 /// The servers of a service.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Servers {
--- a/crates/relay/src/locations.rs
+++ b/crates/relay/src/locations.rs
@@ -31,6 +31,26 @@
 /// Number of tokens below which copying a KV cache is not worth its set-up time.
 const COPY_TOKENS_MIN: u32 = 200;
 
+/// Between how many servers boxes divide requests that would all go to the same one.
+#[derive(Debug, Clone, Copy)]
+pub struct Widths {
+    /// Servers that share the requests about the prompt's subject.
+    pub subject: usize,
+    /// Servers that share the first requests of the boxes about a subject, while boxes do
+    /// not learn of each other's requests; otherwise 1.
+    pub first: usize,
+}
+
+impl Default for Widths {
+    /// Nothing is divided.
+    fn default() -> Self {
+        Self {
+            subject: 1,
+            first: 1,
+        }
+    }
+}
+
 /// An engine that is known to cache the first parts of a prompt.
 struct Source {
     engine: Rc<Backend>,
@@ -65,7 +85,8 @@
     order: Order,
     /// The first servers of the subject's order, among those that take requests and that
     /// this box does not avoid. Boxes that avoid the same servers agree on the
-    /// replacements.
+    /// replacements. While first requests are divided, the one that this box prefers comes
+    /// first.
     first: Vec<Key>,
     /// Whether the subject's requests are divided between more servers than overflow falls
     /// to.
@@ -82,30 +103,42 @@
 }
 
 impl<'a> Locations<'a> {
-    /// Looks up where the parts of a prompt are cached. `width` is the number of servers
-    /// that share the requests about its subject; `candidate` tells whether the request may
-    /// be sent to a server, or sent there again.
+    /// Looks up where the parts of a prompt are cached. `candidate` tells whether the request
+    /// may be sent to a server, or sent there again.
     pub fn new(
         fleet: &Fleet,
         service: &ids::Service,
         prompt: &'a Prompt,
         index: &Index,
-        width: usize,
+        widths: Widths,
         candidate: &dyn Fn(&Backend) -> bool,
         now: Instant,
     ) -> Self {
         let holders = prompt.shared().iter().map(|part| index.holders(part, now));
         let holders_by_part: Vec<Vec<Key>> = holders.collect();
         let order = Order::new(fleet.known(service), prompt, now);
-        let first: Vec<Key> = order
+        let count = widths.subject.max(CACHED_BY_RANK.len());
+        let mut first: Vec<Key> = order
             .serving()
             .filter(|backend| candidate(backend))
-            .take(width.max(CACHED_BY_RANK.len()))
+            .take(count.max(widths.first))
             .map(|backend| backend.key)
             .collect();
-        let likelihood = match holders_by_part.last() {
-            Some(holders) if order.has_healthy(holders) => CACHED_BESIDE_HOLDERS,
-            _ => CACHED_BY_RANK,
+        let holders = holders_by_part.last();
+        let has_holder = holders.is_some_and(|holders| order.has_healthy(holders));
+        let shared = widths.first.min(first.len());
+        if let Some(subject) = prompt.subject().filter(|_| shared > 1 && !has_holder) {
+            first[..shared].rotate_left(index.preference(subject, shared));
+        }
+        first.truncate(count);
+        let likelihood = match has_holder {
+            true => CACHED_BESIDE_HOLDERS,
+            false => CACHED_BY_RANK,
+        };
+        // What other boxes requested is not known to this one while it gets no reports.
+        let seen_before = match widths.first > 1 {
+            true => 1.0,
+            false => index.coverage.seen_before(),
         };
         let sources = sources(&holders_by_part, &order);
         Self {
@@ -113,11 +146,11 @@
             holders_by_part,
             order,
             first,
-            is_spread: width > CACHED_BY_RANK.len(),
+            is_spread: widths.subject > CACHED_BY_RANK.len(),
             is_rising: false,
             likelihood,
             sources,
-            seen_before: index.coverage.seen_before(),
+            seen_before,
         }
     }
 
--- a/crates/relay/src/traffic/index.rs
+++ b/crates/relay/src/traffic/index.rs
@@ -6,7 +6,7 @@
 //!
 //! Invariant: a part counts as cached only if all parts before it in the prompt do.
 
-use std::cell::RefCell;
+use std::cell::{OnceCell, RefCell};
 use std::num::NonZeroUsize;
 use std::time::Duration;
 
@@ -14,6 +14,7 @@
 use serde::{Deserialize, Serialize};
 use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::coverage::Coverage;
 use crate::fleet::Key;
@@ -88,6 +89,8 @@
 /// The engines that cache each part.
 pub struct Index {
     created: Instant,
+    /// Makes the preferences of this box differ from those of others; random.
+    seed: OnceCell<u64>,
     parts: RefCell<LruCache<u64, Vec<Holder>>>,
     /// How much of the fleet's placements this box learns of.
     pub coverage: Coverage,
@@ -99,6 +102,7 @@
     fn default() -> Self {
         Self {
             created: Instant::now(),
+            seed: OnceCell::new(),
             parts: RefCell::new(LruCache::new(PARTS_MAX)),
             coverage: Coverage::default(),
             demand: Demand::default(),
@@ -189,6 +193,14 @@
         fresh.is_none()
     }
 
+    /// Which of `count` equal servers this box prefers for a part. Other boxes prefer other
+    /// ones; this box keeps to its preference.
+    pub fn preference(&self, part: &Part, count: usize) -> usize {
+        let seed = *self.seed.get_or_init(|| fastrand::u64(..));
+        let hash = xxh3_64_with_seed(&part.id.to_le_bytes(), seed);
+        (hash % count.max(1) as u64) as usize
+    }
+
     /// The servers that cache a part, the most recently used first.
     pub fn holders(&self, part: &Part, now: Instant) -> Vec<Key> {
         let now = self.moment(now);
--- a/crates/relay/tests/relay/choice_harness.rs
+++ b/crates/relay/tests/relay/choice_harness.rs
@@ -13,7 +13,7 @@
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Choice, Criteria};
 use tidepier_relay::fleet::{Backend, Fleet, InFlight, Key};
-use tidepier_relay::locations::Locations;
+use tidepier_relay::locations::{Locations, Widths};
 use tidepier_relay::traffic::index::Index;
 
 use crate::harness::{Result, SERVICE};
@@ -104,7 +104,7 @@
             &self.service,
             prompt,
             &self.index,
-            1,
+            Widths::default(),
             &candidate,
             now,
         )
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -121,6 +121,43 @@
     Ok(())
 }
 
+/// Guards against boxes that all send their first request about a subject to one engine
+/// though they hear nothing of each other.
+#[test]
+fn boxes_without_reports_divide_their_first_requests() -> Result {
+    let prompt = prompt(3, SMALL);
+    let mut chosen = std::collections::BTreeSet::new();
+    let mut copying = 0;
+    for _ in 0..40 {
+        let harness = ChoiceHarness::new("hall-1", 0..40)?;
+        let demand = &harness.index.demand;
+        demand.record(&harness.service, Some(1), harness.start);
+        let early = harness.choose_at(&prompt, harness.start + Duration::from_millis(500))?;
+        let first = harness.first(&prompt)?;
+        ensure!(
+            early.backend.server.id == first,
+            "divided before reports are due"
+        );
+        let due = harness.start + Duration::from_secs(2);
+        let choice = harness.choose_at(&prompt, due)?;
+        let again = harness.choose_at(&prompt, due)?;
+        ensure!(
+            again.backend.key == choice.backend.key,
+            "another one each time"
+        );
+        let is_first = choice.backend.server.id == first;
+        ensure!(
+            is_first == choice.copy_from.is_none(),
+            "not copied from the first"
+        );
+        copying += usize::from(!is_first);
+        chosen.insert(choice.backend.server.id.clone());
+    }
+    ensure!((3..=6).contains(&chosen.len()), "{chosen:?}");
+    ensure!(copying >= 20, "{copying} of 40 divided");
+    Ok(())
+}
+
 #[test]
 fn a_server_with_many_requests_of_other_boxes_is_avoided() -> Result {
     let harness = ChoiceHarness::new("hall-1", 0..4)?;
--- a/crates/relay/tests/relay/demand.rs
+++ b/crates/relay/tests/relay/demand.rs
@@ -85,6 +85,21 @@
     ensure_close(demand.subject_share(&service, SUBJECT, FEW, now), 0.015)
 }
 
+/// Guards against boxes that treat themselves as alone at each start, or for good.
+#[test]
+fn reports_lack_only_after_they_were_due_and_not_for_long() -> Result {
+    let (demand, service, start) = (Demand::default(), id(SERVICE)?, Instant::now());
+    let lacks = |after| demand.lacks_reports(&service, start + Duration::from_millis(after));
+    ensure!(!lacks(2_000), "before the first request");
+    demand.record(&service, None, start);
+    ensure!(!lacks(900), "not due yet");
+    ensure!(lacks(1_100) && lacks(4_900), "due and not there");
+    ensure!(!lacks(5_100), "no longer just started");
+    demand.set_others(summary(&service, 100, 0), start + Duration::from_secs(2));
+    ensure!(!lacks(2_100), "reported");
+    Ok(())
+}
+
 #[test]
 fn a_halls_share_is_known_while_reports_arrive() -> Result {
     let (demand, service, now) = (Demand::default(), id(SERVICE)?, Instant::now());
--- a/crates/relay/tests/relay/requests.rs
+++ b/crates/relay/tests/relay/requests.rs
@@ -10,7 +10,7 @@
 use tidepier_core::request::{Part, Prompt};
 use tidepier_core::server::State;
 use tidepier_relay::fleet::Key;
-use tidepier_relay::locations::Locations;
+use tidepier_relay::locations::{Locations, Widths};
 use tidepier_relay_standin::client::{Call, End};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Run, Server, Settings};
@@ -272,7 +272,15 @@
             let (fleet, index) = (&relay.fleet, &relay.traffic.index);
             let service = SERVICE.parse()?;
             let now = tidepier_clock::Instant::now();
-            let locations = Locations::new(fleet, &service, &prompt, index, 1, &|_| true, now);
+            let locations = Locations::new(
+                fleet,
+                &service,
+                &prompt,
+                index,
+                Widths::default(),
+                &|_| true,
+                now,
+            );
             Ok(locations.missing_tokens(Key::new(&id)).tokens())
         };
         let call = |attempt: &str| post("/r/x", attempt).with(names::PROMPT, &listed.join(","));
--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -296,6 +296,35 @@
     )]
 }
 
+/// The same in other fleets.
+fn plans_of_first_requests_without_reports_in_other_fleets() -> Plans {
+    let without = |boxes, servers| Plan {
+        boxes,
+        servers,
+        reports: reports(2, 1, false),
+        ..fleet()
+    };
+    vec![
+        ("no reports, 143 boxes before 60", without(143, 60)),
+        ("no reports, 300 boxes before 300", without(300, 300)),
+        ("no reports, 7 boxes before 12", without(7, 12)),
+        (
+            "no reports, one in 3",
+            Plan {
+                hot: Hot::share(1, 3),
+                ..without(78, 90)
+            },
+        ),
+        (
+            "no reports, no hot subject",
+            Plan {
+                hot: Hot::NONE,
+                ..without(78, 90)
+            },
+        ),
+    ]
+}
+
 /// Engines whose speeds change, and boxes that tell each other what they learn of them.
 fn different_speeds() -> Plan {
     Plan {
@@ -412,6 +441,15 @@
     all_within_bound(&plans_of_first_requests_without_reports(), &SEEDS)
 }
 
+/// The same in other fleets.
+#[test]
+fn first_requests_without_reports_crowd_no_engine_in_other_fleets() -> Result {
+    all_within_bound(
+        &plans_of_first_requests_without_reports_in_other_fleets(),
+        &LATER_SEEDS,
+    )
+}
+
 /// Guards against plays that cannot be traced: a failure with some seed did not occur again
 /// with the same seed.
 #[test]
@@ -482,10 +520,11 @@
     plans.extend(plans_of_first_requests());
     plans.extend(plans_of_first_requests_in_other_fleets());
     plans.extend(plans_of_first_requests_without_reports());
+    plans.extend(plans_of_first_requests_without_reports_in_other_fleets());
     plans.extend(plans_of_late_rises());
     plans.extend(plans_of_a_plain_service());
-    println!("| plan | worst share over the bound | seeds over 0.03 | tokens prefilled again, copied a request |");
-    println!("| --- | --- | --- | --- |");
+    println!("| plan | worst share over the bound | seeds over 0.03 | first requests among those over it | tokens prefilled again, copied a request |");
+    println!("| --- | --- | --- | --- | --- |");
     for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &TABLE_SEEDS)?) {
         let shares = outcomes.iter().map(Outcome::exceeding_share);
         let worst = shares.clone().fold(0.0, f64::max);
@@ -495,8 +534,10 @@
         let copied: u64 = outcomes.iter().map(|it| it.copied).sum();
         let each = |tokens: u64| tokens / judged.max(1) as u64;
         println!(
-            "| {name} | {worst:.3} | {broken} of {} | {}, {} |",
+            "| {name} | {worst:.3} | {broken} of {} | {} of {} | {}, {} |",
             outcomes.len(),
+            outcomes.iter().map(|it| it.exceeding_first).sum::<usize>(),
+            outcomes.iter().map(|it| it.exceeding).sum::<usize>(),
             each(again),
             each(copied)
         );
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -257,6 +257,8 @@
     pub(crate) judged: usize,
     /// Those of them that reached an engine over the bound.
     pub(crate) exceeding: usize,
+    /// Those of them that were their box's first about the hot subject.
+    pub(crate) exceeding_first: usize,
     /// The most that an engine held when a request reached it, less the bound.
     pub(crate) worst: f64,
     /// Requests that no engine took.
@@ -300,6 +302,8 @@
     sent: Baseline,
     speeds_sent: Speeds,
     received: Totals,
+    /// Whether it has had a request about the hot subject.
+    has_had_hot: bool,
 }
 
 /// A request that runs, or its answer on the way; the first one to end is the greatest.
@@ -423,6 +427,7 @@
         sent: Baseline::default(),
         speeds_sent: Speeds::default(),
         received: Totals::default(),
+        has_had_hot: false,
     };
     for server in servers {
         sim_box.fleet.announce(server.clone(), now);
@@ -709,7 +714,9 @@
             return;
         };
         let server = self.number_by_key[&choice.backend.key];
-        self.judge(server, now);
+        let is_first = subject == HOT && !self.boxes[number].has_had_hot;
+        self.boxes[number].has_had_hot |= is_first;
+        self.judge(server, is_first, now);
         let index = &self.boxes[number].index;
         let is_rising = index.demand.has_just_risen(&self.service, subject, now);
         self.outcome.rising += usize::from(is_rising);
@@ -843,7 +850,7 @@
         )
     }
 
-    fn judge(&mut self, server: usize, now: Instant) {
+    fn judge(&mut self, server: usize, is_first: bool, now: Instant) {
         if now <= self.start + self.plan.settling {
             return;
         }
@@ -851,6 +858,7 @@
         let above = f64::from(self.held[server]) - (BOUND_FACTOR * mean + BOUND_EXTRA);
         self.outcome.judged += 1;
         self.outcome.exceeding += usize::from(above > 0.0);
+        self.outcome.exceeding_first += usize::from(above > 0.0 && is_first);
         self.outcome.worst = self.outcome.worst.max(above);
     }
 
