A box that has just joined gets more than one tunnel a second

What callers would see: a box that joins while it is partitioned from all servers refuses nearly everything for up to 15 s, though the others reach them.

Cause: other boxes do not have it in their lists yet and ask the store whether it is registered, once a second at most, and kept no answer. Every other request for a tunnel was denied as that of a stranger, and the gateway then left out for a second.

The answer is kept until the next list, questions for the same box wait for the one that runs, and other boxes are asked about after 100 ms.

--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -14,6 +14,7 @@
 
 use futures_lite::FutureExt;
 use serde::{Deserialize, Serialize};
+use smol::lock::Mutex;
 use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_core::store::{Failure, Item, LeaseId, LeaseState, Store, Swap, Write};
@@ -25,6 +26,7 @@
 use crate::message::boxes;
 use crate::notifier::Notifier;
 use crate::relay::Relay;
+use crate::timeout;
 use crate::tunnel::gateways::Gateway;
 
 /// Key prefix of the entries in the store.
@@ -45,7 +47,11 @@
 const SPREAD_PER_HALL: Duration = Duration::from_millis(100);
 /// Shortest time between two questions to the store whether a box is registered: a stranger
 /// cannot make this box call the store more often.
-const VERIFY_INTERVAL: Duration = Duration::from_secs(1);
+const VERIFY_INTERVAL: Duration = Duration::from_millis(100);
+/// Time-out for the end of another such question: the box that asked waits little longer.
+const VERIFY_TIMEOUT: Duration = Duration::from_millis(200);
+/// Most boxes that are remembered as registered until the next list shows them.
+const VERIFIED_MAX: usize = 256;
 /// Time-out of one call to the store.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Pause after a failed call, before jitter.
@@ -83,8 +89,10 @@
     /// Notified when the store may have lost entries.
     reread_requested: Notifier,
     listed: Cell<bool>,
-    /// When the store was last asked whether a box is registered.
-    verified_at: Cell<Option<Instant>>,
+    /// Boxes that the store confirmed since the last list.
+    verified: RefCell<Vec<Member>>,
+    /// When the store was last asked whether a box is registered; locked while it is.
+    verified_at: Mutex<Option<Instant>>,
     /// Whether a call failed before the boxes were listed.
     failed: Cell<bool>,
     /// Notified when the list of boxes changes.
@@ -104,7 +112,8 @@
             me,
             store,
             listed: Cell::new(false),
-            verified_at: Cell::new(None),
+            verified: RefCell::default(),
+            verified_at: Mutex::new(None),
             failed: Cell::new(false),
             changed: Notifier::default(),
         })
@@ -217,23 +226,42 @@
     /// is asked if the list of boxes does not show it: the box may have just joined.
     pub(super) async fn verify(&self, name: &ids::Box, hall: &ids::Hall, ip: IpAddr) -> bool {
         let is_sender = |it: &Member| it.name == *name && it.hall == *hall && it.address.ip() == ip;
-        if self.members.borrow().iter().any(is_sender) {
+        let is_known = || {
+            let members = self.members.borrow();
+            let verified = self.verified.borrow();
+            members.iter().chain(verified.iter()).any(is_sender)
+        };
+        if is_known() {
+            return true;
+        }
+        let turn = timeout::within(VERIFY_TIMEOUT, self.verified_at.lock());
+        let Some(mut last) = turn.await else {
+            return false;
+        };
+        // The box may have asked several times at once.
+        if is_known() {
             return true;
         }
-        let last = self.verified_at.get();
         if last.is_some_and(|at| at.elapsed() < VERIFY_INTERVAL) {
             return false;
         }
-        self.verified_at.set(Some(Instant::now()));
-        match self.store.get(&key(hall, name), CALL_TIMEOUT).await {
-            Ok(read) => read.value.is_some_and(|item| {
-                serde_json::from_slice(&item.value).is_ok_and(|member| is_sender(&member))
-            }),
+        *last = Some(Instant::now());
+        let entry = match self.store.get(&key(hall, name), CALL_TIMEOUT).await {
+            Ok(read) => read.value,
             Err(failure) => {
                 log_failure(&failure, "get");
-                false
+                None
             }
+        };
+        let member = entry.and_then(|item| serde_json::from_slice(&item.value).ok());
+        let Some(member) = member.filter(is_sender) else {
+            return false;
+        };
+        let mut verified = self.verified.borrow_mut();
+        if verified.len() < VERIFIED_MAX {
+            verified.push(member);
         }
+        true
     }
 
     /// Registers this box, renews its lease and refreshes the list of boxes; never
@@ -452,6 +480,7 @@
         relay
             .roster
             .set_members(&self.me.name, boxes, Instant::now());
+        self.verified.borrow_mut().clear();
         let first = !self.listed.replace(true);
         if first || *self.members.borrow() != members {
             log::info!(target: "belief", "event=boxes count={}", members.len());
--- a/crates/relay/tests/relay/partitioned.rs
+++ b/crates/relay/tests/relay/partitioned.rs
@@ -6,7 +6,7 @@
 use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::Server;
 
-use crate::box_harness::Proxy;
+use crate::box_harness::{wait_until_ready, Proxy, TestBox};
 use crate::harness::{ms, run, Result};
 use crate::partition_harness::{tries_while_cut, Partitioned, BURST};
 
@@ -54,6 +54,21 @@
     })
 }
 
+// Guards against a box that learns of other ways only by losing its own: here it never had any.
+#[test]
+fn a_box_that_starts_behind_a_partition_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let mut fleet = Partitioned::start(&executor, &["hall-1", "hall-2"]).await?;
+        let started = TestBox::start(&executor, &fleet.site, "box-9", "hall-1", 1_000).await?;
+        // None of its tasks has run yet.
+        fleet.boxes.push(started);
+        fleet.cut(&[2], Cut::Silent)?;
+        wait_until_ready(&fleet.boxes).await?;
+        let tries = fleet.send("after", ms(1_500), 1).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
+
 // Guards against contents that are refused everywhere as three servers seemed to crash under
 // them, while the box that ran them was cut off.
 #[test]
