A box that has just joined learns of the boxes of other halls

What callers would see: a box that joins in a hall that is partitioned from all servers refuses everything for up to 15 s, though the boxes of other halls reach them.

Cause: a box reads the entries of its own hall at its start. It gets those of the others from its hub, but dropped a list that does not have it yet, as such a list may be older than its own, until it read all entries itself 15 s later. So it knew no box of another hall that could carry its connections, and its share of the allowances of the fleet was that of a fleet of one hall.

Until a box has a list of all halls, it takes from such a list the boxes of the other halls.

--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -179,8 +179,15 @@
         if self.is_registered.replace(is_registered) && !is_registered {
             self.registration_lost.notify();
         }
-        // A list without this box may be older than the one that this box read itself.
-        if is_registered || !self.listed.get() {
+        // A list without this box may be older than what this box read itself: the entries
+        // of its hall at the start, those of all halls later.
+        let has_read_hall = !is_registered && self.listed.get();
+        let has_read_all = has_read_hall && self.digest() != boxes::Digest::default();
+        if has_read_hall {
+            members.retain(|member| member.hall != self.me.hall);
+            members.extend(self.members_of(&self.me.hall));
+        }
+        if !has_read_all {
             members.retain(|member| member.name != self.me.name);
             members.push(self.me.clone());
             self.take(relay, members);
--- a/crates/relay/tests/relay/partitioned.rs
+++ b/crates/relay/tests/relay/partitioned.rs
@@ -8,7 +8,7 @@
 
 use crate::box_harness::{wait_until_ready, Proxy, TestBox};
 use crate::harness::{ms, run, Result};
-use crate::partition_harness::{tries_while_cut, Partitioned, BURST};
+use crate::partition_harness::{tries_while_cut, Partitioned, BURST, CONTACT_TIME};
 
 // Guards against a box that refuses all requests while only its own network to the servers
 // is partitioned; here that of all boxes of a hall.
@@ -69,6 +69,21 @@
     })
 }
 
+// The same if all boxes of its hall are partitioned.
+#[test]
+fn a_box_that_starts_in_a_partitioned_hall_serves_its_clients() -> Result {
+    run(|executor| async move {
+        let mut fleet = Partitioned::start(&executor, &["hall-1", "hall-2"]).await?;
+        let started = TestBox::start(&executor, &fleet.site, "box-9", "hall-1", 1_000).await?;
+        fleet.boxes.push(started);
+        fleet.cut(&[0, 2], Cut::Silent)?;
+        wait_until_ready(&fleet.boxes).await?;
+        Timer::after(CONTACT_TIME).await;
+        let tries = fleet.send("after", ms(1_500), 1).await?;
+        tries.iter().try_for_each(|tries| tries.ensure_served())
+    })
+}
+
 // Guards against contents that are refused everywhere as three servers seemed to crash under
 // them, while the box that ran them was cut off.
 #[test]
