Tests of the relay: addresses that differ between processes

What was seen: 105 tests failed with "binding the peer address: Address already in use" in one run, which ran for 50 s beside another one of the same tests by mistake; the other one passed whole.

Cause: the addresses of boxes came from the process id modulo 200 alone, and the two processes had the same remainder (the system's list of connections shows one octet, 127, for both).

--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -55,8 +55,8 @@
     static TAKEN: AtomicU32 = AtomicU32::new(1);
     let number = TAKEN.fetch_add(1, Ordering::Relaxed);
     let [_, _, high, low] = number.to_be_bytes();
-    let process = std::process::id() % 200 + 20;
-    let ip = Ipv4Addr::new(127, process as u8, high, low);
+    let [.., process_high, process_low] = std::process::id().to_be_bytes();
+    let ip = Ipv4Addr::new(127, process_low % 200 + 20, process_high ^ high, low);
     SocketAddr::from((ip, PEER_PORT))
 }
 
