Logs: releases of servers, and streams that clients take up

An operator could not see that a stream went on at another release: no line named a release, and that a client takes a stream up was in no line at all. The lines server, placed, resumed and broken name it now, taken_up tells the attempt that the client names, and tidepier_streams_resumed_total counts by whether the release is the same. No decision changes.

--- a/crates/core/src/request.rs
+++ b/crates/core/src/request.rs
@@ -23,6 +23,8 @@
     /// When the client resumes a stream that broke off: the last event that it
     /// received.
     pub resume_after: Option<u64>,
+    /// The same client's attempt that brought the first event of that stream.
+    pub resumes: Option<Box<str>>,
 }
 
 /// A prompt and the expected length of its completion.
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -90,3 +90,10 @@
     /// [`Cold`](crate::catalog::Cold) states.
     pub cold: Duration,
 }
+
+impl Server {
+    /// The name of its release for the log; `-` if it reports none.
+    pub fn release_name(&self) -> &str {
+        self.release.as_ref().map_or("-", Release::as_str)
+    }
+}
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -91,6 +91,7 @@
 
 impl Exchange<'_> {
     async fn serve(&mut self) -> Result<Disposition, refusal::Kind> {
+        self.log_taken_up();
         self.admit_by_load()?;
         loop {
             let sent = self.send(self.request.resume_after).await;
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -7,6 +7,7 @@
 
 use tidepier_admission::speed::Rate;
 use tidepier_clock::Instant;
+use tidepier_core::server::Server;
 use tidepier_platform::answer;
 
 use super::disposition::Disposition;
@@ -31,7 +32,7 @@
         }
         log::info!(
             target: "request",
-            "event=placed id={} content={} route={} account={} server={} try={} cost={:.0} load={:.0} \
+            "event=placed id={} content={} route={} account={} server={} release={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
              own={} known={:.0} mean={:.1} counts_ms={} divided={} rate={}",
             self.request.attempt,
@@ -39,6 +40,7 @@
             self.route.name,
             self.account.as_ref().map_or("-", |account| account.name.as_str()),
             choice.backend.server.id,
+            choice.backend.server.release_name(),
             self.attempts + 1,
             choice.cost,
             choice.load,
@@ -63,6 +65,53 @@
         );
     }
 
+    /// Logs and counts a request by which a client takes up a stream that broke off.
+    pub(super) fn log_taken_up(&self) {
+        let Some(after) = self.request.resume_after else {
+            return;
+        };
+        log::info!(
+            target: "request",
+            "event=taken_up id={} attempt={} content={} after={after}",
+            self.request.attempt,
+            self.request.resumes.as_deref().unwrap_or("-"),
+            self.content,
+        );
+        metrics::counter!("tidepier_streams_taken_up_total").increment(1);
+    }
+
+    /// Logs and counts a stream that goes on at another server within its answer.
+    pub(super) fn log_resumed(&self, from: &Server, to: &Server, after: Option<u64>) {
+        log::info!(
+            target: "request",
+            "event=resumed id={} server={} release={} began={} after={after:?} ms={}",
+            self.request.attempt,
+            to.id,
+            to.release_name(),
+            from.release_name(),
+            self.arrival.at.elapsed().as_millis(),
+        );
+        let release = if from.release == to.release {
+            "same"
+        } else {
+            "other"
+        };
+        metrics::counter!("tidepier_streams_resumed_total", "release" => release).increment(1);
+    }
+
+    /// Logs and counts a stream that ends before its end.
+    pub(super) fn log_broken(&self, at: &Server, resumable: bool, last: Option<u64>) {
+        log::info!(
+            target: "request",
+            "event=broken id={} server={} release={} resumable={resumable} last_event={last:?} ms={}",
+            self.request.attempt,
+            at.id,
+            at.release_name(),
+            self.arrival.at.elapsed().as_millis(),
+        );
+        metrics::counter!("tidepier_streams_broken_total").increment(1);
+    }
+
     /// Id of the last part of the prompt that other prompts share; 0 without one.
     fn subject(&self) -> u64 {
         let prompt = self.request.prompt.as_ref();
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -111,26 +111,15 @@
             None
         };
         let Some(next) = next else {
-            log_broken(exchange, &backend, resumable, events.last());
+            exchange.log_broken(&backend.server, resumable, events.last());
             return Ok(client.incomplete_action());
         };
-        metrics::counter!("tidepier_streams_resumed_total").increment(1);
+        exchange.log_resumed(&backend.server, &next.0.server, events.last());
         events.take_rest();
         (backend, reply) = next;
     }
 }
 
-fn log_broken(exchange: &Exchange<'_>, backend: &Backend, resumable: bool, last: Option<u64>) {
-    log::info!(
-        target: "request",
-        "event=broken id={} server={} resumable={resumable} last_event={last:?} ms={}",
-        exchange.request.attempt,
-        backend.server.id,
-        exchange.arrival.at.elapsed().as_millis(),
-    );
-    metrics::counter!("tidepier_streams_broken_total").increment(1);
-}
-
 async fn finish(
     exchange: &Exchange<'_>,
     client: &Client,
@@ -163,13 +152,6 @@
         let (backend, result) = exchange.send(after).await.ok()?;
         failure = match result {
             Ok(reply) if reply.answer.status == 200 && reply.framing != Framing::UntilClose => {
-                log::info!(
-                    target: "request",
-                    "event=resumed id={} server={} after={after:?} ms={}",
-                    exchange.request.attempt,
-                    backend.server.id,
-                    exchange.arrival.at.elapsed().as_millis(),
-                );
                 return Some((backend, reply));
             }
             Ok(reply) => {
--- a/crates/relay/src/follow/change_log.rs
+++ b/crates/relay/src/follow/change_log.rs
@@ -66,8 +66,11 @@
         let group = self.push(change, &server.id);
         if group.count == 1 {
             group.detail = format!(
-                " address={} service={} hall={} revision={revision}",
-                server.address, server.service, server.hall
+                " address={} service={} hall={} release={} revision={revision}",
+                server.address,
+                server.service,
+                server.hall,
+                server.release_name()
             );
         }
     }
