--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -7,7 +7,7 @@
 use tidepier_h1::Head;
 
 use super::connection::{finish_before, parse_number, Connection, Disposition};
-use super::{event, Fault, Outcome};
+use super::{event_of, Fault, Outcome};
 use crate::http;
 use crate::names;
 
@@ -197,7 +197,7 @@
                     return Ok(Disposition::Close);
                 }
             }
-            let text = event(id);
+            let text = event_of(id, self.shared.settings.release.as_deref());
             if id == half && matches!(fault, Some(Fault::CutEvent | Fault::BreakOff)) {
                 self.record_end(index, Outcome::Stopped);
                 if fault == Some(Fault::CutEvent) {
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -46,6 +46,9 @@
     pub answer_bytes: usize,
     /// Set if it answers with events.
     pub events: Option<Events>,
+    /// The release of its software, which its events name; `None`: they name none, and its
+    /// entry names `v1`.
+    pub release: Option<String>,
     /// Whether its answers report its load.
     pub reports_load: bool,
     /// Whether it stops a request whose connection closes.
@@ -75,6 +78,7 @@
             prefill: Duration::ZERO,
             answer_bytes: 64,
             events: None,
+            release: None,
             reports_load: true,
             drops: true,
         }
@@ -197,11 +201,25 @@
     }
 }
 
-/// The text of an event, which is the same at every server.
+/// The text of an event, which is the same at every server whose events name no release.
 pub fn event(id: u64) -> String {
     format!("id: {id}\ndata: piece {id}\n\n")
 }
 
+/// The text of an event that names the release that wrote it.
+pub fn event_of(id: u64, release: Option<&str>) -> String {
+    match release {
+        Some(release) => format!("id: {id}\ndata: piece {id} of {release}\n\n"),
+        None => event(id),
+    }
+}
+
+/// The release that an event names.
+pub fn release_of(event: &str) -> Option<&str> {
+    let (_, release) = event.lines().find_map(|line| line.split_once(" of "))?;
+    Some(release)
+}
+
 #[derive(Debug)]
 struct State {
     fault: Option<(Fault, u32)>,
--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -219,7 +219,7 @@
             "service": settings.service,
             "address": address.to_string(),
             "zone": settings.hall,
-            "version": "v1",
+            "version": settings.release.as_deref().unwrap_or("v1"),
             "slots": settings.slots,
             "state": match state {
                 State::Ready => "ready",
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -65,6 +65,7 @@
 mod spread;
 mod spread_harness;
 mod stop;
+mod stream_releases;
 mod streams;
 mod suspended;
 mod traffic_tally;
