--- a/crates/relay/tests/relay/logged.rs
+++ b/crates/relay/tests/relay/logged.rs
@@ -56,7 +56,7 @@
         };
         wait_until("logged", async || Ok(logged_line().is_some())).await?;
         let line = logged_line().ok_or_else(|| eyre!("no log line"))?;
-        let expected = format!("service={SERVICE} hall=hall-2 revision=");
+        let expected = format!("service={SERVICE} hall=hall-2 release=v1 revision=");
         ensure!(line.contains(&expected), "{line}");
         Ok(())
     })
