A client takes its stream up at the release that began it, at any box

Callers whose stream broke off, and who took it up again, got the rest from servers of another release than the beginning.

Cause: what a box knew of a stream ended with its connection. The attempt that a client names was not read, and no box kept which release had begun it, so that the box where it came back chose a server as for any request.

Boxes keep for each other which release began a stream, and a stream of unknown origin does not go on. Its box sends the origin to two boxes of its hall and one of the next before the first event goes out. A service with one release for as long as a stream may last costs no message and no refusal: a new release gets no streams for longer than the age of a view that may say so. Boxes that start ask the others and, where all of them started anew, the store.

Ruled out: waiting for the keepers (what is lost is refused, not mixed), telling all boxes, a release worked out from the attempt id.

The test a_box_finds_its_registration found that the box wrote its releases to an empty store; the entry that its previous process left is there now, as its registration was before, and that nothing is written is checked as before.

--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -64,6 +64,8 @@
     pub release_selector: Option<&'a Selector>,
     /// Set if the request continues a stream.
     pub origin: Option<Origin>,
+    /// Releases that are left out.
+    pub young: &'a [Origin],
 }
 
 impl Filter<'_> {
@@ -82,6 +84,7 @@
             && self
                 .origin
                 .is_none_or(|origin| origin == Origin::of(&backend.server))
+            && (self.young.is_empty() || !self.young.contains(&Origin::of(&backend.server)))
     }
 
     /// Whether a hall is in all regions that the request is restricted to.
--- a/crates/relay/src/dial/mod.rs
+++ b/crates/relay/src/dial/mod.rs
@@ -10,7 +10,7 @@
 //! carries the request.
 
 mod probe;
-mod race;
+pub(crate) mod race;
 
 use std::cell::{OnceCell, RefCell};
 use std::future::Future;
--- a/crates/relay/src/dial/race.rs
+++ b/crates/relay/src/dial/race.rs
@@ -9,7 +9,7 @@
 use futures_lite::FutureExt;
 
 /// An attempt.
-pub(super) type Attempt<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + 'a>>;
+pub(crate) type Attempt<'a, T, E> = Pin<Box<dyn Future<Output = Result<T, E>> + 'a>>;
 
 /// Runs attempts until one succeeds. The next one starts when the one before it fails, or
 /// has not succeeded for `head_start`. Those that are left are dropped.
@@ -17,7 +17,7 @@
 /// # Errors
 ///
 /// All failed; their errors, in the order in which they failed.
-pub(super) async fn first_success<T, E>(
+pub(crate) async fn first_success<T, E>(
     attempts: Vec<Attempt<'_, T, E>>,
     head_start: Duration,
 ) -> Result<T, Vec<E>> {
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -14,7 +14,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
-use super::state::{Exchange, IncomingRequest, Start};
+use super::state::{Exchange, IncomingRequest, Start, Terms};
 use crate::content::{Fingerprint, Parts};
 use crate::refusal;
 use crate::relay::Relay;
@@ -44,8 +44,6 @@
     let (route, account) = look_up(relay, &catalog, &request).map_err(denied)?;
     let service = pick_service(&route);
     let declared = catalog.services.get(&service);
-    let connections = declared.map_or(u32::MAX, |service| service.connections);
-    let engine = declared.and_then(|service| service.engine);
     let timeout = request.client_timeout.unwrap_or(route.timeout);
     let deadline = arrival.at + timeout.min(route.timeout);
     relay.budget.request(&service, arrival.at);
@@ -54,11 +52,9 @@
         relay,
         arrival,
         writer,
-        connections: (connections / relay.boxes() as u32).max(2),
+        terms: Terms::new(declared, relay.boxes()),
         deadline,
         elapsed: Duration::ZERO,
-        cold: declared.and_then(|service| service.cold),
-        copy_ms: engine.and_then(|engine| engine.copy_ms_per_token),
         request,
         content,
         account,
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -2,6 +2,7 @@
 //!
 //! * `admission`: admits or refuses the request by the catalog in force.
 //! * `overload`: admits or refuses requests for plain services by their load.
+//! * `origin`: finds out which release began a stream that a client takes up.
 //! * `state`: the state of the request while it is handled.
 //! * `send`: chooses a server and sends the request there.
 //! * `stream`: forwards the answer to the client.
@@ -17,6 +18,7 @@
 mod buffered;
 mod deliver;
 mod disposition;
+mod origin;
 mod overload;
 mod report;
 mod retry;
@@ -91,7 +93,7 @@
 
 impl Exchange<'_> {
     async fn serve(&mut self) -> Result<Disposition, refusal::Kind> {
-        self.log_taken_up();
+        self.find_origin().await?;
         self.admit_by_load()?;
         loop {
             let sent = self.send(self.request.resume_after).await;
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -66,18 +66,18 @@
     }
 
     /// Logs and counts a request by which a client takes up a stream that broke off.
-    pub(super) fn log_taken_up(&self) {
-        let Some(after) = self.request.resume_after else {
-            return;
-        };
+    /// `origin`: how its release was found.
+    pub(super) fn log_taken_up(&self, origin: &'static str) {
         log::info!(
             target: "request",
-            "event=taken_up id={} attempt={} content={} after={after}",
+            "event=taken_up id={} attempt={} content={} after={} origin={origin} ms={}",
             self.request.attempt,
             self.request.resumes.as_deref().unwrap_or("-"),
             self.content,
+            self.request.resume_after.unwrap_or_default(),
+            self.arrival.at.elapsed().as_millis(),
         );
-        metrics::counter!("tidepier_streams_taken_up_total").increment(1);
+        metrics::counter!("tidepier_streams_taken_up_total", "origin" => origin).increment(1);
     }
 
     /// Logs and counts a stream that goes on at another server within its answer.
@@ -247,7 +247,10 @@
     pub(crate) fn record_first_event(&self, backend: &Backend, status: u16, first: Duration) {
         let at = self.arrival.at + first;
         let took = at.checked_duration_since(self.attempt_began());
-        let is_cold = self.cold.is_some_and(|cold| backend.is_cold(cold.time, at));
+        let is_cold = self
+            .terms
+            .cold
+            .is_some_and(|cold| backend.is_cold(cold.time, at));
         let Some(((work, predicted), took)) = self.last_attempt.first_event.zip(took) else {
             return;
         };
@@ -293,6 +296,7 @@
                     .saturating_sub(self.last_attempt.prefill_time)
                     .saturating_sub(self.client_wait.get()),
                 cold: self
+                    .terms
                     .cold
                     .is_some_and(|cold| backend.is_cold(cold.time, now)),
             },
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -117,15 +117,20 @@
     async fn place(&self) -> Result<(Choice, Permit), refusal::Kind> {
         let mut selector = self.release_selector();
         self.check_release_serves()?;
+        let mut young = self.young_releases();
         loop {
             self.check_not_crashing()?;
-            let choice = match self.choose(&selector, Duration::ZERO) {
+            let choice = match self.choose(&selector, &young, Duration::ZERO) {
                 // Servers of the old release take requests that the canaries cannot.
                 Err(_) if selector.is_canary() => {
                     selector = selector.others();
                     continue;
                 }
-                Err(refusal::Kind::Cold) => self.choose(&selector, COLD_WAIT_MAX)?,
+                Err(_) if !young.is_empty() => {
+                    young.clear();
+                    continue;
+                }
+                Err(refusal::Kind::Cold) => self.choose(&selector, &young, COLD_WAIT_MAX)?,
                 chosen => chosen?,
             };
             if let Some(at) = choice.admission_time {
@@ -170,11 +175,16 @@
         }
     }
 
-    /// Records that a server wrote the first event that the client gets of the stream.
-    pub(super) fn fix_release(&self, backend: &Backend) {
-        if self.route.kind == (Kind::Stream { resumable: true }) && self.origin.get().is_none() {
-            self.origin.set(Some(Origin::of(&backend.server)));
+    /// The releases to which the stream is not sent while there are others, as other boxes
+    /// may not know of them yet.
+    fn young_releases(&self) -> Vec<Origin> {
+        let is_resumable = self.route.kind == Kind::Stream { resumable: true };
+        if !is_resumable || self.origin.get().is_some() {
+            return Vec::new();
         }
+        let relay = self.relay;
+        let releases = &relay.fleet.releases;
+        releases.young(&self.service, relay.release_delay(), Instant::now())
     }
 
     /// Checks that there are servers of the release that began the stream, and that it was
@@ -244,10 +254,18 @@
     }
 
     /// Chooses a server; the request may wait up to `max_wait` for a cold one.
-    fn choose(&self, selector: &Selector, max_wait: Duration) -> Result<Choice, refusal::Kind> {
+    fn choose(
+        &self,
+        selector: &Selector,
+        young: &[Origin],
+        max_wait: Duration,
+    ) -> Result<Choice, refusal::Kind> {
         let relay = self.relay;
         let regions = relay.regions();
-        let filter = self.filter(&regions, selector, max_wait);
+        let filter = Filter {
+            young,
+            ..self.filter(&regions, selector, max_wait)
+        };
         let criteria = self.criteria(filter);
         let now = Instant::now();
         if let Some(choice) = self.choose_in_turn(&criteria, now) {
@@ -279,12 +297,12 @@
     pub(super) fn criteria<'a>(&'a self, filter: Filter<'a>) -> Criteria<'a> {
         Criteria {
             prompt: self.request.prompt.as_ref(),
-            copy_ms: self.copy_ms,
+            copy_ms: self.terms.copy_ms,
             tried: &self.tried,
             filter,
             hall: &self.relay.hall,
             not_resumable: self.route.kind != Kind::Stream { resumable: true },
-            connections: self.connections,
+            connections: self.terms.connections,
             crowd_factor: self.relay.bounds().crowd_factor,
         }
     }
@@ -298,7 +316,7 @@
     ) -> Filter<'a> {
         let relay = self.relay;
         let bounds = relay.bounds();
-        let gate = self.cold.map(|cold| Admission {
+        let gate = self.terms.cold.map(|cold| Admission {
             limit: Limit::new(cold, bounds.cold_overage, bounds.cold_tolerance),
             roster: &relay.roster,
             max_wait,
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -6,7 +6,7 @@
 
 use tidepier_admission::speed::{Prediction, Work};
 use tidepier_clock::Instant;
-use tidepier_core::catalog::{Account, Cold, Route};
+use tidepier_core::catalog::{Account, Cold, Route, Service};
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
@@ -52,6 +52,31 @@
     pub(super) first_event: Option<(Work, Prediction)>,
 }
 
+/// What the catalog declares of a service, as far as it matters to one request.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Terms {
+    /// Most connections of this box to one server.
+    pub(super) connections: u32,
+    /// How long a server is cold after its start, and the rate of requests it admits then.
+    pub(super) cold: Option<Cold>,
+    /// Time in ms to copy the KV cache of a token between engines; `None` if the
+    /// engines of the service cannot copy.
+    pub(super) copy_ms: Option<f64>,
+}
+
+impl Terms {
+    /// The terms of a service, which `boxes` boxes send requests to.
+    pub(super) fn new(declared: Option<&Service>, boxes: usize) -> Self {
+        let connections = declared.map_or(u32::MAX, |service| service.connections);
+        let engine = declared.and_then(|service| service.engine);
+        Self {
+            connections: (connections / boxes as u32).max(2),
+            cold: declared.and_then(|service| service.cold),
+            copy_ms: engine.and_then(|engine| engine.copy_ms_per_token),
+        }
+    }
+}
+
 /// An admitted request and the state of its handling.
 pub(super) struct Exchange<'a> {
     pub(super) relay: &'a Relay,
@@ -63,13 +88,7 @@
     pub(super) route: Arc<Route>,
     pub(super) account: Option<Arc<Account>>,
     pub(super) service: ids::Service,
-    /// Most connections of this box to one server.
-    pub(super) connections: u32,
-    /// How long a server is cold after its start, and the rate of requests it admits then.
-    pub(super) cold: Option<Cold>,
-    /// Time in ms to copy the KV cache of a token between engines; `None` if the
-    /// engines of the service cannot copy.
-    pub(super) copy_ms: Option<f64>,
+    pub(super) terms: Terms,
     /// Deadline for the final answer.
     pub(super) deadline: Instant,
     /// How long ago the client first asked, as far as that shows.
@@ -100,6 +119,23 @@
 }
 
 impl Exchange<'_> {
+    /// Who sent the request: the account or, on a route without accounts, the key.
+    pub(super) fn caller(&self) -> &str {
+        let account = self.account.as_ref().map(|account| account.name.as_str());
+        account.or(self.request.key.as_deref()).unwrap_or_default()
+    }
+
+    /// Directs the request to another service of its route.
+    pub(super) fn set_service(&mut self, service: ids::Service) {
+        if self.service == service {
+            return;
+        }
+        let catalog = self.relay.view.catalog();
+        let declared = catalog.as_ref().and_then(|it| it.services.get(&service));
+        self.terms = Terms::new(declared, self.relay.boxes());
+        self.service = service;
+    }
+
     /// Whether the client's connection closes after this answer.
     pub(super) fn closes(&self) -> bool {
         self.arrival.close || self.relay.closes_clients()
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -222,7 +222,7 @@
                 let first = exchange.arrival.at.elapsed();
                 client.first.set(Some(first));
                 exchange.record_first_event(backend, reply.answer.status, first);
-                exchange.fix_release(backend);
+                exchange.record_origin(backend);
             }
             exchange.arrival.answer_begun.set(true);
             let written = exchange.relay.backlog.write_events(exchange.writer, out);
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -15,6 +15,7 @@
 mod idle;
 mod permit;
 pub mod reach;
+pub mod releases;
 pub mod speeds;
 pub(crate) mod watch;
 
@@ -40,6 +41,7 @@
 pub use hall::Hall;
 pub use permit::Permit;
 use reach::Reach;
+use releases::Releases;
 use speeds::Speeds;
 
 /// Time for which the usual speed of a service's engines serves further choices: summing up
@@ -128,6 +130,8 @@
     servers: RefCell<HashMap<ids::Server, Rc<Backend>>>,
     /// Servers by listening address.
     addresses: RefCell<HashMap<SocketAddr, Vec<ids::Server>>>,
+    /// The releases that servers run and have run.
+    pub releases: Releases,
     /// What servers advertised whose entries are gone.
     departed: Departed,
     /// The servers by service, built when a service is first looked up after a change.
@@ -185,6 +189,7 @@
             hall: server.hall.clone(),
         });
         reach.add();
+        self.releases.joined(&server, now);
         let backend = Rc::new(Backend::new(server, advertisement, hall, reach, now));
         let id = backend.server.id.clone();
         let mut addresses = self.addresses.borrow_mut();
@@ -441,6 +446,7 @@
         let backend = self.servers.borrow_mut().remove(id)?;
         self.remove_address(&backend.server);
         backend.end();
+        self.releases.left(&backend.server, Instant::now());
         backend.reach.remove(backend.key);
         self.departed.keep(&backend);
         self.invalidate_group(&backend.server.service);
--- /dev/null
+++ b/crates/relay/src/fleet/releases.rs
@@ -0,0 +1,158 @@
+//! The releases that the servers of each service run, and have run recently.
+//!
+//! Invariant: a service is found to have had one release only as of what this box has
+//! observed for the whole of the time in question.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use tidepier_clock::Instant;
+use tidepier_core::server::{Release, Server};
+use tidepier_ids as ids;
+
+use crate::notifier::Notifier;
+use crate::origin::Origin;
+
+/// Time within which a box that starts learns of the servers that are there already.
+const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
+/// How long a release that no server runs any more is remembered.
+const RETENTION: Duration = Duration::from_secs(600);
+
+/// The name of a release; `None` for servers that report none.
+pub type Name = Option<Release>;
+
+/// Servers of one release of a service.
+#[derive(Debug, Clone, Copy)]
+struct Seen {
+    /// When the first of them joined.
+    first: Instant,
+    /// How many there are.
+    servers: usize,
+    /// When the last change was.
+    changed: Instant,
+}
+
+impl Seen {
+    /// Whether a server of the release was there less than `window` ago.
+    fn is_within(&self, window: Duration, now: Instant) -> bool {
+        self.servers > 0 || now.saturating_duration_since(self.changed) < window
+    }
+}
+
+/// The releases of one service.
+#[derive(Debug)]
+struct Service {
+    /// When this box first learned of a server.
+    since: Instant,
+    releases: BTreeMap<Name, Seen>,
+}
+
+/// The releases of all services.
+#[derive(Default)]
+pub struct Releases {
+    services: RefCell<HashMap<ids::Service, Service>>,
+    /// Whether nothing served before this box started.
+    is_first_start: Cell<bool>,
+    /// Notified when a service gets a release that it did not have.
+    pub added: Notifier,
+}
+
+impl Releases {
+    /// Records that this box started together with the whole fleet, before any stream
+    /// began.
+    pub fn record_first_start(&self) {
+        self.is_first_start.set(true);
+    }
+
+    pub(super) fn joined(&self, server: &Server, now: Instant) {
+        let mut services = self.services.borrow_mut();
+        let service = services
+            .entry(server.service.clone())
+            .or_insert_with(|| Service {
+                since: now,
+                releases: BTreeMap::new(),
+            });
+        service
+            .releases
+            .retain(|_, seen| seen.is_within(RETENTION, now));
+        let seen = service
+            .releases
+            .entry(server.release.clone())
+            .or_insert_with(|| {
+                self.added.notify();
+                Seen {
+                    first: now,
+                    servers: 0,
+                    changed: now,
+                }
+            });
+        seen.servers += 1;
+        seen.changed = now;
+    }
+
+    pub(super) fn left(&self, server: &Server, now: Instant) {
+        let mut services = self.services.borrow_mut();
+        let service = services.get_mut(&server.service);
+        if let Some(seen) = service.and_then(|it| it.releases.get_mut(&server.release)) {
+            seen.servers = seen.servers.saturating_sub(1);
+            seen.changed = now;
+        }
+    }
+
+    /// The services that have or had servers.
+    pub fn services(&self) -> Vec<ids::Service> {
+        self.services.borrow().keys().cloned().collect()
+    }
+
+    /// The releases of which servers are there, or were there less than `window` ago.
+    pub fn names(&self, service: &ids::Service, window: Duration, now: Instant) -> BTreeSet<Name> {
+        let services = self.services.borrow();
+        let releases = services
+            .get(service)
+            .into_iter()
+            .flat_map(|it| &it.releases);
+        let recent = releases.filter(|(_, seen)| seen.is_within(window, now));
+        recent.map(|(name, _)| name.clone()).collect()
+    }
+
+    /// Whether this box has observed the service for the whole of `window`.
+    pub fn is_complete(&self, service: &ids::Service, window: Duration, now: Instant) -> bool {
+        let services = self.services.borrow();
+        let since = services.get(service).map(|it| it.since);
+        let observed = since.map(|since| now.saturating_duration_since(since));
+        observed.is_some_and(|observed| self.is_first_start.get() || observed >= window)
+    }
+
+    /// The origin of all streams of a service that began less than `window` ago, if it had
+    /// one release in that time. Servers that report no release cannot be told apart.
+    pub fn sole(&self, service: &ids::Service, window: Duration, now: Instant) -> Option<Origin> {
+        let names = self.names(service, window, now);
+        let is_complete = self.is_complete(service, window, now) || names.contains(&None);
+        sole_origin(service, &names).filter(|_| is_complete)
+    }
+
+    /// The origins of releases that appeared beside others less than `delay` ago, so that
+    /// other boxes may not know of them.
+    pub fn young(&self, service: &ids::Service, delay: Duration, now: Instant) -> Vec<Origin> {
+        let services = self.services.borrow();
+        let Some(known) = services.get(service) else {
+            return Vec::new();
+        };
+        let first_list = known.since + FIRST_LIST_TIME;
+        let is_young = |seen: &Seen| seen.first > first_list && seen.first + delay > now;
+        let young = known.releases.iter().filter(|(_, seen)| is_young(seen));
+        young
+            .map(|(name, _)| Origin::new(service, name.as_ref()))
+            .collect()
+    }
+}
+
+/// The origin of streams of a service that has only one of these releases.
+pub fn sole_origin(service: &ids::Service, names: &BTreeSet<Name>) -> Option<Origin> {
+    let mut names = names.iter();
+    match (names.next(), names.next()) {
+        (Some(name), None) => Some(Origin::new(service, name.as_ref())),
+        _ => None,
+    }
+}
--- a/crates/relay/src/message/mod.rs
+++ b/crates/relay/src/message/mod.rs
@@ -6,6 +6,7 @@
 pub mod boxes;
 pub mod follow;
 pub mod link;
+pub mod origin;
 pub mod part;
 pub mod recall;
 mod row;
@@ -34,4 +35,10 @@
     /// A connection to a server; the answer is a [`tunnel::Answer`], after which this
     /// connection carries it. Boxes of former releases close the connection.
     Tunnel(tunnel::Request),
+    /// Origins of streams; there is no answer. Boxes of former releases close the
+    /// connection.
+    Origins(origin::Report),
+    /// The origin of a stream; the answer is an [`origin::Answer`]. Boxes of former
+    /// releases close the connection.
+    Origin(origin::Request),
 }
--- /dev/null
+++ b/crates/relay/src/origin/ledger.rs
@@ -0,0 +1,141 @@
+//! The releases that each service has had, in the store.
+//!
+//! A box that starts does not know which releases served before. Where no other box knows
+//! it either, because all of them started together, only the store can tell.
+//!
+//! Invariant: the entry of a service names every release to which boxes send streams. It
+//! names a release until no server of it has been there for as long as a stream may last, as
+//! observed by one box all that time.
+
+use std::cell::{OnceCell, RefCell};
+use std::collections::{BTreeSet, HashMap};
+use std::rc::Rc;
+use std::time::Duration;
+
+use serde::{Deserialize, Serialize};
+use tidepier_clock::Instant;
+use tidepier_core::era::Revision;
+use tidepier_core::store::{Failure, Store, Swap, Write};
+use tidepier_ids as ids;
+use tidepier_platform::store::Client;
+
+use crate::fleet::releases::Name;
+
+/// Prefix of the keys of the entries.
+const PREFIX: &str = "tidepier/releases/";
+/// Time-out of a call.
+const CALL_TIMEOUT: Duration = Duration::from_millis(400);
+/// How long what was read is used again.
+const READ_TTL: Duration = Duration::from_secs(1);
+
+/// The value of an entry: the names of the releases, `null` for servers that report none.
+#[derive(Debug, Default, Serialize, Deserialize)]
+struct Value {
+    releases: Vec<Option<Box<str>>>,
+}
+
+impl Value {
+    fn new(names: &BTreeSet<Name>) -> Self {
+        let name = |name: &Name| name.as_ref().map(|name| name.as_str().into());
+        Self {
+            releases: names.iter().map(name).collect(),
+        }
+    }
+
+    /// The names; one that is no valid name counts as a release of its own.
+    fn names(&self) -> BTreeSet<Name> {
+        let name = |name: &Option<Box<str>>| name.as_ref().and_then(|name| name.parse().ok());
+        self.releases.iter().map(name).collect()
+    }
+}
+
+/// The entry of a service as it was read.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Entry {
+    /// The releases; empty if there is no entry.
+    pub names: BTreeSet<Name>,
+    revision: Revision,
+}
+
+/// Reads and writes the entries.
+#[derive(Default)]
+pub struct Ledger {
+    store: OnceCell<Rc<Client>>,
+    read: RefCell<HashMap<ids::Service, (Instant, Entry)>>,
+}
+
+impl Ledger {
+    /// Sets the store; without one nothing is read.
+    pub fn set_store(&self, store: Rc<Client>) {
+        // It is set once, when the box starts.
+        let _ = self.store.set(store);
+    }
+
+    /// The releases of a service, as of a second ago at most.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer, or its entry is unreadable.
+    pub async fn names(&self, service: &ids::Service) -> Result<BTreeSet<Name>, Failure> {
+        let recent = self.read.borrow().get(service).cloned();
+        if let Some((at, entry)) = recent {
+            if at.elapsed() < READ_TTL {
+                return Ok(entry.names);
+            }
+        }
+        let entry = self.read(service).await?;
+        let names = entry.names.clone();
+        let mut read = self.read.borrow_mut();
+        read.insert(service.clone(), (Instant::now(), entry));
+        Ok(names)
+    }
+
+    /// Reads the entry of a service.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer, or its entry is unreadable.
+    pub async fn read(&self, service: &ids::Service) -> Result<Entry, Failure> {
+        let store = self.store.get().ok_or(Failure::Unavailable)?;
+        let item = store.get(&key(service), CALL_TIMEOUT).await?.value;
+        let Some(item) = item else {
+            return Ok(Entry::default());
+        };
+        let value: Value = serde_json::from_slice(&item.value)
+            .map_err(|error| Failure::Malformed(error.to_string()))?;
+        Ok(Entry {
+            names: value.names(),
+            revision: item.revision,
+        })
+    }
+
+    /// Replaces the entry that was read by one with these releases. Returns whether it was
+    /// still the same.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn replace(
+        &self,
+        service: &ids::Service,
+        before: &Entry,
+        names: &BTreeSet<Name>,
+    ) -> Result<bool, Failure> {
+        let store = self.store.get().ok_or(Failure::Unavailable)?;
+        let key = key(service);
+        let value = serde_json::to_vec(&Value::new(names));
+        let value = value.map_err(|error| Failure::Malformed(error.to_string()))?;
+        let write = Write {
+            key: &key,
+            value: &value,
+            lease: None,
+        };
+        let expected = [(key.as_str(), before.revision)];
+        let swapped = store.swap(&expected, &[write], &[], CALL_TIMEOUT).await?;
+        Ok(matches!(swapped, Swap::Done(_)))
+    }
+}
+
+fn key(service: &ids::Service) -> String {
+    format!("{PREFIX}{service}")
+}
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -21,11 +21,14 @@
 //! A box carries connections to servers for boxes that do not reach these themselves
 //! ([`gateway`]).
 //!
+//! Boxes keep for each other which releases began streams ([`origins`]).
+//!
 //! Invariant: a confirmation that is sent to another box never looks newer than it is. The
 //! receiving box dates it, on its own clock, to the time at which it sent the request,
 //! less the age given in the answer.
 
 pub mod gateway;
+pub mod origins;
 pub mod recovery;
 pub mod registry;
 pub mod responder;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -25,6 +25,7 @@
 use super::tree;
 use crate::message::boxes;
 use crate::notifier::Notifier;
+use crate::origin::keepers::{Keeper, Keepers};
 use crate::relay::Relay;
 use crate::timeout;
 use crate::tunnel::gateways::Gateway;
@@ -483,6 +484,9 @@
             } = member.clone();
             Gateway::new(name, hall, address)
         }));
+        relay
+            .origins
+            .set_keepers(keepers(&self.me, members.clone()));
         let boxes = members.iter().map(|member| (&member.name, &member.hall));
         relay
             .roster
@@ -514,6 +518,19 @@
     Timer::after(RETRY_DELAY.mul_f64(0.5 + fastrand::f64())).await;
 }
 
+/// The boxes that keep origins of streams.
+fn keepers(me: &Member, mut members: Vec<Member>) -> Keepers {
+    members.sort_by_cached_key(|it| (it.hall.clone(), priority_key(it)));
+    let halls = members.chunk_by(|a, b| a.hall == b.hall).map(|boxes| {
+        let keeper = |it: &Member| Keeper {
+            name: it.name.clone(),
+            address: it.address,
+        };
+        (boxes[0].hall.clone(), boxes.iter().map(keeper).collect())
+    });
+    Keepers::new(&me.name, &me.hall, halls.collect())
+}
+
 /// The list of boxes as it is sent to others; `members` are sorted by name.
 fn list(members: &[Member]) -> boxes::List {
     let mut halls: BTreeMap<ids::Hall, Vec<boxes::Row>> = BTreeMap::new();
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -16,6 +16,7 @@
 use crate::message::link::{self, Error};
 use crate::message::{self, recall, PeerRequest, VERSION};
 use crate::peer::gateway;
+use crate::peer::origins;
 use crate::peer::registry::Registry;
 use crate::peer::traffic;
 use crate::server_history::Cursor;
@@ -142,6 +143,19 @@
                 // Boxed, as the futures of all connections would hold it otherwise.
                 return Box::pin(gateway::serve(conn, relay, registry, &request)).await;
             }
+            PeerRequest::Origins(report) => {
+                check_version(report.version)?;
+                let now = Instant::now();
+                let window = relay.origins.window();
+                for record in report.records.into_iter().take(origins::RECORDS_MAX) {
+                    relay.origins.table.insert(record, window, now);
+                }
+            }
+            PeerRequest::Origin(request) => {
+                check_version(request.version)?;
+                let answer = origins::answer(relay, &request);
+                link::within(SEND_TIMEOUT, link::send(&conn, &answer)).await?;
+            }
             PeerRequest::Recall(request) => {
                 check_version(request.version)?;
                 let answer = cached_parts(&relay.traffic);
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -52,6 +52,8 @@
     Emptied,
     /// No server is in a region that the request may not leave.
     NoRegion,
+    /// It is not known which release began the stream that is to be taken up.
+    UnknownStream,
     /// No server of the release that began the stream takes requests.
     ReleaseGone,
     /// The servers that could serve the request are cold and admit no more of this box.
@@ -93,6 +95,7 @@
             | Kind::BackingOff(_)
             | Kind::Emptied
             | Kind::NoRegion
+            | Kind::UnknownStream
             | Kind::ReleaseGone
             | Kind::Cold
             | Kind::Crashing(_)
@@ -138,6 +141,7 @@
             Kind::BackingOff(_) => "resting",
             Kind::Emptied => "emptied",
             Kind::NoRegion => "no_region",
+            Kind::UnknownStream => "unknown_stream",
             Kind::ReleaseGone => "release_gone",
             Kind::Cold => "cold",
             Kind::Crashing(_) => "crashing",
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -21,6 +21,7 @@
 use crate::fleet::Fleet;
 use crate::message::traffic::Report;
 use crate::network::Network;
+use crate::origin::{Origin, Origins};
 use crate::rollout::{self, Rollouts};
 use crate::stop::{Phase, Stop};
 use crate::traffic::log::{Peer, Placement};
@@ -32,6 +33,9 @@
 use tidepier_admission::demand::Summary;
 use tidepier_admission::returns::Timeouts;
 
+/// How much longer a new release gets no streams than a view counts as recent: a watch may
+/// deliver the entries of its servers late.
+const RELEASE_MARGIN: Duration = Duration::from_secs(1);
 /// Most subjects of which a box is told how many requests there are.
 const SUBJECTS_MAX: usize = 16;
 /// Number of boxes assumed until they have been counted.
@@ -107,6 +111,8 @@
     pub rollouts: Rollouts,
     /// Server crashes under requests, and the contents refused because of them.
     pub crashes: Rc<Crashes>,
+    /// The releases that began streams.
+    pub origins: Origins,
     /// Admits requests for plain services while these cannot bear all of them.
     pub admission: Admission,
     /// How long the clients of each route wait for an answer.
@@ -143,6 +149,7 @@
             traffic: Traffic::default(),
             rollouts: Rollouts::default(),
             crashes: Rc::default(),
+            origins: Origins::default(),
             admission: Admission::default(),
             timeouts: Timeouts::default(),
             rotations: Rotations::default(),
@@ -194,6 +201,26 @@
         informed && trusted && self.era_state.may_serve() && self.stop.phase() == Phase::Serving
     }
 
+    /// Whether this box knows every release that boxes send streams to: a new release gets
+    /// none for longer than the age of this box's view.
+    pub fn knows_releases(&self) -> bool {
+        self.view.is_fresh(self.bounds().catalog_max_age)
+    }
+
+    /// Time for which a new release of a service gets no streams.
+    pub fn release_delay(&self) -> Duration {
+        self.bounds().catalog_max_age + RELEASE_MARGIN
+    }
+
+    /// The origin of all streams of a service, if it has had one release for as long as
+    /// they may last. Servers that report no release cannot be told apart.
+    pub fn sole_origin(&self, service: &ids::Service, now: Instant) -> Option<Origin> {
+        let window = self.origins.window();
+        let sole = self.fleet.releases.sole(service, window, now)?;
+        let is_unnamed = sole == Origin::new(service, None);
+        (is_unnamed || self.knows_releases()).then_some(sole)
+    }
+
     /// Whether client connections close after the next answer: because another box
     /// can serve their next requests better, or because more clients wait for a
     /// connection.
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -25,7 +25,7 @@
 use crate::metrics;
 use crate::network::Network;
 use crate::peer::registry::{Member, Registry};
-use crate::peer::{recovery, responder, seed, traffic, upstream};
+use crate::peer::{origins, recovery, responder, seed, traffic, upstream};
 use crate::ready;
 use crate::recall;
 use crate::relay::{Bounds, Relay};
@@ -138,6 +138,8 @@
             executor.spawn(metrics::serve(listener, registry)).detach();
         }
         let store = Rc::new(Client::new(settings.store.address));
+        relay.origins.ledger.set_store(store.clone());
+        executor.spawn(origins::run_updates(relay.clone())).detach();
         let follower = Follower::new(relay.clone(), store.clone());
         executor.spawn(follower.clone().follow_catalog()).detach();
         executor
@@ -234,6 +236,8 @@
         follower.set_reads_store("alone", true);
         let recovering = recovery::run(follower, None, Vec::new(), executor.clone());
         executor.spawn(recovering).detach();
+        let ledger = origins::run_ledger(relay.clone(), true);
+        executor.spawn(ledger).detach();
         let now = Instant::now();
         relay.roster.set_single(&settings.name, &settings.hall, now);
         return Ok(());
@@ -251,6 +255,7 @@
         // other are complete from the beginning.
         relay.roster.set_listed(Instant::now());
         relay.era_state.record_first_start();
+        relay.fleet.releases.record_first_start();
         // No engine has anything in its KV cache yet, so there is no index to rebuild.
         relay.traffic.set_progress(Progress::Done);
     }
@@ -293,6 +298,11 @@
         }
     };
     executor.spawn(rereading).detach();
+    executor
+        .spawn(origins::run(relay.clone(), executor.clone()))
+        .detach();
+    let ledger = origins::run_ledger(relay.clone(), false);
+    executor.spawn(ledger).detach();
     executor
         .spawn(traffic::run(
             relay.clone(),
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -33,6 +33,7 @@
 mod locations;
 mod logged;
 mod losses;
+mod origins;
 mod overload;
 mod partition_harness;
 mod partitioned;
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -194,6 +194,7 @@
         gate: None,
         release_selector: None,
         origin: None,
+        young: &[],
     };
     let mut copied = 0;
     for subject in 0..200 {
--- a/crates/relay/tests/relay/registry.rs
+++ b/crates/relay/tests/relay/registry.rs
@@ -25,7 +25,9 @@
         let server = site.server(server_settings(1))?;
         let peer = address();
         let settings = box_harness::settings(&site, "box-1", "hall-1", 1_000, peer);
-        // The entry that the box's previous process left.
+        // The entries that the box's previous process left.
+        let releases = serde_json::json!({ "releases": ["v1"] });
+        site.store.put("tidepier/releases/service-1", &releases);
         let member = Member {
             name: "box-1".parse()?,
             hall: "hall-1".parse()?,
--- a/crates/relay/tests/relay/stream_releases.rs
+++ b/crates/relay/tests/relay/stream_releases.rs
@@ -5,6 +5,7 @@
 use std::time::Instant;
 
 use eyre::{ensure, eyre};
+use serde_json::Value;
 use smol::Timer;
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
@@ -302,14 +303,149 @@
     })
 }
 
+/// Two servers of one release, and boxes in two halls. `knows_start`: whether the boxes know that
+/// nothing served before them.
+async fn start_one_release(
+    executor: &Executor,
+    knows_start: bool,
+) -> Result<(Site, Vec<Server>, Vec<TestBox>)> {
+    let site = site()?;
+    let servers = [1, 2].map(|number| site.server(settings(number, "hall-1", "v1")));
+    let servers = servers.into_iter().collect::<std::io::Result<_>>()?;
+    let boxes = start_boxes_in(executor, &site, &["hall-1", "hall-2"]).await?;
+    if knows_start {
+        for it in &boxes {
+            it.router.relay().fleet.releases.record_first_start();
+        }
+    }
+    wait_until("know each other", async || {
+        Ok(boxes.iter().all(|it| it.router.relay().boxes() == 2))
+    })
+    .await?;
+    Ok((site, servers, boxes))
+}
+
+/// Number of streams whose origin a box knows.
+fn known(at: &TestBox) -> usize {
+    at.router.relay().origins.table.len()
+}
+
+/// Guards against messages for streams of which every box knows the release.
+#[test]
+fn nobody_is_told_of_streams_of_a_service_with_one_release() -> Result {
+    run(async |executor| {
+        let (_site, servers, boxes) = start_one_release(&executor, true).await?;
+        for number in 0..STREAMS {
+            let call = post("/c/x", &format!("first-{number}"));
+            begin(&boxes[0], &servers, &call).await?;
+        }
+        Timer::after(ms(600)).await;
+        ensure!((known(&boxes[0]), known(&boxes[1])) == (STREAMS, 0));
+        Ok(())
+    })
+}
+
+/// Guards against streams of unknown origin that began before a second release appeared.
+#[test]
+fn earlier_streams_are_told_of_when_a_second_release_appears() -> Result {
+    run(async |executor| {
+        let (site, mut servers, mut boxes) = start_one_release(&executor, true).await?;
+        let begun = begin(&boxes[0], &servers, &post("/c/x", "first")).await?;
+        servers.push(site.server(settings(3, "hall-2", "v2"))?);
+        wait_until("told", async || Ok(known(&boxes[1]) == 1)).await?;
+        drop(boxes.remove(0));
+        let call = take_up("/c/x", "again", "first", &begun);
+        ensure_one_stream(&[&begun, &boxes[0].call(&call).await?])
+    })
+}
+
+/// Guards against streams at a release of which other boxes have not heard.
+#[test]
+fn a_new_release_gets_no_streams_until_all_boxes_know_it() -> Result {
+    run(async |executor| {
+        let (site, servers, boxes) = start_one_release(&executor, true).await?;
+        // A box takes what it learns in its first second for old.
+        Timer::after(ms(1_100)).await;
+        let new = site.server(settings(3, "hall-1", "v2"))?;
+        wait_until("known", async || Ok(boxes[0].sends_to(&new)?)).await?;
+        let start = Instant::now();
+        while start.elapsed() < ms(1_500) {
+            let attempt = format!("{:?}", start.elapsed());
+            boxes[0].call(&post("/c/x", &attempt)).await?;
+        }
+        ensure!(new.runs().is_empty(), "{} streams", new.runs().len());
+        // Nothing else is left.
+        servers.iter().for_each(Server::crash);
+        wait_until("used", async || {
+            boxes[0].call(&post("/t/x", "last")).await?;
+            Ok(!new.runs().is_empty())
+        })
+        .await
+    })
+}
+
+/// Guards against refusals after all boxes have started anew.
+#[test]
+fn boxes_that_all_start_anew_learn_the_releases_from_the_store() -> Result {
+    run(async |executor| {
+        let (site, mut servers, boxes) = start_one_release(&executor, false).await?;
+        let begun = begin(&boxes[0], &servers, &post("/c/x", "first")).await?;
+        // The number of releases that the store names.
+        let recorded = || {
+            let entry = site.store.value("tidepier/releases/service-1")?;
+            let entry: Value = serde_json::from_slice(&entry).ok()?;
+            Some(entry["releases"].as_array()?.len())
+        };
+        wait_until("recorded", async || Ok(recorded() == Some(1))).await?;
+        drop(boxes);
+        let boxes = start_boxes_in(&executor, &site, &["hall-1"]).await?;
+        let call = take_up("/c/x", "again", "first", &begun);
+        ensure_one_stream(&[&begun, &boxes[0].call(&call).await?])?;
+        // A release that was there before may have begun the stream.
+        servers.push(site.server(settings(3, "hall-1", "v2"))?);
+        wait_until("recorded", async || Ok(recorded() == Some(2))).await?;
+        site.withdraw(&servers[2]);
+        drop(boxes);
+        let boxes = start_boxes_in(&executor, &site, &["hall-1"]).await?;
+        let call = take_up("/c/x", "later", "first", &begun);
+        let answer = boxes[0].call(&call).await?;
+        ensure!(answer.status == 503, "{answer:?}");
+        Ok(())
+    })
+}
+
+/// Guards against a box of a former release, which closes the connection, as a keeper.
+#[test]
+fn streams_are_taken_up_beside_boxes_that_keep_nothing() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let servers = start_servers(&site)?;
+        // It ranks before all others, and nothing listens there.
+        let absent = crate::box_harness::address();
+        crate::box_harness::register(&site, "former", "hall-1", absent)?;
+        let boxes = start_boxes_in(&executor, &site, &["hall-1", "hall-1", "hall-1"]).await?;
+        wait_until("know each other", async || {
+            Ok(boxes.iter().all(|it| it.router.relay().boxes() == 4))
+        })
+        .await?;
+        // What was told to it is lost.
+        begin(&boxes[0], &servers, &post("/c/x", "lost")).await?;
+        Timer::after(ms(200)).await;
+        for number in 0..STREAMS {
+            let first = format!("first-{number}");
+            let begun = begin(&boxes[0], &servers, &post("/c/x", &first)).await?;
+            let call = take_up("/c/x", &format!("again-{number}"), &first, &begun);
+            ensure_one_stream(&[&begun, &boxes[1 + number % 2].call(&call).await?])?;
+        }
+        Ok(())
+    })
+}
+
 /// Guards against streams that are refused though their service has only one release.
 #[test]
 fn streams_of_a_service_with_one_release_are_taken_up_anywhere() -> Result {
     run(async |executor| {
-        let site = site()?;
-        let servers = [1, 2].map(|number| site.server(settings(number, "hall-1", "v1")));
-        let servers: Vec<Server> = servers.into_iter().collect::<std::io::Result<_>>()?;
-        let boxes = start_boxes_in(&executor, &site, &["hall-1", "hall-2"]).await?;
+        let (_site, servers, boxes) = start_one_release(&executor, false).await?;
         for (number, at) in boxes.iter().enumerate() {
             let begun = begin(&boxes[0], &servers, &post("/c/x", "first")).await?;
             let unnamed = post("/c/x", &format!("unnamed-{number}"));
