--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -52,6 +52,10 @@
     /// Also partitions some boxes from all servers.
     #[arg(long)]
     partitions: bool,
+    /// Also has servers of two releases serve streams, which break off and which clients take
+    /// up at any box.
+    #[arg(long)]
+    releases: bool,
     /// Makes most streams be about one subject, with sixteen boxes and more servers.
     #[arg(long)]
     hot_subject: bool,
@@ -156,6 +160,7 @@
         words: arguments.words,
         returns: arguments.returns,
         partitions: arguments.partitions,
+        releases: arguments.releases,
         hot_subject: arguments.hot_subject,
         boxes: arguments.boxes.map(usize::from),
     };
--- a/crates/soak/src/bound.rs
+++ b/crates/soak/src/bound.rs
@@ -45,6 +45,8 @@
 pub const CROWD_EXTRA: f64 = 3.0;
 /// Window in which requests to crowded servers are counted.
 pub const CROWD_WINDOW: Duration = Duration::from_secs(5);
+/// Streams that are taken up from which their refusals are judged.
+pub const TAKEN_UP_MIN: usize = 12;
 /// Boxes that are partitioned from all servers serve at least this share of what the others
 /// do, ...
 pub const PARTITIONED_SHARE: f64 = 2.0 / 3.0;
--- a/crates/soak/src/fleet/crashing.rs
+++ b/crates/soak/src/fleet/crashing.rs
@@ -62,6 +62,7 @@
                 id: format!("{content}-{number}"),
                 traffic,
                 content: Some(content.into()),
+                takes_up: None,
                 box_index: number % self.box_count(),
                 key: None,
                 sent: Instant::now(),
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -44,6 +44,8 @@
 const READY_PORT: u16 = 20_713;
 /// Number of further servers of streams with a hot subject.
 const HOT_SUBJECT_SERVERS: usize = 9;
+/// Number of further servers of streams with two releases.
+const RELEASE_SERVERS: usize = 3;
 /// Servers of each of the two services at the start.
 const SERVERS_PER_SERVICE: usize = 3;
 /// Number of keys that are valid at any time.
@@ -93,6 +95,8 @@
     backups: Mutex<restore::Backups>,
     /// Halls that the operator has emptied.
     emptied: Mutex<BTreeSet<String>>,
+    /// Whether the servers of streams run two releases.
+    has_releases: bool,
     /// Servers whose entries were removed.
     withdrawn_servers: Mutex<HashSet<String>>,
 }
@@ -142,12 +146,18 @@
             store_unreachable: AtomicBool::new(false),
             backups: Mutex::default(),
             emptied: Mutex::default(),
+            has_releases: schedule.releases,
             withdrawn_servers: Mutex::default(),
         };
         for _ in 0..SERVERS_PER_SERVICE {
             fleet.add_server(PLAIN)?;
             fleet.add_server(STREAM)?;
         }
+        if schedule.releases {
+            for _ in 0..RELEASE_SERVERS {
+                fleet.add_server(STREAM)?;
+            }
+        }
         if schedule.hot_subject {
             for _ in 0..HOT_SUBJECT_SERVERS {
                 fleet.add_server(STREAM)?;
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -52,6 +52,7 @@
             work: WORK_TIME,
             answer_bytes: ANSWER_BYTES,
             events: (service == STREAM).then_some(EVENTS),
+            release: self.next_release(service),
             ..Settings::default()
         })?;
         for body in lock(&self.crashing_contents).iter() {
@@ -68,6 +69,15 @@
         Ok(())
     }
 
+    /// The release of the next server of a service: each of two in turn.
+    fn next_release(&self, service: &str) -> Option<String> {
+        let backends = self.backends();
+        let known = backends.iter().map(|it| it.server.settings());
+        let known = known.filter(|settings| settings.service == service).count();
+        let has_releases = self.has_releases && service == STREAM;
+        has_releases.then(|| format!("v{}", 1 + known % 2))
+    }
+
     pub(super) fn announce(&self, backend: &Backend, state: State) {
         let address = backend.proxy.address();
         self.site.announce_at(&backend.server, address, state);
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// What a client says of a stream that it takes up.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TakeUp {
+    /// The id of the request that brought the first event.
+    pub first: String,
+    /// The last event that the client has.
+    pub after: u64,
+}
+
 /// A request that a client sent to a box.
 #[derive(Debug, Clone)]
 pub struct Request {
@@ -75,6 +84,8 @@
     pub traffic: Traffic,
     /// Content that the request shares with others; `None` if its content is its own.
     pub content: Option<String>,
+    /// Set if it takes up a stream that broke off.
+    pub takes_up: Option<TakeUp>,
     /// The box that it was sent to.
     pub box_index: usize,
     /// The key that it was sent with.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -16,7 +16,7 @@
 use tidepier_relay_standin::{names, Client};
 
 use crate::fleet::Fleet;
-use crate::ledger::{self, Fact, Request, Traffic};
+use crate::ledger::{self, Fact, Request, TakeUp, Traffic};
 use crate::plan;
 use crate::schedule::Schedule;
 
@@ -38,6 +38,9 @@
 /// Tokens of a subject, and of the part that belongs to one request only.
 const SHARED_TOKENS: u32 = 2_000;
 const OWN_TOKENS: u32 = 80;
+/// Attempts of a client to take a stream up, and the pauses before them, in ms.
+const TAKE_UPS_MAX: u32 = 3;
+const TAKE_UP_PAUSES_MS: [u64; 4] = [0, 0, 200, 1_000];
 /// Share of the requests that are sent over a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
 
@@ -67,6 +70,7 @@
                     stopped: stopped.clone(),
                     rng,
                     hot_subject: schedule.hot_subject,
+                    releases: schedule.releases,
                     client: None,
                 };
                 clients.push(smol::spawn(client_task.run()));
@@ -111,6 +115,8 @@
     rng: ChaCha8Rng,
     /// Whether streams have prompts, most of them about one subject.
     hot_subject: bool,
+    /// Whether streams that break off are taken up.
+    releases: bool,
     client: Option<Client>,
 }
 
@@ -149,18 +155,67 @@
             id,
             traffic,
             content: None,
+            takes_up: None,
             box_index: self.box_index,
             key,
             sent: Instant::now(),
             ended: None,
             answer: None,
         };
+        let first = request.id.clone();
         let number = self.fleet.ledger.record_sent(request);
         let answer = client.call(&call).await;
         if is_reusable(&answer) {
             self.client = Some(client);
         }
+        let held = answer.ids().last().copied();
+        let broken = answer.status == 200 && !answer.complete;
         self.fleet.ledger.record_ended(number, Some(answer));
+        if let Some(after) = held.filter(|_| self.releases && traffic == Traffic::Resumable) {
+            if broken {
+                self.take_up(&first, after).await;
+            }
+        }
+    }
+
+    /// Takes a stream up at any box, at once or later, until it is complete or a few
+    /// attempts have failed.
+    async fn take_up(&mut self, first: &str, mut after: u64) {
+        for attempt in 1..=TAKE_UPS_MAX {
+            let pause = *TAKE_UP_PAUSES_MS.choose(&mut self.rng).unwrap_or(&0);
+            Timer::after(Duration::from_millis(pause)).await;
+            let box_index = self.rng.random_range(0..self.fleet.box_count());
+            let id = format!("{first}-{attempt}");
+            let call = Call::new("POST", HOST, &Traffic::Resumable.target(&id), &id);
+            let call = call.body(ledger::BODY).leaving(plan::CLIENT_TIMEOUT);
+            let call = call
+                .with(names::LAST_EVENT, &after.to_string())
+                .with(names::RESUMES, first);
+            let Ok(mut client) = Client::open(self.fleet.client_address(box_index)).await else {
+                continue;
+            };
+            let number = self.fleet.ledger.record_sent(Request {
+                id,
+                traffic: Traffic::Resumable,
+                content: None,
+                takes_up: Some(TakeUp {
+                    first: first.into(),
+                    after,
+                }),
+                box_index,
+                key: None,
+                sent: Instant::now(),
+                ended: None,
+                answer: None,
+            });
+            let answer = client.call(&call).await;
+            let is_over = answer.complete && answer.status == 200;
+            after = answer.ids().last().copied().unwrap_or(after);
+            self.fleet.ledger.record_ended(number, Some(answer));
+            if is_over {
+                return;
+            }
+        }
     }
 
     /// The parts of a stream's prompt: a subject that others share, and a question.
--- a/crates/soak/src/rule/answers.rs
+++ b/crates/soak/src/rule/answers.rs
@@ -50,7 +50,7 @@
         let given = FAILURES.contains(&answer.status);
         return (!given).then_some("a status that the server did not give");
     }
-    let expected = expected(own);
+    let expected = expected(own, request);
     if answer.complete && answer.body != expected {
         return Some("complete, with another body");
     }
@@ -59,10 +59,12 @@
 }
 
 /// The complete body of a server's answer.
-fn expected(delivery: &Delivery) -> Vec<u8> {
+fn expected(delivery: &Delivery, request: &Request) -> Vec<u8> {
+    let release = delivery.server.release.as_deref();
+    let first = request.takes_up.as_ref().map_or(1, |it| it.after + 1);
     match delivery.server.events {
-        Some(events) => (1..=events.count)
-            .map(server::event)
+        Some(events) => (first..=events.count)
+            .map(|id| server::event_of(id, release))
             .collect::<String>()
             .into_bytes(),
         None => delivery.run.text(delivery.server.answer_bytes),
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -11,6 +11,7 @@
 mod load;
 mod planned;
 mod reach;
+mod releases;
 mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -59,6 +60,8 @@
     Crowd,
     /// Retries stay within their share.
     Retries,
+    /// A stream goes on at the release that began it, also when its client takes it up.
+    Releases,
     /// Boxes that are partitioned from all servers serve their clients.
     Reach,
     /// After the last fault, each box serves requests again in time.
@@ -71,7 +74,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 21] = [
+    pub const ALL: [Rule; 22] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -89,6 +92,7 @@
         Rule::Crashing,
         Rule::Crowd,
         Rule::Retries,
+        Rule::Releases,
         Rule::Reach,
         Rule::Recovery,
         Rule::Growth,
@@ -137,6 +141,7 @@
         executions::judge(evidence, &mut verdict);
         planned::judge(evidence, &mut verdict);
         reach::judge(evidence, &mut verdict);
+        releases::judge(evidence, &mut verdict);
         staleness::judge(evidence, &mut verdict);
         load::judge(evidence, &mut verdict);
         crashing::judge(evidence, &mut verdict);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -86,6 +86,8 @@
     pub returns: bool,
     /// Whether some boxes are partitioned from all servers in addition.
     pub partitions: bool,
+    /// Whether the servers of streams run two releases, and clients take streams up.
+    pub releases: bool,
     /// Whether most streams are about one subject, before more boxes and servers.
     pub hot_subject: bool,
     /// Number of boxes in place of the one that the seed determines.
@@ -117,6 +119,9 @@
     if options.partitions {
         schedule = schedule.with_partitions();
     }
+    if options.releases {
+        schedule = schedule.with_releases();
+    }
     if options.hot_subject {
         schedule = schedule.with_hot_subject();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -88,6 +88,13 @@
 const PARTITIONS_SEED: u64 = 0x7061_7274_6974_696f;
 /// Duration of a partition, in ms: longer than the time that boxes have to adapt to it.
 const PARTITION_MS: Range<u64> = 4_500..8_000;
+/// Number of times that [`Schedule::with_releases`] makes all servers break off streams, each
+/// time with the kill of a box and a server that is replaced by one of another release.
+const BREAKS: usize = 4;
+/// Mixed into the seed, so that these are chosen independently of the other faults.
+const RELEASES_SEED: u64 = 0x7265_6c65_6173_6573;
+/// How long all servers break off streams, in ms.
+const BREAK_MS: Range<u64> = 200..1_200;
 /// Delays of a slow link or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -113,6 +120,8 @@
     pub halls: usize,
     /// Whether most streams are about one subject, before many servers.
     pub hot_subject: bool,
+    /// Whether the servers of streams run two releases, and clients take streams up.
+    pub releases: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -137,6 +146,7 @@
             boxes,
             halls,
             hot_subject: false,
+            releases: false,
             steps,
         }
     }
@@ -264,6 +274,35 @@
         self.with_steps(steps)
     }
 
+    /// Has servers of two releases serve streams, which break off and which clients take up.
+    pub fn with_releases(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ RELEASES_SEED);
+        let boxes = self.boxes;
+        let mut steps: Vec<Step> = Vec::new();
+        for _ in 0..BREAKS {
+            let at = ms(&mut rng, START_MS);
+            let broken = pick(
+                &mut rng,
+                &[standin::Fault::CutEvent, standin::Fault::BreakOff],
+            );
+            let killed = rng.random_range(0..boxes);
+            let faults = [
+                Fault::Servers(broken),
+                Fault::Process(killed, Signal::Kill),
+                Fault::Server(rng.random_range(SERVER_NUMBERS), Server::Leave),
+            ];
+            steps.extend(faults.map(|fault| Step {
+                at,
+                lasts: ms(&mut rng, BREAK_MS),
+                fault,
+            }));
+        }
+        Self {
+            releases: true,
+            ..self.with_steps(steps.into_iter())
+        }
+    }
+
     /// Sets the number of boxes; the faults affect only the first ones.
     pub fn with_boxes(self, boxes: usize) -> Self {
         Self { boxes, ..self }
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -2,11 +2,13 @@
 
 use std::time::{Duration, Instant};
 
-use tidepier_relay_standin::client::{Answer, End};
+use tidepier_relay_standin::client::{Answer, Arrival, End};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, Outcome, Run};
 use tidepier_soak::evidence::{Delivery, Evidence};
-use tidepier_soak::ledger::{self, Disturbance, Fact, Ledger, Loads, Request, Scope, Traffic};
+use tidepier_soak::ledger::{
+    self, Disturbance, Fact, Ledger, Loads, Request, Scope, TakeUp, Traffic,
+};
 use tidepier_soak::rule::{Rule, Verdict};
 use tidepier_soak::{bound, plan};
 
@@ -59,6 +61,7 @@
             id: id.into(),
             traffic,
             content: content.map(Into::into),
+            takes_up: None,
             box_index: 0,
             key: (traffic == Traffic::Keyed).then(|| "key-0".into()),
             sent: self.at(second),
@@ -482,3 +485,50 @@
     // Whatever else is disturbed excuses it.
     assert_eq!(broken(with_a_partitioned_box(17, Some(Scope::Store))), []);
 }
+
+/// A stream whose first part was written by `v1`, and which its client took up.
+fn with_a_stream_taken_up(release: &str) -> TestRun {
+    let run = TestRun::new();
+    let parts = [("s-1", None, 1..=2, "v1"), ("s-2", Some(2), 3..=4, release)];
+    for (second, (id, after, events, release)) in [1.0, 2.0].into_iter().zip(parts) {
+        let events: Vec<Arrival> = events
+            .map(|event| Arrival {
+                text: server::event_of(event, Some(release)),
+                after: Duration::ZERO,
+            })
+            .collect();
+        let number = run.ledger.record_sent(Request {
+            id: id.into(),
+            traffic: Traffic::Resumable,
+            content: None,
+            takes_up: after.map(|after| TakeUp {
+                first: "s-1".into(),
+                after,
+            }),
+            box_index: 0,
+            key: None,
+            sent: run.at(second),
+            ended: None,
+            answer: None,
+        });
+        let answer = Answer {
+            status: 0,
+            fields: Vec::new(),
+            body: Vec::new(),
+            complete: false,
+            end: End::Closed,
+            elapsed: Duration::from_millis(20),
+            events,
+        };
+        let ended = run.at(second + 0.05);
+        run.ledger.record_ended_at(ended, number, Some(answer));
+    }
+    run
+}
+
+#[test]
+fn a_stream_taken_up_at_another_release_is_found() {
+    assert_eq!(with_a_stream_taken_up("v1").broken_rules(), []);
+    let rules = with_a_stream_taken_up("v2").broken_rules();
+    assert_eq!(rules, [Rule::Releases]);
+}
