Logs: the prompt parts of requests under which servers crash

The line server_ended named contents, of which no two are alike when a part of the prompts is the cause. It names the shared parts now, each with the number of requests that held it. No decision changes.

--- a/crates/relay/src/crash/suspects.rs
+++ b/crates/relay/src/crash/suspects.rs
@@ -10,12 +10,20 @@
 use crate::fleet::{Backend, Key};
 use crate::notifier::Notifier;
 
+/// A request that broke off at a server.
+pub struct Request {
+    /// Its content.
+    pub content: Fingerprint,
+    /// The ids of the parts of its prompt that other prompts share.
+    pub parts: Vec<u64>,
+}
+
 /// The requests that broke off at one server.
 pub struct Suspect {
     /// The server.
     pub backend: Rc<Backend>,
-    /// The contents of the requests, with one element for each request.
-    pub contents: Vec<Fingerprint>,
+    /// The requests.
+    pub requests: Vec<Request>,
     /// When the first one broke off.
     pub since: Instant,
 }
@@ -32,18 +40,18 @@
 
 impl Suspects {
     /// Records that a request broke off at a server.
-    pub fn add(&self, backend: &Rc<Backend>, content: Fingerprint) {
+    pub fn add(&self, backend: &Rc<Backend>, request: Request) {
         let mut by_server = self.by_server.borrow_mut();
         let suspect = by_server.entry(backend.key).or_insert_with(|| {
             self.unprobed.borrow_mut().push(backend.clone());
             self.changed.notify();
             Suspect {
                 backend: backend.clone(),
-                contents: Vec::new(),
+                requests: Vec::new(),
                 since: Instant::now(),
             }
         });
-        suspect.contents.push(content);
+        suspect.requests.push(request);
     }
 
     /// Takes the suspects whose probe has not started.
--- a/crates/relay/src/crash_probe.rs
+++ b/crates/relay/src/crash_probe.rs
@@ -7,7 +7,8 @@
 //! something else on the way may have refused it, for this box alone; so another box opens
 //! a connection too. Only if it cannot, the server has ended.
 
-use std::collections::HashSet;
+use std::cmp::Reverse;
+use std::collections::{HashMap, HashSet};
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,7 +18,7 @@
 use tidepier_h1::Conn;
 
 use crate::content::Fingerprint;
-use crate::crash::suspects::Suspect;
+use crate::crash::suspects::{Request, Suspect};
 use crate::crash::Crashes;
 use crate::dial::{Dialer, NoDetour, CONNECT_TIMEOUT};
 use crate::fleet::Backend;
@@ -32,7 +33,7 @@
 /// How long a new connection has to stay open to show that the server is alive: a process
 /// that is ending may still accept one before its port closes.
 const STAY_OPEN_TIME: Duration = Duration::from_millis(50);
-/// Most contents listed in a log line.
+/// Most contents and parts listed in a log line.
 const LOGGED_MAX: usize = 16;
 
 /// Probes the servers at which requests broke off; does not return.
@@ -59,14 +60,16 @@
 
 /// Records a server's crash for each content whose request broke off there.
 fn record_crash(crashes: &Crashes, suspect: &Suspect) {
-    let distinct: HashSet<Fingerprint> = suspect.contents.iter().copied().collect();
+    let requests = &suspect.requests;
+    let distinct: HashSet<Fingerprint> = requests.iter().map(|it| it.content).collect();
     let logged = distinct.iter().take(LOGGED_MAX).map(Fingerprint::to_string);
     log::info!(
         target: "request",
-        "event=server_ended server={} requests={} contents={}",
+        "event=server_ended server={} requests={} contents={} parts={}",
         suspect.backend.server.id,
-        suspect.contents.len(),
+        requests.len(),
         logged.collect::<Vec<_>>().join(","),
+        part_counts(requests),
     );
     metrics::counter!("tidepier_servers_ended_total").increment(1);
     for content in distinct {
@@ -74,6 +77,22 @@
     }
 }
 
+/// The shared prompt parts of some requests, each with the number of requests that hold it,
+/// the most frequent first.
+fn part_counts(requests: &[Request]) -> String {
+    let mut counts: HashMap<u64, usize> = HashMap::new();
+    for part in requests.iter().flat_map(|request| &request.parts) {
+        *counts.entry(*part).or_default() += 1;
+    }
+    let mut counts: Vec<(u64, usize)> = counts.into_iter().collect();
+    counts.sort_by_key(|(part, count)| (Reverse(*count), *part));
+    let logged = counts.iter().take(LOGGED_MAX);
+    let logged: Vec<String> = logged
+        .map(|(part, count)| format!("{part:x}*{count}"))
+        .collect();
+    logged.join(",")
+}
+
 /// Whether no process listens at a server's address.
 async fn has_crashed(dialer: &Dialer, backend: &Rc<Backend>) -> bool {
     for pause in PROBE_PAUSES {
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -15,6 +15,7 @@
 use crate::attempt::{Cause, Executed, Failure, Path};
 use crate::backlog::{Cut, Stall};
 use crate::choose::Choice;
+use crate::crash::suspects;
 use crate::dial;
 use crate::fleet::Backend;
 use crate::health;
@@ -112,6 +113,12 @@
         metrics::counter!("tidepier_streams_broken_total").increment(1);
     }
 
+    /// Ids of the parts of the prompt that other prompts share.
+    pub(super) fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
+        let prompt = self.request.prompt.iter();
+        prompt.flat_map(|prompt| prompt.shared().iter().map(|part| part.id))
+    }
+
     /// Id of the last part of the prompt that other prompts share; 0 without one.
     fn subject(&self) -> u64 {
         let prompt = self.request.prompt.as_ref();
@@ -165,7 +172,11 @@
             }
         }
         if failure.cause.may_be_crash() {
-            self.relay.crashes.suspects.add(backend, self.content);
+            let request = suspects::Request {
+                content: self.content,
+                parts: self.shared_parts().collect(),
+            };
+            self.relay.crashes.suspects.add(backend, request);
         }
     }
 
