--- a/crates/relay-standin/src/server/connection.rs
+++ b/crates/relay-standin/src/server/connection.rs
@@ -277,7 +277,8 @@
             return self.answer_early(index, head).await;
         }
         let body = http::body(&mut self.conn, head).await?;
-        let crashes = self.shared.crashes_on(&body);
+        let parts = head.text(names::PROMPT).map_or(Vec::new(), parse_parts);
+        let crashes = self.shared.crashes_on(&body, &parts);
         self.run(index, |run| run.body = Some(body));
         let id = self.shared.settings.id.clone();
         if head.text(names::ATTEMPT).is_none() {
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -16,6 +16,7 @@
 
 use event_listener::Event;
 use smol::Task;
+use tidepier_core::request::Part;
 
 use crate::http;
 use crate::partition::{Cut, Partitions};
@@ -237,6 +238,8 @@
     cache_list_override: Option<Vec<u8>>,
     /// Bodies of requests that crash the server.
     crash_bodies: Vec<Vec<u8>>,
+    /// Prompt parts under which the server crashes.
+    crash_parts: Vec<u64>,
     /// When it crashed.
     crashed: Option<Instant>,
     connections_opened: usize,
@@ -262,9 +265,12 @@
             .unwrap_or_else(|poisoned| poisoned.into_inner())
     }
 
-    /// Whether a request with this body crashes the server.
-    fn crashes_on(&self, body: &[u8]) -> bool {
-        self.lock().crash_bodies.iter().any(|ends| ends == body)
+    /// Whether a request with this body and these prompt parts crashes the server.
+    fn crashes_on(&self, body: &[u8], parts: &[Part]) -> bool {
+        let state = self.lock();
+        let mut parts = parts.iter();
+        state.crash_bodies.iter().any(|ends| ends == body)
+            || parts.any(|part| state.crash_parts.contains(&part.id))
     }
 
     fn listening(&self) -> MutexGuard<'_, Option<Task<()>>> {
@@ -324,6 +330,7 @@
             cached_parts: HashMap::new(),
             cache_list_override: None,
             crash_bodies: Vec::new(),
+            crash_parts: Vec::new(),
             crashed: None,
             connections_opened: 0,
             connections_open: 0,
@@ -365,6 +372,12 @@
         self.shared.lock().crash_bodies.push(body.to_vec());
     }
 
+    /// Makes the server crash when it begins to answer a request with this part in its
+    /// prompt.
+    pub fn end_on_part(&self, part: u64) {
+        self.shared.lock().crash_parts.push(part);
+    }
+
     /// When it crashed.
     pub fn crashed(&self) -> Option<Instant> {
         self.shared.lock().crashed
@@ -401,6 +414,7 @@
         state.unhealthy = false;
         state.backoff = None;
         state.crash_bodies.clear();
+        state.crash_parts.clear();
         drop(state);
         self.dark(false);
     }
--- a/crates/relay/tests/relay/crash_harness.rs
+++ b/crates/relay/tests/relay/crash_harness.rs
@@ -8,6 +8,7 @@
 use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_relay_standin::client::{Answer, Call};
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, Server};
 use tidepier_relay_standin::site::{Site, HOST};
 
@@ -29,6 +30,7 @@
     all: RefCell<Vec<Server>>,
     started: Cell<u32>,
     crashes_on: Vec<Vec<u8>>,
+    crashes_on_parts: RefCell<Vec<u64>>,
 }
 
 impl Servers {
@@ -37,6 +39,7 @@
             all: RefCell::default(),
             started: Cell::new(0),
             crashes_on: crashes_on.iter().map(|body| body.to_vec()).collect(),
+            crashes_on_parts: RefCell::default(),
         };
         for _ in 0..count {
             servers.add(site)?;
@@ -55,10 +58,19 @@
         for body in &self.crashes_on {
             server.end_on(body);
         }
+        for part in self.crashes_on_parts.borrow().iter() {
+            server.end_on_part(*part);
+        }
         self.all.borrow_mut().push(server);
         Ok(())
     }
 
+    /// From now on each server crashes that begins to answer a request with this part.
+    pub(crate) fn crash_on_part(&self, part: u64) {
+        self.crashes_on_parts.borrow_mut().push(part);
+        self.all.borrow().iter().for_each(|it| it.end_on_part(part));
+    }
+
     /// Replaces servers that crashed; does not return.
     pub(crate) async fn replace(&self, site: &Site) -> Result<std::convert::Infallible> {
         let mut replaced = 0;
@@ -89,6 +101,7 @@
 
     /// From now on no request crashes a server.
     pub(crate) fn mend(&self) {
+        self.crashes_on_parts.borrow_mut().clear();
         self.all.borrow().iter().for_each(Server::heal);
     }
 
@@ -102,6 +115,28 @@
         sent
     }
 
+    /// When servers crashed, in order.
+    pub(crate) fn all_crashes(&self) -> Vec<std::time::Instant> {
+        let all = self.all.borrow();
+        let mut crashed: Vec<_> = all.iter().filter_map(Server::crashed).collect();
+        crashed.sort();
+        crashed
+    }
+
+    /// When requests with this part in their prompts reached a server, in order.
+    pub(crate) fn arrivals_of_part(&self, part: u64) -> Vec<std::time::Instant> {
+        let all = self.all.borrow();
+        let runs = all.iter().flat_map(Server::runs);
+        let held = format!("{part:x}:");
+        let these = runs.filter(|run| {
+            let parts = run.field(names::PROMPT).unwrap_or_default();
+            parts.split(',').any(|it| it.trim().starts_with(&held))
+        });
+        let mut sent: Vec<_> = these.map(|run| run.arrived).collect();
+        sent.sort();
+        sent
+    }
+
     /// When servers crashed that were executing a request with this body, in order.
     pub(crate) fn crashes(&self, body: &[u8]) -> Vec<std::time::Instant> {
         let all = self.all.borrow();
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -13,6 +13,7 @@
 mod crash_harness;
 mod crashes;
 mod crashing;
+mod crashing_parts;
 mod demand;
 mod emptied_halls;
 mod entries;
