A prompt part that crashes servers is refused

Cause: crashes were counted by the whole content of a request. Of requests with the part no two are alike, so that no content ever met a second crash.

Crashes count under each shared part of the requests that broke off as well, in a table of their own with the same messages between boxes. A whole success clears all parts of its request, so that what sound requests share with the cause is never refused, while the cause never has one. Four crashes at different moments refuse a part at all boxes; later, one box in N, then two, four and so on try one request.

Ruled out: counting by caller, route or first part (sound requests share them), and crashes at the same time as several (a rack that fails would accuse the part that all requests hold; parts_are_served_though_servers_crash_by_themselves).

--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -9,7 +9,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-/// Hash of the content of a request, used in logs and between boxes. At 7,000 requests a
+/// Hash of the content of a request, or the id of a part of prompts, used in logs and between
+/// boxes. At 7,000 requests a
 /// second, the probability that two different requests of one day have the same hash is 1
 /// in 100.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
@@ -43,6 +44,11 @@
         Self(hash.digest())
     }
 
+    /// Stands for a part of prompts instead of a content; it shows the id of the part.
+    pub fn of_part(part: u64) -> Self {
+        Self(part)
+    }
+
     /// The hash as a number.
     pub fn as_u64(self) -> u64 {
         self.0
--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -5,14 +5,21 @@
 //! server, and each server the requests of other clients that it was executing: in the
 //! incident that led to this, 25 servers and about 5 requests of others each.
 //!
+//! The cause may also be a part of a prompt, whatever else the request holds, so that no two
+//! such requests are alike. A part is refused once servers have crashed at several moments
+//! under requests that hold it and no such request was answered meanwhile: sound requests
+//! clear all their parts, of which they share all but the cause with the others.
+//!
 //! * [`suspects`]: requests whose connections broke, by server.
-//! * [`table`]: the contents that servers crashed under, which boxes report to each
-//!   other.
+//! * [`table`]: the contents and the parts that servers crashed under, which boxes report
+//!   to each other.
+//! * [`trials`]: how a refused part gets a request again.
 //!
 //! Whether a server has crashed is found out by `crash_probe`.
 
 pub mod suspects;
 pub mod table;
+pub mod trials;
 
 use std::convert::Infallible;
 use std::rc::Rc;
@@ -24,68 +31,133 @@
 use crate::content::Fingerprint;
 use crate::fleet::Key;
 use suspects::Suspects;
-use table::{Change, Row, Table};
+use table::{Change, Kind, Row, Table};
+use trials::Trials;
 
 /// Interval at which expired records are removed.
 const EXPIRY_INTERVAL: Duration = Duration::from_secs(5);
 
 /// What one box knows of servers that crashed under requests.
-#[derive(Default)]
 pub struct Crashes {
     /// Requests that broke off at servers that may have crashed.
     pub suspects: Suspects,
-    /// The crashes that this box and others have observed.
+    /// The crashes under contents that this box and others have observed.
     pub table: Table,
+    /// The same under parts of prompts.
+    pub parts: Table,
+    trials: Trials,
+}
+
+impl Default for Crashes {
+    fn default() -> Self {
+        Self {
+            suspects: Suspects::default(),
+            table: Table::default(),
+            parts: Table::new(Kind::Part),
+            trials: Trials::default(),
+        }
+    }
 }
 
 impl Crashes {
     /// Records that a server crashed at `at` while it executed a request with this content.
     pub(crate) fn record_crash(&self, content: Fingerprint, server: Key, at: Instant) {
-        log_changes(self.table.record_crash(content, server, at));
+        let change = self.table.record_crash(content, server, at);
+        log_changes(Kind::Content, change);
+    }
+
+    /// Records that a server crashed at `at` while it executed requests with this part.
+    pub(crate) fn record_part_crash(&self, part: u64, server: Key, at: Instant) {
+        let part = Fingerprint::of_part(part);
+        log_changes(Kind::Part, self.parts.record_crash(part, server, at));
     }
 
-    /// Records a complete successful answer: a request with this content does not crash
-    /// servers.
-    pub(crate) fn answered(&self, content: Fingerprint) {
-        log_changes(self.table.answered(content, Instant::now()));
+    /// Records a complete successful answer: a request with this content and these parts does
+    /// not crash servers.
+    pub(crate) fn answered(&self, content: Fingerprint, parts: impl Iterator<Item = u64>) {
+        let now = Instant::now();
+        log_changes(Kind::Content, self.table.answered(content, now));
+        if !self.parts.is_empty() {
+            let parts = parts.map(Fingerprint::of_part);
+            log_changes(
+                Kind::Part,
+                parts.filter_map(|it| self.parts.answered(it, now)),
+            );
+        }
     }
 
-    /// Allows a content again at the operator's request.
+    /// The first of these parts that is refused, and for how much longer. `content`: that of
+    /// the request, which may be the one that tries a part again. `boxes`: the boxes that
+    /// try parts.
+    pub(crate) fn refused_part(
+        &self,
+        content: Fingerprint,
+        parts: impl Iterator<Item = u64>,
+        boxes: usize,
+    ) -> Option<(u64, Duration)> {
+        if self.parts.is_empty() {
+            return None;
+        }
+        let now = Instant::now();
+        let refused = |part: u64| {
+            let key = Fingerprint::of_part(part);
+            let on_trial = || {
+                let time = self.parts.on_trial_for(key, now)?;
+                self.trials.refused(key, content, time, boxes, now)
+            };
+            self.parts.refused(key, now).or_else(on_trial)
+        };
+        let mut parts = parts;
+        parts.find_map(|part| refused(part).map(|left| (part, left)))
+    }
+
+    /// Allows a content or a part again at the operator's request.
     pub(crate) fn pardon(&self, content: Fingerprint) {
         log::info!(target: "request", "event=content_pardoned content={content}");
-        log_changes(self.table.clear(content, Instant::now()));
+        let now = Instant::now();
+        log_changes(Kind::Content, self.table.clear(content, now));
+        log_changes(Kind::Part, self.parts.clear(content, now));
     }
 
     /// Merges rows that another box reported.
-    pub(crate) fn merge_rows(&self, rows: &[Row], now: Instant) {
-        log_changes(self.table.merge(rows, now));
+    pub(crate) fn merge_rows(&self, contents: &[Row], parts: &[Row], now: Instant) {
+        log_changes(Kind::Content, self.table.merge(contents, now));
+        log_changes(Kind::Part, self.parts.merge(parts, now));
     }
 }
 
-fn log_changes(changes: impl IntoIterator<Item = Change>) {
+fn log_changes(kind: Kind, changes: impl IntoIterator<Item = Change>) {
+    let name = match kind {
+        Kind::Content => "content",
+        Kind::Part => "part",
+    };
     for change in changes {
         match change {
-            Change::Refused(content, ends, left) => log::warn!(
+            Change::Refused(key, ends, left) => log::warn!(
                 target: "request",
-                "event=content_refused content={content} ends={ends} for_s={}",
+                "event={name}_refused {name}={key} ends={ends} for_s={}",
                 left.as_secs()
             ),
-            Change::Cleared(content) => {
-                log::info!(target: "request", "event=content_passes content={content}");
+            Change::Cleared(key) => {
+                log::info!(target: "request", "event={name}_passes {name}={key}");
             }
         }
     }
 }
 
-/// Removes expired records and sets the gauges of suspected and refused contents; does
-/// not return.
+/// Removes expired records and sets the gauges of suspected and refused contents and parts;
+/// does not return.
 pub(crate) async fn run_expiry(crashes: Rc<Crashes>) -> Infallible {
     loop {
         Timer::after(EXPIRY_INTERVAL).await;
         let now = Instant::now();
-        let table = &crashes.table;
+        let (table, parts) = (&crashes.table, &crashes.parts);
         table.remove_expired(now);
+        parts.remove_expired(now);
+        crashes.trials.remove_expired(now);
         metrics::gauge!("tidepier_contents_refused").set(table.count_refused(now) as f64);
         metrics::gauge!("tidepier_contents_suspected").set(table.len() as f64);
+        metrics::gauge!("tidepier_parts_refused").set(parts.count_refused(now) as f64);
+        metrics::gauge!("tidepier_parts_suspected").set(parts.len() as f64);
     }
 }
--- a/crates/relay/src/crash/table.rs
+++ b/crates/relay/src/crash/table.rs
@@ -1,4 +1,5 @@
-//! The contents that servers crashed under, and which of them are refused for that.
+//! The contents that servers crashed under, and which of them are refused for that. Parts of
+//! prompts are held in a table of their own, by the same rules but for [`Kind`].
 //!
 //! Boxes report to each other what they observed. Each box knows the union of all
 //! reports, in whatever order they arrive and however often. A crash of a server that
@@ -27,6 +28,10 @@
 /// Crashes under a content from which it is refused. With two, an innocent request would
 /// be refused that was retried and met a second crash.
 pub const CRASHES_TO_REFUSE: usize = 3;
+/// The same under a part of prompts.
+pub const PART_CRASHES_TO_REFUSE: usize = 4;
+/// Crashes under a part within this time count as one.
+const SAME_TIME: Duration = Duration::from_millis(400);
 /// Most contents held, which is at most 1 MB of memory: about as many as when 300 servers
 /// crash at once with 14 requests each.
 pub const CONTENTS_MAX: usize = 4_096;
@@ -48,6 +53,37 @@
 /// soon.
 const SAME_CRASH: Duration = Duration::from_millis(1_500);
 
+/// What the keys of a table stand for.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub enum Kind {
+    /// Contents of requests.
+    #[default]
+    Content,
+    /// Parts of prompts. Each crash of a server counts under the parts of all requests that
+    /// it was executing, and many requests share a part. So it takes one crash more, and
+    /// crashes at the same time count as one: they have one cause, which is none of the
+    /// parts.
+    Part,
+}
+
+impl Kind {
+    /// Crashes from which a key is refused.
+    pub fn crashes_to_refuse(self) -> usize {
+        match self {
+            Kind::Content => CRASHES_TO_REFUSE,
+            Kind::Part => PART_CRASHES_TO_REFUSE,
+        }
+    }
+
+    /// Two crashes within this time count as one, whatever the servers.
+    fn same_time(self) -> Duration {
+        match self {
+            Kind::Content => Duration::ZERO,
+            Kind::Part => SAME_TIME,
+        }
+    }
+}
+
 /// A server's crash while it executed a request with a content.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Crash {
@@ -69,11 +105,11 @@
 
 impl Entry {
     /// Adds a crash. Returns whether that was new.
-    fn add(&mut self, crash: Crash) -> bool {
+    fn add(&mut self, crash: Crash, kind: Kind) -> bool {
         let is_cleared = self.cleared.is_some_and(|cleared| crash.at <= cleared);
         let known = self.crashes.iter().any(|known| {
             let apart = known.at.max(crash.at) - known.at.min(crash.at);
-            known.server == crash.server && apart < SAME_CRASH
+            (known.server == crash.server && apart < SAME_CRASH) || apart < kind.same_time()
         });
         let full = self.crashes.len() == CRASHES_MAX;
         let oldest = full
@@ -94,31 +130,32 @@
 
     /// Clears the crashes up to a time. Returns whether that was new.
     fn clear(&mut self, at: Instant) -> bool {
-        let is_new = self.cleared.is_none_or(|cleared| cleared + SAME_CRASH < at);
+        let counts = self.crashes.iter().any(|crash| crash.at <= at);
+        let is_new = counts || self.cleared.is_none_or(|cleared| cleared + SAME_CRASH < at);
         if is_new {
-            self.cleared = Some(at);
+            self.cleared = self.cleared.max(Some(at));
             self.crashes.retain(|crash| crash.at > at);
         }
         is_new
     }
 
     /// Until when the content is refused.
-    fn refused_until(&self) -> Option<Instant> {
-        let beyond = self.crashes.len().checked_sub(CRASHES_TO_REFUSE)?;
+    fn refused_until(&self, kind: Kind) -> Option<Instant> {
+        let beyond = self.crashes.len().checked_sub(kind.crashes_to_refuse())?;
         let time = REFUSED_MIN * 2u32.pow(beyond as u32);
         Some(self.crashes.last()?.at + time.min(REFUSED_MAX))
     }
 
     /// Until when the entry is kept. A content that was refused is kept for the same
     /// time again, so that one more crash is enough to refuse it.
-    fn kept_until(&self) -> Option<Instant> {
+    fn kept_until(&self, kind: Kind) -> Option<Instant> {
         let last = self
             .crashes
             .last()
             .map(|crash| crash.at)
             .max(self.cleared)?;
         let remembered = last + RETENTION;
-        let until = self.refused_until().map(|until| until + (until - last));
+        let until = self.refused_until(kind).map(|until| until + (until - last));
         Some(until.map_or(remembered, |until| until.max(remembered)))
     }
 }
@@ -179,6 +216,7 @@
 /// The crashes that one box knows of.
 #[derive(Debug, Default)]
 pub struct Table {
+    kind: Kind,
     entries: RefCell<HashMap<Fingerprint, Entry>>,
     /// Contents by the sequence number of their last change.
     order: RefCell<BTreeMap<u64, Fingerprint>>,
@@ -186,9 +224,18 @@
 }
 
 impl Table {
+    /// An empty table.
+    pub fn new(kind: Kind) -> Self {
+        Self {
+            kind,
+            ..Self::default()
+        }
+    }
+
     /// Records that a server crashed at `at` under a content.
     pub fn record_crash(&self, content: Fingerprint, server: Key, at: Instant) -> Option<Change> {
-        self.change(content, at, |entry| entry.add(Crash { server, at }))
+        let kind = self.kind;
+        self.change(content, at, |entry| entry.add(Crash { server, at }, kind))
     }
 
     /// Clears the crashes under a content up to `at`: it was answered completely, or the
@@ -211,16 +258,26 @@
     /// How much longer a content is refused; `None` if it is not.
     pub fn refused(&self, content: Fingerprint, now: Instant) -> Option<Duration> {
         let entries = self.entries.borrow();
-        let until = entries.get(&content)?.refused_until()?;
+        let until = entries.get(&content)?.refused_until(self.kind)?;
         until
             .checked_duration_since(now)
             .filter(|left| !left.is_zero())
     }
 
+    /// For how long a content that was refused has no longer been, while nothing else is known
+    /// of it.
+    pub fn on_trial_for(&self, content: Fingerprint, now: Instant) -> Option<Duration> {
+        let entries = self.entries.borrow();
+        let until = entries.get(&content)?.refused_until(self.kind)?;
+        now.checked_duration_since(until)
+    }
+
     /// Number of contents that are refused.
     pub fn count_refused(&self, now: Instant) -> usize {
         let entries = self.entries.borrow();
-        let until = entries.values().filter_map(Entry::refused_until);
+        let until = entries
+            .values()
+            .filter_map(|it| it.refused_until(self.kind));
         until.filter(|until| *until > now).count()
     }
 
@@ -245,13 +302,14 @@
         // Ages that reach back before the start of this process's clock cannot be
         // expressed and are ignored: nothing else is known of that time either.
         let ago = |age: Duration| now.checked_sub(age);
+        let kind = self.kind;
         self.change(row.content, now, |entry| {
             let cleared = row.cleared.and_then(ago).is_some_and(|at| entry.clear(at));
             let crashes = row.ends.iter().filter_map(|(server, age)| {
                 let (server, at) = (*server, ago(*age)?);
                 Some(Crash { server, at })
             });
-            crashes.fold(cleared, |is_new, crash| entry.add(crash) || is_new)
+            crashes.fold(cleared, |is_new, crash| entry.add(crash, kind) || is_new)
         })
     }
 
@@ -279,7 +337,7 @@
     pub fn remove_expired(&self, now: Instant) {
         let mut order = self.order.borrow_mut();
         self.entries.borrow_mut().retain(|_, entry| {
-            let held = entry.kept_until().is_some_and(|until| until > now);
+            let held = entry.kept_until(self.kind).is_some_and(|until| until > now);
             if !held {
                 order.remove(&entry.changed);
             }
@@ -298,7 +356,7 @@
         let mut entries = self.entries.borrow_mut();
         let fresh = !entries.contains_key(&content);
         let entry = entries.entry(content).or_default();
-        let refused = entry.refused_until();
+        let refused = entry.refused_until(self.kind);
         if !change(entry) {
             if fresh {
                 entries.remove(&content);
@@ -310,7 +368,7 @@
         self.changes.set(self.changes.get() + 1);
         entry.changed = self.changes.get();
         order.insert(entry.changed, content);
-        let outcome = match (refused, entry.refused_until()) {
+        let outcome = match (refused, entry.refused_until(self.kind)) {
             (Some(_), None) => Some(Change::Cleared(content)),
             (before, Some(until)) if before.is_none_or(|before| before < until) => {
                 let left = until.saturating_duration_since(now);
--- a/crates/relay/src/crash_probe.rs
+++ b/crates/relay/src/crash_probe.rs
@@ -58,7 +58,7 @@
     }
 }
 
-/// Records a server's crash for each content whose request broke off there.
+/// Records a server's crash for each content and part of the requests that broke off there.
 fn record_crash(crashes: &Crashes, suspect: &Suspect) {
     let requests = &suspect.requests;
     let distinct: HashSet<Fingerprint> = requests.iter().map(|it| it.content).collect();
@@ -72,8 +72,14 @@
         part_counts(requests),
     );
     metrics::counter!("tidepier_servers_ended_total").increment(1);
+    let (server, since) = (suspect.backend.key, suspect.since);
     for content in distinct {
-        crashes.record_crash(content, suspect.backend.key, suspect.since);
+        crashes.record_crash(content, server, since);
+    }
+    let parts = requests.iter().flat_map(|request| &request.parts);
+    let parts: HashSet<u64> = parts.copied().collect();
+    for part in parts {
+        crashes.record_part_crash(part, server, since);
     }
 }
 
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -113,6 +113,15 @@
         metrics::counter!("tidepier_streams_broken_total").increment(1);
     }
 
+    /// Logs that a part keeps the request from being sent.
+    pub(super) fn log_refused_part(&self, part: u64) {
+        log::info!(
+            target: "request",
+            "event=part_blocks id={} part={part:016x}",
+            self.request.attempt,
+        );
+    }
+
     /// Ids of the parts of the prompt that other prompts share.
     pub(super) fn shared_parts(&self) -> impl Iterator<Item = u64> + '_ {
         let prompt = self.request.prompt.iter();
@@ -286,7 +295,9 @@
         };
         backend.record(outcome, Instant::now());
         if matches!(status, 200..=299) {
-            self.relay.crashes.answered(self.content);
+            self.relay
+                .crashes
+                .answered(self.content, self.shared_parts());
         }
         if let Some(took) = self.first_byte_delay(first) {
             backend.health.record_latency(took, Instant::now());
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -205,7 +205,8 @@
         }
     }
 
-    /// Checks that the content of the request is not known to crash servers.
+    /// Checks that neither the content of the request nor a part of its prompt is known to crash
+    /// servers.
     ///
     /// Called before every attempt, also of a retry, a resumed stream and a request that
     /// waited: each attempt of such a request costs a server and the requests that other
@@ -216,7 +217,17 @@
             .crashes
             .table
             .refused(self.content, Instant::now());
-        refused.map_or(Ok(()), |left| Err(refusal::Kind::Crashing(left)))
+        if let Some(left) = refused {
+            return Err(refusal::Kind::Crashing(left));
+        }
+        let (crashes, boxes) = (&self.relay.crashes, self.relay.boxes());
+        match crashes.refused_part(self.content, self.shared_parts(), boxes) {
+            Some((part, left)) => {
+                self.log_refused_part(part);
+                Err(refusal::Kind::CrashingPart(left))
+            }
+            None => Ok(()),
+        }
     }
 
     /// Records that a server gets the request and from now on probably has its prompt in
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -57,6 +57,9 @@
     /// New observations of request contents during which servers crashed.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub crashes: Vec<table::Row>,
+    /// The same of parts of prompts.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub part_crashes: Vec<table::Row>,
     /// Recent requests of the counted boxes by service and subject.
     #[serde(default, skip_serializing_if = "Summary::is_empty")]
     pub demand: Summary,
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -46,7 +46,7 @@
 /// bytes each). They change slowly, so that most messages have few.
 const SPEEDS_MAX: usize = 48;
 
-/// Most request contents in an answer to a box: 1 KB, and so 2.6 KB a second while
+/// Most request contents, and most parts of prompts, in an answer to a box: 1 KB each, and so 2.6 KB a second while
 /// hundreds of servers crash at once; none in normal operation (calculated, at 33 bytes
 /// for a content with two crashes).
 const CRASHES_MAX: usize = 32;
@@ -61,8 +61,21 @@
     sent: Baseline,
     received: Totals,
     speeds_sent: Speeds,
-    /// Position in the table of crashes up to which the other side has got the entries.
-    crashes_sent: u64,
+    /// Positions in the tables of crashes up to which the other side has got the entries.
+    crashes_sent: Positions,
+}
+
+/// Positions in the tables of crashes.
+#[derive(Default)]
+struct Positions {
+    contents: u64,
+    parts: u64,
+}
+
+/// New rows of the tables of crashes.
+struct CrashRows {
+    contents: Vec<table::Row>,
+    parts: Vec<table::Row>,
 }
 
 impl Session {
@@ -71,7 +84,7 @@
         sum: &Totals,
         max_counts: usize,
         placements: Batch,
-        crashes: Vec<table::Row>,
+        crashes: CrashRows,
     ) -> Report {
         Report {
             boxes: sum.boxes,
@@ -80,17 +93,21 @@
             rows: placements.rows,
             omitted: placements.omitted,
             speeds: self.speeds_sent.update(&sum.speeds, SPEEDS_MAX),
-            crashes,
+            crashes: crashes.contents,
+            part_crashes: crashes.parts,
             ..Report::default()
         }
     }
 
     /// Crashes recorded since the last message to the other side.
-    fn crashes(&mut self, relay: &Relay, scope: table::Scope, max_rows: usize) -> Vec<table::Row> {
-        let table = &relay.crashes.table;
-        let (rows, position) = table.since(self.crashes_sent, max_rows, scope, Instant::now());
-        self.crashes_sent = position;
-        rows
+    fn crashes(&mut self, relay: &Relay, scope: table::Scope, max_rows: usize) -> CrashRows {
+        let (crashes, sent) = (&relay.crashes, &mut self.crashes_sent);
+        let now = Instant::now();
+        let (contents, position) = crashes.table.since(sent.contents, max_rows, scope, now);
+        sent.contents = position;
+        let (parts, position) = crashes.parts.since(sent.parts, max_rows, scope, now);
+        sent.parts = position;
+        CrashRows { contents, parts }
     }
 
     fn apply_report(&mut self, relay: &Relay, from: Peer, report: &Report) {
@@ -102,7 +119,9 @@
             let demand = &relay.traffic.index.demand;
             demand.set_hall(report.hall_demand.clone(), Instant::now());
         }
-        relay.crashes.merge_rows(&report.crashes, Instant::now());
+        relay
+            .crashes
+            .merge_rows(&report.crashes, &report.part_crashes, Instant::now());
         relay.merge_rollouts(&from, report);
         relay.merge_traffic(from, self.received.clone(), &report.rows, report.omitted);
     }
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -61,6 +61,9 @@
     /// Servers crashed under requests with the same content, which is refused for this
     /// much longer.
     Crashing(Duration),
+    /// Servers crashed under requests with the same part in their prompts, which is refused
+    /// for this much longer.
+    CrashingPart(Duration),
     /// The servers that were tried refused connections: they are down.
     ServersDown,
     /// The servers that could serve the request are full.
@@ -99,6 +102,7 @@
             | Kind::ReleaseGone
             | Kind::Cold
             | Kind::Crashing(_)
+            | Kind::CrashingPart(_)
             | Kind::ServersDown
             | Kind::Full
             | Kind::Overloaded(_)
@@ -111,7 +115,7 @@
     pub fn retry_after(self) -> Option<Duration> {
         match self {
             // The actual time that is left: before, no box has another answer.
-            Kind::Crashing(left) | Kind::BackingOff(left) => Some(left),
+            Kind::Crashing(left) | Kind::CrashingPart(left) | Kind::BackingOff(left) => Some(left),
             Kind::Overloaded(delay) => Some(delay),
             Kind::NotReady | Kind::Stale => Some(NOT_READY_DELAY),
             Kind::ServersDown
@@ -145,6 +149,7 @@
             Kind::ReleaseGone => "release_gone",
             Kind::Cold => "cold",
             Kind::Crashing(_) => "crashing",
+            Kind::CrashingPart(_) => "crashing_part",
             Kind::ServersDown => "down",
             Kind::Full => "full",
             Kind::Overloaded(_) => "overloaded",
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -9,8 +9,9 @@
 use tidepier_clock::Instant;
 use tidepier_relay::content::{Fingerprint, Parts};
 use tidepier_relay::crash::table::{
-    Row, Scope, Table, CONTENTS_MAX, CRASHES_MAX, REFUSED_MAX, REFUSED_MIN, RETENTION,
+    Kind, Row, Scope, Table, CONTENTS_MAX, CRASHES_MAX, REFUSED_MAX, REFUSED_MIN, RETENTION,
 };
+use tidepier_relay::crash::trials::{Trials, INTERVAL};
 use tidepier_relay::fleet::Key;
 
 use crate::harness::{ms, Result};
@@ -343,3 +344,75 @@
     ensure!(table.len() == 1, "{} held", table.len());
     Ok(())
 }
+
+fn part(number: u64) -> Fingerprint {
+    Fingerprint::of_part(number)
+}
+
+/// Guards against parts that are refused as many servers crash at the same time, or between
+/// answers to requests that hold them.
+#[test]
+fn a_part_is_refused_after_crashes_at_several_moments_without_an_answer() -> Result {
+    let now = Instant::now();
+    let table = Table::new(Kind::Part);
+    for number in 0..50 {
+        table.record_crash(part(1), server(number)?, now + ms(number));
+    }
+    ensure!(table.refused(part(1), now + ms(60)).is_none(), "one moment");
+    for moment in 1..4 {
+        let at = now + ms(moment * 500);
+        ensure!(table.refused(part(1), at).is_none(), "{moment} moments");
+        table.record_crash(part(1), server(100 + moment)?, at);
+    }
+    ensure!(table.refused(part(1), now + ms(1_600)).is_some());
+    // Answers between crashes, however close, void them.
+    for moment in 0..20 {
+        let at = now + ms(moment * 500);
+        table.record_crash(part(2), server(moment)?, at);
+        table.answered(part(2), at + ms(100));
+        ensure!(table.refused(part(2), at).is_none(), "moment {moment}");
+    }
+    Ok(())
+}
+
+/// Guards against many servers that crash when the refusal of a part ends, and against a part
+/// that never returns.
+#[test]
+fn a_refused_part_is_tried_by_few_requests() -> Result {
+    for (boxes, per_second) in [(1, 4), (6, 1), (6, 40), (1_000, 2), (1_000, 400)] {
+        let trials: Vec<Trials> = (0..boxes as u64).map(Trials::new).collect();
+        let now = Instant::now();
+        let mut first = None;
+        let mut passed = 0;
+        for number in 0..per_second * 120 {
+            let ended = Duration::from_secs_f64(number as f64 / per_second as f64);
+            // Until all boxes know what came of the first one.
+            if first.is_some_and(|first| ended > first + INTERVAL / 2) {
+                break;
+            }
+            let at = &trials[number * 7 % boxes];
+            let content = content(number as u64);
+            if at
+                .refused(part(1), content, ended, boxes, now + ended)
+                .is_none()
+            {
+                first.get_or_insert(ended);
+                passed += 1;
+            }
+        }
+        let first = first.ok_or_else(|| eyre!("{boxes} boxes: never tried"))?;
+        ensure!(first < Duration::from_secs(60), "{boxes}: after {first:?}");
+        ensure!(
+            passed <= 3,
+            "{boxes} boxes, {per_second} a second: {passed} passed"
+        );
+    }
+    let trials = Trials::default();
+    let now = Instant::now();
+    let refused = |number, at| trials.refused(part(1), content(number), at, 1, now + at);
+    ensure!(refused(1, ms(0)).is_none());
+    ensure!(refused(1, ms(10)).is_none(), "its further attempt");
+    ensure!(refused(2, ms(20)) == Some(INTERVAL - ms(20)), "another one");
+    ensure!(refused(2, INTERVAL).is_none(), "in the next interval");
+    Ok(())
+}
--- a/crates/relay/tests/relay/crashing_parts.rs
+++ b/crates/relay/tests/relay/crashing_parts.rs
@@ -41,6 +41,8 @@
 struct Tries {
     /// When each was sent, and whether it was served.
     all: RefCell<Vec<(Instant, bool)>>,
+    /// How many were refused for a part.
+    refused: Cell<usize>,
 }
 
 impl Tries {
@@ -71,8 +73,15 @@
         let sending = async move {
             let sent = Instant::now();
             let answer = tidepier_relay_standin::Client::once(address, &call).await;
-            let served = answer.is_ok_and(|it| it.status == 200 && it.complete);
+            let (mut served, mut refused) = (false, false);
+            if let Ok(answer) = answer {
+                served = answer.status == 200 && answer.complete;
+                refused = answer.body.ends_with(b"\"crashing_part\"}");
+            }
             tries.all.borrow_mut().push((sent, served));
+            tries
+                .refused
+                .set(tries.refused.get() + usize::from(refused));
         };
         executor.spawn(sending).detach();
         Timer::after(SOUND_INTERVAL).await;
@@ -173,6 +182,33 @@
     }
 }
 
+/// Guards against parts that are refused as servers crash for other reasons: some at once, as
+/// in a rack that fails, then one after the other.
+#[test]
+fn parts_are_served_though_servers_crash_by_themselves() -> Result {
+    run(async |executor| {
+        let (site, servers, boxes) = fleet(&executor, &[]).await?;
+        let tries = std::rc::Rc::new(Tries::default());
+        let scenario = async {
+            Timer::after(ms(1_000)).await;
+            servers.crash_some(4);
+            for _ in 0..12 {
+                Timer::after(ms(500)).await;
+                servers.crash_some(1);
+            }
+            Timer::after(ms(1_000)).await;
+            Ok(())
+        };
+        let sound = async { Err(send_sound(&executor, &boxes, &tries).await.unwrap_err()) };
+        let all = futures_lite::future::or(scenario, sound);
+        with_replacements(&servers, &site, all).await?;
+        ensure!(servers.all_crashes().len() >= 12, "the case did not arise");
+        let (refused, sent) = (tries.refused.get(), tries.all.borrow().len());
+        ensure!(refused == 0, "{refused} of {sent} refused for a part");
+        Ok(())
+    })
+}
+
 /// Guards against servers that crash one after the other under requests of which no two are
 /// alike.
 #[test]
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -380,6 +380,7 @@
                 hall_demand: demand.clone(),
                 speeds: vec![(server, (u32::MAX, i32::MIN).into()).into()],
                 crashes: Vec::new(),
+                part_crashes: Vec::new(),
                 trials: Vec::new(),
                 rollouts: None,
                 load: load.clone(),
