Tests that count the store's revisions wait until the box has written its releases

Traced: since a box writes the releases of a service when it learns of them, at the same moment at which the test adds a server. The test took the store's revision for that of the server's entry, and told the box that its reader knew that one. What they check is unchanged.

--- a/crates/relay/tests/relay/eras.rs
+++ b/crates/relay/tests/relay/eras.rs
@@ -104,6 +104,9 @@
 fn a_reused_revision_confirms_nothing() -> Result {
     run(async |executor| {
         let (_server, harness) = start_with_one_server(executor).await?;
+        // The box writes nothing more, so that revisions count the operator's changes.
+        let recorded = || harness.site.store.value("tidepier/releases/service-1");
+        wait_until("recorded", async || Ok(recorded().is_some())).await?;
         let copy = harness.site.store.copy();
         harness.site.declare(&[route("/a/")]);
         served(&harness, "/a/").await?;
--- a/crates/relay/tests/relay/faulty_readers.rs
+++ b/crates/relay/tests/relay/faulty_readers.rs
@@ -249,6 +249,9 @@
         let boxes = [TestBox::start(&executor, &site, "box-0", "hall-1", 5_000).await?];
         wait_until_ready(&boxes).await?;
         wait_until("known", async || Ok(boxes[0].knows(&server))).await?;
+        // The box writes nothing more, so that the next change is that of the server.
+        let recorded = || site.store.value("tidepier/releases/service-1");
+        wait_until("recorded", async || Ok(recorded().is_some())).await?;
         let later = site.server(server_settings(2))?;
         let change = site.store.revision();
         wait_until("known", async || Ok(boxes[0].knows(&later))).await?;
