A part is not refused for crashes that another part explains

Sound callers were refused for a part that all requests hold, at all boxes, and two boxes served nothing for 12 s.

Cause: parts were judged by themselves. The parts that come with the cause have its crashes too; while nothing is answered, as all servers of a small service are down, nothing clears them. The part that all requests hold was refused with the cause, and as no request with it passed any more, it was never cleared.

A part refuses a request only for crashes, at four moments, that no other refused part explains which the request does not hold. Crashes are kept with their servers therefore, up to 16 a part, and those at the same time are counted as one when they are judged instead of when they are recorded.

--- a/crates/relay/src/crash/mod.rs
+++ b/crates/relay/src/crash/mod.rs
@@ -8,7 +8,8 @@
 //! The cause may also be a part of a prompt, whatever else the request holds, so that no two
 //! such requests are alike. A part is refused once servers have crashed at several moments
 //! under requests that hold it and no such request was answered meanwhile: sound requests
-//! clear all their parts, of which they share all but the cause with the others.
+//! clear all their parts, of which they share all but the cause with the others. While there
+//! are no such answers, the parts that come with the cause are refused only together with it.
 //!
 //! * [`suspects`]: requests whose connections broke, by server.
 //! * [`table`]: the contents and the parts that servers crashed under, which boxes report
@@ -86,7 +87,7 @@
         }
     }
 
-    /// The first of these parts that is refused, and for how much longer. `content`: that of
+    /// The first of these parts that keeps a request from being sent, and for how much longer. `content`: that of
     /// the request, which may be the one that tries a part again. `boxes`: the boxes that
     /// try parts.
     pub(crate) fn refused_part(
@@ -99,16 +100,15 @@
             return None;
         }
         let now = Instant::now();
-        let refused = |part: u64| {
-            let key = Fingerprint::of_part(part);
-            let on_trial = || {
-                let time = self.parts.on_trial_for(key, now)?;
-                self.trials.refused(key, content, time, boxes, now)
-            };
-            self.parts.refused(key, now).or_else(on_trial)
+        let parts: Vec<Fingerprint> = parts.map(Fingerprint::of_part).collect();
+        let on_trial = |part: &Fingerprint| {
+            let time = self.parts.on_trial_for(*part, now)?;
+            let left = self.trials.refused(*part, content, time, boxes, now)?;
+            Some((*part, left))
         };
-        let mut parts = parts;
-        parts.find_map(|part| refused(part).map(|left| (part, left)))
+        let blocking = self.parts.blocking(&parts, now);
+        let (part, left) = blocking.or_else(|| parts.iter().find_map(on_trial))?;
+        Some((part.as_u64(), left))
     }
 
     /// Allows a content or a part again at the operator's request.
--- a/crates/relay/src/crash/table.rs
+++ b/crates/relay/src/crash/table.rs
@@ -13,7 +13,7 @@
 //!   than the last complete answer to it and than the operator's last request to allow
 //!   it.
 //! * Memory is bounded, whatever clients send: [`CONTENTS_MAX`] contents, each with
-//!   [`CRASHES_MAX`] crashes.
+//!   [`CRASHES_MAX`] crashes, parts with [`PART_CRASHES_MAX`].
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
@@ -38,6 +38,8 @@
 /// Most crashes held for one content. Each one above [`CRASHES_TO_REFUSE`] doubles the
 /// time for which the content is refused, up to [`REFUSED_MAX`].
 pub const CRASHES_MAX: usize = 8;
+/// Most crashes held for one part.
+pub const PART_CRASHES_MAX: usize = 16;
 /// How long a content is refused after the last of three crashes. A request that nobody
 /// fixes costs one server per this time, then one per twice that time, and so on; a
 /// request that met three crashes by chance is allowed again after it.
@@ -82,6 +84,27 @@
             Kind::Part => SAME_TIME,
         }
     }
+
+    /// Most crashes held for one key.
+    fn crashes_max(self) -> usize {
+        match self {
+            Kind::Content => CRASHES_MAX,
+            Kind::Part => PART_CRASHES_MAX,
+        }
+    }
+
+    /// As how many crashes those at these times, in order, count.
+    fn count(self, times: impl Iterator<Item = Instant>) -> usize {
+        let mut counted: Option<Instant> = None;
+        let counts = times.filter(|at| {
+            let counts = counted.is_none_or(|last| *at >= last + self.same_time());
+            if counts {
+                counted = Some(*at);
+            }
+            counts
+        });
+        counts.count()
+    }
 }
 
 /// A server's crash while it executed a request with a content.
@@ -91,6 +114,14 @@
     at: Instant,
 }
 
+impl Crash {
+    /// Whether two observations are of the same crash.
+    fn is_same(&self, other: &Crash) -> bool {
+        let apart = self.at.max(other.at) - self.at.min(other.at);
+        self.server == other.server && apart < SAME_CRASH
+    }
+}
+
 /// What is known of one content.
 #[derive(Debug, Default)]
 struct Entry {
@@ -107,11 +138,8 @@
     /// Adds a crash. Returns whether that was new.
     fn add(&mut self, crash: Crash, kind: Kind) -> bool {
         let is_cleared = self.cleared.is_some_and(|cleared| crash.at <= cleared);
-        let known = self.crashes.iter().any(|known| {
-            let apart = known.at.max(crash.at) - known.at.min(crash.at);
-            (known.server == crash.server && apart < SAME_CRASH) || apart < kind.same_time()
-        });
-        let full = self.crashes.len() == CRASHES_MAX;
+        let known = self.crashes.iter().any(|known| known.is_same(&crash));
+        let full = self.crashes.len() == kind.crashes_max();
         let oldest = full
             && self
                 .crashes
@@ -121,13 +149,22 @@
             return false;
         }
         if full {
-            self.crashes.remove(0);
+            self.crashes.remove(self.least(kind));
         }
         let at = self.crashes.partition_point(|known| known.at <= crash.at);
         self.crashes.insert(at, crash);
         true
     }
 
+    /// The index of the crash to drop for another one: one that counts together with the one
+    /// before it, or else the oldest.
+    fn least(&self, kind: Kind) -> usize {
+        let pairs = self.crashes.windows(2);
+        let mut pairs = pairs.map(|pair| pair[1].at.saturating_duration_since(pair[0].at));
+        let together = pairs.position(|apart| apart < kind.same_time());
+        together.map_or(0, |index| index + 1)
+    }
+
     /// Clears the crashes up to a time. Returns whether that was new.
     fn clear(&mut self, at: Instant) -> bool {
         let counts = self.crashes.iter().any(|crash| crash.at <= at);
@@ -141,7 +178,8 @@
 
     /// Until when the content is refused.
     fn refused_until(&self, kind: Kind) -> Option<Instant> {
-        let beyond = self.crashes.len().checked_sub(kind.crashes_to_refuse())?;
+        let times = self.crashes.iter().map(|crash| crash.at);
+        let beyond = kind.count(times).checked_sub(kind.crashes_to_refuse())?;
         let time = REFUSED_MIN * 2u32.pow(beyond as u32);
         Some(self.crashes.last()?.at + time.min(REFUSED_MAX))
     }
@@ -264,6 +302,34 @@
             .filter(|left| !left.is_zero())
     }
 
+    /// The first of the keys that a request holds which is refused for what no refused key
+    /// explains that it does not hold, and for how much longer.
+    ///
+    /// Keys that always come together have the same crashes. A request that holds only some of
+    /// them passes: if it is answered, these are cleared, and if its server crashes, that
+    /// crash is theirs alone.
+    pub fn blocking(&self, held: &[Fingerprint], now: Instant) -> Option<(Fingerprint, Duration)> {
+        let refused = |key: &Fingerprint| self.refused(*key, now).map(|left| (*key, left));
+        let refused: Vec<(Fingerprint, Duration)> = held.iter().filter_map(refused).collect();
+        if refused.is_empty() {
+            return None;
+        }
+        let entries = self.entries.borrow();
+        let others = entries.iter().filter(|(key, entry)| {
+            let until = entry.refused_until(self.kind);
+            !held.contains(key) && until.is_some_and(|until| until > now)
+        });
+        let explained: Vec<Crash> = others
+            .flat_map(|(_, entry)| entry.crashes.iter().copied())
+            .collect();
+        let is_explained = |crash: &&Crash| explained.iter().any(|known| known.is_same(crash));
+        refused.into_iter().find(|(key, _)| {
+            let crashes = entries.get(key).map_or(&[][..], |entry| &entry.crashes);
+            let own = crashes.iter().filter(|crash| !is_explained(crash));
+            self.kind.count(own.map(|crash| crash.at)) >= self.kind.crashes_to_refuse()
+        })
+    }
+
     /// For how long a content that was refused has no longer been, while nothing else is known
     /// of it.
     pub fn on_trial_for(&self, content: Fingerprint, now: Instant) -> Option<Duration> {
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -46,14 +46,21 @@
 /// bytes each). They change slowly, so that most messages have few.
 const SPEEDS_MAX: usize = 48;
 
-/// Most request contents, and most parts of prompts, in an answer to a box: 1 KB each, and so 2.6 KB a second while
+/// Most request contents in an answer to a box: 1 KB, and so 2.6 KB a second while
 /// hundreds of servers crash at once; none in normal operation (calculated, at 33 bytes
 /// for a content with two crashes).
-const CRASHES_MAX: usize = 32;
+const CRASHES_MAX: RowsMax = RowsMax {
+    contents: 32,
+    // Up to 160 bytes each.
+    parts: 12,
+};
 /// The same for an answer to a hub: 22 bytes for a content with one crash. If a third of
 /// 900 servers crash at once with 8 requests each, there are 2,400 contents; a hub has
 /// all of them within 4 s.
-const HUB_CRASHES_MAX: usize = 256;
+const HUB_CRASHES_MAX: RowsMax = RowsMax {
+    contents: 256,
+    parts: 256,
+};
 
 /// The state of one end of a connection: what was sent and received over it.
 #[derive(Default)]
@@ -72,6 +79,13 @@
     parts: u64,
 }
 
+/// Most rows of the tables of crashes in one message.
+#[derive(Clone, Copy)]
+struct RowsMax {
+    contents: usize,
+    parts: usize,
+}
+
 /// New rows of the tables of crashes.
 struct CrashRows {
     contents: Vec<table::Row>,
@@ -100,12 +114,15 @@
     }
 
     /// Crashes recorded since the last message to the other side.
-    fn crashes(&mut self, relay: &Relay, scope: table::Scope, max_rows: usize) -> CrashRows {
+    fn crashes(&mut self, relay: &Relay, scope: table::Scope, max_rows: RowsMax) -> CrashRows {
         let (crashes, sent) = (&relay.crashes, &mut self.crashes_sent);
         let now = Instant::now();
-        let (contents, position) = crashes.table.since(sent.contents, max_rows, scope, now);
+        let (contents, position) =
+            crashes
+                .table
+                .since(sent.contents, max_rows.contents, scope, now);
         sent.contents = position;
-        let (parts, position) = crashes.parts.since(sent.parts, max_rows, scope, now);
+        let (parts, position) = crashes.parts.since(sent.parts, max_rows.parts, scope, now);
         sent.parts = position;
         CrashRows { contents, parts }
     }
--- a/crates/relay/tests/relay/crashes.rs
+++ b/crates/relay/tests/relay/crashes.rs
@@ -416,3 +416,37 @@
     ensure!(refused(2, INTERVAL).is_none(), "in the next interval");
     Ok(())
 }
+
+/// Guards against a part that all requests share and that is refused for another one, as no
+/// request was answered between the crashes.
+#[test]
+fn a_part_is_not_refused_for_what_another_one_explains() -> Result {
+    let now = Instant::now();
+    let (common, cause, second, sound) = (part(1), part(2), part(3), part(4));
+    let table = Table::new(Kind::Part);
+    let crash = |held: &[Fingerprint], moment: u64| -> Result {
+        for key in held {
+            table.record_crash(*key, server(moment)?, now + ms(moment * 500));
+        }
+        Ok(())
+    };
+    (0..4).try_for_each(|moment| crash(&[common, cause], moment))?;
+    let blocks = |held: &[Fingerprint]| table.blocking(held, now + ms(9_000)).map(|(key, _)| key);
+    ensure!(blocks(&[common, cause]).is_some(), "the cause passes");
+    ensure!(
+        blocks(&[common, sound]).is_none(),
+        "a sound request is refused"
+    );
+    // A second cause, whose crashes are those of the common part as well.
+    (4..8).try_for_each(|moment| crash(&[common, second], moment))?;
+    ensure!(blocks(&[common, second]).is_some() && blocks(&[common, cause]).is_some());
+    ensure!(
+        blocks(&[common, sound]).is_none(),
+        "a sound request is refused"
+    );
+    // Crashes of its own.
+    (8..12).try_for_each(|moment| crash(&[common, sound], moment))?;
+    (12..16).try_for_each(|moment| crash(&[common], moment))?;
+    ensure!(blocks(&[common, part(5)]) == Some(common));
+    Ok(())
+}
