--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -40,6 +40,9 @@
     /// Also sends requests that crash the servers that run them.
     #[arg(long)]
     crashing_requests: bool,
+    /// Also sends requests with a part in their prompts that crashes servers, no two alike.
+    #[arg(long)]
+    crashing_parts: bool,
     /// Also suspends boxes.
     #[arg(long)]
     suspensions: bool,
@@ -156,6 +159,7 @@
         folder,
         emptied_halls: arguments.emptied_halls,
         crashing_requests: arguments.crashing_requests,
+        crashing_parts: arguments.crashing_parts,
         suspensions: arguments.suspensions,
         words: arguments.words,
         returns: arguments.returns,
--- a/crates/soak/src/bound.rs
+++ b/crates/soak/src/bound.rs
@@ -27,6 +27,8 @@
 pub const GRACE_PERIOD: Duration = Duration::from_secs(3);
 /// Crashes under the same request content after which all boxes have to know of it.
 pub const CRASHES_MIN: usize = 3;
+/// The same under requests with one part in their prompts.
+pub const PART_CRASHES_MIN: usize = 5;
 /// Deliveries of that content to servers that are tolerated afterwards, over all boxes.
 pub const LATE_DELIVERIES_MAX: usize = 3;
 /// A planned change may not lose a request that a box read at least this long before.
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -126,6 +126,9 @@
     Servers(server::Fault),
     /// A request crashes the servers that run it, and is sent again and again.
     Crashing(usize),
+    /// A part of prompts crashes the servers that begin to answer on it, and requests that
+    /// hold it, no two of them alike, are sent again and again.
+    CrashingPart(u64),
     /// The operator changes the configuration.
     Config(Config),
 }
@@ -146,6 +149,7 @@
             Fault::Server(_, Server::Rest(_)) => "server_rest".into(),
             Fault::Server(_, server) => named("server", server),
             Fault::Crashing(_) => "requests_crashing".into(),
+            Fault::CrashingPart(_) => "part_crashing".into(),
             Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
             Fault::Config(config) => named("config", config),
         }
--- a/crates/soak/src/fleet/crashing.rs
+++ b/crates/soak/src/fleet/crashing.rs
@@ -6,12 +6,15 @@
 use futures_lite::FutureExt;
 use smol::Timer;
 use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::Run;
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::Client;
 
 use super::servers::Backend;
 use super::Fleet;
 use crate::ledger::{Request, Traffic};
+use crate::load;
 use crate::plan;
 use crate::proxy::Impairment;
 use crate::sync::lock;
@@ -30,6 +33,9 @@
     Traffic::Resumable,
 ];
 
+/// Kinds of requests with a part that crashes servers.
+const PART_KINDS: [Traffic; 2] = [Traffic::Single, Traffic::Resumable];
+
 impl Fleet {
     /// Sends a request that crashes servers to the boxes in turn for this long.
     pub(super) async fn send_crashing_request(
@@ -52,25 +58,63 @@
         sent.or(self.replace_crashed()).await
     }
 
+    /// Sends requests with a part in their prompts that crashes servers to the boxes in turn
+    /// for this long.
+    pub(super) async fn send_crashing_part(&self, part: u64, lasts: Duration) -> eyre::Result<()> {
+        lock(&self.crashing_parts).push(part);
+        for backend in self.backends() {
+            backend.server.end_on_part(part);
+        }
+        let send = |number: usize| Request {
+            id: format!("part-{part:x}-{number}"),
+            traffic: PART_KINDS[number % PART_KINDS.len()],
+            content: None,
+            crashing_part: Some(part),
+            takes_up: None,
+            box_index: number % self.box_count(),
+            key: None,
+            sent: Instant::now(),
+            ended: None,
+            answer: None,
+        };
+        let sent = async {
+            self.send_each(send, lasts).await;
+            // Time for the last crashed servers to be replaced as well.
+            Timer::after(REPLACEMENT_DELAY + SEND_INTERVAL).await;
+            Ok(())
+        };
+        sent.or(self.replace_crashed()).await
+    }
+
     async fn send_repeatedly(&self, content: &str, traffic: Traffic, lasts: Duration) {
+        let send = |number: usize| Request {
+            id: format!("{content}-{number}"),
+            traffic,
+            content: Some(content.into()),
+            crashing_part: None,
+            takes_up: None,
+            box_index: number % self.box_count(),
+            key: None,
+            sent: Instant::now(),
+            ended: None,
+            answer: None,
+        };
+        self.send_each(send, lasts).await;
+    }
+
+    /// Sends one request after the other for this long.
+    async fn send_each(&self, request: impl Fn(usize) -> Request, lasts: Duration) {
         let start = Instant::now();
         for number in 0.. {
             if start.elapsed() > lasts {
                 return;
             }
-            let request = Request {
-                id: format!("{content}-{number}"),
-                traffic,
-                content: Some(content.into()),
-                takes_up: None,
-                box_index: number % self.box_count(),
-                key: None,
-                sent: Instant::now(),
-                ended: None,
-                answer: None,
-            };
-            let call = Call::new("POST", HOST, &request.target(), &request.id);
-            let call = call.body(request.body()).leaving(plan::CLIENT_TIMEOUT);
+            let request = request(number);
+            let mut call = Call::new("POST", HOST, &request.target(), &request.id);
+            call = call.body(request.body()).leaving(plan::CLIENT_TIMEOUT);
+            if let Some(part) = request.crashing_part {
+                call = call.with(names::PROMPT, &load::prompt(&[part], number as u64));
+            }
             let address = self.client_address(request.box_index);
             let number_in_ledger = self.ledger.record_sent(request);
             let answer = Client::once(address, &call).await;
@@ -111,12 +155,18 @@
             return false;
         }
         let crashing_contents = lock(&self.crashing_contents).clone();
+        let crashing_parts = lock(&self.crashing_parts).clone();
+        let holds_part = |run: &Run| {
+            let prompt = run.field(names::PROMPT).unwrap_or_default();
+            let held = |part: &u64| format!("{part:x}:");
+            let mut parts = crashing_parts.iter().map(held);
+            parts.any(|part| prompt.split(',').any(|it| it.starts_with(&part)))
+        };
         let runs = backend.server.runs();
         let mut under = runs.iter().filter(|run| run.is_open());
         under.any(|run| {
-            run.body
-                .as_ref()
-                .is_some_and(|body| crashing_contents.contains(body))
+            let body = run.body.as_ref();
+            body.is_some_and(|body| crashing_contents.contains(body)) || holds_part(run)
         })
     }
 }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -46,6 +46,9 @@
 const HOT_SUBJECT_SERVERS: usize = 9;
 /// Number of further servers of streams with two releases.
 const RELEASE_SERVERS: usize = 3;
+/// Number of further servers of streams where parts of prompts crash them: some are always
+/// up.
+const CRASHING_PART_SERVERS: usize = 5;
 /// Servers of each of the two services at the start.
 const SERVERS_PER_SERVICE: usize = 3;
 /// Number of keys that are valid at any time.
@@ -85,6 +88,8 @@
     keys: Mutex<Vec<String>>,
     /// Bodies of requests that crash servers.
     crashing_contents: Mutex<Vec<Vec<u8>>>,
+    /// Parts of prompts that crash servers.
+    crashing_parts: Mutex<Vec<u64>>,
     /// Servers that crashed under such a request and have been replaced.
     replaced_servers: Mutex<HashSet<String>>,
     next_mark: AtomicU32,
@@ -140,6 +145,7 @@
             cuts: Mutex::default(),
             keys: Mutex::new(Vec::new()),
             crashing_contents: Mutex::default(),
+            crashing_parts: Mutex::default(),
             replaced_servers: Mutex::default(),
             next_mark: AtomicU32::new(0),
             next_server: AtomicU32::new(0),
@@ -158,6 +164,11 @@
                 fleet.add_server(STREAM)?;
             }
         }
+        if schedule.prompts {
+            for _ in 0..CRASHING_PART_SERVERS {
+                fleet.add_server(STREAM)?;
+            }
+        }
         if schedule.hot_subject {
             for _ in 0..HOT_SUBJECT_SERVERS {
                 fleet.add_server(STREAM)?;
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -58,6 +58,9 @@
         for body in lock(&self.crashing_contents).iter() {
             server.end_on(body);
         }
+        for part in lock(&self.crashing_parts).iter() {
+            server.end_on_part(*part);
+        }
         let proxy = Proxy::open(server.address())?;
         let backend = Arc::new(Backend { server, proxy });
         // Under the lock, so that a partition that begins now affects this server too.
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -63,6 +63,7 @@
             Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
             Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
             Fault::Crashing(number) => self.send_crashing_request(number, step.lasts).await?,
+            Fault::CrashingPart(part) => self.send_crashing_part(part, step.lasts).await?,
             Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
         }
@@ -92,7 +93,7 @@
             Fault::Server(_, Server::Join | Server::Leave | Server::Say) | Fault::Config(_) => {
                 (vec![Scope::Fleet], true)
             }
-            Fault::Server(..) | Fault::Servers(_) | Fault::Crashing(_) => {
+            Fault::Server(..) | Fault::Servers(_) | Fault::Crashing(_) | Fault::CrashingPart(_) => {
                 (vec![Scope::Server], false)
             }
         }
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -84,6 +84,8 @@
     pub traffic: Traffic,
     /// Content that the request shares with others; `None` if its content is its own.
     pub content: Option<String>,
+    /// Set if its prompt holds a part that crashes servers.
+    pub crashing_part: Option<u64>,
     /// Set if it takes up a stream that broke off.
     pub takes_up: Option<TakeUp>,
     /// The box that it was sent to.
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -35,6 +35,10 @@
 /// Share of the streams that are about the hot subject, and the number of other subjects.
 const HOT_SHARE: f64 = 0.6;
 const SUBJECTS: u64 = 60;
+/// The part that all prompts share beside requests that crash servers, and the number of
+/// subjects of the sound ones.
+const COMMON_PART: u64 = 0xc0_0000;
+const SOUND_SUBJECTS: u64 = 20;
 /// Tokens of a subject, and of the part that belongs to one request only.
 const SHARED_TOKENS: u32 = 2_000;
 const OWN_TOKENS: u32 = 80;
@@ -71,6 +75,7 @@
                     rng,
                     hot_subject: schedule.hot_subject,
                     releases: schedule.releases,
+                    prompts: schedule.prompts,
                     client: None,
                 };
                 clients.push(smol::spawn(client_task.run()));
@@ -117,6 +122,8 @@
     hot_subject: bool,
     /// Whether streams that break off are taken up.
     releases: bool,
+    /// Whether the prompts of streams share a part with those that crash servers.
+    prompts: bool,
     client: Option<Client>,
 }
 
@@ -144,6 +151,10 @@
         if self.hot_subject && matches!(traffic, Traffic::Resumable | Traffic::Single) {
             call = call.with(names::PROMPT, &self.prompt());
         }
+        if self.prompts && matches!(traffic, Traffic::Resumable | Traffic::Single) {
+            let subject = self.rng.random_range(1..=SOUND_SUBJECTS);
+            call = call.with(names::PROMPT, &prompt(&[subject], self.rng.random()));
+        }
         if self.rng.random_bool(NEW_CONNECTION_SHARE) {
             self.client = None;
         }
@@ -155,6 +166,7 @@
             id,
             traffic,
             content: None,
+            crashing_part: None,
             takes_up: None,
             box_index: self.box_index,
             key,
@@ -198,6 +210,7 @@
                 id,
                 traffic: Traffic::Resumable,
                 content: None,
+                crashing_part: None,
                 takes_up: Some(TakeUp {
                     first: first.into(),
                     after,
@@ -247,6 +260,16 @@
     }
 }
 
+/// The parts of a prompt: one that all prompts share, these, and one of its own.
+pub(crate) fn prompt(parts: &[u64], own: u64) -> String {
+    let parts = [&[COMMON_PART], parts].concat();
+    let shared: String = parts
+        .iter()
+        .map(|part| format!("{part:x}:{SHARED_TOKENS},"))
+        .collect();
+    format!("{shared}{own:x}:{OWN_TOKENS}")
+}
+
 /// Whether the connection can be used for another request after this answer.
 fn is_reusable(answer: &Answer) -> bool {
     let close = answer.field("Connection");
--- a/crates/soak/src/rule/crashing.rs
+++ b/crates/soak/src/rule/crashing.rs
@@ -1,4 +1,4 @@
-//! Checks that boxes learn which requests crash servers.
+//! Checks that boxes learn which requests, and which parts of prompts, crash servers.
 
 use std::collections::BTreeMap;
 use std::time::Instant;
@@ -10,26 +10,32 @@
 use crate::ledger::Request;
 
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
-    let mut contents: BTreeMap<&str, Vec<(&Request, &Delivery)>> = BTreeMap::new();
+    let mut keys: BTreeMap<String, (usize, Vec<(&Request, &Delivery)>)> = BTreeMap::new();
     for request in &evidence.requests {
-        let Some(content) = &request.content else {
-            continue;
+        let (key, crashes_min) = match (&request.content, request.crashing_part) {
+            (Some(content), _) => (content.clone(), bound::CRASHES_MIN),
+            (None, Some(part)) => (format!("part {part:x}"), bound::PART_CRASHES_MIN),
+            (None, None) => continue,
         };
         let deliveries = evidence
             .deliveries(request)
             .iter()
             .map(|delivery| (request, delivery));
-        contents.entry(content).or_default().extend(deliveries);
+        let of_key = keys.entry(key).or_insert((crashes_min, Vec::new()));
+        of_key.1.extend(deliveries);
     }
-    for (content, deliveries) in contents {
-        judge_content(evidence, verdict, content, &deliveries);
+    for (key, (crashes_min, deliveries)) in keys {
+        judge_key(evidence, verdict, &key, crashes_min, &deliveries);
     }
 }
 
-fn judge_content(
+/// Judges the requests with one content or part, which has to be known as the cause after this
+/// many crashes.
+fn judge_key(
     evidence: &Evidence,
     verdict: &mut Verdict,
-    content: &str,
+    key: &str,
+    crashes_min: usize,
     deliveries: &[(&Request, &Delivery)],
 ) {
     let mut crashes: Vec<Instant> = deliveries
@@ -39,7 +45,7 @@
     crashes.sort();
     // Several requests may run at a server that crashes.
     crashes.dedup();
-    let Some(known_crash) = crashes.get(bound::CRASHES_MIN - 1).copied() else {
+    let Some(known_crash) = crashes.get(crashes_min - 1).copied() else {
         return;
     };
     let deadline = known_crash + bound::GRACE_PERIOD;
@@ -51,7 +57,7 @@
     let late: Vec<Instant> = late.map(|(_, delivery)| delivery.run.arrived).collect();
     if let Some(at) = late.get(bound::LATE_DELIVERIES_MAX) {
         let (late, crashes) = (late.len(), crashes.len());
-        let text = format!("{content}: {late} late sendings, {crashes} servers ended");
+        let text = format!("{key}: {late} late sendings, {crashes} servers ended");
         verdict.add_violation(evidence, Rule::Crashing, *at, text);
     }
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -77,6 +77,8 @@
     pub emptied_halls: bool,
     /// Whether requests crash servers in addition.
     pub crashing_requests: bool,
+    /// Whether parts of prompts crash servers in addition.
+    pub crashing_parts: bool,
     /// Whether boxes are suspended in addition.
     pub suspensions: bool,
     /// Whether servers announce in answers that they leave, or request back-offs, in
@@ -107,6 +109,9 @@
     if options.crashing_requests {
         schedule = schedule.with_crashing_requests();
     }
+    if options.crashing_parts {
+        schedule = schedule.with_crashing_parts();
+    }
     if options.suspensions {
         schedule = schedule.with_suspensions();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -45,6 +45,15 @@
 /// Mixed into the seed, so that these requests are chosen independently of the other
 /// faults.
 const CRASHING_SEED: u64 = 0x6372_6173_6869_6e67;
+/// Number of parts that [`Schedule::with_crashing_parts`] adds beside the other faults, and the
+/// id of the first.
+const CRASHING_PARTS: u64 = 1;
+const CRASHING_PART: u64 = 0xbad_0000;
+/// When it adds a further one: after the other faults have ended, so that nothing else
+/// excuses boxes that send such requests.
+const LAST_PART: Duration = Duration::from_millis(18_000);
+/// Mixed into the seed, so that these are chosen independently of the other faults.
+const CRASHING_PARTS_SEED: u64 = 0x7061_7274_2062_6164;
 /// How long such a request is sent, in ms: longer than it takes until all boxes know of it.
 const CRASHING_MS: Range<u64> = 6_500..9_000;
 /// Number of suspensions that [`Schedule::with_suspensions`] adds.
@@ -122,6 +131,8 @@
     pub hot_subject: bool,
     /// Whether the servers of streams run two releases, and clients take streams up.
     pub releases: bool,
+    /// Whether the prompts of streams share a part.
+    pub prompts: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -147,6 +158,7 @@
             halls,
             hot_subject: false,
             releases: false,
+            prompts: false,
             steps,
         }
     }
@@ -176,6 +188,23 @@
         self.with_steps(steps)
     }
 
+    /// Adds parts of prompts that crash servers: one beside the other faults, one after them.
+    pub fn with_crashing_parts(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ CRASHING_PARTS_SEED);
+        let steps = (0..=CRASHING_PARTS).map(|number| Step {
+            at: match number {
+                CRASHING_PARTS => LAST_PART,
+                _ => ms(&mut rng, START_MS),
+            },
+            lasts: ms(&mut rng, CRASHING_MS),
+            fault: Fault::CrashingPart(CRASHING_PART + number),
+        });
+        Self {
+            prompts: true,
+            ..self.with_steps(steps)
+        }
+    }
+
     /// Adds suspensions of boxes.
     pub fn with_suspensions(self) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ SUSPENDED_SEED);
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -61,6 +61,7 @@
             id: id.into(),
             traffic,
             content: content.map(Into::into),
+            crashing_part: None,
             takes_up: None,
             box_index: 0,
             key: (traffic == Traffic::Keyed).then(|| "key-0".into()),
@@ -501,6 +502,7 @@
             id: id.into(),
             traffic: Traffic::Resumable,
             content: None,
+            crashing_part: None,
             takes_up: after.map(|after| TakeUp {
                 first: "s-1".into(),
                 after,
