--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -64,7 +64,7 @@
     pub release_selector: Option<&'a Selector>,
     /// Set if the request continues a stream.
     pub origin: Option<Origin>,
-    /// Releases that are left out.
+    /// Releases that are left out, as other boxes may not know of them yet.
     pub young: &'a [Origin],
 }
 
--- a/crates/relay/src/content.rs
+++ b/crates/relay/src/content.rs
@@ -9,8 +9,8 @@
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::Xxh3;
 
-/// Hash of the content of a request, or the id of a part of prompts, used in logs and between
-/// boxes. At 7,000 requests a
+/// Hash of the content of a request, used in logs and between boxes; or the id of a part of
+/// prompts, where these are held in the same way. At 7,000 requests a
 /// second, the probability that two different requests of one day have the same hash is 1
 /// in 100.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
--- a/crates/relay/src/crash/table.rs
+++ b/crates/relay/src/crash/table.rs
@@ -330,8 +330,7 @@
         })
     }
 
-    /// For how long a content that was refused has no longer been, while nothing else is known
-    /// of it.
+    /// How long ago the refusal of a content ended, if nothing was learned of it since.
     pub fn on_trial_for(&self, content: Fingerprint, now: Instant) -> Option<Duration> {
         let entries = self.entries.borrow();
         let until = entries.get(&content)?.refused_until(self.kind)?;
