Modules without circles: the name of a release, prompts of the soak

The test of the modules found two: origin and fleet, as the ledger named a type of the fleet's releases, and load and fleet of the soak, as both write prompts. The type is in origin now, the prompts are in plan. No behaviour changes.

--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -8,20 +8,17 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
-use tidepier_core::server::{Release, Server};
+use tidepier_core::server::Server;
 use tidepier_ids as ids;
 
 use crate::notifier::Notifier;
-use crate::origin::Origin;
+use crate::origin::{Name, Origin};
 
 /// Time within which a box that starts learns of the servers that are there already.
 const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
 /// How long a release that no server runs any more is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
-/// The name of a release; `None` for servers that report none.
-pub type Name = Option<Release>;
-
 /// Servers of one release of a service.
 #[derive(Debug, Clone, Copy)]
 struct Seen {
--- a/crates/relay/src/origin/ledger.rs
+++ b/crates/relay/src/origin/ledger.rs
@@ -19,7 +19,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
 
-use crate::fleet::releases::Name;
+use super::Name;
 
 /// Prefix of the keys of the entries.
 const PREFIX: &str = "tidepier/releases/";
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -53,6 +53,9 @@
 /// Most origins that wait to be told.
 const OUTBOX_MAX: usize = 16_384;
 
+/// The name of a release; `None` for servers that report none.
+pub type Name = Option<Release>;
+
 /// A release of a service: a hash of both names.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Origin(u64);
--- a/crates/relay/src/peer/origins.rs
+++ b/crates/relay/src/peer/origins.rs
@@ -21,14 +21,13 @@
 
 use super::upstream::CONNECT_TIMEOUT;
 use crate::dial::race;
-use crate::fleet::releases::Name;
 use crate::message::link::{self, Error};
 use crate::message::origin::{Answer, Report, Request};
 use crate::message::{PeerRequest, VERSION};
 use crate::network::Network;
 use crate::notifier::Notifier;
 use crate::origin::keepers::Keeper;
-use crate::origin::{Origin, Record, Stream};
+use crate::origin::{Name, Origin, Record, Stream};
 use crate::relay::Relay;
 
 /// Most origins in one message, at 19 bytes each.
--- a/crates/soak/src/fleet/crashing.rs
+++ b/crates/soak/src/fleet/crashing.rs
@@ -14,7 +14,6 @@
 use super::servers::Backend;
 use super::Fleet;
 use crate::ledger::{Request, Traffic};
-use crate::load;
 use crate::plan;
 use crate::proxy::Impairment;
 use crate::sync::lock;
@@ -113,7 +112,7 @@
             let mut call = Call::new("POST", HOST, &request.target(), &request.id);
             call = call.body(request.body()).leaving(plan::CLIENT_TIMEOUT);
             if let Some(part) = request.crashing_part {
-                call = call.with(names::PROMPT, &load::prompt(&[part], number as u64));
+                call = call.with(names::PROMPT, &plan::prompt(&[part], number as u64));
             }
             let address = self.client_address(request.box_index);
             let number_in_ledger = self.ledger.record_sent(request);
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -35,13 +35,8 @@
 /// Share of the streams that are about the hot subject, and the number of other subjects.
 const HOT_SHARE: f64 = 0.6;
 const SUBJECTS: u64 = 60;
-/// The part that all prompts share beside requests that crash servers, and the number of
-/// subjects of the sound ones.
-const COMMON_PART: u64 = 0xc0_0000;
+/// Number of subjects of the sound streams beside ones that crash servers.
 const SOUND_SUBJECTS: u64 = 20;
-/// Tokens of a subject, and of the part that belongs to one request only.
-const SHARED_TOKENS: u32 = 2_000;
-const OWN_TOKENS: u32 = 80;
 /// Attempts of a client to take a stream up, and the pauses before them, in ms.
 const TAKE_UPS_MAX: u32 = 3;
 const TAKE_UP_PAUSES_MS: [u64; 4] = [0, 0, 200, 1_000];
@@ -153,7 +148,7 @@
         }
         if self.prompts && matches!(traffic, Traffic::Resumable | Traffic::Single) {
             let subject = self.rng.random_range(1..=SOUND_SUBJECTS);
-            call = call.with(names::PROMPT, &prompt(&[subject], self.rng.random()));
+            call = call.with(names::PROMPT, &plan::prompt(&[subject], self.rng.random()));
         }
         if self.rng.random_bool(NEW_CONNECTION_SHARE) {
             self.client = None;
@@ -238,7 +233,7 @@
             false => self.rng.random_range(1..=SUBJECTS),
         };
         let own: u64 = self.rng.random();
-        format!("{subject:x}:{SHARED_TOKENS},{own:x}:{OWN_TOKENS}")
+        plan::prompt_of(&[subject], own)
     }
 
     /// Returns the kept connection if it is still open, otherwise a new one.
@@ -260,16 +255,6 @@
     }
 }
 
-/// The parts of a prompt: one that all prompts share, these, and one of its own.
-pub(crate) fn prompt(parts: &[u64], own: u64) -> String {
-    let parts = [&[COMMON_PART], parts].concat();
-    let shared: String = parts
-        .iter()
-        .map(|part| format!("{part:x}:{SHARED_TOKENS},"))
-        .collect();
-    format!("{shared}{own:x}:{OWN_TOKENS}")
-}
-
 /// Whether the connection can be used for another request after this answer.
 fn is_reusable(answer: &Answer) -> bool {
     let close = answer.field("Connection");
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -27,6 +27,12 @@
 /// Time-out of a request, on each route.
 pub const TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Tokens of a part that prompts share, and of the part that belongs to one request only.
+const SHARED_TOKENS: u32 = 2_000;
+const OWN_TOKENS: u32 = 80;
+/// The part that all prompts share beside requests that crash servers.
+const COMMON_PART: u64 = 0xc0_0000;
+
 /// Returns an address for a box that no other box on this host uses.
 pub(crate) fn box_ip() -> Ipv4Addr {
     static NEXT: AtomicU32 = AtomicU32::new(1);
@@ -59,3 +65,17 @@
     };
     site.declare(&Traffic::ALL.map(route));
 }
+
+/// The parts of a prompt: these, which others share, and one of its own.
+pub(crate) fn prompt_of(shared: &[u64], own: u64) -> String {
+    let shared: String = shared
+        .iter()
+        .map(|part| format!("{part:x}:{SHARED_TOKENS},"))
+        .collect();
+    format!("{shared}{own:x}:{OWN_TOKENS}")
+}
+
+/// The same with a part that all prompts share before them.
+pub(crate) fn prompt(parts: &[u64], own: u64) -> String {
+    prompt_of(&[&[COMMON_PART], parts].concat(), own)
+}
