Stand-in server: the end of a fault does not end crashes under parts

Traced: a fault of server i-5 had ended, which healed it altogether. A server of the stand-ins keeps crashing under a part when another fault of it ends.

--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -405,7 +405,7 @@
 
     /// Ends faults, darkness, slowness, early closing, failing health checks, requested
     /// back-offs and crashes on requests. A server that announces that it leaves goes on
-    /// doing so.
+    /// doing so, and one that crashes under prompt parts still does.
     pub fn heal(&self) {
         let mut state = self.shared.lock();
         state.fault = None;
@@ -414,7 +414,6 @@
         state.unhealthy = false;
         state.backoff = None;
         state.crash_bodies.clear();
-        state.crash_parts.clear();
         drop(state);
         self.dark(false);
     }
--- a/crates/relay/tests/relay/crash_harness.rs
+++ b/crates/relay/tests/relay/crash_harness.rs
@@ -101,7 +101,6 @@
 
     /// From now on no request crashes a server.
     pub(crate) fn mend(&self) {
-        self.crashes_on_parts.borrow_mut().clear();
         self.all.borrow().iter().for_each(Server::heal);
     }
 
