One piece of code where the change had several

No behaviour changes:

- keeping the store's record of releases up to date talks to no box and stood in peer/origins; it is the module release_recorder now;
- whether a stream can be resumed was worked out in five places of an exchange, and who sent a request in two: is_resumable and caller;
- the list of keepers was copied for each batch of streams; it is shared;
- two kinds of requests of the soak were spelled out field by field.

--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -14,7 +14,7 @@
 use tidepier_ids as ids;
 use tidepier_platform::request as wire_request;
 
-use super::state::{Exchange, IncomingRequest, Start, Terms};
+use super::state::{self, Exchange, IncomingRequest, Start, Terms};
 use crate::content::{Fingerprint, Parts};
 use crate::refusal;
 use crate::relay::Relay;
@@ -79,20 +79,17 @@
 }
 
 /// The fingerprint of the request's content, which is the same for every attempt.
-/// It includes the account or, on a route without accounts, the key if there is
-/// one.
+/// It includes the caller.
 fn content(
     arrival: &IncomingRequest<'_>,
     request: &Request,
     account: Option<&Account>,
 ) -> Fingerprint {
-    let account = account.map(|account| account.name.as_str());
-    let caller = account.or(request.key.as_deref());
     Fingerprint::new(&Parts {
         method: arrival.head.method(),
         host: &request.host,
         target: arrival.head.target(),
-        caller: caller.unwrap_or_default(),
+        caller: state::caller(request, account),
         body: arrival.body,
     })
 }
--- a/crates/relay/src/exchange/origin.rs
+++ b/crates/relay/src/exchange/origin.rs
@@ -3,7 +3,6 @@
 //! Invariant: nothing is sent for such a request before the release is known.
 
 use tidepier_clock::Instant;
-use tidepier_core::catalog::Kind;
 use tidepier_ids as ids;
 
 use super::state::Exchange;
@@ -41,10 +40,6 @@
 }
 
 impl Exchange<'_> {
-    fn is_resumable(&self) -> bool {
-        self.route.kind == Kind::Stream { resumable: true }
-    }
-
     /// Fixes the release of a stream that the client takes up.
     ///
     /// # Errors
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -6,7 +6,6 @@
 
 use futures_lite::FutureExt;
 use tidepier_clock::Instant;
-use tidepier_core::catalog::Kind;
 use tidepier_core::request::Forward;
 use tidepier_core::server::Release;
 use tidepier_ids as ids;
@@ -178,8 +177,7 @@
     /// The releases to which the stream is not sent while there are others, as other boxes
     /// may not know of them yet.
     fn young_releases(&self) -> Vec<Origin> {
-        let is_resumable = self.route.kind == Kind::Stream { resumable: true };
-        if !is_resumable || self.origin.get().is_some() {
+        if !self.is_resumable() || self.origin.get().is_some() {
             return Vec::new();
         }
         let relay = self.relay;
@@ -312,7 +310,7 @@
             tried: &self.tried,
             filter,
             hall: &self.relay.hall,
-            not_resumable: self.route.kind != Kind::Stream { resumable: true },
+            not_resumable: !self.is_resumable(),
             connections: self.terms.connections,
             crowd_factor: self.relay.bounds().crowd_factor,
         }
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -6,7 +6,7 @@
 
 use tidepier_admission::speed::{Prediction, Work};
 use tidepier_clock::Instant;
-use tidepier_core::catalog::{Account, Cold, Route, Service};
+use tidepier_core::catalog::{Account, Cold, Kind, Route, Service};
 use tidepier_core::request::Request;
 use tidepier_h1::{Head, Writer};
 use tidepier_ids as ids;
@@ -40,6 +40,12 @@
     request.map_or_else(|_| "-".to_owned(), |request| request.attempt.to_string())
 }
 
+/// Who sent a request: the account or, on a route without accounts, the key if there is one.
+pub(super) fn caller<'a>(request: &'a Request, account: Option<&'a Account>) -> &'a str {
+    let account = account.map(|account| account.name.as_str());
+    account.or(request.key.as_deref()).unwrap_or_default()
+}
+
 /// The start of one attempt to send the request to a server.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Start {
@@ -119,10 +125,14 @@
 }
 
 impl Exchange<'_> {
-    /// Who sent the request: the account or, on a route without accounts, the key.
+    /// Whether the answer is a stream that another server can continue.
+    pub(super) fn is_resumable(&self) -> bool {
+        self.route.kind == Kind::Stream { resumable: true }
+    }
+
+    /// Who sent the request.
     pub(super) fn caller(&self) -> &str {
-        let account = self.account.as_ref().map(|account| account.name.as_str());
-        account.or(self.request.key.as_deref()).unwrap_or_default()
+        caller(&self.request, self.account.as_deref())
     }
 
     /// Directs the request to another service of its route.
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -9,7 +9,6 @@
 use std::time::Duration;
 
 use tidepier_clock::Instant;
-use tidepier_core::catalog::Kind;
 use tidepier_h1::Framing;
 use tidepier_platform::answer::Length;
 
@@ -83,7 +82,7 @@
     let mut out = exchange.head(&reply.head, client.length(), client.close);
     let mut events = Buffer::default();
     let mut limit = Deadline::new(exchange.deadline);
-    let resumable = exchange.route.kind == Kind::Stream { resumable: true };
+    let resumable = exchange.is_resumable();
     loop {
         let copied = copy(
             exchange,
@@ -257,7 +256,7 @@
     events: &mut Buffer,
     limit: &mut Deadline,
 ) -> Result<bool, Failure> {
-    let stalls = exchange.route.kind == Kind::Stream { resumable: true };
+    let stalls = exchange.is_resumable();
     let stall = match exchange.route.pause {
         _ if client.first.get().is_none() => None,
         Some(pause) if stalls => Some(STALL_PAUSES * pause),
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod recall;
 pub mod refusal;
 pub mod relay;
+mod release_recorder;
 mod revision_serde;
 pub mod rollout;
 mod rollout_controller;
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -27,6 +27,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{HashMap, VecDeque};
 use std::fmt;
+use std::rc::Rc;
 use std::time::Duration;
 
 use serde::{Deserialize, Serialize};
@@ -133,7 +134,7 @@
     pub ledger: Ledger,
     /// Notified when there is something to tell.
     pub queued: Notifier,
-    keepers: RefCell<Keepers>,
+    keepers: RefCell<Rc<Keepers>>,
     window: Cell<Duration>,
     /// The version of the catalog that the window is derived from.
     window_of: Cell<Version>,
@@ -176,13 +177,13 @@
     }
 
     /// The boxes that keep origins.
-    pub fn keepers(&self) -> Keepers {
+    pub fn keepers(&self) -> Rc<Keepers> {
         self.keepers.borrow().clone()
     }
 
     /// Sets the boxes that keep origins.
     pub fn set_keepers(&self, keepers: Keepers) {
-        *self.keepers.borrow_mut() = keepers;
+        *self.keepers.borrow_mut() = Rc::new(keepers);
     }
 
     /// Records that a stream begins here. `is_sole`: its service has one release only, so
--- a/crates/relay/src/peer/origins.rs
+++ b/crates/relay/src/peer/origins.rs
@@ -6,7 +6,7 @@
 //! for this carry nothing else, as boxes of former releases close them.
 
 use std::cell::{Cell, RefCell};
-use std::collections::{BTreeSet, HashMap};
+use std::collections::HashMap;
 use std::convert::Infallible;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -15,7 +15,6 @@
 use futures_lite::FutureExt;
 use smol::{LocalExecutor, Timer};
 use tidepier_clock::Instant;
-use tidepier_core::store::Failure;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
 
@@ -27,19 +26,13 @@
 use crate::network::Network;
 use crate::notifier::Notifier;
 use crate::origin::keepers::Keeper;
-use crate::origin::{Name, Origin, Record, Stream};
+use crate::origin::{Origin, Record, Stream};
 use crate::relay::Relay;
 
 /// Most origins in one message, at 19 bytes each.
 pub(super) const RECORDS_MAX: usize = 4_096;
 /// Interval at which streams that are told to nobody are checked.
 const UPDATE_INTERVAL: Duration = Duration::from_millis(250);
-/// Interval at which the ledger is compared with what this box observes.
-const LEDGER_INTERVAL: Duration = Duration::from_secs(1);
-/// How often a ledger's entry with further names is compared in the time for which these stay.
-const COMPARISONS: u32 = 4;
-/// Attempts to write an entry of the ledger that other boxes write as well.
-const RECORD_ATTEMPTS: u32 = 3;
 /// Idle time after which a connection to a keeper is closed: less than the other side allows.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 /// Time-out to send a message.
@@ -255,80 +248,3 @@
         metrics::gauge!("tidepier_stream_origins").set(relay.origins.table.len() as f64);
     }
 }
-
-/// Keeps the ledger up to date while this box is the hub of its hall; never returns.
-pub async fn run_ledger(relay: Rc<Relay>, is_alone: bool) -> Infallible {
-    let releases = &relay.fleet.releases;
-    // What was last compared with the ledger, and until when that need not be done again.
-    let mut compared: HashMap<ids::Service, (BTreeSet<Name>, Option<Instant>)> = HashMap::new();
-    loop {
-        let pause = async {
-            Timer::after(LEDGER_INTERVAL).await;
-        };
-        pause.or(releases.added.wait()).await;
-        if !is_alone && !relay.traffic.is_hub() {
-            compared.clear();
-            continue;
-        }
-        for service in releases.services() {
-            let window = relay.origins.window();
-            let now = Instant::now();
-            let names = releases.names(&service, window, now);
-            let is_compared = compared.get(&service).is_some_and(|(known, until)| {
-                *known == names && until.is_none_or(|until| now < until)
-            });
-            if names.is_empty() || is_compared {
-                continue;
-            }
-            match record(&relay, &service, &names).await {
-                Ok(is_exact) => {
-                    // What it names beyond that can be taken out later.
-                    let until = (!is_exact).then(|| now + window / COMPARISONS);
-                    compared.insert(service, (names, until));
-                }
-                Err(failure) => {
-                    log::info!(
-                        target: "belief",
-                        "event=store_call_failed call=releases why={} detail=\"{failure}\"",
-                        failure.name()
-                    );
-                    Timer::after(LEDGER_INTERVAL).await;
-                    break;
-                }
-            }
-        }
-    }
-}
-
-/// Makes the ledger's entry of a service name these releases. Returns whether it does.
-async fn record(
-    relay: &Relay,
-    service: &ids::Service,
-    names: &BTreeSet<Name>,
-) -> Result<bool, Failure> {
-    let ledger = &relay.origins.ledger;
-    let window = relay.origins.window();
-    // The hubs of all halls write at the same time.
-    for _ in 0..RECORD_ATTEMPTS {
-        let entry = ledger.read(service).await?;
-        let releases = &relay.fleet.releases;
-        // A box that has not observed the service for long enough takes no name out.
-        let wanted = match releases.is_complete(service, window, Instant::now()) {
-            true => names.clone(),
-            false => names.union(&entry.names).cloned().collect(),
-        };
-        if wanted == entry.names {
-            return Ok(wanted == *names);
-        }
-        if ledger.replace(service, &entry, &wanted).await? {
-            log::info!(
-                target: "belief",
-                "event=releases service={service} count={} window_s={}",
-                wanted.len(),
-                window.as_secs()
-            );
-            return Ok(wanted == *names);
-        }
-    }
-    Ok(false)
-}
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -29,6 +29,7 @@
 use crate::ready;
 use crate::recall;
 use crate::relay::{Bounds, Relay};
+use crate::release_recorder;
 use crate::rollout_controller;
 use crate::settings::{self, Settings};
 use crate::signal::{Request, Requests};
@@ -236,7 +237,7 @@
         follower.set_reads_store("alone", true);
         let recovering = recovery::run(follower, None, Vec::new(), executor.clone());
         executor.spawn(recovering).detach();
-        let ledger = origins::run_ledger(relay.clone(), true);
+        let ledger = release_recorder::run(relay.clone(), true);
         executor.spawn(ledger).detach();
         let now = Instant::now();
         relay.roster.set_single(&settings.name, &settings.hall, now);
@@ -301,7 +302,7 @@
     executor
         .spawn(origins::run(relay.clone(), executor.clone()))
         .detach();
-    let ledger = origins::run_ledger(relay.clone(), false);
+    let ledger = release_recorder::run(relay.clone(), false);
     executor.spawn(ledger).detach();
     executor
         .spawn(traffic::run(
--- a/crates/soak/src/fleet/crashing.rs
+++ b/crates/soak/src/fleet/crashing.rs
@@ -64,20 +64,13 @@
         for backend in self.backends() {
             backend.server.end_on_part(part);
         }
-        let send = |number: usize| Request {
+        let request = |number: usize| Request {
             id: format!("part-{part:x}-{number}"),
-            traffic: PART_KINDS[number % PART_KINDS.len()],
-            content: None,
             crashing_part: Some(part),
-            takes_up: None,
-            box_index: number % self.box_count(),
-            key: None,
-            sent: Instant::now(),
-            ended: None,
-            answer: None,
+            ..self.request(number, PART_KINDS[number % PART_KINDS.len()])
         };
         let sent = async {
-            self.send_each(send, lasts).await;
+            self.send_each(request, lasts).await;
             // Time for the last crashed servers to be replaced as well.
             Timer::after(REPLACEMENT_DELAY + SEND_INTERVAL).await;
             Ok(())
@@ -86,10 +79,20 @@
     }
 
     async fn send_repeatedly(&self, content: &str, traffic: Traffic, lasts: Duration) {
-        let send = |number: usize| Request {
+        let request = |number: usize| Request {
             id: format!("{content}-{number}"),
-            traffic,
             content: Some(content.into()),
+            ..self.request(number, traffic)
+        };
+        self.send_each(request, lasts).await;
+    }
+
+    /// The request of this number, sent to the boxes in turn; its id is to be set.
+    fn request(&self, number: usize, traffic: Traffic) -> Request {
+        Request {
+            id: String::new(),
+            traffic,
+            content: None,
             crashing_part: None,
             takes_up: None,
             box_index: number % self.box_count(),
@@ -97,8 +100,7 @@
             sent: Instant::now(),
             ended: None,
             answer: None,
-        };
-        self.send_each(send, lasts).await;
+        }
     }
 
     /// Sends one request after the other for this long.
