Review: case 1, a once-only request is run twice after a repeated rejection

Cause: the router sends an attempt again over the connection on which the server rejected it. A second copy of the rejection, which a faulty server may send in the place of the next answer, has the same id and is taken for the answer to the second sending.

Nothing is mended.

--- /dev/null
+++ b/review/standin/src/lib.rs
@@ -0,0 +1,28 @@
+//! Small stand-ins for the platform's store, servers and clients, as PROTOCOL.md describes
+//! them, and what starts the project's router as a process.
+
+pub mod client;
+pub mod http;
+pub mod json;
+pub mod record;
+pub mod router;
+pub mod server;
+pub mod store;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
+
+/// The loopback address with this last number.
+pub fn ip(last: u8) -> IpAddr {
+    IpAddr::V4(Ipv4Addr::new(127, 77, 0, last))
+}
+
+/// A free port at `ip`.
+pub fn free(ip: IpAddr) -> SocketAddr {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address")
+}
+
+/// Whether the disruption is left out.
+pub fn is_control_run() -> bool {
+    std::env::var("TROUBLE").is_ok_and(|value| value == "0")
+}
