Review: stand-ins end the routers also where a case cannot run

Cause: exit() runs no destructors, so that routers stayed when one of them was not ready.

Change: they are ended before; two remarks of the linter followed.

--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -75,6 +75,8 @@
     let mut router = deployment.start(0);
     if !router.wait_until_ready() {
         eprintln!("the router is not ready");
+        drop(router);
+        deployment.clean_up();
         record.write(&Path::new(&folder).join("record.txt"));
         exit(2);
     }
--- a/review/standin/src/bin/case3.rs
+++ b/review/standin/src/bin/case3.rs
@@ -76,6 +76,8 @@
     let mut routers: Vec<_> = (0..3).map(|index| deployment.start(index)).collect();
     if !routers.iter().all(|router| router.wait_until_ready()) {
         eprintln!("a router is not ready");
+        drop(routers);
+        deployment.clean_up();
         record.write(&file);
         exit(2);
     }
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -195,7 +195,7 @@
             thread::sleep(self.settings.way);
             let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
             let every = self.settings.extra_every;
-            if every > 0 && number % every == 0 {
+            if every > 0 && number.is_multiple_of(every) {
                 extra = Some(bytes.clone());
             }
             if self.has_ended() || conn.write(&bytes).is_err() {
--- a/review/standin/src/store.rs
+++ b/review/standin/src/store.rs
@@ -228,7 +228,7 @@
             "kv-watch" => {
                 let from = param("start_revision").parse().unwrap_or(0);
                 let wait = param("wait_ms").parse().unwrap_or(0);
-                return self.watch(&param("path_prefix"), from, Duration::from_millis(wait));
+                self.watch(&param("path_prefix"), from, Duration::from_millis(wait))
             }
             "kv-txn" => self.change(|data| transaction(data, &body)),
             "kv-lease" => self.change(|data| {
