--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -72,7 +72,7 @@
     let ledger = server("i-kasse-1", "bestellkasse", if is_control { 0 } else { 50 });
     let invoice = server("i-sprache-1", "sprachdienst", 0);
     let deployment = Deployment::new(store.address, vec![(ip(11), "rz-nord".into())]);
-    let mut router = deployment.start(0);
+    let mut router = deployment.start(0, true);
     if !router.wait_until_ready() {
         eprintln!("the router is not ready");
         drop(router);
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod router;
 pub mod server;
 pub mod store;
+pub mod stream;
 
 use std::net::{IpAddr, Ipv4Addr, SocketAddr, TcpListener};
 
