--- a/review/standin/src/bin/case1.rs
+++ b/review/standin/src/bin/case1.rs
@@ -15,7 +15,7 @@
 use review_standin::store::Store;
 use review_standin::{free, ip, is_control_run};
 
-const LOAD_TIME: Duration = Duration::from_secs(45);
+const LOAD_TIME: Duration = Duration::from_secs(72);
 /// Three more than the server has places.
 const CLIENTS: usize = 13;
 
@@ -68,8 +68,9 @@
         };
         Server::start(ip(20), settings, &store, &record)
     };
-    // One of the two servers (share .5) sends a second copy of one answer in 50 (x .02).
-    let ledger = server("i-kasse-1", "bestellkasse", if is_control { 0 } else { 50 });
+    // One of the two servers (share .5) sends a second copy of one answer in 34 (x under .03),
+    // in episodes of five seconds.
+    let ledger = server("i-kasse-1", "bestellkasse", if is_control { 0 } else { 34 });
     let invoice = server("i-sprache-1", "sprachdienst", 0);
     let deployment = Deployment::new(store.address, vec![(ip(11), "rz-nord".into())]);
     let mut router = deployment.start(0, true);
@@ -81,6 +82,9 @@
         exit(2);
     }
     record.add("the router is ready");
+    if !is_control {
+        record.add("from 0 s on, second copies of answers in the first 5 s of every 8 s");
+    }
     let attempts = Attempts::default();
     let start = Instant::now();
     let clients = (0..CLIENTS).map(|number| {
--- a/review/standin/src/bin/case2.rs
+++ b/review/standin/src/bin/case2.rs
@@ -2,7 +2,8 @@
 //! router that forwards it is killed.
 //!
 //! With `STOP=1` routers get SIGTERM instead, and streams last ten seconds: a router that ends
-//! by itself within its grace period ends such a stream in the same way.
+//! by itself within its grace period ends such a stream in the same way. That is a trial: more of
+//! the answers have no length than the pages' dose of `garble`.
 
 use std::path::Path;
 use std::process::exit;
@@ -44,7 +45,7 @@
     let is_control = is_control_run();
     let stops = std::env::var("STOP").is_ok_and(|value| value == "1");
     let pause = Duration::from_millis(if stops { 110 } else { 22 });
-    let unframed_every = if stops { 10 } else { 50 };
+    let unframed_every = if stops { 3 } else { 20 };
     let store = Store::start(free(ip(1)), &record);
     store.put("op/config", &config());
     let zones = ["industrial-area", "embakasi", "westlands"];
@@ -59,7 +60,8 @@
         };
         Server::start(ip(20 + number as u8), settings, &store, &record)
     };
-    // One of two servers (share .5) sends one answer in 50 (x .02) without a length.
+    // One of two servers (share .5) sends one answer in 20 (x .05) without a length, in
+    // episodes of five seconds.
     let servers = [server(0, unframed_every), server(1, 0)];
     let boxes = (0..ROUTERS).map(|number| (ip(11 + number as u8), zones[number % 3].to_owned()));
     let deployment = Deployment::new(store.address, boxes.collect());
@@ -72,6 +74,9 @@
         exit(2);
     }
     record.add("the routers are ready");
+    if !is_control {
+        record.add("from 0 s on, answers without a length in the first 5 s of every 8 s");
+    }
     let got: Arc<Mutex<Vec<Got>>> = Arc::default();
     let addresses: Vec<_> = routers.iter().map(|router| router.callers).collect();
     let addresses = Arc::new(Mutex::new(addresses));
@@ -112,7 +117,7 @@
     let start = Instant::now();
     let mut kills = 0;
     let mut last = Instant::now();
-    while kills < KILLS && start.elapsed() < Duration::from_secs(60) {
+    while kills < KILLS && start.elapsed() < Duration::from_secs(80) {
         thread::sleep(Duration::from_millis(20));
         if last.elapsed() < Duration::from_secs(4) {
             continue;
--- a/review/standin/src/bin/case3.rs
+++ b/review/standin/src/bin/case3.rs
@@ -28,8 +28,10 @@
 const CALM: Duration = Duration::from_millis(4_000);
 /// How much longer than `drain_ms` a server serves on: a little.
 const SERVES_ON: Duration = Duration::from_secs(2);
+/// Servers at the start: one that joins is .14 of them, one that leaves .125.
+const SERVERS: usize = 7;
 /// Clients of each router.
-const CLIENTS: usize = 4;
+const CLIENTS: usize = 8;
 
 fn config() -> String {
     "{\"version\":3,\"routes\":[{\"name\":\"batch-log\",\"host\":\"site.example\",\
@@ -66,7 +68,7 @@
         };
         Server::start(ip(20 + number as u8), settings, &store, &record)
     };
-    let mut servers: Vec<Arc<Server>> = (0..3).map(server).collect();
+    let mut servers: Vec<Arc<Server>> = (0..SERVERS).map(server).collect();
     let boxes = vec![
         (ip(11), zones[0].into()),
         (ip(12), zones[0].into()),
@@ -103,8 +105,8 @@
     thread::sleep(Duration::from_secs(3));
     let mut left = Vec::new();
     for round in 0..ROUNDS {
-        servers.push(server(3 + round));
-        record.add(format!("server i-ledger-{} joins", 3 + round));
+        servers.push(server(SERVERS + round));
+        record.add(format!("server i-ledger-{} joins", SERVERS + round));
         thread::sleep(BEFORE_OUTAGE);
         let back = match is_control {
             true => Vec::new(),
--- a/review/standin/src/lib.rs
+++ b/review/standin/src/lib.rs
@@ -23,6 +23,16 @@
     listener.local_addr().expect("an address")
 }
 
+/// How long an episode of wrong bytes lasts, in seconds: `for_s` of `garble`.
+pub const GARBLE_S: f64 = 5.0;
+/// From the beginning of one episode to that of the next.
+pub const GARBLE_PERIOD_S: f64 = 8.0;
+
+/// Whether servers hand out wrong bytes at this time of the record.
+pub fn is_garbling(now: f64) -> bool {
+    now % GARBLE_PERIOD_S < GARBLE_S
+}
+
 /// Whether the disruption is left out.
 pub fn is_control_run() -> bool {
     std::env::var("TROUBLE").is_ok_and(|value| value == "0")
--- a/review/standin/src/server.rs
+++ b/review/standin/src/server.rs
@@ -25,8 +25,8 @@
     pub work: Duration,
     /// Time that a message takes from or to it, one way.
     pub way: Duration,
-    /// Every how many answers one is followed by a second copy, which comes in the place of
-    /// the next answer on its connection; 0: never.
+    /// Every how many answers of an episode of wrong bytes one is followed by a second copy,
+    /// which comes in the place of the next answer on its connection; 0: never.
     pub extra_every: u64,
     /// Share of its answers that are failures of its own.
     pub bad_share: f64,
@@ -46,6 +46,8 @@
     load: (Mutex<Load>, Condvar),
     answers: AtomicU64,
     extras: AtomicU64,
+    /// Answers in episodes of wrong bytes.
+    garbling_answers: AtomicU64,
     runs: Mutex<Vec<Run>>,
     arrivals: Mutex<Vec<(f64, String)>>,
     bad: Mutex<Vec<f64>>,
@@ -77,6 +79,7 @@
             load: Default::default(),
             answers: AtomicU64::new(0),
             extras: AtomicU64::new(0),
+            garbling_answers: AtomicU64::new(0),
             runs: Mutex::default(),
             arrivals: Mutex::default(),
             bad: Mutex::default(),
@@ -179,7 +182,9 @@
         while let Ok(Some(head)) = conn.head() {
             let Ok(body) = conn.body(&head) else { return };
             thread::sleep(self.settings.way);
-            if let Some(bytes) = extra.take() {
+            // A copy that is due after the episode does not come.
+            let is_garbling = crate::is_garbling(self.record.now());
+            if let Some(bytes) = extra.take().filter(|_| is_garbling) {
                 self.extras.fetch_add(1, Ordering::SeqCst);
                 let first = String::from_utf8_lossy(&bytes);
                 let first = first.lines().take(2).collect::<Vec<_>>().join(", ");
@@ -193,9 +198,13 @@
             }
             let bytes = self.handle(&head, &body);
             thread::sleep(self.settings.way);
-            let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+            self.answers.fetch_add(1, Ordering::SeqCst);
             let every = self.settings.extra_every;
-            if every > 0 && number.is_multiple_of(every) {
+            let is_due = every > 0 && crate::is_garbling(self.record.now()) && {
+                let number = self.garbling_answers.fetch_add(1, Ordering::SeqCst) + 1;
+                number.is_multiple_of(every)
+            };
+            if is_due {
                 extra = Some(bytes.clone());
             }
             if self.has_ended() || conn.write(&bytes).is_err() {
--- a/review/standin/src/stream.rs
+++ b/review/standin/src/stream.rs
@@ -18,7 +18,8 @@
     pub events: u64,
     /// Pause between two events.
     pub pause: Duration,
-    /// Every how many answers one has no length and ends with its connection; 0: never.
+    /// Every how many answers of an episode of wrong bytes one has no length and ends with its
+    /// connection; 0: never.
     pub unframed_every: u64,
 }
 
@@ -68,9 +69,11 @@
                 return;
             }
             let attempt = head.field("Attempt-Id").unwrap_or("").to_owned();
-            let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
             let every = self.settings.unframed_every;
-            let is_unframed = every > 0 && number.is_multiple_of(every);
+            let is_unframed = every > 0 && crate::is_garbling(self.record.now()) && {
+                let number = self.answers.fetch_add(1, Ordering::SeqCst) + 1;
+                number.is_multiple_of(every)
+            };
             if is_unframed {
                 self.unframed.lock().unwrap().push(attempt.clone());
             }
