Age of the list of servers, measured

The logs could not tell a lost watch from changes that are not applied or not passed on, since no line named the state of the store that the list of servers covers.

Freshness checks of a reader get the store's state with each answer, and the watch states up to which it is complete. Both are kept now: a log line where the list does not cover the state that a check found, and a gauge of the list's age. Nothing is decided by it yet.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -23,6 +23,7 @@
 mod change_log;
 mod changes;
 mod eras;
+mod freshness;
 mod halls;
 mod listing;
 mod mark;
@@ -46,6 +47,7 @@
 
 use self::availability::Availability;
 use self::change_log::Batch;
+use self::freshness::Freshness;
 pub use self::listing::Progress;
 use self::mark::Mark;
 pub use self::retry::PROBING_BOXES;
@@ -105,6 +107,8 @@
     reads_store: Cell<bool>,
     /// Notified when `reads_store` changed.
     role_changed: Notifier,
+    /// How fresh the list of servers is.
+    freshness: Freshness,
     /// Whether this box, as the reader, follows the servers without a gap.
     servers_known: Cell<bool>,
     /// Revision of the newest change of a server that this box itself read in the store.
@@ -154,6 +158,7 @@
             synced_at: Cell::new(None),
             reads_store: Cell::new(false),
             role_changed: Notifier::default(),
+            freshness: Freshness::default(),
             servers_known: Cell::new(false),
             last_read_change: Cell::default(),
             upstream_in_grace_period: Cell::new(false),
@@ -308,6 +313,24 @@
         }
     }
 
+    /// Records that a freshness check that was sent at `asked` was answered, and the state
+    /// of the store if the answer stated it.
+    fn record_check(&self, asked: Instant, state: Option<Revision>) {
+        let complete = self.history.complete_revision();
+        self.freshness.record_check(asked, state, complete);
+        let Some(age) = self.freshness.complete_at().map(|at| at.elapsed()) else {
+            return;
+        };
+        metrics::gauge!("tidepier_servers_age_seconds").set(age.as_secs_f64());
+        if let Some(state) = state.filter(|state| *state > complete) {
+            log::info!(
+                target: "belief",
+                "event=servers_behind state={state} complete={complete} age_ms={}",
+                age.as_millis()
+            );
+        }
+    }
+
     /// The history of server changes.
     pub fn history(&self) -> &History {
         &self.history
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -235,8 +235,10 @@
         let halls_known = self.apply_emptied_list(emptied);
         self.apply_rollouts(answer.rollouts.as_ref(), asked);
         self.apply_servers(answer.servers, era);
+        let current_as_of = asked.checked_sub(age).unwrap_or(asked);
+        self.freshness.record_report(current_as_of);
         if halls_known && known {
-            self.record_synced(asked.checked_sub(age).unwrap_or(asked));
+            self.record_synced(current_as_of);
         }
         if answer.status.is_some_and(|status| status.settled) {
             self.settle(Evidence::Report);
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -82,6 +82,7 @@
         let read = self.store.list(key::OPERATOR, false, limit).await?;
         self.observe_state(read.revision);
         self.record_store_answer();
+        self.record_check(asked, Some(read.revision));
         let halls_known = self.apply_emptied_list(&self.emptied_list(&read.value, read.revision));
         self.apply_orders(&read.value, read.revision);
         let mut items = read.value.into_iter();
@@ -255,6 +256,7 @@
         let asked = check.asked;
         match swap {
             Swap::Done(state) => {
+                self.record_check(asked, Some(state));
                 if let Some(era) = check.marked {
                     self.mark.set(Mark::written(era, state));
                 }
@@ -277,6 +279,7 @@
                 if let Some(mark) = items.iter().find(|item| item.key == mark::KEY) {
                     self.apply_mark(Some(mark));
                 }
+                self.record_check(asked, None);
                 self.apply_checked_stages(&items);
                 self.relay.rollouts.confirm_at(asked);
                 let entry = items.into_iter().find(|item| item.key == key::CONFIG);
--- a/crates/relay/src/follow/changes.rs
+++ b/crates/relay/src/follow/changes.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use tidepier_clock::Instant;
 use tidepier_core::store::{Event, Read, Revision, Scope, Store, Watch as _};
 use tidepier_platform::store;
 
@@ -16,11 +17,18 @@
 pub(super) struct Changes<'a> {
     follower: &'a Follower,
     watch: store::Watch,
+    /// When it was last called.
+    asked: Instant,
     /// Name of the watch in logs and counters.
     name: &'static str,
 }
 
 impl Changes<'_> {
+    /// When the watch was last called.
+    pub(super) fn asked(&self) -> Instant {
+        self.asked
+    }
+
     /// The next changes, or none of them if nothing changed for a while; `None` at the
     /// end of the watch, after which the items have to be read again.
     pub(super) async fn next(&mut self) -> Option<Read<Vec<Event>>> {
@@ -29,6 +37,7 @@
 
     /// The same, waiting for changes no longer than `wait`.
     pub(super) async fn next_within(&mut self, wait: Duration) -> Option<Read<Vec<Event>>> {
+        self.asked = Instant::now();
         let read = async { Some(self.watch.next(wait).await) };
         let interrupted = async {
             self.follower.interrupted().await;
@@ -58,6 +67,7 @@
         Changes {
             follower: self,
             watch: self.store.watch(scope, after),
+            asked: Instant::now(),
             name,
         }
     }
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -58,6 +58,7 @@
                     self.observe_state(read.revision);
                     self.record_store_answer();
                     self.apply_server_list(&read.value, read.revision);
+                    self.freshness.record_complete(asked, read.revision);
                     self.servers_known.set(true);
                     self.watch_servers(read.revision, Resumes::No).await;
                 }
@@ -95,12 +96,12 @@
             let Some(read) = changes.next_within(RESUME_TIMEOUT).await else {
                 return false;
             };
-            self.apply_server_events(&read);
+            self.apply_server_events(&read, changes.asked());
             self.servers_known.set(true);
             self.record_change();
         }
         while let Some(read) = changes.next().await {
-            self.apply_server_events(&read);
+            self.apply_server_events(&read, changes.asked());
             if (1..PENDING_CHANGES_MIN).contains(&read.value.len()) {
                 Timer::after(GATHER_INTERVAL).await;
             }
@@ -108,7 +109,8 @@
         true
     }
 
-    fn apply_server_events(&self, read: &Read<Vec<Event>>) {
+    /// Applies an answer to a call of the watch that was sent at `asked`.
+    fn apply_server_events(&self, read: &Read<Vec<Event>>, asked: Instant) {
         let mut batch = Batch::new();
         for event in &read.value {
             self.apply_server_event(event, &mut batch);
@@ -116,6 +118,11 @@
         }
         batch.write();
         self.history.confirm(read.revision);
+        // An answer with events may lack later ones, which the next call returns.
+        match read.value.is_empty() {
+            true => self.freshness.record_complete(asked, read.revision),
+            false => self.freshness.record_changes(read.revision),
+        }
     }
 
     fn apply_server_list(&self, items: &[Item], revision: Revision) {
