Servers leave in time after a watch of the store was lost (DRAIN)

Cause: a call of the watch of the servers that arrives in an outage is never answered, and was waited for for 15 s and 3 s of slack. Only a failed call ended it earlier, and an outage between two freshness checks makes none fail. The list of servers had no age: each check of the operator entries recorded that the view covered everything in the store, so the reader passed its list on as current, and no other box turned to the store.

Evidence: with the age logged, the first check after the outage already finds state 30 where the list covers 29, and each check does until the watch is given up 17.6 s later; the reader whose check met a second outage called its watch again and got everything at once. Ruled out: changes that are not applied or not passed on (the reader itself lacks them), late delivery (nothing is waiting at the store).

Why it works: the state that a check finds is compared with the revision up to which the list is complete. The list's age counts in what a box passes on and in when a box turns to the store itself.

Tests: lost_watches, six, all of which failed on (outages of 0.1 to 1.5 s for all and for one reader, lost answers, watches without answers or with stale ones, a suspended box, the cost). peers::one_box_of_a_hall_reads_the_store counted the calls right after the last change of the store at its start, which readers ask about now; it waits for that to be over and keeps its bounds, and the cost of a change has a test of its own.

--- a/crates/relay-standin/src/store/faults.rs
+++ b/crates/relay-standin/src/store/faults.rs
@@ -24,6 +24,8 @@
     pub refuse: bool,
     /// Calls get no answer, except watches.
     pub mute: bool,
+    /// Watches get no answer, whether they wait already or not.
+    pub silent_watches: bool,
     /// Calls are delayed by this before they are executed.
     pub slow: Duration,
     /// Answers are sent this much later than they were made, with the contents of then.
@@ -50,6 +52,7 @@
             down: None,
             refuse: false,
             mute: false,
+            silent_watches: false,
             slow: Duration::ZERO,
             held: Duration::ZERO,
             lost: 0,
--- a/crates/relay-standin/src/store/mod.rs
+++ b/crates/relay-standin/src/store/mod.rs
@@ -340,6 +340,9 @@
                 if let Some(disposition) = faults.disposition_while_waiting() {
                     return disposition;
                 }
+                if faults.silent_watches {
+                    return Disposition::Silence;
+                }
                 let now = Instant::now();
                 if faults.deaf_until.is_none_or(|until| until <= now) {
                     let data = lock(&self.data);
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -9,7 +9,10 @@
 //!
 //! Invariants:
 //!
-//! * A freshness check confirms the view as of a time before its request was sent.
+//! * A freshness check confirms the operator entries as of a time before its request was
+//!   sent, and the list of servers if that covers the state of the store that the check
+//!   found ([`freshness`]).
+//! * The view is passed on to other boxes with the age of its older part.
 //! * After the store was restored from an older backup, earlier knowledge stays in
 //!   force until the operator entries are complete and servers have had time to write
 //!   their entries again (`eras`).
@@ -101,7 +104,10 @@
     /// Withheld entries: backup entries that contradict what their servers advertised
     /// before the restore.
     withheld: RefCell<BTreeMap<ids::Server, Row>>,
-    /// The latest time at which the local view covered everything in the store.
+    /// The latest time as of which the operator entries are known to be complete.
+    operator_complete_at: Cell<Option<Instant>>,
+    /// The latest time at which the local view covered everything in the store: the
+    /// operator entries and the servers.
     synced_at: Cell<Option<Instant>>,
     /// Whether this box is the reader of its hall.
     reads_store: Cell<bool>,
@@ -155,6 +161,7 @@
             emptied_changed: Notifier::default(),
             history: History::default(),
             withheld: RefCell::default(),
+            operator_complete_at: Cell::new(None),
             synced_at: Cell::new(None),
             reads_store: Cell::new(false),
             role_changed: Notifier::default(),
@@ -212,15 +219,16 @@
         }
     }
 
-    /// Time since the local view was confirmed current. While nothing can be confirmed,
-    /// because the operator entries may be incomplete, the time since it covered
-    /// everything in the store.
+    /// Time since the local view was confirmed current and covered everything in the
+    /// store. While nothing can be confirmed, because the operator entries may be
+    /// incomplete, only the latter.
     fn view_age(&self) -> Option<Duration> {
         let now = Instant::now();
+        let synced = self.synced_age(now);
         if self.relay.era_state.is_settled() {
-            self.relay.view.age_at(now)
+            self.relay.view.age_at(now).max(synced)
         } else {
-            self.synced_age(now)
+            synced
         }
     }
 
@@ -305,8 +313,25 @@
         synced_at.map(|at| now.saturating_duration_since(at))
     }
 
-    /// Records that the local view covers everything that the store held at `moment`.
-    fn record_synced(&self, moment: Instant) {
+    /// Records that the operator entries known here are those that the store held at
+    /// `moment`.
+    fn record_operator_complete(&self, moment: Instant) {
+        let known = self.operator_complete_at.get();
+        self.operator_complete_at.set(known.max(Some(moment)));
+        self.update_synced();
+    }
+
+    /// Updates the time at which the local view covered everything in the store, after
+    /// one of its parts has advanced.
+    fn update_synced(&self) {
+        let parts = (
+            self.operator_complete_at.get(),
+            self.freshness.complete_at(),
+        );
+        let (Some(operator), Some(servers)) = parts else {
+            return;
+        };
+        let moment = operator.min(servers);
         if self.synced_at.get().is_none_or(|earlier| earlier < moment) {
             self.synced_at.set(Some(moment));
             self.record_change();
@@ -318,6 +343,7 @@
     fn record_check(&self, asked: Instant, state: Option<Revision>) {
         let complete = self.history.complete_revision();
         self.freshness.record_check(asked, state, complete);
+        self.update_synced();
         let Some(age) = self.freshness.complete_at().map(|at| at.elapsed()) else {
             return;
         };
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -132,7 +132,7 @@
     /// confirmed to others.
     pub fn shareable_age(&self, now: Instant) -> Option<Duration> {
         let complete = !self.reads_store.get() || self.servers_known.get();
-        let age = self.relay.view.age_at(now)?;
+        let age = self.relay.view.age_at(now)?.max(self.synced_age(now)?);
         (complete && age < self.bound(PASS_ON_PART)).then_some(age)
     }
 
@@ -238,7 +238,7 @@
         let current_as_of = asked.checked_sub(age).unwrap_or(asked);
         self.freshness.record_report(current_as_of);
         if halls_known && known {
-            self.record_synced(current_as_of);
+            self.record_operator_complete(current_as_of);
         }
         if answer.status.is_some_and(|status| status.settled) {
             self.settle(Evidence::Report);
--- a/crates/relay/src/follow/eras.rs
+++ b/crates/relay/src/follow/eras.rs
@@ -97,10 +97,10 @@
         self.record_change();
     }
 
-    /// Records that the local view covers everything that the store held at `asked`,
-    /// and confirms it as the newest if the operator entries are complete.
+    /// Records that the operator entries known here are those that the store held at
+    /// `asked`, and confirms them as the newest if none was lost in a restore.
     pub(super) fn confirm(&self, asked: Instant) {
-        self.record_synced(asked);
+        self.record_operator_complete(asked);
         let bounds = self.relay.bounds();
         let delays = Delays {
             stable: bounds.grace_period,
--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -68,6 +68,8 @@
     Cut,
     /// Nothing is forwarded.
     Silent,
+    /// What arrives is lost, and its connection carries nothing from then on.
+    Lossy,
 }
 
 /// A proxy in front of an address, into which a test may inject faults; it ends when
@@ -143,6 +145,11 @@
         self.set(Mode::Silent);
     }
 
+    /// Loses what arrives, after which its connection is silent for good.
+    pub(crate) fn lose(&self) {
+        self.set(Mode::Lossy);
+    }
+
     /// Forwards everything again.
     pub(crate) fn restore_link(&self) {
         self.set(Mode::Open);
@@ -168,15 +175,26 @@
         let Ok(far) = TcpStream::connect(self.target).await else {
             return;
         };
-        let there = self.copy_bytes(near.clone(), far.clone(), true);
-        let back = self.copy_bytes(far, near, false);
+        let lost = Cell::new(false);
+        let there = self.copy_bytes(near.clone(), far.clone(), true, &lost);
+        let back = self.copy_bytes(far, near, false, &lost);
         future::or(there, back).await;
     }
 
-    /// Forwards bytes until one side closes.
-    async fn copy_bytes(&self, mut from: TcpStream, mut to: TcpStream, asks: bool) {
+    /// Forwards bytes until one side closes; none once some of the connection are `lost`.
+    async fn copy_bytes(
+        &self,
+        mut from: TcpStream,
+        mut to: TcpStream,
+        asks: bool,
+        lost: &Cell<bool>,
+    ) {
         let mut bytes = vec![0; 64 << 10];
         while let Ok(count @ 1..) = from.read(&mut bytes).await {
+            if lost.get() || self.mode.get() == Mode::Lossy {
+                lost.set(true);
+                continue;
+            }
             while self.mode.get() == Mode::Silent {
                 self.changed.wait().await;
             }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -34,6 +34,7 @@
 mod locations;
 mod logged;
 mod losses;
+mod lost_watches;
 mod origins;
 mod overload;
 mod partition_harness;
--- a/crates/relay/tests/relay/peers.rs
+++ b/crates/relay/tests/relay/peers.rs
@@ -46,6 +46,11 @@
         }
         wait_until_ready(&boxes).await?;
         wait_for_readers(&boxes, &[3, 4]).await?;
+        // The readers ask about each change of the store; the last one after the start is
+        // the entry of releases.
+        let recorded = || site.store.value("tidepier/releases/service-1");
+        wait_until("recorded", async || Ok(recorded().is_some())).await?;
+        Timer::after(TWO_FRESHNESS_CHECKS).await;
         let before = site.store.all_calls();
         let found = boxes_reading_store(&boxes, TWO_FRESHNESS_CHECKS).await;
         ensure!(found == [3, 4], "read by {found:?}");
