Freshness checks name the rollout order of each service

What callers would see: a release that has a rollout order gets its full share in the halls whose readers do not know the order, for up to 18 s, also if it is faulty.

Cause: a freshness check names the operator entries that are known, and the halls also where they have no entry. The order of a service that had none was named nowhere, so that only the watch of the operator entries could deliver it; a call of that which is lost is waited for for 18 s.

Fix: the check names the key of the order of each service of the catalog, with the revision of an absent entry. The other entries go first; where a transaction has no room for all services, checks name them in turn. An order that is unreadable is named with its revision, so that it is not read again with each check. What a check returns is compared both ways, so that an order that is not known differs.

--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -100,6 +100,11 @@
     emptied: EmptiedHalls,
     /// Notified when `emptied` changed.
     emptied_changed: Notifier,
+    /// Orders of the store that are unreadable.
+    unreadable_orders: RefCell<BTreeMap<ids::Service, Revision>>,
+    /// Number of the first service without an order in force that the next freshness
+    /// check names.
+    next_other_order: Cell<usize>,
     history: History,
     /// Withheld entries: backup entries that contradict what their servers advertised
     /// before the restore.
@@ -159,6 +164,8 @@
             document: RefCell::new(Rc::new([])),
             emptied: EmptiedHalls::default(),
             emptied_changed: Notifier::default(),
+            unreadable_orders: RefCell::default(),
+            next_other_order: Cell::new(0),
             history: History::default(),
             withheld: RefCell::default(),
             operator_complete_at: Cell::new(None),
--- a/crates/relay/src/follow/catalog.rs
+++ b/crates/relay/src/follow/catalog.rs
@@ -227,6 +227,8 @@
         if marked.is_some() {
             others.push((mark::KEY.to_owned(), self.mark.get().revision));
         }
+        let room = ENTRIES_MAX.saturating_sub(1 + others.len());
+        others.extend(self.other_rollout_conditions(room));
         let mut expected = vec![(key::CONFIG, revision)];
         expected.extend(others.iter().map(|(key, revision)| (&**key, *revision)));
         if expected.len() > ENTRIES_MAX {
--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -1,6 +1,7 @@
 //! The store's entries on rollouts: the operator's orders to move services between
 //! releases, and the stages in which boxes record the progress of these orders.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use tidepier_clock::Instant;
@@ -23,6 +24,7 @@
                 rollouts.missing(service, revision, self.rollout_precedence());
             }
         }
+        self.unreadable_orders.borrow_mut().clear();
         items.iter().for_each(|item| self.apply_order(item));
         self.entries_held.notify();
     }
@@ -33,6 +35,7 @@
             Event::Put(item) => self.apply_order(item),
             Event::Delete { key, revision } => {
                 if let Some(service) = service(key) {
+                    self.unreadable_orders.borrow_mut().remove(&service);
                     self.relay.rollouts.cancel(&service, *revision);
                 }
             }
@@ -46,14 +49,19 @@
         let (precedence, now) = (self.rollout_precedence(), Instant::now());
         match wire::decode(&service, &item.value) {
             Ok(order) => {
+                self.unreadable_orders.borrow_mut().remove(&service);
                 let rollouts = &self.relay.rollouts;
                 rollouts.order(order, item.revision, precedence, now);
             }
-            Err(error) => log::error!(
-                target: "belief",
-                "event=rollout_invalid service={service} revision={} why=\"{error}\"",
-                item.revision
-            ),
+            Err(error) => {
+                log::error!(
+                    target: "belief",
+                    "event=rollout_invalid service={service} revision={} why=\"{error}\"",
+                    item.revision
+                );
+                let mut unreadable = self.unreadable_orders.borrow_mut();
+                unreadable.insert(service, item.revision);
+            }
         }
     }
 
@@ -76,15 +84,49 @@
         conditions.collect()
     }
 
-    /// Whether the orders that a freshness check returned are those that the store was
-    /// known to have.
+    /// Up to `room` further entries that it has to name: those of the other services, which
+    /// are absent unless they are unreadable or the watch missed one. If there is no room
+    /// for all, checks name them in turn.
+    pub(super) fn other_rollout_conditions(&self, room: usize) -> Vec<(String, Revision)> {
+        let unreadable = self.unreadable_orders.borrow();
+        let catalog = self.relay.view.catalog();
+        let services = catalog.iter().flat_map(|catalog| catalog.services.keys());
+        let mut others: BTreeMap<&ids::Service, Revision> =
+            services.map(|it| (it, Revision::default())).collect();
+        others.extend(unreadable.iter().map(|(service, at)| (service, *at)));
+        for known in self.relay.rollouts.all() {
+            others.remove(&known.order.service);
+        }
+        let count = room.min(others.len());
+        let first = self.next_other_order.get() % others.len().max(1);
+        self.next_other_order.set(first + count);
+        let named = others.iter().cycle().skip(first).take(count);
+        let named = named.map(|(service, at)| (key::rollout(service), *at));
+        named.collect()
+    }
+
+    /// Whether the orders that a freshness check returned are among those that the store
+    /// was known to have, and include all that are in force.
     pub(super) fn matches_orders(&self, items: &[Item]) -> bool {
-        self.relay.rollouts.all().iter().all(|known| {
-            let key = key::rollout(&known.order.service);
-            let item = items.iter().find(|item| item.key == key);
-            let stored = known.stored.then_some(known.revision);
-            item.map(|item| item.revision) == stored
-        })
+        let known = self.relay.rollouts.all();
+        let unreadable = self.unreadable_orders.borrow();
+        let expected = |item: &Item| {
+            let service = service(&item.key)?;
+            let stored = known
+                .iter()
+                .find(|it| it.stored && it.order.service == service);
+            let stored = stored.map(|known| known.revision);
+            stored.or_else(|| unreadable.get(&service).copied())
+        };
+        let mut found = items
+            .iter()
+            .filter(|item| key::rollout_service(&item.key).is_some());
+        let mut stored = known.iter().filter(|known| known.stored);
+        found.all(|item| expected(item) == Some(item.revision))
+            && stored.all(|known| {
+                let key = key::rollout(&known.order.service);
+                items.iter().any(|item| item.key == key)
+            })
     }
 
     /// Applies the stages that a freshness check returned. A known order whose stage is
--- a/crates/relay/tests/relay/lost_watches.rs
+++ b/crates/relay/tests/relay/lost_watches.rs
@@ -5,6 +5,7 @@
 
 use eyre::ensure;
 use futures_lite::future;
+use serde_json::{json, Value};
 use smol::{Task, Timer};
 use tidepier_clock::Instant;
 use tidepier_core::server::State;
@@ -13,9 +14,10 @@
 use tidepier_relay_standin::store::{Down, Faults};
 
 use crate::box_harness::{
-    site_with_keys, start_boxes_in, wait_for_readers, TestBox, FRESHNESS_CHECK_TIME, LEAVE_TIME,
+    site_with_keys, start_boxes_in, wait_for_readers, TestBox, APPLY_TIME, FRESHNESS_CHECK_TIME,
+    LEAVE_TIME,
 };
-use crate::harness::{ms, run, server_settings, wait_until, Executor, Result};
+use crate::harness::{ms, run, server_settings, wait_until, Executor, Result, SERVICE};
 
 /// Two boxes of a hall, of which the second follows the first, and a box of another hall.
 const HALLS: [&str; 3] = ["hall-1", "hall-1", "hall-2"];
@@ -264,7 +266,7 @@
         let calls = |name| fleet.site.store.calls(name);
         let before = ["kv-watch", "kv-range"].map(calls);
         for number in 0..4 {
-            let other = serde_json::json!({ "number": number });
+            let other = json!({ "number": number });
             fleet.site.store.put("other/entry", &other);
             // Longer than a freshness check and the poll after it take.
             Timer::after(FRESHNESS_CHECK_TIME + ms(300)).await;
@@ -300,3 +302,45 @@
         Ok(())
     })
 }
+
+/// Guards against a release that gets its full share as the order to roll it out is
+/// unknown: freshness checks named only the orders that were known.
+#[test]
+fn a_rollout_order_is_known_in_time_while_watches_return_nothing() -> Result {
+    run(async |executor| {
+        let fleet = Fleet::start(&executor).await?;
+        let silence = |faults: &mut Faults| faults.silent_watches = true;
+        fleet.site.store.faults(silence);
+        put_order(&fleet.site, json!("v2"));
+        let start = Instant::now();
+        wait_until("known", async || {
+            let mut rollouts = fleet.boxes.iter().map(|it| &it.router.relay().rollouts);
+            Ok(rollouts.all(|rollouts| rollouts.all().len() == 1))
+        })
+        .await?;
+        ensure!(start.elapsed() < APPLY_TIME, "{:?}", start.elapsed());
+        Ok(())
+    })
+}
+
+/// Guards against a list of the operator entries with each freshness check because of an
+/// order that cannot be read.
+#[test]
+fn an_unreadable_order_is_read_once() -> Result {
+    run(async |executor| {
+        let fleet = Fleet::start(&executor).await?;
+        put_order(&fleet.site, json!(7));
+        Timer::after(FRESHNESS_CHECK_TIME * 2).await;
+        let lists = fleet.site.store.calls("kv-range");
+        Timer::after(FRESHNESS_CHECK_TIME * 3).await;
+        let lists = fleet.site.store.calls("kv-range") - lists;
+        ensure!(lists <= 1, "{lists} lists");
+        Ok(())
+    })
+}
+
+/// Writes the order to roll a release out.
+fn put_order(site: &Site, release: Value) {
+    let order = json!({ "service": SERVICE, "target_version": release, "duration_s": 20.0 });
+    site.store.put(&format!("op/rollout/{SERVICE}"), &order);
+}
