tidepier-router: a watch that misses a change is found after 2 s

What callers would see: a configuration that is applied takes up to 30 s, where 5 s are promised, in a hall that hears of it from no other hall, if the watches of its two watchers deliver nothing.

Cause: a stream of changes that is silent looks like a key that does not change, and the key was read again only after 30 s, as the document may have 0.2 MB.

Fix: after 2 s without a change a watcher compares the revision that it knows with that of the key, in a transaction that writes nothing and carries no value; if they differ, it reads the key and watches anew. Six calls a second for six halls (two watchers each); some 400 bytes every 2 s for a watcher, where reading the document every 30 s took 7 KB/s at the target.

The stand-in of the store counted a transaction without operations as a write; it does not any more.

Test: watches-muted.scenario, two halls cut off from each other and watches that deliver nothing: 'gave up waiting: generation' after 5 s before, in force in time now. The command 'generation' of scenarios takes a limit.

--- a/crates/router/src/follow.rs
+++ b/crates/router/src/follow.rs
@@ -4,9 +4,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use smol::Timer;
-use tidepier_core::store::{Event, Revision, Scope, Store, Watch};
+use tidepier_core::store::{Event, Revision, Scope, Store, Swap, Watch};
 use tidepier_errors::Fault;
 use tidepier_ids as ids;
 use tidepier_placement::by_rendezvous;
@@ -23,9 +22,10 @@
 /// Time after a failed call to the store before the next one, and after a fetch
 /// from a peer before another peer may be asked.
 const RETRY_DELAY: Duration = Duration::from_millis(500);
-/// Longest time on one watch before the key is read again, as a watch may miss a
-/// write without an error.
-const WATCH_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time without a change after which a box that watches the store checks that there
+/// was none: a watch may miss a write without an error. Well below the time in which
+/// a change has to be in force.
+const CHECK_INTERVAL: Duration = Duration::from_secs(2);
 
 /// The store's key of the fleet document.
 pub(crate) fn document_key(fleet: &ids::Account) -> String {
@@ -79,27 +79,38 @@
     Ok(entry.revision)
 }
 
+/// Watches the key until that fails, or misses a change.
 async fn watch(node: &Arc<Node>) -> Result<(), Fault> {
-    let revision = read(node).await?;
+    let mut known = read(node).await?;
     let key = document_key(&node.settings.fleet);
-    let mut watch = node.store.watch(Scope::Key(&key), revision);
-    let watching = async {
-        loop {
-            let read = watch.next(WATCH_TIMEOUT).await.map_err(fault)?;
-            match read.value.last() {
-                Some(Event::Put(entry)) => adopt(node, &entry.value, "watch"),
-                Some(Event::Delete { .. }) => {
-                    report_adoption(node, Err("the document was deleted".into()), "watch");
-                }
-                None => {}
+    let mut watch = node.store.watch(Scope::Key(&key), known);
+    loop {
+        let read = watch.next(CHECK_INTERVAL).await.map_err(fault)?;
+        match read.value.last() {
+            Some(Event::Put(entry)) => {
+                known = entry.revision;
+                adopt(node, &entry.value, "watch");
+            }
+            Some(Event::Delete { .. }) => {
+                known = Revision::default();
+                report_adoption(node, Err("the document was deleted".into()), "watch");
+            }
+            None if is_newest(node, &key, known).await? => {}
+            None => {
+                metrics::counter!("tidepier_watch_failures_total").increment(1);
+                log::warn!("a watch missed a change after revision={known}");
+                return Ok(());
             }
         }
-    };
-    let expired = async {
-        Timer::after(WATCH_TIMEOUT).await;
-        Ok(())
-    };
-    watching.or(expired).await
+    }
+}
+
+/// Whether the key in the store still has this revision. The call has neither the value
+/// in its request nor in its answer.
+async fn is_newest(node: &Node, key: &str, known: Revision) -> Result<bool, Fault> {
+    let limit = node.settings.tuning.store_ms.duration();
+    let swap = node.store.swap(&[(key, known)], &[], &[], limit).await;
+    Ok(matches!(swap.map_err(fault)?, Swap::Done(_)))
 }
 
 /// Puts a record in force, and notifies the neighbours at once if it is new.
--- a/crates/standin/src/faults.rs
+++ b/crates/standin/src/faults.rs
@@ -14,6 +14,8 @@
 pub struct Faults {
     /// Accepts connections, but sends no answer and makes no progress.
     pub freeze: bool,
+    /// Running watches of the store deliver nothing more, and stay open.
+    pub mute_watches: bool,
     /// Waits before each answer, in milliseconds.
     pub delay_ms: u64,
     /// Requests that take effect and whose answer is dropped.
--- a/crates/standin/src/store.rs
+++ b/crates/standin/src/store.rs
@@ -136,6 +136,9 @@
                 continue;
             };
             self.switches.pause().await;
+            if self.switches.get().mute_watches {
+                return futures_lite::future::pending().await;
+            }
             next = entry.modified + 1;
             let event = json!({ "type": "PUT", "kv": entry_json(&key, &entry) });
             let result = json!({ "result": { "header": {}, "events": [event] } });
@@ -211,6 +214,9 @@
             }
         }
         let operations = body["success"].as_array().cloned().unwrap_or_default();
+        if operations.is_empty() {
+            return Ok(json!({ "header": self.header(), "succeeded": true }));
+        }
         self.revision += 1;
         self.writes += 1;
         for operation in &operations {
--- a/tests/all/harness/mod.rs
+++ b/tests/all/harness/mod.rs
@@ -32,7 +32,7 @@
 const FLEETS: u16 = 30;
 /// Longest wait for something that is to happen. Generous, as nothing in a
 /// test may depend on the machine's speed.
-const PATIENCE: Duration = Duration::from_secs(60);
+pub const PATIENCE: Duration = Duration::from_secs(60);
 
 static NEXT: AtomicU16 = AtomicU16::new(0);
 
--- a/tests/all/scenarios.rs
+++ b/tests/all/scenarios.rs
@@ -10,7 +10,7 @@
 use tidepier_standin::faults::Faults;
 
 use crate::harness::network::PLATFORM;
-use crate::harness::{fault_of, Fleet, Plan};
+use crate::harness::{fault_of, Fleet, Plan, PATIENCE};
 
 /// The state of one file.
 #[derive(Default)]
@@ -81,8 +81,10 @@
             "generation" => {
                 let wanted = number("is", 0);
                 let only = argument("router").map(|text| text.parse::<usize>().expect("an index"));
+                let limit = argument("within")
+                    .map(|text| Duration::from_millis(text.parse().expect("a number")));
                 let fleet = self.fleet();
-                fleet.wait("generation", || {
+                fleet.wait_for(limit.unwrap_or(PATIENCE), "generation", || {
                     let found = fleet.generations();
                     match only {
                         Some(router) => found[router] == wanted,
@@ -257,6 +259,13 @@
                 };
                 fleet.outside.store().switches.set(drops);
             }
+            ("store-mutes-watches", _) => {
+                let mute = Faults {
+                    mute_watches: true,
+                    ..Faults::default()
+                };
+                fleet.outside.store().switches.set(mute);
+            }
             ("service-drops-replies", _) => {
                 for server in fleet.outside.servers.values().flatten() {
                     let drops = Faults {
