Soak: short outages of the store, after which servers leave

--short-outages adds three rounds after the other faults: a server joins, the store is silent for a moment or what goes between it and one box is lost, and a server leaves 3 s later. The other faults of a seed stay as they are.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -55,6 +55,9 @@
     /// Also partitions some boxes from all servers.
     #[arg(long)]
     partitions: bool,
+    /// Also has short outages of the store, after which servers leave.
+    #[arg(long)]
+    short_outages: bool,
     /// Also has servers of two releases serve streams, which break off and which clients take
     /// up at any box.
     #[arg(long)]
@@ -164,6 +167,7 @@
         words: arguments.words,
         returns: arguments.returns,
         partitions: arguments.partitions,
+        short_outages: arguments.short_outages,
         releases: arguments.releases,
         hot_subject: arguments.hot_subject,
         boxes: arguments.boxes.map(usize::from),
--- a/crates/soak/src/proxy.rs
+++ b/crates/soak/src/proxy.rs
@@ -1,12 +1,12 @@
 //! A loopback proxy between two processes that can impair the link while it runs.
 //!
 //! Bytes that an impairment blocks are forwarded once it ends, as with TCP; only a reset
-//! loses data. Several impairments may be active at once, and each is cleared separately.
+//! and [`Impairment::Loss`] lose data. Several impairments may be active at once, and each is cleared separately.
 
 use std::collections::HashMap;
 use std::io;
 use std::net::{IpAddr, Ipv4Addr, SocketAddr};
-use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, Weak};
 use std::time::Duration;
 
@@ -45,6 +45,8 @@
     Cut(Direction),
     /// Bytes of both directions are blocked.
     Silence,
+    /// Bytes are lost, and a connection that lost some carries none from then on.
+    Loss,
 }
 
 impl Impairment {
@@ -55,6 +57,7 @@
             Impairment::Reset => "reset",
             Impairment::Cut(_) => "cut_one_way",
             Impairment::Silence => "silence",
+            Impairment::Loss => "loss",
         }
     }
 
@@ -62,7 +65,7 @@
         match self {
             Impairment::Silence => true,
             Impairment::Cut(cut) => cut == direction,
-            Impairment::Delay(_) | Impairment::Reset => false,
+            Impairment::Delay(_) | Impairment::Reset | Impairment::Loss => false,
         }
     }
 }
@@ -271,8 +274,9 @@
         let Ok(far) = TcpStream::connect(self.target).await else {
             return abort(&near);
         };
-        let there = self.copy_bytes(near.clone(), far.clone(), Direction::There);
-        let back = self.copy_bytes(far.clone(), near.clone(), Direction::Back);
+        let lost = AtomicBool::new(false);
+        let there = self.copy_bytes(near.clone(), far.clone(), Direction::There, &lost);
+        let back = self.copy_bytes(far.clone(), near.clone(), Direction::Back, &lost);
         let both = async { future::try_zip(there, back).await.is_ok() };
         let was_reset = async {
             reset.or(own_reset).await;
@@ -285,12 +289,13 @@
     }
 
     /// Forwards bytes until the sender closes its side, then shuts down the receiver's
-    /// side.
+    /// side. `lost`: whether the connection has lost bytes.
     async fn copy_bytes(
         &self,
         mut from: TcpStream,
         mut to: TcpStream,
         direction: Direction,
+        lost: &AtomicBool,
     ) -> io::Result<()> {
         let mut bytes = vec![0; CHUNK_BYTES];
         loop {
@@ -299,6 +304,12 @@
             if count == 0 {
                 return to.shutdown(Shutdown::Write);
             }
+            if self.any(|impairment| impairment == Impairment::Loss) {
+                lost.store(true, Ordering::Relaxed);
+            }
+            if lost.load(Ordering::Relaxed) {
+                continue;
+            }
             Timer::after(self.delay()).await;
             to.write_all(&bytes[..count]).await?;
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -88,6 +88,8 @@
     pub returns: bool,
     /// Whether some boxes are partitioned from all servers in addition.
     pub partitions: bool,
+    /// Whether the store has short outages in addition, after which servers leave.
+    pub short_outages: bool,
     /// Whether the servers of streams run two releases, and clients take streams up.
     pub releases: bool,
     /// Whether most streams are about one subject, before more boxes and servers.
@@ -124,6 +126,9 @@
     if options.partitions {
         schedule = schedule.with_partitions();
     }
+    if options.short_outages {
+        schedule = schedule.with_short_outages();
+    }
     if options.releases {
         schedule = schedule.with_releases();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -97,6 +97,22 @@
 const PARTITIONS_SEED: u64 = 0x7061_7274_6974_696f;
 /// Duration of a partition, in ms: longer than the time that boxes have to adapt to it.
 const PARTITION_MS: Range<u64> = 4_500..8_000;
+/// Number of short outages of the store that [`Schedule::with_short_outages`] adds, and the
+/// time of the first, when the other faults have ended.
+const SHORT_OUTAGES: usize = 3;
+const FIRST_SHORT_OUTAGE: Duration = Duration::from_millis(18_000);
+/// Mixed into the seed, so that these are chosen independently of the other faults.
+const SHORT_OUTAGES_SEED: u64 = 0x7368_6f72_7420_6f75;
+/// Time from a server's start to such an outage, in ms: up to when boxes call their watches
+/// of the servers again.
+const SHORT_OUTAGE_DELAY_MS: Range<u64> = 0..450;
+/// Duration of such an outage, in ms: below and above the interval of freshness checks.
+const SHORT_OUTAGE_MS: Range<u64> = 100..1_500;
+/// Time from its end until a server leaves, in ms: the store has been stable for long enough
+/// then that boxes have to act on it in time.
+const LEAVE_DELAY_MS: Range<u64> = 3_050..3_800;
+/// Time from then to the next outage.
+const SHORT_OUTAGE_GAP: Duration = Duration::from_millis(3_000);
 /// Number of times that [`Schedule::with_releases`] makes all servers break off streams, each
 /// time with the kill of a box and a server that is replaced by one of another release.
 const BREAKS: usize = 4;
@@ -303,6 +319,40 @@
         self.with_steps(steps)
     }
 
+    /// Adds short outages of the store, for all boxes or one, in the calm after the other
+    /// faults. Shortly before each a server joins, and after it one leaves.
+    pub fn with_short_outages(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ SHORT_OUTAGES_SEED);
+        let boxes = self.boxes;
+        let mut steps: Vec<Step> = Vec::new();
+        let mut next = FIRST_SHORT_OUTAGE;
+        for _ in 0..SHORT_OUTAGES {
+            let server = |rng: &mut ChaCha8Rng, at, fault| Step {
+                at,
+                lasts: Duration::ZERO,
+                fault: Fault::Server(rng.random_range(SERVER_NUMBERS), fault),
+            };
+            let one = Link::Store(rng.random_range(0..boxes));
+            let outage = Step {
+                at: next + ms(&mut rng, SHORT_OUTAGE_DELAY_MS),
+                lasts: ms(&mut rng, SHORT_OUTAGE_MS),
+                fault: pick(
+                    &mut rng,
+                    &[
+                        Fault::Store(Store::Down(Down::Silent)),
+                        Fault::Link(one, Impairment::Loss),
+                    ],
+                ),
+            };
+            let leaves_at = outage.at + outage.lasts + ms(&mut rng, LEAVE_DELAY_MS);
+            steps.push(server(&mut rng, next, Server::Join));
+            steps.push(outage);
+            steps.push(server(&mut rng, leaves_at, Server::Leave));
+            next = leaves_at + SHORT_OUTAGE_GAP;
+        }
+        self.with_steps(steps.into_iter())
+    }
+
     /// Has servers of two releases serve streams, which break off and which clients take up.
     pub fn with_releases(self) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ RELEASES_SEED);
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -3,7 +3,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use tidepier_soak::fault::Fault;
+use tidepier_soak::bound;
+use tidepier_soak::fault::{Fault, Server};
 use tidepier_soak::schedule::{Schedule, Step};
 
 #[test]
@@ -109,6 +110,27 @@
     }
 }
 
+#[test]
+fn short_outages_leave_the_other_faults_as_they_are_and_end_before_servers_leave() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_short_outages();
+        let mut left = more.steps.iter();
+        let kept = plain.steps.iter().all(|step| left.any(|it| it == step));
+        assert!(kept, "seed {seed}");
+        let added: Vec<&Step> = left.collect();
+        assert_eq!(added.len(), 9, "seed {seed}");
+        for round in added.chunks(3) {
+            let [joins, outage, leaves] = [round[0], round[1], round[2]];
+            assert!(matches!(joins.fault, Fault::Server(_, Server::Join)));
+            assert!(matches!(leaves.fault, Fault::Server(_, Server::Leave)));
+            assert!(outage.at >= joins.at);
+            let stable = leaves.at - (outage.at + outage.lasts);
+            assert!(stable > bound::GRACE_PERIOD, "seed {seed}");
+        }
+    }
+}
+
 fn is_partition(step: &Step) -> bool {
     matches!(step.fault, Fault::Partition(..))
 }
