Log whether a request is sent over the same connection again

The logs showed several sendings to one server, and not over which connections.

A request keeps a reference to each connection over which it was sent; the log lines failed and answered say conn=again where one had carried it before, and an answer to another request that is skipped has a line of its own. Nothing is decided by it yet.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -65,6 +65,11 @@
 pub struct WeakSocket(Weak<Async<TcpStream>>);
 
 impl WeakSocket {
+    /// Whether it is the socket of this connection.
+    pub fn is_of(&self, conn: &Conn) -> bool {
+        std::ptr::eq(self.0.as_ptr(), Arc::as_ptr(&conn.stream))
+    }
+
     /// Calls `work` with the socket; `None` if the connection is closed.
     pub fn with<T>(&self, work: impl FnOnce(SockRef<'_>) -> T) -> Option<T> {
         let stream = self.0.upgrade()?;
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -21,6 +21,7 @@
 
 use crate::dial::Dialer;
 use crate::fleet::advertisement::Ineligible;
+use crate::fleet::used::Used;
 use crate::fleet::{Backend, Fleet, InFlight, Permit};
 use crate::timeout;
 use crate::tunnel::gateways::MayPass;
@@ -145,16 +146,6 @@
     Opened,
 }
 
-impl Origin {
-    /// A short name for logs.
-    pub fn name(self) -> &'static str {
-        match self {
-            Origin::Pooled => "pooled",
-            Origin::Opened => "opened",
-        }
-    }
-}
-
 /// The connection of an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Path {
@@ -162,9 +153,20 @@
     pub origin: Origin,
     /// The box that carries it; `None` if it is direct.
     pub carrier: Option<SocketAddr>,
+    /// Whether the request was sent over it before.
+    pub again: bool,
 }
 
 impl Path {
+    /// A short name for logs.
+    pub fn name(self) -> &'static str {
+        match self.origin {
+            Origin::Pooled if self.again => "again",
+            Origin::Pooled => "pooled",
+            Origin::Opened => "opened",
+        }
+    }
+
     /// Whether another box opened the connection for this attempt.
     pub fn is_new_tunnel(&self) -> bool {
         self.carrier.is_some() && self.origin == Origin::Opened
@@ -187,6 +189,8 @@
     pub prefill: u64,
     /// Called once there is a connection, before anything is sent.
     pub on_connected: &'a dyn Fn(Path),
+    /// The connections over which the request was sent before.
+    pub used: &'a Used,
     /// Opens the connection, if none is pooled.
     pub dialer: &'a Dialer,
     /// The halls of boxes that may carry the connection.
@@ -227,7 +231,13 @@
     // nothing new.
     permit.recheck(Instant::now()).map_err(ineligible)?;
     let carrier = conn.carried_by();
-    (dispatch.on_connected)(Path { origin, carrier });
+    let again = dispatch.used.contains(&conn);
+    dispatch.used.record(&conn);
+    (dispatch.on_connected)(Path {
+        origin,
+        carrier,
+        again,
+    });
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
@@ -330,6 +340,13 @@
             }
             None if answer.not_executed => return Ok(own_answer(head, answer, earlier)),
             Some(_) if earlier.len() < SKIPPED_MAX => {
+                log::info!(
+                    target: "request",
+                    "event=surplus id={} of={} status={}",
+                    dispatch.attempt,
+                    answer.attempt.as_deref().unwrap_or("-"),
+                    answer.status
+                );
                 earlier.push(answer);
                 metrics::counter!("tidepier_surplus_answers_total").increment(1);
                 skip(conn, &head, dispatch.method).await?;
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -16,6 +16,7 @@
 
 use super::state::{self, Exchange, IncomingRequest, Start, Terms};
 use crate::content::{Fingerprint, Parts};
+use crate::fleet::used::Used;
 use crate::refusal;
 use crate::relay::Relay;
 
@@ -67,6 +68,7 @@
             first_event: None,
         },
         tunnel_opened_at: Cell::default(),
+        used: Used::default(),
         path: Cell::default(),
         attempts: 0,
         absent_count: 0,
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -87,6 +87,7 @@
         let may_pass = |hall: &ids::Hall| self.may_pass(&regions, hall);
         let dispatch = Dispatch {
             on_connected: &connected,
+            used: &self.used,
             bytes: &bytes,
             method: self.arrival.head.method(),
             attempt: &self.request.attempt,
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -15,6 +15,7 @@
 use super::buffered::Answer;
 use crate::attempt::Path;
 use crate::content::Fingerprint;
+use crate::fleet::used::Used;
 use crate::origin::Origin;
 use crate::relay::Relay;
 
@@ -106,6 +107,8 @@
     pub(super) tunnel_opened_at: Cell<Option<Instant>>,
     /// The connection of the latest attempt; `None` until there is one.
     pub(super) path: Cell<Option<Path>>,
+    /// The connections over which it was sent.
+    pub(super) used: Used,
     /// Number of servers that it was sent to, without those counted as absent.
     pub(super) attempts: u32,
     /// Number of servers that were absent: no connection could be opened, or
@@ -162,7 +165,7 @@
             None => address.to_string(),
         });
         (
-            path.map_or("-", |path| path.origin.name()),
+            path.map_or("-", Path::name),
             carrier.unwrap_or_else(|| "-".to_owned()),
         )
     }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -17,6 +17,7 @@
 pub mod reach;
 pub mod releases;
 pub mod speeds;
+pub mod used;
 pub(crate) mod watch;
 
 use std::cell::RefCell;
