Soak: second copies of rejections

--copies adds four episodes after the other faults in which all servers reject requests and send second copies of all answers but streams; requests that may run once have six attempts at three servers. The other faults of a seed stay as they are.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -58,6 +58,9 @@
     /// Also has short outages of the store, after which servers leave.
     #[arg(long)]
     short_outages: bool,
+    /// Also has servers that send second copies of their answers, rejections among them.
+    #[arg(long)]
+    copies: bool,
     /// Also has servers of two releases serve streams, which break off and which clients take
     /// up at any box.
     #[arg(long)]
@@ -168,6 +171,7 @@
         returns: arguments.returns,
         partitions: arguments.partitions,
         short_outages: arguments.short_outages,
+        copies: arguments.copies,
         releases: arguments.releases,
         hot_subject: arguments.hot_subject,
         boxes: arguments.boxes.map(usize::from),
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -124,6 +124,8 @@
     Server(usize, Server),
     /// All requests fail at all servers.
     Servers(server::Fault),
+    /// All servers reject many requests, and send second copies of all their answers.
+    Copies(server::Repeat),
     /// A request crashes the servers that run it, and is sent again and again.
     Crashing(usize),
     /// A part of prompts crashes the servers that begin to answer on it, and requests that
@@ -148,6 +150,7 @@
             Fault::Servers(fault) => named("servers", fault),
             Fault::Server(_, Server::Rest(_)) => "server_rest".into(),
             Fault::Server(_, server) => named("server", server),
+            Fault::Copies(_) => "servers_copies".into(),
             Fault::Crashing(_) => "requests_crashing".into(),
             Fault::CrashingPart(_) => "part_crashing".into(),
             Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -131,7 +131,7 @@
     /// A port or the program cannot be used, or a box does not become ready.
     pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
         let site = Site::start()?;
-        plan::declare_routes(&site);
+        plan::declare_routes(&site, schedule.copies);
         let peers: Vec<SocketAddr> = (0..schedule.boxes)
             .map(|_| SocketAddr::from((plan::box_ip(), PEER_PORT)))
             .collect();
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -4,7 +4,7 @@
 use std::io;
 use std::net::IpAddr;
 use std::sync::Arc;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use rustix::process::Signal;
 use smol::Timer;
@@ -33,6 +33,10 @@
 const STORM_INTERVAL: Duration = Duration::from_millis(120);
 /// Number of write calls of [`Store::Losing`], which are executed but not answered.
 const LOST_CALLS: u32 = 3;
+/// Number of requests that each server rejects in each interval while all servers send second
+/// copies of their answers.
+const COPIED_REJECTIONS: u32 = 3;
+const COPIED_INTERVAL: Duration = Duration::from_millis(40);
 /// Factor by which the requests of a slow server take longer.
 const SLOWDOWN_FACTOR: f64 = 5.0;
 /// Duration that the ledger records for a reload: the bound on the time in which it may
@@ -62,6 +66,7 @@
             Fault::Store(store) => self.fault_store(store, step.lasts).await,
             Fault::Server(at, fault) => self.fault_server(at, fault, step.lasts).await?,
             Fault::Servers(fault) => self.fault_servers(fault, step.lasts).await,
+            Fault::Copies(repeat) => self.copy_answers(repeat, step.lasts).await,
             Fault::Crashing(number) => self.send_crashing_request(number, step.lasts).await?,
             Fault::CrashingPart(part) => self.send_crashing_part(part, step.lasts).await?,
             Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
@@ -93,9 +98,11 @@
             Fault::Server(_, Server::Join | Server::Leave | Server::Say) | Fault::Config(_) => {
                 (vec![Scope::Fleet], true)
             }
-            Fault::Server(..) | Fault::Servers(_) | Fault::Crashing(_) | Fault::CrashingPart(_) => {
-                (vec![Scope::Server], false)
-            }
+            Fault::Server(..)
+            | Fault::Servers(_)
+            | Fault::Copies(_)
+            | Fault::Crashing(_)
+            | Fault::CrashingPart(_) => (vec![Scope::Server], false),
         }
     }
 
@@ -205,11 +212,11 @@
     /// Waits until the process of a box has exited; kills it after the time-out.
     async fn wait_for_exit(&self, box_index: usize) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
-        let until = std::time::Instant::now() + bound::STOP_TIMEOUT;
+        let until = Instant::now() + bound::STOP_TIMEOUT;
         let mut killed = false;
         let mut ran = Duration::ZERO;
         while !relay_box.has_exited()? {
-            if !killed && std::time::Instant::now() > until {
+            if !killed && Instant::now() > until {
                 killed = true;
                 // A process that was suspended for most of that time had no time to stop,
                 // so it is not held responsible.
@@ -219,7 +226,7 @@
                 }
                 relay_box.signal(Signal::KILL)?;
             }
-            let poll = std::time::Instant::now();
+            let poll = Instant::now();
             Timer::after(POLL_INTERVAL).await;
             if !relay_box.is_suspended() {
                 ran += poll.elapsed();
@@ -308,6 +315,22 @@
         }
     }
 
+    /// Makes all servers reject some requests again and again, and send second copies of all
+    /// their answers.
+    async fn copy_answers(&self, repeat: server::Repeat, lasts: Duration) {
+        let end = Instant::now() + lasts;
+        while Instant::now() < end {
+            for backend in self.backends() {
+                backend.server.fault(server::Fault::Shed, COPIED_REJECTIONS);
+                backend.server.repeat_answers(repeat, u32::MAX);
+            }
+            Timer::after(COPIED_INTERVAL).await;
+        }
+        for backend in self.backends() {
+            backend.server.heal();
+        }
+    }
+
     /// Empties a hall of servers for longer than the bound on emptying, then cancels it.
     async fn empty_hall(&self, hall: usize, lasts: Duration) {
         let hall = plan::hall_name(hall, plan::SERVER_HALLS);
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -24,6 +24,9 @@
 pub const SERVER_HALLS: usize = 2;
 /// Bound on the servers that one request may be sent to, on each route.
 pub const ATTEMPTS_MAX: u32 = 2;
+/// The same for requests that may run once beside servers that send copies of answers: more
+/// than there are servers of a service at the start.
+const COPIED_ATTEMPTS_MAX: u32 = 6;
 /// Time-out of a request, on each route.
 pub const TIMEOUT: Duration = Duration::from_secs(4);
 
@@ -47,8 +50,8 @@
     format!("hall-{}", number % halls)
 }
 
-/// Declares a route for each kind of request.
-pub(crate) fn declare_routes(site: &Site) {
+/// Declares a route for each kind of request. `copies`: servers send copies of their answers.
+pub(crate) fn declare_routes(site: &Site, copies: bool) {
     let route = |traffic: Traffic| {
         let (kind, service) = match traffic {
             Traffic::Once => (Kind::AtMostOnce, PLAIN),
@@ -58,7 +61,10 @@
         };
         Route {
             public: traffic != Traffic::Keyed,
-            attempts: ATTEMPTS_MAX,
+            attempts: match traffic {
+                Traffic::Once if copies => COPIED_ATTEMPTS_MAX,
+                _ => ATTEMPTS_MAX,
+            },
             timeout: TIMEOUT,
             ..Route::new(traffic.prefix(), kind, service)
         }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -90,6 +90,8 @@
     pub partitions: bool,
     /// Whether the store has short outages in addition, after which servers leave.
     pub short_outages: bool,
+    /// Whether servers send second copies of their answers in addition.
+    pub copies: bool,
     /// Whether the servers of streams run two releases, and clients take streams up.
     pub releases: bool,
     /// Whether most streams are about one subject, before more boxes and servers.
@@ -129,6 +131,9 @@
     if options.short_outages {
         schedule = schedule.with_short_outages();
     }
+    if options.copies {
+        schedule = schedule.with_copies();
+    }
     if options.releases {
         schedule = schedule.with_releases();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -10,7 +10,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use tidepier_relay_standin::partition::Cut;
-use tidepier_relay_standin::server as standin;
+use tidepier_relay_standin::server::{self as standin, Repeat};
 use tidepier_relay_standin::store::Down;
 
 use crate::fault::{Config, Fault, Link, Return, Server, Signal, Store};
@@ -113,6 +113,19 @@
 const LEAVE_DELAY_MS: Range<u64> = 3_050..3_800;
 /// Time from then to the next outage.
 const SHORT_OUTAGE_GAP: Duration = Duration::from_millis(3_000);
+/// Number of times that [`Schedule::with_copies`] makes servers send second copies of their
+/// answers, the time of the first, and that between two.
+const COPIES: u32 = 4;
+const FIRST_COPIES: Duration = Duration::from_millis(18_000);
+const COPIES_INTERVAL: Duration = Duration::from_millis(3_500);
+/// Mixed into the seed, so that these are chosen independently of the other faults.
+const COPIES_SEED: u64 = 0x636f_7069_6573_2121;
+/// How long servers send such copies, in ms.
+const COPIES_MS: Range<u64> = 800..2_500;
+/// How late a copy is, in ms.
+const COPY_DELAY_MS: Range<u64> = 1..40;
+/// Number of further requests on its connection after which a copy is sent.
+const COPY_REQUESTS: RangeInclusive<u32> = 1..=3;
 /// Number of times that [`Schedule::with_releases`] makes all servers break off streams, each
 /// time with the kill of a box and a server that is replaced by one of another release.
 const BREAKS: usize = 4;
@@ -149,6 +162,8 @@
     pub releases: bool,
     /// Whether the prompts of streams share a part.
     pub prompts: bool,
+    /// Whether requests that may run once are sent to more servers than there are.
+    pub copies: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -175,6 +190,7 @@
             hot_subject: false,
             releases: false,
             prompts: false,
+            copies: false,
             steps,
         }
     }
@@ -353,6 +369,26 @@
         self.with_steps(steps.into_iter())
     }
 
+    /// Adds servers that reject requests and send second copies of all their answers, after the
+    /// other faults. Requests that may run once are sent to more servers than there are, so
+    /// that some get them again.
+    pub fn with_copies(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ COPIES_SEED);
+        let steps = (0..COPIES).map(|number| {
+            let late = Repeat::After(ms(&mut rng, COPY_DELAY_MS));
+            let after = Repeat::AtRequest(rng.random_range(COPY_REQUESTS));
+            Step {
+                at: FIRST_COPIES + COPIES_INTERVAL * number,
+                lasts: ms(&mut rng, COPIES_MS),
+                fault: Fault::Copies(pick(&mut rng, &[Repeat::AtOnce, late, after, after])),
+            }
+        });
+        Self {
+            copies: true,
+            ..self.with_steps(steps)
+        }
+    }
+
     /// Has servers of two releases serve streams, which break off and which clients take up.
     pub fn with_releases(self) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ RELEASES_SEED);
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -131,6 +131,19 @@
     }
 }
 
+#[test]
+fn copies_leave_the_other_faults_as_they_are() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_copies();
+        let is_copy = |step: &&Step| matches!(step.fault, Fault::Copies(_));
+        let others = more.steps.iter().filter(|step| !is_copy(step));
+        assert!(others.eq(plain.steps.iter()), "seed {seed}");
+        assert_eq!(more.steps.iter().filter(is_copy).count(), 4);
+        assert!(more.steps.is_sorted_by_key(|step| step.at));
+    }
+}
+
 fn is_partition(step: &Step) -> bool {
     matches!(step.fault, Fault::Partition(..))
 }
