--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -68,6 +68,8 @@
 mod speeds;
 mod spread;
 mod spread_harness;
+mod standstill;
+mod standstill_harness;
 mod stop;
 mod stream_releases;
 mod streams;
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -44,7 +44,7 @@
 /// Maximum number of placements in one message.
 const PLACEMENTS: usize = 64;
 /// Maximum number of subjects in one message.
-const SUBJECTS_REPORTED: usize = 16;
+pub(crate) const SUBJECTS_REPORTED: usize = 16;
 /// The hot subject.
 const HOT: u64 = 7_777;
 /// Subjects beside the hot one, for each engine.
@@ -916,7 +916,7 @@
 }
 
 /// The sum of all boxes' recent requests, and the sum for each hall.
-fn sums(demand: &[Summary], halls: usize) -> (Summary, Vec<Summary>) {
+pub(crate) fn sums(demand: &[Summary], halls: usize) -> (Summary, Vec<Summary>) {
     let mut all = Summary::default();
     let mut by_hall = vec![Summary::default(); halls];
     for (number, summary) in demand.iter().enumerate() {
--- /dev/null
+++ b/crates/relay/tests/relay/standstill.rs
@@ -0,0 +1,237 @@
+//! How many requests reach a server that stands still, simulated in memory.
+//!
+//! A process that gets no processor for a second looks like any other to a box that waits
+//! there for its only request. The operator's bound holds for the sum over all boxes: of
+//! the requests of five seconds, no more than 3 in 100, or 19, may reach a server that holds
+//! more than twice the mean plus three.
+
+use std::time::Duration;
+
+use eyre::{ensure, eyre};
+
+use crate::harness::Result;
+use crate::standstill_harness::{play, Kind, Outcome, Plan, Trouble};
+
+/// Seeds that are played in CI.
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// Seeds of the whole table.
+const TABLE_SEEDS: [u64; 10] = [1, 2, 3, 4, 5, 6, 7, 8, 9, 10];
+
+type Plans = Vec<(String, Plan)>;
+
+/// Plays each plan with each seed, as many plans at the same time as there are processors.
+fn outcomes(plans: &Plans, seeds: &[u64]) -> Result<Vec<Vec<Outcome>>> {
+    let play_seeds = |plan: &Plan| -> Result<Vec<Outcome>> {
+        let outcomes = seeds.iter().map(|seed| {
+            fastrand::seed(*seed);
+            play(plan)
+        });
+        outcomes.collect()
+    };
+    let processors = std::thread::available_parallelism().map_or(1, usize::from);
+    let mut all = Vec::new();
+    for plans in plans.chunks(processors) {
+        std::thread::scope(|scope| -> Result {
+            let threads = plans.iter();
+            let threads = threads.map(|(_, plan)| scope.spawn(|| play_seeds(plan)));
+            for thread in threads.collect::<Vec<_>>() {
+                all.push(thread.join().map_err(|_| eyre!("a play panicked"))??);
+            }
+            Ok(())
+        })?;
+    }
+    Ok(all)
+}
+
+fn all_within_bound(plans: &Plans, seeds: &[u64]) -> Result {
+    let mut broken = Vec::new();
+    for ((name, _), outcomes) in plans.iter().zip(outcomes(plans, seeds)?) {
+        for (seed, outcome) in seeds.iter().zip(outcomes) {
+            if outcome.is_broken() {
+                let (over, all) = outcome.worst();
+                broken.push(format!("{name}, seed {seed}: {over} of {all}"));
+            }
+        }
+    }
+    ensure!(broken.is_empty(), "{}", broken.join("; "));
+    Ok(())
+}
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+/// Rates of requests a second for each server, from nearly idle to half of the slots busy.
+const RATES: [f64; 4] = [15.0, 30.0, 65.0, 110.0];
+
+/// The plan at each rate.
+fn at_rates(name: &str, plan: Plan) -> impl Iterator<Item = (String, Plan)> + use<'_> {
+    RATES.into_iter().map(move |rate| {
+        let name = format!("{name}, {rate} a second");
+        (name, Plan { rate, ..plan })
+    })
+}
+
+fn fleets() -> Plans {
+    let mut plans = Plans::new();
+    for (boxes, servers, halls) in [
+        (78, 3, 3),
+        (300, 3, 3),
+        (1_000, 3, 6),
+        (300, 6, 3),
+        (1_000, 30, 6),
+    ] {
+        let name = format!("{boxes} boxes before {servers}");
+        let plan = Plan {
+            boxes,
+            servers,
+            halls,
+            ..Plan::new(0.0)
+        };
+        plans.extend(at_rates(&name, plan));
+    }
+    plans
+}
+
+/// How long a server stands still.
+fn lengths() -> Plans {
+    let mut plans = Plans::new();
+    for lasts in [500, 800, 1_500, 3_000] {
+        let plan = Plan {
+            lasts: ms(lasts),
+            ..Plan::new(0.0)
+        };
+        plans.extend(at_rates(&format!("{lasts} ms"), plan));
+    }
+    plans
+}
+
+/// Other ways in which a server holds requests, and other fleets.
+fn others() -> Plans {
+    let plan = Plan::new(0.0);
+    let with = |trouble| Plan { trouble, ..plan };
+    let far = Plan {
+        round_trip: ms(16),
+        ..plan
+    };
+    let one_hall = Plan {
+        first_hall: Some(0.7),
+        ..plan
+    };
+    let mut plans = Plans::new();
+    for (name, plan) in [
+        ("nothing happens", with(Trouble::None)),
+        ("slots do not become free", with(Trouble::Stuck)),
+        ("5 times as slow", with(Trouble::Slow(5.0))),
+        ("20 times as slow", with(Trouble::Slow(20.0))),
+        ("halls 8 ms apart", far),
+        ("most callers in one hall", one_hall),
+        ("30 boxes", Plan { boxes: 30, ..plan }),
+        ("7 boxes", Plan { boxes: 7, ..plan }),
+    ] {
+        plans.extend(at_rates(name, plan));
+    }
+    plans
+}
+
+fn without_reports() -> Plans {
+    let mut plans = Plans::new();
+    for boxes in [78, 300, 1_000] {
+        let plan = Plan {
+            boxes,
+            reports: false,
+            ..Plan::new(0.0)
+        };
+        plans.extend(at_rates(&format!("no reports, {boxes} boxes"), plan));
+    }
+    plans
+}
+
+/// Other reasons for which boxes might send too much to a plain server.
+fn other_causes() -> Plans {
+    let plan = Plan {
+        trouble: Trouble::None,
+        ..Plan::new(0.0)
+    };
+    let mut plans = Plans::new();
+    for boxes in [78, 300, 1_000] {
+        let started = Plan {
+            boxes,
+            quiet: ms(3_000),
+            ..plan
+        };
+        plans.extend(at_rates(&format!("first requests, {boxes} boxes"), started));
+        let pauses = Plan {
+            boxes,
+            pause: ms(800),
+            ..plan
+        };
+        plans.extend(at_rates(
+            &format!("boxes stand still, {boxes} boxes"),
+            pauses,
+        ));
+    }
+    plans
+}
+
+/// Model engines of a small service.
+fn engines() -> Plans {
+    let mut plans = Plans::new();
+    for (boxes, servers) in [(78, 3), (78, 6), (78, 12), (300, 3), (300, 12), (1_000, 3)] {
+        for rate in [2.0, 5.0, 8.0, 15.0] {
+            let plan = Plan {
+                kind: Kind::Engines,
+                boxes,
+                servers,
+                time: ms(14_000),
+                from: ms(6_000),
+                ..Plan::new(rate)
+            };
+            plans.push((
+                format!("engines, {boxes} boxes before {servers}, {rate} a second"),
+                plan,
+            ));
+        }
+    }
+    plans
+}
+
+/// Prints all plans with ten seeds each.
+#[test]
+#[ignore = "takes minutes; the others play a part of it"]
+fn table() -> Result {
+    let plans = [
+        fleets(),
+        lengths(),
+        others(),
+        without_reports(),
+        other_causes(),
+        engines(),
+    ]
+    .concat();
+    println!("| plan | worst share over the bound | broken | reached it | answered | given up, rejected, refused |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &TABLE_SEEDS)?) {
+        let worst = outcomes.iter().map(Outcome::share).fold(0.0, f64::max);
+        let broken = outcomes.iter().filter(|it| it.is_broken()).count();
+        let sum =
+            |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>() / outcomes.len();
+        println!(
+            "| {name} | {worst:.3} | {broken} of {} | {} | {} | {}, {}, {} |",
+            outcomes.len(),
+            sum(|it| it.reached),
+            sum(|it| it.answered),
+            sum(|it| it.given_up),
+            sum(|it| it.rejected),
+            sum(|it| it.refused),
+        );
+    }
+    Ok(())
+}
+
+/// Guards against boxes that each send a request to a server that stands still, as none
+/// hears of those of the others that wait there.
+#[test]
+fn a_server_that_stands_still_is_not_crowded() -> Result {
+    all_within_bound(&fleets(), &SEEDS)
+}
--- /dev/null
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -0,0 +1,710 @@
+//! Many boxes before a few servers in memory, one of which stands still for a while.
+//!
+//! Each event has its own simulated time: a request reaches its server, waits there for a
+//! slot, runs, and is answered or given up by its box. Boxes choose servers with the
+//! router's code, by their own requests and by what other boxes report. The harness judges
+//! each request by what all servers hold when it arrives.
+
+use std::cmp::Reverse;
+use std::collections::{BinaryHeap, HashMap, VecDeque};
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::eyre;
+use tidepier_admission::demand::Summary;
+use tidepier_clock::Instant;
+use tidepier_core::answer::Load;
+use tidepier_core::server::{Server, State};
+use tidepier_ids as ids;
+use tidepier_relay::choose::filter::Filter;
+use tidepier_relay::choose::{self, Criteria};
+use tidepier_relay::fleet::used::Used;
+use tidepier_relay::fleet::{Backend, Fleet, InFlight, Key};
+use tidepier_relay::health;
+use tidepier_relay::traffic::index::Index;
+
+use crate::choice_harness::{address, id, prompt};
+use crate::harness::{Result, SERVICE};
+use crate::spread_harness::{sums, SUBJECTS_REPORTED};
+
+/// Window in which the users' rule counts requests.
+pub(crate) const WINDOW: Duration = Duration::from_secs(5);
+/// The users' bound on a server's load: this many times the mean, ...
+const BOUND_FACTOR: f64 = 2.0;
+/// ... plus this many requests.
+const BOUND_EXTRA: f64 = 3.0;
+/// Fewest requests over the bound in a window that break the rule.
+const EXCEEDING_MIN: usize = 20;
+/// Highest share of the requests of a window that may be over the bound.
+const EXCEEDING_MAX: f64 = 0.03;
+/// Time on the way to a server in the same hall.
+const NEAR_TIME: Duration = Duration::from_micros(100);
+/// Interval between two messages of other boxes to a box.
+const REPORT_INTERVAL: Duration = Duration::from_millis(400);
+/// Age in messages of what is reported.
+const REPORT_AGE: usize = 2;
+/// Tokens of a subject, and the number of subjects for each engine.
+const TOKENS: u32 = 2_000;
+const SUBJECTS: u64 = 10;
+/// The server that is disturbed.
+const DISTURBED: usize = 0;
+
+/// The kind of servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Kind {
+    /// Servers of a plain service: 6 slots, 24 places in the queue, 30 ms for a request, and
+    /// five times as long for one in a hundred.
+    Plain,
+    /// Model engines: 64 slots; the first event comes after 40 to 250 ms, the last one
+    /// after 0.7 s.
+    Engines,
+}
+
+impl Kind {
+    fn slots(self) -> usize {
+        match self {
+            Kind::Plain => 6,
+            Kind::Engines => 64,
+        }
+    }
+
+    fn queue(self) -> usize {
+        match self {
+            Kind::Plain => 24,
+            Kind::Engines => 192,
+        }
+    }
+
+    /// Time after which a box gives a request up: the time-out of its route.
+    fn timeout(self) -> Duration {
+        match self {
+            Kind::Plain => Duration::from_millis(1_100),
+            Kind::Engines => Duration::from_millis(4_000),
+        }
+    }
+
+    /// Time until an answer begins, and until it ends, at a server that holds `held`
+    /// requests.
+    fn run_time(self, held: usize) -> (Duration, Duration) {
+        let ms = |ms: f64| Duration::from_secs_f64(ms / 1e3);
+        match self {
+            Kind::Plain => {
+                let tail = if fastrand::u8(..100) == 0 { 5.0 } else { 1.0 };
+                let time = ms((30.0 * tail * (0.5 + fastrand::f64())).min(220.0));
+                (time, time)
+            }
+            Kind::Engines => {
+                let prefill = if fastrand::u8(..10) < 3 { 150.0 } else { 0.0 };
+                let first = 40.0 + prefill * (0.6 + 0.8 * fastrand::f64()) + 2.0 * held as f64;
+                (ms(first), ms(first + 600.0 + 30.0 * held as f64))
+            }
+        }
+    }
+}
+
+/// What happens to one of the servers.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Trouble {
+    /// Nothing.
+    None,
+    /// Its process stands still: what reaches it waits until it goes on.
+    Standstill,
+    /// Its requests do not go on, but it rejects those that its queue does not hold.
+    Stuck,
+    /// Requests that begin meanwhile take this many times as long.
+    Slow(f64),
+}
+
+/// Parameters of a simulation.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Plan {
+    pub(crate) kind: Kind,
+    pub(crate) boxes: usize,
+    pub(crate) servers: usize,
+    /// Halls that boxes and servers are divided between.
+    pub(crate) halls: usize,
+    /// Round-trip time to another hall.
+    pub(crate) round_trip: Duration,
+    /// Share of the requests that boxes of the first hall get; `None`: as the others.
+    pub(crate) first_hall: Option<f64>,
+    /// Requests a second for each server.
+    pub(crate) rate: f64,
+    pub(crate) trouble: Trouble,
+    /// When the trouble begins, and how long it lasts.
+    pub(crate) from: Duration,
+    pub(crate) lasts: Duration,
+    /// Time before which there are no requests.
+    pub(crate) quiet: Duration,
+    /// In each second, every fifth box stands still for this long, and then sends all
+    /// requests that came meanwhile.
+    pub(crate) pause: Duration,
+    /// Simulated time.
+    pub(crate) time: Duration,
+    /// Whether boxes hear of each other.
+    pub(crate) reports: bool,
+}
+
+impl Plan {
+    /// 78 boxes of three halls, a millisecond apart, before three plain servers, one of
+    /// which stands still for 4.5 s.
+    pub(crate) fn new(rate: f64) -> Self {
+        Self {
+            kind: Kind::Plain,
+            boxes: 78,
+            servers: 3,
+            halls: 3,
+            round_trip: Duration::from_millis(1),
+            first_hall: None,
+            rate,
+            trouble: Trouble::Standstill,
+            from: Duration::from_millis(3_000),
+            lasts: Duration::from_millis(4_500),
+            quiet: Duration::ZERO,
+            pause: Duration::ZERO,
+            time: Duration::from_millis(11_000),
+            reports: true,
+        }
+    }
+}
+
+/// The result of a simulation.
+#[derive(Debug, Default, Clone, PartialEq)]
+pub(crate) struct Outcome {
+    /// When each judged request reached its server, and whether that was over the bound.
+    arrivals: Vec<(Duration, bool)>,
+    /// Requests that were answered.
+    pub(crate) answered: usize,
+    /// Requests that were given up.
+    pub(crate) given_up: usize,
+    /// Requests that servers rejected for good.
+    pub(crate) rejected: usize,
+    /// Requests that got no server.
+    pub(crate) refused: usize,
+    /// Requests that reached the disturbed server while it was.
+    pub(crate) reached: usize,
+}
+
+impl Outcome {
+    /// Requests over the bound, and all, in the window with the greatest share among those
+    /// with the fewest that break the rule; else in the one with the most.
+    pub(crate) fn worst(&self) -> (usize, usize) {
+        let windows = self.arrivals.iter().enumerate().map(|(last, (end, _))| {
+            let begin = end.saturating_sub(WINDOW);
+            let first = self.arrivals.partition_point(|(at, _)| *at < begin);
+            let window = &self.arrivals[first..=last];
+            let over = window.iter().filter(|(_, over)| *over).count();
+            (over, window.len())
+        });
+        let rank = |(over, all): &(usize, usize)| {
+            let share = *over as f64 / (*all).max(1) as f64;
+            (over.min(&EXCEEDING_MIN).to_owned(), share)
+        };
+        let worst = windows.max_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("no NaN"));
+        worst.unwrap_or_default()
+    }
+
+    /// Share of the requests over the bound in the worst window.
+    pub(crate) fn share(&self) -> f64 {
+        let (over, all) = self.worst();
+        over as f64 / all.max(1) as f64
+    }
+
+    /// Whether the users' rule is broken.
+    pub(crate) fn is_broken(&self) -> bool {
+        self.worst().0 >= EXCEEDING_MIN && self.share() > EXCEEDING_MAX
+    }
+}
+
+struct SimBox {
+    hall_number: usize,
+    hall: ids::Hall,
+    fleet: Fleet,
+    index: Index,
+}
+
+#[derive(Default)]
+struct SimServer {
+    /// Requests that run, wait or are unread.
+    held: usize,
+    running: usize,
+    /// Requests that wait for a slot.
+    queue: VecDeque<usize>,
+    /// Requests that reached the process while it stands still.
+    unread: Vec<usize>,
+    /// What would have happened while it stands still.
+    deferred: Vec<Event>,
+}
+
+/// One request at one server.
+struct Run {
+    sim_box: usize,
+    server: usize,
+    subject: u64,
+    sent: Instant,
+    tried: Vec<ids::Server>,
+    /// Set until the answer ends or the box gives up.
+    in_flight: Option<InFlight>,
+    has_begun: bool,
+}
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    /// A client sends the next request.
+    Request,
+    /// A box that stood still sends a request that came meanwhile.
+    Delayed(usize, u64),
+    Arrival(usize),
+    /// The server sends the beginning of its answer.
+    Begin(usize),
+    /// The server sends the end of its answer.
+    End(usize),
+    /// The beginning, or the end, of an answer reaches its box.
+    Begun(usize),
+    Ended(usize),
+    Rejected(usize),
+    GiveUp(usize),
+    Report,
+    Stop,
+    Continue,
+}
+
+/// What boxes report at one moment.
+struct Snapshot {
+    /// Requests of all boxes in flight at each server, and those of each box.
+    sum: HashMap<Key, u32>,
+    in_flight: Vec<HashMap<Key, u32>>,
+    demand: Vec<Summary>,
+}
+
+struct Sim {
+    plan: Plan,
+    start: Instant,
+    now: Instant,
+    service: ids::Service,
+    boxes: Vec<SimBox>,
+    identities: Vec<Server>,
+    servers: Vec<SimServer>,
+    runs: Vec<Run>,
+    events: BinaryHeap<Reverse<(Instant, u64, Event)>>,
+    event_count: u64,
+    is_disturbed: bool,
+    past: VecDeque<Snapshot>,
+    outcome: Outcome,
+}
+
+/// Plays a plan; randomness comes from the thread's seed.
+pub(crate) fn play(plan: &Plan) -> Result<Outcome> {
+    let mut sim = Sim::new(*plan)?;
+    sim.play()?;
+    Ok(sim.outcome)
+}
+
+fn hall(number: usize, plan: &Plan) -> Result<ids::Hall> {
+    id(&format!("hall-{}", number % plan.halls + 1))
+}
+
+fn identity(number: usize, plan: &Plan) -> Result<Server> {
+    Ok(Server {
+        id: id(&format!("i-{number}"))?,
+        born: None,
+        service: id(SERVICE)?,
+        address: address(number as u16),
+        hall: hall(number, plan)?,
+        slots: plan.kind.slots() as u32,
+        release: None,
+        state: State::Ready,
+        cold: Duration::ZERO,
+    })
+}
+
+impl Sim {
+    fn new(plan: Plan) -> Result<Self> {
+        let start = Instant::now();
+        let identities = (0..plan.servers).map(|number| identity(number, &plan));
+        let identities = identities.collect::<Result<Vec<Server>>>()?;
+        let boxes = (0..plan.boxes).map(|number| {
+            let sim_box = SimBox {
+                hall_number: number % plan.halls,
+                hall: hall(number, &plan)?,
+                fleet: Fleet::default(),
+                index: Index::default(),
+            };
+            for server in &identities {
+                sim_box.fleet.announce(server.clone(), start);
+                let backend = sim_box.fleet.get(&server.id);
+                if let Some(backend) = backend.filter(|it| it.server.hall != sim_box.hall) {
+                    backend.hall.record_connect_time(plan.round_trip);
+                }
+            }
+            Ok(sim_box)
+        });
+        Ok(Self {
+            start,
+            now: start,
+            service: id(SERVICE)?,
+            boxes: boxes.collect::<Result<_>>()?,
+            identities,
+            servers: (0..plan.servers).map(|_| SimServer::default()).collect(),
+            runs: Vec::new(),
+            events: BinaryHeap::new(),
+            event_count: 0,
+            is_disturbed: false,
+            past: VecDeque::new(),
+            outcome: Outcome::default(),
+            plan,
+        })
+    }
+
+    fn play(&mut self) -> Result {
+        let plan = self.plan;
+        self.after(plan.quiet, Event::Request);
+        self.after(REPORT_INTERVAL, Event::Report);
+        if plan.trouble != Trouble::None {
+            self.after(plan.from, Event::Stop);
+            self.after(plan.from + plan.lasts, Event::Continue);
+        }
+        while let Some(Reverse((at, _, event))) = self.events.pop() {
+            if at > self.start + plan.time {
+                break;
+            }
+            self.now = at;
+            self.handle(event)?;
+        }
+        Ok(())
+    }
+
+    fn after(&mut self, time: Duration, event: Event) {
+        self.event_count += 1;
+        let entry = (self.now + time, self.event_count, event);
+        self.events.push(Reverse(entry));
+    }
+
+    fn handle(&mut self, event: Event) -> Result {
+        match event {
+            Event::Request => self.request()?,
+            Event::Delayed(sim_box, subject) => self.send(sim_box, subject, Vec::new())?,
+            Event::Arrival(run) => self.arrival(run),
+            Event::Begin(run) | Event::End(run) if self.is_halted(self.runs[run].server) => {
+                self.servers[DISTURBED].deferred.push(event);
+            }
+            Event::Begin(run) => self.after(self.way(run), Event::Begun(run)),
+            Event::End(run) => self.end(run),
+            Event::Begun(run) => self.begun(run)?,
+            Event::Ended(run) => self.ended(run)?,
+            Event::Rejected(run) => self.rejected(run)?,
+            Event::GiveUp(run) => self.give_up(run)?,
+            Event::Report => self.report(),
+            Event::Stop => self.stop(),
+            Event::Continue => self.go_on(),
+        }
+        Ok(())
+    }
+
+    /// Whether the requests that run at a server make no progress.
+    fn is_halted(&self, server: usize) -> bool {
+        let is_halted = matches!(self.plan.trouble, Trouble::Standstill | Trouble::Stuck);
+        is_halted && self.is_disturbed && server == DISTURBED
+    }
+
+    /// Whether a server's process stands still.
+    fn stands_still(&self, server: usize) -> bool {
+        self.plan.trouble == Trouble::Standstill && self.is_halted(server)
+    }
+
+    fn request(&mut self) -> Result {
+        let rate = self.plan.rate * self.plan.servers as f64;
+        // Exponential, as the sum of many clients' requests.
+        let gap = -(1.0 - fastrand::f64()).ln() / rate;
+        self.after(Duration::from_secs_f64(gap), Event::Request);
+        let sim_box = self.next_box();
+        let subject = fastrand::u64(0..SUBJECTS * self.plan.servers as u64);
+        match self.paused_for(sim_box) {
+            Some(left) => self.after(left, Event::Delayed(sim_box, subject)),
+            None => self.send(sim_box, subject, Vec::new())?,
+        }
+        Ok(())
+    }
+
+    fn next_box(&self) -> usize {
+        let in_first = self.plan.first_hall.map(|share| fastrand::f64() < share);
+        loop {
+            let sim_box = fastrand::usize(0..self.plan.boxes);
+            let is_in_first = self.boxes[sim_box].hall_number == 0;
+            if in_first.is_none_or(|in_first| in_first == is_in_first) {
+                return sim_box;
+            }
+        }
+    }
+
+    /// How much longer a box stands still.
+    fn paused_for(&self, sim_box: usize) -> Option<Duration> {
+        let since = self.now - self.start;
+        let second = Duration::from_secs(since.as_secs());
+        let is_chosen = (sim_box as u64 + since.as_secs()).is_multiple_of(5);
+        let left = (second + self.plan.pause).checked_sub(since)?;
+        is_chosen.then_some(left)
+    }
+
+    /// Lets a box send a request, unless to one of the servers `tried`.
+    fn send(&mut self, number: usize, subject: u64, tried: Vec<ids::Server>) -> Result {
+        let sim_box = &self.boxes[number];
+        let prompt = prompt(subject, TOKENS);
+        let criteria = Criteria {
+            prompt: (self.plan.kind == Kind::Engines).then_some(&prompt),
+            copy_ms: Some(0.002),
+            tried: &tried,
+            used: &Used::default(),
+            filter: Filter::default(),
+            hall: &sim_box.hall,
+            not_resumable: false,
+            connections: 1_000,
+            crowd_factor: BOUND_FACTOR,
+        };
+        let (fleet, index) = (&sim_box.fleet, &sim_box.index);
+        let Some(choice) = choose::choose(fleet, &self.service, &criteria, index, self.now) else {
+            self.outcome.refused += 1;
+            return Ok(());
+        };
+        let subject_id = match self.plan.kind {
+            Kind::Plain => None,
+            Kind::Engines => {
+                index.record_local(&prompt, choice.backend.key, self.now);
+                prompt.subject().map(|part| part.id)
+            }
+        };
+        index.demand.record(&self.service, subject_id, self.now);
+        let id = &choice.backend.server.id;
+        let server = self.identities.iter().position(|it| it.id == *id);
+        let server = server.ok_or_else(|| eyre!("{id} is not known"))?;
+        let run = self.runs.len();
+        self.runs.push(Run {
+            sim_box: number,
+            server,
+            subject,
+            sent: self.now,
+            tried,
+            in_flight: Some(choice.backend.run(choice.prefill_tokens as u64)),
+            has_begun: false,
+        });
+        self.after(self.way(run), Event::Arrival(run));
+        self.after(self.plan.kind.timeout(), Event::GiveUp(run));
+        Ok(())
+    }
+
+    /// Time on the way between a run's box and its server.
+    fn way(&self, run: usize) -> Duration {
+        let Run {
+            sim_box, server, ..
+        } = self.runs[run];
+        let is_near = self.boxes[sim_box].hall_number == server % self.plan.halls;
+        match is_near {
+            true => NEAR_TIME,
+            false => self.plan.round_trip / 2,
+        }
+    }
+
+    fn arrival(&mut self, run: usize) {
+        let number = self.runs[run].server;
+        self.judge(number);
+        self.servers[number].held += 1;
+        if self.is_disturbed && number == DISTURBED {
+            self.outcome.reached += 1;
+        }
+        match self.stands_still(number) {
+            true => self.servers[number].unread.push(run),
+            false => self.accept(run),
+        }
+    }
+
+    /// A server reads a request.
+    fn accept(&mut self, run: usize) {
+        let kind = self.plan.kind;
+        let number = self.runs[run].server;
+        let server = &mut self.servers[number];
+        if server.running < kind.slots() {
+            server.running += 1;
+            self.begin(run);
+        } else if server.queue.len() < kind.queue() {
+            server.queue.push_back(run);
+        } else {
+            server.held -= 1;
+            self.after(self.way(run), Event::Rejected(run));
+        }
+    }
+
+    fn begin(&mut self, run: usize) {
+        let number = self.runs[run].server;
+        let (begin, end) = self.plan.kind.run_time(self.servers[number].held);
+        let slowdown = match self.plan.trouble {
+            Trouble::Slow(times) if self.is_disturbed && number == DISTURBED => times,
+            _ => 1.0,
+        };
+        self.after(begin.mul_f64(slowdown), Event::Begin(run));
+        self.after(end.mul_f64(slowdown), Event::End(run));
+    }
+
+    fn end(&mut self, run: usize) {
+        let number = self.runs[run].server;
+        let server = &mut self.servers[number];
+        server.running -= 1;
+        server.held -= 1;
+        if let Some(next) = server.queue.pop_front() {
+            server.running += 1;
+            self.begin(next);
+        }
+        self.after(self.way(run), Event::Ended(run));
+    }
+
+    fn backend(&self, run: usize) -> Result<Rc<Backend>> {
+        let Run {
+            sim_box, server, ..
+        } = self.runs[run];
+        let id = &self.identities[server].id;
+        let backend = self.boxes[sim_box].fleet.get(id);
+        backend.ok_or_else(|| eyre!("{id} is not known"))
+    }
+
+    /// The beginning of an answer reaches its box.
+    fn begun(&mut self, run: usize) -> Result {
+        let backend = self.backend(run)?;
+        let Some(in_flight) = &self.runs[run].in_flight else {
+            return Ok(());
+        };
+        in_flight.answer_started();
+        self.runs[run].has_begun = true;
+        backend.hall.record_received(self.now);
+        if self.plan.kind == Kind::Engines {
+            let load = Load {
+                running: self.servers[self.runs[run].server].running as u32,
+                waiting: self.servers[self.runs[run].server].queue.len() as u32,
+                slots: self.plan.kind.slots() as u32,
+                slowdown: None,
+            };
+            backend.record_load(load, self.now);
+        }
+        let took = self.now - self.runs[run].sent;
+        backend.health.record_latency(took, self.now);
+        Ok(())
+    }
+
+    fn ended(&mut self, run: usize) -> Result {
+        let backend = self.backend(run)?;
+        if self.runs[run].in_flight.take().is_some() {
+            backend.record(health::Outcome::Succeeded, self.now);
+            self.outcome.answered += 1;
+        }
+        Ok(())
+    }
+
+    fn rejected(&mut self, run: usize) -> Result {
+        let backend = self.backend(run)?;
+        if self.runs[run].in_flight.take().is_none() {
+            return Ok(());
+        }
+        backend.hall.record_received(self.now);
+        backend.record(health::Outcome::Succeeded, self.now);
+        backend.health.record_rejection(self.now);
+        let Run {
+            sim_box,
+            subject,
+            ref tried,
+            ..
+        } = self.runs[run];
+        if tried.is_empty() {
+            let tried = vec![backend.server.id.clone()];
+            return self.send(sim_box, subject, tried);
+        }
+        self.outcome.rejected += 1;
+        Ok(())
+    }
+
+    /// A request has not ended within its time. The server does not notice while it stands
+    /// still.
+    fn give_up(&mut self, run: usize) -> Result {
+        let backend = self.backend(run)?;
+        let is_begun = self.runs[run].has_begun;
+        if is_begun || self.runs[run].in_flight.take().is_none() {
+            return Ok(());
+        }
+        backend.record(health::Outcome::Unresponsive, self.now);
+        self.outcome.given_up += 1;
+        Ok(())
+    }
+
+    fn stop(&mut self) {
+        self.is_disturbed = true;
+    }
+
+    fn go_on(&mut self) {
+        self.is_disturbed = false;
+        let server = &mut self.servers[DISTURBED];
+        let (deferred, unread) = (
+            std::mem::take(&mut server.deferred),
+            std::mem::take(&mut server.unread),
+        );
+        for event in deferred {
+            self.after(Duration::ZERO, event);
+        }
+        for run in unread {
+            self.accept(run);
+        }
+    }
+
+    fn judge(&mut self, server: usize) {
+        let sum: usize = self.servers.iter().map(|it| it.held).sum();
+        let mean = sum as f64 / self.servers.len() as f64;
+        let is_over = self.servers[server].held as f64 > BOUND_FACTOR * mean + BOUND_EXTRA;
+        let at = self.now - self.start;
+        self.outcome.arrivals.push((at, is_over));
+    }
+
+    /// Sends each box what all others reported some time ago.
+    fn report(&mut self) {
+        self.after(REPORT_INTERVAL, Event::Report);
+        if !self.plan.reports {
+            return;
+        }
+        self.past.push_back(self.snapshot());
+        if self.past.len() <= REPORT_AGE {
+            return;
+        }
+        let Some(known) = self.past.pop_front() else {
+            return;
+        };
+        let (all, halls) = sums(&known.demand, self.plan.halls);
+        let all = all.frequent(1.0 / self.servers.len() as f64, SUBJECTS_REPORTED);
+        let others = self.boxes.len() as u32 - 1;
+        for (number, sim_box) in self.boxes.iter().enumerate() {
+            let mut requests = known.sum.clone();
+            for (key, own) in &known.in_flight[number] {
+                if let Some(sum) = requests.get_mut(key) {
+                    *sum = sum.saturating_sub(*own);
+                }
+            }
+            sim_box
+                .fleet
+                .set_peer_in_flight(&requests, others, self.now);
+            let mut demand = all.clone();
+            demand.subtract(&known.demand[number]);
+            let index = &sim_box.index.demand;
+            index.set_others(demand, self.now);
+            index.set_hall(halls[sim_box.hall_number].clone(), self.now);
+        }
+    }
+
+    fn snapshot(&self) -> Snapshot {
+        let in_flight: Vec<HashMap<Key, u32>> =
+            self.boxes.iter().map(|it| it.fleet.running()).collect();
+        let mut sum: HashMap<Key, u32> = HashMap::new();
+        for (key, requests) in in_flight.iter().flatten() {
+            *sum.entry(*key).or_default() += requests;
+        }
+        let demand = self.boxes.iter();
+        let demand = demand.map(|it| it.index.demand.summary(self.now));
+        Snapshot {
+            sum,
+            in_flight,
+            demand: demand.collect(),
+        }
+    }
+}
