Logs and metrics: how long requests wait at a server without any answer

placed now has waited_ms, for how long requests of this box have waited at the server without any answer, and answered_ms, when it last answered one other than by rejecting it. Nothing is decided by them.

Tests: silence, three.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -236,6 +236,7 @@
     let carrier = conn.carried_by();
     dispatch.used.record(&conn);
     (dispatch.on_connected)(Path { origin, carrier });
+    running.sent(Instant::now());
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
@@ -247,6 +248,11 @@
     let framing = framing.map_err(|error| maybe_executed(Cause::Lost(error)))?;
     let reusable = written_whole && !answer.close && framing != Framing::UntilClose;
     backend.record_received();
+    // A server may reject requests while it answers none of those that it has accepted.
+    match answer.not_executed {
+        true => running.given_up(Instant::now()),
+        false => running.answered(Instant::now()),
+    }
     earlier
         .iter()
         .chain([&answer])
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -31,11 +31,17 @@
         if let Some(age) = load.counts_age {
             metrics::histogram!("tidepier_counts_age_seconds").record(age.as_secs_f64());
         }
+        let now = Instant::now();
+        let silence = &choice.backend.silence;
+        let waited = silence.wait(now).map_or(Duration::ZERO, |wait| wait.time);
+        let answered = silence.last_answered();
+        let answered = answered.map_or(-1, |at| now.duration_since(at).as_millis() as i64);
+        metrics::histogram!("tidepier_unanswered_seconds").record(waited.as_secs_f64());
         log::info!(
             target: "request",
             "event=placed id={} content={} route={} account={} server={} release={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
-             own={} known={:.0} mean={:.1} counts_ms={} divided={} rate={}",
+             own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} divided={} rate={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -53,7 +59,7 @@
             choice.backend.server.hall,
             choice.backend.health.mean_latency_ms().unwrap_or(-1.0),
             self.relay.fleet.leaving(&self.service),
-            self.relay.fleet.backing_off(&self.service, Instant::now()),
+            self.relay.fleet.backing_off(&self.service, now),
             self.relay.view.version(),
             self.relay.view.age().map_or(-1, |age| age.as_millis() as i64),
             self.service,
@@ -61,6 +67,7 @@
             load.server,
             load.mean,
             load.counts_age.map_or(-1, |age| age.as_millis() as i64),
+            waited.as_millis(),
             choice.divided,
             choice.first_event.map_or(Rate::DEFAULT, |(_, predicted)| predicted.rate()),
         );
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -17,6 +17,7 @@
 use super::hall::Hall;
 use super::idle::Idle;
 use super::reach::{Change, Group, Opening, Reach};
+use super::silence::Silence;
 use super::used::Used;
 use super::Key;
 use crate::cold::Window;
@@ -108,6 +109,8 @@
     pub window: Window,
     /// When data last came from the server.
     last_received: Cell<Option<Instant>>,
+    /// How long requests of this box have waited without any answer.
+    pub silence: Silence,
     /// Prompt tokens that this box has sent and whose answers have not started.
     prefill: Cell<u64>,
     idle: Idle,
@@ -117,9 +120,33 @@
 pub struct InFlight {
     backend: Rc<Backend>,
     prefill: Cell<u64>,
+    /// When the request was sent, if it waits for its answer.
+    sent: Cell<Option<Instant>>,
 }
 
 impl InFlight {
+    /// Records that the request was sent.
+    pub fn sent(&self, now: Instant) {
+        if self.sent.replace(Some(now)).is_none() {
+            self.backend.silence.begin(now);
+        }
+    }
+
+    /// Records that the server has accepted the request and begun to answer it.
+    pub fn answered(&self, now: Instant) {
+        if self.sent.take().is_some() {
+            self.backend.silence.end(now);
+            self.backend.silence.answered(now);
+        }
+    }
+
+    /// Records that the request does not wait any longer.
+    pub fn given_up(&self, now: Instant) {
+        if self.sent.take().is_some() {
+            self.backend.silence.end(now);
+        }
+    }
+
     /// Records that the answer has started: the server has read the prompt.
     pub fn answer_started(&self) {
         let tokens = self.prefill.replace(0);
@@ -131,6 +158,7 @@
 impl Drop for InFlight {
     fn drop(&mut self) {
         self.answer_started();
+        self.given_up(Instant::now());
         let in_flight = &self.backend.in_flight;
         in_flight.set(in_flight.get().saturating_sub(1));
     }
@@ -164,6 +192,7 @@
             report: Cell::new(None),
             speed: Cell::new(Speed::default()),
             last_received: Cell::new(None),
+            silence: Silence::default(),
             prefill: Cell::new(0),
             idle: Idle::default(),
         }
@@ -309,6 +338,7 @@
         InFlight {
             backend: self.clone(),
             prefill: Cell::new(prefill),
+            sent: Cell::default(),
         }
     }
 
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod permit;
 pub mod reach;
 pub mod releases;
+pub mod silence;
 pub mod speeds;
 pub mod used;
 pub(crate) mod watch;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -61,6 +61,7 @@
 mod seeds;
 mod server_history;
 mod shared;
+mod silence;
 mod sim;
 mod sizes;
 mod slow;
--- /dev/null
+++ b/crates/relay/tests/relay/silence.rs
@@ -0,0 +1,80 @@
+//! How long requests have waited at a server without any answer.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use eyre::eyre;
+use tidepier_clock::Instant;
+use tidepier_core::server::State;
+use tidepier_relay::fleet::silence::Wait;
+use tidepier_relay::fleet::Backend;
+
+use crate::choice_harness::{server, ChoiceHarness};
+use crate::harness::Result;
+
+fn ms(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn backend() -> Result<(Rc<Backend>, Instant)> {
+    let harness = ChoiceHarness::new("hall-1", [1])?;
+    let id = server(1, State::Ready)?.id;
+    let backend = harness.fleet.get(&id).ok_or_else(|| eyre!("no {id}"))?;
+    Ok((backend, harness.start))
+}
+
+/// The time of the wait and for how long it has been over, in ms.
+fn wait(backend: &Backend, now: Instant) -> Option<(u128, Option<u128>)> {
+    let wait = backend.silence.wait(now);
+    wait.map(|Wait { time, ended }| (time.as_millis(), ended.map(|it| it.as_millis())))
+}
+
+#[test]
+fn requests_wait_from_the_first_that_is_sent_to_the_last_answer() -> Result {
+    let (backend, start) = backend()?;
+    assert_eq!(wait(&backend, start), None);
+    let first = backend.run(0);
+    assert_eq!(wait(&backend, start), None, "it is not sent yet");
+    first.sent(start);
+    let second = backend.run(0);
+    second.sent(start + ms(40));
+    assert_eq!(wait(&backend, start + ms(100)), Some((100, None)));
+    first.answered(start + ms(120));
+    assert_eq!(wait(&backend, start + ms(150)), Some((30, None)));
+    second.answered(start + ms(160));
+    assert_eq!(wait(&backend, start + ms(170)), None);
+    assert_eq!(backend.silence.last_answered(), Some(start + ms(160)));
+    Ok(())
+}
+
+#[test]
+fn a_wait_without_an_answer_counts_for_five_seconds() -> Result {
+    let (backend, start) = backend()?;
+    let first = backend.run(0);
+    first.sent(start);
+    first.given_up(start + ms(100));
+    assert_eq!(wait(&backend, start + ms(300)), Some((100, Some(200))));
+    let second = backend.run(0);
+    second.sent(start + ms(1_000));
+    assert_eq!(wait(&backend, start + ms(1_050)), Some((150, None)));
+    second.given_up(start + ms(1_050));
+    assert_eq!(wait(&backend, start + ms(6_040)), Some((150, Some(4_990))));
+    assert_eq!(wait(&backend, start + ms(6_060)), None);
+    let third = backend.run(0);
+    third.sent(start + ms(6_100));
+    assert_eq!(wait(&backend, start + ms(6_110)), Some((10, None)));
+    Ok(())
+}
+
+/// Guards against a box that could not run and takes the time for a wait: the answers may
+/// be there, unread.
+#[test]
+fn time_in_which_the_box_could_not_run_is_left_out() -> Result {
+    let (backend, start) = backend()?;
+    let request = backend.run(0);
+    request.sent(start);
+    let woken = start + ms(2_000);
+    backend.silence.leave_out(ms(1_900), woken);
+    assert_eq!(wait(&backend, woken), Some((100, None)));
+    Ok(())
+}
