--- a/crates/relay-standin/src/site.rs
+++ b/crates/relay-standin/src/site.rs
@@ -214,7 +214,17 @@
         state: State,
         change: impl FnOnce(&mut Value),
     ) -> u64 {
-        let settings = server.settings();
+        self.announce_as(server.settings(), address, state, change)
+    }
+
+    /// The same for a server in another process.
+    pub fn announce_as(
+        &self,
+        settings: &Settings,
+        address: SocketAddr,
+        state: State,
+        change: impl FnOnce(&mut Value),
+    ) -> u64 {
         let mut entry = json!({
             "service": settings.service,
             "address": address.to_string(),
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -33,9 +33,9 @@
 const HELD_UP_MIN: Duration = Duration::from_millis(50);
 /// Time for which it then reads such answers first.
 const CATCH_UP_TIME: Duration = Duration::from_millis(100);
-/// Time-out of a health check. It is longer than most stalls, so that its answer shows
-/// at once that the server goes on.
-const PROBE_TIMEOUT: Duration = Duration::from_secs(5);
+/// Time-out of a health check. A server that goes on answers the one that waits, however late,
+/// which shows that another one is due.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 /// Largest head of the answer to a health check, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
 
