Soak: plain servers that stand still, by signals, before forty boxes

Requests that a server reads at once when it goes on count as held, which samples of every 20 ms did not show.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -1,6 +1,7 @@
 //! Runs seeds of the fault soak; the last line is JSON.
 
 use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::ExitCode;
 use std::str::FromStr;
@@ -11,6 +12,7 @@
 use eyre::{eyre, WrapErr};
 use futures_lite::{future, FutureExt, StreamExt};
 use serde_json::json;
+use tidepier_soak::gate;
 use tidepier_soak::rule::Verdict;
 use tidepier_soak::run::{self, Options, Outcome};
 
@@ -68,6 +70,13 @@
     /// Makes most streams be about one subject, with sixteen boxes and more servers.
     #[arg(long)]
     hot_subject: bool,
+    /// Also stops processes in front of plain servers, so that these stand still, before
+    /// forty boxes.
+    #[arg(long)]
+    standstills: bool,
+    /// Runs the process in front of the server at this address instead.
+    #[arg(long, hide = true)]
+    gate: Option<SocketAddr>,
     /// Number of boxes in place of the one that the seeds determine; faults affect up to
     /// the first four. There is a proxy between each two boxes, so that 60 boxes open 3,540
     /// ports.
@@ -152,6 +161,10 @@
 
 fn main() -> eyre::Result<ExitCode> {
     let arguments = Arguments::parse();
+    if let Some(target) = arguments.gate {
+        smol::block_on(gate::run(target))?;
+        return Ok(ExitCode::SUCCESS);
+    }
     let relay = match &arguments.relay {
         Some(relay) => relay.clone(),
         None => std::env::current_exe()?.with_file_name("tidepier-relay"),
@@ -174,6 +187,7 @@
         copies: arguments.copies,
         releases: arguments.releases,
         hot_subject: arguments.hot_subject,
+        standstills: arguments.standstills,
         boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -80,6 +80,8 @@
     Faulty(server::Fault),
     /// It accepts requests and answers none.
     Dark,
+    /// The process in front of it is stopped, so that it stands still.
+    Standstill,
     /// Its requests take several times as long.
     Slow,
     /// It crashes; another server is added.
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -102,6 +102,8 @@
     emptied: Mutex<BTreeSet<String>>,
     /// Whether the servers of streams run two releases.
     has_releases: bool,
+    /// This program, if plain servers may stand still.
+    gate_program: Option<PathBuf>,
     /// Servers whose entries were removed.
     withdrawn_servers: Mutex<HashSet<String>>,
 }
@@ -153,6 +155,10 @@
             backups: Mutex::default(),
             emptied: Mutex::default(),
             has_releases: schedule.releases,
+            gate_program: match schedule.standstills {
+                true => Some(std::env::current_exe()?),
+                false => None,
+            },
             withdrawn_servers: Mutex::default(),
         };
         for _ in 0..SERVERS_PER_SERVICE {
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -12,8 +12,9 @@
 
 use super::Fleet;
 use crate::evidence::Delivery;
+use crate::gate::Gate;
 use crate::ledger::Loads;
-use crate::plan::{self, STREAM};
+use crate::plan::{self, PLAIN, STREAM};
 use crate::proxy::Proxy;
 use crate::sync::lock;
 
@@ -37,6 +38,8 @@
 pub(super) struct Backend {
     pub(super) server: Server,
     pub(super) proxy: Proxy,
+    /// The process between the two, at servers that may stand still.
+    pub(super) gate: Option<Gate>,
 }
 
 impl Fleet {
@@ -61,8 +64,16 @@
         for part in lock(&self.crashing_parts).iter() {
             server.end_on_part(*part);
         }
-        let proxy = Proxy::open(server.address())?;
-        let backend = Arc::new(Backend { server, proxy });
+        let program = self.gate_program.as_ref().filter(|_| service == PLAIN);
+        let gate = program.map(|program| Gate::start(program, server.address()));
+        let gate = gate.transpose()?;
+        let target = gate.as_ref().map_or(server.address(), Gate::address);
+        let proxy = Proxy::open(target)?;
+        let backend = Arc::new(Backend {
+            server,
+            proxy,
+            gate,
+        });
         // Under the lock, so that a partition that begins now affects this server too.
         let cuts = lock(&self.cuts);
         backend.proxy.set_cuts(&cuts)?;
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -261,7 +261,10 @@
     }
 
     async fn fault_server(&self, at: usize, fault: Server, lasts: Duration) -> io::Result<()> {
-        let backend = self.pick_server(at);
+        let backend = match fault {
+            Server::Standstill => self.pick_server_of(at, |it| it.gate.is_some()),
+            _ => self.pick_server(at),
+        };
         let server = &backend.server;
         let service = server.settings().service.clone();
         match fault {
@@ -295,6 +298,13 @@
                 return self.add_server(&service);
             }
             Server::Dark => server.dark(true),
+            Server::Standstill => {
+                let gate = backend.gate.as_ref();
+                let gate = gate.ok_or_else(|| io::Error::other("no process in front"))?;
+                gate.signal(Signal::STOP)?;
+                Timer::after(lasts).await;
+                return gate.signal(Signal::CONT);
+            }
             Server::Slow => server.slow(SLOWDOWN_FACTOR),
             Server::Faulty(fault) => server.fault(fault, u32::MAX),
         }
@@ -365,7 +375,13 @@
 
     /// Picks a server by its number among those that are neither leaving nor crashed.
     fn pick_server(&self, at: usize) -> Arc<Backend> {
-        let backends = self.backends();
+        self.pick_server_of(at, |_| true)
+    }
+
+    /// The same among those for which `is_candidate` holds, of which there has to be one.
+    fn pick_server_of(&self, at: usize, is_candidate: impl Fn(&Backend) -> bool) -> Arc<Backend> {
+        let mut backends = self.backends();
+        backends.retain(|backend| is_candidate(backend));
         let running = backends.iter().filter(|backend| {
             let id = &backend.server.settings().id;
             !backend.server.is_crashed() && !self.ledger.is_leaving(id)
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod evidence;
 pub mod fault;
 pub mod fleet;
+pub mod gate;
 pub mod ledger;
 pub mod load;
 pub mod plan;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -3,6 +3,7 @@
 //!
 //! In addition, some idle connections are held at each box until the box closes them.
 
+use std::ops::Range;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
 use std::sync::Arc;
 use std::time::{Duration, Instant};
@@ -27,7 +28,12 @@
 /// Idle connections at each box.
 const IDLE_CONNECTIONS: usize = 3;
 /// Pause between two requests of a client, in ms.
-const THINK_TIME_MS: std::ops::Range<u64> = 30..140;
+const THINK_TIME_MS: Range<u64> = 30..140;
+/// The same where servers stand still: so many clients send requests slowly that those that
+/// wait do not keep the others from sending.
+const SLOW_THINK_TIME_MS: Range<u64> = 300..900;
+/// Bound on the clients of all boxes together there.
+const SLOW_CLIENTS_MAX: usize = 480;
 /// Pause after a connection attempt that failed.
 const CONNECT_RETRY_PAUSE: Duration = Duration::from_millis(150);
 /// Time-out for reading surplus bytes on a connection without a request in flight.
@@ -56,7 +62,11 @@
         let stopped = Arc::new(AtomicBool::new(false));
         let next_number = Arc::new(AtomicU64::new(0));
         let (mut clients, mut idle_connections) = (Vec::new(), Vec::new());
-        let per_box = (CLIENTS_MAX / fleet.box_count()).clamp(1, CLIENTS_PER_BOX);
+        let (clients_max, think_time_ms) = match schedule.standstills {
+            true => (SLOW_CLIENTS_MAX, SLOW_THINK_TIME_MS),
+            false => (CLIENTS_MAX, THINK_TIME_MS),
+        };
+        let per_box = (clients_max / fleet.box_count()).clamp(1, CLIENTS_PER_BOX);
         for box_index in 0..fleet.box_count() {
             for client in 0..per_box {
                 let stream = (box_index * per_box + client) as u64;
@@ -71,6 +81,7 @@
                     hot_subject: schedule.hot_subject,
                     releases: schedule.releases,
                     prompts: schedule.prompts,
+                    think_time_ms: think_time_ms.clone(),
                     client: None,
                 };
                 clients.push(smol::spawn(client_task.run()));
@@ -119,13 +130,15 @@
     releases: bool,
     /// Whether the prompts of streams share a part with those that crash servers.
     prompts: bool,
+    /// Pause between two requests, in ms.
+    think_time_ms: Range<u64>,
     client: Option<Client>,
 }
 
 impl ClientTask {
     async fn run(mut self) {
         while !self.stopped.load(Ordering::Relaxed) {
-            let think = Duration::from_millis(self.rng.random_range(THINK_TIME_MS));
+            let think = Duration::from_millis(self.rng.random_range(self.think_time_ms.clone()));
             Timer::after(think).await;
             self.send_one().await;
         }
--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -14,6 +14,9 @@
 const CROWDED_MIN: usize = 20;
 /// Share of all requests beyond which it is.
 const CROWDED_SHARE: f64 = 0.03;
+/// Name of the fault in which a server stands still. Nobody can tell it from a process that
+/// gets no processor, so that it excuses nothing.
+const STANDSTILL_FAULT: &str = "server_standstill";
 /// Name of the fault that restores the store from an older backup.
 const RESTORE_FAULT: &str = "store_return";
 
@@ -51,7 +54,7 @@
         }
         let over = window
             .iter()
-            .filter(|delivery| is_crowded(&loads, delivery))
+            .filter(|delivery| is_crowded(&loads, window, delivery))
             .count();
         if over >= CROWDED_MIN && over as f64 > CROWDED_SHARE * window.len() as f64 {
             let text = format!("{service}: {over} of {} in 5 s", window.len());
@@ -75,7 +78,8 @@
         .iter()
         .any(|(at, fact)| matches!(fact, Fact::HeldUp(..)) && *at >= quiet && *at <= to);
     let may_be_empty = may_keep_hall_empty(evidence, quiet, to);
-    !changed && !held && !may_be_empty && !evidence.disturbed(quiet, to, |_| true)
+    let excuses = |found: &Disturbance| found.name != STANDSTILL_FAULT;
+    !changed && !held && !may_be_empty && !evidence.disturbed(quiet, to, excuses)
 }
 
 /// Whether boxes may keep a hall empty within a time span although the operator cancelled
@@ -92,20 +96,30 @@
     })
 }
 
-/// Whether a server held far more requests than the mean when this one arrived.
-fn is_crowded(loads: &[&Loads], delivery: &Delivery) -> bool {
+/// Whether a server held far more requests than the mean when this one arrived. Those of the
+/// window that reached it since the loads were sampled count as well.
+fn is_crowded(loads: &[&Loads], window: &[&Delivery], delivery: &Delivery) -> bool {
     let next = loads.partition_point(|loads| loads.at < delivery.run.arrived);
     let Some(known) = next.checked_sub(1).map(|last| loads[last]) else {
         return false;
     };
-    let all: u32 = known.in_flight.iter().map(|(_, held)| held).sum();
-    let mean = f64::from(all) / known.in_flight.len().max(1) as f64;
-    let own = known
+    let sampled = known
         .in_flight
         .iter()
         .find(|(id, _)| *id == delivery.server.id);
-    let most = bound::CROWD_FACTOR * mean + bound::CROWD_EXTRA;
-    own.is_some_and(|(_, held)| f64::from(*held) > most)
+    let Some((_, sampled)) = sampled else {
+        return false;
+    };
+    let at = delivery.run.arrived;
+    let here = window
+        .iter()
+        .filter(|it| it.server.id == delivery.server.id);
+    let held = here.filter(|it| it.run.held_at(at)).count() as u32;
+    let own = held.max(*sampled);
+    let all: u32 = known.in_flight.iter().map(|(_, held)| held).sum();
+    let all = all + (own - sampled);
+    let mean = f64::from(all) / known.in_flight.len().max(1) as f64;
+    f64::from(own) > bound::CROWD_FACTOR * mean + bound::CROWD_EXTRA
 }
 
 /// Compares the retries of a window (deliveries after the first one of each request) with
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -96,6 +96,8 @@
     pub releases: bool,
     /// Whether most streams are about one subject, before more boxes and servers.
     pub hot_subject: bool,
+    /// Whether plain servers stand still in addition, before more boxes.
+    pub standstills: bool,
     /// Number of boxes in place of the one that the seed determines.
     pub boxes: Option<usize>,
 }
@@ -140,6 +142,9 @@
     if options.hot_subject {
         schedule = schedule.with_hot_subject();
     }
+    if options.standstills {
+        schedule = schedule.with_standstills();
+    }
     if let Some(boxes) = options.boxes {
         schedule = schedule.with_boxes(boxes);
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -126,6 +126,17 @@
 const COPY_DELAY_MS: Range<u64> = 1..40;
 /// Number of further requests on its connection after which a copy is sent.
 const COPY_REQUESTS: RangeInclusive<u32> = 1..=3;
+/// Number of servers that [`Schedule::with_standstills`] makes stand still, the time of the
+/// first, and that between two: the window of the rule on load, and the calm before it.
+const STANDSTILLS: u32 = 3;
+const FIRST_STANDSTILL: Duration = Duration::from_millis(18_000);
+const STANDSTILL_INTERVAL: Duration = Duration::from_millis(7_000);
+/// How long a server stands still, in ms.
+const STANDSTILL_MS: Range<u64> = 500..5_000;
+/// Number of boxes before such servers: so many that each has few requests there.
+const STANDSTILL_BOXES: usize = 40;
+/// Mixed into the seed, so that these are chosen independently of the other faults.
+const STANDSTILLS_SEED: u64 = 0x7374_616e_6473_7469;
 /// Number of times that [`Schedule::with_releases`] makes all servers break off streams, each
 /// time with the kill of a box and a server that is replaced by one of another release.
 const BREAKS: usize = 4;
@@ -164,6 +175,8 @@
     pub prompts: bool,
     /// Whether requests that may run once are sent to more servers than there are.
     pub copies: bool,
+    /// Whether plain servers may stand still, and many clients send requests slowly.
+    pub standstills: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -191,6 +204,7 @@
             releases: false,
             prompts: false,
             copies: false,
+            standstills: false,
             steps,
         }
     }
@@ -389,6 +403,20 @@
         }
     }
 
+    /// Adds plain servers that stand still, after the other faults, before more boxes.
+    pub fn with_standstills(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ STANDSTILLS_SEED);
+        let steps = (0..STANDSTILLS).map(|number| Step {
+            at: FIRST_STANDSTILL + STANDSTILL_INTERVAL * number,
+            lasts: ms(&mut rng, STANDSTILL_MS),
+            fault: Fault::Server(rng.random_range(SERVER_NUMBERS), Server::Standstill),
+        });
+        Self {
+            standstills: true,
+            ..self.with_steps(steps).with_boxes(STANDSTILL_BOXES)
+        }
+    }
+
     /// Has servers of two releases serve streams, which break off and which clients take up.
     pub fn with_releases(self) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ RELEASES_SEED);
--- a/crates/soak/tests/soak/schedules.rs
+++ b/crates/soak/tests/soak/schedules.rs
@@ -144,6 +144,23 @@
     }
 }
 
+#[test]
+fn standstills_leave_the_other_faults_as_they_are_and_a_window_for_the_rule_on_load() {
+    for seed in 0..50 {
+        let plain = Schedule::new(seed);
+        let more = plain.clone().with_standstills();
+        let is_standstill =
+            |step: &&Step| matches!(step.fault, Fault::Server(_, Server::Standstill));
+        let others = more.steps.iter().filter(|step| !is_standstill(step));
+        assert!(others.eq(plain.steps.iter()), "seed {seed}");
+        let added: Vec<&Step> = more.steps.iter().filter(is_standstill).collect();
+        assert_eq!(added.len(), 3);
+        for pair in added.windows(2) {
+            assert!(pair[1].at - pair[0].at > bound::CROWD_WINDOW, "seed {seed}");
+        }
+    }
+}
+
 fn is_partition(step: &Step) -> bool {
     matches!(step.fault, Fault::Partition(..))
 }
