Servers that stand still are found also by boxes that report over another one

A box whose hub does not answer once reports to the next box of its hall and stays with it when the hub is back; that box reports to the hub. Of a server that stood still only four of forty boxes were told: the box between took waits and passed none on, and told nothing.

Now each box that others report to sums up their waits and its own, looks whether they show a server that stands still, reports the sum and passes on what it is told. The summed waits name the number of boxes, so that two boxes behind another one count as two.

--- a/crates/admission/src/stall.rs
+++ b/crates/admission/src/stall.rs
@@ -8,6 +8,7 @@
 //! Invariants:
 //!
 //! * The waits of a single box show nothing: its way to the server may be lost.
+//! * Boxes may report over others, which sum up what they have to report.
 //! * A server that has answered a box counts as silent from then on only.
 //! * What boxes report expires, so that a server is tried again.
 
@@ -25,7 +26,7 @@
 /// A wait is reported when it exceeds the time that requests take there by this factor.
 const LIMIT_FACTOR: f64 = 5.0;
 /// Fewest boxes whose waits show that a server stands still.
-const REPORTERS_MIN: usize = 2;
+const BOXES_MIN: u32 = 2;
 /// Age after which a report is ignored: several times the interval between reports.
 const REPORT_AGE_MAX: Duration = Duration::from_millis(1_500);
 /// Time for which a stall that was contradicted raises what is needed for the next one.
@@ -40,14 +41,17 @@
     usual.mul_f64(LIMIT_FACTOR).max(LIMIT_MIN)
 }
 
-/// Requests of one box that have waited at a server for longer than the [`limit`].
+/// Requests of some boxes that have waited at a server for longer than the [`limit`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Wait<S> {
     /// The server.
     pub server: S,
-    /// For how long there were such requests, since its last answer.
+    /// Number of the boxes.
+    pub boxes: u32,
+    /// For how long two of the boxes, or the only one, had such requests, since the server's
+    /// last answer.
     pub time: Duration,
-    /// How long ago the last of them was given up; `None` while one waits.
+    /// How long ago the last request was given up; `None` while one waits.
     pub ended: Option<Duration>,
     /// The limit.
     pub limit: Duration,
@@ -74,6 +78,7 @@
 /// A wait as it was reported.
 #[derive(Debug, Clone, Copy)]
 struct Report {
+    boxes: u32,
     start: Instant,
     end: Option<Instant>,
     limit: Duration,
@@ -89,6 +94,7 @@
             None => None,
         };
         Some(Self {
+            boxes: wait.boxes,
             start: end.unwrap_or(now).checked_sub(wait.time)?,
             end,
             limit: wait.limit.max(LIMIT_MIN),
@@ -134,13 +140,45 @@
     /// For how long the server has not answered, if enough boxes have waited for as long as
     /// shows that it stands still.
     fn stalled_for(&self, now: Instant) -> Option<Duration> {
-        let waits = self.reports.values();
-        let mut starts: Vec<Instant> = waits
-            .filter_map(|it| it.start_after(self.answered, self.doubts, now))
-            .collect();
-        starts.sort();
-        let start = starts.get(REPORTERS_MIN - 1)?;
-        Some(now.saturating_duration_since(*start))
+        let (boxes, start) = self.waits(self.doubts, now)?;
+        (boxes >= BOXES_MIN).then(|| now.saturating_duration_since(start))
+    }
+
+    /// The number of boxes that have waited for longer than the limit, doubled `doubts`
+    /// times, and since when [`BOXES_MIN`] of them have, or the only one.
+    fn waits(&self, doubts: u32, now: Instant) -> Option<(u32, Instant)> {
+        let reports = self.reports.values();
+        let waits = reports.filter_map(|it| {
+            let start = it.start_after(self.answered, doubts, now)?;
+            Some((start, it.boxes))
+        });
+        let mut waits: Vec<(Instant, u32)> = waits.collect();
+        waits.sort();
+        let mut boxes = 0u32;
+        let mut since = None;
+        for (start, count) in waits {
+            if boxes < BOXES_MIN {
+                since = Some(start);
+            }
+            boxes = boxes.saturating_add(count);
+        }
+        since.map(|since| (boxes, since))
+    }
+
+    /// All waits in one, for a box that this one reports to.
+    fn summary<S>(&self, server: S, now: Instant) -> Option<Wait<S>> {
+        let (boxes, start) = self.waits(0, now)?;
+        let ends = self.reports.values().map(|it| it.end);
+        // The latest; a wait that goes on is later than all.
+        let end = ends.max_by_key(|end| (end.is_none(), *end)).flatten();
+        let limits = self.reports.values().map(|it| it.limit);
+        Some(Wait {
+            server,
+            boxes,
+            time: end.unwrap_or(now).saturating_duration_since(start),
+            ended: end.map(|end| now.saturating_duration_since(end)),
+            limit: limits.max().unwrap_or(LIMIT_MIN),
+        })
     }
 
     fn is_forgotten(&self, now: Instant) -> bool {
@@ -185,8 +223,10 @@
                 continue;
             };
             server.answered = server.answered.max(Some(at));
-            // It had answered before it was announced: that was an error.
-            if server.announced.take_if(|since| at < *since).is_some() {
+            // It had answered before it was announced, or did soon after: that was an error,
+            // or a stall that was over before it was known.
+            let is_soon = |since: &mut Instant| at < *since + LIMIT_MIN;
+            if server.announced.take_if(is_soon).is_some() {
                 server.doubts = (server.doubts + 1).min(DOUBTS_MAX);
                 server.doubted = Some(now);
             }
@@ -217,9 +257,24 @@
         stalls
     }
 
-    /// Whether any waits are known, so that a stall may show without a further report.
-    pub fn is_empty(&self) -> bool {
+    /// The waits of all boxes, one for each server.
+    pub fn waits(&self, now: Instant) -> Vec<Wait<S>> {
         let servers = self.0.borrow();
-        servers.values().all(|server| server.reports.is_empty())
+        let waits = servers.iter();
+        let waits = waits.filter_map(|(server, known)| known.summary(*server, now));
+        let mut waits: Vec<Wait<S>> = waits.collect();
+        waits.sort_by_key(|it| (std::cmp::Reverse(it.time), it.server));
+        waits.truncate(SERVERS_MAX);
+        waits
+    }
+
+    /// Whether enough boxes have waited for the same server that a stall may show without a
+    /// further report.
+    pub fn is_shared(&self) -> bool {
+        let servers = self.0.borrow();
+        servers.values().any(|server| {
+            let boxes = server.reports.values().map(|it| it.boxes);
+            boxes.fold(0, u32::saturating_add) >= BOXES_MIN
+        })
     }
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -118,7 +118,7 @@
     wait_limit: Cell<Option<Duration>>,
     /// Whether the current wait was reported.
     wait_reported: Cell<bool>,
-    /// What the hub has told of the server.
+    /// What other boxes report of the server.
     pub(super) stall: Cell<Stall>,
     stalls: Rc<Stalls>,
     /// Prompt tokens that this box has sent and whose answers have not started.
@@ -359,8 +359,9 @@
         }
     }
 
-    /// Whether the server seems to stand still: by what the boxes of the hall report, or,
-    /// for a box that does not hear of them, by its own requests that wait there.
+    /// Whether the server seems to stand still: by what the boxes of the hall report, or by a
+    /// request of this box that waits there. For a box that does not hear of the others, also
+    /// by one that was given up.
     pub fn is_stalled(&self, now: Instant) -> bool {
         let answered = self.silence.last_answered();
         self.stall.get().holds(answered, now)
@@ -381,6 +382,7 @@
         let wait = self.silence.wait(now).filter(|wait| wait.time >= limit)?;
         Some(stall::Wait {
             server: self.key,
+            boxes: 1,
             time: wait.time,
             ended: wait.ended,
             limit,
--- a/crates/relay/src/fleet/stalls.rs
+++ b/crates/relay/src/fleet/stalls.rs
@@ -1,5 +1,5 @@
-//! Servers of plain services that stand still: what this box reports of them, and what
-//! the hub of its hall has told it.
+//! Servers of plain services that stand still: what this box observes of them, and what it
+//! knows of other boxes.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -13,68 +13,63 @@
 use crate::health;
 use crate::notifier::Notifier;
 
-/// Age after which what the hub has told is ignored: several times the interval between its
-/// answers.
-const HUB_AGE_MAX: Duration = Duration::from_millis(1_500);
+/// Age after which what this box has heard is ignored: several times the interval between
+/// answers of the box that it reports to.
+const HEARD_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// What this box has to report at once, and when it has last heard of the hub.
+/// What this box has to report at once, and when it has last heard of others.
 #[derive(Default)]
 pub struct Stalls {
-    /// When the hub last told which servers stand still.
+    /// When this box last heard which servers stand still.
     heard: Cell<Option<Instant>>,
+    /// Whether any did.
+    is_any_told: Cell<bool>,
     /// Servers that have answered though they were thought to stand still, and when.
     lives: RefCell<BTreeMap<Key, Instant>>,
-    /// Whether there is anything to report at once.
-    is_pending: Cell<bool>,
-    /// Wakes whoever passes reports on to the hub.
-    pub reported: Notifier,
+    /// Wakes the watch when there are any.
+    pub answered: Notifier,
     /// Wakes the task that watches waits, if it has none to watch.
     pub sent: Notifier,
 }
 
 impl Stalls {
-    /// Whether the hub has told recently which servers stand still.
+    /// Whether this box has heard recently which servers stand still.
     pub(super) fn has_heard(&self, now: Instant) -> bool {
         let heard = self.heard.get();
-        heard.is_some_and(|at| now.saturating_duration_since(at) < HUB_AGE_MAX)
+        heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD_AGE_MAX)
     }
 
     /// Records that a server has answered.
     pub(super) fn record_life(&self, server: Key, now: Instant) {
         self.lives.borrow_mut().insert(server, now);
-        self.set_pending();
+        self.answered.notify();
     }
 
-    /// Records that there is something to report at once.
-    pub(crate) fn set_pending(&self) {
-        self.is_pending.set(true);
-        self.reported.notify();
-    }
-
-    /// Whether there has been anything to report at once since the last call.
-    pub(crate) fn take_pending(&self) -> bool {
-        self.is_pending.take()
+    /// Records that this box knows which servers stand still, by what other boxes report.
+    pub fn hear(&self, now: Instant) {
+        self.heard.set(Some(now));
     }
 }
 
 /// What a box knows of a server beside its own requests.
 #[derive(Debug, Clone, Copy, Default)]
 pub(super) struct Stall {
-    /// Since when the server has not answered, as the hub has told, and when it last did.
+    /// Since when the server has not answered, as other boxes report, and when this one last
+    /// heard that.
     told: Option<(Instant, Instant)>,
 }
 
 impl Stall {
-    /// Whether the hub has told that the server stands still, and it has not answered this
+    /// Whether other boxes report that the server stands still, and it has not answered this
     /// box since.
     pub(super) fn holds(&self, answered: Option<Instant>, now: Instant) -> bool {
         self.told.is_some_and(|(since, told)| {
-            let is_recent = now.saturating_duration_since(told) < HUB_AGE_MAX;
+            let is_recent = now.saturating_duration_since(told) < HEARD_AGE_MAX;
             is_recent && answered.is_none_or(|at| at <= since)
         })
     }
 
-    /// Whether the hub has told it recently, true or not.
+    /// Whether other boxes report it, true or not.
     pub(super) fn is_told(&self, now: Instant) -> bool {
         self.holds(None, now)
     }
@@ -122,16 +117,23 @@
         lives.collect()
     }
 
-    /// The servers that stand still, as the hub has told last.
-    pub fn stalled(&self) -> Vec<Rc<Backend>> {
+    /// The servers with these keys.
+    pub fn with_keys(&self, keys: &[Key]) -> Vec<Rc<Backend>> {
+        if keys.is_empty() {
+            return Vec::new();
+        }
         let servers = self.servers.borrow();
-        let stalled = servers.values().filter(|it| it.stall.get().told.is_some());
-        stalled.cloned().collect()
+        let chosen = servers.values().filter(|it| keys.contains(&it.key));
+        chosen.cloned().collect()
     }
 
-    /// Records which servers stand still, as the hub tells, and logs what is new.
+    /// Records which servers stand still, by what boxes report, and logs what is new.
     pub fn set_stalls(&self, stalls: &[stall::Stall<Key>], now: Instant) {
-        self.stalls.heard.set(Some(now));
+        // Most of the time there are none, and no server has to be looked at.
+        if stalls.is_empty() && !self.stalls.is_any_told.get() {
+            return;
+        }
+        self.stalls.is_any_told.set(!stalls.is_empty());
         let mut ended = Vec::new();
         for backend in self.servers.borrow().values() {
             let stall = stalls.iter().find(|it| it.server == backend.key);
@@ -143,7 +145,7 @@
                 (Some(_), None) => ended.push(backend.clone()),
                 _ => {}
             }
-            // The hub does not know of answers that it was not told of.
+            // The other boxes do not know of answers that they were not told of.
             let answered = backend.silence.last_answered();
             if let Some(at) = answered.filter(|at| since.is_some_and(|since| *at > since)) {
                 self.stalls.record_life(backend.key, at);
--- a/crates/relay/src/message/mod.rs
+++ b/crates/relay/src/message/mod.rs
@@ -33,7 +33,7 @@
     /// Samples of the requests that the sender has just sent to servers, for the hub of its
     /// hall; there is no answer.
     Samples(Vec<Sample>),
-    /// Waits at servers, for the hub of the sender's hall; there is no answer.
+    /// Waits at servers; there is no answer.
     Stalls(stall::Report),
     /// A connection to a server; the answer is a [`tunnel::Answer`], after which this
     /// connection carries it. Boxes of former releases close the connection.
--- a/crates/relay/src/message/stall.rs
+++ b/crates/relay/src/message/stall.rs
@@ -1,11 +1,12 @@
-//! Message by which a box reports waits at servers to the hub of its hall at once.
+//! Message by which a box reports waits at servers at once.
 
 use serde::{Deserialize, Serialize};
 use tidepier_admission::stall::{Life, Wait};
 
 use crate::fleet::Key;
 
-/// What a box observes of servers that stand still, or were thought to.
+/// What a box, and those that report to it, observe of servers that stand still, or were
+/// thought to.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
     /// All waits that are longer than requests take at their servers.
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -74,7 +74,8 @@
     /// the last report on this connection.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub speeds: Vec<speeds::Row>,
-    /// Waits at servers of the sender that are longer than requests take there.
+    /// Waits at servers of the sender, and of those that report to it, that are longer than
+    /// requests take there.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub waits: Vec<stall::Wait<Key>>,
     /// Evidence from answers about the releases that services are being moved to.
@@ -109,8 +110,7 @@
     /// Whether the sender takes waits at once. Boxes of former releases do not.
     #[serde(default)]
     pub takes_waits: bool,
-    /// All servers that stand still, from the hub of the receiver's hall; `None` from other
-    /// boxes.
+    /// All servers that stand still, for a box of the same hall.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stalls: Option<Vec<stall::Stall<Key>>>,
 }
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -116,8 +116,8 @@
             PeerRequest::Stalls(report) => {
                 let from = Peer::Member(connection.number);
                 let (waits, lives) = (&report.waits, &report.lives);
-                let hub = &relay.traffic.stalls;
-                hub.record(from, waits, lives, Instant::now());
+                let stalls = &relay.traffic.stalls;
+                stalls.record(from, waits, lives, Instant::now());
             }
             PeerRequest::Follow(request) => {
                 check_version(request.version)?;
@@ -194,7 +194,7 @@
         self.rises = relay.traffic.notices.count();
         let changes = relay.traffic.stalls.changes();
         let has_changed = std::mem::replace(&mut self.stalls, changes) != changes;
-        let stalls = has_changed.then(|| relay.traffic.stalls.stalls());
+        let stalls = has_changed.then(|| relay.traffic.stalls.all());
         let is_new = stalls.is_some() || !rises.is_empty();
         is_new.then(|| message::traffic::Answer::of_notices(rises, stalls))
     }
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -19,6 +19,7 @@
 use super::upstream::{ANSWER_TIMEOUT, CONNECT_TIMEOUT, SKIP_TIME, UNCONFIRMED_SKIP_TIME};
 use crate::crash::table;
 use crate::fleet::speeds::Speeds;
+use crate::fleet::Key;
 use crate::message::link::{self, Error};
 use crate::message::stall;
 use crate::message::traffic::{Answer, Report, Request, Requester};
@@ -27,6 +28,7 @@
 use crate::traffic::log::{Batch, Peer, Position};
 use crate::traffic::tally::{Baseline, Totals};
 use tidepier_admission::demand::Summary;
+use tidepier_admission::stall::Wait;
 
 /// Time between two requests, and so the most that each of three hops adds to the age of
 /// a report: from a box over two hubs to another box.
@@ -196,8 +198,8 @@
             rises: Vec::new(),
             takes_waits: true,
             stalls: match request.requester {
-                Requester::Box if relay.traffic.is_hub() => Some(relay.traffic.stalls.stalls()),
-                _ => None,
+                Requester::Box => Some(relay.traffic.stalls.all()),
+                Requester::Hub => None,
             },
             report: Report {
                 // Only hubs combine the evidence of all boxes.
@@ -330,6 +332,7 @@
     let mut position = Position::default();
     // Samples that waited for a hub are old, and would look like many at once.
     relay.traffic.notices.take_samples();
+    relay.traffic.stalls.take_lives(Instant::now());
     for number in 1.. {
         let (report, reported) = match requester {
             Requester::Box => {
@@ -340,7 +343,7 @@
                 let report = Report {
                     trials: relay.rollouts.evidence.of_hall(Instant::now()),
                     demand: sum.demand.clone(),
-                    waits: relay.fleet.waits(Instant::now()),
+                    waits: waits(relay, Instant::now()),
                     ..session.report(&sum, usize::MAX, placements, crashes)
                 };
                 (report, Some(reported))
@@ -396,11 +399,11 @@
             let samples = PeerRequest::Samples(samples);
             link::within(ANSWER_TIMEOUT, link::send(conn, &samples)).await?;
         }
-        if relay.fleet.stalls.take_pending() && takes_waits {
+        if relay.traffic.stalls.take_pending() && takes_waits {
             let now = Instant::now();
             let report = PeerRequest::Stalls(stall::Report {
-                waits: relay.fleet.waits(now),
-                lives: relay.fleet.take_lives(now),
+                waits: waits(relay, now),
+                lives: relay.traffic.stalls.take_lives(now),
             });
             link::within(ANSWER_TIMEOUT, link::send(conn, &report)).await?;
         }
@@ -413,7 +416,7 @@
             Ok(Event::Sampled)
         };
         let waited = async {
-            relay.fleet.stalls.reported.wait().await;
+            relay.traffic.stalls.pending.wait().await;
             Ok(Event::Waited)
         };
         let received = async {
@@ -434,6 +437,13 @@
     }
 }
 
+/// The long waits of this box and of those that report to it.
+fn waits(relay: &Relay, now: Instant) -> Vec<Wait<Key>> {
+    let stalls = &relay.traffic.stalls;
+    stalls.record_own_waits(&relay.fleet.waits(now), now);
+    stalls.waits(now)
+}
+
 /// Receives an answer, and records the rises and stalls in it.
 async fn receive_answer(relay: &Relay, conn: &mut Conn) -> Result<Answer, Error> {
     let answer: Answer = link::receive(conn).await?;
@@ -442,7 +452,8 @@
         relay.traffic.index.demand.set_rise(*rise, now);
     }
     if let Some(stalls) = &answer.stalls {
-        relay.fleet.set_stalls(stalls, now);
+        relay.fleet.stalls.hear(now);
+        relay.traffic.stalls.set_told(stalls, now);
     }
     Ok(answer)
 }
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -3,12 +3,12 @@
 //!
 //! Each box watches how long its requests wait ([`Backend::is_stalled`]) and reports long
 //! waits to the hub of its hall at once. The hub tells the boxes which servers stand still
-//! ([`Hub`](crate::traffic::stalls::Hub)), with each answer and at once when that changes,
-//! and sends these servers health checks: when one is answered in time, the server counts
-//! as going on.
+//! ([`Stalls`](crate::traffic::stalls::Stalls)), with each answer and at once when that
+//! changes. A box that finds one by what others report sends it health checks: when one is
+//! answered in time, the server counts as going on.
 //!
-//! Invariant: while a server stands still, it gets one health check of each hall at a time,
-//! and no requests as long as another server may take them.
+//! Invariant: while a server stands still, it gets one health check at a time of each box
+//! that others report to, and no requests as long as another server may take them.
 
 use std::convert::Infallible;
 use std::io;
@@ -39,26 +39,20 @@
 /// Largest head of the answer to a health check, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
 
-/// Watches the waits of this box's requests and, while it is the hub, what the boxes of its
-/// hall report; does not return.
+/// Watches the waits of this box's requests, and what other boxes report and tell; does not
+/// return.
 pub(crate) async fn run(relay: Rc<Relay>, executor: Rc<LocalExecutor<'static>>) -> Infallible {
     loop {
-        let now = Instant::now();
-        let has_long_waits = relay.fleet.mark_long_waits(now);
-        let is_hub = relay.traffic.is_hub();
-        if is_hub {
-            look(&relay, &executor, now);
-        } else if has_long_waits {
-            relay.fleet.stalls.set_pending();
-        }
-        wait(&relay, is_hub).await;
+        look(&relay, &executor, Instant::now());
+        wait(&relay).await;
     }
 }
 
 /// Waits until there may be something new. Leaves the time out of the waits for which this
 /// process could not run.
-async fn wait(relay: &Relay, is_hub: bool) {
-    let detection = is_hub && relay.traffic.stalls.has_waits();
+async fn wait(relay: &Relay) {
+    let stalls = &relay.traffic.stalls;
+    let detection = stalls.may_change();
     let detection = detection.then(|| Instant::now() + DETECTION_INTERVAL);
     let due = relay.fleet.next_long_wait().into_iter().chain(detection);
     let due = due.min();
@@ -68,16 +62,8 @@
             None => relay.fleet.stalls.sent.wait().await,
         }
     };
-    let reported = async {
-        match is_hub {
-            true => {
-                let own = relay.fleet.stalls.reported.wait();
-                own.or(relay.traffic.stalls.reported.wait()).await;
-            }
-            false => std::future::pending().await,
-        }
-    };
-    until_due.or(reported).await;
+    let answered = relay.fleet.stalls.answered.wait();
+    until_due.or(answered).or(stalls.changed.wait()).await;
     let now = Instant::now();
     let late = due.map_or(Duration::ZERO, |due| now.saturating_duration_since(due));
     if late > HELD_UP_MIN {
@@ -85,16 +71,25 @@
     }
 }
 
-/// Looks, as the hub, which servers stand still; tells the boxes and checks these servers.
+/// Looks which servers stand still, passes on what is new, and checks these servers.
 fn look(relay: &Rc<Relay>, executor: &LocalExecutor<'static>, now: Instant) {
-    let (hub, fleet) = (&relay.traffic.stalls, &relay.fleet);
-    hub.record_own(&fleet.waits(now), &fleet.take_lives(now), now);
-    if hub.update(now) {
+    let (stalls, fleet) = (&relay.traffic.stalls, &relay.fleet);
+    let has_long_waits = fleet.mark_long_waits(now);
+    let lives = fleet.take_lives(now);
+    stalls.record_own_waits(&fleet.waits(now), now);
+    stalls.record_lives(&lives, now);
+    if has_long_waits || !lives.is_empty() {
+        stalls.set_pending();
+    }
+    if stalls.update(now) {
         relay.traffic.notices.announced.notify();
     }
-    fleet.set_stalls(&hub.stalls(), now);
-    for backend in fleet.stalled() {
-        if hub.begin_probe(backend.key, now) {
+    if relay.traffic.is_hub() {
+        fleet.stalls.hear(now);
+    }
+    fleet.set_stalls(&stalls.all(), now);
+    for backend in fleet.with_keys(&stalls.detected()) {
+        if stalls.begin_probe(backend.key, now) {
             executor.spawn(probe(relay.clone(), backend)).detach();
         }
     }
--- a/crates/relay/src/traffic/mod.rs
+++ b/crates/relay/src/traffic/mod.rs
@@ -59,8 +59,8 @@
     pub index: Index,
     /// Messages that are sent at once.
     pub notices: Notices,
-    /// Servers that stand still, as far as this box is the hub of its hall.
-    pub stalls: stalls::Hub,
+    /// Servers that stand still.
+    pub stalls: stalls::Stalls,
     log: Log,
     /// Log position up to which the hub of this hall has all rows.
     hub_position: Cell<Position>,
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -366,6 +366,7 @@
         };
         let longest_wait = stall::Wait {
             server,
+            boxes: u32::MAX,
             time: Duration::MAX,
             ended: Some(Duration::MAX),
             limit: Duration::MAX,
