--- a/crates/relay/tests/relay/harness.rs
+++ b/crates/relay/tests/relay/harness.rs
@@ -42,7 +42,7 @@
     smol::block_on(executor.run(test(executor.clone()).or(hung)))
 }
 
-pub(crate) fn ms(count: u64) -> Duration {
+pub(crate) const fn ms(count: u64) -> Duration {
     Duration::from_millis(count)
 }
 
--- a/crates/relay/tests/relay/process.rs
+++ b/crates/relay/tests/relay/process.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
+use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use serde_json::Value;
@@ -83,6 +84,15 @@
         Ok(kib << 10)
     }
 
+    /// The processor time that it has used so far.
+    pub(crate) fn processor_time(&self) -> Result<Duration> {
+        let path = format!("/proc/{}/schedstat", self.child.id());
+        let times = fs::read_to_string(path)?;
+        let running = times.split_whitespace().next();
+        let ns: u64 = running.ok_or_else(|| eyre!("no times"))?.parse()?;
+        Ok(Duration::from_nanos(ns))
+    }
+
     /// The exit status, once the process has exited.
     pub(crate) fn exit_status(&mut self) -> Result<Option<ExitStatus>> {
         Ok(self.child.try_wait()?)
--- a/crates/relay/tests/relay/standstill.rs
+++ b/crates/relay/tests/relay/standstill.rs
@@ -182,6 +182,101 @@
     plans
 }
 
+/// Halls that are far from each other, one way in milliseconds.
+fn far_halls() -> Plans {
+    let mut plans = Plans::new();
+    for one_way in [10, 40, 80] {
+        for (boxes, servers, halls) in [(78, 3, 3), (300, 3, 6), (1_000, 30, 6)] {
+            let name = format!("{one_way} ms, {boxes} boxes before {servers} in {halls} halls");
+            let plan = Plan {
+                boxes,
+                servers,
+                halls,
+                round_trip: ms(2 * one_way),
+                ..Plan::new(0.0)
+            };
+            plans.extend(at_rates(&name, plan));
+        }
+    }
+    plans
+}
+
+/// Larger fleets with other troubles than a server that stands still.
+fn slow_servers() -> Plans {
+    let mut plans = Plans::new();
+    for (boxes, halls) in [(78, 3), (300, 3), (1_000, 6)] {
+        for (name, trouble) in [
+            ("slots do not become free", Trouble::Stuck),
+            ("3 times as slow", Trouble::Slow(3.0)),
+            ("10 times as slow", Trouble::Slow(10.0)),
+            ("20 times as slow", Trouble::Slow(20.0)),
+        ] {
+            let plan = Plan {
+                boxes,
+                halls,
+                trouble,
+                ..Plan::new(0.0)
+            };
+            plans.extend(at_rates(&format!("{name}, {boxes} boxes"), plan));
+        }
+    }
+    plans
+}
+
+/// Some or all messages between boxes that come late, or not at all.
+fn late_messages() -> Plans {
+    let mut plans = Plans::new();
+    for (boxes, halls) in [(78, 3), (300, 3), (1_000, 6)] {
+        let plan = Plan {
+            boxes,
+            halls,
+            ..Plan::new(0.0)
+        };
+        for notice in [200, 500] {
+            let notice = ms(notice);
+            let name = format!("messages take {} ms, {boxes} boxes", notice.as_millis());
+            plans.extend(at_rates(&name, Plan { notice, ..plan }));
+        }
+        let name = format!("one box in three hears of none, {boxes} boxes");
+        plans.extend(at_rates(&name, Plan { deaf: 3, ..plan }));
+    }
+    plans
+}
+
+/// Boxes that know nothing yet, and servers that stand still for longer.
+fn starts() -> Plans {
+    let mut plans = Plans::new();
+    for (boxes, halls) in [(78, 3), (300, 3), (1_000, 6)] {
+        let plan = Plan {
+            boxes,
+            halls,
+            ..Plan::new(0.0)
+        };
+        let first = Plan {
+            quiet: ms(3_000),
+            from: ms(2_500),
+            lasts: ms(8_000),
+            ..plan
+        };
+        plans.extend(at_rates(&format!("from the start, {boxes} boxes"), first));
+        let again = Plan {
+            restart: Some(ms(7_500)),
+            ..plan
+        };
+        plans.extend(at_rates(
+            &format!("boxes start again, {boxes} boxes"),
+            again,
+        ));
+        let long = Plan {
+            lasts: ms(12_000),
+            time: ms(22_000),
+            ..plan
+        };
+        plans.extend(at_rates(&format!("12 s, {boxes} boxes"), long));
+    }
+    plans
+}
+
 /// Model engines of a small service.
 fn engines() -> Plans {
     let mut plans = Plans::new();
@@ -202,19 +297,28 @@
     plans
 }
 
-/// Prints all plans with ten seeds each.
+/// Variable with a part of the names of the plans that [`table`] plays; unset: all.
+const TABLE_VARIABLE: &str = "TIDEPIER_TEST_PLANS";
+
+/// Prints all plans, or those of a name, with ten seeds each.
 #[test]
 #[ignore = "takes minutes; the others play a part of it"]
 fn table() -> Result {
-    let plans = [
+    let mut plans = [
         fleets(),
         lengths(),
         others(),
         without_reports(),
         other_causes(),
+        far_halls(),
+        slow_servers(),
+        late_messages(),
+        starts(),
         engines(),
     ]
     .concat();
+    let part = std::env::var(TABLE_VARIABLE).unwrap_or_default();
+    plans.retain(|(name, _)| name.contains(&part));
     println!("| plan | worst share over the bound | broken | reached it | answered | given up, rejected, refused | told, probes |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &TABLE_SEEDS)?) {
--- a/crates/relay/tests/relay/standstill_harness.rs
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -47,9 +47,8 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Age in messages of what is reported.
 const REPORT_AGE: usize = 2;
-/// Time that a report of waits takes to the hub of its hall, and what it tells from there to
-/// a box. Both are sent at once within a hall, where a round trip takes a millisecond; the
-/// rest is for boxes with a tenth of a core.
+/// Usual value of [`Plan::notice`]. What is sent at once within a hall takes a millisecond
+/// there and back; the rest is for boxes with a tenth of a core.
 const NOTICE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a hub looks for servers that stand still.
 const DETECTION_INTERVAL: Duration = Duration::from_millis(50);
@@ -161,6 +160,10 @@
     pub(crate) reports: bool,
     /// Every box of which the number is a multiple of this hears of none; 0: all hear.
     pub(crate) deaf: usize,
+    /// Time that a message takes from a box to the hub of its hall, and back.
+    pub(crate) notice: Duration,
+    /// When all boxes start again and know nothing, if they do.
+    pub(crate) restart: Option<Duration>,
 }
 
 impl Plan {
@@ -183,6 +186,8 @@
             time: Duration::from_millis(14_000),
             reports: true,
             deaf: 0,
+            notice: NOTICE_TIME,
+            restart: None,
         }
     }
 }
@@ -249,6 +254,27 @@
     rotations: Rotations,
 }
 
+impl SimBox {
+    /// A box that has just started and knows the servers.
+    fn start(number: usize, plan: &Plan, servers: &[Server], now: Instant) -> Result<Self> {
+        let sim_box = Self {
+            hall_number: number % plan.halls,
+            hall: hall(number, plan)?,
+            fleet: Fleet::default(),
+            index: Index::default(),
+            rotations: Rotations::default(),
+        };
+        for server in servers {
+            sim_box.fleet.announce(server.clone(), now);
+            let backend = sim_box.fleet.get(&server.id);
+            if let Some(backend) = backend.filter(|it| it.server.hall != sim_box.hall) {
+                backend.hall.record_connect_time(plan.round_trip);
+            }
+        }
+        Ok(sim_box)
+    }
+}
+
 #[derive(Default)]
 struct SimServer {
     /// Requests that run, wait or are unread.
@@ -302,6 +328,8 @@
     Report,
     Stop,
     Continue,
+    /// All boxes start again.
+    Restart,
 }
 
 /// What boxes report at one moment.
@@ -383,23 +411,7 @@
         let start = Instant::now();
         let identities = (0..plan.servers).map(|number| identity(number, &plan));
         let identities = identities.collect::<Result<Vec<Server>>>()?;
-        let boxes = (0..plan.boxes).map(|number| {
-            let sim_box = SimBox {
-                hall_number: number % plan.halls,
-                hall: hall(number, &plan)?,
-                fleet: Fleet::default(),
-                index: Index::default(),
-                rotations: Rotations::default(),
-            };
-            for server in &identities {
-                sim_box.fleet.announce(server.clone(), start);
-                let backend = sim_box.fleet.get(&server.id);
-                if let Some(backend) = backend.filter(|it| it.server.hall != sim_box.hall) {
-                    backend.hall.record_connect_time(plan.round_trip);
-                }
-            }
-            Ok(sim_box)
-        });
+        let boxes = (0..plan.boxes).map(|number| SimBox::start(number, &plan, &identities, start));
         Ok(Self {
             start,
             now: start,
@@ -430,6 +442,9 @@
             self.after(plan.from, Event::Stop);
             self.after(plan.from + plan.lasts, Event::Continue);
         }
+        if let Some(at) = plan.restart {
+            self.after(at, Event::Restart);
+        }
         while let Some(Reverse((at, _, event))) = self.events.pop() {
             if at > self.start + plan.time {
                 break;
@@ -477,6 +492,7 @@
             Event::Report => self.report(),
             Event::Stop => self.stop(),
             Event::Continue => self.go_on(),
+            Event::Restart => self.restart()?,
         }
         Ok(())
     }
@@ -626,7 +642,7 @@
 
     fn deliver(&mut self, message: Message) {
         self.messages.push(message);
-        self.after(NOTICE_TIME, Event::Message(self.messages.len() - 1));
+        self.after(self.plan.notice, Event::Message(self.messages.len() - 1));
     }
 
     fn receive(&mut self, number: usize) -> Result {
@@ -913,6 +929,21 @@
         }
     }
 
+    /// Lets all boxes start again. Their clients lose what is under way; the servers do not
+    /// notice.
+    fn restart(&mut self) -> Result {
+        for run in &mut self.runs {
+            run.in_flight = None;
+        }
+        let (plan, now) = (self.plan, self.now);
+        for number in 0..plan.boxes {
+            self.boxes[number] = SimBox::start(number, &plan, &self.identities, now)?;
+        }
+        self.hubs = (0..plan.halls).map(|_| Hub::default()).collect();
+        self.past.clear();
+        Ok(())
+    }
+
     fn judge(&mut self, server: usize) {
         let sum: usize = self.servers.iter().map(|it| it.held).sum();
         let mean = sum as f64 / self.servers.len() as f64;
