--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -35,13 +35,16 @@
         let silence = &choice.backend.silence;
         let waited = silence.wait(now).map_or(Duration::ZERO, |wait| wait.time);
         let answered = silence.last_answered();
-        let answered = answered.map_or(-1, |at| now.duration_since(at).as_millis() as i64);
+        let age_ms = |at: Instant| now.saturating_duration_since(at).as_millis() as i64;
+        let answered = answered.map_or(-1, age_ms);
+        let heard = self.relay.fleet.stalls.last_heard().map_or(-1, age_ms);
         metrics::histogram!("tidepier_unanswered_seconds").record(waited.as_secs_f64());
         log::info!(
             target: "request",
             "event=placed id={} content={} route={} account={} server={} release={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
-             own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} divided={} rate={}",
+             own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} heard_ms={heard} stalled={} \
+             divided={} rate={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -68,6 +71,7 @@
             load.mean,
             load.counts_age.map_or(-1, |age| age.as_millis() as i64),
             waited.as_millis(),
+            choice.backend.is_stalled(now),
             choice.divided,
             choice.first_event.map_or(Rate::DEFAULT, |(_, predicted)| predicted.rate()),
         );
--- a/crates/relay/src/fleet/stalls.rs
+++ b/crates/relay/src/fleet/stalls.rs
@@ -33,6 +33,11 @@
 }
 
 impl Stalls {
+    /// When this box last heard which servers stand still, by what other boxes report.
+    pub fn last_heard(&self) -> Option<Instant> {
+        self.heard.get()
+    }
+
     /// Whether this box has heard recently which servers stand still.
     pub(super) fn has_heard(&self, now: Instant) -> bool {
         let heard = self.heard.get();
