--- a/crates/relay/tests/relay/standstill.rs
+++ b/crates/relay/tests/relay/standstill.rs
@@ -361,6 +361,32 @@
     all_within_bound(&without_reports(), &SEEDS)
 }
 
+/// Guards against halls of which each finds out for itself that a server stands still.
+#[test]
+fn far_halls_do_not_crowd_a_server_that_stands_still() -> Result {
+    all_within_bound(&far_halls(), &SEEDS)
+}
+
+/// Guards against servers that answer slowly, which are found to stand still and to go on in
+/// turn.
+#[test]
+fn slow_servers_are_not_crowded() -> Result {
+    all_within_bound(&slow_servers(), &SEEDS)
+}
+
+/// Guards against a bound that holds only if messages between boxes are in time.
+#[test]
+fn late_messages_crowd_no_server_that_stands_still() -> Result {
+    all_within_bound(&late_messages(), &SEEDS)
+}
+
+/// Guards against boxes that each try a server that stands still, as they have just started
+/// or have forgotten it.
+#[test]
+fn boxes_that_know_nothing_do_not_crowd_a_server_that_stands_still() -> Result {
+    all_within_bound(&starts(), &SEEDS)
+}
+
 /// Guards against sound servers that are taken for ones that stand still: the others would
 /// have to take their requests.
 #[test]
