--- a/crates/admission/src/demand.rs
+++ b/crates/admission/src/demand.rs
@@ -8,7 +8,7 @@
 //! Invariant: without reports of other boxes, the shares are those that this box sees among
 //! its own requests.
 
-use std::cell::RefCell;
+use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::HashMap;
 use std::hash::Hash;
@@ -20,6 +20,7 @@
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
+use crate::rate::Rate;
 use crate::rise::{Rise, Sample};
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
@@ -49,6 +50,8 @@
 /// Time after its first request up to which a box counts as started: by then most boxes
 /// have had their first requests about every subject that has many.
 const STARTUP_TIME: Duration = Duration::from_secs(5);
+/// Shortest time since the first known request from which a rate is derived.
+const RATE_AGE_MIN: Duration = Duration::from_secs(1);
 /// Samples that the hub of a hall gets a second: at 200, a subject with a fifth of the
 /// requests has four in 0.1 s, and the samples take 20 KB a second of the hub's link
 /// (calculated, with packet headers).
@@ -213,6 +216,8 @@
 /// Recent requests of this box and of the others.
 #[derive(Debug)]
 pub struct Demand {
+    /// When this box first knew of any requests.
+    since: Cell<Option<Instant>>,
     services: RefCell<HashMap<Service, Requests>>,
     subjects: RefCell<LruCache<Subject, SubjectRequests>>,
     /// The last summary of this box's requests.
@@ -228,6 +233,7 @@
 impl Default for Demand {
     fn default() -> Self {
         Self {
+            since: Cell::default(),
             services: RefCell::default(),
             subjects: RefCell::new(LruCache::new(SUBJECTS_MAX)),
             summary: RefCell::default(),
@@ -241,6 +247,7 @@
 impl Demand {
     /// Counts a request of this box; `part` is the last shared part of its prompt.
     pub fn record(&self, service: &ids::Service, part: Option<u64>, now: Instant) {
+        self.since.set(self.since.get().or(Some(now)));
         let service = Service::new(service);
         let new = Count {
             value: 0.0,
@@ -265,6 +272,7 @@
 
     /// Records what all other boxes reported.
     pub fn set_others(&self, summary: Summary, at: Instant) {
+        self.since.set(self.since.get().or(Some(at)));
         *self.others.borrow_mut() = Some(Report { summary, at });
     }
 
@@ -430,6 +438,29 @@
         own.is_some_and(|it| it.count.value_at(now) >= REQUESTS_MIN)
     }
 
+    /// The rate of a service's requests at all boxes. Without reports of the others, or soon
+    /// after a start, each of the `boxes` is taken to get as many as this one.
+    pub fn rate(&self, service: &ids::Service, boxes: usize, now: Instant) -> Rate {
+        let service = Service::new(service);
+        let own = self.services.borrow().get(&service).copied();
+        let count = own.map_or(0.0, |it| it.count.value_at(now));
+        let others = self.others.borrow();
+        let others = others.as_ref().filter(|it| it.is_recent(now));
+        let reported = others.map(|it| count + requests_in(&it.summary.services, &service));
+        let since = self.since.get();
+        let age = since.map_or(Duration::ZERO, |at| now.saturating_duration_since(at));
+        // A box with a request now and then has forgotten the last one.
+        let like_this_one = (count + 1.0) * boxes as f64;
+        let all = match reported {
+            Some(reported) if age >= WINDOW => reported,
+            Some(reported) => reported.max(like_this_one),
+            None => like_this_one,
+        };
+        // A decaying count begins at 0, also those of others if all have just started.
+        let age = age.max(RATE_AGE_MIN).as_secs_f64() / WINDOW.as_secs_f64();
+        Rate(all / WINDOW.as_secs_f64() / (1.0 - (-age).exp()))
+    }
+
     /// The share of a service's recent requests that boxes of this box's hall get, from 0
     /// to 1; `None` if that is not known.
     pub fn hall_share(&self, service: &ids::Service, now: Instant) -> Option<f64> {
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -14,6 +14,7 @@
 //! * [`rise`]: subjects whose share of the requests has just risen.
 //! * [`stall`]: servers that hold requests and answer none.
 //! * [`rate`]: rates of requests.
+//! * [`verify`]: servers that are known to answer.
 //! * [`balance`]: the choice between servers that differ in speed.
 //! * [`speed`]: the speed of one engine, learned, combined with the slowdown it reports.
 
@@ -30,5 +31,6 @@
 pub mod share;
 pub mod speed;
 pub mod stall;
+pub mod verify;
 mod wait;
 mod window;
--- a/crates/admission/src/stall.rs
+++ b/crates/admission/src/stall.rs
@@ -233,8 +233,13 @@
         }
     }
 
-    /// The servers that stand still, those for the longest time first.
-    pub fn stalls(&self, now: Instant) -> Vec<Stall<S>> {
+    /// The servers that stand still, those for the longest time first, given when each last
+    /// answered a request.
+    pub fn stalls(
+        &self,
+        last_answer: impl Fn(&S) -> Option<Instant>,
+        now: Instant,
+    ) -> Vec<Stall<S>> {
         let mut servers = self.0.borrow_mut();
         let age = |at: Instant| now.saturating_duration_since(at);
         let mut stalls = Vec::new();
@@ -243,6 +248,7 @@
             if server.doubted.is_some_and(|at| age(at) > DOUBT_TIME) {
                 server.doubts = 0;
             }
+            server.answered = server.answered.max(last_answer(key));
             match server.stalled_for(now) {
                 Some(time) => {
                     server.announced = server.announced.or(Some(now));
--- a/crates/admission/tests/admission/stall.rs
+++ b/crates/admission/tests/admission/stall.rs
@@ -32,7 +32,7 @@
 
 /// For how long server 1 has stood still, in ms.
 fn stalled(detector: &Detector<u8, u8>, now: Instant) -> Option<u128> {
-    let stalls = detector.stalls(now);
+    let stalls = detector.stalls(|_| None, now);
     stalls.first().map(|Stall { time, .. }| time.as_millis())
 }
 
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -25,7 +25,7 @@
 use crate::dial::Dialer;
 use crate::fleet::advertisement::Ineligible;
 use crate::fleet::used::Used;
-use crate::fleet::{Backend, Fleet, InFlight, Permit};
+use crate::fleet::{Backend, Fleet, InFlight, Permit, Plain};
 use crate::timeout;
 use crate::tunnel::gateways::MayPass;
 
@@ -189,8 +189,8 @@
     pub max_idle: Duration,
     /// Prompt tokens that the server has to prefill.
     pub prefill: u64,
-    /// How long a request is expected to take at a server of a plain service.
-    pub usual_time: Option<Duration>,
+    /// What is expected of the request at a server of a plain service.
+    pub plain: Option<Plain>,
     /// Called once there is a connection, before anything is sent.
     pub on_connected: &'a dyn Fn(Path),
     /// The connections over which the request was sent before; it is sent over none of
@@ -238,7 +238,7 @@
     let carrier = conn.carried_by();
     dispatch.used.record(&conn);
     (dispatch.on_connected)(Path { origin, carrier });
-    running.sent(dispatch.usual_time, Instant::now());
+    running.sent(dispatch.plain, Instant::now());
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -11,23 +11,26 @@
 pub mod filter;
 pub mod rotation;
 mod spread;
+mod verification;
 mod weight;
 
 use std::rc::Rc;
 use std::time::Duration;
 
 use tidepier_admission::speed::{Prediction, Work};
+use tidepier_admission::stall;
 use tidepier_clock::Instant;
 use tidepier_core::request::{Part, Prompt};
 use tidepier_ids as ids;
 
 use crate::fleet::used::Used;
-use crate::fleet::{Backend, Fleet};
+use crate::fleet::{Backend, Fleet, Plain};
 use crate::health;
 use crate::locations::{Locations, Widths};
 use crate::traffic::index::Index;
 use engine::{Engines, Group};
 use filter::Filter;
+use verification::Verification;
 
 /// Round-trip time to another hall in ms before one was measured: a little over a
 /// millisecond each way, as between the halls of one city.
@@ -82,6 +85,8 @@
     pub connections: u32,
     /// The operator's bound on the load of one server, in multiples of the mean.
     pub crowd_factor: f64,
+    /// Number of boxes of the fleet.
+    pub boxes: usize,
 }
 
 /// The chosen server, and how it was rated.
@@ -102,8 +107,10 @@
     /// this box has sent there. This much delay before the answer does not count as
     /// slowness.
     pub prefill_time: Duration,
-    /// How long a request is expected to take at a server of a plain service.
-    pub usual_time: Option<Duration>,
+    /// What is expected of the request at a server of a plain service.
+    pub plain: Option<Plain>,
+    /// Whether the server has to answer a health check before it gets the request.
+    pub needs_check: bool,
     /// What a model engine has to do before the first event, and how fast it is expected to
     /// be.
     pub first_event: Option<(Work, Prediction)>,
@@ -217,40 +224,127 @@
                 None => 1.0,
             };
             let stays_near = fastrand::f64() < near_share;
-            let mut choice = choose_plain(&servers, stays_near, criteria, mean_failures, now)?;
+            let demand = &index.demand;
+            let verification =
+                Verification::new(fleet, service, &servers, demand, criteria.boxes, now);
+            let plain = PlainServers::new(&servers, criteria, verification, now);
+            let mut choice = plain.choose(stays_near)?;
             choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
             Some(choice)
         }
     }
 }
 
-/// Returns the cheapest server of a plain service. A request that does not stay near goes
-/// to another hall, if there is a server that this box has no reason to avoid.
-fn choose_plain(
-    servers: &[Rc<Backend>],
-    stays_near: bool,
-    criteria: &Criteria<'_>,
+/// The servers of a plain service, and what a request has to know of all of them.
+struct PlainServers<'a> {
+    servers: &'a [Rc<Backend>],
+    criteria: &'a Criteria<'a>,
+    verification: Verification,
+    /// The usual time that a server needs for a request, in ms.
+    median_ms: f64,
     mean_failures: f64,
     now: Instant,
-) -> Option<Choice> {
-    let median_ms = median_latency_ms(servers);
-    let open = || {
-        let open = servers.iter().filter(|it| is_open(it, criteria, now));
-        open.map(|it| rate_plain(it, median_ms, criteria, mean_failures, now))
-    };
-    let is_alternative = |choice: &Choice| {
-        let backend = &choice.backend;
-        backend.server.hall != *criteria.hall
-            && !criteria.tried.contains(&backend.server.id)
-            && !criteria.filter.is_cold(backend, now)
-            && is_sound(backend, mean_failures, now)
-    };
-    let far = open().filter(|choice| !stays_near && is_alternative(choice));
-    cheapest(far).or_else(|| cheapest(open()))
 }
 
-fn cheapest(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
-    choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
+impl<'a> PlainServers<'a> {
+    fn new(
+        servers: &'a [Rc<Backend>],
+        criteria: &'a Criteria<'a>,
+        verification: Verification,
+        now: Instant,
+    ) -> Self {
+        Self {
+            servers,
+            criteria,
+            verification,
+            median_ms: median_latency_ms(servers),
+            mean_failures: mean_failure_rate(servers, now),
+            now,
+        }
+    }
+
+    /// Returns the cheapest server. A request that does not stay near goes to another hall,
+    /// if there is a server that this box has no reason to avoid.
+    fn choose(&self, stays_near: bool) -> Option<Choice> {
+        let open = || self.servers.iter().filter(|it| self.is_open(it));
+        let rated = || open().map(|it| self.rate(it));
+        let far = rated().filter(|choice| !stays_near && self.is_alternative(choice));
+        cheapest(far).or_else(|| cheapest(rated()))
+    }
+
+    fn is_open(&self, backend: &Backend) -> bool {
+        is_open(backend, self.criteria, self.now)
+    }
+
+    fn is_tried(&self, backend: &Backend) -> bool {
+        self.criteria.tried.contains(&backend.server.id)
+    }
+
+    /// Whether a server is known to answer. Cold servers get few requests anyway.
+    fn is_verified(&self, backend: &Backend) -> bool {
+        let Criteria { filter, hall, .. } = self.criteria;
+        filter.is_cold(backend, self.now) || self.verification.holds(backend, hall, self.now)
+    }
+
+    /// Whether this box has no reason to avoid a server, apart from its distance and load.
+    fn is_sound(&self, backend: &Backend) -> bool {
+        let (health, now) = (&backend.health, self.now);
+        backend.is_healthy(now)
+            && !backend.is_stalled(now)
+            && health.failure_rate(now) <= self.mean_failures + FAILING_SLACK
+            && health.recent_rejections(now) < 1.0
+    }
+
+    /// The servers that take turns: those that this box has no reason to avoid.
+    fn in_turn(&self) -> impl Iterator<Item = &Rc<Backend>> {
+        self.servers.iter().filter(|it| {
+            self.is_open(it)
+                && self.is_sound(it)
+                && !self.is_tried(it)
+                && !self.criteria.filter.is_cold(it, self.now)
+        })
+    }
+
+    /// Whether a request that does not stay near may go to a server.
+    fn is_alternative(&self, choice: &Choice) -> bool {
+        let backend = &choice.backend;
+        backend.server.hall != *self.criteria.hall
+            && !self.is_tried(backend)
+            && !self.criteria.filter.is_cold(backend, self.now)
+            && self.is_sound(backend)
+    }
+
+    fn rate(&self, backend: &Rc<Backend>) -> Choice {
+        let (criteria, now) = (self.criteria, self.now);
+        let load = f64::from(backend.in_flight());
+        let time = backend.health.expected_latency_ms(self.median_ms, now);
+        // Breaks ties between equal costs at random.
+        let jitter = fastrand::f64();
+        let mut cost =
+            time * (load + 1.0) + jitter + common_cost(backend, criteria, self.mean_failures, now);
+        if backend.is_stalled(now) {
+            cost += STALLED_MS;
+        }
+        let is_verified = self.is_verified(backend);
+        Choice {
+            backend: backend.clone(),
+            cost,
+            load,
+            fleet_load: FleetLoad::default(),
+            prefill_tokens: 0.0,
+            prefill_time: Duration::ZERO,
+            plain: Some(Plain {
+                wait_limit: stall::limit(Duration::from_secs_f64(time / 1e3)),
+                is_verified,
+            }),
+            needs_check: !is_verified,
+            first_event: None,
+            rank: None,
+            divided: 0,
+            admission_time: criteria.filter.admission_time(backend, now),
+            copy_from: None,
+        }
+    }
 }
 
 /// Whether a server may get the request and this box has a connection to it, or may open
@@ -260,6 +354,10 @@
         && criteria.filter.admits(backend, now)
 }
 
+fn cheapest(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
+    choices.min_by(|a, b| a.cost.total_cmp(&b.cost))
+}
+
 /// The median response time of the servers of a plain service, in ms. It stands in for the
 /// time of a server whose own is unknown or out of date. With a separate default, a server
 /// without requests would get none for as long as the others have room.
@@ -268,48 +366,6 @@
     health::median_ms(times).unwrap_or(DEFAULT_LATENCY_MS)
 }
 
-fn rate_plain(
-    backend: &Rc<Backend>,
-    median_ms: f64,
-    criteria: &Criteria<'_>,
-    mean_failures: f64,
-    now: Instant,
-) -> Choice {
-    let load = f64::from(backend.in_flight());
-    let time = backend.health.expected_latency_ms(median_ms, now);
-    // Breaks ties between equal costs at random.
-    let jitter = fastrand::f64();
-    let mut cost =
-        time * (load + 1.0) + jitter + common_cost(backend, criteria, mean_failures, now);
-    if backend.is_stalled(now) {
-        cost += STALLED_MS;
-    }
-    Choice {
-        backend: backend.clone(),
-        cost,
-        load,
-        fleet_load: FleetLoad::default(),
-        prefill_tokens: 0.0,
-        prefill_time: Duration::ZERO,
-        usual_time: Some(Duration::from_secs_f64(time / 1e3)),
-        first_event: None,
-        rank: None,
-        divided: 0,
-        admission_time: criteria.filter.admission_time(backend, now),
-        copy_from: None,
-    }
-}
-
-/// Whether this box has no reason to avoid a server of a plain service, apart from its
-/// distance and load.
-fn is_sound(backend: &Backend, mean_failures: f64, now: Instant) -> bool {
-    let health = &backend.health;
-    backend.is_healthy(now)
-        && !backend.is_stalled(now)
-        && health.failure_rate(now) <= mean_failures + FAILING_SLACK
-        && health.recent_rejections(now) < 1.0
-}
-
 /// Mean recent failure rate of the servers of a service. Failures that all servers share
 /// are no reason to prefer one of them.
 fn mean_failure_rate(servers: &[Rc<Backend>], now: Instant) -> f64 {
--- a/crates/relay/src/choose/rotation.rs
+++ b/crates/relay/src/choose/rotation.rs
@@ -7,11 +7,12 @@
 
 use tidepier_admission::admission;
 use tidepier_admission::balance::{Candidate, Rotation};
+use tidepier_admission::demand::Demand;
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
-use super::{is_open, is_sound, mean_failure_rate, median_latency_ms, rate_plain};
-use super::{weight, Choice, Criteria, FleetLoad};
+use super::verification::Verification;
+use super::{weight, Choice, Criteria, FleetLoad, PlainServers};
 use crate::fleet::{Backend, Fleet, Key};
 
 /// What the servers have that may get a request.
@@ -71,33 +72,36 @@
         fleet: &Fleet,
         service: &ids::Service,
         criteria: &Criteria<'_>,
+        demand: &Demand,
         now: Instant,
     ) -> Option<Choice> {
         let servers = fleet.serving(service);
-        let median_ms = median_latency_ms(&servers);
-        let mean_failures = mean_failure_rate(&servers, now);
-        let is_usable = |it: &&Rc<Backend>| {
-            is_open(it, criteria, now)
-                && is_sound(it, mean_failures, now)
-                && !criteria.tried.contains(&it.server.id)
-                && !criteria.filter.is_cold(it, now)
-        };
-        let usable: Vec<&Rc<Backend>> = servers.iter().filter(is_usable).collect();
-        let candidate = |it: &&Rc<Backend>| Candidate {
-            key: it.key,
-            slots: f64::from(it.slots()),
-            time: Duration::from_secs_f64(it.health.expected_latency_ms(median_ms, now) / 1e3),
-        };
-        let candidates: Vec<Candidate<Key>> = usable.iter().map(candidate).collect();
+        let verification = Verification::new(fleet, service, &servers, demand, criteria.boxes, now);
+        let plain = PlainServers::new(&servers, criteria, verification, now);
+        let candidates: Vec<Candidate<Key>> =
+            plain.in_turn().map(|it| candidate(&plain, it)).collect();
         let mut rotations = self.0.borrow_mut();
         let key = rotations
             .entry(service.clone())
             .or_default()
             .next(&candidates)?;
-        let backend = usable.into_iter().find(|it| it.key == key)?;
-        let mut choice = rate_plain(backend, median_ms, criteria, mean_failures, now);
+        let backend = servers.iter().find(|it| it.key == key)?;
+        let mut choice = plain.rate(backend);
+        // Where all are too busy to answer in time, checks would take slots from requests.
+        choice.needs_check &= plain.in_turn().any(|it| plain.is_verified(it));
         let mean = FleetLoad::mean_of_plain(&servers, now);
         choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
         Some(choice)
     }
 }
+
+fn candidate(plain: &PlainServers<'_>, backend: &Backend) -> Candidate<Key> {
+    let latency_ms = backend
+        .health
+        .expected_latency_ms(plain.median_ms, plain.now);
+    Candidate {
+        key: backend.key,
+        slots: f64::from(backend.slots()),
+        time: Duration::from_secs_f64(latency_ms / 1e3),
+    }
+}
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -20,9 +20,11 @@
 use crate::cold::Limit;
 use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
+use crate::health_check;
 use crate::origin::Origin;
 use crate::refusal;
 use crate::rollout::Selector;
+use crate::timeout;
 
 /// Longest idle time of a pooled connection for a request that may be executed only
 /// once: if the server closes the idle connection at that moment, it is unknown
@@ -48,6 +50,10 @@
 /// servers and 1,125 requests a second, the wait reduces the requests without a place
 /// from 59 to 31 in 1,000.
 const COLD_WAIT_MAX: Duration = Duration::from_millis(150);
+/// Longest part of the time that is left to a request for a health check before it.
+const CHECK_DEADLINE_PART: f64 = 0.1;
+/// Most health checks before one attempt.
+const CHECKS_MAX: u32 = 2;
 /// Age of the last news of a rollout up to which a box sends requests to its new
 /// release, as a fraction of the time in which a faulty release has to be rolled back.
 const ORDER_AGE_PART: f64 = 0.5;
@@ -94,7 +100,7 @@
             deadline: self.deadline,
             max_idle,
             prefill: choice.prefill_tokens as u64,
-            usual_time: choice.usual_time,
+            plain: choice.plain,
             dialer: &self.relay.dialer,
             may_pass: &may_pass,
             fleet: &self.relay.fleet,
@@ -119,6 +125,7 @@
         let mut selector = self.release_selector();
         self.check_release_serves()?;
         let mut young = self.young_releases();
+        let mut checks = 0;
         loop {
             self.check_not_crashing()?;
             let choice = match self.choose(&selector, &young, Duration::ZERO) {
@@ -134,6 +141,12 @@
                 Err(refusal::Kind::Cold) => self.choose(&selector, &young, COLD_WAIT_MAX)?,
                 chosen => chosen?,
             };
+            if choice.needs_check && checks < CHECKS_MAX {
+                checks += 1;
+                if !self.answers_check(&choice.backend).await {
+                    continue;
+                }
+            }
             if let Some(at) = choice.admission_time {
                 // Reserve the slot before the wait, so that no later request takes it.
                 choice.backend.window.sent(at);
@@ -149,6 +162,28 @@
         }
     }
 
+    /// Sends a server a health check, unless it has just answered one. Returns whether there
+    /// is no reason to send the request elsewhere: a server that cannot be checked may still
+    /// answer.
+    async fn answers_check(&self, backend: &Rc<Backend>) -> bool {
+        if backend.check.is_answered(Instant::now()) {
+            return true;
+        }
+        let left = self.deadline.saturating_duration_since(Instant::now());
+        let limit = health_check::limit(self.relay, backend);
+        let limit = limit.min(left.mul_f64(CHECK_DEADLINE_PART));
+        let checked = timeout::within(limit, health_check::send(self.relay, backend)).await;
+        let (is_answered, result) = match checked {
+            Some(Ok(true)) => (true, "answered"),
+            Some(Ok(false)) => (false, "rejected"),
+            Some(Err(_)) => (true, "failed"),
+            None => (false, "unanswered"),
+        };
+        backend.check.record(is_answered, Instant::now());
+        metrics::counter!("tidepier_checks_total", "result" => result).increment(1);
+        is_answered
+    }
+
     /// The releases that the request may go to at this moment of a rollout.
     pub(super) fn release_selector(&self) -> Selector {
         let relay = self.relay;
@@ -301,7 +336,9 @@
         {
             return None;
         }
-        self.relay.rotations.choose(fleet, service, criteria, now)
+        let demand = &self.relay.traffic.index.demand;
+        let rotations = &self.relay.rotations;
+        rotations.choose(fleet, service, criteria, demand, now)
     }
 
     /// The request as the choice of a server sees it.
@@ -316,6 +353,7 @@
             not_resumable: !self.is_resumable(),
             connections: self.terms.connections,
             crowd_factor: self.relay.bounds().crowd_factor,
+            boxes: self.relay.boxes(),
         }
     }
 
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -15,6 +15,7 @@
 
 use super::advertisement::{Advertisement, Ineligible};
 use super::backoff::Backoff;
+use super::check::Check;
 use super::hall::Hall;
 use super::idle::Idle;
 use super::reach::{Change, Group, Opening, Reach};
@@ -118,6 +119,8 @@
     wait_limit: Cell<Option<Duration>>,
     /// Whether the current wait was reported.
     wait_reported: Cell<bool>,
+    /// The health checks before requests.
+    pub check: Check,
     /// What other boxes report of the server.
     pub(super) stall: Cell<Stall>,
     stalls: Rc<Stalls>,
@@ -126,20 +129,31 @@
     idle: Idle,
 }
 
+/// What is expected of a request at a server of a plain service.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Plain {
+    /// The wait from which on it is reported.
+    pub wait_limit: Duration,
+    /// Whether the server is known to have answered not long ago.
+    pub is_verified: bool,
+}
+
 /// Counts a request as in flight at a server until it is dropped.
 pub struct InFlight {
     backend: Rc<Backend>,
     prefill: Cell<u64>,
     /// When the request was sent, if it waits for its answer.
     sent: Cell<Option<Instant>>,
+    /// Whether the server was verified then.
+    was_verified: Cell<bool>,
 }
 
 impl InFlight {
-    /// Records that the request was sent. At a plain service, requests usually take `usual`
-    /// there.
-    pub fn sent(&self, usual: Option<Duration>, now: Instant) {
+    /// Records that the request was sent; `plain` is set at a plain service.
+    pub fn sent(&self, plain: Option<Plain>, now: Instant) {
         let backend = &self.backend;
-        backend.wait_limit.set(usual.map(stall::limit));
+        backend.wait_limit.set(plain.map(|it| it.wait_limit));
+        self.was_verified.set(plain.is_none_or(|it| it.is_verified));
         if self.sent.replace(Some(now)).is_none() && backend.silence.begin(now) {
             backend.wait_reported.set(false);
             backend.stalls.sent.notify();
@@ -155,8 +169,10 @@
         let backend = &self.backend;
         backend.silence.end(now);
         let took = now.saturating_duration_since(sent);
-        if backend.wait_limit.get().is_none_or(|limit| took < limit) {
-            backend.record_life(now);
+        match backend.wait_limit.get() {
+            Some(limit) if took < limit => backend.record_life(self.was_verified.get(), now),
+            Some(_) => {}
+            None => backend.silence.answered(now),
         }
     }
 
@@ -217,6 +233,7 @@
             silence: Silence::default(),
             wait_limit: Cell::new(None),
             wait_reported: Cell::new(false),
+            check: Check::default(),
             stall: Cell::default(),
             prefill: Cell::new(0),
             idle: Idle::default(),
@@ -350,21 +367,39 @@
         self.hall.is_unresponsive(now) || self.reach.is_hopeless(now)
     }
 
-    /// Records that the server has answered in time.
-    pub fn record_life(&self, now: Instant) {
+    /// Records that the server has answered in time. Whether it `was_verified` when the
+    /// request was sent tells whether that is news to the others.
+    pub fn record_life(&self, was_verified: bool, now: Instant) {
         self.silence.answered(now);
+        self.stalls.lives.record(self.key, now);
         let was_reported = self.wait_reported.replace(false);
-        if was_reported || self.stall.get().is_told(now) {
-            self.stalls.record_life(self.key, now);
+        if was_reported || !was_verified || self.stall.get().is_told(now) {
+            self.stalls.record_return(self.key, now);
         }
     }
 
-    /// Whether the server seems to stand still: by what the boxes of the hall report, or by a
-    /// request of this box that waits there. For a box that does not hear of the others, also
-    /// by one that was given up.
+    /// Records that the server has answered a health check of this box as one that others
+    /// report to: it does not stand still, though it may hold requests.
+    pub fn record_checked(&self, now: Instant) {
+        self.silence.answered(now);
+        self.wait_reported.set(false);
+        self.stalls.record_return(self.key, now);
+    }
+
+    /// Whether the server is known to have answered a request of any box within `lifetime`.
+    pub fn is_verified(&self, lifetime: Duration, now: Instant) -> bool {
+        let last = self.stalls.lives.last(self.key);
+        last.is_some_and(|at| now.saturating_duration_since(at) < lifetime)
+    }
+
+    /// Whether the server seems to stand still: by what boxes report, or by a request or a
+    /// health check of this box that waits there. For a box that does not hear of the others,
+    /// also by a request that was given up.
     pub fn is_stalled(&self, now: Instant) -> bool {
-        let answered = self.silence.last_answered();
+        let answered = self.stalls.lives.last_in_hall(self.key);
+        let answered = answered.max(self.silence.last_answered());
         self.stall.get().holds(answered, now)
+            || self.check.is_unanswered(answered, now)
             || self
                 .long_wait(now)
                 .is_some_and(|wait| wait.ended.is_none() || !self.stalls.has_heard(now))
@@ -418,6 +453,7 @@
             backend: self.clone(),
             prefill: Cell::new(prefill),
             sent: Cell::default(),
+            was_verified: Cell::default(),
         }
     }
 
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -10,9 +10,11 @@
 pub mod advertisement;
 mod backend;
 pub mod backoff;
+pub mod check;
 mod departed;
 mod hall;
 mod idle;
+pub mod lives;
 mod permit;
 pub mod reach;
 pub mod releases;
@@ -38,7 +40,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use advertisement::{Ineligible, LeavingSource};
-pub use backend::{Backend, InFlight};
+pub use backend::{Backend, InFlight, Plain};
 use backoff::Backoff;
 use departed::Departed;
 pub use hall::Hall;
--- a/crates/relay/src/fleet/stalls.rs
+++ b/crates/relay/src/fleet/stalls.rs
@@ -9,6 +9,7 @@
 use tidepier_admission::stall;
 use tidepier_clock::Instant;
 
+use super::lives::Lives;
 use super::{Backend, Fleet, Key};
 use crate::health;
 use crate::notifier::Notifier;
@@ -20,12 +21,15 @@
 /// What this box has to report at once, and when it has last heard of others.
 #[derive(Default)]
 pub struct Stalls {
+    /// When servers last answered.
+    pub lives: Lives,
     /// When this box last heard which servers stand still.
     heard: Cell<Option<Instant>>,
     /// Whether any did.
     is_any_told: Cell<bool>,
-    /// Servers that have answered though they were thought to stand still, and when.
-    lives: RefCell<BTreeMap<Key, Instant>>,
+    /// Servers that have answered though they were thought to stand still or were not
+    /// verified, and when.
+    returned: RefCell<BTreeMap<Key, Instant>>,
     /// Wakes the watch when there are any.
     pub answered: Notifier,
     /// Wakes the task that watches waits, if it has none to watch.
@@ -44,12 +48,17 @@
         heard.is_some_and(|at| now.saturating_duration_since(at) < HEARD_AGE_MAX)
     }
 
-    /// Records that a server has answered.
-    pub(super) fn record_life(&self, server: Key, now: Instant) {
-        self.lives.borrow_mut().insert(server, now);
+    /// Records that a server has answered of which the others should know at once.
+    pub(super) fn record_return(&self, server: Key, now: Instant) {
+        self.returned.borrow_mut().insert(server, now);
         self.answered.notify();
     }
 
+    /// Whether there are answers of which the others should know at once.
+    pub fn has_returns(&self) -> bool {
+        !self.returned.borrow().is_empty()
+    }
+
     /// Records that this box knows which servers stand still, by what other boxes report.
     pub fn hear(&self, now: Instant) {
         self.heard.set(Some(now));
@@ -112,9 +121,9 @@
             .for_each(|it| it.silence.leave_out(time, now));
     }
 
-    /// Takes the answers of servers that were thought to stand still.
+    /// Takes the answers of which the others should know at once.
     pub fn take_lives(&self, now: Instant) -> Vec<stall::Life<Key>> {
-        let lives = self.stalls.lives.take().into_iter();
+        let lives = self.stalls.returned.take().into_iter();
         let lives = lives.map(|(server, at)| stall::Life {
             server,
             age: now.saturating_duration_since(at),
@@ -153,7 +162,7 @@
             // The other boxes do not know of answers that they were not told of.
             let answered = backend.silence.last_answered();
             if let Some(at) = answered.filter(|at| since.is_some_and(|since| *at > since)) {
-                self.stalls.record_life(backend.key, at);
+                self.stalls.record_return(backend.key, at);
             }
         }
         for backend in &ended {
--- /dev/null
+++ b/crates/relay/src/health_check.rs
@@ -0,0 +1,58 @@
+//! Health checks of servers.
+//!
+//! Any answer in time shows that a server does not stand still, unless it rejects the check
+//! as it would a request. Whether it reports itself healthy does not matter: it may do so
+//! falsely.
+
+use std::io;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tidepier_clock::Instant;
+use tidepier_h1::{Conn, Malformed};
+use tidepier_platform::{answer, monitoring};
+
+use crate::dial::CONNECT_TIMEOUT;
+use crate::fleet::Backend;
+use crate::relay::Relay;
+
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES_MAX: usize = 16 << 10;
+
+/// Time in which a server has to answer, beside the way.
+const TIME: Duration = Duration::from_millis(50);
+
+/// The time in which a server answers a health check unless it stands still.
+pub(crate) fn limit(relay: &Relay, backend: &Backend) -> Duration {
+    let way = match backend.server.hall == relay.hall {
+        true => Duration::ZERO,
+        false => backend.hall.round_trip().unwrap_or_default(),
+    };
+    // Once to open a connection, and once more.
+    TIME + way * 2
+}
+
+/// Sends a health check over a connection of its own and reads the head of its answer.
+/// Returns whether the server has accepted it.
+///
+/// # Errors
+///
+/// The service is not known, the server gets nothing new, or the connection failed.
+pub(crate) async fn send(relay: &Relay, backend: &Rc<Backend>) -> io::Result<bool> {
+    let service = relay.view.catalog();
+    let service = service.and_then(|it| it.services.get(&backend.server.service).cloned());
+    let service = service.ok_or(io::ErrorKind::NotFound)?;
+    if relay.fleet.permit(backend, Instant::now()).is_err() {
+        return Err(io::ErrorKind::NotConnected.into());
+    }
+    let connect = relay.dialer.connect(backend, &|_| true, CONNECT_TIMEOUT);
+    let mut conn: Conn = connect.await?;
+    let mut bytes = Vec::new();
+    let host = backend.server.address.to_string();
+    monitoring::get(&service.health_path, &host, &mut bytes);
+    conn.writer().write_all(&bytes).await?;
+    let unreadable = |error: Malformed| io::Error::other(error.to_string());
+    let head = conn.head(HEAD_BYTES_MAX).await.map_err(unreadable)?;
+    let head = head.ok_or(io::ErrorKind::UnexpectedEof)?;
+    Ok(!answer::decode(&head).not_executed)
+}
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod fleet;
 pub mod follow;
 pub mod health;
+mod health_check;
 pub mod locations;
 pub mod log;
 pub mod message;
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -3,6 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::crash::table;
+use crate::fleet::lives::Life;
 use crate::fleet::speeds;
 use crate::fleet::{Count, Key};
 use crate::rollout::{self, evidence};
@@ -41,6 +42,10 @@
     /// Whether the sender takes rises between two answers. Boxes of former releases do not.
     #[serde(default)]
     pub takes_rises: bool,
+    /// Whether the sender, a hub, takes stalls between two answers. Hubs of former releases
+    /// do not.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub takes_stalls: bool,
 }
 
 /// Report of one side to the other.
@@ -78,6 +83,10 @@
     /// requests take there.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub waits: Vec<stall::Wait<Key>>,
+    /// Servers of plain services that have answered the counted boxes since the last report
+    /// on this connection; `None` if there are too many of them.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lives: Option<Vec<Life>>,
     /// Evidence from answers about the releases that services are being moved to.
     #[serde(default, skip_serializing_if = "Vec::is_empty")]
     pub trials: Vec<evidence::Row>,
@@ -110,14 +119,33 @@
     /// Whether the sender takes waits at once. Boxes of former releases do not.
     #[serde(default)]
     pub takes_waits: bool,
-    /// All servers that stand still, for a box of the same hall.
+    /// All servers that stand still, for a box of the same hall; for a hub those that do by
+    /// what boxes of the sender's hall report.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub stalls: Option<Vec<stall::Stall<Key>>>,
+    /// Servers of plain services that have answered since the last answer on this
+    /// connection; `None` if there are too many of them. Boxes of former releases send none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub lives: Option<Lives>,
+}
+
+/// Servers that have answered, by the boxes that they answered.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Lives {
+    /// Boxes of the sender's hall.
+    pub hall: Vec<Life>,
+    /// Boxes of other halls; for a box of the same hall only.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub elsewhere: Vec<Life>,
 }
 
 impl Answer {
-    /// Rises and stalls that are sent without a request.
-    pub fn of_notices(rises: Vec<Rise>, stalls: Option<Vec<stall::Stall<Key>>>) -> Self {
+    /// Rises, stalls and lives that are sent without a request.
+    pub fn of_notices(
+        rises: Vec<Rise>,
+        stalls: Option<Vec<stall::Stall<Key>>>,
+        lives: Option<Lives>,
+    ) -> Self {
         Self {
             version: VERSION,
             number: 0,
@@ -128,6 +156,7 @@
             rises,
             takes_waits: true,
             stalls,
+            lives,
         }
     }
 }
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -14,7 +14,8 @@
 use crate::follow::Follower;
 use crate::message::follow::{Answer, Position, Request, Servers};
 use crate::message::link::{self, Error};
-use crate::message::{self, recall, PeerRequest, VERSION};
+use crate::message::traffic::{Answer as Notices, Requester};
+use crate::message::{recall, PeerRequest, VERSION};
 use crate::peer::gateway;
 use crate::peer::origins;
 use crate::peer::registry::Registry;
@@ -104,7 +105,7 @@
     let mut told = None;
     loop {
         if let Some(told) = &mut told {
-            send_notices(&mut conn, relay, told).await?;
+            send_notices(&mut conn, relay, &mut session, told).await?;
         }
         match receive(&mut conn).await? {
             PeerRequest::Samples(samples) => {
@@ -116,8 +117,12 @@
             PeerRequest::Stalls(report) => {
                 let from = Peer::Member(connection.number);
                 let (waits, lives) = (&report.waits, &report.lives);
-                let stalls = &relay.traffic.stalls;
-                stalls.record(from, waits, lives, Instant::now());
+                let (stalls, now) = (&relay.traffic.stalls, Instant::now());
+                relay.record_returns(lives, now);
+                if let Some(answers) = &report.answers {
+                    relay.fleet.stalls.lives.record_reported(answers, now);
+                }
+                stalls.record(from, waits, lives, now);
             }
             PeerRequest::Follow(request) => {
                 check_version(request.version)?;
@@ -135,8 +140,12 @@
             }
             PeerRequest::Traffic(request) => {
                 check_version(request.version)?;
-                if request.takes_rises && told.is_none() {
-                    told = Some(Told::new(relay));
+                let takes_notices = match request.requester {
+                    Requester::Box => request.takes_rises,
+                    Requester::Hub => request.takes_stalls,
+                };
+                if takes_notices && told.is_none() {
+                    told = Some(Told::new(relay, request.requester));
                 }
                 let answer = session.answer(relay, connection.number, *request);
                 link::within(SEND_TIMEOUT, link::send(&conn, &answer)).await?;
@@ -173,37 +182,56 @@
 
 /// What a box was told at once.
 struct Told {
+    requester: Requester,
     /// Number of rises before the next one for it.
     rises: u64,
     /// Number of changes of the servers that stand still.
     stalls: u64,
+    /// Number of servers that have answered again.
+    returns: u64,
 }
 
 impl Told {
-    /// A box that gets an answer with the servers that stand still.
-    fn new(relay: &Relay) -> Self {
+    /// A box, or a hub, that gets an answer with the servers that stand still.
+    fn new(relay: &Relay, requester: Requester) -> Self {
         Self {
+            requester,
             rises: relay.traffic.notices.count(),
             stalls: relay.traffic.stalls.changes(),
+            returns: relay.traffic.stalls.returns(),
         }
     }
 
     /// What is new since the last call.
-    fn update(&mut self, relay: &Relay) -> Option<message::traffic::Answer> {
+    fn update(&mut self, relay: &Relay, session: &mut traffic::Session) -> Option<Notices> {
         let rises = relay.traffic.notices.rises_after(self.rises);
         self.rises = relay.traffic.notices.count();
         let changes = relay.traffic.stalls.changes();
         let has_changed = std::mem::replace(&mut self.stalls, changes) != changes;
+        if self.requester == Requester::Hub {
+            let stalls = has_changed.then(|| relay.traffic.stalls.detected());
+            return stalls.map(|it| Notices::of_notices(Vec::new(), Some(it), None));
+        }
         let stalls = has_changed.then(|| relay.traffic.stalls.all());
-        let is_new = stalls.is_some() || !rises.is_empty();
-        is_new.then(|| message::traffic::Answer::of_notices(rises, stalls))
+        let returns = relay.traffic.stalls.returns();
+        let has_returned = std::mem::replace(&mut self.returns, returns) != returns;
+        if stalls.is_none() && rises.is_empty() && !has_returned {
+            return None;
+        }
+        let lives = session.lives_to_tell(relay, Requester::Box, Instant::now());
+        Some(Notices::of_notices(rises, stalls, lives))
     }
 }
 
-/// Sends rises and stalls to a box until it sends the first byte of its next request.
-async fn send_notices(conn: &mut Conn, relay: &Relay, told: &mut Told) -> Result<(), Error> {
+/// Sends rises, stalls and lives to a box until it sends the first byte of its next request.
+async fn send_notices(
+    conn: &mut Conn,
+    relay: &Relay,
+    session: &mut traffic::Session,
+    told: &mut Told,
+) -> Result<(), Error> {
     loop {
-        if let Some(answer) = told.update(relay) {
+        if let Some(answer) = told.update(relay, session) {
             link::within(SEND_TIMEOUT, link::send(conn, &answer)).await?;
             continue;
         }
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -18,11 +18,12 @@
 use super::registry::{Member, Registry};
 use super::upstream::{ANSWER_TIMEOUT, CONNECT_TIMEOUT, SKIP_TIME, UNCONFIRMED_SKIP_TIME};
 use crate::crash::table;
+use crate::fleet::lives::{self, Life, Scope, Sent};
 use crate::fleet::speeds::Speeds;
 use crate::fleet::Key;
 use crate::message::link::{self, Error};
 use crate::message::stall;
-use crate::message::traffic::{Answer, Report, Request, Requester};
+use crate::message::traffic::{Answer, Lives, Report, Request, Requester};
 use crate::message::{PeerRequest, VERSION};
 use crate::relay::Relay;
 use crate::traffic::log::{Batch, Peer, Position};
@@ -68,13 +69,25 @@
 /// The state of one end of a connection: what was sent and received over it.
 #[derive(Default)]
 pub struct Session {
+    /// When this side sent its last request, and how long the last answer took.
+    requested: Option<Instant>,
+    round_trip: Option<Duration>,
     sent: Baseline,
     received: Totals,
     speeds_sent: Speeds,
+    lives_sent: LivesSent,
     /// Positions in the tables of crashes up to which the other side has got the entries.
     crashes_sent: Positions,
 }
 
+/// Answers of servers that the other side has got, by the boxes that they answered.
+#[derive(Default)]
+struct LivesSent {
+    /// Of the hall of this box, or those that report to it.
+    hall: Sent,
+    elsewhere: Sent,
+}
+
 /// Positions in the tables of crashes.
 #[derive(Default)]
 struct Positions {
@@ -130,6 +143,51 @@
         CrashRows { contents, parts }
     }
 
+    /// What this box and those that report to it have to report of servers that have
+    /// answered since the last message. The ages include the time on the way, so that a
+    /// message that takes long makes no answer look younger than it is.
+    fn lives_to_report(&mut self, relay: &Relay, now: Instant) -> Option<Vec<Life>> {
+        let way = self.round_trip.unwrap_or(ANSWER_TIMEOUT);
+        let lives = &relay.fleet.stalls.lives;
+        let lives = lives.updates(&mut self.lives_sent.hall, Scope::Reported, now);
+        lives.map(|it| lives::aged(it, way))
+    }
+
+    /// The longest time for which an answer that has just come can have been under way, or
+    /// `is_notice`, something that was sent without a request.
+    fn way(&mut self, is_notice: bool, now: Instant) -> Duration {
+        if !is_notice {
+            let since = |requested| now.saturating_duration_since(requested);
+            self.round_trip = self.requested.take().map(since);
+        }
+        self.round_trip.unwrap_or(ANSWER_TIMEOUT)
+    }
+
+    /// What another box is told of servers that have answered since the last message.
+    pub fn lives_to_tell(
+        &mut self,
+        relay: &Relay,
+        requester: Requester,
+        now: Instant,
+    ) -> Option<Lives> {
+        let (lives, sent) = (&relay.fleet.stalls.lives, &mut self.lives_sent);
+        let (hall, elsewhere) = match requester {
+            Requester::Box => (
+                lives.updates(&mut sent.hall, Scope::Hall, now),
+                lives.updates(&mut sent.elsewhere, Scope::Elsewhere, now),
+            ),
+            // Another hall is not told what it tells itself.
+            Requester::Hub => (
+                lives.updates(&mut sent.hall, Scope::Reported, now),
+                Some(Vec::new()),
+            ),
+        };
+        Some(Lives {
+            hall: hall?,
+            elsewhere: elsewhere?,
+        })
+    }
+
     fn apply_report(&mut self, relay: &Relay, from: Peer, report: &Report) {
         self.received.apply(report.boxes, &report.counts);
         self.received.speeds.apply(&report.speeds);
@@ -158,6 +216,9 @@
                     .traffic
                     .stalls
                     .record_waits(member.clone(), waits, now);
+                if let Some(lives) = &request.report.lives {
+                    relay.fleet.stalls.lives.record_reported(lives, now);
+                }
                 let sum = relay.in_flight_excluding(&member, now);
                 (
                     sum,
@@ -199,8 +260,9 @@
             takes_waits: true,
             stalls: match request.requester {
                 Requester::Box => Some(relay.traffic.stalls.all()),
-                Requester::Hub => None,
+                Requester::Hub => Some(relay.traffic.stalls.detected()),
             },
+            lives: self.lives_to_tell(relay, request.requester, now),
             report: Report {
                 // Only hubs combine the evidence of all boxes.
                 trials: match request.requester {
@@ -344,6 +406,7 @@
                     trials: relay.rollouts.evidence.of_hall(Instant::now()),
                     demand: sum.demand.clone(),
                     waits: waits(relay, Instant::now()),
+                    lives: session.lives_to_report(relay, Instant::now()),
                     ..session.report(&sum, usize::MAX, placements, crashes)
                 };
                 (report, Some(reported))
@@ -357,8 +420,9 @@
             position,
             report,
             takes_rises: matches!(requester, Requester::Box),
+            takes_stalls: matches!(requester, Requester::Hub),
         };
-        let answer = send_request(relay, conn, request).await?;
+        let answer = send_request(relay, conn, &mut session, request, peer).await?;
         if let Some(reported) = reported {
             relay.traffic.set_hub_position(reported);
         }
@@ -371,9 +435,10 @@
         }
         match requester {
             Requester::Box if answer.takes_samples => {
-                exchange_notices(relay, conn, answer.takes_waits).await?;
+                exchange_notices(relay, conn, &mut session, answer.takes_waits).await?;
             }
-            _ => {
+            Requester::Hub => receive_notices(relay, conn, &mut session, peer).await?,
+            Requester::Box => {
                 Timer::after(REPORT_INTERVAL).await;
             }
         }
@@ -381,9 +446,55 @@
     Ok(())
 }
 
+/// Receives stalls from the hub of another hall until the next request is due.
+async fn receive_notices(
+    relay: &Relay,
+    conn: &mut Conn,
+    session: &mut Session,
+    peer: &Peer,
+) -> Result<(), Error> {
+    let mut timer = Timer::after(REPORT_INTERVAL);
+    loop {
+        let due = async {
+            (&mut timer).await;
+            Ok(true)
+        };
+        let received = async {
+            link::wait_for_first_byte(conn).await?;
+            Ok(false)
+        };
+        if due.or(received).await? {
+            return Ok(());
+        }
+        receive_notice(relay, conn, session, peer).await?;
+    }
+}
+
+/// Receives an answer that was sent without a request.
+async fn receive_notice(
+    relay: &Relay,
+    conn: &mut Conn,
+    session: &mut Session,
+    peer: &Peer,
+) -> Result<(), Error> {
+    let receive = receive_answer(relay, conn, session, peer);
+    let answer = link::within(ANSWER_TIMEOUT, receive).await?;
+    match answer.number {
+        0 => Ok(()),
+        number => Err(Error::Malformed(format!(
+            "number {number} without a request"
+        ))),
+    }
+}
+
 /// Sends samples to the hub, and waits if it `takes_waits`, and receives rises and stalls,
 /// until the next report is due.
-async fn exchange_notices(relay: &Relay, conn: &mut Conn, takes_waits: bool) -> Result<(), Error> {
+async fn exchange_notices(
+    relay: &Relay,
+    conn: &mut Conn,
+    session: &mut Session,
+    takes_waits: bool,
+) -> Result<(), Error> {
     /// What ends a wait.
     enum Event {
         Due,
@@ -404,6 +515,7 @@
             let report = PeerRequest::Stalls(stall::Report {
                 waits: waits(relay, now),
                 lives: relay.traffic.stalls.take_lives(now),
+                answers: session.lives_to_report(relay, now),
             });
             link::within(ANSWER_TIMEOUT, link::send(conn, &report)).await?;
         }
@@ -427,11 +539,7 @@
             Event::Due => return Ok(()),
             Event::Sampled | Event::Waited => {}
             Event::Received => {
-                let answer = link::within(ANSWER_TIMEOUT, receive_answer(relay, conn)).await?;
-                if answer.number != 0 {
-                    let why = format!("number {} without a request", answer.number);
-                    return Err(Error::Malformed(why));
-                }
+                receive_notice(relay, conn, session, &Peer::Hub).await?;
             }
         }
     }
@@ -444,26 +552,55 @@
     stalls.waits(now)
 }
 
-/// Receives an answer, and records the rises and stalls in it.
-async fn receive_answer(relay: &Relay, conn: &mut Conn) -> Result<Answer, Error> {
+/// Receives an answer, and records the rises, stalls and lives in it.
+async fn receive_answer(
+    relay: &Relay,
+    conn: &mut Conn,
+    session: &mut Session,
+    peer: &Peer,
+) -> Result<Answer, Error> {
     let answer: Answer = link::receive(conn).await?;
     let now = Instant::now();
+    let way = session.way(answer.number == 0, now);
     for rise in &answer.rises {
         relay.traffic.index.demand.set_rise(*rise, now);
     }
-    if let Some(stalls) = &answer.stalls {
-        relay.fleet.stalls.hear(now);
-        relay.traffic.stalls.set_told(stalls, now);
+    let (stalls, lives) = (&relay.fleet.stalls, &relay.fleet.stalls.lives);
+    if let Some(told) = &answer.lives {
+        let in_hall = lives::aged(told.hall.clone(), way);
+        match peer {
+            Peer::Hall(_) => lives.set_told_elsewhere(&in_hall, now),
+            _ => {
+                lives.set_told_of_hall(&in_hall, now);
+                lives.set_told_elsewhere(&lives::aged(told.elsewhere.clone(), way), now);
+            }
+        }
+    }
+    if *peer == Peer::Hub && answer.number != 0 {
+        lives.hear(answer.lives.is_some(), now);
+    }
+    if let Some(told) = &answer.stalls {
+        if *peer == Peer::Hub {
+            stalls.hear(now);
+        }
+        relay.traffic.stalls.set_told(peer.clone(), told, now);
     }
     Ok(answer)
 }
 
-async fn send_request(relay: &Relay, conn: &mut Conn, request: Request) -> Result<Answer, Error> {
+async fn send_request(
+    relay: &Relay,
+    conn: &mut Conn,
+    session: &mut Session,
+    request: Request,
+    peer: &Peer,
+) -> Result<Answer, Error> {
     let number = request.number;
+    session.requested = Some(Instant::now());
     link::send(conn, &PeerRequest::Traffic(Box::new(request))).await?;
     let answer = async {
         loop {
-            let answer = receive_answer(relay, conn).await?;
+            let answer = receive_answer(relay, conn, session, peer).await?;
             // Notices may be under way when a request is sent.
             if answer.number != 0 {
                 return Ok(answer);
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -18,7 +18,7 @@
 use crate::crash::Crashes;
 use crate::dial::Dialer;
 use crate::era_state::EraState;
-use crate::fleet::Fleet;
+use crate::fleet::{Fleet, Key};
 use crate::message::traffic::Report;
 use crate::network::Network;
 use crate::origin::{Origin, Origins};
@@ -32,6 +32,7 @@
 use tidepier_admission::admission::Admission;
 use tidepier_admission::demand::Summary;
 use tidepier_admission::returns::Timeouts;
+use tidepier_admission::stall;
 
 /// How much longer a new release gets no streams than a view counts as recent: a watch may
 /// deliver the entries of its servers late.
@@ -276,6 +277,14 @@
         self.admission.set_others(others.load, now);
     }
 
+    /// Lets the boxes that report to this one be told at once of servers that have answered
+    /// again.
+    pub fn record_returns(&self, lives: &[stall::Life<Key>], now: Instant) {
+        if self.traffic.stalls.record_returns(lives, now) {
+            self.traffic.notices.announced.notify();
+        }
+    }
+
     /// While this box is the hub of its hall: sums the recent requests of the hall's boxes.
     pub fn update_hall_demand(&self) {
         let now = Instant::now();
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -11,18 +11,16 @@
 //! that others report to, and no requests as long as another server may take them.
 
 use std::convert::Infallible;
-use std::io;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::LocalExecutor;
 use tidepier_clock::Instant;
-use tidepier_h1::{Conn, Malformed};
-use tidepier_platform::{answer, monitoring};
 
-use crate::dial::CONNECT_TIMEOUT;
 use crate::fleet::Backend;
+use crate::health_check;
 use crate::relay::Relay;
 use crate::timeout;
 
@@ -36,8 +34,6 @@
 /// Time-out of a health check. A server that goes on answers the one that waits, however late,
 /// which shows that another one is due.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
-/// Largest head of the answer to a health check, in bytes.
-const HEAD_BYTES_MAX: usize = 16 << 10;
 
 /// Watches the waits of this box's requests, and what other boxes report and tell; does not
 /// return.
@@ -77,68 +73,54 @@
     let has_long_waits = fleet.mark_long_waits(now);
     let lives = fleet.take_lives(now);
     stalls.record_own_waits(&fleet.waits(now), now);
+    relay.record_returns(&lives, now);
     stalls.record_lives(&lives, now);
     if has_long_waits || !lives.is_empty() {
         stalls.set_pending();
     }
-    if stalls.update(now) {
+    if stalls.update(&fleet.stalls.lives, now) {
         relay.traffic.notices.announced.notify();
     }
     if relay.traffic.is_hub() {
         fleet.stalls.hear(now);
+        fleet.stalls.lives.hear(true, now);
     }
     fleet.set_stalls(&stalls.all(), now);
-    for backend in fleet.with_keys(&stalls.detected()) {
+    for backend in fleet.with_keys(&stalls.suspected()) {
         if stalls.begin_probe(backend.key, now) {
             executor.spawn(probe(relay.clone(), backend)).detach();
         }
     }
 }
 
-/// Sends a server a health check. Any answer in time shows that the server goes on, unless it
-/// rejects the check as it would a request.
+/// Sends a server that may stand still a health check. Without an answer in time it counts
+/// as standing still until one is.
 async fn probe(relay: Rc<Relay>, backend: Rc<Backend>) {
+    let (stalls, key) = (&relay.traffic.stalls, backend.key);
     let began = Instant::now();
-    let checked = timeout::within(PROBE_TIMEOUT, check(&relay, &backend)).await;
-    let now = Instant::now();
-    let took = now.saturating_duration_since(began);
-    let result = match checked {
-        Some(Ok(true)) if took < backend.answer_limit() => "answered",
-        Some(Ok(true)) => "late",
+    let mut check = pin!(health_check::send(&relay, &backend));
+    let in_time = timeout::within(health_check::limit(&relay, &backend), check.as_mut()).await;
+    let result = match in_time {
+        Some(Ok(true)) => "answered",
         Some(Ok(false)) => "rejected",
         Some(Err(_)) => "failed",
-        None => "unanswered",
+        None => {
+            stalls.record_unanswered(key);
+            match timeout::within(PROBE_TIMEOUT, check).await {
+                Some(_) => "late",
+                None => "unanswered",
+            }
+        }
     };
     log::info!(
         target: "belief",
         "event=stall_checked server={} result={result} ms={}",
         backend.server.id,
-        took.as_millis(),
+        began.elapsed().as_millis(),
     );
     metrics::counter!("tidepier_stall_checks_total", "result" => result).increment(1);
     if result == "answered" {
-        backend.record_life(now);
-    }
-    relay.traffic.stalls.end_probe(backend.key, began, now);
-}
-
-/// Sends a health check and reads the head of its answer. Returns whether the server has
-/// accepted it.
-async fn check(relay: &Relay, backend: &Rc<Backend>) -> io::Result<bool> {
-    let service = relay.view.catalog();
-    let service = service.and_then(|it| it.services.get(&backend.server.service).cloned());
-    let service = service.ok_or(io::ErrorKind::NotFound)?;
-    if relay.fleet.permit(backend, Instant::now()).is_err() {
-        return Err(io::ErrorKind::NotConnected.into());
+        backend.record_checked(Instant::now());
     }
-    let connect = relay.dialer.connect(backend, &|_| true, CONNECT_TIMEOUT);
-    let mut conn: Conn = connect.await?;
-    let mut bytes = Vec::new();
-    let host = backend.server.address.to_string();
-    monitoring::get(&service.health_path, &host, &mut bytes);
-    conn.writer().write_all(&bytes).await?;
-    let unreadable = |error: Malformed| io::Error::other(error.to_string());
-    let head = conn.head(HEAD_BYTES_MAX).await.map_err(unreadable)?;
-    let head = head.ok_or(io::ErrorKind::UnexpectedEof)?;
-    Ok(!answer::decode(&head).not_executed)
+    stalls.end_probe(key, began, result == "answered");
 }
--- a/crates/relay/src/traffic/stalls.rs
+++ b/crates/relay/src/traffic/stalls.rs
@@ -13,20 +13,32 @@
 use tidepier_clock::Instant;
 
 use super::log::Peer;
+use crate::fleet::lives::Lives;
 use crate::fleet::Key;
 use crate::notifier::Notifier;
 
 /// Interval at which a server that stands still gets health checks.
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Shortest time between two answers of one server of which boxes are told at once.
+const RETURN_INTERVAL: Duration = Duration::from_secs(1);
 /// Age after which what this box was told is ignored: several times the interval between
 /// answers.
 const TOLD_AGE_MAX: Duration = Duration::from_millis(1_500);
 
-/// What this box was told: since when which servers stand still, and when it was told.
-#[derive(Debug, Default)]
+/// What a box told this one: since when which servers stand still, and when it told that.
+#[derive(Debug)]
 struct Told {
     since: BTreeMap<Key, Instant>,
-    at: Option<Instant>,
+    at: Instant,
+}
+
+/// The health checks of a server that may stand still.
+#[derive(Debug, Clone, Copy)]
+struct Probe {
+    /// When the next one may be sent; `None` while one is under way.
+    next: Option<Instant>,
+    /// Whether the last one was not answered in time.
+    is_unanswered: bool,
 }
 
 /// What is known of servers that stand still.
@@ -34,16 +46,20 @@
 pub struct Stalls {
     /// What boxes report to this one; it is `None` itself.
     detector: Detector<Key, Option<Peer>>,
-    /// The servers that stand still by these reports, as of the last look.
-    detected: RefCell<Vec<Stall<Key>>>,
-    /// What the box that this one reports to tells.
-    told: RefCell<Told>,
+    /// The servers that may stand still by these reports, as of the last look.
+    suspected: RefCell<Vec<Stall<Key>>>,
+    /// What the box that this one reports to tells, and what hubs of other halls do.
+    told: RefCell<HashMap<Peer, Told>>,
     /// All of them, as of the last look.
     all: RefCell<Vec<Stall<Key>>>,
     /// Number of changes of these servers.
     changes: Cell<u64>,
-    /// When each server may get the next health check; `None` while one is under way.
-    probes: RefCell<HashMap<Key, Option<Instant>>>,
+    /// Servers that have answered again and were told of, and when.
+    returned: RefCell<HashMap<Key, Instant>>,
+    /// How often there were any.
+    returns: Cell<u64>,
+    /// The health checks of these servers.
+    probes: RefCell<HashMap<Key, Probe>>,
     /// Wakes the watch when there may be something new.
     pub changed: Notifier,
     /// Servers that have answered, to be passed on.
@@ -55,7 +71,7 @@
 }
 
 /// The servers of some stalls.
-fn servers(stalls: &[Stall<Key>]) -> Vec<Key> {
+pub(crate) fn servers(stalls: &[Stall<Key>]) -> Vec<Key> {
     let mut servers: Vec<Key> = stalls.iter().map(|it| it.server).collect();
     servers.sort();
     servers
@@ -67,9 +83,22 @@
         self.all.borrow().clone()
     }
 
-    /// Those of them that do by what boxes report to this one.
-    pub fn detected(&self) -> Vec<Key> {
-        servers(&self.detected.borrow())
+    /// The servers that may stand still by what boxes report to this one.
+    pub fn suspected(&self) -> Vec<Key> {
+        servers(&self.suspected.borrow())
+    }
+
+    /// Those of them that did not answer a health check of this box either.
+    pub fn detected(&self) -> Vec<Stall<Key>> {
+        let probes = self.probes.borrow();
+        let is_unanswered =
+            |it: &Stall<Key>| probes.get(&it.server).is_some_and(|it| it.is_unanswered);
+        let suspected = self.suspected.borrow();
+        suspected
+            .iter()
+            .filter(|it| is_unanswered(it))
+            .copied()
+            .collect()
     }
 
     /// Number of changes of these servers so far.
@@ -77,6 +106,27 @@
         self.changes.get()
     }
 
+    /// Records answers of which boxes should know at once. Returns whether there are any of
+    /// servers of which they were not told lately.
+    pub fn record_returns(&self, lives: &[Life<Key>], now: Instant) -> bool {
+        let mut returned = self.returned.borrow_mut();
+        returned.retain(|_, at| now.saturating_duration_since(*at) < RETURN_INTERVAL);
+        let known = returned.len();
+        for life in lives.iter().take(SERVERS_MAX) {
+            returned.entry(life.server).or_insert(now);
+        }
+        let is_any_new = returned.len() > known;
+        if is_any_new {
+            self.returns.set(self.returns.get() + 1);
+        }
+        is_any_new
+    }
+
+    /// How often there were any so far.
+    pub fn returns(&self) -> u64 {
+        self.returns.get()
+    }
+
     /// Records what a box reports at once: all of its waits, and servers that have answered
     /// it.
     pub fn record(&self, from: Peer, waits: &[Wait<Key>], lives: &[Life<Key>], now: Instant) {
@@ -110,34 +160,40 @@
 
     /// Drops what a box has reported that is gone.
     pub fn remove(&self, from: &Peer, now: Instant) {
+        self.told.borrow_mut().remove(from);
         self.detector.report(&Some(from.clone()), &[], now);
     }
 
-    /// Records what the box tells that this one reports to.
-    pub fn set_told(&self, stalls: &[Stall<Key>], now: Instant) {
+    /// Records what a box tells that this one reports to, or the hub of another hall.
+    pub fn set_told(&self, from: Peer, stalls: &[Stall<Key>], now: Instant) {
         let since = stalls.iter().map(|it| {
             let since = now.checked_sub(it.time).unwrap_or(now);
             (it.server, since)
         });
         let told = Told {
             since: since.collect(),
-            at: Some(now),
+            at: now,
         };
-        let before = self.told.replace(told);
-        if !before.since.is_empty() || !stalls.is_empty() {
+        let before = self.told.borrow_mut().insert(from, told);
+        if !stalls.is_empty() || before.is_some_and(|it| !it.since.is_empty()) {
             self.changed.notify();
         }
     }
 
-    /// Looks which servers stand still. Returns whether that has changed.
-    pub fn update(&self, now: Instant) -> bool {
-        let detected = self.detector.stalls(now);
-        let mut all = detected.clone();
-        self.detected.replace(detected);
-        let told = self.told.borrow();
-        let is_recent = |at| now.saturating_duration_since(at) < TOLD_AGE_MAX;
-        let recent = told.since.iter().filter(|_| told.at.is_some_and(is_recent));
-        for (server, since) in recent {
+    /// Looks which servers stand still, given their last answers. Returns whether that has
+    /// changed.
+    pub fn update(&self, lives: &Lives, now: Instant) -> bool {
+        let last_answer = |server: &Key| lives.last_in_hall(*server);
+        let suspected = self.detector.stalls(last_answer, now);
+        self.probes.borrow_mut().retain(|server, probe| {
+            probe.is_unanswered &= suspected.iter().any(|it| it.server == *server);
+            probe.is_unanswered || probe.next.is_none_or(|next| next > now)
+        });
+        self.suspected.replace(suspected);
+        let mut all = self.detected();
+        let mut told = self.told.borrow_mut();
+        told.retain(|_, it| now.saturating_duration_since(it.at) < TOLD_AGE_MAX);
+        for (server, since) in told.values().flat_map(|it| &it.since) {
             let time = now.saturating_duration_since(*since);
             match all.iter_mut().find(|it| it.server == *server) {
                 Some(known) => known.time = known.time.max(time),
@@ -190,21 +246,35 @@
     /// Begins a health check of a server, unless one is under way or was sent not long ago.
     pub fn begin_probe(&self, server: Key, now: Instant) -> bool {
         let mut probes = self.probes.borrow_mut();
-        let is_due = match probes.get(&server) {
-            None => true,
-            Some(next) => next.is_some_and(|next| next <= now),
-        };
+        let last = probes.get(&server);
+        let is_due = last.is_none_or(|it| it.next.is_some_and(|next| next <= now));
         if is_due {
-            probes.insert(server, None);
+            let is_unanswered = last.is_some_and(|it| it.is_unanswered);
+            let probe = Probe {
+                next: None,
+                is_unanswered,
+            };
+            probes.insert(server, probe);
         }
         is_due
     }
 
-    /// Records that a health check has ended that began at `began`.
-    pub fn end_probe(&self, server: Key, began: Instant, now: Instant) {
-        let mut probes = self.probes.borrow_mut();
-        probes.insert(server, Some(began + PROBE_INTERVAL));
-        probes.retain(|_, next| next.is_none_or(|next| next > now));
+    /// Records that a health check was not answered in time. An answer may still come.
+    pub fn record_unanswered(&self, server: Key) {
+        if let Some(probe) = self.probes.borrow_mut().get_mut(&server) {
+            probe.is_unanswered = true;
+        }
+        self.changed.notify();
+    }
+
+    /// Records that a health check has ended that began at `began`, and whether the server
+    /// has answered it in time.
+    pub fn end_probe(&self, server: Key, began: Instant, is_answered: bool) {
+        let probe = Probe {
+            next: Some(began + PROBE_INTERVAL),
+            is_unanswered: !is_answered,
+        };
+        self.probes.borrow_mut().insert(server, probe);
         self.changed.notify();
     }
 }
--- a/crates/relay/tests/relay/choice_harness.rs
+++ b/crates/relay/tests/relay/choice_harness.rs
@@ -176,6 +176,7 @@
             not_resumable: false,
             connections: CONNECTIONS,
             crowd_factor: 2.0,
+            boxes: 1,
         };
         let chosen = choose::choose(&self.fleet, &self.service, &ask, &self.index, now);
         chosen.ok_or_else(|| eyre!("no server chosen"))
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -365,6 +365,7 @@
         not_resumable: false,
         connections,
         crowd_factor: 2.0,
+        boxes: 1,
     };
     let pick = |connections| {
         let now = Instant::now();
--- a/crates/relay/tests/relay/health.rs
+++ b/crates/relay/tests/relay/health.rs
@@ -40,6 +40,7 @@
         not_resumable: false,
         connections: CONNECTIONS,
         crowd_factor: 2.0,
+        boxes: 1,
     };
     let choices = (0..ASKED).filter_map(|_| {
         let choice = choose::choose(
--- a/crates/relay/tests/relay/rotation.rs
+++ b/crates/relay/tests/relay/rotation.rs
@@ -29,6 +29,7 @@
         not_resumable: false,
         connections: CONNECTIONS,
         crowd_factor: 2.0,
+        boxes: 1,
     };
     let servers = Servers::of(&harness.fleet, &harness.service, &criteria, now);
     ensure!(servers.slots == 48.0, "{servers:?}");
--- a/crates/relay/tests/relay/shared.rs
+++ b/crates/relay/tests/relay/shared.rs
@@ -12,7 +12,7 @@
 use tidepier_core::request::Part;
 use tidepier_h1::Conn;
 use tidepier_ids as ids;
-use tidepier_relay::fleet::{Count, Key};
+use tidepier_relay::fleet::{lives, Count, Key};
 use tidepier_relay::message::{self, link, recall, traffic, PeerRequest, VERSION};
 use tidepier_relay::traffic::log::{Placement, Position};
 use tidepier_relay_standin::names;
@@ -274,6 +274,7 @@
                 position: Position::default(),
                 report: traffic::Report::default(),
                 takes_rises,
+                takes_stalls: false,
             };
             link::send(conn, &PeerRequest::Traffic(Box::new(request))).await?;
             let answer: traffic::Answer = link::receive(conn).await?;
@@ -371,6 +372,10 @@
             ended: Some(Duration::MAX),
             limit: Duration::MAX,
         };
+        let longest_life = lives::Life {
+            server,
+            age: Duration::MAX,
+        };
         let report_request = |version| traffic::Request {
             version,
             number: 1,
@@ -393,8 +398,10 @@
                 rollouts: None,
                 load: load.clone(),
                 waits: vec![longest_wait; 1_000],
+                lives: Some(vec![longest_life; 200]),
             },
             takes_rises: true,
+            takes_stalls: false,
         };
         let mut other = open().await?;
         link::send(
@@ -427,6 +434,7 @@
             let report = message::stall::Report {
                 waits: vec![longest_wait; 1_000],
                 lives: vec![life; 1_000],
+                answers: Some(vec![longest_life; 1_000]),
             };
             link::send(&connection, &PeerRequest::Stalls(report)).await?;
             connections.push(connection);
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -7,7 +7,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::server::State;
 use tidepier_relay::fleet::silence::Wait;
-use tidepier_relay::fleet::Backend;
+use tidepier_relay::fleet::{Backend, Plain};
 
 use crate::choice_harness::{server, ChoiceHarness};
 use crate::harness::Result;
@@ -65,12 +65,20 @@
     Ok(())
 }
 
+/// What is expected where waits of some milliseconds are long.
+fn plain(wait_ms: u64) -> Option<Plain> {
+    Some(Plain {
+        wait_limit: ms(wait_ms),
+        is_verified: true,
+    })
+}
+
 /// Guards against a slow server that looks as though it stood still, and one that stood still and
 /// looks sound as soon as it answers what has waited.
 #[test]
 fn only_answers_in_time_end_a_wait() -> Result {
     let (backend, start) = backend()?;
-    let usual = Some(ms(30));
+    let usual = plain(200);
     let first = backend.run(0);
     first.sent(usual, start);
     assert!(!backend.is_stalled(start + ms(199)));
@@ -82,7 +90,7 @@
     second.answered(start + ms(950));
     assert!(!backend.is_stalled(start + ms(1_000)));
     let third = backend.run(0);
-    third.sent(Some(ms(300)), start + ms(1_000));
+    third.sent(plain(1_500), start + ms(1_000));
     assert!(
         !backend.is_stalled(start + ms(2_400)),
         "it is slow as usual"
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -329,6 +329,7 @@
             not_resumable: false,
             connections: 1_000,
             crowd_factor: 2.0,
+            boxes: 1,
         };
         choose::choose(
             &sim_box.fleet,
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -842,6 +842,7 @@
             not_resumable: false,
             connections: 1_000,
             crowd_factor: BOUND_FACTOR,
+            boxes: 1,
         };
         choose::choose(
             &sim_box.fleet,
--- a/crates/relay/tests/relay/standstill_harness.rs
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -12,18 +12,21 @@
 
 use eyre::eyre;
 use tidepier_admission::demand::Summary;
-use tidepier_admission::stall::{self, Detector, Life, Stall, Wait};
+use tidepier_admission::stall::{Life, Stall, Wait};
 use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::rotation::{Rotations, Servers};
-use tidepier_relay::choose::{self, Criteria};
+use tidepier_relay::choose::{self, Choice, Criteria};
+use tidepier_relay::fleet::lives::{self, Lives, Scope, Sent};
 use tidepier_relay::fleet::used::Used;
 use tidepier_relay::fleet::{Backend, Fleet, InFlight, Key};
 use tidepier_relay::health;
 use tidepier_relay::traffic::index::Index;
+use tidepier_relay::traffic::log::Peer;
+use tidepier_relay::traffic::stalls::Stalls;
 
 use crate::choice_harness::{address, id, prompt};
 use crate::harness::{Result, SERVICE};
@@ -52,9 +55,13 @@
 const NOTICE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a hub looks for servers that stand still.
 const DETECTION_INTERVAL: Duration = Duration::from_millis(50);
-/// Interval at which a hub probes a server that stands still, and the work of a probe.
-const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+/// Time after which a hub gives a health check up, and the work of one.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_WORK: Duration = Duration::from_millis(8);
+/// Time in which a server has to answer a health check before a request, beside the way, and
+/// the most before one attempt.
+const CHECK_TIME: Duration = Duration::from_millis(50);
+const CHECKS_MAX: u32 = 2;
 /// Tokens of a subject, and the number of subjects for each engine.
 const TOKENS: u32 = 2_000;
 const SUBJECTS: u64 = 10;
@@ -211,6 +218,8 @@
     pub(crate) told: usize,
     /// Health checks of servers that stood still.
     pub(crate) probes: usize,
+    /// Health checks before requests.
+    pub(crate) checks: usize,
 }
 
 impl Outcome {
@@ -252,6 +261,8 @@
     fleet: Fleet,
     index: Index,
     rotations: Rotations,
+    /// What the hub of the hall has got of this box.
+    sent: Sent,
 }
 
 impl SimBox {
@@ -263,6 +274,7 @@
             fleet: Fleet::default(),
             index: Index::default(),
             rotations: Rotations::default(),
+            sent: Sent::default(),
         };
         for server in servers {
             sim_box.fleet.announce(server.clone(), now);
@@ -288,16 +300,35 @@
     deferred: Vec<Event>,
 }
 
-/// One request, or probe, at one server.
+/// Why something is sent to a server.
+#[derive(Debug, Clone, Copy, PartialEq)]
+enum Purpose {
+    Request,
+    /// A health check of the hub, as the server seems to stand still.
+    Probe,
+    /// A health check before a request.
+    Check,
+}
+
+/// A request that waits for a health check.
+struct Checked {
+    choice: Choice,
+    /// The number of checks so far.
+    checks: u32,
+}
+
+/// One request, or health check, at one server.
 struct Run {
     sim_box: usize,
-    is_probe: bool,
+    purpose: Purpose,
     server: usize,
     subject: u64,
     sent: Instant,
     tried: Vec<ids::Server>,
     /// Set until the answer ends or the box gives up.
     in_flight: Option<InFlight>,
+    /// The request that waits for this health check.
+    checked: Option<Box<Checked>>,
     has_begun: bool,
 }
 
@@ -317,14 +348,20 @@
     Ended(usize),
     Rejected(usize),
     GiveUp(usize),
+    /// A health check before a request should have been answered.
+    CheckDue(usize),
+    /// A health check of a hub should have been answered, and is given up.
+    ProbeDue(usize),
+    ProbeEnd(usize),
     /// A request has waited for longer than requests take at its server.
     LongWait(usize),
-    /// A message between a box and its hub arrives.
+    /// A box reports to the hub of its hall, and a hub asks that of another hall.
+    Exchange(usize),
+    HallExchange(usize, usize),
+    /// A message between boxes arrives.
     Message(usize),
     /// Hubs look for servers that stand still.
     Detect,
-    /// A hub may probe a server again.
-    Probe(usize, usize),
     Report,
     Stop,
     Continue,
@@ -340,27 +377,49 @@
     demand: Vec<Summary>,
 }
 
-/// A message between a box and the hub of its hall.
-#[derive(Clone)]
+/// What is told of servers of plain services.
+struct News {
+    stalls: Vec<Stall<Key>>,
+    /// Answers to boxes of the sender's hall, and of others.
+    hall: Vec<lives::Life>,
+    elsewhere: Vec<lives::Life>,
+}
+
+/// A message between boxes.
 enum Message {
-    /// What a box reports.
+    /// What a box reports to the hub of its hall.
     Report {
         from: usize,
         waits: Vec<Wait<Key>>,
-        lives: Vec<Life<Key>>,
+        returned: Vec<Life<Key>>,
+        answers: Vec<lives::Life>,
+        is_answered: bool,
+    },
+    /// What the hub of a hall tells one of its boxes, or all.
+    Told {
+        hall: usize,
+        to: Option<usize>,
+        news: News,
+    },
+    /// A hub asks that of another hall.
+    Ask { from: usize, to: usize },
+    /// What it is told, or what changes without its asking.
+    Answer {
+        from: usize,
+        to: usize,
+        news: News,
+        is_asked: bool,
     },
-    /// What the hub of a hall tells its boxes.
-    Told(usize, Vec<Stall<Key>>),
 }
 
-/// What the hub of a hall knows of servers that stand still.
+/// The hub of a hall.
 #[derive(Default)]
 struct Hub {
-    detector: Detector<Key, usize>,
-    /// The servers that it told of last.
-    told: Vec<Key>,
-    /// Servers of which a probe is under way, or was sent not long ago.
-    probed: Vec<usize>,
+    stalls: Stalls,
+    lives: Lives,
+    /// What the boxes of the hall, and other hubs, have got.
+    sent: HashMap<usize, (Sent, Sent)>,
+    sent_to_halls: HashMap<usize, Sent>,
 }
 
 struct Sim {
@@ -376,7 +435,8 @@
     event_count: u64,
     is_disturbed: bool,
     hubs: Vec<Hub>,
-    messages: Vec<Message>,
+    messages: HashMap<usize, Message>,
+    message_count: usize,
     past: VecDeque<Snapshot>,
     outcome: Outcome,
 }
@@ -424,7 +484,8 @@
             event_count: 0,
             is_disturbed: false,
             hubs: (0..plan.halls).map(|_| Hub::default()).collect(),
-            messages: Vec::new(),
+            messages: HashMap::new(),
+            message_count: 0,
             past: VecDeque::new(),
             outcome: Outcome::default(),
             plan,
@@ -437,6 +498,15 @@
         self.after(REPORT_INTERVAL, Event::Report);
         if plan.reports {
             self.after(DETECTION_INTERVAL, Event::Detect);
+            for number in 0..plan.boxes {
+                let phase = REPORT_INTERVAL.mul_f64(fastrand::f64());
+                self.after(phase, Event::Exchange(number));
+            }
+            let halls = (0..plan.halls).flat_map(|from| (0..plan.halls).map(move |to| (from, to)));
+            for (from, to) in halls.filter(|(from, to)| from != to) {
+                let phase = REPORT_INTERVAL.mul_f64(fastrand::f64());
+                self.after(phase, Event::HallExchange(from, to));
+            }
         }
         if plan.trouble != Trouble::None {
             self.after(plan.from, Event::Stop);
@@ -464,7 +534,7 @@
     fn handle(&mut self, event: Event) -> Result {
         match event {
             Event::Request => self.request()?,
-            Event::Delayed(sim_box, subject) => self.send(sim_box, subject, Vec::new())?,
+            Event::Delayed(sim_box, subject) => self.send(sim_box, subject, Vec::new(), 0)?,
             Event::Arrival(run) => self.arrival(run),
             Event::Begin(run) | Event::End(run) if self.is_halted(self.runs[run].server) => {
                 self.servers[DISTURBED].deferred.push(event);
@@ -478,17 +548,24 @@
             Event::Ended(run) => self.ended(run)?,
             Event::Rejected(run) => self.rejected(run)?,
             Event::GiveUp(run) => self.give_up(run)?,
+            Event::CheckDue(run) => self.end_check(run, false)?,
+            Event::ProbeDue(run) => self.probe_due(run)?,
+            Event::ProbeEnd(run) => self.probed(run, false)?,
             Event::LongWait(number) => {
                 if self.boxes[number].fleet.mark_long_waits(self.now) {
-                    self.report_waits(number);
+                    self.report_to_hub(number, false);
                 }
             }
+            Event::Exchange(number) => self.report_to_hub(number, true),
+            Event::HallExchange(from, to) => {
+                let way = self.plan.round_trip / 2;
+                self.deliver(Message::Ask { from, to }, way);
+            }
             Event::Message(number) => self.receive(number)?,
             Event::Detect => {
                 self.after(DETECTION_INTERVAL, Event::Detect);
-                (0..self.hubs.len()).for_each(|hall| self.detect(hall));
+                (0..self.hubs.len()).for_each(|hall| self.detect(hall, false));
             }
-            Event::Probe(hall, server) => self.hubs[hall].probed.retain(|it| *it != server),
             Event::Report => self.report(),
             Event::Stop => self.stop(),
             Event::Continue => self.go_on(),
@@ -517,7 +594,7 @@
         let subject = fastrand::u64(0..SUBJECTS * self.plan.servers as u64);
         match self.paused_for(sim_box) {
             Some(left) => self.after(left, Event::Delayed(sim_box, subject)),
-            None => self.send(sim_box, subject, Vec::new())?,
+            None => self.send(sim_box, subject, Vec::new(), 0)?,
         }
         Ok(())
     }
@@ -542,8 +619,15 @@
         is_chosen.then_some(left)
     }
 
-    /// Lets a box send a request, unless to one of the servers `tried`.
-    fn send(&mut self, number: usize, subject: u64, tried: Vec<ids::Server>) -> Result {
+    /// Lets a box send a request, unless to one of the servers `tried`, after a number of
+    /// health checks.
+    fn send(
+        &mut self,
+        number: usize,
+        subject: u64,
+        tried: Vec<ids::Server>,
+        checks: u32,
+    ) -> Result {
         let sim_box = &self.boxes[number];
         let prompt = prompt(subject, TOKENS);
         let criteria = Criteria {
@@ -556,21 +640,89 @@
             not_resumable: false,
             connections: 1_000,
             crowd_factor: BOUND_FACTOR,
+            boxes: self.plan.boxes,
         };
         let (fleet, index) = (&sim_box.fleet, &sim_box.index);
         let (service, now) = (&self.service, self.now);
         let is_under_pressure = self.plan.kind == Kind::Plain
             && Servers::of(fleet, service, &criteria, now).are_under_pressure();
-        let in_turn = || sim_box.rotations.choose(fleet, service, &criteria, now);
+        let in_turn = || {
+            let rotations = &sim_box.rotations;
+            rotations.choose(fleet, service, &criteria, &index.demand, now)
+        };
         let choice = is_under_pressure.then(in_turn).flatten();
         let choice = choice.or_else(|| choose::choose(fleet, service, &criteria, index, now));
         let Some(choice) = choice else {
             self.outcome.refused += 1;
             return Ok(());
         };
+        let is_checked = choice.backend.check.is_answered(now);
+        if choice.needs_check && checks < CHECKS_MAX && !is_checked {
+            return self.check(number, subject, tried, Checked { choice, checks });
+        }
+        self.dispatch(number, subject, tried, choice)
+    }
+
+    /// Lets a box send a server a health check before a request. It opens a connection
+    /// first.
+    fn check(
+        &mut self,
+        sim_box: usize,
+        subject: u64,
+        tried: Vec<ids::Server>,
+        checked: Checked,
+    ) -> Result {
+        self.outcome.checks += 1;
+        let server = self.server_number(checked.choice.backend.key)?;
+        let run = self.runs.len();
+        self.runs.push(Run {
+            sim_box,
+            purpose: Purpose::Check,
+            server,
+            subject,
+            sent: self.now,
+            tried,
+            in_flight: None,
+            checked: Some(Box::new(checked)),
+            has_begun: false,
+        });
+        let way = self.way(run);
+        self.after(way * 3, Event::Arrival(run));
+        self.after(CHECK_TIME + way * 4, Event::CheckDue(run));
+        Ok(())
+    }
+
+    /// A health check before a request was answered, or not in time.
+    fn end_check(&mut self, run: usize, is_answered: bool) -> Result {
+        let backend = self.backend(run)?;
+        let Some(checked) = self.runs[run].checked.take() else {
+            return Ok(());
+        };
+        backend.check.record(is_answered, self.now);
+        let tried = std::mem::take(&mut self.runs[run].tried);
+        let Run {
+            sim_box, subject, ..
+        } = self.runs[run];
+        match is_answered {
+            true => self.dispatch(sim_box, subject, tried, checked.choice),
+            false => self.send(sim_box, subject, tried, checked.checks + 1),
+        }
+    }
+
+    /// Lets a box send a request to the chosen server.
+    fn dispatch(
+        &mut self,
+        number: usize,
+        subject: u64,
+        tried: Vec<ids::Server>,
+        choice: Choice,
+    ) -> Result {
+        let sim_box = &self.boxes[number];
+        let (fleet, index) = (&sim_box.fleet, &sim_box.index);
         let subject_id = match self.plan.kind {
             Kind::Plain => None,
             Kind::Engines => {
+                let prompt = prompt(subject, TOKENS);
                 index.record_local(&prompt, choice.backend.key, self.now);
                 prompt.subject().map(|part| part.id)
             }
@@ -578,17 +730,18 @@
         index.demand.record(&self.service, subject_id, self.now);
         let server = self.server_number(choice.backend.key)?;
         let in_flight = choice.backend.run(choice.prefill_tokens as u64);
-        in_flight.sent(choice.usual_time, self.now);
+        in_flight.sent(choice.plain, self.now);
         let due = fleet.next_long_wait();
         let run = self.runs.len();
         self.runs.push(Run {
             sim_box: number,
-            is_probe: false,
+            purpose: Purpose::Request,
             server,
             subject,
             sent: self.now,
             tried,
             in_flight: Some(in_flight),
+            checked: None,
             has_begun: false,
         });
         self.after(self.way(run), Event::Arrival(run));
@@ -607,30 +760,28 @@
         number.ok_or_else(|| eyre!("{key:?} is not known"))
     }
 
-    /// Lets a box report its waits, and the answers of servers thought to stand still.
-    fn report_waits(&mut self, number: usize) {
+    /// Lets a box report its waits and the answers of servers to the hub of its hall.
+    fn report_to_hub(&mut self, number: usize, is_answered: bool) {
         if self.is_deaf(number) {
             return;
         }
-        let fleet = &self.boxes[number].fleet;
+        let (sim_box, now) = (&mut self.boxes[number], self.now);
+        let lives = &sim_box.fleet.stalls.lives;
+        let answers = lives.updates(&mut sim_box.sent, Scope::Reported, now);
         let message = Message::Report {
             from: number,
-            waits: fleet.waits(self.now),
-            lives: fleet.take_lives(self.now),
+            waits: sim_box.fleet.waits(now),
+            returned: sim_box.fleet.take_lives(now),
+            answers: answers.unwrap_or_default(),
+            is_answered,
         };
-        self.deliver(message);
+        self.deliver(message, Duration::ZERO);
     }
 
-    /// Reports answers of servers that were thought to stand still, if there are any.
-    fn report_lives(&mut self, number: usize) {
-        let lives = self.boxes[number].fleet.take_lives(self.now);
-        if !lives.is_empty() && !self.is_deaf(number) {
-            let waits = self.boxes[number].fleet.waits(self.now);
-            self.deliver(Message::Report {
-                from: number,
-                waits,
-                lives,
-            });
+    /// Reports answers of servers of which the others should know at once, if there are any.
+    fn report_returns(&mut self, number: usize) {
+        if self.boxes[number].fleet.stalls.has_returns() {
+            self.report_to_hub(number, false);
         }
     }
 
@@ -640,93 +791,231 @@
         !self.plan.reports || (deaf > 0 && sim_box.is_multiple_of(deaf))
     }
 
-    fn deliver(&mut self, message: Message) {
-        self.messages.push(message);
-        self.after(self.plan.notice, Event::Message(self.messages.len() - 1));
+    /// Delivers a message between boxes that are `way` further apart than in a hall.
+    fn deliver(&mut self, message: Message, way: Duration) {
+        self.message_count += 1;
+        self.messages.insert(self.message_count, message);
+        self.after(self.plan.notice + way, Event::Message(self.message_count));
     }
 
     fn receive(&mut self, number: usize) -> Result {
-        match self.messages[number].clone() {
-            Message::Report { from, waits, lives } => {
+        let now = self.now;
+        let Some(message) = self.messages.remove(&number) else {
+            return Ok(());
+        };
+        match message {
+            Message::Report {
+                from,
+                waits,
+                returned,
+                answers,
+                is_answered,
+            } => {
                 let hall = self.boxes[from].hall_number;
-                let detector = &self.hubs[hall].detector;
+                let hub = &self.hubs[hall];
+                let has_returned = hub.stalls.record_returns(&returned, now);
+                let answers = lives::aged(answers, self.plan.notice * 2);
+                hub.lives.record_reported(&answers, now);
                 // The ages are as of when it was sent.
-                detector.report(&from, &waits, self.now);
-                detector.answered(&lives, self.now);
-                self.detect(hall);
+                hub.stalls
+                    .record(Peer::Member(from as u64), &waits, &returned, now);
+                self.detect(hall, has_returned);
+                if is_answered {
+                    let news = self.news(hall, Some(from));
+                    self.deliver(
+                        Message::Told {
+                            hall,
+                            to: Some(from),
+                            news,
+                        },
+                        Duration::ZERO,
+                    );
+                }
             }
-            Message::Told(hall, stalls) => {
+            Message::Told { hall, to, news } => {
                 for number in 0..self.boxes.len() {
-                    if self.boxes[number].hall_number == hall && !self.is_deaf(number) {
-                        let fleet = &self.boxes[number].fleet;
-                        fleet.stalls.hear(self.now);
-                        fleet.set_stalls(&stalls, self.now);
-                        self.report_lives(number);
+                    let is_meant = to.is_none_or(|to| to == number);
+                    if is_meant && self.boxes[number].hall_number == hall && !self.is_deaf(number) {
+                        self.hear(number, &news);
                     }
                 }
+                if let Some(number) = to {
+                    self.after(REPORT_INTERVAL, Event::Exchange(number));
+                }
+            }
+            Message::Ask { from, to } => {
+                let hub = &mut self.hubs[to];
+                let sent = hub.sent_to_halls.entry(from).or_default();
+                let answers = hub.lives.updates(sent, Scope::Reported, now);
+                let news = News {
+                    stalls: hub.stalls.detected(),
+                    hall: answers.unwrap_or_default(),
+                    elsewhere: Vec::new(),
+                };
+                let (from, to) = (to, from);
+                let way = self.plan.round_trip / 2;
+                let is_asked = true;
+                let answer = Message::Answer {
+                    from,
+                    to,
+                    news,
+                    is_asked,
+                };
+                self.deliver(answer, way);
+            }
+            Message::Answer {
+                from,
+                to,
+                news,
+                is_asked,
+            } => {
+                let peer = Peer::Hall(hall(from, &self.plan)?);
+                let hub = &self.hubs[to];
+                let asked = self.plan.notice * 2 + self.plan.round_trip;
+                hub.lives
+                    .set_told_elsewhere(&lives::aged(news.hall, asked), now);
+                hub.stalls.set_told(peer, &news.stalls, now);
+                self.detect(to, false);
+                if is_asked {
+                    self.after(REPORT_INTERVAL, Event::HallExchange(to, from));
+                }
             }
         }
         Ok(())
     }
 
-    /// Lets the hub of a hall look for servers that stand still, and tell of a change.
-    fn detect(&mut self, hall: usize) {
-        let stalls = self.hubs[hall].detector.stalls(self.now);
-        let mut servers: Vec<Key> = stalls.iter().map(|it| it.server).collect();
-        servers.sort();
-        for server in &servers {
-            let Ok(server) = self.server_number(*server) else {
-                continue;
-            };
-            if !self.hubs[hall].probed.contains(&server) {
-                self.probe(hall, server);
+    /// A box hears from the hub of its hall.
+    fn hear(&mut self, number: usize, news: &News) {
+        let (fleet, now) = (&self.boxes[number].fleet, self.now);
+        fleet.stalls.hear(now);
+        fleet.stalls.lives.hear(true, now);
+        let (in_hall, elsewhere) = (news.hall.clone(), news.elsewhere.clone());
+        let asked = self.plan.notice * 2;
+        let lives = &fleet.stalls.lives;
+        lives.set_told_of_hall(&lives::aged(in_hall, asked), now);
+        lives.set_told_elsewhere(&lives::aged(elsewhere, asked), now);
+        fleet.set_stalls(&news.stalls, now);
+        self.report_returns(number);
+    }
+
+    /// What a hub tells one of its boxes, or all.
+    fn news(&mut self, hall: usize, to: Option<usize>) -> News {
+        let (hub, now) = (&mut self.hubs[hall], self.now);
+        let mut all = <(Sent, Sent)>::default();
+        let (sent, sent_elsewhere) = match to {
+            Some(to) => hub.sent.entry(to).or_default(),
+            None => &mut all,
+        };
+        let in_hall = hub.lives.updates(sent, Scope::Hall, now);
+        let elsewhere = hub.lives.updates(sent_elsewhere, Scope::Elsewhere, now);
+        News {
+            stalls: hub.stalls.all(),
+            hall: in_hall.unwrap_or_default(),
+            elsewhere: elsewhere.unwrap_or_default(),
+        }
+    }
+
+    /// Lets the hub of a hall look for servers that stand still, and tell its boxes of a
+    /// change, or of a server that `has_returned`.
+    fn detect(&mut self, hall: usize, has_returned: bool) {
+        let hub = &self.hubs[hall];
+        let has_changed = hub.stalls.update(&hub.lives, self.now);
+        for server in self.hubs[hall].stalls.suspected() {
+            if self.hubs[hall].stalls.begin_probe(server, self.now) {
+                if let Ok(server) = self.server_number(server) {
+                    self.probe(hall, server);
+                }
             }
         }
-        if servers != self.hubs[hall].told {
-            self.hubs[hall].told = servers;
-            self.outcome.told += 1;
-            self.deliver(Message::Told(hall, stalls));
+        if has_changed || has_returned {
+            self.outcome.told += usize::from(has_changed);
+            self.tell_halls(hall);
+            let news = self.news(hall, None);
+            self.deliver(
+                Message::Told {
+                    hall,
+                    to: None,
+                    news,
+                },
+                Duration::ZERO,
+            );
+        }
+    }
+
+    /// Lets the hub of a hall tell those of the others which servers stand still.
+    fn tell_halls(&mut self, from: usize) {
+        for to in (0..self.plan.halls).filter(|to| *to != from) {
+            let news = News {
+                stalls: self.hubs[from].stalls.detected(),
+                hall: Vec::new(),
+                elsewhere: Vec::new(),
+            };
+            let message = Message::Answer {
+                from,
+                to,
+                news,
+                is_asked: false,
+            };
+            self.deliver(message, self.plan.round_trip / 2);
         }
     }
 
     /// Lets the hub of a hall, its first box, send a health check to a server.
     fn probe(&mut self, hall: usize, server: usize) {
         self.outcome.probes += 1;
-        self.hubs[hall].probed.push(server);
         let run = self.runs.len();
         self.runs.push(Run {
             sim_box: hall,
-            is_probe: true,
+            purpose: Purpose::Probe,
             server,
             subject: 0,
             sent: self.now,
             tried: Vec::new(),
             in_flight: None,
+            checked: None,
             has_begun: false,
         });
-        self.after(self.way(run), Event::Arrival(run));
+        let way = self.way(run);
+        self.after(way * 3, Event::Arrival(run));
+        self.after(CHECK_TIME + way * 4, Event::ProbeDue(run));
+        self.after(PROBE_TIMEOUT, Event::ProbeEnd(run));
+    }
+
+    /// A probe should have been answered.
+    fn probe_due(&mut self, run: usize) -> Result {
+        let backend = self.backend(run)?;
+        if !self.runs[run].has_begun {
+            let hall = self.runs[run].sim_box;
+            self.hubs[hall].stalls.record_unanswered(backend.key);
+            self.detect(hall, false);
+        }
+        Ok(())
     }
 
-    /// The answer to a probe reaches its hub.
+    /// The answer to a probe reaches its hub, or the hub gives it up.
     fn probed(&mut self, run: usize, is_accepted: bool) -> Result {
         let backend = self.backend(run)?;
         let Run {
             sim_box: hall,
-            server,
             sent,
+            has_begun: is_over,
             ..
         } = self.runs[run];
-        let took = self.now - sent;
-        let left = PROBE_INTERVAL.saturating_sub(took);
-        self.after(left, Event::Probe(hall, server));
-        if is_accepted && took < stall::limit(Duration::ZERO) {
+        if std::mem::replace(&mut self.runs[run].has_begun, true) || is_over {
+            return Ok(());
+        }
+        let limit = CHECK_TIME + self.way(run) * 4;
+        let is_answered = is_accepted && self.now - sent < limit;
+        let stalls = &self.hubs[hall].stalls;
+        if is_answered {
             let life = Life {
                 server: backend.key,
                 age: Duration::ZERO,
             };
-            self.hubs[hall].detector.answered(&[life], self.now);
-            self.detect(hall);
+            stalls.record_lives(&[life], self.now);
         }
+        stalls.end_probe(backend.key, sent, is_answered);
+        self.detect(hall, false);
         Ok(())
     }
 
@@ -745,19 +1034,20 @@
     fn arrival(&mut self, run: usize) {
         let Run {
             server: number,
-            is_probe,
+            purpose,
             ..
         } = self.runs[run];
+        let is_request = purpose == Purpose::Request;
         let is_disturbed = self.is_disturbed && number == DISTURBED;
         let hall = self.boxes[self.runs[run].sim_box].hall_number;
         if is_disturbed && self.plan.trouble == Trouble::Way && hall == 0 {
             return;
         }
-        if !is_probe {
+        if is_request {
             self.judge(number);
         }
         self.servers[number].held += 1;
-        if is_disturbed && !is_probe {
+        if is_disturbed && is_request {
             self.outcome.reached += 1;
         }
         match self.stands_still(number) {
@@ -784,9 +1074,9 @@
 
     fn begin(&mut self, run: usize) {
         let number = self.runs[run].server;
-        let (begin, end) = match self.runs[run].is_probe {
-            true => (PROBE_WORK, PROBE_WORK),
-            false => self.plan.kind.run_time(self.servers[number].held),
+        let (begin, end) = match self.runs[run].purpose {
+            Purpose::Request => self.plan.kind.run_time(self.servers[number].held),
+            Purpose::Probe | Purpose::Check => (PROBE_WORK, PROBE_WORK),
         };
         let slowdown = match self.plan.trouble {
             Trouble::Slow(times) if self.is_disturbed && number == DISTURBED => times,
@@ -827,7 +1117,7 @@
 
     /// The beginning of an answer reaches its box.
     fn begun(&mut self, run: usize) -> Result {
-        if self.runs[run].is_probe {
+        if self.runs[run].purpose != Purpose::Request {
             return Ok(());
         }
         let backend = self.backend(run)?;
@@ -849,13 +1139,15 @@
         }
         let took = self.now - self.runs[run].sent;
         backend.health.record_latency(took, self.now);
-        self.report_lives(self.runs[run].sim_box);
+        self.report_returns(self.runs[run].sim_box);
         Ok(())
     }
 
     fn ended(&mut self, run: usize) -> Result {
-        if self.runs[run].is_probe {
-            return self.probed(run, true);
+        match self.runs[run].purpose {
+            Purpose::Request => {}
+            Purpose::Probe => return self.probed(run, true),
+            Purpose::Check => return self.end_check(run, true),
         }
         if self.plan.kind == Kind::Plain {
             self.begun(run)?;
@@ -869,8 +1161,10 @@
     }
 
     fn rejected(&mut self, run: usize) -> Result {
-        if self.runs[run].is_probe {
-            return self.probed(run, false);
+        match self.runs[run].purpose {
+            Purpose::Request => {}
+            Purpose::Probe => return self.probed(run, false),
+            Purpose::Check => return self.end_check(run, false),
         }
         let backend = self.backend(run)?;
         let Some(in_flight) = self.runs[run].in_flight.take() else {
@@ -888,7 +1182,7 @@
         } = self.runs[run];
         if tried.is_empty() {
             let tried = vec![backend.server.id.clone()];
-            return self.send(sim_box, subject, tried);
+            return self.send(sim_box, subject, tried, 0);
         }
         self.outcome.rejected += 1;
         Ok(())
@@ -934,6 +1228,7 @@
     fn restart(&mut self) -> Result {
         for run in &mut self.runs {
             run.in_flight = None;
+            run.checked = None;
         }
         let (plan, now) = (self.plan, self.now);
         for number in 0..plan.boxes {
@@ -958,13 +1253,6 @@
         if !self.plan.reports {
             return;
         }
-        for number in 0..self.boxes.len() {
-            self.report_waits(number);
-        }
-        for hall in 0..self.hubs.len() {
-            let stalls = self.hubs[hall].detector.stalls(self.now);
-            self.deliver(Message::Told(hall, stalls));
-        }
         self.past.push_back(self.snapshot());
         if self.past.len() <= REPORT_AGE {
             return;
