Tests: for how long an answer counts, and a server that has answered nobody

The bound on what a silent server gets holds by the time for which an answer counts, so that time, the rate that it comes from and the ages of answers between boxes are tested by themselves. With processes' code: a box that knows nothing asks a server that answers nobody before it sends anything there, and a hub does not announce a server that answers its health check.

--- a/crates/admission/tests/admission/main.rs
+++ b/crates/admission/tests/admission/main.rs
@@ -7,3 +7,4 @@
 mod returns;
 mod shares;
 mod stall;
+mod verify;
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -30,6 +30,7 @@
 mod keys;
 mod leaving;
 mod limits;
+mod lives;
 mod load;
 mod local_view;
 mod locations;
--- a/crates/relay/tests/relay/stalls.rs
+++ b/crates/relay/tests/relay/stalls.rs
@@ -216,3 +216,52 @@
         Ok(())
     })
 }
+
+/// Guards against boxes that each send a server requests that has not answered anybody: no
+/// message could stop them before they have.
+#[test]
+fn a_server_that_has_answered_nobody_is_asked_before_a_request() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let near = site.server(server_settings(1))?;
+        let far = site.server(server_settings(2))?;
+        near.dark(true);
+        let boxes = start_boxes(&executor, &site, 1).await?;
+        wait_until("all servers known", async || {
+            Ok(boxes[0].knows(&near) && boxes[0].knows(&far))
+        })
+        .await?;
+        let id = near.settings().id.parse()?;
+        let backend = boxes[0].router.relay().fleet.get(&id);
+        let backend = backend.ok_or_else(|| eyre!("{id} is not known"))?;
+        for number in 0..20 {
+            let attempt = format!("first-{number}");
+            let answer = boxes[0].call(&post("/o/x", &attempt)).await?;
+            ensure!(answer.status == 200, "{answer:?}");
+            ensure!(far.ran(&attempt) == 1, "{attempt} ran elsewhere");
+            ensure!(
+                backend.silence.waiting_since().is_none(),
+                "{attempt} was sent"
+            );
+        }
+        Ok(())
+    })
+}
+
+/// Guards against a sound server that all boxes of a hall avoid, as two requests of two boxes
+/// take long there.
+#[test]
+fn a_server_that_answers_a_health_check_is_not_announced() -> Result {
+    run(async |executor| {
+        let fleet = Fleet::start(&executor).await?;
+        fleet.near.fault(Fault::Hang, 2);
+        let _first = fleet.wait_at_near(&executor, 0).await?;
+        let _second = fleet.wait_at_near(&executor, 1).await?;
+        let start = Instant::now();
+        while start.elapsed() < DETECTION_TIME {
+            ensure!(!fleet.is_stalled(2)?, "after {:?}", start.elapsed());
+            smol::Timer::after(ms(5)).await;
+        }
+        Ok(())
+    })
+}
