--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -43,7 +43,7 @@
             target: "request",
             "event=placed id={} content={} route={} account={} server={} release={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
-             own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} heard_ms={heard} stalled={} \
+             own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} heard_ms={heard} stalled={} verified={} \
              divided={} rate={}",
             self.request.attempt,
             self.content,
@@ -72,6 +72,7 @@
             load.counts_age.map_or(-1, |age| age.as_millis() as i64),
             waited.as_millis(),
             choice.backend.is_stalled(now),
+            !choice.needs_check,
             choice.divided,
             choice.first_event.map_or(Rate::DEFAULT, |(_, predicted)| predicted.rate()),
         );
