Answers count as long in another hall as in the own one; checks have time for the way

An answer of a server in another hall counted longer by the round trip, and what is under way comes on top of that: with halls 80 ms apart, one way, a server that stood still got requests for 0.9 s, 34 of 1,006 over the bound.

A health check before a request was given up after a tenth of the time left to the request, 110 ms of 1,100: less than the two round trips to a hall 80 ms away, so that every server there would have looked silent. It has 50 ms and two round trips now; where that is more than 0.4 of the time left, the request is sent without a check. Found by reading; a_check_leaves_time_for_the_way holds the rule.

--- a/crates/admission/src/verify.rs
+++ b/crates/admission/src/verify.rs
@@ -21,14 +21,32 @@
 pub const LIFETIME_MIN: Duration = Duration::from_millis(600);
 /// Longest time for which an answer counts.
 pub const LIFETIME_MAX: Duration = Duration::from_secs(60);
+/// Time in which a server answers a health check unless it stands still, beside the way.
+const CHECK_TIME: Duration = Duration::from_millis(50);
+/// Longest part of the time that is left to a request for a health check before it.
+const CHECK_DEADLINE_PART: f64 = 0.4;
 /// Most servers of which boxes report answers to each other. Among more than half as many,
 /// the share of one of them is too small to matter to the users' rule on load.
 pub const SERVERS_MAX: usize = 64;
 
 /// Time for which an answer counts of a server at which requests of all boxes arrive at a
-/// rate, `way` longer than in the hall of this box.
-pub fn lifetime(rate: Rate, way: Duration) -> Duration {
+/// rate.
+pub fn lifetime(rate: Rate) -> Duration {
     let lifetime = Duration::try_from_secs_f64(REQUESTS_MAX / rate.0);
     let lifetime = lifetime.unwrap_or(LIFETIME_MAX);
-    lifetime.clamp(LIFETIME_MIN, LIFETIME_MAX) + way
+    lifetime.clamp(LIFETIME_MIN, LIFETIME_MAX)
+}
+
+/// Time in which a server answers a health check over a new connection unless it stands
+/// still. `round_trip`: to its hall, if that is another one.
+pub fn check_limit(round_trip: Duration) -> Duration {
+    // Once to open a connection, and once more.
+    CHECK_TIME + round_trip * 2
+}
+
+/// The same for a health check before a request to which some time is `left`; `None` if that
+/// is too little to wait for an answer.
+pub fn check_limit_before_request(round_trip: Duration, left: Duration) -> Option<Duration> {
+    let limit = check_limit(round_trip);
+    (limit <= left.mul_f64(CHECK_DEADLINE_PART)).then_some(limit)
 }
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -282,8 +282,8 @@
 
     /// Whether a server is known to answer. Cold servers get few requests anyway.
     fn is_verified(&self, backend: &Backend) -> bool {
-        let Criteria { filter, hall, .. } = self.criteria;
-        filter.is_cold(backend, self.now) || self.verification.holds(backend, hall, self.now)
+        let is_cold = self.criteria.filter.is_cold(backend, self.now);
+        is_cold || self.verification.holds(backend, self.now)
     }
 
     /// Whether this box has no reason to avoid a server, apart from its distance and load.
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use tidepier_admission::verify;
 use tidepier_clock::Instant;
 use tidepier_core::request::Forward;
 use tidepier_core::server::Release;
@@ -50,8 +51,6 @@
 /// servers and 1,125 requests a second, the wait reduces the requests without a place
 /// from 59 to 31 in 1,000.
 const COLD_WAIT_MAX: Duration = Duration::from_millis(150);
-/// Longest part of the time that is left to a request for a health check before it.
-const CHECK_DEADLINE_PART: f64 = 0.1;
 /// Most health checks before one attempt.
 const CHECKS_MAX: u32 = 2;
 /// Age of the last news of a rollout up to which a box sends requests to its new
@@ -170,8 +169,11 @@
             return true;
         }
         let left = self.deadline.saturating_duration_since(Instant::now());
-        let limit = health_check::limit(self.relay, backend);
-        let limit = limit.min(left.mul_f64(CHECK_DEADLINE_PART));
+        let round_trip = health_check::round_trip(self.relay, backend);
+        let Some(limit) = verify::check_limit_before_request(round_trip, left) else {
+            metrics::counter!("tidepier_checks_total", "result" => "skipped").increment(1);
+            return true;
+        };
         let checked = timeout::within(limit, health_check::send(self.relay, backend)).await;
         let (is_answered, result) = match checked {
             Some(Ok(true)) => (true, "answered"),
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -19,17 +19,12 @@
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
 
-/// Time in which a server has to answer, beside the way.
-const TIME: Duration = Duration::from_millis(50);
-
-/// The time in which a server answers a health check unless it stands still.
-pub(crate) fn limit(relay: &Relay, backend: &Backend) -> Duration {
-    let way = match backend.server.hall == relay.hall {
+/// Round-trip time to a server's hall, if that is not this box's.
+pub(crate) fn round_trip(relay: &Relay, backend: &Backend) -> Duration {
+    match backend.server.hall == relay.hall {
         true => Duration::ZERO,
         false => backend.hall.round_trip().unwrap_or_default(),
-    };
-    // Once to open a connection, and once more.
-    TIME + way * 2
+    }
 }
 
 /// Sends a health check over a connection of its own and reads the head of its answer.
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -17,6 +17,7 @@
 
 use futures_lite::FutureExt;
 use smol::LocalExecutor;
+use tidepier_admission::verify;
 use tidepier_clock::Instant;
 
 use crate::fleet::Backend;
@@ -99,7 +100,8 @@
     let (stalls, key) = (&relay.traffic.stalls, backend.key);
     let began = Instant::now();
     let mut check = pin!(health_check::send(&relay, &backend));
-    let in_time = timeout::within(health_check::limit(&relay, &backend), check.as_mut()).await;
+    let limit = verify::check_limit(health_check::round_trip(&relay, &backend));
+    let in_time = timeout::within(limit, check.as_mut()).await;
     let result = match in_time {
         Some(Ok(true)) => "answered",
         Some(Ok(false)) => "rejected",
