--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -142,7 +142,8 @@
             };
             if choice.needs_check && checks < CHECKS_MAX {
                 checks += 1;
-                if !self.answers_check(&choice.backend).await {
+                // Boxed, as the futures of all requests would hold it otherwise.
+                if !Box::pin(self.answers_check(&choice.backend)).await {
                     continue;
                 }
             }
--- a/crates/relay/tests/relay/standstill_processes.rs
+++ b/crates/relay/tests/relay/standstill_processes.rs
@@ -10,6 +10,7 @@
 use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicUsize, Ordering};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use eyre::{ensure, eyre};
@@ -151,6 +152,9 @@
     }
 }
 
+/// Number of routers started so far.
+static STARTED: AtomicUsize = AtomicUsize::new(0);
+
 /// A router in a process of its own, and the file of its log.
 struct RouterProcess {
     process: Process,
@@ -169,7 +173,9 @@
         let callers = SocketAddr::new(peer.ip(), box_harness::FRONT_PORT);
         settings["callers"] = callers.to_string().into();
         settings["readiness"] = serde_json::Value::Null;
-        let name = format!("standstill-{}-{number}", std::process::id());
+        // Tests of one process run beside each other, each with a router of this number.
+        let count = STARTED.fetch_add(1, Ordering::Relaxed);
+        let name = format!("standstill-{}-{count}", std::process::id());
         let log = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("{name}.log"));
         let output = Stdio::from(fs::File::create(&log)?);
         let process = Process::start_with_output(&name, "info", &settings, output)?;
