Tests: one module for the users' rule of load, harness of standstills in modules

Cause: the bound of LIMIT (twice the mean and three, 20 arrivals and 3 in 100 in 5 s) was written out in five test modules, with three spellings of when it is broken; standstill_processes counted one window only where the others rank all.

load_rule has the bound and the verdict; standstill_plan the kinds of trouble, plans and outcomes; standstill_harness/messages the hubs' messages. The rule for processes is as strict as the one in memory now.

Conclusion: no change of what is checked, but for the stricter window of the test with processes.

--- a/crates/relay/tests/relay/load.rs
+++ b/crates/relay/tests/relay/load.rs
@@ -17,6 +17,7 @@
 
 use crate::box_harness::{self, TestBox};
 use crate::harness::{ensure_served_by, ms, post, run, stream_server_settings, Executor, Result};
+use crate::load_rule::{self, Excess};
 
 /// Number of engines.
 const ENGINES: u32 = 8;
@@ -41,15 +42,6 @@
 const HOT_PARTS: &str = "a1:2500,a2:5500";
 /// Tokens of the prompt part that belongs to one request only.
 const OWN_TOKENS: u32 = 100;
-/// The users' bound on an engine's load: this many times the mean, ...
-const BOUND_FACTOR: f64 = 2.0;
-/// ... plus this many requests.
-const BOUND_EXTRA: f64 = 3.0;
-/// Number of requests above the bound that violates the rule, if they are also more than
-/// [`BROKEN_SHARE`] of all.
-const BROKEN_COUNT: usize = 20;
-/// See [`BROKEN_COUNT`]: 3 in 100.
-const BROKEN_SHARE: f64 = 0.03;
 /// A site whose engines can copy prompts from each other as fast as measured ones: 0.007 ms
 /// a token.
 pub(crate) fn engines_site() -> Result<Site> {
@@ -95,7 +87,7 @@
 
 impl Arrival {
     fn exceeds(&self) -> bool {
-        self.held as f64 > BOUND_FACTOR * self.mean + BOUND_EXTRA
+        self.held as f64 > load_rule::bound(self.mean)
     }
 }
 
@@ -167,10 +159,12 @@
                 format!("{} of {:.1} at {at:.1?}", it.held, it.mean)
             })
             .collect();
-        let most = BROKEN_SHARE * arrivals.len() as f64;
-        let broken = exceeding.len() >= BROKEN_COUNT && exceeding.len() as f64 > most;
+        let excess = Excess {
+            over: exceeding.len(),
+            all: arrivals.len(),
+        };
         ensure!(
-            !broken,
+            !excess.is_broken(),
             "{} of {}: {details:?}",
             details.len(),
             arrivals.len()
--- a/crates/relay/tests/relay/silence.rs
+++ b/crates/relay/tests/relay/silence.rs
@@ -1,7 +1,6 @@
 //! How long requests have waited at a server without any answer.
 
 use std::rc::Rc;
-use std::time::Duration;
 
 use eyre::eyre;
 use tidepier_clock::Instant;
@@ -10,11 +9,7 @@
 use tidepier_relay::fleet::{Backend, Plain};
 
 use crate::choice_harness::{server, ChoiceHarness};
-use crate::harness::Result;
-
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+use crate::harness::{ms, Result};
 
 fn backend() -> Result<(Rc<Backend>, Instant)> {
     let harness = ChoiceHarness::new("hall-1", [1])?;
--- a/crates/relay/tests/relay/speeds.rs
+++ b/crates/relay/tests/relay/speeds.rs
@@ -13,7 +13,8 @@
 
 use crate::choice_harness::{id, prompt, ChoiceHarness, LARGE};
 use crate::harness::{ms, post, run, site, stream_server_settings, Harness, Result, SERVICE};
-use crate::spread_harness::{play, Engines, Outcome, Pace, Plan, Reports, EXCEEDING_MAX};
+use crate::load_rule::EXCEEDING_MAX;
+use crate::spread_harness::{play, Engines, Outcome, Pace, Plan, Reports};
 
 /// Requests a second for each engine.
 const RATE: f64 = 4.0;
--- a/crates/relay/tests/relay/spread.rs
+++ b/crates/relay/tests/relay/spread.rs
@@ -15,9 +15,8 @@
 use eyre::{ensure, eyre};
 
 use crate::harness::Result;
-use crate::spread_harness::{
-    play, Engines, Hot, Kind, Outcome, Pace, Plan, Reports, EXCEEDING_MAX, NOTICE_TIME,
-};
+use crate::load_rule::EXCEEDING_MAX;
+use crate::spread_harness::{play, Engines, Hot, Kind, Outcome, Pace, Plan, Reports, NOTICE_TIME};
 
 /// Seeds of the plans that are played in CI.
 const SEEDS: [u64; 2] = [17, 18];
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -27,6 +27,7 @@
 
 use crate::choice_harness::{address, id, prompt};
 use crate::harness::{Result, SERVICE};
+use crate::load_rule::{self, BOUND_FACTOR};
 
 /// Duration of a request at an otherwise idle engine, and what each other request there
 /// adds to it.
@@ -63,12 +64,6 @@
 const STEP_MORE: Duration = Duration::from_micros(500);
 /// Sizes of the part of a prompt that no other request shares, where speeds differ.
 const OWN_TOKENS: std::ops::Range<u32> = 80..1_500;
-/// The users' bound on an engine's load: this many times the mean, ...
-const BOUND_FACTOR: f64 = 2.0;
-/// ... plus this many requests.
-const BOUND_EXTRA: f64 = 3.0;
-/// Highest share of requests that may reach an engine over the bound.
-pub(crate) const EXCEEDING_MAX: f64 = 0.03;
 
 /// The kind of servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
@@ -401,21 +396,23 @@
     Ok(sim.outcome)
 }
 
-fn server(number: usize, plan: &Plan) -> Result<Server> {
+/// The entry of a server that is divided between halls with the others.
+pub(crate) fn server(number: usize, halls: usize, slots: u32) -> Result<Server> {
     Ok(Server {
         id: id(&format!("i-{number}"))?,
         born: None,
         service: id(SERVICE)?,
         address: address(number as u16),
-        hall: hall(number, plan.halls)?,
-        slots: 64,
+        hall: hall(number, halls)?,
+        slots,
         release: None,
         state: State::Ready,
         cold: Duration::ZERO,
     })
 }
 
-fn hall(number: usize, halls: usize) -> Result<ids::Hall> {
+/// The hall of a box or server.
+pub(crate) fn hall(number: usize, halls: usize) -> Result<ids::Hall> {
     id(&format!("hall-{}", number % halls + 1))
 }
 
@@ -430,20 +427,33 @@
         received: Totals::default(),
         has_had_hot: false,
     };
+    announce(&sim_box.fleet, &sim_box.hall, servers, plan.round_trip, now);
+    Ok(sim_box)
+}
+
+/// Announces servers to a box that has measured the round trip to other halls.
+pub(crate) fn announce(
+    fleet: &Fleet,
+    hall: &ids::Hall,
+    servers: &[Server],
+    round_trip: Duration,
+    now: Instant,
+) {
     for server in servers {
-        sim_box.fleet.announce(server.clone(), now);
-        let backend = sim_box.fleet.get(&server.id);
-        if let Some(backend) = backend.filter(|it| it.server.hall != sim_box.hall) {
-            backend.hall.record_connect_time(plan.round_trip);
+        fleet.announce(server.clone(), now);
+        let backend = fleet.get(&server.id);
+        if let Some(backend) = backend.filter(|it| it.server.hall != *hall) {
+            backend.hall.record_connect_time(round_trip);
         }
     }
-    Ok(sim_box)
 }
 
 impl Sim {
     fn new(plan: Plan) -> Result<Self> {
         let start = Instant::now();
-        let servers: Result<Vec<Server>> = (0..plan.servers).map(|n| server(n, &plan)).collect();
+        let servers: Result<Vec<Server>> = (0..plan.servers)
+            .map(|n| server(n, plan.halls, 64))
+            .collect();
         let servers = servers?;
         let keys: Vec<Key> = servers.iter().map(|it| Key::new(&it.id)).collect();
         let numbers = keys.iter().enumerate();
@@ -858,7 +868,7 @@
             return;
         }
         let mean = f64::from(self.held.iter().sum::<u32>()) / self.plan.servers as f64;
-        let above = f64::from(self.held[server]) - (BOUND_FACTOR * mean + BOUND_EXTRA);
+        let above = f64::from(self.held[server]) - load_rule::bound(mean);
         self.outcome.judged += 1;
         self.outcome.exceeding += usize::from(above > 0.0);
         self.outcome.exceeding_first += usize::from(above > 0.0 && is_first);
--- a/crates/relay/tests/relay/standstill.rs
+++ b/crates/relay/tests/relay/standstill.rs
@@ -5,12 +5,12 @@
 //! the requests of five seconds, no more than 3 in 100, or 19, may reach a server that holds
 //! more than twice the mean plus three.
 
-use std::time::Duration;
-
 use eyre::{ensure, eyre};
 
-use crate::harness::Result;
-use crate::standstill_harness::{play, Kind, Outcome, Plan, Trouble};
+use crate::harness::{ms, Result};
+use crate::load_rule::Excess;
+use crate::standstill_harness::play;
+use crate::standstill_plan::{Kind, Outcome, Plan, Trouble};
 
 /// Seeds that are played in CI.
 const SEEDS: [u64; 3] = [1, 2, 3];
@@ -47,8 +47,9 @@
     let mut broken = Vec::new();
     for ((name, _), outcomes) in plans.iter().zip(outcomes(plans, seeds)?) {
         for (seed, outcome) in seeds.iter().zip(outcomes) {
-            if outcome.is_broken() {
-                let (over, all) = outcome.worst();
+            let worst = outcome.worst();
+            if worst.is_broken() {
+                let Excess { over, all } = worst;
                 broken.push(format!("{name}, seed {seed}: {over} of {all}"));
             }
         }
@@ -57,10 +58,6 @@
     Ok(())
 }
 
-fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
-
 /// Rates of requests a second for each server, from nearly idle to half of the slots busy.
 const RATES: [f64; 4] = [15.0, 30.0, 65.0, 110.0];
 
@@ -322,8 +319,9 @@
     println!("| plan | worst share over the bound | broken | reached it | answered | given up, rejected, refused | told, probes, checks |");
     println!("| --- | --- | --- | --- | --- | --- | --- |");
     for ((name, _), outcomes) in plans.iter().zip(outcomes(&plans, &TABLE_SEEDS)?) {
-        let worst = outcomes.iter().map(Outcome::share).fold(0.0, f64::max);
-        let broken = outcomes.iter().filter(|it| it.is_broken()).count();
+        let windows: Vec<Excess> = outcomes.iter().map(Outcome::worst).collect();
+        let worst = windows.iter().map(|it| it.share()).fold(0.0, f64::max);
+        let broken = windows.iter().filter(|it| it.is_broken()).count();
         let sum =
             |of: fn(&Outcome) -> usize| outcomes.iter().map(of).sum::<usize>() / outcomes.len();
         println!(
--- a/crates/relay/tests/relay/standstill_harness.rs
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -5,6 +5,8 @@
 //! router's code, by their own requests and by what other boxes report. The harness judges
 //! each request by what all servers hold when it arrives.
 
+mod messages;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::rc::Rc;
@@ -12,55 +14,39 @@
 
 use eyre::eyre;
 use tidepier_admission::demand::Summary;
-use tidepier_admission::stall::{Life, Stall, Wait};
+use tidepier_admission::verify;
 use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
-use tidepier_core::server::{Server, State};
+use tidepier_core::server::Server;
 use tidepier_ids as ids;
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::rotation::{Rotations, Servers};
 use tidepier_relay::choose::{self, Choice, Criteria};
-use tidepier_relay::fleet::lives::{self, Lives, Scope, Sent};
+use tidepier_relay::fleet::lives::Sent;
 use tidepier_relay::fleet::used::Used;
 use tidepier_relay::fleet::{Backend, Fleet, InFlight, Key};
 use tidepier_relay::health;
 use tidepier_relay::traffic::index::Index;
-use tidepier_relay::traffic::log::Peer;
-use tidepier_relay::traffic::stalls::Stalls;
 
-use crate::choice_harness::{address, id, prompt};
+use crate::choice_harness::{id, prompt};
 use crate::harness::{Result, SERVICE};
-use crate::spread_harness::{sums, SUBJECTS_REPORTED};
+use crate::load_rule::BOUND_FACTOR;
+use crate::spread_harness::{announce, hall, server, sums, SUBJECTS_REPORTED};
+use crate::standstill_plan::{Kind, Outcome, Plan, Trouble};
+use messages::{Hub, Message};
 
-/// Window in which the users' rule counts requests.
-pub(crate) const WINDOW: Duration = Duration::from_secs(5);
-/// Time from the start that is not judged.
-const SETTLING: Duration = Duration::from_secs(1);
-/// The users' bound on a server's load: this many times the mean, ...
-const BOUND_FACTOR: f64 = 2.0;
-/// ... plus this many requests.
-const BOUND_EXTRA: f64 = 3.0;
-/// Fewest requests over the bound in a window that break the rule.
-const EXCEEDING_MIN: usize = 20;
-/// Highest share of the requests of a window that may be over the bound.
-const EXCEEDING_MAX: f64 = 0.03;
 /// Time on the way to a server in the same hall.
 const NEAR_TIME: Duration = Duration::from_micros(100);
 /// Interval between two messages of other boxes to a box.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Age in messages of what is reported.
 const REPORT_AGE: usize = 2;
-/// Usual value of [`Plan::notice`]. What is sent at once within a hall takes a millisecond
-/// there and back; the rest is for boxes with a tenth of a core.
-const NOTICE_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a hub looks for servers that stand still.
 const DETECTION_INTERVAL: Duration = Duration::from_millis(50);
 /// Time after which a hub gives a health check up, and the work of one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_WORK: Duration = Duration::from_millis(8);
-/// Time in which a server has to answer a health check before a request, beside the way, and
-/// the most before one attempt.
-const CHECK_TIME: Duration = Duration::from_millis(50);
+/// Most health checks before one attempt.
 const CHECKS_MAX: u32 = 2;
 /// Tokens of a subject, and the number of subjects for each engine.
 const TOKENS: u32 = 2_000;
@@ -68,193 +54,6 @@
 /// The server that is disturbed.
 const DISTURBED: usize = 0;
 
-/// The kind of servers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Kind {
-    /// Servers of a plain service: 6 slots, 24 places in the queue, 30 ms for a request, and
-    /// five times as long for one in a hundred.
-    Plain,
-    /// Model engines: 64 slots; the first event comes after 40 to 250 ms, the last one
-    /// after 0.7 s.
-    Engines,
-}
-
-impl Kind {
-    fn slots(self) -> usize {
-        match self {
-            Kind::Plain => 6,
-            Kind::Engines => 64,
-        }
-    }
-
-    fn queue(self) -> usize {
-        match self {
-            Kind::Plain => 24,
-            Kind::Engines => 192,
-        }
-    }
-
-    /// Time after which a box gives a request up: the time-out of its route.
-    fn timeout(self) -> Duration {
-        match self {
-            Kind::Plain => Duration::from_millis(1_100),
-            Kind::Engines => Duration::from_millis(4_000),
-        }
-    }
-
-    /// Time until an answer begins, and until it ends, at a server that holds `held`
-    /// requests.
-    fn run_time(self, held: usize) -> (Duration, Duration) {
-        let ms = |ms: f64| Duration::from_secs_f64(ms / 1e3);
-        match self {
-            Kind::Plain => {
-                let tail = if fastrand::u8(..100) == 0 { 5.0 } else { 1.0 };
-                let time = ms((30.0 * tail * (0.5 + fastrand::f64())).min(220.0));
-                (time, time)
-            }
-            Kind::Engines => {
-                let prefill = if fastrand::u8(..10) < 3 { 150.0 } else { 0.0 };
-                let first = 40.0 + prefill * (0.6 + 0.8 * fastrand::f64()) + 2.0 * held as f64;
-                (ms(first), ms(first + 600.0 + 30.0 * held as f64))
-            }
-        }
-    }
-}
-
-/// What happens to one of the servers.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub(crate) enum Trouble {
-    /// Nothing.
-    None,
-    /// Its process stands still: what reaches it waits until it goes on.
-    Standstill,
-    /// Its requests do not go on, but it rejects those that its queue does not hold.
-    Stuck,
-    /// Requests that begin meanwhile take this many times as long.
-    Slow(f64),
-    /// This share of its answers is lost.
-    Mute(f64),
-    /// What boxes of the first hall send it is lost.
-    Way,
-}
-
-/// Parameters of a simulation.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct Plan {
-    pub(crate) kind: Kind,
-    pub(crate) boxes: usize,
-    pub(crate) servers: usize,
-    /// Halls that boxes and servers are divided between.
-    pub(crate) halls: usize,
-    /// Round-trip time to another hall.
-    pub(crate) round_trip: Duration,
-    /// Share of the requests that boxes of the first hall get; `None`: as the others.
-    pub(crate) first_hall: Option<f64>,
-    /// Requests a second for each server.
-    pub(crate) rate: f64,
-    pub(crate) trouble: Trouble,
-    /// When the trouble begins, and how long it lasts.
-    pub(crate) from: Duration,
-    pub(crate) lasts: Duration,
-    /// Time before which there are no requests.
-    pub(crate) quiet: Duration,
-    /// In each second, every fifth box stands still for this long, and then sends all
-    /// requests that came meanwhile.
-    pub(crate) pause: Duration,
-    /// Simulated time.
-    pub(crate) time: Duration,
-    /// Whether boxes hear of each other.
-    pub(crate) reports: bool,
-    /// Every box of which the number is a multiple of this hears of none; 0: all hear.
-    pub(crate) deaf: usize,
-    /// Time that a message takes from a box to the hub of its hall, and back.
-    pub(crate) notice: Duration,
-    /// When all boxes start again and know nothing, if they do.
-    pub(crate) restart: Option<Duration>,
-}
-
-impl Plan {
-    /// 78 boxes of three halls, a millisecond apart, before three plain servers, one of
-    /// which stands still for 4.5 s.
-    pub(crate) fn new(rate: f64) -> Self {
-        Self {
-            kind: Kind::Plain,
-            boxes: 78,
-            servers: 3,
-            halls: 3,
-            round_trip: Duration::from_millis(1),
-            first_hall: None,
-            rate,
-            trouble: Trouble::Standstill,
-            from: Duration::from_millis(6_000),
-            lasts: Duration::from_millis(4_500),
-            quiet: Duration::ZERO,
-            pause: Duration::ZERO,
-            time: Duration::from_millis(14_000),
-            reports: true,
-            deaf: 0,
-            notice: NOTICE_TIME,
-            restart: None,
-        }
-    }
-}
-
-/// The result of a simulation.
-#[derive(Debug, Default, Clone, PartialEq)]
-pub(crate) struct Outcome {
-    /// When each judged request reached its server, and whether that was over the bound.
-    arrivals: Vec<(Duration, bool)>,
-    /// Requests that were answered.
-    pub(crate) answered: usize,
-    /// Requests that were given up.
-    pub(crate) given_up: usize,
-    /// Requests that servers rejected for good.
-    pub(crate) rejected: usize,
-    /// Requests that got no server.
-    pub(crate) refused: usize,
-    /// Requests that reached the disturbed server while it was.
-    pub(crate) reached: usize,
-    /// Messages by which hubs told boxes of a change in what stands still.
-    pub(crate) told: usize,
-    /// Health checks of servers that stood still.
-    pub(crate) probes: usize,
-    /// Health checks before requests.
-    pub(crate) checks: usize,
-}
-
-impl Outcome {
-    /// Requests over the bound, and all, in the window with the greatest share among those
-    /// with the fewest that break the rule; else in the one with the most.
-    pub(crate) fn worst(&self) -> (usize, usize) {
-        let arrivals = self.arrivals.iter().enumerate();
-        let whole = arrivals.filter(|(_, (end, _))| *end >= SETTLING + WINDOW);
-        let windows = whole.map(|(last, (end, _))| {
-            let begin = *end - WINDOW;
-            let first = self.arrivals.partition_point(|(at, _)| *at < begin);
-            let window = &self.arrivals[first..=last];
-            let over = window.iter().filter(|(_, over)| *over).count();
-            (over, window.len())
-        });
-        let rank = |(over, all): &(usize, usize)| {
-            let share = *over as f64 / (*all).max(1) as f64;
-            (over.min(&EXCEEDING_MIN).to_owned(), share)
-        };
-        let worst = windows.max_by(|a, b| rank(a).partial_cmp(&rank(b)).expect("no NaN"));
-        worst.unwrap_or_default()
-    }
-
-    /// Share of the requests over the bound in the worst window.
-    pub(crate) fn share(&self) -> f64 {
-        let (over, all) = self.worst();
-        over as f64 / all.max(1) as f64
-    }
-
-    /// Whether the users' rule is broken.
-    pub(crate) fn is_broken(&self) -> bool {
-        self.worst().0 >= EXCEEDING_MIN && self.share() > EXCEEDING_MAX
-    }
-}
-
 struct SimBox {
     hall_number: usize,
     hall: ids::Hall,
@@ -270,19 +69,13 @@
     fn start(number: usize, plan: &Plan, servers: &[Server], now: Instant) -> Result<Self> {
         let sim_box = Self {
             hall_number: number % plan.halls,
-            hall: hall(number, plan)?,
+            hall: hall(number, plan.halls)?,
             fleet: Fleet::default(),
             index: Index::default(),
             rotations: Rotations::default(),
             sent: Sent::default(),
         };
-        for server in servers {
-            sim_box.fleet.announce(server.clone(), now);
-            let backend = sim_box.fleet.get(&server.id);
-            if let Some(backend) = backend.filter(|it| it.server.hall != sim_box.hall) {
-                backend.hall.record_connect_time(plan.round_trip);
-            }
-        }
+        announce(&sim_box.fleet, &sim_box.hall, servers, plan.round_trip, now);
         Ok(sim_box)
     }
 }
@@ -332,6 +125,22 @@
     has_begun: bool,
 }
 
+impl Run {
+    fn new(sim_box: usize, purpose: Purpose, server: usize, sent: Instant) -> Self {
+        Self {
+            sim_box,
+            purpose,
+            server,
+            subject: 0,
+            sent,
+            tried: Vec::new(),
+            in_flight: None,
+            checked: None,
+            has_begun: false,
+        }
+    }
+}
+
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
     /// A client sends the next request.
@@ -377,51 +186,6 @@
     demand: Vec<Summary>,
 }
 
-/// What is told of servers of plain services.
-struct News {
-    stalls: Vec<Stall<Key>>,
-    /// Answers to boxes of the sender's hall, and of others.
-    hall: Vec<lives::Life>,
-    elsewhere: Vec<lives::Life>,
-}
-
-/// A message between boxes.
-enum Message {
-    /// What a box reports to the hub of its hall.
-    Report {
-        from: usize,
-        waits: Vec<Wait<Key>>,
-        returned: Vec<Life<Key>>,
-        answers: Vec<lives::Life>,
-        is_answered: bool,
-    },
-    /// What the hub of a hall tells one of its boxes, or all.
-    Told {
-        hall: usize,
-        to: Option<usize>,
-        news: News,
-    },
-    /// A hub asks that of another hall.
-    Ask { from: usize, to: usize },
-    /// What it is told, or what changes without its asking.
-    Answer {
-        from: usize,
-        to: usize,
-        news: News,
-        is_asked: bool,
-    },
-}
-
-/// The hub of a hall.
-#[derive(Default)]
-struct Hub {
-    stalls: Stalls,
-    lives: Lives,
-    /// What the boxes of the hall, and other hubs, have got.
-    sent: HashMap<usize, (Sent, Sent)>,
-    sent_to_halls: HashMap<usize, Sent>,
-}
-
 struct Sim {
     plan: Plan,
     start: Instant,
@@ -448,28 +212,11 @@
     Ok(sim.outcome)
 }
 
-fn hall(number: usize, plan: &Plan) -> Result<ids::Hall> {
-    id(&format!("hall-{}", number % plan.halls + 1))
-}
-
-fn identity(number: usize, plan: &Plan) -> Result<Server> {
-    Ok(Server {
-        id: id(&format!("i-{number}"))?,
-        born: None,
-        service: id(SERVICE)?,
-        address: address(number as u16),
-        hall: hall(number, plan)?,
-        slots: plan.kind.slots() as u32,
-        release: None,
-        state: State::Ready,
-        cold: Duration::ZERO,
-    })
-}
-
 impl Sim {
     fn new(plan: Plan) -> Result<Self> {
         let start = Instant::now();
-        let identities = (0..plan.servers).map(|number| identity(number, &plan));
+        let slots = plan.kind.slots() as u32;
+        let identities = (0..plan.servers).map(|number| server(number, plan.halls, slots));
         let identities = identities.collect::<Result<Vec<Server>>>()?;
         let boxes = (0..plan.boxes).map(|number| SimBox::start(number, &plan, &identities, start));
         Ok(Self {
@@ -674,21 +421,15 @@
     ) -> Result {
         self.outcome.checks += 1;
         let server = self.server_number(checked.choice.backend.key)?;
-        let run = self.runs.len();
-        self.runs.push(Run {
-            sim_box,
-            purpose: Purpose::Check,
-            server,
+        let run = self.begin_run(Run {
             subject,
-            sent: self.now,
             tried,
-            in_flight: None,
             checked: Some(Box::new(checked)),
-            has_begun: false,
+            ..Run::new(sim_box, Purpose::Check, server, self.now)
         });
         let way = self.way(run);
         self.after(way * 3, Event::Arrival(run));
-        self.after(CHECK_TIME + way * 4, Event::CheckDue(run));
+        self.after(verify::check_limit(way * 2), Event::CheckDue(run));
         Ok(())
     }
 
@@ -732,17 +473,11 @@
         let in_flight = choice.backend.run(choice.prefill_tokens as u64);
         in_flight.sent(choice.plain, self.now);
         let due = fleet.next_long_wait();
-        let run = self.runs.len();
-        self.runs.push(Run {
-            sim_box: number,
-            purpose: Purpose::Request,
-            server,
+        let run = self.begin_run(Run {
             subject,
-            sent: self.now,
             tried,
             in_flight: Some(in_flight),
-            checked: None,
-            has_begun: false,
+            ..Run::new(number, Purpose::Request, server, self.now)
         });
         self.after(self.way(run), Event::Arrival(run));
         self.after(self.plan.kind.timeout(), Event::GiveUp(run));
@@ -752,6 +487,12 @@
         Ok(())
     }
 
+    /// Begins a run and returns its number.
+    fn begin_run(&mut self, run: Run) -> usize {
+        self.runs.push(run);
+        self.runs.len() - 1
+    }
+
     fn server_number(&self, key: Key) -> Result<usize> {
         let number = self
             .identities
@@ -760,265 +501,6 @@
         number.ok_or_else(|| eyre!("{key:?} is not known"))
     }
 
-    /// Lets a box report its waits and the answers of servers to the hub of its hall.
-    fn report_to_hub(&mut self, number: usize, is_answered: bool) {
-        if self.is_deaf(number) {
-            return;
-        }
-        let (sim_box, now) = (&mut self.boxes[number], self.now);
-        let lives = &sim_box.fleet.stalls.lives;
-        let answers = lives.updates(&mut sim_box.sent, Scope::Reported, now);
-        let message = Message::Report {
-            from: number,
-            waits: sim_box.fleet.waits(now),
-            returned: sim_box.fleet.take_lives(now),
-            answers: answers.unwrap_or_default(),
-            is_answered,
-        };
-        self.deliver(message, Duration::ZERO);
-    }
-
-    /// Reports answers of servers of which the others should know at once, if there are any.
-    fn report_returns(&mut self, number: usize) {
-        if self.boxes[number].fleet.stalls.has_returns() {
-            self.report_to_hub(number, false);
-        }
-    }
-
-    /// Whether a box hears of no other.
-    fn is_deaf(&self, sim_box: usize) -> bool {
-        let deaf = self.plan.deaf;
-        !self.plan.reports || (deaf > 0 && sim_box.is_multiple_of(deaf))
-    }
-
-    /// Delivers a message between boxes that are `way` further apart than in a hall.
-    fn deliver(&mut self, message: Message, way: Duration) {
-        self.message_count += 1;
-        self.messages.insert(self.message_count, message);
-        self.after(self.plan.notice + way, Event::Message(self.message_count));
-    }
-
-    fn receive(&mut self, number: usize) -> Result {
-        let now = self.now;
-        let Some(message) = self.messages.remove(&number) else {
-            return Ok(());
-        };
-        match message {
-            Message::Report {
-                from,
-                waits,
-                returned,
-                answers,
-                is_answered,
-            } => {
-                let hall = self.boxes[from].hall_number;
-                let hub = &self.hubs[hall];
-                let has_returned = hub.stalls.record_returns(&returned, now);
-                let answers = lives::aged(answers, self.plan.notice * 2);
-                hub.lives.record_reported(&answers, now);
-                // The ages are as of when it was sent.
-                hub.stalls
-                    .record(Peer::Member(from as u64), &waits, &returned, now);
-                self.detect(hall, has_returned);
-                if is_answered {
-                    let news = self.news(hall, Some(from));
-                    self.deliver(
-                        Message::Told {
-                            hall,
-                            to: Some(from),
-                            news,
-                        },
-                        Duration::ZERO,
-                    );
-                }
-            }
-            Message::Told { hall, to, news } => {
-                for number in 0..self.boxes.len() {
-                    let is_meant = to.is_none_or(|to| to == number);
-                    if is_meant && self.boxes[number].hall_number == hall && !self.is_deaf(number) {
-                        self.hear(number, &news);
-                    }
-                }
-                if let Some(number) = to {
-                    self.after(REPORT_INTERVAL, Event::Exchange(number));
-                }
-            }
-            Message::Ask { from, to } => {
-                let hub = &mut self.hubs[to];
-                let sent = hub.sent_to_halls.entry(from).or_default();
-                let answers = hub.lives.updates(sent, Scope::Reported, now);
-                let news = News {
-                    stalls: hub.stalls.detected(),
-                    hall: answers.unwrap_or_default(),
-                    elsewhere: Vec::new(),
-                };
-                let (from, to) = (to, from);
-                let way = self.plan.round_trip / 2;
-                let is_asked = true;
-                let answer = Message::Answer {
-                    from,
-                    to,
-                    news,
-                    is_asked,
-                };
-                self.deliver(answer, way);
-            }
-            Message::Answer {
-                from,
-                to,
-                news,
-                is_asked,
-            } => {
-                let peer = Peer::Hall(hall(from, &self.plan)?);
-                let hub = &self.hubs[to];
-                let asked = self.plan.notice * 2 + self.plan.round_trip;
-                hub.lives
-                    .set_told_elsewhere(&lives::aged(news.hall, asked), now);
-                hub.stalls.set_told(peer, &news.stalls, now);
-                self.detect(to, false);
-                if is_asked {
-                    self.after(REPORT_INTERVAL, Event::HallExchange(to, from));
-                }
-            }
-        }
-        Ok(())
-    }
-
-    /// A box hears from the hub of its hall.
-    fn hear(&mut self, number: usize, news: &News) {
-        let (fleet, now) = (&self.boxes[number].fleet, self.now);
-        fleet.stalls.hear(now);
-        fleet.stalls.lives.hear(true, now);
-        let (in_hall, elsewhere) = (news.hall.clone(), news.elsewhere.clone());
-        let asked = self.plan.notice * 2;
-        let lives = &fleet.stalls.lives;
-        lives.set_told_of_hall(&lives::aged(in_hall, asked), now);
-        lives.set_told_elsewhere(&lives::aged(elsewhere, asked), now);
-        fleet.set_stalls(&news.stalls, now);
-        self.report_returns(number);
-    }
-
-    /// What a hub tells one of its boxes, or all.
-    fn news(&mut self, hall: usize, to: Option<usize>) -> News {
-        let (hub, now) = (&mut self.hubs[hall], self.now);
-        let mut all = <(Sent, Sent)>::default();
-        let (sent, sent_elsewhere) = match to {
-            Some(to) => hub.sent.entry(to).or_default(),
-            None => &mut all,
-        };
-        let in_hall = hub.lives.updates(sent, Scope::Hall, now);
-        let elsewhere = hub.lives.updates(sent_elsewhere, Scope::Elsewhere, now);
-        News {
-            stalls: hub.stalls.all(),
-            hall: in_hall.unwrap_or_default(),
-            elsewhere: elsewhere.unwrap_or_default(),
-        }
-    }
-
-    /// Lets the hub of a hall look for servers that stand still, and tell its boxes of a
-    /// change, or of a server that `has_returned`.
-    fn detect(&mut self, hall: usize, has_returned: bool) {
-        let hub = &self.hubs[hall];
-        let has_changed = hub.stalls.update(&hub.lives, self.now);
-        for server in self.hubs[hall].stalls.suspected() {
-            if self.hubs[hall].stalls.begin_probe(server, self.now) {
-                if let Ok(server) = self.server_number(server) {
-                    self.probe(hall, server);
-                }
-            }
-        }
-        if has_changed || has_returned {
-            self.outcome.told += usize::from(has_changed);
-            self.tell_halls(hall);
-            let news = self.news(hall, None);
-            self.deliver(
-                Message::Told {
-                    hall,
-                    to: None,
-                    news,
-                },
-                Duration::ZERO,
-            );
-        }
-    }
-
-    /// Lets the hub of a hall tell those of the others which servers stand still.
-    fn tell_halls(&mut self, from: usize) {
-        for to in (0..self.plan.halls).filter(|to| *to != from) {
-            let news = News {
-                stalls: self.hubs[from].stalls.detected(),
-                hall: Vec::new(),
-                elsewhere: Vec::new(),
-            };
-            let message = Message::Answer {
-                from,
-                to,
-                news,
-                is_asked: false,
-            };
-            self.deliver(message, self.plan.round_trip / 2);
-        }
-    }
-
-    /// Lets the hub of a hall, its first box, send a health check to a server.
-    fn probe(&mut self, hall: usize, server: usize) {
-        self.outcome.probes += 1;
-        let run = self.runs.len();
-        self.runs.push(Run {
-            sim_box: hall,
-            purpose: Purpose::Probe,
-            server,
-            subject: 0,
-            sent: self.now,
-            tried: Vec::new(),
-            in_flight: None,
-            checked: None,
-            has_begun: false,
-        });
-        let way = self.way(run);
-        self.after(way * 3, Event::Arrival(run));
-        self.after(CHECK_TIME + way * 4, Event::ProbeDue(run));
-        self.after(PROBE_TIMEOUT, Event::ProbeEnd(run));
-    }
-
-    /// A probe should have been answered.
-    fn probe_due(&mut self, run: usize) -> Result {
-        let backend = self.backend(run)?;
-        if !self.runs[run].has_begun {
-            let hall = self.runs[run].sim_box;
-            self.hubs[hall].stalls.record_unanswered(backend.key);
-            self.detect(hall, false);
-        }
-        Ok(())
-    }
-
-    /// The answer to a probe reaches its hub, or the hub gives it up.
-    fn probed(&mut self, run: usize, is_accepted: bool) -> Result {
-        let backend = self.backend(run)?;
-        let Run {
-            sim_box: hall,
-            sent,
-            has_begun: is_over,
-            ..
-        } = self.runs[run];
-        if std::mem::replace(&mut self.runs[run].has_begun, true) || is_over {
-            return Ok(());
-        }
-        let limit = CHECK_TIME + self.way(run) * 4;
-        let is_answered = is_accepted && self.now - sent < limit;
-        let stalls = &self.hubs[hall].stalls;
-        if is_answered {
-            let life = Life {
-                server: backend.key,
-                age: Duration::ZERO,
-            };
-            stalls.record_lives(&[life], self.now);
-        }
-        stalls.end_probe(backend.key, sent, is_answered);
-        self.detect(hall, false);
-        Ok(())
-    }
-
     /// Time on the way between a run's box and its server.
     fn way(&self, run: usize) -> Duration {
         let Run {
@@ -1240,11 +722,11 @@
     }
 
     fn judge(&mut self, server: usize) {
-        let sum: usize = self.servers.iter().map(|it| it.held).sum();
-        let mean = sum as f64 / self.servers.len() as f64;
-        let is_over = self.servers[server].held as f64 > BOUND_FACTOR * mean + BOUND_EXTRA;
+        let all = self.servers.iter().map(|it| it.held).sum();
+        let held = self.servers[server].held;
         let at = self.now - self.start;
-        self.outcome.arrivals.push((at, is_over));
+        self.outcome
+            .record_arrival(at, held, all, self.servers.len());
     }
 
     /// Sends each box what all others reported some time ago.
--- a/crates/relay/tests/relay/standstill_processes.rs
+++ b/crates/relay/tests/relay/standstill_processes.rs
@@ -23,6 +23,7 @@
 
 use crate::box_harness;
 use crate::harness::{ms, post, run, wait_until, Executor, Result, SERVICE};
+use crate::load_rule::{self, Excess};
 use crate::process::Process;
 
 /// Number of halls that routers and servers are divided between.
@@ -33,14 +34,6 @@
 const SERVER_PORT: u16 = 20_705;
 /// Time-out of the route.
 const ROUTE_TIMEOUT: Duration = Duration::from_millis(1_100);
-/// The users' rule: in this time, ...
-const WINDOW: f64 = 5.0;
-/// ... this many requests and this share of all, ...
-const EXCEEDING_MIN: usize = 20;
-const EXCEEDING_MAX: f64 = 0.03;
-/// ... reach a server that holds more than this many times the mean and so many more.
-const BOUND_FACTOR: f64 = 2.0;
-const BOUND_EXTRA: f64 = 3.0;
 /// Routes beside the one that is used; with them a configuration has 13 KB.
 const FURTHER_ROUTES: usize = 60;
 /// Variables that name the server that [`serve`] runs.
@@ -250,32 +243,21 @@
     stays
 }
 
-/// Requests over the bound, and all, in the worst window of those in which the rule may be
-/// broken.
-fn worst_window(stays: &[Stay]) -> (usize, usize) {
-    let mut arrivals: Vec<(f64, bool)> = Vec::new();
+/// Requests over the bound in the worst window since the first request.
+fn worst_window(stays: &[Stay]) -> Excess {
+    let mut arrivals: Vec<(Duration, bool)> = Vec::new();
     for stay in stays {
         let held = stays
             .iter()
             .filter(|it| it.from < stay.from && stay.from < it.to);
         let held: Vec<&Stay> = held.collect();
         let here = held.iter().filter(|it| it.server == stay.server).count();
-        let mean = held.len() as f64 / SERVERS as f64;
-        arrivals.push((stay.from, here as f64 > BOUND_FACTOR * mean + BOUND_EXTRA));
+        let is_over = load_rule::is_over(here, held.len(), SERVERS);
+        arrivals.push((Duration::from_secs_f64(stay.from), is_over));
     }
-    arrivals.sort_by(|a, b| a.0.total_cmp(&b.0));
-    let start = arrivals.first().map_or(0.0, |(at, _)| *at);
-    let windows = arrivals.iter().enumerate();
-    let whole = windows.filter(|(_, (end, _))| end - start >= WINDOW);
-    let counts = whole.map(|(last, (end, _))| {
-        let first = arrivals.partition_point(|(at, _)| *at < end - WINDOW);
-        let window = &arrivals[first..=last];
-        (
-            window.iter().filter(|(_, over)| *over).count(),
-            window.len(),
-        )
-    });
-    counts.max().unwrap_or_default()
+    arrivals.sort();
+    let start = arrivals.first().map_or(Duration::ZERO, |(at, _)| *at);
+    Excess::worst(&arrivals, start)
 }
 
 /// Sends requests to all routers in turn, as many clients would.
@@ -377,11 +359,14 @@
         }
         // Those from before the load look like some of the day after.
         all.retain(|stay| stay.from < DAY / 2.0);
-        let (over, requests) = worst_window(&all);
+        let worst = worst_window(&all);
+        let Excess {
+            over,
+            all: requests,
+        } = worst;
         println!("{over} of {requests} in five seconds, {} in all", all.len());
-        let share = over as f64 / requests.max(1) as f64;
         ensure!(
-            over < EXCEEDING_MIN || share <= EXCEEDING_MAX,
+            !worst.is_broken(),
             "{over} of {requests} requests over the bound"
         );
         ensure!(all.len() > 1_000, "only {} requests", all.len());
