Relay: sessions of traffic and checks before requests are modules; dead code out

The rate of a service was computed where no verification is required, the mean of failures for services whose choice does not use it, and the list of usable servers three times a choice. Backend::answer_limit and Stalls::has_returns had no callers in the product.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -17,6 +17,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use tidepier_admission::demand::Demand;
 use tidepier_admission::speed::{Prediction, Work};
 use tidepier_admission::stall;
 use tidepier_clock::Instant;
@@ -184,9 +185,9 @@
         all: servers.len() + emptied.len(),
         factor: criteria.crowd_factor,
     };
-    let mean_failures = mean_failure_rate(&servers, now);
     match criteria.prompt {
         Some(prompt) => {
+            let mean_failures = mean_failure_rate(&servers, now);
             let candidate = |backend: &Backend| {
                 !criteria.tried.contains(&backend.server.id) && criteria.filter.admits(backend, now)
             };
@@ -224,10 +225,7 @@
                 None => 1.0,
             };
             let stays_near = fastrand::f64() < near_share;
-            let demand = &index.demand;
-            let verification =
-                Verification::new(fleet, service, &servers, demand, criteria.boxes, now);
-            let plain = PlainServers::new(&servers, criteria, verification, now);
+            let plain = PlainServers::new(fleet, service, &servers, criteria, &index.demand, now);
             let mut choice = plain.choose(stays_near)?;
             choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
             Some(choice)
@@ -248,15 +246,18 @@
 
 impl<'a> PlainServers<'a> {
     fn new(
+        fleet: &Fleet,
+        service: &ids::Service,
         servers: &'a [Rc<Backend>],
         criteria: &'a Criteria<'a>,
-        verification: Verification,
+        demand: &Demand,
         now: Instant,
     ) -> Self {
+        let boxes = criteria.boxes;
         Self {
             servers,
             criteria,
-            verification,
+            verification: Verification::new(fleet, service, servers.len(), demand, boxes, now),
             median_ms: median_latency_ms(servers),
             mean_failures: mean_failure_rate(servers, now),
             now,
--- a/crates/relay/src/choose/rotation.rs
+++ b/crates/relay/src/choose/rotation.rs
@@ -11,7 +11,6 @@
 use tidepier_clock::Instant;
 use tidepier_ids as ids;
 
-use super::verification::Verification;
 use super::{weight, Choice, Criteria, FleetLoad, PlainServers};
 use crate::fleet::{Backend, Fleet, Key};
 
@@ -76,19 +75,19 @@
         now: Instant,
     ) -> Option<Choice> {
         let servers = fleet.serving(service);
-        let verification = Verification::new(fleet, service, &servers, demand, criteria.boxes, now);
-        let plain = PlainServers::new(&servers, criteria, verification, now);
+        let plain = PlainServers::new(fleet, service, &servers, criteria, demand, now);
+        let usable: Vec<&Rc<Backend>> = plain.in_turn().collect();
         let candidates: Vec<Candidate<Key>> =
-            plain.in_turn().map(|it| candidate(&plain, it)).collect();
+            usable.iter().map(|it| candidate(&plain, it)).collect();
         let mut rotations = self.0.borrow_mut();
         let key = rotations
             .entry(service.clone())
             .or_default()
             .next(&candidates)?;
-        let backend = servers.iter().find(|it| it.key == key)?;
+        let backend = usable.iter().find(|it| it.key == key)?;
         let mut choice = plain.rate(backend);
         // Where all are too busy to answer in time, checks would take slots from requests.
-        choice.needs_check &= plain.in_turn().any(|it| plain.is_verified(it));
+        choice.needs_check &= usable.iter().any(|it| plain.is_verified(it));
         let mean = FleetLoad::mean_of_plain(&servers, now);
         choice.fleet_load = FleetLoad::of_plain(&choice.backend, mean, now);
         Some(choice)
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -16,6 +16,7 @@
 
 mod admission;
 mod buffered;
+mod check;
 mod deliver;
 mod disposition;
 mod origin;
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use tidepier_admission::verify;
 use tidepier_clock::Instant;
 use tidepier_core::request::Forward;
 use tidepier_core::server::Release;
@@ -21,11 +20,9 @@
 use crate::cold::Limit;
 use crate::fleet::{self, Backend, Permit};
 use crate::health::Outcome;
-use crate::health_check;
 use crate::origin::Origin;
 use crate::refusal;
 use crate::rollout::Selector;
-use crate::timeout;
 
 /// Longest idle time of a pooled connection for a request that may be executed only
 /// once: if the server closes the idle connection at that moment, it is unknown
@@ -162,31 +159,6 @@
         }
     }
 
-    /// Sends a server a health check, unless it has just answered one. Returns whether there
-    /// is no reason to send the request elsewhere: a server that cannot be checked may still
-    /// answer.
-    async fn answers_check(&self, backend: &Rc<Backend>) -> bool {
-        if backend.check.is_answered(Instant::now()) {
-            return true;
-        }
-        let left = self.deadline.saturating_duration_since(Instant::now());
-        let round_trip = health_check::round_trip(self.relay, backend);
-        let Some(limit) = verify::check_limit_before_request(round_trip, left) else {
-            metrics::counter!("tidepier_checks_total", "result" => "skipped").increment(1);
-            return true;
-        };
-        let checked = timeout::within(limit, health_check::send(self.relay, backend)).await;
-        let (is_answered, result) = match checked {
-            Some(Ok(true)) => (true, "answered"),
-            Some(Ok(false)) => (false, "rejected"),
-            Some(Err(_)) => (true, "failed"),
-            None => (false, "unanswered"),
-        };
-        backend.check.record(is_answered, Instant::now());
-        metrics::counter!("tidepier_checks_total", "result" => result).increment(1);
-        is_answered
-    }
-
     /// The releases that the request may go to at this moment of a rollout.
     pub(super) fn release_selector(&self) -> Selector {
         let relay = self.relay;
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -367,8 +367,8 @@
         self.hall.is_unresponsive(now) || self.reach.is_hopeless(now)
     }
 
-    /// Records that the server has answered in time. Whether it `was_verified` when the
-    /// request was sent tells whether that is news to the others.
+    /// Records that the server has answered in time. The other boxes are told at once unless
+    /// it `was_verified` when the request was sent.
     pub fn record_life(&self, was_verified: bool, now: Instant) {
         self.silence.answered(now);
         self.stalls.lives.record(self.key, now);
@@ -405,12 +405,6 @@
                 .is_some_and(|wait| wait.ended.is_none() || !self.stalls.has_heard(now))
     }
 
-    /// The time within which an answer shows that the server does not stand still.
-    pub fn answer_limit(&self) -> Duration {
-        let limit = self.wait_limit.get();
-        limit.unwrap_or_else(|| stall::limit(Duration::ZERO))
-    }
-
     /// A wait without an answer that is longer than requests take here.
     pub(super) fn long_wait(&self, now: Instant) -> Option<stall::Wait<Key>> {
         let limit = self.wait_limit.get()?;
--- a/crates/relay/src/fleet/lives.rs
+++ b/crates/relay/src/fleet/lives.rs
@@ -16,7 +16,7 @@
 
 /// Age after which what this box has heard is ignored: several times the interval between
 /// answers of the box that it reports to.
-const HEARD_AGE_MAX: Duration = Duration::from_millis(1_500);
+pub(crate) const HEARD_AGE_MAX: Duration = Duration::from_millis(1_500);
 
 /// A server that has answered in time, and how long ago. In messages a pair, the age in ms.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/relay/src/fleet/stalls.rs
+++ b/crates/relay/src/fleet/stalls.rs
@@ -9,15 +9,11 @@
 use tidepier_admission::stall;
 use tidepier_clock::Instant;
 
-use super::lives::Lives;
+use super::lives::{Lives, HEARD_AGE_MAX};
 use super::{Backend, Fleet, Key};
 use crate::health;
 use crate::notifier::Notifier;
 
-/// Age after which what this box has heard is ignored: several times the interval between
-/// answers of the box that it reports to.
-const HEARD_AGE_MAX: Duration = Duration::from_millis(1_500);
-
 /// What this box has to report at once, and when it has last heard of others.
 #[derive(Default)]
 pub struct Stalls {
@@ -54,11 +50,6 @@
         self.answered.notify();
     }
 
-    /// Whether there are answers of which the others should know at once.
-    pub fn has_returns(&self) -> bool {
-        !self.returned.borrow().is_empty()
-    }
-
     /// Records that this box knows which servers stand still, by what other boxes report.
     pub fn hear(&self, now: Instant) {
         self.heard.set(Some(now));
--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -10,7 +10,7 @@
 //! and does not need an election.
 //!
 //! Independently of the store, boxes report to each other the requests that they have in
-//! flight ([`traffic`]).
+//! flight ([`traffic`], [`session`]).
 //!
 //! After the store was restored from an older backup, a box asks other boxes for the
 //! state that was in force before ([`recovery`]).
@@ -33,6 +33,7 @@
 pub mod registry;
 pub mod responder;
 pub mod seed;
+pub mod session;
 pub mod traffic;
 pub mod tree;
 pub mod upstream;
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -19,7 +19,7 @@
 use crate::peer::gateway;
 use crate::peer::origins;
 use crate::peer::registry::Registry;
-use crate::peer::traffic;
+use crate::peer::session;
 use crate::relay::Relay;
 use crate::server_history::Cursor;
 use crate::timeout;
@@ -98,7 +98,7 @@
         traffic: &relay.traffic,
         number: relay.traffic.next_member_number(),
     };
-    let mut session = traffic::Session::default();
+    let mut session = session::Session::default();
     // The count of changes that the last answer included.
     let mut last_sent = None;
     // What this box was told at once; `None` if it takes nothing of that.
@@ -203,7 +203,7 @@
     }
 
     /// What is new since the last call.
-    fn update(&mut self, relay: &Relay, session: &mut traffic::Session) -> Option<Notices> {
+    fn update(&mut self, relay: &Relay, session: &mut session::Session) -> Option<Notices> {
         let rises = relay.traffic.notices.rises_after(self.rises);
         self.rises = relay.traffic.notices.count();
         let changes = relay.traffic.stalls.changes();
@@ -227,7 +227,7 @@
 async fn send_notices(
     conn: &mut Conn,
     relay: &Relay,
-    session: &mut traffic::Session,
+    session: &mut session::Session,
     told: &mut Told,
 ) -> Result<(), Error> {
     loop {
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -2,10 +2,10 @@
 //! hall.
 //!
 //! Each box watches how long its requests wait ([`Backend::is_stalled`]) and reports long
-//! waits to the hub of its hall at once. The hub tells the boxes which servers stand still
-//! ([`Stalls`](crate::traffic::stalls::Stalls)), with each answer and at once when that
-//! changes. A box that finds one by what others report sends it health checks: when one is
-//! answered in time, the server counts as going on.
+//! waits to the hub of its hall at once. A box that suspects a server by what others report
+//! sends it health checks. While one was not answered in time, the server counts as standing
+//! still, and the hub tells the boxes so ([`Stalls`](crate::traffic::stalls::Stalls)), with
+//! each answer and at once when that changes.
 //!
 //! Invariant: while a server stands still, it gets one health check at a time of each box
 //! that others report to, and no requests as long as another server may take them.
--- a/crates/relay/src/traffic/stalls.rs
+++ b/crates/relay/src/traffic/stalls.rs
@@ -13,7 +13,7 @@
 use tidepier_clock::Instant;
 
 use super::log::Peer;
-use crate::fleet::lives::Lives;
+use crate::fleet::lives::{Lives, HEARD_AGE_MAX};
 use crate::fleet::Key;
 use crate::notifier::Notifier;
 
@@ -21,9 +21,6 @@
 const PROBE_INTERVAL: Duration = Duration::from_millis(500);
 /// Shortest time between two answers of one server of which boxes are told at once.
 const RETURN_INTERVAL: Duration = Duration::from_secs(1);
-/// Age after which what this box was told is ignored: several times the interval between
-/// answers.
-const TOLD_AGE_MAX: Duration = Duration::from_millis(1_500);
 
 /// What a box told this one: since when which servers stand still, and when it told that.
 #[derive(Debug)]
@@ -192,7 +189,7 @@
         self.suspected.replace(suspected);
         let mut all = self.detected();
         let mut told = self.told.borrow_mut();
-        told.retain(|_, it| now.saturating_duration_since(it.at) < TOLD_AGE_MAX);
+        told.retain(|_, it| now.saturating_duration_since(it.at) < HEARD_AGE_MAX);
         for (server, since) in told.values().flat_map(|it| &it.since) {
             let time = now.saturating_duration_since(*since);
             match all.iter_mut().find(|it| it.server == *server) {
