Soak: a violation of crowd names the servers, the times and what they held

A violation names each server with requests over the bound, how many, when, and what it held at the highest beside the mean. What is judged is unchanged. The test of the text fails on the former one.

--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -1,5 +1,6 @@
 //! Checks how requests are spread over servers, and how many are retries.
 
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 use super::{before, Rule, Verdict};
@@ -52,18 +53,54 @@
         if window.len() < CROWDED_MIN || !is_calm(evidence, begin, end.run.arrived) {
             continue;
         }
-        let over = window
+        let over: Vec<Excess> = window
             .iter()
-            .filter(|delivery| is_crowded(&loads, window, delivery))
-            .count();
-        if over >= CROWDED_MIN && over as f64 > CROWDED_SHARE * window.len() as f64 {
-            let text = format!("{service}: {over} of {} in 5 s", window.len());
+            .filter_map(|delivery| excess(&loads, window, delivery))
+            .collect();
+        if over.len() >= CROWDED_MIN && over.len() as f64 > CROWDED_SHARE * window.len() as f64 {
+            let details = describe(&over, end.run.arrived);
+            let text = format!(
+                "{service}: {} of {} in 5 s{details}",
+                over.len(),
+                window.len()
+            );
             verdict.add_violation(evidence, Rule::Crowd, end.run.arrived, text);
             return;
         }
     }
 }
 
+/// A request that reached a server above the bound.
+struct Excess<'a> {
+    server: &'a str,
+    arrived: Instant,
+    /// Requests that the server held.
+    held: u32,
+    /// Requests that each server held in the mean.
+    mean: f64,
+}
+
+/// Each server that got such requests: how many, when first and last before `end`, and what
+/// it held at the highest.
+fn describe(over: &[Excess], end: Instant) -> String {
+    let mut by_server: BTreeMap<&str, Vec<&Excess>> = BTreeMap::new();
+    for excess in over {
+        by_server.entry(excess.server).or_default().push(excess);
+    }
+    let describe = |(server, over): (_, Vec<&Excess>)| {
+        let ago = |it: &Excess| end.saturating_duration_since(it.arrived).as_secs_f64();
+        let first = over.iter().map(|it| ago(it)).fold(0.0, f64::max);
+        let last = over.iter().map(|it| ago(it)).fold(first, f64::min);
+        let highest = over.iter().max_by_key(|it| it.held);
+        let (held, mean) = highest.map_or((0, 0.0), |it| (it.held, it.mean));
+        format!(
+            "; {} at {server}, {first:.3} to {last:.3} s before, held {held}, mean {mean:.1}",
+            over.len(),
+        )
+    };
+    by_server.into_iter().map(describe).collect()
+}
+
 fn is_calm(evidence: &Evidence, from: Instant, to: Instant) -> bool {
     let quiet = before(from, CALM_MIN);
     let changed = evidence.facts.iter().any(|(at, fact)| {
@@ -96,20 +133,20 @@
     })
 }
 
-/// Whether a server held far more requests than the mean when this one arrived. Those of the
+/// What a server held beyond the bound when this request arrived, if it did. Those of the
 /// window that reached it since the loads were sampled count as well.
-fn is_crowded(loads: &[&Loads], window: &[&Delivery], delivery: &Delivery) -> bool {
+fn excess<'a>(
+    loads: &[&Loads],
+    window: &[&Delivery],
+    delivery: &'a Delivery,
+) -> Option<Excess<'a>> {
     let next = loads.partition_point(|loads| loads.at < delivery.run.arrived);
-    let Some(known) = next.checked_sub(1).map(|last| loads[last]) else {
-        return false;
-    };
+    let known = loads[next.checked_sub(1)?];
     let sampled = known
         .in_flight
         .iter()
         .find(|(id, _)| *id == delivery.server.id);
-    let Some((_, sampled)) = sampled else {
-        return false;
-    };
+    let (_, sampled) = sampled?;
     let at = delivery.run.arrived;
     let here = window
         .iter()
@@ -119,7 +156,13 @@
     let all: u32 = known.in_flight.iter().map(|(_, held)| held).sum();
     let all = all + (own - sampled);
     let mean = f64::from(all) / known.in_flight.len().max(1) as f64;
-    f64::from(own) > bound::CROWD_FACTOR * mean + bound::CROWD_EXTRA
+    let is_over = f64::from(own) > bound::CROWD_FACTOR * mean + bound::CROWD_EXTRA;
+    is_over.then_some(Excess {
+        server: &delivery.server.id,
+        arrived: at,
+        held: own,
+        mean,
+    })
 }
 
 /// Compares the retries of a window (deliveries after the first one of each request) with
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -430,6 +430,19 @@
     evidence
 }
 
+/// Guards against a violation in CI that does not tell which server held too much, and when:
+/// the logs are gone with the machine.
+#[test]
+fn a_crowded_server_is_named_with_what_it_held() {
+    let found = Verdict::new(&with_a_crowded_server(4.5)).violations;
+    let texts: Vec<&str> = found.iter().map(|found| found.text.as_str()).collect();
+    let server = server::Settings::default().id;
+    let expected = format!(
+        "plain: 20 of 20 in 5 s; 20 at {server}, 0.950 to 0.000 s before, held 19, mean 6.3"
+    );
+    assert_eq!(texts, [expected]);
+}
+
 /// Guards against a violation for servers that are crowded while boxes may keep a hall
 /// empty, and against a missed violation at other times.
 #[test]
