Checks, answers, plain servers: one piece of code for each of what stood twice

The outcome of a health check was put into words in stalls and exchange::check, the first of which then compared them: health_check::Verdict. Answers were recorded by two loops, and the last of all was worked out twice (fleet::lives). Servers in turn and those of other halls were tested by the same three conditions. CHECKS_MAX and NOTICE_TIME were written again in the harness. The soak searched sorted arrivals for the first and the last.

Conclusion: behaviour is unchanged.

--- a/crates/admission/src/verify.rs
+++ b/crates/admission/src/verify.rs
@@ -25,6 +25,8 @@
 const CHECK_TIME: Duration = Duration::from_millis(50);
 /// Longest part of the time that is left to a request for a health check before it.
 const CHECK_DEADLINE_PART: f64 = 0.4;
+/// Most health checks before one attempt of a request.
+pub const CHECKS_MAX: u32 = 2;
 /// Most servers of which boxes report answers to each other. Among more than half as many,
 /// the share of one of them is too small to matter to the users' rule on load.
 pub const SERVERS_MAX: usize = 64;
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -277,10 +277,6 @@
         is_open(backend, self.criteria, self.now)
     }
 
-    fn is_tried(&self, backend: &Backend) -> bool {
-        self.criteria.tried.contains(&backend.server.id)
-    }
-
     /// Whether a server is known to answer. Cold servers get few requests anyway.
     fn is_verified(&self, backend: &Backend) -> bool {
         let is_cold = self.criteria.filter.is_cold(backend, self.now);
@@ -296,23 +292,24 @@
             && health.recent_rejections(now) < 1.0
     }
 
+    /// Whether a server is sound, not cold, and new to the request.
+    fn is_unobjectionable(&self, backend: &Backend) -> bool {
+        let criteria = self.criteria;
+        !criteria.tried.contains(&backend.server.id)
+            && !criteria.filter.is_cold(backend, self.now)
+            && self.is_sound(backend)
+    }
+
     /// The servers that take turns: those that this box has no reason to avoid.
     fn in_turn(&self) -> impl Iterator<Item = &Rc<Backend>> {
-        self.servers.iter().filter(|it| {
-            self.is_open(it)
-                && self.is_sound(it)
-                && !self.is_tried(it)
-                && !self.criteria.filter.is_cold(it, self.now)
-        })
+        let servers = self.servers.iter();
+        servers.filter(|it| self.is_open(it) && self.is_unobjectionable(it))
     }
 
     /// Whether a request that does not stay near may go to a server.
     fn is_alternative(&self, choice: &Choice) -> bool {
         let backend = &choice.backend;
-        backend.server.hall != *self.criteria.hall
-            && !self.is_tried(backend)
-            && !self.criteria.filter.is_cold(backend, self.now)
-            && self.is_sound(backend)
+        backend.server.hall != *self.criteria.hall && self.is_unobjectionable(backend)
     }
 
     fn rate(&self, backend: &Rc<Backend>) -> Choice {
--- a/crates/relay/src/exchange/check.rs
+++ b/crates/relay/src/exchange/check.rs
@@ -7,7 +7,7 @@
 
 use super::Exchange;
 use crate::fleet::Backend;
-use crate::health_check;
+use crate::health_check::{self, Verdict};
 use crate::timeout;
 
 impl Exchange<'_> {
@@ -25,14 +25,10 @@
             return true;
         };
         let checked = timeout::within(limit, health_check::send(self.relay, backend)).await;
-        let (is_answered, result) = match checked {
-            Some(Ok(true)) => (true, "answered"),
-            Some(Ok(false)) => (false, "rejected"),
-            Some(Err(_)) => (true, "failed"),
-            None => (false, "unanswered"),
-        };
-        backend.check.record(is_answered, Instant::now());
-        metrics::counter!("tidepier_checks_total", "result" => result).increment(1);
-        is_answered
+        let verdict = Verdict::of(checked);
+        let may_answer = matches!(verdict, Verdict::Answered | Verdict::Failed);
+        backend.check.record(may_answer, Instant::now());
+        metrics::counter!("tidepier_checks_total", "result" => verdict.as_str()).increment(1);
+        may_answer
     }
 }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use futures_lite::FutureExt;
+use tidepier_admission::verify;
 use tidepier_clock::Instant;
 use tidepier_core::request::Forward;
 use tidepier_core::server::Release;
@@ -48,8 +49,6 @@
 /// servers and 1,125 requests a second, the wait reduces the requests without a place
 /// from 59 to 31 in 1,000.
 const COLD_WAIT_MAX: Duration = Duration::from_millis(150);
-/// Most health checks before one attempt.
-const CHECKS_MAX: u32 = 2;
 /// Age of the last news of a rollout up to which a box sends requests to its new
 /// release, as a fraction of the time in which a faulty release has to be rolled back.
 const ORDER_AGE_PART: f64 = 0.5;
@@ -137,7 +136,7 @@
                 Err(refusal::Kind::Cold) => self.choose(&selector, &young, COLD_WAIT_MAX)?,
                 chosen => chosen?,
             };
-            if choice.needs_check && checks < CHECKS_MAX {
+            if choice.needs_check && checks < verify::CHECKS_MAX {
                 checks += 1;
                 // Boxed, as the futures of all requests would hold it otherwise.
                 if !Box::pin(self.answers_check(&choice.backend)).await {
--- a/crates/relay/src/fleet/lives.rs
+++ b/crates/relay/src/fleet/lives.rs
@@ -79,6 +79,10 @@
             Scope::Elsewhere => self.elsewhere,
         }
     }
+
+    fn last_of_all(&self) -> Option<Instant> {
+        self.last(Scope::Hall).max(self.last(Scope::Elsewhere))
+    }
 }
 
 /// The last answers that were passed on over one connection.
@@ -110,24 +114,20 @@
 
     /// Records what a box reports to this one.
     pub fn record_reported(&self, lives: &[Life], now: Instant) {
-        for life in lives.iter().take(verify::SERVERS_MAX) {
-            if let Some(at) = now.checked_sub(life.age) {
-                self.record(life.server, at);
-            }
-        }
+        self.record_all(lives, now, |known| &mut known.reported);
     }
 
     /// Records answers to boxes of this box's hall, as told.
     pub fn set_told_of_hall(&self, lives: &[Life], now: Instant) {
-        self.set_told(lives, now, |known| &mut known.hall);
+        self.record_all(lives, now, |known| &mut known.hall);
     }
 
     /// Records answers to boxes of other halls, as told.
     pub fn set_told_elsewhere(&self, lives: &[Life], now: Instant) {
-        self.set_told(lives, now, |known| &mut known.elsewhere);
+        self.record_all(lives, now, |known| &mut known.elsewhere);
     }
 
-    fn set_told(&self, lives: &[Life], now: Instant, of: fn(&mut Known) -> &mut Option<Instant>) {
+    fn record_all(&self, lives: &[Life], now: Instant, of: fn(&mut Known) -> &mut Option<Instant>) {
         let mut known = self.known.borrow_mut();
         for life in lives.iter().take(verify::SERVERS_MAX) {
             if let Some(at) = now.checked_sub(life.age) {
@@ -162,9 +162,7 @@
 
     /// When a server last answered any box.
     pub fn last(&self, server: Key) -> Option<Instant> {
-        let known = self.known.borrow();
-        let known = known.get(&server)?;
-        known.last(Scope::Hall).max(known.last(Scope::Elsewhere))
+        self.known.borrow().get(&server)?.last_of_all()
     }
 
     /// The answers that were not `sent` yet; `None` if boxes have got answers of more
@@ -173,7 +171,7 @@
         let age = |at: Instant| now.saturating_duration_since(at);
         let is_kept = |at: Option<Instant>| at.is_some_and(|at| age(at) < verify::LIFETIME_MAX);
         let mut known = self.known.borrow_mut();
-        known.retain(|_, it| is_kept(it.last(Scope::Hall).max(it.last(Scope::Elsewhere))));
+        known.retain(|_, it| is_kept(it.last_of_all()));
         if known.len() > verify::SERVERS_MAX {
             return None;
         }
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -19,6 +19,41 @@
 /// Largest head of an answer, in bytes.
 const HEAD_BYTES_MAX: usize = 16 << 10;
 
+/// What a health check that was given some time shows.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Verdict {
+    /// The server has accepted it.
+    Answered,
+    /// It rejected it as it would a request.
+    Rejected,
+    /// The check could not be sent, or its connection failed.
+    Failed,
+    /// There was no answer in time.
+    Unanswered,
+}
+
+impl Verdict {
+    /// The verdict on what [`send`] returned in time, if it did.
+    pub(crate) fn of(result: Option<io::Result<bool>>) -> Self {
+        match result {
+            Some(Ok(true)) => Self::Answered,
+            Some(Ok(false)) => Self::Rejected,
+            Some(Err(_)) => Self::Failed,
+            None => Self::Unanswered,
+        }
+    }
+
+    /// Its name in logs and metrics.
+    pub(crate) fn as_str(self) -> &'static str {
+        match self {
+            Self::Answered => "answered",
+            Self::Rejected => "rejected",
+            Self::Failed => "failed",
+            Self::Unanswered => "unanswered",
+        }
+    }
+}
+
 /// Round-trip time to a server's hall, if that is not this box's.
 pub(crate) fn round_trip(relay: &Relay, backend: &Backend) -> Duration {
     match backend.server.hall == relay.hall {
--- a/crates/relay/src/stalls.rs
+++ b/crates/relay/src/stalls.rs
@@ -21,7 +21,7 @@
 use tidepier_clock::Instant;
 
 use crate::fleet::Backend;
-use crate::health_check;
+use crate::health_check::{self, Verdict};
 use crate::relay::Relay;
 use crate::timeout;
 
@@ -102,18 +102,14 @@
     let mut check = pin!(health_check::send(&relay, &backend));
     let limit = verify::check_limit(health_check::round_trip(&relay, &backend));
     let in_time = timeout::within(limit, check.as_mut()).await;
-    let result = match in_time {
-        Some(Ok(true)) => "answered",
-        Some(Ok(false)) => "rejected",
-        Some(Err(_)) => "failed",
-        None => {
-            stalls.record_unanswered(key);
-            match timeout::within(PROBE_TIMEOUT, check).await {
-                Some(_) => "late",
-                None => "unanswered",
-            }
+    let verdict = Verdict::of(in_time);
+    let mut result = verdict.as_str();
+    if verdict == Verdict::Unanswered {
+        stalls.record_unanswered(key);
+        if timeout::within(PROBE_TIMEOUT, check).await.is_some() {
+            result = "late";
         }
-    };
+    }
     log::info!(
         target: "belief",
         "event=stall_checked server={} result={result} ms={}",
@@ -121,8 +117,9 @@
         began.elapsed().as_millis(),
     );
     metrics::counter!("tidepier_stall_checks_total", "result" => result).increment(1);
-    if result == "answered" {
+    let is_answered = verdict == Verdict::Answered;
+    if is_answered {
         backend.record_checked(Instant::now());
     }
-    stalls.end_probe(key, began, result == "answered");
+    stalls.end_probe(key, began, is_answered);
 }
--- a/crates/relay/tests/relay/standstill_harness.rs
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -46,8 +46,6 @@
 /// Time after which a hub gives a health check up, and the work of one.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 const PROBE_WORK: Duration = Duration::from_millis(8);
-/// Most health checks before one attempt.
-const CHECKS_MAX: u32 = 2;
 /// Tokens of a subject, and the number of subjects for each engine.
 const TOKENS: u32 = 2_000;
 const SUBJECTS: u64 = 10;
@@ -404,7 +402,7 @@
             return Ok(());
         };
         let is_checked = choice.backend.check.is_answered(now);
-        if choice.needs_check && checks < CHECKS_MAX && !is_checked {
+        if choice.needs_check && checks < verify::CHECKS_MAX && !is_checked {
             return self.check(number, subject, tried, Checked { choice, checks });
         }
         self.dispatch(number, subject, tried, choice)
--- a/crates/relay/tests/relay/standstill_plan.rs
+++ b/crates/relay/tests/relay/standstill_plan.rs
@@ -3,12 +3,11 @@
 use std::time::Duration;
 
 use crate::load_rule::{self, Excess};
+use crate::spread_harness::NOTICE_TIME;
 
 /// Time from the start that is not judged.
 const SETTLING: Duration = Duration::from_secs(1);
-/// Usual value of [`Plan::notice`]. What is sent at once within a hall takes a millisecond
-/// there and back; the rest is for boxes with a tenth of a core.
-const NOTICE_TIME: Duration = Duration::from_millis(50);
+
 /// The kind of servers.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub(crate) enum Kind {
--- a/crates/soak/src/rule/load.rs
+++ b/crates/soak/src/rule/load.rs
@@ -89,16 +89,19 @@
     }
     let describe = |(server, over): (_, Vec<&Excess>)| {
         let ago = |it: &Excess| end.saturating_duration_since(it.arrived).as_secs_f64();
-        let first = over.iter().map(|it| ago(it)).fold(0.0, f64::max);
-        let last = over.iter().map(|it| ago(it)).fold(first, f64::min);
-        let highest = over.iter().max_by_key(|it| it.held);
-        let (held, mean) = highest.map_or((0, 0.0), |it| (it.held, it.mean));
-        format!(
-            "; {} at {server}, {first:.3} to {last:.3} s before, held {held}, mean {mean:.1}",
+        // In the order of their arrival.
+        let (first, last) = (over.first()?, over.last()?);
+        let highest = over.iter().max_by_key(|it| it.held)?;
+        Some(format!(
+            "; {} at {server}, {:.3} to {:.3} s before, held {}, mean {:.1}",
             over.len(),
-        )
+            ago(first),
+            ago(last),
+            highest.held,
+            highest.mean,
+        ))
     };
-    by_server.into_iter().map(describe).collect()
+    by_server.into_iter().filter_map(describe).collect()
 }
 
 fn is_calm(evidence: &Evidence, from: Instant, to: Instant) -> bool {
