Tests, red: servers that send bytes without end, in heads, bodies and events

Evidence, on's code: a stream whose event does not end is buffered, 1.2 GB in 4 s, on a box that has 112 MB; trailers and interim answers are read and dropped for 2 to 4 s, up to 222 MB.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod crashing_parts;
 mod demand;
 mod emptied_halls;
+mod endless;
 mod entries;
 mod era_state;
 mod eras;
