The trailers of a body are at most 16 KiB

What callers saw: a server that sends trailers without end held its request until the server stopped or counted as silent (4.0 s, 222 MB read; 2.0 s, 114 MB in an answer to another request). Cause: each line had a limit, their number had none. Why this works: the bytes of all lines count, and too many make the body malformed, so that the connection is closed and the request goes elsewhere. Evidence: endless::bodies_ and endless::unwanted_bodies_without_end failed before and pass with this.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -10,6 +10,8 @@
 /// Longest line of a chunk's size, with its extensions, and of a trailer, in
 /// bytes.
 const LINE_BYTES: usize = 4 << 10;
+/// Largest trailers of a body, in bytes without line ends.
+const TRAILER_BYTES: usize = 16 << 10;
 
 /// How the end of a body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -84,8 +86,8 @@
     ChunkData(u64),
     /// The line end after a chunk's bytes.
     ChunkEnd,
-    /// Lines after the last chunk.
-    Trailer,
+    /// Lines after the last chunk, of so many bytes so far.
+    Trailer(usize),
     /// Everything up to the end of the connection.
     UntilClose,
     /// The body is whole.
@@ -226,13 +228,17 @@
                 None => None,
             },
             Step::ChunkSize => chunk_size(conn)?.map(|size| match size {
-                0 => Step::Trailer,
+                0 => Step::Trailer(0),
                 size => Step::ChunkData(size),
             }),
-            Step::Trailer => take_line(conn)?.map(|length| match length {
-                0 => Step::Done,
-                _ => Step::Trailer,
-            }),
+            Step::Trailer(before) => match take_line(conn)? {
+                Some(0) => Some(Step::Done),
+                Some(length) if *before + length > TRAILER_BYTES => {
+                    return Err(malformed("the trailers do not end"))
+                }
+                Some(length) => Some(Step::Trailer(*before + length)),
+                None => None,
+            },
         })
     }
 }
