An answer is preceded by at most eight interim answers

What callers saw: a server that sends interim answers without end kept its request for 2.0 s, until it counted as silent, and 71 MB were read; at its last attempt the request would have waited for its deadline. Cause: each head had a limit, their number had none. The store's client had the same loop. Why this works: the ninth ends the attempt as a head that is too large does. Evidence: endless::heads_without_end failed before and passes with this.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -23,6 +23,8 @@
 /// Bytes of an announced body length that are set aside before they arrive:
 /// more than an answer usually has, little against what a process may hold.
 const RESERVE_BYTES: u64 = 2 << 20;
+/// Maximum number of interim answers that come before one answer.
+const INTERIM_MAX: usize = 8;
 
 /// What a caller waits for and takes at most.
 #[derive(Debug, Clone, Copy)]
@@ -177,7 +179,7 @@
 
     /// The head of the answer itself, past any that only say it is coming.
     async fn head(&self, conn: &mut Conn) -> Result<Head, Failure> {
-        loop {
+        for _ in 0..=INTERIM_MAX {
             let head = match conn.head(self.limits.head_bytes).await {
                 Ok(Some(head)) => head,
                 Ok(None) | Err(Malformed::BrokenOff) => {
@@ -192,6 +194,7 @@
                 _ => return Ok(head),
             }
         }
+        Err(Failure::Malformed("too many interim answers".to_owned()))
     }
 
     async fn body(&self, conn: &mut Conn, framing: Framing) -> Result<Vec<u8>, Failure> {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -33,6 +33,8 @@
 const HEAD_BYTES_MAX: usize = 16 << 10;
 /// Largest answer to another request that is skipped, in bytes.
 const SKIPPED_BYTES_MAX: usize = 256 << 10;
+/// Maximum number of interim answers that come before one answer.
+const INTERIM_MAX: usize = 8;
 /// Maximum number of answers to other requests that are skipped on one connection.
 const SKIPPED_MAX: usize = 2;
 
@@ -327,6 +329,7 @@
 
 async fn read(conn: &mut Conn, dispatch: &Dispatch<'_>) -> Result<OwnAnswer, Failure> {
     let mut earlier: Vec<Answer> = Vec::new();
+    let mut interim = 0;
     loop {
         let head = conn
             .head(HEAD_BYTES_MAX)
@@ -334,6 +337,10 @@
             .map_err(|e| maybe_executed(Cause::Lost(e)))?;
         let head = head.ok_or_else(|| maybe_executed(Cause::Lost(Malformed::BrokenOff)))?;
         if matches!(head.status(), 100..=199) {
+            interim += 1;
+            if interim > INTERIM_MAX {
+                return Err(maybe_executed(Cause::Lost(Malformed::TooLarge)));
+            }
             continue;
         }
         let answer = answer::decode(&head);
