An event of a stream is at most 1 MiB long

Cause: bytes are kept until an event is complete, without a limit. Why this works: a longer event counts as a stream that broke off, and the stream is resumed at another server after its last complete event.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -3,6 +3,9 @@
 //! Only complete events are forwarded, so that a stream that breaks within an event
 //! can be resumed with the next complete one.
 
+/// Largest event, in bytes.
+const EVENT_BYTES_MAX: usize = 1 << 20;
+
 /// Buffers the bytes of a stream until events are complete.
 #[derive(Default)]
 pub struct Buffer {
@@ -36,6 +39,11 @@
         whole
     }
 
+    /// Whether the event that is not yet complete is longer than any event may be.
+    pub fn is_too_long(&self) -> bool {
+        self.bytes.len() > EVENT_BYTES_MAX
+    }
+
     /// Takes the bytes after the last complete event.
     pub fn take_rest(&mut self) -> Vec<u8> {
         self.searched = 0;
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -4,7 +4,7 @@
 //! that another server can resume it after the last of them.
 
 use std::cell::Cell;
-use std::io::Write;
+use std::io::{self, Write};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -210,6 +210,9 @@
         } else {
             events.take_rest()
         };
+        if events.is_too_long() {
+            return Err(endless_event());
+        }
         if !complete.is_empty() {
             push_events(out, &complete, client.chunked);
         }
@@ -237,6 +240,14 @@
     }
 }
 
+fn endless_event() -> Failure {
+    let error = io::Error::new(io::ErrorKind::InvalidData, "an event does not end");
+    Failure {
+        executed: Executed::Unknown,
+        cause: Cause::Broken(error),
+    }
+}
+
 fn push_events(out: &mut Vec<u8>, bytes: &[u8], chunked: bool) {
     if chunked {
         // Writing to a `Vec` does not fail.
