The senders of a cold server are sought among the boxes

A box stood still for each decision on a cold server of a service whose configuration says that cold servers bear very many requests a second: the search for the number of senders began at that rate and took one step for each. At 1e9 a decision took 371 ms, in proportion to the rate; at 1e300 the addition overflowed where that is checked.

Failed before: cold_servers_that_bear_any_rate_take_no_time_to_share.

There are no more senders than boxes, so the search begins there. The result is the same: the condition holds for all numbers below the largest one for which it holds.

--- a/crates/relay/src/cold.rs
+++ b/crates/relay/src/cold.rs
@@ -76,10 +76,10 @@
     /// more than that.
     pub fn share(&self, boxes: usize) -> Share {
         let slots = self.per_s as usize;
-        let most = (1..=slots)
+        let most = (1..=slots.min(boxes))
             .rev()
             .find(|senders| with_spares(*senders) <= slots);
-        let senders = most.unwrap_or(1).min(boxes.max(1));
+        let senders = most.unwrap_or(1);
         let requests = slots / with_spares(senders);
         Share { senders, requests }
     }
