A server's load beyond an integer is large

A server that reports running and 1 waiting requests had the load 0 in release builds, and got what others should have got; with overflow checks the box ended ("attempt to add with overflow"). The sum now saturates.

Failed before: a_load_beyond_an_integer_is_large.

--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -607,9 +607,9 @@
         let report = self.report.get();
         let age = |report: &Report| now.saturating_duration_since(report.at);
         let report = report.filter(|report| age(report) < max_age)?;
-        let sum = report.load.running + report.load.waiting;
+        let sum = report.load.running.saturating_add(report.load.waiting);
         Some(
-            (sum + self.in_flight.get())
+            sum.saturating_add(self.in_flight.get())
                 .saturating_sub(report.in_flight)
                 .max(self.in_flight.get()),
         )
