Entries that describe no server count as absent

Entries with port 0, with the addresses 0.0.0.0, [::], 255.255.255.255 or of a group, and with slots counted as servers. By reading, not measured: each new server gets requests, which lose an attempt there, and the slots of a service are added up for admission, so that one such entry stands for more capacity than all servers together while it does not count as faulty.

`Server::check` says what a server can have: an address that names one machine and a port, and at most 65,535 slots, as a request in a slot has a connection of its own. An entry that fails counts as absent, as an unreadable one does. The lines about such entries are limited to 10 a second, as a list of thousands is read again and again, and counted in tidepier_entries_invalid_total.

--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,9 +12,11 @@
 //! * [`request`]: one request of a client.
 //! * [`work`]: one admitted request for a model engine, as it is placed, queued,
 //!   retried and resumed.
+//! * [`address`]: addresses that others state as their own.
 //! * [`answer`]: a backend server's answer to one request.
 //! * [`store`]: a key-value store of the platform.
 
+pub mod address;
 pub mod answer;
 pub mod catalog;
 pub mod era;
--- a/crates/core/src/server.rs
+++ b/crates/core/src/server.rs
@@ -8,6 +8,8 @@
 
 use tidepier_ids as ids;
 
+use crate::address;
+
 /// Whether a server takes new requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum State {
@@ -65,6 +67,22 @@
     }
 }
 
+/// Most slots of one server: a request in a slot has a connection of its own, and there are
+/// no more ports. Admission and rotation add up the slots of a service, so that a number
+/// beyond would decide for all its servers.
+const SLOTS_MAX: u32 = 65_535;
+
+/// What is described is no server that could take requests.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, thiserror::Error)]
+pub enum Implausible {
+    /// Nobody can be reached at its address.
+    #[error(transparent)]
+    Address(#[from] address::Unreachable),
+    /// No server has so many slots.
+    #[error("{0} slots; at most {SLOTS_MAX} are plausible")]
+    Slots(u32),
+}
+
 /// One incarnation of a backend server: one run of its process, identified by the
 /// server id and the start time.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -92,6 +110,19 @@
 }
 
 impl Server {
+    /// Checks what anyone may have written against what a server can have.
+    ///
+    /// # Errors
+    ///
+    /// See [`Implausible`].
+    pub fn check(&self) -> Result<(), Implausible> {
+        address::check(self.address)?;
+        match self.slots {
+            0..=SLOTS_MAX => Ok(()),
+            slots => Err(Implausible::Slots(slots)),
+        }
+    }
+
     /// The name of its release for the log; `-` if it reports none.
     pub fn release_name(&self) -> &str {
         self.release.as_ref().map_or("-", Release::as_str)
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -37,6 +37,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -57,6 +58,7 @@
 use crate::emptied_halls::EmptiedHalls;
 use crate::era_state::{Entry, Origin};
 use crate::fleet;
+use crate::log::Limit;
 use crate::message::follow::Row;
 use crate::notifier::Notifier;
 use crate::relay::Relay;
@@ -73,6 +75,9 @@
 /// Interval at which the age of the last confirmation is checked.
 const AGE_CHECK_INTERVAL: Duration = Duration::from_millis(150);
 
+/// Most lines a second about entries that cannot be read.
+const INVALID_LINES_MAX: u32 = 10;
+
 /// The local view of catalog and servers, and the state of its synchronization.
 pub struct Follower {
     relay: Rc<Relay>,
@@ -146,6 +151,8 @@
     change_count: Cell<u64>,
     /// Notified with each such change.
     changed: Notifier,
+    /// Limits the lines about entries that cannot be read.
+    invalid_lines: Limit,
 }
 
 impl Follower {
@@ -185,6 +192,7 @@
             store_returned: Notifier::default(),
             change_count: Cell::new(0),
             changed: Notifier::default(),
+            invalid_lines: Limit::new("entry_invalid", INVALID_LINES_MAX),
         })
     }
 
@@ -389,6 +397,11 @@
         let was_missing = fleet.get(row.id()).is_some_and(|it| it.is_missing());
         let server = Server::from(row.clone());
         let id = server.id.clone();
+        // Boxes of former releases pass on what this one would not take from the store.
+        if let Err(error) = server.check() {
+            self.log_invalid("server", id.as_str(), &error);
+            return;
+        }
         let change = fleet.announce(server, batch.at);
         let is_change = was_missing || change != fleet::Change::None;
         let row = row.with_cold(Duration::ZERO);
@@ -505,6 +518,15 @@
         }
     }
 
+    /// Logs and counts an entry that counts as absent. Lines are limited, as it may be read
+    /// again with each list and each change.
+    fn log_invalid(&self, kind: &'static str, key: &str, why: &dyn fmt::Display) {
+        metrics::counter!("tidepier_entries_invalid_total", "kind" => kind).increment(1);
+        if self.invalid_lines.allows(Instant::now()) {
+            log::error!(target: "belief", "event={kind}_invalid id={key} why=\"{why}\"");
+        }
+    }
+
     fn log_failure(&self, what: &str, failure: &Failure) {
         if !self.reads_store.get() {
             return;
--- a/crates/relay/src/follow/servers.rs
+++ b/crates/relay/src/follow/servers.rs
@@ -261,7 +261,7 @@
                 Some(id)
             }
             Err(error) => {
-                log::error!(target: "belief", "event=server_invalid id={id} why=\"{error}\"");
+                self.log_invalid("server", id, &error);
                 None
             }
         }
