The entry of a box speaks for its own key

An entry under the key of no or of another box, at port 0 or at 0.0.0.0 was in the list of boxes. By reading, not measured: with the largest bandwidth it is the first that a hall asks for what the store has, and it counts among those that share connections and rates. One that names another box stood beside the right one, and nobody writes or removes it.

Failed before: an_entry_of_a_box_speaks_for_its_own_key, five boxes where there are two.

An entry now has to describe the box of its key, at an address that can be reached. Decoding has a module of its own; its lines are limited and counted as those about servers.

--- a/crates/relay/src/peer/mod.rs
+++ b/crates/relay/src/peer/mod.rs
@@ -27,6 +27,7 @@
 //! receiving box dates it, on its own clock, to the time at which it sent the request,
 //! less the age given in the answer.
 
+mod entry;
 pub mod gateway;
 pub mod origins;
 pub mod recovery;
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -8,12 +8,11 @@
 use std::cell::{Cell, RefCell};
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::{IpAddr, SocketAddr};
+use std::net::IpAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
-use serde::{Deserialize, Serialize};
 use smol::lock::Mutex;
 use smol::Timer;
 use tidepier_clock::Instant;
@@ -22,7 +21,10 @@
 use tidepier_platform::store::Client;
 use xxhash_rust::xxh3::{xxh3_64, Xxh3};
 
+pub use super::entry::Member;
+use super::entry::{self, key, PREFIX};
 use super::tree;
+use crate::log::Limit;
 use crate::message::boxes;
 use crate::notifier::Notifier;
 use crate::origin::keepers::{Keeper, Keepers};
@@ -30,8 +32,6 @@
 use crate::timeout;
 use crate::tunnel::gateways::Gateway;
 
-/// Key prefix of the entries in the store.
-const PREFIX: &str = "tidepier/boxes/";
 /// TTL of an entry's lease: the longest that the store grants. A dead box is detected
 /// because it does not answer, not by its lease.
 const LEASE_TTL: Duration = Duration::from_secs(600);
@@ -58,19 +58,8 @@
 /// Pause after a failed call, before jitter.
 const RETRY_DELAY: Duration = Duration::from_millis(700);
 
-/// The registration entry of a box.
-#[derive(Debug, Clone, Serialize, Deserialize, PartialEq)]
-pub struct Member {
-    /// The box.
-    pub name: ids::Box,
-    /// Its hall.
-    pub hall: ids::Hall,
-    /// Address on which it serves requests of other boxes.
-    pub address: SocketAddr,
-    /// Bandwidth of its link in Mbit/s: the resource that a reader needs most, since it
-    /// sends full configurations to its hall.
-    pub link_mbps: u32,
-}
+/// Most lines a second about entries that cannot be read.
+const INVALID_LINES_MAX: u32 = 10;
 
 /// The boxes that are known here.
 pub struct Registry {
@@ -98,6 +87,8 @@
     failed: Cell<bool>,
     /// Notified when the list of boxes changes.
     pub changed: Notifier,
+    /// Limits the lines about entries that cannot be read.
+    invalid_lines: Limit,
 }
 
 impl Registry {
@@ -117,6 +108,7 @@
             verified_at: Mutex::new(None),
             failed: Cell::new(false),
             changed: Notifier::default(),
+            invalid_lines: Limit::new("box_invalid", INVALID_LINES_MAX),
         })
     }
 
@@ -261,7 +253,7 @@
                 None
             }
         };
-        let member = entry.and_then(|item| serde_json::from_slice(&item.value).ok());
+        let member = entry.and_then(|item| entry::decode(&item).ok());
         let Some(member) = member.filter(is_sender) else {
             return false;
         };
@@ -362,8 +354,14 @@
     }
 
     fn is_mine(&self, item: &Item) -> bool {
-        let member = serde_json::from_slice::<Member>(&item.value);
-        member.is_ok_and(|member| member == self.me)
+        entry::decode(item).is_ok_and(|member| member == self.me)
+    }
+
+    fn log_invalid(&self, key: &str, why: &entry::Invalid) {
+        metrics::counter!("tidepier_entries_invalid_total", "kind" => "box").increment(1);
+        if self.invalid_lines.allows(Instant::now()) {
+            log::error!(target: "belief", "event=box_invalid key={key:?} why=\"{why}\"");
+        }
     }
 
     async fn renew(&self, lease: LeaseId) {
@@ -449,15 +447,11 @@
         let mut mine = None;
         let mut members = vec![self.me.clone()];
         for item in &read.value {
-            match serde_json::from_slice::<Member>(&item.value) {
+            match entry::decode(item) {
                 Ok(member) if member == self.me => mine = item.lease,
                 Ok(member) if member.name == self.me.name => {}
                 Ok(member) => members.push(member),
-                Err(error) => log::error!(
-                    target: "belief",
-                    "event=box_invalid key={} why=\"{error}\"",
-                    item.key
-                ),
+                Err(error) => self.log_invalid(&item.key, &error),
             }
         }
         // A stale list may be from before any box registered.
@@ -501,10 +495,6 @@
     }
 }
 
-fn key(hall: &ids::Hall, name: &ids::Box) -> String {
-    format!("{PREFIX}{hall}/{name}")
-}
-
 /// The entries that a list covers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum ListScope {
