An odd stage does not keep an order where it is

The operator's order to move a service to a release stood still for good after another writer had left an unreadable entry as its stage: the box that writes stages expects the revision of the last one that it could read, so that each of its writes conflicted. A readable stage with a share below 0 or above 1 was taken; what it added to the credit by which requests are divided outlived it: after a share of -1e300 the release got none of 1,000 requests at a share of 0.5.

A stage that cannot be read, or has no share from 0 to 1, counts as no stage, but its revision is known, so that the next stage or the known one replaces it.

--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -153,11 +153,11 @@
                     let rollouts = &self.relay.rollouts;
                     rollouts.stage(&service, stage, item.revision, now);
                 }
-                Err(error) => log::error!(
-                    target: "belief",
-                    "event=stage_invalid key={} why=\"{error}\"",
-                    item.key
-                ),
+                Err(error) => {
+                    self.log_invalid("stage", &item.key, &error);
+                    let rollouts = &self.relay.rollouts;
+                    rollouts.stage_unreadable(&service, item.revision);
+                }
             }
         }
     }
--- a/crates/relay/src/rollout/mod.rs
+++ b/crates/relay/src/rollout/mod.rs
@@ -376,6 +376,20 @@
         }
     }
 
+    /// Records that the stage entry with this revision says nothing that can be read, so that
+    /// the known or the next stage replaces it.
+    pub fn stage_unreadable(&self, service: &ids::Service, revision: Revision) {
+        let mut all = self.known.borrow_mut();
+        let known = all.get_mut(service);
+        let Some(known) = known.filter(|known| revision > known.stage_revision) else {
+            return;
+        };
+        known.stage_revision = revision;
+        known.stage_stored = false;
+        drop(all);
+        self.changed.notify();
+    }
+
     /// Records the stage of a service's order. It is from an entry with this revision, or
     /// from another box that knows a stage that the store lacks.
     pub fn stage(&self, service: &ids::Service, stage: Stage, revision: Revision, now: Instant) {
@@ -391,8 +405,9 @@
             known.stage_revision = revision;
             known.stage_stored = false;
         }
-        // An entry of an earlier order says nothing about this one.
-        if stage.order != known.revision.number() {
+        // An entry of an earlier order says nothing about this one. What is no share would
+        // stay in the credit of the release, beyond the stage.
+        if stage.order != known.revision.number() || !stage.has_share() {
             return;
         }
         if !known.is_followed_by(&stage, revision) {
--- a/crates/relay/src/rollout/stage.rs
+++ b/crates/relay/src/rollout/stage.rs
@@ -29,7 +29,7 @@
     /// State of the order.
     #[serde(with = "StateText")]
     pub state: State,
-    /// The share of the requests that the new release gets.
+    /// The share of the requests that the new release gets, from 0 to 1.
     pub share: f64,
     /// Time from the order to this stage in ms, by the clock of the box that wrote it.
     pub elapsed_ms: u64,
@@ -44,8 +44,12 @@
 }
 
 impl Stage {
+    /// Whether its share is one: no writer of stages has another, and anyone may write.
+    pub fn has_share(&self) -> bool {
+        (0.0..=1.0).contains(&self.share)
+    }
+
     /// Time from the order to this stage.
-    ///
     pub fn elapsed(&self) -> Duration {
         Duration::from_millis(self.elapsed_ms)
     }
