Removals at the last revision are forgotten without overflow

The revision after that of the oldest removal is where a box's memory of removals begins. After 513 removals as of revision 2^64 - 1, which an answer of the store or of a box may state, it overflowed: "attempt to add with overflow" ended the box; where that is not checked, the memory seemed to begin at 0.

The number now saturates.

Also odd heads of servers' answers (odd_heads_of_servers_are_forwarded_by_a_box_that_lives): 40 of 40 requests are served and no fault was found.

--- a/crates/relay/src/server_history.rs
+++ b/crates/relay/src/server_history.rs
@@ -175,7 +175,7 @@
         let forgotten = self.removed.borrow_mut().push(id.clone(), revision);
         if let Some((other, at)) = forgotten.filter(|(other, _)| other != id) {
             log::debug!(target: "belief", "event=gone_forgotten id={other}");
-            let after = Revision::new(at.era(), at.number() + 1);
+            let after = Revision::new(at.era(), at.number().saturating_add(1));
             let since = self.removed_since.get().map(|since| since.max(after));
             self.removed_since.set(since);
         }
--- a/crates/relay/tests/relay/odd_messages.rs
+++ b/crates/relay/tests/relay/odd_messages.rs
@@ -1,5 +1,5 @@
-//! Messages of other boxes with values that no box sends: they are malformed or applied, and end
-//! no process.
+//! Messages of other boxes, and answers of servers, with values that nobody sends: they are
+//! malformed or applied, and end no process.
 
 use std::collections::HashMap;
 use std::time::Duration;
@@ -22,9 +22,12 @@
 use tidepier_relay::message::{self, link, PeerRequest, VERSION};
 use tidepier_relay::peer::session::Session;
 use tidepier_relay::rollout::evidence;
+use tidepier_relay::server_history::History;
+use tidepier_relay_standin::names;
 
-use crate::harness::{ms, run, Result, SERVICE};
+use crate::harness::{ms, run, site, Harness, Result, SERVICE};
 use crate::peer_answers::{follower, relay, row_of};
+use crate::raw::{self, Raw};
 
 fn odd_values() -> Vec<Value> {
     let mut nested = Value::Null;
@@ -332,3 +335,55 @@
     }
     Ok(())
 }
+
+// Figures in the head of a server's answer that exceed what arithmetic holds.
+#[test]
+fn odd_heads_of_servers_are_forwarded_by_a_box_that_lives() -> Result {
+    let figures = [
+        "0",
+        "-1",
+        "4294967295",
+        "18446744073709551616",
+        "1e21",
+        "1e400",
+        "NaN",
+        "inf",
+    ];
+    let fields = figures.iter().flat_map(|odd| {
+        [
+            format!("{}: {odd},{odd},{odd}", names::LOAD),
+            format!("{}: 4294967295,1,{odd},{odd}", names::LOAD),
+            format!("Keep-Alive: timeout={odd}"),
+            format!("{}: {odd}", names::RETRY_AFTER),
+            format!("{}: {odd}", names::INSTANCE),
+        ]
+    });
+    let fields: Vec<String> = fields.collect();
+    let count = fields.len();
+    run(async |executor| {
+        let site = site()?;
+        let _raw = Raw::start(&executor, &site, "i-raw", move |request| {
+            let at: usize = request.attempt.parse().ok()?;
+            let usual = raw::answer(&request.attempt, true);
+            let head = format!("HTTP/1.1 200 OK\r\n{}\r\n", fields[at]);
+            Some(usual.replacen("HTTP/1.1 200 OK\r\n", &head, 1))
+        })?;
+        let harness = Harness::start_ready(executor, site).await?;
+        for number in 0..count {
+            let answer = harness.post("/r/x", &number.to_string()).await?;
+            ensure!(answer.status == 200, "{number}: {answer:?}");
+        }
+        Ok(())
+    })
+}
+
+// The number after the last one of a revision, where the oldest removal is forgotten.
+#[test]
+fn removals_at_the_last_revision_are_remembered_or_forgotten() -> Result {
+    let history = History::default();
+    history.confirm(Revision::of(1));
+    for number in 0..600 {
+        history.remove(&format!("i-{number}").parse()?, Revision::of(u64::MAX));
+    }
+    Ok(())
+}
