--- a/crates/relay/tests/platform/store.rs
+++ b/crates/relay/tests/platform/store.rs
@@ -315,6 +315,30 @@
     });
 }
 
+// Recursion into, and figures beyond, what a page may hold.
+#[test]
+fn odd_pages_are_malformed_or_have_no_effect() {
+    let nest = "[".repeat(100_000) + &"]".repeat(100_000);
+    let page = |text: String| Step::Answer(200, text.leak());
+    let (address, _requests) = scripted_store(vec![vec![
+        page(nest.clone()),
+        page(format!(r#"{{"entries":{nest},"timestamp":9}}"#)),
+        page(r#"{"entries":[],"timestamp":18446744073709551616}"#.to_owned()),
+        page(r#"{"entries":[],"timestamp":1e400}"#.to_owned()),
+        page(r#"{"entries":[],"timestamp":-1}"#.to_owned()),
+        page(format!(r#"{{"entries":[],"timestamp":9,"x":{nest}}}"#)),
+    ]]);
+    with_metrics(|_| async move {
+        let client = Client::new(address);
+        for number in 0..5 {
+            let read = client.list("p/", false, LIMIT).await;
+            assert!(matches!(read, Err(Failure::Malformed(_))), "{number}");
+        }
+        let read = client.list("p/", false, LIMIT).await.expect("read");
+        assert!(read.value.is_empty());
+    });
+}
+
 #[test]
 fn a_swap_is_committed_conflicts_or_has_no_lease() {
     let (address, requests) = scripted_store(vec![vec![
--- a/crates/relay/tests/relay/odd_entries.rs
+++ b/crates/relay/tests/relay/odd_entries.rs
@@ -389,3 +389,79 @@
         wait_until_ready(&test_boxes).await
     })
 }
+
+// Entries that are plausible and wrong: nothing listens there, and their slots are as many as an
+// entry may state.
+#[test]
+fn requests_are_served_beside_plausible_entries_without_servers() -> Result {
+    const ODD: usize = 20;
+    run(async |executor| {
+        let site = site()?;
+        let sound: Vec<_> = (1..=3)
+            .map(|number| site.server(server_settings(number)))
+            .collect::<std::io::Result<_>>()?;
+        let test_boxes = start_boxes_with_reader(&executor, &site, 2).await?;
+        for at in 0..ODD {
+            let entry = json!({
+                "service": SERVICE, "address": format!("127.0.0.{}:9", at + 1), "zone": "hall-1",
+                "version": "v1", "slots": 65_535, "state": "ready",
+                "cold_remaining_ms": if at % 2 == 0 { 0.0 } else { 1e21 },
+            });
+            site.store.put_server(&format!("odd-{at}"), &entry);
+        }
+        let later = site.server(server_settings(4))?;
+        let (mut slowest, mut refused) = (Duration::ZERO, 0);
+        for test_box in &test_boxes {
+            wait_until("followed", async || Ok(test_box.knows(&later))).await?;
+            for number in 0..100 {
+                let attempt = format!("{}-{number}", test_box.name);
+                let answer = test_box.call(&post("/r/x", &attempt)).await?;
+                slowest = slowest.max(answer.elapsed);
+                // Each refused request shows the box at least one of them.
+                if number < ODD && answer.status == 503 {
+                    refused += 1;
+                    continue;
+                }
+                let servers = [&sound[0], &sound[1], &sound[2], &later];
+                ensure_served_by(&answer, &servers, &attempt)?;
+            }
+        }
+        ensure!(slowest < ms(500), "{slowest:?}");
+        let runs = sound.iter().chain([&later]).map(|it| it.runs().len());
+        let runs: Vec<usize> = runs.collect();
+        ensure!(runs.iter().sum::<usize>() == 200 - refused, "{runs:?}");
+        Ok(())
+    })
+}
+
+// A server's entry that names the address of a box itself.
+#[test]
+fn requests_are_served_beside_an_entry_with_the_address_of_the_box() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let sound = site.server(server_settings(2))?;
+        let test_boxes = start_boxes_with_reader(&executor, &site, 2).await?;
+        for (at, test_box) in test_boxes.iter().enumerate() {
+            let entry = json!({
+                "service": SERVICE, "address": test_box.router.client_address().to_string(),
+                "zone": "hall-1", "version": "v1", "slots": 64, "state": "ready",
+            });
+            site.store.put_server(&format!("odd-{at}"), &entry);
+        }
+        let later = site.server(server_settings(4))?;
+        for test_box in &test_boxes {
+            wait_until("followed", async || Ok(test_box.knows(&later))).await?;
+        }
+        for path in ["/r/x", "/o/x"] {
+            for number in 0..50 {
+                let attempt = format!("{}-{number}", &path[1..2]);
+                let test_box = &test_boxes[number % 2];
+                let answer = test_box.call(&post(path, &attempt)).await?;
+                ensure_served_by(&answer, &[&sound, &later], &attempt)?;
+                let runs = sound.ran(&attempt) + later.ran(&attempt);
+                ensure!(runs == 1, "{attempt} ran {runs} times");
+            }
+        }
+        Ok(())
+    })
+}
