--- a/crates/relay/tests/platform/store.rs
+++ b/crates/relay/tests/platform/store.rs
@@ -274,6 +274,71 @@
     );
 }
 
+// One value that is no bytes hid all other items of its page, at each read.
+#[test]
+fn an_unreadable_value_hides_no_other_item() {
+    let nest = "[".repeat(1_000) + &"]".repeat(1_000);
+    let odd = [
+        r#""value":"*""#,
+        r#""value":null"#,
+        r#""value":7"#,
+        r#""value":{"a":[1]}"#,
+        r#""lease_id":0"#,
+        &format!(r#""value":{nest}"#),
+    ];
+    let rows = odd.iter().enumerate().map(|(at, field)| {
+        let key = format!("p/{at}");
+        format!(r#"{{"key_file":"{key}",{field},"revision":2}}"#)
+    });
+    let rows: Vec<String> = rows.collect();
+    let page = |name: &str| -> &'static str {
+        let last = r#"{"key_file":"p/z","value":"MQ==","revision":3}"#;
+        let text = format!(r#"{{"{name}":[{},{last}],"timestamp":9}}"#, rows.join(","));
+        text.leak()
+    };
+    let (address, _requests) = scripted_store(vec![
+        vec![Step::Answer(200, page("entries"))],
+        vec![Step::Answer(200, page("events"))],
+    ]);
+    with_metrics(|recorded| async move {
+        let client = Client::new(address);
+        let unreadable = (0..odd.len()).map(|at| item(&format!("p/{at}"), "", 2));
+        let items: Vec<Item> = unreadable.chain([item("p/z", "1", 3)]).collect();
+        let read = client.list("p/", false, LIMIT).await.expect("read");
+        assert_eq!(read.value, items);
+        let mut watch = client.watch(Scope::Prefix("p/"), Revision::of(1));
+        let read = watch.next(LIMIT).await.expect("read");
+        let events: Vec<Event> = items.into_iter().map(Event::Put).collect();
+        assert_eq!(read.value, events);
+        let counted = recorded.value("tidepier_store_values_unreadable_total");
+        assert_eq!(counted, 2 * odd.len() as u64);
+    });
+}
+
+// Recursion into, and figures beyond, what a page may hold.
+#[test]
+fn odd_pages_are_malformed_or_have_no_effect() {
+    let nest = "[".repeat(100_000) + &"]".repeat(100_000);
+    let page = |text: String| Step::Answer(200, text.leak());
+    let (address, _requests) = scripted_store(vec![vec![
+        page(nest.clone()),
+        page(format!(r#"{{"entries":{nest},"timestamp":9}}"#)),
+        page(r#"{"entries":[],"timestamp":18446744073709551616}"#.to_owned()),
+        page(r#"{"entries":[],"timestamp":1e400}"#.to_owned()),
+        page(r#"{"entries":[],"timestamp":-1}"#.to_owned()),
+        page(format!(r#"{{"entries":[],"timestamp":9,"x":{nest}}}"#)),
+    ]]);
+    with_metrics(|_| async move {
+        let client = Client::new(address);
+        for number in 0..5 {
+            let read = client.list("p/", false, LIMIT).await;
+            assert!(matches!(read, Err(Failure::Malformed(_))), "{number}");
+        }
+        let read = client.list("p/", false, LIMIT).await.expect("read");
+        assert!(read.value.is_empty());
+    });
+}
+
 #[test]
 fn a_swap_is_committed_conflicts_or_has_no_lease() {
     let (address, requests) = scripted_store(vec![vec![
