--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -314,6 +314,20 @@
         Self::build(executor, site, name, hall, link, seeds, store).await
     }
 
+    /// The same with the settings of a fleet that starts for the first time.
+    pub(crate) async fn start_first(
+        executor: &Executor,
+        site: &Site,
+        name: &str,
+        hall: &str,
+        link: u32,
+    ) -> Result<Self> {
+        let peer = address();
+        let mut values = settings(site, name, hall, link, peer);
+        values["first_start"] = true.into();
+        Self::run(executor, name, peer, values, site.store.address()).await
+    }
+
     async fn build(
         executor: &Executor,
         site: &Site,
@@ -324,11 +338,22 @@
         store: SocketAddr,
     ) -> Result<Self> {
         let peer = address();
-        let store = Proxy::open(executor, store).await?;
         let mut values = settings(site, name, hall, link, peer);
-        values["store"]["address"] = store.address().to_string().into();
         let seeds = seeds.iter().map(|ip| SocketAddr::new(*ip, SEED_PORT));
         values["seeds"] = seeds.map(|seed| seed.to_string()).collect();
+        Self::run(executor, name, peer, values, store).await
+    }
+
+    /// Starts a box with these settings, and a proxy in front of its store.
+    async fn run(
+        executor: &Executor,
+        name: &str,
+        peer: SocketAddr,
+        mut values: Value,
+        store: SocketAddr,
+    ) -> Result<Self> {
+        let store = Proxy::open(executor, store).await?;
+        values["store"]["address"] = store.address().to_string().into();
         let settings: Settings = serde_json::from_value(values.clone())?;
         settings.check()?;
         let own = Rc::new(LocalExecutor::new());
@@ -441,6 +466,21 @@
     Ok(test_boxes)
 }
 
+/// The same with the settings of a fleet that starts for the first time.
+pub(crate) async fn start_first_boxes_in(
+    executor: &Executor,
+    site: &Site,
+    halls: &[&str],
+) -> Result<Vec<TestBox>> {
+    let mut test_boxes = Vec::new();
+    for (number, hall) in (0..).zip(halls) {
+        let (name, link) = (format!("box-{number}"), 5_000 - 1_000 * number);
+        test_boxes.push(TestBox::start_first(executor, site, &name, hall, link).await?);
+    }
+    wait_until_ready(&test_boxes).await?;
+    Ok(test_boxes)
+}
+
 pub(crate) async fn wait_until_ready(test_boxes: &[TestBox]) -> Result {
     wait_until("ready", async || {
         Ok(test_boxes.iter().all(TestBox::is_ready))
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -78,6 +78,7 @@
 mod standstill_processes;
 mod stop;
 mod stream_releases;
+mod stream_restarts;
 mod streams;
 mod suspended;
 mod traffic_tally;
--- a/crates/relay/tests/relay/stream_releases.rs
+++ b/crates/relay/tests/relay/stream_releases.rs
@@ -26,7 +26,7 @@
 
 /// A site with two accounts. `/t/` may go to three servers, `/c/` and `/k/` to one, so that
 /// only their clients can take such a stream up; `/k/` requires a key.
-fn site() -> Result<Site> {
+pub(crate) fn site() -> Result<Site> {
     let site = harness::site()?;
     let resumable = Kind::Stream { resumable: true };
     let route = |prefix, attempts| Route {
@@ -43,7 +43,7 @@
     Ok(site)
 }
 
-fn settings(number: u32, hall: &str, release: &str) -> server::Settings {
+pub(crate) fn settings(number: u32, hall: &str, release: &str) -> server::Settings {
     server::Settings {
         hall: hall.into(),
         release: Some(release.into()),
@@ -73,7 +73,7 @@
 }
 
 /// Checks that a client holds all events of one stream, each once, from one release.
-fn ensure_one_stream(answers: &[&Answer]) -> Result {
+pub(crate) fn ensure_one_stream(answers: &[&Answer]) -> Result {
     let last = answers.last().ok_or_else(|| eyre!("no answer"))?;
     ensure!(last.status == 200 && last.complete, "{last:?}");
     let ids: Vec<u64> = answers.iter().flat_map(|answer| answer.ids()).collect();
@@ -84,7 +84,7 @@
 }
 
 /// A call that takes up a stream that `first` began and of which `held` has the last event.
-fn take_up(target: &str, attempt: &str, first: &str, held: &Answer) -> Call {
+pub(crate) fn take_up(target: &str, attempt: &str, first: &str, held: &Answer) -> Call {
     let last = held.ids().last().copied().unwrap_or_default();
     post(target, attempt)
         .with(names::LAST_EVENT, &last.to_string())
@@ -92,7 +92,7 @@
 }
 
 /// Begins a stream that breaks off half-way.
-async fn begin(at: &TestBox, servers: &[Server], call: &Call) -> Result<Answer> {
+pub(crate) async fn begin(at: &TestBox, servers: &[Server], call: &Call) -> Result<Answer> {
     servers.iter().for_each(|it| it.fault(Fault::CutEvent, 1));
     let answer = at.call(call).await?;
     servers.iter().for_each(Server::heal);
@@ -101,7 +101,7 @@
     Ok(answer)
 }
 
-fn deliveries(servers: &[Server]) -> usize {
+pub(crate) fn deliveries(servers: &[Server]) -> usize {
     servers.iter().map(|server| server.runs().len()).sum()
 }
 
@@ -326,7 +326,7 @@
 }
 
 /// Number of streams whose origin a box knows.
-fn known(at: &TestBox) -> usize {
+pub(crate) fn known(at: &TestBox) -> usize {
     at.router.relay().origins.table.len()
 }
 
