Record of releases: an entry says whether it is complete, and in which era

What callers saw: after all boxes were killed and came back, a take-up of a stream whose release was gone was answered 200 and joined from two releases, if the store's entry of the service was missing, was written by the new boxes, or came from a backup of the store.

An entry now says in which era of the store it is complete. A hub says so only if it has observed the service for the whole window; an entry that was complete stays so when releases are added. A take-up is decided by the record only if the entry is complete in the era in which it was read. Hubs compare all entries again when the era changes.

Two tests of stream_releases relied on the fault: their boxes found a store without an entry, were not told of a first start, and took streams up by the record. Their store now has a complete entry of the time before, as a store has where boxes start for a later time; what they check is unchanged. The missing entry is checked by stream_restarts.

Entries of former versions do not say that they are complete: after an upgrade take-ups that only the record can decide are refused until a hub has observed the service for the window. Also the line releases_unknown names why.

--- a/crates/relay/src/exchange/origin.rs
+++ b/crates/relay/src/exchange/origin.rs
@@ -86,17 +86,28 @@
     /// and this box know.
     async fn recorded_origin(&self, service: &ids::Service) -> Option<Origin> {
         let relay = self.relay;
-        let mut names = match relay.origins.ledger.names(service).await {
-            Ok(names) => names,
+        let entry = match relay.origins.ledger.recent(service).await {
+            Ok(entry) if entry.is_complete => entry,
+            Ok(entry) => {
+                log::info!(
+                    target: "request",
+                    "event=releases_unknown id={} why=incomplete recorded={}",
+                    self.request.attempt,
+                    entry.names.len()
+                );
+                return None;
+            }
             Err(failure) => {
                 log::info!(
                     target: "request",
-                    "event=releases_unknown id={} why=\"{failure}\"",
-                    self.request.attempt
+                    "event=releases_unknown id={} why={} detail=\"{failure}\"",
+                    self.request.attempt,
+                    failure.name()
                 );
                 return None;
             }
         };
+        let mut names = entry.names;
         let window = relay.origins.window();
         let now = Instant::now();
         names.extend(relay.fleet.releases.names(service, window, now));
--- a/crates/relay/src/origin/ledger.rs
+++ b/crates/relay/src/origin/ledger.rs
@@ -3,9 +3,14 @@
 //! A box that starts does not know which releases served before. Where no other box knows
 //! it either, because all of them started together, only the store can tell.
 //!
-//! Invariant: the entry of a service names every release to which boxes send streams. It
-//! names a release until no server of it has been there for as long as a stream may last, as
-//! observed by one box all that time.
+//! Invariants:
+//!
+//! * A complete entry of a service names every release to which boxes send streams. It
+//!   names a release until no server of it has been there for as long as a stream may last,
+//!   as observed by one box all that time.
+//! * Only a box that has observed the service for that time makes an entry complete. It stays so
+//!   within the era of the store in which that was done: a backup may lack later changes.
+//! * No entry, or one that is not complete, says nothing of releases that it does not name.
 
 use std::cell::{OnceCell, RefCell};
 use std::collections::{BTreeSet, HashMap};
@@ -14,7 +19,7 @@
 
 use serde::{Deserialize, Serialize};
 use tidepier_clock::Instant;
-use tidepier_core::era::Revision;
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::store::{Failure, Store, Swap, Write};
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
@@ -28,17 +33,23 @@
 /// How long what was read is used again.
 const READ_TTL: Duration = Duration::from_secs(1);
 
-/// The value of an entry: the names of the releases, `null` for servers that report none.
+/// The value of an entry.
 #[derive(Debug, Default, Serialize, Deserialize)]
 struct Value {
+    /// The names of the releases, `null` for servers that report none.
     releases: Vec<Option<Box<str>>>,
+    /// The era of the store in which the entry is complete; absent if it never was, and in
+    /// entries of former versions.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    complete_in: Option<u64>,
 }
 
 impl Value {
-    fn new(names: &BTreeSet<Name>) -> Self {
+    fn new(names: &BTreeSet<Name>, complete_in: Option<Era>) -> Self {
         let name = |name: &Name| name.as_ref().map(|name| name.as_str().into());
         Self {
             releases: names.iter().map(name).collect(),
+            complete_in: complete_in.map(|era| era.0),
         }
     }
 
@@ -54,7 +65,11 @@
 pub struct Entry {
     /// The releases; empty if there is no entry.
     pub names: BTreeSet<Name>,
+    /// Whether these are all releases of which streams may go on.
+    pub is_complete: bool,
     revision: Revision,
+    /// The era in which it was read.
+    era: Era,
 }
 
 /// Reads and writes the entries.
@@ -71,23 +86,23 @@
         let _ = self.store.set(store);
     }
 
-    /// The releases of a service, as of a second ago at most.
+    /// The entry of a service, as of a second ago at most.
     ///
     /// # Errors
     ///
     /// The store does not answer, or its entry is unreadable.
-    pub async fn names(&self, service: &ids::Service) -> Result<BTreeSet<Name>, Failure> {
+    pub async fn recent(&self, service: &ids::Service) -> Result<Entry, Failure> {
         let recent = self.read.borrow().get(service).cloned();
         if let Some((at, entry)) = recent {
             if at.elapsed() < READ_TTL {
-                return Ok(entry.names);
+                return Ok(entry);
             }
         }
+        let asked = Instant::now();
         let entry = self.read(service).await?;
-        let names = entry.names.clone();
         let mut read = self.read.borrow_mut();
-        read.insert(service.clone(), (Instant::now(), entry));
-        Ok(names)
+        read.insert(service.clone(), (asked, entry.clone()));
+        Ok(entry)
     }
 
     /// Reads the entry of a service.
@@ -97,20 +112,26 @@
     /// The store does not answer, or its entry is unreadable.
     pub async fn read(&self, service: &ids::Service) -> Result<Entry, Failure> {
         let store = self.store.get().ok_or(Failure::Unavailable)?;
-        let item = store.get(&key(service), CALL_TIMEOUT).await?.value;
-        let Some(item) = item else {
-            return Ok(Entry::default());
+        let read = store.get(&key(service), CALL_TIMEOUT).await?;
+        let era = read.revision.era();
+        let Some(item) = read.value else {
+            return Ok(Entry {
+                era,
+                ..Entry::default()
+            });
         };
         let value: Value = serde_json::from_slice(&item.value)
             .map_err(|error| Failure::Malformed(error.to_string()))?;
         Ok(Entry {
             names: value.names(),
+            is_complete: value.complete_in == Some(era.0),
             revision: item.revision,
+            era,
         })
     }
 
-    /// Replaces the entry that was read by one with these releases. Returns whether it was
-    /// still the same.
+    /// Replaces the entry that was read by one with these releases, which are all of them if
+    /// it `is_complete`. Returns whether it was still the same.
     ///
     /// # Errors
     ///
@@ -120,10 +141,11 @@
         service: &ids::Service,
         before: &Entry,
         names: &BTreeSet<Name>,
+        is_complete: bool,
     ) -> Result<bool, Failure> {
         let store = self.store.get().ok_or(Failure::Unavailable)?;
         let key = key(service);
-        let value = serde_json::to_vec(&Value::new(names));
+        let value = serde_json::to_vec(&Value::new(names, is_complete.then_some(before.era)));
         let value = value.map_err(|error| Failure::Malformed(error.to_string()))?;
         let write = Write {
             key: &key,
--- a/crates/relay/src/release_recorder.rs
+++ b/crates/relay/src/release_recorder.rs
@@ -5,6 +5,7 @@
 
 use std::collections::{BTreeSet, HashMap};
 use std::convert::Infallible;
+use std::mem;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -29,6 +30,7 @@
     let releases = &relay.fleet.releases;
     // What was last compared with the ledger, and until when that need not be done again.
     let mut compared: HashMap<ids::Service, (BTreeSet<Name>, Option<Instant>)> = HashMap::new();
+    let mut compared_in = None;
     loop {
         let pause = async {
             Timer::after(LEDGER_INTERVAL).await;
@@ -38,6 +40,11 @@
             compared.clear();
             continue;
         }
+        // A store that was restored from a backup may have lost what was written.
+        let era = relay.era_state.era();
+        if mem::replace(&mut compared_in, era) != era {
+            compared.clear();
+        }
         for service in releases.services() {
             let window = relay.origins.window();
             let now = Instant::now();
@@ -68,7 +75,8 @@
     }
 }
 
-/// Makes the ledger's entry of a service name these releases. Returns whether it does.
+/// Makes the ledger's entry of a service name these releases. Returns whether it is complete
+/// and names no others.
 async fn record(
     relay: &Relay,
     service: &ids::Service,
@@ -81,21 +89,25 @@
         let entry = ledger.read(service).await?;
         let releases = &relay.fleet.releases;
         // A box that has not observed the service for long enough takes no name out.
-        let wanted = match releases.is_complete(service, window, Instant::now()) {
+        let has_observed = releases.is_complete(service, window, Instant::now());
+        let wanted = match has_observed {
             true => names.clone(),
             false => names.union(&entry.names).cloned().collect(),
         };
-        if wanted == entry.names {
-            return Ok(wanted == *names);
+        let is_complete = has_observed || entry.is_complete;
+        let is_exact = is_complete && wanted == *names;
+        if wanted == entry.names && is_complete == entry.is_complete {
+            return Ok(is_exact);
         }
-        if ledger.replace(service, &entry, &wanted).await? {
+        let replaced = ledger.replace(service, &entry, &wanted, is_complete);
+        if replaced.await? {
             log::info!(
                 target: "belief",
-                "event=releases service={service} count={} window_s={}",
+                "event=releases service={service} count={} complete={is_complete} window_s={}",
                 wanted.len(),
                 window.as_secs()
             );
-            return Ok(wanted == *names);
+            return Ok(is_exact);
         }
     }
     Ok(false)
--- a/crates/relay/tests/relay/stream_releases.rs
+++ b/crates/relay/tests/relay/stream_releases.rs
@@ -5,7 +5,7 @@
 use std::time::Instant;
 
 use eyre::{ensure, eyre};
-use serde_json::Value;
+use serde_json::{json, Value};
 use smol::Timer;
 use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
@@ -304,7 +304,7 @@
 }
 
 /// Two servers of one release, and boxes in two halls. `knows_start`: whether the boxes know that
-/// nothing served before them.
+/// nothing served before them; otherwise the store has a complete record of the time before.
 async fn start_one_release(
     executor: &Executor,
     knows_start: bool,
@@ -312,6 +312,10 @@
     let site = site()?;
     let servers = [1, 2].map(|number| site.server(settings(number, "hall-1", "v1")));
     let servers = servers.into_iter().collect::<std::io::Result<_>>()?;
+    if !knows_start {
+        let entry = json!({"releases": ["v1"], "complete_in": site.store.era()});
+        site.store.put("tidepier/releases/service-1", &entry);
+    }
     let boxes = start_boxes_in(executor, &site, &["hall-1", "hall-2"]).await?;
     if knows_start {
         for it in &boxes {
--- a/crates/relay/tests/relay/stream_restarts.rs
+++ b/crates/relay/tests/relay/stream_restarts.rs
@@ -50,7 +50,6 @@
 struct Killed {
     site: Site,
     begun: Answer,
-    old: Vec<Server>,
     new: Vec<Server>,
 }
 
@@ -60,12 +59,7 @@
         let begun = begin(&boxes[0], &old, &post("/c/x", "first")).await?;
         drop(boxes);
         let new = replace(&site, &old)?;
-        Ok(Self {
-            site,
-            begun,
-            old,
-            new,
-        })
+        Ok(Self { site, begun, new })
     }
 
     /// Checks that the stream does not go on at any of these boxes.
