First start: believed only if the store has no record of releases

What callers saw: where boxes are started again with the settings of the first start, a take-up of a stream whose release was gone was answered 200 and joined from two releases, though the store's record named the old release. The hub also took the old release out of the record, so that later starts mixed as well.

Boxes with that word now read the record of releases when they start, and count the start as the first only if the store shows that there is none. An entry is a durable trace of an earlier fleet, as it has no lease. In a true first start no box writes an entry in its first 2 s, so that boxes that start together don't refute each other. While the store doesn't answer, nothing is confirmed, and the box asks others like any box that starts. Lines first_start say which it was.

--- /dev/null
+++ b/crates/relay/src/first_start.rs
@@ -0,0 +1,53 @@
+//! Whether nothing served before this box started.
+//!
+//! The settings say whether the fleet starts for the first time, but a process may be started
+//! again with the settings that it had. The store's record of releases shows which it is: a
+//! fleet that served has left entries there.
+//!
+//! Invariant: a box counts a start as the first one only after the store has shown, since then,
+//! that it has no record of releases.
+
+use std::time::Duration;
+
+use smol::Timer;
+use tidepier_clock::Instant;
+
+use crate::relay::Relay;
+
+/// Time from its start until a box of a new fleet writes the first entry, so that the others,
+/// which start at the same time, do not take that for the entry of an earlier fleet.
+const RECORD_DELAY: Duration = Duration::from_secs(2);
+/// Time between two attempts to read the record.
+const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Records that nothing served before, if the store shows it. Completes once this box may write
+/// to the record.
+pub(crate) async fn confirm(relay: &Relay) {
+    let started = Instant::now();
+    if has_record(relay).await {
+        log::warn!(target: "belief", "event=first_start result=refuted why=recorded_releases");
+        return;
+    }
+    relay.fleet.releases.record_first_start();
+    log::info!(
+        target: "belief",
+        "event=first_start result=confirmed after_ms={}",
+        started.elapsed().as_millis()
+    );
+    tidepier_clock::sleep_until(started + RECORD_DELAY).await;
+}
+
+/// Whether the store has a record of releases; waits until it tells.
+async fn has_record(relay: &Relay) -> bool {
+    loop {
+        match relay.origins.ledger.is_empty().await {
+            Ok(is_empty) => return !is_empty,
+            Err(failure) => log::info!(
+                target: "belief",
+                "event=store_call_failed call=first_start why={} detail=\"{failure}\"",
+                failure.name()
+            ),
+        }
+        Timer::after(RETRY_INTERVAL).await;
+    }
+}
--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -57,7 +57,7 @@
 
 impl Releases {
     /// Records that this box started together with the whole fleet, before any stream
-    /// began.
+    /// began, as the store has shown.
     pub fn record_first_start(&self) {
         self.is_first_start.set(true);
     }
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod era_state;
 pub mod events;
 pub mod exchange;
+mod first_start;
 pub mod fleet;
 pub mod follow;
 pub mod health;
--- a/crates/relay/src/origin/ledger.rs
+++ b/crates/relay/src/origin/ledger.rs
@@ -86,6 +86,17 @@
         let _ = self.store.set(store);
     }
 
+    /// Whether there is no entry of any service.
+    ///
+    /// # Errors
+    ///
+    /// The store does not answer.
+    pub async fn is_empty(&self) -> Result<bool, Failure> {
+        let store = self.store.get().ok_or(Failure::Unavailable)?;
+        let read = store.list(PREFIX, false, CALL_TIMEOUT).await?;
+        Ok(read.value.is_empty())
+    }
+
     /// The entry of a service, as of a second ago at most.
     ///
     /// # Errors
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -20,6 +20,7 @@
 use crate::crash;
 use crate::crash_probe;
 use crate::dial;
+use crate::first_start;
 use crate::fleet::watch;
 use crate::follow::Follower;
 use crate::metrics;
@@ -260,7 +261,6 @@
         // other are complete from the beginning.
         relay.roster.set_listed(Instant::now());
         relay.era_state.record_first_start();
-        relay.fleet.releases.record_first_start();
         // No engine has anything in its KV cache yet, so there is no index to rebuild.
         relay.traffic.set_progress(Progress::Done);
     }
@@ -306,7 +306,15 @@
     executor
         .spawn(origins::run(relay.clone(), executor.clone()))
         .detach();
-    let ledger = release_recorder::run(relay.clone(), false);
+    let ledger = {
+        let (relay, may_be_first) = (relay.clone(), settings.first_start);
+        async move {
+            if may_be_first {
+                first_start::confirm(&relay).await;
+            }
+            release_recorder::run(relay, false).await
+        }
+    };
     executor.spawn(ledger).detach();
     executor
         .spawn(traffic::run(
