--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -77,6 +77,7 @@
 mod standstill_plan;
 mod standstill_processes;
 mod stop;
+mod stream_out_of_step;
 mod stream_releases;
 mod stream_restarts;
 mod streams;
