Take-ups: what is known of the stream counts more than what is known of its service

What callers saw: a stream that had begun at a new release was taken up at a box that had not learned of that release, and went on at another one, answered 200.

That nobody had said otherwise was read as permission.

A box that takes a stream up now asks, unless it keeps the stream itself. A kept origin wins over what any box knows of the service; a box that knows several releases says so (several, false from former versions), and then no other box's single release counts. If nobody answers, the box decides by its confirmed view as before, so that a hall that is cut off goes on.

--- a/crates/relay/src/exchange/origin.rs
+++ b/crates/relay/src/exchange/origin.rs
@@ -70,16 +70,18 @@
         }
         let service = self.only_service();
         let sole = service.and_then(|service| relay.sole_origin(service, now));
-        if let Some(origin) = sole {
-            return Some((origin, Source::Sole));
-        }
-        match origins::ask(relay, stream, service).await {
-            Some(Known::Kept(origin)) => return Some((origin, Source::Keeper)),
-            Some(Known::Sole(origin)) => return Some((origin, Source::SoleElsewhere)),
-            None => {}
+        // Another box may have begun the stream at a release that this one does not know yet.
+        match (origins::ask(relay, stream, service).await, sole) {
+            (Some(Known::Kept(origin)), _) => Some((origin, Source::Keeper)),
+            (Some(Known::Several), _) => None,
+            (Some(Known::Sole(origin)), None) => Some((origin, Source::SoleElsewhere)),
+            (Some(Known::Sole(other)), Some(origin)) if other != origin => None,
+            (_, Some(origin)) => Some((origin, Source::Sole)),
+            (None, None) => {
+                let origin = self.recorded_origin(service?).await?;
+                Some((origin, Source::Ledger))
+            }
         }
-        let origin = self.recorded_origin(service?).await?;
-        Some((origin, Source::Ledger))
     }
 
     /// The origin of all streams of a service that has had one release only, as the store
--- a/crates/relay/src/message/origin.rs
+++ b/crates/relay/src/message/origin.rs
@@ -35,4 +35,7 @@
     /// The origin of all streams of the service, if the sender knows that it has had one
     /// release only.
     pub sole: Option<Origin>,
+    /// Whether the sender knows that the service has, or had lately, several releases.
+    #[serde(default)]
+    pub several: bool,
 }
--- a/crates/relay/src/peer/origins.rs
+++ b/crates/relay/src/peer/origins.rs
@@ -172,17 +172,27 @@
     .await
 }
 
-/// What another box says of the origin of a stream.
+/// What other boxes say of the origin of a stream.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Known {
-    /// It keeps the origin of the stream.
+    /// One of them keeps the origin of the stream.
     Kept(Origin),
-    /// All streams of the service have this origin.
+    /// None does, and all streams of the service have this origin.
     Sole(Origin),
+    /// None does, and the service has several releases.
+    Several,
+}
+
+/// What a box says that does not keep the origin.
+enum Other {
+    Sole(Origin),
+    Several,
+    Nothing,
 }
 
 /// Asks other boxes for the origin of a stream, or of all streams of a service; `None` if
-/// none of them knows it.
+/// none of them knows anything. The box that keeps an origin is believed before any that
+/// knows only the service, as it may know of a release that the others have not heard of.
 pub async fn ask(
     relay: &Relay,
     stream: Option<Stream>,
@@ -196,28 +206,39 @@
     let keepers = relay.origins.keepers();
     let asked = keepers.to_ask(stream).into_iter().map(|keeper| {
         let asking = ask_one(relay.network, keeper.address, request.clone());
-        Box::pin(asking) as race::Attempt<'_, Known, ()>
+        Box::pin(asking) as race::Attempt<'_, Origin, Other>
     });
-    race::first_success(asked.collect(), ASK_INTERVAL)
-        .await
-        .ok()
+    match race::first_success(asked.collect(), ASK_INTERVAL).await {
+        Ok(origin) => Some(Known::Kept(origin)),
+        Err(others) => others
+            .into_iter()
+            .fold(None, |known, other| match (known, other) {
+                (known, Other::Nothing) => known,
+                (None, Other::Sole(origin)) => Some(Known::Sole(origin)),
+                (Some(Known::Sole(known)), Other::Sole(origin)) if known == origin => {
+                    Some(Known::Sole(origin))
+                }
+                (_, Other::Sole(_) | Other::Several) => Some(Known::Several),
+            }),
+    }
 }
 
-async fn ask_one(network: Network, address: SocketAddr, request: Request) -> Result<Known, ()> {
+async fn ask_one(network: Network, address: SocketAddr, request: Request) -> Result<Origin, Other> {
     let asked = async {
         let mut conn = link::open(network, address, CONNECT_TIMEOUT).await?;
         link::send(&conn, &PeerRequest::Origin(request)).await?;
         link::receive::<Answer>(&mut conn).await
     };
     match link::within(ASK_TIMEOUT, asked).await {
-        Ok(answer) if answer.version != VERSION => Err(()),
-        Ok(answer) => {
-            let kept = answer.origin.map(Known::Kept);
-            kept.or(answer.sole.map(Known::Sole)).ok_or(())
-        }
+        Ok(answer) if answer.version != VERSION => Err(Other::Nothing),
+        Ok(answer) => answer.origin.ok_or(match answer.sole {
+            Some(origin) => Other::Sole(origin),
+            None if answer.several => Other::Several,
+            None => Other::Nothing,
+        }),
         Err(error) => {
             log::debug!(target: "peer", "event=keeper_silent address={address} why=\"{error}\"");
-            Err(())
+            Err(Other::Nothing)
         }
     }
 }
@@ -226,12 +247,15 @@
 pub(super) fn answer(relay: &Relay, request: &Request) -> Answer {
     let now = Instant::now();
     let service = request.service.as_ref();
+    let window = relay.origins.window();
+    let releases = &relay.fleet.releases;
     Answer {
         version: VERSION,
         origin: request
             .stream
             .and_then(|stream| relay.origins.table.get(stream, now)),
         sole: service.and_then(|service| relay.sole_origin(service, now)),
+        several: service.is_some_and(|service| releases.names(service, window, now).len() > 1),
     }
 }
 
