--- a/crates/relay/src/exchange/origin.rs
+++ b/crates/relay/src/exchange/origin.rs
@@ -70,33 +70,46 @@
         }
         let service = self.only_service();
         let sole = service.and_then(|service| relay.sole_origin(service, now));
-        if let Some(origin) = sole {
-            return Some((origin, Source::Sole));
-        }
-        match origins::ask(relay, stream, service).await {
-            Some(Known::Kept(origin)) => return Some((origin, Source::Keeper)),
-            Some(Known::Sole(origin)) => return Some((origin, Source::SoleElsewhere)),
-            None => {}
+        // Another box may have begun the stream at a release that this one does not know yet.
+        match (origins::ask(relay, stream, service).await, sole) {
+            (Some(Known::Kept(origin)), _) => Some((origin, Source::Keeper)),
+            (Some(Known::Several), _) => None,
+            (Some(Known::Sole(origin)), None) => Some((origin, Source::SoleElsewhere)),
+            (Some(Known::Sole(other)), Some(origin)) if other != origin => None,
+            (_, Some(origin)) => Some((origin, Source::Sole)),
+            (None, None) => {
+                let origin = self.recorded_origin(service?).await?;
+                Some((origin, Source::Ledger))
+            }
         }
-        let origin = self.recorded_origin(service?).await?;
-        Some((origin, Source::Ledger))
     }
 
     /// The origin of all streams of a service that has had one release only, as the store
     /// and this box know.
     async fn recorded_origin(&self, service: &ids::Service) -> Option<Origin> {
         let relay = self.relay;
-        let mut names = match relay.origins.ledger.names(service).await {
-            Ok(names) => names,
+        let entry = match relay.origins.ledger.recent(service).await {
+            Ok(entry) if entry.is_complete => entry,
+            Ok(entry) => {
+                log::info!(
+                    target: "request",
+                    "event=releases_unknown id={} why=incomplete recorded={}",
+                    self.request.attempt,
+                    entry.names.len()
+                );
+                return None;
+            }
             Err(failure) => {
                 log::info!(
                     target: "request",
-                    "event=releases_unknown id={} why=\"{failure}\"",
-                    self.request.attempt
+                    "event=releases_unknown id={} why={} detail=\"{failure}\"",
+                    self.request.attempt,
+                    failure.name()
                 );
                 return None;
             }
         };
+        let mut names = entry.names;
         let window = relay.origins.window();
         let now = Instant::now();
         names.extend(relay.fleet.releases.names(service, window, now));
