A silent server is left only for one that is known to answer

Cause: a stream was given up 1.2 to 1.5 s after its last event, and a request 0.5 to 2 s after it was sent, without knowing that another server answers, and before looking whether it may be sent again. With no attempt or no retry budget left, `may_retry` refused after the connection to the silent server was dropped, and the answer ended. Where all servers stand still, the attempts were spent on other silent ones.

Now a request at a silent server looks, from the same times on, for an eligible server that has sent this box something within 0.3 s, or that answers a health check (at most one a second of a box to a server, fewer in large fleets), with an attempt, the budget and time left. Only then it leaves, the retry being charged, and goes to such a server. Else it stays until its deadline. After a first look in vain the silent server has 150 ms to go on itself, as servers that were silent together go on together. The same server is taken if only the way to it is lost. A sound server that is found at the first look is used as soon as before.

--- a/crates/admission/src/verify.rs
+++ b/crates/admission/src/verify.rs
@@ -27,6 +27,10 @@
 const CHECK_DEADLINE_PART: f64 = 0.4;
 /// Most health checks before one attempt of a request.
 pub const CHECKS_MAX: u32 = 2;
+/// Shortest interval between health checks of one box while requests wait at another server.
+const CHECK_INTERVAL_MIN: Duration = Duration::from_secs(1);
+/// Mean time between such checks of all boxes.
+const CHECK_SPACING: Duration = Duration::from_millis(5);
 /// Most servers of which boxes report answers to each other. Among more than half as many,
 /// the share of one of them is too small to matter to the users' rule on load.
 pub const SERVERS_MAX: usize = 64;
@@ -39,6 +43,13 @@
     lifetime.clamp(LIFETIME_MIN, LIFETIME_MAX)
 }
 
+/// Interval between health checks that one of `boxes` boxes sends a server while requests wait
+/// at another one: all boxes may have such requests at once.
+pub fn check_interval(boxes: usize) -> Duration {
+    let boxes = u32::try_from(boxes).unwrap_or(u32::MAX);
+    CHECK_INTERVAL_MIN.max(CHECK_SPACING.saturating_mul(boxes))
+}
+
 /// Time in which a server answers a health check over a new connection unless it stands
 /// still. `round_trip`: to its hall, if that is another one.
 pub fn check_limit(round_trip: Duration) -> Duration {
--- a/crates/relay/src/budget.rs
+++ b/crates/relay/src/budget.rs
@@ -72,14 +72,19 @@
     /// Spends one retry for a service, if the budget has one left while the fleet has
     /// `boxes` boxes. Returns whether it had.
     pub fn spend(&self, service: &ids::Service, boxes: usize, now: Instant) -> bool {
+        let allowed = self.allows(service, boxes, now);
+        if allowed {
+            self.with_part(service, now, |part| part.retries += 1);
+        }
+        allowed
+    }
+
+    /// Whether the budget has a retry left for a service while the fleet has `boxes` boxes.
+    pub fn allows(&self, service: &ids::Service, boxes: usize, now: Instant) -> bool {
         let (requests, retries) = self.counted(service, now);
         let fixed = self.limits.get().extra / boxes.max(1) as f64;
         let allowed = SPENT_PART * (self.limits.get().ratio * f64::from(requests) + fixed);
-        if f64::from(retries) + 1.0 > allowed {
-            return false;
-        }
-        self.with_part(service, now, |part| part.retries += 1);
-        true
+        f64::from(retries) + 1.0 <= allowed
     }
 
     fn part_number(&self, now: Instant) -> u64 {
--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -347,7 +347,7 @@
 
 /// Whether a server may get the request and this box has a connection to it, or may open
 /// one.
-fn is_open(backend: &Backend, criteria: &Criteria<'_>, now: Instant) -> bool {
+pub(crate) fn is_open(backend: &Backend, criteria: &Criteria<'_>, now: Instant) -> bool {
     backend.has_connection(criteria.connections, criteria.used)
         && criteria.filter.admits(backend, now)
 }
--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -66,17 +66,26 @@
     pub origin: Option<Origin>,
     /// Releases that are left out, as other boxes may not know of them yet.
     pub young: &'a [Origin],
+    /// Set if the request goes only to a server that has answered this box since then.
+    pub answering_since: Option<Instant>,
 }
 
 impl Filter<'_> {
     /// Whether a server may get the request at `now`.
     pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
-        self.matches_release(backend)
+        self.is_answering(backend)
+            && self.matches_release(backend)
             && self.is_allowed_hall(&backend.server.hall)
             && !backend.is_backing_off(now)
             && self.has_cold_capacity(backend, now)
     }
 
+    /// Whether a server has answered since the time from which on it has to.
+    fn is_answering(&self, backend: &Backend) -> bool {
+        let since = self.answering_since;
+        since.is_none_or(|since| backend.has_answered_since(since))
+    }
+
     /// Whether a server runs a release that the request may go to.
     pub fn matches_release(&self, backend: &Backend) -> bool {
         self.release_selector
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -5,6 +5,7 @@
 //! * `origin`: finds out which release began a stream that a client takes up.
 //! * `state`: the state of the request while it is handled.
 //! * `send`: chooses a server and sends the request there.
+//! * `silent`: waits at a server that is silent.
 //! * `stream`: forwards the answer to the client.
 //! * `deliver`: writes an answer that was read completely.
 //! * `retry`: decides whether the request is sent again, and how it is refused if not.
@@ -24,6 +25,7 @@
 mod report;
 mod retry;
 mod send;
+mod silent;
 mod state;
 mod stream;
 
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -55,7 +55,7 @@
         // can be reused and the client can still get this answer.
         let repeatable = self.route.kind.repeatable() && self.time_for_retry(discard::TIMEOUT);
         if own_error && repeatable && self.charge_retry() {
-            self.retry_charged = true;
+            self.retry_charged.set(true);
             let status = reply.answer.status;
             let fallback = stream::read_fallback(self, backend, reply).await;
             self.fallback = fallback.or(self.fallback.take());
@@ -73,8 +73,9 @@
     ///
     /// It may not; the refusal that the client gets.
     pub(crate) fn may_retry(&mut self, failure: &Failure) -> Result<(), refusal::Kind> {
-        // The budget was charged when the server's 5xx answer was read.
-        if std::mem::take(&mut self.retry_charged) {
+        // The budget was charged when the server's 5xx answer was read, or when the request
+        // left a silent server.
+        if self.retry_charged.take() {
             return Ok(());
         }
         if !self.time_for_retry(Duration::ZERO) {
@@ -144,14 +145,14 @@
     }
 
     /// Whether enough time is left after `first` to send the request again.
-    fn time_for_retry(&self, first: Duration) -> bool {
+    pub(super) fn time_for_retry(&self, first: Duration) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
         left >= RETRY_TIME_MIN + first
     }
 
     /// Charges a retry to the budget; false if the route allows no further server
     /// or the budget is spent.
-    fn charge_retry(&self) -> bool {
+    pub(super) fn charge_retry(&self) -> bool {
         let relay = self.relay;
         let allowed = self.attempts < self.route.attempts
             && relay
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use futures_lite::FutureExt;
 use tidepier_admission::verify;
 use tidepier_clock::Instant;
 use tidepier_core::request::Forward;
@@ -14,7 +13,7 @@
 
 use super::report;
 use super::state::{Exchange, Start};
-use crate::attempt::{self, Cause, Dispatch, Executed, Failure, Path, Reply};
+use crate::attempt::{self, Dispatch, Failure, Path, Reply};
 use crate::choose::filter::{Admission, Filter, Regions};
 use crate::choose::rotation::Servers;
 use crate::choose::{self, Choice, Criteria};
@@ -35,15 +34,6 @@
 const OTHER_HALL_IDLE_MAX: Duration = Duration::from_millis(400);
 /// Longest idle time of a pooled connection for a request that may be repeated.
 const REPEATABLE_IDLE_MAX: Duration = Duration::from_secs(10);
-/// Time without any bytes from a server, on all connections, after which a repeatable
-/// request is sent to another server, unless the server accepts a new connection.
-const SILENCE_TIMEOUT: Duration = Duration::from_millis(500);
-/// The same for a server that accepts a connection: an engine in the prefill of some
-/// long prompts sends nothing for as long. A request taken away from it needs its
-/// prefill again at another engine, and requests avoid an engine that counts as unresponsive
-/// and overload the others. Half of the shortest usual client time-out remains for
-/// another server.
-const REACHABLE_SILENCE_TIMEOUT: Duration = Duration::from_millis(2_000);
 /// Longest wait until a cold server admits a request. A refused client would wait as
 /// long before its retry, and could reach a box that has no place either. With 90 cold
 /// servers and 1,125 requests a second, the wait reduces the requests without a place
@@ -72,8 +62,11 @@
             first_event: choice.first_event,
         };
         self.log_placement(&choice);
+        self.answering_since.set(None);
         let bytes = self.encode(&choice, resume_after);
         let max_idle = self.max_idle(&backend);
+        self.attempts += 1;
+        self.tried.push(backend.server.id.clone());
         self.path.set(None);
         self.tunnel_opened_at.set(None);
         let connected = |path: Path| {
@@ -101,17 +94,14 @@
             fleet: &self.relay.fleet,
         };
         let guard = Guard::new(&backend, &self.path, self.route.objective);
-        let others_left = self.attempts + 1 < self.route.attempts;
+        let sent = attempt::send(&permit, &dispatch);
+        let others_left = self.attempts < self.route.attempts;
         let result = if self.route.kind.repeatable() && others_left {
-            attempt::send(&permit, &dispatch)
-                .or(self.until_silent(&backend))
-                .await
+            self.unless_silent(&backend, sent).await
         } else {
-            attempt::send(&permit, &dispatch).await
+            sent.await
         };
         guard.disarm();
-        self.attempts += 1;
-        self.tried.push(backend.server.id.clone());
         Ok((backend, result))
     }
 
@@ -133,6 +123,7 @@
                     young.clear();
                     continue;
                 }
+                Err(_) if self.answering_since.take().is_some() => continue,
                 Err(refusal::Kind::Cold) => self.choose(&selector, &young, COLD_WAIT_MAX)?,
                 chosen => chosen?,
             };
@@ -198,7 +189,7 @@
 
     /// Checks that there are servers of the release that began the stream, and that it was
     /// not withdrawn as faulty.
-    fn check_release_serves(&self) -> Result<(), refusal::Kind> {
+    pub(super) fn check_release_serves(&self) -> Result<(), refusal::Kind> {
         let Some(origin) = self.origin.get() else {
             return Ok(());
         };
@@ -349,6 +340,7 @@
             gate,
             release_selector: (*selector != Selector::Any).then_some(selector),
             origin: self.origin.get(),
+            answering_since: self.answering_since.get(),
             ..self.region_filter(regions)
         }
     }
@@ -427,33 +419,6 @@
             .saturating_add(route)
             .min(RANK_MAX)
     }
-
-    /// Completes with a failure once a server has sent nothing on any connection for the
-    /// silence time-out.
-    async fn until_silent(&self, backend: &Rc<Backend>) -> Result<Reply, Failure> {
-        let mut since = Instant::now();
-        loop {
-            tidepier_clock::sleep_until(since + SILENCE_TIMEOUT).await;
-            let is_silent = || backend.last_received().is_none_or(|at| at <= since);
-            if is_silent() && self.accepts_connection(backend).await {
-                tidepier_clock::sleep_until(since + REACHABLE_SILENCE_TIMEOUT).await;
-            }
-            if is_silent() {
-                return Err(Failure {
-                    executed: Executed::Unknown,
-                    cause: Cause::Stalled,
-                });
-            }
-            since = backend.last_received().unwrap_or(since);
-        }
-    }
-
-    /// Whether the server accepts another connection over the way that the request took.
-    async fn accepts_connection(&self, backend: &Backend) -> bool {
-        let carrier = self.path.get().and_then(|path| path.carrier);
-        let dialer = &self.relay.dialer;
-        dialer.accepts_connection(backend, carrier).await
-    }
 }
 
 /// Records a server as unresponsive if the wait for its answer is abandoned, for example
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -115,7 +115,9 @@
     /// another server answers at the address.
     pub(super) absent_count: u32,
     /// Whether the retry budget has already been charged for the next attempt.
-    pub(super) retry_charged: bool,
+    pub(super) retry_charged: Cell<bool>,
+    /// Set while the request leaves a silent server: it goes to one that has answered since.
+    pub(super) answering_since: Cell<Option<Instant>>,
     /// Whether a server may have executed it.
     pub(super) may_have_executed: bool,
     /// A server's 5xx answer, which the client gets if no other server answers.
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -5,6 +5,7 @@
 
 use std::cell::Cell;
 use std::io::Write;
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -17,15 +18,16 @@
 use crate::backlog::Cut;
 use crate::events::Buffer;
 use crate::exchange::disposition::Disposition;
+use crate::exchange::silent::Silent;
 use crate::exchange::state::Exchange;
 use crate::fleet::Backend;
-use crate::timeout::Deadline;
+use crate::timeout::{self, Deadline};
 
 /// Multiple of the pause between events that a route promises, after which a
-/// resumable stream counts as stalled.
+/// resumable stream may go on at another server.
 const STALL_PAUSES: u32 = 4;
-/// Time without bytes after which a resumable stream counts as stalled if its route
-/// promises no pause.
+/// Time without bytes after which a resumable stream may go on at another server if its
+/// route promises no pause.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
 /// The client's side of a stream.
@@ -202,7 +204,7 @@
     out: &mut Vec<u8>,
 ) -> Result<Copied, Failure> {
     loop {
-        let more = read_some(exchange, client, reply, events, limit).await?;
+        let more = read_some(exchange, client, backend, reply, events, limit).await?;
         backend.record_received();
         reply.running.answer_started();
         let complete = if more {
@@ -248,10 +250,12 @@
     }
 }
 
-/// Waits for more bytes of the stream.
+/// Waits for more bytes of the stream. A resumable one leaves a silent server if another one
+/// answers.
 async fn read_some(
     exchange: &Exchange<'_>,
     client: &Client,
+    backend: &Rc<Backend>,
     reply: &mut Reply,
     events: &mut Buffer,
     limit: &mut Deadline,
@@ -263,26 +267,30 @@
         None if stalls => Some(STALL_TIMEOUT),
         _ => None,
     };
-    let until = stall.map_or(exchange.deadline, |stall| {
-        exchange.deadline.min(Instant::now() + stall)
-    });
-    let read = async {
+    let since = Instant::now();
+    let mut read = pin!(async {
         let read = reply.body.read(&mut reply.conn, events.buffer()).await;
         read.map_err(|error| Failure {
             executed: Executed::Unknown,
             cause: Cause::Broken(error),
         })
-    };
-    let late = || {
-        let cause = if until < exchange.deadline {
-            Cause::Stalled
-        } else {
-            Cause::TimedOut
-        };
-        Err(Failure {
-            executed: Executed::Unknown,
-            cause,
-        })
-    };
-    limit.until(until, read).await.unwrap_or_else(late)
+    });
+    let deadline = exchange.deadline;
+    let silent_at = stall.map_or(deadline, |stall| deadline.min(since + stall));
+    if let Some(result) = limit.until(silent_at, read.as_mut()).await {
+        return result;
+    }
+    let late = Err(Failure {
+        executed: Executed::Unknown,
+        cause: Cause::TimedOut,
+    });
+    if silent_at == deadline {
+        return late;
+    }
+    // Boxed, as the futures of all streams would hold it otherwise.
+    let stayed = Box::pin(exchange.stay(Silent { backend, since }, || true, read));
+    timeout::until(deadline, stayed)
+        .await
+        .flatten()
+        .unwrap_or(late)
 }
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -529,6 +529,12 @@
         self.last_received.get()
     }
 
+    /// Whether the server has sent this box data of an answer since a time, or has answered a
+    /// health check of it.
+    pub fn has_answered_since(&self, time: Instant) -> bool {
+        self.last_received.get().max(self.check.last_answered()) > Some(time)
+    }
+
     /// Records a load that the server reported.
     pub fn record_load(&self, load: Load, at: Instant) {
         self.report.set(Some(Report {
--- a/crates/relay/src/fleet/check.rs
+++ b/crates/relay/src/fleet/check.rs
@@ -1,4 +1,5 @@
-//! Health checks of one server before requests that are sent to it unverified.
+//! Health checks of one server before requests that are sent to it unverified, or that wait at
+//! another one that is silent.
 
 use std::cell::Cell;
 use std::time::Duration;
@@ -16,6 +17,8 @@
     answered: Cell<Option<Instant>>,
     /// When it last did not in time.
     unanswered: Cell<Option<Instant>>,
+    /// When a request that waits elsewhere last began one.
+    begun: Cell<Option<Instant>>,
 }
 
 impl Check {
@@ -30,6 +33,22 @@
         }
     }
 
+    /// Whether a request that waits elsewhere may send a check: none has for an `interval`.
+    pub fn is_due(&self, interval: Duration, now: Instant) -> bool {
+        let begun = self.begun.get();
+        begun.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+    }
+
+    /// Records that a request that waits elsewhere sends a check.
+    pub fn begin(&self, now: Instant) {
+        self.begun.set(Some(now));
+    }
+
+    /// When the server last answered a check.
+    pub fn last_answered(&self) -> Option<Instant> {
+        self.answered.get()
+    }
+
     /// Whether the server has answered a check not long ago: for further requests of this box,
     /// that is as good as an answer to a request.
     pub fn is_answered(&self, now: Instant) -> bool {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -64,6 +64,7 @@
 mod server_history;
 mod shared;
 mod silence;
+mod silent_processes;
 mod silent_servers;
 mod sim;
 mod sizes;
--- a/crates/relay/tests/relay/regions.rs
+++ b/crates/relay/tests/relay/regions.rs
@@ -195,6 +195,7 @@
         release_selector: None,
         origin: None,
         young: &[],
+        answering_since: None,
     };
     let mut copied = 0;
     for subject in 0..200 {
