A stream's time limit ends again after it has ended once

What callers saw: a stream that was resumed at a second server, which falls silent in its turn, was held past its deadline until the client left: 10 s where the deadline was 5 s (CONFIG), and it was not watched for silence any more.

Cause: `timeout::Deadline` keeps one alarm over all events of a stream. The timer below it is spent once it has fired. After an expiry `expire` set the alarm only to an earlier moment, and then waited for one that never ends.

An alarm whose moment has passed is set to the next deadline. While events flow that is once in a time limit, as before, so that an event sets no timer.

--- a/crates/relay/src/timeout.rs
+++ b/crates/relay/src/timeout.rs
@@ -45,7 +45,8 @@
 
     /// Completes at `deadline`.
     async fn expire(&mut self, deadline: Instant) {
-        if self.0.at() > deadline {
+        // An alarm that has ended does not end again until it is set.
+        if self.0.at() > deadline || self.0.at() <= Instant::now() {
             self.0.set_at(deadline);
         }
         loop {
