Services with one release: by the age of the list of servers, not only of the configuration

Cause: knows_releases asked the age of the configuration alone.

The followers record in the releases as of when the list of servers was complete, and both ages have to be under the time in which a change is in force.

--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -51,6 +51,8 @@
     services: RefCell<HashMap<ids::Service, Service>>,
     /// Whether nothing served before this box started.
     is_first_start: Cell<bool>,
+    /// The latest time as of which this box is known to have known all servers.
+    complete_at: Cell<Option<Instant>>,
     /// Notified when a service gets a release that it did not have.
     pub added: Notifier,
 }
@@ -62,6 +64,21 @@
         self.is_first_start.set(true);
     }
 
+    /// Records that this box knew all servers that were there at `moment`.
+    pub fn confirm_at(&self, moment: Instant) {
+        self.complete_at
+            .set(self.complete_at.get().max(Some(moment)));
+    }
+
+    /// Whether this box is known to have known all servers less than `max_age` before `now`.
+    pub fn is_fresh(&self, max_age: Duration, now: Instant) -> bool {
+        let age = self
+            .complete_at
+            .get()
+            .map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age < max_age)
+    }
+
     pub(super) fn joined(&self, server: &Server, now: Instant) {
         let mut services = self.services.borrow_mut();
         let service = services
--- a/crates/relay/src/follow.rs
+++ b/crates/relay/src/follow.rs
@@ -331,6 +331,9 @@
     /// Updates the time at which the local view covered everything in the store, after
     /// one of its parts has advanced.
     fn update_synced(&self) {
+        if let Some(moment) = self.freshness.complete_at() {
+            self.relay.fleet.releases.confirm_at(moment);
+        }
         let parts = (
             self.operator_complete_at.get(),
             self.freshness.complete_at(),
--- a/crates/relay/src/follow/boxes.rs
+++ b/crates/relay/src/follow/boxes.rs
@@ -237,6 +237,7 @@
         self.apply_servers(answer.servers, era);
         let current_as_of = asked.checked_sub(age).unwrap_or(asked);
         self.freshness.record_report(current_as_of);
+        self.update_synced();
         if halls_known && known {
             self.record_operator_complete(current_as_of);
         }
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -203,9 +203,11 @@
     }
 
     /// Whether this box knows every release that boxes send streams to: a new release gets
-    /// none for longer than the age of this box's view.
+    /// none for longer than the age of this box's list of servers.
     pub fn knows_releases(&self) -> bool {
-        self.view.is_fresh(self.bounds().catalog_max_age)
+        let max_age = self.bounds().catalog_max_age;
+        let releases = &self.fleet.releases;
+        self.view.is_fresh(max_age) && releases.is_fresh(max_age, Instant::now())
     }
 
     /// Time for which a new release of a service gets no streams.
--- a/crates/relay/tests/relay/peer_answers.rs
+++ b/crates/relay/tests/relay/peer_answers.rs
@@ -82,7 +82,7 @@
     row_of(id, revision, State::Ready)
 }
 
-fn document(version: u64) -> Vec<u8> {
+pub(crate) fn document(version: u64) -> Vec<u8> {
     let limits = json!({
         "max_header_bytes": 16384, "max_body_bytes": 4194304,
         "header_timeout_ms": 3000, "idle_timeout_ms": 15000,
@@ -92,7 +92,12 @@
 }
 
 /// Applies an answer and the configuration's entry that followed it.
-fn deliver(follower: &Follower, answer: Answer, entry: Option<Vec<u8>>, asked: Instant) -> Result {
+pub(crate) fn deliver(
+    follower: &Follower,
+    answer: Answer,
+    entry: Option<Vec<u8>>,
+    asked: Instant,
+) -> Result {
     let document_bytes = entry.as_ref().map(|bytes| bytes.len() as u32);
     let answer = Answer {
         document_bytes,
@@ -102,7 +107,7 @@
 }
 
 /// An answer of a box with a confirmed view.
-fn confirmed_answer(age_ms: u64, revision: u64, servers: Servers) -> Answer {
+pub(crate) fn confirmed_answer(age_ms: u64, revision: u64, servers: Servers) -> Answer {
     Answer {
         version: VERSION,
         number: 1,
--- a/crates/relay/tests/relay/stream_out_of_step.rs
+++ b/crates/relay/tests/relay/stream_out_of_step.rs
@@ -3,16 +3,20 @@
 
 use eyre::ensure;
 use smol::Timer;
-use std::time::Instant;
+use tidepier_clock::Instant;
+use tidepier_core::era::{Era, Revision};
 use tidepier_core::server::State;
+use tidepier_relay::message::follow::{Answer as Report, Row, Servers, Status};
 use tidepier_relay_standin::client::Answer;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, release_of, Server};
 use tidepier_relay_standin::site::Site;
 use tidepier_relay_standin::store::View;
 
-use crate::box_harness::{wait_until_ready, TestBox};
+use crate::box_harness::{wait_until_ready, TestBox, APPLY_TIME};
+use crate::choice_harness;
 use crate::harness::{ms, post, run, wait_until, Executor, Result};
+use crate::peer_answers;
 use crate::stream_releases::{begin, deliveries, settings, site, take_up};
 
 /// Number of slots that only servers of the new release have.
@@ -237,3 +241,43 @@
     }
     Ok(())
 }
+
+/// Guards against a box whose configuration is confirmed while its list of servers is old, and which
+/// takes a service for one with a single release.
+#[test]
+fn a_box_with_an_old_list_of_servers_does_not_know_the_releases() -> Result {
+    let entry = tidepier_core::server::Server {
+        release: Some("v1".parse()?),
+        ..choice_harness::server(1, State::Ready)?
+    };
+    let row = Row::new(&entry, Revision::new(Era(1), 3));
+    for (list_age, is_known) in [(ms(10), true), (APPLY_TIME, false)] {
+        let (relay, follower) = peer_answers::follower()?;
+        relay.fleet.releases.record_first_start();
+        let status = Status {
+            era: 1,
+            first: 1,
+            settled: true,
+            in_force: 7,
+            stored: 7,
+            state: 4,
+            followed_ms: Some(list_age.as_millis() as u64),
+            in_grace_period: false,
+        };
+        let answer = Report {
+            status: Some(status),
+            ..peer_answers::confirmed_answer(
+                10,
+                4,
+                Servers::All(vec![row.clone()], Revision::new(Era(1), 4)),
+            )
+        };
+        let asked = Instant::now();
+        peer_answers::deliver(&follower, answer, Some(peer_answers::document(7)), asked)?;
+        let now = Instant::now();
+        ensure!(relay.view.is_fresh(ms(1_000)), "{:?}", relay.view.age());
+        let sole = relay.sole_origin(&entry.service, now);
+        ensure!(sole.is_some() == is_known, "{list_age:?}: {sole:?}");
+    }
+    Ok(())
+}
