Young releases: what joins after a box knew all servers, not after its first second

What callers saw: a box that had just started began streams at a release that had joined 44 to 129 ms before, which other boxes need not know; such a box may take the service for one with a single release and let the stream go on elsewhere.

A release is young if it appeared beside others after the box's list of servers was complete for the first time. Of the releases in that first list a box can't tell which is new; what keepers know covers that.

--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -14,8 +14,6 @@
 use crate::notifier::Notifier;
 use crate::origin::{Name, Origin};
 
-/// Time within which a box that starts learns of the servers that are there already.
-const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
 /// How long a release that no server runs any more is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -24,6 +22,8 @@
 struct Seen {
     /// When the first of them joined.
     first: Instant,
+    /// Whether that was after this box knew all servers, and beside servers of other releases.
+    is_added: bool,
     /// How many there are.
     servers: usize,
     /// When the last change was.
@@ -90,6 +90,7 @@
         service
             .releases
             .retain(|_, seen| seen.is_within(RETENTION, now));
+        let is_added = self.complete_at.get().is_some() && !service.releases.is_empty();
         let seen = service
             .releases
             .entry(server.release.clone())
@@ -97,6 +98,7 @@
                 self.added.notify();
                 Seen {
                     first: now,
+                    is_added,
                     servers: 0,
                     changed: now,
                 }
@@ -147,14 +149,14 @@
     }
 
     /// The origins of releases that appeared beside others less than `delay` ago, so that
-    /// other boxes may not know of them.
+    /// other boxes may not know of them. Of those that a box finds when it starts, it cannot
+    /// tell which one is new.
     pub fn young(&self, service: &ids::Service, delay: Duration, now: Instant) -> Vec<Origin> {
         let services = self.services.borrow();
         let Some(known) = services.get(service) else {
             return Vec::new();
         };
-        let first_list = known.since + FIRST_LIST_TIME;
-        let is_young = |seen: &Seen| seen.first > first_list && seen.first + delay > now;
+        let is_young = |seen: &Seen| seen.is_added && seen.first + delay > now;
         let young = known.releases.iter().filter(|(_, seen)| is_young(seen));
         young
             .map(|(name, _)| Origin::new(service, name.as_ref()))
