An unreadable order in the place of one in force costs no reads

While the operator's entry of an order in force was unreadable, each freshness check expected the revision of the last readable one, conflicted, and read all entries of the operator, the configuration included: 4 reads in 3.4 s, by each box that reads the store.

A check now names the unreadable entry by its own revision, as it did where no order was in force. What was ordered before stays in force; its stages are not written while the order cannot be read, as each write expects the order that it is for.

--- a/crates/relay/src/follow/rollouts.rs
+++ b/crates/relay/src/follow/rollouts.rs
@@ -66,15 +66,16 @@
     }
 
     /// The entries that a freshness check has to name, with their revisions: each
-    /// order, and its stage.
+    /// order, or the unreadable entry in its place, and its stage.
     pub(super) fn rollout_conditions(&self) -> Vec<(String, Revision)> {
         let known = self.relay.rollouts.all();
+        let unreadable = self.unreadable_orders.borrow();
         let conditions = known.iter().flat_map(|known| {
             let service = &known.order.service;
-            let order = if known.stored {
-                known.revision
-            } else {
-                Revision::default()
+            let order = match unreadable.get(service) {
+                Some(at) => *at,
+                None if known.stored => known.revision,
+                None => Revision::default(),
             };
             [
                 (key::rollout(service), order),
@@ -116,7 +117,7 @@
                 .iter()
                 .find(|it| it.stored && it.order.service == service);
             let stored = stored.map(|known| known.revision);
-            stored.or_else(|| unreadable.get(&service).copied())
+            unreadable.get(&service).copied().or(stored)
         };
         let mut found = items
             .iter()
--- a/crates/relay/tests/relay/odd_entries.rs
+++ b/crates/relay/tests/relay/odd_entries.rs
@@ -6,6 +6,7 @@
 
 use eyre::{ensure, eyre};
 use serde_json::{json, Value};
+use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_core::answer::Load;
 use tidepier_core::catalog::Cold;
@@ -21,7 +22,9 @@
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::site::Site;
 
-use crate::box_harness::{start_boxes_with_reader, wait_until_ready, TestBox, BOXES};
+use crate::box_harness::{
+    start_boxes_with_reader, wait_until_ready, TestBox, BOXES, FRESHNESS_CHECK_TIME,
+};
 use crate::harness::{
     ensure_served_by, ms, post, run, server_settings, site, stream_server_settings, wait_until,
     Harness, Result, SERVICE,
@@ -390,6 +393,32 @@
     })
 }
 
+// An unreadable order in the place of one in force made every freshness check read all entries of
+// the operator.
+#[test]
+fn an_unreadable_order_costs_no_reads() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let _server = site.server(server_settings(1))?;
+        let test_boxes = start_boxes_with_reader(&executor, &site, 2).await?;
+        let key = format!("op/rollout/{SERVICE}");
+        let order = json!({ "service": SERVICE, "target_version": "v2", "duration_s": 60.0 });
+        site.store.put(&key, &order);
+        let stage = format!("tidepier/rollouts/{SERVICE}");
+        wait_until("begun", async || Ok(site.store.value(&stage).is_some())).await?;
+        site.store.put_bytes(&key, b"[".repeat(100_000));
+        Timer::after(FRESHNESS_CHECK_TIME).await;
+        let before = site.store.calls("kv-range");
+        Timer::after(FRESHNESS_CHECK_TIME * 4).await;
+        let reads = site.store.calls("kv-range") - before;
+        ensure!(reads <= 1, "{reads} reads");
+        // The order that was readable stays in force.
+        let relay = test_boxes[0].router.relay();
+        ensure!(relay.rollouts.of(&SERVICE.parse()?).is_some(), "no order");
+        wait_until_ready(&test_boxes).await
+    })
+}
+
 // Entries that are plausible and wrong: nothing listens there, and their slots are as many as an
 // entry may state.
 #[test]
