A red test: an unreadable record of releases delays those of other services

release_recorder leaves its round at the first record that it cannot read and begins anew, so that records of services behind it are not written while that entry stays.

--- a/crates/relay/tests/relay/odd_entries.rs
+++ b/crates/relay/tests/relay/odd_entries.rs
@@ -20,6 +20,7 @@
 use tidepier_relay::rollout::stage::Stage;
 use tidepier_relay::rollout::Selector;
 use tidepier_relay_standin::names;
+use tidepier_relay_standin::server;
 use tidepier_relay_standin::site::Site;
 
 use crate::box_harness::{
@@ -419,6 +420,32 @@
     })
 }
 
+// An unreadable record of one service's releases kept those of other services from being written.
+#[test]
+fn an_unreadable_record_of_releases_delays_no_other() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let key = |number: u32| format!("tidepier/releases/service-{number}");
+        let mut servers = Vec::new();
+        for number in 1..=12 {
+            servers.push(site.server(server::Settings {
+                service: format!("service-{number}"),
+                release: Some("v1".into()),
+                ..server_settings(number)
+            })?);
+            if number % 2 == 0 {
+                site.store.put_bytes(&key(number), b"[".repeat(1_000));
+            }
+        }
+        let _test_boxes = start_boxes_with_reader(&executor, &site, 2).await?;
+        for number in (1..=12).step_by(2) {
+            let written = async || Ok(site.store.value(&key(number)).is_some());
+            wait_until(&key(number), written).await?;
+        }
+        Ok(())
+    })
+}
+
 // Entries that are plausible and wrong: nothing listens there, and their slots are as many as an
 // entry may state.
 #[test]
