Soak: silent servers, kills of all boxes, boxes out of step

Rule silenced: no answer of a request that a box in touch had read is cut before its time is over. Cuts per box and second, next to a configuration and at other times, beside silent servers and not, are in the report.

--whole plays a seed to its end. Servers' ids hold the process's id, so that two soaks on one machine do not run each other's requests (421), which are left out of the records.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -12,6 +12,7 @@
 use eyre::{eyre, WrapErr};
 use futures_lite::{future, FutureExt, StreamExt};
 use serde_json::json;
+use tidepier_soak::count::{Cuts, TakeUps};
 use tidepier_soak::gate;
 use tidepier_soak::rule::Verdict;
 use tidepier_soak::run::{self, Options, Outcome};
@@ -74,6 +75,18 @@
     /// forty boxes.
     #[arg(long)]
     standstills: bool,
+    /// Also has sound servers stand still beside changes of the configuration.
+    #[arg(long)]
+    silences: bool,
+    /// Also kills all boxes at once while the servers of streams change their release.
+    #[arg(long)]
+    restarts: bool,
+    /// Also has one box out of step while the servers of streams change their release.
+    #[arg(long)]
+    out_of_step: bool,
+    /// Plays each seed to its end, also after a violation.
+    #[arg(long)]
+    whole: bool,
     /// Runs the process in front of the server at this address instead.
     #[arg(long, hide = true)]
     gate: Option<SocketAddr>,
@@ -188,6 +201,10 @@
         releases: arguments.releases,
         hot_subject: arguments.hot_subject,
         standstills: arguments.standstills,
+        silences: arguments.silences,
+        restarts: arguments.restarts,
+        out_of_step: arguments.out_of_step,
+        whole: arguments.whole,
         boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
@@ -251,6 +268,8 @@
         latencies.value_at_quantile(0.99),
         duration.as_secs_f64(),
     );
+    let Outcome { cuts, take_ups, .. } = outcome;
+    println!("  cuts {}, taken up {}", cuts.to_json(), take_ups.to_json());
     for violation in verdict.violations.iter().take(PRINTED_MAX) {
         println!("  {violation}");
     }
@@ -279,6 +298,8 @@
         "soak_seeds": outcomes.len(),
         "faults": faults,
         "requests": outcomes.iter().map(|outcome| outcome.requests).sum::<u64>(),
+        "cuts": outcomes.iter().map(|outcome| outcome.cuts).sum::<Cuts>().to_json(),
+        "taken_up": outcomes.iter().map(|outcome| outcome.take_ups).sum::<TakeUps>().to_json(),
         "violations": run::count_by_rule(verdicts()),
         "left_out": left_out(verdicts()),
         "not_run": not_run,
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -98,6 +98,35 @@
     Rest(Duration),
 }
 
+/// Servers that stand still together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Silence {
+    /// Their services.
+    pub services: Services,
+    /// The share of their servers, in percent.
+    pub percent: usize,
+}
+
+/// Services of which servers stand still.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Services {
+    /// That of streams.
+    Streams,
+    /// All others.
+    Others,
+    /// All.
+    All,
+}
+
+/// A step of a rollout of a new release.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Rollout {
+    /// This many servers of a new release join.
+    Join(usize),
+    /// The servers of all older releases are replaced.
+    Rest,
+}
+
 /// A change by the operator.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Config {
@@ -109,6 +138,10 @@
     Revoke,
     /// A hall of servers is emptied, and the emptying is cancelled later.
     EmptyHall(usize),
+    /// Idle connections are closed after this time.
+    Idle(Duration),
+    /// All routes get this time-out.
+    Timeout(Duration),
 }
 
 /// One fault or planned change.
@@ -135,6 +168,17 @@
     CrashingPart(u64),
     /// The operator changes the configuration.
     Config(Config),
+    /// The processes in front of servers are stopped, so that the servers stand still.
+    Silence(Silence),
+    /// Servers of streams change their release.
+    Rollout(Rollout),
+    /// All boxes are killed at once, and are started again within this time of each other.
+    KillAll(Duration),
+    /// A box is cut off from all other boxes.
+    CutOff(usize),
+    /// The connections of the clients of all boxes but one are reset, and the clients take up
+    /// their streams at that box.
+    BreakClients(usize),
 }
 
 impl Fault {
@@ -156,7 +200,15 @@
             Fault::Crashing(_) => "requests_crashing".into(),
             Fault::CrashingPart(_) => "part_crashing".into(),
             Fault::Config(Config::EmptyHall(_)) => "config_emptyhall".into(),
+            Fault::Config(Config::Idle(_)) => "config_idle".into(),
+            Fault::Config(Config::Timeout(_)) => "config_timeout".into(),
             Fault::Config(config) => named("config", config),
+            Fault::Silence(_) => "servers_silence".into(),
+            Fault::Rollout(Rollout::Join(_)) => "rollout_join".into(),
+            Fault::Rollout(Rollout::Rest) => "rollout_rest".into(),
+            Fault::KillAll(_) => "process_kill_all".into(),
+            Fault::CutOff(_) => "peer_way_cut_off".into(),
+            Fault::BreakClients(_) => "client_way_break".into(),
         }
     }
 }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -7,7 +7,9 @@
 mod crashing;
 mod relay_box;
 mod restore;
+mod rollouts;
 mod servers;
+mod silences;
 mod steps;
 
 use std::collections::{BTreeSet, HashSet};
@@ -24,6 +26,7 @@
 use smol::Timer;
 use tidepier_relay_standin::client::Call;
 use tidepier_relay_standin::partition::Cut;
+use tidepier_relay_standin::server::Events;
 use tidepier_relay_standin::site::{Site, HOST};
 use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::{names, Client};
@@ -36,6 +39,7 @@
 use crate::schedule::Schedule;
 use crate::sync::lock;
 use relay_box::RelayBox;
+use rollouts::Releases;
 use servers::Backend;
 
 /// Ports of a box; outside of the range that the system assigns.
@@ -100,10 +104,15 @@
     backups: Mutex<restore::Backups>,
     /// Halls that the operator has emptied.
     emptied: Mutex<BTreeSet<String>>,
-    /// Whether the servers of streams run two releases.
-    has_releases: bool,
-    /// This program, if plain servers may stand still.
+    /// The releases of the servers of streams.
+    releases: Releases,
+    /// The box at which most streams are taken up.
+    take_up_box: Mutex<Option<usize>>,
+    /// This program, if servers may stand still: all of them, or only plain ones.
     gate_program: Option<PathBuf>,
+    gates_everywhere: bool,
+    /// The events of the servers of streams.
+    events: Events,
     /// Servers whose entries were removed.
     withdrawn_servers: Mutex<HashSet<String>>,
 }
@@ -154,8 +163,18 @@
             store_unreachable: AtomicBool::new(false),
             backups: Mutex::default(),
             emptied: Mutex::default(),
-            has_releases: schedule.releases,
-            gate_program: match schedule.standstills {
+            releases: match (schedule.rollouts, schedule.releases) {
+                (true, _) => Releases::Newest(AtomicU32::new(1)),
+                (false, true) => Releases::Alternating,
+                (false, false) => Releases::Unnamed,
+            },
+            take_up_box: Mutex::default(),
+            gates_everywhere: schedule.silences,
+            events: match schedule.rollouts {
+                true => servers::LONG_EVENTS,
+                false => servers::EVENTS,
+            },
+            gate_program: match schedule.standstills || schedule.silences {
                 true => Some(std::env::current_exe()?),
                 false => None,
             },
@@ -192,6 +211,7 @@
                 "peer_ports": [PEER_PORT, PEER_PORT],
                 "server_beat": "1200ms",
                 "limits": { "link_mbps": link_mbps(box_index), "memory_mb": 260 },
+                "first_start": schedule.first_start,
                 "bounds": bound::settings(),
             });
             let relay_box = fleet.new_box(box_index, *peer, &peers, settings, relay, folder)?;
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -2,13 +2,13 @@
 
 use std::io;
 use std::sync::atomic::Ordering;
-use std::sync::Arc;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use smol::Timer;
 use tidepier_core::server::State;
-use tidepier_relay_standin::server::{Events, Settings};
-use tidepier_relay_standin::Server;
+use tidepier_relay_standin::server::{Events, Run, Settings};
+use tidepier_relay_standin::{names, Server};
 
 use super::Fleet;
 use crate::evidence::Delivery;
@@ -25,10 +25,15 @@
 /// Time that a request takes, or the time until its first event.
 const WORK_TIME: Duration = Duration::from_millis(20);
 /// Number of events of a stream and the pause between two.
-const EVENTS: Events = Events {
+pub(super) const EVENTS: Events = Events {
     count: 10,
     pause: Duration::from_millis(40),
 };
+/// The same where many streams have to be open when boxes are killed.
+pub(super) const LONG_EVENTS: Events = Events {
+    count: 30,
+    pause: Duration::from_millis(50),
+};
 /// Size of plain answers, in bytes.
 const ANSWER_BYTES: usize = 800;
 /// Interval between two samples of the servers' loads.
@@ -40,6 +45,20 @@
     pub(super) proxy: Proxy,
     /// The process between the two, at servers that may stand still.
     pub(super) gate: Option<Gate>,
+    /// Number of stops of that process in progress.
+    pub(super) stops: Mutex<u32>,
+}
+
+/// What the ids of all servers of this process begin with. Another soak on this host may still
+/// send to a port that one of its servers had before; the server refuses that by its id.
+fn id_prefix() -> String {
+    format!("i-{}-", std::process::id())
+}
+
+/// Whether a request was meant for a server of this process.
+fn is_own(run: &Run) -> bool {
+    let target = run.field(names::TARGET);
+    target.is_none_or(|id| id.starts_with(&id_prefix()))
 }
 
 impl Fleet {
@@ -47,14 +66,14 @@
     pub(super) fn add_server(&self, service: &str) -> io::Result<()> {
         let number = self.next_server.fetch_add(1, Ordering::Relaxed);
         let server = Server::start(Settings {
-            id: format!("i-{number}"),
+            id: format!("{}{number}", id_prefix()),
             service: service.into(),
             hall: plan::hall_name(number as usize, plan::SERVER_HALLS),
             slots: SLOTS,
             queue: QUEUE,
             work: WORK_TIME,
             answer_bytes: ANSWER_BYTES,
-            events: (service == STREAM).then_some(EVENTS),
+            events: (service == STREAM).then_some(self.events),
             release: self.next_release(service),
             ..Settings::default()
         })?;
@@ -64,7 +83,8 @@
         for part in lock(&self.crashing_parts).iter() {
             server.end_on_part(*part);
         }
-        let program = self.gate_program.as_ref().filter(|_| service == PLAIN);
+        let is_gated = self.gates_everywhere || service == PLAIN;
+        let program = self.gate_program.as_ref().filter(|_| is_gated);
         let gate = program.map(|program| Gate::start(program, server.address()));
         let gate = gate.transpose()?;
         let target = gate.as_ref().map_or(server.address(), Gate::address);
@@ -73,6 +93,7 @@
             server,
             proxy,
             gate,
+            stops: Mutex::default(),
         });
         // Under the lock, so that a partition that begins now affects this server too.
         let cuts = lock(&self.cuts);
@@ -83,15 +104,6 @@
         Ok(())
     }
 
-    /// The release of the next server of a service: each of two in turn.
-    fn next_release(&self, service: &str) -> Option<String> {
-        let backends = self.backends();
-        let known = backends.iter().map(|it| it.server.settings());
-        let known = known.filter(|settings| settings.service == service).count();
-        let has_releases = self.has_releases && service == STREAM;
-        has_releases.then(|| format!("v{}", 1 + known % 2))
-    }
-
     pub(super) fn announce(&self, backend: &Backend, state: State) {
         let address = backend.proxy.address();
         self.site.announce_at(&backend.server, address, state);
@@ -112,7 +124,7 @@
         let mut deliveries = Vec::new();
         for backend in self.backends() {
             let server = backend.server.settings();
-            let runs = backend.server.runs().into_iter();
+            let runs = backend.server.runs().into_iter().filter(is_own);
             let crashed = backend.server.crashed();
             deliveries.extend(runs.map(|run| Delivery {
                 server: server.clone(),
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -14,7 +14,7 @@
 
 use super::servers::Backend;
 use super::Fleet;
-use crate::fault::{self, Config, Fault, Link, Server, Store};
+use crate::fault::{self, Config, Fault, Link, Rollout, Server, Store};
 use crate::ledger::{Fact, Scope};
 use crate::proxy::{Impairment, Proxy};
 use crate::schedule::Step;
@@ -71,6 +71,11 @@
             Fault::CrashingPart(part) => self.send_crashing_part(part, step.lasts).await?,
             Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
+            Fault::Silence(silence) => self.silence_servers(silence, step.lasts).await?,
+            Fault::Rollout(rollout) => self.roll_out(rollout, step.lasts).await?,
+            Fault::KillAll(spread) => self.kill_all(step.lasts, spread).await?,
+            Fault::CutOff(box_index) => self.cut_off(box_index, step.lasts).await,
+            Fault::BreakClients(box_index) => self.break_clients(box_index, step.lasts).await,
         }
         disturbances
             .into_iter()
@@ -103,6 +108,17 @@
             | Fault::Copies(_)
             | Fault::Crashing(_)
             | Fault::CrashingPart(_) => (vec![Scope::Server], false),
+            Fault::Silence(_) => (vec![Scope::Silence], false),
+            Fault::Rollout(Rollout::Join(_)) => (vec![Scope::Fleet], true),
+            // Servers that are replaced end with what they serve.
+            Fault::Rollout(Rollout::Rest) => (vec![Scope::Server], false),
+            Fault::KillAll(_) | Fault::CutOff(_) => {
+                ((0..self.box_count()).map(Scope::Box).collect(), false)
+            }
+            Fault::BreakClients(kept) => {
+                let others = (0..self.box_count()).filter(|it| *it != kept);
+                (others.map(Scope::Box).collect(), false)
+            }
         }
     }
 
@@ -193,7 +209,12 @@
     }
 
     /// Ends the process of a box by a signal, and starts it again after a pause.
-    async fn restart(&self, box_index: usize, ending: Signal, pause: Duration) -> eyre::Result<()> {
+    pub(super) async fn restart(
+        &self,
+        box_index: usize,
+        ending: Signal,
+        pause: Duration,
+    ) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         // A process that ended by itself just before is recorded as such, not as an effect
         // of this signal.
@@ -299,11 +320,9 @@
             }
             Server::Dark => server.dark(true),
             Server::Standstill => {
-                let gate = backend.gate.as_ref();
-                let gate = gate.ok_or_else(|| io::Error::other("no process in front"))?;
-                gate.signal(Signal::STOP)?;
+                backend.stop()?;
                 Timer::after(lasts).await;
-                return gate.signal(Signal::CONT);
+                return backend.resume();
             }
             Server::Slow => server.slow(SLOWDOWN_FACTOR),
             Server::Faulty(fault) => server.fault(fault, u32::MAX),
@@ -362,6 +381,14 @@
             // Handled by `empty_hall`, which has timing of its own.
             Config::EmptyHall(_) => {}
             Config::Mark => self.add_mark()?,
+            Config::Idle(time) => self.change_config(|config| {
+                config["limits"]["idle_timeout_ms"] = (time.as_millis() as u64).into();
+            }),
+            Config::Timeout(time) => self.change_config(|config| {
+                for route in config["routes"].as_array_mut().into_iter().flatten() {
+                    route["timeout_ms"] = (time.as_millis() as u64).into();
+                }
+            }),
             Config::Storm => {
                 for _ in 0..STORM_CHANGES {
                     self.wait_until_writable().await;
@@ -373,6 +400,11 @@
         Ok(())
     }
 
+    fn change_config(&self, change: impl FnOnce(&mut serde_json::Value)) {
+        self.ledger.record_fact(Fact::Configuring);
+        self.site.configure(change);
+    }
+
     /// Picks a server by its number among those that are neither leaving nor crashed.
     fn pick_server(&self, at: usize) -> Arc<Backend> {
         self.pick_server_of(at, |_| true)
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -73,6 +73,8 @@
     pub first: String,
     /// The last event that the client has.
     pub after: u64,
+    /// Whether the request names the first one.
+    pub is_named: bool,
 }
 
 /// A request that a client sent to a box.
@@ -132,6 +134,8 @@
     Server,
     /// The links between a box and all servers.
     Servers(usize),
+    /// Sound servers that stand still, which gives no reason to end an answer.
+    Silence,
     /// All boxes, through what the operator or a server announces.
     Fleet,
 }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -14,6 +14,7 @@
 //! * A check that is left out because the host lacked processor time is counted.
 
 pub mod bound;
+pub mod count;
 pub mod delay_monitor;
 pub mod evidence;
 pub mod fault;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -46,6 +46,14 @@
 /// Attempts of a client to take a stream up, and the pauses before them, in ms.
 const TAKE_UPS_MAX: u32 = 3;
 const TAKE_UP_PAUSES_MS: [u64; 4] = [0, 0, 200, 1_000];
+/// Such attempts beside rollouts: they go on until boxes that were killed serve again.
+const ROLLOUT_TAKE_UPS_MAX: u32 = 16;
+/// Share of them that name the first request, and of those at the box that is chosen for them.
+const NAMED_SHARE: f64 = 0.6;
+const CHOSEN_BOX_SHARE: f64 = 0.7;
+/// Share of the requests that are streams beside silences and rollouts, beyond their share of
+/// all kinds of requests.
+const STREAM_SHARE: f64 = 0.5;
 /// Share of the requests that are sent over a new connection.
 const NEW_CONNECTION_SHARE: f64 = 0.1;
 
@@ -81,6 +89,8 @@
                     hot_subject: schedule.hot_subject,
                     releases: schedule.releases,
                     prompts: schedule.prompts,
+                    silences: schedule.silences,
+                    rollouts: schedule.rollouts,
                     think_time_ms: think_time_ms.clone(),
                     client: None,
                 };
@@ -130,6 +140,10 @@
     releases: bool,
     /// Whether the prompts of streams share a part with those that crash servers.
     prompts: bool,
+    /// Whether most requests are streams.
+    silences: bool,
+    /// Whether most requests are streams that may be taken up.
+    rollouts: bool,
     /// Pause between two requests, in ms.
     think_time_ms: Range<u64>,
     client: Option<Client>,
@@ -145,9 +159,7 @@
     }
 
     async fn send_one(&mut self) {
-        let traffic = *Traffic::ALL
-            .choose(&mut self.rng)
-            .unwrap_or(&Traffic::Repeatable);
+        let traffic = self.pick_traffic();
         let key = (traffic == Traffic::Keyed).then(|| self.fleet.pick_key(&mut self.rng));
         let number = self.next_number.fetch_add(1, Ordering::Relaxed);
         let id = format!("{}-{number}", self.box_index);
@@ -198,19 +210,44 @@
         }
     }
 
+    fn pick_traffic(&mut self) -> Traffic {
+        let streams: &[Traffic] = match (self.silences, self.rollouts) {
+            (true, false) => &[Traffic::Resumable, Traffic::Single],
+            (_, true) => &[Traffic::Resumable],
+            (false, false) => &[],
+        };
+        let is_stream = !streams.is_empty() && self.rng.random_bool(STREAM_SHARE);
+        let kinds = match is_stream {
+            true => streams,
+            false => &Traffic::ALL,
+        };
+        *kinds.choose(&mut self.rng).unwrap_or(&Traffic::Repeatable)
+    }
+
     /// Takes a stream up at any box, at once or later, until it is complete or a few
     /// attempts have failed.
     async fn take_up(&mut self, first: &str, mut after: u64) {
-        for attempt in 1..=TAKE_UPS_MAX {
+        let attempts_max = match self.rollouts {
+            true => ROLLOUT_TAKE_UPS_MAX,
+            false => TAKE_UPS_MAX,
+        };
+        let is_named = !self.rollouts || self.rng.random_bool(NAMED_SHARE);
+        for attempt in 1..=attempts_max {
             let pause = *TAKE_UP_PAUSES_MS.choose(&mut self.rng).unwrap_or(&0);
             Timer::after(Duration::from_millis(pause)).await;
-            let box_index = self.rng.random_range(0..self.fleet.box_count());
+            let mut box_index = self.rng.random_range(0..self.fleet.box_count());
+            if let Some(chosen) = self.fleet.take_up_box() {
+                if self.rng.random_bool(CHOSEN_BOX_SHARE) {
+                    box_index = chosen;
+                }
+            }
             let id = format!("{first}-{attempt}");
             let call = Call::new("POST", HOST, &Traffic::Resumable.target(&id), &id);
             let call = call.body(ledger::BODY).leaving(plan::CLIENT_TIMEOUT);
-            let call = call
-                .with(names::LAST_EVENT, &after.to_string())
-                .with(names::RESUMES, first);
+            let mut call = call.with(names::LAST_EVENT, &after.to_string());
+            if is_named {
+                call = call.with(names::RESUMES, first);
+            }
             let Ok(mut client) = Client::open(self.fleet.client_address(box_index)).await else {
                 continue;
             };
@@ -222,6 +259,7 @@
                 takes_up: Some(TakeUp {
                     first: first.into(),
                     after,
+                    is_named,
                 }),
                 box_index,
                 key: None,
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,6 +29,8 @@
 const COPIED_ATTEMPTS_MAX: u32 = 6;
 /// Time-out of a request, on each route.
 pub const TIMEOUT: Duration = Duration::from_secs(4);
+/// The shortest one that a change of the configuration sets.
+pub const TIMEOUT_MIN: Duration = Duration::from_millis(3_500);
 
 /// Tokens of a part that prompts share, and of the part that belongs to one request only.
 const SHARED_TOKENS: u32 = 2_000;
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -11,7 +11,8 @@
 mod load;
 mod planned;
 mod reach;
-mod releases;
+pub(crate) mod releases;
+mod silenced;
 mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -39,6 +40,8 @@
     Spread,
     /// Planned work loses no request.
     Planned,
+    /// Silence of sound servers ends no answer.
+    Silenced,
     /// A removed key is not accepted after the bound.
     Keys,
     /// A process of a box never goes back to an older configuration.
@@ -74,7 +77,7 @@
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 22] = [
+    pub const ALL: [Rule; 23] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -82,6 +85,7 @@
         Rule::Promises,
         Rule::Spread,
         Rule::Planned,
+        Rule::Silenced,
         Rule::Keys,
         Rule::StepBack,
         Rule::Apply,
@@ -140,6 +144,7 @@
         answers::judge(evidence, &mut verdict);
         executions::judge(evidence, &mut verdict);
         planned::judge(evidence, &mut verdict);
+        silenced::judge(evidence, &mut verdict);
         reach::judge(evidence, &mut verdict);
         releases::judge(evidence, &mut verdict);
         staleness::judge(evidence, &mut verdict);
@@ -174,7 +179,7 @@
 }
 
 /// The moment that lies `time` before `at`.
-fn before(at: Instant, time: Duration) -> Instant {
+pub(crate) fn before(at: Instant, time: Duration) -> Instant {
     at.checked_sub(time).unwrap_or(at)
 }
 
--- a/crates/soak/src/rule/releases.rs
+++ b/crates/soak/src/rule/releases.rs
@@ -10,6 +10,9 @@
 use crate::evidence::Evidence;
 use crate::ledger::{Request, Scope};
 
+/// Name of the fault that kills all boxes at once.
+const KILL_FAULT: &str = "process_kill_all";
+
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
     judge_mixes(evidence, verdict);
     judge_refusals(evidence, verdict);
@@ -35,18 +38,16 @@
     }
 }
 
-/// Streams that are taken up at boxes in touch may not be refused more often than not because
-/// nobody knows their release.
+/// Streams that are taken up by their name at boxes in touch may not be refused more often than
+/// not because nobody knows their release. After a kill of all boxes nobody may know it.
 fn judge_refusals(evidence: &Evidence, verdict: &mut Verdict) {
     let taken_up = evidence.requests.iter().filter(|request| {
-        let ended = request.ended.filter(|_| request.takes_up.is_some());
-        ended.is_some_and(|_| is_in_touch(evidence, request))
+        let is_named = request.takes_up.as_ref().is_some_and(|it| it.is_named);
+        let ended = request.ended.filter(|_| is_named);
+        ended.is_some_and(|_| is_in_touch(evidence, request) && !is_forgotten(evidence, request))
     });
     let taken_up: Vec<&Request> = taken_up.collect();
-    let unknown = taken_up.iter().filter(|request| {
-        let answer = request.answer.as_ref();
-        answer.is_some_and(|it| it.status == 503 && it.body.ends_with(b"\"unknown_stream\"}"))
-    });
+    let unknown = taken_up.iter().filter(|request| is_unknown(request));
     let unknown = unknown.count();
     let Some(last) = taken_up.last().and_then(|request| request.ended) else {
         return;
@@ -57,6 +58,20 @@
     }
 }
 
+/// Whether a stream that is taken up was refused as nobody knows its release.
+pub(crate) fn is_unknown(request: &Request) -> bool {
+    let answer = request.answer.as_ref();
+    answer.is_some_and(|it| it.status == 503 && it.body.ends_with(b"\"unknown_stream\"}"))
+}
+
+/// Whether all boxes were killed at once since the stream that a request takes up began.
+fn is_forgotten(evidence: &Evidence, request: &Request) -> bool {
+    let first = request.takes_up.as_ref().map(|it| &it.first);
+    let first = evidence.requests.iter().find(|it| Some(&it.id) == first);
+    let began = first.map_or(request.sent, |first| first.sent);
+    evidence.disturbed(began, request.sent, |found| found.name == KILL_FAULT)
+}
+
 /// Whether neither the box nor the store was disturbed from the grace period before a
 /// request until its end.
 fn is_in_touch(evidence: &Evidence, request: &Request) -> bool {
--- a/crates/soak/src/rule/staleness.rs
+++ b/crates/soak/src/rule/staleness.rs
@@ -176,7 +176,10 @@
 ) {
     let [since, arrived] = span;
     let recent = before(arrived, bound::GRACE_PERIOD);
-    let on_way = |found: &Disturbance| found.is_on_way_of(request.box_index);
+    // A request that was sent in time may wait in front of a server that stands still.
+    let on_way = |found: &Disturbance| {
+        found.is_on_way_of(request.box_index) || found.scope == Scope::Silence
+    };
     let cut = evidence.disturbed(recent, arrived, on_way);
     if cut || !is_connected(evidence, request, arrived) {
         return;
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -13,6 +13,7 @@
 use hdrhistogram::Histogram;
 use smol::{Task, Timer};
 
+use crate::count::{Cuts, TakeUps};
 use crate::evidence::Evidence;
 use crate::fleet::Fleet;
 use crate::ledger::Fact;
@@ -60,6 +61,10 @@
     pub requests: u64,
     /// Latencies of the requests that were served, in ms.
     pub latencies: Histogram<u64>,
+    /// Answers that boxes cut.
+    pub cuts: Cuts,
+    /// Streams that clients took up.
+    pub take_ups: TakeUps,
     /// The findings of the rules.
     pub verdict: Verdict,
     /// Duration of the run.
@@ -98,6 +103,14 @@
     pub hot_subject: bool,
     /// Whether plain servers stand still in addition, before more boxes.
     pub standstills: bool,
+    /// Whether servers stand still beside changes of the configuration in addition.
+    pub silences: bool,
+    /// Whether all boxes are killed at once beside rollouts of releases in addition.
+    pub restarts: bool,
+    /// Whether a box is out of step beside rollouts of releases in addition.
+    pub out_of_step: bool,
+    /// Whether a run goes on after a violation.
+    pub whole: bool,
     /// Number of boxes in place of the one that the seed determines.
     pub boxes: Option<usize>,
 }
@@ -145,6 +158,15 @@
     if options.standstills {
         schedule = schedule.with_standstills();
     }
+    if options.silences {
+        schedule = schedule.with_silences();
+    }
+    if options.restarts {
+        schedule = schedule.with_restarts();
+    }
+    if options.out_of_step {
+        schedule = schedule.with_boxes_out_of_step();
+    }
     if let Some(boxes) = options.boxes {
         schedule = schedule.with_boxes(boxes);
     }
@@ -154,7 +176,7 @@
     fs::write(folder.join("schedule.txt"), format!("{schedule:#?}\n"))?;
     let started = Instant::now();
     let fleet = Fleet::start(&schedule, &options.relay, &folder).await?;
-    let judged = judge_periodically(fleet.clone(), started);
+    let judged = judge_periodically(fleet.clone(), started, options.whole);
     let finished = async {
         run_schedule(&fleet, &schedule).await?;
         Ok(Verdict::new(&Evidence::gather(
@@ -170,6 +192,8 @@
         faults: fleet.ledger.faults(),
         requests: evidence.requests.len() as u64,
         latencies: latencies(&evidence)?,
+        cuts: Cuts::new(&evidence),
+        take_ups: TakeUps::new(&evidence),
         verdict,
         duration: started.elapsed(),
     };
@@ -189,11 +213,19 @@
     }
 }
 
-/// Evaluates the rules while the run goes on; returns at the first violation.
-async fn judge_periodically(fleet: Arc<Fleet>, started: Instant) -> eyre::Result<Verdict> {
+/// Evaluates the rules while the run goes on; returns at the first violation, or never if
+/// the run is to be `whole`.
+async fn judge_periodically(
+    fleet: Arc<Fleet>,
+    started: Instant,
+    whole: bool,
+) -> eyre::Result<Verdict> {
     loop {
         Timer::after(JUDGE_INTERVAL).await;
         fleet.restart_ended()?;
+        if whole {
+            continue;
+        }
         let evidence = Evidence::gather(&fleet.ledger, started, || fleet.deliveries());
         let verdict = smol::unblock(move || Verdict::new(&evidence)).await;
         if !verdict.violations.is_empty() {
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -3,6 +3,8 @@
 //! A schedule is a function of its seed alone. It identifies boxes and servers by numbers:
 //! see [`crate::fault`].
 
+mod incidents;
+
 use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
 
@@ -177,6 +179,14 @@
     pub copies: bool,
     /// Whether plain servers may stand still, and many clients send requests slowly.
     pub standstills: bool,
+    /// Whether all servers may stand still, and most requests are streams.
+    pub silences: bool,
+    /// Whether the servers of streams run one release, except during rollouts of the next.
+    /// Most requests are long streams, which clients take up, also without naming them.
+    pub rollouts: bool,
+    /// Whether the settings of the boxes say that the fleet starts for the first time. They
+    /// stay so when a box is started again.
+    pub first_start: bool,
     /// The faults, ordered by the time at which they begin.
     pub steps: Vec<Step>,
 }
@@ -205,6 +215,9 @@
             prompts: false,
             copies: false,
             standstills: false,
+            silences: false,
+            rollouts: false,
+            first_start: false,
             steps,
         }
     }
--- a/crates/soak/tests/soak/main.rs
+++ b/crates/soak/tests/soak/main.rs
@@ -2,6 +2,7 @@
 //! proxy does, and what rules find in hand-made evidence. Trials show that the rules find
 //! faults of a real relay (docs/SOAK.md).
 
+mod incidents;
 mod proxies;
 mod rules;
 mod schedules;
--- a/crates/soak/tests/soak/rules.rs
+++ b/crates/soak/tests/soak/rules.rs
@@ -519,6 +519,7 @@
             takes_up: after.map(|after| TakeUp {
                 first: "s-1".into(),
                 after,
+                is_named: true,
             }),
             box_index: 0,
             key: None,
