--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -84,9 +84,15 @@
     /// Also has one box out of step while the servers of streams change their release.
     #[arg(long)]
     out_of_step: bool,
+    /// Also has another writer leave odd entries in the store.
+    #[arg(long)]
+    odd_entries: bool,
     /// Plays each seed to its end, also after a violation.
     #[arg(long)]
     whole: bool,
+    /// Keeps the logs of seeds without violations too.
+    #[arg(long)]
+    keep_logs: bool,
     /// Runs the process in front of the server at this address instead.
     #[arg(long, hide = true)]
     gate: Option<SocketAddr>,
@@ -204,7 +210,9 @@
         silences: arguments.silences,
         restarts: arguments.restarts,
         out_of_step: arguments.out_of_step,
+        odd_entries: arguments.odd_entries,
         whole: arguments.whole,
+        keep_logs: arguments.keep_logs,
         boxes: arguments.boxes.map(usize::from),
     };
     let plan = Plan::new(&arguments)?;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -10,6 +10,7 @@
 use tidepier_relay_standin::server;
 use tidepier_relay_standin::store::Down;
 
+use crate::odd;
 use crate::proxy::Impairment;
 
 /// A network link between two parties.
@@ -179,6 +180,8 @@
     /// The connections of the clients of all boxes but one are reset, and the clients take up
     /// their streams at that box.
     BreakClients(usize),
+    /// Another writer leaves an odd entry in the store.
+    OddEntry(odd::Entry),
 }
 
 impl Fault {
@@ -209,6 +212,7 @@
             Fault::KillAll(_) => "process_kill_all".into(),
             Fault::CutOff(_) => "peer_way_cut_off".into(),
             Fault::BreakClients(_) => "client_way_break".into(),
+            Fault::OddEntry(_) => "store_odd_entry".into(),
         }
     }
 }
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -98,6 +98,7 @@
     replaced_servers: Mutex<HashSet<String>>,
     next_mark: AtomicU32,
     next_server: AtomicU32,
+    next_odd_entry: AtomicU32,
     /// Whether an outage before a restore is in progress, in which the store accepts no
     /// writes, not even from the operator.
     store_unreachable: AtomicBool,
@@ -160,6 +161,7 @@
             replaced_servers: Mutex::default(),
             next_mark: AtomicU32::new(0),
             next_server: AtomicU32::new(0),
+            next_odd_entry: AtomicU32::new(0),
             store_unreachable: AtomicBool::new(false),
             backups: Mutex::default(),
             emptied: Mutex::default(),
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -3,6 +3,7 @@
 
 use std::io;
 use std::net::IpAddr;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::{Duration, Instant};
 
@@ -19,7 +20,7 @@
 use crate::proxy::{Impairment, Proxy};
 use crate::schedule::Step;
 use crate::sync::lock;
-use crate::{bound, plan};
+use crate::{bound, odd, plan};
 
 /// Interval between two checks whether a process has exited.
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
@@ -75,6 +76,7 @@
             Fault::Rollout(rollout) => self.roll_out(rollout, step.lasts).await?,
             Fault::KillAll(spread) => self.kill_all(step.lasts, spread).await?,
             Fault::CutOff(box_index) => self.cut_off(box_index, step.lasts).await,
+            Fault::OddEntry(entry) => self.write_odd_entry(entry).await,
             Fault::BreakClients(box_index) => self.break_clients(box_index, step.lasts).await,
         }
         disturbances
@@ -109,7 +111,7 @@
             | Fault::Crashing(_)
             | Fault::CrashingPart(_) => (vec![Scope::Server], false),
             Fault::Silence(_) => (vec![Scope::Silence], false),
-            Fault::Rollout(Rollout::Join(_)) => (vec![Scope::Fleet], true),
+            Fault::Rollout(Rollout::Join(_)) | Fault::OddEntry(_) => (vec![Scope::Fleet], true),
             // Servers that are replaced end with what they serve.
             Fault::Rollout(Rollout::Rest) => (vec![Scope::Server], false),
             Fault::KillAll(_) | Fault::CutOff(_) => {
@@ -400,6 +402,15 @@
         Ok(())
     }
 
+    /// Writes an odd entry under a name of its own, which stays.
+    async fn write_odd_entry(&self, entry: odd::Entry) {
+        self.wait_until_writable().await;
+        let number = self.next_odd_entry.fetch_add(1, Ordering::Relaxed);
+        let key = format!("{}odd-{number}", entry.prefix());
+        let contents = entry.contents().into_bytes();
+        self.site.store.put_bytes(&key, contents);
+    }
+
     fn change_config(&self, change: impl FnOnce(&mut serde_json::Value)) {
         self.ledger.record_fact(Fact::Configuring);
         self.site.configure(change);
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -76,7 +76,7 @@
 pub struct Options {
     /// Path of the relay program.
     pub relay: PathBuf,
-    /// Folder for settings and logs; removed after a run without violations.
+    /// Folder for settings and logs.
     pub folder: PathBuf,
     /// Whether halls of servers are emptied in addition to the faults of the seed.
     pub emptied_halls: bool,
@@ -109,8 +109,12 @@
     pub restarts: bool,
     /// Whether a box is out of step beside rollouts of releases in addition.
     pub out_of_step: bool,
+    /// Whether another writer leaves odd entries in the store in addition.
+    pub odd_entries: bool,
     /// Whether a run goes on after a violation.
     pub whole: bool,
+    /// Whether the logs of runs without violations are kept.
+    pub keep_logs: bool,
     /// Number of boxes in place of the one that the seed determines.
     pub boxes: Option<usize>,
 }
@@ -167,6 +171,9 @@
     if options.out_of_step {
         schedule = schedule.with_boxes_out_of_step();
     }
+    if options.odd_entries {
+        schedule = schedule.with_odd_entries();
+    }
     if let Some(boxes) = options.boxes {
         schedule = schedule.with_boxes(boxes);
     }
@@ -198,7 +205,7 @@
         duration: started.elapsed(),
     };
     drop(fleet);
-    if outcome.verdict.violations.is_empty() {
+    if outcome.verdict.violations.is_empty() && !options.keep_logs {
         clear(&folder)?;
     } else {
         write_findings(&folder, &evidence, &outcome.verdict)?;
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -12,12 +12,17 @@
 
 use super::{ms, pick, Schedule, Step, DELAY_MS};
 use crate::fault::{Config, Fault, Link, Rollout, Services, Signal, Silence, Store};
+use crate::odd;
 use crate::proxy::Impairment;
 
 /// Mixed into the seed, so that each kind is chosen independently of the others.
 const SILENCES_SEED: u64 = 0x7369_6c65_6e63_6573;
 const RESTARTS_SEED: u64 = 0x7265_7374_6172_7473;
 const OUT_OF_STEP_SEED: u64 = 0x6f75_746f_6673_7465;
+const ODD_ENTRIES_SEED: u64 = 0x6f64_6465_6e74_7279;
+/// Number of odd entries, and the time in which they are written, in ms.
+const ODD_ENTRIES: usize = 50;
+const ODD_ENTRIES_MS: Range<u64> = 0..12_000;
 /// Number of rounds of each kind.
 const SILENCES: usize = 4;
 const RESTARTS: usize = 3;
@@ -104,6 +109,26 @@
         schedule.with_rollouts(steps)
     }
 
+    /// Adds odd entries of another writer.
+    pub fn with_odd_entries(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ ODD_ENTRIES_SEED);
+        let schedule = self.with_others_in_half_of_seeds(&mut rng);
+        let steps = (0..ODD_ENTRIES).map(|_| {
+            let kind = rng.random_range(0..odd::KINDS.len());
+            let fields = odd::KINDS[kind].1.len();
+            Step {
+                at: ms(&mut rng, ODD_ENTRIES_MS),
+                lasts: Duration::ZERO,
+                fault: Fault::OddEntry(odd::Entry {
+                    kind,
+                    field: rng.random_range(0..=fields),
+                    value: pick(&mut rng, &odd::VALUES),
+                }),
+            }
+        });
+        schedule.with_steps(steps)
+    }
+
     fn with_rollouts(self, steps: Vec<Step>) -> Self {
         Self {
             releases: true,
