--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -23,6 +23,8 @@
 
 /// Bound on the clients of each box.
 const CLIENTS_PER_BOX: usize = 6;
+/// The same beside rollouts, where most of them wait for long streams.
+const STREAM_CLIENTS_PER_BOX: usize = 16;
 /// Bound on the clients of all boxes together, but each box has at least one.
 const CLIENTS_MAX: usize = 48;
 /// Idle connections at each box.
@@ -46,7 +48,8 @@
 /// Attempts of a client to take a stream up, and the pauses before them, in ms.
 const TAKE_UPS_MAX: u32 = 3;
 const TAKE_UP_PAUSES_MS: [u64; 4] = [0, 0, 200, 1_000];
-/// Such attempts beside rollouts: they go on until boxes that were killed serve again.
+/// Such attempts beside rollouts, if they name the stream: they go on until boxes that were
+/// killed serve again.
 const ROLLOUT_TAKE_UPS_MAX: u32 = 16;
 /// Share of them that name the first request, and of those at the box that is chosen for them.
 const NAMED_SHARE: f64 = 0.6;
@@ -74,7 +77,11 @@
             true => (SLOW_CLIENTS_MAX, SLOW_THINK_TIME_MS),
             false => (CLIENTS_MAX, THINK_TIME_MS),
         };
-        let per_box = (clients_max / fleet.box_count()).clamp(1, CLIENTS_PER_BOX);
+        let per_box_max = match schedule.rollouts {
+            true => STREAM_CLIENTS_PER_BOX,
+            false => CLIENTS_PER_BOX,
+        };
+        let per_box = (clients_max / fleet.box_count()).clamp(1, per_box_max);
         for box_index in 0..fleet.box_count() {
             for client in 0..per_box {
                 let stream = (box_index * per_box + client) as u64;
@@ -227,11 +234,11 @@
     /// Takes a stream up at any box, at once or later, until it is complete or a few
     /// attempts have failed.
     async fn take_up(&mut self, first: &str, mut after: u64) {
-        let attempts_max = match self.rollouts {
+        let is_named = !self.rollouts || self.rng.random_bool(NAMED_SHARE);
+        let attempts_max = match self.rollouts && is_named {
             true => ROLLOUT_TAKE_UPS_MAX,
             false => TAKE_UPS_MAX,
         };
-        let is_named = !self.rollouts || self.rng.random_bool(NAMED_SHARE);
         for attempt in 1..=attempts_max {
             let pause = *TAKE_UP_PAUSES_MS.choose(&mut self.rng).unwrap_or(&0);
             Timer::after(Duration::from_millis(pause)).await;
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -57,6 +57,8 @@
 /// their connections are reset.
 const BREAK_DELAY_MS: Range<u64> = 50..2_500;
 const BREAK_TIME: Duration = Duration::from_millis(30);
+/// Time that a box needs to start.
+const START_TIME: Duration = Duration::from_millis(200);
 
 impl Schedule {
     /// Adds servers that stand still before, at and after changes of the configuration.
@@ -244,26 +246,35 @@
 ) -> Duration {
     let mut step = |at, lasts, fault| steps.push(Step { at, lasts, fault });
     let chosen = rng.random_range(0..boxes);
-    let faults = [
-        Fault::Process(chosen, Signal::Freeze),
-        Fault::Process(chosen, Signal::Kill),
-        Fault::CutOff(chosen),
-        Fault::Link(Link::Store(chosen), Impairment::Silence),
+    let other = (chosen + rng.random_range(1..boxes)) % boxes;
+    let store = Fault::Link(Link::Store(chosen), Impairment::Silence);
+    let faults: [&[Fault]; 4] = [
+        &[Fault::Process(chosen, Signal::Freeze)],
+        &[Fault::CutOff(chosen)],
+        &[store],
+        &[Fault::CutOff(chosen), store],
     ];
-    let fault = pick(rng, &faults);
     let lasts = ms(rng, OUT_OF_STEP_MS);
-    step(start, lasts, fault);
-    // Around the start of the box, or while it is out of step.
-    let joins = match fault {
-        Fault::Process(_, Signal::Kill) => start + lasts + ms(rng, KILL_DELAY_MS),
-        _ => start + lasts.mul_f64(rng.random_range(0.0..0.9)),
-    };
+    for fault in pick(rng, &faults) {
+        step(start, lasts, *fault);
+    }
+    let joins = start + lasts.mul_f64(rng.random_range(0.0..0.9));
+    // Another box may just have started then, and learn of the new release first.
+    if rng.random_bool(0.4) {
+        let away = ms(rng, AWAY_MS);
+        let kill = (joins + ms(rng, KILL_DELAY_MS)).saturating_sub(away + START_TIME);
+        step(kill, away, Fault::Process(other, Signal::Kill));
+    }
     let join = Rollout::Join(rng.random_range(1..=3));
     step(joins, Duration::ZERO, Fault::Rollout(join));
     let mut end = start + lasts;
+    let kept = match rng.random_bool(0.8) {
+        true => chosen,
+        false => other,
+    };
     for _ in 0..2 {
         let at = joins + ms(rng, BREAK_DELAY_MS);
-        step(at, BREAK_TIME, Fault::BreakClients(chosen));
+        step(at, BREAK_TIME, Fault::BreakClients(kept));
         end = end.max(at);
     }
     let rest = end + ms(rng, REST_MS);
