--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -172,7 +172,7 @@
             },
             take_up_box: Mutex::default(),
             gates_everywhere: schedule.silences,
-            events: match schedule.rollouts {
+            events: match schedule.long_streams {
                 true => servers::LONG_EVENTS,
                 false => servers::EVENTS,
             },
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -182,8 +182,10 @@
     /// Whether all servers may stand still, and most requests are streams.
     pub silences: bool,
     /// Whether the servers of streams run one release, except during rollouts of the next.
-    /// Most requests are long streams, which clients take up, also without naming them.
+    /// Most requests are streams, which clients take up, also without naming them.
     pub rollouts: bool,
+    /// Whether streams are long.
+    pub long_streams: bool,
     /// Whether the settings of the boxes say that the fleet starts for the first time. They
     /// stay so when a box is started again.
     pub first_start: bool,
@@ -217,6 +219,7 @@
             standstills: false,
             silences: false,
             rollouts: false,
+            long_streams: false,
             first_start: false,
             steps,
         }
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -74,6 +74,7 @@
         }
         Self {
             silences: true,
+            long_streams: rng.random_bool(0.5),
             ..schedule.with_steps(steps.into_iter())
         }
     }
@@ -135,6 +136,7 @@
         Self {
             releases: true,
             rollouts: true,
+            long_streams: true,
             ..self.with_steps(steps.into_iter())
         }
     }
