--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -26,7 +26,7 @@
 /// Number of rounds of each kind.
 const SILENCES: usize = 4;
 const RESTARTS: usize = 3;
-const OUT_OF_STEP: usize = 4;
+const OUT_OF_STEP: usize = 2;
 /// Time of the first round, and the pause after each, in ms.
 const FIRST_MS: Range<u64> = 500..1_500;
 const PAUSE_MS: Range<u64> = 1_500..2_500;
@@ -44,6 +44,8 @@
 const START_SPREAD_MS: Range<u64> = 0..300;
 /// Time from the first server of a release to the last one of the former, in ms.
 const REST_MS: Range<u64> = 100..2_500;
+/// Time for which all older servers leave when a release joins, in ms.
+const SWAP_MS: Range<u64> = 1_500..3_500;
 /// Time for which servers leave, in ms.
 const LEAVING_MS: Range<u64> = 0..1_500;
 /// Time from a step of a rollout to the kill of all boxes, in ms.
@@ -109,7 +111,10 @@
             let end = out_of_step_round(&mut rng, boxes, next, &mut steps);
             next = end + ms(&mut rng, PAUSE_MS);
         }
-        schedule.with_rollouts(steps)
+        Self {
+            first_start: rng.random_bool(0.8),
+            ..schedule.with_rollouts(steps)
+        }
     }
 
     /// Adds odd entries of another writer.
@@ -260,7 +265,11 @@
     for fault in pick(rng, &faults) {
         step(start, lasts, *fault);
     }
-    let joins = start + lasts.mul_f64(rng.random_range(0.0..0.9));
+    let is_swap = rng.random_bool(0.5);
+    let joins = match is_swap {
+        true => start + lasts.mul_f64(rng.random_range(0.0..0.3)),
+        false => start + lasts.mul_f64(rng.random_range(0.0..0.9)),
+    };
     // Another box may just have started then, and learn of the new release first.
     if rng.random_bool(0.4) {
         let away = ms(rng, AWAY_MS);
@@ -269,6 +278,15 @@
     }
     let join = Rollout::Join(rng.random_range(1..=3));
     step(joins, Duration::ZERO, Fault::Rollout(join));
+    // All older servers leave at once, so that streams begin at the new ones, while a box that
+    // does not know it may still send to the older ones.
+    if is_swap {
+        step(
+            joins + BREAK_TIME,
+            ms(rng, SWAP_MS),
+            Fault::Rollout(Rollout::Rest),
+        );
+    }
     let mut end = start + lasts;
     let kept = match rng.random_bool(0.8) {
         true => chosen,
@@ -280,6 +298,8 @@
         end = end.max(at);
     }
     let rest = end + ms(rng, REST_MS);
-    step(rest, ms(rng, LEAVING_MS), Fault::Rollout(Rollout::Rest));
+    if !is_swap {
+        step(rest, ms(rng, LEAVING_MS), Fault::Rollout(Rollout::Rest));
+    }
     rest
 }
