--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -14,8 +14,6 @@
 use crate::notifier::Notifier;
 use crate::origin::{Name, Origin};
 
-/// Time within which a box that starts learns of the servers that are there already.
-const FIRST_LIST_TIME: Duration = Duration::from_secs(1);
 /// How long a release that no server runs any more is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
 
@@ -24,6 +22,8 @@
 struct Seen {
     /// When the first of them joined.
     first: Instant,
+    /// Whether that was after this box knew all servers, and beside servers of other releases.
+    is_added: bool,
     /// How many there are.
     servers: usize,
     /// When the last change was.
@@ -51,6 +51,8 @@
     services: RefCell<HashMap<ids::Service, Service>>,
     /// Whether nothing served before this box started.
     is_first_start: Cell<bool>,
+    /// The latest time as of which this box is known to have known all servers.
+    complete_at: Cell<Option<Instant>>,
     /// Notified when a service gets a release that it did not have.
     pub added: Notifier,
 }
@@ -62,6 +64,21 @@
         self.is_first_start.set(true);
     }
 
+    /// Records that this box knew all servers that were there at `moment`.
+    pub fn confirm_at(&self, moment: Instant) {
+        self.complete_at
+            .set(self.complete_at.get().max(Some(moment)));
+    }
+
+    /// Whether this box is known to have known all servers less than `max_age` before `now`.
+    pub fn is_fresh(&self, max_age: Duration, now: Instant) -> bool {
+        let age = self
+            .complete_at
+            .get()
+            .map(|at| now.saturating_duration_since(at));
+        age.is_some_and(|age| age < max_age)
+    }
+
     pub(super) fn joined(&self, server: &Server, now: Instant) {
         let mut services = self.services.borrow_mut();
         let service = services
@@ -73,6 +90,7 @@
         service
             .releases
             .retain(|_, seen| seen.is_within(RETENTION, now));
+        let is_added = self.complete_at.get().is_some() && !service.releases.is_empty();
         let seen = service
             .releases
             .entry(server.release.clone())
@@ -80,6 +98,7 @@
                 self.added.notify();
                 Seen {
                     first: now,
+                    is_added,
                     servers: 0,
                     changed: now,
                 }
@@ -130,14 +149,14 @@
     }
 
     /// The origins of releases that appeared beside others less than `delay` ago, so that
-    /// other boxes may not know of them.
+    /// other boxes may not know of them. Of those that a box finds when it starts, it cannot
+    /// tell which one is new.
     pub fn young(&self, service: &ids::Service, delay: Duration, now: Instant) -> Vec<Origin> {
         let services = self.services.borrow();
         let Some(known) = services.get(service) else {
             return Vec::new();
         };
-        let first_list = known.since + FIRST_LIST_TIME;
-        let is_young = |seen: &Seen| seen.first > first_list && seen.first + delay > now;
+        let is_young = |seen: &Seen| seen.is_added && seen.first + delay > now;
         let young = known.releases.iter().filter(|(_, seen)| is_young(seen));
         young
             .map(|(name, _)| Origin::new(service, name.as_ref()))
