An unreadable record of releases is replaced, and keeps no other from being written

What callers would see: after one odd entry under the record of releases, streams of that service that only the record can decide stay refused for good, and the releases of other services are recorded late or not at all. Cause: an entry that could not be decoded counted as a failure of the store, at which the hub's round ends. It now names nothing and is not complete: it permits nothing, the hub writes over it at once, and makes it complete once it has observed the service for the window.

--- a/crates/relay/src/origin/ledger.rs
+++ b/crates/relay/src/origin/ledger.rs
@@ -101,7 +101,7 @@
     ///
     /// # Errors
     ///
-    /// The store does not answer, or its entry is unreadable.
+    /// The store does not answer.
     pub async fn recent(&self, service: &ids::Service) -> Result<Entry, Failure> {
         let recent = self.read.borrow().get(service).cloned();
         if let Some((at, entry)) = recent {
@@ -116,11 +116,12 @@
         Ok(entry)
     }
 
-    /// Reads the entry of a service.
+    /// Reads the entry of a service. One that is unreadable names nothing and is not complete,
+    /// so that it is replaced and permits nothing until then.
     ///
     /// # Errors
     ///
-    /// The store does not answer, or its entry is unreadable.
+    /// The store does not answer.
     pub async fn read(&self, service: &ids::Service) -> Result<Entry, Failure> {
         let store = self.store.get().ok_or(Failure::Unavailable)?;
         let read = store.get(&key(service), CALL_TIMEOUT).await?;
@@ -131,8 +132,14 @@
                 ..Entry::default()
             });
         };
-        let value: Value = serde_json::from_slice(&item.value)
-            .map_err(|error| Failure::Malformed(error.to_string()))?;
+        let value = serde_json::from_slice(&item.value).unwrap_or_else(|error| {
+            log::warn!(
+                target: "belief",
+                "event=releases_invalid service={service} revision={} why=\"{error}\"",
+                item.revision
+            );
+            Value::default()
+        });
         Ok(Entry {
             names: value.names(),
             is_complete: value.complete_in == Some(era.0),
