A server that has answered a check is asked again without a wait

What callers saw: nothing yet; found by reading. A box sends a server one health check a second for requests that wait at another one, and its answer counts for 0.3 s. Of several streams of a dead server whose silences begin at different times, one found the other server by a check, and one that looked 0.3 to 1 s later could neither use that answer nor ask, so that it stayed for up to 0.7 s longer than before, where the other server had no other traffic.

Now a server whose last check was answered may be asked at once; the interval holds for those that did not answer.

--- a/crates/relay/src/fleet/check.rs
+++ b/crates/relay/src/fleet/check.rs
@@ -33,10 +33,13 @@
         }
     }
 
-    /// Whether a request that waits elsewhere may send a check: none has for an `interval`.
+    /// Whether a request that waits elsewhere may send a check: the server has answered the
+    /// last one, or none was sent for an `interval`.
     pub fn is_due(&self, interval: Duration, now: Instant) -> bool {
-        let begun = self.begun.get();
-        begun.is_none_or(|at| now.saturating_duration_since(at) >= interval)
+        self.begun.get().is_none_or(|begun| {
+            let is_answered = self.answered.get().is_some_and(|at| at >= begun);
+            is_answered || now.saturating_duration_since(begun) >= interval
+        })
     }
 
     /// Records that a request that waits elsewhere sends a check.
--- a/crates/relay/tests/relay/silent_servers.rs
+++ b/crates/relay/tests/relay/silent_servers.rs
@@ -1,11 +1,14 @@
 //! Requests and streams that wait at servers which are silent for seconds and sound otherwise.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use eyre::{ensure, eyre};
 use futures_lite::future;
 use smol::Timer;
+use tidepier_clock::Instant;
 use tidepier_core::catalog::Kind;
+use tidepier_relay::fleet::check::Check;
 use tidepier_relay_standin::client::Answer;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Server};
@@ -281,3 +284,46 @@
         Ok(())
     })
 }
+
+/// Guards against a request that stays at a silent server as an earlier one has just asked the
+/// server that answers, and against checks that a silent server gets of each request.
+#[test]
+fn a_server_that_answers_checks_is_asked_again_and_a_silent_one_later() {
+    let (check, start, interval) = (Check::default(), Instant::now(), ms(1_000));
+    assert!(check.is_due(interval, start));
+    check.begin(start);
+    assert!(!check.is_due(interval, start + ms(999)));
+    assert!(check.is_due(interval, start + ms(1_000)));
+    check.record(true, start + ms(5));
+    assert!(check.is_due(interval, start + ms(400)));
+    check.begin(start + ms(400));
+    assert!(!check.is_due(interval, start + ms(500)));
+}
+
+/// Guards against streams that stay at a dead server, as another one has found out before that a
+/// server answers.
+#[test]
+fn all_streams_of_a_silent_server_leave_it_in_time() -> Result {
+    run(async |executor| {
+        let setting = Setting::start(executor.clone(), 2, 2, Some(PAUSE), |_| {}).await?;
+        let setting = Rc::new(setting);
+        let mut clients = Vec::new();
+        for number in 0..6 {
+            let (setting, attempt) = (setting.clone(), format!("leaves-{number}"));
+            clients.push(executor.spawn(async move {
+                let answer = setting.call("/s/x", &attempt).await?;
+                setting.ensure_whole(&answer, &attempt)?;
+                let limit = LEAVE_TIME + EVENTS as u32 * PAUSE;
+                ensure!(answer.elapsed < limit, "{attempt}: {:?}", answer.elapsed);
+                Result::Ok(())
+            }));
+            Timer::after(ms(150)).await;
+        }
+        setting.servers[0].dark(true);
+        for client in clients {
+            client.await?;
+        }
+        setting.servers[0].dark(false);
+        Ok(())
+    })
+}
