--- a/crates/relay/tests/relay/silent_processes.rs
+++ b/crates/relay/tests/relay/silent_processes.rs
@@ -66,6 +66,8 @@
     All,
     /// All but the first of each service.
     Some,
+    /// All, and the first router.
+    AllAndRouter,
 }
 
 /// When the configuration changes, and how. Times are from the start of the load.
@@ -78,7 +80,7 @@
 /// When servers are stopped, which and for how long: before, at and after the changes.
 const STOPS: [(Duration, Share, Duration); 4] = [
     (ms(1_600), Share::All, ms(1_900)),
-    (ms(5_000), Share::All, ms(1_500)),
+    (ms(5_000), Share::AllAndRouter, ms(1_500)),
     (ms(8_300), Share::Some, ms(3_000)),
     (ms(11_500), Share::All, ms(500)),
 ];
@@ -346,17 +348,25 @@
     async fn stop_servers(&self, start: Instant) -> Result {
         for (at, share, time) in STOPS {
             Timer::at(start + at).await;
-            let stopped = self.servers.iter().enumerate();
-            let stopped =
-                stopped.filter(|(number, _)| share == Share::All || number % SERVERS != 0);
-            let stopped: Vec<&ServerProcess> = stopped.map(|(_, server)| server).collect();
-            stopped.iter().try_for_each(|it| it.signal("-STOP"))?;
+            self.signal(share, "-STOP")?;
             Timer::after(time).await;
-            stopped.iter().try_for_each(|it| it.signal("-CONT"))?;
+            self.signal(share, "-CONT")?;
         }
         Ok(())
     }
 
+    fn signal(&self, share: Share, name: &str) -> Result {
+        for (number, server) in self.servers.iter().enumerate() {
+            if share != Share::Some || number % SERVERS != 0 {
+                server.signal(name)?;
+            }
+        }
+        match share {
+            Share::AllAndRouter => self.routers[0].process.signal(name),
+            Share::All | Share::Some => Ok(()),
+        }
+    }
+
     async fn change(&self, start: Instant) -> Result {
         for (number, (at, change)) in CHANGES.into_iter().enumerate() {
             Timer::at(start + at).await;
