Young releases: a release that the record does not name gets no streams while another serves

What callers could see: streams began at a new release 3 s after it joined, whether or not the store's record named it.

Cause: the record's invariant, that it names every release to which boxes send streams, was kept by the delay alone: that nothing said otherwise was read as recorded.

A box sends no streams to an added release until it knows that the record names it, if other servers take them. The hub knows it from its own writing. Where the store does not answer, the new release gets streams only if nothing else takes them.

--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -24,6 +24,8 @@
     first: Instant,
     /// Whether that was after this box knew all servers, and beside servers of other releases.
     is_added: bool,
+    /// Whether the store's record is known to have named it since.
+    is_recorded: bool,
     /// How many there are.
     servers: usize,
     /// When the last change was.
@@ -99,6 +101,7 @@
                 Seen {
                     first: now,
                     is_added,
+                    is_recorded: false,
                     servers: 0,
                     changed: now,
                 }
@@ -148,15 +151,36 @@
         sole_origin(service, &names).filter(|_| is_complete)
     }
 
+    /// Records that the store's record names these releases of a service.
+    pub fn record_recorded(&self, service: &ids::Service, names: &BTreeSet<Name>) {
+        let mut services = self.services.borrow_mut();
+        let releases = services.get_mut(service).into_iter();
+        for (name, seen) in releases.flat_map(|it| &mut it.releases) {
+            seen.is_recorded |= names.contains(name);
+        }
+    }
+
+    /// The services to which a release was added that the record is not known to name.
+    pub fn unrecorded(&self) -> Vec<ids::Service> {
+        let services = self.services.borrow();
+        let lacks = |seen: &Seen| seen.is_added && !seen.is_recorded && seen.servers > 0;
+        let lacking = services
+            .iter()
+            .filter(|(_, it)| it.releases.values().any(lacks));
+        lacking.map(|(service, _)| service.clone()).collect()
+    }
+
     /// The origins of releases that appeared beside others less than `delay` ago, so that
-    /// other boxes may not know of them. Of those that a box finds when it starts, it cannot
+    /// other boxes may not know of them, or that the record is not known to name, so that
+    /// boxes that start may not. Of the releases that a box finds when it starts, it cannot
     /// tell which one is new.
     pub fn young(&self, service: &ids::Service, delay: Duration, now: Instant) -> Vec<Origin> {
         let services = self.services.borrow();
         let Some(known) = services.get(service) else {
             return Vec::new();
         };
-        let is_young = |seen: &Seen| seen.is_added && seen.first + delay > now;
+        let is_young =
+            |seen: &Seen| seen.is_added && (!seen.is_recorded || seen.first + delay > now);
         let young = known.releases.iter().filter(|(_, seen)| is_young(seen));
         young
             .map(|(name, _)| Origin::new(service, name.as_ref()))
--- a/crates/relay/src/release_recorder.rs
+++ b/crates/relay/src/release_recorder.rs
@@ -1,7 +1,8 @@
 //! Keeps the store's record of the releases of services up to date.
 //!
 //! The hub of each hall does this; what the record holds and why is in
-//! [`ledger`](crate::origin::ledger).
+//! [`ledger`](crate::origin::ledger). The other boxes read whether it names the releases that
+//! were added: until it does, they send no streams there if others can take them.
 
 use std::collections::{BTreeSet, HashMap};
 use std::convert::Infallible;
@@ -22,6 +23,8 @@
 const LEDGER_INTERVAL: Duration = Duration::from_secs(1);
 /// How often a ledger's entry with further names is compared in the time for which these stay.
 const COMPARISONS: u32 = 4;
+/// Doublings of the interval between two reads of an entry that lacks a release.
+const READ_DOUBLINGS: u32 = 3;
 /// Attempts to write an entry of the ledger that other boxes write as well.
 const RECORD_ATTEMPTS: u32 = 3;
 
@@ -31,6 +34,7 @@
     // What was last compared with the ledger, and until when that need not be done again.
     let mut compared: HashMap<ids::Service, (BTreeSet<Name>, Option<Instant>)> = HashMap::new();
     let mut compared_in = None;
+    let mut reader = Reader::default();
     loop {
         let pause = async {
             Timer::after(LEDGER_INTERVAL).await;
@@ -38,6 +42,7 @@
         pause.or(releases.added.wait()).await;
         if !is_alone && !relay.traffic.is_hub() {
             compared.clear();
+            reader.read_due(&relay).await;
             continue;
         }
         // A store that was restored from a backup may have lost what was written.
@@ -75,6 +80,51 @@
     }
 }
 
+/// Reads which of the releases that were added the ledger names, at a box that is no hub.
+#[derive(Default)]
+struct Reader {
+    due: Option<Instant>,
+    /// Reads in a row after which a release was still not named.
+    vain: u32,
+}
+
+impl Reader {
+    /// Reads the entries of services with releases that are not known to be recorded, if that
+    /// is due.
+    async fn read_due(&mut self, relay: &Relay) {
+        let releases = &relay.fleet.releases;
+        let services = releases.unrecorded();
+        if services.is_empty() {
+            *self = Self::default();
+            return;
+        }
+        let interval = LEDGER_INTERVAL * (1 << self.vain.min(READ_DOUBLINGS));
+        // Spread, as all boxes learn of a release at the same time.
+        let spread = || interval.mul_f64(0.5 + fastrand::f64());
+        let due = *self.due.get_or_insert_with(|| Instant::now() + spread());
+        // This box may become the hub meanwhile.
+        if due > Instant::now() + LEDGER_INTERVAL {
+            return;
+        }
+        tidepier_clock::sleep_until(due).await;
+        for service in services {
+            match relay.origins.ledger.recent(&service).await {
+                Ok(entry) => releases.record_recorded(&service, &entry.names),
+                Err(failure) => {
+                    log::info!(
+                        target: "belief",
+                        "event=store_call_failed call=releases_read why={} detail=\"{failure}\"",
+                        failure.name()
+                    );
+                    break;
+                }
+            }
+        }
+        self.due = None;
+        self.vain += 1;
+    }
+}
+
 /// Makes the ledger's entry of a service name these releases. Returns whether it is complete
 /// and names no others.
 async fn record(
@@ -97,10 +147,12 @@
         let is_complete = has_observed || entry.is_complete;
         let is_exact = is_complete && wanted == *names;
         if wanted == entry.names && is_complete == entry.is_complete {
+            releases.record_recorded(service, &wanted);
             return Ok(is_exact);
         }
         let replaced = ledger.replace(service, &entry, &wanted, is_complete);
         if replaced.await? {
+            releases.record_recorded(service, &wanted);
             log::info!(
                 target: "belief",
                 "event=releases service={service} count={} complete={is_complete} window_s={}",
--- a/crates/relay/tests/relay/stream_restarts.rs
+++ b/crates/relay/tests/relay/stream_restarts.rs
@@ -261,3 +261,51 @@
         killed.ensure_refused(&boxes).await
     })
 }
+
+/// Begins a stream at each box.
+async fn begin_streams(boxes: &[TestBox], number: usize) -> Result {
+    for (at, it) in boxes.iter().enumerate() {
+        it.call(&post("/c/x", &format!("first-{number}-{at}")))
+            .await?;
+    }
+    Ok(())
+}
+
+/// Guards against streams at a release that is not in the record, which a restart would not know of.
+#[test]
+fn a_release_that_is_not_recorded_gets_no_streams_while_another_serves() -> Result {
+    run(async |executor| {
+        let (site, old, boxes) = start_fleet(&executor).await?;
+        let value_bytes = |bytes| site.store.faults(|faults| faults.value_bytes = bytes);
+        value_bytes(1);
+        let new = servers(&site, "v2", 11)?;
+        // Longer than all boxes need to learn of the release.
+        Timer::after(ms(3_500)).await;
+        for number in 0..10 {
+            begin_streams(&boxes, number).await?;
+        }
+        ensure!(recorded(&site) == ["v1"], "{:?}", recorded(&site));
+        ensure!(deliveries(&new) == 0, "{} streams", deliveries(&new));
+        value_bytes(1 << 20);
+        wait_until("recorded", async || Ok(recorded(&site) == ["v1", "v2"])).await?;
+        let mut number = 10;
+        wait_until("used", async || {
+            number += 1;
+            begin_streams(&boxes, number).await?;
+            Ok(deliveries(&new) > 0)
+        })
+        .await?;
+        // A release that is not recorded is better than none.
+        value_bytes(1);
+        let newer = servers(&site, "v3", 21)?;
+        for server in old.iter().chain(&new) {
+            site.withdraw(server);
+        }
+        wait_until("used", async || {
+            number += 1;
+            begin_streams(&boxes, number).await?;
+            Ok(deliveries(&newer) > 0)
+        })
+        .await
+    })
+}
