Recorder: an entry that others changed at each attempt is compared again at once

Read in the code: a hub that lost three attempts to write an entry to others counted it as compared for a quarter of the window (7.5 s at least). Since streams wait for the record, its box would have sent none to the new release for as long. It now compares again a second later. No test: three conflicts in a row were not brought about.

--- a/crates/relay/src/release_recorder.rs
+++ b/crates/relay/src/release_recorder.rs
@@ -61,11 +61,12 @@
                 continue;
             }
             match record(&relay, &service, &names).await {
-                Ok(is_exact) => {
+                Ok(Some(is_exact)) => {
                     // What it names beyond that can be taken out later.
                     let until = (!is_exact).then(|| now + window / COMPARISONS);
                     compared.insert(service, (names, until));
                 }
+                Ok(None) => {}
                 Err(failure) => {
                     log::info!(
                         target: "belief",
@@ -126,12 +127,12 @@
 }
 
 /// Makes the ledger's entry of a service name these releases. Returns whether it is complete
-/// and names no others.
+/// and names no others; `None` if others changed it at each attempt.
 async fn record(
     relay: &Relay,
     service: &ids::Service,
     names: &BTreeSet<Name>,
-) -> Result<bool, Failure> {
+) -> Result<Option<bool>, Failure> {
     let ledger = &relay.origins.ledger;
     let window = relay.origins.window();
     // The hubs of all halls write at the same time.
@@ -148,7 +149,7 @@
         let is_exact = is_complete && wanted == *names;
         if wanted == entry.names && is_complete == entry.is_complete {
             releases.record_recorded(service, &wanted);
-            return Ok(is_exact);
+            return Ok(Some(is_exact));
         }
         let replaced = ledger.replace(service, &entry, &wanted, is_complete);
         if replaced.await? {
@@ -159,8 +160,8 @@
                 wanted.len(),
                 window.as_secs()
             );
-            return Ok(is_exact);
+            return Ok(Some(is_exact));
         }
     }
-    Ok(false)
+    Ok(None)
 }
--- a/crates/relay/tests/relay/stream_out_of_step.rs
+++ b/crates/relay/tests/relay/stream_out_of_step.rs
@@ -1,7 +1,7 @@
 //! What clients get that take a stream up at a box that is out of step with the others while
 //! servers of a new release join.
 
-use eyre::ensure;
+use eyre::{ensure, eyre};
 use smol::Timer;
 use tidepier_clock::Instant;
 use tidepier_core::era::{Era, Revision};
@@ -17,7 +17,7 @@
 use crate::choice_harness;
 use crate::harness::{ms, post, run, wait_until, Executor, Result};
 use crate::peer_answers;
-use crate::stream_releases::{begin, deliveries, settings, site, take_up};
+use crate::stream_releases::{begin, deliveries, ensure_one_stream, settings, site, take_up};
 
 /// Number of slots that only servers of the new release have.
 const SLOTS: usize = 7;
@@ -281,3 +281,22 @@
     }
     Ok(())
 }
+
+/// Guards against streams that are held, or refused, as the other boxes do not answer.
+#[test]
+fn a_stream_of_the_only_release_goes_on_soon_though_no_other_box_answers() -> Result {
+    run(async |executor| {
+        let fleet = Fleet::start(&executor, true).await?;
+        let begun = begin(&fleet.boxes[0], &fleet.old, &post("/c/x", "first")).await?;
+        let [others @ .., last] = &*fleet.boxes else {
+            return Err(eyre!("no boxes"));
+        };
+        others.iter().for_each(|it| it.freeze(true));
+        let asked = Instant::now();
+        let rest = last
+            .call(&take_up("/c/x", "again", "first", &begun))
+            .await?;
+        ensure!(asked.elapsed() < ms(600), "after {:?}", asked.elapsed());
+        ensure_one_stream(&[&begun, &rest])
+    })
+}
