--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -83,6 +83,7 @@
 mod standstill_plan;
 mod standstill_processes;
 mod stop;
+mod stream_absence;
 mod stream_out_of_step;
 mod stream_releases;
 mod stream_restarts;
--- a/crates/relay/tests/relay/stream_out_of_step.rs
+++ b/crates/relay/tests/relay/stream_out_of_step.rs
@@ -24,16 +24,16 @@
 
 /// A fleet that knows that nothing served before it, with servers of `v1` and four boxes. The
 /// last one keeps no origins of streams that begin at the first one.
-struct Fleet {
-    site: Site,
-    old: Vec<Server>,
-    boxes: Vec<TestBox>,
+pub(crate) struct Fleet {
+    pub(crate) site: Site,
+    pub(crate) old: Vec<Server>,
+    pub(crate) boxes: Vec<TestBox>,
     _view: View,
 }
 
 impl Fleet {
     /// `learns`: whether the last box learns of servers of the new release.
-    async fn start(executor: &Executor, learns: bool) -> Result<Self> {
+    pub(crate) async fn start(executor: &Executor, learns: bool) -> Result<Self> {
         let site = site()?;
         let old = vec![
             site.server(settings(1, "hall-1", "v1"))?,
@@ -69,7 +69,7 @@
     }
 
     /// Starts a server of the new release.
-    fn join(&self, number: u32) -> Result<Server> {
+    pub(crate) fn join(&self, number: u32) -> Result<Server> {
         let settings = server::Settings {
             slots: SLOTS,
             ..settings(number, "hall-1", "v2")
@@ -79,7 +79,7 @@
 
     /// Begins a stream at the new release, as no other server is left; then one of the old
     /// release joins again.
-    async fn begin_at_new(&self) -> Result<(Answer, Server)> {
+    pub(crate) async fn begin_at_new(&self) -> Result<(Answer, Server)> {
         let new = self.join(11)?;
         wait_until("known", async || Ok(self.boxes[0].sends_to(&new)?)).await?;
         self.old.iter().for_each(|server| {
@@ -102,7 +102,7 @@
 }
 
 /// Checks that no event of an answer is from another release than the stream's.
-fn ensure_not_joined(begun: &Answer, rest: &Answer) -> Result {
+pub(crate) fn ensure_not_joined(begun: &Answer, rest: &Answer) -> Result {
     let events = begun.events.iter().chain(&rest.events);
     let mut releases: Vec<&str> = events.filter_map(|it| release_of(&it.text)).collect();
     releases.dedup();
--- a/crates/relay/tests/relay/stream_restarts.rs
+++ b/crates/relay/tests/relay/stream_restarts.rs
@@ -19,14 +19,14 @@
 const HALLS: [&str; 3] = ["hall-1", "hall-1", "hall-2"];
 
 /// Two servers of a release.
-fn servers(site: &Site, release: &str, first: u32) -> Result<Vec<Server>> {
+pub(crate) fn servers(site: &Site, release: &str, first: u32) -> Result<Vec<Server>> {
     let numbers = first..first + 2;
     let servers = numbers.map(|number| site.server(settings(number, "hall-1", release)));
     Ok(servers.collect::<std::io::Result<_>>()?)
 }
 
 /// The names that the store's record has of the service; none without an entry.
-fn recorded(site: &Site) -> Vec<String> {
+pub(crate) fn recorded(site: &Site) -> Vec<String> {
     let entry = site.store.value(ENTRY);
     let entry: Option<Value> = entry.and_then(|bytes| serde_json::from_slice(&bytes).ok());
     let names = entry.and_then(|entry| entry["releases"].as_array().cloned());
@@ -76,7 +76,7 @@
 }
 
 /// Servers of `v2` in place of the old ones.
-fn replace(site: &Site, old: &[Server]) -> Result<Vec<Server>> {
+pub(crate) fn replace(site: &Site, old: &[Server]) -> Result<Vec<Server>> {
     for server in old {
         site.withdraw(server);
         server.crash();
