Test of a client that resumes: the store says that no other release served before

The store now has a complete entry, as where a fleet served before; what the test checks is unchanged.

--- a/crates/relay/tests/relay/streams.rs
+++ b/crates/relay/tests/relay/streams.rs
@@ -1,6 +1,7 @@
 //! Broken streams are resumed where they broke off, or end visibly incomplete.
 
 use eyre::ensure;
+use serde_json::json;
 use smol::Timer;
 use tidepier_relay_standin::client::{Answer, End};
 use tidepier_relay_standin::names;
@@ -111,6 +112,9 @@
         let site = site()?;
         let near = site.server(stream_server_settings(1, 8, ms(10)))?;
         let far = site.server(stream_server_settings(2, 8, ms(10)))?;
+        // The stream began before this box started, when no other release served.
+        let entry = json!({"releases": ["v1"], "complete_in": site.store.era()});
+        site.store.put("tidepier/releases/service-1", &entry);
         let harness = Harness::start_ready(executor, site).await?;
         let call = post("/s/x", "whole").with(names::LAST_EVENT, "3");
         let answer = harness.call(&call).await?;
