Releases: one that returns after boxes may have forgotten it counts as new

What callers could see: a service went to another release and, 30 s or more after the last server of the old one had left, back to it. The returning release got streams at once, and a box that had not heard of it for up to 2 s took the other one for the only one and could let such a stream go on there.

Cause: a release is remembered for 600 s, with the time at which it first joined and that it is recorded, but counts in a service's releases, and in the record, only for the window (30 s at least). What was known of its first life stood for its second one.

A release of which no server was there for the shortest window is a new one when it returns: it is young, and has to be recorded again.

--- a/crates/relay/src/fleet/releases.rs
+++ b/crates/relay/src/fleet/releases.rs
@@ -12,7 +12,7 @@
 use tidepier_ids as ids;
 
 use crate::notifier::Notifier;
-use crate::origin::{Name, Origin};
+use crate::origin::{Name, Origin, WINDOW_MIN};
 
 /// How long a release that no server runs any more is remembered.
 const RETENTION: Duration = Duration::from_secs(600);
@@ -33,6 +33,12 @@
 }
 
 impl Seen {
+    /// Whether no server of the release was there for so long that it counts as a new one if
+    /// it returns: boxes may have forgotten it, and the record may not name it any more.
+    fn is_over(&self, now: Instant) -> bool {
+        !self.is_within(WINDOW_MIN, now)
+    }
+
     /// Whether a server of the release was there less than `window` ago.
     fn is_within(&self, window: Duration, now: Instant) -> bool {
         self.servers > 0 || now.saturating_duration_since(self.changed) < window
@@ -92,6 +98,10 @@
         service
             .releases
             .retain(|_, seen| seen.is_within(RETENTION, now));
+        let returns = service.releases.get(&server.release);
+        if returns.is_some_and(|seen| seen.is_over(now)) {
+            service.releases.remove(&server.release);
+        }
         let is_added = self.complete_at.get().is_some() && !service.releases.is_empty();
         let seen = service
             .releases
--- a/crates/relay/src/origin/mod.rs
+++ b/crates/relay/src/origin/mod.rs
@@ -45,8 +45,9 @@
 /// Time from the first event of a stream until its client takes it up for the last time, in
 /// multiples of the longest time-out of a route: a client tries a few times.
 const WINDOW_TIMEOUTS: u32 = 4;
-/// Bounds on that time.
-const WINDOW_MIN: Duration = Duration::from_secs(30);
+/// The shortest such time.
+pub const WINDOW_MIN: Duration = Duration::from_secs(30);
+/// The longest such time.
 const WINDOW_MAX: Duration = Duration::from_secs(600);
 /// Most streams of a service whose origin is told to nobody yet: those of 20 minutes on one of
 /// 1,000 boxes with 7,000 streams a second together.
--- a/crates/relay/tests/relay/origins.rs
+++ b/crates/relay/tests/relay/origins.rs
@@ -5,11 +5,14 @@
 
 use eyre::ensure;
 use tidepier_clock::Instant;
+use tidepier_core::server::{Server, State};
 use tidepier_ids as ids;
+use tidepier_relay::fleet::Fleet;
 use tidepier_relay::origin::keepers::{Keeper, Keepers};
 use tidepier_relay::origin::table::{Table, STREAMS_MAX};
-use tidepier_relay::origin::{Origin, Record, Stream};
+use tidepier_relay::origin::{Origin, Record, Stream, WINDOW_MIN};
 
+use crate::choice_harness;
 use crate::harness::{ms, Result};
 
 fn stream(number: usize) -> Stream {
@@ -98,3 +101,36 @@
     ensure!(origin("v1")? != origin("v2")?);
     Ok(())
 }
+
+/// Guards against a release that returns after all boxes have forgotten it, and gets streams
+/// before they know it again.
+#[test]
+fn a_release_that_returns_is_young_again() -> Result {
+    let server = |number, release: &str| -> Result<Server> {
+        Ok(Server {
+            release: Some(release.parse()?),
+            ..choice_harness::server(number, State::Ready)?
+        })
+    };
+    let (old, new) = (server(1, "v1")?, server(2, "v2")?);
+    let fleet = Fleet::default();
+    let start = Instant::now();
+    fleet.announce(old.clone(), start);
+    fleet.announce(new.clone(), start);
+    fleet.releases.confirm_at(start);
+    fleet.remove(&old.id);
+    let (service, window) = (&new.service, WINDOW_MIN);
+    for (gone, is_young) in [(ms(10_000), false), (window + ms(1_000), true)] {
+        let later = Instant::now() + gone;
+        let sole = fleet.releases.names(service, window, later).len() == 1;
+        ensure!(sole == is_young, "gone for {gone:?}: sole {sole}");
+        fleet.announce(old.clone(), later);
+        let young = fleet.releases.young(service, ms(3_000), later);
+        ensure!(
+            !young.is_empty() == is_young,
+            "gone for {gone:?}: {young:?}"
+        );
+        fleet.remove(&old.id);
+    }
+    Ok(())
+}
