--- a/crates/relay/tests/relay/origins.rs
+++ b/crates/relay/tests/relay/origins.rs
@@ -126,10 +126,7 @@
         ensure!(sole == is_young, "gone for {gone:?}: sole {sole}");
         fleet.announce(old.clone(), later);
         let young = fleet.releases.young(service, ms(3_000), later);
-        ensure!(
-            !young.is_empty() == is_young,
-            "gone for {gone:?}: {young:?}"
-        );
+        ensure!(young.is_empty() != is_young, "gone for {gone:?}: {young:?}");
         fleet.remove(&old.id);
     }
     Ok(())
