A store that was restored from a backup refutes a first start

Cause: an empty record, and operator entries that nobody had confirmed, were believed by the word of the settings. The era of the store, which rises with each restore, says that something was before; it is asked in both places now.

Evidence: stream_absence::a_restored_store_without_a_record_is_no_first_start failed in 5 of 5 runs, boxes_with_the_settings_of_the_first_start_accept_no_key_by_a_backup in 2 of 2 (the key's request ran at once); both pass. The test of the key waited until the boxes were ready, which they now are only after the time in which the operator writes again, when the entry counts by design; it now asks from the start on for as long as eras::boxes_that_all_start_anew_accept_no_key_by_a_backup.

--- a/crates/core/src/era.rs
+++ b/crates/core/src/era.rs
@@ -19,6 +19,12 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Era(pub u64);
 
+impl Era {
+    /// The era of a store that was never restored and states eras; one that states none has
+    /// an earlier one.
+    pub const FIRST: Self = Self(1);
+}
+
 impl fmt::Display for Era {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         self.0.fmt(f)
--- a/crates/relay/src/era_state.rs
+++ b/crates/relay/src/era_state.rs
@@ -200,7 +200,9 @@
             earlier => {
                 let evidence = match earlier {
                     _ if era == Era(0) => Some(Evidence::NoEras),
-                    None if self.first_start.get() => Some(Evidence::FirstStart),
+                    None if self.first_start.get() && era <= Era::FIRST => {
+                        Some(Evidence::FirstStart)
+                    }
                     _ => None,
                 };
                 self.peers_queried.set(false);
--- a/crates/relay/src/first_start.rs
+++ b/crates/relay/src/first_start.rs
@@ -37,11 +37,11 @@
     tidepier_clock::sleep_until(started + RECORD_DELAY).await;
 }
 
-/// Whether the store has a record of releases; waits until it tells.
+/// Whether the store has a record of releases, or may have had one; waits until it tells.
 async fn has_record(relay: &Relay) -> bool {
     loop {
-        match relay.origins.ledger.is_empty().await {
-            Ok(is_empty) => return !is_empty,
+        match relay.origins.ledger.is_unused().await {
+            Ok(is_unused) => return !is_unused,
             Err(failure) => log::info!(
                 target: "belief",
                 "event=store_call_failed call=first_start why={} detail=\"{failure}\"",
--- a/crates/relay/src/origin/ledger.rs
+++ b/crates/relay/src/origin/ledger.rs
@@ -86,15 +86,16 @@
         let _ = self.store.set(store);
     }
 
-    /// Whether there is no entry of any service.
+    /// Whether there is no entry of any service, and the store was never restored: a backup
+    /// may lack the entries.
     ///
     /// # Errors
     ///
     /// The store does not answer.
-    pub async fn is_empty(&self) -> Result<bool, Failure> {
+    pub async fn is_unused(&self) -> Result<bool, Failure> {
         let store = self.store.get().ok_or(Failure::Unavailable)?;
         let read = store.list(PREFIX, false, CALL_TIMEOUT).await?;
-        Ok(read.value.is_empty())
+        Ok(read.value.is_empty() && read.revision.era() <= Era::FIRST)
     }
 
     /// The entry of a service, as of a second ago at most.
--- a/crates/relay/tests/relay/stream_absence.rs
+++ b/crates/relay/tests/relay/stream_absence.rs
@@ -11,7 +11,9 @@
 use tidepier_relay_standin::server::{self, Server};
 use tidepier_relay_standin::site::Route;
 
-use crate::box_harness::{site_with_keys, start_boxes_in, start_first_boxes_in, with_key};
+use crate::box_harness::{
+    site_with_keys, start_boxes_in, start_first_boxes_in, with_key, TestBox, REVOKE_TIME,
+};
 use crate::harness::{ms, post, run, server_settings, wait_until, Executor, Result};
 use crate::stream_out_of_step::{ensure_not_joined, Fleet};
 use crate::stream_releases::{begin, deliveries, settings, site, take_up};
@@ -200,9 +202,12 @@
         site.account("tenant-2", &["new"], 1);
         drop(boxes);
         site.store.go_back(&copy);
-        let boxes = start_first_boxes_in(&executor, &site, &halls).await?;
+        let mut boxes = Vec::new();
+        for (name, link) in [("box-0", 5_000), ("box-1", 4_000)] {
+            boxes.push(TestBox::start_first(&executor, &site, name, "hall-1", link).await?);
+        }
         let start = std::time::Instant::now();
-        while start.elapsed() < ms(1_000) {
+        while start.elapsed() < REVOKE_TIME - ms(600) {
             for (number, at) in boxes.iter().enumerate() {
                 let attempt = format!("{number}-{:?}", start.elapsed());
                 let answer = at.call(&with_key("goes", &attempt)).await?;
