A box whose entry is in the store does not start for the first time

Cause: an empty record was taken for proof that nothing was before.

A box that finds it, or could not see whether it is there, does not count its start as the first one. Other boxes of a new fleet cannot be taken for it, so that nothing has to wait.

--- a/crates/relay/src/first_start.rs
+++ b/crates/relay/src/first_start.rs
@@ -1,17 +1,18 @@
 //! Whether nothing served before this box started.
 //!
 //! The settings say whether the fleet starts for the first time, but a process may be started
-//! again with the settings that it had. The store's record of releases shows which it is: a
-//! fleet that served has left entries there.
+//! again with the settings that it had. The store shows which it is: a fleet that served has
+//! left entries in the record of releases, and a box that ran not long ago its own entry.
 //!
 //! Invariant: a box counts a start as the first one only after the store has shown, since then,
-//! that it has no record of releases.
+//! that it was never restored, has no record of releases, and had no entry of this box.
 
 use std::time::Duration;
 
 use smol::Timer;
 use tidepier_clock::Instant;
 
+use crate::peer::registry::Registry;
 use crate::relay::Relay;
 
 /// Time from its start until a box of a new fleet writes the first entry, so that the others,
@@ -22,10 +23,17 @@
 
 /// Records that nothing served before, if the store shows it. Completes once this box may write
 /// to the record.
-pub(crate) async fn confirm(relay: &Relay) {
+pub(crate) async fn confirm(relay: &Relay, registry: &Registry) {
     let started = Instant::now();
-    if has_record(relay).await {
-        log::warn!(target: "belief", "event=first_start result=refuted why=recorded_releases");
+    let refuted = if has_record(relay).await {
+        Some("recorded_releases")
+    } else if !registry.is_new().await {
+        Some("registered_before")
+    } else {
+        None
+    };
+    if let Some(why) = refuted {
+        log::warn!(target: "belief", "event=first_start result=refuted why={why}");
         return;
     }
     relay.fleet.releases.record_first_start();
--- a/crates/relay/src/peer/registry.rs
+++ b/crates/relay/src/peer/registry.rs
@@ -85,6 +85,13 @@
     verified_at: Mutex<Option<Instant>>,
     /// Whether a call failed before the boxes were listed.
     failed: Cell<bool>,
+    /// Whether the store had no entry of this box when it started; `None` until it is
+    /// registered.
+    is_new: Cell<Option<bool>>,
+    /// Whether a list has shown an entry of this box.
+    has_own_entry: Cell<bool>,
+    /// Notified when this box is registered for the first time.
+    registered: Notifier,
     /// Notified when the list of boxes changes.
     pub changed: Notifier,
     /// Limits the lines about entries that cannot be read.
@@ -107,6 +114,9 @@
             verified: RefCell::default(),
             verified_at: Mutex::new(None),
             failed: Cell::new(false),
+            is_new: Cell::new(None),
+            has_own_entry: Cell::new(false),
+            registered: Notifier::default(),
             changed: Notifier::default(),
             invalid_lines: Limit::new("box_invalid", INVALID_LINES_MAX),
         })
@@ -122,6 +132,17 @@
         self.failed.get()
     }
 
+    /// Whether the store had no entry of this box when it started; waits until it is
+    /// registered. A box that was killed leaves its entry for as long as its lease runs.
+    pub async fn is_new(&self) -> bool {
+        loop {
+            if let Some(is_new) = self.is_new.get() {
+                return is_new;
+            }
+            self.registered.wait().await;
+        }
+    }
+
     /// Boxes of this hall that precede this one in the order, the first of the order
     /// first.
     pub fn predecessors(&self) -> Vec<Member> {
@@ -268,6 +289,7 @@
     /// returns.
     pub async fn maintain(self: Rc<Self>, relay: Rc<Relay>) {
         let mut lease = self.register_first(&relay).await;
+        self.registered.notify();
         let mut renewed = Instant::now();
         if self.predecessors().is_empty() {
             // The first box of a hall sends the list to the others, and gets it from
@@ -374,7 +396,11 @@
 
     async fn register_first(&self, relay: &Relay) -> LeaseId {
         loop {
-            match self.list(relay, ListScope::Hall, true).await {
+            let listed = self.list(relay, ListScope::Hall, true).await;
+            // What the store has not shown does not make this box new.
+            let is_new = listed.is_ok() && !self.has_own_entry.get() && !self.has_failed();
+            self.is_new.set(Some(is_new));
+            match listed {
                 Ok(Some(lease)) => {
                     relay.roster.set_listed(Instant::now());
                     return lease;
@@ -448,8 +474,10 @@
         let mut members = vec![self.me.clone()];
         for item in &read.value {
             match entry::decode(item) {
-                Ok(member) if member == self.me => mine = item.lease,
-                Ok(member) if member.name == self.me.name => {}
+                Ok(member) if member.name == self.me.name => {
+                    self.has_own_entry.set(true);
+                    mine = item.lease.filter(|_| member == self.me).or(mine);
+                }
                 Ok(member) => members.push(member),
                 Err(error) => self.log_invalid(&item.key, &error),
             }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -308,9 +308,10 @@
         .detach();
     let ledger = {
         let (relay, may_be_first) = (relay.clone(), settings.first_start);
+        let registry = registry.clone();
         async move {
             if may_be_first {
-                first_start::confirm(&relay).await;
+                first_start::confirm(&relay, &registry).await;
             }
             release_recorder::run(relay, false).await
         }
