A box that knows of several releases believes no other that there is one

Cause: that this box names no single release was taken for not knowing any. Its own two releases now count like another box's.

--- a/crates/relay/src/exchange/origin.rs
+++ b/crates/relay/src/exchange/origin.rs
@@ -70,10 +70,18 @@
         }
         let service = self.only_service();
         let sole = service.and_then(|service| relay.sole_origin(service, now));
+        let knows_several = |service| {
+            let names = relay
+                .fleet
+                .releases
+                .names(service, relay.origins.window(), now);
+            names.len() > 1
+        };
         // Another box may have begun the stream at a release that this one does not know yet.
         match (origins::ask(relay, stream, service).await, sole) {
             (Some(Known::Kept(origin)), _) => Some((origin, Source::Keeper)),
             (Some(Known::Several), _) => None,
+            (Some(Known::Sole(_)), None) if service.is_some_and(knows_several) => None,
             (Some(Known::Sole(origin)), None) => Some((origin, Source::SoleElsewhere)),
             (Some(Known::Sole(other)), Some(origin)) if other != origin => None,
             (_, Some(origin)) => Some((origin, Source::Sole)),
