A stream that leaves a silent server is not lost to one that is full

Cause: a server that answers is not one that takes the request, and a rejection, which runs nothing, used up an attempt of a stream that cannot be sent anew as a whole.

A request leaves a silent server only for one that has a slot left, as far as the box knows. Up to three rejections of a stream that goes on use up no attempt; each is charged to the retry budget as before.

Evidence: silent_servers::a_rejection_uses_up_no_attempt_of_a_stream_that_goes_on ended after 4 of 20 events without the second change and passes; a_silent_server_is_left_for_none_that_is_full asks for the first one, and was not run without it. 143 tests of streams, losses, stalls, recovery, reach, tunnels, retries, overload, releases and eras pass.

--- a/crates/relay/src/choose/filter.rs
+++ b/crates/relay/src/choose/filter.rs
@@ -7,6 +7,7 @@
 use tidepier_core::catalog::AllowedRegions;
 use tidepier_ids as ids;
 
+use super::weight;
 use crate::cold::{Limit, Roster};
 use crate::fleet::Backend;
 use crate::origin::Origin;
@@ -15,6 +16,13 @@
 /// The region of each hall.
 pub type Regions = BTreeMap<ids::Hall, ids::Region>;
 
+/// Whether a request would get a slot of a server at once, as far as this box knows.
+pub(crate) fn has_room(backend: &Backend, now: Instant) -> bool {
+    let counted = backend.total_in_flight(weight::LOAD_AGE_MAX, now);
+    let load = counted.max(backend.load(weight::LOAD_AGE_MAX, now));
+    load.unwrap_or_else(|| backend.in_flight()) < backend.slots()
+}
+
 /// Limits the requests that this box sends to the cold servers of a service.
 #[derive(Clone, Copy)]
 pub struct Admission<'a> {
@@ -73,17 +81,18 @@
 impl Filter<'_> {
     /// Whether a server may get the request at `now`.
     pub fn admits(&self, backend: &Backend, now: Instant) -> bool {
-        self.is_answering(backend)
+        self.is_answering(backend, now)
             && self.matches_release(backend)
             && self.is_allowed_hall(&backend.server.hall)
             && !backend.is_backing_off(now)
             && self.has_cold_capacity(backend, now)
     }
 
-    /// Whether a server has answered since the time from which on it has to.
-    fn is_answering(&self, backend: &Backend) -> bool {
-        let since = self.answering_since;
-        since.is_none_or(|since| backend.has_answered_since(since))
+    /// Whether a server has answered since the time from which on it has to, and would begin
+    /// with the request at once.
+    fn is_answering(&self, backend: &Backend, now: Instant) -> bool {
+        let takes_it = |since| backend.has_answered_since(since) && has_room(backend, now);
+        self.answering_since.is_none_or(takes_it)
     }
 
     /// Whether a server runs a release that the request may go to.
--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -18,7 +18,7 @@
 
 use super::state::Exchange;
 use crate::attempt::{Cause, Executed, Failure, Reply};
-use crate::choose;
+use crate::choose::{self, filter};
 use crate::fleet::Backend;
 use crate::health_check::{self, Verdict};
 use crate::timeout;
@@ -200,7 +200,10 @@
         silent: Silent<'_>,
         is_silent: impl Fn() -> bool,
     ) -> bool {
-        let is_other = |it: &Rc<Backend>| !Rc::ptr_eq(it, silent.backend);
+        // A server that is full would reject the request, or keep it waiting as well.
+        let is_other = |it: &Rc<Backend>| {
+            !Rc::ptr_eq(it, silent.backend) && filter::has_room(it, Instant::now())
+        };
         let mut is_way_lost = None;
         while is_silent() {
             if self.may_be_resent() {
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -11,7 +11,7 @@
 
 use tidepier_clock::Instant;
 use tidepier_h1::Framing;
-use tidepier_platform::answer::Length;
+use tidepier_platform::answer::{self, Length};
 
 use super::discard;
 use crate::attempt::{Cause, Executed, Failure, Reply};
@@ -30,6 +30,9 @@
 /// route promises no pause.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Most rejections of a stream that goes on which use up no attempt: nothing was run.
+const REJECTIONS_MAX: u32 = 3;
+
 /// The client's side of a stream.
 struct Client {
     /// Whether the body is chunked; otherwise the connection's end delimits it.
@@ -147,6 +150,7 @@
     mut failure: Failure,
     last: Option<u64>,
 ) -> Option<(Rc<Backend>, Reply)> {
+    let mut rejections = 0;
     loop {
         exchange.may_retry(&failure).ok()?;
         let after = last.or(exchange.request.resume_after);
@@ -157,6 +161,10 @@
             }
             Ok(reply) => {
                 let failure = resume_failure(&reply);
+                if is_full(&failure) && rejections < REJECTIONS_MAX {
+                    rejections += 1;
+                    exchange.attempts -= 1;
+                }
                 discard::body(&backend, reply, exchange.deadline).await;
                 failure
             }
@@ -166,6 +174,14 @@
     }
 }
 
+/// Whether the intended server rejected the request without running it.
+fn is_full(failure: &Failure) -> bool {
+    match failure.cause {
+        Cause::Refused(status) => failure.executed == Executed::No && status != answer::MISDIRECTED,
+        _ => false,
+    }
+}
+
 /// The failure for an answer that does not resume the stream. A 5xx status counts
 /// as a failure of the server, as it does at the first attempt.
 fn resume_failure(reply: &Reply) -> Failure {
--- a/crates/relay/tests/relay/silent_servers.rs
+++ b/crates/relay/tests/relay/silent_servers.rs
@@ -7,13 +7,17 @@
 use futures_lite::future;
 use smol::Timer;
 use tidepier_clock::Instant;
+use tidepier_core::answer::Load;
 use tidepier_core::catalog::Kind;
+use tidepier_core::server::State;
+use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::fleet::check::Check;
 use tidepier_relay_standin::client::Answer;
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{Fault, Server};
 use tidepier_relay_standin::site::{Route, Site};
 
+use crate::choice_harness::{self, ChoiceHarness};
 use crate::harness::{
     count_runs, ensure_served_by, ms, post, run, server_settings, stream_body,
     stream_server_settings, Executor, Harness, Result, SERVICE,
@@ -327,3 +331,52 @@
         Ok(())
     })
 }
+
+/// Guards against a stream that ends in the middle as the server that it leaves a silent one for
+/// answers checks and rejects the stream.
+#[test]
+fn a_rejection_uses_up_no_attempt_of_a_stream_that_goes_on() -> Result {
+    run(async |executor| {
+        let setting = Setting::start(executor, 2, 2, Some(PAUSE), |_| {}).await?;
+        let silence = async {
+            Timer::after(ms(200)).await;
+            let is_first = |server: &Server| !server.runs().is_empty();
+            let (first, other) = match is_first(&setting.servers[0]) {
+                true => (&setting.servers[0], &setting.servers[1]),
+                false => (&setting.servers[1], &setting.servers[0]),
+            };
+            other.fault(Fault::Shed, 2);
+            first.dark(true);
+            Timer::after(ms(3_500)).await;
+            first.dark(false);
+            Ok(())
+        };
+        let (answer, ()) = future::try_zip(setting.call("/s/x", "rejected"), silence).await?;
+        setting.ensure_whole(&answer, "rejected")
+    })
+}
+
+/// Guards against requests that leave a silent server for one that answers and is full.
+#[test]
+fn a_silent_server_is_left_for_none_that_is_full() -> Result {
+    let harness = ChoiceHarness::new("hall-1", [1])?;
+    let id = choice_harness::server(1, State::Ready)?.id;
+    let backend = harness.fleet.get(&id).ok_or_else(|| eyre!("no {id}"))?;
+    let filter = Filter {
+        answering_since: Some(harness.start),
+        ..Filter::default()
+    };
+    let load = |running| Load {
+        running,
+        slots: backend.slots(),
+        ..Load::default()
+    };
+    backend.record_received();
+    let now = Instant::now();
+    assert!(filter.admits(&backend, now));
+    backend.record_load(load(backend.slots()), now);
+    assert!(!filter.admits(&backend, now));
+    backend.record_load(load(backend.slots() - 1), now);
+    assert!(filter.admits(&backend, now));
+    Ok(())
+}
