--- a/crates/soak/src/count.rs
+++ b/crates/soak/src/count.rs
@@ -6,41 +6,16 @@
 use std::time::{Duration, Instant};
 
 use serde_json::{json, Value};
-use tidepier_relay_standin::client::End;
 
-use crate::bound;
 use crate::evidence::Evidence;
-use crate::ledger::{Fact, Request, Scope};
-use crate::plan::TIMEOUT_MIN;
-use crate::rule::before;
+use crate::ledger::{Fact, Scope};
 use crate::rule::releases::is_unknown;
+use crate::rule::silenced::is_cut;
 
 /// Time after a configuration in which cuts count as next to it.
 const CONFIGURED_TIME: Duration = Duration::from_secs(3);
 /// Steps in which times of a kind are added up.
 const STEP: Duration = Duration::from_millis(20);
-/// Name of the fault that ends processes in an orderly way, which has a rule of its own.
-const STOP_FAULT: &str = "process_terminate";
-
-/// Whether a box that nothing disturbed cut the answer to a request that it had read, while
-/// there was time left and no server was faulty.
-pub fn is_cut(evidence: &Evidence, request: &Request) -> bool {
-    let (Some(answer), Some(ended)) = (&request.answer, request.ended) else {
-        return false;
-    };
-    let is_broken = matches!(answer.end, End::Closed | End::Reset) && !answer.complete;
-    let is_read = !evidence.deliveries(request).is_empty() || answer.elapsed > bound::LOSS_SLACK;
-    let is_late = answer.elapsed + bound::LOSS_SLACK > TIMEOUT_MIN;
-    if !is_broken || !is_read || is_late {
-        return false;
-    }
-    let from = before(request.sent, bound::GRACE_PERIOD);
-    !evidence.disturbed(from, ended, |found| {
-        let here = found.scope == Scope::Box(request.box_index);
-        let is_stop = here && found.name == STOP_FAULT;
-        is_stop || (here || found.is_on_way_of(request.box_index)) && !found.planned
-    })
-}
 
 /// Cuts, and the time in which they were counted, for one kind of time.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -12,7 +12,7 @@
 mod planned;
 mod reach;
 pub(crate) mod releases;
-mod silenced;
+pub(crate) mod silenced;
 mod staleness;
 
 use std::collections::{BTreeMap, BTreeSet};
