Tests start boxes in one way; comments in the usual terms

Two starts of boxes in box_harness differed in the call that starts one box only, and three comments leant on a figure of speech. Conclusion: behaviour is unchanged; no assertion changed.

--- a/crates/relay/src/exchange/silent.rs
+++ b/crates/relay/src/exchange/silent.rs
@@ -1,7 +1,7 @@
 //! Waits at a server that is silent.
 //!
 //! Silence of one server shows nothing of the others: they may be silent too, and the request
-//! would lose its place, an attempt and a part of the retry budget. It shows neither that the
+//! would lose its place, an attempt and a part of the retry budget. Nor does it show that the
 //! request will not be answered.
 //!
 //! Invariant: a request leaves a silent server only if it may be sent again, and for a server
--- a/crates/relay/src/first_start.rs
+++ b/crates/relay/src/first_start.rs
@@ -45,7 +45,7 @@
     tidepier_clock::sleep_until(started + RECORD_DELAY).await;
 }
 
-/// Whether the store has a record of releases, or may have had one; waits until it tells.
+/// Whether the store has a record of releases, or may have had one; waits until the store answers.
 async fn has_record(relay: &Relay) -> bool {
     loop {
         match relay.origins.ledger.is_unused().await {
--- a/crates/relay/src/peer/origins.rs
+++ b/crates/relay/src/peer/origins.rs
@@ -192,7 +192,7 @@
 
 /// Asks other boxes for the origin of a stream, or of all streams of a service; `None` if
 /// none of them knows anything. The box that keeps an origin is believed before any that
-/// knows only the service, as it may know of a release that the others have not heard of.
+/// knows only the service, as it may know of a release that the others do not know.
 pub async fn ask(
     relay: &Relay,
     stream: Option<Stream>,
--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -457,13 +457,10 @@
     site: &Site,
     halls: &[&str],
 ) -> Result<Vec<TestBox>> {
-    let mut test_boxes = Vec::new();
-    for (number, hall) in (0..).zip(halls) {
-        let (name, link) = (format!("box-{number}"), 5_000 - 1_000 * number);
-        test_boxes.push(TestBox::start(executor, site, &name, hall, link).await?);
-    }
-    wait_until_ready(&test_boxes).await?;
-    Ok(test_boxes)
+    start_each(halls, async |name, hall, link| {
+        TestBox::start(executor, site, name, hall, link).await
+    })
+    .await
 }
 
 /// The same with the settings of a fleet that starts for the first time.
@@ -471,11 +468,23 @@
     executor: &Executor,
     site: &Site,
     halls: &[&str],
+) -> Result<Vec<TestBox>> {
+    start_each(halls, async |name, hall, link| {
+        TestBox::start_first(executor, site, name, hall, link).await
+    })
+    .await
+}
+
+/// Starts a box in each of these halls, the first ones with the largest links, and waits until
+/// they are ready.
+async fn start_each(
+    halls: &[&str],
+    start: impl AsyncFn(&str, &str, u32) -> Result<TestBox>,
 ) -> Result<Vec<TestBox>> {
     let mut test_boxes = Vec::new();
     for (number, hall) in (0..).zip(halls) {
         let (name, link) = (format!("box-{number}"), 5_000 - 1_000 * number);
-        test_boxes.push(TestBox::start_first(executor, site, &name, hall, link).await?);
+        test_boxes.push(start(&name, hall, link).await?);
     }
     wait_until_ready(&test_boxes).await?;
     Ok(test_boxes)
