--- a/crates/relay/tests/relay/load.rs
+++ b/crates/relay/tests/relay/load.rs
@@ -55,7 +55,7 @@
     Ok(site)
 }
 
-fn engine(number: u32) -> Settings {
+pub(crate) fn engine(number: u32) -> Settings {
     Settings {
         hall: format!("hall-{}", number % 2 + 1),
         slots: 64,
@@ -66,7 +66,7 @@
 }
 
 /// The call with this number, with `hot` calls of each round about one subject.
-fn call(number: usize, hot: usize) -> Call {
+pub(crate) fn call(number: usize, hot: usize) -> Call {
     let own_part = format!("c{number:x}:{OWN_TOKENS}");
     let prompt = if number % ROUND < hot {
         format!("{HOT_PARTS},{own_part}")
@@ -77,7 +77,7 @@
 }
 
 /// A request that reached an engine.
-struct Arrival {
+pub(crate) struct Arrival {
     run: Run,
     /// Requests that the engine held at that moment.
     held: usize,
@@ -86,12 +86,17 @@
 }
 
 impl Arrival {
-    fn exceeds(&self) -> bool {
+    /// When it reached the engine.
+    pub(crate) fn at(&self) -> Instant {
+        self.run.arrived
+    }
+
+    pub(crate) fn exceeds(&self) -> bool {
         self.held as f64 > load_rule::bound(self.mean)
     }
 }
 
-fn arrivals(engines: &[Server]) -> Vec<Arrival> {
+pub(crate) fn arrivals(engines: &[Server]) -> Vec<Arrival> {
     let runs: Vec<Vec<Run>> = engines.iter().map(Server::runs).collect();
     let held = |runs: &[Run], at: Instant| runs.iter().filter(|run| run.held_at(at)).count();
     let mut arrivals = Vec::new();
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -60,6 +60,8 @@
 mod restore_cost;
 mod restored_entries;
 mod retries;
+mod returning;
+mod returning_harness;
 mod returning_readers;
 mod rise;
 mod rollouts;
--- /dev/null
+++ b/crates/relay/tests/relay/returning.rs
@@ -0,0 +1,256 @@
+//! Servers that were harmed together and are sound again share the load with the others.
+//!
+//! These tests guard against a belief about a server that outlives what it was made of, and
+//! that outranks the operator's bound: where most servers had been harmed, boxes sent
+//! everything to the others for seconds after all were sound again, up to three times the mean
+//! load. All windows of the users' rule count that begin a second or more after the harm.
+
+use std::time::Duration;
+
+use eyre::{ensure, eyre};
+
+use crate::harness::{ms, Result};
+use crate::load_rule::Excess;
+use crate::returning_harness::{Harm, Kind, Scenario};
+use crate::spread_harness::{self, Failing, Plan};
+
+/// Time for boxes to find out that servers are sound again.
+const FINDING_TIME: Duration = Duration::from_secs(1);
+/// Seeds of the simulations.
+const SEEDS: [u64; 3] = [1, 2, 3];
+/// Everything that a scenario may do to servers.
+const HARMS: [Harm; 7] = [
+    Harm::Dark,
+    Harm::Hang,
+    Harm::Failure,
+    Harm::Rejection,
+    Harm::Reset,
+    Harm::BreakOff,
+    Harm::Slow(10),
+];
+/// How servers of a simulation fail: a request at a silent one ends with its deadline, or as
+/// its client leaves.
+const FAILINGS: [Failing; 3] = [
+    Failing::Silent(Duration::from_secs(4)),
+    Failing::Silent(Duration::from_secs(1)),
+    Failing::Erring,
+];
+
+fn stays_within_bound(scenario: Scenario) -> Result {
+    let outcome = scenario.play()?;
+    let excess = outcome.worst(FINDING_TIME);
+    ensure!(!excess.is_broken(), "{excess:?}; {outcome}");
+    Ok(())
+}
+
+/// Three in ten requests are about one subject, so that the engine that caches it is preferred.
+fn with_hot_subject(harm: Harm) -> Scenario {
+    Scenario {
+        kind: Kind::Engines(3),
+        ..Scenario::engines(harm)
+    }
+}
+
+fn five_of_eight(harm: Harm) -> Scenario {
+    Scenario {
+        servers: 8,
+        harmed: 5,
+        gap: Duration::from_micros(2_800),
+        ..Scenario::engines(harm)
+    }
+}
+
+#[test]
+fn engines_that_took_requests_and_answered_none_are_not_avoided() -> Result {
+    stays_within_bound(with_hot_subject(Harm::Hang))
+}
+
+#[test]
+fn five_of_eight_engines_that_answered_none_are_not_avoided() -> Result {
+    stays_within_bound(five_of_eight(Harm::Hang))
+}
+
+#[test]
+fn engines_that_stood_still_are_not_avoided() -> Result {
+    stays_within_bound(with_hot_subject(Harm::Dark))
+}
+
+#[test]
+fn engines_that_erred_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::engines(Harm::Failure))
+}
+
+#[test]
+fn engines_that_reset_connections_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::engines(Harm::Reset))
+}
+
+#[test]
+fn engines_that_broke_answers_off_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::engines(Harm::BreakOff))
+}
+
+#[test]
+fn engines_that_were_slow_are_not_avoided() -> Result {
+    stays_within_bound(with_hot_subject(Harm::Slow(10)))
+}
+
+#[test]
+fn plain_servers_that_stood_still_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::plain(Harm::Dark))
+}
+
+#[test]
+fn plain_servers_that_reset_connections_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::plain(Harm::Reset))
+}
+
+#[test]
+fn plain_servers_that_were_slow_are_not_avoided() -> Result {
+    stays_within_bound(Scenario::plain(Harm::Slow(10)))
+}
+
+/// Boxes of three halls before servers of which two in three fail for 3 s.
+fn fleet(boxes: usize, servers: usize, kind: spread_harness::Kind, failing: Failing) -> Plan {
+    let harm = spread_harness::Harm {
+        servers: (servers * 2).div_ceil(3).min(servers - 1),
+        from: Duration::from_secs(3),
+        time: Duration::from_secs(3),
+        failing,
+    };
+    Plan {
+        kind,
+        halls: 3,
+        rate: match kind {
+            spread_harness::Kind::Plain => 65.0,
+            _ => 10.0,
+        },
+        time: Duration::from_secs(15),
+        harm: Some(harm),
+        ..Plan::new(boxes, servers)
+    }
+}
+
+/// The worst window of each seed that begins this long after the harm or later.
+fn worst_windows(plan: &Plan, after: Duration) -> Result<Vec<Excess>> {
+    let harm = plan.harm.ok_or_else(|| eyre!("no harm"))?;
+    let plays = SEEDS.iter().map(|seed| {
+        fastrand::seed(*seed);
+        let outcome = spread_harness::play(plan)?;
+        Ok(Excess::worst(
+            &outcome.arrivals,
+            harm.from + harm.time + after,
+        ))
+    });
+    plays.collect()
+}
+
+fn fleet_stays_within_bound(boxes: usize, servers: usize, kind: spread_harness::Kind) -> Result {
+    for failing in FAILINGS {
+        let plan = fleet(boxes, servers, kind, failing);
+        let windows = worst_windows(&plan, FINDING_TIME)?;
+        let is_any_broken = windows.iter().any(|it| it.is_broken());
+        ensure!(!is_any_broken, "{failing:?}: {windows:?}");
+    }
+    Ok(())
+}
+
+#[test]
+fn three_boxes_do_not_avoid_engines_that_failed() -> Result {
+    fleet_stays_within_bound(3, 3, spread_harness::Kind::Engines)
+}
+
+#[test]
+fn three_boxes_do_not_avoid_eight_engines_that_failed() -> Result {
+    fleet_stays_within_bound(3, 8, spread_harness::Kind::Engines)
+}
+
+#[test]
+fn a_fleet_does_not_avoid_ninety_engines_that_failed() -> Result {
+    fleet_stays_within_bound(78, 90, spread_harness::Kind::Engines)
+}
+
+#[test]
+fn a_large_fleet_does_not_avoid_engines_that_failed() -> Result {
+    fleet_stays_within_bound(1_000, 240, spread_harness::Kind::Engines)
+}
+
+#[test]
+fn three_boxes_do_not_avoid_plain_servers_that_failed() -> Result {
+    fleet_stays_within_bound(3, 3, spread_harness::Kind::Plain)
+}
+
+#[test]
+fn three_boxes_do_not_avoid_eight_plain_servers_that_failed() -> Result {
+    fleet_stays_within_bound(3, 8, spread_harness::Kind::Plain)
+}
+
+/// Prints the table of incident 25; `ONLY` names a part of it.
+#[test]
+#[ignore = "takes minutes"]
+fn table() -> Result {
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let variants = HARMS.iter().flat_map(|harm| {
+        let restarts = |scenario| Scenario {
+            restarts: true,
+            ..scenario
+        };
+        [
+            Scenario::engines(*harm),
+            restarts(Scenario::engines(*harm)),
+            with_hot_subject(*harm),
+            five_of_eight(*harm),
+            Scenario::plain(*harm),
+            restarts(Scenario::plain(*harm)),
+        ]
+    });
+    for scenario in variants {
+        let name = format!("{scenario:?}");
+        if name.contains(&only) {
+            println!("{name}: {}", scenario.play()?);
+        }
+    }
+    Ok(())
+}
+
+/// Prints the table of simulations of incident 25; `ONLY` names a part of it, `RESTART` when
+/// all boxes start again, in ms.
+#[test]
+#[ignore = "takes minutes"]
+fn fleet_table() -> Result {
+    use spread_harness::Kind;
+
+    let only = std::env::var("ONLY").unwrap_or_default();
+    let restart = std::env::var("RESTART").ok();
+    let restart = restart.and_then(|text| text.parse().ok()).map(ms);
+    let sizes = [
+        (3, 3),
+        (3, 8),
+        (12, 12),
+        (78, 3),
+        (78, 90),
+        (1_000, 3),
+        (1_000, 90),
+        (1_000, 240),
+    ];
+    for (kind, (boxes, servers)) in [Kind::Engines, Kind::Plain]
+        .into_iter()
+        .flat_map(|kind| sizes.map(|size| (kind, size)))
+    {
+        for failing in FAILINGS {
+            let name = format!("{kind:?} {boxes} boxes {servers} servers {failing:?}");
+            if name.contains(&only) {
+                let plan = Plan {
+                    restart,
+                    ..fleet(boxes, servers, kind, failing)
+                };
+                let shares = (0..5).map(|after| {
+                    let windows = worst_windows(&plan, Duration::from_secs(after))?;
+                    Ok(windows.iter().map(|it| it.share()).fold(0.0, f64::max))
+                });
+                println!("{name}: {:.3?}", shares.collect::<Result<Vec<f64>>>()?);
+            }
+        }
+    }
+    Ok(())
+}
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -22,6 +22,7 @@
 use tidepier_relay::fleet::speeds::Speeds;
 use tidepier_relay::fleet::used::Used;
 use tidepier_relay::fleet::{Fleet, InFlight, Key};
+use tidepier_relay::health;
 use tidepier_relay::traffic::index::Index;
 use tidepier_relay::traffic::tally::{Baseline, Totals};
 
@@ -36,6 +37,8 @@
 /// Duration of a request at a plain server, and how many it works on at once.
 const PLAIN_TIME: Duration = Duration::from_millis(30);
 const PLAIN_SLOTS: u32 = 6;
+/// Time until a server that errs answers with an error.
+const ERROR_TIME: Duration = Duration::from_millis(20);
 /// Interval between two messages of other boxes to a box.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of counts in one message.
@@ -130,6 +133,33 @@
     }
 }
 
+/// How servers fail.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub(crate) enum Failing {
+    /// They hold requests and never answer them; each is given up after this long.
+    Silent(Duration),
+    /// They answer each with an error soon.
+    Erring,
+}
+
+/// Servers that fail together for a while, and are sound afterwards.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Harm {
+    /// How many of them: the first ones.
+    pub(crate) servers: usize,
+    /// From when on.
+    pub(crate) from: Duration,
+    /// For how long.
+    pub(crate) time: Duration,
+    pub(crate) failing: Failing,
+}
+
+impl Harm {
+    fn affects(&self, server: usize, time: Duration) -> bool {
+        server < self.servers && time >= self.from && time < self.from + self.time
+    }
+}
+
 /// Parameters of a simulation.
 #[derive(Debug, Clone)]
 pub(crate) struct Plan {
@@ -157,6 +187,8 @@
     pub(crate) pause: Duration,
     /// Set if engines differ in speed; the time to the first event is then simulated too.
     pub(crate) engines: Option<Engines>,
+    /// Set if servers fail; boxes then record how requests end.
+    pub(crate) harm: Option<Harm>,
 }
 
 impl Plan {
@@ -183,6 +215,7 @@
             restart: None,
             pause: Duration::ZERO,
             engines: None,
+            harm: None,
         }
     }
 }
@@ -271,6 +304,9 @@
     pub(crate) first_event_ms: Vec<f64>,
     /// Speeds of engines in the messages to all boxes.
     pub(crate) speed_rows: usize,
+    /// When requests reached servers, since the start, and whether that was over the bound;
+    /// from the start on.
+    pub(crate) arrivals: Vec<(Duration, bool)>,
 }
 
 impl Outcome {
@@ -310,6 +346,8 @@
     server: usize,
     /// Set while the request is at the server.
     at_server: bool,
+    /// How it fails, if it does.
+    failing: Option<Failing>,
     running: Rc<InFlight>,
 }
 
@@ -584,7 +622,16 @@
         let Some(backend) = fleet.get(&self.servers[run.server].id) else {
             return;
         };
+        if self.plan.harm.is_some() {
+            let outcome = match run.failing {
+                None => health::Outcome::Succeeded,
+                Some(Failing::Erring) => health::Outcome::Errored,
+                Some(Failing::Silent(_)) => health::Outcome::Unresponsive,
+            };
+            backend.record(outcome, run.end);
+        }
         match self.plan.kind {
+            _ if run.failing.is_some() => {}
             Kind::Engines => {
                 let load = Load {
                     running: self.held[run.server],
@@ -766,7 +813,19 @@
                 running: running.clone(),
             });
         }
+        let harm = self.plan.harm;
+        let harm = harm.filter(|harm| harm.affects(server, now - self.start));
+        let failing = harm.map(|harm| harm.failing);
+        match failing {
+            Some(Failing::Silent(time)) => end = now + time,
+            Some(Failing::Erring) => end = now + ERROR_TIME,
+            None => {}
+        }
+        if self.plan.harm.is_some() {
+            choice.backend.health.record_sent(now);
+        }
         self.runs.push(Run {
+            failing,
             end,
             sent: now,
             sim_box: number,
@@ -864,11 +923,12 @@
     }
 
     fn judge(&mut self, server: usize, is_first: bool, now: Instant) {
+        let mean = f64::from(self.held.iter().sum::<u32>()) / self.plan.servers as f64;
+        let above = f64::from(self.held[server]) - load_rule::bound(mean);
+        self.outcome.arrivals.push((now - self.start, above > 0.0));
         if now <= self.start + self.plan.settling {
             return;
         }
-        let mean = f64::from(self.held.iter().sum::<u32>()) / self.plan.servers as f64;
-        let above = f64::from(self.held[server]) - load_rule::bound(mean);
         self.outcome.judged += 1;
         self.outcome.exceeding += usize::from(above > 0.0);
         self.outcome.exceeding_first += usize::from(above > 0.0 && is_first);
