Health: the log says when a server is ejected, and of which time the evidence is

Each result now comes with the time of which it is evidence: a request that is given up, or that its server answers with 504 at its deadline, shows how the server was when the silence began. So far that is logged and counted only; what is decided is unchanged.

--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -69,6 +69,7 @@
         },
         tunnel_opened_at: Cell::default(),
         used: Used::default(),
+        last_data: Cell::default(),
         path: Cell::default(),
         attempts: 0,
         absent_count: 0,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -44,7 +44,7 @@
             "event=placed id={} content={} route={} account={} server={} release={} try={} cost={:.0} load={:.0} \
              shared={} read={:.0} copy_from={} subject={:x} rank={} hall={} time_ms={:.0} leaving={} resting={} version={} age_ms={} service={} \
              own={} known={:.0} mean={:.1} counts_ms={} waited_ms={} answered_ms={answered} heard_ms={heard} stalled={} verified={} \
-             divided={} rate={}",
+             divided={} rate={} ejected={}",
             self.request.attempt,
             self.content,
             self.route.name,
@@ -75,6 +75,7 @@
             !choice.needs_check,
             choice.divided,
             choice.first_event.map_or(Rate::DEFAULT, |(_, predicted)| predicted.rate()),
+            self.relay.fleet.ejected(&self.service),
         );
     }
 
@@ -167,13 +168,14 @@
         let (conn, via) = self.path_names();
         log::info!(
             target: "request",
-            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} failing={:.2} conn={} via={}",
+            "event=failed id={} server={} why={} detail=\"{}\" ran={:?} ms={} silent_ms={} failing={:.2} conn={} via={}",
             self.request.attempt,
             backend.server.id,
             failure.cause.name(),
             failure.cause,
             failure.executed,
             self.arrival.at.elapsed().as_millis(),
+            self.silent_since().elapsed().as_millis(),
             backend.health.failure_rate(Instant::now()),
             conn,
             via,
@@ -182,10 +184,25 @@
             .increment(1);
     }
 
+    /// The time of which a server's answer, received at `now`, is evidence: one to a request
+    /// that it has not answered by the deadline shows as little of now as no answer.
+    fn evidence_of_status(&self, status: u16, now: Instant) -> Instant {
+        match status {
+            answer::DEADLINE_EXCEEDED => self.silent_since(),
+            _ => now,
+        }
+    }
+
     /// Records a failure in what is known of the server.
     fn blame_server(&self, backend: &Rc<Backend>, failure: &Failure) {
         if let Some(outcome) = self.health_outcome(failure) {
-            backend.record(outcome, Instant::now());
+            let now = Instant::now();
+            let evidence = match failure.cause {
+                Cause::TimedOut | Cause::Stalled => self.silent_since(),
+                Cause::Error(status) => self.evidence_of_status(status, now),
+                _ => now,
+            };
+            backend.record(outcome, evidence, now);
         }
         if let Some(outcome) = failure_evidence(&failure.cause) {
             if !self.is_late_for_client(&failure.cause) {
@@ -305,7 +322,8 @@
         } else {
             health::Outcome::Succeeded
         };
-        backend.record(outcome, Instant::now());
+        let now = Instant::now();
+        backend.record(outcome, self.evidence_of_status(status, now), now);
         if matches!(status, 200..=299) {
             self.relay
                 .crashes
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -69,6 +69,7 @@
         self.tried.push(backend.server.id.clone());
         self.path.set(None);
         self.tunnel_opened_at.set(None);
+        self.last_data.set(None);
         let connected = |path: Path| {
             self.path.set(Some(path));
             if path.is_new_tunnel() {
@@ -455,7 +456,8 @@
         let is_current =
             path.is_none_or(|path| path.carrier.is_some() == self.backend.is_detoured());
         if !self.disarmed && is_current && self.since.elapsed() > self.threshold {
-            self.backend.record(Outcome::Unresponsive, Instant::now());
+            self.backend
+                .record(Outcome::Unresponsive, self.since, Instant::now());
         }
     }
 }
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -105,6 +105,8 @@
     pub(super) last_attempt: Start,
     /// When another box had opened its connection, if that was done for it.
     pub(super) tunnel_opened_at: Cell<Option<Instant>>,
+    /// When data of the answer to the latest attempt last came, once its head had.
+    pub(super) last_data: Cell<Option<Instant>>,
     /// The connection of the latest attempt; `None` until there is one.
     pub(super) path: Cell<Option<Path>>,
     /// The connections over which it was sent.
@@ -178,6 +180,12 @@
         self.tunnel_opened_at.get().unwrap_or(self.last_attempt.at)
     }
 
+    /// When the silence began in which the latest attempt was given up.
+    pub(super) fn silent_since(&self) -> Instant {
+        let began = self.attempt_began();
+        self.last_data.get().map_or(began, |at| at.max(began))
+    }
+
     /// Adds to the time for which the answer has waited for the client.
     pub(super) fn add_client_wait(&self, time: Duration) {
         self.client_wait.set(self.client_wait.get() + time);
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -222,6 +222,7 @@
     loop {
         let more = read_some(exchange, client, backend, reply, events, limit).await?;
         backend.record_received();
+        exchange.last_data.set(Some(Instant::now()));
         reply.running.answer_started();
         let complete = if more {
             events.take_complete()
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -24,7 +24,7 @@
 use super::used::Used;
 use super::Key;
 use crate::cold::Window;
-use crate::health::{Health, Outcome};
+use crate::health::{self, Health, Outcome};
 
 /// Longest time for which a server counts as cold.
 const COLD_MAX: Duration = Duration::from_secs(600);
@@ -514,14 +514,39 @@
         self.reach.is_detoured(self.key)
     }
 
-    /// Records how a request to the server ended.
-    pub fn record(&self, outcome: Outcome, now: Instant) {
+    /// Records how a request to the server ended, by evidence of the server at a time: a
+    /// missing answer shows how the server was when it was due, whenever it is given up.
+    pub fn record(&self, outcome: Outcome, evidence: Instant, now: Instant) {
         match outcome {
             Outcome::Unresponsive => self.hall.record_unresponsive(now),
             Outcome::NotListening => self.unreachable_at.set(Some(now)),
             Outcome::Succeeded | Outcome::Errored => {}
         }
-        self.health.record(outcome, now);
+        let change = self.health.record(outcome, now);
+        self.log_ejection(change, evidence, now);
+    }
+
+    fn log_ejection(&self, change: health::Change, evidence: Instant, now: Instant) {
+        let (id, service) = (&self.server.id, &self.server.service);
+        match change {
+            health::Change::Ejected(time) => {
+                let age = now.saturating_duration_since(evidence);
+                log::info!(
+                    target: "belief",
+                    "event=server_ejected server={id} service={service} for_ms={} evidence_ms={} failing={:.2}",
+                    time.as_millis(),
+                    age.as_millis(),
+                    self.health.failure_rate(now),
+                );
+                metrics::counter!("tidepier_ejections_total").increment(1);
+                metrics::histogram!("tidepier_ejection_evidence_seconds").record(age.as_secs_f64());
+            }
+            health::Change::Restored => log::info!(
+                target: "belief",
+                "event=server_restored server={id} service={service}",
+            ),
+            health::Change::None => {}
+        }
     }
 
     /// When data last came from the server.
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -559,6 +559,12 @@
         serving.iter().filter(|it| it.is_backing_off(now)).count()
     }
 
+    /// Number of servers of a service that this box has ejected.
+    pub fn ejected(&self, service: &ids::Service) -> usize {
+        let serving = self.serving(service);
+        serving.iter().filter(|it| it.health.is_ejected()).count()
+    }
+
     /// Number of servers of a service that are leaving.
     pub fn leaving(&self, service: &ids::Service) -> usize {
         self.group(service).leaving
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -41,6 +41,17 @@
 /// Weight of the newest sample in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
+/// What a result changed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Change {
+    /// The server is ejected for this long.
+    Ejected(Duration),
+    /// The server, which was ejected, gets requests again.
+    Restored,
+    /// Nothing.
+    None,
+}
+
 /// How one request to a server ended, as far as its health is concerned.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
@@ -107,7 +118,7 @@
 
 impl Health {
     /// Records how a request ended.
-    pub fn record(&self, outcome: Outcome, now: Instant) {
+    pub fn record(&self, outcome: Outcome, now: Instant) -> Change {
         self.probed.set(None);
         let failed = outcome != Outcome::Succeeded;
         let rate = self.failure_rate(now);
@@ -117,8 +128,10 @@
         if !failed {
             self.failures_in_row.set(0);
             self.ejections.set(0);
-            self.ejected_until.set(None);
-            return;
+            return match self.ejected_until.take() {
+                Some(_) => Change::Restored,
+                None => Change::None,
+            };
         }
         let weight = match outcome {
             Outcome::NotListening | Outcome::Unresponsive => 2,
@@ -128,10 +141,17 @@
             .set(self.failures_in_row.get() + weight);
         if self.failures_in_row.get() >= FAILURES_MAX {
             let ejection = EJECTION_MIN * 2u32.pow(self.ejections.get().min(4));
-            self.ejected_until
-                .set(Some(now + ejection.min(EJECTION_MAX)));
+            let ejection = ejection.min(EJECTION_MAX);
+            self.ejected_until.set(Some(now + ejection));
             self.ejections.set(self.ejections.get() + 1);
+            return Change::Ejected(ejection);
         }
+        Change::None
+    }
+
+    /// Whether the server is ejected, also if a probe is due.
+    pub fn is_ejected(&self) -> bool {
+        self.ejected_until.get().is_some()
     }
 
     /// Records the time to the start of an answer, without that of reading the prompt.
--- a/crates/relay/tests/relay/health.rs
+++ b/crates/relay/tests/relay/health.rs
@@ -76,6 +76,7 @@
                 Outcome::Succeeded
             },
             at,
+            at,
         );
     }
     Ok(())
--- a/crates/relay/tests/relay/incarnations.rs
+++ b/crates/relay/tests/relay/incarnations.rs
@@ -46,7 +46,7 @@
         harness.locations(&prompt).missing_tokens(old.key).tokens() == 0.0,
         "not recorded as cached"
     );
-    old.record(Outcome::Unresponsive, now);
+    old.record(Outcome::Unresponsive, now, now);
     let running = old.run(100);
     let again = Server {
         born: Some(StartTime(9)),
--- a/crates/relay/tests/relay/locations.rs
+++ b/crates/relay/tests/relay/locations.rs
@@ -319,7 +319,7 @@
     for harness in &harnesses {
         let backend = harness.backend(&failing)?;
         for _ in 0..3 {
-            backend.record(Outcome::NotListening, Instant::now());
+            backend.record(Outcome::NotListening, Instant::now(), Instant::now());
         }
         ensure!(harness.first(&prompt)? == next, "{failing} is still first");
         let missing = harness
@@ -357,10 +357,10 @@
         }
         let from = Some(first.server.address);
         ensure!(harness.source(&prompt, &replacement) == from, "{reported}");
-        first.record(Outcome::NotListening, Instant::now());
+        first.record(Outcome::NotListening, Instant::now(), Instant::now());
         ensure!(first.is_healthy(Instant::now()), "ejected at once");
         ensure!(harness.source(&prompt, &replacement) != from, "{reported}");
-        first.record(Outcome::Succeeded, Instant::now());
+        first.record(Outcome::Succeeded, Instant::now(), Instant::now());
         ensure!(harness.source(&prompt, &replacement) == from, "{reported}");
     }
     Ok(())
--- a/crates/relay/tests/relay/peer_answers.rs
+++ b/crates/relay/tests/relay/peer_answers.rs
@@ -416,7 +416,7 @@
         let old = relay.fleet.get(&"i-1".parse()?);
         let old = old.ok_or_else(|| eyre!("unknown"))?;
         if was_absent {
-            old.record(Outcome::NotListening, Instant::now());
+            old.record(Outcome::NotListening, Instant::now(), Instant::now());
         }
         let both = Servers::All(vec![row("i-1", 3)?, row("i-2", 9)?], Revision::of(9));
         deliver(
--- a/crates/relay/tests/relay/sim.rs
+++ b/crates/relay/tests/relay/sim.rs
@@ -442,7 +442,9 @@
             }
             outcome.absent += 1;
             choice.backend.health.record_sent(now);
-            choice.backend.record(health::Outcome::NotListening, now);
+            choice
+                .backend
+                .record(health::Outcome::NotListening, now, now);
             tried.push(server.clone());
         }
         None
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -628,7 +628,11 @@
                 Some(Failing::Erring) => health::Outcome::Errored,
                 Some(Failing::Silent(_)) => health::Outcome::Unresponsive,
             };
-            backend.record(outcome, run.end);
+            let evidence = match run.failing {
+                Some(Failing::Silent(_)) => run.sent,
+                _ => run.end,
+            };
+            backend.record(outcome, evidence, run.end);
         }
         match self.plan.kind {
             _ if run.failing.is_some() => {}
--- a/crates/relay/tests/relay/standstill_harness.rs
+++ b/crates/relay/tests/relay/standstill_harness.rs
@@ -634,7 +634,7 @@
         }
         let backend = self.backend(run)?;
         if self.runs[run].in_flight.take().is_some() {
-            backend.record(health::Outcome::Succeeded, self.now);
+            backend.record(health::Outcome::Succeeded, self.now, self.now);
             self.outcome.answered += 1;
         }
         Ok(())
@@ -652,7 +652,7 @@
         };
         in_flight.given_up(self.now);
         backend.hall.record_received(self.now);
-        backend.record(health::Outcome::Succeeded, self.now);
+        backend.record(health::Outcome::Succeeded, self.now, self.now);
         backend.health.record_rejection(self.now);
         let Run {
             sim_box,
@@ -679,7 +679,8 @@
             return Ok(());
         };
         in_flight.given_up(self.now);
-        backend.record(health::Outcome::Unresponsive, self.now);
+        let sent = self.runs[run].sent;
+        backend.record(health::Outcome::Unresponsive, sent, self.now);
         self.outcome.given_up += 1;
         Ok(())
     }
