A failure is evidence of the time at which its request was sent

Cause: the requests of the time of harm are given up seconds later, or answered with 504 at their deadline, and each was recorded as a failure of now: all 128 ejections came after the engines were sound, from evidence that was 4.0 s old, and lengthened each other to 6 s.

Now a failure counts as of when its silence began. One that is older than an answer to a later request, or than the decision to eject the server, ejects nothing; an ejection lasts from its evidence on; failure rates and the silence of halls go by the same time. A server that begins an answer to a probe gets requests again at once, and the next failure ejects it; before, the whole answer had to end.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -240,7 +240,8 @@
     let carrier = conn.carried_by();
     dispatch.used.record(&conn);
     (dispatch.on_connected)(Path { origin, carrier });
-    running.sent(dispatch.plain, Instant::now());
+    let sent = Instant::now();
+    running.sent(dispatch.plain, sent);
     let exchanged = timeout::until(dispatch.deadline, exchange(&mut conn, dispatch)).await;
     let (own, written_whole) = exchanged.unwrap_or_else(|| Err(maybe_executed(Cause::TimedOut)))?;
     let OwnAnswer {
@@ -257,6 +258,9 @@
         true => running.given_up(Instant::now()),
         false => running.answered(Instant::now()),
     }
+    if !answer.not_executed && answer.status < 500 {
+        backend.record_answering(sent, Instant::now());
+    }
     earlier
         .iter()
         .chain([&answer])
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -198,7 +198,7 @@
         if let Some(outcome) = self.health_outcome(failure) {
             let now = Instant::now();
             let evidence = match failure.cause {
-                Cause::TimedOut | Cause::Stalled => self.silent_since(),
+                _ if outcome == health::Outcome::Unresponsive => self.silent_since(),
                 Cause::Error(status) => self.evidence_of_status(status, now),
                 _ => now,
             };
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -518,14 +518,21 @@
     /// missing answer shows how the server was when it was due, whenever it is given up.
     pub fn record(&self, outcome: Outcome, evidence: Instant, now: Instant) {
         match outcome {
-            Outcome::Unresponsive => self.hall.record_unresponsive(now),
+            Outcome::Unresponsive => self.hall.record_unresponsive(evidence),
             Outcome::NotListening => self.unreachable_at.set(Some(now)),
             Outcome::Succeeded | Outcome::Errored => {}
         }
-        let change = self.health.record(outcome, now);
+        let change = self.health.record(outcome, evidence, now);
         self.log_ejection(change, evidence, now);
     }
 
+    /// Records that the server has begun an answer, other than an error, to a request that was
+    /// sent at a time.
+    pub fn record_answering(&self, sent: Instant, now: Instant) {
+        let change = self.health.record_answering(sent);
+        self.log_ejection(change, now, now);
+    }
+
     fn log_ejection(&self, change: health::Change, evidence: Instant, now: Instant) {
         let (id, service) = (&self.server.id, &self.server.service);
         match change {
--- a/crates/relay/src/fleet/hall.rs
+++ b/crates/relay/src/fleet/hall.rs
@@ -7,13 +7,9 @@
 
 /// Weight of the newest sample in the mean round-trip time to a hall.
 const ROUND_TRIP_WEIGHT: f64 = 0.05;
-/// Time for which a hall is avoided after one of its servers was unresponsive, unless
+/// Time for which a hall is avoided from when on one of its servers was unresponsive, unless
 /// data comes from another of them.
 const AVOID_TIME: Duration = Duration::from_millis(2_500);
-/// Data that came within this time before a server was found unresponsive does not show
-/// that the hall is reachable: the server was already unresponsive for a while when that
-/// was found.
-const DETECTION_SLACK: Duration = Duration::from_millis(150);
 
 /// What this box has observed of the servers of one hall together. When a hall is
 /// partitioned from this box, each of its servers would otherwise have to be found
@@ -22,7 +18,8 @@
 pub struct Hall {
     /// Mean time in ms to open a connection to one of its servers.
     round_trip_ms: Cell<Option<f64>>,
-    unresponsive_at: Cell<Option<Instant>>,
+    /// When a server was last sent something that it did not answer.
+    unresponsive_since: Cell<Option<Instant>>,
     last_received: Cell<Option<Instant>>,
     /// Whether the operator requested to empty the hall.
     emptied: Cell<bool>,
@@ -62,21 +59,20 @@
         last_received.is_some_and(|last_received| now.duration_since(last_received) < max_age)
     }
 
-    /// Records that one of its servers was found unresponsive.
-    pub fn record_unresponsive(&self, now: Instant) {
-        self.unresponsive_at.set(Some(now));
+    /// Records that one of its servers was unresponsive from a time on, when it was sent what
+    /// it has not answered.
+    pub fn record_unresponsive(&self, since: Instant) {
+        self.unresponsive_since
+            .set(self.unresponsive_since.get().max(Some(since)));
     }
 
     /// Whether the hall seems to be partitioned from this box.
     pub fn is_unresponsive(&self, now: Instant) -> bool {
-        let Some(unresponsive_at) = self.unresponsive_at.get() else {
+        let Some(since) = self.unresponsive_since.get() else {
             return false;
         };
-        let refuted = self
-            .last_received
-            .get()
-            .is_some_and(|last_received| last_received + DETECTION_SLACK > unresponsive_at);
-        !refuted && now.duration_since(unresponsive_at) < AVOID_TIME
+        let is_refuted = self.last_received.get().is_some_and(|at| at >= since);
+        !is_refuted && now.saturating_duration_since(since) < AVOID_TIME
     }
 
     /// Whether the operator requested to empty the hall.
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -4,6 +4,11 @@
 //! some. A server that fails several requests in a row is ejected for a while, then
 //! probed with one request.
 //!
+//! A failure is evidence of the server at one time: an error of when it came, a missing answer
+//! of when its request was sent. What is older than an answer, or than the decision to eject
+//! the server, shows nothing new. Otherwise the requests of a time of harm, which are given
+//! up seconds later, would eject a server that is sound again.
+//!
 //! Observations decay with time. A server that is avoided because of them gets no
 //! request that could show that it has recovered. Without the decay, three of four boxes
 //! sent all streams to one of three servers for as long as they were observed, which was
@@ -16,7 +21,7 @@
 
 /// Weighted failures in a row after which a server is ejected.
 const FAILURES_MAX: u32 = 3;
-/// Duration of the first ejection; doubled with each further one.
+/// Duration of the first ejection, from the evidence on; doubled with each further one.
 const EJECTION_MIN: Duration = Duration::from_millis(800);
 /// Longest ejection.
 const EJECTION_MAX: Duration = Duration::from_secs(6);
@@ -66,6 +71,14 @@
     Unresponsive,
 }
 
+/// A time for which the server is avoided.
+#[derive(Debug, Clone, Copy)]
+struct Ejection {
+    /// When it was decided. What was sent before shows nothing new.
+    since: Instant,
+    until: Instant,
+}
+
 /// A value that is set at one time and decays from then on.
 #[derive(Debug, Default)]
 struct Decaying(Cell<Option<(f64, Instant)>>);
@@ -102,7 +115,9 @@
 pub struct Health {
     failures_in_row: Cell<u32>,
     ejections: Cell<u32>,
-    ejected_until: Cell<Option<Instant>>,
+    ejection: Cell<Option<Ejection>>,
+    /// When the last request was sent of those to which the server has begun an answer.
+    answering: Cell<Option<Instant>>,
     /// When the last probe was sent since the server was ejected.
     probed: Cell<Option<Instant>>,
     failure_rate: Decaying,
@@ -117,22 +132,22 @@
 }
 
 impl Health {
-    /// Records how a request ended.
-    pub fn record(&self, outcome: Outcome, now: Instant) -> Change {
-        self.probed.set(None);
-        let failed = outcome != Outcome::Succeeded;
+    /// Records how a request ended; a failure is `evidence` of the server at that time.
+    pub fn record(&self, outcome: Outcome, evidence: Instant, now: Instant) -> Change {
         let rate = self.failure_rate(now);
-        let sample = if failed { 1.0 } else { 0.0 };
-        let rate = rate + RATE_WEIGHT * (sample - rate);
-        self.failure_rate.set(rate, now);
-        if !failed {
+        if outcome == Outcome::Succeeded {
+            self.failure_rate.set(rate - RATE_WEIGHT * rate, now);
+            self.probed.set(None);
             self.failures_in_row.set(0);
             self.ejections.set(0);
-            return match self.ejected_until.take() {
-                Some(_) => Change::Restored,
-                None => Change::None,
-            };
+            return self.restore();
         }
+        let weight = RATE_WEIGHT * fraction_left(evidence, RATE_HALF_LIFE, now);
+        self.failure_rate.set(rate + weight * (1.0 - rate), now);
+        if !self.is_new(evidence) {
+            return Change::None;
+        }
+        self.probed.set(None);
         let weight = match outcome {
             Outcome::NotListening | Outcome::Unresponsive => 2,
             Outcome::Succeeded | Outcome::Errored => 1,
@@ -140,18 +155,43 @@
         self.failures_in_row
             .set(self.failures_in_row.get() + weight);
         if self.failures_in_row.get() >= FAILURES_MAX {
-            let ejection = EJECTION_MIN * 2u32.pow(self.ejections.get().min(4));
-            let ejection = ejection.min(EJECTION_MAX);
-            self.ejected_until.set(Some(now + ejection));
+            let time = EJECTION_MIN * 2u32.pow(self.ejections.get().min(4));
+            let until = evidence + time.min(EJECTION_MAX);
+            self.ejection.set(Some(Ejection { since: now, until }));
             self.ejections.set(self.ejections.get() + 1);
-            return Change::Ejected(ejection);
+            return Change::Ejected(until.saturating_duration_since(now));
         }
         Change::None
     }
 
+    /// Records that the server has begun an answer, other than an error, to a request that was
+    /// sent at a time. It may get others, but the next failure ejects it again.
+    pub fn record_answering(&self, sent: Instant) -> Change {
+        self.answering.set(self.answering.get().max(Some(sent)));
+        match self.ejection.get() {
+            Some(ejection) if sent >= ejection.since => self.restore(),
+            _ => Change::None,
+        }
+    }
+
+    fn restore(&self) -> Change {
+        match self.ejection.take() {
+            Some(_) => Change::Restored,
+            None => Change::None,
+        }
+    }
+
+    /// Whether evidence of a failure is later than the last answer, and than the decision to
+    /// eject the server.
+    fn is_new(&self, evidence: Instant) -> bool {
+        let ejected = self.ejection.get().map(|ejection| ejection.since);
+        let known = self.answering.get().max(ejected);
+        known.is_none_or(|known| evidence > known)
+    }
+
     /// Whether the server is ejected, also if a probe is due.
     pub fn is_ejected(&self) -> bool {
-        self.ejected_until.get().is_some()
+        self.ejection.get().is_some()
     }
 
     /// Records the time to the start of an answer, without that of reading the prompt.
@@ -219,9 +259,9 @@
 
     /// Whether the server may get a request now: it is not ejected, or a probe is due.
     pub fn allows(&self, now: Instant) -> bool {
-        match self.ejected_until.get() {
+        match self.ejection.get() {
             None => true,
-            Some(until) if now < until => false,
+            Some(ejection) if now < ejection.until => false,
             Some(_) => {
                 let probed = self.probed.get();
                 probed.is_none_or(|at| now.duration_since(at) > PROBE_TIMEOUT)
@@ -232,7 +272,7 @@
     /// Records that a request was sent; if the server was ejected, the request is its
     /// probe.
     pub fn record_sent(&self, now: Instant) {
-        if self.ejected_until.get().is_some() {
+        if self.is_ejected() {
             self.probed.set(Some(now));
         }
     }
--- a/crates/relay/tests/relay/choose.rs
+++ b/crates/relay/tests/relay/choose.rs
@@ -263,7 +263,7 @@
         // Never three failures in a row, which would eject the server.
         for _ in 0..12 {
             for outcome in [Outcome::Errored, Outcome::Errored, Outcome::Succeeded] {
-                health.record(outcome, Instant::now());
+                health.record(outcome, Instant::now(), Instant::now());
             }
         }
         Ok(())
@@ -304,7 +304,7 @@
             harness
                 .backend(id)?
                 .health
-                .record(Outcome::Errored, Instant::now());
+                .record(Outcome::Errored, Instant::now(), Instant::now());
         }
         Ok(())
     };
--- a/crates/relay/tests/relay/health.rs
+++ b/crates/relay/tests/relay/health.rs
@@ -17,7 +17,8 @@
 use tidepier_relay::choose::filter::Filter;
 use tidepier_relay::choose::{self, Criteria};
 use tidepier_relay::fleet::used::Used;
-use tidepier_relay::health::Outcome;
+use tidepier_relay::fleet::Hall;
+use tidepier_relay::health::{Health, Outcome};
 
 use crate::choice_harness::{id, ChoiceHarness, CONNECTIONS};
 use crate::harness::{ms, Result};
@@ -158,3 +159,81 @@
     ensure!(later == 0, "{later} elsewhere for good");
     Ok(())
 }
+
+/// Guards against a server that is ejected as it is sound again: requests of the time in which
+/// it answered none were given up later.
+#[test]
+fn failures_of_requests_sent_before_an_answered_one_eject_no_server() -> Result {
+    let (health, start) = (Health::default(), Instant::now());
+    health.record_answering(start + Duration::from_secs(3));
+    for number in 0..40 {
+        let sent = start + ms(number * 50);
+        let now = sent + Duration::from_secs(4);
+        health.record(Outcome::Unresponsive, sent, now);
+        ensure!(health.allows(now), "ejected by request {number}");
+    }
+    Ok(())
+}
+
+/// Guards against an ejection that each of the requests under way then made longer.
+#[test]
+fn failures_of_requests_sent_before_an_ejection_do_not_prolong_it() -> Result {
+    let (health, start) = (Health::default(), Instant::now());
+    for number in 0..40 {
+        let sent = start + ms(number * 10);
+        health.record(Outcome::Unresponsive, sent, sent + ms(600));
+    }
+    let later = start + ms(1_000);
+    ensure!(health.allows(later), "ejected for longer than at first");
+    Ok(())
+}
+
+/// Guards against a server that is avoided until a long answer has ended.
+#[test]
+fn a_server_that_begins_an_answer_gets_requests_until_the_next_failure() -> Result {
+    let (health, start) = (Health::default(), Instant::now());
+    for _ in 0..3 {
+        health.record(Outcome::Errored, start, start);
+    }
+    let probe = start + ms(900);
+    health.record_sent(probe);
+    ensure!(!health.allows(probe + ms(10)), "a second probe at once");
+    health.record_answering(probe);
+    ensure!(health.allows(probe + ms(20)), "still avoided");
+    let failed = probe + ms(200);
+    health.record(Outcome::Errored, failed, failed);
+    ensure!(!health.allows(failed + ms(10)), "not ejected again");
+    Ok(())
+}
+
+/// Guards against failures that count the more the longer their requests waited.
+#[test]
+fn a_failure_counts_as_of_when_its_request_was_sent() -> Result {
+    let start = Instant::now();
+    let rate = |waited: Duration| {
+        let health = Health::default();
+        let now = start + waited;
+        health.record(Outcome::Unresponsive, start, now);
+        health.failure_rate(now)
+    };
+    let (soon, late) = (rate(ms(200)), rate(Duration::from_secs(6)));
+    ensure!(
+        late < soon / 3.0,
+        "{late:.3} after 6 s, {soon:.3} after 0.2 s"
+    );
+    Ok(())
+}
+
+/// Guards against a hall that is avoided though its servers have answered since the request was
+/// sent that was given up.
+#[test]
+fn a_hall_that_has_answered_since_is_not_unresponsive() -> Result {
+    let (hall, sent) = (Hall::default(), Instant::now());
+    hall.record_received(sent + ms(300));
+    hall.record_unresponsive(sent);
+    ensure!(!hall.is_unresponsive(sent + ms(2_000)), "avoided");
+    let sent = sent + ms(400);
+    hall.record_unresponsive(sent);
+    ensure!(hall.is_unresponsive(sent + ms(1_000)), "a silent hall");
+    Ok(())
+}
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -39,6 +39,8 @@
 const PLAIN_SLOTS: u32 = 6;
 /// Time until a server that errs answers with an error.
 const ERROR_TIME: Duration = Duration::from_millis(20);
+/// Time until a sound server begins an answer, where servers fail.
+const BEGIN_TIME: Duration = Duration::from_millis(50);
 /// Interval between two messages of other boxes to a box.
 const REPORT_INTERVAL: Duration = Duration::from_millis(400);
 /// Maximum number of counts in one message.
@@ -412,6 +414,9 @@
     held: Vec<u32>,
     runs: BinaryHeap<Run>,
     first_events: Vec<FirstEvent>,
+    /// Answers that sound servers are about to begin, where servers fail: when the request was
+    /// sent, by which box, to which server.
+    beginnings: VecDeque<(Instant, usize, usize)>,
     /// Until when each engine is busy with the prefill of earlier requests, as a time since
     /// the start.
     prefill_ends: Vec<Duration>,
@@ -505,6 +510,7 @@
             held: vec![0; plan.servers],
             runs: BinaryHeap::new(),
             first_events: Vec::new(),
+            beginnings: VecDeque::new(),
             prefill_ends: vec![Duration::ZERO; plan.servers],
             past: VecDeque::new(),
             placements: Vec::new(),
@@ -537,11 +543,13 @@
         for number in 0..count {
             let now = self.start + time.mul_f64(number as f64 / count as f64);
             self.pass_first_events(now);
+            self.begin_answers(now);
             self.end_runs(now);
             if restart.is_some_and(|at| at <= now) {
                 restart = None;
                 self.runs.clear();
                 self.first_events.clear();
+                self.beginnings.clear();
                 self.held.fill(0);
                 self.start_boxes(now)?;
             }
@@ -827,6 +835,9 @@
         }
         if self.plan.harm.is_some() {
             choice.backend.health.record_sent(now);
+            if failing.is_none() {
+                self.beginnings.push_back((now, number, server));
+            }
         }
         self.runs.push(Run {
             failing,
@@ -858,6 +869,19 @@
         self.start + engines.end(server, end, step)
     }
 
+    /// Tells boxes of answers that have begun by now.
+    fn begin_answers(&mut self, now: Instant) {
+        while let Some((sent, sim_box, server)) = self.beginnings.front().copied() {
+            if sent + BEGIN_TIME > now {
+                break;
+            }
+            self.beginnings.pop_front();
+            if let Some(backend) = self.boxes[sim_box].fleet.get(&self.servers[server].id) {
+                backend.record_answering(sent, now);
+            }
+        }
+    }
+
     /// Passes the first events that came by now on to their boxes.
     fn pass_first_events(&mut self, now: Instant) {
         let Some(engines) = self.plan.engines else {
