Boxes tell each other that an ejected server answers, and share its probes

Cause: each box found out for itself, by a probe in a fixed interval that began with the harm, so that all boxes probed at the same time and none could learn of another. In a large fleet each box would have had to lose requests of its own.

Now 4 in 100 of the requests that find no server below the bound are probes, at a steady interval and with another phase at each box: how often a harmed server is probed depends on the requests, neither on the boxes nor on the servers. A box that gets an answer of a server that it had ejected tells the hub of its hall at once, the hub its boxes and the other hubs, and each box may probe the server then. A server that fails part of its requests so gets one probe of each box, not all. Boxes of former releases ignore the message.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -161,7 +161,8 @@
         self.server > factor * self.mean + weight::BOUND_EXTRA
     }
 
-    /// The share of its requests with which a server above the bound would be close to it.
+    /// The share of its requests with which a server would be as close to the bound as it may
+    /// come; 1 or more if it is not.
     fn share_to_keep(&self, factor: f64) -> f64 {
         let soft = weight::SOFT_BOUND_PART * factor * self.mean + weight::BOUND_EXTRA;
         soft / self.server.max(1.0)
@@ -204,6 +205,8 @@
                     .subject_share(service, part.id, spread.all, now)
             };
             let group = Group {
+                fleet,
+                service,
                 serving: &servers,
                 emptied: &emptied,
                 usual_speed: fleet.usual_speed(service, now),
@@ -239,6 +242,8 @@
 
 /// The servers of a plain service, and what a request has to know of all of them.
 struct PlainServers<'a> {
+    fleet: &'a Fleet,
+    service: &'a ids::Service,
     servers: &'a [Rc<Backend>],
     criteria: &'a Criteria<'a>,
     verification: Verification,
@@ -252,8 +257,8 @@
 
 impl<'a> PlainServers<'a> {
     fn new(
-        fleet: &Fleet,
-        service: &ids::Service,
+        fleet: &'a Fleet,
+        service: &'a ids::Service,
         servers: &'a [Rc<Backend>],
         criteria: &'a Criteria<'a>,
         demand: &Demand,
@@ -261,6 +266,8 @@
     ) -> Self {
         let boxes = criteria.boxes;
         Self {
+            fleet,
+            service,
             servers,
             criteria,
             verification: Verification::new(fleet, service, servers.len(), demand, boxes, now),
@@ -281,24 +288,30 @@
         Some(self.relieve(choice))
     }
 
-    /// Returns another server instead of one above the operator's bound, for as many requests
-    /// as bring it back below: one that is only slower or has failed more often, or else one
-    /// that is ejected and due for a probe.
+    /// Returns another server for some of the requests that would go to one close to the
+    /// operator's bound or above it: one that is only slower or has failed more often, for as
+    /// many as bring the chosen one back, or else one that is ejected, for a probe.
     fn relieve(&self, choice: Choice) -> Choice {
-        let load = |backend: &Backend| FleetLoad::of_plain(backend, self.mean_load, self.now);
-        let factor = self.criteria.crowd_factor;
-        let chosen = load(&choice.backend);
-        if !chosen.is_over_bound(factor) || fastrand::f64() < chosen.share_to_keep(factor) {
+        let keep = choice.fleet_load.share_to_keep(self.criteria.crowd_factor);
+        if keep >= 1.0 {
             return choice;
         }
         let usable = self.servers.iter().filter(|it| {
-            self.is_open(it) && self.may_relieve(it) && !load(it).is_over_bound(factor)
+            let load = FleetLoad::of_plain(it, self.mean_load, self.now);
+            let is_below = load.share_to_keep(self.criteria.crowd_factor) >= 1.0;
+            is_below && self.is_open(it) && self.may_relieve(it)
         });
         let (healthy, ejected): (Vec<_>, Vec<_>) =
             usable.partition(|it| it.health.allows(self.now));
-        let rated =
-            |servers: Vec<&Rc<Backend>>| cheapest(servers.into_iter().map(|it| self.rate(it)));
-        rated(healthy).or_else(|| rated(ejected)).unwrap_or(choice)
+        let usable = if !ejected.is_empty() && self.fleet.probes.take(self.service) {
+            ejected
+        } else if fastrand::f64() >= keep {
+            healthy
+        } else {
+            return choice;
+        };
+        let rated = usable.into_iter().map(|it| self.rate(it));
+        cheapest(rated).unwrap_or(choice)
     }
 
     /// Whether a server that is avoided may get requests that are too many for the others.
@@ -394,7 +407,7 @@
 fn may_probe(backend: &Backend, criteria: &Criteria<'_>, now: Instant) -> bool {
     !criteria.tried.contains(&backend.server.id)
         && !backend.seems_unreachable(now)
-        && backend.health.allows_under_pressure(criteria.boxes, now)
+        && backend.health.allows_under_pressure(now)
 }
 
 fn cheapest(choices: impl Iterator<Item = Choice>) -> Option<Choice> {
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -10,15 +10,18 @@
 use tidepier_admission::speed::{Rate, Service, Work};
 use tidepier_clock::Instant;
 use tidepier_core::request::Prompt;
+use tidepier_ids as ids;
 
 use super::{
     cheapest, common_cost, is_open, may_probe, weight, Choice, Criteria, FleetLoad, EJECTED_MS,
 };
-use crate::fleet::{Backend, Key};
+use crate::fleet::{Backend, Fleet, Key};
 use crate::locations::{Locations, Missing};
 
 /// The engines of a service.
 pub(super) struct Group<'a> {
+    pub(super) fleet: &'a Fleet,
+    pub(super) service: &'a ids::Service,
     /// Engines that take new requests.
     pub(super) serving: &'a [Rc<Backend>],
     /// Engines that would take new requests if their halls were not being emptied. They
@@ -30,6 +33,8 @@
 
 /// The engines of a service, rated for one prompt.
 pub(super) struct Engines<'a> {
+    fleet: &'a Fleet,
+    service: &'a ids::Service,
     servers: &'a [Rc<Backend>],
     criteria: &'a Criteria<'a>,
     locations: &'a Locations<'a>,
@@ -95,6 +100,8 @@
             false => SAMPLE_SIZE,
         };
         Self {
+            fleet: group.fleet,
+            service: group.service,
             servers,
             criteria,
             locations,
@@ -122,7 +129,10 @@
             None => self.cheapest_of(|_| true)?,
         };
         if choice.load > self.load_bound.hard {
-            choice = self.relief().unwrap_or(choice);
+            choice = self.cheapest_below_bound().unwrap_or(choice);
+        }
+        if choice.load > self.load_bound.soft {
+            choice = self.probe().unwrap_or(choice);
         }
         if self.criteria.copy_ms.is_some() {
             let source = self.locations.copy_source(choice.backend.key);
@@ -149,20 +159,34 @@
         cheapest(open.map(|(_, (backend, load))| self.choice(backend, *load)))
     }
 
-    /// Returns an engine for a request that would go to one above the operator's bound: the
-    /// cheapest one below it that is compared, however slow it was or however often it failed,
-    /// or else one that is ejected and due for a probe.
-    fn relief(&self) -> Option<Choice> {
-        let usable = |index: usize| {
+    /// Returns the cheapest of the compared engines below the operator's bound, however slow
+    /// it was or however often it failed.
+    fn cheapest_below_bound(&self) -> Option<Choice> {
+        self.cheapest_of(|index| {
             let backend = &self.servers[index];
-            // A load that an engine reported may be from before others left it.
-            let counted = backend.total_in_flight(weight::COUNT_AGE_MAX, self.now);
-            let load = counted.map_or(self.loads[index], f64::from);
-            load <= self.load_bound.hard && may_probe(backend, self.criteria, self.now)
-        };
-        let is_healthy = |index: usize| self.servers[index].health.allows(self.now);
-        let healthy = self.cheapest_of(|it| self.is_compared(it) && usable(it) && is_healthy(it));
-        healthy.or_else(|| self.cheapest_of(|it| usable(it) && !is_healthy(it)))
+            self.is_compared(index)
+                && backend.health.allows(self.now)
+                && may_probe(backend, self.criteria, self.now)
+                && self.counted_load(index) <= self.load_bound.hard
+        })
+    }
+
+    /// Returns an ejected engine, if the request is to be its probe.
+    fn probe(&self) -> Option<Choice> {
+        let ejected = self.cheapest_of(|index| {
+            let backend = &self.servers[index];
+            !backend.health.allows(self.now)
+                && may_probe(backend, self.criteria, self.now)
+                && self.counted_load(index) <= self.load_bound.soft
+        });
+        ejected.filter(|_| self.fleet.probes.take(self.service))
+    }
+
+    /// The load by the boxes' counts, if there are any: one that the engine reported may be
+    /// from before others left it.
+    fn counted_load(&self, index: usize) -> f64 {
+        let counted = self.servers[index].total_in_flight(weight::COUNT_AGE_MAX, self.now);
+        counted.map_or(self.loads[index], f64::from)
     }
 
     /// Whether an engine is compared for this prompt: one that caches parts of the prompt,
--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -523,17 +523,19 @@
             Outcome::Succeeded | Outcome::Errored => {}
         }
         let change = self.health.record(outcome, evidence, now);
-        self.log_ejection(change, evidence, now);
+        self.apply_ejection(change, evidence, now);
     }
 
     /// Records that the server has begun an answer, other than an error, to a request that was
     /// sent at a time.
     pub fn record_answering(&self, sent: Instant, now: Instant) {
         let change = self.health.record_answering(sent);
-        self.log_ejection(change, now, now);
+        self.apply_ejection(change, sent, now);
     }
 
-    fn log_ejection(&self, change: health::Change, evidence: Instant, now: Instant) {
+    /// Logs what a result of a time changed, and tells other boxes of a server that answers
+    /// again.
+    fn apply_ejection(&self, change: health::Change, evidence: Instant, now: Instant) {
         let (id, service) = (&self.server.id, &self.server.service);
         match change {
             health::Change::Ejected(time) => {
@@ -548,10 +550,13 @@
                 metrics::counter!("tidepier_ejections_total").increment(1);
                 metrics::histogram!("tidepier_ejection_evidence_seconds").record(age.as_secs_f64());
             }
-            health::Change::Restored => log::info!(
-                target: "belief",
-                "event=server_restored server={id} service={service}",
-            ),
+            health::Change::Restored => {
+                log::info!(
+                    target: "belief",
+                    "event=server_restored server={id} service={service}",
+                );
+                self.stalls.record_return(self.key, evidence);
+            }
             health::Change::None => {}
         }
     }
--- a/crates/relay/src/fleet/mod.rs
+++ b/crates/relay/src/fleet/mod.rs
@@ -16,6 +16,7 @@
 mod idle;
 pub mod lives;
 mod permit;
+pub mod probes;
 pub mod reach;
 pub mod releases;
 pub mod silence;
@@ -45,6 +46,7 @@
 use departed::Departed;
 pub use hall::Hall;
 pub use permit::Permit;
+use probes::Probes;
 use reach::Reach;
 use releases::Releases;
 use speeds::Speeds;
@@ -140,6 +142,8 @@
     pub releases: Releases,
     /// What servers advertised whose entries are gone.
     departed: Departed,
+    /// The probes of ejected servers.
+    pub probes: Probes,
     /// What this box reports of servers that stand still.
     pub stalls: Rc<Stalls>,
     /// The servers by service, built when a service is first looked up after a change.
--- a/crates/relay/src/fleet/stalls.rs
+++ b/crates/relay/src/fleet/stalls.rs
@@ -23,8 +23,8 @@
     heard: Cell<Option<Instant>>,
     /// Whether any did.
     is_any_told: Cell<bool>,
-    /// Servers that have answered though they were thought to stand still or were not
-    /// verified, and when.
+    /// Servers that have answered though they were thought to stand still, were not verified
+    /// or were ejected, and when.
     returned: RefCell<BTreeMap<Key, Instant>>,
     /// Wakes the watch when there are any.
     pub answered: Notifier,
@@ -122,6 +122,18 @@
         lives.collect()
     }
 
+    /// Records servers that have answered other boxes though they were avoided.
+    pub fn record_returns(&self, lives: &[stall::Life<Key>], now: Instant) {
+        let lives = &lives[..lives.len().min(stall::SERVERS_MAX)];
+        let keys: Vec<Key> = lives.iter().map(|life| life.server).collect();
+        for backend in self.with_keys(&keys) {
+            let life = lives.iter().find(|life| life.server == backend.key);
+            if let Some(at) = life.and_then(|life| now.checked_sub(life.age)) {
+                backend.health.record_answering_elsewhere(at, now);
+            }
+        }
+    }
+
     /// The servers with these keys.
     pub fn with_keys(&self, keys: &[Key]) -> Vec<Rc<Backend>> {
         if keys.is_empty() {
--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -25,9 +25,6 @@
 const EJECTION_MIN: Duration = Duration::from_millis(800);
 /// Longest ejection.
 const EJECTION_MAX: Duration = Duration::from_secs(6);
-/// Mean time between the probes that all boxes send to an ejected server while the others have
-/// more than the operator's bound allows. Each probe may be lost.
-const PROBE_SPACING: Duration = Duration::from_millis(500);
 /// Time after which a probe counts as without result, as when its client left, so that
 /// another one may be sent.
 const PROBE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -174,6 +171,17 @@
         Change::None
     }
 
+    /// Records that the server has begun an answer to a request that another box sent it at a
+    /// time. It is probed at once if it was ejected before that.
+    pub fn record_answering_elsewhere(&self, sent: Instant, now: Instant) {
+        let ejection = self.ejection.get();
+        if let Some(ejection) = ejection.filter(|ejection| ejection.tried < sent) {
+            let until = ejection.until.min(now);
+            self.ejection.set(Some(Ejection { until, ..ejection }));
+            self.probed.set(None);
+        }
+    }
+
     /// Records that the server has begun an answer, other than an error, to a request that was
     /// sent at a time. It may get others, but the next failure ejects it again.
     pub fn record_answering(&self, sent: Instant) -> Change {
@@ -279,17 +287,11 @@
         }
     }
 
-    /// Whether the server may get a request though it is ejected, as the others have more than
-    /// they should: by evidence, it was last harmed longer ago than the interval of probes that
-    /// `boxes` boxes send then.
-    pub fn allows_under_pressure(&self, boxes: usize, now: Instant) -> bool {
-        let boxes = u32::try_from(boxes).unwrap_or(u32::MAX);
-        let interval = PROBE_SPACING
-            .saturating_mul(boxes)
-            .clamp(EJECTION_MIN, EJECTION_MAX);
-        self.ejection
-            .get()
-            .is_none_or(|ejection| now >= ejection.tried + interval)
+    /// Whether the server may get a probe though its ejection has not ended, as the others have
+    /// more than they should: no evidence of its harm is recent, and no other probe.
+    pub fn allows_under_pressure(&self, now: Instant) -> bool {
+        let ejection = self.ejection.get();
+        ejection.is_none_or(|ejection| now >= ejection.tried + EJECTION_MIN)
     }
 
     /// Records that a request was sent; if the server was ejected, the request is its
--- a/crates/relay/src/message/traffic.rs
+++ b/crates/relay/src/message/traffic.rs
@@ -127,6 +127,10 @@
     /// connection; `None` if there are too many of them. Boxes of former releases send none.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub lives: Option<Lives>,
+    /// Servers that have answered again not long ago though boxes avoided them. Boxes of former
+    /// releases send none.
+    #[serde(default, skip_serializing_if = "Vec::is_empty")]
+    pub returned: Vec<stall::Life<Key>>,
 }
 
 /// Servers that have answered, by the boxes that they answered.
@@ -145,6 +149,7 @@
         rises: Vec<Rise>,
         stalls: Option<Vec<stall::Stall<Key>>>,
         lives: Option<Lives>,
+        returned: Vec<stall::Life<Key>>,
     ) -> Self {
         Self {
             version: VERSION,
@@ -157,6 +162,7 @@
             takes_waits: true,
             stalls,
             lives,
+            returned,
         }
     }
 }
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -208,18 +208,23 @@
         self.rises = relay.traffic.notices.count();
         let changes = relay.traffic.stalls.changes();
         let has_changed = std::mem::replace(&mut self.stalls, changes) != changes;
+        let returns = relay.traffic.stalls.returns();
+        let has_returned = std::mem::replace(&mut self.returns, returns) != returns;
+        let returned = match has_returned {
+            true => relay.traffic.stalls.returned(Instant::now()),
+            false => Vec::new(),
+        };
         if self.requester == Requester::Hub {
             let stalls = has_changed.then(|| relay.traffic.stalls.detected());
-            return stalls.map(|it| Notices::of_notices(Vec::new(), Some(it), None));
+            let is_any = stalls.is_some() || has_returned;
+            return is_any.then(|| Notices::of_notices(Vec::new(), stalls, None, returned));
         }
         let stalls = has_changed.then(|| relay.traffic.stalls.all());
-        let returns = relay.traffic.stalls.returns();
-        let has_returned = std::mem::replace(&mut self.returns, returns) != returns;
         if stalls.is_none() && rises.is_empty() && !has_returned {
             return None;
         }
         let lives = session.lives_to_tell(relay, Requester::Box, Instant::now());
-        Some(Notices::of_notices(rises, stalls, lives))
+        Some(Notices::of_notices(rises, stalls, lives, returned))
     }
 }
 
--- a/crates/relay/src/peer/session.rs
+++ b/crates/relay/src/peer/session.rs
@@ -253,6 +253,7 @@
                 Requester::Hub => Some(relay.traffic.stalls.detected()),
             },
             lives: self.lives_to_tell(relay, request.requester, now),
+            returned: Vec::new(),
             report: Report {
                 // Only hubs combine the evidence of all boxes.
                 trials: match request.requester {
--- a/crates/relay/src/peer/traffic.rs
+++ b/crates/relay/src/peer/traffic.rs
@@ -310,6 +310,9 @@
     for rise in &answer.rises {
         relay.traffic.index.demand.set_rise(*rise, now);
     }
+    if !answer.returned.is_empty() {
+        relay.record_returns(&answer.returned, now);
+    }
     let (stalls, lives) = (&relay.fleet.stalls, &relay.fleet.stalls.lives);
     let told = answer.lives.take();
     if *peer == Peer::Hub && answer.number != 0 {
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -279,9 +279,10 @@
         self.admission.set_others(others.load, now);
     }
 
-    /// Lets the boxes that report to this one be told at once of servers that have answered
-    /// again.
+    /// Records servers that have answered again, and lets the boxes that report to this one be
+    /// told at once.
     pub fn record_returns(&self, lives: &[stall::Life<Key>], now: Instant) {
+        self.fleet.record_returns(lives, now);
         if self.traffic.stalls.record_returns(lives, now) {
             self.traffic.notices.announced.notify();
         }
--- a/crates/relay/src/traffic/stalls.rs
+++ b/crates/relay/src/traffic/stalls.rs
@@ -29,6 +29,15 @@
     at: Instant,
 }
 
+/// A server that has answered again.
+#[derive(Debug, Clone, Copy)]
+struct Return {
+    /// When it answered.
+    answered: Instant,
+    /// When boxes were told.
+    told: Instant,
+}
+
 /// The health checks of a server that may stand still.
 #[derive(Debug, Clone, Copy)]
 struct Probe {
@@ -51,8 +60,8 @@
     all: RefCell<Vec<Stall<Key>>>,
     /// Number of changes of these servers.
     changes: Cell<u64>,
-    /// Servers that have answered again and were told of, and when.
-    returned: RefCell<HashMap<Key, Instant>>,
+    /// Servers that have answered again and were told of.
+    returned: RefCell<HashMap<Key, Return>>,
     /// How often there were any.
     returns: Cell<u64>,
     /// The health checks of these servers.
@@ -107,10 +116,14 @@
     /// servers of which they were not told lately.
     pub fn record_returns(&self, lives: &[Life<Key>], now: Instant) -> bool {
         let mut returned = self.returned.borrow_mut();
-        returned.retain(|_, at| now.saturating_duration_since(*at) < RETURN_INTERVAL);
+        returned.retain(|_, it| now.saturating_duration_since(it.told) < RETURN_INTERVAL);
         let known = returned.len();
         for life in lives.iter().take(SERVERS_MAX) {
-            returned.entry(life.server).or_insert(now);
+            let answered = now.checked_sub(life.age).unwrap_or(now);
+            let told = now;
+            returned
+                .entry(life.server)
+                .or_insert(Return { answered, told });
         }
         let is_any_new = returned.len() > known;
         if is_any_new {
@@ -119,6 +132,16 @@
         is_any_new
     }
 
+    /// The servers that have answered again not long ago.
+    pub fn returned(&self, now: Instant) -> Vec<Life<Key>> {
+        let returned = self.returned.borrow();
+        let lives = returned.iter().map(|(server, it)| Life {
+            server: *server,
+            age: now.saturating_duration_since(it.answered),
+        });
+        lives.collect()
+    }
+
     /// How often there were any so far.
     pub fn returns(&self) -> u64 {
         self.returns.get()
--- a/crates/relay/tests/relay/returning.rs
+++ b/crates/relay/tests/relay/returning.rs
@@ -8,14 +8,22 @@
 use std::time::Duration;
 
 use eyre::{ensure, eyre};
+use smol::Timer;
+use tidepier_clock::Instant;
+use tidepier_ids as ids;
+use tidepier_relay::health;
 
-use crate::harness::{ms, Result};
+use crate::box_harness;
+use crate::harness::{ms, run, server_settings, wait_until, Result};
 use crate::load_rule::Excess;
 use crate::returning_harness::{Harm, Kind, Scenario};
 use crate::spread_harness::{self, Failing, Plan};
 
 /// Time for boxes to find out that servers are sound again.
 const FINDING_TIME: Duration = Duration::from_secs(1);
+/// Longest time until all boxes know of a server that answers one of them again: a message to
+/// the hub of its hall, one to the other hub and one to the boxes, on a busy machine.
+const TELLING_TIME: Duration = Duration::from_millis(700);
 /// Seeds of the simulations.
 const SEEDS: [u64; 3] = [1, 2, 3];
 /// Everything that a scenario may do to servers.
@@ -110,6 +118,50 @@
     stays_within_bound(Scenario::plain(Harm::Slow(10)))
 }
 
+/// Guards against boxes that each have to find out by a request of their own that a server is
+/// sound again: boxes of two halls have ejected it for seconds, and it answers one of them.
+#[test]
+fn boxes_learn_of_each_other_that_an_ejected_server_answers() -> Result {
+    run(async |executor| {
+        let site = box_harness::site_with_keys()?;
+        let server = site.server(server_settings(1))?;
+        let halls = ["hall-1", "hall-1", "hall-2", "hall-2"];
+        let boxes = box_harness::start_boxes_in(&executor, &site, &halls).await?;
+        wait_until("the server known", async || {
+            Ok(boxes.iter().all(|it| it.knows(&server)))
+        })
+        .await?;
+        // Until the boxes of each hall report to its hub, and the hubs to each other.
+        Timer::after(Duration::from_secs(2)).await;
+        let id: ids::Server = server.settings().id.parse()?;
+        let backends = boxes.iter().map(|it| it.router.relay().fleet.get(&id));
+        let backends: Option<Vec<_>> = backends.collect();
+        let backends = backends.ok_or_else(|| eyre!("the server is not known"))?;
+        let start = Instant::now();
+        for backend in &backends {
+            for _ in 0..8 {
+                backend.record(health::Outcome::Errored, start, start);
+                Timer::after(ms(1)).await;
+                let now = Instant::now();
+                backend.record(health::Outcome::Errored, now, now);
+            }
+            ensure!(
+                !backend.health.allows(start + ms(3_000)),
+                "not ejected for long"
+            );
+        }
+        let sent = Instant::now();
+        backends[3].record_answering(sent, sent);
+        wait_until("probed elsewhere", async || {
+            Ok(backends.iter().all(|it| it.health.allows(Instant::now())))
+        })
+        .await?;
+        let took = sent.elapsed();
+        ensure!(took < TELLING_TIME, "{took:?}");
+        Ok(())
+    })
+}
+
 /// Boxes of three halls before servers of which two in three fail for 3 s.
 fn fleet(boxes: usize, servers: usize, kind: spread_harness::Kind, failing: Failing) -> Plan {
     let harm = spread_harness::Harm {
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -417,6 +417,9 @@
     /// Answers that sound servers are about to begin, where servers fail: when the request was
     /// sent, by which box, to which server.
     beginnings: VecDeque<(Instant, usize, usize)>,
+    /// Servers that have answered though a box had ejected them: when the others learn of it,
+    /// when the request was sent, and the server.
+    returns: VecDeque<(Instant, Instant, usize)>,
     /// Until when each engine is busy with the prefill of earlier requests, as a time since
     /// the start.
     prefill_ends: Vec<Duration>,
@@ -511,6 +514,7 @@
             runs: BinaryHeap::new(),
             first_events: Vec::new(),
             beginnings: VecDeque::new(),
+            returns: VecDeque::new(),
             prefill_ends: vec![Duration::ZERO; plan.servers],
             past: VecDeque::new(),
             placements: Vec::new(),
@@ -550,6 +554,7 @@
                 self.runs.clear();
                 self.first_events.clear();
                 self.beginnings.clear();
+                self.returns.clear();
                 self.held.fill(0);
                 self.start_boxes(now)?;
             }
@@ -625,7 +630,10 @@
     }
 
     /// Passes an answer on to its box.
-    fn answer(&self, run: Run) {
+    fn answer(&mut self, run: Run) {
+        if self.plan.harm.is_some() && run.failing.is_none() {
+            self.begin_answer(run.sent, run.sim_box, run.server, run.end);
+        }
         let fleet = &self.boxes[run.sim_box].fleet;
         let Some(backend) = fleet.get(&self.servers[run.server].id) else {
             return;
@@ -879,9 +887,37 @@
                 break;
             }
             self.beginnings.pop_front();
-            if let Some(backend) = self.boxes[sim_box].fleet.get(&self.servers[server].id) {
-                backend.hall.record_received(now);
-                backend.record_answering(sent, now);
+            self.begin_answer(sent, sim_box, server, now);
+        }
+        self.tell_returns(now);
+    }
+
+    fn begin_answer(&mut self, sent: Instant, sim_box: usize, server: usize, now: Instant) {
+        let fleet = &self.boxes[sim_box].fleet;
+        let Some(backend) = fleet.get(&self.servers[server].id) else {
+            return;
+        };
+        let was_ejected = backend.health.is_ejected();
+        backend.hall.record_received(now);
+        backend.record_answering(sent, now);
+        let notice_time = self.plan.reports.notice_time;
+        if let Some(time) = notice_time.filter(|_| was_ejected) {
+            self.returns.push_back((now + time, sent, server));
+        }
+    }
+
+    /// Tells boxes of servers that have answered though they were ejected.
+    fn tell_returns(&mut self, now: Instant) {
+        while let Some((at, sent, server)) = self.returns.front().copied() {
+            if at > now {
+                break;
+            }
+            self.returns.pop_front();
+            let boxes = self.boxes.iter().enumerate();
+            for (_, sim_box) in boxes.filter(|(it, _)| !self.plan.reports.is_deaf(*it)) {
+                if let Some(backend) = sim_box.fleet.get(&self.servers[server].id) {
+                    backend.health.record_answering_elsewhere(sent, now);
+                }
             }
         }
     }
