A latency from before a later answer says nothing about the present

Callers saw a plain server that had stood still for some seconds avoided for seconds more. Cause: as it resumed, it answered the requests that had waited there, each of which counted as a slow answer of now, also where one sent later had been answered in milliseconds.

A sample whose request was sent more than a second before one that has been measured no longer counts. The test health::latencies_from_before_a_later_answer_do_not_count fails without it (the mean is seconds).

--- a/crates/relay/src/health.rs
+++ b/crates/relay/src/health.rs
@@ -43,6 +43,9 @@
 const REJECTIONS_MAX: f64 = 8.0;
 /// Age of the newest latency sample from which latencies no longer count as recent.
 const RECENT_MAX: Duration = Duration::from_secs(4);
+/// Longest time by which a request may have been sent before one that is answered earlier: some
+/// requests take longer than others.
+const LATENCY_DISORDER_MAX: Duration = Duration::from_secs(1);
 /// Weight of the newest sample in the mean latency.
 const LATENCY_WEIGHT: f64 = 0.2;
 
@@ -129,6 +132,8 @@
     /// Mean latency in ms: the time to the start of an answer, without that of reading
     /// the prompt.
     mean_latency_ms: Cell<Option<f64>>,
+    /// When the newest of the requests was sent whose latency was measured.
+    newest_measured: Cell<Option<Instant>>,
     /// When an answer last started.
     last_measured: Cell<Option<Instant>>,
 }
@@ -212,9 +217,17 @@
         self.ejection.get().is_some()
     }
 
-    /// Records the time to the start of an answer, without that of reading the prompt.
+    /// Records the time to the start of an answer, without that of reading the prompt. It shows
+    /// how fast the server was when the request was sent, and so nothing if one that was sent
+    /// much later has been answered.
     pub fn record_latency(&self, time: Duration, now: Instant) {
         self.rejections.set(0.0, now);
+        let sent = now.checked_sub(time).unwrap_or(now);
+        let newest = self.newest_measured.get();
+        self.newest_measured.set(newest.max(Some(sent)));
+        if newest.is_some_and(|newest| sent + LATENCY_DISORDER_MAX < newest) {
+            return;
+        }
         let sample = time.as_secs_f64() * 1e3;
         let mean = self.mean_latency_ms.get().unwrap_or(sample);
         self.mean_latency_ms
--- a/crates/relay/tests/relay/health.rs
+++ b/crates/relay/tests/relay/health.rs
@@ -237,3 +237,19 @@
     ensure!(hall.is_unresponsive(sent + ms(1_000)), "a silent hall");
     Ok(())
 }
+
+/// Guards against a server that looks slow after it stood still: requests that had waited
+/// there were answered late, after others.
+#[test]
+fn latencies_from_before_a_later_answer_do_not_count() -> Result {
+    let (health, start) = (Health::default(), Instant::now());
+    health.record_latency(ms(20), start);
+    let later = start + Duration::from_secs(4);
+    health.record_latency(ms(20), later);
+    for waited in [1_500, 2_500, 3_500] {
+        health.record_latency(ms(waited), later + ms(5));
+    }
+    let mean = health.mean_latency_ms();
+    ensure!(mean.is_some_and(|mean| mean < 30.0), "{mean:?}");
+    Ok(())
+}
