Only a server above the operator's bound hands requests to slower ones

Such requests now leave only a server that is above the bound itself, one at a time from the same budget as probes of ejected ones.

--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -160,13 +160,6 @@
     pub fn is_over_bound(&self, factor: f64) -> bool {
         self.server > factor * self.mean + weight::BOUND_EXTRA
     }
-
-    /// The share of its requests with which a server would be as close to the bound as it may
-    /// come; 1 or more if it is not.
-    fn share_to_keep(&self, factor: f64) -> f64 {
-        let soft = weight::SOFT_BOUND_PART * factor * self.mean + weight::BOUND_EXTRA;
-        soft / self.server.max(1.0)
-    }
 }
 
 /// Requests of all boxes in flight at a server; without recent counts, those of this box.
@@ -288,30 +281,22 @@
         Some(self.relieve(choice))
     }
 
-    /// Returns another server for some of the requests that would go to one close to the
-    /// operator's bound or above it: one that is only slower or has failed more often, for as
-    /// many as bring the chosen one back, or else one that is ejected, for a probe.
+    /// Returns another server for some of the requests that would go to one above the
+    /// operator's bound, as a probe: one that is ejected, or that was slower or failed more often.
     fn relieve(&self, choice: Choice) -> Choice {
-        let keep = choice.fleet_load.share_to_keep(self.criteria.crowd_factor);
-        if keep >= 1.0 {
+        let factor = self.criteria.crowd_factor;
+        if !choice.fleet_load.is_over_bound(factor) {
             return choice;
         }
         let usable = self.servers.iter().filter(|it| {
             let load = FleetLoad::of_plain(it, self.mean_load, self.now);
-            let is_below = load.share_to_keep(self.criteria.crowd_factor) >= 1.0;
-            is_below && self.is_open(it) && self.may_relieve(it)
+            !load.is_over_bound(factor) && self.is_open(it) && self.may_relieve(it)
         });
-        let (healthy, ejected): (Vec<_>, Vec<_>) =
-            usable.partition(|it| it.health.allows(self.now));
-        let usable = if !ejected.is_empty() && self.fleet.probes.take(self.service) {
-            ejected
-        } else if fastrand::f64() >= keep {
-            healthy
-        } else {
-            return choice;
-        };
-        let rated = usable.into_iter().map(|it| self.rate(it));
-        cheapest(rated).unwrap_or(choice)
+        let rated = cheapest(usable.map(|it| self.rate(it)));
+        match rated {
+            Some(other) if self.fleet.probes.take(self.service) => other,
+            _ => choice,
+        }
     }
 
     /// Whether a server that is avoided may get requests that are too many for the others.
