--- a/crates/h1/tests/h1/call.rs
+++ b/crates/h1/tests/h1/call.rs
@@ -1,7 +1,7 @@
 //! Calls over a kept connection, and the three ways in which they fail.
 
 use std::cell::RefCell;
-use std::io::{Read, Write};
+use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpListener};
 use std::time::Duration;
 
@@ -133,3 +133,29 @@
         assert_eq!(caller.steps(), [Step::Open, Step::Send]);
     }
 }
+
+/// Guards against an answer that looks whole though its sender stopped in the middle of the
+/// head.
+#[test]
+fn a_call_whose_answer_breaks_off_in_its_head_has_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    let cuts = 1..OK.len() - "ok".len();
+    let sent = cuts.clone();
+    std::thread::spawn(move || {
+        for cut in sent {
+            let (mut stream, _) = listener.accept().expect("a connection");
+            let read = stream.read(&mut [0; 1_000]).expect("a request");
+            assert_ne!(read, 0);
+            stream.write_all(&OK.as_bytes()[..cut]).expect("room");
+        }
+    });
+    let caller = Heard::new(address);
+    for cut in cuts {
+        let reply = caller.call(LIMIT);
+        let Err(Failure::NoAnswer(error)) = reply else {
+            panic!("{cut}: {reply:?}");
+        };
+        assert_eq!(error.kind(), ErrorKind::UnexpectedEof, "{cut}");
+    }
+}
--- a/crates/h1/tests/h1/head.rs
+++ b/crates/h1/tests/h1/head.rs
@@ -32,6 +32,28 @@
     }
 }
 
+/// Guards against a head that is taken as whole though its sender stopped in the middle.
+#[test]
+fn a_head_that_ends_at_any_byte_before_its_last_is_broken_off() {
+    for whole in [
+        "HTTP/1.1 200 OK\r\nA: 1\r\nContent-Length: 12\r\n\r\n",
+        "HTTP/1.1 200 OK\n\n",
+        "\r\nHTTP/1.1 204 x\r\n\r\n",
+    ] {
+        for cut in 1..whole.len() {
+            let (mut conn, mut peer) = pair();
+            peer.write_all(&whole.as_bytes()[..cut])
+                .expect("room in buffers");
+            drop(peer);
+            let head = smol::block_on(conn.head(1_000));
+            assert!(
+                matches!(head, Err(Malformed::BrokenOff)),
+                "{cut} of {whole:?}: {head:?}"
+            );
+        }
+    }
+}
+
 #[test]
 fn heads_over_a_limit_are_refused_whole_or_not() {
     let text = format!("GET / HTTP/1.1\r\nX: {}\r\n\r\n", "x".repeat(100));
--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -7,7 +7,7 @@
 use tidepier_h1::Head;
 
 use super::connection::{finish_before, parse_number, Connection, Disposition};
-use super::{event_of, Fault, Outcome, Repeat};
+use super::{event_of, CutEnd, Fault, Outcome, Repeat};
 use crate::http;
 use crate::names;
 
@@ -120,6 +120,7 @@
                 self.write(b"\x16\x03no answer at all\r\n\r\n").await?;
                 return Ok(Disposition::Close);
             }
+            Some(Fault::CutHead { sent, end }) => return self.cut_head(index, sent, end).await,
             _ => {}
         }
         if head.method() == "HEAD" {
@@ -162,6 +163,29 @@
         }
     }
 
+    /// Sends the beginning of a head.
+    async fn cut_head(&mut self, index: usize, sent: u16, end: CutEnd) -> io::Result<Disposition> {
+        let framing = match self.shared.settings.events {
+            Some(_) => ("Transfer-Encoding", "chunked".to_owned()),
+            None => (
+                "Content-Length",
+                self.shared.settings.answer_bytes.to_string(),
+            ),
+        };
+        let head = self.signed_head(index, 200, &[(framing.0, &framing.1)]) + "\r\n";
+        let sent = usize::from(sent).min(head.len() - 1);
+        self.record_end(index, Outcome::Finished);
+        self.write(&head.as_bytes()[..sent]).await?;
+        match end {
+            CutEnd::Close => Ok(Disposition::Close),
+            CutEnd::Reset => Ok(Disposition::Reset),
+            CutEnd::Open => {
+                while self.conn.fill().await? > 0 {}
+                Ok(Disposition::Close)
+            }
+        }
+    }
+
     async fn stream(
         &mut self,
         index: usize,
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -117,6 +117,24 @@
     BreakOff,
     /// The connection closes after the answer, as its head announces.
     Close,
+    /// Executed; only the beginning of the answer's head is sent.
+    CutHead {
+        /// Bytes that are sent; at most all but the last one of the head.
+        sent: u16,
+        /// What happens to the connection then.
+        end: CutEnd,
+    },
+}
+
+/// What happens to a connection on which an answer was cut short.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum CutEnd {
+    /// It is closed.
+    Close,
+    /// It is reset.
+    Reset,
+    /// It stays open until the client closes it.
+    Open,
 }
 
 /// When a second copy of an answer is sent.
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -15,6 +15,7 @@
 mod crashes;
 mod crashing;
 mod crashing_parts;
+mod cut_heads;
 mod demand;
 mod emptied_halls;
 mod endless;
