A refusal of a HEAD request has no body

Callers that sent HEAD and were refused could not read the next answer on their connection. Cause: the refusal was sent with its body, though an answer to HEAD ends with its head, so that the client took the bytes for the next answer.

The refusal now knows the method.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -12,6 +12,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::catalog::Limits;
 use tidepier_h1::{Body, Conn, Framing, Head, Listener, Malformed, Writer};
+use tidepier_platform::refusal::Refusal;
 
 use crate::backlog::Stall;
 use crate::exchange::{self, Disposition, IncomingRequest};
@@ -311,14 +312,14 @@
     metrics::counter!("tidepier_refusals_total", "why" => kind.name()).increment(1);
     log::info!(target: "request", "event=turned_away why={kind} status={}", kind.status());
     let mut out = Vec::new();
-    tidepier_platform::refusal::encode(
-        kind.status(),
-        "",
-        kind.retry_after(),
-        kind.name(),
-        true,
-        &mut out,
-    );
+    let answer = Refusal {
+        status: kind.status(),
+        retry_after: kind.retry_after(),
+        reason: kind.name(),
+        close: true,
+        ..Refusal::default()
+    };
+    answer.encode(&mut out);
     if writer.write_all(&out).await.is_ok() {
         writer.finish();
         linger(conn).await;
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -32,7 +32,7 @@
 use std::rc::Rc;
 
 use tidepier_h1::Writer;
-use tidepier_platform::refusal as wire_refusal;
+use tidepier_platform::refusal::Refusal;
 
 pub use admission::deadline;
 pub use disposition::Disposition;
@@ -80,14 +80,15 @@
     metrics::counter!("tidepier_refusals_total", "why" => kind.name()).increment(1);
     let close = arrival.close || relay.closes_clients();
     let mut out = Vec::new();
-    wire_refusal::encode(
-        kind.status(),
+    let answer = Refusal {
+        method: arrival.head.method(),
+        status: kind.status(),
         attempt,
-        kind.retry_after(),
-        kind.name(),
+        retry_after: kind.retry_after(),
+        reason: kind.name(),
         close,
-        &mut out,
-    );
+    };
+    answer.encode(&mut out);
     match writer.write_all(&out).await {
         Ok(()) if !close => Disposition::Keep,
         _ => Disposition::Close,
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -53,12 +53,14 @@
         Self::new("404 Not Found", "not found\n".into())
     }
 
-    fn bytes(&self) -> Vec<u8> {
+    /// The answer to a request with `method`; one to `HEAD` has no body.
+    fn bytes(&self, method: &str) -> Vec<u8> {
         let Self { status, text } = self;
         let length = text.len();
+        let body = if method == "HEAD" { "" } else { text };
         format!(
             "HTTP/1.1 {status}\r\nContent-Type: text/plain; charset=utf-8\r\n\
-             Content-Length: {length}\r\n\r\n{text}"
+             Content-Length: {length}\r\n\r\n{body}"
         )
         .into_bytes()
     }
@@ -118,7 +120,7 @@
     } else {
         Page::new("400 Bad Request", "no body is taken here\n".into())
     };
-    write(conn, &answer.bytes())
+    write(conn, &answer.bytes(head.method()))
         .await
         .map_err(Malformed::Lost)?;
     Ok(bodiless && !head.closes())
--- a/crates/relay/tests/platform/answer.rs
+++ b/crates/relay/tests/platform/answer.rs
@@ -5,7 +5,8 @@
 use crate::common::{head, written};
 use tidepier_core::answer::{Load, Slowdown};
 use tidepier_platform::answer::{self, Length};
-use tidepier_platform::{monitoring, refusal};
+use tidepier_platform::monitoring;
+use tidepier_platform::refusal::Refusal;
 
 const SERVER_ANSWER: &str = "HTTP/1.1 200 Fine
 Attempt-Id: 1
@@ -223,9 +224,16 @@
 
 #[test]
 fn a_refusal_has_a_reason_and_a_retry_delay() {
-    let retry_delay = Some(Duration::from_micros(1_250_100));
+    let refusal = Refusal {
+        method: "POST",
+        status: 503,
+        attempt: "a1",
+        retry_after: Some(Duration::from_micros(1_250_100)),
+        reason: "no \"room\"",
+        close: true,
+    };
     assert_eq!(
-        written(|out| refusal::encode(503, "a1", retry_delay, "no \"room\"", true, out)),
+        written(|out| refusal.encode(out)),
         "HTTP/1.1 503 Service Unavailable
 Attempt-Id: a1
 Retry-After: 1.251
@@ -235,12 +243,32 @@
 
 {\"error\":\"no \\\"room\\\"\"}"
     );
+    let refusal = Refusal {
+        status: 404,
+        reason: "x",
+        ..Refusal::default()
+    };
     assert_eq!(
-        written(|out| refusal::encode(404, "", None, "x", false, out)),
+        written(|out| refusal.encode(out)),
         "HTTP/1.1 404 Not Found\nContent-Type: application/json\nContent-Length: 13\n\n{\"error\":\"x\"}"
     );
 }
 
+/// Guards against a body after which the next answer on the connection cannot be read.
+#[test]
+fn a_refusal_of_head_has_no_body() {
+    let refusal = Refusal {
+        method: "HEAD",
+        status: 404,
+        reason: "x",
+        ..Refusal::default()
+    };
+    assert_eq!(
+        written(|out| refusal.encode(out)),
+        "HTTP/1.1 404 Not Found\nContent-Type: application/json\nContent-Length: 13\n\n"
+    );
+}
+
 #[test]
 fn retry_delays_have_at_most_three_decimals() {
     for (ms, text) in [
@@ -251,7 +279,13 @@
         (1005, "1.005"),
     ] {
         let retry_delay = Some(Duration::from_millis(ms));
-        let refusal = written(|out| refusal::encode(429, "", retry_delay, "x", false, out));
+        let refusal = Refusal {
+            status: 429,
+            retry_after: retry_delay,
+            reason: "x",
+            ..Refusal::default()
+        };
+        let refusal = written(|out| refusal.encode(out));
         assert!(
             refusal.contains(&format!("\nRetry-After: {text}\n")),
             "{refusal}"
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -178,6 +178,8 @@
             ("GET", "/-/readyz", 200),
             ("GET", "/-/other", 404),
             ("POST", "/-/readyz", 405),
+            // The next answer cannot be read if this one has a body.
+            ("HEAD", "/-/readyz", 405),
             ("GET", "/-/readyz", 200),
         ] {
             let answer = client.call(&Call::new(method, HOST, path, "r")).await;
