Soak: servers that are harmed in several ways while boxes start again

The soak of silences had neither harms of other kinds nor calm after them, and plain servers held two or three requests.

--harms: three rounds of one or two harms to a third or two thirds of the servers, with boxes that are killed or stopped and serve again before the harm ends, then 7 to 8 s of calm that `crowd` judges.

--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -78,6 +78,9 @@
     /// Also has sound servers stand still beside changes of the configuration.
     #[arg(long)]
     silences: bool,
+    /// Also has servers that hang, stand still, crash, fail or are slow, while boxes start again.
+    #[arg(long)]
+    harms: bool,
     /// Also kills all boxes at once while the servers of streams change their release.
     #[arg(long)]
     restarts: bool,
@@ -208,6 +211,7 @@
         hot_subject: arguments.hot_subject,
         standstills: arguments.standstills,
         silences: arguments.silences,
+        harms: arguments.harms,
         restarts: arguments.restarts,
         out_of_step: arguments.out_of_step,
         odd_entries: arguments.odd_entries,
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -108,7 +108,35 @@
     pub percent: usize,
 }
 
-/// Services of which servers stand still.
+/// A harm to servers that ends by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Harm {
+    /// Their services.
+    pub services: Services,
+    /// The share of the servers of each, in percent.
+    pub percent: usize,
+    /// What they do.
+    pub symptom: Symptom,
+}
+
+/// What harmed servers do.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Symptom {
+    /// They take requests and never answer those.
+    Hang,
+    /// They stand still, and answer what has waited afterwards.
+    Standstill,
+    /// They crash; others are added afterwards.
+    Crash,
+    /// They run requests and answer 500.
+    Failure,
+    /// They reset the connections of requests.
+    Reset,
+    /// They take several times as long.
+    Slow,
+}
+
+/// Services whose servers are harmed or stand still.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Services {
     /// That of streams.
@@ -171,6 +199,8 @@
     Config(Config),
     /// The processes in front of servers are stopped, so that the servers stand still.
     Silence(Silence),
+    /// Servers are harmed, and sound again afterwards.
+    Harm(Harm),
     /// Servers of streams change their release.
     Rollout(Rollout),
     /// All boxes are killed at once, and are started again within this time of each other.
@@ -207,6 +237,7 @@
             Fault::Config(Config::Timeout(_)) => "config_timeout".into(),
             Fault::Config(config) => named("config", config),
             Fault::Silence(_) => "servers_silence".into(),
+            Fault::Harm(harm) => named("servers_harm", &harm.symptom),
             Fault::Rollout(Rollout::Join(_)) => "rollout_join".into(),
             Fault::Rollout(Rollout::Rest) => "rollout_rest".into(),
             Fault::KillAll(_) => "process_kill_all".into(),
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -112,6 +112,8 @@
     /// This program, if servers may stand still: all of them, or only plain ones.
     gate_program: Option<PathBuf>,
     gates_everywhere: bool,
+    /// The time that a request takes, or the time until its first event.
+    work_time: Duration,
     /// The events of the servers of streams.
     events: Events,
     /// Servers whose entries were removed.
@@ -171,12 +173,16 @@
                 (false, false) => Releases::Unnamed,
             },
             take_up_box: Mutex::default(),
-            gates_everywhere: schedule.silences,
+            gates_everywhere: schedule.silences || schedule.harms,
+            work_time: match schedule.harms {
+                true => servers::LONG_WORK_TIME,
+                false => servers::WORK_TIME,
+            },
             events: match schedule.long_streams {
                 true => servers::LONG_EVENTS,
                 false => servers::EVENTS,
             },
-            gate_program: match schedule.standstills || schedule.silences {
+            gate_program: match schedule.standstills || schedule.silences || schedule.harms {
                 true => Some(std::env::current_exe()?),
                 false => None,
             },
--- a/crates/soak/src/fleet/servers.rs
+++ b/crates/soak/src/fleet/servers.rs
@@ -23,7 +23,9 @@
 /// Length of the queue of a server.
 const QUEUE: usize = 16;
 /// Time that a request takes, or the time until its first event.
-const WORK_TIME: Duration = Duration::from_millis(20);
+pub(super) const WORK_TIME: Duration = Duration::from_millis(20);
+/// The same where servers hold so many requests that one of them may hold too many.
+pub(super) const LONG_WORK_TIME: Duration = Duration::from_millis(500);
 /// Number of events of a stream and the pause between two.
 pub(super) const EVENTS: Events = Events {
     count: 10,
@@ -71,7 +73,7 @@
             hall: plan::hall_name(number as usize, plan::SERVER_HALLS),
             slots: SLOTS,
             queue: QUEUE,
-            work: WORK_TIME,
+            work: self.work_time,
             answer_bytes: ANSWER_BYTES,
             events: (service == STREAM).then_some(self.events),
             release: self.next_release(service),
--- a/crates/soak/src/fleet/silences.rs
+++ b/crates/soak/src/fleet/silences.rs
@@ -1,4 +1,5 @@
-//! Servers that stand still: the processes in front of them are stopped by signals.
+//! Several servers that stand still, or are harmed in other ways, together. The processes in
+//! front of servers that stand still are stopped by signals.
 
 use std::io;
 use std::sync::Arc;
@@ -6,13 +7,17 @@
 
 use rustix::process::Signal;
 use smol::Timer;
+use tidepier_relay_standin::server::Fault;
 
 use super::servers::Backend;
 use super::Fleet;
-use crate::fault::{Services, Silence};
-use crate::plan::STREAM;
+use crate::fault::{Harm, Services, Silence, Symptom};
+use crate::plan::{PLAIN, STREAM};
 use crate::sync::lock;
 
+/// Factor by which the requests of slow servers take longer.
+const SLOWDOWN_FACTOR: f64 = 10.0;
+
 impl Backend {
     /// Stops the process in front of the server; several stops may overlap.
     pub(super) fn stop(&self) -> io::Result<()> {
@@ -56,6 +61,46 @@
     }
 }
 
+impl Fleet {
+    /// Harms a share of the servers of some services for this long.
+    pub(super) async fn harm_servers(&self, harm: Harm, lasts: Duration) -> io::Result<()> {
+        let mut harmed = Vec::new();
+        for service in [PLAIN, STREAM] {
+            let mut backends = self.backends();
+            backends.retain(|it| {
+                let of_service = it.server.settings().service == service;
+                of_service && is_meant(harm.services, it) && !it.server.is_crashed()
+            });
+            let count = backends.len() * harm.percent / 100;
+            harmed.extend(backends.into_iter().rev().take(count));
+        }
+        for backend in &harmed {
+            match harm.symptom {
+                Symptom::Hang => backend.server.fault(Fault::Hang, u32::MAX),
+                Symptom::Standstill => backend.stop()?,
+                Symptom::Crash => backend.server.crash(),
+                Symptom::Failure => backend.server.fault(Fault::Failure, u32::MAX),
+                Symptom::Reset => backend.server.fault(Fault::Reset, u32::MAX),
+                Symptom::Slow => backend.server.slow(SLOWDOWN_FACTOR),
+            }
+        }
+        Timer::after(lasts).await;
+        for backend in &harmed {
+            match harm.symptom {
+                Symptom::Standstill => backend.resume()?,
+                Symptom::Crash => {
+                    self.withdraw(&backend.server);
+                    self.add_server(&backend.server.settings().service)?;
+                }
+                Symptom::Hang | Symptom::Failure | Symptom::Reset | Symptom::Slow => {
+                    backend.server.heal();
+                }
+            }
+        }
+        Ok(())
+    }
+}
+
 fn is_meant(services: Services, backend: &Backend) -> bool {
     let is_stream = backend.server.settings().service == STREAM;
     match services {
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -73,6 +73,7 @@
             Fault::Config(Config::EmptyHall(hall)) => self.empty_hall(hall, step.lasts).await,
             Fault::Config(config) => self.configure(config).await?,
             Fault::Silence(silence) => self.silence_servers(silence, step.lasts).await?,
+            Fault::Harm(harm) => self.harm_servers(harm, step.lasts).await?,
             Fault::Rollout(rollout) => self.roll_out(rollout, step.lasts).await?,
             Fault::KillAll(spread) => self.kill_all(step.lasts, spread).await?,
             Fault::CutOff(box_index) => self.cut_off(box_index, step.lasts).await,
@@ -107,6 +108,7 @@
             }
             Fault::Server(..)
             | Fault::Servers(_)
+            | Fault::Harm(_)
             | Fault::Copies(_)
             | Fault::Crashing(_)
             | Fault::CrashingPart(_) => (vec![Scope::Server], false),
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -23,7 +23,7 @@
 
 /// Bound on the clients of each box.
 const CLIENTS_PER_BOX: usize = 6;
-/// The same beside silences and rollouts, where most of them wait for streams.
+/// The same beside silences, rollouts and harms, where most of them wait for servers.
 const STREAM_CLIENTS_PER_BOX: usize = 16;
 /// Bound on the clients of all boxes together, but each box has at least one.
 const CLIENTS_MAX: usize = 48;
@@ -77,7 +77,7 @@
             true => (SLOW_CLIENTS_MAX, SLOW_THINK_TIME_MS),
             false => (CLIENTS_MAX, THINK_TIME_MS),
         };
-        let per_box_max = match schedule.rollouts || schedule.silences {
+        let per_box_max = match schedule.rollouts || schedule.silences || schedule.harms {
             true => STREAM_CLIENTS_PER_BOX,
             false => CLIENTS_PER_BOX,
         };
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -105,6 +105,8 @@
     pub standstills: bool,
     /// Whether servers stand still beside changes of the configuration in addition.
     pub silences: bool,
+    /// Whether servers are harmed together beside restarts of boxes in addition.
+    pub harms: bool,
     /// Whether all boxes are killed at once beside rollouts of releases in addition.
     pub restarts: bool,
     /// Whether a box is out of step beside rollouts of releases in addition.
@@ -165,6 +167,9 @@
     if options.silences {
         schedule = schedule.with_silences();
     }
+    if options.harms {
+        schedule = schedule.with_harms();
+    }
     if options.restarts {
         schedule = schedule.with_restarts();
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -181,6 +181,8 @@
     pub standstills: bool,
     /// Whether all servers may stand still, and most requests are streams.
     pub silences: bool,
+    /// Whether servers may be harmed together, and hold many requests.
+    pub harms: bool,
     /// Whether the servers of streams run one release, except during rollouts of the next.
     /// Most requests are streams, which clients take up, also without naming them.
     pub rollouts: bool,
@@ -218,6 +220,7 @@
             copies: false,
             standstills: false,
             silences: false,
+            harms: false,
             rollouts: false,
             long_streams: false,
             first_start: false,
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -1,9 +1,9 @@
 //! Rounds of events that belong together: servers that stand still beside a change of the
-//! configuration, and boxes that are killed or out of step beside the rollout of a release.
+//! configuration, servers that are harmed while boxes start again, and boxes that are killed or out of step beside the rollout of a release.
 //!
 //! Half of the seeds have the other faults beside them.
 
-use std::ops::Range;
+use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
 
 use rand::{Rng, SeedableRng};
@@ -11,12 +11,13 @@
 use tidepier_relay_standin::store::Down;
 
 use super::{ms, pick, Schedule, Step, DELAY_MS};
-use crate::fault::{Config, Fault, Link, Rollout, Services, Signal, Silence, Store};
+use crate::fault::{Config, Fault, Harm, Link, Rollout, Services, Signal, Silence, Store, Symptom};
 use crate::odd;
 use crate::proxy::Impairment;
 
 /// Mixed into the seed, so that each kind is chosen independently of the others.
 const SILENCES_SEED: u64 = 0x7369_6c65_6e63_6573;
+const HARMS_SEED: u64 = 0x6861_726d_7365_6564;
 const RESTARTS_SEED: u64 = 0x7265_7374_6172_7473;
 const OUT_OF_STEP_SEED: u64 = 0x6f75_746f_6673_7465;
 const ODD_ENTRIES_SEED: u64 = 0x6f64_6465_6e74_7279;
@@ -25,6 +26,7 @@
 const ODD_ENTRIES_MS: Range<u64> = 0..12_000;
 /// Number of rounds of each kind.
 const SILENCES: usize = 4;
+const HARMS: usize = 3;
 const RESTARTS: usize = 3;
 const OUT_OF_STEP: usize = 2;
 /// Time of the first round, and the pause after each, in ms.
@@ -32,6 +34,18 @@
 const PAUSE_MS: Range<u64> = 1_500..2_500;
 /// Duration of a silence, in ms.
 const SILENCE_MS: Range<u64> = 500..3_000;
+/// Duration of a harm, in ms.
+const HARM_MS: Range<u64> = 1_500..4_000;
+/// Time after a round of harms: the calm before the window of the rule on load, and the window.
+const HARM_PAUSE_MS: Range<u64> = 7_000..8_000;
+/// Number of boxes beside harms: so few that each sends enough to a server to avoid it.
+const HARM_BOXES: RangeInclusive<usize> = 2..=6;
+/// Time from the beginning of a harm to the kill of a box, and for which it stays away, in ms: it
+/// serves again before the harm ends, as nothing else is to excuse what comes after.
+const HARM_KILL_MS: Range<u64> = 0..700;
+const HARM_AWAY_MS: Range<u64> = 100..600;
+/// Time by which the stop of a box precedes a harm, in ms: it takes that long.
+const HARM_STOP_LEAD_MS: Range<u64> = 3_800..4_800;
 /// Time from the beginning of a silence to the change of the configuration, in ms, and how long
 /// it may precede it.
 const CHANGE_MS: Range<u64> = 0..2_300;
@@ -81,6 +95,27 @@
         }
     }
 
+    /// Adds servers that hang, stand still, crash, fail or are slow, two thirds of them or a third
+    /// at once, while boxes are killed or stopped and start again. After each round there is calm
+    /// in which the load of the servers is judged.
+    pub fn with_harms(self) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(self.seed ^ HARMS_SEED);
+        let boxes = rng.random_range(HARM_BOXES);
+        let schedule = self.with_others_in_half_of_seeds(&mut rng);
+        let mut steps = Vec::new();
+        let last = schedule.steps.iter().map(|step| step.at + step.lasts).max();
+        let mut next = last.unwrap_or_default() + ms(&mut rng, FIRST_MS);
+        for _ in 0..HARMS {
+            let end = harm_round(&mut rng, boxes, next, &mut steps);
+            next = end + ms(&mut rng, HARM_PAUSE_MS);
+        }
+        Self {
+            harms: true,
+            boxes: boxes.max(schedule.boxes),
+            ..schedule.with_steps(steps.into_iter())
+        }
+    }
+
     /// Adds kills of all boxes at once, soon after servers of a new release joined or those
     /// of the old one left.
     pub fn with_restarts(self) -> Self {
@@ -206,6 +241,69 @@
     end
 }
 
+/// Adds a round of harms; returns its end.
+fn harm_round(
+    rng: &mut ChaCha8Rng,
+    boxes: usize,
+    start: Duration,
+    steps: &mut Vec<Step>,
+) -> Duration {
+    let symptoms = [
+        Symptom::Hang,
+        Symptom::Hang,
+        Symptom::Standstill,
+        Symptom::Standstill,
+        Symptom::Crash,
+        Symptom::Failure,
+        Symptom::Reset,
+        Symptom::Slow,
+    ];
+    let lasts = ms(rng, HARM_MS);
+    let services = pick(rng, &[Services::Streams, Services::Others, Services::All]);
+    let start = start + Duration::from_millis(HARM_STOP_LEAD_MS.end);
+    let mut end = start + lasts;
+    let mut step = |at: Duration, lasts: Duration, fault| {
+        end = end.max(at + lasts);
+        steps.push(Step { at, lasts, fault });
+    };
+    let harm = Harm {
+        services,
+        percent: pick(rng, &[67, 67, 34]),
+        symptom: pick(rng, &symptoms),
+    };
+    step(start, lasts, Fault::Harm(harm));
+    // Another harm begins while the first one lasts, or as it ends.
+    if rng.random_bool(0.3) {
+        let at = start + lasts.mul_f64(rng.random_range(0.2..1.0));
+        let harm = Harm {
+            symptom: pick(rng, &symptoms),
+            ..harm
+        };
+        step(at, ms(rng, HARM_MS), Fault::Harm(harm));
+    }
+    for _ in 0..rng.random_range(0..=2) {
+        let chosen = rng.random_range(0..boxes);
+        let (at, lasts, signal) = match rng.random_bool(0.7) {
+            true => (
+                start + ms(rng, HARM_KILL_MS),
+                ms(rng, HARM_AWAY_MS),
+                Signal::Kill,
+            ),
+            false => {
+                let lead = ms(rng, HARM_STOP_LEAD_MS);
+                (start - lead, Duration::ZERO, Signal::Terminate)
+            }
+        };
+        step(at, lasts, Fault::Process(chosen, signal));
+    }
+    if rng.random_bool(0.2) {
+        let (at, away) = (start + ms(rng, HARM_KILL_MS), ms(rng, HARM_AWAY_MS));
+        let spread = ms(rng, START_SPREAD_MS);
+        step(at, away, Fault::KillAll(spread));
+    }
+    end
+}
+
 fn change(rng: &mut ChaCha8Rng) -> Config {
     let idle = Config::Idle(Duration::from_millis(pick(rng, &IDLE_TIMES_MS)));
     let timeout = Config::Timeout(Duration::from_millis(pick(rng, &TIMEOUTS_MS)));
--- a/crates/soak/tests/soak/incidents.rs
+++ b/crates/soak/tests/soak/incidents.rs
@@ -109,6 +109,21 @@
     assert!((60..140).contains(&beside));
 }
 
+#[test]
+fn servers_are_harmed_in_all_ways_while_boxes_start_again() {
+    let (names, _) = names(Schedule::with_harms);
+    let symptoms = ["crash", "failure", "hang", "reset", "slow", "standstill"];
+    let boxes = ["process_kill", "process_kill_all", "process_terminate"].map(String::from);
+    let harms = symptoms.map(|symptom| format!("servers_harm_{symptom}"));
+    assert!(names.iter().eq(boxes.iter().chain(&harms)), "{names:?}");
+    for seed in 0..50 {
+        let schedule = Schedule::new(seed).with_harms();
+        let is_harm = |step: &&Step| matches!(step.fault, Fault::Harm(_));
+        let harms = schedule.steps.iter().filter(is_harm).count();
+        assert!((3..=6).contains(&harms), "seed {seed}: {harms}");
+    }
+}
+
 #[test]
 fn boxes_are_killed_beside_rollouts_and_faults_of_the_store() {
     let (names, beside) = names(Schedule::with_restarts);
