--- a/crates/relay/tests/relay/returning.rs
+++ b/crates/relay/tests/relay/returning.rs
@@ -237,6 +237,24 @@
     fleet_stays_within_bound(3, 8, spread_harness::Kind::Plain)
 }
 
+/// Guards against boxes that crowd one of few engines after all of them have started again, as
+/// none knows where the others send a hot subject. No server is harmed.
+#[test]
+fn boxes_that_start_again_do_not_crowd_one_of_three_engines() -> Result {
+    let mut plan = Plan {
+        restart: Some(Duration::from_secs(7)),
+        hot: Hot::share(2, 7),
+        ..fleet(78, 3, spread_harness::Kind::Engines, Failing::Erring)
+    };
+    if let Some(harm) = &mut plan.harm {
+        harm.servers = 0;
+    }
+    let windows = worst_windows(&plan, FINDING_TIME)?;
+    let is_any_broken = windows.iter().any(|it| it.is_broken());
+    ensure!(!is_any_broken, "{windows:?}");
+    Ok(())
+}
+
 /// Prints the table of incident 25; `ONLY` names a part of it.
 #[test]
 #[ignore = "takes minutes"]
