--- a/crates/relay/src/choose.rs
+++ b/crates/relay/src/choose.rs
@@ -283,29 +283,33 @@
         Some(self.relieve(choice))
     }
 
-    /// Returns another server for some of the requests that would go to one above the
-    /// operator's bound, as a probe: one that is ejected, or that was slower or failed more often.
-    fn relieve(&self, choice: Choice) -> Choice {
-        let factor = self.criteria.crowd_factor;
-        if !choice.fleet_load.is_over_bound(factor) {
-            return choice;
+    /// Returns the choice with the load of its server, or another server for some of the
+    /// requests that would go to one above the operator's bound.
+    fn relieve(&self, mut choice: Choice) -> Choice {
+        choice.fleet_load = self.fleet_load(&choice.backend);
+        match choice.fleet_load.is_over_bound(self.criteria.crowd_factor) {
+            true => self.probe().unwrap_or(choice),
+            false => choice,
         }
+    }
+
+    /// Returns a server below the bound that is ejected, was slower or failed more often, if the
+    /// request is to be its probe.
+    fn probe(&self) -> Option<Choice> {
+        let factor = self.criteria.crowd_factor;
         let usable = self.servers.iter().filter(|it| {
-            let load = FleetLoad::of_plain(it, self.mean_load, self.now);
-            !load.is_over_bound(factor) && self.is_open(it) && self.may_relieve(it)
+            let is_over_bound = self.fleet_load(it).is_over_bound(factor);
+            !is_over_bound && self.is_open(it) && self.may_relieve(it)
         });
-        let rated = cheapest(usable.map(|it| self.rate(it)));
-        match rated {
-            Some(other)
-                if self
-                    .fleet
-                    .probes
-                    .take(self.service, self.criteria.repeatable) =>
-            {
-                other
-            }
-            _ => choice,
-        }
+        let mut other = cheapest(usable.map(|it| self.rate(it)))?;
+        other.fleet_load = self.fleet_load(&other.backend);
+        let probes = &self.fleet.probes;
+        let is_probe = probes.take(self.service, self.criteria.repeatable);
+        is_probe.then_some(other)
+    }
+
+    fn fleet_load(&self, backend: &Backend) -> FleetLoad {
+        FleetLoad::of_plain(backend, self.mean_load, self.now)
     }
 
     /// Whether a server that is avoided may get requests that are too many for the others.
@@ -372,7 +376,7 @@
             backend: backend.clone(),
             cost,
             load,
-            fleet_load: FleetLoad::of_plain(backend, self.mean_load, now),
+            fleet_load: FleetLoad::default(),
             prefill_tokens: 0.0,
             prefill_time: Duration::ZERO,
             plain: Some(Plain {
--- a/crates/relay/src/choose/engine.rs
+++ b/crates/relay/src/choose/engine.rs
@@ -300,9 +300,9 @@
 }
 
 /// Returns the load of each server, and the mean over the reachable ones, with those that are
-/// ejected: the operator's bound refers to all. A server of which
-/// nothing is known is given the mean. The mean is that of the boxes' counts, which are
-/// of all servers at one time; without counts, that of the loads that servers reported.
+/// ejected: the operator's bound refers to all. A server of which nothing is known is given the
+/// mean. The mean is that of the boxes' counts, which are of all servers at one time; without
+/// counts, that of the loads that servers reported.
 fn loads(servers: &[Rc<Backend>], now: Instant) -> (Vec<f64>, f64) {
     let known = |of: &dyn Fn(&Backend) -> Option<u32>| -> Vec<Option<f64>> {
         servers.iter().map(|it| of(it).map(f64::from)).collect()
