--- a/crates/relay/src/fleet/backend.rs
+++ b/crates/relay/src/fleet/backend.rs
@@ -533,8 +533,8 @@
         self.apply_ejection(change, sent, now);
     }
 
-    /// Logs what a result of a time changed, and tells other boxes of a server that answers
-    /// again.
+    /// Logs a change that was made by evidence of a time, and reports a server that answers
+    /// again to other boxes.
     fn apply_ejection(&self, change: health::Change, evidence: Instant, now: Instant) {
         let (id, service) = (&self.server.id, &self.server.service);
         match change {
--- a/crates/relay/src/fleet/hall.rs
+++ b/crates/relay/src/fleet/hall.rs
@@ -7,8 +7,8 @@
 
 /// Weight of the newest sample in the mean round-trip time to a hall.
 const ROUND_TRIP_WEIGHT: f64 = 0.05;
-/// Time for which a hall is avoided from when on one of its servers was unresponsive, unless
-/// data comes from another of them.
+/// Time for which a hall is avoided since one of its servers became unresponsive, unless data
+/// comes from another of them.
 const AVOID_TIME: Duration = Duration::from_millis(2_500);
 
 /// What this box has observed of the servers of one hall together. When a hall is
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -279,8 +279,8 @@
         self.admission.set_others(others.load, now);
     }
 
-    /// Records servers that have answered again, and lets the boxes that report to this one be
-    /// told at once.
+    /// Records servers that have answered again, and sends them at once to the boxes that report
+    /// to this one.
     pub fn record_returns(&self, lives: &[stall::Life<Key>], now: Instant) {
         self.fleet.record_returns(lives, now);
         if self.traffic.stalls.record_returns(lives, now) {
--- a/crates/relay/src/traffic/stalls.rs
+++ b/crates/relay/src/traffic/stalls.rs
@@ -34,8 +34,8 @@
 struct Return {
     /// When it answered.
     answered: Instant,
-    /// When boxes were told.
-    told: Instant,
+    /// When that was sent to boxes.
+    sent: Instant,
 }
 
 /// The health checks of a server that may stand still.
@@ -60,7 +60,7 @@
     all: RefCell<Vec<Stall<Key>>>,
     /// Number of changes of these servers.
     changes: Cell<u64>,
-    /// Servers that have answered again and were told of.
+    /// Servers that have answered again, of which boxes were notified.
     returned: RefCell<HashMap<Key, Return>>,
     /// How often there were any.
     returns: Cell<u64>,
@@ -116,14 +116,13 @@
     /// servers of which they were not told lately.
     pub fn record_returns(&self, lives: &[Life<Key>], now: Instant) -> bool {
         let mut returned = self.returned.borrow_mut();
-        returned.retain(|_, it| now.saturating_duration_since(it.told) < RETURN_INTERVAL);
+        returned.retain(|_, it| now.saturating_duration_since(it.sent) < RETURN_INTERVAL);
         let known = returned.len();
         for life in lives.iter().take(SERVERS_MAX) {
-            let answered = now.checked_sub(life.age).unwrap_or(now);
-            let told = now;
-            returned
-                .entry(life.server)
-                .or_insert(Return { answered, told });
+            returned.entry(life.server).or_insert(Return {
+                answered: now.checked_sub(life.age).unwrap_or(now),
+                sent: now,
+            });
         }
         let is_any_new = returned.len() > known;
         if is_any_new {
--- a/crates/relay/tests/relay/spread_harness.rs
+++ b/crates/relay/tests/relay/spread_harness.rs
@@ -880,7 +880,7 @@
         self.start + engines.end(server, end, step)
     }
 
-    /// Tells boxes of answers that have begun by now.
+    /// Records the answers that have begun by now at their boxes.
     fn begin_answers(&mut self, now: Instant) {
         while let Some((sent, sim_box, server)) = self.beginnings.front().copied() {
             if sent + BEGIN_TIME > now {
@@ -889,7 +889,7 @@
             self.beginnings.pop_front();
             self.begin_answer(sent, sim_box, server, now);
         }
-        self.tell_returns(now);
+        self.deliver_returns(now);
     }
 
     fn begin_answer(&mut self, sent: Instant, sim_box: usize, server: usize, now: Instant) {
@@ -906,8 +906,8 @@
         }
     }
 
-    /// Tells boxes of servers that have answered though they were ejected.
-    fn tell_returns(&mut self, now: Instant) {
+    /// Delivers notices of servers that have answered though they were ejected.
+    fn deliver_returns(&mut self, now: Instant) {
         while let Some((at, sent, server)) = self.returns.front().copied() {
             if at > now {
                 break;
