Soak: harms are faults of servers, as single ones have

A harm now names such a fault, and its servers get it by the same function; the factor of a slow server is part of the fault.

--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -83,8 +83,8 @@
     Dark,
     /// The process in front of it is stopped, so that it stands still.
     Standstill,
-    /// Its requests take several times as long.
-    Slow,
+    /// Its requests take this many times as long.
+    Slow(u32),
     /// It crashes; another server is added.
     Crash,
     /// Its entry announces that it leaves, and it goes on serving until the entry is
@@ -108,32 +108,15 @@
     pub percent: usize,
 }
 
-/// A harm to servers that ends by itself.
+/// A fault that several servers have together.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Harm {
     /// Their services.
     pub services: Services,
     /// The share of the servers of each, in percent.
     pub percent: usize,
-    /// What they do.
-    pub symptom: Symptom,
-}
-
-/// What harmed servers do.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Symptom {
-    /// They take requests and never answer those.
-    Hang,
-    /// They stand still, and answer what has waited afterwards.
-    Standstill,
-    /// They crash; others are added afterwards.
-    Crash,
-    /// They run requests and answer 500.
-    Failure,
-    /// They reset the connections of requests.
-    Reset,
-    /// They take several times as long.
-    Slow,
+    /// The fault.
+    pub fault: Server,
 }
 
 /// Services whose servers are harmed or stand still.
@@ -225,10 +208,8 @@
             Fault::Store(Store::Down(down)) => named("store", down),
             Fault::Store(Store::Return(_)) => "store_return".into(),
             Fault::Store(store) => named("store", store),
-            Fault::Server(_, Server::Faulty(fault)) => named("server", fault),
+            Fault::Server(_, server) => server.named("server"),
             Fault::Servers(fault) => named("servers", fault),
-            Fault::Server(_, Server::Rest(_)) => "server_rest".into(),
-            Fault::Server(_, server) => named("server", server),
             Fault::Copies(_) => "servers_copies".into(),
             Fault::Crashing(_) => "requests_crashing".into(),
             Fault::CrashingPart(_) => "part_crashing".into(),
@@ -237,7 +218,7 @@
             Fault::Config(Config::Timeout(_)) => "config_timeout".into(),
             Fault::Config(config) => named("config", config),
             Fault::Silence(_) => "servers_silence".into(),
-            Fault::Harm(harm) => named("servers_harm", &harm.symptom),
+            Fault::Harm(harm) => harm.fault.named("servers_harm"),
             Fault::Rollout(Rollout::Join(_)) => "rollout_join".into(),
             Fault::Rollout(Rollout::Rest) => "rollout_rest".into(),
             Fault::KillAll(_) => "process_kill_all".into(),
@@ -253,6 +234,17 @@
     format!("{what}_{variant:?}").to_lowercase()
 }
 
+impl Server {
+    fn named(&self, what: &str) -> String {
+        match self {
+            Server::Faulty(fault) => named(what, fault),
+            Server::Rest(_) => format!("{what}_rest"),
+            Server::Slow(_) => format!("{what}_slow"),
+            server => named(what, server),
+        }
+    }
+}
+
 impl Link {
     fn name(self) -> &'static str {
         match self {
--- a/crates/soak/src/fleet/silences.rs
+++ b/crates/soak/src/fleet/silences.rs
@@ -6,18 +6,14 @@
 use std::time::Duration;
 
 use rustix::process::Signal;
-use smol::Timer;
-use tidepier_relay_standin::server::Fault;
+use smol::{Task, Timer};
 
 use super::servers::Backend;
 use super::Fleet;
-use crate::fault::{Harm, Services, Silence, Symptom};
+use crate::fault::{Harm, Services, Silence};
 use crate::plan::{PLAIN, STREAM};
 use crate::sync::lock;
 
-/// Factor by which the requests of slow servers take longer.
-const SLOWDOWN_FACTOR: f64 = 10.0;
-
 impl Backend {
     /// Stops the process in front of the server; several stops may overlap.
     pub(super) fn stop(&self) -> io::Result<()> {
@@ -62,8 +58,12 @@
 }
 
 impl Fleet {
-    /// Harms a share of the servers of some services for this long.
-    pub(super) async fn harm_servers(&self, harm: Harm, lasts: Duration) -> io::Result<()> {
+    /// Gives a share of the servers of some services a fault for this long.
+    pub(super) async fn harm_servers(
+        self: &Arc<Self>,
+        harm: Harm,
+        lasts: Duration,
+    ) -> io::Result<()> {
         let mut harmed = Vec::new();
         for service in [PLAIN, STREAM] {
             let mut backends = self.backends();
@@ -74,28 +74,13 @@
             let count = backends.len() * harm.percent / 100;
             harmed.extend(backends.into_iter().rev().take(count));
         }
-        for backend in &harmed {
-            match harm.symptom {
-                Symptom::Hang => backend.server.fault(Fault::Hang, u32::MAX),
-                Symptom::Standstill => backend.stop()?,
-                Symptom::Crash => backend.server.crash(),
-                Symptom::Failure => backend.server.fault(Fault::Failure, u32::MAX),
-                Symptom::Reset => backend.server.fault(Fault::Reset, u32::MAX),
-                Symptom::Slow => backend.server.slow(SLOWDOWN_FACTOR),
-            }
-        }
-        Timer::after(lasts).await;
-        for backend in &harmed {
-            match harm.symptom {
-                Symptom::Standstill => backend.resume()?,
-                Symptom::Crash => {
-                    self.withdraw(&backend.server);
-                    self.add_server(&backend.server.settings().service)?;
-                }
-                Symptom::Hang | Symptom::Failure | Symptom::Reset | Symptom::Slow => {
-                    backend.server.heal();
-                }
-            }
+        let fault = |backend: Arc<Backend>| {
+            let fleet = self.clone();
+            smol::spawn(async move { fleet.fault_backend(&backend, harm.fault, lasts).await })
+        };
+        let faults: Vec<Task<io::Result<()>>> = harmed.into_iter().map(fault).collect();
+        for fault in faults {
+            fault.await?;
         }
         Ok(())
     }
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -38,8 +38,6 @@
 /// copies of their answers.
 const COPIED_REJECTIONS: u32 = 3;
 const COPIED_INTERVAL: Duration = Duration::from_millis(40);
-/// Factor by which the requests of a slow server take longer.
-const SLOWDOWN_FACTOR: f64 = 5.0;
 /// Duration that the ledger records for a reload: the bound on the time in which it may
 /// delay requests.
 const RELOAD_TIME: Duration = Duration::from_secs(2);
@@ -290,13 +288,22 @@
             Server::Standstill => self.pick_server_of(at, |it| it.gate.is_some()),
             _ => self.pick_server(at),
         };
+        self.fault_backend(&backend, fault, lasts).await
+    }
+
+    pub(super) async fn fault_backend(
+        &self,
+        backend: &Backend,
+        fault: Server,
+        lasts: Duration,
+    ) -> io::Result<()> {
         let server = &backend.server;
         let service = server.settings().service.clone();
         match fault {
             Server::Join => return self.add_server(&service),
             Server::Leave => {
                 self.add_server(&service)?;
-                self.announce(&backend, State::Draining);
+                self.announce(backend, State::Draining);
                 let id = server.settings().id.clone();
                 self.ledger.record_fact(Fact::Leaving(id));
                 Timer::after(LEAVING_TIME).await;
@@ -328,7 +335,7 @@
                 Timer::after(lasts).await;
                 return backend.resume();
             }
-            Server::Slow => server.slow(SLOWDOWN_FACTOR),
+            Server::Slow(factor) => server.slow(factor.into()),
             Server::Faulty(fault) => server.fault(fault, u32::MAX),
         }
         Timer::after(lasts).await;
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -146,6 +146,8 @@
 const RELEASES_SEED: u64 = 0x7265_6c65_6173_6573;
 /// How long all servers break off streams, in ms.
 const BREAK_MS: Range<u64> = 200..1_200;
+/// Factor by which the requests of a slow server take longer.
+const SLOWDOWN_FACTOR: u32 = 5;
 /// Delays of a slow link or store, in ms.
 const DELAY_MS: Range<u64> = 5..600;
 
@@ -591,7 +593,7 @@
 fn server(rng: &mut ChaCha8Rng) -> Server {
     let others = [
         Server::Dark,
-        Server::Slow,
+        Server::Slow(SLOWDOWN_FACTOR),
         Server::Crash,
         Server::Leave,
         Server::Join,
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -8,10 +8,11 @@
 
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use tidepier_relay_standin::server as standin;
 use tidepier_relay_standin::store::Down;
 
 use super::{ms, pick, Schedule, Step, DELAY_MS};
-use crate::fault::{Config, Fault, Harm, Link, Rollout, Services, Signal, Silence, Store, Symptom};
+use crate::fault::{Config, Fault, Harm, Link, Rollout, Server, Services, Signal, Silence, Store};
 use crate::odd;
 use crate::proxy::Impairment;
 
@@ -36,6 +37,17 @@
 const SILENCE_MS: Range<u64> = 500..3_000;
 /// Duration of a harm, in ms.
 const HARM_MS: Range<u64> = 1_500..4_000;
+/// What harmed servers do.
+const HARM_FAULTS: [Server; 8] = [
+    Server::Faulty(standin::Fault::Hang),
+    Server::Faulty(standin::Fault::Hang),
+    Server::Standstill,
+    Server::Standstill,
+    Server::Crash,
+    Server::Faulty(standin::Fault::Failure),
+    Server::Faulty(standin::Fault::Reset),
+    Server::Slow(10),
+];
 /// Time after a round of harms: the calm before the window of the rule on load, and the window.
 const HARM_PAUSE_MS: Range<u64> = 7_000..8_000;
 /// Number of boxes beside harms: so few that each sends enough to a server to avoid it.
@@ -248,16 +260,6 @@
     start: Duration,
     steps: &mut Vec<Step>,
 ) -> Duration {
-    let symptoms = [
-        Symptom::Hang,
-        Symptom::Hang,
-        Symptom::Standstill,
-        Symptom::Standstill,
-        Symptom::Crash,
-        Symptom::Failure,
-        Symptom::Reset,
-        Symptom::Slow,
-    ];
     let lasts = ms(rng, HARM_MS);
     let services = pick(rng, &[Services::Streams, Services::Others, Services::All]);
     let start = start + Duration::from_millis(HARM_STOP_LEAD_MS.end);
@@ -269,14 +271,14 @@
     let harm = Harm {
         services,
         percent: pick(rng, &[67, 67, 34]),
-        symptom: pick(rng, &symptoms),
+        fault: pick(rng, &HARM_FAULTS),
     };
     step(start, lasts, Fault::Harm(harm));
     // Another harm begins while the first one lasts, or as it ends.
     if rng.random_bool(0.3) {
         let at = start + lasts.mul_f64(rng.random_range(0.2..1.0));
         let harm = Harm {
-            symptom: pick(rng, &symptoms),
+            fault: pick(rng, &HARM_FAULTS),
             ..harm
         };
         step(at, ms(rng, HARM_MS), Fault::Harm(harm));
