Tests of returns and cut heads: one function where there were two

start_boxes_in starts the boxes of a scenario, plans are judged and freed of their harm in one place, and servers of both kinds are started by one function.

--- a/crates/relay/tests/relay/cut_heads.rs
+++ b/crates/relay/tests/relay/cut_heads.rs
@@ -3,7 +3,7 @@
 use eyre::ensure;
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::partition::Cut;
-use tidepier_relay_standin::server::{CutEnd, Fault, Server};
+use tidepier_relay_standin::server::{CutEnd, Fault, Server, Settings};
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::{names, Client};
 
@@ -71,20 +71,17 @@
     Ok(())
 }
 
-async fn plain(executor: &Executor) -> Result<([Server; 2], Harness)> {
+async fn start(
+    executor: Executor,
+    settings: impl Fn(u32) -> Settings,
+) -> Result<([Server; 2], Harness)> {
     let site = site()?;
-    let servers = [
-        site.server(server_settings(1))?,
-        site.server(server_settings(2))?,
-    ];
-    Ok((servers, Harness::start_ready(executor.clone(), site).await?))
+    let servers = [site.server(settings(1))?, site.server(settings(2))?];
+    Ok((servers, Harness::start_ready(executor, site).await?))
 }
 
-async fn streams(executor: &Executor) -> Result<([Server; 2], Harness)> {
-    let site = site()?;
-    let settings = |number| stream_server_settings(number, EVENTS, ms(2));
-    let servers = [site.server(settings(1))?, site.server(settings(2))?];
-    Ok((servers, Harness::start_ready(executor.clone(), site).await?))
+fn stream_settings(number: u32) -> Settings {
+    stream_server_settings(number, EVENTS, ms(2))
 }
 
 /// Guards against a 200 with an empty or short body whose server stopped in the middle of
@@ -92,7 +89,7 @@
 #[test]
 fn an_answer_whose_head_is_cut_is_not_forwarded() -> Result {
     run(async |executor| {
-        let (servers, harness) = plain(&executor).await?;
+        let (servers, harness) = start(executor, server_settings).await?;
         run_with_cuts(servers, harness, "POST", &["/r/x", "/o/x"]).await
     })
 }
@@ -101,7 +98,7 @@
 #[test]
 fn an_answer_to_head_is_not_forwarded_if_it_is_cut() -> Result {
     run(async |executor| {
-        let (servers, harness) = plain(&executor).await?;
+        let (servers, harness) = start(executor, server_settings).await?;
         run_with_cuts(servers, harness, "HEAD", &["/o/x"]).await
     })
 }
@@ -111,7 +108,7 @@
 #[test]
 fn a_stream_whose_head_is_cut_is_not_forwarded() -> Result {
     run(async |executor| {
-        let (servers, harness) = streams(&executor).await?;
+        let (servers, harness) = start(executor, stream_settings).await?;
         run_with_cuts(servers, harness, "POST", &["/s/x", "/u/x"]).await
     })
 }
@@ -121,7 +118,7 @@
 #[test]
 fn a_stream_is_not_ended_by_a_cut_head_of_the_server_that_resumes_it() -> Result {
     run(async |executor| {
-        let (servers, harness) = streams(&executor).await?;
+        let (servers, harness) = start(executor, stream_settings).await?;
         let mut resumed = 0;
         for (number, fault) in cuts().enumerate() {
             for (first, second) in [(0, 1), (1, 0)] {
@@ -146,7 +143,7 @@
 #[test]
 fn a_head_that_is_never_completed_is_refused_at_the_deadline() -> Result {
     run(async |executor| {
-        let (servers, harness) = plain(&executor).await?;
+        let (servers, harness) = start(executor, server_settings).await?;
         let known = [&servers[0], &servers[1]];
         for sent in LENGTHS {
             let end = CutEnd::Open;
--- a/crates/relay/tests/relay/returning.rs
+++ b/crates/relay/tests/relay/returning.rs
@@ -183,6 +183,14 @@
     }
 }
 
+/// The same without a harm: the windows that are judged stay the same.
+fn without_harm(mut plan: Plan) -> Plan {
+    plan.harm = plan
+        .harm
+        .map(|harm| spread_harness::Harm { servers: 0, ..harm });
+    plan
+}
+
 /// The worst window of each seed that begins this long after the harm or later.
 fn worst_windows(plan: &Plan, after: Duration) -> Result<Vec<Excess>> {
     let harm = plan.harm.ok_or_else(|| eyre!("no harm"))?;
@@ -197,16 +205,18 @@
     plays.collect()
 }
 
-fn fleet_stays_within_bound(boxes: usize, servers: usize, kind: spread_harness::Kind) -> Result {
-    for failing in FAILINGS {
-        let plan = fleet(boxes, servers, kind, failing);
-        let windows = worst_windows(&plan, FINDING_TIME)?;
-        let is_any_broken = windows.iter().any(|it| it.is_broken());
-        ensure!(!is_any_broken, "{failing:?}: {windows:?}");
-    }
+fn plan_stays_within_bound(plan: &Plan) -> Result {
+    let windows = worst_windows(plan, FINDING_TIME)?;
+    let is_any_broken = windows.iter().any(|it| it.is_broken());
+    ensure!(!is_any_broken, "{:?}: {windows:?}", plan.harm);
     Ok(())
 }
 
+fn fleet_stays_within_bound(boxes: usize, servers: usize, kind: spread_harness::Kind) -> Result {
+    let mut plans = FAILINGS.iter().map(|it| fleet(boxes, servers, kind, *it));
+    plans.try_for_each(|plan| plan_stays_within_bound(&plan))
+}
+
 #[test]
 fn three_boxes_do_not_avoid_engines_that_failed() -> Result {
     fleet_stays_within_bound(3, 3, spread_harness::Kind::Engines)
@@ -241,18 +251,11 @@
 /// none knows where the others send a hot subject. No server is harmed.
 #[test]
 fn boxes_that_start_again_do_not_crowd_one_of_three_engines() -> Result {
-    let mut plan = Plan {
+    plan_stays_within_bound(&without_harm(Plan {
         restart: Some(Duration::from_secs(7)),
         hot: Hot::share(2, 7),
         ..fleet(78, 3, spread_harness::Kind::Engines, Failing::Erring)
-    };
-    if let Some(harm) = &mut plan.harm {
-        harm.servers = 0;
-    }
-    let windows = worst_windows(&plan, FINDING_TIME)?;
-    let is_any_broken = windows.iter().any(|it| it.is_broken());
-    ensure!(!is_any_broken, "{windows:?}");
-    Ok(())
+    }))
 }
 
 /// Prints the table of incident 25; `ONLY` names a part of it.
@@ -319,8 +322,8 @@
                     hot: Hot::share(hot, 7),
                     ..fleet(boxes, servers, kind, failing)
                 };
-                if let Some(harm) = plan.harm.as_mut().filter(|_| is_harmless) {
-                    harm.servers = 0;
+                if is_harmless {
+                    plan = without_harm(plan);
                 }
                 let shares = (0..5).map(|after| {
                     let windows = worst_windows(&plan, Duration::from_secs(after))?;
--- a/crates/relay/tests/relay/returning_harness.rs
+++ b/crates/relay/tests/relay/returning_harness.rs
@@ -297,12 +297,8 @@
         .map(|number| site.server(scenario.server(number)))
         .collect();
     let servers = servers?;
-    let mut boxes = Vec::new();
-    for number in 0..scenario.boxes {
-        let name = format!("box-{number}");
-        boxes.push(TestBox::start(executor, &site, &name, hall(number), 1_000).await?);
-    }
-    box_harness::wait_until_ready(&boxes).await?;
+    let halls: Vec<&str> = (0..scenario.boxes).map(hall).collect();
+    let boxes = box_harness::start_boxes_in(executor, &site, &halls).await?;
     let boxes = RefCell::new(boxes);
     let harmed = Instant::now() + WARM_UP;
     let sound = harmed + scenario.time;
