--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -40,6 +40,7 @@
 mod logged;
 mod losses;
 mod lost_watches;
+mod notifier;
 mod odd_entries;
 mod odd_messages;
 mod odd_values;
