--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -7,7 +7,7 @@
 use tidepier_h1::Head;
 
 use super::connection::{finish_before, parse_number, Connection, Disposition};
-use super::{event_of, CutEnd, Fault, Outcome, Repeat};
+use super::{event_of, CutEnd, Fault, Outcome, Place, Repeat};
 use crate::http;
 use crate::names;
 
@@ -121,6 +121,9 @@
                 return Ok(Disposition::Close);
             }
             Some(Fault::CutHead { sent, end }) => return self.cut_head(index, sent, end).await,
+            Some(Fault::Line { place, text }) => {
+                return self.answer_with_line(index, head, place, text).await
+            }
             _ => {}
         }
         if head.method() == "HEAD" {
@@ -186,6 +189,48 @@
         }
     }
 
+    /// Sends a complete answer in chunks with a line that it should not have.
+    async fn answer_with_line(
+        &mut self,
+        index: usize,
+        head: &Head,
+        place: Place,
+        text: &str,
+    ) -> io::Result<Disposition> {
+        let settings = &self.shared.settings;
+        let body = match settings.events {
+            Some(events) => {
+                let first = parse_number(head, names::LAST_EVENT).map_or(1, |last| last + 1);
+                let events = (first..=events.count)
+                    .map(|id| framed(&event_of(id, settings.release.as_deref()), true));
+                events.collect::<Vec<_>>().concat()
+            }
+            None => {
+                let body = self.run(index, |run| run.text(settings.answer_bytes));
+                let size = format!("{:x}\r\n", body.len());
+                [size.as_bytes(), &body, b"\r\n"].concat()
+            }
+        };
+        let signed = self.signed_head(index, 200, &[("Transfer-Encoding", "chunked")]);
+        let (status, fields) = signed.split_once("\r\n").unwrap_or_default();
+        let line = format!("{text}\r\n");
+        let line_at = |at| if place == at { &*line } else { "" };
+        let status = if place == Place::Status { text } else { status };
+        let interim = match place {
+            Place::Interim => format!("{text}\r\n\r\n"),
+            _ => String::new(),
+        };
+        let before = format!("{interim}{status}\r\n{}{fields}\r\n", line_at(Place::Field));
+        let after = format!("0\r\n{}\r\n", line_at(Place::Trailer));
+        let body: &[u8] = match head.method() {
+            "HEAD" => b"",
+            _ => &[&body[..], after.as_bytes()].concat(),
+        };
+        self.record_end(index, Outcome::Finished);
+        self.write(&[before.as_bytes(), body].concat()).await?;
+        Ok(Disposition::Keep)
+    }
+
     async fn stream(
         &mut self,
         index: usize,
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -124,6 +124,26 @@
         /// What happens to the connection then.
         end: CutEnd,
     },
+    /// Executed; the answer has one line that it should not have.
+    Line {
+        /// Where the line is.
+        place: Place,
+        /// The line, without its end.
+        text: &'static str,
+    },
+}
+
+/// The place of a line in an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Place {
+    /// Before the answer, as a head of its own.
+    Interim,
+    /// In place of the first line.
+    Status,
+    /// After the first line.
+    Field,
+    /// After the last chunk of the body.
+    Trailer,
 }
 
 /// What happens to a connection on which an answer was cut short.
--- a/crates/relay/tests/relay/cut_heads.rs
+++ b/crates/relay/tests/relay/cut_heads.rs
@@ -18,7 +18,7 @@
 const LENGTHS: [u16; 10] = [0, 1, 8, 12, 15, 17, 30, 60, 100, u16::MAX];
 const ENDS: [CutEnd; 2] = [CutEnd::Close, CutEnd::Reset];
 /// Events of a stream.
-const EVENTS: u64 = 4;
+pub(crate) const EVENTS: u64 = 4;
 
 fn cuts() -> impl Iterator<Item = Fault> {
     let of = |end| LENGTHS.map(|sent| Fault::CutHead { sent, end });
@@ -26,7 +26,11 @@
 }
 
 /// Checks that an answer is the one that a server made, or a complete refusal.
-fn ensure_served_or_refused(answer: &Answer, servers: &[&Server], attempt: &str) -> Result {
+pub(crate) fn ensure_served_or_refused(
+    answer: &Answer,
+    servers: &[&Server],
+    attempt: &str,
+) -> Result {
     if (200..300).contains(&answer.status) {
         return ensure_served_by(answer, servers, attempt);
     }
@@ -71,7 +75,7 @@
     Ok(())
 }
 
-async fn start(
+pub(crate) async fn start(
     executor: Executor,
     settings: impl Fn(u32) -> Settings,
 ) -> Result<([Server; 2], Harness)> {
@@ -80,7 +84,7 @@
     Ok((servers, Harness::start_ready(executor, site).await?))
 }
 
-fn stream_settings(number: u32) -> Settings {
+pub(crate) fn stream_settings(number: u32) -> Settings {
     stream_server_settings(number, EVENTS, ms(2))
 }
 
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -22,6 +22,7 @@
 mod entries;
 mod era_state;
 mod eras;
+mod faulty_heads;
 mod faulty_readers;
 mod gateways;
 mod harness;
