Log events out of order, how answers end, and why streams break

New: the line disorder and tidepier_streams_disordered_total (a server sent an event whose id is not above those before it), framing= of answered and tidepier_streams_ended_total (close: the end of the server's connection stood for the end of the body), and why= of broken (what kept a stream from going on).

events::Buffer reads each event's id to compare it; what is forwarded and after which event a stream is resumed is as before.

--- a/crates/relay/src/exchange/buffered.rs
+++ b/crates/relay/src/exchange/buffered.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tidepier_h1::Head;
+use tidepier_h1::{Framing, Head};
 use tidepier_platform::answer::Length;
 
 use crate::backlog::Reservation;
@@ -17,6 +17,8 @@
     pub(super) status: u16,
     /// Its head as received from the server.
     pub(super) head: Head,
+    /// How the server marked its end.
+    pub(super) framing: Framing,
     /// How its length is indicated to the client.
     pub(super) length: Length,
     /// Its body.
--- a/crates/relay/src/exchange/deliver.rs
+++ b/crates/relay/src/exchange/deliver.rs
@@ -16,7 +16,7 @@
         if let Err(cut) = self.write(&answer, close).await {
             return self.end_cut(&cut);
         }
-        self.log_answer(&answer.backend, answer.status, answer.first);
+        self.log_answer(&answer.backend, answer.status, answer.first, answer.framing);
         if close {
             Disposition::Close
         } else {
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -8,6 +8,7 @@
 use tidepier_admission::speed::Rate;
 use tidepier_clock::Instant;
 use tidepier_core::server::Server;
+use tidepier_h1::Framing;
 use tidepier_platform::answer;
 
 use super::disposition::Disposition;
@@ -17,6 +18,7 @@
 use crate::choose::Choice;
 use crate::crash::suspects;
 use crate::dial;
+use crate::events::Disorder;
 use crate::fleet::Backend;
 use crate::health;
 use crate::rollout::evidence::{Answer, Outcome};
@@ -113,17 +115,40 @@
         metrics::counter!("tidepier_streams_resumed_total", "release" => release).increment(1);
     }
 
-    /// Logs and counts a stream that ends before its end.
-    pub(super) fn log_broken(&self, at: &Server, resumable: bool, last: Option<u64>) {
+    /// Logs and counts a stream that ends before its end. `why`: what kept it from going on.
+    pub(super) fn log_broken(&self, at: &Server, why: &'static str, last: Option<u64>) {
         log::info!(
             target: "request",
-            "event=broken id={} server={} release={} resumable={resumable} last_event={last:?} ms={}",
+            "event=broken id={} server={} release={} resumable={} last_event={last:?} ms={} why={why}",
             self.request.attempt,
             at.id,
             at.release_name(),
+            self.is_resumable(),
             self.arrival.at.elapsed().as_millis(),
         );
-        metrics::counter!("tidepier_streams_broken_total").increment(1);
+        metrics::counter!("tidepier_streams_broken_total", "why" => why).increment(1);
+    }
+
+    /// Logs and counts an event that a server sent out of order.
+    pub(super) fn log_disorder(&self, at: &Server, disorder: Disorder) {
+        log::info!(
+            target: "request",
+            "event=disorder id={} server={} release={} event_id={} last_event={} taken_up={} ms={}",
+            self.request.attempt,
+            at.id,
+            at.release_name(),
+            disorder.id,
+            disorder.last,
+            self.request.resume_after.is_some(),
+            self.arrival.at.elapsed().as_millis(),
+        );
+        metrics::counter!("tidepier_streams_disordered_total").increment(1);
+    }
+
+    /// Counts a stream that its server ended, by how the server marked the end.
+    pub(super) fn count_stream_end(&self, framing: Framing) {
+        let end = framing_name(framing);
+        metrics::counter!("tidepier_streams_ended_total", "framing" => end).increment(1);
     }
 
     /// Logs that a part keeps the request from being sent.
@@ -373,11 +398,17 @@
     }
 
     /// Logs and counts an answer that was forwarded completely.
-    pub(super) fn log_answer(&self, backend: &Backend, status: u16, first: Duration) {
+    pub(super) fn log_answer(
+        &self,
+        backend: &Backend,
+        status: u16,
+        first: Duration,
+        framing: Framing,
+    ) {
         let (conn, via) = self.path_names();
         log::info!(
             target: "request",
-            "event=answered id={} server={} status={status} first_ms={} ms={} tries={} conn={} via={}",
+            "event=answered id={} server={} status={status} first_ms={} ms={} tries={} conn={} via={} framing={}",
             self.request.attempt,
             backend.server.id,
             first.as_millis(),
@@ -385,6 +416,7 @@
             self.attempts,
             conn,
             via,
+            framing_name(framing),
         );
         metrics::counter!("tidepier_answers_total", "status" => class(status)).increment(1);
         metrics::histogram!("tidepier_first_byte_seconds").record(first.as_secs_f64());
@@ -429,6 +461,16 @@
     metrics::counter!("tidepier_clients_left_total").increment(1);
 }
 
+/// How a server marked the end of an answer.
+fn framing_name(framing: Framing) -> &'static str {
+    match framing {
+        Framing::Empty => "empty",
+        Framing::Length(_) => "length",
+        Framing::Chunked => "chunked",
+        Framing::UntilClose => "close",
+    }
+}
+
 fn class(status: u16) -> &'static str {
     match status {
         200..=299 => "2xx",
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -21,6 +21,7 @@
 use crate::exchange::silent::Silent;
 use crate::exchange::state::Exchange;
 use crate::fleet::Backend;
+use crate::refusal;
 use crate::timeout::{self, Deadline};
 
 /// Multiple of the pause between events that a route promises, after which a
@@ -85,9 +86,10 @@
 ) -> Result<Disposition, Failure> {
     let client = Client::new(exchange, &reply);
     let mut out = exchange.head(&reply.head, client.length(), client.close);
-    let mut events = Buffer::default();
-    let mut limit = Deadline::new(exchange.deadline);
     let resumable = exchange.is_resumable();
+    let held = exchange.request.resume_after.filter(|_| resumable);
+    let mut events = Buffer::after(held);
+    let mut limit = Deadline::new(exchange.deadline);
     loop {
         let copied = copy(
             exchange,
@@ -112,11 +114,14 @@
         let next = if resumable {
             resume(exchange, failure, events.last()).await
         } else {
-            None
+            Err("not_resumable")
         };
-        let Some(next) = next else {
-            exchange.log_broken(&backend.server, resumable, events.last());
-            return Ok(client.incomplete_action());
+        let next = match next {
+            Ok(next) => next,
+            Err(why) => {
+                exchange.log_broken(&backend.server, why, events.last());
+                return Ok(client.incomplete_action());
+            }
         };
         exchange.log_resumed(&backend.server, &next.0.server, events.last());
         events.take_rest();
@@ -136,7 +141,8 @@
     drop(reply.running);
     let first = client.first.get().unwrap_or_default();
     exchange.record_answer(&backend, reply.answer.status, first);
-    exchange.log_answer(&backend, reply.answer.status, first);
+    exchange.count_stream_end(reply.framing);
+    exchange.log_answer(&backend, reply.answer.status, first, reply.framing);
     if client.close {
         Disposition::Close
     } else {
@@ -145,19 +151,24 @@
 }
 
 /// Sends the request again, to resume the stream after the last forwarded event.
+///
+/// # Errors
+///
+/// It is not sent to a further server; why, for the log.
 async fn resume(
     exchange: &mut Exchange<'_>,
     mut failure: Failure,
     last: Option<u64>,
-) -> Option<(Rc<Backend>, Reply)> {
+) -> Result<(Rc<Backend>, Reply), &'static str> {
     let mut rejections = 0;
     loop {
-        exchange.may_retry(&failure).ok()?;
+        exchange.may_retry(&failure).map_err(refusal::Kind::name)?;
         let after = last.or(exchange.request.resume_after);
-        let (backend, result) = exchange.send(after).await.ok()?;
+        let sent = exchange.send(after).await;
+        let (backend, result) = sent.map_err(refusal::Kind::name)?;
         failure = match result {
             Ok(reply) if reply.answer.status == 200 && reply.framing != Framing::UntilClose => {
-                return Some((backend, reply));
+                return Ok((backend, reply));
             }
             Ok(reply) => {
                 let failure = resume_failure(&reply);
@@ -229,6 +240,9 @@
         } else {
             events.take_rest()
         };
+        if let Some(disorder) = events.take_disorder() {
+            exchange.log_disorder(&backend.server, disorder);
+        }
         if events.is_too_long() {
             return Err(endless_event());
         }
--- a/crates/relay/src/exchange/stream/whole.rs
+++ b/crates/relay/src/exchange/stream/whole.rs
@@ -98,6 +98,7 @@
         backend,
         status: reply.answer.status,
         head: reply.head,
+        framing: reply.framing,
         length,
         body,
         memory,
