--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -87,6 +87,7 @@
 mod standstill_processes;
 mod stop;
 mod stream_absence;
+mod stream_order;
 mod stream_out_of_step;
 mod stream_releases;
 mod stream_restarts;
