h1: a connection that always has bytes leaves other tasks their turn

A peer that sends as fast as it is read kept the thread: each read found something, and nothing yielded until the buffers were empty. Reading now yields after 128 KiB without a wait.

The test fails without the change (0 turns where 25 are due) and passes with it.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -7,6 +7,7 @@
 use std::sync::{Arc, Weak};
 use std::time::Duration;
 
+use futures_lite::future::yield_now;
 use futures_lite::FutureExt;
 use rustix::io::Errno;
 use rustix::net::{self, SendFlags};
@@ -20,6 +21,10 @@
 /// thread; what is read is copied into a buffer of its own length.
 const READ_BYTES: usize = 16 << 10;
 
+/// Bytes that are read of one connection without a wait before other tasks have their
+/// turn: a peer may send as fast as its bytes are read.
+const TURN_BYTES: usize = 128 << 10;
+
 /// Rest after which a connection's peer is probed; with the interval, a peer
 /// that has gone dark is noticed within a few seconds.
 const KEEPALIVE_IDLE: Duration = Duration::from_secs(2);
@@ -41,6 +46,8 @@
     /// Bytes that were read. Those before `taken` have been taken.
     buffer: Vec<u8>,
     taken: usize,
+    /// Bytes read since the last wait.
+    unwaited: usize,
     /// Whether the last read took all that had arrived: the next one waits first
     /// and is spared a call that finds nothing.
     drained: bool,
@@ -171,6 +178,7 @@
             stream: Arc::new(stream),
             buffer: Vec::new(),
             taken: 0,
+            unwaited: 0,
             drained: false,
             carried: None,
         })
@@ -283,11 +291,17 @@
     ///
     /// The connection was reset or timed out.
     pub async fn fill(&mut self) -> io::Result<usize> {
+        if self.unwaited >= TURN_BYTES {
+            self.unwaited = 0;
+            yield_now().await;
+        }
         loop {
             if self.drained && !self.has_carried_end() {
                 self.stream.readable().await?;
+                self.unwaited = 0;
             }
             if let Some(read) = self.try_fill()? {
+                self.unwaited += read;
                 return Ok(read);
             }
         }
--- a/crates/h1/tests/h1/body.rs
+++ b/crates/h1/tests/h1/body.rs
@@ -1,8 +1,9 @@
 //! Bodies: how their end is told, and reading them however they arrive.
 
+use std::cell::Cell;
 use std::io::{self, Write};
 
-use futures_lite::future::poll_once;
+use futures_lite::future::{poll_once, yield_now, zip};
 use tidepier_h1::{Body, Conn, Framing, Malformed};
 
 use crate::{arrive, pair, whole};
@@ -188,3 +189,34 @@
         assert_eq!(kind, io::ErrorKind::UnexpectedEof, "cut at {cut}");
     }
 }
+
+/// A peer that sent as fast as it was read kept all other tasks of the thread waiting.
+#[test]
+fn other_tasks_run_beside_a_peer_that_sends_without_pause() {
+    let (mut conn, mut peer) = pair();
+    // As many bytes as the buffers take wait from the beginning.
+    let socket = conn.weak_socket();
+    let enlarged = socket.with(|socket| socket.set_recv_buffer_size(4 << 20));
+    enlarged.expect("open").expect("a size");
+    peer.set_nonblocking(true).expect("open");
+    let mut due = 0;
+    while let Ok(written) = peer.write(&[b'x'; 64 << 10]) {
+        due += written;
+    }
+    let (turns, is_done) = (Cell::new(0), Cell::new(false));
+    let read = async {
+        let mut body = Body::new(Framing::Length(due as u64));
+        let rest = body.rest(&mut conn, None, due);
+        rest.await.expect("whole");
+        is_done.set(true);
+    };
+    let others = async {
+        while !is_done.get() {
+            turns.set(turns.get() + 1);
+            yield_now().await;
+        }
+    };
+    smol::block_on(zip(read, others));
+    let least = due / (256 << 10);
+    assert!(turns.get() >= least, "{} turns, {due} bytes", turns.get());
+}
