h1: the lines between chunks are bounded by the body

Lines between chunks may now have 64 KiB and 16 bytes for each byte of the body; a chunk of one byte needs five. Beyond that the body is malformed: 400 for a request, a broken answer for a server.

The test fails without the change (the body of 80 such chunks is read).

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -14,6 +14,11 @@
 const TRAILER_BYTES: usize = 16 << 10;
 /// Bytes of a line within which a chunk's size ends.
 const SIZE_BYTES_MAX: usize = 32;
+/// Most bytes of the lines between chunks, beside those of [`LINE_RATIO_MAX`].
+const LINES_BYTES_MAX: u64 = 64 << 10;
+/// Most bytes of the lines between chunks for each byte of the body. A chunk of one byte
+/// needs five.
+const LINE_RATIO_MAX: u64 = 16;
 
 /// How the end of a body is marked.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -122,6 +127,10 @@
     step: Step,
     /// Bytes of an unfinished line that were searched for its end.
     searched: usize,
+    /// Bytes of the body so far.
+    bytes: u64,
+    /// Bytes of the lines between chunks so far.
+    line_bytes: u64,
 }
 
 impl Body {
@@ -133,7 +142,12 @@
             Framing::Chunked => Step::ChunkSize,
             Framing::UntilClose => Step::UntilClose,
         };
-        Self { step, searched: 0 }
+        Self {
+            step,
+            searched: 0,
+            bytes: 0,
+            line_bytes: 0,
+        }
     }
 
     /// Whether the whole body has been read.
@@ -253,6 +267,7 @@
         let moved = usize::try_from(left).map_or(available, |left| left.min(available));
         out.extend_from_slice(&conn.pending()[..moved]);
         conn.skip(moved);
+        self.bytes += moved as u64;
         self.step = same(left - moved as u64);
         (moved as u64 == left).then_some(next)
     }
@@ -265,7 +280,7 @@
         let shown = line.unwrap_or(pending.len().min(SIZE_BYTES_MAX));
         match httparse::parse_chunk_size(&pending[..shown]) {
             Ok(Status::Complete((used, size))) => {
-                conn.skip(used);
+                self.skip_line(conn, used)?;
                 Ok(Some(size))
             }
             Ok(Status::Partial) if line.is_none() => Ok(None),
@@ -280,7 +295,7 @@
         };
         let text = &conn.pending()[..line - 1];
         let length = text.strip_suffix(b"\r").unwrap_or(text).len();
-        conn.skip(line);
+        self.skip_line(conn, line)?;
         Ok(Some(length))
     }
 
@@ -299,6 +314,16 @@
         }
         Ok(length)
     }
+
+    fn skip_line(&mut self, conn: &mut Conn, length: usize) -> io::Result<()> {
+        conn.skip(length);
+        self.line_bytes += length as u64;
+        let most = LINES_BYTES_MAX.saturating_add(self.bytes.saturating_mul(LINE_RATIO_MAX));
+        if self.line_bytes > most {
+            return Err(malformed("the lines between chunks are too long"));
+        }
+        Ok(())
+    }
 }
 
 fn malformed(why: &'static str) -> io::Error {
--- a/crates/h1/tests/h1/body.rs
+++ b/crates/h1/tests/h1/body.rs
@@ -190,6 +190,21 @@
     }
 }
 
+/// Lines between chunks, such as extensions, cost memory of nobody but work without end.
+#[test]
+fn lines_between_chunks_are_bounded_by_the_body() {
+    let chunk = [&b"2;x="[..], &[b'x'; 1_000], b"\r\nab\r\n"].concat();
+    let found = pieces(Framing::Chunked, &[&chunk.repeat(80)]);
+    let kind = found.expect_err("too long").kind();
+    assert_eq!(kind, io::ErrorKind::InvalidData);
+    // Chunks of one byte are within the bound, however many, as are a few long lines.
+    let single = [&b"1\r\na\r\n"[..]; 20_000].concat();
+    let sent = [&chunk.repeat(40)[..], &single, b"0\r\n\r\n"].concat();
+    let parts: Vec<&[u8]> = sent.chunks(10_000).collect();
+    let (out, done, rest) = pieces(Framing::Chunked, &parts).expect("valid");
+    assert_eq!((out.len(), done, rest.len()), (20_080, true, 0));
+}
+
 /// A peer that sent as fast as it was read kept all other tasks of the thread waiting.
 #[test]
 fn other_tasks_run_beside_a_peer_that_sends_without_pause() {
