h1: a head is that of a request or of an answer by its type, and a status is one

Callers got `HTTP/1.1 0 Status` with the fields, the signature and the body of a server in trouble, for answers with status 000, 001, 099 (1, 99) and for bytes that began with the first line of a request; 600 and 999 were passed on, and 101 kept them waiting until their deadline. A request that may run only once got 503, a promise, when 000 came with Not-Executed.

Cause: the parser chose by the first bytes whether a head was a request's or an answer's, the status of a request was the number 0, and each reader judged the status by itself: calls refused 0 only, requests and health checks nothing. The tests of faulty_heads show it on every way to a client: plain routes, HEAD, streams, another box. Fields with odd names, interim answers and trailers were ruled out: their tests passed before.

Now Head has the type of its first line, Conn::request_head and Conn::answer_head are the only readers, and Status holds 100 to 599 only. What has no such status is no answer: the server has failed, nothing that the head says is believed, and the request goes elsewhere or ends with 502. Interim answers are skipped, and 101 is refused, in that one place.

--- a/crates/h1/src/body.rs
+++ b/crates/h1/src/body.rs
@@ -5,7 +5,7 @@
 use httparse::Status;
 
 use crate::conn::Conn;
-use crate::head::{Head, Malformed};
+use crate::head::{Answer, Head, Malformed};
 
 /// Longest line of a chunk's size, with its extensions, and of a trailer, in
 /// bytes.
@@ -41,8 +41,8 @@
     /// # Errors
     ///
     /// Its end is given in two ways, or in one that is unknown.
-    pub fn of_answer(head: &Head, method: &str) -> Result<Self, Malformed> {
-        let bodiless = matches!(head.status(), 100..=199 | 204 | 304);
+    pub fn of_answer(head: &Head<Answer>, method: &str) -> Result<Self, Malformed> {
+        let bodiless = matches!(head.status().code(), 204 | 304);
         if bodiless || method == "HEAD" {
             return Ok(Framing::Empty);
         }
@@ -50,7 +50,7 @@
     }
 }
 
-fn told(head: &Head) -> Result<Option<Framing>, Malformed> {
+fn told<L>(head: &Head<L>) -> Result<Option<Framing>, Malformed> {
     let mut chunked = false;
     let mut length = None;
     for field in head.fields() {
--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -17,14 +17,12 @@
 
 use crate::body::{Body, Framing, Unread};
 use crate::conn::Conn;
-use crate::head::{Head, Malformed};
+use crate::head::{Answer, Head, Malformed};
 use crate::write;
 
 /// Bytes of an announced body length that are set aside before they arrive:
 /// more than an answer usually has, little against what a process may hold.
 const RESERVE_BYTES: u64 = 2 << 20;
-/// Maximum number of interim answers that come before one answer.
-const INTERIM_MAX: usize = 8;
 
 /// What a caller waits for and takes at most.
 #[derive(Debug, Clone, Copy)]
@@ -69,7 +67,7 @@
 #[derive(Debug)]
 pub struct Reply {
     /// Its head.
-    pub head: Head,
+    pub head: Head<Answer>,
     /// Its body.
     pub body: Vec<u8>,
 }
@@ -177,24 +175,13 @@
         Ok((Reply { head, body }, keeps.then_some(conn)))
     }
 
-    /// The head of the answer itself, past any that only say it is coming.
-    async fn head(&self, conn: &mut Conn) -> Result<Head, Failure> {
-        for _ in 0..=INTERIM_MAX {
-            let head = match conn.head(self.limits.head_bytes).await {
-                Ok(Some(head)) => head,
-                Ok(None) | Err(Malformed::BrokenOff) => {
-                    return Err(Failure::NoAnswer(io::ErrorKind::UnexpectedEof.into()))
-                }
-                Err(Malformed::Lost(error)) => return Err(Failure::NoAnswer(error)),
-                Err(error) => return Err(Failure::Malformed(error.to_string())),
-            };
-            match head.status() {
-                100..=199 => {}
-                0 => return Err(Failure::Malformed("not an answer".to_owned())),
-                _ => return Ok(head),
-            }
-        }
-        Err(Failure::Malformed("too many interim answers".to_owned()))
+    async fn head(&self, conn: &mut Conn) -> Result<Head<Answer>, Failure> {
+        let head = conn.answer_head(self.limits.head_bytes).await;
+        head.map_err(|error| match error {
+            Malformed::BrokenOff => Failure::NoAnswer(io::ErrorKind::UnexpectedEof.into()),
+            Malformed::Lost(error) => Failure::NoAnswer(error),
+            error => Failure::Malformed(error.to_string()),
+        })
     }
 
     async fn body(&self, conn: &mut Conn, framing: Framing) -> Result<Vec<u8>, Failure> {
--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -13,7 +13,7 @@
 use smol::{Async, Timer};
 use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
 
-use crate::head::{Head, Malformed};
+use crate::head::{self, Head, Malformed};
 use crate::record::Decoder;
 
 /// Bytes read at once. One buffer of this size serves all connections of a
@@ -31,6 +31,11 @@
 /// otherwise have up to 64 KiB. With a time-out of 4 s, a peer is alive at 2 KB/s.
 pub const RECORD_BYTES: usize = 8 << 10;
 
+/// Maximum number of interim answers that come before one answer.
+const INTERIM_MAX: usize = 8;
+/// Status after which a connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
+
 thread_local! {
     static SCRATCH: RefCell<Box<[u8]>> = RefCell::new(vec![0; READ_BYTES].into());
 }
@@ -352,19 +357,48 @@
         self.pending.is_empty() && matches!(self.try_fill(), Ok(None)) && !self.is_closing()
     }
 
-    /// Reads a head of at most `most` bytes; `None` when the peer closed the
+    /// Reads the head of a request of at most `most` bytes; `None` when the peer closed the
     /// connection before the head's first byte.
     ///
     /// # Errors
     ///
     /// The head is malformed, too large, or broke off.
-    pub async fn head(&mut self, most: usize) -> Result<Option<Head>, Malformed> {
+    pub async fn request_head(
+        &mut self,
+        most: usize,
+    ) -> Result<Option<Head<head::Request>>, Malformed> {
+        let bytes = self.whole_head(most).await?;
+        bytes.map(Head::<head::Request>::parse).transpose()
+    }
+
+    /// Reads the head of an answer of at most `most` bytes, past any interim ones.
+    ///
+    /// # Errors
+    ///
+    /// The bytes are no answer, too many interim answers came first, or the connection ended
+    /// before the end of the head.
+    pub async fn answer_head(&mut self, most: usize) -> Result<Head<head::Answer>, Malformed> {
+        for _ in 0..=INTERIM_MAX {
+            let bytes = self.whole_head(most).await?.ok_or(Malformed::BrokenOff)?;
+            let head = Head::<head::Answer>::parse(bytes)?;
+            match head.status().code() {
+                SWITCHING_PROTOCOLS => return Err(Malformed::Switched),
+                100..=199 => {}
+                _ => return Ok(head),
+            }
+        }
+        Err(Malformed::Interim)
+    }
+
+    /// Takes the bytes of a whole head; `None` when the peer closed the connection before the
+    /// first one.
+    async fn whole_head(&mut self, most: usize) -> Result<Option<Vec<u8>>, Malformed> {
         let mut tried = 0;
         loop {
             if self.pending.len() > tried {
                 tried = self.pending.len();
-                if let Some(length) = Head::length(&self.pending, most)? {
-                    return Head::parse(self.take(length)).map(Some);
+                if let Some(length) = head::length(&self.pending, most)? {
+                    return Ok(Some(self.take(length)));
                 }
             }
             match self.fill().await {
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -1,10 +1,11 @@
 //! Heads of requests and answers, kept as the bytes that were sent.
 
+use std::fmt;
 use std::io;
 use std::ops::Range;
 use std::time::Duration;
 
-use httparse::{Status, EMPTY_HEADER};
+use httparse::EMPTY_HEADER;
 
 /// Most fields in one head.
 const FIELDS_MAX: usize = 64;
@@ -39,23 +40,52 @@
     /// The body's end is given in two ways, or in one that is unknown.
     #[error("{0}")]
     Framing(&'static str),
+    /// The number in place of the status is none.
+    #[error("{0:03} is not a status")]
+    Status(u16),
+    /// The connection was to speak another protocol, which nobody had asked for.
+    #[error("the protocol was switched")]
+    Switched,
+    /// Too many interim answers came before the answer.
+    #[error("too many interim answers")]
+    Interim,
 }
 
-/// The first line of a head.
+/// The first line of a request.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Start {
-    /// A request.
-    Request {
-        /// The method.
-        method: Box<str>,
-        /// Path and query.
-        target: Box<str>,
-    },
-    /// An answer.
-    Answer {
-        /// The status code.
-        status: u16,
-    },
+pub struct Request {
+    method: Box<str>,
+    target: Box<str>,
+}
+
+/// The first line of an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Answer {
+    status: Status,
+}
+
+/// The status of an answer, which has a class from 1 to 5.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Status(u16);
+
+impl Status {
+    fn new(code: u16) -> Result<Self, Malformed> {
+        match code {
+            100..=599 => Ok(Self(code)),
+            _ => Err(Malformed::Status(code)),
+        }
+    }
+
+    /// Its code.
+    pub fn code(self) -> u16 {
+        self.0
+    }
+}
+
+impl fmt::Display for Status {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        self.0.fmt(f)
+    }
 }
 
 /// One field of a head.
@@ -82,102 +112,92 @@
 
 /// The head of a request or an answer.
 #[derive(Debug, Clone)]
-pub struct Head {
-    start: Start,
+pub struct Head<L = Request> {
+    line: L,
     /// Minor version of HTTP/1.
     minor: u8,
     bytes: Vec<u8>,
     fields: Vec<(Range<u32>, Range<u32>)>,
 }
 
-impl Head {
-    /// The length of the head at the start of `bytes`, once it is whole.
-    pub(crate) fn length(bytes: &[u8], most: usize) -> Result<Option<usize>, Malformed> {
-        let end = end_of_head(bytes);
-        if end.unwrap_or(bytes.len()) > most {
-            return Err(Malformed::TooLarge);
-        }
-        Ok(end)
+/// The length of the head at the start of `bytes`, once it is whole.
+pub(crate) fn length(bytes: &[u8], most: usize) -> Result<Option<usize>, Malformed> {
+    let end = end_of_head(bytes);
+    if end.unwrap_or(bytes.len()) > most {
+        return Err(Malformed::TooLarge);
     }
+    Ok(end)
+}
 
-    /// Parses a whole head.
+impl Head<Request> {
+    /// Parses the whole head of a request.
     pub(crate) fn parse(bytes: Vec<u8>) -> Result<Self, Malformed> {
-        if bytes.starts_with(b"HTTP/") {
-            Self::parse_answer(bytes)
-        } else {
-            Self::parse_request(bytes)
-        }
-    }
-
-    fn parse_request(bytes: Vec<u8>) -> Result<Self, Malformed> {
         let mut headers = [EMPTY_HEADER; FIELDS_MAX];
         let mut request = httparse::Request::new(&mut headers);
         let status = request.parse(&bytes).map_err(Malformed::Syntax)?;
-        let (Status::Complete(_), Some(method), Some(target)) =
+        let (httparse::Status::Complete(_), Some(method), Some(target)) =
             (status, request.method, request.path)
         else {
             return Err(Malformed::BrokenOff);
         };
-        let start = Start::Request {
+        let line = Request {
             method: method.into(),
             target: target.into(),
         };
         let minor = request.version.unwrap_or(1);
         let fields = ranges(&bytes, request.headers);
         Ok(Self {
-            start,
+            line,
             minor,
             bytes,
             fields,
         })
     }
 
-    fn parse_answer(bytes: Vec<u8>) -> Result<Self, Malformed> {
+    /// The method.
+    pub fn method(&self) -> &str {
+        &self.line.method
+    }
+
+    /// Path and query.
+    pub fn target(&self) -> &str {
+        &self.line.target
+    }
+}
+
+impl Head<Answer> {
+    /// Parses the whole head of an answer.
+    pub(crate) fn parse(bytes: Vec<u8>) -> Result<Self, Malformed> {
+        // The parser skips empty lines, which may come before a request only.
+        if !bytes.starts_with(b"HTTP/") {
+            return Err(Malformed::Syntax(httparse::Error::Version));
+        }
         let mut headers = [EMPTY_HEADER; FIELDS_MAX];
         let mut answer = httparse::Response::new(&mut headers);
         let status = answer.parse(&bytes).map_err(Malformed::Syntax)?;
-        let (Status::Complete(_), Some(code)) = (status, answer.code) else {
+        let (httparse::Status::Complete(_), Some(code)) = (status, answer.code) else {
             return Err(Malformed::BrokenOff);
         };
+        let line = Answer {
+            status: Status::new(code)?,
+        };
         let minor = answer.version.unwrap_or(1);
         let fields = ranges(&bytes, answer.headers);
         Ok(Self {
-            start: Start::Answer { status: code },
+            line,
             minor,
             bytes,
             fields,
         })
     }
 
-    /// The first line.
-    pub fn start(&self) -> &Start {
-        &self.start
-    }
-
-    /// The method of a request; empty for an answer.
-    pub fn method(&self) -> &str {
-        match &self.start {
-            Start::Request { method, .. } => method,
-            Start::Answer { .. } => "",
-        }
-    }
-
-    /// Path and query of a request; empty for an answer.
-    pub fn target(&self) -> &str {
-        match &self.start {
-            Start::Request { target, .. } => target,
-            Start::Answer { .. } => "",
-        }
-    }
-
-    /// The status of an answer; 0 for a request.
-    pub fn status(&self) -> u16 {
-        match self.start {
-            Start::Request { .. } => 0,
-            Start::Answer { status } => status,
-        }
+    /// The status.
+    pub fn status(&self) -> Status {
+        self.line.status
     }
+}
 
+impl<L> Head<L> {
     /// All fields in order.
     pub fn fields(&self) -> impl Iterator<Item = Field<'_>> {
         self.fields.iter().map(|(name, value)| Field {
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -11,12 +11,14 @@
 //! * A body that ends before its length, or whose chunks break off, is an
 //!   error and never a shorter body.
 //! * A head that gives its body's end in two ways is refused.
+//! * All answers are read by [`Conn::answer_head`]: bytes that do not begin with a valid
+//!   status are no answer.
 //! * A connection holds buffers only while bytes wait in it.
 
 mod body;
 pub mod call;
 mod conn;
-mod head;
+pub mod head;
 pub mod record;
 pub mod target;
 pub mod write;
@@ -24,4 +26,4 @@
 pub use body::{Body, Framing, Unread};
 pub use call::Caller;
 pub use conn::{Conn, Listener, WeakSocket, Writer, RECORD_BYTES};
-pub use head::{Field, Head, Malformed, Start};
+pub use head::{Field, Head, Malformed};
--- a/crates/relay-standin/src/server/connection.rs
+++ b/crates/relay-standin/src/server/connection.rs
@@ -174,7 +174,7 @@
     async fn head(&mut self) -> io::Result<Option<Head>> {
         let idle = self.shared.lock().idle_close;
         let head = async {
-            let head = self.conn.head(http::HEAD_BYTES_MAX).await;
+            let head = self.conn.request_head(http::HEAD_BYTES_MAX).await;
             head.map_err(io::Error::other)
         };
         let timed_out = async {
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -19,7 +19,7 @@
 use futures_lite::{future, FutureExt};
 use tidepier_clock::Instant;
 use tidepier_core::answer::Answer;
-use tidepier_h1::{Body, Conn, Framing, Head, Malformed, Unread};
+use tidepier_h1::{head, Body, Conn, Framing, Head, Malformed, Unread};
 use tidepier_platform::answer;
 
 use crate::dial::Dialer;
@@ -33,8 +33,6 @@
 const HEAD_BYTES_MAX: usize = 16 << 10;
 /// Largest answer to another request that is skipped, in bytes.
 const SKIPPED_BYTES_MAX: usize = 256 << 10;
-/// Maximum number of interim answers that come before one answer.
-const INTERIM_MAX: usize = 8;
 /// Maximum number of answers to other requests that are skipped on one connection.
 const SKIPPED_MAX: usize = 2;
 
@@ -209,7 +207,7 @@
 /// The head of an answer, and the state for reading its body.
 pub struct Reply {
     /// The head as sent.
-    pub head: Head,
+    pub head: Head<head::Answer>,
     /// The decoded head.
     pub answer: Answer,
     /// How the end of the body is determined.
@@ -325,7 +323,7 @@
 
 /// The answer to this request.
 struct OwnAnswer {
-    head: Head,
+    head: Head<head::Answer>,
     answer: Answer,
     /// Answers to other requests that came first, from the same server.
     earlier: Vec<Answer>,
@@ -333,20 +331,9 @@
 
 async fn read(conn: &mut Conn, dispatch: &Dispatch<'_>) -> Result<OwnAnswer, Failure> {
     let mut earlier: Vec<Answer> = Vec::new();
-    let mut interim = 0;
     loop {
-        let head = conn
-            .head(HEAD_BYTES_MAX)
-            .await
-            .map_err(|e| maybe_executed(Cause::Lost(e)))?;
-        let head = head.ok_or_else(|| maybe_executed(Cause::Lost(Malformed::BrokenOff)))?;
-        if matches!(head.status(), 100..=199) {
-            interim += 1;
-            if interim > INTERIM_MAX {
-                return Err(maybe_executed(Cause::Lost(Malformed::TooLarge)));
-            }
-            continue;
-        }
+        let head = conn.answer_head(HEAD_BYTES_MAX).await;
+        let head = head.map_err(|error| maybe_executed(Cause::Lost(error)))?;
         let answer = answer::decode(&head);
         match answer.attempt.as_deref() {
             Some(attempt) if attempt == dispatch.attempt => {
@@ -378,7 +365,7 @@
     Ok(())
 }
 
-fn own_answer(head: Head, answer: Answer, mut earlier: Vec<Answer>) -> OwnAnswer {
+fn own_answer(head: Head<head::Answer>, answer: Answer, mut earlier: Vec<Answer>) -> OwnAnswer {
     // Only this answer shows which server sent the earlier ones, so they take its server
     // id. An answer with MISDIRECTED shows that another server has this address, so the
     // earlier ones are dropped.
@@ -397,7 +384,7 @@
 
 /// Reads and discards the body of an answer to another request.
 ///
-async fn skip(conn: &mut Conn, head: &Head, method: &str) -> Result<(), Failure> {
+async fn skip(conn: &mut Conn, head: &Head<head::Answer>, method: &str) -> Result<(), Failure> {
     let framing = Framing::of_answer(head, method);
     let framing = framing.map_err(|error| maybe_executed(Cause::Lost(error)))?;
     if framing == Framing::UntilClose {
--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -238,7 +238,7 @@
 
 /// Reads a request's head.
 async fn head(conn: &mut Conn, limits: &Limits) -> Result<Head, Unread> {
-    match timeout::within(limits.head_time, conn.head(limits.head_bytes)).await {
+    match timeout::within(limits.head_time, conn.request_head(limits.head_bytes)).await {
         Some(Ok(Some(head))) => Ok(head),
         Some(Ok(None) | Err(Malformed::BrokenOff | Malformed::Lost(_))) => Err(Unread::Gone),
         Some(Err(Malformed::TooLarge)) => Err(Unread::Refused(refusal::Kind::HeadTooLarge)),
--- a/crates/relay/src/exchange/buffered.rs
+++ b/crates/relay/src/exchange/buffered.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use tidepier_h1::Head;
+use tidepier_h1::{head, Head};
 use tidepier_platform::answer::Length;
 
 use crate::backlog::Reservation;
@@ -16,7 +16,7 @@
     /// Its status.
     pub(super) status: u16,
     /// Its head as received from the server.
-    pub(super) head: Head,
+    pub(super) head: Head<head::Answer>,
     /// How its length is indicated to the client.
     pub(super) length: Length,
     /// Its body.
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -8,7 +8,7 @@
 use tidepier_clock::Instant;
 use tidepier_core::catalog::{Account, Cold, Kind, Route, Service};
 use tidepier_core::request::Request;
-use tidepier_h1::{Head, Writer};
+use tidepier_h1::{head, Head, Writer};
 use tidepier_ids as ids;
 use tidepier_platform::{answer, request as wire_request};
 
@@ -192,7 +192,12 @@
     }
 
     /// Encodes the head of an answer for the client.
-    pub(super) fn head(&self, head: &Head, length: answer::Length, close: bool) -> Vec<u8> {
+    pub(super) fn head(
+        &self,
+        head: &Head<head::Answer>,
+        length: answer::Length,
+        close: bool,
+    ) -> Vec<u8> {
         let mut out = Vec::new();
         answer::encode(head, length, close, &mut out);
         out
--- a/crates/relay/src/health_check.rs
+++ b/crates/relay/src/health_check.rs
@@ -82,7 +82,6 @@
     monitoring::get(&service.health_path, &host, &mut bytes);
     conn.writer().write_all(&bytes).await?;
     let unreadable = |error: Malformed| io::Error::other(error.to_string());
-    let head = conn.head(HEAD_BYTES_MAX).await.map_err(unreadable)?;
-    let head = head.ok_or(io::ErrorKind::UnexpectedEof)?;
+    let head = conn.answer_head(HEAD_BYTES_MAX).await.map_err(unreadable)?;
     Ok(!answer::decode(&head).not_executed)
 }
--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -110,7 +110,7 @@
 
 /// Handles one request; returns whether the connection can carry another.
 async fn serve_request(conn: &mut Conn, page: &impl Fn(&str) -> Page) -> Result<bool, Malformed> {
-    let head = timeout::within(IDLE_TIMEOUT, conn.head(HEAD_BYTES_MAX)).await;
+    let head = timeout::within(IDLE_TIMEOUT, conn.request_head(HEAD_BYTES_MAX)).await;
     let Some(head) = head.unwrap_or(Ok(None))? else {
         return Ok(false);
     };
--- a/crates/relay/src/recall/engines.rs
+++ b/crates/relay/src/recall/engines.rs
@@ -94,7 +94,7 @@
 
 /// Records the list in an engine's answer.
 fn record_answer(relay: &Relay, engine: &Backend, reply: &Reply, share: usize) {
-    let listed = match reply.head.status() {
+    let listed = match reply.head.status().code() {
         200 => monitoring::cached_parts(&reply.body).map_err(|error| error.to_string()),
         status => Err(format!("status {status}")),
     };
