Answers without end, many at once: process tests, known red

Six tests start a router process with 64 MB of memory of its own, have it answered to a crowd at once by a server that sends a part and stays, or does not end, and check that the process lives, its memory and descriptors stay under what its settings give it, and an ordinary request is answered after. Crowds and bounds are fixed here, before any change of the router.

--- /dev/null
+++ b/crates/relay/tests/endless_answers/main.rs
@@ -0,0 +1,91 @@
+//! What servers must not bring a router process to, whatever they answer to many requests at
+//! once: an end, a hang, more memory or descriptors than its settings give it, or requests of
+//! others that are not answered.
+//!
+//! Each test starts a process of its own with lowered limits. The tests run one after the
+//! other.
+
+mod harness;
+
+use harness::{run, Answers, Harness, Result};
+
+/// The beginning of a signed answer; `ATTEMPT` stands for the attempt that is answered.
+const SIGNED: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: ATTEMPT\r\nResponse-Seal: raw\r\n";
+/// The same of one that is no stream.
+const REJECTED: &str = "HTTP/1.1 400 No\r\nAttempt-Id: ATTEMPT\r\nResponse-Seal: raw\r\n";
+const CHUNKED: &str = "Transfer-Encoding: chunked\r\n\r\n";
+/// A byte less than what a box takes of one event.
+const EVENT_BYTES: usize = (1 << 20) - 1;
+
+/// Has `count` requests for `target` answered with `head` and then with `body`, and checks the
+/// process.
+fn play(target: &'static str, count: usize, head: &str, body: Vec<u8>, ends: bool) -> Result {
+    let answers = Answers {
+        head: head.to_owned(),
+        body,
+        ends,
+    };
+    run(async {
+        let mut harness = Harness::start(answers).await?;
+        let crowd = harness.crowd(target, count).await?;
+        harness.check().await?;
+        drop(crowd);
+        harness.check().await
+    })
+}
+
+fn chunk(bytes: usize) -> Vec<u8> {
+    let mut chunk = format!("{bytes:x}\r\n").into_bytes();
+    chunk.resize(chunk.len() + bytes, b'e');
+    chunk
+}
+
+/// Guards against a process that ends as it holds an event that is not complete for each of
+/// many streams.
+#[test]
+fn events_that_are_not_completed_stay_within_memory() -> Result {
+    let head = format!("{SIGNED}{CHUNKED}");
+    play("/s/x", 150, &head, chunk(EVENT_BYTES), false)
+}
+
+/// Guards against the same where the events do not end.
+#[test]
+fn events_without_end_stay_within_memory() -> Result {
+    let head = format!("{SIGNED}Content-Length: 9000000000000\r\n\r\n");
+    play("/s/x", 150, &head, vec![b'e'; 4 << 20], false)
+}
+
+/// Guards against a process that ends as it holds a part of each of many answers that are not
+/// completed.
+#[test]
+fn answers_that_are_not_completed_stay_within_memory() -> Result {
+    let head = format!("{REJECTED}\r\n");
+    play("/s/x", 900, &head, vec![b'w'; 63 << 10], false)
+}
+
+/// Guards against the same where the answers do not end.
+#[test]
+fn answers_without_end_stay_within_memory() -> Result {
+    play(
+        "/w/x",
+        150,
+        &format!("{SIGNED}\r\n"),
+        vec![b'w'; 12 << 20],
+        true,
+    )
+}
+
+/// Guards against a process that ends as it holds a part of the head of each of many answers.
+#[test]
+fn heads_that_are_not_completed_stay_within_memory() -> Result {
+    let head = format!("{SIGNED}X-More: ");
+    play("/s/x", 900, &head, vec![b'h'; 15 << 10], false)
+}
+
+/// Guards against a process that ends as it reads the bodies of many errors for the case that
+/// no other server answers.
+#[test]
+fn bodies_of_errors_stay_within_memory() -> Result {
+    let head = "HTTP/1.1 500 Failed\r\nAttempt-Id: ATTEMPT\r\nResponse-Seal: raw\r\n\r\n";
+    play("/w/x", 900, head, vec![b'b'; 64 << 10], true)
+}
