A request's body is sent without a copy for each attempt

Head and body of a request were joined in memory for each attempt, and the copy was kept until the head of the answer: a request at a server that takes its time held its body twice. 40 whole bodies of 4 MiB took 345 MB resident instead of the 168 MB that they have.

Head and body now go out in one vectored write, so that a small request needs no further call of the system.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -1,7 +1,7 @@
 //! TCP connections whose end is seen and whose buffers are lent.
 
 use std::cell::RefCell;
-use std::io::{self, Read, Write};
+use std::io::{self, IoSlice, Read, Write};
 use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
@@ -469,10 +469,36 @@
         Ok(())
     }
 
+    /// Writes all bytes of two parts, one after the other, without joining them in memory.
+    ///
+    /// # Errors
+    ///
+    /// The connection was reset or timed out.
+    pub async fn write_both(&self, [mut first, mut second]: [&[u8]; 2]) -> io::Result<()> {
+        while !first.is_empty() && !second.is_empty() {
+            let parts = [IoSlice::new(first), IoSlice::new(second)];
+            let written = self.attempt(|mut stream| stream.write_vectored(&parts));
+            let written = written.await?;
+            if written == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            let of_first = written.min(first.len());
+            first = &first[of_first..];
+            second = &second[written - of_first..];
+        }
+        self.write_all(first).await?;
+        self.write_all(second).await
+    }
+
     /// Writes some bytes; returns how many.
     async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
+        self.attempt(|mut stream| stream.write(bytes)).await
+    }
+
+    /// Calls `write` until it does not have to wait.
+    async fn attempt(&self, write: impl Fn(&TcpStream) -> io::Result<usize>) -> io::Result<usize> {
         loop {
-            match self.stream.get_ref().write(bytes) {
+            match write(self.stream.get_ref()) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.writable().await?,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 other => return other,
--- a/crates/h1/tests/h1/conn.rs
+++ b/crates/h1/tests/h1/conn.rs
@@ -76,3 +76,22 @@
         assert!(Conn::open(address, LIMIT, LIMIT).await.is_err());
     });
 }
+
+#[test]
+fn two_parts_are_written_as_one_however_little_the_peer_takes() {
+    let sizes = [0, 1, 100, 3 << 20];
+    for (first, second) in sizes.iter().flat_map(|a| sizes.map(|b| (*a, b))) {
+        let (conn, mut peer) = pair();
+        let reading = std::thread::spawn(move || {
+            let mut all = Vec::new();
+            peer.read_to_end(&mut all).expect("an end");
+            all
+        });
+        let parts = [vec![b'1'; first], vec![b'2'; second]];
+        let written = conn.writer().write_both([&parts[0], &parts[1]]);
+        smol::block_on(written).expect("open");
+        conn.writer().finish();
+        let all = reading.join().expect("no panic");
+        assert!(all == parts.concat(), "{first} and {second}");
+    }
+}
--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -179,8 +179,8 @@
 
 /// A request as it is sent to one server.
 pub struct Dispatch<'a> {
-    /// Head and body.
-    pub bytes: &'a [u8],
+    /// Head and body, which are sent as one.
+    pub parts: [&'a [u8]; 2],
     /// The request method.
     pub method: &'a str,
     /// Id of the attempt, which the answer has to name.
@@ -316,7 +316,7 @@
     let written = std::cell::Cell::new(false);
     let write = async {
         // A failed write ends the connection; the reader reports the reason.
-        written.set(writer.write_all(dispatch.bytes).await.is_ok());
+        written.set(writer.write_both(dispatch.parts).await.is_ok());
         future::pending().await
     };
     let own = read(conn, dispatch).or(write).await?;
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -63,7 +63,7 @@
         };
         self.log_placement(&choice);
         self.answering_since.set(None);
-        let bytes = self.encode(&choice, resume_after);
+        let head = self.encode(&choice, resume_after);
         let max_idle = self.max_idle(&backend);
         self.attempts += 1;
         self.tried.push(backend.server.id.clone());
@@ -83,7 +83,7 @@
         let dispatch = Dispatch {
             on_connected: &connected,
             used: &self.used,
-            bytes: &bytes,
+            parts: [&head, self.arrival.body],
             method: self.arrival.head.method(),
             attempt: &self.request.attempt,
             deadline: self.deadline,
@@ -393,8 +393,9 @@
         }
     }
 
+    /// The head of the request for the chosen server.
     fn encode(&self, choice: &Choice, resume_after: Option<u64>) -> Vec<u8> {
-        let mut bytes = Vec::with_capacity(1_024 + self.arrival.body.len());
+        let mut bytes = Vec::with_capacity(1_024);
         let forward = Forward {
             server: &choice.backend.server.id,
             left: Some(self.deadline - Instant::now()),
@@ -408,7 +409,6 @@
             body: self.arrival.has_body.then_some(self.arrival.body.len()),
         };
         wire_request::encode(self.arrival.head, &forward, &mut bytes);
-        bytes.extend_from_slice(self.arrival.body);
         bytes
     }
 
