--- a/crates/h1/tests/h1/conn.rs
+++ b/crates/h1/tests/h1/conn.rs
@@ -88,9 +88,10 @@
             all
         });
         let parts = [vec![b'1'; first], vec![b'2'; second]];
-        let written = conn.writer().write_both([&parts[0], &parts[1]]);
+        let writer = conn.writer();
+        let written = writer.write_both([&parts[0], &parts[1]]);
         smol::block_on(written).expect("open");
-        conn.writer().finish();
+        writer.finish();
         let all = reading.join().expect("no panic");
         assert!(all == parts.concat(), "{first} and {second}");
     }
