Streams: events that are not complete have a limit over the whole box

A faulty server that sends a part of an event to each of many streams, and stays or goes on, had each stream keep up to 1 MiB: 150 streams took a process of 64 MB to 184.2 MB and 124.4 MB resident, at which a machine of that size ends it with the requests of all other clients. Cause: each event was bounded and nothing counted them; whole answers have an account (backlog), events had none. Clients that do not read were ruled out: those of the tests read at once.

Now the backlog counts them, with a limit of limits.events_share of the memory (0.1). A stream may keep as much as is left for all others; one with more is taken from its server as if it had broken off, so that it is resumed elsewhere where its route allows that. So the longest events go first, the sum stays under the limit without a search or a signal, and events of usual length have room beside a thousand of these (11 KB in the smallest boxes). Logged as a failure of the server (`does not end`), counted in tidepier_events_cut_total.

--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -3,7 +3,8 @@
 //! An answer that is read completely before it is forwarded reserves memory while it is
 //! read and until its client has taken it; the reservations of all clients together stay
 //! within a limit. Events of streams need no reservation: a stream is read from its server
-//! no faster than its client takes it. They are counted only.
+//! no faster than its client takes it. They are counted only. Events that are not complete
+//! have a limit of their own, as servers may leave many so or not end them.
 //!
 //! Invariants:
 //!
@@ -12,6 +13,8 @@
 //! * While an answer waits for memory, the client that has taken nothing for longest is
 //!   cut, provided that this is at least [`SHORTAGE_STALL`]. A client that reads in time
 //!   is never cut.
+//! * Events that are not complete exceed their limit by at most what was last read of those
+//!   that are then given up.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -40,6 +43,9 @@
     limit: Cell<usize>,
     reserved: Cell<usize>,
     stream_bytes: Cell<usize>,
+    /// Most bytes of events that are not complete.
+    partial_limit: Cell<usize>,
+    partial_bytes: Cell<usize>,
     /// Whether a reservation exceeds the limit; at most one does.
     exceeded: Cell<bool>,
     next_id: Cell<u64>,
@@ -51,12 +57,14 @@
 }
 
 impl Default for Backlog {
-    /// A backlog without a limit.
+    /// A backlog without limits.
     fn default() -> Self {
         Self {
             limit: Cell::new(usize::MAX),
             reserved: Cell::default(),
             stream_bytes: Cell::default(),
+            partial_limit: Cell::new(usize::MAX),
+            partial_bytes: Cell::default(),
             exceeded: Cell::default(),
             next_id: Cell::default(),
             waiting: RefCell::default(),
@@ -115,6 +123,11 @@
         self.changed.notify();
     }
 
+    /// Sets the most bytes of events that are not complete.
+    pub fn set_partial_limit(&self, bytes: usize) {
+        self.partial_limit.set(bytes);
+    }
+
     /// Bytes that are reserved for whole answers.
     pub fn reserved(&self) -> usize {
         self.reserved.get()
@@ -125,6 +138,19 @@
         self.stream_bytes.get()
     }
 
+    /// Bytes of events that are not complete.
+    pub fn partial_bytes(&self) -> usize {
+        self.partial_bytes.get()
+    }
+
+    /// An account of the event of one stream that is not complete.
+    pub fn partial(self: &Rc<Self>) -> Partial {
+        Partial {
+            backlog: self.clone(),
+            bytes: Cell::default(),
+        }
+    }
+
     /// An empty reservation.
     pub fn reservation(self: &Rc<Self>) -> Reservation {
         Reservation {
@@ -331,6 +357,35 @@
     }
 }
 
+/// The bytes of one stream's event that is not complete, counted until it is dropped.
+pub struct Partial {
+    backlog: Rc<Backlog>,
+    bytes: Cell<usize>,
+}
+
+impl Partial {
+    /// Sets how many bytes there are. Returns whether they may be kept: one stream may keep as
+    /// much as is left for all others. So the streams with the longest events are given up
+    /// first, and events of usual length have room beside any number of these.
+    #[must_use]
+    pub fn set(&self, bytes: usize) -> bool {
+        let backlog = &self.backlog;
+        let before = self.bytes.replace(bytes);
+        let all = backlog.partial_bytes.get() - before + bytes;
+        if before != bytes {
+            backlog.partial_bytes.set(all);
+            metrics::gauge!("tidepier_client_bytes_kept", "kind" => "partial").set(all as f64);
+        }
+        bytes <= backlog.partial_limit.get().saturating_sub(all)
+    }
+}
+
+impl Drop for Partial {
+    fn drop(&mut self) {
+        let _ = self.set(0);
+    }
+}
+
 /// Counts the bytes of a stream that wait for its client, until it is dropped.
 struct Counted<'a> {
     backlog: &'a Backlog,
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -15,7 +15,7 @@
 
 use super::discard;
 use crate::attempt::{Cause, Executed, Failure, Reply};
-use crate::backlog::Cut;
+use crate::backlog::{Cut, Partial};
 use crate::events::Buffer;
 use crate::exchange::disposition::Disposition;
 use crate::exchange::silent::Silent;
@@ -41,6 +41,8 @@
     close: bool,
     /// Time from the request's arrival to the first event, once that was forwarded.
     first: Cell<Option<Duration>>,
+    /// Counts what is kept of an event that is not complete.
+    partial: Partial,
 }
 
 impl Client {
@@ -50,6 +52,7 @@
             chunked,
             close: exchange.closes() || !chunked,
             first: Cell::new(None),
+            partial: exchange.relay.backlog.partial(),
         }
     }
 
@@ -229,8 +232,10 @@
         } else {
             events.take_rest()
         };
-        if events.is_too_long() {
-            return Err(endless_event());
+        let has_room = client.partial.set(events.buffer().len());
+        if events.is_too_long() || !has_room {
+            events.take_rest();
+            return Err(endless_event(has_room));
         }
         if !complete.is_empty() {
             push_events(out, &complete, client.chunked);
@@ -259,11 +264,20 @@
     }
 }
 
-fn endless_event() -> Failure {
-    let error = io::Error::new(io::ErrorKind::InvalidData, "an event does not end");
+/// The failure of a server whose event does not end; `has_room`: it is too long by itself,
+/// not only for the memory that others leave.
+fn endless_event(has_room: bool) -> Failure {
+    let (why, text) = match has_room {
+        true => ("length", "an event does not end"),
+        false => (
+            "memory",
+            "an event does not end while others take the memory",
+        ),
+    };
+    metrics::counter!("tidepier_events_cut_total", "why" => why).increment(1);
     Failure {
         executed: Executed::Unknown,
-        cause: Cause::Broken(error),
+        cause: Cause::Broken(io::Error::new(io::ErrorKind::InvalidData, text)),
     }
 }
 
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -108,6 +108,8 @@
         ));
         relay.set_descriptors(settings.limits.descriptors);
         relay.backlog.set_limit(settings.limits.answer_bytes());
+        let event_bytes = settings.limits.event_bytes();
+        relay.backlog.set_partial_limit(event_bytes);
         relay.set_regions(settings.regions.clone());
         let callers = Listener::bind(settings.callers).wrap_err("binding the client address")?;
         let mut router = Self {
@@ -207,6 +209,8 @@
         self.relay.set_regions(settings.regions.clone());
         self.relay.set_descriptors(settings.limits.descriptors);
         self.relay.backlog.set_limit(settings.limits.answer_bytes());
+        let event_bytes = settings.limits.event_bytes();
+        self.relay.backlog.set_partial_limit(event_bytes);
         self.relay.budget.set_limits(budget_limits(settings));
         self.stop_within.set(settings.bounds.stop_within.duration());
         let before = self.pardoned.replace(settings.pardoned.clone());
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -36,6 +36,10 @@
 /// takes up to 50 MB, so that the buffers of the operating system find room as well.
 const ANSWERS_SHARE_DEFAULT: f64 = 0.25;
 
+/// Default of [`Limits::events_share`]: 11 MB of the smallest boxes, where a thousand streams
+/// may each have 11 KB of an event under way.
+const EVENTS_SHARE_DEFAULT: f64 = 0.1;
+
 /// An inclusive range of ports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(from = "[u16; 2]")]
@@ -129,6 +133,9 @@
     /// Share of the memory that whole answers may take until their clients have read
     /// them. One further answer of up to 8 MiB may exceed it.
     pub answers_share: f64,
+    /// Share of the memory that events of streams may take while they are not complete. A
+    /// stream is given up whose event takes more than is left for all others.
+    pub events_share: f64,
 }
 
 impl Limits {
@@ -136,6 +143,11 @@
     pub fn answer_bytes(&self) -> usize {
         (self.memory_mb * 1e6 * self.answers_share) as usize
     }
+
+    /// Most bytes of events that are not complete.
+    pub fn event_bytes(&self) -> usize {
+        (self.memory_mb * 1e6 * self.events_share) as usize
+    }
 }
 
 impl Default for Limits {
@@ -145,6 +157,7 @@
             link_mbps: LINK_MBPS_DEFAULT,
             memory_mb: MEMORY_MB_DEFAULT,
             answers_share: ANSWERS_SHARE_DEFAULT,
+            events_share: EVENTS_SHARE_DEFAULT,
         }
     }
 }
--- a/crates/relay/tests/relay/endless.rs
+++ b/crates/relay/tests/relay/endless.rs
@@ -12,6 +12,7 @@
 use eyre::{ensure, WrapErr as _};
 use serde_json::json;
 use smol::Timer;
+use tidepier_relay::backlog::Backlog;
 use tidepier_relay_standin::site::Site;
 
 use crate::harness::{
@@ -252,3 +253,36 @@
     let heads = UNWANTED.iter();
     play_all(heads.flat_map(|head| BODIES.iter().map(move |it| ("/r/x", *head, it))))
 }
+
+/// Guards against a stream with events of usual length that is given up for the memory that
+/// those of others take, and against a sum of all that has no bound.
+#[test]
+fn events_without_end_leave_memory_for_others() {
+    const LIMIT: usize = 4 << 20;
+    const READ_BYTES: usize = 16 << 10;
+    const USUAL_BYTES: usize = 8 << 10;
+    let backlog = Rc::new(Backlog::default());
+    backlog.set_partial_limit(LIMIT);
+    let alone = backlog.partial();
+    assert!(alone.set(1 << 20));
+    drop(alone);
+    let faulty: Vec<_> = (0..200).map(|_| backlog.partial()).collect();
+    let mut given_up = 0;
+    for read in 1..=64 {
+        for (index, partial) in faulty.iter().enumerate() {
+            // Some stay at what they have.
+            if index % 3 == 0 && read > 1 {
+                continue;
+            }
+            if !partial.set(read * READ_BYTES) {
+                assert!(!partial.set(usize::MAX >> 1) && partial.set(0));
+                given_up += 1;
+            }
+            assert!(backlog.partial_bytes() <= LIMIT);
+            assert!(backlog.partial().set(USUAL_BYTES));
+        }
+    }
+    assert!(given_up > 0);
+    drop(faulty);
+    assert_eq!(backlog.partial_bytes(), 0);
+}
