Shutdown: requests without an answer at its end get a final one

What callers saw: a request that was in flight when a planned stop reached its limit had its connection closed without an answer, also one that may run at most once (rule LOST), and one that no server had got.

Now the shutdown has a deadline for answers, 0.6 s before the platform kills the process. A head or body that is still being read, and a request that no server may be executing, is refused with 503 "stopping": it has not run and never will, and another box serves it. A request that a server may be executing is answered 502 "interrupted", which promises nothing; the callback that reports the connection of an attempt marks it before the first byte is sent. An answer that is complete in this box, or has begun, goes on. The exit is 0.3 s before the kill at the latest, and earlier once all requests are answered; the difference lets the clients take their answers and close. It was 0.4 s: the answers now come earlier than that, and the exit has only to come before the kill.

stop::a_shutdown_ends_before_its_limit failed a shutdown during which the hanging request is answered at all, as then nothing answered it. It now requires the 502, and the same time limit as before.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -136,13 +136,15 @@
         }
     }
     let _request = relay.stop.request();
-    let head = match head(conn, &limits).await {
+    let read = head(conn, &limits).or(unread_at_stop(relay));
+    let head = match read.await {
         Ok(head) => head,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
     let until = || exchange::deadline(relay, &head, at).unwrap_or(at + BODY_TIME);
-    let (body, has_body) = match body(conn, writer, &head, &limits, until).await {
+    let read = body(conn, writer, &head, &limits, until).or(unread_at_stop(relay));
+    let (body, has_body) = match read.await {
         Ok(read) => read,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
@@ -236,6 +238,12 @@
     Refused(refusal::Kind),
 }
 
+/// Ends the reading of a request at the deadline of a shutdown.
+async fn unread_at_stop<T>(relay: &Relay) -> Result<T, Unread> {
+    relay.stop.wait_for_deadline().await;
+    Err(Unread::Refused(refusal::Kind::Stopping))
+}
+
 /// Reads a request's head.
 async fn head(conn: &mut Conn, limits: &Limits) -> Result<Head, Unread> {
     match timeout::within(limits.head_time, conn.head(limits.head_bytes)).await {
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -76,6 +76,7 @@
         retry_charged: Cell::new(false),
         answering_since: Cell::default(),
         may_have_executed: false,
+        may_be_executing: Cell::new(false),
         fallback: None,
         origin: Cell::default(),
         client_wait: Cell::default(),
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -29,8 +29,10 @@
 mod state;
 mod stream;
 
+use std::future;
 use std::rc::Rc;
 
+use futures_lite::FutureExt;
 use tidepier_h1::Writer;
 use tidepier_platform::refusal::Refusal;
 
@@ -54,9 +56,18 @@
             return refuse(relay, arrival, writer, kind, &attempt).await;
         }
     };
-    match exchange.serve().await {
-        Ok(end) => end,
-        Err(kind) => exchange.finish_without_server(kind).await,
+    let served = async { Some(exchange.serve().await) };
+    let stopped = async {
+        relay.stop.wait_for_deadline().await;
+        if arrival.answer_begun.get() {
+            future::pending::<()>().await;
+        }
+        None
+    };
+    match served.or(stopped).await {
+        Some(Ok(end)) => end,
+        Some(Err(kind)) => exchange.finish_without_server(kind).await,
+        None => exchange.finish_at_stop().await,
     }
 }
 
@@ -122,6 +133,16 @@
         refuse(self.relay, self.arrival, self.writer, kind, attempt).await
     }
 
+    /// Answers to a request that is still in flight at the deadline of the shutdown.
+    async fn finish_at_stop(&mut self) -> Disposition {
+        let kind = if self.may_be_executing.get() || self.may_have_executed {
+            refusal::Kind::Interrupted
+        } else {
+            refusal::Kind::Stopping
+        };
+        self.finish_without_server(kind).await
+    }
+
     /// Forwards a server's answer, unless the request has to go to another server.
     async fn forward(
         &mut self,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -152,6 +152,7 @@
     /// Records a failed attempt: in the log, the metrics, the health of the server,
     /// the evidence for a rollout, and the suspects of a crash.
     pub(crate) fn record_failure(&mut self, backend: &Rc<Backend>, failure: &Failure) {
+        self.may_be_executing.set(false);
         if failure.executed == Executed::Unknown {
             self.may_have_executed = true;
         }
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -180,13 +180,13 @@
         }
     }
 
-    /// Replaces a refusal that may promise non-execution by `Lost` once a server
-    /// may have executed the request.
+    /// Replaces a refusal that may promise non-execution by one that promises nothing once
+    /// a server may have executed the request.
     pub(super) fn lost_if_may_have_executed(&self, kind: refusal::Kind) -> refusal::Kind {
-        if self.may_have_executed {
-            refusal::Kind::Lost
-        } else {
-            kind
+        match kind {
+            _ if !self.may_have_executed => kind,
+            refusal::Kind::Stopping => refusal::Kind::Interrupted,
+            _ => refusal::Kind::Lost,
         }
     }
 }
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -72,6 +72,7 @@
         self.last_data.set(None);
         let connected = |path: Path| {
             self.path.set(Some(path));
+            self.may_be_executing.set(true);
             if path.is_new_tunnel() {
                 self.tunnel_opened_at.set(Some(Instant::now()));
             }
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -122,6 +122,9 @@
     pub(super) answering_since: Cell<Option<Instant>>,
     /// Whether a server may have executed it.
     pub(super) may_have_executed: bool,
+    /// Whether the server of the latest attempt may be executing it, as far as its answer has
+    /// not shown otherwise.
+    pub(super) may_be_executing: Cell<bool>,
     /// A server's 5xx answer, which the client gets if no other server answers.
     pub(super) fallback: Option<Answer>,
     /// The release that began the stream, once a client has an event of it.
--- a/crates/relay/src/refusal.rs
+++ b/crates/relay/src/refusal.rs
@@ -15,8 +15,8 @@
 /// has yet to rewrite what the store lost, which takes seconds. The delay is under a
 /// third of every deadline; clients ignore longer ones.
 const UNAVAILABLE_DELAY: Duration = Duration::from_millis(1_000);
-/// Retry delay while this box does not know the configuration: nearly none, since a
-/// further attempt reaches another box.
+/// Retry delay while this box does not know the configuration, or shuts down: nearly none,
+/// since a further attempt reaches another box.
 const NOT_READY_DELAY: Duration = Duration::from_millis(20);
 
 /// Why this box refuses a request.
@@ -73,10 +73,14 @@
     Overloaded(Duration),
     /// The request's time ran out before a server executed it.
     Expired,
+    /// The box shuts down, and no server was to answer the request in time.
+    Stopping,
     /// The request's time ran out while a server may have been executing it.
     Late,
     /// A server may have executed the request, and its answer is lost.
     Lost,
+    /// The same, because the box shuts down.
+    Interrupted,
 }
 
 impl Kind {
@@ -89,7 +93,7 @@
             Kind::Slow => 408,
             Kind::BodyTooLarge => 413,
             Kind::HeadTooLarge => 431,
-            Kind::Lost => 502,
+            Kind::Lost | Kind::Interrupted => 502,
             Kind::NotReady
             | Kind::Stale
             | Kind::StoreBehind
@@ -106,7 +110,8 @@
             | Kind::ServersDown
             | Kind::Full
             | Kind::Overloaded(_)
-            | Kind::Expired => 503,
+            | Kind::Expired
+            | Kind::Stopping => 503,
             Kind::Late => 504,
         }
     }
@@ -117,7 +122,7 @@
             // The actual time that is left: before, no box has another answer.
             Kind::Crashing(left) | Kind::CrashingPart(left) | Kind::BackingOff(left) => Some(left),
             Kind::Overloaded(delay) => Some(delay),
-            Kind::NotReady | Kind::Stale => Some(NOT_READY_DELAY),
+            Kind::NotReady | Kind::Stale | Kind::Stopping => Some(NOT_READY_DELAY),
             Kind::ServersDown
             | Kind::Leaving
             | Kind::Emptied
@@ -154,8 +159,10 @@
             Kind::Full => "full",
             Kind::Overloaded(_) => "overloaded",
             Kind::Expired => "time_over",
+            Kind::Stopping => "stopping",
             Kind::Late => "late",
             Kind::Lost => "lost",
+            Kind::Interrupted => "interrupted",
         }
     }
 }
--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -42,8 +42,12 @@
 /// balancer checks readiness every second and acts on the second failed check. It is
 /// under 3 s because a request accepted after 3 s would still have to be finished.
 const BALANCER_NOTICE_TIME: Duration = Duration::from_millis(2_950);
-/// Time before the platform kills the process at which it exits by itself.
-const STOP_MARGIN: Duration = Duration::from_millis(400);
+/// Time before the platform kills the process at which requests without an answer get one
+/// of this box.
+const ANSWER_MARGIN: Duration = Duration::from_millis(600);
+/// Time before the platform kills the process at which it exits by itself. The clients that
+/// were answered last have the difference to take their answers and close.
+const STOP_MARGIN: Duration = Duration::from_millis(300);
 /// Margin within the bound on revoked keys, for the transit time of a request and
 /// for late timers.
 const REVOKE_MARGIN: Duration = Duration::from_millis(300);
@@ -380,7 +384,9 @@
         relay.stop.connections(),
         relay.stop.requests()
     );
-    relay.stop.advance(Phase::Leaving);
+    relay
+        .stop
+        .begin(Instant::now() + within.saturating_sub(ANSWER_MARGIN));
     let limit = within.saturating_sub(STOP_MARGIN);
     let over = async {
         // This clock also advances while the box is suspended, as the
--- a/crates/relay/src/stop.rs
+++ b/crates/relay/src/stop.rs
@@ -1,9 +1,14 @@
 //! The state of a graceful shutdown: the process reports itself not ready at once,
 //! accepts new connections until the balancer has noticed, and exits when every
 //! request is finished.
+//!
+//! A shutdown has a deadline, at which requests without an answer get one of this box,
+//! as the process is killed soon after.
 
 use std::cell::Cell;
 
+use tidepier_clock::Instant;
+
 use crate::notifier::Notifier;
 
 /// The phase of a graceful shutdown.
@@ -20,6 +25,7 @@
 /// The state of the graceful shutdown of this process.
 pub struct Stop {
     phase: Cell<Phase>,
+    deadline: Cell<Option<Instant>>,
     connections: Cell<u32>,
     requests: Cell<u32>,
     /// Notified when the phase changes and, during the shutdown, when a connection or
@@ -31,6 +37,7 @@
     fn default() -> Self {
         Self {
             phase: Cell::new(Phase::Serving),
+            deadline: Cell::default(),
             connections: Cell::new(0),
             requests: Cell::new(0),
             changed: Notifier::default(),
@@ -59,6 +66,33 @@
         self.phase.get()
     }
 
+    /// Begins the shutdown, with the deadline for all answers.
+    pub fn begin(&self, deadline: Instant) {
+        self.deadline.set(Some(deadline));
+        self.advance(Phase::Leaving);
+    }
+
+    /// The deadline for all answers; `None` while the process does not shut down.
+    pub fn deadline(&self) -> Option<Instant> {
+        self.deadline.get()
+    }
+
+    /// Waits until the shutdown has begun, and then until the moment that `at` returns for
+    /// its deadline.
+    pub async fn wait_until(&self, at: impl FnOnce(Instant) -> Instant) {
+        loop {
+            if let Some(deadline) = self.deadline.get() {
+                return tidepier_clock::sleep_until(at(deadline)).await;
+            }
+            self.changed.wait().await;
+        }
+    }
+
+    /// Waits until the deadline for all answers.
+    pub async fn wait_for_deadline(&self) {
+        self.wait_until(|deadline| deadline).await;
+    }
+
     /// Advances to a later phase; the phase never goes back.
     pub fn advance(&self, phase: Phase) {
         if phase <= self.phase.get() {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -24,6 +24,7 @@
 mod eras;
 mod faulty_readers;
 mod gateways;
+mod grace;
 mod harness;
 mod health;
 mod incarnations;
--- a/crates/relay/tests/relay/stop.rs
+++ b/crates/relay/tests/relay/stop.rs
@@ -123,8 +123,9 @@
         server.fault(Fault::Hang, u32::MAX);
         let call = post("/o/x", "hangs").with(names::DEADLINE, "9000");
         let hangs = async {
-            harness.call(&call).await?;
-            Err::<Duration, _>(eyre!("answered"))
+            let answer = harness.call(&call).await?;
+            ensure!(answer.complete && answer.status == 502, "{answer:?}");
+            Ok(())
         };
         let stop = async {
             Timer::after(ms(150)).await;
@@ -132,7 +133,7 @@
             harness.router.stop().await;
             Ok(signalled.elapsed())
         };
-        let stopped = future::or(stop, hangs).await?;
+        let (stopped, ()) = future::try_zip(stop, hangs).await?;
         ensure!(stopped < limit, "{stopped:?}");
         Ok(())
     })
