Shutdown: a stream that it cuts does not look complete

Cause: only a living router resets such a connection, and the shutdown let the exit close it.

An exchange whose answer has begun and is not known to its end is now ended at the deadline for answers by the action that the stream states for an answer that cannot be completed: a close without the last chunk, or a reset. Each is logged ("interrupted"). A whole answer, of which nothing is missing, is still written until the exit.

streams_that_a_shutdown_cuts_do_not_look_complete failed before (the unframed stream of 600 events looks complete) and passes; the tests of streams and slow clients pass unchanged.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -155,6 +155,7 @@
         has_body,
         at,
         answer_begun: Cell::default(),
+        cut_action: Cell::default(),
     };
     let end = answer(relay, conn, &arrival, writer).await;
     match end {
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -59,15 +59,20 @@
     let served = async { Some(exchange.serve().await) };
     let stopped = async {
         relay.stop.wait_for_deadline().await;
-        if arrival.answer_begun.get() {
+        // An answer of which nothing is missing is written for as long as possible.
+        if arrival.answer_begun.get() && arrival.cut_action.get().is_none() {
             future::pending::<()>().await;
         }
         None
     };
-    match served.or(stopped).await {
-        Some(Ok(end)) => end,
-        Some(Err(kind)) => exchange.finish_without_server(kind).await,
-        None => exchange.finish_at_stop().await,
+    match (served.or(stopped).await, arrival.cut_action.get()) {
+        (Some(Ok(end)), _) => end,
+        (Some(Err(kind)), _) => exchange.finish_without_server(kind).await,
+        (None, Some(cut_action)) => {
+            report::log_interrupted(arrival);
+            cut_action
+        }
+        (None, None) => exchange.finish_at_stop().await,
     }
 }
 
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -418,6 +418,17 @@
     metrics::counter!("tidepier_clients_cut_total", "why" => why).increment(1);
 }
 
+/// Logs and counts an answer that the shutdown of the box cut.
+pub(super) fn log_interrupted(arrival: &IncomingRequest<'_>) {
+    log::warn!(
+        target: "request",
+        "event=interrupted id={} ms={}",
+        request_id(arrival.head),
+        arrival.at.elapsed().as_millis(),
+    );
+    metrics::counter!("tidepier_answers_interrupted_total").increment(1);
+}
+
 /// Logs and counts a client that closed its connection before its answer was complete.
 pub(crate) fn log_client_left(arrival: &IncomingRequest<'_>) {
     log::info!(
--- a/crates/relay/src/exchange/state.rs
+++ b/crates/relay/src/exchange/state.rs
@@ -13,6 +13,7 @@
 use tidepier_platform::{answer, request as wire_request};
 
 use super::buffered::Answer;
+use super::disposition::Disposition;
 use crate::attempt::Path;
 use crate::content::Fingerprint;
 use crate::fleet::used::Used;
@@ -33,6 +34,9 @@
     pub close: bool,
     /// Whether a part of the answer has been written.
     pub answer_begun: Cell<bool>,
+    /// What happens to the connection if the answer is cut while it is being received;
+    /// `None` if none of it has been written or all of it is known.
+    pub cut_action: Cell<Option<Disposition>>,
 }
 
 /// The client's id of a request, for the log; `-` if it has none.
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -246,6 +246,8 @@
                 exchange.record_origin(backend);
             }
             exchange.arrival.answer_begun.set(true);
+            let cut_action = more.then(|| client.incomplete_action());
+            exchange.arrival.cut_action.set(cut_action);
             let written = exchange.relay.backlog.write_events(exchange.writer, out);
             match written.await {
                 Ok(waited) => exchange.add_client_wait(waited),
--- a/crates/relay/tests/relay/grace.rs
+++ b/crates/relay/tests/relay/grace.rs
@@ -11,7 +11,7 @@
 use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::names;
-use tidepier_relay_standin::server::{Events, Server, Settings};
+use tidepier_relay_standin::server::{Events, Fault, Server, Settings};
 use tidepier_relay_standin::site::{Route, Site};
 use tidepier_relay_standin::Client;
 
@@ -242,3 +242,46 @@
         Ok(())
     })
 }
+
+// Guards against streams without a length whose end at a shutdown makes them look complete.
+#[test]
+fn streams_that_a_shutdown_cuts_do_not_look_complete() -> Result {
+    run(async |_| {
+        let site = site()?;
+        let plain = Service::start(&site, "quick", ms(20))?;
+        let events = Events {
+            count: 600,
+            pause: ms(25),
+        };
+        let streams = Service::with_events(&site, "long", ms(20), Some(events))?;
+        let mut process = start(&site, "streams", &plain.call("r", "first")).await?;
+        let mut sent = Vec::new();
+        for fault in [None, Some(Fault::Unframed)] {
+            for server in &streams.servers {
+                fault.map(|fault| server.fault(fault, u32::MAX));
+            }
+            let now = Instant::now();
+            for kind in ["u", "s"] {
+                let attempt = format!("{kind}-{fault:?}");
+                sent.push((
+                    send(process.front, now, streams.call(kind, &attempt)),
+                    attempt,
+                ));
+            }
+            wait_until("sent", async || {
+                Ok(sent.iter().all(|it| streams.deliveries(&it.1) > 0))
+            })
+            .await?;
+        }
+        let signalled = Instant::now();
+        process.signal("-TERM")?;
+        ensure_exits(&mut process, signalled).await?;
+        for (answer, attempt) in sent {
+            let answer = answer.await?;
+            ensure!(answer.status == 200, "{attempt}: {answer:?}");
+            ensure!(!answer.events.is_empty(), "{attempt}: no events");
+            ensure!(!answer.complete, "{attempt}: looks complete");
+        }
+        Ok(())
+    })
+}
