--- a/crates/relay/tests/relay/grace.rs
+++ b/crates/relay/tests/relay/grace.rs
@@ -94,6 +94,13 @@
         count_deliveries(&self.servers(), attempt)
     }
 
+    /// Makes all requests fail in this way.
+    fn fault(&self, fault: Fault) {
+        for server in &self.servers {
+            server.fault(fault, u32::MAX);
+        }
+    }
+
     /// Checks that a request got a final answer which agrees with what the servers did.
     fn ensure_final(&self, answer: &Answer, attempt: &str) -> Result {
         ensure!(answer.complete, "{attempt}: no complete answer, {answer:?}");
@@ -257,8 +264,8 @@
         let mut process = start(&site, "streams", &plain.call("r", "first")).await?;
         let mut sent = Vec::new();
         for fault in [None, Some(Fault::Unframed)] {
-            for server in &streams.servers {
-                fault.map(|fault| server.fault(fault, u32::MAX));
+            if let Some(fault) = fault {
+                streams.fault(fault);
             }
             let now = Instant::now();
             for kind in ["u", "s"] {
