Shutdown: nothing is sent to a server that cannot answer in time

Cause: the phase of the shutdown was looked at before the first byte of a head only. Whatever was decided later, for the first attempt, a retry, a resumed stream or a wait, knew the request's deadline and not that of the process. The class: a check made once, before what it depends on is known.

Now each attempt is preceded by a look at the time left. The answer has to be expected, or the request's own deadline reached, before the deadline for answers; else the request is refused at once with 503 "stopping". A body is read only as long as it could still be served. A retry, and a request that would leave a silent server, are treated alike: the one stays as it is, the other gets its final answer, and silence ends no answer sooner.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -136,14 +136,15 @@
         }
     }
     let _request = relay.stop.request();
-    let read = head(conn, &limits).or(unread_at_stop(relay));
+    let read = head(conn, &limits).or(unread_at_stop(relay, |end| end));
     let head = match read.await {
         Ok(head) => head,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
     let until = || exchange::deadline(relay, &head, at).unwrap_or(at + BODY_TIME);
-    let read = body(conn, writer, &head, &limits, until).or(unread_at_stop(relay));
+    let latest = |end| exchange::latest_start(relay, &head, at, end);
+    let read = body(conn, writer, &head, &limits, until).or(unread_at_stop(relay, latest));
     let (body, has_body) = match read.await {
         Ok(read) => read,
         Err(unread) => return end_unread(conn, writer, unread).await,
@@ -239,9 +240,13 @@
     Refused(refusal::Kind),
 }
 
-/// Ends the reading of a request at the deadline of a shutdown.
-async fn unread_at_stop<T>(relay: &Relay) -> Result<T, Unread> {
-    relay.stop.wait_for_deadline().await;
+/// Ends the reading of a request at the moment that `at` returns for the deadline of a
+/// shutdown.
+async fn unread_at_stop<T>(
+    relay: &Relay,
+    at: impl FnOnce(Instant) -> Instant,
+) -> Result<T, Unread> {
+    relay.stop.wait_until(at).await;
     Err(Unread::Refused(refusal::Kind::Stopping))
 }
 
--- a/crates/relay/src/exchange/admission.rs
+++ b/crates/relay/src/exchange/admission.rs
@@ -112,6 +112,19 @@
     at.checked_add(limits.min()?)
 }
 
+/// The route of such a request, and its deadline; `None` if it has no route.
+pub(super) fn route_and_deadline(
+    relay: &Relay,
+    head: &Head,
+    at: Instant,
+) -> Option<(Arc<Route>, Instant)> {
+    let request = wire_request::decode(head).ok()?;
+    let catalog = relay.view.catalog()?;
+    let route = catalog.route(&request.host, &request.path)?;
+    let timeout = request.client_timeout.unwrap_or(route.timeout);
+    Some((route.clone(), at + timeout.min(route.timeout)))
+}
+
 /// The route of a request and the account of its key.
 fn look_up(
     relay: &Relay,
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! * `silent`: waits at a server that is silent.
 //! * `stream`: forwards the answer to the client.
 //! * `deliver`: writes an answer that was read completely.
+//! * `time_left`: whether a server can answer before a shutdown of this box ends.
 //! * `retry`: decides whether the request is sent again, and how it is refused if not.
 //! * `report`: log lines, metrics and the health of servers.
 //!
@@ -28,6 +29,7 @@
 mod silent;
 mod state;
 mod stream;
+mod time_left;
 
 use std::future;
 use std::rc::Rc;
@@ -42,6 +44,7 @@
 pub(crate) use state::request_id;
 use state::Exchange;
 pub use state::IncomingRequest;
+pub use time_left::latest_start;
 
 use crate::attempt::{Failure, Reply};
 use crate::fleet::Backend;
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -156,6 +156,9 @@
         if failure.executed == Executed::Unknown {
             self.may_have_executed = true;
         }
+        if matches!(failure.cause, Cause::TimedOut) {
+            self.record_answer_time();
+        }
         if !self.failed_on_the_way(backend, &failure.cause) {
             self.blame_server(backend, failure);
         }
@@ -333,6 +336,9 @@
         if let Some(took) = self.first_byte_delay(first) {
             backend.health.record_latency(took, Instant::now());
             self.record_load_answer();
+            if status < 500 {
+                self.record_answer_time();
+            }
             self.record_evidence(backend, self.answer_evidence(backend, status, took));
         }
     }
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -147,7 +147,7 @@
     /// Whether enough time is left after `first` to send the request again.
     pub(super) fn time_for_retry(&self, first: Duration) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        left >= RETRY_TIME_MIN + first
+        left >= RETRY_TIME_MIN + first && self.check_time_left().is_ok()
     }
 
     /// Charges a retry to the budget; false if the route allows no further server
--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -115,6 +115,7 @@
         let mut checks = 0;
         loop {
             self.check_not_crashing()?;
+            self.check_time_left()?;
             let choice = match self.choose(&selector, &young, Duration::ZERO) {
                 // Servers of the old release take requests that the canaries cannot.
                 Err(_) if selector.is_canary() => {
@@ -142,6 +143,7 @@
                 tidepier_clock::sleep_until(at).await;
                 // The content may have been found to crash servers during the wait.
                 self.check_not_crashing()?;
+                self.check_time_left()?;
             }
             // A server that announced during the wait that it is leaving is not chosen again.
             let permit = self.relay.fleet.permit(&choice.backend, Instant::now());
--- a/crates/relay/src/lib.rs
+++ b/crates/relay/src/lib.rs
@@ -10,6 +10,7 @@
 //! names and formats of the platform's protocol are defined in the `tidepier-platform`
 //! crate and unknown to this one.
 
+pub mod answer_times;
 pub mod attempt;
 pub mod backlog;
 pub mod budget;
--- a/crates/relay/src/relay.rs
+++ b/crates/relay/src/relay.rs
@@ -10,6 +10,7 @@
 use tidepier_core::server::Release;
 use tidepier_ids as ids;
 
+use crate::answer_times::AnswerTimes;
 use crate::backlog::Backlog;
 use crate::budget::Budget;
 use crate::choose::filter::Regions;
@@ -116,6 +117,8 @@
     pub origins: Origins,
     /// Admits requests for plain services while these cannot bear all of them.
     pub admission: Admission,
+    /// How long servers take for the answers of each route.
+    pub answer_times: AnswerTimes,
     /// How long the clients of each route wait for an answer.
     pub timeouts: Timeouts,
     /// Whose turn it is among the servers of plain services under pressure.
@@ -152,6 +155,7 @@
             crashes: Rc::default(),
             origins: Origins::default(),
             admission: Admission::default(),
+            answer_times: AnswerTimes::default(),
             timeouts: Timeouts::default(),
             rotations: Rotations::default(),
             backlog: Rc::default(),
--- a/crates/relay/tests/relay/grace.rs
+++ b/crates/relay/tests/relay/grace.rs
@@ -7,6 +7,7 @@
 use std::time::{Duration, Instant};
 
 use eyre::ensure;
+use futures_lite::future;
 use smol::{Task, Timer};
 use tidepier_core::catalog::Kind;
 use tidepier_relay_standin::client::{Answer, Call};
@@ -30,6 +31,8 @@
 const LAST_ARRIVAL_MS: u64 = 2_900;
 /// Time-out of the routes, and deadline of the clients.
 const ROUTE_TIMEOUT: Duration = Duration::from_secs(15);
+/// Requests after which the time that a route's answers take is known.
+const KNOWN_AFTER: u32 = 4;
 /// Servers of each service.
 const SERVERS: u32 = 3;
 
@@ -120,6 +123,17 @@
             }
         }
     }
+
+    /// Sends requests of a kind, one after the other, until the router knows how long they
+    /// take.
+    async fn make_known(&self, harness: &Harness, kind: &str) -> Result {
+        for number in 0..KNOWN_AFTER {
+            let attempt = format!("known-{kind}-{}-{number}", self.name);
+            let answer = harness.call(&self.call(kind, &attempt)).await?;
+            ensure_served_by(&answer, &self.servers(), &attempt)?;
+        }
+        Ok(())
+    }
 }
 
 /// Starts a router process that serves.
@@ -292,3 +306,144 @@
         Ok(())
     })
 }
+
+// Guards against bodies that are read on although no server could answer in time.
+#[test]
+fn a_request_that_cannot_be_answered_in_time_is_refused_before_its_body_ends() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let service = Service::start(&site, "second", ms(1_000))?;
+        let harness = start_in_memory(executor, site).await?;
+        future::try_zip(
+            service.make_known(&harness, "o"),
+            service.make_known(&harness, "r"),
+        )
+        .await?;
+        let front = harness.router_address();
+        let start = Instant::now();
+        // A second is left of the shutdown's time when the bodies end.
+        let late = Call {
+            pause: SHORT_STOP_WITHIN - ms(1_000),
+            ..service.call("o", "late-o")
+        };
+        let early = Call {
+            pause: ms(1_500),
+            ..service.call("o", "early-o")
+        };
+        let sent = [
+            send(front, start, late.clone()),
+            send(
+                front,
+                start,
+                Call {
+                    target: "/r-second/x".into(),
+                    ..late.with(names::ATTEMPT, "late-r")
+                },
+            ),
+            send(front, start, early),
+        ];
+        Timer::after(ms(100)).await;
+        harness.router.stop().await;
+        let [once, repeatable, early] = sent;
+        for (answer, attempt) in [(once, "late-o"), (repeatable, "late-r")] {
+            let answer = answer.await?;
+            service.ensure_final(&answer, attempt)?;
+            ensure!(answer.status == 503, "{attempt}: {answer:?}");
+            let before_body = answer.elapsed < SHORT_STOP_WITHIN - ms(1_000);
+            ensure!(before_body, "{attempt}: after {:?}", answer.elapsed);
+        }
+        ensure_served_by(&early.await?, &service.servers(), "early-o")
+    })
+}
+
+// Guards against requests that a router sends again when no server could answer in time.
+#[test]
+fn a_request_is_not_sent_again_if_no_server_could_answer_in_time() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let service = Service::start(&site, "second", ms(1_000))?;
+        let harness = start_in_memory(executor, site).await?;
+        service.make_known(&harness, "r").await?;
+        for server in &service.servers {
+            server.fault(Fault::LostAnswer, u32::MAX);
+        }
+        // Sent when a server can just answer in time, so that another one can not.
+        let at = Instant::now() + SHORT_STOP_WITHIN - ms(2_400);
+        let call = service.call("r", "again");
+        let head = Call {
+            pause: at - Instant::now(),
+            ..call
+        };
+        let sent = send(harness.router_address(), Instant::now(), head);
+        Timer::after(ms(50)).await;
+        harness.router.stop().await;
+        let answer = sent.await?;
+        service.ensure_final(&answer, "again")?;
+        ensure!(matches!(answer.status, 502 | 503), "{answer:?}");
+        let deliveries = service.deliveries("again");
+        ensure!(deliveries <= 1, "sent {deliveries} times");
+        Ok(())
+    })
+}
+
+// Guards against requests that leave a silent server although no other one could answer in time.
+#[test]
+fn a_silent_server_is_not_left_if_no_other_one_could_answer_in_time() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let service = Service::start(&site, "second", ms(1_000))?;
+        let harness = start_in_memory(executor, site).await?;
+        service.make_known(&harness, "r").await?;
+        for server in &service.servers {
+            server.fault(Fault::Hang, 1);
+        }
+        let call = service.call("r", "silent");
+        // It counts as silent after two seconds at most, when less than the usual time is left.
+        let pause = SHORT_STOP_WITHIN - ms(3_000);
+        let front = harness.router_address();
+        let sent = send(front, Instant::now(), Call { pause, ..call });
+        Timer::after(ms(50)).await;
+        harness.router.stop().await;
+        let answer = sent.await?;
+        service.ensure_final(&answer, "silent")?;
+        ensure!(matches!(answer.status, 502 | 503), "{answer:?}");
+        let ended_sooner = answer.elapsed < SHORT_STOP_WITHIN - ms(700);
+        ensure!(
+            answer.status == 503 || !ended_sooner,
+            "after {:?}",
+            answer.elapsed
+        );
+        ensure!(service.deliveries("silent") <= 1, "sent again");
+        Ok(())
+    })
+}
+
+// Guards against streams that end as their server fails although another one could go on in time.
+#[test]
+fn a_stream_that_breaks_off_during_a_shutdown_is_resumed() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let events = Events {
+            count: 10,
+            pause: ms(40),
+        };
+        let service = Service::with_events(&site, "short", ms(20), Some(events))?;
+        let harness = start_in_memory(executor, site).await?;
+        service.make_known(&harness, "s").await?;
+        let failing = &service.servers[0];
+        failing.fault(Fault::CutEvent, u32::MAX);
+        let front = harness.router_address();
+        let at = Instant::now() + ms(200);
+        let attempts = (0..8).map(|number| format!("breaks-{number}"));
+        let sent = attempts.map(|attempt| (send(front, at, service.call("s", &attempt)), attempt));
+        let sent: Vec<_> = sent.collect();
+        harness.router.stop().await;
+        let mut broken = 0;
+        for (answer, attempt) in sent {
+            ensure_served_by(&answer.await?, &service.servers(), &attempt)?;
+            broken += count_deliveries(&[failing], &attempt);
+        }
+        ensure!(broken > 0, "no stream broke off");
+        Ok(())
+    })
+}
