--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -136,13 +136,16 @@
         }
     }
     let _request = relay.stop.request();
-    let head = match head(conn, &limits).await {
+    let read = head(conn, &limits).or(unread_at_stop(relay, |end| end));
+    let head = match read.await {
         Ok(head) => head,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
     let at = Instant::now();
     let until = || exchange::deadline(relay, &head, at).unwrap_or(at + BODY_TIME);
-    let (body, has_body) = match body(conn, writer, &head, &limits, until).await {
+    let latest = |end| exchange::latest_start(relay, &head, at, end);
+    let read = body(conn, writer, &head, &limits, until).or(unread_at_stop(relay, latest));
+    let (body, has_body) = match read.await {
         Ok(read) => read,
         Err(unread) => return end_unread(conn, writer, unread).await,
     };
@@ -153,6 +156,7 @@
         has_body,
         at,
         answer_begun: Cell::default(),
+        cut_action: Cell::default(),
     };
     let end = answer(relay, conn, &arrival, writer).await;
     match end {
@@ -236,6 +240,16 @@
     Refused(refusal::Kind),
 }
 
+/// Ends the reading of a request at the moment that `at` returns for the deadline of a
+/// shutdown.
+async fn unread_at_stop<T>(
+    relay: &Relay,
+    at: impl FnOnce(Instant) -> Instant,
+) -> Result<T, Unread> {
+    relay.stop.wait_until(at).await;
+    Err(Unread::Refused(refusal::Kind::Stopping))
+}
+
 /// Reads a request's head.
 async fn head(conn: &mut Conn, limits: &Limits) -> Result<Head, Unread> {
     match timeout::within(limits.head_time, conn.request_head(limits.head_bytes)).await {
--- a/crates/relay/src/exchange/mod.rs
+++ b/crates/relay/src/exchange/mod.rs
@@ -8,6 +8,7 @@
 //! * `silent`: waits at a server that is silent.
 //! * `stream`: forwards the answer to the client.
 //! * `deliver`: writes an answer that was read completely.
+//! * `time_left`: whether a server can answer before a shutdown of this box ends.
 //! * `retry`: decides whether the request is sent again, and how it is refused if not.
 //! * `report`: log lines, metrics and the health of servers.
 //!
@@ -28,9 +29,12 @@
 mod silent;
 mod state;
 mod stream;
+mod time_left;
 
+use std::future;
 use std::rc::Rc;
 
+use futures_lite::FutureExt;
 use tidepier_h1::Writer;
 use tidepier_platform::refusal::Refusal;
 
@@ -40,6 +44,7 @@
 pub(crate) use state::request_id;
 use state::Exchange;
 pub use state::IncomingRequest;
+pub use time_left::latest_start;
 
 use crate::attempt::{Failure, Reply};
 use crate::fleet::Backend;
@@ -54,9 +59,23 @@
             return refuse(relay, arrival, writer, kind, &attempt).await;
         }
     };
-    match exchange.serve().await {
-        Ok(end) => end,
-        Err(kind) => exchange.finish_without_server(kind).await,
+    let served = async { Some(exchange.serve().await) };
+    let stopped = async {
+        relay.stop.wait_for_deadline().await;
+        // An answer of which nothing is missing is written for as long as possible.
+        if arrival.answer_begun.get() && arrival.cut_action.get().is_none() {
+            future::pending::<()>().await;
+        }
+        None
+    };
+    match (served.or(stopped).await, arrival.cut_action.get()) {
+        (Some(Ok(end)), _) => end,
+        (Some(Err(kind)), _) => exchange.finish_without_server(kind).await,
+        (None, Some(cut_action)) => {
+            report::log_interrupted(arrival);
+            cut_action
+        }
+        (None, None) => exchange.finish_at_stop().await,
     }
 }
 
@@ -122,6 +141,16 @@
         refuse(self.relay, self.arrival, self.writer, kind, attempt).await
     }
 
+    /// Answers to a request that is still in flight at the deadline of the shutdown.
+    async fn finish_at_stop(&mut self) -> Disposition {
+        let kind = if self.may_be_executing.get() || self.may_have_executed {
+            refusal::Kind::Interrupted
+        } else {
+            refusal::Kind::Stopping
+        };
+        self.finish_without_server(kind).await
+    }
+
     /// Forwards a server's answer, unless the request has to go to another server.
     async fn forward(
         &mut self,
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -177,9 +177,13 @@
     /// Records a failed attempt: in the log, the metrics, the health of the server,
     /// the evidence for a rollout, and the suspects of a crash.
     pub(crate) fn record_failure(&mut self, backend: &Rc<Backend>, failure: &Failure) {
+        self.may_be_executing.set(false);
         if failure.executed == Executed::Unknown {
             self.may_have_executed = true;
         }
+        if matches!(failure.cause, Cause::TimedOut) {
+            self.record_answer_time();
+        }
         if !self.failed_on_the_way(backend, &failure.cause) {
             self.blame_server(backend, failure);
         }
@@ -357,6 +361,9 @@
         if let Some(took) = self.first_byte_delay(first) {
             backend.health.record_latency(took, Instant::now());
             self.record_load_answer();
+            if status < 500 {
+                self.record_answer_time();
+            }
             self.record_evidence(backend, self.answer_evidence(backend, status, took));
         }
     }
@@ -449,6 +456,17 @@
     metrics::counter!("tidepier_clients_cut_total", "why" => why).increment(1);
 }
 
+/// Logs and counts an answer that the shutdown of the box cut.
+pub(super) fn log_interrupted(arrival: &IncomingRequest<'_>) {
+    log::warn!(
+        target: "request",
+        "event=interrupted id={} ms={}",
+        request_id(arrival.head),
+        arrival.at.elapsed().as_millis(),
+    );
+    metrics::counter!("tidepier_answers_interrupted_total").increment(1);
+}
+
 /// Logs and counts a client that closed its connection before its answer was complete.
 pub(crate) fn log_client_left(arrival: &IncomingRequest<'_>) {
     log::info!(
--- a/crates/relay/src/exchange/retry.rs
+++ b/crates/relay/src/exchange/retry.rs
@@ -147,7 +147,7 @@
     /// Whether enough time is left after `first` to send the request again.
     pub(super) fn time_for_retry(&self, first: Duration) -> bool {
         let left = self.deadline.saturating_duration_since(Instant::now());
-        left >= RETRY_TIME_MIN + first
+        left >= RETRY_TIME_MIN + first && self.check_time_left().is_ok()
     }
 
     /// Charges a retry to the budget; false if the route allows no further server
@@ -180,13 +180,13 @@
         }
     }
 
-    /// Replaces a refusal that may promise non-execution by `Lost` once a server
-    /// may have executed the request.
+    /// Replaces a refusal that may promise non-execution by one that promises nothing once
+    /// a server may have executed the request.
     pub(super) fn lost_if_may_have_executed(&self, kind: refusal::Kind) -> refusal::Kind {
-        if self.may_have_executed {
-            refusal::Kind::Lost
-        } else {
-            kind
+        match kind {
+            _ if !self.may_have_executed => kind,
+            refusal::Kind::Stopping => refusal::Kind::Interrupted,
+            _ => refusal::Kind::Lost,
         }
     }
 }
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -25,6 +25,7 @@
 mod faulty_heads;
 mod faulty_readers;
 mod gateways;
+mod grace;
 mod harness;
 mod health;
 mod incarnations;
