Stand-ins: answers that no proper server sends

A server of the stand-ins could fail, hang, break off or send bytes that are no HTTP at all, but not send what looks like an answer and is none. It now sends, by a fault of its own (Fault::Odd): a status 000, 001 or 099, a request line in place of the status line, fields and trailers with odd names, a head, body, event or trailers without end, events that are repeated or out of order after a continuation, and an unframed stream that ends in the middle of an event. Health checks and reports get odd heads too. A run records what was odd about its answer.

The client took any head for an answer that the parser of the relay reads: a status of 000 was 'no head received' (status 0) to it, so that no test saw the answer. A head whose status is below 100 or one of whose names is no token is now malformed, by a check of the client's own.

A request may tell a server how long its work takes (X-Work-Ms), and Client has exchange, which sends raw pieces and reads an answer beside that.

--- a/crates/relay-standin/src/client.rs
+++ b/crates/relay-standin/src/client.rs
@@ -14,6 +14,9 @@
 /// Time-out for opening a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// The lowest status.
+const STATUS_MIN: u16 = 100;
+
 /// The body of a call.
 #[derive(Debug, Clone, Default)]
 pub enum Payload {
@@ -225,19 +228,35 @@
     /// returns what has been received; dropping the client then closes the connection.
     pub async fn call(&mut self, call: &Call) -> Answer {
         let pieces = call.pieces();
+        let pieces = pieces.iter().map(Vec::as_slice);
+        self.exchange(&call.method, pieces, call.pause, call.leave)
+            .await
+    }
+
+    /// Sends bytes as they are, with a pause after each piece, and reads an answer
+    /// concurrently. Returns what has been received after `leave` at the latest.
+    pub async fn exchange(
+        &mut self,
+        method: &str,
+        pieces: impl Iterator<Item = &[u8]>,
+        pause: Duration,
+        leave: Duration,
+    ) -> Answer {
         let writer = self.conn.writer();
         let send = async {
-            for piece in &pieces {
+            for piece in pieces {
                 writer.write_all(piece).await?;
-                Timer::after(call.pause).await;
+                if !pause.is_zero() {
+                    Timer::after(pause).await;
+                }
             }
             Ok(())
         };
         let left = async {
-            Timer::after(call.leave).await;
+            Timer::after(leave).await;
             Ok(())
         };
-        let answer = self.answer(&call.method, call.leave);
+        let answer = self.answer(method, leave);
         let (sent, mut answer) = future::zip(send.or(left), answer).await;
         // If a write fails with a reset, reads only see the end of the connection.
         let reset = sent.is_err_and(|error: io::Error| end_of(&error) == End::Reset);
@@ -323,6 +342,10 @@
         Err(tidepier_h1::Malformed::BrokenOff) => return End::Closed,
         Err(_) => return End::Malformed,
     };
+    // Not left to the parser of the relay, whose answers are judged here.
+    if head.status() < STATUS_MIN || !head.fields().all(|field| is_token(field.name)) {
+        return End::Malformed;
+    }
     answer.status = head.status();
     let owned = |field: tidepier_h1::Field<'_>| (field.name.into(), field.text().into());
     answer.fields = head.fields().map(owned).collect();
@@ -344,6 +367,12 @@
     End::Open
 }
 
+/// Whether this can be the name of a field.
+fn is_token(name: &str) -> bool {
+    let is_token = |byte: u8| byte.is_ascii_alphanumeric() || b"!#$%&'*+-.^_`|~".contains(&byte);
+    !name.is_empty() && name.bytes().all(is_token)
+}
+
 fn end_of(error: &io::Error) -> End {
     match error.kind() {
         io::ErrorKind::UnexpectedEof => End::Closed,
--- a/crates/relay-standin/src/names.rs
+++ b/crates/relay-standin/src/names.rs
@@ -13,6 +13,9 @@
     STORE_WAIT as WAIT, TARGET, TENANT as ACCOUNT,
 };
 
+/// Field by which a request tells a stand-in server how long its work takes, in milliseconds.
+pub const WORK: &str = "X-Work-Ms";
+
 /// Prefix of the paths of all store calls.
 pub const CALLS_PREFIX: &str = "/-/";
 
--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -53,7 +53,7 @@
     }
 
     /// The head of a signed answer, without its framing.
-    fn signed_head(&self, index: usize, status: u16, with: &[(&str, &str)]) -> String {
+    pub(super) fn signed_head(&self, index: usize, status: u16, with: &[(&str, &str)]) -> String {
         self.record_announcements(index, None);
         let (attempt, seal) = self.run(index, |run| (run.attempt.clone(), run.seal.clone()));
         let load = self.load();
@@ -121,6 +121,7 @@
                 return Ok(Disposition::Close);
             }
             Some(Fault::CutHead { sent, end }) => return self.cut_head(index, sent, end).await,
+            Some(Fault::Odd(odd)) => return self.answer_odd(index, head, odd).await,
             _ => {}
         }
         if head.method() == "HEAD" {
@@ -262,7 +263,7 @@
     }
 }
 
-fn framed(text: &str, chunked: bool) -> Vec<u8> {
+pub(super) fn framed(text: &str, chunked: bool) -> Vec<u8> {
     if !chunked {
         return text.as_bytes().to_vec();
     }
--- a/crates/relay-standin/src/server/connection.rs
+++ b/crates/relay-standin/src/server/connection.rs
@@ -210,6 +210,11 @@
         };
         self.shared.lock().probes += 1;
         http::body(&mut self.conn, head).await?;
+        let fault = self.shared.lock().fault;
+        if let Some((Fault::Odd(odd), _)) = fault {
+            let head = http::head(200, &[]);
+            return self.send_odd(odd, &head, b"").await;
+        }
         self.write(&answer).await?;
         Ok(Disposition::Keep)
     }
@@ -288,6 +293,7 @@
             outcome: Outcome::Waiting,
             ended: None,
             seal: format!("{:016x}.{index}", xxh3_64(signed.as_bytes())),
+            odd: None,
             prefill_tokens: 0,
             made: Vec::new(),
             leaving_announced: None,
@@ -432,8 +438,11 @@
         state.cached_parts.extend(read);
         state.runs[index].prefill_tokens = prefill_tokens;
         let prefill = self.shared.settings.prefill.as_secs_f64() * prefill_tokens as f64;
-        let work = self.shared.settings.work.as_secs_f64() + prefill;
-        Duration::from_secs_f64(work * state.slow)
+        let work = match parse_number(head, names::WORK) {
+            Some(ms) => Duration::from_millis(ms),
+            None => self.shared.settings.work,
+        };
+        Duration::from_secs_f64((work.as_secs_f64() + prefill) * state.slow)
     }
 }
 
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -7,6 +7,7 @@
 mod admission;
 mod answer;
 mod connection;
+mod odd;
 
 use std::collections::HashMap;
 use std::io;
@@ -22,6 +23,8 @@
 use crate::partition::{Cut, Partitions};
 use admission::Admission;
 
+pub use odd::{Odd, Order};
+
 /// The identity of a server and the time that its work takes.
 #[derive(Debug, Clone)]
 pub struct Settings {
@@ -124,6 +127,9 @@
         /// What happens to the connection then.
         end: CutEnd,
     },
+    /// Executed; what is sent is no proper answer. Health checks, load reports and lists of
+    /// cached parts get the same.
+    Odd(Odd),
 }
 
 /// What happens to a connection on which an answer was cut short.
@@ -190,6 +196,8 @@
     pub ended: Option<Instant>,
     /// The signature in its answer.
     pub seal: String,
+    /// What is odd about its answer.
+    pub odd: Option<Odd>,
     /// Tokens of the prompt that were not cached.
     pub prefill_tokens: u64,
     /// When each of its events was generated.
--- a/crates/relay-standin/tests/standin/main.rs
+++ b/crates/relay-standin/tests/standin/main.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+mod odd;
 mod server;
 mod site;
 mod store;
