--- a/crates/relay-standin/src/server/odd.rs
+++ b/crates/relay-standin/src/server/odd.rs
@@ -16,6 +16,9 @@
 /// Size of the pieces that it is sent in.
 const PIECE_BYTES: usize = 16 << 10;
 
+/// The field of streams.
+const EVENT_STREAM: (&str, &str) = ("Content-Type", "text/event-stream");
+
 /// What is odd about an answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Odd {
@@ -115,11 +118,27 @@
             _ => {}
         }
         self.record_end(index, Outcome::Finished);
-        let signed = self.signed_head(index, 200, &[]);
-        let body = self.run(index, |run| run.text(self.shared.settings.answer_bytes));
+        let with: &[(&str, &str)] = match is_stream {
+            true => &[EVENT_STREAM],
+            false => &[],
+        };
+        let signed = self.signed_head(index, 200, with);
+        let body = self.proper_body(index, head);
         self.send_odd(odd, &signed, &body).await
     }
 
+    /// The complete body that a proper answer would have.
+    fn proper_body(&self, index: usize, head: &Head) -> Vec<u8> {
+        let settings = &self.shared.settings;
+        let Some(events) = settings.events else {
+            return self.run(index, |run| run.text(settings.answer_bytes));
+        };
+        let first = parse_number(head, names::LAST_EVENT).map_or(1, |last| last + 1);
+        let events = first..=events.count;
+        let events = events.map(|id| event_of(id, settings.release.as_deref()));
+        events.collect::<String>().into_bytes()
+    }
+
     /// Sends an answer with an odd head, body or trailers. `head` has no framing.
     pub(super) async fn send_odd(
         &mut self,
@@ -180,7 +199,7 @@
 
     /// Sends the head of a stream; `framing` is a field of its own.
     async fn begin_stream(&mut self, index: usize, framing: (&str, &str)) -> io::Result<()> {
-        let with = [("Content-Type", "text/event-stream"), framing];
+        let with = [EVENT_STREAM, framing];
         let head = self.signed_head(index, 200, &with);
         self.write(format!("{head}\r\n").as_bytes()).await
     }
--- a/crates/soak/src/bin/tidepier-soak.rs
+++ b/crates/soak/src/bin/tidepier-soak.rs
@@ -90,6 +90,10 @@
     /// Also has another writer leave odd entries in the store.
     #[arg(long)]
     odd_entries: bool,
+    /// Also has clients that do not keep to the limits, servers whose answers are odd, and
+    /// planned stops with requests that are whole late.
+    #[arg(long)]
+    misbehaving: bool,
     /// Plays each seed to its end, also after a violation.
     #[arg(long)]
     whole: bool,
@@ -215,6 +219,7 @@
         restarts: arguments.restarts,
         out_of_step: arguments.out_of_step,
         odd_entries: arguments.odd_entries,
+        misbehaving: arguments.misbehaving,
         whole: arguments.whole,
         keep_logs: arguments.keep_logs,
         boxes: arguments.boxes.map(usize::from),
--- a/crates/soak/src/bound.rs
+++ b/crates/soak/src/bound.rs
@@ -5,6 +5,8 @@
 
 use serde_json::{json, Value};
 
+use crate::process::Limits;
+
 /// A leaving server gets no request later than this after its announcement.
 pub const LEAVING_TIMEOUT: Duration = Duration::from_secs(2);
 /// A server that requested a back-off gets at most [`BACKOFF_REQUESTS_MAX`] requests later
@@ -59,6 +61,22 @@
 /// Time after the last fault within which each box has to serve requests again.
 pub const RECOVERY_TIMEOUT: Duration = Duration::from_secs(12);
 
+/// What the settings of boxes give their processes.
+pub const LIMITS: Limits = Limits {
+    memory_mb: 260.0,
+    descriptors: 1_024,
+};
+/// The same where clients and servers misbehave: so little that a crowd of clients can exceed it.
+pub const LOW_LIMITS: Limits = Limits {
+    memory_mb: 64.0,
+    descriptors: 512,
+};
+/// A request that was whole this long after SIGTERM is served or refused.
+pub const STOP_SENDING_TIME: Duration = Duration::from_secs(3);
+/// Part of the time of a stop from which on a server that is still at work on a request that
+/// was sent before that excuses its end.
+pub const STOP_WORK_SHARE: f64 = 5.0 / 6.0;
+
 /// The bounds as a section of the settings of a box.
 pub fn settings() -> Value {
     let ms = |time: Duration| time.as_millis() as u64;
--- a/crates/soak/src/fault.rs
+++ b/crates/soak/src/fault.rs
@@ -10,9 +10,15 @@
 use tidepier_relay_standin::server;
 use tidepier_relay_standin::store::Down;
 
+use crate::misuse::{Misuse, Port};
 use crate::odd;
 use crate::proxy::Impairment;
 
+/// Name of the fault that ends a process in an orderly way, ...
+pub const STOP: &str = "process_terminate";
+/// ... and of that beside requests whose bodies come late.
+pub const LATE_STOP: &str = "process_late_stop";
+
 /// A network link between two parties.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Link {
@@ -193,6 +199,11 @@
     /// The connections of the clients of all boxes but one are reset, and the clients take up
     /// their streams at that box.
     BreakClients(usize),
+    /// A crowd of clients at a box does not keep to the limits.
+    Misuse(usize, Port, Misuse),
+    /// A box is stopped by SIGTERM beside requests whose bodies come late, which this seed
+    /// determines.
+    LateStop(usize, u64),
     /// Another writer leaves an odd entry in the store.
     OddEntry(odd::Entry),
 }
@@ -209,7 +220,7 @@
             Fault::Store(Store::Return(_)) => "store_return".into(),
             Fault::Store(store) => named("store", store),
             Fault::Server(_, server) => server.named("server"),
-            Fault::Servers(fault) => named("servers", fault),
+            Fault::Servers(fault) => Server::Faulty(*fault).named("servers"),
             Fault::Copies(_) => "servers_copies".into(),
             Fault::Crashing(_) => "requests_crashing".into(),
             Fault::CrashingPart(_) => "part_crashing".into(),
@@ -224,6 +235,10 @@
             Fault::KillAll(_) => "process_kill_all".into(),
             Fault::CutOff(_) => "peer_way_cut_off".into(),
             Fault::BreakClients(_) => "client_way_break".into(),
+            Fault::Misuse(_, port, misuse) => {
+                format!("{}_{}", named("misuse_at", port), misuse.name())
+            }
+            Fault::LateStop(..) => LATE_STOP.into(),
             Fault::OddEntry(_) => "store_odd_entry".into(),
         }
     }
@@ -237,6 +252,7 @@
 impl Server {
     fn named(&self, what: &str) -> String {
         match self {
+            Server::Faulty(server::Fault::Odd(odd)) => format!("{what}_odd_{}", odd.name()),
             Server::Faulty(fault) => named(what, fault),
             Server::Rest(_) => format!("{what}_rest"),
             Server::Slow(_) => format!("{what}_slow"),
--- a/crates/soak/src/fleet/crashing.rs
+++ b/crates/soak/src/fleet/crashing.rs
@@ -14,6 +14,7 @@
 use super::servers::Backend;
 use super::Fleet;
 use crate::ledger::{Request, Traffic};
+use crate::misuse::Manner;
 use crate::plan;
 use crate::proxy::Impairment;
 use crate::sync::lock;
@@ -88,13 +89,14 @@
     }
 
     /// The request of this number, sent to the boxes in turn; its id is to be set.
-    fn request(&self, number: usize, traffic: Traffic) -> Request {
+    pub(super) fn request(&self, number: usize, traffic: Traffic) -> Request {
         Request {
             id: String::new(),
             traffic,
             content: None,
             crashing_part: None,
             takes_up: None,
+            manner: Manner::Usual,
             box_index: number % self.box_count(),
             key: None,
             sent: Instant::now(),
--- a/crates/soak/src/fleet/mod.rs
+++ b/crates/soak/src/fleet/mod.rs
@@ -5,6 +5,8 @@
 //! box to that one.
 
 mod crashing;
+mod late;
+mod misuse;
 mod relay_box;
 mod restore;
 mod rollouts;
@@ -34,7 +36,7 @@
 use crate::bound;
 use crate::ledger::{Fact, Ledger, Traffic};
 use crate::plan::{self, MARK_PREFIX, PLAIN, STREAM};
-use crate::process::Level;
+use crate::process::{Level, Limits};
 use crate::proxy::Proxy;
 use crate::schedule::Schedule;
 use crate::sync::lock;
@@ -99,6 +101,9 @@
     next_mark: AtomicU32,
     next_server: AtomicU32,
     next_odd_entry: AtomicU32,
+    next_misuse: AtomicU32,
+    /// What the settings of each box give its process.
+    limits: Limits,
     /// Whether an outage before a restore is in progress, in which the store accepts no
     /// writes, not even from the operator.
     store_unreachable: AtomicBool,
@@ -145,7 +150,7 @@
     /// A port or the program cannot be used, or a box does not become ready.
     pub async fn start(schedule: &Schedule, relay: &Path, folder: &Path) -> eyre::Result<Running> {
         let site = Site::start()?;
-        plan::declare_routes(&site, schedule.copies);
+        plan::declare_routes(&site, schedule.copies, schedule.misbehaving);
         let peers: Vec<SocketAddr> = (0..schedule.boxes)
             .map(|_| SocketAddr::from((plan::box_ip(), PEER_PORT)))
             .collect();
@@ -164,6 +169,11 @@
             next_mark: AtomicU32::new(0),
             next_server: AtomicU32::new(0),
             next_odd_entry: AtomicU32::new(0),
+            next_misuse: AtomicU32::new(0),
+            limits: match schedule.misbehaving {
+                true => bound::LOW_LIMITS,
+                false => bound::LIMITS,
+            },
             store_unreachable: AtomicBool::new(false),
             backups: Mutex::default(),
             emptied: Mutex::default(),
@@ -218,7 +228,11 @@
                 "source": peer.ip().to_string(),
                 "peer_ports": [PEER_PORT, PEER_PORT],
                 "server_beat": "1200ms",
-                "limits": { "link_mbps": link_mbps(box_index), "memory_mb": 260 },
+                "limits": {
+                    "link_mbps": link_mbps(box_index),
+                    "memory_mb": fleet.limits.memory_mb,
+                    "descriptors": fleet.limits.descriptors,
+                },
                 "first_start": schedule.first_start,
                 "bounds": bound::settings(),
             });
--- a/crates/soak/src/fleet/relay_box.rs
+++ b/crates/soak/src/fleet/relay_box.rs
@@ -33,6 +33,8 @@
     pub(super) client_proxy: Proxy,
     /// The address that the box connects from.
     pub(super) source: IpAddr,
+    /// Whether this process was found to hold more than its settings give it.
+    is_over_limits: AtomicBool,
     /// The address of the readiness check.
     pub(super) readiness_address: SocketAddr,
 }
@@ -59,6 +61,7 @@
             client_proxy,
             source,
             readiness_address,
+            is_over_limits: AtomicBool::new(false),
         }
     }
 
@@ -93,6 +96,7 @@
         self.write_settings()?;
         let process = Process::start(&self.program, &self.file, &self.log)?;
         *slot = Some(process);
+        self.is_over_limits.store(false, Ordering::Relaxed);
         // Under the lock of the process, so that a signal goes either to this process or to
         // none.
         self.release_restart();
@@ -167,6 +171,12 @@
         }
     }
 
+    /// Claims the right to record that the process holds more than its settings give it;
+    /// `false` if that was recorded.
+    pub(super) fn claim_excess(&self) -> bool {
+        !self.is_over_limits.swap(true, Ordering::Relaxed)
+    }
+
     pub(super) fn run_queue_wait(&self) -> Option<Duration> {
         lock(&self.process).as_ref()?.run_queue_wait().ok()
     }
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -75,6 +75,12 @@
             Fault::Rollout(rollout) => self.roll_out(rollout, step.lasts).await?,
             Fault::KillAll(spread) => self.kill_all(step.lasts, spread).await?,
             Fault::CutOff(box_index) => self.cut_off(box_index, step.lasts).await,
+            Fault::Misuse(box_index, port, misuse) => {
+                self.misuse(box_index, port, misuse, step.lasts).await;
+            }
+            Fault::LateStop(box_index, seed) => {
+                self.stop_late(box_index, seed, step.lasts).await?;
+            }
             Fault::OddEntry(entry) => self.write_odd_entry(entry).await,
             Fault::BreakClients(box_index) => self.break_clients(box_index, step.lasts).await,
         }
@@ -100,6 +106,8 @@
                 let planned = matches!(signal, fault::Signal::Terminate | fault::Signal::Reload);
                 (vec![Scope::Box(box_index)], planned)
             }
+            Fault::Misuse(box_index, ..) => (vec![Scope::Box(box_index)], false),
+            Fault::LateStop(box_index, _) => (vec![Scope::Box(box_index)], true),
             Fault::Store(_) => (vec![Scope::Store], false),
             Fault::Server(_, Server::Join | Server::Leave | Server::Say) | Fault::Config(_) => {
                 (vec![Scope::Fleet], true)
@@ -226,6 +234,9 @@
         if !relay_box.claim_restart() {
             return relay_box.signal_again(ending).map_err(Into::into);
         }
+        if ending == Signal::TERM {
+            self.ledger.record_fact(Fact::Stopping(box_index));
+        }
         relay_box.signal(ending)?;
         self.wait_for_exit(box_index).await?;
         Timer::after(pause).await;
--- a/crates/soak/src/ledger.rs
+++ b/crates/soak/src/ledger.rs
@@ -9,6 +9,7 @@
 
 use tidepier_relay_standin::client::Answer;
 
+use crate::misuse::{self, Manner};
 use crate::sync::lock;
 
 /// Body of requests that do not share their content with others.
@@ -90,6 +91,8 @@
     pub crashing_part: Option<u64>,
     /// Set if it takes up a stream that broke off.
     pub takes_up: Option<TakeUp>,
+    /// How the client sends it.
+    pub manner: Manner,
     /// The box that it was sent to.
     pub box_index: usize,
     /// The key that it was sent with.
@@ -111,11 +114,19 @@
 
     /// The body of the request.
     pub fn body(&self) -> &[u8] {
+        if self.manner == Manner::Large {
+            return misuse::large_body();
+        }
         self.content
             .as_ref()
             .map_or(BODY, |content| content.as_bytes())
     }
 
+    /// When the last byte of the request was sent, at the earliest.
+    pub fn sent_whole(&self) -> Instant {
+        self.sent + self.manner.sending_time()
+    }
+
     /// Whether the client received a complete, successful answer.
     pub fn served(&self) -> bool {
         let answer = self.answer.as_ref();
@@ -179,6 +190,8 @@
     Emptied(String),
     /// The operator cancelled the emptying of this hall.
     TakenBack(String),
+    /// The process of this box got SIGTERM.
+    Stopping(usize),
     /// The process of this box was started.
     Born(usize),
     /// The process of this box ended without a signal from the soak, or did not stop as it
@@ -193,6 +206,10 @@
     StillDown(usize),
     /// The process of this box held more resources after the faults than allowed.
     Grown(usize, String),
+    /// The process of this box held more memory or descriptors than its settings give it.
+    OverLimits(usize, String),
+    /// This box did not serve a request with a large body when nothing else was sent.
+    LargeRefused(usize, String),
 }
 
 /// Requests in flight at the servers of a service at one moment.
@@ -309,7 +326,10 @@
     pub fn recent_results(&self, box_index: usize, since: Instant) -> Vec<bool> {
         let inner = lock(&self.inner);
         let ended = inner.requests.iter().rev().filter(|request| {
-            request.box_index == box_index && request.sent >= since && request.ended.is_some()
+            request.manner == Manner::Usual
+                && request.box_index == box_index
+                && request.sent >= since
+                && request.ended.is_some()
         });
         ended.map(Request::served).collect()
     }
--- a/crates/soak/src/lib.rs
+++ b/crates/soak/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod gate;
 pub mod ledger;
 pub mod load;
+pub mod misuse;
 pub mod odd;
 pub mod plan;
 pub mod process;
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -18,6 +18,7 @@
 
 use crate::fleet::Fleet;
 use crate::ledger::{self, Fact, Request, TakeUp, Traffic};
+use crate::misuse::Manner;
 use crate::plan;
 use crate::schedule::Schedule;
 
@@ -195,6 +196,7 @@
             content: None,
             crashing_part: None,
             takes_up: None,
+            manner: Manner::Usual,
             box_index: self.box_index,
             key,
             sent: Instant::now(),
@@ -268,6 +270,7 @@
                     after,
                     is_named,
                 }),
+                manner: Manner::Usual,
                 box_index,
                 key: None,
                 sent: Instant::now(),
@@ -314,7 +317,7 @@
 }
 
 /// Whether the connection can be used for another request after this answer.
-fn is_reusable(answer: &Answer) -> bool {
+pub(crate) fn is_reusable(answer: &Answer) -> bool {
     let close = answer.field("Connection");
     answer.complete && close.is_none_or(|value| !value.eq_ignore_ascii_case("close"))
 }
--- a/crates/soak/src/plan.rs
+++ b/crates/soak/src/plan.rs
@@ -29,6 +29,12 @@
 const COPIED_ATTEMPTS_MAX: u32 = 6;
 /// Time-out of a request, on each route.
 pub const TIMEOUT: Duration = Duration::from_secs(4);
+/// The same where bodies may come late.
+const LATE_TIMEOUT: Duration = Duration::from_secs(15);
+/// The deadline of requests whose bodies come late.
+pub const LATE_DEADLINE: Duration = Duration::from_secs(12);
+/// Time after which the client of such a request gives up.
+pub const LATE_CLIENT_TIMEOUT: Duration = Duration::from_millis(12_600);
 /// The shortest one that a change of the configuration sets.
 pub const TIMEOUT_MIN: Duration = Duration::from_millis(3_500);
 
@@ -53,7 +59,8 @@
 }
 
 /// Declares a route for each kind of request. `copies`: servers send copies of their answers.
-pub(crate) fn declare_routes(site: &Site, copies: bool) {
+/// `late`: bodies may come late.
+pub(crate) fn declare_routes(site: &Site, copies: bool, late: bool) {
     let route = |traffic: Traffic| {
         let (kind, service) = match traffic {
             Traffic::Once => (Kind::AtMostOnce, PLAIN),
@@ -67,7 +74,10 @@
                 Traffic::Once if copies => COPIED_ATTEMPTS_MAX,
                 _ => ATTEMPTS_MAX,
             },
-            timeout: TIMEOUT,
+            timeout: match late {
+                true => LATE_TIMEOUT,
+                false => TIMEOUT,
+            },
             ..Route::new(traffic.prefix(), kind, service)
         }
     };
--- a/crates/soak/src/process.rs
+++ b/crates/soak/src/process.rs
@@ -25,12 +25,32 @@
 pub struct Level {
     /// Resident memory, in kB.
     pub memory_kb: u64,
+    /// The most resident memory that the process has held, in kB.
+    pub memory_peak_kb: u64,
     /// Open descriptors.
     pub descriptors: u64,
     /// Threads.
     pub threads: u64,
 }
 
+/// What the settings of a box give its process.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Limits {
+    /// Memory, in megabytes.
+    pub memory_mb: f64,
+    /// Open descriptors.
+    pub descriptors: u64,
+}
+
+impl Limits {
+    /// Describes how a process exceeds them; `None` if it does not.
+    pub fn exceeded_by(&self, level: &Level) -> Option<String> {
+        let is_within = level.memory_peak_kb as f64 * 1_024.0 <= self.memory_mb * 1e6
+            && level.descriptors <= self.descriptors;
+        (!is_within).then(|| format!("{level:?}, limits {self:?}"))
+    }
+}
+
 impl Process {
     /// Starts a relay with a settings file; its log is appended to `log`.
     ///
@@ -88,6 +108,7 @@
         };
         Ok(Level {
             memory_kb: number("VmRSS:")?,
+            memory_peak_kb: number("VmHWM:")?,
             threads: number("Threads:")?,
             descriptors: fs::read_dir(format!("{proc_folder}/fd"))?.count() as u64,
         })
--- a/crates/soak/src/rule/answers.rs
+++ b/crates/soak/src/rule/answers.rs
@@ -1,7 +1,8 @@
 //! Checks that answers are complete, come from their own server, and are no wrong refusals.
 
 use tidepier_relay_standin::client::{Answer, End};
-use tidepier_relay_standin::{names, server};
+use tidepier_relay_standin::names;
+use tidepier_relay_standin::server::{self, Odd, Order};
 
 use super::{describe, Rule, Verdict};
 use crate::bound;
@@ -22,7 +23,8 @@
             let text = format!("{wrong}: {}", describe(request));
             verdict.add_violation(evidence, Rule::Answers, ended, text);
         }
-        if DENIALS.contains(&answer.status) && is_allowed(evidence, request) {
+        let is_proper = request.manner.is_proper();
+        if is_proper && DENIALS.contains(&answer.status) && is_allowed(evidence, request) {
             verdict.add_violation(evidence, Rule::Denied, ended, describe(request));
         }
     }
@@ -50,14 +52,47 @@
         let given = FAILURES.contains(&answer.status);
         return (!given).then_some("a status that the server did not give");
     }
+    if own.run.odd == Some(Odd::EndlessBody) && own.server.events.is_none() {
+        return wrong_of_endless(answer, own);
+    }
     let expected = expected(own, request);
     if answer.complete && answer.body != expected {
         return Some("complete, with another body");
     }
     let prefix = expected.starts_with(&answer.body);
+    let swapped = deliveries
+        .iter()
+        .any(|it| it.run.odd == Some(Odd::Events(Order::Swapped)));
+    if swapped && is_rising_part(&answer.body, &expected) {
+        // The box cannot know that an event lacks before it comes.
+        return None;
+    }
     (!prefix).then_some("broken off, with another beginning")
 }
 
+/// What is wrong with what came of a body without end.
+fn wrong_of_endless(answer: &Answer, own: &Delivery) -> Option<&'static str> {
+    if answer.complete {
+        return Some("complete, without its end");
+    }
+    let unit = own.run.text(own.server.answer_bytes);
+    let is_part = unit.iter().cycle().zip(&answer.body).all(|(a, b)| a == b);
+    (!is_part).then_some("broken off, with another beginning")
+}
+
+/// Whether a body consists of events of another one, in their order; the last may be cut short.
+fn is_rising_part(body: &[u8], whole: &[u8]) -> bool {
+    let (body, whole) = (
+        String::from_utf8_lossy(body),
+        String::from_utf8_lossy(whole),
+    );
+    let mut events = whole.split_inclusive("\n\n");
+    let mut parts = body.split_inclusive("\n\n");
+    parts.all(|part| {
+        events.any(|event| event == part || !part.ends_with("\n\n") && event.starts_with(part))
+    })
+}
+
 /// The complete body of a server's answer.
 fn expected(delivery: &Delivery, request: &Request) -> Vec<u8> {
     let release = delivery.server.release.as_deref();
--- a/crates/soak/src/rule/box_facts.rs
+++ b/crates/soak/src/rule/box_facts.rs
@@ -15,6 +15,11 @@
             Fact::StillDown(box_index) => {
                 (Rule::Recovery, format!("box {box_index} does not serve"))
             }
+            Fact::LargeRefused(box_index, what) => {
+                let text = format!("box {box_index} does not serve a large request: {what}");
+                (Rule::Recovery, text)
+            }
+            Fact::OverLimits(box_index, what) => (Rule::Limits, format!("box {box_index}: {what}")),
             Fact::Grown(box_index, what) => (Rule::Growth, format!("box {box_index}: {what}")),
             _ => continue,
         };
--- a/crates/soak/src/rule/executions.rs
+++ b/crates/soak/src/rule/executions.rs
@@ -9,6 +9,7 @@
 use crate::evidence::{Delivery, Evidence};
 
 use crate::ledger::{Request, Traffic};
+use crate::misuse::Manner;
 use crate::plan::{self, ATTEMPTS_MAX};
 
 /// Statuses that say that a request has not been executed and will not be.
@@ -65,6 +66,9 @@
 /// Returns what differs between what a server received and what the client sent.
 fn difference(delivery: &Delivery, request: &Request) -> Option<&'static str> {
     let run = &delivery.run;
+    if matches!(request.manner, Manner::Misuse(misuse) if !misuse.is_whole()) {
+        return Some("a request that was never whole");
+    }
     if run.target != request.target() {
         return Some("another path");
     }
--- a/crates/soak/src/rule/mod.rs
+++ b/crates/soak/src/rule/mod.rs
@@ -21,6 +21,7 @@
 
 use crate::evidence::Evidence;
 use crate::ledger::Request;
+use crate::misuse::Manner;
 
 /// A rule. Its lower-case name appears in reports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -73,11 +74,13 @@
     Growth,
     /// No process ends without a signal from the soak.
     Ended,
+    /// No process holds more memory or descriptors than its settings give it.
+    Limits,
 }
 
 impl Rule {
     /// All rules.
-    pub const ALL: [Rule; 23] = [
+    pub const ALL: [Rule; 24] = [
         Rule::Answers,
         Rule::Denied,
         Rule::Unasked,
@@ -101,6 +104,7 @@
         Rule::Recovery,
         Rule::Growth,
         Rule::Ended,
+        Rule::Limits,
     ];
 }
 
@@ -200,7 +204,12 @@
         id,
         traffic,
         box_index,
+        manner,
         ..
     } = request;
-    format!("{traffic:?} {id} at box {box_index} ({answer})")
+    let manner = match manner {
+        Manner::Usual => String::new(),
+        manner => format!(" {manner:?}"),
+    };
+    format!("{traffic:?} {id}{manner} at box {box_index} ({answer})")
 }
--- a/crates/soak/src/rule/planned.rs
+++ b/crates/soak/src/rule/planned.rs
@@ -9,7 +9,8 @@
 use crate::bound;
 use crate::evidence::Evidence;
 use crate::ledger::{Fact, Request, Scope};
-use crate::plan::TIMEOUT;
+use crate::misuse::Manner;
+use crate::plan::{LATE_DEADLINE, TIMEOUT};
 
 /// Time after planned work for which a lost request still counts as its effect.
 const EFFECT_TIME: Duration = Duration::from_secs(1);
@@ -24,8 +25,12 @@
         };
         let broken = matches!(answer.end, End::Closed | End::Reset) && !answer.complete;
         let deliveries = evidence.deliveries(request);
-        let read = !deliveries.is_empty() || answer.elapsed > bound::LOSS_SLACK;
-        let late = answer.elapsed > TIMEOUT.mul_f64(LATE_SHARE);
+        let sending_time = request.manner.sending_time();
+        let read = !deliveries.is_empty() || answer.elapsed > sending_time + bound::LOSS_SLACK;
+        let late = match request.manner {
+            Manner::Late(_) => answer.elapsed + bound::LOSS_SLACK > LATE_DEADLINE,
+            _ => answer.elapsed > TIMEOUT.mul_f64(LATE_SHARE),
+        };
         if !broken || !read || late || !is_planned(evidence, request, ended) {
             continue;
         }
@@ -34,6 +39,9 @@
             let here = found.scope == Scope::Box(request.box_index);
             (here || found.is_on_way_of(request.box_index)) && !found.planned
         });
+        if !request.manner.is_proper() || outlasts_stop(evidence, request, ended) {
+            continue;
+        }
         // If no server got the request, only the time shows that the box had read it.
         let timed = deliveries.is_empty();
         let span = [request.sent, ended];
@@ -44,6 +52,21 @@
     }
 }
 
+/// Whether a server was still at work late in the time of a stop on a request that was whole
+/// early in it.
+fn outlasts_stop(evidence: &Evidence, request: &Request, ended: Instant) -> bool {
+    let stops = evidence.facts.iter().filter(|(at, fact)| {
+        matches!(fact, Fact::Stopping(stopped) if *stopped == request.box_index) && *at <= ended
+    });
+    let Some(stop) = stops.map(|(at, _)| *at).max() else {
+        return false;
+    };
+    let late = stop + bound::STOP_TIMEOUT.mul_f64(bound::STOP_WORK_SHARE);
+    let mut runs = evidence.deliveries(request).iter().map(|it| &it.run);
+    request.sent_whole() <= stop + bound::STOP_SENDING_TIME
+        && runs.any(|run| run.ran() && run.ended.is_none_or(|ended| ended >= late))
+}
+
 /// Whether planned work was in progress at the box of the request.
 fn is_planned(evidence: &Evidence, request: &Request, ended: Instant) -> bool {
     let here = |found: &crate::ledger::Disturbance| {
--- a/crates/soak/src/rule/reach.rs
+++ b/crates/soak/src/rule/reach.rs
@@ -53,7 +53,7 @@
         let Some(ended) = ended.filter(|_| request.sent >= from) else {
             continue;
         };
-        if !is_undisturbed(evidence, request, ended) {
+        if !request.manner.is_proper() || !is_undisturbed(evidence, request, ended) {
             continue;
         }
         if scope == Scope::Servers(request.box_index) {
--- a/crates/soak/src/rule/silenced.rs
+++ b/crates/soak/src/rule/silenced.rs
@@ -5,12 +5,11 @@
 use super::{before, describe, Rule, Verdict};
 use crate::bound;
 use crate::evidence::Evidence;
+use crate::fault::STOP;
 use crate::ledger::{Request, Scope};
+use crate::misuse::Manner;
 use crate::plan::TIMEOUT_MIN;
 
-/// Name of the fault that ends processes in an orderly way, which has a rule of its own.
-const STOP_FAULT: &str = "process_terminate";
-
 pub(super) fn judge(evidence: &Evidence, verdict: &mut Verdict) {
     for request in &evidence.requests {
         let Some(ended) = request.ended.filter(|_| is_cut(evidence, request)) else {
@@ -33,6 +32,9 @@
     let (Some(answer), Some(ended)) = (&request.answer, request.ended) else {
         return false;
     };
+    if request.manner != Manner::Usual {
+        return false;
+    }
     let is_broken = matches!(answer.end, End::Closed | End::Reset) && !answer.complete;
     let is_read = !evidence.deliveries(request).is_empty() || answer.elapsed > bound::LOSS_SLACK;
     let is_late = answer.elapsed + bound::LOSS_SLACK > TIMEOUT_MIN;
@@ -42,7 +44,7 @@
     let from = before(request.sent, bound::GRACE_PERIOD);
     !evidence.disturbed(from, ended, |found| {
         let here = found.scope == Scope::Box(request.box_index);
-        let is_stop = here && found.name == STOP_FAULT;
+        let is_stop = here && found.name == STOP;
         is_stop || (here || found.is_on_way_of(request.box_index)) && !found.planned
     })
 }
--- a/crates/soak/src/run.rs
+++ b/crates/soak/src/run.rs
@@ -12,6 +12,7 @@
 use futures_lite::FutureExt;
 use hdrhistogram::Histogram;
 use smol::{Task, Timer};
+use tidepier_relay_standin::server::Odd;
 
 use crate::count::{Cuts, TakeUps};
 use crate::evidence::Evidence;
@@ -47,6 +48,8 @@
 /// Number of boxes whose peer connections this bound covers.
 const COVERED_BOXES: usize = 4;
 
+/// Boxes that get a large request at the end, at most: those that faults affect.
+const LARGE_REQUEST_BOXES: usize = 4;
 /// Largest latency that the histogram holds, in ms: more than the time-out of a client.
 const LATENCY_MAX_MS: u64 = 10_000;
 
@@ -113,6 +116,8 @@
     pub out_of_step: bool,
     /// Whether another writer leaves odd entries in the store in addition.
     pub odd_entries: bool,
+    /// Whether clients and servers misbehave, beside planned stops, in addition.
+    pub misbehaving: bool,
     /// Whether a run goes on after a violation.
     pub whole: bool,
     /// Whether the logs of runs without violations are kept.
@@ -179,6 +184,9 @@
     if options.odd_entries {
         schedule = schedule.with_odd_entries();
     }
+    if options.misbehaving {
+        schedule = schedule.with_misbehaving();
+    }
     if let Some(boxes) = options.boxes {
         schedule = schedule.with_boxes(boxes);
     }
@@ -249,6 +257,7 @@
 async fn run_schedule(fleet: &Arc<Fleet>, schedule: &Schedule) -> eyre::Result<()> {
     let _monitor = smol::spawn(delay_monitor::watch(fleet.clone()));
     let _samples = smol::spawn(fleet.clone().sample_loads());
+    let _limits = smol::spawn(fleet.clone().watch_limits());
     let _backups = smol::spawn(fleet.clone().keep_backups());
     let load = Load::start(fleet, schedule);
     Timer::after(WARM_UP).await;
@@ -267,6 +276,9 @@
     wait_for_recovery(fleet).await;
     Timer::after(FINAL_CALM).await;
     load.finish().await;
+    if schedule.misbehaving {
+        fleet.send_large_requests(LARGE_REQUEST_BOXES).await;
+    }
     record_growth(fleet, &levels).await;
     Ok(())
 }
@@ -367,7 +379,8 @@
         lines.push((request.sent, format!("sent {text}")));
         for delivery in evidence.deliveries(request) {
             let (id, run) = (&delivery.server.id, &delivery.run);
-            let text = format!("reached {id} {} {:?}", run.attempt, run.outcome);
+            let odd = run.odd.map_or("", Odd::name);
+            let text = format!("reached {id} {} {:?} {odd}", run.attempt, run.outcome);
             lines.push((run.arrived, text));
         }
     }
--- a/crates/soak/src/schedule.rs
+++ b/crates/soak/src/schedule.rs
@@ -4,6 +4,7 @@
 //! see [`crate::fault`].
 
 mod incidents;
+mod misbehaving;
 
 use std::ops::{Range, RangeInclusive};
 use std::time::Duration;
@@ -190,6 +191,8 @@
     pub rollouts: bool,
     /// Whether streams are long.
     pub long_streams: bool,
+    /// Whether clients and servers may misbehave, which have time for late requests.
+    pub misbehaving: bool,
     /// Whether the settings of the boxes say that the fleet starts for the first time. They
     /// stay so when a box is started again.
     pub first_start: bool,
@@ -225,6 +228,7 @@
             harms: false,
             rollouts: false,
             long_streams: false,
+            misbehaving: false,
             first_start: false,
             steps,
         }
--- a/crates/soak/src/schedule/incidents.rs
+++ b/crates/soak/src/schedule/incidents.rs
@@ -195,7 +195,7 @@
 
     /// Keeps the other faults in half of the seeds, and takes them out in the others, in which
     /// they excuse nothing.
-    fn with_others_in_half_of_seeds(mut self, rng: &mut ChaCha8Rng) -> Self {
+    pub(super) fn with_others_in_half_of_seeds(mut self, rng: &mut ChaCha8Rng) -> Self {
         if rng.random_bool(0.5) {
             self.steps.clear();
         }
--- a/crates/soak/tests/soak/incidents.rs
+++ b/crates/soak/tests/soak/incidents.rs
@@ -8,6 +8,7 @@
 use tidepier_soak::evidence::Evidence;
 use tidepier_soak::fault::Fault;
 use tidepier_soak::ledger::{Fact, Ledger, Request, Scope, Traffic};
+use tidepier_soak::misuse::Manner;
 use tidepier_soak::rule::{Rule, Verdict};
 use tidepier_soak::schedule::{Schedule, Step};
 
@@ -30,6 +31,7 @@
         content: None,
         crashing_part: None,
         takes_up: None,
+        manner: Manner::Usual,
         box_index: 0,
         key: None,
         sent,
--- a/crates/soak/tests/soak/main.rs
+++ b/crates/soak/tests/soak/main.rs
@@ -3,6 +3,7 @@
 //! faults of a real relay (docs/SOAK.md).
 
 mod incidents;
+mod misbehaving;
 mod proxies;
 mod rules;
 mod schedules;
