--- a/crates/relay/tests/relay/stream_order.rs
+++ b/crates/relay/tests/relay/stream_order.rs
@@ -153,7 +153,7 @@
     asked: &RefCell<Vec<Asked>>,
     scripts: &[Script],
 ) -> Result {
-    while let Some(head) = conn.head(HEAD_BYTES_MAX).await? {
+    while let Some(head) = conn.request_head(HEAD_BYTES_MAX).await? {
         let mut body = Body::new(Framing::of_request(&head)?);
         while body.read(&mut conn, &mut Vec::new()).await? {}
         if head.method() == "GET" {
