Streams go to clients in chunks, however their server ends them

Cause: the framing to the client followed from that of the server. It now follows from what the client can read. HTTP/1.1 clients get chunks, and an answer without its last chunk is incomplete whatever ended it; their connections are kept afterwards. Clients of HTTP/1.0, which know no chunks and were sent some, get the end of the connection, which is a reset until the answer is complete: the system resets it as well when the process ends. An answer that has begun is reset where its client is taken to be gone.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -469,7 +469,8 @@
     }
 
     /// Makes the closing of the connection a reset, so that the peer can take
-    /// what it has for nothing but a broken answer.
+    /// what it has for nothing but a broken answer. This also holds for the end
+    /// of the process.
     ///
     /// # Errors
     ///
@@ -477,4 +478,13 @@
     pub fn reset_on_close(&self) -> io::Result<()> {
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
+
+    /// Takes back [`reset_on_close`](Self::reset_on_close).
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn end_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_linger(None)
+    }
 }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -233,6 +233,11 @@
         seconds.map(Duration::from_secs)
     }
 
+    /// Whether the sender can read chunks: it speaks HTTP/1.1 or a later version.
+    pub fn knows_chunks(&self) -> bool {
+        self.minor > 0
+    }
+
     /// Whether the sender ends the connection after this message.
     pub fn closes(&self) -> bool {
         self.lists("close") || (self.minor == 0 && !self.lists("keep-alive"))
--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -199,7 +199,12 @@
             return Disposition::Reset;
         }
         exchange::log_client_left(arrival);
-        Disposition::Close
+        // It may have closed its own side only, and still read.
+        if arrival.answer_begun.get() {
+            Disposition::Reset
+        } else {
+            Disposition::Close
+        }
     })
 }
 
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -36,7 +36,9 @@
 
 /// The client's side of a stream.
 struct Client {
-    /// Whether the body is chunked; otherwise the connection's end delimits it.
+    /// Whether the body is chunked; otherwise the connection's end delimits it, which is a
+    /// reset until the body is complete. How the server marks the end makes no difference:
+    /// an end of the connection must not stand for an end that the server did not reach.
     chunked: bool,
     /// Whether the connection closes after the answer.
     close: bool,
@@ -45,8 +47,8 @@
 }
 
 impl Client {
-    fn new(exchange: &Exchange<'_>, reply: &Reply) -> Self {
-        let chunked = reply.framing != Framing::UntilClose;
+    fn new(exchange: &Exchange<'_>) -> Self {
+        let chunked = exchange.arrival.head.knows_chunks();
         Self {
             chunked,
             close: exchange.closes() || !chunked,
@@ -84,7 +86,7 @@
     mut backend: Rc<Backend>,
     mut reply: Reply,
 ) -> Result<Disposition, Failure> {
-    let client = Client::new(exchange, &reply);
+    let client = Client::new(exchange);
     let mut out = exchange.head(&reply.head, client.length(), client.close);
     let resumable = exchange.is_resumable();
     let held = exchange.request.resume_after.filter(|_| resumable);
@@ -143,6 +145,9 @@
     exchange.record_answer(&backend, reply.answer.status, first);
     exchange.count_stream_end(reply.framing);
     exchange.log_answer(&backend, reply.answer.status, first, reply.framing);
+    if !client.chunked {
+        log_closed(exchange.writer.end_on_close());
+    }
     if client.close {
         Disposition::Close
     } else {
@@ -150,6 +155,12 @@
     }
 }
 
+fn log_closed(result: io::Result<()>) {
+    if let Err(error) = result {
+        log::info!(target: "request", "event=already_closed why=\"{error}\"");
+    }
+}
+
 /// Sends the request again, to resume the stream after the last forwarded event.
 ///
 /// # Errors
@@ -254,6 +265,9 @@
         }
         if !complete.is_empty() || !more {
             if client.first.get().is_none() {
+                if !client.chunked {
+                    log_closed(exchange.writer.reset_on_close());
+                }
                 let first = exchange.arrival.at.elapsed();
                 client.first.set(Some(first));
                 exchange.record_first_event(backend, reply.answer.status, first);
