Events of a stream are checked for their order

Callers got streams that go back, have an event twice or are joined from two runs, as 200 and complete (ORDER), if a server sent them so: one that does not heed Last-Event-Id and begins anew, one that repeats an event, one that sends an event too late. The same where the client takes its stream up, and in the first answer.

Cause: the ids of events were read to learn the last one, for a resume, and compared with nothing. Now each event's id must be above the highest one that the client has, over all servers of the stream, and above the one that the client names where it takes a stream up. Otherwise the server has failed (failed why=disordered), and nothing that came with the event is forwarded. The stream goes on elsewhere, or ends visibly incomplete; before the first event, the request is sent elsewhere or refused with 502.

Weighed: dropping what the client has and going on with the rest. A server that begins anew has another run, and what it sends does not continue what the client holds, so that this would join the two. A server that sends 6 and then 5 shows that the client lacks 5: such a stream is not completed by any server (broken why=event_lacking). Where the client has the event already (5 and 5, or 1 to 5 and 1 again), it lacks nothing, and another server goes on.

--- a/crates/relay/src/attempt.rs
+++ b/crates/relay/src/attempt.rs
@@ -23,6 +23,7 @@
 use tidepier_platform::answer;
 
 use crate::dial::Dialer;
+use crate::events::Disorder;
 use crate::fleet::advertisement::Ineligible;
 use crate::fleet::used::Used;
 use crate::fleet::{Backend, Fleet, InFlight, Permit, Plain};
@@ -65,6 +66,8 @@
     Unsigned,
     /// The body of the answer was cut off.
     Broken(io::Error),
+    /// An event of a stream is out of order.
+    Disordered(Disorder),
     /// A stream or the whole server stalled.
     Stalled,
     /// The server rejected the request with this status and did not execute it.
@@ -109,6 +112,7 @@
             Cause::WrongAttempt => "foreign",
             Cause::Unsigned => "unsigned",
             Cause::Broken(_) => "broken",
+            Cause::Disordered(_) => "disordered",
             Cause::Stalled => "stalled",
             Cause::Refused(_) => "refused",
             Cause::Error(_) => "error",
@@ -126,6 +130,7 @@
             Cause::WrongAttempt => f.write_str("the answer names another attempt"),
             Cause::Unsigned => f.write_str("the success is not signed"),
             Cause::Broken(error) => write!(f, "the answer was cut off: {error}"),
+            Cause::Disordered(disorder) => write!(f, "out of order: {disorder}"),
             Cause::Stalled => f.write_str("the server stalled"),
             Cause::Refused(status) => write!(f, "the server rejected the request with {status}"),
             Cause::Error(status) => write!(f, "the server answered {status}"),
--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -1,8 +1,12 @@
-//! Splits a stream into complete events, and follows their ids.
+//! Splits a stream into complete events, and checks their order.
 //!
 //! Only complete events are forwarded, so that a stream that breaks within an event
-//! can be resumed with the next complete one. Ids rise, and may have gaps.
+//! can be resumed with the next complete one.
+//!
+//! Invariant: the ids of the events that are taken rise, over all servers of the stream. They
+//! may have gaps.
 
+use std::error;
 use std::fmt;
 use std::mem;
 
@@ -24,6 +28,8 @@
     }
 }
 
+impl error::Error for Disorder {}
+
 /// Buffers the bytes of a stream until events are complete.
 #[derive(Default)]
 pub struct Buffer {
@@ -34,8 +40,7 @@
     searched: usize,
     /// What was read of the event that is not complete.
     event: Event,
-    last: Option<u64>,
-    disorder: Option<Disorder>,
+    order: Order,
 }
 
 /// What the lines of an event say.
@@ -52,11 +57,53 @@
     }
 }
 
+/// The ids of the events that the client has.
+#[derive(Debug, Clone, Copy, Default)]
+struct Order {
+    /// The lowest and the highest id of the latest ones without a gap.
+    held: Option<(u64, u64)>,
+    /// Whether events of the server that sends now are among them.
+    continued: bool,
+    /// Whether the client lacks an event that a server has sent.
+    lacks: bool,
+}
+
+impl Order {
+    fn last(&self) -> Option<u64> {
+        self.held.map(|(_, last)| last)
+    }
+
+    fn follow(&mut self, id: u64) -> Result<(), Disorder> {
+        if let Some(last) = self.last().filter(|last| id <= *last) {
+            return Err(Disorder { id, last });
+        }
+        self.held = match self.held {
+            Some((first, last)) if id == last + 1 => Some((first, id)),
+            _ => Some((id, id)),
+        };
+        self.continued = true;
+        Ok(())
+    }
+
+    /// Records that a server sent an event out of order, which is not forwarded. If it sent
+    /// later ones before, this one is a repetition only if the client has it already.
+    fn reject(&mut self, id: u64) {
+        let is_held = self
+            .held
+            .is_some_and(|(first, last)| (first..=last).contains(&id));
+        self.lacks |= self.continued && !is_held;
+    }
+}
+
 impl Buffer {
-    /// A buffer for a stream that goes on after the event `last`.
+    /// A buffer for a stream that goes on after the event `last`, with all before it.
     pub fn after(last: Option<u64>) -> Self {
+        let order = Order {
+            held: last.map(|last| (0, last)),
+            ..Order::default()
+        };
         Self {
-            last,
+            order,
             ..Self::default()
         }
     }
@@ -68,17 +115,23 @@
 
     /// The id of the last event that was taken and has one.
     pub fn last(&self) -> Option<u64> {
-        self.last
+        self.order.last()
     }
 
-    /// Takes the first event out of order that was found since the last call.
-    pub fn take_disorder(&mut self) -> Option<Disorder> {
-        self.disorder.take()
+    /// Whether another server can complete the stream after [`last`](Self::last).
+    pub fn can_go_on(&self) -> bool {
+        !self.order.lacks
     }
 
     /// Takes all complete events; empty if there is none.
-    pub fn take_complete(&mut self) -> Vec<u8> {
+    ///
+    /// # Errors
+    ///
+    /// One of them is out of order. None is taken: what a server sends beside it may be out
+    /// of order as well.
+    pub fn take_complete(&mut self) -> Result<Vec<u8>, Disorder> {
         let mut end = 0;
+        let mut order = self.order;
         while let Some(length) = self.bytes[self.searched..].iter().position(is_newline) {
             let newline = self.searched + length;
             let line = &self.bytes[self.line..newline];
@@ -86,41 +139,57 @@
             (self.line, self.searched) = (newline + 1, newline + 1);
             if line.is_empty() {
                 end = self.line;
-                self.finish_event();
+                let event = mem::take(&mut self.event);
+                self.check(&mut order, event)?;
             } else {
                 self.event.read_line(line);
             }
         }
         self.searched = self.bytes.len();
         if end == 0 {
-            return Vec::new();
+            return Ok(Vec::new());
         }
+        self.order = order;
         let rest = self.bytes.split_off(end);
         self.line -= end;
         self.searched -= end;
-        mem::replace(&mut self.bytes, rest)
+        Ok(mem::replace(&mut self.bytes, rest))
     }
 
-    fn finish_event(&mut self) {
-        let Some(id) = mem::take(&mut self.event).id else {
-            return;
-        };
-        if let Some(last) = self.last.filter(|last| id <= *last) {
-            self.disorder.get_or_insert(Disorder { id, last });
-        }
-        self.last = Some(id);
+    /// Takes all that is left of a stream that is complete; its last event may lack the empty
+    /// line that ends it.
+    ///
+    /// # Errors
+    ///
+    /// See [`take_complete`](Self::take_complete).
+    pub fn take_rest(&mut self) -> Result<Vec<u8>, Disorder> {
+        let mut event = self.event;
+        event.read_line(&self.bytes[self.line..]);
+        let mut order = self.order;
+        self.check(&mut order, event)?;
+        self.order = order;
+        Ok(mem::take(&mut self.bytes))
     }
 
-    /// Whether the event that is not yet complete is longer than any event may be.
-    pub fn is_too_long(&self) -> bool {
-        self.bytes.len() > EVENT_BYTES_MAX
+    fn check(&mut self, order: &mut Order, event: Event) -> Result<(), Disorder> {
+        let Some(id) = event.id else {
+            return Ok(());
+        };
+        let followed = order.follow(id);
+        followed.inspect_err(|disorder| self.order.reject(disorder.id))
     }
 
-    /// Takes the bytes after the last complete event.
-    pub fn take_rest(&mut self) -> Vec<u8> {
+    /// Drops what is left of a server's events; those that come next are another server's.
+    pub fn change_server(&mut self) {
+        self.bytes.clear();
         (self.line, self.searched) = (0, 0);
         self.event = Event::default();
-        mem::take(&mut self.bytes)
+        self.order.continued = false;
+    }
+
+    /// Whether the event that is not yet complete is longer than any event may be.
+    pub fn is_too_long(&self) -> bool {
+        self.bytes.len() > EVENT_BYTES_MAX
     }
 }
 
--- a/crates/relay/src/exchange/report.rs
+++ b/crates/relay/src/exchange/report.rs
@@ -428,9 +428,11 @@
 /// What a failure means for the release that the server runs; `None` if nothing.
 fn failure_evidence(cause: &Cause) -> Option<Outcome> {
     match cause {
-        Cause::Error(_) | Cause::Unsigned | Cause::Broken(_) | Cause::Lost(_) => {
-            Some(Outcome::Failed)
-        }
+        Cause::Error(_)
+        | Cause::Unsigned
+        | Cause::Broken(_)
+        | Cause::Disordered(_)
+        | Cause::Lost(_) => Some(Outcome::Failed),
         Cause::TimedOut | Cause::Stalled => Some(Outcome::TimedOut),
         Cause::Ineligible(_) | Cause::Connect(_) | Cause::WrongAttempt | Cause::Refused(_) => None,
     }
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -113,10 +113,12 @@
         }
         drop(reply);
         exchange.record_failure(&backend, &failure);
-        let next = if resumable {
-            resume(exchange, failure, events.last()).await
-        } else {
+        let next = if !resumable {
             Err("not_resumable")
+        } else if !events.can_go_on() {
+            Err("event_lacking")
+        } else {
+            resume(exchange, failure, events.last()).await
         };
         let next = match next {
             Ok(next) => next,
@@ -126,7 +128,7 @@
             }
         };
         exchange.log_resumed(&backend.server, &next.0.server, events.last());
-        events.take_rest();
+        events.change_server();
         (backend, reply) = next;
     }
 }
@@ -169,12 +171,11 @@
 async fn resume(
     exchange: &mut Exchange<'_>,
     mut failure: Failure,
-    last: Option<u64>,
+    after: Option<u64>,
 ) -> Result<(Rc<Backend>, Reply), &'static str> {
     let mut rejections = 0;
     loop {
         exchange.may_retry(&failure).map_err(refusal::Kind::name)?;
-        let after = last.or(exchange.request.resume_after);
         let sent = exchange.send(after).await;
         let (backend, result) = sent.map_err(refusal::Kind::name)?;
         failure = match result {
@@ -251,9 +252,13 @@
         } else {
             events.take_rest()
         };
-        if let Some(disorder) = events.take_disorder() {
+        let complete = complete.map_err(|disorder| {
             exchange.log_disorder(&backend.server, disorder);
-        }
+            Failure {
+                executed: Executed::Unknown,
+                cause: Cause::Disordered(disorder),
+            }
+        })?;
         if events.is_too_long() {
             return Err(endless_event());
         }
