--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -244,6 +244,11 @@
         seconds.map(Duration::from_secs)
     }
 
+    /// Whether the sender can read chunks: it speaks HTTP/1.1 or a later version.
+    pub fn knows_chunks(&self) -> bool {
+        self.minor > 0
+    }
+
     /// Whether the sender ends the connection after this message.
     pub fn closes(&self) -> bool {
         self.lists("close") || (self.minor == 0 && !self.lists("keep-alive"))
