--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -398,7 +398,10 @@
             if self.pending.len() > tried {
                 tried = self.pending.len();
                 if let Some(length) = head::length(&self.pending, most)? {
-                    return Ok(Some(self.take(length)));
+                    let mut bytes = self.take(length);
+                    // The head is kept for longer than the bytes that came with it.
+                    bytes.shrink_to_fit();
+                    return Ok(Some(bytes));
                 }
             }
             match self.fill().await {
