Backlog: small answers that are not completed have a bound over the box

A faulty server that stops within each of many answers had each keep up to 64 KiB and more: 900 of them took a process of 64 MB to 98.0 MB resident. Cause: answers of up to 64 KiB were counted and never waited for memory, so that their sum grew with the clients, over limits.answers_share; and a small one was reserved after it had been read.

Now a small answer goes on without waiting only while it takes no more than is left for all others, of the limit and a quarter of it; else it waits in the queue of the large ones and its server with it. Answers of usual length pass beside a thousand that are not completed, and large ones that slow clients hold still make no small one wait. The memory for each read is reserved before it. A small answer that waits with nothing reserved may be the one that exceeds the limit, so that those behind it in the queue do not wait for their deadlines.

--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -8,8 +8,10 @@
 //!
 //! Invariants:
 //!
-//! * Reservations exceed the limit by at most one answer, and by those of up to
-//!   [`SMALL_BYTES`], which never wait for memory.
+//! * Reservations exceed the limit by at most one answer, and by a part of it for those of up
+//!   to [`SMALL_BYTES`]. Of these, one may take as much without waiting as is left for all
+//!   others, so that small answers do not wait for large ones, nor for many that are not
+//!   completed.
 //! * While an answer waits for memory, the client that has taken nothing for longest is
 //!   cut, provided that this is at least [`SHORTAGE_STALL`]. A client that reads in time
 //!   is never cut.
@@ -29,9 +31,11 @@
 use crate::notifier::Notifier;
 use crate::timeout;
 
-/// Largest answer that never waits for memory, in bytes: the operating system takes as
-/// much at once for a client that has read its earlier answers.
+/// Largest answer that does not wait for memory, in bytes, unless many such answers take it:
+/// the operating system takes as much at once for a client that has read its earlier answers.
 pub const SMALL_BYTES: usize = 64 << 10;
+/// Divisor of the limit that gives the memory by which small answers may exceed it.
+const SMALL_DIVISOR: usize = 4;
 /// Time without progress after which a client may be cut for another answer. A client
 /// that reads takes something within a few round trips.
 pub const SHORTAGE_STALL: Duration = Duration::from_millis(500);
@@ -46,8 +50,8 @@
     /// Most bytes of events that are not complete.
     partial_limit: Cell<usize>,
     partial_bytes: Cell<usize>,
-    /// Whether a reservation exceeds the limit; at most one does.
-    exceeded: Cell<bool>,
+    /// The reservation that exceeds the limit; at most one does.
+    exceeding: RefCell<Option<Rc<State>>>,
     next_id: Cell<u64>,
     /// Answers that wait for memory, in the order of their arrival.
     waiting: RefCell<VecDeque<u64>>,
@@ -65,7 +69,7 @@
             stream_bytes: Cell::default(),
             partial_limit: Cell::new(usize::MAX),
             partial_bytes: Cell::default(),
-            exceeded: Cell::default(),
+            exceeding: RefCell::default(),
             next_id: Cell::default(),
             waiting: RefCell::default(),
             blocked: RefCell::default(),
@@ -84,7 +88,6 @@
 #[derive(Default)]
 struct State {
     bytes: Cell<usize>,
-    exceeds: Cell<bool>,
     waited: Cell<Duration>,
     evicted: Cell<bool>,
     evict: Notifier,
@@ -199,9 +202,27 @@
         }
     }
 
+    /// Whether a small answer of `bytes` bytes, `more` of which are not reserved yet, has room
+    /// without waiting.
+    fn has_small_room(&self, bytes: usize, more: usize) -> bool {
+        let limit = self.limit.get();
+        let limit = limit.saturating_add(limit / SMALL_DIVISOR);
+        let exceeding = self.exceeding.borrow();
+        let exceeding = exceeding.as_ref().map_or(0, |it| it.bytes.get());
+        let room = limit.saturating_sub(self.reserved.get() - exceeding);
+        bytes <= SMALL_BYTES && bytes <= room.saturating_sub(more)
+    }
+
+    fn exceeds(&self, reservation: &State) -> bool {
+        let exceeding = self.exceeding.borrow();
+        exceeding
+            .as_ref()
+            .is_some_and(|it| std::ptr::eq(&**it, reservation))
+    }
+
     fn free(&self, reservation: &State) {
-        if reservation.exceeds.take() {
-            self.exceeded.set(false);
+        if self.exceeds(reservation) {
+            self.exceeding.take();
         }
         self.set_reserved(self.reserved.get() - reservation.bytes.take());
         self.changed.notify();
@@ -209,28 +230,28 @@
 }
 
 impl Reservation {
-    /// Extends the reservation to `bytes`; waits for memory if it becomes larger than
-    /// [`SMALL_BYTES`].
+    /// Extends the reservation to `bytes`; waits for memory unless it is small and there are
+    /// not many such.
     pub async fn extend_to(&self, bytes: usize) {
+        let backlog = &*self.backlog;
         let more = bytes.saturating_sub(self.state.bytes.get());
-        if more > 0 && bytes > SMALL_BYTES && !self.state.exceeds.get() {
-            self.wait_for_room(more).await;
+        if more > 0 && !backlog.has_small_room(bytes, more) && !backlog.exceeds(&self.state) {
+            self.wait_for_room(bytes, more).await;
         }
         self.state.bytes.set(self.state.bytes.get() + more);
-        self.backlog
-            .set_reserved(self.backlog.reserved.get() + more);
+        backlog.set_reserved(backlog.reserved.get() + more);
     }
 
-    async fn wait_for_room(&self, more: usize) {
+    async fn wait_for_room(&self, bytes: usize, more: usize) {
         let backlog = &*self.backlog;
         let turn = Turn::new(self);
-        while !(turn.is_first() && self.take_room(more)) {
+        while !(turn.is_first() && self.take_room(bytes, more)) {
             timeout::within(SHORTAGE_CHECK, backlog.changed.wait()).await;
         }
     }
 
     /// Whether there is room for `more` bytes, or the reservation may exceed the limit.
-    fn take_room(&self, more: usize) -> bool {
+    fn take_room(&self, bytes: usize, more: usize) -> bool {
         let backlog = &*self.backlog;
         backlog.evict_stalled(more, Instant::now());
         if backlog.reserved.get() + more <= backlog.limit.get() {
@@ -238,12 +259,12 @@
         }
         // Answers that are read in parts would wait for each other if each held a part
         // and none could be completed.
-        let may_exceed = self.state.bytes.get() > 0 && !backlog.exceeded.get();
+        let is_begun = self.state.bytes.get() > 0 || bytes <= SMALL_BYTES;
+        let may_exceed = is_begun && backlog.exceeding.borrow().is_none();
         if may_exceed {
-            backlog.exceeded.set(true);
-            self.state.exceeds.set(true);
+            backlog.exceeding.replace(Some(self.state.clone()));
         }
-        may_exceed
+        may_exceed || backlog.has_small_room(bytes, more)
     }
 
     /// Time for which it has waited for memory.
--- a/crates/relay/src/exchange/stream/whole.rs
+++ b/crates/relay/src/exchange/stream/whole.rs
@@ -125,12 +125,22 @@
         cause: Cause::Broken(error),
     };
     let declared = match reply.framing {
+        Framing::Empty => Some(0),
         Framing::Length(bytes) => Some(bytes.min(max_bytes as u64) as usize),
-        _ => None,
+        Framing::Chunked | Framing::UntilClose => None,
     };
-    // A small body needs no reservation in advance.
     let mut room = SMALL_BYTES;
     loop {
+        let next = body.len() + READ_BYTES;
+        let is_larger = declared.is_none_or(|bytes| bytes > room);
+        if is_larger && next > room {
+            room = declared.unwrap_or_else(|| (2 * room).min(max_bytes));
+            memory.extend_to(room).await;
+            body.reserve_exact(room.saturating_sub(body.len()));
+        } else {
+            let bytes = declared.map_or(next, |bytes| bytes.min(next));
+            memory.extend_to(bytes).await;
+        }
         let read = reply.body.read(&mut reply.conn, body).await;
         if !read.map_err(broken)? {
             return Ok(());
@@ -138,13 +148,5 @@
         if body.len() > max_bytes {
             return Err(broken(Unread::TooLong(max_bytes).into()));
         }
-        let is_larger = declared.is_none_or(|bytes| bytes > room);
-        if is_larger && body.len() + READ_BYTES > room {
-            room = declared.unwrap_or_else(|| (2 * room).min(max_bytes));
-            memory.extend_to(room).await;
-            body.reserve_exact(room.saturating_sub(body.len()));
-        } else {
-            memory.extend_to(body.len()).await;
-        }
     }
 }
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -131,7 +131,7 @@
     /// Memory of the box, in megabytes.
     pub memory_mb: f64,
     /// Share of the memory that whole answers may take until their clients have read
-    /// them. One further answer of up to 8 MiB may exceed it.
+    /// them. One further answer of up to 8 MiB may exceed it, and small ones by a quarter.
     pub answers_share: f64,
     /// Share of the memory that events of streams may take while they are not complete. A
     /// stream is given up whose event takes more than is left for all others.
--- a/crates/relay/tests/relay/endless.rs
+++ b/crates/relay/tests/relay/endless.rs
@@ -10,9 +10,10 @@
 use std::time::{Duration, Instant};
 
 use eyre::{ensure, WrapErr as _};
+use futures_lite::future::poll_once;
 use serde_json::json;
 use smol::Timer;
-use tidepier_relay::backlog::Backlog;
+use tidepier_relay::backlog::{Backlog, SMALL_BYTES};
 use tidepier_relay_standin::site::Site;
 
 use crate::harness::{
@@ -28,6 +29,11 @@
 /// Longest time without a tick.
 const TICK_MAX: Duration = Duration::from_millis(500);
 
+/// Bytes that a router reads at once.
+const READ_BYTES: usize = 16 << 10;
+/// Bytes of a usual answer, or of an event.
+const USUAL_BYTES: usize = 4 << 10;
+
 /// An answer without end.
 struct Endless {
     name: &'static str,
@@ -259,8 +265,6 @@
 #[test]
 fn events_without_end_leave_memory_for_others() {
     const LIMIT: usize = 4 << 20;
-    const READ_BYTES: usize = 16 << 10;
-    const USUAL_BYTES: usize = 8 << 10;
     let backlog = Rc::new(Backlog::default());
     backlog.set_partial_limit(LIMIT);
     let alone = backlog.partial();
@@ -286,3 +290,33 @@
     drop(faulty);
     assert_eq!(backlog.partial_bytes(), 0);
 }
+
+/// Guards against a usual answer that waits for the memory that many answers take which are
+/// not completed, and against a sum of these that has no bound.
+#[test]
+fn small_answers_without_end_leave_memory_for_others() -> Result {
+    const LIMIT: usize = 8 << 20;
+    run(async |_| {
+        let backlog = Rc::new(Backlog::default());
+        backlog.set_limit(LIMIT);
+        let large = backlog.reservation();
+        large.extend_to(LIMIT).await;
+        let faulty: Vec<_> = (0..200).map(|_| backlog.reservation()).collect();
+        let mut waited = 0;
+        for read in 1..=SMALL_BYTES / READ_BYTES {
+            for reservation in &faulty {
+                let extended = poll_once(reservation.extend_to(read * READ_BYTES));
+                waited += usize::from(extended.await.is_none());
+                // One of those that wait may exceed the limit.
+                ensure!(backlog.reserved() <= LIMIT + LIMIT / 4 + SMALL_BYTES);
+                let usual = backlog.reservation();
+                let extended = poll_once(usual.extend_to(USUAL_BYTES)).await;
+                ensure!(extended.is_some(), "{} bytes", backlog.reserved());
+            }
+        }
+        ensure!(waited > 0, "none had to wait");
+        drop((large, faulty));
+        ensure!(backlog.reserved() == 0, "{} bytes", backlog.reserved());
+        Ok(())
+    })
+}
