Store: what its answers take has a bound over all calls and pages

A store that answers its calls without end had each call and each watch keep up to 48 MiB: a process of 64 MB took 95.6 MB within 3 s. Pages of a list were kept without any bound, for as long as each had a new key and said that there were more. Cause: the limit was that of the longest answer thinkable (32 values of 1 MiB), and for each call by itself.

Now all answers and the pages of lists share 16 MiB, by the same account as events of streams (h1::account): one may take as much as is left for all others, so that a single answer or list has 8 MiB. That is a list of some twenty thousand servers (10,000 take 4 MB), or five values of the largest size; our own transactions have small ones. A call over it fails as unreadable, and what follows the store then reads lists in place of the watch, as after any such answer.

--- a/crates/h1/src/call.rs
+++ b/crates/h1/src/call.rs
@@ -10,11 +10,13 @@
 use std::cell::{Cell, RefCell};
 use std::io;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use futures_lite::FutureExt;
 use smol::Timer;
 
+use crate::account::{Account, Share};
 use crate::body::{Body, Framing, Unread};
 use crate::conn::Conn;
 use crate::head::{Answer, Head, Malformed};
@@ -70,6 +72,8 @@
     pub head: Head<Answer>,
     /// Its body.
     pub body: Vec<u8>,
+    /// The memory that the body takes.
+    pub memory: Share,
 }
 
 /// How far a call has come.
@@ -100,17 +104,24 @@
 pub struct Caller {
     address: SocketAddr,
     limits: Limits,
+    /// The memory of the answers' bodies.
+    memory: Rc<Account>,
     kept: RefCell<Option<Conn>>,
 }
 
 impl Caller {
     /// A caller of the peer at `address`; connects when first called.
     pub fn new(address: SocketAddr, limits: Limits) -> Self {
-        let kept = RefCell::default();
+        Self::sharing(address, limits, Rc::new(Account::new(usize::MAX)))
+    }
+
+    /// The same; the bodies of its answers take memory of an account that it shares.
+    pub fn sharing(address: SocketAddr, limits: Limits, memory: Rc<Account>) -> Self {
         Self {
             address,
             limits,
-            kept,
+            memory,
+            kept: RefCell::default(),
         }
     }
 
@@ -170,9 +181,11 @@
         let head = self.head(&mut conn).await?;
         let framing = Framing::of_answer(&head, request.method)
             .map_err(|error| Failure::Malformed(error.to_string()))?;
-        let body = self.body(&mut conn, framing).await?;
+        let memory = self.memory.share();
+        let body = self.body(&mut conn, framing, &memory).await?;
         let keeps = !head.closes() && framing != Framing::UntilClose;
-        Ok((Reply { head, body }, keeps.then_some(conn)))
+        let reply = Reply { head, body, memory };
+        Ok((reply, keeps.then_some(conn)))
     }
 
     async fn head(&self, conn: &mut Conn) -> Result<Head<Answer>, Failure> {
@@ -184,19 +197,34 @@
         })
     }
 
-    async fn body(&self, conn: &mut Conn, framing: Framing) -> Result<Vec<u8>, Failure> {
+    async fn body(
+        &self,
+        conn: &mut Conn,
+        framing: Framing,
+        memory: &Share,
+    ) -> Result<Vec<u8>, Failure> {
         let mut bytes = Vec::new();
         if let Framing::Length(length) = framing {
             bytes.reserve_exact(length.min(RESERVE_BYTES) as usize);
         }
         let mut body = Body::new(framing);
-        let read = body.rest(conn, Some(&mut bytes), self.limits.body_bytes);
-        match read.await {
-            Ok(()) => Ok(bytes),
-            Err(Unread::Broken(error)) if error.kind() != io::ErrorKind::InvalidData => {
-                Err(Failure::NoAnswer(error))
+        while body.read(conn, &mut bytes).await.map_err(unread)? {
+            if bytes.len() > self.limits.body_bytes {
+                let error = Unread::TooLong(self.limits.body_bytes);
+                return Err(Failure::Malformed(error.to_string()));
+            }
+            if !memory.set(bytes.len()) {
+                let why = format!("no memory for a body over {} bytes", bytes.len());
+                return Err(Failure::Malformed(why));
             }
-            Err(error) => Err(Failure::Malformed(error.to_string())),
         }
+        Ok(bytes)
+    }
+}
+
+fn unread(error: io::Error) -> Failure {
+    match error.kind() {
+        io::ErrorKind::InvalidData => Failure::Malformed(error.to_string()),
+        _ => Failure::NoAnswer(error),
     }
 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -15,6 +15,7 @@
 //!   status are no answer.
 //! * A connection holds buffers only while bytes wait in it.
 
+pub mod account;
 mod body;
 pub mod call;
 mod conn;
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -26,6 +26,7 @@
 
 use futures_lite::FutureExt;
 use tidepier_clock::Instant;
+use tidepier_h1::account::{Account, Share};
 use tidepier_h1::Writer;
 
 use crate::notifier::Notifier;
@@ -47,9 +48,8 @@
     limit: Cell<usize>,
     reserved: Cell<usize>,
     stream_bytes: Cell<usize>,
-    /// Most bytes of events that are not complete.
-    partial_limit: Cell<usize>,
-    partial_bytes: Cell<usize>,
+    /// Bytes of events that are not complete.
+    partial: Rc<Account>,
     /// The reservation that exceeds the limit; at most one does.
     exceeding: RefCell<Option<Rc<State>>>,
     next_id: Cell<u64>,
@@ -67,8 +67,7 @@
             limit: Cell::new(usize::MAX),
             reserved: Cell::default(),
             stream_bytes: Cell::default(),
-            partial_limit: Cell::new(usize::MAX),
-            partial_bytes: Cell::default(),
+            partial: Rc::new(Account::new(usize::MAX)),
             exceeding: RefCell::default(),
             next_id: Cell::default(),
             waiting: RefCell::default(),
@@ -128,7 +127,7 @@
 
     /// Sets the most bytes of events that are not complete.
     pub fn set_partial_limit(&self, bytes: usize) {
-        self.partial_limit.set(bytes);
+        self.partial.set_limit(bytes);
     }
 
     /// Bytes that are reserved for whole answers.
@@ -143,14 +142,14 @@
 
     /// Bytes of events that are not complete.
     pub fn partial_bytes(&self) -> usize {
-        self.partial_bytes.get()
+        self.partial.taken()
     }
 
     /// An account of the event of one stream that is not complete.
-    pub fn partial(self: &Rc<Self>) -> Partial {
+    pub fn partial(&self) -> Partial {
         Partial {
-            backlog: self.clone(),
-            bytes: Cell::default(),
+            account: self.partial.clone(),
+            share: self.partial.share(),
         }
     }
 
@@ -380,24 +379,21 @@
 
 /// The bytes of one stream's event that is not complete, counted until it is dropped.
 pub struct Partial {
-    backlog: Rc<Backlog>,
-    bytes: Cell<usize>,
+    account: Rc<Account>,
+    share: Share,
 }
 
 impl Partial {
-    /// Sets how many bytes there are. Returns whether they may be kept: one stream may keep as
-    /// much as is left for all others. So the streams with the longest events are given up
-    /// first, and events of usual length have room beside any number of these.
+    /// Sets how many bytes there are. Returns whether they may be kept; see [`Share::set`].
     #[must_use]
     pub fn set(&self, bytes: usize) -> bool {
-        let backlog = &self.backlog;
-        let before = self.bytes.replace(bytes);
-        let all = backlog.partial_bytes.get() - before + bytes;
-        if before != bytes {
-            backlog.partial_bytes.set(all);
+        let before = self.account.taken();
+        let has_room = self.share.set(bytes);
+        let all = self.account.taken();
+        if all != before {
             metrics::gauge!("tidepier_client_bytes_kept", "kind" => "partial").set(all as f64);
         }
-        bytes <= backlog.partial_limit.get().saturating_sub(all)
+        has_room
     }
 }
 
--- a/crates/relay/tests/endless_answers/harness.rs
+++ b/crates/relay/tests/endless_answers/harness.rs
@@ -39,7 +39,8 @@
 /// Held by the test that runs.
 static SERIAL: Mutex<()> = Mutex::new(());
 
-/// What the faulty server answers to each request.
+/// What a faulty server answers to each request.
+#[derive(Clone, Default)]
 pub(crate) struct Answers {
     /// The head; `ATTEMPT` stands for the attempt that is answered.
     pub(crate) head: String,
@@ -54,6 +55,7 @@
     child: Child,
     file: PathBuf,
     settings: Value,
+    store: Store,
     _sound: Server,
     _faulty: Task<()>,
     _site: Site,
@@ -106,6 +108,7 @@
             ..server::Settings::default()
         })?;
         let faulty = start_faulty(&site, answers)?;
+        let store = Store::open(site.store.address())?;
         let ports = free_ports::<3>()?;
         let address = |port: u16| SocketAddr::from(([127, 0, 0, 1], port)).to_string();
         let settings = json!({
@@ -113,7 +116,7 @@
             "callers": address(ports[0]), "readiness": address(ports[1]),
             "metrics": address(ports[2]),
             "limits": { "memory_mb": MEMORY_MB, "descriptors": DESCRIPTORS },
-            "store": { "address": site.store.address().to_string() },
+            "store": { "address": store.address.to_string() },
         });
         let file = format!("answers-{}.json", ports[0]);
         let file = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(file);
@@ -127,6 +130,7 @@
             child,
             file,
             settings,
+            store,
             _sound: sound,
             _faulty: faulty,
             _site: site,
@@ -161,6 +165,12 @@
         answer.ok().map(|answer| answer.status)
     }
 
+    /// Ends all connections to the store, which then answers each call with `answers`.
+    pub(crate) fn break_store(&self, answers: Answers) {
+        self.store.carrying.lock().expect("no panic").clear();
+        *self.store.answers.lock().expect("no panic") = Some(Arc::new(answers));
+    }
+
     /// Sends `count` requests at once; the connections stay open until what is returned is
     /// dropped.
     pub(crate) async fn crowd(&self, target: &str, count: usize) -> Result<Vec<Task<()>>> {
@@ -234,6 +244,52 @@
     }
 }
 
+/// A proxy in front of the store.
+struct Store {
+    address: SocketAddr,
+    /// Connections that are forwarded to the store.
+    carrying: Arc<Mutex<Vec<Task<()>>>>,
+    /// What it answers itself, in place of the store.
+    answers: Arc<Mutex<Option<Arc<Answers>>>>,
+    _listening: Task<()>,
+}
+
+impl Store {
+    fn open(store: SocketAddr) -> Result<Self> {
+        let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
+        let address = listener.get_ref().local_addr()?;
+        let carrying = Arc::<Mutex<Vec<Task<()>>>>::default();
+        let answers = Arc::<Mutex<Option<Arc<Answers>>>>::default();
+        let (open, faulty) = (carrying.clone(), answers.clone());
+        let listening = smol::spawn(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let answers = faulty.lock().expect("no panic").clone();
+                let carry = async move {
+                    // An error means that the process has closed the connection.
+                    let _ = match answers {
+                        Some(answers) => answer(stream, &answers).await,
+                        None => forward(stream, store).await,
+                    };
+                };
+                open.lock().expect("no panic").push(smol::spawn(carry));
+            }
+        });
+        Ok(Self {
+            address,
+            carrying,
+            answers,
+            _listening: listening,
+        })
+    }
+}
+
+async fn forward(near: Async<TcpStream>, store: SocketAddr) -> std::io::Result<()> {
+    let far = Async::<TcpStream>::connect(store).await?;
+    let there = futures_lite::io::copy(&near, &far);
+    there.or(futures_lite::io::copy(&far, &near)).await?;
+    Ok(())
+}
+
 /// Starts the faulty server and registers it.
 fn start_faulty(site: &Site, answers: Answers) -> Result<Task<()>> {
     let listener = Async::<TcpListener>::bind(([127, 0, 0, 1], 0))?;
--- a/crates/relay/tests/endless_answers/main.rs
+++ b/crates/relay/tests/endless_answers/main.rs
@@ -7,6 +7,8 @@
 
 mod harness;
 
+use std::time::Duration;
+
 use harness::{run, Answers, Harness, Result};
 
 /// The beginning of a signed answer; `ATTEMPT` stands for the attempt that is answered.
@@ -17,6 +19,9 @@
 /// A byte less than what a box takes of one event.
 const EVENT_BYTES: usize = (1 << 20) - 1;
 
+/// Time in which the process calls a store that answers without end.
+const STORE_TIME: Duration = Duration::from_secs(3);
+
 /// Has `count` requests for `target` answered with `head` and then with `body`, and checks the
 /// process.
 fn play(target: &'static str, count: usize, head: &str, body: Vec<u8>, ends: bool) -> Result {
@@ -89,3 +94,19 @@
     let head = "HTTP/1.1 500 Failed\r\nAttempt-Id: ATTEMPT\r\nResponse-Seal: raw\r\n\r\n";
     play("/w/x", 900, head, vec![b'b'; 64 << 10], true)
 }
+
+/// Guards against a process that ends as it keeps what the store answers without end to its
+/// calls.
+#[test]
+fn answers_of_the_store_without_end_stay_within_memory() -> Result {
+    run(async {
+        let mut harness = Harness::start(Answers::default()).await?;
+        harness.break_store(Answers {
+            head: "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n".to_owned(),
+            body: vec![b' '; 64 << 20],
+            ends: false,
+        });
+        smol::Timer::after(STORE_TIME).await;
+        harness.check().await
+    })
+}
--- a/crates/relay/tests/platform/store.rs
+++ b/crates/relay/tests/platform/store.rs
@@ -274,6 +274,26 @@
     );
 }
 
+/// Guards against a store that always has another page of a list, all of which were kept.
+#[test]
+fn a_list_without_end_is_given_up() {
+    let page = |number: usize| {
+        let value = "A".repeat(1 << 20);
+        let entry = format!(r#"{{"key_file":"p/{number:02}","value":"{value}","revision":1}}"#);
+        let page = format!(r#"{{"entries":[{entry}],"has_more":true,"timestamp":5}}"#);
+        Step::Answer(200, page.leak())
+    };
+    let (address, requests) = scripted_store(vec![(0..30).map(page).collect()]);
+    let client = Client::new(address);
+    // The memory of the first list is free for the second one.
+    for _ in 0..2 {
+        let list = smol::block_on(client.list("p/", false, LIMIT));
+        assert!(matches!(list, Err(Failure::Malformed(_))), "{list:?}");
+        let pages = requests.try_iter().count();
+        assert!((5..=12).contains(&pages), "{pages} pages");
+    }
+}
+
 // One value that is no bytes hid all other items of its page, at each read.
 #[test]
 fn an_unreadable_value_hides_no_other_item() {
