A stream is not resumed after an event without an id

Callers got an event twice (ORDER) if a stream broke off after an event without an id: it was resumed after the last one with an id, and the other server sent what came after that again. A stream of which no event has an id was even begun anew behind what the client had.

Cause: where a stream goes on was the last id seen, whatever had been forwarded since. The buffer now knows whether an event without an id is the last that the client has; such a stream ends visibly incomplete (broken why=event_without_id). Comments and retry fields carry nothing and do not count. The next event with an id covers those before it.

Weighed: holding events without an id back until one with an id follows. It would keep such streams resumable, but delay every one of these events, and a stream without ids as a whole; events are to be passed on as they arrive.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -30,6 +30,25 @@
 
 impl error::Error for Disorder {}
 
+/// Why a stream cannot go on at another server.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Obstacle {
+    /// A server sent an event too late, so that the client lacks it.
+    EventLacking,
+    /// The last event has no id: a server that goes on after the one before it sends it again.
+    EventWithoutId,
+}
+
+impl Obstacle {
+    /// A short name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Obstacle::EventLacking => "event_lacking",
+            Obstacle::EventWithoutId => "event_without_id",
+        }
+    }
+}
+
 /// Buffers the bytes of a stream until events are complete.
 #[derive(Default)]
 pub struct Buffer {
@@ -47,12 +66,16 @@
 #[derive(Debug, Clone, Copy, Default)]
 struct Event {
     id: Option<u64>,
+    /// Whether it carries something, other than a comment does.
+    has_content: bool,
 }
 
 impl Event {
     fn read_line(&mut self, line: &[u8]) {
         if let Some(value) = line.strip_prefix(b"id:") {
             self.id = parse_id(value).or(self.id);
+        } else if !line.is_empty() && !line.starts_with(b":") && !line.starts_with(b"retry:") {
+            self.has_content = true;
         }
     }
 }
@@ -66,6 +89,8 @@
     continued: bool,
     /// Whether the client lacks an event that a server has sent.
     lacks: bool,
+    /// Whether the client has an event without an id after the last one with an id.
+    unnumbered: bool,
 }
 
 impl Order {
@@ -73,7 +98,12 @@
         self.held.map(|(_, last)| last)
     }
 
-    fn follow(&mut self, id: u64) -> Result<(), Disorder> {
+    fn follow(&mut self, event: Event) -> Result<(), Disorder> {
+        let Some(id) = event.id else {
+            self.unnumbered |= event.has_content;
+            self.continued |= event.has_content;
+            return Ok(());
+        };
         if let Some(last) = self.last().filter(|last| id <= *last) {
             return Err(Disorder { id, last });
         }
@@ -82,6 +112,7 @@
             _ => Some((id, id)),
         };
         self.continued = true;
+        self.unnumbered = false;
         Ok(())
     }
 
@@ -118,9 +149,16 @@
         self.order.last()
     }
 
-    /// Whether another server can complete the stream after [`last`](Self::last).
-    pub fn can_go_on(&self) -> bool {
-        !self.order.lacks
+    /// Why no other server can complete the stream after [`last`](Self::last); `None` if one
+    /// can.
+    pub fn obstacle(&self) -> Option<Obstacle> {
+        if self.order.lacks {
+            Some(Obstacle::EventLacking)
+        } else if self.order.unnumbered {
+            Some(Obstacle::EventWithoutId)
+        } else {
+            None
+        }
     }
 
     /// Takes all complete events; empty if there is none.
@@ -172,10 +210,7 @@
     }
 
     fn check(&mut self, order: &mut Order, event: Event) -> Result<(), Disorder> {
-        let Some(id) = event.id else {
-            return Ok(());
-        };
-        let followed = order.follow(id);
+        let followed = order.follow(event);
         followed.inspect_err(|disorder| self.order.reject(disorder.id))
     }
 
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -113,12 +113,10 @@
         }
         drop(reply);
         exchange.record_failure(&backend, &failure);
-        let next = if !resumable {
-            Err("not_resumable")
-        } else if !events.can_go_on() {
-            Err("event_lacking")
-        } else {
-            resume(exchange, failure, events.last()).await
+        let next = match events.obstacle() {
+            _ if !resumable => Err("not_resumable"),
+            Some(obstacle) => Err(obstacle.name()),
+            None => resume(exchange, failure, events.last()).await,
         };
         let next = match next {
             Ok(next) => next,
