An unframed stream that ends within an event or before any broke off

In answers with a length or chunks the server states the end, and what it sends is passed on as before.

A resume answered without a length is now taken as well. It was refused, as the client's framing followed from the first server's; it no longer does. Such an answer is as good as a first one of this kind, and refusing it used up an attempt.

An orderly end between two events still looks complete: HTTP has no mark that would tell it apart.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -222,6 +222,12 @@
         self.order.continued = false;
     }
 
+    /// Whether an answer may be complete whose end only the end of its connection shows: it
+    /// had an event, and does not end within one.
+    pub fn may_be_complete(&self) -> bool {
+        self.bytes.is_empty() && self.order.continued
+    }
+
     /// Whether the event that is not yet complete is longer than any event may be.
     pub fn is_too_long(&self) -> bool {
         self.bytes.len() > EVENT_BYTES_MAX
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -177,9 +177,7 @@
         let sent = exchange.send(after).await;
         let (backend, result) = sent.map_err(refusal::Kind::name)?;
         failure = match result {
-            Ok(reply) if reply.answer.status == 200 && reply.framing != Framing::UntilClose => {
-                return Ok((backend, reply));
-            }
+            Ok(reply) if reply.answer.status == 200 => return Ok((backend, reply)),
             Ok(reply) => {
                 let failure = resume_failure(&reply);
                 if is_full(&failure) && rejections < REJECTIONS_MAX {
@@ -245,6 +243,9 @@
         backend.record_received();
         exchange.last_data.set(Some(Instant::now()));
         reply.running.answer_started();
+        if !more && reply.framing == Framing::UntilClose && !events.may_be_complete() {
+            return Err(early_end());
+        }
         let complete = if more {
             events.take_complete()
         } else {
@@ -290,6 +291,17 @@
     }
 }
 
+fn early_end() -> Failure {
+    let error = io::Error::new(
+        io::ErrorKind::UnexpectedEof,
+        "the connection ended within an event or before any",
+    );
+    Failure {
+        executed: Executed::Unknown,
+        cause: Cause::Broken(error),
+    }
+}
+
 fn endless_event() -> Failure {
     let error = io::Error::new(io::ErrorKind::InvalidData, "an event does not end");
     Failure {
