--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -116,12 +116,10 @@
         }
         drop(reply);
         exchange.record_failure(&backend, &failure);
-        let next = if !resumable {
-            Err("not_resumable")
-        } else if !events.can_go_on() {
-            Err("event_lacking")
-        } else {
-            resume(exchange, failure, events.last()).await
+        let next = match events.obstacle() {
+            _ if !resumable => Err("not_resumable"),
+            Some(obstacle) => Err(obstacle.name()),
+            None => resume(exchange, failure, events.last()).await,
         };
         let next = match next {
             Ok(next) => next,
@@ -182,9 +180,7 @@
         let sent = exchange.send(after).await;
         let (backend, result) = sent.map_err(refusal::Kind::name)?;
         failure = match result {
-            Ok(reply) if reply.answer.status == 200 && reply.framing != Framing::UntilClose => {
-                return Ok((backend, reply));
-            }
+            Ok(reply) if reply.answer.status == 200 => return Ok((backend, reply)),
             Ok(reply) => {
                 let failure = resume_failure(&reply);
                 if is_full(&failure) && rejections < REJECTIONS_MAX {
@@ -250,6 +246,9 @@
         backend.record_received();
         exchange.last_data.set(Some(Instant::now()));
         reply.running.answer_started();
+        if !more && reply.framing == Framing::UntilClose && !events.may_be_complete() {
+            return Err(early_end());
+        }
         let complete = if more {
             events.take_complete()
         } else {
@@ -299,6 +298,17 @@
     }
 }
 
+fn early_end() -> Failure {
+    let error = io::Error::new(
+        io::ErrorKind::UnexpectedEof,
+        "the connection ended within an event or before any",
+    );
+    Failure {
+        executed: Executed::Unknown,
+        cause: Cause::Broken(error),
+    }
+}
+
 /// The failure of a server whose event does not end; `has_room`: it is too long by itself,
 /// not only for the memory that others leave.
 fn endless_event(has_room: bool) -> Failure {
