--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -189,6 +189,11 @@
 }
 
 impl<L> Head<L> {
+    /// Bytes of the head as sent.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// All fields in order.
     pub fn fields(&self) -> impl Iterator<Item = Field<'_>> {
         self.fields.iter().map(|(name, value)| Field {
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -28,6 +28,7 @@
 mod grace;
 mod harness;
 mod health;
+mod inbound;
 mod incarnations;
 mod index;
 mod invalid_entries;
