http: a head, and what is read for a part of a body, have a bound

The client of tidepier-router and the steward (async-h1) read the head of an answer line by line without a bound on a line, so that a server that sends a line without end filled the process's memory: 32 MiB, all that the server of the test had, were kept. Zeros of a chunk's size without end are not kept, but were read in one go for as long as they came, so that no other task of the thread ran and no deadline was noticed.

The head is now read up to its end, 8 KiB at most, before the library gets it, and 64 KiB at most are read for one part of a body. Lines of fields, chunks, trailers and lengths without end were bounded before, and statuses (000, 099, 600), request lines and odd names of fields were errors; their cases stay as guards.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,13 +12,14 @@
 use std::time::Duration;
 
 use async_h1::client::{decode, Encoder};
-use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt};
+use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt, Cursor};
 use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
 use tidepier_clock::Instant;
 
 use crate::dial::{self, Dial};
+use crate::metered::Stream;
 use crate::server::within;
 
 /// Idle connections kept for one address.
@@ -26,6 +27,11 @@
 /// Time after which an idle connection is not used again. Shorter than the
 /// idle limit of our own servers, so that a reused connection is seldom stale.
 const IDLE_TIME: Duration = Duration::from_secs(20);
+/// Largest head of an answer, in bytes.
+const HEAD_BYTES: usize = 8 << 10;
+/// Most bytes that are read at once for a part of a body. The library goes on reading where
+/// there is no part in them, without letting other tasks run.
+const POLL_BYTES: u64 = 64 << 10;
 /// Time to open a connection.
 const CONNECT_TIME: Duration = Duration::from_secs(2);
 
@@ -216,7 +222,7 @@
     ) -> Result<Answer, Failure> {
         let request = call.request(address)?;
         let head = Box::pin(exchange(socket.clone(), request)).await;
-        let (mut response, sent) = head.map_err(Failure::Unknown)?;
+        let (mut response, sent, stream) = head.map_err(Failure::Unknown)?;
         if let Some(purpose) = call.purpose {
             count(purpose, sent + head_bytes(&response));
         }
@@ -234,6 +240,7 @@
                 body,
                 length,
                 read: 0,
+                stream,
                 purpose: call.purpose,
                 home,
             },
@@ -288,8 +295,9 @@
     (STATUS_LINE + lines.sum::<usize>()) as u64
 }
 
-/// Sends a request; returns the head of its answer and the bytes sent.
-async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<(Response, u64)> {
+/// Sends a request; returns the head of its answer, the bytes sent, and what the body is read
+/// from.
+async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<(Response, u64, Stream)> {
     let mut encoder = Encoder::new(request);
     let mut sent = 0;
     let mut buffer = vec![0; 16 << 10];
@@ -309,8 +317,40 @@
         socket.write_all(&buffer[..filled]).await?;
         sent += filled as u64;
     }
-    let response = decode(socket).await.map_err(io::Error::other)?;
-    Ok((response, sent))
+    let begin = read_head(&mut socket).await?;
+    let stream = Stream::new(socket);
+    let answer = Cursor::new(begin).chain(stream.clone());
+    let response = decode(answer).await.map_err(io::Error::other)?;
+    Ok((response, sent, stream))
+}
+
+/// Reads until the end of the head of an answer, which the library would do without a bound
+/// on a line. Returns what was read.
+async fn read_head(socket: &mut TcpStream) -> io::Result<Vec<u8>> {
+    let malformed = |why| Err(io::Error::new(io::ErrorKind::InvalidData, why));
+    let mut bytes = Vec::new();
+    let mut part = [0; 2 << 10];
+    loop {
+        let searched = bytes.len();
+        match socket.read(&mut part).await? {
+            0 => return Err(io::ErrorKind::UnexpectedEof.into()),
+            read => bytes.extend_from_slice(&part[..read]),
+        }
+        match end_of_head(&bytes, searched) {
+            Some(_) => return Ok(bytes),
+            None if bytes.len() > HEAD_BYTES => return malformed("the head does not end"),
+            None => {}
+        }
+    }
+}
+
+/// The index after the head's last line, at `from` or later, as the library finds it.
+fn end_of_head(bytes: &[u8], from: usize) -> Option<usize> {
+    let ends = |at: &usize| {
+        let head = &bytes[..*at];
+        head.ends_with(b"\r\n\r\n") || head.ends_with(b"\n\n")
+    };
+    (from + 1..=bytes.len()).find(ends)
 }
 
 fn declared(response: &Response) -> Option<u64> {
@@ -335,6 +375,7 @@
     body: Body,
     length: Option<u64>,
     read: u64,
+    stream: Stream,
     purpose: Option<&'static str>,
     home: Option<Home>,
 }
@@ -362,6 +403,7 @@
         cx: &mut Context<'_>,
         buf: &mut [u8],
     ) -> Poll<io::Result<usize>> {
+        self.stream.allow(POLL_BYTES);
         let polled = Pin::new(&mut self.body).poll_read(cx, buf);
         match polled {
             Poll::Ready(Ok(0)) if !buf.is_empty() => Poll::Ready(self.ended().map(|()| 0)),
@@ -377,6 +419,7 @@
 impl AsyncBufRead for Counted {
     fn poll_fill_buf(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<&[u8]>> {
         let this = self.get_mut();
+        this.stream.allow(POLL_BYTES);
         let empty = match Pin::new(&mut this.body).poll_fill_buf(cx) {
             Poll::Pending => return Poll::Pending,
             Poll::Ready(Err(error)) => return Poll::Ready(Err(error)),
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -9,6 +9,7 @@
 mod clocks;
 mod documents;
 mod edges;
+mod faulty_answers;
 mod harness;
 mod membership;
 mod migration;
