http: an answer whose head is not ASCII is a failure, not a panic

http-types panics where a field's value is not ASCII (Headers::insert unwraps), so that one such answer of an engine (`X-Odd: é`) ended the task that read it with everything that waited for it. faulty_answers::what_is_no_answer_is_a_failure panicked in http-types' headers.rs with that line; it passes now. The head is there as a whole before the library parses it, and is checked then.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -325,7 +325,8 @@
 }
 
 /// Reads until the end of the head of an answer, which the library would do without a bound
-/// on a line. Returns what was read.
+/// on a line, and checks that it is ASCII, as the library panics at other values. Returns
+/// what was read.
 async fn read_head(socket: &mut TcpStream) -> io::Result<Vec<u8>> {
     let malformed = |why| Err(io::Error::new(io::ErrorKind::InvalidData, why));
     let mut bytes = Vec::new();
@@ -337,7 +338,8 @@
             read => bytes.extend_from_slice(&part[..read]),
         }
         match end_of_head(&bytes, searched) {
-            Some(_) => return Ok(bytes),
+            Some(end) if bytes[..end].is_ascii() => return Ok(bytes),
+            Some(_) => return malformed("a head that is not ASCII"),
             None if bytes.len() > HEAD_BYTES => return malformed("the head does not end"),
             None => {}
         }
--- a/tests/all/faulty_answers.rs
+++ b/tests/all/faulty_answers.rs
@@ -52,7 +52,8 @@
     }
 }
 
-/// Guards against bytes that are taken for an answer and are none.
+/// Guards against bytes that are taken for an answer and are none, and against a client that
+/// panics at a value that is not ASCII.
 #[test]
 fn what_is_no_answer_is_a_failure() {
     for begin in [
@@ -63,6 +64,7 @@
         "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\n X-Odd: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX-Odd: é\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
     ] {
         let server = Server::start(begin, "");
