--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -428,7 +428,10 @@
         let mut search = Search::default();
         loop {
             if let Some(length) = search.length(self.pending(), most)? {
-                return Ok(Some(self.take(length)));
+                let mut bytes = self.take(length);
+                // The head is kept for longer than the bytes that came with it.
+                bytes.shrink_to_fit();
+                return Ok(Some(bytes));
             }
             match self.fill().await {
                 Ok(0) if self.pending().is_empty() => return Ok(None),
--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -8,8 +8,10 @@
 //!
 //! Invariants:
 //!
-//! * Reservations exceed the limit by at most one answer, and by those of up to
-//!   [`SMALL_BYTES`], which never wait for memory.
+//! * Reservations exceed the limit by at most one answer, and by a part of it for those of up
+//!   to [`SMALL_BYTES`]. Of these, one may take as much without waiting as is left for all
+//!   others, so that small answers do not wait for large ones, nor for many that are not
+//!   completed.
 //! * While an answer waits for memory, the client that has taken nothing for longest is
 //!   cut, provided that this is at least [`SHORTAGE_STALL`]. A client that reads in time
 //!   is never cut.
@@ -24,14 +26,17 @@
 
 use futures_lite::FutureExt;
 use tidepier_clock::Instant;
+use tidepier_h1::account::{Account, Share};
 use tidepier_h1::Writer;
 
 use crate::notifier::Notifier;
 use crate::timeout;
 
-/// Largest answer that never waits for memory, in bytes: the operating system takes as
-/// much at once for a client that has read its earlier answers.
+/// Largest answer that does not wait for memory, in bytes, unless many such answers take it:
+/// the operating system takes as much at once for a client that has read its earlier answers.
 pub const SMALL_BYTES: usize = 64 << 10;
+/// Divisor of the limit that gives the memory by which small answers may exceed it.
+const SMALL_DIVISOR: usize = 4;
 /// Time without progress after which a client may be cut for another answer. A client
 /// that reads takes something within a few round trips.
 pub const SHORTAGE_STALL: Duration = Duration::from_millis(500);
@@ -43,11 +48,10 @@
     limit: Cell<usize>,
     reserved: Cell<usize>,
     stream_bytes: Cell<usize>,
-    /// Most bytes of events that are not complete.
-    partial_limit: Cell<usize>,
-    partial_bytes: Cell<usize>,
-    /// Whether a reservation exceeds the limit; at most one does.
-    exceeded: Cell<bool>,
+    /// Bytes of events that are not complete.
+    partial: Rc<Account>,
+    /// The reservation that exceeds the limit; at most one does.
+    exceeding: RefCell<Option<Rc<State>>>,
     next_id: Cell<u64>,
     /// Answers that wait for memory, in the order of their arrival.
     waiting: RefCell<VecDeque<u64>>,
@@ -63,9 +67,8 @@
             limit: Cell::new(usize::MAX),
             reserved: Cell::default(),
             stream_bytes: Cell::default(),
-            partial_limit: Cell::new(usize::MAX),
-            partial_bytes: Cell::default(),
-            exceeded: Cell::default(),
+            partial: Rc::new(Account::new(usize::MAX)),
+            exceeding: RefCell::default(),
             next_id: Cell::default(),
             waiting: RefCell::default(),
             blocked: RefCell::default(),
@@ -84,7 +87,6 @@
 #[derive(Default)]
 struct State {
     bytes: Cell<usize>,
-    exceeds: Cell<bool>,
     waited: Cell<Duration>,
     evicted: Cell<bool>,
     evict: Notifier,
@@ -125,7 +127,7 @@
 
     /// Sets the most bytes of events that are not complete.
     pub fn set_partial_limit(&self, bytes: usize) {
-        self.partial_limit.set(bytes);
+        self.partial.set_limit(bytes);
     }
 
     /// Bytes that are reserved for whole answers.
@@ -140,14 +142,14 @@
 
     /// Bytes of events that are not complete.
     pub fn partial_bytes(&self) -> usize {
-        self.partial_bytes.get()
+        self.partial.taken()
     }
 
     /// An account of the event of one stream that is not complete.
-    pub fn partial(self: &Rc<Self>) -> Partial {
+    pub fn partial(&self) -> Partial {
         Partial {
-            backlog: self.clone(),
-            bytes: Cell::default(),
+            account: self.partial.clone(),
+            share: self.partial.share(),
         }
     }
 
@@ -199,9 +201,27 @@
         }
     }
 
+    /// Whether a small answer of `bytes` bytes, `more` of which are not reserved yet, has room
+    /// without waiting.
+    fn has_small_room(&self, bytes: usize, more: usize) -> bool {
+        let limit = self.limit.get();
+        let limit = limit.saturating_add(limit / SMALL_DIVISOR);
+        let exceeding = self.exceeding.borrow();
+        let exceeding = exceeding.as_ref().map_or(0, |it| it.bytes.get());
+        let room = limit.saturating_sub(self.reserved.get() - exceeding);
+        bytes <= SMALL_BYTES && bytes <= room.saturating_sub(more)
+    }
+
+    fn exceeds(&self, reservation: &State) -> bool {
+        let exceeding = self.exceeding.borrow();
+        exceeding
+            .as_ref()
+            .is_some_and(|it| std::ptr::eq(&**it, reservation))
+    }
+
     fn free(&self, reservation: &State) {
-        if reservation.exceeds.take() {
-            self.exceeded.set(false);
+        if self.exceeds(reservation) {
+            self.exceeding.take();
         }
         self.set_reserved(self.reserved.get() - reservation.bytes.take());
         self.changed.notify();
@@ -209,28 +229,28 @@
 }
 
 impl Reservation {
-    /// Extends the reservation to `bytes`; waits for memory if it becomes larger than
-    /// [`SMALL_BYTES`].
+    /// Extends the reservation to `bytes`; waits for memory unless it is small and there are
+    /// not many such.
     pub async fn extend_to(&self, bytes: usize) {
+        let backlog = &*self.backlog;
         let more = bytes.saturating_sub(self.state.bytes.get());
-        if more > 0 && bytes > SMALL_BYTES && !self.state.exceeds.get() {
-            self.wait_for_room(more).await;
+        if more > 0 && !backlog.has_small_room(bytes, more) && !backlog.exceeds(&self.state) {
+            self.wait_for_room(bytes, more).await;
         }
         self.state.bytes.set(self.state.bytes.get() + more);
-        self.backlog
-            .set_reserved(self.backlog.reserved.get() + more);
+        backlog.set_reserved(backlog.reserved.get() + more);
     }
 
-    async fn wait_for_room(&self, more: usize) {
+    async fn wait_for_room(&self, bytes: usize, more: usize) {
         let backlog = &*self.backlog;
         let turn = Turn::new(self);
-        while !(turn.is_first() && self.take_room(more)) {
+        while !(turn.is_first() && self.take_room(bytes, more)) {
             timeout::within(SHORTAGE_CHECK, backlog.changed.wait()).await;
         }
     }
 
     /// Whether there is room for `more` bytes, or the reservation may exceed the limit.
-    fn take_room(&self, more: usize) -> bool {
+    fn take_room(&self, bytes: usize, more: usize) -> bool {
         let backlog = &*self.backlog;
         backlog.evict_stalled(more, Instant::now());
         if backlog.reserved.get() + more <= backlog.limit.get() {
@@ -238,12 +258,12 @@
         }
         // Answers that are read in parts would wait for each other if each held a part
         // and none could be completed.
-        let may_exceed = self.state.bytes.get() > 0 && !backlog.exceeded.get();
+        let is_begun = self.state.bytes.get() > 0 || bytes <= SMALL_BYTES;
+        let may_exceed = is_begun && backlog.exceeding.borrow().is_none();
         if may_exceed {
-            backlog.exceeded.set(true);
-            self.state.exceeds.set(true);
+            backlog.exceeding.replace(Some(self.state.clone()));
         }
-        may_exceed
+        may_exceed || backlog.has_small_room(bytes, more)
     }
 
     /// Time for which it has waited for memory.
@@ -359,24 +379,21 @@
 
 /// The bytes of one stream's event that is not complete, counted until it is dropped.
 pub struct Partial {
-    backlog: Rc<Backlog>,
-    bytes: Cell<usize>,
+    account: Rc<Account>,
+    share: Share,
 }
 
 impl Partial {
-    /// Sets how many bytes there are. Returns whether they may be kept: one stream may keep as
-    /// much as is left for all others. So the streams with the longest events are given up
-    /// first, and events of usual length have room beside any number of these.
+    /// Sets how many bytes there are. Returns whether they may be kept; see [`Share::set`].
     #[must_use]
     pub fn set(&self, bytes: usize) -> bool {
-        let backlog = &self.backlog;
-        let before = self.bytes.replace(bytes);
-        let all = backlog.partial_bytes.get() - before + bytes;
-        if before != bytes {
-            backlog.partial_bytes.set(all);
+        let before = self.account.taken();
+        let has_room = self.share.set(bytes);
+        let all = self.account.taken();
+        if all != before {
             metrics::gauge!("tidepier_client_bytes_kept", "kind" => "partial").set(all as f64);
         }
-        bytes <= backlog.partial_limit.get().saturating_sub(all)
+        has_room
     }
 }
 
