--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -427,8 +427,8 @@
     async fn whole_head(&mut self, most: usize) -> Result<Option<Vec<u8>>, Malformed> {
         let mut search = Search::default();
         loop {
-            if let Some(length) = search.length(self.pending(), most)? {
-                return Ok(Some(self.take(length)));
+            if let Some(bytes) = self.take_head(&mut search, most)? {
+                return Ok(Some(bytes));
             }
             match self.fill().await {
                 Ok(0) if self.pending().is_empty() => return Ok(None),
@@ -450,10 +450,24 @@
         search: &mut Search,
         most: usize,
     ) -> Result<Option<Head<head::Request>>, Malformed> {
-        let length = search.length(self.pending(), most)?;
-        let bytes = length.map(|length| self.take(length));
+        let bytes = self.take_head(search, most)?;
         bytes.map(Head::<head::Request>::parse).transpose()
     }
+
+    /// Takes the bytes of a whole head, if all of it is pending.
+    fn take_head(
+        &mut self,
+        search: &mut Search,
+        most: usize,
+    ) -> Result<Option<Vec<u8>>, Malformed> {
+        let Some(length) = search.length(self.pending(), most)? else {
+            return Ok(None);
+        };
+        let mut bytes = self.take(length);
+        // The head is kept for longer than the bytes that came with it.
+        bytes.shrink_to_fit();
+        Ok(Some(bytes))
+    }
 }
 
 /// Makes room for `more` bytes: by half of what there is, as many buffers may grow at once.
@@ -581,7 +595,8 @@
     }
 
     /// Makes the closing of the connection a reset, so that the peer can take
-    /// what it has for nothing but a broken answer.
+    /// what it has for nothing but a broken answer. This also holds for the end
+    /// of the process.
     ///
     /// # Errors
     ///
@@ -589,4 +604,13 @@
     pub fn reset_on_close(&self) -> io::Result<()> {
         SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
     }
+
+    /// Takes back [`reset_on_close`](Self::reset_on_close).
+    ///
+    /// # Errors
+    ///
+    /// The connection is already closed.
+    pub fn end_on_close(&self) -> io::Result<()> {
+        SockRef::from(self.stream.get_ref()).set_linger(None)
+    }
 }
--- a/crates/h1/src/head.rs
+++ b/crates/h1/src/head.rs
@@ -189,6 +189,11 @@
 }
 
 impl<L> Head<L> {
+    /// Bytes of the head as sent.
+    pub fn size(&self) -> usize {
+        self.bytes.len()
+    }
+
     /// All fields in order.
     pub fn fields(&self) -> impl Iterator<Item = Field<'_>> {
         self.fields.iter().map(|(name, value)| Field {
@@ -244,6 +249,11 @@
         seconds.map(Duration::from_secs)
     }
 
+    /// Whether the sender can read chunks: it speaks HTTP/1.1 or a later version.
+    pub fn knows_chunks(&self) -> bool {
+        self.minor > 0
+    }
+
     /// Whether the sender ends the connection after this message.
     pub fn closes(&self) -> bool {
         self.lists("close") || (self.minor == 0 && !self.lists("keep-alive"))
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -36,7 +36,9 @@
 
 /// The client's side of a stream.
 struct Client {
-    /// Whether the body is chunked; otherwise the connection's end delimits it.
+    /// Whether the body is chunked; otherwise the connection's end delimits it, which is a
+    /// reset until the body is complete. How the server marks the end makes no difference:
+    /// an end of the connection must not stand for an end that the server did not reach.
     chunked: bool,
     /// Whether the connection closes after the answer.
     close: bool,
@@ -47,8 +49,8 @@
 }
 
 impl Client {
-    fn new(exchange: &Exchange<'_>, reply: &Reply) -> Self {
-        let chunked = reply.framing != Framing::UntilClose;
+    fn new(exchange: &Exchange<'_>) -> Self {
+        let chunked = exchange.arrival.head.knows_chunks();
         Self {
             chunked,
             close: exchange.closes() || !chunked,
@@ -87,7 +89,7 @@
     mut backend: Rc<Backend>,
     mut reply: Reply,
 ) -> Result<Disposition, Failure> {
-    let client = Client::new(exchange, &reply);
+    let client = Client::new(exchange);
     let mut out = exchange.head(&reply.head, client.length(), client.close);
     let resumable = exchange.is_resumable();
     let held = exchange.request.resume_after.filter(|_| resumable);
@@ -114,10 +116,10 @@
         }
         drop(reply);
         exchange.record_failure(&backend, &failure);
-        let next = if resumable {
-            resume(exchange, failure, events.last()).await
-        } else {
-            Err("not_resumable")
+        let next = match events.obstacle() {
+            _ if !resumable => Err("not_resumable"),
+            Some(obstacle) => Err(obstacle.name()),
+            None => resume(exchange, failure, events.last()).await,
         };
         let next = match next {
             Ok(next) => next,
@@ -127,7 +129,7 @@
             }
         };
         exchange.log_resumed(&backend.server, &next.0.server, events.last());
-        events.take_rest();
+        events.change_server();
         (backend, reply) = next;
     }
 }
@@ -146,6 +148,9 @@
     exchange.record_answer(&backend, reply.answer.status, first);
     exchange.count_stream_end(reply.framing);
     exchange.log_answer(&backend, reply.answer.status, first, reply.framing);
+    if !client.chunked {
+        log_closed(exchange.writer.end_on_close());
+    }
     if client.close {
         Disposition::Close
     } else {
@@ -153,6 +158,12 @@
     }
 }
 
+fn log_closed(result: io::Result<()>) {
+    if let Err(error) = result {
+        log::info!(target: "request", "event=already_closed why=\"{error}\"");
+    }
+}
+
 /// Sends the request again, to resume the stream after the last forwarded event.
 ///
 /// # Errors
@@ -161,18 +172,15 @@
 async fn resume(
     exchange: &mut Exchange<'_>,
     mut failure: Failure,
-    last: Option<u64>,
+    after: Option<u64>,
 ) -> Result<(Rc<Backend>, Reply), &'static str> {
     let mut rejections = 0;
     loop {
         exchange.may_retry(&failure).map_err(refusal::Kind::name)?;
-        let after = last.or(exchange.request.resume_after);
         let sent = exchange.send(after).await;
         let (backend, result) = sent.map_err(refusal::Kind::name)?;
         failure = match result {
-            Ok(reply) if reply.answer.status == 200 && reply.framing != Framing::UntilClose => {
-                return Ok((backend, reply));
-            }
+            Ok(reply) if reply.answer.status == 200 => return Ok((backend, reply)),
             Ok(reply) => {
                 let failure = resume_failure(&reply);
                 if is_full(&failure) && rejections < REJECTIONS_MAX {
@@ -238,17 +246,24 @@
         backend.record_received();
         exchange.last_data.set(Some(Instant::now()));
         reply.running.answer_started();
+        if !more && reply.framing == Framing::UntilClose && !events.may_be_complete() {
+            return Err(early_end());
+        }
         let complete = if more {
             events.take_complete()
         } else {
             events.take_rest()
         };
-        if let Some(disorder) = events.take_disorder() {
+        let complete = complete.map_err(|disorder| {
             exchange.log_disorder(&backend.server, disorder);
-        }
+            Failure {
+                executed: Executed::Unknown,
+                cause: Cause::Disordered(disorder),
+            }
+        })?;
         let has_room = client.partial.set(events.buffer().len());
         if events.is_too_long() || !has_room {
-            events.take_rest();
+            events.change_server();
             return Err(endless_event(has_room));
         }
         if !complete.is_empty() {
@@ -259,6 +274,9 @@
         }
         if !complete.is_empty() || !more {
             if client.first.get().is_none() {
+                if !client.chunked {
+                    log_closed(exchange.writer.reset_on_close());
+                }
                 let first = exchange.arrival.at.elapsed();
                 client.first.set(Some(first));
                 exchange.record_first_event(backend, reply.answer.status, first);
@@ -280,6 +298,17 @@
     }
 }
 
+fn early_end() -> Failure {
+    let error = io::Error::new(
+        io::ErrorKind::UnexpectedEof,
+        "the connection ended within an event or before any",
+    );
+    Failure {
+        executed: Executed::Unknown,
+        cause: Cause::Broken(error),
+    }
+}
+
 /// The failure of a server whose event does not end; `has_room`: it is too long by itself,
 /// not only for the memory that others leave.
 fn endless_event(has_room: bool) -> Failure {
