Tests: disorder within one read, and tunnels whose server is silent

The others hold: ids in other spellings and with other line ends, the id that a client names, clients of HTTP/1.0, events without ids.

--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -88,6 +88,7 @@
 mod stop;
 mod stream_absence;
 mod stream_order;
+mod stream_order_review;
 mod stream_out_of_step;
 mod stream_releases;
 mod stream_restarts;
--- a/crates/relay/tests/relay/stream_order.rs
+++ b/crates/relay/tests/relay/stream_order.rs
@@ -687,3 +687,132 @@
 fn a_stream_does_not_look_complete_if_its_router_stops() -> Result {
     run(async |_| ensure_cut_by(Death::Stop).await)
 }
+
+/// Guards against a stream that is given up though its client lacks nothing, since the
+/// server sent the late event together with the one before which it belongs.
+#[test]
+fn a_stream_is_resumed_if_nothing_of_the_disorder_was_forwarded() -> Result {
+    run(async |executor| {
+        let mut failed = Vec::new();
+        for parts in [
+            ["1 2 3 4", "6 5 7 8"],
+            ["1 2 3 4", "5 5 6 7 8"],
+            ["1 2 3 4", "5 6 8 7"],
+        ] {
+            let scripts = [Script::whole(&parts), Script::whole(&["5 6 7 8"])];
+            let (answer, servers) = play(&executor, &post("/s/x", "one"), &scripts).await?;
+            if ensure_whole(&answer, 1).is_err() {
+                let ids = answer.ids();
+                failed.push((parts, ids, answer.complete, servers.reached().len()));
+            }
+        }
+        ensure!(failed.is_empty(), "{failed:?}");
+        Ok(())
+    })
+}
+
+/// Guards against a stream that goes back past the check by the way in which its ids and
+/// lines are written.
+#[test]
+fn ids_are_compared_however_they_are_written() -> Result {
+    run(async |executor| {
+        let mut failed = Vec::new();
+        let spellings: [fn(u64) -> String; 6] = [
+            |id| format!("id: {id}\r\ndata: piece\r\n\r\n"),
+            |id| format!("id:{id}\ndata: piece\n\n"),
+            |id| format!("id:  {id} \ndata: piece\n\n"),
+            |id| format!("id: 0{id}\ndata: piece\n\n"),
+            |id| format!("weight-versions: 3\nid: {id}\ndata: piece\n\n"),
+            |id| format!(": note\ndata: piece\nid: {id}\n\r\n"),
+        ];
+        for (number, event) in spellings.into_iter().enumerate() {
+            let part = |ids: &[u64]| ids.iter().map(|id| event(*id)).collect::<String>();
+            let script = |parts: Vec<String>, whole| Script {
+                length: Length::Chunked,
+                parts,
+                whole,
+            };
+            let scripts = [
+                script(vec![part(&[1, 2]), part(&[3, 4])], false),
+                script(vec![part(&[4, 5, 6])], true),
+                script(vec![part(&[5, 6])], true),
+            ];
+            let (answer, servers) = play(&executor, &post("/t/x", "one"), &scripts).await?;
+            let got = String::from_utf8_lossy(&answer.body).into_owned();
+            if !(answer.complete && got == part(&[1, 2, 3, 4, 5, 6])) {
+                failed.push((number, answer.status, answer.complete, got, servers.asked()));
+            }
+        }
+        ensure!(failed.is_empty(), "{failed:?}");
+        Ok(())
+    })
+}
+
+/// Guards against a client's own spelling of the event after which it takes its stream up
+/// that keeps the events from being compared with it.
+#[test]
+fn a_stream_is_taken_up_however_the_client_writes_the_id() -> Result {
+    run(async |executor| {
+        let mut failed = Vec::new();
+        for id in ["04", "4 ", "+4"] {
+            let call = post("/s/x", "again").with(names::LAST_EVENT, id);
+            let scripts = [
+                Script::whole(&["1 2 3 4 5 6 7 8"]),
+                Script::whole(&["5 6 7 8"]),
+            ];
+            let (answer, servers) = play(&executor, &call, &scripts).await?;
+            let refused = answer.status >= 400 && answer.complete;
+            if !refused && ensure_whole(&answer, 5).is_err() {
+                failed.push((id, answer.status, answer.ids(), servers.asked()));
+            }
+        }
+        ensure!(failed.is_empty(), "{failed:?}");
+        Ok(())
+    })
+}
+
+/// Guards against an answer that looks complete to a client that knows no chunks, after its
+/// stream broke off or went on elsewhere.
+#[test]
+fn a_client_of_http_1_0_is_shown_a_broken_stream() -> Result {
+    run(async |executor| {
+        let rest = Script::whole(&["5 6 7 8"]);
+        for (target, scripts, whole) in [
+            ("/u/x", vec![Script::cut(&["1 2", "3 4"])], false),
+            ("/u/x", vec![Script::whole(&["1 2", "3 4", "4 5"])], false),
+            ("/s/x", vec![Script::cut(&["1 2", "3 4"]), rest], true),
+        ] {
+            let site = site()?;
+            let _servers = Servers::start(&executor, &site, &scripts)?;
+            let harness = Harness::start_ready(executor.clone(), site).await?;
+            let mut client = Client::open(harness.router_address()).await?;
+            client.send(old_request(target, "one").as_bytes()).await?;
+            let answer = client.answer("POST", ms(5_000)).await;
+            if whole {
+                ensure_whole(&answer, 1)?;
+            } else {
+                ensure_cut(&answer, "1 2 3 4")?;
+            }
+        }
+        Ok(())
+    })
+}
+
+/// Guards against streams that are refused although nothing in them is out of order.
+#[test]
+fn streams_without_ids_are_served() -> Result {
+    run(async |executor| {
+        for target in ["/s/x", "/u/x"] {
+            for parts in [vec!["- -", "-"], vec!["- 1", "- 2 : -"], vec![":", "1"]] {
+                let scripts = [Script::whole(&parts)];
+                let (answer, _servers) = play(&executor, &post(target, "one"), &scripts).await?;
+                ensure!(answer.status == 200 && answer.complete, "{answer:?}");
+                ensure!(
+                    answer.body == text(&parts.join(" ")).as_bytes(),
+                    "{answer:?}"
+                );
+            }
+        }
+        Ok(())
+    })
+}
