Bytes after a request are kept within the memory for requests

400 clients, each with a small request at a server that does not answer and 256 KiB behind it, took 56 MB of 24: up to 64 KiB (and a buffer of twice that, formerly) were kept for each, uncounted. Beyond them the box stopped reading, so that the rest collected in the buffers of the system, and no longer noticed a client that left.

They count as held now, up to half of the limit in all. Once a client has sent more than may be kept, the box drops that and what follows, goes on reading, answers the request, and closes the connection. None of what is dropped was handled, so none of it has run. Clients that pipeline 64 KiB or less in calm see no change.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -1,7 +1,6 @@
 //! Client connections: one task each, from the first byte to the end.
 
 use std::cell::Cell;
-use std::future;
 use std::io;
 use std::rc::Rc;
 use std::time::Duration;
@@ -26,8 +25,8 @@
 /// take stays with the box, where it is counted. More would be kept uncounted, fewer would
 /// wake the box more often for clients that read.
 const UNSENT_BYTES_MAX: u32 = 64 << 10;
-/// Bytes that a client may send before its answer is complete; beyond that, the box no
-/// longer notices that the client has closed its connection.
+/// Bytes that a client may send before its answer is complete. Beyond that, what it sends is
+/// dropped and its connection closes after the answer.
 const READ_AHEAD_MAX: usize = 64 << 10;
 /// How often the bytes of a head are held while its request is handled: as received, parsed,
 /// and as sent to a server.
@@ -171,8 +170,12 @@
         at,
         answer_begun: Cell::default(),
     };
-    let end = answer(relay, conn, &arrival, writer).await;
+    let (end, has_overrun) = answer(relay, conn, &arrival, writer, holding).await;
     holding.set(conn.buffered());
+    let end = match end {
+        Disposition::Keep if has_overrun => Disposition::Close,
+        end => end,
+    };
     match end {
         Disposition::Keep => {
             let answered = Instant::now();
@@ -192,21 +195,24 @@
     end
 }
 
-/// Answers a request unless its client closes the connection before.
+/// Answers a request unless its client closes the connection before. Also returns whether
+/// the client sent more than may be kept, which was dropped.
 async fn answer(
     relay: &Relay,
     conn: &mut Conn,
     arrival: &IncomingRequest<'_>,
     writer: &Writer,
-) -> Disposition {
+    holding: &Holding,
+) -> (Disposition, bool) {
     let answered = async { Some(exchange::run(relay, arrival, writer).await) };
     let timed_out = Cell::new(false);
+    let has_overrun = Cell::new(false);
     let client_left = async {
-        timed_out.set(client_left(conn).await == Ended::TimedOut);
+        timed_out.set(client_left(conn, holding, &has_overrun).await == Ended::TimedOut);
         None
     };
     let answered = answered.or(client_left).await;
-    answered.unwrap_or_else(|| {
+    let end = answered.unwrap_or_else(|| {
         if timed_out.get() && arrival.answer_begun.get() {
             // The system's buffers held all that the box had for the client.
             let stall = Stall {
@@ -218,7 +224,8 @@
         }
         exchange::log_client_left(arrival);
         Disposition::Close
-    })
+    });
+    (end, has_overrun.get())
 }
 
 fn limits(relay: &Relay) -> Limits {
@@ -451,13 +458,21 @@
     TimedOut,
 }
 
-/// Returns when the client's connection has ended.
-async fn client_left(conn: &mut Conn) -> Ended {
+/// Returns when the client's connection has ended. Sets `has_overrun` once the client has sent
+/// more than may be kept, which is dropped.
+async fn client_left(conn: &mut Conn, holding: &Holding, has_overrun: &Cell<bool>) -> Ended {
+    let request = holding.bytes();
     loop {
-        if conn.pending().len() > READ_AHEAD_MAX {
-            return future::pending().await;
+        let ahead = conn.pending().len();
+        let is_kept = holding.read_ahead(request, conn.buffered()) && ahead <= READ_AHEAD_MAX;
+        if !is_kept && !has_overrun.replace(true) {
+            log::info!(target: "request", "event=overrun bytes={ahead}");
         }
-        match conn.fill().await {
+        let read = match has_overrun.get() {
+            true => conn.scrap().await,
+            false => conn.fill().await,
+        };
+        match read {
             Err(error) if is_time_out(&error) => return Ended::TimedOut,
             Ok(0) | Err(_) => return Ended::Closed,
             Ok(_) => {}
--- a/crates/relay/src/inbound.rs
+++ b/crates/relay/src/inbound.rs
@@ -1,8 +1,8 @@
 //! Bytes of clients' requests, over the whole box.
 //!
 //! Each client connection counts what it holds: the head and the body of its request, from
-//! their first byte until the request is answered. All connections together stay within a
-//! limit.
+//! their first byte until the request is answered, and what was read beyond. All connections
+//! together stay within a limit.
 //!
 //! Invariants:
 //!
@@ -30,6 +30,8 @@
 const PROGRESS_BYTES: usize = 4 << 10;
 /// Divisor of the limit that gives the most that others hold in calm.
 const CALM_DIVISOR: usize = 4;
+/// Divisor of the limit that gives the part in which bytes after a request are kept.
+const READ_AHEAD_DIVISOR: usize = 2;
 
 /// The bytes of clients' requests.
 pub struct Inbound {
@@ -158,6 +160,24 @@
         Ok(())
     }
 
+    /// What the connection holds.
+    pub fn bytes(&self) -> usize {
+        self.state.bytes.get()
+    }
+
+    /// Sets what the connection holds to a request of `request` bytes and `ahead` bytes that
+    /// came after it; without the latter unless there is ample room. Returns whether there is.
+    pub fn read_ahead(&self, request: usize, ahead: usize) -> bool {
+        self.set(request);
+        let inbound = &*self.inbound;
+        let most = inbound.limit.get() / READ_AHEAD_DIVISOR;
+        let fits = ahead == 0 || inbound.held.get().saturating_add(ahead) <= most;
+        if fits {
+            self.set(request + ahead);
+        }
+        fits
+    }
+
     /// The request that is read from the connection next.
     pub fn unfinished(&self) -> Unfinished<'_> {
         self.state.evicted.set(false);
--- a/crates/relay/tests/relay/inbound.rs
+++ b/crates/relay/tests/relay/inbound.rs
@@ -109,3 +109,22 @@
         ensure_served_by(&harness.call(&call).await?, &[&server], "largest")
     })
 }
+
+/// What a client sends after its request, and the box cannot keep, does not cost it the answer.
+#[test]
+fn bytes_after_a_request_that_are_not_kept_close_the_connection_after_its_answer() -> Result {
+    run(async |executor| {
+        let (harness, _server, slow) = start(executor).await?;
+        let mut client = Client::open(harness.router_address()).await?;
+        let fields = format!("Host: {HOST}\r\n{}: ahead", names::ATTEMPT);
+        let head = format!("POST /slow/x HTTP/1.1\r\n{fields}\r\nContent-Length: 4\r\n\r\nbody");
+        client
+            .send(&[head.as_bytes(), &[b'p'; 600_000]].concat())
+            .await?;
+        let answer = client.answer("POST", ANSWERED).await;
+        ensure_served_by(&answer, &[&slow], "ahead")?;
+        wait_until("closed", async || Ok(!client.rests())).await?;
+        ensure!(slow.runs().len() == 1, "{:?}", slow.runs());
+        Ok(())
+    })
+}
