--- a/crates/relay/tests/relay/stream_order_review.rs
+++ b/crates/relay/tests/relay/stream_order_review.rs
@@ -56,8 +56,7 @@
             names::DEADLINE,
         );
         conn.writer().write_all(request.as_bytes()).await?;
-        let head = conn.head(HEAD_BYTES_MAX).await?;
-        let head = head.ok_or_else(|| eyre!("no answer"))?;
+        let head = conn.answer_head(HEAD_BYTES_MAX).await?;
         let framing = Framing::of_answer(&head, "POST")?;
         ensure!(framing == Framing::UntilClose, "{framing:?}");
         let (mut body, mut bytes) = (Body::new(framing), Vec::new());
