A stream goes on if nothing of what came out of order was forwarded

Callers got a stream cut short that another server could have completed: a server that had sent 1 to 4 sent 6 5, 5 5 or 8 7 in one read, of which nothing is forwarded, and the stream was given up as event_lacking. With the same bytes in two reads it went on, so that the outcome depended on how they were split.

Cause: an id that is not among the latest ones without a gap counted as one that the client lacks, also if it is above all that the client has. Only an id below them can have been passed over.

--- a/crates/relay/src/events.rs
+++ b/crates/relay/src/events.rs
@@ -117,12 +117,10 @@
     }
 
     /// Records that a server sent an event out of order, which is not forwarded. If it sent
-    /// later ones before, this one is a repetition only if the client has it already.
+    /// later ones before that were, the client lacks this one unless it has it already.
     fn reject(&mut self, id: u64) {
-        let is_held = self
-            .held
-            .is_some_and(|(first, last)| (first..=last).contains(&id));
-        self.lacks |= self.continued && !is_held;
+        let is_passed = self.held.is_some_and(|(first, _)| id < first);
+        self.lacks |= self.continued && is_passed;
     }
 }
 
