A tunnel that is closed unused does not state the server's end

A box that carries a connection for another one closes it after 15 s without a byte, and stated the orderly end of the server's connection as it did so. It is now reset, as where the server's connection fails.

The test failed before (the end came as the server's, after 15.5 s) and passes, with the other tests of tunnels, gateways and cut heads.

--- a/crates/relay/src/peer/gateway.rs
+++ b/crates/relay/src/peer/gateway.rs
@@ -154,7 +154,7 @@
     Left,
     /// The server closed the connection in an orderly way.
     Closed,
-    /// The server's connection failed.
+    /// The server's connection failed, or is carried no longer.
     Broken,
 }
 
@@ -208,7 +208,8 @@
                         count_bytes("to_box", bytes.len());
                         record::data(&bytes)
                     }
-                    None if self.is_idle() => return End::Closed,
+                    // The server has not ended it, and may be in the middle of an answer.
+                    None if self.is_idle() => return End::Broken,
                     None if !has_said_closing && self.should_close() => {
                         has_said_closing = true;
                         record::closing()
--- a/crates/relay/tests/relay/tunnels.rs
+++ b/crates/relay/tests/relay/tunnels.rs
@@ -132,6 +132,21 @@
     })
 }
 
+// Guards against an answer without a length that looks complete as the box that carries it
+// closes a connection over which nothing has come for long.
+#[test]
+fn a_tunnel_that_is_closed_unused_states_no_end() -> Result {
+    run(|executor| async move {
+        let fleet = Partitioned::start(&executor, &["hall-1", "hall-2"]).await?;
+        let (mut conn, answer) = ask(&fleet, 1, fleet.source(0), "box-0", "plain-1").await?;
+        ensure!(answer.outcome == Outcome::Opened, "{answer:?}");
+        conn.carry(fleet.boxes[1].peer)?;
+        let ended = conn.fill().await;
+        ensure!(ended.is_err(), "ended as by the server: {ended:?}");
+        Ok(())
+    })
+}
+
 // Guards against requests that run on behind a tunnel after their client has left.
 #[test]
 fn a_client_that_leaves_ends_its_request_behind_a_tunnel() -> Result {
