Connections held open keep nobody out of the readiness and metrics ports

16 clients that opened connections to the readiness port and sent a head without its end had the platform's next check refused: the port served 16 connections and closed each further one. A box whose checks go unanswered twice gets no new clients. The metrics port was the same.

A further connection now takes the place of the one that has waited longest for its first request or, if all have had an answer, of the one that had its last answer first. The number of connections, and so the memory, stay bounded.

--- a/crates/relay/src/ready.rs
+++ b/crates/relay/src/ready.rs
@@ -3,13 +3,18 @@
 //!
 //! Readiness is evaluated anew for every request and never cached. The endpoint
 //! serves only a few connections at once, since the platform needs one, and closes
-//! idle ones.
+//! idle ones. A further connection takes the place of one that has got no answer yet, or
+//! else of the one that got its last answer first, so that nobody is kept out by
+//! connections that are held open.
 
 use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
-use smol::{LocalExecutor, Timer};
+use futures_lite::future::yield_now;
+use smol::{LocalExecutor, Task, Timer};
+use tidepier_clock::Instant;
 use tidepier_h1::{Conn, Framing, Head, Listener, Malformed};
 use tidepier_platform::monitoring;
 
@@ -66,24 +71,40 @@
     }
 }
 
+/// A connection that is being served; closed when dropped.
+struct Connection {
+    task: Task<()>,
+    used: Rc<Used>,
+}
+
+/// When a connection was last of use.
+struct Used {
+    is_answered: Cell<bool>,
+    at: Cell<Instant>,
+}
+
 /// Serves `GET` requests at `listener`; `page` makes the answer for a path.
 pub(crate) async fn serve_pages(name: &str, listener: Listener, page: &impl Fn(&str) -> Page) {
-    let open = Cell::new(0);
     let tasks = LocalExecutor::new();
     let accept = async {
+        let mut open: Vec<Connection> = Vec::new();
         loop {
             match listener.accept(UNACKED_TIMEOUT).await {
-                Ok(conn) if open.get() < CONNECTIONS_MAX => {
-                    open.set(open.get() + 1);
-                    let open = &open;
-                    let connection = async move {
-                        serve_connection(name, conn, page).await;
-                        open.set(open.get() - 1);
-                    };
-                    tasks.spawn(connection).detach();
-                }
-                Ok(_) => {
-                    ::log::warn!(target: "listen", "event=connection_refused at={name} why=crowded")
+                Ok(conn) => {
+                    open.retain(|it| !it.task.is_finished());
+                    if open.len() >= CONNECTIONS_MAX {
+                        close_least_used(&mut open);
+                        ::log::warn!(target: "listen", "event=connection_refused at={name} why=crowded");
+                    }
+                    let used = Rc::new(Used {
+                        is_answered: Cell::new(false),
+                        at: Cell::new(Instant::now()),
+                    });
+                    let task = tasks.spawn(serve_connection(name, conn, page, used.clone()));
+                    open.push(Connection { task, used });
+                    // A request that has come with its connection is answered before the
+                    // next one is accepted.
+                    yield_now().await;
                 }
                 Err(error) => {
                     ::log::warn!(target: "listen", "event=accept_failed at={name} why={error:?}");
@@ -95,7 +116,20 @@
     tasks.run(accept).await
 }
 
-async fn serve_connection(name: &str, mut conn: Conn, page: &impl Fn(&str) -> Page) {
+/// Closes the connection that has waited for longest for its first request or, if all have got
+/// an answer, for the next one.
+fn close_least_used(open: &mut Vec<Connection>) {
+    let key = |it: &Connection| (it.used.is_answered.get(), it.used.at.get());
+    let least = (0..open.len()).min_by_key(|at| key(&open[*at]));
+    least.map(|at| open.swap_remove(at));
+}
+
+async fn serve_connection(
+    name: &str,
+    mut conn: Conn,
+    page: &impl Fn(&str) -> Page,
+    used: Rc<Used>,
+) {
     loop {
         match serve_request(&mut conn, page).await {
             Ok(true) => {}
@@ -105,6 +139,8 @@
                 return;
             }
         }
+        used.is_answered.set(true);
+        used.at.set(Instant::now());
     }
 }
 
