Messages at the port for boxes stay within 8 MiB together

200 connections that each sent 255 of 256 KiB of a message took 61 to 70 MB of 32. The port bounds its connections (768), a message (256 KiB) and its time (2 s), but not the sum: 200 MB and more of a box.

The sum over the port is bounded as that of clients' requests is (`inbound`), with a limit of its own, so that clients take nothing from it: a message grows only while as much is free, stalled ones give way, and the connection of one that finds no room is closed. Messages of boxes are a few KB.

What a message becomes once it is decoded was not looked at.

--- a/crates/relay/src/message/link.rs
+++ b/crates/relay/src/message/link.rs
@@ -14,6 +14,7 @@
 use serde::Serialize;
 use tidepier_h1::Conn;
 
+use crate::inbound::{Holding, Shortage};
 use crate::network::Network;
 use crate::timeout;
 
@@ -39,6 +40,8 @@
     StaleEra,
     /// This box watches the store itself and has a newer list of servers.
     OlderList,
+    /// There is no memory for the message.
+    Crowded,
 }
 
 impl fmt::Display for Error {
@@ -50,6 +53,7 @@
             Error::Unconfirmed => f.write_str("it cannot confirm that its data is current"),
             Error::StaleEra => f.write_str("it follows a stale era of the store"),
             Error::OlderList => f.write_str("its list of servers is older than the own one"),
+            Error::Crowded => f.write_str("no memory for the message"),
         }
     }
 }
@@ -123,6 +127,40 @@
     conn: &mut Conn,
     most: usize,
 ) -> Result<T, Error> {
+    let length = length(conn, most).await?;
+    fill(conn, length).await?;
+    decode(&conn.take(length))
+}
+
+/// The same within the memory of `holding`, which counts the message until it is decoded.
+///
+/// # Errors
+///
+/// The same, and there is no memory for it.
+pub(crate) async fn receive_held<T: DeserializeOwned>(
+    conn: &mut Conn,
+    most: usize,
+    holding: &Holding,
+) -> Result<T, Error> {
+    let mut unfinished = holding.unfinished();
+    let crowded = |Shortage| Error::Crowded;
+    let length = unfinished.wait(0, length(conn, most)).await;
+    let length = length.map_err(crowded)??;
+    while conn.pending().len() < length {
+        holding.extend_to(conn.buffered()).map_err(crowded)?;
+        let received = conn.pending().len();
+        let filled = unfinished.wait(received, conn.fill()).await;
+        if filled.map_err(crowded)?.map_err(Error::Io)? == 0 {
+            return Err(Error::Closed);
+        }
+    }
+    let message = decode(&conn.take(length));
+    holding.set(conn.buffered());
+    message
+}
+
+/// Takes the length of a message of at most `most` bytes.
+async fn length(conn: &mut Conn, most: usize) -> Result<usize, Error> {
     fill(conn, LENGTH_BYTES).await?;
     let mut length = [0; LENGTH_BYTES];
     length.copy_from_slice(&conn.take(LENGTH_BYTES));
@@ -130,9 +168,11 @@
     if length > most {
         return Err(Error::Malformed(format!("{length} bytes")));
     }
-    fill(conn, length).await?;
-    let bytes = conn.take(length);
-    ciborium::from_reader(bytes.as_slice()).map_err(|error| Error::Malformed(error.to_string()))
+    Ok(length)
+}
+
+fn decode<T: DeserializeOwned>(bytes: &[u8]) -> Result<T, Error> {
+    ciborium::from_reader(bytes).map_err(|error| Error::Malformed(error.to_string()))
 }
 
 /// Sends raw bytes; a message sent before states how many.
--- a/crates/relay/src/peer/responder.rs
+++ b/crates/relay/src/peer/responder.rs
@@ -12,6 +12,7 @@
 use tidepier_h1::{Conn, Listener};
 
 use crate::follow::Follower;
+use crate::inbound::{Holding, Inbound};
 use crate::message::follow::{Answer, Position, Request, Servers};
 use crate::message::link::{self, Error};
 use crate::message::traffic::{Answer as Notices, Requester};
@@ -40,6 +41,9 @@
 /// Largest request in bytes: the counts of 9,000 servers at about 30 bytes each, ten
 /// times the fleet that designs are made for.
 pub const REQUEST_BYTES_MAX: usize = 256 << 10;
+/// Most bytes of requests that are being received, of all connections together: some of the
+/// largest ones, or as many of the usual size as there are connections.
+const REQUESTS_BYTES_MAX: usize = 8 << 20;
 /// Idle time after which a box counts as gone: boxes send a request every 0.4 s, and a
 /// box that froze for this long starts over anyway.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(15);
@@ -61,6 +65,8 @@
     executor: Rc<LocalExecutor<'static>>,
 ) {
     let open = Rc::new(());
+    let inbound = Rc::<Inbound>::default();
+    inbound.set_limit(REQUESTS_BYTES_MAX);
     loop {
         match listener.accept(UNACKED_TIMEOUT).await {
             // One reference belongs to this function itself.
@@ -70,8 +76,10 @@
             Ok(conn) => {
                 let (follower, registry) = (follower.clone(), registry.clone());
                 let open_connection = open.clone();
+                let holding = inbound.holding();
                 let serving = async move {
-                    let served = serve_connection(conn, open_connection, &follower, &registry);
+                    let served =
+                        serve_connection(conn, open_connection, holding, &follower, &registry);
                     if let Err(error) = served.await {
                         log::debug!(target: "peer", "event=asker_lost why=\"{error}\"");
                     }
@@ -90,6 +98,7 @@
 async fn serve_connection(
     mut conn: Conn,
     open: Rc<()>,
+    holding: Holding,
     follower: &Follower,
     registry: &Registry,
 ) -> Result<(), Error> {
@@ -107,7 +116,7 @@
         if let Some(told) = &mut told {
             send_notices(&mut conn, relay, &mut session, told).await?;
         }
-        match receive(&mut conn).await? {
+        match receive(&mut conn, &holding).await? {
             PeerRequest::Samples(samples) => {
                 let now = Instant::now();
                 for sample in samples.into_iter().take(SAMPLES_MAX) {
@@ -155,6 +164,7 @@
                 // A tunnel counts against the limit on tunnels instead.
                 drop(open);
                 drop(connection);
+                drop(holding);
                 // Boxed, as the futures of all connections would hold it otherwise.
                 return Box::pin(gateway::serve(conn, relay, registry, &request)).await;
             }
@@ -263,11 +273,11 @@
 
 /// Receives the next request. The connection may be idle for `IDLE_TIMEOUT` before it;
 /// once it has begun, it has to arrive within `MESSAGE_TIMEOUT`.
-async fn receive(conn: &mut Conn) -> Result<PeerRequest, Error> {
+async fn receive(conn: &mut Conn, holding: &Holding) -> Result<PeerRequest, Error> {
     link::within(IDLE_TIMEOUT, link::wait_for_first_byte(conn)).await?;
     link::within(
         MESSAGE_TIMEOUT,
-        link::receive_limited(conn, REQUEST_BYTES_MAX),
+        link::receive_held(conn, REQUEST_BYTES_MAX, holding),
     )
     .await
 }
