--- a/crates/relay/tests/clients/bodies.rs
+++ b/crates/relay/tests/clients/bodies.rs
@@ -67,6 +67,28 @@
     })
 }
 
+/// Clients that held all connections of the box kept everybody else out.
+#[test]
+fn bodies_held_open_on_all_connections_leave_others_served() -> Result {
+    run(async {
+        // As many as 40 clients at once.
+        let limits = Limits {
+            descriptors: 240,
+            ..Limits::default()
+        };
+        let mut harness = Harness::start(limits).await?;
+        let mut crowd = Crowd::connect(harness.front()?, 60).await?;
+        crowd
+            .send(|index| {
+                let mut bytes = head("/slow/x", index, &length(10_000));
+                bytes.resize(bytes.len() + 9_000, b'h');
+                bytes
+            })
+            .await;
+        harness.check().await
+    })
+}
+
 /// Each body may grow to the limit before it is refused.
 #[test]
 fn bodies_that_go_on_past_the_limit_stay_within_memory() -> Result {
--- a/crates/relay/tests/clients/crowd.rs
+++ b/crates/relay/tests/clients/crowd.rs
@@ -65,7 +65,7 @@
 /// A head of a `POST` request; `framing` is the field that gives the end of its body.
 pub(crate) fn head(target: &str, index: usize, framing: &str) -> Vec<u8> {
     let fields = format!("Host: {HOST}\r\n{}: c-{index}", names::ATTEMPT);
-    let deadline = format!("{}: 60000", names::DEADLINE);
+    let deadline = format!("{}: 120000", names::DEADLINE);
     format!("POST {target} HTTP/1.1\r\n{fields}\r\n{deadline}\r\n{framing}\r\n\r\n").into_bytes()
 }
 
--- a/crates/relay/tests/clients/harness.rs
+++ b/crates/relay/tests/clients/harness.rs
@@ -96,15 +96,16 @@
         site.declare(&[
             Route::new("/r/", Kind::Repeatable, "service-1"),
             Route {
-                timeout: HUNG,
+                timeout: 2 * HUNG,
                 ..Route::new("/slow/", Kind::AtMostOnce, "service-2")
             },
         ]);
         site.configure(|config| {
             config["limits"]["max_header_bytes"] = json!(limits.head_bytes);
             // Requests are held open for as long as a test lasts.
-            config["limits"]["header_timeout_ms"] = json!(HUNG.as_millis() as u64);
-            config["limits"]["idle_timeout_ms"] = json!(HUNG.as_millis() as u64);
+            let held = json!((2 * HUNG).as_millis() as u64);
+            config["limits"]["header_timeout_ms"] = held.clone();
+            config["limits"]["idle_timeout_ms"] = held;
             for service in config["services"].as_array_mut().into_iter().flatten() {
                 service["max_connections"] = json!(SLOTS);
             }
