Clients that stall in a request give way when all connections are taken

While a box is full, it now refuses the client that has sent nothing for longest, and for 0.5 s, as it does when memory is short: 503 `crowded`, nothing of the request was passed on. Connections that rest between requests are not touched.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -83,13 +83,15 @@
 
 /// Waits until another connection may be accepted. Clients beyond the limit wait in the
 /// operating system's accept queue, from which the platform redirects them or they retry
-/// elsewhere. Meanwhile answers close connections.
+/// elsewhere. Meanwhile answers close connections, and clients that have stalled in the middle
+/// of a request are refused.
 async fn wait_for_capacity(relay: &Relay) {
     if !relay.is_full() {
         return;
     }
     log::warn!(target: "process", "event=clients_full most={}", relay.clients_max());
     while relay.is_full() {
+        relay.inbound.evict_stalled(Instant::now());
         Timer::after(ACCEPT_PAUSE).await;
     }
     log::info!(target: "process", "event=clients_taken open={}", relay.stop.connections());
