--- a/tests/all/faulty_answers.rs
+++ b/tests/all/faulty_answers.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use tidepier_http::client::{Call, Failure, Pool};
+use tidepier_http::events::Reader;
 
 /// Bytes after which a server stops: more than a client takes of what does not end, and the
 /// buffers of the operating system on both sides.
@@ -113,3 +114,19 @@
         server.check(&format!("{begin:?} {unit:?}"));
     }
 }
+
+/// Guards against an event of a stream of which all is kept that a server sends.
+#[test]
+fn events_without_end_are_given_up() {
+    const HEAD: &str = "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\n\r\n";
+    for unit in ["bytes", "data: bytes\n", ": comment\n", "retry: 1\n"] {
+        let server = Server::start(HEAD, unit);
+        let pool = Pool::new();
+        let event = smol::block_on(async {
+            let answer = pool.send(server.address, &Call::get("/")).await.unwrap();
+            Reader::new(answer.reader()).next().await
+        });
+        assert!(event.is_err(), "{unit:?}: {event:?}");
+        server.check(unit);
+    }
+}
