Streams: events before one that takes too much memory are forwarded

With the limit on events that are not complete, a stream whose server sent whole events and, in the same read, a part of one for which there was no memory lost the whole ones: they were taken, which moves the id after which the stream goes on, and then dropped with the failure.

--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -232,18 +232,14 @@
         } else {
             events.take_rest()
         };
-        let has_room = client.partial.set(events.buffer().len());
-        if events.is_too_long() || !has_room {
-            events.take_rest();
-            return Err(endless_event(has_room));
-        }
-        if !complete.is_empty() {
+        let has_events = !complete.is_empty();
+        if has_events {
             push_events(out, &complete, client.chunked);
         }
         if !more && client.chunked {
             out.extend_from_slice(b"0\r\n\r\n");
         }
-        if !complete.is_empty() || !more {
+        if has_events || !more {
             if client.first.get().is_none() {
                 let first = exchange.arrival.at.elapsed();
                 client.first.set(Some(first));
@@ -258,26 +254,28 @@
             }
             out.clear();
         }
+        // Only now, as the stream goes on after the events that were taken.
+        let has_room = client.partial.set(events.buffer().len());
+        if events.is_too_long() || !has_room {
+            events.take_rest();
+            return Err(endless_event(if has_room { "length" } else { "memory" }));
+        }
         if !more {
             return Ok(Copied::Complete);
         }
     }
 }
 
-/// The failure of a server whose event does not end; `has_room`: it is too long by itself,
-/// not only for the memory that others leave.
-fn endless_event(has_room: bool) -> Failure {
-    let (why, text) = match has_room {
-        true => ("length", "an event does not end"),
-        false => (
-            "memory",
-            "an event does not end while others take the memory",
-        ),
-    };
+/// The failure of a server whose event does not end, for its length or for the memory that
+/// others take.
+fn endless_event(why: &'static str) -> Failure {
     metrics::counter!("tidepier_events_cut_total", "why" => why).increment(1);
     Failure {
         executed: Executed::Unknown,
-        cause: Cause::Broken(io::Error::new(io::ErrorKind::InvalidData, text)),
+        cause: Cause::Broken(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("an event does not end ({why})"),
+        )),
     }
 }
 
--- a/crates/relay/tests/relay/endless.rs
+++ b/crates/relay/tests/relay/endless.rs
@@ -14,12 +14,14 @@
 use serde_json::json;
 use smol::Timer;
 use tidepier_relay::backlog::{Backlog, SMALL_BYTES};
+use tidepier_relay_standin::server;
 use tidepier_relay_standin::site::Site;
 
 use crate::harness::{
-    ensure_served_by, ms, run, server_settings, site, stream_server_settings, Harness, Result,
-    SERVICE,
+    ensure_served_by, ms, run, server_settings, site, stream_body, stream_server_settings, Harness,
+    Result, SERVICE,
 };
+use crate::raw::TwoPartServer;
 
 /// Bytes of an answer without end that no router takes: more than it reads of the longest
 /// answer, and the buffers of the operating system on both sides. A server stops there.
@@ -260,6 +262,38 @@
     play_all(heads.flat_map(|head| BODIES.iter().map(move |it| ("/r/x", *head, it))))
 }
 
+/// Guards against events that are lost as the one after them takes too much memory: the stream
+/// went on after them at another server.
+#[test]
+fn events_before_one_that_does_not_end_are_not_lost() -> Result {
+    run(async |executor| {
+        let site = site()?;
+        let faulty = TwoPartServer {
+            first: ms(0),
+            second: ms(50),
+        };
+        let _faulty = faulty.start(&executor, &site, "i-faulty", |attempt| {
+            let head = "HTTP/1.1 200 OK\r\nContent-Length: 9000000000000\r\nResponse-Seal: raw";
+            let begin = format!(
+                "{head}\r\nAttempt-Id: {attempt}\r\n\r\n{}",
+                server::event(1)
+            );
+            [begin, server::event(2) + "data: " + &"e".repeat(8 << 10)]
+        })?;
+        let sound = site.server(stream_server_settings(2, 4, ms(1)))?;
+        let harness = Harness::start_with_settings(executor, site, |settings| {
+            settings["limits"]["memory_mb"] = 1.into();
+            settings["limits"]["events_share"] = 0.005.into();
+        })
+        .await?;
+        let answer = harness.post("/s/x", "attempt-1").await?;
+        ensure!(answer.status == 200 && answer.complete, "{answer:?}");
+        ensure!(answer.body == stream_body(1..=4), "{answer:?}");
+        ensure!(sound.ran("attempt-1") == 1, "not resumed");
+        Ok(())
+    })
+}
+
 /// Guards against a stream with events of usual length that is given up for the memory that
 /// those of others take, and against a sum of all that has no bound.
 #[test]
