Streams: long events that wait for clients count as memory that is taken

Events that wait for clients were counted and bounded by nothing, on the premise that one read has 16 KiB; an event that is completed has up to 1 MiB.

What is kept beyond 16 KiB is now in the account of events that are not complete, from before it is taken until it is written: a stream for whose events there is no room goes on elsewhere after the last one that was forwarded. Events are not kept twice while they are written, and the buffer does not keep its size afterwards. Shorter events count as before, so that clients that stall cost no other stream.

--- a/crates/relay/src/backlog.rs
+++ b/crates/relay/src/backlog.rs
@@ -3,8 +3,8 @@
 //! An answer that is read completely before it is forwarded reserves memory while it is
 //! read and until its client has taken it; the reservations of all clients together stay
 //! within a limit. Events of streams need no reservation: a stream is read from its server
-//! no faster than its client takes it. They are counted only. Events that are not complete
-//! have a limit of their own, as servers may leave many so or not end them.
+//! no faster than its client takes it. They are counted only. Long events, and those that are
+//! not complete, have a limit of their own, as servers may leave many so or not end them.
 //!
 //! Invariants:
 //!
@@ -15,8 +15,8 @@
 //! * While an answer waits for memory, the client that has taken nothing for longest is
 //!   cut, provided that this is at least [`SHORTAGE_STALL`]. A client that reads in time
 //!   is never cut.
-//! * Events that are not complete exceed their limit by at most what was last read of those
-//!   that are then given up.
+//! * These events exceed their limit by at most what was last read of those that are then
+//!   given up.
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, VecDeque};
@@ -48,7 +48,7 @@
     limit: Cell<usize>,
     reserved: Cell<usize>,
     stream_bytes: Cell<usize>,
-    /// Bytes of events that are not complete.
+    /// Bytes of events that are long or not complete.
     partial: Rc<Account>,
     /// The reservation that exceeds the limit; at most one does.
     exceeding: RefCell<Option<Rc<State>>>,
@@ -125,7 +125,7 @@
         self.changed.notify();
     }
 
-    /// Sets the most bytes of events that are not complete.
+    /// Sets the most bytes of events that are long or not complete.
     pub fn set_partial_limit(&self, bytes: usize) {
         self.partial.set_limit(bytes);
     }
@@ -140,12 +140,12 @@
         self.stream_bytes.get()
     }
 
-    /// Bytes of events that are not complete.
+    /// Bytes of events that are long or not complete.
     pub fn partial_bytes(&self) -> usize {
         self.partial.taken()
     }
 
-    /// An account of the event of one stream that is not complete.
+    /// An account of the events of one stream that are long or not complete.
     pub fn partial(&self) -> Partial {
         Partial {
             account: self.partial.clone(),
@@ -377,7 +377,8 @@
     }
 }
 
-/// The bytes of one stream's event that is not complete, counted until it is dropped.
+/// The bytes of one stream's events that are long or not complete, counted until it is
+/// dropped.
 pub struct Partial {
     account: Rc<Account>,
     share: Share,
--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -30,6 +30,10 @@
 /// route promises no pause.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Bytes of events that are written to a client without being counted: as many as one read
+/// returns.
+const READ_BYTES: usize = 16 << 10;
+
 /// Most rejections of a stream that goes on which use up no attempt: nothing was run.
 const REJECTIONS_MAX: u32 = 3;
 
@@ -41,7 +45,7 @@
     close: bool,
     /// Time from the request's arrival to the first event, once that was forwarded.
     first: Cell<Option<Duration>>,
-    /// Counts what is kept of an event that is not complete.
+    /// Counts what is kept of long events.
     partial: Partial,
 }
 
@@ -227,6 +231,12 @@
         backend.record_received();
         exchange.last_data.set(Some(Instant::now()));
         reply.running.answer_started();
+        // Events that are taken have to be forwarded, as the stream goes on after them.
+        let kept = events.buffer().len().saturating_sub(READ_BYTES);
+        if !client.partial.set(kept) {
+            events.take_rest();
+            return Err(endless_event("memory"));
+        }
         let complete = if more {
             events.take_complete()
         } else {
@@ -236,6 +246,7 @@
         if has_events {
             push_events(out, &complete, client.chunked);
         }
+        drop(complete);
         if !more && client.chunked {
             out.extend_from_slice(b"0\r\n\r\n");
         }
@@ -253,8 +264,8 @@
                 Err(cut) => return Ok(Copied::Cut(cut)),
             }
             out.clear();
+            out.shrink_to(READ_BYTES);
         }
-        // Only now, as the stream goes on after the events that were taken.
         let has_room = client.partial.set(events.buffer().len());
         if events.is_too_long() || !has_room {
             events.take_rest();
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -133,8 +133,9 @@
     /// Share of the memory that whole answers may take until their clients have read
     /// them. One further answer of up to 8 MiB may exceed it, and small ones by a quarter.
     pub answers_share: f64,
-    /// Share of the memory that events of streams may take while they are not complete. A
-    /// stream is given up whose event takes more than is left for all others.
+    /// Share of the memory that events of streams may take while they are not complete, or
+    /// longer than 16 KiB and not taken by their clients. A stream is given up whose events
+    /// take more than is left for all others.
     pub events_share: f64,
 }
 
--- a/crates/relay/tests/endless_answers/harness.rs
+++ b/crates/relay/tests/endless_answers/harness.rs
@@ -171,9 +171,14 @@
         *self.store.answers.lock().expect("no panic") = Some(Arc::new(answers));
     }
 
-    /// Sends `count` requests at once; the connections stay open until what is returned is
-    /// dropped.
-    pub(crate) async fn crowd(&self, target: &str, count: usize) -> Result<Vec<Task<()>>> {
+    /// Sends `count` requests at once, whose answers are read or not; the connections stay open
+    /// until what is returned is dropped.
+    pub(crate) async fn crowd(
+        &self,
+        target: &str,
+        count: usize,
+        reads: bool,
+    ) -> Result<Vec<Task<()>>> {
         let front = self.address("callers")?;
         let mut crowd = Vec::new();
         for number in 0..count {
@@ -187,7 +192,7 @@
             client.write_all(head.as_bytes()).await?;
             crowd.push(smol::spawn(async move {
                 let mut answer = vec![0; 16 << 10];
-                while let Ok(1..) = client.read(&mut answer).await {}
+                while reads && matches!(client.read(&mut answer).await, Ok(1..)) {}
                 std::future::pending().await
             }));
         }
--- a/crates/relay/tests/endless_answers/main.rs
+++ b/crates/relay/tests/endless_answers/main.rs
@@ -32,7 +32,7 @@
     };
     run(async {
         let mut harness = Harness::start(answers).await?;
-        let crowd = harness.crowd(target, count).await?;
+        let crowd = harness.crowd(target, count, true).await?;
         harness.check().await?;
         drop(crowd);
         harness.check().await
@@ -53,6 +53,23 @@
     play("/s/x", 150, &head, chunk(EVENT_BYTES), false)
 }
 
+/// Guards against a process that ends as it keeps long events for each of many clients that do
+/// not read.
+#[test]
+fn long_events_for_clients_that_do_not_read_stay_within_memory() -> Result {
+    let event = "data: e\n".repeat(64 << 10) + "\n";
+    run(async {
+        let mut harness = Harness::start(Answers {
+            head: format!("{SIGNED}Content-Length: 9000000000000\r\n\r\n"),
+            body: event.repeat(4).into_bytes(),
+            ends: false,
+        })
+        .await?;
+        let _crowd = harness.crowd("/s/x", 150, false).await?;
+        harness.check().await
+    })
+}
+
 /// Guards against the same where the events do not end.
 #[test]
 fn events_without_end_stay_within_memory() -> Result {
