--- a/crates/relay/src/exchange/stream/events.rs
+++ b/crates/relay/src/exchange/stream/events.rs
@@ -31,6 +31,10 @@
 /// route promises no pause.
 const STALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Bytes of events that are written to a client without being counted: as many as one read
+/// returns.
+const READ_BYTES: usize = 16 << 10;
+
 /// Most rejections of a stream that goes on which use up no attempt: nothing was run.
 const REJECTIONS_MAX: u32 = 3;
 
@@ -44,7 +48,7 @@
     close: bool,
     /// Time from the request's arrival to the first event, once that was forwarded.
     first: Cell<Option<Duration>>,
-    /// Counts what is kept of an event that is not complete.
+    /// Counts what is kept of long events.
     partial: Partial,
 }
 
@@ -249,6 +253,12 @@
         if !more && reply.framing == Framing::UntilClose && !events.may_be_complete() {
             return Err(early_end());
         }
+        // Events that are taken have to be forwarded, as the stream goes on after them.
+        let kept = events.buffer().len().saturating_sub(READ_BYTES);
+        if !client.partial.set(kept) {
+            events.change_server();
+            return Err(endless_event("memory"));
+        }
         let complete = if more {
             events.take_complete()
         } else {
@@ -261,18 +271,15 @@
                 cause: Cause::Disordered(disorder),
             }
         })?;
-        let has_room = client.partial.set(events.buffer().len());
-        if events.is_too_long() || !has_room {
-            events.change_server();
-            return Err(endless_event(has_room));
-        }
-        if !complete.is_empty() {
+        let has_events = !complete.is_empty();
+        if has_events {
             push_events(out, &complete, client.chunked);
         }
+        drop(complete);
         if !more && client.chunked {
             out.extend_from_slice(b"0\r\n\r\n");
         }
-        if !complete.is_empty() || !more {
+        if has_events || !more {
             if client.first.get().is_none() {
                 if !client.chunked {
                     log_closed(exchange.writer.reset_on_close());
@@ -291,6 +298,12 @@
                 Err(cut) => return Ok(Copied::Cut(cut)),
             }
             out.clear();
+            out.shrink_to(READ_BYTES);
+        }
+        let has_room = client.partial.set(events.buffer().len());
+        if events.is_too_long() || !has_room {
+            events.change_server();
+            return Err(endless_event(if has_room { "length" } else { "memory" }));
         }
         if !more {
             return Ok(Copied::Complete);
@@ -309,20 +322,16 @@
     }
 }
 
-/// The failure of a server whose event does not end; `has_room`: it is too long by itself,
-/// not only for the memory that others leave.
-fn endless_event(has_room: bool) -> Failure {
-    let (why, text) = match has_room {
-        true => ("length", "an event does not end"),
-        false => (
-            "memory",
-            "an event does not end while others take the memory",
-        ),
-    };
+/// The failure of a server whose event does not end, for its length or for the memory that
+/// others take.
+fn endless_event(why: &'static str) -> Failure {
     metrics::counter!("tidepier_events_cut_total", "why" => why).increment(1);
     Failure {
         executed: Executed::Unknown,
-        cause: Cause::Broken(io::Error::new(io::ErrorKind::InvalidData, text)),
+        cause: Cause::Broken(io::Error::new(
+            io::ErrorKind::InvalidData,
+            format!("an event does not end ({why})"),
+        )),
     }
 }
 
