Tunnels: a test of a request that outlives the box that carries it

The carrier says at once that it closes, waits for what is in flight and exits at the end of its grace period; a request that takes longer loses its connection without the mark of the server's end. The client gets 502 from its own box (may run at most once, run once), not a closed connection. This held before as well; no test reached a carrier's limit. The carrier is a process of its own: dropping a box of the test's process leaves its connections open.

--- a/crates/relay/tests/relay/box_harness.rs
+++ b/crates/relay/tests/relay/box_harness.rs
@@ -556,6 +556,15 @@
         self.0.kill()
     }
 
+    /// Shuts it down gracefully and waits until it has exited.
+    pub(crate) async fn stop(&mut self) -> Result {
+        self.0.signal("-TERM")?;
+        while self.0.exit_status()?.is_none() {
+            Timer::after(ms(10)).await;
+        }
+        Ok(())
+    }
+
     /// Where clients connect.
     pub(crate) fn front(&self) -> SocketAddr {
         self.0.front
--- a/crates/relay/tests/relay/partition_harness.rs
+++ b/crates/relay/tests/relay/partition_harness.rs
@@ -15,7 +15,7 @@
 use tidepier_relay_standin::store::View;
 use tidepier_relay_standin::{Client, Server};
 
-use crate::box_harness::{start_boxes_in, Proxy, TestBox};
+use crate::box_harness::{self, address, start_boxes_in, Process, Proxy, TestBox, BOXES};
 use crate::harness::{ms, server_settings, wait_until, Executor, Result};
 
 /// Time after the beginning of a partition in which requests may fail, as the platform
@@ -150,10 +150,38 @@
         Ok((fleet, proxies))
     }
 
+    /// Starts one box, and before it another one in a process of its own.
+    pub(crate) async fn start_with_process(executor: &Executor) -> Result<(Self, Process)> {
+        let (site, servers) = start_servers()?;
+        let peer = address();
+        let settings = box_harness::settings(&site, "box-1", "hall-2", 1_000, peer);
+        let process = Process::start(settings, peer)?;
+        let registered = format!("{BOXES}hall-2/box-1");
+        wait_until("registered", async || {
+            Ok(site.store.value(&registered).is_some())
+        })
+        .await?;
+        let boxes = vec![TestBox::start(executor, &site, "box-0", "hall-1", 5_000).await?];
+        let fleet = Self {
+            site,
+            servers,
+            boxes,
+            _view: None,
+            executor: executor.clone(),
+        };
+        fleet.wait_until_counted(2).await?;
+        Ok((fleet, process))
+    }
+
     /// Waits until the boxes know each other and all servers.
     async fn wait_until_known(&self) -> Result {
+        self.wait_until_counted(self.boxes.len()).await
+    }
+
+    /// Waits until the boxes know all servers, and how many boxes there are.
+    async fn wait_until_counted(&self, boxes: usize) -> Result {
         let all_known = |it: &TestBox| {
-            let is_counted = it.router.relay().boxes() == self.boxes.len();
+            let is_counted = it.router.relay().boxes() == boxes;
             it.is_ready() && is_counted && self.servers.iter().all(|server| it.knows(server))
         };
         wait_until("known", async || Ok(self.boxes.iter().all(all_known))).await
--- a/crates/relay/tests/relay/tunnels.rs
+++ b/crates/relay/tests/relay/tunnels.rs
@@ -5,20 +5,23 @@
 
 use eyre::{ensure, eyre};
 use smol::Timer;
+use tidepier_core::catalog::Kind;
 use tidepier_core::server::State;
 use tidepier_h1::Conn;
 use tidepier_relay::message::link;
 use tidepier_relay::message::tunnel::{Answer, Outcome, Request};
 use tidepier_relay::message::{PeerRequest, VERSION};
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server::{Fault, Outcome as RunOutcome};
+use tidepier_relay_standin::site::Route;
 use tidepier_relay_standin::Client;
 
 use crate::box_harness::{address, register};
 use crate::harness::{
     count_runs, ensure_not_executed, ensure_served_by, ms, run, wait_until, Result,
 };
-use crate::partition_harness::{call, Partitioned};
+use crate::partition_harness::{call, Partitioned, PLAIN};
 
 const TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -264,6 +267,37 @@
     })
 }
 
+// Guards against requests without an answer as the box that carries them exits.
+#[test]
+fn a_request_is_answered_though_its_gateway_exits_before_its_server_answers() -> Result {
+    run(|executor| async move {
+        let (fleet, mut gateway) = Partitioned::start_with_process(&executor).await?;
+        let time = ms(20_000);
+        let version = fleet.site.declare(&[Route {
+            timeout: time,
+            ..Route::new("/long/", Kind::AtMostOnce, PLAIN)
+        }]);
+        let relay = fleet.boxes[0].router.relay();
+        // A request now would leave an idle connection to a server.
+        wait_until("known", async || Ok(relay.view.version().0 == version)).await?;
+        fleet.cut(&[0], Cut::Silent)?;
+        fleet.adapt(0).await?;
+        // The work takes 20 s.
+        fleet.servers.iter().for_each(|server| server.slow(4_000.0));
+        let deadline = time.as_millis().to_string();
+        let call = call("/long/x", "stopping").with(names::DEADLINE, &deadline);
+        let (address, call) = (fleet.boxes[0].router.client_address(), call.leaving(time));
+        let sent = executor.spawn(async move { Client::once(address, &call).await });
+        let runs = || count_runs(&fleet.all_servers(), "stopping");
+        wait_until("sent", async || Ok(runs() == 1)).await?;
+        gateway.stop().await?;
+        let answer = sent.await?;
+        ensure!(answer.complete && answer.status == 502, "{answer:?}");
+        ensure!(runs() == 1, "run again");
+        Ok(())
+    })
+}
+
 // Guards against bodies that a tunnel alters, and against one that holds all of them.
 #[test]
 fn large_bodies_pass_a_tunnel() -> Result {
