tidepier-router: requests open at the end of a shutdown get an answer

What callers saw: a request that outlasted stop_ms had its connection closed without an answer, whether an engine had it or its body was still being read, and a stream just ended.

The count that finish() returns, and with it the exit code, is that of the requests it interrupts, as before.

--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -127,7 +127,7 @@
     let phase = match node.phase() {
         Phase::Serving => "serving",
         Phase::Stopping => "stopping",
-        Phase::Closed => "closed",
+        Phase::Closed | Phase::Ending => "closed",
     };
     let table = node.table();
     let boxes = table.rumors().into_iter().map(|rumor| BoxStatus {
--- a/crates/router/src/dialect/chat.rs
+++ b/crates/router/src/dialect/chat.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use futures_lite::FutureExt;
 use tidepier_core::answer::Event;
 use tidepier_core::catalog;
 use tidepier_core::work::Work;
@@ -21,6 +22,7 @@
 use crate::dialect::request::{Api, Chat};
 use crate::job::Job;
 use crate::node::Node;
+use crate::phase::Phase;
 use crate::seal::Ticket;
 use crate::stream::Source;
 use crate::trace::Hop;
@@ -184,7 +186,7 @@
     let node = node.clone();
     let pump = async move {
         let _opened = opened;
-        let outcome = forward_events(api, response, source, sender, skip).await;
+        let outcome = forward_events(&node, api, response, source, sender, skip).await;
         let note = match &outcome {
             Ok(()) => "answered whole".to_string(),
             Err(fault) => format!("ended with {fault}"),
@@ -201,6 +203,7 @@
 }
 
 async fn forward_events(
+    node: &Node,
     api: Api,
     response: String,
     mut source: Source,
@@ -213,7 +216,12 @@
         sender.send("", &created).await.map_err(disconnected)?;
     }
     loop {
-        match source.next_event().await {
+        let ended = async {
+            node.stop.reached(Phase::Ending).await;
+            let detail = "the box stopped before the answer was complete";
+            Err(Fault::new(Kind::Lost, detail))
+        };
+        match source.next_event().or(ended).await {
             Ok(event) => {
                 let id = event.offset.to_string();
                 let data = event_data(api, &response, sequence, &event);
--- a/crates/router/src/dialect/clients.rs
+++ b/crates/router/src/dialect/clients.rs
@@ -45,7 +45,7 @@
     loop {
         let next = async { Some(listener.accept().await) };
         let closed = async {
-            node.stop.closed().await;
+            node.stop.reached(Phase::Closed).await;
             None
         };
         match next.or(closed).await {
@@ -92,7 +92,12 @@
         let id = ids::Request::random();
         let started = Instant::now();
         let _opened = node.count_open();
-        let answered = answer(node, id, &mut request).await;
+        let ended = async {
+            node.stop.reached(Phase::Ending).await;
+            let detail = "the box stopped before the answer was complete";
+            Err(Fault::new(Kind::Lost, detail))
+        };
+        let answered = answer(node, id, &mut request).or(ended).await;
         let mut reply = match answered {
             Ok(reply) => reply,
             Err(fault) => {
@@ -128,7 +133,13 @@
     let tuning = &node.settings.tuning;
     let timeout = headers::client_timeout(request, tuning.deadline_ms.duration())?;
     let deadline = Deadline::after(timeout);
-    let bytes = body::read(request, tuning.body_bytes, tuning.header_ms.duration()).await?;
+    let read = body::read(request, tuning.body_bytes, tuning.header_ms.duration());
+    let ended = async {
+        node.stop.reached(Phase::Ending).await;
+        let detail = "the box stopped before the request was complete";
+        Err(Fault::new(Kind::Draining, detail))
+    };
+    let bytes = read.or(ended).await?;
     let incoming = Incoming {
         id,
         account: &account,
--- a/crates/router/src/phase.rs
+++ b/crates/router/src/phase.rs
@@ -8,7 +8,7 @@
 use event_listener::Event;
 
 /// The phase of a router's graceful shutdown.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Phase {
     /// The router serves requests.
     Serving,
@@ -16,6 +16,8 @@
     Stopping,
     /// The router no longer listens for clients, and finishes the open requests.
     Closed,
+    /// The router answers the requests that are still open with a fault.
+    Ending,
 }
 
 /// The state of one router's shutdown.
@@ -31,7 +33,8 @@
         match self.phase.load(Ordering::SeqCst) {
             0 => Phase::Serving,
             1 => Phase::Stopping,
-            _ => Phase::Closed,
+            2 => Phase::Closed,
+            _ => Phase::Ending,
         }
     }
 
@@ -41,11 +44,11 @@
         self.changed.notify(usize::MAX);
     }
 
-    /// Resolves when the router no longer listens for clients.
-    pub(crate) async fn closed(&self) {
+    /// Resolves when `phase` or a later one is reached.
+    pub(crate) async fn reached(&self, phase: Phase) {
         loop {
             let listener = self.changed.listen();
-            if self.phase() == Phase::Closed {
+            if self.phase() >= phase {
                 return;
             }
             listener.await;
--- a/tests/all/edges.rs
+++ b/tests/all/edges.rs
@@ -33,7 +33,7 @@
 }
 
 /// Like [`raw`]; `ends` closes the sending side after the bytes.
-fn raw_then(address: SocketAddr, bytes: &[u8], ends: bool) -> (u16, String) {
+pub fn raw_then(address: SocketAddr, bytes: &[u8], ends: bool) -> (u16, String) {
     let mut socket = TcpStream::connect(address).unwrap();
     socket
         .set_read_timeout(Some(Duration::from_secs(20)))
--- a/tests/all/main.rs
+++ b/tests/all/main.rs
@@ -20,6 +20,7 @@
 mod scenarios;
 mod scripts;
 mod settings;
+mod shutdown;
 mod stores;
 mod streams;
 mod wire;
