Soak: misuse of the limits needs neither the ledger nor the load

A misuse now makes its bytes from the head and the body that it is given, and whether a connection can go on is a question to the answer.

--- a/crates/relay-standin/src/client.rs
+++ b/crates/relay-standin/src/client.rs
@@ -167,6 +167,12 @@
 }
 
 impl Answer {
+    /// Whether the connection can be used for another request after this answer.
+    pub fn is_reusable(&self) -> bool {
+        let close = self.field("Connection");
+        self.complete && close.is_none_or(|value| !value.eq_ignore_ascii_case("close"))
+    }
+
     /// The value of a field; the case of the name does not matter.
     pub fn field(&self, name: &str) -> Option<&str> {
         let mut fields = self.fields.iter();
--- a/crates/soak/src/fleet/misuse.rs
+++ b/crates/soak/src/fleet/misuse.rs
@@ -7,13 +7,15 @@
 
 use smol::{Task, Timer};
 use tidepier_relay_standin::client::Call;
+use tidepier_relay_standin::names;
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::Client;
 
 use super::Fleet;
 use crate::ledger::{Fact, Request, Traffic};
 use crate::misuse::{Manner, Misuse, Port};
-use crate::{load, plan};
+use crate::plan;
+use crate::plan::CLIENT_TIMEOUT;
 
 /// Pause of such a client after its connection was closed or could not be opened.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
@@ -75,16 +77,17 @@
             let request = Request {
                 id: format!("misuse-{number}"),
                 manner: Manner::Misuse(misuse),
-                ..self.request(box_index, misuse.traffic())
+                ..self.request(box_index, traffic(misuse))
             };
-            let bytes = misuse.bytes(&request.id);
+            let body = String::from_utf8_lossy(request.body());
+            let bytes = misuse.bytes(&head(&request), &body);
             // What other ports answer is no matter of clients.
             let number = (port == Port::Clients).then(|| self.ledger.record_sent(request));
             let left = end.saturating_duration_since(Instant::now());
             let answer = client
                 .exchange("POST", bytes.pieces(), Duration::ZERO, left)
                 .await;
-            let is_reusable = load::is_reusable(&answer);
+            let is_reusable = answer.is_reusable();
             if let Some(number) = number {
                 self.ledger.record_ended(number, Some(answer));
             }
@@ -148,3 +151,22 @@
         }
     }
 }
+
+/// The kind of requests that such clients send.
+fn traffic(misuse: Misuse) -> Traffic {
+    match misuse {
+        Misuse::Pipelined => Traffic::Resumable,
+        _ => Traffic::Repeatable,
+    }
+}
+
+/// The head of a request without the fields that give its end.
+fn head(request: &Request) -> String {
+    let (target, id) = (request.target(), &request.id);
+    let deadline = CLIENT_TIMEOUT.as_millis();
+    format!(
+        "POST {target} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {deadline}\r\n",
+        names::ATTEMPT,
+        names::DEADLINE,
+    )
+}
--- a/crates/soak/src/load.rs
+++ b/crates/soak/src/load.rs
@@ -12,7 +12,7 @@
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use smol::{Task, Timer};
-use tidepier_relay_standin::client::{Answer, Call};
+use tidepier_relay_standin::client::Call;
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::{names, Client};
 
@@ -206,7 +206,7 @@
         let first = request.id.clone();
         let number = self.fleet.ledger.record_sent(request);
         let answer = client.call(&call).await;
-        if is_reusable(&answer) {
+        if answer.is_reusable() {
             self.client = Some(client);
         }
         let held = answer.ids().last().copied();
@@ -315,9 +315,3 @@
             .ok()
     }
 }
-
-/// Whether the connection can be used for another request after this answer.
-pub(crate) fn is_reusable(answer: &Answer) -> bool {
-    let close = answer.field("Connection");
-    answer.complete && close.is_none_or(|value| !value.eq_ignore_ascii_case("close"))
-}
--- a/crates/soak/src/misuse.rs
+++ b/crates/soak/src/misuse.rs
@@ -4,12 +4,6 @@
 use std::sync::OnceLock;
 use std::time::Duration;
 
-use tidepier_relay_standin::names;
-use tidepier_relay_standin::site::HOST;
-
-use crate::ledger::{Traffic, BODY};
-use crate::plan::CLIENT_TIMEOUT;
-
 /// Largest body that sites allow, in bytes.
 pub const BODY_BYTES_MAX: usize = 4 << 20;
 /// Size of the pieces that large bodies are sent in.
@@ -99,21 +93,14 @@
         }
     }
 
-    /// The kind of its requests.
-    pub fn traffic(self) -> Traffic {
-        match self {
-            Misuse::Pipelined => Traffic::Resumable,
-            _ => Traffic::Repeatable,
-        }
-    }
-
     /// Whether a request is whole, so that it may be executed.
     pub fn is_whole(self) -> bool {
         self == Misuse::Pipelined
     }
 
-    /// What a client sends as the request of this id.
-    pub fn bytes(self, id: &str) -> Bytes {
+    /// What a client sends: a head that begins with `head`, and what follows it. `body` is that
+    /// of a whole request.
+    pub fn bytes(self, head: &str, body: &str) -> Bytes {
         let announced = |bytes: usize| format!("Content-Length: {bytes}\r\n\r\n");
         let chunked = || "Transfer-Encoding: chunked\r\n\r\n".to_owned();
         let (framing, unit, count) = match self {
@@ -142,19 +129,12 @@
             ),
             Misuse::OpenHead => (format!("X-Long: {}", "x".repeat(HEAD_BYTES)), Vec::new(), 0),
             Misuse::Pipelined => {
-                let whole = announced(BODY.len()) + &String::from_utf8_lossy(BODY);
+                let whole = announced(body.len()) + body;
                 (whole, piece(), SURPLUS_BYTES / PIECE_BYTES)
             }
         };
-        let target = self.traffic().target(id);
-        let deadline = CLIENT_TIMEOUT.as_millis();
-        let head = format!(
-            "POST {target} HTTP/1.1\r\nHost: {HOST}\r\n{}: {id}\r\n{}: {deadline}\r\n{framing}",
-            names::ATTEMPT,
-            names::DEADLINE,
-        );
         Bytes {
-            first: head.into_bytes(),
+            first: format!("{head}{framing}").into_bytes(),
             unit,
             count,
         }
