--- a/crates/soak/src/fleet/misuse.rs
+++ b/crates/soak/src/fleet/misuse.rs
@@ -14,8 +14,7 @@
 use super::Fleet;
 use crate::ledger::{Fact, Request, Traffic};
 use crate::misuse::{Manner, Misuse, Port};
-use crate::plan;
-use crate::plan::CLIENT_TIMEOUT;
+use crate::plan::{self, CLIENT_TIMEOUT};
 
 /// Pause of such a client after its connection was closed or could not be opened.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
