Test: events are read however their bytes arrive

Each way to split a text of events into three parts, and of events out of order into two, with both line ends: what is taken, the last id and the disorder found are the same.

--- a/crates/relay/tests/relay/stream_order.rs
+++ b/crates/relay/tests/relay/stream_order.rs
@@ -12,6 +12,7 @@
 use smol::{Task, Timer};
 use tidepier_core::catalog::Kind;
 use tidepier_h1::{Body, Conn, Framing, Head, Listener};
+use tidepier_relay::events::{Buffer, Disorder};
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::names;
 use tidepier_relay_standin::server::{self, Fault};
@@ -523,6 +524,48 @@
     })
 }
 
+/// What a buffer takes of these parts, and the last id after it.
+fn take(parts: &[&str]) -> std::result::Result<(String, Option<u64>), Disorder> {
+    let mut events = Buffer::default();
+    let mut taken = Vec::new();
+    for part in parts {
+        events.buffer().extend_from_slice(part.as_bytes());
+        taken.extend(events.take_complete()?);
+    }
+    taken.extend(events.take_rest()?);
+    Ok((String::from_utf8_lossy(&taken).into_owned(), events.last()))
+}
+
+/// Guards against ids and ends of events that are missed as they arrive in parts, or with
+/// other line ends.
+#[test]
+fn events_are_read_however_their_bytes_arrive() -> Result {
+    let ordered = "id: 1\ndata: a\n\n: c\n\ndata: b\nid: 2\n\nid:7\ndata: id: 3\n\nid: 9\ndata";
+    let disordered = "id: 4\ndata: a\n\nid: 6\ndata: b\n\nid:4\ndata: c\n\n";
+    for newline in ["\n", "\r\n"] {
+        let [ordered, disordered] = [ordered, disordered].map(|it| it.replace('\n', newline));
+        for first in 0..=ordered.len() {
+            for second in first..=ordered.len() {
+                let parts = [
+                    &ordered[..first],
+                    &ordered[first..second],
+                    &ordered[second..],
+                ];
+                ensure!(take(&parts) == Ok((ordered.clone(), Some(9))), "{parts:?}");
+            }
+        }
+        for at in 0..=disordered.len() {
+            let (first, second) = disordered.split_at(at);
+            let expected = Err(Disorder { id: 4, last: 6 });
+            ensure!(take(&[first, second]) == expected, "{first:?} {second:?}");
+        }
+    }
+    // The last event is not complete, but the stream may be.
+    let rest = take(&["id: 2\n\n", "id: 1"]);
+    ensure!(rest == Err(Disorder { id: 1, last: 2 }), "{rest:?}");
+    Ok(())
+}
+
 /// A request for a stream of a client that speaks HTTP/1.0, and knows no chunks.
 fn old_request(target: &str, attempt: &str) -> String {
     format!(
