tidepier-router: bodies of all clients together stay within a limit

60 clients that hold bodies of 4 MiB open took 304 MB of a process of tidepier-router; a box has 128 MB. The cause is that of tidepier-relay: each body was bounded, the sum was not; the bodies of all 4,096 connections could have taken 16 GB.

`tuning.bodies_bytes` (28 MiB) bounds what bodies hold until their requests are handled, for clients and operators. A body grows only while as much is free as it takes, so that small ones find room beside a crowd; a single one in calm may exceed it. One that finds no room gets `crowded`, 503 with Retry-After: it has not run. Nothing is evicted for others here; a body that stops is refused after `header_ms` (10 s) as before.

--- a/crates/config/src/settings.rs
+++ b/crates/config/src/settings.rs
@@ -202,6 +202,9 @@
     idle_ms: Millis = Millis(60_000),
     /// Largest request body in bytes. Default 4 MiB.
     body_bytes: u64 = 4 << 20,
+    /// Bytes that the bodies of all requests may take until they are handled. In calm, a single
+    /// one may exceed it. Default 28 MiB.
+    bodies_bytes: u64 = 28 << 20,
     /// Largest number of open client connections. Default 4096.
     connections: usize = 4096,
     /// Deadline of a request that names none. Default 120000.
--- a/crates/errors/src/lib.rs
+++ b/crates/errors/src/lib.rs
@@ -101,6 +101,7 @@
     NoEngine "no_engine" 503 No true 5 "No live engine for the model can be reached.";
     NoClaim "no_claim" 503 No true 5 "The at-most-once claim could not be recorded.";
     Draining "draining" 503 No true 5 "The box is stopping and takes no new requests.";
+    Crowded "crowded" 503 No true 5 "The box has no memory for the request.";
     NotReady "not_ready" 503 No true 5 "The box has no configuration yet.";
     Refused "refused" 502 No true 5 "The engine or service refused the request without running it.";
     Deadline "deadline" 504 Unknown true 6 "The deadline passed after the request was sent.";
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,12 +10,14 @@
 //!
 //! * A body that ends before its declared length is an error, never a result.
 //! * A connection goes back to its pool only after a whole response.
-//! * Memory for one connection is bounded by the limits in [`server::Limits`].
+//! * Memory for one connection is bounded by the limits in [`server::Limits`], that for the
+//!   bodies of all of them by [`memory::Memory`].
 
 pub mod body;
 pub mod client;
 pub mod dial;
 pub mod events;
+pub mod memory;
 mod metered;
 pub mod server;
 
--- a/crates/router/src/admin.rs
+++ b/crates/router/src/admin.rs
@@ -89,7 +89,9 @@
             Ok(Reply::json(200, &json))
         }
         (Method::Post, ["apply"]) => {
-            let bytes = body::read(request, BODY_BYTES_MAX, BODY_TIMEOUT).await?;
+            let mut held = node.bodies.held();
+            let read = body::read_held(request, BODY_BYTES_MAX, BODY_TIMEOUT, &mut held);
+            let bytes = read.await?;
             let request = serde_json::from_slice(&bytes)
                 .map_err(|error| Fault::new(Kind::BadRequest, error.to_string()))?;
             Ok(Reply::json(200, &apply::apply(node, &request).await?))
--- a/crates/router/src/dialect/clients.rs
+++ b/crates/router/src/dialect/clients.rs
@@ -128,7 +128,9 @@
     let tuning = &node.settings.tuning;
     let timeout = headers::client_timeout(request, tuning.deadline_ms.duration())?;
     let deadline = Deadline::after(timeout);
-    let bytes = body::read(request, tuning.body_bytes, tuning.header_ms.duration()).await?;
+    let mut held = node.bodies.held();
+    let pause = tuning.header_ms.duration();
+    let bytes = body::read_held(request, tuning.body_bytes, pause, &mut held).await?;
     let incoming = Incoming {
         id,
         account: &account,
--- a/crates/router/src/node.rs
+++ b/crates/router/src/node.rs
@@ -12,6 +12,7 @@
 use tidepier_errors::{Fault, Kind};
 use tidepier_http::client::Pool;
 use tidepier_http::dial::Dial;
+use tidepier_http::memory::Memory;
 use tidepier_ids as ids;
 use tidepier_membership::{Rumor, State, Table};
 use tidepier_store::etcd::Client;
@@ -60,6 +61,8 @@
     pub(crate) retries: Budget,
     pub(crate) stop: Stop,
     pub(crate) open: AtomicUsize,
+    /// Memory of the bodies of clients' and operators' requests.
+    pub(crate) bodies: Memory,
 }
 
 impl Node {
@@ -107,6 +110,7 @@
             retries: Budget::default(),
             stop: Stop::default(),
             open: AtomicUsize::new(0),
+            bodies: Memory::new(settings.tuning.bodies_bytes as usize),
             settings,
         }
     }
