--- a/crates/router/src/dialect/clients.rs
+++ b/crates/router/src/dialect/clients.rs
@@ -133,7 +133,9 @@
     let tuning = &node.settings.tuning;
     let timeout = headers::client_timeout(request, tuning.deadline_ms.duration())?;
     let deadline = Deadline::after(timeout);
-    let read = body::read(request, tuning.body_bytes, tuning.header_ms.duration());
+    let mut held = node.bodies.held();
+    let pause = tuning.header_ms.duration();
+    let read = body::read_held(request, tuning.body_bytes, pause, &mut held);
     let ended = async {
         node.stop.reached(Phase::Ending).await;
         let detail = "the box stopped before the request was complete";
