Soak: a stopped process is responsible for its end only while it runs

The trace shows no fault of the box. SIGSTOP held it from 11.7 to 16.2 s of the run and SIGTERM came at 13.9 s, so that the process learned of it at 16.2 s; it had requests whose answers were due later, and ran for 5.7 s of the 8 s after which the soak killed it. By its own clock its time to stop was not over.

The soak meant to excuse that, but counted time under SIGSTOP as run, and took 3.4 s of running as enough, which holds only for requests that end soon. Time under SIGSTOP no longer counts, and a stop beside late requests needs 7.7 s of running, the time after which a box exits. A process that is not under SIGSTOP is held to 8 s as before.

Not tried: a process that ignores SIGTERM.

--- a/crates/soak/src/fleet/late.rs
+++ b/crates/soak/src/fleet/late.rs
@@ -22,6 +22,9 @@
 const CLIENTS: usize = 24;
 /// Time that they have for opening connections before the stop.
 const LEAD: Duration = Duration::from_millis(200);
+/// Time within which a process ends after the signal while it has requests: a little less than
+/// [`bound::STOP_TIMEOUT`].
+const STOP_TIME: Duration = Duration::from_millis(7_700);
 /// Time from the stop until they send a head, in ms: as long as boxes accept requests.
 const HEAD_MS: Range<u64> = 0..2_900;
 /// Time from the head until the body, in ms.
@@ -80,7 +83,8 @@
         });
         let clients: Vec<Task<()>> = clients.collect();
         Timer::at(stop).await;
-        self.restart(box_index, Signal::TERM, pause).await?;
+        self.restart(box_index, Signal::TERM, pause, STOP_TIME)
+            .await?;
         for client in clients {
             client.await;
         }
--- a/crates/soak/src/fleet/relay_box.rs
+++ b/crates/soak/src/fleet/relay_box.rs
@@ -20,6 +20,8 @@
     file: PathBuf,
     log: PathBuf,
     settings: Mutex<Value>,
+    /// Whether the process is stopped by SIGSTOP for less time than by a suspension.
+    frozen: AtomicBool,
     /// Number of suspensions in progress.
     suspensions: Mutex<u32>,
     process: Mutex<Option<Process>>,
@@ -53,6 +55,7 @@
             file,
             log,
             settings: Mutex::new(settings),
+            frozen: AtomicBool::new(false),
             suspensions: Mutex::default(),
             process: Mutex::default(),
             restarting: AtomicBool::new(false),
@@ -65,6 +68,27 @@
         }
     }
 
+    /// Stops the process.
+    pub(super) fn freeze(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)?;
+        self.frozen.store(true, Ordering::Relaxed);
+        Ok(())
+    }
+
+    /// Lets the process go on, except while the box is suspended.
+    pub(super) fn thaw(&self) -> io::Result<()> {
+        self.frozen.store(false, Ordering::Relaxed);
+        if self.is_suspended() {
+            return Ok(());
+        }
+        self.signal(Signal::CONT)
+    }
+
+    /// Whether the process is stopped by SIGSTOP.
+    pub(super) fn is_stopped(&self) -> bool {
+        self.is_suspended() || self.frozen.load(Ordering::Relaxed)
+    }
+
     /// Whether the box is suspended.
     pub(super) fn is_suspended(&self) -> bool {
         *lock(&self.suspensions) > 0
@@ -96,6 +120,7 @@
         self.write_settings()?;
         let process = Process::start(&self.program, &self.file, &self.log)?;
         *slot = Some(process);
+        self.frozen.store(false, Ordering::Relaxed);
         self.is_over_limits.store(false, Ordering::Relaxed);
         // Under the lock of the process, so that a signal goes either to this process or to
         // none.
--- a/crates/soak/src/fleet/rollouts.rs
+++ b/crates/soak/src/fleet/rollouts.rs
@@ -11,6 +11,7 @@
 use tidepier_core::server::State;
 
 use super::servers::Backend;
+use super::steps::STOP_TIME_MIN;
 use super::Fleet;
 use crate::fault::Rollout;
 use crate::ledger::Fact;
@@ -98,7 +99,11 @@
             let share = (box_index as f64 * 0.618).fract();
             let pause = pause + spread.mul_f64(share);
             let fleet = self.clone();
-            smol::spawn(async move { fleet.restart(box_index, Signal::KILL, pause).await })
+            smol::spawn(async move {
+                fleet
+                    .restart(box_index, Signal::KILL, pause, STOP_TIME_MIN)
+                    .await
+            })
         });
         let restarts: Vec<Task<eyre::Result<()>>> = restarts.collect();
         for restart in restarts {
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -26,7 +26,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time that a process needs for a graceful shutdown: it accepts connections for 2.9 s of
 /// it, and has half a second for what is open.
-const STOP_TIME_MIN: Duration = Duration::from_millis(3_400);
+pub(super) const STOP_TIME_MIN: Duration = Duration::from_millis(3_400);
 /// Time from the announcement that a server leaves until its entry is removed.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// Number of configurations of [`Config::Storm`], and the time between two.
@@ -189,11 +189,9 @@
         let relay_box = &self.boxes[box_index];
         match signal {
             fault::Signal::Freeze => {
-                relay_box.signal(Signal::STOP)?;
+                relay_box.freeze()?;
                 Timer::after(lasts).await;
-                if !relay_box.is_suspended() {
-                    relay_box.signal(Signal::CONT)?;
-                }
+                relay_box.thaw()?;
             }
             fault::Signal::Suspend => {
                 relay_box.suspend()?;
@@ -212,18 +210,21 @@
                     fault::Signal::Terminate => Signal::TERM,
                     _ => Signal::KILL,
                 };
-                self.restart(box_index, ending, lasts).await?;
+                self.restart(box_index, ending, lasts, STOP_TIME_MIN)
+                    .await?;
             }
         }
         Ok(())
     }
 
-    /// Ends the process of a box by a signal, and starts it again after a pause.
+    /// Ends the process of a box by a signal, and starts it again after a pause. `time_min`: how
+    /// long the process has to run after the signal to be held responsible if it does not end.
     pub(super) async fn restart(
         &self,
         box_index: usize,
         ending: Signal,
         pause: Duration,
+        time_min: Duration,
     ) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         // A process that ended by itself just before is recorded as such, not as an effect
@@ -238,13 +239,13 @@
             self.ledger.record_fact(Fact::Stopping(box_index));
         }
         relay_box.signal(ending)?;
-        self.wait_for_exit(box_index).await?;
+        self.wait_for_exit(box_index, time_min).await?;
         Timer::after(pause).await;
         self.start_box(box_index)
     }
 
     /// Waits until the process of a box has exited; kills it after the time-out.
-    async fn wait_for_exit(&self, box_index: usize) -> eyre::Result<()> {
+    async fn wait_for_exit(&self, box_index: usize, time_min: Duration) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         let until = Instant::now() + bound::STOP_TIMEOUT;
         let mut killed = false;
@@ -252,9 +253,9 @@
         while !relay_box.has_exited()? {
             if !killed && Instant::now() > until {
                 killed = true;
-                // A process that was suspended for most of that time had no time to stop,
+                // A process that was stopped by SIGSTOP for most of that time had no time to end,
                 // so it is not held responsible.
-                if ran > STOP_TIME_MIN {
+                if ran > time_min {
                     self.ledger
                         .record_fact(Fact::Died(box_index, "only by SIGKILL".into()));
                 }
@@ -262,7 +263,7 @@
             }
             let poll = Instant::now();
             Timer::after(POLL_INTERVAL).await;
-            if !relay_box.is_suspended() {
+            if !relay_box.is_stopped() {
                 ran += poll.elapsed();
             }
         }
