Soak: only a stop beside late requests counts running time

A stop beside late requests lasts up to 7.7 s of the 8 after which the soak kills, so that 0.3 s without a processor made 'only by SIGKILL', and requests that the kill cut. Neither had used its time.

Such a process is now killed, and held responsible, when it has run for 8 s in which it neither was under SIGSTOP nor waited for a processor. One that hangs is found as before, also if it was stopped meanwhile. Not tried: a process that ignores SIGTERM.

--- a/crates/soak/src/fleet/late.rs
+++ b/crates/soak/src/fleet/late.rs
@@ -13,18 +13,18 @@
 use tidepier_relay_standin::site::HOST;
 use tidepier_relay_standin::{names, Client};
 
+use super::steps::StopClock;
 use super::Fleet;
-use crate::ledger::{Request, Traffic};
+use crate::ledger::{Fact, Request, Traffic};
 use crate::misuse::Manner;
-use crate::plan;
+use crate::{bound, plan};
 
+/// Interval between two checks whether a process has exited.
+const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Number of clients that send such requests.
 const CLIENTS: usize = 24;
 /// Time that they have for opening connections before the stop.
 const LEAD: Duration = Duration::from_millis(200);
-/// Time within which a process ends after the signal while it has requests: a little less than
-/// [`bound::STOP_TIMEOUT`].
-const STOP_TIME: Duration = Duration::from_millis(7_700);
 /// Time from the stop until they send a head, in ms: as long as boxes accept requests.
 const HEAD_MS: Range<u64> = 0..2_900;
 /// Time from the head until the body, in ms.
@@ -83,7 +83,7 @@
         });
         let clients: Vec<Task<()>> = clients.collect();
         Timer::at(stop).await;
-        self.restart(box_index, Signal::TERM, pause, STOP_TIME)
+        self.restart(box_index, Signal::TERM, pause, StopClock::Running)
             .await?;
         for client in clients {
             client.await;
@@ -91,6 +91,32 @@
         Ok(())
     }
 
+    /// Waits until the process of a box has exited; kills it if it has run for too long.
+    pub(super) async fn wait_for_late_exit(&self, box_index: usize) -> eyre::Result<()> {
+        let relay_box = &self.boxes[box_index];
+        let waited_before = relay_box.run_queue_wait().unwrap_or_default();
+        let mut waited = Duration::ZERO;
+        let mut ran = Duration::ZERO;
+        let mut killed = false;
+        while !relay_box.has_exited()? {
+            if !killed && ran.saturating_sub(waited) > bound::STOP_TIMEOUT {
+                killed = true;
+                self.ledger
+                    .record_fact(Fact::Died(box_index, "only by SIGKILL".into()));
+                relay_box.signal(Signal::KILL)?;
+            }
+            let poll = Instant::now();
+            Timer::after(POLL_INTERVAL).await;
+            if !relay_box.is_stopped() {
+                ran += poll.elapsed();
+            }
+            if let Some(total) = relay_box.run_queue_wait() {
+                waited = total.saturating_sub(waited_before);
+            }
+        }
+        Ok(())
+    }
+
     async fn send_late(&self, box_index: usize, id: String, late: Late, stop: Instant) {
         let address = self.client_address(box_index);
         if !late.is_opened_before {
--- a/crates/soak/src/fleet/rollouts.rs
+++ b/crates/soak/src/fleet/rollouts.rs
@@ -11,7 +11,7 @@
 use tidepier_core::server::State;
 
 use super::servers::Backend;
-use super::steps::STOP_TIME_MIN;
+use super::steps::StopClock;
 use super::Fleet;
 use crate::fault::Rollout;
 use crate::ledger::Fact;
@@ -101,7 +101,7 @@
             let fleet = self.clone();
             smol::spawn(async move {
                 fleet
-                    .restart(box_index, Signal::KILL, pause, STOP_TIME_MIN)
+                    .restart(box_index, Signal::KILL, pause, StopClock::Real)
                     .await
             })
         });
--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -26,7 +26,7 @@
 const POLL_INTERVAL: Duration = Duration::from_millis(10);
 /// Time that a process needs for a graceful shutdown: it accepts connections for 2.9 s of
 /// it, and has half a second for what is open.
-pub(super) const STOP_TIME_MIN: Duration = Duration::from_millis(3_400);
+const STOP_TIME_MIN: Duration = Duration::from_millis(3_400);
 /// Time from the announcement that a server leaves until its entry is removed.
 const LEAVING_TIME: Duration = Duration::from_millis(2_500);
 /// Number of configurations of [`Config::Storm`], and the time between two.
@@ -42,6 +42,16 @@
 /// delay requests.
 const RELOAD_TIME: Duration = Duration::from_secs(2);
 
+/// How the time after a signal is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopClock {
+    /// All of it.
+    Real,
+    /// While the process is neither stopped by SIGSTOP nor waits for a processor. For processes
+    /// that use nearly all of their time.
+    Running,
+}
+
 impl Fleet {
     /// Carries out one step; returns when its fault has ended.
     ///
@@ -210,21 +220,21 @@
                     fault::Signal::Terminate => Signal::TERM,
                     _ => Signal::KILL,
                 };
-                self.restart(box_index, ending, lasts, STOP_TIME_MIN)
+                self.restart(box_index, ending, lasts, StopClock::Real)
                     .await?;
             }
         }
         Ok(())
     }
 
-    /// Ends the process of a box by a signal, and starts it again after a pause. `time_min`: how
-    /// long the process has to run after the signal to be held responsible if it does not end.
+    /// Ends the process of a box by a signal, and starts it again after a pause. `clock`: how
+    /// the time is counted after which it is killed.
     pub(super) async fn restart(
         &self,
         box_index: usize,
         ending: Signal,
         pause: Duration,
-        time_min: Duration,
+        clock: StopClock,
     ) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         // A process that ended by itself just before is recorded as such, not as an effect
@@ -239,13 +249,16 @@
             self.ledger.record_fact(Fact::Stopping(box_index));
         }
         relay_box.signal(ending)?;
-        self.wait_for_exit(box_index, time_min).await?;
+        match clock {
+            StopClock::Real => self.wait_for_exit(box_index).await?,
+            StopClock::Running => self.wait_for_late_exit(box_index).await?,
+        }
         Timer::after(pause).await;
         self.start_box(box_index)
     }
 
     /// Waits until the process of a box has exited; kills it after the time-out.
-    async fn wait_for_exit(&self, box_index: usize, time_min: Duration) -> eyre::Result<()> {
+    async fn wait_for_exit(&self, box_index: usize) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         let until = Instant::now() + bound::STOP_TIMEOUT;
         let mut killed = false;
@@ -253,9 +266,9 @@
         while !relay_box.has_exited()? {
             if !killed && Instant::now() > until {
                 killed = true;
-                // A process that was stopped by SIGSTOP for most of that time had no time to end,
+                // A process that was suspended for most of that time had no time to stop,
                 // so it is not held responsible.
-                if ran > time_min {
+                if ran > STOP_TIME_MIN {
                     self.ledger
                         .record_fact(Fact::Died(box_index, "only by SIGKILL".into()));
                 }
@@ -263,7 +276,7 @@
             }
             let poll = Instant::now();
             Timer::after(POLL_INTERVAL).await;
-            if !relay_box.is_stopped() {
+            if !relay_box.is_suspended() {
                 ran += poll.elapsed();
             }
         }
