--- a/crates/soak/src/fleet/steps.rs
+++ b/crates/soak/src/fleet/steps.rs
@@ -42,6 +42,16 @@
 /// delay requests.
 const RELOAD_TIME: Duration = Duration::from_secs(2);
 
+/// How the time after a signal is counted.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum StopClock {
+    /// All of it.
+    Real,
+    /// While the process is neither stopped by SIGSTOP nor waits for a processor. For processes
+    /// that use nearly all of their time.
+    Running,
+}
+
 impl Fleet {
     /// Carries out one step; returns when its fault has ended.
     ///
@@ -189,11 +199,9 @@
         let relay_box = &self.boxes[box_index];
         match signal {
             fault::Signal::Freeze => {
-                relay_box.signal(Signal::STOP)?;
+                relay_box.freeze()?;
                 Timer::after(lasts).await;
-                if !relay_box.is_suspended() {
-                    relay_box.signal(Signal::CONT)?;
-                }
+                relay_box.thaw()?;
             }
             fault::Signal::Suspend => {
                 relay_box.suspend()?;
@@ -212,18 +220,21 @@
                     fault::Signal::Terminate => Signal::TERM,
                     _ => Signal::KILL,
                 };
-                self.restart(box_index, ending, lasts).await?;
+                self.restart(box_index, ending, lasts, StopClock::Real)
+                    .await?;
             }
         }
         Ok(())
     }
 
-    /// Ends the process of a box by a signal, and starts it again after a pause.
+    /// Ends the process of a box by a signal, and starts it again after a pause. `clock`: how
+    /// the time is counted after which it is killed.
     pub(super) async fn restart(
         &self,
         box_index: usize,
         ending: Signal,
         pause: Duration,
+        clock: StopClock,
     ) -> eyre::Result<()> {
         let relay_box = &self.boxes[box_index];
         // A process that ended by itself just before is recorded as such, not as an effect
@@ -238,7 +249,10 @@
             self.ledger.record_fact(Fact::Stopping(box_index));
         }
         relay_box.signal(ending)?;
-        self.wait_for_exit(box_index).await?;
+        match clock {
+            StopClock::Real => self.wait_for_exit(box_index).await?,
+            StopClock::Running => self.wait_for_late_exit(box_index).await?,
+        }
         Timer::after(pause).await;
         self.start_box(box_index)
     }
