A body's buffer makes room for a whole read

A body of 60 KB counted as up to 95 KB while it was read: room was made for half of what was there, 15.9 KB, and a read brings up to 16 KiB, so that the buffer doubled after all. A request near the end of the memory for requests was refused for bytes that it does not have. Room is made for a read at least now, and never for more than is due.

--- a/crates/relay/src/client_connections.rs
+++ b/crates/relay/src/client_connections.rs
@@ -403,10 +403,13 @@
     }
 }
 
-/// Makes room in a body that has outgrown its first bytes, of which `left` are due at most.
+/// Makes room for the next read of a body that has outgrown its first bytes, of which `left`
+/// are due at most.
 fn grow(bytes: &mut Vec<u8>, left: usize) {
-    if bytes.len() >= BODY_RESERVE_BYTES && bytes.capacity() - bytes.len() < BODY_RESERVE_BYTES {
-        bytes.reserve_exact(left.min(bytes.len() / 2));
+    let has_room = bytes.capacity() - bytes.len() >= left.min(BODY_RESERVE_BYTES);
+    if bytes.len() >= BODY_RESERVE_BYTES / 2 && !has_room {
+        let more = BODY_RESERVE_BYTES.max(bytes.len() / 2);
+        bytes.reserve_exact(more.min(left));
     }
 }
 
