Small requests make room by large ones that have not arrived

In the first half second of a crowd nobody counts as stalled, so that a small request that did not fit was refused itself, as the large ones were: with 500 KB for requests and five bodies of 77 KB just short of their end, one of 62 KB got 503.

A request of up to 64 KiB now has the largest that has not arrived refused for it, as long as that is larger than itself. Large ones do not displace each other: the one that is nearly whole would always be the one to go, and none would arrive.

The test fails without the change (503 `crowded`) and passes with it, in 7 of 7 runs; four of the five large ones stay.

--- a/crates/relay/src/inbound.rs
+++ b/crates/relay/src/inbound.rs
@@ -10,8 +10,8 @@
 //!   therefore never takes all of it, and the more a request holds, the sooner it is refused.
 //! * In calm, a single request may exceed the limit, up to the size that the operator allows.
 //! * Under shortage, the client that has sent nothing for longest is refused first, provided
-//!   that this is at least [`SHORTAGE_STALL`]. A request that has arrived completely is never
-//!   refused for another one.
+//!   that this is at least [`SHORTAGE_STALL`]; for a small request, else the largest that has
+//!   not arrived. A request that has arrived completely is never refused for another one.
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
@@ -24,7 +24,7 @@
 use futures_lite::FutureExt;
 use tidepier_clock::Instant;
 
-use crate::backlog::SHORTAGE_STALL;
+use crate::backlog::{SHORTAGE_STALL, SMALL_BYTES};
 
 /// Bytes by which a request that is being read has to grow to count as sent.
 const PROGRESS_BYTES: usize = 4 << 10;
@@ -108,20 +108,36 @@
     /// Refuses the client that has sent nothing for longest, if that is at least
     /// [`SHORTAGE_STALL`]; returns whether there was one.
     pub fn evict_stalled(&self, now: Instant) -> bool {
-        let mut unfinished = self.unfinished.borrow_mut();
+        let unfinished = self.unfinished.borrow();
         let longest = unfinished.iter().min_by_key(|(_, it)| it.since.get());
-        let Some((&id, state)) = longest else {
+        let stalled = longest
+            .filter(|(_, it)| now.saturating_duration_since(it.since.get()) >= SHORTAGE_STALL);
+        let stalled = stalled.map(|(id, _)| *id);
+        drop(unfinished);
+        self.evict(stalled)
+    }
+
+    /// Refuses the largest request that has not arrived, if it holds more than `bytes`; returns
+    /// whether there was one.
+    fn evict_larger(&self, bytes: usize) -> bool {
+        let unfinished = self.unfinished.borrow();
+        let largest = unfinished.iter().max_by_key(|(_, it)| it.bytes.get());
+        let larger = largest.filter(|(_, it)| it.bytes.get() > bytes);
+        let larger = larger.map(|(id, _)| *id);
+        drop(unfinished);
+        self.evict(larger)
+    }
+
+    fn evict(&self, id: Option<u64>) -> bool {
+        let state = id.and_then(|id| self.unfinished.borrow_mut().remove(&id));
+        let Some(state) = state else {
             return false;
         };
-        if now.saturating_duration_since(state.since.get()) < SHORTAGE_STALL {
-            return false;
-        }
         state.evicted.set(true);
-        self.set(state, 0);
+        self.set(&state, 0);
         if let Some(waker) = state.waker.take() {
             waker.wake();
         }
-        unfinished.remove(&id);
         true
     }
 
@@ -148,11 +164,13 @@
     ///
     /// # Errors
     ///
-    /// There is no room, nor a client that has stalled.
+    /// There is no room, and no client that gives way.
     pub fn extend_to(&self, bytes: usize) -> Result<(), Shortage> {
         let inbound = &*self.inbound;
         while bytes > self.state.bytes.get() && !inbound.has_room(self.state.bytes.get(), bytes) {
-            if !inbound.evict_stalled(Instant::now()) {
+            let has_made_room = inbound.evict_stalled(Instant::now())
+                || (bytes <= SMALL_BYTES && inbound.evict_larger(bytes));
+            if !has_made_room {
                 return Err(Shortage);
             }
         }
--- a/crates/relay/tests/relay/inbound.rs
+++ b/crates/relay/tests/relay/inbound.rs
@@ -100,6 +100,26 @@
     })
 }
 
+/// A crowd that has just sent its bytes has not stalled yet.
+#[test]
+fn a_large_request_that_has_not_arrived_gives_way_to_a_small_one() -> Result {
+    run(async |executor| {
+        let (harness, server, _slow) = start(executor).await?;
+        let mut crowd = Vec::new();
+        for number in 0..5 {
+            crowd.push(begin(&harness, &format!("c-{number}"), 77_000, 76_000).await?);
+        }
+        let call = post("/r/x", "small").body(&[b's'; 62_000]);
+        ensure_served_by(&harness.call(&call).await?, &[&server], "small")?;
+        let held = harness.router.relay().inbound.held();
+        ensure!(
+            held > 4 * 76_000,
+            "more than one were refused: {held} bytes held"
+        );
+        Ok(())
+    })
+}
+
 /// A request may be larger than the memory for requests, if it is alone.
 #[test]
 fn a_request_larger_than_the_memory_for_requests_is_served_in_calm() -> Result {
