Soak: two tasks that write the settings of a box do not disturb each other

A reload and the start after a stop may write the settings of a box at the same time, both through the same temporary file: the first one moves it to its place, and the second finds none. The lock of the settings is now held until the file is in place. The same race was in the other options, where a stop and a reload rarely meet.

--- a/crates/soak/src/fleet/relay_box.rs
+++ b/crates/soak/src/fleet/relay_box.rs
@@ -143,8 +143,10 @@
 
     /// Replaces the settings file atomically.
     fn write_settings(&self) -> io::Result<()> {
+        // Held until the file is in place: two tasks may write it at the same time.
+        let settings = lock(&self.settings);
         let new_file = self.file.with_extension("new");
-        fs::write(&new_file, lock(&self.settings).to_string())?;
+        fs::write(&new_file, settings.to_string())?;
         fs::rename(&new_file, &self.file)
     }
 
