Store: the bound on its answers is a share of the memory

With the bound of (16 MiB, of which one answer has 8 MiB) boxes could not read the list of servers where another writer had left many odd entries, so that they learned of no later server: a page of 22 MB.

The bound is limits.store_share of the memory (0.45), a reload takes it over, and a single answer or list may have half of it: 25 MB of the smallest boxes.

--- a/crates/relay/src/router.rs
+++ b/crates/relay/src/router.rs
@@ -10,6 +10,7 @@
 use futures_lite::FutureExt;
 use smol::LocalExecutor;
 use tidepier_clock::Instant;
+use tidepier_h1::account::Account;
 use tidepier_h1::Listener;
 use tidepier_ids as ids;
 use tidepier_platform::store::Client;
@@ -89,6 +90,8 @@
     pardoned: RefCell<BTreeSet<Fingerprint>>,
     /// Servers whose back-off the settings end.
     woken: RefCell<BTreeSet<ids::Server>>,
+    /// The memory of the store's answers.
+    store_memory: Rc<Account>,
 }
 
 impl Router {
@@ -120,6 +123,7 @@
             stop_within: Cell::new(settings.bounds.stop_within.duration()),
             pardoned: RefCell::new(settings.pardoned.clone()),
             woken: RefCell::new(settings.woken.clone()),
+            store_memory: Rc::new(Account::new(settings.limits.store_bytes())),
         };
         executor
             .spawn(client_connections::accept(
@@ -142,7 +146,8 @@
             let registry = metrics::install()?;
             executor.spawn(metrics::serve(listener, registry)).detach();
         }
-        let store = Rc::new(Client::new(settings.store.address));
+        let store = Client::sharing(settings.store.address, router.store_memory.clone());
+        let store = Rc::new(store);
         relay.origins.ledger.set_store(store.clone());
         executor.spawn(origins::run_updates(relay.clone())).detach();
         let follower = Follower::new(relay.clone(), store.clone());
@@ -211,6 +216,8 @@
         self.relay.backlog.set_limit(settings.limits.answer_bytes());
         let event_bytes = settings.limits.event_bytes();
         self.relay.backlog.set_partial_limit(event_bytes);
+        let store_bytes = settings.limits.store_bytes();
+        self.store_memory.set_limit(store_bytes);
         self.relay.budget.set_limits(budget_limits(settings));
         self.stop_within.set(settings.bounds.stop_within.duration());
         let before = self.pardoned.replace(settings.pardoned.clone());
--- a/crates/relay/src/settings/check.rs
+++ b/crates/relay/src/settings/check.rs
@@ -45,6 +45,7 @@
         positive("limits.memory_mb", limits.memory_mb)?;
         share("limits.answers_share", limits.answers_share)?;
         share("limits.events_share", limits.events_share)?;
+        share("limits.store_share", limits.store_share)?;
         positive("limits.descriptors", f64::from(limits.descriptors))?;
         positive("bounds.crowd_factor", bounds.crowd_factor)?;
         share("bounds.retry_share", bounds.retry_share)?;
--- a/crates/relay/src/settings/mod.rs
+++ b/crates/relay/src/settings/mod.rs
@@ -40,6 +40,10 @@
 /// may each have 11 KB of an event under way.
 const EVENTS_SHARE_DEFAULT: f64 = 0.1;
 
+/// Default of [`Limits::store_share`]: 50 MB of the smallest boxes, of which one answer or
+/// list may have half: the entries of sixty thousand servers.
+const STORE_SHARE_DEFAULT: f64 = 0.45;
+
 /// An inclusive range of ports.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Deserialize)]
 #[serde(from = "[u16; 2]")]
@@ -137,6 +141,9 @@
     /// longer than 16 KiB and not taken by their clients. A stream is given up whose events
     /// take more than is left for all others.
     pub events_share: f64,
+    /// Share of the memory that answers of the store may take while they are read, with all
+    /// pages of a list. One may take as much as is left for all others.
+    pub store_share: f64,
 }
 
 impl Limits {
@@ -145,6 +152,11 @@
         (self.memory_mb * 1e6 * self.answers_share) as usize
     }
 
+    /// Most bytes of answers of the store that are being read.
+    pub fn store_bytes(&self) -> usize {
+        (self.memory_mb * 1e6 * self.store_share) as usize
+    }
+
     /// Most bytes of events that are not complete.
     pub fn event_bytes(&self) -> usize {
         (self.memory_mb * 1e6 * self.events_share) as usize
@@ -159,6 +171,7 @@
             memory_mb: MEMORY_MB_DEFAULT,
             answers_share: ANSWERS_SHARE_DEFAULT,
             events_share: EVENTS_SHARE_DEFAULT,
+            store_share: STORE_SHARE_DEFAULT,
         }
     }
 }
