Shutdown: the time left is looked at once more after a health check

A request that passed a health check before it was sent was placed without another look at the time left; only the wait for a cold server had one. A check takes up to some 0.15 s beside a round trip. By reading; no test shows it apart, those of grace pass before and after.

--- a/crates/relay/src/exchange/send.rs
+++ b/crates/relay/src/exchange/send.rs
@@ -143,8 +143,9 @@
                 tidepier_clock::sleep_until(at).await;
                 // The content may have been found to crash servers during the wait.
                 self.check_not_crashing()?;
-                self.check_time_left()?;
             }
+            // The health check and the wait have taken time.
+            self.check_time_left()?;
             // A server that announced during the wait that it is leaving is not chosen again.
             let permit = self.relay.fleet.permit(&choice.backend, Instant::now());
             if let Ok(permit) = permit {
