--- a/crates/relay/tests/process.rs
+++ b/crates/relay/tests/process.rs
@@ -47,6 +47,7 @@
     assert_eq!(settings.peer_ports, Some(ports));
     assert_eq!(settings.seeds.len(), 2);
     assert_eq!(settings.limits.descriptors, 4_100);
+    assert_eq!(settings.limits.memory_mb, 260.0);
     assert_eq!(settings.limits.link_mbps, 1_000.0);
     assert!(settings.first_start);
     assert_eq!(settings.bounds.retry_extra, 58.0);
