Soak: a late request ends with its answer

The rule on planned work looked for disturbances up to then, and could excuse requests for what came after they had ended. The end is now that of the answer.

--- a/crates/soak/src/fleet/late.rs
+++ b/crates/soak/src/fleet/late.rs
@@ -138,7 +138,10 @@
             manner: Manner::Late(late.body),
             ..self.request(box_index, late.traffic)
         });
+        let sent = Instant::now();
         let answer = client.call(&call).await;
-        self.ledger.record_ended(number, Some(answer));
+        // The call also pauses after the body, which may last longer than the answer.
+        self.ledger
+            .record_ended_at(sent + answer.elapsed, number, Some(answer));
     }
 }
