A connection that failed is not read as one that ended in order

What callers saw: a server answered a long upload at once with a 200 that had no length, sent a part of its body and reset the connection while the upload was still being written. The client got that part, signed, as a complete answer.

Cause: Linux returns the pending error of a socket to one call only, the first of either half. The write of the upload was told of the reset; a read after it finds the end that an orderly close leaves. The attempt drops the error of the write, as the reader was to report the reason, and the tunnel of another box does the same and then states an orderly end.

The sockets of all connections are now `socket::Socket`, which keeps the error that either half was told. A read that would return an end then returns that error, so that no caller can lose it: attempts, kept connections, tunnels, resumed streams, calls, health checks and messages read through it. The end that a carrying box has stated still stands, and so does one that a server has sent before the reset: its kernel resets too, when more of the upload arrives, but the first error is a broken pipe then, and reads return all bytes and the end. Both are tested.

--- a/crates/h1/src/conn.rs
+++ b/crates/h1/src/conn.rs
@@ -1,8 +1,8 @@
 //! TCP connections whose end is seen and whose buffers are lent.
 
 use std::cell::RefCell;
-use std::io::{self, IoSlice, Read, Write};
-use std::net::{IpAddr, Shutdown, SocketAddr, TcpListener, TcpStream};
+use std::io::{self, IoSlice};
+use std::net::{IpAddr, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::{Arc, Weak};
 use std::time::Duration;
@@ -10,12 +10,13 @@
 use futures_lite::future::yield_now;
 use futures_lite::FutureExt;
 use rustix::io::Errno;
-use rustix::net::{self, SendFlags};
+use rustix::net::SendFlags;
 use smol::{Async, Timer};
-use socket2::{Domain, Protocol, SockRef, Socket, TcpKeepalive, Type};
+use socket2::{Domain, Protocol, SockRef, TcpKeepalive, Type};
 
 use crate::head::{self, Head, Malformed, Search};
 use crate::record::Decoder;
+use crate::socket;
 
 /// Bytes read at once. One buffer of this size serves all connections of a
 /// thread; what is read is copied into a buffer of its own length.
@@ -47,7 +48,7 @@
 
 /// A connection and the bytes that were read from it but not yet taken.
 pub struct Conn {
-    stream: Arc<Async<TcpStream>>,
+    socket: Arc<socket::Socket>,
     /// Bytes that were read. Those before `taken` have been taken.
     buffer: Vec<u8>,
     taken: usize,
@@ -69,25 +70,25 @@
 
 /// The writing half of a connection.
 pub struct Writer {
-    stream: Arc<Async<TcpStream>>,
+    socket: Arc<socket::Socket>,
     /// Bytes of the last record of [`Writer::try_write`].
     record: AtomicUsize,
 }
 
 /// A reference to a connection's socket that does not keep it open.
 #[derive(Debug, Clone)]
-pub struct WeakSocket(Weak<Async<TcpStream>>);
+pub struct WeakSocket(Weak<socket::Socket>);
 
 impl WeakSocket {
     /// Whether it is the socket of this connection.
     pub fn is_of(&self, conn: &Conn) -> bool {
-        std::ptr::eq(self.0.as_ptr(), Arc::as_ptr(&conn.stream))
+        std::ptr::eq(self.0.as_ptr(), Arc::as_ptr(&conn.socket))
     }
 
     /// Calls `work` with the socket; `None` if the connection is closed.
     pub fn with<T>(&self, work: impl FnOnce(SockRef<'_>) -> T) -> Option<T> {
-        let stream = self.0.upgrade()?;
-        Some(work(SockRef::from(stream.get_ref())))
+        let socket = self.0.upgrade()?;
+        Some(work(socket.options()))
     }
 }
 
@@ -180,7 +181,7 @@
             .with_interval(KEEPALIVE_INTERVAL);
         socket.set_tcp_keepalive(&probes)?;
         Ok(Self {
-            stream: Arc::new(stream),
+            socket: Arc::new(socket::Socket::new(stream)),
             buffer: Vec::new(),
             taken: 0,
             unwaited: 0,
@@ -214,7 +215,7 @@
     ///
     /// The connection is already closed.
     pub fn peer(&self) -> io::Result<SocketAddr> {
-        self.stream.get_ref().peer_addr()
+        self.socket.peer()
     }
 
     /// Makes the connection end when the peer leaves data unacknowledged, or has no room
@@ -224,7 +225,7 @@
     ///
     /// The connection is already closed.
     pub fn limit_unacked(&self, time: Duration) -> io::Result<()> {
-        SockRef::from(self.stream.get_ref()).set_tcp_user_timeout(Some(time))
+        self.socket.options().set_tcp_user_timeout(Some(time))
     }
 
     /// Makes the connection accept no more bytes while about `bytes` of those written
@@ -236,20 +237,20 @@
     ///
     /// The connection is already closed.
     pub fn limit_unsent(&self, bytes: u32) -> io::Result<()> {
-        SockRef::from(self.stream.get_ref()).set_tcp_notsent_lowat(bytes)
+        self.socket.options().set_tcp_notsent_lowat(bytes)
     }
 
     /// The writing half.
     pub fn writer(&self) -> Writer {
         Writer {
-            stream: self.stream.clone(),
+            socket: self.socket.clone(),
             record: AtomicUsize::default(),
         }
     }
 
     /// A reference to the socket that does not keep the connection open.
     pub fn weak_socket(&self) -> WeakSocket {
-        WeakSocket(Arc::downgrade(&self.stream))
+        WeakSocket(Arc::downgrade(&self.socket))
     }
 
     /// Bytes that were read but not yet taken.
@@ -302,7 +303,7 @@
         }
         loop {
             if self.drained && !self.has_carried_end() {
-                self.stream.readable().await?;
+                self.socket.readable().await?;
                 self.unwaited = 0;
             }
             if let Some(read) = self.try_fill()? {
@@ -322,7 +323,7 @@
             if self.has_carried_end() {
                 return Ok(Some(0));
             }
-            match self.stream.get_ref().read(scratch) {
+            match self.socket.read(scratch) {
                 Ok(read) => {
                     // An end is found again by the next read, not by waiting.
                     self.drained = read > 0 && read < scratch.len();
@@ -479,7 +480,7 @@
 
 /// Connects from an address of this machine.
 async fn connect_from(source: IpAddr, address: SocketAddr) -> io::Result<Async<TcpStream>> {
-    let socket = Socket::new(
+    let socket = socket2::Socket::new(
         Domain::for_address(address),
         Type::STREAM.nonblocking().cloexec(),
         Some(Protocol::TCP),
@@ -524,8 +525,7 @@
     pub async fn write_both(&self, [mut first, mut second]: [&[u8]; 2]) -> io::Result<()> {
         while !first.is_empty() && !second.is_empty() {
             let parts = [IoSlice::new(first), IoSlice::new(second)];
-            let written = self.attempt(|mut stream| stream.write_vectored(&parts));
-            let written = written.await?;
+            let written = self.attempt(|socket| socket.write_vectored(&parts)).await?;
             if written == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
             }
@@ -539,13 +539,16 @@
 
     /// Writes some bytes; returns how many.
     async fn write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.attempt(|mut stream| stream.write(bytes)).await
+        self.attempt(|socket| socket.write(bytes)).await
     }
 
     /// Calls `write` until it does not have to wait.
-    async fn attempt(&self, write: impl Fn(&TcpStream) -> io::Result<usize>) -> io::Result<usize> {
+    async fn attempt(
+        &self,
+        write: impl Fn(&socket::Socket) -> io::Result<usize>,
+    ) -> io::Result<usize> {
         loop {
-            match write(self.stream.get_ref()) {
+            match write(&self.socket) {
                 Err(error) if error.kind() == io::ErrorKind::WouldBlock => self.writable().await?,
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
                 other => return other,
@@ -559,7 +562,7 @@
     ///
     /// The connection is closed.
     pub async fn writable(&self) -> io::Result<()> {
-        self.stream.writable().await
+        self.socket.writable().await
     }
 
     /// Writes what the connection accepts without waiting, at most a record of
@@ -575,15 +578,15 @@
         let mut flags = SendFlags::NOSIGNAL;
         flags.set(SendFlags::EOR, part.len() == left);
         loop {
-            match net::send(self.stream.get_ref(), part, flags) {
+            match self.socket.send(part, flags) {
                 Ok(written) => {
                     let filled = (filled + written) % RECORD_BYTES;
                     self.record.store(filled, Ordering::Relaxed);
                     return Ok(Some(written));
                 }
-                Err(Errno::WOULDBLOCK) => return Ok(None),
-                Err(Errno::INTR) => {}
-                Err(error) => return Err(error.into()),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(None),
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
             }
         }
     }
@@ -591,7 +594,7 @@
     /// Ends the writing half: the peer reads an end once it has read the rest.
     pub fn finish(&self) {
         // An error says that the connection is gone already.
-        let _ = self.stream.get_ref().shutdown(Shutdown::Write);
+        let _ = self.socket.shut_down_writing();
     }
 
     /// Makes the closing of the connection a reset, so that the peer can take
@@ -602,7 +605,7 @@
     ///
     /// The connection is already closed.
     pub fn reset_on_close(&self) -> io::Result<()> {
-        SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO))
+        self.socket.options().set_linger(Some(Duration::ZERO))
     }
 
     /// Takes back [`reset_on_close`](Self::reset_on_close).
@@ -611,6 +614,6 @@
     ///
     /// The connection is already closed.
     pub fn end_on_close(&self) -> io::Result<()> {
-        SockRef::from(self.stream.get_ref()).set_linger(None)
+        self.socket.options().set_linger(None)
     }
 }
--- a/crates/h1/src/lib.rs
+++ b/crates/h1/src/lib.rs
@@ -13,6 +13,8 @@
 //! * A head that gives its body's end in two ways is refused.
 //! * All answers are read by [`Conn::answer_head`]: bytes that do not begin with a valid
 //!   status are no answer.
+//! * A connection that failed is never read as one that ended in order, whichever half was
+//!   told of the failure.
 //! * A connection holds buffers only while bytes wait in it.
 
 pub mod account;
@@ -21,6 +23,7 @@
 mod conn;
 pub mod head;
 pub mod record;
+mod socket;
 pub mod target;
 pub mod write;
 
--- a/crates/h1/tests/h1/main.rs
+++ b/crates/h1/tests/h1/main.rs
@@ -5,6 +5,7 @@
 mod conn;
 mod head;
 mod record;
+mod socket;
 
 use std::io::Write;
 use std::net::{TcpListener, TcpStream};
--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -7,7 +7,7 @@
 use tidepier_h1::Head;
 
 use super::connection::{finish_before, parse_number, Connection, Disposition};
-use super::{event_of, CutEnd, Fault, Outcome, Place, Repeat};
+use super::{event_of, CutEnd, EarlyEnd, Fault, Outcome, Place, Repeat};
 use crate::http;
 use crate::names;
 
@@ -93,6 +93,42 @@
         Ok(Disposition::Keep)
     }
 
+    /// Answers without a length and without reading the body.
+    pub(super) async fn answer_early_unframed(
+        &mut self,
+        index: usize,
+        head: &Head,
+        end: EarlyEnd,
+    ) -> io::Result<Disposition> {
+        self.record_end(index, Outcome::Running);
+        let is_stream = self.shared.settings.events.is_some();
+        let mut with = vec![("Connection", "close")];
+        with.extend(is_stream.then_some(("Content-Type", "text/event-stream")));
+        let head_bytes = self.signed_head(index, 200, &with) + "\r\n";
+        let body = self.proper_body(index, head);
+        match end {
+            EarlyEnd::Reset(pause) => {
+                let mut part = &body[..body.len() / 2];
+                if is_stream {
+                    let last = part.windows(2).rposition(|at| at == b"\n\n");
+                    part = &part[..last.map_or(0, |at| at + 2)];
+                }
+                self.record_end(index, Outcome::Stopped);
+                self.write(&[head_bytes.as_bytes(), part].concat()).await?;
+                if !pause.is_zero() {
+                    Timer::after(pause).await;
+                }
+                Ok(Disposition::Reset)
+            }
+            EarlyEnd::Shutdown => {
+                self.record_end(index, Outcome::Finished);
+                self.write(&[head_bytes.as_bytes(), &body].concat()).await?;
+                self.conn.writer().finish();
+                Ok(Disposition::Close)
+            }
+        }
+    }
+
     /// A complete answer with a content length.
     fn complete_answer(&self, index: usize, with: &[(&str, &str)]) -> Vec<u8> {
         let length = self.shared.settings.answer_bytes;
--- a/crates/relay-standin/src/server/connection.rs
+++ b/crates/relay-standin/src/server/connection.rs
@@ -324,8 +324,12 @@
 
     async fn request(&mut self, head: &Head) -> io::Result<Disposition> {
         let (index, fault) = self.record_arrival(head);
-        if fault == Some(Fault::Early) {
-            return self.answer_early(index, head).await;
+        match fault {
+            Some(Fault::Early) => return self.answer_early(index, head).await,
+            Some(Fault::EarlyUnframed(end)) => {
+                return self.answer_early_unframed(index, head, end).await
+            }
+            _ => {}
         }
         let body = http::body(&mut self.conn, head).await?;
         let parts = head.text(names::PROMPT).map_or(Vec::new(), parse_parts);
--- a/crates/relay-standin/src/server/mod.rs
+++ b/crates/relay-standin/src/server/mod.rs
@@ -114,6 +114,9 @@
     Unframed,
     /// The answer is sent before the body is read.
     Early,
+    /// The answer has no length and is sent before the body is read; the connection ends while
+    /// the client is still sending.
+    EarlyUnframed(EarlyEnd),
     /// The connection closes in the middle of an event, half-way through a stream.
     CutEvent,
     /// The connection closes half-way through the answer.
@@ -163,6 +166,17 @@
     Open,
 }
 
+/// What ends an early answer without a length.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum EarlyEnd {
+    /// A part of it is sent, of a stream some whole events; after this pause the connection is
+    /// reset.
+    Reset(Duration),
+    /// All of it is sent and the sending side is shut down. The connection is then closed with
+    /// the body unread, which resets it.
+    Shutdown,
+}
+
 /// When a second copy of an answer is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Repeat {
--- a/crates/relay-standin/src/server/odd.rs
+++ b/crates/relay-standin/src/server/odd.rs
@@ -128,7 +128,7 @@
     }
 
     /// The complete body that a proper answer would have.
-    fn proper_body(&self, index: usize, head: &Head) -> Vec<u8> {
+    pub(super) fn proper_body(&self, index: usize, head: &Head) -> Vec<u8> {
         let settings = &self.shared.settings;
         let Some(events) = settings.events else {
             return self.run(index, |run| run.text(settings.answer_bytes));
--- a/crates/relay/tests/relay/main.rs
+++ b/crates/relay/tests/relay/main.rs
@@ -17,6 +17,7 @@
 mod crashing_parts;
 mod cut_heads;
 mod demand;
+mod early_resets;
 mod emptied_halls;
 mod endless;
 mod entries;
