tidepier-router: an answer without a length ends with its connection

What callers get: an answer with neither a length nor chunks is a complete one with an empty body, whether its server goes on to send the body, ends in order, or resets the connection during the upload. Seen at the client that all processes share; no router was run for it.

Cause: the library that decodes answers takes such a body for an empty one. The client of all processes believed it, and kept the connection, though the body was unread. The same holds for a transfer encoding that is not chunked, or where the name of that is not in lower case.

Evidence: on the code before, five of the seven tests of `faulty_answers` fail: an answer that is reset is `Ok` with no bytes (uploads of 0 bytes, the first case played), and so is one that ends in order; a stream that is reset ends as if whole; `Transfer-Encoding: gzip` is an empty 200.

The client now reads such a body itself, up to the end of the connection, and does not keep the connection. A reset is an error of that read. The error of a write cannot hide it, as here the answer is not read until the request is written, and a failed write fails the call: uploads of 32 MiB are in the tests. Any other transfer encoding than chunked is a failure, as in `h1`, where case does not matter. Answers to HEAD and those with status 1xx, 204 or 304 have no body, as before.

After: the seven tests pass, with the other suites of the workspace but relay, h1 and admission, which do not use this client.

--- a/crates/http/src/client.rs
+++ b/crates/http/src/client.rs
@@ -12,8 +12,10 @@
 use std::time::Duration;
 
 use async_h1::client::{decode, Encoder};
-use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt, Cursor};
-use http_types::headers::{CONNECTION, CONTENT_LENGTH, CONTENT_TYPE};
+use futures_lite::io::{AsyncBufRead, AsyncRead, AsyncReadExt, AsyncWriteExt, BufReader, Cursor};
+use http_types::headers::{
+    HeaderValue, CONNECTION, CONTENT_LENGTH, CONTENT_TYPE, TRANSFER_ENCODING,
+};
 use http_types::{Body, Method, Request, Response, Url};
 use smol::net::TcpStream;
 use tidepier_clock::Instant;
@@ -221,14 +223,19 @@
         call: &Call,
     ) -> Result<Answer, Failure> {
         let request = call.request(address)?;
-        let head = Box::pin(exchange(socket.clone(), request)).await;
-        let (mut response, sent, stream) = head.map_err(Failure::Unknown)?;
+        let begun = Box::pin(exchange(socket.clone(), request)).await;
+        let Begun {
+            response,
+            body,
+            ends_with_connection,
+            sent,
+            stream,
+        } = begun.map_err(Failure::Unknown)?;
         if let Some(purpose) = call.purpose {
             count(purpose, sent + head_bytes(&response));
         }
         let length = declared(&response);
-        let stays = !closes(&response);
-        let body = response.take_body();
+        let stays = !ends_with_connection && !closes(&response);
         let home = stays.then(|| Home {
             address,
             socket,
@@ -287,17 +294,27 @@
     const STATUS_LINE: usize = 17;
     const SEPARATORS: usize = 4;
     let lines = response.iter().map(|(name, values)| {
-        let value = |value: &http_types::headers::HeaderValue| {
-            name.as_str().len() + value.as_str().len() + SEPARATORS
-        };
+        let value = |value: &HeaderValue| name.as_str().len() + value.as_str().len() + SEPARATORS;
         values.iter().map(value).sum::<usize>()
     });
     (STATUS_LINE + lines.sum::<usize>()) as u64
 }
 
-/// Sends a request; returns the head of its answer, the bytes sent, and what the body is read
-/// from.
-async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<(Response, u64, Stream)> {
+/// An answer of which the head was read.
+struct Begun {
+    response: Response,
+    body: Body,
+    /// Whether only the end of the connection marks that of the body.
+    ends_with_connection: bool,
+    /// Bytes of the request.
+    sent: u64,
+    /// What the body is read from.
+    stream: Stream,
+}
+
+/// Sends a request and reads the head of its answer.
+async fn exchange(mut socket: TcpStream, request: Request) -> io::Result<Begun> {
+    let method = request.method();
     let mut encoder = Encoder::new(request);
     let mut sent = 0;
     let mut buffer = vec![0; 16 << 10];
@@ -317,18 +334,51 @@
         socket.write_all(&buffer[..filled]).await?;
         sent += filled as u64;
     }
-    let begin = read_head(&mut socket).await?;
+    let (head, rest) = read_head(&mut socket).await?;
     let stream = Stream::new(socket);
-    let answer = Cursor::new(begin).chain(stream.clone());
-    let response = decode(answer).await.map_err(io::Error::other)?;
-    Ok((response, sent, stream))
+    let unread = Cursor::new(rest.clone()).chain(stream.clone());
+    let answer = Cursor::new(head).chain(unread);
+    let mut response = decode(answer).await.map_err(io::Error::other)?;
+    let mut body = response.take_body();
+    let ends_with_connection = ends_with_connection(method, &response)?;
+    if ends_with_connection {
+        // The library takes such a body for an empty one, and has read no more than the head.
+        let unread = Cursor::new(rest).chain(stream.clone());
+        body = Body::from_reader(BufReader::new(unread), None);
+    }
+    Ok(Begun {
+        response,
+        body,
+        ends_with_connection,
+        sent,
+        stream,
+    })
+}
+
+/// Whether only the end of the connection marks that of an answer's body.
+fn ends_with_connection(method: Method, response: &Response) -> io::Result<bool> {
+    let status = u16::from(response.status());
+    if method == Method::Head || matches!(status, 100..=199 | 204 | 304) {
+        return Ok(false);
+    }
+    let Some(codings) = response.header(TRANSFER_ENCODING) else {
+        return Ok(response.header(CONTENT_LENGTH).is_none());
+    };
+    // The library reads chunks only if they are named in lower case.
+    match codings.iter().map(HeaderValue::as_str).eq(["chunked"]) {
+        true => Ok(false),
+        false => malformed("a transfer encoding other than chunked"),
+    }
+}
+
+fn malformed<T>(why: &'static str) -> io::Result<T> {
+    Err(io::Error::new(io::ErrorKind::InvalidData, why))
 }
 
 /// Reads until the end of the head of an answer, which the library would do without a bound
 /// on a line, and checks that it is ASCII, as the library panics at other values. Returns
-/// what was read.
-async fn read_head(socket: &mut TcpStream) -> io::Result<Vec<u8>> {
-    let malformed = |why| Err(io::Error::new(io::ErrorKind::InvalidData, why));
+/// the head, and what was read of the body.
+async fn read_head(socket: &mut TcpStream) -> io::Result<(Vec<u8>, Vec<u8>)> {
     let mut bytes = Vec::new();
     let mut part = [0; 2 << 10];
     loop {
@@ -338,7 +388,10 @@
             read => bytes.extend_from_slice(&part[..read]),
         }
         match end_of_head(&bytes, searched) {
-            Some(end) if bytes[..end].is_ascii() => return Ok(bytes),
+            Some(end) if bytes[..end].is_ascii() => {
+                let rest = bytes.split_off(end);
+                return Ok((bytes, rest));
+            }
             Some(_) => return malformed("a head that is not ASCII"),
             None if bytes.len() > HEAD_BYTES => return malformed("the head does not end"),
             None => {}
--- a/tests/all/faulty_answers.rs
+++ b/tests/all/faulty_answers.rs
@@ -1,7 +1,7 @@
 //! Servers whose answers are none, or do not end, as the client of all processes reads them.
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::sync::atomic::{AtomicUsize, Ordering};
 use std::sync::Arc;
 use std::thread;
@@ -67,6 +67,9 @@
         "HTTP/1.1 200 OK\r\n X-Odd: 1\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX-Odd: é\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: gzip\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: Chunked\r\n\r\n2\r\nok\r\n0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\nTransfer-Encoding: gzip\r\n\r\n0\r\n\r\n",
     ] {
         let server = Server::start(begin, "");
         let pool = Pool::new();
@@ -130,3 +133,127 @@
         server.check(unit);
     }
 }
+
+/// How a server ends its connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// By a reset.
+    Reset,
+    /// By an end of its sending side, before the reset.
+    Shutdown,
+}
+
+/// A server that answers `kept` requests on each connection properly, and the next one before
+/// it has read more than a byte of it.
+fn early_server(answer: &'static str, end: End, kept: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let serve = move |mut stream: TcpStream| {
+        for _ in 0..kept {
+            if stream.read(&mut [0; 4_096]).unwrap_or(0) == 0 {
+                return;
+            }
+            let proper = b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nkept";
+            stream.write_all(proper).unwrap();
+        }
+        if stream.read(&mut [0]).unwrap_or(0) == 0 {
+            return;
+        }
+        stream.write_all(answer.as_bytes()).unwrap();
+        if end == End::Shutdown {
+            stream.shutdown(Shutdown::Write).unwrap();
+        }
+        // The close resets the connection, as not all bytes were read.
+    };
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// Bytes of requests: none, some that are sent at once, and more than the buffers of the
+/// operating system take.
+const UPLOADS: [usize; 3] = [0, 8, 32 << 20];
+
+/// Guards against a part of an answer that is taken for all of it, as its server answers before
+/// it has read the request and resets the connection.
+#[test]
+fn an_early_answer_that_is_reset_is_a_failure() {
+    for (kept, upload) in [0, 1]
+        .into_iter()
+        .flat_map(|kept| UPLOADS.map(|it| (kept, it)))
+    {
+        let address = early_server("HTTP/1.1 200 OK\r\n\r\npart", End::Reset, kept);
+        let pool = Pool::new();
+        let call = Call::post("/", vec![b'x'; upload]);
+        smol::block_on(async {
+            for _ in 0..kept {
+                let answer = pool.whole(address, &Call::get("/"), 1 << 20, LIMIT).await;
+                assert_eq!(answer.unwrap().bytes, b"kept");
+            }
+            let answer = pool.whole(address, &call, 1 << 20, LIMIT).await;
+            // A call that fails on a kept connection may be repeated on a new one.
+            let is_repeated = kept > 0 && answer.as_ref().is_ok_and(|it| it.bytes == b"kept");
+            assert!(
+                matches!(answer, Err(Failure::Unknown(_))) || is_repeated,
+                "{kept} {upload}: {answer:?}"
+            );
+        });
+    }
+}
+
+/// Guards against a stream that ends between two events, as an early answer is reset.
+#[test]
+fn an_early_stream_that_is_reset_does_not_end() {
+    let answer = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\nid: 1\ndata: a\n\n";
+    for upload in UPLOADS {
+        let address = early_server(answer, End::Reset, 0);
+        let call = Call::post("/", vec![b'x'; upload]);
+        let end = smol::block_on(async {
+            let answer = Pool::new().send(address, &call).await?;
+            let mut events = Reader::new(answer.reader());
+            while events.next().await.map_err(Failure::Unknown)?.is_some() {}
+            Ok(())
+        });
+        assert!(matches!(end, Err(Failure::Unknown(_))), "{upload}: {end:?}");
+    }
+}
+
+/// Guards against an answer without a length that counts as empty, of which the bytes are then
+/// taken for the next answer, or that is refused though it ends in order.
+#[test]
+fn an_answer_without_a_length_is_whole_if_it_ends_in_order() {
+    for kept in [0, 1] {
+        let address = early_server("HTTP/1.1 200 OK\r\n\r\nwhole", End::Shutdown, kept);
+        let pool = Pool::new();
+        smol::block_on(async {
+            for number in 0..3 * (kept + 1) {
+                let call = Call::post("/", vec![b'x'; 8]);
+                let answer = pool.whole(address, &call, 1 << 20, LIMIT).await;
+                let is_kept = number % (kept + 1) < kept;
+                let expected: &[u8] = if is_kept { b"kept" } else { b"whole" };
+                assert_eq!(answer.unwrap().bytes, expected, "{number} of {kept}");
+            }
+        });
+    }
+}
+
+/// Guards against the end of a body that is taken for that of its first part.
+#[test]
+fn an_answer_without_a_length_may_arrive_in_parts() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert_ne!(stream.read(&mut [0; 4_096]).unwrap(), 0);
+        for part in ["HTTP/1.1 200 OK\r\n\r\n", "one ", "two"] {
+            stream.write_all(part.as_bytes()).unwrap();
+            thread::sleep(Duration::from_millis(20));
+        }
+    });
+    let (pool, call) = (Pool::new(), Call::get("/"));
+    let answer = smol::block_on(pool.whole(address, &call, 1 << 20, LIMIT));
+    assert_eq!(answer.unwrap().bytes, b"one two");
+}
