Tests of broken answers that are refused already

An answer whose status is 000, or whose head has a blank or a control byte in the name of a field, reaches no client: nothing was reproduced, and nothing but tests changes. `faulty_heads`, `call` and `faulty_answers` had most of it; what lacked a test, and passes:

- Fields that would give the body another length, or end the connection, if a blank or a control byte in their names were overlooked (`Content-Length : 1`, `Transfer\x02Encoding: gzip`): as whole answers, as streams, in answers that resume a stream, as trailers, through another box, in calls and at the client of tidepier-router.
- Health checks: a stream at a silent server does not leave for one whose check was answered with 000, 099, a request line or an odd name.
- Calls whose answer has no length and is reset, after no body, a small one and one of 32 MiB.
It passes on, too: a call fails with its write.

--- a/crates/h1/tests/h1/call.rs
+++ b/crates/h1/tests/h1/call.rs
@@ -130,6 +130,9 @@
         "HTTP/1.1 600 Own\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 101 Switching\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         "HTTP/1.1 200 OK\r\nX Odd: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nX\x01Odd: 1\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\nX Odd: 1\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
         "\x00\r\n\r\n",
     ];
     let caller = Heard::new(peer(script.iter().map(|answer| vec![*answer]).collect()));
@@ -168,3 +171,34 @@
         assert_eq!(error.kind(), ErrorKind::UnexpectedEof, "{cut}");
     }
 }
+
+/// Guards against a part of an answer that is taken for all of it, as the peer answers before it
+/// has read the request and resets the connection.
+#[test]
+fn a_call_whose_answer_is_reset_has_no_answer() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("loopback");
+    let address = listener.local_addr().expect("bound");
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let mut stream = stream.expect("a connection");
+            assert_ne!(stream.read(&mut [0]).expect("a request"), 0);
+            let part = b"HTTP/1.1 200 OK\r\n\r\npart";
+            stream.write_all(part).expect("room");
+            // The close resets the connection, as not all bytes were read.
+        }
+    });
+    let caller = Caller::new(address, LIMITS);
+    for bytes in [0, 8, 32 << 20] {
+        let body = vec![b'x'; bytes];
+        let request = Request {
+            method: "POST",
+            target: "/a",
+            body: Some(("text/plain", &body)),
+        };
+        let reply = smol::block_on(caller.call(&request, LIMIT, |_| {}));
+        assert!(
+            matches!(reply, Err(Failure::NoAnswer(_))),
+            "{bytes}: {reply:?}"
+        );
+    }
+}
--- a/crates/relay/tests/relay/faulty_heads.rs
+++ b/crates/relay/tests/relay/faulty_heads.rs
@@ -37,7 +37,7 @@
 ];
 
 /// Lines that are no field.
-const FIELDS: [&str; 14] = [
+const FIELDS: [&str; 20] = [
     "X Odd: 1",
     "X-Odd : 1",
     " X-Odd: 1",
@@ -52,6 +52,12 @@
     "X-Odd: \x01",
     "X-Odd: 1\r 2",
     "HTTP/1.1 200 OK",
+    "Content-Length : 1",
+    "Content Length: 1",
+    "Content-Length\x01: 1",
+    "Transfer-Encoding : gzip",
+    "Transfer\x02Encoding: gzip",
+    "\x1fConnection: close",
 ];
 
 /// Time in which a client gets an answer, whatever a server sends.
--- a/crates/relay/tests/relay/silent_servers.rs
+++ b/crates/relay/tests/relay/silent_servers.rs
@@ -14,7 +14,7 @@
 use tidepier_relay::fleet::check::Check;
 use tidepier_relay_standin::client::Answer;
 use tidepier_relay_standin::names;
-use tidepier_relay_standin::server::{Fault, Server};
+use tidepier_relay_standin::server::{Fault, Odd, Server};
 use tidepier_relay_standin::site::{Route, Site};
 
 use crate::choice_harness::{self, ChoiceHarness};
@@ -192,6 +192,48 @@
     })
 }
 
+/// Guards against a stream that leaves its server for one whose health check was answered with
+/// bytes that are no answer.
+#[test]
+fn a_stream_stays_if_the_check_of_the_other_server_is_no_answer() -> Result {
+    run(async |executor| {
+        let odd = [
+            Odd::Status("000"),
+            Odd::Status("099"),
+            Odd::RequestLine,
+            Odd::FieldName("X Odd"),
+            Odd::FieldName("X-Odd "),
+            Odd::FieldName("X\x01Odd"),
+        ];
+        let plays = odd.map(|odd| executor.spawn(ensure_stays(executor.clone(), odd)));
+        for play in plays {
+            play.await?;
+        }
+        Ok(())
+    })
+}
+
+/// Sends a stream to a silent server, beside one that answers health checks oddly.
+async fn ensure_stays(executor: Executor, odd: Odd) -> Result {
+    let site = Site::start()?;
+    let route = Route::new("/s/", Kind::Stream { resumable: true }, SERVICE);
+    site.declare(&[Route {
+        timeout: ROUTE_TIMEOUT,
+        ..route
+    }]);
+    let _silent = site.server(stream_server_settings(1, EVENTS, ROUTE_TIMEOUT))?;
+    let far = site.server(stream_server_settings(2, EVENTS, ms(10)))?;
+    // No request has the fault.
+    far.fault(Fault::Odd(odd), 0);
+    let harness = Harness::start_ready(executor, site).await?;
+    let deadline = ROUTE_TIMEOUT.as_millis().to_string();
+    let call = post("/s/x", "stays").with(names::DEADLINE, &deadline);
+    let answer = harness.call(&call.leaving(2 * LEAVE_TIME)).await?;
+    ensure!(far.probes() > 0, "{odd:?}: no check");
+    ensure!(far.ran("stays") == 0, "{odd:?}: {:?}", answer.ids());
+    Ok(())
+}
+
 /// Guards against streams that end in the middle though their server goes on, as they may not be
 /// sent again: their route allows no other attempt, the retry budget is spent, or a server that
 /// rejected them has used up the other attempt.
