early_resets: a request that reaches no server does not count

Traced: requests are refused with 503 `no_server`, the first one after 295 ms, those of the next second at once. By the code, a tunnel has timed out then (120 to 300 ms), and the only other box is left out. None of them ran later (4 and 60 refusals traced for a second). Copies of the test also use ports of each other that were just freed: calls to a store took the fault of a server, and the request was answered properly.

So requests go on until eight were answered early; each of those is judged as before, and the others have to be whole answers or refusals.

--- a/crates/relay/tests/relay/early_resets.rs
+++ b/crates/relay/tests/relay/early_resets.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use eyre::ensure;
+use smol::Timer;
 use tidepier_relay_standin::client::{Answer, Call};
 use tidepier_relay_standin::partition::Cut;
 use tidepier_relay_standin::server::{EarlyEnd, Fault, Run, Server};
@@ -20,8 +21,10 @@
 const UPLOAD_BYTES: usize = 3 << 20;
 /// Bytes of a request that a connection takes at once.
 const SMALL_BYTES: usize = 8;
-/// Requests of each kind.
-const REQUESTS: usize = 8;
+/// Early answers of each kind.
+const ANSWERS: usize = 8;
+/// Pause after a request that was not answered early.
+const PAUSE: Duration = ms(20);
 
 /// Resets with and without a pause after the part of the answer.
 const RESETS: [Fault; 2] = [
@@ -40,9 +43,10 @@
     run.ran() && run.body.is_none()
 }
 
-fn count_early(servers: &[&Server]) -> usize {
-    let runs = servers.iter().flat_map(|server| server.runs());
-    runs.filter(is_early).count()
+/// Whether a server answered this attempt before it had read it.
+fn has_early(servers: &[&Server], attempt: &str) -> bool {
+    let mut runs = servers.iter().flat_map(|server| server.runs());
+    runs.any(|run| run.attempt == attempt && is_early(&run))
 }
 
 /// Checks that an answer is a server's whole one, or a refusal, or visibly incomplete.
@@ -54,36 +58,42 @@
     ensure_served_or_refused(answer, servers, attempt)
 }
 
-/// What is sent, and how its answers are checked.
-struct Play<'a> {
-    targets: [&'a str; 2],
-    faults: &'a [Fault],
+/// What servers do, and how their answers are checked.
+struct Play {
+    faults: &'static [Fault],
     /// Size of the bodies of the requests.
     bytes: usize,
     check: fn(&Answer, &[&Server], &str) -> Result,
 }
 
-impl Play<'_> {
-    /// Sends requests to servers that answer early; returns what was wrong.
+impl Play {
+    /// Sends requests until enough were answered early; returns what was wrong. The others have
+    /// to be served or refused: on a busy machine, another box may not be reached for a while.
     async fn run(
         &self,
         servers: &[&Server],
+        targets: [&str; 2],
         mut send: impl AsyncFnMut(Call) -> Result<Answer>,
     ) -> Result<Vec<String>> {
         let mut wrong = Vec::new();
-        for target in self.targets {
+        for target in targets {
             for fault in self.faults {
-                let before = count_early(servers);
-                for number in 0..REQUESTS {
+                let (mut sent, mut early) = (0, 0);
+                while early < ANSWERS {
                     servers.iter().for_each(|it| it.fault(*fault, 1));
-                    let attempt = format!("{target}-{fault:?}-{number}").replace(' ', "");
+                    let attempt = format!("{target}-{fault:?}-{sent}").replace(' ', "");
                     let answer = send(upload(target, &attempt, self.bytes)).await?;
                     servers.iter().for_each(|it| it.heal());
-                    let checked = (self.check)(&answer, servers, &attempt);
-                    wrong.extend(checked.err().map(|error| format!("{error}")));
+                    sent += 1;
+                    let checked = if has_early(servers, &attempt) {
+                        early += 1;
+                        (self.check)(&answer, servers, &attempt)
+                    } else {
+                        Timer::after(PAUSE).await;
+                        ensure_served_or_refused(&answer, servers, &attempt)
+                    };
+                    wrong.extend(checked.err().map(|error| error.to_string()));
                 }
-                let early = count_early(servers) - before;
-                ensure!(early >= REQUESTS, "{target}: {early} early answers");
             }
         }
         Ok(wrong)
@@ -96,7 +106,7 @@
 }
 
 /// Plays early answers on connections of one box.
-async fn play_direct(executor: Executor, play: Play<'_>) -> Result {
+async fn play_direct(executor: Executor, play: Play) -> Result {
     let mut wrong = Vec::new();
     for (settings, targets) in [
         (server_settings as fn(u32) -> _, ["/o/x", "/r/x"]),
@@ -105,14 +115,13 @@
         let (servers, harness) = cut_heads::start(executor.clone(), settings).await?;
         let known = [&servers[0], &servers[1]];
         let send = async |call: Call| harness.call(&call).await;
-        let play = Play { targets, ..play };
-        wrong.extend(play.run(&known, send).await?);
+        wrong.extend(play.run(&known, targets, send).await?);
     }
     ensure_none(&wrong)
 }
 
 /// Plays early answers on connections that another box carries.
-async fn play_through_another_box(executor: Executor, play: Play<'_>) -> Result {
+async fn play_through_another_box(executor: Executor, play: Play) -> Result {
     let fleet = Partitioned::start(&executor, &["hall-1", "hall-2"]).await?;
     fleet.cut(&[0], Cut::Silent)?;
     fleet.adapt(0).await?;
@@ -121,16 +130,14 @@
     let mut wrong = Vec::new();
     for (known, targets) in [(plain, ["/o/x", "/r/x"]), (streams, ["/u/x", "/s/x"])] {
         let send = async |call: Call| fleet.boxes[0].call(&call).await;
-        let play = Play { targets, ..play };
-        wrong.extend(play.run(&known, send).await?);
+        wrong.extend(play.run(&known, targets, send).await?);
     }
     ensure_none(&wrong)
 }
 
 /// Resets before the end of the answer.
-fn resets(bytes: usize) -> Play<'static> {
+fn resets(bytes: usize) -> Play {
     Play {
-        targets: [""; 2],
         faults: &RESETS,
         bytes,
         check: ensure_not_cut_short,
@@ -138,9 +145,8 @@
 }
 
 /// Resets after the end of the answer.
-fn shutdowns() -> Play<'static> {
+fn shutdowns() -> Play {
     Play {
-        targets: [""; 2],
         faults: &SHUTDOWN,
         bytes: UPLOAD_BYTES,
         check: ensure_served_by,
@@ -163,20 +169,26 @@
 /// Guards against the same of requests that are written before the answer begins.
 #[test]
 fn an_answer_that_is_reset_after_a_small_request_is_not_complete() -> Result {
-    run(async |executor| {
-        play_direct(executor.clone(), resets(SMALL_BYTES)).await?;
-        play_through_another_box(executor, resets(SMALL_BYTES)).await
-    })
+    run(async |executor| play_direct(executor, resets(SMALL_BYTES)).await)
+}
+
+/// Guards against the same through another box.
+#[test]
+fn an_answer_that_is_reset_after_a_small_request_is_not_complete_through_another_box() -> Result {
+    run(async |executor| play_through_another_box(executor, resets(SMALL_BYTES)).await)
 }
 
 /// Guards against an answer that is refused though its server has ended it in order, and
 /// reset the connection only as it reads no more of the request.
 #[test]
 fn an_early_answer_that_ends_in_order_is_complete() -> Result {
-    run(async |executor| {
-        play_direct(executor.clone(), shutdowns()).await?;
-        play_through_another_box(executor, shutdowns()).await
-    })
+    run(async |executor| play_direct(executor, shutdowns()).await)
+}
+
+/// Guards against the same through another box.
+#[test]
+fn an_early_answer_that_ends_in_order_is_complete_through_another_box() -> Result {
+    run(async |executor| play_through_another_box(executor, shutdowns()).await)
 }
 
 /// Guards against a part of an answer that clients get as all of it where client and server
@@ -188,7 +200,7 @@
         let known = [&servers[0], &servers[1]];
         let mut client = Client::open(harness.router_address()).await?;
         let mut wrong = Vec::new();
-        for number in 0..REQUESTS {
+        for number in 0..ANSWERS {
             let before = format!("before-{number}");
             let answer = client.call(&post("/o/x", &before)).await;
             ensure_served_by(&answer, &known, &before)?;
@@ -197,7 +209,7 @@
             let answer = client.call(&upload("/o/x", &attempt, UPLOAD_BYTES)).await;
             known.iter().for_each(|it| it.heal());
             let checked = ensure_not_cut_short(&answer, &known, &attempt);
-            wrong.extend(checked.err().map(|error| format!("{error}")));
+            wrong.extend(checked.err().map(|error| error.to_string()));
             if !answer.is_reusable() {
                 client = Client::open(harness.router_address()).await?;
             }
