Names in the socket and the early answers of the stand-in

`Socket::record` shared its name with the records of tunnels, which are another thing; it is `keep_failure`. The cut of a stream after a whole event is a function of its own. Nothing else changes.

--- a/crates/h1/src/socket.rs
+++ b/crates/h1/src/socket.rs
@@ -50,31 +50,31 @@
 
     /// Reads what has arrived; 0 if the peer has ended its sending side.
     pub(crate) fn read(&self, buffer: &mut [u8]) -> io::Result<usize> {
-        match self.record(self.stream.get_ref().read(buffer)) {
+        match self.keep_failure(self.stream.get_ref().read(buffer)) {
             Ok(0) => self.failure().map_or(Ok(0), Err),
             read => read,
         }
     }
 
     pub(crate) fn write(&self, bytes: &[u8]) -> io::Result<usize> {
-        self.record(self.stream.get_ref().write(bytes))
+        self.keep_failure(self.stream.get_ref().write(bytes))
     }
 
     pub(crate) fn write_vectored(&self, parts: &[IoSlice<'_>]) -> io::Result<usize> {
-        self.record(self.stream.get_ref().write_vectored(parts))
+        self.keep_failure(self.stream.get_ref().write_vectored(parts))
     }
 
     pub(crate) fn send(&self, bytes: &[u8], flags: SendFlags) -> io::Result<usize> {
-        self.record(net::send(self.stream.get_ref(), bytes, flags).map_err(io::Error::from))
+        self.keep_failure(net::send(self.stream.get_ref(), bytes, flags).map_err(io::Error::from))
     }
 
     pub(crate) fn shut_down_writing(&self) -> io::Result<()> {
         self.stream.get_ref().shutdown(Shutdown::Write)
     }
 
-    /// Records the error by which the connection failed, and returns it in place of the ones
-    /// that the system returns after it.
-    fn record(&self, result: io::Result<usize>) -> io::Result<usize> {
+    /// Keeps the error by which the connection failed, and returns it in place of the ones that
+    /// the system returns after it.
+    fn keep_failure(&self, result: io::Result<usize>) -> io::Result<usize> {
         result.map_err(|error| match Errno::from_io_error(&error) {
             None | Some(Errno::WOULDBLOCK | Errno::INTR) => error,
             // Without an earlier failure, the peer had ended its sending side in order before
--- a/crates/relay-standin/src/server/answer.rs
+++ b/crates/relay-standin/src/server/answer.rs
@@ -100,21 +100,20 @@
         head: &Head,
         end: EarlyEnd,
     ) -> io::Result<Disposition> {
-        self.record_end(index, Outcome::Running);
         let is_stream = self.shared.settings.events.is_some();
         let mut with = vec![("Connection", "close")];
         with.extend(is_stream.then_some(("Content-Type", "text/event-stream")));
-        let head_bytes = self.signed_head(index, 200, &with) + "\r\n";
+        self.record_end(index, Outcome::Running);
+        let begin = self.signed_head(index, 200, &with) + "\r\n";
         let body = self.proper_body(index, head);
         match end {
             EarlyEnd::Reset(pause) => {
-                let mut part = &body[..body.len() / 2];
-                if is_stream {
-                    let last = part.windows(2).rposition(|at| at == b"\n\n");
-                    part = &part[..last.map_or(0, |at| at + 2)];
-                }
                 self.record_end(index, Outcome::Stopped);
-                self.write(&[head_bytes.as_bytes(), part].concat()).await?;
+                let part = match is_stream {
+                    true => whole_events(&body[..body.len() / 2]),
+                    false => &body[..body.len() / 2],
+                };
+                self.write(&[begin.as_bytes(), part].concat()).await?;
                 if !pause.is_zero() {
                     Timer::after(pause).await;
                 }
@@ -122,7 +121,7 @@
             }
             EarlyEnd::Shutdown => {
                 self.record_end(index, Outcome::Finished);
-                self.write(&[head_bytes.as_bytes(), &body].concat()).await?;
+                self.write(&[begin.as_bytes(), &body].concat()).await?;
                 self.conn.writer().finish();
                 Ok(Disposition::Close)
             }
@@ -344,6 +343,12 @@
     }
 }
 
+/// The complete events at the beginning of some text.
+fn whole_events(text: &[u8]) -> &[u8] {
+    let last = text.windows(2).rposition(|at| at == b"\n\n");
+    &text[..last.map_or(0, |at| at + 2)]
+}
+
 pub(super) fn framed(text: &str, chunked: bool) -> Vec<u8> {
     if !chunked {
         return text.as_bytes().to_vec();
